--- /dev/null
+++ b/.ci/verdict.py
@@ -0,0 +1,37 @@
+"""Turns behave's closing summary into one line and an exit status."""
+
+import pathlib
+import re
+import sys
+
+SUMMARY = re.compile(
+    r"^(?P<passed>\d+) scenarios? passed, (?P<failed>\d+) failed"
+    r"(?:, (?P<error>\d+) error)?",
+    re.MULTILINE,
+)
+
+
+def main(log_path: str, tests_status: str) -> int:
+    """Prints ``N passed, N failed`` for the scenarios that behave ran.
+
+    :param log_path: file that holds behave's output
+    :param tests_status: exit status of the test command
+    :return: 0 when at least one scenario ran and none failed
+    """
+    text = pathlib.Path(log_path).read_text(encoding="utf-8")
+    found = SUMMARY.findall(text)
+    if not found:
+        print("behave printed no summary")
+        print("0 passed, 1 failed")
+        return 1
+    passed, failed, error = found[-1]
+    passed_count = int(passed)
+    failed_count = int(failed) + int(error or 0)
+    if int(tests_status) != 0 and failed_count == 0:
+        failed_count = 1
+    print(f"{passed_count} passed, {failed_count} failed")
+    return 0 if passed_count > 0 and failed_count == 0 else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1], sys.argv[2]))
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on real processes."""
--- /dev/null
+++ b/godwitloft/__init__.py
@@ -0,0 +1,3 @@
+"""A request scheduler for unlike engines."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/godwitloft/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon beside each upstream."""
--- /dev/null
+++ b/godwitloft/charts/__init__.py
@@ -0,0 +1,1 @@
+"""State charts in JSON files, and the code that interprets them."""
--- /dev/null
+++ b/godwitloft/clock.py
@@ -0,0 +1,62 @@
+"""The one clock type of the project, in milliseconds."""
+
+import dataclasses
+import time
+import typing
+
+MS_PER_S = 1000
+
+
+@dataclasses.dataclass(frozen=True)
+class Clock:
+    """Tells the time to everything that must know it.
+
+    Code takes a clock as a parameter, so that a test can drive time.
+
+    :param monotonic_ms: milliseconds since some fixed point; never goes
+        back; for durations and deadlines inside one process
+    :param wall_ms: milliseconds since 1970; may jump; only for records that
+        people read
+    """
+
+    monotonic_ms: typing.Callable[[], int]
+    wall_ms: typing.Callable[[], int]
+
+
+def system_clock() -> Clock:
+    """Returns the clock of this machine.
+
+    :return: a clock over the operating system's monotonic and wall time
+    """
+    return Clock(
+        monotonic_ms=lambda: time.monotonic_ns() // 1_000_000,
+        wall_ms=lambda: time.time_ns() // 1_000_000,
+    )
+
+
+class ManualClock:
+    """A time that only moves when told to.
+
+    :param start_ms: both times at the start, in milliseconds
+    """
+
+    def __init__(self, start_ms: int = 1_000_000) -> None:
+        self.now_ms = start_ms
+        self.wall_offset_ms = 0
+
+    def advance(self, duration_ms: int) -> None:
+        """Moves both times on.
+
+        :param duration_ms: milliseconds, not negative
+        """
+        self.now_ms += duration_ms
+
+    def clock(self) -> Clock:
+        """Returns a view of this time.
+
+        :return: a clock that reads the current manual time
+        """
+        return Clock(
+            monotonic_ms=lambda: self.now_ms,
+            wall_ms=lambda: self.now_ms + self.wall_offset_ms,
+        )
--- /dev/null
+++ b/godwitloft/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Embeddable parts for agreement between daemons."""
--- /dev/null
+++ b/godwitloft/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that callers and operators talk to."""
--- /dev/null
+++ b/godwitloft/events.py
@@ -0,0 +1,122 @@
+"""Numbered log events and the function that writes them.
+
+Every log line of the project is one of the events below. The catalogue in
+docs/EVENTS.md lists the same numbers; a feature checks that they agree.
+Numbers are never used again for another meaning.
+"""
+
+import dataclasses
+import json
+import logging
+import typing
+
+LOGGER_NAME = "godwitloft"
+
+
+@dataclasses.dataclass(frozen=True)
+class Event:
+    """One kind of log line.
+
+    :param number: unique number, written as ``GL1001``
+    :param level: level of the standard ``logging`` module
+    :param text: what happened, in a few words
+    """
+
+    number: int
+    level: int
+    text: str
+
+    @property
+    def code(self) -> str:
+        """The number as people quote it, for example ``GL1001``."""
+        return f"GL{self.number}"
+
+
+STARTED = Event(1001, logging.INFO, "the process started")
+STOPPED = Event(1002, logging.INFO, "the process stopped")
+DRAINING = Event(1003, logging.INFO, "the process takes no new work")
+LINK_UP = Event(1101, logging.INFO, "a link to a peer is up")
+LINK_DOWN = Event(1102, logging.WARNING, "a link to a peer is down")
+LINK_REFUSED = Event(1103, logging.WARNING, "a peer was refused")
+REQUEST_REFUSED = Event(1201, logging.INFO, "a request was refused")
+REQUEST_ENDED = Event(1202, logging.DEBUG, "a request ended")
+OUTCOME_UNKNOWN = Event(
+    1203, logging.WARNING, "the outcome of a request is unknown"
+)
+UPSTREAM_FAILED = Event(1301, logging.WARNING, "an upstream failed a request")
+CONFIGURATION_IN_FORCE = Event(
+    1401, logging.INFO, "a configuration is in force"
+)
+
+
+def log(event: Event, **fields: typing.Any) -> None:
+    """Writes one event with its fields.
+
+    :param event: which event
+    :param fields: values that JSON can hold; named in standard terms
+    """
+    logger = logging.getLogger(LOGGER_NAME)
+    if logger.isEnabledFor(event.level):
+        logger.log(
+            event.level, event.text, extra={"event": event, "fields": fields}
+        )
+
+
+class JsonFormatter(logging.Formatter):
+    """Formats a record as one line of JSON."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Returns the line for a record.
+
+        :param record: a record, usually written by :func:`log`
+        :return: a JSON object without a newline
+        """
+        event = getattr(record, "event", None)
+        line = {
+            "time": self.formatTime(record),
+            "level": record.levelname.lower(),
+            "event": event.code if event else None,
+            "message": record.getMessage(),
+        }
+        line.update(getattr(record, "fields", {}))
+        if record.exc_info:
+            line["traceback"] = self.formatException(record.exc_info)
+        return json.dumps(line, default=str)
+
+
+class TextFormatter(logging.Formatter):
+    """Formats a record as a line for people."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Returns the line for a record.
+
+        :param record: a record, usually written by :func:`log`
+        :return: text, with a traceback on lines of its own if there is one
+        """
+        event = getattr(record, "event", None)
+        fields = getattr(record, "fields", {})
+        words = [
+            self.formatTime(record),
+            record.levelname,
+            event.code if event else "-",
+            record.getMessage(),
+        ]
+        words.extend(f"{name}={value!r}" for name, value in fields.items())
+        if record.exc_info:
+            words.append("\n" + self.formatException(record.exc_info))
+        return " ".join(words)
+
+
+def configure(level: str = "info", style: str = "json") -> None:
+    """Sends log lines to standard error.
+
+    :param level: name of a level of the standard ``logging`` module
+    :param style: ``json`` or ``text``
+    """
+    handler = logging.StreamHandler()
+    formatter = JsonFormatter() if style == "json" else TextFormatter()
+    handler.setFormatter(formatter)
+    logger = logging.getLogger(LOGGER_NAME)
+    logger.handlers[:] = [handler]
+    logger.setLevel(level.upper())
+    logger.propagate = False
--- /dev/null
+++ b/godwitloft/links/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between daemons and the links that carry them."""
--- /dev/null
+++ b/godwitloft/metrics.py
@@ -0,0 +1,90 @@
+"""Counters and histograms of a daemon, by OpenTelemetry.
+
+The SDK is imported only when a daemon creates its instruments, so that
+library users who bring their own meter don't pay for it.
+"""
+
+import dataclasses
+import typing
+
+from opentelemetry import metrics
+
+Labels = typing.Mapping[str, str]
+
+WAIT_BUCKETS_MS = (1, 5, 10, 25, 50, 100, 250, 600, 1000, 5000, 30_000)
+TOKEN_BUCKETS_MS = (5, 10, 20, 40, 62, 100, 200, 500, 1000)
+
+
+@dataclasses.dataclass(frozen=True)
+class Instruments:
+    """What a daemon counts; each field is one instrument.
+
+    :param refusals: requests refused, by ``reason`` and ``tier``
+    :param retries: calls tried again, by ``reason``
+    :param outcomes: requests ended, by ``outcome`` and ``tier``
+    :param dropped_messages: link messages ignored, by ``reason``
+    :param wait_ms: from acceptance to dispatch
+    :param first_token_ms: from acceptance to the first chunk
+    :param between_tokens_ms: between chunks of one answer
+    """
+
+    refusals: metrics.Counter
+    retries: metrics.Counter
+    outcomes: metrics.Counter
+    dropped_messages: metrics.Counter
+    wait_ms: metrics.Histogram
+    first_token_ms: metrics.Histogram
+    between_tokens_ms: metrics.Histogram
+
+
+def create_instruments(meter: metrics.Meter) -> Instruments:
+    """Creates the instruments on a meter.
+
+    :param meter: any OpenTelemetry meter; a no-op one discards everything
+    :return: the instruments
+    """
+
+    def counter(name: str) -> metrics.Counter:
+        return meter.create_counter(f"godwitloft_{name}")
+
+    def histogram(
+        name: str, buckets: typing.Sequence[float]
+    ) -> metrics.Histogram:
+        return meter.create_histogram(
+            f"godwitloft_{name}",
+            unit="ms",
+            explicit_bucket_boundaries_advisory=list(buckets),
+        )
+
+    return Instruments(
+        refusals=counter("refusals"),
+        retries=counter("retries"),
+        outcomes=counter("outcomes"),
+        dropped_messages=counter("dropped_messages"),
+        wait_ms=histogram("wait", WAIT_BUCKETS_MS),
+        first_token_ms=histogram("first_token", WAIT_BUCKETS_MS),
+        between_tokens_ms=histogram("between_tokens", TOKEN_BUCKETS_MS),
+    )
+
+
+def discard() -> Instruments:
+    """Returns instruments that count nothing, for tests and embedders.
+
+    :return: instruments on a no-op meter
+    """
+    return create_instruments(metrics.NoOpMeter("godwitloft"))
+
+
+def prometheus() -> tuple[Instruments, typing.Callable[[], bytes]]:
+    """Creates instruments whose values can be read as Prometheus text.
+
+    :return: the instruments, and a function that renders them
+    """
+    from opentelemetry.exporter import prometheus as exporter
+    from opentelemetry.sdk import metrics as sdk
+    import prometheus_client
+
+    reader = exporter.PrometheusMetricReader()
+    provider = sdk.MeterProvider(metric_readers=[reader])
+    instruments = create_instruments(provider.get_meter("godwitloft"))
+    return instruments, prometheus_client.generate_latest
--- /dev/null
+++ b/godwitloft/objects/__init__.py
@@ -0,0 +1,1 @@
+"""Named objects that operators publish, and the checks on them."""
--- /dev/null
+++ b/godwitloft/platform/port.py
@@ -0,0 +1,116 @@
+"""What the daemons ask of the platform, whatever its adapter.
+
+Each function returns a Deferred. It fails with :class:`StoreUnavailable`
+when the store was not reached or refused before doing anything, and with
+:class:`AnswerLost` when a write may or may not have taken effect.
+"""
+
+import dataclasses
+import typing
+
+from twisted.internet import defer
+
+from godwitloft import errors
+
+
+class PlatformError(errors.GodwitloftError):
+    """A call on the platform failed."""
+
+
+class StoreUnavailable(PlatformError):
+    """The call had no effect; it may be tried again later."""
+
+
+class AnswerLost(PlatformError):
+    """The call may have taken effect; read back before trying again."""
+
+
+class RateLimited(StoreUnavailable):
+    """The platform refused the call for its rate; it had no effect."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Row:
+    """One row of a table.
+
+    :param key: key inside the table
+    :param value: content, at most 64 KiB
+    :param version: changes at every write; 0 means that no row exists
+    """
+
+    key: str
+    value: bytes
+    version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Swapped:
+    """A compare-and-set took effect.
+
+    :param row: the row as it is now
+    """
+
+    row: Row
+
+
+@dataclasses.dataclass(frozen=True)
+class Conflict:
+    """A compare-and-set found another version and changed nothing.
+
+    :param row: the row as it is, or None when there is none
+    """
+
+    row: Row | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Instance:
+    """One entry of the platform's lagging instance list.
+
+    :param name: unique name of the instance
+    :param role: ``entry`` or ``agent``
+    :param address: IP number
+    :param port: TCP port of its links
+    :param availability_zone: where it is
+    :param pool: for agents, the pool of their upstream
+    :param leaving: whether the platform is taking it away
+    """
+
+    name: str
+    role: str
+    address: str
+    port: int
+    availability_zone: str
+    pool: str = ""
+    leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Platform:
+    """The platform's services as functions.
+
+    :param read_row: ``(table, key)`` to the row or None
+    :param write_row: ``(table, key, value, expected version, time to live
+        in ms or None)``; expected version 0 means "no row yet"
+    :param delete_row: ``(table, key, expected version)``
+    :param list_rows: ``(table, key prefix)`` to rows in key order
+    :param read_object: ``(name)`` to the content or None
+    :param write_object: ``(name, content)``; objects never change, so a
+        second write of the same content is harmless
+    :param list_instances: ``()`` to the instances the platform knows
+    :param read_weights: ``(name)``: asks the weight store for a load permit
+    """
+
+    read_row: typing.Callable[[str, str], defer.Deferred[Row | None]]
+    write_row: typing.Callable[
+        [str, str, bytes, int, int | None],
+        defer.Deferred[Swapped | Conflict],
+    ]
+    delete_row: typing.Callable[
+        [str, str, int], defer.Deferred[Swapped | Conflict]
+    ]
+    list_rows: typing.Callable[[str, str], defer.Deferred[tuple[Row, ...]]]
+    read_object: typing.Callable[[str], defer.Deferred[bytes | None]]
+    write_object: typing.Callable[[str, bytes], defer.Deferred[None]]
+    list_instances: typing.Callable[[], defer.Deferred[tuple[Instance, ...]]]
+    read_weights: typing.Callable[[str], defer.Deferred[None]]
--- /dev/null
+++ b/godwitloft/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling decisions as pure functions over frozen data."""
--- /dev/null
+++ b/godwitloft/policy/types.py
@@ -0,0 +1,68 @@
+"""Frozen data that the scheduling decisions work on.
+
+All times are milliseconds on the clock of the process that decides.
+"""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class Offer:
+    """A waiting request as an agent sees it.
+
+    :param request_id: id given by the entry
+    :param entry: link peer that holds the request
+    :param tier_rank: 0 is the most important tier
+    :param team: name of the team
+    :param team_weight: share against other teams of the tier
+    :param service: name of the service
+    :param deadline_ms: when its answer is late
+    :param prompt_tokens: estimated length of the prompt
+    :param output_tokens: expected length of the answer
+    :param prefix_keys: one a block of the prompt, each covers all before
+    :param fingerprint: hash of the body
+    :param urgent: no other upstream has room for it
+    :param hold_until_ms: not to be started before this time
+    :param isolate: whether it must not run beside another suspect
+    """
+
+    request_id: str
+    entry: str
+    tier_rank: int
+    team: str
+    team_weight: int
+    service: str
+    deadline_ms: int
+    prompt_tokens: int
+    output_tokens: int
+    prefix_keys: tuple[int, ...]
+    fingerprint: str
+    urgent: bool = False
+    hold_until_ms: int = 0
+    isolate: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Running:
+    """A request that runs on an upstream.
+
+    :param request_id: id given by the entry
+    :param tier_rank: 0 is the most important tier
+    :param team: name of the team
+    :param started_ms: when it was given to the upstream
+    :param prompt_left: prompt tokens not yet prefilled, as estimated
+    :param output_left: output tokens expected
+    :param fingerprint: hash of the body
+    :param suspended: whether it is paused on the upstream
+    :param isolate: whether it is a suspect
+    """
+
+    request_id: str
+    tier_rank: int
+    team: str
+    started_ms: int
+    prompt_left: int
+    output_left: int
+    fingerprint: str
+    suspended: bool = False
+    isolate: bool = False
--- /dev/null
+++ b/godwitloft/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for engines, plain services and the platform."""
--- /dev/null
+++ b/godwitloft/ui/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
