Run state charts from JSON files on automat

Cause: request and run must only move along transitions that stand in files, so that entry and agent share one reviewed definition. Change: charts.load checks a file (unknown targets, inputs, unreachable states, dead ends) and builds a TypeMachineBuilder machine from a protocol made at run time; docs/CHARTS.md is generated from the files.

--- a/godwitloft/charts/__init__.py
+++ b/godwitloft/charts/__init__.py
@@ -1,1 +1,262 @@
-"""State charts in JSON files, and the code that interprets them."""
+"""State charts in files, run by automat.
+
+The states and inputs of a request and of a run are data: JSON files beside
+this module. :func:`load` checks a file and builds an automat machine from
+it, so that no code can move a request along a transition that its chart
+doesn't have.
+"""
+
+import dataclasses
+import functools
+import importlib.resources
+import json
+import typing
+
+import automat
+
+from godwitloft import decode
+from godwitloft import errors
+
+
+class ChartError(errors.GodwitloftError):
+    """A chart file is wrong.
+
+    :param chart: name of the chart
+    :param reason: what is wrong, with the state and the input
+    """
+
+    def __init__(self, chart: str, reason: str) -> None:
+        self.chart = chart
+        self.reason = reason
+        super().__init__(f"chart {chart!r}: {reason}")
+
+
+class InputNotAllowed(errors.GodwitloftError):
+    """An input was fed in a state that has no transition for it.
+
+    :param chart: name of the chart
+    :param state: the current state, which stays as it was
+    :param name: the input
+    """
+
+    def __init__(self, chart: str, state: str, name: str) -> None:
+        self.chart = chart
+        self.state = state
+        self.name = name
+        super().__init__(
+            f"chart {chart!r}: input {name!r} is not allowed in state"
+            f" {state!r}"
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class State:
+    """One state of a chart.
+
+    :param doc: what it means, one sentence
+    :param on: from the name of an input to the name of the next state
+    :param final: whether nothing more can happen
+    """
+
+    doc: str
+    on: dict[str, str] = dataclasses.field(default_factory=dict)
+    final: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Definition:
+    """A chart as its file states it.
+
+    :param name: name of the chart, the same as the file's
+    :param doc: what the chart describes, one sentence
+    :param initial: name of the state that a position starts in
+    :param inputs: every input with its meaning
+    :param states: every state
+    """
+
+    name: str
+    doc: str
+    initial: str
+    inputs: dict[str, str]
+    states: dict[str, State]
+
+
+class Position:
+    """Where one request or run stands on its chart.
+
+    :param chart: the chart that it moves on
+    :param machine: an instance of the chart's automat machine
+    """
+
+    __slots__ = ("chart", "machine", "state")
+
+    def __init__(self, chart: "Chart", machine: typing.Any) -> None:
+        self.chart = chart
+        self.machine = machine
+        self.state = chart.definition.initial
+
+    def feed(self, name: str) -> str:
+        """Moves along the transition of an input.
+
+        :param name: the input
+        :return: the name of the new state
+        :raises InputNotAllowed: when the state has no such transition; the
+            position doesn't change
+        """
+        if not self.allows(name):
+            raise InputNotAllowed(self.chart.definition.name, self.state, name)
+        self.state = getattr(self.machine, name)()
+        return self.state
+
+    def allows(self, name: str) -> bool:
+        """Tells whether an input has a transition from here.
+
+        :param name: the input
+        :return: whether :meth:`feed` would accept it
+        """
+        return name in self.chart.definition.states[self.state].on
+
+    @property
+    def final(self) -> bool:
+        """Whether nothing more can happen."""
+        return self.chart.definition.states[self.state].final
+
+
+@dataclasses.dataclass(frozen=True)
+class Chart:
+    """A checked chart that positions can move on.
+
+    :param definition: what the file states
+    :param machine: the automat machine built from it
+    """
+
+    definition: Definition
+    machine: typing.Any
+
+    def start(self) -> Position:
+        """Returns a new position in the initial state.
+
+        :return: a position that shares nothing with others
+        """
+        return Position(self, self.machine(None))
+
+
+@functools.cache
+def load(name: str) -> Chart:
+    """Reads, checks and builds a chart of this package.
+
+    :param name: name of the file without ``.json``
+    :return: the chart; the same object at every call
+    :raises ChartError: when the file is wrong
+    """
+    files = importlib.resources.files(__name__)
+    return parse(name, files.joinpath(f"{name}.json").read_text("utf-8"))
+
+
+def parse(name: str, text: str) -> Chart:
+    """Checks and builds a chart from JSON text.
+
+    :param name: name that the chart must have
+    :param text: a JSON object with the fields of :class:`Definition`
+    :return: the chart
+    :raises ChartError: when the text is wrong
+    """
+    try:
+        value = json.loads(text)
+        definition = decode.decode(Definition, value, "")
+    except ValueError as error:
+        raise ChartError(name, f"not JSON: {error}") from error
+    except decode.DecodeError as error:
+        reason = f"key {error.key!r}: {error.reason}"
+        raise ChartError(name, reason) from error
+    _check(name, definition)
+    return Chart(definition, _build(definition))
+
+
+def _check(name: str, definition: Definition) -> None:
+    states = definition.states
+    if definition.name != name:
+        raise ChartError(name, f"its name is {definition.name!r}")
+    if definition.initial not in states:
+        hint = decode.nearest(definition.initial, states)
+        raise ChartError(
+            name, f"initial state {definition.initial!r} is unknown{hint}"
+        )
+    for one in definition.inputs:
+        if not one.isidentifier() or one.startswith("_"):
+            raise ChartError(name, f"input {one!r} is not an identifier")
+    for state_name, state in states.items():
+        _check_state(name, definition, state_name, state)
+    _check_reachable(name, definition)
+    _check_used(name, definition)
+
+
+def _check_state(
+    name: str, definition: Definition, state_name: str, state: State
+) -> None:
+    where = f"state {state_name!r}"
+    if state.final and any(to != state_name for to in state.on.values()):
+        raise ChartError(name, f"{where} is final but can be left")
+    if not state.final and not state.on:
+        raise ChartError(name, f"{where} can't be left but is not final")
+    for one, target in state.on.items():
+        if one not in definition.inputs:
+            hint = decode.nearest(one, definition.inputs)
+            raise ChartError(name, f"{where}: unknown input {one!r}{hint}")
+        if target not in definition.states:
+            hint = decode.nearest(target, definition.states)
+            raise ChartError(
+                name,
+                f"{where}: input {one!r} leads to unknown state"
+                f" {target!r}{hint}",
+            )
+
+
+def _check_reachable(name: str, definition: Definition) -> None:
+    reached = {definition.initial}
+    left = [definition.initial]
+    while left:
+        for target in definition.states[left.pop()].on.values():
+            if target not in reached:
+                reached.add(target)
+                left.append(target)
+    for state_name in definition.states:
+        if state_name not in reached:
+            raise ChartError(name, f"state {state_name!r} is never reached")
+
+
+def _check_used(name: str, definition: Definition) -> None:
+    used = {one for state in definition.states.values() for one in state.on}
+    for one in definition.inputs:
+        if one not in used:
+            raise ChartError(name, f"input {one!r} is never used")
+
+
+def _build(definition: Definition) -> typing.Any:
+    """Builds the automat machine of a checked definition.
+
+    Automat wants a protocol with a method for each input; it is made here,
+    at run time. Each method returns the name of the new state.
+    """
+    methods = {one: _method(one) for one in definition.inputs}
+    protocol = type(definition.name, (typing.Protocol,), dict(methods))
+    builder: typing.Any = automat.TypeMachineBuilder(protocol, type(None))
+    # Automat takes the first state that is created as the initial one.
+    names = sorted(
+        definition.states, key=lambda one: one != definition.initial
+    )
+    states = {one: builder.state(one) for one in names}
+    for state_name, state in definition.states.items():
+        for one, target in state.on.items():
+            transition = states[state_name].upon(getattr(protocol, one))
+            transition.to(states[target]).returns(target)
+    return builder.build()
+
+
+def _method(name: str) -> typing.Callable[..., str]:
+    def method(self: object) -> str:
+        raise NotImplementedError(name)
+
+    method.__name__ = name
+    method.__qualname__ = name
+    return method
--- /dev/null
+++ b/godwitloft/charts/tables.py
@@ -0,0 +1,60 @@
+"""Writes docs/CHARTS.md from the chart files.
+
+Run ``python -m godwitloft.charts.tables > docs/CHARTS.md`` after a change
+of a chart; a feature checks that the page agrees with the files.
+"""
+
+import sys
+import typing
+
+from godwitloft import charts
+
+NAMES = ("request", "run")
+
+HEAD = """# State charts
+
+Generated from `godwitloft/charts/*.json`; don't edit by hand, run
+`python -m godwitloft.charts.tables > docs/CHARTS.md`.
+
+The code feeds inputs to positions on these charts. An input without a
+transition in the current state is an error that names chart, state and
+input, and changes nothing.
+"""
+
+
+def page() -> str:
+    """Returns the whole page.
+
+    :return: Markdown
+    """
+    return "\n".join([HEAD, *(section(charts.load(one)) for one in NAMES)])
+
+
+def section(chart: charts.Chart) -> str:
+    """Returns the tables of one chart.
+
+    :param chart: any chart
+    :return: Markdown with a table of states and one of inputs
+    """
+    definition = chart.definition
+    lines = [f"## {definition.name}", "", definition.doc, ""]
+    lines += ["| state | meaning | input -> next state |", "|---|---|---|"]
+    for name, state in definition.states.items():
+        mark = " (initial)" if name == definition.initial else ""
+        moves = ", ".join(f"{one} -> {to}" for one, to in state.on.items())
+        lines.append(f"| {name}{mark} | {state.doc} | {moves or 'final'} |")
+    lines += ["", "| input | meaning |", "|---|---|"]
+    lines += [f"| {one} | {doc} |" for one, doc in definition.inputs.items()]
+    return "\n".join([*lines, ""])
+
+
+def main(out: typing.TextIO) -> None:
+    """Writes the page.
+
+    :param out: where to
+    """
+    out.write(page())
+
+
+if __name__ == "__main__":
+    main(sys.stdout)
