--- /dev/null
+++ b/godwitloft/standins/main.py
@@ -0,0 +1,103 @@
+"""The command ``godwitloft-standin``: small stand-ins as processes."""
+
+import dataclasses
+import json
+import sys
+import typing
+
+import cappa
+from twisted.internet import endpoints
+from twisted.internet import interfaces
+from twisted.internet import reactor as default_reactor
+from twisted.web import server
+
+import godwitloft
+from godwitloft import decode
+from godwitloft import errors
+from godwitloft.standins import engine as engines
+from godwitloft.standins import engine_http
+
+EXIT_USAGE = 2
+
+
+@cappa.command(name="engine", help="Run a stand-in model engine.")
+@dataclasses.dataclass(frozen=True)
+class EngineCommand:
+    """Runs a stand-in model engine.
+
+    :param listen: IP number and port; port 0 takes a free one
+    :param settings: JSON object with keys of ``EngineSettings``
+    """
+
+    listen: typing.Annotated[str, cappa.Arg(long=True)] = "127.0.0.1:0"
+    settings: typing.Annotated[str, cappa.Arg(long=True)] = "{}"
+
+    def __call__(self) -> None:
+        """Serves until the process is told to stop."""
+        settings = _settings(engines.EngineSettings, self.settings)
+        reactor = typing.cast(typing.Any, default_reactor)
+        engine = engines.Engine(settings, reactor)
+        _serve(self.listen, engine_http.site(engine, reactor), reactor)
+
+
+@cappa.command(
+    name="godwitloft-standin", help="Small stand-ins for tests and demos."
+)
+@dataclasses.dataclass(frozen=True)
+class Standin:
+    """The whole command.
+
+    :param command: which stand-in to run
+    """
+
+    command: cappa.Subcommands[EngineCommand]
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Runs the command line.
+
+    :param arguments: words after the program's name, default: the
+        process's own
+    """
+    try:
+        cappa.invoke(Standin, argv=arguments, version=godwitloft.__version__)
+    except errors.GodwitloftError as error:
+        print(f"godwitloft-standin: {error}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+
+
+def _settings(kind: type, text: str) -> typing.Any:
+    try:
+        value = json.loads(text)
+    except ValueError as error:
+        raise errors.UserError(f"--settings: not JSON: {error}") from error
+    return decode.decode(kind, value, "--settings")
+
+
+def _serve(
+    listen: str,
+    factory: server.Site,
+    reactor: typing.Any,
+) -> None:
+    address, _, port = listen.rpartition(":")
+    if not address or not port.isdigit():
+        raise errors.UserError(f"--listen: {listen!r} is not ADDRESS:PORT")
+    endpoint = endpoints.TCP4ServerEndpoint(
+        reactor, int(port), interface=address
+    )
+
+    def announce(listening: interfaces.IListeningPort) -> None:
+        host = typing.cast(typing.Any, listening.getHost())
+        line = {"listening": f"{host.host}:{host.port}"}
+        print(json.dumps(line), flush=True)
+
+    def give_up(failure: typing.Any) -> None:
+        print(f"godwitloft-standin: {failure.value}", file=sys.stderr)
+        reactor.stop()
+
+    endpoint.listen(factory).addCallbacks(announce, give_up)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    main()
