--- a/godwitloft/decode.py
+++ b/godwitloft/decode.py
@@ -8,11 +8,15 @@
 import dataclasses
 import difflib
 import enum
+import functools
+import json
 import types
 import typing
 
 from godwitloft import errors
 
+MAX_SHOWN_CHARACTERS = 200
+
 
 class DecodeError(errors.GodwitloftError):
     """A JSON value doesn't fit the data class it is decoded into.
@@ -41,6 +45,62 @@
     return f"; did you mean {found[0]!r}?" if found else ""
 
 
+def show(value: object) -> str:
+    """Returns a value as an error message quotes it.
+
+    Input may be large, and an error message must not be.
+
+    :param value: any JSON value
+    :return: its ``repr``, cut to a bounded length
+    """
+    text = repr(value)
+    if len(text) <= MAX_SHOWN_CHARACTERS:
+        return text
+    return f"{text[:MAX_SHOWN_CHARACTERS]}..."
+
+
+def parse_json(content: bytes, where: str, max_bytes: int) -> object:
+    """Parses JSON text more strictly than the standard module.
+
+    A key that stands twice in an object is refused: one of its values would
+    silently be lost. So are ``NaN`` and the infinities, which are no JSON.
+
+    :param content: the text in UTF-8
+    :param where: name of the file or input, for the error
+    :param max_bytes: refuse what is longer
+    :return: what the text holds
+    :raises DecodeError: when it is too long or no JSON
+    """
+    if len(content) > max_bytes:
+        raise DecodeError(
+            where, "", f"{len(content)} bytes is above {max_bytes}"
+        )
+
+    def build(pairs: list[tuple[str, object]]) -> dict[str, object]:
+        members = dict(pairs)
+        if len(members) < len(pairs):
+            names = [name for name, _ in pairs]
+            again = next(name for name in names if names.count(name) > 1)
+            raise DecodeError(where, again, "stands twice in one object")
+        return members
+
+    def refuse(constant: str) -> None:
+        raise DecodeError(where, "", f"{constant} is no JSON")
+
+    try:
+        return json.loads(
+            content.decode("utf-8"),
+            object_pairs_hook=build,
+            parse_constant=refuse,
+        )
+    except UnicodeDecodeError as error:
+        raise DecodeError(where, "", f"is not UTF-8: {error}") from error
+    except RecursionError as error:
+        raise DecodeError(where, "", "is nested too deeply") from error
+    except ValueError as error:
+        raise DecodeError(where, "", f"is not JSON: {error}") from error
+
+
 def decode(
     kind: typing.Any, value: object, where: str, key: str = ""
 ) -> typing.Any:
@@ -105,13 +165,13 @@
     kind: typing.Any, value: object, where: str, key: str
 ) -> typing.Any:
     if not isinstance(value, dict):
-        raise DecodeError(where, key, f"{value!r} is not an object")
-    fields = {field.name: field for field in dataclasses.fields(kind)}
-    hints = typing.get_type_hints(kind)
+        raise DecodeError(where, key, f"{show(value)} is not an object")
+    fields, hints = _describe(kind)
     for name in value:
         if name not in fields:
             hint = nearest(name, fields)
-            raise DecodeError(where, _join(key, name), f"unknown key{hint}")
+            path = _join(key, show(name)[1:-1])
+            raise DecodeError(where, path, f"unknown key{hint}")
     arguments = {}
     for name, field in fields.items():
         path = _join(key, name)
@@ -124,6 +184,15 @@
     return kind(**arguments)
 
 
+@functools.cache
+def _describe(
+    kind: typing.Any,
+) -> tuple[dict[str, dataclasses.Field[typing.Any]], dict[str, typing.Any]]:
+    # Resolving type hints costs more than all the rest of decoding.
+    fields = {field.name: field for field in dataclasses.fields(kind)}
+    return fields, typing.get_type_hints(kind)
+
+
 def _has_default(field: dataclasses.Field[typing.Any]) -> bool:
     missing = dataclasses.MISSING
     return field.default is not missing or field.default_factory is not missing
@@ -138,14 +207,14 @@
     for member in members:
         if member is not type(None):
             return decode(member, value, where, key)
-    raise DecodeError(where, key, f"{value!r} is not null")
+    raise DecodeError(where, key, f"{show(value)} is not null")
 
 
 def _decode_tuple(
     kind: typing.Any, value: object, where: str, key: str
 ) -> typing.Any:
     if not isinstance(value, list | tuple):
-        raise DecodeError(where, key, f"{value!r} is not a list")
+        raise DecodeError(where, key, f"{show(value)} is not a list")
     member = typing.get_args(kind)[0]
     return tuple(
         decode(member, one, where, f"{key}[{index}]")
@@ -157,7 +226,7 @@
     kind: typing.Any, value: object, where: str, key: str
 ) -> typing.Any:
     if not isinstance(value, dict):
-        raise DecodeError(where, key, f"{value!r} is not an object")
+        raise DecodeError(where, key, f"{show(value)} is not an object")
     member = typing.get_args(kind)[1]
     return {
         name: decode(member, one, where, _join(key, name))
@@ -172,7 +241,7 @@
         if member.value == value:
             return member
     names = ", ".join(repr(member.value) for member in kind)
-    raise DecodeError(where, key, f"{value!r} is not one of {names}")
+    raise DecodeError(where, key, f"{show(value)} is not one of {names}")
 
 
 def _decode_scalar(
@@ -184,7 +253,7 @@
         expected = {str: "a string", int: "a whole number"}.get(
             kind, {bool: "true or false", float: "a number"}.get(kind, "")
         )
-        raise DecodeError(where, key, f"{value!r} is not {expected}")
+        raise DecodeError(where, key, f"{show(value)} is not {expected}")
     return value
 
 
--- /dev/null
+++ b/godwitloft/objects/canonical.py
@@ -0,0 +1,76 @@
+"""The one byte form of a set of objects, and its hash.
+
+Two sets with the same objects have the same bytes, whatever the order of
+their files. All fields are written out, also those at their defaults: what
+was published keeps its meaning when a later version changes a default.
+"""
+
+import dataclasses
+import enum
+import hashlib
+import json
+import typing
+
+from godwitloft.objects import parse
+from godwitloft.objects import types
+
+
+def encode(objects: types.ObjectSet) -> bytes:
+    """Returns the canonical JSON of a set.
+
+    :param objects: the set
+    :return: ASCII JSON with sorted keys and objects sorted by name
+    """
+    ordered = {
+        plural: sorted(getattr(objects, plural), key=lambda one: one.name)
+        for plural in parse.KINDS
+    }
+    return encode_value(ordered).encode("ascii")
+
+
+def encode_value(value: object) -> str:
+    """Returns the canonical JSON of an object or a part of it.
+
+    :param value: a data class, or what JSON can hold
+    :return: JSON text without spaces
+    """
+    return json.dumps(
+        value, default=_plain, sort_keys=True, separators=(",", ":")
+    )
+
+
+def to_plain(value: object) -> typing.Any:
+    """Returns an object as plain JSON values.
+
+    :param value: a data class, or what JSON can hold
+    :return: dictionaries, lists, strings, numbers
+    """
+    return json.loads(encode_value(value))
+
+
+def hash_of(content: bytes) -> str:
+    """Returns the name of a snapshot.
+
+    :param content: canonical JSON
+    :return: its SHA-256, hexadecimal
+    """
+    return hashlib.sha256(content).hexdigest()
+
+
+def decode(content: bytes, where: str = "snapshot") -> types.ObjectSet:
+    """Returns the set that a snapshot holds.
+
+    :param content: canonical JSON
+    :param where: name of the snapshot, for the error
+    :return: the set
+    :raises errors.ObjectsError: when it holds something else
+    """
+    return parse.from_bytes(content, where)
+
+
+def _plain(value: object) -> object:
+    if isinstance(value, enum.Enum):
+        return value.value
+    if dataclasses.is_dataclass(value):
+        return vars(value)
+    raise TypeError(f"{value!r} can't be written as JSON")
--- /dev/null
+++ b/godwitloft/objects/parse.py
@@ -0,0 +1,163 @@
+"""Reads named objects from JSON files and directories.
+
+A file holds any of ``tiers``, ``services``, ``teams`` and ``pools``, each a
+list of objects. Several files are merged, so that each kind of object, or
+each team, may have a file of its own.
+"""
+
+import dataclasses
+import pathlib
+import typing
+
+from godwitloft import decode
+from godwitloft.objects import errors
+from godwitloft.objects import types
+
+MAX_FILE_BYTES = 16 * 1024 * 1024
+MAX_FILES = 1000
+
+KINDS: typing.Mapping[str, type[typing.Any]] = {
+    "tiers": types.Tier,
+    "services": types.Service,
+    "teams": types.Team,
+    "pools": types.Pool,
+}
+
+
+def singular(plural: str) -> str:
+    """Returns the name of one object of a kind.
+
+    :param plural: a key of :data:`KINDS`
+    :return: for example ``team`` for ``teams``
+    """
+    return plural.removesuffix("s")
+
+
+def from_value(value: object, where: str) -> types.ObjectSet:
+    """Decodes a set of objects.
+
+    :param value: what the JSON parser returned
+    :param where: name of the file or input, for the error
+    :return: the objects, not yet checked against one another
+    :raises errors.ObjectsError: naming the object and field that is wrong
+    """
+    try:
+        return _decode_set(value, where)
+    except decode.DecodeError as error:
+        raise errors.ObjectsError(str(error)) from error
+
+
+def from_bytes(content: bytes, where: str) -> types.ObjectSet:
+    """Parses JSON text into a set of objects.
+
+    :param content: the text in UTF-8
+    :param where: name of the file or input, for the error
+    :return: the objects, not yet checked against one another
+    :raises errors.ObjectsError: naming the object and field that is wrong
+    """
+    try:
+        value = decode.parse_json(content, where, MAX_FILE_BYTES)
+    except decode.DecodeError as error:
+        raise errors.ObjectsError(str(error)) from error
+    return from_value(value, where)
+
+
+def merge(sets: typing.Iterable[types.ObjectSet]) -> types.ObjectSet:
+    """Joins sets of objects.
+
+    An object that stands in two of them stands twice in the result; the
+    check of the whole set reports it.
+
+    :param sets: any number of sets
+    :return: all their objects
+    """
+    parts = list(sets)
+    return types.ObjectSet(
+        **{
+            plural: tuple(
+                one for part in parts for one in getattr(part, plural)
+            )
+            for plural in KINDS
+        }
+    )
+
+
+def from_files(paths: typing.Iterable[str]) -> types.ObjectSet:
+    """Reads and merges files and directories.
+
+    :param paths: files, or directories whose ``*.json`` files are read, in
+        order of their names and not from directories below
+    :return: all their objects, not yet checked against one another
+    :raises errors.ObjectsError: when one can't be read or decoded
+    """
+    files = [file for path in paths for file in _list_files(path)]
+    if len(files) > MAX_FILES:
+        raise errors.ObjectsError(f"{len(files)} files is above {MAX_FILES}")
+    return merge(from_bytes(_read(file), str(file)) for file in files)
+
+
+def _decode_set(value: object, where: str) -> types.ObjectSet:
+    if not isinstance(value, dict):
+        raise decode.DecodeError(
+            where, "", f"{decode.show(value)} is not an object"
+        )
+    for plural in value:
+        if plural not in KINDS:
+            hint = decode.nearest(plural, KINDS)
+            raise decode.DecodeError(
+                where, decode.show(plural)[1:-1], f"unknown key{hint}"
+            )
+    return types.ObjectSet(
+        **{
+            plural: _decode_list(plural, value[plural], where)
+            for plural in value
+        }
+    )
+
+
+def _decode_list(
+    plural: str, value: object, where: str
+) -> tuple[typing.Any, ...]:
+    if not isinstance(value, list):
+        raise decode.DecodeError(
+            where, plural, f"{decode.show(value)} is not a list"
+        )
+    kind = KINDS[plural]
+    return tuple(
+        decode.decode(kind, one, f"{where}: {_label(plural, one, index)}")
+        for index, one in enumerate(value)
+    )
+
+
+def _label(plural: str, value: object, index: int) -> str:
+    name = value.get("name") if isinstance(value, dict) else None
+    if isinstance(name, str) and name:
+        return f"{singular(plural)} {decode.show(name)}"
+    return f"{plural}[{index}]"
+
+
+def _list_files(path: str) -> list[pathlib.Path]:
+    place = pathlib.Path(path)
+    if not place.is_dir():
+        return [place]
+    files = sorted(place.glob("*.json"))
+    if not files:
+        raise errors.ObjectsError(f"{path}: holds no *.json file")
+    return files
+
+
+def _read(file: pathlib.Path) -> bytes:
+    try:
+        with file.open("rb") as stream:
+            return stream.read(MAX_FILE_BYTES + 1)
+    except OSError as error:
+        raise errors.ObjectsError(f"{file}: {error.strerror}") from error
+
+
+def fields_of(kind: type[typing.Any]) -> tuple[str, ...]:
+    """Returns the names of an object's fields.
+
+    :param kind: one of the data classes of objects
+    :return: in the order of their declaration
+    """
+    return tuple(field.name for field in dataclasses.fields(kind))
