Name the scheduling decisions and give them first bodies

Cause: the entry and the agent are written around the decisions and need their names and signatures first. Conclusion: callers may rely on the names; bodies get stricter.

--- /dev/null
+++ b/godwitloft/policy/admit.py
@@ -0,0 +1,176 @@
+"""Decides whether an entry accepts a request."""
+
+import dataclasses
+import math
+
+MAX_RETRY_AFTER_MS = 60_000
+
+TEAM_RUNNING = "team_running"
+TEAM_WAITING = "team_waiting"
+TEAM_TOKENS = "team_tokens"
+QUEUE_REQUESTS = "queue_requests"
+QUEUE_BYTES = "queue_bytes"
+DEADLINE_UNREACHABLE = "deadline_unreachable"
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """A request that asks to be accepted.
+
+    :param tokens: prompt and expected output tokens
+    :param body_bytes: size of its body
+    :param slack_ms: time to its deadline
+    :param finish_in_ms: estimate on the best upstream, idle; None when no
+        upstream is known yet
+    """
+
+    tokens: int
+    body_bytes: int
+    slack_ms: int
+    finish_in_ms: int | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class TeamLoad:
+    """What a team has and may have at this entry.
+
+    Limits are those of the whole configuration; 0 means no limit.
+
+    :param running: its dispatched requests here
+    :param waiting: its waiting requests here
+    :param max_running: limit over all entries
+    :param max_waiting: limit over all entries
+    :param tokens_per_s: limit over all entries
+    :param bucket: the team's token bucket here
+    """
+
+    running: int = 0
+    waiting: int = 0
+    max_running: int = 0
+    max_waiting: int = 0
+    tokens_per_s: int = 0
+    bucket: "Bucket | None" = None
+
+
+@dataclasses.dataclass(frozen=True)
+class QueueLoad:
+    """The waiting requests of this entry.
+
+    :param requests: how many wait
+    :param body_bytes: bytes of their bodies
+    :param max_requests: bound on requests
+    :param max_bytes: bound on bytes
+    :param drain_retry_ms: when a place is probably free, as measured
+    """
+
+    requests: int
+    body_bytes: int
+    max_requests: int
+    max_bytes: int
+    drain_retry_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Bucket:
+    """A token bucket.
+
+    :param level: tokens left; may fall below 0 by one request
+    :param updated_ms: when the level was right
+    """
+
+    level: float
+    updated_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Admitted:
+    """The request may wait here.
+
+    :param bucket: the team's bucket after the charge, or None
+    """
+
+    bucket: Bucket | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Refused:
+    """The request is refused; it was not run.
+
+    :param reason: one of this module's constants; label of a counter
+    :param retry_after_ms: when to come back
+    """
+
+    reason: str
+    retry_after_ms: int
+
+
+def share_of(limit: int, share: float) -> int:
+    """Returns this entry's part of a limit.
+
+    :param limit: limit over all entries; 0: none
+    :param share: this entry's share, 0.0 to 1.0
+    :return: its part, at least 1, or 0 for none
+    """
+    return max(1, math.ceil(limit * share)) if limit else 0
+
+
+def refill(bucket: Bucket | None, tokens_per_s: float, now_ms: int) -> Bucket:
+    """Returns a bucket filled up to now; it holds one second's tokens.
+
+    :param bucket: the bucket before, or None for a full one
+    :param tokens_per_s: its rate
+    :param now_ms: the time
+    :return: the bucket now
+    """
+    if bucket is None:
+        return Bucket(tokens_per_s, now_ms)
+    elapsed_ms = max(0, now_ms - bucket.updated_ms)
+    level = bucket.level + tokens_per_s * elapsed_ms / 1000
+    return Bucket(min(tokens_per_s, level), now_ms)
+
+
+def admit(
+    arrival: Arrival,
+    team: TeamLoad,
+    queue: QueueLoad,
+    share: float,
+    now_ms: int,
+) -> Admitted | Refused:
+    """Decides on one request.
+
+    :param arrival: the request
+    :param team: its team's load and limits
+    :param queue: the entry's queue
+    :param share: this entry's share of the team's limits
+    :param now_ms: the time
+    :return: whether it may wait, else why not and when to come back
+    """
+    finish = arrival.finish_in_ms
+    if finish is not None and finish > arrival.slack_ms:
+        return Refused(DEADLINE_UNREACHABLE, queue.drain_retry_ms)
+    max_running = share_of(team.max_running, share)
+    if max_running and team.running + team.waiting >= max_running + (
+        share_of(team.max_waiting, share)
+    ):
+        return Refused(TEAM_RUNNING, queue.drain_retry_ms)
+    max_waiting = share_of(team.max_waiting, share)
+    if max_waiting and team.waiting >= max_waiting:
+        return Refused(TEAM_WAITING, queue.drain_retry_ms)
+    if queue.requests >= queue.max_requests:
+        return Refused(QUEUE_REQUESTS, queue.drain_retry_ms)
+    if queue.body_bytes + arrival.body_bytes > queue.max_bytes:
+        return Refused(QUEUE_BYTES, queue.drain_retry_ms)
+    return _charge(arrival, team, share, now_ms)
+
+
+def _charge(
+    arrival: Arrival, team: TeamLoad, share: float, now_ms: int
+) -> Admitted | Refused:
+    if not team.tokens_per_s:
+        return Admitted()
+    rate = team.tokens_per_s * share
+    bucket = refill(team.bucket, rate, now_ms)
+    if bucket.level <= 0:
+        wait_ms = math.ceil((1 - bucket.level) * 1000 / max(rate, 0.001))
+        return Refused(TEAM_TOKENS, min(MAX_RETRY_AFTER_MS, wait_ms))
+    return Admitted(Bucket(bucket.level - arrival.tokens, now_ms))
--- /dev/null
+++ b/godwitloft/policy/breaker.py
@@ -0,0 +1,165 @@
+"""Keeps work away from an upstream that fails, and sees slow-downs."""
+
+import collections
+import dataclasses
+import enum
+import statistics
+import typing
+
+FAILURES_TO_OPEN = 3
+OPEN_MS = 2000
+MAX_OPEN_MS = 60_000
+SLOW_FACTOR = 3.0
+MIN_SAMPLES = 8
+RECENT_SAMPLES = 8
+USUAL_SAMPLES = 64
+
+
+class State(enum.Enum):
+    """Whether work may be given to an upstream."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    PROBING = "probing"
+
+
+@dataclasses.dataclass(frozen=True)
+class Breaker:
+    """The breaker of one upstream.
+
+    :param failures: failures in a row
+    :param open_until_ms: no work before this time; 0: closed
+    :param open_ms: length of the last opening, grows with each one
+    :param probing: whether the one call that tests it is under way
+    """
+
+    failures: int = 0
+    open_until_ms: int = 0
+    open_ms: int = 0
+    probing: bool = False
+
+
+def state(breaker: Breaker, now_ms: int) -> State:
+    """Returns whether work may be given.
+
+    :param breaker: the breaker
+    :param now_ms: the time
+    :return: closed: any; open: none; probing: one call at a time
+    """
+    if breaker.open_until_ms == 0:
+        return State.CLOSED
+    if now_ms < breaker.open_until_ms:
+        return State.OPEN
+    return State.PROBING
+
+
+def allows(breaker: Breaker, now_ms: int) -> bool:
+    """Says whether one more request may start.
+
+    :param breaker: the breaker
+    :param now_ms: the time
+    :return: whether it may
+    """
+    now = state(breaker, now_ms)
+    return now is State.CLOSED or (
+        now is State.PROBING and not breaker.probing
+    )
+
+
+def started(breaker: Breaker, now_ms: int) -> Breaker:
+    """Notes that a request was given to the upstream.
+
+    :param breaker: the breaker before
+    :param now_ms: the time
+    :return: the breaker now
+    """
+    if state(breaker, now_ms) is State.PROBING:
+        return dataclasses.replace(breaker, probing=True)
+    return breaker
+
+
+def succeeded(breaker: Breaker) -> Breaker:
+    """Notes a request that the upstream completed.
+
+    :param breaker: the breaker before
+    :return: the breaker now, closed
+    """
+    if breaker == Breaker():
+        return breaker
+    return Breaker()
+
+
+def failed(breaker: Breaker, now_ms: int) -> Breaker:
+    """Notes a request that the upstream failed or a refused connection.
+
+    :param breaker: the breaker before
+    :param now_ms: the time
+    :return: the breaker now
+    """
+    failures = breaker.failures + 1
+    if state(breaker, now_ms) is State.OPEN:
+        return dataclasses.replace(breaker, failures=failures)
+    if failures < FAILURES_TO_OPEN and not breaker.open_until_ms:
+        return dataclasses.replace(breaker, failures=failures)
+    open_ms = min(MAX_OPEN_MS, max(OPEN_MS, breaker.open_ms * 2))
+    return Breaker(failures, now_ms + open_ms, open_ms)
+
+
+class Pace:
+    """Recent against usual times of one upstream."""
+
+    def __init__(self) -> None:
+        self.recent: collections.deque[float] = collections.deque(
+            maxlen=RECENT_SAMPLES
+        )
+        self.usual: collections.deque[float] = collections.deque(
+            maxlen=USUAL_SAMPLES
+        )
+
+    def observe(self, value_ms: float) -> None:
+        """Takes one time in.
+
+        :param value_ms: for example milliseconds between tokens
+        """
+        if len(self.recent) == self.recent.maxlen:
+            self.usual.append(self.recent[0])
+        self.recent.append(value_ms)
+
+    def slow(self, pool_median_ms: float | None = None) -> bool:
+        """Says whether the upstream has slowed down.
+
+        :param pool_median_ms: median of the other upstreams of the pool,
+            or None when not known
+        :return: whether its recent median is far above its own usual one,
+            or above its pool's
+        """
+        if len(self.recent) < MIN_SAMPLES:
+            return False
+        recent = statistics.median(self.recent)
+        baselines: list[float] = []
+        if len(self.usual) >= MIN_SAMPLES:
+            baselines.append(statistics.median(self.usual))
+        if pool_median_ms is not None:
+            baselines.append(pool_median_ms)
+        return any(recent > SLOW_FACTOR * one for one in baselines)
+
+    def recent_median_ms(self) -> float | None:
+        """Returns the median of the recent times.
+
+        :return: milliseconds, or None when too few were seen
+        """
+        if len(self.recent) < MIN_SAMPLES:
+            return None
+        return statistics.median(self.recent)
+
+
+def pool_median_ms(
+    medians: typing.Iterable[float | None],
+) -> float | None:
+    """Returns the median over the upstreams of a pool.
+
+    :param medians: recent medians of the other upstreams
+    :return: milliseconds, or None when fewer than two are known
+    """
+    known = [one for one in medians if one is not None]
+    return statistics.median(known) if len(known) > 1 else None
--- /dev/null
+++ b/godwitloft/policy/drain_rate.py
@@ -0,0 +1,58 @@
+"""Measures how fast waiting requests leave, to say when to come back."""
+
+import math
+
+HALF_LIFE_MS = 10_000
+MIN_RETRY_AFTER_MS = 250
+MAX_RETRY_AFTER_MS = 60_000
+
+
+class DrainRate:
+    """Counts the requests that left a queue, recent ones most.
+
+    :param now_ms: when counting begins
+    :param half_life_ms: age at which a departure counts half
+    """
+
+    def __init__(self, now_ms: int, half_life_ms: int = HALF_LIFE_MS) -> None:
+        self.half_life_ms = half_life_ms
+        self.started_ms = now_ms
+        self.updated_ms = now_ms
+        self.weight = 0.0
+
+    def observe(self, now_ms: int, departures: int = 1) -> None:
+        """Counts requests that left the queue and ran.
+
+        :param now_ms: the time
+        :param departures: how many
+        """
+        self.weight = self._decayed(now_ms) + departures
+        self.updated_ms = max(now_ms, self.updated_ms)
+
+    def per_ms(self, now_ms: int) -> float:
+        """Returns the rate of departures.
+
+        :param now_ms: the time
+        :return: requests a millisecond
+        """
+        mean_life_ms = self.half_life_ms / math.log(2)
+        elapsed_ms = max(1, now_ms - self.started_ms)
+        seen = mean_life_ms * (1 - math.exp(-elapsed_ms / mean_life_ms))
+        return self._decayed(now_ms) / max(1.0, seen)
+
+    def retry_after_ms(self, ahead: int, now_ms: int) -> int:
+        """Returns when a place will probably be free.
+
+        :param ahead: requests that must leave first
+        :param now_ms: the time
+        :return: milliseconds, between fixed bounds
+        """
+        rate = self.per_ms(now_ms)
+        if rate <= 0.0:
+            return MAX_RETRY_AFTER_MS
+        wait_ms = math.ceil((ahead + 1) / rate)
+        return max(MIN_RETRY_AFTER_MS, min(MAX_RETRY_AFTER_MS, wait_ms))
+
+    def _decayed(self, now_ms: int) -> float:
+        age_ms = max(0, now_ms - self.updated_ms)
+        return self.weight * 0.5 ** (age_ms / self.half_life_ms)
--- /dev/null
+++ b/godwitloft/policy/retry.py
@@ -0,0 +1,67 @@
+"""Bounds retries to a share of the recent calls, with jittered backoff."""
+
+import dataclasses
+import random
+
+BUDGET_SHARE = 0.1
+MIN_RETRIES = 3.0
+MAX_SAVED = 100.0
+FIRST_BACKOFF_MS = 25
+MAX_BACKOFF_MS = 1000
+MAX_ATTEMPTS = 3
+
+
+@dataclasses.dataclass(frozen=True)
+class Budget:
+    """Retries that may still be spent.
+
+    :param saved: each call saves a share of a retry, each retry spends one
+    """
+
+    saved: float = MIN_RETRIES
+
+
+def called(budget: Budget) -> Budget:
+    """Notes a first attempt.
+
+    :param budget: the budget before
+    :return: the budget now
+    """
+    return Budget(min(MAX_SAVED, budget.saved + BUDGET_SHARE))
+
+
+def spend(budget: Budget) -> Budget | None:
+    """Takes one retry out of the budget.
+
+    :param budget: the budget before
+    :return: the budget now, or None when it doesn't allow one
+    """
+    return Budget(budget.saved - 1.0) if budget.saved >= 1.0 else None
+
+
+def backoff_ms(attempt: int, rng: random.Random) -> int:
+    """Returns the delay before a retry.
+
+    The delay is drawn from zero up ("full jitter"), so that callers that
+    failed together don't come back together.
+
+    :param attempt: 1 for the first retry
+    :param rng: source of randomness
+    :return: milliseconds
+    """
+    ceiling = FIRST_BACKOFF_MS * 2 ** min(16, attempt - 1)
+    return rng.randint(0, min(MAX_BACKOFF_MS, ceiling))
+
+
+def may_retry(
+    idempotent: bool, attempts: int, slack_ms: int, needed_ms: int
+) -> bool:
+    """Says whether a failed call may be tried on another upstream.
+
+    :param idempotent: whether the call may be repeated
+    :param attempts: attempts made so far
+    :param slack_ms: time to its deadline
+    :param needed_ms: time that an attempt takes
+    :return: whether it may, as far as the call itself is concerned
+    """
+    return idempotent and attempts < MAX_ATTEMPTS and needed_ms < slack_ms
--- /dev/null
+++ b/godwitloft/policy/suspects.py
@@ -0,0 +1,122 @@
+"""Finds the requests that crash the upstreams that run them."""
+
+import dataclasses
+import enum
+import typing
+
+SUSPECT_MS = 600_000
+POISONOUS_MS = 3_600_000
+MAX_FINGERPRINTS = 10_000
+
+
+class Verdict(enum.Enum):
+    """What is held against a fingerprint."""
+
+    CLEAR = "clear"
+    SUSPECT = "suspect"
+    POISONOUS = "poisonous"
+
+
+@dataclasses.dataclass(frozen=True)
+class Record:
+    """What is held against one fingerprint.
+
+    :param verdict: suspect or poisonous
+    :param expires_ms: when it is forgotten
+    """
+
+    verdict: Verdict
+    expires_ms: int
+
+
+class Suspects:
+    """Fingerprints of bodies that may crash an upstream.
+
+    :param max_fingerprints: bound; those that expire first are forgotten
+    """
+
+    def __init__(self, max_fingerprints: int = MAX_FINGERPRINTS) -> None:
+        self.max_fingerprints = max_fingerprints
+        self.records: dict[str, Record] = {}
+
+    def verdict(self, fingerprint: str, now_ms: int) -> Verdict:
+        """Returns what is held against a body.
+
+        :param fingerprint: hash of the body
+        :param now_ms: the time
+        :return: its verdict
+        """
+        record = self.records.get(fingerprint)
+        if record is None or record.expires_ms <= now_ms:
+            return Verdict.CLEAR
+        return record.verdict
+
+    def note(
+        self,
+        fingerprint: str,
+        verdict: Verdict,
+        expires_in_ms: int,
+        now_ms: int,
+    ) -> bool:
+        """Takes over a verdict that another process sent.
+
+        A suspicion doesn't replace a poisonous verdict; a clearance ends
+        only a suspicion.
+
+        :param fingerprint: hash of the body
+        :param verdict: the verdict
+        :param expires_in_ms: for how long it holds
+        :param now_ms: the time
+        :return: whether anything changed
+        """
+        held = self.verdict(fingerprint, now_ms)
+        if held is Verdict.POISONOUS or held is verdict:
+            return False
+        if verdict is Verdict.CLEAR:
+            self.records.pop(fingerprint, None)
+            return True
+        self.records[fingerprint] = Record(verdict, now_ms + expires_in_ms)
+        self._bound()
+        return True
+
+    def crashed(
+        self, in_flight: typing.Collection[str], now_ms: int
+    ) -> dict[str, Verdict]:
+        """Judges the bodies that were in flight when an upstream crashed.
+
+        :param in_flight: their fingerprints
+        :param now_ms: the time
+        :return: the new verdicts, to be told to the other processes
+        """
+        known = [
+            one
+            for one in set(in_flight)
+            if self.verdict(one, now_ms) is Verdict.SUSPECT
+        ]
+        if len(known) == 1:
+            self.note(known[0], Verdict.POISONOUS, POISONOUS_MS, now_ms)
+            return {known[0]: Verdict.POISONOUS}
+        fresh = {}
+        for fingerprint in sorted(set(in_flight)):
+            if self.note(fingerprint, Verdict.SUSPECT, SUSPECT_MS, now_ms):
+                fresh[fingerprint] = Verdict.SUSPECT
+        return fresh
+
+    def finished(self, fingerprint: str, now_ms: int) -> bool:
+        """Clears a suspect that ran to its end.
+
+        :param fingerprint: hash of the body
+        :param now_ms: the time
+        :return: whether it was a suspect until now
+        """
+        if self.verdict(fingerprint, now_ms) is not Verdict.SUSPECT:
+            return False
+        del self.records[fingerprint]
+        return True
+
+    def _bound(self) -> None:
+        while len(self.records) > self.max_fingerprints:
+            first = min(
+                self.records, key=lambda one: self.records[one].expires_ms
+            )
+            del self.records[first]
--- a/godwitloft/policy/types.py
+++ b/godwitloft/policy/types.py
@@ -4,6 +4,11 @@
 """
 
 import dataclasses
+import typing
+
+if typing.TYPE_CHECKING:
+    from godwitloft.policy import estimate
+    from godwitloft.policy import room
 
 
 @dataclasses.dataclass(frozen=True)
@@ -55,6 +60,7 @@
     :param fingerprint: hash of the body
     :param suspended: whether it is paused on the upstream
     :param isolate: whether it is a suspect
+    :param kv_tokens: KV memory that it needs at its end, in tokens
     """
 
     request_id: str
@@ -66,3 +72,32 @@
     fingerprint: str
     suspended: bool = False
     isolate: bool = False
+    kv_tokens: int = 0
+
+
+def nothing_cached(prefix_keys: tuple[int, ...]) -> int:
+    """Says that no token of a prompt is in a cache.
+
+    :param prefix_keys: keys of the prompt's blocks
+    :return: 0
+    """
+    return 0
+
+
+@dataclasses.dataclass(frozen=True)
+class UpstreamView:
+    """An upstream as its agent knows it at one moment.
+
+    :param speeds: learnt speeds
+    :param room: learnt caps on what runs at once
+    :param resumable: whether it can suspend and resume a stream
+    :param accepting: false while it drains or its breaker is open
+    :param cached_tokens: prompt tokens that its prefix cache holds for
+        given prefix keys
+    """
+
+    speeds: "estimate.Speeds"
+    room: "room.Room"
+    resumable: bool = False
+    accepting: bool = True
+    cached_tokens: typing.Callable[[tuple[int, ...]], int] = nothing_cached
