--- a/features/charts.feature
+++ b/features/charts.feature
@@ -7,12 +7,12 @@
     Examples: requests
       | chart   | inputs                                        | state     |
       | request |                                               | waiting   |
-      | request | bid bid dispatch start suspend resume complete | completed |
+      | request | bid bid dispatch first_chunk suspend resume completed | completed |
       | request | bid withdraw refuse                           | refused   |
       | request | bid dispatch never_started                    | refused   |
-      | request | bid dispatch lose                             | unknown   |
-      | request | bid dispatch start fail                       | failed    |
-      | request | bid dispatch start retry bid dispatch start complete | completed |
+      | request | bid dispatch unknown                             | unknown   |
+      | request | bid dispatch first_chunk failed                       | failed    |
+      | request | bid dispatch first_chunk run_again bid dispatch first_chunk completed | completed |
 
     Examples: runs
       | chart | inputs                                        | state     |
@@ -31,9 +31,9 @@
       | chart   | inputs             | input    | message |
       | request |                    | dispatch | chart 'request': input 'dispatch' is not allowed in state 'waiting' |
       | request | bid dispatch       | refuse   | chart 'request': input 'refuse' is not allowed in state 'dispatched' |
-      | request | bid dispatch start | never_started | chart 'request': input 'never_started' is not allowed in state 'streaming' |
-      | request | bid dispatch lose  | retry    | chart 'request': input 'retry' is not allowed in state 'unknown' |
-      | request | bid dispatch lose  | typo     | chart 'request': input 'typo' is not allowed in state 'unknown' |
+      | request | bid dispatch first_chunk | never_started | chart 'request': input 'never_started' is not allowed in state 'streaming' |
+      | request | bid dispatch unknown | run_again | chart 'request': input 'run_again' is not allowed in state 'unknown' |
+      | request | bid dispatch unknown  | typo     | chart 'request': input 'typo' is not allowed in state 'unknown' |
       | run     | query dispatch     | start    | chart 'run': input 'start' is not allowed in state 'tombstone' |
       | run     | dispatch start stream end | start | chart 'run': input 'start' is not allowed in state 'ended' |
       | run     | refuse             | dispatch | chart 'run': input 'dispatch' is not allowed in state 'forgotten' |
