Compare, revise and look up objects; generate reference pages

Cause: operators change single fields and want to see what a change does; daemons look objects up at every request; pages written by hand go stale. A path that a service may read as another one matches no idempotent call. Conclusion: examples and commands can build on these.

--- a/features/objects.feature
+++ b/features/objects.feature
@@ -64,3 +64,79 @@
     Given the valid example objects
     Then shuffled by seeds 1 to 20 its canonical hash stays the same
     And its canonical form decodes to the same canonical form
+
+  Scenario Outline: Revising one object changes only that
+    Given the valid example objects
+    When <object> is revised with <assignments>
+    Then the difference is "<difference>"
+
+    Examples:
+      | object | assignments | difference |
+      | team/one | weight=3 | changed team one: weight 1 -> 3 |
+      | team/one | weight=3 max_running=9 | changed team one: max_running 0 -> 9, weight 1 -> 3 |
+      | team/one | weight=1 | |
+      | tier/gold | timeout_ms=5 timeout_ms=6 | changed tier gold: timeout_ms 60000 -> 6 |
+      | pool/fast | wanted.model=m wanted.version=7 | changed pool fast: wanted.adapter None -> '', wanted.model None -> 'm', wanted.role None -> 'serve', wanted.version None -> '7' |
+      | service/desk | calls=[{"path":"a"}] calls.0.idempotent=true | changed service desk: calls [] -> [{'idempotent': True, 'method': '*', 'path': 'a'}] |
+      | service/chat | tier=silver | changed service chat: tier 'gold' -> 'silver' |
+
+  Scenario Outline: A wrong revision names the object and the field
+    Given the valid example objects
+    When <object> is revised with <assignments>
+    Then the objects are refused with "<message>"
+
+    Examples:
+      | object | assignments | message |
+      | team/oen | weight=3 | team 'oen' doesn't exist; did you mean 'one'? |
+      | teem/one | weight=3 | object 'teem/one': 'teem' is none of tier, service, team, pool; did you mean 'team'? |
+      | team | weight=3 | object 'team': is not of the form KIND/NAME |
+      | team/one | weight | object 'team/one': 'weight' is not of the form FIELD=VALUE |
+      | team/one | weigth=3 | object 'team/one': key 'weigth': unknown key; did you mean 'weight'? |
+      | team/one | weight=heavy | object 'team/one': key 'weight': 'heavy' is not a whole number |
+      | team/one | weight=0 | object 'team/one': key 'weight': value 0 is below 1 |
+      | team/one | weight.x=0 | object 'team/one': key 'weight.x': doesn't exist |
+      | team/one | name=x | object 'team/one': key 'name': can't be changed, for others refer to it |
+      | team/one | tiers.7=gold | object 'team/one': key 'tiers.7': index 7 is past the last, 0 |
+      | team/one | tiers.x=gold | object 'team/one': key 'tiers.x': 'x' is no index of a list |
+
+  Scenario: Added and removed objects show in the difference
+    Given the valid example objects
+    When team one is removed and another added
+    Then the difference is "added team another; removed team one"
+
+  Scenario Outline: A call of a plain service has the properties of its rule
+    Given a service with idempotent calls "GET holds/*, * lots" and no others
+    Then "<method> <path>" is <property>
+
+    Examples:
+      | method | path | property |
+      | GET | holds/7 | idempotent |
+      | GET | /holds/7 | idempotent |
+      | GET | holds/ | idempotent |
+      | GET | holds | non-idempotent |
+      | POST | holds/7 | non-idempotent |
+      | POST | lots | idempotent |
+      | POST | lots/ | non-idempotent |
+      | POST | releases | non-idempotent |
+      | GET | holds/../releases | non-idempotent |
+      | GET | holds/%2e%2e/releases | non-idempotent |
+      | GET | holds/..%2freleases | non-idempotent |
+      | GET | holds//releases | non-idempotent |
+      | GET | holds/./7 | non-idempotent |
+      | GET | holds/..;/releases | non-idempotent |
+      | GET | holds/\\..\\releases | non-idempotent |
+      | GET | //holds/7 | non-idempotent |
+
+  Scenario Outline: A lookup answers as a plain search of the set does
+    Given 40 teams, 9 services and 5 pools made with seed <seed>
+    Then the lookup agrees with a plain search
+
+    Examples:
+      | seed |
+      | 1 |
+      | 2 |
+      | 3 |
+
+  Scenario: Reference pages agree with the code
+    Then every reference page is as written from the data classes
+    And every field that a reference page shows has a meaning
--- a/features/steps/objects_steps.py
+++ b/features/steps/objects_steps.py
@@ -1,15 +1,21 @@
 import dataclasses
+import hashlib
 import json
+import pathlib
 import random
 
 from behave import given
 from behave import then
 from behave import when
 
+from godwitloft import reference
 from godwitloft.objects import canonical
 from godwitloft.objects import check
+from godwitloft.objects import diff
 from godwitloft.objects import errors
+from godwitloft.objects import lookup
 from godwitloft.objects import parse
+from godwitloft.objects import revise
 from godwitloft.objects import types
 
 VALID = {
@@ -110,3 +116,139 @@
 def check_round_trip(context):
     content = canonical.encode(parse.from_value(context.example, "example"))
     assert canonical.encode(canonical.decode(content)) == content
+
+
+@when("{name} is revised with {assignments}")
+def revise_object(context, name, assignments):
+    context.before = parse.from_value(context.example, "example")
+    context.after = None
+    context.refusal = None
+    try:
+        target = revise.parse_name(name)
+        context.after = revise.revise(
+            context.before, target, assignments.split()
+        )
+    except errors.ObjectsError as error:
+        context.refusal = error
+
+
+@when("team one is removed and another added")
+def replace_team(context):
+    context.before = parse.from_value(context.example, "example")
+    team = dataclasses.replace(context.before.teams[0], name="another")
+    context.after = dataclasses.replace(
+        context.before, teams=(team, *context.before.teams[1:])
+    )
+
+
+@then('the difference is "{text}"')
+def check_difference(context, text):
+    lines = []
+    for change in diff.diff(context.before, context.after):
+        fields = ", ".join(
+            f"{field.field} {field.before!r} -> {field.after!r}"
+            for field in change.fields
+        )
+        line = f"{change.action.value} {change.kind} {change.object}"
+        lines.append(f"{line}: {fields}" if fields else line)
+    assert "; ".join(lines) == text, lines
+
+
+@then('the difference is ""')
+def check_no_difference(context):
+    check_difference(context, "")
+
+
+@given('a service with idempotent calls "{calls}" and no others')
+def make_service(context, calls):
+    rules = tuple(
+        types.Call(*call.split(), idempotent=True)
+        for call in calls.split(", ")
+    )
+    context.service = types.Service(
+        "desk", types.ServiceKind.PLAIN, ("desk",), "gold", rules
+    )
+
+
+@then('"{method} {path}" is {word}')
+def check_call(context, method, path, word):
+    rule = lookup.call_rule(context.service, method, path)
+    assert rule.idempotent == (word == "idempotent"), rule
+
+
+@given(
+    "{teams:d} teams, {services:d} services and {pools:d} pools"
+    " made with seed {seed:d}"
+)
+def make_random_set(context, teams, services, pools, seed):
+    rng = random.Random(seed)
+    pool_names = [f"p{index}" for index in range(pools)]
+    tiers = tuple(
+        types.Tier(f"t{rank}", rank) for rank in rng.sample(range(99), 4)
+    )
+    kind = types.ServiceKind.MODEL
+    context.objects = types.ObjectSet(
+        tiers=tiers,
+        services=tuple(
+            types.Service(
+                f"s{index}",
+                kind,
+                tuple(rng.sample(pool_names, rng.randint(1, pools))),
+                tiers[0].name,
+            )
+            for index in range(services)
+        ),
+        teams=tuple(
+            types.Team(
+                f"team{index}",
+                tuple(
+                    hashlib.sha256(f"{index}/{key}".encode()).hexdigest()
+                    for key in range(rng.randint(0, 3))
+                ),
+                (rng.choice(tiers).name,),
+            )
+            for index in range(teams)
+        ),
+        pools=tuple(types.Pool(name, kind) for name in pool_names),
+    )
+
+
+@then("the lookup agrees with a plain search")
+def check_lookup(context):
+    objects = context.objects
+    found = lookup.build(objects)
+    for index in range(len(objects.teams) + 2):
+        for key in range(4):
+            token = f"{index}/{key}"
+            digest = hashlib.sha256(token.encode()).hexdigest()
+            owners = [t for t in objects.teams if digest in t.key_hashes]
+            expected = owners[0] if owners else None
+            assert found.team_of_token(token) == expected, token
+    for service in objects.services:
+        assert {
+            pool.name for pool in found.pools_of_service[service.name]
+        } == {
+            pool.name for pool in objects.pools if pool.name in service.pools
+        }
+    for pool in objects.pools:
+        assert set(found.services_of_pool[pool.name]) == {
+            one for one in objects.services if pool.name in one.pools
+        }
+    ranks = [tier.rank for tier in found.tiers_by_importance]
+    assert ranks == sorted(tier.rank for tier in objects.tiers)
+
+
+@then("every reference page is as written from the data classes")
+def check_pages(context):
+    for page in reference.PAGES:
+        file = pathlib.Path("docs") / page.file
+        assert file.read_text(encoding="utf-8") == reference.render(page), (
+            f"{file} is stale: run python -m godwitloft.reference docs"
+        )
+
+
+@then("every field that a reference page shows has a meaning")
+def check_meanings(context):
+    for page in reference.PAGES:
+        for kind in page.kinds:
+            assert reference.undocumented(kind) == (), kind
--- /dev/null
+++ b/godwitloft/objects/lookup.py
@@ -0,0 +1,155 @@
+"""Finds objects fast, for daemons that look them up at every request."""
+
+import dataclasses
+import hashlib
+import types as builtin_types
+import typing
+
+from godwitloft.objects import types
+
+UNSAFE_SEGMENTS = ("", ".", "..")
+UNSAFE_CHARACTERS = "%\\;"
+
+
+@dataclasses.dataclass(frozen=True)
+class Lookup:
+    """A set of objects with indexes; made once a generation.
+
+    :param objects: the set itself
+    :param teams_by_key_hash: SHA-256 of a bearer token, hexadecimal, to team
+    :param teams: by name
+    :param services: by name
+    :param tiers: by name
+    :param tiers_by_importance: the most important first
+    :param pools: by name
+    :param pools_of_service: name of a service to its pools
+    :param services_of_pool: name of a pool to its services
+    """
+
+    objects: types.ObjectSet
+    teams_by_key_hash: typing.Mapping[str, types.Team]
+    teams: typing.Mapping[str, types.Team]
+    services: typing.Mapping[str, types.Service]
+    tiers: typing.Mapping[str, types.Tier]
+    tiers_by_importance: tuple[types.Tier, ...]
+    pools: typing.Mapping[str, types.Pool]
+    pools_of_service: typing.Mapping[str, tuple[types.Pool, ...]]
+    services_of_pool: typing.Mapping[str, tuple[types.Service, ...]]
+
+    def team_of_token(self, token: str) -> types.Team | None:
+        """Returns the team that a bearer token belongs to.
+
+        :param token: as the caller sent it
+        :return: the team, or None when the token isn't known
+        """
+        digest = hashlib.sha256(token.encode("utf-8", "surrogateescape"))
+        return self.teams_by_key_hash.get(digest.hexdigest())
+
+    def may_call(self, team: types.Team, service: str) -> bool:
+        """Tells whether a team may call a service.
+
+        :param team: the caller
+        :param service: name of the service
+        :return: whether its list of services names it or is empty
+        """
+        return not team.services or service in team.services
+
+    def may_use(self, team: types.Team, tier: str) -> bool:
+        """Tells whether a team may use a tier.
+
+        :param team: the caller
+        :param tier: name of the tier
+        :return: whether its list of tiers names it
+        """
+        return tier in team.tiers
+
+
+def build(objects: types.ObjectSet) -> Lookup:
+    """Indexes a set.
+
+    :param objects: a set that passed the check
+    :return: the lookup; its mappings are read-only
+    """
+    pools = {pool.name: pool for pool in objects.pools}
+    services_of_pool: dict[str, tuple[types.Service, ...]] = {
+        name: () for name in pools
+    }
+    for service in objects.services:
+        for name in service.pools:
+            services_of_pool[name] += (service,)
+    tiers = sorted(objects.tiers, key=lambda tier: tier.rank)
+    return Lookup(
+        objects=objects,
+        teams_by_key_hash=_freeze(
+            {
+                key_hash: team
+                for team in objects.teams
+                for key_hash in team.key_hashes
+            }
+        ),
+        teams=_by_name(objects.teams),
+        services=_by_name(objects.services),
+        tiers=_by_name(objects.tiers),
+        tiers_by_importance=tuple(tiers),
+        pools=_freeze(pools),
+        pools_of_service=_freeze(
+            {
+                service.name: tuple(pools[name] for name in service.pools)
+                for service in objects.services
+            }
+        ),
+        services_of_pool=_freeze(services_of_pool),
+    )
+
+
+def call_rule(service: types.Service, method: str, path: str) -> types.Call:
+    """Returns the properties of a call of a plain service.
+
+    A path that the service may read as another one, such as one with ``..``
+    or an encoded character, matches no rule but the non-idempotent one: a
+    release must not pass as a lookup.
+
+    :param service: a plain service
+    :param method: HTTP method, upper-case
+    :param path: path below the service, without the query
+    :return: the first call that matches, or a non-idempotent one
+    """
+    plain = path.lstrip("/")
+    if _is_ambiguous(path):
+        return types.Call(method, plain, idempotent=False)
+    for call in service.calls:
+        if _matches(call, method, plain):
+            return call
+    return types.Call(method, plain, idempotent=False)
+
+
+def _matches(call: types.Call, method: str, path: str) -> bool:
+    if call.method not in ("*", method):
+        return False
+    wanted = call.path.lstrip("/")
+    if wanted.endswith("*"):
+        return path.startswith(wanted[:-1])
+    return path == wanted
+
+
+def _is_ambiguous(path: str) -> bool:
+    trimmed = path.removeprefix("/").removesuffix("/")
+    segments = trimmed.split("/") if trimmed else []
+    return (
+        any(segment in UNSAFE_SEGMENTS for segment in segments)
+        or any(character in path for character in UNSAFE_CHARACTERS)
+        or not path.isascii()
+        or not path.isprintable()
+    )
+
+
+def _by_name(
+    objects: typing.Iterable[typing.Any],
+) -> typing.Mapping[str, typing.Any]:
+    return _freeze({one.name: one for one in objects})
+
+
+def _freeze(
+    mapping: dict[str, typing.Any],
+) -> typing.Mapping[str, typing.Any]:
+    return builtin_types.MappingProxyType(mapping)
--- /dev/null
+++ b/godwitloft/objects/revise.py
@@ -0,0 +1,182 @@
+"""Sets fields of one object, as ``revise team/x --set weight=3`` asks.
+
+A field is named by its dotted path; a list member by its index, as in
+``calls.0.idempotent``. A value is JSON; what is no JSON is taken as a
+string, so that words need no quotes within the shell's.
+"""
+
+import dataclasses
+import json
+import typing
+
+from godwitloft import decode
+from godwitloft.objects import canonical
+from godwitloft.objects import errors
+from godwitloft.objects import parse
+from godwitloft.objects import types
+
+MAX_ASSIGNMENTS = 100
+
+
+@dataclasses.dataclass(frozen=True)
+class ObjectName:
+    """Names one object of a set.
+
+    :param plural: ``tiers``, ``services``, ``teams`` or ``pools``
+    :param name: name of the object
+    """
+
+    plural: str
+    name: str
+
+    def __str__(self) -> str:
+        """Returns the form that operators write, for example ``team/x``."""
+        return f"{parse.singular(self.plural)}/{self.name}"
+
+
+def parse_name(text: str) -> ObjectName:
+    """Reads the name of an object.
+
+    :param text: for example ``team/roasters``; the name may hold slashes
+    :return: the kind and the name
+    :raises errors.ObjectsError: when it has no known kind or no name
+    """
+    kind, slash, name = text.partition("/")
+    known = {parse.singular(plural): plural for plural in parse.KINDS}
+    if not slash or not name:
+        raise errors.ObjectsError(
+            f"object {decode.show(text)}: is not of the form KIND/NAME"
+        )
+    if kind not in known:
+        hint = decode.nearest(kind, known)
+        raise errors.ObjectsError(
+            f"object {decode.show(text)}: {decode.show(kind)} is none of"
+            f" {', '.join(known)}{hint}"
+        )
+    return ObjectName(known[kind], name)
+
+
+def revise(
+    objects: types.ObjectSet,
+    target: ObjectName,
+    assignments: typing.Sequence[str],
+) -> types.ObjectSet:
+    """Sets fields of one object.
+
+    :param objects: the set; it stays as it is
+    :param target: the object to change
+    :param assignments: each ``field=value``; later ones win
+    :return: the set with the changed object, not yet checked as a whole
+    :raises errors.ObjectsError: naming the object and field that is wrong
+    """
+    if len(assignments) > MAX_ASSIGNMENTS:
+        raise errors.ObjectsError(
+            f"object '{target}': {len(assignments)} assignments is above"
+            f" {MAX_ASSIGNMENTS}"
+        )
+    one = find(objects, target)
+    for assignment in assignments:
+        one = _assign(one, target, assignment)
+    members = tuple(
+        one if member.name == target.name else member
+        for member in getattr(objects, target.plural)
+    )
+    return dataclasses.replace(objects, **{target.plural: members})
+
+
+def find(objects: types.ObjectSet, target: ObjectName) -> typing.Any:
+    """Returns one object of a set.
+
+    :param objects: the set
+    :param target: the object wanted
+    :return: the object
+    :raises errors.ObjectsError: when there is none, with the nearest name
+    """
+    known = {one.name: one for one in getattr(objects, target.plural)}
+    if target.name not in known:
+        hint = decode.nearest(target.name, known)
+        kind = parse.singular(target.plural)
+        raise errors.ObjectsError(
+            f"{kind} {decode.show(target.name)} doesn't exist{hint}"
+        )
+    return known[target.name]
+
+
+def _assign(one: typing.Any, target: ObjectName, assignment: str) -> object:
+    field, equals, text = assignment.partition("=")
+    where = f"object '{target}'"
+    if not equals or not field:
+        raise errors.ObjectsError(
+            f"{where}: {decode.show(assignment)} is not of the form"
+            " FIELD=VALUE"
+        )
+    if field == "name":
+        raise errors.ObjectsError(
+            f"{where}: key 'name': can't be changed, for others refer to it"
+        )
+    kind = parse.KINDS[target.plural]
+    first_error: decode.DecodeError | None = None
+    for value in _readings(text, where):
+        try:
+            changed = _replace(canonical.to_plain(one), field, value, where)
+            return decode.decode(kind, changed, where)
+        except decode.DecodeError as error:
+            first_error = first_error or error
+    raise errors.ObjectsError(str(first_error)) from first_error
+
+
+def _readings(text: str, where: str) -> typing.Iterator[object]:
+    # A version such as 7 is valid JSON but wanted as a string; the field's
+    # type decides which reading holds.
+    try:
+        yield decode.parse_json(text.encode(), where, parse.MAX_FILE_BYTES)
+    except decode.DecodeError:
+        pass
+    yield text
+
+
+def _replace(value: typing.Any, field: str, new: object, where: str) -> object:
+    place = value
+    *steps, last = field.split(".")
+    for step in steps:
+        place = _descend(place, step, field, where)
+    if isinstance(place, list):
+        place[_index(place, last, field, where)] = new
+    elif isinstance(place, dict):
+        place[last] = new
+    else:
+        raise decode.DecodeError(where, field, "doesn't exist")
+    return value
+
+
+def _descend(place: typing.Any, step: str, field: str, where: str) -> object:
+    if isinstance(place, list):
+        return place[_index(place, step, field, where)]
+    if not isinstance(place, dict) or step not in place:
+        raise decode.DecodeError(where, field, "doesn't exist")
+    if place[step] is None:
+        # An optional object that isn't set is begun by its first field.
+        place[step] = {}
+    return place[step]
+
+
+def _index(place: list[typing.Any], step: str, field: str, where: str) -> int:
+    if not step.isascii() or not step.isdigit() or len(step) > 9:
+        raise decode.DecodeError(
+            where, field, f"{decode.show(step)} is no index of a list"
+        )
+    index = int(step)
+    if index >= len(place):
+        raise decode.DecodeError(
+            where, field, f"index {index} is past the last, {len(place) - 1}"
+        )
+    return index
+
+
+def dump(value: object) -> str:
+    """Returns an object as operators read it.
+
+    :param value: a data class or JSON value
+    :return: indented JSON
+    """
+    return json.dumps(canonical.to_plain(value), indent=2)
--- a/godwitloft/settings.py
+++ b/godwitloft/settings.py
@@ -109,7 +109,7 @@
 class Token:
     """A bearer token of an operator.
 
-    :param name: who holds it; kept with everything that he publishes
+    :param name: who holds it; kept with all that it publishes
     :param token_hash: SHA-256 of the token, hexadecimal
     :param role: ``viewer`` reads; ``publisher`` publishes and revises too;
         ``operator`` also drains instances
