Publish configurations by compare-and-set

Cause: operators race and the store loses answers; nothing half-published may be seen and nothing accepted may be lost or accepted twice. Conclusion: the publish id decides, never the answer of a single call.

--- /dev/null
+++ b/godwitloft/coordination/publish.py
@@ -0,0 +1,539 @@
+"""Publishes configurations so that none is half seen, lost or reverted.
+
+A snapshot holds the whole set and is written under its hash before anything
+refers to it. One row, ``head``, names the snapshot in force; swapping it is
+the moment of acceptance. Before the swap, the publisher makes sure that the
+history has the row of the generation it is about to replace. So whoever lost
+the answer to a swap can always tell whether it took effect: either ``head``
+still carries the publish id, or the history row of that generation does.
+"""
+
+import dataclasses
+import hashlib
+import json
+import random
+import typing
+
+from twisted.internet import interfaces
+
+from godwitloft import clock as clocks
+from godwitloft import decode
+from godwitloft import errors
+from godwitloft.coordination import rebase
+from godwitloft.coordination import swap
+from godwitloft.platform import port
+
+TABLE = "configuration"
+HEAD_KEY = "head"
+SNAPSHOT_PREFIX = "snapshot-"
+MAX_SNAPSHOT_BYTES = 16 * 1024 * 1024
+MAX_ATTEMPTS = 8
+MAX_GENERATIONS_BEHIND = 200
+MAX_REASON_CHARACTERS = 500
+FIRST_BACKOFF_MS = 50
+LONGEST_BACKOFF_MS = 2000
+
+
+class PublishError(errors.GodwitloftError):
+    """A configuration was not published, and nothing changed."""
+
+
+class PublishUndecided(errors.GodwitloftError):
+    """A configuration may or may not have been published.
+
+    Publish again with the same publish id: it is never accepted twice.
+
+    :param publish_id: of the attempt
+    """
+
+    def __init__(self, publish_id: str) -> None:
+        self.publish_id = publish_id
+        super().__init__(
+            f"publish {publish_id!r}: the store's answer was lost and reading"
+            " back failed; publish again with the same publish id"
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class Head:
+    """The accepted configuration, as ``head`` and the history have it.
+
+    :param generation: 1 for the first; each accepted one adds 1
+    :param snapshot_hash: SHA-256 of the canonical JSON, hexadecimal
+    :param publish_id: given by the publisher, unique to one intent
+    :param author: who published it
+    :param reason: why
+    :param published_wall_ms: when, by the publisher's wall clock
+    """
+
+    generation: int
+    snapshot_hash: str = ""
+    publish_id: str = ""
+    author: str = ""
+    reason: str = ""
+    published_wall_ms: int = 0
+
+
+EMPTY_HEAD = Head(generation=0)
+
+
+@dataclasses.dataclass(frozen=True)
+class Format:
+    """How a set of objects is checked and turned into bytes.
+
+    :param encode: set to canonical bytes
+    :param decode: canonical bytes to set
+    :param check: set to its problems; empty when it may be published
+    :param empty: the set before the first publish
+    """
+
+    encode: typing.Callable[[typing.Any], bytes]
+    decode: typing.Callable[[bytes], typing.Any]
+    check: typing.Callable[[typing.Any], typing.Sequence[typing.Any]]
+    empty: typing.Any
+
+
+@dataclasses.dataclass(frozen=True)
+class Request:
+    """What an operator wants to publish.
+
+    :param objects: the whole set
+    :param base_generation: generation that the operator started from
+    :param author: who publishes
+    :param reason: why
+    :param publish_id: unique to this intent; the same when tried again
+    """
+
+    objects: typing.Any
+    base_generation: int
+    author: str
+    reason: str
+    publish_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Published:
+    """The configuration was accepted.
+
+    :param head: as accepted
+    :param content: the snapshot's bytes; empty when the acceptance was
+        found in the history
+    :param rebased: whether others' changes came in since the base
+    """
+
+    head: Head
+    content: bytes
+    rebased: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Unchanged:
+    """The configuration in force already holds what was wanted.
+
+    :param head: the configuration in force
+    """
+
+    head: Head
+
+
+@dataclasses.dataclass(frozen=True)
+class Rejected:
+    """The whole set has problems; nothing was published.
+
+    :param problems: as the check returned them
+    :param rebased: whether the problems are those of the set after a rebase
+    """
+
+    problems: tuple[typing.Any, ...]
+    rebased: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Theirs:
+    """A change by another operator that stands in the way.
+
+    :param kind: field of the set
+    :param name: name of the object
+    :param head: the last accepted configuration that changed the object
+    """
+
+    kind: str
+    name: str
+    head: Head
+
+
+@dataclasses.dataclass(frozen=True)
+class Conflicting:
+    """Others changed the same objects since the base; nothing was published.
+
+    :param head: the configuration in force
+    :param theirs: one entry for each object
+    """
+
+    head: Head
+    theirs: tuple[Theirs, ...]
+
+
+Outcome = Published | Unchanged | Rejected | Conflicting
+
+
+def snapshot_name(snapshot_hash: str) -> str:
+    """Returns the name of a snapshot in the object store.
+
+    :param snapshot_hash: of its content
+    :return: the name
+    """
+    return SNAPSHOT_PREFIX + snapshot_hash
+
+
+def history_key(generation: int) -> str:
+    """Returns the key of a generation's history row.
+
+    :param generation: of the configuration
+    :return: a key that sorts by generation
+    """
+    return f"history-{generation:012d}"
+
+
+def encode_head(head: Head) -> bytes:
+    """Returns a head as the table holds it.
+
+    :param head: what to write
+    :return: JSON
+    """
+    return json.dumps(dataclasses.asdict(head), sort_keys=True).encode()
+
+
+def decode_head(row: port.Row | None) -> Head:
+    """Reads a head from its row.
+
+    :param row: the row, or None before the first publish
+    :return: the head; generation 0 before the first publish
+    :raises decode.DecodeError: when the row holds something else
+    """
+    if row is None:
+        return EMPTY_HEAD
+    where = f"row {row.key!r}"
+    try:
+        value = json.loads(row.value)
+    except ValueError as error:
+        raise decode.DecodeError(where, "", "is not JSON") from error
+    return decode.decode(Head, value, where)
+
+
+class Publisher:
+    """Publishes sets of objects.
+
+    It keeps no state between calls: any number of publishers may work at
+    once, in any process.
+
+    :param platform: the table and the object store
+    :param clock: for the time that the history shows
+    :param scheduler: for waits between attempts
+    :param form: how sets are checked and written
+    :param rng: for jitter
+    """
+
+    def __init__(
+        self,
+        platform: port.Platform,
+        clock: clocks.Clock,
+        scheduler: interfaces.IReactorTime,
+        form: Format,
+        rng: random.Random,
+    ) -> None:
+        self.platform = platform
+        self.clock = clock
+        self.scheduler = scheduler
+        self.form = form
+        self.rng = rng
+
+    async def publish(self, request: Request) -> Outcome:
+        """Publishes a set, rebasing it when others were faster.
+
+        :param request: the set, and who wants it why
+        :return: what became of it
+        :raises PublishError: when the store can't be used; not published
+        :raises PublishUndecided: when that can't be told
+        """
+        _check_request(request)
+        lost_generation = 0
+        cause: Exception | None = None
+        for attempt in range(MAX_ATTEMPTS):
+            if attempt:
+                await self._wait(attempt - 1)
+            try:
+                outcome = await self._round(request, lost_generation)
+            except _SwapLost as error:
+                lost_generation = max(lost_generation, error.generation)
+                cause = error
+                continue
+            except port.PlatformError as error:
+                cause = error
+                continue
+            if outcome is not None:
+                return outcome
+        if lost_generation:
+            raise PublishUndecided(request.publish_id) from cause
+        raise PublishError(
+            f"publish {request.publish_id!r}: not published after"
+            f" {MAX_ATTEMPTS} attempts: {cause or 'others were faster'}"
+        ) from cause
+
+    async def history(
+        self, before_generation: int, count: int
+    ) -> tuple[Head, ...]:
+        """Reads who published what, newest first.
+
+        :param before_generation: only older generations are read
+        :param count: at most so many
+        :return: the history; ends early where rows are missing
+        :raises port.PlatformError: when the store can't be read
+        """
+        found = []
+        first = max(1, before_generation - count)
+        for generation in range(before_generation - 1, first - 1, -1):
+            head = await self._read_history(generation)
+            if head is None:
+                break
+            found.append(head)
+        return tuple(found)
+
+    async def read_head(self) -> Head:
+        """Reads the configuration in force.
+
+        :return: the head
+        :raises port.PlatformError: when the store can't be read
+        """
+        return decode_head(await self.platform.read_row(TABLE, HEAD_KEY))
+
+    async def _round(
+        self, request: Request, lost_generation: int
+    ) -> Outcome | None:
+        """Makes one attempt.
+
+        A refusal counts only when the generation that an earlier attempt
+        may have taken is known to be someone else's.
+
+        :param request: what to publish
+        :param lost_generation: that an earlier attempt may have taken, or 0
+        :return: what became of it, or None to try again
+        """
+        row = await self.platform.read_row(TABLE, HEAD_KEY)
+        head = decode_head(row)
+        since = await self._since(request.base_generation, head)
+        accepted = _find(request.publish_id, since)
+        if accepted is not None:
+            return Published(accepted, b"", rebased=False)
+        outcome = await self._attempt(request, row, head, since)
+        decided = head.generation >= lost_generation
+        if decided or isinstance(outcome, Published):
+            return outcome
+        return None
+
+    async def _attempt(
+        self,
+        request: Request,
+        row: port.Row | None,
+        head: Head,
+        since: typing.Sequence[Head],
+    ) -> Outcome | None:
+        if head.generation < request.base_generation:
+            # A stale read: the operator has seen a newer one.
+            return None
+        rebased = head.generation != request.base_generation
+        objects = request.objects
+        if rebased:
+            merged = await self._rebase(request, head, since)
+            if isinstance(merged, Conflicting):
+                return merged
+            objects = merged
+        problems = tuple(self.form.check(objects))
+        if problems:
+            return Rejected(problems, rebased)
+        content = self.form.encode(objects)
+        return await self._accept(request, row, head, content, rebased)
+
+    async def _accept(
+        self,
+        request: Request,
+        row: port.Row | None,
+        head: Head,
+        content: bytes,
+        rebased: bool,
+    ) -> Outcome | None:
+        if len(content) > MAX_SNAPSHOT_BYTES:
+            raise PublishError(
+                f"publish {request.publish_id!r}: snapshot of {len(content)}"
+                f" bytes is above {MAX_SNAPSHOT_BYTES}"
+            )
+        snapshot_hash = hashlib.sha256(content).hexdigest()
+        if snapshot_hash == head.snapshot_hash:
+            return Unchanged(head)
+        await self._write_snapshot(snapshot_hash, content)
+        await self._record(head)
+        wanted = Head(
+            generation=head.generation + 1,
+            snapshot_hash=snapshot_hash,
+            publish_id=request.publish_id,
+            author=request.author,
+            reason=request.reason,
+            published_wall_ms=self.clock.wall_ms(),
+        )
+        answer = await self._swap_head(wanted, row.version if row else 0)
+        if isinstance(answer, port.Conflict):
+            return None
+        accepted = decode_head(answer.row)
+        await self._record_quietly(accepted)
+        return Published(accepted, content, rebased)
+
+    async def _swap_head(
+        self, wanted: Head, version: int
+    ) -> port.Swapped | port.Conflict:
+        try:
+            return await swap.swap(
+                self.platform,
+                TABLE,
+                HEAD_KEY,
+                encode_head(wanted),
+                version,
+                is_ours=lambda value: _publish_id(value) == wanted.publish_id,
+            )
+        except port.AnswerLost as error:
+            raise _SwapLost(str(error), wanted.generation) from error
+
+    async def _rebase(
+        self, request: Request, head: Head, since: typing.Sequence[Head]
+    ) -> typing.Any:
+        base = await self._objects_at(request.base_generation)
+        mine = rebase.changes(base, request.objects)
+        current = await self._objects(head)
+        theirs = rebase.changes(base, current)
+        keys = rebase.overlap(mine, theirs)
+        if keys:
+            return Conflicting(head, await self._blame(keys, base, since))
+        return rebase.apply(current, mine)
+
+    async def _blame(
+        self,
+        keys: typing.Iterable[rebase.ObjectKey],
+        base: typing.Any,
+        since: typing.Sequence[Head],
+    ) -> tuple[Theirs, ...]:
+        last: dict[rebase.ObjectKey, Head] = {}
+        before = base
+        for head in since:
+            after = await self._objects(head)
+            for change in rebase.changes(before, after):
+                last[change.key] = head
+            before = after
+        return tuple(Theirs(*key, head=last[key]) for key in keys)
+
+    async def _since(self, base: int, head: Head) -> list[Head]:
+        """Returns the heads after the base, oldest first."""
+        if head.generation - base > MAX_GENERATIONS_BEHIND:
+            raise PublishError(
+                f"base generation {base} is more than"
+                f" {MAX_GENERATIONS_BEHIND} behind {head.generation};"
+                " start again from the configuration in force"
+            )
+        found = []
+        for generation in range(base + 1, head.generation):
+            found.append(await self._history_of(generation))
+        if head.generation > base:
+            found.append(head)
+        return found
+
+    async def _objects_at(self, generation: int) -> typing.Any:
+        if generation == 0:
+            return self.form.empty
+        return await self._objects(await self._history_of(generation))
+
+    async def _objects(self, head: Head) -> typing.Any:
+        name = snapshot_name(head.snapshot_hash)
+        content = await self.platform.read_object(name)
+        if content is None:
+            raise port.StoreUnavailable(f"object {name!r} is missing")
+        return self.form.decode(content)
+
+    async def _history_of(self, generation: int) -> Head:
+        head = await self._read_history(generation)
+        if head is None:
+            raise port.StoreUnavailable(
+                f"history row of generation {generation} is missing"
+            )
+        return head
+
+    async def _read_history(self, generation: int) -> Head | None:
+        key = history_key(generation)
+        row = await self.platform.read_row(TABLE, key)
+        return decode_head(row) if row else None
+
+    async def _write_snapshot(
+        self, snapshot_hash: str, content: bytes
+    ) -> None:
+        name = snapshot_name(snapshot_hash)
+        try:
+            await self.platform.write_object(name, content)
+        except port.AnswerLost as error:
+            # Writing the same content once more does no harm, so this
+            # counts as a call without effect.
+            raise port.StoreUnavailable(str(error)) from error
+
+    async def _record(self, head: Head) -> None:
+        """Makes sure that the history has a row for a head."""
+        if head.generation == 0:
+            return
+        key = history_key(head.generation)
+        try:
+            await self.platform.write_row(
+                TABLE, key, encode_head(head), 0, None
+            )
+        except port.AnswerLost as error:
+            raise port.StoreUnavailable(str(error)) from error
+
+    async def _record_quietly(self, head: Head) -> None:
+        try:
+            await self._record(head)
+        except port.PlatformError:
+            # The next publisher writes the row before it replaces the head.
+            pass
+
+    async def _wait(self, attempt: int) -> None:
+        duration_ms = swap.backoff_ms(
+            attempt, FIRST_BACKOFF_MS, LONGEST_BACKOFF_MS, self.rng.random()
+        )
+        await swap.sleep(self.scheduler, duration_ms)
+
+
+class _SwapLost(port.PlatformError):
+    """The swap of the head may have taken effect.
+
+    :param message: what happened
+    :param generation: that the swap would have accepted
+    """
+
+    def __init__(self, message: str, generation: int) -> None:
+        self.generation = generation
+        super().__init__(message)
+
+
+def _check_request(request: Request) -> None:
+    if not request.publish_id:
+        raise PublishError("publish: key 'publish_id': is empty")
+    if len(request.reason) > MAX_REASON_CHARACTERS:
+        raise PublishError(
+            f"publish {request.publish_id!r}: key 'reason': length"
+            f" {len(request.reason)} is above {MAX_REASON_CHARACTERS}"
+        )
+
+
+def _find(publish_id: str, heads: typing.Iterable[Head]) -> Head | None:
+    for head in heads:
+        if head.publish_id == publish_id:
+            return head
+    return None
+
+
+def _publish_id(value: bytes) -> str:
+    return decode_head(port.Row(HEAD_KEY, value, 0)).publish_id
