--- a/godwitloft/links/messages.thrift
+++ b/godwitloft/links/messages.thrift
@@ -171,12 +171,14 @@
 struct SnapshotWanted {
   1: required i64 generation
   2: required string snapshot_hash
+  3: optional string held_hash       // the asker has this one: send changes
 }
 
 struct Snapshot {
   1: required i64 generation
   2: required string snapshot_hash
   3: required binary content         // canonical JSON
+  4: optional string base_hash       // content is only what changed since
 }
 
 /* Exactly one field is set. */
