Give the stand-in engine its cache, orders, faults and ledger

Cause: routing, suspension, crash detection, orders and the audit need an engine that shows those properties. A max_tokens that can't fit the memory is refused with 400.

--- a/godwitloft/standins/engine.py
+++ b/godwitloft/standins/engine.py
@@ -9,22 +9,31 @@
 
 import collections
 import dataclasses
-import math
+import itertools
 import typing
 
 from twisted.internet import interfaces
 
 from godwitloft.policy import prefix
 from godwitloft.standins import answers
+from godwitloft.standins import ledger
+from godwitloft.standins import orders
+from godwitloft.standins import prefix_cache
 
 MS_PER_S = 1000
 
+COMPLETED = "completed"
+CANCELLED = "cancelled"
+CRASHED = "crashed"
+BROKEN = "broken"
+
 
 @dataclasses.dataclass(frozen=True)
 class EngineSettings:
-    """How fast and how large a stand-in engine is.
+    """How fast and how large a stand-in engine is, and what it can do.
 
-    :param model: name of the model it serves
+    :param model: name of the model it serves at the start
+    :param version: version of the model at the start
     :param prefill_tokens_per_s: prompt tokens a second
     :param decode_ms: milliseconds for a token of a run that is alone
     :param batch_slowdown: how much longer a step takes for each further
@@ -35,9 +44,23 @@
     :param tick_ms: shortest time between two rounds of writes; tokens that
         are generated in less time are written together
     :param default_max_tokens: length of an answer when none is asked for
+    :param cache_tokens: memory of the prefix cache
+    :param event_lag_ms: how late cache events are published
+    :param event_loss: share of cache events that are lost
+    :param seed: decides which cache events are lost
+    :param load_lag_ms: age of what the load report tells
+    :param resumable: whether runs can be suspended and resumed
+    :param checks_orders: whether orders with old fencing numbers are refused
+    :param order_ms: how long an order takes
+    :param crash_mark: a prompt that contains it crashes the engine
+    :param down_ms: how long the engine is down after a crash
+    :param exit_on_crash: whether a crash ends the process
+    :param print_ledger: whether each ended run is written as a line of
+        JSON to standard output
     """
 
     model: str = "bean-model"
+    version: str = "1"
     prefill_tokens_per_s: float = 8000.0
     decode_ms: float = 20.0
     batch_slowdown: float = 0.03
@@ -46,6 +69,18 @@
     chunk_tokens: int = 512
     tick_ms: float = 5.0
     default_max_tokens: int = 16
+    cache_tokens: int = 64_000
+    event_lag_ms: float = 300.0
+    event_loss: float = 0.05
+    seed: int = 1
+    load_lag_ms: float = 1000.0
+    resumable: bool = True
+    checks_orders: bool = True
+    order_ms: float = 2000.0
+    crash_mark: str = "CRASH-THE-ENGINE"
+    down_ms: float = 2000.0
+    exit_on_crash: bool = False
+    print_ledger: bool = False
 
 
 @dataclasses.dataclass(eq=False)
@@ -58,10 +93,19 @@
     :param on_tokens: told the index of the first new token and the index
         after the last
     :param on_end: told how the run ended, once
+    :param number: order of arrival
     :param prompt_tokens: length of the prompt
-    :param prefilled: prompt tokens processed so far
+    :param keys: names of the prompt's blocks
+    :param prefilled: prompt tokens that need no prefill any more
+    :param cached: prompt tokens that were found in the cache
     :param generated: tokens of the answer so far
+    :param in_memory: whether the run holds memory of the engine
+    :param suspended: whether it is paused
+    :param break_after: tokens after which it breaks off, 0 for never
     :param ended: how it ended, empty while it hasn't
+    :param arrived_ms: when it arrived
+    :param started_ms: when it first joined the batch
+    :param first_token_ms: when its answer began
     """
 
     run_id: str
@@ -69,22 +113,69 @@
     max_tokens: int
     on_tokens: typing.Callable[[int, int], None]
     on_end: typing.Callable[[str], None]
+    number: int = 0
     prompt_tokens: int = 0
+    keys: tuple[int, ...] = ()
     prefilled: int = 0
+    cached: int = 0
     generated: int = 0
+    in_memory: bool = False
+    suspended: bool = False
+    break_after: int = 0
     ended: str = ""
+    arrived_ms: float = 0.0
+    started_ms: float | None = None
+    first_token_ms: float | None = None
 
     @property
     def reserved_tokens(self) -> int:
         """Memory that the run needs, in tokens."""
         return self.prompt_tokens + self.max_tokens
 
+    def entry(self, ended_ms: float | None = None) -> ledger.RunEntry:
+        """Returns the run as the ledger tells of it.
+
+        :param ended_ms: when it ended, None while it hasn't
+        """
+        return ledger.RunEntry(
+            number=self.number,
+            run_id=self.run_id,
+            prompt_digest=answers.prompt_digest(self.prompt),
+            prompt_tokens=self.prompt_tokens,
+            prefilled_tokens=self.prefilled - self.cached,
+            cached_tokens=self.cached,
+            generated_tokens=self.generated,
+            ended=self.ended,
+            arrived_ms=self.arrived_ms,
+            started_ms=self.started_ms,
+            first_token_ms=self.first_token_ms,
+            ended_ms=ended_ms,
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class LoadReport:
+    """What the engine tells about its load, some time later.
+
+    :param running: runs in the batch
+    :param waiting: runs that wait for a place
+    :param suspended: runs that are paused
+    :param kv_used: memory held by runs, in tokens
+    :param kv_tokens: memory for runs, in tokens
+    """
+
+    running: int
+    waiting: int
+    suspended: int
+    kv_used: int
+    kv_tokens: int
+
 
 class Engine:
     """The state of one stand-in engine.
 
     :param settings: its speed and sizes
-    :param reactor: gives time and one timer; a driven clock will do
+    :param reactor: gives time and timers; a driven clock will do
     """
 
     def __init__(
@@ -92,28 +183,61 @@
     ) -> None:
         self.settings = settings
         self.reactor = reactor
+        self.numbers = itertools.count(1)
         self.waiting: collections.deque[Run] = collections.deque()
         self.batch: list[Run] = []
+        self.paused: list[Run] = []
         self.kv_used = 0
+        self.cache = prefix_cache.PrefixCache(
+            settings.cache_tokens,
+            settings.event_lag_ms,
+            settings.event_loss,
+            settings.seed,
+        )
+        loaded = orders.Order(settings.model, settings.version)
+        self.orders = orders.OrderBook(
+            loaded, settings.checks_orders, settings.order_ms, reactor
+        )
+        self.past_runs: list[ledger.RunEntry] = []
+        self.past_loads: collections.deque[tuple[float, LoadReport]] = (
+            collections.deque()
+        )
+        self.slow_factor = 1.0
+        self.leaving = False
+        self.breaks: collections.deque[int] = collections.deque()
+        self.failures: collections.deque[int] = collections.deque()
+        self.crashes = 0
+        self.down_until_ms = 0.0
+        self.on_crash: list[typing.Callable[[], None]] = []
+        self.on_run_ended: list[typing.Callable[[ledger.RunEntry], None]] = []
+        self.stalled_until_ms = 0.0
         self.step_ends_ms = 0.0
         self.step_prefill: dict[Run, int] = {}
         self.stepping = False
         self.timer: interfaces.IDelayedCall | None = None
+        self._note_load()
 
     def now_ms(self) -> float:
         """Returns the time of the reactor in milliseconds."""
         return self.reactor.seconds() * MS_PER_S
 
+    @property
+    def is_down(self) -> bool:
+        """Whether the engine is down after a crash."""
+        return self.now_ms() < self.down_until_ms
+
     def submit(self, run: Run) -> None:
         """Takes a request in; it starts when batch and memory allow.
 
         :param run: a new run
         """
+        run.number = next(self.numbers)
+        run.arrived_ms = self.now_ms()
         run.prompt_tokens = len(run.prompt.split())
+        run.keys = prefix.prefix_keys(run.prompt)
+        run.break_after = self.breaks.popleft() if self.breaks else 0
         self.waiting.append(run)
-        if not self.stepping:
-            self._begin_step(self.now_ms())
-            self._schedule()
+        self._wake()
 
     def cancel(self, run: Run) -> None:
         """Ends a run before its time; does nothing if it has ended.
@@ -121,7 +245,117 @@
         :param run: any run
         """
         if not run.ended:
-            self._end(run, "cancelled")
+            self._leave(run, CANCELLED, self.now_ms())
+            run.on_end(CANCELLED)
+            self._note_load()
+
+    def suspend(self, run: Run) -> None:
+        """Pauses a run; its place and its memory become free.
+
+        :param run: a run that hasn't ended
+        """
+        if run.suspended:
+            return
+        self._remove(run)
+        run.suspended = True
+        self.paused.append(run)
+        self._note_load()
+
+    def resume(self, run: Run) -> None:
+        """Lets a run go on as soon as there is room, before waiting ones.
+
+        :param run: a run that hasn't ended
+        """
+        if not run.suspended:
+            return
+        self._remove(run)
+        run.suspended = False
+        self.waiting.appendleft(run)
+        self._wake()
+
+    def find(self, run_id: str) -> Run | None:
+        """Returns the newest run with an id that hasn't ended.
+
+        :param run_id: the request's id
+        """
+        runs = (*self.batch, *self.waiting, *self.paused)
+        found = [run for run in runs if run.run_id == run_id]
+        return max(found, key=lambda run: run.number, default=None)
+
+    def give_order(
+        self,
+        order: orders.Order,
+        on_done: typing.Callable[[orders.OrderRecord], None],
+    ) -> None:
+        """Carries out an order; no run starts while it is under way.
+
+        :param order: what to load
+        :param on_done: told what became of it, once
+        """
+
+        def done(record: orders.OrderRecord) -> None:
+            on_done(record)
+            self._wake()
+
+        self.orders.give(order, done)
+
+    def stall(self, duration_ms: float) -> None:
+        """Stops all work for a while; runs go on afterwards.
+
+        :param duration_ms: how long
+        """
+        self.stalled_until_ms = self.now_ms() + duration_ms
+        if self.stepping:
+            self.step_ends_ms = max(self.step_ends_ms, self.stalled_until_ms)
+
+    def crash(self) -> None:
+        """Drops all runs and what is cached; down for a while."""
+        now_ms = self.now_ms()
+        self.crashes += 1
+        self.down_until_ms = now_ms + self.settings.down_ms
+        runs = [*self.batch, *self.waiting, *self.paused]
+        for run in runs:
+            self._leave(run, CRASHED, now_ms)
+        self.cache.clear(now_ms)
+        self.stepping = False
+        self._note_load()
+        for run in runs:
+            run.on_end(CRASHED)
+        for told in list(self.on_crash):
+            told()
+
+    def runs(self) -> list[ledger.RunEntry]:
+        """Returns the ledger: ended runs in order of ending, then others."""
+        active = (*self.batch, *self.waiting, *self.paused)
+        return [*self.past_runs, *(run.entry() for run in active)]
+
+    def load(self) -> LoadReport:
+        """Returns the load as it was some time ago."""
+        horizon_ms = self.now_ms() - self.settings.load_lag_ms
+        loads = self.past_loads
+        while len(loads) > 1 and loads[1][0] <= horizon_ms:
+            loads.popleft()
+        return loads[0][1]
+
+    def _note_load(self) -> None:
+        report = LoadReport(
+            running=len(self.batch),
+            waiting=len(self.waiting),
+            suspended=len(self.paused),
+            kv_used=self.kv_used,
+            kv_tokens=self.settings.kv_tokens,
+        )
+        if not self.past_loads:
+            self.past_loads.append((self.now_ms(), report))
+        elif report != self.past_loads[-1][1]:
+            self.load()
+            self.past_loads.append((self.now_ms(), report))
+
+    def _wake(self) -> None:
+        if not self.stepping:
+            self._begin_step(self.now_ms())
+        self._note_load()
+        self._schedule()
 
     def _schedule(self) -> None:
         if self.timer is not None or not self.stepping:
@@ -135,6 +369,9 @@
         before = {run: run.generated for run in self.batch}
         done: list[Run] = []
         while self.stepping and self.step_ends_ms <= now_ms:
+            if self._hits_crash_mark():
+                self.crash()
+                return
             done.extend(self._finish_step(before))
             self._begin_step(self.step_ends_ms)
         for run, first in before.items():
@@ -142,10 +379,17 @@
                 run.on_tokens(first, run.generated)
         for run in done:
             run.on_end(run.ended)
+        self._note_load()
         self._schedule()
 
+    def _hits_crash_mark(self) -> bool:
+        mark = self.settings.crash_mark
+        if not mark:
+            return False
+        return any(mark in run.prompt for run in self.step_prefill)
+
     def _begin_step(self, now_ms: float) -> None:
-        self._admit()
+        self._admit(now_ms)
         settings = self.settings
         budget = settings.chunk_tokens
         self.step_prefill = {}
@@ -164,67 +408,83 @@
             crowd = 1 + settings.batch_slowdown * (decoding - 1)
             duration_ms += settings.decode_ms * crowd
         self.stepping = bool(self.batch)
-        self.step_ends_ms = now_ms + duration_ms
+        self.step_ends_ms = (
+            max(now_ms, self.stalled_until_ms) + duration_ms * self.slow_factor
+        )
 
     def _finish_step(self, before: dict[Run, int]) -> list[Run]:
         done = []
         for run in list(self.batch):
-            if run in self.step_prefill:
-                run.prefilled += self.step_prefill[run]
-                if run.prefilled < run.prompt_tokens:
-                    continue
-            elif run.prefilled < run.prompt_tokens:
+            self._store_prefilled(run)
+            if run.prefilled < run.prompt_tokens:
                 continue
             before.setdefault(run, run.generated)
             run.generated += 1
-            if run.generated >= run.max_tokens:
-                self._leave(run, "completed")
+            if run.first_token_ms is None:
+                run.first_token_ms = self.step_ends_ms
+            if run.generated == run.break_after:
+                self._leave(run, BROKEN, self.step_ends_ms)
+                done.append(run)
+            elif run.generated >= run.max_tokens:
+                self._leave(run, COMPLETED, self.step_ends_ms)
                 done.append(run)
         return done
 
-    def _admit(self) -> None:
+    def _store_prefilled(self, run: Run) -> None:
+        share = self.step_prefill.get(run, 0)
+        if not share:
+            return
+        first = run.prefilled // prefix.BLOCK_WORDS
+        run.prefilled += share
+        end = run.prefilled // prefix.BLOCK_WORDS
+        if end > first:
+            self.cache.store(run.keys[:end], self.step_ends_ms)
+
+    def _admit(self, now_ms: float) -> None:
         settings = self.settings
         while self.waiting and len(self.batch) < settings.max_batch:
             run = self.waiting[0]
-            fits = self.kv_used + run.reserved_tokens <= settings.kv_tokens
-            if not fits and self.batch:
+            if self.orders.loading or (
+                self.kv_used + run.reserved_tokens > settings.kv_tokens
+            ):
                 return
             self.waiting.popleft()
             self.kv_used += run.reserved_tokens
+            run.in_memory = True
             self.batch.append(run)
-
-    def _leave(self, run: Run, outcome: str) -> None:
-        run.ended = outcome
-        if run in self.batch:
-            self.batch.remove(run)
+            if run.started_ms is None:
+                run.started_ms = now_ms
+                self._use_cache(run)
+
+    def _use_cache(self, run: Run) -> None:
+        found = self.cache.match(run.keys) * prefix.BLOCK_WORDS
+        run.cached = max(0, min(found, run.prompt_tokens - 1))
+        run.prefilled = run.cached
+
+    def _remove(self, run: Run) -> None:
+        for runs in (self.batch, self.waiting, self.paused):
+            if run in runs:
+                runs.remove(run)
+        if run.in_memory:
+            run.in_memory = False
             self.kv_used -= run.reserved_tokens
-        elif run in self.waiting:
-            self.waiting.remove(run)
 
-    def _end(self, run: Run, outcome: str) -> None:
-        self._leave(run, outcome)
-        run.on_end(outcome)
+    def _leave(self, run: Run, outcome: str, ended_ms: float) -> None:
+        self._remove(run)
+        run.ended = outcome
+        entry = run.entry(ended_ms)
+        self.past_runs.append(entry)
+        for told in self.on_run_ended:
+            told(entry)
 
 
-def new_tokens(run: Run, first: int, end: int) -> str:
-    """Returns the text that some tokens add to a run's answer.
+def new_tokens(digest: str, first: int, end: int) -> str:
+    """Returns the text that some tokens add to an answer.
 
-    :param run: the run
+    :param digest: the prompt's digest
     :param first: index of the first token
     :param end: index after the last token
     :return: words, each but the answer's first after a space
     """
-    words = answers.words_between(
-        answers.prompt_digest(run.prompt), first, end
-    )
-    text = " ".join(words)
+    text = " ".join(answers.words_between(digest, first, end))
     return f" {text}" if first else text
-
-
-def blocks_of(prompt_tokens: int) -> int:
-    """Returns how many cache blocks hold a number of tokens.
-
-    :param prompt_tokens: any number of tokens
-    :return: blocks, the last one perhaps partly filled
-    """
-    return math.ceil(prompt_tokens / prefix.BLOCK_WORDS)
--- a/godwitloft/standins/engine_http.py
+++ b/godwitloft/standins/engine_http.py
@@ -1,7 +1,7 @@
-"""The HTTP side of the stand-in engine, in the style of OpenAI."""
+"""Completions of the stand-in engine over HTTP, in the style of OpenAI."""
 
-import itertools
 import json
+import os
 import typing
 
 from klein import Klein
@@ -11,11 +11,40 @@
 from twisted.web import server
 
 from godwitloft.policy import prefix
+from godwitloft.standins import answers
 from godwitloft.standins import engine as engines
+from godwitloft.standins import engine_control
+from godwitloft.standins import http
 
-REQUEST_ID_HEADER = "X-Request-Id"
+CRASH_EXIT_STATUS = 70
+PLACEHOLDER = "@"
 
-Json = dict[str, typing.Any]
+
+def listen(
+    engine: engines.Engine,
+    reactor: typing.Any,
+    address: str = "127.0.0.1",
+    port: int = 0,
+) -> http.Listener:
+    """Returns the engine's server, not yet started.
+
+    While the engine is down after a crash, connections are refused.
+
+    :param engine: the engine behind it
+    :param reactor: opens ports and gives timers
+    :param address: IP number
+    :param port: TCP port, 0 for a free one
+    :return: start it with its ``start``
+    """
+    listener = http.Listener(reactor, site(engine, reactor), address, port)
+
+    def close() -> None:
+        if engine.settings.exit_on_crash:
+            os._exit(CRASH_EXIT_STATUS)
+        listener.close_for(engine.settings.down_ms / engines.MS_PER_S)
+
+    engine.on_crash.append(close)
+    return listener
 
 
 def site(
@@ -37,114 +66,88 @@
     :return: a resource to be served at the root
     """
     app = Klein()
-    numbers = itertools.count(1)
 
     @app.route("/v1/models", methods=["GET"])
     def models(request: iweb.IRequest) -> bytes:
-        model = {"id": engine.settings.model, "object": "model"}
-        return reply(request, {"object": "list", "data": [model]})
+        data = [{"id": name, "object": "model"} for name in _names(engine)]
+        return http.reply(request, {"object": "list", "data": data})
 
     @app.route("/v1/chat/completions", methods=["POST"])
     def chat(request: iweb.IRequest) -> typing.Any:
-        return complete(request, chat=True)
+        return _complete(engine, request, chat=True)
 
     @app.route("/v1/completions", methods=["POST"])
     def plain(request: iweb.IRequest) -> typing.Any:
-        return complete(request, chat=False)
-
-    def complete(request: iweb.IRequest, chat: bool) -> typing.Any:
-        body = read_json(request)
-        if body is None:
-            return refuse(request, 400, "the body is not a JSON object")
-        if body.get("model") != engine.settings.model:
-            return refuse(request, 404, f"unknown model {body.get('model')!r}")
-        run_id = request.getHeader(REQUEST_ID_HEADER) or f"run-{next(numbers)}"
-        return _start(engine, request, body, run_id, chat)
+        return _complete(engine, request, chat=False)
 
+    engine_control.add_routes(app, engine)
     return app.resource()
 
 
-def read_json(request: typing.Any) -> Json | None:
-    """Returns the JSON object in a request's body.
-
-    :param request: a request whose body has arrived
-    :return: the object, or None when the body is anything else
-    """
-    try:
-        body = json.loads(request.content.read())
-    except ValueError:
-        return None
-    return body if isinstance(body, dict) else None
-
-
-def reply(request: typing.Any, body: object, status: int = 200) -> bytes:
-    """Prepares a JSON answer.
-
-    :param request: the request answered
-    :param body: what JSON can hold
-    :param status: HTTP status
-    :return: the answer's body
-    """
-    request.setResponseCode(status)
-    request.setHeader("Content-Type", "application/json")
-    return json.dumps(body).encode()
-
-
-def refuse(request: typing.Any, status: int, message: str) -> bytes:
-    """Prepares an error in the style of OpenAI.
-
-    :param request: the request refused
-    :param status: HTTP status
-    :param message: why
-    :return: the answer's body
-    """
-    return reply(request, {"error": {"message": message}}, status)
+def _names(engine: engines.Engine) -> list[str]:
+    loaded = engine.orders.loaded
+    return [name for name in (loaded.model, loaded.adapter) if name]
+
+
+def _complete(
+    engine: engines.Engine, request: typing.Any, chat: bool
+) -> typing.Any:
+    if engine.leaving:
+        return http.refuse(request, 503, "the engine is leaving")
+    if engine.failures:
+        return http.refuse(request, engine.failures.popleft(), "told to fail")
+    body = http.read_json(request)
+    if body is None:
+        return http.refuse(request, 400, "the body is not a JSON object")
+    if body.get("model") not in _names(engine):
+        return http.refuse(
+            request, 404, f"model {body.get('model')!r} is not loaded"
+        )
+    wanted = body.get("max_completion_tokens", body.get("max_tokens"))
+    if wanted is None:
+        wanted = engine.settings.default_max_tokens
+    if type(wanted) is not int or wanted < 1:
+        return http.refuse(
+            request, 400, f"max_tokens: {wanted!r} is not a positive number"
+        )
+    prompt = prefix.prompt_text(body)
+    if len(prompt.split()) + wanted > engine.settings.kv_tokens:
+        return http.refuse(request, 400, "the context is too long")
+    return _start(engine, request, body, prompt, wanted, chat)
 
 
 def _start(
     engine: engines.Engine,
     request: typing.Any,
-    body: Json,
-    run_id: str,
+    body: http.Json,
+    prompt: str,
+    max_tokens: int,
     chat: bool,
 ) -> defer.Deferred[None]:
     finished: defer.Deferred[None] = defer.Deferred()
-    stream = bool(body.get("stream"))
-    kind = "chat.completion" if chat else "text_completion"
-    head = {"id": run_id, "object": kind, "model": engine.settings.model}
-    if stream and chat:
-        head["object"] = "chat.completion.chunk"
-    wanted = body.get("max_completion_tokens") or body.get("max_tokens")
-
-    def event(choice: Json) -> bytes:
-        return (
-            b"data: %s\n\n"
-            % json.dumps(head | {"choices": [{"index": 0} | choice]}).encode()
-        )
-
-    def piece(text: str) -> Json:
-        if not chat:
-            return {"text": text}
-        return {"delta" if stream else "message": _message(text)}
+    digest = answers.prompt_digest(prompt)
+    streamed = bool(body.get("stream"))
+    run_id = request.getHeader(http.REQUEST_ID_HEADER) or f"run-{id(request)}"
+    render = _renderer(run_id, str(body["model"]), chat, streamed)
+    before, after = _split_event(render)
 
     def on_tokens(first: int, end: int) -> None:
-        if stream:
+        if streamed:
             request.write(
                 b"".join(
-                    event(
-                        piece(engines.new_tokens(run, index, index + 1))
-                        | {"finish_reason": None}
-                    )
+                    before
+                    + engines.new_tokens(digest, index, index + 1).encode()
+                    + after
                     for index in range(first, end)
                 )
             )
 
     def on_end(outcome: str) -> None:
-        if outcome != "completed":
-            if request.transport is not None:
+        if outcome != engines.COMPLETED:
+            if connected:
                 request.transport.abortConnection()
-        elif stream:
-            request.write(event(piece("") | {"finish_reason": "length"}))
+        elif streamed:
+            request.write(_event(render("", "length")))
             request.write(b"data: [DONE]\n\n")
         else:
             request.write(whole())
@@ -152,31 +155,70 @@
             finished.callback(None)
 
     def whole() -> bytes:
-        text = engines.new_tokens(run, 0, run.generated)
-        choice = {"index": 0, "finish_reason": "length"} | piece(text)
+        text = engines.new_tokens(digest, 0, run.generated)
         usage = {
             "prompt_tokens": run.prompt_tokens,
             "completion_tokens": run.generated,
             "total_tokens": run.prompt_tokens + run.generated,
+            "prompt_tokens_details": {"cached_tokens": run.cached},
         }
-        return json.dumps(
-            head | {"choices": [choice], "usage": usage}
-        ).encode()
+        answer = render(text, "length") | {"usage": usage}
+        return json.dumps(answer).encode()
+
+    def on_disconnect(_: object) -> None:
+        nonlocal connected
+        connected = False
+        engine.cancel(run)
 
+    connected = True
     run = engines.Run(
         run_id=run_id,
-        prompt=prefix.prompt_text(body),
-        max_tokens=int(wanted or engine.settings.default_max_tokens),
+        prompt=prompt,
+        max_tokens=max_tokens,
         on_tokens=on_tokens,
         on_end=on_end,
     )
-    request.setHeader(REQUEST_ID_HEADER, run_id)
-    content_type = "text/event-stream" if stream else "application/json"
-    request.setHeader("Content-Type", content_type)
-    request.notifyFinish().addErrback(lambda _: engine.cancel(run))
+    request.setHeader(http.REQUEST_ID_HEADER, run_id)
+    request.setHeader(
+        "Content-Type",
+        "text/event-stream" if streamed else "application/json",
+    )
+    request.notifyFinish().addErrback(on_disconnect)
     engine.submit(run)
     return finished
 
 
-def _message(text: str) -> Json:
-    return {"role": "assistant", "content": text}
+def _renderer(
+    run_id: str, model: str, chat: bool, streamed: bool
+) -> typing.Callable[[str, str | None], http.Json]:
+    kind = "chat.completion" if chat else "text_completion"
+    if chat and streamed:
+        kind = "chat.completion.chunk"
+    key = "delta" if streamed else "message"
+    head = {"id": run_id, "object": kind, "created": 0, "model": model}
+
+    def render(text: str, finish_reason: str | None) -> http.Json:
+        choice: http.Json = {"index": 0, "finish_reason": finish_reason}
+        if chat:
+            choice[key] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
+        return head | {"choices": [choice]}
+
+    return render
+
+
+def _event(value: http.Json) -> bytes:
+    return b"data: " + json.dumps(value).encode() + b"\n\n"
+
+
+def _split_event(
+    render: typing.Callable[[str, str | None], http.Json],
+) -> tuple[bytes, bytes]:
+    """Returns what stands before and after the text of a token's event.
+
+    Formatting each token's event anew took most of the engine's time.
+    """
+    whole = _event(render(PLACEHOLDER, None))
+    before, _, after = whole.rpartition(f'"{PLACEHOLDER}"'.encode())
+    return before + b'"', b'"' + after
--- /dev/null
+++ b/godwitloft/standins/http.py
@@ -0,0 +1,131 @@
+"""What the stand-ins' HTTP sides share."""
+
+import dataclasses
+import json
+import typing
+
+from twisted.internet import defer
+from twisted.internet import endpoints
+from twisted.internet import interfaces
+from twisted.protocols import policies
+
+REQUEST_ID_HEADER = "X-Request-Id"
+
+Json = dict[str, typing.Any]
+
+
+def read_json(request: typing.Any) -> Json | None:
+    """Returns the JSON object in a request's body.
+
+    :param request: a request whose body has arrived
+    :return: the object, or None when the body is anything else
+    """
+    try:
+        body = json.loads(request.content.read())
+    except ValueError:
+        return None
+    return body if isinstance(body, dict) else None
+
+
+def reply(request: typing.Any, body: object, status: int = 200) -> bytes:
+    """Prepares a JSON answer.
+
+    :param request: the request answered
+    :param body: what JSON can hold
+    :param status: HTTP status
+    :return: the answer's body
+    """
+    request.setResponseCode(status)
+    request.setHeader("Content-Type", "application/json")
+    return json.dumps(body).encode()
+
+
+def refuse(request: typing.Any, status: int, message: str) -> bytes:
+    """Prepares an error in the style of OpenAI.
+
+    :param request: the request refused
+    :param status: HTTP status
+    :param message: why
+    :return: the answer's body
+    """
+    return reply(request, {"error": {"message": message}}, status)
+
+
+def number_argument(request: typing.Any, name: str) -> int:
+    """Returns a whole number from the query.
+
+    :param request: the request
+    :param name: the argument's name
+    :return: its value, 0 when it is missing or no number
+    """
+    text = request.args.get(name.encode(), [b""])[0]
+    return int(text) if text.isdigit() else 0
+
+
+@dataclasses.dataclass(eq=False)
+class Listener:
+    """A listening port that can be closed for a while, as in a crash.
+
+    :param reactor: opens ports and gives timers
+    :param factory: makes the connections
+    :param address: IP number
+    :param port: TCP port; 0 takes a free one and keeps it from then on
+    """
+
+    reactor: typing.Any
+    factory: interfaces.IProtocolFactory
+    address: str
+    port: int
+
+    def __post_init__(self) -> None:
+        self.wrapper = policies.WrappingFactory(self.factory)
+        self.listening: interfaces.IListeningPort | None = None
+        self.stopped = False
+
+    def start(self) -> defer.Deferred[str]:
+        """Opens the port.
+
+        :return: where it listens, as ``ADDRESS:PORT``
+        """
+        endpoint = endpoints.TCP4ServerEndpoint(
+            self.reactor, self.port, interface=self.address
+        )
+
+        def note(listening: interfaces.IListeningPort) -> str:
+            self.listening = listening
+            host = typing.cast(typing.Any, listening.getHost())
+            self.port = host.port
+            return f"{host.host}:{host.port}"
+
+        return endpoint.listen(self.wrapper).addCallback(note)
+
+    def drop_connections(self) -> None:
+        """Resets every connection."""
+        for protocol in list(self.wrapper.protocols):
+            protocol.transport.abortConnection()
+
+    def close_for(self, duration_s: float) -> None:
+        """Resets every connection and refuses new ones for a while.
+
+        :param duration_s: seconds until the port is opened again
+        """
+        self._close()
+        self.reactor.callLater(duration_s, self._reopen)
+
+    def stop(self) -> defer.Deferred[None]:
+        """Closes the port and all connections for good.
+
+        :return: fires when the port is closed
+        """
+        self.stopped = True
+        return self._close()
+
+    def _close(self) -> defer.Deferred[None]:
+        self.drop_connections()
+        listening, self.listening = self.listening, None
+        closing = listening.stopListening() if listening else None
+        return closing or defer.succeed(None)
+
+    def _reopen(self) -> None:
+        if not self.stopped and self.listening is None:
+            self.start()
--- a/godwitloft/standins/main.py
+++ b/godwitloft/standins/main.py
@@ -6,16 +6,15 @@
 import typing
 
 import cappa
-from twisted.internet import endpoints
-from twisted.internet import interfaces
 from twisted.internet import reactor as default_reactor
-from twisted.web import server
 
 import godwitloft
 from godwitloft import decode
 from godwitloft import errors
 from godwitloft.standins import engine as engines
 from godwitloft.standins import engine_http
+from godwitloft.standins import http
+from godwitloft.standins import ledger
 
 EXIT_USAGE = 2
 
@@ -37,7 +36,10 @@
         settings = _settings(engines.EngineSettings, self.settings)
         reactor = typing.cast(typing.Any, default_reactor)
         engine = engines.Engine(settings, reactor)
-        _serve(self.listen, engine_http.site(engine, reactor), reactor)
+        if settings.print_ledger:
+            engine.on_run_ended.append(_print_run)
+        address, port = _split(self.listen)
+        _serve(engine_http.listen(engine, reactor, address, port))
 
 
 @cappa.command(
@@ -74,29 +76,27 @@
     return decode.decode(kind, value, "--settings")
 
 
-def _serve(
-    listen: str,
-    factory: server.Site,
-    reactor: typing.Any,
-) -> None:
+def _split(listen: str) -> tuple[str, int]:
     address, _, port = listen.rpartition(":")
     if not address or not port.isdigit():
         raise errors.UserError(f"--listen: {listen!r} is not ADDRESS:PORT")
-    endpoint = endpoints.TCP4ServerEndpoint(
-        reactor, int(port), interface=address
-    )
+    return address, int(port)
 
-    def announce(listening: interfaces.IListeningPort) -> None:
-        host = typing.cast(typing.Any, listening.getHost())
-        line = {"listening": f"{host.host}:{host.port}"}
-        print(json.dumps(line), flush=True)
+
+def _print_run(run: ledger.RunEntry) -> None:
+    print(json.dumps({"run": dataclasses.asdict(run)}), flush=True)
+
+
+def _serve(listener: http.Listener) -> None:
+    def announce(where: str) -> None:
+        print(json.dumps({"listening": where}), flush=True)
 
     def give_up(failure: typing.Any) -> None:
         print(f"godwitloft-standin: {failure.value}", file=sys.stderr)
-        reactor.stop()
+        listener.reactor.stop()
 
-    endpoint.listen(factory).addCallbacks(announce, give_up)
-    reactor.run()
+    listener.start().addCallbacks(announce, give_up)
+    listener.reactor.run()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/godwitloft/standins/prefix_cache.py
@@ -0,0 +1,125 @@
+"""The prefix cache of a stand-in engine and the events that tell of it."""
+
+import collections
+import dataclasses
+import random
+import typing
+
+from godwitloft.policy import prefix
+
+MAX_EVENTS_KEPT = 20_000
+
+STORED = "stored"
+REMOVED = "removed"
+CLEARED = "cleared"
+
+
+@dataclasses.dataclass(frozen=True)
+class CacheEvent:
+    """One change of the cache.
+
+    :param number: 1, 2, 3 ... in the order of the changes; a number that
+        a reader doesn't see belongs to a lost event
+    :param at_ms: when it happened
+    :param kind: ``stored``, ``removed`` or ``cleared``
+    :param keys: names of the blocks, as ``prefix_keys`` gives them
+    """
+
+    number: int
+    at_ms: float
+    kind: str
+    keys: tuple[int, ...]
+
+
+class PrefixCache:
+    """Blocks of prompts that need not be prefilled again.
+
+    The block used longest ago goes first, and of one prompt the last block
+    goes before the ones that it builds on.
+
+    :param max_tokens: memory, in tokens
+    :param event_lag_ms: how late events are published
+    :param event_loss: share of events that are never published
+    :param seed: decides which events are lost
+    """
+
+    def __init__(
+        self,
+        max_tokens: int,
+        event_lag_ms: float,
+        event_loss: float,
+        seed: int,
+    ) -> None:
+        self.max_blocks = max_tokens // prefix.BLOCK_WORDS
+        self.event_lag_ms = event_lag_ms
+        self.event_loss = event_loss
+        self.random = random.Random(seed)
+        self.blocks: collections.OrderedDict[int, None] = (
+            collections.OrderedDict()
+        )
+        self.events: collections.deque[CacheEvent] = collections.deque(
+            maxlen=MAX_EVENTS_KEPT
+        )
+        self.last_number = 0
+
+    def match(self, keys: typing.Sequence[int]) -> int:
+        """Counts the leading blocks that are cached, and marks them used.
+
+        :param keys: names of a prompt's blocks
+        :return: how many of them need no prefill
+        """
+        found = 0
+        while found < len(keys) and keys[found] in self.blocks:
+            found += 1
+        for key in reversed(keys[:found]):
+            self.blocks.move_to_end(key)
+        return found
+
+    def store(self, keys: typing.Sequence[int], now_ms: float) -> None:
+        """Takes blocks in and drops others when the memory is full.
+
+        :param keys: names of blocks of one prompt, in their order
+        :param now_ms: the time for the events
+        """
+        new = tuple(key for key in keys if key not in self.blocks)
+        for key in reversed(keys):
+            self.blocks[key] = None
+            self.blocks.move_to_end(key)
+        if new:
+            self._publish(STORED, new, now_ms)
+        removed = []
+        while len(self.blocks) > self.max_blocks:
+            removed.append(self.blocks.popitem(last=False)[0])
+        if removed:
+            self._publish(REMOVED, tuple(removed), now_ms)
+
+    def clear(self, now_ms: float) -> None:
+        """Drops every block.
+
+        :param now_ms: the time for the event
+        """
+        self.blocks.clear()
+        self._publish(CLEARED, (), now_ms)
+
+    def events_after(self, number: int, now_ms: float) -> list[CacheEvent]:
+        """Returns the published events after a number.
+
+        :param number: the last one that the reader has seen
+        :param now_ms: the time of reading
+        :return: the events that are old enough, oldest first
+        """
+        newest_ms = now_ms - self.event_lag_ms
+        return [
+            event
+            for event in self.events
+            if event.number > number and event.at_ms <= newest_ms
+        ]
+
+    def _publish(
+        self, kind: str, keys: tuple[int, ...], now_ms: float
+    ) -> None:
+        self.last_number += 1
+        if self.random.random() >= self.event_loss:
+            self.events.append(
+                CacheEvent(self.last_number, now_ms, kind, keys)
+            )
