Add a stand-in plain service with a ledger

Cause: calls that may not be repeated need a witness of what took effect. Change: godwitloft-standin service answers any path by a function of the request, can fail, stall, lose an answer after the effect, slow down and leave, and lists every call with its ids. Conclusion: at-most-once can be checked from outside.

--- a/features/steps/standin_engine_steps.py
+++ b/features/steps/standin_engine_steps.py
@@ -3,11 +3,9 @@
 from behave import given
 from behave import then
 from behave import when
-from twisted.internet import address
-from twisted.internet import error
 from twisted.internet import testing
-from twisted.python import failure
 
+from features import wire
 from godwitloft import decode
 from godwitloft.policy import prefix
 from godwitloft.standins import answers
@@ -16,8 +14,6 @@
 from godwitloft.standins import engine_http
 from godwitloft.standins import orders
 
-CALLER = address.IPv4Address("TCP", "127.0.0.1", 4000)
-
 
 def words(text):
     parts = [part.split("*") for part in text.split("+")]
@@ -26,22 +22,6 @@
     )
 
 
-def send(factory, method, path, body="", headers=""):
-    """Sends an HTTP/1.0 request over a connection in memory."""
-    protocol = factory.buildProtocol(CALLER)
-    transport = testing.StringTransportWithDisconnection()
-    transport.protocol = protocol
-    protocol.makeConnection(transport)
-    head = f"{method} {path} HTTP/1.0\r\nContent-Length: {len(body)}\r\n"
-    protocol.dataReceived(f"{head}{headers}\r\n{body}".encode())
-    return transport
-
-
-def received(transport):
-    head, _, body = transport.value().partition(b"\r\n\r\n")
-    return int(head.split()[1]), body.decode()
-
-
 def text_of(choice):
     message = choice.get("message") or choice.get("delta") or {}
     return choice.get("text", "") + message.get("content", "")
@@ -137,7 +117,7 @@
 
 @when('"{body}" is posted to the engine\'s {path}')
 def post(context, body, path):
-    context.transport = send(context.factory, "POST", path, body)
+    context.transport = wire.send(context.factory, "POST", path, body)
     context.reactor.pump([0.001] * 200)
 
 
@@ -146,7 +126,7 @@
     if text.startswith("answer of "):
         count, _, prompt = text[len("answer of ") :].partition(" to ")
         text = " ".join(answers.answer_words(prompt, int(count)))
-    found_status, body = received(context.transport)
+    found_status, body = wire.received(context.transport)
     assert (found_status, text_in(body)) == (status, text), body
 
 
@@ -154,8 +134,10 @@
 def move_cache(context, prompt):
     body = json.dumps({"prompt": words(prompt)})
     source = engine_http.site(context.first, context.reactor)
-    exported = received(send(source, "POST", "/kv/export", body))[1]
-    status, _ = received(send(context.factory, "POST", "/kv/import", exported))
+    exported = wire.received(wire.send(source, "POST", "/kv/export", body))[1]
+    status, _ = wire.received(
+        wire.send(context.factory, "POST", "/kv/import", exported)
+    )
     assert status == 200
     context.engine = context.second
     context.reactor = context.second.reactor
@@ -167,7 +149,7 @@
         {"model": "bean-model", "prompt": "a b", "max_tokens": 99}
         | {"stream": True}
     )
-    transport = send(
+    transport = wire.send(
         context.factory,
         "POST",
         "/v1/completions",
@@ -175,8 +157,7 @@
         "X-Request-Id: gone\r\n",
     )
     context.reactor.pump([0.001] * 90)
-    lost = failure.Failure(error.ConnectionDone())
-    transport.protocol.connectionLost(lost)
+    wire.lose(transport)
     context.reactor.pump([0.001] * 90)
 
 
@@ -188,7 +169,7 @@
             {"model": "bean-model", "prompt": prompt, "max_tokens": 99}
         )
         transports.append(
-            send(context.factory, "POST", "/v1/completions", body)
+            wire.send(context.factory, "POST", "/v1/completions", body)
         )
         context.reactor.pump([0.001] * 50)
     context.transports = transports
--- a/godwitloft/standins/engine_http.py
+++ b/godwitloft/standins/engine_http.py
@@ -125,6 +125,7 @@
     chat: bool,
 ) -> defer.Deferred[None]:
     finished: defer.Deferred[None] = defer.Deferred()
+    connected = True
     digest = answers.prompt_digest(prompt)
     streamed = bool(body.get("stream"))
     run_id = request.getHeader(http.REQUEST_ID_HEADER) or f"run-{id(request)}"
@@ -170,7 +171,6 @@
         connected = False
         engine.cancel(run)
 
-    connected = True
     run = engines.Run(
         run_id=run_id,
         prompt=prompt,
--- a/godwitloft/standins/main.py
+++ b/godwitloft/standins/main.py
@@ -15,6 +15,7 @@
 from godwitloft.standins import engine_http
 from godwitloft.standins import http
 from godwitloft.standins import ledger
+from godwitloft.standins import service as services
 
 EXIT_USAGE = 2
 
@@ -42,6 +43,27 @@
         _serve(engine_http.listen(engine, reactor, address, port))
 
 
+@cappa.command(name="service", help="Run a stand-in plain service.")
+@dataclasses.dataclass(frozen=True)
+class ServiceCommand:
+    """Runs a stand-in plain service.
+
+    :param listen: IP number and port; port 0 takes a free one
+    :param settings: JSON object with keys of ``ServiceSettings``
+    """
+
+    listen: typing.Annotated[str, cappa.Arg(long=True)] = "127.0.0.1:0"
+    settings: typing.Annotated[str, cappa.Arg(long=True)] = "{}"
+
+    def __call__(self) -> None:
+        """Serves until the process is told to stop."""
+        settings = _settings(services.ServiceSettings, self.settings)
+        reactor = typing.cast(typing.Any, default_reactor)
+        service = services.Service(settings, reactor)
+        address, port = _split(self.listen)
+        _serve(services.listen(service, reactor, address, port))
+
+
 @cappa.command(
     name="godwitloft-standin", help="Small stand-ins for tests and demos."
 )
@@ -52,7 +74,7 @@
     :param command: which stand-in to run
     """
 
-    command: cappa.Subcommands[EngineCommand]
+    command: cappa.Subcommands[EngineCommand | ServiceCommand]
 
 
 def main(arguments: list[str] | None = None) -> None:
