Claim idempotency keys in the platform's table

Cause: a call that may not be repeated must run at most once, also when its caller sends it again through another entry, entries die between claim and dispatch, and the store loses answers. Change: coordination/claims looks a key up, claims it when an agent has asked for the call (one row naming run, agent and incarnation, compare-and-set), records the answer and replaces a row only on the agent's proof that the run never started. write_budget bounds the writes, claims first.

--- /dev/null
+++ b/godwitloft/coordination/claims.py
@@ -0,0 +1,384 @@
+"""Claims on idempotency keys: a call with a key runs at most once.
+
+A claim is one row of the platform's table. It is written when an agent has
+asked for the call and before the body goes out, and names the run, the agent
+and the agent's incarnation. So whoever finds the row after a crash knows
+whom to ask: only when that very incarnation proves that the run never
+started there, and never will, may another attempt replace the row and run.
+Both attempts write with compare-and-set, so that one of them wins.
+
+docs/OUTCOMES.md weighs this against a claim before the call waits.
+"""
+
+import dataclasses
+import enum
+import random
+import typing
+
+from twisted.internet import defer
+from twisted.internet import interfaces
+
+from godwitloft import clock as clocks
+from godwitloft.coordination import claims_row
+from godwitloft.coordination import swap
+from godwitloft.coordination import write_budget
+from godwitloft.platform import port
+
+TABLE = "claims"
+FIRST_BACKOFF_MS = 20
+LONGEST_BACKOFF_MS = 1_000
+ATTEMPT_LIMIT_MS = 5_000
+ASK_LIMIT_MS = 3_000
+POLL_MS = 250
+SETTLE_MS = 2_000
+FINISH_LIMIT_MS = 60_000
+RELEASE_LIMIT_MS = 60_000
+KEEP_MS = 24 * 60 * 60 * 1000
+
+
+class Proof(enum.Enum):
+    """What an agent says about a run when asked.
+
+    ``NEVER_STARTED`` is a promise: that incarnation did not start the run
+    and ignores a dispatch of it that arrives later.
+    """
+
+    NEVER_STARTED = "never_started"
+    RUNNING = "running"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True)
+class Proceed:
+    """The call may wait to run; it must be claimed before it is dispatched.
+
+    :param version: version of the row that the claim replaces, 0 for none
+    """
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Recorded:
+    """The call has ended before; this is its answer.
+
+    :param answer: what the first caller was told
+    """
+
+    answer: claims_row.Answer
+
+
+@dataclasses.dataclass(frozen=True)
+class OtherBody:
+    """The key belongs to a call with another body."""
+
+
+@dataclasses.dataclass(frozen=True)
+class InProgress:
+    """The call still runs elsewhere, and the caller's time is over."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Undecided:
+    """An earlier attempt may have run, and its end can't be learnt."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Unavailable:
+    """The store gave no answer in time; this attempt was not dispatched.
+
+    :param reason: the last error, for people
+    """
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Taken:
+    """The key is claimed for this attempt; now it may be dispatched.
+
+    :param key: key of the row
+    :param row: content of the row
+    :param version: version of the row
+    """
+
+    key: str
+    row: claims_row.Row
+    version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Overtaken:
+    """Another attempt has the key; look it up again."""
+
+
+Looked = Proceed | Recorded | OtherBody | InProgress | Undecided | Unavailable
+Claimed = Taken | Overtaken | Unavailable
+Ask = typing.Callable[[str, str, str], defer.Deferred[Proof]]
+
+
+class Claims:
+    """Looks keys up, claims them and records how their calls ended.
+
+    :param platform: where the table and the objects are
+    :param scheduler: a reactor, or a driven clock in tests
+    :param budget: permits for writes
+    :param ask: ``(agent, agent incarnation, run id)`` to what that
+        incarnation says about the run; ``UNKNOWN`` when it isn't reached
+    :param random_source: spreads repeated tries
+    """
+
+    def __init__(
+        self,
+        platform: port.Platform,
+        scheduler: interfaces.IReactorTime,
+        budget: write_budget.WriteBudget,
+        ask: Ask,
+        random_source: random.Random | None = None,
+    ) -> None:
+        self.platform = platform
+        self.scheduler = scheduler
+        self.budget = budget
+        self.ask = ask
+        self.random = random_source or random.Random()
+
+    def now_ms(self) -> float:
+        """Returns the scheduler's time.
+
+        :return: milliseconds since some fixed point
+        """
+        return self.scheduler.seconds() * clocks.MS_PER_S
+
+    async def look_up(
+        self, key: str, fingerprint: str, limit_ms: float
+    ) -> Looked:
+        """Finds out whether a call may run, before it waits.
+
+        :param key: from :func:`claims_row.key_of`
+        :param fingerprint: hash of what is called, with its body
+        :param limit_ms: how long to try
+        :return: what to do with the call
+        """
+        ends_ms = self.now_ms() + limit_ms
+        settles_ms = self.now_ms() + min(SETTLE_MS, limit_ms / 2)
+        while True:
+            try:
+                found = await self._read(key, ends_ms)
+            except port.PlatformError as error:
+                return Unavailable(str(error))
+            if found is None:
+                return Proceed(0)
+            decided = await self._judge(found, key, fingerprint, ends_ms)
+            if isinstance(decided, Undecided) and self.now_ms() < settles_ms:
+                # The first attempt's entry may be about to record the end.
+                decided = None
+            if decided is not None:
+                return decided
+            if self.now_ms() + POLL_MS > ends_ms:
+                return InProgress()
+            await swap.sleep(self.scheduler, POLL_MS)
+
+    async def _judge(
+        self, found: port.Row, key: str, fingerprint: str, ends_ms: float
+    ) -> Looked | None:
+        """Decides on a row that is there; None means to look again."""
+        try:
+            row = claims_row.read(key, found.value)
+        except claims_row.RowError:
+            # Whoever wrote it may have run the call.
+            return Undecided()
+        if row.fingerprint != fingerprint:
+            return OtherBody()
+        if row.state is claims_row.State.DONE:
+            return await self._recorded(row, ends_ms)
+        proof = await self._proof(row)
+        if proof is Proof.NEVER_STARTED:
+            return Proceed(found.version)
+        return None if proof is Proof.RUNNING else Undecided()
+
+    async def _proof(self, row: claims_row.Row) -> Proof:
+        answer = self.ask(row.agent, row.agent_incarnation, row.run_id)
+        answer.addTimeout(ASK_LIMIT_MS / clocks.MS_PER_S, self.scheduler)
+        try:
+            return await answer
+        except defer.TimeoutError:
+            return Proof.UNKNOWN
+
+    async def _recorded(
+        self, row: claims_row.Row, ends_ms: float
+    ) -> Recorded | Unavailable:
+        body = None
+        if row.answer_object:
+            name = row.answer_object
+            try:
+                body = await self._until(
+                    ends_ms, lambda: self.platform.read_object(name)
+                )
+            except port.PlatformError as error:
+                return Unavailable(str(error))
+        return Recorded(claims_row.recorded(row, body))
+
+    async def claim(
+        self, key: str, row: claims_row.Row, version: int, limit_ms: float
+    ) -> Claimed:
+        """Claims a key for the run that is about to be dispatched.
+
+        An answer that got lost is settled by reading back and writing the
+        same row again: it can only take effect once.
+
+        :param key: key of the row
+        :param row: content, in state ``running``
+        :param version: version from :class:`Proceed` or :class:`Taken`
+        :param limit_ms: how long to try; afterwards the call must not be
+            dispatched, also when the write takes effect later
+        :return: whether the run may be dispatched
+        """
+        ends_ms = self.now_ms() + limit_ms
+        try:
+            answer = await self._write(key, row, version, ends_ms, True)
+        except port.PlatformError as error:
+            self._abandon(key, row)
+            return Unavailable(str(error))
+        if isinstance(answer, port.Conflict):
+            return Overtaken()
+        return Taken(key, row, answer.row.version)
+
+    async def finish(self, taken: Taken, answer: claims_row.Answer) -> bool:
+        """Records how a claimed call ended, for callers that come again.
+
+        :param taken: the claim
+        :param answer: what the caller is told
+        :return: whether it is recorded; if not, later attempts are told
+            that the outcome is unknown
+        """
+        ends_ms = self.now_ms() + FINISH_LIMIT_MS
+        row = claims_row.finished(taken.row, taken.key, answer)
+        name = row.answer_object
+        body = answer.body or b""
+        try:
+            if name:
+                await self._until(
+                    ends_ms,
+                    lambda: self.platform.write_object(name, body),
+                    permit=lambda: self.budget.take(False),
+                )
+            written = await self._write(
+                taken.key, row, taken.version, ends_ms, False
+            )
+        except port.PlatformError:
+            return False
+        return isinstance(written, port.Swapped)
+
+    async def release(self, taken: Taken) -> bool:
+        """Gives up a claim whose run was proven never to have started.
+
+        :param taken: the claim
+        :return: whether the row is gone; if not, the next attempt asks the
+            agent that the row names
+        """
+        ends_ms = self.now_ms() + RELEASE_LIMIT_MS
+        key, version = taken.key, taken.version
+        try:
+            await self._until(
+                ends_ms,
+                lambda: self.platform.delete_row(TABLE, key, version),
+                permit=lambda: self.budget.take(False),
+            )
+        except port.PlatformError:
+            return False
+        return True
+
+    def _abandon(self, key: str, row: claims_row.Row) -> None:
+        """Removes the row of an attempt that gave up before dispatch."""
+
+        async def remove() -> None:
+            ends_ms = self.now_ms() + RELEASE_LIMIT_MS
+            try:
+                found = await self._read(key, ends_ms)
+            except port.PlatformError:
+                return
+            if found is not None and found.value == claims_row.encode(row):
+                await self.release(Taken(key, row, found.version))
+
+        defer.ensureDeferred(remove())
+
+    async def _read(self, key: str, ends_ms: float) -> port.Row | None:
+        return await self._until(
+            ends_ms, lambda: self.platform.read_row(TABLE, key)
+        )
+
+    async def _write(
+        self,
+        key: str,
+        row: claims_row.Row,
+        version: int,
+        ends_ms: float,
+        urgent: bool,
+    ) -> port.Swapped | port.Conflict:
+        value = claims_row.encode(row)
+
+        def write() -> defer.Deferred[port.Swapped | port.Conflict]:
+            return defer.ensureDeferred(
+                swap.swap(
+                    self.platform,
+                    TABLE,
+                    key,
+                    value,
+                    version,
+                    time_to_live_ms=KEEP_MS,
+                )
+            )
+
+        while True:
+            answer = await self._until(
+                ends_ms, write, permit=lambda: self.budget.take(urgent)
+            )
+            lost = isinstance(answer, port.Conflict) and answer.row is None
+            if not (lost and version == 0):
+                return answer
+            # Reading back after a lost answer found nothing: write again.
+
+    async def _until(
+        self,
+        ends_ms: float,
+        attempt: typing.Callable[[], defer.Deferred[typing.Any]],
+        permit: typing.Callable[[], defer.Deferred[None]] | None = None,
+    ) -> typing.Any:
+        """Repeats a call on the platform while it is unavailable.
+
+        Every call here may be repeated, as a write names the version that
+        it replaces. An attempt without an answer for some time is given up.
+
+        :raises port.PlatformError: the last error, when the time is over
+        """
+        tries = 0
+        while True:
+            try:
+                if permit is not None:
+                    await self._limited(permit(), ends_ms)
+                return await self._limited(attempt(), ends_ms)
+            except port.PlatformError:
+                wait_ms = swap.backoff_ms(
+                    tries,
+                    FIRST_BACKOFF_MS,
+                    LONGEST_BACKOFF_MS,
+                    self.random.random(),
+                )
+                if self.now_ms() + wait_ms >= ends_ms:
+                    raise
+            tries += 1
+            await swap.sleep(self.scheduler, wait_ms)
+
+    async def _limited(
+        self, answer: defer.Deferred[typing.Any], ends_ms: float
+    ) -> typing.Any:
+        left_ms = min(ATTEMPT_LIMIT_MS, ends_ms - self.now_ms())
+        if left_ms <= 0:
+            answer.addErrback(lambda failure: None)
+            answer.cancel()
+            raise port.AnswerLost("the time for it is over")
+        answer.addTimeout(left_ms / clocks.MS_PER_S, self.scheduler)
+        try:
+            return await answer
+        except (defer.TimeoutError, defer.CancelledError) as error:
+            raise port.AnswerLost("no answer in time") from error
--- /dev/null
+++ b/godwitloft/coordination/write_budget.py
@@ -0,0 +1,88 @@
+"""Keeps the writes of one process under its share of the store's rate."""
+
+import collections
+import typing
+
+from twisted.internet import defer
+from twisted.internet import interfaces
+
+Permit = defer.Deferred[None]
+
+
+class WriteBudget:
+    """Gives out permits to write, urgent ones first, each kind in order.
+
+    :param scheduler: a reactor, or a driven clock in tests
+    :param writes_per_s: returns this process's share; read before each
+        permit, so that it may follow the number of live processes
+    :param burst: permits that may be saved up while nothing is written
+    """
+
+    def __init__(
+        self,
+        scheduler: interfaces.IReactorTime,
+        writes_per_s: typing.Callable[[], float],
+        burst: int,
+    ) -> None:
+        self.scheduler = scheduler
+        self.writes_per_s = writes_per_s
+        self.burst = burst
+        self.saved = float(burst)
+        self.updated_s = scheduler.seconds()
+        self.urgent: collections.deque[Permit] = collections.deque()
+        self.patient: collections.deque[Permit] = collections.deque()
+        self.timer: interfaces.IDelayedCall | None = None
+
+    def take(self, urgent: bool) -> Permit:
+        """Asks for a permit.
+
+        :param urgent: whether a caller waits for the write
+        :return: fires with None when the write may be sent; cancel it to
+            give up the place
+        """
+        queue = self.urgent if urgent else self.patient
+        permit: Permit = defer.Deferred(queue.remove)
+        queue.append(permit)
+        self._give()
+        return permit
+
+    def _give(self) -> None:
+        self._refill()
+        while self.saved >= 1 and (self.urgent or self.patient):
+            self.saved -= 1
+            queue = self.urgent or self.patient
+            queue.popleft().callback(None)
+        if (self.urgent or self.patient) and self.timer is None:
+            wait_s = (1 - self.saved) / self.writes_per_s()
+            self.timer = self.scheduler.callLater(wait_s, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self.timer = None
+        self._give()
+
+    def _refill(self) -> None:
+        now_s = self.scheduler.seconds()
+        gained = (now_s - self.updated_s) * self.writes_per_s()
+        self.updated_s = now_s
+        # A timer that fires a rounding error early must still give one.
+        self.saved = min(float(self.burst), self.saved + gained + 1e-9)
+
+
+MIN_WRITES_PER_S = 0.1
+
+
+def share(
+    fleet_writes_per_s: float, live_processes: typing.Callable[[], int]
+) -> typing.Callable[[], float]:
+    """Returns a function for the even share of one process.
+
+    :param fleet_writes_per_s: for all processes together
+    :param live_processes: how many there are now, this one too
+    :return: writes a second for this process
+    """
+
+    def writes_per_s() -> float:
+        even = fleet_writes_per_s / max(1, live_processes())
+        return max(MIN_WRITES_PER_S, even)
+
+    return writes_per_s
