Choose by tier, team usage and deadline over an index

Change: one decision over offers in order (policy/order.py) with suspended work, suspects, held offers and urgent answers; an index that feeds it (policy/offer_book.py); virtual times per tier and team (policy/usage.py). Ruled out: raising a returning team to the smallest virtual time of the active teams. The floor is now the virtual time of the request started last, less a credit. Conclusion: the index stays; plain sorting is its twin in the tests.

--- /dev/null
+++ b/features/steps/policy_order_steps.py
@@ -0,0 +1,457 @@
+import dataclasses
+import random
+import re
+
+from behave import given
+from behave import then
+from behave import when
+
+from godwitloft.policy import estimate
+from godwitloft.policy import offer_book
+from godwitloft.policy import order
+from godwitloft.policy import room
+from godwitloft.policy import types
+from godwitloft.policy import usage
+
+SPEEDS = estimate.Speeds(1.0, (10.0,) * estimate.BATCH_BUCKETS)
+
+
+def offer(name, rank, team, deadline_ms, **others):
+    fields = {
+        "prompt_tokens": 100,
+        "output_tokens": 10,
+        "prefix_keys": (),
+        "fingerprint": name,
+    }
+    return types.Offer(
+        name, "e", rank, team, 1, "s", deadline_ms, **(fields | others)
+    )
+
+
+def running(name, rank, started_ms, **others):
+    return types.Running(name, rank, "x", started_ms, 0, 10, name, **others)
+
+
+def view(cap, **others):
+    return types.UpstreamView(
+        SPEEDS, room.Room(max_running=cap), safety_share=0.0, **others
+    )
+
+
+@given("an upstream that holds {text}")
+def holds(context, text):
+    work, room_text = text.split("|")
+    context.running = []
+    for index, (name, rank, flags) in enumerate(
+        re.findall(r"(\w+):(\d)(\w*)", work)
+    ):
+        context.running.append(
+            running(
+                name,
+                int(rank),
+                index,
+                suspended="s" in flags,
+                pulled="p" in flags,
+                isolate="i" in flags,
+            )
+        )
+    cap = int(room_text.rstrip("r"))
+    context.view = view(cap, resumable=room_text.endswith("r"))
+
+
+@given("bids {text}")
+def bids(context, text):
+    context.offers = [
+        offer(
+            name,
+            int(rank),
+            team,
+            int(deadline),
+            urgent="u" in flags,
+            hold_until_ms=50 if "h" in flags else 0,
+            isolate="i" in flags,
+        )
+        for name, rank, team, deadline, flags in re.findall(
+            r"(\w+):(\d)/(\w)/(\d+)(\w*)", text
+        )
+    ]
+
+
+@when("the upstream chooses")
+def chooses(context):
+    charged = usage.TeamUsage({(0, "x"): 5.0, (0, "y"): 1.0})
+    context.choice = order.choose(
+        context.offers, context.running, context.view, charged, 0
+    )
+
+
+@then(
+    'it pulls "{pull}", suspends "{suspend}", resumes "{resume}"'
+    ' and skips "{skipped}"'
+)
+def check_choice(context, pull, suspend, resume, skipped):
+    choice = context.choice
+    seen = (
+        choice.pull.request_id if choice.pull else "-",
+        " ".join(choice.suspend) or "-",
+        choice.resume or "-",
+        " ".join(f"{one.request_id}:{one.reason}" for one in choice.skipped)
+        or "-",
+    )
+    assert seen == (pull, suspend, resume, skipped), seen
+
+
+def random_offer(rng, name):
+    return offer(
+        name,
+        rng.randrange(3),
+        rng.choice("xyz"),
+        rng.choice([150, 400, 700, 2000, 5000]),
+        prompt_tokens=rng.choice([10, 100, 600]),
+        output_tokens=rng.choice([1, 20]),
+        urgent=rng.random() < 0.2,
+        hold_until_ms=rng.choice([0, 0, 0, 40, 90]),
+        isolate=rng.random() < 0.15,
+    )
+
+
+def random_running(rng, name):
+    suspended = rng.random() < 0.2
+    return types.Running(
+        name,
+        rng.randrange(3),
+        "x",
+        rng.randrange(5),
+        rng.choice([0, 0, 50, 300]),
+        10,
+        name,
+        suspended=suspended,
+        isolate=rng.random() < 0.15,
+        pulled=not suspended and rng.random() < 0.2,
+    )
+
+
+def random_view(rng):
+    caps = room.Room(
+        max_running=rng.randrange(1, 5), max_unprefilled_tokens=400
+    )
+    return types.UpstreamView(
+        SPEEDS,
+        caps,
+        resumable=rng.random() < 0.6,
+        accepting=rng.random() < 0.95,
+        cached_tokens=lambda keys: 0,
+        safety_share=0.1,
+    )
+
+
+def plain_finish(one, work):
+    active = [w for w in work if not w.suspended]
+    return (
+        sum(w.prompt_left for w in active)
+        + one.prompt_tokens
+        + 10 * one.output_tokens
+    )
+
+
+def plain_fits(one, work, caps):
+    active = [w for w in work if not w.suspended]
+    ahead = sum(w.prompt_left for w in active)
+    small = ahead == 0 or ahead + one.prompt_tokens <= 400
+    return len(active) < caps.max_running and small
+
+
+def plain_choice(offers, work, at, charged, now_ms):
+    """Decides by looking at everything, without an order or an index."""
+    active = [w for w in work if not w.suspended]
+    asleep = [w for w in work if w.suspended]
+
+    def alone(one):
+        kept = [w for w in work if w.tier_rank <= one.tier_rank]
+        return plain_finish(one, kept)
+
+    def late(one, finish_ms):
+        return now_ms + finish_ms * 1.1 > one.deadline_ms
+
+    def startable(one, kept):
+        fits = plain_fits(one, kept, at.room)
+        return fits and not late(one, plain_finish(one, kept))
+
+    def plan(one):
+        """The smallest number of victims that lets it start, if any."""
+        floors = [
+            u.tier_rank
+            for u in offers
+            if u.urgent
+            and u.tier_rank >= one.tier_rank
+            and not late(u, alone(u))
+        ]
+        if one.urgent or one.deadline_ms - now_ms - alone(one) < 500:
+            floors = [one.tier_rank]
+        victims = [
+            w
+            for w in active
+            if floors and w.tier_rank > min(floors) and not w.pulled
+        ]
+        victims.sort(
+            key=lambda w: (w.tier_rank, w.started_ms, w.request_id),
+            reverse=True,
+        )
+        for count in range(len(victims) + 1 if at.resumable else 1):
+            gone = victims[:count]
+            if startable(one, [w for w in work if w not in gone]):
+                return tuple(w.request_id for w in gone)
+        return None
+
+    late_ids = {one.request_id for one in offers if late(one, alone(one))}
+    crowded = any(w.isolate for w in work)
+    valid = [
+        one
+        for one in offers
+        if one.request_id not in late_ids and not (one.isolate and crowded)
+    ]
+    pull, suspend, resume, again = None, (), None, None
+    ranks = [one.tier_rank for one in valid] + [w.tier_rank for w in asleep]
+    if at.accepting and ranks:
+        top = min(ranks)
+        resting = [w for w in asleep if w.tier_rank == top]
+        mine = [one for one in valid if one.tier_rank == top]
+        if resting:
+            first = min(resting, key=lambda w: (w.started_ms, w.request_id))
+            if len(active) < at.room.max_running:
+                resume = first.request_id
+        else:
+            ready = [one for one in mine if one.hold_until_ms <= now_ms]
+            blocked = False
+            while ready and pull is None and not blocked:
+                best = ready[0]
+                for one in ready:
+                    key = (charged.of(top, one.team), one.team)
+                    best_key = (charged.of(top, best.team), best.team)
+                    if (key, one.deadline_ms, one.request_id) < (
+                        best_key,
+                        best.deadline_ms,
+                        best.request_id,
+                    ):
+                        best = one
+                ready.remove(best)
+                victims = plan(best)
+                if victims is not None:
+                    pull, suspend = best.request_id, victims
+                elif not plain_fits(best, work, at.room):
+                    blocked = True
+            held = [
+                one.hold_until_ms for one in mine if one.hold_until_ms > now_ms
+            ]
+            if held and pull is None and not blocked:
+                again = min(held)
+    answers = set()
+    if pull is None and resume is None:
+        for one in offers:
+            lower = [w for w in active if w.tier_rank > one.tier_rank]
+            if not one.urgent:
+                continue
+            if not at.accepting:
+                answers.add((one.request_id, order.NOT_ACCEPTING))
+            elif one.request_id in late_ids:
+                answers.add((one.request_id, order.TOO_LATE))
+            elif lower and not at.resumable:
+                answers.add((one.request_id, order.UNSTOPPABLE))
+            elif not lower and not plain_fits(one, work, at.room):
+                answers.add((one.request_id, order.HIGHER_TIER))
+    return pull, suspend, resume, again, answers, late_ids
+
+
+@when("{cases:d} choices with seed {seed:d} are compared with plain loops")
+def compare(context, cases, seed):
+    rng = random.Random(seed)
+    context.pulls = 0
+    context.differences = []
+    for case in range(cases):
+        offers = [random_offer(rng, f"o{i}") for i in range(rng.randrange(7))]
+        work = [random_running(rng, f"w{i}") for i in range(rng.randrange(5))]
+        at = random_view(rng)
+        charged = usage.TeamUsage(
+            {(r, t): rng.randrange(3) for r in range(3) for t in "xyz"}
+        )
+        now_ms = rng.choice([0, 50])
+        choice = order.choose(offers, work, at, charged, now_ms)
+        expected = plain_choice(offers, work, at, charged, now_ms)
+        told = {(one.request_id, one.reason) for one in choice.skipped}
+        late = {name for name, why in told if why == order.TOO_LATE}
+        seen = (
+            choice.pull and choice.pull.request_id,
+            choice.suspend,
+            choice.resume,
+            choice.look_again_ms,
+        )
+        # Late offers behind the chosen one need not have been looked at.
+        same = (
+            seen == expected[:4]
+            and late <= expected[5]
+            and {one for one in told if one[1] != order.TOO_LATE}
+            == {one for one in expected[4] if one[1] != order.TOO_LATE}
+        )
+        if not same:
+            context.differences.append((case, choice, expected))
+        context.pulls += choice.pull is not None
+
+
+@then("each choice is the same and at least {pulls:d} pull something")
+def check_same(context, pulls):
+    assert not context.differences, context.differences[0]
+    assert context.pulls >= pulls, context.pulls
+
+
+@when("an offer book goes through {steps:d} random changes with seed {seed:d}")
+def book_changes(context, steps, seed):
+    rng = random.Random(seed)
+    book = offer_book.OfferBook()
+    context.differences = []
+    for step in range(steps):
+        now_ms = step // 20
+        act = rng.random()
+        if act < 0.5:
+            held = rng.choice([0, 0, now_ms + 3])
+            fresh = random_offer(rng, f"o{rng.randrange(60)}")
+            book.add(dataclasses.replace(fresh, hold_until_ms=held))
+        elif act < 0.6:
+            book.remove(f"o{rng.randrange(60)}")
+        elif act < 0.75:
+            rank = rng.randrange(3)
+            book.correct(rank, rng.choice("xyz"), 1, rng.randrange(-9, 9))
+        else:
+            work = [random_running(rng, f"w{i}") for i in range(2)]
+            at = random_view(rng)
+            known = [
+                one
+                for name, one in book.offers.items()
+                if name not in book.set_aside
+            ]
+            charged = book.usage.usage()
+            expected = order.choose(known, work, at, charged, now_ms)
+            choice = book.choose(work, at, now_ms)
+            if choice != expected:
+                context.differences.append((step, choice, expected))
+            if choice.pull:
+                book.start(choice.pull.request_id, rng.randrange(40))
+
+
+@then("each of its choices was that of sorting all its offers")
+def check_book(context):
+    assert not context.differences, context.differences[0]
+
+
+@given("teams with weights {weights} and always offers waiting")
+def weighted_teams(context, weights):
+    context.weights = {
+        f"t{index}": int(weight)
+        for index, weight in enumerate(weights.split(","))
+    }
+    context.book = offer_book.OfferBook()
+    context.made = 0
+    for team in context.weights:
+        offer_again(context, team)
+
+
+def offer_again(context, team, deadline_ms=10**9):
+    context.made += 1
+    name = f"{team}-{context.made}"
+    fresh = offer(name, 0, team, deadline_ms)
+    weight = context.weights.get(team, 1)
+    context.book.add(dataclasses.replace(fresh, team_weight=weight))
+
+
+def start_next(context, now_ms=0, used_ms=100):
+    choice = context.book.choose([], view(1), now_ms)
+    context.book.start(choice.pull.request_id, used_ms)
+    return choice.pull
+
+
+@when("an upstream starts 1500 requests of sizes with seed {seed:d}")
+def start_many(context, seed):
+    rng = random.Random(seed)
+    context.used = dict.fromkeys(context.weights, 0.0)
+    for _ in range(1500):
+        used_ms = rng.choice([10, 100, 400])
+        team = start_next(context, 0, used_ms).team
+        context.used[team] += used_ms
+        offer_again(context, team)
+
+
+@then("each team's share of engine time is within 3% of its weight")
+def check_shares(context):
+    total = sum(context.used.values())
+    weights = sum(context.weights.values())
+    for team, weight in context.weights.items():
+        share = context.used[team] / total
+        assert abs(share - weight / weights) < 0.03, (team, share)
+
+
+@when("one team pauses for 1000 starts")
+def pause(context):
+    context.book.remove("t0-1")
+    for _ in range(1000):
+        offer_again(context, start_next(context).team)
+    offer_again(context, "t0")
+
+
+@then("on its return neither team starts more than {most:d} in a row")
+def check_no_credit(context, most):
+    longest, row, last = 0, 0, ""
+    for _ in range(40):
+        team = start_next(context).team
+        offer_again(context, team)
+        row = row + 1 if team == last else 1
+        last = team
+        longest = max(longest, row)
+    assert longest <= most, longest
+
+
+@given(
+    "a team that offers 3 requests for every one started, all due after 60 s"
+)
+def flood(context):
+    context.book = offer_book.OfferBook()
+    context.weights = {}
+    context.made = 0
+
+
+@when("an upstream starts {count:d} requests")
+def start_flood(context, count):
+    context.started = []
+    for now_ms in range(0, count * 10, 10):
+        for _ in range(3):
+            offer_again(context, "t", now_ms + 60_000 + context.made % 3)
+        context.started.append(start_next(context, now_ms))
+
+
+@then("they start in the order of their deadlines")
+def check_deadline_order(context):
+    deadlines = [one.deadline_ms for one in context.started]
+    assert deadlines == sorted(deadlines)
+
+
+@given(
+    "an offer book of {count:d} offers of which each third can't end in time"
+)
+def book_with_late(context, count):
+    context.book = offer_book.OfferBook()
+    for index in range(count):
+        deadline_ms = 100 if index % 3 == 0 else 10_000
+        context.book.add(offer(f"o{index:03}", 1, "x", deadline_ms))
+
+
+@when("it is swept {times:d} times")
+def sweep(context, times):
+    context.found = []
+    for _ in range(times):
+        context.found.extend(context.book.sweep([], view(1), 0))
+
+
+@then("the {late:d} late offers are reported once and the rest are kept")
+def check_swept(context, late):
+    names = [one.request_id for one in context.found]
+    assert len(names) == len(set(names)) == late, len(names)
+    kept = len(context.book.offers) - len(context.book.set_aside)
+    assert kept == 200, kept
--- /dev/null
+++ b/godwitloft/policy/offer_book.py
@@ -0,0 +1,282 @@
+"""Holds an agent's offers in an index that follows every change.
+
+A choice looks at the heads of the index only, so its cost hardly grows
+with the number of offers.
+"""
+
+import itertools
+import typing
+
+import sortedcontainers
+
+from godwitloft.policy import order
+from godwitloft.policy import types
+from godwitloft.policy import usage as team_usage
+
+SWEEP_OFFERS = 64
+
+
+class TierIndex:
+    """The offers of one tier.
+
+    :param tier_rank: 0 is the most important tier
+    """
+
+    def __init__(self, tier_rank: int) -> None:
+        self.tier_rank = tier_rank
+        self.ready: dict[str, sortedcontainers.SortedDict] = {}
+        self.teams = sortedcontainers.SortedList()
+        self.team_keys: dict[str, tuple[float, str]] = {}
+        self.held = sortedcontainers.SortedDict()
+
+    def add_ready(self, offer: types.Offer, virtual_ms: float) -> None:
+        """Takes in an offer that may start.
+
+        :param offer: the offer
+        :param virtual_ms: its team's virtual time
+        """
+        offers = self.ready.get(offer.team)
+        if offers is None:
+            offers = sortedcontainers.SortedDict()
+            self.ready[offer.team] = offers
+            self.move_team(offer.team, virtual_ms)
+        offers[(offer.deadline_ms, offer.request_id)] = offer
+
+    def add_held(self, offer: types.Offer) -> None:
+        """Takes in an offer that is held off.
+
+        :param offer: the offer
+        """
+        self.held[(offer.hold_until_ms, offer.request_id)] = offer
+
+    def remove(self, offer: types.Offer) -> None:
+        """Takes an offer out, wherever it is.
+
+        :param offer: the offer
+        """
+        self.held.pop((offer.hold_until_ms, offer.request_id), None)
+        offers = self.ready.get(offer.team)
+        if offers is None:
+            return
+        offers.pop((offer.deadline_ms, offer.request_id), None)
+        if not offers:
+            del self.ready[offer.team]
+            self.teams.remove(self.team_keys.pop(offer.team))
+
+    def move_team(self, team: str, virtual_ms: float) -> None:
+        """Puts a team in its place after its virtual time changed.
+
+        :param team: name of the team
+        :param virtual_ms: its virtual time
+        """
+        if team not in self.ready:
+            return
+        old = self.team_keys.get(team)
+        if old is not None:
+            self.teams.remove(old)
+        self.team_keys[team] = (virtual_ms, team)
+        self.teams.add((virtual_ms, team))
+
+    def in_order(self) -> typing.Iterator[types.Offer]:
+        """Yields the offers that may start, in the order of choice.
+
+        :return: an iterator; the index must not change under it
+        """
+        for _, team in self.teams:
+            yield from self.ready[team].values()
+
+    def due(self, now_ms: int) -> list[types.Offer]:
+        """Returns the held offers that have become ready.
+
+        :param now_ms: the time
+        :return: the offers, still held
+        """
+        found = []
+        for (hold_until_ms, _), offer in self.held.items():
+            if hold_until_ms > now_ms:
+                break
+            found.append(offer)
+        return found
+
+
+class OfferBook:
+    """The offers that an agent holds, in the order of choice.
+
+    :param usage: what the teams were charged on this upstream
+    """
+
+    def __init__(self, usage: team_usage.UsageLedger | None = None) -> None:
+        self.usage = usage or team_usage.UsageLedger()
+        self.offers: dict[str, types.Offer] = {}
+        self.set_aside: set[str] = set()
+        self.tiers = sortedcontainers.SortedDict()
+        self.urgent = sortedcontainers.SortedDict()
+
+    def __len__(self) -> int:
+        return len(self.offers)
+
+    def add(self, offer: types.Offer) -> None:
+        """Takes an offer in; replaces an earlier one of the same id.
+
+        An offer that was set aside as too late is judged anew.
+
+        :param offer: the offer
+        """
+        self.remove(offer.request_id)
+        rank = offer.tier_rank
+        self.offers[offer.request_id] = offer
+        if rank not in self.tiers:
+            self.tiers[rank] = TierIndex(rank)
+        if offer.hold_until_ms > 0:
+            self.tiers[rank].add_held(offer)
+        else:
+            self._add_ready(offer)
+        if offer.urgent:
+            self.urgent[(rank, offer.request_id)] = offer
+
+    def remove(self, request_id: str) -> types.Offer | None:
+        """Takes an offer out.
+
+        :param request_id: id of the request
+        :return: the offer, or None when it wasn't held
+        """
+        offer = self.offers.pop(request_id, None)
+        if offer is None:
+            return None
+        if request_id in self.set_aside:
+            self.set_aside.discard(request_id)
+        else:
+            self._unindex(offer)
+        return offer
+
+    def start(self, request_id: str, engine_ms: float) -> None:
+        """Takes out an offer that starts, and charges its team.
+
+        :param request_id: id of the request
+        :param engine_ms: engine time that it is expected to take
+        """
+        offer = self.offers[request_id]
+        rank = offer.tier_rank
+        virtual_ms = self.usage.start(
+            rank, offer.team, offer.team_weight, engine_ms
+        )
+        self._move_team(rank, offer.team, virtual_ms)
+        self.remove(request_id)
+
+    def correct(
+        self, tier_rank: int, team: str, weight: int, engine_ms: float
+    ) -> None:
+        """Charges a team for what a request took beyond its estimate.
+
+        :param tier_rank: rank of the tier
+        :param team: name of the team
+        :param weight: the team's weight
+        :param engine_ms: engine time; negative gives some back
+        """
+        virtual_ms = self.usage.correct(tier_rank, team, weight, engine_ms)
+        self._move_team(tier_rank, team, virtual_ms)
+
+    def choose(
+        self,
+        running: typing.Sequence[types.Running],
+        view: types.UpstreamView,
+        now_ms: int,
+    ) -> order.Choice:
+        """Chooses what to do next; see :func:`godwitloft.policy.order`.
+
+        Offers skipped as too late are set aside: they stay known until
+        they are removed, but are not looked at again.
+
+        :param running: what was given to the upstream
+        :param view: the upstream
+        :param now_ms: the time
+        :return: what to do next
+        """
+        self._wake(now_ms)
+        tiers = (
+            order.TierOffers(rank, tier.in_order(), tier.held.values())
+            for rank, tier in self.tiers.items()
+        )
+        at = order.Upstream(view, running, now_ms)
+        choice = order.decide(tiers, list(self.urgent.values()), at)
+        self._set_aside(choice.skipped)
+        return choice
+
+    def sweep(
+        self,
+        running: typing.Sequence[types.Running],
+        view: types.UpstreamView,
+        now_ms: int,
+        limit: int = SWEEP_OFFERS,
+    ) -> tuple[order.Skipped, ...]:
+        """Looks for offers deep in the book that have become too late.
+
+        Each call goes on where the last one stopped, so that its cost is
+        bounded and every offer has its turn.
+
+        :param running: what was given to the upstream
+        :param view: the upstream
+        :param now_ms: the time
+        :param limit: offers to look at
+        :return: the offers that were set aside
+        """
+        at = order.Upstream(view, running, now_ms)
+        found = []
+        for offer in self._next_to_sweep(limit):
+            late = order.too_late(offer, at)
+            if late is not None:
+                found.append(late)
+        self._set_aside(found)
+        return tuple(found)
+
+    def _next_to_sweep(self, limit: int) -> list[types.Offer]:
+        """Returns the offers due for a look, oldest turn first.
+
+        A dictionary keeps the order of insertion, so moving an offer to
+        the end gives every other one its turn first.
+        """
+        turn = []
+        for request_id in tuple(itertools.islice(self.offers, limit)):
+            offer = self.offers.pop(request_id)
+            self.offers[request_id] = offer
+            if request_id not in self.set_aside:
+                turn.append(offer)
+        return turn
+
+    def _wake(self, now_ms: int) -> None:
+        for tier in self.tiers.values():
+            for offer in tier.due(now_ms):
+                tier.remove(offer)
+                self._add_ready(offer)
+
+    def _add_ready(self, offer: types.Offer) -> None:
+        tier = self.tiers[offer.tier_rank]
+        if offer.team in tier.ready:
+            virtual_ms = self.usage.usage().of(tier.tier_rank, offer.team)
+        else:
+            virtual_ms = self.usage.activate(tier.tier_rank, offer.team)
+        tier.add_ready(offer, virtual_ms)
+
+    def _move_team(self, tier_rank: int, team: str, virtual_ms: float) -> None:
+        tier = self.tiers.get(tier_rank)
+        if tier is not None:
+            tier.move_team(team, virtual_ms)
+
+    def _set_aside(self, skipped: typing.Iterable[order.Skipped]) -> None:
+        for one in skipped:
+            if one.reason == order.TOO_LATE:
+                self._unindex(self.offers[one.request_id])
+                self.set_aside.add(one.request_id)
+
+    def _unindex(self, offer: types.Offer) -> None:
+        rank = offer.tier_rank
+        self.urgent.pop((rank, offer.request_id), None)
+        tier = self.tiers[rank]
+        tier.remove(offer)
+        if not tier.ready and not tier.held:
+            del self.tiers[rank]
+        self.usage.forget_idle(self._has_ready)
+
+    def _has_ready(self, tier_rank: int, team: str) -> bool:
+        tier = self.tiers.get(tier_rank)
+        return tier is not None and team in tier.ready
--- a/godwitloft/policy/order.py
+++ b/godwitloft/policy/order.py
@@ -1,7 +1,9 @@
-"""Chooses the offer that an upstream starts next.
+"""Chooses what an upstream does next.
 
-Tier strictly, then the team furthest below its weight, then the earliest
-deadline, among the offers that this upstream can finish in time.
+Tier strictly; inside a tier the work that was suspended, then the team
+furthest below its weight, then the earliest deadline, among the offers
+that this upstream can finish in time. :class:`godwitloft.policy.offer_book
+.OfferBook` decides the same over an index.
 """
 
 import dataclasses
@@ -9,22 +11,34 @@
 
 from godwitloft.policy import estimate
 from godwitloft.policy import room
+from godwitloft.policy import shed
 from godwitloft.policy import types
 from godwitloft.policy import usage as team_usage
 
 TOO_LATE = "too_late"
 HIGHER_TIER = "higher_tier"
+UNSTOPPABLE = "unstoppable"
+NOT_ACCEPTING = "not_accepting"
 SUSPEND_SLACK_MS = 500
 
 
 @dataclasses.dataclass(frozen=True)
 class Skipped:
-    """An offer that this upstream can't take.
+    """An offer that this upstream doesn't take.
+
+    ``too_late``
+        It wouldn't end in time, even were lower tiers' work not there. It
+        no longer holds back lower tiers.
+    ``higher_tier``
+        It is urgent, there is no room, and nothing of a lower tier runs or
+        will be started while the bid stands.
+    ``unstoppable``
+        As above, but for lower work that can't be suspended.
+    ``not_accepting``
+        It is urgent, and this upstream takes no work.
 
     :param request_id: id of the request
-    :param reason: ``too_late``: not in time, even were lower tiers not
-        there; ``higher_tier``: it is urgent, and all that runs here is of
-        its own or a higher tier
+    :param reason: one of the above
     :param finish_in_ms: estimate were lower tiers not there
     """
 
@@ -40,16 +54,46 @@
     :param pull: the offer to ask for, or None
     :param suspend: ids of running requests to suspend once the pull is
         granted, lowest and newest first
-    :param skipped: offers to tell their entries about
+    :param resume: id of a suspended request to go on with, or None
+    :param skipped: offers whose entries are to be told
     :param look_again_ms: when a held offer becomes ready, or None
     """
 
     pull: types.Offer | None = None
     suspend: tuple[str, ...] = ()
+    resume: str | None = None
     skipped: tuple[Skipped, ...] = ()
     look_again_ms: int | None = None
 
 
+@dataclasses.dataclass(frozen=True)
+class TierOffers:
+    """The offers of one tier, in the order in which they are looked at.
+
+    :param tier_rank: 0 is the most important tier
+    :param ready: offers that may start, by team usage and deadline
+    :param held: offers that are held off, by the time they become ready
+    """
+
+    tier_rank: int
+    ready: typing.Iterable[types.Offer]
+    held: typing.Iterable[types.Offer]
+
+
+@dataclasses.dataclass(frozen=True)
+class Upstream:
+    """What a choice is made for.
+
+    :param view: the upstream
+    :param running: what was given to it
+    :param now_ms: the time
+    """
+
+    view: types.UpstreamView
+    running: typing.Sequence[types.Running]
+    now_ms: int
+
+
 def finish_without_lower_ms(
     offer: types.Offer,
     view: types.UpstreamView,
@@ -66,6 +110,49 @@
     return estimate.finish_in_ms(offer, view, kept)
 
 
+def in_time(
+    offer: types.Offer,
+    finish_ms: int,
+    view: types.UpstreamView,
+    now_ms: int,
+) -> bool:
+    """Says whether an estimate keeps a deadline.
+
+    :param offer: the request
+    :param finish_ms: estimated milliseconds to its end
+    :param view: the upstream, for the safety share
+    :param now_ms: the time
+    :return: whether it does, with the safety share added
+    """
+    return now_ms + finish_ms * (1 + view.safety_share) <= offer.deadline_ms
+
+
+def too_late(offer: types.Offer, at: Upstream) -> Skipped | None:
+    """Judges whether an upstream can still finish a request in time.
+
+    :param offer: the request
+    :param at: the upstream
+    :return: what to tell the entry, or None when it can
+    """
+    finish_ms = finish_without_lower_ms(offer, at.view, at.running)
+    if in_time(offer, finish_ms, at.view, at.now_ms):
+        return None
+    return Skipped(offer.request_id, TOO_LATE, finish_ms)
+
+
+def must_run_alone(offer: types.Offer, at: Upstream) -> bool:
+    """Says whether a suspect has to wait for another one to end.
+
+    Such an offer doesn't hold back other work: what it waits for is not
+    room, and starting others takes nothing from it.
+
+    :param offer: the request
+    :param at: the upstream
+    :return: whether it is a suspect and another one is on the upstream
+    """
+    return offer.isolate and any(one.isolate for one in at.running)
+
+
 def choose(
     offers: typing.Iterable[types.Offer],
     running: typing.Sequence[types.Running],
@@ -73,76 +160,199 @@
     usage: team_usage.TeamUsage,
     now_ms: int,
 ) -> Choice:
-    """Chooses the next offer by looking at all of them.
+    """Chooses what to do next by sorting all offers.
 
     :param offers: bids of all entries
-    :param running: what runs on the upstream
+    :param running: what was given to the upstream
     :param view: the upstream
     :param usage: what the teams were charged
     :param now_ms: the time
     :return: what to do next
     """
-    if not view.accepting:
-        return Choice()
-    ordered = sorted(
-        offers,
-        key=lambda offer: (
-            offer.tier_rank,
-            usage.of(offer.tier_rank, offer.team),
-            offer.team,
-            offer.deadline_ms,
-            offer.request_id,
-        ),
-    )
+    known = list(offers)
+    tiers = []
+    for rank in sorted({one.tier_rank for one in known}):
+        mine = [one for one in known if one.tier_rank == rank]
+        ready = [one for one in mine if one.hold_until_ms <= now_ms]
+        held = [one for one in mine if one.hold_until_ms > now_ms]
+        ready.sort(
+            key=lambda one: (
+                usage.of(one.tier_rank, one.team),
+                one.team,
+                one.deadline_ms,
+                one.request_id,
+            )
+        )
+        held.sort(key=lambda one: (one.hold_until_ms, one.request_id))
+        tiers.append(TierOffers(rank, ready, held))
+    urgent = [one for one in known if one.urgent]
+    urgent.sort(key=lambda one: (one.tier_rank, one.request_id))
+    return decide(tiers, urgent, Upstream(view, running, now_ms))
+
+
+def decide(
+    tiers: typing.Iterable[TierOffers],
+    urgent: typing.Sequence[types.Offer],
+    at: Upstream,
+) -> Choice:
+    """Decides over offers that are already in order.
+
+    :param tiers: the tiers that have offers, most important first
+    :param urgent: the urgent offers among them, by tier rank
+    :param at: the upstream
+    :return: what to do next
+    """
+    if not at.view.accepting:
+        return Choice(skipped=_answer_urgent(urgent, set(), at))
     skipped: list[Skipped] = []
-    for offer in ordered:
-        finish_ms = finish_without_lower_ms(offer, view, running)
-        if now_ms + finish_ms > offer.deadline_ms:
-            skipped.append(Skipped(offer.request_id, TOO_LATE, finish_ms))
+    step = _first_step(tiers, urgent, at, skipped)
+    if step.pull is None and step.resume is None:
+        late = {one.request_id for one in skipped}
+        skipped.extend(_answer_urgent(urgent, late, at))
+    return dataclasses.replace(step, skipped=tuple(skipped))
+
+
+def _first_step(
+    tiers: typing.Iterable[TierOffers],
+    urgent: typing.Sequence[types.Offer],
+    at: Upstream,
+    skipped: list[Skipped],
+) -> Choice:
+    """Goes down the tiers to the first one that has work."""
+    suspended = shed.to_resume(at.running)
+    for tier in tiers:
+        if suspended and suspended[0].tier_rank <= tier.tier_rank:
+            return _resume(suspended[0], at)
+        step = _step_in_tier(tier, urgent, at, skipped)
+        if step is not None:
+            return step
+    if suspended:
+        return _resume(suspended[0], at)
+    return Choice()
+
+
+def _resume(first: types.Running, at: Upstream) -> Choice:
+    if len(room.active(at.running)) < at.view.room.max_running:
+        return Choice(resume=first.request_id)
+    return Choice()
+
+
+def _step_in_tier(
+    tier: TierOffers,
+    urgent: typing.Sequence[types.Offer],
+    at: Upstream,
+    skipped: list[Skipped],
+) -> Choice | None:
+    """Returns what to do for a tier, or None when it needs nothing."""
+    waits = False
+    for offer in tier.ready:
+        late = too_late(offer, at)
+        if late is not None:
+            skipped.append(late)
             continue
-        if offer.hold_until_ms > now_ms:
-            return Choice(None, (), tuple(skipped), offer.hold_until_ms)
-        if room.fits(offer, view, running):
-            return Choice(offer, (), tuple(skipped))
-        return Choice(None, (), tuple(skipped))
-    return Choice(skipped=tuple(skipped))
-
-
-class OfferBook:
-    """The offers that an agent holds, in the order of choice."""
-
-    def __init__(self, usage: team_usage.UsageLedger | None = None) -> None:
-        self.usage = usage or team_usage.UsageLedger()
-        self.offers: dict[str, types.Offer] = {}
-
-    def add(self, offer: types.Offer) -> None:
-        """Takes an offer in; replaces an earlier one of the same id.
-
-        :param offer: the offer
-        """
-        self.offers[offer.request_id] = offer
-
-    def remove(self, request_id: str) -> types.Offer | None:
-        """Takes an offer out.
-
-        :param request_id: id of the request
-        :return: the offer, or None when it wasn't held
-        """
-        return self.offers.pop(request_id, None)
-
-    def choose(
-        self,
-        running: typing.Sequence[types.Running],
-        view: types.UpstreamView,
-        now_ms: int,
-    ) -> Choice:
-        """Chooses the next offer; see :func:`choose`.
-
-        :param running: what runs on the upstream
-        :param view: the upstream
-        :param now_ms: the time
-        :return: what to do next; skipped offers stay in the book
-        """
-        return choose(
-            self.offers.values(), running, view, self.usage.usage(), now_ms
-        )
+        if must_run_alone(offer, at):
+            continue
+        step = _start(offer, urgent, at)
+        if step is not None:
+            return step
+        waits = True
+        if not room.fits(offer, at.view, at.running):
+            return Choice()
+    for offer in tier.held:
+        late = too_late(offer, at)
+        if late is not None:
+            skipped.append(late)
+        elif not must_run_alone(offer, at):
+            return Choice(look_again_ms=offer.hold_until_ms)
+    return Choice() if waits else None
+
+
+def _start(
+    offer: types.Offer,
+    urgent: typing.Sequence[types.Offer],
+    at: Upstream,
+) -> Choice | None:
+    """Returns how an offer can start now, or None when it can't."""
+    if _startable(offer, at.running, at):
+        return Choice(pull=offer)
+    if not at.view.resumable:
+        return None
+    floor = _suspend_floor(offer, urgent, at)
+    if floor is None:
+        return None
+    left = list(at.running)
+    suspend = []
+    for victim in shed.to_suspend(at.running, floor):
+        left[left.index(victim)] = dataclasses.replace(victim, suspended=True)
+        suspend.append(victim.request_id)
+        if _startable(offer, left, at):
+            return Choice(pull=offer, suspend=tuple(suspend))
+    return None
+
+
+def _startable(
+    offer: types.Offer,
+    running: typing.Sequence[types.Running],
+    at: Upstream,
+) -> bool:
+    finish_ms = estimate.finish_in_ms(offer, at.view, running)
+    return in_time(offer, finish_ms, at.view, at.now_ms) and room.fits(
+        offer, at.view, running
+    )
+
+
+def _suspend_floor(
+    offer: types.Offer,
+    urgent: typing.Sequence[types.Offer],
+    at: Upstream,
+) -> int | None:
+    """Returns the rank below which work may be suspended for an offer.
+
+    An offer that isn't urgent itself still takes the room of work that an
+    urgent one behind it may push aside, since it comes first.
+    """
+    finish_ms = finish_without_lower_ms(offer, at.view, at.running)
+    slack_ms = offer.deadline_ms - at.now_ms - finish_ms
+    if offer.urgent or slack_ms < SUSPEND_SLACK_MS:
+        return offer.tier_rank
+    for other in urgent:
+        if other.tier_rank >= offer.tier_rank and not too_late(other, at):
+            return other.tier_rank
+    return None
+
+
+def _answer_urgent(
+    urgent: typing.Sequence[types.Offer],
+    late: typing.Collection[str],
+    at: Upstream,
+) -> tuple[Skipped, ...]:
+    """Answers the urgent offers that will not start now."""
+    answers = []
+    for offer in urgent:
+        if offer.request_id in late:
+            continue
+        answer = _urgent_answer(offer, at)
+        if answer is not None:
+            answers.append(answer)
+    return tuple(answers)
+
+
+def _urgent_answer(offer: types.Offer, at: Upstream) -> Skipped | None:
+    finish_ms = finish_without_lower_ms(offer, at.view, at.running)
+    if not at.view.accepting:
+        return Skipped(offer.request_id, NOT_ACCEPTING, finish_ms)
+    late = too_late(offer, at)
+    if late is not None:
+        return late
+    lower = [
+        one
+        for one in room.active(at.running)
+        if one.tier_rank > offer.tier_rank
+    ]
+    if not lower:
+        if room.fits(offer, at.view, at.running):
+            return None
+        return Skipped(offer.request_id, HIGHER_TIER, finish_ms)
+    if at.view.resumable:
+        return None
+    return Skipped(offer.request_id, UNSTOPPABLE, finish_ms)
--- a/godwitloft/policy/shed.py
+++ b/godwitloft/policy/shed.py
@@ -98,12 +98,13 @@
 
     :param running: what runs on the upstream
     :param tier_rank: rank of the tier that needs room
-    :return: lower tiers' active work, lowest tier and newest first
+    :return: lower tiers' active work that the upstream was given, lowest
+        tier and newest first
     """
     lower = [
         one
         for one in running
-        if one.tier_rank > tier_rank and not one.suspended
+        if one.tier_rank > tier_rank and not (one.suspended or one.pulled)
     ]
     return tuple(
         sorted(
--- a/godwitloft/policy/types.py
+++ b/godwitloft/policy/types.py
@@ -61,6 +61,8 @@
     :param suspended: whether it is paused on the upstream
     :param isolate: whether it is a suspect
     :param kv_tokens: KV memory that it needs at its end, in tokens
+    :param pulled: whether the upstream hasn't been given it yet, since its
+        entry hasn't answered the pull
     """
 
     request_id: str
@@ -73,6 +75,7 @@
     suspended: bool = False
     isolate: bool = False
     kv_tokens: int = 0
+    pulled: bool = False
 
 
 def nothing_cached(prefix_keys: tuple[int, ...]) -> int:
@@ -94,6 +97,8 @@
     :param accepting: false while it drains or its breaker is open
     :param cached_tokens: prompt tokens that its prefix cache holds for
         given prefix keys
+    :param safety_share: share by which estimates are raised before they
+        are held against a deadline
     """
 
     speeds: "estimate.Speeds"
@@ -101,3 +106,4 @@
     resumable: bool = False
     accepting: bool = True
     cached_tokens: typing.Callable[[tuple[int, ...]], int] = nothing_cached
+    safety_share: float = 0.1
--- a/godwitloft/policy/usage.py
+++ b/godwitloft/policy/usage.py
@@ -10,6 +10,9 @@
 
 Key = tuple[int, str]
 
+MAX_TEAMS = 50_000
+CREDIT_MS = 500.0
+
 
 @dataclasses.dataclass(frozen=True)
 class TeamUsage:
@@ -35,69 +38,85 @@
 class UsageLedger:
     """Keeps the virtual times of all teams on one upstream.
 
-    A team that comes back after a pause starts at the smallest virtual
-    time of the active ones: it neither pays for the pause nor collects a
-    credit that would shut the others out.
+    The floor of a tier is the virtual time of the request started last. A
+    team that comes back after a pause starts a fixed credit below it: it
+    neither pays for the pause nor collects a claim that would shut the
+    others out.
+
+    :param credit_ms: virtual time that a team may save up
+    :param max_teams: virtual times kept before idle ones are forgotten
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, credit_ms: float = CREDIT_MS, max_teams: int = MAX_TEAMS
+    ) -> None:
+        self.credit_ms = credit_ms
+        self.max_teams = max_teams
         self.virtual_ms: dict[Key, float] = {}
-        self.active: dict[int, dict[str, int]] = {}
         self.floor_ms: dict[int, float] = {}
+        self.view = TeamUsage(types.MappingProxyType(self.virtual_ms))
 
     def usage(self) -> TeamUsage:
         """Returns a read-only view that follows later charges.
 
         :return: the usage of all teams
         """
-        return TeamUsage(types.MappingProxyType(self.virtual_ms))
+        return self.view
 
-    def activate(self, tier_rank: int, team: str) -> None:
-        """Notes that a team has one more offer waiting in a tier.
+    def activate(self, tier_rank: int, team: str) -> float:
+        """Notes that a team without waiting offers has one now.
 
         :param tier_rank: rank of the tier
         :param team: name of the team
+        :return: its virtual time
         """
-        teams = self.active.setdefault(tier_rank, {})
-        if team not in teams:
-            floor = self._floor(tier_rank)
-            key = (tier_rank, team)
-            self.virtual_ms[key] = max(floor, self.virtual_ms.get(key, 0.0))
-        teams[team] = teams.get(team, 0) + 1
+        key = (tier_rank, team)
+        lowest_ms = self.floor_ms.get(tier_rank, 0.0) - self.credit_ms
+        self.virtual_ms[key] = max(lowest_ms, self.virtual_ms.get(key, 0.0))
+        return self.virtual_ms[key]
 
-    def deactivate(self, tier_rank: int, team: str) -> None:
-        """Notes that a team has one offer less waiting in a tier.
+    def start(
+        self, tier_rank: int, team: str, weight: int, engine_ms: float
+    ) -> float:
+        """Charges a team for a request that starts.
 
         :param tier_rank: rank of the tier
         :param team: name of the team
+        :param weight: the team's weight
+        :param engine_ms: engine time that the request is expected to take
+        :return: the team's virtual time
         """
-        teams = self.active.get(tier_rank, {})
-        left = teams.get(team, 0) - 1
-        if left > 0:
-            teams[team] = left
-            return
-        floor = self._floor(tier_rank)
-        teams.pop(team, None)
-        self.floor_ms[tier_rank] = floor
+        before_ms = self.virtual_ms.get((tier_rank, team), 0.0)
+        floor_ms = self.floor_ms.get(tier_rank, 0.0)
+        self.floor_ms[tier_rank] = max(floor_ms, before_ms)
+        return self.correct(tier_rank, team, weight, engine_ms)
 
-    def charge(
+    def correct(
         self, tier_rank: int, team: str, weight: int, engine_ms: float
-    ) -> None:
-        """Charges a team for engine time, or gives some back.
+    ) -> float:
+        """Charges a team for what a request took beyond its estimate.
 
         :param tier_rank: rank of the tier
         :param team: name of the team
         :param weight: the team's weight
-        :param engine_ms: engine time; negative corrects an earlier charge
+        :param engine_ms: engine time; negative gives some back
+        :return: the team's virtual time
         """
         key = (tier_rank, team)
-        old = self.virtual_ms.get(key, 0.0)
-        self.virtual_ms[key] = max(0.0, old + engine_ms / max(1, weight))
-
-    def _floor(self, tier_rank: int) -> float:
-        floor = self.floor_ms.get(tier_rank, 0.0)
-        teams = self.active.get(tier_rank, {})
-        if not teams:
-            return floor
-        smallest = min(self.virtual_ms[(tier_rank, team)] for team in teams)
-        return max(floor, smallest)
+        old_ms = self.virtual_ms.get(key, 0.0)
+        self.virtual_ms[key] = max(0.0, old_ms + engine_ms / max(1, weight))
+        return self.virtual_ms[key]
+
+    def forget_idle(
+        self, is_active: typing.Callable[[int, str], bool]
+    ) -> None:
+        """Drops idle teams, when too many are kept, that owe nothing.
+
+        :param is_active: whether a team has offers waiting in a tier
+        """
+        if len(self.virtual_ms) <= self.max_teams:
+            return
+        for (rank, team), virtual_ms in list(self.virtual_ms.items()):
+            owes = virtual_ms > self.floor_ms.get(rank, 0.0)
+            if not owes and not is_active(rank, team):
+                del self.virtual_ms[(rank, team)]
