--- a/features/charts.feature
+++ b/features/charts.feature
@@ -9,7 +9,8 @@
       | request |                                               | waiting   |
       | request | bid bid dispatch first_chunk suspend resume completed | completed |
       | request | bid withdraw refuse                           | refused   |
-      | request | bid dispatch never_started                    | refused   |
+      | request | bid dispatch never_started                    | waiting   |
+      | request | bid dispatch never_started refuse             | refused   |
       | request | bid dispatch unknown                             | unknown   |
       | request | bid dispatch first_chunk failed                       | failed    |
       | request | bid dispatch first_chunk run_again bid dispatch first_chunk completed | completed |
--- /dev/null
+++ b/godwitloft/agent/dispatcher.py
@@ -0,0 +1,601 @@
+"""The task that owns the offers and runs of one upstream.
+
+It hears bids from every entry and asks for the best one when the upstream
+has room for it. What it is given it runs once, and it keeps the parts of
+the answer until the entry has acknowledged them, so that a lost link costs
+no second run.
+"""
+
+import dataclasses
+import typing
+
+from godwitloft import charts
+from godwitloft import clock as clocks
+from godwitloft import events
+from godwitloft import metrics
+from godwitloft import trace
+from godwitloft.agent import run as runs
+from godwitloft.agent import upstream as upstreams
+from godwitloft.links import codec
+from godwitloft.links.generated.messages import ttypes
+from godwitloft.policy import types
+
+FLUSH_INTERVAL_MS = 15
+MAX_CHUNK_BYTES = 256 * 1024
+MAX_RETAINED_BYTES = 1024 * 1024
+PULL_TIMEOUT_MS = 2_000
+ORPHAN_LIMIT_MS = 15_000
+RETENTION_MS = 60_000
+TOMBSTONE_MS = 600_000
+
+
+@dataclasses.dataclass(frozen=True)
+class DispatcherSettings:
+    """Bounds of a dispatcher.
+
+    :param max_running: requests at once on the upstream
+    :param max_offers: bids that are kept
+    :param is_model: whether the upstream is a model engine
+    """
+
+    max_running: int = 8
+    max_offers: int = 50_000
+    is_model: bool = True
+
+
+class Dispatcher:
+    """Owns the offers and runs of one upstream.
+
+    :param clock: tells the time
+    :param send: ``(instance, field name, body)`` to a peer; returns False
+        when there is no link to it
+    :param upstream: the upstream
+    :param recorder: where the trace goes
+    :param instruments: what is counted
+    :param settings: bounds
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        send: typing.Callable[[str, str, codec.Body], bool],
+        upstream: upstreams.Upstream,
+        recorder: trace.Recorder,
+        instruments: metrics.Instruments,
+        settings: DispatcherSettings,
+    ) -> None:
+        self.clock = clock
+        self.send = send
+        self.upstream = upstream
+        self.recorder = recorder
+        self.instruments = instruments
+        self.settings = settings
+        self.chart = charts.load("run")
+        self.entries: dict[str, str] = {}
+        self.offers: dict[str, types.Offer] = {}
+        self.pulls: dict[str, int] = {}
+        self.runs: dict[str, runs.Run] = {}
+        self.tombstones: dict[str, int] = {}
+        self.forgotten: dict[str, int] = {}
+        self.dirty: dict[str, runs.Run] = {}
+        self.last_flush_ms = 0
+        self.draining = False
+        self.handlers: dict[str, typing.Callable[[str, codec.Body], None]] = {
+            "bid": self.on_bid,
+            "withdraw": self.on_withdraw,
+            "pull_refused": self.on_pull_refused,
+            "dispatch": self.on_dispatch,
+            "ack": self.on_ack,
+            "query": self.on_query,
+            "cancel": self.on_cancel,
+            "farewell": self.on_farewell,
+        }
+
+    # Entries
+
+    def peer_up(self, hello: ttypes.Hello) -> None:
+        """Notes an entry; a new incarnation orphans the old one's runs.
+
+        :param hello: what the entry said
+        """
+        if hello.role != "entry":
+            return
+        self.entries[hello.instance] = hello.incarnation
+        for run in tuple(self.runs.values()):
+            if run.entry != hello.instance:
+                continue
+            if run.entry_incarnation == hello.incarnation:
+                run.orphaned_ms = None
+            else:
+                self.abandon(run)
+
+    def peer_down(self, instance: str) -> None:
+        """Drops an entry's offers; its runs go on for a while.
+
+        :param instance: name of the entry's instance
+        """
+        self.entries.pop(instance, None)
+        for offer in tuple(self.offers.values()):
+            if offer.entry == instance:
+                self.drop_offer(offer.request_id)
+        now_ms = self.clock.monotonic_ms()
+        for run in self.runs.values():
+            if run.entry == instance:
+                run.orphaned_ms = now_ms
+        self.pump()
+
+    def abandon(self, run: runs.Run) -> None:
+        """Ends a run whose entry no longer exists.
+
+        A non-idempotent call of a plain service is left to finish.
+
+        :param run: the run
+        """
+        if run.ended is not None:
+            self.forget(run)
+        elif self.settings.is_model or run.dispatch.idempotent:
+            self.cancel(run)
+
+    def receive(self, peer: str, name: str, body: codec.Body) -> None:
+        """Handles one message of an entry.
+
+        :param peer: name of the entry's instance
+        :param name: name of the message
+        :param body: its body
+        """
+        handler = self.handlers.get(name)
+        if handler is not None and peer in self.entries:
+            handler(peer, body)
+
+    def on_bid(self, peer: str, body: ttypes.Bid) -> None:
+        """Keeps an offer.
+
+        :param peer: name of the entry's instance
+        :param body: the message
+        """
+        if len(self.offers) >= self.settings.max_offers:
+            self.instruments.dropped_messages.add(
+                1, {"reason": "too_many_bids"}
+            )
+            return
+        now_ms = self.clock.monotonic_ms()
+        self.offers[body.request_id] = types.Offer(
+            request_id=body.request_id,
+            entry=peer,
+            tier_rank=body.tier_rank,
+            team=body.team,
+            team_weight=body.team_weight,
+            service=body.service_name,
+            deadline_ms=now_ms + body.deadline_in_ms,
+            prompt_tokens=body.prompt_tokens,
+            output_tokens=body.output_tokens,
+            prefix_keys=tuple(body.prefix_keys),
+            fingerprint=body.fingerprint,
+            urgent=body.urgent,
+            hold_until_ms=now_ms + body.hold_ms,
+            isolate=bool(body.isolate),
+        )
+        self.pump()
+
+    def on_withdraw(self, peer: str, body: ttypes.Withdraw) -> None:
+        """Drops an offer that is over.
+
+        :param peer: name of the entry's instance
+        :param body: the message
+        """
+        self.drop_offer(body.request_id)
+        self.pump()
+
+    def on_pull_refused(self, peer: str, body: ttypes.PullRefused) -> None:
+        """Drops an offer that another agent was given.
+
+        :param peer: name of the entry's instance
+        :param body: the message
+        """
+        self.drop_offer(body.request_id)
+        self.pump()
+
+    def on_farewell(self, peer: str, body: ttypes.Farewell) -> None:
+        """Does nothing: an entry that leaves still finishes its requests.
+
+        :param peer: name of the entry's instance
+        :param body: the message
+        """
+
+    def drop_offer(self, run_id: str) -> types.Offer | None:
+        """Forgets an offer and the pull of it.
+
+        :param run_id: id of the offer
+        :return: the offer, or None when it wasn't known
+        """
+        self.pulls.pop(run_id, None)
+        return self.offers.pop(run_id, None)
+
+    # Choosing
+
+    def pump(self) -> None:
+        """Asks for offers as long as the upstream has room."""
+        while not self.draining and self.room() > 0:
+            offer = self.best_offer()
+            if offer is None:
+                return
+            self.pull(offer)
+
+    def room(self) -> int:
+        """Returns how many more requests may be asked for.
+
+        :return: a count; zero or less when there is no room
+        """
+        active = sum(1 for run in self.runs.values() if run.ended is None)
+        return self.settings.max_running - active - len(self.pulls)
+
+    def best_offer(self) -> types.Offer | None:
+        """Returns the offer to ask for next.
+
+        :return: the most important, then the most pressing; or None
+        """
+        now_ms = self.clock.monotonic_ms()
+        open_offers = (
+            offer
+            for offer in self.offers.values()
+            if offer.request_id not in self.pulls
+            and offer.hold_until_ms <= now_ms
+        )
+        return min(
+            open_offers,
+            key=lambda offer: (offer.tier_rank, offer.deadline_ms),
+            default=None,
+        )
+
+    def pull(self, offer: types.Offer) -> None:
+        """Asks the entry for a request.
+
+        :param offer: what it bid
+        """
+        self.pulls[offer.request_id] = self.clock.monotonic_ms()
+        self.recorder.record(trace.Kind.PULLED, run_id=offer.request_id)
+        self.send(offer.entry, "pull", ttypes.Pull(offer.request_id))
+
+    # Runs
+
+    def on_dispatch(self, peer: str, body: ttypes.Dispatch) -> None:
+        """Gives a request to the upstream, once.
+
+        :param peer: name of the entry's instance
+        :param body: the message
+        """
+        run_id = body.request_id
+        if run_id in self.runs or run_id in self.forgotten:
+            self.instruments.dropped_messages.add(
+                1, {"reason": "repeated_dispatch"}
+            )
+            return
+        offer = self.drop_offer(run_id)
+        if run_id in self.tombstones or offer is None:
+            self.refuse_dispatch(peer, run_id, "not_expected")
+            return
+        if self.draining:
+            self.refuse_dispatch(peer, run_id, "agent_leaving")
+            return
+        position = self.chart.start()
+        position.feed("dispatch")
+        position.feed("start")
+        run = runs.Run(
+            body,
+            peer,
+            self.entries[peer],
+            offer,
+            position,
+            self.clock.monotonic_ms(),
+        )
+        self.runs[run_id] = run
+        self.upstream.start(body)
+
+    def refuse_dispatch(self, peer: str, run_id: str, reason: str) -> None:
+        """Says that a dispatch was not started and never will be.
+
+        :param peer: name of the entry's instance
+        :param run_id: id of the run
+        :param reason: why
+        """
+        self.bury(run_id)
+        self.send(
+            peer,
+            "ended",
+            ttypes.Ended(
+                request_id=run_id,
+                outcome=upstreams.End.NEVER_STARTED.value,
+                count=0,
+                digest="",
+                status=0,
+                reason=reason,
+            ),
+        )
+
+    def bury(self, run_id: str) -> None:
+        """Makes sure that a late dispatch of a run is not started.
+
+        :param run_id: id of the run
+        """
+        self.tombstones[run_id] = self.clock.monotonic_ms() + TOMBSTONE_MS
+
+    def on_ack(self, peer: str, body: ttypes.Ack) -> None:
+        """Forgets what the entry has.
+
+        :param peer: name of the entry's instance
+        :param body: the message
+        """
+        run = self.run_of(peer, body.request_id)
+        if run is None:
+            return
+        run.acknowledge(body.next_sequence)
+        if body.ended and run.ended is not None:
+            self.forget(run)
+        elif run.paused and run.retained_bytes < MAX_RETAINED_BYTES:
+            run.paused = False
+            self.upstream.pause_reading(run.run_id, False)
+
+    def run_of(self, peer: str, run_id: str) -> runs.Run | None:
+        """Finds the run that a message of an entry is about.
+
+        :param peer: name of the entry's instance
+        :param run_id: id in the message
+        :return: the run, or None when it is not that entry's
+        """
+        run = self.runs.get(run_id)
+        return run if run is not None and run.entry == peer else None
+
+    def on_query(self, peer: str, body: ttypes.Query) -> None:
+        """Tells what became of a run and sends what the entry lacks.
+
+        :param peer: name of the entry's instance
+        :param body: the message
+        """
+        run_id = body.request_id
+        run = self.run_of(peer, run_id)
+        if run is not None:
+            self.send_again(run, body.next_sequence)
+            return
+        state = "forgotten" if run_id in self.forgotten else "never_started"
+        if state == "never_started":
+            self.drop_offer(run_id)
+            self.bury(run_id)
+        self.send(peer, "query_answer", ttypes.QueryAnswer(run_id, state))
+
+    def send_again(self, run: runs.Run, next_sequence: int) -> None:
+        """Sends the parts that an entry has not seen.
+
+        :param run: the run
+        :param next_sequence: the first that it lacks
+        """
+        self.send(
+            run.entry,
+            "query_answer",
+            ttypes.QueryAnswer(
+                run.run_id, "running" if run.ended is None else "ended"
+            ),
+        )
+        run.acknowledge(next_sequence)
+        for chunk in run.retained:
+            self.send(run.entry, "chunks", ttypes.Chunks([chunk]))
+        if run.ended is not None:
+            self.send(run.entry, "ended", run.ended)
+
+    def on_cancel(self, peer: str, body: ttypes.Cancel) -> None:
+        """Ends a run that nobody waits for.
+
+        :param peer: name of the entry's instance
+        :param body: the message
+        """
+        run = self.run_of(peer, body.request_id)
+        if run is None:
+            self.drop_offer(body.request_id)
+            self.bury(body.request_id)
+        elif run.ended is not None:
+            self.forget(run)
+        else:
+            self.cancel(run)
+
+    def cancel(self, run: runs.Run) -> None:
+        """Ends a run on the upstream.
+
+        :param run: a run that has not ended
+        """
+        run.cancelled = True
+        self.upstream.cancel(run.run_id)
+
+    def forget(self, run: runs.Run) -> None:
+        """Forgets a run, but not that it existed.
+
+        :param run: an ended run
+        """
+        self.runs.pop(run.run_id, None)
+        self.dirty.pop(run.run_id, None)
+        self.forgotten[run.run_id] = self.clock.monotonic_ms() + TOMBSTONE_MS
+
+    # The upstream
+
+    def upstream_data(
+        self,
+        run_id: str,
+        data: bytes,
+        tokens: int,
+        status: int,
+        content_type: str,
+    ) -> None:
+        """Takes a part of an answer from the upstream.
+
+        :param run_id: id of the run
+        :param data: the part
+        :param tokens: how many tokens it holds
+        :param status: HTTP status of the answer
+        :param content_type: of the answer
+        """
+        run = self.runs.get(run_id)
+        if run is None or run.ended is not None:
+            return
+        if run.first_data_ms is None:
+            self.first_data(run, status, content_type)
+        run.pending.append(data)
+        run.pending_tokens += tokens
+        run.tokens += tokens
+        self.dirty[run_id] = run
+        now_ms = self.clock.monotonic_ms()
+        if now_ms - self.last_flush_ms >= FLUSH_INTERVAL_MS:
+            self.flush()
+
+    def first_data(
+        self, run: runs.Run, status: int, content_type: str
+    ) -> None:
+        """Notes the start of an answer.
+
+        :param run: the run
+        :param status: HTTP status of the answer
+        :param content_type: of the answer
+        """
+        run.first_data_ms = self.clock.monotonic_ms()
+        run.status = status
+        run.content_type = content_type
+        run.position.feed("stream")
+        self.recorder.record(trace.Kind.STARTED, run_id=run.run_id)
+        self.send(run.entry, "started", ttypes.Started(run.run_id))
+
+    def upstream_ended(
+        self,
+        run_id: str,
+        end: upstreams.End,
+        reason: str,
+        prompt_tokens: int = 0,
+        status: int = 0,
+        content_type: str = "",
+    ) -> None:
+        """Ends a run after its last part.
+
+        :param run_id: id of the run
+        :param end: how it ended
+        :param reason: why, when it did not complete
+        :param prompt_tokens: tokens that were prefilled, if known
+        :param status: HTTP status, when there was no part
+        :param content_type: of the answer, when there was no part
+        """
+        run = self.runs.get(run_id)
+        if run is None or run.ended is not None:
+            return
+        self.flush()
+        run.ended_ms = self.clock.monotonic_ms()
+        outcome = self.outcome_of(run, end)
+        run.ended = ttypes.Ended(
+            request_id=run_id,
+            outcome=outcome,
+            count=run.next_sequence,
+            digest=run.digest.hexdigest(),
+            status=run.status or status,
+            reason=reason,
+            prompt_tokens=prompt_tokens,
+            output_tokens=run.tokens,
+            content_type=run.content_type or content_type,
+            upstream_crashed=end is upstreams.End.CRASHED,
+        )
+        self.recorder.record(
+            trace.Kind.ENDED,
+            run_id=run_id,
+            outcome=outcome,
+            reason=reason,
+            prompt_tokens=prompt_tokens,
+            output_tokens=run.tokens,
+        )
+        never_started = end is upstreams.End.NEVER_STARTED
+        run.position.feed("not_sent" if never_started else "end")
+        if never_started:
+            self.bury(run_id)
+            del self.runs[run_id]
+        if outcome == "failed" and not run.cancelled:
+            events.log(events.UPSTREAM_FAILED, run_id=run_id, reason=reason)
+        self.send(run.entry, "ended", run.ended)
+        if run.cancelled and not never_started:
+            self.forget(run)
+        self.pump()
+
+    def outcome_of(self, run: runs.Run, end: upstreams.End) -> str:
+        """Returns the outcome that the entry is told.
+
+        :param run: the run
+        :param end: how it ended on the upstream
+        :return: ``completed``, ``failed`` or ``never_started``
+        """
+        if end is upstreams.End.CRASHED:
+            return upstreams.End.FAILED.value
+        return end.value
+
+    def flush(self) -> None:
+        """Sends what the upstream has answered, gathered by entry."""
+        self.last_flush_ms = self.clock.monotonic_ms()
+        if not self.dirty:
+            return
+        by_entry: dict[str, list[ttypes.Chunk]] = {}
+        for run in self.dirty.values():
+            chunk = run.take_pending()
+            if chunk is not None:
+                by_entry.setdefault(run.entry, []).append(chunk)
+            if run.retained_bytes >= MAX_RETAINED_BYTES and not run.paused:
+                run.paused = True
+                self.upstream.pause_reading(run.run_id, True)
+        self.dirty.clear()
+        for entry, chunks in by_entry.items():
+            self.send(entry, "chunks", ttypes.Chunks(chunks))
+
+    # Time
+
+    def tick(self) -> None:
+        """Flushes, and drops what is too old; called every few ms."""
+        self.flush()
+        now_ms = self.clock.monotonic_ms()
+        for run_id, asked_ms in tuple(self.pulls.items()):
+            if now_ms - asked_ms > PULL_TIMEOUT_MS:
+                self.drop_offer(run_id)
+                self.bury(run_id)
+        for offer in tuple(self.offers.values()):
+            if offer.deadline_ms <= now_ms:
+                self.drop_offer(offer.request_id)
+        for run in tuple(self.runs.values()):
+            self.expire_run(run, now_ms)
+        self.expire_ids(self.tombstones, now_ms)
+        self.expire_ids(self.forgotten, now_ms)
+        self.pump()
+
+    def expire_run(self, run: runs.Run, now_ms: int) -> None:
+        """Ends or forgets a run that its entry has left alone too long.
+
+        :param run: the run
+        :param now_ms: the time now
+        """
+        if run.ended is not None:
+            if now_ms - run.ended_ms > RETENTION_MS:
+                self.forget(run)
+        elif (
+            run.orphaned_ms is not None
+            and now_ms - run.orphaned_ms > ORPHAN_LIMIT_MS
+            and not run.cancelled
+        ):
+            self.abandon(run)
+
+    def expire_ids(self, expiries: dict[str, int], now_ms: int) -> None:
+        """Drops ids whose time is over; they are in order of time.
+
+        :param expiries: ids with the time until which they are kept
+        :param now_ms: the time now
+        """
+        while expiries:
+            run_id = next(iter(expiries))
+            if expiries[run_id] > now_ms:
+                return
+            del expiries[run_id]
+
+    def drain(self) -> None:
+        """Asks for no more offers and lets the runs finish."""
+        self.draining = True
+
+    @property
+    def idle(self) -> bool:
+        """Whether no run is left that an entry may still want."""
+        return not self.runs
--- /dev/null
+++ b/godwitloft/daemon.py
@@ -0,0 +1,45 @@
+"""What entries and agents do alike when they start."""
+
+import sys
+import uuid
+
+from godwitloft import clock as clocks
+from godwitloft import settings as settings_module
+from godwitloft import trace
+
+HEX_DIGITS_OF_INCARNATION = 12
+
+
+def new_incarnation(instance: str) -> str:
+    """Returns a name for this start of a process.
+
+    :param instance: name of the instance
+    :return: a name without dots, unique over all starts
+    """
+    suffix = uuid.uuid4().hex[:HEX_DIGITS_OF_INCARNATION]
+    return f"{instance.replace('.', '_')}-{suffix}"
+
+
+def make_recorder(
+    stream: settings_module.TraceStream,
+    clock: clocks.Clock,
+    instance: str,
+    incarnation: str,
+) -> trace.Recorder:
+    """Returns what writes the trace of a process.
+
+    :param stream: where the trace goes
+    :param clock: tells the time
+    :param instance: name of the instance
+    :param incarnation: which start of the process
+    :return: a recorder; one that writes nothing when there is no stream
+    """
+    if stream is settings_module.TraceStream.NONE:
+        return trace.NullRecorder()
+    to_stdout = stream is settings_module.TraceStream.STDOUT
+    output = sys.stdout if to_stdout else sys.stderr
+
+    def write(line: str) -> None:
+        print(line, file=output, flush=True)
+
+    return trace.Recorder(clock, instance, incarnation, write)
--- /dev/null
+++ b/godwitloft/entry/caller_http.py
@@ -0,0 +1,422 @@
+"""The callers' HTTP interface of an entry."""
+
+import dataclasses
+import functools
+import json
+import typing
+
+from klein import Klein
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.web import server
+import zope.interface
+
+from godwitloft import metrics
+from godwitloft.entry import answers
+from godwitloft.entry import call as calls
+from godwitloft.entry import desk as desks
+from godwitloft.entry import intake
+from godwitloft.objects import lookup
+from godwitloft.objects import types
+
+REQUEST_ID_HEADER = "X-Request-Id"
+MS_PER_S = 1000
+
+STATUS_OF_REASON: typing.Mapping[answers.Reason, int] = {
+    answers.Reason.NO_UPSTREAM: 503,
+    answers.Reason.QUEUE_FULL: 503,
+    answers.Reason.SHED: 503,
+    answers.Reason.DEADLINE_PASSED: 504,
+    answers.Reason.DEADLINE_UNREACHABLE: 503,
+    answers.Reason.TEAM_RUNNING_LIMIT: 429,
+    answers.Reason.TEAM_WAITING_LIMIT: 429,
+    answers.Reason.TEAM_TOKEN_LIMIT: 429,
+    answers.Reason.LEAVING: 503,
+    answers.Reason.POISONOUS: 422,
+    answers.Reason.STORE_UNAVAILABLE: 503,
+    answers.Reason.KEY_REUSED: 422,
+    answers.Reason.KEY_UNKNOWN: 409,
+    answers.Reason.CANCELLED: 499,
+    answers.Reason.UPSTREAM_FAILED: 502,
+    answers.Reason.UPSTREAM_CRASHED: 502,
+    answers.Reason.AGENT_LOST: 504,
+    answers.Reason.DEADLINE_IN_FLIGHT: 504,
+    answers.Reason.ANSWER_DAMAGED: 502,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerPort:
+    """What the callers' interface needs of its entry.
+
+    :param objects: returns the objects in force
+    :param accept: takes a call in; see :meth:`desk.Desk.accept`. The third
+        argument is the idempotency key, or empty
+    :param cancel: ends a request whose caller went away
+    :param pause: tells that a caller reads slowly, or no longer
+    :param ready: whether the entry takes new requests
+    :param instruments: what is counted
+    """
+
+    objects: typing.Callable[[], lookup.Lookup]
+    accept: typing.Callable[
+        [calls.Call, typing.Callable[[answers.Answer], None], str], str
+    ]
+    cancel: typing.Callable[[str], None]
+    pause: typing.Callable[[str, bool], None]
+    ready: typing.Callable[[], bool]
+    instruments: metrics.Instruments
+
+
+def error_body(
+    reason: str, message: str, not_run: bool, retry_after_ms: int
+) -> bytes:
+    """Returns the body of an answer that is an error.
+
+    :param reason: machine-readable reason
+    :param message: for people
+    :param not_run: whether it is certain that nothing was run
+    :param retry_after_ms: when to come back, 0 for no advice
+    :return: JSON
+    """
+    error = {
+        "code": reason,
+        "reason": reason,
+        "message": message,
+        "not_run": not_run,
+        "retry_after_ms": retry_after_ms,
+    }
+    return json.dumps({"error": error}).encode()
+
+
+@zope.interface.implementer(interfaces.IPushProducer)
+class CallerTask:
+    """Writes one request's answer to its caller.
+
+    :param request: the caller's HTTP request
+    :param port: the entry
+    :param stream: whether the caller takes parts as they come
+    """
+
+    def __init__(
+        self, request: typing.Any, port: CallerPort, stream: bool
+    ) -> None:
+        self.request = request
+        self.port = port
+        self.stream = stream
+        self.request_id = ""
+        self.gone = False
+        self.ended = False
+        self.done: defer.Deferred[None] = defer.Deferred()
+        request.notifyFinish().addErrback(self.caller_left)
+
+    def start(self, call: calls.Call, key: str) -> defer.Deferred[None]:
+        """Hands the call to the entry.
+
+        :param call: what the caller asks
+        :param key: idempotency key, or empty
+        :return: fires when the answer is written or the caller is gone
+        """
+        if self.stream:
+            self.request.registerProducer(self, True)
+        request_id = self.port.accept(call, self.answer, key)
+        self.request_id = request_id
+        if not self.ended:
+            self.request.setHeader(REQUEST_ID_HEADER, request_id)
+        if self.gone:
+            self.port.cancel(request_id)
+        return self.done
+
+    def answer(self, part: answers.Answer) -> None:
+        """Writes one part of the answer.
+
+        :param part: what the entry tells
+        """
+        if self.gone:
+            return
+        match part:
+            case answers.Head():
+                self.request.setResponseCode(part.status)
+                if part.content_type:
+                    self.request.setHeader("Content-Type", part.content_type)
+            case answers.Data():
+                self.request.write(part.data)
+            case answers.Complete():
+                self.finish()
+            case answers.Refused():
+                self.write_refusal(part)
+            case answers.Failed():
+                self.write_failure(part)
+
+    def write_refusal(self, refusal: answers.Refused) -> None:
+        """Writes that the request was not run.
+
+        :param refusal: why
+        """
+        if refusal.retry_after_ms > 0:
+            seconds = -(-refusal.retry_after_ms // MS_PER_S)
+            self.request.setHeader("Retry-After", str(seconds))
+        self.write_error(
+            STATUS_OF_REASON.get(refusal.reason, 503),
+            error_body(
+                refusal.reason.value,
+                refusal.message,
+                True,
+                refusal.retry_after_ms,
+            ),
+        )
+
+    def write_failure(self, problem: answers.Failed) -> None:
+        """Writes that the request ran badly, or may have run.
+
+        A stream that has begun ends with an error event and a connection
+        that is cut, so that nobody takes it for whole.
+
+        :param problem: why
+        """
+        reason = problem.reason.value
+        if not problem.outcome_known:
+            reason = f"{reason}_outcome_unknown"
+        body = error_body(reason, problem.message, False, 0)
+        if self.request.startedWriting:
+            self.request.write(b"event: error\ndata: " + body + b"\n\n")
+            self.ended = True
+            self.request.loseConnection()
+            return
+        self.write_error(STATUS_OF_REASON.get(problem.reason, 502), body)
+
+    def write_error(self, status: int, body: bytes) -> None:
+        """Writes an error as a whole answer.
+
+        :param status: HTTP status
+        :param body: JSON
+        """
+        self.request.setResponseCode(status)
+        self.request.setHeader("Content-Type", "application/json")
+        self.request.write(body)
+        self.finish()
+
+    def finish(self) -> None:
+        """Ends the answer."""
+        self.ended = True
+        if self.stream:
+            self.request.unregisterProducer()
+        self.done.callback(None)
+
+    def caller_left(self, _reason: object) -> None:
+        """Cancels the request of a caller who closed the connection."""
+        self.gone = True
+        if not self.ended and self.request_id:
+            self.port.cancel(self.request_id)
+        if not self.done.called:
+            self.done.callback(None)
+
+    def pauseProducing(self) -> None:
+        """Notes that the caller reads slowly."""
+        self.port.pause(self.request_id, True)
+
+    def resumeProducing(self) -> None:
+        """Notes that the caller reads again."""
+        self.port.pause(self.request_id, False)
+
+    def stopProducing(self) -> None:
+        """Does nothing: the loss of the caller is told elsewhere."""
+
+
+class BoundedRequest(server.Request):
+    """A request whose body may not be larger than a bound.
+
+    The bound is checked on the announced length, before any of the body is
+    kept, and again as it comes in, for bodies of no announced length.
+    """
+
+    max_body_bytes = 0
+    too_large = False
+    received_bytes = 0
+
+    def gotLength(self, length: int | None) -> None:
+        """Checks the announced length.
+
+        :param length: in bytes, or None when it isn't announced
+        """
+        if length is not None and length > self.max_body_bytes:
+            self.too_large = True
+            length = 0
+        super().gotLength(length)
+
+    def handleContentChunk(self, data: bytes) -> None:
+        """Keeps a part of the body unless there is too much.
+
+        :param data: the part
+        """
+        self.received_bytes += len(data)
+        if self.received_bytes > self.max_body_bytes:
+            self.too_large = True
+        if not self.too_large:
+            super().handleContentChunk(data)
+
+
+def incoming_of(request: typing.Any, path: str) -> intake.Incoming:
+    """Reads the parts of an HTTP request.
+
+    :param request: a request whose body has arrived
+    :param path: path for the upstream, without the query
+    :return: its parts
+    """
+    headers = {
+        name.decode("latin-1").lower(): values[0].decode("latin-1")
+        for name, values in request.requestHeaders.getAllRawHeaders()
+    }
+    query = request.uri.partition(b"?")[2].decode("latin-1")
+    return intake.Incoming(
+        method=request.method.decode("latin-1"),
+        path=f"{path}?{query}" if query else path,
+        headers=headers,
+        body=request.content.read(),
+    )
+
+
+def reject(
+    request: typing.Any, port: CallerPort, rejected: intake.Rejected
+) -> bytes:
+    """Answers a request that can't be accepted.
+
+    :param request: the caller's HTTP request
+    :param port: the entry
+    :param rejected: why
+    :return: the body of the answer
+    """
+    port.instruments.refusals.add(
+        1, {"reason": rejected.reason.value, "tier": ""}
+    )
+    request.setResponseCode(rejected.status)
+    request.setHeader("Content-Type", "application/json")
+    return error_body(rejected.reason.value, rejected.message, True, 0)
+
+
+def guarded(
+    port: CallerPort,
+    request: typing.Any,
+    work: typing.Callable[[], typing.Any],
+) -> typing.Any:
+    """Runs a handler, turning a rejection into its answer.
+
+    :param port: the entry
+    :param request: the caller's HTTP request
+    :param work: the handler
+    :return: what the handler returned, or the rejection's body
+    """
+    try:
+        if getattr(request, "too_large", False):
+            raise intake.Rejected(
+                413,
+                answers.Reason.BODY_TOO_LARGE,
+                f"the body is longer than {request.max_body_bytes} bytes",
+            )
+        return work()
+    except intake.Rejected as rejected:
+        return reject(request, port, rejected)
+
+
+def resource(port: CallerPort) -> typing.Any:
+    """Returns the callers' paths as a web resource.
+
+    :param port: the entry
+    :return: a resource to be served at the root
+    """
+    app = Klein()
+
+    def complete(request: typing.Any) -> typing.Any:
+        path = request.path.decode("latin-1")
+        incoming = incoming_of(request, path)
+        call = intake.model_call(incoming, port.objects())
+        key = intake.idempotency_key(incoming)
+        return CallerTask(request, port, call.stream).start(call, key)
+
+    def forward(request: typing.Any, service: str, path: str) -> typing.Any:
+        incoming = incoming_of(request, f"/{path}")
+        call = intake.plain_call(incoming, service, port.objects())
+        key = intake.idempotency_key(incoming)
+        return CallerTask(request, port, False).start(call, key)
+
+    @app.route("/v1/chat/completions", methods=["POST"])
+    @app.route("/v1/completions", methods=["POST"])
+    def completions(request: typing.Any) -> typing.Any:
+        return guarded(port, request, functools.partial(complete, request))
+
+    @app.route("/services/<service>/", defaults={"path": ""})
+    @app.route("/services/<service>/<path:path>")
+    def services(request: typing.Any, service: str, path: str) -> typing.Any:
+        work = functools.partial(forward, request, service, path)
+        return guarded(port, request, work)
+
+    @app.route("/v1/models", methods=["GET"])
+    def models(request: typing.Any) -> typing.Any:
+        def listing() -> bytes:
+            objects = port.objects()
+            team = intake.authenticate(incoming_of(request, ""), objects)
+            request.setHeader("Content-Type", "application/json")
+            return json.dumps(model_list(objects, team)).encode()
+
+        return guarded(port, request, listing)
+
+    @app.route("/health/live")
+    def live(_request: typing.Any) -> bytes:
+        return b"ok\n"
+
+    @app.route("/health/ready")
+    def ready(request: typing.Any) -> bytes:
+        if port.ready():
+            return b"ok\n"
+        request.setResponseCode(503)
+        return b"not ready\n"
+
+    return app.resource()
+
+
+def model_list(
+    objects: lookup.Lookup, team: types.Team
+) -> dict[str, typing.Any]:
+    """Returns the models that a team may call.
+
+    :param objects: the objects in force
+    :param team: whose key was given
+    :return: the list in the style of OpenAI
+    """
+    names = [
+        service.name
+        for service in objects.services.values()
+        if service.kind is types.ServiceKind.MODEL
+        and objects.may_call(team, service.name)
+    ]
+    data = [
+        {"id": name, "object": "model", "created": 0, "owned_by": "godwitloft"}
+        for name in sorted(names)
+    ]
+    return {"object": "list", "data": data}
+
+
+def site(port: CallerPort, max_body_bytes: int) -> server.Site:
+    """Returns what serves callers on any listening port.
+
+    :param port: the entry
+    :param max_body_bytes: bound on the body of one request
+    :return: a factory of HTTP connections
+    """
+    kind = type(
+        "CallerRequest", (BoundedRequest,), {"max_body_bytes": max_body_bytes}
+    )
+    return server.Site(resource(port), requestFactory=kind)
+
+
+def accept_at(
+    desk: desks.Desk,
+) -> typing.Callable[
+    [calls.Call, typing.Callable[[answers.Answer], None], str], str
+]:
+    """Returns an accept function without idempotency keys.
+
+    :param desk: the entry's desk
+    :return: a function that ignores the key
+    """
+    return lambda call, answer, _key: desk.accept(call, answer)
--- /dev/null
+++ b/godwitloft/entry/intake.py
@@ -0,0 +1,285 @@
+"""Turns what a caller sent into a call, or says what is wrong with it.
+
+Nothing here does I/O: the HTTP task passes in the parts of the request and
+the objects in force.
+"""
+
+import dataclasses
+import hashlib
+import json
+import typing
+
+from godwitloft import errors
+from godwitloft.entry import answers
+from godwitloft.entry import call as calls
+from godwitloft.objects import lookup
+from godwitloft.objects import types
+from godwitloft.policy import prefix
+
+BEARER = "bearer "
+TIER_HEADER = "x-tier"
+TIMEOUT_HEADER = "x-request-timeout"
+KEY_HEADER = "idempotency-key"
+MAX_KEY_LENGTH = 200
+MAX_TIMEOUT_S = 86_400.0
+MS_PER_S = 1000
+DEFAULT_OUTPUT_TOKENS = 128
+FINGERPRINT_BYTES = 16
+MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
+FORWARDED_HEADERS = ("content-type", "accept", KEY_HEADER)
+
+
+class Rejected(errors.GodwitloftError):
+    """A request can't be accepted for what it says.
+
+    :param status: HTTP status
+    :param reason: why, for the counter
+    :param message: for the caller
+    """
+
+    def __init__(
+        self, status: int, reason: answers.Reason, message: str
+    ) -> None:
+        self.status = status
+        self.reason = reason
+        self.message = message
+        super().__init__(message)
+
+
+@dataclasses.dataclass(frozen=True)
+class Incoming:
+    """The parts of a caller's HTTP request.
+
+    :param method: HTTP method
+    :param path: for plain services, path and query below the service
+    :param headers: by lower-case name
+    :param body: the whole body
+    """
+
+    method: str
+    path: str
+    headers: typing.Mapping[str, str]
+    body: bytes
+
+
+def authenticate(incoming: Incoming, objects: lookup.Lookup) -> types.Team:
+    """Finds the team whose key a request carries.
+
+    :param incoming: the request
+    :param objects: the objects in force
+    :return: the team
+    :raises Rejected: when there is no key or nobody's
+    """
+    header = incoming.headers.get("authorization", "")
+    if not header.lower().startswith(BEARER):
+        raise Rejected(
+            401,
+            answers.Reason.UNKNOWN_TEAM,
+            "header 'Authorization' must be 'Bearer KEY'",
+        )
+    key = header[len(BEARER) :].strip()
+    team = objects.team_of_token(key)
+    if team is None:
+        raise Rejected(
+            401, answers.Reason.UNKNOWN_TEAM, "no team has this key"
+        )
+    return team
+
+
+def model_call(incoming: Incoming, objects: lookup.Lookup) -> calls.Call:
+    """Reads a completion request.
+
+    :param incoming: the request
+    :param objects: the objects in force
+    :return: the call
+    :raises Rejected: when it can't be accepted
+    """
+    team = authenticate(incoming, objects)
+    body = _json_object(incoming.body)
+    model = body.get("model")
+    if not isinstance(model, str):
+        raise _bad("key 'model' must be a string")
+    service = _service(objects, team, model, types.ServiceKind.MODEL)
+    tier = _tier(incoming, objects, team, service)
+    prompt = prefix.prompt_text(body)
+    return calls.Call(
+        team=team.name,
+        team_weight=team.weight,
+        tier=tier.name,
+        tier_rank=tier.rank,
+        service=service.name,
+        pools=service.pools,
+        method="POST",
+        path=incoming.path,
+        headers=_forwarded(incoming),
+        body=incoming.body,
+        stream=_flag(body, "stream"),
+        is_model=True,
+        idempotent=False,
+        timeout_ms=_timeout_ms(incoming, tier),
+        prompt_tokens=len(prompt.split()),
+        output_tokens=_output_tokens(body),
+        prefix_keys=prefix.prefix_keys(prompt),
+        fingerprint=_fingerprint(service.name, incoming),
+    )
+
+
+def plain_call(
+    incoming: Incoming, service_name: str, objects: lookup.Lookup
+) -> calls.Call:
+    """Reads a call of a plain service.
+
+    :param incoming: the request
+    :param service_name: name of the service in the URL
+    :param objects: the objects in force
+    :return: the call
+    :raises Rejected: when it can't be accepted
+    """
+    team = authenticate(incoming, objects)
+    service = _service(objects, team, service_name, types.ServiceKind.PLAIN)
+    tier = _tier(incoming, objects, team, service)
+    rule = lookup.call_rule(
+        service, incoming.method, incoming.path.partition("?")[0]
+    )
+    return calls.Call(
+        team=team.name,
+        team_weight=team.weight,
+        tier=tier.name,
+        tier_rank=tier.rank,
+        service=service.name,
+        pools=service.pools,
+        method=incoming.method,
+        path=incoming.path,
+        headers=_forwarded(incoming),
+        body=incoming.body,
+        stream=False,
+        is_model=False,
+        idempotent=rule.idempotent,
+        timeout_ms=_timeout_ms(incoming, tier),
+        prompt_tokens=0,
+        output_tokens=0,
+        prefix_keys=(),
+        fingerprint=_fingerprint(service.name, incoming),
+    )
+
+
+def idempotency_key(incoming: Incoming) -> str:
+    """Returns the caller's idempotency key.
+
+    :param incoming: the request
+    :return: the key, empty when there is none
+    :raises Rejected: when it is too long
+    """
+    key = incoming.headers.get(KEY_HEADER, "")
+    if len(key) > MAX_KEY_LENGTH:
+        raise _bad(f"header 'Idempotency-Key' is longer than {MAX_KEY_LENGTH}")
+    return key
+
+
+def _bad(message: str) -> Rejected:
+    return Rejected(400, answers.Reason.BAD_REQUEST, message)
+
+
+def _json_object(content: bytes) -> dict[str, typing.Any]:
+    try:
+        body = json.loads(content)
+    except (ValueError, RecursionError) as error:
+        raise _bad(f"the body is not JSON: {error}") from error
+    if not isinstance(body, dict):
+        raise _bad("the body is not a JSON object")
+    return body
+
+
+def _flag(body: typing.Mapping[str, typing.Any], key: str) -> bool:
+    value = body.get(key, False)
+    if value is None:
+        return False
+    if not isinstance(value, bool):
+        raise _bad(f"key {key!r} must be true or false")
+    return value
+
+
+def _output_tokens(body: typing.Mapping[str, typing.Any]) -> int:
+    for key in ("max_completion_tokens", "max_tokens"):
+        value = body.get(key)
+        if value is None:
+            continue
+        if isinstance(value, bool) or not isinstance(value, int) or value < 1:
+            raise _bad(f"key {key!r} must be a positive whole number")
+        return value
+    return DEFAULT_OUTPUT_TOKENS
+
+
+def _service(
+    objects: lookup.Lookup,
+    team: types.Team,
+    name: str,
+    kind: types.ServiceKind,
+) -> types.Service:
+    service = objects.services.get(name)
+    if service is None or service.kind is not kind:
+        raise Rejected(
+            404,
+            answers.Reason.UNKNOWN_SERVICE,
+            f"{kind.value} service {name!r} does not exist",
+        )
+    if not objects.may_call(team, name):
+        raise Rejected(
+            403,
+            answers.Reason.FORBIDDEN,
+            f"team {team.name!r} may not call service {name!r}",
+        )
+    return service
+
+
+def _tier(
+    incoming: Incoming,
+    objects: lookup.Lookup,
+    team: types.Team,
+    service: types.Service,
+) -> types.Tier:
+    name = incoming.headers.get(TIER_HEADER, "")
+    if not name:
+        name = service.tier if service.tier in team.tiers else team.tiers[0]
+    tier = objects.tiers.get(name)
+    if tier is None:
+        raise _bad(f"tier {name!r} does not exist")
+    if not objects.may_use(team, name):
+        raise Rejected(
+            403,
+            answers.Reason.FORBIDDEN,
+            f"team {team.name!r} may not use tier {name!r}",
+        )
+    return tier
+
+
+def _timeout_ms(incoming: Incoming, tier: types.Tier) -> int:
+    text = incoming.headers.get(TIMEOUT_HEADER, "")
+    if not text:
+        return tier.timeout_ms
+    try:
+        timeout_s = float(text)
+    except ValueError:
+        timeout_s = -1.0
+    if not 0 < timeout_s <= MAX_TIMEOUT_S:
+        raise _bad(
+            "header 'X-Request-Timeout' must be seconds above 0 and at most"
+            f" {MAX_TIMEOUT_S:.0f}"
+        )
+    return max(1, int(timeout_s * MS_PER_S))
+
+
+def _forwarded(incoming: Incoming) -> dict[str, str]:
+    return {
+        name: incoming.headers[name]
+        for name in FORWARDED_HEADERS
+        if name in incoming.headers
+    }
+
+
+def _fingerprint(service: str, incoming: Incoming) -> str:
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in (service, incoming.method, incoming.path):
+        digest.update(part.encode() + b"\0")
+    digest.update(incoming.body)
+    return digest.hexdigest()
--- /dev/null
+++ b/godwitloft/entry/request.py
@@ -0,0 +1,71 @@
+"""The state of one request inside the entry that accepted it."""
+
+import hashlib
+import typing
+
+from godwitloft import charts
+from godwitloft.entry import answers
+from godwitloft.entry import call as calls
+
+DIGEST_BYTES = 16
+
+
+class Request:
+    """A request between acceptance and its one outcome.
+
+    :param request_id: unique over all entries and their incarnations
+    :param call: what the caller asked
+    :param answer: takes what the caller is to be told
+    :param position: place in the request chart
+    :param now_ms: when it was accepted
+    """
+
+    def __init__(
+        self,
+        request_id: str,
+        call: calls.Call,
+        answer: typing.Callable[[answers.Answer], None],
+        position: charts.Position,
+        now_ms: int,
+    ) -> None:
+        self.request_id = request_id
+        self.call = call
+        self.answer = answer
+        self.position = position
+        self.accepted_ms = now_ms
+        self.deadline_ms = now_ms + call.timeout_ms
+        self.attempt = 1
+        self.run_id = request_id
+        self.bid_at: set[str] = set()
+        self.skipped: dict[str, int] = {}
+        self.paused_by_caller = False
+        self.retries = 0
+        self.reset_run()
+
+    def reset_run(self) -> None:
+        """Forgets everything about an earlier attempt to run it."""
+        self.agent = ""
+        self.agent_incarnation = ""
+        self.link_lost_ms: int | None = None
+        self.next_sequence = 0
+        self.acked_sequence = 0
+        self.digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        self.head: answers.Head | None = None
+        self.buffer: list[bytes] = []
+        self.held_tail = b""
+        self.head_told = False
+        self.last_chunk_ms = 0
+
+    def next_attempt(self) -> None:
+        """Gives the request a new run id.
+
+        Frames of the old run can't be taken for the new one's then.
+        """
+        self.attempt += 1
+        self.run_id = f"{self.request_id}.{self.attempt}"
+        self.reset_run()
+
+    @property
+    def waiting(self) -> bool:
+        """Whether it has not been given to any agent."""
+        return self.position.state in ("waiting", "offered")
--- /dev/null
+++ b/godwitloft/links/hub.py
@@ -0,0 +1,328 @@
+"""All links of one daemon: listening, dialling, heartbeats and loss.
+
+A hub keeps one link to each peer. It dials the addresses that it is told
+to, again and again with a growing pause, and accepts those that dial it. A
+peer is known by its instance name; a new incarnation of the same instance
+takes the place of the old one. A link on which nothing was heard for some
+heartbeats is closed, which also finds half-open connections.
+"""
+
+import dataclasses
+import random
+import typing
+
+from twisted.internet import endpoints
+from twisted.internet import interfaces
+from twisted.internet import protocol
+from twisted.internet import task
+
+from godwitloft import clock as clocks
+from godwitloft import events
+from godwitloft.links import codec
+from godwitloft.links import link as links
+from godwitloft.links.generated.messages import ttypes
+
+HEARTBEAT_INTERVAL_MS = 1_000
+SILENCE_LIMIT_MS = 3_500
+FIRST_RETRY_MS = 100
+MAX_RETRY_MS = 5_000
+CONNECT_TIMEOUT_S = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class HubHandlers:
+    """What a hub tells its daemon; peers are named by instance.
+
+    :param peer_up: a link to a peer is up
+    :param peer_down: the link to a peer is gone
+    :param received: ``(instance, field name, body)``
+    :param writable: ``(instance, whether more may be written)``
+    :param heartbeat: returns the heartbeat to send now
+    :param accepts: whether a peer with this hello may connect
+    """
+
+    peer_up: typing.Callable[[ttypes.Hello], None]
+    peer_down: typing.Callable[[ttypes.Hello, str], None]
+    received: typing.Callable[[str, str, codec.Body], None]
+    writable: typing.Callable[[str, bool], None]
+    heartbeat: typing.Callable[[], ttypes.Heartbeat]
+    accepts: typing.Callable[[ttypes.Hello], bool]
+
+
+@dataclasses.dataclass(frozen=True)
+class Address:
+    """Where a peer listens.
+
+    :param instance: its name
+    :param host: IP number
+    :param port: TCP port
+    """
+
+    instance: str
+    host: str
+    port: int
+
+
+class Hub:
+    """Owns the links of one daemon.
+
+    :param reactor: the twisted reactor
+    :param clock: tells the time
+    :param hello: returns what this daemon says first, as of now
+    :param handlers: functions of the daemon
+    :param rng: spreads the retries
+    :param tls: ``(server context factory, client context factory)`` for
+        mutual TLS, or None for plain TCP
+    """
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        clock: clocks.Clock,
+        hello: typing.Callable[[], ttypes.Hello],
+        handlers: HubHandlers,
+        rng: random.Random,
+        tls: tuple[typing.Any, typing.Any] | None = None,
+    ) -> None:
+        self.reactor = reactor
+        self.clock = clock
+        self.hello = hello
+        self.handlers = handlers
+        self.rng = rng
+        self.tls = tls
+        self.peers: dict[str, links.Link] = {}
+        self.wanted: dict[str, Address] = {}
+        self.dialling: set[str] = set()
+        self.retry_ms: dict[str, int] = {}
+        self.open_links: set[links.Link] = set()
+        self.stopped = False
+        self.port: interfaces.IListeningPort | None = None
+        self.heartbeats = task.LoopingCall(self.beat)
+        self.heartbeats.clock = reactor
+        self.bytes_sent = 0
+        self.control_bytes_sent = 0
+
+    def start(self, host: str, port: int) -> int:
+        """Listens for peers and starts the heartbeats.
+
+        :param host: IP number to listen on
+        :param port: TCP port, 0 for any
+        :return: the port that is listened on
+        """
+        factory = protocol.Factory.forProtocol(self.build)
+        if self.tls is None:
+            self.port = self.reactor.listenTCP(port, factory, interface=host)
+        else:
+            self.port = self.reactor.listenSSL(
+                port, factory, self.tls[0], interface=host
+            )
+        self.heartbeats.start(HEARTBEAT_INTERVAL_MS / clocks.MS_PER_S, False)
+        return self.port.getHost().port  # type: ignore[union-attr]
+
+    def stop(self) -> None:
+        """Closes every link and stops listening."""
+        self.stopped = True
+        if self.heartbeats.running:
+            self.heartbeats.stop()
+        if self.port is not None:
+            self.port.stopListening()
+        for link in tuple(self.open_links):
+            link.transport.loseConnection()
+
+    def build(self) -> links.Link:
+        """Returns the protocol for a new connection.
+
+        :return: a link that reports to this hub
+        """
+        return links.Link(
+            links.Handlers(
+                greeted=self.greeted,
+                received=self.received,
+                lost=self.lost,
+                writable=self.writable,
+            ),
+            self.hello(),
+        )
+
+    def want(self, addresses: typing.Iterable[Address]) -> None:
+        """Sets which peers this side dials; others stay as they are.
+
+        :param addresses: all addresses to keep a link to
+        """
+        self.wanted = {address.instance: address for address in addresses}
+        for instance in self.wanted:
+            self.dial(instance)
+
+    def dial(self, instance: str) -> None:
+        """Connects to a wanted peer unless a link or an attempt exists.
+
+        :param instance: name of the peer
+        """
+        address = self.wanted.get(instance)
+        if address is None or self.stopped:
+            return
+        if instance in self.peers or instance in self.dialling:
+            return
+        self.dialling.add(instance)
+        endpoint = self.endpoint(address)
+        factory = protocol.Factory.forProtocol(self.build)
+        attempt = endpoint.connect(factory)
+        attempt.addCallbacks(
+            lambda link: self.dialled(instance, link),
+            lambda _failure: self.retry(instance),
+        )
+
+    def endpoint(self, address: Address) -> typing.Any:
+        """Returns the client endpoint for an address.
+
+        :param address: where the peer listens
+        :return: a twisted client endpoint
+        """
+        plain = endpoints.TCP4ClientEndpoint(
+            self.reactor, address.host, address.port, CONNECT_TIMEOUT_S
+        )
+        if self.tls is None:
+            return plain
+        return endpoints.wrapClientTLS(self.tls[1], plain)
+
+    def dialled(self, instance: str, link: links.Link) -> None:
+        """Notes which wanted peer a new connection was made for.
+
+        :param instance: name of the peer as the address gave it
+        :param link: the connection
+        """
+        link.dialled_instance = instance  # type: ignore[attr-defined]
+        link.last_received_ms = self.clock.monotonic_ms()
+        self.open_links.add(link)
+
+    def retry(self, instance: str) -> None:
+        """Dials again after a pause that grows with each failure.
+
+        :param instance: name of the peer
+        """
+        self.dialling.discard(instance)
+        if instance not in self.wanted or self.stopped:
+            self.retry_ms.pop(instance, None)
+            return
+        pause_ms = self.retry_ms.get(instance, FIRST_RETRY_MS)
+        self.retry_ms[instance] = min(2 * pause_ms, MAX_RETRY_MS)
+        jittered_ms = self.rng.uniform(0.5, 1.0) * pause_ms
+        self.reactor.callLater(
+            jittered_ms / clocks.MS_PER_S, self.dial, instance
+        )
+
+    def greeted(self, link: links.Link, hello: ttypes.Hello) -> bool:
+        """Takes a link into use after the peer's hello.
+
+        :param link: the link
+        :param hello: what the peer said
+        :return: whether the link may stay
+        """
+        link.last_received_ms = self.clock.monotonic_ms()
+        self.open_links.add(link)
+        if self.stopped or not self.handlers.accepts(hello):
+            events.log(events.LINK_REFUSED, peer=hello.instance)
+            return False
+        old = self.peers.get(hello.instance)
+        if old is not None:
+            self.replace(old)
+        self.peers[hello.instance] = link
+        self.dialling.discard(hello.instance)
+        self.retry_ms.pop(hello.instance, None)
+        events.log(events.LINK_UP, peer=hello.instance, role=hello.role)
+        self.handlers.peer_up(hello)
+        return True
+
+    def replace(self, old: links.Link) -> None:
+        """Ends an older link of a peer that has connected again.
+
+        :param old: the link that was in use
+        """
+        assert old.peer is not None
+        del self.peers[old.peer.instance]
+        old.close("replaced by a newer link")
+        self.handlers.peer_down(old.peer, "replaced by a newer link")
+
+    def received(self, link: links.Link, name: str, body: codec.Body) -> None:
+        """Passes a message of the link in use to the daemon.
+
+        :param link: where it arrived
+        :param name: name of the message
+        :param body: its body
+        """
+        link.last_received_ms = self.clock.monotonic_ms()
+        peer = link.peer
+        if peer is None or self.peers.get(peer.instance) is not link:
+            return
+        self.handlers.received(peer.instance, name, body)
+
+    def lost(self, link: links.Link, reason: str) -> None:
+        """Forgets a link, tells the daemon and dials again.
+
+        :param link: the link that is gone
+        :param reason: for the log
+        """
+        self.open_links.discard(link)
+        peer = link.peer
+        if peer is not None and self.peers.get(peer.instance) is link:
+            del self.peers[peer.instance]
+            if not self.stopped:
+                events.log(events.LINK_DOWN, peer=peer.instance, reason=reason)
+            self.handlers.peer_down(peer, reason)
+        instance = getattr(link, "dialled_instance", None)
+        if instance is not None:
+            self.retry(instance)
+
+    def writable(self, link: links.Link, can_write: bool) -> None:
+        """Passes on that a link's send buffer is full or has room.
+
+        :param link: which link
+        :param can_write: whether more may be written
+        """
+        if link.peer is not None:
+            self.handlers.writable(link.peer.instance, can_write)
+
+    def send(self, instance: str, **field: codec.Body) -> bool:
+        """Sends one message to a peer.
+
+        :param instance: name of the peer
+        :param field: exactly one field of the ``Message`` union
+        :return: False when there is no link to the peer
+        """
+        return self.send_frame(instance, codec.encode(**field))
+
+    def send_frame(self, instance: str, frame: bytes) -> bool:
+        """Sends a message that is already encoded.
+
+        :param instance: name of the peer
+        :param frame: result of :func:`codec.encode`
+        :return: False when there is no link to the peer
+        """
+        link = self.peers.get(instance)
+        if link is None:
+            return False
+        self.bytes_sent += len(frame)
+        link.send_frame(frame)
+        return True
+
+    def can_write(self, instance: str) -> bool:
+        """Tells whether a peer's link takes more data now.
+
+        :param instance: name of the peer
+        :return: False when it is full or gone
+        """
+        link = self.peers.get(instance)
+        return link is not None and link.can_write
+
+    def beat(self) -> None:
+        """Sends a heartbeat to every peer and closes silent links."""
+        frame = codec.encode(heartbeat=self.handlers.heartbeat())
+        now_ms = self.clock.monotonic_ms()
+        for link in tuple(self.open_links):
+            if now_ms - link.last_received_ms > SILENCE_LIMIT_MS:
+                link.close(f"nothing heard for {SILENCE_LIMIT_MS} ms")
+            elif link.peer is not None:
+                self.control_bytes_sent += len(frame)
+                link.send_frame(frame)
+        for instance in tuple(self.wanted):
+            self.dial(instance)
--- /dev/null
+++ b/godwitloft/links/link.py
@@ -0,0 +1,150 @@
+"""One connection between two daemons.
+
+Frames are length-prefixed. The first message in each direction is a
+``Hello``; anything before it, a frame that is too long or one that doesn't
+decode closes the connection.
+"""
+
+import dataclasses
+import typing
+
+from twisted.internet import interfaces
+from twisted.internet import protocol
+from twisted.protocols import basic
+from twisted.python import failure
+import zope.interface
+
+from godwitloft.links import codec
+from godwitloft.links.generated.messages import ttypes
+
+MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True)
+class Handlers:
+    """What a link tells its owner.
+
+    :param greeted: the peer said hello; the return value tells whether the
+        link may stay
+    :param received: ``(link, field name, body)`` for every later message
+    :param lost: the connection is gone, with the reason
+    :param writable: ``(link, whether more may be written)``
+    """
+
+    greeted: typing.Callable[["Link", ttypes.Hello], bool]
+    received: typing.Callable[["Link", str, codec.Body], None]
+    lost: typing.Callable[["Link", str], None]
+    writable: typing.Callable[["Link", bool], None]
+
+
+@zope.interface.implementer(interfaces.IPushProducer)
+class Link(basic.Int32StringReceiver):
+    """A connection that speaks the messages of the project.
+
+    :param handlers: functions of the owner
+    :param hello: what this side says first
+    """
+
+    MAX_LENGTH = codec.MAX_FRAME_BYTES
+
+    transport: typing.Any
+
+    def __init__(self, handlers: Handlers, hello: ttypes.Hello) -> None:
+        self.handlers = handlers
+        self.hello = hello
+        self.peer: ttypes.Hello | None = None
+        self.can_write = True
+        self.last_received_ms = 0
+        self.close_reason = ""
+
+    def connectionMade(self) -> None:
+        """Greets the peer."""
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self.send(hello=self.hello)
+
+    def send(self, **field: codec.Body) -> None:
+        """Sends one message; a link that is gone ignores it.
+
+        :param field: exactly one field of the ``Message`` union
+        """
+        if self.connected:
+            self.sendString(codec.encode(**field))
+
+    def send_frame(self, frame: bytes) -> None:
+        """Sends a message that is already encoded.
+
+        :param frame: result of :func:`codec.encode`
+        """
+        if self.connected:
+            self.sendString(frame)
+
+    def stringReceived(self, string: bytes) -> None:
+        """Handles one frame.
+
+        :param string: the frame without its length
+        """
+        try:
+            name, body = codec.decode(string)
+        except codec.LinkError as problem:
+            self.close(str(problem))
+            return
+        if self.peer is None:
+            self.greet(name, body)
+        else:
+            self.handlers.received(self, name, body)
+
+    def greet(self, name: str, body: codec.Body) -> None:
+        """Handles the first message of the peer.
+
+        :param name: name of the message
+        :param body: its body
+        """
+        if name != "hello":
+            self.close(f"first message is {name!r}, not 'hello'")
+            return
+        if body.protocol_version != codec.PROTOCOL_VERSION:
+            self.close(f"protocol version {body.protocol_version} is unknown")
+            return
+        self.peer = body
+        if not self.handlers.greeted(self, body):
+            self.close("peer was refused")
+
+    def lengthLimitExceeded(self, length: int) -> None:
+        """Closes the connection on a frame that is too long.
+
+        :param length: announced length in bytes
+        """
+        self.close(f"frame of {length} bytes is too long")
+
+    def close(self, reason: str) -> None:
+        """Closes the connection at once.
+
+        :param reason: for the log
+        """
+        self.close_reason = self.close_reason or reason
+        self.transport.abortConnection()
+
+    def connectionLost(
+        self,
+        reason: failure.Failure = protocol.connectionDone,
+    ) -> None:
+        """Tells the owner that the connection is gone.
+
+        :param reason: as twisted knows it
+        """
+        self.connected = 0
+        self.handlers.lost(self, self.close_reason or reason.getErrorMessage())
+
+    def pauseProducing(self) -> None:
+        """Notes that the send buffer is full."""
+        self.can_write = False
+        self.handlers.writable(self, False)
+
+    def resumeProducing(self) -> None:
+        """Notes that the send buffer has room again."""
+        self.can_write = True
+        self.handlers.writable(self, True)
+
+    def stopProducing(self) -> None:
+        """Does nothing: the loss of the connection is told elsewhere."""
--- a/godwitloft/links/messages.thrift
+++ b/godwitloft/links/messages.thrift
@@ -101,6 +101,8 @@
   2: required i64 sequence           // 0, 1, 2 ... within the request
   3: required binary data
   4: optional i32 tokens
+  5: optional i32 status             // HTTP status, with sequence 0
+  6: optional string content_type    // with sequence 0
 }
 
 /* Chunks of several requests, gathered for at most 20 ms. */
--- /dev/null
+++ b/godwitloft/process.py
@@ -0,0 +1,86 @@
+"""What every daemon's program does around its tasks.
+
+It reads the settings, sets up logs, runs the reactor, drains on SIGTERM
+and SIGINT and prints user errors without a traceback.
+"""
+
+import dataclasses
+import signal
+import sys
+import typing
+
+import cappa
+
+import godwitloft
+from godwitloft import errors
+from godwitloft import events
+
+EXIT_USAGE = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class Program:
+    """A daemon as its program sees it.
+
+    :param start: starts the tasks
+    :param drain: takes no new work from now on, and calls its argument once
+        nothing is left to finish or the limit is over
+    :param stop: closes everything at once
+    """
+
+    start: typing.Callable[[], object]
+    drain: typing.Callable[[typing.Callable[[], None]], None]
+    stop: typing.Callable[[], None]
+
+
+def run(reactor: typing.Any, program: Program) -> None:
+    """Runs a daemon until a signal has ended it.
+
+    The first signal drains; a second one stops at once.
+
+    :param reactor: the twisted reactor
+    :param program: the daemon
+    """
+    draining = False
+
+    def stop() -> None:
+        program.stop()
+        reactor.callLater(0, reactor.stop)
+
+    def on_signal(_number: int, _frame: object) -> None:
+        nonlocal draining
+        if draining:
+            reactor.callFromThread(stop)
+            return
+        draining = True
+        reactor.callFromThread(program.drain, stop)
+
+    def start() -> None:
+        signal.signal(signal.SIGTERM, on_signal)
+        signal.signal(signal.SIGINT, on_signal)
+        program.start()
+
+    reactor.callWhenRunning(start)
+    reactor.run(installSignalHandlers=False)
+
+
+def invoke(command: type, arguments: list[str] | None = None) -> None:
+    """Runs a program's command line.
+
+    :param command: cappa's description of the command
+    :param arguments: words after the program's name, default: the
+        process's own
+    """
+    try:
+        cappa.invoke(command, argv=arguments, version=godwitloft.__version__)
+    except errors.UserError as error:
+        print(f"{sys.argv[0]}: {error}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+
+
+def configure_log(log: typing.Any) -> None:
+    """Sets up logs as the settings say.
+
+    :param log: settings of the log
+    """
+    events.configure(log.level.value, log.style.value)
