Audit the promises on merged traces and ledgers

Conclusion: the shedding check counts a lower run as wrong when its upstream can suspend, or when it began after the higher request came.

--- /dev/null
+++ b/godwitloft/audit/history.py
@@ -0,0 +1,318 @@
+"""Puts trace lines together by process, request and run."""
+
+import bisect
+import dataclasses
+import json
+import typing
+
+from godwitloft import trace
+
+NEVER_MS = 1 << 62
+
+
+@dataclasses.dataclass(eq=False)
+class Process:
+    """One start of one process.
+
+    :param instance: name of the instance
+    :param incarnation: which start
+    :param records: its lines in order of their sequence numbers
+    """
+
+    instance: str
+    incarnation: str
+    records: list[trace.Record] = dataclasses.field(default_factory=list)
+
+    def first_ms(self, kind: trace.Kind) -> int:
+        """Returns when something first happened.
+
+        :param kind: kind of the line
+        :return: wall time, or :data:`NEVER_MS`
+        """
+        found = (one.wall_ms for one in self.records if one.kind is kind)
+        return next(found, NEVER_MS)
+
+    @property
+    def last_ms(self) -> int:
+        """Wall time of its last line."""
+        return self.records[-1].wall_ms
+
+
+@dataclasses.dataclass(eq=False)
+class Run:
+    """One attempt to run a request, as its agent wrote it down.
+
+    :param run_id: id of the attempt
+    :param process: the agent
+    :param started: line of its start
+    :param ended: line of its end, None when there is none
+    :param pauses: lines of suspensions and resumptions
+    """
+
+    run_id: str
+    process: Process
+    started: trace.Record
+    ended: trace.Record | None = None
+    pauses: list[trace.Record] = dataclasses.field(default_factory=list)
+
+    @property
+    def ended_ms(self) -> int:
+        """Wall time of its end, or :data:`NEVER_MS`."""
+        return self.ended.wall_ms if self.ended else NEVER_MS
+
+    def active_at(self, wall_ms: int) -> bool:
+        """Tells whether it ran and wasn't suspended.
+
+        :param wall_ms: some time
+        :return: whether it used its upstream then
+        """
+        if not self.started.wall_ms <= wall_ms < self.ended_ms:
+            return False
+        times = [one.wall_ms for one in self.pauses]
+        before = bisect.bisect_right(times, wall_ms)
+        if not before:
+            return True
+        return self.pauses[before - 1].kind is trace.Kind.RESUMED
+
+
+@dataclasses.dataclass(eq=False)
+class Request:
+    """A request as its entry and the agents wrote it down.
+
+    :param request_id: its id
+    :param accepted: line of its acceptance
+    :param process: its entry
+    :param records: its further lines, of all processes, by wall time
+    :param runs: its runs
+    """
+
+    request_id: str
+    accepted: trace.Record
+    process: Process
+    records: list[trace.Record] = dataclasses.field(default_factory=list)
+    runs: list[Run] = dataclasses.field(default_factory=list)
+
+    def of_kind(self, kind: trace.Kind) -> list[trace.Record]:
+        """Returns the request's lines of one kind.
+
+        :param kind: the kind
+        :return: by wall time
+        """
+        return [one for one in self.records if one.kind is kind]
+
+    def told(self) -> list[trace.Record]:
+        """Returns what its caller was told.
+
+        :return: lines of its entry; one, if all is well
+        """
+        return self.of_kind(trace.Kind.TOLD)
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may run again: an idempotent call of a plain service."""
+        fields = self.accepted.fields
+        return bool(fields.get("idempotent")) and not fields.get("is_model")
+
+
+@dataclasses.dataclass(frozen=True)
+class LedgerEntry:
+    """One run or call that reached a stand-in upstream.
+
+    :param run_id: id that the agent gave
+    :param idempotency_key: of a call, or empty
+    :param target: what was called, to tell uses of one key apart
+    :param is_call: whether a plain service was called
+    :param took_effect: whether a call changed anything
+    """
+
+    run_id: str
+    idempotency_key: str = ""
+    target: str = ""
+    is_call: bool = False
+    took_effect: bool = True
+
+
+@dataclasses.dataclass(frozen=True)
+class History:
+    """Everything that traces and ledgers tell.
+
+    :param lines: trace lines that were read
+    :param unreadable: lines that are none
+    :param processes: by incarnation
+    :param requests: by id
+    :param runs: by run id; several, if it was started several times
+    :param strays: lines about requests that no entry accepted
+    :param ledger: what reached the upstreams
+    """
+
+    lines: int
+    unreadable: tuple[str, ...]
+    processes: typing.Mapping[str, Process]
+    requests: typing.Mapping[str, Request]
+    runs: typing.Mapping[str, list[Run]]
+    strays: tuple[trace.Record, ...]
+    ledger: tuple[LedgerEntry, ...]
+
+
+def build(
+    lines: typing.Iterable[str], ledger_lines: typing.Iterable[str]
+) -> History:
+    """Reads traces and ledgers.
+
+    :param lines: trace lines in any order
+    :param ledger_lines: lines of ledgers
+    :return: what they tell
+    """
+    records, unreadable = _read(lines)
+    processes = _processes(records)
+    requests = {
+        one.request_id: Request(
+            one.request_id, one, processes[one.incarnation]
+        )
+        for one in records
+        if one.kind is trace.Kind.ACCEPTED
+    }
+    strays = []
+    for one in sorted(records, key=lambda one: (one.wall_ms, one.sequence)):
+        request_id = request_id_of(one)
+        if not request_id or one.kind is trace.Kind.ACCEPTED:
+            continue
+        if request_id in requests:
+            requests[request_id].records.append(one)
+        else:
+            strays.append(one)
+    runs = _runs(records, processes, requests)
+    for run_id, found in runs.items():
+        request = requests.get(base_id(run_id))
+        if request is not None:
+            request.runs.extend(found)
+    return History(
+        lines=len(records),
+        unreadable=tuple(unreadable),
+        processes=processes,
+        requests=requests,
+        runs=runs,
+        strays=tuple(strays),
+        ledger=tuple(_ledger(ledger_lines)),
+    )
+
+
+def base_id(run_id: str) -> str:
+    """Returns the id of the request that a run belongs to.
+
+    :param run_id: id of a run
+    :return: the part before the number of the attempt
+    """
+    return run_id.partition(".")[0]
+
+
+def request_id_of(record: trace.Record) -> str:
+    """Returns which request a line is about.
+
+    :param record: any line
+    :return: id of the request, or empty
+    """
+    run_id = record.fields.get("run_id") or ""
+    return base_id(record.request_id or str(run_id))
+
+
+def run_id_of(record: trace.Record) -> str:
+    """Returns which run a line is about.
+
+    :param record: a line about a run
+    :return: id of the run
+    """
+    return str(record.fields.get("run_id") or record.request_id)
+
+
+def _read(
+    lines: typing.Iterable[str],
+) -> tuple[list[trace.Record], list[str]]:
+    records = []
+    unreadable = []
+    for line in lines:
+        if not line.strip():
+            continue
+        if '"kind"' not in line and line.lstrip().startswith("{"):
+            # Log lines may go to the same stream.
+            continue
+        try:
+            records.append(trace.parse(line))
+        except trace.TraceError as error:
+            unreadable.append(str(error))
+    records.sort(key=lambda one: (one.incarnation, one.sequence))
+    return records, unreadable
+
+
+def _processes(
+    records: typing.Iterable[trace.Record],
+) -> dict[str, Process]:
+    processes: dict[str, Process] = {}
+    for one in records:
+        process = processes.setdefault(
+            one.incarnation, Process(one.instance, one.incarnation)
+        )
+        process.records.append(one)
+    return processes
+
+
+def _runs(
+    records: typing.Iterable[trace.Record],
+    processes: typing.Mapping[str, Process],
+    requests: typing.Mapping[str, Request],
+) -> dict[str, list[Run]]:
+    """Collects what agents wrote; entries write what they heard of it."""
+    runs: dict[str, list[Run]] = {}
+    open_runs: dict[tuple[str, str], Run] = {}
+    for one in records:
+        request = requests.get(request_id_of(one))
+        if request is not None and one.incarnation == (
+            request.process.incarnation
+        ):
+            continue
+        run_id = run_id_of(one)
+        place = (one.incarnation, run_id)
+        if one.kind is trace.Kind.STARTED:
+            run = Run(run_id, processes[one.incarnation], one)
+            open_runs[place] = run
+            runs.setdefault(run_id, []).append(run)
+        elif place not in open_runs:
+            continue
+        elif one.kind is trace.Kind.ENDED:
+            open_runs[place].ended = one
+        elif one.kind in (trace.Kind.SUSPENDED, trace.Kind.RESUMED):
+            open_runs[place].pauses.append(one)
+    return runs
+
+
+def _ledger(lines: typing.Iterable[str]) -> typing.Iterator[LedgerEntry]:
+    for line in lines:
+        try:
+            value = json.loads(line)
+        except ValueError:
+            continue
+        if isinstance(value, dict):
+            yield from _entries(value)
+
+
+def _entries(
+    value: dict[str, typing.Any],
+) -> typing.Iterator[LedgerEntry]:
+    """Reads a ledger entry, or an object that holds some."""
+    for name in ("run", "call"):
+        if isinstance(value.get(name), dict):
+            yield from _entries(value[name])
+    for name in ("runs", "calls"):
+        if isinstance(value.get(name), list):
+            for one in value[name]:
+                yield from _entries(one)
+    if "run_id" in value:
+        yield LedgerEntry(str(value["run_id"]))
+    if "request_id" in value and "took_effect" in value:
+        yield LedgerEntry(
+            run_id=str(value["request_id"]),
+            idempotency_key=str(value.get("idempotency_key", "")),
+            target=f"{value.get('method')} {value.get('path')}",
+            is_call=True,
+            took_effect=bool(value["took_effect"]),
+        )
--- /dev/null
+++ b/godwitloft/audit/promises.py
@@ -0,0 +1,347 @@
+"""The checks of the promises, save that on shedding.
+
+Each takes the history and returns how many cases it looked at and a text
+for each breach.
+"""
+
+import collections
+import typing
+
+from godwitloft import trace
+from godwitloft.audit import history
+
+Found = tuple[int, list[str]]
+Check = typing.Callable[[history.History], Found]
+
+LEAVING_GRACE_MS = 2_000
+OUTCOME_GRACE_MS = 5_000
+SPREAD_LIMIT_MS = 8_000
+CLOCK_MARGIN_MS = 100
+
+
+def trace_whole(found: history.History) -> Found:
+    """Checks that no line is missing, as nothing is sure otherwise.
+
+    :param found: the history
+    :return: lines read, and what is missing or unreadable
+    """
+    breaches = [f"unreadable: {one}" for one in found.unreadable]
+    for process in found.processes.values():
+        expected = 1
+        for record in process.records:
+            if record.sequence != expected:
+                breaches.append(
+                    f"{process.incarnation}: line {expected} is missing or"
+                    f" doubled, found {record.sequence}"
+                )
+            expected = record.sequence + 1
+    breaches.extend(
+        f"{one.kind.value} of {history.request_id_of(one)}, which no entry"
+        " accepted"
+        for one in found.strays
+    )
+    return found.lines, breaches
+
+
+def one_outcome(found: history.History) -> Found:
+    """Checks that each caller was told one outcome, and none was lost.
+
+    An entry that died without saying so owes nothing any more, nor does one
+    whose trace ends before the request's time was over.
+
+    :param found: the history
+    :return: requests, and those with no outcome or several
+    """
+    breaches = []
+    for request in found.requests.values():
+        told = request.told()
+        if len(told) > 1:
+            outcomes = [one.fields.get("outcome") for one in told]
+            breaches.append(f"{request.request_id} was told {outcomes}")
+        if not told and _outcome_overdue(request):
+            breaches.append(f"{request.request_id} was told nothing")
+    return len(found.requests), breaches
+
+
+def _outcome_overdue(request: history.Request) -> bool:
+    accepted = request.accepted
+    timeout_ms = int(accepted.fields.get("timeout_ms") or 0)
+    last = request.process.records[-1]
+    if last.kind is trace.Kind.PROCESS_STOPPED:
+        return True
+    due_ms = accepted.monotonic_ms + timeout_ms + OUTCOME_GRACE_MS
+    return last.monotonic_ms > due_ms
+
+
+def dispatched_once(found: history.History) -> Found:
+    """Checks that no request was given to an upstream twice.
+
+    Idempotent calls of plain services may be, each time as a new run.
+
+    :param found: the history
+    :return: requests that were dispatched, and those that were twice
+    """
+    in_ledger = collections.Counter(
+        history.base_id(one.run_id) for one in found.ledger
+    )
+    breaches: list[str] = []
+    checked = 0
+    for request in found.requests.values():
+        dispatched = request.of_kind(trace.Kind.DISPATCHED)
+        checked += bool(dispatched)
+        breaches.extend(_repeated_runs(request, dispatched))
+        if request.repeatable:
+            continue
+        if len(request.runs) > 1:
+            where = [run.process.instance for run in request.runs]
+            breaches.append(f"{request.request_id} was started at {where}")
+        reached = in_ledger[request.request_id]
+        if reached > 1:
+            breaches.append(
+                f"{request.request_id} reached upstreams {reached} times"
+            )
+    return checked, breaches
+
+
+def _repeated_runs(
+    request: history.Request, dispatched: list[trace.Record]
+) -> typing.Iterator[str]:
+    for what, run_ids in (
+        ("dispatched", [history.run_id_of(one) for one in dispatched]),
+        ("started", [run.run_id for run in request.runs]),
+    ):
+        for run_id, count in collections.Counter(run_ids).items():
+            if count > 1:
+                yield f"run {run_id} was {what} {count} times"
+
+
+def whole_answer(found: history.History) -> Found:
+    """Checks that each completed answer is whole and the request's own.
+
+    :param found: the history
+    :return: completed requests, and those whose answer differs
+    """
+    breaches: list[str] = []
+    checked = 0
+    for request in found.requests.values():
+        for told in request.told():
+            if told.fields.get("outcome") == "completed":
+                checked += 1
+                breaches.extend(_wrong_answer(request, told))
+    return checked, breaches
+
+
+def _wrong_answer(
+    request: history.Request, told: trace.Record
+) -> typing.Iterator[str]:
+    if request.of_kind(trace.Kind.JOINED) or "digest" not in told.fields:
+        return
+    ends = [run.ended for run in request.runs if run.ended is not None]
+    if not ends:
+        # The agent's trace isn't here, or it died before it wrote more.
+        return
+    own = {(one.fields.get("digest"), one.fields.get("count")) for one in ends}
+    given = (told.fields.get("digest"), told.fields.get("count"))
+    if given not in own:
+        yield (
+            f"{request.request_id} was given {given[0]} in {given[1]} parts,"
+            f" its run answered {sorted(map(str, own))}"
+        )
+
+
+def not_run_is_true(found: history.History) -> Found:
+    """Checks that what was refused as not run did not run.
+
+    :param found: the history
+    :return: refused requests, and those that ran
+    """
+    in_ledger = {history.base_id(one.run_id) for one in found.ledger}
+    breaches = []
+    checked = 0
+    for request in found.requests.values():
+        if not any(_said_not_run(one) for one in request.told()):
+            continue
+        checked += 1
+        where = [run.process.instance for run in request.runs]
+        if where:
+            breaches.append(
+                f"{request.request_id} was told not run, but started at"
+                f" {where}"
+            )
+        elif request.request_id in in_ledger:
+            breaches.append(
+                f"{request.request_id} was told not run, but reached an"
+                " upstream"
+            )
+    return checked, breaches
+
+
+def _said_not_run(told: trace.Record) -> bool:
+    return bool(told.fields.get("not_run")) or (
+        told.fields.get("outcome") == "refused"
+    )
+
+
+def non_idempotent_once(found: history.History) -> Found:
+    """Checks that what may not be repeated took effect at most once.
+
+    :param found: the history
+    :return: calls that may not be repeated, and those that were
+    """
+    breaches = []
+    fixed = [
+        one
+        for one in found.requests.values()
+        if not one.accepted.fields.get("idempotent", True)
+    ]
+    for request in fixed:
+        if len(request.runs) > 1:
+            breaches.append(
+                f"{request.request_id} ran {len(request.runs)} times"
+            )
+    ids = {one.request_id for one in fixed}
+    calls = [
+        one
+        for one in found.ledger
+        if one.is_call and history.base_id(one.run_id) in ids
+    ]
+    uses: collections.Counter[str] = collections.Counter()
+    for call in calls:
+        uses[f"request {history.base_id(call.run_id)}"] += 1
+        if call.idempotency_key:
+            uses[f"key {call.idempotency_key} of {call.target}"] += 1
+    breaches.extend(
+        f"{what} reached a service {count} times"
+        for what, count in uses.items()
+        if count > 1
+    )
+    return len(fixed), breaches
+
+
+def no_work_when_leaving(found: history.History) -> Found:
+    """Checks that nothing starts on what has been leaving for a while.
+
+    :param found: the history
+    :return: processes and upstreams that left, and what started on them
+    """
+    breaches = []
+    checked = 0
+    for process in found.processes.values():
+        left_ms = min(
+            process.first_ms(trace.Kind.LEAVING),
+            process.first_ms(trace.Kind.UPSTREAM_LEAVING),
+        )
+        if left_ms == history.NEVER_MS:
+            continue
+        checked += 1
+        refused = _refused_ids(process)
+        for one in process.records:
+            late = one.wall_ms > left_ms + LEAVING_GRACE_MS
+            starts = one.kind is trace.Kind.STARTED or (
+                one.kind is trace.Kind.ACCEPTED
+                and one.request_id not in refused
+            )
+            if late and starts and not one.fields.get("agent"):
+                breaches.append(
+                    f"{process.instance} left at {left_ms}, but"
+                    f" {one.kind.value} {history.run_id_of(one)} at"
+                    f" {one.wall_ms}"
+                )
+    return checked, breaches
+
+
+def _refused_ids(process: history.Process) -> set[str]:
+    return {
+        one.request_id
+        for one in process.records
+        if one.kind is trace.Kind.REFUSED
+    }
+
+
+def graceful_stop(found: history.History) -> Found:
+    """Checks that what stopped on purpose had finished its work.
+
+    :param found: the history
+    :return: processes that stopped on purpose, and what they cut off
+    """
+    breaches = []
+    checked = 0
+    runs = [run for same in found.runs.values() for run in same]
+    for process in found.processes.values():
+        last = process.records[-1]
+        if last.kind is not trace.Kind.PROCESS_STOPPED:
+            continue
+        checked += 1
+        if last.fields.get("abandoned"):
+            breaches.append(
+                f"{process.instance} abandoned {last.fields['abandoned']}"
+            )
+        breaches.extend(
+            f"{process.instance} stopped while {run.run_id} ran"
+            for run in runs
+            if run.process is process and run.ended is None
+        )
+        breaches.extend(
+            f"{process.instance} stopped, {one.request_id} had no outcome"
+            for one in found.requests.values()
+            if one.process is process and not one.told()
+        )
+    return checked, breaches
+
+
+def configuration(found: history.History) -> Found:
+    """Checks that generations only go up, and reach all processes soon.
+
+    :param found: the history
+    :return: generations, and where one came late or went back
+    """
+    breaches = []
+    first_ms: dict[int, int] = {}
+    hashes: dict[int, str] = {}
+    for process in found.processes.values():
+        newest = -1
+        for one in process.records:
+            if one.kind is not trace.Kind.GENERATION:
+                continue
+            generation = int(one.fields["generation"])
+            if generation < newest:
+                breaches.append(
+                    f"{process.instance} went back from {newest} to"
+                    f" {generation}"
+                )
+            newest = max(newest, generation)
+            since_ms = first_ms.get(generation, history.NEVER_MS)
+            first_ms[generation] = min(since_ms, one.wall_ms)
+            name = str(one.fields.get("snapshot_hash", ""))
+            if hashes.setdefault(generation, name) != name:
+                breaches.append(f"generation {generation} has two contents")
+    for process in found.processes.values():
+        breaches.extend(_late_generations(process, first_ms))
+    return len(first_ms), breaches
+
+
+def _late_generations(
+    process: history.Process, first_ms: typing.Mapping[int, int]
+) -> typing.Iterator[str]:
+    """Finds generations that a process didn't have in time.
+
+    Only processes that write generations at all are looked at, and only
+    while their traces go on.
+    """
+    own = [
+        (one.wall_ms, int(one.fields["generation"]))
+        for one in process.records
+        if one.kind is trace.Kind.GENERATION
+    ]
+    if not own:
+        return
+    begins_ms = process.records[0].wall_ms
+    for generation, since_ms in sorted(first_ms.items()):
+        due_ms = max(since_ms, begins_ms) + SPREAD_LIMIT_MS + CLOCK_MARGIN_MS
+        have = [wall_ms for wall_ms, held in own if held >= generation]
+        in_time = bool(have) and min(have) <= due_ms
+        if process.last_ms > due_ms and not in_time:
+            yield (
+                f"{process.instance} had no generation {generation} by"
+                f" {due_ms}"
+            )
--- /dev/null
+++ b/godwitloft/audit/shedding.py
@@ -0,0 +1,109 @@
+"""The check that no higher tier is shed while a lower one is served.
+
+docs/OVERLOAD.md defines the promise: when a request is shed, no upstream
+that could run it in time starts or runs a lower tier's request, save one
+that may not be stopped. An upstream that can suspend may not go on with
+lower work; another one may finish what it had begun before the request
+came.
+"""
+
+import collections
+import typing
+
+from godwitloft import trace
+from godwitloft.audit import history
+
+SHED_REASONS = frozenset(
+    ("shed", "queue_full", "queue_requests", "queue_bytes", "deadline_passed")
+)
+MARGIN_MS = 100
+
+
+def higher_tier_kept(
+    found: history.History,
+) -> tuple[int, list[str]]:
+    """Checks every shed request against what ran at that time.
+
+    :param found: the history
+    :return: shed requests, and those shed beside lower work
+    """
+    by_pool = _runs_by_pool(found)
+    breaches = []
+    checked = 0
+    for request in found.requests.values():
+        for refused in request.of_kind(trace.Kind.REFUSED):
+            if refused.fields.get("reason") not in SHED_REASONS:
+                continue
+            checked += 1
+            for run in _lower_served(found, request, refused, by_pool):
+                breaches.append(
+                    f"{request.request_id} of rank {_rank(request)} was"
+                    f" refused ({refused.fields['reason']}) at"
+                    f" {refused.wall_ms} while {run.process.instance} ran"
+                    f" {run.run_id}"
+                )
+    return checked, breaches
+
+
+def _runs_by_pool(
+    found: history.History,
+) -> dict[str, list[history.Run]]:
+    runs = collections.defaultdict(list)
+    for request in found.requests.values():
+        for pool in _pools(request):
+            runs[pool].extend(request.runs)
+    return runs
+
+
+def _pools(request: history.Request) -> list[str]:
+    return list(request.accepted.fields.get("pools") or [""])
+
+
+def _rank(request: history.Request) -> int:
+    return int(request.accepted.fields.get("tier_rank") or 0)
+
+
+def _lower_served(
+    found: history.History,
+    request: history.Request,
+    refused: trace.Record,
+    by_pool: typing.Mapping[str, list[history.Run]],
+) -> typing.Iterator[history.Run]:
+    too_late = {
+        one.fields.get("agent") or one.instance
+        for one in request.of_kind(trace.Kind.SKIPPED)
+        if one.fields.get("reason") == "too_late"
+    }
+    seen: set[history.Run] = set()
+    for pool in _pools(request):
+        for run in by_pool.get(pool, ()):
+            lower = found.requests[history.base_id(run.run_id)]
+            if run in seen or run.process.instance in too_late:
+                continue
+            if _rank(lower) <= _rank(request):
+                continue
+            if _wrongly_served(run, request, refused):
+                seen.add(run)
+                yield run
+
+
+def _wrongly_served(
+    run: history.Run, request: history.Request, refused: trace.Record
+) -> bool:
+    """Tells whether a lower run should not have been there.
+
+    The margin covers messages under way and differing clocks.
+    """
+    shed_ms = refused.wall_ms
+    before = run.active_at(shed_ms - MARGIN_MS)
+    if not (before and run.active_at(shed_ms + MARGIN_MS)):
+        return False
+    if _resumable(run):
+        return True
+    came_ms = request.accepted.wall_ms + MARGIN_MS
+    return run.started.wall_ms > came_ms
+
+
+def _resumable(run: history.Run) -> bool:
+    first = run.process.records[0]
+    return bool(first.fields.get("resumable"))
