Learn the room of an engine from its token times

Cause: a fixed cap on running requests is wrong for every engine but one, and an engine that is given more than it batches queues inside, in arrival order and without tiers. Change: the cap rises by half until it was lowered once, then by one; two gaps above the target in a window of 20 lower it by 0.7 at once; a first token far later than its prefill explains lowers it to just below what the engine batches. Unprefilled tokens follow the 0.6 s to the first token. An engine that can't reach 62 ms even alone gets a target of its own, and a step that also prefills a longer one. Ruled out: learning from the gaps without prefill only: under a constant stream of long prompts there are next to none. Test: features/policy_room.feature: five engines end between 80% and 110% of their best cap with under 5% of gaps late; a slow-down by 3 brings the cap to 3 or less in 3 s of engine time; prompts in progress against counting tokens one by one. Figures: those of the feature only; real processes are not measured yet.

--- /dev/null
+++ b/features/steps/policy_room_steps.py
@@ -0,0 +1,262 @@
+import random
+
+from behave import given
+from behave import step
+from behave import then
+from behave import when
+
+from godwitloft.policy import estimate
+from godwitloft.policy import room
+from godwitloft.policy import types
+
+
+@given(
+    "an engine with steps of {step_ms:g} ms, {crowd_ms:g} ms more a run"
+    " and a batch of {batch:d}"
+)
+def engine(context, step_ms, crowd_ms, batch):
+    context.step_ms, context.crowd_ms = step_ms, crowd_ms
+    context.batch = batch
+    context.factor = 1.0
+    context.room = room.Room()
+    context.speeds = estimate.Speeds()
+    context.now_ms = 0.0
+    context.gaps = []
+
+
+def engine_step(context):
+    """One step of an engine that always has as many runs as the cap."""
+    given_runs = context.room.max_running
+    runs = min(given_runs, context.batch)
+    gap_ms = context.step_ms + context.crowd_ms * (runs - 1)
+    gap_ms *= context.factor
+    context.now_ms += gap_ms
+    now_ms = int(context.now_ms)
+    context.gaps.append((now_ms, gap_ms))
+    for _ in range(runs):
+        longest_ms = room.target_ms(context.speeds, False)
+        context.room = room.observe_gap(
+            context.room, gap_ms, longest_ms, given_runs, now_ms
+        )
+    if len(context.gaps) % 40 == 1:
+        # Each run ends after 40 tokens; a new one waits if the batch is
+        # full.
+        waits = given_runs > context.batch
+        context.room = room.observe_first_token(
+            context.room,
+            int(40 * gap_ms) if waits else 100,
+            100,
+            100,
+            given_runs,
+            now_ms,
+        )
+
+
+def work(context, duration_ms):
+    end_ms = context.now_ms + duration_ms
+    while context.now_ms < end_ms:
+        engine_step(context)
+
+
+@when("it works for {seconds:d} s under a full load")
+def work_loaded(context, seconds):
+    context.speeds = estimate.observe_decode(
+        context.speeds, 1, 10, int(10 * context.step_ms)
+    )
+    work(context, seconds * 1000)
+
+
+@when("it slows down by {factor:d} and works for {ms:d} ms")
+def slow_down(context, factor, ms):
+    context.factor = factor
+    work(context, ms)
+
+
+@when("it is as fast as before and works for {seconds:d} s")
+def recover(context, seconds):
+    context.factor = 1.0
+    work(context, seconds * 1000)
+
+
+@then("the cap lies between {low:d} and {high:d}")
+def check_cap(context, low, high):
+    cap = context.room.max_running
+    assert low <= cap <= high, cap
+
+
+@then(
+    "under 5% of the gaps after the first {seconds:d} s were above"
+    " {longest:d} ms"
+)
+def check_gaps(context, seconds, longest):
+    gaps = [gap for at, gap in context.gaps if at > seconds * 1000]
+    late = sum(gap > longest for gap in gaps)
+    assert late < 0.05 * len(gaps), (late, len(gaps))
+
+
+@given("an engine that prefills {speed:d} tokens a ms")
+def prefilling_engine(context, speed):
+    context.speed = speed
+    context.room = room.Room()
+
+
+@when(
+    "{count:d} prompts of {prompt:d} tokens arrive as fast as the cap"
+    " lets them"
+)
+def prompts_arrive(context, count, prompt):
+    context.waits = []
+    for index in range(count):
+        cap = context.room.max_unprefilled_tokens
+        ahead = max(0, cap // prompt - 1) * prompt
+        wait_ms = (ahead + prompt) // context.speed
+        context.waits.append(wait_ms)
+        context.room = room.observe_first_token(
+            context.room, wait_ms, wait_ms, ahead + prompt, 4, index * 1000
+        )
+
+
+@then("the cap on unprefilled tokens lies between {low:d} and {high:d}")
+def check_token_cap(context, low, high):
+    cap = context.room.max_unprefilled_tokens
+    assert low <= cap <= high, cap
+
+
+@then("the last first tokens took at most {longest:d} ms")
+def check_waits(context, longest):
+    assert max(context.waits[-20:]) <= longest, context.waits[-20:]
+
+
+def parse_runs(text):
+    runs = []
+    for index, one in enumerate(text.split() if text != "-" else []):
+        left, _, kv_tokens = one.rstrip("s").partition("/")
+        runs.append(
+            types.Running(
+                f"r{index}",
+                0,
+                "t",
+                0,
+                int(left),
+                10,
+                "f",
+                suspended=one.endswith("s"),
+                kv_tokens=int(kv_tokens or 0),
+            )
+        )
+    return runs
+
+
+def prompt_offer(prompt, output=100):
+    return types.Offer(
+        "o", "e", 0, "t", 1, "s", 10_000, prompt, output, (1,), "f"
+    )
+
+
+@given(
+    "room for {runs:d} requests, {tokens:d} unprefilled tokens"
+    " and {kv:d} tokens of memory"
+)
+def caps(context, runs, tokens, kv):
+    context.view = types.UpstreamView(
+        estimate.Speeds(), room.Room(runs, tokens, kv_tokens=kv)
+    )
+
+
+@then("a prompt of {prompt:d} beside runs of {runs} fits: {answer}")
+def check_fits(context, prompt, runs, answer):
+    fits = room.fits(prompt_offer(prompt), context.view, parse_runs(runs))
+    assert fits == (answer == "yes")
+
+
+@given("speeds of 2 tokens a ms and 10 ms a token, 20 ms with 2 or more")
+def speeds(context):
+    context.speeds = estimate.Speeds(2.0, (10.0,) + (20.0,) * 10)
+
+
+@then(
+    "a prompt of {prompt:d} with {cached:d} cached and {output:d} to come"
+    " beside {ahead} ahead ends in {ms:d} ms"
+)
+def check_estimate(context, prompt, cached, output, ahead, ms):
+    view = types.UpstreamView(
+        context.speeds, room.Room(), cached_tokens=lambda keys: cached
+    )
+    found = estimate.finish_in_ms(
+        prompt_offer(prompt, output), view, parse_runs(ahead)
+    )
+    assert found == ms, found
+
+
+@when("speeds start at {start:d} and 20 times {seen:d} is seen")
+def see_speed(context, start, seen):
+    learnt = estimate.Speeds(float(start))
+    context.learnt = []
+    for _ in range(20):
+        learnt = estimate.observe_prefill(learnt, seen * 1000, 1000)
+        context.learnt.append(learnt.prefill_tokens_per_ms)
+
+
+@then("the learnt speed is within 5% of {seen:d} after {most:d} times")
+def check_speed(context, seen, most):
+    learnt = context.learnt[most - 1]
+    assert abs(learnt - seen) <= 0.05 * seen, context.learnt
+
+
+@when("{count:d} random prompt queues with seed {seed:d} are estimated")
+def estimate_queues(context, count, seed):
+    rng = random.Random(seed)
+    context.pairs = []
+    for _ in range(count):
+        speed = rng.randrange(1, 9)
+        starts = sorted(rng.randrange(300) for _ in range(4))
+        prompts = [
+            estimate.Prefill(rng.randrange(1, 900), start) for start in starts
+        ]
+        now_ms = 300 + rng.randrange(300)
+        left = estimate.prompts_left(
+            prompts, 0, estimate.Speeds(float(speed)), now_ms
+        )
+        counted = [one.tokens for one in prompts]
+        for at_ms in range(now_ms):
+            budget = speed
+            for index, one in enumerate(prompts):
+                if one.started_ms <= at_ms:
+                    done = min(budget, counted[index])
+                    counted[index] -= done
+                    budget -= done
+        context.pairs.append((left, counted, speed))
+
+
+@then("each estimate is within {most:d} tokens of counting them one by one")
+def check_queues(context, most):
+    for left, counted, speed in context.pairs:
+        for one, naive in zip(left, counted, strict=True):
+            # A prompt that ends inside a ms leaves the rest of it unused.
+            slack = most + 4 * speed
+            assert abs(one - max(1, naive)) <= slack, (left, counted)
+
+
+@given("at most {count:d} lengths are kept")
+def lengths(context, count):
+    context.lengths = estimate.OutputLengths(max_pairs=count)
+
+
+@when("answers of {tokens:d} tokens are seen for {teams:d} teams")
+def see_answers(context, tokens, teams):
+    for index in range(teams):
+        context.lengths.observe(f"t{index}", "s", tokens)
+
+
+@then(
+    "{known:d} teams are remembered and expect {tokens:d} tokens,"
+    " others {unknown:d}"
+)
+def check_lengths(context, known, tokens, unknown):
+    found = [context.lengths.expected(f"t{i}", "s") for i in range(5)]
+    assert found == [unknown] * (5 - known) + [tokens] * known, found
+
+
+@step("an answer limited to {limit:d} tokens is expected to have {tokens:d}")
+def check_limit(context, limit, tokens):
+    assert context.lengths.expected("t4", "s", limit) == tokens
--- a/godwitloft/policy/estimate.py
+++ b/godwitloft/policy/estimate.py
@@ -150,6 +150,45 @@
     return prefill_ms + output_tokens * per_token / max(1, batch)
 
 
+@dataclasses.dataclass(frozen=True)
+class Prefill:
+    """A prompt that an upstream has not finished prefilling.
+
+    :param tokens: its length, without what was found in a cache
+    :param started_ms: when the upstream was given it
+    """
+
+    tokens: int
+    started_ms: int
+
+
+def prompts_left(
+    prefills: typing.Sequence[Prefill],
+    free_ms: int,
+    speeds: Speeds,
+    now_ms: int,
+) -> tuple[int, ...]:
+    """Estimates how much of each prompt is still to be prefilled.
+
+    The upstream tells nothing between dispatch and first token; it is
+    known to prefill in the order of arrival.
+
+    :param prefills: prompts without a first token, in order of arrival
+    :param free_ms: when the last first token came
+    :param speeds: learnt speeds
+    :param now_ms: the time
+    :return: tokens left of each, at least 1
+    """
+    left = []
+    begin_ms = float(free_ms)
+    for one in prefills:
+        begin_ms = max(begin_ms, one.started_ms)
+        done = max(0.0, now_ms - begin_ms) * speeds.prefill_tokens_per_ms
+        left.append(max(1, math.ceil(one.tokens - done)))
+        begin_ms += one.tokens / speeds.prefill_tokens_per_ms
+    return tuple(left)
+
+
 class OutputLengths:
     """Learns how long the answers of each team's services are.
 
--- a/godwitloft/policy/room.py
+++ b/godwitloft/policy/room.py
@@ -8,19 +8,29 @@
 import dataclasses
 import typing
 
+from godwitloft.policy import estimate
 from godwitloft.policy import types
 
 BETWEEN_TOKENS_MS = 62
 FIRST_TOKEN_MS = 600
+UNREACHABLE_FACTOR = 1.5
+PREFILLING_FACTOR = 2.5
 STARTING_RUNNING = 4
 STARTING_UNPREFILLED_TOKENS = 2048
 MIN_UNPREFILLED_TOKENS = 256
 MAX_UNPREFILLED_TOKENS = 1_000_000
 STEP_DOWN = 0.7
+FIRST_STEP_UP = 1.5
 TOKEN_STEP_UP = 1.05
 COMFORT = 0.85
-CALM_TOKENS_PER_STEP = 32
+WINDOW_GAPS = 20
+LATE_GAPS = 2
+CALM_GAPS = 32
+FIRST_CALM_GAPS = 8
 STEP_DOWN_PAUSE_MS = 250
+QUEUED_FACTOR = 2
+QUEUED_STEP_DOWN = 0.9
+QUEUED_PATIENCE = 4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -31,16 +41,20 @@
     :param max_unprefilled_tokens: prompt tokens waiting for prefill
     :param ceiling: upper bound on ``max_running``, from the pool
     :param kv_tokens: tokens that the KV memory holds; 0: not known
-    :param calm_tokens: tokens in time, seen since the last step
-    :param lowered_ms: when a cap was last lowered
+    :param window_gaps: times between tokens seen in this window
+    :param late_gaps: those of them that were too long
+    :param calm_gaps: short ones seen at the cap since it last changed
+    :param lowered_ms: when ``max_running`` was last lowered; None: never
     """
 
     max_running: int = STARTING_RUNNING
     max_unprefilled_tokens: int = STARTING_UNPREFILLED_TOKENS
     ceiling: int = 64
     kv_tokens: int = 0
-    calm_tokens: int = 0
-    lowered_ms: int = -STEP_DOWN_PAUSE_MS
+    window_gaps: int = 0
+    late_gaps: int = 0
+    calm_gaps: int = 0
+    lowered_ms: int | None = None
 
 
 def active(
@@ -78,65 +92,128 @@
     own = max(0, offer.prompt_tokens - cached)
     if ahead > 0 and ahead + own > room.max_unprefilled_tokens:
         return False
-    return _fits_memory(offer, room, running)
+    return _fits_memory(offer, room, now)
 
 
 def _fits_memory(
     offer: types.Offer,
     room: Room,
-    running: typing.Sequence[types.Running],
+    now: typing.Sequence[types.Running],
 ) -> bool:
-    if room.kv_tokens == 0 or not running:
+    if room.kv_tokens == 0 or not now:
         return True
-    held = sum(one.kv_tokens for one in running)
+    held = sum(one.kv_tokens for one in now)
     return held + offer.prompt_tokens + offer.output_tokens <= room.kv_tokens
 
 
-def observe_token(room: Room, gap_ms: int, running: int, now_ms: int) -> Room:
+def target_ms(speeds: estimate.Speeds, prefilling: bool) -> float:
+    """Returns the longest time between tokens that the caps allow.
+
+    An engine too slow for the usual target, even with one request, gets a
+    target of its own: a cap can't make it faster, only waste it. While it
+    also prefills, a step takes longer whatever the cap.
+
+    :param speeds: learnt speeds of the engine
+    :param prefilling: whether a prompt was prefilled in the same time
+    :return: milliseconds
+    """
+    alone_ms = estimate.decode_ms_per_token(speeds, 1)
+    target = float(BETWEEN_TOKENS_MS)
+    if alone_ms > BETWEEN_TOKENS_MS:
+        target = alone_ms * UNREACHABLE_FACTOR
+    return target * PREFILLING_FACTOR if prefilling else target
+
+
+def observe_gap(
+    room: Room, gap_ms: float, longest_ms: float, running: int, now_ms: int
+) -> Room:
     """Learns from the time between two tokens of one answer.
 
+    Two long ones in a short window lower the cap at once; it rises by one
+    after many short ones, and faster until it was lowered for the first
+    time.
+
     :param room: the caps so far
     :param gap_ms: milliseconds between two tokens
+    :param longest_ms: see :func:`target_ms`
     :param running: requests that ran together
     :param now_ms: the time
     :return: the caps from now on
     """
-    if gap_ms > BETWEEN_TOKENS_MS:
-        if now_ms - room.lowered_ms < STEP_DOWN_PAUSE_MS:
-            return room
-        lowered = max(1, int(min(running, room.max_running) * STEP_DOWN))
-        return dataclasses.replace(
-            room, max_running=lowered, calm_tokens=0, lowered_ms=now_ms
-        )
-    if gap_ms > BETWEEN_TOKENS_MS * COMFORT or running < room.max_running:
-        return room
-    calm = room.calm_tokens + 1
-    if calm < CALM_TOKENS_PER_STEP * room.max_running:
-        return dataclasses.replace(room, calm_tokens=calm)
+    late = room.late_gaps + (gap_ms > longest_ms)
+    if late >= LATE_GAPS:
+        return _lower(room, running, STEP_DOWN, now_ms)
+    calm = room.calm_gaps
+    if running >= room.max_running and gap_ms <= longest_ms * COMFORT:
+        calm += 1
+    window = room.window_gaps + 1
+    if window >= WINDOW_GAPS:
+        window, late = 0, 0
+    first = room.lowered_ms is None
+    needed = (FIRST_CALM_GAPS if first else CALM_GAPS) * room.max_running
+    cap = room.max_running
+    if calm >= needed:
+        calm = 0
+        cap = max(cap + 1, int(cap * FIRST_STEP_UP)) if first else cap + 1
     return dataclasses.replace(
         room,
-        max_running=min(room.ceiling, room.max_running + 1),
-        calm_tokens=0,
+        max_running=min(room.ceiling, cap),
+        window_gaps=window,
+        late_gaps=late,
+        calm_gaps=calm,
     )
 
 
 def observe_first_token(
-    room: Room, wait_ms: int, prompt_tokens: int, ahead_tokens: int
+    room: Room,
+    wait_ms: int,
+    expected_ms: float,
+    unprefilled_tokens: int,
+    running: int,
+    now_ms: int,
 ) -> Room:
     """Learns from the time between dispatch and first token.
 
+    A wait far above what the prompts ahead explain means that the engine
+    let the request queue inside, where tiers count for nothing: it was
+    given more requests than it batches.
+
     :param room: the caps so far
     :param wait_ms: milliseconds to the first token
-    :param prompt_tokens: prompt tokens of the request itself, not cached
-    :param ahead_tokens: unprefilled tokens ahead of it at dispatch
+    :param expected_ms: what the prefill alone should have taken
+    :param unprefilled_tokens: prompt tokens ahead of it and its own
+    :param running: requests that ran together when it was dispatched
+    :param now_ms: the time
     :return: the caps from now on
     """
+    if wait_ms > max(FIRST_TOKEN_MS, expected_ms * QUEUED_FACTOR):
+        lowered = _lower(room, running, QUEUED_STEP_DOWN, now_ms)
+        patience = CALM_GAPS * lowered.max_running * QUEUED_PATIENCE
+        return dataclasses.replace(lowered, calm_gaps=-patience)
     cap = room.max_unprefilled_tokens
-    total = prompt_tokens + ahead_tokens
-    if wait_ms > FIRST_TOKEN_MS and ahead_tokens > 0:
-        reached = int(total * FIRST_TOKEN_MS / wait_ms)
+    if wait_ms > FIRST_TOKEN_MS:
+        reached = int(unprefilled_tokens * FIRST_TOKEN_MS / wait_ms)
         cap = max(MIN_UNPREFILLED_TOKENS, min(cap, reached))
-    elif wait_ms < FIRST_TOKEN_MS * COMFORT and total * 2 > cap:
-        grown = int(cap * TOKEN_STEP_UP) + 1
-        cap = min(MAX_UNPREFILLED_TOKENS, grown)
+    elif wait_ms < FIRST_TOKEN_MS * COMFORT and unprefilled_tokens * 2 > cap:
+        cap = min(MAX_UNPREFILLED_TOKENS, int(cap * TOKEN_STEP_UP) + 1)
     return dataclasses.replace(room, max_unprefilled_tokens=cap)
+
+
+def _lower(room: Room, running: int, factor: float, now_ms: int) -> Room:
+    """Lowers the cap on requests, unless it was just lowered.
+
+    What runs at that moment keeps its pace for a while after a step, and
+    isn't counted against the new cap.
+    """
+    lowered = room.lowered_ms
+    if lowered is not None and now_ms - lowered < STEP_DOWN_PAUSE_MS:
+        return room
+    reached = min(running, room.max_running)
+    return dataclasses.replace(
+        room,
+        max_running=max(1, int(reached * factor)),
+        window_gaps=0,
+        late_gaps=0,
+        calm_gaps=0,
+        lowered_ms=now_ms,
+    )
