Add the operators' HTTP API and commands

Cause: nobody could publish, look at or drain anything yet. Conclusion: complete but for audit and replay, which are not there yet.

--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -48,6 +48,14 @@
     1401, logging.INFO, "a configuration is in force"
 )
 
+OPERATOR_REFUSED = Event(
+    1411, logging.WARNING, "a request of an operator was refused"
+)
+OPERATOR_ACTED = Event(1412, logging.INFO, "an operator changed something")
+OPERATOR_CALL_FAILED = Event(
+    1413, logging.ERROR, "a request of an operator failed by our error"
+)
+
 
 def log(event: Event, **fields: typing.Any) -> None:
     """Writes one event with its fields.
--- a/godwitloft/metrics.py
+++ b/godwitloft/metrics.py
@@ -22,6 +22,7 @@
     :param refusals: requests refused, by ``reason`` and ``tier``
     :param retries: calls tried again, by ``reason``
     :param outcomes: requests ended, by ``outcome`` and ``tier``
+    :param operator_refusals: operators' requests refused, by ``reason``
     :param dropped_messages: link messages ignored, by ``reason``
     :param wait_ms: from acceptance to dispatch
     :param first_token_ms: from acceptance to the first chunk
@@ -31,6 +32,7 @@
     refusals: metrics.Counter
     retries: metrics.Counter
     outcomes: metrics.Counter
+    operator_refusals: metrics.Counter
     dropped_messages: metrics.Counter
     wait_ms: metrics.Histogram
     first_token_ms: metrics.Histogram
@@ -60,6 +62,7 @@
         refusals=counter("refusals"),
         retries=counter("retries"),
         outcomes=counter("outcomes"),
+        operator_refusals=counter("operator_refusals"),
         dropped_messages=counter("dropped_messages"),
         wait_ms=histogram("wait", WAIT_BUCKETS_MS),
         first_token_ms=histogram("first_token", WAIT_BUCKETS_MS),
--- /dev/null
+++ b/godwitloft/ui/client.py
@@ -0,0 +1,282 @@
+"""Talks to the operators' HTTP API of an entry.
+
+Every call may be sent again: reads change nothing, draining twice is
+draining once, and a publish carries an id under which it is accepted at most
+once. So a call whose answer is lost goes on to the next entry.
+"""
+
+import dataclasses
+import typing
+import urllib.parse
+
+from twisted.internet import defer
+from twisted.internet import error as internet_errors
+from twisted.internet import task
+from twisted.web import client as web_client
+from twisted.web import http
+
+from godwitloft import decode
+from godwitloft import operator_port
+from godwitloft.coordination import publish
+from godwitloft.objects import canonical
+from godwitloft.objects import errors as objects_errors
+from godwitloft.objects import parse
+from godwitloft.objects import types
+from godwitloft.ui import errors
+from godwitloft.ui import session as sessions
+
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+FIRST_PROGRESS_S = 1
+PROGRESS_INTERVAL_S = 5
+ANSWERS_OF_PUBLISH = (http.OK, http.CONFLICT, 422)
+
+UNREACHABLE_ERRORS = (
+    internet_errors.ConnectError,
+    internet_errors.ConnectionClosed,
+    internet_errors.TimeoutError,
+    web_client.RequestNotSent,
+    web_client.ResponseFailed,
+    web_client.RequestTransmissionFailed,
+    defer.CancelledError,
+    OSError,
+)
+EXIT_CODES: typing.Mapping[int, errors.ExitCode] = {
+    http.NOT_FOUND: errors.ExitCode.PROBLEMS,
+    422: errors.ExitCode.PROBLEMS,
+    http.CONFLICT: errors.ExitCode.CONFLICT,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Connection:
+    """Where and as whom a command talks.
+
+    :param servers: URLs of entries, tried in turn
+    :param token: bearer token
+    :param timeout_s: for each call, in seconds
+    """
+
+    servers: tuple[str, ...]
+    token: str
+    timeout_s: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """One call of the API.
+
+    :param method: HTTP method
+    :param path: below ``/operator/``
+    :param kind: data class of the answer
+    :param query: parameters
+    :param body: data class of the body, or None
+    :param answers: HTTP status codes whose body is an answer
+    """
+
+    method: str
+    path: str
+    kind: typing.Any
+    query: typing.Mapping[str, int] = dataclasses.field(default_factory=dict)
+    body: object = None
+    answers: tuple[int, ...] = (http.OK,)
+
+
+class _NextServer(errors.CommandError):
+    """This entry can't answer; another may."""
+
+
+async def read_snapshot(
+    connection: Connection, session: sessions.Session, generation: int = 0
+) -> tuple[publish.Head, types.ObjectSet]:
+    """Reads one generation of the configuration.
+
+    :param connection: where and as whom
+    :param session: the world around the command
+    :param generation: which; 0: the accepted one
+    :return: its head and its objects
+    """
+    answer = await send(
+        connection,
+        session,
+        Call(
+            "GET",
+            "snapshot",
+            operator_port.SnapshotAnswer,
+            query={"generation": generation},
+        ),
+    )
+    where = f"generation {answer.head.generation}"
+    try:
+        return answer.head, parse.from_value(answer.objects, where)
+    except objects_errors.ObjectsError as error:
+        raise errors.CommandError(
+            f"the entry's answer: {error}", errors.ExitCode.UNREACHABLE
+        ) from error
+
+
+async def send_publish(
+    connection: Connection,
+    session: sessions.Session,
+    objects: types.ObjectSet,
+    base_generation: int,
+    reason: str,
+    publish_id: str,
+) -> operator_port.PublishAnswer:
+    """Publishes a whole set.
+
+    :param connection: where and as whom
+    :param session: the world around the command
+    :param objects: the set
+    :param base_generation: generation that it started from
+    :param reason: why
+    :param publish_id: unique to this intent
+    :return: what became of it
+    """
+    body = operator_port.PublishBody(
+        objects=canonical.to_plain(objects),
+        base_generation=base_generation,
+        reason=reason,
+        publish_id=publish_id,
+    )
+    call = Call(
+        "POST",
+        "publish",
+        operator_port.PublishAnswer,
+        body=body,
+        answers=ANSWERS_OF_PUBLISH,
+    )
+    try:
+        return await send(connection, session, call)
+    except errors.CommandError as error:
+        if error.code is not errors.ExitCode.UNREACHABLE:
+            raise
+        raise errors.CommandError(
+            f"{error}\nIt may have been accepted. Run the command again with"
+            f" --publish-id {publish_id}; it is not accepted twice.",
+            error.code,
+        ) from error
+
+
+async def send(
+    connection: Connection, session: sessions.Session, call: Call
+) -> typing.Any:
+    """Sends a call to the first entry that answers.
+
+    :param connection: where and as whom
+    :param session: the world around the command
+    :param call: what to send
+    :return: the decoded answer
+    :raises errors.CommandError: when it is refused or none can be reached
+    """
+    failures = []
+    for server in connection.servers:
+        progress = _Progress(session, f"waiting for {server}")
+        try:
+            return await _send_to(server, connection, session, call)
+        except _NextServer as error:
+            failures.append(f"{server}: {error}")
+        finally:
+            progress.stop()
+    raise errors.CommandError("; ".join(failures), errors.ExitCode.UNREACHABLE)
+
+
+async def _send_to(
+    server: str,
+    connection: Connection,
+    session: sessions.Session,
+    call: Call,
+) -> typing.Any:
+    headers = {"Authorization": f"Bearer {connection.token}"}
+    data = None
+    if call.body is not None:
+        headers["Content-Type"] = "application/json"
+        data = canonical.encode_value(call.body).encode("ascii")
+    try:
+        response = await session.http.request(
+            call.method,
+            f"{server}/operator/{call.path}",
+            params=dict(call.query),
+            headers=headers,
+            data=data,
+            timeout=connection.timeout_s,
+        )
+        content = await _collect(session, response)
+    except UNREACHABLE_ERRORS as error:
+        reason = _describe(error)
+        raise _NextServer(reason, errors.ExitCode.UNREACHABLE) from error
+    return _decode(call, response.code, content)
+
+
+async def _collect(session: sessions.Session, response: typing.Any) -> bytes:
+    content = bytearray()
+
+    def keep(data: bytes) -> None:
+        # One byte above the limit is enough to tell that it is too long.
+        content.extend(data[: MAX_ANSWER_BYTES + 1 - len(content)])
+
+    await session.http.collect(response, keep)
+    return bytes(content)
+
+
+def _decode(call: Call, status: int, content: bytes) -> typing.Any:
+    try:
+        value = decode.parse_json(content, "answer", MAX_ANSWER_BYTES)
+        refused = isinstance(value, dict) and "error" in value
+        if status in call.answers and not refused:
+            return decode.decode(call.kind, value, "answer")
+        answer = decode.decode(operator_port.RefusalAnswer, value, "answer")
+    except decode.DecodeError as error:
+        raise _NextServer(
+            f"HTTP status {status}: {error}", errors.ExitCode.UNREACHABLE
+        ) from error
+    refusal = answer.error
+    if status >= http.INTERNAL_SERVER_ERROR:
+        raise _NextServer(
+            f"{refusal.reason}: {refusal.message}",
+            errors.ExitCode.UNREACHABLE,
+        )
+    raise errors.CommandError(
+        f"{refusal.reason}: {refusal.message}",
+        EXIT_CODES.get(status, errors.ExitCode.USAGE),
+    )
+
+
+def _describe(error: BaseException) -> str:
+    if isinstance(error, defer.CancelledError):
+        return "no answer in time"
+    return str(error) or type(error).__name__
+
+
+def quote(name: str) -> str:
+    """Returns a name as part of a path.
+
+    :param name: of an instance or a request
+    :return: the name with unsafe characters encoded
+    """
+    return urllib.parse.quote(name, safe="")
+
+
+class _Progress:
+    # Tells, after a second, what a command waits for.
+
+    def __init__(self, session: sessions.Session, what: str) -> None:
+        self.session = session
+        self.what = what
+        self.waited_s = 0
+        self.call = task.LoopingCall(self.show)
+        self.call.clock = session.scheduler
+        self.start = session.scheduler.callLater(
+            FIRST_PROGRESS_S, self.call.start, PROGRESS_INTERVAL_S
+        )
+
+    def show(self) -> None:
+        self.waited_s += (
+            PROGRESS_INTERVAL_S if self.waited_s else FIRST_PROGRESS_S
+        )
+        self.session.note(f"{self.what}: {self.waited_s} s")
+
+    def stop(self) -> None:
+        if self.start.active():
+            self.start.cancel()
+        if self.call.running:
+            self.call.stop()
--- /dev/null
+++ b/godwitloft/ui/history.py
@@ -0,0 +1,47 @@
+"""``godwitloft history``: tells who published what, when and why."""
+
+import dataclasses
+import typing
+
+import cappa
+
+from godwitloft import operator_http
+from godwitloft import operator_port
+from godwitloft.ui import client
+from godwitloft.ui import options
+from godwitloft.ui import report
+from godwitloft.ui import session as sessions
+
+
+@cappa.command(name="history", help="Tell who published what and why.")
+@dataclasses.dataclass(kw_only=True)
+class History(options.Online):
+    """Arguments of the command."""
+
+    count: typing.Annotated[
+        int, cappa.Arg(long=True, help="How many, newest first.")
+    ] = operator_http.DEFAULT_HISTORY
+    before: typing.Annotated[
+        int,
+        cappa.Arg(long=True, help="Only generations below; 0: the newest."),
+    ] = 0
+
+
+async def run(command: History, session: sessions.Session) -> report.Report:
+    """Reads the history.
+
+    :param command: its arguments
+    :param session: the world around it
+    :return: the heads
+    """
+    answer = await client.send(
+        options.connect(command, session),
+        session,
+        client.Call(
+            "GET",
+            "history",
+            operator_port.HistoryAnswer,
+            query={"count": command.count, "before": command.before},
+        ),
+    )
+    return report.Report(answer.heads, report.head_table(answer.heads))
--- /dev/null
+++ b/godwitloft/ui/options.py
@@ -0,0 +1,139 @@
+"""Options that several commands share."""
+
+import dataclasses
+import pathlib
+import typing
+import urllib.parse
+
+import cappa
+
+from godwitloft import defaults
+from godwitloft.ui import client
+from godwitloft.ui import errors
+from godwitloft.ui import session as sessions
+
+SERVER_VARIABLE = "GODWITLOFT_SERVER"
+TOKEN_VARIABLE = "GODWITLOFT_TOKEN"
+MAX_TOKEN_BYTES = 4096
+
+
+@dataclasses.dataclass(kw_only=True)
+class Printing:
+    """Options of every command."""
+
+    json: typing.Annotated[
+        bool, cappa.Arg(long=True, help="Print JSON instead of text.")
+    ] = False
+
+
+@dataclasses.dataclass(kw_only=True)
+class Online(Printing):
+    """Options of commands that talk to an entry."""
+
+    server: typing.Annotated[
+        list[str],
+        cappa.Arg(
+            long=True,
+            help="URL of an entry's operator port; given several times, the"
+            f" next is tried when one can't be reached. Else {SERVER_VARIABLE}"
+            ", separated by commas.",
+        ),
+    ] = dataclasses.field(default_factory=list)
+    token_file: typing.Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            help=f"File that holds the bearer token. Else {TOKEN_VARIABLE}.",
+        ),
+    ] = ""
+    timeout: typing.Annotated[
+        int, cappa.Arg(long=True, help="Seconds to wait for an answer.")
+    ] = defaults.OPERATOR_TIMEOUT_MS // 1000
+
+
+@dataclasses.dataclass(kw_only=True)
+class Changing(Online):
+    """Options of commands that publish."""
+
+    reason: typing.Annotated[
+        str,
+        cappa.Arg(long=True, help="Why; it stands in the history."),
+    ]
+    publish_id: typing.Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            help="Id of an earlier attempt whose outcome is not known; it is"
+            " not accepted twice.",
+        ),
+    ] = ""
+    dry_run: typing.Annotated[
+        bool,
+        cappa.Arg(long=True, help="Only show what would change."),
+    ] = False
+
+
+def connect(command: Online, session: sessions.Session) -> client.Connection:
+    """Returns where and as whom a command talks.
+
+    :param command: its options
+    :param session: the world around it
+    :return: the connection's parts; nothing is sent yet
+    :raises errors.CommandError: when an address or the token is missing
+    """
+    listed = session.environment.get(SERVER_VARIABLE, "").split(",")
+    servers = command.server or [one.strip() for one in listed if one.strip()]
+    if not servers:
+        raise errors.CommandError(
+            f"no entry is named: give --server or set {SERVER_VARIABLE}",
+            errors.ExitCode.USAGE,
+        )
+    for one in servers:
+        _check_url(one)
+    if command.timeout < 1:
+        raise errors.CommandError(
+            f"option --timeout: {command.timeout} is below 1",
+            errors.ExitCode.USAGE,
+        )
+    return client.Connection(
+        servers=tuple(one.rstrip("/") for one in servers),
+        token=_read_token(command, session),
+        timeout_s=command.timeout,
+    )
+
+
+def _check_url(server: str) -> None:
+    try:
+        parts = urllib.parse.urlsplit(server)
+        usable = parts.scheme in ("http", "https") and bool(parts.hostname)
+        usable = usable and parts.port != 0
+    except ValueError:
+        usable = False
+    if not usable:
+        raise errors.CommandError(
+            f"option --server: {server!r} is no URL such as"
+            " http://127.0.0.1:21002",
+            errors.ExitCode.USAGE,
+        )
+
+
+def _read_token(command: Online, session: sessions.Session) -> str:
+    if not command.token_file:
+        token = session.environment.get(TOKEN_VARIABLE, "")
+    else:
+        try:
+            with pathlib.Path(command.token_file).open("rb") as stream:
+                content = stream.read(MAX_TOKEN_BYTES)
+        except OSError as error:
+            raise errors.CommandError(
+                f"{command.token_file}: {error.strerror}",
+                errors.ExitCode.USAGE,
+            ) from error
+        token = content.decode("ascii", "replace")
+    token = token.strip()
+    if not token or not token.isascii() or not token.isprintable():
+        raise errors.CommandError(
+            "no usable token: give --token-file or set " + TOKEN_VARIABLE,
+            errors.ExitCode.USAGE,
+        )
+    return token
--- /dev/null
+++ b/godwitloft/ui/publish.py
@@ -0,0 +1,156 @@
+"""``godwitloft publish``: puts files of objects in force."""
+
+import dataclasses
+import typing
+
+import cappa
+
+from godwitloft import operator_port
+from godwitloft.objects import check
+from godwitloft.objects import diff
+from godwitloft.objects import parse
+from godwitloft.objects import types
+from godwitloft.ui import check as check_command
+from godwitloft.ui import client
+from godwitloft.ui import errors
+from godwitloft.ui import options
+from godwitloft.ui import report
+from godwitloft.ui import session as sessions
+
+
+@cappa.command(name="publish", help="Put files of objects in force.")
+@dataclasses.dataclass(kw_only=True)
+class Publish(options.Changing):
+    """Arguments of the command."""
+
+    paths: check_command.Paths
+    base: typing.Annotated[
+        int | None,
+        cappa.Arg(
+            long=True,
+            help="Generation that the files started from: what others changed"
+            " since is kept. Else the accepted one, and nothing may be"
+            " removed.",
+        ),
+    ] = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Planned:
+    """What ``--dry-run`` prints.
+
+    :param base_generation: generation compared with
+    :param changes: what publishing would change
+    """
+
+    base_generation: int
+    changes: tuple[diff.ObjectChange, ...]
+
+
+async def run(command: Publish, session: sessions.Session) -> report.Report:
+    """Publishes the files.
+
+    :param command: its arguments
+    :param session: the world around it
+    :return: what became of it
+    """
+    objects = parse.from_files(command.paths)
+    problems = check.check(objects)
+    if problems:
+        return check_command.problem_report(problems)
+    connection = options.connect(command, session)
+    head, base = await client.read_snapshot(
+        connection, session, command.base or 0
+    )
+    if command.base == 0:
+        head, base = dataclasses.replace(head, generation=0), types.ObjectSet()
+    changes = diff.diff(base, objects)
+    if command.base is None and not command.dry_run:
+        _refuse_removal(changes, head.generation)
+    return await submit(command, session, objects, head.generation, changes)
+
+
+async def submit(
+    command: options.Changing,
+    session: sessions.Session,
+    objects: types.ObjectSet,
+    base_generation: int,
+    changes: tuple[diff.ObjectChange, ...],
+) -> report.Report:
+    """Publishes a set unless this is a dry run.
+
+    :param command: its options
+    :param session: the world around it
+    :param objects: the checked set
+    :param base_generation: generation that it started from
+    :param changes: since that generation
+    :return: what became of it
+    """
+    if command.dry_run:
+        return report.Report(
+            Planned(base_generation, changes),
+            (
+                *report.change_lines(changes),
+                f"{len(changes)} objects differ from generation"
+                f" {base_generation}; nothing was published",
+            ),
+        )
+    answer = await client.send_publish(
+        options.connect(command, session),
+        session,
+        objects,
+        base_generation,
+        command.reason,
+        command.publish_id or session.new_id(),
+    )
+    return _show(answer, changes)
+
+
+def _refuse_removal(
+    changes: tuple[diff.ObjectChange, ...], generation: int
+) -> None:
+    removed = [
+        f"{change.kind}/{change.object}"
+        for change in changes
+        if change.action is diff.Action.REMOVED
+    ]
+    if removed:
+        raise errors.CommandError(
+            f"the files lack {', '.join(removed)} of generation {generation};"
+            f" give --base {generation} to remove them, or --base with the"
+            " generation that the files started from",
+            errors.ExitCode.CONFLICT,
+        )
+
+
+def _show(
+    answer: operator_port.PublishAnswer,
+    changes: tuple[diff.ObjectChange, ...],
+) -> report.Report:
+    generation = answer.head.generation
+    if answer.outcome == "rejected":
+        shown = check_command.problem_report(answer.problems)
+        return dataclasses.replace(shown, value=answer)
+    if answer.outcome == "conflicting":
+        lines = tuple(
+            f"{parse.singular(one.kind)}/{one.name} was changed in generation"
+            f" {one.head.generation} by {one.head.author}: {one.head.reason}"
+            for one in answer.theirs
+        )
+        return report.Report(
+            answer,
+            (*lines, f"nothing was published; in force is {generation}"),
+            errors.ExitCode.CONFLICT,
+        )
+    if answer.outcome == "unchanged":
+        return report.Report(
+            answer, (f"generation {generation} holds all of this already",)
+        )
+    rebased = ", with what others changed since" if answer.rebased else ""
+    return report.Report(
+        answer,
+        (
+            *report.change_lines(changes),
+            f"generation {generation} was accepted{rebased}",
+        ),
+    )
