Add the platform in memory, over HTTP, and its stand-in server

Cause: publishing, leases and claims need a store whose outages, slowness, lost answers and stale list can be brought about. Change: platform/memory.py holds tables with compare-and-set and time to live, objects, the lagging instance list and the rate limits, and offers them as the port; platform/http.py reaches the same over HTTP by treq, with time limits; godwitloft-standin platform serves it. The port gains InvalidCall, size limits and announce_instance (by default it does nothing, for platforms that know their instances themselves); row versions never come back. clock.reactor_clock gives the time of a reactor. Conclusion: one port, two adapters, the same answers.

--- /dev/null
+++ b/features/platform.feature
@@ -0,0 +1,63 @@
+Feature: The platform's service, in memory and over HTTP
+
+  # A script is "call arguments = result; ...". Every script runs on both
+  # adapters; time is driven.
+  Scenario Outline: What the calls return
+    When on a platform "<script>" is called, each result is as stated
+
+    Examples: rows change by compare-and-set
+      | script |
+      | read k = none; write k a 0 = swapped 1; read k = a 1; write k b 0 = conflict a 1; write k b 1 = swapped 2; read k = b 2 |
+      | write k a 7 = conflict none; delete k 1 = conflict none; read k = none |
+      | write k a 0 = swapped 1; delete k 2 = conflict a 1; delete k 1 = swapped 1; read k = none; write k a 1 = conflict none; write k a 0 = swapped 2 |
+      | write k a 0 500 = swapped 1; wait 499; read k = a 1; wait 1; read k = none; write k b 1 = conflict none; write k b 0 = swapped 2 |
+      | write p/2 b 0 = swapped 1; write p/1 a 0 = swapped 2; write q%2F c 0 = swapped 3; list p = p/1 p/2; list - = p/1 p/2 q%2F; read q%2F = c 3; read q/ = none |
+      | write k long 0 = invalid; read k = none |
+
+    Examples: objects, instances and weights
+      | script |
+      | get o = none; put o x = ok; get o = x; put o x = ok; put o y = invalid; get o = x |
+      | announce e1 1000 = ok; announce a1 2000 = ok; instances = a1 e1; wait 1000; instances = a1 |
+      | announce e1 900 = ok; wait 800; announce e1 900 = ok; wait 800; instances = e1; wait 100; instances = - |
+      | announce e1 900 = ok; announce e1 900 leaving = ok; instances = e1! |
+      | weights w = ok; weights w = ok; weights w = limited; wait 500; weights w = ok |
+
+    Examples: outages, slowness and lost answers
+      | script |
+      | faults {"outage":"refuse"}; write k a 0 = unavailable; read k = unavailable; faults {}; read k = none |
+      | faults {"outage":"hang"}; write k a 0 = lost; read k = unavailable; faults {}; read k = none |
+      | faults {"lose_answers":1}; write k a 0 = lost; read k = a 1; write k b 1 = swapped 2 |
+      | faults {"lose_answers":1}; put o x = lost; get o = x; weights w = ok |
+      | faults {"delay_ms":3000}; write k a 0 = lost; faults {}; read k = none; wait 1000; read k = a 1 |
+      | faults {"delay_ms":3000}; write k a 0 = lost; faults {}; write k b 0 = swapped 1; wait 1000; read k = b 1 |
+      | faults {"delay_ms":1000}; write k a 0 = swapped 1; read k = a 1 |
+      | announce e1 9000 = ok; faults {"list_lag_ms":2000}; instances = -; wait 2000; instances = e1; announce e1 9000 leaving = ok; instances = e1; wait 2000; instances = e1! |
+      | announce e1 900 = ok; faults {"list_lag_ms":2000}; wait 2500; instances = e1; wait 400; instances = - |
+
+  Scenario Outline: Calls above the platform's rate are refused without effect
+    When <reads> reads and <writes> writes are made on a platform at once
+    Then <refused> of them are refused for their rate
+
+    Examples:
+      | reads | writes | refused |
+      | 2000 | 300 | 0 |
+      | 2001 | 300 | 1 |
+      | 2000 | 310 | 10 |
+
+  Scenario: Both adapters agree with a naive table on random calls
+    Then random calls with lost answers and outages leave both adapters as a plain dictionary has it
+
+  Scenario Outline: What a failed connection means for a call
+    Then a <call> whose connection fails with <reason> ends as <outcome>
+
+    Examples:
+      | call | reason | outcome |
+      | write | ConnectionRefusedError | StoreUnavailable |
+      | write | TimeoutError | StoreUnavailable |
+      | write | ConnectionLost | AnswerLost |
+      | write | 500 | AnswerLost |
+      | write | 404 | InvalidCall |
+      | write | 401 | InvalidCall |
+      | read | ConnectionRefusedError | StoreUnavailable |
+      | read | ConnectionLost | StoreUnavailable |
+      | read | 500 | StoreUnavailable |
--- a/godwitloft/clock.py
+++ b/godwitloft/clock.py
@@ -4,6 +4,8 @@
 import time
 import typing
 
+from twisted.internet import interfaces
+
 MS_PER_S = 1000
 
 
@@ -34,6 +36,19 @@
     )
 
 
+def reactor_clock(reactor: interfaces.IReactorTime) -> Clock:
+    """Returns the clock of a reactor, or of a driven stand-in for one.
+
+    :param reactor: what also runs the timers
+    :return: a clock over the reactor's time
+    """
+
+    def now_ms() -> int:
+        return round(reactor.seconds() * MS_PER_S)
+
+    return Clock(monotonic_ms=now_ms, wall_ms=now_ms)
+
+
 class ManualClock:
     """A time that only moves when told to.
 
--- /dev/null
+++ b/godwitloft/platform/http.py
@@ -0,0 +1,338 @@
+"""Reaches the platform's service over HTTP.
+
+A call that gets no answer in time may have taken effect when it was a
+write that had been sent; it then fails with ``AnswerLost``.
+"""
+
+import base64
+import dataclasses
+import json
+import typing
+import urllib.parse
+
+import treq
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.internet import interfaces
+from twisted.python import failure
+from twisted.web import client
+
+from godwitloft import decode
+from godwitloft import errors
+from godwitloft.platform import port
+
+MS_PER_S = 1000
+DEFAULT_TIMEOUT_MS = 2000
+MAX_CONNECTIONS = 8
+IDLE_CONNECTION_S = 20
+MAX_ANSWER_BYTES = 2 * port.MAX_OBJECT_BYTES
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+STATUS_CONFLICT = 412
+STATUS_RATE_LIMITED = 429
+STATUS_SERVER_ERROR = 500
+STATUS_UNAVAILABLE = 503
+TIME_TO_LIVE_HEADER = "X-Time-To-Live-Ms"
+EXPECTED = (STATUS_OK, STATUS_CONFLICT)
+NOT_SENT = (
+    error.ConnectError,
+    error.DNSLookupError,
+    error.ConnectingCancelledError,
+)
+"""Errors that come before anything was sent."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """A whole HTTP answer.
+
+    :param status: HTTP status
+    :param version: the row's version, 0 when there is none
+    :param content: the body
+    """
+
+    status: int
+    version: int
+    content: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class ListedRow:
+    """A row in the listing of a table.
+
+    :param key: key inside the table
+    :param value: its content in base 64
+    :param version: its version
+    """
+
+    key: str
+    value: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Listing:
+    """The answer to a listing of a table.
+
+    :param rows: in the order of their keys
+    """
+
+    rows: tuple[ListedRow, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class InstanceListing:
+    """The answer to a listing of instances.
+
+    :param instances: by name
+    """
+
+    instances: tuple[port.Instance, ...]
+
+
+Send = typing.Callable[
+    [str, str, dict[str, str], bytes], defer.Deferred[Answer]
+]
+
+
+def platform(
+    url: str,
+    reactor: typing.Any,
+    timeout_ms: float = DEFAULT_TIMEOUT_MS,
+    requester: typing.Any = None,
+) -> port.Platform:
+    """Offers the service at a URL as the port.
+
+    :param url: where the service is, without a final slash
+    :param reactor: makes connections and gives timers
+    :param timeout_ms: how long to wait for a whole answer
+    :param requester: what sends requests in place of treq, for tests
+    :return: the port
+    """
+    http = requester or treq.client.HTTPClient(_agent(reactor))
+    send = _sender(http, url, reactor, timeout_ms)
+    return port.Platform(
+        read_row=lambda table, key: _read_row(send, table, key),
+        write_row=lambda *arguments: _write_row(send, *arguments),
+        delete_row=lambda *arguments: _delete_row(send, *arguments),
+        list_rows=lambda table, prefix: _list_rows(send, table, prefix),
+        read_object=lambda name: _read_object(send, name),
+        write_object=lambda name, content: _write_object(send, name, content),
+        list_instances=lambda: _list_instances(send),
+        read_weights=lambda name: _read_weights(send, name),
+        announce_instance=lambda instance, life_ms: _announce(
+            send, instance, life_ms
+        ),
+    )
+
+
+def _agent(reactor: typing.Any) -> client.Agent:
+    pool = client.HTTPConnectionPool(reactor)
+    pool.maxPersistentPerHost = MAX_CONNECTIONS
+    pool.cachedConnectionTimeout = IDLE_CONNECTION_S
+    # A DELETE that is sent again by itself could hide that the first one
+    # took effect.
+    pool.retryAutomatically = False
+    return client.Agent(reactor, pool=pool)
+
+
+def _sender(
+    http: typing.Any,
+    url: str,
+    reactor: interfaces.IReactorTime,
+    timeout_ms: float,
+) -> Send:
+    def send(
+        method: str, path: str, headers: dict[str, str], body: bytes
+    ) -> defer.Deferred[Answer]:
+        is_write = method != "GET" or path.startswith("/weights/")
+        answer = defer.ensureDeferred(_request(method, path, headers, body))
+        answer.addTimeout(timeout_ms / MS_PER_S, reactor)
+        answer.addErrback(_translate, f"{method} {path}", is_write)
+        answer.addCallback(_check_status, f"{method} {path}", is_write)
+        return answer
+
+    async def _request(
+        method: str, path: str, headers: dict[str, str], body: bytes
+    ) -> Answer:
+        response = await http.request(
+            method, url + path, headers=headers, data=body or None
+        )
+        if _length(response) > MAX_ANSWER_BYTES:
+            raise port.InvalidCall(f"{method} {path}: the answer is too long")
+        content = await response.content()
+        tags = response.headers.getRawHeaders("ETag", [""])
+        tag = tags[0].strip('"')
+        version = int(tag) if tag.isdigit() else 0
+        return Answer(response.code, version, content)
+
+    return send
+
+
+def _length(response: typing.Any) -> int:
+    return response.length if isinstance(response.length, int) else 0
+
+
+def _translate(
+    reason: failure.Failure, call: str, is_write: bool
+) -> typing.NoReturn:
+    if reason.check(errors.GodwitloftError):
+        reason.raiseException()
+    kind = type(reason.value).__name__
+    message = f"{call}: {kind}: {reason.getErrorMessage()}"
+    if is_write and not reason.check(*NOT_SENT):
+        raise port.AnswerLost(message) from reason.value
+    raise port.StoreUnavailable(message) from reason.value
+
+
+def _check_status(answer: Answer, call: str, is_write: bool) -> Answer:
+    message = f"{call}: status {answer.status}"
+    if answer.status in EXPECTED:
+        return answer
+    if answer.status == STATUS_NOT_FOUND and not is_write:
+        return answer
+    if answer.status == STATUS_RATE_LIMITED:
+        raise port.RateLimited(message)
+    if answer.status == STATUS_UNAVAILABLE:
+        raise port.StoreUnavailable(message)
+    if answer.status < STATUS_SERVER_ERROR:
+        raise port.InvalidCall(f"{message}: {answer.content[:200]!r}")
+    if is_write:
+        raise port.AnswerLost(message)
+    raise port.StoreUnavailable(message)
+
+
+def _path(*names: str) -> str:
+    """Returns a path whose segments are names.
+
+    Names are quoted twice, since servers undo one quoting before they look
+    for the slashes between segments.
+    """
+    return "".join("/" + _quote(_quote(name)) for name in names)
+
+
+def _quote(text: str) -> str:
+    return urllib.parse.quote(text, safe="")
+
+
+def _read_row(
+    send: Send, table: str, key: str
+) -> defer.Deferred[port.Row | None]:
+    def read(answer: Answer) -> port.Row | None:
+        if answer.status == STATUS_NOT_FOUND:
+            return None
+        return port.Row(key, answer.content, answer.version)
+
+    return send("GET", _path("tables", table, key), {}, b"").addCallback(read)
+
+
+def _write_row(
+    send: Send,
+    table: str,
+    key: str,
+    value: bytes,
+    version: int,
+    time_to_live_ms: int | None,
+) -> defer.Deferred[port.Swapped | port.Conflict]:
+    headers = _condition(version)
+    if time_to_live_ms is not None:
+        headers[TIME_TO_LIVE_HEADER] = str(time_to_live_ms)
+
+    def read(answer: Answer) -> port.Swapped | port.Conflict:
+        if answer.status == STATUS_CONFLICT:
+            return _conflict(key, answer)
+        return port.Swapped(port.Row(key, value, answer.version))
+
+    return send(
+        "PUT", _path("tables", table, key), headers, value
+    ).addCallback(read)
+
+
+def _delete_row(
+    send: Send, table: str, key: str, version: int
+) -> defer.Deferred[port.Swapped | port.Conflict]:
+    def read(answer: Answer) -> port.Swapped | port.Conflict:
+        if answer.status == STATUS_CONFLICT:
+            return _conflict(key, answer)
+        return port.Swapped(port.Row(key, answer.content, answer.version))
+
+    return send(
+        "DELETE", _path("tables", table, key), _condition(version), b""
+    ).addCallback(read)
+
+
+def _condition(version: int) -> dict[str, str]:
+    if version == 0:
+        return {"If-None-Match": "*"}
+    return {"If-Match": f'"{version}"'}
+
+
+def _conflict(key: str, answer: Answer) -> port.Conflict:
+    if answer.version == 0:
+        return port.Conflict(None)
+    return port.Conflict(port.Row(key, answer.content, answer.version))
+
+
+def _list_rows(
+    send: Send, table: str, prefix: str
+) -> defer.Deferred[tuple[port.Row, ...]]:
+    path = f"{_path('tables', table)}?prefix={_quote(prefix)}"
+
+    def read(answer: Answer) -> tuple[port.Row, ...]:
+        listing = _decode(Listing, answer, path)
+        return tuple(
+            port.Row(row.key, base64.b64decode(row.value), row.version)
+            for row in listing.rows
+        )
+
+    return send("GET", path, {}, b"").addCallback(read)
+
+
+def _read_object(send: Send, name: str) -> defer.Deferred[bytes | None]:
+    def read(answer: Answer) -> bytes | None:
+        found = answer.status != STATUS_NOT_FOUND
+        return answer.content if found else None
+
+    return send("GET", _path("objects", name), {}, b"").addCallback(read)
+
+
+def _write_object(
+    send: Send, name: str, content: bytes
+) -> defer.Deferred[None]:
+    return send("PUT", _path("objects", name), {}, content).addCallback(_none)
+
+
+def _list_instances(send: Send) -> defer.Deferred[tuple[port.Instance, ...]]:
+    path = _path("instances")
+
+    def read(answer: Answer) -> tuple[port.Instance, ...]:
+        found: InstanceListing = _decode(InstanceListing, answer, path)
+        return found.instances
+
+    return send("GET", path, {}, b"").addCallback(read)
+
+
+def _read_weights(send: Send, name: str) -> defer.Deferred[None]:
+    return send("GET", _path("weights", name), {}, b"").addCallback(_none)
+
+
+def _announce(
+    send: Send, instance: port.Instance, time_to_live_ms: int
+) -> defer.Deferred[None]:
+    return send(
+        "PUT",
+        _path("instances", instance.name),
+        {TIME_TO_LIVE_HEADER: str(time_to_live_ms)},
+        json.dumps(dataclasses.asdict(instance)).encode(),
+    ).addCallback(_none)
+
+
+def _none(_: Answer) -> None:
+    return None
+
+
+def _decode(kind: typing.Any, answer: Answer, path: str) -> typing.Any:
+    try:
+        return decode.decode(kind, json.loads(answer.content), path)
+    except (ValueError, decode.DecodeError) as error:
+        raise port.StoreUnavailable(f"{path}: {error}") from error
--- /dev/null
+++ b/godwitloft/platform/memory.py
@@ -0,0 +1,342 @@
+"""A platform in memory: the embedded default, and the stand-in's core.
+
+:class:`Store` holds everything and answers at once. :func:`platform` offers
+it as the port, with the faults that an injector decides on.
+"""
+
+import dataclasses
+import typing
+
+from twisted.internet import defer
+from twisted.internet import interfaces
+
+from godwitloft import clock as clocks
+from godwitloft.platform import faults
+from godwitloft.platform import port
+from godwitloft.platform import rate
+
+MS_PER_S = 1000
+DEFAULT_TIMEOUT_MS = 2000
+MAX_LIST_LAG_MS = 120_000
+
+
+@dataclasses.dataclass(frozen=True)
+class StoreSettings:
+    """How many calls the platform takes; 0 stands for no limit.
+
+    :param reads_per_s: reads a second of tables, objects and lists together
+    :param writes_per_s: writes a second
+    :param weights_per_s: loads a second that the weight store permits
+    """
+
+    reads_per_s: float = 2000.0
+    writes_per_s: float = 300.0
+    weights_per_s: float = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class StoredRow:
+    """A row and when it ends.
+
+    :param row: the row
+    :param expires_ms: when it is gone, None for never
+    """
+
+    row: port.Row
+    expires_ms: float | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Announcement:
+    """What an instance said of itself.
+
+    :param instance: the instance
+    :param since_ms: when it first said so
+    :param expires_ms: when it leaves the list unless it says so again
+    """
+
+    instance: port.Instance
+    since_ms: float
+    expires_ms: float
+
+
+class Store:
+    """Tables, objects, instances and weights in memory.
+
+    :param clock: tells the time
+    :param settings: how many calls it takes
+    """
+
+    def __init__(
+        self, clock: clocks.Clock, settings: StoreSettings = StoreSettings()
+    ) -> None:
+        self.clock = clock
+        self.reads = rate.Rate(lambda: settings.reads_per_s)
+        self.writes = rate.Rate(lambda: settings.writes_per_s)
+        self.weights = rate.Rate(lambda: settings.weights_per_s)
+        self.last_version = 0
+        self.tables: dict[str, dict[str, StoredRow]] = {}
+        self.objects: dict[str, bytes] = {}
+        self.announcements: dict[str, list[Announcement]] = {}
+        self.read_count = 0
+        self.write_count = 0
+
+    def read_row(self, table: str, key: str) -> port.Row | None:
+        """Returns a row.
+
+        :param table: name of the table
+        :param key: key inside it
+        :return: the row, or None when there is none
+        :raises RateLimited: when there are too many reads
+        """
+        self._count_read()
+        return self._row(table, key)
+
+    def write_row(
+        self,
+        table: str,
+        key: str,
+        value: bytes,
+        version: int,
+        time_to_live_ms: int | None,
+    ) -> port.Swapped | port.Conflict:
+        """Writes a row if it has the expected version.
+
+        :param table: name of the table
+        :param key: key inside it
+        :param value: its new content
+        :param version: the expected version, 0 for "no row yet"
+        :param time_to_live_ms: how long it lasts, None for always
+        :return: the new row, or the row that is in the way
+        :raises RateLimited: when there are too many writes
+        :raises InvalidCall: when the content is too long
+        """
+        self._count_write()
+        if len(value) > port.MAX_ROW_BYTES:
+            raise port.InvalidCall(
+                f"row {key!r} of table {table!r} has {len(value)} bytes, more"
+                f" than {port.MAX_ROW_BYTES}"
+            )
+        found = self._row(table, key)
+        if (found.version if found else 0) != version:
+            return port.Conflict(found)
+        self.last_version += 1
+        row = port.Row(key, value, self.last_version)
+        expires_ms = None
+        if time_to_live_ms is not None:
+            expires_ms = self.clock.monotonic_ms() + time_to_live_ms
+        self.tables.setdefault(table, {})[key] = StoredRow(row, expires_ms)
+        return port.Swapped(row)
+
+    def delete_row(
+        self, table: str, key: str, version: int
+    ) -> port.Swapped | port.Conflict:
+        """Deletes a row if it has the expected version.
+
+        :param table: name of the table
+        :param key: key inside it
+        :param version: the expected version
+        :return: the deleted row, or the row that is there
+        :raises RateLimited: when there are too many writes
+        """
+        self._count_write()
+        found = self._row(table, key)
+        if found is None or found.version != version:
+            return port.Conflict(found)
+        del self.tables[table][key]
+        return port.Swapped(found)
+
+    def list_rows(self, table: str, prefix: str) -> tuple[port.Row, ...]:
+        """Returns the rows whose keys begin alike.
+
+        :param table: name of the table
+        :param prefix: how the keys begin
+        :return: the rows in the order of their keys
+        :raises RateLimited: when there are too many reads
+        """
+        self._count_read()
+        keys = sorted(
+            key for key in self.tables.get(table, {}) if key.startswith(prefix)
+        )
+        rows = [self._row(table, key) for key in keys]
+        return tuple(row for row in rows if row is not None)
+
+    def read_object(self, name: str) -> bytes | None:
+        """Returns an object.
+
+        :param name: its name
+        :return: its content, or None when there is none
+        :raises RateLimited: when there are too many reads
+        """
+        self._count_read()
+        return self.objects.get(name)
+
+    def write_object(self, name: str, content: bytes) -> None:
+        """Stores an object, which never changes afterwards.
+
+        :param name: its name
+        :param content: its content
+        :raises RateLimited: when there are too many writes
+        :raises InvalidCall: when it is too long, or another content is
+            stored under the name
+        """
+        self._count_write()
+        if len(content) > port.MAX_OBJECT_BYTES:
+            raise port.InvalidCall(
+                f"object {name!r} has {len(content)} bytes, more than"
+                f" {port.MAX_OBJECT_BYTES}"
+            )
+        if self.objects.setdefault(name, content) != content:
+            raise port.InvalidCall(f"object {name!r} has another content")
+
+    def announce_instance(
+        self, instance: port.Instance, time_to_live_ms: int
+    ) -> None:
+        """Puts an instance on the list for a while.
+
+        :param instance: what it says of itself
+        :param time_to_live_ms: how long the list shows it
+        :raises RateLimited: when there are too many writes
+        """
+        self._count_write()
+        now_ms = self.clock.monotonic_ms()
+        history = self.announcements.setdefault(instance.name, [])
+        since_ms: float = now_ms
+        if history and history[-1].instance == instance:
+            if history[-1].expires_ms >= now_ms:
+                since_ms = history.pop().since_ms
+        history.append(
+            Announcement(instance, since_ms, now_ms + time_to_live_ms)
+        )
+
+    def list_instances(self, lag_ms: float = 0.0) -> tuple[port.Instance, ...]:
+        """Returns the instances as the list shows them.
+
+        :param lag_ms: age of what it shows, at most ``MAX_LIST_LAG_MS``
+        :return: by name
+        :raises RateLimited: when there are too many reads
+        """
+        self._count_read()
+        now_ms = self.clock.monotonic_ms()
+        seen_ms = now_ms - lag_ms
+        shown = []
+        for name in sorted(self.announcements):
+            history = self.announcements[name]
+            while (
+                len(history) > 1
+                and history[1].since_ms <= now_ms - MAX_LIST_LAG_MS
+            ):
+                history.pop(0)
+            known = [one for one in history if one.since_ms <= seen_ms]
+            if known and seen_ms < known[-1].expires_ms:
+                shown.append(known[-1].instance)
+        return tuple(shown)
+
+    def read_weights(self, name: str) -> None:
+        """Takes a permit to load weights.
+
+        :param name: name of the weights
+        :raises RateLimited: when too many are loaded
+        """
+        if not self.weights.take(self.clock.monotonic_ms()):
+            raise port.RateLimited(f"weights {name!r}: too many loads")
+
+    def _row(self, table: str, key: str) -> port.Row | None:
+        stored = self.tables.get(table, {}).get(key)
+        if stored is None:
+            return None
+        expires_ms = stored.expires_ms
+        if expires_ms is not None and expires_ms <= self.clock.monotonic_ms():
+            del self.tables[table][key]
+            return None
+        return stored.row
+
+    def _count_read(self) -> None:
+        if not self.reads.take(self.clock.monotonic_ms()):
+            raise port.RateLimited("too many reads")
+        self.read_count += 1
+
+    def _count_write(self) -> None:
+        if not self.writes.take(self.clock.monotonic_ms()):
+            raise port.RateLimited("too many writes")
+        self.write_count += 1
+
+
+def platform(
+    store: Store,
+    reactor: interfaces.IReactorTime,
+    injector: faults.Injector | None = None,
+    timeout_ms: float = DEFAULT_TIMEOUT_MS,
+) -> port.Platform:
+    """Offers a store as the port.
+
+    A call that takes longer than the timeout fails for its caller, yet a
+    slow write still takes effect later, as on a real store.
+
+    :param store: what holds the data
+    :param reactor: gives timers for slow calls
+    :param injector: decides on faults; None: there are none
+    :param timeout_ms: how long a caller waits for an answer
+    :return: the port
+    """
+    decider = injector or faults.Injector()
+
+    def reader(
+        operation: typing.Callable[..., typing.Any],
+    ) -> typing.Callable[..., defer.Deferred[typing.Any]]:
+        return lambda *arguments: call(False, operation, arguments)
+
+    def writer(
+        operation: typing.Callable[..., typing.Any],
+    ) -> typing.Callable[..., defer.Deferred[typing.Any]]:
+        return lambda *arguments: call(True, operation, arguments)
+
+    def list_instances() -> tuple[port.Instance, ...]:
+        return store.list_instances(decider.faults.list_lag_ms)
+
+    def call(
+        is_write: bool,
+        operation: typing.Callable[..., typing.Any],
+        arguments: tuple[typing.Any, ...],
+    ) -> defer.Deferred[typing.Any]:
+        name = operation.__name__
+        decision = decider.decide(is_write)
+        lost = port.AnswerLost if is_write else port.StoreUnavailable
+        if decision.action is faults.Action.REFUSE:
+            return defer.fail(port.StoreUnavailable(f"{name}: refused"))
+        answer: defer.Deferred[typing.Any] = defer.Deferred()
+
+        def fail(reason: str) -> None:
+            if not answer.called:
+                answer.errback(lost(f"{name}: {reason}"))
+
+        def run() -> None:
+            result = defer.execute(operation, *arguments)
+            if answer.called:
+                result.addErrback(lambda _: None)
+            elif decision.action is faults.Action.LOSE:
+                result.addErrback(lambda _: None)
+                fail("the answer was lost")
+            else:
+                result.chainDeferred(answer)
+
+        hangs = decision.action is faults.Action.HANG
+        if hangs or decision.delay_ms > timeout_ms:
+            reactor.callLater(timeout_ms / MS_PER_S, fail, "timed out")
+        if not hangs and decision.delay_ms > 0:
+            reactor.callLater(decision.delay_ms / MS_PER_S, run)
+        elif not hangs:
+            run()
+        return answer
+
+    return port.Platform(
+        read_row=reader(store.read_row),
+        write_row=writer(store.write_row),
+        delete_row=writer(store.delete_row),
+        list_rows=reader(store.list_rows),
+        read_object=reader(store.read_object),
+        write_object=writer(store.write_object),
+        list_instances=reader(list_instances),
+        read_weights=writer(store.read_weights),
+        announce_instance=writer(store.announce_instance),
+    )
--- a/godwitloft/platform/port.py
+++ b/godwitloft/platform/port.py
@@ -12,6 +12,9 @@
 
 from godwitloft import errors
 
+MAX_ROW_BYTES = 65_536
+MAX_OBJECT_BYTES = 16_777_216
+
 
 class PlatformError(errors.GodwitloftError):
     """A call on the platform failed."""
@@ -29,13 +32,18 @@
     """The platform refused the call for its rate; it had no effect."""
 
 
+class InvalidCall(PlatformError):
+    """The platform will never accept the call; it had no effect."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Row:
     """One row of a table.
 
     :param key: key inside the table
-    :param value: content, at most 64 KiB
-    :param version: changes at every write; 0 means that no row exists
+    :param value: content, at most ``MAX_ROW_BYTES`` long
+    :param version: changes at every write and never comes back, not even
+        when the row was deleted in between; 0 means that no row exists
     """
 
     key: str
@@ -85,10 +93,25 @@
     leaving: bool = False
 
 
+def ignore_announcement(
+    instance: Instance, time_to_live_ms: int
+) -> defer.Deferred[None]:
+    """Does nothing, for platforms that know their instances themselves.
+
+    :param instance: ignored
+    :param time_to_live_ms: ignored
+    :return: fires at once
+    """
+    return defer.succeed(None)
+
+
 @dataclasses.dataclass(frozen=True)
 class Platform:
     """The platform's services as functions.
 
+    Tables and objects are read as they are at the time of the call; only
+    the instance list lags.
+
     :param read_row: ``(table, key)`` to the row or None
     :param write_row: ``(table, key, value, expected version, time to live
         in ms or None)``; expected version 0 means "no row yet"
@@ -99,6 +122,8 @@
         second write of the same content is harmless
     :param list_instances: ``()`` to the instances the platform knows
     :param read_weights: ``(name)``: asks the weight store for a load permit
+    :param announce_instance: ``(instance, time to live in ms)``: puts this
+        process on the instance list until the time to live has passed
     """
 
     read_row: typing.Callable[[str, str], defer.Deferred[Row | None]]
@@ -114,3 +139,6 @@
     write_object: typing.Callable[[str, bytes], defer.Deferred[None]]
     list_instances: typing.Callable[[], defer.Deferred[tuple[Instance, ...]]]
     read_weights: typing.Callable[[str], defer.Deferred[None]]
+    announce_instance: typing.Callable[
+        [Instance, int], defer.Deferred[None]
+    ] = ignore_announcement
--- /dev/null
+++ b/godwitloft/platform/rate.py
@@ -0,0 +1,56 @@
+"""A token bucket that bounds calls a second."""
+
+import typing
+
+MS_PER_S = 1000
+
+
+class Rate:
+    """Calls that may be made now.
+
+    :param per_s: calls a second, asked anew each time since a share of a
+        fleet's limit changes with the fleet; 0 or less: no limit
+    :param burst_s: seconds of unused calls that are saved, at least one call
+    """
+
+    def __init__(
+        self, per_s: typing.Callable[[], float], burst_s: float = 1.0
+    ) -> None:
+        self.per_s = per_s
+        self.burst_s = burst_s
+        self.saved = max(1.0, per_s() * burst_s)
+        self.updated_ms: float | None = None
+
+    def take(self, now_ms: float) -> bool:
+        """Takes one call if it may be made now.
+
+        :param now_ms: the time
+        :return: whether it may
+        """
+        per_s = self.per_s()
+        if per_s <= 0:
+            return True
+        self._refill(per_s, now_ms)
+        if self.saved < 1.0:
+            return False
+        self.saved -= 1.0
+        return True
+
+    def wait_ms(self, now_ms: float) -> float:
+        """Returns how long until a call may be made.
+
+        :param now_ms: the time
+        :return: milliseconds, 0 when one may be made now
+        """
+        per_s = self.per_s()
+        if per_s <= 0:
+            return 0.0
+        self._refill(per_s, now_ms)
+        return max(0.0, (1.0 - self.saved) * MS_PER_S / per_s)
+
+    def _refill(self, per_s: float, now_ms: float) -> None:
+        if self.updated_ms is not None:
+            passed_s = max(0.0, now_ms - self.updated_ms) / MS_PER_S
+            limit = max(1.0, per_s * self.burst_s)
+            self.saved = min(limit, self.saved + passed_s * per_s)
+        self.updated_ms = now_ms
--- a/godwitloft/standins/main.py
+++ b/godwitloft/standins/main.py
@@ -15,6 +15,7 @@
 from godwitloft.standins import engine_http
 from godwitloft.standins import http
 from godwitloft.standins import ledger
+from godwitloft.standins import platform as platforms
 from godwitloft.standins import service as services
 
 EXIT_USAGE = 2
@@ -64,6 +65,27 @@
         _serve(services.listen(service, reactor, address, port))
 
 
+@cappa.command(name="platform", help="Run a stand-in platform.")
+@dataclasses.dataclass(frozen=True)
+class PlatformCommand:
+    """Runs a stand-in platform.
+
+    :param listen: IP number and port; port 0 takes a free one
+    :param settings: JSON object with keys of ``PlatformSettings``
+    """
+
+    listen: typing.Annotated[str, cappa.Arg(long=True)] = "127.0.0.1:0"
+    settings: typing.Annotated[str, cappa.Arg(long=True)] = "{}"
+
+    def __call__(self) -> None:
+        """Serves until the process is told to stop."""
+        settings = _settings(platforms.PlatformSettings, self.settings)
+        reactor = typing.cast(typing.Any, default_reactor)
+        platform = platforms.Platform(settings, reactor)
+        address, port = _split(self.listen)
+        _serve(platforms.listen(platform, reactor, address, port))
+
+
 @cappa.command(
     name="godwitloft-standin", help="Small stand-ins for tests and demos."
 )
@@ -74,7 +96,9 @@
     :param command: which stand-in to run
     """
 
-    command: cappa.Subcommands[EngineCommand | ServiceCommand]
+    command: cappa.Subcommands[
+        EngineCommand | ServiceCommand | PlatformCommand
+    ]
 
 
 def main(arguments: list[str] | None = None) -> None:
