Replay recorded inputs against today's policy

Cause: the users ask for replay of recorded traces against stated outcomes. Change: replay() gives the accepted requests and the agents' capacities of a trace to OfferBook, estimate and shed, and states what became of each request; trace kind capacity.

--- /dev/null
+++ b/features/steps/replay_steps.py
@@ -0,0 +1,55 @@
+import pathlib
+
+from behave import then
+from behave import when
+
+from godwitloft import replay
+
+TRACES = pathlib.Path("features/traces")
+
+
+def read(name):
+    return (TRACES / f"{name}.jsonl").read_text().splitlines()
+
+
+@when("the trace file {name} is replayed")
+def replay_file(context, name):
+    context.name = name
+    context.outcomes = replay.replay(read(name))
+
+
+@when("the trace file {name} is replayed with at most {count:d} waiting")
+def replay_bounded(context, name, count):
+    context.outcomes = replay.replay(
+        read(name), replay.Limits(max_requests=count)
+    )
+
+
+@then("its outcomes are as stated beside it")
+def check_stated(context):
+    stated = (TRACES / f"{context.name}.outcomes").read_text().splitlines()
+    found = sorted(one.stated() for one in context.outcomes)
+    assert found == stated, found
+
+
+@then('the ranks of the shed requests are "{ranks}"')
+@then('the ranks of the shed requests are ""')
+def check_shed(context, ranks=""):
+    shed = [one for one in context.outcomes if one.detail == "shed"]
+    assert len(context.outcomes) == 12
+    found = sorted(str(one.tier_rank) for one in shed)
+    assert found == ranks.split(), found
+
+
+@when("the trace line {line} is replayed")
+def replay_line(context, line):
+    context.error = None
+    try:
+        replay.replay([line])
+    except replay.ReplayError as error:
+        context.error = error
+
+
+@then('replaying fails with "{message}"')
+def check_replay_error(context, message):
+    assert str(context.error) == message, str(context.error)
--- a/godwitloft/trace.py
+++ b/godwitloft/trace.py
@@ -29,6 +29,7 @@
     GENERATION = "generation"
     LEAVING = "leaving"
     UPSTREAM_LEAVING = "upstream_leaving"
+    CAPACITY = "capacity"
     ACCEPTED = "accepted"
     JOINED = "joined"
     CLAIMED = "claimed"
