Decide admission, shedding, spread, suspects, breaker and retries

Cause: the first bodies of these decisions were neither exact nor proven. Change: shedding works by guarantees: an agent's answer to an urgent bid that stands says that nothing lower runs there, for every request of that tier or a lower one. A team at its running limit waits and isn't refused. The prefix index keeps what was dispatched after a late removal, and forgets the least used keys for events that were lost. Retry-After is a second where nothing has drained yet. Those in flight beside a blamed suspect become suspects now; at most one other body a further culprit is refused, none when there is one culprit. Ruled out: a third crash before a verdict, which loses all that is in flight once more in the usual case of one culprit. Test: features/policy_limits.feature, features/policy_faults.feature.

--- /dev/null
+++ b/features/steps/policy_limits_steps.py
@@ -0,0 +1,238 @@
+import random
+
+from behave import given
+from behave import then
+from behave import when
+
+from godwitloft.policy import admit
+from godwitloft.policy import drain_rate
+from godwitloft.policy import retry
+from godwitloft.policy import spread
+
+
+@given(
+    "a queue of 10 requests and 1000 bytes that holds {requests:d}"
+    " and {size:d}"
+)
+def queue(context, requests, size):
+    context.queue = admit.QueueLoad(requests, size, 10, 1000, 777)
+
+
+@given(
+    "a team that may have 4 waiting and 1000 tokens a second, with"
+    " {waiting:d} waiting and {level:d} tokens left"
+)
+def team(context, waiting, level):
+    context.team = admit.TeamLoad(
+        waiting=waiting,
+        max_waiting=4,
+        tokens_per_s=1000,
+        bucket=admit.Bucket(level, 0),
+    )
+
+
+@when(
+    "at a share of {share:g} a request of {tokens:d} tokens and {body:d}"
+    " bytes arrives that needs {needs} of 500 ms"
+)
+def arrives(context, share, tokens, body, needs):
+    finish_in_ms = None if needs == "-" else int(needs)
+    arrival = admit.Arrival(tokens, body, 500, finish_in_ms)
+    context.answer = admit.admit(
+        arrival, context.team, context.queue, share, 0
+    )
+
+
+@then('admission says "{answer}"')
+def check_admission(context, answer):
+    found = context.answer
+    if isinstance(found, admit.Admitted):
+        seen = f"admitted, {found.bucket.level:.0f} left"
+    else:
+        seen = f"{found.reason} after {found.retry_after_ms}"
+    assert seen == answer, seen
+
+
+@when(
+    "a team of {rate:d} tokens a second asks {count:d} times"
+    " with seed {seed:d}"
+)
+def ask_often(context, rate, count, seed):
+    rng = random.Random(seed)
+    queue = admit.QueueLoad(0, 0, 10, 1000, 777)
+    bucket, now_ms, given_tokens, largest = None, 0, 0, 0
+    for _ in range(count):
+        now_ms += rng.randrange(20)
+        tokens = rng.randrange(1, max(2, rate // 10))
+        largest = max(largest, tokens)
+        answer = admit.admit(
+            admit.Arrival(tokens, 0, 500),
+            admit.TeamLoad(tokens_per_s=rate, bucket=bucket),
+            queue,
+            1.0,
+            now_ms,
+        )
+        if isinstance(answer, admit.Admitted):
+            given_tokens += tokens
+            bucket = answer.bucket
+    context.given_tokens = given_tokens
+    context.fair_tokens = rate * now_ms / 1000
+    context.most = context.fair_tokens + rate + largest
+
+
+@then("it was given at most its rate, one second's tokens and one request")
+def check_most(context):
+    assert context.given_tokens <= context.most
+
+
+@then("at least 90% of its rate while it asked for more")
+def check_least(context):
+    assert context.given_tokens >= 0.9 * context.fair_tokens
+
+
+@given(
+    "a queue that has drained one request each {gap:d} ms for {seconds:d} s"
+)
+def drained(context, gap, seconds):
+    context.rate = drain_rate.DrainRate(0)
+    context.now_ms = seconds * 1000
+    for now_ms in range(gap, context.now_ms + 1, gap):
+        context.rate.observe(now_ms)
+
+
+@when("nothing leaves for {seconds:d} s")
+def stalls(context, seconds):
+    context.now_ms += seconds * 1000
+
+
+@then("with {ahead:d} ahead it says {low:d} to {high:d} ms")
+def check_retry_after(context, ahead, low, high):
+    found = context.rate.retry_after_ms(ahead, context.now_ms)
+    assert low <= found <= high, found
+
+
+def make_agents(count):
+    return [spread.Agent(f"a{i}", f"zone-{i % 3}", 2.0) for i in range(count)]
+
+
+@when(
+    "300 requests with {prefix} prefix choose among {count:d} agents"
+    " with seed {seed:d}"
+)
+def choose_many(context, prefix, count, seed):
+    rng = random.Random(seed)
+    context.agents = make_agents(count)
+    context.chosen = {}
+    for index in range(300):
+        key = {"no": (), "one": (7,), "own": (index // 2,)}[prefix]
+        found = spread.choose_agents(context.agents, key, "zone-1", rng)
+        context.chosen.setdefault(key, []).append(found)
+
+
+@then(
+    "each has {count:d} agents, of which at least {near:d} are of its own zone"
+)
+def check_chosen(context, count, near):
+    for choices in context.chosen.values():
+        for agents in choices:
+            assert len({one.peer for one in agents}) == count == len(agents)
+            zone = [a for a in agents if a.availability_zone == "zone-1"]
+            assert len(zone) >= near, len(zone)
+
+
+@then("the first {count:d} are the same for equal prefixes")
+def check_first(context, count):
+    for choices in context.chosen.values():
+        assert len({agents[:count] for agents in choices}) == 1
+
+
+@then("every agent is chosen by some request")
+def check_all_chosen(context):
+    seen = {
+        one
+        for choices in context.chosen.values()
+        for agents in choices
+        for one in agents
+    }
+    assert seen == set(context.agents)
+
+
+@when("an agent of 200 leaves")
+def agent_leaves(context):
+    context.agents = make_agents(200)
+
+
+@then("under 4% of 1000 prefixes prefer other agents than before")
+def check_few_move(context):
+    def preferred(agents, key):
+        rng = random.Random(1)
+        chosen = spread.choose_agents(agents, (key,), "", rng)
+        return chosen[: spread.PREFIX_PICKS]
+
+    moved = sum(
+        preferred(context.agents, key) != preferred(context.agents[1:], key)
+        for key in range(1000)
+    )
+    assert 0 < moved < 40, moved
+
+
+@then(
+    "agents with {cached} cached tokens at 2 tokens a ms and {spare:d} ms"
+    " to spare are held off {holds}"
+)
+def check_holds(context, cached, spare, holds):
+    tokens = [int(one) for one in cached.split(",")]
+    agents = make_agents(len(tokens))
+    known = {a.peer: n for a, n in zip(agents, tokens, strict=True)}
+    found = spread.targets(agents, known, spare)
+    assert [one.hold_ms for one in found] == [
+        int(one) for one in holds.split(",")
+    ], found
+
+
+@when(
+    "{calls:d} calls of which {failing:d}% fail ask for retries"
+    " with seed {seed:d}"
+)
+def ask_retries(context, calls, failing, seed):
+    rng = random.Random(seed)
+    budget = retry.Budget()
+    context.calls, context.retries = calls, 0
+    for _ in range(calls):
+        budget = retry.called(budget)
+        if rng.randrange(100) < failing:
+            left = retry.spend(budget)
+            context.retries += left is not None
+            budget = left or budget
+
+
+@then("at most a tenth of the calls and 3 are retried")
+def check_budget(context):
+    assert context.retries <= context.calls / 10 + 3, context.retries
+
+
+@then("at least {least:d} are")
+def check_retries(context, least):
+    assert context.retries >= least, context.retries
+
+
+@then(
+    "a call that is {kind}, tried {attempts:d} times with {slack:d} ms left"
+    " of which it needs 100 may be retried: {answer}"
+)
+def check_may_retry(context, kind, attempts, slack, answer):
+    found = retry.may_retry(kind == "idempotent", attempts, slack, 100)
+    assert found == (answer == "yes")
+
+
+@then(
+    "{count:d} delays before attempt {attempt:d} lie in 0 to {most:d} ms"
+    " and spread"
+)
+def check_backoff(context, count, attempt, most):
+    rng = random.Random(1)
+    found = [retry.backoff_ms(attempt, rng) for _ in range(count)]
+    assert min(found) >= 0
+    assert max(found) <= most
+    assert max(found) > most * 0.9
+    assert min(found) < most * 0.1
--- a/features/steps/policy_order_steps.py
+++ b/features/steps/policy_order_steps.py
@@ -10,6 +10,7 @@
 from godwitloft.policy import offer_book
 from godwitloft.policy import order
 from godwitloft.policy import room
+from godwitloft.policy import shed
 from godwitloft.policy import types
 from godwitloft.policy import usage
 
@@ -252,13 +253,13 @@
             if not one.urgent:
                 continue
             if not at.accepting:
-                answers.add((one.request_id, order.NOT_ACCEPTING))
+                answers.add((one.request_id, shed.NOT_ACCEPTING))
             elif one.request_id in late_ids:
-                answers.add((one.request_id, order.TOO_LATE))
+                answers.add((one.request_id, shed.TOO_LATE))
             elif lower and not at.resumable:
-                answers.add((one.request_id, order.UNSTOPPABLE))
+                answers.add((one.request_id, shed.UNSTOPPABLE))
             elif not lower and not plain_fits(one, work, at.room):
-                answers.add((one.request_id, order.HIGHER_TIER))
+                answers.add((one.request_id, shed.HIGHER_TIER))
     return pull, suspend, resume, again, answers, late_ids
 
 
@@ -278,7 +279,7 @@
         choice = order.choose(offers, work, at, charged, now_ms)
         expected = plain_choice(offers, work, at, charged, now_ms)
         told = {(one.request_id, one.reason) for one in choice.skipped}
-        late = {name for name, why in told if why == order.TOO_LATE}
+        late = {name for name, why in told if why == shed.TOO_LATE}
         seen = (
             choice.pull and choice.pull.request_id,
             choice.suspend,
@@ -289,8 +290,8 @@
         same = (
             seen == expected[:4]
             and late <= expected[5]
-            and {one for one in told if one[1] != order.TOO_LATE}
-            == {one for one in expected[4] if one[1] != order.TOO_LATE}
+            and {one for one in told if one[1] != shed.TOO_LATE}
+            == {one for one in expected[4] if one[1] != shed.TOO_LATE}
         )
         if not same:
             context.differences.append((case, choice, expected))
--- a/godwitloft/policy/admit.py
+++ b/godwitloft/policy/admit.py
@@ -5,11 +5,9 @@
 
 MAX_RETRY_AFTER_MS = 60_000
 
-TEAM_RUNNING = "team_running"
-TEAM_WAITING = "team_waiting"
-TEAM_TOKENS = "team_tokens"
-QUEUE_REQUESTS = "queue_requests"
-QUEUE_BYTES = "queue_bytes"
+TEAM_WAITING = "team_waiting_limit"
+TEAM_TOKENS = "team_token_limit"
+QUEUE_FULL = "queue_full"
 DEADLINE_UNREACHABLE = "deadline_unreachable"
 
 
@@ -56,6 +54,10 @@
 class QueueLoad:
     """The waiting requests of this entry.
 
+    Past the bounds given here nothing is accepted. Shedding begins at
+    lower ones (:func:`godwitloft.policy.shed.overflow`), since it takes an
+    answer of the agents.
+
     :param requests: how many wait
     :param body_bytes: bytes of their bodies
     :param max_requests: bound on requests
@@ -148,21 +150,29 @@
     finish = arrival.finish_in_ms
     if finish is not None and finish > arrival.slack_ms:
         return Refused(DEADLINE_UNREACHABLE, queue.drain_retry_ms)
-    max_running = share_of(team.max_running, share)
-    if max_running and team.running + team.waiting >= max_running + (
-        share_of(team.max_waiting, share)
-    ):
-        return Refused(TEAM_RUNNING, queue.drain_retry_ms)
     max_waiting = share_of(team.max_waiting, share)
     if max_waiting and team.waiting >= max_waiting:
         return Refused(TEAM_WAITING, queue.drain_retry_ms)
     if queue.requests >= queue.max_requests:
-        return Refused(QUEUE_REQUESTS, queue.drain_retry_ms)
+        return Refused(QUEUE_FULL, queue.drain_retry_ms)
     if queue.body_bytes + arrival.body_bytes > queue.max_bytes:
-        return Refused(QUEUE_BYTES, queue.drain_retry_ms)
+        return Refused(QUEUE_FULL, queue.drain_retry_ms)
     return _charge(arrival, team, share, now_ms)
 
 
+def may_run(team: TeamLoad, share: float) -> bool:
+    """Says whether one more request of a team may be dispatched.
+
+    Such a request waits, and takes no other team's place meanwhile.
+
+    :param team: the team's load and limits
+    :param share: this entry's share of the team's limits
+    :return: whether the team is below its limit
+    """
+    max_running = share_of(team.max_running, share)
+    return not max_running or team.running < max_running
+
+
 def _charge(
     arrival: Arrival, team: TeamLoad, share: float, now_ms: int
 ) -> Admitted | Refused:
--- a/godwitloft/policy/drain_rate.py
+++ b/godwitloft/policy/drain_rate.py
@@ -5,6 +5,7 @@
 HALF_LIFE_MS = 10_000
 MIN_RETRY_AFTER_MS = 250
 MAX_RETRY_AFTER_MS = 60_000
+UNKNOWN_RETRY_AFTER_MS = 1000
 
 
 class DrainRate:
@@ -45,11 +46,12 @@
 
         :param ahead: requests that must leave first
         :param now_ms: the time
-        :return: milliseconds, between fixed bounds
+        :return: milliseconds, between fixed bounds; a fixed time when no
+            request has left yet
         """
         rate = self.per_ms(now_ms)
-        if rate <= 0.0:
-            return MAX_RETRY_AFTER_MS
+        if rate == 0.0:
+            return UNKNOWN_RETRY_AFTER_MS
         wait_ms = math.ceil((ahead + 1) / rate)
         return max(MIN_RETRY_AFTER_MS, min(MAX_RETRY_AFTER_MS, wait_ms))
 
--- a/godwitloft/policy/offer_book.py
+++ b/godwitloft/policy/offer_book.py
@@ -10,6 +10,7 @@
 import sortedcontainers
 
 from godwitloft.policy import order
+from godwitloft.policy import shed
 from godwitloft.policy import types
 from godwitloft.policy import usage as team_usage
 
@@ -264,7 +265,7 @@
 
     def _set_aside(self, skipped: typing.Iterable[order.Skipped]) -> None:
         for one in skipped:
-            if one.reason == order.TOO_LATE:
+            if one.reason == shed.TOO_LATE:
                 self._unindex(self.offers[one.request_id])
                 self.set_aside.add(one.request_id)
 
--- a/godwitloft/policy/order.py
+++ b/godwitloft/policy/order.py
@@ -15,10 +15,6 @@
 from godwitloft.policy import types
 from godwitloft.policy import usage as team_usage
 
-TOO_LATE = "too_late"
-HIGHER_TIER = "higher_tier"
-UNSTOPPABLE = "unstoppable"
-NOT_ACCEPTING = "not_accepting"
 SUSPEND_SLACK_MS = 500
 
 
@@ -137,7 +133,7 @@
     finish_ms = finish_without_lower_ms(offer, at.view, at.running)
     if in_time(offer, finish_ms, at.view, at.now_ms):
         return None
-    return Skipped(offer.request_id, TOO_LATE, finish_ms)
+    return Skipped(offer.request_id, shed.TOO_LATE, finish_ms)
 
 
 def must_run_alone(offer: types.Offer, at: Upstream) -> bool:
@@ -340,7 +336,7 @@
 def _urgent_answer(offer: types.Offer, at: Upstream) -> Skipped | None:
     finish_ms = finish_without_lower_ms(offer, at.view, at.running)
     if not at.view.accepting:
-        return Skipped(offer.request_id, NOT_ACCEPTING, finish_ms)
+        return Skipped(offer.request_id, shed.NOT_ACCEPTING, finish_ms)
     late = too_late(offer, at)
     if late is not None:
         return late
@@ -352,7 +348,7 @@
     if not lower:
         if room.fits(offer, at.view, at.running):
             return None
-        return Skipped(offer.request_id, HIGHER_TIER, finish_ms)
+        return Skipped(offer.request_id, shed.HIGHER_TIER, finish_ms)
     if at.view.resumable:
         return None
-    return Skipped(offer.request_id, UNSTOPPABLE, finish_ms)
+    return Skipped(offer.request_id, shed.UNSTOPPABLE, finish_ms)
--- a/godwitloft/policy/prefix_index.py
+++ b/godwitloft/policy/prefix_index.py
@@ -8,6 +8,8 @@
 import typing
 
 MAX_KEYS = 50_000
+EVENT_LAG_MS = 2000
+LENGTH_GAIN = 0.2
 
 
 class PrefixIndex:
@@ -16,54 +18,82 @@
     Bounded: the key not used for the longest time is forgotten, as in the
     engine's own cache.
 
-    :param block_tokens: prompt tokens a key stands for
+    :param block_tokens: prompt tokens that a key stands for
     :param max_keys: bound on the keys kept
     """
 
     def __init__(self, block_tokens: int, max_keys: int = MAX_KEYS) -> None:
         self.block_tokens = block_tokens
         self.max_keys = max_keys
-        self.last_sequence: int | None = None
-        self.keys: collections.OrderedDict[int, None] = (
+        self.last_number = 0
+        self.removed_an_event = 1.0
+        self.used_ms: collections.OrderedDict[int, int] = (
             collections.OrderedDict()
         )
 
-    def dispatched(self, prefix_keys: typing.Iterable[int]) -> None:
+    def dispatched(
+        self, prefix_keys: typing.Sequence[int], now_ms: int
+    ) -> None:
         """Notes that a prompt was given to the upstream.
 
+        Its last block counts as used longest ago, since a cache drops it
+        before those it builds on.
+
         :param prefix_keys: keys of its blocks, first block first
+        :param now_ms: the time
         """
-        for key in reversed(tuple(prefix_keys)):
-            self.keys[key] = None
-            self.keys.move_to_end(key)
-        while len(self.keys) > self.max_keys:
-            self.keys.popitem(last=False)
-
-    def stored(self, sequence: int, keys: typing.Iterable[int]) -> None:
+        for key in reversed(prefix_keys):
+            self.used_ms[key] = now_ms
+            self.used_ms.move_to_end(key)
+        while len(self.used_ms) > self.max_keys:
+            self.used_ms.popitem(last=False)
+
+    def stored(
+        self, number: int, keys: typing.Sequence[int], now_ms: int
+    ) -> None:
         """Applies a cache event: blocks were stored.
 
-        :param sequence: the event's number at the engine
-        :param keys: the blocks
+        :param number: the event's number at the engine
+        :param keys: the blocks, first block first
+        :param now_ms: the time
         """
-        if self._is_new(sequence):
-            self.dispatched(keys)
+        if self._is_new(number):
+            self.dispatched(keys, now_ms)
+
+    def removed(
+        self, number: int, keys: typing.Collection[int], now_ms: int
+    ) -> None:
+        """Applies a cache event: blocks were removed.
 
-    def evicted(self, sequence: int, keys: typing.Iterable[int]) -> None:
-        """Applies a cache event: blocks were evicted.
+        Events are late: a block that was dispatched since is kept.
 
-        :param sequence: the event's number at the engine
+        :param number: the event's number at the engine
         :param keys: the blocks
+        :param now_ms: the time
         """
-        if self._is_new(sequence):
-            for key in keys:
-                self.keys.pop(key, None)
+        if not self._is_new(number):
+            return
+        more = len(keys) - self.removed_an_event
+        self.removed_an_event += LENGTH_GAIN * more
+        for key in keys:
+            used_ms = self.used_ms.get(key)
+            if used_ms is not None and now_ms - used_ms > EVENT_LAG_MS:
+                del self.used_ms[key]
+
+    def cleared(self, number: int) -> None:
+        """Forgets everything: the engine's cache was emptied.
+
+        :param number: the event's number at the engine
+        """
+        if self._is_new(number):
+            self.used_ms.clear()
 
-    def cleared(self) -> None:
-        """Forgets everything, after a restart of the upstream."""
-        self.keys.clear()
-        self.last_sequence = None
+    def restarted(self) -> None:
+        """Forgets everything: the upstream is a new process."""
+        self.used_ms.clear()
+        self.last_number = 0
 
-    def cached_tokens(self, prefix_keys: tuple[int, ...]) -> int:
+    def cached_tokens(self, prefix_keys: typing.Sequence[int]) -> int:
         """Returns how much of a prompt is probably cached.
 
         :param prefix_keys: keys of its blocks, first block first
@@ -71,14 +101,25 @@
         """
         blocks = 0
         for key in prefix_keys:
-            if key not in self.keys:
+            if key not in self.used_ms:
                 break
             blocks += 1
         return blocks * self.block_tokens
 
-    def _is_new(self, sequence: int) -> bool:
-        last = self.last_sequence
-        if last is not None and sequence <= last:
+    def _is_new(self, number: int) -> bool:
+        """Notes an event's number; lost events before it are made up for.
+
+        Half of the lost ones are taken for removals of a usual size, and
+        what they removed are the keys that were not used for longest.
+        """
+        if number <= self.last_number:
             return False
-        self.last_sequence = sequence
+        lost = number - self.last_number - 1
+        if self.last_number:
+            self._forget_oldest(int(lost * self.removed_an_event / 2))
+        self.last_number = number
         return True
+
+    def _forget_oldest(self, count: int) -> None:
+        for _ in range(min(count, len(self.used_ms))):
+            self.used_ms.popitem(last=False)
--- a/godwitloft/policy/shed.py
+++ b/godwitloft/policy/shed.py
@@ -1,6 +1,9 @@
 """Decides which waiting requests are refused and what is suspended.
 
-docs/OVERLOAD.md holds the promise that these functions keep.
+docs/OVERLOAD.md holds the promise that these functions keep. An entry with
+too many requests asks the agents for a guarantee: it bids a request as
+urgent, and an agent that answers without pulling it says that nothing
+lower runs there and nothing lower will start while the bid stands.
 """
 
 import dataclasses
@@ -8,8 +11,11 @@
 
 from godwitloft.policy import types
 
-SHED = "shed"
-DEADLINE_UNREACHABLE = "deadline_unreachable"
+TOO_LATE = "too_late"
+HIGHER_TIER = "higher_tier"
+UNSTOPPABLE = "unstoppable"
+NOT_ACCEPTING = "not_accepting"
+GUARANTEES = frozenset((HIGHER_TIER, NOT_ACCEPTING))
 
 
 @dataclasses.dataclass(frozen=True)
@@ -32,15 +38,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Standing:
-    """What one agent has said about one bid.
+    """What an agent answered to an urgent bid that still stands.
 
-    :param reason: why it skipped the bid (see :mod:`policy.order`), or
-        empty when it hasn't answered
-    :param urgent: whether the bid was urgent when it answered
+    :param tier_rank: rank of the request that was bid
+    :param reason: why the agent didn't pull it
     """
 
-    reason: str = ""
-    urgent: bool = False
+    tier_rank: int
+    reason: str
 
 
 def shed_key(one: Waiting) -> tuple[int, int, str]:
@@ -74,21 +79,73 @@
     return tuple(leaving)
 
 
-def verdict(
-    standings: typing.Sequence[Standing], must_leave: bool
-) -> str | None:
-    """Says whether a waiting request is to be refused now.
+def representative(kept: typing.Iterable[Waiting]) -> Waiting | None:
+    """Returns the request that is bid as urgent for others of its tier.
+
+    The one that is due last stands longest: it is the last to be pulled
+    and the last to become too late.
+
+    :param kept: requests of one tier and pool that stay in the queue
+    :return: the request, or None when there is none
+    """
+    return max(
+        kept, key=lambda one: (one.deadline_ms, one.request_id), default=None
+    )
+
+
+def guaranteed(
+    tier_rank: int, standings: typing.Iterable[Standing], last_resort: bool
+) -> bool:
+    """Says whether an agent serves nothing lower than a tier.
 
-    :param standings: the answers of all agents that were bid at
-    :param must_leave: whether the queue has no place for it
-    :return: :data:`SHED`, :data:`DEADLINE_UNREACHABLE`, or None to wait
+    :param tier_rank: rank of the request that is to be refused
+    :param standings: the agent's answers to urgent bids that stand
+    :param last_resort: whether lower work that can't be stopped counts as
+        not served
+    :return: whether one of the answers is a guarantee for the tier
     """
-    if not standings:
-        return SHED if must_leave else None
-    if all(one.reason == "too_late" for one in standings):
-        return DEADLINE_UNREACHABLE
-    refused = all(one.reason and one.urgent for one in standings)
-    return SHED if must_leave and refused else None
+    for one in standings:
+        if one.tier_rank > tier_rank:
+            continue
+        if one.reason in GUARANTEES:
+            return True
+        if last_resort and one.reason == UNSTOPPABLE:
+            return True
+    return False
+
+
+def may_shed(
+    tier_rank: int,
+    own_answers: typing.Mapping[str, str],
+    standings: typing.Mapping[str, typing.Sequence[Standing]],
+    last_resort: bool = False,
+) -> bool:
+    """Says whether a request may be refused for lack of room.
+
+    :param tier_rank: its rank
+    :param own_answers: by agent that could run it, why the agent skipped
+        this very request; empty when it hasn't
+    :param standings: by agent, its answers to urgent bids that stand
+    :param last_resort: see :func:`guaranteed`
+    :return: whether no agent that could run it serves a lower tier
+    """
+    return all(
+        reason == TOO_LATE
+        or guaranteed(tier_rank, standings.get(agent, ()), last_resort)
+        for agent, reason in own_answers.items()
+    )
+
+
+def unreachable(own_answers: typing.Mapping[str, str]) -> bool:
+    """Says whether no agent can finish a request in time any more.
+
+    :param own_answers: by agent that was bid at, why it skipped the
+        request; empty when it hasn't
+    :return: whether all have said that it is too late
+    """
+    return bool(own_answers) and all(
+        reason == TOO_LATE for reason in own_answers.values()
+    )
 
 
 def to_suspend(
--- a/godwitloft/policy/suspects.py
+++ b/godwitloft/policy/suspects.py
@@ -5,7 +5,7 @@
 import typing
 
 SUSPECT_MS = 600_000
-POISONOUS_MS = 3_600_000
+POISONOUS_MS = 900_000
 MAX_FINGERPRINTS = 10_000
 
 
@@ -32,7 +32,7 @@
 class Suspects:
     """Fingerprints of bodies that may crash an upstream.
 
-    :param max_fingerprints: bound; those that expire first are forgotten
+    :param max_fingerprints: bound; those noted first are forgotten
     """
 
     def __init__(self, max_fingerprints: int = MAX_FINGERPRINTS) -> None:
@@ -84,20 +84,26 @@
     ) -> dict[str, Verdict]:
         """Judges the bodies that were in flight when an upstream crashed.
 
+        The only suspect among them takes the blame. That is wrong when a
+        second body that crashes upstreams, new until now, ran beside a
+        bystander of the first; so the others become suspects even then,
+        and the second body is found at its next crash.
+
         :param in_flight: their fingerprints
         :param now_ms: the time
         :return: the new verdicts, to be told to the other processes
         """
+        bodies = sorted(set(in_flight))
         known = [
             one
-            for one in set(in_flight)
+            for one in bodies
             if self.verdict(one, now_ms) is Verdict.SUSPECT
         ]
+        fresh = {}
         if len(known) == 1:
             self.note(known[0], Verdict.POISONOUS, POISONOUS_MS, now_ms)
-            return {known[0]: Verdict.POISONOUS}
-        fresh = {}
-        for fingerprint in sorted(set(in_flight)):
+            fresh[known[0]] = Verdict.POISONOUS
+        for fingerprint in bodies:
             if self.note(fingerprint, Verdict.SUSPECT, SUSPECT_MS, now_ms):
                 fresh[fingerprint] = Verdict.SUSPECT
         return fresh
@@ -116,7 +122,4 @@
 
     def _bound(self) -> None:
         while len(self.records) > self.max_fingerprints:
-            first = min(
-                self.records, key=lambda one: self.records[one].expires_ms
-            )
-            del self.records[first]
+            del self.records[next(iter(self.records))]
