Let the replay use the answers of agents as they are kept now

Cause: shedding works by guarantees now; the replay was written against the earlier verdict function. Change: the replay keeps why each agent skipped a request and asks whether all found it too late.

--- a/godwitloft/policy/shed.py
+++ b/godwitloft/policy/shed.py
@@ -11,6 +11,9 @@
 
 from godwitloft.policy import types
 
+SHED = "shed"
+DEADLINE_UNREACHABLE = "deadline_unreachable"
+
 TOO_LATE = "too_late"
 HIGHER_TIER = "higher_tier"
 UNSTOPPABLE = "unstoppable"
--- a/godwitloft/replay.py
+++ b/godwitloft/replay.py
@@ -131,16 +131,15 @@
     :param pools: pools that may run it
     :param accepted_ms: wall time of its acceptance
     :param body_bytes: size of its body
-    :param standings: what each agent has said
+    :param skipped: why each agent that may run it has skipped it; empty
+        when it hasn't
     """
 
     offer: types.Offer
     pools: frozenset[str]
     accepted_ms: int
     body_bytes: int
-    standings: dict[str, shed.Standing] = dataclasses.field(
-        default_factory=dict
-    )
+    skipped: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 class Upstream:
@@ -240,7 +239,7 @@
         """
         if waiting.pools & upstream.pools:
             upstream.book.add(waiting.offer)
-            waiting.standings[upstream.name] = shed.Standing()
+            waiting.skipped[upstream.name] = ""
 
     def expire(self, waiting: Waiting) -> None:
         """Refuses a request whose time is over while it waits.
@@ -248,7 +247,7 @@
         :param waiting: the request
         """
         if waiting.offer.request_id in self.waiting:
-            reason = DEADLINE_PASSED if waiting.standings else NO_UPSTREAM
+            reason = DEADLINE_PASSED if waiting.skipped else NO_UPSTREAM
             self.refuse(waiting, reason)
 
     def refuse(self, waiting: Waiting, reason: str) -> None:
@@ -360,13 +359,9 @@
             waiting = self.waiting.get(one.request_id)
             if waiting is None:
                 continue
-            waiting.standings[upstream.name] = shed.Standing(
-                one.reason, waiting.offer.urgent
-            )
-            standings = tuple(waiting.standings.values())
-            reason = shed.verdict(standings, False)
-            if reason is not None:
-                self.refuse(waiting, reason)
+            waiting.skipped[upstream.name] = one.reason
+            if shed.unreachable(waiting.skipped):
+                self.refuse(waiting, shed.DEADLINE_UNREACHABLE)
 
     def start(
         self,
