Follow the configuration through peers and the store

Cause: what is accepted must be in force everywhere within seconds, also while the store is down, and never revert. Reads of the head stay under a budget for the whole fleet. A new daemon confirms the head by a refused write, which can't be stale, or compares several peers while the store is down. Tests: 45 scenarios in feed.feature on virtual time, 20 seeded fleets among them; no daemon's generation goes down. Conclusion: a store outage right after acceptance delays nothing.

--- /dev/null
+++ b/features/feed.feature
@@ -0,0 +1,99 @@
+Feature: Following the configuration
+
+  Scenario Outline: Only a whole and newer configuration comes into force
+    Given a feed at generation 5 whose peer says it holds generation 7
+    When the peer sends <snapshot>
+    Then the feed is at generation <generation> and <refused> snapshots were refused
+
+    Examples:
+      | snapshot                       | generation | refused |
+      | generation 7                   | 7          | 0       |
+      | generation 6                   | 6          | 0       |
+      | generation 8                   | 8          | 0       |
+      | generation 5                   | 5          | 0       |
+      | generation 4                   | 5          | 0       |
+      | changes to generation 7        | 7          | 0       |
+      | changes from an unknown base   | 5          | 0       |
+      | damaged changes                | 5          | 1       |
+      | malformed changes              | 5          | 1       |
+      | a damaged snapshot             | 5          | 1       |
+      | too long a snapshot            | 5          | 1       |
+      | one that can't be applied      | 5          | 1       |
+
+  Scenario Outline: A fleet follows while things fail
+    Given 12 entries and 60 agents that follow the configuration
+    When generation 2 is accepted with <fault>
+    Then after <seconds> seconds every daemon has generation 2 in force
+    And the fleet read the head at most <reads> times a second
+
+    Examples:
+      | fault                                   | seconds | reads |
+      | everything working                      | 1       | 200   |
+      | the store down right after              | 1       | 200   |
+      | the publisher dead right after          | 3       | 200   |
+      | 3 in 10 messages lost                   | 4       | 200   |
+      | stale reads of the head                 | 1       | 200   |
+      | agents paused for 2 seconds             | 4       | 200   |
+      | the store down and 3 in 10 messages lost | 8       | 200   |
+
+  Scenario Outline: A new daemon starts
+    Given a new feed, <store>, in a fleet of <fleet>
+    When peers at <generations> come up
+    Then the feed is <state>
+
+    Examples:
+      | store                    | fleet | generations | state                  |
+      | the store up             | 50    | none        | ready at generation 5  |
+      | the store up             | 50    | 4 4 4       | ready at generation 5  |
+      | the store with stale reads | 50  | none        | ready at generation 5  |
+      | the store down           | 50    | none        | not ready              |
+      | the store down           | 50    | 4           | not ready              |
+      | the store down           | 50    | 4 4         | not ready              |
+      | the store down           | 50    | 4 5 4       | ready at generation 5  |
+      | the store down           | 50    | 0 0 0 0     | not ready              |
+      | the store down           | 0     | 5           | not ready              |
+      | the store down           | 2     | 5           | ready at generation 5  |
+      | the store down           | 3     | 5           | not ready              |
+
+  Scenario Outline: A message that carries a newer generation waits for it
+    Given a feed at generation 5 whose peer says it holds generation <peer>
+    When generation <wanted> is required
+    And the peer answers after <answer_ms> ms
+    Then after 6 seconds the requirement is <result>
+
+    Examples:
+      | peer | wanted | answer_ms | result  |
+      | 5    | 5      | 0         | met     |
+      | 5    | 4      | 0         | met     |
+      | 7    | 7      | 400       | met     |
+      | 7    | 8      | 400       | not met |
+      | 7    | 7      | 90000     | not met |
+
+  Scenario Outline: The fleet's reads stay within the budget at any size
+    Given a feed in a fleet of <fleet>
+    Then it reads the head every <interval_ms> ms on average
+
+    Examples:
+      | fleet | interval_ms |
+      | 0     | 1000        |
+      | 8     | 1000        |
+      | 200   | 1000        |
+      | 2000  | 10000       |
+      | 12000 | 60000       |
+
+  Scenario Outline: What changed is sent, not the whole
+    Given a feed whose configuration has 1000 teams
+    When a peer that is <behind> generations behind wants the newest
+    Then it is sent <what>, at most <bytes> bytes
+
+    Examples:
+      | behind | what         | bytes   |
+      | 1      | changes      | 300     |
+      | 5      | changes      | 1500    |
+      | 64     | changes      | 20000   |
+      | 70     | the snapshot | 80000 |
+
+  Scenario: Generations only go up under seeded faults
+    When 20 seeded fleets go through publishes, losses, pauses, outages and restarts
+    Then no daemon's generation ever went down
+    And every fleet ends at its newest generation
--- /dev/null
+++ b/features/steps/feed_steps.py
@@ -0,0 +1,457 @@
+import functools
+import hashlib
+import json
+import random
+
+from behave import given
+from behave import then
+from behave import when
+import heap_clock
+import scripted_store
+
+from godwitloft import errors
+from godwitloft.coordination import delta
+from godwitloft.coordination import feed
+from godwitloft.coordination import publish
+from godwitloft.links.generated.messages import ttypes
+
+HEAD = (publish.TABLE, publish.HEAD_KEY)
+LATENCY_S = 0.0015
+
+
+def content_of(generation, teams=3):
+    members = [
+        {"name": f"team-{index:05d}", "weight": 1, "tiers": ["gold", "basic"]}
+        for index in range(teams)
+    ]
+    members[generation % teams]["weight"] = generation
+    text = json.dumps(
+        {"teams": members, "tiers": []}, sort_keys=True, separators=(",", ":")
+    )
+    return text.encode()
+
+
+def hash_of(content):
+    return hashlib.sha256(content).hexdigest()
+
+
+def accept(store, generation, content=None):
+    content = content or content_of(generation)
+    head = publish.Head(generation, hash_of(content), f"p{generation}")
+    row = store.read_row(*HEAD)
+    version = row.version if row else 0
+    store.write_object(publish.snapshot_name(head.snapshot_hash), content)
+    store.write_row(*HEAD, publish.encode_head(head), version, None)
+    return head, content
+
+
+class Fleet:
+    """Feeds that talk over a network with latency, losses and pauses."""
+
+    def __init__(self, entries, agents, seed=1, neighbours=3):
+        self.rng = random.Random(seed)
+        self.reactor = heap_clock.HeapClock()
+        self.store = scripted_store.Store()
+        self.loss = 0.0
+        self.paused = set()
+        self.dead = set()
+        self.refuses = set()
+        self.feeds = {}
+        self.heights = {}
+        self.reverts = 0
+        self.size = entries + agents
+        self.sent = []
+        self.links = {}
+        for agent in range(agents):
+            for entry in self.rng.sample(range(entries), neighbours):
+                self.links.setdefault(f"a{agent}", set()).add(f"e{entry}")
+                self.links.setdefault(f"e{entry}", set()).add(f"a{agent}")
+        accept(self.store, 1)
+
+    def add(self, name, is_new=True):
+        owner = feed.FeedOwner(
+            lambda peer, field, body: self.send(name, peer, field, body),
+            lambda configuration: self.apply(name, configuration),
+            lambda: self.size,
+        )
+        self.feeds[name] = feed.Feed(
+            self.store.platform(),
+            self.reactor,
+            owner,
+            random.Random(f"{name}{self.rng.random()}"),
+        )
+        self.feeds[name].start()
+        return self.feeds[name]
+
+    def start(self):
+        for name in sorted(self.links):
+            self.add(name)
+        for name in sorted(self.links):
+            self.connect(name)
+        self.heartbeat()
+        self.advance(2)
+
+    def connect(self, name):
+        for peer in sorted(self.links[name]):
+            if peer in self.feeds and peer not in self.dead:
+                one, other = self.feeds[name], self.feeds[peer]
+                one.peer_up(peer, other.advertised_generation)
+                other.peer_up(name, one.advertised_generation)
+
+    def apply(self, name, configuration):
+        if name in self.refuses:
+            raise errors.GodwitloftError("refused by the test")
+        if configuration.generation < self.heights.get(name, 0):
+            self.reverts += 1
+        self.heights[name] = configuration.generation
+
+    def send(self, sender, peer, field, body):
+        self.sent.append((sender, peer, field, body))
+        if self.rng.random() < self.loss or sender in self.dead:
+            return
+        delay = LATENCY_S * (1 + self.rng.random())
+        self.reactor.callLater(delay, self.deliver, sender, peer, field, body)
+
+    def deliver(self, sender, peer, field, body):
+        if peer in self.paused:
+            self.reactor.callLater(
+                0.1, self.deliver, sender, peer, field, body
+            )
+        elif peer in self.feeds and peer not in self.dead:
+            handlers = {
+                "generation_news": self.feeds[peer].on_news,
+                "snapshot_wanted": self.feeds[peer].on_wanted,
+                "snapshot": self.feeds[peer].on_snapshot,
+                "heartbeat": self.feeds[peer].heard,
+            }
+            handlers[field](sender, body)
+
+    def heartbeat(self):
+        for name in sorted(self.links):
+            if name in self.feeds and name not in self.paused:
+                generation = self.feeds[name].advertised_generation
+                for peer in sorted(self.links[name]):
+                    self.send(name, peer, "heartbeat", generation)
+        self.reactor.callLater(1, self.heartbeat)
+
+    def restart(self, name):
+        self.feeds.pop(name).stop()
+        for peer in self.links[name]:
+            self.feeds[peer].peer_down(name)
+        self.add(name)
+        self.connect(name)
+
+    def advance(self, seconds):
+        self.reactor.advance(seconds)
+
+    def behind(self, generation):
+        return [
+            name
+            for name, one in self.feeds.items()
+            if one.current.generation != generation and name not in self.dead
+        ]
+
+
+@given(
+    "a feed at generation {held:d} whose peer says it holds generation"
+    " {peer:d}"
+)
+def feed_with_peer(context, held, peer):
+    context.fleet = Fleet(0, 0)
+    accept(context.fleet.store, held)
+    context.feed = context.fleet.add("e0")
+    context.fleet.store.is_down = True
+    context.feed.heard("a0", peer)
+    context.fleet.advance(0.1)
+    assert context.feed.current.generation == held
+
+
+SNAPSHOT_KINDS = {
+    "a damaged snapshot": lambda body: body.content[:-2] + b" }",
+    "too long a snapshot": lambda body: b"x" * 2**24 + b"x",
+    "damaged changes": lambda body: body.content.replace(b"7", b"9"),
+    "malformed changes": lambda body: b'{"teams": 3}',
+}
+
+
+def snapshot_of(kind, held_content):
+    generation = int(kind.split()[-1]) if kind[-1].isdigit() else 7
+    content = content_of(generation)
+    body = ttypes.Snapshot(generation, hash_of(content), content)
+    if "changes" in kind:
+        changes = delta.difference(
+            delta.split(held_content), delta.split(content)
+        )
+        body.content = delta.encode(changes)
+        body.base_hash = hash_of(held_content)
+    if "unknown base" in kind:
+        body.base_hash = "0" * 64
+    if kind in SNAPSHOT_KINDS:
+        body.content = SNAPSHOT_KINDS[kind](body)
+    return body
+
+
+@when("the peer sends {kind}")
+def send_snapshot(context, kind):
+    if kind == "one that can't be applied":
+        context.fleet.refuses.add("e0")
+    body = snapshot_of(kind, context.feed.current.content)
+    context.feed.on_snapshot("a0", body)
+
+
+@then(
+    "the feed is at generation {generation:d} and {count:d} snapshots were"
+    " refused"
+)
+def check_taken(context, generation, count):
+    current = context.feed.current
+    assert current.generation == generation, current
+    assert current.content == content_of(generation)
+    assert context.fleet.heights["e0"] == generation
+    assert context.feed.counters.refused == count, context.feed.counters
+
+
+@given(
+    "{entries:d} entries and {agents:d} agents that follow the configuration"
+)
+def start_fleet(context, entries, agents):
+    context.fleet = Fleet(entries, agents)
+    context.fleet.start()
+    assert context.fleet.behind(1) == []
+    for one in context.fleet.feeds.values():
+        one.counters.head_reads = 0
+
+
+def pause(fleet, seconds):
+    fleet.paused = {name for name in fleet.links if name[0] == "a"}
+    fleet.reactor.callLater(seconds, fleet.paused.clear)
+
+
+FAULTS = {
+    "everything working": lambda fleet: None,
+    "the store down": lambda fleet: setattr(fleet.store, "is_down", True),
+    "3 in 10 messages lost": lambda fleet: setattr(fleet, "loss", 0.3),
+    "stale reads": lambda fleet: setattr(
+        fleet.store,
+        "choose",
+        lambda name, args: "stale" if name == "read_row" else "ok",
+    ),
+    "agents paused": lambda fleet: pause(fleet, 2),
+}
+
+
+@when("generation 2 is accepted with {fault}")
+def accept_with(context, fault):
+    fleet = context.fleet
+    head, content = accept(fleet.store, 2)
+    for name, cause in FAULTS.items():
+        if name in fault:
+            cause(fleet)
+    if "publisher dead" not in fault:
+        fleet.feeds["e0"].published(head, content)
+
+
+@then("after {seconds:d} seconds every daemon has generation 2 in force")
+def check_fleet(context, seconds):
+    context.seconds = seconds
+    context.fleet.advance(seconds)
+    assert context.fleet.behind(2) == [], context.fleet.behind(2)
+
+
+@then("the fleet read the head at most {reads:d} times a second")
+def check_reads(context, reads):
+    feeds = context.fleet.feeds.values()
+    total = sum(one.counters.head_reads for one in feeds)
+    assert 0 < total <= reads * context.seconds, total
+
+
+STORES = {
+    "the store up": lambda store: None,
+    "the store down": lambda store: setattr(store, "is_down", True),
+    "the store with stale reads": lambda store: setattr(
+        store,
+        "choose",
+        lambda name, args: "stale" if name == "read_row" else "ok",
+    ),
+}
+
+
+@given("a new feed, {store}, in a fleet of {size:d}")
+def new_feed(context, store, size):
+    fleet = Fleet(0, 0)
+    context.fleet = fleet
+    fleet.size = size
+    accept(fleet.store, 4)
+    accept(fleet.store, 5)
+    STORES[store](fleet.store)
+    context.feed = fleet.add("e0")
+
+
+def serving_peer(fleet, name, generation):
+    """Adds a peer that holds a generation and answers."""
+    content = content_of(generation)
+    one = feed.Feed(
+        fleet.store.platform(),
+        fleet.reactor,
+        feed.FeedOwner(
+            lambda peer, field, body: fleet.send(name, peer, field, body),
+            lambda configuration: None,
+            lambda: 0,
+        ),
+        random.Random(1),
+    )
+    if generation:
+        head = publish.Head(generation, hash_of(content))
+        one.published(head, content)
+    fleet.feeds[name] = one
+
+
+@when("peers at {generations} come up")
+def peers_up(context, generations):
+    for index, word in enumerate(generations.replace("none", "").split()):
+        serving_peer(context.fleet, f"a{index}", int(word))
+        context.feed.peer_up(f"a{index}", int(word))
+    context.fleet.advance(3)
+
+
+@then("the feed is ready at generation {generation:d}")
+def check_ready(context, generation):
+    assert context.feed.ready
+    assert context.feed.advertised_generation == generation
+    assert context.feed.current.generation == generation
+
+
+@then("the feed is not ready")
+def check_not_ready(context):
+    assert not context.feed.ready
+    assert context.feed.advertised_generation == 0
+
+
+@when("generation {generation:d} is required")
+def require(context, generation):
+    context.result = []
+    waiting = context.feed.require(generation)
+    waiting.addCallbacks(
+        lambda _: context.result.append("met"),
+        lambda problem: context.result.append(
+            "not met" if problem.check(feed.RequireTimeout) else problem
+        ),
+    )
+
+
+@when("the peer answers after {answer_ms:d} ms")
+def answer_after(context, answer_ms):
+    body = snapshot_of("generation 7", context.feed.current.content)
+    context.fleet.reactor.callLater(
+        answer_ms / 1000, context.feed.on_snapshot, "a0", body
+    )
+
+
+@then("after {seconds:d} seconds the requirement is {result}")
+def check_required(context, seconds, result):
+    context.fleet.advance(seconds)
+    assert context.result == [result], context.result
+
+
+@given("a feed in a fleet of {size:d}")
+def feed_in_fleet(context, size):
+    context.fleet = Fleet(0, 0)
+    context.fleet.size = size
+    context.feed = context.fleet.add("e0")
+
+
+@then("it reads the head every {interval_ms:d} ms on average")
+def check_interval(context, interval_ms):
+    before = context.feed.counters.head_reads
+    context.fleet.reactor.advance(interval_ms / 1000 * 100)
+    reads = context.feed.counters.head_reads - before
+    assert 90 <= reads <= 112, reads
+
+
+@functools.cache
+def large_fleet(teams):
+    """Returns a fleet of one, and the contents that it went through."""
+    fleet = Fleet(0, 0)
+    one = fleet.add("e0")
+    contents = [content_of(number, teams) for number in range(2, 80)]
+    for generation, content in enumerate(contents, start=2):
+        one.published(publish.Head(generation, hash_of(content)), content)
+    return fleet, contents
+
+
+@given("a feed whose configuration has {teams:d} teams")
+def large_feed(context, teams):
+    context.fleet, context.contents = large_fleet(teams)
+    context.feed = context.fleet.feeds["e0"]
+
+
+@when("a peer that is {behind:d} generations behind wants the newest")
+def want_newest(context, behind):
+    held = hash_of(context.contents[-1 - behind])
+    wanted = ttypes.SnapshotWanted(context.feed.current.generation, "", held)
+    context.fleet.sent.clear()
+    context.feed.on_wanted("a0", wanted)
+
+
+@then("it is sent {what}, at most {count:d} bytes")
+def check_sent(context, what, count):
+    body = context.fleet.sent[0][3]
+    assert (what == "changes") == (body.base_hash is not None)
+    assert len(body.content) <= count, len(body.content)
+
+
+def run_fleet(seed):
+    fleet = Fleet(4, 12, seed)
+    fleet.start()
+    rng = random.Random(seed)
+    generation = 1
+    for _ in range(40):
+        action = rng.choice(("publish", "loss", "pause", "store", "restart"))
+        if action == "publish":
+            generation += 1
+            head, content = accept(fleet.store, generation)
+            if rng.random() < 0.7:
+                name = rng.choice(sorted(fleet.feeds))
+                fleet.feeds[name].published(head, content)
+        elif action == "loss":
+            fleet.loss = rng.choice((0.0, 0.2, 0.5))
+        elif action == "pause":
+            names = sorted(fleet.links)
+            fleet.paused = set(rng.sample(names, 5))
+        elif action == "store":
+            fleet.store.is_down = rng.random() < 0.5
+            stale = rng.random() < 0.3
+            fleet.store.choose = lambda name, args, stale=stale: (
+                "stale" if stale and name == "read_row" else "ok"
+            )
+        elif not fleet.store.is_down:
+            fleet.restart(rng.choice(sorted(fleet.links)))
+        fleet.advance(rng.choice((0.1, 0.5)))
+    fleet.loss = 0.0
+    fleet.paused.clear()
+    fleet.store.is_down = False
+    fleet.store.choose = lambda name, args: "ok"
+    fleet.advance(8)
+    return fleet, generation
+
+
+@when(
+    "{count:d} seeded fleets go through publishes, losses, pauses, outages"
+    " and restarts"
+)
+def run_fleets(context, count):
+    context.fleets = [run_fleet(seed) for seed in range(count)]
+
+
+@then("no daemon's generation ever went down")
+def check_reverts(context):
+    assert sum(generation for _, generation in context.fleets) > 100
+    assert [
+        fleet.reverts for fleet, _ in context.fleets if fleet.reverts
+    ] == []
+
+
+@then("every fleet ends at its newest generation")
+def check_ends(context):
+    for fleet, generation in context.fleets:
+        assert fleet.behind(generation) == [], fleet.behind(generation)
--- /dev/null
+++ b/godwitloft/coordination/delta.py
@@ -0,0 +1,162 @@
+"""What changed between two snapshots, in as few bytes as it takes.
+
+A snapshot is canonical JSON: an object of lists of objects with a ``name``,
+sorted. It is kept split into the text of each object, so that a change of
+one object neither parses nor writes the thousands of others.
+"""
+
+import dataclasses
+import json
+import typing
+
+from godwitloft import errors
+
+Texts = typing.Mapping[str, typing.Mapping[str, str]]
+
+
+class DeltaError(errors.GodwitloftError):
+    """A delta or a snapshot doesn't have the expected form."""
+
+
+@dataclasses.dataclass(frozen=True)
+class PartChange:
+    """One object that differs.
+
+    :param kind: name of the list that holds it
+    :param name: name of the object
+    :param text: its canonical JSON, or None when it was removed
+    """
+
+    kind: str
+    name: str
+    text: str | None
+
+
+def split(content: bytes) -> Texts:
+    """Splits a snapshot into the texts of its objects.
+
+    :param content: canonical JSON
+    :return: text by kind and name
+    :raises DeltaError: when the snapshot has another form
+    """
+    try:
+        texts = {
+            kind: {one["name"]: _text(one) for one in members}
+            for kind, members in json.loads(content).items()
+        }
+    except _MALFORMED as error:
+        raise DeltaError(f"snapshot can't be split: {error}") from error
+    if join(texts) != content:
+        raise DeltaError("snapshot isn't canonical")
+    return texts
+
+
+def join(texts: Texts) -> bytes:
+    """Puts a snapshot together.
+
+    :param texts: text by kind and name
+    :return: canonical JSON
+    """
+    lists = []
+    for kind in sorted(texts):
+        members = texts[kind]
+        text = ",".join(members[name] for name in sorted(members))
+        lists.append(f"{_text(kind)}:[{text}]")
+    return ("{" + ",".join(lists) + "}").encode("ascii")
+
+
+def difference(before: Texts, after: Texts) -> tuple[PartChange, ...]:
+    """Lists the objects that differ.
+
+    :param before: the older snapshot
+    :param after: the newer one
+    :return: the changes, by kind and name
+    """
+    found = []
+    for kind in sorted(before.keys() | after.keys()):
+        old = before.get(kind, {})
+        new = after.get(kind, {})
+        if old is new:
+            continue
+        for name in sorted(old.keys() | new.keys()):
+            if old.get(name) != new.get(name):
+                found.append(PartChange(kind, name, new.get(name)))
+    return tuple(found)
+
+
+def patch(before: Texts, changes: typing.Iterable[PartChange]) -> Texts:
+    """Makes changes to a snapshot.
+
+    :param before: stays as it is; lists without a change are shared
+    :param changes: as :func:`difference` lists them
+    :return: the newer snapshot
+    """
+    after: dict[str, typing.Mapping[str, str]] = dict(before)
+    copies: dict[str, dict[str, str]] = {}
+    for change in changes:
+        members = copies.get(change.kind)
+        if members is None:
+            members = dict(before.get(change.kind, {}))
+            copies[change.kind] = after[change.kind] = members
+        if change.text is None:
+            members.pop(change.name, None)
+        else:
+            members[change.name] = change.text
+    return after
+
+
+def compose(
+    deltas: typing.Iterable[typing.Iterable[PartChange]],
+) -> tuple[PartChange, ...]:
+    """Joins deltas that follow one another into one.
+
+    :param deltas: the oldest first
+    :return: the last change of each object
+    """
+    last = {
+        (change.kind, change.name): change
+        for delta in deltas
+        for change in delta
+    }
+    return tuple(last.values())
+
+
+def encode(changes: typing.Iterable[PartChange]) -> bytes:
+    """Writes a delta.
+
+    :param changes: what changed
+    :return: JSON, as :func:`decode` reads it
+    """
+    kinds: dict[str, list[str]] = {}
+    for one in changes:
+        text = "null" if one.text is None else one.text
+        kinds.setdefault(one.kind, []).append(f"{_text(one.name)}:{text}")
+    lists = [
+        f"{_text(kind)}:{{{','.join(members)}}}"
+        for kind, members in kinds.items()
+    ]
+    return ("{" + ",".join(lists) + "}").encode("ascii")
+
+
+def decode(content: bytes) -> tuple[PartChange, ...]:
+    """Reads a delta.
+
+    :param content: result of :func:`encode`
+    :return: what changed
+    :raises DeltaError: when it has another form
+    """
+    try:
+        return tuple(
+            PartChange(kind, name, None if one is None else _text(one))
+            for kind, members in json.loads(content).items()
+            for name, one in members.items()
+        )
+    except _MALFORMED as error:
+        raise DeltaError(f"delta can't be read: {error}") from error
+
+
+_MALFORMED = (ValueError, TypeError, KeyError, AttributeError, RecursionError)
+
+
+def _text(value: object) -> str:
+    return json.dumps(value, sort_keys=True, separators=(",", ":"))
--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -47,6 +47,13 @@
 CONFIGURATION_IN_FORCE = Event(
     1401, logging.INFO, "a configuration is in force"
 )
+GENERATION_MISMATCH = Event(
+    1402, logging.ERROR, "a peer holds other content for a generation"
+)
+CONFIGURATION_REFUSED = Event(
+    1403, logging.WARNING, "a configuration was refused"
+)
+FEED_FAILED = Event(1404, logging.ERROR, "following the configuration failed")
 
 OPERATOR_REFUSED = Event(
     1411, logging.WARNING, "a request of an operator was refused"
