--- a/godwitloft/ui/check.py
+++ b/godwitloft/ui/check.py
@@ -81,9 +81,8 @@
     :return: one line a problem
     """
     lines = tuple(str(problem) for problem in problems)
-    noun = "problem" if len(lines) == 1 else "problems"
     return report.Report(
         Checked(problems, {}, ""),
-        (*lines, f"{len(lines)} {noun}"),
+        (*lines, report.count(len(lines), "problem")),
         errors.ExitCode.PROBLEMS,
     )
--- a/godwitloft/ui/client.py
+++ b/godwitloft/ui/client.py
@@ -12,6 +12,7 @@
 from twisted.internet import defer
 from twisted.internet import error as internet_errors
 from twisted.internet import task
+from twisted.python import failure
 from twisted.web import client as web_client
 from twisted.web import http
 
@@ -37,7 +38,7 @@
     web_client.RequestNotSent,
     web_client.ResponseFailed,
     web_client.RequestTransmissionFailed,
-    defer.CancelledError,
+    defer.TimeoutError,
     OSError,
 )
 EXIT_CODES: typing.Mapping[int, errors.ExitCode] = {
@@ -191,20 +192,32 @@
     if call.body is not None:
         headers["Content-Type"] = "application/json"
         data = canonical.encode_value(call.body).encode("ascii")
-    try:
+
+    async def exchange() -> tuple[int, bytes]:
         response = await session.http.request(
             call.method,
             f"{server}/operator/{call.path}",
             params=dict(call.query),
             headers=headers,
             data=data,
-            timeout=connection.timeout_s,
         )
-        content = await _collect(session, response)
+        return response.code, await _collect(session, response)
+
+    answer = defer.ensureDeferred(exchange())
+    answer.addTimeout(
+        connection.timeout_s, session.scheduler, _fail_for_timeout
+    )
+    try:
+        status, content = await answer
     except UNREACHABLE_ERRORS as error:
-        reason = _describe(error)
+        reason = str(error) or type(error).__name__
         raise _NextServer(reason, errors.ExitCode.UNREACHABLE) from error
-    return _decode(call, response.code, content)
+    return _decode(call, status, content)
+
+
+def _fail_for_timeout(_result: object, timeout_s: float) -> failure.Failure:
+    # The client wraps a cancelled call in errors of its own.
+    return failure.Failure(defer.TimeoutError(f"no answer in {timeout_s:g} s"))
 
 
 async def _collect(session: sessions.Session, response: typing.Any) -> bytes:
@@ -241,12 +254,6 @@
     )
 
 
-def _describe(error: BaseException) -> str:
-    if isinstance(error, defer.CancelledError):
-        return "no answer in time"
-    return str(error) or type(error).__name__
-
-
 def quote(name: str) -> str:
     """Returns a name as part of a path.
 
--- a/godwitloft/ui/diff.py
+++ b/godwitloft/ui/diff.py
@@ -62,7 +62,8 @@
         )
         name = f"generation {newer.generation}"
     changes = diff.diff(before, after)
-    total = f"{len(changes)} objects differ from generation {head.generation}"
-    return report.Report(
-        changes, (*report.change_lines(changes), f"{total} to {name}")
+    total = (
+        f"{report.count(len(changes), 'object')} changed from generation"
+        f" {head.generation} to {name}"
     )
+    return report.Report(changes, (*report.change_lines(changes), total))
--- a/godwitloft/ui/publish.py
+++ b/godwitloft/ui/publish.py
@@ -29,8 +29,7 @@
         cappa.Arg(
             long=True,
             help="Generation that the files started from: what others changed"
-            " since is kept. Else the accepted one, and nothing may be"
-            " removed.",
+            " since is kept. Else objects may only be added.",
         ),
     ] = None
 
@@ -66,7 +65,7 @@
         head, base = dataclasses.replace(head, generation=0), types.ObjectSet()
     changes = diff.diff(base, objects)
     if command.base is None and not command.dry_run:
-        _refuse_removal(changes, head.generation)
+        _refuse_replacing(changes, head.generation)
     return await submit(command, session, objects, head.generation, changes)
 
 
@@ -91,8 +90,8 @@
             Planned(base_generation, changes),
             (
                 *report.change_lines(changes),
-                f"{len(changes)} objects differ from generation"
-                f" {base_generation}; nothing was published",
+                f"{report.count(len(changes), 'object')} would change from"
+                f" generation {base_generation}; nothing was published",
             ),
         )
     answer = await client.send_publish(
@@ -106,19 +105,21 @@
     return _show(answer, changes)
 
 
-def _refuse_removal(
+def _refuse_replacing(
     changes: tuple[diff.ObjectChange, ...], generation: int
 ) -> None:
-    removed = [
+    # Without a base, nobody can tell whether the files hold a newer state of
+    # these objects or lack what others changed since.
+    replaced = [
         f"{change.kind}/{change.object}"
         for change in changes
-        if change.action is diff.Action.REMOVED
+        if change.action is not diff.Action.ADDED
     ]
-    if removed:
+    if replaced:
         raise errors.CommandError(
-            f"the files lack {', '.join(removed)} of generation {generation};"
-            f" give --base {generation} to remove them, or --base with the"
-            " generation that the files started from",
+            f"the files change or lack {', '.join(replaced)} of generation"
+            f" {generation}; give --base with the generation that the files"
+            f" started from, or --base {generation} to replace them",
             errors.ExitCode.CONFLICT,
         )
 
--- a/godwitloft/ui/report.py
+++ b/godwitloft/ui/report.py
@@ -64,6 +64,16 @@
     )
 
 
+def count(number: int, noun: str) -> str:
+    """Shows a number of things.
+
+    :param number: how many
+    :param noun: for one of them
+    :return: for example ``1 object`` or ``2 objects``
+    """
+    return f"{number} {noun}" if number == 1 else f"{number} {noun}s"
+
+
 def format_time(wall_ms: int) -> str:
     """Shows a point in time.
 
