Cancel runs by closing their connection; contain internal errors

Cause: cancelling a run raised AttributeError in the agent, which cost the link to the entry and with it every request on it; an error in a periodic round would have ended the round for good without a log line. Ruled out: heartbeats too slow (no silence was logged). Change: the reader's connection is closed by the call that it has; errors in a message or a round are logged as GL1009 and go no further; twisted's own errors reach the log; an agent that leaves no longer waits for entries that are gone.

--- a/godwitloft/agent/daemon.py
+++ b/godwitloft/agent/daemon.py
@@ -87,7 +87,9 @@
             ),
             random.Random(self.incarnation),
         )
-        self.ticker = task.LoopingCall(self.dispatcher.tick)
+        self.ticker = task.LoopingCall(
+            daemon.contain(self.dispatcher.tick, "dispatcher")
+        )
         self.ticker.clock = reactor
 
     def max_running(self) -> int:
--- a/godwitloft/agent/dispatcher.py
+++ b/godwitloft/agent/dispatcher.py
@@ -598,4 +598,7 @@
     @property
     def idle(self) -> bool:
         """Whether no run is left that an entry may still want."""
-        return not self.runs
+        return not any(
+            run.ended is None or run.entry in self.entries
+            for run in self.runs.values()
+        )
--- a/godwitloft/agent/http_upstream.py
+++ b/godwitloft/agent/http_upstream.py
@@ -250,7 +250,7 @@
         if request is not None:
             request.cancel()
         elif reader is not None and reader.transport is not None:
-            typing.cast(typing.Any, reader.transport).abortConnection()
+            typing.cast(typing.Any, reader.transport).loseConnection()
 
     def pause_reading(self, run_id: str, paused: bool) -> None:
         """Stops or goes on reading an answer.
--- a/godwitloft/daemon.py
+++ b/godwitloft/daemon.py
@@ -1,9 +1,11 @@
 """What entries and agents do alike when they start."""
 
 import sys
+import typing
 import uuid
 
 from godwitloft import clock as clocks
+from godwitloft import events
 from godwitloft import settings as settings_module
 from godwitloft import trace
 
@@ -43,3 +45,24 @@
         print(line, file=output, flush=True)
 
     return trace.Recorder(clock, instance, incarnation, write)
+
+
+def contain(
+    work: typing.Callable[[], None], task_name: str
+) -> typing.Callable[[], None]:
+    """Returns a function that logs what another raises.
+
+    A periodic task goes on after an error in one of its rounds.
+
+    :param work: one round of the task
+    :param task_name: for the log
+    :return: a function that raises nothing
+    """
+
+    def contained() -> None:
+        try:
+            work()
+        except Exception as error:
+            events.log_error(events.INTERNAL_ERROR, error, task=task_name)
+
+    return contained
--- a/godwitloft/entry/daemon.py
+++ b/godwitloft/entry/daemon.py
@@ -87,7 +87,7 @@
             ),
             random.Random(self.incarnation),
         )
-        self.ticker = task.LoopingCall(self.desk.tick)
+        self.ticker = task.LoopingCall(daemon.contain(self.desk.tick, "desk"))
         self.ticker.clock = reactor
         self.caller_port: typing.Any = None
 
--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -10,6 +10,8 @@
 import logging
 import typing
 
+from twisted.python import log as log_module
+
 LOGGER_NAME = "godwitloft"
 
 
@@ -66,6 +68,26 @@
 PLATFORM_BACK = Event(1502, logging.INFO, "the platform answers again")
 
 
+INTERNAL_ERROR = Event(1009, logging.ERROR, "an internal error was contained")
+
+
+def log_error(
+    event: Event, error: BaseException, **fields: typing.Any
+) -> None:
+    """Writes one event with a traceback.
+
+    :param event: which event
+    :param error: what was raised
+    :param fields: values that JSON can hold
+    """
+    logging.getLogger(LOGGER_NAME).log(
+        event.level,
+        event.text,
+        exc_info=error,
+        extra={"event": event, "fields": fields},
+    )
+
+
 def log(event: Event, **fields: typing.Any) -> None:
     """Writes one event with its fields.
 
@@ -137,3 +159,12 @@
     logger.handlers[:] = [handler]
     logger.setLevel(level.upper())
     logger.propagate = False
+    _show_twisted_errors(handler)
+
+
+def _show_twisted_errors(handler: logging.Handler) -> None:
+    logger = logging.getLogger("twisted")
+    logger.handlers[:] = [handler]
+    logger.setLevel(logging.ERROR)
+    logger.propagate = False
+    log_module.PythonLoggingObserver("twisted").start()
--- a/godwitloft/links/hub.py
+++ b/godwitloft/links/hub.py
@@ -254,7 +254,14 @@
         peer = link.peer
         if peer is None or self.peers.get(peer.instance) is not link:
             return
-        self.handlers.received(peer.instance, name, body)
+        try:
+            self.handlers.received(peer.instance, name, body)
+        except Exception as error:
+            # One message that can't be handled must not cost the link, and
+            # with it every other request on it.
+            events.log_error(
+                events.INTERNAL_ERROR, error, peer=peer.instance, message=name
+            )
 
     def lost(self, link: links.Link, reason: str) -> None:
         """Forgets a link, tells the daemon and dials again.
