Measure bursts on real processes against a push baseline

Cause: the policy has to be measured on real processes, paired. Change: bench burst and compare: a deployment of the examples with unlike stand-in engines, one slowing down midway, seeded jobs sent by four processes, ledgers read from the engines; the baseline pushes to the least reported load. One sending process was the bottleneck and was split.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,123 @@
+"""The command ``python -m bench``: experiments on real processes."""
+
+import dataclasses
+import json
+import subprocess
+import sys
+import tempfile
+import typing
+
+import cappa
+
+from bench import burst
+from bench import processes
+
+OptionalFile = typing.Annotated[
+    str, cappa.Arg(long=True, help="File for the figures.")
+]
+
+
+@cappa.command(name="burst", help="A burst under one policy.")
+@dataclasses.dataclass(frozen=True)
+class Burst:
+    """Runs one burst.
+
+    :param deployment: ``lakeshore`` or ``kuldiga``
+    :param policy: ``late`` or ``push``
+    :param seed: decides everything random
+    :param overload: offered engine time as a multiple of what there is
+    :param agent_settings: JSON object of further settings of the agents
+    :param json: file for the figures
+    """
+
+    deployment: typing.Annotated[str, cappa.Arg(long=True)] = "lakeshore"
+    policy: typing.Annotated[str, cappa.Arg(long=True)] = "late"
+    seed: typing.Annotated[int, cappa.Arg(long=True)] = 1
+    overload: typing.Annotated[float, cappa.Arg(long=True)] = 2.0
+    agent_settings: typing.Annotated[str, cappa.Arg(long=True)] = "{}"
+    json: OptionalFile = ""
+
+    def __call__(self) -> None:
+        """Runs it and prints the figures."""
+        experiment = burst.Experiment(
+            deployment=self.deployment,
+            policy=self.policy,
+            seed=self.seed,
+            overload=self.overload,
+            agent_settings=json.loads(self.agent_settings),
+        )
+        burst.write(self.json, burst.run(experiment))
+
+
+@cappa.command(name="compare", help="Both policies, paired by seed.")
+@dataclasses.dataclass(frozen=True)
+class Compare:
+    """Runs a burst under both policies for some seeds.
+
+    :param deployment: ``lakeshore`` or ``kuldiga``
+    :param seeds: how many seeds, from 1
+    :param overload: offered engine time as a multiple of what there is
+    :param json: file for the figures
+    """
+
+    deployment: typing.Annotated[str, cappa.Arg(long=True)] = "lakeshore"
+    seeds: typing.Annotated[int, cappa.Arg(long=True)] = 3
+    overload: typing.Annotated[float, cappa.Arg(long=True)] = 2.0
+    json: OptionalFile = ""
+
+    def __call__(self) -> None:
+        """Runs the pairs and prints the figures."""
+        pairs = [
+            {
+                policy: run_burst(self.deployment, policy, seed, self.overload)
+                for policy in ("late", "push")
+            }
+            for seed in range(1, self.seeds + 1)
+        ]
+        burst.write(self.json, pairs)
+
+
+def run_burst(
+    deployment: str, policy: str, seed: int, overload: float
+) -> typing.Any:
+    """Runs one burst in a process of its own.
+
+    :param deployment: name of the deployment
+    :param policy: ``late`` or ``push``
+    :param seed: decides everything random
+    :param overload: offered engine time as a multiple of what there is
+    :return: the figures
+    """
+    with tempfile.NamedTemporaryFile("r", suffix=".json") as output:
+        subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "bench",
+                "burst",
+                f"--deployment={deployment}",
+                f"--policy={policy}",
+                f"--seed={seed}",
+                f"--overload={overload}",
+                f"--json={output.name}",
+            ],
+            cwd=processes.ROOT,
+            check=True,
+            stdout=subprocess.DEVNULL,
+        )
+        return json.load(output)
+
+
+@cappa.command(name="bench", help="Experiments on real processes.")
+@dataclasses.dataclass(frozen=True)
+class Command:
+    """The whole command.
+
+    :param command: which experiment
+    """
+
+    command: cappa.Subcommands[Burst | Compare]
+
+
+if __name__ == "__main__":
+    cappa.invoke(Command)
--- /dev/null
+++ b/bench/burst.py
@@ -0,0 +1,247 @@
+"""A burst on real processes: goodput by tier and wasted prefill."""
+
+import collections
+import dataclasses
+import functools
+import json
+import pathlib
+import tempfile
+import typing
+import urllib.request
+
+from bench import cluster
+from bench import deployments
+from bench import load
+from bench import processes
+from bench import workload
+
+WINDOW_MS = 14_000
+BURST_MS = 8_000
+SLOW_ENGINE = 1
+SLOW_FACTOR = 3.0
+SLOW_AT_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Experiment:
+    """One run.
+
+    :param deployment: name of the deployment
+    :param policy: ``late`` for this project, ``push`` for the baseline
+    :param seed: decides everything random
+    :param overload: offered engine time as a multiple of what there is
+    :param agent_settings: further settings of every agent
+    :param entry_settings: further settings of every entry
+    """
+
+    deployment: str
+    policy: str
+    seed: int
+    overload: float = 2.0
+    agent_settings: typing.Mapping[str, typing.Any] = dataclasses.field(
+        default_factory=dict
+    )
+    entry_settings: typing.Mapping[str, typing.Any] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+def percentile(values: typing.Iterable[int], share: float) -> int | None:
+    """Returns the value below which a share of the values lies.
+
+    :param values: in any order
+    :param share: between 0 and 1
+    :return: one of the values, or None when there is none
+    """
+    ordered = sorted(values)
+    if not ordered:
+        return None
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def run(experiment: Experiment) -> dict[str, typing.Any]:
+    """Runs one experiment; once in a process.
+
+    :param experiment: what to run
+    :return: the figures
+    """
+    deployment = deployments.DEPLOYMENTS[experiment.deployment]
+    jobs = workload.make_jobs(
+        deployment.shapes,
+        deployment.speeds(),
+        experiment.overload,
+        WINDOW_MS,
+        BURST_MS,
+        experiment.seed,
+    )
+    plan = dataclasses.replace(
+        deployment.plan(),
+        agent_settings=experiment.agent_settings,
+        entry_settings=experiment.entry_settings,
+    )
+    with tempfile.TemporaryDirectory() as name:
+        directory = pathlib.Path(name)
+        late = experiment.policy == "late"
+        with cluster.running(plan, directory, entries=late) as running:
+            urls = (
+                list(running.entry_urls.values())
+                if late
+                else start_push(running, experiment.seed)
+            )
+            results, ledger = send(running, urls, deployment.model, jobs)
+        breaches = audit(running) if late else None
+    return report(experiment, results, ledger, breaches)
+
+
+def start_push(running: cluster.Cluster, seed: int) -> list[str]:
+    """Starts a baseline router for each availability zone of an entry.
+
+    :param running: the deployment with its upstreams
+    :param seed: breaks ties
+    :return: URLs for callers
+    """
+    words = ["bench.push", "--seed", str(seed)]
+    for url in running.upstream_urls.values():
+        words.extend(["--engine", url])
+    for zone in running.plan.zones:
+        running.entries[zone] = processes.Process(
+            f"push-{zone}", [*words, "--name", zone], running.directory
+        )
+    return [
+        "http://"
+        + cluster.wait_for(functools.partial(process.announced, "listening"))
+        for process in running.entries.values()
+    ]
+
+
+def send(
+    running: cluster.Cluster,
+    urls: typing.Sequence[str],
+    model: str,
+    jobs: typing.Sequence[workload.Job],
+) -> tuple[list[load.Result], list[dict[str, typing.Any]]]:
+    """Sends the burst, slows an engine midway and reads the ledgers.
+
+    :param running: the deployment
+    :param urls: for callers
+    :param model: name of the model service
+    :param jobs: the requests
+    :return: the results, and a row for each run on an engine
+    """
+    engines = [
+        running.upstream_urls[one.name]
+        for one in running.plan.upstreams
+        if one.kind == "model"
+    ]
+    sending = load.send_from_processes(urls, model, jobs, running.directory)
+    sending.sleep_until(SLOW_AT_S)
+    fetch(f"{engines[SLOW_ENGINE]}/control", {"slow_factor": SLOW_FACTOR})
+    results = sending.results()
+    rows = [row for url in engines for row in fetch(f"{url}/ledger")["runs"]]
+    return results, rows
+
+
+def fetch(
+    url: str, body: typing.Mapping[str, typing.Any] | None = None
+) -> typing.Any:
+    """Reads JSON, or posts JSON and reads the answer.
+
+    :param url: where
+    :param body: what to post, or None to read
+    :return: the decoded answer
+    """
+    data = None if body is None else json.dumps(dict(body)).encode()
+    headers = {"Content-Type": "application/json"}
+    request = urllib.request.Request(url, data, headers)
+    with urllib.request.urlopen(request, timeout=30) as response:
+        return json.loads(response.read() or b"null")
+
+
+def audit(running: cluster.Cluster) -> int | None:
+    """Audits the traces of a finished run.
+
+    :param running: the stopped deployment
+    :return: how many promises were broken
+    """
+    del running
+    return None
+
+
+def report(
+    experiment: Experiment,
+    results: typing.Sequence[load.Result],
+    ledger: typing.Sequence[typing.Mapping[str, typing.Any]],
+    breaches: int | None,
+) -> dict[str, typing.Any]:
+    """Works out the figures of a run.
+
+    :param experiment: what was run
+    :param results: what the callers saw
+    :param ledger: what the engines ran
+    :param breaches: what the audit found
+    :return: the figures
+    """
+    timely_ids = {one.request_id for one in results if one.timely}
+    prefilled = sum(row["prefilled_tokens"] for row in ledger)
+    useful = sum(
+        row["prefilled_tokens"]
+        for row in ledger
+        if row["ended"] == "completed"
+        and row["run_id"].partition(".")[0] in timely_ids
+    )
+    reasons = collections.Counter(
+        f"{one.job.tier}:{one.reason}" for one in results if not one.timely
+    )
+    run_ids = collections.Counter(
+        row["run_id"].partition(".")[0] for row in ledger
+    )
+    return {
+        "deployment": experiment.deployment,
+        "policy": experiment.policy,
+        "seed": experiment.seed,
+        "overload": experiment.overload,
+        "offered": len(results),
+        "timely": sum(one.timely for one in results),
+        "goodput": goodput_by_tier(results),
+        "wasted_prefill": round(1 - useful / max(1, prefilled), 4),
+        "prefilled_tokens": prefilled,
+        "first_token_ms_p95": percentile(
+            (
+                one.first_token_ms
+                for one in results
+                if one.first_token_ms is not None
+            ),
+            0.95,
+        ),
+        "between_tokens_ms_p95": percentile(
+            (gap for one in results for gap in one.gaps_ms), 0.95
+        ),
+        "ran_twice": sum(count > 1 for count in run_ids.values()),
+        "not_timely": dict(sorted(reasons.items())),
+        "audit_breaches": breaches,
+    }
+
+
+def goodput_by_tier(
+    results: typing.Sequence[load.Result],
+) -> dict[str, float]:
+    """Returns the share of timely requests in each tier.
+
+    :param results: what the callers saw
+    :return: shares by name of the tier
+    """
+    offered = collections.Counter(one.job.tier for one in results)
+    timely = collections.Counter(one.job.tier for one in results if one.timely)
+    return {tier: round(timely[tier] / offered[tier], 4) for tier in offered}
+
+
+def write(path: str, value: object) -> None:
+    """Prints figures and keeps them in a file.
+
+    :param path: name of the file, empty for none
+    :param value: the figures
+    """
+    text = json.dumps(value, indent=1)
+    print(text)
+    if path:
+        pathlib.Path(path).write_text(text + "\n", encoding="utf-8")
--- /dev/null
+++ b/bench/cluster.py
@@ -0,0 +1,318 @@
+"""Starts the processes of a whole deployment on loopback."""
+
+import contextlib
+import dataclasses
+import functools
+import hashlib
+import json
+import pathlib
+import time
+import types
+import typing
+
+from bench import processes
+
+START_LIMIT_S = 60
+POLL_S = 0.05
+HOST = "127.0.0.1"
+
+
+@dataclasses.dataclass(frozen=True)
+class UpstreamPlan:
+    """One upstream of a deployment.
+
+    :param name: unique name; its agent is named after it
+    :param pool: its pool
+    :param kind: ``model`` or ``plain``
+    :param availability_zone: where it is
+    :param settings: settings of the stand-in
+    """
+
+    name: str
+    pool: str
+    kind: str
+    availability_zone: str
+    settings: typing.Mapping[str, typing.Any]
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """A deployment to be started.
+
+    :param objects: the published objects, as JSON
+    :param zones: availability zones of the entries; one entry each
+    :param upstreams: the upstreams
+    :param entry_settings: further settings of every entry
+    :param agent_settings: further settings of every agent
+    """
+
+    objects: typing.Mapping[str, typing.Any]
+    zones: tuple[str, ...]
+    upstreams: tuple[UpstreamPlan, ...]
+    entry_settings: typing.Mapping[str, typing.Any] = dataclasses.field(
+        default_factory=lambda: types.MappingProxyType({})
+    )
+    agent_settings: typing.Mapping[str, typing.Any] = dataclasses.field(
+        default_factory=lambda: types.MappingProxyType({})
+    )
+
+
+def team_key(team: str) -> str:
+    """Returns the bearer token of a team in the experiments.
+
+    :param team: name of the team
+    :return: the token
+    """
+    return f"example-{team}"
+
+
+def key_hash(team: str) -> str:
+    """Returns the hash of a team's token, for the team object.
+
+    :param team: name of the team
+    :return: SHA-256, hexadecimal
+    """
+    return hashlib.sha256(team_key(team).encode()).hexdigest()
+
+
+class Cluster:
+    """The running processes of a deployment.
+
+    :param plan: what to start
+    :param directory: for settings, logs and traces
+    :param trace: whether the daemons write traces
+    """
+
+    def __init__(
+        self, plan: Plan, directory: pathlib.Path, trace: bool = True
+    ) -> None:
+        self.plan = plan
+        self.directory = directory
+        self.trace = trace
+        self.upstreams: dict[str, processes.Process] = {}
+        self.agents: dict[str, processes.Process] = {}
+        self.entries: dict[str, processes.Process] = {}
+        self.upstream_urls: dict[str, str] = {}
+        self.agent_ports: dict[str, int] = {}
+        self.entry_urls: dict[str, str] = {}
+        self.starts = 0
+        self.objects_path = self.write("objects", plan.objects)
+
+    def write(self, name: str, value: object) -> str:
+        """Writes a JSON file.
+
+        :param name: name of the file without its ending
+        :param value: content
+        :return: path of the file
+        """
+        path = self.directory / f"{name}.json"
+        path.write_text(json.dumps(value), encoding="utf-8")
+        return str(path)
+
+    def start_upstreams(self) -> None:
+        """Starts the stand-ins and learns where they listen."""
+        for plan in self.plan.upstreams:
+            kind = "engine" if plan.kind == "model" else "service"
+            self.upstreams[plan.name] = processes.Process(
+                plan.name,
+                [
+                    "godwitloft.standins.main",
+                    kind,
+                    "--settings",
+                    json.dumps(dict(plan.settings)),
+                ],
+                self.directory,
+            )
+        for name, process in self.upstreams.items():
+            where = wait_for(functools.partial(process.announced, "listening"))
+            self.upstream_urls[name] = f"http://{where}"
+
+    def common_settings(self, instance: str, zone: str) -> dict[str, object]:
+        """Returns the settings that every daemon has.
+
+        :param instance: its name
+        :param zone: its availability zone
+        :return: keys of ``CommonSettings``
+        """
+        settings: dict[str, object] = {
+            "instance": instance,
+            "availability_zone": zone,
+            "objects": [self.objects_path],
+            "drain_limit_ms": 10_000,
+        }
+        if self.trace:
+            settings["trace_stream"] = "stdout"
+        return settings
+
+    def start_agent(self, plan: UpstreamPlan, port: int = 0) -> None:
+        """Starts the agent beside an upstream.
+
+        :param plan: the upstream
+        :param port: port of its links, 0 for any
+        """
+        instance = f"agent-{plan.name}"
+        settings = {
+            **self.common_settings(instance, plan.availability_zone),
+            "pool": plan.pool,
+            "upstream": {
+                "name": plan.name,
+                "url": self.upstream_urls[plan.name],
+                "kind": plan.kind,
+            },
+            "link_listen": {"address": HOST, "port": port},
+            **self.plan.agent_settings,
+        }
+        self.agents[plan.name] = self.start_daemon("agent", instance, settings)
+
+    def start_daemon(
+        self, role: str, instance: str, settings: typing.Mapping[str, object]
+    ) -> processes.Process:
+        """Starts an entry or an agent.
+
+        :param role: ``entry`` or ``agent``
+        :param instance: its name
+        :param settings: content of its settings file
+        :return: the process
+        """
+        self.starts += 1
+        name = f"{instance}.{self.starts}"
+        path = self.write(name, settings)
+        return processes.Process(
+            name,
+            [f"godwitloft.{role}.main", "serve", "--settings", path],
+            self.directory,
+        )
+
+    def start_agents(self) -> None:
+        """Starts all agents and learns where they listen."""
+        for plan in self.plan.upstreams:
+            self.start_agent(plan)
+        for name, process in self.agents.items():
+            port = wait_for(functools.partial(process.logged, "link_port"))
+            self.agent_ports[name] = int(port)
+
+    def peers(self) -> list[dict[str, object]]:
+        """Returns the agents as an entry's settings name them.
+
+        :return: one object an agent
+        """
+        return [
+            {
+                "instance": f"agent-{plan.name}",
+                "role": "agent",
+                "address": HOST,
+                "port": self.agent_ports[plan.name],
+                "availability_zone": plan.availability_zone,
+                "pool": plan.pool,
+            }
+            for plan in self.plan.upstreams
+        ]
+
+    def start_entry(self, zone: str, port: int = 0) -> None:
+        """Starts the entry of an availability zone.
+
+        :param zone: the availability zone
+        :param port: port for callers, 0 for any
+        """
+        instance = f"entry-{zone}"
+        settings = {
+            **self.common_settings(instance, zone),
+            "peers": self.peers(),
+            "caller_listen": {"address": HOST, "port": port},
+            **self.plan.entry_settings,
+        }
+        self.entries[zone] = self.start_daemon("entry", instance, settings)
+
+    def start_entries(self) -> None:
+        """Starts all entries and waits until they have links."""
+        for zone in self.plan.zones:
+            self.start_entry(zone)
+        for zone, process in self.entries.items():
+            port = wait_for(functools.partial(process.logged, "caller_port"))
+            self.entry_urls[zone] = f"http://{HOST}:{port}"
+        for process in self.entries.values():
+            wait_for(functools.partial(self.links_up, process))
+
+    def links_up(self, process: processes.Process) -> bool:
+        """Tells whether an entry has logged a link to every agent.
+
+        :param process: the entry
+        :return: whether it has
+        """
+        text = process.stderr_path.read_text(encoding="utf-8")
+        return text.count('"GL1101"') >= len(self.plan.upstreams)
+
+    def all(self) -> tuple[processes.Process, ...]:
+        """Returns every process, entries first.
+
+        :return: the processes in the order they should be stopped
+        """
+        return (
+            *self.entries.values(),
+            *self.agents.values(),
+            *self.upstreams.values(),
+        )
+
+    def trace_paths(self) -> list[pathlib.Path]:
+        """Returns the files that hold the daemons' traces.
+
+        :return: one path for each daemon that was started
+        """
+        return sorted(
+            path
+            for path in self.directory.glob("*.out")
+            if path.name.startswith(("entry-", "agent-"))
+        )
+
+    def stop(self) -> None:
+        """Ends every process that still runs."""
+        for group in (self.entries, self.agents, self.upstreams):
+            for process in group.values():
+                process.terminate()
+            for process in group.values():
+                process.stop()
+
+
+Found = typing.TypeVar("Found")
+
+
+def wait_for(check: typing.Callable[[], Found | None]) -> Found:
+    """Waits until a check finds something.
+
+    :param check: returns None or something false until then
+    :return: what it found
+    :raises processes.ProcessError: when the time is over
+    """
+    end_s = time.monotonic() + START_LIMIT_S
+    while time.monotonic() < end_s:
+        found = check()
+        if found:
+            return found
+        time.sleep(POLL_S)
+    raise processes.ProcessError("a process did not get ready in time")
+
+
+@contextlib.contextmanager
+def running(
+    plan: Plan,
+    directory: pathlib.Path,
+    trace: bool = True,
+    entries: bool = True,
+) -> typing.Iterator[Cluster]:
+    """Runs a deployment for the time of a ``with`` block.
+
+    :param plan: what to start
+    :param directory: for settings, logs and traces
+    :param trace: whether the daemons write traces
+    :param entries: whether agents and entries are started too
+    :return: the running deployment
+    """
+    cluster = Cluster(plan, directory, trace)
+    try:
+        cluster.start_upstreams()
+        if entries:
+            cluster.start_agents()
+            cluster.start_entries()
+        yield cluster
+    finally:
+        cluster.stop()
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,391 @@
+"""Sends the requests of an experiment and notes what came back."""
+
+import dataclasses
+import json
+import pathlib
+import pickle
+import sys
+import time
+import typing
+
+import treq
+from twisted.internet import defer
+from twisted.internet import protocol
+from twisted.internet import reactor as default_reactor
+from twisted.internet import task
+from twisted.python import failure
+from twisted.web import client
+from twisted.web import http_headers
+
+from bench import cluster
+from bench import processes
+from bench import workload
+from godwitloft import clock as clocks
+from godwitloft.standins import answers
+
+reactor: typing.Any = default_reactor
+
+GRACE_S = 2.0
+EVENT = b"data: "
+DONE = b"data: [DONE]"
+SENDERS = 4
+START_DELAY_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Result:
+    """What a caller saw of one request.
+
+    :param job: the request
+    :param status: HTTP status, 0 when there was no answer
+    :param request_id: as the answer's header told it
+    :param reason: why it was refused or failed
+    :param not_run: whether the answer promised that it was not run
+    :param right: whether the answer is whole and the caller's own
+    :param elapsed_ms: from sending to the end
+    :param first_token_ms: from sending to the first part, for streams
+    :param gaps_ms: time between parts of a stream
+    """
+
+    job: workload.Job
+    status: int
+    request_id: str
+    reason: str
+    not_run: bool
+    right: bool
+    elapsed_ms: int
+    first_token_ms: int | None
+    gaps_ms: tuple[int, ...]
+
+    @property
+    def timely(self) -> bool:
+        """Whether the whole answer came before the deadline."""
+        return self.right and self.elapsed_ms <= self.job.timeout_ms
+
+
+class Body(protocol.Protocol):
+    """Collects a body and the times of its parts.
+
+    :param clock: tells the time
+    :param done: fires with whether the body came to its proper end
+    """
+
+    def __init__(
+        self, clock: clocks.Clock, done: defer.Deferred[bool]
+    ) -> None:
+        self.clock = clock
+        self.done = done
+        self.parts: list[bytes] = []
+        self.times_ms: list[int] = []
+
+    def dataReceived(self, data: bytes) -> None:
+        """Notes a part.
+
+        :param data: the part
+        """
+        self.parts.append(data)
+        self.times_ms.append(self.clock.monotonic_ms())
+
+    def connectionLost(
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Notes the end.
+
+        :param reason: as twisted knows it
+        """
+        self.done.callback(bool(reason.check(client.ResponseDone)))
+
+
+class Load:
+    """Sends requests at their times and collects the results.
+
+    :param urls: of the entries; requests go round
+    :param model: name of the model service
+    """
+
+    def __init__(self, urls: typing.Sequence[str], model: str) -> None:
+        self.urls = list(urls)
+        self.model = model
+        self.clock = clocks.system_clock()
+        self.agent = client.Agent(
+            reactor, pool=client.HTTPConnectionPool(reactor, persistent=False)
+        )
+        self.results: list[Result] = []
+
+    async def run(self, jobs: typing.Sequence[workload.Job]) -> list[Result]:
+        """Sends every request and waits for all outcomes.
+
+        :param jobs: the requests
+        :return: one result a request, in order of their ends
+        """
+        start_ms = self.clock.monotonic_ms()
+        sent = [
+            task.deferLater(
+                reactor,
+                max(0, job.at_ms) / clocks.MS_PER_S,
+                lambda job=job: defer.ensureDeferred(self.send(job)),
+            )
+            for job in jobs
+        ]
+        await defer.gatherResults(sent)
+        self.duration_ms = self.clock.monotonic_ms() - start_ms
+        return self.results
+
+    async def send(self, job: workload.Job) -> None:
+        """Sends one request and notes its result.
+
+        :param job: the request
+        """
+        started_ms = self.clock.monotonic_ms()
+        limit_s = job.timeout_ms / clocks.MS_PER_S + GRACE_S
+        attempt = defer.ensureDeferred(self.fetch(job, started_ms))
+        attempt.addTimeout(limit_s, reactor)
+        try:
+            result = await attempt
+        except Exception as error:
+            result = Result(
+                job=job,
+                status=0,
+                request_id="",
+                reason=type(error).__name__,
+                not_run=False,
+                right=False,
+                elapsed_ms=self.clock.monotonic_ms() - started_ms,
+                first_token_ms=None,
+                gaps_ms=(),
+            )
+        self.results.append(result)
+
+    async def fetch(self, job: workload.Job, started_ms: int) -> Result:
+        """Sends one request and reads its answer.
+
+        :param job: the request
+        :param started_ms: when it was sent
+        :return: what came back
+        """
+        url = self.urls[job.number % len(self.urls)]
+        response = await treq.post(
+            f"{url}/v1/completions",
+            json={
+                "model": self.model,
+                "prompt": job.prompt,
+                "max_tokens": job.output_tokens,
+                "stream": job.stream,
+            },
+            headers=http_headers.Headers(
+                {
+                    "Authorization": [f"Bearer {cluster.team_key(job.team)}"],
+                    "X-Tier": [job.tier],
+                    "X-Request-Timeout": [
+                        str(job.timeout_ms / clocks.MS_PER_S)
+                    ],
+                }
+            ),
+            agent=self.agent,
+            unbuffered=True,
+        )
+        done: defer.Deferred[bool] = defer.Deferred()
+        body = Body(self.clock, done)
+        response.deliverBody(body)
+        try:
+            whole = await done
+        except defer.CancelledError:
+            typing.cast(typing.Any, body.transport).loseConnection()
+            raise
+        return self.judge(job, started_ms, response, body, whole)
+
+    def judge(
+        self,
+        job: workload.Job,
+        started_ms: int,
+        response: typing.Any,
+        body: Body,
+        whole: bool,
+    ) -> Result:
+        """Tells what an answer is worth.
+
+        :param job: the request
+        :param started_ms: when it was sent
+        :param response: treq's response
+        :param body: what was read
+        :param whole: whether it came to its proper end
+        :return: the result
+        """
+        content = b"".join(body.parts)
+        ids = response.headers.getRawHeaders("x-request-id", [""])
+        reason, not_run = refusal_of(response.code, content)
+        times = body.times_ms if job.stream and response.code == 200 else []
+        return Result(
+            job=job,
+            status=response.code,
+            request_id=ids[0],
+            reason=reason,
+            not_run=not_run,
+            right=whole and response.code == 200 and is_right(job, content),
+            elapsed_ms=self.clock.monotonic_ms() - started_ms,
+            first_token_ms=times[0] - started_ms if times else None,
+            gaps_ms=tuple(
+                later - earlier
+                for earlier, later in zip(times, times[1:], strict=False)
+            ),
+        )
+
+
+def refusal_of(status: int, content: bytes) -> tuple[str, bool]:
+    """Reads an answer that is an error.
+
+    :param status: HTTP status
+    :param content: the body
+    :return: the reason, and whether it promised that nothing was run
+    """
+    if status == 200:
+        return "", False
+    try:
+        error = json.loads(content)["error"]
+        return str(error["reason"]), bool(error["not_run"])
+    except (ValueError, KeyError, TypeError):
+        return f"status_{status}", False
+
+
+def is_right(job: workload.Job, content: bytes) -> bool:
+    """Tells whether an answer is whole and belongs to the request.
+
+    :param job: the request
+    :param content: the body
+    :return: whether its words are those that the stand-in gives
+    """
+    expected = answers.answer_words(job.prompt, job.output_tokens)
+    try:
+        return text_of(content, job.stream).split() == list(expected)
+    except (ValueError, KeyError, TypeError, IndexError):
+        return False
+
+
+def text_of(content: bytes, stream: bool) -> str:
+    """Returns the text of a plain completion.
+
+    :param content: the body
+    :param stream: whether it is a stream of events
+    :return: the text, empty for a stream without its end mark
+    """
+    if not stream:
+        return str(json.loads(content)["choices"][0]["text"])
+    lines = [line for line in content.split(b"\n\n") if line]
+    if not lines or lines[-1] != DONE:
+        return ""
+    return "".join(
+        json.loads(line.removeprefix(EVENT))["choices"][0]["text"]
+        for line in lines[:-1]
+    )
+
+
+def send_from_processes(
+    urls: typing.Sequence[str],
+    model: str,
+    jobs: typing.Sequence[workload.Job],
+    directory: pathlib.Path,
+) -> "Sending":
+    """Starts processes that send the requests.
+
+    One process of Python can't send several hundred requests a second at
+    their times, so some share them.
+
+    :param urls: of the entries; requests go round
+    :param model: name of the model service
+    :param jobs: the requests
+    :param directory: for their files
+    :return: the running processes
+    """
+    start_s = time.time() + START_DELAY_S
+    senders = []
+    for number in range(SENDERS):
+        part = Part(tuple(urls), model, tuple(jobs[number::SENDERS]), start_s)
+        path = directory / f"sender-{number}.jobs"
+        path.write_bytes(pickle.dumps(part))
+        senders.append(
+            processes.Process(
+                f"sender-{number}", ["bench.load", str(path)], directory
+            )
+        )
+    return Sending(senders, directory, start_s)
+
+
+@dataclasses.dataclass(frozen=True)
+class Part:
+    """The requests of one sending process.
+
+    :param urls: of the entries
+    :param model: name of the model service
+    :param jobs: the requests
+    :param start_s: wall time at which the experiment begins
+    """
+
+    urls: tuple[str, ...]
+    model: str
+    jobs: tuple[workload.Job, ...]
+    start_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Sending:
+    """Processes that send the requests of an experiment.
+
+    :param senders: the processes
+    :param directory: where they leave their results
+    :param start_s: wall time at which the experiment begins
+    """
+
+    senders: typing.Sequence[processes.Process]
+    directory: pathlib.Path
+    start_s: float
+
+    def sleep_until(self, offset_s: float) -> None:
+        """Waits until some time in the experiment.
+
+        :param offset_s: seconds from its beginning
+        """
+        time.sleep(max(0.0, self.start_s + offset_s - time.time()))
+
+    def results(self) -> list[Result]:
+        """Waits for the processes and returns what the callers saw.
+
+        :return: one result a request
+        :raises processes.ProcessError: when a process failed
+        """
+        found: list[Result] = []
+        for number, sender in enumerate(self.senders):
+            if sender.child.wait() != 0:
+                text = sender.stderr_path.read_text(encoding="utf-8")
+                raise processes.ProcessError(text[-2000:])
+            path = self.directory / f"sender-{number}.results"
+            found.extend(pickle.loads(path.read_bytes()))
+        return found
+
+
+def main() -> None:
+    """Sends one part of an experiment's requests."""
+    path = pathlib.Path(sys.argv[1])
+    part: Part = pickle.loads(path.read_bytes())
+    sender = Load(part.urls, part.model)
+
+    async def work() -> None:
+        await task.deferLater(
+            reactor, max(0.0, part.start_s - time.time()), lambda: None
+        )
+        results = await sender.run(part.jobs)
+        path.with_suffix(".results").write_bytes(pickle.dumps(results))
+
+    def start() -> None:
+        running = defer.ensureDeferred(work())
+        running.addErrback(lambda problem: problem.printTraceback())
+        running.addBoth(lambda _result: reactor.stop())
+
+    reactor.callWhenRunning(start)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    # The classes must be pickled under the module's real name.
+    from bench import load
+
+    load.main()
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,141 @@
+"""Starts, watches and stops the processes of an experiment."""
+
+import dataclasses
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import typing
+
+import psutil
+
+ROOT = pathlib.Path(__file__).resolve().parents[1]
+STOP_LIMIT_S = 20
+
+
+class ProcessError(Exception):
+    """A process of an experiment did not start or stop as it should."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Usage:
+    """What a process has used so far.
+
+    :param cpu_ms: processor time, user and system
+    :param rss_bytes: resident memory now
+    """
+
+    cpu_ms: float
+    rss_bytes: int
+
+
+class Process:
+    """A child process whose output goes to files.
+
+    :param name: for messages and file names
+    :param words: module and arguments for the Python interpreter
+    :param directory: where its output is kept
+    """
+
+    def __init__(
+        self, name: str, words: typing.Sequence[str], directory: pathlib.Path
+    ) -> None:
+        self.name = name
+        self.stdout_path = directory / f"{name}.out"
+        self.stderr_path = directory / f"{name}.err"
+        with (
+            self.stdout_path.open("wb") as stdout,
+            self.stderr_path.open("wb") as stderr,
+        ):
+            self.child = subprocess.Popen(
+                [sys.executable, "-m", *words],
+                cwd=ROOT,
+                stdout=stdout,
+                stderr=stderr,
+            )
+        self.stats = psutil.Process(self.child.pid)
+        self.terminated = False
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.child.poll() is None
+
+    def find(self, path: pathlib.Path, key: str) -> typing.Any:
+        """Looks for a key in the JSON lines of an output file.
+
+        :param path: the file
+        :param key: wanted key
+        :return: its value in the first line that has it, or None
+        """
+        with path.open(encoding="utf-8") as lines:
+            for line in lines:
+                try:
+                    value = json.loads(line)
+                except ValueError:
+                    continue
+                if isinstance(value, dict) and key in value:
+                    return value[key]
+        return None
+
+    def logged(self, key: str) -> typing.Any:
+        """Looks for a key in the process's log.
+
+        :param key: wanted key
+        :return: its value, or None while there is none
+        :raises ProcessError: when the process has ended without it
+        """
+        found = self.find(self.stderr_path, key)
+        if found is None and not self.running:
+            text = self.stderr_path.read_text(encoding="utf-8")
+            raise ProcessError(f"{self.name} ended: {text[-2000:]}")
+        return found
+
+    def announced(self, key: str) -> typing.Any:
+        """Looks for a key in what the process printed.
+
+        :param key: wanted key
+        :return: its value, or None while there is none
+        :raises ProcessError: when the process has ended without it
+        """
+        found = self.find(self.stdout_path, key)
+        if found is None and not self.running:
+            text = self.stderr_path.read_text(encoding="utf-8")
+            raise ProcessError(f"{self.name} ended: {text[-2000:]}")
+        return found
+
+    def usage(self) -> Usage:
+        """Returns what the process has used so far.
+
+        :return: processor time and memory
+        """
+        times = self.stats.cpu_times()
+        return Usage(
+            cpu_ms=1000 * (times.user + times.system),
+            rss_bytes=self.stats.memory_info().rss,
+        )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal, if the process still runs.
+
+        :param number: which signal
+        """
+        if self.running:
+            self.child.send_signal(number)
+
+    def terminate(self) -> None:
+        """Asks the process to end, once."""
+        if not self.terminated:
+            self.terminated = True
+            self.signal(signal.SIGCONT)
+            self.signal(signal.SIGTERM)
+
+    def stop(self) -> None:
+        """Ends the process and waits for it."""
+        self.terminate()
+        try:
+            self.child.wait(STOP_LIMIT_S)
+        except subprocess.TimeoutExpired:
+            self.child.kill()
+            self.child.wait()
--- /dev/null
+++ b/bench/push.py
@@ -0,0 +1,175 @@
+"""The baseline router: push to the engine that reports the least load.
+
+It knows no tiers and no deadlines and forwards every request at once, in
+order of arrival. Reports are polled every second and are a second old; what
+it has sent since the last report is added to them.
+"""
+
+import argparse
+import itertools
+import json
+import random
+import typing
+
+from klein import Klein
+import treq
+from twisted.internet import defer
+from twisted.internet import protocol
+from twisted.internet import reactor as default_reactor
+from twisted.internet import task
+from twisted.python import failure
+from twisted.web import client
+from twisted.web import http_headers
+from twisted.web import server
+
+reactor: typing.Any = default_reactor
+
+POLL_S = 1.0
+
+
+class Router:
+    """Chooses an engine for each request.
+
+    :param engines: URLs of the engines
+    :param name: unique name of this router
+    :param seed: breaks ties
+    """
+
+    def __init__(
+        self, engines: typing.Sequence[str], name: str, seed: int
+    ) -> None:
+        self.engines = list(engines)
+        self.name = name
+        self.rng = random.Random(seed)
+        self.numbers = itertools.count(1)
+        self.reported = dict.fromkeys(self.engines, 0)
+        self.sent = dict.fromkeys(self.engines, 0)
+        self.agent = client.Agent(reactor)
+
+    async def poll(self, engine: str) -> None:
+        """Reads one engine's load report.
+
+        :param engine: URL of the engine
+        """
+        response = await treq.get(f"{engine}/load", agent=self.agent)
+        report = await treq.json_content(response)
+        self.reported[engine] = report["running"] + report["waiting"]
+        self.sent[engine] = 0
+
+    def poll_all(self) -> None:
+        """Reads every engine's load report; one that is down is left out."""
+        for engine in self.engines:
+            polling = defer.ensureDeferred(self.poll(engine))
+            polling.addErrback(lambda _failure: None)
+
+    def choose(self) -> str:
+        """Returns the engine with the least load.
+
+        :return: its URL
+        """
+        loads = {
+            engine: self.reported[engine] + self.sent[engine]
+            for engine in self.engines
+        }
+        least = min(loads.values())
+        engine = self.rng.choice(
+            [engine for engine in self.engines if loads[engine] == least]
+        )
+        self.sent[engine] += 1
+        return engine
+
+    async def forward(self, request: typing.Any) -> None:
+        """Sends a request to an engine and its answer to the caller.
+
+        :param request: the caller's HTTP request
+        """
+        request_id = f"{self.name}-{next(self.numbers)}"
+        request.setHeader("X-Request-Id", request_id)
+        response = await treq.post(
+            self.choose() + request.path.decode(),
+            data=request.content.read(),
+            headers=http_headers.Headers(
+                {
+                    "Content-Type": ["application/json"],
+                    "X-Request-Id": [request_id],
+                }
+            ),
+            agent=self.agent,
+            unbuffered=True,
+        )
+        request.setResponseCode(response.code)
+        kind = response.headers.getRawHeaders("content-type", [""])[0]
+        request.setHeader("Content-Type", kind)
+        done: defer.Deferred[None] = defer.Deferred()
+        copy = Copy(request, done)
+        request.notifyFinish().addErrback(lambda _gone: copy.caller_left())
+        response.deliverBody(copy)
+        await done
+
+
+class Copy(protocol.Protocol):
+    """Copies a body to a caller.
+
+    :param request: the caller's HTTP request
+    :param done: fires at the end
+    """
+
+    def __init__(
+        self, request: typing.Any, done: defer.Deferred[None]
+    ) -> None:
+        self.request = request
+        self.done = done
+        self.gone = False
+
+    def dataReceived(self, data: bytes) -> None:
+        """Copies a part.
+
+        :param data: the part
+        """
+        if not self.gone:
+            self.request.write(data)
+
+    def caller_left(self) -> None:
+        """Closes the engine's connection, which ends the run."""
+        self.gone = True
+        transport = typing.cast(typing.Any, self.transport)
+        if transport is not None:
+            transport.abortConnection()
+
+    def connectionLost(
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Ends the answer.
+
+        :param reason: as twisted knows it
+        """
+        if not reason.check(client.ResponseDone) and not self.gone:
+            self.request.loseConnection()
+        self.done.callback(None)
+
+
+def main() -> None:
+    """Serves until the process is told to stop."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--engine", action="append", required=True)
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args()
+    router = Router(arguments.engine, arguments.name, arguments.seed)
+    app = Klein()
+
+    @app.route("/v1/completions", methods=["POST"])
+    def completions(request: typing.Any) -> typing.Any:
+        return defer.ensureDeferred(router.forward(request))
+
+    port = reactor.listenTCP(
+        0, server.Site(app.resource()), interface="127.0.0.1"
+    )
+    task.LoopingCall(router.poll_all).start(POLL_S)
+    where = f"127.0.0.1:{port.getHost().port}"
+    print(json.dumps({"listening": where}), flush=True)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/workload.py
@@ -0,0 +1,176 @@
+"""Generates the requests of an experiment from a seed."""
+
+import dataclasses
+import random
+import typing
+
+MS_PER_S = 1000
+
+
+@dataclasses.dataclass(frozen=True)
+class Shape:
+    """One kind of request of a deployment.
+
+    :param tier: name of the tier
+    :param team: name of the team that sends it
+    :param share: share of the engine time that all requests ask for
+    :param timeout_ms: deadline
+    :param prompt_words: shortest and longest prompt, after the shared part
+    :param shared_words: length of a beginning that some requests share
+    :param shared_by: how many requests share one beginning, on average
+    :param output_tokens: shortest and longest answer
+    """
+
+    tier: str
+    team: str
+    share: float
+    timeout_ms: int
+    prompt_words: tuple[int, int]
+    shared_words: int
+    shared_by: int
+    output_tokens: tuple[int, int]
+
+
+@dataclasses.dataclass(frozen=True)
+class Job:
+    """One request of an experiment.
+
+    :param number: unique in the run
+    :param at_ms: when it is sent, from the start
+    :param tier: name of the tier
+    :param team: name of the team
+    :param timeout_ms: deadline
+    :param prompt: text of the prompt
+    :param output_tokens: length of the answer
+    :param stream: whether it asks for a stream
+    """
+
+    number: int
+    at_ms: int
+    tier: str
+    team: str
+    timeout_ms: int
+    prompt: str
+    output_tokens: int
+    stream: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineSpeed:
+    """How fast an engine works, to tell what load is possible.
+
+    :param prefill_tokens_per_s: prompt tokens a second
+    :param token_ms: engine time for a token in a full batch
+    """
+
+    prefill_tokens_per_s: float
+    token_ms: float
+
+    def cost_ms(self, prompt: int, output: int) -> float:
+        """Returns the engine time of a request.
+
+        :param prompt: its prompt tokens
+        :param output: its output tokens
+        :return: milliseconds
+        """
+        prefill_ms = MS_PER_S * prompt / self.prefill_tokens_per_s
+        return prefill_ms + output * self.token_ms
+
+
+def speed_of(settings: typing.Mapping[str, typing.Any]) -> EngineSpeed:
+    """Returns the speed that a stand-in engine's settings make.
+
+    :param settings: keys of ``EngineSettings``
+    :return: its speed
+    """
+    batch = settings["max_batch"]
+    step_ms = settings["decode_ms"] * (
+        1 + settings["batch_slowdown"] * (batch - 1)
+    )
+    return EngineSpeed(settings["prefill_tokens_per_s"], step_ms / batch)
+
+
+def words(rng: random.Random, count: int) -> str:
+    """Returns random words.
+
+    :param rng: source of randomness
+    :param count: how many
+    :return: the words with spaces between
+    """
+    return " ".join(f"w{rng.getrandbits(24):06x}" for _ in range(count))
+
+
+def make_jobs(
+    shapes: typing.Sequence[Shape],
+    speeds: typing.Sequence[EngineSpeed],
+    overload: float,
+    window_ms: int,
+    burst_ms: int,
+    seed: int,
+) -> tuple[Job, ...]:
+    """Generates a burst that asks for more than the engines can do.
+
+    :param shapes: kinds of requests; their shares add up to 1
+    :param speeds: the engines
+    :param overload: offered engine time as a multiple of what there is
+    :param window_ms: time in which the engines could work
+    :param burst_ms: time in which the requests arrive; half of them in the
+        first fifth of it
+    :param seed: decides everything random
+    :return: the requests in order of arrival
+    """
+    rng = random.Random(seed)
+    total_ms = overload * window_ms * len(speeds)
+    jobs: list[Job] = []
+    for shape in shapes:
+        jobs.extend(shape_jobs(shape, speeds, total_ms, burst_ms, rng))
+    jobs.sort(key=lambda job: (job.at_ms, job.prompt))
+    return tuple(
+        dataclasses.replace(job, number=number)
+        for number, job in enumerate(jobs)
+    )
+
+
+def shape_jobs(
+    shape: Shape,
+    speeds: typing.Sequence[EngineSpeed],
+    total_ms: float,
+    burst_ms: int,
+    rng: random.Random,
+) -> list[Job]:
+    """Generates the requests of one kind.
+
+    :param shape: the kind
+    :param speeds: the engines
+    :param total_ms: engine time of all kinds
+    :param burst_ms: time in which the requests arrive
+    :param rng: source of randomness
+    :return: the requests
+    """
+    left_ms = shape.share * total_ms
+    beginnings = [words(rng, shape.shared_words)]
+    jobs = []
+    while left_ms > 0:
+        if shape.shared_words and rng.random() < 1 / shape.shared_by:
+            beginnings.append(words(rng, shape.shared_words))
+        own = words(rng, rng.randint(*shape.prompt_words))
+        prompt = f"{rng.choice(beginnings[-4:])} {own}".strip()
+        output = rng.randint(*shape.output_tokens)
+        length = shape.shared_words + len(own.split())
+        costs = [speed.cost_ms(length, output) for speed in speeds]
+        left_ms -= len(costs) / sum(1 / cost for cost in costs)
+        early = rng.random() < 0.5
+        at_ms = rng.random() * burst_ms * (0.2 if early else 1.0)
+        jobs.append(
+            Job(
+                number=0,
+                at_ms=int(at_ms),
+                tier=shape.tier,
+                team=shape.team,
+                timeout_ms=shape.timeout_ms,
+                prompt=prompt,
+                output_tokens=output,
+                stream=rng.random() < 0.5,
+            )
+        )
+    return jobs
