--- a/features/steps/guard_steps.py
+++ b/features/steps/guard_steps.py
@@ -40,7 +40,6 @@
             clocks.reactor_clock(self.reactor),
             memory.StoreSettings(reads_per_s=0, writes_per_s=0),
         )
-
         self.effects = collections.Counter()
         self.write_row = self.store.write_row
         self.store.write_row = self.counted
--- a/godwitloft/platform/port.py
+++ b/godwitloft/platform/port.py
@@ -43,7 +43,9 @@
     :param key: key inside the table
     :param value: content, at most ``MAX_ROW_BYTES`` long
     :param version: changes at every write and never comes back, not even
-        when the row was deleted in between; 0 means that no row exists
+        when the row was deleted in between; 0 means that no row exists,
+        which can come back: a late write that expects no row may take
+        effect after the row was deleted or has expired
     """
 
     key: str
