--- /dev/null
+++ b/features/support/platform_client.py
@@ -0,0 +1,35 @@
+"""A process that connects to a platform, calls it and prints the results."""
+
+import json
+import sys
+
+import treq
+from twisted.internet import defer
+from twisted.internet import task
+
+from features.support import calls
+from godwitloft import metrics
+from godwitloft import settings
+from godwitloft.platform import connect
+
+
+async def main(reactor, url, script):
+    place = settings.Platform(settings.PlatformKind.HTTP, url)
+    platform = connect.connect(place, reactor, metrics.discard())
+    results = []
+    for line in script.split("; "):
+        name, *words = line.split()
+        if name == "faults":
+            body = json.dumps({words[0]: int(words[1])}).encode()
+            await treq.post(f"{url}/control/faults", body)
+        else:
+            call = calls.run(platform, name, *words)
+            results.append(await call.addBoth(calls.shown))
+    print("; ".join(results))
+
+
+if __name__ == "__main__":
+    task.react(
+        lambda reactor, *words: defer.ensureDeferred(main(reactor, *words)),
+        sys.argv[1:],
+    )
