Learn an upstream's state from the runs on it

Cause: the agent needs speeds, room, prefix index and breaker in one place that its runs feed. Change: agent/engine_state.py (not yet used); an upstream that refuses connections opens its breaker at once, for a short time; an urgent suspect that has to wait for another one is answered as isolated, since no guarantee holds for it.

--- a/features/policy_faults.feature
+++ b/features/policy_faults.feature
@@ -41,7 +41,8 @@
     When a breaker sees <events>
     Then it is <state> and allows a request: <allowed>
 
-    # f failure, s success, b a request begins, then w and a number: ms pass
+    # f failure, u unreachable, s success, b a request begins, then w and a
+    # number: ms pass
     Examples:
       | case | events | state | allowed |
       | new | w0 | closed | yes |
@@ -53,6 +54,10 @@
       | probe completed | f f f w2000 b s | closed | yes |
       | probe failed | f f f w2000 b f | open | no |
       | opens for longer | f f f w2000 b f w2000 | open | no |
+      | unreachable | u | open | no |
+      | unreachable, soon tried again | u w250 | probing | yes |
+      | unreachable twice | u w250 b u w250 | open | no |
+      | unreachable for long | u w250 b u w500 b u w1000 b u w2000 b u w4000 b u w4000 | probing | yes |
       | but not for ever | f f f w2000 b f w4000 | probing | yes |
 
   Scenario Outline: Slow-downs: <case>
--- a/features/policy_order.feature
+++ b/features/policy_order.feature
@@ -30,6 +30,7 @@
       | urgent, only its own tier runs | w:1\|1r | b:1/x/9000u | - | - | - | b:higher_tier |
       | urgent, lower work can't stop | w:2\|1 | b:1/x/9000u | - | - | - | b:unstoppable |
       | urgent, lower work is only pulled | w:2p\|1r | b:1/x/9000u | - | - | - | - |
+      | urgent suspect beside a suspect | w:2i\|1r | b:1/x/9000ui | - | - | - | b:isolated |
       | urgent, lower work is suspended | w:2s v:1\|1r | b:1/x/9000u | - | - | - | b:higher_tier |
       | suspended work before its own tier | w:1s\|2r | a:1/x/9000 | - | - | w | - |
       | suspended work after a higher tier | w:1s\|2r | a:0/x/9000 | a | - | - | - |
--- a/features/steps/policy_faults_steps.py
+++ b/features/steps/policy_faults_steps.py
@@ -124,6 +124,8 @@
     for event in events.split():
         if event == "f":
             found = breaker.failed(found, now_ms)
+        elif event == "u":
+            found = breaker.unreachable(found, now_ms)
         elif event == "s":
             found = breaker.succeeded(found)
         elif event == "b":
--- a/features/steps/policy_order_steps.py
+++ b/features/steps/policy_order_steps.py
@@ -256,6 +256,8 @@
                 answers.add((one.request_id, shed.NOT_ACCEPTING))
             elif one.request_id in late_ids:
                 answers.add((one.request_id, shed.TOO_LATE))
+            elif one.isolate and crowded:
+                answers.add((one.request_id, shed.ISOLATED))
             elif lower and not at.resumable:
                 answers.add((one.request_id, shed.UNSTOPPABLE))
             elif not lower and not plain_fits(one, work, at.room):
--- /dev/null
+++ b/godwitloft/agent/engine_state.py
@@ -0,0 +1,340 @@
+"""What an agent knows of its upstream, learnt from the runs on it.
+
+The upstream's own reports are late; what the agent gave it and what came
+back is not.
+"""
+
+import dataclasses
+
+from godwitloft.agent import upstream as upstreams
+from godwitloft.policy import breaker
+from godwitloft.policy import estimate
+from godwitloft.policy import prefix
+from godwitloft.policy import prefix_index
+from godwitloft.policy import room
+from godwitloft.policy import types
+
+MIN_LEARNT_PROMPT_TOKENS = 128
+
+
+@dataclasses.dataclass(eq=False)
+class Progress:
+    """One request between the pull and its end.
+
+    :param offer: what was pulled
+    :param charged_ms: engine time that its team was charged
+    :param suspend: runs to suspend when it starts
+    :param started_ms: when the upstream was given it; None: not yet
+    :param prompt_tokens: prompt tokens that were not found in the cache
+    :param ahead_tokens: unprefilled prompt tokens before it at the start
+    :param expected_ms: estimated time to its first token
+    :param beside: requests that ran at the start, itself included
+    :param first_ms: when its first token came; None: not yet
+    :param last_ms: when its last token came
+    :param tokens: tokens so far
+    :param suspended: whether it is paused on the upstream
+    :param disturbed: whether it was paused, so that its times teach nothing
+        until its next token
+    """
+
+    offer: types.Offer
+    charged_ms: float
+    suspend: tuple[str, ...] = ()
+    started_ms: int | None = None
+    prompt_tokens: int = 0
+    ahead_tokens: int = 0
+    expected_ms: float = 0.0
+    beside: int = 1
+    first_ms: int | None = None
+    last_ms: int = 0
+    tokens: int = 0
+    suspended: bool = False
+    disturbed: bool = False
+
+
+class EngineState:
+    """What is known of one upstream.
+
+    :param is_model: whether it is a model engine
+    :param resumable: whether it can suspend and resume a stream
+    :param max_running: upper bound on requests at once, from the pool
+    """
+
+    def __init__(
+        self, is_model: bool, resumable: bool, max_running: int
+    ) -> None:
+        self.is_model = is_model
+        self.resumable = resumable
+        self.speeds = estimate.Speeds()
+        self.room = room.Room(ceiling=max_running, max_running=max_running)
+        if is_model:
+            starting = min(room.STARTING_RUNNING, max_running)
+            self.room = room.Room(max_running=starting, ceiling=max_running)
+        self.index = prefix_index.PrefixIndex(prefix.BLOCK_WORDS)
+        self.breaker = breaker.Breaker()
+        self.work: dict[str, Progress] = {}
+        self.last_first_ms = 0
+
+    def view(self, now_ms: int) -> types.UpstreamView:
+        """Returns the upstream as the decisions see it.
+
+        :param now_ms: the time
+        :return: a view that is right until the next change
+        """
+        return types.UpstreamView(
+            speeds=self.speeds,
+            room=self.room,
+            resumable=self.resumable,
+            accepting=breaker.allows(self.breaker, now_ms),
+            cached_tokens=self.index.cached_tokens,
+        )
+
+    def running(self, now_ms: int) -> list[types.Running]:
+        """Returns the work on the upstream as the decisions see it.
+
+        Runs that a granted pull will suspend count as suspended already,
+        so that no two pulls count on the same place.
+
+        :param now_ms: the time
+        :return: one entry a request that was pulled and hasn't ended
+        """
+        left = self._prompts_left(now_ms)
+        leaving = {
+            run_id
+            for one in self.work.values()
+            if one.started_ms is None
+            for run_id in one.suspend
+        }
+        return [
+            types.Running(
+                request_id=run_id,
+                tier_rank=one.offer.tier_rank,
+                team=one.offer.team,
+                started_ms=one.started_ms or now_ms,
+                prompt_left=left.get(run_id, 0),
+                output_left=max(1, one.offer.output_tokens - one.tokens),
+                fingerprint=one.offer.fingerprint,
+                suspended=one.suspended or run_id in leaving,
+                isolate=one.offer.isolate,
+                kv_tokens=one.offer.prompt_tokens + one.offer.output_tokens,
+                pulled=one.started_ms is None,
+            )
+            for run_id, one in self.work.items()
+        ]
+
+    def pulled(
+        self, offer: types.Offer, suspend: tuple[str, ...], now_ms: int
+    ) -> Progress:
+        """Notes that a request was asked for.
+
+        :param offer: the request
+        :param suspend: runs to suspend when it starts
+        :param now_ms: the time
+        :return: its progress, with the engine time to charge for it
+        """
+        cached = self.index.cached_tokens(offer.prefix_keys)
+        engine_ms = estimate.engine_ms(
+            max(0, offer.prompt_tokens - cached),
+            offer.output_tokens,
+            self.speeds,
+            len(room.active(self.running(now_ms))) + 1,
+        )
+        self.work[offer.request_id] = Progress(offer, engine_ms, suspend)
+        return self.work[offer.request_id]
+
+    def dropped(self, run_id: str) -> Progress | None:
+        """Forgets a request that was asked for and not given.
+
+        :param run_id: id of the request
+        :return: what was known, or None when there is no such pull
+        """
+        one = self.work.get(run_id)
+        if one is None or one.started_ms is not None:
+            return None
+        return self.work.pop(run_id)
+
+    def started(self, run_id: str, now_ms: int) -> None:
+        """Notes that a request is given to the upstream.
+
+        :param run_id: id of a request that was pulled
+        :param now_ms: the time
+        """
+        one = self.work[run_id]
+        others = [
+            other
+            for other in room.active(self.running(now_ms))
+            if other.request_id != run_id and not other.pulled
+        ]
+        keys = one.offer.prefix_keys
+        cached = self.index.cached_tokens(keys)
+        one.started_ms = now_ms
+        one.last_ms = now_ms
+        one.beside = len(others) + 1
+        one.prompt_tokens = max(0, one.offer.prompt_tokens - cached)
+        one.ahead_tokens = sum(other.prompt_left for other in others)
+        one.expected_ms = (
+            one.ahead_tokens + one.prompt_tokens
+        ) / self.speeds.prefill_tokens_per_ms + estimate.decode_ms_per_token(
+            self.speeds, one.beside
+        )
+        self.index.dispatched(keys, now_ms)
+        self.breaker = breaker.started(self.breaker, now_ms)
+
+    def tokens(self, run_id: str, count: int, now_ms: int) -> None:
+        """Learns from tokens of a run.
+
+        :param run_id: id of a run
+        :param count: how many came at once
+        :param now_ms: the time
+        """
+        one = self.work.get(run_id)
+        if one is None or one.started_ms is None or count < 1:
+            return
+        if not one.disturbed:
+            if one.first_ms is None:
+                self._learn_first(one, now_ms)
+            else:
+                self._learn_gap(one, count, now_ms)
+        one.disturbed = False
+        if one.first_ms is None:
+            one.first_ms = now_ms
+            self.last_first_ms = now_ms
+        one.last_ms = now_ms
+        one.tokens += count
+
+    def suspended(self, run_id: str, paused: bool) -> None:
+        """Notes that a run was paused or goes on.
+
+        :param run_id: id of a run
+        :param paused: whether it is paused now
+        """
+        one = self.work[run_id]
+        one.suspended = paused
+        one.disturbed = True
+
+    def ended(
+        self, run_id: str, end: upstreams.End, cancelled: bool, now_ms: int
+    ) -> Progress | None:
+        """Learns from the end of a run.
+
+        :param run_id: id of the run
+        :param end: how it ended on the upstream
+        :param cancelled: whether it was made to end
+        :param now_ms: the time
+        :return: what was known of it
+        """
+        one = self.work.pop(run_id, None)
+        if end is upstreams.End.COMPLETED:
+            self.breaker = breaker.succeeded(self.breaker)
+            if one is not None and not one.tokens and not one.disturbed:
+                self._learn_whole(one, now_ms)
+        elif end is upstreams.End.NEVER_STARTED:
+            self.breaker = breaker.unreachable(self.breaker, now_ms)
+        elif end is upstreams.End.CRASHED and not cancelled:
+            self.breaker = breaker.unreachable(self.breaker, now_ms)
+            self.index.restarted()
+        elif not cancelled:
+            self.breaker = breaker.failed(self.breaker, now_ms)
+        return one
+
+    def used_ms(self, one: Progress) -> float:
+        """Returns the engine time that a run took.
+
+        :param one: a run that ended
+        :return: milliseconds
+        """
+        tokens = one.tokens or one.offer.output_tokens
+        return estimate.engine_ms(
+            one.prompt_tokens, tokens, self.speeds, one.beside
+        )
+
+    def _prompts_left(self, now_ms: int) -> dict[str, int]:
+        """Estimates the unprefilled tokens of each run."""
+        unfinished = {
+            run_id: one
+            for run_id, one in self.work.items()
+            if one.first_ms is None and one.started_ms is not None
+        }
+        prefills = [
+            estimate.Prefill(one.prompt_tokens, one.started_ms or 0)
+            for one in unfinished.values()
+        ]
+        found = estimate.prompts_left(
+            prefills, self.last_first_ms, self.speeds, now_ms
+        )
+        left = dict(zip(unfinished, found, strict=True))
+        for run_id, one in self.work.items():
+            if one.started_ms is None:
+                left[run_id] = one.offer.prompt_tokens
+        return left if self.is_model else {}
+
+    def _learn_first(self, one: Progress, now_ms: int) -> None:
+        assert one.started_ms is not None
+        begin_ms = max(one.started_ms, self.last_first_ms)
+        step_ms = estimate.decode_ms_per_token(self.speeds, one.beside)
+        if one.prompt_tokens >= MIN_LEARNT_PROMPT_TOKENS:
+            self.speeds = estimate.observe_prefill(
+                self.speeds,
+                one.prompt_tokens,
+                max(1, int(now_ms - begin_ms - step_ms)),
+            )
+        self.room = room.observe_first_token(
+            self.room,
+            now_ms - one.started_ms,
+            one.expected_ms,
+            one.ahead_tokens + one.prompt_tokens,
+            one.beside,
+            now_ms,
+        )
+
+    def _learn_gap(self, one: Progress, count: int, now_ms: int) -> None:
+        active = [
+            other
+            for other in self.work.values()
+            if other.started_ms is not None and not other.suspended
+        ]
+        prefilling = any(other.first_ms is None for other in active)
+        gap_ms = now_ms - one.last_ms
+        self.speeds = estimate.observe_decode(
+            self.speeds, len(active), count, gap_ms
+        )
+        self.room = room.observe_gap(
+            self.room,
+            gap_ms / count,
+            room.target_ms(self.speeds, prefilling),
+            len(active),
+            now_ms,
+        )
+
+    def _learn_whole(self, one: Progress, now_ms: int) -> None:
+        """Learns from an answer that came at once.
+
+        Its time can't be told apart into prefill and decode, so the part
+        that is the larger by estimate is corrected.
+        """
+        assert one.started_ms is not None
+        duration_ms = now_ms - one.started_ms
+        output = max(1, one.offer.output_tokens)
+        prompt = one.ahead_tokens + one.prompt_tokens
+        prefill_ms = prompt / self.speeds.prefill_tokens_per_ms
+        decode_ms = output * estimate.decode_ms_per_token(
+            self.speeds, one.beside
+        )
+        if prefill_ms > decode_ms:
+            rest_ms = max(1, int(duration_ms - decode_ms))
+            self.speeds = estimate.observe_prefill(
+                self.speeds, prompt, rest_ms
+            )
+            return
+        rest_ms = max(1, int(duration_ms - prefill_ms))
+        self.speeds = estimate.observe_decode(
+            self.speeds, one.beside, output, rest_ms
+        )
+        if self.is_model:
+            self.room = room.observe_gap(
+                self.room,
+                rest_ms / output,
+                room.target_ms(self.speeds, prefilling=True),
+                one.beside,
+                now_ms,
+            )
--- a/godwitloft/policy/breaker.py
+++ b/godwitloft/policy/breaker.py
@@ -9,6 +9,8 @@
 FAILURES_TO_OPEN = 3
 OPEN_MS = 2000
 MAX_OPEN_MS = 60_000
+FIRST_UNREACHABLE_MS = 250
+MAX_UNREACHABLE_MS = 4000
 SLOW_FACTOR = 3.0
 MIN_SAMPLES = 8
 RECENT_SAMPLES = 8
@@ -108,6 +110,24 @@
     return Breaker(failures, now_ms + open_ms, open_ms)
 
 
+def unreachable(breaker: Breaker, now_ms: int) -> Breaker:
+    """Notes that the upstream didn't even take a connection.
+
+    Nothing ran, so nothing is lost by asking again soon, and there is no
+    use in asking before.
+
+    :param breaker: the breaker before
+    :param now_ms: the time
+    :return: the breaker now, open
+    """
+    open_ms = min(
+        MAX_UNREACHABLE_MS, max(FIRST_UNREACHABLE_MS, breaker.open_ms * 2)
+    )
+    if state(breaker, now_ms) is State.OPEN:
+        return breaker
+    return Breaker(breaker.failures, now_ms + open_ms, open_ms)
+
+
 class Pace:
     """Recent against usual times of one upstream."""
 
--- a/godwitloft/policy/order.py
+++ b/godwitloft/policy/order.py
@@ -30,6 +30,8 @@
         will be started while the bid stands.
     ``unstoppable``
         As above, but for lower work that can't be suspended.
+    ``isolated``
+        It is urgent and a suspect, and another suspect is here.
     ``not_accepting``
         It is urgent, and this upstream takes no work.
 
@@ -340,6 +342,8 @@
     late = too_late(offer, at)
     if late is not None:
         return late
+    if must_run_alone(offer, at):
+        return Skipped(offer.request_id, shed.ISOLATED, finish_ms)
     lower = [
         one
         for one in room.active(at.running)
--- a/godwitloft/policy/shed.py
+++ b/godwitloft/policy/shed.py
@@ -18,6 +18,7 @@
 HIGHER_TIER = "higher_tier"
 UNSTOPPABLE = "unstoppable"
 NOT_ACCEPTING = "not_accepting"
+ISOLATED = "isolated"
 GUARANTEES = frozenset((HIGHER_TIER, NOT_ACCEPTING))
 
 
@@ -133,7 +134,7 @@
     :return: whether no agent that could run it serves a lower tier
     """
     return all(
-        reason == TOO_LATE
+        reason in (TOO_LATE, ISOLATED)
         or guaranteed(tier_rank, standings.get(agent, ()), last_resort)
         for agent, reason in own_answers.items()
     )
