Let the agent pull, suspend and resume by the policy

Cause: the agent chose by tier and deadline only, with a fixed cap. Change: the dispatcher asks the offer book; suspends what a granted pull needs gone and resumes it by tier; tells entries once a reason what it skips, and why; charges teams for engine time; judges the bodies of a crash together and tells every entry. Runs can be paused before their answer begins. The agent's trace says whether its upstream is resumable. The time between tokens followed the last one; the gain is 3% a token now.

--- a/features/steps/policy_room_steps.py
+++ b/features/steps/policy_room_steps.py
@@ -34,9 +34,11 @@
     now_ms = int(context.now_ms)
     context.gaps.append((now_ms, gap_ms))
     for _ in range(runs):
-        longest_ms = room.target_ms(context.speeds, False)
         context.room = room.observe_gap(
-            context.room, gap_ms, longest_ms, given_runs, now_ms
+            context.room,
+            room.Gap(gap_ms, given_runs),
+            room.target_ms(context.speeds),
+            now_ms,
         )
     if len(context.gaps) % 40 == 1:
         # Each run ends after 40 tokens; a new one waits if the batch is
--- /dev/null
+++ b/features/support/cluster.py
@@ -0,0 +1,258 @@
+"""Entries, agents and engines in one process, on a driven clock.
+
+Messages take a fixed time and keep their order on each link, as on TCP.
+"""
+
+import dataclasses
+import functools
+import json
+import random
+
+from twisted.internet import task
+
+from godwitloft import audit
+from godwitloft import clock as clocks
+from godwitloft import metrics
+from godwitloft import trace
+from godwitloft.agent import dispatcher as dispatchers
+from godwitloft.agent import upstream as upstreams
+from godwitloft.entry import answers
+from godwitloft.entry import call as calls
+from godwitloft.entry import desk as desks
+from godwitloft.links.generated.messages import ttypes
+from godwitloft.policy import prefix
+from godwitloft.standins import engine as engines
+
+LINK_MS = 2
+TICK_MS = 15
+START_S = 1000.0
+TIERS = ("gold", "silver", "bronze")
+
+
+@dataclasses.dataclass
+class Asked:
+    """One request as its caller sees it."""
+
+    call: calls.Call
+    asked_ms: int
+    told: list = dataclasses.field(default_factory=list)
+    told_ms: int = 0
+
+    @property
+    def outcome(self):
+        if not self.told:
+            return "open"
+        last = self.told[-1]
+        kind = type(last).__name__.lower()
+        reason = getattr(last, "reason", None)
+        return f"{kind}:{reason.value}" if reason else kind
+
+
+class Cluster:
+    """Everything between callers and engines."""
+
+    def __init__(self):
+        self.reactor = task.Clock()
+        self.reactor.advance(START_S)
+        self.clock = clocks.Clock(self.now_ms, self.now_ms)
+        self.lines = []
+        self.desks = {}
+        self.agents = {}
+        self.engines = {}
+        self.links = set()
+        self.asked = []
+        self.sent = []
+        self.later(TICK_MS, self.tick)
+
+    def now_ms(self):
+        return round(self.reactor.seconds() * 1000)
+
+    def later(self, ms, act, *arguments):
+        return self.reactor.callLater(ms / 1000, act, *arguments)
+
+    def tick(self):
+        for one in (*self.agents.values(), *self.desks.values()):
+            one.tick()
+        self.later(TICK_MS, self.tick)
+
+    def run(self, ms):
+        for _ in range(ms):
+            self.reactor.advance(0.001)
+
+    def recorder(self, name, **fields):
+        recorder = trace.Recorder(
+            self.clock, name, f"{name}-1", self.lines.append
+        )
+        recorder.record(trace.Kind.PROCESS_STARTED, generation=0, **fields)
+        return recorder
+
+    def send(self, sender, owners, peer, name, body):
+        if (sender, peer) not in self.links:
+            return False
+        self.sent.append((sender, peer, name, body))
+        self.later(LINK_MS, self.deliver, sender, owners, peer, name, body)
+        return True
+
+    def deliver(self, sender, owners, peer, name, body):
+        if (sender, peer) in self.links:
+            owners[peer].receive(sender, name, body)
+
+    def add_entry(self, name, **settings):
+        self.desks[name] = desks.Desk(
+            clock=self.clock,
+            incarnation=f"{name}-1",
+            send=functools.partial(self.send, name, self.agents),
+            recorder=self.recorder(name, role="entry"),
+            instruments=metrics.discard(),
+            settings=desks.DeskSettings(**settings),
+            generation=lambda: 0,
+        )
+        return self.desks[name]
+
+    def add_agent(self, name, cap=64, resumable=True, **settings):
+        engine = engines.Engine(
+            engines.EngineSettings(resumable=resumable, **settings),
+            self.reactor,
+        )
+        self.engines[name] = engine
+        agent = dispatchers.Dispatcher(
+            clock=self.clock,
+            send=functools.partial(self.send, name, self.desks),
+            upstream=EnginePort(self, name, engine).port(),
+            recorder=self.recorder(
+                name, role="agent", pool="p", resumable=resumable
+            ),
+            instruments=metrics.discard(),
+            settings=dispatchers.DispatcherSettings(
+                max_running=cap, resumable=resumable
+            ),
+        )
+        self.agents[name] = agent
+        return agent
+
+    def link_all(self):
+        for entry in self.desks:
+            for agent in self.agents:
+                self.link(entry, agent)
+
+    def link(self, entry, agent):
+        self.links |= {(entry, agent), (agent, entry)}
+        self.agents[agent].peer_up(hello("entry", entry))
+        self.desks[entry].peer_up(hello("agent", agent))
+
+    def cut(self, entry, agent):
+        self.links -= {(entry, agent), (agent, entry)}
+        self.agents[agent].peer_down(entry)
+        self.desks[entry].peer_down(agent)
+
+    def ask(self, entry, rank=0, **fields):
+        call = make_call(rank, **fields)
+        asked = Asked(call, self.now_ms())
+
+        def answer(part):
+            asked.told.append(part)
+            asked.told_ms = self.now_ms()
+
+        self.asked.append(asked)
+        asked.request_id = self.desks[entry].accept(call, answer)
+        return asked
+
+    def audit(self):
+        return audit.audit(self.lines)
+
+
+def hello(role, name):
+    return ttypes.Hello(1, role, name, f"{name}-1", "zone", 0, "p", name)
+
+
+def make_call(
+    rank, prompt="", prompt_words=100, output=20, timeout_ms=10_000, **fields
+):
+    rng = random.Random(repr((rank, prompt, prompt_words, sorted(fields))))
+    words = prompt.split()
+    while len(words) < prompt_words:
+        words.append(f"w{rng.randrange(10**6)}")
+    text = " ".join(words)
+    body = {"prompt": text, "max_tokens": output}
+    defaults = {
+        "team": "roasters",
+        "team_weight": 1,
+        "service": "m",
+        "pools": ("p",),
+        "method": "POST",
+        "path": "/v1/completions",
+        "headers": {},
+        "stream": True,
+        "is_model": True,
+        "idempotent": False,
+    }
+    return calls.Call(
+        **(defaults | fields),
+        tier=TIERS[rank],
+        tier_rank=rank,
+        body=json.dumps(body).encode(),
+        timeout_ms=timeout_ms,
+        prompt_tokens=len(words),
+        output_tokens=output,
+        prefix_keys=prefix.prefix_keys(text),
+        fingerprint=f"{hash(text)}",
+    )
+
+
+class EnginePort:
+    """An engine as its agent's upstream, without HTTP between."""
+
+    def __init__(self, cluster, name, engine):
+        self.cluster, self.name, self.engine = cluster, name, engine
+        self.runs = {}
+
+    def port(self):
+        return upstreams.Upstream(
+            start=self.start,
+            cancel=lambda run_id: self.engine.cancel(self.runs[run_id]),
+            suspend=lambda run_id: self.engine.suspend(self.runs[run_id]),
+            resume=lambda run_id: self.engine.resume(self.runs[run_id]),
+            pause_reading=lambda run_id, paused: None,
+        )
+
+    def start(self, dispatch):
+        run_id = dispatch.request_id
+        if self.engine.is_down:
+            self.cluster.later(
+                1, self.end, run_id, upstreams.End.NEVER_STARTED
+            )
+            return
+        body = json.loads(dispatch.body)
+        run = engines.Run(
+            run_id,
+            body["prompt"],
+            body["max_tokens"],
+            functools.partial(self.tokens, run_id),
+            functools.partial(self.ended, run_id),
+        )
+        self.runs[run_id] = run
+        self.engine.submit(run)
+
+    def tokens(self, run_id, first, end):
+        agent = self.cluster.agents[self.name]
+        agent.upstream_data(run_id, b"x" * (end - first), end - first, 200, "")
+
+    def ended(self, run_id, outcome):
+        end = {
+            engines.COMPLETED: upstreams.End.COMPLETED,
+            engines.CRASHED: upstreams.End.CRASHED,
+        }.get(outcome, upstreams.End.FAILED)
+        self.end(run_id, end)
+
+    def end(self, run_id, end):
+        agent = self.cluster.agents[self.name]
+        agent.upstream_ended(run_id, end, end.value, status=200)
+
+
+def outcomes(asked):
+    return [one.outcome for one in asked]
+
+
+def body_of(asked):
+    parts = [p.data for p in asked.told if isinstance(p, answers.Data)]
+    return b"".join(parts)
--- a/godwitloft/agent/daemon.py
+++ b/godwitloft/agent/daemon.py
@@ -10,6 +10,7 @@
 from godwitloft import events
 from godwitloft import metrics
 from godwitloft import settings as settings_module
+from godwitloft import trace
 from godwitloft import waiting
 from godwitloft.agent import dispatcher as dispatchers
 from godwitloft.agent import http_upstream
@@ -55,19 +56,22 @@
         self.upstream = http_upstream.HttpUpstream(
             reactor, settings.upstream.url, is_model
         )
+        self.recorder = daemon.make_recorder(
+            settings.trace_stream,
+            clock,
+            settings.instance,
+            self.incarnation,
+        )
         self.dispatcher = dispatchers.Dispatcher(
             clock=clock,
             send=self.send,
             upstream=self.upstream.port(),
-            recorder=daemon.make_recorder(
-                settings.trace_stream,
-                clock,
-                settings.instance,
-                self.incarnation,
-            ),
+            recorder=self.recorder,
             instruments=instruments,
             settings=dispatchers.DispatcherSettings(
-                max_running=self.max_running(), is_model=is_model
+                max_running=self.max_running(),
+                is_model=is_model,
+                resumable=self.resumable(),
             ),
         )
         self.upstream.dispatcher = self.dispatcher
@@ -100,6 +104,14 @@
         pool = self.objects.pools.get(self.settings.pool)
         return pool.max_running if pool is not None else 1
 
+    def resumable(self) -> bool:
+        """Returns what the pool object says of suspending runs.
+
+        :return: whether the upstream can suspend and resume a run
+        """
+        pool = self.objects.pools.get(self.settings.pool)
+        return pool is not None and pool.resumable
+
     def send(self, instance: str, name: str, body: codec.Body) -> bool:
         """Sends a message of the dispatcher.
 
@@ -143,6 +155,13 @@
 
         :return: the port that entries reach it on
         """
+        self.recorder.record(
+            trace.Kind.PROCESS_STARTED,
+            role="agent",
+            generation=self.generation,
+            pool=self.settings.pool,
+            resumable=self.resumable(),
+        )
         listen = self.settings.link_listen
         number = self.hub.start(listen.address, listen.port)
         self.ticker.start(http_upstream.TICK_INTERVAL_S, False)
--- a/godwitloft/agent/dispatcher.py
+++ b/godwitloft/agent/dispatcher.py
@@ -1,9 +1,9 @@
 """The task that owns the offers and runs of one upstream.
 
-It hears bids from every entry and asks for the best one when the upstream
-has room for it. What it is given it runs once, and it keeps the parts of
-the answer until the entry has acknowledged them, so that a lost link costs
-no second run.
+It hears bids from every entry and asks for what the policy chooses over
+all of them (:mod:`godwitloft.policy.order`). What it is given it runs once,
+and it keeps the parts of the answer until the entry has acknowledged them,
+so that a lost link costs no second run.
 """
 
 import dataclasses
@@ -14,10 +14,14 @@
 from godwitloft import events
 from godwitloft import metrics
 from godwitloft import trace
+from godwitloft.agent import engine_state
 from godwitloft.agent import run as runs
 from godwitloft.agent import upstream as upstreams
 from godwitloft.links import codec
 from godwitloft.links.generated.messages import ttypes
+from godwitloft.policy import offer_book
+from godwitloft.policy import order
+from godwitloft.policy import suspects
 from godwitloft.policy import types
 
 FLUSH_INTERVAL_MS = 15
@@ -27,20 +31,24 @@
 ORPHAN_LIMIT_MS = 15_000
 RETENTION_MS = 60_000
 TOMBSTONE_MS = 600_000
+SWEEP_INTERVAL_MS = 50
+CRASH_GATHER_MS = 200
 
 
 @dataclasses.dataclass(frozen=True)
 class DispatcherSettings:
     """Bounds of a dispatcher.
 
-    :param max_running: requests at once on the upstream
+    :param max_running: upper bound on requests at once on the upstream
     :param max_offers: bids that are kept
     :param is_model: whether the upstream is a model engine
+    :param resumable: whether it can suspend and resume a run
     """
 
     max_running: int = 8
     max_offers: int = 50_000
     is_model: bool = True
+    resumable: bool = False
 
 
 class Dispatcher:
@@ -72,8 +80,17 @@
         self.settings = settings
         self.chart = charts.load("run")
         self.entries: dict[str, str] = {}
-        self.offers: dict[str, types.Offer] = {}
+        self.book = offer_book.OfferBook()
+        self.state = engine_state.EngineState(
+            settings.is_model, settings.resumable, settings.max_running
+        )
+        self.suspects = suspects.Suspects()
+        self.answered: dict[str, str] = {}
         self.pulls: dict[str, int] = {}
+        self.swept_ms = 0
+        self.look_again_ms: int | None = None
+        self.crash_ms: int | None = None
+        self.crash_flight: list[str] = []
         self.runs: dict[str, runs.Run] = {}
         self.tombstones: dict[str, int] = {}
         self.forgotten: dict[str, int] = {}
@@ -89,6 +106,7 @@
             "query": self.on_query,
             "cancel": self.on_cancel,
             "farewell": self.on_farewell,
+            "verdict": self.on_verdict,
         }
 
     # Entries
@@ -115,9 +133,12 @@
         :param instance: name of the entry's instance
         """
         self.entries.pop(instance, None)
-        for offer in tuple(self.offers.values()):
+        for offer in tuple(self.book.offers.values()):
             if offer.entry == instance:
                 self.drop_offer(offer.request_id)
+        for run_id in tuple(self.pulls):
+            if self.state.work[run_id].offer.entry == instance:
+                self.drop_offer(run_id)
         now_ms = self.clock.monotonic_ms()
         for run in self.runs.values():
             if run.entry == instance:
@@ -153,13 +174,36 @@
         :param peer: name of the entry's instance
         :param body: the message
         """
-        if len(self.offers) >= self.settings.max_offers:
+        if body.request_id in self.pulls or body.request_id in self.runs:
+            return
+        if len(self.book) >= self.settings.max_offers:
             self.instruments.dropped_messages.add(
                 1, {"reason": "too_many_bids"}
             )
             return
+        self.answered.pop(body.request_id, None)
+        self.book.add(self.offer_of(peer, body))
+        self.pump()
+
+    def offer_of(self, peer: str, body: ttypes.Bid) -> types.Offer:
+        """Turns a bid into an offer on this agent's clock.
+
+        A call of a plain service counts as one token of output, so that
+        the learnt time of a token is that of a call.
+
+        :param peer: name of the entry's instance
+        :param body: the message
+        :return: the offer
+        """
         now_ms = self.clock.monotonic_ms()
-        self.offers[body.request_id] = types.Offer(
+        if body.isolate:
+            self.suspects.note(
+                body.fingerprint,
+                suspects.Verdict.SUSPECT,
+                suspects.SUSPECT_MS,
+                now_ms,
+            )
+        return types.Offer(
             request_id=body.request_id,
             entry=peer,
             tier_rank=body.tier_rank,
@@ -168,14 +212,14 @@
             service=body.service_name,
             deadline_ms=now_ms + body.deadline_in_ms,
             prompt_tokens=body.prompt_tokens,
-            output_tokens=body.output_tokens,
+            output_tokens=body.output_tokens if self.settings.is_model else 1,
             prefix_keys=tuple(body.prefix_keys),
             fingerprint=body.fingerprint,
             urgent=body.urgent,
-            hold_until_ms=now_ms + body.hold_ms,
-            isolate=bool(body.isolate),
+            hold_until_ms=now_ms + body.hold_ms if body.hold_ms else 0,
+            isolate=self.suspects.verdict(body.fingerprint, now_ms)
+            is suspects.Verdict.SUSPECT,
         )
-        self.pump()
 
     def on_withdraw(self, peer: str, body: ttypes.Withdraw) -> None:
         """Drops an offer that is over.
@@ -202,59 +246,146 @@
         :param body: the message
         """
 
+    def on_verdict(self, peer: str, body: ttypes.Verdict) -> None:
+        """Takes over what another agent found out about a body.
+
+        :param peer: name of the entry's instance
+        :param body: the message
+        """
+        now_ms = self.clock.monotonic_ms()
+        verdict = suspects.Verdict(body.verdict)
+        changed = self.suspects.note(
+            body.fingerprint, verdict, body.expires_in_ms, now_ms
+        )
+        if not changed:
+            return
+        isolate = verdict is suspects.Verdict.SUSPECT
+        for offer in tuple(self.book.offers.values()):
+            if offer.fingerprint == body.fingerprint:
+                self.book.add(dataclasses.replace(offer, isolate=isolate))
+        self.pump()
+
     def drop_offer(self, run_id: str) -> types.Offer | None:
         """Forgets an offer and the pull of it.
 
         :param run_id: id of the offer
         :return: the offer, or None when it wasn't known
         """
-        self.pulls.pop(run_id, None)
-        return self.offers.pop(run_id, None)
+        self.answered.pop(run_id, None)
+        if self.pulls.pop(run_id, None) is None:
+            return self.book.remove(run_id)
+        one = self.state.dropped(run_id)
+        assert one is not None
+        self.correct(one.offer, -one.charged_ms)
+        return one.offer
 
     # Choosing
 
     def pump(self) -> None:
-        """Asks for offers as long as the upstream has room."""
-        while not self.draining and self.room() > 0:
-            offer = self.best_offer()
-            if offer is None:
+        """Does what the policy chooses until it chooses nothing."""
+        while not self.draining:
+            now_ms = self.clock.monotonic_ms()
+            choice = self.book.choose(
+                self.state.running(now_ms), self.state.view(now_ms), now_ms
+            )
+            self.tell_skipped(choice.skipped)
+            self.look_again_ms = choice.look_again_ms
+            if choice.resume is not None:
+                self.resume(choice.resume)
+            elif choice.pull is not None:
+                self.pull(choice.pull, choice.suspend)
+            else:
                 return
-            self.pull(offer)
 
-    def room(self) -> int:
-        """Returns how many more requests may be asked for.
+    def tell_skipped(self, skipped: typing.Iterable[order.Skipped]) -> None:
+        """Tells entries about offers that are not pulled, once a reason.
 
-        :return: a count; zero or less when there is no room
+        :param skipped: what the policy skipped
         """
-        active = sum(1 for run in self.runs.values() if run.ended is None)
-        return self.settings.max_running - active - len(self.pulls)
+        for one in skipped:
+            if self.answered.get(one.request_id) == one.reason:
+                continue
+            self.answered[one.request_id] = one.reason
+            self.recorder.record(
+                trace.Kind.SKIPPED,
+                run_id=one.request_id,
+                reason=one.reason,
+                finish_in_ms=one.finish_in_ms,
+            )
+            self.send(
+                self.book.offers[one.request_id].entry,
+                "skip",
+                ttypes.Skip(one.request_id, one.reason, one.finish_in_ms),
+            )
 
-    def best_offer(self) -> types.Offer | None:
-        """Returns the offer to ask for next.
+    def pull(self, offer: types.Offer, suspend: tuple[str, ...]) -> None:
+        """Asks the entry for a request.
 
-        :return: the most important, then the most pressing; or None
+        :param offer: what it bid
+        :param suspend: runs to suspend when the entry gives it
         """
         now_ms = self.clock.monotonic_ms()
-        open_offers = (
-            offer
-            for offer in self.offers.values()
-            if offer.request_id not in self.pulls
-            and offer.hold_until_ms <= now_ms
+        run_id = offer.request_id
+        one = self.state.pulled(offer, suspend, now_ms)
+        self.book.start(run_id, one.charged_ms)
+        self.answered.pop(run_id, None)
+        self.pulls[run_id] = now_ms
+        self.recorder.record(
+            trace.Kind.PULLED,
+            run_id=run_id,
+            entry=offer.entry,
+            tier_rank=offer.tier_rank,
         )
-        return min(
-            open_offers,
-            key=lambda offer: (offer.tier_rank, offer.deadline_ms),
-            default=None,
+        self.send(offer.entry, "pull", ttypes.Pull(run_id))
+
+    def correct(self, offer: types.Offer, engine_ms: float) -> None:
+        """Charges a team for more, or less, than was expected.
+
+        :param offer: the team's request
+        :param engine_ms: engine time; negative gives some back
+        """
+        self.book.correct(
+            offer.tier_rank, offer.team, offer.team_weight, engine_ms
         )
 
-    def pull(self, offer: types.Offer) -> None:
-        """Asks the entry for a request.
+    def suspend(self, run_id: str) -> None:
+        """Pauses a run to make room for a higher tier.
 
-        :param offer: what it bid
+        :param run_id: id of the run; one that has ended is ignored
         """
-        self.pulls[offer.request_id] = self.clock.monotonic_ms()
-        self.recorder.record(trace.Kind.PULLED, run_id=offer.request_id)
-        self.send(offer.entry, "pull", ttypes.Pull(offer.request_id))
+        run = self.runs.get(run_id)
+        if run is not None and run.ended is None and not run.suspended:
+            self.upstream.suspend(run_id)
+            self.set_suspended(run, True)
+
+    def resume(self, run_id: str) -> None:
+        """Goes on with a paused run.
+
+        :param run_id: id of the run
+        """
+        for one in self.state.work.values():
+            one.suspend = tuple(
+                other for other in one.suspend if other != run_id
+            )
+        run = self.runs[run_id]
+        if run.suspended:
+            self.upstream.resume(run_id)
+            self.set_suspended(run, False)
+
+    def set_suspended(self, run: runs.Run, suspended: bool) -> None:
+        """Notes that a run was paused or goes on, and tells the entry.
+
+        :param run: the run
+        :param suspended: whether it is paused now
+        """
+        run.suspended = suspended
+        run.position.feed("suspend" if suspended else "resume")
+        self.state.suspended(run.run_id, suspended)
+        kind = trace.Kind.SUSPENDED if suspended else trace.Kind.RESUMED
+        self.recorder.record(kind, run_id=run.run_id)
+        self.send(
+            run.entry, "suspended", ttypes.Suspended(run.run_id, suspended)
+        )
 
     # Runs
 
@@ -270,13 +401,18 @@
                 1, {"reason": "repeated_dispatch"}
             )
             return
-        offer = self.drop_offer(run_id)
-        if run_id in self.tombstones or offer is None:
-            self.refuse_dispatch(peer, run_id, "not_expected")
-            return
-        if self.draining:
-            self.refuse_dispatch(peer, run_id, "agent_leaving")
+        pulled = run_id in self.pulls
+        if run_id in self.tombstones or not pulled or self.draining:
+            self.drop_offer(run_id)
+            expected = pulled and run_id not in self.tombstones
+            self.refuse_dispatch(
+                peer, run_id, "agent_leaving" if expected else "not_expected"
+            )
             return
+        del self.pulls[run_id]
+        one = self.state.work[run_id]
+        for victim in one.suspend:
+            self.suspend(victim)
         position = self.chart.start()
         position.feed("dispatch")
         position.feed("start")
@@ -284,11 +420,12 @@
             body,
             peer,
             self.entries[peer],
-            offer,
+            one.offer,
             position,
             self.clock.monotonic_ms(),
         )
         self.runs[run_id] = run
+        self.state.started(run_id, self.clock.monotonic_ms())
         self.upstream.start(body)
 
     def refuse_dispatch(self, peer: str, run_id: str, reason: str) -> None:
@@ -434,13 +571,14 @@
         run = self.runs.get(run_id)
         if run is None or run.ended is not None:
             return
+        now_ms = self.clock.monotonic_ms()
         if run.first_data_ms is None:
             self.first_data(run, status, content_type)
+        self.state.tokens(run_id, tokens, now_ms)
         run.pending.append(data)
         run.pending_tokens += tokens
         run.tokens += tokens
         self.dirty[run_id] = run
-        now_ms = self.clock.monotonic_ms()
         if now_ms - self.last_flush_ms >= FLUSH_INTERVAL_MS:
             self.flush()
 
@@ -456,7 +594,8 @@
         run.first_data_ms = self.clock.monotonic_ms()
         run.status = status
         run.content_type = content_type
-        run.position.feed("stream")
+        if run.position.allows("stream"):
+            run.position.feed("stream")
         self.recorder.record(trace.Kind.STARTED, run_id=run.run_id)
         self.send(run.entry, "started", ttypes.Started(run.run_id))
 
@@ -483,6 +622,7 @@
             return
         self.flush()
         run.ended_ms = self.clock.monotonic_ms()
+        self.learn_end(run, end)
         outcome = self.outcome_of(run, end)
         run.ended = ttypes.Ended(
             request_id=run_id,
@@ -516,6 +656,60 @@
             self.forget(run)
         self.pump()
 
+    def learn_end(self, run: runs.Run, end: upstreams.End) -> None:
+        """Learns from the end of a run.
+
+        :param run: the run
+        :param end: how it ended on the upstream
+        """
+        one = self.state.ended(run.run_id, end, run.cancelled, run.ended_ms)
+        if one is not None:
+            self.correct(one.offer, self.state.used_ms(one) - one.charged_ms)
+        if run.cancelled:
+            return
+        fingerprint = run.offer.fingerprint
+        if end is upstreams.End.CRASHED:
+            if self.crash_ms is None:
+                self.crash_ms = run.ended_ms
+            self.crash_flight.append(fingerprint)
+        elif end is upstreams.End.COMPLETED:
+            if self.suspects.finished(fingerprint, run.ended_ms):
+                self.tell_verdict(fingerprint, suspects.Verdict.CLEAR)
+
+    def judge_crash(self, now_ms: int) -> None:
+        """Judges the bodies whose connections broke off together.
+
+        They break one after another, so they are gathered for a moment;
+        nothing is pulled meanwhile, since the breaker is open.
+
+        :param now_ms: the time now
+        """
+        if self.crash_ms is None or now_ms - self.crash_ms < CRASH_GATHER_MS:
+            return
+        found = self.suspects.crashed(self.crash_flight, now_ms)
+        self.crash_ms = None
+        self.crash_flight = []
+        self.recorder.record(trace.Kind.CRASHED, suspects=sorted(found))
+        for fingerprint, verdict in found.items():
+            self.tell_verdict(fingerprint, verdict)
+
+    def tell_verdict(
+        self, fingerprint: str, verdict: suspects.Verdict
+    ) -> None:
+        """Tells every entry what was found out about a body.
+
+        :param fingerprint: hash of the body
+        :param verdict: what is held against it
+        """
+        self.recorder.record(
+            trace.Kind.VERDICT, fingerprint=fingerprint, verdict=verdict.value
+        )
+        body = ttypes.Verdict(
+            fingerprint, verdict.value, suspects.LASTS_MS[verdict]
+        )
+        for entry in self.entries:
+            self.send(entry, "verdict", body)
+
     def outcome_of(self, run: runs.Run, end: upstreams.End) -> str:
         """Returns the outcome that the entry is told.
 
@@ -554,15 +748,28 @@
             if now_ms - asked_ms > PULL_TIMEOUT_MS:
                 self.drop_offer(run_id)
                 self.bury(run_id)
-        for offer in tuple(self.offers.values()):
-            if offer.deadline_ms <= now_ms:
-                self.drop_offer(offer.request_id)
+        self.sweep(now_ms)
+        self.judge_crash(now_ms)
         for run in tuple(self.runs.values()):
             self.expire_run(run, now_ms)
         self.expire_ids(self.tombstones, now_ms)
         self.expire_ids(self.forgotten, now_ms)
         self.pump()
 
+    def sweep(self, now_ms: int) -> None:
+        """Finds offers deep in the book that have become too late.
+
+        :param now_ms: the time now
+        """
+        if now_ms - self.swept_ms < SWEEP_INTERVAL_MS:
+            return
+        self.swept_ms = now_ms
+        self.tell_skipped(
+            self.book.sweep(
+                self.state.running(now_ms), self.state.view(now_ms), now_ms
+            )
+        )
+
     def expire_run(self, run: runs.Run, now_ms: int) -> None:
         """Ends or forgets a run that its entry has left alone too long.
 
--- a/godwitloft/agent/engine_state.py
+++ b/godwitloft/agent/engine_state.py
@@ -14,7 +14,9 @@
 from godwitloft.policy import room
 from godwitloft.policy import types
 
-MIN_LEARNT_PROMPT_TOKENS = 128
+PREFILL_WINDOW_TOKENS = 512
+MIN_PREFILL_WINDOW_TOKENS = 128
+MIN_PREFILL_WINDOW_MS = 50
 
 
 @dataclasses.dataclass(eq=False)
@@ -74,6 +76,8 @@
         self.breaker = breaker.Breaker()
         self.work: dict[str, Progress] = {}
         self.last_first_ms = 0
+        self.window_start_ms = 0
+        self.window_tokens = 0
 
     def view(self, now_ms: int) -> types.UpstreamView:
         """Returns the upstream as the decisions see it.
@@ -85,7 +89,7 @@
             speeds=self.speeds,
             room=self.room,
             resumable=self.resumable,
-            accepting=breaker.allows(self.breaker, now_ms),
+            accepting=self._accepting(now_ms),
             cached_tokens=self.index.cached_tokens,
         )
 
@@ -177,6 +181,9 @@
         ) / self.speeds.prefill_tokens_per_ms + estimate.decode_ms_per_token(
             self.speeds, one.beside
         )
+        if not any(other.prompt_left for other in others):
+            self.window_start_ms = now_ms
+            self.window_tokens = 0
         self.index.dispatched(keys, now_ms)
         self.breaker = breaker.started(self.breaker, now_ms)
 
@@ -248,6 +255,13 @@
             one.prompt_tokens, tokens, self.speeds, one.beside
         )
 
+    def _accepting(self, now_ms: int) -> bool:
+        """Says whether work may be pulled; one request probes alone."""
+        found = breaker.state(self.breaker, now_ms)
+        if found is breaker.State.PROBING:
+            return not self.work
+        return found is breaker.State.CLOSED
+
     def _prompts_left(self, now_ms: int) -> dict[str, int]:
         """Estimates the unprefilled tokens of each run."""
         unfinished = {
@@ -270,14 +284,7 @@
 
     def _learn_first(self, one: Progress, now_ms: int) -> None:
         assert one.started_ms is not None
-        begin_ms = max(one.started_ms, self.last_first_ms)
-        step_ms = estimate.decode_ms_per_token(self.speeds, one.beside)
-        if one.prompt_tokens >= MIN_LEARNT_PROMPT_TOKENS:
-            self.speeds = estimate.observe_prefill(
-                self.speeds,
-                one.prompt_tokens,
-                max(1, int(now_ms - begin_ms - step_ms)),
-            )
+        self._learn_prefill(one, now_ms)
         self.room = room.observe_first_token(
             self.room,
             now_ms - one.started_ms,
@@ -287,22 +294,48 @@
             now_ms,
         )
 
+    def _learn_prefill(self, one: Progress, now_ms: int) -> None:
+        """Learns the prefill speed over several prompts.
+
+        Engines prefill the ends and beginnings of several prompts in one
+        step, so the time of a single short one says nothing.
+        """
+        self.window_tokens += one.prompt_tokens
+        waiting = any(
+            other.first_ms is None and other is not one
+            for other in self.work.values()
+            if other.started_ms is not None and not other.suspended
+        )
+        duration_ms = now_ms - self.window_start_ms
+        long_enough = duration_ms >= MIN_PREFILL_WINDOW_MS
+        whole = long_enough and self.window_tokens >= PREFILL_WINDOW_TOKENS
+        if waiting and not whole:
+            return
+        if long_enough and self.window_tokens >= MIN_PREFILL_WINDOW_TOKENS:
+            self.speeds = estimate.observe_prefill(
+                self.speeds, self.window_tokens, duration_ms
+            )
+        self.window_start_ms = now_ms
+        self.window_tokens = 0
+
     def _learn_gap(self, one: Progress, count: int, now_ms: int) -> None:
         active = [
             other
             for other in self.work.values()
             if other.started_ms is not None and not other.suspended
         ]
-        prefilling = any(other.first_ms is None for other in active)
         gap_ms = now_ms - one.last_ms
         self.speeds = estimate.observe_decode(
             self.speeds, len(active), count, gap_ms
         )
         self.room = room.observe_gap(
             self.room,
-            gap_ms / count,
-            room.target_ms(self.speeds, prefilling),
-            len(active),
+            room.Gap(
+                gap_ms / count,
+                len(active),
+                any(other.first_ms is None for other in active),
+            ),
+            room.target_ms(self.speeds),
             now_ms,
         )
 
@@ -333,8 +366,7 @@
         if self.is_model:
             self.room = room.observe_gap(
                 self.room,
-                rest_ms / output,
-                room.target_ms(self.speeds, prefilling=True),
-                one.beside,
+                room.Gap(rest_ms / output, one.beside, True),
+                room.target_ms(self.speeds),
                 now_ms,
             )
--- a/godwitloft/policy/estimate.py
+++ b/godwitloft/policy/estimate.py
@@ -14,6 +14,7 @@
 SPEED_GAIN = 0.2
 FALL_GAIN = 0.5
 LENGTH_GAIN = 0.1
+TOKEN_GAIN = 0.03
 BATCH_BUCKETS = 11
 MAX_LENGTHS = 20_000
 MIN_PREFILL_TOKENS = 16
@@ -91,6 +92,9 @@
 ) -> Speeds:
     """Learns from the tokens of one answer.
 
+    Steps in which the engine also prefills count as any other: a request
+    that starts now will meet as many of them.
+
     :param speeds: what was learnt before
     :param batch: requests that decoded together
     :param tokens: tokens that came in the duration
@@ -102,7 +106,7 @@
     index = bucket(batch)
     seen = max(0.01, duration_ms / tokens)
     old = speeds.decode_ms[index]
-    gain = FALL_GAIN if seen > old else SPEED_GAIN
+    gain = min(FALL_GAIN, 1 - (1 - TOKEN_GAIN) ** tokens)
     new = seen if old == 0.0 else old + gain * (seen - old)
     values = list(speeds.decode_ms)
     values[index] = new
--- a/godwitloft/policy/offer_book.py
+++ b/godwitloft/policy/offer_book.py
@@ -212,6 +212,7 @@
     ) -> tuple[order.Skipped, ...]:
         """Looks for offers deep in the book that have become too late.
 
+        Those whose deadline passed after they were set aside are removed.
         Each call goes on where the last one stopped, so that its cost is
         bounded and every offer has its turn.
 
@@ -224,6 +225,10 @@
         at = order.Upstream(view, running, now_ms)
         found = []
         for offer in self._next_to_sweep(limit):
+            if offer.request_id in self.set_aside:
+                if offer.deadline_ms <= now_ms:
+                    self.remove(offer.request_id)
+                continue
             late = order.too_late(offer, at)
             if late is not None:
                 found.append(late)
@@ -240,8 +245,7 @@
         for request_id in tuple(itertools.islice(self.offers, limit)):
             offer = self.offers.pop(request_id)
             self.offers[request_id] = offer
-            if request_id not in self.set_aside:
-                turn.append(offer)
+            turn.append(offer)
         return turn
 
     def _wake(self, now_ms: int) -> None:
--- a/godwitloft/policy/room.py
+++ b/godwitloft/policy/room.py
@@ -106,45 +106,58 @@
     return held + offer.prompt_tokens + offer.output_tokens <= room.kv_tokens
 
 
-def target_ms(speeds: estimate.Speeds, prefilling: bool) -> float:
+@dataclasses.dataclass(frozen=True)
+class Gap:
+    """The time between two tokens of one answer.
+
+    :param duration_ms: milliseconds
+    :param running: requests that ran together
+    :param prefilling: whether a prompt was prefilled in the same time
+    """
+
+    duration_ms: float
+    running: int
+    prefilling: bool = False
+
+
+def target_ms(speeds: estimate.Speeds) -> float:
     """Returns the longest time between tokens that the caps allow.
 
     An engine too slow for the usual target, even with one request, gets a
-    target of its own: a cap can't make it faster, only waste it. While it
-    also prefills, a step takes longer whatever the cap.
+    target of its own: a cap can't make it faster, only waste it.
 
     :param speeds: learnt speeds of the engine
-    :param prefilling: whether a prompt was prefilled in the same time
     :return: milliseconds
     """
     alone_ms = estimate.decode_ms_per_token(speeds, 1)
-    target = float(BETWEEN_TOKENS_MS)
-    if alone_ms > BETWEEN_TOKENS_MS:
-        target = alone_ms * UNREACHABLE_FACTOR
-    return target * PREFILLING_FACTOR if prefilling else target
+    if alone_ms <= BETWEEN_TOKENS_MS:
+        return float(BETWEEN_TOKENS_MS)
+    return alone_ms * UNREACHABLE_FACTOR
 
 
-def observe_gap(
-    room: Room, gap_ms: float, longest_ms: float, running: int, now_ms: int
-) -> Room:
+def observe_gap(room: Room, gap: Gap, longest_ms: float, now_ms: int) -> Room:
     """Learns from the time between two tokens of one answer.
 
     Two long ones in a short window lower the cap at once; it rises by one
     after many short ones, and faster until it was lowered for the first
-    time.
+    time. A step that also prefills is long whatever the cap, so it never
+    lowers it, and lets it rise unless it is very long.
 
     :param room: the caps so far
-    :param gap_ms: milliseconds between two tokens
+    :param gap: what was seen
     :param longest_ms: see :func:`target_ms`
-    :param running: requests that ran together
     :param now_ms: the time
     :return: the caps from now on
     """
-    late = room.late_gaps + (gap_ms > longest_ms)
+    allowed_ms = longest_ms * (PREFILLING_FACTOR if gap.prefilling else 1)
+    late = room.late_gaps
+    if gap.duration_ms > allowed_ms and not gap.prefilling:
+        late += 1
     if late >= LATE_GAPS:
-        return _lower(room, running, STEP_DOWN, now_ms)
+        return _lower(room, gap.running, STEP_DOWN, now_ms)
     calm = room.calm_gaps
-    if running >= room.max_running and gap_ms <= longest_ms * COMFORT:
+    at_cap = gap.running >= room.max_running
+    if at_cap and gap.duration_ms <= allowed_ms * COMFORT:
         calm += 1
     window = room.window_gaps + 1
     if window >= WINDOW_GAPS:
--- a/godwitloft/policy/suspects.py
+++ b/godwitloft/policy/suspects.py
@@ -17,6 +17,13 @@
     POISONOUS = "poisonous"
 
 
+LASTS_MS: typing.Mapping[Verdict, int] = {
+    Verdict.CLEAR: 0,
+    Verdict.SUSPECT: SUSPECT_MS,
+    Verdict.POISONOUS: POISONOUS_MS,
+}
+
+
 @dataclasses.dataclass(frozen=True)
 class Record:
     """What is held against one fingerprint.
