--- a/features/objects.feature
+++ b/features/objects.feature
@@ -60,6 +60,11 @@
       | 32 | tiers |
       | 1000 | pools |
 
+  Scenario: Of very many mistakes, the first are reported
+    Given the valid example objects
+    When 1000 unknown services are given to team one
+    Then the check reports 200 problems
+
   Scenario: The canonical form doesn't depend on order and can be read back
     Given the valid example objects
     Then shuffled by seeds 1 to 20 its canonical hash stays the same
@@ -97,6 +102,7 @@
       | team/one | weight.x=0 | object 'team/one': key 'weight.x': doesn't exist |
       | team/one | name=x | object 'team/one': key 'name': can't be changed, for others refer to it |
       | team/one | tiers.7=gold | object 'team/one': key 'tiers.7': index 7 is past the last, 0 |
+      | team/one | tiers.1=gold | object 'team/one': key 'tiers.1': index 1 is past the last, 0 |
       | team/one | tiers.x=gold | object 'team/one': key 'tiers.x': 'x' is no index of a list |
 
   Scenario: Added and removed objects show in the difference
--- a/features/operators.feature
+++ b/features/operators.feature
@@ -110,6 +110,11 @@
       | status | 1 |
       | explain entry-duluth-1.5f2c-17 | 0 |
       | drain entry-toledo-1 --reason r | 2 |
+      | audit features/traces/burst.jsonl | 0 |
+      | audit features/traces/burst.jsonl README.md | 1 |
+      | audit features/traces/nothing.jsonl | 2 |
+      | replay features/traces/burst.jsonl | 0 |
+      | replay README.md | 2 |
 
   Scenario Outline: Bodies and connections are bounded
     Given an operator API over an empty store
--- a/features/steps/objects_steps.py
+++ b/features/steps/objects_steps.py
@@ -83,6 +83,18 @@
     ]
 
 
+@when("1000 unknown services are given to team one")
+def set_many(context):
+    names = [f"unknown-{index}" for index in range(1000)]
+    context.example["teams"][0]["services"] = names
+
+
+@then("the check reports {count:d} problems")
+def check_count(context, count):
+    found = check.check(parse.from_value(context.example, "example"))
+    assert len(found) == count, len(found)
+
+
 @then("the check reports nothing")
 def check_no_problem(context):
     found = check.check(parse.from_value(context.example, "example"))
--- a/godwitloft/decode.py
+++ b/godwitloft/decode.py
@@ -56,7 +56,10 @@
     :param value: any JSON value
     :return: its ``repr``, cut to a bounded length
     """
-    text = repr(value)
+    try:
+        text = repr(value)
+    except RecursionError:
+        return "a deeply nested value"
     if len(text) <= MAX_SHOWN_CHARACTERS:
         return text
     return f"{text[:MAX_SHOWN_CHARACTERS]}..."
--- a/godwitloft/objects/check.py
+++ b/godwitloft/objects/check.py
@@ -1,11 +1,12 @@
 """Checks a whole set of objects before it is published.
 
-Every mistake is reported, not only the first: a person who mends a
-configuration wants to see them together.
+Mistakes are reported together, not only the first: a person who mends a
+configuration wants to see them at once.
 """
 
 import collections
 import dataclasses
+import itertools
 import re
 import typing
 
@@ -19,6 +20,7 @@
     "teams": 50_000,
     "pools": 1000,
 }
+MAX_PROBLEMS = 200
 MAX_KEYS_PER_TEAM = 32
 MAX_CALLS_PER_SERVICE = 200
 MAX_TEXT_CHARACTERS = 500
@@ -59,12 +61,13 @@
 
 
 def check(objects: types.ObjectSet) -> tuple[Problem, ...]:
-    """Finds every mistake in a set.
+    """Finds the mistakes in a set.
 
     :param objects: the whole set
-    :return: the problems; empty when the set may be published
+    :return: the first problems, at most :data:`MAX_PROBLEMS`, for finding
+        the nearest name takes long; empty when the set may be published
     """
-    return tuple(_check_all(objects))
+    return tuple(itertools.islice(_check_all(objects), MAX_PROBLEMS))
 
 
 def _check_all(objects: types.ObjectSet) -> Problems:
--- /dev/null
+++ b/godwitloft/ui/audit.py
@@ -0,0 +1,56 @@
+"""``godwitloft audit``: checks the promises on traces."""
+
+import dataclasses
+import typing
+
+import cappa
+
+from godwitloft import audit
+from godwitloft import errors as root_errors
+from godwitloft.ui import errors
+from godwitloft.ui import options
+from godwitloft.ui import report
+from godwitloft.ui import session as sessions
+from godwitloft.ui import trace_files
+
+Traces = typing.Annotated[
+    list[str],
+    cappa.Arg(required=True, help="Trace files of any number of processes."),
+]
+
+
+@cappa.command(name="audit", help="Check the promises on traces.")
+@dataclasses.dataclass(kw_only=True)
+class Audit(options.Printing):
+    """Arguments of the command."""
+
+    traces: Traces
+    ledger: typing.Annotated[
+        list[str],
+        cappa.Arg(
+            long=True,
+            help="File of what stand-in upstreams ran; may be repeated.",
+        ),
+    ] = dataclasses.field(default_factory=list)
+
+
+async def run(command: Audit, session: sessions.Session) -> report.Report:
+    """Audits the traces.
+
+    :param command: its arguments
+    :param session: the world around it
+    :return: one line a promise
+    """
+    lines = trace_files.read_lines(command.traces, session)
+    ledgers = trace_files.read_lines(command.ledger, session)
+    try:
+        found = audit.audit(lines, ledgers)
+    except root_errors.UserError:
+        raise
+    except root_errors.GodwitloftError as error:
+        raise errors.CommandError(str(error), errors.ExitCode.USAGE) from error
+    return report.Report(
+        found,
+        tuple(found.text().splitlines()),
+        errors.ExitCode.PROBLEMS if found.breaches else errors.ExitCode.OK,
+    )
--- a/godwitloft/ui/main.py
+++ b/godwitloft/ui/main.py
@@ -11,6 +11,7 @@
 
 import godwitloft
 from godwitloft import errors as root_errors
+from godwitloft.ui import audit
 from godwitloft.ui import check
 from godwitloft.ui import diff
 from godwitloft.ui import drain
@@ -18,6 +19,7 @@
 from godwitloft.ui import explain
 from godwitloft.ui import history
 from godwitloft.ui import publish
+from godwitloft.ui import replay
 from godwitloft.ui import report
 from godwitloft.ui import revise
 from godwitloft.ui import session as sessions
@@ -42,6 +44,8 @@
     status.Status: status.run,
     explain.Explain: explain.run,
     drain.Drain: drain.run,
+    audit.Audit: audit.run,
+    replay.Replay: replay.run,
 }
 
 
@@ -64,6 +68,8 @@
         | status.Status
         | explain.Explain
         | drain.Drain
+        | audit.Audit
+        | replay.Replay
     ]
 
 
--- /dev/null
+++ b/godwitloft/ui/replay.py
@@ -0,0 +1,49 @@
+"""``godwitloft replay``: gives a trace's inputs to today's policy."""
+
+import dataclasses
+import typing
+
+import cappa
+
+from godwitloft import replay
+from godwitloft.ui import audit
+from godwitloft.ui import errors
+from godwitloft.ui import options
+from godwitloft.ui import report
+from godwitloft.ui import session as sessions
+from godwitloft.ui import trace_files
+
+
+@cappa.command(
+    name="replay",
+    help="Give a trace's inputs to today's policy and state outcomes.",
+)
+@dataclasses.dataclass(kw_only=True)
+class Replay(options.Printing):
+    """Arguments of the command."""
+
+    traces: audit.Traces
+    max_requests: typing.Annotated[
+        int,
+        cappa.Arg(long=True, help="Bound on waiting requests."),
+    ] = replay.UNBOUNDED
+    max_bytes: typing.Annotated[
+        int,
+        cappa.Arg(long=True, help="Bound on bodies of waiting requests."),
+    ] = replay.UNBOUNDED
+
+
+async def run(command: Replay, session: sessions.Session) -> report.Report:
+    """Replays the traces.
+
+    :param command: its arguments
+    :param session: the world around it
+    :return: one line a request, in order of their ends
+    """
+    lines = trace_files.read_lines(command.traces, session)
+    limits = replay.Limits(command.max_requests, command.max_bytes)
+    try:
+        outcomes = replay.replay(lines, limits)
+    except replay.ReplayError as error:
+        raise errors.CommandError(str(error), errors.ExitCode.USAGE) from error
+    return report.Report(outcomes, tuple(one.text() for one in outcomes))
--- /dev/null
+++ b/godwitloft/ui/trace_files.py
@@ -0,0 +1,49 @@
+"""Reads the trace files that ``audit`` and ``replay`` work on."""
+
+import pathlib
+import typing
+
+from godwitloft.ui import errors
+from godwitloft.ui import session as sessions
+
+MAX_LINE_BYTES = 1024 * 1024
+LARGE_FILE_BYTES = 16 * 1024 * 1024
+
+
+def read_lines(
+    paths: typing.Iterable[str], session: sessions.Session
+) -> typing.Iterator[str]:
+    """Yields the lines of files, one file after the other.
+
+    :param paths: names of files
+    :param session: told of large files, which take a while
+    :return: lines without their newline; empty ones are left out
+    :raises errors.CommandError: when a file can't be read
+    """
+    for path in paths:
+        try:
+            yield from _read_file(pathlib.Path(path), session)
+        except OSError as error:
+            raise errors.CommandError(
+                f"{path}: {error.strerror}", errors.ExitCode.USAGE
+            ) from error
+
+
+def _read_file(
+    file: pathlib.Path, session: sessions.Session
+) -> typing.Iterator[str]:
+    with file.open("rb") as stream:
+        size = file.stat().st_size
+        if size > LARGE_FILE_BYTES:
+            session.note(f"reading {file}: {size} bytes")
+        number = 0
+        while content := stream.readline(MAX_LINE_BYTES + 1):
+            number += 1
+            if len(content) > MAX_LINE_BYTES:
+                raise errors.CommandError(
+                    f"{file}: line {number} is above {MAX_LINE_BYTES} bytes",
+                    errors.ExitCode.USAGE,
+                )
+            line = content.decode("utf-8", "replace").strip()
+            if line:
+                yield line
