--- /dev/null
+++ b/features/operations.feature
@@ -0,0 +1,29 @@
+Feature: Operating a deployment over the platform
+
+  Background:
+    Given a platform, 2 engines with agents and 2 entries as processes
+
+  Scenario: What is published is in force on every daemon
+    When the operator publishes the path objects
+    Then every daemon of the deployment reaches generation 1
+    And a completion through each entry is answered
+    When the operator revises "pool p" with "max_running=3"
+    Then every daemon of the deployment reaches generation 2
+    And a completion through each entry is answered
+
+  Scenario: A drained agent gets no new work and cuts nothing off
+    Given the operator publishes the path objects
+    And every daemon of the deployment reaches generation 1
+    And 8 slow completions are running through the entries
+    When the operator drains "agent-0"
+    Then the agent "agent-0" ends by itself with status 0
+    And every slow completion is whole
+    And the completions that follow run on the other engine only
+
+  Scenario: An entry that is told to stop finishes its requests
+    Given the operator publishes the path objects
+    And every daemon of the deployment reaches generation 1
+    And 8 slow completions are running through the entries
+    When entry 0 gets SIGTERM
+    Then entry 0 ends by itself with status 0
+    And every slow completion is whole
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -61,20 +61,16 @@
 
 
 def logged(process, key):
-    for line in process.stderr:
-        fields = json.loads(line)
-        if key in fields:
-            return fields[key]
-    raise AssertionError(f"the process ended without logging {key}")
+    return logged_line(process, key)[key]
 
 
-def start_engine(context):
+def start_engine(context, decode_ms=2):
     process = start(
         context,
         "godwitloft.standins.main",
         "engine",
         "--settings",
-        json.dumps({"model": "m", "decode_ms": 2}),
+        json.dumps({"model": "m", "decode_ms": decode_ms}),
     )
     return json.loads(process.stdout.readline())["listening"]
 
@@ -212,3 +208,197 @@
         line for line in context.demo.stdout.splitlines() if " 200 " in line
     ]
     assert len(lines) == count, context.demo.stdout
+
+
+OPERATOR_TOKEN = "path-operator"
+SLOW_PROMPT = "slow question"
+SLOW_TOKENS = 60
+
+
+def operator_settings():
+    token_hash = hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
+    return {
+        "operator_listen": {},
+        "operator_tokens": [
+            {"name": "op", "token_hash": token_hash, "role": "operator"}
+        ],
+    }
+
+
+@given("a platform, {count:d} engines with agents and 2 entries as processes")
+def start_deployment(context, count):
+    directory = tempfile.TemporaryDirectory()
+    context.add_cleanup(directory.cleanup)
+    context.path_dir = directory.name
+    platform = start(
+        context,
+        "godwitloft.standins.main",
+        "platform",
+    )
+    where = json.loads(platform.stdout.readline())["listening"]
+    common = {
+        "availability_zone": "a",
+        "platform": {"kind": "http", "url": f"http://{where}"},
+    }
+    context.engines = [start_engine(context, 20) for _ in range(count)]
+    context.agents = {}
+    for number, engine in enumerate(context.engines):
+        settings = common | {
+            "instance": f"agent-{number}",
+            "pool": "p",
+            "upstream": {"name": f"e{number}", "url": f"http://{engine}"},
+        }
+        path = write_json(context, f"agent-{number}.json", settings)
+        context.agents[f"agent-{number}"] = start(
+            context, "godwitloft.agent.main", "serve", "--settings", path
+        )
+    context.entries = []
+    context.ports = []
+    for number in range(2):
+        settings = common | operator_settings()
+        settings["instance"] = f"entry-{number}"
+        path = write_json(context, f"entry-{number}.json", settings)
+        entry = start(
+            context, "godwitloft.entry.main", "serve", "--settings", path
+        )
+        started = logged_line(entry, "caller_port")
+        context.entries.append(entry)
+        context.ports.append(started["caller_port"])
+        context.operator_port = started["other_ports"][0]
+    token = pathlib.Path(context.path_dir) / "token"
+    token.write_text(OPERATOR_TOKEN, encoding="utf-8")
+    context.token_file = str(token)
+
+
+def logged_line(process, key):
+    for line in process.stderr:
+        fields = json.loads(line)
+        if key in fields:
+            return fields
+    raise AssertionError(f"the process ended without logging {key}")
+
+
+def operate(context, *words):
+    return subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "godwitloft.ui.main",
+            *words,
+            "--server",
+            f"http://127.0.0.1:{context.operator_port}",
+            "--token-file",
+            context.token_file,
+            "--json",
+        ],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=START_LIMIT_S,
+    )
+
+
+@given("the operator publishes the path objects")
+@when("the operator publishes the path objects")
+def publish_objects(context):
+    path = write_json(context, "objects.json", OBJECTS)
+    done = operate(context, "publish", path, "--reason", "first")
+    assert done.returncode == 0, done.stderr
+
+
+@when('the operator revises "{name}" with "{change}"')
+def revise_object(context, name, change):
+    kind, _, own = name.partition(" ")
+    words = ("revise", f"{kind}/{own}", "--set", change, "--reason", "more")
+    done = operate(context, *words)
+    assert done.returncode == 0, done.stderr + done.stdout
+
+
+@when('the operator drains "{instance}"')
+def drain_instance(context, instance):
+    done = operate(context, "drain", instance, "--reason", "replaced")
+    assert done.returncode == 0, done.stderr + done.stdout
+
+
+@given("every daemon of the deployment reaches generation {generation:d}")
+@then("every daemon of the deployment reaches generation {generation:d}")
+def check_generation(context, generation):
+    expected = {"agent-0", "agent-1", "entry-0", "entry-1"}
+    for _ in range(START_LIMIT_S):
+        done = operate(context, "status")
+        assert done.returncode == 0, done.stderr
+        daemons = json.loads(done.stdout)["daemons"]
+        found = {one["instance"]: one["generation"] for one in daemons}
+        if found == dict.fromkeys(expected, generation):
+            return
+        time.sleep(0.2)
+    raise AssertionError(found)
+
+
+@then("a completion through each entry is answered")
+def check_entries(context):
+    for number, port in enumerate(context.ports):
+        wait_until_ready(port)
+        status, content = complete(port, 2 * number)
+        assert status == 200, content
+
+
+def ask_slowly(port):
+    body = {"model": "m", "prompt": SLOW_PROMPT, "max_tokens": SLOW_TOKENS}
+    return fetch(port, "POST", "/v1/completions", json.dumps(body))
+
+
+def running_on(engine):
+    port = int(engine.rpartition(":")[2])
+    return json.loads(fetch(port, "GET", "/ledger")[1])["runs"]
+
+
+@given("{count:d} slow completions are running through the entries")
+def start_slow(context, count):
+    pool = concurrent.futures.ThreadPoolExecutor(count)
+    context.add_cleanup(pool.shutdown)
+    for port in context.ports:
+        wait_until_ready(port)
+    context.slow = [
+        pool.submit(ask_slowly, context.ports[number % 2])
+        for number in range(count)
+    ]
+    for _ in range(START_LIMIT_S * 20):
+        if all(running_on(engine) for engine in context.engines):
+            return
+        time.sleep(0.05)
+    raise AssertionError("the slow completions did not start")
+
+
+@then("every slow completion is whole")
+def check_slow(context):
+    words = answers.answer_words(SLOW_PROMPT, SLOW_TOKENS)
+    for one in context.slow:
+        status, content = one.result(START_LIMIT_S)
+        assert status == 200, content
+        assert text_of(content, False).split() == list(words)
+
+
+@then('the agent "{instance}" ends by itself with status {status:d}')
+def check_agent_end(context, instance, status):
+    found = context.agents[instance].wait(START_LIMIT_S)
+    assert found == status, found
+
+
+@when("entry {number:d} gets SIGTERM")
+def stop_entry(context, number):
+    context.entries[number].terminate()
+
+
+@then("entry {number:d} ends by itself with status {status:d}")
+def check_entry_end(context, number, status):
+    found = context.entries[number].wait(START_LIMIT_S)
+    assert found == status, found
+
+
+@then("the completions that follow run on the other engine only")
+def check_other_engine(context):
+    before = len(running_on(context.engines[0]))
+    for number in range(6):
+        assert complete(context.ports[number % 2], number)[0] == 200
+    assert len(running_on(context.engines[0])) == before
--- a/godwitloft/agent/daemon.py
+++ b/godwitloft/agent/daemon.py
@@ -1,197 +1,211 @@
 """Assembles an agent from its tasks."""
 
-import random
+import dataclasses
 import typing
 
 from twisted.internet import task
 
-from godwitloft import clock as clocks
 from godwitloft import daemon
 from godwitloft import events
-from godwitloft import metrics
+from godwitloft import node as nodes
 from godwitloft import settings as settings_module
+from godwitloft import status_http
 from godwitloft import trace
 from godwitloft import waiting
 from godwitloft.agent import dispatcher as dispatchers
 from godwitloft.agent import http_upstream
-from godwitloft.links import codec
-from godwitloft.links import hub as hubs
 from godwitloft.links.generated.messages import ttypes
 from godwitloft.objects import lookup
-from godwitloft.objects import parse
 from godwitloft.objects import types
 
 
 class AgentDaemon:
-    """One agent: its links, its dispatcher and its upstream.
+    """One agent: its node, its dispatcher and its upstream.
 
-    :param reactor: the twisted reactor
     :param settings: checked settings
-    :param clock: tells the time
-    :param instruments: what is counted
-    :param render_metrics: returns the counts as Prometheus text
-    :param objects: in force at the start, instead of those that the
-        settings name
+    :param surroundings: what it is built on
     """
 
     def __init__(
         self,
-        reactor: typing.Any,
         settings: settings_module.AgentSettings,
-        clock: clocks.Clock,
-        instruments: metrics.Instruments,
-        render_metrics: typing.Callable[[], bytes] = bytes,
-        objects: types.ObjectSet | None = None,
+        surroundings: nodes.Surroundings,
     ) -> None:
-        self.reactor = reactor
         self.settings = settings
-        self.clock = clock
-        self.render_metrics = render_metrics
-        self.incarnation = daemon.new_incarnation(settings.instance)
-        self.generation = 0
-        self.objects = lookup.build(
-            objects or parse.from_files(settings.objects)
-        )
+        self.surroundings = surroundings
+        self.reactor = surroundings.reactor
         is_model = settings.upstream.kind is types.ServiceKind.MODEL
         self.upstream = http_upstream.HttpUpstream(
-            reactor, settings.upstream.url, is_model
+            self.reactor, settings.upstream.url, is_model
+        )
+        self.node = nodes.Node(
+            "agent",
+            settings,
+            nodes.with_file_objects(settings, surroundings),
+            nodes.NodeHandlers(
+                peer_up=self.peer_up,
+                peer_down=self.peer_down,
+                received=self.received,
+                in_force=self.in_force,
+                leave=self.leave,
+                peer_leaving=lambda _instance: None,
+                hello=self.fill_hello,
+                heartbeat=self.fill_heartbeat,
+            ),
         )
         self.recorder = daemon.make_recorder(
             settings.trace_stream,
-            clock,
+            surroundings.clock,
             settings.instance,
-            self.incarnation,
+            self.node.incarnation,
         )
         self.dispatcher = dispatchers.Dispatcher(
-            clock=clock,
-            send=self.send,
+            clock=surroundings.clock,
+            send=self.node.send,
             upstream=self.upstream.port(),
             recorder=self.recorder,
-            instruments=instruments,
-            settings=dispatchers.DispatcherSettings(
-                max_running=self.max_running(),
-                is_model=is_model,
-                resumable=self.resumable(),
-            ),
+            instruments=surroundings.instruments,
+            settings=dispatchers.DispatcherSettings(is_model=is_model),
         )
         self.upstream.dispatcher = self.dispatcher
-        self.hub = hubs.Hub(
-            reactor,
-            clock,
-            self.hello,
-            hubs.HubHandlers(
-                peer_up=self.dispatcher.peer_up,
-                peer_down=lambda hello, _why: self.dispatcher.peer_down(
-                    hello.instance
-                ),
-                received=self.dispatcher.receive,
-                writable=lambda _instance, _can_write: None,
-                heartbeat=self.heartbeat,
-                accepts=lambda hello: hello.role == "entry",
-            ),
-            random.Random(self.incarnation),
-        )
         self.ticker = task.LoopingCall(
             daemon.contain(self.dispatcher.tick, "dispatcher")
         )
-        self.ticker.clock = reactor
+        self.ticker.clock = self.reactor
+        self.metrics_port: typing.Any = None
+        self.on_left: typing.Callable[[], None] = lambda: None
+
+    # Node
 
-    def max_running(self) -> int:
-        """Returns the bound that the pool object sets.
+    def peer_up(self, hello: ttypes.Hello) -> None:
+        """Tells the dispatcher of an entry.
 
-        :return: requests at once on the upstream
+        :param hello: what it said
         """
-        pool = self.objects.pools.get(self.settings.pool)
-        return pool.max_running if pool is not None else 1
+        self.dispatcher.peer_up(hello)
 
-    def resumable(self) -> bool:
-        """Returns what the pool object says of suspending runs.
+    def peer_down(self, instance: str) -> None:
+        """Tells the dispatcher that an entry is gone.
 
-        :return: whether the upstream can suspend and resume a run
+        :param instance: name of the entry's instance
         """
-        pool = self.objects.pools.get(self.settings.pool)
-        return pool is not None and pool.resumable
+        self.dispatcher.peer_down(instance)
 
-    def send(self, instance: str, name: str, body: codec.Body) -> bool:
-        """Sends a message of the dispatcher.
+    def received(self, peer: str, name: str, body: typing.Any) -> None:
+        """Passes a message on to the dispatcher.
 
-        :param instance: name of the peer
+        :param peer: name of the entry's instance
         :param name: name of the message
         :param body: its body
-        :return: False when there is no link to the peer
         """
-        return self.hub.send(instance, **{name: body})
+        self.dispatcher.receive(peer, name, body)
 
-    def hello(self) -> ttypes.Hello:
-        """Returns what this agent says first on a link.
+    def in_force(self, objects: lookup.Lookup) -> None:
+        """Takes over what the pool object says of this upstream.
 
-        :return: the message
+        :param objects: the objects in force
         """
-        return ttypes.Hello(
-            protocol_version=codec.PROTOCOL_VERSION,
-            role="agent",
-            instance=self.settings.instance,
-            incarnation=self.incarnation,
-            availability_zone=self.settings.availability_zone,
-            generation=self.generation,
-            pool=self.settings.pool,
-            upstream=self.settings.upstream.name,
-            draining=self.dispatcher.draining,
+        pool = objects.pools.get(self.settings.pool)
+        if pool is not None:
+            self.dispatcher.settings = dataclasses.replace(
+                self.dispatcher.settings,
+                max_running=pool.max_running,
+                resumable=pool.resumable,
+            )
+        self.recorder.record(
+            trace.Kind.GENERATION,
+            generation=self.node.generation,
+            snapshot_hash=self.node.feed.current.snapshot_hash,
         )
 
-    def heartbeat(self) -> ttypes.Heartbeat:
-        """Returns what this agent says at each heartbeat.
+    def fill_hello(self, hello: ttypes.Hello) -> None:
+        """Adds which upstream this agent stands beside.
 
-        :return: the message
+        :param hello: the message
         """
-        return ttypes.Heartbeat(
-            generation=self.generation,
-            running=len(self.dispatcher.runs),
-            draining=self.dispatcher.draining,
-        )
+        hello.pool = self.settings.pool
+        hello.upstream = self.settings.upstream.name
+
+    def fill_heartbeat(self, heartbeat: ttypes.Heartbeat) -> None:
+        """Adds how many requests run on the upstream.
+
+        :param heartbeat: the message
+        """
+        heartbeat.running = len(self.dispatcher.runs)
+
+    # Start and leaving
 
     def start(self) -> int:
         """Listens for entries.
 
         :return: the port that entries reach it on
         """
+        number = self.node.start()
         self.recorder.record(
             trace.Kind.PROCESS_STARTED,
             role="agent",
-            generation=self.generation,
+            generation=self.node.generation,
             pool=self.settings.pool,
-            resumable=self.resumable(),
+            resumable=self.dispatcher.settings.resumable,
         )
-        listen = self.settings.link_listen
-        number = self.hub.start(listen.address, listen.port)
         self.ticker.start(http_upstream.TICK_INTERVAL_S, False)
+        self.metrics_port = status_http.listen(
+            self.reactor,
+            self.settings.metrics_listen,
+            self.surroundings.render_metrics,
+            lambda: not self.dispatcher.draining,
+        )
         events.log(
             events.STARTED,
             instance=self.settings.instance,
-            incarnation=self.incarnation,
+            incarnation=self.node.incarnation,
             link_port=number,
         )
         return number
 
+    def leave(self, reason: str) -> None:
+        """Drains and ends the process, as after a signal.
+
+        :param reason: why
+        """
+        if not self.dispatcher.draining:
+            events.log(events.LEAVING, reason=reason)
+            self.drain(self.on_left)
+
     def drain(self, done: typing.Callable[[], None]) -> None:
         """Pulls nothing more and finishes what runs.
 
         :param done: called once nothing is left or the limit is over
         """
         events.log(events.DRAINING, instance=self.settings.instance)
+        self.recorder.record(trace.Kind.LEAVING, reason="drain")
         self.dispatcher.drain()
-        for instance in tuple(self.hub.peers):
-            self.hub.send(instance, farewell=ttypes.Farewell("leaving"))
+        self.node.say_farewell("leaving")
         waiting.until(
             self.reactor,
             lambda: self.dispatcher.idle,
             self.settings.drain_limit_ms,
-            lambda _in_time: done(),
+            lambda _in_time: self.left(done),
+        )
+
+    def left(self, done: typing.Callable[[], None]) -> None:
+        """Says what was abandoned, once draining is over.
+
+        :param done: called afterwards
+        """
+        abandoned = sum(
+            run.ended is None for run in self.dispatcher.runs.values()
         )
+        self.recorder.record(trace.Kind.PROCESS_STOPPED, abandoned=abandoned)
+        if abandoned:
+            events.log(events.ABANDONED, requests=abandoned)
+        done()
 
     def stop(self) -> None:
         """Closes everything at once."""
         if self.ticker.running:
             self.ticker.stop()
-        self.hub.stop()
+        if self.metrics_port is not None:
+            self.metrics_port.stopListening()
+        self.node.stop()
         events.log(events.STOPPED, instance=self.settings.instance)
--- a/godwitloft/agent/main.py
+++ b/godwitloft/agent/main.py
@@ -7,6 +7,7 @@
 
 from godwitloft import clock as clocks
 from godwitloft import metrics
+from godwitloft import node as nodes
 from godwitloft import process
 from godwitloft import settings as settings_module
 from godwitloft.agent import daemon as daemons
@@ -34,14 +35,15 @@
 
         instruments, render = metrics.prometheus()
         daemon = daemons.AgentDaemon(
-            reactor, loaded, clocks.system_clock(), instruments, render
-        )
-        process.run(
-            reactor,
-            process.Program(
-                start=daemon.start, drain=daemon.drain, stop=daemon.stop
+            loaded,
+            nodes.Surroundings(
+                reactor=reactor,
+                clock=clocks.system_clock(),
+                instruments=instruments,
+                render_metrics=render,
             ),
         )
+        process.run_daemon(reactor, daemon)
 
 
 @cappa.command(name="check-settings", help="Check a settings file.")
--- a/godwitloft/coordination/feed.py
+++ b/godwitloft/coordination/feed.py
@@ -98,7 +98,7 @@
     :param fleet_size: how many daemons there are; 0 when that isn't known
     """
 
-    send: typing.Callable[[str, str, typing.Any], None]
+    send: typing.Callable[[str, str, typing.Any], object]
     apply: typing.Callable[[Configuration], None]
     fleet_size: typing.Callable[[], int]
 
--- /dev/null
+++ b/godwitloft/discovery.py
@@ -0,0 +1,137 @@
+"""Follows the platform's instance list and keeps this process on it.
+
+The list lags and may be out of reach, so it only tells whom to link to;
+what links show of a peer counts for more. While the platform is down the
+last list stays in use.
+"""
+
+import dataclasses
+import random
+import typing
+
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.python import failure
+
+from godwitloft import clock as clocks
+from godwitloft import events
+from godwitloft.platform import port
+
+SHORTEST_INTERVAL_MS = 1_000
+FLEET_READS_PER_S = 500
+ANNOUNCE_INTERVAL_MS = 5_000
+ANNOUNCE_TIME_TO_LIVE_MS = 20_000
+
+
+@dataclasses.dataclass(frozen=True)
+class DiscoveryOwner:
+    """What the discovery asks of the daemon that owns it.
+
+    :param own: this process as the list should show it
+    :param changed: told the list each time it was read
+    """
+
+    own: typing.Callable[[], port.Instance]
+    changed: typing.Callable[[tuple[port.Instance, ...]], None]
+
+
+class Discovery:
+    """Reads the instance list at an interval that grows with the fleet.
+
+    :param platform: has the list
+    :param scheduler: for the intervals
+    :param owner: functions of the daemon
+    :param rng: spreads the reads of the fleet
+    """
+
+    def __init__(
+        self,
+        platform: port.Platform,
+        scheduler: interfaces.IReactorTime,
+        owner: DiscoveryOwner,
+        rng: random.Random,
+    ) -> None:
+        self.platform = platform
+        self.scheduler = scheduler
+        self.owner = owner
+        self.rng = rng
+        self.instances: tuple[port.Instance, ...] = ()
+        self.reachable = False
+        self.timers: set[interfaces.IDelayedCall] = set()
+        self.stopped = False
+
+    def start(self) -> None:
+        """Begins to announce this process and to read the list."""
+        self.announce()
+        self.read()
+
+    def stop(self) -> None:
+        """Stops all timers."""
+        self.stopped = True
+        for timer in tuple(self.timers):
+            timer.cancel()
+        self.timers.clear()
+
+    def read_interval_ms(self) -> float:
+        """Returns the time between two reads of this process.
+
+        :return: so long that the fleet stays within its budget of reads
+        """
+        share_ms = clocks.MS_PER_S * len(self.instances) / FLEET_READS_PER_S
+        return max(SHORTEST_INTERVAL_MS, share_ms)
+
+    def read(self) -> None:
+        """Reads the list once, and again after the interval."""
+        reading = defer.maybeDeferred(self.platform.list_instances)
+        reading.addCallbacks(self.took, self.failed)
+        jitter = self.rng.uniform(0.8, 1.2)
+        self.later(jitter * self.read_interval_ms(), self.read)
+
+    def took(self, instances: tuple[port.Instance, ...]) -> None:
+        """Takes the list into use.
+
+        :param instances: as the platform shows them
+        """
+        self.reachable = True
+        self.instances = instances
+        if not self.stopped:
+            self.owner.changed(instances)
+
+    def failed(self, problem: failure.Failure) -> None:
+        """Notes that the list can't be read now.
+
+        :param problem: why
+        """
+        problem.trap(port.PlatformError)
+        if self.reachable:
+            events.log(
+                events.INSTANCE_LIST_UNAVAILABLE, reason=str(problem.value)
+            )
+        self.reachable = False
+
+    def announce(self) -> None:
+        """Puts this process on the list, and again after an interval."""
+        announcing = defer.maybeDeferred(
+            self.platform.announce_instance,
+            self.owner.own(),
+            ANNOUNCE_TIME_TO_LIVE_MS,
+        )
+        announcing.addErrback(lambda problem: problem.trap(port.PlatformError))
+        jitter = self.rng.uniform(0.8, 1.2)
+        self.later(jitter * ANNOUNCE_INTERVAL_MS, self.announce)
+
+    def later(self, delay_ms: float, work: typing.Callable[[], None]) -> None:
+        """Calls a function after some time, unless stopped before.
+
+        :param delay_ms: how long to wait
+        :param work: the function
+        """
+        if self.stopped:
+            return
+
+        def run() -> None:
+            self.timers.discard(timer)
+            work()
+
+        timer = self.scheduler.callLater(delay_ms / clocks.MS_PER_S, run)
+        self.timers.add(timer)
--- a/godwitloft/entry/daemon.py
+++ b/godwitloft/entry/daemon.py
@@ -4,185 +4,322 @@
 import typing
 
 from twisted.internet import task
+from twisted.internet import threads
 
-from godwitloft import clock as clocks
 from godwitloft import daemon
 from godwitloft import events
-from godwitloft import metrics
+from godwitloft import node as nodes
+from godwitloft import operator_http
+from godwitloft import operator_port
+from godwitloft import operator_service
 from godwitloft import settings as settings_module
+from godwitloft import status_http
+from godwitloft import trace
 from godwitloft import waiting
+from godwitloft.coordination import publish
 from godwitloft.entry import caller_http
 from godwitloft.entry import desk as desks
-from godwitloft.links import codec
-from godwitloft.links import hub as hubs
+from godwitloft.entry import journal as journals
 from godwitloft.links.generated.messages import ttypes
 from godwitloft.objects import lookup
-from godwitloft.objects import parse
-from godwitloft.objects import types
 
 TICK_INTERVAL_S = 0.02
 
 
 class EntryDaemon:
-    """One entry: its links, its desk and its callers' HTTP.
+    """One entry: its node, its desk and its HTTP interfaces.
 
-    :param reactor: the twisted reactor
     :param settings: checked settings
-    :param clock: tells the time
-    :param instruments: what is counted
-    :param render_metrics: returns the counts as Prometheus text
-    :param objects: in force at the start, instead of those that the
-        settings name
+    :param surroundings: what it is built on
     """
 
     def __init__(
         self,
-        reactor: typing.Any,
         settings: settings_module.EntrySettings,
-        clock: clocks.Clock,
-        instruments: metrics.Instruments,
-        render_metrics: typing.Callable[[], bytes] = bytes,
-        objects: types.ObjectSet | None = None,
+        surroundings: nodes.Surroundings,
     ) -> None:
-        self.reactor = reactor
         self.settings = settings
-        self.clock = clock
-        self.instruments = instruments
-        self.render_metrics = render_metrics
-        self.incarnation = daemon.new_incarnation(settings.instance)
-        self.generation = 0
-        self.objects = lookup.build(
-            objects or parse.from_files(settings.objects)
+        self.surroundings = surroundings
+        self.reactor = surroundings.reactor
+        self.instruments = surroundings.instruments
+        self.node = nodes.Node(
+            "entry",
+            settings,
+            nodes.with_file_objects(settings, surroundings),
+            nodes.NodeHandlers(
+                peer_up=self.peer_up,
+                peer_down=self.peer_down,
+                received=self.received,
+                in_force=self.in_force,
+                leave=self.leave,
+                peer_leaving=self.peer_leaving,
+                hello=lambda _hello: None,
+                heartbeat=self.fill_heartbeat,
+            ),
         )
-        self.desk = desks.Desk(
-            clock=clock,
-            incarnation=self.incarnation,
-            send=self.send,
-            recorder=daemon.make_recorder(
+        self.journal = journals.Journal(
+            surroundings.clock,
+            daemon.make_recorder(
                 settings.trace_stream,
-                clock,
+                surroundings.clock,
                 settings.instance,
-                self.incarnation,
+                self.node.incarnation,
             ),
-            instruments=instruments,
+        )
+        self.desk = desks.Desk(
+            clock=surroundings.clock,
+            incarnation=self.node.incarnation,
+            send=self.node.send,
+            recorder=self.journal,
+            instruments=surroundings.instruments,
             settings=desks.DeskSettings(
                 max_waiting=settings.limits.queue_requests,
                 max_waiting_bytes=settings.limits.queue_bytes,
             ),
-            generation=lambda: self.generation,
-        )
-        self.hub = hubs.Hub(
-            reactor,
-            clock,
-            self.hello,
-            hubs.HubHandlers(
-                peer_up=self.desk.peer_up,
-                peer_down=lambda hello, _why: self.desk.peer_down(
-                    hello.instance
-                ),
-                received=self.desk.receive,
-                writable=lambda _instance, _can_write: None,
-                heartbeat=self.heartbeat,
-                accepts=lambda hello: hello.role == "agent",
-            ),
-            random.Random(self.incarnation),
+            generation=lambda: self.node.generation,
         )
         self.ticker = task.LoopingCall(daemon.contain(self.desk.tick, "desk"))
-        self.ticker.clock = reactor
+        self.ticker.clock = self.reactor
+        self.ports: list[typing.Any] = []
         self.caller_port: typing.Any = None
+        self.on_left: typing.Callable[[], None] = lambda: None
 
-    def send(self, instance: str, name: str, body: codec.Body) -> bool:
-        """Sends a message of the desk.
+    # Node
 
-        :param instance: name of the peer
-        :param name: name of the message
-        :param body: its body
-        :return: False when there is no link to the peer
+    def peer_up(self, hello: ttypes.Hello) -> None:
+        """Tells the desk of an agent.
+
+        :param hello: what it said
         """
-        return self.hub.send(instance, **{name: body})
+        self.desk.peer_up(hello)
 
-    def hello(self) -> ttypes.Hello:
-        """Returns what this entry says first on a link.
+    def peer_down(self, instance: str) -> None:
+        """Tells the desk that an agent is gone.
 
-        :return: the message
+        :param instance: name of the agent's instance
         """
-        return ttypes.Hello(
-            protocol_version=codec.PROTOCOL_VERSION,
-            role="entry",
-            instance=self.settings.instance,
-            incarnation=self.incarnation,
-            availability_zone=self.settings.availability_zone,
-            generation=self.generation,
-            draining=self.desk.draining,
-        )
+        self.desk.peer_down(instance)
+
+    def peer_leaving(self, instance: str) -> None:
+        """Tells the desk that the platform takes an agent away.
 
-    def heartbeat(self) -> ttypes.Heartbeat:
-        """Returns what this entry says at each heartbeat.
+        :param instance: name of the agent's instance
+        """
+        self.desk.on_farewell(instance, ttypes.Farewell("listed as leaving"))
+
+    def received(self, peer: str, name: str, body: typing.Any) -> None:
+        """Passes a message on to the desk.
 
-        :return: the message
+        :param peer: name of the agent's instance
+        :param name: name of the message
+        :param body: its body
         """
-        return ttypes.Heartbeat(
-            generation=self.generation, draining=self.desk.draining
+        self.desk.receive(peer, name, body)
+
+    def in_force(self, _objects: lookup.Lookup) -> None:
+        """Writes a new configuration to the trace."""
+        self.journal.record(
+            trace.Kind.GENERATION,
+            generation=self.node.generation,
+            snapshot_hash=self.node.feed.current.snapshot_hash,
         )
 
+    def fill_heartbeat(self, heartbeat: ttypes.Heartbeat) -> None:
+        """Adds how many requests run through this entry.
+
+        :param heartbeat: the message
+        """
+        heartbeat.running = len(self.desk.requests) - len(self.desk.waiting)
+
+    # Interfaces
+
     def start(self) -> int:
-        """Listens for callers and links to the agents.
+        """Listens for callers and operators and links to the agents.
 
         :return: the port that callers reach it on
         """
-        links = self.settings.link_listen
-        self.hub.start(links.address, links.port)
-        self.hub.want(
-            hubs.Address(peer.instance, peer.address, peer.port)
-            for peer in self.settings.peers
-            if peer.role is settings_module.PeerRole.AGENT
-        )
+        link_port = self.node.start()
         self.ticker.start(TICK_INTERVAL_S, False)
+        self.journal.record(trace.Kind.PROCESS_STARTED, role="entry")
         port = caller_http.CallerPort(
-            objects=lambda: self.objects,
+            objects=lambda: self.node.objects,
             accept=caller_http.accept_at(self.desk),
             cancel=self.desk.cancel,
             pause=self.desk.pause,
-            ready=lambda: bool(self.desk.agents) and not self.desk.draining,
+            ready=self.ready,
             instruments=self.instruments,
         )
         site = caller_http.site(port, self.settings.limits.body_bytes)
-        listen = self.settings.caller_listen
-        self.caller_port = self.reactor.listenTCP(
-            listen.port, site, interface=listen.address
+        self.caller_port = self.listen(self.settings.caller_listen, site)
+        if self.settings.operator_listen is not None:
+            self.listen(
+                self.settings.operator_listen,
+                operator_http.site(self.operator_api()),
+            )
+        metrics_port = status_http.listen(
+            self.reactor,
+            self.settings.metrics_listen,
+            self.surroundings.render_metrics,
+            self.ready,
         )
+        if metrics_port is not None:
+            self.ports.append(metrics_port)
         number = int(self.caller_port.getHost().port)
         events.log(
             events.STARTED,
             instance=self.settings.instance,
-            incarnation=self.incarnation,
+            incarnation=self.node.incarnation,
             caller_port=number,
+            link_port=link_port,
+            other_ports=[one.getHost().port for one in self.ports[1:]],
         )
         return number
 
+    def listen(
+        self, place: settings_module.Listen, site: typing.Any
+    ) -> typing.Any:
+        """Listens for HTTP.
+
+        :param place: where
+        :param site: a factory of HTTP connections
+        :return: the listening port
+        """
+        port = self.reactor.listenTCP(
+            place.port, site, interface=place.address
+        )
+        self.ports.append(port)
+        return port
+
+    def ready(self) -> bool:
+        """Tells whether callers should be sent here.
+
+        :return: whether there is an agent and this entry doesn't leave
+        """
+        return bool(self.desk.agents) and not self.desk.draining
+
+    def operator_api(self) -> operator_http.Api:
+        """Returns what the operators' interface works with.
+
+        :return: shared parts of its handlers
+        """
+        publisher = publish.Publisher(
+            self.node.platform,
+            self.surroundings.clock,
+            self.reactor,
+            operator_service.FORMAT,
+            random.Random(self.node.incarnation),
+        )
+        port = operator_service.create_port(
+            publisher, self.status, self.explain, self.drain_instance
+        )
+        return operator_http.create_api(
+            self.with_own_news(port),
+            self.settings.operator_tokens,
+            self.instruments,
+            threads.deferToThread,
+        )
+
+    def with_own_news(
+        self, port: operator_port.OperatorPort
+    ) -> operator_port.OperatorPort:
+        """Returns a port whose publishes take effect here at once.
+
+        :param port: publishes to the platform
+        :return: the same with the feed told of what was accepted
+        """
+
+        async def publish_here(request: publish.Request) -> publish.Outcome:
+            outcome = await port.publish(request)
+            if isinstance(outcome, publish.Published):
+                self.node.feed.published(outcome.head, outcome.content)
+            return outcome
+
+        return operator_port.OperatorPort(
+            publish=publish_here,
+            head=port.head,
+            snapshot=port.snapshot,
+            history=port.history,
+            status=port.status,
+            explain=port.explain,
+            drain=port.drain,
+        )
+
+    async def status(self) -> operator_port.Status:
+        """Tells the state of every daemon that is known.
+
+        :return: the state
+        """
+        waiting_count = len(self.desk.waiting)
+        running = len(self.desk.requests) - waiting_count
+        return await self.node.gather_status(running, waiting_count)
+
+    async def explain(
+        self, request_id: str
+    ) -> operator_port.Explanation | None:
+        """Tells what became of a request.
+
+        :param request_id: as its caller was told
+        :return: its steps, or None when it isn't remembered here
+        """
+        return self.journal.explain(request_id)
+
+    async def drain_instance(
+        self, instance: str, author: str, reason: str
+    ) -> bool:
+        """Tells an instance to take no new work.
+
+        :param instance: its name
+        :param author: who wants it
+        :param reason: why
+        :return: whether the instance is known
+        """
+        return self.node.request_drain(instance, author, reason)
+
+    # Leaving
+
+    def leave(self, reason: str) -> None:
+        """Drains and ends the process, as after a signal.
+
+        :param reason: why
+        """
+        if not self.desk.draining:
+            events.log(events.LEAVING, reason=reason)
+            self.drain(self.on_left)
+
     def drain(self, done: typing.Callable[[], None]) -> None:
         """Refuses new requests and finishes those it has.
 
         :param done: called once nothing is left or the limit is over
         """
         events.log(events.DRAINING, instance=self.settings.instance)
+        self.journal.record(trace.Kind.LEAVING, reason="drain")
         self.desk.drain()
-        for instance in tuple(self.hub.peers):
-            self.hub.send(instance, farewell=ttypes.Farewell("leaving"))
+        self.node.say_farewell("leaving")
         if self.caller_port is not None:
             self.caller_port.stopListening()
         waiting.until(
             self.reactor,
             lambda: not self.desk.requests,
             self.settings.drain_limit_ms,
-            lambda _in_time: done(),
+            lambda _in_time: self.left(done),
         )
 
+    def left(self, done: typing.Callable[[], None]) -> None:
+        """Says what was abandoned, once draining is over.
+
+        :param done: called afterwards
+        """
+        abandoned = len(self.desk.requests)
+        self.journal.record(trace.Kind.PROCESS_STOPPED, abandoned=abandoned)
+        if abandoned:
+            events.log(events.ABANDONED, requests=abandoned)
+        done()
+
     def stop(self) -> None:
         """Closes everything at once."""
         if self.ticker.running:
             self.ticker.stop()
-        if self.caller_port is not None:
-            self.caller_port.stopListening()
-        self.hub.stop()
+        for port in self.ports:
+            port.stopListening()
+        self.node.stop()
         events.log(events.STOPPED, instance=self.settings.instance)
--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -37,6 +37,10 @@
 STARTED = Event(1001, logging.INFO, "the process started")
 STOPPED = Event(1002, logging.INFO, "the process stopped")
 DRAINING = Event(1003, logging.INFO, "the process takes no new work")
+LEAVING = Event(1004, logging.INFO, "the instance is told to leave")
+ABANDONED = Event(
+    1005, logging.ERROR, "the time to leave is over with work unfinished"
+)
 LINK_UP = Event(1101, logging.INFO, "a link to a peer is up")
 LINK_DOWN = Event(1102, logging.WARNING, "a link to a peer is down")
 LINK_REFUSED = Event(1103, logging.WARNING, "a peer was refused")
@@ -64,6 +68,9 @@
 OPERATOR_CALL_FAILED = Event(
     1413, logging.ERROR, "a request of an operator failed by our error"
 )
+INSTANCE_LIST_UNAVAILABLE = Event(
+    1503, logging.WARNING, "the instance list can't be read"
+)
 PLATFORM_DOWN = Event(1501, logging.WARNING, "the platform is taken as down")
 PLATFORM_BACK = Event(1502, logging.INFO, "the platform answers again")
 
--- a/godwitloft/links/hub.py
+++ b/godwitloft/links/hub.py
@@ -20,6 +20,7 @@
 from godwitloft import events
 from godwitloft.links import codec
 from godwitloft.links import link as links
+from godwitloft.links import tls
 from godwitloft.links.generated.messages import ttypes
 
 HEARTBEAT_INTERVAL_MS = 1_000
@@ -71,8 +72,7 @@
     :param hello: returns what this daemon says first, as of now
     :param handlers: functions of the daemon
     :param rng: spreads the retries
-    :param tls: ``(server context factory, client context factory)`` for
-        mutual TLS, or None for plain TCP
+    :param contexts: for mutual TLS, or None for plain TCP
     """
 
     def __init__(
@@ -82,14 +82,14 @@
         hello: typing.Callable[[], ttypes.Hello],
         handlers: HubHandlers,
         rng: random.Random,
-        tls: tuple[typing.Any, typing.Any] | None = None,
+        contexts: tls.Contexts | None = None,
     ) -> None:
         self.reactor = reactor
         self.clock = clock
         self.hello = hello
         self.handlers = handlers
         self.rng = rng
-        self.tls = tls
+        self.contexts = contexts
         self.peers: dict[str, links.Link] = {}
         self.wanted: dict[str, Address] = {}
         self.dialling: set[str] = set()
@@ -110,11 +110,11 @@
         :return: the port that is listened on
         """
         factory = protocol.Factory.forProtocol(self.build)
-        if self.tls is None:
+        if self.contexts is None:
             self.port = self.reactor.listenTCP(port, factory, interface=host)
         else:
             self.port = self.reactor.listenSSL(
-                port, factory, self.tls[0], interface=host
+                port, factory, self.contexts.server, interface=host
             )
         self.heartbeats.start(HEARTBEAT_INTERVAL_MS / clocks.MS_PER_S, False)
         return self.port.getHost().port  # type: ignore[union-attr]
@@ -178,12 +178,17 @@
         :param address: where the peer listens
         :return: a twisted client endpoint
         """
-        plain = endpoints.TCP4ClientEndpoint(
-            self.reactor, address.host, address.port, CONNECT_TIMEOUT_S
+        if self.contexts is None:
+            return endpoints.TCP4ClientEndpoint(
+                self.reactor, address.host, address.port, CONNECT_TIMEOUT_S
+            )
+        return endpoints.SSL4ClientEndpoint(
+            self.reactor,
+            address.host,
+            address.port,
+            self.contexts.client,
+            CONNECT_TIMEOUT_S,
         )
-        if self.tls is None:
-            return plain
-        return endpoints.wrapClientTLS(self.tls[1], plain)
 
     def dialled(self, instance: str, link: links.Link) -> None:
         """Notes which wanted peer a new connection was made for.
@@ -220,7 +225,9 @@
         """
         link.last_received_ms = self.clock.monotonic_ms()
         self.open_links.add(link)
-        if self.stopped or not self.handlers.accepts(hello):
+        named = tls.peer_name(link.transport)
+        known = named is None or named == hello.instance
+        if self.stopped or not known or not self.handlers.accepts(hello):
             events.log(events.LINK_REFUSED, peer=hello.instance)
             return False
         old = self.peers.get(hello.instance)
--- a/godwitloft/links/messages.thrift
+++ b/godwitloft/links/messages.thrift
@@ -183,6 +183,34 @@
   4: optional string base_hash       // content is only what changed since
 }
 
+/* An operator wants an instance to take no new work. Agents pass it on to
+ * the entry of that name when `relayed` is false. */
+struct Drain {
+  1: required string instance
+  2: required string author
+  3: required string reason
+  4: required bool relayed
+}
+
+/* Please tell the state of the peers that you have links to. */
+struct StatusWanted {
+  1: required i64 number             // comes back in the answer
+}
+
+struct PeerState {
+  1: required string instance
+  2: required string role
+  3: required string availability_zone
+  4: required i64 generation
+  5: required bool draining
+  6: required i64 heard_ms_ago
+}
+
+struct PeerStates {
+  1: required i64 number
+  2: required list<PeerState> peers
+}
+
 /* Exactly one field is set. */
 union Message {
   1: Hello hello
@@ -206,4 +234,7 @@
   19: GenerationNews generation_news
   20: SnapshotWanted snapshot_wanted
   21: Snapshot snapshot
+  22: Drain drain
+  23: StatusWanted status_wanted
+  24: PeerStates peer_states
 }
--- /dev/null
+++ b/godwitloft/node.py
@@ -0,0 +1,604 @@
+"""What entries and agents have in common: links, configuration, peers.
+
+A node owns the hub, the feed of the configuration and the discovery of one
+daemon, and passes on to its daemon only what concerns requests.
+"""
+
+import dataclasses
+import random
+import typing
+
+from twisted.internet import defer
+
+from godwitloft import clock as clocks
+from godwitloft import daemon
+from godwitloft import discovery
+from godwitloft import events
+from godwitloft import metrics
+from godwitloft import operator_port
+from godwitloft import settings as settings_module
+from godwitloft.coordination import feed as feeds
+from godwitloft.links import codec
+from godwitloft.links import hub as hubs
+from godwitloft.links import tls
+from godwitloft.links.generated.messages import ttypes
+from godwitloft.objects import canonical
+from godwitloft.objects import lookup
+from godwitloft.objects import parse
+from godwitloft.objects import types
+from godwitloft.platform import connect
+from godwitloft.platform import port
+
+REQUIRE_TIMEOUT_MS = 2_000
+STATUS_TIMEOUT_MS = 1_000
+
+
+@dataclasses.dataclass(frozen=True)
+class NodeHandlers:
+    """What a node tells its daemon and asks of it.
+
+    :param peer_up: a link to a peer is up
+    :param peer_down: the link to a peer is gone; told the instance
+    :param received: ``(instance, field name, body)`` of a message about
+        requests
+    :param in_force: other objects are in force
+    :param leave: the instance is to take no new work; told why
+    :param peer_leaving: the platform is taking a peer away
+    :param hello: fills the fields of a hello that are the daemon's own
+    :param heartbeat: fills the fields of a heartbeat that are its own
+    """
+
+    peer_up: typing.Callable[[ttypes.Hello], None]
+    peer_down: typing.Callable[[str], None]
+    received: typing.Callable[[str, str, codec.Body], None]
+    in_force: typing.Callable[[lookup.Lookup], None]
+    leave: typing.Callable[[str], None]
+    peer_leaving: typing.Callable[[str], None]
+    hello: typing.Callable[[ttypes.Hello], None]
+    heartbeat: typing.Callable[[ttypes.Heartbeat], None]
+
+
+@dataclasses.dataclass(frozen=True)
+class Surroundings:
+    """What a daemon is built on; tests and embedders bring their own.
+
+    :param reactor: the twisted reactor
+    :param clock: tells the time
+    :param instruments: what is counted
+    :param render_metrics: returns the counts as Prometheus text
+    :param platform: in place of the one that the settings name
+    :param objects: in force at the start and for good, in place of a
+        published configuration
+    """
+
+    reactor: typing.Any
+    clock: clocks.Clock
+    instruments: metrics.Instruments
+    render_metrics: typing.Callable[[], bytes] = bytes
+    platform: port.Platform | None = None
+    objects: types.ObjectSet | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Heard:
+    """What was last heard of a peer.
+
+    :param hello: its hello
+    :param generation: of its configuration
+    :param draining: whether it takes no new work
+    :param running: requests that run there
+    :param at_ms: when
+    """
+
+    hello: ttypes.Hello
+    generation: int
+    draining: bool
+    running: int
+    at_ms: int
+
+
+class Node:
+    """The links, the configuration and the peers of one daemon.
+
+    :param role: ``entry`` or ``agent``
+    :param settings: checked settings
+    :param surroundings: what it is built on
+    :param handlers: functions of the daemon
+    """
+
+    def __init__(
+        self,
+        role: str,
+        settings: settings_module.CommonSettings,
+        surroundings: Surroundings,
+        handlers: NodeHandlers,
+    ) -> None:
+        self.role = role
+        self.settings = settings
+        self.surroundings = surroundings
+        self.clock = surroundings.clock
+        self.handlers = handlers
+        self.incarnation = daemon.new_incarnation(settings.instance)
+        self.rng = random.Random(self.incarnation)
+        self.objects = lookup.build(types.ObjectSet())
+        self.fixed_objects = surroundings.objects
+        self.draining = False
+        self.link_port = 0
+        self.heard: dict[str, Heard] = {}
+        self.instances: tuple[port.Instance, ...] = ()
+        self.status_number = 0
+        self.status_answers: dict[int, list[ttypes.PeerState]] = {}
+        self.platform = surroundings.platform or connect.connect(
+            settings.platform,
+            surroundings.reactor,
+            surroundings.instruments,
+            live_processes=lambda: max(1, self.fleet_size()),
+        )
+        self.hub = self.make_hub()
+        self.feed = feeds.Feed(
+            self.platform,
+            surroundings.reactor,
+            feeds.FeedOwner(
+                send=self.send, apply=self.apply, fleet_size=self.fleet_size
+            ),
+            self.rng,
+        )
+        self.discovery = discovery.Discovery(
+            self.platform,
+            surroundings.reactor,
+            discovery.DiscoveryOwner(
+                own=self.own_instance, changed=self.instances_changed
+            ),
+            self.rng,
+        )
+        self.message_handlers: dict[
+            str, typing.Callable[[str, codec.Body], None]
+        ] = {
+            "generation_news": self.feed.on_news,
+            "snapshot_wanted": self.feed.on_wanted,
+            "snapshot": self.feed.on_snapshot,
+            "drain": self.on_drain,
+            "status_wanted": self.on_status_wanted,
+            "peer_states": self.on_peer_states,
+        }
+
+    def make_hub(self) -> hubs.Hub:
+        """Returns the hub of this node.
+
+        :return: a hub that is not started
+        """
+        return hubs.Hub(
+            self.surroundings.reactor,
+            self.clock,
+            self.hello,
+            hubs.HubHandlers(
+                peer_up=self.peer_up,
+                peer_down=lambda hello, _why: self.peer_down(hello.instance),
+                received=self.received,
+                writable=lambda _instance, _can_write: None,
+                heartbeat=self.heartbeat,
+                accepts=lambda hello: hello.role != self.role,
+            ),
+            self.rng,
+            tls.load(self.settings.tls),
+        )
+
+    # Start and stop
+
+    def start(self) -> int:
+        """Listens for peers and begins to follow the configuration.
+
+        :return: the port that peers reach it on
+        """
+        listen = self.settings.link_listen
+        self.link_port = self.hub.start(listen.address, listen.port)
+        if self.fixed_objects is not None:
+            self.put_in_force(self.fixed_objects)
+        else:
+            self.feed.start()
+        if self.settings.peers:
+            self.want_peers(self.static_instances())
+        else:
+            self.discovery.start()
+        return self.link_port
+
+    def stop(self) -> None:
+        """Closes every link and stops all timers."""
+        self.feed.stop()
+        self.discovery.stop()
+        self.hub.stop()
+
+    def say_farewell(self, reason: str) -> None:
+        """Tells every peer that this instance takes no new work.
+
+        :param reason: why
+        """
+        self.draining = True
+        frame = codec.encode(farewell=ttypes.Farewell(reason))
+        for instance in tuple(self.hub.peers):
+            self.hub.send_frame(instance, frame)
+
+    # Configuration
+
+    @property
+    def generation(self) -> int:
+        """The generation of the configuration in force."""
+        return self.feed.current.generation
+
+    def apply(self, configuration: feeds.Configuration) -> None:
+        """Brings a configuration into force.
+
+        :param configuration: checked by its publisher
+        """
+        self.put_in_force(canonical.decode(configuration.content))
+
+    def put_in_force(self, objects: types.ObjectSet) -> None:
+        """Makes objects the ones that count from now on.
+
+        :param objects: a checked set
+        """
+        self.objects = lookup.build(objects)
+        self.handlers.in_force(self.objects)
+
+    # Links
+
+    def send(self, instance: str, name: str, body: codec.Body) -> bool:
+        """Sends a message to a peer.
+
+        :param instance: name of the peer
+        :param name: name of the message
+        :param body: its body
+        :return: False when there is no link to the peer
+        """
+        return self.hub.send(instance, **{name: body})
+
+    def hello(self) -> ttypes.Hello:
+        """Returns what this daemon says first on a link.
+
+        :return: the message
+        """
+        hello = ttypes.Hello(
+            protocol_version=codec.PROTOCOL_VERSION,
+            role=self.role,
+            instance=self.settings.instance,
+            incarnation=self.incarnation,
+            availability_zone=self.settings.availability_zone,
+            generation=self.feed.advertised_generation,
+            draining=self.draining,
+        )
+        self.handlers.hello(hello)
+        return hello
+
+    def heartbeat(self) -> ttypes.Heartbeat:
+        """Returns what this daemon says at each heartbeat.
+
+        :return: the message
+        """
+        heartbeat = ttypes.Heartbeat(
+            generation=self.feed.advertised_generation,
+            draining=self.draining,
+        )
+        self.handlers.heartbeat(heartbeat)
+        return heartbeat
+
+    def peer_up(self, hello: ttypes.Hello) -> None:
+        """Takes a new peer into account.
+
+        :param hello: what it said
+        """
+        self.heard[hello.instance] = Heard(
+            hello=hello,
+            generation=hello.generation,
+            draining=bool(hello.draining),
+            running=0,
+            at_ms=self.clock.monotonic_ms(),
+        )
+        self.feed.peer_up(hello.instance, hello.generation)
+        self.handlers.peer_up(hello)
+
+    def peer_down(self, instance: str) -> None:
+        """Forgets a peer that is gone.
+
+        :param instance: name of the peer
+        """
+        self.heard.pop(instance, None)
+        self.feed.peer_down(instance)
+        self.handlers.peer_down(instance)
+
+    def received(self, peer: str, name: str, body: codec.Body) -> None:
+        """Handles one message, or passes it on to the daemon.
+
+        :param peer: name of the peer
+        :param name: name of the message
+        :param body: its body
+        """
+        if name == "heartbeat":
+            self.on_heartbeat(peer, body)
+        handler = self.message_handlers.get(name)
+        if handler is not None:
+            handler(peer, body)
+        elif name == "bid" and body.generation > self.generation:
+            self.after_generation(peer, name, body)
+        else:
+            self.handlers.received(peer, name, body)
+
+    def after_generation(self, peer: str, name: str, body: codec.Body) -> None:
+        """Passes a message on once its generation is in force here.
+
+        When that can't be fetched in time, the message is passed on all the
+        same: a bid that nobody heard would keep its request from this
+        upstream.
+
+        :param peer: name of the peer
+        :param name: name of the message
+        :param body: its body, with a generation
+        """
+        self.feed.heard(peer, body.generation)
+        waiting = self.feed.require(body.generation, REQUIRE_TIMEOUT_MS)
+        waiting.addErrback(lambda problem: problem.trap(feeds.FeedError))
+        waiting.addCallback(
+            lambda _result: self.handlers.received(peer, name, body)
+        )
+
+    def on_heartbeat(self, peer: str, body: ttypes.Heartbeat) -> None:
+        """Notes what a peer says of itself.
+
+        :param peer: name of the peer
+        :param body: the message
+        """
+        known = self.heard.get(peer)
+        if known is None:
+            return
+        self.heard[peer] = dataclasses.replace(
+            known,
+            generation=body.generation,
+            draining=bool(body.draining),
+            running=body.running or 0,
+            at_ms=self.clock.monotonic_ms(),
+        )
+        self.feed.heard(peer, body.generation)
+
+    # Peers
+
+    def fleet_size(self) -> int:
+        """Returns how many daemons there are, as far as known.
+
+        :return: a count, at least that of the linked peers and this one
+        """
+        return max(len(self.instances), len(self.heard) + 1)
+
+    def own_instance(self) -> port.Instance:
+        """Returns this process as the instance list should show it.
+
+        :return: the entry for the list
+        """
+        pool = getattr(self.settings, "pool", "")
+        return port.Instance(
+            name=self.settings.instance,
+            role=self.role,
+            address=self.settings.link_listen.address,
+            port=self.link_port,
+            availability_zone=self.settings.availability_zone,
+            pool=pool,
+            leaving=self.draining,
+        )
+
+    def static_instances(self) -> tuple[port.Instance, ...]:
+        """Returns the peers that the settings name.
+
+        :return: as the instance list would show them
+        """
+        return tuple(
+            port.Instance(
+                name=peer.instance,
+                role=peer.role.value,
+                address=peer.address,
+                port=peer.port,
+                availability_zone=peer.availability_zone,
+                pool=peer.pool,
+            )
+            for peer in self.settings.peers
+        )
+
+    def instances_changed(self, instances: tuple[port.Instance, ...]) -> None:
+        """Takes a new instance list into account.
+
+        :param instances: as the platform shows them
+        """
+        self.instances = instances
+        for instance in instances:
+            if instance.leaving and instance.name == self.settings.instance:
+                self.handlers.leave("the platform takes the instance away")
+            elif instance.leaving and instance.name in self.heard:
+                self.handlers.peer_leaving(instance.name)
+        self.want_peers(instances)
+
+    def want_peers(self, instances: tuple[port.Instance, ...]) -> None:
+        """Dials the agents; agents dial nobody.
+
+        :param instances: the known instances
+        """
+        if self.role != "entry":
+            return
+        self.hub.want(
+            hubs.Address(one.name, one.address, one.port)
+            for one in instances
+            if one.role == "agent" and not one.leaving
+        )
+
+    # Operators
+
+    def on_drain(self, peer: str, body: ttypes.Drain) -> None:
+        """Drains this instance, or passes the wish on to the one it names.
+
+        :param peer: who sent it
+        :param body: the message
+        """
+        if body.instance == self.settings.instance:
+            events.log(events.DRAINING, author=body.author, reason=body.reason)
+            self.handlers.leave(f"{body.author}: {body.reason}")
+        elif not body.relayed and body.instance in self.heard:
+            passed = ttypes.Drain(
+                body.instance, body.author, body.reason, True
+            )
+            self.send(body.instance, "drain", passed)
+
+    def request_drain(self, instance: str, author: str, reason: str) -> bool:
+        """Tells an instance to take no new work.
+
+        :param instance: its name
+        :param author: who wants it
+        :param reason: why
+        :return: whether the instance is known
+        """
+        body = ttypes.Drain(instance, author, reason, False)
+        if instance == self.settings.instance or instance in self.heard:
+            if instance == self.settings.instance:
+                self.on_drain(instance, body)
+            else:
+                self.send(instance, "drain", body)
+            return True
+        for peer in tuple(self.heard):
+            self.send(peer, "drain", body)
+        return any(one.name == instance for one in self.instances)
+
+    def on_status_wanted(self, peer: str, body: ttypes.StatusWanted) -> None:
+        """Tells a peer what was last heard of the other peers.
+
+        :param peer: who asks
+        :param body: the message
+        """
+        states = [
+            self.peer_state(one)
+            for name, one in self.heard.items()
+            if name != peer
+        ]
+        self.send(peer, "peer_states", ttypes.PeerStates(body.number, states))
+
+    def peer_state(self, heard: Heard) -> ttypes.PeerState:
+        """Returns what was last heard of a peer as a message holds it.
+
+        :param heard: what was heard
+        :return: part of a message
+        """
+        return ttypes.PeerState(
+            instance=heard.hello.instance,
+            role=heard.hello.role,
+            availability_zone=heard.hello.availability_zone,
+            generation=heard.generation,
+            draining=heard.draining,
+            heard_ms_ago=self.clock.monotonic_ms() - heard.at_ms,
+        )
+
+    def on_peer_states(self, _peer: str, body: ttypes.PeerStates) -> None:
+        """Collects what a peer tells of its peers.
+
+        :param body: the message
+        """
+        answers = self.status_answers.get(body.number)
+        if answers is not None:
+            answers.extend(body.peers)
+
+    async def gather_status(
+        self, running: int, waiting: int
+    ) -> operator_port.Status:
+        """Asks all peers for theirs and tells the state of every daemon.
+
+        :param running: requests that run through this daemon
+        :param waiting: requests that wait here
+        :return: one line a daemon that is known
+        """
+        self.status_number += 1
+        number = self.status_number
+        self.status_answers[number] = []
+        for peer in tuple(self.heard):
+            self.send(peer, "status_wanted", ttypes.StatusWanted(number))
+        if self.heard:
+            await self.sleep(STATUS_TIMEOUT_MS)
+        states = self.status_answers.pop(number)
+        return operator_port.Status(
+            head_generation=max(self.feed.seen, self.generation),
+            store_reachable=self.discovery.reachable,
+            daemons=tuple(
+                sorted(
+                    self.known_daemons(states, running, waiting),
+                    key=lambda one: one.instance,
+                )
+            ),
+        )
+
+    def sleep(self, duration_ms: int) -> defer.Deferred[None]:
+        """Waits.
+
+        :param duration_ms: how long
+        :return: fires afterwards
+        """
+        done: defer.Deferred[None] = defer.Deferred()
+        self.surroundings.reactor.callLater(
+            duration_ms / clocks.MS_PER_S, done.callback, None
+        )
+        return done
+
+    def known_daemons(
+        self,
+        states: typing.Iterable[ttypes.PeerState],
+        running: int,
+        waiting: int,
+    ) -> typing.Iterable[operator_port.Daemon]:
+        """Returns one line for each daemon that is known.
+
+        :param states: what peers told of theirs
+        :param running: requests that run through this daemon
+        :param waiting: requests that wait here
+        :return: in no particular order
+        """
+        found: dict[str, operator_port.Daemon] = {}
+        for state in states:
+            older = found.get(state.instance)
+            if older is None or older.heard_ms_ago > state.heard_ms_ago:
+                found[state.instance] = operator_port.Daemon(
+                    instance=state.instance,
+                    role=state.role,
+                    availability_zone=state.availability_zone,
+                    generation=state.generation,
+                    heard_ms_ago=state.heard_ms_ago,
+                    draining=state.draining,
+                )
+        for name, heard in self.heard.items():
+            found[name] = operator_port.Daemon(
+                instance=name,
+                role=heard.hello.role,
+                availability_zone=heard.hello.availability_zone,
+                generation=heard.generation,
+                heard_ms_ago=self.clock.monotonic_ms() - heard.at_ms,
+                draining=heard.draining,
+                running=heard.running,
+                pool=heard.hello.pool or "",
+            )
+        found[self.settings.instance] = operator_port.Daemon(
+            instance=self.settings.instance,
+            role=self.role,
+            availability_zone=self.settings.availability_zone,
+            generation=self.generation,
+            draining=self.draining,
+            running=running,
+            waiting=waiting,
+        )
+        return found.values()
+
+
+def with_file_objects(
+    settings: settings_module.CommonSettings,
+    surroundings: Surroundings,
+) -> Surroundings:
+    """Returns surroundings with the objects that the settings name.
+
+    :param settings: may name files of objects
+    :param surroundings: as given
+    :return: the same, unless the settings name files
+    """
+    if not settings.objects or surroundings.objects is not None:
+        return surroundings
+    return dataclasses.replace(
+        surroundings, objects=parse.from_files(settings.objects)
+    )
--- a/godwitloft/process.py
+++ b/godwitloft/process.py
@@ -64,6 +64,39 @@
     reactor.run(installSignalHandlers=False)
 
 
+class Daemon(typing.Protocol):
+    """What entries and agents offer to their program."""
+
+    on_left: typing.Callable[[], None]
+
+    def start(self) -> int:
+        """Starts the tasks."""
+
+    def drain(self, done: typing.Callable[[], None]) -> None:
+        """Takes no new work and calls ``done`` once it may end."""
+
+    def stop(self) -> None:
+        """Closes everything at once."""
+
+
+def run_daemon(reactor: typing.Any, daemon: Daemon) -> None:
+    """Runs a daemon until a signal or an operator has ended it.
+
+    :param reactor: the twisted reactor
+    :param daemon: an entry or an agent
+    """
+
+    def end() -> None:
+        daemon.stop()
+        reactor.callLater(0, reactor.stop)
+
+    daemon.on_left = end
+    run(
+        reactor,
+        Program(start=daemon.start, drain=daemon.drain, stop=daemon.stop),
+    )
+
+
 def invoke(command: type, arguments: list[str] | None = None) -> None:
     """Runs a program's command line.
 
--- a/godwitloft/settings.py
+++ b/godwitloft/settings.py
@@ -241,6 +241,8 @@
         in flight
     :param trace_stream: where the trace of requests goes: ``stdout``,
         ``stderr`` or empty for none
+    :param metrics_listen: where its metrics and health are read; null:
+        nowhere
     """
 
     instance: str = dataclasses.field(metadata=types.NAME)
@@ -258,6 +260,7 @@
         default=defaults.DRAIN_LIMIT_MS, metadata=types.DURATION_MS
     )
     trace_stream: TraceStream = TraceStream.NONE
+    metrics_listen: Listen | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -282,13 +285,10 @@
 
     :param pool: name of the pool that its upstream belongs to
     :param upstream: the upstream beside it
-    :param metrics_listen: where its metrics and health are read; null:
-        nowhere
     """
 
     pool: str = dataclasses.field(metadata=types.NAME)
     upstream: Upstream
-    metrics_listen: Listen | None = None
 
 
 Settings = typing.TypeVar("Settings", bound=CommonSettings)
@@ -337,6 +337,10 @@
     yield from _check_address("link_listen", settings.link_listen.address)
     yield from _check_platform(settings.platform)
     yield from _check_peers(settings.peers)
+    if settings.metrics_listen is not None:
+        yield from _check_address(
+            "metrics_listen", settings.metrics_listen.address
+        )
     if settings.objects and settings.platform.kind is PlatformKind.HTTP:
         yield "objects", "is only for a platform of kind 'memory'"
     if isinstance(settings, EntrySettings):
@@ -408,7 +412,3 @@
 
 def _check_agent(settings: AgentSettings) -> Mistakes:
     yield from _check_url("upstream.url", settings.upstream.url)
-    if settings.metrics_listen is not None:
-        yield from _check_address(
-            "metrics_listen", settings.metrics_listen.address
-        )
--- a/godwitloft/standalone.py
+++ b/godwitloft/standalone.py
@@ -24,6 +24,7 @@
 from godwitloft import errors
 from godwitloft import events
 from godwitloft import metrics
+from godwitloft import node as nodes
 from godwitloft import process
 from godwitloft import settings as settings_module
 from godwitloft import waiting
@@ -107,11 +108,17 @@
         self.reactor = reactor
         self.settings = settings
         self.clock = clocks.system_clock()
-        self.instruments, self.render_metrics = metrics.prometheus()
-        self.objects = (
-            parse.from_files(settings.objects)
-            if settings.objects
-            else default_objects()
+        instruments, render_metrics = metrics.prometheus()
+        self.surroundings = nodes.Surroundings(
+            reactor=reactor,
+            clock=self.clock,
+            instruments=instruments,
+            render_metrics=render_metrics,
+            objects=(
+                parse.from_files(settings.objects)
+                if settings.objects
+                else default_objects()
+            ),
         )
         self.agents: list[agent_daemons.AgentDaemon] = []
         self.entry: entry_daemons.EntryDaemon | None = None
@@ -157,12 +164,7 @@
             peers=tuple(peers),
         )
         self.entry = entry_daemons.EntryDaemon(
-            self.reactor,
-            entry_settings,
-            self.clock,
-            self.instruments,
-            self.render_metrics,
-            self.objects,
+            entry_settings, self.surroundings
         )
         return self.entry.start()
 
@@ -175,7 +177,6 @@
         """
         name = f"agent-{number}"
         daemon = agent_daemons.AgentDaemon(
-            self.reactor,
             settings_module.AgentSettings(
                 instance=name,
                 availability_zone="local",
@@ -184,10 +185,7 @@
                     name=f"engine-{number}", url=url
                 ),
             ),
-            self.clock,
-            self.instruments,
-            self.render_metrics,
-            self.objects,
+            self.surroundings,
         )
         port = daemon.start()
         self.agents.append(daemon)
--- /dev/null
+++ b/godwitloft/status_http.py
@@ -0,0 +1,61 @@
+"""Metrics and health of a daemon over HTTP, on a port of their own."""
+
+import typing
+
+from klein import Klein
+from twisted.web import server
+
+from godwitloft import settings as settings_module
+
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+
+def site(
+    render: typing.Callable[[], bytes], ready: typing.Callable[[], bool]
+) -> server.Site:
+    """Returns what serves ``/metrics`` and ``/health``.
+
+    :param render: returns the counts as Prometheus text
+    :param ready: whether the daemon takes new work
+    :return: a factory of HTTP connections
+    """
+    app = Klein()
+
+    @app.route("/metrics")
+    def metrics(request: typing.Any) -> bytes:
+        request.setHeader("Content-Type", METRICS_TYPE)
+        return render()
+
+    @app.route("/health/live")
+    def live(_request: typing.Any) -> bytes:
+        return b"ok\n"
+
+    @app.route("/health/ready")
+    def is_ready(request: typing.Any) -> bytes:
+        if ready():
+            return b"ok\n"
+        request.setResponseCode(503)
+        return b"not ready\n"
+
+    return server.Site(app.resource())
+
+
+def listen(
+    reactor: typing.Any,
+    place: settings_module.Listen | None,
+    render: typing.Callable[[], bytes],
+    ready: typing.Callable[[], bool],
+) -> typing.Any:
+    """Listens where the settings say, if they do.
+
+    :param reactor: the twisted reactor
+    :param place: where, or None for nowhere
+    :param render: returns the counts as Prometheus text
+    :param ready: whether the daemon takes new work
+    :return: the listening port, or None
+    """
+    if place is None:
+        return None
+    return reactor.listenTCP(
+        place.port, site(render, ready), interface=place.address
+    )
