Let the entry admit, bid, shed and retry by the policy

Cause: the desk bid at every agent, refused what came when the queue was full, ignored skips and retried without a budget. Change: team limits (waiting, running, tokens); bids by prefix, availability zone and hold-off (entry/agents.py); a request that every agent finds too late is refused at once; a full queue refuses the lowest and newest, once every agent that could run it guarantees by its answer to an urgent bid that nothing lower is served (entry/queue.py); Retry-After from the measured drain rate; retries of idempotent plain calls within a budget, delayed with jitter and not at the agent that failed; verdicts on bodies that crash upstreams are passed on, and poisonous ones refused. Found: a call that ran, failed and then waited for its retry was refused as not run; it fails now (input give_up of the request chart). Found: a request that an unreachable upstream never got was refused after 3 tries; now the deadline bounds it, since nothing ran.

--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -25,6 +25,7 @@
 
 LINK_MS = 2
 TICK_MS = 15
+HEARTBEAT_MS = 500
 START_S = 1000.0
 TIERS = ("gold", "silver", "bronze")
 
@@ -62,6 +63,7 @@
         self.links = set()
         self.asked = []
         self.sent = []
+        self.beaten = 0
         self.later(TICK_MS, self.tick)
 
     def now_ms(self):
@@ -73,8 +75,18 @@
     def tick(self):
         for one in (*self.agents.values(), *self.desks.values()):
             one.tick()
+        if self.now_ms() // HEARTBEAT_MS != self.beaten:
+            self.beaten = self.now_ms() // HEARTBEAT_MS
+            self.beat()
         self.later(TICK_MS, self.tick)
 
+    def beat(self):
+        for name, agent in self.agents.items():
+            body = ttypes.Heartbeat(0)
+            agent.fill_heartbeat(body)
+            for entry in self.desks:
+                self.send(name, self.desks, entry, "heartbeat", body)
+
     def run(self, ms):
         for _ in range(ms):
             self.reactor.advance(0.001)
--- a/godwitloft/agent/daemon.py
+++ b/godwitloft/agent/daemon.py
@@ -1,6 +1,5 @@
 """Assembles an agent from its tasks."""
 
-import dataclasses
 import typing
 
 from twisted.internet import task
@@ -107,11 +106,7 @@
         """
         pool = objects.pools.get(self.settings.pool)
         if pool is not None:
-            self.dispatcher.settings = dataclasses.replace(
-                self.dispatcher.settings,
-                max_running=pool.max_running,
-                resumable=pool.resumable,
-            )
+            self.dispatcher.configure(pool.max_running, pool.resumable)
         self.recorder.record(
             trace.Kind.GENERATION,
             generation=self.node.generation,
@@ -127,11 +122,11 @@
         hello.upstream = self.settings.upstream.name
 
     def fill_heartbeat(self, heartbeat: ttypes.Heartbeat) -> None:
-        """Adds how many requests run on the upstream.
+        """Adds how many requests run on the upstream, and how fast.
 
         :param heartbeat: the message
         """
-        heartbeat.running = len(self.dispatcher.runs)
+        self.dispatcher.fill_heartbeat(heartbeat)
 
     # Start and leaving
 
--- a/godwitloft/agent/dispatcher.py
+++ b/godwitloft/agent/dispatcher.py
@@ -19,6 +19,7 @@
 from godwitloft.agent import upstream as upstreams
 from godwitloft.links import codec
 from godwitloft.links.generated.messages import ttypes
+from godwitloft.policy import estimate
 from godwitloft.policy import offer_book
 from godwitloft.policy import order
 from godwitloft.policy import suspects
@@ -109,6 +110,33 @@
             "verdict": self.on_verdict,
         }
 
+    def configure(self, max_running: int, resumable: bool) -> None:
+        """Takes over what the pool object says of the upstream.
+
+        :param max_running: upper bound on requests at once
+        :param resumable: whether it can suspend and resume a run
+        """
+        self.settings = dataclasses.replace(
+            self.settings, max_running=max_running, resumable=resumable
+        )
+        self.state.configure(max_running, resumable)
+
+    def fill_heartbeat(self, heartbeat: ttypes.Heartbeat) -> None:
+        """Adds what is known of the upstream.
+
+        :param heartbeat: the message
+        """
+        now_ms = self.clock.monotonic_ms()
+        view = self.state.view(now_ms)
+        ranks = [one.offer.tier_rank for one in self.state.work.values()]
+        heartbeat.running = len(ranks)
+        heartbeat.room = max(0, view.room.max_running - len(ranks))
+        heartbeat.lowest_tier_rank = max(ranks, default=-1)
+        heartbeat.prefill_tokens_per_ms = view.speeds.prefill_tokens_per_ms
+        heartbeat.decode_ms_per_token = estimate.decode_ms_per_token(
+            view.speeds, 1
+        )
+
     # Entries
 
     def peer_up(self, hello: ttypes.Hello) -> None:
--- a/godwitloft/agent/engine_state.py
+++ b/godwitloft/agent/engine_state.py
@@ -17,6 +17,7 @@
 PREFILL_WINDOW_TOKENS = 512
 MIN_PREFILL_WINDOW_TOKENS = 128
 MIN_PREFILL_WINDOW_MS = 50
+IDLE_MS = 2000
 
 
 @dataclasses.dataclass(eq=False)
@@ -68,16 +69,33 @@
         self.is_model = is_model
         self.resumable = resumable
         self.speeds = estimate.Speeds()
-        self.room = room.Room(ceiling=max_running, max_running=max_running)
-        if is_model:
-            starting = min(room.STARTING_RUNNING, max_running)
-            self.room = room.Room(max_running=starting, ceiling=max_running)
+        starting = min(room.STARTING_RUNNING, max_running)
+        self.room = room.Room(
+            max_running=starting if is_model else max_running,
+            ceiling=max_running,
+        )
         self.index = prefix_index.PrefixIndex(prefix.BLOCK_WORDS)
         self.breaker = breaker.Breaker()
         self.work: dict[str, Progress] = {}
         self.last_first_ms = 0
         self.window_start_ms = 0
         self.window_tokens = 0
+        self.best: estimate.Speeds | None = None
+        self.busy_ms = 0
+
+    def configure(self, max_running: int, resumable: bool) -> None:
+        """Takes over what the pool object says.
+
+        :param max_running: upper bound on requests at once
+        :param resumable: whether runs can be suspended and resumed
+        """
+        self.resumable = resumable
+        cap = min(self.room.max_running, max_running)
+        if not self.is_model:
+            cap = max_running
+        self.room = dataclasses.replace(
+            self.room, max_running=cap, ceiling=max_running
+        )
 
     def view(self, now_ms: int) -> types.UpstreamView:
         """Returns the upstream as the decisions see it.
@@ -86,7 +104,7 @@
         :return: a view that is right until the next change
         """
         return types.UpstreamView(
-            speeds=self.speeds,
+            speeds=self._usable_speeds(now_ms),
             room=self.room,
             resumable=self.resumable,
             accepting=self._accepting(now_ms),
@@ -231,6 +249,8 @@
         :return: what was known of it
         """
         one = self.work.pop(run_id, None)
+        self.busy_ms = now_ms
+        self.best = estimate.best_of(self.best or self.speeds, self.speeds)
         if end is upstreams.End.COMPLETED:
             self.breaker = breaker.succeeded(self.breaker)
             if one is not None and not one.tokens and not one.disturbed:
@@ -255,6 +275,15 @@
             one.prompt_tokens, tokens, self.speeds, one.beside
         )
 
+    def _usable_speeds(self, now_ms: int) -> estimate.Speeds:
+        """Returns the learnt speeds, or the best ones after a pause.
+
+        Else an upstream that was slow for a while would be found too slow
+        for everything, and never be tried again.
+        """
+        idle = not self.work and now_ms - self.busy_ms >= IDLE_MS
+        return self.best if idle and self.best else self.speeds
+
     def _accepting(self, now_ms: int) -> bool:
         """Says whether work may be pulled; one request probes alone."""
         found = breaker.state(self.breaker, now_ms)
--- a/godwitloft/entry/daemon.py
+++ b/godwitloft/entry/daemon.py
@@ -20,6 +20,7 @@
 from godwitloft.entry import caller_http
 from godwitloft.entry import desk as desks
 from godwitloft.entry import journal as journals
+from godwitloft.entry import team_limits
 from godwitloft.links.generated.messages import ttypes
 from godwitloft.objects import lookup
 
@@ -75,8 +76,12 @@
             settings=desks.DeskSettings(
                 max_waiting=settings.limits.queue_requests,
                 max_waiting_bytes=settings.limits.queue_bytes,
+                availability_zone=settings.availability_zone,
             ),
             generation=lambda: self.node.generation,
+            limits=team_limits.TeamLimits(
+                lambda name: self.node.objects.teams.get(name)
+            ),
         )
         self.ticker = task.LoopingCall(daemon.contain(self.desk.tick, "desk"))
         self.ticker.clock = self.reactor
@@ -195,7 +200,7 @@
 
         :return: whether there is an agent and this entry doesn't leave
         """
-        return bool(self.desk.agents) and not self.desk.draining
+        return bool(self.desk.agents.views) and not self.desk.draining
 
     def operator_api(self) -> operator_http.Api:
         """Returns what the operators' interface works with.
--- a/godwitloft/entry/desk.py
+++ b/godwitloft/entry/desk.py
@@ -3,11 +3,13 @@
 It talks by messages only: callers' tasks call :meth:`Desk.accept` and get
 :mod:`answers`, agents' messages come through :meth:`Desk.receive`. Giving a
 pulled request to an agent in :meth:`Desk.dispatch` is the one commit point:
-before it, a request was certainly not run.
+before it, a request was certainly not run. What is refused when too much
+waits is decided in :mod:`godwitloft.entry.queue`.
 """
 
 import dataclasses
 import heapq
+import random
 import typing
 
 from godwitloft import charts
@@ -15,15 +17,24 @@
 from godwitloft import events
 from godwitloft import metrics
 from godwitloft import trace
+from godwitloft.entry import agents
 from godwitloft.entry import answers
 from godwitloft.entry import call as calls
+from godwitloft.entry import queue
 from godwitloft.entry import request as requests
+from godwitloft.entry import team_limits
 from godwitloft.links import codec
 from godwitloft.links.generated.messages import ttypes
+from godwitloft.policy import admit
+from godwitloft.policy import drain_rate
+from godwitloft.policy import retry
+from godwitloft.policy import shed
+from godwitloft.policy import spread
+from godwitloft.policy import suspects
 
 RELINK_LIMIT_MS = 5_000
 ACK_INTERVAL_CHUNKS = 32
-MAX_ATTEMPTS = 3
+MAX_UNSTARTED_ATTEMPTS = 50
 STREAM_END = b"data: [DONE]\n\n"
 
 
@@ -35,29 +46,21 @@
     :param max_waiting_bytes: sum of the bodies of waiting requests
     :param relink_limit_ms: how long a run whose agent can't be reached may
         stay without an outcome
+    :param availability_zone: the entry's own
     """
 
     max_waiting: int = 10_000
     max_waiting_bytes: int = 256 * 1024 * 1024
     relink_limit_ms: int = RELINK_LIMIT_MS
+    availability_zone: str = ""
 
 
-@dataclasses.dataclass(frozen=True)
-class AgentView:
-    """What the desk knows of an agent that it has a link to.
-
-    :param instance: name of the agent's instance
-    :param incarnation: which start of its process
-    :param pool: pool of its upstream
-    :param availability_zone: where it is
-    :param draining: whether it takes no new work
-    """
-
-    instance: str
-    incarnation: str
-    pool: str
-    availability_zone: str
-    draining: bool
+MESSAGES: typing.Mapping[str, str] = {
+    admit.TEAM_WAITING: "too many requests of this team wait",
+    admit.TEAM_TOKENS: "this team has used up its tokens",
+    admit.QUEUE_FULL: "too many requests wait",
+    admit.DEADLINE_UNREACHABLE: "no upstream can finish this in time",
+}
 
 
 class Desk:
@@ -71,6 +74,8 @@
     :param instruments: what is counted
     :param settings: bounds
     :param generation: returns the configuration generation in force
+    :param limits: the teams' limits
+    :param rng: spreads bids and retries
     """
 
     def __init__(
@@ -82,6 +87,8 @@
         instruments: metrics.Instruments,
         settings: DeskSettings,
         generation: typing.Callable[[], int],
+        limits: team_limits.TeamLimits | None = None,
+        rng: random.Random | None = None,
     ) -> None:
         self.clock = clock
         self.incarnation = incarnation
@@ -91,10 +98,20 @@
         self.settings = settings
         self.generation = generation
         self.chart = charts.load("request")
-        self.agents: dict[str, AgentView] = {}
+        self.limits = limits or team_limits.TeamLimits()
+        self.rng = rng or random.Random(incarnation)
+        self.agents = agents.Agents(settings.availability_zone, self.rng)
         self.requests: dict[str, requests.Request] = {}
         self.waiting: dict[str, requests.Request] = {}
-        self.waiting_bytes = 0
+        self.queue = queue.WaitingQueue(
+            settings.max_waiting, settings.max_waiting_bytes
+        )
+        self.guarantees = queue.Guarantees()
+        self.urgent: dict[queue.Group, str] = {}
+        self.delayed: list[tuple[int, str]] = []
+        self.drain_rate = drain_rate.DrainRate(clock.monotonic_ms())
+        self.retry_budget = retry.Budget()
+        self.suspects = suspects.Suspects()
         self.deadlines: list[tuple[int, str]] = []
         self.counter = 0
         self.draining = False
@@ -107,7 +124,8 @@
             "query_answer": self.on_query_answer,
             "suspended": self.on_suspended,
             "farewell": self.on_farewell,
-            "heartbeat": self.on_heartbeat,
+            "heartbeat": self.agents.heartbeat,
+            "verdict": self.on_verdict,
         }
 
     # Callers
@@ -132,12 +150,15 @@
         )
         self.record_accepted(request)
         self.requests[request_id] = request
-        refusal = self.refusal_on_arrival(call)
+        refusal = self.refusal_on_arrival(call, now_ms)
         if refusal is not None:
             self.refuse(request, refusal)
             return request_id
+        verdict = self.suspects.verdict(call.fingerprint, now_ms)
+        request.isolate = verdict is suspects.Verdict.SUSPECT
         heapq.heappush(self.deadlines, (request.deadline_ms, request_id))
         self.enqueue(request)
+        self.relieve()
         return request_id
 
     def record_accepted(self, request: requests.Request) -> None:
@@ -164,23 +185,59 @@
             body_bytes=len(call.body),
         )
 
-    def refusal_on_arrival(self, call: calls.Call) -> answers.Refused | None:
+    def refusal_on_arrival(
+        self, call: calls.Call, now_ms: int
+    ) -> answers.Refused | None:
         """Decides whether a request must be refused at once.
 
+        A full queue is no reason here: a request of a lower tier may have
+        to leave for this one (:meth:`relieve`).
+
         :param call: what the caller asks
+        :param now_ms: the time now
         :return: the refusal, or None to accept
         """
         if self.draining:
             return answers.Refused(
                 answers.Reason.LEAVING, "this entry is shutting down"
             )
-        full = len(self.waiting) >= self.settings.max_waiting
-        body_bytes = self.waiting_bytes + len(call.body)
-        if full or body_bytes > self.settings.max_waiting_bytes:
+        verdict = self.suspects.verdict(call.fingerprint, now_ms)
+        if verdict is suspects.Verdict.POISONOUS:
             return answers.Refused(
-                answers.Reason.QUEUE_FULL, "too many requests wait"
+                answers.Reason.POISONOUS,
+                "this request has crashed several upstreams",
             )
-        return None
+        arrival = admit.Arrival(
+            tokens=call.prompt_tokens + call.output_tokens,
+            body_bytes=len(call.body),
+            slack_ms=call.timeout_ms,
+            finish_in_ms=self.agents.finish_in_ms(call),
+        )
+        load = admit.QueueLoad(
+            requests=len(self.queue),
+            body_bytes=self.queue.body_bytes,
+            max_requests=self.queue.hard_requests + 1,
+            max_bytes=self.queue.hard_bytes * 2,
+            drain_retry_ms=self.retry_after_ms(call.tier_rank),
+        )
+        refused = self.limits.admit(call.team, arrival, load, now_ms)
+        if refused is None:
+            return None
+        return answers.Refused(
+            answers.Reason(refused.reason),
+            MESSAGES[refused.reason],
+            refused.retry_after_ms,
+        )
+
+    def retry_after_ms(self, tier_rank: int) -> int:
+        """Tells when a refused caller may come back.
+
+        :param tier_rank: rank of its tier
+        :return: when those ahead have probably left, as measured
+        """
+        return self.drain_rate.retry_after_ms(
+            self.queue.ahead(tier_rank), self.clock.monotonic_ms()
+        )
 
     def cancel(self, request_id: str) -> None:
         """Ends a request whose caller went away.
@@ -235,18 +292,13 @@
         """
         if hello.role != "agent":
             return
-        self.agents[hello.instance] = AgentView(
-            instance=hello.instance,
-            incarnation=hello.incarnation,
-            pool=hello.pool or "",
-            availability_zone=hello.availability_zone,
-            draining=bool(hello.draining),
-        )
+        self.agents.up(hello)
         for request in tuple(self.requests.values()):
             if request.agent == hello.instance and not request.waiting:
                 self.ask_after(request, hello.incarnation)
         for request in tuple(self.waiting.values()):
             self.bid(request)
+        self.share_verdicts(hello.instance)
 
     def ask_after(self, request: requests.Request, incarnation: str) -> None:
         """Asks an agent that is back for a run that it was given.
@@ -269,13 +321,15 @@
 
         :param instance: name of the agent's instance
         """
-        self.agents.pop(instance, None)
+        self.agents.down(instance)
+        self.guarantees.agent_down(instance)
         now_ms = self.clock.monotonic_ms()
         for request in self.requests.values():
             request.bid_at.discard(instance)
             request.skipped.pop(instance, None)
             if request.agent == instance and not request.waiting:
                 request.link_lost_ms = now_ms
+        self.reconsider()
 
     def receive(self, peer: str, name: str, body: codec.Body) -> None:
         """Handles one message of an agent.
@@ -288,28 +342,17 @@
         if handler is not None:
             handler(peer, body)
 
-    def on_heartbeat(self, peer: str, body: ttypes.Heartbeat) -> None:
-        """Notes whether an agent drains.
-
-        :param peer: name of the agent's instance
-        :param body: the message
-        """
-        view = self.agents.get(peer)
-        if view is not None and bool(body.draining) != view.draining:
-            self.agents[peer] = dataclasses.replace(
-                view, draining=bool(body.draining)
-            )
-
     def on_farewell(self, peer: str, _body: ttypes.Farewell) -> None:
         """Notes that an agent takes no new work.
 
         :param peer: name of the agent's instance
         """
-        view = self.agents.get(peer)
-        if view is not None:
-            self.agents[peer] = dataclasses.replace(view, draining=True)
+        self.agents.leaving(peer)
+        self.guarantees.agent_down(peer)
         for request in self.waiting.values():
             request.bid_at.discard(peer)
+            request.skipped.pop(peer, None)
+        self.reconsider()
 
     def on_pull(self, peer: str, body: ttypes.Pull) -> None:
         """Gives a waiting request to the first agent that asks for it.
@@ -318,17 +361,28 @@
         :param body: the message
         """
         request = self.waiting.get(body.request_id)
-        view = self.agents.get(peer)
+        view = self.agents.views.get(peer)
         if request is None or view is None or peer not in request.bid_at:
-            self.send(
-                peer,
-                "pull_refused",
-                ttypes.PullRefused(body.request_id, "not_waiting"),
-            )
-            return
-        self.dispatch(request, view)
+            self.refuse_pull(peer, body.request_id, "not_waiting")
+        elif not self.limits.may_run(request.call.team):
+            self.refuse_pull(peer, body.request_id, "team_limit")
+            request.bid_at.discard(peer)
+            self.park(request)
+        else:
+            self.dispatch(request, view)
+
+    def refuse_pull(self, peer: str, run_id: str, reason: str) -> None:
+        """Tells an agent that it doesn't get a request.
 
-    def dispatch(self, request: requests.Request, view: AgentView) -> None:
+        :param peer: name of the agent's instance
+        :param run_id: id of the request
+        :param reason: why
+        """
+        self.send(peer, "pull_refused", ttypes.PullRefused(run_id, reason))
+
+    def dispatch(
+        self, request: requests.Request, view: agents.AgentView
+    ) -> None:
         """Commits a request to one agent.
 
         :param request: a waiting request
@@ -365,19 +419,118 @@
         request.agent_incarnation = view.incarnation
         self.leave_queue(request)
         self.withdraw(request)
+        self.agents.dispatched(view.instance, call, now_ms)
+        self.limits.started(call.team)
+        self.drain_rate.observe(now_ms)
+        if call.idempotent and request.attempt == 1:
+            self.retry_budget = retry.called(self.retry_budget)
+        self.relieve()
         self.instruments.wait_ms.record(
             now_ms - request.accepted_ms, {"tier": call.tier}
         )
 
     def on_skip(self, peer: str, body: ttypes.Skip) -> None:
-        """Notes that an agent can't finish a request in time.
+        """Takes an agent's reason for not pulling a request.
+
+        A request that no agent can finish in time is refused at once.
 
         :param peer: name of the agent's instance
         :param body: the message
         """
         request = self.waiting.get(body.request_id)
-        if request is not None and peer in request.bid_at:
-            request.skipped[peer] = body.finish_in_ms
+        if request is None or peer not in request.bid_at:
+            return
+        request.skipped[peer] = body.reason
+        self.recorder.record(
+            trace.Kind.SKIPPED,
+            request.request_id,
+            run_id=body.request_id,
+            agent=peer,
+            reason=body.reason,
+            finish_in_ms=body.finish_in_ms,
+        )
+        if request.urgent:
+            self.guarantees.answered(
+                peer, request.run_id, request.call.tier_rank, body.reason
+            )
+        self.refuse_unreachable(request)
+        self.relieve()
+
+    def refuse_unreachable(self, request: requests.Request) -> None:
+        """Refuses a request when every agent has found it too late.
+
+        Agents that haven't seen it yet are asked before that.
+
+        :param request: a waiting request
+        """
+        seen = {one: request.skipped.get(one, "") for one in request.bid_at}
+        if not shed.unreachable(seen):
+            return
+        if self.bid_at_all(request):
+            return
+        self.refuse(
+            request,
+            answers.Refused(
+                answers.Reason.DEADLINE_UNREACHABLE,
+                "no upstream can finish this in time",
+                self.retry_after_ms(request.call.tier_rank),
+            ),
+        )
+
+    def reconsider(self) -> None:
+        """Judges the waiting requests anew after an agent has gone."""
+        for request in tuple(self.waiting.values()):
+            if request.skipped:
+                self.refuse_unreachable(request)
+        self.relieve()
+
+    def on_verdict(self, peer: str, body: ttypes.Verdict) -> None:
+        """Takes over what an agent found out about a body.
+
+        :param peer: name of the agent's instance
+        :param body: the message
+        """
+        now_ms = self.clock.monotonic_ms()
+        verdict = suspects.Verdict(body.verdict)
+        if not self.suspects.note(
+            body.fingerprint, verdict, body.expires_in_ms, now_ms
+        ):
+            return
+        self.recorder.record(
+            trace.Kind.VERDICT,
+            fingerprint=body.fingerprint,
+            verdict=body.verdict,
+        )
+        for instance in tuple(self.agents.views):
+            if instance != peer:
+                self.send(instance, "verdict", body)
+        for request in tuple(self.waiting.values()):
+            if request.call.fingerprint != body.fingerprint:
+                continue
+            request.isolate = verdict is suspects.Verdict.SUSPECT
+            if verdict is suspects.Verdict.POISONOUS:
+                self.refuse(
+                    request,
+                    answers.Refused(
+                        answers.Reason.POISONOUS,
+                        "this request has crashed several upstreams",
+                    ),
+                )
+
+    def share_verdicts(self, instance: str) -> None:
+        """Tells an agent what is held against bodies.
+
+        :param instance: name of the agent's instance
+        """
+        now_ms = self.clock.monotonic_ms()
+        for fingerprint, record in self.suspects.records.items():
+            left_ms = record.expires_ms - now_ms
+            if left_ms > 0:
+                self.send(
+                    instance,
+                    "verdict",
+                    ttypes.Verdict(fingerprint, record.verdict.value, left_ms),
+                )
 
     def on_started(self, peer: str, body: ttypes.Started) -> None:
         """Notes that the upstream has been given a request.
@@ -618,18 +771,26 @@
         self.fail(request, answers.Failed(reason, body.reason), "failed")
 
     def may_retry(self, request: requests.Request) -> bool:
-        """Tells whether a call that may have run can be run again.
+        """Takes a retry of a call that may have run out of the budget.
 
         :param request: the request
-        :return: only for idempotent calls of plain services
+        :return: whether it may be run again; only idempotent calls of
+            plain services may
         """
         call = request.call
-        return (
-            call.idempotent
-            and not call.is_model
-            and not request.head_told
-            and request.attempt < MAX_ATTEMPTS
-        )
+        if call.is_model or request.head_told:
+            return False
+        slack_ms = request.deadline_ms - self.clock.monotonic_ms()
+        if not retry.may_retry(call.idempotent, request.tried, slack_ms, 0):
+            return False
+        left = retry.spend(self.retry_budget)
+        if left is None:
+            self.instruments.refusals.add(
+                1, {"reason": "retry_budget", "tier": call.tier}
+            )
+            return False
+        self.retry_budget = left
+        return True
 
     def not_started(self, request: requests.Request, reason: str) -> None:
         """Handles the proof that a dispatched request was not run.
@@ -638,7 +799,9 @@
         :param reason: why it was not started
         """
         request.position.feed("never_started")
-        if request.attempt >= MAX_ATTEMPTS:
+        self.limits.ended(request.call.team)
+        if request.attempt >= MAX_UNSTARTED_ATTEMPTS:
+            request.reset_run()
             self.refuse(
                 request,
                 answers.Refused(answers.Reason.NO_UPSTREAM, reason),
@@ -653,18 +816,35 @@
         :param reason: why the earlier run is of no use
         """
         request.position.feed("run_again")
-        self.run_again(request, reason)
+        self.limits.ended(request.call.team)
+        request.tried += 1
+        request.failed_at.add(request.agent)
+        self.run_again(
+            request, reason, retry.backoff_ms(request.tried - 1, self.rng)
+        )
 
-    def run_again(self, request: requests.Request, reason: str) -> None:
+    def run_again(
+        self, request: requests.Request, reason: str, delay_ms: int = 0
+    ) -> None:
         """Puts a request back into the queue under a new run id.
 
         :param request: a request in state ``waiting``
         :param reason: why, for the counter
+        :param delay_ms: how long it stays out of the queue before
         """
         self.instruments.retries.add(1, {"reason": reason})
         request.next_attempt()
-        request.skipped.clear()
-        self.enqueue(request)
+        self.recorder.record(
+            trace.Kind.RUN_AGAIN,
+            request.request_id,
+            run_id=request.run_id,
+            reason=reason,
+        )
+        if delay_ms > 0:
+            due_ms = self.clock.monotonic_ms() + delay_ms
+            heapq.heappush(self.delayed, (due_ms, request.request_id))
+        else:
+            self.enqueue(request)
 
     def on_query_answer(self, peer: str, body: ttypes.QueryAnswer) -> None:
         """Learns what became of a run while the link was down.
@@ -708,43 +888,109 @@
         :param request: the request
         """
         self.waiting[request.run_id] = request
-        self.waiting_bytes += len(request.call.body)
-        self.bid(request)
+        self.queue.add(request)
+        self.limits.waits(request.call.team)
+        if self.limits.may_run(request.call.team):
+            self.bid(request)
+        else:
+            self.park(request)
 
     def leave_queue(self, request: requests.Request) -> None:
         """Takes a request out of the queue.
 
         :param request: the request; one that doesn't wait is ignored
         """
-        if self.waiting.pop(request.run_id, None) is not None:
-            self.waiting_bytes -= len(request.call.body)
+        if self.waiting.pop(request.run_id, None) is None:
+            return
+        self.queue.remove(request)
+        self.limits.left(request.call.team, request.run_id)
+        self.guarantees.bid_over(request.run_id)
+        group = queue.group_of(request)
+        if self.urgent.get(group) == request.run_id:
+            del self.urgent[group]
+
+    def park(self, request: requests.Request) -> None:
+        """Takes back the bids of a request whose team runs enough.
+
+        It must not hold a place against others that may run.
+
+        :param request: a waiting request
+        """
+        self.withdraw(request)
+        request.parked = True
+        self.limits.park(request.call.team, request.run_id)
+
+    def unpark(self, team: str) -> None:
+        """Bids a parked request of a team that may run one more.
+
+        :param team: name of the team
+        """
+        for run_id in self.limits.unpark(team):
+            request = self.waiting[run_id]
+            request.parked = False
+            self.bid(request)
 
     def bid(self, request: requests.Request) -> None:
-        """Tells every eligible agent that a request waits.
+        """Tells the agents of the policy's choice that a request waits.
 
         :param request: a waiting request
         """
-        call = request.call
+        if request.urgent:
+            self.bid_at_all(request)
+            return
         now_ms = self.clock.monotonic_ms()
-        for view in self.agents.values():
-            if view.draining or view.pool not in call.pools:
-                continue
-            if view.instance in request.bid_at:
-                continue
-            body = self.bid_body(request, now_ms)
-            if self.send(view.instance, "bid", body):
-                request.bid_at.add(view.instance)
-        if request.bid_at and request.position.state == "waiting":
+        needed_ms = self.agents.finish_in_ms(request.call) or 0
+        spare_ms = request.deadline_ms - now_ms - needed_ms
+        if len(request.bid_at) >= spread.SMALL_POOL:
+            return
+        for target in self.agents.targets(request.call, spare_ms):
+            if target.peer not in request.failed_at:
+                self.bid_to(request, target.peer, target.hold_ms)
+        if not request.bid_at:
+            self.bid_at_all(request)
+
+    def bid_at_all(self, request: requests.Request) -> bool:
+        """Bids a request at every agent that hasn't seen it.
+
+        :param request: a waiting request
+        :return: whether there was such an agent
+        """
+        found = [
+            self.bid_to(request, one.instance, 0)
+            for one in self.agents.eligible(request.call)
+        ]
+        return any(found)
+
+    def bid_to(
+        self, request: requests.Request, instance: str, hold_ms: int
+    ) -> bool:
+        """Bids a request at one agent, unless it has the bid.
+
+        :param request: a waiting request
+        :param instance: name of the agent's instance
+        :param hold_ms: how long the agent must wait before it starts it
+        :return: whether the bid was sent
+        """
+        if instance in request.bid_at:
+            return False
+        body = self.bid_body(request, hold_ms)
+        if not self.send(instance, "bid", body):
+            return False
+        request.bid_at.add(instance)
+        request.skipped.pop(instance, None)
+        if request.position.state == "waiting":
             request.position.feed("bid")
+        return True
 
-    def bid_body(self, request: requests.Request, now_ms: int) -> ttypes.Bid:
+    def bid_body(self, request: requests.Request, hold_ms: int) -> ttypes.Bid:
         """Returns the message that offers a request.
 
         :param request: a waiting request
-        :param now_ms: the time now
+        :param hold_ms: how long the agent must wait before it starts it
         :return: the message
         """
         call = request.call
+        now_ms = self.clock.monotonic_ms()
         return ttypes.Bid(
             request_id=request.run_id,
             tier_rank=call.tier_rank,
@@ -756,9 +1002,10 @@
             output_tokens=call.output_tokens,
             prefix_keys=list(call.prefix_keys),
             fingerprint=call.fingerprint,
-            urgent=False,
-            hold_ms=0,
+            urgent=request.urgent,
+            hold_ms=hold_ms,
             generation=self.generation(),
+            isolate=request.isolate,
         )
 
     def withdraw(self, request: requests.Request) -> None:
@@ -772,6 +1019,82 @@
                 self.send(instance, "withdraw", body)
         request.bid_at.clear()
 
+    # Too much to do
+
+    def relieve(self) -> None:
+        """Refuses what the queue has no place for, as soon as it may.
+
+        See docs/OVERLOAD.md: first the agents are asked to guarantee that
+        nothing lower is served, then the lowest and newest is refused.
+        """
+        if self.queue.is_calm():
+            self.calm_down()
+            return
+        for request in self.queue.excess():
+            self.refuse_for_room(request, answers.Reason.QUEUE_FULL)
+        for request in self.queue.overflow():
+            if request.run_id in self.urgent.values():
+                continue
+            able = agents.names(self.agents.eligible(request.call))
+            if request.parked or self.guarantees.may_shed(request, able):
+                self.refuse_for_room(request, answers.Reason.SHED)
+            else:
+                self.make_urgent(queue.group_of(request))
+
+    def refuse_for_room(
+        self, request: requests.Request, reason: answers.Reason
+    ) -> None:
+        """Refuses a request that the queue has no place for.
+
+        :param request: a waiting request
+        :param reason: why
+        """
+        self.refuse(
+            request,
+            answers.Refused(
+                reason,
+                "too many requests wait",
+                self.retry_after_ms(request.call.tier_rank),
+            ),
+        )
+
+    def make_urgent(self, group: queue.Group) -> None:
+        """Asks the agents for a guarantee for a tier, unless they have been.
+
+        :param group: rank and pools of those that may have to leave
+        """
+        if group in self.urgent:
+            return
+        overflow = len(self.queue.overflow())
+        request = self.queue.newest_kept(group, overflow)
+        if request is None:
+            return
+        self.urgent[group] = request.run_id
+        self.recorder.record(
+            trace.Kind.URGENT, request.request_id, run_id=request.run_id
+        )
+        self.set_urgent(request, True)
+
+    def set_urgent(self, request: requests.Request, urgent: bool) -> None:
+        """Bids a request again, as urgent or no longer so.
+
+        :param request: a waiting request
+        :param urgent: whether it is
+        """
+        request.urgent = urgent
+        request.bid_at.clear()
+        request.skipped.clear()
+        self.guarantees.bid_over(request.run_id)
+        self.bid_at_all(request)
+
+    def calm_down(self) -> None:
+        """Ends the urgency of bids once the queue has room again."""
+        for run_id in tuple(self.urgent.values()):
+            request = self.waiting.get(run_id)
+            if request is not None:
+                self.set_urgent(request, False)
+        self.urgent.clear()
+
     # Time and outcomes
 
     def tick(self) -> None:
@@ -782,6 +1105,11 @@
             request = self.requests.get(request_id)
             if request is not None:
                 self.on_deadline(request)
+        while self.delayed and self.delayed[0][0] <= now_ms:
+            _due_ms, request_id = heapq.heappop(self.delayed)
+            request = self.requests.get(request_id)
+            if request is not None and request.waiting:
+                self.enqueue(request)
         limit_ms = now_ms - self.settings.relink_limit_ms
         for request in tuple(self.requests.values()):
             lost_ms = request.link_lost_ms
@@ -799,6 +1127,7 @@
                 answers.Refused(
                     answers.Reason.DEADLINE_PASSED,
                     "no upstream had room before the deadline",
+                    self.retry_after_ms(request.call.tier_rank),
                 ),
             )
             return
@@ -834,12 +1163,21 @@
     ) -> None:
         """Ends a request that was not run.
 
+        A call that was tried and failed may have run; it fails instead.
+
         :param request: a waiting request
         :param refusal: what the caller is told
         """
-        request.position.feed("refuse")
         self.leave_queue(request)
         self.withdraw(request)
+        if request.tried > 1:
+            self.fail(
+                request,
+                answers.Failed(refusal.reason, refusal.message),
+                "give_up",
+            )
+            return
+        request.position.feed("refuse")
         labels = {
             "reason": refusal.reason.value,
             "tier": request.call.tier,
@@ -883,6 +1221,9 @@
         """
         outcome = request.position.state
         del self.requests[request.request_id]
+        if request.agent:
+            self.limits.ended(request.call.team)
+        self.unpark(request.call.team)
         self.instruments.outcomes.add(
             1, {"outcome": outcome, "tier": request.call.tier}
         )
--- a/godwitloft/entry/request.py
+++ b/godwitloft/entry/request.py
@@ -37,9 +37,13 @@
         self.attempt = 1
         self.run_id = request_id
         self.bid_at: set[str] = set()
-        self.skipped: dict[str, int] = {}
+        self.skipped: dict[str, str] = {}
+        self.failed_at: set[str] = set()
+        self.urgent = False
+        self.isolate = False
+        self.parked = False
         self.paused_by_caller = False
-        self.retries = 0
+        self.tried = 1
         self.reset_run()
 
     def reset_run(self) -> None:
@@ -63,6 +67,9 @@
         """
         self.attempt += 1
         self.run_id = f"{self.request_id}.{self.attempt}"
+        self.skipped.clear()
+        self.urgent = False
+        self.parked = False
         self.reset_run()
 
     @property
--- /dev/null
+++ b/godwitloft/entry/team_limits.py
@@ -0,0 +1,154 @@
+"""What the teams have waiting and running at an entry, and may have."""
+
+import collections
+import dataclasses
+import typing
+
+from godwitloft.objects import types
+from godwitloft.policy import admit
+
+
+def no_team(name: str) -> types.Team | None:
+    """Says that no team has limits.
+
+    :param name: name of a team
+    :return: None
+    """
+    return None
+
+
+class TeamLimits:
+    """Counts of each team that has requests here.
+
+    :param team: returns the object of a team, None when it has no limits
+    :param share: returns this entry's share of all limits, 0.0 to 1.0
+    """
+
+    def __init__(
+        self,
+        team: typing.Callable[[str], types.Team | None] = no_team,
+        share: typing.Callable[[], float] = lambda: 1.0,
+    ) -> None:
+        self.team = team
+        self.share = share
+        self.waiting: collections.Counter[str] = collections.Counter()
+        self.running: collections.Counter[str] = collections.Counter()
+        self.buckets: dict[str, admit.Bucket] = {}
+        self.parked: dict[str, dict[str, None]] = {}
+
+    def load(self, name: str) -> admit.TeamLoad:
+        """Returns what a team has and may have.
+
+        :param name: name of the team
+        :return: its counts and limits
+        """
+        load = admit.TeamLoad(
+            running=self.running[name], waiting=self.waiting[name]
+        )
+        team = self.team(name)
+        if team is None:
+            return load
+        return dataclasses.replace(
+            load,
+            max_running=team.max_running,
+            max_waiting=team.max_waiting,
+            tokens_per_s=team.tokens_per_s,
+            bucket=self.buckets.get(name),
+        )
+
+    def admit(
+        self,
+        name: str,
+        arrival: admit.Arrival,
+        queue: admit.QueueLoad,
+        now_ms: int,
+    ) -> admit.Refused | None:
+        """Decides on a request and charges its team.
+
+        :param name: name of the team
+        :param arrival: the request
+        :param queue: the entry's queue
+        :param now_ms: the time
+        :return: why it is refused, or None
+        """
+        answer = admit.admit(
+            arrival, self.load(name), queue, self.share(), now_ms
+        )
+        if isinstance(answer, admit.Refused):
+            return answer
+        if answer.bucket is not None:
+            self.buckets[name] = answer.bucket
+        return None
+
+    def may_run(self, name: str) -> bool:
+        """Says whether one more request of a team may be dispatched.
+
+        :param name: name of the team
+        :return: whether it is below its limit
+        """
+        return admit.may_run(self.load(name), self.share())
+
+    def waits(self, name: str) -> None:
+        """Counts a request that begins to wait.
+
+        :param name: name of its team
+        """
+        self.waiting[name] += 1
+
+    def left(self, name: str, run_id: str) -> None:
+        """Counts a request that no longer waits.
+
+        :param name: name of its team
+        :param run_id: id of the request
+        """
+        self._decrease(self.waiting, name)
+        parked = self.parked.get(name)
+        if parked is not None:
+            parked.pop(run_id, None)
+            if not parked:
+                del self.parked[name]
+
+    def started(self, name: str) -> None:
+        """Counts a request that was dispatched.
+
+        :param name: name of its team
+        """
+        self.running[name] += 1
+
+    def ended(self, name: str) -> None:
+        """Counts a dispatched request that ended or goes back.
+
+        :param name: name of its team
+        """
+        self._decrease(self.running, name)
+
+    def park(self, name: str, run_id: str) -> None:
+        """Notes a request that waits for its team to run less.
+
+        :param name: name of the team
+        :param run_id: id of the request
+        """
+        self.parked.setdefault(name, {})[run_id] = None
+
+    def unpark(self, name: str) -> list[str]:
+        """Takes out the requests that may be bid now, the oldest first.
+
+        :param name: name of the team
+        :return: as many ids as the team may run more
+        """
+        parked = self.parked.get(name, {})
+        load = self.load(name)
+        free = admit.share_of(load.max_running, self.share()) - load.running
+        if not load.max_running:
+            free = len(parked)
+        found = list(parked)[: max(0, free)]
+        for run_id in found:
+            del parked[run_id]
+        if not parked:
+            self.parked.pop(name, None)
+        return found
+
+    def _decrease(self, counter: collections.Counter[str], name: str) -> None:
+        counter[name] -= 1
+        if counter[name] <= 0:
+            del counter[name]
--- a/godwitloft/policy/estimate.py
+++ b/godwitloft/policy/estimate.py
@@ -113,6 +113,22 @@
     return dataclasses.replace(speeds, decode_ms=tuple(values))
 
 
+def best_of(left: Speeds, right: Speeds) -> Speeds:
+    """Returns the faster of two speeds, each value by itself.
+
+    :param left: speeds
+    :param right: speeds
+    :return: the faster values; those that only one has are taken from it
+    """
+    return Speeds(
+        max(left.prefill_tokens_per_ms, right.prefill_tokens_per_ms),
+        tuple(
+            min((one for one in pair if one > 0.0), default=0.0)
+            for pair in zip(left.decode_ms, right.decode_ms, strict=True)
+        ),
+    )
+
+
 def finish_in_ms(
     offer: types.Offer,
     view: types.UpstreamView,
--- a/godwitloft/standalone.py
+++ b/godwitloft/standalone.py
@@ -454,7 +454,7 @@
     done: defer.Deferred[None] = defer.Deferred()
     waiting.until(
         reactor,
-        lambda: len(entry.desk.agents) == len(standalone.agents),
+        lambda: len(entry.desk.agents.views) == len(standalone.agents),
         LINK_WAIT_LIMIT_MS,
         lambda _in_time: done.callback(None),
     )
