Let a fleet spread itself when the platform refuses its rate

Cause: the guard's share with 5 s of burst let 1000 idle processes write 6 times the store's rate at once, and three attempts within a second failed for most of them; a share of a large fleet is also too small for a process that seldom calls. Change: a quarter of a second of burst but never fewer than ten calls; after a refusal for the rate, the delay is drawn from the time in which each process may make one call. bench/store_rush.py measures it on a driven clock. Conclusion: equal shares plus spreading need no message between processes.

--- /dev/null
+++ b/bench/store_rush.py
@@ -0,0 +1,233 @@
+"""How a fleet of guards treats one platform, on a driven clock.
+
+``rush``: every process makes one call at the same moment. ``outage``: every
+process reads at an interval while the platform is down for a while. Run
+``python -m bench.store_rush`` for the table in docs/PLATFORM.md.
+"""
+
+import collections
+import dataclasses
+import logging
+import random
+import sys
+import typing
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from godwitloft import clock as clocks
+from godwitloft import events
+from godwitloft.platform import faults
+from godwitloft.platform import guard
+from godwitloft.platform import memory
+
+START_S = 100.0
+STEP_S = 0.005
+RUSH_S = 120.0
+POLL_S = 2.0
+OUTAGE_S = 30.0
+AFTER_S = 30.0
+SIZES = (8, 128, 1000)
+SETTINGS = guard.GuardSettings()
+
+
+@dataclasses.dataclass(frozen=True)
+class Rush:
+    """What became of a rush.
+
+    :param answered: calls that were answered
+    :param failed: calls that failed, without effect
+    :param refused: attempts that the platform refused for their rate
+    :param last_ms: when the last call was answered
+    """
+
+    answered: int
+    failed: int
+    refused: int
+    last_ms: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Recovery:
+    """What became of an outage.
+
+    :param calls_per_s: attempts a second that reached the platform while it
+        was down
+    :param most_per_s: most attempts in a second after it
+    :param first_half_ms: until half of the processes had an answer
+    :param last_ms: until all had one
+    """
+
+    calls_per_s: float
+    most_per_s: int
+    first_half_ms: float
+    last_ms: float
+
+
+class Fleet:
+    """Guards of many processes before one platform.
+
+    :param processes: how many
+    :param seed: decides everything random
+    :param settings: bounds of each guard
+    """
+
+    def __init__(
+        self,
+        processes: int,
+        seed: int,
+        settings: guard.GuardSettings = SETTINGS,
+    ) -> None:
+        self.reactor = task.Clock()
+        self.reactor.advance(START_S)
+        self.random = random.Random(seed)
+        self.injector = CountingInjector(self.reactor)
+        self.store = memory.Store(clocks.reactor_clock(self.reactor))
+        self.refused = 0
+        inner = memory.platform(self.store, self.reactor, self.injector)
+        self.platforms = [
+            guard.Guard(
+                inner,
+                self.reactor,
+                settings,
+                lambda: processes,
+                random.Random(self.random.random()),
+                self.count_retry,
+            ).platform()
+            for _ in range(processes)
+        ]
+
+    def count_retry(self, reason: str) -> None:
+        """Counts refusals for the rate.
+
+        :param reason: why a call is tried again
+        """
+        self.refused += reason == guard.RATE_LIMITED
+
+    def run_for(
+        self,
+        duration_s: float,
+        done: typing.Callable[[], bool] = lambda: False,
+    ) -> None:
+        """Lets time pass.
+
+        :param duration_s: how much at most
+        :param done: tells that the rest need not pass
+        """
+        end_s = self.reactor.seconds() + duration_s
+        while self.reactor.seconds() < end_s and not done():
+            self.reactor.advance(STEP_S)
+
+
+class CountingInjector(faults.Injector):
+    """Counts the attempts that reach the platform by second.
+
+    :param reactor: gives the time
+    """
+
+    def __init__(self, reactor: task.Clock) -> None:
+        super().__init__()
+        self.reactor = reactor
+        self.by_second: collections.Counter[int] = collections.Counter()
+
+    def decide(self, is_write: bool) -> faults.Decision:
+        """Counts, then decides as any injector.
+
+        :param is_write: whether the call changes anything
+        :return: the decision
+        """
+        self.by_second[int(self.reactor.seconds())] += 1
+        return super().decide(is_write)
+
+
+def rush(
+    processes: int,
+    is_write: bool,
+    seed: int = 1,
+    settings: guard.GuardSettings = SETTINGS,
+) -> Rush:
+    """Lets every process make one call at the same moment.
+
+    :param processes: how many
+    :param is_write: whether the calls are writes
+    :param seed: decides everything random
+    :param settings: bounds of each guard
+    :return: what became of them
+    """
+    fleet = Fleet(processes, seed, settings)
+    answered: list[float] = []
+    failed: list[object] = []
+
+    def note(_: object) -> None:
+        answered.append((fleet.reactor.seconds() - START_S) * 1000)
+
+    for number, platform in enumerate(fleet.platforms):
+        call: defer.Deferred[typing.Any]
+        if is_write:
+            call = platform.write_row("t", str(number), b"", 0, None)
+        else:
+            call = platform.read_row("t", "k")
+        call.addCallbacks(note, failed.append)
+    fleet.run_for(RUSH_S, lambda: len(answered) + len(failed) == processes)
+    return Rush(
+        len(answered), len(failed), fleet.refused, max(answered, default=0.0)
+    )
+
+
+def outage(processes: int, seed: int = 1) -> Recovery:
+    """Lets every process read at an interval while the platform is down.
+
+    :param processes: how many
+    :param seed: decides everything random
+    :return: what reached the platform, and how soon all had answers
+    """
+    fleet = Fleet(processes, seed)
+    first_answer_s: dict[int, float] = {}
+    back_s = START_S + OUTAGE_S
+
+    def poll(number: int) -> None:
+        fleet.reactor.callLater(POLL_S, poll, number)
+        call = fleet.platforms[number].read_row("t", "k")
+        call.addCallbacks(lambda _: note(number), _ignore)
+
+    def note(number: int) -> None:
+        first_answer_s.setdefault(number, fleet.reactor.seconds() - back_s)
+
+    fleet.injector.set(faults.Faults(outage=faults.Outage.REFUSE))
+    for number in range(processes):
+        fleet.reactor.callLater(fleet.random.uniform(0, POLL_S), poll, number)
+    fleet.run_for(OUTAGE_S)
+    fleet.injector.set(faults.Faults())
+    fleet.run_for(AFTER_S)
+    by_second = fleet.injector.by_second
+    # The first seconds of the outage are those in which breakers open.
+    down = [by_second[int(START_S) + s] for s in range(10, int(OUTAGE_S))]
+    after = [count for second, count in by_second.items() if second >= back_s]
+    answers = sorted(first_answer_s.values())
+    assert len(answers) == processes, "some process never got an answer"
+    return Recovery(
+        calls_per_s=sum(down) / len(down),
+        most_per_s=max(after),
+        first_half_ms=answers[len(answers) // 2] * 1000,
+        last_ms=answers[-1] * 1000,
+    )
+
+
+def _ignore(failure: object) -> None:
+    return None
+
+
+def main(sizes: typing.Sequence[int]) -> None:
+    """Prints both experiments for some sizes of the fleet.
+
+    :param sizes: how many processes
+    """
+    logging.getLogger(events.LOGGER_NAME).setLevel(logging.ERROR)
+    for size in sizes:
+        print(size, "reads ", rush(size, False))
+        print(size, "writes", rush(size, True))
+        print(size, "outage", outage(size))
+
+
+if __name__ == "__main__":
+    main([int(word) for word in sys.argv[1:]] or SIZES)
--- a/features/guard.feature
+++ b/features/guard.feature
@@ -5,7 +5,7 @@
   # down (no effect), lost (took effect), hang (no effect, no answer), late
   # (the answer of a read comes a second after it was read).
   Scenario Outline: What callers get and what reaches the platform
-    Given a guard with {"fleet_reads_per_s": 0, "fleet_writes_per_s": 0, <settings>} for <live> processes
+    Given a guard with {"fleet_reads_per_s": 0, "fleet_writes_per_s": 0, "min_burst": 1, <settings>} for <live> processes
     When outcomes are "<outcomes>" for "<calls>" until <until>
     Then the guarded calls end as "<results>" after <inner> calls with retries "<retries>" and refusals "<refusals>"
 
@@ -47,6 +47,7 @@
       | "fleet_reads_per_s": 10, "burst_s": 0 | 2 | ok | 0 read a; 0 read b; 0 read c; 0 read d | 405 | none; none; none; - | 3 | - | - |
       | "fleet_reads_per_s": 10, "burst_s": 0 | 2 | ok | 0 read a; 0 read b; 0 read c; 0 read d | 190 | none; -; -; - | 1 | - | - |
       | "fleet_reads_per_s": 10, "burst_s": 1 | 2 | ok | 0 read a; 0 read b; 0 read c; 0 read d | 10 | none; none; none; none | 4 | - | - |
+      | "fleet_reads_per_s": 10, "burst_s": 0, "min_burst": 3 | 2 | ok | 0 read a; 0 read b; 0 read c; 0 read d | 10 | none; none; none; - | 3 | - | - |
       | "fleet_reads_per_s": 10, "burst_s": 0 | 2 | ok | 0 read a; 0 write k x 0 | 10 | none; swapped 1 | 2 | - | - |
       | "fleet_writes_per_s": 1, "burst_s": 0, "max_queued": 1 | 1 | ok | 0 write a x 0; 0 write b x 0; 0 write c x 0 | 20000 | swapped 1; swapped 2; unavailable | 2 | - | queue_full |
       | "fleet_writes_per_s": 1, "burst_s": 0, "call_limit_ms": 900 | 1 | ok | 0 write a x 0; 0 write b x 0; 1500 write c x 0 | 20000 | swapped 1; unavailable; swapped 2 | 2 | - | queue_timeout |
@@ -62,3 +63,17 @@
       | 4 |
       | 5 |
       | 6 |
+
+  Scenario Outline: A fleet that calls all at once spreads itself
+    When <processes> guarded processes each make a <kind> at once
+    Then every call of the fleet is answered within <limit> ms with at most <refused> refusals for the rate
+
+    Examples:
+      | processes | kind | limit | refused |
+      | 8 | write | 0 | 0 |
+      | 500 | write | 3000 | 300 |
+      | 500 | read | 0 | 0 |
+
+  Scenario: A fleet lets a platform that is down rest and finds it again soon
+    When 60 guarded processes read every 2 s through an outage of 30 s
+    Then at most 20 calls a second reach it, at most 60 in any second after, and all have answers within 4500 ms
--- a/features/steps/guard_steps.py
+++ b/features/steps/guard_steps.py
@@ -8,6 +8,7 @@
 from behave import when
 from twisted.internet import task
 
+from bench import store_rush
 from features.support import calls as port_calls
 from godwitloft import clock as clocks
 from godwitloft import decode
@@ -139,7 +140,9 @@
     outcomes = ["ok"] * 6 + ["late"] * 3 + ["down", "lost", "hang"]
     settings = {"fleet_reads_per_s": 40, "fleet_writes_per_s": 10}
     guarded_one = guarded(
-        settings | {"burst_s": 0}, 2, lambda: rng.choice(outcomes)
+        settings | {"burst_s": 0, "min_burst": 1},
+        2,
+        lambda: rng.choice(outcomes),
     )
     platform = guarded_one.guard.platform()
     effects, ended, made = guarded_one.effects, [], 0
@@ -178,3 +181,36 @@
     for index, time in enumerate(times):
         in_second = [one for one in times[index:] if one < time + 1]
         assert len(in_second) <= 20 + 5 + 2, len(in_second)
+
+
+@when("{processes:d} guarded processes each make a {kind} at once")
+def make_rush(context, processes, kind):
+    context.rush = store_rush.rush(processes, kind == "write")
+
+
+@then(
+    "every call of the fleet is answered within {limit:d} ms with at most"
+    " {refused:d} refusals for the rate"
+)
+def check_rush(context, limit, refused):
+    rush = context.rush
+    assert rush.failed == 0 and rush.last_ms <= limit, rush
+    assert rush.refused <= refused, rush
+
+
+@when(
+    "{processes:d} guarded processes read every 2 s through an outage of 30 s"
+)
+def go_through_outage(context, processes):
+    context.recovery = store_rush.outage(processes)
+
+
+@then(
+    "at most {down:d} calls a second reach it, at most {after:d} in any"
+    " second after, and all have answers within {limit:d} ms"
+)
+def check_recovery(context, down, after, limit):
+    recovery = context.recovery
+    assert recovery.calls_per_s <= down, recovery
+    assert recovery.most_per_s <= after, recovery
+    assert recovery.last_ms <= limit, recovery
--- a/godwitloft/platform/guard.py
+++ b/godwitloft/platform/guard.py
@@ -23,6 +23,7 @@
 from godwitloft.policy import retry
 
 MS_PER_S = 1000
+RATE_LIMITED = "rate_limited"
 
 Operation = typing.Callable[[], defer.Deferred[typing.Any]]
 
@@ -34,6 +35,8 @@
     :param fleet_reads_per_s: reads a second that all processes may make
     :param fleet_writes_per_s: writes a second that all may make
     :param burst_s: seconds of an unused share that are saved
+    :param min_burst: calls that are saved however small the share is; a
+        process of a large fleet that seldom calls then needn't wait
     :param max_queued: calls that may wait for their share at once
     :param attempt_limit_ms: how long one attempt may take
     :param call_limit_ms: how long a call may take with its waits
@@ -44,7 +47,8 @@
 
     fleet_reads_per_s: float = 1600.0
     fleet_writes_per_s: float = 240.0
-    burst_s: float = 5.0
+    burst_s: float = 0.25
+    min_burst: float = 10.0
     max_queued: int = 1000
     attempt_limit_ms: float = 3000.0
     call_limit_ms: float = 10_000.0
@@ -290,22 +294,27 @@
             await self._admit(gate)
             try:
                 return await self._attempt(operation, timeout_error)
-            except port.AnswerLost:
-                if not repeatable or not self._may_retry(
-                    "answer_lost", attempt, max_attempts, end_ms
-                ):
+            except port.PlatformError as error:
+                reason = _retry_reason(error, repeatable)
+                delay_ms = self._backoff_ms(reason, attempt, gate)
+                in_time = self._now_ms() + delay_ms <= end_ms
+                if not reason or attempt >= max_attempts or not in_time:
                     raise
-            except port.RateLimited:
-                if not self._may_retry(
-                    "rate_limited", attempt, max_attempts, end_ms
-                ):
+                if not self._spend_retry(reason):
                     raise
-            except port.StoreUnavailable:
-                if not self._may_retry(
-                    "unavailable", attempt, max_attempts, end_ms
-                ):
-                    raise
-            await self._sleep(retry.backoff_ms(attempt, self.rng))
+            await task.deferLater(self.reactor, delay_ms / MS_PER_S)
+
+    def _backoff_ms(self, reason: str, attempt: int, gate: Gate) -> float:
+        """Returns the delay before the next attempt.
+
+        After a refusal for the rate it is drawn from the time in which each
+        process of the fleet may make one call. So a fleet that called all at
+        once spreads itself to just the rate that the platform takes.
+        """
+        delay_ms: float = retry.backoff_ms(attempt, self.rng)
+        if reason == RATE_LIMITED:
+            delay_ms += self.rng.uniform(0, gate.limit.round_ms())
+        return delay_ms
 
     async def _admit(self, gate: Gate) -> None:
         if not breakers.allows(self.breaker, self._now_ms()):
@@ -358,11 +367,7 @@
         if self.is_open and not was_open:
             events.log(events.PLATFORM_DOWN)
 
-    def _may_retry(
-        self, reason: str, attempt: int, max_attempts: int, end_ms: float
-    ) -> bool:
-        if attempt >= max_attempts or self._now_ms() >= end_ms:
-            return False
+    def _spend_retry(self, reason: str) -> bool:
         left = retry.spend(self.budget)
         if left is None:
             self.on_refusal("retry_budget")
@@ -380,14 +385,27 @@
             return fleet_per_s / max(1, self.live_processes())
 
         return Gate(
-            rate.Rate(share, self.settings.burst_s),
+            rate.Rate(share, self.settings.burst_s, self.settings.min_burst),
             self.settings.max_queued,
             self.settings.call_limit_ms,
             self.reactor,
         )
 
-    def _sleep(self, duration_ms: float) -> defer.Deferred[None]:
-        return task.deferLater(self.reactor, duration_ms / MS_PER_S)
-
     def _now_ms(self) -> int:
         return round(self.reactor.seconds() * MS_PER_S)
+
+
+def _retry_reason(error: port.PlatformError, repeatable: bool) -> str:
+    """Returns under which reason a failed attempt is repeated.
+
+    :param error: how it failed
+    :param repeatable: whether it may be repeated after a lost answer
+    :return: the reason, empty when it must not be repeated
+    """
+    if isinstance(error, port.RateLimited):
+        return RATE_LIMITED
+    if isinstance(error, port.StoreUnavailable):
+        return "unavailable"
+    if isinstance(error, port.AnswerLost) and repeatable:
+        return "answer_lost"
+    return ""
--- a/godwitloft/platform/rate.py
+++ b/godwitloft/platform/rate.py
@@ -10,15 +10,20 @@
 
     :param per_s: calls a second, asked anew each time since a share of a
         fleet's limit changes with the fleet; 0 or less: no limit
-    :param burst_s: seconds of unused calls that are saved, at least one call
+    :param burst_s: seconds of unused calls that are saved
+    :param min_burst: calls that are saved however low the rate
     """
 
     def __init__(
-        self, per_s: typing.Callable[[], float], burst_s: float = 1.0
+        self,
+        per_s: typing.Callable[[], float],
+        burst_s: float = 1.0,
+        min_burst: float = 1.0,
     ) -> None:
         self.per_s = per_s
         self.burst_s = burst_s
-        self.saved = max(1.0, per_s() * burst_s)
+        self.min_burst = min_burst
+        self.saved = max(min_burst, per_s() * burst_s)
         self.updated_ms: float | None = None
 
     def take(self, now_ms: float) -> bool:
@@ -48,9 +53,17 @@
         self._refill(per_s, now_ms)
         return max(0.0, (1.0 - self.saved) * MS_PER_S / per_s)
 
+    def round_ms(self) -> float:
+        """Returns the time in which the rate permits one call.
+
+        :return: milliseconds, 0 when there is no limit
+        """
+        per_s = self.per_s()
+        return MS_PER_S / per_s if per_s > 0 else 0.0
+
     def _refill(self, per_s: float, now_ms: float) -> None:
         if self.updated_ms is not None:
             passed_s = max(0.0, now_ms - self.updated_ms) / MS_PER_S
-            limit = max(1.0, per_s * self.burst_s)
+            limit = max(self.min_burst, per_s * self.burst_s)
             self.saved = min(limit, self.saved + passed_s * per_s)
         self.updated_ms = now_ms
