--- /dev/null
+++ b/godwitloft/coordination/lease.py
@@ -0,0 +1,353 @@
+"""Leases with fencing numbers in the platform's table.
+
+A lease is a row that never goes away: it keeps the fencing number (epoch),
+which rises by one at every change of hands. No clock is shared. The holder
+counts its lease from before it sent the write, less a margin. Anyone else
+counts from when it first saw the row as it is, and takes over only when the
+row stays the same for the whole lease and the margin.
+"""
+
+import dataclasses
+import json
+import random
+import typing
+
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.python import failure
+
+from godwitloft import clock as clocks
+from godwitloft import decode
+from godwitloft import events
+from godwitloft.coordination import swap
+from godwitloft.platform import port
+
+TABLE = "leases"
+
+
+@dataclasses.dataclass(frozen=True)
+class LeaseSettings:
+    """How long a lease lasts.
+
+    :param duration_ms: from a renewal to its end
+    :param margin_ms: covers the drift of clocks over a lease and the time
+        between the holder's last check and the arrival of what it sends
+    :param renew_ms: between renewals
+    :param wait_out_ms: how long a new holder keeps still after it took over
+        from one that didn't release; for upstreams that don't check the
+        fencing number, the longest time of an order
+    """
+
+    duration_ms: int = 20_000
+    margin_ms: int = 1_000
+    renew_ms: int = 5_000
+    wait_out_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class LeaseRow:
+    """What the table holds of a lease.
+
+    :param epoch: fencing number of the holder
+    :param holder: unique name of the holder's process
+    :param duration_ms: the holder's lease
+    :param released: whether the holder gave it up
+    :param mark: highest generation that an order was announced for
+    :param nonce: makes every write differ
+    """
+
+    epoch: int
+    holder: str
+    duration_ms: int
+    released: bool
+    mark: int
+    nonce: str
+
+
+class Lease:
+    """One process's hold on one lease.
+
+    It is asked for with :meth:`start` when there is something to do under
+    it, and given back with :meth:`stop`: thousands of idle leases would
+    cost the table more writes than it has.
+
+    :param platform: the table
+    :param clock: only its monotonic time is read
+    :param scheduler: for renewals
+    :param name: what is leased
+    :param holder: unique to this process, also after a restart
+    :param rng: for jitter and nonces
+    :param settings: how long it lasts
+    :param on_change: called when it was won, renewed or lost
+    """
+
+    def __init__(
+        self,
+        platform: port.Platform,
+        clock: clocks.Clock,
+        scheduler: interfaces.IReactorTime,
+        name: str,
+        holder: str,
+        rng: random.Random,
+        settings: LeaseSettings = LeaseSettings(),
+        on_change: typing.Callable[[], None] = lambda: None,
+    ) -> None:
+        self.platform = platform
+        self.clock = clock
+        self.scheduler = scheduler
+        self.name = name
+        self.holder = holder
+        self.rng = rng
+        self.settings = settings
+        self.on_change = on_change
+        self.epoch = 0
+        self.highest_epoch = 0
+        self.mark = 0
+        self.wanted_mark = 0
+        self.expires_ms = 0
+        self.quiet_until_ms = 0
+        # Answers to writes sent before a doubt extend nothing.
+        self.doubts = 0
+        self.wanted = False
+        self.working = False
+        self.row: port.Row | None = None
+        self.row_seen_ms = 0
+        self.nudged: defer.Deferred[None] | None = None
+
+    @property
+    def is_held(self) -> bool:
+        """Whether this process holds the lease for certain."""
+        return self.time_left_ms() > 0
+
+    def time_left_ms(self) -> int:
+        """Returns for how long this process surely holds the lease.
+
+        :return: milliseconds; 0 when it doesn't hold it
+        """
+        if not self.epoch:
+            return 0
+        usable_ms = self.expires_ms - self.settings.margin_ms
+        return max(0, usable_ms - self.clock.monotonic_ms())
+
+    def may_order(self, duration_ms: int) -> bool:
+        """Tells whether an act that takes so long may begin now.
+
+        Ask just before sending, with nothing in between.
+
+        :param duration_ms: the longest that it can take
+        :return: whether it surely ends within the lease, and whatever an
+            earlier holder began has surely ended
+        """
+        if self.clock.monotonic_ms() < self.quiet_until_ms:
+            return False
+        return self.is_held and self.time_left_ms() >= duration_ms
+
+    def start(self) -> None:
+        """Asks for the lease and renews it until :meth:`stop`."""
+        self.wanted = True
+        if not self.working:
+            self.working = True
+            defer.ensureDeferred(self._work()).addErrback(self._failed)
+
+    def stop(self) -> None:
+        """Gives the lease back; nothing may be under way under it."""
+        self.wanted = False
+        self.nudge()
+
+    def doubt(self) -> None:
+        """Trusts the lease no more until it is renewed, as after a pause."""
+        self.doubts += 1
+        self.expires_ms = 0
+        self.nudge()
+
+    def lose(self) -> None:
+        """Notes that an upstream has seen a higher fencing number."""
+        self._forget()
+        self.nudge()
+
+    def announce(self, mark: int) -> None:
+        """Asks for the mark in the row to be raised at once.
+
+        :param mark: generation that an order is about to be sent for
+        """
+        if mark > self.wanted_mark:
+            self.wanted_mark = mark
+            self.nudge()
+
+    def nudge(self) -> None:
+        """Ends the wait for the next renewal or look at the row."""
+        waiting = self.nudged
+        self.nudged = None
+        if waiting is not None:
+            waiting.callback(None)
+
+    async def _work(self) -> None:
+        failures = 0
+        while self.wanted:
+            try:
+                wait_ms = await self._step()
+                failures = 0
+            except (port.PlatformError, decode.DecodeError):
+                failures += 1
+                wait_ms = swap.backoff_ms(
+                    failures, 100, self.settings.renew_ms, self.rng.random()
+                )
+            if self.wanted and wait_ms > 0:
+                await self._wait(wait_ms)
+        self.working = False
+        await self._release()
+
+    async def _step(self) -> float:
+        """Renews, takes or watches; returns the wait until the next step."""
+        if self.epoch:
+            return await self._renew()
+        row = await self.platform.read_row(TABLE, self.name)
+        self._watch(row)
+        found = _decode(row)
+        if found is not None and not self._is_free(found):
+            return self._watch_wait_ms(found)
+        return await self._take(found)
+
+    def _is_free(self, found: LeaseRow) -> bool:
+        if found.released or found.holder == self.holder:
+            return True
+        return self._unchanged_ms() >= self._lease_ms(found)
+
+    def _watch_wait_ms(self, found: LeaseRow) -> float:
+        left_ms = self._lease_ms(found) - self._unchanged_ms()
+        look_ms = min(left_ms, self.settings.renew_ms)
+        return look_ms * (1 + self.rng.random() / 10) + 1
+
+    def _lease_ms(self, found: LeaseRow) -> int:
+        return found.duration_ms + self.settings.margin_ms
+
+    def _unchanged_ms(self) -> int:
+        return self.clock.monotonic_ms() - self.row_seen_ms
+
+    def _watch(self, row: port.Row | None) -> None:
+        if row != self.row:
+            self.row = row
+            self.row_seen_ms = self.clock.monotonic_ms()
+
+    async def _take(self, found: LeaseRow | None) -> float:
+        # A row that was deleted by hand must not bring old numbers back.
+        self.highest_epoch = max(
+            self.highest_epoch, found.epoch if found else 0
+        )
+        epoch = self.highest_epoch + 1
+        mark = max(found.mark if found else 0, self.wanted_mark)
+        sent_ms = self.clock.monotonic_ms()
+        doubts = self.doubts
+        answer = await self._write(epoch, mark, released=False)
+        self._watch(answer.row)
+        if isinstance(answer, port.Conflict):
+            return 1
+        self.epoch = epoch
+        self.mark = mark
+        if doubts == self.doubts:
+            self.expires_ms = sent_ms + self.settings.duration_ms
+        if found is not None and not found.released:
+            now_ms = self.clock.monotonic_ms()
+            self.quiet_until_ms = now_ms + self.settings.wait_out_ms
+        events.log(events.LEASE_TAKEN, lease=self.name, epoch=epoch)
+        self.on_change()
+        if doubts != self.doubts:
+            return 0
+        return self._renew_wait_ms()
+
+    async def _renew(self) -> float:
+        epoch = self.epoch
+        mark = max(self.mark, self.wanted_mark)
+        sent_ms = self.clock.monotonic_ms()
+        doubts = self.doubts
+        answer = await self._write(epoch, mark, released=False)
+        self._watch(answer.row)
+        if epoch != self.epoch:
+            return 1
+        if isinstance(answer, port.Conflict):
+            found = _decode(answer.row)
+            if found is None or found.holder != self.holder:
+                self._forget()
+            # Else an earlier renewal came into effect late.
+            return 1
+        self.mark = mark
+        if doubts != self.doubts:
+            return 0
+        self.expires_ms = sent_ms + self.settings.duration_ms
+        self.on_change()
+        return self._renew_wait_ms()
+
+    def _renew_wait_ms(self) -> float:
+        if self.wanted_mark > self.mark:
+            return 0
+        return self.settings.renew_ms * (0.9 + self.rng.random() / 10)
+
+    async def _release(self) -> None:
+        """Gives the row back; when that fails it simply runs out."""
+        epoch = self.epoch
+        mark = self.mark
+        self._forget()
+        if not epoch or self.row is None:
+            return
+        try:
+            answer = await self._write(epoch, mark, released=True)
+        except port.PlatformError:
+            return
+        self._watch(answer.row)
+
+    async def _write(
+        self, epoch: int, mark: int, released: bool
+    ) -> port.Swapped | port.Conflict:
+        value = LeaseRow(
+            epoch=epoch,
+            holder=self.holder,
+            duration_ms=self.settings.duration_ms,
+            released=released,
+            mark=mark,
+            nonce=f"{self.rng.getrandbits(64):016x}",
+        )
+        return await swap.swap(
+            self.platform,
+            TABLE,
+            self.name,
+            json.dumps(dataclasses.asdict(value)).encode(),
+            self.row.version if self.row else 0,
+        )
+
+    def _forget(self) -> None:
+        if self.epoch:
+            events.log(events.LEASE_LOST, lease=self.name, epoch=self.epoch)
+        self.epoch = 0
+        self.expires_ms = 0
+        self.quiet_until_ms = 0
+        self.on_change()
+
+    async def _wait(self, duration_ms: float) -> None:
+        waiting: defer.Deferred[None] = defer.Deferred()
+        self.nudged = waiting
+        timer = self.scheduler.callLater(
+            duration_ms / clocks.MS_PER_S, self.nudge
+        )
+        await waiting
+        if timer.active():
+            timer.cancel()
+
+    def _failed(self, problem: failure.Failure) -> None:
+        self.working = False
+        self._forget()
+        events.log(
+            events.LEASE_FAILED,
+            lease=self.name,
+            reason=problem.getTraceback(),
+        )
+
+
+def _decode(row: port.Row | None) -> LeaseRow | None:
+    if row is None:
+        return None
+    where = f"lease {row.key!r}"
+    try:
+        value = json.loads(row.value)
+    except ValueError as error:
+        raise decode.DecodeError(where, "", "is not JSON") from error
+    return decode.decode(LeaseRow, value, where)
--- /dev/null
+++ b/godwitloft/coordination/permits.py
@@ -0,0 +1,202 @@
+"""Token buckets that many processes share through the platform's table.
+
+A bucket is a row with the tokens that were left at its last change. No clock
+is shared: a process credits only the time for which it has itself seen the
+row unchanged, by its monotonic clock. So the bucket never gives more than
+its rate, whatever the clocks say; it gives a little less when many compete.
+
+Whoever takes tokens takes a batch, which it must use soon. With the store
+down nothing is granted beyond what is left of the batch.
+"""
+
+import dataclasses
+import json
+import random
+import typing
+
+from twisted.internet import defer
+from twisted.internet import interfaces
+
+from godwitloft import clock as clocks
+from godwitloft import decode
+from godwitloft import errors
+from godwitloft.coordination import swap
+from godwitloft.platform import port
+
+TABLE = "permits"
+FIRST_BACKOFF_MS = 50
+LONGEST_BACKOFF_MS = 30_000
+MAX_WAITING = 1000
+
+
+class PermitError(errors.GodwitloftError):
+    """A permit can't be had."""
+
+
+@dataclasses.dataclass(frozen=True)
+class BucketSettings:
+    """How much a bucket gives.
+
+    :param rate_per_s: tokens that come in a second
+    :param capacity: tokens that it holds when full
+    :param batch: tokens taken at once
+    :param batch_valid_ms: how long unused tokens of a batch may be kept
+    """
+
+    rate_per_s: float
+    capacity: float
+    batch: int = 1
+    batch_valid_ms: int = 5_000
+
+
+@dataclasses.dataclass(frozen=True)
+class BucketRow:
+    """What the table holds of a bucket.
+
+    :param tokens: left after the last change
+    :param nonce: makes every write differ
+    """
+
+    tokens: float
+    nonce: str
+
+
+class Bucket:
+    """One process's access to a shared bucket.
+
+    :param platform: the table
+    :param clock: only its monotonic time is read
+    :param scheduler: for waits
+    :param name: of the bucket
+    :param rng: for jitter and nonces
+    :param settings: the same in every process
+    """
+
+    def __init__(
+        self,
+        platform: port.Platform,
+        clock: clocks.Clock,
+        scheduler: interfaces.IReactorTime,
+        name: str,
+        rng: random.Random,
+        settings: BucketSettings,
+    ) -> None:
+        self.platform = platform
+        self.clock = clock
+        self.scheduler = scheduler
+        self.name = name
+        self.rng = rng
+        self.settings = settings
+        self.stock = 0
+        self.stock_until_ms = 0
+        self.row: port.Row | None = None
+        self.row_seen_ms = 0
+        self.is_known = False
+        self.waiting: list[defer.Deferred[None]] = []
+        self.working = False
+
+    def take(self) -> defer.Deferred[None]:
+        """Waits for a permit, in the order of asking in this process.
+
+        :return: fires when one is granted; cancel it to stop waiting
+        :raises PermitError: by the Deferred, when too many wait already
+        """
+        if len(self.waiting) >= MAX_WAITING:
+            return defer.fail(
+                PermitError(f"bucket {self.name!r}: too many wait")
+            )
+        granted: defer.Deferred[None] = defer.Deferred(self._cancelled)
+        self.waiting.append(granted)
+        self._hand_out()
+        if self.waiting and not self.working:
+            self.working = True
+            defer.ensureDeferred(self._work())
+        return granted
+
+    def _cancelled(self, granted: defer.Deferred[None]) -> None:
+        if granted in self.waiting:
+            self.waiting.remove(granted)
+
+    def _hand_out(self) -> None:
+        if self.clock.monotonic_ms() >= self.stock_until_ms:
+            self.stock = 0
+        while self.stock > 0 and self.waiting:
+            self.stock -= 1
+            self.waiting.pop(0).callback(None)
+
+    async def _work(self) -> None:
+        attempt = 0
+        while self.waiting:
+            wait_ms = 0.0
+            try:
+                granted = await self._refill()
+                attempt = 0 if granted else attempt + 1
+                if not granted:
+                    wait_ms = self._backoff_ms(attempt)
+            except (port.PlatformError, decode.DecodeError):
+                # Tokens of a write whose answer was lost are given up.
+                attempt += 1
+                wait_ms = self._backoff_ms(attempt)
+            self._hand_out()
+            if self.waiting and wait_ms:
+                await swap.sleep(self.scheduler, wait_ms)
+        self.working = False
+
+    def _backoff_ms(self, attempt: int) -> float:
+        token_ms = clocks.MS_PER_S / self.settings.rate_per_s
+        missing = max(0.0, 1 - self._available())
+        collision_ms = swap.backoff_ms(
+            attempt, FIRST_BACKOFF_MS, LONGEST_BACKOFF_MS, self.rng.random()
+        )
+        return max(1.0, missing * token_ms, collision_ms)
+
+    def _available(self) -> float:
+        """Tokens in the bucket, as far as this process can tell."""
+        if self.row is None:
+            return self.settings.capacity
+        found = _decode(self.row)
+        seen_ms = self.clock.monotonic_ms() - self.row_seen_ms
+        credit = seen_ms * self.settings.rate_per_s / clocks.MS_PER_S
+        return min(self.settings.capacity, found.tokens + credit)
+
+    def _watch(self, row: port.Row | None) -> None:
+        if row != self.row or not self.is_known:
+            self.row = row
+            self.row_seen_ms = self.clock.monotonic_ms()
+            self.is_known = True
+
+    async def _refill(self) -> bool:
+        if not self.is_known or self._available() < 1:
+            self._watch(await self.platform.read_row(TABLE, self.name))
+        available = self._available()
+        wanted = max(self.settings.batch, len(self.waiting))
+        wanted = min(wanted, self.settings.batch * 2)
+        taken = min(int(available), wanted)
+        if taken < 1:
+            return False
+        value = BucketRow(
+            available - taken, f"{self.rng.getrandbits(64):016x}"
+        )
+        answer = await swap.swap(
+            self.platform,
+            TABLE,
+            self.name,
+            json.dumps(dataclasses.asdict(value)).encode(),
+            self.row.version if self.row else 0,
+        )
+        self._watch(answer.row)
+        if isinstance(answer, port.Conflict):
+            return False
+        self.stock += taken
+        now_ms = self.clock.monotonic_ms()
+        self.stock_until_ms = now_ms + self.settings.batch_valid_ms
+        return True
+
+
+def _decode(row: port.Row) -> BucketRow:
+    where = f"bucket {row.key!r}"
+    try:
+        value: typing.Any = json.loads(row.value)
+    except ValueError as error:
+        raise decode.DecodeError(where, "", "is not JSON") from error
+    return decode.decode(BucketRow, value, where)
--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -73,6 +73,13 @@
 )
 PLATFORM_DOWN = Event(1501, logging.WARNING, "the platform is taken as down")
 PLATFORM_BACK = Event(1502, logging.INFO, "the platform answers again")
+LEASE_TAKEN = Event(1511, logging.INFO, "a lease was taken")
+LEASE_LOST = Event(1512, logging.INFO, "a lease was given back or lost")
+LEASE_FAILED = Event(1513, logging.ERROR, "keeping a lease failed")
+PAUSED = Event(1514, logging.WARNING, "this process was paused")
+ORDER_SENT = Event(1521, logging.INFO, "an order was sent to an upstream")
+ORDER_FAILED = Event(1522, logging.WARNING, "an order to an upstream failed")
+ORDERS_FAILED = Event(1523, logging.ERROR, "giving orders failed")
 
 
 INTERNAL_ERROR = Event(1009, logging.ERROR, "an internal error was contained")
