Keep callers' bodies in memory; apply changes, not whole sets

Cause: Twisted writes bodies of 100,000 bytes and more, and all of unknown length, to a temporary file, and instances have no disks. The settings header_bytes and connections had no effect. Daemons decoded the whole set at each change. Change: callers are served by bounded_http.py too, which now bounds headers; connections above the bound are counted as too_many_connections. A node updates its lookup by the changes when the feed's last set is the one that it holds, and decodes the whole set otherwise. A path with # or ? matches no call.

--- a/features/operators.feature
+++ b/features/operators.feature
@@ -132,3 +132,14 @@
       | 1 | 17000000 | chunked | example-publisher | 413 Request Entity Too Large |
       | 256 | 4000 | announced | none | 401 Unauthorized |
       | 257 | 4000 | announced | none | no connection |
+
+  Scenario Outline: A site keeps to the header bytes that it is given
+    Given a site that takes 2048 bytes of headers
+    When a request with a header of <size> bytes comes
+    Then the connection gets "<answer>"
+
+    Examples:
+      | size | answer |
+      | 1500 | 404 Not Found |
+      | 2040 | 400 Bad Request |
+      | 30000 | nothing |
--- a/features/steps/operators_steps.py
+++ b/features/steps/operators_steps.py
@@ -11,8 +11,10 @@
 from twisted.internet import address
 from twisted.internet import defer
 from twisted.internet import testing
+from twisted.web import resource
 
 from features.support import operators
+from godwitloft import bounded_http
 from godwitloft import events
 from godwitloft import operator_http
 from godwitloft.objects import parse
@@ -199,6 +201,31 @@
     assert value != {}
 
 
+def connect(context, site):
+    channel = site.buildProtocol(PEER)
+    if channel is None:
+        context.transport = None
+        return None
+    context.transport = testing.StringTransport(peerAddress=PEER)
+    context.transport.abortConnection = context.transport.loseConnection
+    channel.makeConnection(context.transport)
+    return channel
+
+
+@given("a site that takes {size:d} bytes of headers")
+def make_site(context, size):
+    bounds = bounded_http.Bounds(lambda _request: 1024, 1, size)
+    context.site = bounded_http.site(resource.Resource(), bounds, lambda: None)
+
+
+@when("a request with a header of {size:d} bytes comes")
+def send_header(context, size):
+    channel = connect(context, context.site)
+    head = b"GET / HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Long: "
+    channel.dataReceived(head + b"x" * size + b"\r\n\r\n")
+    context.add_cleanup(channel.connectionLost, None)
+
+
 @when(
     "{connections:d} connections are open and one sends {size:d} bytes of"
     " body {style} with the token {token}"
@@ -207,13 +234,9 @@
     site = operator_http.site(context.operators.api)
     site.doStart()
     for _ in range(connections):
-        channel = site.buildProtocol(PEER)
+        channel = connect(context, site)
         if channel is None:
-            context.transport = None
             return
-        context.transport = testing.StringTransport(peerAddress=PEER)
-        context.transport.abortConnection = context.transport.loseConnection
-        channel.makeConnection(context.transport)
     lines = ["POST /operator/publish HTTP/1.1", "Host: 127.0.0.1"]
     if token != "none":
         lines.append(f"Authorization: Bearer {token}")
--- a/godwitloft/bounded_http.py
+++ b/godwitloft/bounded_http.py
@@ -4,17 +4,21 @@
 Instances have no disks, so bodies stay in memory here, up to a bound.
 """
 
+import dataclasses
 import io
 import typing
 
 from twisted.internet import interfaces
 from twisted.protocols import policies
+from twisted.web import http
 from twisted.web import server
 
+from godwitloft import defaults
+
 DISCARD_FACTOR = 4
 IDLE_TIMEOUT_S = 60
 
-Bound = typing.Callable[[server.Request], int]
+BodyBound = typing.Callable[[server.Request], int]
 
 
 class BoundedRequest(server.Request):
@@ -24,7 +28,7 @@
     a client that goes on sending is cut off.
     """
 
-    bound: Bound
+    body_bound: BodyBound
     max_body_bytes = 0
     received_bytes = 0
     too_large = False
@@ -35,7 +39,7 @@
         :param length: in bytes, or None when it isn't announced
         """
         self.content = io.BytesIO()
-        self.max_body_bytes = type(self).bound(self)
+        self.max_body_bytes = type(self).body_bound(self)
         if length is not None and length > self.max_body_bytes:
             self.too_large = True
 
@@ -83,25 +87,48 @@
         return super().buildProtocol(addr)
 
 
+@dataclasses.dataclass(frozen=True)
+class Bounds:
+    """What a server accepts.
+
+    :param body_bytes: request, with its headers read, to the largest body
+        that it may have
+    :param connections: open at once
+    :param header_bytes: request line and all headers of one request
+    """
+
+    body_bytes: BodyBound
+    connections: int
+    header_bytes: int = defaults.HEADER_BYTES
+
+
 def site(
     resource: typing.Any,
-    bound: Bound,
-    max_connections: int,
+    bounds: Bounds,
     refused: typing.Callable[[], None],
 ) -> BoundedConnections:
     """Returns what serves a resource on any listening port.
 
     :param resource: the root resource
-    :param bound: request, with its headers read, to the largest body that
-        it may have, in bytes
-    :param max_connections: open at once
+    :param bounds: what is accepted
     :param refused: called for each connection above the bound
     :return: a factory of HTTP connections
     """
-    kind = type(
-        "SiteRequest", (BoundedRequest,), {"bound": staticmethod(bound)}
+    request_kind = type(
+        "SiteRequest",
+        (BoundedRequest,),
+        {"body_bound": staticmethod(bounds.body_bytes)},
+    )
+    channel_kind = type(
+        "SiteChannel",
+        (http.HTTPChannel,),
+        {
+            "totalHeadersSize": bounds.header_bytes,
+            "MAX_LENGTH": bounds.header_bytes,
+        },
     )
     factory = server.Site(
-        resource, requestFactory=kind, timeout=IDLE_TIMEOUT_S
+        resource, requestFactory=request_kind, timeout=IDLE_TIMEOUT_S
     )
-    return BoundedConnections(factory, max_connections, refused)
+    factory.protocol = channel_kind  # type: ignore[method-assign]
+    return BoundedConnections(factory, bounds.connections, refused)
--- a/godwitloft/entry/answers.py
+++ b/godwitloft/entry/answers.py
@@ -31,6 +31,7 @@
     UNKNOWN_TEAM = "unknown_team"
     FORBIDDEN = "forbidden"
     BODY_TOO_LARGE = "body_too_large"
+    TOO_MANY_CONNECTIONS = "too_many_connections"
 
 
 @dataclasses.dataclass(frozen=True)
--- a/godwitloft/entry/caller_http.py
+++ b/godwitloft/entry/caller_http.py
@@ -8,10 +8,11 @@
 from klein import Klein
 from twisted.internet import defer
 from twisted.internet import interfaces
-from twisted.web import server
 import zope.interface
 
+from godwitloft import bounded_http
 from godwitloft import metrics
+from godwitloft import settings as settings_module
 from godwitloft.entry import answers
 from godwitloft.entry import call as calls
 from godwitloft.entry import desk as desks
@@ -223,39 +224,6 @@
         """Does nothing: the loss of the caller is told elsewhere."""
 
 
-class BoundedRequest(server.Request):
-    """A request whose body may not be larger than a bound.
-
-    The bound is checked on the announced length, before any of the body is
-    kept, and again as it comes in, for bodies of no announced length.
-    """
-
-    max_body_bytes = 0
-    too_large = False
-    received_bytes = 0
-
-    def gotLength(self, length: int | None) -> None:
-        """Checks the announced length.
-
-        :param length: in bytes, or None when it isn't announced
-        """
-        if length is not None and length > self.max_body_bytes:
-            self.too_large = True
-            length = 0
-        super().gotLength(length)
-
-    def handleContentChunk(self, data: bytes) -> None:
-        """Keeps a part of the body unless there is too much.
-
-        :param data: the part
-        """
-        self.received_bytes += len(data)
-        if self.received_bytes > self.max_body_bytes:
-            self.too_large = True
-        if not self.too_large:
-            super().handleContentChunk(data)
-
-
 def incoming_of(request: typing.Any, path: str) -> intake.Incoming:
     """Reads the parts of an HTTP request.
 
@@ -396,17 +364,26 @@
     return {"object": "list", "data": data}
 
 
-def site(port: CallerPort, max_body_bytes: int) -> server.Site:
+def site(
+    port: CallerPort, limits: settings_module.Limits
+) -> bounded_http.BoundedConnections:
     """Returns what serves callers on any listening port.
 
     :param port: the entry
-    :param max_body_bytes: bound on the body of one request
+    :param limits: bounds on headers, bodies and connections
     :return: a factory of HTTP connections
     """
-    kind = type(
-        "CallerRequest", (BoundedRequest,), {"max_body_bytes": max_body_bytes}
+
+    def refuse_connection() -> None:
+        reason = answers.Reason.TOO_MANY_CONNECTIONS
+        port.instruments.refusals.add(1, {"reason": reason.value, "tier": ""})
+
+    bounds = bounded_http.Bounds(
+        lambda _request: limits.body_bytes,
+        limits.connections,
+        limits.header_bytes,
     )
-    return server.Site(resource(port), requestFactory=kind)
+    return bounded_http.site(resource(port), bounds, refuse_connection)
 
 
 def accept_at(
--- a/godwitloft/entry/daemon.py
+++ b/godwitloft/entry/daemon.py
@@ -154,7 +154,7 @@
             ready=self.ready,
             instruments=self.instruments,
         )
-        site = caller_http.site(port, self.settings.limits.body_bytes)
+        site = caller_http.site(port, self.settings.limits)
         self.caller_port = self.listen(self.settings.caller_listen, site)
         if self.settings.operator_listen is not None:
             self.listen(
--- a/godwitloft/node.py
+++ b/godwitloft/node.py
@@ -23,6 +23,7 @@
 from godwitloft.links import tls
 from godwitloft.links.generated.messages import ttypes
 from godwitloft.objects import canonical
+from godwitloft.objects import incremental
 from godwitloft.objects import lookup
 from godwitloft.objects import parse
 from godwitloft.objects import types
@@ -121,6 +122,7 @@
         self.incarnation = daemon.new_incarnation(settings.instance)
         self.rng = random.Random(self.incarnation)
         self.objects = lookup.build(types.ObjectSet())
+        self.objects_hash = ""
         self.fixed_objects = surroundings.objects
         self.draining = False
         self.link_port = 0
@@ -193,7 +195,7 @@
         listen = self.settings.link_listen
         self.link_port = self.hub.start(listen.address, listen.port)
         if self.fixed_objects is not None:
-            self.put_in_force(self.fixed_objects)
+            self.put_in_force(lookup.build(self.fixed_objects))
         else:
             self.feed.start()
         if self.settings.peers:
@@ -230,14 +232,21 @@
 
         :param configuration: checked by its publisher
         """
-        self.put_in_force(canonical.decode(configuration.content))
+        changes = configuration.changes
+        before = self.feed.current.snapshot_hash
+        if changes is not None and before and before == self.objects_hash:
+            objects = incremental.update(self.objects, changes)
+        else:
+            objects = lookup.build(canonical.decode(configuration.content))
+        self.objects_hash = configuration.snapshot_hash
+        self.put_in_force(objects)
 
-    def put_in_force(self, objects: types.ObjectSet) -> None:
+    def put_in_force(self, objects: lookup.Lookup) -> None:
         """Makes objects the ones that count from now on.
 
         :param objects: a checked set
         """
-        self.objects = lookup.build(objects)
+        self.objects = objects
         self.handlers.in_force(self.objects)
 
     # Links
--- a/godwitloft/objects/lookup.py
+++ b/godwitloft/objects/lookup.py
@@ -8,7 +8,7 @@
 from godwitloft.objects import types
 
 UNSAFE_SEGMENTS = ("", ".", "..")
-UNSAFE_CHARACTERS = "%\\;"
+UNSAFE_CHARACTERS = "%\\;#?"
 
 # Read-only, and copied faster than a plain mapping.
 Index = builtin_types.MappingProxyType
--- a/godwitloft/operator_http.py
+++ b/godwitloft/operator_http.py
@@ -151,8 +151,9 @@
 
     return bounded_http.site(
         resource(api),
-        lambda request: _body_bound(api, request),
-        MAX_CONNECTIONS,
+        bounded_http.Bounds(
+            lambda request: _body_bound(api, request), MAX_CONNECTIONS
+        ),
         refuse_connection,
     )
 
