Give each service of the platform a breaker of its own

Cause: the platform's services fail apart, but three failures of the object store stopped the guard's calls on the table as well, keyed calls among them. Change: port.Service names them; a breaker for each, and faults can be limited to some. The guard's gate has a module of its own, and what differs between kinds of calls is a data class. The engine's ledger is bounded, and reading cache events doesn't look at all of them any more. Conclusion: an outage of one service costs only what needs it.

--- a/bench/store_rush.py
+++ b/bench/store_rush.py
@@ -20,6 +20,7 @@
 from godwitloft.platform import faults
 from godwitloft.platform import guard
 from godwitloft.platform import memory
+from godwitloft.platform import port
 
 START_S = 100.0
 STEP_S = 0.005
@@ -130,14 +131,15 @@
         self.reactor = reactor
         self.by_second: collections.Counter[int] = collections.Counter()
 
-    def decide(self, is_write: bool) -> faults.Decision:
+    def decide(self, service: port.Service, is_write: bool) -> faults.Decision:
         """Counts, then decides as any injector.
 
+        :param service: the service called
         :param is_write: whether the call changes anything
         :return: the decision
         """
         self.by_second[int(self.reactor.seconds())] += 1
-        return super().decide(is_write)
+        return super().decide(service, is_write)
 
 
 def rush(
--- a/features/guard.feature
+++ b/features/guard.feature
@@ -37,6 +37,7 @@
       | "max_attempts": 1 | 1 | down down down late | 0 read a; 10 read b; 20 read c; 2020 read d; 2100 read e; 3100 read f | 20000 | unavailable; unavailable; unavailable; none; unavailable; none | 5 | - | breaker_open |
       | "max_attempts": 1 | 1 | down down down down | 0 read a; 10 read b; 20 read c; 2020 read d; 6019 read e; 6020 read f | 20000 | unavailable; unavailable; unavailable; unavailable; unavailable; none | 5 | - | breaker_open |
       | "max_attempts": 1, "max_open_ms": 3000 | 1 | down down down down | 0 read a; 10 read b; 20 read c; 2020 read d; 5020 read e | 20000 | unavailable; unavailable; unavailable; unavailable; none | 5 | - | - |
+      | "max_attempts": 1 | 1 | down down down | 0 get a; 10 get b; 20 get c; 30 get d; 40 read e; 50 write f x 0 | 20000 | unavailable; unavailable; unavailable; unavailable; none; swapped 1 | 5 | - | breaker_open |
       | "max_attempts": 1 | 1 | down down ok down down | 0 read a; 10 read b; 20 read c; 30 read d; 40 read e; 50 read f | 20000 | unavailable; unavailable; none; unavailable; unavailable; none | 6 | - | - |
       | "max_attempts": 1 | 1 | hang hang hang | 0 write a x 0; 10 write b x 0; 20 write c x 0; 2100 write d x 0 | 20000 | lost; lost; lost; unavailable | 3 | - | breaker_open |
       | "max_attempts": 1, "fleet_reads_per_s": 1, "burst_s": 0 | 1 | down down down | 0 read a; 10 read b; 20 read c; 2500 read d | 2550 | unavailable; unavailable; unavailable; unavailable | 3 | - | breaker_open |
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -25,6 +25,8 @@
     Examples: outages, slowness and lost answers
       | script |
       | faults {"outage":"refuse"}; write k a 0 = unavailable; read k = unavailable; faults {}; read k = none |
+      | faults {"outage":"refuse","services":["objects"]}; put o x = unavailable; get o = unavailable; write k a 0 = swapped 1; instances = - |
+      | faults {"lose_answers":1,"services":["tables"]}; put o x = none; write k a 0 = lost; read k = a 1 |
       | faults {"outage":"hang"}; write k a 0 = lost; read k = unavailable; faults {}; read k = none |
       | faults {"lose_answers":1}; write k a 0 = lost; read k = a 1; write k b 1 = swapped 2 |
       | faults {"lose_answers":1}; put o x = lost; get o = x; weights w = none |
--- a/features/steps/guard_steps.py
+++ b/features/steps/guard_steps.py
@@ -45,7 +45,7 @@
         self.write_row = self.store.write_row
         self.store.write_row = self.counted
 
-    def decide(self, is_write):
+    def decide(self, service, is_write):
         self.outcome = self.choose()
         self.times.append(self.reactor.seconds())
         return faults.Decision(ACTIONS[self.outcome], 0.0)
--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -71,8 +71,12 @@
 INSTANCE_LIST_UNAVAILABLE = Event(
     1503, logging.WARNING, "the instance list can't be read"
 )
-PLATFORM_DOWN = Event(1501, logging.WARNING, "the platform is taken as down")
-PLATFORM_BACK = Event(1502, logging.INFO, "the platform answers again")
+PLATFORM_DOWN = Event(
+    1501, logging.WARNING, "a service of the platform is taken as down"
+)
+PLATFORM_BACK = Event(
+    1502, logging.INFO, "a service of the platform answers again"
+)
 LEASE_TAKEN = Event(1511, logging.INFO, "a lease was taken")
 LEASE_LOST = Event(1512, logging.INFO, "a lease was given back or lost")
 LEASE_FAILED = Event(1513, logging.ERROR, "keeping a lease failed")
--- a/godwitloft/platform/faults.py
+++ b/godwitloft/platform/faults.py
@@ -4,6 +4,8 @@
 import enum
 import random
 
+from godwitloft.platform import port
+
 
 class Outage(enum.Enum):
     """How calls fail while the platform is down."""
@@ -26,6 +28,8 @@
 class Faults:
     """What is wrong with a platform; by default nothing.
 
+    :param services: which of the platform's services it is wrong with;
+        empty: all of them
     :param outage: ``none``, ``refuse`` (calls fail at once) or ``hang``
         (calls are neither carried out nor answered)
     :param delay_ms: how long a call takes; its effect comes at the end
@@ -36,6 +40,7 @@
     :param list_lag_ms: age of what the instance list shows
     """
 
+    services: tuple[port.Service, ...] = ()
     outage: Outage = Outage.NONE
     delay_ms: float = 0.0
     lose_answers: int = 0
@@ -76,12 +81,15 @@
         self.faults = faults
         self.answers_to_lose = faults.lose_answers
 
-    def decide(self, is_write: bool) -> Decision:
+    def decide(self, service: port.Service, is_write: bool) -> Decision:
         """Returns what happens with the next call.
 
+        :param service: the service called
         :param is_write: whether the call changes anything
         :return: the decision
         """
+        if self.faults.services and service not in self.faults.services:
+            return Decision(Action.ANSWER, 0.0)
         return Decision(self._action(is_write), self.faults.delay_ms)
 
     def _action(self, is_write: bool) -> Action:
--- a/godwitloft/platform/guard.py
+++ b/godwitloft/platform/guard.py
@@ -6,7 +6,6 @@
 repeats a write whose answer was lost, unless repeating is harmless.
 """
 
-import collections
 import dataclasses
 import itertools
 import random
@@ -17,6 +16,7 @@
 from twisted.internet import task
 
 from godwitloft import events
+from godwitloft.platform import gate
 from godwitloft.platform import port
 from godwitloft.platform import rate
 from godwitloft.policy import breaker as breakers
@@ -63,66 +63,20 @@
     """
 
 
-class Gate:
-    """Lets calls pass at a rate, in the order in which they came.
+@dataclasses.dataclass(frozen=True)
+class Kind:
+    """How calls of one kind are treated.
 
-    :param limit: the rate
-    :param max_queued: calls that may wait
-    :param max_wait_ms: how long one may wait
-    :param reactor: gives time and timers
+    :param service: the service that they go to
+    :param is_write: whether they change anything
+    :param max_attempts: attempts of one call
+    :param repeatable: whether a call may be repeated after a lost answer
     """
 
-    def __init__(
-        self,
-        limit: rate.Rate,
-        max_queued: int,
-        max_wait_ms: float,
-        reactor: interfaces.IReactorTime,
-    ) -> None:
-        self.limit = limit
-        self.max_queued = max_queued
-        self.max_wait_ms = max_wait_ms
-        self.reactor = reactor
-        self.queue: collections.deque[defer.Deferred[None]] = (
-            collections.deque()
-        )
-        self.timer: interfaces.IDelayedCall | None = None
-
-    def enter(self) -> defer.Deferred[None] | None:
-        """Asks to pass.
-
-        :return: fires when the call may be made, or fails with
-            ``TimeoutError``; None when too many wait
-        """
-        if not self.queue and self.limit.take(self._now_ms()):
-            return defer.succeed(None)
-        if len(self.queue) >= self.max_queued:
-            return None
-        passing: defer.Deferred[None] = defer.Deferred()
-        self.queue.append(passing)
-        passing.addTimeout(self.max_wait_ms / MS_PER_S, self.reactor)
-        self._schedule()
-        return passing
-
-    def _now_ms(self) -> float:
-        return self.reactor.seconds() * MS_PER_S
-
-    def _schedule(self) -> None:
-        if self.timer is None and self.queue:
-            # A timer may fire a moment early by the limit's arithmetic.
-            wait_ms = self.limit.wait_ms(self._now_ms()) + 1
-            self.timer = self.reactor.callLater(wait_ms / MS_PER_S, self._pass)
-
-    def _pass(self) -> None:
-        self.timer = None
-        while self.queue:
-            if self.queue[0].called:
-                self.queue.popleft()
-            elif self.limit.take(self._now_ms()):
-                self.queue.popleft().callback(None)
-            else:
-                break
-        self._schedule()
+    service: port.Service
+    is_write: bool
+    max_attempts: int
+    repeatable: bool = False
 
 
 class SharedRead:
@@ -166,71 +120,81 @@
         self.rng = rng or random.Random()
         self.on_retry = on_retry
         self.on_refusal = on_refusal
-        self.breaker = breakers.Breaker()
+        # The services fail apart from one another.
+        self.breakers = dict.fromkeys(port.Service, breakers.Breaker())
         self.budget = retry.Budget()
         self.reads: dict[tuple[typing.Any, ...], SharedRead] = {}
-        self.read_gate = self._gate(settings.fleet_reads_per_s)
-        self.write_gate = self._gate(settings.fleet_writes_per_s)
+        self.read_gate = self._make_gate(settings.fleet_reads_per_s)
+        self.write_gate = self._make_gate(settings.fleet_writes_per_s)
 
     def platform(self) -> port.Platform:
         """Returns the guarded port."""
         inner = self.inner
+        tables = port.Service.TABLES
+        objects = port.Service.OBJECTS
+        instances = port.Service.INSTANCES
         return port.Platform(
-            read_row=self._reader(inner.read_row),
-            write_row=self._writer(inner.write_row),
-            delete_row=self._writer(inner.delete_row),
-            list_rows=self._reader(inner.list_rows),
-            read_object=self._reader(inner.read_object),
+            read_row=self._reader(tables, inner.read_row),
+            write_row=self._writer(tables, inner.write_row),
+            delete_row=self._writer(tables, inner.delete_row),
+            list_rows=self._reader(tables, inner.list_rows),
+            read_object=self._reader(objects, inner.read_object),
             # Objects never change, so a second write of one is harmless.
-            write_object=self._writer(inner.write_object, repeatable=True),
-            list_instances=self._reader(inner.list_instances),
+            write_object=self._writer(
+                objects, inner.write_object, repeatable=True
+            ),
+            list_instances=self._reader(instances, inner.list_instances),
             # A permit may be spent by a lost answer, and who asks for one
             # decides how long to wait for the next.
-            read_weights=self._writer(inner.read_weights, attempts=1),
+            read_weights=self._writer(
+                port.Service.WEIGHTS, inner.read_weights, max_attempts=1
+            ),
             # Made again at an interval anyway; a late repetition would
             # overwrite what the instance says of itself by then.
             announce_instance=self._writer(
-                inner.announce_instance, attempts=1
+                instances, inner.announce_instance, max_attempts=1
             ),
         )
 
-    @property
-    def is_open(self) -> bool:
-        """Whether the platform is taken to be down."""
-        state = breakers.state(self.breaker, self._now_ms())
+    def is_open(self, service: port.Service) -> bool:
+        """Tells whether a service is taken to be down.
+
+        :param service: the service
+        """
+        state = breakers.state(self.breakers[service], self._now_ms())
         return state is not breakers.State.CLOSED
 
     def _reader(
-        self, method: typing.Callable[..., defer.Deferred[typing.Any]]
+        self,
+        service: port.Service,
+        method: typing.Callable[..., defer.Deferred[typing.Any]],
     ) -> typing.Callable[..., defer.Deferred[typing.Any]]:
+        kind = Kind(service, False, self.settings.max_attempts)
+
         def read(*arguments: str) -> defer.Deferred[typing.Any]:
-            return self._share((method, *arguments))
+            return self._share(kind, (method, *arguments))
 
         return read
 
     def _writer(
         self,
+        service: port.Service,
         method: typing.Callable[..., defer.Deferred[typing.Any]],
         repeatable: bool = False,
-        attempts: int | None = None,
+        max_attempts: int | None = None,
     ) -> typing.Callable[..., defer.Deferred[typing.Any]]:
-        most = attempts or self.settings.max_attempts
+        attempts = max_attempts or self.settings.max_attempts
+        kind = Kind(service, True, attempts, repeatable)
 
         def write(*arguments: typing.Any) -> defer.Deferred[typing.Any]:
             return defer.ensureDeferred(
-                self._call(
-                    lambda: method(*arguments),
-                    self.write_gate,
-                    port.AnswerLost,
-                    repeatable,
-                    most,
-                )
+                self._call(kind, lambda: method(*arguments))
             )
 
         return write
 
     def _share(
-        self, key: tuple[typing.Any, ...]
+        self, kind: Kind, key: tuple[typing.Any, ...]
     ) -> defer.Deferred[typing.Any]:
         """Joins a read that wasn't sent yet, or begins one.
 
@@ -247,10 +211,12 @@
         shared = SharedRead(lambda: method(*arguments))
         shared.joined.append(waiting)
         self.reads[key] = shared
-        self._drive(key, shared)
+        self._drive(kind, key, shared)
         return waiting
 
-    def _drive(self, key: tuple[typing.Any, ...], shared: SharedRead) -> None:
+    def _drive(
+        self, kind: Kind, key: tuple[typing.Any, ...], shared: SharedRead
+    ) -> None:
         def send() -> defer.Deferred[typing.Any]:
             shared.sent.extend(shared.joined)
             shared.joined = []
@@ -263,48 +229,33 @@
                 shared.joined = []
             shared.sent = []
             if shared.joined:
-                self._drive(key, shared)
+                self._drive(kind, key, shared)
             else:
                 self.reads.pop(key, None)
             for waiting in told:
                 if not waiting.called:
                     waiting.callback(result)
 
-        defer.ensureDeferred(
-            self._call(
-                send,
-                self.read_gate,
-                port.StoreUnavailable,
-                True,
-                self.settings.max_attempts,
-            )
-        ).addBoth(finish)
+        defer.ensureDeferred(self._call(kind, send)).addBoth(finish)
 
-    async def _call(
-        self,
-        operation: Operation,
-        gate: Gate,
-        timeout_error: type[port.PlatformError],
-        repeatable: bool,
-        max_attempts: int,
-    ) -> typing.Any:
+    async def _call(self, kind: Kind, operation: Operation) -> typing.Any:
         end_ms = self._now_ms() + self.settings.call_limit_ms
         self.budget = retry.called(self.budget)
         for attempt in itertools.count(1):
-            await self._admit(gate)
+            await self._admit(kind)
             try:
-                return await self._attempt(operation, timeout_error)
+                return await self._attempt(kind, operation)
             except port.PlatformError as error:
-                reason = _retry_reason(error, repeatable)
-                delay_ms = self._backoff_ms(reason, attempt, gate)
+                reason = _retry_reason(error, kind)
+                delay_ms = self._backoff_ms(kind, reason, attempt)
                 in_time = self._now_ms() + delay_ms <= end_ms
-                if not reason or attempt >= max_attempts or not in_time:
+                if not reason or attempt >= kind.max_attempts or not in_time:
                     raise
                 if not self._spend_retry(reason):
                     raise
             await task.deferLater(self.reactor, delay_ms / MS_PER_S)
 
-    def _backoff_ms(self, reason: str, attempt: int, gate: Gate) -> float:
+    def _backoff_ms(self, kind: Kind, reason: str, attempt: int) -> float:
         """Returns the delay before the next attempt.
 
         After a refusal for the rate it is drawn from the time in which each
@@ -313,59 +264,65 @@
         """
         delay_ms: float = retry.backoff_ms(attempt, self.rng)
         if reason == RATE_LIMITED:
-            delay_ms += self.rng.uniform(0, gate.limit.round_ms())
+            delay_ms += self.rng.uniform(0, self._gate(kind).limit.round_ms())
         return delay_ms
 
-    async def _admit(self, gate: Gate) -> None:
-        if not breakers.allows(self.breaker, self._now_ms()):
+    async def _admit(self, kind: Kind) -> None:
+        if not self._allows(kind):
             raise self._refusal("breaker_open")
-        passing = gate.enter()
+        passing = self._gate(kind).enter()
         if passing is None:
             raise self._refusal("queue_full")
         try:
             await passing
         except defer.TimeoutError:
             raise self._refusal("queue_timeout") from None
-        if not breakers.allows(self.breaker, self._now_ms()):
+        if not self._allows(kind):
             raise self._refusal("breaker_open")
 
-    async def _attempt(
-        self,
-        operation: Operation,
-        timeout_error: type[port.PlatformError],
-    ) -> typing.Any:
-        was_open = self.is_open
-        self.breaker = breakers.started(self.breaker, self._now_ms())
+    async def _attempt(self, kind: Kind, operation: Operation) -> typing.Any:
+        service = kind.service
+        was_open = self.is_open(service)
+        self.breakers[service] = breakers.started(
+            self.breakers[service], self._now_ms()
+        )
         limit_s = self.settings.attempt_limit_ms / MS_PER_S
         try:
             result = await operation().addTimeout(limit_s, self.reactor)
         except (port.RateLimited, port.InvalidCall):
-            self._note_success(was_open)
+            self._note_success(service, was_open)
             raise
         except defer.TimeoutError:
-            self._note_failure(was_open)
-            raise timeout_error("no answer in time") from None
+            self._note_failure(service, was_open)
+            if kind.is_write:
+                raise port.AnswerLost("no answer in time") from None
+            raise port.StoreUnavailable("no answer in time") from None
         except defer.CancelledError:
             # The caller lost interest, which says nothing of the platform.
-            self.breaker = dataclasses.replace(self.breaker, probing=False)
+            self.breakers[service] = dataclasses.replace(
+                self.breakers[service], probing=False
+            )
             raise
         except BaseException:
-            self._note_failure(was_open)
+            self._note_failure(service, was_open)
             raise
-        self._note_success(was_open)
+        self._note_success(service, was_open)
         return result
 
-    def _note_success(self, was_open: bool) -> None:
+    def _note_success(self, service: port.Service, was_open: bool) -> None:
         if was_open:
-            events.log(events.PLATFORM_BACK)
-        self.breaker = breakers.succeeded(self.breaker)
+            events.log(events.PLATFORM_BACK, service=service.value)
+        self.breakers[service] = breakers.succeeded(self.breakers[service])
 
-    def _note_failure(self, was_open: bool) -> None:
-        self.breaker = breakers.failed(
-            self.breaker, self._now_ms(), self.settings.max_open_ms
+    def _note_failure(self, service: port.Service, was_open: bool) -> None:
+        self.breakers[service] = breakers.failed(
+            self.breakers[service], self._now_ms(), self.settings.max_open_ms
         )
-        if self.is_open and not was_open:
-            events.log(events.PLATFORM_DOWN)
+        if self.is_open(service) and not was_open:
+            events.log(events.PLATFORM_DOWN, service=service.value)
+
+    def _allows(self, kind: Kind) -> bool:
+        return breakers.allows(self.breakers[kind.service], self._now_ms())
 
     def _spend_retry(self, reason: str) -> bool:
         left = retry.spend(self.budget)
@@ -380,11 +337,14 @@
         self.on_refusal(reason)
         return port.StoreUnavailable(f"the call was not made: {reason}")
 
-    def _gate(self, fleet_per_s: float) -> Gate:
+    def _gate(self, kind: Kind) -> gate.Gate:
+        return self.write_gate if kind.is_write else self.read_gate
+
+    def _make_gate(self, fleet_per_s: float) -> gate.Gate:
         def share() -> float:
             return fleet_per_s / max(1, self.live_processes())
 
-        return Gate(
+        return gate.Gate(
             rate.Rate(share, self.settings.burst_s, self.settings.min_burst),
             self.settings.max_queued,
             self.settings.call_limit_ms,
@@ -395,17 +355,17 @@
         return round(self.reactor.seconds() * MS_PER_S)
 
 
-def _retry_reason(error: port.PlatformError, repeatable: bool) -> str:
+def _retry_reason(error: port.PlatformError, kind: Kind) -> str:
     """Returns under which reason a failed attempt is repeated.
 
     :param error: how it failed
-    :param repeatable: whether it may be repeated after a lost answer
+    :param kind: kind of the call
     :return: the reason, empty when it must not be repeated
     """
     if isinstance(error, port.RateLimited):
         return RATE_LIMITED
     if isinstance(error, port.StoreUnavailable):
         return "unavailable"
-    if isinstance(error, port.AnswerLost) and repeatable:
+    if isinstance(error, port.AnswerLost) and kind.repeatable:
         return "answer_lost"
     return ""
--- a/godwitloft/platform/memory.py
+++ b/godwitloft/platform/memory.py
@@ -282,25 +282,26 @@
     decider = injector or faults.Injector()
 
     def reader(
-        operation: typing.Callable[..., typing.Any],
+        service: port.Service, operation: typing.Callable[..., typing.Any]
     ) -> typing.Callable[..., defer.Deferred[typing.Any]]:
-        return lambda *arguments: call(False, operation, arguments)
+        return lambda *arguments: call(service, False, operation, arguments)
 
     def writer(
-        operation: typing.Callable[..., typing.Any],
+        service: port.Service, operation: typing.Callable[..., typing.Any]
     ) -> typing.Callable[..., defer.Deferred[typing.Any]]:
-        return lambda *arguments: call(True, operation, arguments)
+        return lambda *arguments: call(service, True, operation, arguments)
 
     def list_instances() -> tuple[port.Instance, ...]:
         return store.list_instances(decider.faults.list_lag_ms)
 
     def call(
+        service: port.Service,
         is_write: bool,
         operation: typing.Callable[..., typing.Any],
         arguments: tuple[typing.Any, ...],
     ) -> defer.Deferred[typing.Any]:
         name = operation.__name__
-        decision = decider.decide(is_write)
+        decision = decider.decide(service, is_write)
         lost = port.AnswerLost if is_write else port.StoreUnavailable
         if decision.action is faults.Action.REFUSE:
             return defer.fail(port.StoreUnavailable(f"{name}: refused"))
@@ -330,13 +331,15 @@
         return answer
 
     return port.Platform(
-        read_row=reader(store.read_row),
-        write_row=writer(store.write_row),
-        delete_row=writer(store.delete_row),
-        list_rows=reader(store.list_rows),
-        read_object=reader(store.read_object),
-        write_object=writer(store.write_object),
-        list_instances=reader(list_instances),
-        read_weights=writer(store.read_weights),
-        announce_instance=writer(store.announce_instance),
+        read_row=reader(port.Service.TABLES, store.read_row),
+        write_row=writer(port.Service.TABLES, store.write_row),
+        delete_row=writer(port.Service.TABLES, store.delete_row),
+        list_rows=reader(port.Service.TABLES, store.list_rows),
+        read_object=reader(port.Service.OBJECTS, store.read_object),
+        write_object=writer(port.Service.OBJECTS, store.write_object),
+        list_instances=reader(port.Service.INSTANCES, list_instances),
+        read_weights=writer(port.Service.WEIGHTS, store.read_weights),
+        announce_instance=writer(
+            port.Service.INSTANCES, store.announce_instance
+        ),
     )
--- a/godwitloft/platform/port.py
+++ b/godwitloft/platform/port.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import enum
 import typing
 
 from twisted.internet import defer
@@ -16,6 +17,15 @@
 MAX_OBJECT_BYTES = 16_777_216
 
 
+class Service(enum.Enum):
+    """The platform's services, which fail apart from one another."""
+
+    TABLES = "tables"
+    OBJECTS = "objects"
+    INSTANCES = "instances"
+    WEIGHTS = "weights"
+
+
 class PlatformError(errors.GodwitloftError):
     """A call on the platform failed."""
 
--- a/godwitloft/standins/engine.py
+++ b/godwitloft/standins/engine.py
@@ -21,6 +21,7 @@
 from godwitloft.standins import prefix_cache
 
 MS_PER_S = 1000
+MAX_PAST_RUNS = 200_000
 
 COMPLETED = "completed"
 CANCELLED = "cancelled"
@@ -198,7 +199,9 @@
         self.orders = orders.OrderBook(
             loaded, settings.checks_orders, settings.order_ms, reactor
         )
-        self.past_runs: list[ledger.RunEntry] = []
+        self.past_runs: collections.deque[ledger.RunEntry] = collections.deque(
+            maxlen=MAX_PAST_RUNS
+        )
         self.past_loads: collections.deque[tuple[float, LoadReport]] = (
             collections.deque()
         )
--- a/godwitloft/standins/platform.py
+++ b/godwitloft/standins/platform.py
@@ -111,7 +111,7 @@
             ]
             return http.reply(request, {"rows": rows})
 
-        return _answer(platform, request, False, run)
+        return _answer(platform, request, port.Service.TABLES, False, run)
 
     @app.route("/tables/<table>/<key>", methods=["GET"])
     def read_row(request: iweb.IRequest, table: str, key: str) -> typing.Any:
@@ -119,7 +119,7 @@
             row = store.read_row(table, _unquote(key))
             return _row(request, row, 404 if row is None else 200)
 
-        return _answer(platform, request, False, run)
+        return _answer(platform, request, port.Service.TABLES, False, run)
 
     @app.route("/tables/<table>/<key>", methods=["PUT"])
     def write_row(request: typing.Any, table: str, key: str) -> typing.Any:
@@ -134,7 +134,7 @@
                 store.write_row(table, _unquote(key), value, version, life_ms),
             )
 
-        return _answer(platform, request, True, run)
+        return _answer(platform, request, port.Service.TABLES, True, run)
 
     @app.route("/tables/<table>/<key>", methods=["DELETE"])
     def delete_row(request: typing.Any, table: str, key: str) -> typing.Any:
@@ -145,7 +145,7 @@
                 request, store.delete_row(table, _unquote(key), version)
             )
 
-        return _answer(platform, request, True, run)
+        return _answer(platform, request, port.Service.TABLES, True, run)
 
 
 def _add_objects(app: Klein, platform: Platform) -> None:
@@ -159,7 +159,7 @@
                 return http.refuse(request, 404, f"no object {name!r}")
             return content
 
-        return _answer(platform, request, False, run)
+        return _answer(platform, request, port.Service.OBJECTS, False, run)
 
     @app.route("/objects/<name>", methods=["PUT"])
     def write_object(request: typing.Any, name: str) -> typing.Any:
@@ -169,7 +169,7 @@
             store.write_object(_unquote(name), content)
             return http.reply(request, {})
 
-        return _answer(platform, request, True, run)
+        return _answer(platform, request, port.Service.OBJECTS, True, run)
 
     @app.route("/weights/<name>", methods=["GET"])
     def read_weights(request: typing.Any, name: str) -> typing.Any:
@@ -177,7 +177,7 @@
             store.read_weights(_unquote(name))
             return http.reply(request, {})
 
-        return _answer(platform, request, True, run)
+        return _answer(platform, request, port.Service.WEIGHTS, True, run)
 
 
 def _add_instances(app: Klein, platform: Platform) -> None:
@@ -191,7 +191,7 @@
             instances = [dataclasses.asdict(one) for one in found]
             return http.reply(request, {"instances": instances})
 
-        return _answer(platform, request, False, run)
+        return _answer(platform, request, port.Service.INSTANCES, False, run)
 
     @app.route("/instances/<name>", methods=["PUT"])
     def announce(request: typing.Any, name: str) -> typing.Any:
@@ -208,7 +208,7 @@
             store.announce_instance(instance, int(life))
             return http.reply(request, {})
 
-        return _answer(platform, request, True, run)
+        return _answer(platform, request, port.Service.INSTANCES, True, run)
 
 
 def _add_control(app: Klein, platform: Platform) -> None:
@@ -234,10 +234,11 @@
 def _answer(
     platform: Platform,
     request: typing.Any,
+    service: port.Service,
     is_write: bool,
     run: Operation,
 ) -> typing.Any:
-    decision = platform.injector.decide(is_write)
+    decision = platform.injector.decide(service, is_write)
     if decision.action is faults.Action.REFUSE:
         return http.refuse(request, 503, "the platform is down")
     finished: defer.Deferred[bytes] = defer.Deferred()
--- a/godwitloft/standins/prefix_cache.py
+++ b/godwitloft/standins/prefix_cache.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import itertools
 import random
 import typing
 
@@ -109,11 +110,10 @@
         :return: the events that are old enough, oldest first
         """
         newest_ms = now_ms - self.event_lag_ms
-        return [
-            event
-            for event in self.events
-            if event.number > number and event.at_ms <= newest_ms
-        ]
+        newer = itertools.takewhile(
+            lambda event: event.number > number, reversed(self.events)
+        )
+        return [event for event in newer if event.at_ms <= newest_ms][::-1]
 
     def _publish(
         self, kind: str, keys: tuple[int, ...], now_ms: float
