--- a/features/steps/policy_order_steps.py
+++ b/features/steps/policy_order_steps.py
@@ -130,6 +130,7 @@
         name,
         suspended=suspended,
         isolate=rng.random() < 0.15,
+        deadline_ms=rng.choice([0, 0, 300, 700, 1500]),
         leaving=leaving,
         pulled=not suspended and rng.random() < 0.2,
     )
@@ -179,7 +180,17 @@
 
     def startable(one, kept):
         fits = plain_fits(one, kept, at.room)
-        return fits and not late(one, plain_finish(one, kept))
+        on_time = not late(one, plain_finish(one, kept))
+        others = [w for w in kept if not w.suspended]
+        spared = True
+        for index, w in enumerate(others):
+            ahead = sum(v.prompt_left for v in others[: index + 1])
+            end_ms = now_ms + ahead + 10 * w.output_left
+            end_with_ms = end_ms + one.prompt_tokens
+            in_time = end_ms <= w.deadline_ms
+            if in_time and end_with_ms > w.deadline_ms > 0:
+                spared = spared and w.tier_rank > one.tier_rank
+        return fits and on_time and spared
 
     def plan(one):
         """The smallest number of victims that lets it start, if any."""
@@ -267,7 +278,7 @@
                 answers.add((one.request_id, shed.ISOLATED))
             elif lower and not at.resumable:
                 answers.add((one.request_id, shed.UNSTOPPABLE))
-            elif not lower and not plain_fits(one, work, at.room):
+            elif not lower and not startable(one, work):
                 answers.add((one.request_id, shed.HIGHER_TIER))
     return pull, suspend, resume, again, answers, late_ids
 
--- a/godwitloft/agent/engine_state.py
+++ b/godwitloft/agent/engine_state.py
@@ -137,6 +137,7 @@
                 output_left=max(1, one.offer.output_tokens - one.tokens),
                 fingerprint=one.offer.fingerprint,
                 suspended=one.suspended or run_id in leaving,
+                deadline_ms=one.offer.deadline_ms,
                 leaving=run_id in leaving and not one.suspended,
                 isolate=one.offer.isolate,
                 kv_tokens=one.offer.prompt_tokens + one.offer.output_tokens,
--- a/godwitloft/policy/order.py
+++ b/godwitloft/policy/order.py
@@ -294,11 +294,40 @@
     at: Upstream,
 ) -> bool:
     finish_ms = estimate.finish_in_ms(offer, at.view, running)
-    return in_time(offer, finish_ms, at.view, at.now_ms) and room.fits(
-        offer, at.view, running
+    return (
+        in_time(offer, finish_ms, at.view, at.now_ms)
+        and room.fits(offer, at.view, running)
+        and not _makes_late(offer, running, at)
     )
 
 
+def _makes_late(
+    offer: types.Offer,
+    running: typing.Sequence[types.Running],
+    at: Upstream,
+) -> bool:
+    """Says whether the offer's prefill would make running work late.
+
+    Only work of its own and higher tiers counts, and only what would be in
+    time without it.
+    """
+    active = room.active(running)
+    per_token = estimate.decode_ms_per_token(at.view.speeds, len(active) + 1)
+    cached = at.view.cached_tokens(offer.prefix_keys)
+    own = max(0, offer.prompt_tokens - cached)
+    own_ms = own / at.view.speeds.prefill_tokens_per_ms
+    ahead = 0
+    for one in active:
+        ahead += one.prompt_left
+        if not one.deadline_ms or one.tier_rank > offer.tier_rank:
+            continue
+        ahead_ms = ahead / at.view.speeds.prefill_tokens_per_ms
+        ends_ms = at.now_ms + ahead_ms + one.output_left * per_token
+        if ends_ms <= one.deadline_ms < ends_ms + own_ms:
+            return True
+    return False
+
+
 def _suspend_floor(
     offer: types.Offer,
     urgent: typing.Sequence[types.Offer],
@@ -351,7 +380,7 @@
         and (one.leaving or not one.suspended)
     ]
     if not lower:
-        if room.fits(offer, at.view, at.running):
+        if _startable(offer, at.running, at):
             return None
         return Skipped(offer.request_id, shed.HIGHER_TIER, finish_ms)
     if at.view.resumable:
--- a/godwitloft/policy/types.py
+++ b/godwitloft/policy/types.py
@@ -61,6 +61,7 @@
     :param suspended: whether it is paused on the upstream
     :param isolate: whether it is a suspect
     :param kv_tokens: KV memory that it needs at its end, in tokens
+    :param deadline_ms: when its answer is late; 0: not known
     :param leaving: whether it counts as suspended only because a pull that
         isn't granted yet will suspend it
     :param pulled: whether the upstream hasn't been given it yet, since its
@@ -77,6 +78,7 @@
     suspended: bool = False
     isolate: bool = False
     kv_tokens: int = 0
+    deadline_ms: int = 0
     leaving: bool = False
     pulled: bool = False
 
