Fit the planted mistakes to the dispatcher that pulls by the policy

Cause: the dispatcher keeps offers in a book and pulled work in its state. Change: two mutants plant their mistake there.

--- a/features/support/fleet_mutants.py
+++ b/features/support/fleet_mutants.py
@@ -7,6 +7,7 @@
 from godwitloft.entry import answers
 from godwitloft.entry import desk as desks
 from godwitloft.links.generated.messages import ttypes
+from godwitloft.policy import types
 
 Desk = desks.Desk
 Dispatcher = dispatchers.Dispatcher
@@ -49,17 +50,20 @@
 
 
 def repeated_dispatch_starts(dispatcher, peer, body):
-    known = dispatcher.runs.pop(body.request_id, None)
-    if known is not None:
-        dispatcher.offers[body.request_id] = known.offer
+    if dispatcher.runs.pop(body.request_id, None) is not None:
+        dispatcher.pulls[body.request_id] = dispatcher.clock.monotonic_ms()
     plain_on_dispatch(dispatcher, peer, body)
 
 
 def stray_dispatch_starts(dispatcher, peer, body):
     run_id = body.request_id
     dispatcher.tombstones.pop(run_id, None)
-    if run_id not in dispatcher.runs and run_id not in dispatcher.forgotten:
-        dispatcher.offers.setdefault(run_id, mock.Mock(request_id=run_id))
+    held = (dispatcher.runs, dispatcher.forgotten, dispatcher.pulls)
+    if not any(run_id in one for one in held):
+        now_ms = dispatcher.clock.monotonic_ms()
+        offer = types.Offer(run_id, peer, 0, "t", 1, "s", 1, 1, 1, (), "f")
+        dispatcher.state.pulled(offer, (), now_ms)
+        dispatcher.pulls[run_id] = now_ms
     plain_on_dispatch(dispatcher, peer, body)
 
 
