Plant the unmarked retry in the desk that retries by the policy

Cause: the desk now counts the runs that were tried. Change: that mutant leaves the count as it was.

--- a/features/support/fleet_mutants.py
+++ b/features/support/fleet_mutants.py
@@ -35,6 +35,7 @@
 
 def retried_unmarked(desk, request, reason):
     request.position.feed("run_again")
+    desk.limits.ended(request.call.team)
     desk.run_again(request, reason)
 
 
