--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -91,7 +91,7 @@
       | 0.3   | deliver cut   | repeated dispatch starts                   |
       | 0.2   | advance probe | stray dispatch starts                      |
       | 0.2   | cut advance   | every call retried                         |
-      | 0.2   | cut advance   | retried call refused as not run            |
+      | 0.3   | cut stop_engine advance | retried call refused as not run |
       | 0.3   | deliver cut   | frames of an old run heard, digest ignored |
       | 0.3   | deliver cut   | order of frames ignored                    |
       | 0.06  | all           | leaving agent pulls                        |
