--- a/godwitloft/charts/tables.py
+++ b/godwitloft/charts/tables.py
@@ -9,7 +9,7 @@
 
 from godwitloft import charts
 
-NAMES = ("request", "run")
+NAMES = ("member", "request", "run")
 
 HEAD = """# State charts
 
--- /dev/null
+++ b/godwitloft/coordination/membership.py
@@ -0,0 +1,247 @@
+"""Which daemons there are: the lagging list joined with what links show.
+
+The platform's list is late and may be missing for long, but it alone tells
+of daemons that were never met. Links are at once, but show only peers. So
+the list brings members in and confirms that they are gone; links decide
+whether a member that was met is live, suspect or leaving. While the list
+can't be read, the last one read stays.
+"""
+
+import collections
+import dataclasses
+import typing
+
+from godwitloft import charts
+from godwitloft import clock as clocks
+from godwitloft.links.generated.messages import ttypes
+from godwitloft.platform import port
+
+JOINING = "joining"
+LIVE = "live"
+SUSPECT = "suspect"
+LEAVING = "leaving"
+GONE = "gone"
+MAY_BE_CONNECTED = (JOINING, LIVE, SUSPECT)
+
+
+@dataclasses.dataclass(frozen=True)
+class MembershipSettings:
+    """When silence counts.
+
+    :param silence_ms: without a message, from live to suspect
+    :param expiry_ms: without a message, to gone when it isn't listed
+    :param gone_kept_ms: how long a gone member's process is remembered, so
+        that a list that lags doesn't bring it back
+    """
+
+    silence_ms: int = 3_500
+    expiry_ms: int = 30_000
+    gone_kept_ms: int = 600_000
+
+
+@dataclasses.dataclass
+class Member:
+    """What is known of one daemon.
+
+    :param instance: as listed or as it said hello; the port is 0 when only
+        the link told of it
+    :param position: where it stands on the chart ``member``
+    :param incarnation: of its process; empty before its first hello
+    :param heard_ms: when it was last heard of
+    :param is_listed: whether the last list had it
+    """
+
+    instance: port.Instance
+    position: charts.Position
+    incarnation: str = ""
+    heard_ms: int = 0
+    is_listed: bool = False
+
+    @property
+    def state(self) -> str:
+        """Name of its state."""
+        return self.position.state
+
+
+class Membership:
+    """One daemon's view of the others.
+
+    :param clock: only its monotonic time is read
+    :param settings: when silence counts
+    :param on_change: called with the name of a member and its new state
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        settings: MembershipSettings = MembershipSettings(),
+        on_change: typing.Callable[[str, str], None] = lambda *_: None,
+    ) -> None:
+        self.clock = clock
+        self.settings = settings
+        self.on_change = on_change
+        self.members: dict[str, Member] = {}
+        self.chart = charts.load("member")
+
+    def listed(self, instances: typing.Iterable[port.Instance]) -> None:
+        """Takes in a list that was read from the platform.
+
+        :param instances: the whole list
+        """
+        found = {one.name: one for one in instances}
+        for name, instance in found.items():
+            member = self.members.get(name)
+            if member is None:
+                member = self._add(instance)
+            member.is_listed = True
+            self._update(member, instance)
+            if instance.leaving:
+                self._feed(member, "leave")
+        for name, member in self.members.items():
+            if name not in found and member.is_listed:
+                member.is_listed = False
+                self._feed(member, "unlisted")
+
+    def greeted(self, hello: ttypes.Hello) -> None:
+        """Takes in a peer's hello.
+
+        :param hello: the first message on a link
+        """
+        member = self.members.get(hello.instance)
+        if member is None:
+            member = self._add(_instance_of(hello))
+        is_new = member.incarnation != hello.incarnation
+        member.incarnation = hello.incarnation
+        member.heard_ms = self.clock.monotonic_ms()
+        self._feed(member, "greeted" if is_new else "heard")
+        if hello.draining:
+            self._feed(member, "leave")
+
+    def heard(self, name: str, is_draining: bool = False) -> None:
+        """Notes that a message of a member arrived.
+
+        :param name: of the member
+        :param is_draining: whether the message says that it drains
+        """
+        member = self.members.get(name)
+        if member is None:
+            return
+        member.heard_ms = self.clock.monotonic_ms()
+        self._feed(member, "leave" if is_draining else "heard")
+
+    def farewell(self, name: str) -> None:
+        """Notes that a member takes no new work.
+
+        :param name: of the member
+        """
+        self._feed_name(name, "leave")
+
+    def link_lost(self, name: str) -> None:
+        """Notes that the link to a member is gone.
+
+        :param name: of the member
+        """
+        self._feed_name(name, "link_lost")
+
+    def was_paused(self) -> None:
+        """Blames no member for silence while this process was paused."""
+        now_ms = self.clock.monotonic_ms()
+        for member in self.members.values():
+            if member.state == LIVE:
+                member.heard_ms = now_ms
+
+    def check(self) -> None:
+        """Looks for silent members; call it about every second."""
+        now_ms = self.clock.monotonic_ms()
+        forgotten = []
+        for name, member in self.members.items():
+            silent_ms = now_ms - member.heard_ms
+            if member.state == LIVE and silent_ms > self.settings.silence_ms:
+                self._feed(member, "silent")
+            is_old = silent_ms > self.settings.expiry_ms
+            if member.state in (SUSPECT, LEAVING) and is_old:
+                if not member.is_listed:
+                    self._feed(member, "expired")
+            is_very_old = silent_ms > self.settings.gone_kept_ms
+            if member.state == GONE and is_very_old and not member.is_listed:
+                forgotten.append(name)
+        for name in forgotten:
+            del self.members[name]
+
+    def in_state(
+        self, role: str, states: typing.Collection[str]
+    ) -> tuple[port.Instance, ...]:
+        """Returns the members of a role that are in some states.
+
+        :param role: ``entry`` or ``agent``
+        :param states: names of states
+        :return: the instances by name
+        """
+        return tuple(
+            self.members[name].instance
+            for name in sorted(self.members)
+            if self.members[name].instance.role == role
+            and self.members[name].state in states
+        )
+
+    def count(self, role: str) -> int:
+        """Counts the members of a role that may be at work.
+
+        :param role: ``entry`` or ``agent``
+        :return: how many are joining, live or suspect
+        """
+        return len(self.in_state(role, MAY_BE_CONNECTED))
+
+    def counts(self) -> typing.Mapping[tuple[str, str], int]:
+        """Counts members by role and state, for metrics.
+
+        :return: counts by role and state
+        """
+        return collections.Counter(
+            (member.instance.role, member.state)
+            for member in self.members.values()
+        )
+
+    def _add(self, instance: port.Instance) -> Member:
+        member = Member(instance, self.chart.start())
+        member.heard_ms = self.clock.monotonic_ms()
+        self.members[instance.name] = member
+        self.on_change(instance.name, member.state)
+        return member
+
+    def _update(self, member: Member, instance: port.Instance) -> None:
+        """Takes the address from the list; a new one is a new process."""
+        before = member.instance
+        moved = (before.address, before.port) != (
+            instance.address,
+            instance.port,
+        )
+        member.instance = instance
+        if member.state == GONE and moved:
+            member.position = self.chart.start()
+            member.incarnation = ""
+            member.heard_ms = self.clock.monotonic_ms()
+            self.on_change(instance.name, member.state)
+
+    def _feed_name(self, name: str, what: str) -> None:
+        member = self.members.get(name)
+        if member is not None:
+            self._feed(member, what)
+
+    def _feed(self, member: Member, what: str) -> None:
+        before = member.state
+        if not member.position.allows(what):
+            return
+        if member.position.feed(what) != before:
+            self.on_change(member.instance.name, member.state)
+
+
+def _instance_of(hello: ttypes.Hello) -> port.Instance:
+    return port.Instance(
+        name=hello.instance,
+        role=hello.role,
+        address="",
+        port=0,
+        availability_zone=hello.availability_zone,
+        pool=hello.pool or "",
+    )
--- /dev/null
+++ b/godwitloft/coordination/shares.py
@@ -0,0 +1,249 @@
+"""An entry's share of a team's limit: an equal part, and what others leave.
+
+Every entry may use the limit divided by the live entries without asking
+anyone. An entry that needs more says so in the team's row of the table;
+entries that need less lend to a pool in that row, and the one in need takes
+from it. Teams that stay within equal parts cost nothing. With the store down
+the balances stay as they were.
+"""
+
+import dataclasses
+import json
+import random
+import typing
+
+from godwitloft import decode
+from godwitloft.coordination import swap
+from godwitloft.platform import port
+
+TABLE = "shares"
+# Part of its allowance that an entry uses before it asks for more.
+FULL = 0.95
+# What an entry keeps above its use when it lends.
+HEADROOM = 1.25
+SMALLEST = 1e-6
+
+
+@dataclasses.dataclass(frozen=True)
+class TeamRow:
+    """Who has lent and who has borrowed of one team's limit.
+
+    :param balances: by entry; negative when it has lent
+    :param wanting: by entry, what it would still take
+    :param nonce: makes every write differ
+    """
+
+    balances: dict[str, float] = dataclasses.field(default_factory=dict)
+    wanting: dict[str, float] = dataclasses.field(default_factory=dict)
+    nonce: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class Use:
+    """What one entry uses of a team's limit.
+
+    :param limit: of the team, over all entries
+    :param used: by this entry now, in the limit's unit
+    :param refused: what it refused lately for want of allowance
+    """
+
+    limit: float
+    used: float
+    refused: float = 0.0
+
+
+def allowance(
+    row: TeamRow, name: str, live: typing.Collection[str], limit: float
+) -> float:
+    """Returns what an entry may use.
+
+    When a lender is gone, what it lent comes back to the equal parts, and
+    those who borrowed it have proportionally less.
+
+    :param row: of the team
+    :param name: of the entry
+    :param live: names of all live entries
+    :param limit: of the team, over all entries
+    :return: in the limit's unit
+    """
+    balances = {one: row.balances.get(one, 0.0) for one in live}
+    lent = -sum(one for one in balances.values() if one < 0)
+    borrowed = sum(one for one in balances.values() if one > 0)
+    mine = balances.get(name, 0.0)
+    if mine > 0 and borrowed > lent:
+        mine *= lent / borrowed
+    return max(0.0, limit / max(1, len(live)) + mine)
+
+
+def step(
+    row: TeamRow, name: str, live: typing.Collection[str], use: Use
+) -> TeamRow:
+    """Decides what one entry lends, gives back, takes or asks for.
+
+    :param row: of the team, as it is
+    :param name: of the entry
+    :param live: names of all live entries
+    :param use: what the entry uses
+    :return: the row as it should be; the same when nothing changes
+    """
+    mine = allowance(row, name, live, use.limit)
+    balances = {
+        one: value for one, value in row.balances.items() if one in live
+    }
+    balances[name] = mine - use.limit / max(1, len(live))
+    wanting = {one: value for one, value in row.wanting.items() if one in live}
+    wanting.pop(name, None)
+    if use.used + use.refused >= mine * FULL:
+        wanted = (use.used + use.refused) * HEADROOM - mine
+        pool = max(0.0, -sum(balances.values()))
+        # Others in need get as much of the pool.
+        taken = min(pool / (1 + len(wanting)), wanted)
+        balances[name] += taken
+        if wanted - taken > SMALLEST:
+            wanting[name] = wanted - taken
+    else:
+        balances[name] -= _given(balances, wanting, name, mine, use)
+    return TeamRow(_tidy(balances), _tidy(wanting), row.nonce)
+
+
+def _given(
+    balances: typing.Mapping[str, float],
+    wanting: typing.Mapping[str, float],
+    name: str,
+    mine: float,
+    use: Use,
+) -> float:
+    """Returns how much an entry with room to spare lends or gives back."""
+    pool = max(0.0, -sum(balances.values()))
+    missing = max(0.0, sum(wanting.values()) - pool)
+    spare = max(0.0, mine - use.used * HEADROOM)
+    return min(missing, spare)
+
+
+def give_back(
+    row: TeamRow, name: str, live: typing.Collection[str], limit: float
+) -> TeamRow:
+    """Makes a borrower give back what a lender wants for itself.
+
+    :param row: of the team
+    :param name: of the entry
+    :param live: names of all live entries
+    :param limit: of the team
+    :return: the row as it should be; the same when nothing is owed
+    """
+    owed = sum(
+        min(wanted, -row.balances.get(one, 0.0))
+        for one, wanted in row.wanting.items()
+        if one in live and row.balances.get(one, 0.0) < 0
+    )
+    borrowed = {one: value for one, value in row.balances.items() if value > 0}
+    mine = borrowed.get(name, 0.0)
+    if owed <= 0 or mine <= 0:
+        return row
+    pool = max(0.0, -sum(row.balances.values()))
+    missing = max(0.0, owed - pool)
+    given = min(mine, missing * mine / sum(borrowed.values()))
+    balances = dict(row.balances)
+    balances[name] = mine - given
+    return TeamRow(_tidy(balances), row.wanting, row.nonce)
+
+
+def _tidy(values: typing.Mapping[str, float]) -> dict[str, float]:
+    return {
+        name: value
+        for name, value in sorted(values.items())
+        if abs(value) > SMALLEST
+    }
+
+
+class Shares:
+    """One entry's allowances of all teams.
+
+    :param platform: the table
+    :param name: of this entry
+    :param live: names of all live entries, this one among them
+    :param rng: for nonces
+    """
+
+    def __init__(
+        self,
+        platform: port.Platform,
+        name: str,
+        live: typing.Callable[[], typing.Collection[str]],
+        rng: random.Random,
+    ) -> None:
+        self.platform = platform
+        self.name = name
+        self.live = live
+        self.rng = rng
+        self.rows: dict[str, TeamRow] = {}
+
+    def allowance(self, team: str, limit: float) -> float:
+        """Returns what this entry may use of a team's limit now.
+
+        :param team: name of the team
+        :param limit: of the team, over all entries
+        :return: in the limit's unit
+        """
+        row = self.rows.get(team, TeamRow())
+        return allowance(row, self.name, self.live(), limit)
+
+    async def exchange(self, uses: typing.Mapping[str, Use]) -> None:
+        """Lends, takes and gives back; call it every few seconds.
+
+        It reads the rows of all teams that anyone wants more of in one call
+        and writes only those that this entry changes.
+
+        :param uses: by team, what this entry uses
+        :raises port.PlatformError: when the store can't be used; the
+            allowances stay as they are
+        """
+        found = await self.platform.list_rows(TABLE, "")
+        rows = {row.key: row for row in found}
+        for team, use in uses.items():
+            await self._exchange_one(team, use, rows.get(team))
+        for team in list(self.rows):
+            if team not in uses and team not in rows:
+                del self.rows[team]
+
+    async def _exchange_one(
+        self, team: str, use: Use, row: port.Row | None
+    ) -> None:
+        before = _decode(row)
+        live = self.live()
+        after = step(before, self.name, live, use)
+        after = give_back(after, self.name, live, use.limit)
+        if after == before:
+            self.rows[team] = before
+            return
+        # What is given away is not used from now on, whatever the store
+        # answers; what is taken counts only when the store has it.
+        self.rows[team] = _lower(self.name, before, after)
+        nonce = f"{self.rng.getrandbits(64):016x}"
+        after = dataclasses.replace(after, nonce=nonce)
+        answer = await swap.swap(
+            self.platform,
+            TABLE,
+            team,
+            json.dumps(dataclasses.asdict(after)).encode(),
+            row.version if row else 0,
+        )
+        self.rows[team] = _decode(answer.row)
+
+
+def _lower(name: str, before: TeamRow, after: TeamRow) -> TeamRow:
+    mine = min(before.balances.get(name, 0.0), after.balances.get(name, 0.0))
+    return dataclasses.replace(
+        before, balances={**before.balances, name: mine}
+    )
+
+
+def _decode(row: port.Row | None) -> TeamRow:
+    if row is None:
+        return TeamRow()
+    where = f"share {row.key!r}"
+    try:
+        value = json.loads(row.value)
+    except ValueError as error:
+        raise decode.DecodeError(where, "", "is not JSON") from error
+    return decode.decode(TeamRow, value, where)
