Split what is lent equally among those in need

Cause: of two entries that wanted more, the first to ask got 67 of 120 and the other 53. Change: an entry takes from the pool only up to an equal balance. Tests: the row '90 90 0' of membership.feature, red before, is green. Conclusion: the order of asking no longer matters.

--- a/godwitloft/coordination/shares.py
+++ b/godwitloft/coordination/shares.py
@@ -96,8 +96,11 @@
     if use.used + use.refused >= mine * FULL:
         wanted = (use.used + use.refused) * HEADROOM - mine
         pool = max(0.0, -sum(balances.values()))
-        # Others in need get as much of the pool.
-        taken = min(pool / (1 + len(wanting)), wanted)
+        # Those in need end with equal balances, whoever asks first.
+        needy = [name, *wanting]
+        held = sum(max(0.0, balances.get(one, 0.0)) for one in needy)
+        fair = (pool + held) / len(needy) - max(0.0, balances[name])
+        taken = min(pool, wanted, max(0.0, fair))
         balances[name] += taken
         if wanted - taken > SMALLEST:
             wanting[name] = wanted - taken
