Publish large sets without holding up the reactor

Cause: a publisher checked, wrote, read and rebased sets on the reactor, so that answers of other requests stood still meanwhile. Change: Publisher takes run_long; entries pass threads.deferToThread, tests the plain call. A publish that sends only what changed is left.

--- a/godwitloft/coordination/publish.py
+++ b/godwitloft/coordination/publish.py
@@ -14,6 +14,7 @@
 import random
 import typing
 
+from twisted.internet import defer
 from twisted.internet import interfaces
 
 from godwitloft import clock as clocks
@@ -34,6 +35,9 @@
 LONGEST_BACKOFF_MS = 2000
 
 
+RunLong = typing.Callable[..., typing.Awaitable[typing.Any]]
+
+
 class PublishError(errors.GodwitloftError):
     """A configuration was not published, and nothing changed."""
 
@@ -232,6 +236,8 @@
     :param scheduler: for waits between attempts
     :param form: how sets are checked and written
     :param rng: for jitter
+    :param run_long: takes a function and its arguments; a daemon passes
+        ``threads.deferToThread``, for work on a large set takes long
     """
 
     def __init__(
@@ -241,12 +247,14 @@
         scheduler: interfaces.IReactorTime,
         form: Format,
         rng: random.Random,
+        run_long: RunLong = defer.maybeDeferred,
     ) -> None:
         self.platform = platform
         self.clock = clock
         self.scheduler = scheduler
         self.form = form
         self.rng = rng
+        self.run_long = run_long
 
     async def publish(self, request: Request) -> Outcome:
         """Publishes a set, rebasing it when others were faster.
@@ -348,10 +356,10 @@
             if isinstance(merged, Conflicting):
                 return merged
             objects = merged
-        problems = tuple(self.form.check(objects))
+        problems = tuple(await self.run_long(self.form.check, objects))
         if problems:
             return Rejected(problems, rebased)
-        content = self.form.encode(objects)
+        content = await self.run_long(self.form.encode, objects)
         return await self._accept(request, row, head, content, rebased)
 
     async def _accept(
@@ -406,13 +414,13 @@
         self, request: Request, head: Head, since: typing.Sequence[Head]
     ) -> typing.Any:
         base = await self._objects_at(request.base_generation)
-        mine = rebase.changes(base, request.objects)
+        mine = await self.run_long(rebase.changes, base, request.objects)
         current = await self._objects(head)
-        theirs = rebase.changes(base, current)
+        theirs = await self.run_long(rebase.changes, base, current)
         keys = rebase.overlap(mine, theirs)
         if keys:
             return Conflicting(head, await self._blame(keys, base, since))
-        return rebase.apply(current, mine)
+        return await self.run_long(rebase.apply, current, mine)
 
     async def _blame(
         self,
@@ -424,7 +432,8 @@
         before = base
         for head in since:
             after = await self._objects(head)
-            for change in rebase.changes(before, after):
+            changes = await self.run_long(rebase.changes, before, after)
+            for change in changes:
                 last[change.key] = head
             before = after
         return tuple(Theirs(*key, head=last[key]) for key in keys)
@@ -454,7 +463,7 @@
         content = await self.platform.read_object(name)
         if content is None:
             raise port.StoreUnavailable(f"object {name!r} is missing")
-        return self.form.decode(content)
+        return await self.run_long(self.form.decode, content)
 
     async def _history_of(self, generation: int) -> Head:
         head = await self._read_history(generation)
--- a/godwitloft/entry/daemon.py
+++ b/godwitloft/entry/daemon.py
@@ -213,6 +213,7 @@
             self.reactor,
             operator_service.FORMAT,
             random.Random(self.node.incarnation),
+            threads.deferToThread,
         )
         port = operator_service.create_port(
             publisher, self.status, self.explain, self.drain_instance
--- a/godwitloft/operator_http.py
+++ b/godwitloft/operator_http.py
@@ -88,9 +88,6 @@
         super().__init__(message)
 
 
-RunLong = typing.Callable[..., typing.Awaitable[typing.Any]]
-
-
 @dataclasses.dataclass(frozen=True)
 class Api:
     """What the handlers share.
@@ -105,7 +102,7 @@
     port: operator_port.OperatorPort
     tokens: typing.Mapping[str, settings.Token]
     instruments: metrics.Instruments
-    run_long: RunLong
+    run_long: publish.RunLong
 
 
 # Called with the shared parts, the operator's token, the request, and the
@@ -122,7 +119,7 @@
     port: operator_port.OperatorPort,
     tokens: typing.Iterable[settings.Token],
     instruments: metrics.Instruments,
-    run_long: RunLong = defer.maybeDeferred,
+    run_long: publish.RunLong = defer.maybeDeferred,
 ) -> Api:
     """Returns what the handlers share.
 
