Take idempotency keys at the entry, claimed where a call must run once

Cause: the claims protocol was there, but callers' keys were read and ignored. Change: KeyedCalls lets callers with one key and body share a call; a call that may not be repeated is claimed at the agent's pull, before its dispatch (the desk asks request.claim), and its answer is recorded; entries ask agents for the proof that a run never started; such a call goes on when its callers leave. docs/OUTCOMES.md for callers and operators. No cost measured on real processes yet. Conclusion: a key runs once across entries, also when one dies; when the agent dies with it, later attempts hear key_unknown and nothing runs.

--- /dev/null
+++ b/features/steps/keyed_calls_steps.py
@@ -0,0 +1,100 @@
+from behave import given
+from behave import then
+from behave import when
+
+from features.support import fleet_points
+from features.support import keyed_fleet
+from godwitloft.entry import answers
+
+LONG_MS = 40_000
+
+
+@given("a keyed fleet")
+def make_keyed_fleet(context):
+    context.fleet = keyed_fleet.KeyedFleet()
+    context.fleet.work()
+
+
+@when('the keyed store answers "{faults}" and then {rest}')
+@when('the keyed store answers "" and then {rest}')
+def set_store(context, rest, faults=""):
+    context.fleet.store_faults = faults.split()
+    context.fleet.store_rest = rest
+
+
+@when('caller {number:d} sends "{body}" to {entry} and {pause}')
+def send_call(context, number, body, entry, pause):
+    fleet = context.fleet
+    fleet.keyed_call(entry, body.encode())
+    if pause == "it is finished":
+        fleet.go(LONG_MS)
+    elif pause == "it runs":
+        fleet.until(lambda fleet: fleet.ran() > 0)
+    elif pause == "its dispatch is under way":
+        fleet.until(dispatch_under_way)
+
+
+def dispatch_under_way(fleet):
+    return any(
+        name == "dispatch"
+        for link in fleet.links.values()
+        for queue in link.queues.values()
+        for name, _ in queue
+    )
+
+
+@when("in the keyed fleet {fault}")
+def fail(context, fault):
+    fleet = context.fleet
+    if fault == "e1 is killed":
+        fleet.crash_entry("e1")
+    elif fault == "both agents are killed":
+        fleet.crash_agent("a1")
+        fleet.crash_agent("a2")
+    elif fault == "caller 1 leaves":
+        caller = fleet.callers[0]
+        caller.heard = []
+        fleet.keyed_at("e1").cancel(caller.request_id)
+    else:
+        for name in fleet.agents:
+            fleet.happen(("stop_engine", name))
+        fleet.go(1_000)
+        for name in fleet.agents:
+            fleet.happen(("stop_engine", name))
+
+
+def told(caller):
+    finals = caller.final()
+    assert len(finals) <= 1, finals
+    if not finals:
+        return "nothing"
+    if isinstance(finals[0], answers.Refused):
+        return finals[0].reason.value
+    keyed = getattr(finals[0], "reason", None)
+    if keyed is answers.Reason.KEY_UNKNOWN:
+        return keyed.value
+    return fleet_points.outcome_of(finals[0])
+
+
+@then("the keyed callers were told {first} and {second}")
+def check_callers(context, first, second):
+    one, two = context.fleet.callers
+    assert told(one) == first, one.heard
+    if second == "the same":
+        assert two.heard == one.heard, two.heard
+        assert two.data(), two.heard
+    else:
+        assert told(two) == second, two.heard
+
+
+@then("keyed caller 1 was told {first}")
+def check_caller(context, first):
+    assert told(context.fleet.callers[0]) == first, context.fleet.callers[
+        0
+    ].heard
+
+
+@then("the keyed call ran {count:d} times")
+def check_runs(context, count):
+    assert context.fleet.ran() == count, context.fleet.ran()
+    assert not context.fleet.breaches, context.fleet.breaches
--- a/godwitloft/audit/promises.py
+++ b/godwitloft/audit/promises.py
@@ -134,7 +134,7 @@
 def _wrong_answer(
     request: history.Request, told: trace.Record
 ) -> typing.Iterator[str]:
-    if request.of_kind(trace.Kind.JOINED) or "digest" not in told.fields:
+    if "digest" not in told.fields:
         return
     ends = [run.ended for run in request.runs if run.ended is not None]
     if not ends:
--- a/godwitloft/entry/caller_http.py
+++ b/godwitloft/entry/caller_http.py
@@ -15,7 +15,6 @@
 from godwitloft import settings as settings_module
 from godwitloft.entry import answers
 from godwitloft.entry import call as calls
-from godwitloft.entry import desk as desks
 from godwitloft.entry import intake
 from godwitloft.objects import lookup
 from godwitloft.objects import types
@@ -384,16 +383,3 @@
         limits.header_bytes,
     )
     return bounded_http.site(resource(port), bounds, refuse_connection)
-
-
-def accept_at(
-    desk: desks.Desk,
-) -> typing.Callable[
-    [calls.Call, typing.Callable[[answers.Answer], None], str], str
-]:
-    """Returns an accept function without idempotency keys.
-
-    :param desk: the entry's desk
-    :return: a function that ignores the key
-    """
-    return lambda call, answer, _key: desk.accept(call, answer)
--- a/godwitloft/entry/daemon.py
+++ b/godwitloft/entry/daemon.py
@@ -16,15 +16,20 @@
 from godwitloft import status_http
 from godwitloft import trace
 from godwitloft import waiting
+from godwitloft.coordination import claims
 from godwitloft.coordination import publish
+from godwitloft.coordination import write_budget
 from godwitloft.entry import caller_http
 from godwitloft.entry import desk as desks
 from godwitloft.entry import journal as journals
+from godwitloft.entry import keyed_calls
 from godwitloft.entry import team_limits
 from godwitloft.links.generated.messages import ttypes
 from godwitloft.objects import lookup
 
 TICK_INTERVAL_S = 0.02
+CLAIM_WRITES_PER_S = 50.0
+CLAIM_WRITES_BURST = 50
 
 
 class EntryDaemon:
@@ -83,12 +88,26 @@
                 lambda name: self.node.objects.teams.get(name)
             ),
         )
+        self.keyed_calls = keyed_calls.KeyedCalls(
+            self.desk, self.make_claims, self.reactor
+        )
         self.ticker = task.LoopingCall(daemon.contain(self.desk.tick, "desk"))
         self.ticker.clock = self.reactor
         self.ports: list[typing.Any] = []
         self.caller_port: typing.Any = None
         self.on_left: typing.Callable[[], None] = lambda: None
 
+    def make_claims(self, ask: claims.Ask) -> claims.Claims:
+        """Returns this entry's claims on the platform's table.
+
+        :param ask: asks an agent what became of a run
+        :return: the claims
+        """
+        budget = write_budget.WriteBudget(
+            self.reactor, lambda: CLAIM_WRITES_PER_S, CLAIM_WRITES_BURST
+        )
+        return claims.Claims(self.node.platform, self.reactor, budget, ask)
+
     # Node
 
     def peer_up(self, hello: ttypes.Hello) -> None:
@@ -104,6 +123,7 @@
         :param instance: name of the agent's instance
         """
         self.desk.peer_down(instance)
+        self.keyed_calls.agent_lost(instance)
 
     def peer_leaving(self, instance: str) -> None:
         """Tells the desk that the platform takes an agent away.
@@ -119,6 +139,8 @@
         :param name: name of the message
         :param body: its body
         """
+        if name == "query_answer":
+            self.keyed_calls.on_query_answer(peer, body)
         self.desk.receive(peer, name, body)
 
     def in_force(self, _objects: lookup.Lookup) -> None:
@@ -148,9 +170,9 @@
         self.journal.record(trace.Kind.PROCESS_STARTED, role="entry")
         port = caller_http.CallerPort(
             objects=lambda: self.node.objects,
-            accept=caller_http.accept_at(self.desk),
-            cancel=self.desk.cancel,
-            pause=self.desk.pause,
+            accept=self.keyed_calls.accept,
+            cancel=self.keyed_calls.cancel,
+            pause=self.keyed_calls.pause,
             ready=self.ready,
             instruments=self.instruments,
         )
@@ -305,7 +327,7 @@
             self.caller_port.stopListening()
         waiting.until(
             self.reactor,
-            lambda: not self.desk.requests,
+            lambda: not self.desk.requests and self.keyed_calls.idle,
             self.settings.drain_limit_ms,
             lambda _in_time: self.left(done),
         )
--- a/godwitloft/entry/desk.py
+++ b/godwitloft/entry/desk.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import functools
 import heapq
 import random
 import typing
@@ -134,19 +135,21 @@
         self,
         call: calls.Call,
         answer: typing.Callable[[answers.Answer], None],
+        claim: requests.Claim | None = None,
     ) -> str:
         """Takes a request in, or refuses it at once.
 
         :param call: what the caller asks
         :param answer: takes what the caller is to be told; a refusal is
             told through it before this function returns
+        :param claim: must allow each dispatch, or None
         :return: the request's id, also when it was refused
         """
         now_ms = self.clock.monotonic_ms()
         self.counter += 1
         request_id = f"{self.incarnation}-{self.counter}"
         request = requests.Request(
-            request_id, call, answer, self.chart.start(), now_ms
+            request_id, call, answer, self.chart.start(), now_ms, claim
         )
         self.record_accepted(request)
         self.requests[request_id] = request
@@ -360,13 +363,53 @@
         view = self.agents.views.get(peer)
         if request is None or view is None or peer not in request.bid_at:
             self.refuse_pull(peer, body.request_id, "not_waiting")
+        elif request.claiming:
+            self.refuse_pull(peer, body.request_id, "being_claimed")
         elif not self.limits.may_run(request.call.team):
             self.refuse_pull(peer, body.request_id, "team_limit")
             request.bid_at.pop(peer, None)
             self.park(request)
+        elif request.claim is not None:
+            request.claiming = True
+            claimed = functools.partial(
+                self.claimed, request, request.run_id, view
+            )
+            request.claim(request.run_id, view, claimed)
         else:
             self.dispatch(request, view)
 
+    def claimed(
+        self,
+        request: requests.Request,
+        run_id: str,
+        view: agents.AgentView,
+        refusal: answers.Refused | None,
+    ) -> bool:
+        """Dispatches a request once its claim allows it.
+
+        Much may have happened since the pull: then it isn't dispatched, and
+        waits on if it still can.
+
+        :param request: a request that was pulled
+        :param run_id: id of the run that the claim names
+        :param view: the agent that the claim names
+        :param refusal: why it may not be dispatched, or None
+        :return: whether it was dispatched
+        """
+        if run_id not in self.waiting or request.run_id != run_id:
+            return False
+        request.claiming = False
+        if refusal is not None:
+            self.refuse(request, refusal)
+            return False
+        now = self.agents.views.get(view.instance)
+        if now is not None and now.incarnation == view.incarnation:
+            self.dispatch(request, view)
+        if request.waiting:
+            self.withdraw(request)
+            self.bid(request)
+        return not request.waiting
+
     def refuse_pull(self, peer: str, run_id: str, reason: str) -> None:
         """Tells an agent that it doesn't get a request.
 
--- a/godwitloft/entry/request.py
+++ b/godwitloft/entry/request.py
@@ -4,10 +4,19 @@
 import typing
 
 from godwitloft import charts
+from godwitloft.entry import agents
 from godwitloft.entry import answers
 from godwitloft.entry import call as calls
 
 DIGEST_BYTES = 16
+Claim = typing.Callable[
+    [
+        str,
+        agents.AgentView,
+        typing.Callable[[answers.Refused | None], bool],
+    ],
+    None,
+]
 
 
 class Request:
@@ -18,6 +27,8 @@
     :param answer: takes what the caller is to be told
     :param position: place in the request chart
     :param now_ms: when it was accepted
+    :param claim: ``(run id, agent, claimed)``: asked before each dispatch;
+        calls ``claimed`` with None to allow it, else with the refusal
     """
 
     def __init__(
@@ -27,6 +38,7 @@
         answer: typing.Callable[[answers.Answer], None],
         position: charts.Position,
         now_ms: int,
+        claim: Claim | None = None,
     ) -> None:
         self.request_id = request_id
         self.call = call
@@ -34,6 +46,8 @@
         self.position = position
         self.accepted_ms = now_ms
         self.deadline_ms = now_ms + call.timeout_ms
+        self.claim = claim
+        self.claiming = False
         self.attempt = 1
         self.run_id = request_id
         self.bid_at: dict[str, None] = {}
@@ -70,6 +84,7 @@
         self.skipped.clear()
         self.urgent = False
         self.parked = False
+        self.claiming = False
         self.reset_run()
 
     @property
