Know that a prompt without a stream is prefilled

Each counted as unprefilled until its end, and the next long prompt waited for it: engines prefilled one prompt a whole answer. Change: such a prompt counts as prefilled when its estimated time is over, or when a later one has its first token; what is left of its answer follows from the time since.

--- a/godwitloft/agent/dispatcher.py
+++ b/godwitloft/agent/dispatcher.py
@@ -467,7 +467,9 @@
             self.clock.monotonic_ms(),
         )
         self.runs[run_id] = run
-        self.state.started(run_id, self.clock.monotonic_ms())
+        self.state.started(
+            run_id, bool(body.stream), self.clock.monotonic_ms()
+        )
         self.upstream.start(body)
 
     def refuse_dispatch(self, peer: str, run_id: str, reason: str) -> None:
--- a/godwitloft/agent/engine_state.py
+++ b/godwitloft/agent/engine_state.py
@@ -32,7 +32,9 @@
     :param ahead_tokens: unprefilled prompt tokens before it at the start
     :param expected_ms: estimated time to its first token
     :param beside: requests that ran at the start, itself included
-    :param first_ms: when its first token came; None: not yet
+    :param stream: whether its tokens come one by one
+    :param prefilled_ms: when its prompt was prefilled, as its first token
+        tells or, without a stream, as estimated; None: not yet
     :param last_ms: when its last token came
     :param tokens: tokens so far
     :param suspended: whether it is paused on the upstream
@@ -48,7 +50,8 @@
     ahead_tokens: int = 0
     expected_ms: float = 0.0
     beside: int = 1
-    first_ms: int | None = None
+    stream: bool = True
+    prefilled_ms: int | None = None
     last_ms: int = 0
     tokens: int = 0
     suspended: bool = False
@@ -121,6 +124,9 @@
         :return: one entry a request that was pulled and hasn't ended
         """
         left = self._prompts_left(now_ms)
+        per_token_ms = estimate.decode_ms_per_token(
+            self.speeds, len(self.work)
+        )
         leaving = {
             run_id
             for one in self.work.values()
@@ -134,7 +140,7 @@
                 team=one.offer.team,
                 started_ms=one.started_ms or now_ms,
                 prompt_left=left.get(run_id, 0),
-                output_left=max(1, one.offer.output_tokens - one.tokens),
+                output_left=_output_left(one, per_token_ms, now_ms),
                 fingerprint=one.offer.fingerprint,
                 suspended=one.suspended or run_id in leaving,
                 deadline_ms=one.offer.deadline_ms,
@@ -177,13 +183,15 @@
             return None
         return self.work.pop(run_id)
 
-    def started(self, run_id: str, now_ms: int) -> None:
+    def started(self, run_id: str, stream: bool, now_ms: int) -> None:
         """Notes that a request is given to the upstream.
 
         :param run_id: id of a request that was pulled
+        :param stream: whether its tokens come one by one
         :param now_ms: the time
         """
         one = self.work[run_id]
+        one.stream = stream
         others = [
             other
             for other in room.active(self.running(now_ms))
@@ -218,14 +226,13 @@
         if one is None or one.started_ms is None or count < 1:
             return
         if not one.disturbed:
-            if one.first_ms is None:
+            if one.tokens == 0:
                 self._learn_first(one, now_ms)
             else:
                 self._learn_gap(one, count, now_ms)
         one.disturbed = False
-        if one.first_ms is None:
-            one.first_ms = now_ms
-            self.last_first_ms = now_ms
+        if one.tokens == 0:
+            self._note_prefilled(one, now_ms)
         one.last_ms = now_ms
         one.tokens += count
 
@@ -298,7 +305,7 @@
         unfinished = {
             run_id: one
             for run_id, one in self.work.items()
-            if one.first_ms is None and one.started_ms is not None
+            if one.started_ms is not None and one.prefilled_ms is None
         }
         prefills = [
             estimate.Prefill(one.prompt_tokens, one.started_ms or 0)
@@ -307,12 +314,34 @@
         found = estimate.prompts_left(
             prefills, self.last_first_ms, self.speeds, now_ms
         )
-        left = dict(zip(unfinished, found, strict=True))
+        left = {}
+        for (run_id, one), tokens in zip(
+            unfinished.items(), found, strict=True
+        ):
+            if tokens > 1 or one.stream or one.suspended:
+                left[run_id] = tokens
+            else:
+                one.prefilled_ms = now_ms
         for run_id, one in self.work.items():
             if one.started_ms is None:
                 left[run_id] = one.offer.prompt_tokens
         return left if self.is_model else {}
 
+    def _note_prefilled(self, one: Progress, now_ms: int) -> None:
+        """Notes a first token, and what it tells of other prompts.
+
+        Prompts are prefilled in the order of arrival, so those of earlier
+        runs without a stream are done as well.
+        """
+        one.prefilled_ms = now_ms
+        self.last_first_ms = now_ms
+        for other in self.work.values():
+            if other is one:
+                return
+            waits = other.prefilled_ms is None and not other.suspended
+            if waits and other.started_ms is not None and not other.stream:
+                other.prefilled_ms = now_ms
+
     def _learn_first(self, one: Progress, now_ms: int) -> None:
         assert one.started_ms is not None
         self._learn_prefill(one, now_ms)
@@ -333,7 +362,7 @@
         """
         self.window_tokens += one.prompt_tokens
         waiting = any(
-            other.first_ms is None and other is not one
+            other.prefilled_ms is None and other is not one
             for other in self.work.values()
             if other.started_ms is not None and not other.suspended
         )
@@ -364,7 +393,7 @@
             room.Gap(
                 gap_ms / count,
                 len(active),
-                any(other.first_ms is None for other in active),
+                any(other.prefilled_ms is None for other in active),
             ),
             room.target_ms(self.speeds),
             now_ms,
@@ -401,3 +430,11 @@
                 room.target_ms(self.speeds),
                 now_ms,
             )
+
+
+def _output_left(one: Progress, per_token_ms: float, now_ms: int) -> int:
+    """Estimates the tokens that a run has yet to generate."""
+    done = one.tokens
+    if not one.stream and one.prefilled_ms is not None:
+        done = int((now_ms - one.prefilled_ms) / per_token_ms)
+    return max(1, one.offer.output_tokens - done)
