Say that a publish may have been accepted only when it may

Cause: the commands gave that hint also when no entry had been reached or the entry had answered that nothing was published. Change: the client keeps whether an entry may have done what was asked. An error of the API is logged with its traceback. parse.fields_of, which only a test used, is gone.

--- a/features/operators.feature
+++ b/features/operators.feature
@@ -78,6 +78,21 @@
       | 127.0.0.1:21002 127.0.0.1:21012 | 0 | [] |
       | 127.0.0.1:21002 127.0.0.1:21003 | 4 | http://127.0.0.1:21003: Connection was refused |
 
+  Scenario Outline: A publish that can't have run isn't said to have
+    Given an operator API over an empty store
+    And entries at <addresses>, where only 127.0.0.1:21012 answers
+    And the store answers every <call> with <outcome>
+    When the command "godwitloft publish examples/kuldiga/objects --reason r" runs
+    Then it ends with 4 and <hints> the publish id
+
+    Examples:
+      | addresses | call | outcome | hints |
+      | 127.0.0.1:21002 | read_row | ok | does not name |
+      | 127.0.0.1:21012 | write_object | down | does not name |
+      | 127.0.0.1:21012 | write_head | dropped | names |
+      | 127.0.0.1:21012 127.0.0.1:21002 | write_head | dropped | names |
+      | 127.0.0.1:21012 | write_head | held | names |
+
   Scenario: A command tells what it waits for, and gives up in time
     Given an operator API over an empty store
     And the store answers every read_row with held
--- a/features/steps/objects_fuzz_steps.py
+++ b/features/steps/objects_fuzz_steps.py
@@ -156,7 +156,7 @@
         assert problem.object in names, problem
         field = problem.field.partition("[")[0].partition(".")[0]
         kind = parse.KINDS[problem.kind + "s"]
-        assert field in parse.fields_of(kind), problem
+        assert field in kind.__dataclass_fields__, problem
     content = canonical.encode(objects)
     assert canonical.encode(canonical.decode(content)) == content
 
--- a/features/steps/operators_steps.py
+++ b/features/steps/operators_steps.py
@@ -163,6 +163,17 @@
     assert message in output + notes, context.ended
 
 
+@then("it ends with {code:d} and names the publish id")
+def check_hint(context, code):
+    check_end(context, code, "Run the command again with --publish-id")
+
+
+@then("it ends with {code:d} and does not name the publish id")
+def check_no_hint(context, code):
+    check_end(context, code, "godwitloft: http://127.0.0.1:")
+    assert "--publish-id" not in context.ended[2], context.ended
+
+
 @then('it says "{message}"')
 def check_note(context, message):
     assert message in context.ended[2], context.ended
--- a/godwitloft/objects/parse.py
+++ b/godwitloft/objects/parse.py
@@ -5,7 +5,6 @@
 each team, may have a file of its own.
 """
 
-import dataclasses
 import pathlib
 import typing
 
@@ -152,12 +151,3 @@
             return stream.read(MAX_FILE_BYTES + 1)
     except OSError as error:
         raise errors.ObjectsError(f"{file}: {error.strerror}") from error
-
-
-def fields_of(kind: type[typing.Any]) -> tuple[str, ...]:
-    """Returns the names of an object's fields.
-
-    :param kind: one of the data classes of objects
-    :return: in the order of their declaration
-    """
-    return tuple(field.name for field in dataclasses.fields(kind))
--- a/godwitloft/operator_http.py
+++ b/godwitloft/operator_http.py
@@ -213,11 +213,11 @@
     except Exception as error:
         refused = _as_refused(error)
         if refused.reason is Reason.FAILED:
-            events.log(
+            events.log_error(
                 events.OPERATOR_CALL_FAILED,
+                error,
                 operator=name,
                 path=request.path.decode("latin-1"),
-                error=repr(error),
             )
         return _write_refusal(api, request, name, refused)
     return _write(request, value)
--- a/godwitloft/ui/client.py
+++ b/godwitloft/ui/client.py
@@ -31,6 +31,7 @@
 PROGRESS_INTERVAL_S = 5
 ANSWERS_OF_PUBLISH = (http.OK, http.CONFLICT, 422)
 
+NOT_SENT_ERRORS = (internet_errors.ConnectError, web_client.RequestNotSent)
 UNREACHABLE_ERRORS = (
     internet_errors.ConnectError,
     internet_errors.ConnectionClosed,
@@ -82,8 +83,16 @@
     answers: tuple[int, ...] = (http.OK,)
 
 
-class _NextServer(errors.CommandError):
-    """This entry can't answer; another may."""
+class Unanswered(errors.CommandError):
+    """No entry gave an answer.
+
+    :param message: for people
+    :param may_have_run: whether an entry may have done what was asked
+    """
+
+    def __init__(self, message: str, may_have_run: bool) -> None:
+        self.may_have_run = may_have_run
+        super().__init__(message, errors.ExitCode.UNREACHABLE)
 
 
 async def read_snapshot(
@@ -148,8 +157,8 @@
     )
     try:
         return await send(connection, session, call)
-    except errors.CommandError as error:
-        if error.code is not errors.ExitCode.UNREACHABLE:
+    except Unanswered as error:
+        if not error.may_have_run:
             raise
         raise errors.CommandError(
             f"{error}\nIt may have been accepted. Run the command again with"
@@ -170,15 +179,17 @@
     :raises errors.CommandError: when it is refused or none can be reached
     """
     failures = []
+    may_have_run = False
     for server in connection.servers:
         progress = _Progress(session, f"waiting for {server}")
         try:
             return await _send_to(server, connection, session, call)
-        except _NextServer as error:
+        except Unanswered as error:
             failures.append(f"{server}: {error}")
+            may_have_run = may_have_run or error.may_have_run
         finally:
             progress.stop()
-    raise errors.CommandError("; ".join(failures), errors.ExitCode.UNREACHABLE)
+    raise Unanswered("; ".join(failures), may_have_run)
 
 
 async def _send_to(
@@ -211,7 +222,8 @@
         status, content = await answer
     except UNREACHABLE_ERRORS as error:
         reason = str(error) or type(error).__name__
-        raise _NextServer(reason, errors.ExitCode.UNREACHABLE) from error
+        not_sent = isinstance(error, NOT_SENT_ERRORS)
+        raise Unanswered(reason, not not_sent) from error
     return _decode(call, status, content)
 
 
@@ -239,14 +251,12 @@
             return decode.decode(call.kind, value, "answer")
         answer = decode.decode(operator_port.RefusalAnswer, value, "answer")
     except decode.DecodeError as error:
-        raise _NextServer(
-            f"HTTP status {status}: {error}", errors.ExitCode.UNREACHABLE
-        ) from error
+        raise Unanswered(f"HTTP status {status}: {error}", True) from error
     refusal = answer.error
     if status >= http.INTERNAL_SERVER_ERROR:
-        raise _NextServer(
+        raise Unanswered(
             f"{refusal.reason}: {refusal.message}",
-            errors.ExitCode.UNREACHABLE,
+            status != http.SERVICE_UNAVAILABLE,
         )
     raise errors.CommandError(
         f"{refusal.reason}: {refusal.message}",
