Let the settings say how long to wait for the platform

Cause: with a fixed timeout of 2 s a platform that answers in 3 s for a long stretch was the same as one that is down: every claim and read failed. Change: platform.timeout_ms (2 s as before), passed to the adapter; the guard's limits on attempts and calls follow from it. The feature's steps drive time in eighths of a second in place of seconds, as an answer at 1.5 s and a timeout at 2 s fell into one step. Conclusion: operators can ride out a slow store.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -63,3 +63,13 @@
       | read | ConnectionRefusedError | StoreUnavailable |
       | read | ConnectionLost | StoreUnavailable |
       | read | 500 | StoreUnavailable |
+
+  Scenario Outline: A slow platform is waited for as the settings say
+    Then with a timeout of <timeout> ms and answers after <delay> ms, guarded calls end as <written> and <found>
+
+    Examples:
+      | timeout | delay | written | found |
+      | 2000 | 1500 | swapped 1 | a 1 |
+      | 2000 | 3000 | lost | unavailable |
+      | 5000 | 3000 | swapped 1 | a 1 |
+      | 5000 | 6000 | lost | unavailable |
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -12,7 +12,10 @@
 from features.support import calls
 from godwitloft import clock as clocks
 from godwitloft import decode
+from godwitloft import settings
+from godwitloft.platform import connect
 from godwitloft.platform import faults
+from godwitloft.platform import guard
 from godwitloft.platform import http
 from godwitloft.platform import memory
 from godwitloft.platform import port
@@ -29,24 +32,26 @@
     flush: object
 
 
-def in_memory():
+def in_memory(timeout_ms=2000):
     reactor = task.Clock()
     reactor.advance(1000)
     injector = faults.Injector()
     store = memory.Store(clocks.reactor_clock(reactor))
-    platform = memory.platform(store, reactor, injector)
+    platform = memory.platform(store, reactor, injector, timeout_ms)
     return Reached(platform, reactor, injector, lambda: None)
 
 
-def over_http():
+def over_http(timeout_ms=2000):
     reactor = task.Clock()
     reactor.advance(1000)
     core = standin.Platform(standin.PlatformSettings(), reactor)
     stub = testing.StubTreq(standin.resource(core))
-    platform = http.platform("http://store", reactor, requester=stub)
+    platform = http.platform("http://store", reactor, timeout_ms, stub)
     return Reached(platform, reactor, core.injector, stub.flush)
 
 
+MAX_STEPS = 480
+STEP_S = 0.125
 ADAPTERS = (in_memory, over_http)
 
 
@@ -54,11 +59,11 @@
     """Returns how a call ends, driving time until it does."""
     results = []
     call.addBoth(results.append)
-    for _ in range(5):
+    for _ in range(MAX_STEPS):
         reached.flush()
         if results:
             break
-        reached.reactor.advance(1)
+        reached.reactor.advance(STEP_S)
         reached.flush()
     [result] = results
     return result
@@ -162,3 +167,23 @@
     words = {"write": ("k", "a", "0"), "read": ("k",)}[name]
     found = call(reached, name, *words)
     assert found == calls.ERRORS[getattr(port, outcome)], found
+
+
+@then(
+    "with a timeout of {timeout:d} ms and answers after {delay:d} ms, guarded"
+    " calls end as {written} and {found}"
+)
+def check_timeout(context, timeout, delay, written, found):
+    place = settings.Platform(settings.PlatformKind.HTTP, timeout_ms=timeout)
+    for adapter in ADAPTERS:
+        reached = adapter(timeout)
+        guarded = guard.Guard(
+            reached.port, reached.reactor, connect.bounds(place)
+        )
+        reached.port = guarded.platform()
+        reached.injector.set(faults.Faults(delay_ms=delay))
+        results = [
+            call(reached, "write", "k", "a", "0"),
+            call(reached, "read", "k"),
+        ]
+        assert results == [written, found], (adapter.__name__, results)
--- a/godwitloft/platform/connect.py
+++ b/godwitloft/platform/connect.py
@@ -1,5 +1,6 @@
 """Builds the platform that a process's settings name, with its guard."""
 
+import dataclasses
 import typing
 
 from godwitloft import clock as clocks
@@ -11,6 +12,9 @@
 from godwitloft.platform import port
 
 REASON_PREFIX = "platform_"
+# With the usual timeout of 2 s: 3 s for an attempt, 10 s for a call.
+ATTEMPT_SHARE = 1.5
+CALL_SHARE = 5
 
 
 def connect(
@@ -39,22 +43,39 @@
         instruments.refusals.add(1, {"reason": REASON_PREFIX + reason})
 
     if place.kind is settings.PlatformKind.HTTP:
-        inner = http.platform(place.url.rstrip("/"), reactor)
-        bounds = guard.GuardSettings()
+        url = place.url.rstrip("/")
+        inner = http.platform(url, reactor, place.timeout_ms)
     else:
         held = store or embedded_store(reactor)
-        inner = memory.platform(held, reactor)
-        bounds = guard.GuardSettings(fleet_reads_per_s=0, fleet_writes_per_s=0)
+        inner = memory.platform(held, reactor, timeout_ms=place.timeout_ms)
     return guard.Guard(
         inner,
         reactor,
-        bounds,
+        bounds(place),
         live_processes,
         on_retry=count_retry,
         on_refusal=count_refusal,
     ).platform()
 
 
+def bounds(place: settings.Platform) -> guard.GuardSettings:
+    """Returns the bounds on the calls of a process.
+
+    :param place: where the platform is and how long to wait for it
+    :return: no rates for a platform in memory, which only this process
+        uses; limits in time that leave the adapter its timeout
+    """
+    usual = guard.GuardSettings(
+        attempt_limit_ms=place.timeout_ms * ATTEMPT_SHARE,
+        call_limit_ms=place.timeout_ms * CALL_SHARE,
+    )
+    if place.kind is settings.PlatformKind.HTTP:
+        return usual
+    return dataclasses.replace(
+        usual, fleet_reads_per_s=0, fleet_writes_per_s=0
+    )
+
+
 def embedded_store(reactor: typing.Any) -> memory.Store:
     """Returns a store in memory that takes any number of calls.
 
--- a/godwitloft/settings.py
+++ b/godwitloft/settings.py
@@ -127,10 +127,15 @@
     :param kind: ``http``, or ``memory`` for a platform inside the process
         that is lost with it
     :param url: for ``http``: address of the service, with an IP number
+    :param timeout_ms: how long to wait for an answer; raise it when the
+        platform is slow for long stretches
     """
 
     kind: PlatformKind = PlatformKind.MEMORY
     url: str = ""
+    timeout_ms: int = dataclasses.field(
+        default=2000, metadata={"min": 100, "max": 60_000}
+    )
 
 
 @dataclasses.dataclass(frozen=True)
