Let lower work go first while higher has time; learn the margin

Requests also ended late in flight, with estimates held against deadlines at a fixed margin of 0.1. Ruled out: learnt room (prefill was the bound, the cap rose when it could). Change: policy/lookahead lets a lower offer that is due earlier start while each higher offer keeps to 35% of its time left, counting this upstream's share of the work; policy/margin follows the share of late ends. Parts of the policy can be switched off for experiments.

--- a/bench/burst.py
+++ b/bench/burst.py
@@ -5,6 +5,7 @@
 import functools
 import json
 import pathlib
+import sys
 import tempfile
 import typing
 import urllib.request
@@ -14,6 +15,7 @@
 from bench import load
 from bench import processes
 from bench import workload
+from godwitloft import audit as audits
 
 WINDOW_MS = 14_000
 BURST_MS = 8_000
@@ -89,7 +91,10 @@
                 else start_push(running, experiment.seed)
             )
             results, ledger = send(running, urls, deployment.model, jobs)
-        breaches = audit(running) if late else None
+        found = audit(running, ledger) if late else None
+        if found is not None and found.breaches:
+            print(found.text(), file=sys.stderr)
+    breaches = None if found is None else found.breaches
     return report(experiment, results, ledger, breaches)
 
 
@@ -157,14 +162,21 @@
         return json.loads(response.read() or b"null")
 
 
-def audit(running: cluster.Cluster) -> int | None:
+def audit(
+    running: cluster.Cluster,
+    ledger: typing.Sequence[typing.Mapping[str, typing.Any]],
+) -> audits.Report:
     """Audits the traces of a finished run.
 
     :param running: the stopped deployment
-    :return: how many promises were broken
+    :param ledger: what the engines ran
+    :return: what was found
     """
-    del running
-    return None
+    lines: list[str] = []
+    for path in running.trace_paths():
+        lines.extend(path.read_text(encoding="utf-8").splitlines())
+    rows = [json.dumps({"run": dict(row)}) for row in ledger]
+    return audits.audit(lines, rows)
 
 
 def report(
--- a/godwitloft/agent/daemon.py
+++ b/godwitloft/agent/daemon.py
@@ -64,7 +64,9 @@
             upstream=self.upstream.port(),
             recorder=self.recorder,
             instruments=surroundings.instruments,
-            settings=dispatchers.DispatcherSettings(is_model=is_model),
+            settings=dispatchers.DispatcherSettings(
+                is_model=is_model, policy=settings.policy
+            ),
         )
         self.upstream.dispatcher = self.dispatcher
         self.ticker = task.LoopingCall(
--- a/godwitloft/agent/dispatcher.py
+++ b/godwitloft/agent/dispatcher.py
@@ -13,6 +13,7 @@
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft import metrics
+from godwitloft import settings as settings_module
 from godwitloft import trace
 from godwitloft.agent import engine_state
 from godwitloft.agent import run as runs
@@ -21,8 +22,10 @@
 from godwitloft.links.generated.messages import ttypes
 from godwitloft.objects import types as object_types
 from godwitloft.policy import estimate
+from godwitloft.policy import lookahead
 from godwitloft.policy import offer_book
 from godwitloft.policy import order
+from godwitloft.policy import room
 from godwitloft.policy import suspects
 from godwitloft.policy import types
 
@@ -38,6 +41,9 @@
 # No request lives longer, so that no dispatch can outlive its tombstone.
 TOMBSTONE_MS = object_types.DURATION_MS["max"]
 
+# A safety share that makes every estimate nothing.
+IGNORE_ESTIMATES = -1.0
+
 
 @dataclasses.dataclass(frozen=True)
 class DispatcherSettings:
@@ -47,12 +53,14 @@
     :param max_offers: bids that are kept
     :param is_model: whether the upstream is a model engine
     :param resumable: whether it can suspend and resume a run
+    :param policy: parts of the policy that can be switched off
     """
 
     max_running: int = 8
     max_offers: int = 50_000
     is_model: bool = True
     resumable: bool = False
+    policy: settings_module.AgentPolicy = settings_module.AgentPolicy()
 
 
 def number_of(run_id: str) -> tuple[str, int]:
@@ -95,6 +103,7 @@
         self.chart = charts.load("run")
         self.entries: dict[str, str] = {}
         self.book = offer_book.OfferBook()
+        self.lookahead = lookahead.Lookahead(self.book)
         self.state = engine_state.EngineState(
             settings.is_model, settings.resumable, settings.max_running
         )
@@ -238,6 +247,7 @@
         :return: the offer
         """
         now_ms = self.clock.monotonic_ms()
+        policy = self.settings.policy
         if body.isolate:
             self.suspects.note(
                 body.fingerprint,
@@ -248,7 +258,7 @@
         return types.Offer(
             request_id=body.request_id,
             entry=peer,
-            tier_rank=body.tier_rank,
+            tier_rank=body.tier_rank if policy.tier_order else 0,
             team=body.team,
             team_weight=body.team_weight,
             service=body.service_name,
@@ -261,6 +271,7 @@
             hold_until_ms=now_ms + body.hold_ms if body.hold_ms else 0,
             isolate=self.suspects.verdict(body.fingerprint, now_ms)
             is suspects.Verdict.SUSPECT,
+            agents=body.agents or 1,
         )
 
     def on_withdraw(self, peer: str, body: ttypes.Withdraw) -> None:
@@ -327,9 +338,11 @@
         """Does what the policy chooses until it chooses nothing."""
         while not self.draining:
             now_ms = self.clock.monotonic_ms()
-            choice = self.book.choose(
-                self.state.running(now_ms), self.state.view(now_ms), now_ms
-            )
+            running = self.state.running(now_ms)
+            view = self.view(now_ms)
+            choice = self.book.choose(running, view, now_ms)
+            if self.settings.policy.look_ahead:
+                choice = self.lookahead.improve(choice, running, view, now_ms)
             self.tell_skipped(choice.skipped)
             self.look_again_ms = choice.look_again_ms
             if choice.resume is not None:
@@ -339,6 +352,24 @@
             else:
                 return
 
+    def view(self, now_ms: int) -> types.UpstreamView:
+        """Returns the upstream as the policy's switched-on parts see it.
+
+        :param now_ms: the time
+        :return: a view that is right until the next change
+        """
+        view = self.state.view(now_ms)
+        policy = self.settings.policy
+        if not policy.check_finish:
+            view = dataclasses.replace(view, safety_share=IGNORE_ESTIMATES)
+        if not policy.learn_room:
+            fixed = room.Room(
+                max_running=self.settings.max_running,
+                max_unprefilled_tokens=room.MAX_UNPREFILLED_TOKENS,
+            )
+            view = dataclasses.replace(view, room=fixed)
+        return view
+
     def tell_skipped(self, skipped: typing.Iterable[order.Skipped]) -> None:
         """Tells entries about offers that are not pulled, once a reason.
 
--- a/godwitloft/agent/engine_state.py
+++ b/godwitloft/agent/engine_state.py
@@ -9,6 +9,7 @@
 from godwitloft.agent import upstream as upstreams
 from godwitloft.policy import breaker
 from godwitloft.policy import estimate
+from godwitloft.policy import margin
 from godwitloft.policy import prefix
 from godwitloft.policy import prefix_index
 from godwitloft.policy import room
@@ -31,6 +32,7 @@
     :param prompt_tokens: prompt tokens that were not found in the cache
     :param ahead_tokens: unprefilled prompt tokens before it at the start
     :param expected_ms: estimated time to its first token
+    :param finish_ms: estimated time to its end
     :param beside: requests that ran at the start, itself included
     :param stream: whether its tokens come one by one
     :param prefilled_ms: when its prompt was prefilled, as its first token
@@ -49,6 +51,7 @@
     prompt_tokens: int = 0
     ahead_tokens: int = 0
     expected_ms: float = 0.0
+    finish_ms: float = 0.0
     beside: int = 1
     stream: bool = True
     prefilled_ms: int | None = None
@@ -72,6 +75,7 @@
         self.is_model = is_model
         self.resumable = resumable
         self.speeds = estimate.Speeds()
+        self.margin = margin.START
         starting = min(room.STARTING_RUNNING, max_running)
         self.room = room.Room(
             max_running=starting if is_model else max_running,
@@ -112,6 +116,7 @@
             resumable=self.resumable,
             accepting=self._accepting(now_ms),
             cached_tokens=self.index.cached_tokens,
+            safety_share=self.margin,
         )
 
     def running(self, now_ms: int) -> list[types.Running]:
@@ -199,6 +204,9 @@
         ]
         keys = one.offer.prefix_keys
         cached = self.index.cached_tokens(keys)
+        one.finish_ms = estimate.finish_in_ms(
+            one.offer, self.view(now_ms), others
+        )
         one.started_ms = now_ms
         one.last_ms = now_ms
         one.beside = len(others) + 1
@@ -262,8 +270,8 @@
         self.best = estimate.best_of(self.best or self.speeds, self.speeds)
         if end is upstreams.End.COMPLETED:
             self.breaker = breaker.succeeded(self.breaker)
-            if one is not None and not one.tokens and not one.disturbed:
-                self._learn_whole(one, now_ms)
+            if one is not None and not one.disturbed:
+                self._learn_end(one, now_ms)
         elif end is upstreams.End.NEVER_STARTED:
             self.breaker = breaker.unreachable(self.breaker, now_ms)
         elif end is upstreams.End.CRASHED and not cancelled:
@@ -378,6 +386,13 @@
         self.window_start_ms = now_ms
         self.window_tokens = 0
 
+    def _learn_end(self, one: Progress, now_ms: int) -> None:
+        assert one.started_ms is not None
+        if not one.tokens:
+            self._learn_whole(one, now_ms)
+        taken_ms = now_ms - one.started_ms
+        self.margin = margin.observe(self.margin, one.finish_ms, taken_ms)
+
     def _learn_gap(self, one: Progress, count: int, now_ms: int) -> None:
         active = [
             other
--- a/godwitloft/entry/daemon.py
+++ b/godwitloft/entry/daemon.py
@@ -81,6 +81,7 @@
             settings=desks.DeskSettings(
                 max_waiting=settings.limits.queue_requests,
                 max_waiting_bytes=settings.limits.queue_bytes,
+                hold_off=settings.policy.hold_off,
                 availability_zone=settings.availability_zone,
             ),
             generation=lambda: self.node.generation,
--- a/godwitloft/entry/desk.py
+++ b/godwitloft/entry/desk.py
@@ -48,12 +48,14 @@
     :param relink_limit_ms: how long a run whose agent can't be reached may
         stay without an outcome
     :param availability_zone: the entry's own
+    :param hold_off: whether agents without a prompt's prefix wait a little
     """
 
     max_waiting: int = 10_000
     max_waiting_bytes: int = 256 * 1024 * 1024
     relink_limit_ms: int = RELINK_LIMIT_MS
     availability_zone: str = ""
+    hold_off: bool = True
 
 
 MESSAGES: typing.Mapping[str, str] = {
@@ -1002,7 +1004,8 @@
             return
         for target in self.agents.targets(request.call, spare_ms):
             if target.peer not in request.failed_at:
-                self.bid_to(request, target.peer, target.hold_ms)
+                hold_ms = target.hold_ms if self.settings.hold_off else 0
+                self.bid_to(request, target.peer, hold_ms)
         if not request.bid_at:
             self.bid_at_all(request)
 
@@ -1063,6 +1066,7 @@
             hold_ms=hold_ms,
             generation=self.generation(),
             isolate=request.isolate,
+            agents=len(self.agents.eligible(call)),
         )
 
     def withdraw(self, request: requests.Request) -> None:
--- a/godwitloft/links/messages.thrift
+++ b/godwitloft/links/messages.thrift
@@ -53,6 +53,7 @@
   12: required i64 hold_ms           // start only after this delay
   13: required i64 generation
   14: optional bool isolate          // a suspect: run with no other suspect
+  15: optional i32 agents            // how many agents may run it
 }
 
 /* The bid is over: dispatched elsewhere, refused or cancelled. */
--- /dev/null
+++ b/godwitloft/policy/lookahead.py
@@ -0,0 +1,191 @@
+"""Lets short work of a lower tier go first while a higher one has time.
+
+Strict tier order wastes an engine's time when a higher tier's deadlines are
+far away: work of a lower tier that is due soon becomes late meanwhile,
+though both could have been finished. So a lower tier's offer that is due
+earlier may start first, as long as every higher offer known here would
+still finish within a part of the time it has left, each upstream doing its
+share of the work. What is left of that time is for estimates that are
+wrong and upstreams that slow down.
+"""
+
+import dataclasses
+import typing
+
+from godwitloft.policy import estimate
+from godwitloft.policy import offer_book
+from godwitloft.policy import order
+from godwitloft.policy import types
+
+SLACK_SHARE = 0.35
+REFRESH_MS = 50
+MAX_CANDIDATES = 8
+
+
+def work_ms(offer: types.Offer, view: types.UpstreamView) -> float:
+    """Estimates the engine time of an offer on an upstream.
+
+    :param offer: the offer
+    :param view: the upstream
+    :return: milliseconds
+    """
+    cached = view.cached_tokens(offer.prefix_keys)
+    return estimate.engine_ms(
+        max(0, offer.prompt_tokens - cached),
+        offer.output_tokens,
+        view.speeds,
+        view.room.max_running,
+    )
+
+
+def spare_ms(
+    higher: typing.Iterable[types.Offer],
+    view: types.UpstreamView,
+    now_ms: int,
+) -> float:
+    """Returns the engine time that higher offers can do without.
+
+    The offers are taken in order of their deadlines. Each must be done,
+    with all before it, within :data:`SLACK_SHARE` of the time to its
+    deadline; of the work, this upstream does its share.
+
+    :param higher: offers of more important tiers, in any order
+    :param view: the upstream
+    :param now_ms: the time
+    :return: milliseconds; infinite without any offer, negative when the
+        offers already need more than they may
+    """
+    spare = float("inf")
+    needed_ms = 0.0
+    for offer in sorted(higher, key=lambda one: one.deadline_ms):
+        needed_ms += work_ms(offer, view) / max(1, offer.agents)
+        allowed_ms = SLACK_SHARE * (offer.deadline_ms - now_ms)
+        spare = min(spare, allowed_ms - needed_ms)
+    return spare
+
+
+@dataclasses.dataclass
+class Spare:
+    """What was worked out for the tiers above one.
+
+    :param at_ms: when
+    :param spare_ms: engine time left at that time, less what has since
+        been started
+    """
+
+    at_ms: int
+    spare_ms: float
+
+
+class Lookahead:
+    """Finds lower offers that may go first; remembers what it worked out.
+
+    :param book: the offers of the upstream
+    """
+
+    def __init__(self, book: offer_book.OfferBook) -> None:
+        self.book = book
+        self.spares: dict[int, Spare] = {}
+
+    def improve(
+        self,
+        choice: order.Choice,
+        running: typing.Sequence[types.Running],
+        view: types.UpstreamView,
+        now_ms: int,
+    ) -> order.Choice:
+        """Replaces a choice by a lower offer that may go first.
+
+        :param choice: by strict order of tiers
+        :param running: what was given to the upstream
+        :param view: the upstream
+        :param now_ms: the time
+        :return: a choice with that offer, or the one given
+        """
+        blocked = choice.resume is not None or bool(choice.suspend)
+        if blocked or self.book.urgent or not view.accepting:
+            return choice
+        at = order.Upstream(view, running, now_ms)
+        found = self.earlier(choice, at)
+        if found is None:
+            return choice
+        offer, cost_ms = found
+        for rank, spare in self.spares.items():
+            if rank <= offer.tier_rank:
+                spare.spare_ms -= cost_ms
+        return dataclasses.replace(choice, pull=offer, look_again_ms=None)
+
+    def earlier(
+        self, choice: order.Choice, at: order.Upstream
+    ) -> tuple[types.Offer, float] | None:
+        """Finds the best lower offer that may go first.
+
+        :param choice: by strict order of tiers
+        :param at: the upstream
+        :return: the offer and its engine time, or None
+        """
+        ranks = list(self.book.tiers)
+        if choice.pull is not None:
+            due_ms = choice.pull.deadline_ms
+            ranks = [rank for rank in ranks if rank > choice.pull.tier_rank]
+        else:
+            due_ms = None
+            ranks = ranks[1:]
+        for rank in ranks:
+            offer = self.candidate(rank, due_ms, at)
+            if offer is None:
+                continue
+            cost_ms = work_ms(offer, at.view)
+            if cost_ms <= self.spare_above(rank, at):
+                return offer, cost_ms
+        return None
+
+    def candidate(
+        self, rank: int, due_ms: int | None, at: order.Upstream
+    ) -> types.Offer | None:
+        """Returns the first offer of a tier that could start now.
+
+        :param rank: of the tier
+        :param due_ms: it must be due before this time, if given
+        :param at: the upstream
+        :return: the offer, or None
+        """
+        for number, offer in enumerate(self.book.tiers[rank].in_order()):
+            if number >= MAX_CANDIDATES:
+                return None
+            if due_ms is not None and offer.deadline_ms >= due_ms:
+                continue
+            if order.must_run_alone(offer, at):
+                continue
+            if order.startable(offer, at.running, at):
+                return offer
+        return None
+
+    def spare_above(self, rank: int, at: order.Upstream) -> float:
+        """Returns the engine time that the tiers above one can do without.
+
+        :param rank: of the lower tier
+        :param at: the upstream
+        :return: milliseconds, at most :data:`REFRESH_MS` old
+        """
+        known = self.spares.get(rank)
+        if known is None or at.now_ms - known.at_ms >= REFRESH_MS:
+            known = Spare(at.now_ms, self.work_out(rank, at))
+            self.spares[rank] = known
+        return known.spare_ms
+
+    def work_out(self, rank: int, at: order.Upstream) -> float:
+        """Works out the engine time that tiers above one can do without.
+
+        :param rank: of the lower tier
+        :param at: the upstream
+        :return: milliseconds
+        """
+        higher = [
+            offer
+            for above, tier in self.book.tiers.items()
+            if above < rank
+            for offers in (tier.in_order(), tier.held.values())
+            for offer in offers
+        ]
+        return spare_ms(higher, at.view, at.now_ms)
--- a/godwitloft/policy/order.py
+++ b/godwitloft/policy/order.py
@@ -271,7 +271,7 @@
     at: Upstream,
 ) -> Choice | None:
     """Returns how an offer can start now, or None when it can't."""
-    if _startable(offer, at.running, at):
+    if startable(offer, at.running, at):
         return Choice(pull=offer)
     if not at.view.resumable:
         return None
@@ -283,16 +283,23 @@
     for victim in shed.to_suspend(at.running, floor):
         left[left.index(victim)] = dataclasses.replace(victim, suspended=True)
         suspend.append(victim.request_id)
-        if _startable(offer, left, at):
+        if startable(offer, left, at):
             return Choice(pull=offer, suspend=tuple(suspend))
     return None
 
 
-def _startable(
+def startable(
     offer: types.Offer,
     running: typing.Sequence[types.Running],
     at: Upstream,
 ) -> bool:
+    """Says whether an offer could start and end in time.
+
+    :param offer: the request
+    :param running: what would run beside it
+    :param at: the upstream
+    :return: whether it keeps its deadline and fits under every cap
+    """
     finish_ms = estimate.finish_in_ms(offer, at.view, running)
     return (
         in_time(offer, finish_ms, at.view, at.now_ms)
--- a/godwitloft/policy/types.py
+++ b/godwitloft/policy/types.py
@@ -29,6 +29,7 @@
     :param urgent: no other upstream has room for it
     :param hold_until_ms: not to be started before this time
     :param isolate: whether it must not run beside another suspect
+    :param agents: how many agents may run it
     """
 
     request_id: str
@@ -45,6 +46,7 @@
     urgent: bool = False
     hold_until_ms: int = 0
     isolate: bool = False
+    agents: int = 1
 
 
 @dataclasses.dataclass(frozen=True)
--- a/godwitloft/settings.py
+++ b/godwitloft/settings.py
@@ -268,6 +268,34 @@
     metrics_listen: Listen | None = None
 
 
+@dataclasses.dataclass(frozen=True)
+class AgentPolicy:
+    """Parts of an agent's policy that experiments switch off.
+
+    :param tier_order: look at a request's tier at all
+    :param check_finish: leave out what can't end in time here
+    :param learn_room: learn how much may run from token times, in place of
+        the pool's bound alone
+    :param look_ahead: let a lower tier's request that is due sooner go
+        first while the higher tiers have time to spare
+    """
+
+    tier_order: bool = True
+    check_finish: bool = True
+    learn_room: bool = True
+    look_ahead: bool = True
+
+
+@dataclasses.dataclass(frozen=True)
+class EntryPolicy:
+    """Parts of an entry's policy that experiments switch off.
+
+    :param hold_off: let agents without a prompt's prefix wait a little
+    """
+
+    hold_off: bool = True
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class EntrySettings(CommonSettings):
     """Settings of ``godwitloft-entry``, besides the common ones.
@@ -275,6 +303,7 @@
     :param caller_listen: where callers reach it
     :param operator_listen: where operators reach it; null: nowhere
     :param operator_tokens: bearer tokens of operators
+    :param policy: parts of the policy, all on unless an experiment says so
     """
 
     caller_listen: Listen = Listen()
@@ -282,6 +311,7 @@
     operator_tokens: tuple[Token, ...] = dataclasses.field(
         default=(), metadata={"max": MAX_TOKENS}
     )
+    policy: EntryPolicy = EntryPolicy()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -290,10 +320,12 @@
 
     :param pool: name of the pool that its upstream belongs to
     :param upstream: the upstream beside it
+    :param policy: parts of the policy, all on unless an experiment says so
     """
 
     pool: str = dataclasses.field(metadata=types.NAME)
     upstream: Upstream
+    policy: AgentPolicy = AgentPolicy()
 
 
 Settings = typing.TypeVar("Settings", bound=CommonSettings)
