--- a/godwitloft/policy/order.py
+++ b/godwitloft/policy/order.py
@@ -387,7 +387,7 @@
         and (one.leaving or not one.suspended)
     ]
     if not lower:
-        if _startable(offer, at.running, at):
+        if startable(offer, at.running, at):
             return None
         return Skipped(offer.request_id, shed.HIGHER_TIER, finish_ms)
     if at.view.resumable:
