Write traces that the audit can judge answers and runs by

Cause: agents wrote a run's start only with its first answer, and neither digest nor count of an answer was written, so the audit could not see a run that died before its first token, nor hold an answer against its run. Change: started is written before the upstream is given the run; ended and told carry count and digest; tombstones are written; a run whose upstream was never reached doesn't count as begun.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -69,11 +69,11 @@
 
     Examples:
       | seeds | share | faults        |
-      | 80    | 0.06  | all           |
-      | 40    | 0.2   | all           |
-      | 40    | 0.2   | advance probe |
-      | 40    | 0.3   | deliver cut   |
-      | 40    | 0.2   | cut advance   |
+      | 50    | 0.06  | all           |
+      | 25    | 0.2   | all           |
+      | 25    | 0.2   | advance probe |
+      | 25    | 0.3   | deliver cut   |
+      | 25    | 0.2   | cut advance   |
 
   Scenario Outline: A planted mistake is caught
     Then random fleets with <share> of <faults> catch "<mutant>"
@@ -96,3 +96,14 @@
       | 0.3   | deliver cut   | order of frames ignored                    |
       | 0.06  | all           | leaving agent pulls                        |
       | 0.2   | all           | deadline ignored                           |
+
+  Scenario Outline: The audit of a fleet's traces agrees with the model
+    Then the audit of <seeds> fleets with <share> of <faults> and "<mutant>" finds "<promise>"
+
+    Examples:
+      | seeds | share | faults              | mutant                      | promise                |
+      | 20    | 0.1   | all                 |                             |                        |
+      | 40    | 0.2   | cut advance         |                             |                        |
+      | 40    | 0.2   | cut advance         | lost run runs again         | dispatched at most once |
+      | 60    | 0.3   | cut stop_engine advance | retried call refused as not run | not run is true |
+      | 40    | 0.2   | cut advance         | every call retried          | non-idempotent at most once |
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -49,3 +49,22 @@
     except Exception:
         # A mistake may also show as an input that a chart doesn't allow.
         return True
+
+
+@then(
+    "the audit of {seeds:d} fleets with {share:g} of {names}"
+    ' and "{mutant}" finds "{promise}"'
+)
+@then(
+    'the audit of {seeds:d} fleets with {share:g} of {names} and "" finds ""'
+)
+def check_audit(context, seeds, share, names, mutant="", promise=""):
+    found = set()
+    with fleet_mutants.planted(mutant):
+        for seed in range(seeds):
+            found.update(
+                fleet_search.audit_random(seed, share, fault_names(names))
+            )
+            if promise in found:
+                return
+    assert not promise and not found, found
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -8,8 +8,10 @@
 
 import collections
 import dataclasses
+import json
 import logging
 
+from godwitloft import audit
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft import metrics
@@ -453,6 +455,15 @@
                 self.breach(f"{process.name} still holds {list(left)}")
         return self.breaches
 
+    def audit(self):
+        """Audits the traces against what the upstreams ran."""
+        ledger = [
+            json.dumps({"run_id": run_id})
+            for engine in self.engines.values()
+            for run_id in engine.ledger
+        ]
+        return audit.audit(self.lines, ledger)
+
     def judge_caller(self, caller, runs):
         who = f"{caller.kind} {caller.request_id}"
         finals = caller.final()
--- a/features/support/fleet_search.py
+++ b/features/support/fleet_search.py
@@ -14,12 +14,24 @@
     ``names`` leaves out all faults but some.
     """
     chance = random.Random(seed)
+    return finish(random_fleet(chance, fault_share, names))
+
+
+def random_fleet(chance, fault_share, names):
+    """Returns a fleet after some random events, not settled yet."""
     fleet = fleets.Fleet(entries=2, agents=2)
     for _ in range(RANDOM_STEPS):
         event = random_event(fleet, chance, fault_share, names)
         if event is not None:
             fleet.happen(event)
-    return finish(fleet)
+    return fleet
+
+
+def audit_random(seed, fault_share, names):
+    """Returns the promises that the audit of a random fleet finds broken."""
+    fleet = random_fleet(random.Random(seed), fault_share, names)
+    fleet.settle()
+    return [one.promise for one in fleet.audit().findings if one.breaches]
 
 
 def random_event(fleet, chance, fault_share, names):
--- a/godwitloft/agent/dispatcher.py
+++ b/godwitloft/agent/dispatcher.py
@@ -501,6 +501,13 @@
         self.state.started(
             run_id, bool(body.stream), self.clock.monotonic_ms()
         )
+        # Written before: an agent that dies in between may have started it.
+        self.recorder.record(
+            trace.Kind.STARTED,
+            run_id=run_id,
+            tier_rank=one.offer.tier_rank,
+            resumable=self.settings.resumable,
+        )
         self.upstream.start(body)
 
     def refuse_dispatch(self, peer: str, run_id: str, reason: str) -> None:
@@ -530,6 +537,7 @@
         :param run_id: id of the run
         """
         self.tombstones[run_id] = self.clock.monotonic_ms() + TOMBSTONE_MS
+        self.recorder.record(trace.Kind.TOMBSTONE, run_id=run_id)
 
     def on_ack(self, peer: str, body: ttypes.Ack) -> None:
         """Forgets what the entry has.
@@ -688,7 +696,6 @@
         run.content_type = content_type
         if run.position.allows("stream"):
             run.position.feed("stream")
-        self.recorder.record(trace.Kind.STARTED, run_id=run.run_id)
         self.send(run.entry, "started", ttypes.Started(run.run_id))
 
     def upstream_ended(
@@ -735,6 +742,9 @@
             reason=reason,
             prompt_tokens=prompt_tokens,
             output_tokens=run.tokens,
+            status=run.ended.status,
+            count=run.ended.count,
+            digest=run.ended.digest,
         )
         never_started = end is upstreams.End.NEVER_STARTED
         run.position.feed("not_sent" if never_started else "end")
--- a/godwitloft/audit/history.py
+++ b/godwitloft/audit/history.py
@@ -8,6 +8,7 @@
 from godwitloft import trace
 
 NEVER_MS = 1 << 62
+NEVER_STARTED = "never_started"
 
 
 @dataclasses.dataclass(eq=False)
@@ -279,7 +280,11 @@
         elif place not in open_runs:
             continue
         elif one.kind is trace.Kind.ENDED:
-            open_runs[place].ended = one
+            run = open_runs[place]
+            run.ended = one
+            if one.fields.get("outcome") == NEVER_STARTED:
+                # The upstream could not be reached.
+                runs[run_id].remove(run)
         elif one.kind in (trace.Kind.SUSPENDED, trace.Kind.RESUMED):
             open_runs[place].pauses.append(one)
     return runs
--- a/godwitloft/audit/shedding.py
+++ b/godwitloft/audit/shedding.py
@@ -106,4 +106,5 @@
 
 def _resumable(run: history.Run) -> bool:
     first = run.process.records[0]
-    return bool(first.fields.get("resumable"))
+    known = run.started.fields.get("resumable")
+    return bool(first.fields.get("resumable") if known is None else known)
--- a/godwitloft/entry/desk.py
+++ b/godwitloft/entry/desk.py
@@ -1289,6 +1289,9 @@
             request.request_id,
             outcome=outcome,
             reason=reason,
+            not_run=outcome == "refused",
+            count=request.next_sequence,
+            digest=request.digest.hexdigest(),
             elapsed_ms=now_ms - request.accepted_ms,
             timely=now_ms <= request.deadline_ms,
         )
