Number the stand-in engine's runs that bring no id

Cause: their ids came from memory addresses, which come back. Change: a counter. Conclusion: every run in the ledger is told apart.

--- a/features/standin_engine.feature
+++ b/features/standin_engine.feature
@@ -98,6 +98,12 @@
       | /kv/import | {"model":"bean-model","keys":["x"]} | 400 | keys: not a list of numbers |
       | /kv/import | {"model":"other","keys":[]} | 409 | model 'other' isn't loaded |
 
+  Scenario: Runs without a request id are told apart
+    Given a stand-in engine with {}
+    When "{"model":"bean-model","prompt":"x y","max_tokens":1}" is posted to the engine's /v1/completions
+    And "{"model":"bean-model","prompt":"x y","max_tokens":1}" is posted to the engine's /v1/completions
+    Then the engine's ledger is "run-1 completed 2 0 1; run-2 completed 2 0 1"
+
   Scenario: A cache exported from one engine saves prefill on another
     Given a stand-in engine with {"event_loss": 0}
     And a second stand-in engine with {"event_loss": 0}
--- a/godwitloft/standins/engine.py
+++ b/godwitloft/standins/engine.py
@@ -185,6 +185,7 @@
         self.settings = settings
         self.reactor = reactor
         self.numbers = itertools.count(1)
+        self.unnamed = itertools.count(1)
         self.waiting: collections.deque[Run] = collections.deque()
         self.batch: list[Run] = []
         self.paused: list[Run] = []
@@ -229,6 +230,10 @@
         """Whether the engine is down after a crash."""
         return self.now_ms() < self.down_until_ms
 
+    def new_run_id(self) -> str:
+        """Returns an id for a request that brings none."""
+        return f"run-{next(self.unnamed)}"
+
     def submit(self, run: Run) -> None:
         """Takes a request in; it starts when batch and memory allow.
 
--- a/godwitloft/standins/engine_http.py
+++ b/godwitloft/standins/engine_http.py
@@ -128,7 +128,7 @@
     connected = True
     digest = answers.prompt_digest(prompt)
     streamed = bool(body.get("stream"))
-    run_id = request.getHeader(http.REQUEST_ID_HEADER) or f"run-{id(request)}"
+    run_id = request.getHeader(http.REQUEST_ID_HEADER) or engine.new_run_id()
     render = _renderer(run_id, str(body["model"]), chat, streamed)
     before, after = _split_event(render)
 
