Plant faults in publishing and following

Cause: a check that can't fail proves nothing. Change: six planted faults of publishing and six of the feed; publishers race also without a common object, and a publish told as unchanged must not be in the history. New daemons don't vouch for one another.

--- a/features/feed.feature
+++ b/features/feed.feature
@@ -97,3 +97,19 @@
     When 20 seeded fleets go through publishes, losses, pauses, outages and restarts
     Then no daemon's generation ever went down
     And every fleet ends at its newest generation
+
+  Scenario: New daemons don't vouch for one another
+    Given 3 new daemons, the store down and one peer at generation 4 of 5
+    Then none of the new daemons becomes ready
+
+  Scenario Outline: Planted faults of following are caught
+    Then the check "<check>" fails with the mutant "<mutant>"
+
+    Examples:
+      | mutant                                        | check             |
+      | an older generation comes into force          | older snapshot    |
+      | the hash isn't checked                        | damaged snapshot  |
+      | the head is read without confirming           | stale start       |
+      | a new daemon states what it isn't sure of     | witnesses         |
+      | the first peer is believed                    | one witness       |
+      | peers aren't told                             | store outage      |
--- a/features/publish.feature
+++ b/features/publish.feature
@@ -75,3 +75,16 @@
     When up to 3 publishers race through 400 seeded orders of calls and faults
     Then no generation was accepted twice and none reverted
     And every publish told as accepted is in the history once
+
+  Scenario Outline: Planted faults of publishing are caught
+    When publishers race with the mutant "<mutant>"
+    Then some order of calls shows a wrong history
+
+    Examples:
+      | mutant                                  |
+      | history isn't written before the swap   |
+      | a lost swap counts as not made          |
+      | the expected version isn't checked      |
+      | overlapping changes are merged          |
+      | the merged set isn't checked            |
+      | the history isn't searched for the id   |
--- a/features/steps/feed_steps.py
+++ b/features/steps/feed_steps.py
@@ -1,7 +1,9 @@
+import dataclasses
 import functools
 import hashlib
 import json
 import random
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -455,3 +457,127 @@
 def check_ends(context):
     for fleet, generation in context.fleets:
         assert fleet.behind(generation) == [], fleet.behind(generation)
+
+
+def new_daemons(count):
+    """Starts daemons linked to each other and to one peer that is behind."""
+    fleet = Fleet(0, 0)
+    accept(fleet.store, 4)
+    accept(fleet.store, 5)
+    fleet.store.is_down = True
+    fleet.size = 50
+    serving_peer(fleet, "a0", 4)
+    names = [f"e{one}" for one in range(count)]
+    for name in names:
+        fleet.links[name] = {"a0", *names} - {name}
+        fleet.add(name)
+    for _ in range(4):
+        for name in names:
+            fleet.feeds[name].peer_up("a0", 4)
+            for peer in sorted(fleet.links[name] - {"a0"}):
+                height = fleet.feeds[peer].advertised_generation
+                fleet.feeds[name].heard(peer, height)
+        fleet.advance(1)
+    return [fleet.feeds[name] for name in names]
+
+
+@given(
+    "{count:d} new daemons, the store down and one peer at generation 4 of 5"
+)
+def start_new_daemons(context, count):
+    context.feeds = new_daemons(count)
+
+
+@then("none of the new daemons becomes ready")
+def check_none_ready(context):
+    assert [one.current.generation for one in context.feeds] == [4] * 3
+    assert [one.ready for one in context.feeds] == [False] * 3
+
+
+def holds_older(context):
+    feed_with_peer(context, 5, 7)
+    send_snapshot(context, "generation 4")
+    return context.feed.current.generation == 5
+
+
+def holds_damaged(context):
+    feed_with_peer(context, 5, 7)
+    send_snapshot(context, "a damaged snapshot")
+    return context.feed.current.generation == 5
+
+
+def holds_stale_start(context):
+    new_feed(context, "the store with stale reads", 50)
+    context.fleet.advance(0.5)
+    return context.feed.current.generation != 4 or not context.feed.ready
+
+
+def holds_one_witness(context):
+    new_feed(context, "the store down", 50)
+    peers_up(context, "4")
+    return not context.feed.ready
+
+
+def holds_outage(context):
+    start_fleet(context, 12, 60)
+    accept_with(context, "the store down right after")
+    context.fleet.advance(1)
+    return context.fleet.behind(2) == []
+
+
+CHECKS = {
+    "older snapshot": holds_older,
+    "damaged snapshot": holds_damaged,
+    "stale start": holds_stale_start,
+    "witnesses": lambda _: not any(one.ready for one in new_daemons(3)),
+    "one witness": holds_one_witness,
+    "store outage": holds_outage,
+}
+
+
+def take_any(real):
+    def take(self, snapshot):
+        before = self.current
+        self.current = dataclasses.replace(before, generation=0)
+        if real(self, snapshot):
+            return True
+        self.current = before
+        return False
+
+    return take
+
+
+Feed = feed.Feed
+MUTANTS = {
+    "an older generation comes into force": (
+        Feed,
+        "_take",
+        take_any(Feed._take),
+    ),
+    "the hash isn't checked": (Feed, "_check_content", lambda *_: None),
+    "the head is read without confirming": (
+        Feed,
+        "_confirm_head",
+        Feed._read_head,
+    ),
+    "a new daemon states what it isn't sure of": (
+        Feed,
+        "advertised_generation",
+        property(lambda self: self.current.generation),
+    ),
+    "the first peer is believed": (
+        feed.FeedSettings,
+        "__getattribute__",
+        lambda self, name: (
+            1 if name == "start_peers" else object.__getattribute__(self, name)
+        ),
+    ),
+    "peers aren't told": (Feed, "_tell", lambda self, peer: None),
+}
+
+
+@then('the check "{check}" fails with the mutant "{mutant}"')
+def check_caught(context, check, mutant):
+    assert CHECKS[check](context)
+    with mock.patch.object(*MUTANTS[mutant]):
+        assert not CHECKS[check](context)
--- a/features/steps/publish_steps.py
+++ b/features/steps/publish_steps.py
@@ -1,6 +1,7 @@
 import collections
 import json
 import random
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -210,7 +211,9 @@
     store.write_row = write_row
     store.choose = lambda name, args: "held"
     for index in range(rng.randint(2, 3)):
-        text = f"gold={rng.randint(1, 2)} t{index}={index + 5}"
+        text = f"gold={rng.choice((1, 2, 6))} t{index}={index + 6}"
+        if check(tiers_of(text)):
+            text = f"t{index}={index + 6}"
         key = f"p{index}"
         waiting = world.start(key, text, 0, key)
         waiting.addBoth(lambda value, key=key: results.update({key: value}))
@@ -257,6 +260,12 @@
         if isinstance(value, publish.Rejected | publish.Conflicting)
         or (hasattr(value, "check") and value.check(publish.PublishError))
     ]
+    # Its own change isn't "unchanged".
+    refused += [
+        key
+        for key, value in results.items()
+        if isinstance(value, publish.Unchanged)
+    ]
     denied = any(key in ids for key in refused)
     complete = [head.generation for head in history_of(world)] == list(
         range(1, len(log) + 1)
@@ -265,7 +274,98 @@
         publish.snapshot_name(head.snapshot_hash) in world.store.objects
         for head in log
     )
-    return not (told and not denied and complete and snapshots)
+    if not (told and not denied and complete and snapshots):
+        return True
+    sets = [
+        FORMAT.decode(
+            world.store.objects[publish.snapshot_name(head.snapshot_hash)]
+        )
+        for head in log
+    ]
+    # All start from nothing: "gold" of the first stays, as all set it.
+    golds = {
+        one.rank for each in sets for one in each.tiers if one.name == "gold"
+    }
+    return len(golds) > 1 or any(check(each) for each in sets)
+
+
+async def forget(self, head):
+    pass
+
+
+def forget_lost_swap(real):
+    async def swap_head(self, wanted, version):
+        try:
+            return await real(self, wanted, version)
+        except port.PlatformError as error:
+            raise port.StoreUnavailable(str(error)) from error
+
+    return swap_head
+
+
+def swap_any_version(real):
+    async def swap_head(self, wanted, version):
+        row = await self.platform.read_row(*HEAD)
+        return await real(self, wanted, row.version if row else 0)
+
+    return swap_head
+
+
+async def accept_without_check(self, request, row, head, since):
+    rebased = head.generation != request.base_generation
+    objects = request.objects
+    if rebased:
+        objects = await self._rebase(request, head, since)
+        if isinstance(objects, publish.Conflicting):
+            return objects
+    content = self.form.encode(objects)
+    return await self._accept(request, row, head, content, rebased)
+
+
+Publisher = publish.Publisher
+MUTANTS = {
+    "history isn't written before the swap": (Publisher, "_record", forget),
+    "a lost swap counts as not made": (
+        Publisher,
+        "_swap_head",
+        forget_lost_swap(Publisher._swap_head),
+    ),
+    "the expected version isn't checked": (
+        Publisher,
+        "_swap_head",
+        swap_any_version(Publisher._swap_head),
+    ),
+    "overlapping changes are merged": (
+        publish.rebase,
+        "overlap",
+        lambda mine, theirs: (),
+    ),
+    "the merged set isn't checked": (
+        Publisher,
+        "_attempt",
+        accept_without_check,
+    ),
+    "the history isn't searched for the id": (
+        publish,
+        "_find",
+        lambda publish_id, heads: None,
+    ),
+}
+
+
+@when('publishers race with the mutant "{mutant}"')
+def race_with_mutant(context, mutant):
+    context.mutant = mutant
+
+
+@then("some order of calls shows a wrong history")
+def check_wrong(context):
+    with mock.patch.object(*MUTANTS[context.mutant]):
+        runs = (explore(seed) for seed in range(2000))
+        assert any(
+            reverts_of(log) or misreports_of(world, log, accepted, results)
+            for world, log, accepted, results in runs
+        )
 
 
 @then("no generation was accepted twice and none reverted")
