Measure how fast a configuration spreads

Change: bench config runs feeds and links of N daemons over real TCP in one process, with the store healthy and with an outage after each acceptance. Conclusion: daemons as processes of their own are left to measure.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,6 +10,7 @@
 import cappa
 
 from bench import burst
+from bench import config
 from bench import processes
 
 OptionalFile = typing.Annotated[
@@ -108,6 +109,27 @@
         return json.load(output)
 
 
+@cappa.command(name="config", help="Spreading of configurations.")
+@dataclasses.dataclass(frozen=True)
+class Config:
+    """Measures how fast a configuration is in force everywhere.
+
+    :param daemons: how many, all in this process
+    :param seed: decides everything random
+    :param publishes: how many with the store healthy
+    :param json: file for the figures
+    """
+
+    daemons: typing.Annotated[int, cappa.Arg(long=True)] = 32
+    seed: typing.Annotated[int, cappa.Arg(long=True)] = 1
+    publishes: typing.Annotated[int, cappa.Arg(long=True)] = 20
+    json: OptionalFile = ""
+
+    def __call__(self) -> None:
+        """Runs it and prints the figures."""
+        config.run(self.daemons, self.seed, self.publishes, self.json)
+
+
 @cappa.command(name="bench", help="Experiments on real processes.")
 @dataclasses.dataclass(frozen=True)
 class Command:
@@ -116,7 +138,7 @@
     :param command: which experiment
     """
 
-    command: cappa.Subcommands[Burst | Compare]
+    command: cappa.Subcommands[Burst | Compare | Config]
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/bench/config.py
@@ -0,0 +1,363 @@
+"""How fast a configuration is in force everywhere, and what that costs.
+
+Many daemons' feeds and links run in this one process, over real TCP
+connections on the loopback interface, before an in-memory platform whose
+calls take a few milliseconds. One process does the work of all, so that the
+times are longer than those of daemons on instances of their own would be.
+"""
+
+import collections
+import random
+import time
+import typing
+
+from twisted.internet import defer
+from twisted.internet import reactor as twisted_reactor
+
+from bench import burst
+from godwitloft import clock as clocks
+from godwitloft.coordination import feed as feeds
+from godwitloft.coordination import publish
+from godwitloft.coordination import subset
+from godwitloft.coordination import swap
+from godwitloft.links import codec
+from godwitloft.links import hub as hubs
+from godwitloft.links.generated.messages import ttypes
+from godwitloft.objects import canonical
+from godwitloft.objects import check
+from godwitloft.objects import types
+from godwitloft.platform import faults
+from godwitloft.platform import memory
+from godwitloft.platform import port
+
+HOST = "127.0.0.1"
+ZONES = 4
+ENTRY_SHARE = 6
+TEAMS = 200
+STORE_DELAY_MS = 5.0
+OUTAGE_MS = 3_000
+BETWEEN_MS = 500
+START_LIMIT_MS = 120_000
+FOLLOW_LIMIT_MS = 30_000
+LOOK_MS = 10
+
+reactor: typing.Any = twisted_reactor
+
+
+class Daemon:
+    """A feed and a hub, as a daemon has them, without the rest.
+
+    :param instance: name, role and zone
+    :param world: what all share
+    """
+
+    def __init__(self, instance: port.Instance, world: "World") -> None:
+        self.instance = instance
+        self.world = world
+        self.rng = random.Random(f"{world.seed}{instance.name}")
+        self.generation = 0
+        self.feed = feeds.Feed(
+            world.platform,
+            reactor,
+            feeds.FeedOwner(
+                send=self.send,
+                apply=self.apply,
+                fleet_size=lambda: len(world.daemons),
+            ),
+            self.rng,
+        )
+        self.hub = hubs.Hub(
+            reactor,
+            world.clock,
+            self.hello,
+            hubs.HubHandlers(
+                peer_up=lambda hello: self.feed.peer_up(
+                    hello.instance, hello.generation
+                ),
+                peer_down=lambda hello, _: self.feed.peer_down(hello.instance),
+                received=self.received,
+                writable=lambda *_: None,
+                heartbeat=lambda: ttypes.Heartbeat(
+                    generation=self.feed.advertised_generation
+                ),
+                accepts=lambda hello: hello.role != instance.role,
+            ),
+            self.rng,
+        )
+        self.port = 0
+
+    def hello(self) -> ttypes.Hello:
+        """Returns what the daemon says first."""
+        return ttypes.Hello(
+            protocol_version=codec.PROTOCOL_VERSION,
+            role=self.instance.role,
+            instance=self.instance.name,
+            incarnation="1",
+            availability_zone=self.instance.availability_zone,
+            generation=self.feed.advertised_generation,
+        )
+
+    def send(self, peer: str, field: str, body: typing.Any) -> None:
+        """Sends a message of the feed."""
+        self.hub.send(peer, **{field: body})
+
+    def received(self, peer: str, name: str, body: typing.Any) -> None:
+        """Passes a message to the feed."""
+        if name == "heartbeat":
+            self.feed.heard(peer, body.generation)
+        elif name == "generation_news":
+            self.feed.on_news(peer, body)
+        elif name == "snapshot_wanted":
+            self.feed.on_wanted(peer, body)
+        elif name == "snapshot":
+            self.feed.on_snapshot(peer, body)
+
+    def apply(self, configuration: feeds.Configuration) -> None:
+        """Notes when a configuration came into force."""
+        if configuration.generation < self.generation:
+            self.world.reverts += 1
+        self.generation = configuration.generation
+        self.world.in_force[configuration.generation] += 1
+        self.world.last_in_force_s = time.monotonic()
+
+
+class World:
+    """The daemons, the platform and what was measured.
+
+    :param count: how many daemons
+    :param seed: decides everything random
+    """
+
+    def __init__(self, count: int, seed: int) -> None:
+        self.seed = seed
+        self.rng = random.Random(seed)
+        self.clock = clocks.system_clock()
+        self.store = memory.Store(self.clock)
+        self.injector = faults.Injector(
+            faults.Faults(delay_ms=STORE_DELAY_MS), seed
+        )
+        self.platform = memory.platform(self.store, reactor, self.injector)
+        self.reverts = 0
+        self.in_force: collections.Counter[int] = collections.Counter()
+        self.last_in_force_s = 0.0
+        self.daemons: dict[str, Daemon] = {}
+        self.publisher = publish.Publisher(
+            self.platform,
+            self.clock,
+            reactor,
+            publish.Format(
+                canonical.encode,
+                canonical.decode,
+                check.check,
+                types.ObjectSet(),
+            ),
+            self.rng,
+        )
+        entries = max(2, count // ENTRY_SHARE)
+        for number in range(count):
+            role = "entry" if number < entries else "agent"
+            instance = port.Instance(
+                f"{role}-{number}", role, HOST, 0, f"zone-{number % ZONES}"
+            )
+            self.daemons[instance.name] = Daemon(instance, self)
+
+    def start(self) -> None:
+        """Starts all daemons; the entry of each pair dials the agent."""
+        for daemon in self.daemons.values():
+            daemon.port = daemon.hub.start(HOST, 0)
+        for name, peers in self.pairs().items():
+            addresses = [
+                hubs.Address(peer, HOST, self.daemons[peer].port)
+                for peer in sorted(peers)
+            ]
+            self.daemons[name].hub.want(addresses)
+        for daemon in self.daemons.values():
+            daemon.feed.start()
+
+    def pairs(self) -> dict[str, set[str]]:
+        """Returns the agents that each entry is connected to."""
+        instances = [one.instance for one in self.daemons.values()]
+        entries = [one for one in instances if one.role == "entry"]
+        agents = [one for one in instances if one.role == "agent"]
+        found = {
+            one.name: set(subset.agents_for(one, agents, len(entries)))
+            for one in entries
+        }
+        for agent in agents:
+            for name in subset.entries_for(agent, entries):
+                found[name].add(agent.name)
+        return found
+
+    def stop(self) -> None:
+        """Stops all daemons."""
+        for daemon in self.daemons.values():
+            daemon.feed.stop()
+            daemon.hub.stop()
+
+    async def publish(self, number: int, base: int, has_outage: bool) -> float:
+        """Publishes once and waits until all daemons follow.
+
+        :param number: makes the set differ from others
+        :param base: generation in force
+        :param has_outage: whether the store goes down at the acceptance
+        :return: milliseconds from acceptance until the last daemon has it
+        """
+        teams = tuple(
+            types.Team(
+                f"team-{one:04d}",
+                (f"{one:064x}",),
+                ("gold",),
+                weight=1 + (number if one == number % TEAMS else 0),
+            )
+            for one in range(TEAMS)
+        )
+        objects = types.ObjectSet(tiers=(types.Tier("gold", 0),), teams=teams)
+        outcome = await self.publisher.publish(
+            publish.Request(objects, base, "bench", "", f"publish-{number}")
+        )
+        accepted_s = time.monotonic()
+        assert isinstance(outcome, publish.Published), type(outcome)
+        outage = faults.Outage.REFUSE if has_outage else faults.Outage.NONE
+        self.injector.set(
+            faults.Faults(outage=outage, delay_ms=STORE_DELAY_MS)
+        )
+        publishing = self.rng.choice(sorted(self.daemons))
+        self.daemons[publishing].feed.published(outcome.head, outcome.content)
+        generation = outcome.head.generation
+        await self.until(
+            lambda: self.in_force[generation] == len(self.daemons),
+            FOLLOW_LIMIT_MS,
+        )
+        everywhere_ms = (self.last_in_force_s - accepted_s) * clocks.MS_PER_S
+        if has_outage:
+            await swap.sleep(reactor, OUTAGE_MS)
+            self.injector.set(faults.Faults(delay_ms=STORE_DELAY_MS))
+        return everywhere_ms
+
+    async def until(
+        self, is_met: typing.Callable[[], bool], limit_ms: int
+    ) -> None:
+        """Waits for a condition.
+
+        :param is_met: the condition
+        :param limit_ms: how long at most
+        :raises TimeoutError: when it isn't met in time
+        """
+        end_s = time.monotonic() + limit_ms / clocks.MS_PER_S
+        while not is_met():
+            if time.monotonic() > end_s:
+                raise TimeoutError(f"not met after {limit_ms} ms")
+            await swap.sleep(reactor, LOOK_MS)
+
+    def sent_bytes(self) -> int:
+        """Counts the bytes that all daemons have sent."""
+        hubs_of_all = [one.hub for one in self.daemons.values()]
+        return sum(
+            one.bytes_sent + one.control_bytes_sent for one in hubs_of_all
+        )
+
+
+async def measure(world: World, publishes: int, has_outage: bool) -> object:
+    """Publishes some times and takes the figures of that time.
+
+    :param world: a world that runs
+    :param publishes: how many
+    :param has_outage: whether the store goes down after each acceptance
+    :return: the figures
+    """
+    count = len(world.daemons)
+    start_s = time.monotonic()
+    start_cpu_s = time.process_time()
+    start_reads = world.store.read_count
+    start_writes = world.store.write_count
+    start_bytes = world.sent_bytes()
+    took_ms = []
+    for _ in range(publishes):
+        base = max(world.in_force, default=0)
+        number = base + 1
+        took_ms.append(await world.publish(number, base, has_outage))
+        await swap.sleep(reactor, BETWEEN_MS)
+    seconds = time.monotonic() - start_s
+    took_ms.sort()
+    return {
+        "publishes": publishes,
+        "seconds": round(seconds, 2),
+        "accept_to_everywhere_ms": {
+            "p50": round(took_ms[len(took_ms) // 2], 1),
+            "p99": round(took_ms[int(len(took_ms) * 0.99)], 1),
+            "max": round(took_ms[-1], 1),
+        },
+        "reverts": world.reverts,
+        "store_reads_per_s": round(
+            (world.store.read_count - start_reads) / seconds, 1
+        ),
+        "store_writes_per_s": round(
+            (world.store.write_count - start_writes) / seconds, 1
+        ),
+        "control_bytes_per_s_per_daemon": round(
+            (world.sent_bytes() - start_bytes) / seconds / count
+        ),
+        "control_cpu_share_per_daemon": round(
+            (time.process_time() - start_cpu_s) / seconds / count, 5
+        ),
+    }
+
+
+async def experiment(daemons: int, seed: int, publishes: int) -> object:
+    """Runs a fleet with the store healthy, then with outages.
+
+    :param daemons: how many
+    :param seed: decides everything random
+    :param publishes: how many in each part
+    :return: the figures
+    """
+    world = World(daemons, seed)
+    world.start()
+    try:
+        await world.until(
+            lambda: all(
+                one.feed.ready and one.hub.peers
+                for one in world.daemons.values()
+            ),
+            START_LIMIT_MS,
+        )
+        await world.publish(1, 0, has_outage=False)
+        return {
+            "daemons": daemons,
+            "seed": seed,
+            "processes": 1,
+            "links": sum(len(one) for one in world.pairs().values()),
+            "healthy": await measure(world, publishes, has_outage=False),
+            "outage": await measure(
+                world, max(3, publishes // 4), has_outage=True
+            ),
+        }
+    finally:
+        world.stop()
+
+
+def run(daemons: int, seed: int, publishes: int, path: str) -> None:
+    """Runs the experiment and writes its figures.
+
+    :param daemons: how many
+    :param seed: decides everything random
+    :param publishes: how many with the store healthy
+    :param path: file for the figures, empty for none
+    """
+    problems: list[BaseException] = []
+
+    def end(result: typing.Any) -> None:
+        if hasattr(result, "value"):
+            problems.append(result.value)
+        else:
+            burst.write(path, result)
+        reactor.stop()
+
+    def begin() -> None:
+        work = defer.ensureDeferred(experiment(daemons, seed, publishes))
+        work.addBoth(end)
+
+    reactor.callWhenRunning(begin)
+    reactor.run()
+    if problems:
+        raise problems[0]
