Announce instances the less often the larger the fleet is

Cause: every process wrote itself to the list each 5 s for 20 s; 1200 processes take the fleet's whole share of 240 writes a second, and at 12,000 the guard's share of one write in 50 s would let all drop out of the list. Change: the interval grows so that a fleet makes 60 announcements a second, and an announcement lasts four intervals. Conclusion: three quarters of the writes are left for what must be written.

--- /dev/null
+++ b/features/steps/discovery_steps.py
@@ -0,0 +1,54 @@
+import dataclasses
+import itertools
+import random
+
+from behave import then
+from behave import when
+from twisted.internet import defer
+from twisted.internet import task
+
+from godwitloft import clock as clocks
+from godwitloft import discovery
+from godwitloft.platform import memory
+from godwitloft.platform import port
+
+OWN = port.Instance("entry-1", "entry", "127.0.0.1", 1, "riga-a")
+SECONDS = 2000
+
+
+@when("a process of a fleet of {fleet:d} announces itself for 2000 s")
+def announce(context, fleet):
+    clock = task.Clock()
+    store = memory.Store(clocks.reactor_clock(clock))
+    context.fleet = fleet
+    context.announcements = []
+
+    def note(instance, time_to_live_ms):
+        context.announcements.append((clock.seconds(), time_to_live_ms))
+        return defer.succeed(None)
+
+    platform = dataclasses.replace(
+        memory.platform(store, clock),
+        announce_instance=note,
+        list_instances=lambda: defer.succeed((OWN,) * fleet),
+    )
+    owner = discovery.DiscoveryOwner(lambda: OWN, lambda instances: None)
+    process = discovery.Discovery(platform, clock, owner, random.Random(1))
+    process.start()
+    clock.pump([1.0] * SECONDS)
+    process.stop()
+
+
+@then(
+    "the fleet makes at most {writes:d} announcements a second and each"
+    " outlives the next two"
+)
+def check_announcements(context, writes):
+    made = context.announcements
+    # The first is made before the size of the fleet is known.
+    assert context.fleet * (len(made) - 1) / SECONDS <= writes, len(made)
+    assert len(made) > 5, made
+    for (time, life_ms), _, (after, _) in itertools.islice(
+        zip(made, made[1:], made[2:], strict=False), 1, None
+    ):
+        assert time + life_ms / 1000 > after, (time, life_ms, after)
--- a/godwitloft/discovery.py
+++ b/godwitloft/discovery.py
@@ -19,8 +19,9 @@
 
 SHORTEST_INTERVAL_MS = 1_000
 FLEET_READS_PER_S = 500
-ANNOUNCE_INTERVAL_MS = 5_000
-ANNOUNCE_TIME_TO_LIVE_MS = 20_000
+FLEET_ANNOUNCEMENTS_PER_S = 60
+SHORTEST_ANNOUNCE_INTERVAL_MS = 5_000
+INTERVALS_TO_LIVE = 4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -80,6 +81,16 @@
         share_ms = clocks.MS_PER_S * len(self.instances) / FLEET_READS_PER_S
         return max(SHORTEST_INTERVAL_MS, share_ms)
 
+    def announce_interval_ms(self) -> float:
+        """Returns the time between two announcements of this process.
+
+        :return: so long that the fleet stays within its budget of writes
+        """
+        share_ms = (
+            clocks.MS_PER_S * len(self.instances) / FLEET_ANNOUNCEMENTS_PER_S
+        )
+        return max(SHORTEST_ANNOUNCE_INTERVAL_MS, share_ms)
+
     def read(self) -> None:
         """Reads the list once, and again after the interval."""
         reading = defer.maybeDeferred(self.platform.list_instances)
@@ -110,15 +121,19 @@
         self.reachable = False
 
     def announce(self) -> None:
-        """Puts this process on the list, and again after an interval."""
+        """Puts this process on the list, and again after an interval.
+
+        It stays there for several intervals, so that some may fail.
+        """
+        interval_ms = self.announce_interval_ms()
         announcing = defer.maybeDeferred(
             self.platform.announce_instance,
             self.owner.own(),
-            ANNOUNCE_TIME_TO_LIVE_MS,
+            round(INTERVALS_TO_LIVE * interval_ms),
         )
         announcing.addErrback(lambda problem: problem.trap(port.PlatformError))
         jitter = self.rng.uniform(0.8, 1.2)
-        self.later(jitter * ANNOUNCE_INTERVAL_MS, self.announce)
+        self.later(jitter * interval_ms, self.announce)
 
     def later(self, delay_ms: float, work: typing.Callable[[], None]) -> None:
         """Calls a function after some time, unless stopped before.
