Bring about faults on real processes and read what really ran

Cause: the promises must be seen to hold under kills, pauses, drains, slow engines, store outages, lost answers and requests that crash engines. Change: bench faults: two entries, four engines, two plain services and the stand-in platform, a steady mix of requests from threads, a seeded fault every second or two, ledgers and traces compared with what callers heard.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,6 +11,7 @@
 
 from bench import burst
 from bench import config
+from bench import faults
 from bench import processes
 
 OptionalFile = typing.Annotated[
@@ -130,6 +131,25 @@
         config.run(self.daemons, self.seed, self.publishes, self.json)
 
 
+@cappa.command(name="faults", help="Faults on real processes.")
+@dataclasses.dataclass(frozen=True)
+class Faults:
+    """Runs the experiment with faults.
+
+    :param seed: decides everything random
+    :param seconds: how long faults are brought about
+    :param json: file for the figures
+    """
+
+    seed: typing.Annotated[int, cappa.Arg(long=True)] = 1
+    seconds: typing.Annotated[float, cappa.Arg(long=True)] = 30.0
+    json: OptionalFile = ""
+
+    def __call__(self) -> None:
+        """Runs it and prints the figures."""
+        burst.write(self.json, faults.run(self.seed, self.seconds))
+
+
 @cappa.command(name="bench", help="Experiments on real processes.")
 @dataclasses.dataclass(frozen=True)
 class Command:
@@ -138,7 +158,7 @@
     :param command: which experiment
     """
 
-    command: cappa.Subcommands[Burst | Compare | Config]
+    command: cappa.Subcommands[Burst | Compare | Config | Faults]
 
 
 if __name__ == "__main__":
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -6,6 +6,8 @@
 import hashlib
 import json
 import pathlib
+import subprocess
+import sys
 import time
 import types
 import typing
@@ -15,6 +17,8 @@
 START_LIMIT_S = 60
 POLL_S = 0.05
 HOST = "127.0.0.1"
+DRAIN_LIMIT_MS = 10_000
+OPERATOR_TOKEN = "example-operator"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -44,6 +48,8 @@
     :param upstreams: the upstreams
     :param entry_settings: further settings of every entry
     :param agent_settings: further settings of every agent
+    :param platform: whether a stand-in platform runs; then the objects are
+        published to it, else every daemon reads them from a file
     """
 
     objects: typing.Mapping[str, typing.Any]
@@ -55,6 +61,7 @@
     agent_settings: typing.Mapping[str, typing.Any] = dataclasses.field(
         default_factory=lambda: types.MappingProxyType({})
     )
+    platform: bool = False
 
 
 def team_key(team: str) -> str:
@@ -96,6 +103,8 @@
         self.agent_ports: dict[str, int] = {}
         self.entry_urls: dict[str, str] = {}
         self.starts = 0
+        self.platform: processes.Process | None = None
+        self.platform_url = ""
         self.objects_path = self.write("objects", plan.objects)
 
     def write(self, name: str, value: object) -> str:
@@ -127,6 +136,36 @@
             where = wait_for(functools.partial(process.announced, "listening"))
             self.upstream_urls[name] = f"http://{where}"
 
+    def start_platform(self) -> None:
+        """Starts the stand-in platform and learns where it listens."""
+        self.platform = processes.Process(
+            "platform",
+            ["godwitloft.standins.main", "platform"],
+            self.directory,
+        )
+        where = wait_for(
+            functools.partial(self.platform.announced, "listening")
+        )
+        self.platform_url = f"http://{where}"
+
+    def publish(self) -> None:
+        """Publishes the objects through one of the entries."""
+        entry = next(iter(self.entries.values()))
+        ports = wait_for(functools.partial(entry.logged, "other_ports"))
+        token = self.directory / "token"
+        token.write_text(OPERATOR_TOKEN, encoding="utf-8")
+        subprocess.run(
+            [
+                *(sys.executable, "-m", "godwitloft.ui.main", "publish"),
+                *(self.objects_path, "--reason", "experiment"),
+                *("--server", f"http://{HOST}:{ports[0]}"),
+                *("--token-file", str(token)),
+            ],
+            cwd=processes.ROOT,
+            check=True,
+            stdout=subprocess.DEVNULL,
+        )
+
     def common_settings(self, instance: str, zone: str) -> dict[str, object]:
         """Returns the settings that every daemon has.
 
@@ -137,9 +176,13 @@
         settings: dict[str, object] = {
             "instance": instance,
             "availability_zone": zone,
-            "objects": [self.objects_path],
-            "drain_limit_ms": 10_000,
+            "drain_limit_ms": DRAIN_LIMIT_MS,
         }
+        if self.platform_url:
+            place = {"kind": "http", "url": self.platform_url}
+            settings["platform"] = place
+        else:
+            settings["objects"] = [self.objects_path]
         if self.trace:
             settings["trace_stream"] = "stdout"
         return settings
@@ -219,6 +262,16 @@
             **self.common_settings(instance, zone),
             "peers": self.peers(),
             "caller_listen": {"address": HOST, "port": port},
+            "operator_listen": {"address": HOST, "port": 0},
+            "operator_tokens": [
+                {
+                    "name": "bench",
+                    "role": "operator",
+                    "token_hash": hashlib.sha256(
+                        OPERATOR_TOKEN.encode()
+                    ).hexdigest(),
+                }
+            ],
             **self.plan.entry_settings,
         }
         self.entries[zone] = self.start_daemon("entry", instance, settings)
@@ -266,7 +319,10 @@
 
     def stop(self) -> None:
         """Ends every process that still runs."""
-        for group in (self.entries, self.agents, self.upstreams):
+        groups = [self.entries, self.agents, self.upstreams]
+        if self.platform is not None:
+            groups.append({"platform": self.platform})
+        for group in groups:
             for process in group.values():
                 process.terminate()
             for process in group.values():
@@ -310,9 +366,13 @@
     cluster = Cluster(plan, directory, trace)
     try:
         cluster.start_upstreams()
+        if plan.platform:
+            cluster.start_platform()
         if entries:
             cluster.start_agents()
             cluster.start_entries()
+        if plan.platform:
+            cluster.publish()
         yield cluster
     finally:
         cluster.stop()
