Refuse requests until a configuration is in force

Ruled out: a wrong key (the same key works before and after). Change: such an entry is not ready and answers 503 not_configured, as not run. The experiment goes on when a crashed engine can't be reached.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -14,6 +14,7 @@
 import threading
 import time
 import typing
+import urllib.error
 
 from bench import burst
 from bench import cluster
@@ -320,14 +321,24 @@
                 self.one()
             time.sleep(0.05)
         for _, work in self.later:
-            work()
+            self.attempt(work)
         self.later.clear()
 
     def one(self) -> None:
         """Brings about one fault."""
         kind = self.rng.choice(sorted(self.kinds))
         self.counts[kind] += 1
-        self.kinds[kind]()
+        self.attempt(self.kinds[kind])
+
+    def attempt(self, work: typing.Callable[[], None]) -> None:
+        """Does something that fails when an upstream is down after a crash.
+
+        :param work: what to do
+        """
+        try:
+            work()
+        except urllib.error.URLError:
+            self.counts["not_reached"] += 1
 
     def do_later(self) -> None:
         """Does what is due of what was put off."""
@@ -335,7 +346,7 @@
         due = [one for one in self.later if one[0] <= now_s]
         self.later = [one for one in self.later if one[0] > now_s]
         for _, work in due:
-            work()
+            self.attempt(work)
 
     def put_off(self, delay_s: float, work: typing.Callable[[], None]) -> None:
         """Does something after some time.
--- a/features/operations.feature
+++ b/features/operations.feature
@@ -4,6 +4,7 @@
     Given a platform, 2 engines with agents and 2 entries as processes
 
   Scenario: What is published is in force on every daemon
+    Then a completion is refused with 503 "not_configured" as not run
     When the operator publishes the path objects
     Then every daemon of the deployment reaches generation 1
     And a completion through each entry is answered
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -402,3 +402,11 @@
     for number in range(6):
         assert complete(context.ports[number % 2], number)[0] == 200
     assert len(running_on(context.engines[0])) == before
+
+
+@then('a completion is refused with {status:d} "{reason}" as not run')
+def check_refused(context, status, reason):
+    found, content = complete(context.ports[0], 0)
+    error = json.loads(content)["error"]
+    assert (found, error["reason"]) == (status, reason), content
+    assert error["not_run"] is True, content
--- a/godwitloft/entry/answers.py
+++ b/godwitloft/entry/answers.py
@@ -27,6 +27,7 @@
     DEADLINE_IN_FLIGHT = "deadline_in_flight"
     ANSWER_DAMAGED = "answer_damaged"
     BAD_REQUEST = "bad_request"
+    NOT_CONFIGURED = "not_configured"
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_TEAM = "unknown_team"
     FORBIDDEN = "forbidden"
--- a/godwitloft/entry/caller_http.py
+++ b/godwitloft/entry/caller_http.py
@@ -55,6 +55,8 @@
     :param cancel: ends a request whose caller went away
     :param pause: tells that a caller reads slowly, or no longer
     :param ready: whether the entry takes new requests
+    :param configured: whether a configuration is in force, so that teams
+        and services are known
     :param instruments: what is counted
     """
 
@@ -65,6 +67,7 @@
     cancel: typing.Callable[[str], None]
     pause: typing.Callable[[str, bool], None]
     ready: typing.Callable[[], bool]
+    configured: typing.Callable[[], bool]
     instruments: metrics.Instruments
 
 
@@ -280,6 +283,12 @@
                 answers.Reason.BODY_TOO_LARGE,
                 f"the body is longer than {request.max_body_bytes} bytes",
             )
+        if not port.configured():
+            raise intake.Rejected(
+                503,
+                answers.Reason.NOT_CONFIGURED,
+                "no configuration is in force here yet",
+            )
         return work()
     except intake.Rejected as rejected:
         return reject(request, port, rejected)
--- a/godwitloft/entry/daemon.py
+++ b/godwitloft/entry/daemon.py
@@ -175,6 +175,7 @@
             cancel=self.keyed_calls.cancel,
             pause=self.keyed_calls.pause,
             ready=self.ready,
+            configured=lambda: self.node.configured,
             instruments=self.instruments,
         )
         site = caller_http.site(port, self.settings.limits)
@@ -223,7 +224,11 @@
 
         :return: whether there is an agent and this entry doesn't leave
         """
-        return bool(self.desk.agents.views) and not self.desk.draining
+        return (
+            self.node.configured
+            and bool(self.desk.agents.views)
+            and not self.desk.draining
+        )
 
     def operator_api(self) -> operator_http.Api:
         """Returns what the operators' interface works with.
--- a/godwitloft/node.py
+++ b/godwitloft/node.py
@@ -227,6 +227,13 @@
         """The generation of the configuration in force."""
         return self.feed.current.generation
 
+    @property
+    def configured(self) -> bool:
+        """Whether objects are in force that requests can be judged by."""
+        if self.fixed_objects is not None:
+            return True
+        return self.feed.ready and self.generation > 0
+
     def apply(self, configuration: feeds.Configuration) -> None:
         """Brings a configuration into force.
 
