--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,9 +10,11 @@
 import cappa
 
 from bench import burst
+from bench import capacity
 from bench import config
 from bench import faults
 from bench import processes
+from bench import slopes
 
 OptionalFile = typing.Annotated[
     str, cappa.Arg(long=True, help="File for the figures.")
@@ -150,6 +152,32 @@
         burst.write(self.json, faults.run(self.seed, self.seconds))
 
 
+@cappa.command(name="slopes", help="Cost of one more of everything.")
+@dataclasses.dataclass(frozen=True)
+class Slopes:
+    """Measures slopes.
+
+    :param json: file for the figures
+    """
+
+    json: typing.Annotated[str, cappa.Arg(long=True)] = "docs/capacity.json"
+
+    def __call__(self) -> None:
+        """Measures them and writes the file."""
+        slopes.write(self.json, slopes.measure())
+
+
+@cappa.command(name="capacity", help="Write docs/CAPACITY.md.")
+@dataclasses.dataclass(frozen=True)
+class Capacity:
+    """Writes the page from the measured slopes."""
+
+    def __call__(self) -> None:
+        """Reads docs/capacity.json and writes docs/CAPACITY.md."""
+        measured = slopes.read(capacity.FIGURES)
+        capacity.PAGE.write_text(capacity.render(measured), encoding="utf-8")
+
+
 @cappa.command(name="bench", help="Experiments on real processes.")
 @dataclasses.dataclass(frozen=True)
 class Command:
@@ -158,7 +186,9 @@
     :param command: which experiment
     """
 
-    command: cappa.Subcommands[Burst | Compare | Config | Faults]
+    command: cappa.Subcommands[
+        Burst | Compare | Config | Faults | Slopes | Capacity
+    ]
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,728 @@
+"""Works docs/CAPACITY.md out from the measured slopes.
+
+Every figure of the page is either a size that the letter gives, a constant
+of the code, or a slope of docs/capacity.json; the arithmetic stands beside
+each result.
+"""
+
+import dataclasses
+import pathlib
+import string
+import typing
+
+from bench import slope_fit
+from bench import slope_rest
+from bench import slopes as slopes_module
+from godwitloft import discovery
+from godwitloft.agent import http_upstream
+from godwitloft.coordination import feed
+from godwitloft.coordination import subset
+from godwitloft.entry import daemon as entry_daemon
+from godwitloft.entry import journal
+from godwitloft.links import hub
+from godwitloft.platform import guard
+from godwitloft.policy import spread
+
+ROOT = pathlib.Path(__file__).resolve().parents[1]
+FIGURES = ROOT / "docs" / "capacity.json"
+PAGE = ROOT / "docs" / "CAPACITY.md"
+NOTES = pathlib.Path(__file__).with_name("capacity_notes.md")
+
+# What is to be carried.
+ENTRIES = 2_000
+AGENTS = 10_000
+REQUESTS_PER_S = 170_000
+TOKENS_PER_S = 35_000_000
+MS_BETWEEN_TOKENS = 62
+TEAMS = 10_000
+MODELS = 28
+ZONES = 22
+CHANGES_PER_DAY = 19_000
+RESTARTS_PER_DAY = 1_200
+STORE_READS_PER_S = 2_000
+
+# What control may cost a daemon.
+TARGET_CORES = 0.037
+TARGET_MB = 32.0
+TARGET_BYTES_PER_S = 5_000.0
+
+S_PER_DAY = 86_400
+MS_PER_S = 1000
+US_PER_S = 1_000_000
+BYTES_PER_MB = 1_000_000
+KB_PER_MB = 1_000_000 / 1024
+PUBLISH_WRITES = 3
+
+PROCESSES = ENTRIES + AGENTS
+ENTRY_REQUESTS = REQUESTS_PER_S / ENTRIES
+ENTRY_TOKENS = TOKENS_PER_S / ENTRIES
+AGENT_REQUESTS = REQUESTS_PER_S / AGENTS
+AGENT_TOKENS = TOKENS_PER_S / AGENTS
+STREAMS = TOKENS_PER_S * MS_BETWEEN_TOKENS / MS_PER_S
+ENTRY_STREAMS = STREAMS / ENTRIES
+AGENT_STREAMS = STREAMS / AGENTS
+POOL_AGENTS = round(AGENTS / MODELS)
+AGENT_BIDS = REQUESTS_PER_S * spread.SUBSET / AGENTS
+CHANGES_PER_S = CHANGES_PER_DAY / S_PER_DAY
+BEATS_PER_S = MS_PER_S / hub.HEARTBEAT_INTERVAL_MS
+SUBSET_ENTRY_LINKS = (
+    MODELS * subset.agents_per_entry(POOL_AGENTS, ENTRIES)
+    + subset.SubsetSettings().entries_per_agent * AGENTS // ENTRIES
+)
+SUBSET_AGENT_LINKS = SUBSET_ENTRY_LINKS * ENTRIES / AGENTS
+DESK_TICKS_PER_S = 1 / entry_daemon.TICK_INTERVAL_S
+AGENT_TICKS_PER_S = MS_PER_S / http_upstream.TICK_INTERVAL_MS
+LIST_INTERVAL_S = max(
+    discovery.SHORTEST_INTERVAL_MS / MS_PER_S,
+    PROCESSES / discovery.FLEET_READS_PER_S,
+)
+ANNOUNCE_INTERVAL_S = max(
+    discovery.SHORTEST_ANNOUNCE_INTERVAL_MS / MS_PER_S,
+    PROCESSES / discovery.FLEET_ANNOUNCEMENTS_PER_S,
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Need:
+    """One line of the page.
+
+    :param role: whose
+    :param what: what it is for
+    :param arithmetic: how it was worked out
+    :param value: how much is needed
+    :param unit: of the value
+    :param target: how much there may be, or None
+    :param carrier: module and function that carries it
+    """
+
+    role: str
+    what: str
+    arithmetic: str
+    value: float
+    unit: str
+    target: float | None
+    carrier: str
+
+    @property
+    def ratio(self) -> float:
+        """Need over target; 0 where there is no target."""
+        return self.value / self.target if self.target else 0.0
+
+
+def show(value: float) -> str:
+    """Writes a number with three significant digits.
+
+    :param value: the number
+    :return: for example ``1,230`` or ``0.0123``
+    """
+    if value == 0:
+        return "0"
+    if abs(value) >= 100:
+        return f"{float(f'{value:.3g}'):,.0f}"
+    return f"{float(f'{value:.3g}'):g}"
+
+
+class Costs:
+    """The measured costs in the units of the arithmetic.
+
+    :param measured: the figures
+    """
+
+    def __init__(self, measured: slopes_module.Measured) -> None:
+        self.measured = measured
+        self.beat_us = self.of("heartbeat") / 10 / 2
+        self.beat_bytes = measured.frame_bytes["heartbeat"]
+        self.link_bytes = self.of("connection") / 2
+        self.change_us = self.at("snapshot_change", TEAMS)
+        self.snapshot_bytes = self.at("snapshot_bytes", TEAMS)
+        self.list_bytes = self.at("list_bytes", PROCESSES)
+
+    def of(self, name: str) -> float:
+        """Returns a slope.
+
+        :param name: of the slope
+        :return: cost of one more
+        """
+        return self.measured.slopes[name].slope
+
+    def at(self, name: str, size: int) -> float:
+        """Returns a cost at a size, by the fit.
+
+        :param name: of the slope
+        :param size: how many there are
+        :return: base and slope together
+        """
+        one = self.measured.slopes[name]
+        return one.base + one.slope * size
+
+    def codec_us(self, *names: str) -> float:
+        """Returns the cost of encoding or decoding some messages.
+
+        :param names: such as ``encode_bid``
+        :return: microseconds
+        """
+        return sum(self.of(name) for name in names)
+
+
+def link_needs(costs: Costs, role: str, kind: str, links: float) -> list[Need]:
+    """Works out what a number of links costs.
+
+    :param costs: measured
+    :param role: whose links
+    :param kind: which way of choosing the peers
+    :param links: how many
+    :return: processor time, traffic and memory
+    """
+    beat = f"{show(links)} links x {show(BEATS_PER_S)}/s"
+    return [
+        Need(
+            role,
+            f"heartbeats, {kind}",
+            f"{beat} x {show(costs.beat_us)} us",
+            links * BEATS_PER_S * costs.beat_us / US_PER_S,
+            "core",
+            TARGET_CORES,
+            "godwitloft.links.hub.Hub.beat",
+        ),
+        Need(
+            role,
+            f"heartbeats sent, {kind}",
+            f"{beat} x {costs.beat_bytes} bytes",
+            links * BEATS_PER_S * costs.beat_bytes,
+            "bytes/s",
+            TARGET_BYTES_PER_S,
+            "godwitloft.links.hub.Hub.beat",
+        ),
+        Need(
+            role,
+            f"links, {kind}",
+            f"{show(links)} links x {show(costs.link_bytes)} bytes",
+            links * costs.link_bytes / BYTES_PER_MB,
+            "MB",
+            TARGET_MB,
+            "godwitloft.links.link.Link",
+        ),
+    ]
+
+
+def with_sum(parts: list[Need], role: str, carrier: str) -> list[Need]:
+    """Adds up the processor time of requests and tokens.
+
+    :param parts: lines of one role
+    :param role: whose
+    :param carrier: module and class that carries all of them
+    :return: the lines with one more
+    """
+    cores = [one.value for one in parts if one.unit == "core"]
+    arithmetic = " + ".join(show(one) for one in cores)
+    total = sum(cores)
+    what = "requests and tokens together"
+    return [*parts, Need(role, what, arithmetic, total, "core", 1.0, carrier)]
+
+
+def common_needs(costs: Costs, role: str) -> list[Need]:
+    """Works out what every daemon needs for control.
+
+    :param costs: measured
+    :param role: ``entry`` or ``agent``
+    :return: the lines
+    """
+    rest = costs.measured.rest_kb[role]
+    total = sum(rest.values())
+    own = rest["godwitloft modules"] + rest["godwitloft daemon"]
+    libraries = total - own - rest["interpreter"]
+    changes = f"{show(CHANGES_PER_S)} changes/s"
+    return [
+        Need(
+            role,
+            "memory at rest",
+            f"interpreter {show(rest['interpreter'] / KB_PER_MB)}"
+            f" + libraries {show(libraries / KB_PER_MB)}"
+            f" + godwitloft {show(own / KB_PER_MB)} MB",
+            total / KB_PER_MB,
+            "MB",
+            TARGET_MB,
+            f"godwitloft.{role}.main",
+        ),
+        Need(
+            role,
+            "configuration held",
+            f"{show(TEAMS)} teams x {show(costs.of('snapshot_held'))} bytes",
+            costs.at("snapshot_held", TEAMS) / BYTES_PER_MB,
+            "MB",
+            TARGET_MB,
+            "godwitloft.objects.lookup.build",
+        ),
+        Need(
+            role,
+            "configuration changes",
+            f"{changes} x ({show(costs.of('feed_change'))} us of the feed"
+            f" + {show(costs.change_us)} us at {show(TEAMS)} teams)",
+            CHANGES_PER_S
+            * (costs.of("feed_change") + costs.change_us)
+            / US_PER_S,
+            "core",
+            TARGET_CORES,
+            "godwitloft.coordination.feed.Feed.on_snapshot",
+        ),
+        Need(
+            role,
+            "configuration changes sent",
+            f"{changes} x {show(costs.of('feed_bytes'))} bytes",
+            CHANGES_PER_S * costs.of("feed_bytes"),
+            "bytes/s",
+            TARGET_BYTES_PER_S,
+            "godwitloft.coordination.feed.Feed.on_wanted",
+        ),
+        Need(
+            role,
+            "instance list read",
+            f"{show(PROCESSES)} instances x"
+            f" {show(costs.of('list_bytes'))} bytes"
+            f" / {show(LIST_INTERVAL_S)} s",
+            costs.list_bytes / LIST_INTERVAL_S,
+            "bytes/s",
+            TARGET_BYTES_PER_S,
+            "godwitloft.discovery.Discovery.read",
+        ),
+    ]
+
+
+def entry_needs(costs: Costs) -> list[Need]:
+    """Works out what requests cost an entry.
+
+    :param costs: measured
+    :return: the lines
+    """
+    bid_us = costs.codec_us("encode_bid", "encode_withdraw")
+    dispatch_us = costs.codec_us("encode_dispatch")
+    request_us = costs.of("desk_request") + spread.SUBSET * bid_us
+    request_us += dispatch_us
+    chunk_us = costs.of("decode_chunks") / 8
+    token_us = costs.of("desk_token") + chunk_us
+    tick_us = costs.of("desk_tick") / 100
+    return [
+        Need(
+            "entry",
+            "requests",
+            f"{show(ENTRY_REQUESTS)}/s x"
+            f" ({show(costs.of('desk_request'))} us"
+            f" + {spread.SUBSET} bids x {show(bid_us)} us"
+            f" + dispatch {show(dispatch_us)} us)",
+            ENTRY_REQUESTS * request_us / US_PER_S,
+            "core",
+            1.0,
+            "godwitloft.entry.desk.Desk.accept",
+        ),
+        Need(
+            "entry",
+            "tokens, one a chunk",
+            f"{show(ENTRY_TOKENS)}/s x ({show(costs.of('desk_token'))} us"
+            f" + decode {show(chunk_us)} us)",
+            ENTRY_TOKENS * token_us / US_PER_S,
+            "core",
+            1.0,
+            "godwitloft.entry.desk.Desk.on_chunks",
+        ),
+        Need(
+            "entry",
+            "periodic work",
+            f"{show(DESK_TICKS_PER_S)}/s x {show(ENTRY_STREAMS)} open x"
+            f" {show(tick_us)} us",
+            DESK_TICKS_PER_S * ENTRY_STREAMS * tick_us / US_PER_S,
+            "core",
+            1.0,
+            "godwitloft.entry.desk.Desk.tick",
+        ),
+        Need(
+            "entry",
+            "requests remembered or waiting",
+            f"{show(journal.MAX_REQUESTS)} x"
+            f" {show(costs.of('desk_waiting'))} bytes (waiting, body of"
+            " 2,000 bytes among them)",
+            journal.MAX_REQUESTS * costs.of("desk_waiting") / BYTES_PER_MB,
+            "MB",
+            None,
+            "godwitloft.entry.journal.Journal.record",
+        ),
+    ]
+
+
+def agent_needs(costs: Costs) -> list[Need]:
+    """Works out what requests cost an agent.
+
+    :param costs: measured
+    :return: the lines
+    """
+    decode_us = costs.codec_us("decode_bid", "decode_withdraw")
+    lost_us = costs.of("dispatcher_lost_bid")
+    bid_running_us = costs.of("dispatcher_full_bid") / 100
+    bid_us = lost_us + decode_us + AGENT_STREAMS * bid_running_us
+    running_us = costs.of("dispatcher_running") / 100
+    request_us = costs.of("dispatcher_request") + AGENT_STREAMS * running_us
+    tick_us = costs.of("dispatcher_tick") / 100
+    chunk_us = costs.of("encode_chunks") / 8
+    token_us = costs.of("dispatcher_token") + chunk_us
+    return [
+        Need(
+            "agent",
+            "bids",
+            f"{show(AGENT_BIDS)}/s x ({show(lost_us)} us + decode"
+            f" {show(decode_us)} us + {show(AGENT_STREAMS)} running x"
+            f" {show(bid_running_us)} us)",
+            AGENT_BIDS * bid_us / US_PER_S,
+            "core",
+            1.0,
+            "godwitloft.agent.dispatcher.Dispatcher.on_bid",
+        ),
+        Need(
+            "agent",
+            "requests",
+            f"{show(AGENT_REQUESTS)}/s x"
+            f" ({show(costs.of('dispatcher_request'))} us"
+            f" + {show(AGENT_STREAMS)} running x {show(running_us)} us)",
+            AGENT_REQUESTS * request_us / US_PER_S,
+            "core",
+            1.0,
+            "godwitloft.agent.dispatcher.Dispatcher.pump",
+        ),
+        Need(
+            "agent",
+            "periodic work",
+            f"{show(AGENT_TICKS_PER_S)}/s x {show(AGENT_STREAMS)} running x"
+            f" {show(tick_us)} us",
+            AGENT_TICKS_PER_S * AGENT_STREAMS * tick_us / US_PER_S,
+            "core",
+            1.0,
+            "godwitloft.agent.dispatcher.Dispatcher.tick",
+        ),
+        Need(
+            "agent",
+            "tokens, one a chunk",
+            f"{show(AGENT_TOKENS)}/s x"
+            f" ({show(costs.of('dispatcher_token'))} us"
+            f" + encode {show(chunk_us)} us)",
+            AGENT_TOKENS * token_us / US_PER_S,
+            "core",
+            1.0,
+            "godwitloft.agent.dispatcher.Dispatcher.upstream_data",
+        ),
+    ]
+
+
+def command_needs(costs: Costs) -> list[Need]:
+    """Works out what a publish costs.
+
+    :param costs: measured
+    :return: the lines
+    """
+    names = ("snapshot_parse", "snapshot_check", "snapshot_encode")
+    parts = [costs.at(name, TEAMS) for name in names]
+    return [
+        Need(
+            "operators' command",
+            "one publish",
+            f"at {show(TEAMS)} teams: parse {show(parts[0])}"
+            f" + check {show(parts[1])} + encode and hash"
+            f" {show(parts[2])} us",
+            sum(parts) / US_PER_S,
+            "s of a core",
+            None,
+            "godwitloft.coordination.publish.Publisher.publish",
+        ),
+        Need(
+            "operators' command",
+            "snapshot written by each publish",
+            f"{show(TEAMS)} teams x {show(costs.of('snapshot_bytes'))} bytes",
+            costs.snapshot_bytes / BYTES_PER_MB,
+            "MB",
+            None,
+            "godwitloft.objects.canonical.encode",
+        ),
+    ]
+
+
+def platform_needs(costs: Costs) -> list[Need]:
+    """Works out what the platform's service is asked.
+
+    :param costs: measured
+    :return: the lines
+    """
+    bounds = guard.GuardSettings()
+    writes = bounds.fleet_writes_per_s
+    per_claim = costs.of("claim_writes")
+    reads = feed.FeedSettings().fleet_reads_per_s
+    lists = discovery.FLEET_READS_PER_S
+    starts = RESTARTS_PER_DAY / S_PER_DAY
+    return [
+        Need(
+            "platform service",
+            "announcements on the instance list",
+            f"{show(PROCESSES)} processes / {show(ANNOUNCE_INTERVAL_S)} s",
+            PROCESSES / ANNOUNCE_INTERVAL_S,
+            "writes/s",
+            writes,
+            "godwitloft.discovery.Discovery.announce",
+        ),
+        Need(
+            "platform service",
+            "reads of the head and of the list",
+            f"{show(reads)} + {show(lists)}/s, whatever the fleet",
+            reads + lists,
+            "reads/s",
+            STORE_READS_PER_S,
+            "godwitloft.coordination.feed.Feed.poll_interval_ms",
+        ),
+        Need(
+            "platform service",
+            "publishes",
+            f"{show(CHANGES_PER_S)}/s x {PUBLISH_WRITES} writes",
+            CHANGES_PER_S * PUBLISH_WRITES,
+            "writes/s",
+            writes,
+            "godwitloft.coordination.publish.Publisher.publish",
+        ),
+        Need(
+            "platform service",
+            "starts of daemons",
+            f"{show(RESTARTS_PER_DAY)} / {show(S_PER_DAY)} s x 1 write",
+            starts,
+            "writes/s",
+            writes,
+            "godwitloft.coordination.feed.Feed.start",
+        ),
+        Need(
+            "platform service",
+            "a claim a second at every entry",
+            f"{show(ENTRIES)} entries x {show(per_claim)} writes",
+            ENTRIES * per_claim,
+            "writes/s",
+            writes,
+            "godwitloft.coordination.claims.Claims.claim",
+        ),
+        Need(
+            "platform service",
+            "that claim at one entry, against its even share",
+            f"{show(per_claim)} writes/s; share {show(writes)} /"
+            f" {show(PROCESSES)}",
+            per_claim,
+            "writes/s",
+            writes / PROCESSES,
+            "godwitloft.platform.guard.Guard",
+        ),
+    ]
+
+
+def balancer_needs() -> list[Need]:
+    """Works out what the balancer carries.
+
+    :return: the lines
+    """
+    return [
+        Need(
+            "balancer",
+            "open streams to one entry",
+            f"{show(TOKENS_PER_S)} tokens/s x {MS_BETWEEN_TOKENS} ms"
+            f" / {show(ENTRIES)} entries",
+            ENTRY_STREAMS,
+            "connections",
+            4096,
+            "godwitloft.bounded_http",
+        ),
+        Need(
+            "balancer",
+            "requests to one entry",
+            f"{show(REQUESTS_PER_S)} / {show(ENTRIES)}",
+            ENTRY_REQUESTS,
+            "requests/s",
+            None,
+            "godwitloft.entry.caller_http",
+        ),
+    ]
+
+
+def needs(measured: slopes_module.Measured) -> list[Need]:
+    """Works everything out.
+
+    :param measured: the figures
+    :return: the lines of the page
+    """
+    costs = Costs(measured)
+    meshes = (
+        ("entry", "all peers (as it is)", float(AGENTS)),
+        ("entry", "subset (not wired yet)", float(SUBSET_ENTRY_LINKS)),
+        ("agent", "all peers (as it is)", float(ENTRIES)),
+        ("agent", "subset (not wired yet)", SUBSET_AGENT_LINKS),
+    )
+    linked = {
+        role: [
+            need
+            for owner, kind, count in meshes
+            if owner == role
+            for need in link_needs(costs, role, kind, count)
+        ]
+        for role in slope_rest.ROLES
+    }
+    return [
+        *common_needs(costs, "entry"),
+        *linked["entry"],
+        *with_sum(entry_needs(costs), "entry", "godwitloft.entry.desk.Desk"),
+        *common_needs(costs, "agent"),
+        *linked["agent"],
+        *with_sum(
+            agent_needs(costs),
+            "agent",
+            "godwitloft.agent.dispatcher.Dispatcher",
+        ),
+        *command_needs(costs),
+        *platform_needs(costs),
+        *balancer_needs(),
+    ]
+
+
+def table(
+    head: typing.Sequence[str], rows: typing.Iterable[typing.Any]
+) -> str:
+    """Writes a Markdown table.
+
+    :param head: names of the columns
+    :param rows: cells of each row
+    :return: its lines
+    """
+    lines = [head, ["---"] * len(head), *rows]
+    return "\n".join(f"| {' | '.join(cells)} |" for cells in lines)
+
+
+def need_table(found: typing.Iterable[Need]) -> str:
+    """Writes the table of all needs.
+
+    :param found: the needs
+    :return: Markdown
+    """
+    head = ("role", "for", "arithmetic", "need", "target", "ratio", "carrier")
+    return table(
+        head,
+        (
+            (
+                one.role,
+                one.what,
+                one.arithmetic,
+                f"{show(one.value)} {one.unit}",
+                show(one.target) if one.target else "-",
+                show(one.ratio) if one.target else "-",
+                f"`{one.carrier}`",
+            )
+            for one in found
+        ),
+    )
+
+
+def over_table(found: typing.Iterable[Need]) -> str:
+    """Writes what is over its target, the worst first.
+
+    :param found: the needs
+    :return: Markdown
+    """
+    over = sorted(
+        (one for one in found if one.ratio > 1), key=lambda one: -one.ratio
+    )
+    return table(
+        ("ratio", "role", "for", "need", "target"),
+        (
+            (
+                show(one.ratio),
+                one.role,
+                one.what,
+                f"{show(one.value)} {one.unit}",
+                show(one.target or 0.0),
+            )
+            for one in over
+        ),
+    )
+
+
+def slope_table(slopes: typing.Iterable[slope_fit.Slope]) -> str:
+    """Writes the measured slopes.
+
+    :param slopes: all of them
+    :return: Markdown
+    """
+    return table(
+        ("slope", "per", "at sizes", "unit", "slope", "error", "at 0"),
+        (
+            (
+                one.name,
+                one.per,
+                ", ".join(f"{size:,}" for size in one.sizes),
+                one.unit,
+                show(one.slope),
+                show(one.error),
+                show(one.base),
+            )
+            for one in slopes
+        ),
+    )
+
+
+def rest_table(
+    rest_kb: typing.Mapping[str, typing.Mapping[str, float]],
+) -> str:
+    """Writes where the memory at rest comes from.
+
+    :param rest_kb: kibibytes that each step adds, by role
+    :return: Markdown
+    """
+    roles = tuple(rest_kb)
+    steps = tuple(rest_kb[roles[0]])
+    return table(
+        ("step", *(f"{role}, MB" for role in roles)),
+        (
+            (
+                step,
+                *(show(rest_kb[role][step] / KB_PER_MB) for role in roles),
+            )
+            for step in steps
+        ),
+    )
+
+
+def render(measured: slopes_module.Measured) -> str:
+    """Writes the page.
+
+    :param measured: the figures
+    :return: Markdown
+    """
+    found = needs(measured)
+    text = string.Template(NOTES.read_text(encoding="utf-8"))
+    return text.substitute(
+        needs=need_table(found),
+        over=over_table(found),
+        slopes=slope_table(measured.slopes.values()),
+        rest=rest_table(measured.rest_kb),
+        python=measured.python,
+        processors=measured.processors,
+        streams=show(STREAMS),
+        entry_streams=show(ENTRY_STREAMS),
+        agent_streams=show(AGENT_STREAMS),
+        entry_requests=show(ENTRY_REQUESTS),
+        entry_tokens=show(ENTRY_TOKENS),
+        agent_requests=show(AGENT_REQUESTS),
+        agent_tokens=show(AGENT_TOKENS),
+        processes=show(PROCESSES),
+        pool_agents=show(POOL_AGENTS),
+        zone_agents=show(AGENTS / ZONES),
+        zone_entries=show(ENTRIES / ZONES),
+        zone_growth=show(ZONES / (ZONES - 1)),
+        zone_starts_s=show(
+            PROCESSES / ZONES / guard.GuardSettings().fleet_writes_per_s
+        ),
+        claims_per_s=show(
+            guard.GuardSettings().fleet_writes_per_s
+            / measured.slopes["claim_writes"].slope
+        ),
+        announce_s=show(ANNOUNCE_INTERVAL_S),
+        listed_s=show(ANNOUNCE_INTERVAL_S * discovery.INTERVALS_TO_LIVE),
+        silence_ms=show(hub.SILENCE_LIMIT_MS),
+        spread_ms=show(max(measured.slopes["feed_spread"].costs)),
+        spread_daemons=show(max(measured.slopes["feed_spread"].sizes)),
+    )
--- /dev/null
+++ b/bench/slope_links.py
@@ -0,0 +1,294 @@
+"""What messages, connections and heartbeats cost on real loopback links."""
+
+import contextlib
+import gc
+import random
+import tracemalloc
+import typing
+
+from twisted.internet import defer
+from twisted.internet import protocol
+from twisted.internet import reactor as default_reactor
+from twisted.internet import task
+
+from bench import slope_fit
+from bench import slope_requests
+from godwitloft import clock as clocks
+from godwitloft.links import codec
+from godwitloft.links import hub as hubs
+from godwitloft.links import link as links
+from godwitloft.links.generated.messages import ttypes
+
+# The global reactor has no type that covers what is used of it.
+reactor: typing.Any = default_reactor
+
+MESSAGE_COUNTS = (1000, 2000, 4000)
+CONNECTION_COUNTS = (50, 100, 200)
+BEATS = 10
+ROUNDS = 5
+POLL_S = 0.005
+CONNECTIONS_LIMIT_S = 30
+
+
+def heartbeat() -> ttypes.Heartbeat:
+    """Returns an agent's heartbeat.
+
+    :return: the message
+    """
+    return ttypes.Heartbeat(1, 12, 4, 6.0, 21.0, 2, False, 1)
+
+
+def messages() -> dict[str, codec.Body]:
+    """Returns one message of each kind that is measured.
+
+    :return: by the field name of the union
+    """
+    return {
+        "heartbeat": heartbeat(),
+        "bid": slope_requests.make_bid(1),
+        "withdraw": ttypes.Withdraw("entry-1-1"),
+        "dispatch": slope_requests.make_dispatch("entry-1-1"),
+        "chunks": slope_requests.chunks_message("entry-1-1", 0),
+    }
+
+
+def encoding(
+    name: str, body: codec.Body
+) -> typing.Callable[[int], typing.Callable[[], object]]:
+    """Returns what prepares the encoding of a message.
+
+    :param name: field name of the message
+    :param body: the message
+    :return: takes a count and returns the call
+    """
+    field = {name: body}
+    return lambda count: lambda: [codec.encode(**field) for _ in range(count)]
+
+
+def decoding(
+    name: str, body: codec.Body
+) -> typing.Callable[[int], typing.Callable[[], object]]:
+    """Returns what prepares the decoding of a message.
+
+    :param name: field name of the message
+    :param body: the message
+    :return: takes a count and returns the call
+    """
+    frame = codec.encode(**{name: body})
+    return lambda count: lambda: [codec.decode(frame) for _ in range(count)]
+
+
+def measure_codec() -> list[slope_fit.Slope]:
+    """Measures encoding and decoding.
+
+    :return: two slopes a kind of message
+    """
+    slopes = []
+    for name, body in messages().items():
+        for verb, prepare in (("encode", encoding), ("decode", decoding)):
+            slopes.append(
+                slope_fit.times(
+                    f"{verb}_{name}",
+                    "message",
+                    MESSAGE_COUNTS,
+                    prepare(name, body),
+                )
+            )
+    return slopes
+
+
+def frame_bytes() -> dict[str, int]:
+    """Returns the bytes of each kind of message on a link.
+
+    :return: by field name, with the length before the frame
+    """
+    return {
+        name: len(codec.encode(**{name: body})) + 4
+        for name, body in messages().items()
+    }
+
+
+class Crowd:
+    """One hub, and the far ends of many links to it.
+
+    The far ends are bare links, so that what is measured is two links and
+    one hub's records of a peer for each connection.
+    """
+
+    def __init__(self) -> None:
+        clock = clocks.system_clock()
+        self.received = 0
+        self.far_ends: list[links.Link] = []
+        self.hub = hubs.Hub(
+            reactor,
+            clock,
+            lambda: slope_requests.hello("entry", "entry"),
+            hubs.HubHandlers(
+                peer_up=lambda _hello: None,
+                peer_down=lambda _hello, _reason: None,
+                received=lambda _peer, _name, _body: self.count(),
+                writable=lambda _peer, _can_write: None,
+                heartbeat=heartbeat,
+                accepts=lambda _hello: True,
+            ),
+            random.Random(1),
+        )
+        self.port = self.hub.start("127.0.0.1", 0)
+        # Heartbeats are sent by hand, so that they can be counted.
+        self.hub.heartbeats.stop()
+        self.handlers = links.Handlers(
+            greeted=lambda _link, _hello: True,
+            received=lambda _link, _name, _body: self.count(),
+            lost=lambda _link, _reason: None,
+            writable=lambda _link, _can_write: None,
+        )
+
+    def count(self) -> None:
+        """Counts a message that arrived at either end."""
+        self.received += 1
+
+    def connect(self) -> None:
+        """Opens one more link."""
+        name = f"agent-{len(self.far_ends)}"
+        link = links.Link(self.handlers, slope_requests.hello("agent", name))
+        self.far_ends.append(link)
+        creator = protocol.ClientCreator(reactor, lambda: link)
+        creator.connectTCP("127.0.0.1", self.port)
+
+    async def grow(self, count: int) -> None:
+        """Opens links until there are some number.
+
+        :param count: the number
+        """
+        while len(self.far_ends) < count:
+            self.connect()
+        await until(lambda: len(self.hub.peers) == count)
+        await until(lambda: all(one.peer for one in self.far_ends))
+
+    async def beat(self) -> None:
+        """Sends a heartbeat each way on every link, and waits for all."""
+        expected = self.received + 2 * len(self.far_ends)
+        self.hub.beat()
+        frame = codec.encode(heartbeat=heartbeat())
+        for link in self.far_ends:
+            link.send_frame(frame)
+        await until(lambda: self.received == expected)
+
+    def stop(self) -> None:
+        """Closes everything."""
+        self.hub.stop()
+        for link in self.far_ends:
+            link.transport.abortConnection()
+
+
+async def until(is_done: typing.Callable[[], bool]) -> None:
+    """Waits for something to become true.
+
+    :param is_done: tells whether it is
+    :raises TimeoutError: when it doesn't become so
+    """
+    for _ in range(round(CONNECTIONS_LIMIT_S / POLL_S)):
+        if is_done():
+            return
+        await task.deferLater(reactor, POLL_S)
+    raise TimeoutError("the links did not settle")
+
+
+async def measure_connections() -> list[slope_fit.Slope]:
+    """Measures connections and heartbeats.
+
+    :return: the slopes
+    """
+    return [
+        slope_fit.fit(
+            "connection",
+            "connection, both ends",
+            "bytes",
+            await grow_and(connection_bytes),
+        ),
+        slope_fit.fit(
+            "heartbeat",
+            f"connection, {BEATS} heartbeats each way",
+            "us",
+            await grow_and(beat_us),
+        ),
+    ]
+
+
+async def grow_and(
+    measure_one: typing.Callable[[Crowd], typing.Awaitable[float]],
+) -> list[tuple[int, float]]:
+    """Measures something at each number of connections.
+
+    :param measure_one: measures it with the links that there are
+    :return: the numbers with what was measured
+    """
+    crowd = Crowd()
+    points = []
+    try:
+        for count in CONNECTION_COUNTS:
+            with allocations_traced(measure_one is connection_bytes):
+                await crowd.grow(count)
+                await crowd.beat()
+                points.append((count, await measure_one(crowd)))
+    finally:
+        crowd.stop()
+    return points
+
+
+@contextlib.contextmanager
+def allocations_traced(wanted: bool) -> typing.Iterator[None]:
+    """Traces allocations from the first use on, if that is wanted.
+
+    :param wanted: whether it is; tracing would cost processor time
+    """
+    if wanted:
+        tracemalloc.start()
+    else:
+        tracemalloc.stop()
+    yield
+
+
+async def connection_bytes(_crowd: Crowd) -> float:
+    """Measures what Python's allocator holds.
+
+    :param _crowd: the links
+    :return: bytes; the buffers of the kernel are not among them
+    """
+    gc.collect()
+    return float(tracemalloc.get_traced_memory()[0])
+
+
+async def beat_us(crowd: Crowd) -> float:
+    """Measures some rounds of heartbeats.
+
+    :param crowd: the links
+    :return: microseconds of processor time, both ends
+    """
+    rounds = []
+    for _ in range(ROUNDS):
+        started_ns = slope_fit.now_ns()
+        for _ in range(BEATS):
+            await crowd.beat()
+        rounds.append(slope_fit.now_ns() - started_ns)
+    return min(rounds) / slope_fit.NS_PER_US
+
+
+def measure() -> list[slope_fit.Slope]:
+    """Measures all of it; runs the reactor, so only once a process.
+
+    :return: the slopes
+    """
+    slopes = measure_codec()
+
+    def main(_reactor: typing.Any) -> defer.Deferred[None]:
+        async def run() -> None:
+            slopes.extend(await measure_connections())
+
+        return defer.ensureDeferred(run())
+
+    with contextlib.suppress(SystemExit):
+        task.react(main, _reactor=reactor)
+    if len(slopes) == 2 * len(messages()):
+        raise RuntimeError("the links could not be measured")
+    return slopes
--- /dev/null
+++ b/bench/slope_objects.py
@@ -0,0 +1,202 @@
+"""What objects cost in a snapshot, and a change of one of them."""
+
+import dataclasses
+import hashlib
+import typing
+
+from bench import slope_fit
+from godwitloft.coordination import delta
+from godwitloft.coordination import publish
+from godwitloft.objects import canonical
+from godwitloft.objects import check
+from godwitloft.objects import incremental
+from godwitloft.objects import lookup
+from godwitloft.objects import parse
+from godwitloft.objects import types
+
+SIZES = (1000, 5000, 10_000)
+MODELS = 28
+TIERS = 4
+LOOKUPS = 1000
+
+
+def make_objects(teams: int) -> types.ObjectSet:
+    """Returns a set of 28 models and some teams.
+
+    :param teams: how many
+    :return: a set that passes the check
+    """
+    tiers = tuple(types.Tier(f"tier-{rank}", rank) for rank in range(TIERS))
+    pools = tuple(
+        types.Pool(f"pool-{index}", types.ServiceKind.MODEL)
+        for index in range(MODELS)
+    )
+    services = tuple(
+        types.Service(
+            f"model-{index}",
+            types.ServiceKind.MODEL,
+            (f"pool-{index}",),
+            "tier-0",
+        )
+        for index in range(MODELS)
+    )
+    members = tuple(make_team(index) for index in range(teams))
+    return types.ObjectSet(tiers, services, members, pools)
+
+
+def make_team(index: int, weight: int = 1) -> types.Team:
+    """Returns a team.
+
+    :param index: makes its name and its token unique
+    :param weight: its share against others
+    :return: the team
+    """
+    return types.Team(
+        name=f"team-{index:05d}",
+        key_hashes=(hashlib.sha256(token(index).encode()).hexdigest(),),
+        tiers=("tier-0", "tier-1"),
+        weight=weight,
+        max_running=100,
+        tokens_per_s=10_000,
+    )
+
+
+def token(index: int) -> str:
+    """Returns the bearer token of a team.
+
+    :param index: number of the team
+    :return: the token
+    """
+    return f"token-{index}"
+
+
+def content_of(teams: int) -> bytes:
+    """Returns a snapshot.
+
+    :param teams: how many
+    :return: canonical JSON
+    """
+    return canonical.encode(make_objects(teams))
+
+
+def parsing(teams: int) -> typing.Callable[[], object]:
+    """Prepares the parsing of a snapshot.
+
+    :param teams: how many
+    :return: parses it
+    """
+    content = content_of(teams)
+    return lambda: parse.from_bytes(content, "snapshot")
+
+
+def checking(teams: int) -> typing.Callable[[], object]:
+    """Prepares the check of a set.
+
+    :param teams: how many
+    :return: checks it
+    """
+    objects = make_objects(teams)
+
+    def run() -> None:
+        assert not check.check(objects)
+
+    return run
+
+
+def encoding(teams: int) -> typing.Callable[[], object]:
+    """Prepares the writing of a snapshot with its hash.
+
+    :param teams: how many
+    :return: writes it
+    """
+    objects = make_objects(teams)
+    return lambda: canonical.hash_of(canonical.encode(objects))
+
+
+def indexing(teams: int) -> typing.Callable[[], object]:
+    """Prepares the building of the indexes.
+
+    :param teams: how many
+    :return: builds them
+    """
+    objects = make_objects(teams)
+    return lambda: lookup.build(objects)
+
+
+def finding(teams: int) -> typing.Callable[[], object]:
+    """Prepares one thousand look-ups of a team by its token.
+
+    :param teams: how many there are
+    :return: looks up
+    """
+    index = lookup.build(make_objects(teams))
+    tokens = [token(number % teams) for number in range(LOOKUPS)]
+
+    def run() -> None:
+        for one in tokens:
+            assert index.team_of_token(one) is not None
+
+    return run
+
+
+def changing(teams: int) -> typing.Callable[[], object]:
+    """Prepares what a daemon does when one team changes.
+
+    :param teams: how many there are
+    :return: takes in the change, as the feed and the node do
+    """
+    objects = make_objects(teams)
+    texts = delta.split(canonical.encode(objects))
+    index = lookup.build(objects)
+    changed = dataclasses.replace(
+        objects, teams=(make_team(0, 7), *objects.teams[1:])
+    )
+    wanted = canonical.encode(changed)
+    sent = delta.encode(delta.difference(texts, delta.split(wanted)))
+
+    def run() -> None:
+        changes = delta.decode(sent)
+        content = delta.join(delta.patch(texts, changes))
+        assert canonical.hash_of(content) == canonical.hash_of(wanted)
+        incremental.update(index, changes)
+
+    return run
+
+
+def holding(teams: int) -> typing.Callable[[], object]:
+    """Prepares what a daemon keeps of a configuration.
+
+    :param teams: how many
+    :return: builds the snapshot, its parts and the indexes
+    """
+
+    def run() -> object:
+        content = content_of(teams)
+        index = lookup.build(canonical.decode(content))
+        return content, delta.split(content), index
+
+    return run
+
+
+def measure() -> list[slope_fit.Slope]:
+    """Measures all of it.
+
+    :return: the slopes
+    """
+    times = slope_fit.times
+    assert publish.MAX_SNAPSHOT_BYTES > len(content_of(SIZES[-1]))
+    return [
+        times("snapshot_parse", "team", SIZES, parsing, 1),
+        times("snapshot_check", "team", SIZES, checking, 1),
+        times("snapshot_encode", "team", SIZES, encoding, 1),
+        times("snapshot_index", "team", SIZES, indexing),
+        times("snapshot_find", "team, 1,000 look-ups", SIZES, finding),
+        times("snapshot_change", "team, for one change", SIZES, changing),
+        slope_fit.sizes_of("snapshot_held", "team", SIZES, holding),
+        slope_fit.fit(
+            "snapshot_bytes",
+            "team",
+            "bytes",
+            [(size, float(len(content_of(size)))) for size in SIZES],
+        ),
+    ]
--- /dev/null
+++ b/bench/slope_requests.py
@@ -0,0 +1,535 @@
+"""What requests, bids and tokens cost at a desk and at a dispatcher."""
+
+import functools
+import hashlib
+import random
+import typing
+
+from bench import slope_fit
+from godwitloft import clock as clocks
+from godwitloft import daemon
+from godwitloft import metrics
+from godwitloft import settings as settings_module
+from godwitloft import trace
+from godwitloft.agent import dispatcher as dispatchers
+from godwitloft.agent import upstream as upstreams
+from godwitloft.entry import call as calls
+from godwitloft.entry import desk as desks
+from godwitloft.entry import journal
+from godwitloft.entry import request as requests
+from godwitloft.links import codec
+from godwitloft.links.generated.messages import ttypes
+
+Sent = list[tuple[str, str, typing.Any]]
+
+BODY = b"x" * 2000
+PREFIX_KEYS = tuple(range(1 << 60, (1 << 60) + 8))
+TOKEN = b'data: {"choices":[{"index":0,"text":" word"}]}\n\n'
+CHUNKS_PER_MESSAGE = 8
+BIDS_PER_REQUEST = 16
+
+
+def repeat(
+    act: typing.Callable[[], None], count: int
+) -> typing.Callable[[], None]:
+    """Returns a call that does something several times.
+
+    :param act: does it once
+    :param count: how often
+    :return: the call
+    """
+
+    def run() -> None:
+        for _ in range(count):
+            act()
+
+    return run
+
+
+def make_call(number: int) -> calls.Call:
+    """Returns a call of a model.
+
+    :param number: makes the body's fingerprint unique
+    :return: the call
+    """
+    return calls.Call(
+        team=f"team-{number % 50}",
+        team_weight=1,
+        tier="gold",
+        tier_rank=0,
+        service="m",
+        pools=("p",),
+        method="POST",
+        path="/v1/completions",
+        headers={"content-type": "application/json"},
+        body=BODY + str(number).encode(),
+        stream=True,
+        is_model=True,
+        idempotent=False,
+        timeout_ms=60_000,
+        prompt_tokens=400,
+        output_tokens=200,
+        prefix_keys=PREFIX_KEYS,
+        fingerprint=f"{number:032x}",
+    )
+
+
+def hello(role: str, name: str) -> ttypes.Hello:
+    """Returns the hello of a peer.
+
+    :param role: ``entry`` or ``agent``
+    :param name: its instance
+    :return: the message
+    """
+    return ttypes.Hello(1, role, name, f"{name}-1", "zone", 0, "p", name)
+
+
+@functools.cache
+def instruments() -> metrics.Instruments:
+    """Returns the instruments that a daemon uses.
+
+    :return: the same ones at each call
+    """
+    return metrics.prometheus()[0]
+
+
+def no_trace(clock: clocks.Clock) -> trace.Recorder:
+    """Returns the recorder of a daemon that writes no trace.
+
+    :param clock: tells the time
+    :return: the recorder
+    """
+    return daemon.make_recorder(
+        settings_module.TraceStream.NONE, clock, "bench", "bench-1"
+    )
+
+
+def make_desk(agents: int) -> tuple[desks.Desk, Sent]:
+    """Returns a desk with linked agents, and what it sends.
+
+    :param agents: how many
+    :return: the desk and the list that its messages go to
+    """
+    clock = clocks.system_clock()
+    sent: Sent = []
+
+    def send(peer: str, name: str, body: codec.Body) -> bool:
+        sent.append((peer, name, body))
+        return True
+
+    desk = desks.Desk(
+        clock=clock,
+        incarnation="entry-1",
+        send=send,
+        recorder=journal.Journal(clock, no_trace(clock)),
+        instruments=instruments(),
+        settings=desks.DeskSettings(max_waiting=1_000_000),
+        generation=lambda: 1,
+        rng=random.Random(1),
+    )
+    for number in range(agents):
+        desk.peer_up(hello("agent", f"agent-{number}"))
+    return desk, sent
+
+
+def accept_many(desk: desks.Desk, count: int) -> list[str]:
+    """Lets a desk accept requests.
+
+    :param desk: the desk
+    :param count: how many
+    :return: their ids
+    """
+    return [
+        desk.accept(make_call(number), lambda _answer: None)
+        for number in range(count)
+    ]
+
+
+def desk_bids(agents: int) -> typing.Callable[[], object]:
+    """Prepares the acceptance of one request after another.
+
+    :param agents: agents that each request is bid at
+    :return: accepts 200 requests
+    """
+    desk, _sent = make_desk(agents)
+    return lambda: accept_many(desk, 200)
+
+
+def desk_cycle(count: int) -> typing.Callable[[], object]:
+    """Prepares whole requests at a desk: accepted, bid, run, answered.
+
+    :param count: requests
+    :return: does all of them, one after another
+    """
+    desk, _sent = make_desk(BIDS_PER_REQUEST)
+    digest = empty_digest()
+
+    def run() -> None:
+        for number in range(count):
+            run_id = desk.accept(make_call(number), lambda _answer: None)
+            desk.receive("agent-0", "pull", ttypes.Pull(run_id))
+            desk.receive("agent-0", "started", ttypes.Started(run_id))
+            desk.receive("agent-0", "ended", ended(run_id, 0, digest))
+        assert not desk.requests
+
+    return run
+
+
+def ended(run_id: str, count: int, digest: str) -> ttypes.Ended:
+    """Returns the end of a run that went well.
+
+    :param run_id: id of the run
+    :param count: parts of its answer
+    :param digest: of its answer
+    :return: the message
+    """
+    return ttypes.Ended(
+        run_id, "completed", count, digest, 200, "", 400, 200, "text/plain"
+    )
+
+
+def empty_digest() -> str:
+    """Returns the digest of an answer without parts.
+
+    :return: hexadecimal
+    """
+    return hashlib.blake2b(digest_size=requests.DIGEST_BYTES).hexdigest()
+
+
+def desk_tokens(count: int) -> typing.Callable[[], object]:
+    """Prepares a desk that takes one run's parts, a token each.
+
+    :param count: parts; they come eight to a message
+    :return: takes all of them
+    """
+    desk, _sent = make_desk(1)
+    run_id = desk.accept(make_call(1), lambda _answer: None)
+    desk.receive("agent-0", "pull", ttypes.Pull(run_id))
+    messages = [
+        chunks_message(run_id, first)
+        for first in range(0, count, CHUNKS_PER_MESSAGE)
+    ]
+
+    def run() -> None:
+        for message in messages:
+            desk.receive("agent-0", "chunks", message)
+        assert desk.requests[run_id].next_sequence == count
+
+    return run
+
+
+def chunks_message(run_id: str, first: int) -> ttypes.Chunks:
+    """Returns a message with eight parts of a token each.
+
+    :param run_id: id of the run
+    :param first: number of the first part
+    :return: the message
+    """
+    return ttypes.Chunks(
+        [
+            ttypes.Chunk(run_id, first + index, TOKEN, 1)
+            for index in range(CHUNKS_PER_MESSAGE)
+        ]
+    )
+
+
+def desk_waiting(count: int) -> typing.Callable[[], object]:
+    """Prepares requests that wait at a desk, each bid at 16 agents.
+
+    :param count: requests
+    :return: accepts them and returns the desk
+    """
+    desk, sent = make_desk(BIDS_PER_REQUEST)
+
+    def run() -> object:
+        for number in range(count):
+            desk.accept(make_call(number), lambda _answer: None)
+            sent.clear()
+        return desk
+
+    return run
+
+
+def desk_tick(count: int) -> typing.Callable[[], object]:
+    """Prepares the periodic work of a desk that holds requests.
+
+    :param count: requests that run or wait
+    :return: one hundred ticks
+    """
+    desk, _sent = make_desk(1)
+    accept_many(desk, count)
+    return repeat(desk.tick, 100)
+
+
+def make_dispatcher(
+    max_running: int,
+) -> tuple[dispatchers.Dispatcher, Sent]:
+    """Returns a dispatcher with one entry, and what it sends.
+
+    :param max_running: runs at once on its upstream
+    :return: the dispatcher and the list that its messages go to
+    """
+    clock = clocks.system_clock()
+    sent: Sent = []
+
+    def send(peer: str, name: str, body: codec.Body) -> bool:
+        sent.append((peer, name, body))
+        return True
+
+    def ignore(*_arguments: object) -> None:
+        pass
+
+    dispatcher = dispatchers.Dispatcher(
+        clock=clock,
+        send=send,
+        upstream=upstreams.Upstream(ignore, ignore, ignore, ignore, ignore),
+        recorder=no_trace(clock),
+        instruments=instruments(),
+        settings=dispatchers.DispatcherSettings(
+            max_running=max_running,
+            policy=settings_module.AgentPolicy(learn_room=False),
+        ),
+    )
+    dispatcher.peer_up(hello("entry", "entry"))
+    return dispatcher, sent
+
+
+def make_bid(number: int) -> ttypes.Bid:
+    """Returns the bid of a call.
+
+    :param number: number of the request
+    :return: the message
+    """
+    return ttypes.Bid(
+        request_id=f"entry-1-{number}",
+        tier_rank=0,
+        team=f"team-{number % 50}",
+        team_weight=1,
+        service_name="m",
+        deadline_in_ms=600_000,
+        prompt_tokens=40,
+        output_tokens=200,
+        prefix_keys=list(PREFIX_KEYS),
+        fingerprint=f"{number:032x}",
+        urgent=False,
+        hold_ms=0,
+        generation=1,
+        isolate=False,
+        agents=BIDS_PER_REQUEST,
+    )
+
+
+def make_dispatch(run_id: str) -> ttypes.Dispatch:
+    """Returns the dispatch of a run.
+
+    :param run_id: id of the run
+    :return: the message
+    """
+    return ttypes.Dispatch(
+        run_id, "POST", "/v1/completions", {}, BODY, True, 600_000, False, 1
+    )
+
+
+def start_runs(dispatcher: dispatchers.Dispatcher, count: int) -> None:
+    """Lets a dispatcher pull and start runs.
+
+    :param dispatcher: the dispatcher
+    :param count: how many
+    """
+    for number in range(count):
+        dispatcher.receive("entry", "bid", make_bid(number))
+        run_id = f"entry-1-{number}"
+        dispatcher.receive("entry", "dispatch", make_dispatch(run_id))
+        dispatcher.upstream_data(run_id, TOKEN, 1, 200, "")
+    assert len(dispatcher.runs) == count, len(dispatcher.runs)
+
+
+def dispatcher_bids(count: int) -> typing.Callable[[], object]:
+    """Prepares bids at an upstream that is full.
+
+    :param count: bids
+    :return: takes all of them
+    """
+    dispatcher, _sent = make_dispatcher(8)
+    start_runs(dispatcher, 8)
+    bids = [make_bid(1000 + number) for number in range(count)]
+
+    def run() -> None:
+        for bid in bids:
+            dispatcher.receive("entry", "bid", bid)
+
+    return run
+
+
+def dispatcher_lost_bids(count: int) -> typing.Callable[[], object]:
+    """Prepares bids at a full upstream that others then pull.
+
+    :param count: bids
+    :return: takes each of them and its withdrawal
+    """
+    dispatcher, _sent = make_dispatcher(8)
+    start_runs(dispatcher, 8)
+
+    def run() -> None:
+        for number in range(1000, 1000 + count):
+            bid = make_bid(number)
+            dispatcher.receive("entry", "bid", bid)
+            withdraw = ttypes.Withdraw(bid.request_id)
+            dispatcher.receive("entry", "withdraw", withdraw)
+
+    return run
+
+
+def dispatcher_full_bids(running: int) -> typing.Callable[[], object]:
+    """Prepares bids at an upstream that is full of running requests.
+
+    :param running: running requests
+    :return: takes 100 bids, each with its withdrawal
+    """
+    dispatcher, _sent = make_dispatcher(running)
+    start_runs(dispatcher, running)
+
+    def run() -> None:
+        for number in range(1000, 1100):
+            bid = make_bid(number)
+            dispatcher.receive("entry", "bid", bid)
+            withdraw = ttypes.Withdraw(bid.request_id)
+            dispatcher.receive("entry", "withdraw", withdraw)
+
+    return run
+
+
+def dispatcher_cycle(count: int) -> typing.Callable[[], object]:
+    """Prepares whole runs at an upstream that runs one at a time.
+
+    :param count: runs
+    :return: does all of them, one after another
+    """
+    dispatcher, _sent = make_dispatcher(8)
+
+    def run() -> None:
+        for number in range(count):
+            cycle(dispatcher, number)
+        assert not dispatcher.runs
+
+    return run
+
+
+def cycle(dispatcher: dispatchers.Dispatcher, number: int) -> None:
+    """Does one run: bid, pull, dispatch, one token, end.
+
+    :param dispatcher: one with room
+    :param number: number of the request
+    """
+    run_id = f"entry-1-{number}"
+    dispatcher.receive("entry", "bid", make_bid(number))
+    dispatcher.receive("entry", "dispatch", make_dispatch(run_id))
+    dispatcher.upstream_data(run_id, TOKEN, 1, 200, "")
+    dispatcher.upstream_ended(run_id, upstreams.End.COMPLETED, "", 400, 200)
+    dispatcher.receive("entry", "ack", ttypes.Ack(run_id, 1, True))
+
+
+def dispatcher_running(running: int) -> typing.Callable[[], object]:
+    """Prepares runs at an upstream that runs many others.
+
+    :param running: the others
+    :return: does 100 runs, one after another
+    """
+    dispatcher, _sent = make_dispatcher(running + 8)
+    start_runs(dispatcher, running)
+
+    def run() -> None:
+        for number in range(1000, 1100):
+            cycle(dispatcher, number)
+        assert len(dispatcher.runs) == running
+
+    return run
+
+
+def dispatcher_tick(running: int) -> typing.Callable[[], object]:
+    """Prepares the periodic work of a dispatcher that has runs.
+
+    :param running: runs
+    :return: one hundred ticks
+    """
+    dispatcher, _sent = make_dispatcher(running + 8)
+    start_runs(dispatcher, running)
+    return repeat(dispatcher.tick, 100)
+
+
+def dispatcher_tokens(count: int) -> typing.Callable[[], object]:
+    """Prepares tokens of eight runs, sent on together.
+
+    :param count: tokens; a message goes out after one of each run
+    :return: takes all of them
+    """
+    dispatcher, _sent = make_dispatcher(CHUNKS_PER_MESSAGE + 8)
+    start_runs(dispatcher, CHUNKS_PER_MESSAGE)
+    names = tuple(dispatcher.runs)
+
+    def run() -> None:
+        for number in range(count // CHUNKS_PER_MESSAGE):
+            # The time between flushes is not waited for here.
+            dispatcher.last_flush_ms = dispatcher.clock.monotonic_ms()
+            for run_id in names:
+                dispatcher.upstream_data(run_id, TOKEN, 1, 200, "")
+            dispatcher.flush()
+            for run_id in names:
+                if number % desks.ACK_INTERVAL_CHUNKS == 0:
+                    acknowledge(dispatcher, run_id)
+
+    return run
+
+
+def acknowledge(dispatcher: dispatchers.Dispatcher, run_id: str) -> None:
+    """Lets a dispatcher forget what it has sent of a run.
+
+    :param dispatcher: the dispatcher
+    :param run_id: id of the run
+    """
+    sequence = dispatcher.runs[run_id].next_sequence
+    dispatcher.receive("entry", "ack", ttypes.Ack(run_id, sequence, False))
+
+
+def measure() -> list[slope_fit.Slope]:
+    """Measures all of it.
+
+    :return: the slopes
+    """
+    times = slope_fit.times
+    counts = (200, 400, 800)
+    return [
+        times("desk_bid", "agent, for 200 requests", (4, 8, 16), desk_bids),
+        times("desk_request", "request", counts, desk_cycle),
+        times("desk_token", "token", (1600, 3200, 6400), desk_tokens),
+        times("desk_tick", "open request, 100 ticks", counts, desk_tick),
+        slope_fit.sizes_of(
+            "desk_waiting", "waiting request", counts, desk_waiting
+        ),
+        times("dispatcher_bid", "bid", counts, dispatcher_bids),
+        times("dispatcher_lost_bid", "bid", counts, dispatcher_lost_bids),
+        times(
+            "dispatcher_full_bid",
+            "running request, for 100 bids",
+            (16, 64, 128, 256),
+            dispatcher_full_bids,
+            2,
+        ),
+        times("dispatcher_request", "request", counts, dispatcher_cycle),
+        times(
+            "dispatcher_running",
+            "running request, for 100 requests",
+            (16, 64, 128, 256),
+            dispatcher_running,
+            2,
+        ),
+        times(
+            "dispatcher_tick",
+            "running request, 100 ticks",
+            (16, 64, 128, 256),
+            dispatcher_tick,
+        ),
+        times(
+            "dispatcher_token", "token", (1600, 3200, 6400), dispatcher_tokens
+        ),
+    ]
--- /dev/null
+++ b/bench/slope_rest.py
@@ -0,0 +1,138 @@
+"""Splits the memory of a daemon at rest into where it comes from.
+
+Run as ``python -m bench.slope_rest entry`` (or ``agent``) it imports step by
+step in a process of its own and prints one line of JSON.
+"""
+
+import json
+import resource
+import statistics
+import subprocess
+import sys
+import typing
+
+ROUNDS = 3
+ROLES = ("entry", "agent")
+# What the daemons import of others, in an order in which each step adds
+# what the ones before have not brought.
+LIBRARIES = (
+    "json",
+    "twisted.internet.reactor",
+    "twisted.web.server",
+    "klein",
+    "treq",
+    "cappa",
+    "opentelemetry.sdk.metrics",
+    "opentelemetry.exporter.prometheus",
+    "thrift.protocol.TCompactProtocol",
+    "automat",
+    "twisted.internet.ssl",
+)
+
+
+def resident_kb() -> float:
+    """Returns the memory that this process holds now.
+
+    :return: resident kibibytes
+    """
+    with open("/proc/self/statm", encoding="ascii") as file:
+        pages = int(file.read().split()[1])
+    return pages * resource.getpagesize() / 1024
+
+
+def steps(role: str) -> dict[str, float]:
+    """Imports step by step what a daemon imports.
+
+    :param role: ``entry`` or ``agent``
+    :return: resident kibibytes after each step
+    """
+    found = {"interpreter": resident_kb()}
+    for name in LIBRARIES:
+        __import__(name)
+        found[name] = resident_kb()
+    __import__(f"godwitloft.{role}.main")
+    found["godwitloft modules"] = resident_kb()
+    kept = build(role)
+    found["godwitloft daemon"] = resident_kb()
+    del kept
+    return found
+
+
+def build(role: str) -> object:
+    """Builds a daemon that is not started.
+
+    :param role: ``entry`` or ``agent``
+    :return: the daemon
+    """
+    from twisted.internet import reactor
+
+    from godwitloft import clock as clocks
+    from godwitloft import metrics
+    from godwitloft import node as nodes
+    from godwitloft import settings as settings_module
+
+    instruments, render = metrics.prometheus()
+    surroundings = nodes.Surroundings(
+        reactor=reactor,
+        clock=clocks.system_clock(),
+        instruments=instruments,
+        render_metrics=render,
+    )
+    common: dict[str, typing.Any] = {
+        "instance": "bench",
+        "availability_zone": "a",
+    }
+    if role == "entry":
+        from godwitloft.entry import daemon as entry_daemon
+
+        text = json.dumps(common).encode()
+        return entry_daemon.EntryDaemon(
+            settings_module.parse(
+                text, settings_module.EntrySettings, "bench"
+            ),
+            surroundings,
+        )
+    from godwitloft.agent import daemon as agent_daemon
+
+    upstream = {"name": "e", "url": "http://127.0.0.1:1"}
+    text = json.dumps({**common, "pool": "p", "upstream": upstream}).encode()
+    return agent_daemon.AgentDaemon(
+        settings_module.parse(text, settings_module.AgentSettings, "bench"),
+        surroundings,
+    )
+
+
+def measure_role(role: str) -> dict[str, float]:
+    """Measures one role in some processes.
+
+    :param role: ``entry`` or ``agent``
+    :return: kibibytes that each step adds, the median of the rounds
+    """
+    rounds = [run_child(role) for _ in range(ROUNDS)]
+    added: dict[str, float] = {}
+    before = [0.0] * ROUNDS
+    for name in rounds[0]:
+        now = [one[name] for one in rounds]
+        more = [late - early for late, early in zip(now, before, strict=True)]
+        added[name] = round(statistics.median(more))
+        before = now
+    return added
+
+
+def run_child(role: str) -> dict[str, float]:
+    """Runs the steps in a process of its own.
+
+    :param role: ``entry`` or ``agent``
+    :return: kibibytes after each step
+    """
+    done = subprocess.run(
+        [sys.executable, "-m", "bench.slope_rest", role],
+        check=True,
+        capture_output=True,
+        text=True,
+    )
+    return typing.cast(dict[str, float], json.loads(done.stdout))
+
+
+if __name__ == "__main__":
+    print(json.dumps(steps(sys.argv[1])))
--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,89 @@
+"""Measures what one more of everything costs, for docs/CAPACITY.md.
+
+Processor time and memory only: wall-clock time depends on what else runs.
+"""
+
+import dataclasses
+import json
+import os
+import pathlib
+import platform
+import typing
+
+from bench import slope_fit
+from bench import slope_fleet
+from bench import slope_links
+from bench import slope_objects
+from bench import slope_requests
+from bench import slope_rest
+
+
+@dataclasses.dataclass(frozen=True)
+class Measured:
+    """All that the page is worked out from.
+
+    :param python: version of the interpreter
+    :param processors: of the machine
+    :param slopes: by name
+    :param frame_bytes: bytes on a link by kind of message
+    :param rest_kb: resident memory that each step adds, by role
+    """
+
+    python: str
+    processors: int
+    slopes: typing.Mapping[str, slope_fit.Slope]
+    frame_bytes: typing.Mapping[str, int]
+    rest_kb: typing.Mapping[str, typing.Mapping[str, float]]
+
+
+def measure() -> Measured:
+    """Measures everything; takes one to two minutes.
+
+    :return: the figures
+    """
+    # The links run the reactor, which ends the process's use of it.
+    slopes = [
+        *slope_requests.measure(),
+        *slope_objects.measure(),
+        *slope_fleet.measure(),
+        *slope_links.measure(),
+    ]
+    return Measured(
+        python=platform.python_version(),
+        processors=os.cpu_count() or 1,
+        slopes={one.name: one for one in slopes},
+        frame_bytes=slope_links.frame_bytes(),
+        rest_kb={
+            role: slope_rest.measure_role(role) for role in slope_rest.ROLES
+        },
+    )
+
+
+def write(path: str, measured: Measured) -> None:
+    """Writes the figures.
+
+    :param path: name of the file
+    :param measured: the figures
+    """
+    text = json.dumps(dataclasses.asdict(measured), indent=1)
+    pathlib.Path(path).write_text(text + "\n", encoding="utf-8")
+
+
+def read(path: pathlib.Path) -> Measured:
+    """Reads the figures.
+
+    :param path: the file
+    :return: the figures
+    """
+    value = json.loads(path.read_text(encoding="utf-8"))
+    slopes = {
+        name: slope_fit.Slope(
+            **{
+                **one,
+                "sizes": tuple(one["sizes"]),
+                "costs": tuple(one["costs"]),
+            }
+        )
+        for name, one in value.pop("slopes").items()
+    }
+    return Measured(slopes=slopes, **value)
