--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -1,4 +1,5 @@
 import concurrent.futures
+import datetime
 import hashlib
 import http.client
 import json
@@ -11,6 +12,12 @@
 from behave import given
 from behave import then
 from behave import when
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509 import oid
+import openai
 
 from godwitloft.standins import answers
 
@@ -75,13 +82,14 @@
     return json.loads(process.stdout.readline())["listening"]
 
 
-def start_agent(context, number, engine, objects):
+def start_agent(context, number, engine, objects, more=()):
     settings = {
         "instance": f"agent-{number}",
         "availability_zone": "a",
         "pool": "p",
         "upstream": {"name": f"e{number}", "url": f"http://{engine}"},
         "objects": [objects],
+        **dict(more),
     }
     path = write_json(context, f"agent-{number}.json", settings)
     process = start(
@@ -98,28 +106,37 @@
     objects = write_json(context, "objects.json", OBJECTS)
     context.engines = [start_engine(context) for _ in range(count)]
     peers = [
-        {
-            "instance": f"agent-{number}",
-            "role": "agent",
-            "address": "127.0.0.1",
-            "port": start_agent(context, number, engine, objects),
-            "availability_zone": "a",
-            "pool": "p",
-        }
+        peer(number, start_agent(context, number, engine, objects))
         for number, engine in enumerate(context.engines)
     ]
+    start_entry(context, objects, peers)
+    wait_until_ready(context.port)
+
+
+def peer(number, port):
+    return {
+        "instance": f"agent-{number}",
+        "role": "agent",
+        "address": "127.0.0.1",
+        "port": port,
+        "availability_zone": "a",
+        "pool": "p",
+    }
+
+
+def start_entry(context, objects, peers, more=()):
     settings = {
         "instance": "entry",
         "availability_zone": "a",
         "objects": [objects],
         "peers": peers,
+        **dict(more),
     }
     path = write_json(context, "entry.json", settings)
-    entry = start(
+    context.entry = start(
         context, "godwitloft.entry.main", "serve", "--settings", path
     )
-    context.port = logged(entry, "caller_port")
-    wait_until_ready(context.port)
+    context.port = logged(context.entry, "caller_port")
 
 
 def wait_until_ready(port):
@@ -410,3 +427,124 @@
     error = json.loads(content)["error"]
     assert (found, error["reason"]) == (status, reason), content
     assert error["not_run"] is True, content
+
+
+DAY = datetime.timedelta(days=1)
+LINK_STATES = {"GL1101": "up", "GL1103": "refused", "GL1104": "failed"}
+
+
+def subject(name):
+    return x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, name)])
+
+
+def make_certificate(name, issuer=None):
+    """Returns a key and a certificate; without an issuer, an authority's."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    issuer_key, issuer_name = issuer or (key, name)
+    now = datetime.datetime.now(datetime.UTC)
+    builder = (
+        x509.CertificateBuilder()
+        .subject_name(subject(name))
+        .issuer_name(subject(issuer_name))
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - DAY)
+        .not_valid_after(now + DAY)
+        .add_extension(x509.BasicConstraints(issuer is None, None), True)
+    )
+    return key, builder.sign(issuer_key, hashes.SHA256())
+
+
+def write_tls(context, instance, name, authority):
+    directory = pathlib.Path(context.path_dir)
+    key, certificate = make_certificate(name, (authority[0], "authority"))
+    files = {
+        "key_file": key.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        ),
+        "certificate_file": certificate.public_bytes(
+            serialization.Encoding.PEM
+        ),
+        "authority_file": authority[1].public_bytes(
+            serialization.Encoding.PEM
+        ),
+    }
+    settings = {}
+    for what, content in files.items():
+        path = directory / f"{instance}-{what}.pem"
+        path.write_bytes(content)
+        settings[what] = str(path)
+    return settings
+
+
+@given(
+    'a path over TLS whose agent shows a certificate for "{name}" of {which}'
+)
+def start_tls_path(context, name, which):
+    directory = tempfile.TemporaryDirectory()
+    context.add_cleanup(directory.cleanup)
+    context.path_dir = directory.name
+    authority = make_certificate("authority")
+    other = make_certificate("authority")
+    used = authority if which == "the same authority" else other
+    objects = write_json(context, "objects.json", OBJECTS)
+    engine = start_engine(context)
+    port = start_agent(
+        context,
+        0,
+        engine,
+        objects,
+        {"tls": write_tls(context, "agent-0", name, used)},
+    )
+    start_entry(
+        context,
+        objects,
+        [peer(0, port)],
+        {"tls": write_tls(context, "entry", "entry", authority)},
+    )
+
+
+@when("the entry has tried to link to the agent")
+def wait_for_link(context):
+    for line in context.entry.stderr:
+        event = json.loads(line)["event"]
+        if event in LINK_STATES:
+            context.link_state = LINK_STATES[event]
+            return
+    raise AssertionError("the entry ended")
+
+
+@then('the link is "{state}"')
+def check_link(context, state):
+    assert context.link_state == state, context.link_state
+
+
+@then('the OpenAI client lists the model "{name}"')
+def list_models(context, name):
+    context.client = openai.OpenAI(
+        base_url=f"http://127.0.0.1:{context.port}/v1",
+        api_key=KEY,
+        max_retries=0,
+    )
+    found = [one.id for one in context.client.models.list()]
+    assert found == [name], found
+
+
+@then("its chat answers, whole and streamed, are the caller's own")
+def chat(context):
+    expected = list(answers.answer_words("user: which lot", 6))
+    call = {
+        "model": "m",
+        "messages": [{"role": "user", "content": "which lot"}],
+        "max_tokens": 6,
+    }
+    create = context.client.chat.completions.create
+    whole = create(**call).choices[0].message.content
+    assert whole.split() == expected, whole
+    parts = [
+        part.choices[0].delta.content or ""
+        for part in create(**call, stream=True)
+    ]
+    assert "".join(parts).split() == expected, parts
--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -44,6 +44,9 @@
 LINK_UP = Event(1101, logging.INFO, "a link to a peer is up")
 LINK_DOWN = Event(1102, logging.WARNING, "a link to a peer is down")
 LINK_REFUSED = Event(1103, logging.WARNING, "a peer was refused")
+LINK_FAILED = Event(
+    1104, logging.WARNING, "a connection ended before the peer's hello"
+)
 REQUEST_REFUSED = Event(1201, logging.INFO, "a request was refused")
 REQUEST_ENDED = Event(1202, logging.DEBUG, "a request ended")
 OUTCOME_UNKNOWN = Event(
--- a/godwitloft/links/hub.py
+++ b/godwitloft/links/hub.py
@@ -283,6 +283,8 @@
             if not self.stopped:
                 events.log(events.LINK_DOWN, peer=peer.instance, reason=reason)
             self.handlers.peer_down(peer, reason)
+        if peer is None and not self.stopped:
+            events.log(events.LINK_FAILED, reason=reason)
         instance = getattr(link, "dialled_instance", None)
         if instance is not None:
             self.retry(instance)
