Measure what entry and agent cost; take parts out of the desk

Change: bench overhead; the state of an answer moves into Request, trace records and the bid message into modules of their own; one builder makes both programs' commands; the held-back tail is the longest beginning of the end mark.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,7 @@
 from bench import capacity
 from bench import config
 from bench import faults
+from bench import overhead
 from bench import processes
 from bench import slopes
 
@@ -178,6 +179,21 @@
         capacity.PAGE.write_text(capacity.render(measured), encoding="utf-8")
 
 
+@cappa.command(name="overhead", help="What entry and agent cost.")
+@dataclasses.dataclass(frozen=True)
+class Overhead:
+    """Measures added time, processor time and memory.
+
+    :param json: file for the figures
+    """
+
+    json: OptionalFile = ""
+
+    def __call__(self) -> None:
+        """Runs it and prints the figures."""
+        burst.write(self.json, overhead.run())
+
+
 @cappa.command(name="bench", help="Experiments on real processes.")
 @dataclasses.dataclass(frozen=True)
 class Command:
@@ -187,7 +203,7 @@
     """
 
     command: cappa.Subcommands[
-        Burst | Compare | Config | Faults | Slopes | Capacity
+        Burst | Compare | Config | Faults | Slopes | Capacity | Overhead
     ]
 
 
--- a/features/support/fleet_mutants.py
+++ b/features/support/fleet_mutants.py
@@ -92,7 +92,7 @@
 
 
 def answer_unchecked(desk, request, body):
-    desk.tell_whole(request, body)
+    request.tell_rest(body)
     request.position.feed("completed")
     desk.end(request)
     request.answer(answers.Complete())
--- a/godwitloft/entry/desk.py
+++ b/godwitloft/entry/desk.py
@@ -20,8 +20,10 @@
 from godwitloft import trace
 from godwitloft.entry import agents
 from godwitloft.entry import answers
+from godwitloft.entry import bids
 from godwitloft.entry import call as calls
 from godwitloft.entry import queue
+from godwitloft.entry import records
 from godwitloft.entry import request as requests
 from godwitloft.entry import team_limits
 from godwitloft.links import codec
@@ -36,7 +38,6 @@
 RELINK_LIMIT_MS = 5_000
 ACK_INTERVAL_CHUNKS = 32
 MAX_UNSTARTED_ATTEMPTS = 50
-STREAM_END = b"data: [DONE]\n\n"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -153,7 +154,7 @@
         request = requests.Request(
             request_id, call, answer, self.chart.start(), now_ms, claim
         )
-        self.record_accepted(request)
+        records.accepted(self.recorder, request)
         self.requests[request_id] = request
         refusal = self.refusal_on_arrival(call, now_ms)
         if refusal is not None:
@@ -166,30 +167,6 @@
         self.relieve()
         return request_id
 
-    def record_accepted(self, request: requests.Request) -> None:
-        """Writes the acceptance of a request to the trace.
-
-        :param request: the request
-        """
-        call = request.call
-        self.recorder.record(
-            trace.Kind.ACCEPTED,
-            request.request_id,
-            tier=call.tier,
-            tier_rank=call.tier_rank,
-            team=call.team,
-            team_weight=call.team_weight,
-            service=call.service,
-            pools=list(call.pools),
-            timeout_ms=call.timeout_ms,
-            prompt_tokens=call.prompt_tokens,
-            output_tokens=call.output_tokens,
-            fingerprint=call.fingerprint,
-            idempotent=call.idempotent,
-            is_model=call.is_model,
-            body_bytes=len(call.body),
-        )
-
     def refusal_on_arrival(
         self, call: calls.Call, now_ms: int
     ) -> answers.Refused | None:
@@ -645,18 +622,10 @@
             reason = "repeated_chunk" if repeated else "early_chunk"
             self.instruments.dropped_messages.add(1, {"reason": reason})
             return
-        request.next_sequence += 1
-        request.digest.update(chunk.data)
         if request.head is None:
-            request.head = answers.Head(
-                chunk.status or 200, chunk.content_type or ""
-            )
             request.position.feed("first_chunk")
             self.first_chunk(request)
-        if request.call.stream:
-            self.tell_part(request, chunk.data)
-        else:
-            request.buffer.append(chunk.data)
+        request.take(chunk)
         unacked = request.next_sequence - request.acked_sequence
         if unacked >= ACK_INTERVAL_CHUNKS:
             self.acknowledge(request)
@@ -671,26 +640,6 @@
             elapsed_ms, {"tier": request.call.tier}
         )
 
-    def tell_part(self, request: requests.Request, data: bytes) -> None:
-        """Streams a part to the caller, all but the end mark.
-
-        That is held back until the whole answer is known to be right.
-
-        :param request: the request
-        :param data: the part
-        """
-        assert request.head is not None
-        if not request.head_told:
-            request.head_told = True
-            request.answer(request.head)
-        data = request.held_tail + data
-        request.held_tail = b""
-        if data.endswith(STREAM_END):
-            data = data[: -len(STREAM_END)]
-            request.held_tail = STREAM_END
-        if data:
-            request.answer(answers.Data(data))
-
     def acknowledge(self, request: requests.Request) -> None:
         """Lets the agent forget what has arrived, unless the caller is slow.
 
@@ -723,7 +672,7 @@
             )
             return
         self.send(peer, "ack", ttypes.Ack(body.request_id, body.count, True))
-        self.record_ended(request, peer, body)
+        records.ended(self.recorder, request, peer, body)
         if body.outcome == "never_started":
             self.not_started(request, body.reason)
         elif body.outcome == "completed":
@@ -731,35 +680,13 @@
         else:
             self.run_failed(request, body)
 
-    def record_ended(
-        self, request: requests.Request, peer: str, body: ttypes.Ended
-    ) -> None:
-        """Writes the end of a run to the trace.
-
-        :param request: the request
-        :param peer: name of the agent's instance
-        :param body: the message
-        """
-        self.recorder.record(
-            trace.Kind.ENDED,
-            request.request_id,
-            run_id=body.request_id,
-            agent=peer,
-            outcome=body.outcome,
-            reason=body.reason,
-            prompt_tokens=body.prompt_tokens,
-            output_tokens=body.output_tokens,
-            count=body.count,
-        )
-
     def complete(self, request: requests.Request, body: ttypes.Ended) -> None:
         """Tells the caller the whole answer, if it is whole.
 
         :param request: the request
         :param body: the end of its run
         """
-        whole = body.count == request.next_sequence
-        if not whole or body.digest != request.digest.hexdigest():
+        if not request.is_whole(body):
             self.fail(
                 request,
                 answers.Failed(
@@ -769,29 +696,11 @@
                 "failed",
             )
             return
-        self.tell_whole(request, body)
+        request.tell_rest(body)
         request.position.feed("completed")
         self.end(request)
         request.answer(answers.Complete())
 
-    def tell_whole(
-        self, request: requests.Request, body: ttypes.Ended
-    ) -> None:
-        """Tells the caller what it has not been told of a whole answer.
-
-        :param request: the request
-        :param body: the end of its run
-        """
-        if not request.head_told:
-            request.head_told = True
-            request.answer(
-                request.head
-                or answers.Head(body.status, body.content_type or "")
-            )
-        rest = b"".join(request.buffer) + request.held_tail
-        if rest:
-            request.answer(answers.Data(rest))
-
     def run_failed(
         self, request: requests.Request, body: ttypes.Ended
     ) -> None:
@@ -1033,7 +942,13 @@
         """
         if instance in request.bid_at:
             return False
-        body = self.bid_body(request, hold_ms)
+        body = bids.bid(
+            request,
+            self.clock.monotonic_ms(),
+            hold_ms,
+            self.generation(),
+            len(self.agents.eligible(request.call)),
+        )
         if not self.send(instance, "bid", body):
             return False
         request.bid_at[instance] = None
@@ -1042,33 +957,6 @@
             request.position.feed("bid")
         return True
 
-    def bid_body(self, request: requests.Request, hold_ms: int) -> ttypes.Bid:
-        """Returns the message that offers a request.
-
-        :param request: a waiting request
-        :param hold_ms: how long the agent must wait before it starts it
-        :return: the message
-        """
-        call = request.call
-        now_ms = self.clock.monotonic_ms()
-        return ttypes.Bid(
-            request_id=request.run_id,
-            tier_rank=call.tier_rank,
-            team=call.team,
-            team_weight=call.team_weight,
-            service_name=call.service,
-            deadline_in_ms=max(0, request.deadline_ms - now_ms),
-            prompt_tokens=call.prompt_tokens,
-            output_tokens=call.output_tokens,
-            prefix_keys=list(call.prefix_keys),
-            fingerprint=call.fingerprint,
-            urgent=request.urgent,
-            hold_ms=hold_ms,
-            generation=self.generation(),
-            isolate=request.isolate,
-            agents=len(self.agents.eligible(call)),
-        )
-
     def withdraw(self, request: requests.Request) -> None:
         """Takes a request's bids back, except at the agent that runs it.
 
--- a/godwitloft/entry/main.py
+++ b/godwitloft/entry/main.py
@@ -1,78 +1,16 @@
 """The command ``godwitloft-entry``."""
 
-import dataclasses
-import typing
-
-import cappa
-
-from godwitloft import clock as clocks
-from godwitloft import metrics
-from godwitloft import node as nodes
+from godwitloft import daemon_command
 from godwitloft import process
-from godwitloft import settings as settings_module
-from godwitloft.entry import daemon as daemons
-
-
-@cappa.command(name="serve", help="Run the daemon.")
-@dataclasses.dataclass(frozen=True)
-class Serve:
-    """Runs the daemon.
-
-    :param settings: name of the settings file
-    """
-
-    settings: typing.Annotated[
-        str, cappa.Arg(long=True, help="Settings file (JSON).")
-    ]
-
-    def __call__(self) -> None:
-        """Serves until a signal has ended the daemon."""
-        loaded = settings_module.load(
-            self.settings, settings_module.EntrySettings
-        )
-        process.configure_log(loaded.log)
-        from twisted.internet import reactor
-
-        instruments, render = metrics.prometheus()
-        daemon = daemons.EntryDaemon(
-            loaded,
-            nodes.Surroundings(
-                reactor=reactor,
-                clock=clocks.system_clock(),
-                instruments=instruments,
-                render_metrics=render,
-            ),
-        )
-        process.run_daemon(reactor, daemon)
-
-
-@cappa.command(name="check-settings", help="Check a settings file.")
-@dataclasses.dataclass(frozen=True)
-class CheckSettings:
-    """Checks a settings file and tells what is wrong with it.
-
-    :param settings: name of the settings file
-    """
-
-    settings: typing.Annotated[str, cappa.Arg(help="Settings file (JSON).")]
-
-    def __call__(self) -> None:
-        """Prints ``ok``, or exits with 2 and the reason."""
-        settings_module.load(self.settings, settings_module.EntrySettings)
-        print("ok")
-
-
-@cappa.command(
-    name="godwitloft-entry", help="Accept requests and let agents pull them."
+from godwitloft import settings
+from godwitloft.entry import daemon
+
+COMMAND = daemon_command.build(
+    "godwitloft-entry",
+    "Accept requests and let agents pull them.",
+    settings.EntrySettings,
+    daemon.EntryDaemon,
 )
-@dataclasses.dataclass(frozen=True)
-class Command:
-    """The whole command.
-
-    :param command: what to do
-    """
-
-    command: cappa.Subcommands[Serve | CheckSettings]
 
 
 def main(arguments: list[str] | None = None) -> None:
@@ -80,7 +18,7 @@
 
     :param arguments: words after the program's name
     """
-    process.invoke(Command, arguments)
+    process.invoke(COMMAND, arguments)
 
 
 if __name__ == "__main__":
--- a/godwitloft/entry/request.py
+++ b/godwitloft/entry/request.py
@@ -1,14 +1,17 @@
 """The state of one request inside the entry that accepted it."""
 
 import hashlib
+import http
 import typing
 
 from godwitloft import charts
 from godwitloft.entry import agents
 from godwitloft.entry import answers
 from godwitloft.entry import call as calls
+from godwitloft.links.generated.messages import ttypes
 
 DIGEST_BYTES = 16
+STREAM_END = b"data: [DONE]\n\n"
 Claim = typing.Callable[
     [
         str,
@@ -87,7 +90,78 @@
         self.claiming = False
         self.reset_run()
 
+    def take(self, chunk: ttypes.Chunk) -> None:
+        """Takes the next part of the answer.
+
+        :param chunk: the part that follows all taken so far
+        """
+        self.next_sequence += 1
+        self.digest.update(chunk.data)
+        if self.head is None:
+            self.head = answers.Head(
+                chunk.status or int(http.HTTPStatus.OK),
+                chunk.content_type or "",
+            )
+        if self.call.stream:
+            self.tell_part(self.head, chunk.data)
+        else:
+            self.buffer.append(chunk.data)
+
+    def tell_part(self, head: answers.Head, data: bytes) -> None:
+        """Streams a part to the caller, all but the end mark.
+
+        The mark, or as much of it as has come, is held back until the whole
+        answer is known to be right.
+
+        :param head: of the answer
+        :param data: the part
+        """
+        if not self.head_told:
+            self.head_told = True
+            self.answer(head)
+        data = self.held_tail + data
+        kept = len(data) - end_mark_length(data)
+        self.held_tail = data[kept:]
+        if kept:
+            self.answer(answers.Data(data[:kept]))
+
+    def is_whole(self, ended: ttypes.Ended) -> bool:
+        """Tells whether the answer that has arrived is the one sent.
+
+        :param ended: the end of its run
+        :return: whether all parts are here and unchanged
+        """
+        same_count = ended.count == self.next_sequence
+        return same_count and ended.digest == self.digest.hexdigest()
+
+    def tell_rest(self, ended: ttypes.Ended) -> None:
+        """Tells the caller what it has not been told of a whole answer.
+
+        :param ended: the end of its run
+        """
+        if not self.head_told:
+            self.head_told = True
+            self.answer(
+                self.head
+                or answers.Head(ended.status, ended.content_type or "")
+            )
+        rest = b"".join(self.buffer) + self.held_tail
+        if rest:
+            self.answer(answers.Data(rest))
+
     @property
     def waiting(self) -> bool:
         """Whether it has not been given to any agent."""
         return self.position.state in ("waiting", "offered")
+
+
+def end_mark_length(data: bytes) -> int:
+    """Returns how much of a stream's end mark stands at the end of data.
+
+    :param data: part of a stream of events
+    :return: bytes of the mark, whole or its beginning
+    """
+    for length in range(len(STREAM_END), 0, -1):
+        if data.endswith(STREAM_END[:length]):
+            return length
+    return 0
