--- /dev/null
+++ b/features/steps/http_upstream_steps.py
@@ -0,0 +1,66 @@
+from behave import given
+from behave import then
+from behave import when
+from twisted.internet import error
+from twisted.internet import testing
+from twisted.python import failure
+
+from godwitloft.agent import http_upstream
+from godwitloft.links.generated.messages import ttypes
+
+
+class Ends:
+    """Takes the place of a dispatcher and notes how runs end."""
+
+    def __init__(self):
+        self.found = []
+
+    def upstream_ended(self, run_id, end, reason, **_others):
+        self.found.append((run_id, end.value, reason))
+
+
+@given("an HTTP upstream with a run that waits for its connection")
+def start_run(context):
+    context.reactor = testing.MemoryReactorClock()
+    upstream = http_upstream.HttpUpstream(
+        context.reactor, "http://127.0.0.1:9", True
+    )
+    context.ends = Ends()
+    upstream.dispatcher = context.ends
+    upstream.start(
+        ttypes.Dispatch(
+            request_id="e-1",
+            method="POST",
+            path="/v1/completions",
+            headers={},
+            body=b"{}",
+            stream=False,
+            deadline_in_ms=1000,
+            idempotent=False,
+            generation=1,
+        )
+    )
+    context.factory = context.reactor.tcpClients[0][2]
+
+
+@when("the connection to the upstream fails with {name}")
+def fail_connection(context, name):
+    reason = failure.Failure(getattr(error, name)())
+    context.factory.clientConnectionFailed(None, reason)
+    # The endpoint looks for further addresses of the host before it fails.
+    context.reactor.pump([1.0] * 3)
+
+
+@when("the upstream takes the request and drops the connection")
+def drop_connection(context):
+    protocol = context.factory.buildProtocol(None)
+    transport = testing.StringTransport()
+    transport.abortConnection = transport.loseConnection
+    protocol.makeConnection(transport)
+    assert b"POST /v1/completions" in transport.value(), transport.value()
+    protocol.connectionLost(failure.Failure(error.ConnectionLost()))
+
+
+@then('the run ends as "{end}" for "{reason}"')
+def check_end(context, end, reason):
+    assert context.ends.found == [("e-1", end, reason)], context.ends.found
--- a/godwitloft/agent/dispatcher.py
+++ b/godwitloft/agent/dispatcher.py
@@ -234,7 +234,7 @@
             return
         self.answered.pop(body.request_id, None)
         self.book.add(self.offer_of(peer, body))
-        self.pump()
+        self.pump_if_useful(body.urgent)
 
     def offer_of(self, peer: str, body: ttypes.Bid) -> types.Offer:
         """Turns a bid into an offer on this agent's clock.
@@ -280,8 +280,9 @@
         :param peer: name of the entry's instance
         :param body: the message
         """
+        pulled = body.request_id in self.pulls
         self.drop_offer(body.request_id)
-        self.pump()
+        self.pump_if_useful(pulled)
 
     def on_pull_refused(self, peer: str, body: ttypes.PullRefused) -> None:
         """Drops an offer that another agent was given.
@@ -334,6 +335,17 @@
 
     # Choosing
 
+    def pump_if_useful(self, pressing: bool) -> None:
+        """Chooses at once, unless the upstream is full.
+
+        Bids come in hundreds when a burst begins, and a choice for a full
+        upstream rarely does anything; the next round of the task makes it.
+
+        :param pressing: whether a choice may matter on a full upstream
+        """
+        if pressing or not self.state.full:
+            self.pump()
+
     def pump(self) -> None:
         """Does what the policy chooses until it chooses nothing."""
         while not self.draining:
--- a/godwitloft/agent/engine_state.py
+++ b/godwitloft/agent/engine_state.py
@@ -120,6 +120,12 @@
             safety_share=self.margin,
         )
 
+    @property
+    def full(self) -> bool:
+        """Whether no more may run until something ends or is suspended."""
+        active = sum(not one.suspended for one in self.work.values())
+        return active >= self.room.max_running
+
     def running(self, now_ms: int) -> list[types.Running]:
         """Returns the work on the upstream as the decisions see it.
 
--- a/godwitloft/policy/lookahead.py
+++ b/godwitloft/policy/lookahead.py
@@ -17,7 +17,7 @@
 from godwitloft.policy import order
 from godwitloft.policy import types
 
-SLACK_SHARE = 0.35
+SLACK_SHARE = 0.3
 REFRESH_MS = 50
 MAX_CANDIDATES = 8
 
