--- a/bench/processes.py
+++ b/bench/processes.py
@@ -86,11 +86,7 @@
         :return: its value, or None while there is none
         :raises ProcessError: when the process has ended without it
         """
-        found = self.find(self.stderr_path, key)
-        if found is None and not self.running:
-            text = self.stderr_path.read_text(encoding="utf-8")
-            raise ProcessError(f"{self.name} ended: {text[-2000:]}")
-        return found
+        return self.expect(self.stderr_path, key)
 
     def announced(self, key: str) -> typing.Any:
         """Looks for a key in what the process printed.
@@ -99,7 +95,17 @@
         :return: its value, or None while there is none
         :raises ProcessError: when the process has ended without it
         """
-        found = self.find(self.stdout_path, key)
+        return self.expect(self.stdout_path, key)
+
+    def expect(self, path: pathlib.Path, key: str) -> typing.Any:
+        """Looks for a key in an output file of a process that runs.
+
+        :param path: the file
+        :param key: wanted key
+        :return: its value, or None while there is none
+        :raises ProcessError: when the process has ended without it
+        """
+        found = self.find(path, key)
         if found is None and not self.running:
             text = self.stderr_path.read_text(encoding="utf-8")
             raise ProcessError(f"{self.name} ended: {text[-2000:]}")
--- a/godwitloft/agent/daemon.py
+++ b/godwitloft/agent/daemon.py
@@ -6,11 +6,11 @@
 
 from godwitloft import daemon
 from godwitloft import events
+from godwitloft import leaving
 from godwitloft import node as nodes
 from godwitloft import settings as settings_module
 from godwitloft import status_http
 from godwitloft import trace
-from godwitloft import waiting
 from godwitloft.agent import capacity_trace
 from godwitloft.agent import dispatcher as dispatchers
 from godwitloft.agent import http_upstream
@@ -184,25 +184,16 @@
         self.recorder.record(trace.Kind.LEAVING, reason="drain")
         self.dispatcher.drain()
         self.node.say_farewell("leaving")
-        waiting.until(
+        leaving.finish(
             self.reactor,
-            lambda: self.dispatcher.idle,
+            leaving.Work(
+                finished=lambda: self.dispatcher.idle,
+                unfinished=self.dispatcher.count_unfinished,
+            ),
             self.settings.drain_limit_ms,
-            lambda _in_time: self.left(done),
-        )
-
-    def left(self, done: typing.Callable[[], None]) -> None:
-        """Says what was abandoned, once draining is over.
-
-        :param done: called afterwards
-        """
-        abandoned = sum(
-            run.ended is None for run in self.dispatcher.runs.values()
+            self.recorder,
+            done,
         )
-        self.recorder.record(trace.Kind.PROCESS_STOPPED, abandoned=abandoned)
-        if abandoned:
-            events.log(events.ABANDONED, requests=abandoned)
-        done()
 
     def stop(self) -> None:
         """Closes everything at once."""
--- a/godwitloft/agent/dispatcher.py
+++ b/godwitloft/agent/dispatcher.py
@@ -923,6 +923,13 @@
         """Asks for no more offers and lets the runs finish."""
         self.draining = True
 
+    def count_unfinished(self) -> int:
+        """Returns how many runs have not ended on the upstream.
+
+        :return: a count
+        """
+        return sum(run.ended is None for run in self.runs.values())
+
     @property
     def idle(self) -> bool:
         """Whether no run is left that an entry may still want."""
--- a/godwitloft/entry/daemon.py
+++ b/godwitloft/entry/daemon.py
@@ -8,6 +8,7 @@
 
 from godwitloft import daemon
 from godwitloft import events
+from godwitloft import leaving
 from godwitloft import node as nodes
 from godwitloft import operator_http
 from godwitloft import operator_port
@@ -15,7 +16,6 @@
 from godwitloft import settings as settings_module
 from godwitloft import status_http
 from godwitloft import trace
-from godwitloft import waiting
 from godwitloft.coordination import claims
 from godwitloft.coordination import publish
 from godwitloft.coordination import write_budget
@@ -331,24 +331,17 @@
         self.node.say_farewell("leaving")
         if self.caller_port is not None:
             self.caller_port.stopListening()
-        waiting.until(
+        leaving.finish(
             self.reactor,
-            lambda: not self.desk.requests and self.keyed_calls.idle,
+            leaving.Work(
+                finished=lambda: not self.desk.requests,
+                unfinished=lambda: len(self.desk.requests),
+            ),
             self.settings.drain_limit_ms,
-            lambda _in_time: self.left(done),
+            self.journal,
+            done,
         )
 
-    def left(self, done: typing.Callable[[], None]) -> None:
-        """Says what was abandoned, once draining is over.
-
-        :param done: called afterwards
-        """
-        abandoned = len(self.desk.requests)
-        self.journal.record(trace.Kind.PROCESS_STOPPED, abandoned=abandoned)
-        if abandoned:
-            events.log(events.ABANDONED, requests=abandoned)
-        done()
-
     def stop(self) -> None:
         """Closes everything at once."""
         if self.ticker.running:
--- /dev/null
+++ b/godwitloft/leaving.py
@@ -0,0 +1,46 @@
+"""The end of a daemon that was told to leave."""
+
+import dataclasses
+import typing
+
+from godwitloft import events
+from godwitloft import trace
+from godwitloft import waiting
+
+
+@dataclasses.dataclass(frozen=True)
+class Work:
+    """What a daemon that leaves still has to finish.
+
+    :param finished: whether nothing is left
+    :param unfinished: how many requests are left
+    """
+
+    finished: typing.Callable[[], bool]
+    unfinished: typing.Callable[[], int]
+
+
+def finish(
+    reactor: typing.Any,
+    work: Work,
+    limit_ms: int,
+    recorder: trace.Recorder,
+    done: typing.Callable[[], None],
+) -> None:
+    """Waits for the work to end, and says what was abandoned.
+
+    :param reactor: the twisted reactor
+    :param work: what is to be finished
+    :param limit_ms: how long to wait
+    :param recorder: writes the trace
+    :param done: called once nothing is left or the limit is over
+    """
+
+    def end(_in_time: bool) -> None:
+        abandoned = work.unfinished()
+        recorder.record(trace.Kind.PROCESS_STOPPED, abandoned=abandoned)
+        if abandoned:
+            events.log(events.ABANDONED, requests=abandoned)
+        done()
+
+    waiting.until(reactor, work.finished, limit_ms, end)
