Send a part of an answer at once after a quiet time

Cause: each round of the agent's task set the time of the last flush, also when nothing was sent, so a part waited for the next round, up to 15 ms, though none had gone out before it. With learnt room switched off, the check for a full upstream still used the learnt cap. Change: only a flush that sends counts; the check uses the room in force. Figures: features/streams.feature: the part waits with the old order of the two lines (1 of 6 scenarios fails), and is sent at once with the new one.

--- a/features/steps/streams_steps.py
+++ b/features/steps/streams_steps.py
@@ -1,7 +1,13 @@
 from behave import given
 from behave import then
+from behave import when
 
 from godwitloft import charts
+from godwitloft import clock as clocks
+from godwitloft import metrics
+from godwitloft import trace
+from godwitloft.agent import dispatcher
+from godwitloft.agent import upstream
 from godwitloft.entry import answers
 from godwitloft.entry import call as calls
 from godwitloft.entry import request as requests
@@ -62,3 +68,74 @@
     ended = ttypes.Ended("e-1", "completed", 0, "", 200, "")
     context.request.tell_rest(ended)
     assert bytes_told(context) == STREAM, bytes_told(context)
+
+
+TICK_MS = 5
+
+
+@given("a dispatcher with a run whose answer has begun")
+def start_run(context):
+    context.manual = clocks.ManualClock()
+    context.sent = []
+
+    def send(_peer, name, body):
+        if name == "chunks":
+            context.sent.extend(chunk.data for chunk in body.chunks)
+        return True
+
+    context.dispatcher = dispatcher.Dispatcher(
+        context.manual.clock(),
+        send,
+        upstream.Upstream(*[lambda *_arguments: None] * 5),
+        trace.NullRecorder(),
+        metrics.discard(),
+        dispatcher.DispatcherSettings(),
+    )
+    hello = ttypes.Hello(1, "entry", "e", "e", "a", 0)
+    context.dispatcher.peer_up(hello)
+    bid = ttypes.Bid("e-1", 0, "t", 1, "m", 60_000, 1, 9, [], "f", False, 0, 0)
+    context.dispatcher.receive("e", "bid", bid)
+    dispatch = ttypes.Dispatch(
+        "e-1", "POST", "/", {}, b"", True, 60_000, False, 0
+    )
+    context.dispatcher.receive("e", "dispatch", dispatch)
+    answer_part(context, b"first")
+
+
+def answer_part(context, data):
+    context.part = data
+    context.dispatcher.upstream_data("e-1", data, 1, 200, "text/plain")
+
+
+def pass_time(context, duration_ms):
+    for _ in range(duration_ms // TICK_MS):
+        context.manual.advance(TICK_MS)
+        context.dispatcher.tick()
+
+
+@when("{duration_ms:d} quiet ms with their ticks pass and a part comes")
+def quiet_part(context, duration_ms):
+    pass_time(context, duration_ms)
+    answer_part(context, b"second")
+
+
+@when("another part comes {duration_ms:d} ms later")
+def soon_part(context, duration_ms):
+    context.manual.advance(duration_ms)
+    answer_part(context, b"third")
+
+
+@when("{duration_ms:d} more ms pass with their ticks")
+def more_time(context, duration_ms):
+    pass_time(context, duration_ms)
+
+
+@then("the part is sent at once")
+@then("that part is sent")
+def check_sent(context):
+    assert context.sent[-1] == context.part, context.sent
+
+
+@then("that part waits")
+def check_waits(context):
+    assert context.part not in context.sent, context.sent
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -12,3 +12,12 @@
       | 7 |
       | 14 |
       | 1000 |
+
+  Scenario: Parts are gathered, but one after a quiet time is sent at once
+    Given a dispatcher with a run whose answer has begun
+    When 100 quiet ms with their ticks pass and a part comes
+    Then the part is sent at once
+    When another part comes 5 ms later
+    Then that part waits
+    When 15 more ms pass with their ticks
+    Then that part is sent
--- a/godwitloft/agent/dispatcher.py
+++ b/godwitloft/agent/dispatcher.py
@@ -343,7 +343,8 @@
 
         :param pressing: whether a choice may matter on a full upstream
         """
-        if pressing or not self.state.full:
+        room_now = self.view(self.clock.monotonic_ms()).room
+        if pressing or self.state.active < room_now.max_running:
             self.pump()
 
     def pump(self) -> None:
@@ -837,9 +838,9 @@
 
     def flush(self) -> None:
         """Sends what the upstream has answered, gathered by entry."""
-        self.last_flush_ms = self.clock.monotonic_ms()
         if not self.dirty:
             return
+        self.last_flush_ms = self.clock.monotonic_ms()
         by_entry: dict[str, list[ttypes.Chunk]] = {}
         for run in self.dirty.values():
             chunk = run.take_pending()
--- a/godwitloft/agent/engine_state.py
+++ b/godwitloft/agent/engine_state.py
@@ -121,10 +121,9 @@
         )
 
     @property
-    def full(self) -> bool:
-        """Whether no more may run until something ends or is suspended."""
-        active = sum(not one.suspended for one in self.work.values())
-        return active >= self.room.max_running
+    def active(self) -> int:
+        """How many requests were pulled and are not suspended."""
+        return sum(not one.suspended for one in self.work.values())
 
     def running(self, now_ms: int) -> list[types.Running]:
         """Returns the work on the upstream as the decisions see it.
