Remove an error class and a field that nothing uses

Cause: a read of the whole change found OrderFailed never raised and last_chunk_ms never read. Change: both are gone; behaviour is the same. Left: the between_tokens histogram is never recorded.

--- a/godwitloft/agent/http_upstream.py
+++ b/godwitloft/agent/http_upstream.py
@@ -17,7 +17,6 @@
 from twisted.web import http
 
 from godwitloft import clock as clocks
-from godwitloft import errors
 from godwitloft.agent import dispatcher as dispatchers
 from godwitloft.agent import upstream as upstreams
 from godwitloft.links.generated.messages import ttypes
@@ -36,10 +35,6 @@
 )
 
 
-class OrderFailed(errors.GodwitloftError):
-    """The upstream did not carry out an order about a run."""
-
-
 class AnswerReader(protocol.Protocol):
     """Reads the body of one answer.
 
--- a/godwitloft/entry/request.py
+++ b/godwitloft/entry/request.py
@@ -75,7 +75,6 @@
         self.buffer: list[bytes] = []
         self.held_tail = b""
         self.head_told = False
-        self.last_chunk_ms = 0
 
     def next_attempt(self) -> None:
         """Gives the request a new run id.
