--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -20,7 +20,7 @@
 from godwitloft.entry import daemon as entry_daemon
 from godwitloft.entry import journal
 from godwitloft.links import hub
-from godwitloft.platform import guard
+from godwitloft.store import guard
 from godwitloft.policy import spread
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
@@ -508,7 +508,7 @@
             per_claim,
             "writes/s",
             writes / PROCESSES,
-            "godwitloft.platform.guard.Guard",
+            "godwitloft.store.guard.Guard",
         ),
     ]
 
--- a/bench/config.py
+++ b/bench/config.py
@@ -26,9 +26,9 @@
 from godwitloft.objects import canonical
 from godwitloft.objects import check
 from godwitloft.objects import types
-from godwitloft.platform import faults
-from godwitloft.platform import memory
-from godwitloft.platform import port
+from godwitloft.store import faults
+from godwitloft.store import memory
+from godwitloft.store import port
 
 HOST = "127.0.0.1"
 ZONES = 4
--- a/bench/slope_fleet.py
+++ b/bench/slope_fleet.py
@@ -20,8 +20,8 @@
 from godwitloft.coordination import write_budget
 from godwitloft.links import codec
 from godwitloft.objects import canonical
-from godwitloft.platform import memory
-from godwitloft.platform import port
+from godwitloft.store import memory
+from godwitloft.store import port
 
 FEED_COUNTS = (50, 100, 200, 400)
 LINKS_EACH = 10
--- a/bench/store_rush.py
+++ b/bench/store_rush.py
@@ -17,10 +17,10 @@
 
 from godwitloft import clock as clocks
 from godwitloft import events
-from godwitloft.platform import faults
-from godwitloft.platform import guard
-from godwitloft.platform import memory
-from godwitloft.platform import port
+from godwitloft.store import faults
+from godwitloft.store import guard
+from godwitloft.store import memory
+from godwitloft.store import port
 
 START_S = 100.0
 STEP_S = 0.005
--- a/features/scripted_store.py
+++ b/features/scripted_store.py
@@ -8,7 +8,7 @@
 
 from twisted.internet import defer
 
-from godwitloft.platform import port
+from godwitloft.store import port
 
 WRITES = ("write_row", "delete_row", "write_object")
 
--- a/features/steps/discovery_steps.py
+++ b/features/steps/discovery_steps.py
@@ -9,8 +9,8 @@
 
 from godwitloft import clock as clocks
 from godwitloft import discovery
-from godwitloft.platform import memory
-from godwitloft.platform import port
+from godwitloft.store import memory
+from godwitloft.store import port
 
 OWN = port.Instance("entry-1", "entry", "127.0.0.1", 1, "riga-a")
 SECONDS = 2000
--- a/features/steps/guard_steps.py
+++ b/features/steps/guard_steps.py
@@ -12,10 +12,10 @@
 from features.support import calls as port_calls
 from godwitloft import clock as clocks
 from godwitloft import decode
-from godwitloft.platform import faults
-from godwitloft.platform import guard as guards
-from godwitloft.platform import memory
-from godwitloft.platform import port
+from godwitloft.store import faults
+from godwitloft.store import guard as guards
+from godwitloft.store import memory
+from godwitloft.store import port
 
 ACTIONS = {
     "ok": faults.Action.ANSWER,
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -16,7 +16,7 @@
 from godwitloft.coordination import orders
 from godwitloft.coordination import pause
 from godwitloft.coordination import permits
-from godwitloft.platform import port
+from godwitloft.store import port
 
 MAX_ORDER_MS = 5_000
 NAME = "u1"
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -13,7 +13,7 @@
 from godwitloft.coordination import shares
 from godwitloft.coordination import subset
 from godwitloft.links.generated.messages import ttypes
-from godwitloft.platform import port
+from godwitloft.store import port
 
 AGENT = port.Instance("a1", "agent", "127.0.0.1", 7000, "zone-a", "p1")
 MOVED = dataclasses.replace(AGENT, address="127.0.0.2")
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -13,12 +13,12 @@
 from godwitloft import clock as clocks
 from godwitloft import decode
 from godwitloft import settings
-from godwitloft.platform import connect
-from godwitloft.platform import faults
-from godwitloft.platform import guard
-from godwitloft.platform import http
-from godwitloft.platform import memory
-from godwitloft.platform import port
+from godwitloft.store import connect
+from godwitloft.store import faults
+from godwitloft.store import guard
+from godwitloft.store import http
+from godwitloft.store import memory
+from godwitloft.store import port
 from godwitloft.standins import platform as standin
 
 
--- a/features/steps/publish_steps.py
+++ b/features/steps/publish_steps.py
@@ -13,7 +13,7 @@
 from godwitloft import clock as clocks
 from godwitloft.coordination import publish
 from godwitloft.objects import types
-from godwitloft.platform import port
+from godwitloft.store import port
 
 HEAD = (publish.TABLE, publish.HEAD_KEY)
 
--- a/features/support/calls.py
+++ b/features/support/calls.py
@@ -2,7 +2,7 @@
 
 from twisted.python import failure
 
-from godwitloft.platform import port
+from godwitloft.store import port
 
 ERRORS = {
     port.RateLimited: "limited",
--- a/features/support/fake_store.py
+++ b/features/support/fake_store.py
@@ -4,7 +4,7 @@
 
 from twisted.internet import defer
 
-from godwitloft.platform import port
+from godwitloft.store import port
 
 
 class FakeStore:
--- a/features/support/platform_client.py
+++ b/features/support/platform_client.py
@@ -10,7 +10,7 @@
 from features.support import calls
 from godwitloft import metrics
 from godwitloft import settings
-from godwitloft.platform import connect
+from godwitloft.store import connect
 
 
 async def main(reactor, url, script):
--- a/godwitloft/clock.py
+++ b/godwitloft/clock.py
@@ -36,6 +36,21 @@
     )
 
 
+def suspend_clock() -> Clock:
+    """Returns a clock that goes on while the machine is suspended.
+
+    A lease or a proof that ends while nothing runs must be over afterwards;
+    the usual monotonic clock stands still meanwhile.
+
+    :return: a clock over the time since the machine's start
+    """
+    boot = time.CLOCK_BOOTTIME
+    return Clock(
+        monotonic_ms=lambda: time.clock_gettime_ns(boot) // 1_000_000,
+        wall_ms=lambda: time.time_ns() // 1_000_000,
+    )
+
+
 def reactor_clock(reactor: interfaces.IReactorTime) -> Clock:
     """Returns the clock of a reactor, or of a driven stand-in for one.
 
--- a/godwitloft/coordination/claims.py
+++ b/godwitloft/coordination/claims.py
@@ -22,7 +22,7 @@
 from godwitloft.coordination import claims_row
 from godwitloft.coordination import swap
 from godwitloft.coordination import write_budget
-from godwitloft.platform import port
+from godwitloft.store import port
 
 TABLE = "claims"
 FIRST_BACKOFF_MS = 20
--- a/godwitloft/coordination/feed.py
+++ b/godwitloft/coordination/feed.py
@@ -26,7 +26,7 @@
 from godwitloft.coordination import publish
 from godwitloft.coordination import swap
 from godwitloft.links.generated.messages import ttypes
-from godwitloft.platform import port
+from godwitloft.store import port
 
 RECENT_DELTAS = 64
 MAX_REQUIRES = 10_000
--- a/godwitloft/coordination/lease.py
+++ b/godwitloft/coordination/lease.py
@@ -20,7 +20,7 @@
 from godwitloft import decode
 from godwitloft import events
 from godwitloft.coordination import swap
-from godwitloft.platform import port
+from godwitloft.store import port
 
 TABLE = "leases"
 
--- a/godwitloft/coordination/membership.py
+++ b/godwitloft/coordination/membership.py
@@ -14,7 +14,7 @@
 from godwitloft import charts
 from godwitloft import clock as clocks
 from godwitloft.links.generated.messages import ttypes
-from godwitloft.platform import port
+from godwitloft.store import port
 
 JOINING = "joining"
 LIVE = "live"
--- a/godwitloft/coordination/permits.py
+++ b/godwitloft/coordination/permits.py
@@ -21,7 +21,7 @@
 from godwitloft import decode
 from godwitloft import errors
 from godwitloft.coordination import swap
-from godwitloft.platform import port
+from godwitloft.store import port
 
 TABLE = "permits"
 FIRST_BACKOFF_MS = 50
--- a/godwitloft/coordination/publish.py
+++ b/godwitloft/coordination/publish.py
@@ -22,7 +22,7 @@
 from godwitloft import errors
 from godwitloft.coordination import rebase
 from godwitloft.coordination import swap
-from godwitloft.platform import port
+from godwitloft.store import port
 
 TABLE = "configuration"
 HEAD_KEY = "head"
--- a/godwitloft/coordination/shares.py
+++ b/godwitloft/coordination/shares.py
@@ -14,7 +14,7 @@
 
 from godwitloft import decode
 from godwitloft.coordination import swap
-from godwitloft.platform import port
+from godwitloft.store import port
 
 TABLE = "shares"
 # Part of its allowance that an entry uses before it asks for more.
--- a/godwitloft/coordination/subset.py
+++ b/godwitloft/coordination/subset.py
@@ -14,7 +14,7 @@
 import math
 import typing
 
-from godwitloft.platform import port
+from godwitloft.store import port
 
 # Counts are rounded up to these steps, so that one member more or less
 # doesn't change the count of every other.
--- a/godwitloft/coordination/swap.py
+++ b/godwitloft/coordination/swap.py
@@ -13,7 +13,7 @@
 from twisted.internet import task
 
 from godwitloft import clock as clocks
-from godwitloft.platform import port
+from godwitloft.store import port
 
 IsOurs = typing.Callable[[bytes], bool]
 
--- a/godwitloft/discovery.py
+++ b/godwitloft/discovery.py
@@ -15,7 +15,7 @@
 
 from godwitloft import clock as clocks
 from godwitloft import events
-from godwitloft.platform import port
+from godwitloft.store import port
 
 SHORTEST_INTERVAL_MS = 1_000
 FLEET_READS_PER_S = 500
--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -52,6 +52,16 @@
 OUTCOME_UNKNOWN = Event(
     1203, logging.WARNING, "the outcome of a request is unknown"
 )
+REQUEST_PLACED = Event(1204, logging.INFO, "a request was sent to an upstream")
+REQUEST_ANSWERED = Event(1205, logging.INFO, "a request of a gateway ended")
+UPSTREAM_LISTED = Event(1302, logging.INFO, "the list of upstreams changed")
+ROW_SKIPPED = Event(
+    1504, logging.WARNING, "a row of the platform can't be used"
+)
+STORE_LOST = Event(1505, logging.WARNING, "the platform's store failed")
+STORE_REGAINED = Event(1506, logging.INFO, "the platform's store answers")
+SETTINGS_LOADED = Event(1006, logging.INFO, "the settings were loaded")
+GATEWAYS_CHANGED = Event(1407, logging.INFO, "the number of gateways changed")
 UPSTREAM_FAILED = Event(1301, logging.WARNING, "an upstream failed a request")
 CONFIGURATION_IN_FORCE = Event(
     1401, logging.INFO, "a configuration is in force"
@@ -167,13 +177,18 @@
         return " ".join(words)
 
 
-def configure(level: str = "info", style: str = "json") -> None:
-    """Sends log lines to standard error.
+def configure(
+    level: str = "info",
+    style: str = "json",
+    stream: typing.TextIO | None = None,
+) -> None:
+    """Sends log lines to a stream.
 
     :param level: name of a level of the standard ``logging`` module
     :param style: ``json`` or ``text``
+    :param stream: default: standard error
     """
-    handler = logging.StreamHandler()
+    handler = logging.StreamHandler(stream)
     formatter = JsonFormatter() if style == "json" else TextFormatter()
     handler.setFormatter(formatter)
     logger = logging.getLogger(LOGGER_NAME)
--- /dev/null
+++ b/godwitloft/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""An entry that places requests on upstreams without an agent's relay."""
--- /dev/null
+++ b/godwitloft/gateway/attempt.py
@@ -0,0 +1,257 @@
+"""The task that sends one request to one upstream.
+
+Each attempt has a connection of its own: on a kept one, a request that an
+upstream closed on could not be told from one that it began to run, and bytes
+that follow an answer would meet the next request.
+"""
+
+import dataclasses
+import enum
+import socket
+import typing
+
+import h11
+from twisted.internet import error
+from twisted.internet import protocol
+from twisted.python import failure
+
+from godwitloft import clock as clocks
+from godwitloft.gateway import front
+from godwitloft.gateway import model
+
+CONNECT_TIMEOUT_MS = 600
+# A peer behind a broken path is noticed by bytes that it doesn't
+# acknowledge, and by probes once nothing is sent.
+UNACKNOWLEDGED_TIMEOUT_MS = 2_500
+PROBE_IDLE_S = 1
+PROBE_INTERVAL_S = 1
+PROBE_COUNT = 2
+
+
+class End(enum.Enum):
+    """How an attempt ended."""
+
+    COMPLETE = "complete"
+    NOT_SENT = "not_sent"
+    BROKEN = "broken"
+
+
+@dataclasses.dataclass(frozen=True)
+class Outgoing:
+    """A request as the upstream is to get it.
+
+    :param method: HTTP method
+    :param target: path and query
+    :param headers: all headers with the framing
+    :param body: the whole body
+    """
+
+    method: bytes
+    target: bytes
+    headers: list[front.Header]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class AttemptOwner:
+    """What an attempt tells its request.
+
+    :param on_head: status and headers of the answer
+    :param on_data: a part of the body
+    :param on_end: told once how it ended, and why
+    """
+
+    on_head: typing.Callable[[int, list[front.Header]], None]
+    on_data: typing.Callable[[bytes], None]
+    on_end: typing.Callable[[End, str], None]
+
+
+class Attempt(protocol.Protocol):
+    """One connection to an upstream, for one request.
+
+    :param outgoing: what to send
+    :param owner: functions of the request
+    """
+
+    def __init__(self, outgoing: Outgoing, owner: AttemptOwner) -> None:
+        self.outgoing = outgoing
+        self.owner = owner
+        self.parser = h11.Connection(h11.CLIENT)
+        self.connector: typing.Any = None
+        self.sent = False
+        self.over = False
+
+    def connectionMade(self) -> None:
+        """Sends the whole request."""
+        if self.over:
+            self.abort_transport()
+            return
+        transport = typing.cast(typing.Any, self.transport)
+        transport.setTcpNoDelay(True)
+        watch_peer(transport.getHandle())
+        self.sent = True
+        outgoing = self.outgoing
+        head = h11.Request(
+            method=outgoing.method,
+            target=outgoing.target,
+            headers=outgoing.headers,
+        )
+        parts = [self.parser.send(head) or b""]
+        if outgoing.body:
+            parts.append(self.parser.send(h11.Data(data=outgoing.body)) or b"")
+        parts.append(self.parser.send(h11.EndOfMessage()) or b"")
+        transport.write(b"".join(parts))
+
+    def dataReceived(self, data: bytes) -> None:
+        """Reads a part of the answer.
+
+        :param data: bytes of the upstream
+        """
+        if self.over:
+            return
+        try:
+            self.parser.receive_data(data)
+            self.read()
+        except h11.RemoteProtocolError:
+            self.end(End.BROKEN, "malformed_answer")
+
+    def read(self) -> None:
+        """Takes what the parser has understood."""
+        while not self.over:
+            event = self.parser.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Response):
+                self.owner.on_head(event.status_code, list(event.headers))
+            elif isinstance(event, h11.Data):
+                self.owner.on_data(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self.end(End.COMPLETE, "")
+            elif isinstance(event, h11.ConnectionClosed):
+                self.end(End.BROKEN, "connection_closed")
+
+    def connectionLost(
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Ends the attempt if its answer has not ended.
+
+        :param reason: a clean end completes an answer without a length
+        """
+        if self.over:
+            return
+        if not reason.check(error.ConnectionDone):
+            self.end(End.BROKEN, "connection_reset")
+            return
+        try:
+            self.parser.receive_data(b"")
+            self.read()
+        except h11.RemoteProtocolError:
+            self.end(End.BROKEN, "answer_cut")
+        if not self.over:
+            self.end(End.BROKEN, "connection_closed")
+
+    def end(self, how: End, reason: str) -> None:
+        """Closes the connection and tells the request.
+
+        :param how: how it ended
+        :param reason: short name for logs and counters
+        """
+        if self.over:
+            return
+        self.over = True
+        if how is End.COMPLETE and self.transport is not None:
+            self.transport.loseConnection()
+        else:
+            self.abort_transport()
+        self.owner.on_end(how, reason)
+
+    def cancel(self) -> None:
+        """Closes the connection, which stops the upstream's work."""
+        if self.over:
+            return
+        self.over = True
+        if self.transport is None and self.connector is not None:
+            self.connector.disconnect()
+        self.abort_transport()
+
+    def abort_transport(self) -> None:
+        """Drops the connection at once."""
+        if self.transport is not None:
+            typing.cast(typing.Any, self.transport).abortConnection()
+
+
+class AttemptFactory(protocol.ClientFactory):
+    """Connects one attempt.
+
+    :param attempt: gets the connection
+    """
+
+    noisy = False
+
+    def __init__(self, attempt: Attempt) -> None:
+        self.attempt = attempt
+
+    def buildProtocol(self, addr: object) -> Attempt:
+        """Returns the attempt.
+
+        :param addr: of the upstream
+        :return: the attempt
+        """
+        return self.attempt
+
+    def clientConnectionFailed(
+        self, connector: object, reason: failure.Failure
+    ) -> None:
+        """Ends the attempt; nothing was sent.
+
+        :param connector: of twisted
+        :param reason: as twisted knows it
+        """
+        self.attempt.end(End.NOT_SENT, "not_connected")
+
+
+def start(
+    reactor: typing.Any,
+    upstream: model.Upstream,
+    outgoing: Outgoing,
+    owner: AttemptOwner,
+    own_host: str,
+) -> Attempt:
+    """Sends a request to an upstream.
+
+    :param reactor: the twisted reactor
+    :param upstream: where to
+    :param outgoing: what to send
+    :param owner: functions of the request
+    :param own_host: local address to connect from, empty for any
+    :return: the attempt
+    """
+    attempt = Attempt(outgoing, owner)
+    attempt.connector = reactor.connectTCP(
+        upstream.host,
+        upstream.port,
+        AttemptFactory(attempt),
+        timeout=CONNECT_TIMEOUT_MS / clocks.MS_PER_S,
+        bindAddress=(own_host, 0) if own_host else None,
+    )
+    return attempt
+
+
+def watch_peer(handle: socket.socket) -> None:
+    """Makes the kernel notice a peer that has gone silent.
+
+    :param handle: a connected TCP socket
+    """
+    options = (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT),
+        (
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            UNACKNOWLEDGED_TIMEOUT_MS,
+        ),
+    )
+    for level, option, value in options:
+        handle.setsockopt(level, option, value)
--- /dev/null
+++ b/godwitloft/gateway/fleet.py
@@ -0,0 +1,119 @@
+"""What a gateway knows of each upstream, from the list and its own work."""
+
+import dataclasses
+
+from godwitloft.gateway import model
+
+UNREACHABLE_PAUSE_MS = 500
+LONGEST_PAUSE_MS = 4_000
+FAILURES_BEFORE_PAUSE = 3
+NEW_VALUE_WEIGHT = 0.2
+MS_TO_FIRST_DATA_UNKNOWN = 0.0
+
+
+class UpstreamState:
+    """One upstream as this gateway sees it.
+
+    :param upstream: what the list says of it
+    """
+
+    def __init__(self, upstream: model.Upstream) -> None:
+        self.upstream = upstream
+        self.running = 0
+        self.prompt_tokens = 0
+        self.failures = 0
+        self.paused_until_ms = 0
+        self.first_data_ms = MS_TO_FIRST_DATA_UNKNOWN
+        self.refused_until_ms = 0
+        self.granted: int | None = None
+        self.granted_until_ms = 0
+
+    def succeeded(self, first_data_ms: float) -> None:
+        """Notes an answer.
+
+        :param first_data_ms: from sending to the first part of the answer
+        """
+        self.failures = 0
+        self.paused_until_ms = 0
+        if self.first_data_ms == MS_TO_FIRST_DATA_UNKNOWN:
+            self.first_data_ms = first_data_ms
+        else:
+            step = first_data_ms - self.first_data_ms
+            self.first_data_ms += NEW_VALUE_WEIGHT * step
+
+    def failed(self, now_ms: int, unreachable: bool) -> None:
+        """Notes a failure and pauses after several in a row.
+
+        :param now_ms: the time
+        :param unreachable: whether no connection was made, which pauses
+            at once
+        """
+        self.failures += 1
+        if not unreachable and self.failures < FAILURES_BEFORE_PAUSE:
+            return
+        doublings = min(self.failures, 4) - 1
+        pause_ms = min(LONGEST_PAUSE_MS, UNREACHABLE_PAUSE_MS << doublings)
+        self.paused_until_ms = now_ms + pause_ms
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """What a new list changed.
+
+    :param added: upstreams that are new
+    :param leaving: upstreams that must get no new work from now on
+    :param removed: upstreams that are no longer on the list
+    """
+
+    added: tuple[str, ...]
+    leaving: tuple[str, ...]
+    removed: tuple[str, ...]
+
+
+class Fleet:
+    """All upstreams, by id."""
+
+    def __init__(self) -> None:
+        self.states: dict[str, UpstreamState] = {}
+        self.listed: dict[str, UpstreamState] = {}
+
+    def update(self, upstreams: dict[str, model.Upstream]) -> Change:
+        """Takes a new list.
+
+        An upstream that is leaving never becomes usable again in the same
+        life, whatever a late copy of the list says.
+
+        :param upstreams: by id
+        :return: what is different
+        """
+        added = []
+        leaving = []
+        for upstream_id, upstream in upstreams.items():
+            state = self.states.get(upstream_id)
+            if state is None or state.upstream.born_ms != upstream.born_ms:
+                state = self.states[upstream_id] = UpstreamState(upstream)
+                added.append(upstream_id)
+            was_leaving = state.upstream.leaving
+            if was_leaving and not upstream.leaving:
+                upstream = dataclasses.replace(upstream, leaving=True)
+            state.upstream = upstream
+            if upstream.leaving and not was_leaving:
+                leaving.append(upstream_id)
+        removed = [name for name in self.listed if name not in upstreams]
+        self.listed = {name: self.states[name] for name in upstreams}
+        for name in list(self.states):
+            if name not in self.listed and not self.states[name].running:
+                del self.states[name]
+        return Change(tuple(added), tuple(leaving), tuple(removed))
+
+    def usable(self, service: str) -> list[UpstreamState]:
+        """Returns the upstreams of a service that may get new work.
+
+        :param service: its name
+        :return: states of upstreams on the list
+        """
+        return [
+            state
+            for state in self.listed.values()
+            if state.upstream.service == service and not state.upstream.leaving
+        ]
--- /dev/null
+++ b/godwitloft/gateway/front.py
@@ -0,0 +1,398 @@
+"""The task that owns one caller's connection.
+
+It reads one request after the other and writes the answers. Framing is done
+by ``h11``: an answer whose end was not seen must never look complete, and
+neither klein nor twisted's own server lets that be decided for each part.
+"""
+
+import dataclasses
+import typing
+
+import h11
+from twisted.internet import protocol
+from twisted.python import failure
+
+from godwitloft import clock as clocks
+from godwitloft.gateway import headers
+from godwitloft.gateway import model
+
+Header = headers.Header
+
+
+@dataclasses.dataclass(frozen=True)
+class Refusal:
+    """A request that can't be read, as the caller is told of it.
+
+    :param status: HTTP status
+    :param reason: short name for logs and counters
+    """
+
+    status: int
+    reason: str
+
+
+class Exchange:
+    """One request of a caller and the way back for its answer.
+
+    :param channel: the connection that it came on
+    :param head: method, target and headers
+    :param arrived_ms: when its head had been read
+    """
+
+    def __init__(
+        self, channel: "FrontChannel", head: h11.Request, arrived_ms: int
+    ) -> None:
+        self.channel = channel
+        self.method: bytes = head.method
+        self.target: bytes = head.target
+        self.headers: list[Header] = list(head.headers)
+        self.arrived_ms = arrived_ms
+        self.body_parts: list[bytes] = []
+        self.body_bytes = 0
+        self.started = False
+        self.ended = False
+        self.on_left: typing.Callable[[], None] = _nothing
+
+    def header(self, name: bytes) -> bytes | None:
+        """Returns the first value of a header.
+
+        :param name: in lower case
+        :return: its value, or None
+        """
+        for known, value in self.headers:
+            if known == name:
+                return value
+        return None
+
+    def count(self, name: bytes) -> int:
+        """Returns how often a header occurs.
+
+        :param name: in lower case
+        :return: number of its lines
+        """
+        return sum(known == name for known, _value in self.headers)
+
+    @property
+    def body(self) -> bytes:
+        """The whole body."""
+        return b"".join(self.body_parts)
+
+    def start(self, status: int, headers: list[Header]) -> None:
+        """Sends the head of an answer.
+
+        :param status: HTTP status
+        :param headers: without those of the connection
+        """
+        self.started = True
+        self.channel.send_head(self, status, headers)
+
+    def write(self, data: bytes) -> None:
+        """Sends a part of the answer's body.
+
+        :param data: the part
+        """
+        self.channel.send_data(self, data)
+
+    def finish(self) -> None:
+        """Ends the answer as complete."""
+        if not self.ended:
+            self.ended = True
+            self.channel.send_end(self)
+
+    def respond(
+        self, status: int, headers: list[Header], body: bytes = b""
+    ) -> None:
+        """Sends a whole answer.
+
+        :param status: HTTP status
+        :param headers: without those of the connection and the length
+        :param body: the whole body
+        """
+        length = (b"content-length", b"%d" % len(body))
+        self.start(status, [*headers, length])
+        if body:
+            self.write(body)
+        self.finish()
+
+    def abort(self) -> None:
+        """Breaks the connection off, so that the answer looks cut."""
+        if not self.ended:
+            self.ended = True
+            self.channel.abort()
+
+
+def _nothing() -> None:
+    pass
+
+
+@dataclasses.dataclass(frozen=True)
+class FrontOwner:
+    """What a connection tells its gateway and asks of it.
+
+    :param on_request: a whole request has been read
+    :param on_refused: a request that can't be read was answered
+    :param limits: bounds that are in force
+    :param closing: whether connections are to end after their answer
+    """
+
+    on_request: typing.Callable[[Exchange], None]
+    on_refused: typing.Callable[[Refusal], None]
+    limits: typing.Callable[[], model.CallerLimits]
+    closing: typing.Callable[[], bool]
+
+
+class FrontChannel(protocol.Protocol):
+    """One connection of a caller.
+
+    :param owner: functions of the gateway
+    :param clock: tells the time
+    :param channels: all open connections, which this one joins and leaves
+    """
+
+    def __init__(
+        self,
+        owner: FrontOwner,
+        clock: clocks.Clock,
+        channels: "set[FrontChannel]",
+    ) -> None:
+        self.owner = owner
+        self.clock = clock
+        self.channels = channels
+        self.exchange: Exchange | None = None
+        self.handed_over = False
+        self.open = False
+        self.used_ms = clock.monotonic_ms()
+        self.head_since_ms: int | None = None
+        self.parser = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=owner.limits().header_bytes,
+        )
+
+    def connectionMade(self) -> None:
+        """Starts to read."""
+        self.open = True
+        self.channels.add(self)
+        transport = typing.cast(typing.Any, self.transport)
+        transport.setTcpNoDelay(True)
+
+    def connectionLost(
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Tells the gateway that the caller has left.
+
+        :param reason: as twisted knows it
+        """
+        self.open = False
+        self.channels.discard(self)
+        exchange = self.exchange
+        self.exchange = None
+        if exchange is not None and not exchange.ended:
+            exchange.ended = True
+            exchange.on_left()
+
+    def dataReceived(self, data: bytes) -> None:
+        """Reads a part of a request.
+
+        :param data: bytes of the caller
+        """
+        self.used_ms = self.clock.monotonic_ms()
+        if self.exchange is None and self.head_since_ms is None:
+            self.head_since_ms = self.used_ms
+        try:
+            self.parser.receive_data(data)
+            self.read()
+        except h11.RemoteProtocolError as problem:
+            self.refuse(problem.error_status_hint, "malformed")
+
+    def read(self) -> None:
+        """Takes what the parser has understood."""
+        while self.open:
+            event = self.parser.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Request):
+                self.head_since_ms = None
+                now_ms = self.clock.monotonic_ms()
+                self.exchange = Exchange(self, event, now_ms)
+                self.handed_over = False
+                if self.parser.they_are_waiting_for_100_continue:
+                    self.send(
+                        h11.InformationalResponse(status_code=100, headers=[])
+                    )
+            elif isinstance(event, h11.Data):
+                self.take_body(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                exchange = self.exchange
+                if exchange is not None:
+                    self.handed_over = True
+                    self.owner.on_request(exchange)
+            elif isinstance(event, h11.ConnectionClosed):
+                return
+
+    def take_body(self, data: bytes) -> None:
+        """Keeps a part of a request's body.
+
+        :param data: the part
+        """
+        exchange = self.exchange
+        if exchange is None:
+            return
+        exchange.body_parts.append(data)
+        exchange.body_bytes += len(data)
+        if exchange.body_bytes > self.owner.limits().body_bytes:
+            self.refuse(413, "body_too_large")
+
+    def refuse(self, status: int, reason: str) -> None:
+        """Answers a request that can't be read, and closes.
+
+        :param status: HTTP status
+        :param reason: short name of what is wrong
+        """
+        exchange = self.exchange
+        answering = exchange is not None and exchange.started
+        handed_over = exchange is not None and self.handed_over
+        if not self.open:
+            return
+        if answering or handed_over:
+            # Garbage behind a good request must not spoil its answer.
+            return
+        self.owner.on_refused(Refusal(status, reason))
+        if exchange is not None:
+            exchange.ended = True
+        head = h11.Response(
+            status_code=status,
+            headers=[(b"content-length", b"0"), (b"connection", b"close")],
+        )
+        if self.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            self.send(head)
+            self.send(h11.EndOfMessage())
+        self.close()
+
+    def send(self, event: typing.Any) -> None:
+        """Writes one event of the protocol.
+
+        :param event: of ``h11``
+        """
+        data = self.parser.send(event)
+        if data and self.transport is not None:
+            self.transport.write(data)
+
+    def send_head(
+        self, exchange: Exchange, status: int, headers: list[Header]
+    ) -> None:
+        """Writes the head of an answer.
+
+        :param exchange: the request that is answered
+        :param status: HTTP status
+        :param headers: without those of the connection
+        """
+        if not self.owns(exchange):
+            return
+        extra = [(b"connection", b"close")] if self.owner.closing() else []
+        self.send(h11.Response(status_code=status, headers=[*headers, *extra]))
+
+    def send_data(self, exchange: Exchange, data: bytes) -> None:
+        """Writes a part of an answer's body.
+
+        :param exchange: the request that is answered
+        :param data: the part
+        """
+        if self.owns(exchange):
+            self.used_ms = self.clock.monotonic_ms()
+            self.send(h11.Data(data=data))
+
+    def send_end(self, exchange: Exchange) -> None:
+        """Ends an answer and waits for the next request.
+
+        :param exchange: the request that was answered
+        """
+        if not self.owns(exchange):
+            return
+        self.send(h11.EndOfMessage())
+        self.exchange = None
+        self.handed_over = False
+        self.used_ms = self.clock.monotonic_ms()
+        if self.parser.our_state is not h11.DONE:
+            self.close()
+            return
+        if self.parser.their_state is not h11.DONE:
+            self.close()
+            return
+        self.parser.start_next_cycle()
+        if self.parser.trailing_data[0]:
+            self.head_since_ms = self.used_ms
+        try:
+            self.read()
+        except h11.RemoteProtocolError as problem:
+            self.refuse(problem.error_status_hint, "malformed")
+
+    def owns(self, exchange: Exchange) -> bool:
+        """Tells whether an exchange may still be answered here.
+
+        :param exchange: a request of this connection
+        :return: whether it is the current one and the caller is there
+        """
+        return self.open and self.exchange is exchange
+
+    def close(self) -> None:
+        """Closes once all that was written has been sent."""
+        if self.open and self.transport is not None:
+            self.transport.loseConnection()
+
+    def abort(self) -> None:
+        """Closes at once, so that the current answer looks cut."""
+        if self.open and self.transport is not None:
+            typing.cast(typing.Any, self.transport).abortConnection()
+
+    def check_age(self, now_ms: int) -> None:
+        """Closes the connection if its caller is too slow or idle.
+
+        :param now_ms: the time
+        """
+        limits = self.owner.limits()
+        if self.handed_over:
+            return
+        if self.exchange is not None:
+            slow = now_ms - self.used_ms > limits.idle_timeout_ms
+            if slow:
+                self.refuse(408, "body_timeout")
+        elif self.head_since_ms is not None:
+            if now_ms - self.head_since_ms > limits.header_timeout_ms:
+                self.refuse(408, "header_timeout")
+        elif now_ms - self.used_ms > limits.idle_timeout_ms:
+            self.close()
+
+
+class FrontFactory(protocol.ServerFactory):
+    """Makes the connections of callers and closes them when they are idle.
+
+    :param owner: functions of the gateway
+    :param clock: tells the time
+    """
+
+    noisy = False
+
+    def __init__(self, owner: FrontOwner, clock: clocks.Clock) -> None:
+        self.owner = owner
+        self.clock = clock
+        self.channels: set[FrontChannel] = set()
+
+    def buildProtocol(self, addr: object) -> FrontChannel:
+        """Returns the task of a new connection.
+
+        :param addr: of the caller
+        :return: a connection
+        """
+        return FrontChannel(self.owner, self.clock, self.channels)
+
+    def check_ages(self) -> None:
+        """Closes connections whose callers are too slow or idle."""
+        now_ms = self.clock.monotonic_ms()
+        for channel in tuple(self.channels):
+            channel.check_age(now_ms)
+
+    def close_idle(self) -> None:
+        """Closes all connections on which no request is under way."""
+        for channel in tuple(self.channels):
+            if channel.exchange is None and channel.head_since_ms is None:
+                channel.close()
--- /dev/null
+++ b/godwitloft/gateway/refusals.py
@@ -0,0 +1,37 @@
+"""Answers that a gateway gives by itself."""
+
+import dataclasses
+import json
+
+from godwitloft.gateway import front
+
+JSON_TYPE = (b"content-type", b"application/json")
+
+
+@dataclasses.dataclass(frozen=True)
+class Refusal:
+    """Why a request gets no upstream's answer.
+
+    :param status: HTTP status; 408, 429 and 503 promise that it never ran
+    :param reason: name for logs, counters and the caller
+    :param retry_after_ms: when to come back, None for no advice
+    """
+
+    status: int
+    reason: str
+    retry_after_ms: int | None = None
+
+
+def answer(exchange: front.Exchange, refusal: Refusal) -> None:
+    """Tells a caller of a refusal.
+
+    :param exchange: the way back
+    :param refusal: what to tell
+    """
+    headers = [JSON_TYPE]
+    if refusal.retry_after_ms is not None:
+        seconds = b"%.3f" % (refusal.retry_after_ms / 1000)
+        headers.append((b"retry-after", seconds))
+    not_run = refusal.status in (408, 429, 503)
+    body = {"error": {"reason": refusal.reason, "not_run": not_run}}
+    exchange.respond(refusal.status, headers, json.dumps(body).encode())
--- /dev/null
+++ b/godwitloft/gateway/request.py
@@ -0,0 +1,200 @@
+"""One request of a caller while a gateway holds it."""
+
+import dataclasses
+import enum
+import hashlib
+import typing
+
+from godwitloft.gateway import attempt as attempts
+from godwitloft.gateway import dialect as dialects
+from godwitloft.gateway import fleet
+from godwitloft.gateway import front
+from godwitloft.gateway import headers as header_lists
+from godwitloft.gateway import model
+
+if typing.TYPE_CHECKING:
+    from godwitloft.gateway import answer as answers
+
+MAX_TOKENS = 10_000_000
+
+
+class State(enum.Enum):
+    """Where a request is in its life; the chart is gateway_request.json."""
+
+    WAITING = "waiting"
+    SENT = "sent"
+    ANSWERING = "answering"
+    ENDED = "ended"
+
+
+@dataclasses.dataclass(frozen=True)
+class Sizes:
+    """What a request says of the work that it brings.
+
+    :param prompt_tokens: to be read
+    :param output_tokens: to be generated, at most
+    :param stated: whether the caller stated them
+    """
+
+    prompt_tokens: int
+    output_tokens: int
+    stated: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Facts:
+    """What is known of a request when it arrives; it doesn't change.
+
+    :param id: the caller's name for this attempt of theirs
+    :param route: its route
+    :param service: the service that its route's split gave it
+    :param team: whose key it carries, None on a public route
+    :param sizes: the work that it brings
+    :param rank: importance, 0 is the highest
+    :param arrived_ms: when it was read
+    :param caller_until_ms: when its caller stops waiting
+    :param until_ms: when it must have its answer
+    :param patience_until_ms: when its caller leaves unless an answer began
+    :param fingerprint: equal for equal requests of the same caller
+    """
+
+    id: str
+    route: model.Route
+    service: str
+    team: model.Team | None
+    sizes: Sizes
+    rank: tuple[int, int]
+    arrived_ms: int
+    caller_until_ms: int
+    until_ms: int
+    patience_until_ms: int
+    fingerprint: bytes
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether the request may run more than once."""
+        if self.route.kind is model.Kind.STREAM:
+            return self.route.resumable
+        return self.route.kind is model.Kind.IDEMPOTENT
+
+    @property
+    def target_at_ms(self) -> int:
+        """When its (first) answer is due."""
+        return self.arrived_ms + self.route.target_ms
+
+
+class Request:
+    """A request and how far it has come.
+
+    :param exchange: the way back to its caller
+    :param facts: what was known when it arrived
+    """
+
+    def __init__(self, exchange: front.Exchange, facts: Facts) -> None:
+        self.exchange = exchange
+        self.facts = facts
+        self.state = State.WAITING
+        self.attempt: attempts.Attempt | None = None
+        self.placed: fleet.UpstreamState | None = None
+        self.answer: answers.Answer | None = None
+        self.runs = 0
+        self.arrivals = 0
+        self.tried: set[str] = set()
+        self.sent_ms = 0
+        self.first_data_ms = 0
+        self.last_event: bytes | None = None
+        self.last_reason = ""
+
+
+def read_sizes(
+    exchange: front.Exchange, dialect: dialects.Dialect
+) -> Sizes | None:
+    """Returns the sizes that a request states.
+
+    :param exchange: the request
+    :param dialect: names of its headers
+    :return: the sizes, zeros if it states none; None if they can't be read
+    """
+    text = exchange.header(dialect.token_counts)
+    if text is None:
+        return Sizes(0, 0, False)
+    parts = text.split(b",")
+    if len(parts) != 2 or not all(part.strip().isdigit() for part in parts):
+        return None
+    prompt, output = (min(int(part), MAX_TOKENS) for part in parts)
+    return Sizes(prompt, output, True)
+
+
+def read_time_left(
+    exchange: front.Exchange, dialect: dialects.Dialect
+) -> int | None:
+    """Returns how long a caller will wait.
+
+    :param exchange: the request
+    :param dialect: names of its headers
+    :return: milliseconds, or None if it doesn't say
+    """
+    text = exchange.header(dialect.time_left)
+    if text is None:
+        return None
+    try:
+        return max(0, int(float(text)))
+    except (ValueError, OverflowError):
+        return None
+
+
+def fingerprint(exchange: front.Exchange) -> bytes:
+    """Returns a hash that equal requests of the same caller share.
+
+    :param exchange: the request
+    :return: eight bytes
+    """
+    digest = hashlib.blake2b(digest_size=8)
+    key = exchange.header(b"authorization") or b""
+    for part in (exchange.method, exchange.target, key, exchange.body):
+        digest.update(b"%d:" % len(part))
+        digest.update(part)
+    return digest.digest()
+
+
+def outgoing(
+    request: Request,
+    upstream: model.Upstream,
+    dialect: dialects.Dialect,
+    now_ms: int,
+) -> attempts.Outgoing:
+    """Returns a request as an upstream is to get it.
+
+    :param request: what to send
+    :param upstream: where to
+    :param dialect: names of the headers
+    :param now_ms: the time
+    :return: head and body
+    """
+    exchange = request.exchange
+    facts = request.facts
+    own = dialect.reserved | {dialect.time_left, b"authorization"}
+    if request.last_event is not None:
+        own = own | {dialect.last_event}
+    headers = [
+        header
+        for header in header_lists.end_to_end(exchange.headers)
+        if header[0] not in own
+    ]
+    left_ms = max(1, facts.until_ms - now_ms)
+    headers.append((dialect.time_left, b"%d" % left_ms))
+    headers.append((dialect.expected_upstream, upstream.id.encode()))
+    if facts.team is not None:
+        headers.append((dialect.team, facts.team.name.encode()))
+    if request.last_event is not None:
+        headers.append((dialect.last_event, request.last_event))
+    body = exchange.body
+    if body or exchange.header(b"content-length") is not None:
+        headers.append((b"content-length", b"%d" % len(body)))
+    headers.append((b"connection", b"close"))
+    return attempts.Outgoing(
+        method=exchange.method,
+        target=exchange.target,
+        headers=headers,
+        body=body,
+    )
--- /dev/null
+++ b/godwitloft/gateway/routing.py
@@ -0,0 +1,74 @@
+"""Finds the route of a request and the team of a key."""
+
+import typing
+
+from godwitloft.gateway import model
+
+
+class Router:
+    """Looks routes, teams and services up in one configuration.
+
+    :param configuration: the version to look into
+    """
+
+    def __init__(self, configuration: model.Configuration) -> None:
+        self.configuration = configuration
+        self.routes: dict[str, dict[str, model.Route]] = {}
+        self.depths: dict[str, list[int]] = {}
+        self.teams = {
+            key: team for team in configuration.teams for key in team.keys
+        }
+        for route in configuration.routes:
+            self.routes.setdefault(route.host, {})[route.prefix] = route
+        for host, prefixes in self.routes.items():
+            depths = {prefix.count("/") for prefix in prefixes}
+            self.depths[host] = sorted(depths, reverse=True)
+
+    def route(self, host: str, path: str) -> model.Route | None:
+        """Returns the route with the longest prefix that begins a path.
+
+        :param host: as the caller wrote it, a port is ignored
+        :param path: without the query
+        :return: a route, or None
+        """
+        name = host.rsplit(":", 1)[0].lower()
+        prefixes = self.routes.get(name)
+        if prefixes is None:
+            return None
+        ends = _slash_ends(path)
+        for depth in self.depths[name]:
+            if depth > len(ends):
+                continue
+            route = prefixes.get(path[: ends[depth - 1]])
+            if route is not None:
+                return route
+        return None
+
+    def team(self, key: str) -> model.Team | None:
+        """Returns the team that holds a key.
+
+        :param key: as the caller sent it
+        :return: a team, or None
+        """
+        return self.teams.get(key)
+
+
+def _slash_ends(path: str) -> list[int]:
+    return [at + 1 for at, letter in enumerate(path) if letter == "/"]
+
+
+def pick_target(
+    targets: typing.Sequence[model.Target], point: float
+) -> model.Target:
+    """Returns the target at a point of the line of all weights.
+
+    :param targets: not empty
+    :param point: from 0 to below 1
+    :return: one of the targets, each as often as its weight says
+    """
+    left = point * sum(target.weight for target in targets)
+    for target in targets:
+        left -= target.weight
+        if left < 0:
+            return target
+    return targets[-1]
--- a/godwitloft/node.py
+++ b/godwitloft/node.py
@@ -27,8 +27,8 @@
 from godwitloft.objects import lookup
 from godwitloft.objects import parse
 from godwitloft.objects import types
-from godwitloft.platform import connect
-from godwitloft.platform import port
+from godwitloft.store import connect
+from godwitloft.store import port
 
 REQUIRE_TIMEOUT_MS = 2_000
 STATUS_TIMEOUT_MS = 1_000
--- a/godwitloft/operator_http.py
+++ b/godwitloft/operator_http.py
@@ -29,7 +29,7 @@
 from godwitloft.objects import errors as objects_errors
 from godwitloft.objects import parse
 from godwitloft.objects import types
-from godwitloft.platform import port as platform
+from godwitloft.store import port as platform
 
 MAX_BODY_BYTES = parse.MAX_FILE_BYTES + 64 * 1024
 MAX_UNKNOWN_BODY_BYTES = 4096
--- a/godwitloft/operator_port.py
+++ b/godwitloft/operator_port.py
@@ -201,7 +201,7 @@
 
     They may fail with :class:`OperatorError`, with the errors of
     :mod:`godwitloft.coordination.publish` and with
-    :class:`godwitloft.platform.port.PlatformError`.
+    :class:`godwitloft.store.port.PlatformError`.
 
     :param publish: publishes a set; see
         :meth:`godwitloft.coordination.publish.Publisher.publish`
--- a/godwitloft/operator_service.py
+++ b/godwitloft/operator_service.py
@@ -7,7 +7,7 @@
 from godwitloft.objects import canonical
 from godwitloft.objects import check
 from godwitloft.objects import types
-from godwitloft.platform import port as platform_port
+from godwitloft.store import port as platform_port
 
 FORMAT = publish.Format(
     encode=canonical.encode,
--- /dev/null
+++ b/godwitloft/platform/headers.py
@@ -0,0 +1,30 @@
+"""The platform's names of headers."""
+
+from godwitloft.gateway import dialect
+
+PREFIX = b"godwitloft-"
+
+DIALECT = dialect.Dialect(
+    request_id=PREFIX + b"request-id",
+    time_left=PREFIX + b"deadline-ms",
+    token_counts=PREFIX + b"token-counts",
+    prompt_parts=PREFIX + b"prompt-prefix",
+    length_hint=PREFIX + b"length-hint",
+    last_event=b"last-event-id",
+    expected_upstream=PREFIX + b"target-instance",
+    team=PREFIX + b"tenant",
+    not_run=PREFIX + b"not-executed",
+    seal=PREFIX + b"response-seal",
+    key_scheme=b"Token",
+    reserved=frozenset(
+        (
+            PREFIX + b"target-instance",
+            PREFIX + b"tenant",
+            PREFIX + b"hold",
+            PREFIX + b"pin-ms",
+            PREFIX + b"kv-backup",
+            b"kv-from",
+            b"kv-fetch",
+        )
+    ),
+)
--- /dev/null
+++ b/godwitloft/platform/rows.py
@@ -0,0 +1,264 @@
+"""Decodes the rows that operators and upstreams write.
+
+A row of another writer may be anything: what can't be understood names the
+field that is wrong, and changes nothing that is in force.
+"""
+
+import base64
+import binascii
+import json
+import typing
+
+from godwitloft import errors
+from godwitloft.gateway import model
+from godwitloft.platform import settings
+
+# The platform's names for what may be repeated.
+KINDS: typing.Final = {
+    "idempotent": model.Kind.IDEMPOTENT,
+    "non_idempotent": model.Kind.NON_IDEMPOTENT,
+    "streaming": model.Kind.STREAM,
+}
+STATES: typing.Final = {"ready": False, "draining": True}
+NO_RANK = 1_000
+DEFAULT_TIMEOUT_MS = 60_000
+DEFAULT_TARGET_MS = 1_000
+DEFAULT_SLOTS = 1
+
+
+class RowError(errors.GodwitloftError):
+    """A row can't be used.
+
+    :param row: its table and key
+    :param field: dotted name, empty for the whole row
+    :param reason: what is wrong
+    """
+
+    def __init__(self, row: str, field: str, reason: str) -> None:
+        self.row = row
+        self.field = field
+        self.reason = reason
+        super().__init__(f"row {row}: field {field!r}: {reason}")
+
+
+class Fields:
+    """Typed access to the fields of one JSON object.
+
+    :param row: table and key of the row, for errors
+    :param path: dotted name of the object in the row
+    :param value: the object
+    """
+
+    def __init__(self, row: str, path: str, value: object) -> None:
+        self.row = row
+        self.path = path
+        if not isinstance(value, dict):
+            raise RowError(row, path, f"{value!r:.80} is not an object")
+        self.value: dict[str, typing.Any] = value
+
+    def fail(self, name: str, reason: str) -> RowError:
+        """Returns an error about a field.
+
+        :param name: of the field
+        :param reason: what is wrong
+        :return: the error, to be raised
+        """
+        path = f"{self.path}.{name}" if self.path else name
+        return RowError(self.row, path, reason)
+
+    def text(self, name: str) -> str:
+        """Returns a string that must be there and not be empty.
+
+        :param name: of the field
+        :return: its value
+        """
+        value = self.value.get(name)
+        if not isinstance(value, str) or not value:
+            raise self.fail(name, f"{value!r:.80} is not a string")
+        return value
+
+    def number(self, name: str, default: float | None = None) -> float:
+        """Returns a number that isn't negative.
+
+        :param name: of the field
+        :param default: if it is missing, None if it must be there
+        :return: its value
+        """
+        value = self.value.get(name, default)
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            raise self.fail(name, f"{value!r:.80} is not a number")
+        if not 0 <= value < float("inf"):
+            raise self.fail(name, f"{value!r:.80} is out of range")
+        return value
+
+    def flag(self, name: str) -> bool:
+        """Returns true or false; false if it is missing.
+
+        :param name: of the field
+        :return: its value
+        """
+        value = self.value.get(name, False)
+        if not isinstance(value, bool):
+            raise self.fail(name, f"{value!r:.80} is not true or false")
+        return value
+
+    def items(self, name: str) -> list[typing.Any]:
+        """Returns a list; an empty one if it is missing.
+
+        :param name: of the field
+        :return: its value
+        """
+        value = self.value.get(name, [])
+        if not isinstance(value, list):
+            raise self.fail(name, f"{value!r:.80} is not a list")
+        return value
+
+    def objects(self, name: str) -> "list[Fields]":
+        """Returns a list of objects; an empty one if it is missing.
+
+        :param name: of the field
+        :return: the objects
+        """
+        path = f"{self.path}.{name}" if self.path else name
+        return [
+            Fields(self.row, f"{path}[{index}]", value)
+            for index, value in enumerate(self.items(name))
+        ]
+
+
+def content(row: str, value: object) -> Fields:
+    """Decodes the value of a row.
+
+    :param row: table and key
+    :param value: base64 of JSON
+    :return: the JSON object
+    """
+    if not isinstance(value, str):
+        raise RowError(row, "", "has no value")
+    try:
+        decoded = json.loads(base64.b64decode(value, validate=True))
+    except (binascii.Error, ValueError, RecursionError) as problem:
+        raise RowError(row, "", f"is not JSON: {problem}") from problem
+    return Fields(row, "", decoded)
+
+
+def configuration(row: str, value: object) -> model.Configuration:
+    """Decodes the row with everything that operators decide.
+
+    :param row: table and key
+    :param value: base64 of JSON
+    :return: the configuration
+    """
+    fields = content(row, value)
+    limits = Fields(row, "limits", fields.value.get("limits", {}))
+    services = [service(one) for one in fields.objects("services")]
+    return model.Configuration(
+        version=int(fields.number("version")),
+        routes=tuple(route(one) for one in fields.objects("routes")),
+        services={one.name: one for one in services},
+        teams=tuple(team(one) for one in fields.objects("tenants")),
+        limits=model.CallerLimits(
+            header_bytes=int(limits.number("max-header-bytes", 16_384)),
+            body_bytes=int(limits.number("max-body-bytes", 4_194_304)),
+            header_timeout_ms=int(limits.number("header-timeout-ms", 3_000)),
+            idle_timeout_ms=int(limits.number("idle-timeout-ms", 15_000)),
+        ),
+    )
+
+
+def route(fields: Fields) -> model.Route:
+    """Decodes one route.
+
+    :param fields: the object
+    :return: the route
+    """
+    kind = fields.value.get("kind")
+    if kind not in KINDS:
+        raise fields.fail("kind", f"{kind!r:.80} is not known")
+    targets = tuple(
+        model.Target(one.text("service"), one.number("weight"))
+        for one in fields.objects("split")
+    )
+    if not sum(target.weight for target in targets):
+        targets = (model.Target(fields.text("service"), 1.0),)
+    timeout_ms = fields.number("timeout-ms", DEFAULT_TIMEOUT_MS)
+    return model.Route(
+        name=fields.text("name"),
+        host=fields.text("host").lower(),
+        prefix=fields.text("prefix"),
+        kind=KINDS[kind],
+        targets=targets,
+        rank=int(fields.number("priority", NO_RANK)),
+        timeout_ms=int(timeout_ms),
+        target_ms=int(fields.number("target-latency-ms", DEFAULT_TARGET_MS)),
+        max_attempts=int(fields.number("max-attempts", 1)),
+        public=fields.flag("public"),
+        resumable=fields.flag("resumable"),
+    )
+
+
+def service(fields: Fields) -> model.Service:
+    """Decodes one service.
+
+    :param fields: the object
+    :return: the service
+    """
+    engine = fields.value.get("engine")
+    tokens = 0
+    if isinstance(engine, dict):
+        engine_fields = Fields(fields.row, f"{fields.path}.engine", engine)
+        tokens = int(engine_fields.number("kv-capacity-tokens", 0))
+    return model.Service(
+        name=fields.text("name"),
+        max_connections=int(fields.number("max-connections", 0)),
+        is_engine=isinstance(engine, dict),
+        memory_tokens=tokens,
+    )
+
+
+def team(fields: Fields) -> model.Team:
+    """Decodes one team.
+
+    :param fields: the object
+    :return: the team
+    """
+    keys = fields.items("api-keys")
+    if not all(isinstance(key, str) for key in keys):
+        raise fields.fail("api-keys", "holds something else than strings")
+    rank = fields.value.get("priority")
+    return model.Team(
+        name=fields.text("name"),
+        keys=tuple(keys),
+        rank=None if rank is None else int(fields.number("priority")),
+        tokens_per_s=fields.number("rate-per-s", 0),
+        burst_tokens=fields.number("burst", 0),
+        default_tokens=int(fields.number("plain-tokens", 0)),
+        counts_tokens=fields.value.get("unit") == "tokens",
+    )
+
+
+def upstream(key: str, row: str, value: object) -> model.Upstream:
+    """Decodes what an upstream says of itself.
+
+    :param key: of the row, which is its identity
+    :param row: table and key
+    :param value: base64 of JSON
+    :return: the upstream
+    """
+    fields = content(row, value)
+    address = settings.parse_address(fields.value.get("address"))
+    if address is None:
+        raise fields.fail("address", "is not IP:PORT")
+    state = fields.value.get("state")
+    if state not in STATES:
+        raise fields.fail("state", f"{state!r:.80} is not known")
+    return model.Upstream(
+        id=key,
+        service=fields.text("service"),
+        host=address.host,
+        port=address.port,
+        zone=fields.text("zone"),
+        slots=max(1, int(fields.number("slots", DEFAULT_SLOTS))),
+        leaving=STATES[state],
+        born_ms=int(fields.number("born", 0)),
+    )
--- /dev/null
+++ b/godwitloft/platform/settings.py
@@ -0,0 +1,234 @@
+"""Reads the settings file that the platform writes for each process."""
+
+import dataclasses
+import os
+import pathlib
+import tomllib
+import typing
+
+from godwitloft import errors
+from godwitloft.gateway import allowance
+from godwitloft.gateway import options
+from godwitloft.gateway import retry_budget
+
+PATH_VARIABLE = "GODWITLOFT_BOOT"
+MS_PER_S = 1000
+# Left of the time in which a withdrawn key must stop working.
+KEY_PROOF_MARGIN_MS = 600
+# Left of the time between SIGTERM and SIGKILL.
+LEAVE_MARGIN_MS = 600
+# The balancer asks once a second and leaves after two misses.
+BALANCER_NOTICE_MS = 2_600
+
+
+class SettingsError(errors.UserError):
+    """The settings file can't be used.
+
+    :param path: of the file
+    :param field: dotted name, empty for the whole file
+    :param reason: what is wrong
+    """
+
+    def __init__(self, path: str, field: str, reason: str) -> None:
+        place = f"{path}: field {field!r}" if field else path
+        super().__init__(f"{place}: {reason}")
+
+
+@dataclasses.dataclass(frozen=True)
+class Address:
+    """Where something listens.
+
+    :param host: IP number
+    :param port: TCP port
+    """
+
+    host: str
+    port: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Boot:
+    """The settings of one process.
+
+    :param instance: name of the instance
+    :param host: its IP number
+    :param zone: its availability zone
+    :param front: where callers connect, None if they don't
+    :param ready: where the balancer asks
+    :param store: where the platform's store answers
+    :param upstream: the upstream beside the process, None if there is none
+    :param first_port: of the ports for use between instances
+    :param heartbeat_ms: how often upstreams announce themselves
+    :param options: of the gateway
+    """
+
+    instance: str
+    host: str
+    zone: str
+    front: Address | None
+    ready: Address | None
+    store: Address
+    upstream: Address | None
+    first_port: int
+    heartbeat_ms: int
+    options: options.Options
+
+
+def load(path: str | None = None) -> Boot:
+    """Reads and checks the settings file.
+
+    :param path: of the file, default: as the environment names it
+    :return: the settings
+    :raises SettingsError: naming file and field
+    """
+    path = path or os.environ.get(PATH_VARIABLE, "")
+    if not path:
+        raise SettingsError(PATH_VARIABLE, "", "is not set")
+    try:
+        content = tomllib.loads(pathlib.Path(path).read_text())
+    except (OSError, ValueError) as problem:
+        raise SettingsError(path, "", str(problem)) from problem
+    return decode(Reader(path, content))
+
+
+class Reader:
+    """Reads fields of nested tables and names what is wrong.
+
+    :param path: of the file
+    :param content: the parsed file
+    """
+
+    def __init__(self, path: str, content: dict[str, typing.Any]) -> None:
+        self.path = path
+        self.content = content
+
+    def find(self, field: str) -> object:
+        """Returns a value.
+
+        :param field: dotted name
+        :return: its value, None if it is missing
+        """
+        value: object = self.content
+        for part in field.split("."):
+            if not isinstance(value, dict):
+                return None
+            value = value.get(part)
+        return value
+
+    def text(self, field: str) -> str:
+        """Returns a string that must be there.
+
+        :param field: dotted name
+        :return: its value
+        """
+        value = self.find(field)
+        if not isinstance(value, str) or not value:
+            raise SettingsError(self.path, field, f"{value!r} is not a string")
+        return value
+
+    def number(self, field: str, default: float | None = None) -> float:
+        """Returns a number that isn't negative.
+
+        :param field: dotted name
+        :param default: if it is missing, None if it must be there
+        :return: its value
+        """
+        value = self.find(field)
+        if value is None and default is not None:
+            return default
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            raise SettingsError(self.path, field, f"{value!r} is not a number")
+        if value < 0:
+            raise SettingsError(self.path, field, f"{value!r} is negative")
+        return value
+
+    def address(self, field: str) -> Address | None:
+        """Returns an address.
+
+        :param field: dotted name
+        :return: the address, None if it is missing or empty
+        """
+        value = self.find(field)
+        if value in (None, ""):
+            return None
+        address = parse_address(value)
+        if address is None:
+            raise SettingsError(self.path, field, f"{value!r} is not IP:PORT")
+        return address
+
+
+def parse_address(value: object) -> Address | None:
+    """Returns an address from its text.
+
+    :param value: ``IP:PORT``
+    :return: the address, None if it isn't one
+    """
+    if not isinstance(value, str):
+        return None
+    host, _colon, port = value.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        return None
+    return Address(host, int(port))
+
+
+def decode(reader: Reader) -> Boot:
+    """Turns the platform's fields into the settings of a process.
+
+    :param reader: of the file
+    :return: the settings
+    """
+    store = reader.address("platform.address")
+    if store is None:
+        raise SettingsError(reader.path, "platform.address", "is missing")
+    ports = reader.find("internal-port-range")
+    if not isinstance(ports, list) or not ports or type(ports[0]) is not int:
+        raise SettingsError(
+            reader.path, "internal-port-range", f"{ports!r} is not a range"
+        )
+    return Boot(
+        instance=reader.text("node-name"),
+        host=reader.text("ip"),
+        zone=reader.text("zone"),
+        front=reader.address("listen.front"),
+        ready=reader.address("listen.ready"),
+        store=store,
+        upstream=reader.address("app"),
+        first_port=ports[0],
+        heartbeat_ms=int(reader.number("heartbeat-ms", 1200)),
+        options=decode_options(reader),
+    )
+
+
+def decode_options(reader: Reader) -> options.Options:
+    """Turns the platform's bounds into the options of a gateway.
+
+    :param reader: of the file
+    :return: the options
+    """
+    key_proof_ms = 0
+    if reader.find("bounds.strict-revocation") is True:
+        revoke_ms = reader.number("bounds.revoke-ms")
+        key_proof_ms = max(1, int(revoke_ms) - KEY_PROOF_MARGIN_MS)
+    grace_ms = reader.number("bounds.grace-s", 8) * MS_PER_S
+    return options.Options(
+        instance=reader.text("node-name"),
+        host=reader.text("ip"),
+        zone=reader.text("zone"),
+        key_proof_ms=key_proof_ms,
+        leave_limit_ms=max(0, int(grace_ms) - LEAVE_MARGIN_MS),
+        spread_ms=BALANCER_NOTICE_MS,
+        retries=retry_budget.BudgetSettings(
+            window_ms=int(
+                reader.number("bounds.budget-window-s", 10) * MS_PER_S
+            ),
+            ratio=reader.number("bounds.retry-budget-ratio", 0.2),
+            extra=reader.number("bounds.retry-budget-extra", 0),
+        ),
+        tolerance=allowance.Tolerance(
+            window_ms=int(
+                reader.number("bounds.quota-window-s", 8) * MS_PER_S
+            ),
+            share=reader.number("bounds.quota-overage", 0),
+            tokens=reader.number("bounds.quota-slack", 0),
+        ),
+    )
--- /dev/null
+++ b/godwitloft/platform/watch.py
@@ -0,0 +1,303 @@
+"""Follows the platform's store: configuration, upstreams and gateways."""
+
+import base64
+import dataclasses
+import json
+import typing
+
+from twisted.internet import defer
+
+from godwitloft import clock as clocks
+from godwitloft import events
+from godwitloft.gateway import model
+from godwitloft.platform import rows
+from godwitloft.platform import store as stores
+
+OPERATOR_TABLE = "op"
+CONFIGURATION_KEY = "config"
+UPSTREAM_TABLE = "servers"
+GATEWAY_TABLE = "gateways"
+
+CHANGES_WAIT_MS = 1_500
+UPSTREAM_INTERVAL_MS = 800
+GATEWAY_INTERVAL_MS = 2_000
+GATEWAY_LEASE_MS = 7_000
+SHORTEST_PAUSE_MS = 100
+LONGEST_PAUSE_MS = 800
+# Upstreams whose rows lapsed while the store was away write them again
+# within two seconds of its return.
+RETURN_ALLOWANCE_MS = 2_500
+
+
+@dataclasses.dataclass(frozen=True)
+class Listener:
+    """Who is told of what the store says.
+
+    :param configuration: another configuration was read
+    :param confirmed: at a moment not before this time, the last
+        configuration that was told was the newest
+    :param upstreams: the list of upstreams, by id
+    :param gateways: how many gateways hold a lease
+    """
+
+    configuration: typing.Callable[[model.Configuration], None]
+    confirmed: typing.Callable[[int], None]
+    upstreams: typing.Callable[[dict[str, model.Upstream]], None]
+    gateways: typing.Callable[[int], None]
+
+
+class Pause:
+    """Grows with each failure and starts again after a success.
+
+    :param name: of the loop, for the log
+    """
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.failures = 0
+
+    def succeeded(self) -> None:
+        """Notes a success."""
+        if self.failures:
+            events.log(
+                events.STORE_REGAINED, loop=self.name, failures=self.failures
+            )
+        self.failures = 0
+
+    def failed(self, problem: Exception) -> int:
+        """Notes a failure.
+
+        :param problem: what happened
+        :return: how long to wait, in milliseconds
+        """
+        if self.failures == 0:
+            events.log(events.STORE_LOST, loop=self.name, reason=str(problem))
+        self.failures += 1
+        doublings = min(self.failures - 1, 8)
+        return min(LONGEST_PAUSE_MS, SHORTEST_PAUSE_MS << doublings)
+
+
+class Watch:
+    """The loops that follow the store.
+
+    :param reactor: the twisted reactor
+    :param clock: tells the time, also while the machine is suspended
+    :param store: the client
+    :param listener: who is told
+    :param instance: name of this gateway's row
+    """
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        clock: clocks.Clock,
+        store: stores.Store,
+        listener: Listener,
+        instance: str,
+    ) -> None:
+        self.reactor = reactor
+        self.clock = clock
+        self.store = store
+        self.listener = listener
+        self.instance = instance
+        self.version = 0
+        self.stopped = False
+        self.upstreams: dict[str, model.Upstream] = {}
+        self.bad_rows: dict[str, int] = {}
+        self.list_read_ms = 0
+        self.list_failed = False
+        self.back_since_ms = 0
+
+    def start(self) -> None:
+        """Starts all loops."""
+        self.follow("configuration", self.follow_configuration)
+        self.follow("upstreams", self.follow_upstreams)
+        self.follow("gateways", self.follow_gateways)
+
+    def stop(self) -> None:
+        """Ends all loops after their current call."""
+        self.stopped = True
+
+    def follow(
+        self,
+        name: str,
+        step: typing.Callable[[], "defer.Deferred[int]"],
+    ) -> None:
+        """Runs one loop.
+
+        :param name: for the log
+        :param step: one round; its result is the pause after it
+        """
+        pause = Pause(name)
+
+        def run() -> None:
+            if not self.stopped:
+                defer.maybeDeferred(step).addCallbacks(done, failed)
+
+        def done(pause_ms: int) -> None:
+            pause.succeeded()
+            again(pause_ms)
+
+        def failed(problem: typing.Any) -> None:
+            error = problem.value
+            if isinstance(error, stores.HistoryLostError):
+                self.version = 0
+            elif not isinstance(error, stores.StoreError):
+                events.log_error(events.INTERNAL_ERROR, error, task=name)
+            if name == "upstreams":
+                self.list_failed = True
+            again(pause.failed(error))
+
+        def again(pause_ms: int) -> None:
+            self.reactor.callLater(pause_ms / clocks.MS_PER_S, run)
+
+        run()
+
+    @defer.inlineCallbacks
+    def follow_configuration(
+        self,
+    ) -> typing.Generator[typing.Any, typing.Any, int]:
+        """Reads the configuration, then waits for its next change."""
+        asked_ms = self.clock.monotonic_ms()
+        if self.version == 0:
+            found = yield self.store.read(OPERATOR_TABLE)
+        else:
+            found = yield self.store.changes(
+                OPERATOR_TABLE, self.version, CHANGES_WAIT_MS
+            )
+        known = self.version != 0
+        for row in found.rows:
+            if row.key == CONFIGURATION_KEY and row.value is not None:
+                known = self.take_configuration(row) or known
+        if known:
+            self.listener.confirmed(asked_ms)
+            self.version = found.version
+            return 0
+        return SHORTEST_PAUSE_MS
+
+    def take_configuration(self, row: stores.Row) -> bool:
+        """Decodes and passes on a configuration.
+
+        :param row: the operators' row
+        :return: whether it could be read
+        """
+        name = f"{OPERATOR_TABLE}/{CONFIGURATION_KEY}"
+        try:
+            configuration = rows.configuration(name, row.value)
+        except rows.RowError as problem:
+            self.log_bad_row(name, row.version, problem)
+            return False
+        self.listener.configuration(configuration)
+        return True
+
+    @defer.inlineCallbacks
+    def follow_upstreams(
+        self,
+    ) -> typing.Generator[typing.Any, typing.Any, int]:
+        """Reads the whole list of upstreams."""
+        asked_ms = self.clock.monotonic_ms()
+        listed: dict[str, model.Upstream] = {}
+        last_key = ""
+        while True:
+            found = yield self.store.read(UPSTREAM_TABLE, last_key)
+            for row in found.rows:
+                upstream = self.take_upstream(row)
+                if upstream is not None:
+                    listed[row.key] = upstream
+            if not found.more or not found.rows:
+                break
+            last_key = found.rows[-1].key
+        if self.list_failed:
+            self.list_failed = False
+            self.back_since_ms = self.clock.monotonic_ms()
+        self.keep_lapsed(listed)
+        self.upstreams = listed
+        self.listener.upstreams(listed)
+        took_ms = self.clock.monotonic_ms() - asked_ms
+        return max(SHORTEST_PAUSE_MS, UPSTREAM_INTERVAL_MS - took_ms)
+
+    def keep_lapsed(self, listed: dict[str, model.Upstream]) -> None:
+        """Keeps upstreams that may have lapsed while the store was away.
+
+        :param listed: what the store lists now; is completed
+        """
+        since_ms = self.clock.monotonic_ms() - self.back_since_ms
+        if self.back_since_ms == 0 or since_ms > RETURN_ALLOWANCE_MS:
+            return
+        for key, upstream in self.upstreams.items():
+            if key not in listed:
+                listed[key] = upstream
+
+    def take_upstream(self, row: stores.Row) -> model.Upstream | None:
+        """Decodes the row of one upstream.
+
+        :param row: an upstream's row
+        :return: the upstream, None if the row can't be used
+        """
+        name = f"{UPSTREAM_TABLE}/{row.key}"
+        try:
+            return rows.upstream(row.key, name, row.value)
+        except rows.RowError as problem:
+            self.log_bad_row(name, row.version, problem)
+            return None
+
+    def log_bad_row(
+        self, name: str, version: int, problem: rows.RowError
+    ) -> None:
+        """Logs a row that can't be used, once for each of its versions.
+
+        :param name: table and key
+        :param version: of its last change
+        :param problem: what is wrong
+        """
+        if self.bad_rows.get(name) == version:
+            return
+        self.bad_rows[name] = version
+        events.log(
+            events.ROW_SKIPPED,
+            row=name,
+            version=version,
+            field=problem.field,
+            reason=problem.reason,
+        )
+
+    @defer.inlineCallbacks
+    def follow_gateways(
+        self,
+    ) -> typing.Generator[typing.Any, typing.Any, int]:
+        """Counts the gateways that hold a lease, then renews the own one.
+
+        A gateway that is parted from the store can't renew, and by the time
+        its lease is over it has no proof of valid keys left either.
+        """
+        found = yield self.store.read(GATEWAY_TABLE)
+        others = {
+            row.key
+            for row in found.rows
+            if row.key != self.instance
+            and found.now_ms - renewed_ms(row) < GATEWAY_LEASE_MS
+        }
+        self.listener.gateways(1 + len(others))
+        content = json.dumps({"renewed_ms": found.now_ms}).encode()
+        value = base64.b64encode(content).decode()
+        yield self.store.put(GATEWAY_TABLE, self.instance, value)
+        return GATEWAY_INTERVAL_MS
+
+
+def renewed_ms(row: stores.Row) -> int:
+    """Returns when a gateway renewed its lease.
+
+    :param row: of the gateway
+    :return: on the store's clock; long ago if the row can't be read
+    """
+    try:
+        fields = rows.content(row.key, row.value)
+        return int(fields.number("renewed_ms"))
+    except rows.RowError as problem:
+        events.log(
+            events.ROW_SKIPPED,
+            row=f"{GATEWAY_TABLE}/{row.key}",
+            field=problem.field,
+            reason=problem.reason,
+        )
+        return -GATEWAY_LEASE_MS
--- a/godwitloft/process.py
+++ b/godwitloft/process.py
@@ -9,8 +9,6 @@
 import sys
 import typing
 
-import cappa
-
 import godwitloft
 from godwitloft import errors
 from godwitloft import events
@@ -104,6 +102,9 @@
     :param arguments: words after the program's name, default: the
         process's own
     """
+    # Daemons without a command line start sooner without it.
+    import cappa
+
     try:
         cappa.invoke(command, argv=arguments, version=godwitloft.__version__)
     except errors.UserError as error:
--- a/godwitloft/standins/platform.py
+++ b/godwitloft/standins/platform.py
@@ -19,10 +19,10 @@
 
 from godwitloft import clock as clocks
 from godwitloft import decode
-from godwitloft.platform import faults
-from godwitloft.platform import memory
-from godwitloft.platform import port
 from godwitloft.standins import http
+from godwitloft.store import faults
+from godwitloft.store import memory
+from godwitloft.store import port
 
 MS_PER_S = 1000
 TIME_TO_LIVE_HEADER = "X-Time-To-Live-Ms"
--- /dev/null
+++ b/godwitloft/store/__init__.py
@@ -0,0 +1,1 @@
+"""Ports to the platform's services, and their adapters."""
--- a/godwitloft/platform/connect.py
+++ b/godwitloft/store/connect.py
@@ -6,10 +6,10 @@
 from godwitloft import clock as clocks
 from godwitloft import metrics
 from godwitloft import settings
-from godwitloft.platform import guard
-from godwitloft.platform import http
-from godwitloft.platform import memory
-from godwitloft.platform import port
+from godwitloft.store import guard
+from godwitloft.store import http
+from godwitloft.store import memory
+from godwitloft.store import port
 
 REASON_PREFIX = "platform_"
 # With the usual timeout of 2 s: 3 s for an attempt, 10 s for a call.
--- a/godwitloft/platform/faults.py
+++ b/godwitloft/store/faults.py
@@ -4,7 +4,7 @@
 import enum
 import random
 
-from godwitloft.platform import port
+from godwitloft.store import port
 
 
 class Outage(enum.Enum):
--- a/godwitloft/platform/gate.py
+++ b/godwitloft/store/gate.py
@@ -5,7 +5,7 @@
 from twisted.internet import defer
 from twisted.internet import interfaces
 
-from godwitloft.platform import rate
+from godwitloft.store import rate
 
 MS_PER_S = 1000
 
--- a/godwitloft/platform/guard.py
+++ b/godwitloft/store/guard.py
@@ -16,11 +16,11 @@
 from twisted.internet import task
 
 from godwitloft import events
-from godwitloft.platform import gate
-from godwitloft.platform import port
-from godwitloft.platform import rate
 from godwitloft.policy import breaker as breakers
 from godwitloft.policy import retry
+from godwitloft.store import gate
+from godwitloft.store import port
+from godwitloft.store import rate
 
 MS_PER_S = 1000
 RATE_LIMITED = "rate_limited"
--- a/godwitloft/platform/http.py
+++ b/godwitloft/store/http.py
@@ -19,7 +19,7 @@
 
 from godwitloft import decode
 from godwitloft import errors
-from godwitloft.platform import port
+from godwitloft.store import port
 
 MS_PER_S = 1000
 DEFAULT_TIMEOUT_MS = 2000
--- a/godwitloft/platform/memory.py
+++ b/godwitloft/store/memory.py
@@ -11,9 +11,9 @@
 from twisted.internet import interfaces
 
 from godwitloft import clock as clocks
-from godwitloft.platform import faults
-from godwitloft.platform import port
-from godwitloft.platform import rate
+from godwitloft.store import faults
+from godwitloft.store import port
+from godwitloft.store import rate
 
 MS_PER_S = 1000
 DEFAULT_TIMEOUT_MS = 2000
