Let agents grant the slots of their upstream; share allowances by demand

Cause: each gateway sees only its own requests. Ruled out: the order of waiting requests (waits were short on three of four gateways).

Allowances follow demand (gateway/sharing.py).

--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -60,6 +60,8 @@
 )
 STORE_LOST = Event(1505, logging.WARNING, "the platform's store failed")
 STORE_REGAINED = Event(1506, logging.INFO, "the platform's store answers")
+GATEWAY_HEARD = Event(1108, logging.INFO, "an agent hears a gateway")
+GATEWAY_SILENT = Event(1109, logging.WARNING, "a gateway has gone silent")
 SETTINGS_LOADED = Event(1006, logging.INFO, "the settings were loaded")
 GATEWAYS_CHANGED = Event(1407, logging.INFO, "the number of gateways changed")
 UPSTREAM_FAILED = Event(1301, logging.WARNING, "an upstream failed a request")
--- a/godwitloft/gateway/daemon.py
+++ b/godwitloft/gateway/daemon.py
@@ -9,6 +9,7 @@
 from godwitloft.gateway import front
 from godwitloft.gateway import gateway as gateways
 from godwitloft.gateway import model
+from godwitloft.gateway import sharing
 
 TICK_INTERVAL_MS = 25
 AGE_INTERVAL_MS = 500
@@ -108,6 +109,7 @@
         self.every(TICK_INTERVAL_MS, self.gateway.tick)
         self.every(AGE_INTERVAL_MS, self.front.check_ages)
         self.every(AGE_INTERVAL_MS, self.ready.check_ages)
+        self.every(sharing.TELL_INTERVAL_MS, self.gateway.tell_peers)
         events.log(
             events.STARTED,
             instance=self.gateway.options.instance,
@@ -158,6 +160,9 @@
         self.reactor.callLater(
             options.spread_ms / clocks.MS_PER_S, self.close, end_ms, done
         )
+        self.reactor.callLater(
+            options.last_request_ms / clocks.MS_PER_S, self.gateway.close
+        )
 
     def close(self, end_ms: int, done: typing.Callable[[], None]) -> None:
         """Ends connections between answers, and waits for the last one.
--- a/godwitloft/gateway/fleet.py
+++ b/godwitloft/gateway/fleet.py
@@ -8,7 +8,11 @@
 LONGEST_PAUSE_MS = 4_000
 FAILURES_BEFORE_PAUSE = 3
 NEW_VALUE_WEIGHT = 0.2
-MS_TO_FIRST_DATA_UNKNOWN = 0.0
+USUAL_SLOWNESS = 1.0
+FASTEST = 0.2
+SLOWEST = 20.0
+USUAL_START_MS = 50.0
+USUAL_PROMPT_TOKENS_PER_MS = 80.0
 
 
 class UpstreamState:
@@ -23,23 +27,25 @@
         self.prompt_tokens = 0
         self.failures = 0
         self.paused_until_ms = 0
-        self.first_data_ms = MS_TO_FIRST_DATA_UNKNOWN
-        self.refused_until_ms = 0
-        self.granted: int | None = None
+        self.slowness = USUAL_SLOWNESS
+        self.started = 0
+        self.start_limit = 0
         self.granted_until_ms = 0
+        self.grant_sequence = 0
+        self.told: object = None
+        self.told_ms = 0
 
-    def succeeded(self, first_data_ms: float) -> None:
+    def succeeded(self, first_data_ms: float, prompt_tokens: int) -> None:
         """Notes an answer.
 
         :param first_data_ms: from sending to the first part of the answer
+        :param prompt_tokens: of the request
         """
         self.failures = 0
         self.paused_until_ms = 0
-        if self.first_data_ms == MS_TO_FIRST_DATA_UNKNOWN:
-            self.first_data_ms = first_data_ms
-        else:
-            step = first_data_ms - self.first_data_ms
-            self.first_data_ms += NEW_VALUE_WEIGHT * step
+        slowness = first_data_ms / usual_first_data_ms(prompt_tokens)
+        bounded = min(SLOWEST, max(FASTEST, slowness))
+        self.slowness += NEW_VALUE_WEIGHT * (bounded - self.slowness)
 
     def failed(self, now_ms: int, unreachable: bool) -> None:
         """Notes a failure and pauses after several in a row.
@@ -117,3 +123,12 @@
             for state in self.listed.values()
             if state.upstream.service == service and not state.upstream.leaving
         ]
+
+
+def usual_first_data_ms(prompt_tokens: int) -> float:
+    """Returns the time to the first data to which others are compared.
+
+    :param prompt_tokens: of the request
+    :return: milliseconds
+    """
+    return USUAL_START_MS + prompt_tokens / USUAL_PROMPT_TOKENS_PER_MS
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -16,6 +16,7 @@
 from godwitloft.gateway import allowance
 from godwitloft.gateway import answer as answers
 from godwitloft.gateway import attempt as attempts
+from godwitloft.gateway import crashes
 from godwitloft.gateway import dialect as dialects
 from godwitloft.gateway import fleet as fleets
 from godwitloft.gateway import front
@@ -26,18 +27,28 @@
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import retry_budget
 from godwitloft.gateway import routing
+from godwitloft.gateway import sharing as sharings
+from godwitloft.gateway import slot_client as slot_clients
+from godwitloft.links import datagrams
+from godwitloft.links.generated.datagrams import ttypes
 
 RATE_WINDOW_MS = 2_000
 SHORTEST_RETRY_AFTER_MS = 300
 LONGEST_RETRY_AFTER_MS = 3_000
 UNCONFIGURED_RETRY_AFTER_MS = 500
+LEAVING_RETRY_AFTER_MS = 50
 # Callers leave a stream after the longest of two seconds, four times the
 # target and eight times the allowed pause.
 PATIENCE_MS = 2_000
 PATIENCE_TARGETS = 4
 MAX_WAITING = 2_000
-CRASHES_BEFORE_REFUSAL = 3
-CRASH_MEMORY_MS = 60_000
+# Gateways see each other's demand a little late.
+SAFE_SHARE = 0.9
+# A new bucket holds what it gets in this time.
+FIRST_LEVEL_MS = 1_000
+TEAM_RANKS = 2
+ROUTE_RANKS = 3
+URGENCIES = 2 * TEAM_RANKS * ROUTE_RANKS
 
 
 @dataclasses.dataclass(frozen=True)
@@ -48,6 +59,8 @@
     :param send: sends a request to an upstream
     :param rng: draws the split of a route
     :param instruments: what is counted
+    :param slot_client: speaks with the upstreams' agents
+    :param sharing: speaks with other gateways
     """
 
     clock: clocks.Clock
@@ -57,6 +70,8 @@
     ]
     rng: random.Random
     instruments: metrics.Instruments
+    slot_client: slot_clients.SlotClient
+    sharing: sharings.Sharing
 
 
 class Gateway:
@@ -81,15 +96,15 @@
         self.fleet = fleets.Fleet()
         self.fleet_known = False
         self.confirmed_ms: int | None = None
-        self.gateways = 1
         self.leaving = False
+        self.closing = False
         self.waiting: dict[str, list[requests.Request]] = {}
         self.pumping: set[str] = set()
         self.running: set[requests.Request] = set()
         self.buckets: dict[str, allowance.Bucket] = {}
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
         self.starts: dict[str, collections.deque[int]] = {}
-        self.crashes: dict[bytes, list[int]] = {}
+        self.crashes = crashes.Crashes(surroundings.sharing)
 
     # What the adapter tells.
 
@@ -117,16 +132,39 @@
         if self.confirmed_ms is None or asked_ms > self.confirmed_ms:
             self.confirmed_ms = asked_ms
 
-    def count_gateways(self, number: int) -> None:
-        """Takes the number of gateways that share limits and upstreams.
+    def list_gateways(self, hosts: dict[str, str]) -> None:
+        """Takes the gateways that share limits and upstreams with this one.
 
-        :param number: including this one
+        :param hosts: IP numbers of the others, by instance
         """
-        if number != self.gateways:
+        before = self.gateways
+        self.surroundings.sharing.members(hosts)
+        if self.gateways != before:
             events.log(
-                events.GATEWAYS_CHANGED, number=number, before=self.gateways
+                events.GATEWAYS_CHANGED, number=self.gateways, before=before
             )
-        self.gateways = number
+
+    @property
+    def gateways(self) -> int:
+        """How many gateways hold a lease, with this one."""
+        return self.surroundings.sharing.gateways
+
+    def on_datagram(
+        self, datagram: ttypes.Datagram, _address: datagrams.Address
+    ) -> None:
+        """Takes what an agent or another gateway tells.
+
+        :param datagram: any
+        :param _address: of the sender
+        """
+        if datagram.grant is not None:
+            self.on_grant(datagram.grant)
+        elif datagram.sharing is not None:
+            self.surroundings.sharing.heard(datagram.sharing)
+
+    def tell_peers(self) -> None:
+        """Tells other gateways what limits are used here."""
+        self.surroundings.sharing.tell(tuple(self.crashes.recent))
 
     def list_upstreams(self, upstreams: dict[str, model.Upstream]) -> None:
         """Takes a new list of upstreams.
@@ -183,6 +221,10 @@
         self.leaving = True
         events.log(events.DRAINING, requests=self.unfinished())
 
+    def close(self) -> None:
+        """Refuses requests that come from now on."""
+        self.closing = True
+
     def unfinished(self) -> int:
         """Returns how many requests wait or run.
 
@@ -254,6 +296,8 @@
             return refusals.Refusal(
                 503, "not_configured", UNCONFIGURED_RETRY_AFTER_MS
             )
+        if self.closing:
+            return refusals.Refusal(503, "leaving", LEAVING_RETRY_AFTER_MS)
         problem = self.malformed(exchange)
         if problem:
             return refusals.Refusal(400, problem)
@@ -374,7 +418,7 @@
         """
         now_ms = self.clock.monotonic_ms()
         facts = request.facts
-        if self.crashed_often(facts.fingerprint, now_ms):
+        if self.crashes.often(facts.fingerprint, now_ms):
             return refusals.Refusal(500, "crashes_upstreams")
         if facts.until_ms <= now_ms:
             return refusals.Refusal(503, "no_time_left")
@@ -443,10 +487,13 @@
         if team is None or team.tokens_per_s <= 0:
             return None
         amount = allowance_tokens(team, request.facts.sizes)
+        self.surroundings.sharing.asked(team, amount)
         per_s, most = self.own_share(team)
         bucket = self.buckets.get(team.name)
         if bucket is None:
-            bucket = self.buckets[team.name] = allowance.Bucket(now_ms, most)
+            # What this gateway used before a restart isn't known any more.
+            level = min(most, per_s * FIRST_LEVEL_MS / clocks.MS_PER_S)
+            bucket = self.buckets[team.name] = allowance.Bucket(now_ms, level)
         if bucket.take(amount, per_s, most, now_ms):
             return None
         after_ms = bucket.ms_until(amount, per_s, most)
@@ -467,16 +514,18 @@
         tolerance = self.options.tolerance
         more = 1.0 + tolerance.share
         extra = tolerance.tokens if team.counts_tokens else 0.0
-        gateways = max(1, self.gateways)
-        per_s = team.tokens_per_s * more / gateways
-        most = (team.burst_tokens * more + extra) / gateways
-        return per_s, most
+        fraction = self.surroundings.sharing.fraction(team)
+        per_s = team.tokens_per_s * more * fraction
+        most = (team.burst_tokens * more + extra) * fraction
+        return per_s * SAFE_SHARE, most * SAFE_SHARE
 
     # A request is placed.
 
     def pump_all(self) -> None:
         """Places what can be placed, for all services."""
-        for service in list(self.waiting):
+        if self.router is None:
+            return
+        for service in self.router.configuration.services:
             self.pump(service)
 
     def pump(self, service: str) -> None:
@@ -492,6 +541,7 @@
                 pass
         finally:
             self.pumping.discard(service)
+        self.tell_agents(service)
 
     def place_waiting(self, service: str) -> bool:
         """Tries once to place each waiting request of a service.
@@ -499,10 +549,10 @@
         :param service: its name
         :return: whether requests have come meanwhile
         """
-        queue = self.waiting.get(service)
+        queue = self.waiting.get(service, [])
+        self.waiting[service] = []
         if not queue:
             return False
-        self.waiting[service] = []
         now_ms = self.clock.monotonic_ms()
         states = self.fleet.usable(service)
         queue.sort(key=lambda request: order_key(request, now_ms))
@@ -519,6 +569,35 @@
         self.waiting[service] = left + added
         return bool(added)
 
+    def tell_agents(self, service: str) -> None:
+        """Tells the agents of a service what runs and waits here.
+
+        :param service: its name
+        """
+        router = self.router
+        if router is None:
+            return
+        known = router.configuration.services.get(service)
+        if known is None or not known.is_engine:
+            return
+        now_ms = self.clock.monotonic_ms()
+        counts = [0] * URGENCIES
+        for request in self.waiting.get(service, ()):
+            if request.state is requests.State.WAITING:
+                counts[urgency(request, now_ms)] += 1
+        self.surroundings.slot_client.refresh(
+            self.fleet.usable(service), tuple(counts)
+        )
+
+    def on_grant(self, grant: ttypes.SlotGrant) -> None:
+        """Takes an agent's grant.
+
+        :param grant: how many requests may start at its upstream
+        """
+        service = self.surroundings.slot_client.granted(grant, self.fleet)
+        if service is not None and self.waiting.get(service):
+            self.pump(service)
+
     def place_for(
         self,
         request: requests.Request,
@@ -539,7 +618,7 @@
                 running=state.running,
                 allowed=self.allowed(state, now_ms),
                 slots=state.upstream.slots,
-                first_data_ms=state.first_data_ms,
+                slowness=state.slowness,
                 tried=state.upstream.id in request.tried,
                 paused=state.paused_until_ms > now_ms,
             )
@@ -557,8 +636,8 @@
         :param now_ms: the time
         :return: what its agent granted, or an own estimate
         """
-        if state.granted is not None and now_ms < state.granted_until_ms:
-            return state.granted
+        if now_ms < state.granted_until_ms:
+            return state.running + state.start_limit - state.started
         return placement.allowed_without_agent(
             state.upstream.slots, self.gateways
         )
@@ -584,6 +663,7 @@
         request.placed = state
         request.answer = answers.Answer(request, self.dialect)
         state.running += 1
+        state.started += 1
         state.prompt_tokens += facts.sizes.prompt_tokens
         self.running.add(request)
         self.starts.setdefault(facts.service, collections.deque()).append(
@@ -681,8 +761,11 @@
             request.state = requests.State.ANSWERING
             request.first_data_ms = self.clock.monotonic_ms()
             if request.placed is not None and request.answer.is_sound():
+                self.crashes.sound(request.placed.upstream.id)
                 took_ms = request.first_data_ms - request.sent_ms
-                request.placed.succeeded(took_ms)
+                request.placed.succeeded(
+                    took_ms, request.facts.sizes.prompt_tokens
+                )
         request.answer.take_data(data)
 
     def on_end(
@@ -749,14 +832,20 @@
         """
         if verdict.result is answers.Result.DELIVER and not verdict.failed:
             if request.first_data_ms == 0:
-                state.succeeded(now_ms - request.sent_ms)
+                state.succeeded(
+                    now_ms - request.sent_ms,
+                    request.facts.sizes.prompt_tokens,
+                )
             return
         unreachable = verdict.result is answers.Result.NOT_SENT
         state.failed(now_ms, unreachable)
         request.tried.add(state.upstream.id)
         if verdict.result is answers.Result.BROKEN:
-            times = self.crashes.setdefault(request.facts.fingerprint, [])
-            times.append(now_ms)
+            self.crashes.broken(
+                state.upstream.id, request.facts.fingerprint, now_ms
+            )
+        elif unreachable:
+            self.crashes.unreachable(state.upstream.id, now_ms)
         events.log(
             events.UPSTREAM_FAILED,
             request=request.facts.id,
@@ -765,23 +854,6 @@
             failures=state.failures,
         )
 
-    def crashed_often(self, fingerprint: bytes, now_ms: int) -> bool:
-        """Tells whether a request has broken several upstreams.
-
-        :param fingerprint: of the request
-        :param now_ms: the time
-        :return: whether it must not run again
-        """
-        times = self.crashes.get(fingerprint)
-        if not times:
-            return False
-        recent = [one for one in times if now_ms - one < CRASH_MEMORY_MS]
-        if not recent:
-            del self.crashes[fingerprint]
-            return False
-        self.crashes[fingerprint] = recent
-        return len(recent) >= CRASHES_BEFORE_REFUSAL
-
     def may_try_again(
         self,
         request: requests.Request,
@@ -804,7 +876,7 @@
             return False
         if facts.until_ms <= now_ms:
             return False
-        if self.crashed_often(facts.fingerprint, now_ms):
+        if self.crashes.often(facts.fingerprint, now_ms):
             return False
         states = self.fleet.usable(facts.service)
         if all(state.upstream.id in request.tried for state in states):
@@ -1042,3 +1114,16 @@
     facts = request.facts
     late = now_ms >= facts.target_at_ms and not request.exchange.started
     return late, facts.rank, facts.arrived_ms
+
+
+def urgency(request: requests.Request, now_ms: int) -> int:
+    """Returns how urgent a waiting request is, as agents are told.
+
+    :param request: a waiting request
+    :param now_ms: the time
+    :return: 0 for the most urgent, below ``URGENCIES``
+    """
+    late, (rank, route_rank), _arrived_ms = order_key(request, now_ms)
+    rank = min(rank, TEAM_RANKS - 1)
+    route_rank = min(route_rank, ROUTE_RANKS - 1)
+    return (late * TEAM_RANKS + rank) * ROUTE_RANKS + route_rank
--- a/godwitloft/gateway/options.py
+++ b/godwitloft/gateway/options.py
@@ -17,6 +17,7 @@
         no bound
     :param leave_limit_ms: longest time from being told to leave to the end
     :param spread_ms: time in which a balancer notices that it leaves
+    :param last_request_ms: time after which it takes no further request
     :param retries: bounds on repeats, of all gateways together
     :param tolerance: by how much teams may exceed their allowance
     """
@@ -27,5 +28,6 @@
     key_proof_ms: int
     leave_limit_ms: int
     spread_ms: int
+    last_request_ms: int
     retries: retry_budget.BudgetSettings
     tolerance: allowance.Tolerance
--- a/godwitloft/gateway/placement.py
+++ b/godwitloft/gateway/placement.py
@@ -26,8 +26,7 @@
     :param running: requests that this gateway has there
     :param allowed: requests that this gateway may have there
     :param slots: requests that it works on at the same time
-    :param first_data_ms: usual time to the first part of an answer, 0 if
-        unknown
+    :param slowness: its time to the first data against the usual one
     :param tried: whether it has already refused or failed this request
     :param paused: whether it failed lately
     """
@@ -37,7 +36,7 @@
     running: int
     allowed: int
     slots: int
-    first_data_ms: float
+    slowness: float
     tried: bool
     paused: bool
 
@@ -77,33 +76,18 @@
     candidates = sound or room
     if not candidates:
         return None
-    typical = typical_first_data_ms(candidates)
-    return min(candidates, key=lambda place: cost(place, typical))
+    return min(candidates, key=cost)
 
 
-def typical_first_data_ms(places: typing.Sequence[Place]) -> float:
-    """Returns the median of the known times to the first data.
-
-    :param places: upstreams
-    :return: milliseconds, 1 if none is known
-    """
-    known = sorted(
-        place.first_data_ms for place in places if place.first_data_ms > 0
-    )
-    return known[len(known) // 2] if known else 1.0
-
-
-def cost(place: Place, typical_ms: float) -> float:
+def cost(place: Place) -> float:
     """Returns a number that is the lower the better a place is.
 
     :param place: an upstream
-    :param typical_ms: time to first data of one that isn't known yet
     :return: expected time to the first data, in no unit of its own
     """
-    pace = place.first_data_ms or typical_ms
     load = max(SMALLEST_LOAD, (place.running + 1) / max(1, place.slots))
     distance = 1.0 if place.same_zone else OTHER_ZONE_FACTOR
-    return pace * (1.0 + load) * load * distance
+    return place.slowness * (1.0 + load) * load * distance
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/godwitloft/gateway/sharing.py
@@ -0,0 +1,179 @@
+"""Shares teams' allowances among gateways by what each is asked for.
+
+The load that it answers: a balancer that spreads callers unevenly, and a
+team that sends many times its usual through few gateways. Equal parts would
+refuse at one gateway what another leaves unused.
+"""
+
+import dataclasses
+import math
+import typing
+
+from godwitloft import clock as clocks
+from godwitloft.gateway import model
+from godwitloft.links import datagrams
+from godwitloft.links.generated.datagrams import ttypes
+
+TELL_INTERVAL_MS = 250
+HEARD_LIFE_MS = 1_500
+DEMAND_MEMORY_MS = 1_500.0
+# Part of an equal share that a gateway keeps without any demand.
+KEPT_SHARE = 0.15
+MAX_TEAMS_TOLD = 20
+MAX_CRASHES_TOLD = 20
+SMALLEST_DEMAND = 1.0
+
+
+class Demand:
+    """Tokens a second that a team asks for, as a decaying mean."""
+
+    def __init__(self) -> None:
+        self.level = 0.0
+        self.at_ms = 0
+
+    def add(self, tokens: float, now_ms: int) -> None:
+        """Counts a request.
+
+        :param tokens: its size
+        :param now_ms: the time
+        """
+        self.level = self.per_s(now_ms)
+        self.level += tokens * clocks.MS_PER_S / DEMAND_MEMORY_MS
+        self.at_ms = now_ms
+
+    def per_s(self, now_ms: int) -> float:
+        """Returns the mean.
+
+        :param now_ms: the time
+        :return: tokens a second
+        """
+        passed_ms = now_ms - self.at_ms
+        return self.level * math.exp(-passed_ms / DEMAND_MEMORY_MS)
+
+
+@dataclasses.dataclass(frozen=True)
+class Peer:
+    """What another gateway has told.
+
+    :param demands: tokens a second, by team
+    :param crashing: fingerprints of requests that crashed upstreams
+    :param at_ms: when it was heard
+    """
+
+    demands: dict[str, float]
+    crashing: tuple[bytes, ...]
+    at_ms: int
+
+
+class Sharing:
+    """What this gateway and its peers are asked for.
+
+    :param clock: tells the time
+    :param send: sends a datagram to an address
+    :param instance: name of this gateway
+    :param port: on which gateways listen
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        send: typing.Callable[[bytes, datagrams.Address], None],
+        instance: str,
+        port: int,
+    ) -> None:
+        self.clock = clock
+        self.send = send
+        self.instance = instance
+        self.port = port
+        self.demands: dict[str, Demand] = {}
+        self.hosts: dict[str, str] = {}
+        self.peers: dict[str, Peer] = {}
+
+    def members(self, hosts: dict[str, str]) -> None:
+        """Takes the gateways that hold a lease, without this one.
+
+        :param hosts: IP number by instance
+        """
+        self.hosts = dict(hosts)
+        for name in list(self.peers):
+            if name not in hosts:
+                del self.peers[name]
+
+    @property
+    def gateways(self) -> int:
+        """How many gateways hold a lease, with this one."""
+        return 1 + len(self.hosts)
+
+    def asked(self, team: model.Team, tokens: float) -> None:
+        """Counts a request of a team.
+
+        :param team: whose request
+        :param tokens: its size
+        """
+        demand = self.demands.setdefault(team.name, Demand())
+        demand.add(tokens, self.clock.monotonic_ms())
+
+    def fraction(self, team: model.Team) -> float:
+        """Returns the part of a team's allowance that is this gateway's.
+
+        :param team: whose allowance
+        :return: from 0 to 1; the parts of all gateways make up 1
+        """
+        now_ms = self.clock.monotonic_ms()
+        kept = max(
+            SMALLEST_DEMAND, KEPT_SHARE * team.tokens_per_s / self.gateways
+        )
+        demand = self.demands.get(team.name)
+        own = kept + (demand.per_s(now_ms) if demand is not None else 0.0)
+        total = own
+        silent = 0
+        for name in self.hosts:
+            peer = self.peers.get(name)
+            if peer is None or now_ms - peer.at_ms > HEARD_LIFE_MS:
+                silent += 1
+            else:
+                total += kept + peer.demands.get(team.name, 0.0)
+        return own / total * (1 - silent / self.gateways)
+
+    def tell(self, crashing: typing.Sequence[bytes]) -> None:
+        """Tells all peers what this gateway is asked for.
+
+        :param crashing: fingerprints of requests that crashed upstreams
+        """
+        now_ms = self.clock.monotonic_ms()
+        demands = [
+            ttypes.TeamDemand(team=name, tokens_per_s=demand.per_s(now_ms))
+            for name, demand in self.demands.items()
+        ]
+        demands.sort(key=lambda one: -one.tokens_per_s)
+        sharing = ttypes.Sharing(
+            gateway=self.instance,
+            demands=demands[:MAX_TEAMS_TOLD],
+            crashing=list(crashing[-MAX_CRASHES_TOLD:]),
+        )
+        data = datagrams.encode(sharing=sharing)
+        for host in self.hosts.values():
+            self.send(data, (host, self.port))
+
+    def heard(self, sharing: ttypes.Sharing) -> None:
+        """Takes what a peer tells.
+
+        :param sharing: its datagram
+        """
+        if sharing.gateway not in self.hosts:
+            return
+        self.peers[sharing.gateway] = Peer(
+            demands={one.team: one.tokens_per_s for one in sharing.demands},
+            crashing=tuple(sharing.crashing),
+            at_ms=self.clock.monotonic_ms(),
+        )
+
+    def crashes_elsewhere(self, fingerprint: bytes) -> int:
+        """Returns how often peers saw a request crash an upstream.
+
+        :param fingerprint: of the request
+        :return: number of crashes
+        """
+        return sum(
+            peer.crashing.count(fingerprint) for peer in self.peers.values()
+        )
--- /dev/null
+++ b/godwitloft/gateway/slot_client.py
@@ -0,0 +1,117 @@
+"""A gateway's side of the agents' grants."""
+
+import typing
+
+from godwitloft import clock as clocks
+from godwitloft.gateway import fleet as fleets
+from godwitloft.links import datagrams
+from godwitloft.links.generated.datagrams import ttypes
+
+# How often an agent is told the same again: while something runs or waits,
+# and otherwise.
+BUSY_INTERVAL_MS = 250
+IDLE_INTERVAL_MS = 800
+# An agent that is silent for so long is taken as gone.
+GRANT_LIFE_MS = 1_100
+ASKED_AGENTS = 8
+
+
+class SlotClient:
+    """Tells agents what a gateway runs, and keeps what they granted.
+
+    :param clock: tells the time
+    :param send: sends a datagram to an address
+    :param incarnation: of this gateway
+    :param port: on which all agents listen
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        send: typing.Callable[[bytes, datagrams.Address], None],
+        incarnation: str,
+        port: int,
+    ) -> None:
+        self.clock = clock
+        self.send = send
+        self.incarnation = incarnation
+        self.port = port
+        self.sequence = 0
+
+    def refresh(
+        self,
+        states: typing.Sequence[fleets.UpstreamState],
+        waiting: tuple[int, ...],
+    ) -> None:
+        """Tells agents what has changed, and others now and then.
+
+        :param states: upstreams of one service
+        :param waiting: requests that wait for it, by urgency
+        """
+        now_ms = self.clock.monotonic_ms()
+        asked = self.asked(states) if any(waiting) else set()
+        for state in states:
+            wanted = waiting if state.upstream.id in asked else ()
+            told = (state.started, state.running, wanted)
+            active = state.running > 0 or bool(wanted)
+            interval_ms = BUSY_INTERVAL_MS if active else IDLE_INTERVAL_MS
+            if told == state.told and now_ms - state.told_ms < interval_ms:
+                continue
+            state.told = told
+            state.told_ms = now_ms
+            self.tell(state, wanted)
+
+    def asked(self, states: typing.Sequence[fleets.UpstreamState]) -> set[str]:
+        """Returns the agents that are asked for a slot.
+
+        :param states: upstreams of one service
+        :return: identities of the fastest upstreams
+        """
+        if len(states) <= ASKED_AGENTS:
+            return {state.upstream.id for state in states}
+        fastest = sorted(states, key=lambda state: state.slowness)
+        return {state.upstream.id for state in fastest[:ASKED_AGENTS]}
+
+    def tell(
+        self, state: fleets.UpstreamState, waiting: tuple[int, ...]
+    ) -> None:
+        """Sends a want.
+
+        :param state: the agent's upstream
+        :param waiting: by urgency
+        """
+        self.sequence += 1
+        want = ttypes.SlotWant(
+            upstream=state.upstream.id,
+            gateway=self.incarnation,
+            sequence=self.sequence,
+            started=state.started,
+            running=state.running,
+            slots=state.upstream.slots,
+            waiting=list(waiting),
+        )
+        self.send(
+            datagrams.encode(want=want), (state.upstream.host, self.port)
+        )
+
+    def granted(
+        self, grant: ttypes.SlotGrant, fleet: fleets.Fleet
+    ) -> str | None:
+        """Keeps a grant.
+
+        :param grant: of an agent
+        :param fleet: all upstreams
+        :return: the service that may have room now, None if nothing changed
+        """
+        state = fleet.listed.get(grant.upstream)
+        if state is None or grant.gateway != self.incarnation:
+            return None
+        if grant.sequence < state.grant_sequence:
+            return None
+        now_ms = self.clock.monotonic_ms()
+        state.grant_sequence = grant.sequence
+        state.start_limit = grant.start_limit
+        state.granted_until_ms = now_ms + GRANT_LIFE_MS
+        if grant.start_limit <= state.started:
+            return None
+        return state.upstream.service
--- /dev/null
+++ b/godwitloft/links/datagrams.py
@@ -0,0 +1,86 @@
+"""Sends and receives datagrams between daemons."""
+
+import typing
+
+from thrift import Thrift
+from thrift import TSerialization
+from thrift.protocol import TCompactProtocol
+from twisted.internet import protocol
+
+from godwitloft.links.generated.datagrams import ttypes
+
+MAX_DATAGRAM_BYTES = 1_400
+
+Address = tuple[str, int]
+
+_FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory(
+    string_length_limit=MAX_DATAGRAM_BYTES,
+    container_length_limit=MAX_DATAGRAM_BYTES,
+)
+
+
+def encode(**field: typing.Any) -> bytes:
+    """Encodes one datagram.
+
+    :param field: exactly one field of the ``Datagram`` union with its body
+    :return: its bytes
+    """
+    return TSerialization.serialize(ttypes.Datagram(**field), _FACTORY)
+
+
+def decode(data: bytes) -> ttypes.Datagram | None:
+    """Decodes one datagram.
+
+    :param data: its bytes
+    :return: the union, None if it isn't a whole one
+    """
+    datagram = ttypes.Datagram()
+    try:
+        TSerialization.deserialize(datagram, data, _FACTORY)
+        for body in (datagram.want, datagram.grant, datagram.sharing):
+            if body is not None:
+                body.validate()
+                return datagram
+    except (Thrift.TException, EOFError, TypeError, ValueError):
+        return None
+    return None
+
+
+class Port(protocol.DatagramProtocol):
+    """The task that owns a datagram socket.
+
+    :param received: told each whole datagram and where it came from
+    """
+
+    def __init__(
+        self, received: typing.Callable[[ttypes.Datagram, Address], None]
+    ) -> None:
+        self.received = received
+        self.unreadable = 0
+        self.unsent = 0
+
+    def datagramReceived(self, data: bytes, address: Address) -> None:
+        """Takes one datagram.
+
+        :param data: its bytes
+        :param address: of the sender
+        """
+        datagram = decode(data)
+        if datagram is None:
+            self.unreadable += 1
+            return
+        self.received(datagram, address)
+
+    def send(self, data: bytes, address: Address) -> None:
+        """Sends one datagram; it may get lost.
+
+        :param data: its bytes
+        :param address: IP number and port
+        """
+        if self.transport is None:
+            return
+        try:
+            self.transport.write(data, address)
+        except OSError:
+            # A full buffer or a missing path: the next one tells the same.
+            self.unsent += 1
--- /dev/null
+++ b/godwitloft/links/datagrams.thrift
@@ -0,0 +1,47 @@
+/*
+ * Datagrams between gateways, and between gateways and agents.
+ *
+ * Each holds the whole present state of its matter, so that a lost or
+ * repeated one does no harm. Generated Python is committed; regenerate it
+ * with the thrift compiler (docs/DEVELOPMENT.md).
+ */
+namespace py godwitloft.links.generated.datagrams
+
+/* A gateway tells an agent what it runs there and what waits. */
+struct SlotWant {
+  1: required string upstream       // identity of the agent's upstream
+  2: required string gateway        // incarnation of the sender
+  3: required i64 sequence          // grows with each datagram
+  4: required i64 started           // requests it ever started there
+  5: required i32 running           // of those, not yet ended
+  6: required i32 slots             // of the upstream, as it announced them
+  7: required list<i32> waiting     // by urgency, the most urgent first
+}
+
+/* An agent tells a gateway how far it may go. */
+struct SlotGrant {
+  1: required string upstream
+  2: required string gateway
+  3: required string agent          // incarnation of the sender
+  4: required i64 sequence          // of the want that was last heard
+  5: required i64 start_limit       // started may grow up to this
+}
+
+/* What one team asks of one gateway. */
+struct TeamDemand {
+  1: required string team
+  2: required double tokens_per_s
+}
+
+/* A gateway tells another one what limits they share. */
+struct Sharing {
+  1: required string gateway        // name of the sender's instance
+  2: required list<TeamDemand> demands
+  3: required list<binary> crashing // fingerprints that broke upstreams
+}
+
+union Datagram {
+  1: SlotWant want
+  2: SlotGrant grant
+  3: Sharing sharing
+}
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -1,6 +1,5 @@
 """The program that runs on the platform's machines."""
 
-import dataclasses
 import gc
 import random
 import signal
@@ -8,6 +7,7 @@
 import typing
 
 from godwitloft import clock as clocks
+from godwitloft import daemon as daemons
 from godwitloft import errors
 from godwitloft import events
 from godwitloft import metrics
@@ -16,6 +16,10 @@
 from godwitloft.gateway import daemon
 from godwitloft.gateway import gateway as gateways
 from godwitloft.gateway import model
+from godwitloft.gateway import sharing as sharings
+from godwitloft.gateway import slot_client as slot_clients
+from godwitloft.links import datagrams
+from godwitloft.platform import agent
 from godwitloft.platform import headers
 from godwitloft.platform import settings
 from godwitloft.platform import store as stores
@@ -26,24 +30,12 @@
 GC_YOUNG_OBJECTS = 20_000
 
 
-@dataclasses.dataclass(frozen=True)
-class Parts:
-    """What a gateway's process consists of.
-
-    :param daemon: listeners and timers
-    :param watch: follows the store
-    """
-
-    daemon: daemon.GatewayDaemon
-    watch: watches.Watch
-
-
-def build(reactor: typing.Any, boot: settings.Boot) -> Parts:
+def build(reactor: typing.Any, boot: settings.Boot) -> daemon.GatewayDaemon:
     """Builds a gateway from the platform's settings.
 
     :param reactor: the twisted reactor
     :param boot: checked settings
-    :return: its parts
+    :return: the gateway
     """
     if boot.front is None:
         raise settings.SettingsError(
@@ -58,6 +50,11 @@
     ) -> attempts.Attempt:
         return attempts.start(reactor, upstream, outgoing, owner, boot.host)
 
+    incarnation = daemons.new_incarnation(boot.instance)
+
+    def send_datagram(data: bytes, address: datagrams.Address) -> None:
+        port.send(data, address)
+
     gateway = gateways.Gateway(
         boot.options,
         headers.DIALECT,
@@ -66,8 +63,16 @@
             send=send,
             rng=random.Random(),
             instruments=metrics.discard(),
+            slot_client=slot_clients.SlotClient(
+                clock, send_datagram, incarnation, boot.first_port
+            ),
+            sharing=sharings.Sharing(
+                clock, send_datagram, boot.instance, boot.first_port
+            ),
         ),
     )
+    port = datagrams.Port(gateway.on_datagram)
+    reactor.listenUDP(boot.first_port, port, interface=boot.host)
     store = stores.Store(reactor, boot.store.host, boot.store.port, boot.host)
     watch = watches.Watch(
         reactor,
@@ -77,9 +82,10 @@
             configuration=gateway.configure,
             confirmed=gateway.confirm,
             upstreams=gateway.list_upstreams,
-            gateways=gateway.count_gateways,
+            gateways=gateway.list_gateways,
         ),
         boot.instance,
+        boot.host,
     )
     listen = daemon.Listen(
         host=boot.front.host,
@@ -87,9 +93,13 @@
         ready_port=boot.ready.port if boot.ready else None,
     )
     source = daemon.Source(start=watch.start, stop=watch.stop)
-    return Parts(
-        daemon.GatewayDaemon(reactor, clock, gateway, source, listen), watch
-    )
+    return daemon.GatewayDaemon(reactor, clock, gateway, source, listen)
+
+
+ROLES: typing.Final[dict[str, typing.Callable[..., process.Daemon]]] = {
+    "entry": build,
+    "agent": agent.build,
+}
 
 
 def on_hangup(_number: int, _frame: object) -> None:
@@ -110,19 +120,23 @@
 
 
 def main() -> None:
-    """Runs a gateway with the settings that the environment names."""
+    """Runs a role with the settings that the environment names."""
     from twisted.internet import reactor
 
+    role = sys.argv[1] if len(sys.argv) > 1 else "entry"
+    if role not in ROLES:
+        print(f"{sys.argv[0]}: role {role!r} is not known", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
     events.configure(stream=sys.stdout)
     try:
-        parts = build(reactor, settings.load())
+        daemon_of_role = ROLES[role](reactor, settings.load())
     except errors.UserError as problem:
         print(f"{sys.argv[0]}: {problem}", file=sys.stderr)
         sys.exit(EXIT_USAGE)
     signal.signal(signal.SIGHUP, on_hangup)
     gc.freeze()
     gc.set_threshold(GC_YOUNG_OBJECTS, 20, 100)
-    process.run_daemon(reactor, parts.daemon)
+    process.run_daemon(reactor, daemon_of_role)
 
 
 if __name__ == "__main__":
--- a/godwitloft/platform/settings.py
+++ b/godwitloft/platform/settings.py
@@ -19,6 +19,8 @@
 LEAVE_MARGIN_MS = 600
 # The balancer asks once a second and leaves after two misses.
 BALANCER_NOTICE_MS = 2_600
+# Part of the time between SIGTERM and SIGKILL in which requests are taken.
+LAST_REQUEST_SHARE = 0.45
 
 
 class SettingsError(errors.UserError):
@@ -217,6 +219,7 @@
         key_proof_ms=key_proof_ms,
         leave_limit_ms=max(0, int(grace_ms) - LEAVE_MARGIN_MS),
         spread_ms=BALANCER_NOTICE_MS,
+        last_request_ms=int(grace_ms * LAST_REQUEST_SHARE),
         retries=retry_budget.BudgetSettings(
             window_ms=int(
                 reader.number("bounds.budget-window-s", 10) * MS_PER_S
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -9,6 +9,7 @@
 
 from godwitloft import clock as clocks
 from godwitloft import events
+from godwitloft.gateway import listing as listings
 from godwitloft.gateway import model
 from godwitloft.platform import rows
 from godwitloft.platform import store as stores
@@ -20,13 +21,11 @@
 
 CHANGES_WAIT_MS = 1_500
 UPSTREAM_INTERVAL_MS = 800
+RETURN_INTERVAL_MS = 400
 GATEWAY_INTERVAL_MS = 2_000
 GATEWAY_LEASE_MS = 7_000
 SHORTEST_PAUSE_MS = 100
 LONGEST_PAUSE_MS = 800
-# Upstreams whose rows lapsed while the store was away write them again
-# within two seconds of its return.
-RETURN_ALLOWANCE_MS = 2_500
 
 
 @dataclasses.dataclass(frozen=True)
@@ -37,13 +36,13 @@
     :param confirmed: at a moment not before this time, the last
         configuration that was told was the newest
     :param upstreams: the list of upstreams, by id
-    :param gateways: how many gateways hold a lease
+    :param gateways: IP numbers of the others that hold a lease, by instance
     """
 
     configuration: typing.Callable[[model.Configuration], None]
     confirmed: typing.Callable[[int], None]
     upstreams: typing.Callable[[dict[str, model.Upstream]], None]
-    gateways: typing.Callable[[int], None]
+    gateways: typing.Callable[[dict[str, str]], None]
 
 
 class Pause:
@@ -85,6 +84,7 @@
     :param store: the client
     :param listener: who is told
     :param instance: name of this gateway's row
+    :param host: IP number where other gateways reach this one
     """
 
     def __init__(
@@ -94,7 +94,9 @@
         store: stores.Store,
         listener: Listener,
         instance: str,
+        host: str,
     ) -> None:
+        self.host = host
         self.reactor = reactor
         self.clock = clock
         self.store = store
@@ -102,11 +104,9 @@
         self.instance = instance
         self.version = 0
         self.stopped = False
-        self.upstreams: dict[str, model.Upstream] = {}
+        self.listing = listings.Listing()
         self.bad_rows: dict[str, int] = {}
-        self.list_read_ms = 0
         self.list_failed = False
-        self.back_since_ms = 0
 
     def start(self) -> None:
         """Starts all loops."""
@@ -207,26 +207,16 @@
             if not found.more or not found.rows:
                 break
             last_key = found.rows[-1].key
+        now_ms = self.clock.monotonic_ms()
         if self.list_failed:
             self.list_failed = False
-            self.back_since_ms = self.clock.monotonic_ms()
-        self.keep_lapsed(listed)
-        self.upstreams = listed
-        self.listener.upstreams(listed)
+            self.listing.returned(now_ms)
+        self.listener.upstreams(self.listing.take(listed, now_ms))
         took_ms = self.clock.monotonic_ms() - asked_ms
-        return max(SHORTEST_PAUSE_MS, UPSTREAM_INTERVAL_MS - took_ms)
-
-    def keep_lapsed(self, listed: dict[str, model.Upstream]) -> None:
-        """Keeps upstreams that may have lapsed while the store was away.
-
-        :param listed: what the store lists now; is completed
-        """
-        since_ms = self.clock.monotonic_ms() - self.back_since_ms
-        if self.back_since_ms == 0 or since_ms > RETURN_ALLOWANCE_MS:
-            return
-        for key, upstream in self.upstreams.items():
-            if key not in listed:
-                listed[key] = upstream
+        interval_ms = UPSTREAM_INTERVAL_MS
+        if self.listing.awaits_return():
+            interval_ms = RETURN_INTERVAL_MS
+        return max(SHORTEST_PAUSE_MS, interval_ms - took_ms)
 
     def take_upstream(self, row: stores.Row) -> model.Upstream | None:
         """Decodes the row of one upstream.
@@ -271,28 +261,43 @@
         its lease is over it has no proof of valid keys left either.
         """
         found = yield self.store.read(GATEWAY_TABLE)
-        others = {
-            row.key
-            for row in found.rows
-            if row.key != self.instance
-            and found.now_ms - renewed_ms(row) < GATEWAY_LEASE_MS
-        }
-        self.listener.gateways(1 + len(others))
-        content = json.dumps({"renewed_ms": found.now_ms}).encode()
-        value = base64.b64encode(content).decode()
+        others = {}
+        for row in found.rows:
+            holder = lease_holder(row)
+            if holder is None or row.key == self.instance:
+                continue
+            if found.now_ms - holder.renewed_ms < GATEWAY_LEASE_MS:
+                others[row.key] = holder.host
+        self.listener.gateways(others)
+        content = {"renewed_ms": found.now_ms, "host": self.host}
+        value = base64.b64encode(json.dumps(content).encode()).decode()
         yield self.store.put(GATEWAY_TABLE, self.instance, value)
         return GATEWAY_INTERVAL_MS
 
 
-def renewed_ms(row: stores.Row) -> int:
-    """Returns when a gateway renewed its lease.
+@dataclasses.dataclass(frozen=True)
+class LeaseHolder:
+    """A gateway's row.
+
+    :param host: its IP number
+    :param renewed_ms: when it renewed its lease, on the store's clock
+    """
+
+    host: str
+    renewed_ms: int
+
+
+def lease_holder(row: stores.Row) -> LeaseHolder | None:
+    """Decodes a gateway's row.
 
     :param row: of the gateway
-    :return: on the store's clock; long ago if the row can't be read
+    :return: the holder, None if the row can't be read
     """
     try:
         fields = rows.content(row.key, row.value)
-        return int(fields.number("renewed_ms"))
+        return LeaseHolder(
+            fields.text("host"), int(fields.number("renewed_ms"))
+        )
     except rows.RowError as problem:
         events.log(
             events.ROW_SKIPPED,
@@ -300,4 +305,4 @@
             field=problem.field,
             reason=problem.reason,
         )
-        return -GATEWAY_LEASE_MS
+        return None
