--- a/godwitloft/gateway/allowance.py
+++ b/godwitloft/gateway/allowance.py
@@ -1,13 +1,13 @@
-"""Counts what teams use against allowances that all gateways share.
+"""Counts what a team has used in a sliding window.
 
-Each gateway may use an equal part of a team's rate and burst. The parts of
-all gateways together never exceed the whole, whoever is parted from whom,
-as long as no gateway believes in fewer gateways than there are.
+The limit on a team is a sum over a window, not a steady rate: a team that
+was quiet may use at once what it left unused.
 """
 
+import collections
 import dataclasses
 
-from godwitloft import clock as clocks
+from godwitloft.gateway import model
 
 
 @dataclasses.dataclass(frozen=True)
@@ -24,46 +24,80 @@
     tokens: float
 
 
-class Bucket:
-    """A token bucket that may be refilled at a changing rate.
+# Of the absolute tolerance, this part covers what gateways don't yet know
+# of each other; the rest may be used.
+USED_TOLERANCE = 0.5
+# Requests that are on their way to an upstream arrive a little later than
+# they were counted, so that windows are counted longer than they are.
+WINDOW_MARGIN_MS = 300
+MS_PER_S = 1000
 
-    :param now_ms: the time
-    :param level: what it holds at the start
+
+class Use:
+    """One use of an allowance.
+
+    :param at_ms: when it counts
+    :param tokens: how many; 0 once it has been taken back
     """
 
-    def __init__(self, now_ms: int, level: float) -> None:
-        self.level = level
-        self.filled_ms = now_ms
+    def __init__(self, at_ms: int, tokens: float) -> None:
+        self.at_ms = at_ms
+        self.tokens = tokens
+
 
-    def take(
-        self, amount: float, per_s: float, most: float, now_ms: int
-    ) -> bool:
-        """Takes tokens if there are enough.
+class Window:
+    """What was used lately.
+
+    :param length_ms: how long a use counts
+    """
 
-        :param amount: how many
-        :param per_s: rate at which it fills
-        :param most: what it can hold
+    def __init__(self, length_ms: int) -> None:
+        self.length_ms = length_ms
+        self.uses: collections.deque[Use] = collections.deque()
+        self.sum = 0.0
+
+    def add(self, tokens: float, now_ms: int) -> Use:
+        """Counts a use.
+
+        :param tokens: how many
         :param now_ms: the time
-        :return: whether they were taken
+        :return: the use, to be taken back or moved
         """
-        passed_s = (now_ms - self.filled_ms) / clocks.MS_PER_S
-        self.filled_ms = now_ms
-        self.level = min(most, self.level + passed_s * per_s)
-        # One request larger than the bucket must not wait for ever.
-        if self.level < min(amount, most):
-            return False
-        self.level -= amount
-        return True
-
-    def ms_until(self, amount: float, per_s: float, most: float) -> int:
-        """Returns how long until tokens can be taken.
-
-        :param amount: how many
-        :param per_s: rate at which it fills
-        :param most: what it can hold
-        :return: milliseconds
+        use = Use(now_ms, tokens)
+        self.uses.append(use)
+        self.sum += tokens
+        return use
+
+    def take_back(self, use: Use) -> None:
+        """Counts a use no longer.
+
+        :param use: what :meth:`add` returned
         """
-        missing = min(amount, most) - self.level
-        if missing <= 0 or per_s <= 0:
-            return 0
-        return int(missing / per_s * clocks.MS_PER_S)
+        self.sum -= use.tokens
+        use.tokens = 0.0
+
+    def total(self, now_ms: int) -> float:
+        """Returns what was used within the window.
+
+        :param now_ms: the time
+        :return: tokens
+        """
+        start_ms = now_ms - self.length_ms
+        while self.uses and self.uses[0].at_ms <= start_ms:
+            self.sum -= self.uses.popleft().tokens
+        return max(0.0, self.sum)
+
+
+def window_limit(team: model.Team, tolerance: Tolerance) -> float:
+    """Returns what a team may use in a window, over all gateways.
+
+    :param team: whose allowance
+    :param tolerance: of the limit
+    :return: tokens, or requests where the allowance counts those
+    """
+    seconds = tolerance.window_ms / MS_PER_S
+    limit = team.tokens_per_s * seconds + team.burst_tokens
+    limit *= 1.0 + tolerance.share
+    if team.counts_tokens:
+        limit += tolerance.tokens * USED_TOLERANCE
+    return limit
--- a/godwitloft/gateway/arbiter.py
+++ b/godwitloft/gateway/arbiter.py
@@ -21,7 +21,7 @@
 LISTEN_FIRST_MS = 400
 GATHER_MS = 2
 # A request that has just begun or ended is in one count and not the other.
-REPORTS_COMPARED = 3
+REPORTS_COMPARED = 2
 
 
 @dataclasses.dataclass(frozen=True)
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -13,7 +13,6 @@
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft import metrics
-from godwitloft.gateway import allowance
 from godwitloft.gateway import answer as answers
 from godwitloft.gateway import attempt as attempts
 from godwitloft.gateway import crashes
@@ -42,10 +41,7 @@
 PATIENCE_MS = 2_000
 PATIENCE_TARGETS = 4
 MAX_WAITING = 2_000
-# Gateways see each other's demand a little late.
-SAFE_SHARE = 0.9
-# A new bucket holds what it gets in this time.
-FIRST_LEVEL_MS = 1_000
+ALLOWANCE_RETRY_AFTER_MS = 1_000
 TEAM_RANKS = 2
 ROUTE_RANKS = 3
 URGENCIES = 2 * TEAM_RANKS * ROUTE_RANKS
@@ -101,7 +97,6 @@
         self.waiting: dict[str, list[requests.Request]] = {}
         self.pumping: set[str] = set()
         self.running: set[requests.Request] = set()
-        self.buckets: dict[str, allowance.Bucket] = {}
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
         self.starts: dict[str, collections.deque[int]] = {}
         self.crashes = crashes.Crashes(surroundings.sharing)
@@ -428,7 +423,7 @@
         wait_ms = self.expected_wait_ms(request, queue, now_ms)
         if now_ms + wait_ms > facts.patience_until_ms:
             return self.overloaded(request, "wait_too_long")
-        return self.within_allowance(request, now_ms)
+        return self.within_allowance(request)
 
     def expected_wait_ms(
         self,
@@ -465,60 +460,42 @@
         facts = request.facts
         now_ms = self.clock.monotonic_ms()
         left_ms = facts.caller_until_ms - now_ms
+        latest_ms = bounded_retry_after_ms(left_ms / 3)
         after_ms = self.surroundings.rng.uniform(
-            SHORTEST_RETRY_AFTER_MS,
-            max(
-                SHORTEST_RETRY_AFTER_MS,
-                min(LONGEST_RETRY_AFTER_MS, left_ms / 3),
-            ),
+            SHORTEST_RETRY_AFTER_MS, latest_ms
         )
         return refusals.Refusal(503, reason, int(after_ms))
 
     def within_allowance(
-        self, request: requests.Request, now_ms: int
+        self, request: requests.Request
     ) -> refusals.Refusal | None:
         """Charges a request to its team.
 
         :param request: a new request
-        :param now_ms: the time
         :return: None, or why it is refused
         """
         team = request.facts.team
         if team is None or team.tokens_per_s <= 0:
             return None
         amount = allowance_tokens(team, request.facts.sizes)
-        self.surroundings.sharing.asked(team, amount)
-        per_s, most = self.own_share(team)
-        bucket = self.buckets.get(team.name)
-        if bucket is None:
-            # What this gateway used before a restart isn't known any more.
-            level = min(most, per_s * FIRST_LEVEL_MS / clocks.MS_PER_S)
-            bucket = self.buckets[team.name] = allowance.Bucket(now_ms, level)
-        if bucket.take(amount, per_s, most, now_ms):
+        sharing = self.surroundings.sharing
+        request.use = sharing.take(team, amount)
+        if request.use is not None:
             return None
-        after_ms = bucket.ms_until(amount, per_s, most)
+        after_ms = ALLOWANCE_RETRY_AFTER_MS
         return refusals.Refusal(
             429,
             "team_allowance",
-            max(
-                SHORTEST_RETRY_AFTER_MS, min(LONGEST_RETRY_AFTER_MS, after_ms)
-            ),
+            bounded_retry_after_ms(after_ms),
+            {
+                "team": team.name,
+                "tokens": amount,
+                "left": round(sharing.left(team)),
+                "fraction": round(sharing.fraction(team), 3),
+                "gateways": sharing.gateways,
+            },
         )
 
-    def own_share(self, team: model.Team) -> tuple[float, float]:
-        """Returns the part of a team's allowance that this gateway may use.
-
-        :param team: whose allowance
-        :return: tokens a second, and tokens at once
-        """
-        tolerance = self.options.tolerance
-        more = 1.0 + tolerance.share
-        extra = tolerance.tokens if team.counts_tokens else 0.0
-        fraction = self.surroundings.sharing.fraction(team)
-        per_s = team.tokens_per_s * more * fraction
-        most = (team.burst_tokens * more + extra) * fraction
-        return per_s * SAFE_SHARE, most * SAFE_SHARE
-
     # A request is placed.
 
     def pump_all(self) -> None:
@@ -654,6 +631,10 @@
         facts = request.facts
         if not self.still_permitted(request, now_ms):
             return
+        if facts.team is not None and request.use is not None:
+            request.use = self.surroundings.sharing.move(
+                facts.team, request.use
+            )
         if request.arrivals == 0:
             self.budget(facts.service).note_first(now_ms)
         request.arrivals += 1
@@ -945,6 +926,9 @@
             request.facts.id, refusal, waited_ms, request.facts.route.name
         )
         request.state = requests.State.ENDED
+        team = request.facts.team
+        if request.runs == 0 and request.use is not None and team is not None:
+            self.surroundings.sharing.window(team.name).take_back(request.use)
         refusals.answer(request.exchange, refusal)
 
     def log_refusal(
@@ -974,6 +958,7 @@
             waited_ms=waited_ms,
             retry_after_ms=refusal.retry_after_ms,
             version=router.configuration.version if router else None,
+            **refusal.inputs,
         )
 
     def ended(
--- a/godwitloft/gateway/listing.py
+++ b/godwitloft/gateway/listing.py
@@ -8,7 +8,7 @@
 
 from godwitloft.gateway import model
 
-RETURN_ALLOWANCE_MS = 2_200
+RETURN_ALLOWANCE_MS = 1_900
 
 
 class Listing:
--- a/godwitloft/gateway/refusals.py
+++ b/godwitloft/gateway/refusals.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import typing
 
 from godwitloft.gateway import front
 
@@ -15,11 +16,15 @@
     :param status: HTTP status; 408, 429 and 503 promise that it never ran
     :param reason: name for logs, counters and the caller
     :param retry_after_ms: when to come back, None for no advice
+    :param inputs: what decided it, for the log
     """
 
     status: int
     reason: str
     retry_after_ms: int | None = None
+    inputs: typing.Mapping[str, typing.Any] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def answer(exchange: front.Exchange, refusal: Refusal) -> None:
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -5,6 +5,7 @@
 import hashlib
 import typing
 
+from godwitloft.gateway import allowance
 from godwitloft.gateway import attempt as attempts
 from godwitloft.gateway import dialect as dialects
 from godwitloft.gateway import fleet
@@ -104,6 +105,7 @@
         self.first_data_ms = 0
         self.last_event: bytes | None = None
         self.last_reason = ""
+        self.use: allowance.Use | None = None
 
 
 def read_sizes(
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -10,6 +10,7 @@
 import typing
 
 from godwitloft import clock as clocks
+from godwitloft.gateway import allowance
 from godwitloft.gateway import model
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
@@ -56,11 +57,13 @@
     """What another gateway has told.
 
     :param demands: tokens a second, by team
+    :param used: tokens in the window of the limit, by team
     :param crashing: fingerprints of requests that crashed upstreams
     :param at_ms: when it was heard
     """
 
     demands: dict[str, float]
+    used: dict[str, float]
     crashing: tuple[bytes, ...]
     at_ms: int
 
@@ -72,6 +75,7 @@
     :param send: sends a datagram to an address
     :param instance: name of this gateway
     :param port: on which gateways listen
+    :param tolerance: of the limits
     """
 
     def __init__(
@@ -80,7 +84,12 @@
         send: typing.Callable[[bytes, datagrams.Address], None],
         instance: str,
         port: int,
+        tolerance: allowance.Tolerance,
     ) -> None:
+        self.tolerance = tolerance
+        self.started_ms = clock.monotonic_ms()
+        self.windows: dict[str, allowance.Window] = {}
+        self.taken: dict[str, float] = {}
         self.clock = clock
         self.send = send
         self.instance = instance
@@ -135,6 +144,75 @@
                 total += kept + peer.demands.get(team.name, 0.0)
         return own / total * (1 - silent / self.gateways)
 
+    def window(self, team: str) -> allowance.Window:
+        """Returns what this gateway has used of an allowance.
+
+        :param team: name of the team
+        :return: the window
+        """
+        window = self.windows.get(team)
+        if window is None:
+            length_ms = self.tolerance.window_ms + allowance.WINDOW_MARGIN_MS
+            window = self.windows[team] = allowance.Window(length_ms)
+        return window
+
+    def left(self, team: model.Team) -> float:
+        """Returns what this gateway may still use of an allowance.
+
+        It may use its part of what all have left, until it has told them
+        and heard from them again.
+
+        :param team: whose allowance
+        :return: tokens
+        """
+        now_ms = self.clock.monotonic_ms()
+        own = self.window(team.name).total(now_ms)
+        taken = self.taken.get(team.name, 0.0)
+        limit = allowance.window_limit(team, self.tolerance)
+        used = own - taken + self.used_before_start(limit, now_ms)
+        for name in self.hosts:
+            peer = self.peers.get(name)
+            if peer is not None:
+                used += peer.used.get(team.name, 0.0)
+        return (limit - used) * self.fraction(team) - taken
+
+    def used_before_start(self, limit: float, now_ms: int) -> float:
+        """Returns what an earlier start of this process may have used.
+
+        :param limit: over all gateways
+        :param now_ms: the time
+        :return: tokens; less and less, none after a whole window
+        """
+        since_ms = now_ms - self.started_ms
+        part = max(0.0, 1.0 - since_ms / self.tolerance.window_ms)
+        return limit / self.gateways * part
+
+    def take(self, team: model.Team, tokens: float) -> allowance.Use | None:
+        """Uses a part of an allowance.
+
+        :param team: whose allowance
+        :param tokens: how many
+        :return: the use, None if too little is left
+        """
+        self.asked(team, tokens)
+        if tokens > self.left(team):
+            return None
+        self.taken[team.name] = self.taken.get(team.name, 0.0) + tokens
+        now_ms = self.clock.monotonic_ms()
+        return self.window(team.name).add(tokens, now_ms)
+
+    def move(self, team: model.Team, use: allowance.Use) -> allowance.Use:
+        """Counts a use from now on, because it takes place now.
+
+        :param team: whose allowance
+        :param use: what :meth:`take` returned
+        :return: the use in its place
+        """
+        window = self.window(team.name)
+        tokens = use.tokens
+        window.take_back(use)
+        return window.add(tokens, self.clock.monotonic_ms())
+
     def tell(self, crashing: typing.Sequence[bytes]) -> None:
         """Tells all peers what this gateway is asked for.
 
@@ -142,7 +220,11 @@
         """
         now_ms = self.clock.monotonic_ms()
         demands = [
-            ttypes.TeamDemand(team=name, tokens_per_s=demand.per_s(now_ms))
+            ttypes.TeamDemand(
+                team=name,
+                tokens_per_s=demand.per_s(now_ms),
+                used=self.window(name).total(now_ms),
+            )
             for name, demand in self.demands.items()
         ]
         demands.sort(key=lambda one: -one.tokens_per_s)
@@ -154,6 +236,7 @@
         data = datagrams.encode(sharing=sharing)
         for host in self.hosts.values():
             self.send(data, (host, self.port))
+        self.taken.clear()
 
     def heard(self, sharing: ttypes.Sharing) -> None:
         """Takes what a peer tells.
@@ -164,6 +247,7 @@
             return
         self.peers[sharing.gateway] = Peer(
             demands={one.team: one.tokens_per_s for one in sharing.demands},
+            used={one.team: one.used for one in sharing.demands},
             crashing=tuple(sharing.crashing),
             at_ms=self.clock.monotonic_ms(),
         )
--- a/godwitloft/links/datagrams.thrift
+++ b/godwitloft/links/datagrams.thrift
@@ -31,6 +31,7 @@
 struct TeamDemand {
   1: required string team
   2: required double tokens_per_s
+  3: required double used           // tokens in the window of the limit
 }
 
 /* A gateway tells another one what limits they share. */
--- a/godwitloft/platform/agent.py
+++ b/godwitloft/platform/agent.py
@@ -13,7 +13,7 @@
 from godwitloft.links import datagrams
 from godwitloft.platform import settings
 
-REPORT_INTERVAL_MS = 250
+REPORT_INTERVAL_MS = 1_000
 REPORT_TIMEOUT_MS = 1_000
 REPORT_PATH = b"/report"
 HTTP_OK = 200
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -67,7 +67,11 @@
                 clock, send_datagram, incarnation, boot.first_port
             ),
             sharing=sharings.Sharing(
-                clock, send_datagram, boot.instance, boot.first_port
+                clock,
+                send_datagram,
+                boot.instance,
+                boot.first_port,
+                boot.options.tolerance,
             ),
         ),
     )
