--- a/godwitloft/gateway/arbiter.py
+++ b/godwitloft/gateway/arbiter.py
@@ -146,11 +146,12 @@
                 for want in wants
             ],
         )
+        unread = sum(want.unread for want in wants)
         for want in wants:
             limit = want.started + starts[want.gateway]
             if book.told.get(want.gateway) != limit:
                 book.told[want.gateway] = limit
-                self.tell(book, want, limit)
+                self.tell(book, want, limit, unread - want.unread)
 
     def forget(self, book: Book, now_ms: int) -> None:
         """Drops gateways that have gone silent.
@@ -169,12 +170,15 @@
                     running=heard.want.running,
                 )
 
-    def tell(self, book: Book, want: ttypes.SlotWant, limit: int) -> None:
+    def tell(
+        self, book: Book, want: ttypes.SlotWant, limit: int, unread: int
+    ) -> None:
         """Sends a grant.
 
         :param book: of the upstream
         :param want: the last one of the gateway
         :param limit: how many requests it may ever have started
+        :param unread: prompt tokens that other gateways sent
         """
         grant = ttypes.SlotGrant(
             upstream=book.upstream,
@@ -182,6 +186,7 @@
             agent=self.incarnation,
             sequence=want.sequence,
             start_limit=limit,
+            unread_elsewhere=unread,
         )
         self.send(
             datagrams.encode(grant=grant), book.heard[want.gateway].address
--- a/godwitloft/gateway/fleet.py
+++ b/godwitloft/gateway/fleet.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from godwitloft.gateway import model
+from godwitloft.gateway import placement
 
 UNREACHABLE_PAUSE_MS = 500
 LONGEST_PAUSE_MS = 4_000
@@ -11,8 +12,6 @@
 USUAL_SLOWNESS = 1.0
 FASTEST = 0.2
 SLOWEST = 20.0
-USUAL_START_MS = 50.0
-USUAL_PROMPT_TOKENS_PER_MS = 80.0
 
 
 class UpstreamState:
@@ -24,7 +23,8 @@
     def __init__(self, upstream: model.Upstream) -> None:
         self.upstream = upstream
         self.running = 0
-        self.prompt_tokens = 0
+        self.unread = 0
+        self.unread_elsewhere = 0
         self.failures = 0
         self.paused_until_ms = 0
         self.slowness = USUAL_SLOWNESS
@@ -39,11 +39,12 @@
         """Notes an answer.
 
         :param first_data_ms: from sending to the first part of the answer
-        :param prompt_tokens: of the request
+        :param prompt_tokens: that were to be read, with those of others
         """
         self.failures = 0
         self.paused_until_ms = 0
-        slowness = first_data_ms / usual_first_data_ms(prompt_tokens)
+        usual_ms = placement.usual_first_data_ms(prompt_tokens)
+        slowness = first_data_ms / usual_ms
         bounded = min(SLOWEST, max(FASTEST, slowness))
         self.slowness += NEW_VALUE_WEIGHT * (bounded - self.slowness)
 
@@ -123,12 +124,3 @@
             for state in self.listed.values()
             if state.upstream.service == service and not state.upstream.leaving
         ]
-
-
-def usual_first_data_ms(prompt_tokens: int) -> float:
-    """Returns the time to the first data to which others are compared.
-
-    :param prompt_tokens: of the request
-    :return: milliseconds
-    """
-    return USUAL_START_MS + prompt_tokens / USUAL_PROMPT_TOKENS_PER_MS
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -596,12 +596,17 @@
                 allowed=self.allowed(state, now_ms),
                 slots=state.upstream.slots,
                 slowness=state.slowness,
+                unread=state.unread + state.unread_elsewhere,
                 tried=state.upstream.id in request.tried,
                 paused=state.paused_until_ms > now_ms,
             )
             for state in states
         ]
-        place = placement.choose(places)
+        place = placement.choose(
+            places,
+            request.facts.sizes.prompt_tokens,
+            request.facts.target_at_ms - now_ms,
+        )
         if place is None:
             return None
         return next(one for one in states if one.upstream.id == place.id)
@@ -645,7 +650,9 @@
         request.answer = answers.Answer(request, self.dialect)
         state.running += 1
         state.started += 1
-        state.prompt_tokens += facts.sizes.prompt_tokens
+        request.read_ahead = state.unread + state.unread_elsewhere
+        state.unread += facts.sizes.prompt_tokens
+        request.unread = facts.sizes.prompt_tokens
         self.running.add(request)
         self.starts.setdefault(facts.service, collections.deque()).append(
             now_ms
@@ -745,8 +752,10 @@
                 self.crashes.sound(request.placed.upstream.id)
                 took_ms = request.first_data_ms - request.sent_ms
                 request.placed.succeeded(
-                    took_ms, request.facts.sizes.prompt_tokens
+                    took_ms, request.unread + request.read_ahead
                 )
+                request.placed.unread -= request.unread
+                request.unread = 0
         request.answer.take_data(data)
 
     def on_end(
@@ -794,7 +803,8 @@
         self.running.discard(request)
         if state is not None:
             state.running -= 1
-            state.prompt_tokens -= request.facts.sizes.prompt_tokens
+            state.unread -= request.unread
+            request.unread = 0
         return state
 
     def note_end(
--- a/godwitloft/gateway/placement.py
+++ b/godwitloft/gateway/placement.py
@@ -9,8 +9,14 @@
 import math
 import typing
 
-OTHER_ZONE_FACTOR = 1.15
-SMALLEST_LOAD = 0.05
+# What traffic between availability zones is worth avoiding for.
+OTHER_ZONE_MS = 30.0
+USUAL_START_MS = 50.0
+USUAL_PROMPT_TOKENS_PER_MS = 80.0
+# How much a full upstream delays the first data, besides its prompts.
+LOAD_FACTOR = 1.0
+# Time in which a busy upstream usually gets room.
+BUSY_WAIT_MS = 100.0
 # Gateways get unequal shares of the callers, so each may take more of an
 # upstream than its equal share.
 UNEVEN_FACTOR = 1.6
@@ -27,6 +33,7 @@
     :param allowed: requests that this gateway may have there
     :param slots: requests that it works on at the same time
     :param slowness: its time to the first data against the usual one
+    :param unread: prompt tokens that it has still to read, of all requests
     :param tried: whether it has already refused or failed this request
     :param paused: whether it failed lately
     """
@@ -37,6 +44,7 @@
     allowed: int
     slots: int
     slowness: float
+    unread: int
     tried: bool
     paused: bool
 
@@ -53,41 +61,66 @@
     return max(1, math.ceil(slots * UNEVEN_FACTOR / gateways))
 
 
-def choose(places: typing.Sequence[Place]) -> Place | None:
+def choose(
+    places: typing.Sequence[Place], prompt_tokens: int, left_ms: float
+) -> Place | None:
     """Returns where a request should go now.
 
     The least expected time to the first part of the answer wins. A place
-    that failed lately is used only if there is no other.
+    that failed lately is used only if there is no other. A place that would
+    be too late is used only if no busy one would be in time.
 
     :param places: all upstreams of its service
+    :param prompt_tokens: of the request
+    :param left_ms: time until its answer is due
     :return: one with room, or None
     """
-    room = [
-        place
-        for place in places
-        if place.running < place.allowed and not place.tried
-    ]
-    sound = [place for place in room if not place.paused]
-    if not sound and any(
-        not place.paused and not place.tried for place in places
-    ):
-        # Sound upstreams are busy: waiting for one beats a failing one.
+    untried = [place for place in places if not place.tried]
+    sound = [place for place in untried if not place.paused]
+    candidates = sound or untried
+    room = [place for place in candidates if place.running < place.allowed]
+    if not room:
         return None
-    candidates = sound or room
-    if not candidates:
-        return None
-    return min(candidates, key=cost)
+    best = min(room, key=lambda place: cost_ms(place, prompt_tokens))
+    best_ms = expected_ms(best, prompt_tokens)
+    if best_ms <= left_ms or left_ms <= 0:
+        return best
+    for place in candidates:
+        if expected_ms(place, prompt_tokens) + BUSY_WAIT_MS <= left_ms:
+            return None
+    return best
+
+
+def usual_first_data_ms(prompt_tokens: int) -> float:
+    """Returns the time to the first data to which others are compared.
+
+    :param prompt_tokens: to be read before
+    :return: milliseconds
+    """
+    return USUAL_START_MS + prompt_tokens / USUAL_PROMPT_TOKENS_PER_MS
+
+
+def expected_ms(place: Place, prompt_tokens: int) -> float:
+    """Returns when the first data of a request would come.
+
+    :param place: an upstream
+    :param prompt_tokens: of the request
+    :return: milliseconds from sending
+    """
+    load = place.running / max(1, place.slots)
+    usual_ms = usual_first_data_ms(place.unread + prompt_tokens)
+    return place.slowness * usual_ms * (1.0 + LOAD_FACTOR * load)
 
 
-def cost(place: Place) -> float:
+def cost_ms(place: Place, prompt_tokens: int) -> float:
     """Returns a number that is the lower the better a place is.
 
     :param place: an upstream
-    :return: expected time to the first data, in no unit of its own
+    :param prompt_tokens: of the request
+    :return: expected milliseconds, with those that the way is worth
     """
-    load = max(SMALLEST_LOAD, (place.running + 1) / max(1, place.slots))
-    distance = 1.0 if place.same_zone else OTHER_ZONE_FACTOR
-    return place.slowness * (1.0 + load) * load * distance
+    way_ms = 0.0 if place.same_zone else OTHER_ZONE_MS
+    return expected_ms(place, prompt_tokens) + way_ms
 
 
 @dataclasses.dataclass(frozen=True)
--- a/godwitloft/gateway/slot_client.py
+++ b/godwitloft/gateway/slot_client.py
@@ -52,7 +52,7 @@
         asked = self.asked(states) if any(waiting) else set()
         for state in states:
             wanted = waiting if state.upstream.id in asked else ()
-            told = (state.started, state.running, wanted)
+            told = (state.started, state.running, wanted, state.unread)
             active = state.running > 0 or bool(wanted)
             interval_ms = BUSY_INTERVAL_MS if active else IDLE_INTERVAL_MS
             if told == state.told and now_ms - state.told_ms < interval_ms:
@@ -89,6 +89,7 @@
             running=state.running,
             slots=state.upstream.slots,
             waiting=list(waiting),
+            unread=state.unread,
         )
         self.send(
             datagrams.encode(want=want), (state.upstream.host, self.port)
@@ -111,6 +112,7 @@
         now_ms = self.clock.monotonic_ms()
         state.grant_sequence = grant.sequence
         state.start_limit = grant.start_limit
+        state.unread_elsewhere = grant.unread_elsewhere
         state.granted_until_ms = now_ms + GRANT_LIFE_MS
         if grant.start_limit <= state.started:
             return None
--- a/godwitloft/links/datagrams.thrift
+++ b/godwitloft/links/datagrams.thrift
@@ -16,6 +16,7 @@
   5: required i32 running           // of those, not yet ended
   6: required i32 slots             // of the upstream, as it announced them
   7: required list<i32> waiting     // by urgency, the most urgent first
+  8: required i32 unread            // prompt tokens sent and not yet answered
 }
 
 /* An agent tells a gateway how far it may go. */
@@ -25,6 +26,7 @@
   3: required string agent          // incarnation of the sender
   4: required i64 sequence          // of the want that was last heard
   5: required i64 start_limit       // started may grow up to this
+  6: required i32 unread_elsewhere  // prompt tokens that other gateways sent
 }
 
 /* What one team asks of one gateway. */
