Keep the use of allowances in the lease row, so that a restart knows it

Ruled out: uneven shares (each took its part). Change: a gateway writes what it has used into its row, reads it back at its start and counts it until the window is over; peers count what a vanished gateway had used in the same way.

--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -90,6 +90,8 @@
         self.started_ms = clock.monotonic_ms()
         self.windows: dict[str, allowance.Window] = {}
         self.taken: dict[str, float] = {}
+        self.before: dict[str, float] | None = None
+        self.before_ms = self.started_ms
         self.clock = clock
         self.send = send
         self.instance = instance
@@ -104,8 +106,9 @@
         :param hosts: IP number by instance
         """
         self.hosts = dict(hosts)
-        for name in list(self.peers):
-            if name not in hosts:
+        now_ms = self.clock.monotonic_ms()
+        for name, peer in list(self.peers.items()):
+            if name not in hosts and self.decayed(peer.at_ms, now_ms) <= 0:
                 del self.peers[name]
 
     @property
@@ -122,6 +125,16 @@
         demand = self.demands.setdefault(team.name, Demand())
         demand.add(tokens, self.clock.monotonic_ms())
 
+    def demand_of(self, team: str, now_ms: int) -> float:
+        """Returns what a team asks of this gateway.
+
+        :param team: its name
+        :param now_ms: the time
+        :return: tokens a second
+        """
+        demand = self.demands.get(team)
+        return demand.per_s(now_ms) if demand is not None else 0.0
+
     def fraction(self, team: model.Team) -> float:
         """Returns the part of a team's allowance that is this gateway's.
 
@@ -132,8 +145,7 @@
         kept = max(
             SMALLEST_DEMAND, KEPT_SHARE * team.tokens_per_s / self.gateways
         )
-        demand = self.demands.get(team.name)
-        own = kept + (demand.per_s(now_ms) if demand is not None else 0.0)
+        own = kept + self.demand_of(team.name, now_ms)
         total = own
         silent = 0
         for name in self.hosts:
@@ -169,23 +181,68 @@
         own = self.window(team.name).total(now_ms)
         taken = self.taken.get(team.name, 0.0)
         limit = allowance.window_limit(team, self.tolerance)
-        used = own - taken + self.used_before_start(limit, now_ms)
+        used = own - taken + self.used_before_start(team.name, limit, now_ms)
+        for peer in self.peers.values():
+            part = 1.0
+            if now_ms - peer.at_ms > HEARD_LIFE_MS:
+                part = self.decayed(peer.at_ms, now_ms)
+            used += peer.used.get(team.name, 0.0) * part
         for name in self.hosts:
-            peer = self.peers.get(name)
-            if peer is not None:
-                used += peer.used.get(team.name, 0.0)
+            if name not in self.peers:
+                part = self.decayed(self.started_ms, now_ms)
+                used += limit / self.gateways * part
         return (limit - used) * self.fraction(team) - taken
 
-    def used_before_start(self, limit: float, now_ms: int) -> float:
+    def decayed(self, since_ms: int, now_ms: int) -> float:
+        """Returns which part of a past use still counts.
+
+        :param since_ms: when it was known
+        :param now_ms: the time
+        :return: from 1 to 0, a whole window later
+        """
+        passed_ms = now_ms - since_ms
+        return max(0.0, 1.0 - passed_ms / self.tolerance.window_ms)
+
+    def restore(self, used: dict[str, float], age_ms: int) -> None:
+        """Takes what an earlier start of this process had used.
+
+        :param used: tokens by team, as they were written down
+        :param age_ms: how long ago
+        """
+        unwritten = 1.0 + age_ms / self.tolerance.window_ms
+        self.before = {team: use * unwritten for team, use in used.items()}
+        self.before_ms = self.clock.monotonic_ms() - age_ms
+
+    def used_before_start(self, team: str, limit: float, now_ms: int) -> float:
         """Returns what an earlier start of this process may have used.
 
+        :param team: name of the team
         :param limit: over all gateways
         :param now_ms: the time
         :return: tokens; less and less, none after a whole window
         """
-        since_ms = now_ms - self.started_ms
-        part = max(0.0, 1.0 - since_ms / self.tolerance.window_ms)
-        return limit / self.gateways * part
+        if self.before is None:
+            part = self.decayed(self.started_ms, now_ms)
+            return limit / self.gateways * part
+        return self.before.get(team, 0.0) * self.decayed(
+            self.before_ms, now_ms
+        )
+
+    def usage(self) -> dict[str, float]:
+        """Returns what this gateway has used, by team.
+
+        :return: tokens in the window of the limit
+        """
+        now_ms = self.clock.monotonic_ms()
+        teams = set(self.windows) | set(self.before or ())
+        used = {
+            team: self.window(team).total(now_ms)
+            + (self.before or {}).get(team, 0.0)
+            * self.decayed(self.before_ms, now_ms)
+            for team in teams
+        }
+        largest = sorted(used, key=lambda team: -used[team])
+        return {team: used[team] for team in largest[:MAX_TEAMS_TOLD]}
 
     def take(self, team: model.Team, tokens: float) -> allowance.Use | None:
         """Uses a part of an allowance.
@@ -222,15 +279,14 @@
         demands = [
             ttypes.TeamDemand(
                 team=name,
-                tokens_per_s=demand.per_s(now_ms),
-                used=self.window(name).total(now_ms),
+                tokens_per_s=self.demand_of(name, now_ms),
+                used=used,
             )
-            for name, demand in self.demands.items()
+            for name, used in self.usage().items()
         ]
-        demands.sort(key=lambda one: -one.tokens_per_s)
         sharing = ttypes.Sharing(
             gateway=self.instance,
-            demands=demands[:MAX_TEAMS_TOLD],
+            demands=demands,
             crashing=list(crashing[-MAX_CRASHES_TOLD:]),
         )
         data = datagrams.encode(sharing=sharing)
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -55,6 +55,13 @@
     def send_datagram(data: bytes, address: datagrams.Address) -> None:
         port.send(data, address)
 
+    sharing = sharings.Sharing(
+        clock,
+        send_datagram,
+        boot.instance,
+        boot.first_port,
+        boot.options.tolerance,
+    )
     gateway = gateways.Gateway(
         boot.options,
         headers.DIALECT,
@@ -66,13 +73,7 @@
             slot_client=slot_clients.SlotClient(
                 clock, send_datagram, incarnation, boot.first_port
             ),
-            sharing=sharings.Sharing(
-                clock,
-                send_datagram,
-                boot.instance,
-                boot.first_port,
-                boot.options.tolerance,
-            ),
+            sharing=sharing,
         ),
     )
     port = datagrams.Port(gateway.on_datagram)
@@ -87,6 +88,8 @@
             confirmed=gateway.confirm,
             upstreams=gateway.list_upstreams,
             gateways=gateway.list_gateways,
+            restored=sharing.restore,
+            usage=sharing.usage,
         ),
         boot.instance,
         boot.host,
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -37,12 +37,17 @@
         configuration that was told was the newest
     :param upstreams: the list of upstreams, by id
     :param gateways: IP numbers of the others that hold a lease, by instance
+    :param restored: what an earlier start of this process had used, by team,
+        and how many milliseconds ago
+    :param usage: returns what this process has used, by team
     """
 
     configuration: typing.Callable[[model.Configuration], None]
     confirmed: typing.Callable[[int], None]
     upstreams: typing.Callable[[dict[str, model.Upstream]], None]
     gateways: typing.Callable[[dict[str, str]], None]
+    restored: typing.Callable[[dict[str, float], int], None]
+    usage: typing.Callable[[], dict[str, float]]
 
 
 class Pause:
@@ -104,6 +109,7 @@
         self.instance = instance
         self.version = 0
         self.stopped = False
+        self.restored = False
         self.listing = listings.Listing()
         self.bad_rows: dict[str, int] = {}
         self.list_failed = False
@@ -262,14 +268,30 @@
         """
         found = yield self.store.read(GATEWAY_TABLE)
         others = {}
+        own = None
         for row in found.rows:
             holder = lease_holder(row)
-            if holder is None or row.key == self.instance:
+            if holder is None:
                 continue
-            if found.now_ms - holder.renewed_ms < GATEWAY_LEASE_MS:
+            if row.key == self.instance:
+                own = holder
+            elif found.now_ms - holder.renewed_ms < GATEWAY_LEASE_MS:
                 others[row.key] = holder.host
         self.listener.gateways(others)
-        content = {"renewed_ms": found.now_ms, "host": self.host}
+        if not self.restored:
+            self.restored = True
+            age_ms = found.now_ms - own.renewed_ms if own is not None else 0
+            self.listener.restored(own.used if own else {}, max(0, age_ms))
+        used = {
+            team: round(tokens)
+            for team, tokens in self.listener.usage().items()
+            if tokens >= 1
+        }
+        content = {
+            "renewed_ms": found.now_ms,
+            "host": self.host,
+            "used": used,
+        }
         value = base64.b64encode(json.dumps(content).encode()).decode()
         yield self.store.put(GATEWAY_TABLE, self.instance, value)
         return GATEWAY_INTERVAL_MS
@@ -281,10 +303,12 @@
 
     :param host: its IP number
     :param renewed_ms: when it renewed its lease, on the store's clock
+    :param used: what it had used of teams' allowances, in tokens
     """
 
     host: str
     renewed_ms: int
+    used: dict[str, float]
 
 
 def lease_holder(row: stores.Row) -> LeaseHolder | None:
@@ -295,8 +319,11 @@
     """
     try:
         fields = rows.content(row.key, row.value)
+        used = rows.Fields(row.key, "used", fields.value.get("used", {}))
         return LeaseHolder(
-            fields.text("host"), int(fields.number("renewed_ms"))
+            fields.text("host"),
+            int(fields.number("renewed_ms")),
+            {team: used.number(team) for team in used.value},
         )
     except rows.RowError as problem:
         events.log(
