--- /dev/null
+++ b/features/lakeshore_path.feature
@@ -0,0 +1,108 @@
+Feature: The adapter serves requests on a stand-in Lakeshore platform
+
+  Background:
+    Given a stand-in Lakeshore platform with a configuration
+    And an entry on it that is ready
+
+  Scenario Outline: A <kind> request gets its own answer from one runner
+    When request "a1" asks "<path>"
+    Then it gets 200 with "<answer>" and a runner's seal
+    And it ran once, for team "team-a", without the key
+    And nothing of what only the system may set came from the caller
+
+    Examples:
+      | kind | path | answer |
+      | streaming | /once/x?y=1 | id: 1\ndata: x1\n\nid: 2\ndata: x2\n\nid: 3\ndata: x3\n\n |
+      | idempotent | /lookup/x | answer to a1\n |
+      | non-idempotent | /post/x | answer to a1\n |
+
+  Scenario Outline: What the configuration doesn't allow is refused: <case>
+    When the key "<key>" comes with request "b1" for "<path>"
+    Then its status is <status> from the entry
+    And its request ran 0 times
+
+    Examples:
+      | case | path | key | status |
+      | no route | /nowhere/x | key-a | 404 |
+      | a foreign key | /lookup/x | key-z | 401 |
+      
+  Scenario: Only a public route needs no key
+    When no key comes with request "b2" for "/lookup/x"
+    Then its status is 401 from the entry
+    When no key comes with request "c1" for "/open/x"
+    Then its status is 200 from the entry
+
+  Scenario Outline: A runner's refusal is a proof, so the request goes on: <how>
+    Given every runner's next request is answered with <how>
+    When request "d1" asks "/post/x"
+    Then its status is <status> from the entry
+    And its request ran <runs> times
+
+    Examples:
+      | how | status | runs |
+      | misdirect | 503 | 0 |
+      | refuse | 503 | 0 |
+
+  Scenario Outline: A stream that breaks off midway: <route>
+    Given the next stream is cut after 1 events
+    When request "e1" asks "/<route>/x"
+    Then its answer is <whole> with "<answer>"
+    And its request ran <runs> times
+
+    Examples:
+      | route | whole | answer | runs |
+      | stream | whole | id: 1\ndata: x1\n\nid: 2\ndata: x2\n\nid: 3\ndata: x3\n\n | 2 |
+      | once | cut | id: 1\ndata: x1\n\n | 1 |
+
+  Scenario: A runner that drains gets nothing more
+    When runner "i-desk-0" says that it is draining
+    And 2.5 s pass
+    And 6 requests ask "/lookup/x"
+    Then none of them ran on "i-desk-0"
+
+  Scenario: A key that is taken away stops working
+    When a configuration without keys is published
+    And 2.5 s pass
+    And request "f1" asks "/lookup/x"
+    Then its status is 401 from the entry
+    And its request ran 0 times
+
+  Scenario: A store that is away doesn't stop requests, until keys are unproven
+    When the store is away for 7 s
+    And request "g1" asks "/lookup/x"
+    Then its status is 200 from the entry
+    When 5 s pass
+    And request "g2" asks "/lookup/x"
+    Then its status is 503 from the entry
+    And the entry is not ready
+    When 4 s pass
+    And request "g3" asks "/lookup/x"
+    Then its status is 200 from the entry
+
+  Scenario: A store that forgets its history is read anew
+    When the store forgets its history
+    And 2 s pass
+    And a configuration without keys is published
+    And 2.5 s pass
+    And request "h1" asks "/lookup/x"
+    Then its status is 401 from the entry
+
+  Scenario: Rows that can't be read are skipped and named in the log
+    When rows of other writers appear
+    And an unreadable configuration is published
+    And 2.5 s pass
+    And request "i1" asks "/lookup/x"
+    Then its status is 200 from the entry
+    When the entry is told to stop
+    Then its log names the rows and fields
+      | row | field |
+      | servers/i-bad-1 | address |
+      | servers/i-bad-2 | |
+      | servers/i-bad-3 | state |
+      | op/config | routes[0].kind |
+
+  Scenario: An entry that is told to stop finishes what runs
+    When a stream of 60 events is under way
+    And the entry is told to stop
+    Then the stream ends whole
+    And the entry ends with status 0
--- /dev/null
+++ b/features/steps/lakeshore_path_steps.py
@@ -0,0 +1,233 @@
+import base64
+import json
+import signal
+import threading
+import time
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.support import lakeshore
+
+SERVED_ONCE = 1
+
+
+def text(escaped):
+    return escaped.replace("\\n", "\n")
+
+
+@given("a stand-in Lakeshore platform with a configuration")
+def start_platform(context):
+    context.world = lakeshore.World(context)
+    context.world.control(config=lakeshore.config())
+
+
+@given("an entry on it that is ready")
+def start_entry(context):
+    context.world.start_entry()
+    lakeshore.wait_until(context.world.is_ready, "the entry being ready")
+
+
+@given("every runner's next request is answered with {how}")
+def refuse_next(context, how):
+    names = context.world.fetch("ledger")
+    change = {name: {how: 1} for name in names}
+    context.world.control(runners=change)
+
+
+@given("the next stream is cut after {count:d} events")
+def cut_next(context, count):
+    # Whichever runner gets it: only the first one cuts.
+    world = context.world
+    world.control(runners={"i-model-0": {"cut_after": [count]}})
+    world.control(runners={"i-model-1": {"gone": True}})
+    time.sleep(2)
+    world.control(runners={"i-model-1": {"gone": False}})
+
+
+@when('request "{request_id}" asks "{path}"')
+def ask(context, request_id, path):
+    ask_with_key(context, request_id, path, "key-a")
+
+
+@when('the key "{key}" comes with request "{request_id}" for "{path}"')
+def ask_with_named_key(context, key, request_id, path):
+    ask_with_key(context, request_id, path, key)
+
+
+def ask_with_key(context, request_id, path, key):
+    context.request_id = request_id
+    method = "POST" if path.startswith(("/post", "/once")) else "GET"
+    context.answer = context.world.ask(
+        method,
+        path,
+        request_id,
+        key,
+        Godwitloft_Token_Counts="5,3",
+        Godwitloft_Hold="mine",
+        Godwitloft_Tenant="somebody",
+    )
+
+
+@when('no key comes with request "{request_id}" for "{path}"')
+def ask_without_key(context, request_id, path):
+    ask_with_key(context, request_id, path, "")
+
+
+@then('it gets {status:d} with "{answer}" and a runner\'s seal')
+def check_answer(context, status, answer):
+    found, headers, body, whole = context.answer
+    assert (found, body, whole) == (status, text(answer), True), context.answer
+    run = context.world.ran(context.request_id)[0]
+    expected = f"seal-{run['runner']}"
+    assert headers["godwitloft-response-seal"] == expected, headers
+    assert headers["godwitloft-request-id"] == context.request_id
+
+
+@then("its status is {status:d} from the entry")
+def check_status(context, status):
+    assert context.answer[0] == status, context.answer
+    if status == 503:
+        assert float(context.answer[1]["retry-after"]) > 0
+
+
+@then('it ran once, for team "{team}", without the key')
+def check_run(context, team):
+    runs = context.world.ran(context.request_id)
+    assert len(runs) == SERVED_ONCE, runs
+    assert (runs[0]["tenant"], runs[0]["key"]) == (team, None), runs
+    assert 0 < int(runs[0]["left_ms"]) <= 4000, runs
+
+
+@then("nothing of what only the system may set came from the caller")
+def check_reserved(context):
+    assert context.world.ran(context.request_id)[0]["hold"] is None
+
+
+@then("its request ran {count:d} times")
+def check_runs(context, count):
+    runs = context.world.ran(context.request_id)
+    assert len(runs) == count, runs
+
+
+@then('its answer is {whole} with "{answer}"')
+def check_end(context, whole, answer):
+    _status, _headers, body, ended = context.answer
+    assert (body, ended) == (text(answer), whole == "whole"), context.answer
+
+
+@when('runner "{name}" says that it is draining')
+def drain_runner(context, name):
+    context.world.control(runners={name: {"state": "draining"}})
+
+
+@when("{seconds:g} s pass")
+def passing(context, seconds):
+    time.sleep(seconds)
+
+
+@when('{count:d} requests ask "{path}"')
+def ask_many(context, count, path):
+    context.many = [f"m{number}" for number in range(count)]
+    for request_id in context.many:
+        status = context.world.ask("GET", path, request_id)[0]
+        assert status == 200, status
+
+
+@then('none of them ran on "{name}"')
+def check_not_on(context, name):
+    runs = [run for one in context.many for run in context.world.ran(one)]
+    assert len(runs) == len(context.many), runs
+    assert all(run["runner"] != name for run in runs), runs
+
+
+@when("a configuration without keys is published")
+def publish_without_keys(context):
+    context.world.control(config=lakeshore.config(version=9, keys=()))
+
+
+@when("the store is away for {seconds:g} s")
+def store_away(context, seconds):
+    context.world.control(away_ms=seconds * 1000)
+    time.sleep(0.5)
+
+
+@when("the store forgets its history")
+def store_forgets(context):
+    context.world.control(forget=True)
+
+
+@then("the entry is not ready")
+def check_not_ready(context):
+    assert context.world.ask_ready() == 503
+
+
+@when("rows of other writers appear")
+def foreign_rows(context):
+    def encoded(value):
+        return base64.b64encode(json.dumps(value).encode()).decode()
+
+    context.world.control(
+        rows=[
+            ["servers", "i-bad-1", encoded({"service": "desk", "zone": "a"})],
+            ["servers", "i-bad-2", "!!"],
+            [
+                "servers",
+                "i-bad-3",
+                encoded({"address": "1.2.3.4:5", "state": "tired"}),
+            ],
+        ]
+    )
+
+
+@when("an unreadable configuration is published")
+def publish_unreadable(context):
+    config = lakeshore.config(version=9)
+    config["routes"][0]["kind"] = "now and then"
+    context.world.control(config=config)
+
+
+@when("the entry is told to stop")
+def stop_entry(context):
+    context.world.entry.send_signal(signal.SIGTERM)
+
+
+@then("its log names the rows and fields")
+def check_log(context):
+    output, _ = context.world.entry.communicate(timeout=lakeshore.LIMIT_S)
+    lines = [json.loads(line) for line in output.splitlines()]
+    named = {
+        (line["row"], line["field"])
+        for line in lines
+        if line["event"] == "GL1504"
+    }
+    wanted = {(row["row"], row["field"]) for row in context.table}
+    assert wanted <= named, (wanted, named)
+
+
+@when("a stream of {count:d} events is under way")
+def long_stream(context, count):
+    context.count = count
+
+    def run():
+        context.streamed = context.world.ask(
+            "POST", "/once/x", "s1", Godwitloft_Token_Counts=f"5,{count}"
+        )
+
+    context.thread = threading.Thread(target=run)
+    context.thread.start()
+    lakeshore.wait_until(lambda: context.world.ran("s1"), "the stream's start")
+
+
+@then("the stream ends whole")
+def check_stream(context):
+    context.thread.join(lakeshore.LIMIT_S)
+    status, _headers, body, whole = context.streamed
+    assert (status, whole) == (200, True), context.streamed
+    assert body.count("data:") == context.count, body
+
+
+@then("the entry ends with status {status:d}")
+def check_entry_status(context, status):
+    assert context.world.entry.wait(lakeshore.LIMIT_S) == status
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -13,13 +13,13 @@
 from godwitloft import clock as clocks
 from godwitloft import decode
 from godwitloft import settings
+from godwitloft.standins import platform as standin
 from godwitloft.store import connect
 from godwitloft.store import faults
 from godwitloft.store import guard
 from godwitloft.store import http
 from godwitloft.store import memory
 from godwitloft.store import port
-from godwitloft.standins import platform as standin
 
 
 @dataclasses.dataclass
--- /dev/null
+++ b/features/support/lakeshore.py
@@ -0,0 +1,214 @@
+"""The adapter and its stand-in platform as processes."""
+
+import http.client
+import json
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.request
+
+ROOT = pathlib.Path(__file__).parents[2]
+LIMIT_S = 30
+HOST = "service.example"
+
+ROUTES = (
+    ("stream", "streaming", "model", True, False),
+    ("once", "streaming", "model", False, False),
+    ("lookup", "idempotent", "desk", False, False),
+    ("post", "non_idempotent", "desk", False, False),
+    ("open", "idempotent", "desk", False, True),
+)
+
+
+def config(version=1, keys=("key-a",), routes=ROUTES, **limits):
+    """The operators' row, in the platform's words."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": f"r-{name}",
+                "host": HOST,
+                "prefix": f"/{name}/",
+                "kind": kind,
+                "timeout-ms": 4000,
+                "target-latency-ms": 400,
+                "priority": number,
+                "service": service,
+                "max-attempts": 2 if kind == "idempotent" or resumable else 1,
+                "public": public,
+                "resumable": resumable,
+            }
+            for number, (name, kind, service, resumable, public) in enumerate(
+                routes
+            )
+        ],
+        "services": [
+            {"name": "model", "max-connections": 50, "engine": {"slots": 4}},
+            {"name": "desk", "max-connections": 50},
+        ],
+        "limits": limits,
+        "tenants": [
+            {
+                "name": "team-a",
+                "api-keys": list(keys),
+                "unit": "tokens",
+                "plain-tokens": 10,
+                "rate-per-s": 1_000_000,
+                "burst": 1_000_000,
+            }
+        ],
+    }
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+class World:
+    """A stand-in platform, and entries before it."""
+
+    def __init__(self, context):
+        self.context = context
+        self.directory = tempfile.TemporaryDirectory()
+        context.add_cleanup(self.directory.cleanup)
+        self.platform = self.spawn(
+            "godwitloft.standins.main", "lakeshore", boot=None
+        )
+        line = self.platform.stdout.readline()
+        self.store = json.loads(line)["listening"]
+        self.entry = None
+        self.front = 0
+        self.ready = 0
+        self.logs = []
+
+    def spawn(self, *words, boot):
+        environment = dict(os.environ)
+        if boot is not None:
+            environment["GODWITLOFT_BOOT"] = str(boot)
+        process = subprocess.Popen(
+            [sys.executable, "-m", *words],
+            cwd=ROOT,
+            env=environment,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+        )
+
+        def stop():
+            if process.poll() is None:
+                process.kill()
+            process.communicate(timeout=LIMIT_S)
+
+        self.context.add_cleanup(stop)
+        return process
+
+    def start_entry(self):
+        self.front, self.ready, first = free_ports(3)
+        boot = pathlib.Path(self.directory.name) / "boot.toml"
+        boot.write_text(
+            f"""
+node-name = "edge-a-1"
+ip = "127.0.0.1"
+zone = "a"
+internal-port-range = [{first}, {first + 1}]
+heartbeat-ms = 400
+a-new-field = true
+[listen]
+front = "127.0.0.1:{self.front}"
+ready = "127.0.0.1:{self.ready}"
+[bounds]
+grace-s = 3
+strict-revocation = true
+revoke-ms = 3000
+quota-window-s = 8
+retry-budget-extra = 20
+[platform]
+address = "{self.store}"
+"""
+        )
+        self.entry = self.spawn("godwitloft.platform.main", "entry", boot=boot)
+
+    def control(self, **change):
+        body = json.dumps(change).encode()
+        request = urllib.request.Request(
+            f"http://{self.store}/control", body, method="POST"
+        )
+        urllib.request.urlopen(request, timeout=LIMIT_S).read()
+
+    def fetch(self, path):
+        url = f"http://{self.store}/{path}"
+        with urllib.request.urlopen(url, timeout=LIMIT_S) as answer:
+            return json.loads(answer.read())
+
+    def ran(self, request_id):
+        """All runs of one request, with the runner of each."""
+        return [
+            dict(run, runner=name)
+            for name, runs in self.fetch("ledger").items()
+            for run in runs
+            if run["id"] == request_id
+        ]
+
+    def is_ready(self):
+        try:
+            return self.ask_ready() == 200
+        except OSError:
+            return False
+
+    def ask_ready(self):
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.ready, timeout=LIMIT_S
+        )
+        connection.request("GET", "/ready")
+        return connection.getresponse().status
+
+    def ask(self, method, path, request_id, key="key-a", **headers):
+        """Sends one request; returns status, headers, body and its end."""
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.front, timeout=LIMIT_S
+        )
+        sent = {
+            "Host": HOST,
+            "Godwitloft-Request-Id": request_id,
+            "Godwitloft-Deadline-Ms": "4000",
+        }
+        if key:
+            sent["Authorization"] = f"Token {key}"
+        sent.update(
+            {name.replace("_", "-"): value for name, value in headers.items()}
+        )
+        connection.request(method, path, headers=sent)
+        answer = connection.getresponse()
+        body, whole = read_parts(answer)
+        found = {name.lower(): value for name, value in answer.getheaders()}
+        return answer.status, found, body.decode(), whole
+
+
+def read_parts(answer):
+    """Returns what came of a body, and whether it came to its end."""
+    body = b""
+    try:
+        while part := answer.read1(1024):
+            body += part
+    except (http.client.HTTPException, OSError):
+        return body, False
+    return body, True
+
+
+def wait_until(condition, what):
+    end = time.monotonic() + LIMIT_S
+    while time.monotonic() < end:
+        if condition():
+            return
+        time.sleep(0.05)
+    raise AssertionError(f"{what} did not happen in {LIMIT_S} s")
--- a/godwitloft/gateway/front.py
+++ b/godwitloft/gateway/front.py
@@ -340,9 +340,18 @@
             self.transport.loseConnection()
 
     def abort(self) -> None:
-        """Closes at once, so that the current answer looks cut."""
-        if self.open and self.transport is not None:
+        """Closes in such a way that the current answer looks cut.
+
+        What was sent still arrives: the framing shows that the rest is
+        missing. Only an old client, whose answers end with the connection,
+        needs a reset.
+        """
+        if not self.open or self.transport is None:
+            return
+        if (self.parser.their_http_version or b"1.0") < b"1.1":
             typing.cast(typing.Any, self.transport).abortConnection()
+        else:
+            self.transport.loseConnection()
 
     def check_age(self, now_ms: int) -> None:
         """Closes the connection if its caller is too slow or idle.
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -871,7 +871,10 @@
             return False
         states = self.fleet.usable(facts.service)
         if all(state.upstream.id in request.tried for state in states):
-            return False
+            if request.runs == 0 or not states:
+                return False
+            # An upstream that broke one request off may serve the next.
+            request.tried.clear()
         if verdict.result is answers.Result.NOT_SENT:
             return True
         return self.budget(facts.service).take(now_ms, self.gateways)
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -93,6 +93,7 @@
         ),
         boot.instance,
         boot.host,
+        boot.options.key_proof_ms,
     )
     listen = daemon.Listen(
         host=boot.front.host,
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -19,7 +19,10 @@
 UPSTREAM_TABLE = "servers"
 GATEWAY_TABLE = "gateways"
 
-CHANGES_WAIT_MS = 1_500
+LONGEST_CHANGES_WAIT_MS = 1_500
+# A proof is as old as the call that brought it, and must last until the
+# next one.
+CHANGES_IN_PROOF = 3
 UPSTREAM_INTERVAL_MS = 800
 RETURN_INTERVAL_MS = 250
 GATEWAY_INTERVAL_MS = 2_000
@@ -90,6 +93,7 @@
     :param listener: who is told
     :param instance: name of this gateway's row
     :param host: IP number where other gateways reach this one
+    :param key_proof_ms: how old the proof that a key is valid may be
     """
 
     def __init__(
@@ -100,8 +104,14 @@
         listener: Listener,
         instance: str,
         host: str,
+        key_proof_ms: int,
     ) -> None:
         self.host = host
+        self.changes_wait_ms = LONGEST_CHANGES_WAIT_MS
+        if key_proof_ms > 0:
+            self.changes_wait_ms = min(
+                LONGEST_CHANGES_WAIT_MS, key_proof_ms // CHANGES_IN_PROOF
+            )
         self.reactor = reactor
         self.clock = clock
         self.store = store
@@ -169,7 +179,7 @@
             found = yield self.store.read(OPERATOR_TABLE)
         else:
             found = yield self.store.changes(
-                OPERATOR_TABLE, self.version, CHANGES_WAIT_MS
+                OPERATOR_TABLE, self.version, self.changes_wait_ms
             )
         known = self.version != 0
         for row in found.rows:
--- /dev/null
+++ b/godwitloft/standins/lakeshore.py
@@ -0,0 +1,405 @@
+"""A stand-in for the Lakeshore platform: its store, and runners before it.
+
+It speaks enough of the platform's protocol that the adapter runs end to end
+without the users' own bench. Everything lives in one process; runners write
+their rows straight into the store.
+"""
+
+import base64
+import collections
+import dataclasses
+import json
+import typing
+
+from klein import Klein
+from twisted.internet import defer
+from twisted.web import server
+
+from godwitloft.standins import http
+
+MS_PER_S = 1000
+HEARTBEAT_MS = 400
+EVENT_INTERVAL_MS = 20
+OPERATOR_TABLE = "op"
+RUNNER_TABLE = "servers"
+SEAL = "Godwitloft-Response-Seal"
+REQUEST_ID = "Godwitloft-Request-Id"
+NOT_EXECUTED = "Godwitloft-Not-Executed"
+TARGET = "Godwitloft-Target-Instance"
+TENANT = "Godwitloft-Tenant"
+
+
+@dataclasses.dataclass(frozen=True)
+class LakeshoreSettings:
+    """What stands behind the store.
+
+    :param models: runners of the service ``model``, which streams
+    :param desks: runners of the service ``desk``, a plain service
+    """
+
+    models: int = 2
+    desks: int = 2
+
+
+class Rows:
+    """The store's rows and their history.
+
+    :param reactor: gives time and timers
+    """
+
+    def __init__(self, reactor: typing.Any) -> None:
+        self.reactor = reactor
+        self.rows: dict[tuple[str, str], tuple[str, int]] = {}
+        self.history: list[tuple[int, str, str, str | None]] = []
+        self.version = 1
+        self.first_known = 0
+        self.away_until = 0.0
+
+    def now_ms(self) -> int:
+        """Returns the store's steady clock."""
+        return int(self.reactor.seconds() * MS_PER_S)
+
+    def put(self, table: str, key: str, value: str | None) -> None:
+        """Writes or removes a row.
+
+        :param table: its table
+        :param key: its key
+        :param value: base64 text, None to remove it
+        """
+        self.version += 1
+        if value is None:
+            self.rows.pop((table, key), None)
+        else:
+            self.rows[table, key] = (value, self.version)
+        self.history.append((self.version, table, key, value))
+
+    def put_json(self, table: str, key: str, value: object) -> None:
+        """Writes a row that holds JSON.
+
+        :param table: its table
+        :param key: its key
+        :param value: what JSON can hold
+        """
+        text = base64.b64encode(json.dumps(value).encode()).decode()
+        self.put(table, key, text)
+
+    def read(self, table: str) -> http.Json:
+        """Returns all rows of a table.
+
+        :param table: its name
+        :return: the answer's body
+        """
+        found = [
+            {"table": table, "part": "", "key": key, "value": v, "ver": ver}
+            for (name, key), (v, ver) in sorted(self.rows.items())
+            if name == table
+        ]
+        return self.answer(found)
+
+    def changes(self, table: str, after: int) -> http.Json:
+        """Returns the rows of a table that changed.
+
+        :param table: its name
+        :param after: version that is known
+        :return: the answer's body
+        """
+        found: list[http.Json] = []
+        for version, name, key, value in self.history:
+            if version > after and name == table:
+                row: http.Json = {"key": key, "ver": version}
+                row.update(
+                    {"removed": True} if value is None else {"value": value}
+                )
+                found.append(row)
+        return self.answer(found)
+
+    def answer(self, rows: list[http.Json]) -> http.Json:
+        """Returns the body of a reading call.
+
+        :param rows: what it found
+        :return: with version and time
+        """
+        return {
+            "rows": rows,
+            "has-more": False,
+            "ver": self.version,
+            "now-ms": self.now_ms(),
+        }
+
+    def is_away(self) -> bool:
+        """Tells whether the store turns calls away."""
+        return self.reactor.seconds() < self.away_until
+
+
+class Runner:
+    """One runner of a service.
+
+    :param number: makes its id
+    :param service: name of its service
+    :param rows: where it registers
+    :param reactor: gives timers
+    """
+
+    def __init__(
+        self, number: int, service: str, rows: Rows, reactor: typing.Any
+    ) -> None:
+        self.id = f"i-{service}-{number}"
+        self.service = service
+        self.rows = rows
+        self.reactor = reactor
+        self.address = ""
+        self.state = "ready"
+        self.gone = False
+        self.sequence = 0
+        self.refuse = 0
+        self.misdirect = 0
+        self.cut_after: list[int] = []
+        self.ledger: list[http.Json] = []
+
+    def beat(self) -> None:
+        """Registers, again and again."""
+        self.sequence += 1
+        if self.gone:
+            self.rows.put(RUNNER_TABLE, self.id, None)
+        elif not self.rows.is_away():
+            self.rows.put_json(
+                RUNNER_TABLE,
+                self.id,
+                {
+                    "service": self.service,
+                    "address": self.address,
+                    "zone": "a",
+                    "slots": 4,
+                    "state": self.state,
+                    "sequence": self.sequence,
+                    "born": 1,
+                },
+            )
+        self.reactor.callLater(HEARTBEAT_MS / MS_PER_S, self.beat)
+
+    def run(self, request: typing.Any) -> typing.Any:
+        """Answers one request.
+
+        :param request: of the gateway
+        :return: the body, or a Deferred of it
+        """
+        header = request.getHeader
+        request_id = header(REQUEST_ID) or ""
+        wanted = header(TARGET)
+        if wanted not in (None, self.id) or self.misdirect > 0:
+            self.misdirect -= 1
+            return http.reply(request, {}, 421)
+        if self.refuse > 0:
+            self.refuse -= 1
+            request.setHeader(NOT_EXECUTED, "1")
+            return http.reply(request, {}, 503)
+        self.ledger.append(
+            {
+                "id": request_id,
+                "path": request.uri.decode(),
+                "tenant": header(TENANT),
+                "key": header("Authorization"),
+                "hold": header("Godwitloft-Hold"),
+                "last": header("Last-Event-Id"),
+                "left_ms": header("Godwitloft-Deadline-Ms"),
+            }
+        )
+        request.setHeader(REQUEST_ID, request_id)
+        request.setHeader(SEAL, f"seal-{self.id}")
+        if self.service != "model":
+            return f"answer to {request_id}\n".encode()
+        return self.stream(request)
+
+    def stream(self, request: typing.Any) -> typing.Any:
+        """Streams numbered events.
+
+        :param request: of the gateway
+        :return: a Deferred that fires at the end
+        """
+        request.setHeader("Content-Type", "text/event-stream")
+        first = int(request.getHeader("Last-Event-Id") or 0) + 1
+        counts = request.getHeader("Godwitloft-Token-Counts") or "0,3"
+        last = int(counts.split(",")[1])
+        cut_after = self.cut_after.pop(0) if self.cut_after else -1
+
+        ended: defer.Deferred[bytes] = defer.Deferred()
+
+        def event(number: int) -> None:
+            if request._disconnected:
+                return
+            if number - first == cut_after:
+                request.transport.abortConnection()
+            elif number > last:
+                ended.callback(b"")
+            else:
+                request.write(f"id: {number}\ndata: x{number}\n\n".encode())
+                self.reactor.callLater(
+                    EVENT_INTERVAL_MS / MS_PER_S, event, number + 1
+                )
+
+        event(first)
+        return ended
+
+    def control(self, change: http.Json) -> None:
+        """Changes what it does from now on.
+
+        :param change: names of attributes and their new values
+        """
+        for name, value in change.items():
+            setattr(self, name, value)
+
+
+class Lakeshore:
+    """The whole stand-in.
+
+    :param settings: what stands behind the store
+    :param reactor: gives time and timers
+    """
+
+    def __init__(
+        self, settings: LakeshoreSettings, reactor: typing.Any
+    ) -> None:
+        self.reactor = reactor
+        self.rows = Rows(reactor)
+        self.calls: collections.Counter[str] = collections.Counter()
+        counts = (("model", settings.models), ("desk", settings.desks))
+        self.runners = {
+            runner.id: runner
+            for service, count in counts
+            for runner in (
+                Runner(number, service, self.rows, reactor)
+                for number in range(count)
+            )
+        }
+
+    def control(self, change: http.Json) -> None:
+        """Changes the store or runners.
+
+        :param change: ``config``, ``rows``, ``away_ms``, ``forget`` and
+            ``runners``, each optional
+        """
+        if "config" in change:
+            self.rows.put_json(OPERATOR_TABLE, "config", change["config"])
+        for table, key, value in change.get("rows", []):
+            self.rows.put(table, key, value)
+        if "away_ms" in change:
+            away_s = change["away_ms"] / MS_PER_S
+            self.rows.away_until = self.reactor.seconds() + away_s
+        if change.get("forget"):
+            self.rows.history.clear()
+            self.rows.version += 1
+            self.rows.first_known = self.rows.version
+        for name, attributes in change.get("runners", {}).items():
+            self.runners[name].control(attributes)
+
+    def ledger(self) -> http.Json:
+        """Returns what every runner ran.
+
+        :return: lists by the runners' ids
+        """
+        return {name: one.ledger for name, one in self.runners.items()}
+
+
+def listen(
+    lakeshore: Lakeshore,
+    reactor: typing.Any,
+    address: str = "127.0.0.1",
+    port: int = 0,
+) -> http.Listener:
+    """Prepares the ports of store and runners.
+
+    :param lakeshore: what answers
+    :param reactor: the twisted reactor
+    :param address: IP number of all
+    :param port: of the store, 0 for a free one
+    :return: the store's listener; its start starts the runners
+    """
+    for runner in lakeshore.runners.values():
+        _start_runner(runner, reactor, address)
+    site = server.Site(_store_app(lakeshore).resource())
+    return http.Listener(reactor, site, address, port)
+
+
+def _start_runner(runner: Runner, reactor: typing.Any, address: str) -> None:
+    app = Klein()
+
+    @app.route("/", branch=True)
+    def run(request: typing.Any) -> typing.Any:
+        return runner.run(request)
+
+    site = server.Site(app.resource())
+    listener = http.Listener(reactor, site, address, 0)
+
+    def register(where: str) -> None:
+        runner.address = where
+        runner.beat()
+
+    listener.start().addCallback(register)
+
+
+def _store_app(lakeshore: Lakeshore) -> Klein:
+    app = Klein()
+    rows = lakeshore.rows
+
+    def text(request: typing.Any, name: bytes) -> str:
+        return str(request.args.get(name, [b""])[0].decode())
+
+    @app.route("/rows-get")
+    def get(request: typing.Any) -> bytes:
+        lakeshore.calls["get"] += 1
+        if rows.is_away():
+            return http.reply(request, {}, 503)
+        return http.reply(request, rows.read(text(request, b"table")))
+
+    @app.route("/rows-feed")
+    @defer.inlineCallbacks
+    def feed(
+        request: typing.Any,
+    ) -> typing.Generator[typing.Any, typing.Any, bytes]:
+        lakeshore.calls["feed"] += 1
+        table = text(request, b"table")
+        after = http.number_argument(request, "after")
+        wait_s = http.number_argument(request, "wait-ms") / MS_PER_S
+        end = lakeshore.reactor.seconds() + wait_s
+        while True:
+            if rows.is_away():
+                return http.reply(request, {}, 503)
+            if after < rows.first_known:
+                return http.reply(request, {}, 410)
+            found = rows.changes(table, after)
+            if found["rows"] or lakeshore.reactor.seconds() >= end:
+                return http.reply(request, found)
+            yield _sleep(lakeshore.reactor, EVENT_INTERVAL_MS / MS_PER_S)
+
+    @app.route("/rows-tx", methods=["POST"])
+    def change(request: typing.Any) -> bytes:
+        lakeshore.calls["tx"] += 1
+        if rows.is_away():
+            return http.reply(request, {}, 503)
+        body = http.read_json(request) or {}
+        for row in body.get("set-keys", []):
+            rows.put(row["table"], row["key"], row["value"])
+        for row in body.get("remove", []):
+            rows.put(row["table"], row["key"], None)
+        return http.reply(request, rows.answer([]))
+
+    @app.route("/control", methods=["POST"])
+    def control(request: typing.Any) -> bytes:
+        lakeshore.control(http.read_json(request) or {})
+        return http.reply(request, {})
+
+    @app.route("/ledger")
+    def ledger(request: typing.Any) -> bytes:
+        return http.reply(request, lakeshore.ledger())
+
+    @app.route("/calls")
+    def calls(request: typing.Any) -> bytes:
+        return http.reply(request, dict(lakeshore.calls))
+
+    return app
+
+
+def _sleep(reactor: typing.Any, seconds: float) -> "defer.Deferred[None]":
+    woken: defer.Deferred[None] = defer.Deferred()
+    reactor.callLater(seconds, woken.callback, None)
+    return woken
--- a/godwitloft/standins/main.py
+++ b/godwitloft/standins/main.py
@@ -14,6 +14,7 @@
 from godwitloft.standins import engine as engines
 from godwitloft.standins import engine_http
 from godwitloft.standins import http
+from godwitloft.standins import lakeshore as lakeshores
 from godwitloft.standins import ledger
 from godwitloft.standins import platform as platforms
 from godwitloft.standins import service as services
@@ -86,6 +87,27 @@
         _serve(platforms.listen(platform, reactor, address, port))
 
 
+@cappa.command(name="lakeshore", help="Run a stand-in Lakeshore platform.")
+@dataclasses.dataclass(frozen=True)
+class LakeshoreCommand:
+    """Runs a stand-in for the Lakeshore platform, with runners.
+
+    :param listen: IP number and port of its store; port 0 takes a free one
+    :param settings: JSON object with keys of ``LakeshoreSettings``
+    """
+
+    listen: typing.Annotated[str, cappa.Arg(long=True)] = "127.0.0.1:0"
+    settings: typing.Annotated[str, cappa.Arg(long=True)] = "{}"
+
+    def __call__(self) -> None:
+        """Serves until the process is told to stop."""
+        settings = _settings(lakeshores.LakeshoreSettings, self.settings)
+        reactor = typing.cast(typing.Any, default_reactor)
+        lakeshore = lakeshores.Lakeshore(settings, reactor)
+        address, port = _split(self.listen)
+        _serve(lakeshores.listen(lakeshore, reactor, address, port))
+
+
 @cappa.command(
     name="godwitloft-standin", help="Small stand-ins for tests and demos."
 )
@@ -97,7 +119,7 @@
     """
 
     command: cappa.Subcommands[
-        EngineCommand | ServiceCommand | PlatformCommand
+        EngineCommand | ServiceCommand | PlatformCommand | LakeshoreCommand
     ]
 
 
