--- a/features/gateway_slots.feature
+++ b/features/gateway_slots.feature
@@ -16,7 +16,7 @@
       | more runs than slots | 4 | 0 | 3/1 3/1 | 0 0 |
       | nobody claims | 4 | 0 | | |
 
-  # Datagrams take 1 ms, some are lost; each request runs 100 ms. Gateways
+  # Datagrams take 1 ms, some are lost; each request runs 50 to 150 ms. Gateways
   # get unequal parts of the requests. Each may have one request ahead, on a
   # grant that is being withdrawn: so many may run beyond the 8 slots.
   Scenario Outline: An upstream of 8 slots under <load> times its work: <case>
--- a/features/steps/gateway_slots_steps.py
+++ b/features/steps/gateway_slots_steps.py
@@ -84,7 +84,8 @@
             self.world.waits[urgency].append(now_ms - since_ms)
             self.state.running += 1
             self.state.started += 1
-            self.world.reactor.callLater(RUN_MS / 1000, self.ended)
+            run_ms = self.world.rng.uniform(0.5, 1.5) * RUN_MS
+            self.world.reactor.callLater(run_ms / 1000, self.ended)
         counts = [0, 0]
         for urgency, _since_ms in self.waiting:
             counts[urgency] += 1
--- a/godwitloft/gateway/arbiter.py
+++ b/godwitloft/gateway/arbiter.py
@@ -31,11 +31,13 @@
     :param want: what it told
     :param address: where it is
     :param at_ms: when
+    :param since_ms: since when it has waited without a start
     """
 
     want: ttypes.SlotWant
     address: datagrams.Address
     at_ms: int
+    since_ms: int
 
 
 class Book:
@@ -48,7 +50,6 @@
         self.upstream = upstream
         self.heard: dict[str, Heard] = {}
         self.told: dict[str, int] = {}
-        self.turn = 0
 
 
 class Arbiter:
@@ -115,7 +116,11 @@
                 running=want.running,
             )
         now_ms = self.clock.monotonic_ms()
-        book.heard[want.gateway] = Heard(want, address, now_ms)
+        since_ms = now_ms
+        if known is not None and want.started == known.want.started:
+            if any(known.want.waiting):
+                since_ms = known.since_ms
+        book.heard[want.gateway] = Heard(want, address, now_ms, since_ms)
         # Whoever has told something hears an answer, also the same one.
         book.told.pop(want.gateway, None)
         if want.upstream not in self.due:
@@ -135,9 +140,10 @@
         if not book.heard:
             self.books.pop(book.upstream, None)
             return
-        wants = [heard.want for heard in book.heard.values()]
-        book.turn = (book.turn + 1) % len(wants)
-        wants = wants[book.turn :] + wants[: book.turn]
+        longest_first = sorted(
+            book.heard.values(), key=lambda heard: heard.since_ms
+        )
+        wants = [heard.want for heard in longest_first]
         starts = slots.allot(
             max(want.slots for want in wants),
             min(self.foreign),
