Part the gateway by what each piece knows; serve metrics; bound the log

Now: knowledge (configuration and proofs), intake (what a request is), admission (may it wait), placing, retrying, ordering, reports; the gateway keeps the lives of requests.

--- a/features/lakeshore_path.feature
+++ b/features/lakeshore_path.feature
@@ -26,6 +26,15 @@
       | no route | /nowhere/x | key-a | 404 |
       | a foreign key | /lookup/x | key-z | 401 |
       
+  Scenario: Refusals and answers are counted on the metrics port
+    When request "n1" asks "/nowhere/x"
+    And request "n2" asks "/lookup/x"
+    Then the metrics hold
+      | sample |
+      | godwitloft_refusals_total{reason="no_route"} 1.0 |
+      | godwitloft_outcomes_total{outcome="completed"} 1.0 |
+      | godwitloft_wait_milliseconds_count 1.0 |
+
   Scenario: Only a public route needs no key
     When no key comes with request "b2" for "/lookup/x"
     Then its status is 401 from the entry
--- a/features/platform_settings.feature
+++ b/features/platform_settings.feature
@@ -26,5 +26,6 @@
 
     Examples:
       | words | message |
-      | nobody | role 'nobody' is not known |
+      | nobody | invalid choice: 'nobody' |
+      | entry --metrics-port x | invalid int value: 'x' |
       | entry | is not set |
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -200,7 +200,7 @@
 @when("a configuration without its key comes into force, and upstreams")
 def without_key(context):
     world = context.world
-    world.gateway.configure(gateway_world.configuration(2, keys=()))
+    world.gateway.knowledge.configure(gateway_world.configuration(2, keys=()))
     listed = {"u0": gateway_world.upstream("u0", "desk")}
     world.gateway.list_upstreams(listed)
 
@@ -211,8 +211,8 @@
 )
 def configurations(context, newer, older):
     gateway = context.world.gateway
-    gateway.configure(gateway_world.configuration(newer, keys=()))
-    gateway.configure(gateway_world.configuration(older))
+    gateway.knowledge.configure(gateway_world.configuration(newer, keys=()))
+    gateway.knowledge.configure(gateway_world.configuration(older))
 
 
 @when('callers ask for "{first}" and, {gap_ms:d} ms later, "{second}"')
--- a/features/steps/lakeshore_path_steps.py
+++ b/features/steps/lakeshore_path_steps.py
@@ -1,5 +1,6 @@
 import base64
 import json
+import re
 import signal
 import threading
 import time
@@ -231,3 +232,12 @@
 @then("the entry ends with status {status:d}")
 def check_entry_status(context, status):
     assert context.world.entry.wait(lakeshore.LIMIT_S) == status
+
+
+@then("the metrics hold")
+def check_metrics(context):
+    # The exporter adds labels that name the library's scope.
+    text = re.sub(r'otel_scope_\w+="\w*",?', "", context.world.metrics())
+    samples = text.replace(",}", "}").replace("{}", "").splitlines()
+    for row in context.table:
+        assert row["sample"] in samples, samples
--- a/features/support/lakeshore.py
+++ b/features/support/lakeshore.py
@@ -113,7 +113,7 @@
         return process
 
     def start_entry(self):
-        self.front, self.ready, first = free_ports(3)
+        self.front, self.ready, first, self.metrics_port = free_ports(4)
         boot = pathlib.Path(self.directory.name) / "boot.toml"
         boot.write_text(
             f"""
@@ -136,7 +136,13 @@
 address = "{self.store}"
 """
         )
-        self.entry = self.spawn("godwitloft.platform.main", "entry", boot=boot)
+        self.entry = self.spawn(
+            "godwitloft.platform.main",
+            "entry",
+            "--metrics-port",
+            str(self.metrics_port),
+            boot=boot,
+        )
 
     def control(self, **change):
         body = json.dumps(change).encode()
@@ -159,6 +165,11 @@
             if run["id"] == request_id
         ]
 
+    def metrics(self):
+        url = f"http://127.0.0.1:{self.metrics_port}/metrics"
+        with urllib.request.urlopen(url, timeout=LIMIT_S) as answer:
+            return answer.read().decode()
+
     def is_ready(self):
         try:
             return self.ask_ready() == 200
--- /dev/null
+++ b/godwitloft/bounded_log.py
@@ -0,0 +1,85 @@
+"""A log handler that never blocks and bounds how much it writes."""
+
+import logging
+import os
+import time
+import typing
+
+MAX_LINES_PER_S = 400
+MAX_PENDING_BYTES = 65_536
+
+
+class BoundedHandler(logging.Handler):
+    """Writes lines to a file descriptor that may be slow or full.
+
+    Warnings and errors may take up to twice the bound. What doesn't fit is
+    dropped and counted; the next line that is written tells how many were.
+
+    :param descriptor: is set not to block
+    :param now_s: tells the time
+    """
+
+    def __init__(
+        self,
+        descriptor: int,
+        now_s: typing.Callable[[], float] = time.monotonic,
+    ) -> None:
+        super().__init__()
+        self.descriptor = descriptor
+        self.now_s = now_s
+        self.pending = b""
+        self.dropped = 0
+        self.second = 0
+        self.lines = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes a record, or drops it.
+
+        :param record: usually written by :func:`godwitloft.events.log`
+        """
+        if not self.may_write(record.levelno):
+            self.dropped += 1
+            return
+        if self.dropped:
+            fields = dict(getattr(record, "fields", {}), dropped=self.dropped)
+            record.fields = fields
+        line = self.format(record).encode() + b"\n"
+        if len(self.pending) + len(line) > MAX_PENDING_BYTES:
+            self.write_pending()
+        if len(self.pending) + len(line) > MAX_PENDING_BYTES:
+            self.dropped += 1
+            return
+        self.dropped = 0
+        self.pending += line
+        self.write_pending()
+
+    def may_write(self, level: int) -> bool:
+        """Counts a line against the bound of this second.
+
+        :param level: of the standard ``logging`` module
+        :return: whether it may be written
+        """
+        second = int(self.now_s())
+        if second != self.second:
+            self.second = second
+            self.lines = 0
+        most = MAX_LINES_PER_S
+        if level >= logging.WARNING:
+            most *= 2
+        if self.lines >= most:
+            return False
+        self.lines += 1
+        return True
+
+    def write_pending(self) -> None:
+        """Writes what the descriptor takes at once."""
+        try:
+            written = os.write(self.descriptor, self.pending)
+        except BlockingIOError:
+            return
+        except OSError:
+            # Nobody reads any more: keeping the lines would help nobody.
+            self.pending = b""
+            return
+        self.pending = self.pending[written:]
--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -182,15 +182,15 @@
 def configure(
     level: str = "info",
     style: str = "json",
-    stream: typing.TextIO | None = None,
+    handler: logging.Handler | None = None,
 ) -> None:
-    """Sends log lines to a stream.
+    """Sends log lines somewhere.
 
     :param level: name of a level of the standard ``logging`` module
     :param style: ``json`` or ``text``
-    :param stream: default: standard error
+    :param handler: default: one that writes to standard error
     """
-    handler = logging.StreamHandler(stream)
+    handler = handler or logging.StreamHandler()
     formatter = JsonFormatter() if style == "json" else TextFormatter()
     handler.setFormatter(formatter)
     logger = logging.getLogger(LOGGER_NAME)
--- a/godwitloft/gateway/daemon.py
+++ b/godwitloft/gateway/daemon.py
@@ -14,6 +14,8 @@
 TICK_INTERVAL_MS = 25
 AGE_INTERVAL_MS = 500
 READY_PATH = b"/ready"
+METRICS_PATH = b"/metrics"
+METRICS_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -35,12 +37,16 @@
     :param host: IP number
     :param front_port: for callers
     :param ready_port: for the balancer's question, None for nowhere
+    :param metrics_port: for metrics, None for nowhere
+    :param render_metrics: returns the counts as Prometheus text
     :param backlog: connections that wait to be accepted
     """
 
     host: str
     front_port: int
     ready_port: int | None
+    metrics_port: int | None = None
+    render_metrics: typing.Callable[[], bytes] = bytes
     backlog: int = 1024
 
 
@@ -74,21 +80,30 @@
         self.front = front.FrontFactory(
             front.FrontOwner(
                 on_request=gateway.on_request,
-                on_refused=gateway.on_unreadable,
-                limits=gateway.limits,
+                on_refused=gateway.reports.unreadable,
+                limits=gateway.knowledge.limits,
                 closing=lambda: self.closing,
             ),
             clock,
         )
-        self.ready = front.FrontFactory(
-            front.FrontOwner(
-                on_request=self.answer_ready,
-                on_refused=gateway.on_unreadable,
-                limits=model.CallerLimits,
-                closing=lambda: False,
-            ),
-            clock,
+        self.ready = self.side_factory(self.answer_ready)
+        self.metrics = self.side_factory(self.answer_metrics)
+
+    def side_factory(
+        self, answer: typing.Callable[[front.Exchange], None]
+    ) -> front.FrontFactory:
+        """Returns what serves a port that isn't for callers.
+
+        :param answer: answers its requests
+        :return: a factory of connections
+        """
+        owner = front.FrontOwner(
+            on_request=answer,
+            on_refused=self.gateway.reports.unreadable,
+            limits=model.CallerLimits,
+            closing=lambda: False,
         )
+        return front.FrontFactory(owner, self.clock)
 
     def start(self) -> int:
         """Listens and starts all timers.
@@ -100,15 +115,21 @@
             listen.front_port, self.front, listen.backlog, listen.host
         )
         self.ports.append(front_port)
-        if listen.ready_port is not None:
-            ready_port = self.reactor.listenTCP(
-                listen.ready_port, self.ready, interface=listen.host
-            )
-            self.ports.append(ready_port)
+        for port, factory in (
+            (listen.ready_port, self.ready),
+            (listen.metrics_port, self.metrics),
+        ):
+            if port is not None:
+                self.ports.append(
+                    self.reactor.listenTCP(
+                        port, factory, interface=listen.host
+                    )
+                )
         self.source.start()
         self.every(TICK_INTERVAL_MS, self.gateway.tick)
         self.every(AGE_INTERVAL_MS, self.front.check_ages)
         self.every(AGE_INTERVAL_MS, self.ready.check_ages)
+        self.every(AGE_INTERVAL_MS, self.metrics.check_ages)
         self.every(sharing.TELL_INTERVAL_MS, self.gateway.tell_peers)
         events.log(
             events.STARTED,
@@ -146,6 +167,18 @@
         else:
             exchange.respond(200 if self.gateway.ready() else 503, [])
 
+    def answer_metrics(self, exchange: front.Exchange) -> None:
+        """Returns all counts.
+
+        :param exchange: the question
+        """
+        path = exchange.target.partition(b"?")[0]
+        if path != METRICS_PATH:
+            exchange.respond(404, [])
+            return
+        kind = (b"content-type", METRICS_TYPE)
+        exchange.respond(200, [kind], self.listen.render_metrics())
+
     def drain(self, done: typing.Callable[[], None]) -> None:
         """Leaves without cutting anything off.
 
--- a/godwitloft/gateway/fleet.py
+++ b/godwitloft/gateway/fleet.py
@@ -83,6 +83,7 @@
     def __init__(self) -> None:
         self.states: dict[str, UpstreamState] = {}
         self.listed: dict[str, UpstreamState] = {}
+        self.known = False
 
     def update(self, upstreams: dict[str, model.Upstream]) -> Change:
         """Takes a new list.
@@ -93,6 +94,7 @@
         :param upstreams: by id
         :return: what is different
         """
+        self.known = True
         added = []
         leaving = []
         for upstream_id, upstream in upstreams.items():
--- /dev/null
+++ b/godwitloft/gateway/intake.py
@@ -0,0 +1,191 @@
+"""Finds out what a request is, and whether it is allowed at all."""
+
+import random
+
+from godwitloft import clock as clocks
+from godwitloft.gateway import dialect as dialects
+from godwitloft.gateway import fleet as fleets
+from godwitloft.gateway import front
+from godwitloft.gateway import knowledge as knowledges
+from godwitloft.gateway import model
+from godwitloft.gateway import refusals
+from godwitloft.gateway import request as requests
+from godwitloft.gateway import routing
+from godwitloft.gateway import sharing as sharings
+
+UNCONFIGURED_RETRY_AFTER_MS = 500
+LEAVING_RETRY_AFTER_MS = 50
+# Callers leave a stream that hasn't begun after the longest of two seconds,
+# four times the target and eight times the allowed pause.
+PATIENCE_MS = 2_000
+PATIENCE_TARGETS = 4
+
+
+class Intake:
+    """Checks requests against the configuration in force.
+
+    :param clock: tells the time
+    :param dialect: names of the headers
+    :param knowledge: the configuration in force
+    :param fleet: the upstreams
+    :param sharing: allowances
+    :param rng: draws the split of a route
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        dialect: dialects.Dialect,
+        knowledge: knowledges.Knowledge,
+        fleet: fleets.Fleet,
+        sharing: sharings.Sharing,
+        rng: random.Random,
+    ) -> None:
+        self.clock = clock
+        self.dialect = dialect
+        self.knowledge = knowledge
+        self.fleet = fleet
+        self.sharing = sharing
+        self.rng = rng
+        self.closing = False
+
+    def check(
+        self, exchange: front.Exchange
+    ) -> requests.Facts | refusals.Refusal:
+        """Finds route, team and bounds of a request.
+
+        :param exchange: a whole request
+        :return: what is known of it, or why it is refused
+        """
+        router = self.knowledge.router
+        known = self.fleet.known and self.sharing.restored
+        if router is None or not known:
+            return refusals.Refusal(
+                503, "not_configured", UNCONFIGURED_RETRY_AFTER_MS
+            )
+        if self.closing:
+            return refusals.Refusal(503, "leaving", LEAVING_RETRY_AFTER_MS)
+        problem = self.malformed(exchange)
+        if problem:
+            return refusals.Refusal(400, problem)
+        host = (exchange.header(b"host") or b"").decode("latin-1")
+        target = exchange.target.decode("latin-1")
+        route = router.route(host, target.partition("?")[0])
+        now_ms = self.clock.monotonic_ms()
+        if route is None:
+            if not self.knowledge.proof_holds(now_ms):
+                return stale()
+            return refusals.Refusal(404, "no_route")
+        team = None
+        if router.configuration.teams and not route.public:
+            team = self.team_of(exchange, router)
+            if not self.knowledge.proof_holds(now_ms):
+                return stale()
+            if team is None:
+                return refusals.Refusal(401, "unknown_key")
+        return self.facts(exchange, route, team)
+
+    def malformed(self, exchange: front.Exchange) -> str:
+        """Tells what is wrong with the headers of a request.
+
+        :param exchange: a whole request
+        :return: a reason, or an empty string
+        """
+        dialect = self.dialect
+        if exchange.count(dialect.request_id) != 1:
+            return "request_id_missing_or_repeated"
+        for name in (
+            b"host",
+            b"authorization",
+            dialect.time_left,
+            dialect.token_counts,
+            dialect.prompt_parts,
+        ):
+            if exchange.count(name) > 1:
+                return "header_repeated"
+        if not exchange.target.startswith(b"/"):
+            return "target_not_a_path"
+        return ""
+
+    def team_of(
+        self, exchange: front.Exchange, router: routing.Router
+    ) -> model.Team | None:
+        """Returns the team whose key a request carries.
+
+        :param exchange: a whole request
+        :param router: of the configuration in force
+        :return: a team, or None
+        """
+        value = exchange.header(b"authorization") or b""
+        scheme, _space, key = value.partition(b" ")
+        if scheme.lower() != self.dialect.key_scheme.lower():
+            return None
+        return router.team(key.strip().decode("latin-1"))
+
+    def facts(
+        self,
+        exchange: front.Exchange,
+        route: model.Route,
+        team: model.Team | None,
+    ) -> requests.Facts | refusals.Refusal:
+        """Collects what is known of a request.
+
+        :param exchange: a whole request
+        :param route: its route
+        :param team: its team
+        :return: the facts, or why it is refused
+        """
+        sizes = requests.read_sizes(exchange, self.dialect)
+        if sizes is None:
+            return refusals.Refusal(400, "token_counts_unreadable")
+        arrived_ms = exchange.arrived_ms
+        left_ms = requests.read_time_left(exchange, self.dialect)
+        if left_ms is None:
+            left_ms = route.timeout_ms
+        caller_until_ms = arrived_ms + left_ms
+        until_ms = min(caller_until_ms, arrived_ms + route.timeout_ms)
+        patience_ms = left_ms
+        if route.kind is model.Kind.STREAM:
+            patience_ms = max(PATIENCE_MS, PATIENCE_TARGETS * route.target_ms)
+        target = routing.pick_target(route.targets, self.rng.random())
+        rank = route.rank
+        if team is not None and team.rank is not None:
+            rank = team.rank
+        request_id = exchange.header(self.dialect.request_id) or b""
+        return requests.Facts(
+            id=request_id.decode("latin-1"),
+            route=route,
+            service=target.service,
+            team=team,
+            sizes=sizes,
+            rank=(rank, route.rank),
+            arrived_ms=arrived_ms,
+            caller_until_ms=caller_until_ms,
+            until_ms=until_ms,
+            patience_until_ms=min(until_ms, arrived_ms + patience_ms),
+            fingerprint=requests.fingerprint(exchange),
+        )
+
+
+def stale() -> refusals.Refusal:
+    """Returns the refusal for want of a proof that keys are valid.
+
+    :return: a refusal
+    """
+    return refusals.Refusal(
+        503, "configuration_unproven", UNCONFIGURED_RETRY_AFTER_MS
+    )
+
+
+def allowance_tokens(team: model.Team, sizes: requests.Sizes) -> float:
+    """Returns what a request counts against its team's allowance.
+
+    :param team: whose allowance
+    :param sizes: what the request states
+    :return: tokens, or requests where the allowance counts those
+    """
+    if not team.counts_tokens:
+        return 1.0
+    if not sizes.stated:
+        return float(team.default_tokens)
+    return float(sizes.prompt_tokens + sizes.output_tokens)
--- /dev/null
+++ b/godwitloft/gateway/placing.py
@@ -0,0 +1,108 @@
+"""Looks for places, and asks agents for them."""
+
+from godwitloft import clock as clocks
+from godwitloft.gateway import fleet as fleets
+from godwitloft.gateway import knowledge as knowledges
+from godwitloft.gateway import ordering
+from godwitloft.gateway import placement
+from godwitloft.gateway import request as requests
+from godwitloft.gateway import sharing as sharings
+from godwitloft.gateway import slot_client as slot_clients
+
+
+class Placing:
+    """The places that a gateway may use.
+
+    :param clock: tells the time
+    :param zone: the gateway's availability zone
+    :param knowledge: the configuration in force
+    :param fleet: the upstreams
+    :param sharing: knows how many gateways there are
+    :param slot_client: speaks with the upstreams' agents
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        zone: str,
+        knowledge: knowledges.Knowledge,
+        fleet: fleets.Fleet,
+        sharing: sharings.Sharing,
+        slot_client: slot_clients.SlotClient,
+    ) -> None:
+        self.clock = clock
+        self.zone = zone
+        self.knowledge = knowledge
+        self.fleet = fleet
+        self.sharing = sharing
+        self.slot_client = slot_client
+
+    def place_for(
+        self,
+        request: requests.Request,
+        states: list[fleets.UpstreamState],
+        now_ms: int,
+    ) -> fleets.UpstreamState | None:
+        """Returns where a request should go now.
+
+        :param request: a waiting request
+        :param states: the usable upstreams of its service
+        :param now_ms: the time
+        :return: an upstream with room, or None
+        """
+        places = [
+            placement.Place(
+                id=state.upstream.id,
+                same_zone=state.upstream.zone == self.zone,
+                running=state.running,
+                allowed=self.allowed(state, now_ms),
+                slots=state.upstream.slots,
+                slowness=state.slowness,
+                unread=state.unread + state.unread_elsewhere,
+                tried=state.upstream.id in request.tried,
+                paused=state.paused_until_ms > now_ms,
+            )
+            for state in states
+        ]
+        place = placement.choose(
+            places,
+            request.facts.sizes.prompt_tokens,
+            request.facts.target_at_ms - now_ms,
+        )
+        if place is None:
+            return None
+        return next(one for one in states if one.upstream.id == place.id)
+
+    def allowed(self, state: fleets.UpstreamState, now_ms: int) -> int:
+        """Returns how many requests may be at an upstream from here.
+
+        :param state: the upstream
+        :param now_ms: the time
+        :return: what its agent granted, or an own estimate
+        """
+        if now_ms < state.granted_until_ms:
+            return state.running + state.start_limit - state.started
+        return placement.allowed_without_agent(
+            state.upstream.slots, self.sharing.gateways
+        )
+
+    def tell_agents(
+        self, service: str, waiting: list[requests.Request]
+    ) -> None:
+        """Tells the agents of a service what runs and waits here.
+
+        :param service: its name
+        :param waiting: requests that wait for it
+        """
+        router = self.knowledge.router
+        if router is None:
+            return
+        known = router.configuration.services.get(service)
+        if known is None or not known.is_engine:
+            return
+        now_ms = self.clock.monotonic_ms()
+        counts = [0] * ordering.URGENCIES
+        for request in waiting:
+            if request.state is requests.State.WAITING:
+                counts[ordering.urgency(request, now_ms)] += 1
+        self.slot_client.refresh(self.fleet.usable(service), tuple(counts))
--- a/godwitloft/gateway/refusals.py
+++ b/godwitloft/gateway/refusals.py
@@ -6,6 +6,8 @@
 
 from godwitloft.gateway import front
 
+SHORTEST_RETRY_AFTER_MS = 300
+LONGEST_RETRY_AFTER_MS = 3_000
 JSON_TYPE = (b"content-type", b"application/json")
 
 
@@ -40,3 +42,13 @@
     not_run = refusal.status in (408, 429, 503)
     body = {"error": {"reason": refusal.reason, "not_run": not_run}}
     exchange.respond(refusal.status, headers, json.dumps(body).encode())
+
+
+def bounded_retry_after_ms(after_ms: float) -> int:
+    """Returns a time to come back that is neither too short nor too long.
+
+    :param after_ms: the time that would fit
+    :return: milliseconds
+    """
+    bounded = min(LONGEST_RETRY_AFTER_MS, after_ms)
+    return int(max(SHORTEST_RETRY_AFTER_MS, bounded))
--- /dev/null
+++ b/godwitloft/gateway/retrying.py
@@ -0,0 +1,114 @@
+"""Decides whether a request is sent once more, and learns from failures."""
+
+from godwitloft import events
+from godwitloft.gateway import answer as answers
+from godwitloft.gateway import crashes
+from godwitloft.gateway import fleet as fleets
+from godwitloft.gateway import request as requests
+from godwitloft.gateway import retry_budget
+from godwitloft.gateway import sharing as sharings
+
+
+class Retrying:
+    """What failed lately, and what may be repeated.
+
+    :param fleet: the upstreams
+    :param sharing: what other gateways saw, and how many there are
+    :param settings: bounds on repeats, of all gateways together
+    """
+
+    def __init__(
+        self,
+        fleet: fleets.Fleet,
+        sharing: sharings.Sharing,
+        settings: retry_budget.BudgetSettings,
+    ) -> None:
+        self.fleet = fleet
+        self.sharing = sharing
+        self.settings = settings
+        self.crashes = crashes.Crashes(sharing)
+        self.budgets: dict[str, retry_budget.RetryBudget] = {}
+
+    def budget(self, service: str) -> retry_budget.RetryBudget:
+        """Returns the budget for repeats to a service.
+
+        :param service: its name
+        :return: the budget
+        """
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = retry_budget.RetryBudget(self.settings)
+            self.budgets[service] = budget
+        return budget
+
+    def note_end(
+        self,
+        request: requests.Request,
+        state: fleets.UpstreamState,
+        verdict: answers.Verdict,
+        now_ms: int,
+    ) -> None:
+        """Learns from the end of an attempt.
+
+        :param request: what ran
+        :param state: where
+        :param verdict: how it ended
+        :param now_ms: the time
+        """
+        if verdict.result is answers.Result.DELIVER and not verdict.failed:
+            if request.first_data_ms == 0:
+                state.succeeded(
+                    now_ms - request.sent_ms,
+                    request.facts.sizes.prompt_tokens,
+                )
+            return
+        unreachable = verdict.result is answers.Result.NOT_SENT
+        state.failed(now_ms, unreachable)
+        request.tried.add(state.upstream.id)
+        if verdict.result is answers.Result.BROKEN:
+            self.crashes.broken(
+                state.upstream.id, request.facts.fingerprint, now_ms
+            )
+        elif unreachable:
+            self.crashes.unreachable(state.upstream.id, now_ms)
+        events.log(
+            events.UPSTREAM_FAILED,
+            request=request.facts.id,
+            upstream=state.upstream.id,
+            reason=verdict.reason,
+            failures=state.failures,
+        )
+
+    def may_try_again(
+        self,
+        request: requests.Request,
+        verdict: answers.Verdict,
+        now_ms: int,
+    ) -> bool:
+        """Decides whether a request is sent once more.
+
+        :param request: whose attempt failed
+        :param verdict: how
+        :param now_ms: the time
+        :return: whether it goes back to the waiting ones
+        """
+        facts = request.facts
+        if verdict.result in (answers.Result.NOT_SENT, answers.Result.NOT_RUN):
+            request.runs -= 1
+        elif not facts.may_repeat:
+            return False
+        elif request.runs >= facts.route.max_attempts:
+            return False
+        if facts.until_ms <= now_ms:
+            return False
+        if self.crashes.often(facts.fingerprint, now_ms):
+            return False
+        states = self.fleet.usable(facts.service)
+        if all(state.upstream.id in request.tried for state in states):
+            if request.runs == 0 or not states:
+                return False
+            # An upstream that broke one request off may serve the next.
+            request.tried.clear()
+        if verdict.result is answers.Result.NOT_SENT:
+            return True
+        return self.budget(facts.service).take(now_ms, self.sharing.gateways)
--- a/godwitloft/platform/agent.py
+++ b/godwitloft/platform/agent.py
@@ -149,11 +149,16 @@
         return 0
 
 
-def build(reactor: typing.Any, boot: settings.Boot) -> AgentDaemon:
+def build(
+    reactor: typing.Any,
+    boot: settings.Boot,
+    _metrics_port: int | None = None,
+) -> AgentDaemon:
     """Builds an agent from the platform's settings.
 
     :param reactor: the twisted reactor
     :param boot: checked settings
+    :param _metrics_port: an agent serves no metrics
     :return: the agent
     """
     if boot.upstream is None:
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -1,11 +1,13 @@
 """The program that runs on the platform's machines."""
 
+import argparse
 import gc
 import random
 import signal
 import sys
 import typing
 
+from godwitloft import bounded_log
 from godwitloft import clock as clocks
 from godwitloft import daemon as daemons
 from godwitloft import errors
@@ -30,11 +32,16 @@
 GC_YOUNG_OBJECTS = 20_000
 
 
-def build(reactor: typing.Any, boot: settings.Boot) -> daemon.GatewayDaemon:
+def build(
+    reactor: typing.Any,
+    boot: settings.Boot,
+    metrics_port: int | None = None,
+) -> daemon.GatewayDaemon:
     """Builds a gateway from the platform's settings.
 
     :param reactor: the twisted reactor
     :param boot: checked settings
+    :param metrics_port: where it serves metrics, None for nowhere
     :return: the gateway
     """
     if boot.front is None:
@@ -42,6 +49,7 @@
             settings.PATH_VARIABLE, "listen.front", "is missing"
         )
     clock = clocks.suspend_clock()
+    instruments, render = metrics.prometheus()
 
     def send(
         upstream: model.Upstream,
@@ -69,7 +77,7 @@
             clock=clock,
             send=send,
             rng=random.Random(),
-            instruments=metrics.discard(),
+            instruments=instruments,
             slot_client=slot_clients.SlotClient(
                 clock, send_datagram, incarnation, boot.first_port
             ),
@@ -84,8 +92,8 @@
         clock,
         store,
         watches.Listener(
-            configuration=gateway.configure,
-            confirmed=gateway.confirm,
+            configuration=gateway.knowledge.configure,
+            confirmed=gateway.knowledge.confirm,
             upstreams=gateway.list_upstreams,
             gateways=gateway.list_gateways,
             restored=sharing.restore,
@@ -99,6 +107,8 @@
         host=boot.front.host,
         front_port=boot.front.port,
         ready_port=boot.ready.port if boot.ready else None,
+        metrics_port=metrics_port,
+        render_metrics=render,
     )
     source = daemon.Source(start=watch.start, stop=watch.stop)
     return daemon.GatewayDaemon(reactor, clock, gateway, source, listen)
@@ -127,17 +137,41 @@
         events.log(events.SETTINGS_LOADED, valid=True, instance=boot.instance)
 
 
+def parse(arguments: list[str] | None = None) -> argparse.Namespace:
+    """Reads the command line.
+
+    :param arguments: words after the program's name, default: the
+        process's own
+    :return: with ``role`` and ``metrics_port``
+    """
+    parser = argparse.ArgumentParser(
+        prog="python3 -m godwitloft.platform.main",
+        description="Run a role of godwitloft on the Lakeshore platform.",
+    )
+    parser.add_argument(
+        "role",
+        choices=sorted(ROLES),
+        help="entry: accept and place requests; agent: grant the slots of"
+        " the upstream beside it",
+    )
+    parser.add_argument(
+        "--metrics-port",
+        type=int,
+        help="serve metrics of an entry at /metrics on this port",
+    )
+    return parser.parse_args(arguments)
+
+
 def main() -> None:
     """Runs a role with the settings that the environment names."""
     from twisted.internet import reactor
 
-    role = sys.argv[1] if len(sys.argv) > 1 else "entry"
-    if role not in ROLES:
-        print(f"{sys.argv[0]}: role {role!r} is not known", file=sys.stderr)
-        sys.exit(EXIT_USAGE)
-    events.configure(stream=sys.stdout)
+    words = parse()
+    handler = bounded_log.BoundedHandler(sys.stdout.fileno())
+    events.configure(handler=handler)
     try:
-        daemon_of_role = ROLES[role](reactor, settings.load())
+        boot = settings.load()
+        daemon_of_role = ROLES[words.role](reactor, boot, words.metrics_port)
     except errors.UserError as problem:
         print(f"{sys.argv[0]}: {problem}", file=sys.stderr)
         sys.exit(EXIT_USAGE)
