--- a/features/platform_settings.feature
+++ b/features/platform_settings.feature
@@ -19,6 +19,7 @@
     When the platform's settings have "[bounds]\nstrict-revocation = true\nrevoke-ms = 5000\ngrace-s = 8\nnew = 1"
     Then a key's proof may be 4400 ms old
     And the process may take 7400 ms to leave
+    And it takes requests for 2800 ms of them
 
   Scenario Outline: An unknown role or wrong settings end the program: <words>
     When the platform's program is started with "<words>"
--- a/features/steps/platform_settings_steps.py
+++ b/features/steps/platform_settings_steps.py
@@ -81,3 +81,8 @@
     assert context.ended.returncode == status, context.ended
     assert message in context.ended.stderr, context.ended
     assert "Traceback" not in context.ended.stderr, context.ended
+
+
+@then("it takes requests for {limit_ms:d} ms of them")
+def check_last_request(context, limit_ms):
+    assert context.boot.options.last_request_ms == limit_ms
--- a/godwitloft/daemon.py
+++ b/godwitloft/daemon.py
@@ -2,25 +2,12 @@
 
 import sys
 import typing
-import uuid
 
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft import settings as settings_module
 from godwitloft import trace
 
-HEX_DIGITS_OF_INCARNATION = 12
-
-
-def new_incarnation(instance: str) -> str:
-    """Returns a name for this start of a process.
-
-    :param instance: name of the instance
-    :return: a name without dots, unique over all starts
-    """
-    suffix = uuid.uuid4().hex[:HEX_DIGITS_OF_INCARNATION]
-    return f"{instance.replace('.', '_')}-{suffix}"
-
 
 def make_recorder(
     stream: settings_module.TraceStream,
--- a/godwitloft/node.py
+++ b/godwitloft/node.py
@@ -11,9 +11,9 @@
 from twisted.internet import defer
 
 from godwitloft import clock as clocks
-from godwitloft import daemon
 from godwitloft import discovery
 from godwitloft import events
+from godwitloft import incarnation as incarnations
 from godwitloft import metrics
 from godwitloft import operator_port
 from godwitloft import settings as settings_module
@@ -119,7 +119,7 @@
         self.surroundings = surroundings
         self.clock = surroundings.clock
         self.handlers = handlers
-        self.incarnation = daemon.new_incarnation(settings.instance)
+        self.incarnation = incarnations.new_incarnation(settings.instance)
         self.rng = random.Random(self.incarnation)
         self.objects = lookup.build(types.ObjectSet())
         self.objects_hash = ""
--- a/godwitloft/platform/agent.py
+++ b/godwitloft/platform/agent.py
@@ -4,8 +4,8 @@
 import typing
 
 from godwitloft import clock as clocks
-from godwitloft import daemon as daemons
 from godwitloft import events
+from godwitloft import incarnation as incarnations
 from godwitloft.gateway import arbiter as arbiters
 from godwitloft.gateway import attempt as attempts
 from godwitloft.gateway import front
@@ -44,7 +44,7 @@
             clocks.suspend_clock(),
             self.call_later,
             self.send,
-            daemons.new_incarnation(boot.instance),
+            incarnations.new_incarnation(boot.instance),
         )
         self.port = datagrams.Port(self.arbiter.received)
 
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -9,9 +9,9 @@
 
 from godwitloft import bounded_log
 from godwitloft import clock as clocks
-from godwitloft import daemon as daemons
 from godwitloft import errors
 from godwitloft import events
+from godwitloft import incarnation as incarnations
 from godwitloft import metrics
 from godwitloft import process
 from godwitloft.gateway import attempt as attempts
@@ -58,7 +58,7 @@
     ) -> attempts.Attempt:
         return attempts.start(reactor, upstream, outgoing, owner, boot.host)
 
-    incarnation = daemons.new_incarnation(boot.instance)
+    incarnation = incarnations.new_incarnation(boot.instance)
 
     def send_datagram(data: bytes, address: datagrams.Address) -> None:
         port.send(data, address)
--- a/godwitloft/platform/settings.py
+++ b/godwitloft/platform/settings.py
@@ -19,8 +19,9 @@
 LEAVE_MARGIN_MS = 600
 # The balancer asks once a second and leaves after two misses.
 BALANCER_NOTICE_MS = 2_600
-# Part of the time between SIGTERM and SIGKILL in which requests are taken.
-LAST_REQUEST_SHARE = 0.45
+# A request that is taken so long after SIGTERM may still be unfinished at
+# SIGKILL; a later one must not be.
+LAST_REQUEST_MS = 2_800
 
 
 class SettingsError(errors.UserError):
@@ -219,7 +220,7 @@
         key_proof_ms=key_proof_ms,
         leave_limit_ms=max(0, int(grace_ms) - LEAVE_MARGIN_MS),
         spread_ms=BALANCER_NOTICE_MS,
-        last_request_ms=int(grace_ms * LAST_REQUEST_SHARE),
+        last_request_ms=int(min(LAST_REQUEST_MS, grace_ms / 2)),
         retries=retry_budget.BudgetSettings(
             window_ms=int(
                 reader.number("bounds.budget-window-s", 10) * MS_PER_S
