--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -20,8 +20,8 @@
 from godwitloft.entry import daemon as entry_daemon
 from godwitloft.entry import journal
 from godwitloft.links import hub
-from godwitloft.store import guard
 from godwitloft.policy import spread
+from godwitloft.store import guard
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 FIGURES = ROOT / "docs" / "capacity.json"
