--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -20,7 +20,7 @@
 
 
 class State(enum.Enum):
-    """Where a request is in its life; the chart is gateway_request.json."""
+    """Where a request is in its life."""
 
     WAITING = "waiting"
     SENT = "sent"
