Never tell a caller 'not run' of what has run, and cut what has begun

Found by reading: a request that waits to be sent again may be refused for another reason meanwhile (its key, the proof of it, our own end). A resumed stream then got a second head, which raised an error inside and left its caller hanging, at our own end even the process; a lookup that had run was told 503. Ruled out: requests that may not be repeated, which never wait again after they ran.

--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -159,3 +159,40 @@
     Then the requests that were sent have the ids "a"
     When the upstream that has it answers well
     Then the requests that were sent have the ids "a,b"
+
+  # A resumed stream waits for a place when something else ends it: its caller
+  # has the head already, so that only a visible cut is left.
+  Scenario Outline: A stream that waits to be resumed is cut when <what>
+    Given a gateway before one engine
+    When a caller asks for "query"
+    And the engine sends events 1 to 2, breaks off and leaves
+    And <what>
+    Then the caller's connection ends without the end of the answer
+    And nothing is left running
+
+    Examples:
+      | what |
+      | its key is withdrawn and another engine comes |
+      | the proof of its key lapses and another engine comes |
+      | the gateway gives up what waits |
+      | its time is over |
+
+  Scenario Outline: A request that has run is never called not run: <what>
+    Given a gateway before one upstream
+    When a caller asks for "lookup"
+    And the upstream breaks it off and leaves, and it waits
+    And <what>
+    Then the caller hears <status>
+
+    Examples:
+      | what | status |
+      | the proof of its key lapses and another upstream comes | 504 |
+      | the gateway gives up what waits | 504 |
+      | its time is over | 504 |
+
+  Scenario: An identity that another process answers for is never used again
+    Given a gateway before two upstreams of each service
+    When a caller asks for "post"
+    And the upstream belongs to another process
+    And 8 callers ask for "post"
+    Then none of the later requests went to the upstream of the first
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -66,7 +66,8 @@
 
 @when("the upstream belongs to another process")
 def misdirected(context):
-    context.world.sent[0].answer(421, sealed=False)
+    other = ((DIALECT.upstream_id, b"somebody"),)
+    context.world.sent[0].answer(421, sealed=False, add=other)
 
 
 @when("the upstream resets the connection")
@@ -288,3 +289,70 @@
         one.headers[DIALECT.request_id].decode() for one in context.world.sent
     ]
     assert sent == ids.split(","), sent
+
+
+@given("a gateway before one engine")
+def gateway_before_engine(context):
+    context.world = gateway_world.World(upstreams=("model", "model"))
+    listed = {"u0": gateway_world.upstream("u0", "model")}
+    context.world.gateway.list_upstreams(listed)
+
+
+def break_off_and_leave(context, service):
+    """The only upstream breaks a request off while none has room."""
+    world = context.world
+    sent = world.sent[0]
+    full = gateway_world.upstream("full", service, slots=1)
+    world.gateway.list_upstreams({"full": full})
+    state = world.gateway.fleet.states["full"]
+    state.running = state.started = 1
+    sent.end(attempts.End.BROKEN)
+    assert len(world.sent) == 1, world.sent
+    assert world.gateway.unfinished() == 1
+    state.running = 0
+    context.another = gateway_world.upstream("new", service)
+
+
+@when("the engine sends events {first:d} to {last:d}, breaks off and leaves")
+def engine_breaks_off(context, first, last):
+    context.world.sent[0].head()
+    context.world.sent[0].owner.on_data(events(first, last))
+    break_off_and_leave(context, "model")
+
+
+@when("the upstream breaks it off and leaves, and it waits")
+def upstream_breaks_off(context):
+    break_off_and_leave(context, "desk")
+
+
+@when("its key is withdrawn and another engine comes")
+def key_withdrawn(context):
+    gateway = context.world.gateway
+    gateway.knowledge.configure(gateway_world.configuration(2, keys=()))
+    gateway.list_upstreams({"new": context.another})
+
+
+@when("the proof of its key lapses and another engine comes")
+@when("the proof of its key lapses and another upstream comes")
+def proof_lapses(context):
+    gateway = context.world.gateway
+    gateway.knowledge.confirmed_ms -= gateway.options.key_proof_ms
+    gateway.list_upstreams({"new": context.another})
+
+
+@when("the gateway gives up what waits")
+def gives_up(context):
+    context.world.gateway.abandon()
+
+
+@when("its time is over")
+def time_over(context):
+    context.world.gateway.list_upstreams({})
+    context.world.advance(5100)
+
+
+@then("none of the later requests went to the upstream of the first")
+def check_not_again(context):
+    first, *later = [one.upstream.id for one in context.world.sent]
+    assert later, "nothing was sent"
+    assert first not in later, later
--- a/godwitloft/gateway/answer.py
+++ b/godwitloft/gateway/answer.py
@@ -40,12 +40,14 @@
     :param reason: name for logs and counters
     :param failed: whether the upstream itself reports a failure
     :param spoiled: whether what came must not be shown to the caller
+    :param replaced: whether another process answers for the upstream
     """
 
     result: Result
     reason: str
     failed: bool = False
     spoiled: bool = False
+    replaced: bool = False
 
 
 class Answer:
@@ -160,7 +162,10 @@
             return Verdict(Result.NOT_SENT, reason, spoiled=True)
         if self.not_run and not self.problem:
             return Verdict(
-                Result.NOT_RUN, f"upstream_refused_{self.status}", spoiled=True
+                Result.NOT_RUN,
+                f"upstream_refused_{self.status}",
+                spoiled=True,
+                replaced=self.is_of_another(),
             )
         if end is attempts.End.BROKEN:
             return Verdict(Result.BROKEN, reason, spoiled=True)
@@ -175,6 +180,17 @@
             return Verdict(Result.BROKEN, "event_cut", spoiled=True)
         return Verdict(Result.DELIVER, "")
 
+    def is_of_another(self) -> bool:
+        """Tells whether a process with another identity has answered.
+
+        :return: whether the address belongs to another upstream by now
+        """
+        placed = self.request.sent_to
+        found = dict(self.headers).get(self.dialect.upstream_id)
+        if self.status != MISDIRECTED or found is None:
+            return False
+        return found != placed.encode()
+
     def deliver(self) -> None:
         """Passes on the rest of a whole answer and ends it."""
         exchange = self.request.exchange
--- a/godwitloft/gateway/dialect.py
+++ b/godwitloft/gateway/dialect.py
@@ -18,6 +18,7 @@
     :param length_hint: the caller's guess of the output tokens
     :param last_event: last event of a stream that is to be resumed
     :param expected_upstream: identity of the only upstream that may run it
+    :param upstream_id: identity of the upstream that answers
     :param team: name of the caller's team
     :param not_run: an upstream's proof that it did not run the request
     :param seal: mark that only upstreams put on their answers
@@ -33,6 +34,7 @@
     length_hint: bytes
     last_event: bytes
     expected_upstream: bytes
+    upstream_id: bytes
     team: bytes
     not_run: bytes
     seal: bytes
--- a/godwitloft/gateway/fleet.py
+++ b/godwitloft/gateway/fleet.py
@@ -48,6 +48,10 @@
         bounded = min(SLOWEST, max(FASTEST, slowness))
         self.slowness += NEW_VALUE_WEIGHT * (bounded - self.slowness)
 
+    def leave(self) -> None:
+        """Gives it no new work from now on, whatever the list says."""
+        self.upstream = dataclasses.replace(self.upstream, leaving=True)
+
     def failed(self, now_ms: int, unreachable: bool) -> None:
         """Notes a failure and pauses after several in a row.
 
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -316,6 +316,7 @@
         request.runs += 1
         request.state = requests.State.SENT
         request.sent_ms = now_ms
+        request.sent_to = state.upstream.id
         request.placed = state
         request.answer = answers.Answer(request, self.dialect)
         state.running += 1
@@ -517,9 +518,20 @@
     ) -> None:
         """Answers a request with a refusal.
 
+        A caller who has the head of an answer sees a cut; one whose request
+        has run is not told that it hasn't.
+
         :param request: what is refused
         :param refusal: why
         """
+        if request.exchange.started:
+            self.end(request, "cut", refusal.reason)
+            request.exchange.abort()
+            return
+        if request.runs > 0 and refusal.status in refusals.NOT_RUN_STATUSES:
+            refusal = dataclasses.replace(
+                refusal, status=504, retry_after_ms=None
+            )
         waited_ms = self.clock.monotonic_ms() - request.facts.arrived_ms
         self.reports.refused(
             request.facts.id, refusal, waited_ms, request.facts.route.name
@@ -573,13 +585,10 @@
         """
         if request.state is not requests.State.WAITING:
             return
-        facts = request.facts
+        hopeless_at_ms = self.hopeless_at_ms(request)
         if request.exchange.started:
-            if now_ms >= facts.until_ms:
-                self.end(request, "cut", "timeout")
-                request.exchange.abort()
-            return
-        if now_ms < self.hopeless_at_ms(request):
+            hopeless_at_ms = request.facts.until_ms
+        if now_ms < hopeless_at_ms:
             return
         if request.runs > 0:
             self.refuse(request, refusals.Refusal(504, "timeout"))
@@ -607,8 +616,4 @@
         self.release(request)
         if attempt is not None:
             attempt.cancel()
-        if request.exchange.started:
-            self.end(request, "cut", "timeout")
-            request.exchange.abort()
-        else:
-            self.refuse(request, refusals.Refusal(504, "timeout"))
+        self.refuse(request, refusals.Refusal(504, "timeout"))
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -102,6 +102,7 @@
         self.arrivals = 0
         self.tried: set[str] = set()
         self.sent_ms = 0
+        self.sent_to = ""
         self.read_ahead = 0
         self.unread = 0
         self.first_data_ms = 0
--- a/godwitloft/gateway/retrying.py
+++ b/godwitloft/gateway/retrying.py
@@ -65,6 +65,8 @@
         unreachable = verdict.result is answers.Result.NOT_SENT
         state.failed(now_ms, unreachable)
         request.tried.add(state.upstream.id)
+        if verdict.replaced:
+            state.leave()
         if verdict.result is answers.Result.BROKEN:
             self.crashes.broken(
                 state.upstream.id, request.facts.fingerprint, now_ms
@@ -74,6 +76,7 @@
         events.log(
             events.UPSTREAM_FAILED,
             request=request.facts.id,
+            route=request.facts.route.name,
             upstream=state.upstream.id,
             reason=verdict.reason,
             failures=state.failures,
--- a/godwitloft/platform/headers.py
+++ b/godwitloft/platform/headers.py
@@ -12,6 +12,7 @@
     length_hint=PREFIX + b"length-hint",
     last_event=b"last-event-id",
     expected_upstream=PREFIX + b"target-instance",
+    upstream_id=PREFIX + b"instance-id",
     team=PREFIX + b"tenant",
     not_run=PREFIX + b"not-executed",
     seal=PREFIX + b"response-seal",
