--- a/godwitloft/gateway/dialect.py
+++ b/godwitloft/gateway/dialect.py
@@ -15,7 +15,6 @@
     :param time_left: milliseconds that the sender will wait
     :param token_counts: prompt tokens and most output tokens, with a comma
     :param prompt_parts: ``ID:TOKENS`` entries of the prompt, with commas
-    :param length_hint: the caller's guess of the output tokens
     :param last_event: last event of a stream that is to be resumed
     :param expected_upstream: identity of the only upstream that may run it
     :param upstream_id: identity of the upstream that answers
@@ -31,7 +30,6 @@
     time_left: bytes
     token_counts: bytes
     prompt_parts: bytes
-    length_hint: bytes
     last_event: bytes
     expected_upstream: bytes
     upstream_id: bytes
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -476,7 +476,6 @@
             1, {"reason": verdict.reason}
         )
         request.state = requests.State.WAITING
-        request.last_reason = verdict.reason
         self.waiting.setdefault(request.facts.service, []).append(request)
 
     def give_up(
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -107,7 +107,6 @@
         self.unread = 0
         self.first_data_ms = 0
         self.last_event: bytes | None = None
-        self.last_reason = ""
         self.use: allowance.Use | None = None
 
 
--- a/godwitloft/platform/headers.py
+++ b/godwitloft/platform/headers.py
@@ -9,7 +9,6 @@
     time_left=PREFIX + b"deadline-ms",
     token_counts=PREFIX + b"token-counts",
     prompt_parts=PREFIX + b"prompt-prefix",
-    length_hint=PREFIX + b"length-hint",
     last_event=b"last-event-id",
     expected_upstream=PREFIX + b"target-instance",
     upstream_id=PREFIX + b"instance-id",
