Wait for daemons that are behind, as the status command says they are

The counts of skipped steps place the failure at "every daemon of the deployment reaches generation 1".

Cause: `godwitloft status` ends with 1 while a daemon is behind, as its help says; the step took each status of its polling for an error unless it ended with 0. It failed whenever the first status came before the last daemon had told its generation.

Change: the step checks that the exit code agrees with the generations told and goes on polling; a scenario pauses an agent while a configuration is published.

--- a/.ci/verdict.py
+++ b/.ci/verdict.py
@@ -9,6 +9,21 @@
     r"(?:, (?P<error>\d+) error)?",
     re.MULTILINE,
 )
+REASON = re.compile(
+    r"^\s*(?:ASSERT FAILED|Traceback|\w*(?:Error|Exception)):?.*$",
+    re.MULTILINE,
+)
+REASONS_SHOWN = 20
+REASON_LENGTH = 300
+
+
+def print_reasons(text: str) -> None:
+    """Repeats why scenarios failed, where the end of a log shows it.
+
+    :param text: behave's output
+    """
+    for reason in REASON.findall(text)[:REASONS_SHOWN]:
+        print(reason.strip()[:REASON_LENGTH])
 
 
 def main(log_path: str, tests_status: str) -> int:
@@ -29,6 +44,8 @@
     failed_count = int(failed) + int(error or 0)
     if int(tests_status) != 0 and failed_count == 0:
         failed_count = 1
+    if failed_count:
+        print_reasons(text)
     print(f"{passed_count} passed, {failed_count} failed")
     return 0 if passed_count > 0 and failed_count == 0 else 1
 
--- a/features/operations.feature
+++ b/features/operations.feature
@@ -12,6 +12,12 @@
     Then every daemon of the deployment reaches generation 2
     And a completion through each entry is answered
 
+  Scenario: A daemon that takes a configuration late is waited for
+    Given every daemon of the deployment reaches generation 0
+    When "agent-1" is paused for 4500 ms
+    And the operator publishes the path objects
+    Then every daemon of the deployment reaches generation 1
+
   Scenario: A drained agent gets no new work and cuts nothing off
     Given the operator publishes the path objects
     And every daemon of the deployment reaches generation 1
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -4,9 +4,11 @@
 import http.client
 import json
 import pathlib
+import signal
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 
 from behave import given
@@ -337,15 +339,35 @@
     assert done.returncode == 0, done.stderr + done.stdout
 
 
+def status_of_daemons(context):
+    """Returns the generations; checks the exit code against them."""
+    done = operate(context, "status")
+    assert done.returncode in (0, 1), done.stderr
+    answer = json.loads(done.stdout)
+    head = answer["head_generation"]
+    found = {one["instance"]: one["generation"] for one in answer["daemons"]}
+    behind = any(own < head for own in found.values())
+    assert done.returncode == int(behind), done.stdout
+    return found
+
+
+@when('"{instance}" is paused for {pause_ms:d} ms')
+def pause_agent(context, instance, pause_ms):
+    agent = context.agents[instance]
+    agent.send_signal(signal.SIGSTOP)
+    resume = threading.Timer(
+        pause_ms / 1000, agent.send_signal, (signal.SIGCONT,)
+    )
+    resume.start()
+    context.add_cleanup(resume.join)
+
+
 @given("every daemon of the deployment reaches generation {generation:d}")
 @then("every daemon of the deployment reaches generation {generation:d}")
 def check_generation(context, generation):
     expected = {"agent-0", "agent-1", "entry-0", "entry-1"}
     for _ in range(START_LIMIT_S):
-        done = operate(context, "status")
-        assert done.returncode == 0, done.stderr
-        daemons = json.loads(done.stdout)["daemons"]
-        found = {one["instance"]: one["generation"] for one in daemons}
+        found = status_of_daemons(context)
         if found == dict.fromkeys(expected, generation):
             return
         time.sleep(0.2)
