Explain and audit requests from the logs of gateways

Cause of the need: `godwitloft explain` and `audit` read only what entries answer or traces; on the platform there is nothing but standard output. Refusals shared the log's bound of 400 lines a second with requests that go well, so that under overload the lines that matter were dropped.

GL1201 and GL1301 carry what `explain` needs (attempts, runs, whether a repeat is allowed, age of the proof, kind of failure); GL1206 tells of answers that failed. Sampled events (GL1204, GL1205) take at most 400 of 800 lines a second.

Tests: explaining.feature runs the real entry on the stand-in platform, fails four requests and checks the cause that `explain` names; tables plant a breach for each promise that the audit of logs checks.

--- a/features/steps/bounded_log_steps.py
+++ b/features/steps/bounded_log_steps.py
@@ -24,28 +24,41 @@
         self.handler.setFormatter(events.JsonFormatter())
         self.written = 0
         self.rest = b""
+        self.is_read = False
 
-    def write(self, count, size=10):
+    def write(self, count, size=10, event=None):
         for _ in range(count):
             self.written += 1
             record = logging.LogRecord(
                 "x", logging.INFO, "x", 1, "x" * size, (), None
             )
+            record.event = event
             record.fields = {"number": self.written}
             self.handler.emit(record)
+            if self.is_read:
+                self.take()
 
-    def read(self):
-        while True:
-            try:
+    def take(self):
+        try:
+            while True:
                 self.rest += os.read(self.reader, 65536)
-            except BlockingIOError:
-                *lines, self.rest = self.rest.split(b"\n")
-                return [json.loads(line) for line in lines]
+        except BlockingIOError:
+            return
+
+    def read(self):
+        self.take()
+        *lines, self.rest = self.rest.split(b"\n")
+        return [json.loads(line) for line in lines]
 
 
 @given("a bounded log that is read")
+def read_log(context):
+    context.log = Log(context)
+    context.log.is_read = True
+
+
 @given("a bounded log that nobody reads")
-def log(context):
+def unread_log(context):
     context.log = Log(context)
 
 
@@ -54,6 +67,23 @@
     context.log.write(count)
 
 
+@when("{count:d} lines of {code} are written within a second")
+def write_event(context, count, code):
+    (event,) = (
+        one
+        for one in vars(events).values()
+        if isinstance(one, events.Event) and one.code == code
+    )
+    context.log.write(count, event=event)
+
+
+@then("{first:d} lines of {code} and {second:d} of {other} arrive")
+def check_event_lines(context, first, code, second, other):
+    found = [line["event"] for line in context.log.read()]
+    counts = (found.count(code), found.count(other))
+    assert counts == (first, second), counts
+
+
 @then("{count:d} lines arrive")
 def check_lines(context, count):
     assert len(context.log.read()) == count
--- /dev/null
+++ b/features/steps/explaining_steps.py
@@ -0,0 +1,158 @@
+import concurrent.futures
+import json
+import pathlib
+import subprocess
+import sys
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.support import lakeshore
+from godwitloft.audit import explaining
+from godwitloft.audit import log_promises
+from godwitloft.audit import request_logs
+
+ROOT = pathlib.Path(__file__).parents[2]
+PLACES = 8
+TOO_MANY = 40
+
+
+def ask_stream(context, request_id, events, deadline_ms=4000):
+    return context.world.ask(
+        "POST",
+        "/once/x",
+        request_id,
+        Godwitloft_Token_Counts=f"5,{events}",
+        Godwitloft_Deadline_Ms=str(deadline_ms),
+    )
+
+
+@when("more streams come than there are places")
+def fill_places(context):
+    with concurrent.futures.ThreadPoolExecutor(TOO_MANY) as pool:
+        filling = [
+            pool.submit(ask_stream, context, f"fill{number}", 150)
+            for number in range(TOO_MANY)
+        ]
+        lakeshore.wait_until(
+            lambda: sum(map(len, context.world.fetch("ledger").values())) >= 1,
+            "a stream's start",
+        )
+        status = ask_stream(context, "full", 5, 600)[0]
+        for one in filling:
+            one.result()
+    assert status == 503, status
+
+
+@when("a stream is cut off by its runner")
+def cut_stream(context):
+    context.world.control(runners={"i-model-1": {"gone": True}})
+    context.world.control(runners={"i-model-0": {"cut_after": [1]}})
+    lakeshore.wait_until(
+        lambda: ask_stream(context, "cut", 3)[3] is False, "the cut"
+    )
+
+
+@when("an unsafe call loses its answer")
+def lose_answer(context):
+    context.world.control(
+        runners={
+            "i-desk-0": {"lose_answers": 1},
+            "i-desk-1": {"refuse": 100},
+        }
+    )
+    status = context.world.ask("POST", "/post/x", "lost")[0]
+    assert status == 502, status
+    assert len(context.world.ran("lost")) == 1
+
+
+@when("the key of nobody is used")
+def use_foreign_key(context):
+    status = context.world.ask("GET", "/lookup/x", "nobody", "key-z")[0]
+    assert status == 401, status
+
+
+@when("the entry is told to stop and its log is kept")
+def keep_log(context):
+    context.world.entry.terminate()
+    output, _ = context.world.entry.communicate(timeout=lakeshore.LIMIT_S)
+    file = pathlib.Path(context.world.directory.name) / "entry.log"
+    file.write_text(output, encoding="utf-8")
+    context.log_file = str(file)
+
+
+def command(*words):
+    return subprocess.run(
+        [sys.executable, "-m", "godwitloft.ui.main", *words],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=lakeshore.LIMIT_S,
+    )
+
+
+@then('explain of "{request}" says "{cause}"')
+def check_explained(context, request, cause):
+    done = command("explain", request, context.log_file)
+    assert done.returncode == 0, done.stderr
+    assert f"cause: {cause}" in done.stdout, done.stdout
+
+
+@then("the audit of the log finds no breach")
+def check_kept(context):
+    done = command("audit", "--logs", context.log_file)
+    assert done.returncode == 0, done.stdout + done.stderr
+    assert "BREACHED" not in done.stdout, done.stdout
+
+
+def typed(text):
+    known = {"true": True, "false": False}
+    if text in known:
+        return known[text]
+    return int(text) if text.isdigit() else text
+
+
+@given('the log of "{process}"')
+def given_log(context, process):
+    lines = []
+    for row in context.table:
+        seconds, ms = divmod(int(row["ms"]), 1000)
+        line = {
+            "time": f"2026-01-01 00:00:{seconds:02},{ms:03}",
+            "event": row["event"],
+        }
+        for pair in row["fields"].split():
+            name, _, value = pair.partition("=")
+            line[name] = typed(value)
+        lines.append((process, f"[{process}] {json.dumps(line)}"))
+    context.logs = request_logs.Logs(lines)
+    assert context.logs.unreadable == 0
+
+
+@when('"{request}" is explained')
+def explain(context, request):
+    (context.life,) = explaining.explain(context.logs, request)
+
+
+@then('the cause is "{cause}"')
+def check_cause(context, cause):
+    assert context.life.cause == cause, context.life
+
+
+@then('the evidence has "{part}"')
+def check_evidence(context, part):
+    found = context.life.evidence
+    assert any(part in one for one in found), found
+
+
+@when("the log is audited")
+def audit_log(context):
+    context.report = log_promises.audit_logs(context.logs)
+
+
+@then('only "{promise}" is breached')
+def check_breached(context, promise):
+    found = [one.promise for one in context.report.findings if one.breaches]
+    expected = [] if promise == "-" else [promise]
+    assert found == expected, context.report
--- /dev/null
+++ b/godwitloft/audit/explaining.py
@@ -0,0 +1,253 @@
+"""Explains from logs alone what became of a request, and why."""
+
+import dataclasses
+import typing
+
+from godwitloft import events
+from godwitloft.audit import request_logs
+
+NEAR_MS = 1_000
+OVERLOAD_REASONS = ("queue_full", "wait_too_long", "waited_too_long")
+# What can be said without looking at other lines.
+PLAIN_CAUSES: typing.Mapping[str, str] = {
+    "crashes_upstreams": "requests like it crash their upstreams",
+    "no_route": "no route matches its host and path",
+    "unknown_key": "its key is not one of the configuration in force",
+    "team_allowance": "its team has used up its allowance",
+    "not_configured": "the process had no configuration yet",
+    "not_connected": "no upstream took a connection",
+    "leaving": "the process was told to end",
+    "timeout": "its time limit was over",
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Life:
+    """What one process did with a request.
+
+    :param process: which
+    :param steps: its lines about the request
+    :param cause: why it ended as it did, in one sentence
+    :param evidence: other lines that speak for the cause
+    """
+
+    process: str
+    steps: tuple[request_logs.Line, ...]
+    cause: str
+    evidence: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Cause:
+    """Why a request ended as it did.
+
+    :param sentence: for people
+    :param evidence: what speaks for it
+    """
+
+    sentence: str
+    evidence: tuple[str, ...] = ()
+
+
+def explain(logs: request_logs.Logs, request: str) -> tuple[Life, ...]:
+    """Finds what became of a request.
+
+    :param logs: of any number of processes
+    :param request: its id
+    :return: one life for each process that had it
+    """
+    lives: dict[str, list[request_logs.Line]] = {}
+    for line in logs.requests.get(request, []):
+        lives.setdefault(line.process, []).append(line)
+    found = []
+    for process, steps in lives.items():
+        cause = cause_of(logs, steps)
+        found.append(
+            Life(process, tuple(steps), cause.sentence, cause.evidence)
+        )
+    return tuple(found)
+
+
+def cause_of(logs: request_logs.Logs, steps: list[request_logs.Line]) -> Cause:
+    """Decides why a request ended as it did.
+
+    :param logs: of any number of processes
+    :param steps: lines of one process about the request
+    :return: the cause
+    """
+    last = steps[-1]
+    if last.tells(events.REQUEST_REFUSED):
+        return cause_of_refusal(logs, last, steps)
+    if last.tells(events.REQUEST_CUT):
+        return cause_of_break(logs, last, steps, "the answer was cut off")
+    if last.tells(events.REQUEST_ANSWERED):
+        return cause_of_end(last)
+    return cause_of_silence(logs, last)
+
+
+def cause_of_refusal(
+    logs: request_logs.Logs,
+    end: request_logs.Line,
+    steps: list[request_logs.Line],
+) -> Cause:
+    """Decides why a request was refused.
+
+    :param logs: of any number of processes
+    :param end: the line that tells of the refusal
+    :param steps: all lines about the request
+    :return: the cause
+    """
+    reason = end.fields.get("reason", "")
+    if end.fields.get("runs"):
+        return cause_of_break(logs, end, steps, "its end is unknown")
+    if reason in OVERLOAD_REASONS:
+        return cause_of_overload(logs, end)
+    if reason == "configuration_unproven":
+        return cause_of_doubt(logs, end)
+    failures = [step for step in steps if step.tells(events.UPSTREAM_FAILED)]
+    evidence = tuple(
+        f"{one.fields['upstream']}: {one.fields['reason']}" for one in failures
+    )
+    sentence = PLAIN_CAUSES.get(reason, reason.replace("_", " "))
+    return Cause(f"refused, nothing ran: {sentence}", evidence)
+
+
+def cause_of_overload(
+    logs: request_logs.Logs, end: request_logs.Line
+) -> Cause:
+    """Tells how full the upstreams were.
+
+    :param logs: of any number of processes
+    :param end: the line that tells of the refusal
+    :return: the cause
+    """
+    route = end.fields.get("route")
+    newest: dict[str, request_logs.Line] = {}
+    for line in logs.around(end, events.REQUEST_PLACED, NEAR_MS):
+        if line.time_ms <= end.time_ms and line.fields.get("route") == route:
+            newest[line.fields["upstream"]] = line
+    evidence = [
+        f"{name}: running {line.fields['running']}"
+        f" of {line.fields['allowed']} allowed"
+        for name, line in sorted(newest.items())
+    ]
+    gateways = logs.last_before(end, events.GATEWAYS_CHANGED)
+    if gateways is not None:
+        evidence.append(f"{gateways.fields['number']} gateways share them")
+    waited_ms = end.fields.get("waited_ms", 0)
+    return Cause(
+        "refused, nothing ran: overload, more work than places"
+        f" (waited {waited_ms} ms, told to come back in"
+        f" {end.fields.get('retry_after_ms')} ms)",
+        tuple(evidence),
+    )
+
+
+def cause_of_doubt(logs: request_logs.Logs, end: request_logs.Line) -> Cause:
+    """Tells since when the store was out of reach.
+
+    :param logs: of any number of processes
+    :param end: the line that tells of the refusal
+    :return: the cause
+    """
+    lost = logs.last_before(end, events.STORE_LOST, events.STORE_REGAINED)
+    age_ms = end.fields.get("proof_age_ms")
+    sentence = (
+        "refused, nothing ran: the configuration was last proved"
+        f" {age_ms} ms before"
+    )
+    if lost is None or lost.tells(events.STORE_REGAINED):
+        return Cause(sentence)
+    return Cause(
+        sentence,
+        (
+            f"the store failed {end.time_ms - lost.time_ms} ms before:"
+            f" {lost.fields.get('reason')}",
+        ),
+    )
+
+
+def cause_of_break(
+    logs: request_logs.Logs,
+    end: request_logs.Line,
+    steps: list[request_logs.Line],
+    effect: str,
+) -> Cause:
+    """Decides who broke a request off, and whether only this one.
+
+    :param logs: of any number of processes
+    :param end: the line that tells of the end
+    :param steps: all lines about the request
+    :param effect: what the caller has seen
+    :return: the cause
+    """
+    upstream = end.fields.get("upstream", "")
+    reason = end.fields.get("reason", "")
+    if reason == "timeout":
+        placed = [one for one in steps if one.tells(events.REQUEST_PLACED)]
+        waited = placed[-1].fields["waited_ms"] if placed else "unknown"
+        return Cause(
+            f"{effect}: its time limit was over while it ran on {upstream}",
+            (f"it had waited {waited} ms before it was sent",),
+        )
+    others = [
+        one
+        for one in logs.around(
+            end, events.UPSTREAM_FAILED, NEAR_MS, any_process=True
+        )
+        if one.fields.get("upstream") == upstream
+        and one.fields.get("request") != end.fields.get("request")
+    ]
+    if others:
+        scope = f"as {len(others)} other requests of it within a second"
+    else:
+        scope = "and no other request of it within a second"
+    evidence = [f"{upstream}: {reason}, {scope}"]
+    if end.fields.get("may_repeat") is False:
+        evidence.append(
+            "calls of this route may not be repeated, so it was not sent again"
+        )
+    else:
+        evidence.append(f"it was sent {end.fields.get('attempts')} times")
+    return Cause(
+        f"{effect}: {upstream} broke it off ({reason})", tuple(evidence)
+    )
+
+
+def cause_of_end(end: request_logs.Line) -> Cause:
+    """Tells whether an answer was late, and where the time went.
+
+    :param end: the line that tells of the end
+    :return: the cause
+    """
+    fields = end.fields
+    outcome = fields.get("outcome", "")
+    first_ms = fields.get("first_ms", 0)
+    target_ms = fields.get("target_ms", 0)
+    if outcome != "completed":
+        return Cause("its caller left before the end")
+    if first_ms <= target_ms:
+        return Cause(f"answered on time: {first_ms} of {target_ms} ms")
+    return Cause(
+        f"answered late: {first_ms} ms, {target_ms} ms were the target"
+    )
+
+
+def cause_of_silence(
+    logs: request_logs.Logs, last: request_logs.Line
+) -> Cause:
+    """Decides why there is no end.
+
+    :param logs: of any number of processes
+    :param last: the last line about the request
+    :return: the cause
+    """
+    ended = logs.ended_after(last)
+    if ended is events.STARTED:
+        return Cause(
+            "its end is unknown: the process was killed or lost power",
+            (f"{last.process} started again without having stopped",),
+        )
+    if ended is events.STOPPED:
+        return Cause("no end was logged before the process stopped")
+    return Cause("no end was logged: it still runs, or lines were dropped")
--- a/godwitloft/bounded_log.py
+++ b/godwitloft/bounded_log.py
@@ -5,14 +5,16 @@
 import time
 import typing
 
-MAX_LINES_PER_S = 400
+MAX_SAMPLED_LINES_PER_S = 400
+MAX_LINES_PER_S = 800
 MAX_PENDING_BYTES = 65_536
 
 
 class BoundedHandler(logging.Handler):
     """Writes lines to a file descriptor that may be slow or full.
 
-    Warnings and errors may take up to twice the bound. What doesn't fit is
+    Lines of sampled events have a lower bound than all lines, so that what
+    goes well leaves room for refusals and failures. What doesn't fit is
     dropped and counted; the next line that is written tells how many were.
 
     :param descriptor: is set not to block
@@ -38,7 +40,8 @@
 
         :param record: usually written by :func:`godwitloft.events.log`
         """
-        if not self.may_write(record.levelno):
+        event = getattr(record, "event", None)
+        if not self.may_write(event is not None and event.sampled):
             self.dropped += 1
             return
         if self.dropped:
@@ -54,19 +57,17 @@
         self.pending += line
         self.write_pending()
 
-    def may_write(self, level: int) -> bool:
+    def may_write(self, sampled: bool) -> bool:
         """Counts a line against the bound of this second.
 
-        :param level: of the standard ``logging`` module
+        :param sampled: whether its event is a sampled one
         :return: whether it may be written
         """
         second = int(self.now_s())
         if second != self.second:
             self.second = second
             self.lines = 0
-        most = MAX_LINES_PER_S
-        if level >= logging.WARNING:
-            most *= 2
+        most = MAX_SAMPLED_LINES_PER_S if sampled else MAX_LINES_PER_S
         if self.lines >= most:
             return False
         self.lines += 1
--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -22,11 +22,14 @@
     :param number: unique number, written as ``GL1001``
     :param level: level of the standard ``logging`` module
     :param text: what happened, in a few words
+    :param sampled: whether it tells of what goes well, for each request, so
+        that some may be left out under load
     """
 
     number: int
     level: int
     text: str
+    sampled: bool = False
 
     @property
     def code(self) -> str:
@@ -52,8 +55,13 @@
 OUTCOME_UNKNOWN = Event(
     1203, logging.WARNING, "the outcome of a request is unknown"
 )
-REQUEST_PLACED = Event(1204, logging.INFO, "a request was sent to an upstream")
-REQUEST_ANSWERED = Event(1205, logging.INFO, "a request of a gateway ended")
+REQUEST_PLACED = Event(
+    1204, logging.INFO, "a request was sent to an upstream", sampled=True
+)
+REQUEST_ANSWERED = Event(
+    1205, logging.INFO, "a request of a gateway ended", sampled=True
+)
+REQUEST_CUT = Event(1206, logging.WARNING, "an answer of a gateway failed")
 UPSTREAM_LISTED = Event(1302, logging.INFO, "the list of upstreams changed")
 ROW_SKIPPED = Event(
     1504, logging.WARNING, "a row of the platform can't be used"
--- a/godwitloft/gateway/admission.py
+++ b/godwitloft/gateway/admission.py
@@ -112,7 +112,9 @@
         after_ms = self.rng.uniform(
             refusals.SHORTEST_RETRY_AFTER_MS, latest_ms
         )
-        return refusals.Refusal(503, reason, int(after_ms))
+        return refusals.Refusal(
+            503, reason, int(after_ms), {"rank": facts.rank}
+        )
 
     def within_allowance(
         self, request: requests.Request
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -221,7 +221,7 @@
         checked = self.intake.check(exchange)
         if isinstance(checked, refusals.Refusal):
             request_id = exchange.header(self.dialect.request_id) or b""
-            self.reports.refused(request_id.decode("latin-1"), checked, 0)
+            self.reports.turned_away(request_id.decode("latin-1"), checked)
             refusals.answer(exchange, checked)
             return
         request = requests.Request(exchange, checked)
@@ -439,7 +439,7 @@
             self.retrying.note_end(request, state, verdict, now_ms)
         if verdict.result is answers.Result.DELIVER:
             answer.deliver()
-            self.end(request, "completed", verdict.reason)
+            self.end(request, reports.COMPLETED, verdict.reason)
         elif self.retrying.may_try_again(request, verdict, now_ms):
             self.try_again(request, verdict)
         else:
@@ -491,11 +491,11 @@
         :param verdict: how it ended
         """
         if request.exchange.started:
-            self.end(request, "cut", verdict.reason)
+            self.end(request, reports.CUT, verdict.reason)
             request.exchange.abort()
         elif answer.whole and not verdict.spoiled:
             answer.deliver()
-            self.end(request, "failed", verdict.reason)
+            self.end(request, reports.FAILED, verdict.reason)
         elif (
             verdict.result
             in (
@@ -524,17 +524,14 @@
         :param refusal: why
         """
         if request.exchange.started:
-            self.end(request, "cut", refusal.reason)
+            self.end(request, reports.CUT, refusal.reason)
             request.exchange.abort()
             return
         if request.runs > 0 and refusal.status in refusals.NOT_RUN_STATUSES:
             refusal = dataclasses.replace(
                 refusal, status=504, retry_after_ms=None
             )
-        waited_ms = self.clock.monotonic_ms() - request.facts.arrived_ms
-        self.reports.refused(
-            request.facts.id, refusal, waited_ms, request.facts.route.name
-        )
+        self.reports.refused(request, refusal)
         request.state = requests.State.ENDED
         team = request.facts.team
         if request.runs == 0 and request.use is not None and team is not None:
@@ -562,7 +559,7 @@
         self.release(request)
         if attempt is not None:
             attempt.cancel()
-        self.end(request, "caller_left", request.state.value)
+        self.end(request, reports.CALLER_LEFT, request.state.value)
         self.pump(request.facts.service)
 
     def tick(self) -> None:
--- a/godwitloft/gateway/reports.py
+++ b/godwitloft/gateway/reports.py
@@ -1,5 +1,7 @@
 """Logs and counts how requests end."""
 
+import typing
+
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft import metrics
@@ -8,6 +10,11 @@
 from godwitloft.gateway import refusals
 from godwitloft.gateway import request as requests
 
+COMPLETED = "completed"
+FAILED = "failed"
+CUT = "cut"
+CALLER_LEFT = "caller_left"
+
 
 class Reports:
     """Writes one line for each end of a request.
@@ -34,32 +41,59 @@
         """
         self.instruments.refusals.add(1, {"reason": refusal.reason})
 
+    def turned_away(self, request_id: str, refusal: refusals.Refusal) -> None:
+        """Writes and counts a refusal of what was never taken in.
+
+        :param request_id: of the request
+        :param refusal: why
+        """
+        self.write_refusal(request_id, refusal, {})
+
     def refused(
+        self, request: requests.Request, refusal: refusals.Refusal
+    ) -> None:
+        """Writes and counts a refusal of a request that was taken in.
+
+        :param request: what is refused
+        :param refusal: why
+        """
+        facts = request.facts
+        now_ms = self.clock.monotonic_ms()
+        inputs = {
+            "route": facts.route.name,
+            "may_repeat": facts.may_repeat,
+            "waited_ms": now_ms - facts.arrived_ms,
+            "attempts": request.arrivals,
+            "runs": request.runs,
+            "upstream": request.sent_to,
+        }
+        self.write_refusal(facts.id, refusal, inputs)
+
+    def write_refusal(
         self,
         request_id: str,
         refusal: refusals.Refusal,
-        waited_ms: int,
-        route: str = "",
+        inputs: typing.Mapping[str, typing.Any],
     ) -> None:
         """Writes and counts a refusal.
 
         :param request_id: of the request
         :param refusal: why
-        :param waited_ms: how long it waited
-        :param route: name of its route, if known
+        :param inputs: what is known of the request
         """
         router = self.knowledge.router
+        now_ms = self.clock.monotonic_ms()
         self.instruments.refusals.add(1, {"reason": refusal.reason})
+        fields = {
+            "request": request_id,
+            "status": refusal.status,
+            "reason": refusal.reason,
+            "retry_after_ms": refusal.retry_after_ms,
+            "version": router.configuration.version if router else None,
+            "proof_age_ms": self.knowledge.proof_age_ms(now_ms),
+        }
         events.log(
-            events.REQUEST_REFUSED,
-            request=request_id,
-            route=route,
-            status=refusal.status,
-            reason=refusal.reason,
-            waited_ms=waited_ms,
-            retry_after_ms=refusal.retry_after_ms,
-            version=router.configuration.version if router else None,
-            **refusal.inputs,
+            events.REQUEST_REFUSED, **fields, **inputs, **refusal.inputs
         )
 
     def ended(
@@ -78,8 +112,9 @@
             self.instruments.first_token_ms.record(
                 request.first_data_ms - facts.arrived_ms
             )
+        is_whole = outcome in (COMPLETED, CALLER_LEFT)
         events.log(
-            events.REQUEST_ANSWERED,
+            events.REQUEST_ANSWERED if is_whole else events.REQUEST_CUT,
             request=facts.id,
             route=facts.route.name,
             outcome=outcome,
@@ -88,4 +123,6 @@
             took_ms=now_ms - facts.arrived_ms,
             target_ms=facts.route.target_ms,
             attempts=request.arrivals,
+            upstream=request.sent_to,
+            may_repeat=facts.may_repeat,
         )
--- a/godwitloft/gateway/retrying.py
+++ b/godwitloft/gateway/retrying.py
@@ -79,6 +79,8 @@
             route=request.facts.route.name,
             upstream=state.upstream.id,
             reason=verdict.reason,
+            result=verdict.result.value,
+            sent_ms_ago=now_ms - request.sent_ms,
             failures=state.failures,
         )
 
--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -153,6 +153,7 @@
         self.sequence = 0
         self.refuse = 0
         self.misdirect = 0
+        self.lose_answers = 0
         self.cut_after: list[int] = []
         self.ledger: list[http.Json] = []
 
@@ -204,6 +205,10 @@
                 "left_ms": header("Godwitloft-Deadline-Ms"),
             }
         )
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            request.transport.abortConnection()
+            return defer.Deferred()
         request.setHeader(REQUEST_ID, request_id)
         request.setHeader(SEAL, f"seal-{self.id}")
         if self.service != "model":
--- a/godwitloft/ui/audit.py
+++ b/godwitloft/ui/audit.py
@@ -1,4 +1,4 @@
-"""``godwitloft audit``: checks the promises on traces."""
+"""``godwitloft audit``: checks the promises on traces or logs."""
 
 import dataclasses
 import typing
@@ -7,6 +7,8 @@
 
 from godwitloft import audit
 from godwitloft import errors as root_errors
+from godwitloft.audit import log_promises
+from godwitloft.audit import request_logs
 from godwitloft.ui import errors
 from godwitloft.ui import options
 from godwitloft.ui import report
@@ -15,16 +17,23 @@
 
 Traces = typing.Annotated[
     list[str],
-    cappa.Arg(required=True, help="Trace files of any number of processes."),
+    cappa.Arg(
+        required=True,
+        help="Trace files of any number of processes; or, with --logs, files"
+        " of what gateways and agents logged.",
+    ),
 ]
 
 
-@cappa.command(name="audit", help="Check the promises on traces.")
+@cappa.command(name="audit", help="Check the promises on traces or logs.")
 @dataclasses.dataclass(kw_only=True)
 class Audit(options.Printing):
     """Arguments of the command."""
 
     traces: Traces
+    logs: typing.Annotated[
+        bool, cappa.Arg(long=True, help="The files are logs of gateways.")
+    ] = False
     ledger: typing.Annotated[
         list[str],
         cappa.Arg(
@@ -35,12 +44,15 @@
 
 
 async def run(command: Audit, session: sessions.Session) -> report.Report:
-    """Audits the traces.
+    """Audits the traces or logs.
 
     :param command: its arguments
     :param session: the world around it
     :return: one line a promise
     """
+    if command.logs:
+        named = trace_files.read_named_lines(command.traces, session)
+        return reported(log_promises.audit_logs(request_logs.Logs(named)))
     lines = trace_files.read_lines(command.traces, session)
     ledgers = trace_files.read_lines(command.ledger, session)
     try:
@@ -49,6 +61,15 @@
         raise
     except root_errors.GodwitloftError as error:
         raise errors.CommandError(str(error), errors.ExitCode.USAGE) from error
+    return reported(found)
+
+
+def reported(found: audit.Report) -> report.Report:
+    """Returns the findings as the command tells them.
+
+    :param found: by the audit
+    :return: one line a promise
+    """
     return report.Report(
         found,
         tuple(found.text().splitlines()),
--- a/godwitloft/ui/trace_files.py
+++ b/godwitloft/ui/trace_files.py
@@ -1,4 +1,4 @@
-"""Reads the trace files that ``audit`` and ``replay`` work on."""
+"""Reads the files that ``audit``, ``explain`` and ``replay`` work on."""
 
 import pathlib
 import typing
@@ -20,9 +20,24 @@
     :return: lines without their newline; empty ones are left out
     :raises errors.CommandError: when a file can't be read
     """
+    for _path, line in read_named_lines(paths, session):
+        yield line
+
+
+def read_named_lines(
+    paths: typing.Iterable[str], session: sessions.Session
+) -> typing.Iterator[tuple[str, str]]:
+    """Yields the lines of files, each with the name of its file.
+
+    :param paths: names of files
+    :param session: told of large files, which take a while
+    :return: names and lines without their newline
+    :raises errors.CommandError: when a file can't be read
+    """
     for path in paths:
         try:
-            yield from _read_file(pathlib.Path(path), session)
+            for line in _read_file(pathlib.Path(path), session):
+                yield path, line
         except OSError as error:
             raise errors.CommandError(
                 f"{path}: {error.strerror}", errors.ExitCode.USAGE
