Add a soak: random faults on the adapter's programs, judged from outside

Change: `python -m bench soak` draws faults from a seed (kills, SIGTERM, pauses, SIGHUP, the store away, silent or without history, runners delayed, silent, deaf, reset, draining or gone, keys and routes withdrawn), in series and overlapping, and checks fourteen promises from what callers and runners saw. The stand-in runner tells more in its ledger and has planted mistakes.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -16,6 +16,7 @@
 from bench import overhead
 from bench import processes
 from bench import slopes
+from bench.soak import soak
 
 OptionalFile = typing.Annotated[
     str, cappa.Arg(long=True, help="File for the figures.")
@@ -153,6 +154,30 @@
         burst.write(self.json, faults.run(self.seed, self.seconds))
 
 
+@cappa.command(name="soak", help="Random faults on the adapter's programs.")
+@dataclasses.dataclass(frozen=True)
+class Soak:
+    """Runs a soak; ends with 1 when a promise was broken.
+
+    :param seed: decides everything random
+    :param seconds: how long requests are sent
+    :param processes: of ours, at least 6
+    :param json: file for the figures
+    """
+
+    seed: typing.Annotated[int, cappa.Arg(long=True)] = 1
+    seconds: typing.Annotated[float, cappa.Arg(long=True)] = 40.0
+    processes: typing.Annotated[int, cappa.Arg(long=True)] = soak.SMALLEST
+    json: OptionalFile = ""
+
+    def __call__(self) -> None:
+        """Runs it and prints the figures."""
+        figures = soak.run(soak.Soak(self.seed, self.seconds, self.processes))
+        burst.write(self.json, figures)
+        if figures["breaches"]:
+            raise cappa.Exit(code=1)
+
+
 @cappa.command(name="slopes", help="Cost of one more of everything.")
 @dataclasses.dataclass(frozen=True)
 class Slopes:
@@ -203,7 +228,7 @@
     """
 
     command: cappa.Subcommands[
-        Burst | Compare | Config | Faults | Slopes | Capacity | Overhead
+        Burst | Compare | Config | Faults | Soak | Slopes | Capacity | Overhead
     ]
 
 
--- /dev/null
+++ b/bench/soak/deployment.py
@@ -0,0 +1,607 @@
+"""Starts the programs of a soak and brings faults about from outside."""
+
+import dataclasses
+import http.client
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+import typing
+
+from twisted.internet import reactor as default_reactor
+
+from bench import processes
+from bench.soak import plan
+from bench.soak import relay
+
+HOST_NAME = "soak.example"
+FIRST_PORT_TRIES = 20
+START_LIMIT_S = 20
+CALL_LIMIT_S = 10
+MS_PER_S = 1000
+# Bounds that the programs are told and the verdict judges by.
+GRACE_S = 6
+REVOKE_MS = 5_000
+QUOTA_WINDOW_S = 8
+QUOTA_OVERAGE = 0.1
+QUOTA_SLACK_TOKENS = 500
+RETRY_RATIO = 0.2
+RETRY_EXTRA = 20
+RETRY_WINDOW_S = 10
+TIMEOUT_MS = 4_000
+# Team "small" has a limit that its callers exceed.
+SMALL_RATE_PER_S = 200
+SMALL_BURST = 200
+PLAIN_TOKENS = 10
+
+KEYS = {"key-large": "large", "key-small": "small", "key-guest": "guest"}
+GUEST_KEY = "key-guest"
+EXTRA_ROUTE = "extra"
+ROUTES = (
+    ("stream", "streaming", "model", True),
+    ("once", "streaming", "model", False),
+    ("lookup", "idempotent", "desk", False),
+    ("post", "non_idempotent", "desk", False),
+    (EXTRA_ROUTE, "idempotent", "desk", False),
+)
+RELAY_MODES = {
+    "delay": relay.DELAY,
+    "silent": relay.SILENT,
+    "deaf": relay.DEAF,
+    "refuse_connections": relay.REFUSE,
+    "store_delay": relay.DELAY,
+    "store_silent": relay.SILENT,
+}
+RUNNER_SWITCHES: dict[str, dict[str, typing.Any]] = {
+    "lose_answers": {"lose_answers": 2},
+    "misdirect": {"misdirect": 3},
+    "refuse": {"refuse": 3},
+    "cut_streams": {"cut_after": [1, 2]},
+}
+
+
+def now_ms() -> int:
+    """Returns wall time, which all processes of a soak share."""
+    return int(time.time() * MS_PER_S)
+
+
+@dataclasses.dataclass
+class Mark:
+    """A fault as it was brought about.
+
+    :param kind: one of :data:`plan.KINDS`
+    :param target: name of the process or runner
+    :param start_ms: wall time
+    :param end_ms: wall time, None while it lasts
+    """
+
+    kind: str
+    target: str
+    start_ms: int
+    end_ms: int | None = None
+
+
+@dataclasses.dataclass(eq=False)
+class Program:
+    """One of our own programs.
+
+    :param name: of the instance
+    :param words: arguments of the interpreter
+    :param boot: its settings file
+    :param log: where its output goes
+    :param address: where callers connect, empty for agents
+    :param ready_address: where the balancer asks
+    """
+
+    name: str
+    words: tuple[str, ...]
+    boot: pathlib.Path
+    log: pathlib.Path
+    address: str = ""
+    ready_address: str = ""
+    child: subprocess.Popen[bytes] | None = None
+    was_told_to_end: bool = False
+
+    def start(self) -> None:
+        """Starts the process, if it doesn't run."""
+        if self.child is not None and self.child.poll() is None:
+            return
+        self.was_told_to_end = False
+        environment = dict(os.environ, GODWITLOFT_BOOT=str(self.boot))
+        with self.log.open("ab") as output:
+            self.child = subprocess.Popen(
+                [sys.executable, "-m", *self.words],
+                cwd=processes.ROOT,
+                env=environment,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal, if the process runs.
+
+        :param number: of the signal
+        """
+        child = self.child
+        if child is None or child.poll() is not None:
+            return
+        if number in (signal.SIGKILL, signal.SIGTERM):
+            self.was_told_to_end = True
+        child.send_signal(number)
+
+    def own_end(self) -> str:
+        """Tells whether the process ended without being told to.
+
+        :return: its exit status as text, empty if all is well
+        """
+        if self.child is None or self.child.poll() is None:
+            return ""
+        if self.was_told_to_end and self.child.returncode in (
+            0,
+            -signal.SIGKILL,
+        ):
+            return ""
+        return f"{self.name} ended with {self.child.returncode}"
+
+    def kill(self) -> None:
+        """Ends the process and waits for it."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        if self.child is not None:
+            self.child.wait()
+
+
+class Deployment:
+    """Our programs, the stand-in platform and the relays between.
+
+    :param directory: for settings and output
+    :param size: how many of each
+    """
+
+    def __init__(self, directory: pathlib.Path, size: plan.Size) -> None:
+        self.directory = directory
+        self.size = size
+        self.marks: list[Mark] = []
+        self.reactor = typing.cast(typing.Any, default_reactor)
+        self.version = 1
+        self.withdrawn: set[str] = set()
+        self.entries: list[Program] = []
+        self.agents: list[Program] = []
+        self.relays: list[relay.Relay] = []
+        self.own_ends: list[str] = []
+
+    # Start and end.
+
+    def start(self) -> None:
+        """Starts everything and waits until the entries are ready."""
+        models = max(1, self.size.runners // 2)
+        settings = {"models": models, "desks": self.size.runners - models}
+        self.platform = processes.Process(
+            "platform",
+            [
+                "godwitloft.standins.main",
+                "lakeshore",
+                "--settings",
+                json.dumps(settings),
+            ],
+            self.directory,
+        )
+        self.wait(lambda: self.platform.announced("listening") is not None)
+        self.platform_address = self.platform.announced("listening")
+        self.wait(lambda: all(self.fetch("/addresses").values()))
+        addresses = self.fetch("/addresses")
+        self.runners = sorted(addresses)
+        threading.Thread(
+            target=self.reactor.run, args=(False,), daemon=True
+        ).start()
+        self.store_relay = self.on_reactor(
+            lambda: self.new_relay(self.platform_address)
+        )
+        store_port = self.on_reactor(
+            lambda: self.store_relay.listen("127.0.0.1")
+        )
+        self.store_address = f"127.0.0.1:{store_port}"
+        self.first_port = self.free_datagram_port()
+        for number, name in enumerate(self.runners):
+            self.add_runner(number, name, addresses[name])
+        self.publish()
+        for number in range(self.size.entries):
+            self.add_entry(number)
+        for program in self.entries + self.agents:
+            program.start()
+        self.wait(lambda: all(map(self.is_ready, self.entries)))
+
+    def add_runner(self, number: int, name: str, address: str) -> None:
+        """Puts a relay before a runner, and an agent beside it.
+
+        :param number: of the runner
+        :param name: its id
+        :param address: where it answers
+        """
+        host = f"127.0.1.{number + 1}"
+        one = self.on_reactor(lambda: self.new_relay(address))
+        port = self.on_reactor(lambda: one.listen(host))
+        self.relays.append(one)
+        self.control(runners={name: {"address": f"{host}:{port}"}})
+        if number < self.size.agents:
+            self.agents.append(
+                self.program(
+                    f"agent-{number}", "agent", host, f'app = "{address}"\n'
+                )
+            )
+
+    def add_entry(self, number: int) -> None:
+        """Prepares an entry.
+
+        :param number: of the entry
+        """
+        host = f"127.0.0.{number + 10}"
+        front, ready = (free_port(host) for _ in range(2))
+        listen = (
+            f'[listen]\nfront = "{host}:{front}"\nready = "{host}:{ready}"\n'
+        )
+        program = self.program(f"entry-{number}", "entry", host, "", listen)
+        program.address = f"{host}:{front}"
+        program.ready_address = f"{host}:{ready}"
+        self.entries.append(program)
+
+    def program(
+        self, name: str, role: str, host: str, own: str, listen: str = ""
+    ) -> Program:
+        """Writes the settings of a program.
+
+        :param name: of the instance
+        :param role: of the program
+        :param host: its IP number
+        :param own: lines before the tables
+        :param listen: table of the entry's ports
+        :return: the program, not started
+        """
+        boot = self.directory / f"{name}.toml"
+        boot.write_text(
+            f'node-name = "{name}"\nip = "{host}"\nzone = "a"\n'
+            f"internal-port-range = [{self.first_port}, {self.first_port}]\n"
+            f"heartbeat-ms = 400\n{own}{listen}"
+            f"[bounds]\ngrace-s = {GRACE_S}\nstrict-revocation = true\n"
+            f"revoke-ms = {REVOKE_MS}\nquota-window-s = {QUOTA_WINDOW_S}\n"
+            f"quota-overage = {QUOTA_OVERAGE}\n"
+            f"quota-slack = {QUOTA_SLACK_TOKENS}\n"
+            f"retry-budget-ratio = {RETRY_RATIO}\n"
+            f"retry-budget-extra = {RETRY_EXTRA}\n"
+            f"budget-window-s = {RETRY_WINDOW_S}\n"
+            f'[platform]\naddress = "{self.store_address}"\n',
+            encoding="utf-8",
+        )
+        words = ("godwitloft.platform.main", role)
+        return Program(name, words, boot, self.directory / f"{name}.log")
+
+    def stop(self) -> None:
+        """Ends all processes that this soak started."""
+        for program in self.entries + self.agents:
+            self.note_own_end(program)
+            program.kill()
+        self.platform.stop()
+
+    # Small helpers.
+
+    def new_relay(self, address: str) -> relay.Relay:
+        """Returns a relay to a server.
+
+        :param address: of the server
+        :return: the relay, not yet listening
+        """
+        host, _, port = address.rpartition(":")
+        return relay.Relay(self.reactor, (host, int(port)))
+
+    def on_reactor(self, work: typing.Callable[[], typing.Any]) -> typing.Any:
+        """Runs a function on the reactor's thread.
+
+        :param work: the function
+        :return: its result
+        """
+        done = threading.Event()
+        result: list[typing.Any] = []
+
+        def run() -> None:
+            try:
+                result.append(work())
+            finally:
+                done.set()
+
+        self.reactor.callFromThread(run)
+        if not done.wait(CALL_LIMIT_S):
+            raise processes.ProcessError("the reactor doesn't answer")
+        return result[0]
+
+    def free_datagram_port(self) -> int:
+        """Finds a UDP port that is free on all addresses."""
+        for _ in range(FIRST_PORT_TRIES):
+            with socket.socket(type=socket.SOCK_DGRAM) as probe:
+                probe.bind(("0.0.0.0", 0))
+                return int(probe.getsockname()[1])
+        raise processes.ProcessError("no free port")
+
+    def wait(self, condition: typing.Callable[[], bool]) -> None:
+        """Waits until something is so.
+
+        :param condition: what is waited for
+        :raises processes.ProcessError: when it takes too long
+        """
+        end = time.monotonic() + START_LIMIT_S
+        while time.monotonic() < end:
+            if condition():
+                return
+            time.sleep(0.05)
+        raise processes.ProcessError("the programs did not start in time")
+
+    def fetch(self, path: str) -> typing.Any:
+        """Asks the stand-in platform.
+
+        :param path: of the page
+        :return: decoded JSON
+        """
+        return self.call("GET", path)
+
+    def control(self, **change: typing.Any) -> None:
+        """Changes the stand-in platform.
+
+        :param change: as its page /control takes it
+        """
+        self.call("POST", "/control", json.dumps(change).encode())
+
+    def call(self, method: str, path: str, body: bytes = b"") -> typing.Any:
+        """Calls the stand-in platform, around the relay.
+
+        :param method: HTTP method
+        :param path: of the page
+        :param body: JSON
+        :return: decoded JSON
+        """
+        connection = http.client.HTTPConnection(
+            self.platform_address, timeout=CALL_LIMIT_S
+        )
+        connection.request(method, path, body)
+        content = connection.getresponse().read()
+        connection.close()
+        return json.loads(content or b"null")
+
+    def is_ready(self, entry: Program) -> bool:
+        """Asks an entry as a balancer does.
+
+        :param entry: which
+        :return: whether new callers may go there
+        """
+        connection = http.client.HTTPConnection(entry.ready_address, timeout=1)
+        try:
+            connection.request("GET", "/ready")
+            return connection.getresponse().status == http.HTTPStatus.OK
+        except OSError:
+            return False
+        finally:
+            connection.close()
+
+    # Configuration.
+
+    def publish(self) -> None:
+        """Publishes the configuration without what is withdrawn."""
+        routes = [
+            {
+                "name": f"r-{name}",
+                "host": HOST_NAME,
+                "prefix": f"/{name}/",
+                "kind": kind,
+                "timeout-ms": TIMEOUT_MS,
+                "target-latency-ms": 400,
+                "priority": number,
+                "service": service,
+                "max-attempts": 1 if kind == "non_idempotent" else 2,
+                "public": False,
+                "resumable": resumable,
+            }
+            for number, (name, kind, service, resumable) in enumerate(ROUTES)
+            if name not in self.withdrawn
+        ]
+        teams = [
+            {
+                "name": team,
+                "api-keys": [] if key in self.withdrawn else [key],
+                "unit": "tokens",
+                "plain-tokens": PLAIN_TOKENS,
+                "rate-per-s": SMALL_RATE_PER_S if team == "small" else 10**6,
+                "burst": SMALL_BURST if team == "small" else 10**6,
+            }
+            for key, team in KEYS.items()
+        ]
+        self.control(
+            config={
+                "version": self.version,
+                "routes": routes,
+                "services": [
+                    {
+                        "name": "model",
+                        "max-connections": 50,
+                        "engine": {"slots": 4},
+                    },
+                    {"name": "desk", "max-connections": 50},
+                ],
+                "limits": {},
+                "tenants": teams,
+            }
+        )
+        self.version += 1
+
+    # Faults.
+
+    def target_name(self, fault: plan.Fault) -> str:
+        """Returns who is hit.
+
+        :param fault: one of the plan
+        :return: name of a program or runner, or what kind of thing it is
+        """
+        whom = plan.KINDS[fault.kind][0]
+        if whom == "runner":
+            return str(self.runners[fault.target])
+        if whom in ("entry", "agent"):
+            return f"{whom}-{fault.target}"
+        return whom
+
+    def begin(self, fault: plan.Fault) -> Mark:
+        """Brings a fault about.
+
+        :param fault: one of the plan
+        :return: its mark, which :meth:`end` takes
+        """
+        mark = Mark(fault.kind, self.target_name(fault), now_ms())
+        self.marks.append(mark)
+        whom = plan.KINDS[fault.kind][0]
+        if whom in ("entry", "agent"):
+            self.harm_program(fault)
+        elif whom == "configuration":
+            self.withdraw(fault.kind)
+        elif fault.kind in RELAY_MODES:
+            self.set_mode(fault, RELAY_MODES[fault.kind])
+        else:
+            self.harm_by_control(fault)
+        # A withdrawal counts from its acknowledgement.
+        if whom == "configuration":
+            mark.start_ms = now_ms()
+        return mark
+
+    def end(self, fault: plan.Fault, mark: Mark) -> None:
+        """Ends a fault.
+
+        :param fault: one of the plan
+        :param mark: what :meth:`begin` returned
+        """
+        whom = plan.KINDS[fault.kind][0]
+        if whom == "configuration":
+            mark.end_ms = now_ms()
+            self.withdrawn.discard(self.withdrawable(fault.kind))
+            self.publish()
+            return
+        if whom in ("entry", "agent"):
+            self.restore_program(fault)
+        elif fault.kind in RELAY_MODES:
+            self.set_mode(fault, relay.PASS)
+        elif fault.kind == "drain":
+            self.control(runners={mark.target: {"state": "ready"}})
+        elif fault.kind == "gone":
+            self.control(runners={mark.target: {"gone": False}})
+        mark.end_ms = now_ms()
+
+    def programs(self, fault: plan.Fault) -> Program:
+        """Returns the program that a fault hits.
+
+        :param fault: one of the plan
+        :return: an entry or agent
+        """
+        group = (
+            self.entries
+            if plan.KINDS[fault.kind][0] == "entry"
+            else self.agents
+        )
+        return group[fault.target]
+
+    def harm_program(self, fault: plan.Fault) -> None:
+        """Sends a signal to a program.
+
+        :param fault: one of the plan
+        """
+        program = self.programs(fault)
+        self.note_own_end(program)
+        numbers = {
+            "kill": signal.SIGKILL,
+            "kill_agent": signal.SIGKILL,
+            "terminate": signal.SIGTERM,
+            "pause": signal.SIGSTOP,
+            "pause_agent": signal.SIGSTOP,
+            "reload": signal.SIGHUP,
+        }
+        program.signal(numbers[fault.kind])
+
+    def restore_program(self, fault: plan.Fault) -> None:
+        """Lets a program run again.
+
+        :param fault: one of the plan
+        """
+        program = self.programs(fault)
+        if fault.kind in ("pause", "pause_agent"):
+            program.signal(signal.SIGCONT)
+        elif fault.kind != "reload":
+            if fault.kind == "terminate":
+                program.kill()
+            self.note_own_end(program)
+            program.start()
+
+    def note_own_end(self, program: Program) -> None:
+        """Writes down that a program ended by itself.
+
+        :param program: any
+        """
+        ended = program.own_end()
+        if ended:
+            self.own_ends.append(ended)
+
+    def set_mode(self, fault: plan.Fault, mode: str) -> None:
+        """Changes a relay.
+
+        :param fault: one of the plan
+        :param mode: of the relay
+        """
+        one = self.store_relay
+        if plan.KINDS[fault.kind][0] == "runner":
+            one = self.relays[fault.target]
+        self.on_reactor(lambda: one.set_mode(mode))
+
+    def harm_by_control(self, fault: plan.Fault) -> None:
+        """Brings about what the stand-in platform does itself.
+
+        :param fault: one of the plan
+        """
+        name = self.target_name(fault)
+        if fault.kind == "store_away":
+            self.control(away_ms=fault.for_ms)
+        elif fault.kind == "store_forgets":
+            self.control(forget=True)
+        elif fault.kind == "store_reset":
+            self.on_reactor(self.store_relay.reset)
+        elif fault.kind == "reset":
+            self.on_reactor(self.relays[fault.target].reset)
+        elif fault.kind == "drain":
+            self.control(runners={name: {"state": "draining"}})
+        elif fault.kind == "gone":
+            self.control(runners={name: {"gone": True}})
+        else:
+            self.control(runners={name: RUNNER_SWITCHES[fault.kind]})
+
+    def withdrawable(self, kind: str) -> str:
+        """Returns what a fault of the configuration takes away.
+
+        :param kind: of the fault
+        :return: a key or the name of a route
+        """
+        return GUEST_KEY if kind == "withdraw_key" else EXTRA_ROUTE
+
+    def withdraw(self, kind: str) -> None:
+        """Publishes a configuration that lacks something.
+
+        :param kind: of the fault
+        """
+        self.withdrawn.add(self.withdrawable(kind))
+        self.publish()
+
+
+def free_port(host: str) -> int:
+    """Finds a free TCP port.
+
+    :param host: IP number
+    :return: the port
+    """
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return int(probe.getsockname()[1])
--- /dev/null
+++ b/bench/soak/relay.py
@@ -0,0 +1,174 @@
+"""A relay on loopback whose connections can be harmed."""
+
+import typing
+
+from twisted.internet import endpoints
+from twisted.internet import error
+from twisted.internet import protocol
+from twisted.python import failure
+
+DELAY_S = 0.3
+# Modes: what becomes of bytes to the server, and of bytes to the client.
+PASS = "pass"
+DELAY = "delay"
+SILENT = "silent"
+DEAF = "deaf"
+REFUSE = "refuse"
+
+
+class End(protocol.Protocol):
+    """One connection of the two that a relay joins.
+
+    :param relay: its owner
+    :param to_server: whether what is read here goes to the server
+    """
+
+    def __init__(self, relay: "Relay", to_server: bool) -> None:
+        self.relay = relay
+        self.to_server = to_server
+        self.peer: End | None = None
+        self.held: list[bytes] = []
+        self.is_lost = False
+
+    def connectionMade(self) -> None:
+        """Joins this connection with one to the server."""
+        if self.to_server:
+            self.relay.accepted(self)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Carries bytes on, as the relay's mode wants it.
+
+        :param data: what was read
+        """
+        self.relay.carry(self, data)
+
+    def connectionLost(
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Ends the other connection in the same way.
+
+        :param reason: how this one ended
+        """
+        self.is_lost = True
+        self.relay.ends.discard(self)
+        is_clean = reason.check(error.ConnectionDone) is not None
+        delay_s = DELAY_S * 2 if self.relay.mode == DELAY else 0
+        self.relay.reactor.callLater(delay_s, self.end_peer, is_clean)
+
+    def end_peer(self, is_clean: bool) -> None:
+        """Ends the other connection.
+
+        :param is_clean: whether it is closed, not reset
+        """
+        peer = self.peer
+        if peer is None or peer.is_lost:
+            return
+        transport = typing.cast(typing.Any, peer.transport)
+        if is_clean:
+            transport.loseConnection()
+        else:
+            transport.abortConnection()
+
+    def send(self, data: bytes) -> None:
+        """Writes to the other connection.
+
+        :param data: bytes
+        """
+        if self.peer is None or self.held:
+            self.held.append(data)
+        elif not self.peer.is_lost:
+            typing.cast(typing.Any, self.peer.transport).write(data)
+
+    def flush(self) -> None:
+        """Writes what was held back."""
+        held, self.held = self.held, []
+        for data in held:
+            self.send(data)
+
+
+class Relay:
+    """Listens on an address and carries bytes to a server.
+
+    :param reactor: the twisted reactor; all methods run on its thread
+    :param server: IP number and port of the server
+    """
+
+    def __init__(self, reactor: typing.Any, server: tuple[str, int]) -> None:
+        self.reactor = reactor
+        self.server = server
+        self.mode = PASS
+        self.ends: set[End] = set()
+
+    def listen(self, host: str) -> int:
+        """Opens the port.
+
+        :param host: IP number
+        :return: the port
+        """
+        factory = protocol.Factory.forProtocol(lambda: End(self, True))
+        return int(
+            self.reactor.listenTCP(0, factory, interface=host).getHost().port
+        )
+
+    def accepted(self, client: End) -> None:
+        """Takes a client's connection.
+
+        :param client: its end
+        """
+        if self.mode == REFUSE:
+            typing.cast(typing.Any, client.transport).abortConnection()
+            return
+        self.ends.add(client)
+        server = End(self, False)
+        server.peer = client
+        endpoint = endpoints.TCP4ClientEndpoint(self.reactor, *self.server)
+        connected = endpoints.connectProtocol(endpoint, server)
+
+        def join(_server: End) -> None:
+            self.ends.add(server)
+            client.peer = server
+            if client.is_lost:
+                server.end_peer(False)
+                typing.cast(typing.Any, server.transport).abortConnection()
+            elif self.mode not in (SILENT,):
+                client.flush()
+
+        def refuse(_problem: failure.Failure) -> None:
+            if not client.is_lost:
+                typing.cast(typing.Any, client.transport).abortConnection()
+
+        connected.addCallbacks(join, refuse)
+
+    def carry(self, end: End, data: bytes) -> None:
+        """Carries bytes on, later, or not yet.
+
+        :param end: where they were read
+        :param data: the bytes
+        """
+        is_stopped = self.mode == SILENT or (
+            self.mode == DEAF and not end.to_server
+        )
+        if is_stopped:
+            end.held.append(data)
+        elif self.mode == DELAY:
+            self.reactor.callLater(DELAY_S, end.send, data)
+        else:
+            end.send(data)
+
+    def set_mode(self, mode: str) -> None:
+        """Changes what becomes of bytes from now on.
+
+        :param mode: one of the modes above
+        """
+        self.mode = mode
+        if mode == REFUSE:
+            self.reset()
+        if mode == PASS:
+            for end in tuple(self.ends):
+                if end.peer is not None:
+                    end.flush()
+
+    def reset(self) -> None:
+        """Resets every connection."""
+        for end in tuple(self.ends):
+            typing.cast(typing.Any, end.transport).abortConnection()
--- a/features/lakeshore_path.feature
+++ b/features/lakeshore_path.feature
@@ -12,7 +12,7 @@
 
     Examples:
       | kind | path | answer |
-      | streaming | /once/x?y=1 | id: 1\ndata: x1\n\nid: 2\ndata: x2\n\nid: 3\ndata: x3\n\n |
+      | streaming | /once/x?y=1 | id: 1\ndata: x1 of a1\n\nid: 2\ndata: x2 of a1\n\nid: 3\ndata: x3 of a1\n\n |
       | idempotent | /lookup/x | answer to a1\n |
       | non-idempotent | /post/x | answer to a1\n |
 
@@ -60,8 +60,8 @@
 
     Examples:
       | route | whole | answer | runs |
-      | stream | whole | id: 1\ndata: x1\n\nid: 2\ndata: x2\n\nid: 3\ndata: x3\n\n | 2 |
-      | once | cut | id: 1\ndata: x1\n\n | 1 |
+      | stream | whole | id: 1\ndata: x1 of e1\n\nid: 2\ndata: x2 of e1\n\nid: 3\ndata: x3 of e1\n\n | 2 |
+      | once | cut | id: 1\ndata: x1 of e1\n\n | 1 |
 
   Scenario: A runner that drains gets nothing more
     When runner "i-desk-0" says that it is draining
--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -9,6 +9,7 @@
 import collections
 import dataclasses
 import json
+import time
 import typing
 
 from klein import Klein
@@ -20,6 +21,7 @@
 MS_PER_S = 1000
 HEARTBEAT_MS = 400
 EVENT_INTERVAL_MS = 20
+REPORT_PATH = b"/report"
 OPERATOR_TABLE = "op"
 RUNNER_TABLE = "servers"
 SEAL = "Godwitloft-Response-Seal"
@@ -155,7 +157,13 @@
         self.misdirect = 0
         self.lose_answers = 0
         self.cut_after: list[int] = []
+        self.running = 0
         self.ledger: list[http.Json] = []
+        self.turned_away: list[http.Json] = []
+        # Mistakes that a test plants to see whether they are noticed.
+        self.runs_twice = False
+        self.denies_runs = 0
+        self.answers_wrong = 0
 
     def beat(self) -> None:
         """Registers, again and again."""
@@ -184,27 +192,41 @@
         :param request: of the gateway
         :return: the body, or a Deferred of it
         """
+        if request.path == REPORT_PATH:
+            return http.reply(request, {"running": self.running, "waiting": 0})
         header = request.getHeader
         request_id = header(REQUEST_ID) or ""
+        arrival = {"id": request_id, "at_ms": int(time.time() * MS_PER_S)}
         wanted = header(TARGET)
         if wanted not in (None, self.id) or self.misdirect > 0:
             self.misdirect -= 1
+            self.turned_away.append(arrival)
             return http.reply(request, {}, 421)
         if self.refuse > 0:
             self.refuse -= 1
+            self.turned_away.append(arrival)
             request.setHeader(NOT_EXECUTED, "1")
             return http.reply(request, {}, 503)
-        self.ledger.append(
-            {
-                "id": request_id,
+        run: http.Json = dict(
+            arrival,
+            **{
                 "path": request.uri.decode(),
                 "tenant": header(TENANT),
                 "key": header("Authorization"),
                 "hold": header("Godwitloft-Hold"),
                 "last": header("Last-Event-Id"),
                 "left_ms": header("Godwitloft-Deadline-Ms"),
-            }
+                "ended_ms": None,
+            },
         )
+        self.ledger.append(run)
+        if self.runs_twice:
+            self.ledger.append(run)
+        if self.denies_runs > 0:
+            self.denies_runs -= 1
+            request.setHeader(NOT_EXECUTED, "1")
+            return http.reply(request, {}, 503)
+        self.watch_run(request, run)
         if self.lose_answers > 0:
             self.lose_answers -= 1
             request.transport.abortConnection()
@@ -212,9 +234,26 @@
         request.setHeader(REQUEST_ID, request_id)
         request.setHeader(SEAL, f"seal-{self.id}")
         if self.service != "model":
+            if self.answers_wrong > 0:
+                self.answers_wrong -= 1
+                return b"answer to nobody\n"
             return f"answer to {request_id}\n".encode()
         return self.stream(request)
 
+    def watch_run(self, request: typing.Any, run: http.Json) -> None:
+        """Notes when a run ends.
+
+        :param request: of the gateway
+        :param run: its entry in the ledger
+        """
+        self.running += 1
+
+        def ended(_reason: typing.Any) -> None:
+            self.running -= 1
+            run["ended_ms"] = int(time.time() * MS_PER_S)
+
+        request.notifyFinish().addBoth(ended)
+
     def stream(self, request: typing.Any) -> typing.Any:
         """Streams numbered events.
 
@@ -226,7 +265,7 @@
         counts = request.getHeader("Godwitloft-Token-Counts") or "0,3"
         last = int(counts.split(",")[1])
         cut_after = self.cut_after.pop(0) if self.cut_after else -1
-
+        request_id = request.getHeader(REQUEST_ID) or ""
         ended: defer.Deferred[bytes] = defer.Deferred()
 
         def event(number: int) -> None:
@@ -237,7 +276,8 @@
             elif number > last:
                 ended.callback(b"")
             else:
-                request.write(f"id: {number}\ndata: x{number}\n\n".encode())
+                text = f"id: {number}\ndata: x{number} of {request_id}\n\n"
+                request.write(text.encode())
                 self.reactor.callLater(
                     EVENT_INTERVAL_MS / MS_PER_S, event, number + 1
                 )
@@ -304,6 +344,20 @@
         """
         return {name: one.ledger for name, one in self.runners.items()}
 
+    def turned_away(self) -> http.Json:
+        """Returns what reached a runner and was not run.
+
+        :return: lists by the runners' ids
+        """
+        return {name: one.turned_away for name, one in self.runners.items()}
+
+    def addresses(self) -> http.Json:
+        """Returns where the runners are listed.
+
+        :return: addresses by the runners' ids
+        """
+        return {name: one.address for name, one in self.runners.items()}
+
 
 def listen(
     lakeshore: Lakeshore,
@@ -397,6 +451,14 @@
     def ledger(request: typing.Any) -> bytes:
         return http.reply(request, lakeshore.ledger())
 
+    @app.route("/turned-away")
+    def turned_away(request: typing.Any) -> bytes:
+        return http.reply(request, lakeshore.turned_away())
+
+    @app.route("/addresses")
+    def addresses(request: typing.Any) -> bytes:
+        return http.reply(request, lakeshore.addresses())
+
     @app.route("/calls")
     def calls(request: typing.Any) -> bytes:
         return http.reply(request, dict(lakeshore.calls))
