--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -162,17 +162,27 @@
     :param seed: decides everything random
     :param seconds: how long requests are sent
     :param processes: of ours, at least 6
+    :param mistakes: JSON object of the stand-in runners' switches, to see
+        whether the soak notices
     :param json: file for the figures
     """
 
     seed: typing.Annotated[int, cappa.Arg(long=True)] = 1
     seconds: typing.Annotated[float, cappa.Arg(long=True)] = 40.0
     processes: typing.Annotated[int, cappa.Arg(long=True)] = soak.SMALLEST
+    mistakes: typing.Annotated[str, cappa.Arg(long=True)] = "{}"
     json: OptionalFile = ""
 
     def __call__(self) -> None:
         """Runs it and prints the figures."""
-        figures = soak.run(soak.Soak(self.seed, self.seconds, self.processes))
+        figures = soak.run(
+            soak.Soak(
+                self.seed,
+                self.seconds,
+                self.processes,
+                json.loads(self.mistakes),
+            )
+        )
         burst.write(self.json, figures)
         if figures["breaches"]:
             raise cappa.Exit(code=1)
--- /dev/null
+++ b/features/steps/soak_steps.py
@@ -0,0 +1,263 @@
+import json
+import pathlib
+import subprocess
+import sys
+
+from behave import given
+from behave import then
+from behave import when
+
+from bench.soak import callers
+from bench.soak import deployment
+from bench.soak import plan
+from bench.soak import verdict
+
+ROOT = pathlib.Path(__file__).parents[2]
+START_AND_END_S = 60
+SECONDS = 60
+SIZE = plan.Size(entries=3, agents=3, runners=4)
+
+
+@when("the plans of seed {seed:d} are drawn twice")
+def draw(context, seed):
+    context.plans = [plan.draw(seed, SECONDS, SIZE) for _ in range(2)]
+
+
+@then("they are the same, in order, and leave a calm end")
+def check_plans(context):
+    first, second = context.plans
+    assert first == second and first
+    times = [fault.at_ms for fault in first]
+    assert times == sorted(times)
+    last_ms = SECONDS * 1000 - plan.CALM_END_MS
+    assert all(fault.at_ms + fault.for_ms <= last_ms for fault in first)
+
+
+@then("the plans of seeds {first:d} to {last:d} together hold every kind")
+def check_kinds(context, first, last):
+    found = {
+        fault.kind
+        for seed in range(first, last + 1)
+        for fault in plan.draw(seed, SECONDS, SIZE)
+    }
+    assert found == set(plan.KINDS), set(plan.KINDS) - found
+
+
+def told_from(fields):
+    told = callers.Told(
+        id=fields["id"],
+        route=fields["route"],
+        key=fields["key"],
+        entry=fields.get("entry", "entry-0"),
+        events=int(fields.get("events", 0)),
+        sent_ms=int(fields["sent"]),
+        ended_ms=int(fields.get("ended", fields["sent"])),
+        status=int(fields.get("status", 200)),
+        is_whole=fields.get("whole", "yes") == "yes",
+    )
+    bodies = {
+        "own": told.expected(),
+        "other": b"answer to nobody\n",
+        "first": told.expected().split(b"\n\n")[0] + b"\n\n",
+    }
+    told.body = bodies[fields.get("body", "own")]
+    return told
+
+
+def run_from(fields):
+    return verdict.Run(
+        id=fields["id"],
+        runner=fields.get("runner", "i-desk-0"),
+        at_ms=int(fields["at"]),
+        ended_ms=int(fields["ended"]) if "ended" in fields else None,
+        team=fields.get("team"),
+        key=fields.get("key"),
+        path=fields["path"],
+    )
+
+
+class Told:
+    """What the rows of a table tell."""
+
+    def __init__(self):
+        self.told = []
+        self.runs = []
+        self.marks = []
+        self.ends = []
+
+    def add(self, what, fields):
+        getattr(self, "add_" + what.replace(" ", "_").replace("-", "none"))(
+            fields
+        )
+
+    def add_none(self, _fields):
+        pass
+
+    def add_told(self, fields):
+        self.told.append(told_from(fields))
+
+    def add_run(self, fields):
+        self.runs.append(run_from(fields))
+
+    def add_mark(self, fields):
+        self.marks.append(
+            deployment.Mark(
+                fields["kind"],
+                fields["target"],
+                int(fields["start"]),
+                int(fields["end"]),
+            )
+        )
+
+    def add_late(self, fields):
+        sent = int(fields["sent"])
+        self.add_told(fields | {"ended": sent + 20})
+        self.add_run(
+            fields
+            | {
+                "at": sent + 5,
+                "ended": sent + 9,
+                "path": f"/{fields['route']}/x",
+                "key": None,
+            }
+        )
+
+    def add_cut(self, fields):
+        self.add_late(fields)
+        self.told[-1].status = 0
+        self.told[-1].is_whole = False
+        self.told[-1].ended_ms += 500
+
+    def add_cut_and_reset(self, fields):
+        self.add_cut(fields)
+        self.marks.append(deployment.Mark("reset", "i-desk-0", 7950, 7950))
+
+    def add_many(self, fields):
+        for number in range(int(fields["count"])):
+            self.add_late(fields | {"id": f"m{number}", "sent": 10 * number})
+
+    def add_repeats(self, fields):
+        for number in range(int(fields["count"])):
+            row = {
+                "id": f"r{number}",
+                "route": "lookup",
+                "key": "key-large",
+                "team": "large",
+                "sent": 10 * number,
+            }
+            self.add_late(row)
+            self.runs.append(self.runs[-1])
+
+    def add_held(self, fields):
+        for number in range(int(fields["count"])):
+            row = {
+                "id": f"h{number}",
+                "route": "lookup",
+                "key": "key-large",
+                "sent": 0,
+                "ended": 4800,
+                "status": 504,
+            }
+            self.add_told(row)
+
+    def add_left(self, fields):
+        for number in range(int(fields["count"])):
+            row = {
+                "id": f"l{number}",
+                "route": "stream",
+                "key": "key-large",
+                "team": "large",
+                "events": 50,
+                "sent": 100,
+            }
+            self.add_late(row | {"runner": "i-model-0"})
+            self.told[-1].left_ms = 150
+            run = self.runs.pop()
+            ended = 150 + int(fields["ran_on"])
+            self.runs.append(verdict.dataclasses.replace(run, ended_ms=ended))
+
+    def add_unserved(self, fields):
+        for number in range(int(fields["count"])):
+            self.add_told(
+                {
+                    "id": f"u{number}",
+                    "route": "lookup",
+                    "key": "key-large",
+                    "sent": fields["sent"],
+                    "status": 503,
+                }
+            )
+
+    def add_ended(self, fields):
+        self.ends.append(f"{fields['name']} ended with 1")
+
+
+@given("the history of a soak")
+def set_history(context):
+    seen = Told()
+    for row in context.table:
+        pairs = (pair.partition("=") for pair in row["fields"].split())
+        seen.add(row["what"], {name: value for name, _, value in pairs})
+    context.history = verdict.History(
+        told=seen.told,
+        runs=seen.runs,
+        marks=seen.marks,
+        own_ends=seen.ends,
+        end_ms=20_000,
+    )
+
+
+@when("the history is judged")
+def judge(context):
+    context.breaches = verdict.judge(context.history)
+
+
+@then('only the promise "{promise}" is breached')
+def check_promise(context, promise):
+    expected = [] if promise == "-" else [promise]
+    assert list(context.breaches) == expected, context.breaches
+
+
+def run(seed, seconds, mistakes):
+    done = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "bench",
+            "soak",
+            f"--seed={seed}",
+            f"--seconds={seconds}",
+            f"--mistakes={mistakes}",
+        ],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=seconds + START_AND_END_S,
+    )
+    assert done.stdout, done.stderr
+    return json.loads(done.stdout)
+
+
+@when("a soak of seed {seed:d} runs for {seconds:d} s")
+def run_soak(context, seed, seconds):
+    context.figures = run(seed, seconds, "{}")
+
+
+@when(
+    "a soak of seed {seed:d} runs for {seconds:d} s with runners that have"
+    " {mistake}"
+)
+def run_planted(context, seed, seconds, mistake):
+    context.figures = run(seed, seconds, mistake)
+
+
+@then("it breaches nothing and served at least {count:d} requests")
+def check_soak(context, count):
+    figures = context.figures
+    assert not figures["breaches"], figures
+    assert figures["statuses"].get("200", 0) >= count, figures
+
+
+@then('it reports "{promise}"')
+def check_reported(context, promise):
+    assert promise in context.figures["breaches"], context.figures
