Soak: the relay never lets bytes overtake each other

Cause: the relay wrote new bytes at once while delayed ones still waited for their timer; TCP never reorders. Ruled out: the gateway, which passed on what it read.

Change: one queue a connection, in order, with a due time for each part.

--- a/bench/soak/relay.py
+++ b/bench/soak/relay.py
@@ -1,5 +1,6 @@
 """A relay on loopback whose connections can be harmed."""
 
+import collections
 import typing
 
 from twisted.internet import endpoints
@@ -27,7 +28,10 @@
         self.relay = relay
         self.to_server = to_server
         self.peer: End | None = None
-        self.held: list[bytes] = []
+        # What is still to be carried on, and when: bytes never overtake.
+        self.queue: collections.deque[tuple[float, bytes]] = (
+            collections.deque()
+        )
         self.is_lost = False
 
     def connectionMade(self) -> None:
@@ -52,7 +56,7 @@
         self.is_lost = True
         self.relay.ends.discard(self)
         is_clean = reason.check(error.ConnectionDone) is not None
-        delay_s = DELAY_S * 2 if self.relay.mode == DELAY else 0
+        delay_s = DELAY_S * 2 if self.queue else 0
         self.relay.reactor.callLater(delay_s, self.end_peer, is_clean)
 
     def end_peer(self, is_clean: bool) -> None:
@@ -69,21 +73,18 @@
         else:
             transport.abortConnection()
 
-    def send(self, data: bytes) -> None:
-        """Writes to the other connection.
-
-        :param data: bytes
-        """
-        if self.peer is None or self.held:
-            self.held.append(data)
-        elif not self.peer.is_lost:
-            typing.cast(typing.Any, self.peer.transport).write(data)
-
-    def flush(self) -> None:
-        """Writes what was held back."""
-        held, self.held = self.held, []
-        for data in held:
-            self.send(data)
+    def send_due(self) -> None:
+        """Writes to the other connection what is due."""
+        now_s = self.relay.reactor.seconds()
+        while (
+            self.queue
+            and self.queue[0][0] <= now_s
+            and self.peer is not None
+            and not self.relay.is_stopped(self)
+        ):
+            _due_s, data = self.queue.popleft()
+            if not self.peer.is_lost:
+                typing.cast(typing.Any, self.peer.transport).write(data)
 
 
 class Relay:
@@ -128,10 +129,8 @@
             self.ends.add(server)
             client.peer = server
             if client.is_lost:
-                server.end_peer(False)
                 typing.cast(typing.Any, server.transport).abortConnection()
-            elif self.mode not in (SILENT,):
-                client.flush()
+            client.send_due()
 
         def refuse(_problem: failure.Failure) -> None:
             if not client.is_lost:
@@ -145,15 +144,22 @@
         :param end: where they were read
         :param data: the bytes
         """
-        is_stopped = self.mode == SILENT or (
-            self.mode == DEAF and not end.to_server
-        )
-        if is_stopped:
-            end.held.append(data)
-        elif self.mode == DELAY:
-            self.reactor.callLater(DELAY_S, end.send, data)
+        delay_s = DELAY_S if self.mode == DELAY else 0.0
+        end.queue.append((self.reactor.seconds() + delay_s, data))
+        if delay_s:
+            self.reactor.callLater(delay_s, end.send_due)
         else:
-            end.send(data)
+            end.send_due()
+
+    def is_stopped(self, end: End) -> bool:
+        """Tells whether nothing is carried on from a connection now.
+
+        :param end: where bytes were read
+        :return: whether they have to wait
+        """
+        if self.mode == DEAF:
+            return not end.to_server
+        return self.mode == SILENT
 
     def set_mode(self, mode: str) -> None:
         """Changes what becomes of bytes from now on.
@@ -165,8 +171,7 @@
             self.reset()
         if mode == PASS:
             for end in tuple(self.ends):
-                if end.peer is not None:
-                    end.flush()
+                end.send_due()
 
     def reset(self) -> None:
         """Resets every connection."""
