Soak: a key withdrawn by two faults comes back with the last

Cause: two withdrawals overlapped and the end of the first published the key again, while the verdict still counted the second. Ruled out: late revocation (all runs came after the first one's end). Change: withdrawals are counted.

--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -1,5 +1,6 @@
 """Starts the programs of a soak and brings faults about from outside."""
 
+import collections
 import dataclasses
 import http.client
 import json
@@ -181,7 +182,8 @@
         self.marks: list[Mark] = []
         self.reactor = typing.cast(typing.Any, default_reactor)
         self.version = 1
-        self.withdrawn: set[str] = set()
+        # How many faults that overlap have taken it away.
+        self.withdrawn: collections.Counter[str] = collections.Counter()
         self.entries: list[Program] = []
         self.agents: list[Program] = []
         self.relays: list[relay.Relay] = []
@@ -416,12 +418,12 @@
                 "resumable": resumable,
             }
             for number, (name, kind, service, resumable) in enumerate(ROUTES)
-            if name not in self.withdrawn
+            if not self.withdrawn[name]
         ]
         teams = [
             {
                 "name": team,
-                "api-keys": [] if key in self.withdrawn else [key],
+                "api-keys": [] if self.withdrawn[key] else [key],
                 "unit": "tokens",
                 "plain-tokens": PLAIN_TOKENS,
                 "rate-per-s": SMALL_RATE_PER_S if team == "small" else 10**6,
@@ -493,7 +495,7 @@
         whom = plan.KINDS[fault.kind][0]
         if whom == "configuration":
             mark.end_ms = now_ms()
-            self.withdrawn.discard(self.withdrawable(fault.kind))
+            self.withdrawn[self.withdrawable(fault.kind)] -= 1
             self.publish()
             return
         if whom in ("entry", "agent"):
@@ -604,7 +606,7 @@
 
         :param kind: of the fault
         """
-        self.withdrawn.add(self.withdrawable(kind))
+        self.withdrawn[self.withdrawable(kind)] += 1
         self.publish()
 
 
