One platform client for the store and the upstream's report

Cause: platform/agent.py had its own copy of a call with a timeout and decoded JSON; answer.passed_headers only named another function. Change: `Client` makes one call, `Store` holds the rows, the agent uses the client.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -58,7 +58,7 @@
     Then it breaches nothing and served at least 500 requests
 
   Scenario Outline: A planted mistake of the runners is seen by the soak: <promise>
-    When a soak of seed 0 runs for 14 s with runners that have <mistake>
+    When a soak of seed 0 runs for 5 s with runners that have <mistake>
     Then it reports "<promise>"
 
     Examples:
--- a/godwitloft/gateway/answer.py
+++ b/godwitloft/gateway/answer.py
@@ -142,7 +142,7 @@
         """
         exchange = self.request.exchange
         if not exchange.started:
-            exchange.start(self.status, passed_headers(self.headers))
+            exchange.start(self.status, header_lists.end_to_end(self.headers))
         exchange.write(data)
 
     def flush(self) -> None:
@@ -199,19 +199,12 @@
             exchange.finish()
             return
         exchange.respond(
-            self.status, passed_headers(self.headers), b"".join(self.held)
+            self.status,
+            header_lists.end_to_end(self.headers),
+            b"".join(self.held),
         )
 
 
-def passed_headers(headers: list[front.Header]) -> list[front.Header]:
-    """Returns an upstream's headers as its caller gets them.
-
-    :param headers: as they came
-    :return: without those of the connection and the framing
-    """
-    return header_lists.end_to_end(headers)
-
-
 def last_event_id(events: bytes) -> bytes | None:
     """Returns the id of the last event that has one.
 
--- a/godwitloft/platform/agent.py
+++ b/godwitloft/platform/agent.py
@@ -1,22 +1,20 @@
 """Builds the agent that runs beside an upstream."""
 
-import json
 import typing
 
+from twisted.python import failure
+
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft import incarnation as incarnations
 from godwitloft.gateway import arbiter as arbiters
-from godwitloft.gateway import attempt as attempts
-from godwitloft.gateway import front
-from godwitloft.gateway import model
 from godwitloft.links import datagrams
 from godwitloft.platform import settings
+from godwitloft.platform import store as stores
 
 REPORT_INTERVAL_MS = 1_000
 REPORT_TIMEOUT_MS = 1_000
-REPORT_PATH = b"/report"
-HTTP_OK = 200
+REPORT_PATH = "/report"
 
 
 class AgentDaemon:
@@ -37,8 +35,8 @@
         self.boot = boot
         self.on_left: typing.Callable[[], None] = _nothing
         self.stopped = False
-        self.place = model.Upstream(
-            "own", "", upstream.host, upstream.port, boot.zone, 1, False, 0
+        self.client = stores.Client(
+            reactor, upstream.host, upstream.port, boot.host
         )
         self.arbiter = arbiters.Arbiter(
             clocks.suspend_clock(),
@@ -83,42 +81,19 @@
         """Asks the upstream beside it how much it has to do."""
         if self.stopped:
             return
-        parts: list[bytes] = []
-        statuses: list[int] = []
-
-        def on_head(status: int, _headers: list[front.Header]) -> None:
-            statuses.append(status)
-
-        def on_end(end: attempts.End, _reason: str) -> None:
-            if end is attempts.End.COMPLETE and statuses == [HTTP_OK]:
-                self.arbiter.report(read_busy(b"".join(parts)))
-            else:
-                # A crashed upstream runs nothing.
-                self.arbiter.report(0)
-            if timer.active():
-                timer.cancel()
-            self.call_later(REPORT_INTERVAL_MS, self.ask)
-
-        place = self.place
-        attempt = attempts.start(
-            self.reactor,
-            place,
-            attempts.Outgoing(
-                b"GET",
-                REPORT_PATH,
-                [
-                    (b"host", f"{place.host}:{place.port}".encode()),
-                    (b"connection", b"close"),
-                ],
-                b"",
-            ),
-            attempts.AttemptOwner(on_head, parts.append, on_end),
-            self.boot.host,
-        )
-        timer = self.reactor.callLater(
-            REPORT_TIMEOUT_MS / clocks.MS_PER_S,
-            lambda: attempt.end(attempts.End.BROKEN, "timeout"),
+        report = self.client.call(
+            "GET", REPORT_PATH, timeout_ms=REPORT_TIMEOUT_MS
         )
+        report.addCallbacks(read_busy, no_report)
+        report.addCallback(self.take_report)
+
+    def take_report(self, busy: int) -> None:
+        """Passes a report on, and asks again after a while.
+
+        :param busy: requests that the upstream has
+        """
+        self.arbiter.report(busy)
+        self.call_later(REPORT_INTERVAL_MS, self.ask)
 
     def drain(self, done: typing.Callable[[], None]) -> None:
         """Ends at once: gateways go on without an agent.
@@ -134,14 +109,13 @@
         events.log(events.STOPPED, instance=self.boot.instance)
 
 
-def read_busy(body: bytes) -> int:
+def read_busy(report: typing.Any) -> int:
     """Returns how many requests an upstream says it has.
 
-    :param body: of its report
+    :param report: decoded JSON
     :return: running and waiting ones, 0 if it can't be read
     """
     try:
-        report = json.loads(body)
         return int(report["running"]) + int(report["waiting"])
     except (KeyError, TypeError, ValueError) as problem:
         events.log(
@@ -150,6 +124,15 @@
         return 0
 
 
+def no_report(_problem: failure.Failure) -> int:
+    """Returns how many requests an upstream has that tells nothing.
+
+    :param _problem: why there is no report
+    :return: 0: a crashed upstream runs nothing
+    """
+    return 0
+
+
 def build(
     reactor: typing.Any,
     boot: settings.Boot,
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -90,7 +90,9 @@
     )
     port = datagrams.Port(gateway.on_datagram)
     reactor.listenUDP(boot.first_port, port, interface=boot.host)
-    store = stores.Store(reactor, boot.store.host, boot.store.port, boot.host)
+    store = stores.Store(
+        stores.Client(reactor, boot.store.host, boot.store.port, boot.host)
+    )
     watch = watches.Watch(
         reactor,
         clock,
--- a/godwitloft/platform/store.py
+++ b/godwitloft/platform/store.py
@@ -1,4 +1,4 @@
-"""Calls the platform's store."""
+"""Calls the platform's store, and what else the platform serves."""
 
 import dataclasses
 import json
@@ -71,7 +71,7 @@
 
 
 class Call:
-    """One call to the store and its answer.
+    """One call and its answer.
 
     :param name: for errors
     :param result: gets the decoded body
@@ -128,11 +128,11 @@
             self.result.errback(problem)
 
 
-class Store:
-    """A client of the store; each call has a connection of its own.
+class Client:
+    """Calls one server of the platform; each call has its own connection.
 
     :param reactor: the twisted reactor
-    :param host: IP number of the store
+    :param host: IP number of the server
     :param port: TCP port
     :param own_host: address to connect from
     """
@@ -142,9 +142,7 @@
     ) -> None:
         self.reactor = reactor
         self.own_host = own_host
-        self.place = model.Upstream(
-            "store", "store", host, port, "", 1, False, 0
-        )
+        self.place = model.Upstream("", "", host, port, "", 1, False, 0)
 
     def call(
         self,
@@ -153,7 +151,7 @@
         body: bytes = b"",
         timeout_ms: int = CALL_TIMEOUT_MS,
     ) -> "defer.Deferred[typing.Any]":
-        """Calls the store.
+        """Makes one call.
 
         :param method: HTTP method
         :param target: path and query
@@ -193,6 +191,16 @@
 
         return result.addBoth(stop_timer)
 
+
+class Store:
+    """The rows of the store.
+
+    :param client: calls the store
+    """
+
+    def __init__(self, client: Client) -> None:
+        self.client = client
+
     def read(self, table: str, after_key: str = "") -> "defer.Deferred[Rows]":
         """Reads the rows of a table.
 
@@ -204,7 +212,7 @@
         if after_key:
             query["from"] = after_key + "\0"
         target = "/rows-get?" + urllib.parse.urlencode(query)
-        return self.call("GET", target).addCallback(decode_rows)
+        return self.client.call("GET", target).addCallback(decode_rows)
 
     def changes(
         self, table: str, after: int, wait_ms: int
@@ -218,7 +226,7 @@
         """
         query = {"table": table, "after": after, "wait-ms": wait_ms}
         target = "/rows-feed?" + urllib.parse.urlencode(query)
-        return self.call(
+        return self.client.call(
             "GET", target, timeout_ms=wait_ms + CALL_TIMEOUT_MS
         ).addCallback(decode_rows)
 
@@ -253,7 +261,9 @@
         :param entries: as the store wants them
         :return: the decoded answer
         """
-        return self.call("POST", "/rows-tx", json.dumps(entries).encode())
+        return self.client.call(
+            "POST", "/rows-tx", json.dumps(entries).encode()
+        )
 
 
 def decode_rows(body: typing.Any) -> Rows:
