Entry: what waits and its bids are a module of their own

No behaviour changes; the planted mistake "dispatched request stays in the queue" is planted where the method is now.

--- a/features/support/fleet_mutants.py
+++ b/features/support/fleet_mutants.py
@@ -5,6 +5,7 @@
 
 from godwitloft.agent import dispatcher as dispatchers
 from godwitloft.entry import answers
+from godwitloft.entry import bidding
 from godwitloft.entry import desk as desks
 from godwitloft.links.generated.messages import ttypes
 from godwitloft.policy import types
@@ -13,7 +14,7 @@
 Dispatcher = dispatchers.Dispatcher
 
 
-def dispatch_without_commit(desk, request):
+def dispatch_without_commit(bidding_of_desk, request):
     """A dispatched request stays in the queue and may be pulled again."""
 
 
@@ -100,7 +101,7 @@
 
 MUTANTS = {
     "dispatched request stays in the queue": (
-        (Desk, "leave_queue", dispatch_without_commit),
+        (bidding.Bidding, "leave_queue", dispatch_without_commit),
     ),
     "tombstone forgotten": ((Dispatcher, "bury", lambda self, run_id: None),),
     "agent's restart ignored": ((Desk, "ask_after", restart_ignored),),
--- /dev/null
+++ b/godwitloft/entry/bidding.py
@@ -0,0 +1,238 @@
+"""Which requests of an entry wait, and which agents have their bids.
+
+A waiting request is bid to the agents of the policy's choice, and again to
+all when the queue is full, so that what is more important isn't refused
+before what is less. docs/OVERLOAD.md tells the rules.
+"""
+
+import typing
+
+from godwitloft import clock as clocks
+from godwitloft import trace
+from godwitloft.entry import agents as agents_module
+from godwitloft.entry import answers
+from godwitloft.entry import bids
+from godwitloft.entry import queue as queues
+from godwitloft.entry import request as requests
+from godwitloft.entry import team_limits
+from godwitloft.links import codec
+from godwitloft.links.generated.messages import ttypes
+from godwitloft.policy import spread
+
+
+class Bidding:
+    """Owns the waiting requests of one entry and their bids.
+
+    :param clock: tells the time
+    :param send: ``(instance, field name, body)`` to a peer; returns False
+        when there is no link to it
+    :param recorder: where the trace goes
+    :param generation: returns the configuration generation in force
+    :param agents: what is known of the agents
+    :param limits: the teams' limits
+    :param queue: the waiting requests by importance, empty
+    :param refuse: called with a request for which there is no room, and why
+    :param hold_off: whether agents without a prompt's prefix wait a little
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        send: typing.Callable[[str, str, codec.Body], bool],
+        recorder: trace.Recorder,
+        generation: typing.Callable[[], int],
+        agents: agents_module.Agents,
+        limits: team_limits.TeamLimits,
+        queue: queues.WaitingQueue,
+        refuse: typing.Callable[[requests.Request, answers.Reason], None],
+        hold_off: bool,
+    ) -> None:
+        self.clock = clock
+        self.send = send
+        self.recorder = recorder
+        self.generation = generation
+        self.agents = agents
+        self.limits = limits
+        self.queue = queue
+        self.refuse = refuse
+        self.hold_off = hold_off
+        self.waiting: dict[str, requests.Request] = {}
+        self.guarantees = queues.Guarantees()
+        self.urgent: dict[queues.Group, str] = {}
+
+    def enqueue(self, request: requests.Request) -> None:
+        """Lets a request wait and bids it to agents.
+
+        :param request: the request
+        """
+        self.waiting[request.run_id] = request
+        self.queue.add(request)
+        self.limits.waits(request.call.team)
+        if self.limits.may_run(request.call.team):
+            self.bid(request)
+        else:
+            self.park(request)
+
+    def leave_queue(self, request: requests.Request) -> None:
+        """Takes a request out of the queue.
+
+        :param request: the request; one that doesn't wait is ignored
+        """
+        if self.waiting.pop(request.run_id, None) is None:
+            return
+        self.queue.remove(request)
+        self.limits.left(request.call.team, request.run_id)
+        self.guarantees.bid_over(request.run_id)
+        group = queues.group_of(request)
+        if self.urgent.get(group) == request.run_id:
+            del self.urgent[group]
+
+    def park(self, request: requests.Request) -> None:
+        """Takes back the bids of a request whose team runs enough.
+
+        It must not hold a place against others that may run.
+
+        :param request: a waiting request
+        """
+        self.withdraw(request)
+        request.parked = True
+        self.limits.park(request.call.team, request.run_id)
+
+    def unpark(self, team: str) -> None:
+        """Bids a parked request of a team that may run one more.
+
+        :param team: name of the team
+        """
+        for run_id in self.limits.unpark(team):
+            request = self.waiting[run_id]
+            request.parked = False
+            self.bid(request)
+
+    def bid(self, request: requests.Request) -> None:
+        """Tells the agents of the policy's choice that a request waits.
+
+        :param request: a waiting request
+        """
+        if request.urgent:
+            self.bid_at_all(request)
+            return
+        now_ms = self.clock.monotonic_ms()
+        needed_ms = self.agents.finish_in_ms(request.call) or 0
+        spare_ms = request.deadline_ms - now_ms - needed_ms
+        if len(request.bid_at) >= spread.SMALL_POOL:
+            return
+        for target in self.agents.targets(request.call, spare_ms):
+            if target.peer not in request.failed_at:
+                hold_ms = target.hold_ms if self.hold_off else 0
+                self.bid_to(request, target.peer, hold_ms)
+        if not request.bid_at:
+            self.bid_at_all(request)
+
+    def bid_at_all(self, request: requests.Request) -> bool:
+        """Bids a request at every agent that hasn't seen it.
+
+        :param request: a waiting request
+        :return: whether there was such an agent
+        """
+        found = [
+            self.bid_to(request, one.instance, 0)
+            for one in self.agents.eligible(request.call)
+        ]
+        return any(found)
+
+    def bid_to(
+        self, request: requests.Request, instance: str, hold_ms: int
+    ) -> bool:
+        """Bids a request at one agent, unless it has the bid.
+
+        :param request: a waiting request
+        :param instance: name of the agent's instance
+        :param hold_ms: how long the agent must wait before it starts it
+        :return: whether the bid was sent
+        """
+        if instance in request.bid_at:
+            return False
+        body = bids.bid(
+            request,
+            self.clock.monotonic_ms(),
+            hold_ms,
+            self.generation(),
+            len(self.agents.eligible(request.call)),
+        )
+        if not self.send(instance, "bid", body):
+            return False
+        request.bid_at[instance] = None
+        request.skipped.pop(instance, None)
+        if request.position.state == "waiting":
+            request.position.feed("bid")
+        return True
+
+    def withdraw(self, request: requests.Request) -> None:
+        """Takes a request's bids back, except at the agent that runs it.
+
+        :param request: the request
+        """
+        body = ttypes.Withdraw(request.run_id)
+        for instance in request.bid_at:
+            if instance != request.agent:
+                self.send(instance, "withdraw", body)
+        request.bid_at.clear()
+
+    # Too much to do
+
+    def relieve(self) -> None:
+        """Refuses what the queue has no place for, as soon as it may.
+
+        See docs/OVERLOAD.md: first the agents are asked to guarantee that
+        nothing lower is served, then the lowest and newest is refused.
+        """
+        if self.queue.is_calm():
+            self.calm_down()
+            return
+        for request in self.queue.excess():
+            self.refuse(request, answers.Reason.QUEUE_FULL)
+        for request in self.queue.overflow():
+            if request.run_id in self.urgent.values():
+                continue
+            able = agents_module.names(self.agents.eligible(request.call))
+            if request.parked or self.guarantees.may_shed(request, able):
+                self.refuse(request, answers.Reason.SHED)
+            else:
+                self.make_urgent(queues.group_of(request))
+
+    def make_urgent(self, group: queues.Group) -> None:
+        """Asks the agents for a guarantee for a tier, unless they have been.
+
+        :param group: rank and pools of those that may have to leave
+        """
+        if group in self.urgent:
+            return
+        overflow = len(self.queue.overflow())
+        request = self.queue.newest_kept(group, overflow)
+        if request is None:
+            return
+        self.urgent[group] = request.run_id
+        self.recorder.record(
+            trace.Kind.URGENT, request.request_id, run_id=request.run_id
+        )
+        self.set_urgent(request, True)
+
+    def set_urgent(self, request: requests.Request, urgent: bool) -> None:
+        """Bids a request again, as urgent or no longer so.
+
+        :param request: a waiting request
+        :param urgent: whether it is
+        """
+        request.urgent = urgent
+        request.bid_at.clear()
+        request.skipped.clear()
+        self.guarantees.bid_over(request.run_id)
+        self.bid_at_all(request)
+
+    def calm_down(self) -> None:
+        """Ends the urgency of bids once the queue has room again."""
+        for run_id in tuple(self.urgent.values()):
+            request = self.waiting.get(run_id)
+            if request is not None:
+                self.set_urgent(request, False)
+        self.urgent.clear()
--- a/godwitloft/entry/daemon.py
+++ b/godwitloft/entry/daemon.py
@@ -157,7 +157,9 @@
 
         :param heartbeat: the message
         """
-        heartbeat.running = len(self.desk.requests) - len(self.desk.waiting)
+        heartbeat.running = len(self.desk.requests) - len(
+            self.desk.bidding.waiting
+        )
 
     # Interfaces
 
@@ -283,7 +285,7 @@
 
         :return: the state
         """
-        waiting_count = len(self.desk.waiting)
+        waiting_count = len(self.desk.bidding.waiting)
         running = len(self.desk.requests) - waiting_count
         return await self.node.gather_status(running, waiting_count)
 
--- a/godwitloft/entry/desk.py
+++ b/godwitloft/entry/desk.py
@@ -20,7 +20,7 @@
 from godwitloft import trace
 from godwitloft.entry import agents
 from godwitloft.entry import answers
-from godwitloft.entry import bids
+from godwitloft.entry import bidding
 from godwitloft.entry import call as calls
 from godwitloft.entry import queue
 from godwitloft.entry import records
@@ -32,7 +32,6 @@
 from godwitloft.policy import drain_rate
 from godwitloft.policy import retry
 from godwitloft.policy import shed
-from godwitloft.policy import spread
 from godwitloft.policy import suspects
 
 RELINK_LIMIT_MS = 5_000
@@ -106,12 +105,19 @@
         self.rng = rng or random.Random(incarnation)
         self.agents = agents.Agents(settings.availability_zone, self.rng)
         self.requests: dict[str, requests.Request] = {}
-        self.waiting: dict[str, requests.Request] = {}
-        self.queue = queue.WaitingQueue(
-            settings.max_waiting, settings.max_waiting_bytes
+        self.bidding = bidding.Bidding(
+            clock,
+            send,
+            recorder,
+            generation,
+            self.agents,
+            self.limits,
+            queue.WaitingQueue(
+                settings.max_waiting, settings.max_waiting_bytes
+            ),
+            self.refuse_for_room,
+            settings.hold_off,
         )
-        self.guarantees = queue.Guarantees()
-        self.urgent: dict[queue.Group, str] = {}
         self.delayed: list[tuple[int, str]] = []
         self.drain_rate = drain_rate.DrainRate(clock.monotonic_ms())
         self.retry_budget = retry.Budget()
@@ -163,8 +169,8 @@
         verdict = self.suspects.verdict(call.fingerprint, now_ms)
         request.isolate = verdict is suspects.Verdict.SUSPECT
         heapq.heappush(self.deadlines, (request.deadline_ms, request_id))
-        self.enqueue(request)
-        self.relieve()
+        self.bidding.enqueue(request)
+        self.bidding.relieve()
         return request_id
 
     def refusal_on_arrival(
@@ -196,10 +202,10 @@
             finish_in_ms=self.agents.finish_in_ms(call),
         )
         load = admit.QueueLoad(
-            requests=len(self.queue),
-            body_bytes=self.queue.body_bytes,
-            max_requests=self.queue.hard_requests + 1,
-            max_bytes=self.queue.hard_bytes * 2,
+            requests=len(self.bidding.queue),
+            body_bytes=self.bidding.queue.body_bytes,
+            max_requests=self.bidding.queue.hard_requests + 1,
+            max_bytes=self.bidding.queue.hard_bytes * 2,
             drain_retry_ms=self.retry_after_ms(call.tier_rank),
         )
         refused = self.limits.admit(call.team, arrival, load, now_ms)
@@ -218,7 +224,7 @@
         :return: when those ahead have probably left, as measured
         """
         return self.drain_rate.retry_after_ms(
-            self.queue.ahead(tier_rank), self.clock.monotonic_ms()
+            self.bidding.queue.ahead(tier_rank), self.clock.monotonic_ms()
         )
 
     def cancel(self, request_id: str) -> None:
@@ -274,8 +280,8 @@
         for request in tuple(self.requests.values()):
             if request.agent == hello.instance and not request.waiting:
                 self.ask_after(request, hello.incarnation)
-        for request in tuple(self.waiting.values()):
-            self.bid(request)
+        for request in tuple(self.bidding.waiting.values()):
+            self.bidding.bid(request)
         self.share_verdicts(hello.instance)
 
     def ask_after(self, request: requests.Request, incarnation: str) -> None:
@@ -300,7 +306,7 @@
         :param instance: name of the agent's instance
         """
         self.agents.down(instance)
-        self.guarantees.agent_down(instance)
+        self.bidding.guarantees.agent_down(instance)
         now_ms = self.clock.monotonic_ms()
         for request in self.requests.values():
             request.bid_at.pop(instance, None)
@@ -326,8 +332,8 @@
         :param peer: name of the agent's instance
         """
         self.agents.leaving(peer)
-        self.guarantees.agent_down(peer)
-        for request in self.waiting.values():
+        self.bidding.guarantees.agent_down(peer)
+        for request in self.bidding.waiting.values():
             request.bid_at.pop(peer, None)
             request.skipped.pop(peer, None)
         self.reconsider()
@@ -338,7 +344,7 @@
         :param peer: name of the agent's instance
         :param body: the message
         """
-        request = self.waiting.get(body.request_id)
+        request = self.bidding.waiting.get(body.request_id)
         view = self.agents.views.get(peer)
         if request is None or view is None or peer not in request.bid_at:
             self.refuse_pull(peer, body.request_id, "not_waiting")
@@ -347,7 +353,7 @@
         elif not self.limits.may_run(request.call.team):
             self.refuse_pull(peer, body.request_id, "team_limit")
             request.bid_at.pop(peer, None)
-            self.park(request)
+            self.bidding.park(request)
         elif request.claim is not None:
             request.claiming = True
             claimed = functools.partial(
@@ -375,7 +381,7 @@
         :param refusal: why it may not be dispatched, or None
         :return: whether it was dispatched
         """
-        if run_id not in self.waiting or request.run_id != run_id:
+        if run_id not in self.bidding.waiting or request.run_id != run_id:
             return False
         request.claiming = False
         if refusal is not None:
@@ -385,8 +391,8 @@
         if now is not None and now.incarnation == view.incarnation:
             self.dispatch(request, view)
         if request.waiting:
-            self.withdraw(request)
-            self.bid(request)
+            self.bidding.withdraw(request)
+            self.bidding.bid(request)
         return not request.waiting
 
     def refuse_pull(self, peer: str, run_id: str, reason: str) -> None:
@@ -435,14 +441,14 @@
         request.position.feed("dispatch")
         request.agent = view.instance
         request.agent_incarnation = view.incarnation
-        self.leave_queue(request)
-        self.withdraw(request)
+        self.bidding.leave_queue(request)
+        self.bidding.withdraw(request)
         self.agents.dispatched(view.instance, call, now_ms)
         self.limits.started(call.team)
         self.drain_rate.observe(now_ms)
         if call.idempotent and request.attempt == 1:
             self.retry_budget = retry.called(self.retry_budget)
-        self.relieve()
+        self.bidding.relieve()
         self.instruments.wait_ms.record(
             now_ms - request.accepted_ms, {"tier": call.tier}
         )
@@ -455,7 +461,7 @@
         :param peer: name of the agent's instance
         :param body: the message
         """
-        request = self.waiting.get(body.request_id)
+        request = self.bidding.waiting.get(body.request_id)
         if request is None or peer not in request.bid_at:
             return
         request.skipped[peer] = body.reason
@@ -468,11 +474,11 @@
             finish_in_ms=body.finish_in_ms,
         )
         if request.urgent:
-            self.guarantees.answered(
+            self.bidding.guarantees.answered(
                 peer, request.run_id, request.call.tier_rank, body.reason
             )
         self.refuse_unreachable(request)
-        self.relieve()
+        self.bidding.relieve()
 
     def refuse_unreachable(self, request: requests.Request) -> None:
         """Refuses a request when every agent has found it too late.
@@ -484,7 +490,7 @@
         seen = {one: request.skipped.get(one, "") for one in request.bid_at}
         if not shed.unreachable(seen):
             return
-        if self.bid_at_all(request):
+        if self.bidding.bid_at_all(request):
             return
         self.refuse(
             request,
@@ -497,10 +503,10 @@
 
     def reconsider(self) -> None:
         """Judges the waiting requests anew after an agent has gone."""
-        for request in tuple(self.waiting.values()):
+        for request in tuple(self.bidding.waiting.values()):
             if request.skipped:
                 self.refuse_unreachable(request)
-        self.relieve()
+        self.bidding.relieve()
 
     def on_verdict(self, peer: str, body: ttypes.Verdict) -> None:
         """Takes over what an agent found out about a body.
@@ -522,7 +528,7 @@
         for instance in tuple(self.agents.views):
             if instance != peer:
                 self.send(instance, "verdict", body)
-        for request in tuple(self.waiting.values()):
+        for request in tuple(self.bidding.waiting.values()):
             if request.call.fingerprint != body.fingerprint:
                 continue
             request.isolate = verdict is suspects.Verdict.SUSPECT
@@ -812,7 +818,7 @@
             due_ms = self.clock.monotonic_ms() + delay_ms
             heapq.heappush(self.delayed, (due_ms, request.request_id))
         else:
-            self.enqueue(request)
+            self.bidding.enqueue(request)
 
     def on_query_answer(self, peer: str, body: ttypes.QueryAnswer) -> None:
         """Learns what became of a run while the link was down.
@@ -848,148 +854,8 @@
             "unknown",
         )
 
-    # The queue
-
-    def enqueue(self, request: requests.Request) -> None:
-        """Lets a request wait and bids it to agents.
-
-        :param request: the request
-        """
-        self.waiting[request.run_id] = request
-        self.queue.add(request)
-        self.limits.waits(request.call.team)
-        if self.limits.may_run(request.call.team):
-            self.bid(request)
-        else:
-            self.park(request)
-
-    def leave_queue(self, request: requests.Request) -> None:
-        """Takes a request out of the queue.
-
-        :param request: the request; one that doesn't wait is ignored
-        """
-        if self.waiting.pop(request.run_id, None) is None:
-            return
-        self.queue.remove(request)
-        self.limits.left(request.call.team, request.run_id)
-        self.guarantees.bid_over(request.run_id)
-        group = queue.group_of(request)
-        if self.urgent.get(group) == request.run_id:
-            del self.urgent[group]
-
-    def park(self, request: requests.Request) -> None:
-        """Takes back the bids of a request whose team runs enough.
-
-        It must not hold a place against others that may run.
-
-        :param request: a waiting request
-        """
-        self.withdraw(request)
-        request.parked = True
-        self.limits.park(request.call.team, request.run_id)
-
-    def unpark(self, team: str) -> None:
-        """Bids a parked request of a team that may run one more.
-
-        :param team: name of the team
-        """
-        for run_id in self.limits.unpark(team):
-            request = self.waiting[run_id]
-            request.parked = False
-            self.bid(request)
-
-    def bid(self, request: requests.Request) -> None:
-        """Tells the agents of the policy's choice that a request waits.
-
-        :param request: a waiting request
-        """
-        if request.urgent:
-            self.bid_at_all(request)
-            return
-        now_ms = self.clock.monotonic_ms()
-        needed_ms = self.agents.finish_in_ms(request.call) or 0
-        spare_ms = request.deadline_ms - now_ms - needed_ms
-        if len(request.bid_at) >= spread.SMALL_POOL:
-            return
-        for target in self.agents.targets(request.call, spare_ms):
-            if target.peer not in request.failed_at:
-                hold_ms = target.hold_ms if self.settings.hold_off else 0
-                self.bid_to(request, target.peer, hold_ms)
-        if not request.bid_at:
-            self.bid_at_all(request)
-
-    def bid_at_all(self, request: requests.Request) -> bool:
-        """Bids a request at every agent that hasn't seen it.
-
-        :param request: a waiting request
-        :return: whether there was such an agent
-        """
-        found = [
-            self.bid_to(request, one.instance, 0)
-            for one in self.agents.eligible(request.call)
-        ]
-        return any(found)
-
-    def bid_to(
-        self, request: requests.Request, instance: str, hold_ms: int
-    ) -> bool:
-        """Bids a request at one agent, unless it has the bid.
-
-        :param request: a waiting request
-        :param instance: name of the agent's instance
-        :param hold_ms: how long the agent must wait before it starts it
-        :return: whether the bid was sent
-        """
-        if instance in request.bid_at:
-            return False
-        body = bids.bid(
-            request,
-            self.clock.monotonic_ms(),
-            hold_ms,
-            self.generation(),
-            len(self.agents.eligible(request.call)),
-        )
-        if not self.send(instance, "bid", body):
-            return False
-        request.bid_at[instance] = None
-        request.skipped.pop(instance, None)
-        if request.position.state == "waiting":
-            request.position.feed("bid")
-        return True
-
-    def withdraw(self, request: requests.Request) -> None:
-        """Takes a request's bids back, except at the agent that runs it.
-
-        :param request: the request
-        """
-        body = ttypes.Withdraw(request.run_id)
-        for instance in request.bid_at:
-            if instance != request.agent:
-                self.send(instance, "withdraw", body)
-        request.bid_at.clear()
-
     # Too much to do
 
-    def relieve(self) -> None:
-        """Refuses what the queue has no place for, as soon as it may.
-
-        See docs/OVERLOAD.md: first the agents are asked to guarantee that
-        nothing lower is served, then the lowest and newest is refused.
-        """
-        if self.queue.is_calm():
-            self.calm_down()
-            return
-        for request in self.queue.excess():
-            self.refuse_for_room(request, answers.Reason.QUEUE_FULL)
-        for request in self.queue.overflow():
-            if request.run_id in self.urgent.values():
-                continue
-            able = agents.names(self.agents.eligible(request.call))
-            if request.parked or self.guarantees.may_shed(request, able):
-                self.refuse_for_room(request, answers.Reason.SHED)
-            else:
-                self.make_urgent(queue.group_of(request))
-
     def refuse_for_room(
         self, request: requests.Request, reason: answers.Reason
     ) -> None:
@@ -1007,43 +873,6 @@
             ),
         )
 
-    def make_urgent(self, group: queue.Group) -> None:
-        """Asks the agents for a guarantee for a tier, unless they have been.
-
-        :param group: rank and pools of those that may have to leave
-        """
-        if group in self.urgent:
-            return
-        overflow = len(self.queue.overflow())
-        request = self.queue.newest_kept(group, overflow)
-        if request is None:
-            return
-        self.urgent[group] = request.run_id
-        self.recorder.record(
-            trace.Kind.URGENT, request.request_id, run_id=request.run_id
-        )
-        self.set_urgent(request, True)
-
-    def set_urgent(self, request: requests.Request, urgent: bool) -> None:
-        """Bids a request again, as urgent or no longer so.
-
-        :param request: a waiting request
-        :param urgent: whether it is
-        """
-        request.urgent = urgent
-        request.bid_at.clear()
-        request.skipped.clear()
-        self.guarantees.bid_over(request.run_id)
-        self.bid_at_all(request)
-
-    def calm_down(self) -> None:
-        """Ends the urgency of bids once the queue has room again."""
-        for run_id in tuple(self.urgent.values()):
-            request = self.waiting.get(run_id)
-            if request is not None:
-                self.set_urgent(request, False)
-        self.urgent.clear()
-
     # Time and outcomes
 
     def tick(self) -> None:
@@ -1058,7 +887,7 @@
             _due_ms, request_id = heapq.heappop(self.delayed)
             request = self.requests.get(request_id)
             if request is not None and request.waiting:
-                self.enqueue(request)
+                self.bidding.enqueue(request)
         limit_ms = now_ms - self.settings.relink_limit_ms
         for request in tuple(self.requests.values()):
             lost_ms = request.link_lost_ms
@@ -1112,8 +941,8 @@
         :param request: a waiting request
         :param refusal: what the caller is told
         """
-        self.leave_queue(request)
-        self.withdraw(request)
+        self.bidding.leave_queue(request)
+        self.bidding.withdraw(request)
         if request.tried > 1:
             self.fail(
                 request,
@@ -1167,7 +996,7 @@
         del self.requests[request.request_id]
         if request.agent:
             self.limits.ended(request.call.team)
-        self.unpark(request.call.team)
+        self.bidding.unpark(request.call.team)
         self.instruments.outcomes.add(
             1, {"outcome": outcome, "tier": request.call.tier}
         )
