Remove a metric and an event that nothing writes; one beginning of leaving

Cause: the histogram between_tokens was created and never recorded, event GL1202 was catalogued and never written, and both daemons of the former interface began to leave with the same four steps. Change: the first two are gone (the number stays unused), `leaving.begin` holds the steps.

Measured: nothing meant to change; the features of operations, events, path and discovery pass.

--- a/godwitloft/agent/daemon.py
+++ b/godwitloft/agent/daemon.py
@@ -180,10 +180,7 @@
 
         :param done: called once nothing is left or the limit is over
         """
-        events.log(events.DRAINING, instance=self.settings.instance)
-        self.recorder.record(trace.Kind.LEAVING, reason="drain")
-        self.dispatcher.drain()
-        self.node.say_farewell("leaving")
+        leaving.begin(self.node, self.recorder, self.dispatcher.drain)
         leaving.finish(
             self.reactor,
             leaving.Work(
--- a/godwitloft/entry/daemon.py
+++ b/godwitloft/entry/daemon.py
@@ -327,10 +327,7 @@
 
         :param done: called once nothing is left or the limit is over
         """
-        events.log(events.DRAINING, instance=self.settings.instance)
-        self.journal.record(trace.Kind.LEAVING, reason="drain")
-        self.desk.drain()
-        self.node.say_farewell("leaving")
+        leaving.begin(self.node, self.journal, self.desk.drain)
         if self.caller_port is not None:
             self.caller_port.stopListening()
         leaving.finish(
--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -51,7 +51,6 @@
     1104, logging.WARNING, "a connection ended before the peer's hello"
 )
 REQUEST_REFUSED = Event(1201, logging.INFO, "a request was refused")
-REQUEST_ENDED = Event(1202, logging.DEBUG, "a request ended")
 OUTCOME_UNKNOWN = Event(
     1203, logging.WARNING, "the outcome of a request is unknown"
 )
--- a/godwitloft/leaving.py
+++ b/godwitloft/leaving.py
@@ -4,6 +4,7 @@
 import typing
 
 from godwitloft import events
+from godwitloft import node as nodes
 from godwitloft import trace
 from godwitloft import waiting
 
@@ -20,6 +21,23 @@
     unfinished: typing.Callable[[], int]
 
 
+def begin(
+    node: nodes.Node,
+    recorder: trace.Recorder,
+    take_no_more: typing.Callable[[], None],
+) -> None:
+    """Says that a daemon leaves and lets it take no new work.
+
+    :param node: of the daemon; its peers are told
+    :param recorder: writes the trace
+    :param take_no_more: tells the task that owns the requests
+    """
+    events.log(events.DRAINING, instance=node.settings.instance)
+    recorder.record(trace.Kind.LEAVING, reason="drain")
+    take_no_more()
+    node.say_farewell("leaving")
+
+
 def finish(
     reactor: typing.Any,
     work: Work,
--- a/godwitloft/metrics.py
+++ b/godwitloft/metrics.py
@@ -12,7 +12,6 @@
 Labels = typing.Mapping[str, str]
 
 WAIT_BUCKETS_MS = (1, 5, 10, 25, 50, 100, 250, 600, 1000, 5000, 30_000)
-TOKEN_BUCKETS_MS = (5, 10, 20, 40, 62, 100, 200, 500, 1000)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -26,7 +25,6 @@
     :param dropped_messages: link messages ignored, by ``reason``
     :param wait_ms: from acceptance to dispatch
     :param first_token_ms: from acceptance to the first chunk
-    :param between_tokens_ms: between chunks of one answer
     """
 
     refusals: metrics.Counter
@@ -36,7 +34,6 @@
     dropped_messages: metrics.Counter
     wait_ms: metrics.Histogram
     first_token_ms: metrics.Histogram
-    between_tokens_ms: metrics.Histogram
 
 
 def create_instruments(meter: metrics.Meter) -> Instruments:
@@ -66,7 +63,6 @@
         dropped_messages=counter("dropped_messages"),
         wait_ms=histogram("wait", WAIT_BUCKETS_MS),
         first_token_ms=histogram("first_token", WAIT_BUCKETS_MS),
-        between_tokens_ms=histogram("between_tokens", TOKEN_BUCKETS_MS),
     )
 
 
