--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -8,6 +8,8 @@
 import time
 
 from bench.soak import deployment
+from bench.soak import program
+from bench.soak import site
 
 ASK_LIMIT_S = 7
 PAUSE_S = (0.0, 0.12)
@@ -23,7 +25,7 @@
     ("once", "POST", 3),
     ("lookup", "GET", 4),
     ("post", "POST", 4),
-    (deployment.EXTRA_ROUTE, "GET", 2),
+    (site.EXTRA_ROUTE, "GET", 2),
 )
 KEY_MIX = (("key-large", 6), ("key-small", 3), ("key-guest", 2), ("key-no", 1))
 
@@ -89,7 +91,7 @@
                 else:
                     self.misses[entry.name] += 1
 
-    def open_entries(self) -> list[deployment.Program]:
+    def open_entries(self) -> list[program.Program]:
         """Returns the entries that take new callers."""
         return [
             entry
@@ -188,9 +190,9 @@
         if connection is None:
             return
         headers = {
-            "Host": deployment.HOST_NAME,
+            "Host": site.HOST_NAME,
             "Godwitloft-Request-Id": told.id,
-            "Godwitloft-Deadline-Ms": str(deployment.TIMEOUT_MS),
+            "Godwitloft-Deadline-Ms": str(site.TIMEOUT_MS),
             "Authorization": f"Token {told.key}",
         }
         if told.events:
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -4,12 +4,9 @@
 import dataclasses
 import http.client
 import json
-import os
 import pathlib
 import signal
 import socket
-import subprocess
-import sys
 import threading
 import time
 import typing
@@ -18,38 +15,13 @@
 
 from bench import processes
 from bench.soak import plan
+from bench.soak import program as programs
 from bench.soak import relay
+from bench.soak import site
 
-HOST_NAME = "soak.example"
-FIRST_PORT_TRIES = 20
 START_LIMIT_S = 20
 CALL_LIMIT_S = 10
 MS_PER_S = 1000
-# Bounds that the programs are told and the verdict judges by.
-GRACE_S = 6
-REVOKE_MS = 5_000
-QUOTA_WINDOW_S = 8
-QUOTA_OVERAGE = 0.1
-QUOTA_SLACK_TOKENS = 500
-RETRY_RATIO = 0.2
-RETRY_EXTRA = 20
-RETRY_WINDOW_S = 10
-TIMEOUT_MS = 4_000
-# Team "small" has a limit that its callers exceed.
-SMALL_RATE_PER_S = 200
-SMALL_BURST = 200
-PLAIN_TOKENS = 10
-
-KEYS = {"key-large": "large", "key-small": "small", "key-guest": "guest"}
-GUEST_KEY = "key-guest"
-EXTRA_ROUTE = "extra"
-ROUTES = (
-    ("stream", "streaming", "model", True),
-    ("once", "streaming", "model", False),
-    ("lookup", "idempotent", "desk", False),
-    ("post", "non_idempotent", "desk", False),
-    (EXTRA_ROUTE, "idempotent", "desk", False),
-)
 RELAY_MODES = {
     "delay": relay.DELAY,
     "silent": relay.SILENT,
@@ -87,88 +59,6 @@
     end_ms: int | None = None
 
 
-@dataclasses.dataclass(eq=False)
-class Program:
-    """One of our own programs.
-
-    :param name: of the instance
-    :param words: arguments of the interpreter
-    :param boot: its settings file
-    :param log: where its output goes
-    :param address: where callers connect, empty for agents
-    :param ready_address: where the balancer asks
-    :param child: the process, None before its start and once it has ended
-    :param was_told_to_end: whether a signal told it so
-    :param log_start: length of the log when the process was started
-    """
-
-    name: str
-    words: tuple[str, ...]
-    boot: pathlib.Path
-    log: pathlib.Path
-    address: str = ""
-    ready_address: str = ""
-    child: subprocess.Popen[bytes] | None = None
-    was_told_to_end: bool = False
-    log_start: int = 0
-
-    def start(self) -> None:
-        """Starts the process, if it doesn't run."""
-        if self.child is not None and self.child.poll() is None:
-            return
-        self.was_told_to_end = False
-        environment = dict(os.environ, GODWITLOFT_BOOT=str(self.boot))
-        with self.log.open("ab") as output:
-            self.log_start = output.tell()
-            self.child = subprocess.Popen(
-                [sys.executable, "-m", *self.words],
-                cwd=processes.ROOT,
-                env=environment,
-                stdout=output,
-                stderr=subprocess.STDOUT,
-            )
-
-    def signal(self, number: signal.Signals) -> None:
-        """Sends a signal, if the process runs.
-
-        :param number: of the signal
-        """
-        child = self.child
-        if child is None or child.poll() is not None:
-            return
-        if number in (signal.SIGKILL, signal.SIGTERM):
-            self.was_told_to_end = True
-        child.send_signal(number)
-
-    def own_end(self) -> str:
-        """Tells whether the process ended without being told to.
-
-        :return: its exit status as text, empty if all is well
-        """
-        if self.child is None or self.child.poll() is None:
-            return ""
-        allowed = [0, -signal.SIGKILL]
-        if not self.has_started():
-            # Until it handles signals, the system ends it.
-            allowed.append(-signal.SIGTERM)
-        status = self.child.returncode
-        self.child = None
-        if self.was_told_to_end and status in allowed:
-            return ""
-        return f"{self.name} ended with {status}"
-
-    def has_started(self) -> bool:
-        """Tells whether the process has written its first line."""
-        return self.log.stat().st_size > self.log_start
-
-    def kill(self) -> None:
-        """Ends the process and waits for it."""
-        self.signal(signal.SIGCONT)
-        self.signal(signal.SIGKILL)
-        if self.child is not None:
-            self.child.wait()
-
-
 class Deployment:
     """Our programs, the stand-in platform and the relays between.
 
@@ -184,8 +74,8 @@
         self.version = 1
         # How many faults that overlap have taken it away.
         self.withdrawn: collections.Counter[str] = collections.Counter()
-        self.entries: list[Program] = []
-        self.agents: list[Program] = []
+        self.entries: list[programs.Program] = []
+        self.agents: list[programs.Program] = []
         self.relays: list[relay.Relay] = []
         self.own_ends: list[str] = []
 
@@ -255,7 +145,7 @@
         :param number: of the entry
         """
         host = f"127.0.0.{number + 10}"
-        front, ready = (free_port(host) for _ in range(2))
+        front, ready = (programs.free_port(host) for _ in range(2))
         listen = (
             f'[listen]\nfront = "{host}:{front}"\nready = "{host}:{ready}"\n'
         )
@@ -266,7 +156,7 @@
 
     def program(
         self, name: str, role: str, host: str, own: str, listen: str = ""
-    ) -> Program:
+    ) -> programs.Program:
         """Writes the settings of a program.
 
         :param name: of the instance
@@ -278,21 +168,15 @@
         """
         boot = self.directory / f"{name}.toml"
         boot.write_text(
-            f'node-name = "{name}"\nip = "{host}"\nzone = "a"\n'
-            f"internal-port-range = [{self.first_port}, {self.first_port}]\n"
-            f"heartbeat-ms = 400\n{own}{listen}"
-            f"[bounds]\ngrace-s = {GRACE_S}\nstrict-revocation = true\n"
-            f"revoke-ms = {REVOKE_MS}\nquota-window-s = {QUOTA_WINDOW_S}\n"
-            f"quota-overage = {QUOTA_OVERAGE}\n"
-            f"quota-slack = {QUOTA_SLACK_TOKENS}\n"
-            f"retry-budget-ratio = {RETRY_RATIO}\n"
-            f"retry-budget-extra = {RETRY_EXTRA}\n"
-            f"budget-window-s = {RETRY_WINDOW_S}\n"
-            f'[platform]\naddress = "{self.store_address}"\n',
+            site.boot(
+                name, host, self.first_port, self.store_address, own, listen
+            ),
             encoding="utf-8",
         )
         words = ("godwitloft.platform.main", role)
-        return Program(name, words, boot, self.directory / f"{name}.log")
+        return programs.Program(
+            name, words, boot, self.directory / f"{name}.log"
+        )
 
     def stop(self) -> None:
         """Ends all processes that this soak started."""
@@ -334,11 +218,9 @@
 
     def free_datagram_port(self) -> int:
         """Finds a UDP port that is free on all addresses."""
-        for _ in range(FIRST_PORT_TRIES):
-            with socket.socket(type=socket.SOCK_DGRAM) as probe:
-                probe.bind(("0.0.0.0", 0))
-                return int(probe.getsockname()[1])
-        raise processes.ProcessError("no free port")
+        with socket.socket(type=socket.SOCK_DGRAM) as probe:
+            probe.bind(("0.0.0.0", 0))
+            return int(probe.getsockname()[1])
 
     def wait(self, condition: typing.Callable[[], bool]) -> None:
         """Waits until something is so.
@@ -384,7 +266,7 @@
         connection.close()
         return json.loads(content or b"null")
 
-    def is_ready(self, entry: Program) -> bool:
+    def is_ready(self, entry: programs.Program) -> bool:
         """Asks an entry as a balancer does.
 
         :param entry: which
@@ -403,50 +285,7 @@
 
     def publish(self) -> None:
         """Publishes the configuration without what is withdrawn."""
-        routes = [
-            {
-                "name": f"r-{name}",
-                "host": HOST_NAME,
-                "prefix": f"/{name}/",
-                "kind": kind,
-                "timeout-ms": TIMEOUT_MS,
-                "target-latency-ms": 400,
-                "priority": number,
-                "service": service,
-                "max-attempts": 1 if kind == "non_idempotent" else 2,
-                "public": False,
-                "resumable": resumable,
-            }
-            for number, (name, kind, service, resumable) in enumerate(ROUTES)
-            if not self.withdrawn[name]
-        ]
-        teams = [
-            {
-                "name": team,
-                "api-keys": [] if self.withdrawn[key] else [key],
-                "unit": "tokens",
-                "plain-tokens": PLAIN_TOKENS,
-                "rate-per-s": SMALL_RATE_PER_S if team == "small" else 10**6,
-                "burst": SMALL_BURST if team == "small" else 10**6,
-            }
-            for key, team in KEYS.items()
-        ]
-        self.control(
-            config={
-                "version": self.version,
-                "routes": routes,
-                "services": [
-                    {
-                        "name": "model",
-                        "max-connections": 50,
-                        "engine": {"slots": 4},
-                    },
-                    {"name": "desk", "max-connections": 50},
-                ],
-                "limits": {},
-                "tenants": teams,
-            }
-        )
+        self.control(config=site.configuration(self.version, self.withdrawn))
         self.version += 1
 
     # Faults.
@@ -508,7 +347,7 @@
             self.control(runners={mark.target: {"gone": False}})
         mark.end_ms = now_ms()
 
-    def programs(self, fault: plan.Fault) -> Program:
+    def program_hit(self, fault: plan.Fault) -> programs.Program:
         """Returns the program that a fault hits.
 
         :param fault: one of the plan
@@ -526,7 +365,7 @@
 
         :param fault: one of the plan
         """
-        program = self.programs(fault)
+        program = self.program_hit(fault)
         self.note_own_end(program)
         numbers = {
             "kill": signal.SIGKILL,
@@ -543,7 +382,7 @@
 
         :param fault: one of the plan
         """
-        program = self.programs(fault)
+        program = self.program_hit(fault)
         if fault.kind in ("pause", "pause_agent"):
             program.signal(signal.SIGCONT)
         elif fault.kind != "reload":
@@ -552,7 +391,7 @@
             self.note_own_end(program)
             program.start()
 
-    def note_own_end(self, program: Program) -> None:
+    def note_own_end(self, program: programs.Program) -> None:
         """Writes down that a program ended by itself.
 
         :param program: any
@@ -599,7 +438,7 @@
         :param kind: of the fault
         :return: a key or the name of a route
         """
-        return GUEST_KEY if kind == "withdraw_key" else EXTRA_ROUTE
+        return site.GUEST_KEY if kind == "withdraw_key" else site.EXTRA_ROUTE
 
     def withdraw(self, kind: str) -> None:
         """Publishes a configuration that lacks something.
@@ -608,14 +447,3 @@
         """
         self.withdrawn[self.withdrawable(kind)] += 1
         self.publish()
-
-
-def free_port(host: str) -> int:
-    """Finds a free TCP port.
-
-    :param host: IP number
-    :return: the port
-    """
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return int(probe.getsockname()[1])
--- a/bench/soak/verdict.py
+++ b/bench/soak/verdict.py
@@ -7,6 +7,7 @@
 
 from bench.soak import callers
 from bench.soak import deployment
+from bench.soak import site
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 MS_PER_S = 1000
@@ -22,7 +23,8 @@
 GONE_SHARE = 0.25
 GONE_AT_LEAST = 4
 HELD_AT_LEAST = 8
-LOST_ALLOWED = 0
+# A runner tells of its state in its next row.
+HEARTBEAT_MS = 400
 # Between the clocks of a caller's thread and a runner's process.
 MEASURING_MS = 250
 UNSAFE_ROUTES = ("post", "once")
@@ -155,7 +157,7 @@
         told = history.by_id.get(run.id)
         if told is None:
             found.append(f"{run.id} was sent by nobody")
-        elif run.team != deployment.KEYS.get(told.key):
+        elif run.team != site.KEYS.get(told.key):
             found.append(f"{run.id} of {told.key} ran for {run.team}")
         elif run.key is not None or run.hold is not None:
             found.append(f"{run.id} bore what is not the caller's to send")
@@ -172,7 +174,7 @@
         for told in history.told
         if told.status in (401, 403, 404)
         and told.key in always
-        and told.route != deployment.EXTRA_ROUTE
+        and told.route != site.EXTRA_ROUTE
     ]
 
 
@@ -183,14 +185,14 @@
         told = history.by_id.get(run.id)
         if told is None:
             continue
-        if told.key not in deployment.KEYS:
+        if told.key not in site.KEYS:
             found.append(f"{run.id} ran with the key of nobody")
-        if told.key == deployment.GUEST_KEY and was_withdrawn(
-            history, "withdraw_key", told.sent_ms, deployment.REVOKE_MS
+        if told.key == site.GUEST_KEY and was_withdrawn(
+            history, "withdraw_key", told.sent_ms, site.REVOKE_MS
         ):
             found.append(f"{run.id} ran with a key that was taken away")
         if (
-            told.route == deployment.EXTRA_ROUTE
+            told.route == site.EXTRA_ROUTE
             and was_withdrawn(
                 history, "withdraw_route", told.sent_ms, CONFIG_APPLY_MS
             )
@@ -249,13 +251,9 @@
     return found
 
 
-# A runner tells of its state in its next row.
-HEARTBEAT_MS = 400
-
-
 def retried(history: History) -> list[str]:
     """Finds spans with more repeats than the retry budget allows."""
-    window_ms = deployment.RETRY_WINDOW_S * MS_PER_S
+    window_ms = site.RETRY_WINDOW_S * MS_PER_S
     seen: set[str] = set()
     repeats: dict[str, list[int]] = collections.defaultdict(list)
     arrivals = sorted(
@@ -279,7 +277,7 @@
                 )
                 for back in (0, window_ms // 2, window_ms)
             )
-            allowed = deployment.RETRY_RATIO * asked + deployment.RETRY_EXTRA
+            allowed = site.RETRY_RATIO * asked + site.RETRY_EXTRA
             if extra > allowed:
                 found.append(
                     f"{service}: {extra} repeats in {window_ms} ms,"
@@ -311,18 +309,17 @@
 
 def over_quota(history: History) -> list[str]:
     """Finds spans in which the small team used more than its allowance."""
-    window_ms = deployment.QUOTA_WINDOW_S * MS_PER_S
+    window_ms = site.QUOTA_WINDOW_S * MS_PER_S
     allowed = (
-        deployment.SMALL_RATE_PER_S * deployment.QUOTA_WINDOW_S
-        + deployment.SMALL_BURST
-    ) * (1 + deployment.QUOTA_OVERAGE) + deployment.QUOTA_SLACK_TOKENS
+        site.SMALL_RATE_PER_S * site.QUOTA_WINDOW_S + site.SMALL_BURST
+    ) * (1 + site.QUOTA_OVERAGE) + site.QUOTA_SLACK_TOKENS
     used: list[tuple[int, int]] = []
     for run in sorted(history.runs, key=lambda one: one.at_ms):
         told = history.by_id.get(run.id)
         if told is None or run.team != "small":
             continue
         # Tokens in and out of a stream, as the request names them.
-        tokens = 5 + told.events if told.events else deployment.PLAIN_TOKENS
+        tokens = 5 + told.events if told.events else site.PLAIN_TOKENS
         used.append((run.at_ms, tokens))
     found: list[str] = []
     for number, (start_ms, _tokens) in enumerate(used):
@@ -379,7 +376,7 @@
 
 def held(history: History) -> list[str]:
     """Finds that calm entries often answer after the time limit."""
-    limit_ms = deployment.TIMEOUT_MS + ANSWER_SLACK_MS + MEASURING_MS
+    limit_ms = site.TIMEOUT_MS + ANSWER_SLACK_MS + MEASURING_MS
     late = [
         told.id
         for told in history.told
