--- a/features/soak.feature
+++ b/features/soak.feature
@@ -53,6 +53,20 @@
       | RECOVER | nothing served | mark | kind=reset target=i-desk-0 start=0 end=0 | unserved | count=10 sent=9000 |
       | OWN END | one | ended | name=entry-0 | - | |
 
+  # Parts are sent one after the other, with the relay in that mode; then it
+  # passes everything on for 2 s.
+  Scenario Outline: Bytes never overtake each other in a relay: <modes>
+    When parts cross a relay in the modes "<modes>" and then it is open
+    Then all parts arrive in their order
+
+    Examples:
+      | modes |
+      | pass,pass |
+      | delay,pass |
+      | delay,silent,pass |
+      | silent,delay,pass |
+      | deaf,delay,silent,pass |
+
   Scenario: The real programs keep every promise under seeded faults
     When a soak of seed 7 runs for 20 s
     Then it breaches nothing and served at least 500 requests
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -6,10 +6,13 @@
 from behave import given
 from behave import then
 from behave import when
+from twisted.internet import task
+from twisted.internet import testing
 
 from bench.soak import callers
 from bench.soak import deployment
 from bench.soak import plan
+from bench.soak import relay
 from bench.soak import verdict
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -218,6 +221,34 @@
     assert list(context.breaches) == expected, context.breaches
 
 
+@when('parts cross a relay in the modes "{modes}" and then it is open')
+def cross_relay(context, modes):
+    reactor = task.Clock()
+    one = relay.Relay(reactor, ("127.0.0.1", 1))
+    client, server = relay.End(one, True), relay.End(one, False)
+    client.peer, server.peer = server, client
+    client.transport = testing.StringTransport()
+    server.transport = testing.StringTransport()
+    one.ends.update((client, server))
+    context.ends = (client, server)
+    context.parts = b""
+    for number, mode in enumerate(modes.split(",")):
+        one.set_mode(mode)
+        part = b"%d" % number
+        context.parts += part
+        client.dataReceived(part)
+        server.dataReceived(part)
+        reactor.advance(0.01)
+    one.set_mode(relay.PASS)
+    reactor.pump([0.1] * 20)
+
+
+@then("all parts arrive in their order")
+def check_order(context):
+    for end in context.ends:
+        assert end.transport.value() == context.parts, end.transport.value()
+
+
 def run(seed, seconds, mistakes):
     done = subprocess.run(
         [
