Tell peers of teams that were only refused here

Ruled out: the sums under surges of gateway_limits.feature, which passed, as every gateway used some.

Change: a team is told of while it used something or was asked for lately. Test, failing first: two gateways, one of which must refuse (parts 0.81 and 0.93 before, at most 1 after).

--- a/features/gateway_limits.feature
+++ b/features/gateway_limits.feature
@@ -44,6 +44,11 @@
       | a higher surge | 29 | 0.55 | 30 | 8 | 0.9 |
       | a higher surge | 60 | 0.55 | 30 | 9 | 0.8 |
 
+  Scenario: A gateway tells of a team that it had to refuse
+    Given 2 gateways that share an allowance
+    When the first uses all of it and the second must refuse 20000 tokens
+    Then the first leaves a part of the allowance to the second
+
   Scenario Outline: What <count> gateways tell each other is bounded
     Given <count> gateways that share the allowance of a team with large requests
     When it asks for 0.5 of its rate, and from 10 s on for 0.5, seed 1
--- a/features/steps/gateway_limits_steps.py
+++ b/features/steps/gateway_limits_steps.py
@@ -160,6 +160,30 @@
     fleet.run_large(random.Random(seed + 100), [surge] * (LARGE_SECONDS // 2))
 
 
+@when("the first uses all of it and the second must refuse 20000 tokens")
+def refuse_at_second(context):
+    fleet = context.fleet
+    first, second = fleet.members["g0"], fleet.members["g1"]
+    while first.take(fleet.team, REQUEST_TOKENS) is not None:
+        pass
+    for _ in range(3):
+        fleet.reactor.advance(1)
+        for member in (first, second):
+            member.tell_if_due(())
+        fleet.reactor.advance(2 * DELAY_S)
+    assert second.take(fleet.team, 20_000.0) is None
+    fleet.reactor.advance(1)
+    second.tell_if_due(())
+    fleet.reactor.advance(2 * DELAY_S)
+
+
+@then("the first leaves a part of the allowance to the second")
+def check_part(context):
+    fleet = context.fleet
+    parts = [one.fraction(fleet.team) for one in fleet.members.values()]
+    assert sum(parts) <= 1.001, parts
+
+
 @then("each gateway sent at most {most:d} bytes a second")
 def check_sent_bytes(context, most):
     fleet = context.fleet
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -285,7 +285,7 @@
                 used=math.ceil(sum(sums)),
             )
             for name, sums in self.usage().items()
-            if sum(sums) > 0
+            if self.is_active(name, sum(sums), now_ms)
         ]
         sharing = ttypes.Sharing(
             gateway=self.instance,
@@ -297,6 +297,20 @@
             self.send(data, (host, self.port))
         self.taken.clear()
 
+    def is_active(self, team: str, used: float, now_ms: int) -> bool:
+        """Tells whether peers have to know of a team.
+
+        One that was only refused here counts: its demand decides how the
+        allowance is divided.
+
+        :param team: its name
+        :param used: tokens in the window
+        :param now_ms: the time
+        :return: whether it used or asked for something lately
+        """
+        demand = self.demand_of(team, now_ms)
+        return used > 0 or demand >= SMALLEST_DEMAND
+
     def heard(self, sharing: ttypes.Sharing) -> None:
         """Takes what a peer tells.
 
