Explain: collected logs, failures that upstreams report, no first data

Change: the process is the last word before the JSON; a failure that was passed on is told as one; `first_ms` is null without data.

--- a/features/explaining.feature
+++ b/features/explaining.feature
@@ -45,6 +45,22 @@
       | stopped | GL1002 | no end was logged before the process stopped |
       | running | GL1401 | no end was logged: it still runs, or lines were dropped |
 
+  Scenario Outline: An end that is told: <outcome>
+    Given the log of "edge-1"
+      | ms | event | fields |
+      | 10 | GL1204 | request=r1 route=post upstream=u1 waited_ms=3 running=1 allowed=4 |
+      | 20 | <event> | request=r1 outcome=<outcome> reason=<reason> upstream=u1 attempts=1 target_ms=400 <more> |
+    When "r1" is explained
+    Then the cause is "<cause>"
+
+    Examples:
+      | event | outcome | reason | more | cause |
+      | GL1206 | failed | upstream_status_500 | | u1 answered with a failure (upstream_status_500), which was passed on |
+      | GL1205 | completed | - | first_ms=20 | answered on time: 20 of 400 ms |
+      | GL1205 | completed | - | first_ms=900 | answered late: 900 ms, 400 ms were the target |
+      | GL1205 | completed | - | | answered without data |
+      | GL1205 | caller_left | answering | first_ms=20 | its caller left before the end |
+
   Scenario: A gateway without proof names the store's failure
     Given the log of "edge-1"
       | ms | event | fields |
--- a/features/steps/explaining_steps.py
+++ b/features/steps/explaining_steps.py
@@ -125,7 +125,8 @@
         for pair in row["fields"].split():
             name, _, value = pair.partition("=")
             line[name] = typed(value)
-        lines.append((process, f"[{process}] {json.dumps(line)}"))
+        collected = f"  {row['ms']}.5 {process} {json.dumps(line)}"
+        lines.append(("all.log", collected))
     context.logs = request_logs.Logs(lines)
     assert context.logs.unreadable == 0
 
--- a/godwitloft/audit/explaining.py
+++ b/godwitloft/audit/explaining.py
@@ -6,6 +6,9 @@
 from godwitloft import events
 from godwitloft.audit import request_logs
 
+# Outcomes as the gateway's reports name them.
+COMPLETED = "completed"
+FAILED = "failed"
 NEAR_MS = 1_000
 OVERLOAD_REASONS = ("queue_full", "wait_too_long", "waited_too_long")
 # What can be said without looking at other lines.
@@ -79,6 +82,8 @@
     if last.tells(events.REQUEST_REFUSED):
         return cause_of_refusal(logs, last, steps)
     if last.tells(events.REQUEST_CUT):
+        if last.fields.get("outcome") == FAILED:
+            return cause_of_failure(last)
         return cause_of_break(logs, last, steps, "the answer was cut off")
     if last.tells(events.REQUEST_ANSWERED):
         return cause_of_end(last)
@@ -167,6 +172,19 @@
     )
 
 
+def cause_of_failure(end: request_logs.Line) -> Cause:
+    """Tells that an upstream itself reported a failure.
+
+    :param end: the line that tells of the end
+    :return: the cause
+    """
+    return Cause(
+        f"{end.fields.get('upstream')} answered with a failure"
+        f" ({end.fields.get('reason')}), which was passed on",
+        (f"it was sent {end.fields.get('attempts')} times",),
+    )
+
+
 def cause_of_break(
     logs: request_logs.Logs,
     end: request_logs.Line,
@@ -222,10 +240,12 @@
     """
     fields = end.fields
     outcome = fields.get("outcome", "")
-    first_ms = fields.get("first_ms", 0)
+    first_ms = fields.get("first_ms")
     target_ms = fields.get("target_ms", 0)
-    if outcome != "completed":
+    if outcome != COMPLETED:
         return Cause("its caller left before the end")
+    if first_ms is None:
+        return Cause("answered without data")
     if first_ms <= target_ms:
         return Cause(f"answered on time: {first_ms} of {target_ms} ms")
     return Cause(
--- a/godwitloft/audit/request_logs.py
+++ b/godwitloft/audit/request_logs.py
@@ -62,7 +62,8 @@
         :param text: a JSON object, maybe with a process's name before it
         """
         prefix, brace, rest = text.partition("{")
-        process = f"{name} {prefix.strip()}".strip()
+        # Before the name, a time of whoever collected the lines may stand.
+        process = " ".join((name, *prefix.split()[-1:]))
         lines = self.processes[process]
         line = parse(process, len(lines), brace + rest)
         if line is None:
--- a/godwitloft/gateway/reports.py
+++ b/godwitloft/gateway/reports.py
@@ -108,10 +108,10 @@
         facts = request.facts
         now_ms = self.clock.monotonic_ms()
         self.instruments.outcomes.add(1, {"outcome": outcome})
+        first_ms = None
         if request.first_data_ms:
-            self.instruments.first_token_ms.record(
-                request.first_data_ms - facts.arrived_ms
-            )
+            first_ms = request.first_data_ms - facts.arrived_ms
+            self.instruments.first_token_ms.record(first_ms)
         is_whole = outcome in (COMPLETED, CALLER_LEFT)
         events.log(
             events.REQUEST_ANSWERED if is_whole else events.REQUEST_CUT,
@@ -119,7 +119,7 @@
             route=facts.route.name,
             outcome=outcome,
             reason=reason,
-            first_ms=request.first_data_ms - facts.arrived_ms,
+            first_ms=first_ms,
             took_ms=now_ms - facts.arrived_ms,
             target_ms=facts.route.target_ms,
             attempts=request.arrivals,
