A signal while the program is being loaded doesn't kill it

Cause: a SIGHUP reached an entry that had just been started again; until main.py sets its handler, after 0.3 s of imports, the system's default ends the process. Ruled out: a reload of a running entry (handled).

Change: deploy/start.py ignores SIGHUP and ends with 0 on SIGTERM before it loads anything. Soak and features start the programs through it.

--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -173,7 +173,7 @@
             ),
             encoding="utf-8",
         )
-        words = ("godwitloft.platform.main", role)
+        words = ("deploy.start", role)
         return programs.Program(
             name, words, boot, self.directory / f"{name}.log"
         )
--- a/features/lakeshore_path.feature
+++ b/features/lakeshore_path.feature
@@ -4,6 +4,15 @@
     Given a stand-in Lakeshore platform with a configuration
     And an entry on it that is ready
 
+  Scenario Outline: A signal while the program is being loaded: <signal>
+    When the entry is started anew and gets <signal> before it is loaded
+    Then it <then>
+
+    Examples:
+      | signal | then |
+      | SIGHUP | gets ready |
+      | SIGTERM | ends with status 0 |
+
   Scenario Outline: A <kind> request gets its own answer from one runner
     When request "a1" asks "<path>"
     Then it gets 200 with "<answer>" and a runner's seal
--- a/features/steps/lakeshore_path_steps.py
+++ b/features/steps/lakeshore_path_steps.py
@@ -1,5 +1,6 @@
 import base64
 import json
+import pathlib
 import re
 import signal
 import threading
@@ -30,6 +31,40 @@
     lakeshore.wait_until(context.world.is_ready, "the entry being ready")
 
 
+def handles_signals(process):
+    """Whether a process has left the system's defaults for SIGHUP."""
+    status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+    ignored = next(
+        int(line.split()[1], 16)
+        for line in status.splitlines()
+        if line.startswith("SigIgn")
+    )
+    return bool(ignored & 1 << (signal.SIGHUP - 1))
+
+
+@when("the entry is started anew and gets {name} before it is loaded")
+def signal_early(context, name):
+    world = context.world
+    world.entry.kill()
+    world.entry.communicate()
+    world.start_entry()
+    process = world.entry
+    lakeshore.wait_until(lambda: handles_signals(process), "its handlers")
+    process.send_signal(signal.Signals[name])
+
+
+@then("it gets ready")
+def check_ready(context):
+    lakeshore.wait_until(context.world.is_ready, "the entry being ready")
+
+
+@then("it ends with status {status:d}")
+def check_early_end(context, status):
+    output, _ = context.world.entry.communicate(timeout=lakeshore.LIMIT_S)
+    assert context.world.entry.returncode == status, output
+    assert "GL1001" not in output, output
+
+
 @given("every runner's next request is answered with {how}")
 def refuse_next(context, how):
     names = context.world.fetch("ledger")
--- a/features/support/lakeshore.py
+++ b/features/support/lakeshore.py
@@ -137,7 +137,7 @@
 """
         )
         self.entry = self.spawn(
-            "godwitloft.platform.main",
+            "deploy.start",
             "entry",
             "--metrics-port",
             str(self.metrics_port),
