--- a/features/support/fleet_mutants.py
+++ b/features/support/fleet_mutants.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 from godwitloft.agent import dispatcher as dispatchers
+from godwitloft.agent import run_ids
 from godwitloft.entry import answers
 from godwitloft.entry import bidding
 from godwitloft.entry import desk as desks
@@ -12,6 +13,7 @@
 
 Desk = desks.Desk
 Dispatcher = dispatchers.Dispatcher
+RunIds = run_ids.RunIds
 
 
 def dispatch_without_commit(bidding_of_desk, request):
@@ -59,8 +61,8 @@
 
 def stray_dispatch_starts(dispatcher, peer, body):
     run_id = body.request_id
-    dispatcher.tombstones.pop(run_id, None)
-    held = (dispatcher.runs, dispatcher.forgotten, dispatcher.pulls)
+    dispatcher.ids.tombstones.pop(run_id, None)
+    held = (dispatcher.runs, dispatcher.ids.forgotten, dispatcher.pulls)
     if not any(run_id in one for one in held):
         now_ms = dispatcher.clock.monotonic_ms()
         offer = types.Offer(run_id, peer, 0, "t", 1, "s", 1, 1, 1, (), "f")
@@ -78,8 +80,8 @@
     plain_on_query(dispatcher, peer, body)
 
 
-def only_what_is_kept(dispatcher, run_id):
-    return run_id in dispatcher.forgotten
+def only_what_is_kept(ids, run_id):
+    return run_id in ids.forgotten
 
 
 def old_run_heard(desk, peer, run_id, message):
@@ -103,7 +105,7 @@
     "dispatched request stays in the queue": (
         (bidding.Bidding, "leave_queue", dispatch_without_commit),
     ),
-    "tombstone forgotten": ((Dispatcher, "bury", lambda self, run_id: None),),
+    "tombstone forgotten": ((RunIds, "bury", lambda self, run_id: None),),
     "agent's restart ignored": ((Desk, "ask_after", restart_ignored),),
     "forgotten run said never started": (
         (Dispatcher, "forget", forgotten_as_never_started),
@@ -112,7 +114,7 @@
         (Dispatcher, "on_query", query_of_own_only),
     ),
     "dropped ids said never started": (
-        (Dispatcher, "may_have_run", only_what_is_kept),
+        (RunIds, "may_have_run", only_what_is_kept),
     ),
     "lost run runs again": ((Desk, "lose", lost_runs_again),),
     "lost run refused as not run": ((Desk, "lose", lost_refused),),
--- a/godwitloft/agent/dispatcher.py
+++ b/godwitloft/agent/dispatcher.py
@@ -17,10 +17,10 @@
 from godwitloft import trace
 from godwitloft.agent import engine_state
 from godwitloft.agent import run as runs
+from godwitloft.agent import run_ids
 from godwitloft.agent import upstream as upstreams
 from godwitloft.links import codec
 from godwitloft.links.generated.messages import ttypes
-from godwitloft.objects import types as object_types
 from godwitloft.policy import estimate
 from godwitloft.policy import lookahead
 from godwitloft.policy import offer_book
@@ -37,9 +37,6 @@
 RETENTION_MS = 60_000
 SWEEP_INTERVAL_MS = 50
 CRASH_GATHER_MS = 200
-FORGOTTEN_MS = 600_000
-# No request lives longer, so that no dispatch can outlive its tombstone.
-TOMBSTONE_MS = object_types.DURATION_MS["max"]
 
 # A safety share that makes every estimate nothing.
 IGNORE_ESTIMATES = -1.0
@@ -63,16 +60,6 @@
     policy: settings_module.AgentPolicy = settings_module.AgentPolicy()
 
 
-def number_of(run_id: str) -> tuple[str, int]:
-    """Splits the id of a run.
-
-    :param run_id: the entry's incarnation, a number and perhaps an attempt
-    :return: the incarnation and the number; -1 when there is none
-    """
-    incarnation, _, number = run_id.partition(".")[0].rpartition("-")
-    return incarnation, int(number) if number.isdecimal() else -1
-
-
 class Dispatcher:
     """Owns the offers and runs of one upstream.
 
@@ -115,9 +102,7 @@
         self.crash_ms: int | None = None
         self.crash_flight: list[str] = []
         self.runs: dict[str, runs.Run] = {}
-        self.tombstones: dict[str, int] = {}
-        self.forgotten: dict[str, int] = {}
-        self.dropped: dict[str, int] = {}
+        self.ids = run_ids.RunIds(clock, recorder)
         self.dirty: dict[str, runs.Run] = {}
         self.last_flush_ms = 0
         self.draining = False
@@ -482,15 +467,15 @@
         :param body: the message
         """
         run_id = body.request_id
-        if run_id in self.runs or run_id in self.forgotten:
+        if run_id in self.runs or run_id in self.ids.forgotten:
             self.instruments.dropped_messages.add(
                 1, {"reason": "repeated_dispatch"}
             )
             return
         pulled = run_id in self.pulls
-        if run_id in self.tombstones or not pulled or self.draining:
+        if run_id in self.ids.tombstones or not pulled or self.draining:
             self.drop_offer(run_id)
-            expected = pulled and run_id not in self.tombstones
+            expected = pulled and run_id not in self.ids.tombstones
             self.refuse_dispatch(
                 peer, run_id, "agent_leaving" if expected else "not_expected"
             )
@@ -530,7 +515,7 @@
         :param run_id: id of the run
         :param reason: why
         """
-        self.bury(run_id)
+        self.ids.bury(run_id)
         self.send(
             peer,
             "ended",
@@ -544,14 +529,6 @@
             ),
         )
 
-    def bury(self, run_id: str) -> None:
-        """Makes sure that a late dispatch of a run is not started.
-
-        :param run_id: id of the run
-        """
-        self.tombstones[run_id] = self.clock.monotonic_ms() + TOMBSTONE_MS
-        self.recorder.record(trace.Kind.TOMBSTONE, run_id=run_id)
-
     def on_ack(self, peer: str, body: ttypes.Ack) -> None:
         """Forgets what the entry has.
 
@@ -591,27 +568,14 @@
             return
         if run is not None:
             state = "running" if run.ended is None else "ended"
-        elif self.may_have_run(run_id):
+        elif self.ids.may_have_run(run_id):
             state = "forgotten"
         else:
             state = "never_started"
             self.drop_offer(run_id)
-            self.bury(run_id)
+            self.ids.bury(run_id)
         self.send(peer, "query_answer", ttypes.QueryAnswer(run_id, state))
 
-    def may_have_run(self, run_id: str) -> bool:
-        """Tells whether a run that isn't here may have been.
-
-        Ids that are no longer kept count as run up to the highest of their
-        entry's incarnation; so ``never_started`` is only said when sure.
-
-        :param run_id: id of the run
-        :return: False when it certainly never started here
-        """
-        incarnation, number = number_of(run_id)
-        dropped = self.dropped.get(incarnation, -1)
-        return run_id in self.forgotten or number <= dropped
-
     def send_again(self, run: runs.Run, next_sequence: int) -> None:
         """Sends the parts that an entry has not seen.
 
@@ -640,7 +604,7 @@
         run = self.run_of(peer, body.request_id)
         if run is None:
             self.drop_offer(body.request_id)
-            self.bury(body.request_id)
+            self.ids.bury(body.request_id)
         elif run.ended is not None:
             self.forget(run)
         else:
@@ -661,7 +625,7 @@
         """
         self.runs.pop(run.run_id, None)
         self.dirty.pop(run.run_id, None)
-        self.forgotten[run.run_id] = self.clock.monotonic_ms() + FORGOTTEN_MS
+        self.ids.forget(run.run_id)
 
     # The upstream
 
@@ -762,7 +726,7 @@
         never_started = end is upstreams.End.NEVER_STARTED
         run.position.feed("not_sent" if never_started else "end")
         if never_started:
-            self.bury(run_id)
+            self.ids.bury(run_id)
             del self.runs[run_id]
         if outcome == "failed" and not run.cancelled:
             events.log(events.UPSTREAM_FAILED, run_id=run_id, reason=reason)
@@ -862,16 +826,12 @@
         for run_id, asked_ms in tuple(self.pulls.items()):
             if now_ms - asked_ms > PULL_TIMEOUT_MS:
                 self.drop_offer(run_id)
-                self.bury(run_id)
+                self.ids.bury(run_id)
         self.sweep(now_ms)
         self.judge_crash(now_ms)
         for run in tuple(self.runs.values()):
             self.expire_run(run, now_ms)
-        self.expire_ids(self.tombstones, now_ms)
-        for run_id in self.expire_ids(self.forgotten, now_ms):
-            incarnation, number = number_of(run_id)
-            highest = max(number, self.dropped.get(incarnation, -1))
-            self.dropped[incarnation] = highest
+        self.ids.expire()
         self.pump()
 
     def sweep(self, now_ms: int) -> None:
@@ -904,22 +864,6 @@
         ):
             self.abandon(run)
 
-    def expire_ids(self, expiries: dict[str, int], now_ms: int) -> list[str]:
-        """Drops ids whose time is over; they are in order of time.
-
-        :param expiries: ids with the time until which they are kept
-        :param now_ms: the time now
-        :return: the ids that were dropped
-        """
-        dropped = []
-        while expiries:
-            run_id = next(iter(expiries))
-            if expiries[run_id] > now_ms:
-                break
-            del expiries[run_id]
-            dropped.append(run_id)
-        return dropped
-
     def drain(self) -> None:
         """Asks for no more offers and lets the runs finish."""
         self.draining = True
