Allowances: parts by what was told, so that a surge can't exceed the whole

Cause: a gateway's part of an allowance used its own demand of this moment and the demand of others as they last told it.

Change: parts follow what was told; an equal share of the rate counts as demand; one rare large request for each gateway and interval may borrow from what all have left. Up to 16 gateways tell each other four times a second again.

--- a/deploy/start.py
+++ b/deploy/start.py
@@ -20,8 +20,8 @@
     Loading takes long on a slow machine. A process that is told to reload
     its settings meanwhile must not end: it reads them afterwards anyway.
     """
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     signal.signal(signal.SIGTERM, leave)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from godwitloft.platform import main
 
     main.main()
--- a/features/gateway_limits.feature
+++ b/features/gateway_limits.feature
@@ -44,6 +44,19 @@
       | a higher surge | 29 | 0.55 | 30 | 8 | 0.9 |
       | a higher surge | 60 | 0.55 | 30 | 9 | 0.8 |
 
+  # A team that may use 180,000 tokens a second: 1,922,000 in any 8 s. The
+  # callers of a gateway that is away go to the others meanwhile.
+  Scenario Outline: Gateways restart in turn under <load> times the limit: seed <seed>
+    Given 12 gateways that share the allowance of a large team
+    When it asks for <load> of its rate while the gateways restart in turn, seed <seed>
+    Then no 8 s saw more than 1922000 tokens
+
+    Examples:
+      | load | seed |
+      | 4 | 1 |
+      | 8 | 2 |
+      | 16 | 3 |
+
   Scenario: A gateway tells of a team that it had to refuse
     Given 2 gateways that share an allowance
     When the first uses all of it and the second must refuse 20000 tokens
--- a/features/steps/gateway_limits_steps.py
+++ b/features/steps/gateway_limits_steps.py
@@ -23,6 +23,9 @@
 LARGE_SECONDS = 20
 LARGE_TOLERANCE = allowance.Tolerance(8000, 0.1, 140_000.0)
 LARGE_TEAM = model.Team("team", ("key",), None, 36_000.0, 36_000.0, 50, True)
+LARGEST_TEAM = model.Team(
+    "team", ("key",), None, 180_000.0, 180_000.0, 50, True
+)
 # Mean tokens of a kind of request, and how far they spread.
 LARGE_SIZES = ((628, 0.4), (1800, 0.4), (6610, 0.6))
 
@@ -41,6 +44,7 @@
         self.rows = {}
         self.parted = False
         self.sent_bytes = 0
+        self.away = None
         self.allowed = []
         self.asked = 0.0
         for name in self.names:
@@ -64,6 +68,17 @@
         age_ms = self.clock.monotonic_ms() - at_ms
         self.start(name).restore(used, age_ms)
 
+    def restart_large(self, name):
+        """Starts a gateway anew from the rows, as the adapter does."""
+        now_ms = self.clock.monotonic_ms()
+        for one, member in self.members.items():
+            if one != name:
+                self.rows[one] = (member.usage(), now_ms)
+        self.restart(name)
+        for one, (used, at_ms) in self.rows.items():
+            if one != name:
+                self.members[name].restore_peer(one, used, now_ms - at_ms)
+
     def deliver(self, data, where):
         datagram = datagrams.decode(data)
         self.members[where[0]].heard(datagram.sharing)
@@ -120,7 +135,8 @@
                 mean, spread = rng.choice(LARGE_SIZES)
                 size = min(14_600, mean * rng.lognormvariate(0, spread))
                 due -= size
-                self.ask(rng.choice(self.names), size)
+                open_names = [one for one in self.names if one != self.away]
+                self.ask(rng.choice(open_names), size)
 
 
 def most_in_window(uses, window_ms):
@@ -191,6 +207,29 @@
     assert mean <= most, mean
 
 
+@given("{count:d} gateways that share the allowance of a large team")
+def large_team_fleet(context, count):
+    context.fleet = Fleet(count, LARGEST_TEAM, LARGE_TOLERANCE)
+
+
+@when(
+    "it asks for {load:g} of its rate while the gateways restart in turn,"
+    " seed {seed:d}"
+)
+def ask_with_restarts(context, load, seed):
+    fleet = context.fleet
+    rng = random.Random(seed)
+    fleet.run_large(rng, [load] * 9)
+    for name in fleet.names:
+        now_ms = fleet.clock.monotonic_ms()
+        fleet.rows[name] = (fleet.members[name].usage(), now_ms)
+        fleet.away = name
+        fleet.run_large(rng, [load])
+        fleet.away = None
+        fleet.restart_large(name)
+        fleet.run_large(rng, [load])
+
+
 @then("at least {least:g} of the first 10 s was allowed")
 def check_first(context, least):
     asked, allowed = context.first
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -18,12 +18,17 @@
 TELL_INTERVAL_MS = 250
 # With more gateways, each tells the others less often, so that what is told
 # doesn't grow with their square.
-GATEWAYS_AT_FULL_RATE = 8
+GATEWAYS_AT_FULL_RATE = 16
 LONGEST_TELL_INTERVAL_MS = 600
 HEARD_LIFE_MS = 2_000
 DEMAND_MEMORY_MS = 1_500.0
-# Part of an equal share that a gateway keeps without any demand.
-KEPT_SHARE = 0.15
+# Parts of an equal share of the rate that count as a gateway's demand besides
+# what it is asked for, so that a rare large request finds room anywhere.
+KEPT_SHARE = 1.0
+# How large one request may be against what all gateways have left.
+BORROWED_PART = 0.1
+# How much all of them together may take so, at the very worst.
+BORROWED_BY_ALL = 2.0
 MAX_TEAMS_TOLD = 20
 MAX_CRASHES_TOLD = 20
 SMALLEST_DEMAND = 1.0
@@ -102,7 +107,9 @@
         self.instance = instance
         self.port = port
         self.demands: dict[str, Demand] = {}
+        self.borrowed: set[str] = set()
         self.told_ms = 0
+        self.told_demands: dict[str, float] = {}
         self.hosts: dict[str, str] = {}
         self.peers: dict[str, Peer] = {}
 
@@ -152,7 +159,9 @@
         kept = max(
             SMALLEST_DEMAND, KEPT_SHARE * team.tokens_per_s / self.gateways
         )
-        own = kept + self.demand_of(team.name, now_ms)
+        # What peers know, not what is true by now: at the beginning of a
+        # surge all parts together would otherwise be more than the whole.
+        own = kept + self.told_demands.get(team.name, 0.0)
         total = own
         for name in self.hosts:
             if self.is_heard(name, now_ms):
@@ -178,6 +187,15 @@
         and heard from them again. For a gateway that isn't heard, an equal
         part of the limit is left alone, or what it had used if that is more.
 
+        :param team: whose allowance
+        :return: tokens
+        """
+        taken = self.taken.get(team.name, 0.0)
+        return self.left_to_all(team) * self.fraction(team) - taken
+
+    def left_to_all(self, team: model.Team) -> float:
+        """Returns what all gateways together had left when they last told.
+
         :param team: whose allowance
         :return: tokens
         """
@@ -191,7 +209,24 @@
             if name in self.hosts and not self.is_heard(name, now_ms):
                 known = max(known, limit / self.gateways)
             used += known
-        return (limit - used) * self.fraction(team) - taken
+        return limit - used
+
+    def may_borrow(self, team: model.Team, tokens: float) -> bool:
+        """Tells whether one request may go beyond this gateway's part.
+
+        A large request that comes rarely would find no room in any part,
+        though much is left. Each gateway may take one until it has told the
+        others.
+
+        :param team: whose allowance
+        :param tokens: of the request
+        :return: whether it is small against what all have left
+        """
+        if team.name in self.borrowed:
+            return False
+        free = self.left_to_all(team) - self.taken.get(team.name, 0.0)
+        part = min(BORROWED_PART, BORROWED_BY_ALL / self.gateways)
+        return tokens <= part * free
 
     def is_heard(self, name: str, now_ms: int) -> bool:
         """Tells whether a gateway was heard lately.
@@ -214,6 +249,22 @@
         for team, sums in used.items():
             self.window(team).restore(sums, now_ms, age_ms)
 
+    def restore_peer(self, name: str, used: Usage, age_ms: int) -> None:
+        """Takes what another gateway had used, until it is heard itself.
+
+        Without it, a process that was started anew would take up its equal
+        part of a limit that the others have used up meanwhile.
+
+        :param name: of its instance
+        :param used: tokens by age, by team
+        :param age_ms: how long ago it wrote that down
+        """
+        if name in self.peers or age_ms > self.tolerance.window_ms:
+            return
+        at_ms = self.clock.monotonic_ms() - HEARD_LIFE_MS - age_ms - 1
+        sums = {team: sum(tokens) for team, tokens in used.items()}
+        self.peers[name] = Peer({}, sums, (), at_ms)
+
     def usage(self) -> Usage:
         """Returns what this gateway has used, by team.
 
@@ -238,7 +289,9 @@
         """
         self.asked(team, tokens)
         if tokens > self.left(team):
-            return None
+            if not self.may_borrow(team, tokens):
+                return None
+            self.borrowed.add(team.name)
         self.taken[team.name] = self.taken.get(team.name, 0.0) + tokens
         now_ms = self.clock.monotonic_ms()
         return self.window(team.name).add(tokens, now_ms)
@@ -287,6 +340,9 @@
             for name, sums in self.usage().items()
             if self.is_active(name, sum(sums), now_ms)
         ]
+        self.told_demands = {
+            one.team: float(one.tokens_per_s) for one in demands
+        }
         sharing = ttypes.Sharing(
             gateway=self.instance,
             demands=demands,
@@ -296,6 +352,7 @@
         for host in self.hosts.values():
             self.send(data, (host, self.port))
         self.taken.clear()
+        self.borrowed.clear()
 
     def is_active(self, team: str, used: float, now_ms: int) -> bool:
         """Tells whether peers have to know of a team.
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -103,6 +103,7 @@
             upstreams=gateway.list_upstreams,
             gateways=gateway.list_gateways,
             restored=sharing.restore,
+            restored_peer=sharing.restore_peer,
             usage=sharing.usage,
         ),
         boot.instance,
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -43,6 +43,7 @@
     :param gateways: IP numbers of the others that hold a lease, by instance
     :param restored: what an earlier start of this process had used, by team,
         and how many milliseconds ago
+    :param restored_peer: the same of another process, with its name
     :param usage: returns what this process has used, by team
     """
 
@@ -51,6 +52,7 @@
     upstreams: typing.Callable[[dict[str, model.Upstream]], None]
     gateways: typing.Callable[[dict[str, str]], None]
     restored: typing.Callable[[sharing.Usage, int], None]
+    restored_peer: typing.Callable[[str, sharing.Usage, int], None]
     usage: typing.Callable[[], sharing.Usage]
 
 
@@ -284,9 +286,12 @@
             holder = lease_holder(row)
             if holder is None:
                 continue
+            age_ms = max(0, found.now_ms - holder.renewed_ms)
+            if row.key != self.instance and not self.restored:
+                self.listener.restored_peer(row.key, holder.used, age_ms)
             if row.key == self.instance:
                 own = holder
-            elif found.now_ms - holder.renewed_ms < GATEWAY_LEASE_MS:
+            elif age_ms < GATEWAY_LEASE_MS:
                 others[row.key] = holder.host
         self.listener.gateways(others)
         if not self.restored:
