--- a/godwitloft/gateway/allowance.py
+++ b/godwitloft/gateway/allowance.py
@@ -26,7 +26,7 @@
 
 # Of the absolute tolerance, this part covers what gateways don't yet know
 # of each other; the rest may be used.
-USED_TOLERANCE = 0.5
+USED_TOLERANCE = 0.2
 # Requests that are on their way to an upstream arrive a little later than
 # they were counted, so that windows are counted longer than they are.
 WINDOW_MARGIN_MS = 300
