Test of early signals: wait for SIGTERM's handler also under nohup

Cause: nohup's ignored SIGHUP is inherited, so the step took it for the program's own and sent SIGTERM before Python had started. Change: the step waits until SIGTERM is caught and SIGHUP ignored.

--- a/features/steps/lakeshore_path_steps.py
+++ b/features/steps/lakeshore_path_steps.py
@@ -32,14 +32,19 @@
 
 
 def handles_signals(process):
-    """Whether a process has left the system's defaults for SIGHUP."""
+    """Whether a process catches SIGTERM and ignores SIGHUP by now.
+
+    A parent that ignores SIGHUP, as under nohup, hands that down; SIGTERM
+    alone tells that the program has come so far.
+    """
     status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
-    ignored = next(
-        int(line.split()[1], 16)
-        for line in status.splitlines()
-        if line.startswith("SigIgn")
+    masks = dict(line.split(":", 1) for line in status.splitlines())
+    caught = int(masks["SigCgt"], 16)
+    ignored = int(masks["SigIgn"], 16)
+    return bool(
+        caught & 1 << (signal.SIGTERM - 1)
+        and ignored & 1 << (signal.SIGHUP - 1)
     )
-    return bool(ignored & 1 << (signal.SIGHUP - 1))
 
 
 @when("the entry is started anew and gets {name} before it is loaded")
