Write the platform's words for tests and experiments once

Cause: the soak's site, its callers and features/support each wrote the operators' row, a settings file and a caller's headers in the platform's names, two of them outside of platform/ and standins/. Change: standins/lakeshore_words.py holds them; the soak and the features say what they want in our words. The check of words covers bench/ as well now, and failed on a ledger's key, which is `team`.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -10,6 +10,7 @@
 from bench.soak import deployment
 from bench.soak import program
 from bench.soak import site
+from godwitloft.standins import lakeshore_words as words
 
 ASK_LIMIT_S = 7
 PAUSE_S = (0.0, 0.12)
@@ -19,6 +20,7 @@
 BALANCER_INTERVAL_S = 0.5
 MISSES_TO_LEAVE = 2
 READ_BYTES = 4096
+PROMPT_TOKENS = 5
 # What is asked for, and how often.
 MIX = (
     ("stream", "POST", 3),
@@ -189,14 +191,13 @@
         connection = self.connection
         if connection is None:
             return
-        headers = {
-            "Host": site.HOST_NAME,
-            "Godwitloft-Request-Id": told.id,
-            "Godwitloft-Deadline-Ms": str(site.TIMEOUT_MS),
-            "Authorization": f"Token {told.key}",
-        }
-        if told.events:
-            headers["Godwitloft-Token-Counts"] = f"5,{told.events}"
+        headers = words.caller_headers(
+            site.HOST_NAME,
+            told.id,
+            told.key,
+            site.TIMEOUT_MS,
+            (PROMPT_TOKENS, told.events) if told.events else None,
+        )
         leaves = self.rng.random() < LEAVING_SHARE
         try:
             connection.request(method, f"/{told.route}/x", headers=headers)
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -13,13 +13,14 @@
 
 from twisted.internet import reactor as default_reactor
 
+from bench import cluster
 from bench import processes
 from bench.soak import plan
 from bench.soak import program as programs
 from bench.soak import relay
 from bench.soak import site
+from godwitloft.standins import lakeshore_words as words
 
-START_LIMIT_S = 20
 CALL_LIMIT_S = 10
 MS_PER_S = 1000
 RELAY_MODES = {
@@ -58,6 +59,16 @@
     start_ms: int
     end_ms: int | None = None
 
+    def overlaps(self, start_ms: int, end_ms: int) -> bool:
+        """Tells whether the fault lasted at any moment of a span.
+
+        :param start_ms: wall time
+        :param end_ms: wall time
+        :return: whether it did
+        """
+        is_over = self.end_ms is not None and self.end_ms < start_ms
+        return self.start_ms <= end_ms and not is_over
+
 
 class Deployment:
     """Our programs, the stand-in platform and the relays between.
@@ -95,9 +106,10 @@
             ],
             self.directory,
         )
-        self.wait(lambda: self.platform.announced("listening") is not None)
-        self.platform_address = self.platform.announced("listening")
-        self.wait(lambda: all(self.fetch("/addresses").values()))
+        self.platform_address = cluster.wait_for(
+            lambda: self.platform.announced("listening")
+        )
+        cluster.wait_for(lambda: all(self.fetch("/addresses").values()))
         addresses = self.fetch("/addresses")
         self.runners = sorted(addresses)
         threading.Thread(
@@ -110,7 +122,7 @@
             lambda: self.store_relay.listen("127.0.0.1")
         )
         self.store_address = f"127.0.0.1:{store_port}"
-        self.first_port = self.free_datagram_port()
+        self.first_port = programs.free_port("0.0.0.0", socket.SOCK_DGRAM)
         for number, name in enumerate(self.runners):
             self.add_runner(number, name, addresses[name])
         self.publish()
@@ -118,7 +130,7 @@
             self.add_entry(number)
         for program in self.entries + self.agents:
             program.start()
-        self.wait(lambda: all(map(self.is_ready, self.entries)))
+        cluster.wait_for(lambda: all(map(self.is_ready, self.entries)))
 
     def add_runner(self, number: int, name: str, address: str) -> None:
         """Puts a relay before a runner, and an agent beside it.
@@ -135,7 +147,13 @@
         if number < self.size.agents:
             self.agents.append(
                 self.program(
-                    f"agent-{number}", "agent", host, f'app = "{address}"\n'
+                    "agent",
+                    words.Machine(
+                        f"agent-{number}",
+                        host,
+                        (self.first_port, self.first_port),
+                        upstream=address,
+                    ),
                 )
             )
 
@@ -145,38 +163,34 @@
         :param number: of the entry
         """
         host = f"127.0.0.{number + 10}"
-        front, ready = (programs.free_port(host) for _ in range(2))
-        listen = (
-            f'[listen]\nfront = "{host}:{front}"\nready = "{host}:{ready}"\n'
+        front, ready = (f"{host}:{programs.free_port(host)}" for _ in range(2))
+        machine = words.Machine(
+            f"entry-{number}",
+            host,
+            (self.first_port, self.first_port),
+            front=front,
+            ready=ready,
         )
-        program = self.program(f"entry-{number}", "entry", host, "", listen)
-        program.address = f"{host}:{front}"
-        program.ready_address = f"{host}:{ready}"
+        program = self.program("entry", machine)
+        program.address = front
+        program.ready_address = ready
         self.entries.append(program)
 
-    def program(
-        self, name: str, role: str, host: str, own: str, listen: str = ""
-    ) -> programs.Program:
+    def program(self, role: str, machine: words.Machine) -> programs.Program:
         """Writes the settings of a program.
 
-        :param name: of the instance
         :param role: of the program
-        :param host: its IP number
-        :param own: lines before the tables
-        :param listen: table of the entry's ports
+        :param machine: where it runs
         :return: the program, not started
         """
+        name = machine.instance
         boot = self.directory / f"{name}.toml"
         boot.write_text(
-            site.boot(
-                name, host, self.first_port, self.store_address, own, listen
-            ),
+            words.boot(machine, self.store_address, site.BOUNDS),
             encoding="utf-8",
         )
-        words = ("deploy.start", role)
-        return programs.Program(
-            name, words, boot, self.directory / f"{name}.log"
-        )
+        log = self.directory / f"{name}.log"
+        return programs.Program(name, ("deploy.start", role), boot, log)
 
     def stop(self) -> None:
         """Ends all processes that this soak started."""
@@ -216,25 +230,6 @@
             raise processes.ProcessError("the reactor doesn't answer")
         return result[0]
 
-    def free_datagram_port(self) -> int:
-        """Finds a UDP port that is free on all addresses."""
-        with socket.socket(type=socket.SOCK_DGRAM) as probe:
-            probe.bind(("0.0.0.0", 0))
-            return int(probe.getsockname()[1])
-
-    def wait(self, condition: typing.Callable[[], bool]) -> None:
-        """Waits until something is so.
-
-        :param condition: what is waited for
-        :raises processes.ProcessError: when it takes too long
-        """
-        end = time.monotonic() + START_LIMIT_S
-        while time.monotonic() < end:
-            if condition():
-                return
-            time.sleep(0.05)
-        raise processes.ProcessError("the programs did not start in time")
-
     def fetch(self, path: str) -> typing.Any:
         """Asks the stand-in platform.
 
--- a/bench/soak/program.py
+++ b/bench/soak/program.py
@@ -93,12 +93,13 @@
             self.child.wait()
 
 
-def free_port(host: str) -> int:
-    """Finds a free TCP port.
+def free_port(host: str, kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
+    """Finds a free port.
 
     :param host: IP number
+    :param kind: of TCP or of UDP
     :return: the port
     """
-    with socket.socket() as probe:
+    with socket.socket(type=kind) as probe:
         probe.bind((host, 0))
         return int(probe.getsockname()[1])
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -124,7 +124,7 @@
             runner=runner,
             at_ms=one["at_ms"],
             ended_ms=one["ended_ms"],
-            team=one["tenant"],
+            team=one["team"],
             key=one["key"],
             hold=one["hold"],
             path=one["path"],
--- a/bench/soak/verdict.py
+++ b/bench/soak/verdict.py
@@ -8,6 +8,7 @@
 from bench.soak import callers
 from bench.soak import deployment
 from bench.soak import site
+from godwitloft.standins import lakeshore_words as words
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 MS_PER_S = 1000
@@ -89,8 +90,7 @@
         """
         return not any(
             mark.target in (entry, "store")
-            and mark.start_ms <= end_ms
-            and (mark.end_ms or self.end_ms) >= start_ms - CONTACT_MS
+            and mark.overlaps(start_ms - CONTACT_MS, end_ms)
             for mark in self.marks
         )
 
@@ -103,9 +103,7 @@
         :return: whether a mark overlaps it
         """
         return any(
-            mark.target.startswith(target)
-            and mark.start_ms <= end_ms
-            and (mark.end_ms or self.end_ms) >= start_ms
+            mark.target.startswith(target) and mark.overlaps(start_ms, end_ms)
             for mark in self.marks
         )
 
@@ -318,8 +316,9 @@
         told = history.by_id.get(run.id)
         if told is None or run.team != "small":
             continue
-        # Tokens in and out of a stream, as the request names them.
-        tokens = 5 + told.events if told.events else site.PLAIN_TOKENS
+        tokens = words.PLAIN_TOKENS
+        if told.events:
+            tokens = callers.PROMPT_TOKENS + told.events
         used.append((run.at_ms, tokens))
     found: list[str] = []
     for number, (start_ms, _tokens) in enumerate(used):
@@ -365,8 +364,7 @@
         one
         for one in history.marks
         if one is not mark
-        and one.start_ms <= told.ended_ms
-        and (one.end_ms or history.end_ms) >= told.sent_ms - CONTACT_MS
+        and one.overlaps(told.sent_ms - CONTACT_MS, told.ended_ms)
         and not one.target.startswith("agent")
     ]
     was_passed_on = bool(history.runs_of[told.id])
--- a/features/steps/lakeshore_path_steps.py
+++ b/features/steps/lakeshore_path_steps.py
@@ -137,7 +137,7 @@
 def check_run(context, team):
     runs = context.world.ran(context.request_id)
     assert len(runs) == SERVED_ONCE, runs
-    assert (runs[0]["tenant"], runs[0]["key"]) == (team, None), runs
+    assert (runs[0]["team"], runs[0]["key"]) == (team, None), runs
     assert 0 < int(runs[0]["left_ms"]) <= 4000, runs
 
 
--- a/features/steps/platform_words_steps.py
+++ b/features/steps/platform_words_steps.py
@@ -17,7 +17,12 @@
 def check_words(context, adapter, standins):
     allowed = [ROOT / adapter, ROOT / standins]
     found = []
-    for path in sorted((ROOT / "godwitloft").rglob("*.py")):
+    modules = [
+        path
+        for part in ("godwitloft", "bench")
+        for path in sorted((ROOT / part).rglob("*.py"))
+    ]
+    for path in modules:
         if any(path.is_relative_to(one) for one in allowed):
             continue
         text = path.read_text()
--- a/features/support/lakeshore.py
+++ b/features/support/lakeshore.py
@@ -11,57 +11,29 @@
 import time
 import urllib.request
 
+from godwitloft.standins import lakeshore_words as words
+
 ROOT = pathlib.Path(__file__).parents[2]
 LIMIT_S = 30
 HOST = "service.example"
 
 ROUTES = (
-    ("stream", "streaming", "model", True, False),
-    ("once", "streaming", "model", False, False),
-    ("lookup", "idempotent", "desk", False, False),
-    ("post", "non_idempotent", "desk", False, False),
-    ("open", "idempotent", "desk", False, True),
+    words.Route("stream", "streaming", "model", resumable=True),
+    words.Route("once", "streaming", "model"),
+    words.Route("lookup", "idempotent", "desk"),
+    words.Route("post", "non_idempotent", "desk"),
+    words.Route("open", "idempotent", "desk", public=True),
+)
+TIMEOUT_MS = 4000
+BOUNDS = words.Bounds(
+    leave_s=3, revoke_ms=3000, allowance_window_s=8, retry_extra=20
 )
 
 
-def config(version=1, keys=("key-a",), routes=ROUTES, **limits):
-    """The operators' row, in the platform's words."""
-    return {
-        "version": version,
-        "routes": [
-            {
-                "name": f"r-{name}",
-                "host": HOST,
-                "prefix": f"/{name}/",
-                "kind": kind,
-                "timeout-ms": 4000,
-                "target-latency-ms": 400,
-                "priority": number,
-                "service": service,
-                "max-attempts": 2 if kind == "idempotent" or resumable else 1,
-                "public": public,
-                "resumable": resumable,
-            }
-            for number, (name, kind, service, resumable, public) in enumerate(
-                routes
-            )
-        ],
-        "services": [
-            {"name": "model", "max-connections": 50, "engine": {"slots": 4}},
-            {"name": "desk", "max-connections": 50},
-        ],
-        "limits": limits,
-        "tenants": [
-            {
-                "name": "team-a",
-                "api-keys": list(keys),
-                "unit": "tokens",
-                "plain-tokens": 10,
-                "rate-per-s": 1_000_000,
-                "burst": 1_000_000,
-            }
-        ],
-    }
+def config(version=1, keys=("key-a",)):
+    """The operators' row."""
+    teams = [words.Team("team-a", tuple(keys))]
+    return words.configuration(version, HOST, ROUTES, teams, TIMEOUT_MS)
 
 
 def free_ports(count):
@@ -115,27 +87,14 @@
     def start_entry(self):
         self.front, self.ready, first, self.metrics_port = free_ports(4)
         boot = pathlib.Path(self.directory.name) / "boot.toml"
-        boot.write_text(
-            f"""
-node-name = "edge-a-1"
-ip = "127.0.0.1"
-zone = "a"
-internal-port-range = [{first}, {first + 1}]
-heartbeat-ms = 400
-a-new-field = true
-[listen]
-front = "127.0.0.1:{self.front}"
-ready = "127.0.0.1:{self.ready}"
-[bounds]
-grace-s = 3
-strict-revocation = true
-revoke-ms = 3000
-quota-window-s = 8
-retry-budget-extra = 20
-[platform]
-address = "{self.store}"
-"""
+        machine = words.Machine(
+            "edge-a-1",
+            "127.0.0.1",
+            (first, first + 1),
+            front=f"127.0.0.1:{self.front}",
+            ready=f"127.0.0.1:{self.ready}",
         )
+        boot.write_text(words.boot(machine, self.store, BOUNDS))
         self.entry = self.spawn(
             "deploy.start",
             "entry",
@@ -188,13 +147,7 @@
         connection = http.client.HTTPConnection(
             "127.0.0.1", self.front, timeout=LIMIT_S
         )
-        sent = {
-            "Host": HOST,
-            "Godwitloft-Request-Id": request_id,
-            "Godwitloft-Deadline-Ms": "4000",
-        }
-        if key:
-            sent["Authorization"] = f"Token {key}"
+        sent = words.caller_headers(HOST, request_id, key, TIMEOUT_MS)
         sent.update(
             {name.replace("_", "-"): value for name, value in headers.items()}
         )
--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -17,9 +17,9 @@
 from twisted.web import server
 
 from godwitloft.standins import http
+from godwitloft.standins import lakeshore_words as words
 
 MS_PER_S = 1000
-HEARTBEAT_MS = 400
 EVENT_INTERVAL_MS = 20
 REPORT_PATH = b"/report"
 OPERATOR_TABLE = "op"
@@ -178,13 +178,13 @@
                     "service": self.service,
                     "address": self.address,
                     "zone": "a",
-                    "slots": 4,
+                    "slots": words.ENGINE_SLOTS,
                     "state": self.state,
                     "sequence": self.sequence,
                     "born": 1,
                 },
             )
-        self.reactor.callLater(HEARTBEAT_MS / MS_PER_S, self.beat)
+        self.reactor.callLater(words.HEARTBEAT_MS / MS_PER_S, self.beat)
 
     def run(self, request: typing.Any) -> typing.Any:
         """Answers one request.
@@ -196,7 +196,10 @@
             return http.reply(request, {"running": self.running, "waiting": 0})
         header = request.getHeader
         request_id = header(REQUEST_ID) or ""
-        arrival = {"id": request_id, "at_ms": int(time.time() * MS_PER_S)}
+        arrival: http.Json = {
+            "id": request_id,
+            "at_ms": int(time.time() * MS_PER_S),
+        }
         wanted = header(TARGET)
         if wanted not in (None, self.id) or self.misdirect > 0:
             self.misdirect -= 1
@@ -207,18 +210,15 @@
             self.turned_away.append(arrival)
             request.setHeader(NOT_EXECUTED, "1")
             return http.reply(request, {}, 503)
-        run: http.Json = dict(
-            arrival,
-            **{
-                "path": request.uri.decode(),
-                "tenant": header(TENANT),
-                "key": header("Authorization"),
-                "hold": header("Godwitloft-Hold"),
-                "last": header("Last-Event-Id"),
-                "left_ms": header("Godwitloft-Deadline-Ms"),
-                "ended_ms": None,
-            },
-        )
+        run: http.Json = arrival | {
+            "path": request.uri.decode(),
+            "team": header(TENANT),
+            "key": header("Authorization"),
+            "hold": header("Godwitloft-Hold"),
+            "last": header("Last-Event-Id"),
+            "left_ms": header("Godwitloft-Deadline-Ms"),
+            "ended_ms": None,
+        }
         self.ledger.append(run)
         if self.runs_twice:
             self.ledger.append(run)
