--- a/godwitloft/audit/explaining.py
+++ b/godwitloft/audit/explaining.py
@@ -5,10 +5,8 @@
 
 from godwitloft import events
 from godwitloft.audit import request_logs
+from godwitloft.gateway import outcomes
 
-# Outcomes as the gateway's reports name them.
-COMPLETED = "completed"
-FAILED = "failed"
 NEAR_MS = 1_000
 OVERLOAD_REASONS = ("queue_full", "wait_too_long", "waited_too_long")
 # What can be said without looking at other lines.
@@ -59,11 +57,8 @@
     :param request: its id
     :return: one life for each process that had it
     """
-    lives: dict[str, list[request_logs.Line]] = {}
-    for line in logs.requests.get(request, []):
-        lives.setdefault(line.process, []).append(line)
     found = []
-    for process, steps in lives.items():
+    for process, steps in logs.lives(request).items():
         cause = cause_of(logs, steps)
         found.append(
             Life(process, tuple(steps), cause.sentence, cause.evidence)
@@ -82,7 +77,7 @@
     if last.tells(events.REQUEST_REFUSED):
         return cause_of_refusal(logs, last, steps)
     if last.tells(events.REQUEST_CUT):
-        if last.fields.get("outcome") == FAILED:
+        if last.fields.get("outcome") == outcomes.FAILED:
             return cause_of_failure(last)
         return cause_of_break(logs, last, steps, "the answer was cut off")
     if last.tells(events.REQUEST_ANSWERED):
@@ -242,7 +237,7 @@
     outcome = fields.get("outcome", "")
     first_ms = fields.get("first_ms")
     target_ms = fields.get("target_ms", 0)
-    if outcome != COMPLETED:
+    if outcome != outcomes.COMPLETED:
         return Cause("its caller left before the end")
     if first_ms is None:
         return Cause("answered without data")
--- a/godwitloft/audit/log_promises.py
+++ b/godwitloft/audit/log_promises.py
@@ -10,11 +10,10 @@
 from godwitloft import audit
 from godwitloft import events
 from godwitloft.audit import request_logs
+from godwitloft.gateway import outcomes
 
-# What a caller may rely on that nothing ran: statuses of refusals.
-NOT_RUN_STATUSES = (408, 429, 503)
 # How an attempt ended when the upstream proved that it ran nothing.
-PROOFS = ("not_sent", "not_run")
+PROOFS = (outcomes.Result.NOT_SENT.value, outcomes.Result.NOT_RUN.value)
 
 Steps = typing.Sequence[request_logs.Line]
 Found = tuple[int, list[str]]
@@ -28,11 +27,8 @@
     :param logs: of any number of processes
     :return: ids of requests and their lines in one process
     """
-    for request, lines in logs.requests.items():
-        by_process: dict[str, list[request_logs.Line]] = {}
-        for line in lines:
-            by_process.setdefault(line.process, []).append(line)
-        for steps in by_process.values():
+    for request in logs.requests:
+        for steps in logs.lives(request).values():
             yield request, steps
 
 
@@ -48,7 +44,7 @@
         end = steps[-1]
         if not end.tells(events.REQUEST_REFUSED):
             continue
-        if end.fields.get("status") not in NOT_RUN_STATUSES:
+        if end.fields.get("status") not in outcomes.NOT_RUN_STATUSES:
             continue
         checked += 1
         if open_attempts(steps) > 0:
--- a/godwitloft/audit/request_logs.py
+++ b/godwitloft/audit/request_logs.py
@@ -74,6 +74,17 @@
         if isinstance(request, str) and request:
             self.requests[request].append(line)
 
+    def lives(self, request: str) -> dict[str, list[Line]]:
+        """Returns what each process did with a request.
+
+        :param request: its id
+        :return: its lines by process
+        """
+        found: dict[str, list[Line]] = {}
+        for line in self.requests.get(request, []):
+            found.setdefault(line.process, []).append(line)
+        return found
+
     def all_lines(self) -> typing.Iterator[Line]:
         """Yields the lines of all processes, one process after the other.
 
--- a/godwitloft/gateway/answer.py
+++ b/godwitloft/gateway/answer.py
@@ -6,13 +6,13 @@
 """
 
 import dataclasses
-import enum
 
 from godwitloft.gateway import attempt as attempts
 from godwitloft.gateway import dialect as dialects
 from godwitloft.gateway import front
 from godwitloft.gateway import headers as header_lists
 from godwitloft.gateway import model
+from godwitloft.gateway import outcomes
 from godwitloft.gateway import request as requests
 
 MAX_HELD_BYTES = 256 * 1024
@@ -22,16 +22,6 @@
 MISDIRECTED = 421
 
 
-class Result(enum.Enum):
-    """What an attempt has led to."""
-
-    DELIVER = "deliver"
-    NOT_SENT = "not_sent"
-    NOT_RUN = "not_run"
-    FAILED = "failed"
-    BROKEN = "broken"
-
-
 @dataclasses.dataclass(frozen=True)
 class Verdict:
     """How an attempt ended.
@@ -43,7 +33,7 @@
     :param replaced: whether another process answers for the upstream
     """
 
-    result: Result
+    result: outcomes.Result
     reason: str
     failed: bool = False
     spoiled: bool = False
@@ -159,26 +149,28 @@
         :return: what it has led to
         """
         if end is attempts.End.NOT_SENT:
-            return Verdict(Result.NOT_SENT, reason, spoiled=True)
+            return Verdict(outcomes.Result.NOT_SENT, reason, spoiled=True)
         if self.not_run and not self.problem:
             return Verdict(
-                Result.NOT_RUN,
+                outcomes.Result.NOT_RUN,
                 f"upstream_refused_{self.status}",
                 spoiled=True,
                 replaced=self.is_of_another(),
             )
         if end is attempts.End.BROKEN:
-            return Verdict(Result.BROKEN, reason, spoiled=True)
+            return Verdict(outcomes.Result.BROKEN, reason, spoiled=True)
         if self.problem:
-            return Verdict(Result.FAILED, self.problem, spoiled=True)
+            return Verdict(outcomes.Result.FAILED, self.problem, spoiled=True)
         self.whole = True
         if self.status >= SERVER_ERROR:
             return Verdict(
-                Result.FAILED, f"upstream_status_{self.status}", failed=True
+                outcomes.Result.FAILED,
+                f"upstream_status_{self.status}",
+                failed=True,
             )
         if self.tail:
-            return Verdict(Result.BROKEN, "event_cut", spoiled=True)
-        return Verdict(Result.DELIVER, "")
+            return Verdict(outcomes.Result.BROKEN, "event_cut", spoiled=True)
+        return Verdict(outcomes.Result.DELIVER, "")
 
     def is_of_another(self) -> bool:
         """Tells whether a process with another identity has answered.
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -23,6 +23,7 @@
 from godwitloft.gateway import model
 from godwitloft.gateway import options as options_module
 from godwitloft.gateway import ordering
+from godwitloft.gateway import outcomes
 from godwitloft.gateway import placing as placings
 from godwitloft.gateway import refusals
 from godwitloft.gateway import reports
@@ -440,9 +441,9 @@
         now_ms = self.clock.monotonic_ms()
         if state is not None:
             self.retrying.note_end(request, state, verdict, now_ms)
-        if verdict.result is answers.Result.DELIVER:
+        if verdict.result is outcomes.Result.DELIVER:
             answer.deliver()
-            self.end(request, reports.COMPLETED, verdict.reason)
+            self.end(request, outcomes.COMPLETED, verdict.reason)
         elif self.retrying.may_try_again(request, verdict, now_ms):
             self.try_again(request, verdict)
         else:
@@ -467,6 +468,20 @@
             request.unread = 0
         return state
 
+    def stop_run(
+        self, request: requests.Request
+    ) -> fleets.UpstreamState | None:
+        """Stops the upstream's work on a request, if it is at one.
+
+        :param request: any
+        :return: where it was
+        """
+        attempt = request.attempt
+        state = self.release(request)
+        if attempt is not None:
+            attempt.cancel()
+        return state
+
     def try_again(
         self, request: requests.Request, verdict: answers.Verdict
     ) -> None:
@@ -494,16 +509,16 @@
         :param verdict: how it ended
         """
         if request.exchange.started:
-            self.end(request, reports.CUT, verdict.reason)
+            self.end(request, outcomes.CUT, verdict.reason)
             request.exchange.abort()
         elif answer.whole and not verdict.spoiled:
             answer.deliver()
-            self.end(request, reports.FAILED, verdict.reason)
+            self.end(request, outcomes.FAILED, verdict.reason)
         elif (
             verdict.result
             in (
-                answers.Result.NOT_SENT,
-                answers.Result.NOT_RUN,
+                outcomes.Result.NOT_SENT,
+                outcomes.Result.NOT_RUN,
             )
             and request.runs == 0
         ):
@@ -527,10 +542,10 @@
         :param refusal: why
         """
         if request.exchange.started:
-            self.end(request, reports.CUT, refusal.reason)
+            self.end(request, outcomes.CUT, refusal.reason)
             request.exchange.abort()
             return
-        if request.runs > 0 and refusal.status in refusals.NOT_RUN_STATUSES:
+        if request.runs > 0 and refusal.status in outcomes.NOT_RUN_STATUSES:
             refusal = dataclasses.replace(
                 refusal, status=504, retry_after_ms=None
             )
@@ -558,11 +573,8 @@
 
         :param request: theirs
         """
-        attempt = request.attempt
-        self.release(request)
-        if attempt is not None:
-            attempt.cancel()
-        self.end(request, reports.CALLER_LEFT, request.state.value)
+        self.stop_run(request)
+        self.end(request, outcomes.CALLER_LEFT, request.state.value)
         self.pump(request.facts.service)
 
     def tick(self) -> None:
@@ -586,10 +598,7 @@
         """
         if not self.retrying.may_try_again(request, retryings.STALLED, now_ms):
             return
-        attempt = request.attempt
-        state = self.release(request)
-        if attempt is not None:
-            attempt.cancel()
+        state = self.stop_run(request)
         if state is not None:
             self.retrying.note_end(request, state, retryings.STALLED, now_ms)
         self.try_again(request, retryings.STALLED)
@@ -629,8 +638,5 @@
 
         :param request: a running request
         """
-        attempt = request.attempt
-        self.release(request)
-        if attempt is not None:
-            attempt.cancel()
+        self.stop_run(request)
         self.refuse(request, refusals.Refusal(504, "timeout"))
--- a/godwitloft/gateway/refusals.py
+++ b/godwitloft/gateway/refusals.py
@@ -5,9 +5,8 @@
 import typing
 
 from godwitloft.gateway import front
+from godwitloft.gateway import outcomes
 
-# A caller who gets one of these may rely on it that nothing ran.
-NOT_RUN_STATUSES = (408, 429, 503)
 SHORTEST_RETRY_AFTER_MS = 300
 LONGEST_RETRY_AFTER_MS = 3_000
 JSON_TYPE = (b"content-type", b"application/json")
@@ -17,7 +16,8 @@
 class Refusal:
     """Why a request gets no upstream's answer.
 
-    :param status: HTTP status; see :data:`NOT_RUN_STATUSES`
+    :param status: HTTP status; see
+        :data:`outcomes.NOT_RUN_STATUSES`
     :param reason: name for logs, counters and the caller
     :param retry_after_ms: when to come back, None for no advice
     :param inputs: what decided it, for the log
@@ -41,7 +41,7 @@
     if refusal.retry_after_ms is not None:
         seconds = b"%.3f" % (refusal.retry_after_ms / 1000)
         headers.append((b"retry-after", seconds))
-    not_run = refusal.status in NOT_RUN_STATUSES
+    not_run = refusal.status in outcomes.NOT_RUN_STATUSES
     body = {"error": {"reason": refusal.reason, "not_run": not_run}}
     exchange.respond(refusal.status, headers, json.dumps(body).encode())
 
--- a/godwitloft/gateway/reports.py
+++ b/godwitloft/gateway/reports.py
@@ -7,14 +7,10 @@
 from godwitloft import metrics
 from godwitloft.gateway import front
 from godwitloft.gateway import knowledge as knowledges
+from godwitloft.gateway import outcomes
 from godwitloft.gateway import refusals
 from godwitloft.gateway import request as requests
 
-COMPLETED = "completed"
-FAILED = "failed"
-CUT = "cut"
-CALLER_LEFT = "caller_left"
-
 
 class Reports:
     """Writes one line for each end of a request.
@@ -112,7 +108,7 @@
         if request.first_data_ms:
             first_ms = request.first_data_ms - facts.arrived_ms
             self.instruments.first_token_ms.record(first_ms)
-        is_whole = outcome in (COMPLETED, CALLER_LEFT)
+        is_whole = outcome in (outcomes.COMPLETED, outcomes.CALLER_LEFT)
         events.log(
             events.REQUEST_ANSWERED if is_whole else events.REQUEST_CUT,
             request=facts.id,
--- a/godwitloft/gateway/retrying.py
+++ b/godwitloft/gateway/retrying.py
@@ -5,13 +5,14 @@
 from godwitloft.gateway import crashes
 from godwitloft.gateway import fleet as fleets
 from godwitloft.gateway import model
+from godwitloft.gateway import outcomes
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import retry_budget
 from godwitloft.gateway import sharing as sharings
 
 # A pause between two events of a stream that a busy engine doesn't make.
 STALL_MS = 1_500
-STALLED = answers.Verdict(answers.Result.BROKEN, "stalled", spoiled=True)
+STALLED = answers.Verdict(outcomes.Result.BROKEN, "stalled", spoiled=True)
 
 
 class Retrying:
@@ -60,19 +61,19 @@
         :param verdict: how it ended
         :param now_ms: the time
         """
-        if verdict.result is answers.Result.DELIVER and not verdict.failed:
+        if verdict.result is outcomes.Result.DELIVER and not verdict.failed:
             if request.first_data_ms == 0:
                 state.succeeded(
                     now_ms - request.sent_ms,
                     request.facts.sizes.prompt_tokens,
                 )
             return
-        unreachable = verdict.result is answers.Result.NOT_SENT
+        unreachable = verdict.result is outcomes.Result.NOT_SENT
         state.failed(now_ms, unreachable)
         request.tried.add(state.upstream.id)
         if verdict.replaced:
             state.leave()
-        if verdict.result is answers.Result.BROKEN:
+        if verdict.result is outcomes.Result.BROKEN:
             self.crashes.broken(
                 state.upstream.id, request.facts.fingerprint, now_ms
             )
@@ -130,7 +131,10 @@
         :return: whether it goes back to the waiting ones
         """
         facts = request.facts
-        if verdict.result in (answers.Result.NOT_SENT, answers.Result.NOT_RUN):
+        if verdict.result in (
+            outcomes.Result.NOT_SENT,
+            outcomes.Result.NOT_RUN,
+        ):
             request.runs -= 1
         elif not facts.may_repeat:
             return False
@@ -146,6 +150,6 @@
                 return False
             # An upstream that broke one request off may serve the next.
             request.tried.clear()
-        if verdict.result is answers.Result.NOT_SENT:
+        if verdict.result is outcomes.Result.NOT_SENT:
             return True
         return self.budget(facts.service).take(now_ms, self.sharing.gateways)
