Adapter: rows are decoded and bad ones logged in one place

Cause: three kinds of rows had the same try and log; gateways' rows went around "once for each version" and lacked the version in GL1504. Change: `Watch.decoded` does it for all.

Measured: lakeshore_path.feature passes, with its rows that can't be read.

--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -2,6 +2,7 @@
 
 import base64
 import dataclasses
+import functools
 import json
 import typing
 
@@ -32,6 +33,9 @@
 LONGEST_PAUSE_MS = 400
 
 
+Decoded = typing.TypeVar("Decoded")
+
+
 @dataclasses.dataclass(frozen=True)
 class Listener:
     """Who is told of what the store says.
@@ -200,11 +204,8 @@
         :param row: the operators' row
         :return: whether it could be read
         """
-        name = f"{OPERATOR_TABLE}/{CONFIGURATION_KEY}"
-        try:
-            configuration = rows.configuration(name, row.value)
-        except rows.RowError as problem:
-            self.log_bad_row(name, row.version, problem)
+        configuration = self.decoded(OPERATOR_TABLE, row, rows.configuration)
+        if configuration is None:
             return False
         self.listener.configuration(configuration)
         return True
@@ -220,7 +221,11 @@
         while True:
             found = yield self.store.read(UPSTREAM_TABLE, last_key)
             for row in found.rows:
-                upstream = self.take_upstream(row)
+                upstream = self.decoded(
+                    UPSTREAM_TABLE,
+                    row,
+                    functools.partial(rows.upstream, row.key),
+                )
                 if upstream is not None:
                     listed[row.key] = upstream
             if not found.more or not found.rows:
@@ -237,38 +242,33 @@
             interval_ms = RETURN_INTERVAL_MS
         return max(SHORTEST_PAUSE_MS, interval_ms - took_ms)
 
-    def take_upstream(self, row: stores.Row) -> model.Upstream | None:
-        """Decodes the row of one upstream.
-
-        :param row: an upstream's row
-        :return: the upstream, None if the row can't be used
+    def decoded(
+        self,
+        table: str,
+        row: stores.Row,
+        decode: typing.Callable[[str, object], Decoded],
+    ) -> Decoded | None:
+        """Decodes a row; one that can't be used is logged once a version.
+
+        :param table: of the row
+        :param row: of any writer
+        :param decode: takes table and key, for errors, and the value
+        :return: what the row says, None if it can't be used
         """
-        name = f"{UPSTREAM_TABLE}/{row.key}"
+        name = f"{table}/{row.key}"
         try:
-            return rows.upstream(row.key, name, row.value)
+            return decode(name, row.value)
         except rows.RowError as problem:
-            self.log_bad_row(name, row.version, problem)
-            return None
-
-    def log_bad_row(
-        self, name: str, version: int, problem: rows.RowError
-    ) -> None:
-        """Logs a row that can't be used, once for each of its versions.
-
-        :param name: table and key
-        :param version: of its last change
-        :param problem: what is wrong
-        """
-        if self.bad_rows.get(name) == version:
-            return
-        self.bad_rows[name] = version
-        events.log(
-            events.ROW_SKIPPED,
-            row=name,
-            version=version,
-            field=problem.field,
-            reason=problem.reason,
-        )
+            if self.bad_rows.get(name) != row.version:
+                self.bad_rows[name] = row.version
+                events.log(
+                    events.ROW_SKIPPED,
+                    row=name,
+                    version=row.version,
+                    field=problem.field,
+                    reason=problem.reason,
+                )
+        return None
 
     @defer.inlineCallbacks
     def follow_gateways(
@@ -283,7 +283,7 @@
         others = {}
         own = None
         for row in found.rows:
-            holder = lease_holder(row)
+            holder = self.decoded(GATEWAY_TABLE, row, lease_holder)
             if holder is None:
                 continue
             age_ms = max(0, found.now_ms - holder.renewed_ms)
@@ -327,25 +327,17 @@
     used: sharing.Usage
 
 
-def lease_holder(row: stores.Row) -> LeaseHolder | None:
+def lease_holder(name: str, value: object) -> LeaseHolder:
     """Decodes a gateway's row.
 
-    :param row: of the gateway
-    :return: the holder, None if the row can't be read
+    :param name: table and key
+    :param value: base64 of JSON
+    :return: the holder
     """
-    try:
-        fields = rows.content(row.key, row.value)
-        used = rows.Fields(row.key, "used", fields.value.get("used", {}))
-        return LeaseHolder(
-            fields.text("host"),
-            int(fields.number("renewed_ms")),
-            {team: used.numbers(team) for team in used.value},
-        )
-    except rows.RowError as problem:
-        events.log(
-            events.ROW_SKIPPED,
-            row=f"{GATEWAY_TABLE}/{row.key}",
-            field=problem.field,
-            reason=problem.reason,
-        )
-        return None
+    fields = rows.content(name, value)
+    used = rows.Fields(name, "used", fields.value.get("used", {}))
+    return LeaseHolder(
+        fields.text("host"),
+        int(fields.number("renewed_ms")),
+        {team: used.numbers(team) for team in used.value},
+    )
