Run timers by the monotonic clock, whatever the time of day does

Cause, from logs: GL1407 shows that four gateways counted two others out (4 of 6) while those two still served the team. Both stood in the time in which the time of day was set back by 5 s: twisted runs its timers by the time of day, so they neither renewed their leases nor told peers, and ticks, timeouts and polls stood still as well. The four took over the parts of the two.

GL1204 now tells team and tokens, which the trace needed.

--- a/godwitloft/clock.py
+++ b/godwitloft/clock.py
@@ -51,6 +51,29 @@
     )
 
 
+def steady_reactor() -> typing.Any:
+    """Returns this process's reactor, with timers on the monotonic clock.
+
+    Twisted runs timers by the time of day: when that is set back, nothing
+    that was planned happens until it has caught up. Programs take their
+    reactor from here before they plan anything.
+
+    :return: the reactor
+    """
+    from twisted.internet import reactor
+
+    use_steady_timers(reactor)
+    return reactor
+
+
+def use_steady_timers(reactor: typing.Any) -> None:
+    """Runs the timers of a reactor by the monotonic clock.
+
+    :param reactor: one that nothing was planned on yet
+    """
+    reactor.seconds = time.monotonic
+
+
 def reactor_clock(reactor: interfaces.IReactorTime) -> Clock:
     """Returns the clock of a reactor, or of a driven stand-in for one.
 
--- a/godwitloft/daemon_command.py
+++ b/godwitloft/daemon_command.py
@@ -79,8 +79,7 @@
     :param make_daemon: ``(settings, surroundings)`` to the daemon
     """
     process.configure_log(settings.log)
-    from twisted.internet import reactor
-
+    reactor = clocks.steady_reactor()
     instruments, render = metrics.prometheus()
     surroundings = nodes.Surroundings(
         reactor=reactor,
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -334,6 +334,8 @@
             events.REQUEST_PLACED,
             request=facts.id,
             route=facts.route.name,
+            team=facts.team.name if facts.team is not None else None,
+            tokens=request.use.tokens if request.use is not None else None,
             upstream=state.upstream.id,
             waited_ms=now_ms - facts.arrived_ms,
             running=state.running,
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -171,9 +171,8 @@
 
 def main() -> None:
     """Runs a role with the settings that the environment names."""
-    from twisted.internet import reactor
-
     words = parse()
+    reactor = clocks.steady_reactor()
     handler = bounded_log.BoundedHandler(sys.stdout.fileno())
     events.configure(handler=handler)
     try:
--- a/godwitloft/standalone.py
+++ b/godwitloft/standalone.py
@@ -289,8 +289,7 @@
         if not urls and not self.standin_engines:
             raise errors.UserError("no engine is named: use --engine URL")
         process.configure_log(settings.log)
-        from twisted.internet import reactor
-
+        reactor = clocks.steady_reactor()
         standalone = Standalone(reactor, settings)
 
         def start() -> None:
@@ -406,8 +405,7 @@
     def __call__(self) -> None:
         """Runs the demonstration; exit status 1 when an answer is missing."""
         events.configure("warning", "text")
-        from twisted.internet import reactor
-
+        reactor = clocks.steady_reactor()
         standalone = Standalone(reactor, StandaloneSettings())
         found: list[DemoAnswer] = []
 
