Allowances: gateways set parts aside and announce what goes beyond

Cause: each gateway could use only its part of what is left until the next telling, and one request of a tenth of it beyond. Parts by use are small at gateways that were idle, and a reserve of four fifths of the tolerance was needed, since what others had used since they told was not known.

Change: what a gateway tells holds what it used and what it has set aside until the next telling; others count both. Beyond that it takes from what nobody set aside and tells at once, four times in a row and then each 50 ms at most. So the reserve is two fifths. Gateways that are heard count also when they are parted from the store only.

--- a/features/steps/gateway_limits_steps.py
+++ b/features/steps/gateway_limits_steps.py
@@ -56,7 +56,9 @@
         def send(data, where):
             self.sent_bytes += len(data)
             if not self.parted:
-                self.reactor.callLater(DELAY_S, self.deliver, data, where)
+                self.reactor.callLater(
+                    DELAY_S, self.deliver, data, where, name
+                )
 
         member = sharing.Sharing(self.clock, send, name, 1, self.tolerance)
         member.members({one: one for one in self.names if one != name})
@@ -79,9 +81,9 @@
             if one != name:
                 self.members[name].restore_peer(one, used, now_ms - at_ms)
 
-    def deliver(self, data, where):
+    def deliver(self, data, where, sender):
         datagram = datagrams.decode(data)
-        self.members[where[0]].heard(datagram.sharing)
+        self.members[where[0]].heard(datagram.sharing, sender)
 
     def run(self, per_s, spread, duration_ms, event):
         weights = (
--- a/godwitloft/gateway/admission.py
+++ b/godwitloft/gateway/admission.py
@@ -140,7 +140,6 @@
                 "team": team.name,
                 "tokens": amount,
                 "left": round(sharing.left(team)),
-                "fraction": round(sharing.fraction(team), 3),
                 "gateways": sharing.gateways,
             },
         )
--- a/godwitloft/gateway/allowance.py
+++ b/godwitloft/gateway/allowance.py
@@ -24,9 +24,9 @@
     tokens: float
 
 
-# Of the absolute tolerance, this part covers what gateways don't yet know
-# of each other; the rest may be used.
-USED_TOLERANCE = 0.2
+# This part of the absolute tolerance may be used; the rest covers what
+# gateways don't yet know of each other.
+USED_TOLERANCE = 0.6
 # Requests that are on their way to an upstream arrive a little later than
 # they were counted, so that windows are counted longer than they are.
 WINDOW_MARGIN_MS = 300
@@ -135,3 +135,15 @@
     if team.counts_tokens:
         limit += tolerance.tokens * USED_TOLERANCE
     return limit
+
+
+def unused_tolerance(team: model.Team, tolerance: Tolerance) -> float:
+    """Returns what :func:`window_limit` leaves unused for late news.
+
+    :param team: whose allowance
+    :param tolerance: of the limit
+    :return: tokens; none where the allowance counts requests
+    """
+    if not team.counts_tokens:
+        return 0.0
+    return tolerance.tokens * (1.0 - USED_TOLERANCE)
--- /dev/null
+++ b/godwitloft/gateway/demand.py
@@ -0,0 +1,34 @@
+"""Measures how much of an allowance a team asks of one gateway."""
+
+import math
+
+from godwitloft import clock as clocks
+
+MEMORY_MS = 1_500.0
+
+
+class Demand:
+    """Tokens a second that a team asks for, as a decaying mean."""
+
+    def __init__(self) -> None:
+        self.level = 0.0
+        self.at_ms = 0
+
+    def add(self, tokens: float, now_ms: int) -> None:
+        """Counts a request.
+
+        :param tokens: its size
+        :param now_ms: the time
+        """
+        self.level = self.per_s(now_ms)
+        self.level += tokens * clocks.MS_PER_S / MEMORY_MS
+        self.at_ms = now_ms
+
+    def per_s(self, now_ms: int) -> float:
+        """Returns the mean.
+
+        :param now_ms: the time
+        :return: tokens a second
+        """
+        passed_ms = now_ms - self.at_ms
+        return self.level * math.exp(-passed_ms / MEMORY_MS)
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -131,17 +131,17 @@
         return self.surroundings.sharing.gateways
 
     def on_datagram(
-        self, datagram: ttypes.Datagram, _address: datagrams.Address
+        self, datagram: ttypes.Datagram, address: datagrams.Address
     ) -> None:
         """Takes what an agent or another gateway tells.
 
         :param datagram: any
-        :param _address: of the sender
+        :param address: of the sender
         """
         if datagram.grant is not None:
             self.on_grant(datagram.grant)
         elif datagram.sharing is not None:
-            self.surroundings.sharing.heard(datagram.sharing)
+            self.surroundings.sharing.heard(datagram.sharing, address[0])
 
     def tell_peers(self) -> None:
         """Tells other gateways what limits are used here."""
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -11,6 +11,7 @@
 
 from godwitloft import clock as clocks
 from godwitloft.gateway import allowance
+from godwitloft.gateway import demand as demands
 from godwitloft.gateway import model
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
@@ -20,15 +21,16 @@
 # doesn't grow with their square.
 GATEWAYS_AT_FULL_RATE = 16
 LONGEST_TELL_INTERVAL_MS = 600
+# Tellings for want of what was set aside: so many at once, and one more after
+# each interval.
+EXTRA_TELLS = 4
+EXTRA_TELL_INTERVAL_MS = 50
 HEARD_LIFE_MS = 2_000
-DEMAND_MEMORY_MS = 1_500.0
+# A gateway sets aside what it is asked for in so many intervals.
+INTERVALS_SET_ASIDE = 1.5
 # Parts of an equal share of the rate that count as a gateway's demand besides
-# what it is asked for, so that a rare large request finds room anywhere.
+# what it is asked for, so that a gateway that was idle gets a part as well.
 KEPT_SHARE = 1.0
-# How large one request may be against what all gateways have left.
-BORROWED_PART = 0.1
-# How much all of them together may take so, at the very worst.
-BORROWED_BY_ALL = 2.0
 MAX_TEAMS_TOLD = 20
 MAX_CRASHES_TOLD = 20
 SMALLEST_DEMAND = 1.0
@@ -37,45 +39,19 @@
 Usage = dict[str, tuple[float, ...]]
 
 
-class Demand:
-    """Tokens a second that a team asks for, as a decaying mean."""
-
-    def __init__(self) -> None:
-        self.level = 0.0
-        self.at_ms = 0
-
-    def add(self, tokens: float, now_ms: int) -> None:
-        """Counts a request.
-
-        :param tokens: its size
-        :param now_ms: the time
-        """
-        self.level = self.per_s(now_ms)
-        self.level += tokens * clocks.MS_PER_S / DEMAND_MEMORY_MS
-        self.at_ms = now_ms
-
-    def per_s(self, now_ms: int) -> float:
-        """Returns the mean.
-
-        :param now_ms: the time
-        :return: tokens a second
-        """
-        passed_ms = now_ms - self.at_ms
-        return self.level * math.exp(-passed_ms / DEMAND_MEMORY_MS)
-
-
 @dataclasses.dataclass(frozen=True)
 class Peer:
     """What another gateway has told.
 
     :param demands: tokens a second, by team
-    :param used: tokens in the window of the limit, by team
+    :param committed: tokens used in the window of the limit, with those that
+        it has set aside, by team
     :param crashing: fingerprints of requests that crashed upstreams
     :param at_ms: when it was heard
     """
 
     demands: dict[str, float]
-    used: dict[str, float]
+    committed: dict[str, float]
     crashing: tuple[bytes, ...]
     at_ms: int
 
@@ -100,29 +76,43 @@
     ) -> None:
         self.tolerance = tolerance
         self.windows: dict[str, allowance.Window] = {}
-        self.taken: dict[str, float] = {}
+        # Announced to peers, and not yet used.
+        self.set_aside: dict[str, float] = {}
+        # Used since the last telling, and not announced.
+        self.untold: dict[str, float] = {}
+        self.must_tell = False
+        # When the extra tellings that were made will have been made up for.
+        self.extra_until_ms = 0
+        self.teams: dict[str, model.Team] = {}
+        self.crashing: tuple[bytes, ...] = ()
         self.restored = False
         self.clock = clock
         self.send = send
         self.instance = instance
         self.port = port
-        self.demands: dict[str, Demand] = {}
-        self.borrowed: set[str] = set()
+        self.demands: dict[str, demands.Demand] = {}
         self.told_ms = 0
-        self.told_demands: dict[str, float] = {}
         self.hosts: dict[str, str] = {}
         self.peers: dict[str, Peer] = {}
 
     def members(self, hosts: dict[str, str]) -> None:
         """Takes the gateways that hold a lease, without this one.
 
+        One that is heard counts as well, as it may be parted from the store
+        only.
+
         :param hosts: IP number by instance
         """
-        self.hosts = dict(hosts)
         now_ms = self.clock.monotonic_ms()
+        heard = {
+            name: host
+            for name, host in self.hosts.items()
+            if self.is_heard(name, now_ms)
+        }
+        self.hosts = heard | hosts
         length_ms = self.tolerance.window_ms
         for name, peer in list(self.peers.items()):
-            if name not in hosts and now_ms - peer.at_ms > length_ms:
+            if name not in self.hosts and now_ms - peer.at_ms > length_ms:
                 del self.peers[name]
 
     @property
@@ -136,7 +126,7 @@
         :param team: whose request
         :param tokens: its size
         """
-        demand = self.demands.setdefault(team.name, Demand())
+        demand = self.demands.setdefault(team.name, demands.Demand())
         demand.add(tokens, self.clock.monotonic_ms())
 
     def demand_of(self, team: str, now_ms: int) -> float:
@@ -153,15 +143,13 @@
         """Returns the part of a team's allowance that is this gateway's.
 
         :param team: whose allowance
-        :return: from 0 to 1; the parts of all that hear each other make up 1
+        :return: from 0 to 1
         """
         now_ms = self.clock.monotonic_ms()
         kept = max(
             SMALLEST_DEMAND, KEPT_SHARE * team.tokens_per_s / self.gateways
         )
-        # What peers know, not what is true by now: at the beginning of a
-        # surge all parts together would otherwise be more than the whole.
-        own = kept + self.told_demands.get(team.name, 0.0)
+        own = kept + self.demand_of(team.name, now_ms)
         total = own
         for name in self.hosts:
             if self.is_heard(name, now_ms):
@@ -181,52 +169,49 @@
         return window
 
     def left(self, team: model.Team) -> float:
-        """Returns what this gateway may still use of an allowance.
-
-        It may use its part of what all have left, until it has told them
-        and heard from them again. For a gateway that isn't heard, an equal
-        part of the limit is left alone, or what it had used if that is more.
-
-        :param team: whose allowance
-        :return: tokens
-        """
-        taken = self.taken.get(team.name, 0.0)
-        return self.left_to_all(team) * self.fraction(team) - taken
+        """Returns what nobody has used or set aside of an allowance.
 
-    def left_to_all(self, team: model.Team) -> float:
-        """Returns what all gateways together had left when they last told.
+        For a gateway that isn't heard, an equal part of the limit is left
+        alone, or what it had committed if that is more.
 
         :param team: whose allowance
         :return: tokens
         """
         now_ms = self.clock.monotonic_ms()
         limit = allowance.window_limit(team, self.tolerance)
-        taken = self.taken.get(team.name, 0.0)
-        used = self.window(team.name).total(now_ms) - taken
+        committed = self.window(team.name).total(now_ms)
+        committed += self.set_aside.get(team.name, 0.0)
         for name in set(self.hosts) | set(self.peers):
             peer = self.peers.get(name)
-            known = peer.used.get(team.name, 0.0) if peer is not None else 0.0
+            known = (
+                peer.committed.get(team.name, 0.0) if peer is not None else 0.0
+            )
             if name in self.hosts and not self.is_heard(name, now_ms):
                 known = max(known, limit / self.gateways)
-            used += known
-        return limit - used
+            committed += known
+        return limit - committed
 
-    def may_borrow(self, team: model.Team, tokens: float) -> bool:
-        """Tells whether one request may go beyond this gateway's part.
+    def may_go_beyond(
+        self, team: model.Team, tokens: float, now_ms: int
+    ) -> bool:
+        """Tells whether more may be used than was set aside.
 
-        A large request that comes rarely would find no room in any part,
-        though much is left. Each gateway may take one until it has told the
-        others.
+        What is used so is announced at once. When that would be too often,
+        it waits for the next telling, within what the limit's tolerance has
+        room for at all gateways.
 
         :param team: whose allowance
-        :param tokens: of the request
-        :return: whether it is small against what all have left
+        :param tokens: how many beyond what was set aside
+        :param now_ms: the time
+        :return: whether they may be used
         """
-        if team.name in self.borrowed:
+        if tokens > self.left(team):
             return False
-        free = self.left_to_all(team) - self.taken.get(team.name, 0.0)
-        part = min(BORROWED_PART, BORROWED_BY_ALL / self.gateways)
-        return tokens <= part * free
+        if self.may_tell_extra(now_ms):
+            return True
+        spare = allowance.unused_tolerance(team, self.tolerance)
+        untold = self.untold.get(team.name, 0.0)
+        return untold + tokens <= spare / self.gateways
 
     def is_heard(self, name: str, now_ms: int) -> bool:
         """Tells whether a gateway was heard lately.
@@ -271,15 +256,24 @@
         :return: tokens by age, of the teams that used most
         """
         now_ms = self.clock.monotonic_ms()
-        largest = sorted(
-            self.windows,
-            key=lambda team: -self.windows[team].total(now_ms),
-        )
         return {
             team: self.windows[team].by_age(now_ms)
-            for team in largest[:MAX_TEAMS_TOLD]
+            for team, _used in self.largest_uses(now_ms)
         }
 
+    def largest_uses(self, now_ms: int) -> list[tuple[str, float]]:
+        """Returns the teams that used most, with how much.
+
+        :param now_ms: the time
+        :return: names and tokens in the window
+        """
+        uses = [
+            (team, window.total(now_ms))
+            for team, window in self.windows.items()
+        ]
+        uses.sort(key=lambda use: -use[1])
+        return uses[:MAX_TEAMS_TOLD]
+
     def take(self, team: model.Team, tokens: float) -> allowance.Use | None:
         """Uses a part of an allowance.
 
@@ -287,14 +281,20 @@
         :param tokens: how many
         :return: the use, None if too little is left
         """
+        self.teams[team.name] = team
         self.asked(team, tokens)
-        if tokens > self.left(team):
-            if not self.may_borrow(team, tokens):
-                return None
-            self.borrowed.add(team.name)
-        self.taken[team.name] = self.taken.get(team.name, 0.0) + tokens
         now_ms = self.clock.monotonic_ms()
-        return self.window(team.name).add(tokens, now_ms)
+        own = self.set_aside.get(team.name, 0.0)
+        beyond = tokens - own
+        if beyond > 0:
+            if not self.may_go_beyond(team, beyond, now_ms):
+                return None
+            self.untold[team.name] = self.untold.get(team.name, 0.0) + beyond
+            self.must_tell = True
+        self.set_aside[team.name] = max(0.0, -beyond)
+        use = self.window(team.name).add(tokens, now_ms)
+        self.tell_if_due(self.crashing)
+        return use
 
     def move(self, team: model.Team, use: allowance.Use) -> allowance.Use:
         """Counts a use from now on, because it takes place now.
@@ -315,44 +315,69 @@
             LONGEST_TELL_INTERVAL_MS, max(TELL_INTERVAL_MS, interval_ms)
         )
 
-    def tell_if_due(self, crashing: typing.Sequence[bytes]) -> None:
+    def tell_if_due(self, crashing: tuple[bytes, ...]) -> None:
         """Tells all peers, if the last time is long enough ago.
 
         :param crashing: fingerprints of requests that crashed upstreams
         """
+        self.crashing = crashing
         now_ms = self.clock.monotonic_ms()
         if now_ms - self.told_ms >= self.tell_interval_ms():
-            self.told_ms = now_ms
-            self.tell(crashing)
+            self.tell(now_ms)
+        elif self.must_tell and self.may_tell_extra(now_ms):
+            begin_ms = max(now_ms, self.extra_until_ms)
+            self.extra_until_ms = begin_ms + EXTRA_TELL_INTERVAL_MS
+            self.tell(now_ms)
+
+    def may_tell_extra(self, now_ms: int) -> bool:
+        """Tells whether peers may be told before the next time is due.
+
+        :param now_ms: the time
+        :return: whether there were not too many extra tellings
+        """
+        ahead_ms = self.extra_until_ms - now_ms
+        return ahead_ms <= (EXTRA_TELLS - 1) * EXTRA_TELL_INTERVAL_MS
 
-    def tell(self, crashing: typing.Sequence[bytes]) -> None:
+    def tell(self, now_ms: int) -> None:
         """Tells all peers what this gateway is asked for.
 
-        :param crashing: fingerprints of requests that crashed upstreams
+        :param now_ms: the time
         """
-        now_ms = self.clock.monotonic_ms()
-        demands = [
+        self.told_ms = now_ms
+        self.must_tell = False
+        self.untold.clear()
+        for team in self.teams.values():
+            self.set_aside[team.name] = self.next_needs(team, now_ms)
+        wanted = [
             ttypes.TeamDemand(
                 team=name,
                 tokens_per_s=math.ceil(self.demand_of(name, now_ms)),
-                used=math.ceil(sum(sums)),
+                committed=math.ceil(used + self.set_aside.get(name, 0.0)),
             )
-            for name, sums in self.usage().items()
-            if self.is_active(name, sum(sums), now_ms)
+            for name, used in self.largest_uses(now_ms)
+            if self.is_active(name, used, now_ms)
         ]
-        self.told_demands = {
-            one.team: float(one.tokens_per_s) for one in demands
-        }
         sharing = ttypes.Sharing(
             gateway=self.instance,
-            demands=demands,
-            crashing=list(crashing[-MAX_CRASHES_TOLD:]),
+            demands=wanted,
+            crashing=list(self.crashing[-MAX_CRASHES_TOLD:]),
         )
         data = datagrams.encode(sharing=sharing)
         for host in self.hosts.values():
             self.send(data, (host, self.port))
-        self.taken.clear()
-        self.borrowed.clear()
+
+    def next_needs(self, team: model.Team, now_ms: int) -> float:
+        """Returns what to set aside until peers are told again.
+
+        :param team: whose allowance
+        :param now_ms: the time
+        :return: tokens
+        """
+        interval_s = self.tell_interval_ms() / clocks.MS_PER_S
+        demand = self.demand_of(team.name, now_ms)
+        wanted = INTERVALS_SET_ASIDE * interval_s * demand
+        free = self.left(team) + self.set_aside.get(team.name, 0.0)
+        return max(0.0, min(wanted, self.fraction(team) * free))
 
     def is_active(self, team: str, used: float, now_ms: int) -> bool:
         """Tells whether peers have to know of a team.
@@ -368,16 +393,16 @@
         demand = self.demand_of(team, now_ms)
         return used > 0 or demand >= SMALLEST_DEMAND
 
-    def heard(self, sharing: ttypes.Sharing) -> None:
+    def heard(self, sharing: ttypes.Sharing, host: str) -> None:
         """Takes what a peer tells.
 
         :param sharing: its datagram
+        :param host: IP number of the sender
         """
-        if sharing.gateway not in self.hosts:
-            return
+        self.hosts.setdefault(sharing.gateway, host)
         self.peers[sharing.gateway] = Peer(
             demands={one.team: one.tokens_per_s for one in sharing.demands},
-            used={one.team: one.used for one in sharing.demands},
+            committed={one.team: one.committed for one in sharing.demands},
             crashing=tuple(sharing.crashing),
             at_ms=self.clock.monotonic_ms(),
         )
--- a/godwitloft/links/datagrams.thrift
+++ b/godwitloft/links/datagrams.thrift
@@ -34,7 +34,8 @@
 struct TeamDemand {
   1: required string team
   4: required i64 tokens_per_s      // whole numbers are short on the wire
-  5: required i64 used              // tokens in the window of the limit
+  5: required i64 committed         // tokens used in the window of the
+                                    // limit, with those set aside
 }
 
 /* A gateway tells another one what limits they share. */
