Under overload, place what can be on time, and turn late ones away

Cause: a waiting request counted as late when its target had passed, while its first data takes 200 ms more. Oldest first, most were sent just before that and answered late, in the place of others that could be in time; late ones were then held to half way to their callers' patience and refused.

Ruled out: idle slots (297 of 297 running), unequal gateways, slow grants.

The scenario 'A late request waits behind one that can still be on time' put a late draft (rank 0) behind a class (rank 2); it is replaced by a table that puts it behind a query (rank 1) only.

--- /dev/null
+++ b/features/gateway_load.feature
@@ -0,0 +1,23 @@
+Feature: What a gateway does while more is asked than its upstreams can do
+
+  # Two engines of 4 slots; an answer's first data comes 250 ms after sending,
+  # its end after 1 s, so that 8 requests a second can be served. Answers are
+  # due to begin within 400 ms.
+  Scenario Outline: <load> times what the engines can do: <case>
+    Given a gateway before two engines of 4 slots
+    When <load> times what they can do is asked of them for 12 s
+    Then at least <used> of what they can do was done
+    And at least <timely> of the answers began on time
+    And at most one in 10 refused callers was held for more than <held> ms
+
+    Examples:
+      | case | load | used | timely | held |
+      | enough room | 0.8 | 0.75 | 1.0 | 0 |
+      | a little too much | 1.2 | 0.9 | 0.85 | 350 |
+      | twice as much | 2.0 | 0.9 | 0.85 | 350 |
+      | four times as much | 4.0 | 0.9 | 0.85 | 350 |
+
+  Scenario: Late requests wait on while late ones get places
+    Given a gateway before two engines of 4 slots
+    When 12 requests come at once and no more
+    Then all of them are answered
--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -143,11 +143,19 @@
       | query | draft | draft |
       | draft | class | draft |
 
-  Scenario: A late request waits behind one that can still be on time
+  # Ranks: draft 0, query 1, class 2.
+  Scenario Outline: A late <first> and a <second> that can still be on time
     Given a gateway before no upstreams
-    When callers ask for "draft" and, 450 ms later, "class"
+    When callers ask for "<first>" and, 450 ms later, "<second>"
     And one upstream with one slot comes
-    Then "class" is sent
+    Then "<runs>" is sent
+
+    Examples:
+      | first | second | runs |
+      | draft | query | query |
+      | draft | class | draft |
+      | query | class | class |
+      | query | draft | draft |
 
   Scenario: An upstream that is leaving gets no new work, and never again
     Given a gateway before two upstreams of each service
--- /dev/null
+++ b/features/steps/gateway_load_steps.py
@@ -0,0 +1,136 @@
+from behave import given
+from behave import then
+from behave import when
+
+from features.support import gateway_world
+from godwitloft.gateway import attempt as attempts
+
+SLOTS = 8
+FIRST_DATA_MS = 250
+RUN_MS = 1000
+TARGET_MS = 400
+STEP_MS = 5
+# Until the gateway has learnt how long first data takes, and after the end.
+SETTLING_MS = 4000
+
+
+class Load:
+    """Callers and engines around a gateway on a driven clock."""
+
+    def __init__(self):
+        self.world = gateway_world.World(("model", "model"))
+        self.callers = []
+        self.begun = {}
+        self.ended = {}
+        self.played = 0
+
+    @property
+    def now_ms(self):
+        return self.world.clock.monotonic_ms()
+
+    def ask(self):
+        name = f"r{len(self.callers)}"
+        caller = self.world.ask(name, "class", left_ms=5000)
+        self.callers.append((name, self.now_ms, caller))
+
+    def play(self, sent):
+        """Answers as an engine does."""
+        name = sent.headers[gateway_world.DIALECT.request_id].decode()
+
+        def begin():
+            if not sent.cancelled:
+                sent.head(200)
+                self.begun[name] = self.now_ms
+                sent.owner.on_data(b"id: 1\ndata: x\n\n")
+
+        def end():
+            if not sent.cancelled:
+                sent.owner.on_data(b"id: 2\ndata: y\n\n")
+                sent.end(attempts.End.COMPLETE)
+
+        later = self.world.reactor.callLater
+        later(FIRST_DATA_MS / 1000, begin)
+        later(RUN_MS / 1000, end)
+
+    def step(self):
+        self.world.reactor.advance(STEP_MS / 1000)
+        self.world.confirm()
+        if self.now_ms % gateway_world.TICK_MS == 0:
+            self.world.gateway.tick()
+        while self.played < len(self.world.sent):
+            self.play(self.world.sent[self.played])
+            self.played += 1
+        for name, _asked_ms, caller in self.callers:
+            if name not in self.ended and caller.status is not None:
+                self.ended[name] = (self.now_ms, caller.status)
+
+    def run(self, per_s, duration_ms):
+        due = 0.0
+        for _ in range(duration_ms // STEP_MS):
+            due += per_s * STEP_MS / 1000
+            while due >= 1:
+                due -= 1
+                self.ask()
+            self.step()
+
+
+@given("a gateway before two engines of 4 slots")
+def world(context):
+    context.load = Load()
+
+
+@when("{load:g} times what they can do is asked of them for 12 s")
+def ask(context, load):
+    context.seconds = 12
+    context.load.run(load * SLOTS * 1000 / RUN_MS, 12_000)
+
+
+@when("{count:d} requests come at once and no more")
+def ask_at_once(context, count):
+    for _ in range(count):
+        context.load.ask()
+    context.load.run(0, 4000)
+
+
+@then("at least {used:g} of what they can do was done")
+def check_used(context, used):
+    possible = SLOTS * (context.seconds * 1000 - FIRST_DATA_MS) / RUN_MS
+    assert len(context.load.begun) >= used * possible, (
+        len(context.load.begun),
+        possible,
+    )
+
+
+@then("at least {timely:g} of the answers began on time")
+def check_timely(context, timely):
+    load = context.load
+    start_ms = load.callers[0][1]
+    waits = [
+        load.begun[name] - asked_ms
+        for name, asked_ms, _caller in load.callers
+        if name in load.begun and asked_ms >= start_ms + SETTLING_MS
+    ]
+    share = sum(wait <= TARGET_MS for wait in waits) / len(waits)
+    assert share >= timely, (share, sorted(waits))
+
+
+@then("at most one in 10 refused callers was held for more than {held:d} ms")
+def check_held(context, held):
+    load = context.load
+    start_ms = load.callers[0][1]
+    times = [
+        load.ended[name][0] - asked_ms
+        for name, asked_ms, _caller in load.callers
+        if load.ended.get(name, (0, 0))[1] == 503
+        and asked_ms >= start_ms + SETTLING_MS
+    ]
+    longer = [one for one in times if one > held]
+    assert len(longer) <= len(times) / 10, (len(longer), len(times))
+
+
+@then("all of them are answered")
+def check_all(context):
+    load = context.load
+    assert [status for _, status in load.ended.values()] == [200] * len(
+        load.callers
+    ), load.ended
--- a/godwitloft/gateway/admission.py
+++ b/godwitloft/gateway/admission.py
@@ -2,7 +2,9 @@
 
 The load that it answers: a burst that lasts longer than callers wait. A
 refusal costs a caller little when it comes at once and tells when there may
-be room again; one that comes after a long wait costs the wait as well.
+be room again; one that comes after a long wait costs the wait as well. A
+request that can't be on time any more waits on only if late ones get places:
+otherwise each would be held for long and refused all the same.
 """
 
 import collections
@@ -11,16 +13,47 @@
 from godwitloft import clock as clocks
 from godwitloft.gateway import crashes as crash_memory
 from godwitloft.gateway import intake as intakes
+from godwitloft.gateway import ordering
 from godwitloft.gateway import placement
 from godwitloft.gateway import refusals
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import sharing as sharings
 
 RATE_WINDOW_MS = 2_000
+# So many late requests are expected to get places while none has waited in
+# vain.
+LEAST_LATE_STARTS_PER_S = 5.0
+VAIN_MEMORY_MS = 8_000
 ALLOWANCE_RETRY_AFTER_MS = 1_000
 MAX_WAITING = 2_000
 
 
+class Starts:
+    """When requests were sent to a service.
+
+    :ivar all: times of all
+    :ivar late: times of those that couldn't be on time any more
+    :ivar vain_ms: when a late one was last turned away after waiting on
+    """
+
+    def __init__(self) -> None:
+        self.all: collections.deque[int] = collections.deque()
+        self.late: collections.deque[int] = collections.deque()
+        self.vain_ms = -VAIN_MEMORY_MS
+
+
+def per_s(starts: collections.deque[int], now_ms: int) -> float:
+    """Returns how many requests a second were started lately.
+
+    :param starts: their times; old ones are dropped
+    :param now_ms: the time
+    :return: a mean over :data:`RATE_WINDOW_MS`
+    """
+    while starts and starts[0] < now_ms - RATE_WINDOW_MS:
+        starts.popleft()
+    return len(starts) * clocks.MS_PER_S / RATE_WINDOW_MS
+
+
 class Admission:
     """Knows how fast requests are started, and what teams have left.
 
@@ -41,15 +74,26 @@
         self.sharing = sharing
         self.crashes = crashes
         self.rng = rng
-        self.starts: dict[str, collections.deque[int]] = {}
+        self.starts: dict[str, Starts] = {}
 
-    def started(self, service: str, now_ms: int) -> None:
-        """Notes that a request was sent.
+    def started(self, request: requests.Request, now_ms: int) -> None:
+        """Notes that a request is being sent.
 
-        :param service: to which service
+        :param request: which one
         :param now_ms: the time
         """
-        self.starts.setdefault(service, collections.deque()).append(now_ms)
+        starts = self.starts_of(request.facts.service)
+        starts.all.append(now_ms)
+        if request.overdue:
+            starts.late.append(now_ms)
+
+    def starts_of(self, service: str) -> "Starts":
+        """Returns what was started lately at a service.
+
+        :param service: its name
+        :return: times
+        """
+        return self.starts.setdefault(service, Starts())
 
     def admit(
         self, request: requests.Request, queue: list[requests.Request]
@@ -88,13 +132,62 @@
         """
         rank = request.facts.rank
         ahead = sum(other.facts.rank <= rank for other in queue)
-        starts = self.starts.get(request.facts.service)
-        while starts and starts[0] < now_ms - RATE_WINDOW_MS:
-            starts.popleft()
-        per_s = len(starts or ()) * clocks.MS_PER_S / RATE_WINDOW_MS
+        starts = self.starts_of(request.facts.service).all
         return placement.expected_wait_ms(
-            placement.Queue(ahead, max(per_s, 1.0))
+            placement.Queue(ahead, max(per_s(starts, now_ms), 1.0))
+        )
+
+    def gives_up(
+        self,
+        request: requests.Request,
+        queue: list[requests.Request],
+        now_ms: int,
+    ) -> str:
+        """Tells why a waiting request is better turned away.
+
+        :param request: a waiting request
+        :param queue: what waits for the same service, with it
+        :param now_ms: the time
+        :return: a reason; empty while it may wait on
+        """
+        facts = request.facts
+        if request.exchange.started:
+            return "waited_too_long" if now_ms >= facts.until_ms else ""
+        half_way_ms = (facts.target_at_ms + facts.patience_until_ms) // 2
+        hopeless_at_ms = min(facts.until_ms, half_way_ms)
+        if now_ms >= hopeless_at_ms:
+            self.starts_of(facts.service).vain_ms = now_ms
+            return "waited_too_long"
+        if request.overdue or not ordering.is_late(request, now_ms):
+            return ""
+        request.overdue = True
+        wait_ms = self.late_wait_ms(request, queue, now_ms)
+        return "crowded_out" if now_ms + wait_ms > hopeless_at_ms else ""
+
+    def late_wait_ms(
+        self,
+        request: requests.Request,
+        queue: list[requests.Request],
+        now_ms: int,
+    ) -> float:
+        """Returns how long a request that is late would still wait.
+
+        :param request: a waiting request
+        :param queue: what waits for the same service, with it
+        :param now_ms: the time
+        :return: milliseconds
+        """
+        ahead = sum(
+            other.overdue
+            and other.state is requests.State.WAITING
+            and other.facts.rank <= request.facts.rank
+            for other in queue
         )
+        starts = self.starts_of(request.facts.service)
+        rate_per_s = per_s(starts.late, now_ms)
+        if now_ms - starts.vain_ms > VAIN_MEMORY_MS:
+            rate_per_s = max(LEAST_LATE_STARTS_PER_S, rate_per_s)
+        return placement.expected_wait_ms(placement.Queue(ahead, rate_per_s))
 
     def overloaded(
         self, request: requests.Request, reason: str
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -24,6 +24,7 @@
 from godwitloft.gateway import options as options_module
 from godwitloft.gateway import ordering
 from godwitloft.gateway import outcomes
+from godwitloft.gateway import pace as paces
 from godwitloft.gateway import placing as placings
 from godwitloft.gateway import refusals
 from godwitloft.gateway import reports
@@ -106,6 +107,7 @@
         self.reports = reports.Reports(
             self.clock, surroundings.instruments, self.knowledge
         )
+        self.pace = paces.Pace()
         self.leaving = False
         self.waiting: dict[str, list[requests.Request]] = {}
         self.pumping: set[str] = set()
@@ -227,7 +229,13 @@
             self.reports.turned_away(request_id.decode("latin-1"), checked)
             refusals.answer(exchange, checked)
             return
-        request = requests.Request(exchange, checked)
+        request = requests.Request(
+            exchange,
+            checked,
+            self.pace.first_data_ms(
+                checked.route.name, checked.sizes.prompt_tokens
+            ),
+        )
         exchange.on_left = lambda: self.caller_left(request)
         queue = self.waiting.setdefault(checked.service, [])
         refusal = self.admission.admit(request, queue)
@@ -328,7 +336,7 @@
         state.unread += facts.sizes.prompt_tokens
         request.unread = facts.sizes.prompt_tokens
         self.running.add(request)
-        self.admission.started(facts.service, now_ms)
+        self.admission.started(request, now_ms)
         self.surroundings.instruments.wait_ms.record(now_ms - facts.arrived_ms)
         events.log(
             events.REQUEST_PLACED,
@@ -414,6 +422,11 @@
             if request.placed is not None and request.answer.is_sound():
                 self.retrying.crashes.sound(request.placed.upstream.id)
                 took_ms = request.first_data_ms - request.sent_ms
+                self.pace.learn(
+                    request.facts.route.name,
+                    request.facts.sizes.prompt_tokens,
+                    took_ms,
+                )
                 request.placed.succeeded(
                     took_ms, request.unread + request.read_ahead
                 )
@@ -606,34 +619,21 @@
         self.try_again(request, retryings.STALLED)
 
     def check_waiting(self, request: requests.Request, now_ms: int) -> None:
-        """Refuses a waiting request that can't be served in time any more.
+        """Refuses a waiting request that is better turned away.
 
         :param request: a waiting request
         :param now_ms: the time
         """
         if request.state is not requests.State.WAITING:
             return
-        hopeless_at_ms = self.hopeless_at_ms(request)
-        if request.exchange.started:
-            hopeless_at_ms = request.facts.until_ms
-        if now_ms < hopeless_at_ms:
+        queue = self.waiting[request.facts.service]
+        reason = self.admission.gives_up(request, queue, now_ms)
+        if not reason:
             return
         if request.runs > 0:
             self.refuse(request, refusals.Refusal(504, "timeout"))
         else:
-            self.refuse(
-                request, self.admission.overloaded(request, "waited_too_long")
-            )
-
-    def hopeless_at_ms(self, request: requests.Request) -> int:
-        """Returns when a waiting request is better turned away.
-
-        :param request: a waiting request
-        :return: a time
-        """
-        facts = request.facts
-        late = (facts.target_at_ms + facts.patience_until_ms) // 2
-        return min(facts.until_ms, late)
+            self.refuse(request, self.admission.overloaded(request, reason))
 
     def time_out(self, request: requests.Request) -> None:
         """Ends a running request whose time is over.
--- a/godwitloft/gateway/ordering.py
+++ b/godwitloft/gateway/ordering.py
@@ -6,26 +6,42 @@
 
 from godwitloft.gateway import request as requests
 
-TEAM_RANKS = 2
+# By how many ranks a request that can't be on time any more goes down: below
+# the next rank's timely ones, as it earns about as much as they do and is
+# more important than all others.
+LATE_RANKS = 1.5
+# Ranks of timely and late requests, as agents are told.
+LAST_TOLD_RANK = 2
+TOLD_RANKS = (0.0, 1.0, 1.5, 2.0, 2.5, 3.5)
 ROUTE_RANKS = 3
-URGENCIES = 2 * TEAM_RANKS * ROUTE_RANKS
+URGENCIES = len(TOLD_RANKS) * ROUTE_RANKS
 
 
 def order_key(
     request: requests.Request, now_ms: int
-) -> tuple[bool, tuple[int, int], int]:
+) -> tuple[float, int, int]:
     """Returns what waiting requests are sorted by.
 
-    Requests that can still be answered on time go before late ones, which
-    are worth less; then the more important, then the older.
+    The more important go first, then the older. Late ones count as less
+    important than they are.
 
     :param request: a waiting request
     :param now_ms: the time
     :return: a key; the smallest goes first
     """
-    facts = request.facts
-    late = now_ms >= facts.target_at_ms and not request.exchange.started
-    return late, facts.rank, facts.arrived_ms
+    rank, route_rank = request.facts.rank
+    lowered = rank + LATE_RANKS * is_late(request, now_ms)
+    return lowered, route_rank, request.facts.arrived_ms
+
+
+def is_late(request: requests.Request, now_ms: int) -> bool:
+    """Tells whether a waiting request can't be answered on time any more.
+
+    :param request: a waiting request
+    :param now_ms: the time
+    :return: whether its answer would begin late; never of one that has begun
+    """
+    return now_ms >= request.start_by_ms and not request.exchange.started
 
 
 def urgency(request: requests.Request, now_ms: int) -> int:
@@ -35,7 +51,7 @@
     :param now_ms: the time
     :return: 0 for the most urgent, below ``URGENCIES``
     """
-    late, (rank, route_rank), _arrived_ms = order_key(request, now_ms)
-    rank = min(rank, TEAM_RANKS - 1)
-    route_rank = min(route_rank, ROUTE_RANKS - 1)
-    return (late * TEAM_RANKS + rank) * ROUTE_RANKS + route_rank
+    rank, route_rank = request.facts.rank
+    told = min(rank, LAST_TOLD_RANK) + LATE_RANKS * is_late(request, now_ms)
+    position = TOLD_RANKS.index(told)
+    return position * ROUTE_RANKS + min(route_rank, ROUTE_RANKS - 1)
--- a/godwitloft/gateway/placing.py
+++ b/godwitloft/gateway/placing.py
@@ -105,4 +105,6 @@
         for request in waiting:
             if request.state is requests.State.WAITING:
                 counts[ordering.urgency(request, now_ms)] += 1
+        while counts and counts[-1] == 0:
+            counts.pop()
         self.slot_client.refresh(self.fleet.usable(service), tuple(counts))
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -89,11 +89,20 @@
 
     :param exchange: the way back to its caller
     :param facts: what was known when it arrived
+    :param first_data_ms: how long its first data takes once it is sent
     """
 
-    def __init__(self, exchange: front.Exchange, facts: Facts) -> None:
+    def __init__(
+        self,
+        exchange: front.Exchange,
+        facts: Facts,
+        first_data_ms: float = 0.0,
+    ) -> None:
         self.exchange = exchange
         self.facts = facts
+        # Started later, its answer would begin after its target.
+        self.start_by_ms = facts.target_at_ms - round(first_data_ms)
+        self.overdue = False
         self.state = State.WAITING
         self.attempt: attempts.Attempt | None = None
         self.placed: fleet.UpstreamState | None = None
