--- /dev/null
+++ b/godwitloft/entry/arrivals.py
@@ -0,0 +1,99 @@
+"""Decides whether a request may enter, and when a refused one may return."""
+
+import typing
+
+from godwitloft import clock as clocks
+from godwitloft.entry import agents as agent_views
+from godwitloft.entry import answers
+from godwitloft.entry import call as calls
+from godwitloft.entry import queue as queues
+from godwitloft.entry import team_limits
+from godwitloft.policy import admit
+from godwitloft.policy import drain_rate
+from godwitloft.policy import suspects
+
+MESSAGES: typing.Mapping[str, str] = {
+    admit.TEAM_WAITING: "too many requests of this team wait",
+    admit.TEAM_TOKENS: "this team has used up its tokens",
+    admit.QUEUE_FULL: "too many requests wait",
+    admit.DEADLINE_UNREACHABLE: "no upstream can finish this in time",
+}
+POISONOUS = answers.Refused(
+    answers.Reason.POISONOUS, "this request has crashed several upstreams"
+)
+
+
+class Arrivals:
+    """What an entry knows when a request arrives.
+
+    :param clock: tells the time
+    :param limits: the teams' limits
+    :param agents: the agents that are linked
+    :param queue: what waits
+    :param suspects: bodies that may crash upstreams
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        limits: team_limits.TeamLimits,
+        agents: agent_views.Agents,
+        queue: queues.WaitingQueue,
+        suspects: suspects.Suspects,
+    ) -> None:
+        self.clock = clock
+        self.limits = limits
+        self.agents = agents
+        self.queue = queue
+        self.suspects = suspects
+        self.drain_rate = drain_rate.DrainRate(clock.monotonic_ms())
+        self.draining = False
+
+    def refusal(self, call: calls.Call, now_ms: int) -> answers.Refused | None:
+        """Decides whether a request must be refused at once.
+
+        A full queue is no reason here: a request of a lower tier may have
+        to leave for this one (:mod:`godwitloft.entry.bidding`).
+
+        :param call: what the caller asks
+        :param now_ms: the time now
+        :return: the refusal, or None to accept
+        """
+        if self.draining:
+            return answers.Refused(
+                answers.Reason.LEAVING, "this entry is shutting down"
+            )
+        verdict = self.suspects.verdict(call.fingerprint, now_ms)
+        if verdict is suspects.Verdict.POISONOUS:
+            return POISONOUS
+        arrival = admit.Arrival(
+            tokens=call.prompt_tokens + call.output_tokens,
+            body_bytes=len(call.body),
+            slack_ms=call.timeout_ms,
+            finish_in_ms=self.agents.finish_in_ms(call),
+        )
+        load = admit.QueueLoad(
+            requests=len(self.queue),
+            body_bytes=self.queue.body_bytes,
+            max_requests=self.queue.hard_requests + 1,
+            max_bytes=self.queue.hard_bytes * 2,
+            drain_retry_ms=self.retry_after_ms(call.tier_rank),
+        )
+        refused = self.limits.admit(call.team, arrival, load, now_ms)
+        if refused is None:
+            return None
+        return answers.Refused(
+            answers.Reason(refused.reason),
+            MESSAGES[refused.reason],
+            refused.retry_after_ms,
+        )
+
+    def retry_after_ms(self, tier_rank: int) -> int:
+        """Tells when a refused caller may come back.
+
+        :param tier_rank: rank of its tier
+        :return: when those ahead have probably left, as measured
+        """
+        return self.drain_rate.retry_after_ms(
+            self.queue.ahead(tier_rank), self.clock.monotonic_ms()
+        )
--- a/godwitloft/entry/desk.py
+++ b/godwitloft/entry/desk.py
@@ -20,19 +20,18 @@
 from godwitloft import trace
 from godwitloft.entry import agents
 from godwitloft.entry import answers
+from godwitloft.entry import arrivals
 from godwitloft.entry import bidding
 from godwitloft.entry import call as calls
 from godwitloft.entry import queue
 from godwitloft.entry import records
 from godwitloft.entry import request as requests
 from godwitloft.entry import team_limits
+from godwitloft.entry import verdicts
 from godwitloft.links import codec
 from godwitloft.links.generated.messages import ttypes
-from godwitloft.policy import admit
-from godwitloft.policy import drain_rate
 from godwitloft.policy import retry
 from godwitloft.policy import shed
-from godwitloft.policy import suspects
 
 RELINK_LIMIT_MS = 5_000
 ACK_INTERVAL_CHUNKS = 32
@@ -58,14 +57,6 @@
     hold_off: bool = True
 
 
-MESSAGES: typing.Mapping[str, str] = {
-    admit.TEAM_WAITING: "too many requests of this team wait",
-    admit.TEAM_TOKENS: "this team has used up its tokens",
-    admit.QUEUE_FULL: "too many requests wait",
-    admit.DEADLINE_UNREACHABLE: "no upstream can finish this in time",
-}
-
-
 class Desk:
     """Owns the requests of one entry.
 
@@ -119,12 +110,24 @@
             settings.hold_off,
         )
         self.delayed: list[tuple[int, str]] = []
-        self.drain_rate = drain_rate.DrainRate(clock.monotonic_ms())
         self.retry_budget = retry.Budget()
-        self.suspects = suspects.Suspects()
+        self.verdicts = verdicts.Verdicts(
+            clock,
+            send,
+            recorder,
+            self.agents,
+            self.bidding.waiting,
+            self.refuse,
+        )
+        self.arrivals = arrivals.Arrivals(
+            clock,
+            self.limits,
+            self.agents,
+            self.bidding.queue,
+            self.verdicts.suspects,
+        )
         self.deadlines: list[tuple[int, str]] = []
         self.counter = 0
-        self.draining = False
         self.handlers: dict[str, typing.Callable[[str, codec.Body], None]] = {
             "pull": self.on_pull,
             "skip": self.on_skip,
@@ -135,7 +138,7 @@
             "suspended": self.on_suspended,
             "farewell": self.on_farewell,
             "heartbeat": self.agents.heartbeat,
-            "verdict": self.on_verdict,
+            "verdict": self.verdicts.on_verdict,
         }
 
     # Callers
@@ -162,71 +165,16 @@
         )
         records.accepted(self.recorder, request)
         self.requests[request_id] = request
-        refusal = self.refusal_on_arrival(call, now_ms)
+        refusal = self.arrivals.refusal(call, now_ms)
         if refusal is not None:
             self.refuse(request, refusal)
             return request_id
-        verdict = self.suspects.verdict(call.fingerprint, now_ms)
-        request.isolate = verdict is suspects.Verdict.SUSPECT
+        request.isolate = self.verdicts.is_suspect(call.fingerprint)
         heapq.heappush(self.deadlines, (request.deadline_ms, request_id))
         self.bidding.enqueue(request)
         self.bidding.relieve()
         return request_id
 
-    def refusal_on_arrival(
-        self, call: calls.Call, now_ms: int
-    ) -> answers.Refused | None:
-        """Decides whether a request must be refused at once.
-
-        A full queue is no reason here: a request of a lower tier may have
-        to leave for this one (:meth:`relieve`).
-
-        :param call: what the caller asks
-        :param now_ms: the time now
-        :return: the refusal, or None to accept
-        """
-        if self.draining:
-            return answers.Refused(
-                answers.Reason.LEAVING, "this entry is shutting down"
-            )
-        verdict = self.suspects.verdict(call.fingerprint, now_ms)
-        if verdict is suspects.Verdict.POISONOUS:
-            return answers.Refused(
-                answers.Reason.POISONOUS,
-                "this request has crashed several upstreams",
-            )
-        arrival = admit.Arrival(
-            tokens=call.prompt_tokens + call.output_tokens,
-            body_bytes=len(call.body),
-            slack_ms=call.timeout_ms,
-            finish_in_ms=self.agents.finish_in_ms(call),
-        )
-        load = admit.QueueLoad(
-            requests=len(self.bidding.queue),
-            body_bytes=self.bidding.queue.body_bytes,
-            max_requests=self.bidding.queue.hard_requests + 1,
-            max_bytes=self.bidding.queue.hard_bytes * 2,
-            drain_retry_ms=self.retry_after_ms(call.tier_rank),
-        )
-        refused = self.limits.admit(call.team, arrival, load, now_ms)
-        if refused is None:
-            return None
-        return answers.Refused(
-            answers.Reason(refused.reason),
-            MESSAGES[refused.reason],
-            refused.retry_after_ms,
-        )
-
-    def retry_after_ms(self, tier_rank: int) -> int:
-        """Tells when a refused caller may come back.
-
-        :param tier_rank: rank of its tier
-        :return: when those ahead have probably left, as measured
-        """
-        return self.drain_rate.retry_after_ms(
-            self.bidding.queue.ahead(tier_rank), self.clock.monotonic_ms()
-        )
-
     def cancel(self, request_id: str) -> None:
         """Ends a request whose caller went away.
 
@@ -263,9 +211,14 @@
         if not paused and not request.waiting:
             self.acknowledge(request)
 
+    @property
+    def draining(self) -> bool:
+        """Whether new requests are refused."""
+        return self.arrivals.draining
+
     def drain(self) -> None:
         """Refuses new requests from now on and finishes the others."""
-        self.draining = True
+        self.arrivals.draining = True
 
     # Agents
 
@@ -282,7 +235,7 @@
                 self.ask_after(request, hello.incarnation)
         for request in tuple(self.bidding.waiting.values()):
             self.bidding.bid(request)
-        self.share_verdicts(hello.instance)
+        self.verdicts.share_verdicts(hello.instance)
 
     def ask_after(self, request: requests.Request, incarnation: str) -> None:
         """Asks an agent that is back for a run that it was given.
@@ -445,7 +398,7 @@
         self.bidding.withdraw(request)
         self.agents.dispatched(view.instance, call, now_ms)
         self.limits.started(call.team)
-        self.drain_rate.observe(now_ms)
+        self.arrivals.drain_rate.observe(now_ms)
         if call.idempotent and request.attempt == 1:
             self.retry_budget = retry.called(self.retry_budget)
         self.bidding.relieve()
@@ -497,7 +450,7 @@
             answers.Refused(
                 answers.Reason.DEADLINE_UNREACHABLE,
                 "no upstream can finish this in time",
-                self.retry_after_ms(request.call.tier_rank),
+                self.arrivals.retry_after_ms(request.call.tier_rank),
             ),
         )
 
@@ -508,54 +461,6 @@
                 self.refuse_unreachable(request)
         self.bidding.relieve()
 
-    def on_verdict(self, peer: str, body: ttypes.Verdict) -> None:
-        """Takes over what an agent found out about a body.
-
-        :param peer: name of the agent's instance
-        :param body: the message
-        """
-        now_ms = self.clock.monotonic_ms()
-        verdict = suspects.Verdict(body.verdict)
-        if not self.suspects.note(
-            body.fingerprint, verdict, body.expires_in_ms, now_ms
-        ):
-            return
-        self.recorder.record(
-            trace.Kind.VERDICT,
-            fingerprint=body.fingerprint,
-            verdict=body.verdict,
-        )
-        for instance in tuple(self.agents.views):
-            if instance != peer:
-                self.send(instance, "verdict", body)
-        for request in tuple(self.bidding.waiting.values()):
-            if request.call.fingerprint != body.fingerprint:
-                continue
-            request.isolate = verdict is suspects.Verdict.SUSPECT
-            if verdict is suspects.Verdict.POISONOUS:
-                self.refuse(
-                    request,
-                    answers.Refused(
-                        answers.Reason.POISONOUS,
-                        "this request has crashed several upstreams",
-                    ),
-                )
-
-    def share_verdicts(self, instance: str) -> None:
-        """Tells an agent what is held against bodies.
-
-        :param instance: name of the agent's instance
-        """
-        now_ms = self.clock.monotonic_ms()
-        for fingerprint, record in self.suspects.records.items():
-            left_ms = record.expires_ms - now_ms
-            if left_ms > 0:
-                self.send(
-                    instance,
-                    "verdict",
-                    ttypes.Verdict(fingerprint, record.verdict.value, left_ms),
-                )
-
     def on_started(self, peer: str, body: ttypes.Started) -> None:
         """Notes that the upstream has been given a request.
 
@@ -869,7 +774,7 @@
             answers.Refused(
                 reason,
                 "too many requests wait",
-                self.retry_after_ms(request.call.tier_rank),
+                self.arrivals.retry_after_ms(request.call.tier_rank),
             ),
         )
 
@@ -905,7 +810,7 @@
                 answers.Refused(
                     answers.Reason.DEADLINE_PASSED,
                     "no upstream had room before the deadline",
-                    self.retry_after_ms(request.call.tier_rank),
+                    self.arrivals.retry_after_ms(request.call.tier_rank),
                 ),
             )
             return
