Gateways confirm to each other what the store last said

Change: gateway/news.py. Two gateways, one more for each 24, follow the store; the others ask them each 0.4 s for version, digest of the list and the age of both proofs, counted from the moment of asking. What differs is read from the store at once. Leases are renewed each 5 s, or when a quarter of an equal share of a limit was used; rows of others are read each third time, as gateways hear each other.

--- a/features/gateway_limits.feature
+++ b/features/gateway_limits.feature
@@ -57,6 +57,17 @@
       | 8 | 2 |
       | 16 | 3 |
 
+  # 20 requests of 50 tokens within a millisecond, where 9,900 are allowed.
+  Scenario Outline: Many small requests at once at one of <count> gateways
+    Given <count> gateways that share an allowance without an absolute tolerance
+    When one of them is asked for 20 requests at once
+    Then all 20 were allowed
+
+    Examples:
+      | count |
+      | 1 |
+      | 4 |
+
   Scenario: A gateway tells of a team that it had to refuse
     Given 2 gateways that share an allowance
     When the first uses all of it and the second must refuse 20000 tokens
--- a/features/steps/gateway_limits_steps.py
+++ b/features/steps/gateway_limits_steps.py
@@ -195,6 +195,25 @@
     fleet.reactor.advance(2 * DELAY_S)
 
 
+@given(
+    "{count:d} gateways that share an allowance without an absolute tolerance"
+)
+def strict_fleet(context, count):
+    context.fleet = Fleet(count, TEAM, allowance.Tolerance(8000, 0.1, 0.0))
+    context.fleet.run(0, "1" + ",0" * (count - 1), 3000, lambda _at_ms: None)
+
+
+@when("one of them is asked for {count:d} requests at once")
+def ask_at_once(context, count):
+    for _ in range(count):
+        context.fleet.ask("g0")
+
+
+@then("all {count:d} were allowed")
+def check_all_allowed(context, count):
+    assert len(context.fleet.allowed) == count, len(context.fleet.allowed)
+
+
 @then("the first leaves a part of the allowance to the second")
 def check_part(context):
     fleet = context.fleet
--- /dev/null
+++ b/features/steps/gateway_news_steps.py
@@ -0,0 +1,218 @@
+from behave import given
+from behave import step
+from behave import then
+from behave import when
+from twisted.internet import task
+
+from features.support import gateway_world
+from godwitloft import clock as clocks
+from godwitloft.gateway import knowledge
+from godwitloft.gateway import news
+from godwitloft.links import datagrams
+
+STEP_MS = 10
+TICK_MS = 50
+FOLLOW_INTERVAL_MS = 500
+FEW_TIMES = 3
+
+
+class Member:
+    """A gateway that holds a configuration and a list of upstreams."""
+
+    def __init__(self, fleet, name):
+        self.fleet = fleet
+        self.name = name
+        self.knowledge = knowledge.Knowledge(fleet.clock, 4000)
+        self.news = news.News(
+            fleet.clock,
+            self.send,
+            name,
+            1,
+            self.knowledge,
+            lambda: {one: one for one in fleet.members if one != name},
+        )
+        self.asked_store_ms = -FOLLOW_INTERVAL_MS
+        self.asked = 0
+        self.stopped = False
+        self.cut_off = False
+
+    def send(self, data, where):
+        self.fleet.send(self.name, data, where[0])
+
+    def heard(self, sender, data):
+        datagram = datagrams.decode(data)
+        if datagram.question is not None:
+            self.news.on_question(datagram.question, sender)
+        else:
+            self.news.on_answer(datagram.answer)
+
+    def ask_store(self, now_ms):
+        needs = self.news.needs_version() or self.news.needs_list()
+        outdated = self.news.version_outdated or self.news.list_outdated
+        waited = now_ms - self.asked_store_ms >= FOLLOW_INTERVAL_MS
+        if not needs or not (waited or outdated):
+            return
+        self.asked += 1
+        self.asked_store_ms = now_ms
+        if self.cut_off or self.fleet.store_away:
+            return
+        self.knowledge.configure(self.fleet.configuration)
+        self.knowledge.confirm(now_ms)
+        self.news.read_version()
+        self.news.read_list(self.fleet.upstreams, now_ms)
+
+
+class NewsFleet:
+    """Gateways, a store and messages between them on a driven clock."""
+
+    def __init__(self, count):
+        self.reactor = task.Clock()
+        self.reactor.advance(1000)
+        self.clock = clocks.reactor_clock(self.reactor)
+        self.configuration = gateway_world.configuration(1)
+        self.upstreams = {"u0": gateway_world.upstream("u0", "model")}
+        self.delay_ms = 2
+        self.parted = False
+        self.store_away = False
+        self.oldest_proof_ms = 0
+        self.oldest_list_ms = 0
+        self.youngest_excess_ms = 0
+        self.store_at_ms = 0
+        self.members = {}
+        for number in range(count):
+            name = f"g{number}"
+            self.members[name] = Member(self, name)
+        for member in self.members.values():
+            member.ask_store(self.clock.monotonic_ms())
+            member.asked = 0
+
+    @property
+    def live(self):
+        return [one for one in self.members.values() if not one.stopped]
+
+    def followers(self):
+        first = next(iter(self.members.values()))
+        return [self.members[name] for name in first.news.followers()]
+
+    def send(self, sender, data, name):
+        if not self.parted:
+            delay_s = self.delay_ms / 1000
+            self.reactor.callLater(delay_s, self.deliver, sender, data, name)
+
+    def deliver(self, sender, data, name):
+        member = self.members[name]
+        if not member.stopped:
+            member.heard(sender, data)
+
+    def run(self, duration_ms):
+        for _ in range(duration_ms // STEP_MS):
+            self.reactor.advance(STEP_MS / 1000)
+            now_ms = self.clock.monotonic_ms()
+            if not self.store_away:
+                self.store_at_ms = now_ms
+            for member in self.live:
+                member.ask_store(now_ms)
+                if now_ms % TICK_MS == 0:
+                    member.news.tick()
+                self.measure(member, now_ms)
+
+    def measure(self, member, now_ms):
+        age_ms = member.knowledge.proof_age_ms(now_ms)
+        self.oldest_proof_ms = max(self.oldest_proof_ms, age_ms)
+        list_age_ms = now_ms - member.news.listed.at_ms
+        self.oldest_list_ms = max(self.oldest_list_ms, list_age_ms)
+        excess_ms = (now_ms - age_ms) - self.store_at_ms
+        self.youngest_excess_ms = max(self.youngest_excess_ms, excess_ms)
+
+
+@given("{count:d} gateways that hear each other")
+def fleet(context, count):
+    context.news = NewsFleet(count)
+
+
+@when("{seconds:d} s of that pass")
+def pass_seconds(context, seconds):
+    context.news.run(seconds * 1000)
+
+
+@step("{duration:d} ms of that pass")
+def pass_ms(context, duration):
+    context.news.run(duration)
+
+
+@step("another version is published")
+def publish(context):
+    context.news.configuration = gateway_world.configuration(2)
+
+
+@step("an upstream is leaving")
+def leaving(context):
+    context.news.upstreams = {
+        "u0": gateway_world.upstream("u0", "model", leaving=True)
+    }
+
+
+@step("nothing else happens")
+def nothing(_context):
+    pass
+
+
+@step("the first that follows stops")
+def stop_one(context):
+    context.news.followers()[0].stopped = True
+
+
+@step("both that follow stop")
+def stop_both(context):
+    for member in context.news.followers():
+        member.stopped = True
+
+
+@step("the first that follows can't reach it")
+def cut_off(context):
+    context.news.followers()[0].cut_off = True
+
+
+@step("gateways are parted from each other")
+def parted(context):
+    context.news.parted = True
+
+
+@step("messages take {delay:d} ms from now on, and the store is away")
+def delayed(context, delay):
+    context.news.delay_ms = delay
+    context.news.store_away = True
+
+
+@then("{count:d} gateways kept asking the store")
+def check_asked(context, count):
+    asked = {one.name: one.asked for one in context.news.members.values()}
+    often = [name for name, times in asked.items() if times > FEW_TIMES]
+    assert len(often) == count, asked
+
+
+@then("no proof was ever older than {most:d} ms")
+def check_proof(context, most):
+    assert context.news.oldest_proof_ms <= most, context.news.oldest_proof_ms
+
+
+@then("no list was ever older than {most:d} ms")
+def check_list(context, most):
+    assert context.news.oldest_list_ms <= most, context.news.oldest_list_ms
+
+
+@then("every gateway has learnt it")
+def check_learnt(context):
+    fleet = context.news
+    for member in fleet.members.values():
+        version = member.knowledge.router.configuration.version
+        assert version == fleet.configuration.version, member.name
+        digest = news.digest_of(fleet.upstreams)
+        assert member.news.listed.digest == digest, member.name
+
+
+@then("no proof seemed younger than it was")
+def check_younger(context):
+    assert context.news.youngest_excess_ms <= 0, (
+        context.news.youngest_excess_ms
+    )
--- a/godwitloft/gateway/admission.py
+++ b/godwitloft/gateway/admission.py
@@ -26,6 +26,9 @@
 VAIN_MEMORY_MS = 8_000
 ALLOWANCE_RETRY_AFTER_MS = 1_000
 MAX_WAITING = 2_000
+# Who is refused for lack of room comes back after this part, at least, of the
+# longest time that they can be told: earlier, the burst would still last.
+EARLIEST_RETURN = 0.7
 
 
 class Starts:
@@ -202,9 +205,7 @@
         now_ms = self.clock.monotonic_ms()
         left_ms = facts.caller_until_ms - now_ms
         latest_ms = refusals.bounded_retry_after_ms(left_ms / 3)
-        after_ms = self.rng.uniform(
-            refusals.SHORTEST_RETRY_AFTER_MS, latest_ms
-        )
+        after_ms = latest_ms * self.rng.uniform(EARLIEST_RETURN, 1.0)
         return refusals.Refusal(
             503, reason, int(after_ms), {"rank": facts.rank}
         )
--- a/godwitloft/gateway/allowance.py
+++ b/godwitloft/gateway/allowance.py
@@ -26,7 +26,7 @@
 
 # This part of the absolute tolerance may be used; the rest covers what
 # gateways don't yet know of each other.
-USED_TOLERANCE = 0.6
+USED_TOLERANCE = 0.75
 # Requests that are on their way to an upstream arrive a little later than
 # they were counted, so that windows are counted longer than they are.
 WINDOW_MARGIN_MS = 300
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -21,6 +21,7 @@
 from godwitloft.gateway import intake as intakes
 from godwitloft.gateway import knowledge as knowledges
 from godwitloft.gateway import model
+from godwitloft.gateway import news
 from godwitloft.gateway import options as options_module
 from godwitloft.gateway import ordering
 from godwitloft.gateway import outcomes
@@ -79,6 +80,15 @@
         self.clock = surroundings.clock
         self.knowledge = knowledges.Knowledge(self.clock, options.key_proof_ms)
         self.fleet = fleets.Fleet()
+        sharing = surroundings.sharing
+        self.news = news.News(
+            self.clock,
+            sharing.send,
+            sharing.instance,
+            sharing.port,
+            self.knowledge,
+            lambda: sharing.hosts,
+        )
         self.intake = intakes.Intake(
             self.clock,
             dialect,
@@ -144,9 +154,14 @@
             self.on_grant(datagram.grant)
         elif datagram.sharing is not None:
             self.surroundings.sharing.heard(datagram.sharing, address[0])
+        elif datagram.question is not None:
+            self.news.on_question(datagram.question, address[0])
+        elif datagram.answer is not None:
+            self.news.on_answer(datagram.answer)
 
     def tell_peers(self) -> None:
-        """Tells other gateways what limits are used here."""
+        """Tells other gateways what is used here, and asks them for news."""
+        self.news.tick()
         self.surroundings.sharing.tell_if_due(
             tuple(self.retrying.crashes.recent)
         )
--- a/godwitloft/gateway/refusals.py
+++ b/godwitloft/gateway/refusals.py
@@ -8,7 +8,7 @@
 from godwitloft.gateway import outcomes
 
 SHORTEST_RETRY_AFTER_MS = 300
-LONGEST_RETRY_AFTER_MS = 3_000
+LONGEST_RETRY_AFTER_MS = 6_000
 JSON_TYPE = (b"content-type", b"application/json")
 
 
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -25,12 +25,16 @@
 # each interval.
 EXTRA_TELLS = 4
 EXTRA_TELL_INTERVAL_MS = 50
+# Of what is left, all gateways together may use this part before they tell.
+QUIET_SHARE = 0.5
 HEARD_LIFE_MS = 2_000
 # A gateway sets aside what it is asked for in so many intervals.
 INTERVALS_SET_ASIDE = 1.5
 # Parts of an equal share of the rate that count as a gateway's demand besides
 # what it is asked for, so that a gateway that was idle gets a part as well.
 KEPT_SHARE = 1.0
+# Use is written down before this part of an equal share of a limit is used.
+LONGEST_UNSAVED_SHARE = 0.25
 MAX_TEAMS_TOLD = 20
 MAX_CRASHES_TOLD = 20
 SMALLEST_DEMAND = 1.0
@@ -81,6 +85,8 @@
         # Used since the last telling, and not announced.
         self.untold: dict[str, float] = {}
         self.must_tell = False
+        # Used since usage was last written down.
+        self.unsaved: dict[str, float] = {}
         # When the extra tellings that were made will have been made up for.
         self.extra_until_ms = 0
         self.teams: dict[str, model.Team] = {}
@@ -109,6 +115,8 @@
             for name, host in self.hosts.items()
             if self.is_heard(name, now_ms)
         }
+        if hosts.keys() - self.hosts.keys():
+            self.must_tell = True
         self.hosts = heard | hosts
         length_ms = self.tolerance.window_ms
         for name, peer in list(self.peers.items()):
@@ -197,21 +205,23 @@
         """Tells whether more may be used than was set aside.
 
         What is used so is announced at once. When that would be too often,
-        it waits for the next telling, within what the limit's tolerance has
-        room for at all gateways.
+        it waits for the next telling, within a part of what is left and of
+        what the limit's tolerance has room for.
 
         :param team: whose allowance
         :param tokens: how many beyond what was set aside
         :param now_ms: the time
         :return: whether they may be used
         """
-        if tokens > self.left(team):
+        left = self.left(team)
+        if tokens > left:
             return False
         if self.may_tell_extra(now_ms):
             return True
         spare = allowance.unused_tolerance(team, self.tolerance)
         untold = self.untold.get(team.name, 0.0)
-        return untold + tokens <= spare / self.gateways
+        quiet = spare + QUIET_SHARE * left
+        return untold + tokens <= quiet / self.gateways
 
     def is_heard(self, name: str, now_ms: int) -> bool:
         """Tells whether a gateway was heard lately.
@@ -261,6 +271,23 @@
             for team, _used in self.largest_uses(now_ms)
         }
 
+    def saved(self) -> None:
+        """Notes that :meth:`usage` is about to be written down."""
+        self.unsaved.clear()
+
+    def needs_saving(self) -> bool:
+        """Tells whether much was used since usage was written down.
+
+        :return: whether it should be written down soon
+        """
+        return any(
+            tokens
+            > LONGEST_UNSAVED_SHARE
+            * allowance.window_limit(self.teams[name], self.tolerance)
+            / self.gateways
+            for name, tokens in self.unsaved.items()
+        )
+
     def largest_uses(self, now_ms: int) -> list[tuple[str, float]]:
         """Returns the teams that used most, with how much.
 
@@ -292,6 +319,7 @@
             self.untold[team.name] = self.untold.get(team.name, 0.0) + beyond
             self.must_tell = True
         self.set_aside[team.name] = max(0.0, -beyond)
+        self.unsaved[team.name] = self.unsaved.get(team.name, 0.0) + tokens
         use = self.window(team.name).add(tokens, now_ms)
         self.tell_if_due(self.crashing)
         return use
--- a/godwitloft/links/datagrams.py
+++ b/godwitloft/links/datagrams.py
@@ -37,7 +37,13 @@
     datagram = ttypes.Datagram()
     try:
         TSerialization.deserialize(datagram, data, _FACTORY)
-        for body in (datagram.want, datagram.grant, datagram.sharing):
+        for body in (
+            datagram.want,
+            datagram.grant,
+            datagram.sharing,
+            datagram.question,
+            datagram.answer,
+        ):
             if body is not None:
                 body.validate()
                 return datagram
--- a/godwitloft/links/datagrams.thrift
+++ b/godwitloft/links/datagrams.thrift
@@ -45,8 +45,26 @@
   3: required list<binary> crashing // fingerprints that broke upstreams
 }
 
+/* A gateway asks another one how new what it holds is. */
+struct NewsQuestion {
+  1: required string gateway        // name of the sender's instance
+  2: required i64 asked_ms          // on the sender's clock; comes back
+}
+
+/* What a gateway holds, and when that was the newest. */
+struct NewsAnswer {
+  1: required string gateway
+  2: required i64 asked_ms          // of the question
+  3: required i64 version           // of the configuration
+  4: required i64 version_age_ms    // since that was known to be the newest
+  5: required i64 list_digest       // of the list of upstreams
+  6: required i64 list_age_ms       // since the list was read
+}
+
 union Datagram {
   1: SlotWant want
   2: SlotGrant grant
   3: Sharing sharing
+  4: NewsQuestion question
+  5: NewsAnswer answer
 }
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -12,6 +12,7 @@
 from godwitloft import events
 from godwitloft.gateway import listing as listings
 from godwitloft.gateway import model
+from godwitloft.gateway import news as newses
 from godwitloft.gateway import sharing
 from godwitloft.platform import rows
 from godwitloft.platform import store as stores
@@ -27,8 +28,14 @@
 CHANGES_IN_PROOF = 3
 UPSTREAM_INTERVAL_MS = 800
 RETURN_INTERVAL_MS = 250
-GATEWAY_INTERVAL_MS = 2_000
-GATEWAY_LEASE_MS = 7_000
+# How often it is looked whether a call is needed, where other gateways
+# confirm what is known.
+CHECK_INTERVAL_MS = 50
+RENEWAL_INTERVAL_MS = 5_000
+SHORTEST_RENEWAL_INTERVAL_MS = 1_500
+GATEWAY_LEASE_MS = 8_000
+# Gateways hear each other; the rows are read so much less often than written.
+RENEWALS_FOR_A_READ = 3
 SHORTEST_PAUSE_MS = 100
 LONGEST_PAUSE_MS = 400
 
@@ -49,6 +56,8 @@
         and how many milliseconds ago
     :param restored_peer: the same of another process, with its name
     :param usage: returns what this process has used, by team
+    :param needs_saving: whether that has changed much
+    :param saved: told just before it is written
     """
 
     configuration: typing.Callable[[model.Configuration], None]
@@ -58,6 +67,8 @@
     restored: typing.Callable[[sharing.Usage, int], None]
     restored_peer: typing.Callable[[str, sharing.Usage, int], None]
     usage: typing.Callable[[], sharing.Usage]
+    needs_saving: typing.Callable[[], bool]
+    saved: typing.Callable[[], None]
 
 
 class Pause:
@@ -98,6 +109,7 @@
     :param clock: tells the time, also while the machine is suspended
     :param store: the client
     :param listener: who is told
+    :param news: what other gateways confirm
     :param instance: name of this gateway's row
     :param host: IP number where other gateways reach this one
     :param key_proof_ms: how old the proof that a key is valid may be
@@ -109,6 +121,7 @@
         clock: clocks.Clock,
         store: stores.Store,
         listener: Listener,
+        news: newses.News,
         instance: str,
         host: str,
         key_proof_ms: int,
@@ -123,19 +136,26 @@
         self.clock = clock
         self.store = store
         self.listener = listener
+        self.news = news
         self.instance = instance
         self.version = 0
         self.stopped = False
         self.restored = False
+        self.renewed_ms = 0
+        self.renewals = 0
+        # What the store's clock is ahead of this process's.
+        self.store_ahead_ms = 0
         self.listing = listings.Listing()
         self.bad_rows: dict[str, int] = {}
         self.list_failed = False
 
     def start(self) -> None:
         """Starts all loops."""
-        self.follow("configuration", self.follow_configuration)
-        self.follow("upstreams", self.follow_upstreams)
-        self.follow("gateways", self.follow_gateways)
+        self.follow(
+            "configuration", self.needs_configuration, self.read_configuration
+        )
+        self.follow("upstreams", self.needs_upstreams, self.read_upstreams)
+        self.follow("gateways", self.needs_renewal, self.renew)
 
     def stop(self) -> None:
         """Ends all loops after their current call."""
@@ -144,18 +164,24 @@
     def follow(
         self,
         name: str,
+        needed: typing.Callable[[], bool],
         step: typing.Callable[[], "defer.Deferred[int]"],
     ) -> None:
         """Runs one loop.
 
         :param name: for the log
+        :param needed: whether the store must be asked now
         :param step: one round; its result is the pause after it
         """
         pause = Pause(name)
 
         def run() -> None:
-            if not self.stopped:
+            if self.stopped:
+                return
+            if needed():
                 defer.maybeDeferred(step).addCallbacks(done, failed)
+            else:
+                again(CHECK_INTERVAL_MS)
 
         def done(pause_ms: int) -> None:
             pause.succeeded()
@@ -176,8 +202,15 @@
 
         run()
 
+    def needs_configuration(self) -> bool:
+        """Tells whether the store must be asked for the configuration.
+
+        :return: whether it isn't known, or nobody else confirms it
+        """
+        return self.version == 0 or self.news.needs_version()
+
     @defer.inlineCallbacks
-    def follow_configuration(
+    def read_configuration(
         self,
     ) -> typing.Generator[typing.Any, typing.Any, int]:
         """Reads the configuration, then waits for its next change."""
@@ -194,6 +227,7 @@
                 known = self.take_configuration(row) or known
         if known:
             self.listener.confirmed(asked_ms)
+            self.news.read_version()
             self.version = found.version
             return 0
         return SHORTEST_PAUSE_MS
@@ -210,8 +244,15 @@
         self.listener.configuration(configuration)
         return True
 
+    def needs_upstreams(self) -> bool:
+        """Tells whether the store must be asked for the upstreams.
+
+        :return: whether some may return, or nobody else confirms the list
+        """
+        return self.listing.awaits_return() or self.news.needs_list()
+
     @defer.inlineCallbacks
-    def follow_upstreams(
+    def read_upstreams(
         self,
     ) -> typing.Generator[typing.Any, typing.Any, int]:
         """Reads the whole list of upstreams."""
@@ -235,6 +276,7 @@
         if self.list_failed:
             self.list_failed = False
             self.listing.returned(now_ms)
+        self.news.read_list(listed, asked_ms)
         self.listener.upstreams(self.listing.take(listed, now_ms))
         took_ms = self.clock.monotonic_ms() - asked_ms
         interval_ms = UPSTREAM_INTERVAL_MS
@@ -270,16 +312,36 @@
                 )
         return None
 
+    def needs_renewal(self) -> bool:
+        """Tells whether the own lease must be renewed.
+
+        :return: whether it is due, or much was used since the last time
+        """
+        interval_ms = RENEWAL_INTERVAL_MS
+        if self.listener.needs_saving():
+            interval_ms = SHORTEST_RENEWAL_INTERVAL_MS
+        passed_ms = self.clock.monotonic_ms() - self.renewed_ms
+        return not self.restored or passed_ms >= interval_ms
+
     @defer.inlineCallbacks
-    def follow_gateways(
-        self,
-    ) -> typing.Generator[typing.Any, typing.Any, int]:
-        """Counts the gateways that hold a lease, then renews the own one.
+    def renew(self) -> typing.Generator[typing.Any, typing.Any, int]:
+        """Renews the own lease, and now and then reads those of others.
 
         A gateway that is parted from the store can't renew, and by the time
         its lease is over it has no proof of valid keys left either.
         """
-        found = yield self.store.read(GATEWAY_TABLE)
+        if self.renewals % RENEWALS_FOR_A_READ == 0:
+            found = yield self.store.read(GATEWAY_TABLE)
+            self.store_ahead_ms = found.now_ms - self.clock.monotonic_ms()
+            self.take_gateways(found)
+        yield self.renew_lease()
+        return CHECK_INTERVAL_MS
+
+    def take_gateways(self, found: stores.Rows) -> None:
+        """Passes on who holds a lease, and what was used before the start.
+
+        :param found: all rows of gateways
+        """
         others = {}
         own = None
         for row in found.rows:
@@ -298,19 +360,26 @@
             self.restored = True
             age_ms = found.now_ms - own.renewed_ms if own is not None else 0
             self.listener.restored(own.used if own else {}, max(0, age_ms))
+
+    @defer.inlineCallbacks
+    def renew_lease(self) -> typing.Generator[typing.Any, typing.Any, None]:
+        """Writes the own row, with what was used of allowances."""
+        self.listener.saved()
         used = {
             team: [round(tokens) for tokens in sums]
             for team, sums in self.listener.usage().items()
             if sum(sums) >= 1
         }
+        now_ms = self.clock.monotonic_ms()
         content = {
-            "renewed_ms": found.now_ms,
+            "renewed_ms": now_ms + self.store_ahead_ms,
             "host": self.host,
             "used": used,
         }
         value = base64.b64encode(json.dumps(content).encode()).decode()
         yield self.store.put(GATEWAY_TABLE, self.instance, value)
-        return GATEWAY_INTERVAL_MS
+        self.renewed_ms = now_ms
+        self.renewals += 1
 
 
 @dataclasses.dataclass(frozen=True)
