Rooms for the loose modules: operators/ and runtime/

Seventeen modules stood at the top of the package without telling a newcomer where to begin. The operators' API and its reference pages are now in operators/, what every daemon's process is made of in runtime/; clock, errors, events, metrics, settings, trace, decode stay. Imports only; 235 scenarios that cover them pass, lint and types too.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -13,7 +13,6 @@
 from bench import slope_fit
 from bench import slope_rest
 from bench import slopes as slopes_module
-from godwitloft import discovery
 from godwitloft.agent import http_upstream
 from godwitloft.coordination import feed
 from godwitloft.coordination import subset
@@ -21,6 +20,7 @@
 from godwitloft.entry import journal
 from godwitloft.links import hub
 from godwitloft.policy import spread
+from godwitloft.runtime import discovery
 from godwitloft.store import guard
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
@@ -283,7 +283,7 @@
             costs.list_bytes / LIST_INTERVAL_S,
             "bytes/s",
             TARGET_BYTES_PER_S,
-            "godwitloft.discovery.Discovery.read",
+            "godwitloft.runtime.discovery.Discovery.read",
         ),
     ]
 
@@ -462,7 +462,7 @@
             PROCESSES / ANNOUNCE_INTERVAL_S,
             "writes/s",
             writes,
-            "godwitloft.discovery.Discovery.announce",
+            "godwitloft.runtime.discovery.Discovery.announce",
         ),
         Need(
             "platform service",
@@ -527,7 +527,7 @@
             ENTRY_STREAMS,
             "connections",
             4096,
-            "godwitloft.bounded_http",
+            "godwitloft.runtime.bounded_http",
         ),
         Need(
             "balancer",
--- a/bench/slope_requests.py
+++ b/bench/slope_requests.py
@@ -7,7 +7,6 @@
 
 from bench import slope_fit
 from godwitloft import clock as clocks
-from godwitloft import daemon
 from godwitloft import metrics
 from godwitloft import settings as settings_module
 from godwitloft import trace
@@ -19,6 +18,7 @@
 from godwitloft.entry import request as requests
 from godwitloft.links import codec
 from godwitloft.links.generated.messages import ttypes
+from godwitloft.runtime import daemon
 
 Sent = list[tuple[str, str, typing.Any]]
 
--- a/bench/slope_rest.py
+++ b/bench/slope_rest.py
@@ -68,8 +68,8 @@
 
     from godwitloft import clock as clocks
     from godwitloft import metrics
-    from godwitloft import node as nodes
     from godwitloft import settings as settings_module
+    from godwitloft.runtime import node as nodes
 
     instruments, render = metrics.prometheus()
     surroundings = nodes.Surroundings(
--- a/features/clock.feature
+++ b/features/clock.feature
@@ -17,6 +17,6 @@
     Examples:
       | module                      |
       | godwitloft/platform/main.py |
-      | godwitloft/daemon_command.py |
+      | godwitloft/runtime/daemon_command.py |
       | godwitloft/standalone.py    |
       | godwitloft/standins/main.py |
--- a/features/steps/discovery_steps.py
+++ b/features/steps/discovery_steps.py
@@ -8,7 +8,7 @@
 from twisted.internet import task
 
 from godwitloft import clock as clocks
-from godwitloft import discovery
+from godwitloft.runtime import discovery
 from godwitloft.store import memory
 from godwitloft.store import port
 
--- a/features/steps/objects_steps.py
+++ b/features/steps/objects_steps.py
@@ -8,7 +8,6 @@
 from behave import then
 from behave import when
 
-from godwitloft import reference
 from godwitloft.coordination import delta
 from godwitloft.objects import canonical
 from godwitloft.objects import check
@@ -19,6 +18,7 @@
 from godwitloft.objects import parse
 from godwitloft.objects import revise
 from godwitloft.objects import types
+from godwitloft.operators import reference
 
 VALID = {
     "tiers": [{"name": "gold", "rank": 0}, {"name": "silver", "rank": 1}],
@@ -257,7 +257,8 @@
     for page in reference.PAGES:
         file = pathlib.Path("docs") / page.file
         assert file.read_text(encoding="utf-8") == reference.render(page), (
-            f"{file} is stale: run python -m godwitloft.reference docs"
+            f"{file} is stale: run"
+            " python -m godwitloft.operators.reference docs"
         )
 
 
--- a/features/steps/operators_steps.py
+++ b/features/steps/operators_steps.py
@@ -14,10 +14,10 @@
 from twisted.web import resource
 
 from features.support import operators
-from godwitloft import bounded_http
 from godwitloft import events
-from godwitloft import operator_http
 from godwitloft.objects import parse
+from godwitloft.operators import operator_http
+from godwitloft.runtime import bounded_http
 
 BODIES = {
     "publish": {
--- a/features/support/operators.py
+++ b/features/support/operators.py
@@ -16,11 +16,11 @@
 
 from godwitloft import clock as clocks
 from godwitloft import metrics
-from godwitloft import operator_http
-from godwitloft import operator_port
-from godwitloft import operator_service
 from godwitloft import settings
 from godwitloft.coordination import publish
+from godwitloft.operators import operator_http
+from godwitloft.operators import operator_port
+from godwitloft.operators import operator_service
 from godwitloft.ui import main
 from godwitloft.ui import session as sessions
 
--- a/godwitloft/agent/daemon.py
+++ b/godwitloft/agent/daemon.py
@@ -4,12 +4,8 @@
 
 from twisted.internet import task
 
-from godwitloft import daemon
 from godwitloft import events
-from godwitloft import leaving
-from godwitloft import node as nodes
 from godwitloft import settings as settings_module
-from godwitloft import status_http
 from godwitloft import trace
 from godwitloft.agent import capacity_trace
 from godwitloft.agent import dispatcher as dispatchers
@@ -17,6 +13,10 @@
 from godwitloft.links.generated.messages import ttypes
 from godwitloft.objects import lookup
 from godwitloft.objects import types
+from godwitloft.runtime import daemon
+from godwitloft.runtime import leaving
+from godwitloft.runtime import node as nodes
+from godwitloft.runtime import status_http
 
 
 class AgentDaemon:
--- a/godwitloft/entry/caller_http.py
+++ b/godwitloft/entry/caller_http.py
@@ -10,7 +10,6 @@
 from twisted.internet import interfaces
 import zope.interface
 
-from godwitloft import bounded_http
 from godwitloft import metrics
 from godwitloft import settings as settings_module
 from godwitloft.entry import answers
@@ -18,6 +17,7 @@
 from godwitloft.entry import intake
 from godwitloft.objects import lookup
 from godwitloft.objects import types
+from godwitloft.runtime import bounded_http
 
 REQUEST_ID_HEADER = "X-Request-Id"
 MS_PER_S = 1000
--- a/godwitloft/entry/daemon.py
+++ b/godwitloft/entry/daemon.py
@@ -6,15 +6,8 @@
 from twisted.internet import task
 from twisted.internet import threads
 
-from godwitloft import daemon
 from godwitloft import events
-from godwitloft import leaving
-from godwitloft import node as nodes
-from godwitloft import operator_http
-from godwitloft import operator_port
-from godwitloft import operator_service
 from godwitloft import settings as settings_module
-from godwitloft import status_http
 from godwitloft import trace
 from godwitloft.coordination import claims
 from godwitloft.coordination import publish
@@ -26,6 +19,13 @@
 from godwitloft.entry import team_limits
 from godwitloft.links.generated.messages import ttypes
 from godwitloft.objects import lookup
+from godwitloft.operators import operator_http
+from godwitloft.operators import operator_port
+from godwitloft.operators import operator_service
+from godwitloft.runtime import daemon
+from godwitloft.runtime import leaving
+from godwitloft.runtime import node as nodes
+from godwitloft.runtime import status_http
 
 TICK_INTERVAL_S = 0.02
 CLAIM_WRITES_PER_S = 50.0
--- a/godwitloft/entry/journal.py
+++ b/godwitloft/entry/journal.py
@@ -4,8 +4,8 @@
 import typing
 
 from godwitloft import clock as clocks
-from godwitloft import operator_port
 from godwitloft import trace
+from godwitloft.operators import operator_port
 
 MAX_REQUESTS = 5_000
 MAX_STEPS = 50
--- a/godwitloft/entry/main.py
+++ b/godwitloft/entry/main.py
@@ -1,9 +1,9 @@
 """The command ``godwitloft-entry``."""
 
-from godwitloft import daemon_command
-from godwitloft import process
 from godwitloft import settings
 from godwitloft.entry import daemon
+from godwitloft.runtime import daemon_command
+from godwitloft.runtime import process
 
 COMMAND = daemon_command.build(
     "godwitloft-entry",
--- a/godwitloft/gateway/daemon.py
+++ b/godwitloft/gateway/daemon.py
@@ -5,10 +5,10 @@
 
 from godwitloft import clock as clocks
 from godwitloft import events
-from godwitloft import waiting
 from godwitloft.gateway import front
 from godwitloft.gateway import gateway as gateways
 from godwitloft.gateway import model
+from godwitloft.runtime import waiting
 
 TICK_INTERVAL_MS = 25
 AGE_INTERVAL_MS = 500
--- a/godwitloft/operator_http.py
+++ b/godwitloft/operators/operator_http.py
@@ -16,12 +16,10 @@
 from twisted.web import server
 from werkzeug import exceptions
 
-from godwitloft import bounded_http
 from godwitloft import decode
 from godwitloft import errors
 from godwitloft import events
 from godwitloft import metrics
-from godwitloft import operator_port
 from godwitloft import settings
 from godwitloft.coordination import publish
 from godwitloft.objects import canonical
@@ -29,6 +27,8 @@
 from godwitloft.objects import errors as objects_errors
 from godwitloft.objects import parse
 from godwitloft.objects import types
+from godwitloft.operators import operator_port
+from godwitloft.runtime import bounded_http
 from godwitloft.store import port as platform
 
 MAX_BODY_BYTES = parse.MAX_FILE_BYTES + 64 * 1024
--- a/godwitloft/operator_port.py
+++ b/godwitloft/operators/operator_port.py
@@ -177,7 +177,8 @@
 class Refusal:
     """Why a request of an operator was refused.
 
-    :param reason: one of the fixed words of :mod:`godwitloft.operator_http`
+    :param reason: one of the fixed words of
+        :mod:`godwitloft.operators.operator_http`
     :param message: for people
     """
 
--- a/godwitloft/operator_service.py
+++ b/godwitloft/operators/operator_service.py
@@ -2,11 +2,11 @@
 
 import typing
 
-from godwitloft import operator_port
 from godwitloft.coordination import publish
 from godwitloft.objects import canonical
 from godwitloft.objects import check
 from godwitloft.objects import types
+from godwitloft.operators import operator_port
 from godwitloft.store import port as platform_port
 
 FORMAT = publish.Format(
--- a/godwitloft/reference.py
+++ b/godwitloft/operators/reference.py
@@ -1,7 +1,7 @@
 """Writes reference pages from data classes and their doc comments.
 
-Run ``python -m godwitloft.reference DIRECTORY`` after a change of settings
-or objects. A feature checks that the pages agree with the code.
+Run ``python -m godwitloft.operators.reference DIRECTORY`` after a change of
+settings or objects. A feature checks that the pages agree with the code.
 """
 
 import dataclasses
@@ -18,8 +18,8 @@
 from godwitloft.objects import types
 
 NOTE = (
-    "<!-- Written by `python -m godwitloft.reference docs`; change the doc"
-    " comments instead. -->"
+    "<!-- Written by `python -m godwitloft.operators.reference docs`; change"
+    " the doc comments instead. -->"
 )
 TYPE_NAMES: typing.Mapping[typing.Any, str] = {
     str: "string",
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -13,7 +13,6 @@
 from godwitloft import events
 from godwitloft import incarnation as incarnations
 from godwitloft import metrics
-from godwitloft import process
 from godwitloft.gateway import attempt as attempts
 from godwitloft.gateway import daemon
 from godwitloft.gateway import gateway as gateways
@@ -26,6 +25,7 @@
 from godwitloft.platform import settings
 from godwitloft.platform import store as stores
 from godwitloft.platform import watch as watches
+from godwitloft.runtime import process
 
 EXIT_USAGE = 2
 # Few cycles are made, and a full collection of all modules takes long.
--- /dev/null
+++ b/godwitloft/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""What every daemon's process is made of, around its tasks."""
--- a/godwitloft/daemon_command.py
+++ b/godwitloft/runtime/daemon_command.py
@@ -11,9 +11,9 @@
 
 from godwitloft import clock as clocks
 from godwitloft import metrics
-from godwitloft import node as nodes
-from godwitloft import process
 from godwitloft import settings as settings_module
+from godwitloft.runtime import node as nodes
+from godwitloft.runtime import process
 
 MakeDaemon = typing.Callable[[typing.Any, nodes.Surroundings], process.Daemon]
 
--- a/godwitloft/leaving.py
+++ b/godwitloft/runtime/leaving.py
@@ -4,9 +4,9 @@
 import typing
 
 from godwitloft import events
-from godwitloft import node as nodes
 from godwitloft import trace
-from godwitloft import waiting
+from godwitloft.runtime import node as nodes
+from godwitloft.runtime import waiting
 
 
 @dataclasses.dataclass(frozen=True)
--- a/godwitloft/node.py
+++ b/godwitloft/runtime/node.py
@@ -11,11 +11,9 @@
 from twisted.internet import defer
 
 from godwitloft import clock as clocks
-from godwitloft import discovery
 from godwitloft import events
 from godwitloft import incarnation as incarnations
 from godwitloft import metrics
-from godwitloft import operator_port
 from godwitloft import settings as settings_module
 from godwitloft.coordination import feed as feeds
 from godwitloft.links import codec
@@ -27,6 +25,8 @@
 from godwitloft.objects import lookup
 from godwitloft.objects import parse
 from godwitloft.objects import types
+from godwitloft.operators import operator_port
+from godwitloft.runtime import discovery
 from godwitloft.store import connect
 from godwitloft.store import port
 
--- a/godwitloft/standalone.py
+++ b/godwitloft/standalone.py
@@ -24,14 +24,14 @@
 from godwitloft import errors
 from godwitloft import events
 from godwitloft import metrics
-from godwitloft import node as nodes
-from godwitloft import process
 from godwitloft import settings as settings_module
-from godwitloft import waiting
 from godwitloft.agent import daemon as agent_daemons
 from godwitloft.entry import daemon as entry_daemons
 from godwitloft.objects import parse
 from godwitloft.objects import types
+from godwitloft.runtime import node as nodes
+from godwitloft.runtime import process
+from godwitloft.runtime import waiting
 from godwitloft.standins import engine as engines
 from godwitloft.standins import engine_http
 
--- a/godwitloft/ui/client.py
+++ b/godwitloft/ui/client.py
@@ -17,12 +17,12 @@
 from twisted.web import http
 
 from godwitloft import decode
-from godwitloft import operator_port
 from godwitloft.coordination import publish
 from godwitloft.objects import canonical
 from godwitloft.objects import errors as objects_errors
 from godwitloft.objects import parse
 from godwitloft.objects import types
+from godwitloft.operators import operator_port
 from godwitloft.ui import errors
 from godwitloft.ui import session as sessions
 
--- a/godwitloft/ui/drain.py
+++ b/godwitloft/ui/drain.py
@@ -5,7 +5,7 @@
 
 import cappa
 
-from godwitloft import operator_port
+from godwitloft.operators import operator_port
 from godwitloft.ui import client
 from godwitloft.ui import options
 from godwitloft.ui import report
--- a/godwitloft/ui/explain.py
+++ b/godwitloft/ui/explain.py
@@ -5,9 +5,9 @@
 
 import cappa
 
-from godwitloft import operator_port
 from godwitloft.audit import explaining
 from godwitloft.audit import request_logs
+from godwitloft.operators import operator_port
 from godwitloft.ui import client
 from godwitloft.ui import errors
 from godwitloft.ui import options
--- a/godwitloft/ui/history.py
+++ b/godwitloft/ui/history.py
@@ -5,8 +5,8 @@
 
 import cappa
 
-from godwitloft import operator_http
-from godwitloft import operator_port
+from godwitloft.operators import operator_http
+from godwitloft.operators import operator_port
 from godwitloft.ui import client
 from godwitloft.ui import options
 from godwitloft.ui import report
--- a/godwitloft/ui/publish.py
+++ b/godwitloft/ui/publish.py
@@ -5,11 +5,11 @@
 
 import cappa
 
-from godwitloft import operator_port
 from godwitloft.objects import check
 from godwitloft.objects import diff
 from godwitloft.objects import parse
 from godwitloft.objects import types
+from godwitloft.operators import operator_port
 from godwitloft.ui import check as check_command
 from godwitloft.ui import client
 from godwitloft.ui import errors
--- a/godwitloft/ui/show.py
+++ b/godwitloft/ui/show.py
@@ -5,10 +5,10 @@
 
 import cappa
 
-from godwitloft import operator_port
 from godwitloft.objects import canonical
 from godwitloft.objects import revise
 from godwitloft.objects import types
+from godwitloft.operators import operator_port
 from godwitloft.ui import client
 from godwitloft.ui import options
 from godwitloft.ui import report
--- a/godwitloft/ui/status.py
+++ b/godwitloft/ui/status.py
@@ -4,7 +4,7 @@
 
 import cappa
 
-from godwitloft import operator_port
+from godwitloft.operators import operator_port
 from godwitloft.ui import client
 from godwitloft.ui import errors
 from godwitloft.ui import options
