Tell peers between times only of the teams that need it

Such a telling is now partial: others keep what they knew of other teams. 30 scenarios of gateway_limits.feature hold.

--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -355,7 +355,10 @@
         elif self.must_tell and self.may_tell_extra(now_ms):
             begin_ms = max(now_ms, self.extra_until_ms)
             self.extra_until_ms = begin_ms + EXTRA_TELL_INTERVAL_MS
-            self.tell(now_ms)
+            if self.untold:
+                self.tell_untold(now_ms)
+            else:
+                self.tell(now_ms)
 
     def may_tell_extra(self, now_ms: int) -> bool:
         """Tells whether peers may be told before the next time is due.
@@ -371,24 +374,66 @@
 
         :param now_ms: the time
         """
-        self.told_ms = now_ms
-        self.must_tell = False
-        self.untold.clear()
         for team in self.teams.values():
             self.set_aside[team.name] = self.next_needs(team, now_ms)
         wanted = [
-            ttypes.TeamDemand(
-                team=name,
-                tokens_per_s=math.ceil(self.demand_of(name, now_ms)),
-                committed=math.ceil(used + self.set_aside.get(name, 0.0)),
-            )
+            self.told_of(name, used, now_ms)
             for name, used in self.largest_uses(now_ms)
             if self.is_active(name, used, now_ms)
         ]
+        crashing = list(self.crashing[-MAX_CRASHES_TOLD:])
+        self.told_ms = now_ms
+        self.send_to_peers(wanted, crashing, partial=False)
+
+    def tell_untold(self, now_ms: int) -> None:
+        """Tells all peers of the teams that used more than was announced.
+
+        :param now_ms: the time
+        """
+        for name in self.untold:
+            team = self.teams[name]
+            self.set_aside[name] = self.next_needs(team, now_ms)
+        wanted = [
+            self.told_of(name, self.window(name).total(now_ms), now_ms)
+            for name in self.untold
+        ]
+        self.send_to_peers(wanted, [], partial=True)
+
+    def told_of(
+        self, team: str, used: float, now_ms: int
+    ) -> ttypes.TeamDemand:
+        """Returns what peers are told of a team.
+
+        :param team: its name
+        :param used: tokens in the window
+        :param now_ms: the time
+        :return: a part of a datagram
+        """
+        return ttypes.TeamDemand(
+            team=team,
+            tokens_per_s=math.ceil(self.demand_of(team, now_ms)),
+            committed=math.ceil(used + self.set_aside.get(team, 0.0)),
+        )
+
+    def send_to_peers(
+        self,
+        wanted: list[ttypes.TeamDemand],
+        crashing: list[bytes],
+        partial: bool,
+    ) -> None:
+        """Sends a datagram to all peers.
+
+        :param wanted: what is told of teams
+        :param crashing: fingerprints of requests that crashed upstreams
+        :param partial: whether other teams are as they were told before
+        """
+        self.must_tell = False
+        self.untold.clear()
         sharing = ttypes.Sharing(
             gateway=self.instance,
             demands=wanted,
-            crashing=list(self.crashing[-MAX_CRASHES_TOLD:]),
+            crashing=crashing,
+            partial=partial or None,
         )
         data = datagrams.encode(sharing=sharing)
         for host in self.hosts.values():
@@ -428,10 +473,18 @@
         :param host: IP number of the sender
         """
         self.hosts.setdefault(sharing.gateway, host)
+        known = self.peers.get(sharing.gateway)
+        demands_told = {one.team: one.tokens_per_s for one in sharing.demands}
+        committed = {one.team: one.committed for one in sharing.demands}
+        crashing = tuple(sharing.crashing)
+        if sharing.partial and known is not None:
+            demands_told = known.demands | demands_told
+            committed = known.committed | committed
+            crashing = known.crashing
         self.peers[sharing.gateway] = Peer(
-            demands={one.team: one.tokens_per_s for one in sharing.demands},
-            committed={one.team: one.committed for one in sharing.demands},
-            crashing=tuple(sharing.crashing),
+            demands=demands_told,
+            committed=committed,
+            crashing=crashing,
             at_ms=self.clock.monotonic_ms(),
         )
 
--- a/godwitloft/links/datagrams.thrift
+++ b/godwitloft/links/datagrams.thrift
@@ -43,6 +43,7 @@
   1: required string gateway        // name of the sender's instance
   2: required list<TeamDemand> demands
   3: required list<binary> crashing // fingerprints that broke upstreams
+  4: optional bool partial          // other teams are as they were told
 }
 
 /* A gateway asks another one how new what it holds is. */
