Late requests that were broken off wait on; soon returns where room is elsewhere

Tests: gateway_load.feature, 'A late request that was broken off' (failed first) and a table of returns by reason.

--- a/features/steps/gateway_load_steps.py
+++ b/features/steps/gateway_load_steps.py
@@ -144,3 +144,72 @@
     assert [status for _, status in load.ended.values()] == [200] * len(
         load.callers
     ), load.ended
+
+
+@given(
+    "a gateway before one service upstream of 4 slots, where late ones get no"
+    " places"
+)
+def full_service(context):
+    context.load = Load()
+    context.load.world = world = gateway_world.World(("desk",))
+    flow = world.gateway.admission.flow("desk")
+    flow.vain_ms = world.clock.monotonic_ms()
+
+
+@when(
+    'a "lookup" and {count:d} times "post" run there, and {pause:d} ms later'
+    ' a "post" waits'
+)
+def fill(context, count, pause):
+    world = context.load.world
+    context.lookup = world.ask("lookup", "lookup")
+    for number in range(count):
+        world.ask(f"post-{number}", "post")
+    assert len(world.sent) == 1 + count, world.sent
+    world.advance(pause)
+    world.ask("waiting", "post")
+    assert len(world.sent) == 1 + count, world.sent
+
+
+@when('the upstream breaks the "lookup" off, and {pause:d} ms pass')
+def break_off(context, pause):
+    world = context.load.world
+    world.sent[0].end(attempts.End.BROKEN)
+    world.advance(pause)
+
+
+@then('the "lookup" has no answer yet')
+def check_unanswered(context):
+    assert context.lookup.status is None, context.lookup.received
+
+
+@when('one "post" is answered')
+def answer_post(context):
+    context.load.world.sent[1].answer(body=b"done")
+
+
+@then('the "lookup" is sent again')
+def check_sent_again(context):
+    assert context.load.world.sent[-1].outgoing.target == b"/lookup/x"
+    assert len(context.load.world.sent) == 6, context.load.world.sent
+
+
+@when("a request is refused because {reason}")
+def refuse_many(context, reason):
+    world = context.load.world
+    context.returns_ms = []
+    for number in range(100):
+        caller = world.ask(f"r{number}", "class", left_ms=5000)
+        request = next(iter(world.gateway.running), None)
+        assert request is not None, caller.received
+        admission = world.gateway.admission
+        refusal = admission.turned_away(request, reason)
+        context.returns_ms.append(refusal.retry_after_ms)
+        caller.leave()
+
+
+@then("its caller comes back after {least:d} ms to {most:d} ms")
+def check_return(context, least, most):
+    found = sorted(context.returns_ms)
+    assert least <= found[0] <= found[-1] <= most, found
--- a/godwitloft/gateway/admission.py
+++ b/godwitloft/gateway/admission.py
@@ -32,6 +32,11 @@
 # Who is refused for lack of room comes back after this part, at least, of the
 # longest time that they can be told: earlier, the burst would still last.
 EARLIEST_RETURN = 0.7
+OVERLOAD_REASONS = frozenset(
+    ("crowded_out", "queue_full", "wait_too_long", "waited_too_long")
+)
+# Others come back within this time.
+LATEST_SOON_RETURN_MS = 700
 
 
 @dataclasses.dataclass(frozen=True)
@@ -140,12 +145,12 @@
         if facts.until_ms <= now_ms:
             return refusals.Refusal(503, "no_time_left")
         if len(queue) >= MAX_WAITING:
-            return self.overloaded(request, "queue_full")
+            return self.turned_away(request, "queue_full")
         wait_ms = self.expected_wait_ms(request, queue, now_ms)
         if now_ms + wait_ms > facts.patience_until_ms:
-            return self.overloaded(request, "wait_too_long")
+            return self.turned_away(request, "wait_too_long")
         if self.is_crowded(request, queue, now_ms):
-            return self.overloaded(request, "crowded_out")
+            return self.turned_away(request, "crowded_out")
         return self.within_allowance(request)
 
     def is_crowded(
@@ -221,7 +226,9 @@
         if now_ms >= hopeless_at_ms:
             self.flow(facts.service).vain_ms = now_ms
             return "waited_too_long"
-        if request.overdue or not ordering.is_late(request, now_ms):
+        if request.runs > 0 or request.overdue:
+            return ""
+        if not ordering.is_late(request, now_ms):
             return ""
         request.overdue = True
         wait_ms = self.late_wait_ms(request, queue, now_ms)
@@ -255,11 +262,14 @@
             rate_per_s = max(LEAST_LATE_STARTS_PER_S, rate_per_s)
         return placement.expected_wait_ms(placement.Queue(ahead, rate_per_s))
 
-    def overloaded(
+    def turned_away(
         self, request: requests.Request, reason: str
     ) -> refusals.Refusal:
         """Returns a refusal that tells when to come back.
 
+        Late, where too much was asked; soon, where another gateway or
+        upstream can serve the request.
+
         :param request: what is turned away
         :param reason: why
         :return: a refusal
@@ -268,7 +278,13 @@
         now_ms = self.clock.monotonic_ms()
         left_ms = facts.caller_until_ms - now_ms
         latest_ms = refusals.bounded_retry_after_ms(left_ms / 3)
-        after_ms = latest_ms * self.rng.uniform(EARLIEST_RETURN, 1.0)
+        if reason in OVERLOAD_REASONS:
+            after_ms = latest_ms * self.rng.uniform(EARLIEST_RETURN, 1.0)
+        else:
+            soonest_ms = refusals.SHORTEST_RETRY_AFTER_MS
+            after_ms = self.rng.uniform(
+                soonest_ms, min(latest_ms, LATEST_SOON_RETURN_MS)
+            )
         return refusals.Refusal(
             503, reason, int(after_ms), {"rank": facts.rank}
         )
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -228,7 +228,7 @@
             for request in queue:
                 if request.state is requests.State.WAITING:
                     self.refuse(
-                        request, self.admission.overloaded(request, "leaving")
+                        request, self.admission.turned_away(request, "leaving")
                     )
 
     # A request arrives.
@@ -553,7 +553,7 @@
             and request.runs == 0
         ):
             self.refuse(
-                request, self.admission.overloaded(request, verdict.reason)
+                request, self.admission.turned_away(request, verdict.reason)
             )
         else:
             self.refuse(request, refusals.Refusal(502, verdict.reason))
@@ -648,7 +648,7 @@
         if request.runs > 0:
             self.refuse(request, refusals.Refusal(504, "timeout"))
         else:
-            self.refuse(request, self.admission.overloaded(request, reason))
+            self.refuse(request, self.admission.turned_away(request, reason))
 
     def time_out(self, request: requests.Request) -> None:
         """Ends a running request whose time is over.
