Log how an upstream's answer was framed and where it ended

The four lines about ends carry framing, body bytes and whether a stream ended inside an event; a counter has ends by framing. No decision changes.

--- a/godwitloft/gateway/answer.py
+++ b/godwitloft/gateway/answer.py
@@ -6,7 +6,9 @@
 """
 
 import dataclasses
+import typing
 
+from godwitloft import answer_end
 from godwitloft.gateway import attempt as attempts
 from godwitloft.gateway import dialect as dialects
 from godwitloft.gateway import headers as header_lists
@@ -60,6 +62,9 @@
         self.buffered: list[bytes] = []
         self.buffered_bytes = 0
         self.partial_event = b""
+        self.framing: answer_end.Framing | None = None
+        self.body_bytes = 0
+        self.boundary = answer_end.EventBoundary()
 
     def on_head(self, status: int, headers: list[http_server.Header]) -> None:
         """Checks and stores the head.
@@ -69,6 +74,9 @@
         """
         self.status = status
         self.headers = headers
+        self.framing = answer_end.framing(
+            self.request.exchange.method, status, headers
+        )
         header_values = dict(headers)
         dialect = self.dialect
         self.not_run = (
@@ -97,6 +105,8 @@
 
         :param data: the received bytes
         """
+        self.body_bytes += len(data)
+        self.boundary.feed(data)
         if self.defect:
             return
         route = self.request.facts.route
@@ -185,6 +195,21 @@
             )
         return AttemptOutcome(outcomes.Result.DELIVER, "")
 
+    def extent(self) -> dict[str, typing.Any]:
+        """Returns what is known about the end of the answer, for logs.
+
+        :return: log fields; none if no head was received
+        """
+        if self.framing is None:
+            return {}
+        fields: dict[str, typing.Any] = {
+            "framing": self.framing.value,
+            "body_bytes": self.body_bytes,
+        }
+        if self.request.facts.route.kind is model.Kind.STREAM:
+            fields["inside_event"] = self.boundary.inside_event
+        return fields
+
     def is_from_other_process(self) -> bool:
         """Returns whether a process with another identity has answered.
 
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -496,6 +496,7 @@
             return
         state = self.release(request)
         attempt_outcome = answer.classify_end(end, reason)
+        self.reports.count_answer_end(answer, attempt_outcome)
         now_ms = self.clock.monotonic_ms()
         if state is not None:
             self.retry_policy.record_end(
--- a/godwitloft/gateway/reports.py
+++ b/godwitloft/gateway/reports.py
@@ -5,6 +5,7 @@
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft import metrics
+from godwitloft.gateway import answer as answers
 from godwitloft.gateway import config_state as config_states
 from godwitloft.gateway import http_server
 from godwitloft.gateway import outcomes
@@ -37,6 +38,23 @@
         """
         self.instruments.refusals.add(1, {"reason": refusal.reason})
 
+    def count_answer_end(
+        self,
+        answer: answers.Answer,
+        attempt_outcome: answers.AttemptOutcome,
+    ) -> None:
+        """Counts the end of an upstream's answer, complete or not.
+
+        :param answer: the answer
+        :param attempt_outcome: how the attempt ended
+        """
+        if answer.framing is None:
+            return
+        reason = attempt_outcome.reason or attempt_outcome.result.value
+        self.instruments.answer_ends.add(
+            1, {"framing": answer.framing.value, "end": reason}
+        )
+
     def report_unadmitted(
         self, request_id: str, refusal: refusals.Refusal
     ) -> None:
@@ -64,6 +82,7 @@
             "attempts": request.attempt_count,
             "runs": request.runs,
             "upstream": request.last_upstream_id,
+            **answer_extent(request),
         }
         self.write_refusal(facts.id, refusal, inputs)
 
@@ -124,4 +143,16 @@
             attempts=request.attempt_count,
             upstream=request.last_upstream_id,
             may_repeat=facts.may_repeat,
+            **answer_extent(request),
         )
+
+
+def answer_extent(
+    request: requests.Request,
+) -> typing.Mapping[str, typing.Any]:
+    """Returns what is known about the end of a request's last answer.
+
+    :param request: any request
+    :return: log fields, none if it got no answer
+    """
+    return request.answer.extent() if request.answer is not None else {}
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -6,6 +6,7 @@
 from godwitloft.gateway import fleet as fleets
 from godwitloft.gateway import model
 from godwitloft.gateway import outcomes
+from godwitloft.gateway import reports
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import retry_budget
 from godwitloft.gateway import sharing as sharings
@@ -93,6 +94,7 @@
             result=attempt_outcome.result.value,
             sent_ms_ago=now_ms - request.sent_ms,
             failures=state.failures,
+            **reports.answer_extent(request),
         )
 
     def has_stalled(self, request: requests.Request, now_ms: int) -> bool:
--- a/godwitloft/metrics.py
+++ b/godwitloft/metrics.py
@@ -21,6 +21,7 @@
     :param refusals: refused requests, by ``reason`` and ``tier``
     :param retries: retried calls, by ``reason``
     :param outcomes: ended requests, by ``outcome`` and ``tier``
+    :param answer_ends: ended answers of upstreams, by ``framing`` and ``end``
     :param operator_refusals: refused requests of operators, by ``reason``
     :param dropped_messages: ignored link messages, by ``reason``
     :param wait_ms: time from acceptance to dispatch
@@ -30,6 +31,7 @@
     refusals: metrics.Counter
     retries: metrics.Counter
     outcomes: metrics.Counter
+    answer_ends: metrics.Counter
     operator_refusals: metrics.Counter
     dropped_messages: metrics.Counter
     wait_ms: metrics.Histogram
@@ -59,6 +61,7 @@
         refusals=counter("refusals"),
         retries=counter("retries"),
         outcomes=counter("outcomes"),
+        answer_ends=counter("answer_ends"),
         operator_refusals=counter("operator_refusals"),
         dropped_messages=counter("dropped_messages"),
         wait_ms=histogram("wait", WAIT_BUCKETS_MS),
