--- /dev/null
+++ b/features/support/wire_upstream.py
@@ -0,0 +1,60 @@
+"""An upstream that answers a gateway byte by byte over a fake connection."""
+
+import socket
+
+from twisted.internet import error
+from twisted.internet import testing
+from twisted.python import failure
+
+from features.support import gateway_world
+from godwitloft.gateway import attempt as attempts
+
+
+class WireAttempt(gateway_world.Sent):
+    """An attempt of the gateway with its real parser."""
+
+    def __init__(self, upstream, outgoing, callbacks):
+        super().__init__(upstream, outgoing, callbacks)
+        self.attempt = attempts.Attempt(outgoing, callbacks)
+        self.transport = testing.StringTransportWithDisconnection()
+        self.transport.protocol = self.attempt
+        self.transport.setTcpNoDelay = lambda _on: None
+        self.transport.abortConnection = self.transport.loseConnection
+        self.handle = socket.socket()
+        self.transport.getHandle = lambda: self.handle
+        self.attempt.makeConnection(self.transport)
+
+    def cancel(self):
+        super().cancel()
+        self.attempt.cancel()
+
+    def receive(self, data):
+        """The gateway receives bytes."""
+        self.attempt.dataReceived(data)
+
+    def close(self, clean=True):
+        """The upstream closes or resets the connection."""
+        self.handle.close()
+        kind = error.ConnectionDone if clean else error.ConnectionLost
+        self.transport.connected = False
+        self.attempt.connectionLost(failure.Failure(kind()))
+
+    def answer_head(self, *headers, status=b"200 OK", version=b"1.1"):
+        """Returns the head of an answer that the gateway accepts."""
+        dialect = gateway_world.DIALECT
+        lines = [
+            b"HTTP/%s %s" % (version, status),
+            b"%s: %s" % (dialect.request_id, self.headers[dialect.request_id]),
+            b"%s: seal" % dialect.seal,
+            *headers,
+        ]
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+class WireWorld(gateway_world.World):
+    """A gateway whose attempts parse what upstreams send."""
+
+    def send(self, place, outgoing, callbacks):
+        sent = WireAttempt(place, outgoing, callbacks)
+        self.sent.append(sent)
+        return sent
