Take a stream that ends inside an event as broken, whatever its framing

Cause: whether the end is inside an event was known only where unfinished events are held back, which is done for resumable streams alone; for the others the end of the framing, here the end of the connection, was the end of the answer. Evidence: on the same engines in the same seconds the resumable route logged event_cut.

answer_end.BodyEnd sees every body and decides for all streams: one that ends inside an event, or whose connection ends before any event, is broken.

--- a/godwitloft/answer_end.py
+++ b/godwitloft/answer_end.py
@@ -18,6 +18,8 @@
 # An empty line after LF or CRLF, or after CR alone.
 EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
 LONGEST_EVENT_END = max(len(end) for end in EVENT_ENDS)
+EVENT_CUT = "event_cut"
+STREAM_EMPTY = "stream_empty"
 
 
 class Framing(enum.Enum):
@@ -53,21 +55,40 @@
     return Framing.CLOSE
 
 
-class EventBoundary:
-    """Knows whether a stream of events is between two events.
+def last_event_end(data: bytes) -> int:
+    """Returns where the last whole event in a part of a stream ends.
 
-    The stream may arrive in parts of any size.
+    :param data: bytes of the stream, from the beginning of an event
+    :return: index after the event's empty line, 0 if no event has ended
     """
+    found = ((data.rfind(end), len(end)) for end in EVENT_ENDS)
+    return max(at + length if at >= 0 else 0 for at, length in found)
 
-    def __init__(self) -> None:
-        # Last bytes of the stream, enough to hold the end of an event.
+
+class BodyEnd:
+    """Decides whether a body whose framing has ended is whole.
+
+    It sees every byte of the body, in parts of any size.
+
+    :param framing: how the end of the body is marked
+    :param is_stream: whether the body is a stream of events
+    """
+
+    def __init__(self, framing: Framing, is_stream: bool) -> None:
+        self.framing = framing
+        self.is_stream = is_stream
+        self.received = 0
+        # Last bytes of the body, enough to hold the end of an event.
         self.tail = b""
 
     def feed(self, data: bytes) -> None:
-        """Records a part of the stream.
+        """Records a part of the body.
 
         :param data: the received bytes
         """
+        self.received += len(data)
+        if not self.is_stream:
+            return
         if len(data) >= LONGEST_EVENT_END:
             self.tail = data[-LONGEST_EVENT_END:]
         else:
@@ -75,5 +96,22 @@
 
     @property
     def inside_event(self) -> bool:
-        """Whether the last event has begun and has not ended."""
+        """Whether an event of a stream has begun and has not ended."""
         return bool(self.tail) and not self.tail.endswith(EVENT_ENDS)
+
+    def defect(self) -> str:
+        """Returns why the body isn't whole, although its framing has ended.
+
+        A stream without any event counts as cut if only the end of the
+        connection marks its end: an upstream that fails before its first
+        event looks the same.
+
+        :return: short name for logs, empty if nothing shows a defect
+        """
+        if not self.is_stream:
+            return ""
+        if self.inside_event:
+            return EVENT_CUT
+        if self.framing is Framing.CLOSE and not self.received:
+            return STREAM_EMPTY
+        return ""
--- a/godwitloft/gateway/answer.py
+++ b/godwitloft/gateway/answer.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import re
 import typing
 
 from godwitloft import answer_end
@@ -18,9 +19,8 @@
 from godwitloft.gateway import request as requests
 
 MAX_BUFFERED_BYTES = 256 * 1024
-EVENT_END = b"\n\n"
-SUCCESS_STATUSES = range(200, 300)
 MIN_SERVER_ERROR_STATUS = 500
+ID_LINE = re.compile(rb"(?:^|(?<=[\r\n]))id:([^\r\n]*)[\r\n]")
 MISDIRECTED_STATUS = 421
 
 
@@ -62,9 +62,8 @@
         self.buffered: list[bytes] = []
         self.buffered_bytes = 0
         self.partial_event = b""
-        self.framing: answer_end.Framing | None = None
-        self.body_bytes = 0
-        self.boundary = answer_end.EventBoundary()
+        # None until the head has been received.
+        self.body_end: answer_end.BodyEnd | None = None
 
     def on_head(self, status: int, headers: list[http_server.Header]) -> None:
         """Checks and stores the head.
@@ -74,9 +73,12 @@
         """
         self.status = status
         self.headers = headers
-        self.framing = answer_end.framing(
+        framing = answer_end.framing(
             self.request.exchange.method, status, headers
         )
+        self.body_end = answer_end.BodyEnd(
+            framing, self.is_stream and status in answer_end.SUCCESS_STATUSES
+        )
         header_values = dict(headers)
         dialect = self.dialect
         self.not_run = (
@@ -87,31 +89,35 @@
             self.defect = "answer_of_another_request"
         elif b"content-encoding" in header_values:
             self.defect = "answer_encoded"
-        elif status in SUCCESS_STATUSES:
+        elif status in answer_end.SUCCESS_STATUSES:
             if dialect.seal not in header_values:
                 self.defect = "answer_without_seal"
             elif dialect.request_id not in header_values:
                 self.defect = "answer_without_id"
 
+    @property
+    def is_stream(self) -> bool:
+        """Whether a successful answer is a stream of events."""
+        return self.request.facts.route.kind is model.Kind.STREAM
+
     def is_valid_success(self) -> bool:
         """Returns whether the head is that of a valid successful answer.
 
         :return: whether the body may be forwarded
         """
-        return self.status in SUCCESS_STATUSES and not self.defect
+        return self.status in answer_end.SUCCESS_STATUSES and not self.defect
 
     def on_data(self, data: bytes) -> None:
         """Buffers or forwards a part of the body.
 
         :param data: the received bytes
         """
-        self.body_bytes += len(data)
-        self.boundary.feed(data)
+        if self.body_end is not None:
+            self.body_end.feed(data)
         if self.defect:
             return
-        route = self.request.facts.route
-        if self.is_valid_success() and route.kind is model.Kind.STREAM:
-            if route.resumable:
+        if self.is_valid_success() and self.is_stream:
+            if self.request.facts.route.resumable:
                 self.forward_events(data)
             else:
                 self.forward(data)
@@ -130,11 +136,11 @@
         :param data: the received bytes of the stream
         """
         self.partial_event += data
-        end = self.partial_event.rfind(EVENT_END)
-        if end < 0:
+        end = answer_end.last_event_end(self.partial_event)
+        if not end:
             return
-        events = self.partial_event[: end + len(EVENT_END)]
-        self.partial_event = self.partial_event[end + len(EVENT_END) :]
+        events = self.partial_event[:end]
+        self.partial_event = self.partial_event[end:]
         last = last_event_id(events)
         if last is not None:
             self.request.last_event = last
@@ -182,6 +188,9 @@
             return AttemptOutcome(
                 outcomes.Result.FAILED, self.defect, unusable=True
             )
+        cut = self.body_end.defect() if self.body_end is not None else ""
+        if cut:
+            return AttemptOutcome(outcomes.Result.BROKEN, cut, unusable=True)
         self.complete = True
         if self.status >= MIN_SERVER_ERROR_STATUS:
             return AttemptOutcome(
@@ -189,10 +198,6 @@
                 f"upstream_status_{self.status}",
                 failed=True,
             )
-        if self.partial_event:
-            return AttemptOutcome(
-                outcomes.Result.BROKEN, "event_cut", unusable=True
-            )
         return AttemptOutcome(outcomes.Result.DELIVER, "")
 
     def extent(self) -> dict[str, typing.Any]:
@@ -200,14 +205,15 @@
 
         :return: log fields; none if no head was received
         """
-        if self.framing is None:
+        body_end = self.body_end
+        if body_end is None:
             return {}
         fields: dict[str, typing.Any] = {
-            "framing": self.framing.value,
-            "body_bytes": self.body_bytes,
+            "framing": body_end.framing.value,
+            "body_bytes": body_end.received,
         }
-        if self.request.facts.route.kind is model.Kind.STREAM:
-            fields["inside_event"] = self.boundary.inside_event
+        if body_end.is_stream:
+            fields["inside_event"] = body_end.inside_event
         return fields
 
     def is_from_other_process(self) -> bool:
@@ -241,11 +247,5 @@
     :param events: complete events
     :return: the id, None if no event has one
     """
-    start = events.rfind(b"\nid:")
-    if start >= 0:
-        start += len(b"\nid:")
-    elif events.startswith(b"id:"):
-        start = len(b"id:")
-    else:
-        return None
-    return events[start : events.index(b"\n", start)].strip()
+    ids = ID_LINE.findall(events)
+    return ids[-1].strip() if ids else None
--- a/godwitloft/gateway/reports.py
+++ b/godwitloft/gateway/reports.py
@@ -48,11 +48,12 @@
         :param answer: the answer
         :param attempt_outcome: how the attempt ended
         """
-        if answer.framing is None:
+        if answer.body_end is None:
             return
+        framing = answer.body_end.framing.value
         reason = attempt_outcome.reason or attempt_outcome.result.value
         self.instruments.answer_ends.add(
-            1, {"framing": answer.framing.value, "end": reason}
+            1, {"framing": framing, "end": reason}
         )
 
     def report_unadmitted(
