A table of every framing by every way to break; no length on 204 and HEAD

One row failed: an answer without a body (204, and likewise HEAD) got 'content-length: 0', which HTTP forbids for 204 and which is wrong for HEAD.

--- a/features/answer_end.feature
+++ b/features/answer_end.feature
@@ -16,3 +16,79 @@
       | draft | chunks |
       | draft | length |
       | class | close |
+
+  # "whole" is a complete answer, "cut" one whose end is missing. A body that
+  # only the end of its connection ends may be short without any sign.
+  Scenario Outline: A <route> answer, framed by <framing>: <event>
+    Given a gateway that reads what its upstreams send
+    When a caller requests "<route>"
+    And the upstream answers, framed by <framing>: <event>
+    Then the caller's answer is <answer>
+
+    Examples: plain answers
+      | route | framing | event | answer |
+      | post | length | whole | whole |
+      | post | length | closed midway | 502 |
+      | post | length | reset midway | 502 |
+      | post | length | silent midway | 504 |
+      | post | length | more bytes than announced | whole |
+      | post | length | a second answer | whole |
+      | post | chunks | whole | whole |
+      | post | chunks | closed midway | 502 |
+      | post | chunks | reset midway | 502 |
+      | post | chunks | silent midway | 504 |
+      | post | chunks | closed inside a chunk | 502 |
+      | post | chunks | invalid chunk size | 502 |
+      | post | chunks | closed inside trailers | 502 |
+      | post | chunks | a second answer | whole |
+      | post | close | whole | whole |
+      | post | close | closed midway | whole |
+      | post | close | reset midway | 502 |
+      | post | close | silent midway | 504 |
+      | post | HTTP/1.0 | whole | whole |
+      | post | HTTP/1.0 | reset midway | 502 |
+      | post | status 204 | whole | whole |
+
+    Examples: streams
+      | route | framing | event | answer |
+      | draft | length | whole | whole |
+      | draft | length | closed midway | cut |
+      | draft | length | reset midway | cut |
+      | draft | length | silent midway | cut |
+      | draft | length | more bytes than announced | whole |
+      | draft | chunks | whole | whole |
+      | draft | chunks | closed midway | cut |
+      | draft | chunks | reset midway | cut |
+      | draft | chunks | silent midway | cut |
+      | draft | chunks | closed inside a chunk | cut |
+      | draft | chunks | invalid chunk size | cut |
+      | draft | chunks | closed inside trailers | cut |
+      | draft | chunks | a second answer | whole |
+      | draft | close | whole | whole |
+      | draft | close | closed inside an event | cut |
+      | draft | close | closed before any event | 502 |
+      | draft | close | reset midway | cut |
+      | draft | close | silent midway | cut |
+      | draft | HTTP/1.0 | whole | whole |
+      | draft | HTTP/1.0 | closed inside an event | cut |
+
+  Scenario Outline: The end of an event is found in parts of <size> bytes, lines ending with <line end>
+    Then a stream with line ends <line end> in parts of <size> bytes ends between events
+    And one byte before its end it is inside an event
+
+    Examples:
+      | line end | size |
+      | LF | 1 |
+      | LF | 3 |
+      | LF | 100 |
+      | CRLF | 1 |
+      | CRLF | 3 |
+      | CRLF | 100 |
+      | CR | 1 |
+      | CR | 100 |
+
+  Scenario: The log tells how a broken answer was framed and where it ended
+    Given a gateway that reads what its upstreams send
+    When a caller requests "draft"
+    And the upstream answers, framed by close: closed inside an event
+    Then GL1206 has reason "event_cut", framing "close" and inside_event true
--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -1,8 +1,16 @@
+import logging
+
 from behave import given
 from behave import then
 from behave import when
 
 from features.support import wire_upstream
+from godwitloft import answer_end
+from godwitloft import events as event_log
+
+LINE_ENDS = {"LF": b"\n", "CRLF": b"\r\n", "CR": b"\r"}
+# Longer than any request of the simulated callers waits.
+SILENCE_MS = 5_100
 
 
 def event(number):
@@ -17,19 +25,59 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-def framed(sent, framing, body):
-    """Returns a complete answer whose end is marked by a framing."""
+BODY = events(1, 3)
+MIDWAY = len(events(1, 2))
+CHUNKED = b"transfer-encoding: chunked"
+
+
+def length_header(body):
+    return b"content-length: %d" % len(body)
+
+
+def complete_answer(sent, framing, body=BODY):
+    """Returns an answer with all that its framing asks for."""
+    if framing == "length":
+        return sent.answer_head(length_header(body)) + body
+    if framing == "chunks":
+        return sent.answer_head(CHUNKED) + chunk(body) + b"0\r\n\r\n"
+    if framing == "status 204":
+        return sent.answer_head(status=b"204 No Content")
+    version = b"1.0" if framing == "HTTP/1.0" else b"1.1"
+    return sent.answer_head(version=version) + body
+
+
+def first_part(sent, framing):
+    """Returns an answer up to the end of its second event."""
     if framing == "length":
-        return sent.answer_head(b"content-length: %d" % len(body)) + body
+        return sent.answer_head(length_header(BODY)) + BODY[:MIDWAY]
     if framing == "chunks":
-        head = sent.answer_head(b"transfer-encoding: chunked")
-        return head + chunk(body) + b"0\r\n\r\n"
-    return sent.answer_head() + body
+        return sent.answer_head(CHUNKED) + chunk(BODY[:MIDWAY])
+    return complete_answer(sent, framing, BODY[:MIDWAY])
+
+
+def close_if_open(sent):
+    if sent.transport.connected:
+        sent.close()
 
 
 @given("a gateway that reads what its upstreams send")
 def gateway_on_wire(context):
     context.world = wire_upstream.WireWorld()
+    context.log = LogRecorder()
+    logger = logging.getLogger(event_log.LOGGER_NAME)
+    logger.addHandler(context.log)
+    context.add_cleanup(logger.removeHandler, context.log)
+
+
+class LogRecorder(logging.Handler):
+    """Keeps the records of the event log."""
+
+    def __init__(self):
+        super().__init__()
+        self.records = []
+
+    def emit(self, record):
+        self.records.append(record)
 
 
 @when(
@@ -37,9 +85,56 @@
 )
 def ends_inside_event(context, framing):
     sent = context.world.sent[0]
-    sent.receive(framed(sent, framing, events(1, 2) + event(3)[:6]))
-    if sent.transport.connected:
-        sent.close()
+    body = BODY[: MIDWAY + 6]
+    sent.receive(complete_answer(sent, framing, body))
+    close_if_open(sent)
+
+
+@when("the upstream answers, framed by {framing}: {event}")
+def answers(context, framing, event):
+    sent = context.world.sent[0]
+    half = first_part(sent, framing)
+    whole = complete_answer(sent, framing)
+    received = {
+        "whole": whole,
+        "more bytes than announced": whole + b"more",
+        "a second answer": whole + whole,
+        "closed inside a chunk": half + b"40\r\n" + BODY[MIDWAY:],
+        "invalid chunk size": half + b"zz\r\n",
+        "closed inside trailers": whole[:-2] + b"x-end: 1\r\n",
+        "closed inside an event": half + BODY[MIDWAY : MIDWAY + 6],
+        "closed before any event": complete_answer(sent, framing, b""),
+    }.get(event, half)
+    sent.receive(received)
+    if event == "silent midway":
+        context.world.advance(SILENCE_MS)
+    elif sent.transport.connected:
+        sent.close(clean=event != "reset midway")
+
+
+def is_whole(received):
+    head, _, body = received.partition(b"\r\n\r\n")
+    if b" 204 " in head:
+        return not body and b"content-length" not in head.lower()
+    if b"transfer-encoding: chunked" in head.lower():
+        return body.endswith(b"\r\n0\r\n\r\n") or body == b"0\r\n\r\n"
+    return b"content-length: %d" % len(body) in head.lower()
+
+
+@then("the caller's answer is {answer}")
+def check_answer(context, answer):
+    caller = context.caller
+    if answer == "whole":
+        assert caller.status in (200, 204), caller.received
+        assert is_whole(caller.received), caller.received
+        assert b"more" not in caller.received, caller.received
+        assert caller.received.count(b"HTTP/1.1") == 1, caller.received
+    elif answer == "cut":
+        assert caller.status == 200, caller.received
+        assert not is_whole(caller.received), caller.received
+        assert caller.closed
+    else:
+        assert caller.status == int(answer), caller.received
 
 
 @then("the caller has received events {first:d} to {last:d}")
@@ -47,3 +142,45 @@
     received = context.caller.received
     for number in range(first, last + 1):
         assert received.count(event(number)) == 1, received
+
+
+def body_end_after(data, size):
+    body_end = answer_end.BodyEnd(answer_end.Framing.CLOSE, True)
+    for start in range(0, len(data), size):
+        body_end.feed(data[start : start + size])
+    return body_end
+
+
+@then(
+    "a stream with line ends {line_end} in parts of {size:d} bytes ends"
+    " between events"
+)
+def check_between(context, line_end, size):
+    context.size = size
+    context.data = BODY.replace(b"\n", LINE_ENDS[line_end])
+    body_end = body_end_after(context.data, size)
+    assert not body_end.inside_event
+    assert body_end.defect() == ""
+    assert answer_end.last_event_end(context.data) == len(context.data)
+
+
+@then("one byte before its end it is inside an event")
+def check_inside(context):
+    body_end = body_end_after(context.data[:-1], context.size)
+    assert body_end.inside_event
+    assert body_end.defect() == answer_end.EVENT_CUT
+
+
+@then(
+    'GL1206 has reason "{reason}", framing "{framing}" and inside_event true'
+)
+def check_log(context, reason, framing):
+    found = [
+        record.fields
+        for record in context.log.records
+        if record.event.code == "GL1206"
+    ]
+    assert len(found) == 1, found
+    assert found[0]["reason"] == reason, found
+    assert found[0]["framing"] == framing, found
+    assert found[0]["inside_event"] is True, found
--- a/godwitloft/gateway/http_server.py
+++ b/godwitloft/gateway/http_server.py
@@ -13,6 +13,7 @@
 from twisted.internet import protocol
 from twisted.python import failure
 
+from godwitloft import answer_end
 from godwitloft import clock as clocks
 from godwitloft.gateway import headers
 from godwitloft.gateway import model
@@ -109,6 +110,11 @@
         :param headers: headers without those of the connection and the length
         :param body: the complete body
         """
+        framing = answer_end.framing(self.method, status, headers)
+        if framing is answer_end.Framing.NO_BODY:
+            self.start(status, headers)
+            self.finish()
+            return
         length = (b"content-length", b"%d" % len(body))
         self.start(status, [*headers, length])
         if body:
