A store's answer without a body no longer acknowledges a write

A 200 that ended with its connection before its body was read as {}, so that a lease or a team's saved usage counted as written. Only a whole JSON object is an answer now; else the call fails and is made again. features/ platform_store.feature failed before on both rows without a body.

--- /dev/null
+++ b/features/steps/platform_store_steps.py
@@ -0,0 +1,57 @@
+import socket
+
+from behave import given
+from behave import then
+from behave import when
+from twisted.internet import error
+from twisted.internet import testing
+from twisted.python import failure
+
+from godwitloft.platform import store as stores
+
+
+@given("a client of the platform's store")
+def client(context):
+    context.reactor = testing.MemoryReactorClock()
+    context.store = stores.Store(
+        stores.Client(context.reactor, "127.0.0.1", 9, "")
+    )
+
+
+def answer(context, raw):
+    """Answers the newest call with some bytes and a clean close."""
+    factory = context.reactor.tcpClients[-1][2]
+    protocol = factory.buildProtocol(None)
+    transport = testing.StringTransport()
+    transport.abortConnection = transport.loseConnection
+    transport.setTcpNoDelay = lambda _on: None
+    handle = socket.socket()
+    context.add_cleanup(handle.close)
+    transport.getHandle = lambda: handle
+    protocol.makeConnection(transport)
+    protocol.dataReceived(raw)
+    protocol.connectionLost(failure.Failure(error.ConnectionDone()))
+
+
+@when(
+    "a write is answered with 200, framed by {framing}, and the body"
+    ' "{body}"'
+)
+@when('a write is answered with 200, framed by {framing}, and the body ""')
+def write(context, framing, body=""):
+    context.results = []
+    context.errors = []
+    call = context.store.put("table", "key", "dmFsdWU=")
+    call.addCallbacks(context.results.append, context.errors.append)
+    length = f"Content-Length: {len(body)}\r\n" if framing == "length" else ""
+    raw = f"HTTP/1.1 200 OK\r\n{length}\r\n{body}"
+    answer(context, raw.encode())
+
+
+@then("the write {result}")
+def check(context, result):
+    if result == "succeeds":
+        assert context.results == [{"ver": 5}], context.errors
+    else:
+        assert not context.results, context.results
+        assert context.errors[0].check(stores.StoreError)
--- a/godwitloft/platform/store.py
+++ b/godwitloft/platform/store.py
@@ -118,10 +118,14 @@
             self.fail(StoreError(self.name, self.status, reason))
             return
         try:
-            body = json.loads(b"".join(self.parts) or b"{}")
+            body = json.loads(b"".join(self.parts))
         except ValueError as error:
             self.fail(StoreError(self.name, HTTP_OK, str(error)))
             return
+        if not isinstance(body, dict):
+            reason = f"{body!r:.80} is not an object"
+            self.fail(StoreError(self.name, HTTP_OK, reason))
+            return
         if not self.result.called:
             self.result.callback(body)
 
