The agent takes an answer that ends with its connection as whole

A caller of a plain service whose answer has neither a length nor chunks got 502 or, for a call that may not be repeated, 'unknown', although the answer was whole; a stream with its end marker likewise. Cause: the agent's client reports any end of the connection as a loss, and can't tell a close from a reset.

--- a/features/http_upstream.feature
+++ b/features/http_upstream.feature
@@ -18,3 +18,32 @@
     Given an HTTP upstream with a run that is connecting
     When the upstream receives the request and closes the connection
     Then the run ends as "crashed" with the reason "connection_lost"
+
+  # Guards against an answer without a length that is always thrown away.
+  Scenario Outline: A <kind> response <what>
+    Given an HTTP upstream with a <kind> run that is connecting
+    When the upstream sends "<data>" and <ends>
+    Then the run ends as "<end>" with the reason "<reason>"
+
+    Examples:
+      | kind | what | data | ends | end | reason |
+      | plain | with a length | HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok | closes the connection | completed | |
+      | plain | with a length, cut | HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok | closes the connection | crashed | connection_lost |
+      | plain | in chunks, cut | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n | closes the connection | crashed | connection_lost |
+      | plain | with an invalid chunk | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n | stays silent | crashed | connection_lost |
+      | plain | that ends with its connection | HTTP/1.1 200 OK\r\n\r\nok | closes the connection | completed | |
+      | plain | that is reset before its end | HTTP/1.1 200 OK\r\n\r\nok | resets the connection | crashed | connection_lost |
+      | streaming | that ends with its connection | HTTP/1.1 200 OK\r\n\r\ndata: x\n\ndata: [DONE]\n\n | closes the connection | completed | |
+      | streaming | without its end marker | HTTP/1.1 200 OK\r\n\r\ndata: x\n\n | closes the connection | failed | stream_cut |
+      | streaming | that ends inside an event | HTTP/1.1 200 OK\r\n\r\ndata: [DONE] | closes the connection | failed | event_cut |
+
+  Scenario: A run that is cancelled before its request was sent never starts
+    Given an HTTP upstream with a run that is connecting
+    When the run is cancelled
+    Then the run ends as "never_started" with the reason "cancelled"
+
+  Scenario: A run that is cancelled while it runs
+    Given an HTTP upstream with a plain run that is connecting
+    When the upstream sends "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok" and stays silent
+    And the run is cancelled
+    Then the run ends as "failed" with the reason "cancelled"
--- a/features/steps/gateway_load_steps.py
+++ b/features/steps/gateway_load_steps.py
@@ -3,7 +3,7 @@
 from behave import when
 
 from features.support import gateway_world
-from godwitloft.gateway import attempt as attempts
+from godwitloft import attempt as attempts
 
 SLOTS = 8
 FIRST_DATA_MS = 250
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -3,7 +3,7 @@
 from behave import when
 
 from features.support import gateway_world
-from godwitloft.gateway import attempt as attempts
+from godwitloft import attempt as attempts
 
 DIALECT = gateway_world.DIALECT
 
--- a/features/steps/http_upstream_steps.py
+++ b/features/steps/http_upstream_steps.py
@@ -5,6 +5,7 @@
 from twisted.internet import testing
 from twisted.python import failure
 
+from features.support import wire
 from godwitloft.agent import http_upstream
 from godwitloft.links.generated.messages import ttypes
 
@@ -15,14 +16,21 @@
     def __init__(self):
         self.ends = []
 
+    def upstream_data(self, *_arguments):
+        pass
+
     def upstream_ended(self, run_id, end, reason, **_others):
         self.ends.append((run_id, end.value, reason))
 
 
 @given("an HTTP upstream with a run that is connecting")
 def start_run(context):
+    start_run_of(context, stream=False)
+
+
+def start_run_of(context, stream):
     context.reactor = testing.MemoryReactorClock()
-    upstream = http_upstream.HttpUpstream(
+    context.upstream = upstream = http_upstream.HttpUpstream(
         context.reactor, "http://127.0.0.1:9", True
     )
     context.ends = EndRecorder()
@@ -34,7 +42,7 @@
             path="/v1/completions",
             headers={},
             body=b"{}",
-            stream=False,
+            stream=stream,
             deadline_in_ms=1000,
             idempotent=False,
             generation=1,
@@ -53,14 +61,35 @@
 
 @when("the upstream receives the request and closes the connection")
 def drop_connection(context):
-    protocol = context.factory.buildProtocol(None)
-    transport = testing.StringTransport()
-    transport.abortConnection = transport.loseConnection
-    protocol.makeConnection(transport)
+    transport = connected(context)
     assert b"POST /v1/completions" in transport.value(), transport.value()
-    protocol.connectionLost(failure.Failure(error.ConnectionLost()))
+    wire.close(transport, clean=False)
+
+
+def connected(context):
+    return wire.connect(context.factory.buildProtocol(None), context)
+
+
+@given("an HTTP upstream with a {kind} run that is connecting")
+def start_kind(context, kind):
+    start_run_of(context, stream=kind == "streaming")
+
+
+@when('the upstream sends "{data}" and {ends}')
+def respond(context, data, ends):
+    transport = connected(context)
+    raw = data.replace("\\r", "\r").replace("\\n", "\n").encode()
+    transport.protocol.dataReceived(raw)
+    if ends != "stays silent" and transport.connected:
+        wire.close(transport, clean=ends == "closes the connection")
+
+
+@when("the run is cancelled")
+def cancel(context):
+    context.upstream.cancel("e-1")
 
 
 @then('the run ends as "{end}" with the reason "{reason}"')
-def check_end(context, end, reason):
+@then('the run ends as "{end}" with the reason ""')
+def check_end(context, end, reason=""):
     assert context.ends.ends == [("e-1", end, reason)], context.ends.ends
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -1,12 +1,9 @@
-import socket
-
 from behave import given
 from behave import then
 from behave import when
-from twisted.internet import error
 from twisted.internet import testing
-from twisted.python import failure
 
+from features.support import wire
 from godwitloft.platform import store as stores
 
 
@@ -22,20 +19,13 @@
     """Answers the newest call with some bytes and a clean close."""
     factory = context.reactor.tcpClients[-1][2]
     protocol = factory.buildProtocol(None)
-    transport = testing.StringTransport()
-    transport.abortConnection = transport.loseConnection
-    transport.setTcpNoDelay = lambda _on: None
-    handle = socket.socket()
-    context.add_cleanup(handle.close)
-    transport.getHandle = lambda: handle
-    protocol.makeConnection(transport)
+    transport = wire.connect(protocol, context)
     protocol.dataReceived(raw)
-    protocol.connectionLost(failure.Failure(error.ConnectionDone()))
+    wire.close(transport)
 
 
 @when(
-    "a write is answered with 200, framed by {framing}, and the body"
-    ' "{body}"'
+    'a write is answered with 200, framed by {framing}, and the body "{body}"'
 )
 @when('a write is answered with 200, framed by {framing}, and the body ""')
 def write(context, framing, body=""):
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -9,10 +9,10 @@
 from twisted.internet import testing
 from twisted.python import failure
 
+from godwitloft import attempt as attempts
 from godwitloft import clock as clocks
 from godwitloft import metrics
 from godwitloft.gateway import allowance
-from godwitloft.gateway import attempt as attempts
 from godwitloft.gateway import gateway as gateways
 from godwitloft.gateway import http_server
 from godwitloft.gateway import model
--- a/features/support/wire.py
+++ b/features/support/wire.py
@@ -1,5 +1,7 @@
 """Sends HTTP requests to a server factory over in-memory connections."""
 
+import socket
+
 from twisted.internet import address
 from twisted.internet import error
 from twisted.internet import testing
@@ -29,3 +31,23 @@
     """Closes a connection from the caller's side."""
     reason = failure.Failure(error.ConnectionDone())
     transport.protocol.connectionLost(reason)
+
+
+def connect(protocol, context):
+    """Connects a client's protocol and returns its in-memory transport."""
+    transport = testing.StringTransportWithDisconnection()
+    transport.protocol = protocol
+    transport.abortConnection = transport.loseConnection
+    transport.setTcpNoDelay = lambda _on: None
+    handle = socket.socket()
+    context.add_cleanup(handle.close)
+    transport.getHandle = lambda: handle
+    protocol.makeConnection(transport)
+    return transport
+
+
+def close(transport, clean=True):
+    """Closes or resets a connection from the server's side."""
+    kind = error.ConnectionDone if clean else error.ConnectionLost
+    transport.connected = False
+    transport.protocol.connectionLost(failure.Failure(kind()))
--- a/features/support/wire_upstream.py
+++ b/features/support/wire_upstream.py
@@ -7,7 +7,7 @@
 from twisted.python import failure
 
 from features.support import gateway_world
-from godwitloft.gateway import attempt as attempts
+from godwitloft import attempt as attempts
 
 
 class WireAttempt(gateway_world.Sent):
--- a/godwitloft/gateway/attempt.py
+++ b/godwitloft/attempt.py
@@ -1,4 +1,4 @@
-"""Sends one request to one upstream.
+"""Sends one HTTP request over a connection of its own.
 
 Each attempt opens its own connection. On a persistent one, it would be unknown
 whether the upstream closed it before or after it started the request, and
@@ -15,9 +15,10 @@
 from twisted.internet import protocol
 from twisted.python import failure
 
+from godwitloft import answer_end
 from godwitloft import clock as clocks
-from godwitloft.gateway import http_server
-from godwitloft.gateway import model
+
+Header = answer_end.Header
 
 CONNECT_TIMEOUT_MS = 600
 # An unreachable upstream is detected by unacknowledged data, and by TCP
@@ -48,7 +49,7 @@
 
     method: bytes
     target: bytes
-    headers: list[http_server.Header]
+    headers: list[Header]
     body: bytes
 
 
@@ -61,7 +62,7 @@
     :param on_end: called once with the kind of the end and its reason
     """
 
-    on_head: typing.Callable[[int, list[http_server.Header]], None]
+    on_head: typing.Callable[[int, list[Header]], None]
     on_data: typing.Callable[[bytes], None]
     on_end: typing.Callable[[End, str], None]
 
@@ -177,6 +178,19 @@
             self.connector.disconnect()
         self.abort_transport()
 
+    def pause_reading(self, paused: bool) -> None:
+        """Pauses or continues reading the answer.
+
+        :param paused: True to pause, False to continue
+        """
+        transport = typing.cast(typing.Any, self.transport)
+        if transport is None or self.ended:
+            return
+        if paused:
+            transport.pauseProducing()
+        else:
+            transport.resumeProducing()
+
     def abort_transport(self) -> None:
         """Aborts the connection."""
         if self.transport is not None:
@@ -215,31 +229,56 @@
 
 def start(
     reactor: typing.Any,
-    upstream: model.Upstream,
+    address: tuple[str, int],
     outgoing: Outgoing,
     callbacks: AttemptCallbacks,
-    own_host: str,
+    own_host: str = "",
+    connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
+    tls_name: str | None = None,
 ) -> Attempt:
-    """Sends a request to an upstream.
+    """Sends a request to a server.
 
     :param reactor: the twisted reactor
-    :param upstream: the upstream
+    :param address: host and TCP port of the server
     :param outgoing: the request to send
     :param callbacks: functions to call
     :param own_host: local address to connect from, empty for any
+    :param connect_timeout_ms: how long to wait for the connection
+    :param tls_name: name that the server's certificate must have, None for a
+        connection without TLS
     :return: the attempt
     """
     attempt = Attempt(outgoing, callbacks)
+    factory: typing.Any = AttemptFactory(attempt)
+    if tls_name is not None:
+        factory = wrap_in_tls(factory, tls_name)
     attempt.connector = reactor.connectTCP(
-        upstream.host,
-        upstream.port,
-        AttemptFactory(attempt),
-        timeout=CONNECT_TIMEOUT_MS / clocks.MS_PER_S,
+        *address,
+        factory,
+        timeout=connect_timeout_ms / clocks.MS_PER_S,
         bindAddress=(own_host, 0) if own_host else None,
     )
     return attempt
 
 
+def wrap_in_tls(
+    factory: protocol.ClientFactory, server_name: str
+) -> typing.Any:
+    """Returns a factory whose connections use TLS.
+
+    The libraries are imported only here, as most programs need none.
+
+    :param factory: creates the protocol within TLS
+    :param server_name: name that the server's certificate must have
+    :return: the factory to connect with
+    """
+    from twisted.internet import ssl
+    from twisted.protocols import tls
+
+    options = ssl.optionsForClientTLS(server_name)
+    return tls.TLSMemoryBIOFactory(options, True, factory)
+
+
 def enable_reachability_probes(handle: socket.socket) -> None:
     """Sets TCP options so that the kernel detects an unreachable host.
 
--- a/godwitloft/gateway/answer.py
+++ b/godwitloft/gateway/answer.py
@@ -10,7 +10,7 @@
 import typing
 
 from godwitloft import answer_end
-from godwitloft.gateway import attempt as attempts
+from godwitloft import attempt as attempts
 from godwitloft.gateway import dialect as dialects
 from godwitloft.gateway import headers as header_lists
 from godwitloft.gateway import http_server
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -9,12 +9,12 @@
 import random
 import typing
 
+from godwitloft import attempt as attempts
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft import metrics
 from godwitloft.gateway import admission as admissions
 from godwitloft.gateway import answer as answers
-from godwitloft.gateway import attempt as attempts
 from godwitloft.gateway import config_state as config_states
 from godwitloft.gateway import dialect as dialects
 from godwitloft.gateway import fleet as fleets
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -5,8 +5,8 @@
 import hashlib
 import typing
 
+from godwitloft import attempt as attempts
 from godwitloft.gateway import allowance
-from godwitloft.gateway import attempt as attempts
 from godwitloft.gateway import dialect as dialects
 from godwitloft.gateway import fleet
 from godwitloft.gateway import headers as header_lists
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -7,13 +7,13 @@
 import sys
 import typing
 
+from godwitloft import attempt as attempts
 from godwitloft import bounded_log
 from godwitloft import clock as clocks
 from godwitloft import errors
 from godwitloft import events
 from godwitloft import incarnation as incarnations
 from godwitloft import metrics
-from godwitloft.gateway import attempt as attempts
 from godwitloft.gateway import daemon
 from godwitloft.gateway import gateway as gateways
 from godwitloft.gateway import model
@@ -58,9 +58,8 @@
         outgoing: attempts.Outgoing,
         callbacks: attempts.AttemptCallbacks,
     ) -> attempts.Attempt:
-        return attempts.start(
-            reactor, upstream, outgoing, callbacks, boot.host
-        )
+        address = (upstream.host, upstream.port)
+        return attempts.start(reactor, address, outgoing, callbacks, boot.host)
 
     incarnation = incarnations.new_incarnation(boot.instance)
 
--- a/godwitloft/platform/store.py
+++ b/godwitloft/platform/store.py
@@ -7,11 +7,10 @@
 
 from twisted.internet import defer
 
+from godwitloft import attempt as attempts
 from godwitloft import clock as clocks
 from godwitloft import errors
-from godwitloft.gateway import attempt as attempts
 from godwitloft.gateway import http_server
-from godwitloft.gateway import model
 
 CALL_TIMEOUT_MS = 1_000
 HTTP_OK = 200
@@ -152,7 +151,7 @@
     ) -> None:
         self.reactor = reactor
         self.own_host = own_host
-        self.server = model.Upstream("", "", host, port, "", 1, False, 0)
+        self.address = (host, port)
 
     def call(
         self,
@@ -171,9 +170,9 @@
         """
         result: defer.Deferred[typing.Any] = defer.Deferred()
         call = Call(f"{method} {target.partition('?')[0]}", result)
-        server = self.server
+        host, port = self.address
         headers = [
-            (b"host", f"{server.host}:{server.port}".encode()),
+            (b"host", f"{host}:{port}".encode()),
             (b"connection", b"close"),
         ]
         if body:
@@ -181,7 +180,7 @@
             headers.append((b"content-length", b"%d" % len(body)))
         attempt = attempts.start(
             self.reactor,
-            server,
+            self.address,
             attempts.Outgoing(method.encode(), target.encode(), headers, body),
             attempts.AttemptCallbacks(
                 call.on_head, call.parts.append, call.on_end
