The store's client refuses a body whose end is not marked

A row's value that was cut short together with its connection was taken for the whole value. Such an answer now fails: a read is made again, a write counts as lost. One row of features/platform.feature failed before (the read).

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -74,3 +74,15 @@
       | 2000 | 3000 | lost | unavailable |
       | 5000 | 3000 | swapped 1 | a 1 |
       | 5000 | 6000 | lost | unavailable |
+
+  # Guards against a row that was cut short and counts as whole.
+  Scenario Outline: A <call> whose answer <how>
+    Then a <call> whose answer <how> ends as <outcome>
+
+    Examples:
+      | call | how | outcome |
+      | read | has a length | a value |
+      | read | has a length and is cut | StoreUnavailable |
+      | read | ends with its connection | StoreUnavailable |
+      | write | has a length | a value |
+      | write | ends with its connection | AnswerLost |
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -8,8 +8,10 @@
 from twisted.internet import defer
 from twisted.internet import error
 from twisted.internet import task
+from twisted.internet import testing as twisted_testing
 
 from features.support import calls
+from features.support import wire
 from godwitloft import clock as clocks
 from godwitloft import decode
 from godwitloft import settings
@@ -193,3 +195,33 @@
             call(fixture, "read", "k"),
         ]
         assert results == [written, found], (adapter.__name__, results)
+
+
+RAW_ANSWERS = {
+    "has a length": b"Content-Length: 1\r\n\r\na",
+    "has a length and is cut": b"Content-Length: 2\r\n\r\na",
+    "ends with its connection": b"\r\na",
+}
+
+
+@then("a {name} whose answer {how} ends as {outcome}")
+def check_framing(context, name, how, outcome):
+    reactor = twisted_testing.MemoryReactorClock()
+    platform = http.platform("http://127.0.0.1:9", reactor)
+    results = []
+    if name == "read":
+        answer = platform.read_row("t", "k")
+    else:
+        answer = platform.write_row("t", "k", b"a", 0, None)
+    answer.addBoth(results.append)
+    client_protocol = reactor.tcpClients[0][2].buildProtocol(None)
+    transport = wire.connect(client_protocol, context)
+    client_protocol.dataReceived(
+        b'HTTP/1.1 200 OK\r\nETag: "1"\r\n' + RAW_ANSWERS[how]
+    )
+    if transport.connected:
+        wire.close(transport)
+    if outcome == "a value":
+        assert "'a'" in repr(results[0]) or results[0].row.version == 1
+    else:
+        assert results[0].check(getattr(port, outcome)), results
--- a/godwitloft/store/http.py
+++ b/godwitloft/store/http.py
@@ -14,6 +14,7 @@
 from twisted.internet import defer
 from twisted.internet import error
 from twisted.internet import interfaces
+from twisted.internet import protocol
 from twisted.python import failure
 from twisted.web import client
 
@@ -160,7 +161,7 @@
         )
         if _length(received) > MAX_RESPONSE_BYTES:
             raise port.InvalidCall(f"{method} {path}: the answer is too long")
-        content = await received.content()
+        content = await _read_body(received)
         etags = received.headers.getRawHeaders("ETag", [""])
         etag = etags[0].strip('"')
         version = int(etag) if etag.isdigit() else 0
@@ -169,6 +170,34 @@
     return send
 
 
+class _BodyReader(protocol.Protocol):
+    """Collects the body of a response whose framing marks its end.
+
+    Other bodies are refused: a row cut short would be taken for a whole one.
+    """
+
+    def __init__(self) -> None:
+        self.parts: list[bytes] = []
+        self.result: defer.Deferred[bytes] = defer.Deferred()
+
+    def dataReceived(self, data: bytes) -> None:
+        self.parts.append(data)
+
+    def connectionLost(
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        if reason.check(client.ResponseDone):
+            self.result.callback(b"".join(self.parts))
+        else:
+            self.result.errback(reason)
+
+
+def _read_body(response: typing.Any) -> defer.Deferred[bytes]:
+    reader = _BodyReader()
+    response.deliverBody(reader)
+    return reader.result
+
+
 def _length(response: typing.Any) -> int:
     return response.length if isinstance(response.length, int) else 0
 
