Heed Server-Leaving and an upstream's Retry-After

Each head of an answer is read for both signs. Leaving is bound to one life of the upstream, is told to peers and comes with agents' grants; states of upstreams are kept for ten minutes after they were last listed, so that neither sign is forgotten when the list loses one and gets it back. A pause is kept by the gateway that was asked; starts after it are paced; when all upstreams pause beyond a request's time it is refused at once with a true Retry-After.

Not yet in the soak.

--- a/features/steps/gateway_slots_steps.py
+++ b/features/steps/gateway_slots_steps.py
@@ -99,7 +99,7 @@
         self.world = world
         self.name = f"g{number}"
         self.fleet = fleet.Fleet()
-        self.fleet.update({"u": world.upstream})
+        self.fleet.update({"u": world.upstream}, 0)
         self.state = self.fleet.listed["u"]
         self.waiting = []
         self.client = slot_client.SlotClient(
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -84,6 +84,7 @@
     outgoing: attempts.Outgoing
     callbacks: attempts.AttemptCallbacks
     cancelled: bool = False
+    sent: bool = True
 
     def cancel(self):
         self.cancelled = True
--- a/godwitloft/gateway/admission.py
+++ b/godwitloft/gateway/admission.py
@@ -14,6 +14,7 @@
 
 from godwitloft import clock as clocks
 from godwitloft.gateway import crash_tracker
+from godwitloft.gateway import fleet as fleets
 from godwitloft.gateway import ordering
 from godwitloft.gateway import placement
 from godwitloft.gateway import refusals
@@ -35,6 +36,13 @@
 OVERLOAD_REASONS = frozenset(
     ("crowded_out", "queue_full", "wait_too_long", "waited_too_long")
 )
+UPSTREAMS_PAUSED = "upstreams_paused"
+# The gateway itself shuts down; others take the request.
+LEAVING = "leaving"
+# Callers that are refused during pauses of all upstreams come back over this
+# part of the remaining pause, after its end.
+PAUSE_RETRY_SPREAD = 0.25
+MIN_PAUSE_RETRY_SPREAD_MS = 500.0
 # Longest retry delay after other refusals.
 MAX_SHORT_RETRY_AFTER_MS = 700
 
@@ -97,6 +105,7 @@
     :param sharing: teams' allowances
     :param crashes: requests that crash upstreams
     :param rng: randomizes retry delays
+    :param fleet: the upstreams
     """
 
     def __init__(
@@ -105,7 +114,9 @@
         sharing: sharings.Sharing,
         crashes: crash_tracker.CrashTracker,
         rng: random.Random,
+        fleet: fleets.Fleet,
     ) -> None:
+        self.fleet = fleet
         self.clock = clock
         self.sharing = sharing
         self.crashes = crashes
@@ -144,6 +155,8 @@
             return refusals.Refusal(500, "crashes_upstreams")
         if facts.deadline_ms <= now_ms:
             return refusals.Refusal(503, "no_time_left")
+        if self.is_paused_too_long(request, now_ms):
+            return self.rejection(request, UPSTREAMS_PAUSED)
         if len(queue) >= MAX_WAITING:
             return self.rejection(request, "queue_full")
         wait_ms = self.expected_wait_ms(request, queue, now_ms)
@@ -153,6 +166,23 @@
             return self.rejection(request, "crowded_out")
         return self.charge_allowance(request)
 
+    def is_paused_too_long(
+        self, request: requests.Request, now_ms: int
+    ) -> bool:
+        """Returns whether no upstream takes requests within a request's time.
+
+        :param request: a new or waiting request
+        :param now_ms: the current time
+        :return: whether all upstreams of its service have asked for pauses
+            that end after its deadline
+        """
+        facts = request.facts
+        pause_ms = self.fleet.pause_left_ms(facts.service, now_ms)
+        deadline_ms = facts.deadline_ms
+        if not request.exchange.started:
+            deadline_ms = min(deadline_ms, facts.first_data_deadline_ms)
+        return pause_ms > 0 and now_ms + pause_ms >= deadline_ms
+
     def is_overloaded(
         self,
         request: requests.Request,
@@ -223,6 +253,8 @@
         :return: a reason, empty while it may keep waiting
         """
         facts = request.facts
+        if self.is_paused_too_long(request, now_ms):
+            return UPSTREAMS_PAUSED
         if request.exchange.started:
             return "waited_too_long" if now_ms >= facts.deadline_ms else ""
         half_way_ms = (facts.target_at_ms + facts.first_data_deadline_ms) // 2
@@ -280,6 +312,18 @@
         """
         facts = request.facts
         now_ms = self.clock.monotonic_ms()
+        pause_ms = self.fleet.pause_left_ms(facts.service, now_ms)
+        if pause_ms > 0 and reason != LEAVING:
+            spread_ms = max(
+                MIN_PAUSE_RETRY_SPREAD_MS, PAUSE_RETRY_SPREAD * pause_ms
+            )
+            after_ms = pause_ms + self.rng.uniform(0, spread_ms)
+            return refusals.Refusal(
+                503,
+                reason,
+                int(after_ms),
+                {"rank": facts.rank, "pause_left_ms": pause_ms},
+            )
         remaining_ms = facts.caller_deadline_ms - now_ms
         latest_ms = refusals.bounded_retry_after_ms(remaining_ms / 3)
         if reason in OVERLOAD_REASONS:
--- a/godwitloft/gateway/arbiter.py
+++ b/godwitloft/gateway/arbiter.py
@@ -84,6 +84,8 @@
         self.incarnation = incarnation
         self.zone = zone
         self.started_ms = clock.monotonic_ms()
+        # Start of the upstream's process, if it has said that it is leaving.
+        self.leaving_born_ms: int | None = None
         self.claims_by_upstream: dict[str, UpstreamClaims] = {}
         self.pending_grants: set[str] = set()
         self.unclaimed: collections.deque[int] = collections.deque(
@@ -105,6 +107,18 @@
         )
         self.unclaimed.append(max(0, busy - claimed))
 
+    def set_leaving(self, born_ms: int | None) -> None:
+        """Tells gateways whether the upstream has said that it is leaving.
+
+        :param born_ms: start of its process, None if it is not leaving
+        """
+        if born_ms == self.leaving_born_ms:
+            return
+        self.leaving_born_ms = born_ms
+        for claims in list(self.claims_by_upstream.values()):
+            claims.granted_limits.clear()
+            self.grant(claims)
+
     def on_datagram(
         self, datagram: ttypes.Datagram, address: datagrams.Address
     ) -> None:
@@ -222,6 +236,7 @@
             sequence=want.sequence,
             start_limit=limit,
             unread_elsewhere=pending_prompt_tokens,
+            leaving_born_ms=self.leaving_born_ms,
         )
         self.send(
             datagrams.encode(grant=grant),
--- a/godwitloft/gateway/dialect.py
+++ b/godwitloft/gateway/dialect.py
@@ -22,6 +22,7 @@
     :param upstream_id: identity of the upstream that answers
     :param team: name of the caller's team
     :param not_run: an upstream's statement that it did not run the request
+    :param leaving: an upstream's statement that it takes no new requests
     :param seal: response seal, which only upstreams set on their answers
     :param key_scheme: scheme of the ``Authorization`` header with a key
     :param reserved: headers that only a gateway may set; they are removed from
@@ -37,6 +38,7 @@
     upstream_id: bytes
     team: bytes
     not_run: bytes
+    leaving: bytes
     seal: bytes
     key_scheme: bytes
     reserved: frozenset[bytes]
--- a/godwitloft/gateway/fleet.py
+++ b/godwitloft/gateway/fleet.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from godwitloft.gateway import model
+from godwitloft.gateway import peer_status
 from godwitloft.gateway import placement
 
 UNREACHABLE_PAUSE_MS = 500
@@ -10,6 +11,13 @@
 FAILURES_BEFORE_PAUSE = 3
 NEW_VALUE_WEIGHT = 0.2
 REFERENCE_SLOWNESS = 1.0
+# What an upstream has said about itself is kept for this long after it was
+# last listed, as the list may lose it and get it back.
+UNLISTED_KEPT_MS = 600_000
+# After a pause that an upstream asked for, requests to it start at most this
+# often for a while.
+PACED_MS = 1_000
+PACED_START_INTERVAL_MS = 100
 MIN_SLOWNESS = 0.2
 MAX_SLOWNESS = 20.0
 
@@ -34,6 +42,59 @@
         self.grant_sequence = 0
         self.last_want: object = None
         self.last_want_ms = 0
+        # When it said that it is leaving, None if it has not said so.
+        self.said_leaving_ms: int | None = None
+        # End of the last pause that it asked for.
+        self.asked_pause_until_ms = 0
+        self.next_start_ms = 0
+        # When it was last listed, before it went missing.
+        self.last_listed_ms = 0
+
+    @property
+    def life(self) -> peer_status.Life:
+        """The life of the upstream that this state belongs to."""
+        return peer_status.Life(self.upstream.id, self.upstream.born_ms)
+
+    def is_open(self, now_ms: int) -> bool:
+        """Returns whether it wants requests.
+
+        :param now_ms: the current time
+        :return: whether no pause that it asked for is in force, and a request
+            may start now
+        """
+        return now_ms >= max(self.asked_pause_until_ms, self.next_start_ms)
+
+    def record_start(self, now_ms: int) -> None:
+        """Records that a request starts.
+
+        :param now_ms: the current time
+        """
+        self.running += 1
+        self.started += 1
+        if now_ms < self.asked_pause_until_ms + PACED_MS:
+            self.next_start_ms = now_ms + PACED_START_INTERVAL_MS
+
+    def ask_pause(self, duration_ms: int, now_ms: int) -> None:
+        """Starts a pause that it asked for, or prolongs one.
+
+        :param duration_ms: how long it wants no requests
+        :param now_ms: the current time
+        """
+        self.asked_pause_until_ms = max(
+            self.asked_pause_until_ms, now_ms + duration_ms
+        )
+
+    def say_leaving(self, now_ms: int) -> bool:
+        """Records that it has said that it is leaving.
+
+        :param now_ms: the current time
+        :return: whether this was not known
+        """
+        if self.upstream.leaving:
+            return False
+        self.said_leaving_ms = now_ms
+        self.mark_leaving()
+        return True
 
     def record_success(self, first_data_ms: float, prompt_tokens: int) -> None:
         """Records a successful answer.
@@ -90,13 +151,16 @@
         self.listed: dict[str, UpstreamState] = {}
         self.has_list = False
 
-    def update(self, upstreams: dict[str, model.Upstream]) -> FleetChange:
+    def update(
+        self, upstreams: dict[str, model.Upstream], now_ms: int
+    ) -> FleetChange:
         """Replaces the list of upstreams.
 
         An upstream that is leaving stays so until its process is replaced,
         even if an outdated copy of the list says otherwise.
 
         :param upstreams: upstreams by id
+        :param now_ms: the current time
         :return: differences from the previous list
         """
         self.has_list = True
@@ -107,6 +171,9 @@
             if state is None or state.upstream.born_ms != upstream.born_ms:
                 state = self.states[upstream_id] = UpstreamState(upstream)
                 added.append(upstream_id)
+            elif upstream_id not in self.listed:
+                added.append(upstream_id)
+            state.last_listed_ms = now_ms
             was_leaving = state.upstream.leaving
             if was_leaving and not upstream.leaving:
                 upstream = dataclasses.replace(upstream, leaving=True)
@@ -115,8 +182,9 @@
                 leaving.append(upstream_id)
         removed = [name for name in self.listed if name not in upstreams]
         self.listed = {name: self.states[name] for name in upstreams}
-        for name in list(self.states):
-            if name not in self.listed and not self.states[name].running:
+        for name, state in list(self.states.items()):
+            unlisted_ms = now_ms - state.last_listed_ms
+            if unlisted_ms > UNLISTED_KEPT_MS and not state.running:
                 del self.states[name]
         return FleetChange(tuple(added), tuple(leaving), tuple(removed))
 
@@ -131,3 +199,37 @@
             for state in self.listed.values()
             if state.upstream.service == service and not state.upstream.leaving
         ]
+
+    def pause_left_ms(self, service: str, now_ms: int) -> int:
+        """Returns how long all upstreams of a service still want a pause.
+
+        :param service: name of the service
+        :param now_ms: the current time
+        :return: milliseconds until the first of them ends its pause, 0 if one
+            takes requests or there are none
+        """
+        states = self.usable(service)
+        ends_ms = (state.asked_pause_until_ms for state in states)
+        return max(0, min(ends_ms, default=0) - now_ms)
+
+    def lately_leaving(self, since_ms: int) -> tuple[peer_status.Life, ...]:
+        """Returns upstreams that have said that they are leaving.
+
+        :param since_ms: since when
+        :return: their lives
+        """
+        return tuple(
+            state.life
+            for state in self.states.values()
+            if state.said_leaving_ms is not None
+            and state.said_leaving_ms >= since_ms
+        )
+
+    def state_of(self, life: peer_status.Life) -> UpstreamState | None:
+        """Returns the state of an upstream, if it is still in that life.
+
+        :param life: identity and start of the upstream
+        :return: its state, None if it isn't known or was replaced
+        """
+        state = self.states.get(life.id)
+        return state if state is not None and state.life == life else None
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -34,9 +34,19 @@
 from godwitloft.gateway import retry_policy as retry_policies
 from godwitloft.gateway import sharing as sharings
 from godwitloft.gateway import slot_client as slot_clients
+from godwitloft.gateway import upstream_signs
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
 
+# How long peers are told that an upstream is leaving; by then the list says
+# so, if it ever does.
+LEAVING_TOLD_MS = 3_000
+MAX_LEAVING_TOLD = 20
+MAX_VALUE_LOGGED = 60
+NOT_SENT_FOR_PAUSE = answers.AttemptOutcome(
+    outcomes.Result.NOT_SENT, "upstream_paused", unusable=True
+)
+
 
 @dataclasses.dataclass(frozen=True)
 class Dependencies:
@@ -78,6 +88,7 @@
         self.options = options
         self.dialect = dialect
         self.dependencies = dependencies
+        self.instruments = dependencies.instruments
         self.clock = dependencies.clock
         self.config_state = config_states.ConfigState(
             self.clock, options.key_proof_ms
@@ -116,6 +127,7 @@
             dependencies.sharing,
             self.retry_policy.crashes,
             dependencies.rng,
+            self.fleet,
         )
         self.reports = reports.Reports(
             self.clock, dependencies.instruments, self.config_state
@@ -173,9 +185,12 @@
 
         :return: the present status
         """
+        since_ms = self.clock.monotonic_ms() - LEAVING_TOLD_MS
+        leaving = self.fleet.lately_leaving(since_ms)
         return peer_status.PeerStatus(
             version=self.config_state.version,
             timeline=self.store_timeline(),
+            leaving=leaving[:MAX_LEAVING_TOLD],
         )
 
     def on_peer_status(self, status: peer_status.PeerStatus) -> None:
@@ -185,6 +200,10 @@
         """
         self.confirmation.note_version(status.version)
         self.on_peer_timeline(status.timeline)
+        for life in status.leaving:
+            state = self.fleet.state_of(life)
+            if state is not None:
+                self.mark_leaving(state, "peer")
 
     def announce(self) -> None:
         """Announces usage to other gateways and asks a poller, each if due."""
@@ -198,7 +217,7 @@
 
         :param upstreams: upstreams by id
         """
-        change = self.fleet.update(upstreams)
+        change = self.fleet.update(upstreams, self.clock.monotonic_ms())
         for kind, names in (
             ("added", change.added),
             ("leaving", change.leaving),
@@ -257,7 +276,8 @@
             for request in queue:
                 if request.state is requests.State.WAITING:
                     self.refuse(
-                        request, self.admission.rejection(request, "leaving")
+                        request,
+                        self.admission.rejection(request, admissions.LEAVING),
                     )
 
     # Arrival of requests.
@@ -347,6 +367,11 @@
 
         :param grant: how many requests may start at its upstream
         """
+        if grant.leaving_born_ms is not None:
+            life = peer_status.Life(grant.upstream, grant.leaving_born_ms)
+            state = self.fleet.state_of(life)
+            if state is not None:
+                self.mark_leaving(state, "agent")
         service = self.dependencies.slot_client.on_grant(grant, self.fleet)
         if service is not None and self.waiting.get(service):
             self.schedule(service)
@@ -379,8 +404,7 @@
         request.last_upstream_id = state.upstream.id
         request.upstream_state = state
         request.answer = answers.Answer(request, self.dialect)
-        state.running += 1
-        state.started += 1
+        state.record_start(now_ms)
         request.prompt_tokens_ahead = (
             state.pending_prompt_tokens + state.pending_prompt_tokens_elsewhere
         )
@@ -460,6 +484,93 @@
             and request.answer is not None
         ):
             request.answer.on_head(status, headers)
+            self.heed_signs(request, status, headers)
+
+    def heed_signs(
+        self,
+        request: requests.Request,
+        status: int,
+        headers: list[http_server.Header],
+    ) -> None:
+        """Handles what an upstream says about itself in an answer.
+
+        :param request: the answered request
+        :param status: HTTP status
+        :param headers: all headers
+        """
+        state = request.upstream_state
+        answering_id = dict(headers).get(self.dialect.upstream_id)
+        if state is None or answering_id not in (
+            None,
+            state.upstream.id.encode("latin-1"),
+        ):
+            return
+        signs = upstream_signs.read(
+            status, headers, self.dialect, self.clock.wall_ms()
+        )
+        if signs.leaving:
+            self.mark_leaving(state, "answer")
+        if signs.pause.error:
+            events.log(
+                events.RETRY_AFTER_IGNORED,
+                upstream=state.upstream.id,
+                request=request.facts.id,
+                value=signs.retry_after[:MAX_VALUE_LOGGED],
+                reason=signs.pause.error,
+            )
+        if signs.pause.duration_ms > 0:
+            self.pause_upstream(state, request, signs.pause.duration_ms)
+
+    def mark_leaving(self, state: fleets.UpstreamState, source: str) -> None:
+        """Stops sending new requests to an upstream that is leaving.
+
+        :param state: the upstream
+        :param source: who says so: its ``answer``, its ``agent`` or a
+            ``peer``
+        """
+        if not state.say_leaving(self.clock.monotonic_ms()):
+            return
+        self.instruments.upstream_signs.add(1, {"sign": "leaving"})
+        events.log(
+            events.UPSTREAM_LEAVING,
+            upstream=state.upstream.id,
+            source=source,
+            running=state.running,
+        )
+        self.dependencies.sharing.must_announce = True
+
+    def pause_upstream(
+        self,
+        state: fleets.UpstreamState,
+        request: requests.Request,
+        duration_ms: int,
+    ) -> None:
+        """Sends nothing to an upstream for as long as it asked.
+
+        Requests whose connections are still being made are taken back.
+
+        :param state: the upstream
+        :param request: the request that it refused
+        :param duration_ms: how long it wants no requests
+        """
+        now_ms = self.clock.monotonic_ms()
+        state.ask_pause(duration_ms, now_ms)
+        self.instruments.upstream_signs.add(1, {"sign": "pause"})
+        events.log(
+            events.UPSTREAM_PAUSED,
+            upstream=state.upstream.id,
+            request=request.facts.id,
+            pause_ms=duration_ms,
+            running=state.running,
+        )
+        for other in list(self.running):
+            attempt = other.attempt
+            if other.upstream_state is not state or attempt is None:
+                continue
+            if not attempt.sent:
+                self.cancel_attempt(other)
+                other.runs -= 1
+                self.requeue(other, NOT_SENT_FOR_PAUSE)
 
     def on_data(
         self, request: requests.Request, attempt_number: int, data: bytes
--- a/godwitloft/gateway/placer.py
+++ b/godwitloft/gateway/placer.py
@@ -64,6 +64,7 @@
                 paused=state.paused_until_ms > now_ms,
             )
             for state in states
+            if state.is_open(now_ms)
         ]
         place = placement.choose(
             places,
--- a/godwitloft/gateway/slot_client.py
+++ b/godwitloft/gateway/slot_client.py
@@ -60,6 +60,8 @@
         selected = self.select_agents(states) if any(waiting) else set()
         for state in states:
             requested = waiting if state.upstream.id in selected else ()
+            if not state.is_open(now_ms):
+                requested = ()
             want_state = (
                 state.started,
                 state.running,
--- a/godwitloft/platform/agent.py
+++ b/godwitloft/platform/agent.py
@@ -1,14 +1,18 @@
 """Runs an agent on the machine of an upstream."""
 
+import dataclasses
 import typing
 
 from twisted.python import failure
 
+from godwitloft import attempt as attempts
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft import incarnation as incarnations
 from godwitloft.gateway import arbiter as arbiters
+from godwitloft.gateway import upstream_signs
 from godwitloft.links import datagrams
+from godwitloft.platform import headers as platform_headers
 from godwitloft.platform import settings
 from godwitloft.platform import store as stores
 
@@ -17,6 +21,19 @@
 REPORT_PATH = "/report"
 
 
+@dataclasses.dataclass(frozen=True)
+class Report:
+    """What an upstream reports about itself.
+
+    :param active_requests: requests that run or wait there
+    :param born_ms: start of its process, 0 if it doesn't say, None without a
+        report
+    """
+
+    active_requests: int
+    born_ms: int | None
+
+
 class AgentDaemon:
     """An arbiter with its UDP socket and timers.
 
@@ -35,11 +52,19 @@
         self.boot = boot
         self.on_drained: typing.Callable[[], None] = _do_nothing
         self.stopped = False
+        self.clock = clocks.boottime_clock()
+        self.next_report_ms = REPORT_INTERVAL_MS
+        self.says_leaving = False
+        self.born_ms = 0
         self.client = stores.Client(
-            reactor, upstream.host, upstream.port, boot.host
+            reactor,
+            upstream.host,
+            upstream.port,
+            boot.host,
+            self.on_headers,
         )
         self.arbiter = arbiters.Arbiter(
-            clocks.boottime_clock(),
+            self.clock,
             self.call_later,
             self.send,
             incarnations.new_incarnation(boot.instance),
@@ -81,19 +106,35 @@
         """Requests the number of active requests from the upstream."""
         if self.stopped:
             return
-        report = self.client.call(
+        self.next_report_ms = REPORT_INTERVAL_MS
+        answer = self.client.call(
             "GET", REPORT_PATH, timeout_ms=REPORT_TIMEOUT_MS
         )
-        active = report.addCallbacks(parse_active_requests, on_report_failed)
-        active.addCallback(self.on_report)
+        report = answer.addCallbacks(decode_report, on_report_failed)
+        report.addCallback(self.on_report)
+
+    def on_headers(self, status: int, headers: list[attempts.Header]) -> None:
+        """Handles what the upstream says about itself in any answer.
+
+        :param status: HTTP status
+        :param headers: all headers
+        """
+        signs = upstream_signs.read(
+            status, headers, platform_headers.DIALECT, self.clock.wall_ms()
+        )
+        self.says_leaving = signs.leaving
+        self.next_report_ms = max(self.next_report_ms, signs.pause.duration_ms)
 
-    def on_report(self, active_requests: int) -> None:
+    def on_report(self, report: Report) -> None:
         """Passes a report to the arbiter and schedules the next request.
 
-        :param active_requests: running and waiting requests of the upstream
+        :param report: the upstream's report
         """
-        self.arbiter.on_upstream_report(active_requests)
-        self.call_later(REPORT_INTERVAL_MS, self.request_report)
+        self.arbiter.on_upstream_report(report.active_requests)
+        if report.born_ms is not None:
+            self.born_ms = report.born_ms
+        self.arbiter.set_leaving(self.born_ms if self.says_leaving else None)
+        self.call_later(self.next_report_ms, self.request_report)
 
     def drain(self, done: typing.Callable[[], None]) -> None:
         """Ends at once, since gateways also work without an agent.
@@ -109,29 +150,31 @@
         events.log(events.STOPPED, instance=self.boot.instance)
 
 
-def parse_active_requests(answer: stores.Answer) -> int:
-    """Returns the number of active requests from an upstream's report.
+def decode_report(answer: stores.Answer) -> Report:
+    """Decodes an upstream's report.
 
     :param answer: the upstream's answer
-    :return: running and waiting requests, 0 if the report is invalid
+    :return: the report; an invalid field counts as missing
     """
     report = answer.body
     try:
-        return int(report["running"]) + int(report["waiting"])
+        active = int(report["running"]) + int(report["waiting"])
     except (KeyError, TypeError, ValueError) as error:
         events.log(
             events.ROW_SKIPPED, row="report", field="", reason=repr(error)
         )
-        return 0
+        active = 0
+    born_ms = report.get("born", 0)
+    return Report(active, born_ms if isinstance(born_ms, int) else 0)
 
 
-def on_report_failed(_failure: failure.Failure) -> int:
-    """Returns the number of active requests if no report was received.
+def on_report_failed(_failure: failure.Failure) -> Report:
+    """Returns the report of an upstream that could not be asked.
 
     :param _failure: unused, the error of the call
-    :return: 0, since an upstream that crashed runs nothing
+    :return: no requests, since an upstream that crashed runs nothing
     """
-    return 0
+    return Report(0, None)
 
 
 def build(
--- a/godwitloft/platform/headers.py
+++ b/godwitloft/platform/headers.py
@@ -14,6 +14,7 @@
     upstream_id=PREFIX + b"instance-id",
     team=PREFIX + b"tenant",
     not_run=PREFIX + b"not-executed",
+    leaving=b"server-leaving",
     seal=PREFIX + b"response-seal",
     key_scheme=b"Token",
     reserved=frozenset(
