Soak: restores of the store, leaving upstreams, pauses, broken unframed streams

Four more faults, drawn apart so that the faults of a seed stay what they were, and two more checks: requests to a runner that had told their entry that it leaves (DRAIN), and pauses that are not kept (BUDGET).

A gateway that starts waits up to 0.7 s for a peer to speak before it is ready, so that it doesn't follow a store that was restored when a peer knows better.

--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -23,6 +23,10 @@
 
 CALL_TIMEOUT_S = 10
 MS_PER_S = 1000
+# Age of the copy from which the store comes back, and how long after that the
+# operators write again what they had written.
+COPY_AGE_MS = 3_000
+OPERATOR_REWRITE_MS = 500
 RELAY_MODES = {
     "delay": relay.DELAY,
     "silent": relay.SILENT,
@@ -36,6 +40,7 @@
     "misdirect": {"misdirect": 3},
     "refuse": {"refuse": 3},
     "cut_streams": {"cut_after": [1, 2]},
+    "break_unframed": {"break_unframed": 3},
 }
 
 
@@ -85,6 +90,8 @@
         self.version = 1
         # Number of active faults that withdraw each key or route.
         self.withdrawn: collections.Counter[str] = collections.Counter()
+        # Number of restarts of each runner.
+        self.lives: collections.Counter[str] = collections.Counter()
         self.entries: list[programs.Program] = []
         self.agents: list[programs.Program] = []
         self.relays: list[relay.Relay] = []
@@ -346,8 +353,19 @@
             self.control(runners={injected.target: {"state": "ready"}})
         elif fault.kind == "gone":
             self.control(runners={injected.target: {"gone": False}})
+        elif fault.kind == "say_leaving":
+            self.start_new_life(injected.target)
         injected.end_ms = now_ms()
 
+    def start_new_life(self, runner: str) -> None:
+        """Lets a runner that is leaving start again under its id.
+
+        :param runner: its id
+        """
+        self.lives[runner] += 1
+        life = {"says_leaving": False, "born": 1 + self.lives[runner]}
+        self.control(runners={runner: life})
+
     def target_program(self, fault: plan.Fault) -> programs.Program:
         """Returns the program that is the target of a fault.
 
@@ -422,6 +440,18 @@
             self.control(away_ms=fault.duration_ms)
         elif fault.kind == "store_forgets":
             self.control(forget=True)
+        elif fault.kind == "store_restored":
+            self.control(
+                drill={
+                    "away_ms": fault.duration_ms,
+                    "copy_age_ms": COPY_AGE_MS,
+                    "operator_ms": OPERATOR_REWRITE_MS,
+                }
+            )
+        elif fault.kind == "say_leaving":
+            self.control(runners={name: {"says_leaving": True}})
+        elif fault.kind == "ask_pause":
+            self.control(runners={name: {"pause_ms": fault.duration_ms}})
         elif fault.kind == "store_reset":
             self.on_reactor(self.store_relay.reset)
         elif fault.kind == "reset":
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -14,7 +14,7 @@
 
 # Kinds of faults: target, shortest and longest duration in milliseconds. A
 # fault of duration 0 is instantaneous.
-KINDS: dict[str, tuple[str, int, int]] = {
+FIRST_KINDS: dict[str, tuple[str, int, int]] = {
     "kill": ("entry", 300, 4_000),
     "terminate": ("entry", 6_500, 9_000),
     "pause": ("entry", 200, 5_000),
@@ -40,6 +40,15 @@
     "withdraw_key": ("configuration", 4_000, 9_000),
     "withdraw_route": ("configuration", 4_000, 9_000),
 }
+# These are drawn apart, so that the faults of a seed stay what they were.
+LATER_KINDS: dict[str, tuple[str, int, int]] = {
+    "store_restored": ("store", 300, 3_000),
+    "say_leaving": ("runner", 4_000, 8_000),
+    "ask_pause": ("runner", 1_000, 4_000),
+    "break_unframed": ("runner", 0, 0),
+}
+LATER_MEAN_GAP_MS = 3_000
+KINDS = FIRST_KINDS | LATER_KINDS
 
 
 @dataclasses.dataclass(frozen=True)
@@ -94,13 +103,41 @@
     :return: faults in order of time; some come in series, and they may
         overlap
     """
-    rng = random.Random(seed)
     end_ms = int(seconds * MS_PER_S) - FAULT_FREE_END_MS
+    first = draw_kinds(
+        random.Random(seed), FIRST_KINDS, MEAN_GAP_MS, end_ms, size
+    )
+    later = draw_kinds(
+        random.Random(f"{seed} later"),
+        LATER_KINDS,
+        LATER_MEAN_GAP_MS,
+        end_ms,
+        size,
+    )
+    return tuple(sorted(first + later, key=lambda fault: fault.at_ms))
+
+
+def draw_kinds(
+    rng: random.Random,
+    kinds: dict[str, tuple[str, int, int]],
+    mean_gap_ms: int,
+    end_ms: int,
+    size: Size,
+) -> list[Fault]:
+    """Draws faults of some kinds.
+
+    :param rng: the random number generator
+    :param kinds: part of :data:`KINDS`
+    :param mean_gap_ms: mean time between two faults or series
+    :param end_ms: when all faults must have ended
+    :param size: of the deployment
+    :return: the faults
+    """
     found: list[Fault] = []
     at_ms = FIRST_FAULT_MS
     while at_ms < end_ms:
-        kind = rng.choice(sorted(KINDS))
-        target_kind, shortest_ms, longest_ms = KINDS[kind]
+        kind = rng.choice(sorted(kinds))
+        target_kind, shortest_ms, longest_ms = kinds[kind]
         repeats = 1
         if rng.random() < SERIES_SHARE:
             repeats = rng.randint(2, MAX_SERIES_LENGTH)
@@ -112,5 +149,5 @@
             if start_ms < end_ms:
                 found.append(Fault(start_ms, kind, target, clipped_ms))
             start_ms += duration_ms + rng.randint(*SERIES_GAP_MS)
-        at_ms += int(rng.expovariate(1 / MEAN_GAP_MS)) + 1
-    return tuple(sorted(found, key=lambda fault: fault.at_ms))
+        at_ms += int(rng.expovariate(1 / mean_gap_ms)) + 1
+    return found
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -131,12 +131,20 @@
             key=row["key"],
             hold=row["hold"],
             path=row["path"],
+            born=row["born"],
+            leaving=row["leaving"],
         )
         for runner, ledger in system.fetch("/ledger").items()
         for row in ledger
     ]
     rejected = [
-        verdict.Run(id=row["id"], runner=runner, at_ms=row["at_ms"])
+        verdict.Run(
+            id=row["id"],
+            runner=runner,
+            at_ms=row["at_ms"],
+            born=row["born"],
+            pause_ms=row.get("pause_ms", 0),
+        )
         for runner, arrivals in system.fetch("/turned-away").items()
         for row in arrivals
     ]
--- a/bench/soak/verdict.py
+++ b/bench/soak/verdict.py
@@ -19,6 +19,9 @@
 ANSWER_SLACK_MS = 500
 LOSS_SLACK_MS = 200
 CANCEL_MS = 500
+# Requests that were under way when a runner asked for a pause.
+PAUSE_SLACK_MS = 500
+MAX_ARRIVALS_IN_PAUSE = 2
 RECOVERY_MS = 8_000
 RECOVERED_SHARE = 0.25
 RAN_ON_SHARE = 0.25
@@ -44,6 +47,9 @@
     :param key: API key that reached the runner; None is correct
     :param hold: header that only the system may set; None is correct
     :param path: requested path
+    :param born: number of the runner's life
+    :param leaving: whether the answer said that the runner is leaving
+    :param pause_ms: pause that it asked for when it rejected the request
     """
 
     id: str
@@ -54,6 +60,9 @@
     key: str | None = None
     hold: str | None = None
     path: str = ""
+    born: int = 0
+    leaving: bool = False
+    pause_ms: int = 0
 
 
 @dataclasses.dataclass
@@ -455,6 +464,98 @@
     return history.unexpected_exits
 
 
+def find_arrivals_after_leaving(history: History) -> list[str]:
+    """Finds requests to a runner that had told their entry that it leaves."""
+    told_ms: dict[tuple[str, str, int], int] = {}
+    for run in history.runs:
+        record = history.by_id.get(run.id)
+        if record is None or not run.leaving or run.ended_ms is None:
+            continue
+        if record.status == 200 and record.is_complete:
+            life = (record.entry, run.runner, run.born)
+            told_ms[life] = min(run.ended_ms, told_ms.get(life, run.ended_ms))
+    found = []
+    for arrival in history.runs + history.rejected:
+        record = history.by_id.get(arrival.id)
+        if record is None:
+            continue
+        at_ms = told_ms.get((record.entry, arrival.runner, arrival.born))
+        if (
+            at_ms is not None
+            and record.sent_ms > at_ms + DRAIN_MS
+            and not history.has_fault(record.entry, at_ms, arrival.at_ms)
+        ):
+            found.append(
+                f"{arrival.id} reached {arrival.runner}, which had said that"
+                " it is leaving"
+            )
+    return found
+
+
+def find_ignored_pauses(history: History) -> list[str]:
+    """Finds pauses that a runner asked for and an entry did not keep."""
+    arrivals: dict[tuple[str, str, int], list[int]] = collections.defaultdict(
+        list
+    )
+    everything = sorted(
+        history.runs + history.rejected, key=lambda run: run.at_ms
+    )
+    for arrival in everything:
+        record = history.by_id.get(arrival.id)
+        if record is not None:
+            life = (record.entry, arrival.runner, arrival.born)
+            arrivals[life].append(arrival.at_ms)
+    found = []
+    for asked in history.rejected:
+        record = history.by_id.get(asked.id)
+        if record is None or not asked.pause_ms:
+            continue
+        start_ms = asked.at_ms + PAUSE_SLACK_MS
+        end_ms = asked.at_ms + asked.pause_ms
+        if history.has_fault(record.entry, asked.at_ms, end_ms):
+            continue
+        if has_connection_fault(history, asked.runner, asked.at_ms, end_ms):
+            continue
+        life = (record.entry, asked.runner, asked.born)
+        count = count_between(arrivals[life], start_ms, end_ms)
+        if count > MAX_ARRIVALS_IN_PAUSE:
+            found.append(
+                f"{count} requests of {record.entry} reached {asked.runner}"
+                f" within the {asked.pause_ms} ms that it asked for"
+            )
+    return found
+
+
+def has_connection_fault(
+    history: History, runner: str, start_ms: int, end_ms: int
+) -> bool:
+    """Tells whether the relay before a runner held bytes back in a span.
+
+    :param history: with the injected faults
+    :param runner: its id
+    :param start_ms: wall time
+    :param end_ms: wall time
+    :return: whether an answer or a request may have been late
+    """
+    return any(
+        injected.target == runner
+        and injected.kind in deployment.RELAY_MODES
+        and injected.overlaps(start_ms, end_ms)
+        for injected in history.injected_faults
+    )
+
+
+def both(*checks: Check) -> Check:
+    """Returns a check that reports what any of several find.
+
+    :param checks: the checks
+    :return: one check
+    """
+    return lambda history: [
+        breach for check in checks for breach in check(history)
+    ]
+
+
 CHECKS: typing.Mapping[str, Check] = {
     "TWICE": find_repeated_runs,
     "REFUSED": find_runs_after_refusal,
@@ -462,8 +563,8 @@
     "UNASKED": find_unrequested_runs,
     "DENIED": find_wrong_denials,
     "CONFIG": find_runs_after_withdrawal,
-    "DRAIN": find_late_arrivals,
-    "BUDGET": find_excess_retries,
+    "DRAIN": both(find_late_arrivals, find_arrivals_after_leaving),
+    "BUDGET": both(find_excess_retries, find_ignored_pauses),
     "QUOTA": find_quota_excess,
     "LOST": find_lost_requests,
     "HELD": find_late_answers,
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -49,6 +49,12 @@
       | - | 200 runs | many | route=lookup key=key-small team=small count=200 | - | |
       | BUDGET | 60 repeats | repeats | count=60 | - | |
       | - | 25 repeats | repeats | count=25 | - | |
+      | DRAIN | said that it leaves | leaving | at=100 born=1 | late | id=b route=lookup key=key-large team=large sent=3300 born=1 |
+      | - | said so lately | leaving | at=100 born=1 | late | id=b route=lookup key=key-large team=large sent=3000 born=1 |
+      | - | said so in an earlier life | leaving | at=100 born=1 | late | id=b route=lookup key=key-large team=large sent=3300 born=2 |
+      | BUDGET | 3 in a pause | pause | at=100 pause=2000 | late in pause | count=3 sent=700 |
+      | - | 2 in a pause | pause | at=100 pause=2000 | late in pause | count=2 sent=700 |
+      | - | 3 just after it was asked for | pause | at=100 pause=2000 | late in pause | count=3 sent=400 |
       | HELD | 8 late | held | count=8 | - | |
       | - | 7 late | held | count=7 | - | |
       | GONE | 5 of 5 | disconnected | count=5 ran_on=900 | - | |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -76,6 +76,8 @@
         team=fields.get("team"),
         key=fields.get("key"),
         path=fields["path"],
+        born=int(fields.get("born", 0)),
+        leaving=fields.get("leaving") == "yes",
     )
 
 
@@ -85,6 +87,7 @@
     def __init__(self):
         self.records = []
         self.runs = []
+        self.rejected = []
         self.injected_faults = []
         self.exits = []
 
@@ -137,6 +140,42 @@
             deployment.InjectedFault("reset", "i-desk-0", 7950, 7950)
         )
 
+    def add_leaving(self, fields):
+        row = {
+            "id": "l",
+            "route": "lookup",
+            "key": "key-large",
+            "team": "large",
+            "sent": fields["at"],
+            "born": fields["born"],
+            "leaving": "yes",
+        }
+        self.add_late(row)
+
+    def add_pause(self, fields):
+        row = {"id": "p", "route": "lookup", "key": "key-large"}
+        self.add_request(row | {"sent": fields["at"], "status": 503})
+        self.rejected.append(
+            verdict.Run(
+                id="p",
+                runner="i-desk-1",
+                at_ms=int(fields["at"]),
+                pause_ms=int(fields["pause"]),
+            )
+        )
+
+    def add_late_in_pause(self, fields):
+        for number in range(int(fields["count"])):
+            row = {
+                "id": f"q{number}",
+                "route": "lookup",
+                "key": "key-large",
+                "team": "large",
+                "sent": fields["sent"],
+                "runner": "i-desk-1",
+            }
+            self.add_late(row)
+
     def add_many(self, fields):
         for number in range(int(fields["count"])):
             self.add_late(fields | {"id": f"m{number}", "sent": 10 * number})
@@ -206,6 +245,7 @@
     context.history = verdict.History(
         records=rows.records,
         runs=rows.runs,
+        rejected=rows.rejected,
         injected_faults=rows.injected_faults,
         unexpected_exits=rows.exits,
         end_ms=20_000,
--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -267,6 +267,37 @@
     pass_time(world, shares, 500)
 
 
+@when("a gateway with {peers} starts after the restore")
+def start_with_peers(context, peers):
+    context.starting = world = gateway_world.World(upstreams=())
+    share = sharings.Sharing(
+        world.clock,
+        lambda _data, _where: None,
+        "g0",
+        1,
+        gateway_world.TOLERANCE,
+    )
+    context.share = share
+    if peers != "no peers":
+        share.update_gateways({"g1": PEER})
+    share.restore({}, 0)
+    if peers.startswith("a peer that speaks"):
+        sharing = sharings.ttypes.Sharing(
+            gateway="g1", demands=[], crashing=[]
+        )
+        world.reactor.callLater(0.2, share.on_announcement, sharing, PEER)
+
+
+@then("it is ready after {wait_ms:d} ms")
+def check_ready_after(context, wait_ms):
+    share = context.share
+    found_ms = 0
+    while not share.is_ready():
+        context.starting.reactor.advance(0.05)
+        found_ms += 50
+    assert found_ms == wait_ms, found_ms
+
+
 @then("both gateways together grant no more than the allowance")
 def check_restarted(context):
     world, shares, _make = context.sharing_world
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -113,3 +113,13 @@
   Scenario: A new gateway without saved use grants soon
     When another gateway starts that has never been heard
     Then it grants at least a third of an allowance after 1000 ms
+
+  Scenario Outline: A gateway that starts hears its peers before it is ready: <peers>
+    When a gateway with <peers> starts after the restore
+    Then it is ready after <wait> ms
+
+    Examples:
+      | peers | wait |
+      | no peers | 0 |
+      | a peer that speaks after 200 ms | 200 |
+      | a silent peer | 700 |
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -47,9 +47,10 @@
 MAX_CRASHES_ANNOUNCED = 20
 MIN_DEMAND = 1.0
 
-# How long a gateway without saved usage listens to peers for what it had used.
-# Announcements reach them within an interval, early ones sooner.
-USAGE_LISTEN_MS = 700
+# How long a gateway that starts listens to peers for what they know: newer
+# configurations, and what it had used if that isn't saved. Announcements reach
+# it within an interval, early ones sooner.
+LISTEN_MS = 700
 # Own name among the former uses.
 OWN = ""
 
@@ -122,6 +123,9 @@
         self.teams: dict[str, model.Team] = {}
         self.crashing: tuple[bytes, ...] = ()
         self.restored = False
+        # Peers know newer configurations than a store that was restored.
+        self.heard_peer = False
+        self.listen_until_ms = 0
         # Until when peers may still tell what this instance had used.
         self.usage_lost_until_ms = 0
         # Use before a restart of gateways that don't know it any more, by
@@ -260,13 +264,16 @@
         return now_ms < self.usage_lost_until_ms and self.gateways > 1
 
     def is_ready(self) -> bool:
-        """Returns whether it is known what this gateway has used.
+        """Returns whether it is known what this gateway and its peers know.
 
-        :return: whether allowances can be granted
+        :return: whether allowances can be granted, and a peer was heard or
+            had time to speak
         """
-        return self.restored and not self.is_usage_lost(
-            self.clock.monotonic_ms()
-        )
+        now_ms = self.clock.monotonic_ms()
+        if not self.restored or self.is_usage_lost(now_ms):
+            return False
+        alone = not self.hosts
+        return alone or self.heard_peer or now_ms >= self.listen_until_ms
 
     def may_exceed_reserved(
         self, team: model.Team, tokens: float, now_ms: int
@@ -313,10 +320,11 @@
         :param age_ms: how long ago it was saved
         """
         self.restored = True
+        self.must_announce = True
         now_ms = self.clock.monotonic_ms()
+        self.listen_until_ms = now_ms + LISTEN_MS
         if used is None:
-            self.usage_lost_until_ms = now_ms + USAGE_LISTEN_MS
-            self.must_announce = True
+            self.usage_lost_until_ms = self.listen_until_ms
             return
         for team, sums in used.items():
             self.window(team).restore(sums, now_ms, age_ms)
@@ -574,6 +582,7 @@
             demand.team: demand.committed for demand in sharing.demands
         }
         crashing = tuple(sharing.crashing)
+        self.heard_peer = True
         usage_lost = bool(sharing.usage_lost)
         if usage_lost and previous is not None and not previous.usage_lost:
             self.keep_former_use(sharing.gateway, previous, host)
--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -30,6 +30,7 @@
 TARGET = "Godwitloft-Target-Instance"
 TENANT = "Godwitloft-Tenant"
 TIMELINE = "Store-Era"
+LEAVING = "Server-Leaving"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,6 +60,8 @@
         self.away_until = 0.0
         # Rises when the store comes back from an older copy.
         self.timeline = 1
+        # The newest values that operators have ever written, by key.
+        self.operators_values: dict[str, str] = {}
         # Time, version, table, key and value of every write.
         self.writes: list[tuple[float, int, str, str, str | None]] = []
 
@@ -79,6 +82,8 @@
         else:
             self.rows[table, key] = (value, self.version)
         self.history.append((self.version, table, key, value))
+        if table == OPERATOR_TABLE and value is not None:
+            self.operators_values[key] = value
         at_s = self.reactor.seconds()
         self.writes.append((at_s, self.version, table, key, value))
 
@@ -96,9 +101,7 @@
         copied_s = now_s - copy_age_ms / MS_PER_S
         self.reactor.callLater(away_s, self.restore_copy, copied_s)
         self.reactor.callLater(
-            away_s + operator_ms / MS_PER_S,
-            self.repeat_operators_rows,
-            self.operators_rows(),
+            away_s + operator_ms / MS_PER_S, self.repeat_operators_rows
         )
 
     def restore_copy(self, copied_s: float) -> None:
@@ -121,20 +124,9 @@
         self.oldest_version = min(self.oldest_version, self.version)
         self.timeline += 1
 
-    def operators_rows(self) -> dict[str, str]:
-        """Returns the values of the operators' rows, by key."""
-        return {
-            key: value
-            for (table, key), (value, _version) in self.rows.items()
-            if table == OPERATOR_TABLE
-        }
-
-    def repeat_operators_rows(self, values: dict[str, str]) -> None:
-        """Writes operators' rows again that were lost.
-
-        :param values: values by key
-        """
-        for key, value in values.items():
+    def repeat_operators_rows(self) -> None:
+        """Writes the newest values of operators' rows again if lost."""
+        for key, value in self.operators_values.items():
             found = self.rows.get((OPERATOR_TABLE, key))
             if found is None or found[0] != value:
                 self.put(OPERATOR_TABLE, key, value)
@@ -227,6 +219,11 @@
         self.misdirect = 0
         self.lose_answers = 0
         self.cut_after: list[int] = []
+        self.born = 1
+        self.says_leaving = False
+        self.pause_until = 0.0
+        # Streams that have no framing and break off inside an event.
+        self.break_unframed = 0
         self.running = 0
         self.ledger: list[http.Json] = []
         self.turned_away: list[http.Json] = []
@@ -251,7 +248,7 @@
                     "slots": words.ENGINE_SLOTS,
                     "state": self.state,
                     "sequence": self.sequence,
-                    "born": 1,
+                    "born": self.born,
                 },
             )
         self.reactor.callLater(
@@ -264,19 +261,34 @@
         :param request: request sent by the gateway
         :return: the body, or a Deferred that fires with it
         """
+        if self.says_leaving:
+            request.setHeader(LEAVING, "1")
         if request.path == REPORT_PATH:
-            return http.reply(request, {"running": self.running, "waiting": 0})
+            report = {
+                "running": self.running,
+                "waiting": 0,
+                "born": self.born,
+            }
+            return http.reply(request, report)
         header = request.getHeader
         request_id = header(REQUEST_ID) or ""
         arrival: http.Json = {
             "id": request_id,
             "at_ms": int(time.time() * MS_PER_S),
+            "born": self.born,
         }
         target = header(TARGET)
         if target not in (None, self.id) or self.misdirect > 0:
             self.misdirect -= 1
             self.turned_away.append(arrival)
             return http.reply(request, {}, 421)
+        pause_s = self.pause_until - self.reactor.seconds()
+        if pause_s > 0:
+            arrival["pause_ms"] = int(pause_s * MS_PER_S)
+            self.turned_away.append(arrival)
+            request.setHeader(NOT_EXECUTED, "1")
+            request.setHeader("Retry-After", f"{pause_s:.3f}")
+            return http.reply(request, {}, 503)
         if self.refuse > 0:
             self.refuse -= 1
             self.turned_away.append(arrival)
@@ -290,6 +302,7 @@
             "last": header("Last-Event-Id"),
             "left_ms": header("Godwitloft-Deadline-Ms"),
             "ended_ms": None,
+            "leaving": self.says_leaving,
         }
         self.ledger.append(run)
         if self.runs_twice:
@@ -338,6 +351,9 @@
         last = int(counts.split(",")[1])
         cut_after = self.cut_after.pop(0) if self.cut_after else -1
         request_id = request.getHeader(REQUEST_ID) or ""
+        if self.break_unframed > 0:
+            self.break_unframed -= 1
+            return self.break_off_unframed(request, request_id, first)
         finished: defer.Deferred[bytes] = defer.Deferred()
 
         def event(number: int) -> None:
@@ -357,13 +373,41 @@
         event(first)
         return finished
 
+    def break_off_unframed(
+        self, request: typing.Any, request_id: str, first: int
+    ) -> typing.Any:
+        """Sends one event and half of the next, and closes the connection.
+
+        The answer has neither a length nor chunks, so that its end looks like
+        that of a whole one.
+
+        :param request: request sent by the gateway
+        :param request_id: its id
+        :param first: number of the first event
+        :return: a Deferred that never fires
+        """
+        event = f"id: {first}\ndata: x{first} of {request_id}\n\n"
+        cut = f"id: {first + 1}\ndata: x"
+        head = (
+            f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {request_id}\r\n"
+            f"{SEAL}: seal-{self.id}\r\n\r\n"
+        )
+        request.transport.write(f"{head}{event}{cut}".encode())
+        request.transport.loseConnection()
+        return defer.Deferred()
+
     def control(self, change: http.Json) -> None:
         """Changes the behaviour of the runner.
 
-        :param change: names of attributes and their new values
+        :param change: names of attributes and their new values; ``pause_ms``
+            asks for a pause from now on
         """
         for name, value in change.items():
-            setattr(self, name, value)
+            if name == "pause_ms":
+                pause_s = value / MS_PER_S
+                self.pause_until = self.reactor.seconds() + pause_s
+            else:
+                setattr(self, name, value)
 
 
 class Lakeshore:
