--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -44,10 +44,10 @@
 LATER_KINDS: dict[str, tuple[str, int, int]] = {
     "store_restored": ("store", 300, 3_000),
     "say_leaving": ("runner", 4_000, 8_000),
-    "ask_pause": ("runner", 1_000, 4_000),
+    "ask_pause": ("runner", 2_000, 6_000),
     "break_unframed": ("runner", 0, 0),
 }
-LATER_MEAN_GAP_MS = 3_000
+LATER_MEAN_GAP_MS = 1_000
 KINDS = FIRST_KINDS | LATER_KINDS
 
 
