--- a/features/http_upstream.feature
+++ b/features/http_upstream.feature
@@ -37,6 +37,20 @@
       | streaming | without its end marker | HTTP/1.1 200 OK\r\n\r\ndata: x\n\n | closes the connection | failed | stream_cut |
       | streaming | that ends inside an event | HTTP/1.1 200 OK\r\n\r\ndata: [DONE] | closes the connection | failed | event_cut |
 
+  # Guards against an event that is not counted when a read splits its start.
+  Scenario Outline: The tokens of a stream are counted in parts of <size> bytes
+    Given an HTTP upstream with a streaming run that is connecting
+    When the upstream sends a stream of 5 tokens in parts of <size> bytes
+    Then 5 tokens and the end marker are counted
+
+    Examples:
+      | size |
+      | 1 |
+      | 2 |
+      | 5 |
+      | 7 |
+      | 1000 |
+
   Scenario: A run that is cancelled before its request was sent never starts
     Given an HTTP upstream with a run that is connecting
     When the run is cancelled
--- a/features/steps/http_upstream_steps.py
+++ b/features/steps/http_upstream_steps.py
@@ -15,9 +15,10 @@
 
     def __init__(self):
         self.ends = []
+        self.tokens = 0
 
-    def upstream_data(self, *_arguments):
-        pass
+    def upstream_data(self, _run_id, _data, tokens, _status, _content_type):
+        self.tokens += tokens
 
     def upstream_ended(self, run_id, end, reason, **_others):
         self.ends.append((run_id, end.value, reason))
@@ -84,6 +85,24 @@
         wire.close(transport, clean=ends == "closes the connection")
 
 
+@when(
+    "the upstream sends a stream of {count:d} tokens in parts of {size:d}"
+    " bytes"
+)
+def stream_in_parts(context, count, size):
+    transport = connected(context)
+    body = b"data: x\n\n" * count + b"data: [DONE]\n\n"
+    transport.protocol.dataReceived(b"HTTP/1.1 200 OK\r\n\r\n")
+    for start in range(0, len(body), size):
+        transport.protocol.dataReceived(body[start : start + size])
+    wire.close(transport)
+
+
+@then("{count:d} tokens and the end marker are counted")
+def check_tokens(context, count):
+    assert context.ends.tokens == count + 1, context.ends.tokens
+
+
 @when("the run is cancelled")
 def cancel(context):
     context.upstream.cancel("e-1")
--- a/godwitloft/agent/http_upstream.py
+++ b/godwitloft/agent/http_upstream.py
@@ -100,9 +100,12 @@
         """
         if self.body_end is not None:
             self.body_end.feed(data)
-        # The end marker may be split between parts, and line breaks follow it.
+        # A part may end inside the start of an event or the end marker.
+        overlap = self.tail[-len(EVENT_START) + 1 :]
         self.tail = (self.tail + data)[-2 * len(STREAM_END) :]
-        return data.count(EVENT_START) if self.is_token_stream else 0
+        if not self.is_token_stream:
+            return 0
+        return (overlap + data).count(EVENT_START)
 
     def classify_end(
         self, end: attempts.End, reason: str
