--- a/godwitloft/agent/dispatcher.py
+++ b/godwitloft/agent/dispatcher.py
@@ -887,7 +887,7 @@
         self.last_sweep_ms = now_ms
         self.send_skips(
             self.book.sweep(
-                self.state.running(now_ms), self.state.view(now_ms), now_ms
+                self.state.running(now_ms), self.view(now_ms), now_ms
             )
         )
 
