--- a/features/objects.feature
+++ b/features/objects.feature
@@ -102,6 +102,7 @@
       | team/one | weight.x=0 | object 'team/one': key 'weight.x': doesn't exist |
       | team/one | name=x | object 'team/one': key 'name': can't be changed because other objects refer to it |
       | team/one | tiers.7=gold | object 'team/one': key 'tiers.7': index 7 is out of range; the last is 0 |
+      | service/desk | calls.0.idempotent=true | object 'service/desk': key 'calls.0.idempotent': index 0 is out of range; the list is empty |
       | team/one | tiers.1=gold | object 'team/one': key 'tiers.1': index 1 is out of range; the last is 0 |
       | team/one | tiers.x=gold | object 'team/one': key 'tiers.x': 'x' is not a list index |
 
--- a/godwitloft/objects/revise.py
+++ b/godwitloft/objects/revise.py
@@ -176,10 +176,11 @@
         )
     index = int(key)
     if index >= len(parent):
+        extent = f"the last is {len(parent) - 1}"
+        if not parent:
+            extent = "the list is empty"
         raise decode.DecodeError(
-            where,
-            field,
-            f"index {index} is out of range; the last is {len(parent) - 1}",
+            where, field, f"index {index} is out of range; {extent}"
         )
     return index
 
