Remove what nothing uses: recheck_at_ms of the dispatcher and others

Suspected and cleared: the time at which a held offer becomes ready is set and never read, but the dispatcher schedules at every tick (5 ms), so that nothing waits for it. MAX_CHUNK_BYTES and shed.representative had no user either.

--- a/godwitloft/agent/dispatcher.py
+++ b/godwitloft/agent/dispatcher.py
@@ -31,7 +31,6 @@
 from godwitloft.policy import types
 
 FLUSH_INTERVAL_MS = 15
-MAX_CHUNK_BYTES = 256 * 1024
 MAX_RETAINED_BYTES = 1024 * 1024
 PULL_TIMEOUT_MS = 2_000
 ORPHAN_TIMEOUT_MS = 15_000
@@ -99,7 +98,6 @@
         self.sent_skip_reasons: dict[str, str] = {}
         self.pulls: dict[str, int] = {}
         self.last_sweep_ms = 0
-        self.recheck_at_ms: int | None = None
         self.first_crash_ms: int | None = None
         self.crashed_fingerprints: list[str] = []
         self.runs: dict[str, runs.Run] = {}
@@ -355,7 +353,6 @@
             if self.settings.policy.look_ahead:
                 choice = self.lookahead.improve(choice, running, view, now_ms)
             self.send_skips(choice.skipped)
-            self.recheck_at_ms = choice.recheck_at_ms
             if choice.resume is not None:
                 self.resume(choice.resume)
             elif choice.pull is not None:
--- a/godwitloft/policy/shed.py
+++ b/godwitloft/policy/shed.py
@@ -86,24 +86,6 @@
     return tuple(removed)
 
 
-def representative(kept: typing.Iterable[Waiting]) -> Waiting | None:
-    """Returns the request whose urgent bid serves for its whole tier.
-
-    Takes the latest deadline, since its bid stays valid longest: within a
-    team it is the last to be pulled and the last to become too late. Among
-    several teams this doesn't hold, because usage orders teams before
-    deadlines do.
-
-    :param kept: requests of one tier and pool that stay in the queue
-    :return: the request, or None when there is none
-    """
-    return max(
-        kept,
-        key=lambda request: (request.deadline_ms, request.request_id),
-        default=None,
-    )
-
-
 def is_guaranteed(
     tier_rank: int, answers: typing.Iterable[UrgentAnswer], last_resort: bool
 ) -> bool:
