Stand-in: requests for another runner use up no injected misdirections

Reproduced (suspected): the count fell below zero, and planned misdirections were lost to requests that were wrong anyway.

--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -278,8 +278,10 @@
             "born": self.born,
         }
         target = header(TARGET)
-        if target not in (None, self.id) or self.misdirect > 0:
-            self.misdirect -= 1
+        is_foreign = target not in (None, self.id)
+        if is_foreign or self.misdirect > 0:
+            if not is_foreign:
+                self.misdirect -= 1
             self.turned_away.append(arrival)
             return http.reply(request, {}, 421)
         pause_s = self.pause_until - self.reactor.seconds()
