--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -120,6 +120,21 @@
       | post | stranger |
       | nowhere | key |
 
+  # Guards against giving up a stream whose caller still waits.
+  Scenario Outline: How long a caller waits for the first data of a stream: target <target>, pause <pause>
+    Given a gateway with no upstreams
+    And "draft" has the target <target> ms and the longest pause <pause> ms
+    When a caller who waits 9000 ms requests "draft"
+    Then its first data must come within <wait> ms
+
+    Examples:
+      | target | pause | wait |
+      | 400 | 0 | 2000 |
+      | 800 | 0 | 3200 |
+      | 400 | 300 | 2400 |
+      | 800 | 300 | 3200 |
+      | 400 | 1000 | 5000 |
+
   Scenario: A key that is withdrawn while its request waits
     Given a gateway with no upstreams
     When a caller requests "post"
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -1,3 +1,5 @@
+import dataclasses
+
 from behave import given
 from behave import then
 from behave import when
@@ -31,6 +33,31 @@
     context.world = gateway_world.World(upstreams=())
 
 
+@given(
+    '"{name}" has the target {target_ms:d} ms and the longest pause'
+    " {gap_ms:d} ms"
+)
+def set_times(context, name, target_ms, gap_ms):
+    whole = gateway_world.configuration(2)
+    routes = [
+        dataclasses.replace(route, target_ms=target_ms, max_gap_ms=gap_ms)
+        if route.name == name
+        else route
+        for route in whole.routes
+    ]
+    context.world.gateway.config_state.configure(
+        dataclasses.replace(whole, routes=tuple(routes))
+    )
+
+
+@then("its first data must come within {wait_ms:d} ms")
+def check_first_data(context, wait_ms):
+    (request,) = context.world.gateway.waiting["model"]
+    facts = request.facts
+    found = facts.first_data_deadline_ms - facts.arrived_ms
+    assert found == wait_ms, found
+
+
 @when('a caller requests "{route}"')
 def ask(context, route):
     context.caller = context.world.ask("a", route)
--- a/godwitloft/gateway/model.py
+++ b/godwitloft/gateway/model.py
@@ -44,6 +44,8 @@
     :param max_attempts: maximum number of upstreams that run one request
     :param public: whether requests need no key
     :param resumable: whether a stream may be resumed at another upstream
+    :param max_gap_ms: longest pause between two events of a stream with which
+        it is still on time, 0 if there is no such bound
     """
 
     name: str
@@ -57,6 +59,7 @@
     max_attempts: int
     public: bool
     resumable: bool
+    max_gap_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/godwitloft/gateway/request_checker.py
+++ b/godwitloft/gateway/request_checker.py
@@ -16,10 +16,10 @@
 UNCONFIGURED_RETRY_AFTER_MS = 500
 LEAVING_RETRY_AFTER_MS = 50
 # A caller disconnects from a stream that hasn't begun after the longest of two
-# seconds, four times the target and eight times the allowed pause. The gateway
-# doesn't know the allowed pause and assumes the longer of the first two.
+# seconds, four times the target and eight times the longest pause.
 MIN_FIRST_DATA_TIMEOUT_MS = 2_000
 FIRST_DATA_TIMEOUT_TARGETS = 4
+FIRST_DATA_TIMEOUT_GAPS = 8
 
 
 class RequestChecker:
@@ -150,6 +150,7 @@
             first_data_timeout_ms = max(
                 MIN_FIRST_DATA_TIMEOUT_MS,
                 FIRST_DATA_TIMEOUT_TARGETS * route.target_ms,
+                FIRST_DATA_TIMEOUT_GAPS * route.max_gap_ms,
             )
         target = routing.pick_target(route.targets, self.rng.random())
         rank = route.rank
--- a/godwitloft/platform/rows.py
+++ b/godwitloft/platform/rows.py
@@ -220,6 +220,7 @@
         max_attempts=int(fields.number("max-attempts", 1)),
         public=fields.flag("public"),
         resumable=fields.flag("resumable"),
+        max_gap_ms=int(fields.number("gap-aim-ms", 0)),
     )
 
 
