Feed: three faults of its fetches, each reproduced first

Only the asked peer's answer, or one that is taken, ends the wait. - A stopped feed left its fetch and its backoff pending. Both end now.

features/feed.feature: four scenarios failed before, one of them of two rows.

--- a/features/feed.feature
+++ b/features/feed.feature
@@ -102,6 +102,33 @@
     Then no daemon's generation ever decreased
     And every fleet ends at its newest generation
 
+  # Guards against a damaged snapshot in the store that nobody hears of.
+  Scenario: A damaged snapshot in the store is refused, counted and logged
+    Given a feed at generation 5 whose peer says it holds generation 5
+    When the store is up with generation 7, whose snapshot is damaged
+    Then the feed is at generation 5 and 1 snapshots were refused
+    And the refusal of generation 7 is logged
+
+  # Guards against a late snapshot that ends the wait for another peer.
+  Scenario: A late answer of a peer doesn't end the wait for the next one
+    Given a feed at generation 5 whose peer says it holds generation 5
+    And two peers that say they hold generation 7
+    When the first that was asked stays silent and answers late with generation 4
+    And the second answers 300 ms after it was asked
+    Then the feed is at generation 7 and 0 snapshots were refused
+    And no snapshot was asked of a peer twice
+
+  Scenario Outline: A feed that is stopped leaves nothing pending: <while>
+    Given a feed at generation 5 whose peer says it holds generation 7
+    When <while>
+    And the feed is stopped
+    Then it has no timers and fetches nothing
+
+    Examples:
+      | while |
+      | it waits for the peer's snapshot |
+      | it waits after a failed fetch |
+
   Scenario: New daemons don't count each other as sources of a generation
     Given 3 new daemons, the store down and one peer at generation 4 of 5
     Then none of the new daemons becomes ready
--- a/godwitloft/coordination/feed.py
+++ b/godwitloft/coordination/feed.py
@@ -181,6 +181,8 @@
         self.start_waiters: list[defer.Deferred[None]] = []
         self.generation_waiters: list[tuple[int, defer.Deferred[None]]] = []
         self.peer_fetch: defer.Deferred[None] | None = None
+        # The peer that was asked for a snapshot last.
+        self.asked_peer = ""
         self.backoff_wait: defer.Deferred[None] | None = None
         # Peers to which the current generation was announced.
         self.announced_peers: set[str] = set()
@@ -211,7 +213,7 @@
         return started
 
     def stop(self) -> None:
-        """Stops all timers and fails the waiters for generations.
+        """Stops all timers and fetches, and fails waiters for generations.
 
         A stopped feed can't be started again. The Deferreds that
         :meth:`start` returned are not failed: if the feed isn't ready yet,
@@ -225,6 +227,8 @@
         self.generation_waiters = []
         for waiter in waiters:
             waiter.errback(FeedError("the feed was stopped"))
+        self._end_peer_fetch()
+        self._end_backoff()
 
     def peer_up(self, peer: str, generation: int) -> None:
         """Handles a new link.
@@ -316,6 +320,7 @@
         :param snapshot: the message
         """
         self.counters.bytes_received += len(snapshot.content)
+        accepted = False
         try:
             accepted = self._accept_snapshot(snapshot)
         except FeedError as error:
@@ -329,7 +334,8 @@
                 self.counters.peer_fetches += 1
                 self.counters.delta_fetches += snapshot.base_hash is not None
                 self.on_peer_generation(peer, snapshot.generation)
-        self._end_peer_fetch()
+        if accepted or peer == self.asked_peer:
+            self._end_peer_fetch()
 
     def on_published(self, head: publish.Head, content: bytes) -> None:
         """Handles a configuration published by this process.
@@ -496,7 +502,7 @@
             while self._is_behind() and not self.stopped:
                 if await self._fetch_from_peers():
                     continue
-                if await self._fetch_from_store():
+                if self.stopped or await self._fetch_from_store():
                     continue
                 await self._back_off(attempt)
                 attempt += 1
@@ -525,6 +531,7 @@
                 snapshot_hash="",
                 held_hash=self.current.snapshot_hash or None,
             )
+            self.asked_peer = peer
             self.peer_fetch = defer.Deferred()
             peer_fetch = self.peer_fetch
             timer = self._call_later(
@@ -533,6 +540,8 @@
             self.callbacks.send(peer, "snapshot_wanted", request)
             await peer_fetch
             self._cancel(timer)
+            if self.stopped:
+                return False
             if self.current.generation > before or not self._is_behind():
                 return True
         return False
@@ -570,7 +579,15 @@
             if content is None:
                 return False
             self._check_content(snapshot_hash, content)
-        except (port.PlatformError, decode.DecodeError, FeedError):
+        except (port.PlatformError, decode.DecodeError):
+            return False
+        except FeedError as error:
+            self.counters.refused += 1
+            events.log(
+                events.CONFIGURATION_REFUSED,
+                generation=generation,
+                reason=str(error),
+            )
             return False
         self._note_generation(generation, snapshot_hash)
         self._apply(generation, snapshot_hash, content, None)
@@ -757,6 +774,8 @@
             )
 
     async def _back_off(self, attempt: int) -> None:
+        if self.stopped:
+            return
         waiter: defer.Deferred[None] = defer.Deferred()
         duration_ms = swap.backoff_ms(
             attempt,
