Part what gateways had used before a restart from sharing.py

The last has its own state and moves to gateway/former_use.py; what gateways tell each other is unchanged.

--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -16,6 +16,7 @@
 from godwitloft import clock as clocks
 from godwitloft.gateway import allowance
 from godwitloft.gateway import demand as demands
+from godwitloft.gateway import former_use
 from godwitloft.gateway import model
 from godwitloft.gateway import peer_status
 from godwitloft.links import datagrams
@@ -47,13 +48,6 @@
 MAX_CRASHES_ANNOUNCED = 20
 MIN_DEMAND = 1.0
 
-# How long a gateway that starts listens to peers for what they know: newer
-# configurations, and what it had used if that isn't saved. Announcements reach
-# it within an interval, early ones sooner.
-LISTEN_MS = 700
-# Own name among the former uses.
-OWN = ""
-
 # Tokens used by each team in consecutive intervals, the latest first.
 Usage = dict[str, tuple[float, ...]]
 
@@ -78,18 +72,6 @@
     usage_lost: bool = False
 
 
-@dataclasses.dataclass(frozen=True)
-class FormerUse:
-    """What a gateway had committed before it was restarted.
-
-    :param committed: tokens, by team
-    :param until_ms: when the last of it is out of the window of the limit
-    """
-
-    committed: dict[str, float]
-    until_ms: int
-
-
 class Sharing:
     """Allowance usage and demand of this gateway and its peers.
 
@@ -123,14 +105,7 @@
         self.teams: dict[str, model.Team] = {}
         self.crashing: tuple[bytes, ...] = ()
         self.restored = False
-        # Peers know newer configurations than a store that was restored.
-        self.heard_peer = False
-        self.listen_until_ms = 0
-        # Until when peers may still tell what this instance had used.
-        self.usage_lost_until_ms = 0
-        # Use before a restart of gateways that don't know it any more, by
-        # instance, with this one's as :data:`OWN`.
-        self.former_uses: dict[str, FormerUse] = {}
+        self.former_uses = former_use.FormerUses(clock, tolerance.window_ms)
         self.clock = clock
         self.send = send
         self.instance = instance
@@ -248,20 +223,17 @@
             if name in self.hosts and not self.is_alive(name, now_ms):
                 peer_committed = max(peer_committed, limit / self.gateways)
             committed += peer_committed
-        for former in self.former_uses.values():
-            if now_ms < former.until_ms:
-                committed += former.committed.get(team.name, 0.0)
-        if self.is_usage_lost(now_ms):
+        committed += self.former_uses.committed(team.name, now_ms)
+        if self.is_usage_lost():
             return 0.0
         return limit - committed
 
-    def is_usage_lost(self, now_ms: int) -> bool:
+    def is_usage_lost(self) -> bool:
         """Returns whether own use before a restart is still to be learned.
 
-        :param now_ms: the current time
         :return: whether peers may still tell it; never without peers
         """
-        return now_ms < self.usage_lost_until_ms and self.gateways > 1
+        return bool(self.hosts) and self.former_uses.is_own_unknown()
 
     def is_ready(self) -> bool:
         """Returns whether it is known what this gateway and its peers know.
@@ -269,11 +241,9 @@
         :return: whether allowances can be granted, and a peer was heard or
             had time to speak
         """
-        now_ms = self.clock.monotonic_ms()
-        if not self.restored or self.is_usage_lost(now_ms):
+        if not self.restored:
             return False
-        alone = not self.hosts
-        return alone or self.heard_peer or now_ms >= self.listen_until_ms
+        return not self.hosts or self.former_uses.has_settled()
 
     def may_exceed_reserved(
         self, team: model.Team, tokens: float, now_ms: int
@@ -321,12 +291,9 @@
         """
         self.restored = True
         self.must_announce = True
+        self.former_uses.start_listening(own_is_lost=used is None)
         now_ms = self.clock.monotonic_ms()
-        self.listen_until_ms = now_ms + LISTEN_MS
-        if used is None:
-            self.usage_lost_until_ms = self.listen_until_ms
-            return
-        for team, sums in used.items():
+        for team, sums in (used or {}).items():
             self.window(team).restore(sums, now_ms, age_ms)
 
     def restore_peer(self, name: str, used: Usage, age_ms: int) -> None:
@@ -533,7 +500,7 @@
             crashing=crashing,
             partial=partial or None,
         )
-        if self.is_usage_lost(self.clock.monotonic_ms()):
+        if self.is_usage_lost():
             sharing.usage_lost = True
         peer_status.encode(self.own_status(), sharing)
         data = datagrams.encode(sharing=sharing)
@@ -582,13 +549,13 @@
             demand.team: demand.committed for demand in sharing.demands
         }
         crashing = tuple(sharing.crashing)
-        self.heard_peer = True
+        self.former_uses.heard_peer = True
         usage_lost = bool(sharing.usage_lost)
         if usage_lost and previous is not None and not previous.usage_lost:
-            self.keep_former_use(sharing.gateway, previous, host)
+            self.tell_former_use(sharing.gateway, previous, host)
             previous = None
         if sharing.former:
-            self.learn_own_use(sharing.former)
+            self.former_uses.learn_own(sharing.former)
         if sharing.partial and previous is not None:
             rates = previous.demands | rates
             committed = previous.committed | committed
@@ -602,19 +569,16 @@
         )
         self.on_peer_status(peer_status.decode(sharing))
 
-    def keep_former_use(self, name: str, previous: Peer, host: str) -> None:
+    def tell_former_use(self, name: str, previous: Peer, host: str) -> None:
         """Keeps what a peer had used before its restart, and tells it.
 
         :param name: name of its instance
         :param previous: its state before
         :param host: its IP number
         """
-        until_ms = previous.received_ms + self.tolerance.window_ms
-        self.former_uses[name] = FormerUse(previous.committed, until_ms)
-        former = [
-            ttypes.TeamDemand(team=team, tokens_per_s=0, committed=tokens)
-            for team, tokens in previous.committed.items()
-        ]
+        former = self.former_uses.keep(
+            name, previous.committed, previous.received_ms
+        )
         answer = ttypes.Sharing(
             gateway=self.instance,
             demands=[],
@@ -624,22 +588,6 @@
         )
         self.send(datagrams.encode(sharing=answer), (host, self.port))
 
-    def learn_own_use(self, former: list[ttypes.TeamDemand]) -> None:
-        """Counts what a peer says that this instance had used.
-
-        :param former: committed tokens by team; of several peers' words the
-            largest count
-        """
-        known = self.former_uses.get(OWN)
-        committed = dict(known.committed) if known is not None else {}
-        for use in former:
-            committed[use.team] = max(
-                committed.get(use.team, 0.0), use.committed
-            )
-        now_ms = self.clock.monotonic_ms()
-        until_ms = now_ms + self.tolerance.window_ms
-        self.former_uses[OWN] = FormerUse(committed, until_ms)
-
     def peer_crashes(self, fingerprint: bytes) -> int:
         """Returns how often peers have seen a request crash an upstream.
 
