After a restore, a gateway that had missed the store lets operators go first

A gateway whose last confirmation is older than 3.5 s counts none that was requested within 1 s after it notices the restore.

--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -43,6 +43,22 @@
     And 1 s pass at the store
     Then keys are confirmed again
 
+  # Guards against a withdrawal that no gateway has seen and the copy undoes.
+  Scenario Outline: A gateway that has missed the store for <missed> ms waits for the operators after a restore
+    When the store is cut off from the gateway
+    And <missed> ms pass at the store
+    And the store is away for 0 ms and comes back from a copy 2000 ms old
+    And the gateway reaches the store again
+    And 700 ms pass at the store
+    Then keys are <confirmed> since the restore
+    When 1 s pass at the store
+    Then keys are confirmed since the restore
+
+    Examples:
+      | missed | confirmed |
+      | 500 | confirmed |
+      | 3000 | not confirmed |
+
   Scenario: An upstream that had ended does not come back from the copy
     When upstream "b" ends
     And 2 s pass at the store
--- a/features/support/restored_store.py
+++ b/features/support/restored_store.py
@@ -156,6 +156,8 @@
                 usage=sharing.usage,
                 needs_saving=sharing.needs_saving,
                 before_save=sharing.mark_saved,
+                on_restored=self.gateway.config_state.mark_restored,
+                settle_left_ms=self.gateway.config_state.settle_left_ms,
                 count_cut_back=lambda _what, _number: None,
             ),
             self.gateway.confirmation,
--- a/godwitloft/gateway/config_state.py
+++ b/godwitloft/gateway/config_state.py
@@ -5,6 +5,12 @@
 from godwitloft.gateway import model
 from godwitloft.gateway import routing
 
+# After a restore of the store, a gateway that had not heard from it for longer
+# than the first waits for the second: operators may have published meanwhile
+# what the restore has undone, and write it again.
+MISSED_MS = 3_500
+SETTLE_MS = 1_000
+
 
 class ConfigState:
     """The configuration in force and when it was last known to be current.
@@ -21,6 +27,8 @@
         self.confirmed_ms: int | None = None
         # Newest version that this gateway or a peer has ever had in force.
         self.known_version = 0
+        # Confirmations that were requested before this time don't count.
+        self.settled_ms = 0
         # Version in the store for which was logged that it is outdated.
         self.outdated_version: int | None = None
 
@@ -53,6 +61,19 @@
         """
         self.known_version = max(self.known_version, version)
 
+    def mark_restored(self, now_ms: int) -> None:
+        """Records that the store was restored from a copy.
+
+        :param now_ms: the current time
+        """
+        age_ms = self.confirmation_age_ms(now_ms)
+        if age_ms is not None and age_ms > MISSED_MS:
+            self.settled_ms = now_ms + SETTLE_MS
+
+    def settle_left_ms(self) -> int:
+        """Returns how long confirmations don't count after a restore."""
+        return max(0, self.settled_ms - self.clock.monotonic_ms())
+
     def confirm_stored(self, asked_ms: int, stored_version: int) -> None:
         """Confirms the configuration if the store has the newest version.
 
@@ -65,7 +86,8 @@
         """
         if stored_version >= self.known_version:
             self.outdated_version = None
-            self.confirm(asked_ms)
+            if asked_ms >= self.settled_ms:
+                self.confirm(asked_ms)
         elif self.outdated_version != stored_version:
             self.outdated_version = stored_version
             events.log(
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -126,6 +126,8 @@
             usage=sharing.usage,
             needs_saving=sharing.needs_saving,
             before_save=sharing.mark_saved,
+            on_restored=gateway.config_state.mark_restored,
+            settle_left_ms=gateway.config_state.settle_left_ms,
             count_cut_back=count_cut_back,
         ),
         gateway.confirmation,
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -71,6 +71,10 @@
     :param needs_saving: returns whether the usage has changed much since it
         was saved
     :param before_save: called just before the usage is written
+    :param on_restored: called with the time at which a restore of the store
+        was noticed, in milliseconds
+    :param settle_left_ms: returns how long confirmations don't count yet after
+        a restore
     :param count_cut_back: called with what a restore of the store has cut
         back, and how many rows
     """
@@ -84,6 +88,8 @@
     usage: typing.Callable[[], sharing.Usage]
     needs_saving: typing.Callable[[], bool]
     before_save: typing.Callable[[], None]
+    on_restored: typing.Callable[[int], None]
+    settle_left_ms: typing.Callable[[], int]
     count_cut_back: typing.Callable[[str, int], None]
 
 
@@ -246,6 +252,7 @@
         self.upstream_list.mark_restored(now_ms)
         self.list_restored = True
         self.rewrite_ms = now_ms + self.rewrite_delay_ms()
+        self.callbacks.on_restored(now_ms)
 
     def rewrite_delay_ms(self) -> int:
         """Returns how long to wait before the own row is written again.
@@ -274,12 +281,16 @@
         :return: the delay before the next call, in milliseconds
         """
         started_ms = self.clock.monotonic_ms()
+        settle_ms = self.callbacks.settle_left_ms()
         position = self.position
         if position is None:
             result = yield self.store.read(OPERATOR_TABLE)
         else:
+            wait_ms = min(
+                self.changes_wait_ms, settle_ms or self.changes_wait_ms
+            )
             result = yield self.store.wait_for_changes(
-                OPERATOR_TABLE, position, self.changes_wait_ms
+                OPERATOR_TABLE, position, wait_ms
             )
         is_known = position is not None
         for row in result.rows:
@@ -288,7 +299,9 @@
         if is_known:
             self.has_configuration = True
             self.confirmation.mark_version_read()
-            self.position = result.position
+            # What settles is confirmed at once by reading it again.
+            is_settling = settle_ms > 0 and position is not None
+            self.position = None if is_settling else result.position
             self.callbacks.on_confirmed(started_ms, self.stored_version)
             return 0
         return MIN_DELAY_MS
