--- a/features/http_upstream.feature
+++ b/features/http_upstream.feature
@@ -37,6 +37,17 @@
       | streaming | without its end marker | HTTP/1.1 200 OK\r\n\r\ndata: x\n\n | closes the connection | failed | stream_cut |
       | streaming | that ends inside an event | HTTP/1.1 200 OK\r\n\r\ndata: [DONE] | closes the connection | failed | event_cut |
 
+  # Guards against a client that works only without TLS.
+  Scenario Outline: An upstream with an https URL, whose certificate is <certificate>
+    Given an HTTPS upstream with a run that is connecting
+    When an upstream whose certificate is <certificate> answers "ok"
+    Then the run ends as "<end>" with the reason "<reason>"
+
+    Examples:
+      | certificate | end | reason |
+      | trusted | completed | |
+      | unknown | crashed | connection_lost |
+
   # Guards against an event that is not counted when a read splits its start.
   Scenario Outline: The tokens of a stream are counted in parts of <size> bytes
     Given an HTTP upstream with a streaming run that is connecting
--- a/features/steps/http_upstream_steps.py
+++ b/features/steps/http_upstream_steps.py
@@ -1,3 +1,5 @@
+import socket
+
 from behave import given
 from behave import then
 from behave import when
@@ -5,6 +7,7 @@
 from twisted.internet import testing
 from twisted.python import failure
 
+from features.support import tls_server
 from features.support import wire
 from godwitloft.agent import http_upstream
 from godwitloft.links.generated.messages import ttypes
@@ -29,10 +32,34 @@
     start_run_of(context, stream=False)
 
 
-def start_run_of(context, stream):
+@given("an HTTPS upstream with a run that is connecting")
+def start_tls_run(context):
+    context.certificate = tls_server.write_certificate(context)
+    start_run_of(context, stream=False, scheme="https", host="localhost")
+
+
+@when('an upstream whose certificate is {certificate} answers "{body}"')
+def answer_over_tls(context, certificate, body):
+    path = context.certificate
+    if certificate == "unknown":
+        path = tls_server.write_certificate(context, trusted=False)
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+
+    def prepare(transport):
+        handle = socket.socket()
+        context.add_cleanup(handle.close)
+        transport.getHandle = lambda: handle
+        transport.setTcpNoDelay = lambda _on: None
+
+    context.server = tls_server.exchange(
+        context.reactor, context.factory, path, (head + body).encode(), prepare
+    )
+
+
+def start_run_of(context, stream, scheme="http", host="127.0.0.1"):
     context.reactor = testing.MemoryReactorClock()
     context.upstream = upstream = http_upstream.HttpUpstream(
-        context.reactor, "http://127.0.0.1:9", True
+        context.reactor, f"{scheme}://{host}:9", True
     )
     context.ends = EndRecorder()
     upstream.dispatcher = context.ends
--- a/godwitloft/attempt.py
+++ b/godwitloft/attempt.py
@@ -91,7 +91,7 @@
             return
         transport = typing.cast(typing.Any, self.transport)
         transport.setTcpNoDelay(True)
-        enable_reachability_probes(transport.getHandle())
+        enable_reachability_probes(tcp_socket(transport))
         self.sent = True
         outgoing = self.outgoing
         head = h11.Request(
@@ -251,7 +251,7 @@
     attempt = Attempt(outgoing, callbacks)
     factory: typing.Any = AttemptFactory(attempt)
     if tls_name is not None:
-        factory = wrap_in_tls(factory, tls_name)
+        factory = wrap_in_tls(reactor, factory, tls_name)
     attempt.connector = reactor.connectTCP(
         *address,
         factory,
@@ -262,12 +262,13 @@
 
 
 def wrap_in_tls(
-    factory: protocol.ClientFactory, server_name: str
+    reactor: typing.Any, factory: protocol.ClientFactory, server_name: str
 ) -> typing.Any:
     """Returns a factory whose connections use TLS.
 
     The libraries are imported only here, as most programs need none.
 
+    :param reactor: the twisted reactor
     :param factory: creates the protocol within TLS
     :param server_name: name that the server's certificate must have
     :return: the factory to connect with
@@ -276,7 +277,20 @@
     from twisted.protocols import tls
 
     options = ssl.optionsForClientTLS(server_name)
-    return tls.TLSMemoryBIOFactory(options, True, factory)
+    return tls.TLSMemoryBIOFactory(options, True, factory, reactor)
+
+
+def tcp_socket(transport: typing.Any) -> socket.socket:
+    """Returns the TCP socket of a connection with or without TLS.
+
+    :param transport: a connected transport
+    :return: its socket
+    """
+    handle = transport.getHandle()
+    if isinstance(handle, socket.socket):
+        return handle
+    tcp_handle: socket.socket = transport.transport.getHandle()
+    return tcp_handle
 
 
 def enable_reachability_probes(handle: socket.socket) -> None:
