A store whose first timeline is 0 is noticed when it is restored

Found by rereading: 0 stood for 'the store has not told it', so that the first restore of a store that counts from 0 passed unnoticed: nothing was read again, an older configuration confirmed keys. An unknown timeline is None now; the stand-in counts from 0, with which ten scenarios of features/store_restored.feature failed before.

--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -133,8 +133,10 @@
             self.clock, dependencies.instruments, self.config_state
         )
         self.latency = latency.LatencyEstimator()
-        self.store_timeline: typing.Callable[[], int] = int
-        self.on_peer_timeline: typing.Callable[[int], None] = _ignore_timeline
+        self.store_timeline: typing.Callable[[], int | None] = _no_timeline
+        self.on_peer_timeline: typing.Callable[[int | None], None] = (
+            _ignore_timeline
+        )
         sharing.own_status = self.status
         sharing.on_peer_status = self.on_peer_status
         self.draining = False
@@ -838,5 +840,9 @@
         self.refuse(request, refusals.Refusal(504, "timeout"))
 
 
-def _ignore_timeline(_timeline: int) -> None:
+def _no_timeline() -> int | None:
+    return None
+
+
+def _ignore_timeline(_timeline: int | None) -> None:
     pass
--- a/godwitloft/gateway/peer_status.py
+++ b/godwitloft/gateway/peer_status.py
@@ -27,12 +27,12 @@
     """What a gateway knows, as far as it concerns its peers.
 
     :param version: version of the configuration in force, 0 without one
-    :param timeline: newest known timeline of the store, 0 if unknown
+    :param timeline: newest known timeline of the store, None if unknown
     :param leaving: upstreams that have lately said that they are leaving
     """
 
     version: int = 0
-    timeline: int = 0
+    timeline: int | None = None
     leaving: tuple[Life, ...] = ()
 
 
@@ -43,7 +43,7 @@
     :param sharing: the announcement, which is changed
     """
     sharing.version = status.version or None
-    sharing.timeline = status.timeline or None
+    sharing.timeline = status.timeline
     sharing.leaving = [
         ttypes.LeavingUpstream(upstream=life.id, born_ms=life.born_ms)
         for life in status.leaving
@@ -54,11 +54,11 @@
     """Returns the status in a peer's announcement.
 
     :param sharing: the received announcement
-    :return: its status; what it doesn't tell is 0 or empty
+    :return: its status; what it doesn't tell is 0, None or empty
     """
     return PeerStatus(
         version=sharing.version or 0,
-        timeline=sharing.timeline or 0,
+        timeline=sharing.timeline,
         leaving=tuple(
             Life(entry.upstream, entry.born_ms)
             for entry in sharing.leaving or ()
--- a/godwitloft/platform/store.py
+++ b/godwitloft/platform/store.py
@@ -68,11 +68,11 @@
 class Position:
     """A point in the store's history.
 
-    :param timeline: number of the timeline, 0 if the store has not told it
+    :param timeline: number of the timeline, None if the store hasn't told it
     :param version: version within that timeline
     """
 
-    timeline: int
+    timeline: int | None
     version: int
 
 
@@ -81,11 +81,11 @@
     """A whole answer to a call that succeeded.
 
     :param body: the decoded JSON object
-    :param timeline: the store's timeline, 0 if the answer doesn't tell it
+    :param timeline: the store's timeline, None if the answer doesn't tell it
     """
 
     body: dict[str, typing.Any]
-    timeline: int
+    timeline: int | None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -112,19 +112,19 @@
     """
 
     def __init__(self, on_changed: typing.Callable[[int, int], None]) -> None:
-        self.current = 0
+        self.current: int | None = None
         self.on_changed = on_changed
 
-    def observe(self, number: int) -> None:
+    def observe(self, number: int | None) -> None:
         """Records a timeline that the store or another gateway has told.
 
-        :param number: number of the timeline, 0 if unknown
+        :param number: number of the timeline, None if unknown
         """
-        if number <= self.current:
-            return
         before = self.current
+        if number is None or (before is not None and number <= before):
+            return
         self.current = number
-        if before:
+        if before is not None:
             self.on_changed(before, number)
 
     def on_headers(self, _status: int, headers: list[attempts.Header]) -> None:
@@ -134,13 +134,15 @@
         """
         self.observe(decode_timeline(headers))
 
-    def is_old(self, number: int) -> bool:
+    def is_old(self, number: int | None) -> bool:
         """Returns whether the store has been restored since.
 
-        :param number: number of a timeline, 0 if unknown
+        :param number: number of a timeline, None if unknown
         :return: whether a newer one is known
         """
-        return 0 < number < self.current
+        if number is None or self.current is None:
+            return False
+        return number < self.current
 
 
 class Call:
@@ -162,7 +164,7 @@
         self.result = result
         self.on_headers = on_headers
         self.status = 0
-        self.timeline = 0
+        self.timeline: int | None = None
         self.parts: list[bytes] = []
 
     def on_head(self, status: int, headers: list[attempts.Header]) -> None:
@@ -403,14 +405,14 @@
         return self.call("POST", "/rows-tx", json.dumps(transaction).encode())
 
 
-def decode_timeline(headers: list[attempts.Header]) -> int:
+def decode_timeline(headers: list[attempts.Header]) -> int | None:
     """Returns the store's timeline that an answer tells.
 
     :param headers: all headers of the answer
-    :return: number of the timeline, 0 if it is missing or no whole number
+    :return: number of the timeline, None if it is missing or no whole number
     """
     value = dict(headers).get(TIMELINE_HEADER, b"").strip()
-    return int(value) if value.isdigit() else 0
+    return int(value) if value.isdigit() else None
 
 
 def decode_rows(answer: Answer) -> ReadResult:
--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -59,7 +59,7 @@
         self.oldest_version = 0
         self.away_until = 0.0
         # Rises when the store comes back from an older copy.
-        self.timeline = 1
+        self.timeline = 0
         # The newest values that operators have ever written, by key.
         self.operators_values: dict[str, str] = {}
         # Time, version, table, key and value of every write.
