Soak: operators get no acknowledgement while the store is away

The stand-in now writes when the store takes calls, tells when it did, and the bound runs from there.

--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -121,6 +121,7 @@
     :return: the history
     """
     time.sleep(FINAL_RUNS_WAIT_S)
+    system.note_acknowledgements()
     runs = [
         verdict.Run(
             id=row["id"],
--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -23,6 +23,7 @@
 EVENT_INTERVAL_MS = 20
 REPORT_PATH = b"/report"
 OPERATOR_TABLE = "op"
+CONFIGURATION_KEY = "config"
 RUNNER_TABLE = "servers"
 SEAL = "Godwitloft-Response-Seal"
 REQUEST_ID = "Godwitloft-Request-Id"
@@ -62,6 +63,10 @@
         self.timeline = 0
         # The newest values that operators have ever written, by key.
         self.operators_values: dict[str, str] = {}
+        # Versions of configurations that wait for the store to take calls, and
+        # the times of day at which others were acknowledged.
+        self.unacknowledged: list[int] = []
+        self.acknowledged_ms: dict[str, int] = {}
         # Time, version, table, key and value of every write.
         self.writes: list[tuple[float, int, str, str, str | None]] = []
 
@@ -124,6 +129,31 @@
         self.oldest_version = min(self.oldest_version, self.version)
         self.timeline += 1
 
+    def write_configuration(self, configuration: http.Json) -> None:
+        """Writes the operators' configuration once the store takes calls.
+
+        :param configuration: its content
+        """
+        text = base64.b64encode(json.dumps(configuration).encode()).decode()
+        self.operators_values[CONFIGURATION_KEY] = text
+        self.unacknowledged.append(configuration["version"])
+        self.write_when_back()
+
+    def write_when_back(self) -> None:
+        """Writes what operators have not got an acknowledgement for."""
+        if not self.unacknowledged:
+            return
+        if self.is_away():
+            wait_s = self.away_until - self.reactor.seconds()
+            self.reactor.callLater(wait_s + 0.001, self.write_when_back)
+            return
+        value = self.operators_values[CONFIGURATION_KEY]
+        self.put(OPERATOR_TABLE, CONFIGURATION_KEY, value)
+        now_ms = int(time.time() * MS_PER_S)
+        for version in self.unacknowledged:
+            self.acknowledged_ms[str(version)] = now_ms
+        self.unacknowledged.clear()
+
     def repeat_operators_rows(self) -> None:
         """Writes the newest values of operators' rows again if lost."""
         for key, value in self.operators_values.items():
@@ -219,7 +249,7 @@
         self.misdirect = 0
         self.lose_answers = 0
         self.cut_after: list[int] = []
-        self.born = 1
+        self.born = int(time.time() * MS_PER_S)
         self.says_leaving = False
         self.pause_until = 0.0
         # Streams that have no framing and break off inside an event.
@@ -442,7 +472,7 @@
             ``forget`` and ``runners``, each optional
         """
         if "config" in change:
-            self.rows.put_json(OPERATOR_TABLE, "config", change["config"])
+            self.rows.write_configuration(change["config"])
         for table, key, value in change.get("rows", []):
             self.rows.put(table, key, value)
         if "away_ms" in change:
@@ -583,6 +613,10 @@
     def turned_away(request: typing.Any) -> bytes:
         return http.reply(request, lakeshore.turned_away())
 
+    @app.route("/acknowledged")
+    def acknowledged(request: typing.Any) -> bytes:
+        return http.reply(request, rows.acknowledged_ms)
+
     @app.route("/addresses")
     def addresses(request: typing.Any) -> bytes:
         return http.reply(request, lakeshore.addresses())
