--- a/features/standin_lakeshore.feature
+++ b/features/standin_lakeshore.feature
@@ -12,3 +12,16 @@
       | 0 | 2 | 0 |
       | 1 | 2 | 1 |
       | 2 | 3 | 2 |
+
+  # Guards against an event that the stream doesn't have.
+  Scenario Outline: An unframed stream that breaks off has no event after the last: from <first> of <last>
+    Given a stand-in runner that breaks off the next stream without framing
+    When it is asked for events <first> to <last>
+    Then it sends <whole> whole events and <half> half ones, and closes the connection
+
+    Examples:
+      | first | last | whole | half |
+      | 1 | 3 | 1 | 1 |
+      | 2 | 3 | 1 | 1 |
+      | 3 | 3 | 0 | 1 |
+      | 4 | 3 | 0 | 0 |
--- a/features/steps/standin_lakeshore_steps.py
+++ b/features/steps/standin_lakeshore_steps.py
@@ -2,6 +2,7 @@
 from behave import then
 from behave import when
 from twisted.internet import task
+from twisted.internet import testing
 from twisted.web.test import requesthelper
 
 from godwitloft.standins import lakeshore
@@ -43,3 +44,36 @@
     found = context.statuses.count(MISDIRECTED)
     assert found == count, context.statuses
     assert context.runner.misdirect == 0, context.runner.misdirect
+
+
+@given("a stand-in runner that breaks off the next stream without framing")
+def breaking_runner(context):
+    reactor = task.Clock()
+    rows = lakeshore.Rows(reactor)
+    context.runner = lakeshore.Runner(0, "model", rows, reactor)
+    context.runner.control({"break_unframed": 1})
+
+
+@when("it is asked for events {first:d} to {last:d}")
+def ask_stream(context, first, last):
+    request = requesthelper.DummyRequest([b""])
+    request.uri = request.path = b"/x"
+    request.transport = testing.StringTransport()
+    headers = request.requestHeaders
+    headers.setRawHeaders(lakeshore.REQUEST_ID, ["r"])
+    headers.setRawHeaders("Godwitloft-Token-Counts", [f"0,{last}"])
+    headers.setRawHeaders("Last-Event-Id", [str(first - 1)])
+    context.runner.run(request)
+    context.transport = request.transport
+
+
+@then(
+    "it sends {whole:d} whole events and {half:d} half ones, and closes the"
+    " connection"
+)
+def check_broken_off(context, whole, half):
+    _head, _, body = context.transport.value().partition(b"\r\n\r\n")
+    events = body.split(b"\n\n")
+    assert len(events) - 1 == whole, body
+    assert (1 if events[-1] else 0) == half, body
+    assert context.transport.disconnecting
--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -385,7 +385,7 @@
         request_id = request.getHeader(REQUEST_ID) or ""
         if self.break_unframed > 0:
             self.break_unframed -= 1
-            return self.break_off_unframed(request, request_id, first)
+            return self.break_off_unframed(request, request_id, first, last)
         finished: defer.Deferred[bytes] = defer.Deferred()
 
         def event(number: int) -> None:
@@ -406,9 +406,9 @@
         return finished
 
     def break_off_unframed(
-        self, request: typing.Any, request_id: str, first: int
+        self, request: typing.Any, request_id: str, first: int, last: int
     ) -> typing.Any:
-        """Sends one event and half of the next, and closes the connection.
+        """Sends an event and half of the next, and closes the connection.
 
         The answer has neither a length nor chunks, so that its end looks like
         that of a whole one.
@@ -416,10 +416,14 @@
         :param request: request sent by the gateway
         :param request_id: its id
         :param first: number of the first event
+        :param last: number of the last event; none after it is begun
         :return: a Deferred that never fires
         """
         event = f"id: {first}\ndata: x{first} of {request_id}\n\n"
         cut = f"id: {first + 1}\ndata: x"
+        if first >= last:
+            event = ""
+            cut = f"id: {first}\ndata: x" if first == last else ""
         head = (
             f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {request_id}\r\n"
             f"{SEAL}: seal-{self.id}\r\n\r\n"
