--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -1,12 +1,10 @@
-import logging
-
 from behave import given
 from behave import then
 from behave import when
 
+from features.support import logs
 from features.support import wire_upstream
 from godwitloft import answer_end
-from godwitloft import events as event_log
 
 LINE_ENDS = {"LF": b"\n", "CRLF": b"\r\n", "CR": b"\r"}
 # Longer than any request of the simulated callers waits.
@@ -63,21 +61,7 @@
 @given("a gateway that reads what its upstreams send")
 def gateway_on_wire(context):
     context.world = wire_upstream.WireWorld()
-    context.log = LogRecorder()
-    logger = logging.getLogger(event_log.LOGGER_NAME)
-    logger.addHandler(context.log)
-    context.add_cleanup(logger.removeHandler, context.log)
-
-
-class LogRecorder(logging.Handler):
-    """Keeps the records of the event log."""
-
-    def __init__(self):
-        super().__init__()
-        self.records = []
-
-    def emit(self, record):
-        self.records.append(record)
+    context.log = logs.record(context)
 
 
 @when(
@@ -175,11 +159,7 @@
     'GL1206 has reason "{reason}", framing "{framing}" and inside_event true'
 )
 def check_log(context, reason, framing):
-    found = [
-        record.fields
-        for record in context.log.records
-        if record.event.code == "GL1206"
-    ]
+    found = context.log.fields("GL1206")
     assert len(found) == 1, found
     assert found[0]["reason"] == reason, found
     assert found[0]["framing"] == framing, found
--- a/features/steps/feed_steps.py
+++ b/features/steps/feed_steps.py
@@ -11,7 +11,7 @@
 import heap_clock
 import scripted_store
 
-from features.support import restored_store as store_logs
+from features.support import logs
 from godwitloft import errors
 from godwitloft import events
 from godwitloft.coordination import delta
@@ -348,7 +348,7 @@
     head, _content = accept(store, generation)
     name = publish.snapshot_name(head.snapshot_hash)
     store.objects[name] = store.objects[name][:-2] + b" }"
-    context.log = store_logs.record_log(context)
+    context.log = logs.record(context)
     context.feed.settings = dataclasses.replace(
         context.feed.settings,
         first_backoff_ms=60_000,
--- a/features/support/restored_store.py
+++ b/features/support/restored_store.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import json
-import logging
 import random
 import urllib.parse
 
@@ -10,7 +9,7 @@
 
 from features.support import gateway_world
 from features.support import lakeshore as settings
-from godwitloft import events
+from features.support import logs
 from godwitloft.platform import store as stores
 from godwitloft.platform import watch as watches
 from godwitloft.standins import lakeshore
@@ -20,34 +19,6 @@
 OPERATOR_MS = 3_000
 
 
-class LogRecorder(logging.Handler):
-    """Keeps the records of the event log."""
-
-    def __init__(self):
-        super().__init__()
-        self.records = []
-
-    def emit(self, record):
-        self.records.append(record)
-
-    def fields(self, code):
-        """Returns the fields of each line of an event."""
-        return [
-            record.fields
-            for record in self.records
-            if getattr(record, "event", None) and record.event.code == code
-        ]
-
-
-def record_log(context):
-    """Returns a recorder that gets all events of a scenario."""
-    recorder = LogRecorder()
-    logger = logging.getLogger(events.LOGGER_NAME)
-    logger.addHandler(recorder)
-    context.add_cleanup(logger.removeHandler, recorder)
-    return recorder
-
-
 @dataclasses.dataclass
 class Waiting:
     """A long poll that has not been answered."""
@@ -127,7 +98,7 @@
     """The store, its writers, and a gateway that follows it."""
 
     def __init__(self, context):
-        self.log = record_log(context)
+        self.log = logs.record(context)
         self.world = gateway_world.World(upstreams=())
         self.gateway = self.world.gateway
         self.reactor = self.world.reactor
