After a restore, a row counts by its life, not by whether it was written again

So after a restore a gateway would have held back, for two minutes, a runner that reported at once that it drains (DRAIN), one that had started again, and for good one that lives although it had been taken for ended. The stand-in and the test's upstreams wrote at each heartbeat, which hid it.

Now the later of two lives counts, a row of the known life counts as it is, and an upstream that had ended counts once it is still listed when a silent one's row would have been removed (three heartbeats and a second). The stand-ins write a row only when it changes or is missing. Three scenarios of features/store_restored.feature failed before; each part taken out alone now fails one.

--- a/features/steps/gateway_placement_steps.py
+++ b/features/steps/gateway_placement_steps.py
@@ -61,7 +61,7 @@
 )
 def lists_come(context, lists, back):
     context.alive = {}
-    kept = upstream_list.UpstreamList()
+    kept = upstream_list.UpstreamList(expiry_ms=4000)
     for entry in lists.split():
         at, _, names = entry.partition(":")
         now_ms = int(at) * 1000
--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -10,6 +10,7 @@
 from godwitloft.gateway import allowance
 from godwitloft.gateway import peer_status
 from godwitloft.gateway import sharing as sharings
+from godwitloft.gateway import upstream_list
 from godwitloft.links import datagrams
 from godwitloft.platform import store as stores
 
@@ -183,6 +184,82 @@
     context.restored.start(name, born_ms=context.restored.now_ms())
 
 
+@then('the log tells that row "{name}" has returned')
+def check_returned(context, name):
+    check_cut_back(context, "returned", name)
+
+
+@then('the log tells that row "{name}" was lost')
+def check_lost(context, name):
+    check_cut_back(context, "lost", name)
+
+
+def check_cut_back(context, what, name):
+    lines = context.restored.log.fields("GL1508")
+    assert any(line.get(what) == [name] for line in lines), lines
+
+
+@given("a list of upstreams whose registrations expire after {expiry_ms:d} ms")
+def make_list(context, expiry_ms):
+    context.list = upstream_list.UpstreamList(expiry_ms)
+
+
+@when('upstream "{name}" ends, and a restore brings it back')
+def ended_and_back(context, name):
+    both = {
+        other: gateway_world.upstream(other, "desk") for other in ("a", name)
+    }
+    context.list.update(both, 1000)
+    context.list.update({"a": both["a"]}, 2000)
+    context.list.mark_restored(3000)
+    assert list(context.list.update(both, 3000)) == ["a"]
+
+
+@when("the list is looked at {wait_ms:d} ms later")
+def look(context, wait_ms):
+    context.needs = context.list.needs_update(3000 + wait_ms)
+
+
+@then("it {needs} be read although it is unchanged")
+def check_needs(context, needs):
+    assert context.needs == (needs == "must")
+
+
+@when('upstream "{name}" writes at once that it {news}')
+def write_news(context, name, news):
+    restored = context.restored
+    upstream = restored.upstreams[name]
+    if news == "drains":
+        upstream.state = "draining"
+    else:
+        upstream.born_ms = restored.now_ms()
+    upstream.due_s = 0.0
+    restored.advance(restored_store.STEP_MS)
+
+
+@then('upstream "{name}" is known by its start {which}')
+def check_start(context, name, which):
+    state = context.restored.gateway.fleet.states[name]
+    assert (state.upstream.born_ms > 1) == (which == "after"), state.upstream
+
+
+@when('upstream "{name}" is silent until its row is gone, and lives')
+def silent_and_alive(context, name):
+    # Its row is removed, and it doesn't write it again before the restore.
+    upstream = context.restored.upstreams[name]
+    upstream.due_s = context.restored.reactor.seconds() + 60
+    upstream.end()
+
+
+@when(
+    "the store is away for {away_ms:d} ms and comes back from a copy"
+    ' {copy_ms:d} ms old, which has "{name}"'
+)
+def drill_with(context, away_ms, copy_ms, name):
+    drill(context, away_ms, copy_ms)
+    assert ("servers", name) in context.restored.rows.rows
+
+
 @when('upstream "{name}" starts again under its name')
 def start_again(context, name):
     context.restored.start(name, born_ms=context.restored.now_ms())
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -66,6 +66,9 @@
     And the store is away for 500 ms and comes back from a copy 3500 ms old
     And 1 s pass at the store
     Then upstreams "a,c" are usable
+    And the log tells that row "b" has returned
+    When 10 s pass at the store
+    Then upstreams "a,c" are usable
 
   Scenario: An upstream that had said that it drains does not come back ready
     When upstream "b" drains
@@ -83,6 +86,7 @@
     And the store is away for 500 ms and comes back from a copy 3500 ms old
     And 600 ms pass at the store
     Then upstreams "a,c" take requests
+    And upstream "b" is known by its start after
     When 1 s pass at the store
     Then upstreams "a,c" take requests
 
@@ -99,12 +103,50 @@
     Then upstreams "a,b,c,d" are usable
     When 3 s pass at the store
     Then upstreams "a,b,c,d" are usable
+    And the log tells that row "d" was lost
 
     Examples:
       | away |
       | 0 |
       | 500 |
 
+  # Guards against a row that is held back although it is news.
+  Scenario Outline: What an upstream writes before the gateway reads the list again counts: <news>
+    When the store is cut off from the gateway
+    And the store is away for 0 ms and comes back from a copy 2000 ms old
+    And upstream "b" <news>
+    And the gateway reaches the store again
+    And 1 s pass at the store
+    Then upstreams "<usable>" take requests
+    And upstream "b" is known by its start <known>
+
+    Examples:
+      | news | usable | known |
+      | writes at once that it drains | a,c | before |
+      | writes at once that it has started again | a,b,c | after |
+
+  # Guards against an upstream that lives and is never used again.
+  Scenario: An upstream that was taken for ended and lives is used again
+    When upstream "b" is silent until its row is gone, and lives
+    And 2 s pass at the store
+    Then upstreams "a,c" are usable
+    When the store is away for 500 ms and comes back from a copy 3500 ms old, which has "b"
+    And 1 s pass at the store
+    Then upstreams "a,c" are usable
+    When 5 s pass at the store
+    Then upstreams "a,b,c" are usable
+
+  Scenario Outline: The list is read again when one that was left out may count: after <wait> ms
+    Given a list of upstreams whose registrations expire after 4000 ms
+    When upstream "b" ends, and a restore brings it back
+    And the list is looked at <wait> ms later
+    Then it <needs> be read although it is unchanged
+
+    Examples:
+      | wait | needs |
+      | 3900 | need not |
+      | 4100 | must |
+
   Scenario: An upstream that ended and lives again under its name is used again
     When upstream "b" ends
     And 2 s pass at the store
--- a/features/support/restored_store.py
+++ b/features/support/restored_store.py
@@ -1,5 +1,6 @@
 """A gateway that follows a stand-in store, all on a simulated clock."""
 
+import base64
 import dataclasses
 import json
 import random
@@ -111,6 +112,8 @@
         self.gateway.on_peer_timeline = self.timeline.observe
         self.store = stores.Store(self.client, self.timeline)
         self.upstreams = {}
+        # Since when the upstream of a row is silent.
+        self.silent_s = {}
         self.gateway.config_state.key_proof_ms = 4000
         sharing = self.world.sharing
         self.watch = watches.Watch(
@@ -135,6 +138,7 @@
             "g0",
             "127.0.0.1",
             4000,
+            3 * HEARTBEAT_MS + 1000,
             random.Random(1),
         )
 
@@ -150,6 +154,18 @@
             self.client.poll()
             for upstream in self.upstreams.values():
                 upstream.write_if_due(self.reactor.seconds())
+            self.lapse()
+
+    def lapse(self):
+        """Removes rows whose upstreams have been silent for three beats."""
+        now_s = self.reactor.seconds()
+        for table, name in list(self.rows.rows):
+            if table != "servers" or name in self.upstreams:
+                self.silent_s.pop(name, None)
+                continue
+            since_s = self.silent_s.setdefault(name, now_s)
+            if now_s - since_s > 3 * HEARTBEAT_MS / 1000:
+                self.rows.put("servers", name, None)
 
     def configure(self, version):
         self.rows.put_json("op", "config", settings.config(version))
@@ -167,31 +183,42 @@
 
 
 class Upstream:
-    """Writes its row at each heartbeat."""
+    """Writes its row when it changes, or when the store has lost it.
+
+    At each heartbeat it looks; an unchanged row is not written again.
+    """
 
     def __init__(self, name, born_ms, rows):
         self.name = name
         self.born_ms = born_ms
         self.rows = rows
         self.state = "ready"
-        self.sequence = 0
         self.due_s = 0.0
 
     def write_if_due(self, now_s):
         if now_s < self.due_s or self.rows.is_away():
             return
         self.due_s = now_s + HEARTBEAT_MS / 1000
-        self.sequence += 1
-        row = {
+        found = self.rows.rows.get(("servers", self.name))
+        if found is not None and found[0] == encode(self.row()):
+            return
+        self.rows.put_json("servers", self.name, self.row())
+
+    def row(self):
+        """Returns the content of its row."""
+        return {
             "service": "desk",
             "address": "127.0.0.1:9",
             "zone": "a",
             "slots": 4,
             "state": self.state,
-            "sequence": self.sequence,
+            "sequence": 1,
             "born": self.born_ms,
         }
-        self.rows.put_json("servers", self.name, row)
 
     def end(self):
         self.rows.put("servers", self.name, None)
+
+
+def encode(row):
+    return base64.b64encode(json.dumps(row).encode()).decode()
--- a/godwitloft/gateway/upstream_list.py
+++ b/godwitloft/gateway/upstream_list.py
@@ -7,13 +7,12 @@
 ended as well.
 
 A store that was restored from a copy lists upstreams that had ended by then,
-until their registrations expire, and earlier states of the others. A row from
-the copy counts only once it has been written again: until then an upstream
-that had been missing stays so, and one that was listed stays as it was.
+until their registrations expire, and earlier lives of others. One that had
+ended counts as alive only if it is still listed when the registration of an
+ended one would have expired; of two lives the later one counts.
 """
 
 import dataclasses
-import typing
 
 from godwitloft.gateway import model
 
@@ -35,22 +34,26 @@
 
 
 class UpstreamList:
-    """The last list of upstreams, and those that may be listed again."""
+    """The last list of upstreams, and those that may be listed again.
 
-    def __init__(self) -> None:
+    :param expiry_ms: time after which a silent upstream's registration expires
+    """
+
+    def __init__(self, expiry_ms: int) -> None:
+        self.expiry_ms = expiry_ms
         self.last_listed: dict[str, model.Upstream] = {}
         self.lapsed: dict[str, model.Upstream] = {}
         self.just_returned = False
         self.returned_ms = 0
         # Upstreams that are no longer listed, by id.
         self.ended: dict[str, Ended] = {}
-        # Those of them that had ended before the store was restored.
-        self.ended_before_restore: dict[str, Ended] = {}
-        # Upstreams as they were listed before the store was restored, until
-        # their rows are written again.
+        # Upstreams as they were listed before the store was restored.
         self.before_restore: dict[str, model.Upstream] = {}
-        # The store's version when the list was first read after a restore.
-        self.restored_version: int | None = None
+        # Until when the copy may list upstreams that have ended, None if it
+        # doesn't.
+        self.copied_until_ms: int | None = None
+        # Whether upstreams were left out of the last list for that.
+        self.left_out = False
 
     def mark_returned(self, now_ms: int) -> None:
         """Records that the next list is the first one after an outage.
@@ -66,13 +69,22 @@
         :param now_ms: the current time
         """
         self.mark_returned(now_ms)
-        self.restored_version = None
+        self.copied_until_ms = now_ms + self.expiry_ms
         self.before_restore |= self.last_listed
-        self.ended_before_restore |= {
-            name: Ended(ended.born_ms, now_ms)
-            for name, ended in self.ended.items()
-            if now_ms - ended.at_ms <= ENDED_KEPT_MS
-        }
+
+    def needs_update(self, now_ms: int) -> bool:
+        """Returns whether the list must be read even if it is unchanged.
+
+        :param now_ms: the current time
+        :return: whether a lapsed upstream may be listed again, or one that was
+            left out counts as alive now
+        """
+        if self.lapsed:
+            return True
+        copied_until_ms = self.copied_until_ms
+        if copied_until_ms is None:
+            return False
+        return self.left_out and now_ms > copied_until_ms
 
     def has_lapsed(self) -> bool:
         """Returns whether a lapsed upstream may still be listed again.
@@ -82,24 +94,15 @@
         return bool(self.lapsed)
 
     def update(
-        self,
-        listed: dict[str, model.Upstream],
-        now_ms: int,
-        versions: typing.Mapping[str, int] | None = None,
-        store_version: int = 0,
+        self, listed: dict[str, model.Upstream], now_ms: int
     ) -> dict[str, model.Upstream]:
         """Replaces the list and returns the upstreams assumed to be alive.
 
         :param listed: upstreams now on the list, by id
         :param now_ms: the current time
-        :param versions: version of each upstream's row, by id
-        :param store_version: version of the store when the list was read
         :return: these, and those that may still be listed again
         """
-        if now_ms - self.returned_ms > ENDED_KEPT_MS:
-            self.ended_before_restore.clear()
-            self.before_restore.clear()
-        listed = self.without_copied(listed, versions or {}, store_version)
+        listed = self.without_copied(listed, now_ms)
         if self.just_returned:
             self.just_returned = False
             self.lapsed = {
@@ -121,31 +124,31 @@
         return alive
 
     def without_copied(
-        self,
-        listed: dict[str, model.Upstream],
-        versions: typing.Mapping[str, int],
-        store_version: int,
+        self, listed: dict[str, model.Upstream], now_ms: int
     ) -> dict[str, model.Upstream]:
         """Returns the list without what only a copy of the store says.
 
         :param listed: upstreams on the list, by id
-        :param versions: version of each upstream's row, by id
-        :param store_version: version of the store when the list was read
-        :return: those whose rows were written again; others as they were
-            before the restore, unless they had ended
+        :param now_ms: the current time
+        :return: the list without upstreams that had ended, and with the latest
+            known life of the others
         """
-        if not self.ended_before_restore and not self.before_restore:
+        self.left_out = False
+        if self.copied_until_ms is None:
+            return listed
+        if now_ms > self.copied_until_ms:
+            self.copied_until_ms = None
+            self.before_restore.clear()
             return listed
-        if self.restored_version is None:
-            self.restored_version = store_version
         believed = {}
         for name, upstream in listed.items():
-            if versions.get(name, 0) > self.restored_version:
-                self.ended_before_restore.pop(name, None)
-                self.before_restore.pop(name, None)
-            ended = self.ended_before_restore.get(name)
-            if ended is None or ended.born_ms != upstream.born_ms:
-                believed[name] = self.before_restore.get(name, upstream)
+            ended = self.ended.get(name)
+            if ended is not None and upstream.born_ms <= ended.born_ms:
+                self.left_out = True
+                continue
+            known = self.before_restore.get(name, upstream)
+            is_earlier_life = upstream.born_ms < known.born_ms
+            believed[name] = known if is_earlier_life else upstream
         return believed
 
     def record_ended(
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -28,6 +28,9 @@
 from godwitloft.runtime import process
 
 EXIT_USAGE = 2
+# The store removes an upstream's row after this many intervals of silence.
+HEARTBEATS_TO_EXPIRY = 3
+EXPIRY_SLACK_MS = 1_000
 # Few reference cycles are created, and a full collection takes long because
 # it traverses the objects of all modules.
 GC_YOUNG_OBJECTS = 20_000
@@ -134,6 +137,7 @@
         boot.instance,
         boot.host,
         boot.options.key_proof_ms,
+        HEARTBEATS_TO_EXPIRY * boot.heartbeat_ms + EXPIRY_SLACK_MS,
         random.Random(),
     )
     listen = daemon.ListenOptions(
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -137,6 +137,8 @@
     :param host: IP address at which other gateways reach this one
     :param key_proof_ms: how old the proof that a key is valid may be, in
         milliseconds; 0: any age
+    :param expiry_ms: time after which the store removes the row of a silent
+        upstream
     :param rng: spreads the calls of gateways after a restore of the store
     """
 
@@ -150,6 +152,7 @@
         instance: str,
         host: str,
         key_proof_ms: int,
+        expiry_ms: int,
         rng: random.Random,
     ) -> None:
         self.host = host
@@ -180,7 +183,7 @@
         self.list_restored = False
         # The store's clock minus this process's.
         self.store_clock_offset_ms = 0
-        self.upstream_list = upstream_lists.UpstreamList()
+        self.upstream_list = upstream_lists.UpstreamList(expiry_ms)
         self.logged_versions: dict[str, int] = {}
         self.list_failed = False
 
@@ -324,11 +327,14 @@
     def needs_upstreams(self) -> bool:
         """Returns whether the upstreams must be read from the store.
 
-        :return: True if upstreams whose rows are gone may come back, or if
-            no other gateway confirms that the list is current
+        :return: True if upstreams whose rows are gone may come back, if ones
+            that were left out after a restore count again, or if no other
+            gateway confirms that the list is current
         """
+        now_ms = self.clock.monotonic_ms()
         return (
-            self.upstream_list.has_lapsed() or self.confirmation.needs_list()
+            self.upstream_list.needs_update(now_ms)
+            or self.confirmation.needs_list()
         )
 
     @defer.inlineCallbacks
@@ -340,7 +346,7 @@
         :return: the delay before the next call, in milliseconds
         """
         started_ms = self.clock.monotonic_ms()
-        rows_read, store_version = yield self.read_all(UPSTREAM_TABLE)
+        rows_read = yield self.read_all(UPSTREAM_TABLE)
         upstreams: dict[str, model.Upstream] = {}
         for row in rows_read:
             upstream = self.decode_row(
@@ -355,10 +361,7 @@
             self.list_failed = False
             self.upstream_list.mark_returned(now_ms)
         self.confirmation.record_list(upstreams, started_ms)
-        versions = {row.key: row.version for row in rows_read}
-        alive = self.upstream_list.update(
-            upstreams, now_ms, versions, store_version
-        )
+        alive = self.upstream_list.update(upstreams, now_ms)
         if self.list_restored:
             self.list_restored = False
             self.report_cut_back(
@@ -375,14 +378,12 @@
     @defer.inlineCallbacks
     def read_all(
         self, table: str
-    ) -> typing.Generator[
-        typing.Any, typing.Any, tuple[list[stores.Row], int]
-    ]:
+    ) -> typing.Generator[typing.Any, typing.Any, list[stores.Row]]:
         """Reads all pages of a table.
 
         :param table: name of the table
-        :return: the rows, and the store's version at the first page; fails
-            with ``HistoryLostError`` if the store was restored meanwhile
+        :return: the rows; fails with ``HistoryLostError`` if the store was
+            restored meanwhile
         """
         first = result = yield self.store.read(table)
         found = list(result.rows)
@@ -393,7 +394,7 @@
                     table, stores.HTTP_OK, stores.HISTORY_LOST
                 )
             found.extend(result.rows)
-        return found, first.position.version
+        return found
 
     def report_cut_back(
         self, lost: typing.Iterable[str], returned: typing.Iterable[str]
--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -21,6 +21,8 @@
 
 MS_PER_S = 1000
 EVENT_INTERVAL_MS = 20
+# A silent runner's row is removed after this many heartbeat intervals.
+SILENT_INTERVALS = 3
 REPORT_PATH = b"/report"
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
@@ -134,8 +136,7 @@
 
         :param configuration: its content
         """
-        text = base64.b64encode(json.dumps(configuration).encode()).decode()
-        self.operators_values[CONFIGURATION_KEY] = text
+        self.operators_values[CONFIGURATION_KEY] = encode(configuration)
         self.unacknowledged.append(configuration["version"])
         self.write_when_back()
 
@@ -168,8 +169,7 @@
         :param key: key of the row
         :param value: a value that JSON can represent
         """
-        text = base64.b64encode(json.dumps(value).encode()).decode()
-        self.put(table, key, text)
+        self.put(table, key, encode(value))
 
     def read(self, table: str) -> http.Json:
         """Returns all rows of a table.
@@ -244,7 +244,8 @@
         self.address = ""
         self.state = "ready"
         self.gone = False
-        self.sequence = 0
+        # Heartbeat intervals since the store has heard from it.
+        self.silent_intervals = SILENT_INTERVALS
         self.refuse = 0
         self.misdirect = 0
         self.lose_answers = 0
@@ -263,28 +264,43 @@
         self.answers_wrong = 0
 
     def send_heartbeat(self) -> None:
-        """Writes its row to the store, at every heartbeat interval."""
-        self.sequence += 1
+        """Keeps its row in the store, at every heartbeat interval.
+
+        An unchanged row isn't written again. That of a runner that is gone is
+        removed, and if a restore brings it back, after three intervals.
+        """
         if self.gone:
-            self.rows.put(RUNNER_TABLE, self.id, None)
+            self.remove_row()
         elif not self.rows.is_away():
-            self.rows.put_json(
-                RUNNER_TABLE,
-                self.id,
-                {
-                    "service": self.service,
-                    "address": self.address,
-                    "zone": "a",
-                    "slots": words.ENGINE_SLOTS,
-                    "state": self.state,
-                    "sequence": self.sequence,
-                    "born": self.born,
-                },
-            )
+            self.silent_intervals = SILENT_INTERVALS
+            self.write_row()
         self.reactor.callLater(
             words.HEARTBEAT_MS / MS_PER_S, self.send_heartbeat
         )
 
+    def remove_row(self) -> None:
+        """Removes its row, or waits until the store would do so."""
+        self.silent_intervals += 1
+        is_present = (RUNNER_TABLE, self.id) in self.rows.rows
+        if is_present and self.silent_intervals > SILENT_INTERVALS:
+            self.rows.put(RUNNER_TABLE, self.id, None)
+            self.silent_intervals = 0
+
+    def write_row(self) -> None:
+        """Writes its row if it has changed or the store has lost it."""
+        content = {
+            "service": self.service,
+            "address": self.address,
+            "zone": "a",
+            "slots": words.ENGINE_SLOTS,
+            "state": self.state,
+            "sequence": 1,
+            "born": self.born,
+        }
+        found = self.rows.rows.get((RUNNER_TABLE, self.id))
+        if found is None or found[0] != encode(content):
+            self.rows.put_json(RUNNER_TABLE, self.id, content)
+
     def run(self, request: typing.Any) -> typing.Any:
         """Answers one request.
 
@@ -636,3 +652,12 @@
     woken: defer.Deferred[None] = defer.Deferred()
     reactor.callLater(seconds, woken.callback, None)
     return woken
+
+
+def encode(value: object) -> str:
+    """Returns the text of a row's value.
+
+    :param value: a value that JSON can represent
+    :return: JSON in base64
+    """
+    return base64.b64encode(json.dumps(value).encode()).decode()
