A request that HTTP can't carry is refused, and never counts as a crash

The entry refuses such requests with 400, naming the part; an attempt that can't be written ends as not sent.

--- a/features/http_upstream.feature
+++ b/features/http_upstream.feature
@@ -62,6 +62,18 @@
       | 7 |
       | 1000 |
 
+  # Guards against a caller's malformed request that counts as a crash.
+  Scenario Outline: A request that HTTP can't carry is not sent: <what>
+    Given an HTTP upstream with a run whose <what>
+    When the upstream is connected
+    Then the run ends as "never_started" with the reason "malformed_request"
+
+    Examples:
+      | what |
+      | path has a raw byte |
+      | header has a line break |
+      | method has a space |
+
   Scenario: A run that is cancelled before its request was sent never starts
     Given an HTTP upstream with a run that is connecting
     When the run is cancelled
--- a/features/steps/http_upstream_steps.py
+++ b/features/steps/http_upstream_steps.py
@@ -56,26 +56,43 @@
     )
 
 
-def start_run_of(context, stream, scheme="http", host="127.0.0.1"):
+@given("an HTTP upstream with a run whose {what}")
+def start_malformed(context, what):
+    malformed = {
+        "path has a raw byte": {"path": "/x\x80"},
+        "header has a line break": {"headers": {"accept": "a\r\nb: c"}},
+        "method has a space": {"method": "PO ST"},
+    }[what]
+    start_run_of(context, stream=False, malformed=malformed)
+
+
+@when("the upstream is connected")
+def connect(context):
+    transport = connected(context)
+    assert not transport.value(), transport.value()
+
+
+def start_run_of(
+    context, stream, scheme="http", host="127.0.0.1", malformed=None
+):
     context.reactor = testing.MemoryReactorClock()
     context.upstream = upstream = http_upstream.HttpUpstream(
         context.reactor, f"{scheme}://{host}:9", True
     )
     context.ends = EndRecorder()
     upstream.dispatcher = context.ends
-    upstream.start(
-        ttypes.Dispatch(
-            request_id="e-1",
-            method="POST",
-            path="/v1/completions",
-            headers={},
-            body=b"{}",
-            stream=stream,
-            deadline_in_ms=1000,
-            idempotent=False,
-            generation=1,
-        )
-    )
+    fields = {
+        "request_id": "e-1",
+        "method": "POST",
+        "path": "/v1/completions",
+        "headers": {},
+        "body": b"{}",
+        "stream": stream,
+        "deadline_in_ms": 1000,
+        "idempotent": False,
+        "generation": 1,
+    }
+    upstream.start(ttypes.Dispatch(**fields | (malformed or {})))
     context.factory = context.reactor.tcpClients[0][2]
 
 
--- a/godwitloft/agent/http_upstream.py
+++ b/godwitloft/agent/http_upstream.py
@@ -117,7 +117,9 @@
         :return: how the run ended, and the reason if it did not complete
         """
         if end is attempts.End.NOT_SENT:
-            return upstreams.End.NEVER_STARTED, "upstream_unreachable"
+            if reason == attempts.NOT_CONNECTED:
+                reason = "upstream_unreachable"
+            return upstreams.End.NEVER_STARTED, reason
         if end is attempts.End.BROKEN:
             return upstreams.End.CRASHED, "connection_lost"
         if self.is_token_stream and STREAM_END not in self.tail:
--- a/godwitloft/attempt.py
+++ b/godwitloft/attempt.py
@@ -27,6 +27,8 @@
 PROBE_IDLE_S = 1
 PROBE_INTERVAL_S = 1
 PROBE_COUNT = 2
+NOT_CONNECTED = "not_connected"
+MALFORMED_REQUEST = "malformed_request"
 
 
 class End(enum.Enum):
@@ -92,7 +94,20 @@
         transport = typing.cast(typing.Any, self.transport)
         transport.setTcpNoDelay(True)
         enable_reachability_probes(tcp_socket(transport))
+        try:
+            request = self.request_bytes()
+        except h11.LocalProtocolError:
+            self.end(End.NOT_SENT, MALFORMED_REQUEST)
+            return
         self.sent = True
+        transport.write(request)
+
+    def request_bytes(self) -> bytes:
+        """Returns the complete request as it is sent.
+
+        :return: head and body
+        :raises h11.LocalProtocolError: if HTTP can't carry it
+        """
         outgoing = self.outgoing
         head = h11.Request(
             method=outgoing.method,
@@ -103,7 +118,7 @@
         if outgoing.body:
             parts.append(self.parser.send(h11.Data(data=outgoing.body)) or b"")
         parts.append(self.parser.send(h11.EndOfMessage()) or b"")
-        transport.write(b"".join(parts))
+        return b"".join(parts)
 
     def dataReceived(self, data: bytes) -> None:
         """Parses a part of the answer.
@@ -224,7 +239,7 @@
         :param connector: twisted's connector
         :param reason: twisted's reason
         """
-        self.attempt.end(End.NOT_SENT, "not_connected")
+        self.attempt.end(End.NOT_SENT, NOT_CONNECTED)
 
 
 def start(
--- a/godwitloft/entry/call_parser.py
+++ b/godwitloft/entry/call_parser.py
@@ -7,6 +7,7 @@
 import dataclasses
 import hashlib
 import json
+import re
 import typing
 
 from godwitloft import errors
@@ -26,6 +27,9 @@
 DEFAULT_OUTPUT_TOKENS = 128
 FINGERPRINT_BYTES = 16
 MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
+TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+VISIBLE = re.compile(r"[!-~]+")
+CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 FORWARDED_HEADERS = ("content-type", "accept", KEY_HEADER)
 
 
@@ -100,6 +104,7 @@
     :raises Rejected: when it is invalid or not allowed
     """
     team = authenticate(incoming, objects)
+    _check_form(incoming)
     body = _json_object(incoming.body)
     model = body.get("model")
     if not isinstance(model, str):
@@ -141,6 +146,7 @@
     :raises Rejected: when it is invalid or not allowed
     """
     team = authenticate(incoming, objects)
+    _check_form(incoming)
     service = _service(objects, team, service_name, types.ServiceKind.PLAIN)
     tier = _tier(incoming, objects, team, service)
     rule = lookup.call_rule(
@@ -181,6 +187,24 @@
     return key
 
 
+def _check_form(incoming: IncomingRequest) -> None:
+    """Checks that an upstream can be sent the request.
+
+    :param incoming: the request
+    :raises Rejected: when HTTP can't carry a part that is forwarded
+    """
+    if not TOKEN.fullmatch(incoming.method):
+        raise _bad(f"method {incoming.method!r:.80} is not an HTTP token")
+    if not VISIBLE.fullmatch(incoming.path):
+        raise _bad(
+            f"path {incoming.path!r:.80} must have visible ASCII characters"
+            " only"
+        )
+    for name, value in _forwarded(incoming).items():
+        if CONTROL.search(value):
+            raise _bad(f"header {name!r} has control characters")
+
+
 def _bad(message: str) -> Rejected:
     return Rejected(400, answers.Reason.BAD_REQUEST, message)
 
