An agent doesn't take a missing report for an idle upstream, and logs it

When a report timed out, was refused or couldn't be read, the agent counted no requests beside those it knew of, granted their places again, and wrote nothing. It now goes on with the load that it last knew, unless no process answers at the address; the first failure of a series is logged (GL1306) and the end of it (GL1307), and what a report says of leaving or a pause as well. Four rows of features/upstream_signs.feature failed before.

--- a/features/steps/upstream_signs_steps.py
+++ b/features/steps/upstream_signs_steps.py
@@ -1,11 +1,17 @@
 import dataclasses
+import types
 
 from behave import given
 from behave import then
 from behave import when
+from twisted.internet import error
 from twisted.internet import task
+from twisted.internet import testing as twisted_testing
+from twisted.python import failure
 
 from features.support import gateway_world
+from features.support import logs
+from features.support import wire
 from godwitloft import clock as clocks
 from godwitloft.gateway import arbiter as arbiters
 from godwitloft.gateway import peer_status
@@ -15,6 +21,7 @@
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
 from godwitloft.platform import agent as agents
+from godwitloft.platform import settings
 from godwitloft.platform import store as stores
 
 DIALECT = gateway_world.DIALECT
@@ -23,6 +30,9 @@
 LEAVING = (DIALECT.leaving, b"1")
 NOT_RUN = (DIALECT.not_run, b"1")
 PEER = "127.0.0.2"
+BOOT = types.SimpleNamespace(
+    instance="agent-0", host="127.0.0.1", zone="a", first_port=1
+)
 
 
 @then(
@@ -282,12 +292,12 @@
     reactor = task.Clock()
     reactor.advance(1000)
     context.granted = []
-    context.agent = agents.AgentDaemon.__new__(agents.AgentDaemon)
+    context.log = logs.record(context)
+    context.reactor = twisted_testing.MemoryReactorClock()
+    context.agent = agents.AgentDaemon(
+        context.reactor, BOOT, settings.Address("127.0.0.1", 9)
+    )
     context.agent.clock = clocks.reactor_clock(reactor)
-    context.agent.says_leaving = False
-    context.agent.born_ms = 0
-    context.agent.next_report_ms = 0
-    context.agent.call_later = lambda _ms, _callback: None
     context.agent.arbiter = arbiters.Arbiter(
         context.agent.clock,
         lambda _ms, callback: callback(),
@@ -311,6 +321,57 @@
     )
 
 
+@when("its upstream reports {count:d} requests that no gateway claims, twice")
+def report_load(context, count):
+    for _ in range(2):
+        body = b'{"running": %d, "waiting": 0, "born": 7}' % count
+        answer_report(context, b"200 OK", body)
+
+
+def answer_report(context, status, body):
+    transport = connect_report(context)
+    head = b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n" % (
+        status,
+        len(body),
+    )
+    transport.protocol.dataReceived(head + body)
+
+
+def connect_report(context):
+    context.agent.request_report()
+    factory = context.reactor.tcpClients[-1][2]
+    return wire.connect(factory.buildProtocol(None), context)
+
+
+@when("its next {count:d} reports {fails}")
+def reports_fail(context, count, fails):
+    for _ in range(count):
+        if fails == "time out":
+            connect_report(context)
+            context.reactor.advance(agents.REPORT_TIMEOUT_MS / 1000)
+        elif fails == "are refused with 503":
+            answer_report(context, b"503 Busy", b"{}")
+        elif fails == "can't be read":
+            answer_report(context, b"200 OK", b'{"running": "many"}')
+        else:
+            context.agent.request_report()
+            factory = context.reactor.tcpClients[-1][2]
+            refused = failure.Failure(error.ConnectionRefusedError())
+            factory.clientConnectionFailed(None, refused)
+
+
+@then("it counts {count:d} requests that no gateway claims")
+def check_unclaimed(context, count):
+    found = min(context.agent.arbiter.unclaimed)
+    assert found == count, context.agent.arbiter.unclaimed
+
+
+@then("{count:d} of its log lines tell of a failed report")
+def check_report_log(context, count):
+    found = context.log.fields("GL1306")
+    assert len(found) == count, found
+
+
 def report(context, born, leaving):
     headers = [LEAVING] if leaving else []
     context.agent.on_headers(200, headers)
--- a/features/upstream_signs.feature
+++ b/features/upstream_signs.feature
@@ -174,6 +174,21 @@
     Then the caller receives status 503
     And the request was sent to 1 upstreams
 
+  # Guards against a missing report that counts as an idle upstream.
+  Scenario Outline: What an agent knows of its upstream's load after a report that <fails>
+    Given an agent whose upstream started at 7
+    When its upstream reports 5 requests that no gateway claims, twice
+    And its next 2 reports <fails>
+    Then it counts <count> requests that no gateway claims
+    And <lines> of its log lines tell of a failed report
+
+    Examples:
+      | fails | count | lines |
+      | time out | 5 | 1 |
+      | are refused with 503 | 5 | 1 |
+      | can't be read | 5 | 1 |
+      | find no process | 0 | 1 |
+
   Scenario Outline: An agent tells gateways that its upstream is leaving
     Given an agent whose upstream started at 7
     When its report <says>
--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -84,6 +84,10 @@
 UPSTREAM_PAUSED = Event(
     1304, logging.INFO, "an upstream asked for a pause of requests"
 )
+REPORT_FAILED = Event(
+    1306, logging.WARNING, "an upstream's report could not be had"
+)
+REPORT_RECOVERED = Event(1307, logging.INFO, "an upstream reports again")
 RETRY_AFTER_IGNORED = Event(
     1305, logging.WARNING, "an upstream's Retry-After can't be used"
 )
--- a/godwitloft/platform/agent.py
+++ b/godwitloft/platform/agent.py
@@ -26,12 +26,11 @@
     """What an upstream reports about itself.
 
     :param active_requests: requests that run or wait there
-    :param born_ms: start of its process, 0 if it doesn't say, None without a
-        report
+    :param born_ms: start of its process, 0 if it doesn't say
     """
 
     active_requests: int
-    born_ms: int | None
+    born_ms: int
 
 
 class AgentDaemon:
@@ -56,6 +55,8 @@
         self.next_report_ms = REPORT_INTERVAL_MS
         self.says_leaving = False
         self.born_ms = 0
+        # Reports that have failed since the last one.
+        self.failed_reports = 0
         self.client = stores.Client(
             reactor,
             upstream.host,
@@ -110,8 +111,10 @@
         answer = self.client.call(
             "GET", REPORT_PATH, timeout_ms=REPORT_TIMEOUT_MS
         )
-        report = answer.addCallbacks(decode_report, on_report_failed)
-        report.addCallback(self.on_report)
+        answer.addCallback(decode_report)
+        answer.addCallbacks(self.on_report, self.on_report_failed)
+        answer.addErrback(log_internal_error)
+        answer.addCallback(self.schedule_report)
 
     def on_headers(self, status: int, headers: list[attempts.Header]) -> None:
         """Handles what the upstream says about itself in any answer.
@@ -122,18 +125,54 @@
         signs = upstream_signs.read(
             status, headers, platform_headers.DIALECT, self.clock.wall_ms()
         )
+        pause_ms = signs.pause.duration_ms
+        if signs.leaving and not self.says_leaving:
+            events.log(events.UPSTREAM_LEAVING, source="report")
+        if signs.pause.error:
+            events.log(
+                events.RETRY_AFTER_IGNORED,
+                value=signs.retry_after,
+                reason=signs.pause.error,
+            )
+        elif pause_ms:
+            events.log(events.UPSTREAM_PAUSED, pause_ms=pause_ms)
         self.says_leaving = signs.leaving
-        self.next_report_ms = max(self.next_report_ms, signs.pause.duration_ms)
+        self.next_report_ms = max(self.next_report_ms, pause_ms)
 
     def on_report(self, report: Report) -> None:
-        """Passes a report to the arbiter and schedules the next request.
+        """Passes a report to the arbiter.
 
         :param report: the upstream's report
         """
+        if self.failed_reports:
+            events.log(events.REPORT_RECOVERED, failures=self.failed_reports)
+        self.failed_reports = 0
+        self.born_ms = report.born_ms
         self.arbiter.on_upstream_report(report.active_requests)
-        if report.born_ms is not None:
-            self.born_ms = report.born_ms
         self.arbiter.set_leaving(self.born_ms if self.says_leaving else None)
+
+    def on_report_failed(self, problem: failure.Failure) -> None:
+        """Goes on with the load that was last known.
+
+        Only if no process answers at the upstream's address, nothing runs
+        there.
+
+        :param problem: the error of the call
+        """
+        problem.trap(stores.StoreError)
+        reason = typing.cast(stores.StoreError, problem.value).reason
+        if self.failed_reports == 0:
+            events.log(events.REPORT_FAILED, reason=reason)
+        self.failed_reports += 1
+        if reason == attempts.NOT_CONNECTED:
+            self.arbiter.on_upstream_report(0)
+        self.arbiter.set_leaving(self.born_ms if self.says_leaving else None)
+
+    def schedule_report(self, _result: object) -> None:
+        """Schedules the next request of a report.
+
+        :param _result: unused
+        """
         self.call_later(self.next_report_ms, self.request_report)
 
     def drain(self, done: typing.Callable[[], None]) -> None:
@@ -154,27 +193,26 @@
     """Decodes an upstream's report.
 
     :param answer: the upstream's answer
-    :return: the report; an invalid field counts as missing
+    :return: the report
+    :raises StoreError: if a number is missing or invalid
     """
     report = answer.body
     try:
         active = int(report["running"]) + int(report["waiting"])
+        return Report(active, int(report.get("born", 0)))
     except (KeyError, TypeError, ValueError) as error:
-        events.log(
-            events.ROW_SKIPPED, row="report", field="", reason=repr(error)
-        )
-        active = 0
-    born_ms = report.get("born", 0)
-    return Report(active, born_ms if isinstance(born_ms, int) else 0)
+        raise stores.StoreError(
+            REPORT_PATH, stores.HTTP_OK, f"invalid report: {error!r}"
+        ) from error
 
 
-def on_report_failed(_failure: failure.Failure) -> Report:
-    """Returns the report of an upstream that could not be asked.
+def log_internal_error(problem: failure.Failure) -> None:
+    """Logs an error of this module, so that reports go on.
 
-    :param _failure: unused, the error of the call
-    :return: no requests, since an upstream that crashed runs nothing
+    :param problem: the error
     """
-    return Report(0, None)
+    error = typing.cast(Exception, problem.value)
+    events.log_error(events.INTERNAL_ERROR, error, task="report")
 
 
 def build(
