Log what decided: lost use, a peer's word of it, pauses, an unreadable timeline

Found by rereading: four decisions that no line explained. A gateway without saved use refuses teams for 0.7 s (GL1408) and counts what peers tell (GL1409); a request that had run and waited again while all upstreams paused was refused as 'timeout' long before its time; a Store-Era that is no number was dropped without a word.

--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -312,6 +312,34 @@
     assert json.loads(base64.b64decode(value))["host"] == "127.0.0.1"
 
 
+@when('the store tells its timeline as "{text}", {count:d} times')
+def unreadable(context, text, count):
+    for _ in range(count):
+        headers = [(b"store-era", text.encode())]
+        context.restored.timeline.on_headers(200, headers)
+
+
+@then('the log tells of it once, with "{text}"')
+def check_unreadable(context, text):
+    lines = context.restored.log.fields("GL1504")
+    found = [line for line in lines if line["field"] == "timeline"]
+    assert len(found) == 1 and text in found[0]["reason"], lines
+
+
+@then("the log tells of no restore")
+def check_no_restore(context):
+    assert not context.restored.log.fields("GL1507")
+
+
+@then("the log tells that its use was lost, and what a peer told")
+def check_use_log(context):
+    log = context.restored.log
+    # The gateway of the background has started without saved use as well.
+    assert len(log.fields("GL1408")) == 2, log.fields("GL1408")
+    (told,) = log.fields("GL1409")
+    assert told["gateway"] == "g1" and told["teams"] == ["team"], told
+
+
 @then("the log tells of {count:d} restores")
 def check_restores(context, count):
     found = context.restored.log.fields("GL1507")
--- a/features/steps/upstream_signs_steps.py
+++ b/features/steps/upstream_signs_steps.py
@@ -245,6 +245,22 @@
     ]
 
 
+@when(
+    "the upstream resets the connection while both ask for a pause of"
+    " {seconds:d} s"
+)
+def reset_and_pause(context, seconds):
+    context.log = logs.record(context)
+    all_pause(context, "desk", seconds)
+    context.world.sent[0].end(gateway_world.attempts.End.BROKEN)
+
+
+@then('the log says that it was refused for "{reason}"')
+def check_refused_for(context, reason):
+    reasons = [line["reason"] for line in context.log.fields("GL1201")]
+    assert reasons == [reason], reasons
+
+
 def retry_after_s(caller):
     for line in caller.received.split(b"\r\n"):
         name, _, value = line.partition(b": ")
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -174,6 +174,12 @@
     Then the late answer is refused
     And the configuration is read as a whole next
 
+  # Guards against an unreadable timeline that nobody hears of.
+  Scenario: A timeline that can't be read is taken as unknown and logged once
+    When the store tells its timeline as "seven", 3 times
+    Then the log tells of it once, with "seven"
+    And the log tells of no restore
+
   Scenario: A timeline that rises by more than one is one restore
     When the store is restored from a copy 4 s old, 3 times, 0 ms apart
     And 1 s pass at the store
@@ -185,6 +191,7 @@
     When this gateway uses a team's whole allowance and a peer hears of it
     And this gateway is restarted and finds no saved use
     Then both gateways together grant no more than the allowance
+    And the log tells that its use was lost, and what a peer told
 
   Scenario: A new gateway without saved use grants soon
     When another gateway starts that has never been heard
--- a/features/upstream_signs.feature
+++ b/features/upstream_signs.feature
@@ -148,6 +148,15 @@
     Then each is refused at once, told to come back 8 to 10 s later
     And they are told at least 15 different times
 
+  # Guards against a refusal for a pause that the log calls a timeout.
+  Scenario: A request that has run waits again when all upstreams pause
+    Given a gateway with two upstreams of each service
+    When a caller requests "lookup"
+    And the upstream resets the connection while both ask for a pause of 8 s
+    And 100 ms pass at the gateway
+    Then the caller receives status 504
+    And the log says that it was refused for "upstreams_paused"
+
   Scenario: All upstreams pause, and the first of them soon takes requests
     Given a gateway with two upstreams of each service
     When both upstreams of "desk" ask for a pause of 1 s
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -828,7 +828,9 @@
         if not reason:
             return
         if request.runs > 0:
-            self.refuse(request, refusals.Refusal(504, "timeout"))
+            if reason != admissions.UPSTREAMS_PAUSED:
+                reason = "timeout"
+            self.refuse(request, refusals.Refusal(504, reason))
         else:
             self.refuse(request, self.admission.rejection(request, reason))
 
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -14,6 +14,7 @@
 import typing
 
 from godwitloft import clock as clocks
+from godwitloft import events
 from godwitloft.gateway import allowance
 from godwitloft.gateway import demand as demands
 from godwitloft.gateway import former_use
@@ -292,6 +293,8 @@
         self.restored = True
         self.must_announce = True
         self.former_uses.start_listening(own_is_lost=used is None)
+        if used is None:
+            events.log(events.USE_LOST, peers=len(self.hosts))
         now_ms = self.clock.monotonic_ms()
         for team, sums in (used or {}).items():
             self.window(team).restore(sums, now_ms, age_ms)
@@ -556,6 +559,11 @@
             previous = None
         if sharing.former:
             self.former_uses.learn_own(sharing.former)
+            events.log(
+                events.USE_TOLD,
+                gateway=sharing.gateway,
+                teams=sorted(use.team for use in sharing.former),
+            )
         if sharing.partial and previous is not None:
             rates = previous.demands | rates
             committed = previous.committed | committed
--- a/godwitloft/platform/store.py
+++ b/godwitloft/platform/store.py
@@ -14,6 +14,7 @@
 from godwitloft import attempt as attempts
 from godwitloft import clock as clocks
 from godwitloft import errors
+from godwitloft import events
 
 OnHeaders = typing.Callable[[int, list[attempts.Header]], None]
 CALL_TIMEOUT_MS = 1_000
@@ -114,6 +115,8 @@
     def __init__(self, on_changed: typing.Callable[[int, int], None]) -> None:
         self.current: int | None = None
         self.on_changed = on_changed
+        # The last value that could not be read, to log it once.
+        self.unreadable = b""
 
     def observe(self, number: int | None) -> None:
         """Records a timeline that the store or another gateway has told.
@@ -132,6 +135,15 @@
 
         :param headers: all headers of the answer, whatever its status is
         """
+        value = dict(headers).get(TIMELINE_HEADER, b"").strip()
+        if value and not value.isdigit() and value != self.unreadable:
+            self.unreadable = value
+            events.log(
+                events.ROW_SKIPPED,
+                row="store",
+                field="timeline",
+                reason=f"{value!r:.80} is not a whole number",
+            )
         self.observe(decode_timeline(headers))
 
     def is_old(self, number: int | None) -> bool:
