Pauses of other upstreams count when a stream is moved or a request retried

Found by rereading: a stalled stream was cancelled for an upstream that had asked for a pause, and went nowhere; a failed request whose only other upstream paused beyond its time was held until half of it was over. Neither happens now, and GL1201, GL1205 and GL1206 tell why an attempt was not followed by another (no_retry), which no line did. A second outage after a restore puts off the moment at which an upstream from the copy counts as alive.

--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -215,9 +215,16 @@
     assert list(context.list.update(both, 3000)) == ["a"]
 
 
-@when("the list is looked at {wait_ms:d} ms later")
+@when("the store is back from another outage {outage_ms:d} ms later")
+def another_outage(context, outage_ms):
+    context.back_ms = 3000 + outage_ms
+    if outage_ms:
+        context.list.mark_returned(context.back_ms)
+
+
+@when("the list is looked at {wait_ms:d} ms after that")
 def look(context, wait_ms):
-    context.needs = context.list.needs_update(3000 + wait_ms)
+    context.needs = context.list.needs_update(context.back_ms + wait_ms)
 
 
 @then("it {needs} be read although it is unchanged")
--- a/features/steps/upstream_signs_steps.py
+++ b/features/steps/upstream_signs_steps.py
@@ -245,14 +245,14 @@
     ]
 
 
-@when(
-    "the upstream resets the connection while both ask for a pause of"
-    " {seconds:d} s"
-)
-def reset_and_pause(context, seconds):
+@when("the upstream resets the connection while the other is full")
+def reset_beside_full(context):
     context.log = logs.record(context)
-    all_pause(context, "desk", seconds)
-    context.world.sent[0].end(gateway_world.attempts.End.BROKEN)
+    world = context.world
+    for state in usable(context, "desk"):
+        if state.upstream.id != world.sent[0].upstream.id:
+            state.running = state.upstream.slots
+    world.sent[0].end(gateway_world.attempts.End.BROKEN)
 
 
 @then('the log says that it was refused for "{reason}"')
@@ -261,6 +261,46 @@
     assert reasons == [reason], reasons
 
 
+@when("the other upstream asks for a pause of {seconds:d} s")
+def other_pauses(context, seconds):
+    context.log = logs.record(context)
+    world = context.world
+    sent = world.sent[0].upstream
+    now_ms = world.clock.monotonic_ms()
+    fleet = world.gateway.fleet
+    for state in usable(context, sent.service):
+        if state.upstream.id != sent.id:
+            fleet.ask_pause(
+                state, seconds * 1000, now_ms, world.clock.wall_ms()
+            )
+
+
+@when(
+    "its stream begins and stalls, and the other upstream asks for a pause of"
+    " {seconds:d} s"
+)
+def stall_and_pause(context, seconds):
+    sent = context.world.sent[0]
+    sent.head()
+    sent.callbacks.on_data(b"id: 1\ndata: x1\n\n")
+    other_pauses(context, seconds)
+
+
+@then('the log says that it was not retried for "{reason}"')
+@then('the log says that it was not retried for ""')
+def check_not_retried(context, reason=""):
+    found = [line["no_retry"] for line in context.log.fields("GL1201")]
+    assert found == ([reason] if reason else []), found
+
+
+@then("the caller has {answer}")
+def check_has(context, answer):
+    found = "no answer"
+    if context.caller.received:
+        found = f"status {context.caller.status}"
+    assert found == answer, context.caller.received
+
+
 def retry_after_s(caller):
     for line in caller.received.split(b"\r\n"):
         name, _, value = line.partition(b": ")
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -139,13 +139,16 @@
   Scenario Outline: The list is read again when one that was left out may count: after <wait> ms
     Given a list of upstreams whose registrations expire after 4000 ms
     When upstream "b" ends, and a restore brings it back
-    And the list is looked at <wait> ms later
+    And the store is back from another outage <outage> ms later
+    And the list is looked at <wait> ms after that
     Then it <needs> be read although it is unchanged
 
     Examples:
-      | wait | needs |
-      | 3900 | need not |
-      | 4100 | must |
+      | outage | wait | needs |
+      | 0 | 3900 | need not |
+      | 0 | 4100 | must |
+      | 3000 | 3900 | need not |
+      | 3000 | 4100 | must |
 
   Scenario: An upstream that ended and lives again under its name is used again
     When upstream "b" ends
--- a/features/upstream_signs.feature
+++ b/features/upstream_signs.feature
@@ -152,11 +152,35 @@
   Scenario: A request that has run waits again when all upstreams pause
     Given a gateway with two upstreams of each service
     When a caller requests "lookup"
-    And the upstream resets the connection while both ask for a pause of 8 s
+    And the upstream resets the connection while the other is full
+    And both upstreams of "desk" ask for a pause of 8 s
     And 100 ms pass at the gateway
     Then the caller receives status 504
     And the log says that it was refused for "upstreams_paused"
 
+  # Guards against a stream that is given up for an upstream that pauses.
+  Scenario: A stalled stream stays where it is while all others pause
+    Given a gateway with two upstreams of each service
+    When a caller requests "query"
+    And its stream begins and stalls, and the other upstream asks for a pause of 8 s
+    And 1600 ms pass at the gateway
+    Then its attempt is still running
+
+  # Guards against a request held for an upstream that pauses beyond its time.
+  Scenario Outline: A failed request whose only other upstream pauses for <pause> s
+    Given a gateway with two upstreams of each service
+    When a caller requests "lookup"
+    And the other upstream asks for a pause of <pause> s
+    And the upstream resets the connection
+    And <wait> ms pass at the gateway
+    Then the caller has <answer>
+    And the log says that it was not retried for "<reason>"
+
+    Examples:
+      | pause | wait | answer | reason |
+      | 8 | 25 | status 502 | upstreams_paused |
+      | 1 | 25 | no answer | |
+
   Scenario: All upstreams pause, and the first of them soon takes requests
     Given a gateway with two upstreams of each service
     When both upstreams of "desk" ask for a pause of 1 s
--- a/godwitloft/gateway/reports.py
+++ b/godwitloft/gateway/reports.py
@@ -83,7 +83,7 @@
             "attempts": request.attempt_count,
             "runs": request.runs,
             "upstream": request.last_upstream_id,
-            **answer_extent(request),
+            **attempt_end(request),
         }
         self.write_refusal(facts.id, refusal, inputs)
 
@@ -144,10 +144,24 @@
             attempts=request.attempt_count,
             upstream=request.last_upstream_id,
             may_repeat=facts.may_repeat,
-            **answer_extent(request),
+            **attempt_end(request),
         )
 
 
+def attempt_end(
+    request: requests.Request,
+) -> typing.Mapping[str, typing.Any]:
+    """Returns how a request's last attempt ended.
+
+    :param request: any request
+    :return: log fields: the end of its answer, and why it was not sent again
+    """
+    extent = answer_extent(request)
+    if not request.no_retry:
+        return extent
+    return {**extent, "no_retry": request.no_retry}
+
+
 def answer_extent(
     request: requests.Request,
 ) -> typing.Mapping[str, typing.Any]:
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -125,6 +125,8 @@
         self.last_data_ms = 0
         self.last_event: bytes | None = None
         self.use: allowance.Use | None = None
+        # Why its last failed attempt was not followed by another.
+        self.no_retry = ""
 
 
 def read_sizes(
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -111,17 +111,22 @@
             and route.kind is model.Kind.STREAM
             and request.facts.may_repeat
             and now_ms - request.last_data_ms >= STALL_MS
-            and self.has_other_upstream(request)
+            and self.has_other_upstream(request, now_ms)
         )
 
-    def has_other_upstream(self, request: requests.Request) -> bool:
+    def has_other_upstream(
+        self, request: requests.Request, now_ms: int
+    ) -> bool:
         """Returns whether another upstream is usable for a request.
 
         :param request: a request that was sent
-        :return: whether there is one besides its current upstream
+        :param now_ms: the current time
+        :return: whether there is one besides its current upstream that has
+            not asked for a pause
         """
         return any(
             state is not request.upstream_state
+            and now_ms >= state.asked_pause_until_ms
             for state in self.fleet.usable(request.facts.service)
         )
 
@@ -131,13 +136,33 @@
         attempt_outcome: answers.AttemptOutcome,
         now_ms: int,
     ) -> bool:
-        """Decides whether a request is sent again.
+        """Decides whether a request is sent again, and notes why not.
 
         :param request: the request whose attempt failed
         :param attempt_outcome: how the attempt ended
         :param now_ms: the current time
         :return: whether it is queued again
         """
+        request.no_retry = self.retry_obstacle(
+            request, attempt_outcome, now_ms
+        )
+        return not request.no_retry
+
+    def retry_obstacle(
+        self,
+        request: requests.Request,
+        attempt_outcome: answers.AttemptOutcome,
+        now_ms: int,
+    ) -> str:
+        """Returns why a request is not sent again.
+
+        If nothing hinders it, a retry is taken from the budget.
+
+        :param request: the request whose attempt failed
+        :param attempt_outcome: how the attempt ended
+        :param now_ms: the current time
+        :return: short name for logs, empty if it is queued again
+        """
         facts = request.facts
         if attempt_outcome.result in (
             outcomes.Result.NOT_SENT,
@@ -145,21 +170,47 @@
         ):
             request.runs -= 1
         elif not facts.may_repeat:
-            return False
+            return "not_repeatable"
         elif request.runs >= facts.route.max_attempts:
-            return False
+            return "attempts_used"
         if facts.deadline_ms <= now_ms:
-            return False
+            return "deadline"
         if self.crashes.is_crashing(facts.fingerprint, now_ms):
-            return False
+            return "crashes_upstreams"
         states = self.fleet.usable(facts.service)
         if all(
             state.upstream.id in request.tried_upstreams for state in states
         ):
             if request.runs == 0 or not states:
-                return False
+                return "no_other_upstream"
             # An upstream that broke one request off may serve the next.
             request.tried_upstreams.clear()
+        if self.all_pause_too_long(request, states):
+            return "upstreams_paused"
         if attempt_outcome.result is outcomes.Result.NOT_SENT:
-            return True
-        return self.budget(facts.service).take(now_ms, self.sharing.gateways)
+            return ""
+        budget = self.budget(facts.service)
+        if not budget.take(now_ms, self.sharing.gateways):
+            return "budget"
+        return ""
+
+    def all_pause_too_long(
+        self,
+        request: requests.Request,
+        states: list[fleets.UpstreamState],
+    ) -> bool:
+        """Returns whether no untried upstream takes a request in time.
+
+        :param request: the request whose attempt failed
+        :param states: the usable upstreams of its service
+        :return: whether each has asked for a pause beyond the deadline
+        """
+        untried = [
+            state
+            for state in states
+            if state.upstream.id not in request.tried_upstreams
+        ]
+        return bool(untried) and all(
+            state.asked_pause_until_ms >= request.facts.deadline_ms
+            for state in untried
+        )
--- a/godwitloft/gateway/upstream_list.py
+++ b/godwitloft/gateway/upstream_list.py
@@ -62,6 +62,9 @@
         """
         self.just_returned = True
         self.returned_ms = now_ms
+        if self.copied_until_ms is not None:
+            # Registrations may not have expired during the outage.
+            self.copied_until_ms = now_ms + self.expiry_ms
 
     def mark_restored(self, now_ms: int) -> None:
         """Records that the next list is the first one after a restore.
