--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -67,9 +67,7 @@
 )
 STORE_FAILED = Event(1505, logging.WARNING, "the platform's store failed")
 STORE_RECOVERED = Event(1506, logging.INFO, "the platform's store answers")
-USE_LOST = Event(
-    1408, logging.WARNING, "what this gateway had used is not saved"
-)
+USE_LOST = Event(1408, logging.INFO, "what this gateway had used is not saved")
 USE_TOLD = Event(1409, logging.INFO, "a peer told what this gateway had used")
 STORE_RESTORED = Event(
     1507, logging.WARNING, "the platform's store was restored from a copy"
