--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -93,6 +93,9 @@
 RETRY_AFTER_IGNORED = Event(
     1305, logging.WARNING, "an upstream's Retry-After can't be used"
 )
+UPSTREAMS_KEPT = Event(
+    1308, logging.INFO, "upstreams that are not listed are kept for a while"
+)
 GATEWAY_ALIVE = Event(
     1108, logging.INFO, "an agent receives messages from a gateway"
 )
--- a/godwitloft/gateway/peer_confirmation.py
+++ b/godwitloft/gateway/peer_confirmation.py
@@ -144,6 +144,13 @@
         held = self.held_list
         return held is not None and now_ms - held.at_ms <= MAX_LIST_AGE_MS
 
+    def list_confirmed_ms(self) -> int | None:
+        """Returns when the list of upstreams was last known to be current.
+
+        :return: the time in milliseconds, None without a list
+        """
+        return self.held_list.at_ms if self.held_list is not None else None
+
     def is_fresh(self, now_ms: int) -> bool:
         """Returns whether configuration and list were confirmed lately.
 
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -186,6 +186,8 @@
         self.upstream_list = upstream_lists.UpstreamList(expiry_ms)
         self.logged_versions: dict[str, int] = {}
         self.list_failed = False
+        # Upstreams that are not listed and were kept, as last logged.
+        self.kept: typing.AbstractSet[str] = frozenset()
 
     def start(self) -> None:
         """Starts all loops."""
@@ -360,8 +362,10 @@
         if self.list_failed:
             self.list_failed = False
             self.upstream_list.mark_returned(now_ms)
+        confirmed_ms = self.confirmation.list_confirmed_ms()
         self.confirmation.record_list(upstreams, started_ms)
         alive = self.upstream_list.update(upstreams, now_ms)
+        self.report_kept(alive.keys() - upstreams.keys(), confirmed_ms)
         if self.list_restored:
             self.list_restored = False
             self.report_cut_back(
@@ -375,6 +379,26 @@
             interval_ms = LAPSED_UPSTREAM_INTERVAL_MS
         return max(MIN_DELAY_MS, interval_ms - elapsed_ms)
 
+    def report_kept(
+        self, kept: typing.AbstractSet[str], confirmed_ms: int | None
+    ) -> None:
+        """Logs which upstreams are kept although they are not listed.
+
+        :param kept: ids of these upstreams
+        :param confirmed_ms: when the list was last known to be current, before
+            it was read
+        """
+        if kept and kept != self.kept:
+            age_ms = None
+            if confirmed_ms is not None:
+                age_ms = self.clock.monotonic_ms() - confirmed_ms
+            events.log(
+                events.UPSTREAMS_KEPT,
+                upstreams=sorted(kept)[:MAX_NAMES_LOGGED],
+                confirmed_ms_ago=age_ms,
+            )
+        self.kept = kept
+
     @defer.inlineCallbacks
     def read_all(
         self, table: str
