--- /dev/null
+++ b/features/support/following_gateways.py
@@ -0,0 +1,89 @@
+"""Gateways that follow one stand-in store and tell each other what they know."""
+
+from features.support import restored_store
+from godwitloft.links import datagrams
+
+STEP_MS = restored_store.STEP_MS
+ANNOUNCE_STEPS = 3
+DATAGRAM_MS = 2
+
+
+class FollowingGateways:
+    """The store, its upstreams, and gateways on one simulated clock."""
+
+    def __init__(self, context, count, upstreams):
+        first = restored_store.RestoredStore(context)
+        self.first = first
+        self.reactor = first.reactor
+        self.members = {"127.0.0.1": first}
+        for number in range(1, count):
+            host = f"127.0.0.{number + 1}"
+            self.members[host] = restored_store.RestoredStore(
+                context, first.rows, f"g{number}", host
+            )
+        self.parted = set()
+        self.steps = 0
+        for host, member in self.members.items():
+            self.connect(host, member)
+        first.configure(5)
+        for name in upstreams:
+            first.start(name, born_ms=1)
+        first.advance(100)
+        for member in self.members.values():
+            member.watch.start()
+        self.advance(3000)
+
+    def connect(self, host, member):
+        """Lets a gateway exchange datagrams with the others."""
+
+        def send(data, where):
+            self.reactor.callLater(
+                DATAGRAM_MS / 1000, self.deliver, host, data, where[0]
+            )
+
+        member.world.sharing.send = send
+        member.gateway.confirmation.send = send
+
+    def deliver(self, sender, data, host):
+        if sender in self.parted or host in self.parted:
+            return
+        member = self.members[host]
+        member.gateway.on_datagram(datagrams.decode(data), (sender, 1))
+
+    def advance(self, duration_ms):
+        for _ in range(duration_ms // STEP_MS):
+            self.first.advance(STEP_MS)
+            self.steps += 1
+            for member in self.members.values():
+                member.client.poll()
+                if self.steps % ANNOUNCE_STEPS == 0:
+                    member.gateway.announce()
+
+    def one(self, is_poller):
+        """Returns a gateway that polls the store, or one that doesn't."""
+        return next(
+            (host, member)
+            for host, member in self.members.items()
+            if member.gateway.confirmation.is_poller() == is_poller
+        )
+
+    def leave(self, name):
+        """Removes the row of an upstream that serves on."""
+        self.first.upstreams.pop(name).end()
+
+    def expire(self, name):
+        """Removes the row of an upstream that can't write it."""
+        self.first.rows.put("servers", name, None)
+
+    def take_away(self, away_ms):
+        """Makes the store refuse all calls for a while."""
+        rows = self.first.rows
+        rows.away_until = self.reactor.seconds() + away_ms / 1000
+
+    def users(self, name):
+        """Returns the gateways that would send a request to an upstream."""
+        return [
+            host
+            for host, member in self.members.items()
+            if name in member.usable()
+        ]
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -171,19 +171,26 @@
 class World:
     """A gateway with its dependencies, upstreams and callers."""
 
-    def __init__(self, upstreams=("desk", "desk", "model", "model")):
-        self.reactor = task.Clock()
-        self.reactor.advance(START_S)
+    def __init__(
+        self,
+        upstreams=("desk", "desk", "model", "model"),
+        reactor=None,
+        instance="g0",
+    ):
+        if reactor is None:
+            reactor = task.Clock()
+            reactor.advance(START_S)
+        self.reactor = reactor
         self.clock = clocks.reactor_clock(self.reactor)
         self.sent = []
         self.datagrams = []
         self.sharing = sharing.Sharing(
-            self.clock, self.send_datagram, "g0", 1, TOLERANCE
+            self.clock, self.send_datagram, instance, 1, TOLERANCE
         )
         self.sharing.restore({}, 0)
         self.gateway = gateways.Gateway(
             options.Options(
-                instance="g0",
+                instance=instance,
                 host="",
                 zone="a",
                 key_proof_ms=4000,
@@ -200,7 +207,7 @@
                 rng=random.Random(1),
                 instruments=metrics.discard(),
                 slot_client=slot_client.SlotClient(
-                    self.clock, self.send_datagram, "g0-1", 1, "a"
+                    self.clock, self.send_datagram, f"{instance}-1", 1, "a"
                 ),
                 sharing=self.sharing,
             ),
--- a/features/support/restored_store.py
+++ b/features/support/restored_store.py
@@ -96,14 +96,22 @@
 
 
 class RestoredStore:
-    """The store, its writers, and a gateway that follows it."""
+    """The store, its writers, and a gateway that follows it.
 
-    def __init__(self, context):
+    A gateway that follows the store of another one has the other's rows and
+    reactor, and does not drive them.
+    """
+
+    def __init__(self, context, rows=None, instance="g0", host="127.0.0.1"):
         self.log = logs.record(context)
-        self.world = gateway_world.World(upstreams=())
+        self.world = gateway_world.World(
+            upstreams=(),
+            reactor=rows.reactor if rows else None,
+            instance=instance,
+        )
         self.gateway = self.world.gateway
         self.reactor = self.world.reactor
-        self.rows = lakeshore.Rows(self.reactor)
+        self.rows = rows or lakeshore.Rows(self.reactor)
         self.timeline = stores.Timeline(self.on_restored)
         self.client = StoreClient(
             self.rows, self.reactor, self.timeline.on_headers
@@ -135,8 +143,8 @@
                 count_cut_back=lambda _what, _number: None,
             ),
             self.gateway.confirmation,
-            "g0",
-            "127.0.0.1",
+            instance,
+            host,
             4000,
             3 * HEARTBEAT_MS + 1000,
             random.Random(1),
