An old failure of the store is no outage: upstreams that left are dropped

Callers' requests reached upstreams up to 2.7 s after these had left without a word (drain-ms is 2 s); some of these calls may not be repeated and ran on an upstream about to end.

Cause: one failed call, however old, counted as an outage of the store at the next list that a gateway read itself. A gateway that doesn't poll may read its next list minutes later, when an upstream has left; that one was then kept for 1.9 s as one whose row may have expired. Evidence: GL1506 with failures of 5 s before, and GL1302 2.2 s after that of the pollers.

Now an outage is a time without any proof, first-hand or from a poller, that the store was up, and long enough for a live upstream's row to expire (one and a half heartbeats). A poller's proof counts also if its list differs. Four of six rows of features/upstream_list.feature failed before; the rows on upstreams that live but could not write pass as before.

--- a/features/steps/gateway_news_steps.py
+++ b/features/steps/gateway_news_steps.py
@@ -8,6 +8,7 @@
 from godwitloft import clock as clocks
 from godwitloft.gateway import config_state
 from godwitloft.gateway import peer_confirmation
+from godwitloft.gateway import store_contact
 from godwitloft.links import datagrams
 
 STEP_MS = 10
@@ -30,6 +31,7 @@
             1,
             self.config_state,
             lambda: {peer: peer for peer in fleet.members if peer != name},
+            store_contact.StoreContact(outage_ms=1800),
         )
         self.asked_store_ms = -FOLLOW_INTERVAL_MS
         self.asked = 0
--- a/features/support/following_gateways.py
+++ b/features/support/following_gateways.py
@@ -1,4 +1,4 @@
-"""Gateways that follow one stand-in store and tell each other what they know."""
+"""Gateways that follow one stand-in store and exchange datagrams."""
 
 from features.support import restored_store
 from godwitloft.links import datagrams
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -199,6 +199,7 @@
                 last_accept_ms=3600,
                 retries=retry_budget.BudgetSettings(10_000, 0.2, 20),
                 tolerance=TOLERANCE,
+                store_outage_ms=1800,
             ),
             DIALECT,
             gateways.Dependencies(
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -34,6 +34,7 @@
 from godwitloft.gateway import retry_policy as retry_policies
 from godwitloft.gateway import sharing as sharings
 from godwitloft.gateway import slot_client as slot_clients
+from godwitloft.gateway import store_contact
 from godwitloft.gateway import upstream_signs
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
@@ -95,6 +96,9 @@
         )
         self.fleet = fleets.Fleet()
         sharing = dependencies.sharing
+        self.store_contact = store_contact.StoreContact(
+            options.store_outage_ms
+        )
         self.confirmation = peer_confirmation.PeerConfirmation(
             self.clock,
             sharing.send,
@@ -102,6 +106,7 @@
             sharing.port,
             self.config_state,
             lambda: sharing.hosts,
+            self.store_contact,
         )
         self.request_checker = request_checkers.RequestChecker(
             self.clock,
--- a/godwitloft/gateway/options.py
+++ b/godwitloft/gateway/options.py
@@ -23,6 +23,8 @@
         are refused
     :param retries: bounds on retries, of all gateways together
     :param tolerance: by how much teams may exceed their allowance
+    :param store_outage_ms: the shortest absence of the store in which the
+        registration of a live upstream can expire
     """
 
     instance: str
@@ -34,3 +36,4 @@
     last_accept_ms: int
     retries: retry_budget.BudgetSettings
     tolerance: allowance.Tolerance
+    store_outage_ms: int
--- a/godwitloft/gateway/peer_confirmation.py
+++ b/godwitloft/gateway/peer_confirmation.py
@@ -17,6 +17,7 @@
 from godwitloft import clock as clocks
 from godwitloft.gateway import config_state as config_states
 from godwitloft.gateway import model
+from godwitloft.gateway import store_contact as store_contacts
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
 
@@ -67,6 +68,7 @@
     :param port: UDP port on which gateways listen
     :param config_state: the configuration in force
     :param hosts: returns the IP numbers of the other gateways, by instance
+    :param store_contact: gets the times at which a poller found the store up
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         port: int,
         config_state: config_states.ConfigState,
         hosts: typing.Callable[[], dict[str, str]],
+        store_contact: store_contacts.StoreContact,
     ) -> None:
         self.clock = clock
         self.send = send
@@ -84,6 +87,7 @@
         self.port = port
         self.config_state = config_state
         self.hosts = hosts
+        self.store_contact = store_contact
         self.held_list: ListVersion | None = None
         self.version_outdated = False
         self.list_outdated = False
@@ -238,6 +242,8 @@
         if not 0 < answer.asked_ms <= now_ms:
             return
         self.last_answered_ms = max(self.last_answered_ms, answer.asked_ms)
+        at_ms = answer.asked_ms - max(0, answer.list_age_ms)
+        self.store_contact.record(at_ms)
         self.compare_versions(answer)
         self.compare_lists(answer)
         if (
--- a/godwitloft/platform/settings.py
+++ b/godwitloft/platform/settings.py
@@ -23,6 +23,10 @@
 # A request accepted up to this long after SIGTERM may still be unfinished at
 # SIGKILL. A later one must not be, so none is accepted later.
 MAX_ACCEPT_MS = 2_800
+DEFAULT_HEARTBEAT_MS = 1_200
+# A registration expires three heartbeats after it was renewed, and was renewed
+# at most one heartbeat before the store went away, with some tolerance.
+OUTAGE_HEARTBEATS = 1.5
 
 
 class SettingsError(errors.UserError):
@@ -204,11 +208,21 @@
         store=store,
         upstream=reader.address("app"),
         first_port=ports[0],
-        heartbeat_ms=int(reader.number("heartbeat-ms", 1200)),
+        heartbeat_ms=decode_heartbeat(reader),
         options=decode_options(reader),
     )
 
 
+def decode_heartbeat(reader: Reader) -> int:
+    """Returns the interval at which upstreams renew their registrations.
+
+    :param reader: reads the settings file
+    :return: milliseconds
+    :raises SettingsError: if it is no number
+    """
+    return int(reader.number("heartbeat-ms", DEFAULT_HEARTBEAT_MS))
+
+
 def decode_options(reader: Reader) -> options.Options:
     """Translates the platform's bounds to the options of a gateway.
 
@@ -243,4 +257,5 @@
             share=reader.number("bounds.quota-overage", 0),
             tokens=reader.number("bounds.quota-slack", 0),
         ),
+        store_outage_ms=int(decode_heartbeat(reader) * OUTAGE_HEARTBEATS),
     )
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -167,6 +167,7 @@
         self.store = store
         self.callbacks = callbacks
         self.confirmation = confirmation
+        self.store_contact = confirmation.store_contact
         self.instance = instance
         # Where to go on waiting for changes of the configuration, None to
         # read it as a whole.
@@ -185,7 +186,6 @@
         self.store_clock_offset_ms = 0
         self.upstream_list = upstream_lists.UpstreamList(expiry_ms)
         self.logged_versions: dict[str, int] = {}
-        self.list_failed = False
         # Upstreams that are not listed and were kept, as last logged.
         self.kept: typing.AbstractSet[str] = frozenset()
 
@@ -234,8 +234,6 @@
                 self.position = None
             elif not isinstance(error, stores.StoreError):
                 events.log_error(events.INTERNAL_ERROR, error, task=name)
-            if name == "upstreams":
-                self.list_failed = True
             schedule(backoff.record_failure(error))
 
         def schedule(delay_ms: int) -> None:
@@ -359,10 +357,11 @@
             if upstream is not None:
                 upstreams[row.key] = upstream
         now_ms = self.clock.monotonic_ms()
-        if self.list_failed:
-            self.list_failed = False
-            self.upstream_list.mark_returned(now_ms)
         confirmed_ms = self.confirmation.list_confirmed_ms()
+        self.store_contact.record(started_ms)
+        if confirmed_ms is not None:
+            if not self.store_contact.was_up_since(confirmed_ms):
+                self.upstream_list.mark_returned(now_ms)
         self.confirmation.record_list(upstreams, started_ms)
         alive = self.upstream_list.update(upstreams, now_ms)
         self.report_kept(alive.keys() - upstreams.keys(), confirmed_ms)
