A gateway's own loss of the store is no outage for the upstreams

Cause: from its own failure alone a gateway can't tell an outage, in which live upstreams can't renew their rows, from a cut of its own. Now gateways announce when they knew the store to be up (first-hand or by a poller's answer, never by hearsay, which would go round and look newer).

A mutant that passes peers' word on fails the new scenario on gateways that have all lost the store.

--- a/features/steps/upstream_list_steps.py
+++ b/features/steps/upstream_list_steps.py
@@ -53,7 +53,13 @@
     following.parted.clear()
 
 
-@when(
+@when("datagrams between gateways take {delay_ms:d} ms")
+def slow_datagrams(context, delay_ms):
+    context.following.datagram_ms = delay_ms
+    context.following.advance(2000)
+
+
+@step(
     'the store is away for {away_s:d} s, and the row of "{name}" expires'
     " meanwhile"
 )
--- a/features/support/following_gateways.py
+++ b/features/support/following_gateways.py
@@ -5,7 +5,6 @@
 
 STEP_MS = restored_store.STEP_MS
 ANNOUNCE_STEPS = 3
-DATAGRAM_MS = 2
 
 
 class FollowingGateways:
@@ -22,6 +21,7 @@
                 context, first.rows, f"g{number}", host
             )
         self.parted = set()
+        self.datagram_ms = 2
         self.steps = 0
         for host, member in self.members.items():
             self.connect(host, member)
@@ -38,7 +38,7 @@
 
         def send(data, where):
             self.reactor.callLater(
-                DATAGRAM_MS / 1000, self.deliver, host, data, where[0]
+                self.datagram_ms / 1000, self.deliver, host, data, where[0]
             )
 
         member.world.sharing.send = send
--- a/features/upstream_list.feature
+++ b/features/upstream_list.feature
@@ -50,6 +50,15 @@
       | 8 | 4 |
       | 8 | 1 |
 
+  # Guards against a word on the store that goes round and looks newer each
+  # time.
+  Scenario: Gateways that have all lost the store don't prove to each other that it is up
+    Given 4 gateways that follow a store with upstreams "a,b,c"
+    When datagrams between gateways take 600 ms
+    And the store is away for 8 s, and the row of "b" expires meanwhile
+    And 1000 ms pass for all gateways
+    Then all gateways use "b"
+
   Scenario: An upstream that died while the store was away is unused two seconds after its return
     Given 4 gateways that follow a store with upstreams "a,b,c"
     When the store is away for 5 s, and "b" ends meanwhile
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -198,8 +198,20 @@
             version=self.config_state.version,
             timeline=self.store_timeline(),
             leaving=leaving[:MAX_LEAVING_TOLD],
+            store_up=self.store_up(),
         )
 
+    def store_up(self) -> peer_status.StoreUp | None:
+        """Returns when this gateway knew the store to be up.
+
+        :return: the last span, None if it never was
+        """
+        own = self.store_contact.own
+        if own is None:
+            return None
+        age_ms = self.clock.monotonic_ms() - own.until_ms
+        return peer_status.StoreUp(age_ms, own.until_ms - own.since_ms)
+
     def on_peer_status(self, status: peer_status.PeerStatus) -> None:
         """Learns from what a peer tells.
 
@@ -207,6 +219,11 @@
         """
         self.confirmation.note_version(status.version)
         self.on_peer_timeline(status.timeline)
+        if status.store_up is not None:
+            until_ms = self.clock.monotonic_ms() - status.store_up.age_ms
+            since_ms = until_ms - status.store_up.length_ms
+            span = store_contact.Span(since_ms, until_ms)
+            self.store_contact.record_peer(span)
         for life in status.leaving:
             state = self.fleet.state_of(life)
             if state is not None:
--- a/godwitloft/gateway/peer_status.py
+++ b/godwitloft/gateway/peer_status.py
@@ -22,6 +22,18 @@
     born_ms: int
 
 
+@dataclasses.dataclass(frozen=True)
+class StoreUp:
+    """The last uninterrupted time in which a gateway knew the store to be up.
+
+    :param age_ms: time since its end
+    :param length_ms: time from its start to its end
+    """
+
+    age_ms: int
+    length_ms: int
+
+
 @dataclasses.dataclass(frozen=True)
 class PeerStatus:
     """What a gateway knows, as far as it concerns its peers.
@@ -29,11 +41,14 @@
     :param version: version of the configuration in force, 0 without one
     :param timeline: newest known timeline of the store, None if unknown
     :param leaving: upstreams that have lately said that they are leaving
+    :param store_up: when the store was up, by the gateway's own knowledge;
+        None if it never was
     """
 
     version: int = 0
     timeline: int | None = None
     leaving: tuple[Life, ...] = ()
+    store_up: StoreUp | None = None
 
 
 def encode(status: PeerStatus, sharing: ttypes.Sharing) -> None:
@@ -48,6 +63,9 @@
         ttypes.LeavingUpstream(upstream=life.id, born_ms=life.born_ms)
         for life in status.leaving
     ] or None
+    if status.store_up is not None:
+        sharing.store_seen_age_ms = status.store_up.age_ms
+        sharing.store_up_ms = status.store_up.length_ms
 
 
 def decode(sharing: ttypes.Sharing) -> PeerStatus:
@@ -63,4 +81,17 @@
             Life(entry.upstream, entry.born_ms)
             for entry in sharing.leaving or ()
         ),
+        store_up=decode_store_up(sharing),
     )
+
+
+def decode_store_up(sharing: ttypes.Sharing) -> StoreUp | None:
+    """Returns what a peer knows of the store.
+
+    :param sharing: the received announcement
+    :return: when the store was up, None if it doesn't tell
+    """
+    age_ms, length_ms = sharing.store_seen_age_ms, sharing.store_up_ms
+    if age_ms is None or length_ms is None:
+        return None
+    return StoreUp(max(0, age_ms), max(0, length_ms))
--- a/godwitloft/gateway/store_contact.py
+++ b/godwitloft/gateway/store_contact.py
@@ -33,6 +33,10 @@
 
     def __init__(self, outage_ms: int) -> None:
         self.outage_ms = max(MIN_OUTAGE_MS, outage_ms)
+        # What this gateway tells its peers. Their word is not in it, so that
+        # none goes round and looks newer each time.
+        self.own: Span | None = None
+        # The same with the word of peers.
         self.up: Span | None = None
 
     def record(self, at_ms: int) -> None:
@@ -40,7 +44,16 @@
 
         :param at_ms: a time at or after which it answered
         """
-        self.up = join(self.up, Span(at_ms, at_ms), self.outage_ms)
+        span = Span(at_ms, at_ms)
+        self.own = join(self.own, span, self.outage_ms)
+        self.up = join(self.up, span, self.outage_ms)
+
+    def record_peer(self, span: Span) -> None:
+        """Records when a peer knew the store to be up.
+
+        :param span: the peer's own knowledge, on this gateway's clock
+        """
+        self.up = join(self.up, span, self.outage_ms)
 
     def was_up_since(self, at_ms: int) -> bool:
         """Returns whether there was no outage since a point in time.
--- a/godwitloft/gateway/upstream_list.py
+++ b/godwitloft/gateway/upstream_list.py
@@ -13,6 +13,7 @@
 """
 
 import dataclasses
+import typing
 
 from godwitloft.gateway import model
 
@@ -45,6 +46,9 @@
         self.lapsed: dict[str, model.Upstream] = {}
         self.just_returned = False
         self.returned_ms = 0
+        # When the lapsed upstreams were last known to be listed, None if no
+        # proof can show that there was no outage.
+        self.listed_ms: int | None = None
         # Upstreams that are no longer listed, by id.
         self.ended: dict[str, Ended] = {}
         # Upstreams as they were listed before the store was restored.
@@ -55,11 +59,19 @@
         # Whether upstreams were left out of the last list for that.
         self.left_out = False
 
-    def mark_returned(self, now_ms: int) -> None:
+    def mark_returned(self, now_ms: int, listed_ms: int | None = None) -> None:
         """Records that the next list is the first one after an outage.
 
         :param now_ms: the current time
+        :param listed_ms: when the list before the outage was last known to be
+            current, None if no proof can show that there was no outage
         """
+        if not self.lapsed and not self.just_returned:
+            self.listed_ms = listed_ms
+        elif self.listed_ms is not None and listed_ms is not None:
+            self.listed_ms = min(self.listed_ms, listed_ms)
+        else:
+            self.listed_ms = None
         self.just_returned = True
         self.returned_ms = now_ms
         if self.copied_until_ms is not None:
@@ -96,13 +108,28 @@
         """
         return bool(self.lapsed)
 
+    def is_outage_disproved(
+        self, was_up_since: typing.Callable[[int], bool]
+    ) -> bool:
+        """Returns whether the lapsed upstreams left while the store was up.
+
+        :param was_up_since: returns whether the store was up since a time
+        :return: whether their rows are missing for good
+        """
+        return self.listed_ms is not None and was_up_since(self.listed_ms)
+
     def update(
-        self, listed: dict[str, model.Upstream], now_ms: int
+        self,
+        listed: dict[str, model.Upstream],
+        now_ms: int,
+        outage_disproved: bool = False,
     ) -> dict[str, model.Upstream]:
         """Replaces the list and returns the upstreams assumed to be alive.
 
         :param listed: upstreams now on the list, by id
         :param now_ms: the current time
+        :param outage_disproved: whether it has turned out that the store was
+            up all the time
         :return: these, and those that may still be listed again
         """
         listed = self.without_copied(listed, now_ms)
@@ -117,7 +144,8 @@
                 if not upstream.leaving
             }
         before = {**self.lapsed, **self.last_listed}
-        if now_ms - self.returned_ms > RETURN_TIMEOUT_MS:
+        is_over = now_ms - self.returned_ms > RETURN_TIMEOUT_MS
+        if is_over or outage_disproved:
             self.lapsed = {}
         for name in listed:
             self.lapsed.pop(name, None)
--- a/godwitloft/links/datagrams.thrift
+++ b/godwitloft/links/datagrams.thrift
@@ -59,6 +59,10 @@
                                     // restarted could not be read
   9: optional list<TeamDemand> former // what the receiver had committed, as
                                     // an answer to usage_lost
+  10: optional i64 store_seen_age_ms // since the sender last knew that the
+                                    // store was up
+  11: optional i64 store_up_ms      // how long it had been up by then without
+                                    // an outage
 }
 
 /* A gateway asks another one how new what it holds is. */
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -361,9 +361,15 @@
         self.store_contact.record(started_ms)
         if confirmed_ms is not None:
             if not self.store_contact.was_up_since(confirmed_ms):
-                self.upstream_list.mark_returned(now_ms)
+                self.upstream_list.mark_returned(now_ms, confirmed_ms)
         self.confirmation.record_list(upstreams, started_ms)
-        alive = self.upstream_list.update(upstreams, now_ms)
+        alive = self.upstream_list.update(
+            upstreams,
+            now_ms,
+            self.upstream_list.is_outage_disproved(
+                self.store_contact.was_up_since
+            ),
+        )
         self.report_kept(alive.keys() - upstreams.keys(), confirmed_ms)
         if self.list_restored:
             self.list_restored = False
