--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -96,6 +96,9 @@
 UPSTREAMS_KEPT = Event(
     1308, logging.INFO, "upstreams that are not listed are kept for a while"
 )
+UPSTREAM_CRASHED = Event(
+    1309, logging.WARNING, "an upstream crashed while it ran requests"
+)
 GATEWAY_ALIVE = Event(
     1108, logging.INFO, "an agent receives messages from a gateway"
 )
--- a/godwitloft/gateway/crash_tracker.py
+++ b/godwitloft/gateway/crash_tracker.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from godwitloft import events
 from godwitloft.gateway import sharing
 
 CRASHES_BEFORE_REFUSAL = 3
@@ -43,10 +44,20 @@
         :param upstream: identity of the upstream
         :param now_ms: the current time
         """
-        for at_ms, fingerprint in self.suspects.pop(upstream, ()):
-            if now_ms - at_ms <= SUSPECT_TIMEOUT_MS:
-                self.crash_times.setdefault(fingerprint, []).append(now_ms)
-                self.recent.append(fingerprint)
+        crashed = [
+            fingerprint
+            for at_ms, fingerprint in self.suspects.pop(upstream, ())
+            if now_ms - at_ms <= SUSPECT_TIMEOUT_MS
+        ]
+        for fingerprint in crashed:
+            self.crash_times.setdefault(fingerprint, []).append(now_ms)
+            self.recent.append(fingerprint)
+        if crashed:
+            events.log(
+                events.UPSTREAM_CRASHED,
+                upstream=upstream,
+                requests=len(crashed),
+            )
 
     def record_answer(self, upstream: str) -> None:
         """Records that an upstream has answered, so it has not crashed.
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -17,6 +17,8 @@
     from godwitloft.gateway import answer as answers
 
 MAX_TOKENS = 10_000_000
+MAX_SHARED_PARTS = 16
+MAX_PART_ID_LENGTH = 64
 
 
 class State(enum.Enum):
@@ -60,6 +62,8 @@
         has begun
     :param fingerprint: hash that is equal for equal requests of the same
         caller
+    :param shared_parts: ids of the parts of its prompt that other requests may
+        have as well
     """
 
     id: str
@@ -73,6 +77,7 @@
     deadline_ms: int
     first_data_deadline_ms: int
     fingerprint: bytes
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def may_repeat(self) -> bool:
@@ -148,6 +153,24 @@
     return Sizes(prompt, output, True)
 
 
+def read_shared_parts(
+    exchange: http_server.Exchange, dialect: dialects.Dialect
+) -> tuple[str, ...]:
+    """Returns the parts of a prompt that other requests may have as well.
+
+    :param exchange: the request
+    :param dialect: names of the headers
+    :return: ids of all parts but the last, which belongs to the request or its
+        session; none if they aren't stated or can't be read
+    """
+    text = exchange.header(dialect.prompt_parts) or b""
+    entries = text.decode("latin-1").split(",")[:-1]
+    ids = [entry.partition(":")[0].strip().lower() for entry in entries]
+    if any(not 0 < len(part) <= MAX_PART_ID_LENGTH for part in ids):
+        return ()
+    return tuple(ids[:MAX_SHARED_PARTS])
+
+
 def read_time_left(
     exchange: http_server.Exchange, dialect: dialects.Dialect
 ) -> int | None:
--- a/godwitloft/gateway/request_checker.py
+++ b/godwitloft/gateway/request_checker.py
@@ -171,6 +171,7 @@
                 deadline_ms, arrived_ms + first_data_timeout_ms
             ),
             fingerprint=requests.fingerprint(exchange),
+            shared_parts=requests.read_shared_parts(exchange, self.dialect),
         )
 
 
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -94,6 +94,7 @@
             result=attempt_outcome.result.value,
             sent_ms_ago=now_ms - request.sent_ms,
             failures=state.failures,
+            parts=list(request.facts.shared_parts),
             **reports.answer_extent(request),
         )
 
