--- /dev/null
+++ b/features/crashing_parts.feature
@@ -0,0 +1,44 @@
+Feature: A part of prompts that crashes engines is found and kept from them
+
+  Such a part crashes each engine that begins to answer on it, whatever else
+  the request holds. No two requests with it are alike; sound ones share their
+  caller and their other parts.
+
+  # Guards against a cause of crashes that is looked for in whole requests, by
+  # each gateway for itself.
+  Scenario Outline: Requests with the part reach engines no longer once five have crashed: <gateways> gateways, one each <gap> ms
+    Given <gateways> gateways before <engines> engines
+    When sound requests come for 2 s
+    And requests with a bad part come each <gap> ms beside them for 25 s
+    Then five engines crashed, and hardly any request with it came later than 3 s after that
+    And sound requests begin as often as before from 6 s after that
+
+    Examples:
+      | gateways | engines | gap |
+      | 1 | 6 | 500 |
+      | 4 | 6 | 100 |
+      | 4 | 6 | 500 |
+      | 4 | 6 | 1500 |
+      | 6 | 18 | 300 |
+      | 29 | 27 | 300 |
+
+  # Guards against a first event that is taken for proof that a part is sound.
+  Scenario: An engine that writes an event before it crashes counts as well
+    Given 4 gateways before 6 engines
+    And engines that write an event before they crash
+    When sound requests come for 2 s
+    And requests with a bad part come each 500 ms beside them for 25 s
+    Then five engines crashed, and hardly any request with it came later than 3 s after that
+
+  # Guards against a sound part that is blamed for crashes of another cause.
+  Scenario Outline: No sound part is blamed: <cause>
+    Given 4 gateways before 6 engines
+    When sound requests come for 2 s
+    And <cause>, while sound requests come and some with a rare part
+    Then no request was refused as one that crashes engines
+
+    Examples:
+      | cause |
+      | half of the engines crash at once each 4 s |
+      | one engine after the other crashes each 700 ms |
+      | all engines crash at once each 5 s |
--- /dev/null
+++ b/features/steps/crashing_parts_steps.py
@@ -0,0 +1,93 @@
+from behave import given
+from behave import step
+from behave import then
+from behave import when
+
+from features.support import crashing_engines
+
+SOUND_GAP_MS = 40
+RARE_GAP_MS = 1300
+MAX_LATE_ARRIVALS = 3
+MIN_BEGUN_SHARE = 0.5
+CRASHES_MS = 20_000
+
+
+@given("{gateways:d} gateways before {engines:d} engines")
+def fleet(context, gateways, engines):
+    context.engines = crashing_engines.CrashingEngines(gateways, engines)
+
+
+@given("engines that write an event before they crash")
+def write_first(context):
+    context.engines.writes_before_crash = True
+
+
+@when("sound requests come for {duration_s:d} s")
+def sound(context, duration_s):
+    engines = context.engines
+    context.calm_from_ms = engines.now_ms()
+    engines.run(duration_s * 1000, SOUND_GAP_MS)
+    context.calm_until_ms = engines.now_ms()
+
+
+@step(
+    "requests with a bad part come each {gap_ms:d} ms beside them for"
+    " {duration_s:d} s"
+)
+def bad(context, gap_ms, duration_s):
+    engines = context.engines
+    engines.bad_parts = {"bad0"}
+    engines.run(duration_s * 1000, SOUND_GAP_MS, gap_ms)
+
+
+@then(
+    "five engines crashed, and hardly any request with it came later than 3 s"
+    " after that"
+)
+def check_arrivals(context):
+    engines = context.engines
+    if len(engines.crashes_ms) < 5:
+        return
+    late = engines.late_arrivals()
+    assert len(late) <= MAX_LATE_ARRIVALS, (late, engines.crashes_ms)
+
+
+@then("sound requests begin as often as before from 6 s after that")
+def check_sound(context):
+    engines = context.engines
+    before = engines.begun_share(context.calm_from_ms, context.calm_until_ms)
+    crashes_ms = engines.crashes_ms[:5]
+    from_ms = crashes_ms[-1] + 2 * crashing_engines.CONTACT_MS
+    after = engines.begun_share(from_ms, engines.now_ms() - 1000)
+    assert after >= MIN_BEGUN_SHARE * before, (before, after)
+
+
+@step("{cause}, while sound requests come and some with a rare part")
+def other_cause(context, cause):
+    engines = context.engines
+    names = list(engines.engines.values())
+    every_ms = {
+        "half of the engines crash at once each 4 s": 4000,
+        "one engine after the other crashes each 700 ms": 700,
+        "all engines crash at once each 5 s": 5000,
+    }[cause]
+    for round_number in range(CRASHES_MS // every_ms):
+        if cause.startswith("half"):
+            crashed = names[:3]
+        elif cause.startswith("one"):
+            crashed = [names[round_number % len(names)]]
+        else:
+            crashed = names
+        for engine in crashed:
+            engines.crash(engine)
+        engines.run(every_ms, SOUND_GAP_MS, rare_gap_ms=RARE_GAP_MS)
+
+
+@then("no request was refused as one that crashes engines")
+def check_not_blamed(context):
+    engines = context.engines
+    refused = [
+        caller for _at_ms, caller in engines.sound if caller.status == 500
+    ]
+    assert not refused, len(refused)
+    assert engines.crashes_ms
--- /dev/null
+++ b/features/support/crashing_engines.py
@@ -0,0 +1,222 @@
+"""Gateways before engines that crash, on one simulated clock."""
+
+import dataclasses
+import random
+
+from features.support import gateway_world
+from godwitloft import attempt as attempts
+from godwitloft.links import datagrams
+
+STEP_MS = 10
+DATAGRAM_MS = 2
+ANNOUNCE_STEPS = 5
+HEAD_MS = 50
+CRASH_MS = 60
+EVENT = b"id: 1\ndata: ok\n\n"
+# The deployment's contact-ms.
+CONTACT_MS = 3000
+SLOTS = 6
+
+
+@dataclasses.dataclass
+class Engine:
+    """An engine that runs requests until it crashes."""
+
+    name: str
+    down_until_ms: int = 0
+    running: list = dataclasses.field(default_factory=list)
+
+
+class EngineAttempt:
+    """One request at an engine."""
+
+    def __init__(self, fleet, engine, outgoing, callbacks):
+        self.fleet = fleet
+        self.engine = engine
+        self.headers = dict(outgoing.headers)
+        self.callbacks = callbacks
+        self.sent = False
+        self.over = False
+        self.timers = []
+
+    def start(self):
+        if self.fleet.now_ms() < self.engine.down_until_ms:
+            self.later(1, self.end, attempts.End.NOT_SENT, "not_connected")
+            return
+        self.sent = True
+        self.engine.running.append(self)
+        self.fleet.arrivals.append((self.fleet.now_ms(), self.parts))
+        self.later(HEAD_MS, self.begin)
+
+    @property
+    def parts(self):
+        text = self.headers.get(gateway_world.DIALECT.prompt_parts, b"")
+        return [entry.partition(":")[0] for entry in text.decode().split(",")]
+
+    def begin(self):
+        name = gateway_world.DIALECT.request_id
+        head = [(name, self.headers[name]), (b"transfer-encoding", b"chunked")]
+        head.append((gateway_world.DIALECT.seal, b"seal"))
+        self.callbacks.on_head(200, head)
+        if self.fleet.bad_parts & set(self.parts):
+            if self.fleet.writes_before_crash:
+                self.callbacks.on_data(EVENT)
+            self.later(CRASH_MS, self.fleet.crash, self.engine)
+            return
+        self.callbacks.on_data(EVENT)
+        self.later(self.fleet.answer_ms, self.complete)
+
+    def complete(self):
+        self.callbacks.on_data(EVENT)
+        self.end(attempts.End.COMPLETE, "")
+
+    def end(self, how, reason):
+        if not self.over:
+            self.stop()
+            self.callbacks.on_end(how, reason)
+
+    def stop(self):
+        self.over = True
+        for timer in self.timers:
+            if timer.active():
+                timer.cancel()
+        if self in self.engine.running:
+            self.engine.running.remove(self)
+
+    def cancel(self):
+        self.stop()
+
+    def later(self, delay_ms, function, *arguments):
+        timer = self.fleet.reactor.callLater(
+            delay_ms / 1000, function, *arguments
+        )
+        self.timers.append(timer)
+
+
+class CrashingEngines:
+    """Gateways, engines, and callers with sound and bad prompts."""
+
+    def __init__(self, gateways, engines):
+        self.rng = random.Random(7)
+        self.engines = {
+            f"u{number}": Engine(f"u{number}") for number in range(engines)
+        }
+        self.bad_parts = set()
+        self.writes_before_crash = False
+        self.answer_ms = 100
+        self.down_ms = 3000
+        self.arrivals = []
+        self.crashes_ms = []
+        self.sound = []
+        self.bad = []
+        self.count = 0
+        self.worlds = []
+        self.reactor = None
+        for number in range(gateways):
+            self.worlds.append(self.make_world(number))
+        hosts = {f"g{number}": f"h{number}" for number in range(gateways)}
+        for number, world in enumerate(self.worlds):
+            others = dict(hosts)
+            del others[f"g{number}"]
+            world.gateway.update_gateways(others)
+        self.run(1000)
+
+    def make_world(self, number):
+        world = gateway_world.World((), self.reactor, f"g{number}")
+        self.reactor = world.reactor
+        world.gateway.dependencies = dataclasses.replace(
+            world.gateway.dependencies, send=self.send
+        )
+        world.gateway.update_upstreams(
+            {
+                name: gateway_world.upstream(name, "model", slots=SLOTS)
+                for name in self.engines
+            }
+        )
+
+        def send(data, where):
+            self.reactor.callLater(
+                DATAGRAM_MS / 1000, self.deliver, f"h{number}", data, where[0]
+            )
+
+        world.sharing.send = send
+        return world
+
+    def deliver(self, sender, data, host):
+        world = self.worlds[int(host[1:])]
+        world.gateway.on_datagram(datagrams.decode(data), (sender, 1))
+
+    def now_ms(self):
+        return round(self.reactor.seconds() * 1000)
+
+    def send(self, upstream, outgoing, callbacks):
+        engine = self.engines[upstream.id]
+        attempt = EngineAttempt(self, engine, outgoing, callbacks)
+        attempt.start()
+        return attempt
+
+    def crash(self, engine):
+        if self.now_ms() < engine.down_until_ms:
+            return
+        self.crashes_ms.append(self.now_ms())
+        engine.down_until_ms = self.now_ms() + self.down_ms
+        for attempt in list(engine.running):
+            attempt.end(attempts.End.BROKEN, "answer_cut")
+
+    def ask(self, parts):
+        """Sends a request with these shared parts to any gateway."""
+        self.count += 1
+        world = self.rng.choice(self.worlds)
+        own = f"{self.count:x}"
+        text = ",".join(f"{part}:60" for part in [*parts, own])
+        caller = gateway_world.Caller(world)
+        caller.send(
+            b"POST /class/%d HTTP/1.1\r\nHost: h\r\n"
+            b"Godwitloft-Request-Id: r%d\r\n"
+            b"Godwitloft-Deadline-Ms: 5000\r\n"
+            b"Authorization: Token key\r\n"
+            b"Godwitloft-Prompt-Prefix: %s\r\n"
+            b"Content-Length: 0\r\n\r\n"
+            % (self.count, self.count, text.encode())
+        )
+        asked = (self.now_ms(), caller)
+        if self.bad_parts & set(parts):
+            self.bad.append(asked)
+        else:
+            self.sound.append(asked)
+
+    def run(self, duration_ms, sound_gap_ms=0, bad_gap_ms=0, rare_gap_ms=0):
+        """Lets time pass with a sound and a bad request in each gap."""
+        for step in range(duration_ms // STEP_MS):
+            at_ms = step * STEP_MS
+            if sound_gap_ms and at_ms % sound_gap_ms == 0:
+                self.ask([f"aa{self.rng.randrange(3)}"])
+            if bad_gap_ms and at_ms % bad_gap_ms == 0:
+                self.ask([f"aa{self.rng.randrange(3)}", "bad0"])
+            if rare_gap_ms and at_ms % rare_gap_ms == 0:
+                self.ask(["aa0", "cc0"])
+            self.reactor.advance(STEP_MS / 1000)
+            for world in self.worlds:
+                world.confirm()
+                if step % 2 == 0:
+                    world.gateway.tick()
+                if step % ANNOUNCE_STEPS == 0:
+                    world.gateway.announce()
+
+    def begun_share(self, since_ms, until_ms):
+        """Returns the share of sound requests that got an answer."""
+        found = [
+            caller.status == 200
+            for at_ms, caller in self.sound
+            if since_ms <= at_ms < until_ms
+        ]
+        return sum(found) / len(found)
+
+    def late_arrivals(self):
+        """Returns bad requests that reached engines too late."""
+        bound_ms = self.crashes_ms[4] + CONTACT_MS
+        return [
+            at_ms
+            for at_ms, parts in self.arrivals
+            if self.bad_parts & set(parts) and at_ms > bound_ms
+        ]
