An upstream that breaks off a request is checked, so that its crash counts

Callers' streams were broken off by crash after crash, of which most were not counted: a gateway noticed a crash only if it met the closed port itself within 1.5 s after the break, but after several breaks it pauses the upstream for 2 to 4 s.

Now a break leads to one connection to the upstream, closed as soon as it is made. A refusal proves the crash, and pauses the upstream; an accepted one proves that it lives; a time-out proves nothing, as the network may be cut. An answer on a connection from before the break no longer counts as a sign of life. The rows of features/crash_tracker.feature fail without it.

--- /dev/null
+++ b/features/crash_tracker.feature
@@ -0,0 +1,48 @@
+Feature: A crash of an upstream is noticed, and only a crash
+
+  # Guards against a crash that isn't counted, as the gateway has no more
+  # requests for its upstream or has paused it.
+  Scenario Outline: After a broken answer the upstream is checked: <found>
+    Given a gateway with two upstreams of each service
+    When an upstream breaks off a request
+    And it is found to <found>
+    Then <crashes> crashes are counted
+
+    Examples:
+      | found | crashes |
+      | refuse connections | 1 |
+      | accept connections | 0 |
+      | be out of reach | 0 |
+      | accept connections, and 5 s later to refuse them | 0 |
+
+  Scenario: An upstream that breaks off many requests is checked once
+    Given a gateway with two upstreams of each service
+    When an upstream breaks off 3 requests at once
+    And it is found to refuse connections
+    Then it was checked 1 time
+    And 1 crash of 3 requests is counted
+
+  # Guards against an answer from before the crash that is taken for a sign of
+  # life.
+  Scenario Outline: An answer that arrives after a break: its connection was made <when> it
+    Given a gateway with two upstreams of each service
+    When an upstream breaks off a request, and answers another one that was sent <when> it
+    And it is found to refuse connections
+    Then <crashes> crashes are counted
+
+    Examples:
+      | when | crashes |
+      | before | 1 |
+      | after | 0 |
+
+  # Guards against a cut network that is taken for a crash.
+  Scenario Outline: A connection that <ends> proves <proof>
+    When a connection to an upstream that is checked <ends>
+    Then the check proves <proof>
+
+    Examples:
+      | ends | proof |
+      | is made | that it accepts |
+      | is refused | that it refuses |
+      | times out | nothing |
+      | has no route | nothing |
--- a/features/support/crashing_engines.py
+++ b/features/support/crashing_engines.py
@@ -125,7 +125,9 @@
         world = gateway_world.World((), self.reactor, f"g{number}")
         self.reactor = world.reactor
         world.gateway.dependencies = dataclasses.replace(
-            world.gateway.dependencies, send=self.send
+            world.gateway.dependencies,
+            send=self.send,
+            check_connection=self.check_connection,
         )
         world.gateway.update_upstreams(
             {
@@ -155,6 +157,10 @@
         attempt.start()
         return attempt
 
+    def check_connection(self, upstream, on_checked):
+        accepts = self.now_ms() >= self.engines[upstream.id].down_until_ms
+        self.reactor.callLater(0.002, on_checked, accepts)
+
     def crash(self, engine):
         if self.now_ms() < engine.down_until_ms:
             return
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -184,6 +184,7 @@
         self.clock = clocks.reactor_clock(self.reactor)
         self.sent = []
         self.datagrams = []
+        self.checks = []
         self.sharing = sharing.Sharing(
             self.clock, self.send_datagram, instance, 1, TOLERANCE
         )
@@ -205,6 +206,7 @@
             gateways.Dependencies(
                 clock=self.clock,
                 send=self.send,
+                check_connection=self.check_connection,
                 rng=random.Random(1),
                 instruments=metrics.discard(),
                 slot_client=slot_client.SlotClient(
@@ -238,6 +240,9 @@
         self.sent.append(sent)
         return sent
 
+    def check_connection(self, place, on_checked):
+        self.checks.append((place, on_checked))
+
     def send_datagram(self, data, where):
         self.datagrams.append((data, where))
 
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -55,6 +55,8 @@
 
     :param clock: source of the time
     :param send: sends a request to an upstream
+    :param check_connection: finds out whether an upstream accepts connections,
+        False if it refuses them, None if that can't be told
     :param rng: chooses the target of a request and randomizes retry delays
     :param instruments: metrics
     :param slot_client: exchanges datagrams with the upstreams' agents
@@ -66,6 +68,9 @@
         [model.Upstream, attempts.Outgoing, attempts.AttemptCallbacks],
         attempts.Attempt,
     ]
+    check_connection: typing.Callable[
+        [model.Upstream, typing.Callable[[bool | None], None]], None
+    ]
     rng: random.Random
     instruments: metrics.Instruments
     slot_client: slot_clients.SlotClient
@@ -616,8 +621,8 @@
                 request.upstream_state is not None
                 and request.answer.is_valid_success()
             ):
-                self.retry_policy.crashes.record_answer(
-                    request.upstream_state.upstream.id
+                self.retry_policy.crashes.record_alive(
+                    request.upstream_state.life, request.sent_ms
                 )
                 took_ms = request.first_data_ms - request.sent_ms
                 self.latency.learn(
@@ -661,6 +666,8 @@
             self.retry_policy.record_end(
                 request, state, attempt_outcome, now_ms
             )
+            if attempt_outcome.result is outcomes.Result.BROKEN:
+                self.check_upstream(state)
         if attempt_outcome.result is outcomes.Result.DELIVER:
             answer.deliver()
             self.end(request, outcomes.COMPLETED, attempt_outcome.reason)
@@ -670,6 +677,29 @@
             self.answer_failure(request, answer, attempt_outcome)
         self.schedule(request.facts.service)
 
+    def check_upstream(self, state: fleets.UpstreamState) -> None:
+        """Finds out whether an upstream that broke off a request has crashed.
+
+        Otherwise a crash would be noticed only by the next request to it,
+        which may come late or never.
+
+        :param state: the upstream
+        """
+        crashes = self.retry_policy.crashes
+        started_ms = self.clock.monotonic_ms()
+        if not crashes.may_check(state.life, started_ms):
+            return
+
+        def on_checked(accepts: bool | None) -> None:
+            now_ms = self.clock.monotonic_ms()
+            if accepts:
+                crashes.record_alive(state.life, started_ms)
+            elif accepts is not None:
+                crashes.record_unreachable(state.life, now_ms)
+                state.record_failure(now_ms, unreachable=True)
+
+        self.dependencies.check_connection(state.upstream, on_checked)
+
     def release(
         self, request: requests.Request
     ) -> fleets.UpstreamState | None:
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -81,10 +81,10 @@
             state.mark_leaving()
         if attempt_outcome.result is outcomes.Result.BROKEN:
             self.crashes.record_broken(
-                state.upstream.id, request.facts.fingerprint, now_ms
+                state.life, request.facts.fingerprint, now_ms
             )
         elif unreachable:
-            self.crashes.record_unreachable(state.upstream.id, now_ms)
+            self.crashes.record_unreachable(state.life, now_ms)
         events.log(
             events.UPSTREAM_FAILED,
             request=request.facts.id,
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -10,6 +10,7 @@
 from godwitloft import attempt as attempts
 from godwitloft import bounded_log
 from godwitloft import clock as clocks
+from godwitloft import connection_check
 from godwitloft import errors
 from godwitloft import events
 from godwitloft import incarnation as incarnations
@@ -64,6 +65,13 @@
         address = (upstream.host, upstream.port)
         return attempts.start(reactor, address, outgoing, callbacks, boot.host)
 
+    def check_connection(
+        upstream: model.Upstream,
+        on_checked: typing.Callable[[bool | None], None],
+    ) -> None:
+        address = (upstream.host, upstream.port)
+        connection_check.start(reactor, address, on_checked, boot.host)
+
     incarnation = incarnations.new_incarnation(boot.instance)
 
     def send_datagram(data: bytes, address: datagrams.Address) -> None:
@@ -82,6 +90,7 @@
         gateways.Dependencies(
             clock=clock,
             send=send,
+            check_connection=check_connection,
             rng=random.Random(),
             instruments=instruments,
             slot_client=slot_clients.SlotClient(
