A prompt part that crashes engines is found over all gateways and refused

Thirteen engines ended one after the other under requests that share one part of their prompts, and with each up to ten streams of other callers. Crashes were looked for in whole requests only (path, key and body), and no two of these are alike; and what one gateway saw reached the others as hashes of whole requests.

Class of fault: the cause of repeated failures is looked for at one grain only, and by each observer alone.

Now each crash counts against the shared parts of the requests whose answers had hardly begun on the engine. Evidence: at each of seven crashes exactly one broken stream had a head and no byte of its body. Gateways tell each other crashes, by the engine's life, and proofs that a part is sound.

--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -99,6 +99,11 @@
 UPSTREAM_CRASHED = Event(
     1309, logging.WARNING, "an upstream crashed while it ran requests"
 )
+PROMPT_PART_BLAMED = Event(
+    1310,
+    logging.WARNING,
+    "a part of prompts is blamed for crashes, or cleared",
+)
 GATEWAY_ALIVE = Event(
     1108, logging.INFO, "an agent receives messages from a gateway"
 )
--- a/godwitloft/gateway/admission.py
+++ b/godwitloft/gateway/admission.py
@@ -153,6 +153,9 @@
         facts = request.facts
         if self.crashes.is_crashing(facts.fingerprint, now_ms):
             return refusals.Refusal(500, "crashes_upstreams")
+        blamed = self.crashes.parts.find_blamed(facts.shared_parts)
+        if blamed is not None:
+            return crashing_part_refusal(blamed)
         if facts.deadline_ms <= now_ms:
             return refusals.Refusal(503, "no_time_left")
         if self.is_paused_too_long(request, now_ms):
@@ -366,3 +369,12 @@
                 "gateways": sharing.gateways,
             },
         )
+
+
+def crashing_part_refusal(part: str) -> refusals.Refusal:
+    """Returns the refusal of a request that would crash its upstream.
+
+    :param part: the part of its prompt that is blamed for crashes
+    :return: a refusal that doesn't invite the caller to come back
+    """
+    return refusals.Refusal(500, "crashes_upstreams", inputs={"part": part})
--- a/godwitloft/gateway/crash_tracker.py
+++ b/godwitloft/gateway/crash_tracker.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from godwitloft import events
+from godwitloft.gateway import part_crashes
 from godwitloft.gateway import peer_status
 from godwitloft.gateway import sharing
 
@@ -22,10 +23,12 @@
 
     :param at_ms: when it was broken off
     :param fingerprint: fingerprint of the request
+    :param parts: shared parts of its prompt, if its answer had hardly begun
     """
 
     at_ms: int
     fingerprint: bytes
+    parts: tuple[str, ...] = ()
 
 
 class CrashTracker:
@@ -40,22 +43,21 @@
         self.suspects: dict[peer_status.Life, list[Broken]] = {}
         # When each upstream with suspects was last checked.
         self.checked_ms: dict[peer_status.Life, int] = {}
+        self.parts = part_crashes.PartCrashes()
         self.crash_times: dict[bytes, list[int]] = {}
         self.recent: collections.deque[bytes] = collections.deque(
             maxlen=sharing.MAX_CRASHES_ANNOUNCED
         )
 
     def record_broken(
-        self, upstream: peer_status.Life, fingerprint: bytes, now_ms: int
+        self, upstream: peer_status.Life, broken: Broken
     ) -> None:
         """Records that an upstream broke off a request.
 
         :param upstream: the upstream
-        :param fingerprint: fingerprint of the request
-        :param now_ms: the current time
+        :param broken: the request
         """
-        self.forget_old(now_ms)
-        broken = Broken(now_ms, fingerprint)
+        self.forget_old(broken.at_ms)
         self.suspects.setdefault(upstream, []).append(broken)
 
     def forget_old(self, now_ms: int) -> None:
@@ -99,6 +101,9 @@
             times = self.crash_times.setdefault(broken.fingerprint, [])
             times.append(now_ms)
             self.recent.append(broken.fingerprint)
+            self.parts.record_crash(
+                broken.parts, f"{upstream.id}/{upstream.born_ms}", broken.at_ms
+            )
         if crashed:
             events.log(
                 events.UPSTREAM_CRASHED,
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -197,13 +197,14 @@
 
         :return: the present status
         """
-        since_ms = self.clock.monotonic_ms() - LEAVING_TOLD_MS
-        leaving = self.fleet.lately_leaving(since_ms)
+        now_ms = self.clock.monotonic_ms()
+        leaving = self.fleet.lately_leaving(now_ms - LEAVING_TOLD_MS)
         return peer_status.PeerStatus(
             version=self.config_state.version,
             timeline=self.store_timeline(),
             leaving=leaving[:MAX_LEAVING_TOLD],
             store_up=self.store_up(),
+            part_reports=self.retry_policy.crashes.parts.reports(now_ms),
         )
 
     def store_up(self) -> peer_status.StoreUp | None:
@@ -229,6 +230,10 @@
             since_ms = until_ms - status.store_up.length_ms
             span = store_contact.Span(since_ms, until_ms)
             self.store_contact.record_peer(span)
+        for report in status.part_reports:
+            self.retry_policy.crashes.parts.learn(
+                report, self.clock.monotonic_ms()
+            )
         for life in status.leaving:
             state = self.fleet.state_of(life)
             if state is not None:
@@ -471,14 +476,21 @@
         )
 
     def still_permitted(self, request: requests.Request, now_ms: int) -> bool:
-        """Checks again that a request's key is valid, and refuses it if not.
+        """Checks a request again that was waiting, and refuses it if need be.
 
-        The configuration may have changed while the request was waiting.
+        Its key may be withdrawn, or a part of its prompt may be blamed for
+        crashes meanwhile.
 
         :param request: a waiting request
         :param now_ms: the current time
         :return: whether it may be sent; if not, it has been answered
         """
+        blamed = self.retry_policy.crashes.parts.find_blamed(
+            request.facts.shared_parts
+        )
+        if blamed is not None:
+            self.refuse(request, admissions.crashing_part_refusal(blamed))
+            return False
         team = request.facts.team
         router = self.config_state.router
         if team is None or router is None:
@@ -614,6 +626,10 @@
         if attempt_number != request.attempt_count or request.answer is None:
             return
         request.last_data_ms = self.clock.monotonic_ms()
+        if not request.proved_sound and request.has_answered_for_long(
+            request.last_data_ms
+        ):
+            self.record_sound(request)
         if request.state is requests.State.SENT:
             request.state = requests.State.ANSWERING
             request.first_data_ms = request.last_data_ms
@@ -669,6 +685,8 @@
             if attempt_outcome.result is outcomes.Result.BROKEN:
                 self.check_upstream(state)
         if attempt_outcome.result is outcomes.Result.DELIVER:
+            if not request.proved_sound and answer.is_valid_success():
+                self.record_sound(request)
             answer.deliver()
             self.end(request, outcomes.COMPLETED, attempt_outcome.reason)
         elif self.retry_policy.may_retry(request, attempt_outcome, now_ms):
@@ -697,9 +715,20 @@
             elif accepts is not None:
                 crashes.record_unreachable(state.life, now_ms)
                 state.record_failure(now_ms, unreachable=True)
+                self.dependencies.sharing.must_announce = True
 
         self.dependencies.check_connection(state.upstream, on_checked)
 
+    def record_sound(self, request: requests.Request) -> None:
+        """Records that a request's prompt does not crash its upstream.
+
+        :param request: a request that was answered for a while, or to the end
+        """
+        request.proved_sound = True
+        self.retry_policy.crashes.parts.record_sound(
+            request.facts.shared_parts, self.clock.monotonic_ms()
+        )
+
     def release(
         self, request: requests.Request
     ) -> fleets.UpstreamState | None:
--- a/godwitloft/gateway/peer_status.py
+++ b/godwitloft/gateway/peer_status.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 
+from godwitloft.gateway import part_crashes
 from godwitloft.links.generated.datagrams import ttypes
 
 
@@ -43,12 +44,14 @@
     :param leaving: upstreams that have lately said that they are leaving
     :param store_up: when the store was up, by the gateway's own knowledge;
         None if it never was
+    :param part_reports: parts of prompts that upstreams have crashed on
     """
 
     version: int = 0
     timeline: int | None = None
     leaving: tuple[Life, ...] = ()
     store_up: StoreUp | None = None
+    part_reports: tuple[part_crashes.PartReport, ...] = ()
 
 
 def encode(status: PeerStatus, sharing: ttypes.Sharing) -> None:
@@ -66,6 +69,9 @@
     if status.store_up is not None:
         sharing.store_seen_age_ms = status.store_up.age_ms
         sharing.store_up_ms = status.store_up.length_ms
+    sharing.parts = [
+        encode_part(report) for report in status.part_reports
+    ] or None
 
 
 def decode(sharing: ttypes.Sharing) -> PeerStatus:
@@ -82,6 +88,37 @@
             for entry in sharing.leaving or ()
         ),
         store_up=decode_store_up(sharing),
+        part_reports=tuple(
+            decode_part(entry) for entry in sharing.parts or ()
+        ),
+    )
+
+
+def encode_part(report: part_crashes.PartReport) -> ttypes.PartReport:
+    """Encodes what is known about a part of prompts.
+
+    :param report: the report
+    :return: a part of a datagram
+    """
+    crashes = [
+        ttypes.PartCrash(upstream=upstream, age_ms=age_ms)
+        for upstream, age_ms in report.crash_ages_ms.items()
+    ]
+    return ttypes.PartReport(
+        part=report.part, crashes=crashes, sound_age_ms=report.sound_age_ms
+    )
+
+
+def decode_part(entry: ttypes.PartReport) -> part_crashes.PartReport:
+    """Decodes what a peer knows about a part of prompts.
+
+    :param entry: a part of a datagram
+    :return: the report
+    """
+    return part_crashes.PartReport(
+        entry.part,
+        {crash.upstream: max(0, crash.age_ms) for crash in entry.crashes},
+        entry.sound_age_ms,
     )
 
 
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -12,6 +12,7 @@
 from godwitloft.gateway import headers as header_lists
 from godwitloft.gateway import http_server
 from godwitloft.gateway import model
+from godwitloft.gateway import part_crashes
 
 if typing.TYPE_CHECKING:
     from godwitloft.gateway import answer as answers
@@ -129,10 +130,34 @@
         self.first_data_ms = 0
         self.last_data_ms = 0
         self.last_event: bytes | None = None
+        # Whether an upstream has answered for long enough to show that the
+        # prompt doesn't crash it.
+        self.proved_sound = not facts.shared_parts
         self.use: allowance.Use | None = None
         # Why its last failed attempt was not followed by another.
         self.no_retry = ""
 
+    def has_answered_for_long(self, now_ms: int) -> bool:
+        """Returns whether its answer shows that its prompt is sound.
+
+        :param now_ms: the current time
+        :return: whether it has gone on for a while
+        """
+        return (
+            self.first_data_ms > 0
+            and now_ms - self.first_data_ms >= part_crashes.SOUND_AFTER_MS
+        )
+
+    def unproved_parts(self, now_ms: int) -> tuple[str, ...]:
+        """Returns the parts that may have crashed its upstream just now.
+
+        :param now_ms: the current time
+        :return: its shared parts, none if its answer had gone on for a while
+        """
+        if self.proved_sound or self.has_answered_for_long(now_ms):
+            return ()
+        return self.facts.shared_parts
+
 
 def read_sizes(
     exchange: http_server.Exchange, dialect: dialects.Dialect
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -81,7 +81,12 @@
             state.mark_leaving()
         if attempt_outcome.result is outcomes.Result.BROKEN:
             self.crashes.record_broken(
-                state.life, request.facts.fingerprint, now_ms
+                state.life,
+                crash_tracker.Broken(
+                    now_ms,
+                    request.facts.fingerprint,
+                    request.unproved_parts(now_ms),
+                ),
             )
         elif unreachable:
             self.crashes.record_unreachable(state.life, now_ms)
@@ -178,6 +183,8 @@
             return "deadline"
         if self.crashes.is_crashing(facts.fingerprint, now_ms):
             return "crashes_upstreams"
+        if self.crashes.parts.find_blamed(facts.shared_parts) is not None:
+            return "crashes_upstreams"
         states = self.fleet.usable(facts.service)
         if all(
             state.upstream.id in request.tried_upstreams for state in states
--- a/godwitloft/links/datagrams.thrift
+++ b/godwitloft/links/datagrams.thrift
@@ -46,6 +46,19 @@
                                     // limit, with those set aside
 }
 
+/* A crash of an upstream while requests with a part of a prompt began. */
+struct PartCrash {
+  1: required string upstream       // its identity and start
+  2: required i64 age_ms
+}
+
+/* What a gateway knows about a part that upstreams have crashed on. */
+struct PartReport {
+  1: required string part           // id of the part
+  2: required list<PartCrash> crashes
+  3: optional i64 sound_age_ms      // since an upstream last answered on it
+}
+
 /* A gateway tells another one what limits they share. */
 struct Sharing {
   1: required string gateway        // name of the sender's instance
@@ -63,6 +76,7 @@
                                     // store was up
   11: optional i64 store_up_ms      // how long it had been up by then without
                                     // an outage
+  12: optional list<PartReport> parts // that upstreams have crashed on
 }
 
 /* A gateway asks another one how new what it holds is. */
