--- /dev/null
+++ b/godwitloft/platform/lease_row.py
@@ -0,0 +1,59 @@
+"""The row in which a gateway keeps its lease and what must outlive it."""
+
+import base64
+import dataclasses
+import json
+
+from godwitloft.gateway import sharing
+from godwitloft.platform import rows
+
+
+@dataclasses.dataclass(frozen=True)
+class LeaseRow:
+    """The content of a gateway's row.
+
+    :param host: its IP address
+    :param renewed_ms: when it renewed its lease, on the store's clock, in
+        milliseconds
+    :param usage: its usage of the teams' allowances
+    """
+
+    host: str
+    renewed_ms: int
+    usage: sharing.Usage
+
+
+def encode(row: LeaseRow) -> str:
+    """Encodes a gateway's row.
+
+    :param row: its content
+    :return: JSON in base64
+    """
+    usage = {
+        team: [round(tokens) for tokens in sums]
+        for team, sums in row.usage.items()
+        if sum(sums) >= 1
+    }
+    content = {
+        "renewed_ms": row.renewed_ms,
+        "host": row.host,
+        "used": usage,
+    }
+    return base64.b64encode(json.dumps(content).encode()).decode()
+
+
+def decode(name: str, value: object) -> LeaseRow:
+    """Decodes a gateway's row.
+
+    :param name: table and key, for error messages
+    :param value: JSON in base64
+    :return: its content
+    :raises RowError: if it is invalid
+    """
+    fields = rows.decode_content(name, value)
+    usage = rows.Fields(name, "used", fields.value.get("used", {}))
+    return LeaseRow(
+        fields.text("host"),
+        int(fields.number("renewed_ms")),
+        {team: usage.numbers(team) for team in usage.value},
+    )
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -4,10 +4,8 @@
 this gateway's own lease.
 """
 
-import base64
 import dataclasses
 import functools
-import json
 import random
 import typing
 
@@ -19,6 +17,7 @@
 from godwitloft.gateway import peer_confirmation as peer_confirmations
 from godwitloft.gateway import sharing
 from godwitloft.gateway import upstream_list as upstream_lists
+from godwitloft.platform import lease_row
 from godwitloft.platform import rows
 from godwitloft.platform import store as stores
 
@@ -523,7 +522,7 @@
         others = {}
         own = None
         for row in result.rows:
-            holder = self.decode_row(GATEWAY_TABLE, row, decode_lease_holder)
+            holder = self.decode_row(GATEWAY_TABLE, row, lease_row.decode)
             if holder is None:
                 continue
             age_ms = max(0, result.now_ms - holder.renewed_ms)
@@ -547,50 +546,13 @@
     def renew_lease(self) -> typing.Generator[typing.Any, typing.Any, None]:
         """Writes this gateway's row with its lease and its usage."""
         self.callbacks.before_save()
-        usage = {
-            team: [round(tokens) for tokens in sums]
-            for team, sums in self.callbacks.usage().items()
-            if sum(sums) >= 1
-        }
         now_ms = self.clock.monotonic_ms()
-        content = {
-            "renewed_ms": now_ms + self.store_clock_offset_ms,
-            "host": self.host,
-            "used": usage,
-        }
-        value = base64.b64encode(json.dumps(content).encode()).decode()
+        row = lease_row.LeaseRow(
+            host=self.host,
+            renewed_ms=now_ms + self.store_clock_offset_ms,
+            usage=self.callbacks.usage(),
+        )
+        value = lease_row.encode(row)
         yield self.store.put(GATEWAY_TABLE, self.instance, value)
         self.renewed_ms = now_ms
         self.renewals += 1
-
-
-@dataclasses.dataclass(frozen=True)
-class LeaseHolder:
-    """The decoded row of a gateway.
-
-    :param host: its IP address
-    :param renewed_ms: when it renewed its lease, on the store's clock, in
-        milliseconds
-    :param usage: its usage of the teams' allowances
-    """
-
-    host: str
-    renewed_ms: int
-    usage: sharing.Usage
-
-
-def decode_lease_holder(name: str, value: object) -> LeaseHolder:
-    """Decodes a gateway's row.
-
-    :param name: table and key, for error messages
-    :param value: JSON in base64
-    :return: the decoded row
-    :raises RowError: if it is invalid
-    """
-    fields = rows.decode_content(name, value)
-    usage = rows.Fields(name, "used", fields.value.get("used", {}))
-    return LeaseHolder(
-        fields.text("host"),
-        int(fields.number("renewed_ms")),
-        {team: usage.numbers(team) for team in usage.value},
-    )
