Parts of prompts that are blamed for crashes outlive a restart of all gateways

Callers would have met the crashes anew each time, as what gateways had found was in memory only. The row of a gateway's lease holds the blamed parts now, written soon after a change, and each gateway reads all rows at its start. A part that is proved sound is taken out. Of the four new rows in features/crashing_parts.feature two failed before; the others hold that nothing outdated comes back.

--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -30,6 +30,19 @@
     And requests with a bad part come each 500 ms beside them for 25 s
     Then five engines crashed, and hardly any request with it came later than 3 s after that
 
+  # Guards against crashes that are found out about anew after each restart.
+  Scenario Outline: A blamed part is known after all gateways were restarted: <how>
+    Given gateways that have blamed "bad0" and follow a store
+    When all gateways are restarted at once <how>
+    Then requests with "bad0" <outcome>
+
+    Examples:
+      | how | outcome |
+      | 2 s later | are refused |
+      | 2 s later, as one with an old row | are refused |
+      | 2 s after it was proved sound | are sent |
+      | 16 min later | are sent |
+
   # Guards against a sound part that is blamed for crashes of another cause.
   Scenario Outline: No sound part is blamed: <cause>
     Given 4 gateways before 6 engines
--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -4,6 +4,8 @@
 from behave import when
 
 from features.support import crashing_engines
+from features.support import following_gateways
+from features.support import restored_store
 
 SOUND_GAP_MS = 40
 RARE_GAP_MS = 1300
@@ -91,3 +93,44 @@
     ]
     assert not refused, len(refused)
     assert engines.crashes_ms
+
+
+@given('gateways that have blamed "{part}" and follow a store')
+def blamed(context, part):
+    context.following = following_gateways.FollowingGateways(context, 2, "a")
+    following = context.following
+    member = following.first
+    crashes = member.gateway.retry_policy.crashes.parts
+    for number in range(3):
+        crashes.record_crash((part,), f"u{number}/1", member.now_ms())
+        following.advance(300)
+    assert crashes.find_blamed((part,)) == part
+    context.part = part
+
+
+@when("all gateways are restarted at once {how}")
+def restart(context, how):
+    following = context.following
+    following.advance(2000)
+    rows = following.first.rows
+    if "proved sound" in how:
+        crashes = following.first.gateway.retry_policy.crashes.parts
+        crashes.record_sound((context.part,), following.first.now_ms())
+        following.advance(2000)
+    if "old row" in how:
+        rows.put_json("gateways", "g9", {"host": "h", "renewed_ms": 1})
+    for member in following.members.values():
+        member.watch.stop()
+    if "16 min" in how:
+        following.reactor.advance(16 * 60)
+    context.restarted = restored_store.RestoredStore(context, rows, "g0")
+    context.restarted.watch.start()
+    following.reactor.advance(0.1)
+
+
+@then('requests with "{part}" {outcome}')
+def check_restarted(context, part, outcome):
+    crashes = context.restarted.gateway.retry_policy.crashes.parts
+    crashes.forget_old(context.restarted.now_ms())
+    found = crashes.find_blamed((part,))
+    assert found == (part if outcome == "are refused" else None), found
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -24,6 +24,7 @@
 from godwitloft.gateway import options as options_module
 from godwitloft.gateway import ordering
 from godwitloft.gateway import outcomes
+from godwitloft.gateway import part_crashes
 from godwitloft.gateway import peer_confirmation
 from godwitloft.gateway import peer_status
 from godwitloft.gateway import placer as placers
@@ -239,6 +240,35 @@
             if state is not None:
                 self.mark_leaving(state, "peer")
 
+    # What is saved and outlives the process.
+
+    def blamed_parts(self) -> tuple[part_crashes.PartReport, ...]:
+        """Returns the parts of prompts that are blamed for crashes."""
+        parts = self.retry_policy.crashes.parts
+        return parts.blamed_reports(self.clock.monotonic_ms())
+
+    def restore_parts(
+        self, saved: tuple[part_crashes.PartReport, ...], age_ms: int
+    ) -> None:
+        """Takes over which parts of prompts were blamed before a restart.
+
+        :param saved: what this gateway or a peer had saved
+        :param age_ms: how long ago it was saved
+        """
+        saved_ms = self.clock.monotonic_ms() - age_ms
+        for report in saved:
+            self.retry_policy.crashes.parts.learn(report, saved_ms)
+
+    def needs_saving(self) -> bool:
+        """Returns whether usage or blamed parts should be saved soon."""
+        unsaved = self.retry_policy.crashes.parts.unsaved
+        return unsaved or self.dependencies.sharing.needs_saving()
+
+    def mark_saved(self) -> None:
+        """Records that usage and blamed parts are about to be saved."""
+        self.retry_policy.crashes.parts.unsaved = False
+        self.dependencies.sharing.mark_saved()
+
     def announce(self) -> None:
         """Announces usage to other gateways and asks a poller, each if due."""
         self.confirmation.ask_if_due()
--- a/godwitloft/gateway/part_crashes.py
+++ b/godwitloft/gateway/part_crashes.py
@@ -53,6 +53,8 @@
         # When parts with crashes were last proved sound.
         self.sound_ms: dict[str, int] = {}
         self.blamed_parts: set[str] = set()
+        # Whether the blamed parts have changed since they were saved.
+        self.unsaved = False
 
     def record_crash(
         self, parts: typing.Iterable[str], upstream: str, at_ms: int
@@ -64,7 +66,8 @@
         :param at_ms: when it broke off the requests
         """
         for part in parts:
-            if at_ms <= self.sound_ms.get(part, -1):
+            sound_ms = self.sound_ms.get(part)
+            if sound_ms is not None and at_ms <= sound_ms:
                 continue
             self.crashes_ms.setdefault(part, {}).setdefault(upstream, at_ms)
             self.update_blame(part)
@@ -101,10 +104,10 @@
             del self.sound_ms[next(iter(self.sound_ms))]
 
     def learn(self, report: PartReport, now_ms: int) -> None:
-        """Takes over what a peer knows.
+        """Takes over what a peer knows, or what was saved.
 
-        :param report: its report
-        :param now_ms: the current time
+        :param report: the report
+        :param now_ms: the time at which the ages in it were true
         """
         if report.sound_age_ms is not None:
             self.mark_sound(report.part, now_ms - report.sound_age_ms)
@@ -120,6 +123,7 @@
         is_blamed = count_apart(crashes_ms.values()) >= CRASHES_BEFORE_BLAME
         if is_blamed == (part in self.blamed_parts):
             return
+        self.unsaved = True
         if is_blamed:
             self.blamed_parts.add(part)
         else:
@@ -174,6 +178,18 @@
             for part in parts[:MAX_PARTS_TOLD]
         )
 
+    def blamed_reports(self, now_ms: int) -> tuple[PartReport, ...]:
+        """Returns what has to be kept for a restart of all gateways.
+
+        :param now_ms: the current time
+        :return: reports on parts that are blamed
+        """
+        return tuple(
+            report
+            for report in self.reports(now_ms)
+            if report.part in self.blamed_parts
+        )
+
     def latest_crashes(self, part: str) -> list[tuple[str, int]]:
         """Returns the latest crashes of a part.
 
@@ -192,7 +208,9 @@
         :return: time of its last crash or proof
         """
         times = [*self.crashes_ms.get(part, {}).values()]
-        return max(times + [self.sound_ms.get(part, 0)])
+        if part in self.sound_ms:
+            times.append(self.sound_ms[part])
+        return max(times)
 
     def forget_old(self, now_ms: int) -> None:
         """Forgets parts with which no upstream has crashed for long.
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -14,6 +14,7 @@
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft.gateway import model
+from godwitloft.gateway import part_crashes
 from godwitloft.gateway import peer_confirmation as peer_confirmations
 from godwitloft.gateway import sharing
 from godwitloft.gateway import upstream_list as upstream_lists
@@ -66,10 +67,14 @@
         and its age in milliseconds
     :param on_peer_usage_restored: called at the start with the name of
         another gateway, its saved usage and the age in milliseconds
+    :param on_parts_restored: called at the start with the blamed parts that a
+        gateway had saved, and the age in milliseconds
     :param usage: returns the usage of this process by team
-    :param needs_saving: returns whether the usage has changed much since it
-        was saved
-    :param before_save: called just before the usage is written
+    :param blamed_parts: returns the parts of prompts that are blamed for
+        crashes
+    :param needs_saving: returns whether usage or blamed parts have changed
+        much since they were saved
+    :param before_save: called just before both are written
     :param on_restored: called with the time at which a restore of the store
         was noticed, in milliseconds
     :param settle_left_ms: returns how long confirmations don't count yet after
@@ -84,7 +89,11 @@
     on_gateways: typing.Callable[[dict[str, str]], None]
     on_usage_restored: typing.Callable[[sharing.Usage | None, int], None]
     on_peer_usage_restored: typing.Callable[[str, sharing.Usage, int], None]
+    on_parts_restored: typing.Callable[
+        [tuple[part_crashes.PartReport, ...], int], None
+    ]
     usage: typing.Callable[[], sharing.Usage]
+    blamed_parts: typing.Callable[[], tuple[part_crashes.PartReport, ...]]
     needs_saving: typing.Callable[[], bool]
     before_save: typing.Callable[[], None]
     on_restored: typing.Callable[[int], None]
@@ -526,10 +535,12 @@
             if holder is None:
                 continue
             age_ms = max(0, result.now_ms - holder.renewed_ms)
-            if row.key != self.instance and not self.usage_restored:
-                self.callbacks.on_peer_usage_restored(
-                    row.key, holder.usage, age_ms
-                )
+            if not self.usage_restored:
+                self.callbacks.on_parts_restored(holder.blamed_parts, age_ms)
+                if row.key != self.instance:
+                    self.callbacks.on_peer_usage_restored(
+                        row.key, holder.usage, age_ms
+                    )
             if row.key == self.instance:
                 own = holder
             elif age_ms < GATEWAY_LEASE_MS:
@@ -551,6 +562,7 @@
             host=self.host,
             renewed_ms=now_ms + self.store_clock_offset_ms,
             usage=self.callbacks.usage(),
+            blamed_parts=self.callbacks.blamed_parts(),
         )
         value = lease_row.encode(row)
         yield self.store.put(GATEWAY_TABLE, self.instance, value)
