The body of a failure without end is cut at 256 kB

What callers would have seen: a gateway that runs out of memory and drops all connections. An upstream in trouble may send bytes without end; the body of a 5xx, of a refusal as not run or of an answer that isn't the request's own was kept, or read on, until the caller's time was over: at a gigabit a second the 300 MB of a gateway are gone in three seconds.

A body that is kept back for a retry is bounded by 256 kB now; beyond, the connection is closed and the failure counts as broken off, so that a request that may repeat goes elsewhere. A body that is never forwarded is read up to the same bound. The heads, chunk sizes and trailers among the rows were bounded already.

--- /dev/null
+++ b/features/endless_bytes.feature
@@ -0,0 +1,24 @@
+Feature: Bytes without end from a server in trouble
+
+  They may come in a head or in a body, and go on until the reader closes. What
+  is kept of them is bounded, and the caller gets an answer.
+
+  # Guards against memory that grows with what an upstream sends.
+  Scenario Outline: An upstream sends <what> without end to "<route>"
+    Given a gateway that reads what its upstreams send
+    When a caller requests "<route>" of it
+    And the upstream sends <what> without end
+    Then the gateway has closed that connection after at most 1 MB
+    And it kept at most 512 kB of it
+    And the caller's answer is <answer>
+
+    Examples:
+      | what | route | answer |
+      | a status line | post | 502 |
+      | header lines | post | 502 |
+      | a chunk size | post | 502 |
+      | trailers | post | 502 |
+      | the body of a failure | post | 502 |
+      | the body of a failure | draft | 502 |
+      | the body of a refusal as not run | post | not yet there |
+      | the body of an answer without a seal | post | 502 |
--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -113,6 +113,8 @@
         assert is_whole(caller.received), caller.received
         assert b"more" not in caller.received, caller.received
         assert caller.received.count(b"HTTP/1.1") == 1, caller.received
+    elif answer == "not yet there":
+        assert caller.status is None, caller.received
     elif answer == "cut":
         assert caller.status == 200, caller.received
         assert not is_whole(caller.received), caller.received
--- /dev/null
+++ b/features/steps/endless_bytes_steps.py
@@ -0,0 +1,160 @@
+import itertools
+
+from behave import step
+from behave import then
+from behave import when
+from twisted.internet import defer
+
+from features.support import gateway_world
+from godwitloft import attempt as attempts
+from godwitloft.platform import store as stores
+
+PART = 16 * 1024
+MOST_SENT = 8 * 1024 * 1024
+KB = 1024
+CLOSE_STATUS = b"500 Internal Server Error"
+
+
+def beginning(sent, what):
+    """Returns the bytes before those that have no end."""
+    if what == "the body of a failure":
+        return sent.answer_head(status=CLOSE_STATUS)
+    if what == "the body of a refusal as not run":
+        name = gateway_world.DIALECT.not_run
+        return sent.answer_head(name + b": 1", status=b"503 Unavailable")
+    if what == "the body of an answer without a seal":
+        return b"HTTP/1.1 200 OK\r\n\r\n"
+    chunked = sent.answer_head(b"transfer-encoding: chunked")
+    return {
+        "a status line": b"HTTP/1.1 200 ",
+        "header lines": b"HTTP/1.1 200 OK\r\n",
+        "interim answers": b"HTTP/1.1 100 Continue\r\n\r\n",
+        "a chunk size": chunked,
+        "trailers": chunked + b"0\r\n",
+        "an event": sent.answer_head() + b"data: ",
+        "its body": sent.answer_head(),
+    }[what]
+
+
+def endless(what):
+    """Returns a part of the bytes that have no end."""
+    return {
+        "header lines": b"x: yyyyyyyyyyyyy\r\n" * (PART // 18),
+        "interim answers": b"HTTP/1.1 102 Processing\r\n\r\n" * (PART // 27),
+        "a chunk size": b"0" * PART,
+        "trailers": b"x: yyyyyyyyyyyyy\r\n" * (PART // 18),
+        "its body": b"data: x\n\n" * (PART // 9),
+    }.get(what, b"z" * PART)
+
+
+def kept_bytes(request):
+    """Returns how much of an answer the gateway keeps for a request."""
+    answer = request.answer
+    if answer is None:
+        return 0
+    return sum(map(len, answer.buffered)) + len(answer.partial_event)
+
+
+@when('a caller requests "{route}" of it')
+def ask(context, route):
+    world = context.world
+    context.caller = world.ask("a", route)
+    (context.request,) = world.gateway.running
+
+
+@step("the upstream sends {what} without end")
+def send(context, what):
+    sent = context.world.sent[0]
+    context.bytes_sent = 0
+    context.most_kept = 0
+    part = beginning(sent, what)
+    while sent.transport.connected and context.bytes_sent < MOST_SENT:
+        if sent.transport.producerState == "paused":
+            break
+        sent.receive(part)
+        context.bytes_sent += len(part)
+        kept = kept_bytes(context.request)
+        context.most_kept = max(context.most_kept, kept)
+        part = endless(what)
+
+
+@then("the gateway has closed that connection after at most 1 MB")
+def check_closed(context):
+    assert not context.world.sent[0].transport.connected
+    assert context.bytes_sent <= KB * KB, context.bytes_sent
+
+
+@then("it kept at most {most:d} kB of it")
+def check_kept(context, most):
+    assert context.most_kept <= most * KB, context.most_kept
+
+
+@when("the caller reads nothing")
+def read_nothing(context):
+    transport = context.caller.transport
+    written = transport.write
+
+    def write(data):
+        written(data)
+        if transport.producer is not None:
+            transport.producer.pauseProducing()
+
+    transport.write = write
+
+
+@when("the caller reads on")
+def read_on(context):
+    context.caller.transport.producer.resumeProducing()
+
+
+@then("the gateway reads no more of it")
+def check_paused(context):
+    transport = context.world.sent[0].transport
+    assert transport.producerState == "paused", context.bytes_sent
+
+
+@then("the gateway reads on as well")
+def check_resumed(context):
+    transport = context.world.sent[0].transport
+    assert transport.producerState == "producing", transport.producerState
+
+
+@when("the upstream breaks off after {sent_kb:d} kB of {whole_kb:d} kB")
+def break_off(context, sent_kb, whole_kb):
+    sent = context.world.sent[0]
+    length = b"content-length: %d" % (whole_kb * KB)
+    sent.receive(sent.answer_head(length) + b"x" * (sent_kb * KB))
+    sent.close(clean=False)
+    context.world.advance(100)
+
+
+@then("the upstreams have got {count:d} request")
+def check_sent(context, count):
+    assert len(context.world.sent) == count, len(context.world.sent)
+
+
+@step("a client of a JSON server")
+def client(context):
+    context.result = defer.Deferred()
+    context.call = stores.Call("GET /x", context.result, lambda *_: None)
+    context.ends = []
+
+
+@when("the server sends a body without end")
+def send_json(context):
+    context.bytes_sent = 0
+    context.call.on_head(200, [])
+    context.call.close = lambda: context.ends.append(attempts.End.BROKEN)
+    for _ in itertools.repeat(None, 40 * KB * KB // PART):
+        if context.ends:
+            return
+        context.call.on_data(b"1" * PART)
+        context.bytes_sent += PART
+
+
+@then('the call has failed with "{reason}" after at most {most:d} MB')
+def check_failed(context, reason, most):
+    errors = []
+    context.result.addErrback(errors.append)
+    assert errors and errors[0].value.reason == reason, errors
+    assert context.bytes_sent <= most * KB * KB, context.bytes_sent
--- a/features/support/wire_upstream.py
+++ b/features/support/wire_upstream.py
@@ -28,6 +28,9 @@
         super().cancel()
         self.attempt.cancel()
 
+    def end(self, how, reason="played"):
+        self.attempt.end(how, reason)
+
     def receive(self, data):
         """The gateway receives bytes."""
         self.attempt.dataReceived(data)
--- a/godwitloft/gateway/answer.py
+++ b/godwitloft/gateway/answer.py
@@ -22,6 +22,7 @@
 MIN_SERVER_ERROR_STATUS = 500
 ID_LINE = re.compile(rb"(?:^|(?<=[\r\n]))id:([^\r\n]*)[\r\n]")
 MISDIRECTED_STATUS = 421
+ANSWER_TOO_LONG = "answer_too_long"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -62,6 +63,9 @@
         self.buffered: list[bytes] = []
         self.buffered_bytes = 0
         self.partial_event = b""
+        self.discarded_bytes = 0
+        # Why no more of the answer may be read, empty if it may.
+        self.overflow = ""
         # None until the head has been received.
         self.body_end: answer_end.BodyEnd | None = None
 
@@ -114,7 +118,8 @@
         """
         if self.body_end is not None:
             self.body_end.feed(data)
-        if self.defect:
+        if self.defect or self.not_run:
+            self.discard(data)
             return
         if self.is_valid_success() and self.is_stream:
             if self.request.facts.route.resumable:
@@ -124,12 +129,23 @@
             return
         self.buffered.append(data)
         self.buffered_bytes += len(data)
-        if (
-            self.buffered_bytes > MAX_BUFFERED_BYTES
-            and self.is_valid_success()
-        ):
+        if self.buffered_bytes <= MAX_BUFFERED_BYTES:
+            return
+        if self.status >= MIN_SERVER_ERROR_STATUS:
+            self.buffered.clear()
+            self.overflow = ANSWER_TOO_LONG
+        else:
             self.flush()
 
+    def discard(self, data: bytes) -> None:
+        """Drops a part of a body that is never forwarded.
+
+        :param data: the received bytes
+        """
+        self.discarded_bytes += len(data)
+        if self.discarded_bytes > MAX_BUFFERED_BYTES:
+            self.overflow = ANSWER_TOO_LONG
+
     def forward_events(self, data: bytes) -> None:
         """Forwards complete events and stores the id of the last one.
 
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -686,6 +686,9 @@
                 )
                 request.pending_prompt_tokens = 0
         request.answer.on_data(data)
+        overflow = request.answer.overflow
+        if overflow and request.attempt is not None:
+            request.attempt.end(attempts.End.BROKEN, overflow)
 
     def on_end(
         self,
