An event without end is cut at 256 kB

What callers would have seen: as before, a gateway out of memory. Of a stream that may be resumed, the unfinished event is held back until it ends; one that never ends grew with the link, and was searched for its end from the start at each read. Beyond 256 kB the connection is closed now, and the stream goes on elsewhere if it may. The row of features/endless_bytes.feature failed before.

--- a/features/endless_bytes.feature
+++ b/features/endless_bytes.feature
@@ -22,3 +22,4 @@
       | the body of a failure | draft | 502 |
       | the body of a refusal as not run | post | not yet there |
       | the body of an answer without a seal | post | 502 |
+      | an event | query | not yet there |
--- a/godwitloft/gateway/answer.py
+++ b/godwitloft/gateway/answer.py
@@ -23,6 +23,7 @@
 ID_LINE = re.compile(rb"(?:^|(?<=[\r\n]))id:([^\r\n]*)[\r\n]")
 MISDIRECTED_STATUS = 421
 ANSWER_TOO_LONG = "answer_too_long"
+EVENT_TOO_LONG = "event_too_long"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -154,6 +155,9 @@
         self.partial_event += data
         end = answer_end.last_event_end(self.partial_event)
         if not end:
+            if len(self.partial_event) > MAX_BUFFERED_BYTES:
+                self.partial_event = b""
+                self.overflow = EVENT_TOO_LONG
             return
         events = self.partial_event[:end]
         self.partial_event = self.partial_event[end:]
