Interim answers without end are cut after a hundred

What callers would have seen: a gateway that is busy with one upstream's 1xx answers, which were parsed and ignored until the request's time was over, at a megabyte a second of a whole core.

--- a/features/endless_bytes.feature
+++ b/features/endless_bytes.feature
@@ -16,6 +16,7 @@
       | what | route | answer |
       | a status line | post | 502 |
       | header lines | post | 502 |
+      | interim answers | post | 502 |
       | a chunk size | post | 502 |
       | trailers | post | 502 |
       | the body of a failure | post | 502 |
--- a/godwitloft/attempt.py
+++ b/godwitloft/attempt.py
@@ -29,6 +29,8 @@
 PROBE_COUNT = 2
 NOT_CONNECTED = "not_connected"
 MALFORMED_REQUEST = "malformed_request"
+MALFORMED_ANSWER = "malformed_answer"
+MAX_INTERIM_ANSWERS = 100
 
 
 class End(enum.Enum):
@@ -85,6 +87,7 @@
         self.connector: typing.Any = None
         self.sent = False
         self.ended = False
+        self.interim_answers = 0
 
     def connectionMade(self) -> None:
         """Sends the complete request."""
@@ -131,7 +134,7 @@
             self.parser.receive_data(data)
             self.read()
         except h11.RemoteProtocolError:
-            self.end(End.BROKEN, "malformed_answer")
+            self.end(End.BROKEN, MALFORMED_ANSWER)
 
     def read(self) -> None:
         """Handles the events that the parser has completed."""
@@ -139,7 +142,9 @@
             event = self.parser.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
-            if isinstance(event, h11.Response):
+            if isinstance(event, h11.InformationalResponse):
+                self.count_interim_answer()
+            elif isinstance(event, h11.Response):
                 self.callbacks.on_head(event.status_code, list(event.headers))
             elif isinstance(event, h11.Data):
                 self.callbacks.on_data(bytes(event.data))
@@ -148,6 +153,12 @@
             elif isinstance(event, h11.ConnectionClosed):
                 self.end(End.BROKEN, "connection_closed")
 
+    def count_interim_answer(self) -> None:
+        """Ends the attempt if interim answers (status 1xx) go on and on."""
+        self.interim_answers += 1
+        if self.interim_answers > MAX_INTERIM_ANSWERS:
+            self.end(End.BROKEN, MALFORMED_ANSWER)
+
     def connectionLost(
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
