A gateway stops reading an answer that its caller doesn't read

What callers would have seen: a gateway out of memory, all its connections dropped. What an upstream sent was written to the caller's connection and kept there, however slowly the caller read; a body or stream without end, or a few stopped callers of long ones, fill the memory.

The caller's connection now tells when 256 kB are unsent; the answer is read on when they are gone. A stream that is held up so is not taken for a silent one.

--- a/features/endless_bytes.feature
+++ b/features/endless_bytes.feature
@@ -24,3 +24,37 @@
       | the body of a refusal as not run | post | not yet there |
       | the body of an answer without a seal | post | 502 |
       | an event | query | not yet there |
+
+  # Guards against a caller that reads slowly, for whom all is kept.
+  Scenario Outline: A caller reads nothing while its answer goes on without end: <route>
+    Given a gateway that reads what its upstreams send
+    When a caller requests "<route>" of it
+    And the caller reads nothing
+    And the upstream sends its body without end
+    Then the gateway reads no more of it
+
+    Examples:
+      | route |
+      | post |
+      | draft |
+      | query |
+
+  Scenario: An answer that a slow caller reads goes on when it does
+    Given a gateway that reads what its upstreams send
+    When a caller requests "draft" of it
+    And the caller reads nothing
+    And the upstream sends its body without end
+    And the caller reads on
+    Then the gateway reads on as well
+
+  # Guards against a slow caller whose stream is taken for a silent one.
+  Scenario: A stream that a slow caller holds up is not moved elsewhere
+    Given a gateway that reads what its upstreams send
+    When a caller requests "query" of it
+    And the caller reads nothing
+    And the upstream sends its body without end
+    And 4 s pass for the caller
+    Then the upstreams have got 1 request
+    When the caller reads on
+    And 1 s passes for the caller
+    Then the upstreams have got 1 request
--- a/features/steps/endless_bytes_steps.py
+++ b/features/steps/endless_bytes_steps.py
@@ -107,6 +107,12 @@
     context.caller.transport.producer.resumeProducing()
 
 
+@step("{seconds:d} s pass for the caller")
+@step("{seconds:d} s passes for the caller")
+def passing(context, seconds):
+    context.world.advance(seconds * 1000)
+
+
 @then("the gateway reads no more of it")
 def check_paused(context):
     transport = context.world.sent[0].transport
--- a/features/support/wire_upstream.py
+++ b/features/support/wire_upstream.py
@@ -31,6 +31,9 @@
     def end(self, how, reason="played"):
         self.attempt.end(how, reason)
 
+    def pause_reading(self, paused):
+        self.attempt.pause_reading(paused)
+
     def receive(self, data):
         """The gateway receives bytes."""
         self.attempt.dataReceived(data)
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -367,6 +367,9 @@
             ),
         )
         exchange.on_disconnect = lambda: self.on_caller_disconnect(request)
+        exchange.on_congested = lambda congested: self.on_caller_congested(
+            request, congested
+        )
         queue = self.waiting.setdefault(checked.service, [])
         refusal = self.admission.admit(request, queue)
         if refusal is not None:
@@ -894,6 +897,20 @@
         self.end(request, outcomes.CALLER_LEFT, request.state.value)
         self.schedule(request.facts.service)
 
+    def on_caller_congested(
+        self, request: requests.Request, congested: bool
+    ) -> None:
+        """Stops reading an answer while its caller reads too slowly.
+
+        :param request: the caller's request
+        :param congested: whether too much of its answer is unsent
+        """
+        request.congested = congested
+        # What isn't read can't arrive: this is no silence of the upstream.
+        request.last_data_ms = self.clock.monotonic_ms()
+        if request.attempt is not None:
+            request.attempt.pause_reading(congested)
+
     def tick(self) -> None:
         """Ends requests that have timed out, and sends waiting ones.
 
--- a/godwitloft/gateway/http_server.py
+++ b/godwitloft/gateway/http_server.py
@@ -20,6 +20,9 @@
 
 Header = headers.Header
 
+# Above this, the gateway reads no more of a caller's answer for the time being.
+MAX_UNSENT_BYTES = 256 * 1024
+
 
 @dataclasses.dataclass(frozen=True)
 class Refusal:
@@ -54,6 +57,9 @@
         self.started = False
         self.ended = False
         self.on_disconnect: typing.Callable[[], None] = _do_nothing
+        # Called with True when the caller reads too slowly, False when it has
+        # caught up.
+        self.on_congested: typing.Callable[[bool], None] = _ignore_congestion
 
     def header(self, name: bytes) -> bytes | None:
         """Returns the first value of a header.
@@ -132,6 +138,10 @@
     pass
 
 
+def _ignore_congestion(_congested: bool) -> None:
+    pass
+
+
 @dataclasses.dataclass(frozen=True)
 class ConnectionCallbacks:
     """Functions of the gateway that a connection calls.
@@ -169,6 +179,8 @@
         # Whether the complete request was passed to the gateway.
         self.handed_over = False
         self.open = False
+        # Whether the transport tells when the caller reads too slowly.
+        self.registered = False
         self.last_active_ms = clock.monotonic_ms()
         self.head_started_ms: int | None = None
         self.parser = h11.Connection(
@@ -182,6 +194,22 @@
         self.connections.add(self)
         transport = typing.cast(typing.Any, self.transport)
         transport.setTcpNoDelay(True)
+        transport.bufferSize = MAX_UNSENT_BYTES
+        transport.registerProducer(self, True)
+        self.registered = True
+
+    def pauseProducing(self) -> None:
+        """Handles that the caller reads more slowly than it is answered."""
+        if self.exchange is not None:
+            self.exchange.on_congested(True)
+
+    def resumeProducing(self) -> None:
+        """Handles that the caller has read what was written."""
+        if self.exchange is not None:
+            self.exchange.on_congested(False)
+
+    def stopProducing(self) -> None:
+        """Does nothing: :meth:`connectionLost` tells the gateway."""
 
     def connectionLost(
         self, reason: failure.Failure = protocol.connectionDone
@@ -345,8 +373,15 @@
     def close(self) -> None:
         """Closes the connection once all written data has been sent."""
         if self.open and self.transport is not None:
+            self.unregister()
             self.transport.loseConnection()
 
+    def unregister(self) -> None:
+        """Lets the transport close: it waits for a registered producer."""
+        if self.registered:
+            self.registered = False
+            typing.cast(typing.Any, self.transport).unregisterProducer()
+
     def abort(self) -> None:
         """Closes the connection so that the current answer is incomplete.
 
@@ -356,6 +391,7 @@
         """
         if not self.open or self.transport is None:
             return
+        self.unregister()
         if (self.parser.their_http_version or b"1.0") < b"1.1":
             typing.cast(typing.Any, self.transport).abortConnection()
         else:
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -130,6 +130,8 @@
         self.first_data_ms = 0
         self.last_data_ms = 0
         self.last_event: bytes | None = None
+        # Whether its caller reads more slowly than it is answered.
+        self.congested = False
         # Whether an upstream has answered for long enough to show that the
         # prompt doesn't crash it.
         self.proved_sound = not facts.shared_parts
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -116,6 +116,7 @@
             request.state is requests.State.ANSWERING
             and route.kind is model.Kind.STREAM
             and request.facts.may_repeat
+            and not request.congested
             and now_ms - request.last_data_ms >= STALL_MS
             and self.has_other_upstream(request, now_ms)
         )
