A store's or report's body without end is cut at 8 MB

What callers would have seen: a gateway or an agent out of memory. The client of the platform's store, which also reads the reports of upstreams, kept what came until its call timed out after a second. Each call fails now beyond 8 MB and its connection is closed.

--- a/features/endless_bytes.feature
+++ b/features/endless_bytes.feature
@@ -58,3 +58,9 @@
     When the caller reads on
     And 1 s passes for the caller
     Then the upstreams have got 1 request
+
+  # Guards against memory that grows with what a store or a report sends.
+  Scenario: A server that is called for JSON sends a body without end
+    Given a client of a JSON server
+    When the server sends a body without end
+    Then the call has failed with "answer_too_long" after at most 9 MB
--- a/godwitloft/gateway/http_server.py
+++ b/godwitloft/gateway/http_server.py
@@ -20,7 +20,7 @@
 
 Header = headers.Header
 
-# Above this, the gateway reads no more of a caller's answer for the time being.
+# With more than this unsent, the gateway reads no more of an answer.
 MAX_UNSENT_BYTES = 256 * 1024
 
 
--- a/godwitloft/platform/store.py
+++ b/godwitloft/platform/store.py
@@ -19,6 +19,9 @@
 OnHeaders = typing.Callable[[int, list[attempts.Header]], None]
 CALL_TIMEOUT_MS = 1_000
 HTTP_OK = 200
+# The store answers with 1 MB of values at most, in base64.
+MAX_BODY_BYTES = 8 * 1024 * 1024
+BODY_TOO_LONG = "answer_too_long"
 HISTORY_LOST = "history is no longer available"
 # The platform calls a timeline an era.
 TIMELINE_HEADER = b"store-era"
@@ -178,6 +181,9 @@
         self.status = 0
         self.timeline: int | None = None
         self.parts: list[bytes] = []
+        self.received_bytes = 0
+        # Closes the connection.
+        self.close: typing.Callable[[], None] = _do_nothing
 
     def on_head(self, status: int, headers: list[attempts.Header]) -> None:
         """Stores the status of the response.
@@ -189,6 +195,19 @@
         self.timeline = decode_timeline(headers)
         self.on_headers(status, headers)
 
+    def on_data(self, data: bytes) -> None:
+        """Stores a part of the body, up to a bound.
+
+        :param data: the received bytes
+        """
+        self.received_bytes += len(data)
+        if self.received_bytes <= MAX_BODY_BYTES:
+            self.parts.append(data)
+            return
+        self.parts.clear()
+        self.fail(StoreError(self.name, self.status, BODY_TOO_LONG))
+        self.close()
+
     def on_end(self, end: attempts.End, reason: str) -> None:
         """Fires the result once the attempt has ended.
 
@@ -284,11 +303,10 @@
             self.reactor,
             self.address,
             attempts.Outgoing(method.encode(), target.encode(), headers, body),
-            attempts.AttemptCallbacks(
-                call.on_head, call.parts.append, call.on_end
-            ),
+            attempts.AttemptCallbacks(call.on_head, call.on_data, call.on_end),
             self.own_host,
         )
+        call.close = attempt.cancel
 
         def time_out() -> None:
             attempt.end(attempts.End.BROKEN, "timeout")
@@ -454,3 +472,7 @@
         raise StoreError(
             "read", HTTP_OK, f"invalid rows: {error!r}"
         ) from error
+
+
+def _do_nothing() -> None:
+    pass
