A plain answer that has begun is not continued by another attempt

What callers would have seen: a body joined from two runs. A plain answer of over 256 kB is forwarded before its end; when the upstream then broke it off, a request that may repeat was sent again, and the second body followed the first part. The requests of the deployments get 800 B, so that it was never seen there. Such an answer is cut now, visibly.

--- a/features/endless_bytes.feature
+++ b/features/endless_bytes.feature
@@ -64,3 +64,11 @@
     Given a client of a JSON server
     When the server sends a body without end
     Then the call has failed with "answer_too_long" after at most 9 MB
+
+  # Guards against parts of two answers that are joined.
+  Scenario: A long plain answer that is broken off is not continued by another
+    Given a gateway that reads what its upstreams send
+    When a caller requests "lookup" of it
+    And the upstream breaks off after 300 kB of 400 kB
+    Then the upstreams have got 1 request
+    And the caller's answer is cut
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -139,6 +139,14 @@
         # Why its last failed attempt was not followed by another.
         self.no_retry = ""
 
+    def has_begun_plain_answer(self) -> bool:
+        """Returns whether no other attempt can continue its answer.
+
+        :return: whether anything but a stream was forwarded in part
+        """
+        is_stream = self.facts.route.kind is model.Kind.STREAM
+        return self.exchange.started and not is_stream
+
     def has_answered_for_long(self, now_ms: int) -> bool:
         """Returns whether its answer shows that its prompt is sound.
 
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -178,6 +178,8 @@
             request.runs -= 1
         elif not facts.may_repeat:
             return "not_repeatable"
+        elif request.has_begun_plain_answer():
+            return "answer_begun"
         elif request.runs >= facts.route.max_attempts:
             return "attempts_used"
         if facts.deadline_ms <= now_ms:
