Parts that sound requests share with bad ones are not blamed for their crashes

Found by the stand-in that crashes on a part, before any landing: where the engines are few, hardly a sound request gets through between the crashes, so that the first part of the bad prompts was never proved sound, was blamed with the bad one, and from then on every sound request was refused with 500, for good.

Cause: each part was judged by itself. Crashes are kept as such now, with the parts that were there; the most suspect part is blamed first, and what it explains counts against no other. An engine that crashes again before the list shows its new life counts again, too: the id of a crash has a number.

--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -30,6 +30,19 @@
     And requests with a bad part come each 500 ms beside them for 25 s
     Then five engines crashed, and hardly any request with it came later than 3 s after that
 
+  # Guards against a first part that is blamed with the bad one, as no sound
+  # request gets through between the crashes.
+  Scenario Outline: The first part of bad requests is not blamed with them: <gateways> gateways, <engines> engines
+    Given <gateways> gateways before <engines> engines
+    When requests with a bad part come each 200 ms for 20 s, and sound ones each 1500 ms
+    Then sound requests begin in the last 10 s
+
+    Examples:
+      | gateways | engines |
+      | 1 | 2 |
+      | 4 | 2 |
+      | 4 | 6 |
+
   # Guards against crashes that are found out about anew after each restart.
   Scenario Outline: A blamed part is known after all gateways were restarted: <how>
     Given gateways that have blamed "bad0" and follow a store
--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -42,6 +42,24 @@
     engines.run(duration_s * 1000, SOUND_GAP_MS, gap_ms)
 
 
+@when(
+    "requests with a bad part come each {gap_ms:d} ms for {duration_s:d} s,"
+    " and sound ones each {sound_gap_ms:d} ms"
+)
+def mostly_bad(context, gap_ms, duration_s, sound_gap_ms):
+    engines = context.engines
+    engines.bad_parts = {"bad0"}
+    engines.run(duration_s * 1000, sound_gap_ms, gap_ms)
+
+
+@then("sound requests begin in the last {duration_s:d} s")
+def check_begin(context, duration_s):
+    engines = context.engines
+    now_ms = engines.now_ms()
+    share = engines.begun_share(now_ms - duration_s * 1000, now_ms - 1000)
+    assert share == 1.0, share
+
+
 @then(
     "five engines crashed, and hardly any request with it came later than 3 s"
     " after that"
@@ -102,7 +120,7 @@
     member = following.first
     crashes = member.gateway.retry_policy.crashes.parts
     for number in range(3):
-        crashes.record_crash((part,), f"u{number}/1", member.now_ms())
+        crashes.record_crash(("aa0", part), f"u{number}/1", member.now_ms())
         following.advance(300)
     assert crashes.find_blamed((part,)) == part
     context.part = part
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -200,12 +200,14 @@
         """
         now_ms = self.clock.monotonic_ms()
         leaving = self.fleet.lately_leaving(now_ms - LEAVING_TOLD_MS)
+        parts = self.retry_policy.crashes.parts
         return peer_status.PeerStatus(
             version=self.config_state.version,
             timeline=self.store_timeline(),
             leaving=leaving[:MAX_LEAVING_TOLD],
             store_up=self.store_up(),
-            part_reports=self.retry_policy.crashes.parts.reports(now_ms),
+            crashes=parts.crash_reports(now_ms),
+            sound_parts=parts.sound_reports(now_ms),
         )
 
     def store_up(self) -> peer_status.StoreUp | None:
@@ -231,10 +233,9 @@
             since_ms = until_ms - status.store_up.length_ms
             span = store_contact.Span(since_ms, until_ms)
             self.store_contact.record_peer(span)
-        for report in status.part_reports:
-            self.retry_policy.crashes.parts.learn(
-                report, self.clock.monotonic_ms()
-            )
+        self.retry_policy.crashes.parts.learn(
+            status.crashes, status.sound_parts, self.clock.monotonic_ms()
+        )
         for life in status.leaving:
             state = self.fleet.state_of(life)
             if state is not None:
@@ -242,30 +243,31 @@
 
     # What is saved and outlives the process.
 
-    def blamed_parts(self) -> tuple[part_crashes.PartReport, ...]:
-        """Returns the parts of prompts that are blamed for crashes."""
+    def crash_reports(self) -> tuple[part_crashes.CrashReport, ...]:
+        """Returns the crashes for which parts of prompts are blamed."""
         parts = self.retry_policy.crashes.parts
-        return parts.blamed_reports(self.clock.monotonic_ms())
+        if not parts.blamed_parts:
+            return ()
+        return parts.crash_reports(self.clock.monotonic_ms())
 
-    def restore_parts(
-        self, saved: tuple[part_crashes.PartReport, ...], age_ms: int
+    def restore_crashes(
+        self, saved: tuple[part_crashes.CrashReport, ...], age_ms: int
     ) -> None:
-        """Takes over which parts of prompts were blamed before a restart.
+        """Takes over crashes of upstreams from before a restart.
 
         :param saved: what this gateway or a peer had saved
         :param age_ms: how long ago it was saved
         """
         saved_ms = self.clock.monotonic_ms() - age_ms
-        for report in saved:
-            self.retry_policy.crashes.parts.learn(report, saved_ms)
+        self.retry_policy.crashes.parts.learn(saved, (), saved_ms)
 
     def needs_saving(self) -> bool:
-        """Returns whether usage or blamed parts should be saved soon."""
+        """Returns whether usage or crashes should be saved soon."""
         unsaved = self.retry_policy.crashes.parts.unsaved
         return unsaved or self.dependencies.sharing.needs_saving()
 
     def mark_saved(self) -> None:
-        """Records that usage and blamed parts are about to be saved."""
+        """Records that usage and crashes are about to be saved."""
         self.retry_policy.crashes.parts.unsaved = False
         self.dependencies.sharing.mark_saved()
 
--- a/godwitloft/gateway/part_crashes.py
+++ b/godwitloft/gateway/part_crashes.py
@@ -2,10 +2,12 @@
 
 Requests with such a part have nothing else in common, come to any gateway, and
 run beside sound ones that share their other parts. So each crash counts
-against all parts of the requests whose answers had hardly begun there, and a
-part is blamed for several crashes of all gateways together unless it is proved
-sound in between: an answer on it that went on for a while. Parts that many
-requests share are proved sound all the time.
+against all parts of the requests whose answers had hardly begun there, and
+gateways tell each other what they saw. A part is blamed that was there at
+several crashes and was not proved sound since the first of them: by an answer
+on it that went on for a while. Crashes with a blamed part are explained, and
+count against no other: parts that sound requests share with bad ones are
+cleared, also where hardly any sound request gets through.
 """
 
 import dataclasses
@@ -19,121 +21,214 @@
 CRASH_SPACING_MS = 250
 # An upstream that answers for this long has not crashed by the prompt.
 SOUND_AFTER_MS = 500
+# Two breaks of one life of an upstream further apart are two crashes.
+SAME_CRASH_MS = 1_000
 MEMORY_MS = 900_000
 # How long peers are told that a part has been proved sound.
 SOUND_TOLD_MS = 10_000
-MAX_PARTS = 200
-MAX_PARTS_TOLD = 10
-# Enough to blame a part although some lie close together.
-MAX_CRASHES_TOLD = 8
+MAX_CRASHES = 100
+MAX_SOUND_PARTS = 2_000
+MAX_CRASHES_TOLD = 10
+MAX_SOUND_PARTS_TOLD = 10
 
 
 @dataclasses.dataclass(frozen=True)
-class PartReport:
-    """What is known about a part that upstreams have crashed on.
+class CrashReport:
+    """A crash of an upstream, as told to others.
+
+    :param id: its id, the same at all gateways
+    :param age_ms: time since then
+    :param parts: shared parts of the requests whose answers had hardly begun,
+        in their order in the prompts
+    """
+
+    id: str
+    age_ms: int
+    parts: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class SoundReport:
+    """A proof that a part is sound, as told to others.
 
     :param part: id of the part
-    :param crash_ages_ms: time since each crash, by the upstreams' lives
-    :param sound_age_ms: time since it was last proved sound, None if it wasn't
-        lately
+    :param age_ms: time since then
     """
 
     part: str
-    crash_ages_ms: typing.Mapping[str, int]
-    sound_age_ms: int | None = None
+    age_ms: int
+
+
+@dataclasses.dataclass
+class Crash:
+    """A crash of an upstream.
+
+    :param at_ms: when it broke off the requests
+    :param positions: place in its prompt of each part that was there
+    """
+
+    at_ms: int
+    positions: dict[str, int]
 
 
 class PartCrashes:
-    """Crashes and proofs of soundness, by part, as all gateways know them."""
+    """Crashes and proofs of soundness, as all gateways know them."""
 
     def __init__(self) -> None:
-        # Times of crashes by life of the upstream, by part. One crash is heard
-        # of from several gateways, and counts once.
-        self.crashes_ms: dict[str, dict[str, int]] = {}
-        # When parts with crashes were last proved sound.
+        # By id. One crash is heard of from several gateways, and counts once.
+        self.crashes: dict[str, Crash] = {}
+        # When each part was last proved sound, the latest last.
         self.sound_ms: dict[str, int] = {}
         self.blamed_parts: set[str] = set()
         # Whether the blamed parts have changed since they were saved.
         self.unsaved = False
 
     def record_crash(
-        self, parts: typing.Iterable[str], upstream: str, at_ms: int
+        self, parts: typing.Sequence[str], upstream: str, at_ms: int
     ) -> None:
         """Records that an upstream crashed.
 
-        :param parts: shared parts of requests whose answers had hardly begun
+        :param parts: shared parts of a request whose answer had hardly begun,
+            in their order in the prompt
         :param upstream: life of the upstream
-        :param at_ms: when it broke off the requests
+        :param at_ms: when it broke off the request
         """
-        for part in parts:
-            sound_ms = self.sound_ms.get(part)
-            if sound_ms is not None and at_ms <= sound_ms:
-                continue
-            self.crashes_ms.setdefault(part, {}).setdefault(upstream, at_ms)
-            self.update_blame(part)
-        while len(self.crashes_ms) > MAX_PARTS:
-            self.forget(next(iter(self.crashes_ms)))
+        if parts:
+            self.add_crash(parts, self.crash_id(upstream, at_ms), at_ms)
+
+    def crash_id(self, upstream: str, at_ms: int) -> str:
+        """Returns the id of a crash that this process has seen.
+
+        An upstream that comes back fast may crash again before the list shows
+        its new life.
+
+        :param upstream: life of the upstream, as the list shows it
+        :param at_ms: time of the crash
+        :return: that of a known crash at this time, else a new one
+        """
+        number = 0
+        while True:
+            found = f"{upstream}#{number}"
+            known = self.crashes.get(found)
+            if known is None or at_ms - known.at_ms <= SAME_CRASH_MS:
+                return found
+            number += 1
+
+    def add_crash(
+        self, parts: typing.Sequence[str], crash_id: str, at_ms: int
+    ) -> None:
+        """Adds a crash, or parts to one that is known.
+
+        :param parts: shared parts of a request whose answer had hardly begun,
+            in their order in the prompt
+        :param crash_id: its id, the same at all gateways
+        :param at_ms: when it happened
+        """
+        crash = self.crashes.setdefault(crash_id, Crash(at_ms, {}))
+        before = len(crash.positions)
+        for position, part in enumerate(parts):
+            known = crash.positions.get(part, position)
+            crash.positions[part] = max(known, position)
+        if len(crash.positions) > before:
+            self.forget_excess()
+            self.update_blame()
 
     def record_sound(self, parts: typing.Iterable[str], at_ms: int) -> None:
         """Records that an upstream has answered on parts for a while.
 
         :param parts: shared parts of the request
-        :param at_ms: the current time
+        :param at_ms: when it had done so
         """
+        cleared = False
         for part in parts:
-            if part in self.crashes_ms or part in self.sound_ms:
-                self.mark_sound(part, at_ms)
-
-    def mark_sound(self, part: str, at_ms: int) -> None:
-        """Cancels the crashes of a part before a point in time.
+            known_ms = self.sound_ms.pop(part, at_ms)
+            self.sound_ms[part] = max(known_ms, at_ms)
+            cleared = cleared or part in self.blamed_parts
+        while len(self.sound_ms) > MAX_SOUND_PARTS:
+            del self.sound_ms[next(iter(self.sound_ms))]
+        if cleared:
+            self.update_blame()
+
+    def learn(
+        self,
+        crashes: typing.Iterable[CrashReport],
+        sound: typing.Iterable[SoundReport],
+        now_ms: int,
+    ) -> None:
+        """Takes over what a peer knows, or what was saved.
 
-        :param part: id of the part
-        :param at_ms: when it was proved sound
+        :param crashes: crashes of upstreams
+        :param sound: proofs that parts are sound
+        :param now_ms: the time at which the ages in them were true
         """
-        known_ms = self.sound_ms.pop(part, at_ms)
-        self.sound_ms[part] = max(known_ms, at_ms)
-        later = {
-            upstream: crashed_ms
-            for upstream, crashed_ms in self.crashes_ms.pop(part, {}).items()
-            if crashed_ms > at_ms
-        }
-        if later:
-            self.crashes_ms[part] = later
-        self.update_blame(part)
-        while len(self.sound_ms) > MAX_PARTS:
-            del self.sound_ms[next(iter(self.sound_ms))]
+        for proof in sound:
+            self.record_sound((proof.part,), now_ms - proof.age_ms)
+        for crash in crashes:
+            at_ms = now_ms - crash.age_ms
+            self.add_crash(crash.parts, crash.id, at_ms)
+
+    def update_blame(self) -> None:
+        """Decides which parts are blamed, and logs each change."""
+        unexplained = dict(self.crashes)
+        blamed: dict[str, list[str]] = {}
+        while True:
+            part = self.most_suspect(unexplained.values())
+            if part is None:
+                break
+            blamed[part] = [
+                crash_id
+                for crash_id, crash in unexplained.items()
+                if self.counts_against(crash, part)
+            ]
+            for crash_id in blamed[part]:
+                del unexplained[crash_id]
+        for part in sorted(blamed.keys() ^ self.blamed_parts):
+            self.unsaved = True
+            events.log(
+                events.PROMPT_PART_BLAMED,
+                part=part,
+                blamed=part in blamed,
+                crashes=sorted(blamed.get(part, ())),
+            )
+        self.blamed_parts = set(blamed)
 
-    def learn(self, report: PartReport, now_ms: int) -> None:
-        """Takes over what a peer knows, or what was saved.
+    def most_suspect(self, crashes: typing.Collection[Crash]) -> str | None:
+        """Returns the part that is to be blamed for crashes.
 
-        :param report: the report
-        :param now_ms: the time at which the ages in it were true
+        Of parts that were there as often, one that was never proved sound is
+        suspected first, then one that stands later in prompts, as it is
+        shared by fewer requests. If it turns out wrong, crashes without it
+        follow.
+
+        :param crashes: crashes that are not explained
+        :return: its id, None if no part was there at enough of them
         """
-        if report.sound_age_ms is not None:
-            self.mark_sound(report.part, now_ms - report.sound_age_ms)
-        for upstream, age_ms in report.crash_ages_ms.items():
-            self.record_crash((report.part,), upstream, now_ms - age_ms)
+        best: tuple[bool, int, int, str] | None = None
+        parts = {part for crash in crashes for part in crash.positions}
+        for part in parts:
+            against = [
+                crash for crash in crashes if self.counts_against(crash, part)
+            ]
+            count = count_apart(crash.at_ms for crash in against)
+            if count < CRASHES_BEFORE_BLAME:
+                continue
+            position = max(crash.positions[part] for crash in against)
+            key = (part not in self.sound_ms, count, position, part)
+            if best is None or key > best:
+                best = key
+        return best[-1] if best is not None else None
 
-    def update_blame(self, part: str) -> None:
-        """Decides whether a part is blamed, and logs a change.
+    def counts_against(self, crash: Crash, part: str) -> bool:
+        """Returns whether a part may have caused a crash.
 
+        :param crash: a crash
         :param part: id of the part
+        :return: whether it was there, and was not proved sound since
         """
-        crashes_ms = self.crashes_ms.get(part, {})
-        is_blamed = count_apart(crashes_ms.values()) >= CRASHES_BEFORE_BLAME
-        if is_blamed == (part in self.blamed_parts):
-            return
-        self.unsaved = True
-        if is_blamed:
-            self.blamed_parts.add(part)
-        else:
-            self.blamed_parts.discard(part)
-        events.log(
-            events.PROMPT_PART_BLAMED,
-            part=part,
-            blamed=is_blamed,
-            upstreams=sorted(crashes_ms),
-        )
+        if part not in crash.positions:
+            return False
+        sound_ms = self.sound_ms.get(part)
+        return sound_ms is None or crash.at_ms > sound_ms
 
     def find_blamed(self, parts: typing.Iterable[str]) -> str | None:
         """Returns a part for which no upstream may be risked.
@@ -147,87 +242,86 @@
             (part for part in parts if part in self.blamed_parts), None
         )
 
-    def reports(self, now_ms: int) -> tuple[PartReport, ...]:
-        """Returns what peers should know, the latest first.
+    def crash_reports(self, now_ms: int) -> tuple[CrashReport, ...]:
+        """Returns what peers should know, and what has to be saved.
 
         :param now_ms: the current time
-        :return: at most :data:`MAX_PARTS_TOLD` reports
+        :return: at most :data:`MAX_CRASHES_TOLD` crashes, those with blamed
+            parts first, then the latest
         """
         self.forget_old(now_ms)
-        lately_sound = {
-            part
-            for part, at_ms in self.sound_ms.items()
-            if now_ms - at_ms <= SOUND_TOLD_MS
-        }
-        parts = sorted(
-            self.crashes_ms.keys() | lately_sound,
-            key=lambda part: (
-                part not in self.blamed_parts,
-                -self.latest(part),
-            ),
+        found = sorted(
+            self.crashes.items(),
+            key=lambda item: (not self.is_explained(item[1]), -item[1].at_ms),
         )
         return tuple(
-            PartReport(
-                part,
-                {
-                    upstream: now_ms - at_ms
-                    for upstream, at_ms in self.latest_crashes(part)
-                },
-                now_ms - self.sound_ms[part] if part in lately_sound else None,
+            CrashReport(
+                crash_id, now_ms - crash.at_ms, self.suspected_parts(crash)
             )
-            for part in parts[:MAX_PARTS_TOLD]
+            for crash_id, crash in found[:MAX_CRASHES_TOLD]
         )
 
-    def blamed_reports(self, now_ms: int) -> tuple[PartReport, ...]:
-        """Returns what has to be kept for a restart of all gateways.
+    def suspected_parts(self, crash: Crash) -> tuple[str, ...]:
+        """Returns the parts that may have caused a crash.
 
-        :param now_ms: the current time
-        :return: reports on parts that are blamed
+        :param crash: a crash
+        :return: their ids, in their order in the prompts
         """
+        ordered = sorted(crash.positions, key=crash.positions.__getitem__)
         return tuple(
-            report
-            for report in self.reports(now_ms)
-            if report.part in self.blamed_parts
+            part for part in ordered if self.counts_against(crash, part)
         )
 
-    def latest_crashes(self, part: str) -> list[tuple[str, int]]:
-        """Returns the latest crashes of a part.
+    def sound_reports(self, now_ms: int) -> tuple[SoundReport, ...]:
+        """Returns which suspected parts have lately been proved sound.
 
-        :param part: id of the part
-        :return: lives of upstreams and times, the latest first, at most
-            :data:`MAX_CRASHES_TOLD`
+        :param now_ms: the current time
+        :return: at most :data:`MAX_SOUND_PARTS_TOLD` proofs
         """
-        crashes_ms = self.crashes_ms.get(part, {})
-        found = sorted(crashes_ms.items(), key=lambda crash: -crash[1])
-        return found[:MAX_CRASHES_TOLD]
-
-    def latest(self, part: str) -> int:
-        """Returns when something was last learned about a part.
-
-        :param part: id of the part
-        :return: time of its last crash or proof
+        suspected = {
+            part for crash in self.crashes.values() for part in crash.positions
+        }
+        reports = [
+            SoundReport(part, now_ms - self.sound_ms[part])
+            for part in suspected & self.sound_ms.keys()
+            if now_ms - self.sound_ms[part] <= SOUND_TOLD_MS
+        ]
+        reports.sort(key=lambda report: report.age_ms)
+        return tuple(reports[:MAX_SOUND_PARTS_TOLD])
+
+    def is_explained(self, crash: Crash) -> bool:
+        """Returns whether a blamed part was there at a crash.
+
+        :param crash: a crash
         """
-        times = [*self.crashes_ms.get(part, {}).values()]
-        if part in self.sound_ms:
-            times.append(self.sound_ms[part])
-        return max(times)
+        return not self.blamed_parts.isdisjoint(crash.positions)
 
     def forget_old(self, now_ms: int) -> None:
-        """Forgets parts with which no upstream has crashed for long.
+        """Forgets crashes of long ago.
 
         :param now_ms: the current time
         """
-        for part, crashes_ms in list(self.crashes_ms.items()):
-            if now_ms - max(crashes_ms.values()) > MEMORY_MS:
-                self.forget(part)
-
-    def forget(self, part: str) -> None:
-        """Forgets the crashes of a part.
-
-        :param part: id of the part
-        """
-        self.crashes_ms.pop(part, None)
-        self.update_blame(part)
+        old = [
+            crash_id
+            for crash_id, crash in self.crashes.items()
+            if now_ms - crash.at_ms > MEMORY_MS
+        ]
+        for crash_id in old:
+            del self.crashes[crash_id]
+        if old:
+            self.update_blame()
+
+    def forget_excess(self) -> None:
+        """Forgets the oldest crashes, those with blamed parts last."""
+        while len(self.crashes) > MAX_CRASHES:
+            oldest = min(
+                self.crashes,
+                key=lambda crash_id: (
+                    self.is_explained(self.crashes[crash_id]),
+                    self.crashes[crash_id].at_ms,
+                ),
+            )
+            del self.crashes[oldest]
 
 
 def count_apart(times_ms: typing.Iterable[int]) -> int:
--- a/godwitloft/gateway/peer_status.py
+++ b/godwitloft/gateway/peer_status.py
@@ -44,14 +44,17 @@
     :param leaving: upstreams that have lately said that they are leaving
     :param store_up: when the store was up, by the gateway's own knowledge;
         None if it never was
-    :param part_reports: parts of prompts that upstreams have crashed on
+    :param crashes: crashes of upstreams, with the parts of prompts that may
+        have caused them
+    :param sound_parts: those of these parts that are sound
     """
 
     version: int = 0
     timeline: int | None = None
     leaving: tuple[Life, ...] = ()
     store_up: StoreUp | None = None
-    part_reports: tuple[part_crashes.PartReport, ...] = ()
+    crashes: tuple[part_crashes.CrashReport, ...] = ()
+    sound_parts: tuple[part_crashes.SoundReport, ...] = ()
 
 
 def encode(status: PeerStatus, sharing: ttypes.Sharing) -> None:
@@ -69,8 +72,13 @@
     if status.store_up is not None:
         sharing.store_seen_age_ms = status.store_up.age_ms
         sharing.store_up_ms = status.store_up.length_ms
-    sharing.parts = [
-        encode_part(report) for report in status.part_reports
+    sharing.crashes = [
+        ttypes.Crash(crash.id, crash.age_ms, list(crash.parts))
+        for crash in status.crashes
+    ] or None
+    sharing.sound = [
+        ttypes.SoundPart(proof.part, proof.age_ms)
+        for proof in status.sound_parts
     ] or None
 
 
@@ -88,37 +96,16 @@
             for entry in sharing.leaving or ()
         ),
         store_up=decode_store_up(sharing),
-        part_reports=tuple(
-            decode_part(entry) for entry in sharing.parts or ()
+        crashes=tuple(
+            part_crashes.CrashReport(
+                crash.id, max(0, crash.age_ms), tuple(crash.parts)
+            )
+            for crash in sharing.crashes or ()
+        ),
+        sound_parts=tuple(
+            part_crashes.SoundReport(proof.part, max(0, proof.age_ms))
+            for proof in sharing.sound or ()
         ),
-    )
-
-
-def encode_part(report: part_crashes.PartReport) -> ttypes.PartReport:
-    """Encodes what is known about a part of prompts.
-
-    :param report: the report
-    :return: a part of a datagram
-    """
-    crashes = [
-        ttypes.PartCrash(upstream=upstream, age_ms=age_ms)
-        for upstream, age_ms in report.crash_ages_ms.items()
-    ]
-    return ttypes.PartReport(
-        part=report.part, crashes=crashes, sound_age_ms=report.sound_age_ms
-    )
-
-
-def decode_part(entry: ttypes.PartReport) -> part_crashes.PartReport:
-    """Decodes what a peer knows about a part of prompts.
-
-    :param entry: a part of a datagram
-    :return: the report
-    """
-    return part_crashes.PartReport(
-        entry.part,
-        {crash.upstream: max(0, crash.age_ms) for crash in entry.crashes},
-        entry.sound_age_ms,
     )
 
 
--- a/godwitloft/links/datagrams.thrift
+++ b/godwitloft/links/datagrams.thrift
@@ -46,17 +46,17 @@
                                     // limit, with those set aside
 }
 
-/* A crash of an upstream while requests with a part of a prompt began. */
-struct PartCrash {
-  1: required string upstream       // its identity and start
+/* A crash of an upstream while answers to requests began there. */
+struct Crash {
+  1: required string id             // the same at all gateways
   2: required i64 age_ms
+  3: required list<string> parts    // of the requests' prompts
 }
 
-/* What a gateway knows about a part that upstreams have crashed on. */
-struct PartReport {
+/* An upstream has answered on a part of prompts for a while. */
+struct SoundPart {
   1: required string part           // id of the part
-  2: required list<PartCrash> crashes
-  3: optional i64 sound_age_ms      // since an upstream last answered on it
+  2: required i64 age_ms
 }
 
 /* A gateway tells another one what limits they share. */
@@ -76,7 +76,8 @@
                                     // store was up
   11: optional i64 store_up_ms      // how long it had been up by then without
                                     // an outage
-  12: optional list<PartReport> parts // that upstreams have crashed on
+  12: optional list<Crash> crashes  // of upstreams, with parts of prompts
+  13: optional list<SoundPart> sound // parts that were there, and are sound
 }
 
 /* A gateway asks another one how new what it holds is. */
--- a/godwitloft/platform/lease_row.py
+++ b/godwitloft/platform/lease_row.py
@@ -17,14 +17,13 @@
     :param renewed_ms: when it renewed its lease, on the store's clock, in
         milliseconds
     :param usage: its usage of the teams' allowances
-    :param blamed_parts: what it knows about the parts of prompts that are
-        blamed for crashes
+    :param crashes: crashes of upstreams for which parts of prompts are blamed
     """
 
     host: str
     renewed_ms: int
     usage: sharing.Usage
-    blamed_parts: tuple[part_crashes.PartReport, ...] = ()
+    crashes: tuple[part_crashes.CrashReport, ...] = ()
 
 
 def encode(row: LeaseRow) -> str:
@@ -42,9 +41,7 @@
         "renewed_ms": row.renewed_ms,
         "host": row.host,
         "used": usage,
-        "crashing_parts": {
-            report.part: report.crash_ages_ms for report in row.blamed_parts
-        },
+        "crashes": [dataclasses.asdict(crash) for crash in row.crashes],
     }
     return base64.b64encode(json.dumps(content).encode()).decode()
 
@@ -63,32 +60,20 @@
         fields.text("host"),
         int(fields.number("renewed_ms")),
         {team: usage.numbers(team) for team in usage.value},
-        decode_blamed_parts(name, fields),
+        tuple(decode_crash(entry) for entry in fields.objects("crashes")),
     )
 
 
-def decode_blamed_parts(
-    name: str, fields: rows.Fields
-) -> tuple[part_crashes.PartReport, ...]:
-    """Decodes what a gateway's row says about crashing parts of prompts.
+def decode_crash(fields: rows.Fields) -> part_crashes.CrashReport:
+    """Decodes a crash of an upstream.
 
-    :param name: table and key, for error messages
-    :param fields: the row
-    :return: one report for each part
+    :param fields: its JSON object
+    :return: the crash
     :raises RowError: if it is invalid
     """
-    path = "crashing_parts"
-    parts = rows.Fields(name, path, fields.value.get(path, {}))
-    reports = []
-    for part, crashes in parts.value.items():
-        ages = rows.Fields(name, f"{path}.{part}", crashes)
-        reports.append(
-            part_crashes.PartReport(
-                part,
-                {
-                    upstream: int(ages.number(upstream))
-                    for upstream in ages.value
-                },
-            )
-        )
-    return tuple(reports)
+    parts = fields.items("parts")
+    if not all(isinstance(part, str) for part in parts):
+        raise fields.error("parts", "has entries that are not strings")
+    return part_crashes.CrashReport(
+        fields.text("id"), int(fields.number("age_ms")), tuple(parts)
+    )
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -67,13 +67,12 @@
         and its age in milliseconds
     :param on_peer_usage_restored: called at the start with the name of
         another gateway, its saved usage and the age in milliseconds
-    :param on_parts_restored: called at the start with the blamed parts that a
-        gateway had saved, and the age in milliseconds
+    :param on_crashes_restored: called at the start with the crashes of
+        upstreams that a gateway had saved, and the age in milliseconds
     :param usage: returns the usage of this process by team
-    :param blamed_parts: returns the parts of prompts that are blamed for
-        crashes
-    :param needs_saving: returns whether usage or blamed parts have changed
-        much since they were saved
+    :param crashes: returns the crashes for which parts of prompts are blamed
+    :param needs_saving: returns whether usage or crashes have changed much
+        since they were saved
     :param before_save: called just before both are written
     :param on_restored: called with the time at which a restore of the store
         was noticed, in milliseconds
@@ -89,11 +88,11 @@
     on_gateways: typing.Callable[[dict[str, str]], None]
     on_usage_restored: typing.Callable[[sharing.Usage | None, int], None]
     on_peer_usage_restored: typing.Callable[[str, sharing.Usage, int], None]
-    on_parts_restored: typing.Callable[
-        [tuple[part_crashes.PartReport, ...], int], None
+    on_crashes_restored: typing.Callable[
+        [tuple[part_crashes.CrashReport, ...], int], None
     ]
     usage: typing.Callable[[], sharing.Usage]
-    blamed_parts: typing.Callable[[], tuple[part_crashes.PartReport, ...]]
+    crashes: typing.Callable[[], tuple[part_crashes.CrashReport, ...]]
     needs_saving: typing.Callable[[], bool]
     before_save: typing.Callable[[], None]
     on_restored: typing.Callable[[int], None]
@@ -536,7 +535,7 @@
                 continue
             age_ms = max(0, result.now_ms - holder.renewed_ms)
             if not self.usage_restored:
-                self.callbacks.on_parts_restored(holder.blamed_parts, age_ms)
+                self.callbacks.on_crashes_restored(holder.crashes, age_ms)
                 if row.key != self.instance:
                     self.callbacks.on_peer_usage_restored(
                         row.key, holder.usage, age_ms
@@ -562,7 +561,7 @@
             host=self.host,
             renewed_ms=now_ms + self.store_clock_offset_ms,
             usage=self.callbacks.usage(),
-            blamed_parts=self.callbacks.blamed_parts(),
+            crashes=self.callbacks.crashes(),
         )
         value = lease_row.encode(row)
         yield self.store.put(GATEWAY_TABLE, self.instance, value)
