Stand-in: a prompt part that crashes runners, and bytes without end

What the users' bench plays or can't play, before the real program: runners that crash on a part of prompts with sound requests beside, and answers whose head, interim answers, body or event has no end, with a caller that reads on or nothing. At most 8 bad requests reach runners; the entry's memory grows by less than 40 MB.

--- a/features/lakeshore_path.feature
+++ b/features/lakeshore_path.feature
@@ -124,3 +124,27 @@
     And the entry gets SIGTERM
     Then the stream is complete
     And the entry ends with status 0
+
+  # Guards against prompts that bring down runner after runner.
+  Scenario: A part of prompts that crashes runners is kept from them
+    Given runners that crash on the part "bad0" of prompts
+    When 70 requests with the part "aa0,bad0" and 70 with "aa0" are sent in turn
+    Then at most 8 with the part "bad0" have reached runners
+    And the last 10 with "aa0" were served
+    And the last 10 with the part "bad0" got 500
+
+  # Guards against an entry that runs out of memory.
+  Scenario Outline: A runner sends a <what> without end to "<path>": <reader>
+    Given runners whose next answer has a <what> without end
+    When a caller who <reader> asks "<path>" for 3 s
+    Then the memory of the entry has grown by less than 40 MB
+    And a request for "/lookup/x" gets 200
+
+    Examples:
+      | what | path | reader |
+      | head | /lookup/x | reads on |
+      | interim answers | /lookup/x | reads on |
+      | failure | /post/x | reads on |
+      | event | /stream/x | reads on |
+      | body | /post/x | reads nothing |
+      | body | /once/x | reads nothing |
--- a/features/steps/lakeshore_path_steps.py
+++ b/features/steps/lakeshore_path_steps.py
@@ -3,6 +3,7 @@
 import pathlib
 import re
 import signal
+import socket
 import threading
 import time
 
@@ -11,6 +12,7 @@
 from behave import when
 
 from features.support import lakeshore
+from godwitloft.standins import lakeshore_words as words
 
 SERVED_ONCE = 1
 
@@ -292,3 +294,109 @@
     samples = text.replace(",}", "}").replace("{}", "").splitlines()
     for row in context.table:
         assert row["sample"] in samples, samples
+
+
+@given('runners that crash on the part "{part}" of prompts')
+def crash_on(context, part):
+    names = context.world.fetch("ledger")
+    change = {name: {"crash_part": part} for name in names}
+    context.world.control(runners=change)
+
+
+@when(
+    '{bad:d} requests with the part "{bad_parts}" and {sound:d} with'
+    ' "{sound_parts}" are sent in turn'
+)
+def send_in_turn(context, bad, bad_parts, sound, sound_parts):
+    assert bad == sound
+    context.statuses = {"bad": [], "sound": []}
+    for number in range(bad):
+        for kind, parts in (("bad", bad_parts), ("sound", sound_parts)):
+            request_id = f"{kind}{number}"
+            entries = [f"{part}:60" for part in parts.split(",")]
+            status, *_ = context.world.send_request(
+                "POST",
+                f"/once/{request_id}",
+                request_id,
+                Godwitloft_Token_Counts="5,3",
+                Godwitloft_Prompt_Prefix=",".join([*entries, request_id]),
+            )
+            context.statuses[kind].append(status)
+        time.sleep(0.1)
+
+
+@then('at most {most:d} with the part "{part}" have reached runners')
+def check_reached(context, most, part):
+    ledger = context.world.fetch("ledger")
+    reached = [
+        run["id"]
+        for runs in ledger.values()
+        for run in runs
+        if part in (run["parts"] or "")
+    ]
+    assert 0 < len(reached) <= most, reached
+
+
+@then('the last {count:d} with "{parts}" were served')
+def check_served(context, count, parts):
+    statuses = context.statuses["sound"]
+    assert statuses[-count:] == [200] * count, (parts, statuses)
+
+
+@then('the last {count:d} with the part "{part}" got {status:d}')
+def check_refused(context, count, part, status):
+    statuses = context.statuses["bad"]
+    assert statuses[-count:] == [status] * count, (part, statuses)
+
+
+def peak_memory_mb(process):
+    status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+    fields = dict(line.split(":", 1) for line in status.splitlines())
+    return int(fields["VmHWM"].split()[0]) / 1024
+
+
+@given("runners whose next answer has a {what} without end")
+def endless(context, what):
+    names = context.world.fetch("ledger")
+    change = {name: {"endless": [what]} for name in names}
+    context.world.control(runners=change)
+
+
+@when('a caller who {reader} asks "{path}" for {duration_s:d} s')
+def ask_for_a_while(context, reader, path, duration_s):
+    world = context.world
+    context.before_mb = peak_memory_mb(world.entry)
+    headers = words.caller_headers(
+        lakeshore.HOST, "e1", "key-a", lakeshore.TIMEOUT_MS, (5, 3)
+    )
+    method = "GET" if path.startswith("/lookup") else "POST"
+    lines = [f"{method} {path} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    lines.append("Content-Length: 0")
+    with socket.create_connection(("127.0.0.1", world.front)) as caller:
+        caller.sendall(("\r\n".join(lines) + "\r\n\r\n").encode())
+        caller.settimeout(0.1)
+        end = time.monotonic() + duration_s
+        while time.monotonic() < end:
+            if reader == "reads nothing":
+                time.sleep(0.1)
+                continue
+            try:
+                if not caller.recv(65536):
+                    break
+            except TimeoutError:
+                continue
+
+
+@then("the memory of the entry has grown by less than {most:d} MB")
+def check_memory(context, most):
+    grown = peak_memory_mb(context.world.entry) - context.before_mb
+    assert grown < most, grown
+
+
+@then('a request for "{path}" gets {status:d}')
+def check_next(context, path, status):
+    change = {name: {"endless": []} for name in context.world.fetch("ledger")}
+    context.world.control(runners=change)
+    found, *_ = context.world.send_request("GET", path, "after")
+    assert found == status, found
--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -34,6 +34,28 @@
 TENANT = "Godwitloft-Tenant"
 TIMELINE = "Store-Era"
 LEAVING = "Server-Leaving"
+PROMPT_PARTS = "Godwitloft-Prompt-Prefix"
+# From the head of an answer to the crash of its runner.
+CRASH_DELAY_S = 0.03
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nGodwitloft-Request-Id: ID\r\n"
+    b"Godwitloft-Response-Seal: seal\r\n"
+)
+# Beginnings of answers, and what then comes without end. ``ID`` stands for the
+# id of the request.
+ENDLESS: typing.Final[dict[str, tuple[bytes, bytes]]] = {
+    "head": (b"HTTP/1.1 200 OK\r\n", b"x-more: yyyyyyyyyyyyyy\r\n"),
+    "interim answers": (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+    "body": (HEAD + b"\r\n", b"data: zzzzzzzzzz\n\n"),
+    "failure": (
+        HEAD.replace(b"200 OK", b"500 Failed") + b"\r\n",
+        b"zzzzzzzzzzzzzzz\n",
+    ),
+    "event": (HEAD + b"\r\ndata: ", b"zzzzzzzzzzzzzzzz"),
+}
+ENDLESS_REPEATS = 4_000
+ENDLESS_INTERVAL_S = 0.002
+MAX_ENDLESS_BYTES = 200_000_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -255,6 +277,13 @@
         self.pause_until = 0.0
         # Streams that have no framing and break off inside an event.
         self.break_unframed = 0
+        # Part of prompts on which it crashes as soon as it begins to answer,
+        # empty for none, and how long it is down then.
+        self.crash_part = ""
+        self.crash_down_ms = 1_500
+        self.listener: http.Listener | None = None
+        # What the next answers have without end: a key of ENDLESS.
+        self.endless: list[str] = []
         self.running = 0
         self.ledger: list[http.Json] = []
         self.turned_away: list[http.Json] = []
@@ -349,6 +378,7 @@
             "hold": header("Godwitloft-Hold"),
             "last": header("Last-Event-Id"),
             "left_ms": header("Godwitloft-Deadline-Ms"),
+            "parts": header(PROMPT_PARTS),
             "ended_ms": None,
             "leaving": self.says_leaving,
         }
@@ -360,6 +390,10 @@
             request.setHeader(NOT_EXECUTED, "1")
             return http.reply(request, {}, 503)
         self.watch_run(request, run)
+        if self.endless:
+            return self.send_without_end(request, self.endless.pop(0))
+        if self.has_crash_part(header(PROMPT_PARTS) or ""):
+            return self.crash(request, request_id)
         if self.lose_answers > 0:
             self.lose_answers -= 1
             request.transport.abortConnection()
@@ -373,6 +407,70 @@
             return f"answer to {request_id}\n".encode()
         return self.stream(request)
 
+    def has_crash_part(self, parts: str) -> bool:
+        """Returns whether it crashes on a prompt.
+
+        :param parts: parts of the prompt as the caller stated them
+        :return: whether a part other than the last crashes it
+        """
+        ids = [entry.partition(":")[0] for entry in parts.split(",")[:-1]]
+        return bool(self.crash_part) and self.crash_part in ids
+
+    def crash(self, request: typing.Any, request_id: str) -> typing.Any:
+        """Sends the head of an answer and crashes; comes back after a while.
+
+        :param request: request sent by the gateway
+        :param request_id: its id
+        :return: a Deferred that never fires
+        """
+        head = (
+            f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {request_id}\r\n"
+            f"{SEAL}: seal-{self.id}\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        request.transport.write(head.encode())
+        self.reactor.callLater(CRASH_DELAY_S, self.go_down)
+        return defer.Deferred()
+
+    def go_down(self) -> None:
+        """Drops all connections and refuses new ones for a while."""
+        listener = self.listener
+        if listener is None or listener.listening is None:
+            return
+        down_s = self.crash_down_ms / MS_PER_S
+        listener.close_for(down_s)
+        self.reactor.callLater(down_s, self.start_new_life)
+
+    def start_new_life(self) -> None:
+        """Begins a new life under the same id."""
+        self.born = int(time.time() * MS_PER_S)
+
+    def send_without_end(self, request: typing.Any, what: str) -> typing.Any:
+        """Sends bytes until the connection is closed.
+
+        :param request: request sent by the gateway
+        :param what: key of :data:`ENDLESS`
+        :return: a Deferred that never fires
+        """
+        beginning, part = ENDLESS[what]
+        transport = request.transport
+        transport.write(
+            beginning.replace(
+                b"ID", (request.getHeader(REQUEST_ID) or "").encode()
+            )
+        )
+        sent_bytes = 0
+
+        def send() -> None:
+            nonlocal sent_bytes
+            if request._disconnected or sent_bytes > MAX_ENDLESS_BYTES:
+                return
+            transport.write(part * ENDLESS_REPEATS)
+            sent_bytes += len(part) * ENDLESS_REPEATS
+            self.reactor.callLater(ENDLESS_INTERVAL_S, send)
+
+        send()
+        return defer.Deferred()
+
     def watch_run(self, request: typing.Any, run: http.Json) -> None:
         """Records the end of a run.
 
@@ -561,6 +659,8 @@
     site = server.Site(app.resource())
     listener = http.Listener(reactor, site, address, 0)
 
+    runner.listener = listener
+
     def register(where: str) -> None:
         runner.address = where
         runner.send_heartbeat()
