A crash counts against parts by the attempt that met it, and is told for 3 s

A request whose earlier attempt had brought data long before counted as answered when its next attempt crashed the upstream at once. And each announcement would have carried the crashes of the last 15 minutes, up to ten with all their parts, to each peer four times a second. Crashes without a blamed part are told for 3 s now. Both scenarios failed before.

--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -68,3 +68,19 @@
       | half of the engines crash at once each 4 s |
       | one engine after the other crashes each 700 ms |
       | all engines crash at once each 5 s |
+
+  # Guards against an earlier attempt that is taken for an answer of this one.
+  Scenario: A crash counts although an earlier attempt had brought data
+    Given a gateway with two upstreams of each service
+    When a stream with the parts "aa0,bad0" is broken off after its first event
+    And its next attempt waits 700 ms and then crashes its upstream
+    Then 1 crash counts against "aa0,bad0"
+
+  # Guards against announcements that grow with each crash of the last minutes.
+  Scenario: Peers are told of a crash without a blamed part for 3 s
+    Given a gateway with two upstreams of each service
+    When a stream with the parts "aa0,bad0" is broken off after its first event
+    And its next attempt waits 700 ms and then crashes its upstream
+    Then 1 crash is told to peers
+    When 4 s pass
+    Then 0 crashes are told to peers
--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -6,6 +6,7 @@
 from features.support import crashing_engines
 from features.support import following_gateways
 from features.support import restored_store
+from godwitloft import attempt as attempts
 
 SOUND_GAP_MS = 40
 RARE_GAP_MS = 1300
@@ -152,3 +153,43 @@
     crashes.forget_old(context.restarted.now_ms())
     found = crashes.find_blamed((part,))
     assert found == (part if outcome == "are refused" else None), found
+
+
+@when('a stream with the parts "{parts}" is broken off after its first event')
+def broken_off(context, parts):
+    world = context.world
+    entries = [f"{part}:60" for part in [*parts.split(","), "ff"]]
+    extra = b"Godwitloft-Prompt-Prefix: %s\r\n" % ",".join(entries).encode()
+    world.ask("a", "query", extra=extra)
+    sent = world.sent[0]
+    sent.head()
+    sent.callbacks.on_data(crashing_engines.EVENT)
+    sent.end(attempts.End.BROKEN)
+    world.checks.pop()[1](True)
+
+
+@when("its next attempt waits {wait_ms:d} ms and then crashes its upstream")
+def crash_later(context, wait_ms):
+    world = context.world
+    world.advance(wait_ms)
+    world.sent[1].end(attempts.End.BROKEN)
+    world.checks.pop()[1](False)
+
+
+@then('{count:d} crash counts against "{parts}"')
+def check_counted(context, count, parts):
+    crashes = context.world.gateway.retry_policy.crashes.parts.crashes
+    found = [list(crash.positions) for crash in crashes.values()]
+    assert found == [parts.split(",")] * count, found
+
+
+@then("{count:d} crash is told to peers")
+@then("{count:d} crashes are told to peers")
+def check_told(context, count):
+    status = context.world.gateway.status()
+    assert len(status.crashes) == count, status.crashes
+
+
+@when("{seconds:d} s pass")
+def pass_time(context, seconds):
+    context.world.advance(seconds * 1000)
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -470,6 +470,7 @@
         request.runs += 1
         request.state = requests.State.SENT
         request.sent_ms = now_ms
+        request.answering_since_ms = 0
         request.last_upstream_id = state.upstream.id
         request.upstream_state = state
         request.answer = answers.Answer(request, self.dialect)
@@ -668,6 +669,7 @@
         if request.state is requests.State.SENT:
             request.state = requests.State.ANSWERING
             request.first_data_ms = request.last_data_ms
+            request.answering_since_ms = request.last_data_ms
             if (
                 request.upstream_state is not None
                 and request.answer.is_valid_success()
--- a/godwitloft/gateway/part_crashes.py
+++ b/godwitloft/gateway/part_crashes.py
@@ -24,8 +24,9 @@
 # Two breaks of one life of an upstream further apart are two crashes.
 SAME_CRASH_MS = 1_000
 MEMORY_MS = 900_000
-# How long peers are told that a part has been proved sound.
-SOUND_TOLD_MS = 10_000
+# How long peers are told of a crash, and which of its parts are sound.
+# Crashes with blamed parts are told for longer, as gateways may start anew.
+TOLD_MS = 3_000
 MAX_CRASHES = 100
 MAX_SOUND_PARTS = 2_000
 MAX_CRASHES_TOLD = 10
@@ -251,7 +252,7 @@
         """
         self.forget_old(now_ms)
         found = sorted(
-            self.crashes.items(),
+            self.told_crashes(now_ms).items(),
             key=lambda item: (not self.is_explained(item[1]), -item[1].at_ms),
         )
         return tuple(
@@ -261,6 +262,18 @@
             for crash_id, crash in found[:MAX_CRASHES_TOLD]
         )
 
+    def told_crashes(self, now_ms: int) -> dict[str, Crash]:
+        """Returns the crashes that peers are told of.
+
+        :param now_ms: the current time
+        :return: late ones, and those with blamed parts, by id
+        """
+        return {
+            crash_id: crash
+            for crash_id, crash in self.crashes.items()
+            if now_ms - crash.at_ms <= TOLD_MS or self.is_explained(crash)
+        }
+
     def suspected_parts(self, crash: Crash) -> tuple[str, ...]:
         """Returns the parts that may have caused a crash.
 
@@ -279,12 +292,14 @@
         :return: at most :data:`MAX_SOUND_PARTS_TOLD` proofs
         """
         suspected = {
-            part for crash in self.crashes.values() for part in crash.positions
+            part
+            for crash in self.told_crashes(now_ms).values()
+            for part in crash.positions
         }
         reports = [
             SoundReport(part, now_ms - self.sound_ms[part])
             for part in suspected & self.sound_ms.keys()
-            if now_ms - self.sound_ms[part] <= SOUND_TOLD_MS
+            if now_ms - self.sound_ms[part] <= TOLD_MS
         ]
         reports.sort(key=lambda report: report.age_ms)
         return tuple(reports[:MAX_SOUND_PARTS_TOLD])
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -128,6 +128,8 @@
         self.prompt_tokens_ahead = 0
         self.pending_prompt_tokens = 0
         self.first_data_ms = 0
+        # When its current attempt brought the first data, 0 before.
+        self.answering_since_ms = 0
         self.last_data_ms = 0
         self.last_event: bytes | None = None
         # Whether its caller reads more slowly than it is answered.
@@ -154,8 +156,8 @@
         :return: whether it has gone on for a while
         """
         return (
-            self.first_data_ms > 0
-            and now_ms - self.first_data_ms >= part_crashes.SOUND_AFTER_MS
+            self.answering_since_ms > 0
+            and now_ms - self.answering_since_ms >= part_crashes.SOUND_AFTER_MS
         )
 
     def unproved_parts(self, now_ms: int) -> tuple[str, ...]:
