--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -186,7 +186,7 @@
 @then("{count:d} crash is told to peers")
 @then("{count:d} crashes are told to peers")
 def check_told(context, count):
-    status = context.world.gateway.status()
+    status = context.world.gateway.knowledge.status()
     assert len(status.crashes) == count, status.crashes
 
 
--- a/features/support/restored_store.py
+++ b/features/support/restored_store.py
@@ -116,8 +116,8 @@
         self.client = StoreClient(
             self.rows, self.reactor, self.timeline.on_headers
         )
-        self.gateway.store_timeline = lambda: self.timeline.current
-        self.gateway.on_peer_timeline = self.timeline.observe
+        self.gateway.knowledge.store_timeline = lambda: self.timeline.current
+        self.gateway.knowledge.on_peer_timeline = self.timeline.observe
         self.store = stores.Store(self.client, self.timeline)
         self.upstreams = {}
         # Since when the upstream of a row is silent.
@@ -135,11 +135,11 @@
                 on_gateways=self.gateway.update_gateways,
                 on_usage_restored=sharing.restore,
                 on_peer_usage_restored=sharing.restore_peer,
-                on_crashes_restored=self.gateway.restore_crashes,
+                on_crashes_restored=self.gateway.knowledge.restore_crashes,
                 usage=sharing.usage,
-                crashes=self.gateway.crash_reports,
-                needs_saving=self.gateway.needs_saving,
-                before_save=self.gateway.mark_saved,
+                crashes=self.gateway.knowledge.crash_reports,
+                needs_saving=self.gateway.knowledge.needs_saving,
+                before_save=self.gateway.knowledge.mark_saved,
                 on_restored=self.gateway.config_state.mark_restored,
                 settle_left_ms=self.gateway.config_state.settle_left_ms,
                 count_cut_back=lambda _what, _number: None,
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -24,7 +24,6 @@
 from godwitloft.gateway import options as options_module
 from godwitloft.gateway import ordering
 from godwitloft.gateway import outcomes
-from godwitloft.gateway import part_crashes
 from godwitloft.gateway import peer_confirmation
 from godwitloft.gateway import peer_status
 from godwitloft.gateway import placer as placers
@@ -33,6 +32,7 @@
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import request_checker as request_checkers
 from godwitloft.gateway import retry_policy as retry_policies
+from godwitloft.gateway import shared_knowledge
 from godwitloft.gateway import sharing as sharings
 from godwitloft.gateway import slot_client as slot_clients
 from godwitloft.gateway import store_contact
@@ -40,10 +40,6 @@
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
 
-# How long peers are told that an upstream is leaving; by then the list says
-# so, if it ever does.
-LEAVING_TOLD_MS = 3_000
-MAX_LEAVING_TOLD = 20
 MAX_VALUE_LOGGED = 60
 NOT_SENT_FOR_PAUSE = answers.AttemptOutcome(
     outcomes.Result.NOT_SENT, "upstream_paused", unusable=True
@@ -102,9 +98,7 @@
         )
         self.fleet = fleets.Fleet()
         sharing = dependencies.sharing
-        self.store_contact = store_contact.StoreContact(
-            options.store_outage_ms
-        )
+        contact = store_contact.StoreContact(options.store_outage_ms)
         self.confirmation = peer_confirmation.PeerConfirmation(
             self.clock,
             sharing.send,
@@ -112,7 +106,7 @@
             sharing.port,
             self.config_state,
             lambda: sharing.hosts,
-            self.store_contact,
+            contact,
         )
         self.request_checker = request_checkers.RequestChecker(
             self.clock,
@@ -144,12 +138,17 @@
             self.clock, dependencies.instruments, self.config_state
         )
         self.latency = latency.LatencyEstimator()
-        self.store_timeline: typing.Callable[[], int | None] = _no_timeline
-        self.on_peer_timeline: typing.Callable[[int | None], None] = (
-            _ignore_timeline
+        self.knowledge = shared_knowledge.SharedKnowledge(
+            self.clock,
+            sharing,
+            self.fleet,
+            self.confirmation,
+            contact,
+            self.retry_policy.crashes.parts,
+            lambda state: self.mark_leaving(state, "peer"),
         )
-        sharing.own_status = self.status
-        sharing.on_peer_status = self.on_peer_status
+        sharing.own_status = self.knowledge.status
+        sharing.on_peer_status = self.knowledge.on_peer_status
         self.draining = False
         self.waiting: dict[str, list[requests.Request]] = {}
         self.scheduling: set[str] = set()
@@ -193,84 +192,6 @@
         elif datagram.answer is not None:
             self.confirmation.on_answer(datagram.answer)
 
-    def status(self) -> peer_status.PeerStatus:
-        """Returns what this gateway tells its peers.
-
-        :return: the present status
-        """
-        now_ms = self.clock.monotonic_ms()
-        leaving = self.fleet.lately_leaving(now_ms - LEAVING_TOLD_MS)
-        parts = self.retry_policy.crashes.parts
-        return peer_status.PeerStatus(
-            version=self.config_state.version,
-            timeline=self.store_timeline(),
-            leaving=leaving[:MAX_LEAVING_TOLD],
-            store_up=self.store_up(),
-            crashes=parts.crash_reports(now_ms),
-            sound_parts=parts.sound_reports(now_ms),
-        )
-
-    def store_up(self) -> peer_status.StoreUp | None:
-        """Returns when this gateway knew the store to be up.
-
-        :return: the last span, None if it never was
-        """
-        own = self.store_contact.own
-        if own is None:
-            return None
-        age_ms = self.clock.monotonic_ms() - own.until_ms
-        return peer_status.StoreUp(age_ms, own.until_ms - own.since_ms)
-
-    def on_peer_status(self, status: peer_status.PeerStatus) -> None:
-        """Learns from what a peer tells.
-
-        :param status: the peer's status
-        """
-        self.confirmation.note_version(status.version)
-        self.on_peer_timeline(status.timeline)
-        if status.store_up is not None:
-            until_ms = self.clock.monotonic_ms() - status.store_up.age_ms
-            since_ms = until_ms - status.store_up.length_ms
-            span = store_contact.Span(since_ms, until_ms)
-            self.store_contact.record_peer(span)
-        self.retry_policy.crashes.parts.learn(
-            status.crashes, status.sound_parts, self.clock.monotonic_ms()
-        )
-        for life in status.leaving:
-            state = self.fleet.state_of(life)
-            if state is not None:
-                self.mark_leaving(state, "peer")
-
-    # What is saved and outlives the process.
-
-    def crash_reports(self) -> tuple[part_crashes.CrashReport, ...]:
-        """Returns the crashes for which parts of prompts are blamed."""
-        parts = self.retry_policy.crashes.parts
-        if not parts.blamed_parts:
-            return ()
-        return parts.crash_reports(self.clock.monotonic_ms())
-
-    def restore_crashes(
-        self, saved: tuple[part_crashes.CrashReport, ...], age_ms: int
-    ) -> None:
-        """Takes over crashes of upstreams from before a restart.
-
-        :param saved: what this gateway or a peer had saved
-        :param age_ms: how long ago it was saved
-        """
-        saved_ms = self.clock.monotonic_ms() - age_ms
-        self.retry_policy.crashes.parts.learn(saved, (), saved_ms)
-
-    def needs_saving(self) -> bool:
-        """Returns whether usage or crashes should be saved soon."""
-        unsaved = self.retry_policy.crashes.parts.unsaved
-        return unsaved or self.dependencies.sharing.needs_saving()
-
-    def mark_saved(self) -> None:
-        """Records that usage and crashes are about to be saved."""
-        self.retry_policy.crashes.parts.unsaved = False
-        self.dependencies.sharing.mark_saved()
-
     def announce(self) -> None:
         """Announces usage to other gateways and asks a poller, each if due."""
         self.confirmation.ask_if_due()
@@ -976,11 +897,3 @@
         """
         self.cancel_attempt(request)
         self.refuse(request, refusals.Refusal(504, "timeout"))
-
-
-def _no_timeline() -> int | None:
-    return None
-
-
-def _ignore_timeline(_timeline: int | None) -> None:
-    pass
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -108,8 +108,8 @@
     timeline = stores.Timeline(
         lambda before, now: watch.on_store_restored(before, now)
     )
-    gateway.store_timeline = lambda: timeline.current
-    gateway.on_peer_timeline = timeline.observe
+    gateway.knowledge.store_timeline = lambda: timeline.current
+    gateway.knowledge.on_peer_timeline = timeline.observe
     store = stores.Store(
         stores.Client(
             reactor,
@@ -135,11 +135,11 @@
             on_gateways=gateway.update_gateways,
             on_usage_restored=sharing.restore,
             on_peer_usage_restored=sharing.restore_peer,
-            on_crashes_restored=gateway.restore_crashes,
+            on_crashes_restored=gateway.knowledge.restore_crashes,
             usage=sharing.usage,
-            crashes=gateway.crash_reports,
-            needs_saving=gateway.needs_saving,
-            before_save=gateway.mark_saved,
+            crashes=gateway.knowledge.crash_reports,
+            needs_saving=gateway.knowledge.needs_saving,
+            before_save=gateway.knowledge.mark_saved,
             on_restored=gateway.config_state.mark_restored,
             settle_left_ms=gateway.config_state.settle_left_ms,
             count_cut_back=count_cut_back,
