What an upstream says of itself counts for the life that the list shows by then

Callers' requests would have reached an upstream for good that had said that it is leaving, or had asked for a pause: it had started again under its id, the request was sent while the list showed its former life, and the answer came after the list showed the new one. The sign was kept with the former life. An answer counts for the latest life now; the former can't answer any more. Both rows failed before.

--- a/features/steps/upstream_signs_steps.py
+++ b/features/steps/upstream_signs_steps.py
@@ -458,3 +458,20 @@
 def check_grant(context, told):
     found = context.granted[-1].grant.leaving_born_ms
     assert str(found or "nothing") == told, found
+
+
+@when("the list shows a later start of it before it has answered")
+def listed_later(context):
+    world = context.world
+    upstream = world.sent[0].upstream
+    later = dataclasses.replace(
+        upstream, born_ms=world.clock.wall_ms() - START_AFTER_MS
+    )
+    world.upstreams[upstream.id] = later
+    world.gateway.update_upstreams(world.upstreams)
+
+
+@when("the upstream answers {status:d} and asks for a pause")
+def answer_pause(context, status):
+    add = (NOT_RUN, (b"retry-after", b"5"))
+    context.world.sent[0].answer(status, add=add)
--- a/features/upstream_signs.feature
+++ b/features/upstream_signs.feature
@@ -70,6 +70,20 @@
       | listed with a later start | 2 |
       | listed with a start before it said so | 1 |
 
+  # Guards against a sign that is lost, as the list has shown the new life
+  # between a request and its answer.
+  Scenario Outline: An answer counts for the life that the list shows by then: <sign>
+    Given a gateway with two upstreams of each service
+    When a caller requests "lookup"
+    And the list shows a later start of it before it has answered
+    And the upstream answers <status> and <sign>
+    Then <count> upstreams of "desk" take requests
+
+    Examples:
+      | sign | status | count |
+      | says that it is leaving | 200 | 1 |
+      | asks for a pause | 503 | 1 |
+
   Scenario Outline: A gateway learns from <source> that an upstream is leaving
     Given a gateway with two upstreams of each service
     When <source> says that upstream "u0" with start <born> is leaving
--- a/godwitloft/gateway/fleet.py
+++ b/godwitloft/gateway/fleet.py
@@ -14,11 +14,11 @@
 # What an upstream has said about itself is kept for this long after it was
 # last listed, as the list may lose it and get it back.
 UNLISTED_KEPT_MS = 600_000
-# After a pause that an upstream asked for, requests to it start at most this
-# often for a while.
 # By how much the clocks of an upstream and a gateway may differ when it is
 # decided in which life the upstream asked for a pause.
 CLOCK_TOLERANCE_MS = 5_000
+# After a pause that an upstream asked for, requests to it start at most this
+# often for a while.
 PACED_MS = 1_000
 PACED_START_INTERVAL_MS = 100
 MIN_SLOWNESS = 0.2
@@ -275,6 +275,17 @@
             and state.said_leaving_ms >= since_ms
         )
 
+    def latest(self, state: UpstreamState) -> UpstreamState:
+        """Returns the state of an upstream's latest life.
+
+        An answer that arrives once the list shows a new life comes from that
+        one, also to a request that was sent before: the former has ended.
+
+        :param state: state of any life of the upstream
+        :return: state of its latest known life
+        """
+        return self.states.get(state.upstream.id, state)
+
     def state_of(self, life: peer_status.Life) -> UpstreamState | None:
         """Returns the state of an upstream, if it is still in that life.
 
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -503,6 +503,7 @@
             state.upstream.id.encode("latin-1"),
         ):
             return
+        state = self.fleet.latest(state)
         signs = upstream_signs.read(
             status, headers, self.dialect, self.clock.wall_ms()
         )
