--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -82,5 +82,5 @@
     When a stream with the parts "aa0,bad0" is broken off after its first event
     And its next attempt waits 700 ms and then crashes its upstream
     Then 1 crash is told to peers
-    When 4 s pass
+    When 4 s pass at that gateway
     Then 0 crashes are told to peers
--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -190,6 +190,6 @@
     assert len(status.crashes) == count, status.crashes
 
 
-@when("{seconds:d} s pass")
+@when("{seconds:d} s pass at that gateway")
 def pass_time(context, seconds):
     context.world.advance(seconds * 1000)
