--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -39,7 +39,7 @@
 )
 def bad(context, gap_ms, duration_s):
     engines = context.engines
-    engines.bad_parts = {"bad0"}
+    engines.bad = {"bad0"}
     engines.run(duration_s * 1000, SOUND_GAP_MS, gap_ms)
 
 
@@ -49,7 +49,7 @@
 )
 def mostly_bad(context, gap_ms, duration_s, sound_gap_ms):
     engines = context.engines
-    engines.bad_parts = {"bad0"}
+    engines.bad = {"bad0"}
     engines.run(duration_s * 1000, sound_gap_ms, gap_ms)
 
 
@@ -69,7 +69,7 @@
     engines = context.engines
     if len(engines.crashes_ms) < 5:
         return
-    late = engines.late_arrivals()
+    late = engines.late_arrivals("bad0", 5)
     assert len(late) <= MAX_LATE_ARRIVALS, (late, engines.crashes_ms)
 
 
--- a/features/support/crashing_engines.py
+++ b/features/support/crashing_engines.py
@@ -1,5 +1,6 @@
 """Gateways before engines that crash, on one simulated clock."""
 
+import collections
 import dataclasses
 import random
 
@@ -27,6 +28,14 @@
     running: list = dataclasses.field(default_factory=list)
 
 
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """A request that has reached an engine."""
+
+    at_ms: int
+    causes: frozenset[str]
+
+
 class EngineAttempt:
     """One request at an engine."""
 
@@ -34,6 +43,7 @@
         self.fleet = fleet
         self.engine = engine
         self.headers = dict(outgoing.headers)
+        self.target = outgoing.target.decode()
         self.callbacks = callbacks
         self.sent = False
         self.over = False
@@ -45,7 +55,7 @@
             return
         self.sent = True
         self.engine.running.append(self)
-        self.fleet.arrivals.append((self.fleet.now_ms(), self.parts))
+        self.fleet.arrivals.append(Arrival(self.fleet.now_ms(), self.causes))
         self.later(HEAD_MS, self.begin)
 
     @property
@@ -53,15 +63,21 @@
         text = self.headers.get(gateway_world.DIALECT.prompt_parts, b"")
         return [entry.partition(":")[0] for entry in text.decode().split(",")]
 
+    @property
+    def causes(self):
+        """What in this request may crash its engine: parts, and the whole."""
+        return frozenset([*self.parts, self.target])
+
     def begin(self):
         name = gateway_world.DIALECT.request_id
         head = [(name, self.headers[name]), (b"transfer-encoding", b"chunked")]
         head.append((gateway_world.DIALECT.seal, b"seal"))
         self.callbacks.on_head(200, head)
-        if self.fleet.bad_parts & set(self.parts):
+        crashing = self.fleet.bad & self.causes
+        if crashing:
             if self.fleet.writes_before_crash:
                 self.callbacks.on_data(EVENT)
-            self.later(CRASH_MS, self.fleet.crash, self.engine)
+            self.later(CRASH_MS, self.fleet.crash, self.engine, *crashing)
             return
         self.callbacks.on_data(EVENT)
         self.later(self.fleet.answer_ms, self.complete)
@@ -101,14 +117,17 @@
         self.engines = {
             f"u{number}": Engine(f"u{number}") for number in range(engines)
         }
-        self.bad_parts = set()
+        # Parts of prompts, and paths of requests, that crash engines.
+        self.bad = set()
         self.writes_before_crash = False
+        # Returns the shared parts of the request of a number that is repeated.
+        self.repeated_parts = lambda _number: ()
         self.answer_ms = 100
         self.down_ms = 3000
         self.arrivals = []
         self.crashes_ms = []
+        self.crashes_by = collections.defaultdict(list)
         self.sound = []
-        self.bad = []
         self.count = 0
         self.worlds = []
         self.reactor = None
@@ -161,10 +180,11 @@
         accepts = self.now_ms() >= self.engines[upstream.id].down_until_ms
         self.reactor.callLater(0.002, on_checked, accepts)
 
-    def crash(self, engine):
+    def crash(self, engine, cause=""):
         if self.now_ms() < engine.down_until_ms:
             return
         self.crashes_ms.append(self.now_ms())
+        self.crashes_by[cause].append(self.now_ms())
         engine.down_until_ms = self.now_ms() + self.down_ms
         for attempt in list(engine.running):
             attempt.end(attempts.End.BROKEN, "answer_cut")
@@ -172,29 +192,50 @@
     def ask(self, parts):
         """Sends a request with these shared parts to any gateway."""
         self.count += 1
+        caller = self.send_request(f"/class/{self.count}", parts)
+        if not self.bad & set(parts):
+            self.sound.append((self.now_ms(), caller))
+
+    def repeat(self, number):
+        """Sends once more the request of this number, which is bad."""
+        target = f"/class/bad{number}"
+        self.bad.add(target)
+        self.count += 1
+        self.send_request(target, self.repeated_parts(number))
+
+    def send_request(self, target, parts):
         world = self.rng.choice(self.worlds)
-        own = f"{self.count:x}"
-        text = ",".join(f"{part}:60" for part in [*parts, own])
+        text = ",".join(f"{part}:60" for part in [*parts, f"{self.count:x}"])
         caller = gateway_world.Caller(world)
         caller.send(
-            b"POST /class/%d HTTP/1.1\r\nHost: h\r\n"
+            b"POST %s HTTP/1.1\r\nHost: h\r\n"
             b"Godwitloft-Request-Id: r%d\r\n"
             b"Godwitloft-Deadline-Ms: 5000\r\n"
             b"Authorization: Token key\r\n"
             b"Godwitloft-Prompt-Prefix: %s\r\n"
             b"Content-Length: 0\r\n\r\n"
-            % (self.count, self.count, text.encode())
+            % (target.encode(), self.count, text.encode())
         )
-        asked = (self.now_ms(), caller)
-        if self.bad_parts & set(parts):
-            self.bad.append(asked)
-        else:
-            self.sound.append(asked)
-
-    def run(self, duration_ms, sound_gap_ms=0, bad_gap_ms=0, rare_gap_ms=0):
-        """Lets time pass with a sound and a bad request in each gap."""
+        return caller
+
+    def run(
+        self,
+        duration_ms,
+        sound_gap_ms=0,
+        bad_gap_ms=0,
+        rare_gap_ms=0,
+        repeat_gap_ms=0,
+        repeated=1,
+    ):
+        """Lets time pass with a request of each kind in each gap.
+
+        Of requests that crash engines as a whole, ``repeated`` ones come in
+        turn, each the same again.
+        """
         for step in range(duration_ms // STEP_MS):
             at_ms = step * STEP_MS
+            if repeat_gap_ms and at_ms % repeat_gap_ms == 0:
+                self.repeat(at_ms // repeat_gap_ms % repeated)
             if sound_gap_ms and at_ms % sound_gap_ms == 0:
                 self.ask([f"aa{self.rng.randrange(3)}"])
             if bad_gap_ms and at_ms % bad_gap_ms == 0:
@@ -218,11 +259,14 @@
         ]
         return sum(found) / len(found)
 
-    def late_arrivals(self):
-        """Returns bad requests that reached engines too late."""
-        bound_ms = self.crashes_ms[4] + CONTACT_MS
+    def late_arrivals(self, cause, crashes):
+        """Returns when a cause of crashes reached engines too late."""
+        times_ms = self.crashes_by[cause]
+        if len(times_ms) < crashes:
+            return []
+        bound_ms = times_ms[crashes - 1] + CONTACT_MS
         return [
-            at_ms
-            for at_ms, parts in self.arrivals
-            if self.bad_parts & set(parts) and at_ms > bound_ms
+            arrival.at_ms
+            for arrival in self.arrivals
+            if cause in arrival.causes and arrival.at_ms > bound_ms
         ]
