--- /dev/null
+++ b/features/crashing_requests.feature
@@ -0,0 +1,47 @@
+Feature: A request that crashes engines is kept from them, and sound ones go on
+
+  Such a request crashes each engine that begins to answer it, and comes again,
+  the same each time, at any gateway.
+
+  # Guards against crashes that are forgotten while the request still comes.
+  Scenario Outline: A repeated request reaches engines no longer once it has crashed three: <gateways> gateways, one each <gap> ms for <duration> s
+    Given <gateways> gateways before <engines> engines
+    When sound requests come for 2 s
+    And 1 crashing request comes in turn each <gap> ms beside them for <duration> s
+    Then no crashing request came more than 3 times later than 3 s after its third crash
+
+    Examples:
+      | gateways | engines | gap | duration |
+      | 1 | 6 | 300 | 300 |
+      | 4 | 6 | 300 | 1000 |
+      | 4 | 18 | 7000 | 600 |
+
+  # Guards against crashes that others push out of what gateways tell.
+  Scenario: Crashes of engines full of sound requests don't hide those of a repeated one
+    Given 6 gateways before 6 engines with 40 slots
+    When sound requests come for 2 s
+    And 1 crashing request comes in turn each 4000 ms for 200 s, and full engines crash beside it
+    Then no crashing request came more than 3 times later than 3 s after its third crash
+
+  # Guards against crashes that are forgotten when gateways restart.
+  Scenario Outline: A request that has crashed three engines is known after restarts: <restarts>
+    Given 4 gateways before 6 engines
+    When sound requests come for 2 s
+    And 1 crashing request comes in turn each 300 ms beside them for 10 s
+    And <restarts>
+    And 1 crashing request comes in turn each 300 ms beside them for 10 s
+    And <restarts>
+    And 1 crashing request comes in turn each 300 ms beside them for 20 s
+    Then no crashing request came more than 3 times later than 3 s after its third crash
+
+    Examples:
+      | restarts |
+      | all gateways restart at once |
+      | all gateways restart one after the other |
+
+  # Guards against a request that came before it was known, and waits.
+  Scenario: A waiting request that crashes engines is not sent once that is known
+    Given a gateway with one upstream of each service, whose slots are taken
+    When a request waits, and crashes three upstreams at other gateways
+    And the slots become free
+    Then the waiting request is answered with 500 and was never sent
--- /dev/null
+++ b/features/steps/crashing_requests_steps.py
@@ -0,0 +1,119 @@
+from behave import given
+from behave import step
+from behave import then
+from behave import when
+
+from features.support import crashing_engines
+from features.support import gateway_world
+from godwitloft.gateway import crash_tracker
+from godwitloft.gateway import peer_status
+
+SOUND_GAP_MS = 200
+MANY_SOUND_GAP_MS = 20
+LONG_ANSWER_MS = 4000
+CRASHES_BEFORE_BOUND = 3
+# Of an upstream in the simulated world.
+SLOTS = 4
+
+
+@given("{gateways:d} gateways before {engines:d} engines with {slots:d} slots")
+def fleet_with_slots(context, gateways, engines, slots):
+    context.engines = crashing_engines.CrashingEngines(
+        gateways, engines, slots=slots
+    )
+
+
+@step(
+    "{count:d} crashing request comes in turn each {gap_ms:d} ms beside them"
+    " for {duration_s:d} s"
+)
+def repeat(context, count, gap_ms, duration_s):
+    context.engines.run(
+        duration_s * 1000,
+        SOUND_GAP_MS,
+        repeat_gap_ms=gap_ms,
+        repeated=count,
+    )
+
+
+@step(
+    "{count:d} crashing request comes in turn each {gap_ms:d} ms for"
+    " {duration_s:d} s, and full engines crash beside it"
+)
+def repeat_beside_crashes(context, count, gap_ms, duration_s):
+    engines = context.engines
+    engines.answer_ms = LONG_ANSWER_MS
+    names = list(engines.engines.values())
+    for second in range(duration_s):
+        engines.run(
+            1000,
+            MANY_SOUND_GAP_MS,
+            repeat_gap_ms=1000 if second * 1000 % gap_ms == 0 else 0,
+            repeated=count,
+        )
+        engines.crash(names[second % len(names)])
+
+
+@step("all gateways restart at once")
+def restart_all(context):
+    for number in range(len(context.engines.worlds)):
+        context.engines.restart(number)
+
+
+@step("all gateways restart one after the other")
+def restart_each(context):
+    for number in range(len(context.engines.worlds)):
+        context.engines.restart(number)
+        context.engines.run(2000, SOUND_GAP_MS)
+
+
+@given("a gateway with one upstream of each service, whose slots are taken")
+def full(context):
+    context.world = gateway_world.World(("desk", "model"))
+    for number in range(SLOTS):
+        context.world.ask(f"f{number}", "draft")
+    assert len(context.world.sent) == SLOTS
+
+
+@when("a request waits, and crashes three upstreams at other gateways")
+def wait(context):
+    world = context.world
+    context.caller = world.ask("w", "draft")
+    request = world.gateway.waiting["model"][0]
+    crashes = world.gateway.retry_policy.crashes
+    for number in range(CRASHES_BEFORE_BOUND):
+        life = peer_status.Life(f"elsewhere{number}", 1)
+        now_ms = world.clock.monotonic_ms()
+        broken = crash_tracker.Broken(now_ms, request.facts.fingerprint)
+        crashes.record_broken(life, broken)
+        crashes.record_unreachable(life, now_ms)
+        world.advance(100)
+
+
+@when("the slots become free")
+def free(context):
+    for sent in list(context.world.sent):
+        sent.answer()
+    context.world.advance(100)
+
+
+@then("the waiting request is answered with {status:d} and was never sent")
+def check_refused(context, status):
+    assert context.caller.status == status, context.caller.status
+    ids = [
+        sent.headers[gateway_world.DIALECT.request_id]
+        for sent in context.world.sent
+    ]
+    assert b"w" not in ids, ids
+
+
+@then(
+    "no crashing request came more than {most:d} times later than 3 s after"
+    " its third crash"
+)
+def check_held(context, most):
+    engines = context.engines
+    assert engines.crashes_ms
+    for cause, crashes_ms in engines.crashes_by.items():
+        late_ms = engines.late_arrivals(cause, CRASHES_BEFORE_BOUND)
+        assert len(late_ms) <= most, (cause, crashes_ms, late_ms)
--- a/features/support/crashing_engines.py
+++ b/features/support/crashing_engines.py
@@ -13,10 +13,13 @@
 ANNOUNCE_STEPS = 5
 HEAD_MS = 50
 CRASH_MS = 60
+EVENT_GAP_MS = 200
 EVENT = b"id: 1\ndata: ok\n\n"
 # The deployment's contact-ms.
 CONTACT_MS = 3000
 SLOTS = 6
+# How often a gateway saves its row besides when something is to be kept.
+SAVE_STEPS = 100
 
 
 @dataclasses.dataclass
@@ -79,7 +82,8 @@
                 self.callbacks.on_data(EVENT)
             self.later(CRASH_MS, self.fleet.crash, self.engine, *crashing)
             return
-        self.callbacks.on_data(EVENT)
+        for at_ms in range(0, self.fleet.answer_ms, EVENT_GAP_MS):
+            self.later(at_ms, self.callbacks.on_data, EVENT)
         self.later(self.fleet.answer_ms, self.complete)
 
     def complete(self):
@@ -112,8 +116,9 @@
 class CrashingEngines:
     """Gateways, engines, and callers with sound and bad prompts."""
 
-    def __init__(self, gateways, engines):
-        self.rng = random.Random(7)
+    def __init__(self, gateways, engines, seed=7, slots=SLOTS):
+        self.rng = random.Random(seed)
+        self.slots = slots
         self.engines = {
             f"u{number}": Engine(f"u{number}") for number in range(engines)
         }
@@ -130,16 +135,31 @@
         self.sound = []
         self.count = 0
         self.worlds = []
+        # What each gateway has saved, and when.
+        self.rows = {}
         self.reactor = None
+        self.hosts = {f"g{number}": f"h{number}" for number in range(gateways)}
         for number in range(gateways):
             self.worlds.append(self.make_world(number))
-        hosts = {f"g{number}": f"h{number}" for number in range(gateways)}
-        for number, world in enumerate(self.worlds):
-            others = dict(hosts)
-            del others[f"g{number}"]
-            world.gateway.update_gateways(others)
         self.run(1000)
 
+    def restart(self, number):
+        """Replaces a gateway by one that knows what the rows hold."""
+        world = self.worlds[number]
+        for request in list(world.gateway.running):
+            world.gateway.cancel_attempt(request)
+        world = self.worlds[number] = self.make_world(number)
+        for saved, saved_ms in self.rows.values():
+            age_ms = self.now_ms() - saved_ms
+            world.gateway.knowledge.restore_crashes(saved, age_ms)
+
+    def save(self, number, always):
+        """Saves a gateway's row if it wants to, or always."""
+        knowledge = self.worlds[number].gateway.knowledge
+        if always or knowledge.needs_saving():
+            knowledge.mark_saved()
+            self.rows[number] = (knowledge.crash_reports(), self.now_ms())
+
     def make_world(self, number):
         world = gateway_world.World((), self.reactor, f"g{number}")
         self.reactor = world.reactor
@@ -150,7 +170,7 @@
         )
         world.gateway.update_upstreams(
             {
-                name: gateway_world.upstream(name, "model", slots=SLOTS)
+                name: gateway_world.upstream(name, "model", slots=self.slots)
                 for name in self.engines
             }
         )
@@ -161,6 +181,9 @@
             )
 
         world.sharing.send = send
+        others = dict(self.hosts)
+        del others[f"g{number}"]
+        world.gateway.update_gateways(others)
         return world
 
     def deliver(self, sender, data, host):
@@ -243,8 +266,9 @@
             if rare_gap_ms and at_ms % rare_gap_ms == 0:
                 self.ask(["aa0", "cc0"])
             self.reactor.advance(STEP_MS / 1000)
-            for world in self.worlds:
+            for number, world in enumerate(self.worlds):
                 world.confirm()
+                self.save(number, step % SAVE_STEPS == 0)
                 if step % 2 == 0:
                     world.gateway.tick()
                 if step % ANNOUNCE_STEPS == 0:
