A waiting request is checked again for crashes as a whole before it is sent

What callers saw: an engine that ran their streams ended, by a request that was already known. Cause: a request that waits when its third crash becomes known was checked for blamed parts only. Admission and sending now ask the same function.

--- a/godwitloft/gateway/admission.py
+++ b/godwitloft/gateway/admission.py
@@ -151,11 +151,9 @@
         """
         now_ms = self.clock.monotonic_ms()
         facts = request.facts
-        if self.crashes.is_crashing(facts.fingerprint, now_ms):
-            return refusals.Refusal(500, "crashes_upstreams")
-        blamed = self.crashes.parts.find_blamed(facts.shared_parts)
-        if blamed is not None:
-            return crashing_part_refusal(blamed)
+        refusal = self.crash_refusal(facts, now_ms)
+        if refusal is not None:
+            return refusal
         if facts.deadline_ms <= now_ms:
             return refusals.Refusal(503, "no_time_left")
         if self.is_paused_too_long(request, now_ms):
@@ -169,6 +167,24 @@
             return self.rejection(request, "crowded_out")
         return self.charge_allowance(request)
 
+    def crash_refusal(
+        self, facts: requests.Facts, now_ms: int
+    ) -> refusals.Refusal | None:
+        """Returns the refusal of a request that would crash its upstream.
+
+        :param facts: what is known of the request
+        :param now_ms: the current time
+        :return: None, or a refusal that doesn't invite the caller to come back
+        """
+        if self.crashes.is_crashing(facts.fingerprint, now_ms):
+            return refusals.Refusal(500, "crashes_upstreams")
+        blamed = self.crashes.parts.find_blamed(facts.shared_parts)
+        if blamed is None:
+            return None
+        return refusals.Refusal(
+            500, "crashes_upstreams", inputs={"part": blamed}
+        )
+
     def is_paused_too_long(
         self, request: requests.Request, now_ms: int
     ) -> bool:
@@ -369,12 +385,3 @@
                 "gateways": sharing.gateways,
             },
         )
-
-
-def crashing_part_refusal(part: str) -> refusals.Refusal:
-    """Returns the refusal of a request that would crash its upstream.
-
-    :param part: the part of its prompt that is blamed for crashes
-    :return: a refusal that doesn't invite the caller to come back
-    """
-    return refusals.Refusal(500, "crashes_upstreams", inputs={"part": part})
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -435,18 +435,16 @@
     def still_permitted(self, request: requests.Request, now_ms: int) -> bool:
         """Checks a request again that was waiting, and refuses it if need be.
 
-        Its key may be withdrawn, or a part of its prompt may be blamed for
-        crashes meanwhile.
+        Its key may be withdrawn, or the request or a part of its prompt may be
+        blamed for crashes meanwhile.
 
         :param request: a waiting request
         :param now_ms: the current time
         :return: whether it may be sent; if not, it has been answered
         """
-        blamed = self.retry_policy.crashes.parts.find_blamed(
-            request.facts.shared_parts
-        )
-        if blamed is not None:
-            self.refuse(request, admissions.crashing_part_refusal(blamed))
+        refusal = self.admission.crash_refusal(request.facts, now_ms)
+        if refusal is not None:
+            self.refuse(request, refusal)
             return False
         team = request.facts.team
         router = self.config_state.router
