--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -54,7 +54,8 @@
       | 2 s later | are refused |
       | 2 s later, as one with an old row | are refused |
       | 2 s after it was proved sound | are sent |
-      | 16 min later | are sent |
+      | 16 min later | are refused |
+      | 61 min later | are sent |
 
   # Guards against a sound part that is blamed for crashes of another cause.
   Scenario Outline: No sound part is blamed: <cause>
--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -45,3 +45,21 @@
     When a request waits, and crashes three upstreams at other gateways
     And the slots become free
     Then the waiting request is answered with 500 and was never sent
+
+  # Guards against sound parts that are blamed for what whole requests cause.
+  Scenario Outline: Sound requests go on beside crashing ones: <gateways> gateways, <engines> engines, <count> crashing, one each <gap> ms
+    Given <gateways> gateways before <engines> engines
+    And answers of <answer> ms, and crashing requests with <parts> parts
+    When sound requests come for 2 s
+    And <count> crashing requests come in turn each <gap> ms beside them for 40 s
+    Then 0.95 of the sound requests are served from 10 s after the last new crashing one
+    And no crashing request came more than 3 times later than 3 s after its third crash
+
+    Examples:
+      | gateways | engines | count | gap | answer | parts |
+      | 4 | 6 | 6 | 300 | 1000 | no |
+      | 4 | 6 | 6 | 300 | 1000 | shared |
+      | 4 | 18 | 6 | 300 | 4000 | shared |
+      | 4 | 27 | 20 | 200 | 300 | shared |
+      | 1 | 6 | 3 | 300 | 100 | no |
+      | 29 | 27 | 20 | 200 | 1000 | shared |
--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -7,6 +7,7 @@
 from features.support import following_gateways
 from features.support import restored_store
 from godwitloft import attempt as attempts
+from godwitloft.gateway import crash_causes
 
 SOUND_GAP_MS = 40
 RARE_GAP_MS = 1300
@@ -119,12 +120,13 @@
     context.following = following_gateways.FollowingGateways(context, 2, "a")
     following = context.following
     member = following.first
-    crashes = member.gateway.retry_policy.crashes.parts
+    causes = member.gateway.retry_policy.crashes.causes
+    broken = crash_causes.part_causes(["aa0", part])
     for number in range(3):
-        crashes.record_crash(("aa0", part), f"u{number}/1", member.now_ms())
+        causes.record_crash([broken], f"u{number}/1", member.now_ms())
         following.advance(300)
-    assert crashes.find_blamed((part,)) == part
-    context.part = part
+    context.cause = broken[-1]
+    assert causes.find_blamed(broken) == [context.cause]
 
 
 @when("all gateways are restarted at once {how}")
@@ -133,15 +135,15 @@
     following.advance(2000)
     rows = following.first.rows
     if "proved sound" in how:
-        crashes = following.first.gateway.retry_policy.crashes.parts
-        crashes.record_sound((context.part,), following.first.now_ms())
+        causes = following.first.gateway.retry_policy.crashes.causes
+        causes.record_sound((context.cause,), following.first.now_ms())
         following.advance(2000)
     if "old row" in how:
         rows.put_json("gateways", "g9", {"host": "h", "renewed_ms": 1})
     for member in following.members.values():
         member.watch.stop()
-    if "16 min" in how:
-        following.reactor.advance(16 * 60)
+    if "min later" in how:
+        following.reactor.advance(int(how.split()[0]) * 60)
     context.restarted = restored_store.RestoredStore(context, rows, "g0")
     context.restarted.watch.start()
     following.reactor.advance(0.1)
@@ -149,10 +151,11 @@
 
 @then('requests with "{part}" {outcome}')
 def check_restarted(context, part, outcome):
-    crashes = context.restarted.gateway.retry_policy.crashes.parts
-    crashes.forget_old(context.restarted.now_ms())
-    found = crashes.find_blamed((part,))
-    assert found == (part if outcome == "are refused" else None), found
+    causes = context.restarted.gateway.retry_policy.crashes.causes
+    causes.forget_old(context.restarted.now_ms())
+    found = causes.find_blamed((context.cause,))
+    expected = [context.cause] if outcome == "are refused" else []
+    assert found == expected, found
 
 
 @when('a stream with the parts "{parts}" is broken off after its first event')
@@ -178,9 +181,17 @@
 
 @then('{count:d} crash counts against "{parts}"')
 def check_counted(context, count, parts):
-    crashes = context.world.gateway.retry_policy.crashes.parts.crashes
-    found = [list(crash.positions) for crash in crashes.values()]
-    assert found == [parts.split(",")] * count, found
+    crashes = context.world.gateway.retry_policy.crashes.causes.crashes
+    expected = crash_causes.part_causes(parts.split(","))
+    found = [
+        tuple(
+            cause
+            for cause in crash.positions
+            if cause.startswith(crash_causes.PART_PREFIX)
+        )
+        for crash in crashes.values()
+    ]
+    assert found == [expected] * count, found
 
 
 @then("{count:d} crash is told to peers")
--- a/features/steps/crashing_requests_steps.py
+++ b/features/steps/crashing_requests_steps.py
@@ -11,6 +11,8 @@
 SOUND_GAP_MS = 200
 MANY_SOUND_GAP_MS = 20
 LONG_ANSWER_MS = 4000
+# What came later may not have been answered yet.
+LAST_ANSWERS_MS = 5500
 CRASHES_BEFORE_BOUND = 3
 # Of an upstream in the simulated world.
 SLOTS = 4
@@ -27,6 +29,10 @@
     "{count:d} crashing request comes in turn each {gap_ms:d} ms beside them"
     " for {duration_s:d} s"
 )
+@step(
+    "{count:d} crashing requests come in turn each {gap_ms:d} ms beside them"
+    " for {duration_s:d} s"
+)
 def repeat(context, count, gap_ms, duration_s):
     context.engines.run(
         duration_s * 1000,
@@ -71,7 +77,7 @@
 def full(context):
     context.world = gateway_world.World(("desk", "model"))
     for number in range(SLOTS):
-        context.world.ask(f"f{number}", "draft")
+        context.world.ask(f"f{number}", "class")
     assert len(context.world.sent) == SLOTS
 
 
@@ -84,7 +90,7 @@
     for number in range(CRASHES_BEFORE_BOUND):
         life = peer_status.Life(f"elsewhere{number}", 1)
         now_ms = world.clock.monotonic_ms()
-        broken = crash_tracker.Broken(now_ms, request.facts.fingerprint)
+        broken = crash_tracker.Broken(now_ms, (request.facts.request_cause,))
         crashes.record_broken(life, broken)
         crashes.record_unreachable(life, now_ms)
         world.advance(100)
@@ -117,3 +123,24 @@
     for cause, crashes_ms in engines.crashes_by.items():
         late_ms = engines.late_arrivals(cause, CRASHES_BEFORE_BOUND)
         assert len(late_ms) <= most, (cause, crashes_ms, late_ms)
+
+
+@step("answers of {answer_ms:d} ms, and crashing requests with {parts} parts")
+def kinds(context, answer_ms, parts):
+    engines = context.engines
+    engines.answer_ms = answer_ms
+    if parts == "shared":
+        engines.repeated_parts = lambda number: (f"aa{number % 3}",)
+
+
+@then(
+    "{share:g} of the sound requests are served from {delay_s:d} s after the"
+    " last new crashing one"
+)
+def check_sound(context, share, delay_s):
+    engines = context.engines
+    last_new_ms = max(times[0] for times in engines.crashes_by.values())
+    served = engines.begun_share(
+        last_new_ms + delay_s * 1000, engines.now_ms() - LAST_ANSWERS_MS
+    )
+    assert served >= share, served
--- a/features/steps/gateway_limits_steps.py
+++ b/features/steps/gateway_limits_steps.py
@@ -99,7 +99,7 @@
             event(at_ms)
             if at_ms % TELL_CHECK_MS == 0:
                 for member in self.members.values():
-                    member.announce_if_due(())
+                    member.announce_if_due()
             if at_ms % LEASE_MS == 0:
                 now_ms = self.clock.monotonic_ms()
                 for name, member in self.members.items():
@@ -132,7 +132,7 @@
             self.reactor.advance(STEP_MS / 1000)
             if number * STEP_MS % TELL_CHECK_MS == 0:
                 for member in self.members.values():
-                    member.announce_if_due(())
+                    member.announce_if_due()
             part = parts[number * STEP_MS // 1000]
             due += part * self.team.tokens_per_s * STEP_MS / 1000
             while due > 0:
@@ -189,11 +189,11 @@
     for _ in range(3):
         fleet.reactor.advance(1)
         for member in (first, second):
-            member.announce_if_due(())
+            member.announce_if_due()
         fleet.reactor.advance(2 * DELAY_S)
     assert second.take(fleet.team, 20_000.0) is None
     fleet.reactor.advance(1)
-    second.announce_if_due(())
+    second.announce_if_due()
     fleet.reactor.advance(2 * DELAY_S)
 
 
--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -386,7 +386,7 @@
     for _ in range(duration_ms // 50):
         world.reactor.advance(0.05)
         for share in shares.values():
-            share.announce_if_due(())
+            share.announce_if_due()
 
 
 def take_all(share):
--- a/features/support/crashing_engines.py
+++ b/features/support/crashing_engines.py
@@ -151,14 +151,14 @@
         world = self.worlds[number] = self.make_world(number)
         for saved, saved_ms in self.rows.values():
             age_ms = self.now_ms() - saved_ms
-            world.gateway.knowledge.restore_crashes(saved, age_ms)
+            world.gateway.knowledge.restore_blames(saved, age_ms)
 
     def save(self, number, always):
         """Saves a gateway's row if it wants to, or always."""
         knowledge = self.worlds[number].gateway.knowledge
         if always or knowledge.needs_saving():
             knowledge.mark_saved()
-            self.rows[number] = (knowledge.crash_reports(), self.now_ms())
+            self.rows[number] = (knowledge.blame_reports(), self.now_ms())
 
     def make_world(self, number):
         world = gateway_world.World((), self.reactor, f"g{number}")
--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -99,10 +99,13 @@
 UPSTREAM_CRASHED = Event(
     1309, logging.WARNING, "an upstream crashed while it ran requests"
 )
-PROMPT_PART_BLAMED = Event(
+CRASH_CAUSE_BLAMED = Event(
     1310,
     logging.WARNING,
-    "a part of prompts is blamed for crashes, or cleared",
+    "a request or a part of prompts is blamed for crashes, or cleared",
+)
+CRASH_CAUSE_TRIED = Event(
+    1311, logging.INFO, "a request that is blamed for crashes is tried"
 )
 GATEWAY_ALIVE = Event(
     1108, logging.INFO, "an agent receives messages from a gateway"
--- a/godwitloft/gateway/admission.py
+++ b/godwitloft/gateway/admission.py
@@ -176,13 +176,11 @@
         :param now_ms: the current time
         :return: None, or a refusal that doesn't invite the caller to come back
         """
-        if self.crashes.is_crashing(facts.fingerprint, now_ms):
-            return refusals.Refusal(500, "crashes_upstreams")
-        blamed = self.crashes.parts.find_blamed(facts.shared_parts)
-        if blamed is None:
+        cause = self.crashes.refused_cause(facts.crash_causes, now_ms)
+        if cause is None:
             return None
         return refusals.Refusal(
-            500, "crashes_upstreams", inputs={"part": blamed}
+            500, "crashes_upstreams", inputs={"cause": cause}
         )
 
     def is_paused_too_long(
--- /dev/null
+++ b/godwitloft/gateway/crash_causes.py
@@ -0,0 +1,630 @@
+"""Finds what crashes the upstreams that answer it, and when to try it again.
+
+A cause is a whole request, the same each time it comes, or a shared part of
+prompts that have nothing else in common. Both come to any gateway and run
+beside sound requests. So each crash counts against all causes that were there,
+gateways tell each other what they saw, and one model weighs all causes: a
+crash that one of them explains counts against no other.
+
+What is blamed is refused. A blame may be wrong, and what is refused gets no
+chance to prove itself; so a few requests, one at a time over all gateways, are
+sent all the same. The time between them grows.
+"""
+
+import collections
+import dataclasses
+import typing
+
+from godwitloft import events
+
+REQUEST_PREFIX = "request:"
+PART_PREFIX = "part:"
+CRASHES_BEFORE_BLAME = 3
+# Of causes that were proved sound before: chance brings them to crashes.
+CRASHES_BEFORE_BLAME_OF_PROVED = 5
+# Crashes closer together count as one: upstreams that fail together seldom do
+# so for a request. Equal requests seldom run at several upstreams at once.
+PART_CRASH_SPACING_MS = 250
+REQUEST_CRASH_SPACING_MS = 50
+# An upstream that answers for this long has not crashed by a part.
+SOUND_AFTER_MS = 500
+# Two breaks of one life of an upstream further apart are two crashes.
+SAME_CRASH_MS = 1_000
+MEMORY_MS = 3_600_000
+# Time from the last crash or trial to each trial of a blamed cause.
+PART_TRIAL_DELAYS_MS = (2_000, 3_000, 4_000, 120_000, 900_000, 1_800_000)
+REQUEST_TRIAL_DELAYS_MS = (10_000, 120_000, 900_000, 1_800_000)
+# Gateways may start a trial one after the other, so that two seldom do.
+TRIAL_STAGGER_MS = 40
+# How long peers are told of a crash, and which of its causes are sound.
+TOLD_MS = 3_000
+MAX_CRASHES = 200
+MAX_SOUND_CAUSES = 2_000
+MAX_CRASHES_TOLD = 10
+MAX_SOUND_TOLD = 10
+MAX_BLAMES_TOLD = 4
+MAX_BLAMES_SAVED = 40
+# Whole requests are more specific than any part of their prompts.
+REQUEST_POSITION = 1_000
+
+
+@dataclasses.dataclass(frozen=True)
+class CrashReport:
+    """A crash of an upstream, as told to others.
+
+    :param id: its id, the same at all gateways
+    :param age_ms: time since then
+    :param causes: what may have caused it, parts in their order in the prompts
+    """
+
+    id: str
+    age_ms: int
+    causes: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class SoundReport:
+    """A proof that a cause is sound, as told to others.
+
+    :param cause: the request or part
+    :param age_ms: time since then
+    """
+
+    cause: str
+    age_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class BlameReport:
+    """A blame, as told to others and saved.
+
+    :param cause: the request or part
+    :param crashes: the last crashes for which it is blamed, as many as are
+        needed for that, without other causes
+    :param trials: how many trials of it were started
+    :param trial_age_ms: time since the last one
+    """
+
+    cause: str
+    crashes: tuple[CrashReport, ...]
+    trials: int = 0
+    trial_age_ms: int = 0
+
+
+@dataclasses.dataclass
+class Crash:
+    """A crash of an upstream.
+
+    :param at_ms: when it broke off the requests
+    :param positions: by cause, how specific it is: place of a part in its
+        prompt, :data:`REQUEST_POSITION` for whole requests
+    """
+
+    at_ms: int
+    positions: dict[str, int]
+
+
+@dataclasses.dataclass(frozen=True)
+class Trials:
+    """Requests with a blamed cause that were sent all the same.
+
+    :param number: how many there were
+    :param last_ms: when the last one was sent
+    """
+
+    number: int
+    last_ms: int
+
+
+NO_TRIALS = Trials(0, 0)
+
+
+def request_cause(fingerprint: bytes) -> str:
+    """Returns a whole request as a cause of crashes.
+
+    :param fingerprint: fingerprint of the request
+    """
+    return REQUEST_PREFIX + fingerprint.hex()
+
+
+def part_causes(parts: typing.Iterable[str]) -> tuple[str, ...]:
+    """Returns parts of a prompt as causes of crashes.
+
+    :param parts: their ids
+    """
+    return tuple(PART_PREFIX + part for part in parts)
+
+
+class CrashCauses:
+    """Crashes and proofs of soundness, as all gateways know them.
+
+    :param place: returns the place of this gateway among all of them, from 0;
+        the order is another one for each text
+    """
+
+    def __init__(self, place: typing.Callable[[str], int]) -> None:
+        self.place = place
+        # By id. One crash is heard of from several gateways, and counts once.
+        self.crashes: dict[str, Crash] = {}
+        # All causes that were there at these crashes.
+        self.present: set[str] = set()
+        # When each cause was last proved sound, the latest last. Of whole
+        # requests only those that were there at a crash.
+        self.sound_ms: dict[str, int] = {}
+        # The crashes for which each blamed cause is blamed, by id.
+        self.blamed: dict[str, list[str]] = {}
+        self.trials: dict[str, Trials] = {}
+        # Blamed causes whose turn it is to be told.
+        self.told_next = 0
+        # Whether blames or trials have changed since they were saved.
+        self.unsaved = False
+
+    # What this gateway sees.
+
+    def record_crash(
+        self,
+        broken: typing.Iterable[typing.Sequence[str]],
+        upstream: str,
+        at_ms: int,
+    ) -> None:
+        """Records that an upstream crashed.
+
+        :param broken: for each request that it broke off, the causes that may
+            have crashed it, parts in their order in the prompt
+        :param upstream: life of the upstream
+        :param at_ms: when it broke them off
+        """
+        crash_id = self.crash_id(upstream, at_ms)
+        positions: dict[str, int] = {}
+        for causes in broken:
+            merge_positions(positions, causes)
+        self.add_crash(crash_id, Crash(at_ms, positions))
+
+    def crash_id(self, upstream: str, at_ms: int) -> str:
+        """Returns the id of a crash that this process has seen.
+
+        An upstream that comes back fast may crash again before the list shows
+        its new life.
+
+        :param upstream: life of the upstream, as the list shows it
+        :param at_ms: time of the crash
+        :return: that of a known crash at this time, else a new one
+        """
+        number = 0
+        while True:
+            found = f"{upstream}#{number}"
+            known = self.crashes.get(found)
+            if known is None or at_ms - known.at_ms <= SAME_CRASH_MS:
+                return found
+            number += 1
+
+    def add_crash(self, crash_id: str, crash: Crash) -> None:
+        """Adds a crash, or causes to one that is known.
+
+        :param crash_id: its id, the same at all gateways
+        :param crash: the crash
+        """
+        if not crash.positions:
+            return
+        known = self.crashes.setdefault(crash_id, Crash(crash.at_ms, {}))
+        self.present.update(crash.positions)
+        before = len(known.positions)
+        for cause, position in crash.positions.items():
+            known.positions[cause] = max(
+                position, known.positions.get(cause, 0)
+            )
+        if len(known.positions) > before:
+            self.forget_excess()
+            self.update_blame()
+
+    def record_sound(self, causes: typing.Iterable[str], at_ms: int) -> None:
+        """Records that an upstream has answered and not crashed.
+
+        :param causes: what the request consists of
+        :param at_ms: when the upstream had done so
+        """
+        cleared = False
+        for cause in causes:
+            known_ms = self.sound_ms.pop(cause, at_ms)
+            self.sound_ms[cause] = max(known_ms, at_ms)
+            if cause in self.blamed:
+                cleared = True
+                self.trials.pop(cause, None)
+        while len(self.sound_ms) > MAX_SOUND_CAUSES:
+            del self.sound_ms[next(iter(self.sound_ms))]
+        if cleared:
+            self.update_blame()
+
+    # Blame.
+
+    def update_blame(self) -> None:
+        """Decides which causes are blamed, and logs each change."""
+        suspected = self.suspected_crashes()
+        blamed: dict[str, list[str]] = {}
+        while True:
+            cause = self.most_suspect(suspected)
+            if cause is None:
+                break
+            blamed[cause] = sorted(suspected.pop(cause))
+            for crash_ids in suspected.values():
+                crash_ids.difference_update(blamed[cause])
+        for cause in sorted(blamed.keys() ^ self.blamed.keys()):
+            self.unsaved = True
+            events.log(
+                events.CRASH_CAUSE_BLAMED,
+                cause=cause,
+                blamed=cause in blamed,
+                crashes=blamed.get(cause, []),
+            )
+        self.blamed = blamed
+
+    def suspected_crashes(self) -> dict[str, set[str]]:
+        """Returns the crashes that each cause may have caused.
+
+        :return: ids of crashes by cause, only of causes with enough of them
+        """
+        found: dict[str, set[str]] = collections.defaultdict(set)
+        for crash_id, crash in self.crashes.items():
+            for cause in crash.positions:
+                if self.counts_against(crash, cause):
+                    found[cause].add(crash_id)
+        return {
+            cause: crash_ids
+            for cause, crash_ids in found.items()
+            if len(crash_ids) >= CRASHES_BEFORE_BLAME
+        }
+
+    def most_suspect(self, suspected: dict[str, set[str]]) -> str | None:
+        """Returns the cause that is to be blamed first.
+
+        One that was never proved sound is suspected first, then one that was
+        there more often, then the more specific one, as fewer requests have
+        it. If it turns out wrong, crashes without it follow.
+
+        :param suspected: unexplained crashes by cause
+        :return: the cause, None if none was there at enough of them
+        """
+        best: tuple[bool, int, int, str] | None = None
+        for cause, crash_ids in suspected.items():
+            if len(crash_ids) < CRASHES_BEFORE_BLAME:
+                continue
+            crashes = [self.crashes[crash_id] for crash_id in crash_ids]
+            count = count_apart(
+                (crash.at_ms for crash in crashes), crash_spacing_ms(cause)
+            )
+            is_new = cause not in self.sound_ms
+            if not is_new and count < CRASHES_BEFORE_BLAME_OF_PROVED:
+                continue
+            if count < CRASHES_BEFORE_BLAME:
+                continue
+            position = max(crash.positions[cause] for crash in crashes)
+            key = (is_new, count, position, cause)
+            if best is None or key > best:
+                best = key
+        return best[-1] if best is not None else None
+
+    def counts_against(self, crash: Crash, cause: str) -> bool:
+        """Returns whether a cause may have caused a crash.
+
+        :param crash: a crash
+        :param cause: a request or part
+        :return: whether it was there, and was not proved sound since
+        """
+        if cause not in crash.positions:
+            return False
+        sound_ms = self.sound_ms.get(cause)
+        return sound_ms is None or crash.at_ms > sound_ms
+
+    def find_blamed(self, causes: typing.Iterable[str]) -> list[str]:
+        """Returns the causes for which no upstream may be risked.
+
+        :param causes: what a request consists of
+        :return: those that are blamed
+        """
+        if not self.blamed:
+            return []
+        return [cause for cause in causes if cause in self.blamed]
+
+    # Trials of what is blamed.
+
+    def may_try(
+        self, cause: str, causes: typing.Iterable[str], now_ms: int
+    ) -> bool:
+        """Returns whether a request with a blamed cause may be sent.
+
+        A part is tried with a request that was never there at a crash: it
+        shows more of the part.
+
+        :param cause: the blamed cause
+        :param causes: what the request consists of
+        :param now_ms: the current time
+        :return: whether it is a good trial, and time for one
+        """
+        if cause.startswith(PART_PREFIX) and any(
+            other.startswith(REQUEST_PREFIX) and other in self.present
+            for other in causes
+        ):
+            return False
+        return self.is_trial_due(cause, now_ms)
+
+    def is_trial_due(self, cause: str, now_ms: int) -> bool:
+        """Returns whether it is time for this gateway to try a blamed cause.
+
+        :param cause: a blamed cause
+        :param now_ms: the current time
+        """
+        trials = self.trials.get(cause, NO_TRIALS)
+        delays_ms = trial_delays_ms(cause)
+        if trials.number >= len(delays_ms):
+            return False
+        last_crash_ms = max(
+            self.crashes[crash_id].at_ms for crash_id in self.blamed[cause]
+        )
+        place = self.place(f"{cause}/{trials.number}")
+        since_ms = max(last_crash_ms, trials.last_ms)
+        delay_ms = delays_ms[trials.number] + place * TRIAL_STAGGER_MS
+        return now_ms - since_ms >= delay_ms
+
+    def record_trial(self, cause: str, now_ms: int) -> None:
+        """Records that a request with a blamed cause is sent.
+
+        :param cause: a blamed cause
+        :param now_ms: the current time
+        """
+        number = self.trials.get(cause, NO_TRIALS).number + 1
+        self.trials[cause] = Trials(number, now_ms)
+        self.unsaved = True
+        events.log(events.CRASH_CAUSE_TRIED, cause=cause, trial=number)
+
+    # What others are told and tell.
+
+    def learn(
+        self,
+        crashes: typing.Iterable[CrashReport],
+        sound: typing.Iterable[SoundReport],
+        blames: typing.Iterable[BlameReport],
+        now_ms: int,
+    ) -> None:
+        """Takes over what a peer knows, or what was saved.
+
+        :param crashes: crashes of upstreams
+        :param sound: proofs that causes are sound
+        :param blames: causes that are blamed, with crashes
+        :param now_ms: the time at which the ages in them were true
+        """
+        for proof in sound:
+            self.record_sound((proof.cause,), now_ms - proof.age_ms)
+        for blame in blames:
+            known = self.trials.get(blame.cause, NO_TRIALS)
+            if blame.trials > known.number:
+                last_ms = now_ms - blame.trial_age_ms
+                self.trials[blame.cause] = Trials(blame.trials, last_ms)
+        told = [
+            *crashes,
+            *(crash for blame in blames for crash in blame.crashes),
+        ]
+        for report in told:
+            positions: dict[str, int] = {}
+            merge_positions(positions, report.causes)
+            at_ms = now_ms - report.age_ms
+            self.add_crash(report.id, Crash(at_ms, positions))
+
+    def crash_reports(self, now_ms: int) -> tuple[CrashReport, ...]:
+        """Returns the crashes that peers should know.
+
+        :param now_ms: the current time
+        :return: at most :data:`MAX_CRASHES_TOLD` late ones, the latest first
+        """
+        self.forget_old(now_ms)
+        late = [
+            (crash_id, crash)
+            for crash_id, crash in self.crashes.items()
+            if now_ms - crash.at_ms <= TOLD_MS
+        ]
+        late.sort(key=lambda item: -item[1].at_ms)
+        return tuple(
+            CrashReport(
+                crash_id, now_ms - crash.at_ms, self.suspected_causes(crash)
+            )
+            for crash_id, crash in late[:MAX_CRASHES_TOLD]
+        )
+
+    def suspected_causes(self, crash: Crash) -> tuple[str, ...]:
+        """Returns what may have caused a crash.
+
+        :param crash: a crash
+        :return: causes, parts in their order in the prompts
+        """
+        ordered = sorted(crash.positions, key=crash.positions.__getitem__)
+        return tuple(
+            cause for cause in ordered if self.counts_against(crash, cause)
+        )
+
+    def sound_reports(self, now_ms: int) -> tuple[SoundReport, ...]:
+        """Returns which causes that were there at crashes are sound.
+
+        :param now_ms: the current time
+        :return: at most :data:`MAX_SOUND_TOLD` proofs that are new or concern
+            a late crash, the latest first
+        """
+        late = {
+            cause
+            for crash in self.crashes.values()
+            if now_ms - crash.at_ms <= TOLD_MS
+            for cause in crash.positions
+        }
+        reports = [
+            SoundReport(cause, now_ms - self.sound_ms[cause])
+            for cause in self.present & self.sound_ms.keys()
+            if cause in late or now_ms - self.sound_ms[cause] <= TOLD_MS
+        ]
+        reports.sort(key=lambda report: report.age_ms)
+        return tuple(reports[:MAX_SOUND_TOLD])
+
+    def blames_to_tell(self, now_ms: int) -> tuple[BlameReport, ...]:
+        """Returns the blames that peers are told of this time.
+
+        A gateway that has just started learns all of them in a few rounds.
+
+        :param now_ms: the current time
+        :return: those with a late trial, and up to :data:`MAX_BLAMES_TOLD`
+            more, others in each round
+        """
+        tried = [
+            cause
+            for cause, trials in self.trials.items()
+            if cause in self.blamed and now_ms - trials.last_ms <= TOLD_MS
+        ]
+        others = sorted(self.blamed.keys() - set(tried))
+        first = self.told_next if self.told_next < len(others) else 0
+        self.told_next = first + MAX_BLAMES_TOLD
+        told = tried + others[first : first + MAX_BLAMES_TOLD]
+        return tuple(self.blame_report(cause, now_ms) for cause in told)
+
+    def blames_to_save(self, now_ms: int) -> tuple[BlameReport, ...]:
+        """Returns the blames that must outlive this process.
+
+        :param now_ms: the current time
+        :return: at most :data:`MAX_BLAMES_SAVED`
+        """
+        causes = sorted(self.blamed)[:MAX_BLAMES_SAVED]
+        return tuple(self.blame_report(cause, now_ms) for cause in causes)
+
+    def blame_report(self, cause: str, now_ms: int) -> BlameReport:
+        """Returns a blame as it is told and saved.
+
+        :param cause: a blamed cause
+        :param now_ms: the current time
+        """
+        crashes = [
+            (self.crashes[crash_id].at_ms, crash_id)
+            for crash_id in self.blamed[cause]
+        ]
+        trials = self.trials.get(cause, NO_TRIALS)
+        return BlameReport(
+            cause,
+            tuple(
+                CrashReport(crash_id, now_ms - at_ms, (cause,))
+                for at_ms, crash_id in last_apart(
+                    crashes, crash_spacing_ms(cause)
+                )
+            ),
+            trials.number,
+            now_ms - trials.last_ms if trials.number else 0,
+        )
+
+    # Bounds.
+
+    def forget_old(self, now_ms: int) -> None:
+        """Forgets crashes and trials of long ago.
+
+        :param now_ms: the current time
+        """
+        old = [
+            crash_id
+            for crash_id, crash in self.crashes.items()
+            if now_ms - crash.at_ms > MEMORY_MS
+        ]
+        for crash_id in old:
+            del self.crashes[crash_id]
+        if old:
+            self.update_present()
+            self.update_blame()
+        for cause, trials in list(self.trials.items()):
+            if now_ms - trials.last_ms > MEMORY_MS:
+                del self.trials[cause]
+
+    def forget_excess(self) -> None:
+        """Forgets the oldest crashes, those that are explained last."""
+        if len(self.crashes) <= MAX_CRASHES:
+            return
+        explained = {
+            crash_id
+            for crash_ids in self.blamed.values()
+            for crash_id in crash_ids
+        }
+        oldest = min(
+            self.crashes,
+            key=lambda crash_id: (
+                crash_id in explained,
+                self.crashes[crash_id].at_ms,
+            ),
+        )
+        del self.crashes[oldest]
+        self.update_present()
+
+    def update_present(self) -> None:
+        """Collects anew the causes that were there at known crashes."""
+        self.present = {
+            cause
+            for crash in self.crashes.values()
+            for cause in crash.positions
+        }
+
+
+def merge_positions(
+    positions: dict[str, int], causes: typing.Sequence[str]
+) -> None:
+    """Adds the causes of one request to those of a crash.
+
+    :param positions: how specific each cause is, which is changed
+    :param causes: parts in their order in the prompt, and the whole
+    """
+    for index, cause in enumerate(causes):
+        is_request = cause.startswith(REQUEST_PREFIX)
+        position = REQUEST_POSITION if is_request else index
+        positions[cause] = max(position, positions.get(cause, 0))
+
+
+def crash_spacing_ms(cause: str) -> int:
+    """Returns how far apart crashes count each by itself.
+
+    :param cause: a request or part
+    """
+    if cause.startswith(REQUEST_PREFIX):
+        return REQUEST_CRASH_SPACING_MS
+    return PART_CRASH_SPACING_MS
+
+
+def trial_delays_ms(cause: str) -> tuple[int, ...]:
+    """Returns the time before each trial of a cause.
+
+    :param cause: a request or part
+    """
+    if cause.startswith(REQUEST_PREFIX):
+        return REQUEST_TRIAL_DELAYS_MS
+    return PART_TRIAL_DELAYS_MS
+
+
+def count_apart(times_ms: typing.Iterable[int], spacing_ms: int) -> int:
+    """Counts times, those close together as one.
+
+    :param times_ms: times in milliseconds, in any order
+    :param spacing_ms: from when on times count each by itself
+    :return: how many lie at least that long after the one counted before
+    """
+    count = 0
+    last_ms: int | None = None
+    for at_ms in sorted(times_ms):
+        if last_ms is None or at_ms - last_ms >= spacing_ms:
+            count += 1
+            last_ms = at_ms
+    return count
+
+
+def last_apart(
+    crashes: typing.Iterable[tuple[int, str]], spacing_ms: int
+) -> list[tuple[int, str]]:
+    """Returns the last crashes that suffice for a blame.
+
+    :param crashes: times in milliseconds, with ids
+    :param spacing_ms: from when on crashes count each by itself
+    :return: the latest of them, each at least that long before the next
+    """
+    found: list[tuple[int, str]] = []
+    for at_ms, crash_id in sorted(crashes, reverse=True):
+        if not found or found[-1][0] - at_ms >= spacing_ms:
+            found.append((at_ms, crash_id))
+        if len(found) == CRASHES_BEFORE_BLAME:
+            break
+    return found
--- a/godwitloft/gateway/crash_tracker.py
+++ b/godwitloft/gateway/crash_tracker.py
@@ -1,15 +1,13 @@
 """Detects requests that crash the upstreams which run them."""
 
-import collections
 import dataclasses
+import typing
 
 from godwitloft import events
-from godwitloft.gateway import part_crashes
+from godwitloft.gateway import crash_causes
 from godwitloft.gateway import peer_status
-from godwitloft.gateway import sharing
 
-CRASHES_BEFORE_REFUSAL = 3
-CRASH_MEMORY_MS = 60_000
+SUSPECT_MEMORY_MS = 60_000
 # An upstream that refuses connections within this time after it broke off
 # requests has crashed, and these requests are suspects.
 SUSPECT_TIMEOUT_MS = 1_500
@@ -22,32 +20,26 @@
     """A request that an upstream broke off.
 
     :param at_ms: when it was broken off
-    :param fingerprint: fingerprint of the request
-    :param parts: shared parts of its prompt, if its answer had hardly begun
+    :param causes: what in it may have crashed the upstream
     """
 
     at_ms: int
-    fingerprint: bytes
-    parts: tuple[str, ...] = ()
+    causes: tuple[str, ...]
 
 
 class CrashTracker:
     """Records which requests were running when upstreams crashed.
 
-    :param peers: crashes seen by other gateways
+    :param place: returns the place of this gateway among all of them, see
+        :class:`godwitloft.gateway.crash_causes.CrashCauses`
     """
 
-    def __init__(self, peers: sharing.Sharing) -> None:
-        self.peers = peers
+    def __init__(self, place: typing.Callable[[str], int]) -> None:
         # Broken requests whose upstreams may have crashed.
         self.suspects: dict[peer_status.Life, list[Broken]] = {}
         # When each upstream with suspects was last checked.
         self.checked_ms: dict[peer_status.Life, int] = {}
-        self.parts = part_crashes.PartCrashes()
-        self.crash_times: dict[bytes, list[int]] = {}
-        self.recent: collections.deque[bytes] = collections.deque(
-            maxlen=sharing.MAX_CRASHES_ANNOUNCED
-        )
+        self.causes = crash_causes.CrashCauses(place)
 
     def record_broken(
         self, upstream: peer_status.Life, broken: Broken
@@ -66,7 +58,7 @@
         :param now_ms: the current time
         """
         for upstream, suspects in list(self.suspects.items()):
-            if now_ms - suspects[-1].at_ms > CRASH_MEMORY_MS:
+            if now_ms - suspects[-1].at_ms > SUSPECT_MEMORY_MS:
                 del self.suspects[upstream]
                 self.checked_ms.pop(upstream, None)
 
@@ -97,19 +89,18 @@
             for broken in self.suspects.pop(upstream, ())
             if now_ms - broken.at_ms <= SUSPECT_TIMEOUT_MS
         ]
-        for broken in crashed:
-            times = self.crash_times.setdefault(broken.fingerprint, [])
-            times.append(now_ms)
-            self.recent.append(broken.fingerprint)
-            self.parts.record_crash(
-                broken.parts, f"{upstream.id}/{upstream.born_ms}", broken.at_ms
-            )
-        if crashed:
-            events.log(
-                events.UPSTREAM_CRASHED,
-                upstream=upstream.id,
-                requests=len(crashed),
-            )
+        if not crashed:
+            return
+        self.causes.record_crash(
+            [broken.causes for broken in crashed],
+            f"{upstream.id}/{upstream.born_ms}",
+            max(broken.at_ms for broken in crashed),
+        )
+        events.log(
+            events.UPSTREAM_CRASHED,
+            upstream=upstream.id,
+            requests=len(crashed),
+        )
 
     def record_alive(self, upstream: peer_status.Life, since_ms: int) -> None:
         """Records that an upstream lived on after it broke off requests.
@@ -128,21 +119,29 @@
             del self.suspects[upstream]
             self.checked_ms.pop(upstream, None)
 
-    def is_crashing(self, fingerprint: bytes, now_ms: int) -> bool:
-        """Returns whether a request has crashed several upstreams.
+    def refused_cause(
+        self, causes: tuple[str, ...], now_ms: int
+    ) -> str | None:
+        """Returns why a request must not be sent, if it is blamed for crashes.
 
-        :param fingerprint: fingerprint of the request
+        :param causes: what may crash an upstream in it
         :param now_ms: the current time
-        :return: whether it must not run again
+        :return: a blamed cause of which no trial is due, None if it may be
+            sent
         """
-        crash_times = [
-            crashed_ms
-            for crashed_ms in self.crash_times.get(fingerprint, ())
-            if now_ms - crashed_ms < CRASH_MEMORY_MS
-        ]
-        if crash_times:
-            self.crash_times[fingerprint] = crash_times
-        else:
-            self.crash_times.pop(fingerprint, None)
-        count = len(crash_times) + self.peers.peer_crashes(fingerprint)
-        return count >= CRASHES_BEFORE_REFUSAL
+        for cause in self.causes.find_blamed(causes):
+            if not self.causes.may_try(cause, causes, now_ms):
+                return cause
+        return None
+
+    def record_sent(self, causes: tuple[str, ...], now_ms: int) -> bool:
+        """Records that a request is sent.
+
+        :param causes: what may crash an upstream in it
+        :param now_ms: the current time
+        :return: whether it is a trial, of which peers must be told at once
+        """
+        blamed = self.causes.find_blamed(causes)
+        for cause in blamed:
+            self.causes.record_trial(cause, now_ms)
+        return bool(blamed)
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -144,7 +144,7 @@
             self.fleet,
             self.confirmation,
             contact,
-            self.retry_policy.crashes.parts,
+            self.retry_policy.crashes.causes,
             lambda state: self.mark_leaving(state, "peer"),
         )
         sharing.own_status = self.knowledge.status
@@ -195,9 +195,7 @@
     def announce(self) -> None:
         """Announces usage to other gateways and asks a poller, each if due."""
         self.confirmation.ask_if_due()
-        self.dependencies.sharing.announce_if_due(
-            tuple(self.retry_policy.crashes.recent)
-        )
+        self.dependencies.sharing.announce_if_due()
 
     def update_upstreams(self, upstreams: dict[str, model.Upstream]) -> None:
         """Replaces the list of upstreams.
@@ -381,6 +379,8 @@
         facts = request.facts
         if not self.still_permitted(request, now_ms):
             return
+        if self.retry_policy.crashes.record_sent(facts.crash_causes, now_ms):
+            self.dependencies.sharing.must_announce = True
         if facts.team is not None and request.use is not None:
             request.use = self.dependencies.sharing.move_to_now(
                 facts.team, request.use
@@ -645,8 +645,8 @@
             if attempt_outcome.result is outcomes.Result.BROKEN:
                 self.check_upstream(state)
         if attempt_outcome.result is outcomes.Result.DELIVER:
-            if not request.proved_sound and answer.is_valid_success():
-                self.record_sound(request)
+            if answer.is_valid_success():
+                self.record_complete(request)
             answer.deliver()
             self.end(request, outcomes.COMPLETED, attempt_outcome.reason)
         elif self.retry_policy.may_retry(request, attempt_outcome, now_ms):
@@ -680,15 +680,28 @@
         self.dependencies.check_connection(state.upstream, on_checked)
 
     def record_sound(self, request: requests.Request) -> None:
-        """Records that a request's prompt does not crash its upstream.
+        """Records that no part of a prompt crashes the upstream.
 
         :param request: a request that was answered for a while, or to the end
         """
         request.proved_sound = True
-        self.retry_policy.crashes.parts.record_sound(
-            request.facts.shared_parts, self.clock.monotonic_ms()
+        self.retry_policy.crashes.causes.record_sound(
+            request.facts.part_causes, self.clock.monotonic_ms()
         )
 
+    def record_complete(self, request: requests.Request) -> None:
+        """Records that a request does not crash its upstream.
+
+        :param request: a request that was answered to the end
+        """
+        if not request.proved_sound:
+            self.record_sound(request)
+        causes = self.retry_policy.crashes.causes
+        if request.facts.request_cause in causes.present:
+            causes.record_sound(
+                (request.facts.request_cause,), self.clock.monotonic_ms()
+            )
+
     def release(
         self, request: requests.Request
     ) -> fleets.UpstreamState | None:
--- a/godwitloft/gateway/peer_status.py
+++ b/godwitloft/gateway/peer_status.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from godwitloft.gateway import part_crashes
+from godwitloft.gateway import crash_causes
 from godwitloft.links.generated.datagrams import ttypes
 
 
@@ -44,17 +44,18 @@
     :param leaving: upstreams that have lately said that they are leaving
     :param store_up: when the store was up, by the gateway's own knowledge;
         None if it never was
-    :param crashes: crashes of upstreams, with the parts of prompts that may
-        have caused them
-    :param sound_parts: those of these parts that are sound
+    :param crashes: crashes of upstreams, with what may have caused them
+    :param sound: which of these causes are sound
+    :param blames: what is blamed for crashes
     """
 
     version: int = 0
     timeline: int | None = None
     leaving: tuple[Life, ...] = ()
     store_up: StoreUp | None = None
-    crashes: tuple[part_crashes.CrashReport, ...] = ()
-    sound_parts: tuple[part_crashes.SoundReport, ...] = ()
+    crashes: tuple[crash_causes.CrashReport, ...] = ()
+    sound: tuple[crash_causes.SoundReport, ...] = ()
+    blames: tuple[crash_causes.BlameReport, ...] = ()
 
 
 def encode(status: PeerStatus, sharing: ttypes.Sharing) -> None:
@@ -72,13 +73,18 @@
     if status.store_up is not None:
         sharing.store_seen_age_ms = status.store_up.age_ms
         sharing.store_up_ms = status.store_up.length_ms
-    sharing.crashes = [
-        ttypes.Crash(crash.id, crash.age_ms, list(crash.parts))
-        for crash in status.crashes
-    ] or None
+    sharing.crashes = [encode_crash(crash) for crash in status.crashes] or None
     sharing.sound = [
-        ttypes.SoundPart(proof.part, proof.age_ms)
-        for proof in status.sound_parts
+        ttypes.Sound(proof.cause, proof.age_ms) for proof in status.sound
+    ] or None
+    sharing.blames = [
+        ttypes.Blame(
+            blame.cause,
+            [encode_crash(crash) for crash in blame.crashes],
+            blame.trials,
+            blame.trial_age_ms,
+        )
+        for blame in status.blames
     ] or None
 
 
@@ -96,16 +102,43 @@
             for entry in sharing.leaving or ()
         ),
         store_up=decode_store_up(sharing),
-        crashes=tuple(
-            part_crashes.CrashReport(
-                crash.id, max(0, crash.age_ms), tuple(crash.parts)
-            )
-            for crash in sharing.crashes or ()
-        ),
-        sound_parts=tuple(
-            part_crashes.SoundReport(proof.part, max(0, proof.age_ms))
+        crashes=decode_crashes(sharing.crashes),
+        sound=tuple(
+            crash_causes.SoundReport(proof.cause, max(0, proof.age_ms))
             for proof in sharing.sound or ()
         ),
+        blames=tuple(
+            crash_causes.BlameReport(
+                blame.cause,
+                decode_crashes(blame.crashes),
+                blame.trials,
+                max(0, blame.trial_age_ms),
+            )
+            for blame in sharing.blames or ()
+        ),
+    )
+
+
+def encode_crash(crash: crash_causes.CrashReport) -> ttypes.Crash:
+    """Returns a crash as it is sent.
+
+    :param crash: the crash
+    """
+    return ttypes.Crash(crash.id, crash.age_ms, list(crash.causes))
+
+
+def decode_crashes(
+    crashes: list[ttypes.Crash] | None,
+) -> tuple[crash_causes.CrashReport, ...]:
+    """Returns crashes as they were told.
+
+    :param crashes: as received, None for none
+    """
+    return tuple(
+        crash_causes.CrashReport(
+            crash.id, max(0, crash.age_ms), tuple(crash.causes)
+        )
+        for crash in crashes or ()
     )
 
 
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -2,17 +2,18 @@
 
 import dataclasses
 import enum
+import functools
 import hashlib
 import typing
 
 from godwitloft import attempt as attempts
 from godwitloft.gateway import allowance
+from godwitloft.gateway import crash_causes
 from godwitloft.gateway import dialect as dialects
 from godwitloft.gateway import fleet
 from godwitloft.gateway import headers as header_lists
 from godwitloft.gateway import http_server
 from godwitloft.gateway import model
-from godwitloft.gateway import part_crashes
 
 if typing.TYPE_CHECKING:
     from godwitloft.gateway import answer as answers
@@ -80,6 +81,21 @@
     fingerprint: bytes
     shared_parts: tuple[str, ...] = ()
 
+    @functools.cached_property
+    def request_cause(self) -> str:
+        """The whole request as a cause of crashes."""
+        return crash_causes.request_cause(self.fingerprint)
+
+    @functools.cached_property
+    def part_causes(self) -> tuple[str, ...]:
+        """The shared parts of its prompt as causes of crashes."""
+        return crash_causes.part_causes(self.shared_parts)
+
+    @property
+    def crash_causes(self) -> tuple[str, ...]:
+        """What in it may crash an upstream."""
+        return (*self.part_causes, self.request_cause)
+
     @property
     def may_repeat(self) -> bool:
         """Whether the request may run more than once."""
@@ -157,18 +173,19 @@
         """
         return (
             self.answering_since_ms > 0
-            and now_ms - self.answering_since_ms >= part_crashes.SOUND_AFTER_MS
+            and now_ms - self.answering_since_ms >= crash_causes.SOUND_AFTER_MS
         )
 
-    def unproved_parts(self, now_ms: int) -> tuple[str, ...]:
-        """Returns the parts that may have crashed its upstream just now.
+    def unproved_causes(self, now_ms: int) -> tuple[str, ...]:
+        """Returns what in it may have crashed its upstream just now.
 
         :param now_ms: the current time
-        :return: its shared parts, none if its answer had gone on for a while
+        :return: the whole request, and the shared parts of its prompt unless
+            its answer had gone on for a while
         """
         if self.proved_sound or self.has_answered_for_long(now_ms):
-            return ()
-        return self.facts.shared_parts
+            return (self.facts.request_cause,)
+        return self.facts.crash_causes
 
 
 def read_sizes(
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -22,7 +22,7 @@
     """Retry budgets and recent failures.
 
     :param fleet: the upstreams
-    :param sharing: number of gateways, and crashes seen by them
+    :param sharing: the other gateways
     :param settings: limits on retries, of all gateways together
     """
 
@@ -35,7 +35,7 @@
         self.fleet = fleet
         self.sharing = sharing
         self.settings = settings
-        self.crashes = crash_tracker.CrashTracker(sharing)
+        self.crashes = crash_tracker.CrashTracker(sharing.place)
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
 
     def budget(self, service: str) -> retry_budget.RetryBudget:
@@ -82,11 +82,7 @@
         if attempt_outcome.result is outcomes.Result.BROKEN:
             self.crashes.record_broken(
                 state.life,
-                crash_tracker.Broken(
-                    now_ms,
-                    request.facts.fingerprint,
-                    request.unproved_parts(now_ms),
-                ),
+                crash_tracker.Broken(now_ms, request.unproved_causes(now_ms)),
             )
         elif unreachable:
             self.crashes.record_unreachable(state.life, now_ms)
@@ -184,9 +180,7 @@
             return "attempts_used"
         if facts.deadline_ms <= now_ms:
             return "deadline"
-        if self.crashes.is_crashing(facts.fingerprint, now_ms):
-            return "crashes_upstreams"
-        if self.crashes.parts.find_blamed(facts.shared_parts) is not None:
+        if self.crashes.causes.find_blamed(facts.crash_causes):
             return "crashes_upstreams"
         states = self.fleet.usable(facts.service)
         if all(
--- a/godwitloft/gateway/shared_knowledge.py
+++ b/godwitloft/gateway/shared_knowledge.py
@@ -3,8 +3,8 @@
 import typing
 
 from godwitloft import clock as clocks
+from godwitloft.gateway import crash_causes
 from godwitloft.gateway import fleet as fleets
-from godwitloft.gateway import part_crashes
 from godwitloft.gateway import peer_confirmation
 from godwitloft.gateway import peer_status
 from godwitloft.gateway import sharing as sharings
@@ -27,7 +27,7 @@
     :param fleet: the upstreams
     :param confirmation: knows the version of the configuration
     :param contact: when the store is known to have been up
-    :param parts: crashes of upstreams and the parts of prompts blamed for them
+    :param causes: crashes of upstreams, and what is blamed for them
     :param on_leaving: called with an upstream of which a peer says that it is
         leaving
     """
@@ -39,7 +39,7 @@
         fleet: fleets.Fleet,
         confirmation: peer_confirmation.PeerConfirmation,
         contact: store_contacts.StoreContact,
-        parts: part_crashes.PartCrashes,
+        causes: crash_causes.CrashCauses,
         on_leaving: typing.Callable[[fleets.UpstreamState], None],
     ) -> None:
         self.clock = clock
@@ -47,7 +47,7 @@
         self.fleet = fleet
         self.confirmation = confirmation
         self.contact = contact
-        self.parts = parts
+        self.causes = causes
         self.on_leaving = on_leaving
         # Set by an adapter whose store has timelines.
         self.store_timeline: typing.Callable[[], int | None] = _no_timeline
@@ -67,8 +67,9 @@
             timeline=self.store_timeline(),
             leaving=leaving[:MAX_LEAVING_TOLD],
             store_up=self.store_up(now_ms),
-            crashes=self.parts.crash_reports(now_ms),
-            sound_parts=self.parts.sound_reports(now_ms),
+            crashes=self.causes.crash_reports(now_ms),
+            sound=self.causes.sound_reports(now_ms),
+            blames=self.causes.blames_to_tell(now_ms),
         )
 
     def store_up(self, now_ms: int) -> peer_status.StoreUp | None:
@@ -96,36 +97,34 @@
             until_ms = now_ms - status.store_up.age_ms
             since_ms = until_ms - status.store_up.length_ms
             self.contact.record_peer(store_contacts.Span(since_ms, until_ms))
-        self.parts.learn(status.crashes, status.sound_parts, now_ms)
+        self.causes.learn(status.crashes, status.sound, status.blames, now_ms)
         for life in status.leaving:
             state = self.fleet.state_of(life)
             if state is not None:
                 self.on_leaving(state)
 
-    def crash_reports(self) -> tuple[part_crashes.CrashReport, ...]:
-        """Returns the crashes to be saved, if parts of prompts are blamed."""
-        if not self.parts.blamed_parts:
-            return ()
-        return self.parts.crash_reports(self.clock.monotonic_ms())
+    def blame_reports(self) -> tuple[crash_causes.BlameReport, ...]:
+        """Returns the blames to be saved."""
+        return self.causes.blames_to_save(self.clock.monotonic_ms())
 
-    def restore_crashes(
-        self, saved: tuple[part_crashes.CrashReport, ...], age_ms: int
+    def restore_blames(
+        self, saved: tuple[crash_causes.BlameReport, ...], age_ms: int
     ) -> None:
-        """Takes over crashes of upstreams from before a restart.
+        """Takes over blames from before a restart.
 
         :param saved: what this gateway or a peer had saved
         :param age_ms: how long ago it was saved
         """
         saved_ms = self.clock.monotonic_ms() - age_ms
-        self.parts.learn(saved, (), saved_ms)
+        self.causes.learn((), (), saved, saved_ms)
 
     def needs_saving(self) -> bool:
-        """Returns whether usage or crashes should be saved soon."""
-        return self.parts.unsaved or self.sharing.needs_saving()
+        """Returns whether usage or blames should be saved soon."""
+        return self.causes.unsaved or self.sharing.needs_saving()
 
     def mark_saved(self) -> None:
-        """Records that usage and crashes are about to be saved."""
-        self.parts.unsaved = False
+        """Records that usage and blames are about to be saved."""
+        self.causes.unsaved = False
         self.sharing.mark_saved()
 
 
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -10,6 +10,7 @@
 """
 
 import dataclasses
+import hashlib
 import math
 import typing
 
@@ -46,7 +47,6 @@
 # been used since the last save.
 MAX_UNSAVED_SHARE = 0.25
 MAX_TEAMS_ANNOUNCED = 20
-MAX_CRASHES_ANNOUNCED = 20
 MIN_DEMAND = 1.0
 
 # Tokens used by each team in consecutive intervals, the latest first.
@@ -60,7 +60,6 @@
     :param demands: tokens per second, by team
     :param committed: tokens used in the window of the limit plus reserved
         tokens, by team
-    :param crashing: fingerprints of requests that crashed upstreams
     :param received_ms: when the announcement was received
     :param usage_lost: whether it does not know what it had used before it was
         restarted
@@ -68,7 +67,6 @@
 
     demands: dict[str, float]
     committed: dict[str, float]
-    crashing: tuple[bytes, ...]
     received_ms: int
     usage_lost: bool = False
 
@@ -104,7 +102,6 @@
         # When a full burst of early announcements is available again.
         self.early_until_ms = 0
         self.teams: dict[str, model.Team] = {}
-        self.crashing: tuple[bytes, ...] = ()
         self.restored = False
         self.former_uses = former_use.FormerUses(clock, tolerance.window_ms)
         self.clock = clock
@@ -271,6 +268,17 @@
         max_unannounced = spare + UNANNOUNCED_SHARE * remaining
         return unannounced + tokens <= max_unannounced / self.gateways
 
+    def place(self, subject: str) -> int:
+        """Returns the place of this gateway among all gateways.
+
+        :param subject: text for which the order is made
+        :return: from 0 on
+        """
+        return sum(
+            _order(subject, name) < _order(subject, self.instance)
+            for name in self.hosts
+        )
+
     def is_alive(self, name: str, now_ms: int) -> bool:
         """Returns whether a gateway has sent an announcement lately.
 
@@ -313,7 +321,7 @@
             return
         received_ms = self.clock.monotonic_ms() - PEER_TIMEOUT_MS - age_ms - 1
         sums = {team: sum(tokens) for team, tokens in used.items()}
-        self.peers[name] = Peer({}, sums, (), received_ms)
+        self.peers[name] = Peer({}, sums, received_ms)
 
     def usage(self) -> Usage:
         """Returns this gateway's usage, to be saved.
@@ -378,7 +386,7 @@
         self.reserved[team.name] = max(0.0, -excess)
         self.unsaved[team.name] = self.unsaved.get(team.name, 0.0) + tokens
         use = self.window(team.name).add(tokens, now_ms)
-        self.announce_if_due(self.crashing)
+        self.announce_if_due()
         return use
 
     def move_to_now(
@@ -406,12 +414,8 @@
             MAX_ANNOUNCE_INTERVAL_MS, max(ANNOUNCE_INTERVAL_MS, interval_ms)
         )
 
-    def announce_if_due(self, crashing: tuple[bytes, ...]) -> None:
-        """Sends an announcement to all peers if one is due.
-
-        :param crashing: fingerprints of requests that crashed upstreams
-        """
-        self.crashing = crashing
+    def announce_if_due(self) -> None:
+        """Sends an announcement to all peers if one is due."""
         now_ms = self.clock.monotonic_ms()
         if now_ms - self.last_announced_ms >= self.announce_interval_ms():
             self.announce(now_ms)
@@ -449,9 +453,8 @@
             for name, used in self.largest_uses(now_ms)
             if self.is_active(name, used, now_ms)
         ]
-        crashing = list(self.crashing[-MAX_CRASHES_ANNOUNCED:])
         self.last_announced_ms = now_ms
-        self.send_to_peers(team_demands, crashing, partial=False)
+        self.send_to_peers(team_demands, partial=False)
 
     def announce_excess(self, now_ms: int) -> None:
         """Announces only the teams that used more than was announced.
@@ -465,7 +468,7 @@
             self.team_demand(name, self.window(name).total(now_ms), now_ms)
             for name in self.unannounced
         ]
-        self.send_to_peers(team_demands, [], partial=True)
+        self.send_to_peers(team_demands, partial=True)
 
     def team_demand(
         self, team: str, used: float, now_ms: int
@@ -486,13 +489,11 @@
     def send_to_peers(
         self,
         team_demands: list[ttypes.TeamDemand],
-        crashing: list[bytes],
         partial: bool,
     ) -> None:
         """Sends a datagram to all peers.
 
         :param team_demands: demands and committed tokens of teams
-        :param crashing: fingerprints of requests that crashed upstreams
         :param partial: whether teams that are missing are unchanged
         """
         self.must_announce = False
@@ -500,7 +501,7 @@
         sharing = ttypes.Sharing(
             gateway=self.instance,
             demands=team_demands,
-            crashing=crashing,
+            crashing=[],
             partial=partial or None,
         )
         if self.is_usage_lost():
@@ -551,7 +552,6 @@
         committed = {
             demand.team: demand.committed for demand in sharing.demands
         }
-        crashing = tuple(sharing.crashing)
         self.former_uses.heard_peer = True
         usage_lost = bool(sharing.usage_lost)
         if usage_lost and previous is not None and not previous.usage_lost:
@@ -567,11 +567,9 @@
         if sharing.partial and previous is not None:
             rates = previous.demands | rates
             committed = previous.committed | committed
-            crashing = previous.crashing
         self.peers[sharing.gateway] = Peer(
             demands=rates,
             committed=committed,
-            crashing=crashing,
             received_ms=self.clock.monotonic_ms(),
             usage_lost=usage_lost,
         )
@@ -596,15 +594,10 @@
         )
         self.send(datagrams.encode(sharing=answer), (host, self.port))
 
-    def peer_crashes(self, fingerprint: bytes) -> int:
-        """Returns how often peers have seen a request crash an upstream.
 
-        :param fingerprint: fingerprint of the request
-        :return: number of crashes
-        """
-        return sum(
-            peer.crashing.count(fingerprint) for peer in self.peers.values()
-        )
+def _order(subject: str, instance: str) -> bytes:
+    text = f"{subject}/{instance}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
 
 
 def _ignore_status(_status: peer_status.PeerStatus) -> None:
--- a/godwitloft/links/datagrams.thrift
+++ b/godwitloft/links/datagrams.thrift
@@ -46,24 +46,32 @@
                                     // limit, with those set aside
 }
 
-/* A crash of an upstream while answers to requests began there. */
+/* A crash of an upstream that ran requests. */
 struct Crash {
   1: required string id             // the same at all gateways
   2: required i64 age_ms
-  3: required list<string> parts    // of the requests' prompts
+  3: required list<string> causes   // what may have caused it
 }
 
-/* An upstream has answered on a part of prompts for a while. */
-struct SoundPart {
-  1: required string part           // id of the part
+/* An upstream has answered to a request or part, and not crashed. */
+struct Sound {
+  1: required string cause
   2: required i64 age_ms
 }
 
+/* A request or part is blamed for crashes. */
+struct Blame {
+  1: required string cause
+  2: required list<Crash> crashes   // the last ones, without other causes
+  3: required i32 trials            // that were sent all the same
+  4: required i64 trial_age_ms      // since the last of them
+}
+
 /* A gateway tells another one what limits they share. */
 struct Sharing {
   1: required string gateway        // name of the sender's instance
   2: required list<TeamDemand> demands
-  3: required list<binary> crashing // fingerprints that broke upstreams
+  3: required list<binary> crashing // always empty; older gateways need it
   4: optional bool partial          // other teams are as they were told
   5: optional i64 version           // of the configuration in force
   6: optional i64 timeline          // newest known timeline of the store
@@ -76,8 +84,9 @@
                                     // store was up
   11: optional i64 store_up_ms      // how long it had been up by then without
                                     // an outage
-  12: optional list<Crash> crashes  // of upstreams, with parts of prompts
-  13: optional list<SoundPart> sound // parts that were there, and are sound
+  12: optional list<Crash> crashes  // of upstreams, lately
+  13: optional list<Sound> sound    // what was there, and is sound
+  14: optional list<Blame> blames
 }
 
 /* A gateway asks another one how new what it holds is. */
--- a/godwitloft/platform/lease_row.py
+++ b/godwitloft/platform/lease_row.py
@@ -4,7 +4,7 @@
 import dataclasses
 import json
 
-from godwitloft.gateway import part_crashes
+from godwitloft.gateway import crash_causes
 from godwitloft.gateway import sharing
 from godwitloft.platform import rows
 
@@ -17,13 +17,13 @@
     :param renewed_ms: when it renewed its lease, on the store's clock, in
         milliseconds
     :param usage: its usage of the teams' allowances
-    :param crashes: crashes of upstreams for which parts of prompts are blamed
+    :param blames: what is blamed for crashes of upstreams
     """
 
     host: str
     renewed_ms: int
     usage: sharing.Usage
-    crashes: tuple[part_crashes.CrashReport, ...] = ()
+    blames: tuple[crash_causes.BlameReport, ...] = ()
 
 
 def encode(row: LeaseRow) -> str:
@@ -41,7 +41,7 @@
         "renewed_ms": row.renewed_ms,
         "host": row.host,
         "used": usage,
-        "crashes": [dataclasses.asdict(crash) for crash in row.crashes],
+        "blames": [encode_blame(blame) for blame in row.blames],
     }
     return base64.b64encode(json.dumps(content).encode()).decode()
 
@@ -60,20 +60,42 @@
         fields.text("host"),
         int(fields.number("renewed_ms")),
         {team: usage.numbers(team) for team in usage.value},
-        tuple(decode_crash(entry) for entry in fields.objects("crashes")),
+        tuple(decode_blame(entry) for entry in fields.objects("blames")),
     )
 
 
-def decode_crash(fields: rows.Fields) -> part_crashes.CrashReport:
-    """Decodes a crash of an upstream.
+def encode_blame(blame: crash_causes.BlameReport) -> dict[str, object]:
+    """Returns a blame as it is saved.
+
+    :param blame: the blame
+    :return: a JSON object
+    """
+    return {
+        "cause": blame.cause,
+        "crashes": [
+            {"id": crash.id, "age_ms": crash.age_ms} for crash in blame.crashes
+        ],
+        "trials": blame.trials,
+        "trial_age_ms": blame.trial_age_ms,
+    }
+
+
+def decode_blame(fields: rows.Fields) -> crash_causes.BlameReport:
+    """Decodes a blame.
 
     :param fields: its JSON object
-    :return: the crash
+    :return: the blame
     :raises RowError: if it is invalid
     """
-    parts = fields.items("parts")
-    if not all(isinstance(part, str) for part in parts):
-        raise fields.error("parts", "has entries that are not strings")
-    return part_crashes.CrashReport(
-        fields.text("id"), int(fields.number("age_ms")), tuple(parts)
+    cause = fields.text("cause")
+    return crash_causes.BlameReport(
+        cause,
+        tuple(
+            crash_causes.CrashReport(
+                crash.text("id"), int(crash.number("age_ms")), (cause,)
+            )
+            for crash in fields.objects("crashes")
+        ),
+        int(fields.number("trials")),
+        int(fields.number("trial_age_ms")),
     )
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -13,8 +13,8 @@
 
 from godwitloft import clock as clocks
 from godwitloft import events
+from godwitloft.gateway import crash_causes
 from godwitloft.gateway import model
-from godwitloft.gateway import part_crashes
 from godwitloft.gateway import peer_confirmation as peer_confirmations
 from godwitloft.gateway import sharing
 from godwitloft.gateway import upstream_list as upstream_lists
@@ -67,11 +67,11 @@
         and its age in milliseconds
     :param on_peer_usage_restored: called at the start with the name of
         another gateway, its saved usage and the age in milliseconds
-    :param on_crashes_restored: called at the start with the crashes of
-        upstreams that a gateway had saved, and the age in milliseconds
+    :param on_blames_restored: called at the start with what a gateway had
+        saved of blames for crashes, and the age in milliseconds
     :param usage: returns the usage of this process by team
-    :param crashes: returns the crashes for which parts of prompts are blamed
-    :param needs_saving: returns whether usage or crashes have changed much
+    :param blames: returns what is blamed for crashes
+    :param needs_saving: returns whether usage or blames have changed much
         since they were saved
     :param before_save: called just before both are written
     :param on_restored: called with the time at which a restore of the store
@@ -88,11 +88,11 @@
     on_gateways: typing.Callable[[dict[str, str]], None]
     on_usage_restored: typing.Callable[[sharing.Usage | None, int], None]
     on_peer_usage_restored: typing.Callable[[str, sharing.Usage, int], None]
-    on_crashes_restored: typing.Callable[
-        [tuple[part_crashes.CrashReport, ...], int], None
+    on_blames_restored: typing.Callable[
+        [tuple[crash_causes.BlameReport, ...], int], None
     ]
     usage: typing.Callable[[], sharing.Usage]
-    crashes: typing.Callable[[], tuple[part_crashes.CrashReport, ...]]
+    blames: typing.Callable[[], tuple[crash_causes.BlameReport, ...]]
     needs_saving: typing.Callable[[], bool]
     before_save: typing.Callable[[], None]
     on_restored: typing.Callable[[int], None]
@@ -535,7 +535,7 @@
                 continue
             age_ms = max(0, result.now_ms - holder.renewed_ms)
             if not self.usage_restored:
-                self.callbacks.on_crashes_restored(holder.crashes, age_ms)
+                self.callbacks.on_blames_restored(holder.blames, age_ms)
                 if row.key != self.instance:
                     self.callbacks.on_peer_usage_restored(
                         row.key, holder.usage, age_ms
@@ -561,7 +561,7 @@
             host=self.host,
             renewed_ms=now_ms + self.store_clock_offset_ms,
             usage=self.callbacks.usage(),
-            crashes=self.callbacks.crashes(),
+            blames=self.callbacks.blames(),
         )
         value = lease_row.encode(row)
         yield self.store.put(GATEWAY_TABLE, self.instance, value)
