--- /dev/null
+++ b/features/named_limits.feature
@@ -0,0 +1,105 @@
+Feature: Upstreams that name a limit get no more requests than that
+
+  A limit is a number of requests a second, for all gateways together, for as
+  long as the answers of the upstream say so.
+
+  # Guards against a limit that is not read, or that each gateway keeps alone.
+  Scenario Outline: An engine gets what its limit allows: <gateways> gateways, <engines> engines, <limit> a second
+    Given <gateways> gateways before <engines> engines that may name limits
+    When requests come each <gap> ms for 3 s
+    And engine "u0" names a limit of <limit> a second
+    And requests come each <gap> ms for 20 s
+    Then no engine got more than its limit tolerates
+    And "u0" got at least <least> requests in the last 8 s
+
+    Examples:
+      | gateways | engines | limit | gap | least |
+      | 1 | 3 | 2.3 | 20 | 14 |
+      | 4 | 3 | 2.3 | 20 | 14 |
+      | 4 | 6 | 3.6 | 20 | 20 |
+      | 4 | 6 | 10 | 20 | 50 |
+      | 4 | 3 | 0.5 | 20 | 2 |
+      | 29 | 27 | 3 | 10 | 12 |
+      | 29 | 27 | 0.5 | 10 | 1 |
+
+  # Guards against a limit that outlives the need of its upstream.
+  Scenario Outline: A limit ends when an engine <ends>
+    Given <gateways> gateways before 3 engines that may name limits
+    When requests come each 20 ms for 3 s
+    And engine "u0" names a limit of 2 a second
+    And requests come each 20 ms for 10 s
+    And engine "u0" <ends>
+    And requests come each 20 ms for 10 s
+    Then no engine got more than its limit tolerates
+    And "u0" got at least 40 requests in the last 5 s
+
+    Examples:
+      | gateways | ends |
+      | 1 | no longer names it |
+      | 4 | no longer names it |
+      | 4 | starts again |
+      | 4 | starts again under the same list |
+
+  Scenario Outline: A limit that changes from <first> to <second>
+    Given 4 gateways before 3 engines that may name limits
+    When requests come each 20 ms for 3 s
+    And engine "u0" names a limit of <first> a second
+    And requests come each 20 ms for 10 s
+    And engine "u0" names a limit of <second> a second
+    And requests come each 20 ms for 12 s
+    Then no engine got more than its limit tolerates
+    And "u0" got at least <least> requests in the last 5 s
+
+    Examples:
+      | first | second | least |
+      | 8 | 1 | 3 |
+      | 1 | 8 | 24 |
+      | 2 | 0 | 0 |
+
+  # Guards against gateways that don't hear each other and take all of it.
+  Scenario Outline: A limit holds while gateways <come and go>
+    Given 4 gateways before 3 engines that may name limits
+    When requests come each 20 ms for 3 s
+    And engine "u0" names a limit of 3 a second
+    And requests come each 20 ms for 6 s while gateways <come and go>
+    And requests come each 20 ms for 10 s
+    Then no engine got more than its limit tolerates
+
+    Examples:
+      | come and go |
+      | restart one after the other |
+      | are cut off from each other |
+      | lose a third of their datagrams |
+
+  # Guards against requests that fail although other engines take them.
+  Scenario: Requests that a limited engine doesn't take go to others
+    Given 4 gateways before 6 engines that may name limits
+    When requests come each 20 ms for 3 s
+    And engine "u0" names a limit of 2 a second
+    And requests come each 20 ms for 20 s
+    Then 0.99 of the requests were served
+
+  Scenario Outline: The value of Server-Limit: <value>
+    Then Server-Limit "<value>" names <limit>, and its error is "<error>"
+
+    Examples:
+      | value | limit | error |
+      | 2 | 2 | |
+      | 2.5 | 2.5 | |
+      | 0 | 0 | |
+      | 1e2 | 100 | |
+      | -1 | none | is negative |
+      | nan | none | is not a number |
+      | inf | none | is not a number |
+      | many | none | is not a number |
+
+  # Guards against an answer on its way from before that ends a limit.
+  Scenario Outline: An answer without a limit, to a request that was sent <when> the limit was named
+    Given a gateway with one upstream of each service, which names a limit of 2 a second to the second of two requests
+    When <which> is answered without a limit
+    Then the upstream has <found>
+
+    Examples:
+      | when | which | found |
+      | before | the first request | a limit |
+      | after | a third request | no limit |
--- a/features/support/crashing_engines.py
+++ b/features/support/crashing_engines.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import functools
 import random
 
 from features.support import gateway_world
@@ -42,8 +43,9 @@
 class EngineAttempt:
     """One request at an engine."""
 
-    def __init__(self, fleet, engine, outgoing, callbacks):
+    def __init__(self, fleet, gateway, engine, outgoing, callbacks):
         self.fleet = fleet
+        self.gateway = gateway
         self.engine = engine
         self.headers = dict(outgoing.headers)
         self.target = outgoing.target.decode()
@@ -58,7 +60,7 @@
             return
         self.sent = True
         self.engine.running.append(self)
-        self.fleet.arrivals.append(Arrival(self.fleet.now_ms(), self.causes))
+        self.fleet.record_arrival(self)
         self.later(HEAD_MS, self.begin)
 
     @property
@@ -75,6 +77,7 @@
         name = gateway_world.DIALECT.request_id
         head = [(name, self.headers[name]), (b"transfer-encoding", b"chunked")]
         head.append((gateway_world.DIALECT.seal, b"seal"))
+        head.extend(self.fleet.signs(self))
         self.callbacks.on_head(200, head)
         crashing = self.fleet.bad & self.causes
         if crashing:
@@ -125,6 +128,8 @@
         # Parts of prompts, and paths of requests, that crash engines.
         self.bad = set()
         self.writes_before_crash = False
+        # Share of the datagrams between gateways that are lost.
+        self.datagram_loss = 0.0
         # Returns the shared parts of the request of a number that is repeated.
         self.repeated_parts = lambda _number: ()
         self.answer_ms = 100
@@ -165,7 +170,7 @@
         self.reactor = world.reactor
         world.gateway.dependencies = dataclasses.replace(
             world.gateway.dependencies,
-            send=self.send,
+            send=functools.partial(self.send, number),
             check_connection=self.check_connection,
         )
         world.gateway.update_upstreams(
@@ -187,15 +192,25 @@
         return world
 
     def deliver(self, sender, data, host):
+        if self.datagram_loss and self.rng.random() < self.datagram_loss:
+            return
         world = self.worlds[int(host[1:])]
         world.gateway.on_datagram(datagrams.decode(data), (sender, 1))
 
     def now_ms(self):
         return round(self.reactor.seconds() * 1000)
 
-    def send(self, upstream, outgoing, callbacks):
+    def record_arrival(self, attempt):
+        """Records that a request has reached its engine."""
+        self.arrivals.append(Arrival(self.now_ms(), attempt.causes))
+
+    def signs(self, _attempt):
+        """Returns what an engine says of itself in the head of an answer."""
+        return []
+
+    def send(self, gateway, upstream, outgoing, callbacks):
         engine = self.engines[upstream.id]
-        attempt = EngineAttempt(self, engine, outgoing, callbacks)
+        attempt = EngineAttempt(self, gateway, engine, outgoing, callbacks)
         attempt.start()
         return attempt
 
--- a/godwitloft/gateway/dialect.py
+++ b/godwitloft/gateway/dialect.py
@@ -23,6 +23,8 @@
     :param team: name of the caller's team
     :param not_run: an upstream's statement that it did not run the request
     :param leaving: an upstream's statement that it takes no new requests
+    :param limit: how many requests a second an upstream takes at most, from
+        all gateways together
     :param seal: response seal, which only upstreams set on their answers
     :param key_scheme: scheme of the ``Authorization`` header with a key
     :param reserved: headers that only a gateway may set; they are removed from
@@ -39,6 +41,7 @@
     team: bytes
     not_run: bytes
     leaving: bytes
+    limit: bytes
     seal: bytes
     key_scheme: bytes
     reserved: frozenset[bytes]
--- a/godwitloft/platform/headers.py
+++ b/godwitloft/platform/headers.py
@@ -15,6 +15,7 @@
     team=PREFIX + b"tenant",
     not_run=PREFIX + b"not-executed",
     leaving=b"server-leaving",
+    limit=b"server-limit",
     seal=PREFIX + b"response-seal",
     key_scheme=b"Token",
     reserved=frozenset(
