Soak: runners that name limits, and the check; postmortem of LIMIT

The stand-in runner names a limit on demand (limit_per_s), the plan draws it apart so that the faults of older seeds stay what they were, and the check LIMIT holds the users' rule from what runners and callers saw. Rows of soak.feature on both sides of the bound.

--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -25,6 +25,7 @@
 MS_PER_S = 1000
 # Age of the copy from which the store comes back, and how long after that the
 # operators write again what they had written.
+MAX_LIMIT_PER_S = 3
 COPY_AGE_MS = 3_000
 OPERATOR_REWRITE_MS = 500
 RELAY_MODES = {
@@ -367,6 +368,8 @@
             self.control(runners={injected.target: {"state": "ready"}})
         elif fault.kind == "gone":
             self.control(runners={injected.target: {"gone": False}})
+        elif fault.kind == "name_limit":
+            self.control(runners={injected.target: {"limit_per_s": None}})
         elif fault.kind == "say_leaving":
             self.start_new_life(injected.target)
         injected.end_ms = now_ms()
@@ -465,6 +468,9 @@
             self.control(runners={name: {"says_leaving": True}})
         elif fault.kind == "ask_pause":
             self.control(runners={name: {"pause_ms": fault.duration_ms}})
+        elif fault.kind == "name_limit":
+            per_s = 1 + fault.duration_ms % MAX_LIMIT_PER_S
+            self.control(runners={name: {"limit_per_s": per_s}})
         elif fault.kind == "store_reset":
             self.on_reactor(self.store_relay.reset)
         elif fault.kind == "reset":
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -48,7 +48,11 @@
     "break_unframed": ("runner", 0, 0),
 }
 LATER_MEAN_GAP_MS = 1_000
-KINDS = FIRST_KINDS | LATER_KINDS
+LIMIT_KINDS: dict[str, tuple[str, int, int]] = {
+    "name_limit": ("runner", 5_000, 12_000),
+}
+LIMIT_MEAN_GAP_MS = 3_000
+KINDS = FIRST_KINDS | LATER_KINDS | LIMIT_KINDS
 
 
 @dataclasses.dataclass(frozen=True)
@@ -114,7 +118,14 @@
         end_ms,
         size,
     )
-    return tuple(sorted(first + later, key=lambda fault: fault.at_ms))
+    limits = draw_kinds(
+        random.Random(f"{seed} limits"),
+        LIMIT_KINDS,
+        LIMIT_MEAN_GAP_MS,
+        end_ms,
+        size,
+    )
+    return tuple(sorted(first + later + limits, key=lambda fault: fault.at_ms))
 
 
 def draw_kinds(
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -134,6 +134,7 @@
             path=row["path"],
             born=row["born"],
             leaving=row["leaving"],
+            limit_per_s=row["limit"],
         )
         for runner, ledger in system.fetch("/ledger").items()
         for row in ledger
@@ -145,6 +146,7 @@
             at_ms=row["at_ms"],
             born=row["born"],
             pause_ms=row.get("pause_ms", 0),
+            limit_per_s=row["limit"],
         )
         for runner, arrivals in system.fetch("/turned-away").items()
         for row in arrivals
--- a/bench/soak/verdict.py
+++ b/bench/soak/verdict.py
@@ -19,6 +19,12 @@
 ANSWER_SLACK_MS = 500
 LOSS_SLACK_MS = 200
 CANCEL_MS = 500
+# The users' rule on named limits.
+LIMIT_WINDOW_MS = 4_000
+TOLERATED_LIMIT_FACTOR = 1.5
+TOLERATED_LIMIT_EXTRA = 5
+# An entry counts as told of a limit this long after an answer named it.
+LIMIT_TOLD_MS = 500
 # Requests that were under way when a runner asked for a pause.
 PAUSE_SLACK_MS = 500
 MAX_ARRIVALS_IN_PAUSE = 2
@@ -50,6 +56,7 @@
     :param born: number of the runner's life
     :param leaving: whether the answer said that the runner is leaving
     :param pause_ms: pause that it asked for when it rejected the request
+    :param limit_per_s: limit that its answer named, None for none
     """
 
     id: str
@@ -63,6 +70,7 @@
     born: int = 0
     leaving: bool = False
     pause_ms: int = 0
+    limit_per_s: float | None = None
 
 
 @dataclasses.dataclass
@@ -526,6 +534,63 @@
     return found
 
 
+def find_exceeded_limits(history: History) -> list[str]:
+    """Finds limits that a runner named and the entries did not keep."""
+    found = []
+    for (runner, _born, per_s), arrivals in limited_arrivals(history).items():
+        tolerated = (
+            TOLERATED_LIMIT_FACTOR * per_s * LIMIT_WINDOW_MS / MS_PER_S
+            + TOLERATED_LIMIT_EXTRA
+        )
+        for index, at_ms in enumerate(arrivals):
+            since = bisect.bisect_left(arrivals, at_ms - LIMIT_WINDOW_MS)
+            if index + 1 - since > tolerated:
+                found.append(
+                    f"{runner} got {index + 1 - since} requests in"
+                    f" {LIMIT_WINDOW_MS} ms, having named {per_s:g} a second"
+                )
+                break
+    return found
+
+
+def limited_arrivals(
+    history: History,
+) -> dict[tuple[str, int, float], list[int]]:
+    """Returns the arrivals that count against limits.
+
+    :param history: with runs and rejected arrivals
+    :return: wall times in order, by runner, its life and the limit; from
+        :data:`CONTACT_MS` after it was named, of entries that had been told
+        for a while, and told again after a fault
+    """
+    named_ms: dict[tuple[str, int, float], int] = {}
+    told_ms: dict[tuple[str, str, int], int] = {}
+    found = collections.defaultdict(list)
+    everything = sorted(
+        history.runs + history.rejected, key=lambda run: run.at_ms
+    )
+    for arrival in everything:
+        record = history.by_id.get(arrival.id)
+        if record is None or arrival.limit_per_s is None:
+            continue
+        named = (arrival.runner, arrival.born, arrival.limit_per_s)
+        since_ms = named_ms.setdefault(named, arrival.at_ms)
+        teller = (record.entry, arrival.runner, arrival.born)
+        known_ms = told_ms.setdefault(teller, arrival.at_ms)
+        if history.has_fault(
+            record.entry, known_ms, arrival.at_ms
+        ) or has_connection_fault(
+            history, arrival.runner, known_ms, arrival.at_ms
+        ):
+            told_ms[teller] = arrival.at_ms
+        elif (
+            arrival.at_ms - since_ms >= CONTACT_MS
+            and arrival.at_ms - known_ms >= LIMIT_TOLD_MS
+        ):
+            found[named].append(arrival.at_ms)
+    return found
+
+
 def has_connection_fault(
     history: History, runner: str, start_ms: int, end_ms: int
 ) -> bool:
@@ -566,6 +631,7 @@
     "DRAIN": both(find_late_arrivals, find_arrivals_after_leaving),
     "BUDGET": both(find_excess_retries, find_ignored_pauses),
     "QUOTA": find_quota_excess,
+    "LIMIT": find_exceeded_limits,
     "LOST": find_lost_requests,
     "HELD": find_late_answers,
     "GONE": find_abandoned_runs,
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -55,6 +55,10 @@
       | BUDGET | 3 in a pause | pause | at=100 pause=2000 | late in pause | count=3 sent=700 |
       | - | 2 in a pause | pause | at=100 pause=2000 | late in pause | count=2 sent=700 |
       | - | 3 just after it was asked for | pause | at=100 pause=2000 | late in pause | count=3 sent=400 |
+      | LIMIT | 24 in 4 s at 3 a second | limited | count=60 gap=150 per_s=3 | - | |
+      | - | 23 in 4 s at 3 a second | limited | count=50 gap=180 per_s=3 | - | |
+      | - | 24 in 4 s just after it was named | limited | count=20 gap=150 per_s=3 | - | |
+      | - | 24 in 4 s after a fault | limited | count=50 gap=150 per_s=3 | fault | kind=pause target=entry-0 start=100 end=4400 |
       | HELD | 8 late | held | count=8 | - | |
       | - | 7 late | held | count=7 | - | |
       | GONE | 5 of 5 | disconnected | count=5 ran_on=900 | - | |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,3 +1,4 @@
+import dataclasses
 import json
 import pathlib
 import subprocess
@@ -176,6 +177,22 @@
             }
             self.add_late(row)
 
+    def add_limited(self, fields):
+        for number in range(int(fields["count"])):
+            row = {
+                "id": f"n{number}",
+                "route": "lookup",
+                "key": "key-large",
+                "team": "large",
+                "sent": int(fields["gap"]) * number,
+                "runner": "i-desk-1",
+            }
+            self.add_late(row)
+            limit_per_s = float(fields["per_s"])
+            self.runs[-1] = dataclasses.replace(
+                self.runs[-1], limit_per_s=limit_per_s
+            )
+
     def add_many(self, fields):
         for number in range(int(fields["count"])):
             self.add_late(fields | {"id": f"m{number}", "sent": 10 * number})
--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -34,6 +34,7 @@
 TENANT = "Godwitloft-Tenant"
 TIMELINE = "Store-Era"
 LEAVING = "Server-Leaving"
+LIMIT = "Server-Limit"
 PROMPT_PARTS = "Godwitloft-Prompt-Prefix"
 # From the head of an answer to the crash of its runner.
 CRASH_DELAY_S = 0.03
@@ -275,6 +276,8 @@
         self.born = int(time.time() * MS_PER_S)
         self.says_leaving = False
         self.pause_until = 0.0
+        # Requests a second that it takes, None for no limit.
+        self.limit_per_s: float | None = None
         # Streams that have no framing and break off inside an event.
         self.break_unframed = 0
         # Part of prompts on which it crashes as soon as it begins to answer,
@@ -338,6 +341,8 @@
         """
         if self.says_leaving:
             request.setHeader(LEAVING, "1")
+        if self.limit_per_s is not None:
+            request.setHeader(LIMIT, f"{self.limit_per_s:g}")
         if request.path == REPORT_PATH:
             report = {
                 "running": self.running,
@@ -351,6 +356,7 @@
             "id": request_id,
             "at_ms": int(time.time() * MS_PER_S),
             "born": self.born,
+            "limit": self.limit_per_s,
         }
         target = header(TARGET)
         is_foreign = target not in (None, self.id)
