--- a/godwitloft/gateway/admission.py
+++ b/godwitloft/gateway/admission.py
@@ -176,7 +176,7 @@
         :param now_ms: the current time
         :return: None, or a refusal that doesn't invite the caller to come back
         """
-        cause = self.crashes.refused_cause(facts.crash_causes, now_ms)
+        cause = self.crashes.refused_cause(facts.possible_causes, now_ms)
         if cause is None:
             return None
         return refusals.Refusal(
--- a/godwitloft/gateway/fleet.py
+++ b/godwitloft/gateway/fleet.py
@@ -80,7 +80,7 @@
         statement = self.limit_statement
         return statement.per_s if statement is not None else None
 
-    def state_limit(self, statement: named_limit.Statement) -> bool:
+    def set_limit(self, statement: named_limit.Statement) -> bool:
         """Records what it has said of its limit.
 
         :param statement: the statement
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -147,9 +147,7 @@
             contact,
             self.retry_policy.crashes.causes,
             lambda state: self.mark_leaving(state, "peer"),
-            lambda state, statement: self.state_limit(
-                state, statement, "peer"
-            ),
+            lambda state, statement: self.set_limit(state, statement, "peer"),
         )
         sharing.own_status = self.knowledge.status
         sharing.on_peer_status = self.knowledge.on_peer_status
@@ -383,7 +381,9 @@
         facts = request.facts
         if not self.still_permitted(request, now_ms):
             return
-        if self.retry_policy.crashes.record_sent(facts.crash_causes, now_ms):
+        if self.retry_policy.crashes.record_sent(
+            facts.possible_causes, now_ms
+        ):
             self.dependencies.sharing.must_announce = True
         if facts.team is not None and request.use is not None:
             request.use = self.dependencies.sharing.move_to_now(
@@ -557,9 +557,9 @@
             self.clock.monotonic_ms(),
             self.clock.wall_ms(),
         )
-        self.state_limit(state, statement, "answer")
+        self.set_limit(state, statement, "answer")
 
-    def state_limit(
+    def set_limit(
         self,
         state: fleets.UpstreamState,
         statement: named_limit.Statement,
@@ -571,7 +571,7 @@
         :param statement: what it has said
         :param source: who says so: its ``answer`` or a ``peer``
         """
-        if not state.state_limit(statement):
+        if not state.set_limit(statement):
             return
         self.instruments.upstream_signs.add(1, {"sign": "limit"})
         events.log(
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -92,7 +92,7 @@
         return crash_causes.part_causes(self.shared_parts)
 
     @property
-    def crash_causes(self) -> tuple[str, ...]:
+    def possible_causes(self) -> tuple[str, ...]:
         """What in it may crash an upstream."""
         return (*self.part_causes, self.request_cause)
 
@@ -185,7 +185,7 @@
         """
         if self.proved_sound or self.has_answered_for_long(now_ms):
             return (self.facts.request_cause,)
-        return self.facts.crash_causes
+        return self.facts.possible_causes
 
 
 def read_sizes(
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -180,7 +180,7 @@
             return "attempts_used"
         if facts.deadline_ms <= now_ms:
             return "deadline"
-        if self.crashes.causes.find_blamed(facts.crash_causes):
+        if self.crashes.causes.find_blamed(facts.possible_causes):
             return "crashes_upstreams"
         states = self.fleet.usable(facts.service)
         if all(
