A single gateway keeps a named limit below one in two seconds

What an upstream saw: a limit of 0.25 a second was taken as 0.5 by a single gateway. Cause: alone it counted as one of many that take turns, and then half a cycle between two requests suffices. Evidence: one row of the new table of may_start failed, at 3,999 ms; it passes. The other rows guard.

--- a/features/named_limits.feature
+++ b/features/named_limits.feature
@@ -111,6 +111,25 @@
       | 60 |
       | 300 |
 
+  # Guards against a single gateway that sends twice as much as a low limit.
+  Scenario Outline: A request may start: <limit> a second, <gateways> gateways, place <place>, idle for <idle> ms, at <wall> ms
+    Then a request <may> start with a limit of <limit>, <gateways> gateways, place <place>, idle for <idle> ms, at <wall> ms
+
+    Examples:
+      | limit | gateways | place | idle | wall | may |
+      | 2 | 1 | 0 | 500 | 0 | may |
+      | 2 | 1 | 0 | 499 | 0 | may not |
+      | 2 | 4 | 3 | 2000 | 0 | may |
+      | 2 | 4 | 3 | 1999 | 0 | may not |
+      | 0.25 | 1 | 0 | 4000 | 0 | may |
+      | 0.25 | 1 | 0 | 3999 | 0 | may not |
+      | 0 | 1 | 0 | 4000 | 0 | may |
+      | 1 | 4 | 0 | 9000 | 3999 | may not |
+      | 1 | 4 | 0 | 9000 | 4000 | may |
+      | 1 | 4 | 1 | 9000 | 4999 | may not |
+      | 1 | 4 | 1 | 9000 | 5000 | may |
+      | 1 | 4 | 1 | 1999 | 5000 | may not |
+
   Scenario Outline: The value of Server-Limit: <value>
     Then Server-Limit "<value>" names <limit>, and its error is "<error>"
 
--- a/features/steps/named_limits_steps.py
+++ b/features/steps/named_limits_steps.py
@@ -9,6 +9,7 @@
 from features.support import gateway_world
 from features.support import limited_engines
 from features.support import logs
+from godwitloft.gateway import named_limit
 from godwitloft.gateway import upstream_signs
 
 DIALECT = gateway_world.DIALECT
@@ -148,6 +149,15 @@
     assert served >= share, served
 
 
+@then(
+    "a request {may} start with a limit of {per_s:g}, {gateways:d} gateways,"
+    " place {place:d}, idle for {idle_ms:d} ms, at {wall_ms:d} ms"
+)
+def check_start(_context, may, per_s, gateways, place, idle_ms, wall_ms):
+    turn = named_limit.Turn(gateways, place, idle_ms, wall_ms)
+    assert named_limit.may_start(per_s, turn) == (may == "may")
+
+
 @then('Server-Limit "{value}" names {limit}, and its error is "{error}"')
 @then('Server-Limit "{value}" names {limit}, and its error is ""')
 def check_parsed(_context, value, limit, error=EMPTY_ERROR):
--- a/godwitloft/gateway/named_limit.py
+++ b/godwitloft/gateway/named_limit.py
@@ -61,7 +61,7 @@
     per_s = max(MIN_PER_S, per_s)
     slot_ms = clocks.MS_PER_S / per_s
     cycle_ms = slot_ms * turn.gateways
-    if turn.gateways <= MAX_AT_ONCE_S * per_s:
+    if turn.gateways <= max(1, MAX_AT_ONCE_S * per_s):
         return turn.idle_ms >= cycle_ms
     if turn.idle_ms < MIN_CYCLE_PART * cycle_ms:
         return False
