GL1311 tells which request was sent as a trial

What was missing: the line of a trial named the blamed cause, not the request, so that nobody could get from the request's id to why it was sent, or back. Evidence: the new scenario of crashing_requests.feature ended in a KeyError before. The gateway writes the line now, as it knows the request.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -46,6 +46,12 @@
     And the slots become free
     Then the waiting request is answered with 500 and was never sent
 
+  # Guards against a trial that the logs don't connect with its request.
+  Scenario: A trial of a blamed request is logged with the request's id
+    Given a gateway with one upstream of each service, and a blamed request
+    When the blamed request comes each 1000 ms for 12 s
+    Then one of these requests was sent, and the line of its trial has its id
+
   # Guards against sound parts that are blamed for what whole requests cause.
   Scenario Outline: Sound requests go on beside crashing ones: <gateways> gateways, <engines> engines, <count> crashing, one each <gap> ms
     Given <gateways> gateways before <engines> engines
--- a/features/steps/crashing_requests_steps.py
+++ b/features/steps/crashing_requests_steps.py
@@ -5,6 +5,8 @@
 
 from features.support import crashing_engines
 from features.support import gateway_world
+from features.support import logs
+from godwitloft import attempt as attempts
 from godwitloft.gateway import crash_tracker
 from godwitloft.gateway import peer_status
 
@@ -85,7 +87,11 @@
 def wait(context):
     world = context.world
     context.caller = world.ask("w", "draft")
-    request = world.gateway.waiting["model"][0]
+    crash_elsewhere(world, world.gateway.waiting["model"][0])
+
+
+def crash_elsewhere(world, request):
+    """Lets a gateway learn that a request has crashed three upstreams."""
     crashes = world.gateway.retry_policy.crashes
     for number in range(CRASHES_BEFORE_BOUND):
         life = peer_status.Life(f"elsewhere{number}", 1)
@@ -96,6 +102,32 @@
         world.advance(100)
 
 
+@given("a gateway with one upstream of each service, and a blamed request")
+def blamed(context):
+    world = context.world = gateway_world.World(("desk", "model"))
+    context.log = logs.record(context)
+    world.ask("first", "draft")
+    (request,) = world.gateway.running
+    crash_elsewhere(world, request)
+    world.sent[0].end(attempts.End.NOT_SENT)
+
+
+@when("the blamed request comes each {gap_ms:d} ms for {duration_s:d} s")
+def ask_blamed(context, gap_ms, duration_s):
+    for number in range(duration_s * 1000 // gap_ms):
+        context.world.ask(f"b{number}", "draft")
+        context.world.advance(gap_ms)
+
+
+@then("one of these requests was sent, and the line of its trial has its id")
+def check_trial(context):
+    (sent,) = context.world.sent[1:]
+    (line,) = context.log.fields("GL1311")
+    request_id = sent.headers[gateway_world.DIALECT.request_id].decode()
+    assert line["request"] == request_id, (line, request_id)
+    assert (line["trial"], len(line["causes"])) == (1, 1), line
+
+
 @when("the slots become free")
 def free(context):
     for sent in list(context.world.sent):
--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -99,10 +99,6 @@
 UPSTREAM_CRASHED = Event(
     1309, logging.WARNING, "an upstream crashed while it ran requests"
 )
-UPSTREAM_LIMITED = Event(1312, logging.INFO, "an upstream's limit has changed")
-LIMIT_IGNORED = Event(
-    1313, logging.WARNING, "an upstream's limit can't be used"
-)
 CRASH_CAUSE_BLAMED = Event(
     1310,
     logging.WARNING,
@@ -111,6 +107,10 @@
 CRASH_CAUSE_TRIED = Event(
     1311, logging.INFO, "a request that is blamed for crashes is tried"
 )
+UPSTREAM_LIMITED = Event(1312, logging.INFO, "an upstream's limit has changed")
+LIMIT_IGNORED = Event(
+    1313, logging.WARNING, "an upstream's limit can't be used"
+)
 GATEWAY_ALIVE = Event(
     1108, logging.INFO, "an agent receives messages from a gateway"
 )
--- a/godwitloft/gateway/crash_causes.py
+++ b/godwitloft/gateway/crash_causes.py
@@ -377,16 +377,17 @@
         delay_ms = delays_ms[trials.number] + place * TRIAL_STAGGER_MS
         return now_ms - since_ms >= delay_ms
 
-    def record_trial(self, cause: str, now_ms: int) -> None:
+    def record_trial(self, cause: str, now_ms: int) -> int:
         """Records that a request with a blamed cause is sent.
 
         :param cause: a blamed cause
         :param now_ms: the current time
+        :return: the number of this trial, from 1
         """
         number = self.trials.get(cause, NO_TRIALS).number + 1
         self.trials[cause] = Trials(number, now_ms)
         self.unsaved = True
-        events.log(events.CRASH_CAUSE_TRIED, cause=cause, trial=number)
+        return number
 
     # What others are told and tell.
 
--- a/godwitloft/gateway/crash_tracker.py
+++ b/godwitloft/gateway/crash_tracker.py
@@ -134,14 +134,17 @@
                 return cause
         return None
 
-    def record_sent(self, causes: tuple[str, ...], now_ms: int) -> bool:
+    def record_sent(
+        self, causes: tuple[str, ...], now_ms: int
+    ) -> dict[str, int]:
         """Records that a request is sent.
 
         :param causes: what may crash an upstream in it
         :param now_ms: the current time
-        :return: whether it is a trial, of which peers must be told at once
+        :return: for each blamed cause, the number of the trial that it is;
+            peers must be told of trials at once
         """
-        blamed = self.causes.find_blamed(causes)
-        for cause in blamed:
-            self.causes.record_trial(cause, now_ms)
-        return bool(blamed)
+        return {
+            cause: self.causes.record_trial(cause, now_ms)
+            for cause in self.causes.find_blamed(causes)
+        }
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -381,10 +381,7 @@
         facts = request.facts
         if not self.still_permitted(request, now_ms):
             return
-        if self.retry_policy.crashes.record_sent(
-            facts.possible_causes, now_ms
-        ):
-            self.dependencies.sharing.must_announce = True
+        self.record_trial(request, now_ms)
         if facts.team is not None and request.use is not None:
             request.use = self.dependencies.sharing.move_to_now(
                 facts.team, request.use
@@ -436,6 +433,25 @@
             callbacks,
         )
 
+    def record_trial(self, request: requests.Request, now_ms: int) -> None:
+        """Records if a request is sent although it is blamed for crashes.
+
+        :param request: a request that is being sent
+        :param now_ms: the current time
+        """
+        tried = self.retry_policy.crashes.record_sent(
+            request.facts.possible_causes, now_ms
+        )
+        if not tried:
+            return
+        events.log(
+            events.CRASH_CAUSE_TRIED,
+            request=request.facts.id,
+            causes=list(tried),
+            trial=max(tried.values()),
+        )
+        self.dependencies.sharing.must_announce = True
+
     def still_permitted(self, request: requests.Request, now_ms: int) -> bool:
         """Checks a request again that was waiting, and refuses it if need be.
 
