GL1313 tells the value of a limit that can't be used

What was missing: the line gave a reason without the value, so that the owner of the upstream could not be told what was wrong. Evidence: the new scenario ended in a KeyError before.

--- a/features/named_limits.feature
+++ b/features/named_limits.feature
@@ -144,6 +144,11 @@
       | inf | none | is not a number |
       | many | none | is not a number |
 
+  # Guards against a value that nobody can look up.
+  Scenario: A limit that can't be used is logged with its value
+    Given a gateway with one upstream of each service, which names a limit of -2 a second to the second of two requests
+    Then the value "-2" of the limit is logged as one that is negative
+
   # Guards against an answer on its way from before that ends a limit.
   Scenario Outline: An answer without a limit, to a request that was sent <when> the limit was named
     Given a gateway with one upstream of each service, which names a limit of 2 a second to the second of two requests
--- a/features/steps/named_limits_steps.py
+++ b/features/steps/named_limits_steps.py
@@ -163,19 +163,26 @@
 def check_parsed(_context, value, limit, error=EMPTY_ERROR):
     found = upstream_signs.parse_limit(value)
     expected = math.inf if limit == "none" else float(limit)
-    assert found == upstream_signs.Limit(expected, error), found
+    assert found == upstream_signs.Limit(expected, value, error), found
 
 
 @given(
-    "a gateway with one upstream of each service, which names a limit of 2 a"
-    " second to the second of two requests"
+    "a gateway with one upstream of each service, which names a limit of"
+    " {value} a second to the second of two requests"
 )
-def limited(context):
+def limited(context, value):
     world = context.world = gateway_world.World(("desk", "model"))
+    context.log = logs.record(context)
     world.ask("first", "lookup")
     world.ask("second", "lookup")
     world.advance(100)
-    world.sent[1].answer(200, add=((DIALECT.limit, b"2"),))
+    world.sent[1].answer(200, add=((DIALECT.limit, value.encode()),))
+
+
+@then('the value "{value}" of the limit is logged as one that {reason}')
+def check_value(context, value, reason):
+    (line,) = context.log.fields("GL1313")
+    assert (line["value"], line["reason"]) == (value, reason), line
 
 
 @when("the first request is answered without a limit")
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -559,6 +559,7 @@
                 events.LIMIT_IGNORED,
                 upstream=state.upstream.id,
                 request=request.facts.id,
+                value=limit.value[:MAX_VALUE_LOGGED],
                 reason=limit.error,
             )
             return
--- a/godwitloft/gateway/upstream_signs.py
+++ b/godwitloft/gateway/upstream_signs.py
@@ -44,10 +44,12 @@
 
     :param per_s: requests a second that it takes at most, infinite if it names
         none
+    :param value: as received
     :param error: why the value can't be used, empty if it can
     """
 
     per_s: float
+    value: str = ""
     error: str = ""
 
 
@@ -111,12 +113,12 @@
     try:
         per_s = float(value)
     except ValueError:
-        return Limit(math.inf, "is not a number")
+        return Limit(math.inf, value, "is not a number")
     if not math.isfinite(per_s):
-        return Limit(math.inf, "is not a number")
+        return Limit(math.inf, value, "is not a number")
     if per_s < 0:
-        return Limit(math.inf, "is negative")
-    return Limit(per_s)
+        return Limit(math.inf, value, "is negative")
+    return Limit(per_s, value)
 
 
 def parse_retry_after(value: str, wall_ms: int) -> Pause:
