GL1201 tells if upstreams of the service had named limits

What was missing: a request that waited in vain, as all upstreams of its service were limited, was refused with waited_too_long and nothing else; the operators would have looked for overload.

--- a/features/named_limits.feature
+++ b/features/named_limits.feature
@@ -144,6 +144,12 @@
       | inf | none | is not a number |
       | many | none | is not a number |
 
+  # Guards against a refusal that the logs don't explain.
+  Scenario: A request that waited in vain for a limited upstream tells so in its line
+    Given a gateway with one upstream of each service, which names a limit of 0 a second to the second of two requests
+    When a third request waits for 3 s
+    Then it is refused, and its line tells 1 limited upstream
+
   # Guards against a value that nobody can look up.
   Scenario: A limit that can't be used is logged with its value
     Given a gateway with one upstream of each service, which names a limit of -2 a second to the second of two requests
--- a/features/steps/named_limits_steps.py
+++ b/features/steps/named_limits_steps.py
@@ -179,6 +179,22 @@
     world.sent[1].answer(200, add=((DIALECT.limit, value.encode()),))
 
 
+@when("a third request waits for {duration_s:d} s")
+def wait(context, duration_s):
+    context.world.ask("third", "post")
+    context.world.advance(duration_s * 1000)
+
+
+@then("it is refused, and its line tells {count:d} limited upstream")
+def check_line(context, count):
+    lines = [
+        line
+        for line in context.log.fields("GL1201")
+        if line["request"] == "third"
+    ]
+    assert [line["limited_upstreams"] for line in lines] == [count], lines
+
+
 @then('the value "{value}" of the limit is logged as one that {reason}')
 def check_value(context, value, reason):
     (line,) = context.log.fields("GL1313")
--- a/godwitloft/gateway/admission.py
+++ b/godwitloft/gateway/admission.py
@@ -352,9 +352,11 @@
             after_ms = self.rng.uniform(
                 soonest_ms, min(latest_ms, MAX_SHORT_RETRY_AFTER_MS)
             )
-        return refusals.Refusal(
-            503, reason, int(after_ms), {"rank": facts.rank}
-        )
+        inputs: dict[str, typing.Any] = {"rank": facts.rank}
+        limited = self.fleet.limited(facts.service)
+        if limited:
+            inputs["limited_upstreams"] = limited
+        return refusals.Refusal(503, reason, int(after_ms), inputs)
 
     def charge_allowance(
         self, request: requests.Request
--- a/godwitloft/gateway/fleet.py
+++ b/godwitloft/gateway/fleet.py
@@ -302,6 +302,13 @@
             and state.said_leaving_ms >= since_ms
         )
 
+    def limited(self, service: str) -> int:
+        """Returns how many usable upstreams of a service name a limit.
+
+        :param service: name of the service
+        """
+        return sum(state.limit is not None for state in self.usable(service))
+
     def limit_statements(
         self, since_ms: int
     ) -> list[tuple[peer_status.Life, named_limit.Statement]]:
