--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -48,6 +48,7 @@
 MAX_UNSAVED_SHARE = 0.25
 MAX_TEAMS_ANNOUNCED = 20
 MIN_DEMAND = 1.0
+MAX_PLACES = 1_000
 
 # Tokens used by each team in consecutive intervals, the latest first.
 Usage = dict[str, tuple[float, ...]]
@@ -111,6 +112,8 @@
         self.demands: dict[str, demands.Demand] = {}
         self.last_announced_ms = 0
         self.hosts: dict[str, str] = {}
+        # What place() has returned for these hosts, by subject.
+        self.places: dict[str, int] = {}
         self.peers: dict[str, Peer] = {}
         self.own_status: typing.Callable[[], peer_status.PeerStatus] = (
             peer_status.PeerStatus
@@ -137,6 +140,7 @@
         if hosts.keys() - self.hosts.keys():
             self.must_announce = True
         self.hosts = alive | hosts
+        self.places.clear()
         length_ms = self.tolerance.window_ms
         for name, peer in list(self.peers.items()):
             if (
@@ -274,10 +278,14 @@
         :param subject: text for which the order is made
         :return: from 0 on
         """
-        return sum(
-            _order(subject, name) < _order(subject, self.instance)
-            for name in self.hosts
-        )
+        found = self.places.get(subject)
+        if found is None:
+            if len(self.places) >= MAX_PLACES:
+                self.places.clear()
+            own = _order(subject, self.instance)
+            found = sum(_order(subject, name) < own for name in self.hosts)
+            self.places[subject] = found
+        return found
 
     def is_alive(self, name: str, now_ms: int) -> bool:
         """Returns whether a gateway has sent an announcement lately.
@@ -544,7 +552,9 @@
         :param sharing: the received datagram
         :param host: IP number of the sender
         """
-        self.hosts.setdefault(sharing.gateway, host)
+        if sharing.gateway not in self.hosts:
+            self.hosts[sharing.gateway] = host
+            self.places.clear()
         previous = self.peers.get(sharing.gateway)
         rates = {
             demand.team: demand.tokens_per_s for demand in sharing.demands
