A trial that did not run goes to another upstream

What callers saw: sound callers of a wrongly blamed part stayed refused, as the one request that was to show more met an upstream that was down, and was given up as blamed. Evidence: the new scenario failed before (nothing more was sent). A request is blamed only for what it doesn't try itself; a trial that ran and crashed its upstream is not repeated, as before.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -52,6 +52,13 @@
     When the blamed request comes each 1000 ms for 12 s
     Then one of these requests was sent, and the line of its trial has its id
 
+  # Guards against a trial that shows nothing, as its upstream was down.
+  Scenario: A trial that was not sent goes to another upstream
+    Given a gateway with 2 upstreams of each service, and a blamed request
+    When the blamed request comes each 1000 ms for 12 s
+    And the upstream of its trial accepts no connection
+    Then the trial was sent to another upstream, and counted once
+
   # Guards against sound parts that are blamed for what whole requests cause.
   Scenario Outline: Sound requests go on beside crashing ones: <gateways> gateways, <engines> engines, <count> crashing, one each <gap> ms
     Given <gateways> gateways before <engines> engines
--- a/features/steps/crashing_requests_steps.py
+++ b/features/steps/crashing_requests_steps.py
@@ -103,8 +103,15 @@
 
 
 @given("a gateway with one upstream of each service, and a blamed request")
-def blamed(context):
-    world = context.world = gateway_world.World(("desk", "model"))
+def blamed_one(context):
+    blamed(context, 1)
+
+
+@given(
+    "a gateway with {count:d} upstreams of each service, and a blamed request"
+)
+def blamed(context, count):
+    world = context.world = gateway_world.World(("desk", "model") * count)
     context.log = logs.record(context)
     world.ask("first", "draft")
     (request,) = world.gateway.running
@@ -128,6 +135,22 @@
     assert (line["trial"], len(line["causes"])) == (1, 1), line
 
 
+@step("the upstream of its trial accepts no connection")
+def refuse_trial(context):
+    (trial,) = context.world.sent[1:]
+    trial.end(attempts.End.NOT_SENT)
+    context.world.advance(100)
+
+
+@then("the trial was sent to another upstream, and counted once")
+def check_other(context):
+    trial, again = context.world.sent[1:]
+    assert again.upstream.id != trial.upstream.id
+    name = gateway_world.DIALECT.request_id
+    assert again.headers[name] == trial.headers[name]
+    assert len(context.log.fields("GL1311")) == 1
+
+
 @when("the slots become free")
 def free(context):
     for sent in list(context.world.sent):
--- a/godwitloft/gateway/admission.py
+++ b/godwitloft/gateway/admission.py
@@ -151,7 +151,7 @@
         """
         now_ms = self.clock.monotonic_ms()
         facts = request.facts
-        refusal = self.crash_refusal(facts, now_ms)
+        refusal = self.crash_refusal(request, now_ms)
         if refusal is not None:
             return refusal
         if facts.deadline_ms <= now_ms:
@@ -168,15 +168,15 @@
         return self.charge_allowance(request)
 
     def crash_refusal(
-        self, facts: requests.Facts, now_ms: int
+        self, request: requests.Request, now_ms: int
     ) -> refusals.Refusal | None:
         """Returns the refusal of a request that would crash its upstream.
 
-        :param facts: what is known of the request
+        :param request: a new or waiting request
         :param now_ms: the current time
         :return: None, or a refusal that doesn't invite the caller to come back
         """
-        cause = self.crashes.refused_cause(facts.possible_causes, now_ms)
+        cause = self.crashes.refused_cause(request.untried_causes(), now_ms)
         if cause is None:
             return None
         return refusals.Refusal(
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -440,10 +440,11 @@
         :param now_ms: the current time
         """
         tried = self.retry_policy.crashes.record_sent(
-            request.facts.possible_causes, now_ms
+            request.untried_causes(), now_ms
         )
         if not tried:
             return
+        request.tried_causes |= tried.keys()
         events.log(
             events.CRASH_CAUSE_TRIED,
             request=request.facts.id,
@@ -462,7 +463,7 @@
         :param now_ms: the current time
         :return: whether it may be sent; if not, it has been answered
         """
-        refusal = self.admission.crash_refusal(request.facts, now_ms)
+        refusal = self.admission.crash_refusal(request, now_ms)
         if refusal is not None:
             self.refuse(request, refusal)
             return False
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -153,10 +153,20 @@
         # Whether an upstream has answered for long enough to show that the
         # prompt doesn't crash it.
         self.proved_sound = not facts.shared_parts
+        # The blamed causes of which it is a trial.
+        self.tried_causes: frozenset[str] = frozenset()
         self.use: allowance.Use | None = None
         # Why its last failed attempt was not followed by another.
         self.no_retry = ""
 
+    def untried_causes(self) -> tuple[str, ...]:
+        """Returns what may crash an upstream in it, but what it tries."""
+        return tuple(
+            cause
+            for cause in self.facts.possible_causes
+            if cause not in self.tried_causes
+        )
+
     def has_begun_plain_answer(self) -> bool:
         """Returns whether no other attempt can continue its answer.
 
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -167,11 +167,14 @@
         :return: short name for logs, empty if it is queued again
         """
         facts = request.facts
+        causes = facts.possible_causes
         if attempt_outcome.result in (
             outcomes.Result.NOT_SENT,
             outcomes.Result.NOT_RUN,
         ):
             request.runs -= 1
+            # A trial that has not run has shown nothing yet.
+            causes = request.untried_causes()
         elif not facts.may_repeat:
             return "not_repeatable"
         elif request.has_begun_plain_answer():
@@ -180,7 +183,7 @@
             return "attempts_used"
         if facts.deadline_ms <= now_ms:
             return "deadline"
-        if self.crashes.causes.find_blamed(facts.possible_causes):
+        if self.crashes.causes.find_blamed(causes):
             return "crashes_upstreams"
         states = self.fleet.usable(facts.service)
         if all(
