Trials of requests that crash upstreams don't crash many at once

Cause: the time between trials was kept for each blamed request by itself. It showed once a trial that meets a closed port went on to another upstream, as more of them crash one then.

Change: trials of whole requests are 5 s apart over all gateways, so that the upstream of the last one is back.

--- a/godwitloft/gateway/crash_causes.py
+++ b/godwitloft/gateway/crash_causes.py
@@ -36,6 +36,9 @@
 REQUEST_TRIAL_DELAYS_MS = (10_000, 120_000, 900_000, 1_800_000)
 # Gateways may start a trial one after the other, so that two seldom do.
 TRIAL_STAGGER_MS = 40
+# Whole requests are seldom blamed wrongly: their trials don't crash another
+# upstream before the last one is back.
+REQUEST_TRIAL_SPACING_MS = 5_000
 # How long peers are told of a crash, and which of its causes are sound.
 TOLD_MS = 3_000
 MAX_CRASHES = 200
@@ -135,6 +138,14 @@
     return tuple(PART_PREFIX + part for part in parts)
 
 
+def is_request(cause: str) -> bool:
+    """Returns whether a cause is a whole request, not a part of prompts.
+
+    :param cause: a cause of crashes
+    """
+    return cause.startswith(REQUEST_PREFIX)
+
+
 class CrashCauses:
     """Crashes and proofs of soundness, as all gateways know them.
 
@@ -157,6 +168,8 @@
         # The crashes for which each blamed cause is blamed, by id.
         self.blamed: dict[str, list[str]] = {}
         self.trials: dict[str, Trials] = {}
+        # When any whole request was last tried.
+        self.request_trial_ms: int | None = None
         # Blamed causes whose turn it is to be told.
         self.told_next = 0
         # Whether blames or trials have changed since they were saved.
@@ -352,9 +365,8 @@
         :param now_ms: the current time
         :return: whether it is a good trial, and time for one
         """
-        if cause.startswith(PART_PREFIX) and any(
-            other.startswith(REQUEST_PREFIX) and other in self.present
-            for other in causes
+        if not is_request(cause) and any(
+            is_request(other) and other in self.present for other in causes
         ):
             return False
         return self.is_trial_due(cause, now_ms)
@@ -372,10 +384,26 @@
         last_crash_ms = max(
             self.crashes[crash_id].at_ms for crash_id in self.blamed[cause]
         )
-        place = self.place(f"{cause}/{trials.number}")
+        stagger_ms = self.place(f"{cause}/{trials.number}") * TRIAL_STAGGER_MS
         since_ms = max(last_crash_ms, trials.last_ms)
-        delay_ms = delays_ms[trials.number] + place * TRIAL_STAGGER_MS
-        return now_ms - since_ms >= delay_ms
+        if now_ms - since_ms < delays_ms[trials.number] + stagger_ms:
+            return False
+        if self.request_trial_ms is None or not is_request(cause):
+            return True
+        spacing_ms = REQUEST_TRIAL_SPACING_MS + stagger_ms
+        return now_ms - self.request_trial_ms >= spacing_ms
+
+    def set_trials(self, cause: str, trials: Trials) -> None:
+        """Sets the trials of a cause that are known now.
+
+        :param cause: a blamed cause
+        :param trials: its trials, at least as many as were known
+        """
+        self.trials[cause] = trials
+        if is_request(cause):
+            self.request_trial_ms = max(
+                trials.last_ms, self.request_trial_ms or 0
+            )
 
     def record_trial(self, cause: str, now_ms: int) -> int:
         """Records that a request with a blamed cause is sent.
@@ -385,7 +413,7 @@
         :return: the number of this trial, from 1
         """
         number = self.trials.get(cause, NO_TRIALS).number + 1
-        self.trials[cause] = Trials(number, now_ms)
+        self.set_trials(cause, Trials(number, now_ms))
         self.unsaved = True
         return number
 
@@ -411,7 +439,7 @@
             known = self.trials.get(blame.cause, NO_TRIALS)
             if blame.trials > known.number:
                 last_ms = now_ms - blame.trial_age_ms
-                self.trials[blame.cause] = Trials(blame.trials, last_ms)
+                self.set_trials(blame.cause, Trials(blame.trials, last_ms))
         told = [
             *crashes,
             *(crash for blame in blames for crash in blame.crashes),
@@ -605,8 +633,7 @@
     :param causes: parts in their order in the prompt, and the whole
     """
     for index, cause in enumerate(causes):
-        is_request = cause.startswith(REQUEST_PREFIX)
-        position = REQUEST_POSITION if is_request else index
+        position = REQUEST_POSITION if is_request(cause) else index
         positions[cause] = max(position, positions.get(cause, 0))
 
 
@@ -615,7 +642,7 @@
 
     :param cause: a request or part
     """
-    if cause.startswith(REQUEST_PREFIX):
+    if is_request(cause):
         return REQUEST_CRASH_SPACING_MS
     return PART_CRASH_SPACING_MS
 
@@ -625,7 +652,7 @@
 
     :param cause: a request or part
     """
-    if cause.startswith(REQUEST_PREFIX):
+    if is_request(cause):
         return REQUEST_TRIAL_DELAYS_MS
     return PART_TRIAL_DELAYS_MS
 
