What may have crashed upstreams is blamed until it is proved sound

Cause: each crash was explained by one cause, decided anew at each crash and by each gateway for itself, so that the blame went from one cause to another and back with no proof of either; and what had crashed only one or two upstreams was forgotten at a restart.

Change: a cause that was never proved sound is blamed for each crash at which it was, but for parts that were never there without a more specific one; that doesn't depend on the order in which gateways hear of crashes. Only what was sound before is blamed for unexplained crashes alone. Causes with too few crashes are saved as well. Parts that were sound are tried sooner, and a trial of them counts only if nothing else that is blamed was at its crash.

--- a/features/support/crashing_engines.py
+++ b/features/support/crashing_engines.py
@@ -83,7 +83,8 @@
         if crashing:
             if self.fleet.writes_before_crash:
                 self.callbacks.on_data(EVENT)
-            self.later(CRASH_MS, self.fleet.crash, self.engine, *crashing)
+            crash_ms = self.fleet.crash_ms
+            self.later(crash_ms, self.fleet.crash, self.engine, *crashing)
             return
         for at_ms in range(0, self.fleet.answer_ms, EVENT_GAP_MS):
             self.later(at_ms, self.callbacks.on_data, EVENT)
@@ -134,8 +135,11 @@
         # Returns the shared parts of the request of a number that is repeated.
         self.repeated_parts = lambda _number: ()
         self.answer_ms = 100
+        self.crash_ms = CRASH_MS
         self.down_ms = 3000
         self.arrivals = []
+        # When each bad part or request came to gateways.
+        self.asked_ms = collections.defaultdict(list)
         self.crashes_ms = []
         self.crashes_by = collections.defaultdict(list)
         self.sound = []
@@ -236,6 +240,8 @@
         """Sends a request with these shared parts to any gateway."""
         self.count += 1
         caller = self.send_request(f"/class/{self.count}", parts)
+        for part in self.bad & set(parts):
+            self.asked_ms[part].append(self.now_ms())
         if not self.bad & set(parts):
             self.sound.append((self.now_ms(), caller))
 
@@ -243,6 +249,7 @@
         """Sends once more the request of this number, which is bad."""
         target = f"/class/bad{number}"
         self.bad.add(target)
+        self.asked_ms[target].append(self.now_ms())
         self.count += 1
         self.send_request(target, self.repeated_parts(number))
 
@@ -269,11 +276,12 @@
         rare_gap_ms=0,
         repeat_gap_ms=0,
         repeated=1,
+        bad_parts=1,
     ):
         """Lets time pass with a request of each kind in each gap.
 
         Of requests that crash engines as a whole, ``repeated`` ones come in
-        turn, each the same again.
+        turn, each the same again; of bad parts, ``bad_parts``.
         """
         for step in range(duration_ms // STEP_MS):
             at_ms = step * STEP_MS
@@ -282,7 +290,9 @@
             if sound_gap_ms and at_ms % sound_gap_ms == 0:
                 self.ask([f"aa{self.rng.randrange(3)}"])
             if bad_gap_ms and at_ms % bad_gap_ms == 0:
-                self.ask([f"aa{self.rng.randrange(3)}", "bad0"])
+                part = f"bad{at_ms // bad_gap_ms % bad_parts}"
+                self.bad.add(part)
+                self.ask([f"aa{self.rng.randrange(3)}", part])
             if rare_gap_ms and at_ms % rare_gap_ms == 0:
                 self.ask(["aa0", "cc0"])
             self.reactor.advance(STEP_MS / 1000)
--- a/godwitloft/gateway/crash_causes.py
+++ b/godwitloft/gateway/crash_causes.py
@@ -31,8 +31,13 @@
 # Two breaks of one life of an upstream further apart are two crashes.
 SAME_CRASH_MS = 1_000
 MEMORY_MS = 3_600_000
-# Time from the last crash or trial to each trial of a blamed cause.
+# Time from the last crash or trial to each trial of a blamed cause. Parts that
+# were sound are more often blamed wrongly, and tried sooner.
 PART_TRIAL_DELAYS_MS = (2_000, 3_000, 4_000, 120_000, 900_000, 1_800_000)
+PROVED_PART_TRIAL_DELAYS_MS = (
+    *(1_000, 3_000, 6_000),
+    *(120_000, 900_000, 1_800_000),
+)
 REQUEST_TRIAL_DELAYS_MS = (10_000, 120_000, 900_000, 1_800_000)
 # Gateways may start a trial one after the other, so that two seldom do.
 TRIAL_STAGGER_MS = 40
@@ -47,6 +52,7 @@
 MAX_SOUND_TOLD = 10
 MAX_BLAMES_TOLD = 4
 MAX_BLAMES_SAVED = 40
+MAX_SUSPECTS_SAVED = 20
 # Whole requests are more specific than any part of their prompts.
 REQUEST_POSITION = 1_000
 
@@ -81,9 +87,11 @@
 class BlameReport:
     """A blame, as told to others and saved.
 
+    What is saved has causes with too few crashes for a blame as well.
+
     :param cause: the request or part
-    :param crashes: the last crashes for which it is blamed, as many as are
-        needed for that, without other causes
+    :param crashes: its last crashes, at most as many as are needed for a
+        blame, without other causes
     :param trials: how many trials of it were started
     :param trial_age_ms: time since the last one
     """
@@ -230,6 +238,7 @@
                 position, known.positions.get(cause, 0)
             )
         if len(known.positions) > before:
+            self.unsaved = True
             self.forget_excess()
             self.update_blame()
 
@@ -263,16 +272,26 @@
     # Blame.
 
     def update_blame(self) -> None:
-        """Decides which causes are blamed, and logs each change."""
+        """Decides which causes are blamed, and logs each change.
+
+        Causes that were never proved sound are blamed for each of their
+        crashes, though another one was there as well: who of them did it is
+        for trials to show. Those that were sound are blamed only for crashes
+        that none of the others explains.
+        """
         suspected = self.suspected_crashes()
-        blamed: dict[str, list[str]] = {}
+        blamed = self.blame_unproved(suspected)
         while True:
-            cause = self.most_suspect(suspected)
+            explained = {i for ids in blamed.values() for i in ids}
+            unexplained = {
+                cause: crash_ids - explained
+                for cause, crash_ids in suspected.items()
+                if cause not in blamed
+            }
+            cause = self.most_suspect(unexplained)
             if cause is None:
                 break
-            blamed[cause] = sorted(suspected.pop(cause))
-            for crash_ids in suspected.values():
-                crash_ids.difference_update(blamed[cause])
+            blamed[cause] = sorted(unexplained[cause])
         for cause in sorted(blamed.keys() ^ self.blamed.keys()):
             self.unsaved = True
             events.log(
@@ -283,6 +302,42 @@
             )
         self.blamed = blamed
 
+    def blame_unproved(
+        self, suspected: dict[str, set[str]]
+    ) -> dict[str, list[str]]:
+        """Returns the blamed causes among those never proved sound.
+
+        :param suspected: ids of crashes by cause
+        :return: ids of crashes by cause, without parts that were never there
+            without a more specific cause
+        """
+        unproved = {
+            cause: crash_ids
+            for cause, crash_ids in suspected.items()
+            if cause not in self.sound_ms and self.is_enough(cause, crash_ids)
+        }
+        return {
+            cause: sorted(crash_ids)
+            for cause, crash_ids in unproved.items()
+            if is_request(cause)
+            or not any(
+                crash_ids <= other_ids
+                and self.position(other, other_ids)
+                > self.position(cause, crash_ids)
+                for other, other_ids in unproved.items()
+            )
+        }
+
+    def position(self, cause: str, crash_ids: set[str]) -> int:
+        """Returns how specific a cause is, see :class:`Crash`.
+
+        :param cause: a cause
+        :param crash_ids: crashes at which it was there
+        """
+        return max(
+            self.crashes[crash_id].positions[cause] for crash_id in crash_ids
+        )
+
     def suspected_crashes(self) -> dict[str, set[str]]:
         """Returns the crashes that each cause may have caused.
 
@@ -302,32 +357,47 @@
     def most_suspect(self, suspected: dict[str, set[str]]) -> str | None:
         """Returns the cause that is to be blamed first.
 
-        One that was never proved sound is suspected first, then one that was
-        there more often, then the more specific one, as fewer requests have
-        it. If it turns out wrong, crashes without it follow.
+        That is the one that was there most often, then the more specific one,
+        as fewer requests have it. If it turns out wrong, crashes without it
+        follow.
 
         :param suspected: unexplained crashes by cause
         :return: the cause, None if none was there at enough of them
         """
-        best: tuple[bool, int, int, str] | None = None
+        best: tuple[int, int, str] | None = None
         for cause, crash_ids in suspected.items():
-            if len(crash_ids) < CRASHES_BEFORE_BLAME:
+            if not self.is_enough(cause, crash_ids):
                 continue
-            crashes = [self.crashes[crash_id] for crash_id in crash_ids]
-            count = count_apart(
-                (crash.at_ms for crash in crashes), crash_spacing_ms(cause)
+            key = (
+                self.count(cause, crash_ids),
+                self.position(cause, crash_ids),
+                cause,
             )
-            is_new = cause not in self.sound_ms
-            if not is_new and count < CRASHES_BEFORE_BLAME_OF_PROVED:
-                continue
-            if count < CRASHES_BEFORE_BLAME:
-                continue
-            position = max(crash.positions[cause] for crash in crashes)
-            key = (is_new, count, position, cause)
             if best is None or key > best:
                 best = key
         return best[-1] if best is not None else None
 
+    def is_enough(self, cause: str, crash_ids: set[str]) -> bool:
+        """Returns whether a cause is blamed for crashes.
+
+        :param cause: a cause
+        :param crash_ids: crashes that it may have caused
+        """
+        if cause in self.sound_ms:
+            needed = CRASHES_BEFORE_BLAME_OF_PROVED
+        else:
+            needed = CRASHES_BEFORE_BLAME
+        return self.count(cause, crash_ids) >= needed
+
+    def count(self, cause: str, crash_ids: set[str]) -> int:
+        """Counts crashes, those close together as one.
+
+        :param cause: a cause
+        :param crash_ids: crashes that it may have caused
+        """
+        times_ms = (self.crashes[crash_id].at_ms for crash_id in crash_ids)
+        return count_apart(times_ms, crash_spacing_ms(cause))
+
     def counts_against(self, crash: Crash, cause: str) -> bool:
         """Returns whether a cause may have caused a crash.
 
@@ -340,6 +410,17 @@
         sound_ms = self.sound_ms.get(cause)
         return sound_ms is None or crash.at_ms > sound_ms
 
+    def crashes_against(self, cause: str) -> list[str]:
+        """Returns the ids of the crashes that a cause may have caused.
+
+        :param cause: a request or part
+        """
+        return [
+            crash_id
+            for crash_id, crash in self.crashes.items()
+            if self.counts_against(crash, cause)
+        ]
+
     def find_blamed(self, causes: typing.Iterable[str]) -> list[str]:
         """Returns the causes for which no upstream may be risked.
 
@@ -378,21 +459,47 @@
         :param now_ms: the current time
         """
         trials = self.trials.get(cause, NO_TRIALS)
-        delays_ms = trial_delays_ms(cause)
-        if trials.number >= len(delays_ms):
+        failed = self.failed_trials(cause)
+        delays_ms = self.trial_delays_ms(cause)
+        if failed >= len(delays_ms):
             return False
         last_crash_ms = max(
             self.crashes[crash_id].at_ms for crash_id in self.blamed[cause]
         )
         stagger_ms = self.place(f"{cause}/{trials.number}") * TRIAL_STAGGER_MS
         since_ms = max(last_crash_ms, trials.last_ms)
-        if now_ms - since_ms < delays_ms[trials.number] + stagger_ms:
+        if now_ms - since_ms < delays_ms[failed] + stagger_ms:
             return False
         if self.request_trial_ms is None or not is_request(cause):
             return True
         spacing_ms = REQUEST_TRIAL_SPACING_MS + stagger_ms
         return now_ms - self.request_trial_ms >= spacing_ms
 
+    def failed_trials(self, cause: str) -> int:
+        """Returns how many trials of a blamed cause speak against it.
+
+        Of a cause that was proved sound before, a trial shows nothing if the
+        upstream crashed with something else that is blamed.
+
+        :param cause: a blamed cause
+        """
+        number = self.trials.get(cause, NO_TRIALS).number
+        if cause not in self.sound_ms:
+            return number
+        crashes = len(self.blamed.get(cause, ()))
+        return min(number, max(0, crashes - CRASHES_BEFORE_BLAME_OF_PROVED))
+
+    def trial_delays_ms(self, cause: str) -> tuple[int, ...]:
+        """Returns the time before each trial of a cause.
+
+        :param cause: a request or part
+        """
+        if is_request(cause):
+            return REQUEST_TRIAL_DELAYS_MS
+        if cause in self.sound_ms:
+            return PROVED_PART_TRIAL_DELAYS_MS
+        return PART_TRIAL_DELAYS_MS
+
     def set_trials(self, cause: str, trials: Trials) -> None:
         """Sets the trials of a cause that are known now.
 
@@ -523,23 +630,43 @@
         return tuple(self.blame_report(cause, now_ms) for cause in told)
 
     def blames_to_save(self, now_ms: int) -> tuple[BlameReport, ...]:
-        """Returns the blames that must outlive this process.
+        """Returns what must outlive this process.
 
         :param now_ms: the current time
-        :return: at most :data:`MAX_BLAMES_SAVED`
+        :return: at most :data:`MAX_BLAMES_SAVED` blames, and the causes with
+            most crashes among those that have too few to be blamed
         """
-        causes = sorted(self.blamed)[:MAX_BLAMES_SAVED]
-        return tuple(self.blame_report(cause, now_ms) for cause in causes)
+        causes = [
+            *sorted(self.blamed)[:MAX_BLAMES_SAVED],
+            *self.unblamed_suspects()[:MAX_SUSPECTS_SAVED],
+        ]
+        return tuple(
+            dataclasses.replace(
+                self.blame_report(cause, now_ms),
+                trials=self.failed_trials(cause),
+            )
+            for cause in causes
+        )
+
+    def unblamed_suspects(self) -> list[str]:
+        """Returns causes with crashes that were never proved sound."""
+        counts = collections.Counter(
+            cause
+            for crash in self.crashes.values()
+            for cause in crash.positions.keys() - self.blamed.keys()
+            if cause not in self.sound_ms
+        )
+        return sorted(counts, key=lambda cause: (-counts[cause], cause))
 
     def blame_report(self, cause: str, now_ms: int) -> BlameReport:
-        """Returns a blame as it is told and saved.
+        """Returns a blame, or what speaks for one, as it is told and saved.
 
-        :param cause: a blamed cause
+        :param cause: a cause with crashes
         :param now_ms: the current time
         """
+        crash_ids = self.blamed.get(cause) or self.crashes_against(cause)
         crashes = [
-            (self.crashes[crash_id].at_ms, crash_id)
-            for crash_id in self.blamed[cause]
+            (self.crashes[crash_id].at_ms, crash_id) for crash_id in crash_ids
         ]
         trials = self.trials.get(cause, NO_TRIALS)
         return BlameReport(
@@ -647,16 +774,6 @@
     return PART_CRASH_SPACING_MS
 
 
-def trial_delays_ms(cause: str) -> tuple[int, ...]:
-    """Returns the time before each trial of a cause.
-
-    :param cause: a request or part
-    """
-    if is_request(cause):
-        return REQUEST_TRIAL_DELAYS_MS
-    return PART_TRIAL_DELAYS_MS
-
-
 def count_apart(times_ms: typing.Iterable[int], spacing_ms: int) -> int:
     """Counts times, those close together as one.
 
