A part is not tried with a request in which something else is blamed

Cause: a request with two blamed parts counted as a trial of both, so that the bad one used up the trials of the sound one. Change: a part is tried only with a request in which nothing more specific is blamed.

--- a/godwitloft/gateway/crash_causes.py
+++ b/godwitloft/gateway/crash_causes.py
@@ -434,22 +434,29 @@
     # Trials of what is blamed.
 
     def may_try(
-        self, cause: str, causes: typing.Iterable[str], now_ms: int
+        self, cause: str, causes: typing.Sequence[str], now_ms: int
     ) -> bool:
         """Returns whether a request with a blamed cause may be sent.
 
-        A part is tried with a request that was never there at a crash: it
-        shows more of the part.
+        A part is tried with a request that was never there at a crash, and
+        in which nothing more specific is blamed: its failure would show
+        nothing of the part.
 
         :param cause: the blamed cause
-        :param causes: what the request consists of
+        :param causes: what the request consists of, parts in their order in
+            the prompt
         :param now_ms: the current time
         :return: whether it is a good trial, and time for one
         """
-        if not is_request(cause) and any(
+        if is_request(cause):
+            return self.is_trial_due(cause, now_ms)
+        if any(
             is_request(other) and other in self.present for other in causes
         ):
             return False
+        more_specific = causes[causes.index(cause) + 1 :]
+        if self.find_blamed(more_specific):
+            return False
         return self.is_trial_due(cause, now_ms)
 
     def is_trial_due(self, cause: str, now_ms: int) -> bool:
