Part trials and reports from the model of what crashes upstreams

crash_causes.py held three matters in some 760 lines: crash_trials.py decides now when a blamed cause is tried, crash_reports.py names causes and what gateways tell of them. Methods are named after what they return for whom: crashes_to_tell, proofs_to_tell.

--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -7,7 +7,7 @@
 from features.support import following_gateways
 from features.support import restored_store
 from godwitloft import attempt as attempts
-from godwitloft.gateway import crash_causes
+from godwitloft.gateway import crash_reports
 
 SOUND_GAP_MS = 40
 RARE_GAP_MS = 1300
@@ -143,7 +143,7 @@
     following = context.following
     member = following.first
     causes = member.gateway.retry_policy.crashes.causes
-    broken = crash_causes.part_causes(["aa0", part])
+    broken = crash_reports.part_causes(["aa0", part])
     for number in range(3):
         causes.record_crash([broken], f"u{number}/1", member.now_ms())
         following.advance(300)
@@ -204,12 +204,12 @@
 @then('{count:d} crash counts against "{parts}"')
 def check_counted(context, count, parts):
     crashes = context.world.gateway.retry_policy.crashes.causes.crashes
-    expected = crash_causes.part_causes(parts.split(","))
+    expected = crash_reports.part_causes(parts.split(","))
     found = [
         tuple(
             cause
             for cause in crash.positions
-            if cause.startswith(crash_causes.PART_PREFIX)
+            if cause.startswith(crash_reports.PART_PREFIX)
         )
         for crash in crashes.values()
     ]
--- a/godwitloft/gateway/crash_causes.py
+++ b/godwitloft/gateway/crash_causes.py
@@ -1,14 +1,13 @@
-"""Finds what crashes the upstreams that answer it, and when to try it again.
+"""Finds what crashes the upstreams that answer it.
 
 A cause is a whole request, the same each time it comes, or a shared part of
 prompts that have nothing else in common. Both come to any gateway and run
 beside sound requests. So each crash counts against all causes that were there,
-gateways tell each other what they saw, and one model weighs all causes: a
-crash that one of them explains counts against no other.
+and gateways tell each other what they saw.
 
-What is blamed is refused. A blame may be wrong, and what is refused gets no
-chance to prove itself; so a few requests, one at a time over all gateways, are
-sent all the same. The time between them grows.
+Causes that were never proved sound are blamed for each crash at which they
+were; who of them did it is for trials to show. Those that were sound before
+are blamed only for crashes that no other cause explains.
 """
 
 import collections
@@ -16,9 +15,9 @@
 import typing
 
 from godwitloft import events
+from godwitloft.gateway import crash_reports
+from godwitloft.gateway import crash_trials
 
-REQUEST_PREFIX = "request:"
-PART_PREFIX = "part:"
 CRASHES_BEFORE_BLAME = 3
 # Of causes that were proved sound before: chance brings them to crashes.
 CRASHES_BEFORE_BLAME_OF_PROVED = 5
@@ -31,19 +30,6 @@
 # Two breaks of one life of an upstream further apart are two crashes.
 SAME_CRASH_MS = 1_000
 MEMORY_MS = 3_600_000
-# Time from the last crash or trial to each trial of a blamed cause. Parts that
-# were sound are more often blamed wrongly, and tried sooner.
-PART_TRIAL_DELAYS_MS = (2_000, 3_000, 4_000, 120_000, 900_000, 1_800_000)
-PROVED_PART_TRIAL_DELAYS_MS = (
-    *(1_000, 3_000, 6_000),
-    *(120_000, 900_000, 1_800_000),
-)
-REQUEST_TRIAL_DELAYS_MS = (10_000, 120_000, 900_000, 1_800_000)
-# Gateways may start a trial one after the other, so that two seldom do.
-TRIAL_STAGGER_MS = 40
-# Whole requests are seldom blamed wrongly: their trials don't crash another
-# upstream before the last one is back.
-REQUEST_TRIAL_SPACING_MS = 5_000
 # How long peers are told of a crash, and which of its causes are sound.
 TOLD_MS = 3_000
 MAX_CRASHES = 200
@@ -53,53 +39,6 @@
 MAX_BLAMES_TOLD = 4
 MAX_BLAMES_SAVED = 40
 MAX_SUSPECTS_SAVED = 20
-# Whole requests are more specific than any part of their prompts.
-REQUEST_POSITION = 1_000
-
-
-@dataclasses.dataclass(frozen=True)
-class CrashReport:
-    """A crash of an upstream, as told to others.
-
-    :param id: its id, the same at all gateways
-    :param age_ms: time since then
-    :param causes: what may have caused it, parts in their order in the prompts
-    """
-
-    id: str
-    age_ms: int
-    causes: tuple[str, ...]
-
-
-@dataclasses.dataclass(frozen=True)
-class SoundReport:
-    """A proof that a cause is sound, as told to others.
-
-    :param cause: the request or part
-    :param age_ms: time since then
-    """
-
-    cause: str
-    age_ms: int
-
-
-@dataclasses.dataclass(frozen=True)
-class BlameReport:
-    """A blame, as told to others and saved.
-
-    What is saved has causes with too few crashes for a blame as well.
-
-    :param cause: the request or part
-    :param crashes: its last crashes, at most as many as are needed for a
-        blame, without other causes
-    :param trials: how many trials of it were started
-    :param trial_age_ms: time since the last one
-    """
-
-    cause: str
-    crashes: tuple[CrashReport, ...]
-    trials: int = 0
-    trial_age_ms: int = 0
 
 
 @dataclasses.dataclass
@@ -108,52 +47,13 @@
 
     :param at_ms: when it broke off the requests
     :param positions: by cause, how specific it is: place of a part in its
-        prompt, :data:`REQUEST_POSITION` for whole requests
+        prompt, the largest for whole requests
     """
 
     at_ms: int
     positions: dict[str, int]
 
 
-@dataclasses.dataclass(frozen=True)
-class Trials:
-    """Requests with a blamed cause that were sent all the same.
-
-    :param number: how many there were
-    :param last_ms: when the last one was sent
-    """
-
-    number: int
-    last_ms: int
-
-
-NO_TRIALS = Trials(0, 0)
-
-
-def request_cause(fingerprint: bytes) -> str:
-    """Returns a whole request as a cause of crashes.
-
-    :param fingerprint: fingerprint of the request
-    """
-    return REQUEST_PREFIX + fingerprint.hex()
-
-
-def part_causes(parts: typing.Iterable[str]) -> tuple[str, ...]:
-    """Returns parts of a prompt as causes of crashes.
-
-    :param parts: their ids
-    """
-    return tuple(PART_PREFIX + part for part in parts)
-
-
-def is_request(cause: str) -> bool:
-    """Returns whether a cause is a whole request, not a part of prompts.
-
-    :param cause: a cause of crashes
-    """
-    return cause.startswith(REQUEST_PREFIX)
-
-
 class CrashCauses:
     """Crashes and proofs of soundness, as all gateways know them.
 
@@ -162,7 +62,7 @@
     """
 
     def __init__(self, place: typing.Callable[[str], int]) -> None:
-        self.place = place
+        self.trials = crash_trials.TrialSchedule(place)
         # By id. One crash is heard of from several gateways, and counts once.
         self.crashes: dict[str, Crash] = {}
         # All causes that were there at these crashes.
@@ -175,9 +75,6 @@
         self.own_sound_ms: dict[str, int] = {}
         # The crashes for which each blamed cause is blamed, by id.
         self.blamed: dict[str, list[str]] = {}
-        self.trials: dict[str, Trials] = {}
-        # When any whole request was last tried.
-        self.request_trial_ms: int | None = None
         # Blamed causes whose turn it is to be told.
         self.told_next = 0
         # Whether blames or trials have changed since they were saved.
@@ -201,7 +98,9 @@
         crash_id = self.crash_id(upstream, at_ms)
         positions: dict[str, int] = {}
         for causes in broken:
-            merge_positions(positions, causes)
+            crash_reports.merge_positions(
+                positions, crash_reports.positions(causes)
+            )
         self.add_crash(crash_id, Crash(at_ms, positions))
 
     def crash_id(self, upstream: str, at_ms: int) -> str:
@@ -233,10 +132,7 @@
         known = self.crashes.setdefault(crash_id, Crash(crash.at_ms, {}))
         self.present.update(crash.positions)
         before = len(known.positions)
-        for cause, position in crash.positions.items():
-            known.positions[cause] = max(
-                position, known.positions.get(cause, 0)
-            )
+        crash_reports.merge_positions(known.positions, crash.positions)
         if len(known.positions) > before:
             self.unsaved = True
             self.forget_excess()
@@ -267,7 +163,7 @@
             self.update_blame()
         for cause in doubted:
             if cause not in self.blamed:
-                self.trials.pop(cause, None)
+                self.trials.forget(cause)
 
     # Blame.
 
@@ -319,7 +215,7 @@
         return {
             cause: sorted(crash_ids)
             for cause, crash_ids in unproved.items()
-            if is_request(cause)
+            if crash_reports.is_request(cause)
             or not any(
                 crash_ids <= other_ids
                 and self.position(other, other_ids)
@@ -448,10 +344,11 @@
         :param now_ms: the current time
         :return: whether it is a good trial, and time for one
         """
-        if is_request(cause):
+        if crash_reports.is_request(cause):
             return self.is_trial_due(cause, now_ms)
         if any(
-            is_request(other) and other in self.present for other in causes
+            crash_reports.is_request(other) and other in self.present
+            for other in causes
         ):
             return False
         more_specific = causes[causes.index(cause) + 1 :]
@@ -465,59 +362,32 @@
         :param cause: a blamed cause
         :param now_ms: the current time
         """
-        trials = self.trials.get(cause, NO_TRIALS)
-        failed = self.failed_trials(cause)
-        delays_ms = self.trial_delays_ms(cause)
-        if failed >= len(delays_ms):
-            return False
-        last_crash_ms = max(
+        times_ms = (
             self.crashes[crash_id].at_ms for crash_id in self.blamed[cause]
         )
-        stagger_ms = self.place(f"{cause}/{trials.number}") * TRIAL_STAGGER_MS
-        since_ms = max(last_crash_ms, trials.last_ms)
-        if now_ms - since_ms < delays_ms[failed] + stagger_ms:
-            return False
-        if self.request_trial_ms is None or not is_request(cause):
-            return True
-        spacing_ms = REQUEST_TRIAL_SPACING_MS + stagger_ms
-        return now_ms - self.request_trial_ms >= spacing_ms
-
-    def failed_trials(self, cause: str) -> int:
-        """Returns how many trials of a blamed cause speak against it.
-
-        Of a cause that was proved sound before, a trial shows nothing if the
-        upstream crashed with something else that is blamed.
-
-        :param cause: a blamed cause
-        """
-        number = self.trials.get(cause, NO_TRIALS).number
-        if cause not in self.sound_ms:
-            return number
-        crashes = len(self.blamed.get(cause, ()))
-        return min(number, max(0, crashes - CRASHES_BEFORE_BLAME_OF_PROVED))
+        return self.trials.is_due(
+            cause,
+            self.failed_trials(cause, now_ms),
+            cause in self.sound_ms,
+            max(times_ms),
+            now_ms,
+        )
 
-    def trial_delays_ms(self, cause: str) -> tuple[int, ...]:
-        """Returns the time before each trial of a cause.
+    def failed_trials(self, cause: str, now_ms: int) -> int:
+        """Returns how many trials of a cause speak against it.
 
         :param cause: a request or part
+        :param now_ms: the current time
         """
-        if is_request(cause):
-            return REQUEST_TRIAL_DELAYS_MS
-        if cause in self.sound_ms:
-            return PROVED_PART_TRIAL_DELAYS_MS
-        return PART_TRIAL_DELAYS_MS
-
-    def set_trials(self, cause: str, trials: Trials) -> None:
-        """Sets the trials of a cause that are known now.
-
-        :param cause: a blamed cause
-        :param trials: its trials, at least as many as were known
-        """
-        self.trials[cause] = trials
-        if is_request(cause):
-            self.request_trial_ms = max(
-                trials.last_ms, self.request_trial_ms or 0
-            )
+        if cause not in self.sound_ms:
+            return self.trials.number(cause)
+        others = self.blamed.keys() - {cause}
+        times_ms = [
+            crash.at_ms
+            for crash in self.crashes.values()
+            if cause in crash.positions and others.isdisjoint(crash.positions)
+        ]
+        return self.trials.failed(cause, times_ms, now_ms)
 
     def record_trial(self, cause: str, now_ms: int) -> int:
         """Records that a request with a blamed cause is sent.
@@ -526,18 +396,16 @@
         :param now_ms: the current time
         :return: the number of this trial, from 1
         """
-        number = self.trials.get(cause, NO_TRIALS).number + 1
-        self.set_trials(cause, Trials(number, now_ms))
         self.unsaved = True
-        return number
+        return self.trials.record(cause, now_ms)
 
     # What others are told and tell.
 
     def learn(
         self,
-        crashes: typing.Iterable[CrashReport],
-        sound: typing.Iterable[SoundReport],
-        blames: typing.Iterable[BlameReport],
+        crashes: typing.Iterable[crash_reports.CrashReport],
+        sound: typing.Iterable[crash_reports.SoundReport],
+        blames: typing.Iterable[crash_reports.BlameReport],
         now_ms: int,
     ) -> None:
         """Takes over what a peer knows, or what was saved.
@@ -550,21 +418,20 @@
         for proof in sound:
             self.note_sound((proof.cause,), now_ms - proof.age_ms)
         for blame in blames:
-            known = self.trials.get(blame.cause, NO_TRIALS)
-            if blame.trials > known.number:
-                last_ms = now_ms - blame.trial_age_ms
-                self.set_trials(blame.cause, Trials(blame.trials, last_ms))
+            last_ms = now_ms - blame.trial_age_ms
+            self.trials.learn(blame.cause, blame.trials, last_ms)
         told = [
             *crashes,
             *(crash for blame in blames for crash in blame.crashes),
         ]
         for report in told:
-            positions: dict[str, int] = {}
-            merge_positions(positions, report.causes)
+            positions = crash_reports.positions(report.causes)
             at_ms = now_ms - report.age_ms
             self.add_crash(report.id, Crash(at_ms, positions))
 
-    def crash_reports(self, now_ms: int) -> tuple[CrashReport, ...]:
+    def crashes_to_tell(
+        self, now_ms: int
+    ) -> tuple[crash_reports.CrashReport, ...]:
         """Returns the crashes that peers should know.
 
         :param now_ms: the current time
@@ -578,7 +445,7 @@
         ]
         late.sort(key=lambda item: -item[1].at_ms)
         return tuple(
-            CrashReport(
+            crash_reports.CrashReport(
                 crash_id, now_ms - crash.at_ms, self.suspected_causes(crash)
             )
             for crash_id, crash in late[:MAX_CRASHES_TOLD]
@@ -595,7 +462,9 @@
             cause for cause in ordered if self.counts_against(crash, cause)
         )
 
-    def sound_reports(self, now_ms: int) -> tuple[SoundReport, ...]:
+    def proofs_to_tell(
+        self, now_ms: int
+    ) -> tuple[crash_reports.SoundReport, ...]:
         """Returns which causes this gateway has seen to be sound.
 
         :param now_ms: the current time
@@ -609,14 +478,16 @@
             for cause in crash.positions
         }
         reports = [
-            SoundReport(cause, now_ms - self.own_sound_ms[cause])
+            crash_reports.SoundReport(cause, now_ms - self.own_sound_ms[cause])
             for cause in self.present & self.own_sound_ms.keys()
             if cause in late or now_ms - self.own_sound_ms[cause] <= TOLD_MS
         ]
         reports.sort(key=lambda report: report.age_ms)
         return tuple(reports[:MAX_SOUND_TOLD])
 
-    def blames_to_tell(self, now_ms: int) -> tuple[BlameReport, ...]:
+    def blames_to_tell(
+        self, now_ms: int
+    ) -> tuple[crash_reports.BlameReport, ...]:
         """Returns the blames that peers are told of this time.
 
         A gateway that has just started learns all of them in a few rounds.
@@ -627,8 +498,8 @@
         """
         tried = [
             cause
-            for cause, trials in self.trials.items()
-            if cause in self.blamed and now_ms - trials.last_ms <= TOLD_MS
+            for cause, trials in self.trials.trials.items()
+            if cause in self.blamed and now_ms - trials.times_ms[-1] <= TOLD_MS
         ]
         others = sorted(self.blamed.keys() - set(tried))
         first = self.told_next if self.told_next < len(others) else 0
@@ -636,7 +507,9 @@
         told = tried + others[first : first + MAX_BLAMES_TOLD]
         return tuple(self.blame_report(cause, now_ms) for cause in told)
 
-    def blames_to_save(self, now_ms: int) -> tuple[BlameReport, ...]:
+    def blames_to_save(
+        self, now_ms: int
+    ) -> tuple[crash_reports.BlameReport, ...]:
         """Returns what must outlive this process.
 
         :param now_ms: the current time
@@ -650,7 +523,7 @@
         return tuple(
             dataclasses.replace(
                 self.blame_report(cause, now_ms),
-                trials=self.failed_trials(cause),
+                trials=self.failed_trials(cause, now_ms),
             )
             for cause in causes
         )
@@ -665,7 +538,9 @@
         )
         return sorted(counts, key=lambda cause: (-counts[cause], cause))
 
-    def blame_report(self, cause: str, now_ms: int) -> BlameReport:
+    def blame_report(
+        self, cause: str, now_ms: int
+    ) -> crash_reports.BlameReport:
         """Returns a blame, or what speaks for one, as it is told and saved.
 
         :param cause: a cause with crashes
@@ -675,17 +550,17 @@
         crashes = [
             (self.crashes[crash_id].at_ms, crash_id) for crash_id in crash_ids
         ]
-        trials = self.trials.get(cause, NO_TRIALS)
-        return BlameReport(
+        last_ms = self.trials.last_ms(cause)
+        return crash_reports.BlameReport(
             cause,
             tuple(
-                CrashReport(crash_id, now_ms - at_ms, (cause,))
+                crash_reports.CrashReport(crash_id, now_ms - at_ms, (cause,))
                 for at_ms, crash_id in last_apart(
                     crashes, crash_spacing_ms(cause)
                 )
             ),
-            trials.number,
-            now_ms - trials.last_ms if trials.number else 0,
+            self.trials.number(cause),
+            now_ms - last_ms if last_ms is not None else 0,
         )
 
     # Bounds.
@@ -705,9 +580,7 @@
         if old:
             self.update_present()
             self.update_blame()
-        for cause, trials in list(self.trials.items()):
-            if now_ms - trials.last_ms > MEMORY_MS:
-                del self.trials[cause]
+        self.trials.forget_old(now_ms - MEMORY_MS)
 
     def forget_excess(self) -> None:
         """Forgets the oldest crashes, those that are explained last."""
@@ -758,25 +631,12 @@
     return newer
 
 
-def merge_positions(
-    positions: dict[str, int], causes: typing.Sequence[str]
-) -> None:
-    """Adds the causes of one request to those of a crash.
-
-    :param positions: how specific each cause is, which is changed
-    :param causes: parts in their order in the prompt, and the whole
-    """
-    for index, cause in enumerate(causes):
-        position = REQUEST_POSITION if is_request(cause) else index
-        positions[cause] = max(position, positions.get(cause, 0))
-
-
 def crash_spacing_ms(cause: str) -> int:
     """Returns how far apart crashes count each by itself.
 
     :param cause: a request or part
     """
-    if is_request(cause):
+    if crash_reports.is_request(cause):
         return REQUEST_CRASH_SPACING_MS
     return PART_CRASH_SPACING_MS
 
--- a/godwitloft/gateway/peer_status.py
+++ b/godwitloft/gateway/peer_status.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from godwitloft.gateway import crash_causes
+from godwitloft.gateway import crash_reports
 from godwitloft.links.generated.datagrams import ttypes
 
 
@@ -68,9 +68,9 @@
     timeline: int | None = None
     leaving: tuple[Life, ...] = ()
     store_up: StoreUp | None = None
-    crashes: tuple[crash_causes.CrashReport, ...] = ()
-    sound: tuple[crash_causes.SoundReport, ...] = ()
-    blames: tuple[crash_causes.BlameReport, ...] = ()
+    crashes: tuple[crash_reports.CrashReport, ...] = ()
+    sound: tuple[crash_reports.SoundReport, ...] = ()
+    blames: tuple[crash_reports.BlameReport, ...] = ()
     limits: tuple[LimitReport, ...] = ()
 
 
@@ -129,11 +129,11 @@
         store_up=decode_store_up(sharing),
         crashes=decode_crashes(sharing.crashes),
         sound=tuple(
-            crash_causes.SoundReport(proof.cause, max(0, proof.age_ms))
+            crash_reports.SoundReport(proof.cause, max(0, proof.age_ms))
             for proof in sharing.sound or ()
         ),
         blames=tuple(
-            crash_causes.BlameReport(
+            crash_reports.BlameReport(
                 blame.cause,
                 decode_crashes(blame.crashes),
                 blame.trials,
@@ -152,7 +152,7 @@
     )
 
 
-def encode_crash(crash: crash_causes.CrashReport) -> ttypes.Crash:
+def encode_crash(crash: crash_reports.CrashReport) -> ttypes.Crash:
     """Returns a crash as it is sent.
 
     :param crash: the crash
@@ -162,13 +162,13 @@
 
 def decode_crashes(
     crashes: list[ttypes.Crash] | None,
-) -> tuple[crash_causes.CrashReport, ...]:
+) -> tuple[crash_reports.CrashReport, ...]:
     """Returns crashes as they were told.
 
     :param crashes: as received, None for none
     """
     return tuple(
-        crash_causes.CrashReport(
+        crash_reports.CrashReport(
             crash.id, max(0, crash.age_ms), tuple(crash.causes)
         )
         for crash in crashes or ()
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -9,6 +9,7 @@
 from godwitloft import attempt as attempts
 from godwitloft.gateway import allowance
 from godwitloft.gateway import crash_causes
+from godwitloft.gateway import crash_reports
 from godwitloft.gateway import dialect as dialects
 from godwitloft.gateway import fleet
 from godwitloft.gateway import headers as header_lists
@@ -84,12 +85,12 @@
     @functools.cached_property
     def request_cause(self) -> str:
         """The whole request as a cause of crashes."""
-        return crash_causes.request_cause(self.fingerprint)
+        return crash_reports.request_cause(self.fingerprint)
 
     @functools.cached_property
     def part_causes(self) -> tuple[str, ...]:
         """The shared parts of its prompt as causes of crashes."""
-        return crash_causes.part_causes(self.shared_parts)
+        return crash_reports.part_causes(self.shared_parts)
 
     @property
     def possible_causes(self) -> tuple[str, ...]:
--- a/godwitloft/gateway/shared_knowledge.py
+++ b/godwitloft/gateway/shared_knowledge.py
@@ -4,6 +4,7 @@
 
 from godwitloft import clock as clocks
 from godwitloft.gateway import crash_causes
+from godwitloft.gateway import crash_reports
 from godwitloft.gateway import fleet as fleets
 from godwitloft.gateway import named_limit
 from godwitloft.gateway import peer_confirmation
@@ -76,8 +77,8 @@
             timeline=self.store_timeline(),
             leaving=leaving[:MAX_LEAVING_TOLD],
             store_up=self.store_up(now_ms),
-            crashes=self.causes.crash_reports(now_ms),
-            sound=self.causes.sound_reports(now_ms),
+            crashes=self.causes.crashes_to_tell(now_ms),
+            sound=self.causes.proofs_to_tell(now_ms),
             blames=self.causes.blames_to_tell(now_ms),
             limits=self.limit_reports(now_ms),
         )
@@ -151,12 +152,12 @@
             named_limit.Statement(report.per_s, at_ms, wall_ms, own=False),
         )
 
-    def blame_reports(self) -> tuple[crash_causes.BlameReport, ...]:
+    def blame_reports(self) -> tuple[crash_reports.BlameReport, ...]:
         """Returns the blames to be saved."""
         return self.causes.blames_to_save(self.clock.monotonic_ms())
 
     def restore_blames(
-        self, saved: tuple[crash_causes.BlameReport, ...], age_ms: int
+        self, saved: tuple[crash_reports.BlameReport, ...], age_ms: int
     ) -> None:
         """Takes over blames from before a restart.
 
--- a/godwitloft/platform/lease_row.py
+++ b/godwitloft/platform/lease_row.py
@@ -4,7 +4,7 @@
 import dataclasses
 import json
 
-from godwitloft.gateway import crash_causes
+from godwitloft.gateway import crash_reports
 from godwitloft.gateway import sharing
 from godwitloft.platform import rows
 
@@ -23,7 +23,7 @@
     host: str
     renewed_ms: int
     usage: sharing.Usage
-    blames: tuple[crash_causes.BlameReport, ...] = ()
+    blames: tuple[crash_reports.BlameReport, ...] = ()
 
 
 def encode(row: LeaseRow) -> str:
@@ -64,7 +64,7 @@
     )
 
 
-def encode_blame(blame: crash_causes.BlameReport) -> dict[str, object]:
+def encode_blame(blame: crash_reports.BlameReport) -> dict[str, object]:
     """Returns a blame as it is saved.
 
     :param blame: the blame
@@ -80,7 +80,7 @@
     }
 
 
-def decode_blame(fields: rows.Fields) -> crash_causes.BlameReport:
+def decode_blame(fields: rows.Fields) -> crash_reports.BlameReport:
     """Decodes a blame.
 
     :param fields: its JSON object
@@ -88,10 +88,10 @@
     :raises RowError: if it is invalid
     """
     cause = fields.text("cause")
-    return crash_causes.BlameReport(
+    return crash_reports.BlameReport(
         cause,
         tuple(
-            crash_causes.CrashReport(
+            crash_reports.CrashReport(
                 crash.text("id"), int(crash.number("age_ms")), (cause,)
             )
             for crash in fields.objects("crashes")
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -13,7 +13,7 @@
 
 from godwitloft import clock as clocks
 from godwitloft import events
-from godwitloft.gateway import crash_causes
+from godwitloft.gateway import crash_reports
 from godwitloft.gateway import model
 from godwitloft.gateway import peer_confirmation as peer_confirmations
 from godwitloft.gateway import sharing
@@ -89,10 +89,10 @@
     on_usage_restored: typing.Callable[[sharing.Usage | None, int], None]
     on_peer_usage_restored: typing.Callable[[str, sharing.Usage, int], None]
     on_blames_restored: typing.Callable[
-        [tuple[crash_causes.BlameReport, ...], int], None
+        [tuple[crash_reports.BlameReport, ...], int], None
     ]
     usage: typing.Callable[[], sharing.Usage]
-    blames: typing.Callable[[], tuple[crash_causes.BlameReport, ...]]
+    blames: typing.Callable[[], tuple[crash_reports.BlameReport, ...]]
     needs_saving: typing.Callable[[], bool]
     before_save: typing.Callable[[], None]
     on_restored: typing.Callable[[int], None]
