--- a/features/crash_search.feature
+++ b/features/crash_search.feature
@@ -40,6 +40,7 @@
       | 73 |
       | 161 |
 
-    Examples: many gateways before few engines
+    Examples: many gateways and causes
       | seed |
       | 128 |
+      | 145 |
