Tests get ports that are free for TCP and UDP, and report an entry that ended

Cause: the entry's port for datagrams was asked of the system as a TCP port only, and the next one not at all; an entry whose UDP port another process holds ends at once, and the test waited on for 30 s without its output. Reproduced by holding that port.

Now both kinds of each port are tried, and the wait ends with the last words of an entry that has ended, which name the port. A process that takes a port between the test and the start can still do so; the report says which port then.

--- a/features/support/lakeshore.py
+++ b/features/support/lakeshore.py
@@ -1,5 +1,6 @@
 """Runs an entry and a stand-in platform as processes."""
 
+import contextlib
 import http.client
 import json
 import os
@@ -36,14 +37,39 @@
     return words.configuration(version, HOST, ROUTES, teams, TIMEOUT_MS)
 
 
+KINDS = (socket.SOCK_STREAM, socket.SOCK_DGRAM)
+
+
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for listener in sockets:
-        listener.bind(("127.0.0.1", 0))
-    ports = [listener.getsockname()[1] for listener in sockets]
-    for listener in sockets:
-        listener.close()
-    return ports
+    """Returns ports that are free for TCP and for UDP."""
+    found = []
+    with contextlib.ExitStack() as sockets:
+        while len(found) < count:
+            listener = sockets.enter_context(socket.socket())
+            listener.bind(("127.0.0.1", 0))
+            port = listener.getsockname()[1]
+            if is_free(port, socket.SOCK_DGRAM):
+                found.append(port)
+    return found
+
+
+def free_port_range():
+    """Returns the first and last of two ports that are free for both."""
+    while True:
+        first = free_ports(1)[0]
+        ports = (first, first + 1)
+        if all(is_free(port, kind) for port in ports for kind in KINDS):
+            return ports
+
+
+def is_free(port, kind):
+    """Returns whether no process holds a port."""
+    with socket.socket(type=kind) as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 class World:
@@ -84,13 +110,13 @@
         self.context.add_cleanup(stop)
         return process
 
-    def start_entry(self):
-        self.front, self.ready, first, self.metrics_port = free_ports(4)
+    def start_entry(self, ports=None):
+        self.front, self.ready, self.metrics_port = free_ports(3)
         boot = pathlib.Path(self.directory.name) / "boot.toml"
         machine = words.Machine(
             "edge-a-1",
             "127.0.0.1",
-            (first, first + 1),
+            ports or free_port_range(),
             front=f"127.0.0.1:{self.front}",
             ready=f"127.0.0.1:{self.ready}",
         )
@@ -130,6 +156,9 @@
             return response.read().decode()
 
     def is_ready(self):
+        if self.entry.poll() is not None:
+            output = self.entry.communicate(timeout=TIMEOUT_S)[0]
+            raise AssertionError(f"the entry has ended: {output[-1000:]}")
         try:
             return self.get_ready_status() == 200
         except OSError:
