Soak: a part of prompts crashes the runners of models

The soak played no crash, as its relays accept connections for their runners. Now a relay refuses connections while its server does, and each fault `crash_part` names a part on which all model runners crash for 5 to 12 s, back after 0.6 s each; a fifth of the model requests has it then, all have a shared part of their own besides. Checked from outside: at most three such requests reach runners later than 4 s after the fifth crash, from entries without a fault of their own (BUDGET). Drawn apart, so that the other faults and requests of old seeds stay what they were.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -21,6 +21,10 @@
 FAILED_PROBES_LIMIT = 2
 READ_BYTES = 4096
 PROMPT_TOKENS = 5
+# Share of model requests that have the part that crashes runners, while there
+# is one.
+CRASH_SHARE = 0.2
+SHARED_PARTS = ("aa0", "aa1", "aa2")
 # Route, HTTP method and relative frequency.
 REQUEST_MIX = (
     ("stream", "POST", 3),
@@ -114,6 +118,8 @@
     def __init__(self, number: int, seed: int, balancer: Balancer) -> None:
         self.number = number
         self.rng = random.Random(f"{seed}/{number}")
+        # Apart, so that the other requests of a seed stay what they were.
+        self.parts_rng = random.Random(f"{seed}/{number} parts")
         self.balancer = balancer
         self.records: list[RequestRecord] = []
         self.stop_requested = threading.Event()
@@ -198,6 +204,7 @@
             record.key,
             site.TIMEOUT_MS,
             (PROMPT_TOKENS, record.events) if record.events else None,
+            self.draw_parts(record.id) if record.events else (),
         )
         disconnects = self.rng.random() < DISCONNECT_SHARE
         try:
@@ -209,6 +216,18 @@
             record.error = repr(error)
         record.ended_ms = deployment.now_ms()
 
+    def draw_parts(self, request_id: str) -> tuple[str, ...]:
+        """Draws the parts of a prompt.
+
+        :param request_id: of the request, whose last part is its own
+        :return: their ids
+        """
+        parts = [self.parts_rng.choice(SHARED_PARTS)]
+        crash_part = self.balancer.system.crash_part
+        if crash_part and self.parts_rng.random() < CRASH_SHARE:
+            parts.append(crash_part)
+        return (*parts, request_id)
+
     def read(
         self,
         record: RequestRecord,
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -27,6 +27,8 @@
 # operators write again what they had written.
 MAX_LIMIT_PER_S = 3
 COPY_AGE_MS = 3_000
+# Short, so that many crashes fit into a soak test.
+CRASH_DOWN_MS = 600
 OPERATOR_REWRITE_MS = 500
 RELAY_MODES = {
     "delay": relay.DELAY,
@@ -50,6 +52,11 @@
     return int(time.time() * MS_PER_S)
 
 
+def crash_part_of(fault: plan.Fault) -> str:
+    """Returns the id of the part of prompts with which a fault crashes."""
+    return f"bad{fault.at_ms}"
+
+
 @dataclasses.dataclass
 class InjectedFault:
     """A fault that was injected.
@@ -97,6 +104,8 @@
         self.agents: list[programs.Program] = []
         self.relays: list[relay.Relay] = []
         self.unexpected_exits: list[str] = []
+        # Part of prompts that crashes runners of models, empty for none.
+        self.crash_part = ""
 
     # Start and stop.
 
@@ -329,6 +338,16 @@
             return f"{target_kind}-{fault.target}"
         return target_kind
 
+    def set_crash_part(self, part: str) -> None:
+        """Sets the part of prompts that crashes runners of models.
+
+        :param part: its id, empty for none
+        """
+        self.crash_part = part
+        models = [name for name in self.runners if name.startswith("i-model")]
+        change = {"crash_part": part, "crash_down_ms": CRASH_DOWN_MS}
+        self.control(runners=dict.fromkeys(models, change))
+
     def inject(self, fault: plan.Fault) -> InjectedFault:
         """Injects a fault.
 
@@ -372,6 +391,8 @@
             self.control(runners={injected.target: {"limit_per_s": None}})
         elif fault.kind == "say_leaving":
             self.start_new_life(injected.target)
+        elif self.crash_part == crash_part_of(fault):
+            self.set_crash_part("")
         injected.end_ms = now_ms()
 
     def start_new_life(self, runner: str) -> None:
@@ -471,6 +492,8 @@
         elif fault.kind == "name_limit":
             per_s = 1 + fault.duration_ms % MAX_LIMIT_PER_S
             self.control(runners={name: {"limit_per_s": per_s}})
+        elif fault.kind == "crash_part":
+            self.set_crash_part(crash_part_of(fault))
         elif fault.kind == "store_reset":
             self.on_reactor(self.store_relay.reset)
         elif fault.kind == "reset":
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -52,7 +52,11 @@
     "name_limit": ("runner", 5_000, 12_000),
 }
 LIMIT_MEAN_GAP_MS = 3_000
-KINDS = FIRST_KINDS | LATER_KINDS | LIMIT_KINDS
+CRASH_KINDS: dict[str, tuple[str, int, int]] = {
+    "crash_part": ("models", 5_000, 12_000),
+}
+CRASH_MEAN_GAP_MS = 12_000
+KINDS = FIRST_KINDS | LATER_KINDS | LIMIT_KINDS | CRASH_KINDS
 
 
 @dataclasses.dataclass(frozen=True)
@@ -125,7 +129,16 @@
         end_ms,
         size,
     )
-    return tuple(sorted(first + later + limits, key=lambda fault: fault.at_ms))
+    crashes = draw_kinds(
+        random.Random(f"{seed} crashes"),
+        CRASH_KINDS,
+        CRASH_MEAN_GAP_MS,
+        end_ms,
+        size,
+    )
+    return tuple(
+        sorted(first + later + limits + crashes, key=lambda fault: fault.at_ms)
+    )
 
 
 def draw_kinds(
--- a/bench/soak/relay.py
+++ b/bench/soak/relay.py
@@ -9,6 +9,7 @@
 from twisted.python import failure
 
 DELAY_S = 0.3
+PROBE_INTERVAL_S = 0.1
 # Modes of forwarding. SILENT holds all bytes, DEAF only those to the client.
 PASS = "pass"
 DELAY = "delay"
@@ -57,7 +58,15 @@
         self.relay.connections.discard(self)
         is_clean = reason.check(error.ConnectionDone) is not None
         delay_s = DELAY_S * 2 if self.queue else 0
-        self.relay.reactor.callLater(delay_s, self.end_peer, is_clean)
+        if self.to_server or is_clean:
+            self.relay.reactor.callLater(delay_s, self.end_peer, is_clean)
+        else:
+            # By then the relay refuses connections if its server does.
+            self.relay.probe(
+                lambda: self.relay.reactor.callLater(
+                    delay_s, self.end_peer, is_clean
+                )
+            )
 
     def end_peer(self, is_clean: bool) -> None:
         """Ends the other connection.
@@ -99,6 +108,10 @@
         self.server = server
         self.mode = PASS
         self.connections: set[Connection] = set()
+        self.host = ""
+        self.port = 0
+        # None while the server refuses connections, and so does the relay.
+        self.listening: typing.Any = None
 
     def listen(self, host: str) -> int:
         """Starts to listen on a free port.
@@ -106,11 +119,49 @@
         :param host: IP address
         :return: the port
         """
+        self.host = host
+        self.start_listening()
+        self.port = int(self.listening.getHost().port)
+        return self.port
+
+    def start_listening(self) -> None:
+        """Accepts connections, on the same port as before if it had one."""
         factory = protocol.Factory.forProtocol(lambda: Connection(self, True))
-        return int(
-            self.reactor.listenTCP(0, factory, interface=host).getHost().port
+        self.listening = self.reactor.listenTCP(
+            self.port, factory, interface=self.host
         )
 
+    def probe(self, on_probed: typing.Callable[[], object]) -> None:
+        """Finds out whether the server accepts connections.
+
+        :param on_probed: called afterwards
+        """
+        endpoint = endpoints.TCP4ClientEndpoint(self.reactor, *self.server)
+        connected = endpoints.connectProtocol(endpoint, protocol.Protocol())
+
+        def on_connected(probe: protocol.Protocol) -> None:
+            typing.cast(typing.Any, probe.transport).abortConnection()
+            if self.listening is None:
+                self.start_listening()
+
+        def on_failed(_problem: failure.Failure) -> None:
+            if self.listening is not None:
+                self.listening.stopListening()
+                self.listening = None
+                self.probe_again()
+
+        connected.addCallbacks(on_connected, on_failed)
+        connected.addBoth(lambda _result: on_probed())
+
+    def probe_again(self) -> None:
+        """Probes the server until it accepts connections again."""
+
+        def on_probed() -> None:
+            if self.listening is None:
+                self.probe_again()
+
+        self.reactor.callLater(PROBE_INTERVAL_S, self.probe, on_probed)
+
     def on_accept(self, client: Connection) -> None:
         """Accepts a connection from a client and connects to the server.
 
@@ -133,6 +184,9 @@
             client.send_due()
 
         def on_connect_failed(_problem: failure.Failure) -> None:
+            self.probe(on_probed)
+
+        def on_probed() -> None:
             if not client.is_closed:
                 typing.cast(typing.Any, client.transport).abortConnection()
 
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -135,6 +135,7 @@
             born=row["born"],
             leaving=row["leaving"],
             limit_per_s=row["limit"],
+            crashes_on=row["crashes_on"],
         )
         for runner, ledger in system.fetch("/ledger").items()
         for row in ledger
@@ -190,6 +191,7 @@
         "processes": soak.processes,
         "requests": len(history.records),
         "runs": len(history.runs),
+        "crashing": sum(bool(run.crashes_on) for run in history.runs),
         "statuses": dict(sorted(statuses.items())),
         "problems": dict(sorted(errors.items())),
         "faults": dict(
--- a/bench/soak/verdict.py
+++ b/bench/soak/verdict.py
@@ -28,6 +28,9 @@
 # Requests that were under way when a runner asked for a pause.
 PAUSE_SLACK_MS = 500
 MAX_ARRIVALS_IN_PAUSE = 2
+# The users' rule on parts of prompts that crash runners.
+CRASHES_BEFORE_BOUND = 5
+MAX_LATE_CRASHES = 3
 RECOVERY_MS = 8_000
 RECOVERED_SHARE = 0.25
 RAN_ON_SHARE = 0.25
@@ -57,6 +60,8 @@
     :param leaving: whether the answer said that the runner is leaving
     :param pause_ms: pause that it asked for when it rejected the request
     :param limit_per_s: limit that its answer named, None for none
+    :param crashes_on: part of its prompt that crashes the runner, empty for
+        none
     """
 
     id: str
@@ -71,6 +76,7 @@
     leaving: bool = False
     pause_ms: int = 0
     limit_per_s: float | None = None
+    crashes_on: str = ""
 
 
 @dataclasses.dataclass
@@ -610,6 +616,42 @@
     )
 
 
+def find_excess_crashes(history: History) -> list[str]:
+    """Finds parts of prompts that go on to crash runners."""
+    runs_by_part: dict[str, list[Run]] = collections.defaultdict(list)
+    for run in sorted(history.runs, key=lambda run: run.at_ms):
+        if run.crashes_on:
+            runs_by_part[run.crashes_on].append(run)
+    found = []
+    for part, runs in runs_by_part.items():
+        first_of_life: dict[tuple[str, int], int] = {}
+        for run in runs:
+            first_of_life.setdefault((run.runner, run.born), run.at_ms)
+        crashes_ms = sorted(first_of_life.values())
+        if len(crashes_ms) < CRASHES_BEFORE_BOUND:
+            continue
+        bound_ms = crashes_ms[CRASHES_BEFORE_BOUND - 1] + CONTACT_MS
+        late = [
+            run.id
+            for run in runs
+            if run.at_ms > bound_ms and was_sent_freely(history, run)
+        ]
+        if len(late) > MAX_LATE_CRASHES:
+            found.append(f"{part} reached runners {len(late)} times: {late}")
+    return found
+
+
+def was_sent_freely(history: History, run: Run) -> bool:
+    """Tells whether the entry that sent a run had no fault of its own then.
+
+    Faults of the store don't matter: entries tell each other of crashes.
+    """
+    record = history.by_id.get(run.id)
+    return record is not None and not history.has_fault(
+        record.entry, run.at_ms - CONTACT_MS, run.at_ms
+    )
+
+
 def both(*checks: Check) -> Check:
     """Returns a check that reports what any of several find.
 
@@ -629,7 +671,9 @@
     "DENIED": find_wrong_denials,
     "CONFIG": find_runs_after_withdrawal,
     "DRAIN": both(find_late_arrivals, find_arrivals_after_leaving),
-    "BUDGET": both(find_excess_retries, find_ignored_pauses),
+    "BUDGET": both(
+        find_excess_retries, find_ignored_pauses, find_excess_crashes
+    ),
     "QUOTA": find_quota_excess,
     "LIMIT": find_exceeded_limits,
     "LOST": find_lost_requests,
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -59,6 +59,9 @@
       | - | 23 in 4 s at 3 a second | limited | count=50 gap=180 per_s=3 | - | |
       | - | 24 in 4 s just after it was named | limited | count=20 gap=150 per_s=3 | - | |
       | - | 24 in 4 s after a fault | limited | count=50 gap=150 per_s=3 | fault | kind=pause target=entry-0 start=100 end=4400 |
+      | BUDGET | 4 after the fifth crash of a part and 4 s | crashes | count=13 gap=1000 | - | |
+      | - | 3 after the fifth crash of a part and 4 s | crashes | count=12 gap=1000 | - | |
+      | - | 4 after a fault | crashes | count=13 gap=1000 | fault | kind=pause target=entry-0 start=100 end=9400 |
       | HELD | 8 late | held | count=8 | - | |
       | - | 7 late | held | count=7 | - | |
       | GONE | 5 of 5 | disconnected | count=5 ran_on=900 | - | |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -193,6 +193,21 @@
                 self.runs[-1], limit_per_s=limit_per_s
             )
 
+    def add_crashes(self, fields):
+        for number in range(int(fields["count"])):
+            row = {
+                "id": f"x{number}",
+                "route": "lookup",
+                "key": "key-large",
+                "team": "large",
+                "sent": int(fields["gap"]) * number,
+                "runner": "i-desk-1",
+            }
+            self.add_late(row)
+            self.runs[-1] = dataclasses.replace(
+                self.runs[-1], born=number, crashes_on="bad0"
+            )
+
     def add_many(self, fields):
         for number in range(int(fields["count"])):
             self.add_late(fields | {"id": f"m{number}", "sent": 10 * number})
--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -385,6 +385,7 @@
             "last": header("Last-Event-Id"),
             "left_ms": header("Godwitloft-Deadline-Ms"),
             "parts": header(PROMPT_PARTS),
+            "crashes_on": "",
             "ended_ms": None,
             "leaving": self.says_leaving,
         }
@@ -399,6 +400,7 @@
         if self.endless:
             return self.send_without_end(request, self.endless.pop(0))
         if self.has_crash_part(header(PROMPT_PARTS) or ""):
+            run["crashes_on"] = self.crash_part
             return self.crash(request, request_id)
         if self.lose_answers > 0:
             self.lose_answers -= 1
--- a/godwitloft/standins/lakeshore_words.py
+++ b/godwitloft/standins/lakeshore_words.py
@@ -9,6 +9,7 @@
 import typing
 
 PLAIN_TOKENS = 10
+PART_TOKENS = 60
 TARGET_MS = 400
 # Runners of the stand-in announce this number of slots.
 ENGINE_SLOTS = 4
@@ -209,6 +210,7 @@
     key: str,
     time_left_ms: int,
     tokens: tuple[int, int] | None = None,
+    parts: typing.Sequence[str] = (),
 ) -> dict[str, str]:
     """Returns the headers of a caller's request.
 
@@ -217,6 +219,7 @@
     :param key: API key, empty for none
     :param time_left_ms: how long the caller waits
     :param tokens: numbers of prompt and output tokens, None to omit them
+    :param parts: ids of the parts of its prompt, empty to omit them
     :return: header values by name
     """
     headers = {
@@ -229,4 +232,7 @@
     if tokens is not None:
         prompt, output = tokens
         headers["Godwitloft-Token-Counts"] = f"{prompt},{output}"
+    if parts:
+        stated = ",".join(f"{part}:{PART_TOKENS}" for part in parts)
+        headers["Godwitloft-Prompt-Prefix"] = stated
     return headers
