--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -413,10 +413,11 @@
         for number in range(count)
     ]
     for _ in range(START_LIMIT_S * 20):
-        if all(running_on(engine) for engine in context.engines):
+        runs = [running_on(engine) for engine in context.engines]
+        if all(runs) and sum(map(len, runs)) >= count:
             return
         time.sleep(0.05)
-    raise AssertionError("the slow completions did not start")
+    raise AssertionError(f"not all slow completions run: {runs}")
 
 
 @then("every slow completion is whole")
