Soak: only the end of a crash_part fault takes its part back

Cause: the end of any other fault that began at the same millisecond, as the first ones all do, cleared the part. The kind is asked for now.

--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -391,8 +391,10 @@
             self.control(runners={injected.target: {"limit_per_s": None}})
         elif fault.kind == "say_leaving":
             self.start_new_life(injected.target)
-        elif self.crash_part == crash_part_of(fault):
-            self.set_crash_part("")
+        elif fault.kind == "crash_part":
+            # A later fault may have replaced the part.
+            if self.crash_part == crash_part_of(fault):
+                self.set_crash_part("")
         injected.end_ms = now_ms()
 
     def start_new_life(self, runner: str) -> None:
