Groups of requests that starve under overload are owed a part

Cause: waiting requests were ordered strictly by rank, late ones of a rank before timely ones of lower ranks, and the lower ones were refused on arrival for a second after each such refusal. While the higher ranks alone fill the engines nothing else starts. It did not show on the first sites, whose top rank is smaller in relation to the engines.

What is owed goes first, also at the agents, and is not refused on arrival.

--- a/godwitloft/gateway/admission.py
+++ b/godwitloft/gateway/admission.py
@@ -20,6 +20,7 @@
 from godwitloft.gateway import refusals
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import request_checker as request_checkers
+from godwitloft.gateway import service_floor
 from godwitloft.gateway import sharing as sharings
 
 RATE_WINDOW_MS = 2_000
@@ -70,6 +71,7 @@
         self.late_wait_failed_ms = -LATE_WAIT_FAILURE_MEMORY_MS
         # When a request was last refused under overload, by its rank.
         self.overloaded_ms: dict[tuple[int, int], int] = {}
+        self.floor = service_floor.ServiceFloor()
 
     def per_s(
         self, now_ms: int, counts: typing.Callable[[Start], bool]
@@ -130,7 +132,10 @@
         :param now_ms: the current time
         """
         start = Start(now_ms, request.facts.rank, request.marked_late)
-        self.load_of(request.facts.service).starts.append(start)
+        load = self.load_of(request.facts.service)
+        load.starts.append(start)
+        if request.attempt_count == 1:
+            load.floor.record_start(request, now_ms)
 
     def load_of(self, service: str) -> ServiceLoad:
         """Returns the load record of a service.
@@ -158,8 +163,12 @@
             return refusals.Refusal(503, "no_time_left")
         if self.is_paused_too_long(request, now_ms):
             return self.rejection(request, UPSTREAMS_PAUSED)
+        floor = self.load_of(facts.service).floor
+        floor.record_arrival(request, now_ms)
         if len(queue) >= MAX_WAITING:
             return self.rejection(request, "queue_full")
+        if floor.owes(request, queue):
+            return self.charge_allowance(request)
         wait_ms = self.expected_wait_ms(request, queue, now_ms)
         if now_ms + wait_ms > facts.first_data_deadline_ms:
             return self.rejection(request, "wait_too_long")
@@ -284,6 +293,8 @@
         if not ordering.is_late(request, now_ms):
             return ""
         request.marked_late = True
+        if request.owed:
+            return ""
         wait_ms = self.expected_late_wait_ms(request, queue, now_ms)
         if now_ms + wait_ms <= give_up_at_ms:
             return ""
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -332,17 +332,22 @@
         :param service: name of the service
         :return: whether further requests were queued meanwhile
         """
-        queue = self.waiting.get(service, [])
+        queue = [
+            request
+            for request in self.waiting.get(service, [])
+            if request.state is requests.State.WAITING
+        ]
         self.waiting[service] = []
         if not queue:
             return False
         now_ms = self.clock.monotonic_ms()
         states = self.fleet.usable(service)
+        self.admission.load_of(service).floor.mark_owed(queue)
         queue.sort(key=lambda request: ordering.order_key(request, now_ms))
         still_waiting = []
         for request in queue:
             if request.state is not requests.State.WAITING:
-                continue
+                continue  # ended while others were sent
             state = self.placer.choose_upstream(request, states, now_ms)
             if state is None:
                 still_waiting.append(request)
--- a/godwitloft/gateway/ordering.py
+++ b/godwitloft/gateway/ordering.py
@@ -10,6 +10,8 @@
 # goes after the timely requests of the next rank, which are worth about as
 # much, and before all others.
 LATE_RANK_PENALTY = 1.5
+# Rank of a request that its group is owed, before all others.
+OWED_RANK = -1
 # Ranks of timely and late requests, as sent to agents in wants.
 MAX_ANNOUNCED_RANK = 2
 ANNOUNCED_RANKS = (0.0, 1.0, 1.5, 2.0, 2.5, 3.5)
@@ -22,14 +24,17 @@
 ) -> tuple[float, int, int]:
     """Returns the sort key of a waiting request.
 
-    More important requests go first, then older ones. Late requests are
-    ordered as less important than their rank.
+    Requests that a group is owed go first, on time or late, then more
+    important ones, then older ones. Late requests are ordered as less
+    important than their rank.
 
     :param request: a waiting request
     :param now_ms: the current time
     :return: a key, the smallest goes first
     """
     rank, route_rank = request.facts.rank
+    if request.owed:
+        return OWED_RANK, route_rank, request.facts.arrived_ms
     lowered = rank + LATE_RANK_PENALTY * is_late(request, now_ms)
     return lowered, route_rank, request.facts.arrived_ms
 
@@ -52,6 +57,8 @@
     :return: 0 for the most urgent, less than :data:`URGENCIES`
     """
     rank, route_rank = request.facts.rank
+    if request.owed:
+        return 0
     announced = min(rank, MAX_ANNOUNCED_RANK) + LATE_RANK_PENALTY * is_late(
         request, now_ms
     )
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -130,6 +130,10 @@
         self.start_by_ms = facts.target_at_ms - round(first_data_ms)
         # Whether it was found late while it waited for its first attempt.
         self.marked_late = False
+        # Groups that are owed a part of what is served, and whether it waits
+        # as a request that one of them is owed.
+        self.groups: tuple[str, ...] = ()
+        self.owed = False
         self.state = State.WAITING
         self.attempt: attempts.Attempt | None = None
         self.upstream_state: fleet.UpstreamState | None = None
