Gateways grant the slots of engines; no agents are deployed

Change: one gateway, chosen for each engine by a hash over those heard lately, does what the agent did (gateway/grant_hosts.py, the same Arbiter).

Tests: gateway_slots.feature, taking over and choosing.

--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -90,11 +90,15 @@
 
     :param directory: for settings files and output
     :param size: number of processes by role
+    :param grants_by: who grants slots, ``agents`` or ``gateways``
     """
 
-    def __init__(self, directory: pathlib.Path, size: plan.Size) -> None:
+    def __init__(
+        self, directory: pathlib.Path, size: plan.Size, grants_by: str
+    ) -> None:
         self.directory = directory
         self.size = size
+        self.grants_by = grants_by
         self.injected_faults: list[InjectedFault] = []
         self.reactor = typing.cast(typing.Any, default_reactor)
         self.version = 1
@@ -208,7 +212,10 @@
         )
         log_path = self.directory / f"{name}.log"
         return programs.Program(
-            name, ("deploy.start", role), settings_path, log_path
+            name,
+            ("deploy.start", role, "--grants-by", self.grants_by),
+            settings_path,
+            log_path,
         )
 
     def stop(self) -> None:
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -15,6 +15,8 @@
 
 MIN_PROCESSES = 6
 CALLERS_PER_ENTRY = 5
+# In one of so many soak tests agents grant slots, else gateways do.
+AGENTS_GRANT_EVERY = 4
 FINAL_RUNS_WAIT_S = 1.0
 SHOWN_BREACHES = 10
 
@@ -49,6 +51,16 @@
     return plan.Size(entries, agents, agents + 1)
 
 
+def grants_by(seed: int) -> str:
+    """Returns who grants the slots of the runners.
+
+    :param seed: of the soak test
+    :return: mostly the gateways, as where the programs are deployed; the
+        agents for each fourth seed
+    """
+    return "gateways" if seed % AGENTS_GRANT_EVERY else "agents"
+
+
 def run(soak: Soak) -> dict[str, typing.Any]:
     """Runs a soak test.
 
@@ -58,7 +70,9 @@
     size = size_for(soak.processes)
     faults = plan.draw(soak.seed, soak.seconds, size)
     with tempfile.TemporaryDirectory() as directory:
-        system = deployment.Deployment(pathlib.Path(directory), size)
+        system = deployment.Deployment(
+            pathlib.Path(directory), size, grants_by(soak.seed)
+        )
         try:
             system.start()
             if soak.mistakes:
--- a/features/gateway_slots.feature
+++ b/features/gateway_slots.feature
@@ -55,3 +55,35 @@
     When the agent is restarted after 2 s of 2.0 times its capacity
     Then at most 12 requests ran there concurrently
     And at least 0.8 of its slot time was used
+
+  # Guards against engines that are overfilled or idle when the gateway that
+  # grants their slots dies: a newly chosen one doesn't know at first what the
+  # others run.
+  Scenario Outline: Another gateway grants after <dead> ms without grants
+    Given 4 gateways and the agent of an upstream of 8 slots
+    When another gateway takes its place after <dead> ms of 2.0 times its capacity
+    Then at most 16 requests ran there concurrently
+    And at least 0.8 of its slot time was used
+
+    Examples:
+      | dead |
+      | 0 |
+      | 750 |
+      | 2000 |
+
+  # Guards against gateways that ask different ones for grants, and against a
+  # change of all when one of them is lost.
+  Scenario Outline: <count> gateways choose who grants the slots of 100 upstreams
+    Given <count> gateways that hear each other
+    Then all of them choose the same gateway for each upstream
+    And no gateway grants for more than <most> upstreams
+    When one of them has been silent for 3 s
+    Then only the upstreams that it granted have another gateway
+
+    Examples:
+      | count | most |
+      | 1 | 100 |
+      | 2 | 65 |
+      | 4 | 40 |
+      | 30 | 12 |
+      | 110 | 6 |
--- a/features/steps/gateway_slots_steps.py
+++ b/features/steps/gateway_slots_steps.py
@@ -1,3 +1,4 @@
+import collections
 import random
 
 from behave import given
@@ -10,10 +11,13 @@
 from godwitloft import clock as clocks
 from godwitloft.gateway import arbiter
 from godwitloft.gateway import fleet
+from godwitloft.gateway import grant_hosts
 from godwitloft.gateway import placement
+from godwitloft.gateway import sharing
 from godwitloft.gateway import slot_client
 from godwitloft.gateway import slots
 from godwitloft.links import datagrams
+from godwitloft.links.generated.datagrams import ttypes
 
 RUN_MS = 100
 STEP_MS = 1
@@ -154,7 +158,7 @@
         self.run(0.0, 1000)
         self.most = self.used = self.steps = 0
 
-    def start_agent(self):
+    def start_agent(self, listens_anew=False):
         self.agent = arbiter.Arbiter(
             self.clock,
             lambda delay_ms, work: self.reactor.callLater(
@@ -162,7 +166,8 @@
             ),
             self.to_gateway,
             "agent",
-            "a",
+            lambda _upstream: "a",
+            listens_anew,
         )
 
     def to_agent(self, number):
@@ -263,3 +268,102 @@
     waits = sorted(context.slots_world.waits[0])
     usual = waits[len(waits) * 95 // 100]
     assert usual < limit_ms, usual
+
+
+@when(
+    "another gateway takes its place after {dead_ms:d} ms of {load:g} times"
+    " its capacity"
+)
+def gateway_takes_over(context, dead_ms, load):
+    world = context.slots_world
+    world.run(load, 1000)
+    world.agent_alive = False
+    world.run(load, dead_ms)
+    world.start_agent(listens_anew=True)
+    world.agent_alive = True
+    world.run(load, 3000)
+
+
+class Hearing:
+    """Gateways that choose who grants."""
+
+    def __init__(self, count):
+        reactor = task.Clock()
+        reactor.advance(1000)
+        self.reactor = reactor
+        self.clock = clocks.reactor_clock(reactor)
+        self.addresses = {
+            f"g{number}": f"h{number}" for number in range(count)
+        }
+        self.sharings = {
+            name: sharing.Sharing(
+                self.clock, self.ignore, name, 1, gateway_world.TOLERANCE
+            )
+            for name in self.addresses
+        }
+        self.hosts = {
+            name: grant_hosts.GrantHosts(
+                self.clock, self.sharings[name], (host, 1)
+            )
+            for name, host in self.addresses.items()
+        }
+        self.silent = set()
+        self.hear()
+
+    def ignore(self, _data, _where):
+        pass
+
+    def hear(self):
+        for sender, host in self.addresses.items():
+            announcement = ttypes.Sharing(
+                gateway=sender, demands=[], crashing=[]
+            )
+            for receiver, peers in self.sharings.items():
+                if sender not in (receiver, *self.silent):
+                    peers.on_announcement(announcement, host)
+
+    def choices(self, name):
+        return [
+            self.hosts[name].address(f"u{number}")[0] for number in range(100)
+        ]
+
+
+@given("{count:d} gateways that hear each other")
+def hearing(context, count):
+    context.hearing = Hearing(count)
+
+
+@then("all of them choose the same gateway for each upstream")
+def check_same_choice(context):
+    hearing = context.hearing
+    context.chosen = hearing.choices("g0")
+    for name in hearing.addresses:
+        assert hearing.choices(name) == context.chosen, name
+
+
+@then("no gateway grants for more than {most:d} upstreams")
+def check_spread_of_hosts(context, most):
+    counts = collections.Counter(context.chosen)
+    assert max(counts.values()) <= most, counts
+
+
+@when("one of them has been silent for {silent_s:d} s")
+def one_is_silent(context, silent_s):
+    hearing = context.hearing
+    last = f"g{len(hearing.addresses) - 1}"
+    hearing.silent.add(last)
+    context.lost_host = hearing.addresses[last]
+    for _ in range(silent_s * 4):
+        hearing.reactor.advance(0.25)
+        hearing.hear()
+
+
+@then("only the upstreams that it granted have another gateway")
+def check_moved(context):
+    hearing = context.hearing
+    after = hearing.choices("g0")
+    for before, now in zip(context.chosen, after, strict=True):
+        if len(hearing.addresses) > 1 and before == context.lost_host:
+            assert now != before
+        else:
+            assert now == before, (before, now)
--- a/features/steps/upstream_signs_steps.py
+++ b/features/steps/upstream_signs_steps.py
@@ -359,7 +359,7 @@
         lambda _ms, callback: callback(),
         lambda data, _where: context.granted.append(datagrams.decode(data)),
         "a-1",
-        "a",
+        lambda _upstream: "a",
     )
     reactor.advance(1)
     want = ttypes.SlotWant(
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -213,6 +213,9 @@
                     self.clock, self.send_datagram, f"{instance}-1", 1, "a"
                 ),
                 sharing=self.sharing,
+                call_later=lambda delay_ms, call: self.reactor.callLater(
+                    delay_ms / 1000, call
+                ),
             ),
         )
         self.front = http_server.HttpServerFactory(
--- a/godwitloft/gateway/arbiter.py
+++ b/godwitloft/gateway/arbiter.py
@@ -1,11 +1,14 @@
-"""Grants an upstream's slots to gateways; runs in the upstream's agent.
+"""Grants upstreams' slots to gateways.
+
+It runs in the agent of one upstream, or in a gateway, which then grants the
+slots of some upstreams to all gateways.
 
 A gateway sends wants: datagrams with its running and waiting requests. They
 are its claim on the slots. A grant states how many requests it may start.
 
-The agent stores nothing: gateways repeat their complete state in each
-datagram, so that a restarted agent can grant slots as soon as it has received
-one from each gateway.
+It stores nothing: gateways repeat their complete state in each
+datagram, so that after a restart slots can be granted as soon as one from each
+gateway was received.
 """
 
 import collections
@@ -21,8 +24,9 @@
 # A gateway from which no want was received for this long is assumed to run no
 # requests.
 CLAIM_TIMEOUT_MS = 1_200
-# How long after its start an agent receives the state of all gateways before
-# it grants slots.
+# How long the state of all gateways is received before slots are granted:
+# after the start, and where a gateway grants after the first want for an
+# upstream, which another one may have granted before.
 STARTUP_LISTEN_MS = 400
 GRANT_DELAY_MS = 2
 # Unclaimed requests are the minimum over this many reports of the upstream, as
@@ -52,10 +56,12 @@
     """Gateways' claims on one upstream.
 
     :param upstream: identity of the upstream
+    :param grants_from_ms: before, no slots are granted
     """
 
-    def __init__(self, upstream: str) -> None:
+    def __init__(self, upstream: str, grants_from_ms: int) -> None:
         self.upstream = upstream
+        self.grants_from_ms = grants_from_ms
         self.last_wants: dict[str, ReceivedWant] = {}
         self.granted_limits: dict[str, int] = {}
 
@@ -66,8 +72,10 @@
     :param clock: source of the time
     :param call_later: calls a function after some milliseconds
     :param send: sends a datagram to an address
-    :param incarnation: incarnation of this agent
-    :param zone: availability zone of the agent and its upstream
+    :param incarnation: incarnation of this agent or gateway
+    :param zone_of: returns the availability zone of an upstream
+    :param listens_anew: whether others may have granted the slots of an
+        upstream before the first want for it arrives here
     """
 
     def __init__(
@@ -76,13 +84,15 @@
         call_later: typing.Callable[[int, typing.Callable[[], None]], object],
         send: typing.Callable[[bytes, datagrams.Address], None],
         incarnation: str,
-        zone: str,
+        zone_of: typing.Callable[[str], str],
+        listens_anew: bool = False,
     ) -> None:
         self.clock = clock
         self.call_later = call_later
         self.send = send
         self.incarnation = incarnation
-        self.zone = zone
+        self.zone_of = zone_of
+        self.listens_anew = listens_anew
         self.started_ms = clock.monotonic_ms()
         # Start of the upstream's process, if it has said that it is leaving.
         self.leaving_born_ms: int | None = None
@@ -130,9 +140,7 @@
         want = datagram.want
         if want is None:
             return
-        claims = self.claims_by_upstream.setdefault(
-            want.upstream, UpstreamClaims(want.upstream)
-        )
+        claims = self.claims_of(want.upstream)
         previous = claims.last_wants.get(want.gateway)
         if previous is not None and want.sequence <= previous.want.sequence:
             return
@@ -157,6 +165,21 @@
             self.pending_grants.add(want.upstream)
             self.call_later(GRANT_DELAY_MS, lambda: self.grant(claims))
 
+    def claims_of(self, upstream: str) -> UpstreamClaims:
+        """Returns the claims on an upstream.
+
+        :param upstream: identity of the upstream
+        :return: its claims, created if needed
+        """
+        claims = self.claims_by_upstream.get(upstream)
+        if claims is None:
+            first_ms = self.started_ms
+            if self.listens_anew:
+                first_ms = self.clock.monotonic_ms()
+            claims = UpstreamClaims(upstream, first_ms + STARTUP_LISTEN_MS)
+            self.claims_by_upstream[upstream] = claims
+        return claims
+
     def grant(self, claims: UpstreamClaims) -> None:
         """Allocates the slots again and sends the grants that changed.
 
@@ -164,7 +187,7 @@
         """
         self.pending_grants.discard(claims.upstream)
         now_ms = self.clock.monotonic_ms()
-        if now_ms - self.started_ms < STARTUP_LISTEN_MS:
+        if now_ms < claims.grants_from_ms:
             return
         self.drop_silent(claims, now_ms)
         if not claims.last_wants:
@@ -175,6 +198,7 @@
             key=lambda received: received.waiting_since_ms,
         )
         wants = [received.want for received in longest_first]
+        zone = self.zone_of(claims.upstream)
         starts = slots.allocate(
             claims.upstream,
             max(want.slots for want in wants),
@@ -184,7 +208,7 @@
                     want.gateway,
                     want.running,
                     tuple(want.waiting),
-                    want.zone == self.zone,
+                    want.zone == zone,
                 )
                 for want in wants
             ],
--- a/godwitloft/gateway/fleet.py
+++ b/godwitloft/gateway/fleet.py
@@ -45,6 +45,8 @@
         self.granted_until_ms = 0
         self.grant_sequence = 0
         self.last_want: object = None
+        # Whether requests ran there or waited for it at the last check.
+        self.is_busy = False
         self.last_want_ms = 0
         # When it said that it is leaving, None if it has not said so.
         self.said_leaving_ms: int | None = None
@@ -250,6 +252,15 @@
             if state.upstream.service == service and not state.upstream.leaving
         ]
 
+    def zone_of(self, upstream: str) -> str:
+        """Returns the availability zone of an upstream.
+
+        :param upstream: its identity
+        :return: the zone, empty if the upstream isn't known
+        """
+        state = self.states.get(upstream)
+        return state.upstream.zone if state is not None else ""
+
     def ask_pause(
         self,
         state: UpstreamState,
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -15,6 +15,7 @@
 from godwitloft import metrics
 from godwitloft.gateway import admission as admissions
 from godwitloft.gateway import answer as answers
+from godwitloft.gateway import arbiter as arbiters
 from godwitloft.gateway import config_state as config_states
 from godwitloft.gateway import dialect as dialects
 from godwitloft.gateway import fleet as fleets
@@ -59,6 +60,7 @@
     :param instruments: metrics
     :param slot_client: exchanges datagrams with the upstreams' agents
     :param sharing: shares allowances with other gateways
+    :param call_later: calls a function after some milliseconds
     """
 
     clock: clocks.Clock
@@ -73,6 +75,7 @@
     instruments: metrics.Instruments
     slot_client: slot_clients.SlotClient
     sharing: sharings.Sharing
+    call_later: typing.Callable[[int, typing.Callable[[], None]], object]
 
 
 class Gateway:
@@ -139,6 +142,14 @@
             self.clock, dependencies.instruments, self.config_state
         )
         self.latency = latency.LatencyEstimator()
+        self.arbiter = arbiters.Arbiter(
+            self.clock,
+            dependencies.call_later,
+            sharing.send,
+            dependencies.slot_client.incarnation,
+            self.fleet.zone_of,
+            listens_anew=True,
+        )
         self.knowledge = shared_knowledge.SharedKnowledge(
             self.clock,
             sharing,
@@ -185,6 +196,8 @@
         """
         if datagram.grant is not None:
             self.on_grant(datagram.grant)
+        elif datagram.want is not None:
+            self.arbiter.on_datagram(datagram, address)
         elif datagram.sharing is not None:
             self.dependencies.sharing.on_announcement(
                 datagram.sharing, address[0]
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -282,8 +282,8 @@
         if found is None:
             if len(self.places) >= MAX_PLACES:
                 self.places.clear()
-            own = _order(subject, self.instance)
-            found = sum(_order(subject, name) < own for name in self.hosts)
+            own = order(subject, self.instance)
+            found = sum(order(subject, name) < own for name in self.hosts)
             self.places[subject] = found
         return found
 
@@ -294,10 +294,16 @@
         :param now_ms: the current time
         :return: whether one arrived within :data:`PEER_TIMEOUT_MS`
         """
+        return self.was_heard(name, now_ms - PEER_TIMEOUT_MS)
+
+    def was_heard(self, name: str, since_ms: int) -> bool:
+        """Returns whether a gateway has sent an announcement since a time.
+
+        :param name: name of its instance
+        :param since_ms: the time
+        """
         peer = self.peers.get(name)
-        return (
-            peer is not None and now_ms - peer.received_ms <= PEER_TIMEOUT_MS
-        )
+        return peer is not None and peer.received_ms >= since_ms
 
     def restore(self, used: Usage | None, age_ms: int) -> None:
         """Restores the usage saved before this process was restarted.
@@ -605,7 +611,12 @@
         self.send(datagrams.encode(sharing=answer), (host, self.port))
 
 
-def _order(subject: str, instance: str) -> bytes:
+def order(subject: str, instance: str) -> bytes:
+    """Returns the sort key of a gateway in the order for a subject.
+
+    :param subject: text for which the order is made
+    :param instance: name of the gateway's instance
+    """
     text = f"{subject}/{instance}".encode()
     return hashlib.blake2b(text, digest_size=8).digest()
 
--- a/godwitloft/gateway/slot_client.py
+++ b/godwitloft/gateway/slot_client.py
@@ -1,8 +1,8 @@
-"""Requests slots from agents and stores their grants.
+"""Requests slots of upstreams and stores the grants.
 
 A want is a datagram with the requests of this gateway that run at an upstream
-or wait for its service. The upstream's agent answers with a grant: how many
-requests the gateway may start.
+or wait for its service. The upstream's agent, or the gateway that takes its
+place, answers with a grant: how many requests the gateway may start.
 """
 
 import typing
@@ -16,8 +16,10 @@
 # and while none do.
 BUSY_INTERVAL_MS = 250
 IDLE_INTERVAL_MS = 800
-# After this time without a grant an agent is assumed to be dead.
+# After this time without a grant whoever grants is assumed to be dead; each
+# want is answered.
 GRANT_TIMEOUT_MS = 1_100
+BUSY_GRANT_TIMEOUT_MS = 800
 MAX_AGENTS_ASKED = 8
 
 
@@ -29,6 +31,8 @@
     :param incarnation: incarnation of this gateway
     :param port: UDP port on which all agents listen
     :param zone: availability zone of this gateway
+    :param grants_by: returns who grants the slots of an upstream, by default
+        the agent on its machine
     """
 
     def __init__(
@@ -38,12 +42,14 @@
         incarnation: str,
         port: int,
         zone: str,
+        grants_by: typing.Callable[[str], datagrams.Address] | None = None,
     ) -> None:
         self.clock = clock
         self.send = send
         self.incarnation = incarnation
         self.port = port
         self.zone = zone
+        self.grants_by = grants_by
         self.sequence = 0
 
     def refresh(
@@ -68,8 +74,10 @@
                 requested,
                 state.pending_prompt_tokens,
             )
-            active = state.running > 0 or bool(requested)
-            interval_ms = BUSY_INTERVAL_MS if active else IDLE_INTERVAL_MS
+            state.is_busy = state.running > 0 or bool(requested)
+            interval_ms = (
+                BUSY_INTERVAL_MS if state.is_busy else IDLE_INTERVAL_MS
+            )
             if (
                 want_state == state.last_want
                 and now_ms - state.last_want_ms < interval_ms
@@ -112,9 +120,11 @@
             unread=state.pending_prompt_tokens,
             zone=self.zone,
         )
-        self.send(
-            datagrams.encode(want=want), (state.upstream.host, self.port)
-        )
+        if self.grants_by is None:
+            address = (state.upstream.host, self.port)
+        else:
+            address = self.grants_by(state.upstream.id)
+        self.send(datagrams.encode(want=want), address)
 
     def on_grant(
         self, grant: ttypes.SlotGrant, fleet: fleets.Fleet
@@ -135,7 +145,9 @@
         state.grant_sequence = grant.sequence
         state.start_limit = grant.start_limit
         state.pending_prompt_tokens_elsewhere = grant.unread_elsewhere
-        state.granted_until_ms = now_ms + GRANT_TIMEOUT_MS
+        state.granted_until_ms = now_ms + (
+            BUSY_GRANT_TIMEOUT_MS if state.is_busy else GRANT_TIMEOUT_MS
+        )
         if grant.start_limit <= state.started:
             return None
         return state.upstream.service
--- a/godwitloft/platform/agent.py
+++ b/godwitloft/platform/agent.py
@@ -69,7 +69,7 @@
             self.call_later,
             self.send,
             incarnations.new_incarnation(boot.instance),
-            boot.zone,
+            lambda _upstream: boot.zone,
         )
         self.port = datagrams.Port(self.arbiter.on_datagram)
 
@@ -219,12 +219,14 @@
     reactor: typing.Any,
     boot: settings.Boot,
     _metrics_port: int | None = None,
+    _grants_by: str = "",
 ) -> AgentDaemon:
     """Builds an agent from the platform's settings.
 
     :param reactor: the Twisted reactor
     :param boot: checked settings
     :param _metrics_port: unused, since an agent serves no metrics
+    :param _grants_by: unused, since agents always grant
     :return: the agent
     :raises SettingsError: if the settings name no upstream
     """
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -17,6 +17,7 @@
 from godwitloft import metrics
 from godwitloft.gateway import daemon
 from godwitloft.gateway import gateway as gateways
+from godwitloft.gateway import grant_hosts
 from godwitloft.gateway import model
 from godwitloft.gateway import sharing as sharings
 from godwitloft.gateway import slot_client as slot_clients
@@ -29,6 +30,8 @@
 from godwitloft.runtime import process
 
 EXIT_USAGE = 2
+GRANTS_BY_AGENTS = "agents"
+GRANTS_BY_GATEWAYS = "gateways"
 # The store removes an upstream's row after this many intervals of silence.
 HEARTBEATS_TO_EXPIRY = 3
 EXPIRY_SLACK_MS = 1_000
@@ -41,12 +44,15 @@
     reactor: typing.Any,
     boot: settings.Boot,
     metrics_port: int | None = None,
+    grants_by: str = GRANTS_BY_AGENTS,
 ) -> daemon.GatewayDaemon:
     """Builds a gateway from the platform's settings.
 
     :param reactor: the Twisted reactor
     :param boot: checked settings
     :param metrics_port: port on which to serve metrics, None for no metrics
+    :param grants_by: who grants the slots of engines, ``agents`` or
+        ``gateways``
     :return: the gateway
     :raises SettingsError: if the settings lack the callers' address
     """
@@ -74,8 +80,18 @@
 
     incarnation = incarnations.new_incarnation(boot.instance)
 
+    own_address = (boot.host, boot.first_port)
+
     def send_datagram(data: bytes, address: datagrams.Address) -> None:
-        port.send(data, address)
+        if address == own_address:
+            reactor.callLater(0, port.datagramReceived, data, address)
+        else:
+            port.send(data, address)
+
+    def call_later(
+        delay_ms: int, callback: typing.Callable[[], None]
+    ) -> object:
+        return reactor.callLater(delay_ms / clocks.MS_PER_S, callback)
 
     sharing = sharings.Sharing(
         clock,
@@ -84,6 +100,11 @@
         boot.first_port,
         boot.options.tolerance,
     )
+    grant_host = None
+    if grants_by == GRANTS_BY_GATEWAYS:
+        grant_host = grant_hosts.GrantHosts(
+            clock, sharing, own_address
+        ).address
     gateway = gateways.Gateway(
         boot.options,
         headers.DIALECT,
@@ -99,8 +120,10 @@
                 incarnation,
                 boot.first_port,
                 boot.zone,
+                grant_host,
             ),
             sharing=sharing,
+            call_later=call_later,
         ),
     )
     port = datagrams.Port(gateway.on_datagram)
@@ -190,7 +213,7 @@
 
     :param arguments: arguments after the program's name, by default those of
         the process
-    :return: a namespace with ``role`` and ``metrics_port``
+    :return: a namespace with ``role``, ``metrics_port`` and ``grants_by``
     """
     parser = argparse.ArgumentParser(
         prog="python3 -m godwitloft.platform.main",
@@ -207,6 +230,14 @@
         type=int,
         help="serve metrics of an entry at /metrics on this port",
     )
+    parser.add_argument(
+        "--grants-by",
+        choices=(GRANTS_BY_AGENTS, GRANTS_BY_GATEWAYS),
+        default=GRANTS_BY_AGENTS,
+        help="who grants the slots of engines to the entries: the agent on"
+        " each engine's machine, or the entries themselves (all entries of a"
+        " deployment alike)",
+    )
     return parser.parse_args(arguments)
 
 
@@ -218,7 +249,9 @@
     events.configure(handler=handler)
     try:
         boot = settings.load()
-        daemon_of_role = ROLES[args.role](reactor, boot, args.metrics_port)
+        daemon_of_role = ROLES[args.role](
+            reactor, boot, args.metrics_port, args.grants_by
+        )
     except errors.UserError as error:
         print(f"{sys.argv[0]}: {error}", file=sys.stderr)
         sys.exit(EXIT_USAGE)
--- a/godwitloft/policy/served_floor.py
+++ b/godwitloft/policy/served_floor.py
@@ -16,7 +16,7 @@
 
 # A group's requests are served at least this often, compared with all
 # requests of the service.
-FLOOR_SHARE = 0.6
+FLOOR_SHARE = 0.7
 # More is not made up for after an outage, so that a group which could not be
 # served for long doesn't displace the others afterwards.
 MAX_CREDITS = 3.0
