Writes to callers and upstreams go out at once

Change: what a socket takes is sent at once if nothing before it waits, the rest goes the usual way (godwitloft/immediate_write.py).

Tried and dropped: telling changes of wants at most every 20 ms. It left slots idle and urgent requests waiting (6 rows of gateway_slots failed).

--- a/godwitloft/attempt.py
+++ b/godwitloft/attempt.py
@@ -17,6 +17,7 @@
 
 from godwitloft import answer_end
 from godwitloft import clock as clocks
+from godwitloft import immediate_write
 
 Header = answer_end.Header
 
@@ -103,7 +104,7 @@
             self.end(End.NOT_SENT, MALFORMED_REQUEST)
             return
         self.sent = True
-        transport.write(request)
+        immediate_write.write(transport, request)
 
     def request_bytes(self) -> bytes:
         """Returns the complete request as it is sent.
--- a/godwitloft/gateway/http_server.py
+++ b/godwitloft/gateway/http_server.py
@@ -15,6 +15,7 @@
 
 from godwitloft import answer_end
 from godwitloft import clock as clocks
+from godwitloft import immediate_write
 from godwitloft.gateway import headers
 from godwitloft.gateway import model
 
@@ -311,7 +312,7 @@
         """
         data = self.parser.send(event)
         if data and self.transport is not None:
-            self.transport.write(data)
+            immediate_write.write(self.transport, data)
 
     def send_head(
         self, exchange: Exchange, status: int, headers: list[Header]
