--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -18,6 +18,7 @@
 
 if typing.TYPE_CHECKING:
     from godwitloft.gateway import answer as answers
+    from godwitloft.gateway import service_floor
 
 MAX_TOKENS = 10_000_000
 MAX_SHARED_PARTS = 16
@@ -132,7 +133,7 @@
         self.marked_late = False
         # Groups that are owed a part of what is served, and whether it waits
         # as a request that one of them is owed.
-        self.groups: tuple[str, ...] = ()
+        self.groups: tuple[service_floor.Group, ...] = ()
         self.owed = False
         self.state = State.WAITING
         self.attempt: attempts.Attempt | None = None
--- a/godwitloft/gateway/service_floor.py
+++ b/godwitloft/gateway/service_floor.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+import dataclasses
 import math
 import typing
 
@@ -24,6 +25,18 @@
 MAX_GROUPS = 2_000
 
 
+@dataclasses.dataclass(frozen=True)
+class Group:
+    """Requests that are owed a part of what is served.
+
+    :param name: unique name
+    :param compared_with: name of the group of which it is owed a part
+    """
+
+    name: str
+    compared_with: str
+
+
 class RouteSizes:
     """Sizes of the latest requests of a route."""
 
@@ -94,34 +107,34 @@
         """Credits with which a group is owed its next request."""
         return served_floor.credits_when_owed(self.credits.get(ALL, 0.0))
 
-    def groups_of(self, facts: requests.Facts) -> tuple[str, ...]:
+    def groups_of(self, facts: requests.Facts) -> tuple[Group, ...]:
         """Returns the groups of a request that has just arrived.
 
         :param facts: its properties
         :return: all requests, its route, its team and its size
         """
         route = route_group(facts)
-        groups = [ALL, route]
+        groups = [Group(ALL, ALL), Group(route, ALL)]
         if facts.team is not None:
-            groups.append(f"team {facts.team.name}")
+            groups.append(Group(f"team {facts.team.name}", ALL))
         if facts.sizes.stated:
             size = (
                 facts.sizes.prompt_tokens
                 + OUTPUT_TOKEN_WEIGHT * facts.sizes.output_tokens
             )
             sizes = self.sizes.setdefault(route, RouteSizes())
-            group = sizes.add(size)
-            if group:
-                groups.append(f"{group} of {route}")
+            size_name = sizes.add(size)
+            if size_name:
+                groups.append(Group(f"{size_name} of {route}", route))
         return tuple(groups)
 
-    def tally(self, group: str, now_ms: int) -> Tally:
+    def tally(self, name: str, now_ms: int) -> Tally:
         """Returns a tally, decayed until now.
 
-        :param group: all requests or a route
+        :param name: of the group of all requests or of a route
         :param now_ms: the current time
         """
-        tally = self.tallies.setdefault(group, Tally())
+        tally = self.tallies.setdefault(name, Tally())
         tally.decay(now_ms)
         return tally
 
@@ -132,21 +145,17 @@
         :param now_ms: the current time
         """
         request.groups = self.groups_of(request.facts)
-        route = route_group(request.facts)
-        of_all = self.tally(ALL, now_ms)
-        of_route = self.tally(route, now_ms)
-        of_all.arrived += 1
-        of_route.arrived += 1
+        for name in (ALL, route_group(request.facts)):
+            self.tally(name, now_ms).arrived += 1
         for group in request.groups:
-            compared = of_route if group.endswith(f" of {route}") else of_all
-            before = self.credits.get(group, 0.0)
+            before = self.credits.get(group.name, 0.0)
+            share = self.tallies[group.compared_with].served_share
             self.set_credits(
-                group,
-                served_floor.after_arrival(before, compared.served_share),
+                group.name, served_floor.after_arrival(before, share)
             )
         if len(self.credits) > MAX_GROUPS:
             kept = self.owed_groups | {ALL}
-            self.credits = {group: self.credits[group] for group in kept}
+            self.credits = {name: self.credits[name] for name in kept}
 
     def record_start(self, request: requests.Request, now_ms: int) -> None:
         """Records that a request is sent for the first time.
@@ -156,23 +165,25 @@
         """
         late = request.marked_late
         used = served_floor.credits_used(late)
-        self.tally(ALL, now_ms).used += used
-        self.tally(route_group(request.facts), now_ms).used += used
+        for name in (ALL, route_group(request.facts)):
+            self.tally(name, now_ms).used += used
         for group in request.groups:
-            before = self.credits.get(group, 0.0)
-            self.set_credits(group, served_floor.after_start(before, late))
+            before = self.credits.get(group.name, 0.0)
+            self.set_credits(
+                group.name, served_floor.after_start(before, late)
+            )
 
-    def set_credits(self, group: str, credits: float) -> None:
+    def set_credits(self, name: str, credits: float) -> None:
         """Changes the credits of a group.
 
-        :param group: name of the group
+        :param name: of the group
         :param credits: its new credits
         """
-        self.credits[group] = credits
+        self.credits[name] = credits
         if credits >= served_floor.TIMELY_CREDITS:
-            self.owed_groups.add(group)
+            self.owed_groups.add(name)
         else:
-            self.owed_groups.discard(group)
+            self.owed_groups.discard(name)
 
     def mark_owed(self, waiting: typing.Sequence[requests.Request]) -> None:
         """Marks the waiting requests that go before those that aren't owed.
@@ -201,7 +212,8 @@
         :param request: a request that does not wait yet
         :param waiting: requests that wait for the service
         """
-        if self.owed_groups.isdisjoint(request.groups):
+        names = _names(request.groups)
+        if self.owed_groups.isdisjoint(names):
             return False
         groups = [
             _unstarted_groups(other)
@@ -209,7 +221,7 @@
             if other.state is requests.State.WAITING
         ]
         return served_floor.select_owed(
-            [*groups, request.groups], self.credits, self.least
+            [*groups, names], self.credits, self.least
         )[-1]
 
 
@@ -222,4 +234,8 @@
 
 
 def _unstarted_groups(request: requests.Request) -> tuple[str, ...]:
-    return () if request.attempt_count else request.groups
+    return () if request.attempt_count else _names(request.groups)
+
+
+def _names(groups: tuple[Group, ...]) -> tuple[str, ...]:
+    return tuple(group.name for group in groups)
