Decisions don't follow jumps of the time of day

What callers would see: an upstream that said it was leaving gets requests in its new life, or a sound one gets none until its end, when a gateway's time of day jumps between the start of a life and what it says; and a pause until an HTTP date that is seconds too long or missing.

Cause, one class: the wall clock, which is for records, was compared with times that others state. Change: clock.steady_wall, the time of day at the start of the process plus the steady time since; a date to come back at is compared with the Date of the same answer.

Left: a time of day that is wrong when a gateway starts (PLATFORM-DESIGN.md); the audit still orders lines of several processes by it.

--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -181,7 +181,12 @@
             reactor = task.Clock()
             reactor.advance(START_S)
         self.reactor = reactor
-        self.clock = clocks.reactor_clock(self.reactor)
+        # How far the time of day has jumped since the start.
+        self.wall_jump_ms = 0
+        monotonic_ms = clocks.reactor_clock(self.reactor).monotonic_ms
+        self.clock = clocks.Clock(
+            monotonic_ms, lambda: monotonic_ms() + self.wall_jump_ms
+        )
         self.sent = []
         self.datagrams = []
         self.checks = []
--- a/godwitloft/clock.py
+++ b/godwitloft/clock.py
@@ -18,7 +18,7 @@
     :param monotonic_ms: milliseconds since some fixed point; never
         decreases; for durations and deadlines within one process
     :param wall_ms: milliseconds since 1970; may jump; only for records that
-        people read
+        people read, see :func:`steady_wall` for decisions
     """
 
     monotonic_ms: typing.Callable[[], int]
@@ -51,6 +51,19 @@
     )
 
 
+def steady_wall(clock: Clock) -> typing.Callable[[], int]:
+    """Returns a time of day that doesn't jump.
+
+    For comparison with times that other machines state. It keeps the
+    difference from the true time that the wall clock has now.
+
+    :param clock: source of both times
+    :return: a function that returns milliseconds since 1970
+    """
+    offset_ms = clock.wall_ms() - clock.monotonic_ms()
+    return lambda: clock.monotonic_ms() + offset_ms
+
+
 def monotonic_reactor() -> typing.Any:
     """Returns this process's reactor, with timers on the monotonic clock.
 
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -97,6 +97,7 @@
         self.dependencies = dependencies
         self.instruments = dependencies.instruments
         self.clock = dependencies.clock
+        self.wall_ms = clocks.steady_wall(self.clock)
         self.config_state = config_states.ConfigState(
             self.clock, options.key_proof_ms
         )
@@ -542,7 +543,7 @@
             return
         state = self.fleet.latest(state)
         signs = upstream_signs.read(
-            status, headers, self.dialect, self.clock.wall_ms()
+            status, headers, self.dialect, self.wall_ms()
         )
         if signs.leaving:
             self.mark_leaving(state, "answer")
@@ -591,7 +592,7 @@
         statement = named_limit.Statement(
             None if limit is upstream_signs.NO_LIMIT else limit.per_s,
             self.clock.monotonic_ms(),
-            self.clock.wall_ms(),
+            self.wall_ms(),
             own=True,
         )
         self.set_limit(state, statement, "answer")
@@ -629,7 +630,7 @@
             ``peer``
         """
         now_ms = self.clock.monotonic_ms()
-        if not state.say_leaving(now_ms, self.clock.wall_ms()):
+        if not state.say_leaving(now_ms, self.wall_ms()):
             return
         self.instruments.upstream_signs.add(1, {"sign": "leaving"})
         events.log(
@@ -655,7 +656,7 @@
         :param duration_ms: how long it wants no requests
         """
         now_ms = self.clock.monotonic_ms()
-        self.fleet.ask_pause(state, duration_ms, now_ms, self.clock.wall_ms())
+        self.fleet.ask_pause(state, duration_ms, now_ms, self.wall_ms())
         self.instruments.upstream_signs.add(1, {"sign": "pause"})
         events.log(
             events.UPSTREAM_PAUSED,
--- a/godwitloft/gateway/placer.py
+++ b/godwitloft/gateway/placer.py
@@ -32,6 +32,7 @@
         slot_client: slot_clients.SlotClient,
     ) -> None:
         self.clock = clock
+        self.wall_ms = clocks.steady_wall(clock)
         self.zone = zone
         self.config_state = config_state
         self.fleet = fleet
@@ -90,7 +91,7 @@
             gateways=self.sharing.gateways,
             place=self.sharing.place(state.upstream.id),
             idle_ms=now_ms - state.last_start_ms,
-            wall_ms=self.clock.wall_ms(),
+            wall_ms=self.wall_ms(),
         )
         return named_limit.may_start(state.limit, turn)
 
--- a/godwitloft/gateway/shared_knowledge.py
+++ b/godwitloft/gateway/shared_knowledge.py
@@ -52,6 +52,7 @@
         ],
     ) -> None:
         self.clock = clock
+        self.wall_ms = clocks.steady_wall(clock)
         self.sharing = sharing
         self.fleet = fleet
         self.confirmation = confirmation
@@ -146,7 +147,7 @@
         known = state.limit_statement
         if known is not None and known.at_ms >= at_ms:
             return
-        wall_ms = self.clock.wall_ms() - report.age_ms
+        wall_ms = self.wall_ms() - report.age_ms
         self.on_limit(
             state,
             named_limit.Statement(report.per_s, at_ms, wall_ms, own=False),
--- a/godwitloft/gateway/upstream_signs.py
+++ b/godwitloft/gateway/upstream_signs.py
@@ -16,6 +16,7 @@
 
 PAUSE_STATUS = 503
 RETRY_AFTER = b"retry-after"
+DATE = b"date"
 IS_LEAVING = b"1"
 # A longer pause is taken as this long: the upstream's clock may be wrong, and
 # its process will have been replaced by then.
@@ -83,12 +84,14 @@
     :param status: HTTP status
     :param headers: all headers, names in lower case
     :param dialect: names of the headers
-    :param wall_ms: the time of day, in Unix milliseconds
+    :param wall_ms: the time of day, in Unix milliseconds, for an answer
+        without ``Date``
     :return: the signs
     """
     leaving = False
     values = []
     limit = NO_LIMIT
+    answered_wall_ms = wall_ms
     for name, value in headers:
         if name == dialect.leaving and value.strip() == IS_LEAVING:
             leaving = True
@@ -96,9 +99,11 @@
             values.append(value.decode("latin-1").strip())
         elif name == dialect.limit:
             limit = parse_limit(value.decode("latin-1").strip())
+        elif name == DATE:
+            answered_wall_ms = read_date(value.decode("latin-1"), wall_ms)
     if not values:
         return Signs(leaving, NO_PAUSE, limit=limit)
-    pauses = [parse_retry_after(value, wall_ms) for value in values]
+    pauses = [parse_retry_after(value, answered_wall_ms) for value in values]
     longest = max(pauses, key=lambda pause: pause.duration_ms)
     return Signs(leaving, longest, ", ".join(values), limit)
 
@@ -140,6 +145,23 @@
     return Pause(math.ceil(min(duration_ms, MAX_PAUSE_MS)))
 
 
+def read_date(value: str, wall_ms: int) -> int:
+    """Returns the time of day at which an upstream answered.
+
+    A date in the same answer is compared with it, since the clocks of the
+    upstream and of this machine may differ.
+
+    :param value: value of ``Date``
+    :param wall_ms: this machine's time of day, in Unix milliseconds
+    :return: Unix milliseconds, this machine's if the date can't be read
+    """
+    try:
+        date = email.utils.parsedate_to_datetime(value)
+        return int(date.timestamp() * clocks.MS_PER_S)
+    except (ValueError, TypeError, OverflowError):
+        return wall_ms
+
+
 def parse_retry_date(value: str, wall_ms: int) -> Pause:
     """Decodes an HTTP date in ``Retry-After``.
 
--- a/godwitloft/platform/agent.py
+++ b/godwitloft/platform/agent.py
@@ -52,6 +52,7 @@
         self.on_drained: typing.Callable[[], None] = _do_nothing
         self.stopped = False
         self.clock = clocks.boottime_clock()
+        self.wall_ms = clocks.steady_wall(self.clock)
         self.next_report_ms = REPORT_INTERVAL_MS
         self.says_leaving = False
         self.born_ms = 0
@@ -123,7 +124,7 @@
         :param headers: all headers
         """
         signs = upstream_signs.read(
-            status, headers, platform_headers.DIALECT, self.clock.wall_ms()
+            status, headers, platform_headers.DIALECT, self.wall_ms()
         )
         pause_ms = signs.pause.duration_ms
         if signs.leaving and not self.says_leaving:
