A scheduling pass describes each upstream once for all waiting requests

Cause: for each waiting request each pass built a description of each upstream and compared them all, also when no upstream had a free slot; a pass comes with each arrival, each answer, each grant and each tick (40 a second).

Change: no comparison while no upstream has room; else each upstream is described once a pass, and once more after it got a request.

--- a/features/steps/gateway_placement_steps.py
+++ b/features/steps/gateway_placement_steps.py
@@ -11,11 +11,13 @@
 SLOTS = 5
 
 
-def parse_place(text):
+def parse_place(text, tried):
     head, *words = text.split(",")
     name, _, load = head.partition(":")
     running, allowed = load.split("/")
     values = dict(word.partition("=")[::2] for word in words)
+    if "tried" in values:
+        tried.add(name)
     return placement.Place(
         id=name,
         same_zone="far" not in values,
@@ -24,14 +26,14 @@
         slots=SLOTS,
         slowness=float(values.get("slow", 1.0)),
         pending_prompt_tokens=int(values.get("unread", 0)),
-        tried="tried" in values,
         paused="paused" in values,
     )
 
 
 def choose(context, prompt, left, places):
-    parsed = [parse_place(place) for place in places.split()]
-    context.chosen = placement.choose(parsed, prompt, left)
+    tried = set()
+    parsed = [parse_place(place, tried) for place in places.split()]
+    context.chosen = placement.choose(parsed, prompt, left, tried)
 
 
 @when('a prompt of {prompt:d} tokens with {left:d} ms left may go to "{all}"')
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -355,18 +355,22 @@
         if not queue:
             return False
         now_ms = self.clock.monotonic_ms()
-        states = self.fleet.usable(service)
         self.admission.load_of(service).floor.mark_owed(queue)
         queue.sort(key=lambda request: ordering.order_key(request, now_ms))
+        candidates = self.placer.candidates(self.fleet.usable(service), now_ms)
         still_waiting = []
-        for request in queue:
+        for number, request in enumerate(queue):
+            if not candidates.have_room():
+                still_waiting.extend(queue[number:])
+                break
             if request.state is not requests.State.WAITING:
                 continue  # ended while others were sent
-            state = self.placer.choose_upstream(request, states, now_ms)
+            state = candidates.choose(request)
             if state is None:
                 still_waiting.append(request)
             else:
                 self.send(request, state)
+                candidates.update(state)
         added = self.waiting[service]
         self.waiting[service] = still_waiting + added
         return bool(added)
--- a/godwitloft/gateway/placement.py
+++ b/godwitloft/gateway/placement.py
@@ -36,7 +36,6 @@
     :param slowness: its time to first data relative to the reference
     :param pending_prompt_tokens: prompt tokens of all requests that it has not
         processed yet
-    :param tried: whether it has already refused or failed this request
     :param paused: whether it is paused after failures
     """
 
@@ -47,9 +46,13 @@
     slots: int
     slowness: float
     pending_prompt_tokens: int
-    tried: bool
     paused: bool
 
+    @property
+    def has_room(self) -> bool:
+        """Whether this gateway may start another request there."""
+        return self.running < self.allowed
+
 
 def allowed_without_agent(slots: int, gateways: int) -> int:
     """Returns how many requests one gateway may run at an upstream.
@@ -64,7 +67,10 @@
 
 
 def choose(
-    places: typing.Sequence[Place], prompt_tokens: int, remaining_ms: float
+    places: typing.Sequence[Place],
+    prompt_tokens: int,
+    remaining_ms: float,
+    tried: typing.Container[str] = (),
 ) -> Place | None:
     """Chooses the upstream for a request.
 
@@ -75,14 +81,13 @@
     :param places: all upstreams of the request's service
     :param prompt_tokens: prompt tokens of the request
     :param remaining_ms: time until the answer is due
+    :param tried: upstreams that have already refused or failed the request
     :return: an upstream with a free slot, None to keep the request waiting
     """
-    untried = [place for place in places if not place.tried]
+    untried = [place for place in places if place.id not in tried]
     healthy = [place for place in untried if not place.paused]
     candidates = healthy or untried
-    available = [
-        place for place in candidates if place.running < place.allowed
-    ]
+    available = [place for place in candidates if place.has_room]
     if not available:
         return None
     best = min(available, key=lambda place: cost_ms(place, prompt_tokens))
--- a/godwitloft/gateway/placer.py
+++ b/godwitloft/gateway/placer.py
@@ -1,5 +1,7 @@
 """Chooses upstreams for requests, and requests slots from agents."""
 
+import typing
+
 from godwitloft import clock as clocks
 from godwitloft.gateway import config_state as config_states
 from godwitloft.gateway import fleet as fleets
@@ -11,6 +13,64 @@
 from godwitloft.gateway import slot_client as slot_clients
 
 
+class Candidates:
+    """Upstreams among which the requests of one scheduling pass are placed.
+
+    Many requests may wait for many upstreams, so what concerns an upstream is
+    worked out once for all of them.
+
+    :param place: describes an upstream at a time for the choice, None if it
+        takes no request
+    :param states: the upstreams
+    :param now_ms: the current time
+    """
+
+    def __init__(
+        self,
+        place: typing.Callable[
+            [fleets.UpstreamState, int], placement.Place | None
+        ],
+        states: typing.Iterable[fleets.UpstreamState],
+        now_ms: int,
+    ) -> None:
+        self.place = place
+        self.now_ms = now_ms
+        self.states: dict[str, fleets.UpstreamState] = {}
+        self.places: dict[str, placement.Place] = {}
+        for state in states:
+            self.states[state.upstream.id] = state
+            self.update(state)
+
+    def update(self, state: fleets.UpstreamState) -> None:
+        """Takes over the state of an upstream that has just got a request.
+
+        :param state: one of the upstreams
+        """
+        place = self.place(state, self.now_ms)
+        if place is not None:
+            self.places[state.upstream.id] = place
+        else:
+            self.places.pop(state.upstream.id, None)
+
+    def have_room(self) -> bool:
+        """Returns whether any request might be sent now."""
+        return any(place.has_room for place in self.places.values())
+
+    def choose(self, request: requests.Request) -> fleets.UpstreamState | None:
+        """Chooses the upstream for a request.
+
+        :param request: a waiting request
+        :return: an upstream with a free slot, None to keep the request waiting
+        """
+        place = placement.choose(
+            list(self.places.values()),
+            request.facts.sizes.prompt_tokens,
+            request.facts.target_at_ms - self.now_ms,
+            request.tried_upstreams,
+        )
+        return self.states[place.id] if place is not None else None
+
+
 class Placer:
     """Chooses among the upstreams that a gateway may use.
 
@@ -39,43 +99,45 @@
         self.sharing = sharing
         self.slot_client = slot_client
 
-    def choose_upstream(
-        self,
-        request: requests.Request,
-        states: list[fleets.UpstreamState],
-        now_ms: int,
-    ) -> fleets.UpstreamState | None:
-        """Chooses the upstream for a request.
+    def candidates(
+        self, states: list[fleets.UpstreamState], now_ms: int
+    ) -> "Candidates":
+        """Returns the upstreams that requests may be sent to now.
 
-        :param request: a waiting request
-        :param states: the usable upstreams of its service
+        :param states: the usable upstreams of a service
         :param now_ms: the current time
-        :return: an upstream with a free slot, None to keep the request waiting
+        :return: none at all while no upstream has room, which is the usual
+            case under overload and takes the least time
         """
-        places = [
-            placement.Place(
-                id=state.upstream.id,
-                same_zone=state.upstream.zone == self.zone,
-                running=state.running,
-                allowed=self.allowed(state, now_ms),
-                slots=state.upstream.slots,
-                slowness=state.slowness,
-                pending_prompt_tokens=state.pending_prompt_tokens
-                + state.pending_prompt_tokens_elsewhere,
-                tried=state.upstream.id in request.tried_upstreams,
-                paused=state.paused_until_ms > now_ms,
-            )
-            for state in states
-            if state.is_open(now_ms) and self.is_within_limit(state, now_ms)
-        ]
-        place = placement.choose(
-            places,
-            request.facts.sizes.prompt_tokens,
-            request.facts.target_at_ms - now_ms,
+        has_room = any(
+            state.running < self.allowed(state, now_ms) for state in states
         )
-        if place is None:
+        return Candidates(self.place, states if has_room else (), now_ms)
+
+    def place(
+        self, state: fleets.UpstreamState, now_ms: int
+    ) -> placement.Place | None:
+        """Returns an upstream as the choice needs it.
+
+        :param state: the upstream
+        :param now_ms: the current time
+        :return: None if it takes no request now
+        """
+        if not state.is_open(now_ms):
             return None
-        return next(state for state in states if state.upstream.id == place.id)
+        if not self.is_within_limit(state, now_ms):
+            return None
+        return placement.Place(
+            id=state.upstream.id,
+            same_zone=state.upstream.zone == self.zone,
+            running=state.running,
+            allowed=self.allowed(state, now_ms),
+            slots=state.upstream.slots,
+            slowness=state.slowness,
+            pending_prompt_tokens=state.pending_prompt_tokens
+            + state.pending_prompt_tokens_elsewhere,
+            paused=state.paused_until_ms > now_ms,
+        )
 
     def is_within_limit(
         self, state: fleets.UpstreamState, now_ms: int
