Small uses far below a limit wait for the regular announcement

Cause: each use beyond what was reserved was announced to all peers at once. A gateway among many gets few requests of each team, so that it has reserved little and nearly each request was announced: requests times gateways.

Change: as long as half of a limit or more is left, what fits into the share that each gateway may use unannounced waits for the regular announcement. That share was bounded before so that all gateways may use it at once. What waits is always told, however little its team has used; the 20 largest alone were told before.

--- a/features/gateway_limits.feature
+++ b/features/gateway_limits.feature
@@ -90,6 +90,21 @@
       | 8 | 1120 |
       | 30 | 1950 |
 
+  # Guards against announcements that use up the processor of each gateway: each
+  # request of a team that was far below its limit was announced to all peers.
+  Scenario Outline: Small requests far below the limit at <count> gateways
+    Given <count> gateways that share the allowance of a team with large requests
+    When it requests <part> times its rate in requests of 300 tokens for 10 s
+    Then each gateway sent at most <most> announcements per second
+    And at least 1.0 of all requested tokens were allowed
+
+    # Four regular ones a second, or fewer among many gateways.
+    Examples:
+      | count | part | most |
+      | 4 | 0.3 | 4.2 |
+      | 28 | 0.4 | 2.5 |
+      | 68 | 0.4 | 1.8 |
+
   Scenario Outline: Retries stay within the budget: <firsts> requests, <failing>
     Given a retry budget of 0.2 and 40 extra in 10 s, for <count> gateways
     When <firsts> requests per second arrive for 15 s and each needs a retry
--- a/features/steps/gateway_limits_steps.py
+++ b/features/steps/gateway_limits_steps.py
@@ -44,6 +44,7 @@
         self.rows = {}
         self.parted = False
         self.sent_bytes = 0
+        self.sent_datagrams = 0
         self.away = None
         self.allowed = []
         self.asked = 0.0
@@ -55,6 +56,7 @@
     def start(self, name):
         def send(data, where):
             self.sent_bytes += len(data)
+            self.sent_datagrams += 1
             if not self.parted:
                 self.reactor.callLater(
                     DELAY_S, self.deliver, data, where, name
@@ -125,7 +127,7 @@
             now_ms = self.clock.monotonic_ms()
             self.allowed.append((now_ms, tokens))
 
-    def run_large(self, rng, parts):
+    def run_large(self, rng, parts, sizes=LARGE_SIZES):
         """Requests a multiple of the team's rate in each second."""
         due = 0.0
         for number in range(len(parts) * 1000 // STEP_MS):
@@ -136,7 +138,7 @@
             part = parts[number * STEP_MS // 1000]
             due += part * self.team.tokens_per_s * STEP_MS / 1000
             while due > 0:
-                mean, spread = rng.choice(LARGE_SIZES)
+                mean, spread = rng.choice(sizes)
                 size = min(14_600, mean * rng.lognormvariate(0, spread))
                 due -= size
                 open_names = [name for name in self.names if name != self.away]
@@ -180,6 +182,24 @@
     fleet.run_large(random.Random(seed + 100), [surge] * (LARGE_SECONDS // 2))
 
 
+@when(
+    "it requests {part:g} times its rate in requests of {tokens:d} tokens for"
+    " {seconds:d} s"
+)
+def ask_small(context, part, tokens, seconds):
+    rng = random.Random(1)
+    context.fleet.run_large(rng, [part] * seconds, ((tokens, 0.0),))
+    context.seconds = seconds
+
+
+@then("each gateway sent at most {most:g} announcements per second")
+def check_announcements(context, most):
+    fleet = context.fleet
+    peers = len(fleet.names) - 1
+    per_s = fleet.sent_datagrams / len(fleet.names) / peers / context.seconds
+    assert per_s <= most, per_s
+
+
 @when("the first uses all of it and the second refuses 20000 tokens")
 def refuse_at_second(context):
     fleet = context.fleet
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -10,6 +10,7 @@
 """
 
 import dataclasses
+import enum
 import hashlib
 import math
 import typing
@@ -37,6 +38,9 @@
 # Share of the remaining allowance that all gateways together may use without
 # having announced it.
 UNANNOUNCED_SHARE = 0.5
+# With this part of its limit or more remaining, a team can't reach its limit
+# before the next regular announcements.
+FAR_BELOW_LIMIT_SHARE = 0.5
 PEER_TIMEOUT_MS = 2_000
 # Number of announcement intervals whose demand a gateway reserves.
 RESERVED_INTERVALS = 1.5
@@ -72,6 +76,14 @@
     usage_lost: bool = False
 
 
+class ExcessUse(enum.Enum):
+    """Whether tokens may be used that were not reserved."""
+
+    REFUSED = "refused"
+    ANNOUNCED_EARLY = "announced early"
+    ANNOUNCED_LATER = "announced later"
+
+
 class Sharing:
     """Allowance usage and demand of this gateway and its peers.
 
@@ -247,30 +259,40 @@
             return False
         return not self.hosts or self.former_uses.has_settled()
 
-    def may_exceed_reserved(
+    def use_of_excess(
         self, team: model.Team, tokens: float, now_ms: int
-    ) -> bool:
-        """Returns whether more tokens may be used than were reserved.
+    ) -> ExcessUse:
+        """Decides whether more tokens may be used than were reserved.
 
         Such a use is announced early if the limit on early announcements
         permits it. Otherwise it is announced later, and until then such uses
         may not exceed this gateway's equal share of the unused tolerance plus
-        a part of the remaining allowance.
+        a part of the remaining allowance. Within that share, a use of a team
+        that is far below its limit needs no early announcement, whose cost
+        grows with the number of gateways.
 
         :param team: the team
         :param tokens: number of tokens in excess of the reserved ones
         :param now_ms: the current time
-        :return: whether they may be used
+        :return: whether they may be used, and when that is announced
         """
         remaining = self.remaining(team)
         if tokens > remaining:
-            return False
-        if self.may_announce_early(now_ms):
-            return True
+            return ExcessUse.REFUSED
         spare = allowance.unused_tolerance(team, self.tolerance)
         unannounced = self.unannounced.get(team.name, 0.0)
         max_unannounced = spare + UNANNOUNCED_SHARE * remaining
-        return unannounced + tokens <= max_unannounced / self.gateways
+        fits = unannounced + tokens <= max_unannounced / self.gateways
+        limit = allowance.window_limit(team, self.tolerance)
+        may_wait = (
+            remaining >= FAR_BELOW_LIMIT_SHARE * limit
+            and len(self.unannounced) < MAX_TEAMS_ANNOUNCED
+        )
+        if fits and may_wait:
+            return ExcessUse.ANNOUNCED_LATER
+        if fits or self.may_announce_early(now_ms):
+            return ExcessUse.ANNOUNCED_EARLY
+        return ExcessUse.REFUSED
 
     def place(self, subject: str) -> int:
         """Returns the place of this gateway among all gateways.
@@ -391,12 +413,14 @@
         own = self.reserved.get(team.name, 0.0)
         excess = tokens - own
         if excess > 0:
-            if not self.may_exceed_reserved(team, excess, now_ms):
+            use_of_excess = self.use_of_excess(team, excess, now_ms)
+            if use_of_excess is ExcessUse.REFUSED:
                 return None
             self.unannounced[team.name] = (
                 self.unannounced.get(team.name, 0.0) + excess
             )
-            self.must_announce = True
+            if use_of_excess is ExcessUse.ANNOUNCED_EARLY:
+                self.must_announce = True
         self.reserved[team.name] = max(0.0, -excess)
         self.unsaved[team.name] = self.unsaved.get(team.name, 0.0) + tokens
         use = self.window(team.name).add(tokens, now_ms)
@@ -462,9 +486,13 @@
         """
         for team in self.teams.values():
             self.reserved[team.name] = self.next_reservation(team, now_ms)
+        uses = dict(self.largest_uses(now_ms))
+        # Peers must hear of these, however little their teams have used.
+        for name in self.unannounced:
+            uses[name] = self.window(name).total(now_ms)
         team_demands = [
             self.team_demand(name, used, now_ms)
-            for name, used in self.largest_uses(now_ms)
+            for name, used in uses.items()
             if self.is_active(name, used, now_ms)
         ]
         self.last_announced_ms = now_ms
