Without agents, many gateways share upstreams without filling them twice

Cause: without a grant each gateway might start at least one request at each engine, and 1.6 times its equal share. So 18 gateways or more put up to twice as many requests into an engine as it has slots; what was beyond them waited inside the engine, in the order of arrival whatever its rank.

Change: the slots of a service are handed out to the gateways in turn, so that they sum up to the slots times a factor (policy: gateway/share_factor.py). It is 2 while answers begin on time, as callers are spread unevenly, and falls to 1 as they begin late. A service with fewer than two slots for each gateway keeps at least one for each.

Tests: features/gateway_placement.feature. The shares of 18 to 110 gateways replace rows that asked for 1 slot of 11 for each of 31 gateways at each upstream, which is the fault: 31 requests in 11 slots. The rows for 1 and 4 gateways are kept as bounds on the sum and on each part.

--- a/features/gateway_placement.feature
+++ b/features/gateway_placement.feature
@@ -23,14 +23,38 @@
       | a failing one, if all fail | 600 | 400 | a:0/5,paused b:5/5,paused | a |
       | no upstream at all | 600 | 400 | | none |
 
-  Scenario Outline: Without an agent, <gateways> gateways share <slots> slots
-    Then each of <gateways> gateways may use <allowed> of <slots> slots
+  # Guards against requests that queue inside an engine, late and in the order
+  # of arrival: each of many gateways sent one to each engine, however few
+  # slots it had.
+  Scenario Outline: Without agents, <gateways> gateways share <upstreams> upstreams of <slots> slots
+    When no agent grants the slots, and answers begin late
+    Then all gateways together may start at most <most> at each upstream
+    And each gateway may start at least <least> in all
 
     Examples:
-      | gateways | slots | allowed |
-      | 1 | 11 | 11 |
-      | 4 | 11 | 5 |
-      | 31 | 11 | 1 |
+      | gateways | upstreams | slots | most | least |
+      | 1 | 9 | 11 | 11 | 99 |
+      | 4 | 9 | 11 | 11 | 24 |
+      | 18 | 11 | 9 | 9 | 5 |
+      | 31 | 9 | 11 | 11 | 3 |
+      | 68 | 38 | 9 | 9 | 5 |
+      | 110 | 120 | 9 | 9 | 9 |
+      | 300 | 120 | 9 | 9 | 3 |
+      | 68 | 6 | 6 | 68 | 6 |
+
+  # Guards against a share that stays small after an overload, and against one
+  # that stays large in it.
+  Scenario Outline: A share of the slots follows how soon answers begin: <case>
+    When answers that are due within 400 ms begin after <times> ms
+    Then the equal share is multiplied by <least> to <most>
+
+    Examples:
+      | case | times | least | most |
+      | none yet | | 2 | 2 |
+      | on time | 20 x 90 | 2 | 2 |
+      | late under overload | 8 x 600 | 1 | 1 |
+      | on time again | 8 x 600, 60 x 90 | 2 | 2 |
+      | one slow among many | 20 x 90, 1 x 600, 5 x 90 | 1.85 | 1.95 |
 
   # Guards against dropping live upstreams that could not renew their entry
   # during an outage of the list, and against keeping dead ones. Times are in
--- a/features/steps/gateway_placement_steps.py
+++ b/features/steps/gateway_placement_steps.py
@@ -1,11 +1,15 @@
+import collections
+
 from behave import given
 from behave import then
 from behave import when
 
 from features.support import gateway_world
+from godwitloft.gateway import fleet
 from godwitloft.gateway import model
 from godwitloft.gateway import placement
 from godwitloft.gateway import routing
+from godwitloft.gateway import share_factor
 from godwitloft.gateway import upstream_list
 
 SLOTS = 5
@@ -52,10 +56,64 @@
     assert found == place, found
 
 
-@then("each of {gateways:d} gateways may use {allowed:d} of {slots:d} slots")
-def check_allowed(context, gateways, allowed, slots):
-    found = placement.allowed_without_agent(slots, gateways)
-    assert found == allowed, found
+@when("no agent grants the slots, and answers begin late")
+def share_slots(context):
+    row = context.active_outline
+    gateways, upstreams, slots = (
+        int(row[name]) for name in ("gateways", "upstreams", "slots")
+    )
+    listed = fleet.service_slots(
+        {
+            f"u{number}": gateway_world.upstream(f"u{number}", "model", slots)
+            for number in range(upstreams)
+        }
+    )
+    context.allowed = {
+        (name, place): placement.allowed_without_agent(
+            slots,
+            service,
+            placement.Part(gateways, place, share_factor.MIN_FACTOR),
+        )
+        for name, service in listed.items()
+        for place in range(gateways)
+    }
+
+
+@when("answers that are due within {target:d} ms begin after {times} ms")
+def begin_answers(context, target, times):
+    context.factor = share_factor.MAX_FACTOR
+    for entry in times.split(","):
+        count, _, took = entry.partition(" x ")
+        for _ in range(int(count)):
+            context.factor = share_factor.after_answer(
+                context.factor, int(took), target
+            )
+
+
+@when("answers that are due within 400 ms begin after  ms")
+def begin_none(context):
+    context.factor = share_factor.MAX_FACTOR
+
+
+@then("the equal share is multiplied by {least:g} to {most:g}")
+def check_factor(context, least, most):
+    assert least <= context.factor <= most, context.factor
+
+
+@then("all gateways together may start at most {most:d} at each upstream")
+def check_most(context, most):
+    sums = collections.Counter()
+    for (upstream, _gateway), allowed in context.allowed.items():
+        sums[upstream] += allowed
+    assert max(sums.values()) <= most, sums
+
+
+@then("each gateway may start at least {least:d} in all")
+def check_least(context, least):
+    sums = collections.Counter()
+    for (_upstream, gateway), allowed in context.allowed.items():
+        sums[gateway] += allowed
+    assert min(sums.values()) >= least, sums
 
 
 @when(
--- a/features/steps/gateway_slots_steps.py
+++ b/features/steps/gateway_slots_steps.py
@@ -13,6 +13,7 @@
 from godwitloft.gateway import fleet
 from godwitloft.gateway import grant_hosts
 from godwitloft.gateway import placement
+from godwitloft.gateway import share_factor
 from godwitloft.gateway import sharing
 from godwitloft.gateway import slot_client
 from godwitloft.gateway import slots
@@ -115,7 +116,15 @@
         if now_ms < self.state.granted_until_ms:
             granted = self.state.start_limit - self.state.started
             return self.state.running + granted
-        return placement.allowed_without_agent(SLOTS, self.world.count)
+        return placement.allowed_without_agent(
+            SLOTS,
+            self.fleet.service_slots["u"],
+            placement.Part(
+                self.world.count,
+                int(self.name[1:]),
+                share_factor.MIN_FACTOR,
+            ),
+        )
 
     def schedule(self):
         now_ms = self.world.clock.monotonic_ms()
--- a/godwitloft/gateway/fleet.py
+++ b/godwitloft/gateway/fleet.py
@@ -1,5 +1,6 @@
 """State of each upstream, from the list and from the gateway's requests."""
 
+import collections
 import dataclasses
 
 from godwitloft.gateway import model
@@ -199,6 +200,8 @@
         self.last_pause_end_ms = 0
         # When and how long all upstreams of a service wanted a pause.
         self.cached_pauses: dict[str, tuple[int, int]] = {}
+        # By id of each listed upstream.
+        self.service_slots: dict[str, placement.ServiceSlots] = {}
 
     def update(
         self, upstreams: dict[str, model.Upstream], now_ms: int
@@ -234,6 +237,7 @@
                 leaving.append(upstream_id)
         removed = [name for name in self.listed if name not in upstreams]
         self.listed = {name: self.states[name] for name in upstreams}
+        self.service_slots = service_slots(upstreams)
         for name, state in list(self.states.items()):
             unlisted_ms = now_ms - state.last_listed_ms
             if unlisted_ms > UNLISTED_KEPT_MS and not state.running:
@@ -362,3 +366,25 @@
         """
         state = self.states.get(life.id)
         return state if state is not None and state.life == life else None
+
+
+def service_slots(
+    upstreams: dict[str, model.Upstream],
+) -> dict[str, placement.ServiceSlots]:
+    """Returns the slots of each upstream's service.
+
+    :param upstreams: upstreams by id
+    :return: by the same ids; alike at all gateways that have the same list
+    """
+    totals: collections.Counter[str] = collections.Counter()
+    before = {}
+    for name in sorted(upstreams):
+        service = upstreams[name].service
+        before[name] = totals[service]
+        totals[service] += upstreams[name].slots
+    return {
+        name: placement.ServiceSlots(
+            totals[upstreams[name].service], before[name]
+        )
+        for name in upstreams
+    }
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -711,6 +711,11 @@
                     request.facts.sizes.prompt_tokens,
                     took_ms,
                 )
+                self.placer.record_first_data(
+                    request.facts.service,
+                    took_ms,
+                    request.facts.route.target_ms,
+                )
                 request.upstream_state.record_success(
                     took_ms,
                     request.pending_prompt_tokens
--- a/godwitloft/gateway/placement.py
+++ b/godwitloft/gateway/placement.py
@@ -18,9 +18,8 @@
 LOAD_FACTOR = 1.0
 # Usual time until a fully loaded upstream has a free slot.
 BUSY_WAIT_MS = 100.0
-# Callers are spread unevenly over gateways, so each gateway may use more than
-# an equal share of an upstream.
-UNEVEN_FACTOR = 1.6
+# With fewer slots of a service for each gateway, some would have hardly any.
+MIN_SLOTS_PER_GATEWAY = 2
 MS_PER_S = 1000.0
 
 
@@ -54,16 +53,56 @@
         return self.running < self.allowed
 
 
-def allowed_without_agent(slots: int, gateways: int) -> int:
+@dataclasses.dataclass(frozen=True)
+class ServiceSlots:
+    """Slots of a service, as seen from one of its upstreams.
+
+    :param total: slots of all its upstreams
+    :param before: slots of those that come before this one in the order of
+        their ids
+    """
+
+    total: int
+    before: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Part:
+    """The part of a service's slots that is one gateway's.
+
+    :param gateways: number of live gateways
+    :param place: place of this one in the service's order of them, from 0
+    :param factor: how many times the slots all gateways together may use
+    """
+
+    gateways: int
+    place: int
+    factor: float
+
+
+def allowed_without_agent(
+    slots: int, service: ServiceSlots, part: Part
+) -> int:
     """Returns how many requests one gateway may run at an upstream.
 
+    Where gateways outnumber the slots, each uses some of the upstreams only:
+    the upstreams are handed out to the gateways in turn.
+
     :param slots: number of requests that the upstream runs concurrently
-    :param gateways: number of live gateways
-    :return: number of requests, at least 1
+    :param service: slots of the upstreams of its service
+    :param part: the gateway's part
+    :return: number of requests; at least 1 if the service has too few slots
+        for each gateway to have some
     """
-    if gateways <= 1:
+    if part.gateways <= 1:
         return max(1, slots)
-    return max(1, math.ceil(slots * UNEVEN_FACTOR / gateways))
+    first = int(service.before * part.factor)
+    end = int((service.before + slots) * part.factor)
+    allowed, rest = divmod(end - first, part.gateways)
+    allowed += (part.place - first) % part.gateways < rest
+    if service.total < MIN_SLOTS_PER_GATEWAY * part.gateways:
+        return max(1, allowed)
+    return allowed
 
 
 def choose(
--- a/godwitloft/gateway/placer.py
+++ b/godwitloft/gateway/placer.py
@@ -9,6 +9,7 @@
 from godwitloft.gateway import ordering
 from godwitloft.gateway import placement
 from godwitloft.gateway import request as requests
+from godwitloft.gateway import share_factor
 from godwitloft.gateway import sharing as sharings
 from godwitloft.gateway import slot_client as slot_clients
 
@@ -98,6 +99,27 @@
         self.fleet = fleet
         self.sharing = sharing
         self.slot_client = slot_client
+        self.share_factors: dict[str, float] = {}
+
+    def share_factor(self, service: str) -> float:
+        """Returns by how much the gateways' shares of a service overlap.
+
+        :param service: name of the service
+        """
+        return self.share_factors.get(service, share_factor.MAX_FACTOR)
+
+    def record_first_data(
+        self, service: str, first_data_ms: float, target_ms: float
+    ) -> None:
+        """Learns from an answer that has begun.
+
+        :param service: name of the service
+        :param first_data_ms: time from sending to the first data
+        :param target_ms: time in which it should reach the caller
+        """
+        self.share_factors[service] = share_factor.after_answer(
+            self.share_factor(service), first_data_ms, target_ms
+        )
 
     def candidates(
         self, states: list[fleets.UpstreamState], now_ms: int
@@ -167,9 +189,17 @@
         """
         if now_ms < state.granted_until_ms:
             return state.running + state.start_limit - state.started
-        return placement.allowed_without_agent(
-            state.upstream.slots, self.sharing.gateways
+        allowed = placement.allowed_without_agent(
+            state.upstream.slots,
+            self.fleet.service_slots[state.upstream.id],
+            placement.Part(
+                self.sharing.gateways,
+                self.sharing.place(state.upstream.service),
+                self.share_factor(state.upstream.service),
+            ),
         )
+        # At one that names a limit, all gateways take turns.
+        return max(1, allowed) if state.limit is not None else allowed
 
     def send_wants(
         self, service: str, waiting: list[requests.Request]
