Agents work out gateways' claims once a want

Cause: for each want an agent described the claims of all gateways anew, hashed and sorted all of them for spare slots, free or not, and looked for silent ones.

Change: a claim and its place in the order of spare slots are made when its want arrives; only as many places are looked for as slots are spare; silent gateways are looked for no earlier than one can be. What is granted stays the same.

--- a/features/gateway_cost.feature
+++ b/features/gateway_cost.feature
@@ -15,3 +15,17 @@
       | 44 | 30 | 1 | 45 |
       | 44 | 30 | 3 | 135 |
       | 120 | 60 | 1 | 121 |
+
+  # Guards against agents that use up their processor where gateways are many:
+  # each want described, hashed and sorted all gateways anew.
+  Scenario Outline: An agent answers a want among <gateways> gateways
+    Given an agent that <gateways> gateways have told of their requests
+    When one of them tells that it runs <running> requests more
+    Then the agent made at most <most> calls of functions for it
+
+    Examples:
+      | gateways | running | most |
+      | 4 | 1 | 60 |
+      | 68 | 1 | 60 |
+      | 300 | 1 | 60 |
+      | 300 | 0 | 60 |
--- a/features/steps/gateway_cost_steps.py
+++ b/features/steps/gateway_cost_steps.py
@@ -1,9 +1,12 @@
+import itertools
+import sys
 from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
 
+from features.support import gateway_cost
 from features.support import gateway_world
 from godwitloft.gateway import placement
 
@@ -49,3 +52,30 @@
     gateway = context.world.gateway
     left = gateway.unfinished() - len(gateway.running)
     assert left == waiting - free, left
+
+
+@given("an agent that {gateways:d} gateways have told of their requests")
+def tell_agent(context, gateways):
+    context.agent = gateway_cost.AgentWorld(gateways)
+
+
+@when("one of them tells that it runs {running:d} requests more")
+def tell_more(context, running):
+    calls = itertools.count()
+
+    def count(_frame, kind, _argument):
+        if kind == "call":
+            next(calls)
+
+    sys.setprofile(count)
+    try:
+        context.agent.tell(0, running)
+    finally:
+        sys.setprofile(None)
+    context.calls = next(calls)
+    assert context.agent.sent > 0
+
+
+@then("the agent made at most {most:d} calls of functions for it")
+def check_calls(context, most):
+    assert context.calls <= most, context.calls
--- a/features/steps/gateway_slots_steps.py
+++ b/features/steps/gateway_slots_steps.py
@@ -41,10 +41,12 @@
                 tuple(
                     int(waiting_count) for waiting_count in waiting.split(",")
                 ),
-                claim.startswith("near:"),
+                slots.spare_order(
+                    "u", f"g{number}", claim.startswith("near:")
+                ),
             )
         )
-    context.starts = slots.allocate("u", count, unclaimed, parsed)
+    context.starts = slots.allocate(count, unclaimed, parsed)
 
 
 @when(
@@ -52,7 +54,7 @@
     ' allocated to ""'
 )
 def deal_nobody(context, count, unclaimed):
-    context.starts = slots.allocate("u", count, unclaimed, [])
+    context.starts = slots.allocate(count, unclaimed, [])
 
 
 @then('the gateways may start "{starts}"')
@@ -61,16 +63,22 @@
     assert list(context.starts.values()) == wanted, context.starts
 
 
+def claim_of(upstream, gateway, running):
+    """Returns the claim of a gateway in another availability zone."""
+    place = slots.spare_order(upstream, gateway, same_zone=False)
+    return slots.Claim(gateway, running, (0,), place)
+
+
 @then(
     "{change:d} grants change when any of {count:d} idle gateways starts one"
 )
 def check_stable(context, change, count):
     def dealt(busy):
         claims = [
-            slots.Claim(f"g{number}", int(number == busy), (0,))
+            claim_of("u", f"g{number}", int(number == busy))
             for number in range(count)
         ]
-        return slots.allocate("u", SLOTS, 0, claims)
+        return slots.allocate(SLOTS, 0, claims)
 
     idle = dealt(None)
     assert sum(idle.values()) == SLOTS
@@ -82,11 +90,15 @@
 
 @then("two upstreams prefer different ones of {count:d} gateways")
 def check_spread(context, count):
-    claims = [slots.Claim(f"g{number}", 0, (0,)) for number in range(count)]
     first, second = (
         {name for name, starts in found.items() if starts}
         for found in (
-            slots.allocate(upstream, SLOTS, 0, claims) for upstream in "uv"
+            slots.allocate(
+                SLOTS,
+                0,
+                [claim_of(upstream, f"g{n}", 0) for n in range(count)],
+            )
+            for upstream in "uv"
         )
     )
     assert len(first) == len(second) == SLOTS and first != second
--- a/features/support/gateway_cost.py
+++ b/features/support/gateway_cost.py
@@ -7,7 +7,11 @@
 import functools
 import time
 
+from twisted.internet import task
+
 from features.support import gateway_world
+from godwitloft import clock as clocks
+from godwitloft.gateway import arbiter
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
 
@@ -80,6 +84,48 @@
     )
 
 
+class AgentWorld:
+    """An agent of one upstream that gateways tell of their requests."""
+
+    def __init__(self, gateways):
+        reactor = task.Clock()
+        self.clock = clocks.reactor_clock(reactor)
+        self.sequence = 0
+        self.sent = 0
+        self.arbiter = arbiter.Arbiter(
+            self.clock, call_now, self.count, "agent", lambda _upstream: "a"
+        )
+        reactor.advance(arbiter.STARTUP_LISTEN_MS / clocks.MS_PER_S)
+        for number in range(gateways):
+            self.tell(number, 0)
+        self.sent = 0
+
+    def count(self, _data, _address):
+        """Counts a sent grant."""
+        self.sent += 1
+
+    def tell(self, number, running):
+        """Tells the agent of one gateway's requests."""
+        self.sequence += 1
+        want = ttypes.SlotWant(
+            upstream="u",
+            gateway=f"g{number}",
+            sequence=self.sequence,
+            started=running,
+            running=running,
+            slots=SLOTS,
+            waiting=[],
+            unread=0,
+            zone="ab"[number % 2],
+        )
+        self.arbiter.on_datagram(ttypes.Datagram(want=want), ADDRESS)
+
+
+def call_now(_delay_ms, callback):
+    """Calls a function at once."""
+    callback()
+
+
 def measure(gateways, upstreams):
     """Returns microseconds by kind of work."""
     world = make_world(gateways, upstreams)
@@ -125,6 +171,8 @@
     costs["grant with waiting"] = cost_us(
         lambda: gateway.schedule("model"), 100
     )
+    agent = AgentWorld(gateways)
+    costs["want at an agent"] = cost_us(lambda: agent.tell(0, 0))
     return {what: round(cost) for what, cost in costs.items()}
 
 
--- a/godwitloft/gateway/arbiter.py
+++ b/godwitloft/gateway/arbiter.py
@@ -13,6 +13,7 @@
 
 import collections
 import dataclasses
+import operator
 import typing
 
 from godwitloft import clock as clocks
@@ -44,12 +45,14 @@
     :param at_ms: when it was received
     :param waiting_since_ms: since when the gateway has started no request
         although some are waiting
+    :param claim: the claim that it makes
     """
 
     want: ttypes.SlotWant
     address: datagrams.Address
     at_ms: int
     waiting_since_ms: int
+    claim: slots.Claim
 
 
 class UpstreamClaims:
@@ -62,6 +65,8 @@
     def __init__(self, upstream: str, grants_from_ms: int) -> None:
         self.upstream = upstream
         self.grants_from_ms = grants_from_ms
+        # Until then no gateway can have been silent for too long.
+        self.none_silent_until_ms = 0
         self.last_wants: dict[str, ReceivedWant] = {}
         self.granted_limits: dict[str, int] = {}
 
@@ -157,7 +162,11 @@
             if any(previous.want.waiting):
                 waiting_since_ms = previous.waiting_since_ms
         claims.last_wants[want.gateway] = ReceivedWant(
-            want, address, now_ms, waiting_since_ms
+            want,
+            address,
+            now_ms,
+            waiting_since_ms,
+            self.claim_of(want, previous),
         )
         # Each want is answered, even if the grant is unchanged.
         claims.granted_limits.pop(want.gateway, None)
@@ -165,6 +174,26 @@
             self.pending_grants.add(want.upstream)
             self.call_later(GRANT_DELAY_MS, lambda: self.grant(claims))
 
+    def claim_of(
+        self, want: ttypes.SlotWant, previous: ReceivedWant | None
+    ) -> slots.Claim:
+        """Returns the claim that a want makes.
+
+        :param want: the received datagram
+        :param previous: the gateway's want before it, None for none
+        """
+        if previous is not None and want.zone == previous.want.zone:
+            spare_order = previous.claim.spare_order
+        else:
+            spare_order = slots.spare_order(
+                want.upstream,
+                want.gateway,
+                want.zone == self.zone_of(want.upstream),
+            )
+        return slots.Claim(
+            want.gateway, want.running, tuple(want.waiting), spare_order
+        )
+
     def claims_of(self, upstream: str) -> UpstreamClaims:
         """Returns the claims on an upstream.
 
@@ -195,29 +224,24 @@
             return
         longest_first = sorted(
             claims.last_wants.values(),
-            key=lambda received: received.waiting_since_ms,
+            key=operator.attrgetter("waiting_since_ms"),
         )
-        wants = [received.want for received in longest_first]
-        zone = self.zone_of(claims.upstream)
+        upstream_slots = 0
+        pending_prompt_tokens = 0
+        for received in longest_first:
+            upstream_slots = max(upstream_slots, received.want.slots)
+            pending_prompt_tokens += received.want.unread
         starts = slots.allocate(
-            claims.upstream,
-            max(want.slots for want in wants),
+            upstream_slots,
             min(self.unclaimed),
-            [
-                slots.Claim(
-                    want.gateway,
-                    want.running,
-                    tuple(want.waiting),
-                    want.zone == zone,
-                )
-                for want in wants
-            ],
+            [received.claim for received in longest_first],
         )
-        pending_prompt_tokens = sum(want.unread for want in wants)
-        for want in wants:
+        granted = claims.granted_limits
+        for received in longest_first:
+            want = received.want
             limit = want.started + starts[want.gateway]
-            if claims.granted_limits.get(want.gateway) != limit:
-                claims.granted_limits[want.gateway] = limit
+            if granted.get(want.gateway) != limit:
+                granted[want.gateway] = limit
                 self.send_grant(
                     claims, want, limit, pending_prompt_tokens - want.unread
                 )
@@ -228,16 +252,22 @@
         :param claims: claims on the upstream
         :param now_ms: the current time
         """
+        if now_ms <= claims.none_silent_until_ms:
+            return
+        oldest_ms = now_ms
         for gateway, received in list(claims.last_wants.items()):
-            if now_ms - received.at_ms > CLAIM_TIMEOUT_MS:
-                del claims.last_wants[gateway]
-                claims.granted_limits.pop(gateway, None)
-                events.log(
-                    events.GATEWAY_SILENT,
-                    gateway=gateway,
-                    upstream=claims.upstream,
-                    running=received.want.running,
-                )
+            if now_ms - received.at_ms <= CLAIM_TIMEOUT_MS:
+                oldest_ms = min(oldest_ms, received.at_ms)
+                continue
+            del claims.last_wants[gateway]
+            claims.granted_limits.pop(gateway, None)
+            events.log(
+                events.GATEWAY_SILENT,
+                gateway=gateway,
+                upstream=claims.upstream,
+                running=received.want.running,
+            )
+        claims.none_silent_until_ms = oldest_ms + CLAIM_TIMEOUT_MS
 
     def send_grant(
         self,
--- a/godwitloft/gateway/slots.py
+++ b/godwitloft/gateway/slots.py
@@ -6,6 +6,8 @@
 """
 
 import dataclasses
+import heapq
+import operator
 import typing
 import zlib
 
@@ -18,17 +20,32 @@
     :param running: number of its requests that run at the upstream
     :param waiting: number of its waiting requests by urgency, the most urgent
         first
-    :param same_zone: whether it is in the upstream's availability zone
+    :param spare_order: sort key by which spare slots are spread, as
+        :func:`spare_order` returns it
     """
 
     gateway: str
     running: int
     waiting: tuple[int, ...]
-    same_zone: bool = False
+    spare_order: tuple[bool, int]
+
+
+def spare_order(
+    upstream: str, gateway: str, same_zone: bool
+) -> tuple[bool, int]:
+    """Returns the sort key by which spare slots are spread over gateways.
+
+    Gateways in the upstream's availability zone are first, as traffic between
+    zones is expensive. Different upstreams prefer different gateways.
+
+    :param upstream: identity of the upstream
+    :param gateway: incarnation of the gateway
+    :param same_zone: whether it is in the upstream's availability zone
+    """
+    return not same_zone, zlib.crc32(f"{upstream} {gateway}".encode())
 
 
 def allocate(
-    upstream: str,
     slots: int,
     unclaimed: int,
     claims: typing.Sequence[Claim],
@@ -37,39 +54,36 @@
 
     Free slots go to the most urgent waiting requests, one to each gateway in
     turn. The remaining ones are spread over all gateways, so that a request
-    that arrives at any of them can start at once: first to gateways in the
-    upstream's availability zone, as traffic between zones is expensive, then
-    to others. The order is fixed, so that few grants change when a request
-    starts or ends.
+    that arrives at any of them can start at once. The order is fixed, so that
+    few grants change when a request starts or ends.
 
-    :param upstream: identity of the upstream, which determines the order, so
-        that different upstreams prefer different gateways
     :param slots: number of requests that the upstream runs concurrently
     :param unclaimed: number of requests at the upstream that no claim includes
     :param claims: claims of all gateways, in the order in which they are
         served
     :return: number of starts by gateway
     """
-    running = sum(claim.running for claim in claims)
-    free = slots - running - unclaimed
-    starts = {claim.gateway: 0 for claim in claims}
-    depth = max((len(claim.waiting) for claim in claims), default=0)
+    free = slots - unclaimed
+    starts = {}
+    waiting = []
+    for claim in claims:
+        free -= claim.running
+        starts[claim.gateway] = 0
+        if claim.waiting:
+            waiting.append(claim)
+    depth = max((len(claim.waiting) for claim in waiting), default=0)
     for urgency in range(depth):
         open_claims = {
             claim.gateway: claim.waiting[urgency]
-            for claim in claims
+            for claim in waiting
             if urgency < len(claim.waiting) and claim.waiting[urgency] > 0
         }
         free = _distribute(starts, open_claims, free)
-    nearest_first = sorted(
-        claims,
-        key=lambda claim: (
-            not claim.same_zone,
-            zlib.crc32(f"{upstream} {claim.gateway}".encode()),
-        ),
-    )
-    spare = {claim.gateway: slots for claim in nearest_first}
-    _distribute(starts, spare, free)
+    if free > 0:
+        nearest = heapq.nsmallest(
+            free, claims, key=operator.attrgetter("spare_order")
+        )
+        _distribute(starts, {claim.gateway: slots for claim in nearest}, free)
     return starts
 
 
