Each datagram is read by one call

Change: at most one is read at each event; what else has arrived is an event of its own.

Test: features/datagrams.feature, reads for 20 datagrams; both rows failed without the change.

--- a/features/datagrams.feature
+++ b/features/datagrams.feature
@@ -18,3 +18,15 @@
       | Python | no bytes |
       | Python | random bytes |
       | Python | a length past its end |
+
+  # Guards against system calls that find nothing: each datagram was followed
+  # by a read that failed.
+  Scenario Outline: <number> datagrams arrive, <together> at a time
+    Given a socket for datagrams
+    When <number> datagrams are sent to it, <together> at a time
+    Then <number> are received by at most <most> reads
+
+    Examples:
+      | number | together | most |
+      | 20 | 1 | 20 |
+      | 20 | 5 | 20 |
--- a/features/steps/datagrams_steps.py
+++ b/features/steps/datagrams_steps.py
@@ -1,9 +1,12 @@
 import random
+import select
+import socket
 from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
+from twisted.internet import udp
 
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
@@ -55,3 +58,53 @@
 def check_next(context):
     decoded = datagrams.decode(grant(2))
     assert decoded is not None and decoded.grant.sequence == 2, decoded
+
+
+class CountedSocket:
+    """A socket that counts reads."""
+
+    def __init__(self, wrapped):
+        self.wrapped = wrapped
+        self.reads = 0
+
+    def __getattr__(self, name):
+        return getattr(self.wrapped, name)
+
+    def recvfrom(self, size):
+        self.reads += 1
+        return self.wrapped.recvfrom(size)
+
+
+@given("a socket for datagrams")
+def open_socket(context):
+    reactor = mock.Mock()
+
+    def listen_udp(number, port, interface):
+        listening = udp.Port(number, port, interface, reactor=reactor)
+        listening.startListening()
+        return listening
+
+    reactor.listenUDP = listen_udp
+    context.received = []
+    port = datagrams.Port(lambda *message: context.received.append(message))
+    context.listening = datagrams.listen(reactor, 0, port, "127.0.0.1")
+    context.add_cleanup(context.listening.socket.close)
+    context.counted = CountedSocket(context.listening.socket)
+    context.listening.socket = context.counted
+
+
+@when("{number:d} datagrams are sent to it, {together:d} at a time")
+def send_datagrams(context, number, together):
+    address = context.counted.getsockname()
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        for first in range(0, number, together):
+            for sequence in range(first, first + together):
+                sender.sendto(grant(sequence), address)
+            while select.select([context.counted.wrapped], [], [], 0)[0]:
+                context.listening.doRead()
+
+
+@then("{number:d} are received by at most {most:d} reads")
+def check_reads(context, number, most):
+    assert len(context.received) == number, len(context.received)
+    assert context.counted.reads <= most, context.counted.reads
--- a/godwitloft/links/datagrams.py
+++ b/godwitloft/links/datagrams.py
@@ -107,3 +107,21 @@
             # The send buffer is full or there is no route: the next datagram
             # carries the same state.
             self.unsent += 1
+
+
+def listen(
+    reactor: typing.Any, number: int, port: Port, host: str
+) -> typing.Any:
+    """Opens a datagram socket.
+
+    :param reactor: the Twisted reactor
+    :param number: port number
+    :param port: the protocol
+    :param host: IP number
+    :return: Twisted's port
+    """
+    listening = reactor.listenUDP(number, port, interface=host)
+    # At most one datagram is read at each event. Twisted would otherwise read
+    # until a call fails, and mostly only one has arrived.
+    listening.maxThroughput = 1
+    return listening
--- a/godwitloft/platform/agent.py
+++ b/godwitloft/platform/agent.py
@@ -99,7 +99,7 @@
         :return: the UDP port
         """
         boot = self.boot
-        self.reactor.listenUDP(boot.first_port, self.port, interface=boot.host)
+        datagrams.listen(self.reactor, boot.first_port, self.port, boot.host)
         self.request_report()
         events.log(events.STARTED, instance=boot.instance, zone=boot.zone)
         return boot.first_port
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -127,7 +127,7 @@
         ),
     )
     port = datagrams.Port(gateway.on_datagram)
-    reactor.listenUDP(boot.first_port, port, interface=boot.host)
+    datagrams.listen(reactor, boot.first_port, port, boot.host)
     timeline = stores.Timeline(
         lambda before, now: watch.on_store_restored(before, now)
     )
