Gateways' periodic work shares a timer, and peers' use needs no calls

Change: peers are gone through in place; the periodic work runs at every so many ticks of one timer, 40 a second. What is worked out stays the same.

Test: features/gateway_cost.feature. Both matters serve one aim and share one test file, so they stand together.

--- a/features/gateway_cost.feature
+++ b/features/gateway_cost.feature
@@ -29,3 +29,22 @@
       | 68 | 1 | 60 |
       | 300 | 1 | 60 |
       | 300 | 0 | 60 |
+
+  # Guards against announcements and admissions whose cost grows with calls for
+  # each peer.
+  Scenario Outline: What is left of an allowance among <gateways> gateways
+    Given a gateway that <gateways> others have told of their use
+    When it works out its part of what is left of an allowance
+    Then it made at most <most> calls of functions for it
+
+    Examples:
+      | gateways | most |
+      | 3 | 45 |
+      | 67 | 45 |
+      | 299 | 45 |
+
+  # Guards against timers that each wake a process at rest.
+  Scenario: The periodic work of a gateway shares one timer
+    Given a gateway's daemon with its timers
+    When a second passes
+    Then 40 timers fired, and each periodic work was called at its interval
--- a/features/steps/gateway_cost_steps.py
+++ b/features/steps/gateway_cost_steps.py
@@ -1,3 +1,4 @@
+import collections
 import itertools
 import sys
 from unittest import mock
@@ -5,10 +6,14 @@
 from behave import given
 from behave import then
 from behave import when
+from twisted.internet import testing
 
 from features.support import gateway_cost
 from features.support import gateway_world
+from godwitloft.gateway import daemon
+from godwitloft.gateway import model
 from godwitloft.gateway import placement
+from godwitloft.links import datagrams
 
 
 @given("a gateway with {upstreams:d} upstreams of one slot, all taken")
@@ -59,8 +64,8 @@
     context.agent = gateway_cost.AgentWorld(gateways)
 
 
-@when("one of them tells that it runs {running:d} requests more")
-def tell_more(context, running):
+def count_calls(action):
+    """Returns how many functions in Python an action calls."""
     calls = itertools.count()
 
     def count(_frame, kind, _argument):
@@ -69,13 +74,81 @@
 
     sys.setprofile(count)
     try:
-        context.agent.tell(0, running)
+        action()
     finally:
         sys.setprofile(None)
-    context.calls = next(calls)
+    return next(calls)
+
+
+@when("one of them tells that it runs {running:d} requests more")
+def tell_more(context, running):
+    context.calls = count_calls(lambda: context.agent.tell(0, running))
     assert context.agent.sent > 0
 
 
 @then("the agent made at most {most:d} calls of functions for it")
+@then("it made at most {most:d} calls of functions for it")
 def check_calls(context, most):
     assert context.calls <= most, context.calls
+
+
+@given("a gateway that {gateways:d} others have told of their use")
+def tell_use(context, gateways):
+    context.world = gateway_cost.make_world(gateways + 1, 1)
+    for number in range(1, gateways + 1):
+        context.world.gateway.on_datagram(
+            datagrams.decode(gateway_cost.announcement(context.world, number)),
+            gateway_cost.ADDRESS,
+        )
+
+
+@when("it works out its part of what is left of an allowance")
+def work_out(context):
+    sharing = context.world.sharing
+    team = model.Team("team1", (), 1, 10_000, 10_000, 1, True)
+
+    def work():
+        context.left = sharing.remaining(team) * sharing.fraction(team)
+
+    context.calls = count_calls(work)
+
+
+@given("a gateway's daemon with its timers")
+def make_daemon(context):
+    context.reactor = testing.MemoryReactorClock()
+    world = gateway_world.World(("model",))
+    nothing = daemon.ConfigurationSource(start=list, stop=list)
+    context.daemon = daemon.GatewayDaemon(
+        context.reactor,
+        world.clock,
+        world.gateway,
+        nothing,
+        daemon.ListenOptions("127.0.0.1", 1, 2, 3),
+    )
+    context.works = collections.Counter()
+
+    def count(name):
+        return lambda: context.works.update([name])
+
+    world.gateway.tick = count("tick")
+    world.gateway.announce = count("announce")
+    context.daemon.caller_factory.check_timeouts = count("timeouts")
+    context.daemon.start()
+    context.works.clear()
+
+
+@when("a second passes")
+def pass_second(context):
+    context.fired = 0
+    for _ in range(1000):
+        before = [call.getTime() for call in context.reactor.getDelayedCalls()]
+        context.reactor.advance(0.001)
+        context.fired += sum(at <= context.reactor.seconds() for at in before)
+
+
+@then("40 timers fired, and each periodic work was called at its interval")
+def check_timers(context):
+    assert 39 <= context.fired <= 40, context.fired
+    assert 39 <= context.works["tick"] <= 40, context.works
+    assert 19 <= context.works["announce"] <= 20, context.works
+    assert 1 <= context.works["timeouts"] <= 2, context.works
--- a/godwitloft/gateway/daemon.py
+++ b/godwitloft/gateway/daemon.py
@@ -77,6 +77,9 @@
         self.stopped = False
         self.closing = False
         self.ports: list[typing.Any] = []
+        self.ticks = 0
+        # Number of ticks between calls, and what is called.
+        self.periodic_work: list[tuple[int, typing.Callable[[], None]]] = []
         self.caller_factory = http_server.HttpServerFactory(
             http_server.ConnectionCallbacks(
                 on_request=gateway.on_request,
@@ -130,16 +133,14 @@
                 )
         self.source.start()
         self.call_every(TICK_INTERVAL_MS, self.gateway.tick)
-        self.call_every(
-            TIMEOUT_CHECK_INTERVAL_MS, self.caller_factory.check_timeouts
-        )
-        self.call_every(
-            TIMEOUT_CHECK_INTERVAL_MS, self.ready_factory.check_timeouts
-        )
-        self.call_every(
-            TIMEOUT_CHECK_INTERVAL_MS, self.metrics_factory.check_timeouts
-        )
         self.call_every(ANNOUNCE_CHECK_INTERVAL_MS, self.gateway.announce)
+        for factory in (
+            self.caller_factory,
+            self.ready_factory,
+            self.metrics_factory,
+        ):
+            self.call_every(TIMEOUT_CHECK_INTERVAL_MS, factory.check_timeouts)
+        self.run_periodic_work()
         events.log(
             events.STARTED,
             instance=self.gateway.options.instance,
@@ -152,20 +153,30 @@
     ) -> None:
         """Calls a function periodically until the daemon is stopped.
 
-        :param interval_ms: time between calls
+        :param interval_ms: time between calls, in whole ticks
         :param work: the function
         """
+        ticks = interval_ms // TICK_INTERVAL_MS
+        self.periodic_work.append((ticks, work))
+
+    def run_periodic_work(self) -> None:
+        """Calls the functions that are due, and those of later ticks.
 
-        def run() -> None:
-            if self.stopped:
-                return
+        All share one timer, as each wakes the process.
+        """
+        if self.stopped:
+            return
+        for ticks, work in self.periodic_work:
+            if self.ticks % ticks:
+                continue
             try:
                 work()
             except Exception as problem:
                 events.log_error(events.INTERNAL_ERROR, problem, task="timer")
-            self.reactor.callLater(interval_ms / clocks.MS_PER_S, run)
-
-        run()
+        self.ticks += 1
+        self.reactor.callLater(
+            TICK_INTERVAL_MS / clocks.MS_PER_S, self.run_periodic_work
+        )
 
     def answer_ready(self, exchange: http_server.Exchange) -> None:
         """Answers the balancer's readiness check.
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -197,11 +197,11 @@
         )
         own = base_demand + self.demand_of(team.name, now_ms)
         total = own
+        since_ms = now_ms - PEER_TIMEOUT_MS
         for name in self.hosts:
-            if self.is_alive(name, now_ms):
-                total += base_demand + self.peers[name].demands.get(
-                    team.name, 0.0
-                )
+            peer = self.peers.get(name)
+            if peer is not None and peer.received_ms >= since_ms:
+                total += base_demand + peer.demands.get(team.name, 0.0)
         return own / total
 
     def window(self, team: str) -> allowance.Window:
@@ -229,14 +229,14 @@
         limit = allowance.window_limit(team, self.tolerance)
         committed = self.window(team.name).total(now_ms)
         committed += self.reserved.get(team.name, 0.0)
-        for name in set(self.hosts) | set(self.peers):
-            peer = self.peers.get(name)
-            peer_committed = (
-                peer.committed.get(team.name, 0.0) if peer is not None else 0.0
-            )
-            if name in self.hosts and not self.is_alive(name, now_ms):
-                peer_committed = max(peer_committed, limit / self.gateways)
+        equal_share = limit / self.gateways
+        since_ms = now_ms - PEER_TIMEOUT_MS
+        for name, peer in self.peers.items():
+            peer_committed = peer.committed.get(team.name, 0.0)
+            if peer.received_ms < since_ms and name in self.hosts:
+                peer_committed = max(peer_committed, equal_share)
             committed += peer_committed
+        committed += equal_share * len(self.hosts.keys() - self.peers.keys())
         committed += self.former_uses.committed(team.name, now_ms)
         if self.is_usage_lost():
             return 0.0
