--- a/godwitloft/gateway/dialect.py
+++ b/godwitloft/gateway/dialect.py
@@ -18,6 +18,8 @@
     :param prompt_parts: ``ID:TOKENS`` entries of the prompt, separated by
         commas
     :param last_event: id of the last received event of a stream to resume
+    :param resumes: identity of the attempt of a caller whose answer a stream
+        goes on from
     :param expected_upstream: identity of the only upstream that may run it
     :param upstream_id: identity of the upstream that answers
     :param team: name of the caller's team
@@ -36,6 +38,7 @@
     token_counts: bytes
     prompt_parts: bytes
     last_event: bytes
+    resumes: bytes
     expected_upstream: bytes
     upstream_id: bytes
     team: bytes
--- a/godwitloft/gateway/fleet.py
+++ b/godwitloft/gateway/fleet.py
@@ -265,6 +265,15 @@
         state = self.states.get(upstream)
         return state.upstream.zone if state is not None else ""
 
+    def version_of(self, upstream: str) -> str:
+        """Returns the version of an upstream's software.
+
+        :param upstream: its identity
+        :return: the version, empty if it isn't known
+        """
+        state = self.states.get(upstream)
+        return state.upstream.version if state is not None else ""
+
     def ask_pause(
         self,
         state: UpstreamState,
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -225,7 +225,12 @@
             ("removed", change.removed),
         ):
             for name in names:
-                events.log(events.UPSTREAM_LISTED, upstream=name, change=kind)
+                events.log(
+                    events.UPSTREAM_LISTED,
+                    upstream=name,
+                    change=kind,
+                    upstream_version=self.fleet.version_of(name),
+                )
         self.schedule_all()
 
     def ready(self) -> bool:
@@ -435,6 +440,8 @@
             team=facts.team.name if facts.team is not None else None,
             tokens=request.use.tokens if request.use is not None else None,
             upstream=state.upstream.id,
+            upstream_version=state.upstream.version,
+            resumes=facts.resumed_id,
             waited_ms=now_ms - facts.arrived_ms,
             running=state.running,
             allowed=self.placer.allowed(state, now_ms),
--- a/godwitloft/gateway/model.py
+++ b/godwitloft/gateway/model.py
@@ -150,6 +150,7 @@
     :param slots: number of requests that it runs concurrently
     :param leaving: whether it must get no new requests
     :param born_ms: wall time of its start, 0 if unknown
+    :param version: version of its software, empty if unknown
     """
 
     id: str
@@ -160,3 +161,4 @@
     slots: int
     leaving: bool
     born_ms: int
+    version: str = ""
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -68,6 +68,8 @@
         caller
     :param shared_parts: ids of the parts of its prompt that other requests may
         have as well
+    :param resumed_id: id of the attempt that began the stream that this one
+        continues, empty if the caller doesn't say; None if it continues none
     """
 
     id: str
@@ -82,6 +84,7 @@
     first_data_deadline_ms: int
     fingerprint: bytes
     shared_parts: tuple[str, ...] = ()
+    resumed_id: str | None = None
 
     @functools.cached_property
     def request_cause(self) -> str:
@@ -241,6 +244,24 @@
     return tuple(ids[:MAX_SHARED_PARTS])
 
 
+def read_resumed_id(
+    exchange: http_server.Exchange, dialect: dialects.Dialect
+) -> str | None:
+    """Returns which attempt began the stream that a request continues.
+
+    :param exchange: the request
+    :param dialect: names of the headers
+    :return: id of that attempt, empty if it isn't named; None if the request
+        asks for no continuation
+    """
+    resumed = exchange.header(dialect.resumes)
+    if resumed is not None:
+        return resumed.decode("latin-1")
+    if exchange.header(dialect.last_event) is not None:
+        return ""
+    return None
+
+
 def read_time_left(
     exchange: http_server.Exchange, dialect: dialects.Dialect
 ) -> int | None:
--- a/godwitloft/gateway/request_checker.py
+++ b/godwitloft/gateway/request_checker.py
@@ -101,6 +101,7 @@
             dialect.time_left,
             dialect.token_counts,
             dialect.prompt_parts,
+            dialect.resumes,
         ):
             if exchange.count(name) > 1:
                 return "header_repeated"
@@ -157,6 +158,9 @@
         if team is not None and team.rank is not None:
             rank = team.rank
         request_id = exchange.header(self.dialect.request_id) or b""
+        resumed_id = None
+        if route.kind is model.Kind.STREAM:
+            resumed_id = requests.read_resumed_id(exchange, self.dialect)
         return requests.Facts(
             id=request_id.decode("latin-1"),
             route=route,
@@ -172,6 +176,7 @@
             ),
             fingerprint=requests.fingerprint(exchange),
             shared_parts=requests.read_shared_parts(exchange, self.dialect),
+            resumed_id=resumed_id,
         )
 
 
--- a/godwitloft/platform/headers.py
+++ b/godwitloft/platform/headers.py
@@ -10,6 +10,7 @@
     token_counts=PREFIX + b"token-counts",
     prompt_parts=PREFIX + b"prompt-prefix",
     last_event=b"last-event-id",
+    resumes=b"resumes",
     expected_upstream=PREFIX + b"target-instance",
     upstream_id=PREFIX + b"instance-id",
     team=PREFIX + b"tenant",
--- a/godwitloft/platform/rows.py
+++ b/godwitloft/platform/rows.py
@@ -80,6 +80,18 @@
             raise self.error(name, f"{value!r:.80} is not a string")
         return value
 
+    def optional_text(self, name: str) -> str:
+        """Returns a string, an empty one if the field is missing.
+
+        :param name: name of the field
+        :return: its value
+        :raises RowError: if it is anything else
+        """
+        value = self.value.get(name, "")
+        if not isinstance(value, str):
+            raise self.error(name, f"{value!r:.80} is not a string")
+        return value
+
     def number(self, name: str, default: float | None = None) -> float:
         """Returns a finite number that isn't negative.
 
@@ -291,4 +303,5 @@
         slots=max(1, int(fields.number("slots", DEFAULT_SLOTS))),
         leaving=STATES[state],
         born_ms=int(fields.number("born", 0)),
+        version=fields.optional_text("version"),
     )
