Failing test: streams are joined from two software versions

Change: a feature with gateways that follow one store, are killed and start again; stand-ins' rows name a version.

--- /dev/null
+++ b/features/steps/stream_versions_steps.py
@@ -0,0 +1,180 @@
+import re
+
+from behave import given
+from behave import step
+from behave import then
+from behave import when
+
+from features.support import stream_fleet
+
+STREAM_TABLE = "streams"
+
+
+@given('{count:d} gateway and engines of versions "{versions}"')
+@given('{count:d} gateways and engines of versions "{versions}"')
+def fleet(context, count, versions):
+    context.streams = stream_fleet.StreamFleet(
+        context, count, versions.split()
+    )
+
+
+@when("{count:d} streams begin at gateway {number:d}")
+def begin(context, count, number):
+    context.streams.begin(count, number)
+    assert all(
+        stream.caller.status == 200 for stream in context.streams.streams
+    )
+
+
+@when("streams begin at gateway {number:d} for {duration_ms:d} ms")
+def begin_for(context, number, duration_ms):
+    for _ in range(duration_ms // 200):
+        context.streams.begin(1, number)
+        context.streams.advance(60)
+
+
+@when('the engines of version "{version}" break off all streams')
+def break_off(context, version):
+    fleet = context.streams
+    context.broken = [
+        stream
+        for stream in fleet.streams
+        if fleet.held_versions(stream) == {version.encode()}
+    ]
+    assert context.broken
+    fleet.break_off(version)
+
+
+@then("the broken streams {end}")
+def check_broken(context, end):
+    for stream in context.broken:
+        has_gone_on = b"id: 2" in stream.caller.received
+        assert has_gone_on == (end == "went on"), stream.name
+        assert stream.caller.closed == (end == "were cut"), stream.name
+
+
+@step("{duration_ms:d} ms pass at all gateways")
+def passing(context, duration_ms):
+    context.streams.advance(duration_ms)
+
+
+@when("the callers' connections break")
+def break_connections(context):
+    context.streams.break_connections()
+
+
+@when("gateway {number:d} is killed")
+def kill(context, number):
+    context.streams.break_connections()
+    context.streams.kill(number)
+
+
+@when("the store goes away")
+def store_away(context):
+    context.streams.take_away(20_000)
+
+
+@when("the store goes away and gateway {number:d} is killed")
+def store_away_and_kill(context, number):
+    store_away(context)
+    kill(context, number)
+    context.streams.advance(500)
+
+
+@when("all gateways are killed and start again")
+def restart_all(context):
+    fleet = context.streams
+    fleet.break_connections()
+    numbers = range(1, len(fleet.members) + 1)
+    for number in numbers:
+        fleet.kill(number)
+    fleet.first.advance(1000)
+    for number in numbers:
+        fleet.restart(number)
+    fleet.advance(600)
+
+
+@when("all gateways are killed and start again once the store is back")
+def restart_all_later(context):
+    context.streams.first.rows.away_until = 0.0
+    restart_all(context)
+
+
+@when("gateway {number:d} can't reach the store or the other gateways")
+def part(context, number):
+    fleet = context.streams
+    host = fleet.hosts[number - 1]
+    fleet.members[host].client.cut = True
+    fleet.parted.add(host)
+
+
+@when('an engine of version "{version}" starts')
+def start_engine(context, version):
+    context.streams.start_engine(version)
+
+
+@when('the engines of version "{version}" leave')
+def leave(context, version):
+    context.streams.leave(version)
+    context.streams.advance(3000)
+
+
+@when("the store comes back from a copy made before")
+def restore(context):
+    context.streams.first.drill(100, 1500)
+    context.streams.advance(400)
+
+
+@when("the callers take the streams up at gateway {number:d}")
+def take_up(context, number):
+    context.streams.take_up(number)
+
+
+@then("no stream holds events of two versions")
+def check_versions(context):
+    fleet = context.streams
+    joined = [
+        (stream.name, fleet.held_versions(stream))
+        for stream in fleet.streams
+        if len(fleet.held_versions(stream)) > 1
+    ]
+    assert not joined, joined
+
+
+def gone_on(context):
+    return [
+        stream
+        for stream in context.streams.streams
+        if stream.caller is not None and b"id: 2" in stream.caller.received
+    ]
+
+
+@then("at least {count:d} streams go on")
+def check_count(context, count):
+    found = len(gone_on(context))
+    assert found >= count, found
+
+
+@then("at least {share:d} of 100 streams that began go on")
+def check_share(context, share):
+    found = len(gone_on(context))
+    began = len(context.streams.streams)
+    assert found * 100 >= share * began, (found, began)
+
+
+@then("the others are refused as not run")
+def check_refused(context):
+    going_on = gone_on(context)
+    for stream in context.streams.streams:
+        if stream in going_on:
+            continue
+        caller = stream.caller
+        assert caller.status == 503, (stream.name, caller.received)
+        assert re.search(rb"(?i)retry-after: \d", caller.received)
+
+
+@then("nothing about streams is left in the store but of those")
+def check_rows(context):
+    rows = context.streams.first.rows.rows
+    found = [key for table, key in rows if table == STREAM_TABLE]
+    assert not found, found
--- /dev/null
+++ b/features/stream_versions.feature
@@ -0,0 +1,123 @@
+Feature: A stream goes on only at the software version that began it
+
+  What two versions of an upstream's software write doesn't fit together, and
+  upstreams don't check it. A caller whose connection broke takes the stream
+  up again at any gateway, and names the attempt that brought its first event.
+
+  # Guards against a gateway that continues a broken answer at the upstream with
+  # the least load, whatever its version.
+  Scenario Outline: An answer that breaks off goes on at its own version: <versions>
+    Given 1 gateway and engines of versions "<versions>"
+    When 4 streams begin at gateway 1
+    And the engines of version "v1" break off all streams
+    Then no stream holds events of two versions
+    And the broken streams <end>
+
+    Examples:
+      | versions | end |
+      | v1 v2 v2 | were cut |
+      | v1 v1 v2 v2 | went on |
+
+  # Guards against taking a caller's next attempt for a new request.
+  Scenario Outline: A stream that its caller takes up goes on at its own version: <versions>, <what>
+    Given 3 gateways and engines of versions "<versions>"
+    When 12 streams begin at gateway 1
+    And 1200 ms pass at all gateways
+    And <what>
+    And the callers take the streams up at gateway <at>
+    Then no stream holds events of two versions
+    And at least <least> streams go on
+    And the others are refused as not run
+
+    Examples:
+      | versions | what | at | least |
+      | v1 v1 v2 v2 | the callers' connections break | 1 | 12 |
+      | v1 v1 v2 v2 | the callers' connections break | 2 | 12 |
+      | v1 v1 v2 v2 | gateway 1 is killed | 2 | 12 |
+      | v1 v1 v2 v2 | all gateways are killed and start again | 1 | 12 |
+      | v1 v1 v2 v2 | all gateways are killed and start again | 3 | 12 |
+      | v1 v1 v2 v2 | the store goes away and gateway 1 is killed | 2 | 0 |
+      | v1 v1 v1 | gateway 1 is killed | 2 | 12 |
+      | v1 v1 v1 | all gateways are killed and start again | 2 | 12 |
+      | v1 v1 v1 | the store goes away and gateway 1 is killed | 2 | 12 |
+
+  # Guards against a gateway that is killed before it could save anything.
+  Scenario Outline: A stream whose version is not on record is not joined: <what>
+    Given 3 gateways and engines of versions "v1 v1 v2 v2"
+    When the store goes away
+    And 12 streams begin at gateway 1
+    And <what>
+    And the callers take the streams up at gateway 2
+    Then no stream holds events of two versions
+    And the others are refused as not run
+
+    Examples:
+      | what |
+      | gateway 1 is killed |
+      | the callers' connections break |
+      | all gateways are killed and start again once the store is back |
+
+  # Guards against a version that one gateway knows and another doesn't yet.
+  Scenario Outline: A new version is not joined with the old one: <what>
+    Given 3 gateways and engines of versions "v1 v1 v1"
+    When 6 streams begin at gateway 1
+    And an engine of version "v2" starts
+    And streams begin at gateway 1 for 5000 ms
+    And <what>
+    And the callers take the streams up at gateway 2
+    Then no stream holds events of two versions
+    And at least <share> of 100 streams that began go on
+    And the others are refused as not run
+
+    Examples:
+      | what | share |
+      | the callers' connections break | 90 |
+      | gateway 1 is killed | 70 |
+      | all gateways are killed and start again | 70 |
+
+  Scenario: No stream begins at a new version before all gateways know it
+    Given 3 gateways and engines of versions "v1 v1 v1"
+    When gateway 2 can't reach the store or the other gateways
+    And an engine of version "v2" starts
+    And streams begin at gateway 1 for 5000 ms
+    And the callers' connections break
+    And the callers take the streams up at gateway 2
+    Then no stream holds events of two versions
+
+  # Guards against going on at what is left when the version has just ended.
+  Scenario Outline: A stream of a version that has left is refused at once: <what>
+    Given 3 gateways and engines of versions "v1 v2 v2"
+    When 12 streams begin at gateway 1
+    And 1200 ms pass at all gateways
+    And the engines of version "v1" leave
+    And <what>
+    And the callers take the streams up at gateway 2
+    Then no stream holds events of two versions
+    And the others are refused as not run
+
+    Examples:
+      | what |
+      | gateway 1 is killed |
+      | all gateways are killed and start again |
+
+  Scenario: A version that left long ago doesn't keep streams from going on
+    Given 3 gateways and engines of versions "v1 v2 v2"
+    When the engines of version "v1" leave
+    And 70000 ms pass at all gateways
+    And 12 streams begin at gateway 1
+    And all gateways are killed and start again
+    And the callers take the streams up at gateway 2
+    Then no stream holds events of two versions
+    And at least 12 streams go on
+    And nothing about streams is left in the store but of those
+
+  Scenario: What a restore of the store has cut back is saved again
+    Given 3 gateways and engines of versions "v1 v1 v2 v2"
+    When 12 streams begin at gateway 1
+    And 600 ms pass at all gateways
+    And the store comes back from a copy made before
+    And 1200 ms pass at all gateways
+    And all gateways are killed and start again
+    And the callers take the streams up at gateway 2
+    Then no stream holds events of two versions
+    And at least 12 streams go on
--- a/features/support/restored_store.py
+++ b/features/support/restored_store.py
@@ -55,6 +55,8 @@
             change = json.loads(body)
             for row in change["set-keys"]:
                 self.rows.put(row["table"], row["key"], row["value"])
+            for row in change["remove"]:
+                self.rows.put(row["table"], row["key"], None)
             return self.answer(path, 200, self.rows.answer([]))
         until_s = self.reactor.seconds() + int(fields["wait-ms"]) / 1000
         answer = defer.Deferred()
@@ -198,10 +200,15 @@
     At each heartbeat it looks; an unchanged row is not written again.
     """
 
-    def __init__(self, name, born_ms, rows):
+    def __init__(
+        self, name, born_ms, rows, service="desk", version="v1", slots=4
+    ):
         self.name = name
         self.born_ms = born_ms
         self.rows = rows
+        self.service = service
+        self.version = version
+        self.slots = slots
         self.state = "ready"
         self.due_s = 0.0
 
@@ -217,10 +224,11 @@
     def row(self):
         """Returns the content of its row."""
         return {
-            "service": "desk",
+            "service": self.service,
             "address": "127.0.0.1:9",
             "zone": "a",
-            "slots": 4,
+            "version": self.version,
+            "slots": self.slots,
             "state": self.state,
             "sequence": 1,
             "born": self.born_ms,
--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -324,6 +324,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "a",
+            "version": "v1",
             "slots": words.ENGINE_SLOTS,
             "state": self.state,
             "sequence": 1,
