A stream goes on only at the software version that began it

The class: what an attempt has begun with binds the next one, and has to be known wherever that arrives, also after all gateways were killed.

Change: within an answer only upstreams of the first event's version are chosen. A caller's attempt that continues a stream goes to the version that began it: known here, the only one that may have been used, or read from the store, where streams are saved while a service has several versions. What can't be known is refused as not run. A new version is used only once all gateways know it.

Why it works: a stream is saved when it is sent, which is before its caller has an event of it, and the set of used versions is saved before a new one is used.

The row "v1 v2 v2" of the first outline was wrong: an upstream that broke off one request may serve it again, so the stream rightly went on; the rows with "leave" ask for the cut that it meant.

--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -167,7 +167,7 @@
     if "min later" in how:
         following.reactor.advance(int(how.split()[0]) * 60)
     context.restarted = restored_store.RestoredStore(context, rows, "g0")
-    context.restarted.watch.start()
+    context.restarted.start_watching()
     following.reactor.advance(0.1)
 
 
--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -29,7 +29,7 @@
     for name in names.split(","):
         restored.start(name, born_ms=1)
     restored.advance(100)
-    restored.watch.start()
+    restored.start_watching()
     restored.advance(5000)
     assert restored.gateway.config_state.version == 5
     assert restored.usable() == names.split(",")
--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -33,6 +33,14 @@
         context.streams.advance(60)
 
 
+@when(
+    'the engines of version "{version}" leave and then break off all streams'
+)
+def leave_and_break_off(context, version):
+    leave(context, version)
+    break_off(context, version)
+
+
 @when('the engines of version "{version}" break off all streams')
 def break_off(context, version):
     fleet = context.streams
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -6,17 +6,19 @@
 
   # Guards against a gateway that continues a broken answer at the upstream with
   # the least load, whatever its version.
-  Scenario Outline: An answer that breaks off goes on at its own version: <versions>
+  Scenario Outline: An answer that breaks off goes on at its own version: <versions>, <what>
     Given 1 gateway and engines of versions "<versions>"
     When 4 streams begin at gateway 1
-    And the engines of version "v1" break off all streams
+    And the engines of version "v1" <what>
     Then no stream holds events of two versions
     And the broken streams <end>
 
     Examples:
-      | versions | end |
-      | v1 v2 v2 | were cut |
-      | v1 v1 v2 v2 | went on |
+      | versions | what | end |
+      | v1 v2 v2 | break off all streams | went on |
+      | v1 v1 v2 v2 | break off all streams | went on |
+      | v1 v2 v2 | leave and then break off all streams | were cut |
+      | v1 v1 v2 v2 | leave and then break off all streams | were cut |
 
   # Guards against taking a caller's next attempt for a new request.
   Scenario Outline: A stream that its caller takes up goes on at its own version: <versions>, <what>
--- a/features/support/following_gateways.py
+++ b/features/support/following_gateways.py
@@ -30,7 +30,7 @@
             first.start(name, born_ms=1)
         first.advance(100)
         for member in self.members.values():
-            member.watch.start()
+            member.start_watching()
         self.advance(3000)
 
     def connect(self, host, member):
--- a/features/support/restored_store.py
+++ b/features/support/restored_store.py
@@ -12,6 +12,7 @@
 from features.support import lakeshore as settings
 from features.support import logs
 from godwitloft.platform import store as stores
+from godwitloft.platform import stream_table
 from godwitloft.platform import watch as watches
 from godwitloft.standins import lakeshore
 
@@ -138,11 +139,14 @@
                 on_usage_restored=sharing.restore,
                 on_peer_usage_restored=sharing.restore_peer,
                 on_blames_restored=self.gateway.knowledge.restore_blames,
+                on_versions_restored=self.gateway.versions.restore,
                 usage=sharing.usage,
                 blames=self.gateway.knowledge.blame_reports,
+                absences=self.gateway.versions.absences,
                 needs_saving=self.gateway.knowledge.needs_saving,
                 before_save=self.gateway.knowledge.mark_saved,
-                on_restored=self.gateway.config_state.mark_restored,
+                on_saved=self.gateway.versions.record_saved,
+                on_restored=self.gateway.on_store_restored,
                 settle_left_ms=self.gateway.config_state.settle_left_ms,
                 count_cut_back=lambda _what, _number: None,
             ),
@@ -153,6 +157,19 @@
             3 * HEARTBEAT_MS + 1000,
             random.Random(1),
         )
+        self.streams = stream_table.StreamTable(
+            self.world.clock,
+            self.store,
+            self.gateway.continuations,
+            f"{instance}-{random.getrandbits(32):x}",
+            self.watch.decode_row,
+        )
+
+    def start_watching(self):
+        self.watch.start()
+        self.watch.start_loop(
+            "streams", self.streams.needs_call, self.streams.call
+        )
 
     def on_restored(self, before, now):
         self.watch.on_store_restored(before, now)
--- a/features/support/stream_fleet.py
+++ b/features/support/stream_fleet.py
@@ -160,7 +160,7 @@
         self.parted.discard(host)
         self.members[host] = member
         self.connect(host, member)
-        member.watch.start()
+        member.start_watching()
 
     def leave(self, version):
         """Removes the rows of the engines of a version."""
--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -61,6 +61,11 @@
     1205, logging.INFO, "a request of a gateway ended", sampled=True
 )
 ANSWER_FAILED = Event(1206, logging.WARNING, "an answer of a gateway failed")
+ORIGIN_UNKNOWN = Event(
+    1207,
+    logging.WARNING,
+    "it is not known at which version a stream began",
+)
 UPSTREAM_LISTED = Event(1302, logging.INFO, "the list of upstreams changed")
 ROW_SKIPPED = Event(
     1504, logging.WARNING, "a row of the platform can't be used"
@@ -107,6 +112,9 @@
 CRASH_CAUSE_TRIED = Event(
     1311, logging.INFO, "a request that is blamed for crashes is tried"
 )
+VERSION_USED = Event(
+    1314, logging.INFO, "a new version of a service is used from now on"
+)
 UPSTREAM_LIMITED = Event(1312, logging.INFO, "an upstream's limit has changed")
 LIMIT_IGNORED = Event(
     1313, logging.WARNING, "an upstream's limit can't be used"
--- a/godwitloft/gateway/fleet.py
+++ b/godwitloft/gateway/fleet.py
@@ -244,16 +244,21 @@
                 del self.states[name]
         return FleetChange(tuple(added), tuple(leaving), tuple(removed))
 
-    def usable(self, service: str) -> list[UpstreamState]:
+    def usable(
+        self, service: str, version: str | None = None
+    ) -> list[UpstreamState]:
         """Returns the upstreams of a service that may get new requests.
 
         :param service: name of the service
+        :param version: version that their software must have, None for any
         :return: states of upstreams on the list
         """
         return [
             state
             for state in self.listed.values()
-            if state.upstream.service == service and not state.upstream.leaving
+            if state.upstream.service == service
+            and not state.upstream.leaving
+            and version in (None, state.upstream.version)
         ]
 
     def zone_of(self, upstream: str) -> str:
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -17,6 +17,7 @@
 from godwitloft.gateway import answer as answers
 from godwitloft.gateway import arbiter as arbiters
 from godwitloft.gateway import config_state as config_states
+from godwitloft.gateway import continuations as continuation_module
 from godwitloft.gateway import dialect as dialects
 from godwitloft.gateway import fleet as fleets
 from godwitloft.gateway import http_server
@@ -34,10 +35,12 @@
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import request_checker as request_checkers
 from godwitloft.gateway import retry_policy as retry_policies
+from godwitloft.gateway import service_versions
 from godwitloft.gateway import shared_knowledge
 from godwitloft.gateway import sharing as sharings
 from godwitloft.gateway import slot_client as slot_clients
 from godwitloft.gateway import store_contact
+from godwitloft.gateway import stream_origins
 from godwitloft.gateway import upstream_signs
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
@@ -113,6 +116,27 @@
             lambda: sharing.hosts,
             contact,
         )
+        self.versions = service_versions.ServiceVersions(
+            self.clock,
+            contact,
+            self.confirmation.list_confirmed_ms,
+            sharing.hears_most,
+            lambda: sharing.restored,
+            self.stream_life_ms,
+        )
+        self.origins = stream_origins.StreamOrigins(
+            self.clock,
+            self.versions,
+            lambda: sharing.gateways,
+            self.stream_life_ms,
+        )
+        self.continuations = continuation_module.Continuations(
+            self.clock,
+            self.fleet,
+            self.versions,
+            self.origins,
+            continuation_module.Callbacks(self.enqueue, self.refuse),
+        )
         self.request_checker = request_checkers.RequestChecker(
             self.clock,
             dialect,
@@ -158,6 +182,7 @@
             self.confirmation,
             contact,
             self.retry_policy.crashes.causes,
+            self.versions,
             lambda state: self.mark_leaving(state, "peer"),
             lambda state, statement: self.set_limit(state, statement, "peer"),
         )
@@ -213,12 +238,28 @@
         self.confirmation.ask_if_due()
         self.dependencies.sharing.announce_if_due()
 
+    def stream_life_ms(self) -> int:
+        """Returns how long after its start a stream may be taken up again."""
+        router = self.config_state.router
+        return continuation_module.stream_life_ms(
+            router.configuration if router is not None else None
+        )
+
+    def on_store_restored(self, at_ms: int) -> None:
+        """Heeds that the store has lost what was written lately.
+
+        :param at_ms: when that was noticed
+        """
+        self.config_state.mark_restored(at_ms)
+        self.origins.mark_unsaved()
+
     def update_upstreams(self, upstreams: dict[str, model.Upstream]) -> None:
         """Replaces the list of upstreams.
 
         :param upstreams: upstreams by id
         """
         change = self.fleet.update(upstreams, self.clock.monotonic_ms())
+        self.versions.update(upstreams.values())
         for kind, names in (
             ("added", change.added),
             ("leaving", change.leaving),
@@ -267,7 +308,7 @@
             for queue in self.waiting.values()
             for request in queue
         )
-        return waiting + len(self.running)
+        return waiting + len(self.running) + len(self.continuations.pending)
 
     def has_requests(self) -> bool:
         """Returns whether a request waits or runs.
@@ -278,6 +319,7 @@
 
     def refuse_waiting(self) -> None:
         """Refuses all waiting requests, before the process ends."""
+        self.continuations.refuse_all(request_checkers.LEAVING_REFUSAL)
         for queue in self.waiting.values():
             for request in queue:
                 if request.state is requests.State.WAITING:
@@ -312,13 +354,24 @@
         exchange.on_congested = lambda congested: self.on_caller_congested(
             request, congested
         )
-        queue = self.waiting.setdefault(checked.service, [])
+        if checked.resumed_id is not None:
+            self.continuations.locate(request)
+        else:
+            self.enqueue(request)
+
+    def enqueue(self, request: requests.Request) -> None:
+        """Lets a request wait for an upstream, or refuses it.
+
+        :param request: a request that was not admitted yet
+        """
+        service = request.facts.service
+        queue = self.waiting.setdefault(service, [])
         refusal = self.admission.admit(request, queue)
         if refusal is not None:
             self.refuse(request, refusal)
             return
         queue.append(request)
-        self.schedule(checked.service)
+        self.schedule(service)
 
     # Sending of requests.
 
@@ -362,7 +415,13 @@
         now_ms = self.clock.monotonic_ms()
         self.admission.load_of(service).floor.mark_owed(queue)
         queue.sort(key=lambda request: ordering.order_key(request, now_ms))
-        candidates = self.placer.candidates(self.fleet.usable(service), now_ms)
+        self.versions.use_new()
+        states = [
+            state
+            for state in self.fleet.usable(service)
+            if self.versions.may_begin_at(state.upstream)
+        ]
+        candidates = self.placer.candidates(states, now_ms)
         still_waiting = []
         for number, request in enumerate(queue):
             if not candidates.have_room():
@@ -422,9 +481,11 @@
         request.sent_ms = now_ms
         request.answering_since_ms = 0
         request.last_upstream_id = state.upstream.id
+        request.sent_version = state.upstream.version
         request.upstream_state = state
         request.answer = answers.Answer(request, self.dialect)
         state.record_start(now_ms)
+        self.record_origin(request)
         request.prompt_tokens_ahead = (
             state.pending_prompt_tokens + state.pending_prompt_tokens_elsewhere
         )
@@ -733,10 +794,31 @@
                 )
                 request.pending_prompt_tokens = 0
         request.answer.on_data(data)
+        if request.exchange.started and request.version is None:
+            # From now on no other version may go on with the answer.
+            request.version = request.sent_version
         overflow = request.answer.overflow
         if overflow and request.attempt is not None:
             request.attempt.end(attempts.End.BROKEN, overflow)
 
+    def record_origin(self, request: requests.Request) -> None:
+        """Records at which version a stream is about to begin.
+
+        That is early, so that it is saved once its caller has an event. A
+        request that continues a stream goes to the version that began it.
+
+        :param request: a request that is being sent
+        """
+        facts = request.facts
+        stream_id = facts.id if facts.resumed_id is None else facts.resumed_id
+        if request.exchange.started or not stream_id:
+            return
+        if facts.route.kind is model.Kind.STREAM and facts.route.resumable:
+            self.origins.record(
+                stream_id,
+                stream_origins.Origin(facts.service, request.sent_version),
+            )
+
     def on_end(
         self,
         request: requests.Request,
@@ -974,6 +1056,7 @@
         Called many times a second.
         """
         now_ms = self.clock.monotonic_ms()
+        self.continuations.check()
         for queue in list(self.waiting.values()):
             for request in list(queue):
                 self.check_waiting(request, now_ms)
@@ -1011,7 +1094,13 @@
         """
         if request.state is not requests.State.WAITING:
             return
-        queue = self.waiting[request.facts.service]
+        facts = request.facts
+        if request.version is not None and not self.fleet.usable(
+            facts.service, request.version
+        ):
+            self.refuse(request, continuation_module.VERSION_GONE)
+            return
+        queue = self.waiting[facts.service]
         reason = self.admission.rejection_reason(request, queue, now_ms)
         if not reason:
             return
--- a/godwitloft/gateway/placer.py
+++ b/godwitloft/gateway/placer.py
@@ -63,8 +63,14 @@
         :param request: a waiting request
         :return: an upstream with a free slot, None to keep the request waiting
         """
+        version = request.version
+        places = [
+            place
+            for name, place in self.places.items()
+            if version in (None, self.states[name].upstream.version)
+        ]
         place = placement.choose(
-            list(self.places.values()),
+            places,
             request.facts.sizes.prompt_tokens,
             request.facts.target_at_ms - self.now_ms,
             request.tried_upstreams,
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -157,6 +157,11 @@
         self.answering_since_ms = 0
         self.last_data_ms = 0
         self.last_event: bytes | None = None
+        # The software version at which its stream began, or which a caller's
+        # stream has that it continues; None while any will do.
+        self.version: str | None = None
+        # Version of the upstream to which it was last sent.
+        self.sent_version = ""
         # Whether its caller reads more slowly than it is answered.
         self.congested = False
         # Whether an upstream has answered for long enough to show that the
--- a/godwitloft/gateway/request_checker.py
+++ b/godwitloft/gateway/request_checker.py
@@ -20,6 +20,7 @@
 MIN_FIRST_DATA_TIMEOUT_MS = 2_000
 FIRST_DATA_TIMEOUT_TARGETS = 4
 FIRST_DATA_TIMEOUT_GAPS = 8
+LEAVING_REFUSAL = refusals.Refusal(503, "leaving", LEAVING_RETRY_AFTER_MS)
 
 
 class RequestChecker:
@@ -65,7 +66,7 @@
                 503, "not_configured", UNCONFIGURED_RETRY_AFTER_MS
             )
         if self.closing:
-            return refusals.Refusal(503, "leaving", LEAVING_RETRY_AFTER_MS)
+            return LEAVING_REFUSAL
         problem = self.header_problem(exchange)
         if problem:
             return refusals.Refusal(400, problem)
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -130,7 +130,9 @@
         return any(
             state is not request.upstream_state
             and now_ms >= state.asked_pause_until_ms
-            for state in self.fleet.usable(request.facts.service)
+            for state in self.fleet.usable(
+                request.facts.service, request.version
+            )
         )
 
     def may_retry(
@@ -185,7 +187,7 @@
             return "deadline"
         if self.crashes.causes.find_blamed(causes):
             return "crashes_upstreams"
-        states = self.fleet.usable(facts.service)
+        states = self.fleet.usable(facts.service, request.version)
         if all(
             state.upstream.id in request.tried_upstreams for state in states
         ):
--- /dev/null
+++ b/godwitloft/gateway/service_versions.py
@@ -0,0 +1,244 @@
+"""Knows which software versions of a service may have begun a stream.
+
+What two versions write doesn't fit together, so that a stream goes on only at
+the version that began it. Where one version alone serves, every stream began
+at it, and nothing needs to be kept of the single streams.
+
+That holds only if no gateway uses a version that another doesn't know yet. A
+gateway therefore begins streams at a new version only some time after it was
+first listed, and once it is saved that it may be in use: what is saved
+outlives all gateways.
+"""
+
+import dataclasses
+import typing
+
+from godwitloft import clock as clocks
+from godwitloft import events
+from godwitloft.gateway import model
+from godwitloft.gateway import peer_confirmation as peer_confirmations
+from godwitloft.gateway import store_contact as store_contacts
+
+# Longer than it takes until all gateways that reach the store have read a
+# list with a new version.
+NEW_VERSION_DELAY_MS = 2_000
+# How much older than the last sign of the store a current list may be.
+MAX_LIST_LAG_MS = peer_confirmations.MAX_LIST_AGE_MS
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceVersion:
+    """A software version of the upstreams of one service.
+
+    :param service: name of the service
+    :param version: the version
+    """
+
+    service: str
+    version: str
+
+
+# How long each version has not been listed, in milliseconds; 0: it is listed.
+Absences = dict[ServiceVersion, int]
+
+
+class ServiceVersions:
+    """Versions that unfinished streams may have begun at, by service.
+
+    :param clock: source of the time
+    :param contact: when the store is known to have been up
+    :param list_confirmed_ms: returns when the list of upstreams was last known
+        to be current, None without a list
+    :param hears_most: returns whether at least half of the gateways were heard
+        lately, counting this one
+    :param is_restored: returns whether what gateways had saved was read
+    :param stream_life_ms: returns how long after its start a stream may be
+        taken up again
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        contact: store_contacts.StoreContact,
+        list_confirmed_ms: typing.Callable[[], int | None],
+        hears_most: typing.Callable[[], bool],
+        is_restored: typing.Callable[[], bool],
+        stream_life_ms: typing.Callable[[], int],
+    ) -> None:
+        self.clock = clock
+        self.contact = contact
+        self.list_confirmed_ms = list_confirmed_ms
+        self.hears_most = hears_most
+        self.is_restored = is_restored
+        self.stream_life_ms = stream_life_ms
+        # Versions at which streams may have begun, and since when each has not
+        # been listed, None while it is.
+        self.used: dict[ServiceVersion, int | None] = {}
+        # Versions that are not used yet, and when each was first listed.
+        self.new: dict[ServiceVersion, int] = {}
+        self.unsaved = False
+        self.saved_ms: int | None = None
+
+    def update(self, upstreams: typing.Iterable[model.Upstream]) -> None:
+        """Takes over a new list of upstreams.
+
+        :param upstreams: all listed upstreams
+        """
+        now_ms = self.clock.monotonic_ms()
+        listed = {
+            ServiceVersion(upstream.service, upstream.version)
+            for upstream in upstreams
+        }
+        for version in listed:
+            if version in self.used:
+                self.used[version] = None
+            elif version not in self.new:
+                self.new[version] = now_ms
+                self.unsaved = True
+        self.new = {
+            version: since_ms
+            for version, since_ms in self.new.items()
+            if version in listed
+        }
+        for version, absent_ms in list(self.used.items()):
+            if version in listed:
+                continue
+            if absent_ms is None:
+                self.used[version] = now_ms
+            elif now_ms - absent_ms >= self.stream_life_ms():
+                del self.used[version]
+
+    def restore(self, absences: Absences, age_ms: int) -> None:
+        """Takes over what a gateway had saved.
+
+        :param absences: the versions that it may have used
+        :param age_ms: how long ago it saved them
+        """
+        now_ms = self.clock.monotonic_ms()
+        for version, absent_ms in absences.items():
+            if version in self.new:
+                del self.new[version]
+                self.used[version] = None
+            elif absent_ms + age_ms < self.stream_life_ms():
+                self.used.setdefault(version, now_ms - age_ms - absent_ms)
+
+    def absences(self) -> Absences:
+        """Returns what must be saved to outlive this gateway.
+
+        :return: all versions that are used or may be soon
+        """
+        now_ms = self.clock.monotonic_ms()
+        used = {
+            version: now_ms - since_ms if since_ms is not None else 0
+            for version, since_ms in self.used.items()
+        }
+        return used | dict.fromkeys(self.new, 0)
+
+    def mark_saved(self) -> None:
+        """Records that :meth:`absences` is about to be saved."""
+        self.unsaved = False
+
+    def record_saved(self, at_ms: int) -> None:
+        """Records that the versions were saved.
+
+        :param at_ms: when the saving began
+        """
+        self.saved_ms = at_ms
+        self.use_new()
+
+    def use_new(self) -> None:
+        """Allows the use of new versions that all gateways must know by now.
+
+        Where no other version of a service is listed, a new one is used at
+        once: a gateway that doesn't know it has nowhere to go on with streams.
+        """
+        if not self.new or not self.is_restored():
+            return
+        listed = {
+            version.service
+            for version, absent_ms in self.used.items()
+            if absent_ms is None
+        }
+        for version, since_ms in list(self.new.items()):
+            if version.service in listed and not self.is_known_to_all(
+                since_ms
+            ):
+                continue
+            del self.new[version]
+            self.used[version] = None
+            events.log(
+                events.VERSION_USED,
+                service=version.service,
+                upstream_version=version.version,
+                listed_ms_ago=self.clock.monotonic_ms() - since_ms,
+            )
+
+    def is_known_to_all(self, listed_ms: int) -> bool:
+        """Returns whether all gateways know a version, and it is saved.
+
+        :param listed_ms: when it was first listed
+        """
+        up = self.contact.own
+        return (
+            self.saved_ms is not None
+            and self.saved_ms >= listed_ms
+            and up is not None
+            and up.until_ms >= listed_ms + NEW_VERSION_DELAY_MS
+        )
+
+    def may_begin_at(self, upstream: model.Upstream) -> bool:
+        """Returns whether requests may be sent to an upstream's version.
+
+        :param upstream: a listed upstream
+        """
+        version = ServiceVersion(upstream.service, upstream.version)
+        return version not in self.new
+
+    def possible(self, service: str) -> set[str]:
+        """Returns the versions at which an unfinished stream may have begun.
+
+        :param service: name of the service
+        :return: also those that are about to be used
+        """
+        return {
+            version.version
+            for versions in (self.used, self.new)
+            for version in versions
+            if version.service == service
+        }
+
+    def are_several(self, service: str) -> bool:
+        """Returns whether streams of a service may hold several versions.
+
+        :param service: name of the service
+        """
+        return len(self.possible(service)) > 1
+
+    def only_version(self, service: str) -> str | None:
+        """Returns the version at which every unfinished stream has begun.
+
+        :param service: name of the service
+        :return: the version, None if there are several or if others may have
+            been used meanwhile
+        """
+        possible = self.possible(service)
+        if len(possible) != 1 or not self.is_current():
+            return None
+        return possible.pop()
+
+    def is_current(self) -> bool:
+        """Returns whether no gateway can use a version that is unknown here.
+
+        While the store is away, none can learn of new versions. Other gateways
+        tell when it was up; a gateway that hears too few of them can't know.
+        """
+        confirmed_ms = self.list_confirmed_ms()
+        if confirmed_ms is None or not self.is_restored():
+            return False
+        age_ms = self.clock.monotonic_ms() - confirmed_ms
+        if age_ms <= NEW_VERSION_DELAY_MS:
+            return True
+        up = self.contact.up
+        if up is not None and up.until_ms > confirmed_ms + MAX_LIST_LAG_MS:
+            return False
+        return self.hears_most()
--- a/godwitloft/gateway/shared_knowledge.py
+++ b/godwitloft/gateway/shared_knowledge.py
@@ -9,6 +9,7 @@
 from godwitloft.gateway import named_limit
 from godwitloft.gateway import peer_confirmation
 from godwitloft.gateway import peer_status
+from godwitloft.gateway import service_versions
 from godwitloft.gateway import sharing as sharings
 from godwitloft.gateway import store_contact as store_contacts
 
@@ -32,6 +33,7 @@
     :param confirmation: knows the version of the configuration
     :param contact: when the store is known to have been up
     :param causes: crashes of upstreams, and what is blamed for them
+    :param versions: software versions that streams may have begun at
     :param on_leaving: called with an upstream of which a peer says that it is
         leaving
     :param on_limit: called with an upstream and what a peer says of its limit,
@@ -46,6 +48,7 @@
         confirmation: peer_confirmation.PeerConfirmation,
         contact: store_contacts.StoreContact,
         causes: crash_causes.CrashCauses,
+        versions: service_versions.ServiceVersions,
         on_leaving: typing.Callable[[fleets.UpstreamState], None],
         on_limit: typing.Callable[
             [fleets.UpstreamState, named_limit.Statement], None
@@ -58,6 +61,7 @@
         self.confirmation = confirmation
         self.contact = contact
         self.causes = causes
+        self.versions = versions
         self.on_leaving = on_leaving
         self.on_limit = on_limit
         # Set by an adapter whose store has timelines.
@@ -169,12 +173,17 @@
         self.causes.learn((), (), saved, saved_ms)
 
     def needs_saving(self) -> bool:
-        """Returns whether usage or blames should be saved soon."""
-        return self.causes.unsaved or self.sharing.needs_saving()
+        """Returns whether usage, blames or versions should be saved soon."""
+        return (
+            self.causes.unsaved
+            or self.versions.unsaved
+            or self.sharing.needs_saving()
+        )
 
     def mark_saved(self) -> None:
-        """Records that usage and blames are about to be saved."""
+        """Records that usage, blames and versions are about to be saved."""
         self.causes.unsaved = False
+        self.versions.mark_saved()
         self.sharing.mark_saved()
 
 
--- a/godwitloft/platform/lease_row.py
+++ b/godwitloft/platform/lease_row.py
@@ -5,6 +5,7 @@
 import json
 
 from godwitloft.gateway import crash_reports
+from godwitloft.gateway import service_versions
 from godwitloft.gateway import sharing
 from godwitloft.platform import rows
 
@@ -18,12 +19,17 @@
         milliseconds
     :param usage: its usage of the teams' allowances
     :param blames: what is blamed for crashes of upstreams
+    :param absences: software versions at which its streams may have begun, and
+        how long each had not been listed, in milliseconds
     """
 
     host: str
     renewed_ms: int
     usage: sharing.Usage
     blames: tuple[crash_reports.BlameReport, ...] = ()
+    absences: service_versions.Absences = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def encode(row: LeaseRow) -> str:
@@ -42,6 +48,7 @@
         "host": row.host,
         "used": usage,
         "blames": [encode_blame(blame) for blame in row.blames],
+        "versions": encode_absences(row.absences),
     }
     return base64.b64encode(json.dumps(content).encode()).decode()
 
@@ -61,9 +68,41 @@
         int(fields.number("renewed_ms")),
         {team: usage.numbers(team) for team in usage.value},
         tuple(decode_blame(entry) for entry in fields.objects("blames")),
+        decode_absences(
+            rows.Fields(name, "versions", fields.value.get("versions", {}))
+        ),
     )
 
 
+def encode_absences(
+    absences: service_versions.Absences,
+) -> dict[str, dict[str, int]]:
+    """Returns versions as they are saved.
+
+    :param absences: how long each was not listed
+    :return: the same by service and version
+    """
+    found: dict[str, dict[str, int]] = {}
+    for version, absent_ms in absences.items():
+        found.setdefault(version.service, {})[version.version] = absent_ms
+    return found
+
+
+def decode_absences(fields: rows.Fields) -> service_versions.Absences:
+    """Decodes versions.
+
+    :param fields: a JSON object, by service and version
+    :return: how long each was not listed, in milliseconds
+    """
+    found = {}
+    for service, value in fields.value.items():
+        versions = rows.Fields(fields.row, f"{fields.path}.{service}", value)
+        for version in versions.value:
+            key = service_versions.ServiceVersion(service, version)
+            found[key] = int(versions.number(version))
+    return found
+
+
 def encode_blame(blame: crash_reports.BlameReport) -> dict[str, object]:
     """Returns a blame as it is saved.
 
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -26,6 +26,7 @@
 from godwitloft.platform import headers
 from godwitloft.platform import settings
 from godwitloft.platform import store as stores
+from godwitloft.platform import stream_table
 from godwitloft.platform import watch as watches
 from godwitloft.runtime import process
 
@@ -159,11 +160,14 @@
             on_usage_restored=sharing.restore,
             on_peer_usage_restored=sharing.restore_peer,
             on_blames_restored=gateway.knowledge.restore_blames,
+            on_versions_restored=gateway.versions.restore,
             usage=sharing.usage,
             blames=gateway.knowledge.blame_reports,
+            absences=gateway.versions.absences,
             needs_saving=gateway.knowledge.needs_saving,
             before_save=gateway.knowledge.mark_saved,
-            on_restored=gateway.config_state.mark_restored,
+            on_saved=gateway.versions.record_saved,
+            on_restored=gateway.on_store_restored,
             settle_left_ms=gateway.config_state.settle_left_ms,
             count_cut_back=count_cut_back,
         ),
@@ -174,6 +178,14 @@
         HEARTBEATS_TO_EXPIRY * boot.heartbeat_ms + EXPIRY_SLACK_MS,
         random.Random(),
     )
+    streams = stream_table.StreamTable(
+        clock, store, gateway.continuations, incarnation, watch.decode_row
+    )
+
+    def start_watching() -> None:
+        watch.start()
+        watch.start_loop("streams", streams.needs_call, streams.call)
+
     listen = daemon.ListenOptions(
         host=boot.front.host,
         caller_port=boot.front.port,
@@ -181,7 +193,7 @@
         metrics_port=metrics_port,
         render_metrics=render,
     )
-    source = daemon.ConfigurationSource(start=watch.start, stop=watch.stop)
+    source = daemon.ConfigurationSource(start=start_watching, stop=watch.stop)
     return daemon.GatewayDaemon(reactor, clock, gateway, source, listen)
 
 
--- a/godwitloft/platform/store.py
+++ b/godwitloft/platform/store.py
@@ -378,6 +378,25 @@
         target = "/rows-get?" + urllib.parse.urlencode(query)
         return self.call("GET", target).addCallback(decode_rows)
 
+    @defer.inlineCallbacks
+    def read_all(
+        self, table: str
+    ) -> typing.Generator[typing.Any, typing.Any, ReadResult]:
+        """Reads all pages of a table.
+
+        :param table: name of the table
+        :return: the rows, with position and time of the first page; fails with
+            :class:`HistoryLostError` if the store was restored meanwhile
+        """
+        first = result = yield self.read(table)
+        found = list(result.rows)
+        while result.has_more and result.rows:
+            result = yield self.read(table, result.rows[-1].key)
+            if result.position.timeline != first.position.timeline:
+                raise HistoryLostError(table, HTTP_OK, HISTORY_LOST)
+            found.extend(result.rows)
+        return dataclasses.replace(first, rows=tuple(found), has_more=False)
+
     def wait_for_changes(
         self, table: str, after: Position, wait_ms: int
     ) -> "defer.Deferred[ReadResult]":
--- /dev/null
+++ b/godwitloft/platform/stream_table.py
@@ -0,0 +1,175 @@
+"""The table in which gateways keep where their streams began."""
+
+import base64
+import json
+import typing
+
+from twisted.internet import defer
+
+from godwitloft import clock as clocks
+from godwitloft.gateway import continuations as continuation_module
+from godwitloft.gateway import stream_origins
+from godwitloft.platform import rows
+from godwitloft.platform import store as stores
+
+TABLE = "streams"
+# Entries of one transaction of the store.
+MAX_ENTRIES = 100
+CHECK_INTERVAL_MS = 50
+
+
+class StreamTable:
+    """Saves and reads origins of streams.
+
+    :param clock: source of the time
+    :param store: the store
+    :param continuations: requests that wait for saved origins, and the origins
+        to be saved
+    :param owner: begins the keys of this process's rows, new at each start
+    :param decode_row: decodes a row, or logs why it can't and returns None
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        store: stores.Store,
+        continuations: continuation_module.Continuations,
+        owner: str,
+        decode_row: typing.Callable[..., typing.Any],
+    ) -> None:
+        self.clock = clock
+        self.store = store
+        self.continuations = continuations
+        self.origins = continuations.origins
+        self.owner = owner
+        self.decode_row = decode_row
+        self.was_read = False
+        # The store's clock minus this process's.
+        self.store_clock_offset_ms = 0
+        # Keys of rows whose streams can't be taken up any more.
+        self.old_keys: list[str] = []
+
+    def needs_call(self) -> bool:
+        """Returns whether the store must be called now."""
+        return (
+            not self.was_read
+            or self.continuations.needs_lookup()
+            or bool(self.old_keys)
+            or self.origins.needs_saving()
+        )
+
+    def call(self) -> "defer.Deferred[int]":
+        """Reads or writes.
+
+        :return: fires with the delay before the next call, in milliseconds
+        """
+        if not self.was_read or self.continuations.needs_lookup():
+            return self.read()
+        return self.write()
+
+    @defer.inlineCallbacks
+    def read(self) -> typing.Generator[typing.Any, typing.Any, int]:
+        """Reads all rows and passes on the origins in them.
+
+        :return: the delay before the next call, in milliseconds
+        """
+        result = yield self.store.read_all(TABLE)
+        self.was_read = True
+        self.store_clock_offset_ms = result.now_ms - self.clock.monotonic_ms()
+        life_ms = self.origins.stream_life_ms()
+        found: dict[str, stream_origins.Origin] = {}
+        for row in result.rows:
+            segment = self.decode_row(TABLE, row, decode)
+            if segment is None:
+                continue
+            saved_ms, origins = segment
+            if result.now_ms - saved_ms > life_ms:
+                self.old_keys.append(row.key)
+            else:
+                found.update(origins)
+        self.continuations.on_lookup(found)
+        return CHECK_INTERVAL_MS
+
+    @defer.inlineCallbacks
+    def write(self) -> typing.Generator[typing.Any, typing.Any, int]:
+        """Saves what is not saved, and removes what is no longer needed.
+
+        :return: the delay before the next call, in milliseconds
+        """
+        now_ms = self.clock.monotonic_ms() + self.store_clock_offset_ms
+        old_segments = self.origins.take_old_segments()
+        keys = [*self.old_keys, *map(self.key, old_segments)]
+        old = list(dict.fromkeys(keys))
+        self.old_keys = old[MAX_ENTRIES // 2 :]
+        segments = self.origins.take_unsaved()
+        transaction = {
+            "expected": [],
+            "set-keys": [
+                {
+                    "table": TABLE,
+                    "part": "",
+                    "key": self.key(segment.number),
+                    "value": encode(segment, now_ms),
+                }
+                for segment in segments[-MAX_ENTRIES // 2 :]
+            ],
+            "remove": [
+                {"table": TABLE, "part": "", "key": key}
+                for key in old[: MAX_ENTRIES // 2]
+            ],
+        }
+        try:
+            yield self.store.transact(transaction)
+        except stores.StoreError:
+            self.origins.mark_unsaved()
+            self.old_keys.extend(old[: MAX_ENTRIES // 2])
+            raise
+        return CHECK_INTERVAL_MS
+
+    def key(self, segment: int) -> str:
+        """Returns the key of a segment's row.
+
+        :param segment: number of the segment
+        """
+        return f"{self.owner}.{segment}"
+
+
+def encode(segment: stream_origins.Segment, now_ms: int) -> str:
+    """Encodes a segment's row.
+
+    :param segment: its content
+    :param now_ms: time of the store's clock
+    :return: JSON in base64
+    """
+    streams: dict[str, dict[str, list[str]]] = {}
+    for name, origin in segment.origins.items():
+        versions = streams.setdefault(origin.service, {})
+        versions.setdefault(origin.version, []).append(name)
+    content = {"saved_ms": now_ms, "streams": streams}
+    text = json.dumps(content, separators=(",", ":"))
+    return base64.b64encode(text.encode()).decode()
+
+
+def decode(
+    name: str, value: object
+) -> tuple[int, dict[str, stream_origins.Origin]]:
+    """Decodes a segment's row.
+
+    :param name: table and key, for error messages
+    :param value: JSON in base64
+    :return: when it was saved, on the store's clock, and the origins by short
+        id
+    :raises RowError: if it is invalid
+    """
+    fields = rows.decode_content(name, value)
+    found = {}
+    streams = rows.Fields(name, "streams", fields.value.get("streams"))
+    for service in streams.value:
+        versions = rows.Fields(
+            name, f"streams.{service}", streams.value[service]
+        )
+        for version in versions.value:
+            origin = stream_origins.Origin(service, version)
+            for stream in versions.items(version):
+                found[str(stream)] = origin
+    return int(fields.number("saved_ms")), found
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -16,6 +16,7 @@
 from godwitloft.gateway import crash_reports
 from godwitloft.gateway import model
 from godwitloft.gateway import peer_confirmation as peer_confirmations
+from godwitloft.gateway import service_versions
 from godwitloft.gateway import sharing
 from godwitloft.gateway import upstream_list as upstream_lists
 from godwitloft.platform import lease_row
@@ -69,11 +70,16 @@
         another gateway, its saved usage and the age in milliseconds
     :param on_blames_restored: called at the start with what a gateway had
         saved of blames for crashes, and the age in milliseconds
+    :param on_versions_restored: called at the start with the software
+        versions that a gateway may have used, and the age in milliseconds
     :param usage: returns the usage of this process by team
     :param blames: returns what is blamed for crashes
-    :param needs_saving: returns whether usage or blames have changed much
-        since they were saved
-    :param before_save: called just before both are written
+    :param absences: returns the software versions that are used or will be
+    :param needs_saving: returns whether one of these has changed much since
+        they were saved
+    :param before_save: called just before they are written
+    :param on_saved: called with the time at which the writing began, in
+        milliseconds, once they are written
     :param on_restored: called with the time at which a restore of the store
         was noticed, in milliseconds
     :param settle_left_ms: returns how long confirmations don't count yet after
@@ -91,10 +97,15 @@
     on_blames_restored: typing.Callable[
         [tuple[crash_reports.BlameReport, ...], int], None
     ]
+    on_versions_restored: typing.Callable[
+        [service_versions.Absences, int], None
+    ]
     usage: typing.Callable[[], sharing.Usage]
     blames: typing.Callable[[], tuple[crash_reports.BlameReport, ...]]
+    absences: typing.Callable[[], service_versions.Absences]
     needs_saving: typing.Callable[[], bool]
     before_save: typing.Callable[[], None]
+    on_saved: typing.Callable[[int], None]
     on_restored: typing.Callable[[int], None]
     settle_left_ms: typing.Callable[[], int]
     count_cut_back: typing.Callable[[str, int], None]
@@ -353,9 +364,9 @@
         :return: the delay before the next call, in milliseconds
         """
         started_ms = self.clock.monotonic_ms()
-        rows_read = yield self.read_all(UPSTREAM_TABLE)
+        result = yield self.store.read_all(UPSTREAM_TABLE)
         upstreams: dict[str, model.Upstream] = {}
-        for row in rows_read:
+        for row in result.rows:
             upstream = self.decode_row(
                 UPSTREAM_TABLE,
                 row,
@@ -411,27 +422,6 @@
             )
         self.kept = kept
 
-    @defer.inlineCallbacks
-    def read_all(
-        self, table: str
-    ) -> typing.Generator[typing.Any, typing.Any, list[stores.Row]]:
-        """Reads all pages of a table.
-
-        :param table: name of the table
-        :return: the rows; fails with ``HistoryLostError`` if the store was
-            restored meanwhile
-        """
-        first = result = yield self.store.read(table)
-        found = list(result.rows)
-        while result.has_more and result.rows:
-            result = yield self.store.read(table, result.rows[-1].key)
-            if result.position.timeline != first.position.timeline:
-                raise stores.HistoryLostError(
-                    table, stores.HTTP_OK, stores.HISTORY_LOST
-                )
-            found.extend(result.rows)
-        return found
-
     def report_cut_back(
         self, lost: typing.Iterable[str], returned: typing.Iterable[str]
     ) -> None:
@@ -536,6 +526,7 @@
             age_ms = max(0, result.now_ms - holder.renewed_ms)
             if not self.usage_restored:
                 self.callbacks.on_blames_restored(holder.blames, age_ms)
+                self.callbacks.on_versions_restored(holder.absences, age_ms)
                 if row.key != self.instance:
                     self.callbacks.on_peer_usage_restored(
                         row.key, holder.usage, age_ms
@@ -562,8 +553,10 @@
             renewed_ms=now_ms + self.store_clock_offset_ms,
             usage=self.callbacks.usage(),
             blames=self.callbacks.blames(),
+            absences=self.callbacks.absences(),
         )
         value = lease_row.encode(row)
         yield self.store.put(GATEWAY_TABLE, self.instance, value)
         self.renewed_ms = now_ms
         self.renewals += 1
+        self.callbacks.on_saved(now_ms)
