Tests: an answer that ends within its head is no answer, at whatever byte

Report of another operator: a runner stopped in the middle of its answer's head and closed, and clients got a 200 with an empty body.

--- a/features/answer_end.feature
+++ b/features/answer_end.feature
@@ -92,3 +92,32 @@
     When a caller requests "draft"
     And the upstream answers, framed by close: closed inside an event
     Then GL1206 has reason "event_cut", framing "close" and inside_event true
+
+  # Guards against a head without its end that is taken for an empty answer.
+  Scenario Outline: An answer that ends within its head is none, at whatever byte: <route>, <framing>, <end>
+    Then a "<route>" whose answer, framed by <framing>, is <end> at any byte of its head gets status 502
+
+    Examples:
+      | route | framing | end |
+      | post | length | closed |
+      | post | length | reset |
+      | post | chunks | closed |
+      | post | close | closed |
+      | post | HTTP/1.0 | closed |
+      | lookup | length | closed |
+      | draft | chunks | closed |
+      | draft | close | closed |
+      | query | chunks | closed |
+      | query | close | closed |
+      | query | close | reset |
+
+  Scenario Outline: A stream that began is cut if the next answer ends within its head: <end>
+    Then a "query" whose second answer is <end> at any byte of its head is cut
+
+    Examples:
+      | end |
+      | closed |
+      | reset |
+
+  Scenario: The store's client takes no answer that ends within its head
+    Then a call of the store whose answer is closed at any byte of its head fails
--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -1,6 +1,11 @@
 from behave import given
 from behave import then
 from behave import when
+from twisted.internet import error
+from twisted.internet import testing
+from twisted.python import failure
+from twisted.web import _newclient
+from twisted.web import http_headers
 
 from features.support import logs
 from features.support import wire_upstream
@@ -166,3 +171,79 @@
     assert found[0]["reason"] == reason, found
     assert found[0]["framing"] == framing, found
     assert found[0]["inside_event"] is True, found
+
+
+def end_within_head(world, number, framing, count, end):
+    """Ends an upstream's answer after some bytes of its head, if it has more.
+
+    Returns whether it has.
+    """
+    sent = world.sent[number]
+    head = complete_answer(sent, framing).partition(b"\r\n\r\n")[0]
+    whole = head + b"\r\n\r\n"
+    if count >= len(whole):
+        return False
+    if count:
+        sent.receive(whole[:count])
+    assert sent.transport.connected
+    sent.close(clean=end == "closed")
+    return True
+
+
+@then(
+    'a "{route}" whose answer, framed by {framing}, is {end} at any byte of'
+    " its head gets status {status:d}"
+)
+def check_head_cut(_context, route, framing, end, status):
+    count = 0
+    while True:
+        world = wire_upstream.WireWorld()
+        caller = world.ask("a", route)
+        if not end_within_head(world, 0, framing, count, end):
+            break
+        for number in range(1, len(world.sent)):
+            end_within_head(world, number, framing, count, end)
+        assert caller.status == status, (count, caller.received)
+        count += 1
+    assert count > len("HTTP/1.1 200 OK")
+
+
+@then(
+    'a "{route}" whose second answer is {end} at any byte of its head is cut'
+)
+def check_second_head_cut(_context, route, end):
+    count = 0
+    while True:
+        world = wire_upstream.WireWorld()
+        caller = world.ask("a", route)
+        first = world.sent[0]
+        first.receive(first.answer_head(CHUNKED) + chunk(event(1)))
+        first.close()
+        if not end_within_head(world, 1, "chunks", count, end):
+            break
+        assert caller.status == 200
+        assert caller.closed
+        assert not is_whole(caller.received), (count, caller.received)
+        count += 1
+    assert count > len("HTTP/1.1 200 OK")
+
+
+@then(
+    "a call of the store whose answer is closed at any byte of its head fails"
+)
+def check_store_head_cut(_context):
+    head = b'HTTP/1.1 200 OK\r\nETag: "5"\r\nContent-Length: 0\r\n\r\n'
+    for count in range(len(head)):
+        protocol = _newclient.HTTP11ClientProtocol(lambda _protocol: None)
+        transport = testing.StringTransportWithDisconnection()
+        transport.protocol = protocol
+        protocol.makeConnection(transport)
+        headers = http_headers.Headers({b"host": [b"store"]})
+        request = _newclient.Request(b"GET", b"/", headers, None)
+        results = []
+        protocol.request(request).addBoth(results.append)
+        if count:
+            protocol.dataReceived(head[:count])
+        protocol.connectionLost(failure.Failure(error.ConnectionDone()))
+        (result,) = results
+        assert isinstance(result, failure.Failure), (count, result)
