An odd row, report or number of another writer stops no reader

Report of another operator: processes ended again and again, or stopped following the list, for one odd entry in it.

Cause, class: readers took what Python can read for what fits. Whole numbers are read in one place now (whole_number.py), fields of rows have a bound that messages can carry, and all JSON of others is read by decode.load_json, which turns endless nesting into the same error as other malformed text. Five copies of "parse, else DecodeError" are one.

--- /dev/null
+++ b/features/odd_rows.feature
@@ -0,0 +1,130 @@
+Feature: What another writer left doesn't stop a reader
+
+  Rows, reports and messages may hold anything. One that can't be used names
+  nothing to use, and all others hold.
+
+  # Guards against a list of upstreams that is never read again, or that stops
+  # messages to agents and peers, for one row in it.
+  Scenario Outline: An odd row of an upstream is left out: <what>
+    Given a gateway that follows a store with configuration 5
+    And upstreams "a,b" that write their rows each second
+    When a row of an upstream is left with <field> <what>
+    And upstream "c" starts
+    And 1 s pass at the store
+    Then the gateway uses "a,b,c" and lists no other
+    And no internal error was logged
+
+    Examples:
+      | field | what |
+      | content | nested 100000 deep |
+      | content | that is a list |
+      | content | that isn't UTF-8 |
+      | slots | of 400 digits |
+      | slots | of 5000 digits |
+      | slots | 2147483648 |
+      | slots | 1e400 |
+      | slots | 2.5 |
+      | slots | missing |
+      | born | of 400 digits |
+      | born | 9223372036854775808 |
+      | born | 1.5 |
+      | address | "127.0.0.1:65536" |
+      | address | "127.0.0.1:0" |
+      | address | "127.0.0.1:²" |
+      | address | "127.0.0.1:-9" |
+      | address | with a port of 5000 digits |
+      | address | "localhost:9" |
+      | address | "999.0.0.1:9" |
+      | version | 7 |
+      | version | missing |
+      | zone | missing |
+      | key | "\ud800" |
+      | key | "x\r\ny: z" |
+
+  # Guards against a call that never ends, after which its loop stands still.
+  Scenario Outline: A call ends whatever it is answered: <what>
+    Given a call of the platform's client
+    When it is answered with <what>
+    Then it fails with an error of the store
+
+    Examples:
+      | what |
+      | nested 100000 deep |
+      | a number of 5000 digits |
+      | that is a list |
+
+  Scenario Outline: An engine's report with odd numbers is a failed report: <field> <what>
+    When an engine reports <field> <what>
+    Then its report can't be used
+
+    Examples:
+      | field | what |
+      | running | of 400 digits |
+      | running | -1 |
+      | running | true |
+      | waiting | of 400 digits |
+      | waiting | 1e400 |
+      | born | of 400 digits |
+      | born | -1 |
+
+  Scenario Outline: Rows as the store returns them, with odd numbers: <field> <what>
+    When the store answers with rows whose <field> is <what>
+    Then the rows can't be used
+
+    Examples:
+      | field | what |
+      | ver | 1e400 |
+      | now-ms | 1e400 |
+
+  Scenario Outline: The number of a timeline that is <what> is not used
+    When an answer of the store names the timeline <what>
+    Then no timeline is known
+
+    Examples:
+      | what |
+      | of 5000 digits |
+      | of 400 digits |
+      | -1 |
+
+  Scenario Outline: A caller that states <what> tokens is answered
+    Given a gateway with two upstreams of each service
+    When a caller states <what> tokens for "query"
+    And the upstream that runs it answers successfully
+    Then the caller receives status <status>
+
+    Examples:
+      | what | status |
+      | of 400 digits | 200 |
+      | of 5000 digits | 200 |
+      | -1 | 400 |
+
+  Scenario Outline: A peer that announces <what> doesn't change this gateway's share
+    Given a gateway with two upstreams of each service
+    When a peer announces <what>
+    Then the share of its allowance is a part of it
+    And no upstream has a limit
+
+    Examples:
+      | what |
+      | a demand of -1000 |
+      | committed tokens of -1000000 |
+      | a limit of NaN |
+      | a limit of -1 |
+      | a limit of inf |
+
+  Scenario Outline: A row of the product's own store that is nested too deeply is refused: <reader>
+    When a row that is nested 100000 deep is read as <reader>
+    Then it is refused as malformed
+
+    Examples:
+      | reader |
+      | a claim |
+      | a head |
+      | a share |
+      | a lease |
+      | a bucket |
+      | a snapshot |
+      | a delta |
+      | a line of a trace |
+      | a line of a log |
+      | a line of a ledger |
--- a/godwitloft/agent/run_ids.py
+++ b/godwitloft/agent/run_ids.py
@@ -8,9 +8,11 @@
 
 from godwitloft import clock as clocks
 from godwitloft import trace
+from godwitloft import whole_number
 from godwitloft.objects import types as object_types
 
 ENDED_ID_RETENTION_MS = 600_000
+MAX_RUN_NUMBER = 2**63 - 1
 # The longest duration of a request, so no dispatch can outlive its tombstone.
 TOMBSTONE_RETENTION_MS = object_types.DURATION_MS["max"]
 
@@ -96,4 +98,5 @@
     :return: the incarnation, and the number or -1 if there is none
     """
     incarnation, _, number = run_id.partition(".")[0].rpartition("-")
-    return incarnation, int(number) if number.isdecimal() else -1
+    found = whole_number.parse(number, MAX_RUN_NUMBER)
+    return incarnation, found if found is not None else -1
--- a/godwitloft/audit/history.py
+++ b/godwitloft/audit/history.py
@@ -2,9 +2,9 @@
 
 import bisect
 import dataclasses
-import json
 import typing
 
+from godwitloft import decode
 from godwitloft import trace
 
 NEVER_MS = 1 << 62
@@ -198,7 +198,7 @@
         requests=requests,
         runs=runs,
         strays=tuple(strays),
-        ledger=tuple(_ledger(ledger_lines)),
+        ledger=tuple(ledger_entries(ledger_lines)),
     )
 
 
@@ -298,10 +298,17 @@
     return runs
 
 
-def _ledger(lines: typing.Iterable[str]) -> typing.Iterator[LedgerEntry]:
+def ledger_entries(
+    lines: typing.Iterable[str],
+) -> typing.Iterator[LedgerEntry]:
+    """Yields the entries in the lines of a ledger.
+
+    :param lines: JSON objects; other lines are skipped
+    :return: the entries, in order
+    """
     for line in lines:
         try:
-            value = json.loads(line)
+            value = decode.load_json(line)
         except ValueError:
             continue
         if isinstance(value, dict):
--- a/godwitloft/audit/request_logs.py
+++ b/godwitloft/audit/request_logs.py
@@ -9,9 +9,9 @@
 import collections
 import dataclasses
 import datetime
-import json
 import typing
 
+from godwitloft import decode
 from godwitloft import events
 
 TIME_FORMAT = "%Y-%m-%d %H:%M:%S,%f"
@@ -156,7 +156,7 @@
     :return: the line, None when it isn't a log line
     """
     try:
-        fields = json.loads(text)
+        fields = decode.load_json(text)
         time = datetime.datetime.strptime(fields["time"], TIME_FORMAT)
         event = str(fields["event"])
     except (ValueError, KeyError, TypeError):
--- a/godwitloft/charts/__init__.py
+++ b/godwitloft/charts/__init__.py
@@ -9,7 +9,6 @@
 import dataclasses
 import functools
 import importlib.resources
-import json
 import typing
 
 import automat
@@ -162,7 +161,7 @@
     :raises ChartError: when the text is invalid
     """
     try:
-        value = json.loads(text)
+        value = decode.load_json(text)
         definition = decode.decode(Definition, value, "")
     except ValueError as error:
         raise ChartError(name, f"not JSON: {error}") from error
--- a/godwitloft/coordination/claims_row.py
+++ b/godwitloft/coordination/claims_row.py
@@ -123,9 +123,7 @@
     """
     where = f"claim {key!r}"
     try:
-        found = decode.decode(Row, json.loads(value), where)
-    except ValueError as error:
-        raise RowError(f"{where}: not JSON: {error}") from error
+        found = decode.decode_json(Row, value, where)
     except decode.DecodeError as error:
         raise RowError(str(error)) from error
     assert isinstance(found, Row)
--- a/godwitloft/coordination/delta.py
+++ b/godwitloft/coordination/delta.py
@@ -9,6 +9,7 @@
 import json
 import typing
 
+from godwitloft import decode as decoding
 from godwitloft import errors
 
 Texts = typing.Mapping[str, typing.Mapping[str, str]]
@@ -42,7 +43,7 @@
     try:
         texts = {
             kind: {item["name"]: _text(item) for item in members}
-            for kind, members in json.loads(content).items()
+            for kind, members in decoding.load_json(content).items()
         }
     except _FORMAT_ERRORS as error:
         raise DeltaError(f"malformed snapshot: {error}") from error
@@ -151,7 +152,7 @@
     try:
         return tuple(
             ObjectChange(kind, name, None if value is None else _text(value))
-            for kind, members in json.loads(content).items()
+            for kind, members in decoding.load_json(content).items()
             for name, value in members.items()
         )
     except _FORMAT_ERRORS as error:
--- a/godwitloft/coordination/lease.py
+++ b/godwitloft/coordination/lease.py
@@ -206,7 +206,7 @@
             return await self._renew()
         row = await self.platform.read_row(TABLE, self.name)
         self._note_row(row)
-        found = _decode(row)
+        found = decode_row(row)
         if found is not None and not self._is_free(found):
             return self._poll_wait_ms(found)
         return await self._acquire(found)
@@ -268,7 +268,7 @@
         if epoch != self.epoch:
             return 1
         if isinstance(answer, port.Conflict):
-            found = _decode(answer.row)
+            found = decode_row(answer.row)
             if found is None or found.holder != self.holder:
                 self._clear()
             # Otherwise an earlier renewal took effect late.
@@ -345,12 +345,14 @@
         )
 
 
-def _decode(row: port.Row | None) -> LeaseRow | None:
+def decode_row(row: port.Row | None) -> LeaseRow | None:
+    """Decodes the row of a lease.
+
+    :param row: the row, None if there is none
+    :return: the lease, None without a row
+    :raises decode.DecodeError: if the row isn't valid
+    """
     if row is None:
         return None
     where = f"lease {row.key!r}"
-    try:
-        value = json.loads(row.value)
-    except ValueError as error:
-        raise decode.DecodeError(where, "", "is not JSON") from error
-    return decode.decode(LeaseRow, value, where)
+    return decode.decode_json(LeaseRow, row.value, where)
--- a/godwitloft/coordination/permits.py
+++ b/godwitloft/coordination/permits.py
@@ -12,7 +12,6 @@
 import dataclasses
 import json
 import random
-import typing
 
 from twisted.internet import defer
 from twisted.internet import interfaces
@@ -154,7 +153,7 @@
         """Returns the tokens that this process knows to be in the bucket."""
         if self.row is None:
             return self.settings.capacity
-        found = _decode(self.row)
+        found = decode_row(self.row)
         unchanged_ms = self.clock.monotonic_ms() - self.row_first_seen_ms
         credit = unchanged_ms * self.settings.rate_per_s / clocks.MS_PER_S
         return min(self.settings.capacity, found.tokens + credit)
@@ -193,10 +192,12 @@
         return True
 
 
-def _decode(row: port.Row) -> BucketRow:
+def decode_row(row: port.Row) -> BucketRow:
+    """Decodes the row of a bucket.
+
+    :param row: the row
+    :return: the bucket
+    :raises decode.DecodeError: if the row isn't valid
+    """
     where = f"bucket {row.key!r}"
-    try:
-        value: typing.Any = json.loads(row.value)
-    except ValueError as error:
-        raise decode.DecodeError(where, "", "is not JSON") from error
-    return decode.decode(BucketRow, value, where)
+    return decode.decode_json(BucketRow, row.value, where)
--- a/godwitloft/coordination/publish.py
+++ b/godwitloft/coordination/publish.py
@@ -220,11 +220,7 @@
     if row is None:
         return EMPTY_HEAD
     where = f"row {row.key!r}"
-    try:
-        value = json.loads(row.value)
-    except ValueError as error:
-        raise decode.DecodeError(where, "", "is not JSON") from error
-    return decode.decode(Head, value, where)
+    return decode.decode_json(Head, row.value, where)
 
 
 class Publisher:
--- a/godwitloft/coordination/shares.py
+++ b/godwitloft/coordination/shares.py
@@ -220,7 +220,7 @@
     async def _exchange_one(
         self, team: str, usage: Usage, row: port.Row | None
     ) -> None:
-        before = _decode(row)
+        before = decode_row(row)
         live = self.live()
         after = rebalance(before, self.name, live, usage)
         after = repay(after, self.name, live, usage.limit)
@@ -239,7 +239,7 @@
             json.dumps(dataclasses.asdict(after)).encode(),
             row.version if row else 0,
         )
-        self.rows[team] = _decode(answer.row)
+        self.rows[team] = decode_row(answer.row)
 
 
 def _with_lower_balance(name: str, before: TeamRow, after: TeamRow) -> TeamRow:
@@ -247,12 +247,14 @@
     return dataclasses.replace(before, balances={**before.balances, name: own})
 
 
-def _decode(row: port.Row | None) -> TeamRow:
+def decode_row(row: port.Row | None) -> TeamRow:
+    """Decodes the row of a share.
+
+    :param row: the row, None if there is none
+    :return: the share, an empty one without a row
+    :raises decode.DecodeError: if the row isn't valid
+    """
     if row is None:
         return TeamRow()
     where = f"share {row.key!r}"
-    try:
-        value = json.loads(row.value)
-    except ValueError as error:
-        raise decode.DecodeError(where, "", "is not JSON") from error
-    return decode.decode(TeamRow, value, where)
+    return decode.decode_json(TeamRow, row.value, where)
--- a/godwitloft/decode.py
+++ b/godwitloft/decode.py
@@ -108,6 +108,37 @@
         raise DecodeError(where, "", f"is not JSON: {error}") from error
 
 
+def load_json(content: str | bytes) -> typing.Any:
+    """Parses JSON that another process may have written.
+
+    :param content: any text or bytes
+    :return: the value
+    :raises ValueError: if it isn't JSON, or too deeply nested to be read
+    """
+    try:
+        return json.loads(content)
+    except RecursionError as error:
+        raise ValueError("is nested too deeply") from error
+
+
+def decode_json(
+    kind: typing.Any, content: str | bytes, where: str
+) -> typing.Any:
+    """Decodes the JSON text of a value.
+
+    :param kind: the target type
+    :param content: any text or bytes
+    :param where: name of the object or row, for the error
+    :return: the decoded value
+    :raises DecodeError: if it isn't JSON of that type
+    """
+    try:
+        value = load_json(content)
+    except ValueError as error:
+        raise DecodeError(where, "", f"is not JSON: {error}") from error
+    return decode(kind, value, where)
+
+
 def decode(
     kind: typing.Any, value: object, where: str, key: str = ""
 ) -> typing.Any:
--- a/godwitloft/entry/call_parser.py
+++ b/godwitloft/entry/call_parser.py
@@ -6,10 +6,10 @@
 
 import dataclasses
 import hashlib
-import json
 import re
 import typing
 
+from godwitloft import decode
 from godwitloft import errors
 from godwitloft.entry import answers
 from godwitloft.entry import call as calls
@@ -211,8 +211,8 @@
 
 def _json_object(content: bytes) -> dict[str, typing.Any]:
     try:
-        body = json.loads(content)
-    except (ValueError, RecursionError) as error:
+        body = decode.load_json(content)
+    except ValueError as error:
         raise _bad(f"the body is not JSON: {error}") from error
     if not isinstance(body, dict):
         raise _bad("the body is not a JSON object")
--- a/godwitloft/gateway/peer_status.py
+++ b/godwitloft/gateway/peer_status.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 
 from godwitloft.gateway import crash_reports
 from godwitloft.links.generated.datagrams import ttypes
@@ -136,7 +137,7 @@
             crash_reports.BlameReport(
                 blame.cause,
                 decode_crashes(blame.crashes),
-                blame.trials,
+                max(0, blame.trials),
                 max(0, blame.trial_age_ms),
             )
             for blame in sharing.blames or ()
@@ -148,10 +149,19 @@
                 max(0, entry.age_ms),
             )
             for entry in sharing.limits or ()
+            if is_limit(entry.per_s)
         ),
     )
 
 
+def is_limit(per_s: float | None) -> bool:
+    """Returns whether a number can be an upstream's limit.
+
+    :param per_s: requests a second, None if it names no limit any more
+    """
+    return per_s is None or 0 <= per_s < math.inf
+
+
 def encode_crash(crash: crash_reports.CrashReport) -> ttypes.Crash:
     """Returns a crash as it is sent.
 
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -7,6 +7,7 @@
 import typing
 
 from godwitloft import attempt as attempts
+from godwitloft import whole_number
 from godwitloft.gateway import allowance
 from godwitloft.gateway import crash_causes
 from godwitloft.gateway import crash_reports
@@ -225,9 +226,14 @@
     if text is None:
         return Sizes(0, 0, False)
     parts = text.split(b",")
-    if len(parts) != 2 or not all(part.strip().isdigit() for part in parts):
+    counts = [
+        whole_number.parse_clamped(part.strip(), MAX_TOKENS) for part in parts
+    ]
+    if len(counts) != 2:
+        return None
+    prompt, output = counts
+    if prompt is None or output is None:
         return None
-    prompt, output = (min(int(part), MAX_TOKENS) for part in parts)
     return Sizes(prompt, output, True)
 
 
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -600,10 +600,11 @@
             self.places.clear()
         previous = self.peers.get(sharing.gateway)
         rates = {
-            demand.team: demand.tokens_per_s for demand in sharing.demands
+            demand.team: max(0, demand.tokens_per_s)
+            for demand in sharing.demands
         }
         committed = {
-            demand.team: demand.committed for demand in sharing.demands
+            demand.team: max(0, demand.committed) for demand in sharing.demands
         }
         self.former_uses.heard_peer = True
         usage_lost = bool(sharing.usage_lost)
--- a/godwitloft/operators/operator_http.py
+++ b/godwitloft/operators/operator_http.py
@@ -21,6 +21,7 @@
 from godwitloft import events
 from godwitloft import metrics
 from godwitloft import settings
+from godwitloft import whole_number
 from godwitloft.coordination import publish
 from godwitloft.objects import canonical
 from godwitloft.objects import check
@@ -37,7 +38,7 @@
 MAX_CONNECTIONS = 256
 MAX_HISTORY_COUNT = 200
 DEFAULT_HISTORY_COUNT = 20
-MAX_QUERY_DIGITS = 12
+MAX_QUERY_NUMBER = 10**12 - 1
 ROLE_ORDER = tuple(settings.Role)
 
 
@@ -449,16 +450,13 @@
     if not values:
         return default
     text = values[0].decode("latin-1")
-    if (
-        not text.isdigit()
-        or not text.isascii()
-        or len(text) > MAX_QUERY_DIGITS
-    ):
+    number = whole_number.parse(text, MAX_QUERY_NUMBER)
+    if number is None:
         raise RequestRefused(
             Reason.QUERY_WRONG,
             f"query {key!r}: {decode.show(text)} is not a whole number",
         )
-    return int(text)
+    return number
 
 
 def _write(request: server.Request, value: object) -> bytes:
--- a/godwitloft/platform/agent.py
+++ b/godwitloft/platform/agent.py
@@ -13,6 +13,7 @@
 from godwitloft.gateway import upstream_signs
 from godwitloft.links import datagrams
 from godwitloft.platform import headers as platform_headers
+from godwitloft.platform import rows
 from godwitloft.platform import settings
 from godwitloft.platform import store as stores
 
@@ -197,13 +198,14 @@
     :return: the report
     :raises StoreError: if a number is missing or invalid
     """
-    report = answer.body
+    report = rows.Fields(REPORT_PATH, "", answer.body)
     try:
-        active = int(report["running"]) + int(report["waiting"])
-        return Report(active, int(report.get("born", 0)))
-    except (KeyError, TypeError, ValueError) as error:
+        running = report.whole("running", rows.MAX_REQUESTS)
+        waiting = report.whole("waiting", rows.MAX_REQUESTS)
+        return Report(running + waiting, report.whole("born", default=0))
+    except rows.RowError as error:
         raise stores.StoreError(
-            REPORT_PATH, stores.HTTP_OK, f"invalid report: {error!r}"
+            REPORT_PATH, stores.HTTP_OK, f"invalid report: {error}"
         ) from error
 
 
--- a/godwitloft/platform/rows.py
+++ b/godwitloft/platform/rows.py
@@ -7,9 +7,9 @@
 
 import base64
 import binascii
-import json
 import typing
 
+from godwitloft import decode
 from godwitloft import errors
 from godwitloft.gateway import model
 from godwitloft.platform import settings
@@ -24,7 +24,11 @@
 DEFAULT_RANK = 1_000
 DEFAULT_TIMEOUT_MS = 60_000
 DEFAULT_TARGET_MS = 1_000
-DEFAULT_SLOTS = 1
+# The largest whole number that all readers of JSON read alike (RFC 8259).
+MAX_NUMBER = 2**53 - 1
+MAX_SLOTS = 1_000_000
+# An engine runs and queues no more requests.
+MAX_REQUESTS = 1_000_000
 
 
 class RowError(errors.GodwitloftError):
@@ -80,32 +84,37 @@
             raise self.error(name, f"{value!r:.80} is not a string")
         return value
 
-    def optional_text(self, name: str) -> str:
-        """Returns a string, an empty one if the field is missing.
+    def number(self, name: str, default: float | None = None) -> float:
+        """Returns a number from 0 to :data:`MAX_NUMBER`.
 
         :param name: name of the field
+        :param default: value if the field is missing; None: it is required
         :return: its value
         :raises RowError: if it is anything else
         """
-        value = self.value.get(name, "")
-        if not isinstance(value, str):
-            raise self.error(name, f"{value!r:.80} is not a string")
+        value = self.value.get(name, default)
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            raise self.error(name, f"{value!r:.80} is not a number")
+        if not 0 <= value <= MAX_NUMBER:
+            raise self.error(name, f"{value!r:.80} is out of range")
         return value
 
-    def number(self, name: str, default: float | None = None) -> float:
-        """Returns a finite number that isn't negative.
+    def whole(
+        self, name: str, most: int = MAX_NUMBER, default: int | None = None
+    ) -> int:
+        """Returns a whole number that isn't negative.
 
         :param name: name of the field
+        :param most: the largest number that is accepted
         :param default: value if the field is missing; None: it is required
         :return: its value
         :raises RowError: if it is anything else
         """
-        value = self.value.get(name, default)
-        if isinstance(value, bool) or not isinstance(value, int | float):
-            raise self.error(name, f"{value!r:.80} is not a number")
-        if not 0 <= value < float("inf"):
-            raise self.error(name, f"{value!r:.80} is out of range")
-        return value
+        value = self.number(name, default)
+        if value != int(value) or value > most:
+            reason = f"{value!r:.80} is not a whole number up to {most}"
+            raise self.error(name, reason)
+        return int(value)
 
     def flag(self, name: str) -> bool:
         """Returns a boolean, False if the field is missing.
@@ -170,8 +179,8 @@
     if not isinstance(value, str):
         raise RowError(row, "", "has no value")
     try:
-        decoded = json.loads(base64.b64decode(value, validate=True))
-    except (binascii.Error, ValueError, RecursionError) as error:
+        decoded = decode.load_json(base64.b64decode(value, validate=True))
+    except (binascii.Error, ValueError) as error:
         raise RowError(row, "", f"is not JSON: {error}") from error
     return Fields(row, "", decoded)
 
@@ -287,6 +296,8 @@
     :return: the upstream
     :raises RowError: if it is invalid
     """
+    if not key or not key.isascii() or not key.isprintable():
+        raise RowError(row, "", "its key can't be sent in a header")
     fields = decode_content(row, value)
     address = settings.parse_address(fields.value.get("address"))
     if address is None:
@@ -300,8 +311,8 @@
         host=address.host,
         port=address.port,
         zone=fields.text("zone"),
-        slots=max(1, int(fields.number("slots", DEFAULT_SLOTS))),
+        slots=max(1, fields.whole("slots", MAX_SLOTS)),
         leaving=STATES[state],
-        born_ms=int(fields.number("born", 0)),
-        version=fields.optional_text("version"),
+        born_ms=fields.whole("born", default=0),
+        version=fields.text("version"),
     )
--- a/godwitloft/platform/settings.py
+++ b/godwitloft/platform/settings.py
@@ -1,18 +1,21 @@
 """Reads the settings file that the platform writes for each process."""
 
 import dataclasses
+import ipaddress
 import os
 import pathlib
 import tomllib
 import typing
 
 from godwitloft import errors
+from godwitloft import whole_number
 from godwitloft.gateway import allowance
 from godwitloft.gateway import options
 from godwitloft.gateway import retry_budget
 
 PATH_VARIABLE = "GODWITLOFT_BOOT"
 MS_PER_S = 1000
+MAX_PORT = 65_535
 # How much sooner than required a revoked key must stop working.
 KEY_PROOF_MARGIN_MS = 600
 # How long before SIGKILL the shutdown must be finished.
@@ -178,10 +181,15 @@
     """
     if not isinstance(value, str):
         return None
-    host, _colon, port = value.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    host, _colon, port_text = value.rpartition(":")
+    port = whole_number.parse(port_text, MAX_PORT)
+    if not port:
         return None
-    return Address(host, int(port))
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return None
+    return Address(host, port)
 
 
 def decode(reader: Reader) -> Boot:
--- a/godwitloft/platform/store.py
+++ b/godwitloft/platform/store.py
@@ -13,8 +13,10 @@
 
 from godwitloft import attempt as attempts
 from godwitloft import clock as clocks
+from godwitloft import decode
 from godwitloft import errors
 from godwitloft import events
+from godwitloft import whole_number
 
 OnHeaders = typing.Callable[[int, list[attempts.Header]], None]
 CALL_TIMEOUT_MS = 1_000
@@ -25,6 +27,8 @@
 HISTORY_LOST = "history is no longer available"
 # The platform calls a timeline an era.
 TIMELINE_HEADER = b"store-era"
+# What peers' messages can carry.
+MAX_NUMBER = 2**63 - 1
 
 
 class StoreError(errors.GodwitloftError):
@@ -139,15 +143,16 @@
         :param headers: all headers of the answer, whatever its status is
         """
         value = dict(headers).get(TIMELINE_HEADER, b"").strip()
-        if value and not value.isdigit() and value != self.unreadable:
+        number = decode_timeline(headers)
+        if value and number is None and value != self.unreadable:
             self.unreadable = value
             events.log(
                 events.ROW_SKIPPED,
                 row="store",
                 field="timeline",
-                reason=f"{value!r:.80} is not a whole number",
+                reason=f"{value!r:.80} is not a whole number in range",
             )
-        self.observe(decode_timeline(headers))
+        self.observe(number)
 
     def is_old(self, number: int | None) -> bool:
         """Returns whether the store has been restored since.
@@ -230,7 +235,7 @@
             self.fail(StoreError(self.name, self.status, reason))
             return
         try:
-            body = json.loads(b"".join(self.parts))
+            body = decode.load_json(b"".join(self.parts))
         except ValueError as error:
             self.fail(StoreError(self.name, HTTP_OK, str(error)))
             return
@@ -461,7 +466,7 @@
     :return: number of the timeline, None if it is missing or no whole number
     """
     value = dict(headers).get(TIMELINE_HEADER, b"").strip()
-    return int(value) if value.isdigit() else None
+    return whole_number.parse(value, MAX_NUMBER)
 
 
 def decode_rows(answer: Answer) -> ReadResult:
@@ -487,7 +492,13 @@
             now_ms=int(body.get("now-ms", 0)),
             has_more=bool(body.get("has-more", False)),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+    ) as error:
         raise StoreError(
             "read", HTTP_OK, f"invalid rows: {error!r}"
         ) from error
--- a/godwitloft/store/http.py
+++ b/godwitloft/store/http.py
@@ -20,11 +20,13 @@
 
 from godwitloft import decode
 from godwitloft import errors
+from godwitloft import whole_number
 from godwitloft.store import port
 
 MS_PER_S = 1000
 DEFAULT_TIMEOUT_MS = 2000
 MAX_CONNECTIONS = 8
+MAX_VERSION = 2**63 - 1
 IDLE_CONNECTION_S = 20
 MAX_RESPONSE_BYTES = 2 * port.MAX_OBJECT_BYTES
 STATUS_OK = 200
@@ -164,7 +166,7 @@
         content = await _read_body(received)
         etags = received.headers.getRawHeaders("ETag", [""])
         etag = etags[0].strip('"')
-        version = int(etag) if etag.isdigit() else 0
+        version = whole_number.parse(etag, MAX_VERSION) or 0
         return Response(received.code, version, content)
 
     return send
@@ -364,6 +366,6 @@
 
 def _decode(kind: typing.Any, response: Response, path: str) -> typing.Any:
     try:
-        return decode.decode(kind, json.loads(response.content), path)
+        return decode.decode(kind, decode.load_json(response.content), path)
     except (ValueError, decode.DecodeError) as error:
         raise port.StoreUnavailable(f"{path}: {error}") from error
--- a/godwitloft/trace.py
+++ b/godwitloft/trace.py
@@ -11,6 +11,7 @@
 import typing
 
 from godwitloft import clock as clocks
+from godwitloft import decode
 from godwitloft import errors
 
 MAX_LINE_BYTES = 16 * 1024
@@ -150,7 +151,7 @@
     :raises TraceError: if it is not a trace line
     """
     try:
-        value = json.loads(line)
+        value = decode.load_json(line)
         return Record(
             kind=Kind(value.pop("kind")),
             request_id=str(value.pop("id")),
