A request isn't sent on once its caller's close has arrived

Cause, as far as it can be known: a gateway learns that a caller has left only when its turn to read that connection comes. While it is busy, it reads the request and sends it, or sends one that had waited, with the close already there, behind it. That this was what the users saw is inferred.

Change: just before a request is placed, and again once the connection to the upstream stands, the gateway looks whether its caller's close has arrived.

--- a/godwitloft/attempt.py
+++ b/godwitloft/attempt.py
@@ -65,11 +65,14 @@
     :param on_head: called with status and headers of the answer
     :param on_data: called with each part of the body
     :param on_end: called once with the kind of the end and its reason
+    :param before_send: called once the connection is made, before anything is
+        sent; it may cancel the attempt
     """
 
     on_head: typing.Callable[[int, list[Header]], None]
     on_data: typing.Callable[[bytes], None]
     on_end: typing.Callable[[End, str], None]
+    before_send: typing.Callable[[], object] = lambda: None
 
 
 class Attempt(protocol.Protocol):
@@ -92,6 +95,8 @@
 
     def connectionMade(self) -> None:
         """Sends the complete request."""
+        if not self.ended:
+            self.callbacks.before_send()
         if self.ended:
             self.abort_transport()
             return
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -466,6 +466,8 @@
         """
         now_ms = self.clock.monotonic_ms()
         facts = request.facts
+        if request.exchange.notice_close():
+            return
         if not self.still_permitted(request, now_ms):
             return
         self.record_trial(request, now_ms)
@@ -517,6 +519,7 @@
             on_end=lambda end, reason: self.on_end(
                 request, attempt_number, end, reason
             ),
+            before_send=request.exchange.notice_close,
         )
         request.attempt = self.dependencies.send(
             state.upstream,
--- a/godwitloft/gateway/http_server.py
+++ b/godwitloft/gateway/http_server.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import socket
 import typing
 
 import h11
@@ -128,6 +129,19 @@
             self.write(body)
         self.finish()
 
+    def notice_close(self) -> bool:
+        """Finds out whether the caller has closed the connection.
+
+        While the process is busy, that is read late. It is handled here if it
+        has arrived.
+
+        :return: whether the request has ended, now or before
+        """
+        if not self.ended and self.connection.has_arrived_close():
+            self.ended = True
+            self.on_disconnect()
+        return self.ended
+
     def abort(self) -> None:
         """Closes the connection so that the answer is seen as incomplete."""
         if not self.ended:
@@ -398,6 +412,25 @@
         else:
             self.transport.loseConnection()
 
+    def has_arrived_close(self) -> bool:
+        """Returns whether the caller has closed, also if that isn't read yet.
+
+        Behind bytes that aren't read either, it isn't seen.
+        """
+        if not self.open:
+            return True
+        find_socket = getattr(self.transport, "getHandle", None)
+        handle = find_socket() if find_socket is not None else None
+        if not isinstance(handle, socket.socket):
+            return False
+        try:
+            return not handle.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except ConnectionError:
+            return True
+        except OSError:
+            # Nothing has arrived, or the system can't tell.
+            return False
+
     def check_timeouts(self, now_ms: int) -> None:
         """Closes the connection if its caller is too slow or idle.
 
