Gateway: statements of upstreams have a module of their own

Cause: gateway.py had grown to 1,123 lines; what upstreams say of themselves (leaving, pauses, limits) needs nothing of its requests but to take unsent ones back. Change: upstream_statements.py holds it; nothing else changes.

--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -283,7 +283,9 @@
 @when('upstream "{name}" says that it is leaving')
 def says_leaving(context, name):
     fleet = context.restored.gateway.fleet
-    context.restored.gateway.mark_leaving(fleet.states[name], "answer")
+    context.restored.gateway.statements.mark_leaving(
+        fleet.states[name], "answer"
+    )
 
 
 @then('upstreams "{names}" take requests')
--- a/features/steps/upstream_signs_steps.py
+++ b/features/steps/upstream_signs_steps.py
@@ -151,7 +151,7 @@
 def all_leave(context, service):
     world = context.world
     for state in usable(context, service):
-        world.gateway.mark_leaving(state, "answer")
+        world.gateway.statements.mark_leaving(state, "answer")
 
 
 @when('upstream "{name}" of "{service}" is listed')
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -23,7 +23,6 @@
 from godwitloft.gateway import http_server
 from godwitloft.gateway import latency
 from godwitloft.gateway import model
-from godwitloft.gateway import named_limit
 from godwitloft.gateway import options as options_module
 from godwitloft.gateway import ordering
 from godwitloft.gateway import outcomes
@@ -41,11 +40,10 @@
 from godwitloft.gateway import slot_client as slot_clients
 from godwitloft.gateway import store_contact
 from godwitloft.gateway import stream_origins
-from godwitloft.gateway import upstream_signs
+from godwitloft.gateway import upstream_statements
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
 
-MAX_VALUE_LOGGED = 60
 NOT_SENT_FOR_PAUSE = answers.AttemptOutcome(
     outcomes.Result.NOT_SENT, "upstream_paused", unusable=True
 )
@@ -100,7 +98,6 @@
         self.dependencies = dependencies
         self.instruments = dependencies.instruments
         self.clock = dependencies.clock
-        self.wall_ms = clocks.steady_wall(self.clock)
         self.config_state = config_states.ConfigState(
             self.clock, options.key_proof_ms
         )
@@ -175,6 +172,14 @@
             self.fleet.zone_of,
             listens_anew=True,
         )
+        self.statements = upstream_statements.UpstreamStatements(
+            self.clock,
+            dialect,
+            self.fleet,
+            sharing,
+            dependencies.instruments,
+            self.take_back_unsent,
+        )
         self.knowledge = shared_knowledge.SharedKnowledge(
             self.clock,
             sharing,
@@ -183,8 +188,10 @@
             contact,
             self.retry_policy.crashes.causes,
             self.versions,
-            lambda state: self.mark_leaving(state, "peer"),
-            lambda state, statement: self.set_limit(state, statement, "peer"),
+            lambda state: self.statements.mark_leaving(state, "peer"),
+            lambda state, statement: self.statements.set_limit(
+                state, statement, "peer"
+            ),
         )
         sharing.own_status = self.knowledge.status
         sharing.on_peer_status = self.knowledge.on_peer_status
@@ -448,7 +455,7 @@
             life = peer_status.Life(grant.upstream, grant.leaving_born_ms)
             state = self.fleet.state_of(life)
             if state is not None:
-                self.mark_leaving(state, "agent")
+                self.statements.mark_leaving(state, "agent")
         service = self.dependencies.slot_client.on_grant(grant, self.fleet)
         if service is not None and self.waiting.get(service):
             self.schedule(service)
@@ -595,151 +602,13 @@
             and request.answer is not None
         ):
             request.answer.on_head(status, headers)
-            self.heed_signs(request, status, headers)
-
-    def heed_signs(
-        self,
-        request: requests.Request,
-        status: int,
-        headers: list[http_server.Header],
-    ) -> None:
-        """Handles what an upstream says about itself in an answer.
-
-        :param request: the answered request
-        :param status: HTTP status
-        :param headers: all headers
-        """
-        state = request.upstream_state
-        answering_id = dict(headers).get(self.dialect.upstream_id)
-        if state is None or answering_id not in (
-            None,
-            state.upstream.id.encode("latin-1"),
-        ):
-            return
-        state = self.fleet.latest(state)
-        signs = upstream_signs.read(
-            status, headers, self.dialect, self.wall_ms()
-        )
-        if signs.leaving:
-            self.mark_leaving(state, "answer")
-        if signs.pause.error:
-            events.log(
-                events.RETRY_AFTER_IGNORED,
-                upstream=state.upstream.id,
-                request=request.facts.id,
-                value=signs.retry_after[:MAX_VALUE_LOGGED],
-                reason=signs.pause.error,
-            )
-        if signs.pause.duration_ms > 0:
-            self.pause_upstream(state, request, signs.pause.duration_ms)
-        self.heed_limit(state, request, signs.limit)
-
-    def heed_limit(
-        self,
-        state: fleets.UpstreamState,
-        request: requests.Request,
-        limit: upstream_signs.Limit,
-    ) -> None:
-        """Handles what an answer says of an upstream's limit.
-
-        An answer without a limit takes it back, unless its request was sent
-        before the limit was named: then it may have been on its way.
-
-        :param state: the upstream
-        :param request: the answered request
-        :param limit: the limit that the answer names
-        """
-        if limit.error:
-            events.log(
-                events.LIMIT_IGNORED,
-                upstream=state.upstream.id,
-                request=request.facts.id,
-                value=limit.value[:MAX_VALUE_LOGGED],
-                reason=limit.error,
-            )
-            return
-        before = state.limit_statement
-        if limit is upstream_signs.NO_LIMIT:
-            if before is None or request.sent_ms <= before.at_ms:
-                return
-            if before.per_s is None:
-                return
-        statement = named_limit.Statement(
-            None if limit is upstream_signs.NO_LIMIT else limit.per_s,
-            self.clock.monotonic_ms(),
-            self.wall_ms(),
-            own=True,
-        )
-        self.set_limit(state, statement, "answer")
+            self.statements.heed(request, status, headers)
 
-    def set_limit(
-        self,
-        state: fleets.UpstreamState,
-        statement: named_limit.Statement,
-        source: str,
-    ) -> None:
-        """Records what an upstream has said of its limit.
+    def take_back_unsent(self, state: fleets.UpstreamState) -> None:
+        """Takes back requests whose connections are still being made.
 
-        :param state: the upstream
-        :param statement: what it has said
-        :param source: who says so: its ``answer`` or a ``peer``
+        :param state: an upstream that wants no requests now
         """
-        if not state.set_limit(statement):
-            return
-        self.instruments.upstream_signs.add(1, {"sign": "limit"})
-        events.log(
-            events.UPSTREAM_LIMITED,
-            upstream=state.upstream.id,
-            per_s=statement.per_s,
-            source=source,
-            gateways=self.gateways,
-        )
-        if source == "answer":
-            self.dependencies.sharing.must_announce = True
-
-    def mark_leaving(self, state: fleets.UpstreamState, source: str) -> None:
-        """Stops sending new requests to an upstream that is leaving.
-
-        :param state: the upstream
-        :param source: who says so: its ``answer``, its ``agent`` or a
-            ``peer``
-        """
-        now_ms = self.clock.monotonic_ms()
-        if not state.say_leaving(now_ms, self.wall_ms()):
-            return
-        self.instruments.upstream_signs.add(1, {"sign": "leaving"})
-        events.log(
-            events.UPSTREAM_LEAVING,
-            upstream=state.upstream.id,
-            source=source,
-            running=state.running,
-        )
-        self.dependencies.sharing.must_announce = True
-
-    def pause_upstream(
-        self,
-        state: fleets.UpstreamState,
-        request: requests.Request,
-        duration_ms: int,
-    ) -> None:
-        """Sends nothing to an upstream for as long as it asked.
-
-        Requests whose connections are still being made are taken back.
-
-        :param state: the upstream
-        :param request: the request that it refused
-        :param duration_ms: how long it wants no requests
-        """
-        now_ms = self.clock.monotonic_ms()
-        self.fleet.ask_pause(state, duration_ms, now_ms, self.wall_ms())
-        self.instruments.upstream_signs.add(1, {"sign": "pause"})
-        events.log(
-            events.UPSTREAM_PAUSED,
-            upstream=state.upstream.id,
-            request=request.facts.id,
-            pause_ms=duration_ms,
-            running=state.running,
-        )
         for other in list(self.running):
             attempt = other.attempt
             if other.upstream_state is not state or attempt is None:
