A stream waits while no upstream of its service is listed

Cause: a request that continues a stream was refused as of a version that has left also while nothing at all was listed for its service, as after a crash of all its upstreams; others wait then, and so did this one before. Change: it is refused only where other versions take requests. Besides, the life of streams is worked out once for each configuration, and versions are compared only while one is new or required.

--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -186,3 +186,19 @@
     rows = context.streams.first.rows.rows
     found = [key for table, key in rows if table == STREAM_TABLE]
     assert not found, found
+
+
+@then("no stream is refused as of a version that has left")
+def check_waiting(context):
+    for stream in context.streams.streams:
+        received = stream.caller.received
+        assert b"stream_version_gone" not in received, received
+
+
+@when("the refused callers try again at gateway {number:d}")
+def try_again(context, number):
+    fleet = context.streams
+    for stream in fleet.streams:
+        if stream.caller is not None and stream.caller.status == 503:
+            stream.caller = None
+    fleet.take_up(number)
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -102,6 +102,19 @@
       | gateway 1 is killed |
       | all gateways are killed and start again |
 
+  # Guards against giving a stream up while its upstreams are only missing.
+  Scenario: A stream waits while no upstream of its service is listed
+    Given 3 gateways and engines of versions "v1 v1"
+    When 4 streams begin at gateway 1
+    And the engines of version "v1" leave
+    And gateway 1 is killed
+    And the callers take the streams up at gateway 2
+    Then no stream is refused as of a version that has left
+    When an engine of version "v1" starts
+    And 1200 ms pass at all gateways
+    And the refused callers try again at gateway 2
+    Then at least 4 streams go on
+
   Scenario: A version that left long ago doesn't keep streams from going on
     Given 3 gateways and engines of versions "v1 v2 v2"
     When the engines of version "v1" leave
--- a/features/support/stream_fleet.py
+++ b/features/support/stream_fleet.py
@@ -49,6 +49,7 @@
         # Steps until the first event, by attempt; negative once it was sent.
         self.steps_left = {}
         self.engines = 0
+        self.attempts = 0
         super().__init__(context, count, ())
         self.context = context
         self.names = {
@@ -140,7 +141,9 @@
             self.streams, key=lambda stream: stream.versions, reverse=True
         ):
             if stream.versions and stream.caller is None:
-                self.ask(stream, f"{stream.name}-2", stream.name, number)
+                self.attempts += 1
+                name = f"{stream.name}-{self.attempts}"
+                self.ask(stream, name, stream.name, number)
                 self.advance(STEP_MS)
         self.advance(2000)
 
--- a/godwitloft/gateway/continuations.py
+++ b/godwitloft/gateway/continuations.py
@@ -115,7 +115,7 @@
                 return False
             origin = stream_origins.Origin(facts.service, version)
         services = [target.service for target in facts.route.targets]
-        is_served = origin.service in services and self.fleet.usable(
+        is_served = origin.service in services and not self.fleet.has_lost(
             origin.service, origin.version
         )
         if not is_served:
--- a/godwitloft/gateway/fleet.py
+++ b/godwitloft/gateway/fleet.py
@@ -261,6 +261,16 @@
             and version in (None, state.upstream.version)
         ]
 
+    def has_lost(self, service: str, version: str) -> bool:
+        """Returns whether only other versions of a service take requests.
+
+        :param service: name of the service
+        :param version: the version
+        :return: False also while no upstream of the service does
+        """
+        versions = {state.upstream.version for state in self.usable(service)}
+        return bool(versions) and version not in versions
+
     def zone_of(self, upstream: str) -> str:
         """Returns the availability zone of an upstream.
 
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -34,6 +34,7 @@
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import request_checker as request_checkers
 from godwitloft.gateway import retry_policy as retry_policies
+from godwitloft.gateway import routing
 from godwitloft.gateway import service_versions
 from godwitloft.gateway import shared_knowledge
 from godwitloft.gateway import sharing as sharings
@@ -196,6 +197,9 @@
         sharing.own_status = self.knowledge.status
         sharing.on_peer_status = self.knowledge.on_peer_status
         self.draining = False
+        # The router from which the life of streams was worked out.
+        self.stream_life_router: routing.Router | None = None
+        self.cached_stream_life_ms = continuation_module.MIN_STREAM_LIFE_MS
         self.waiting: dict[str, list[requests.Request]] = {}
         self.scheduling: set[str] = set()
         self.running: set[requests.Request] = set()
@@ -248,9 +252,12 @@
     def stream_life_ms(self) -> int:
         """Returns how long after its start a stream may be taken up again."""
         router = self.config_state.router
-        return continuation_module.stream_life_ms(
-            router.configuration if router is not None else None
-        )
+        if router is not self.stream_life_router:
+            self.stream_life_router = router
+            self.cached_stream_life_ms = continuation_module.stream_life_ms(
+                router.configuration if router is not None else None
+            )
+        return self.cached_stream_life_ms
 
     def on_store_restored(self, at_ms: int) -> None:
         """Heeds that the store has lost what was written lately.
@@ -422,12 +429,14 @@
         now_ms = self.clock.monotonic_ms()
         self.admission.load_of(service).floor.mark_owed(queue)
         queue.sort(key=lambda request: ordering.order_key(request, now_ms))
-        self.versions.use_new()
-        states = [
-            state
-            for state in self.fleet.usable(service)
-            if self.versions.may_begin_at(state.upstream)
-        ]
+        states = self.fleet.usable(service)
+        if self.versions.new:
+            self.versions.use_new()
+            states = [
+                state
+                for state in states
+                if self.versions.may_begin_at(state.upstream)
+            ]
         candidates = self.placer.candidates(states, now_ms)
         still_waiting = []
         for number, request in enumerate(queue):
@@ -967,7 +976,7 @@
         if request.state is not requests.State.WAITING:
             return
         facts = request.facts
-        if request.version is not None and not self.fleet.usable(
+        if request.version is not None and self.fleet.has_lost(
             facts.service, request.version
         ):
             self.refuse(request, continuation_module.VERSION_GONE)
--- a/godwitloft/gateway/placer.py
+++ b/godwitloft/gateway/placer.py
@@ -63,20 +63,27 @@
         :param request: a waiting request
         :return: an upstream with a free slot, None to keep the request waiting
         """
-        version = request.version
-        places = [
-            place
-            for name, place in self.places.items()
-            if version in (None, self.states[name].upstream.version)
-        ]
         place = placement.choose(
-            places,
+            self.places_of(request.version),
             request.facts.sizes.prompt_tokens,
             request.facts.target_at_ms - self.now_ms,
             request.tried_upstreams,
         )
         return self.states[place.id] if place is not None else None
 
+    def places_of(self, version: str | None) -> list[placement.Place]:
+        """Returns the upstreams of a version.
+
+        :param version: version of their software, None for any
+        """
+        if version is None:
+            return list(self.places.values())
+        return [
+            place
+            for name, place in self.places.items()
+            if self.states[name].upstream.version == version
+        ]
+
 
 class Placer:
     """Chooses among the upstreams that a gateway may use.
