Soak: callers take broken streams up again, and joined versions are a breach

Cause: the soak's callers never took a stream up again, and its runners had one version, so that it couldn't see what the incident ORDER showed. Change: runners have two versions in turn; callers take streams up that broke off; check ORDER, with rows that break it and keep it.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -26,6 +26,9 @@
 CRASH_SHARE = 0.2
 SHARED_PARTS = ("aa0", "aa1", "aa2")
 # Route, HTTP method and relative frequency.
+RESUMABLE_ROUTE = "stream"
+MAX_TAKE_UPS = 4
+TAKE_UP_PAUSE_S = 0.3
 REQUEST_MIX = (
     ("stream", "POST", 3),
     ("once", "POST", 3),
@@ -53,6 +56,9 @@
     :param disconnected_ms: wall time at which the caller closed the
         connection early, 0 if it did not
     :param error: connection error, empty if there was none
+    :param resumes: id of the request whose stream it takes up again, empty for
+        none
+    :param first_event: number of the first event that it asks for
     """
 
     id: str
@@ -67,6 +73,8 @@
     is_complete: bool = False
     disconnected_ms: int = 0
     error: str = ""
+    resumes: str = ""
+    first_event: int = 1
 
     def expected(self) -> bytes:
         """Returns the body of a correct successful response."""
@@ -74,9 +82,23 @@
             return f"answer to {self.id}\n".encode()
         return "".join(
             f"id: {number}\ndata: x{number} of {self.id}\n\n"
-            for number in range(1, self.events + 1)
+            for number in range(self.first_event, self.events + 1)
         ).encode()
 
+    def next_event(self) -> int:
+        """Returns the number of the first event that it hasn't received."""
+        return self.first_event + self.body.count(b"\n\n")
+
+    def broke_off(self) -> bool:
+        """Returns whether it is a stream that may be taken up again."""
+        return (
+            self.route == RESUMABLE_ROUTE
+            and self.status == 200
+            and not self.is_complete
+            and not self.disconnected_ms
+            and 1 < self.next_event() <= self.events
+        )
+
 
 class Balancer:
     """Polls readiness and tells which entries accept new connections.
@@ -129,18 +151,20 @@
     def run(self) -> None:
         """Sends requests until it is stopped."""
         while not self.stop_requested.wait(self.rng.uniform(*PAUSE_RANGE_S)):
-            if not self.connect():
+            if not self.connect(self.rng):
                 continue
             record, method = self.draw_request()
             self.records.append(record)
             self.send(record, method)
+            self.take_up(record)
             if not record.is_complete or self.rng.random() > KEEP_ALIVE_SHARE:
                 self.close()
         self.close()
 
-    def connect(self) -> bool:
+    def connect(self, rng: random.Random) -> bool:
         """Reuses the open connection or opens a new one.
 
+        :param rng: chooses the entry
         :return: whether a connection is open
         """
         if self.connection is not None:
@@ -148,7 +172,7 @@
         entries = self.balancer.ready_entries()
         if not entries:
             return False
-        entry = self.rng.choice(entries)
+        entry = rng.choice(entries)
         self.entry_name = entry.name
         connection = http.client.HTTPConnection(
             entry.address, timeout=REQUEST_TIMEOUT_S
@@ -189,6 +213,38 @@
             method,
         )
 
+    def take_up(self, broken: RequestRecord) -> None:
+        """Takes a stream up again that broke off, until it ends.
+
+        :param broken: a request that has ended
+        """
+        next_event = broken.next_event()
+        for _ in range(MAX_TAKE_UPS if broken.broke_off() else 0):
+            self.close()
+            if self.stop_requested.wait(TAKE_UP_PAUSE_S):
+                return
+            if not self.connect(self.parts_rng):
+                continue
+            record = dataclasses.replace(
+                broken,
+                id=f"c{self.number}-{len(self.records)}",
+                entry=self.entry_name,
+                sent_ms=deployment.now_ms(),
+                ended_ms=0,
+                status=0,
+                body=b"",
+                error="",
+                resumes=broken.id,
+                first_event=next_event,
+            )
+            self.records.append(record)
+            self.send(record, "POST")
+            next_event = record.next_event()
+            if record.is_complete and record.status == 200:
+                return
+            if record.status == 200 and not record.broke_off():
+                return
+
     def send(self, record: RequestRecord, method: str) -> None:
         """Sends a request and reads its response.
 
@@ -206,7 +262,12 @@
             (PROMPT_TOKENS, record.events) if record.events else None,
             self.draw_parts(record.id) if record.events else (),
         )
-        disconnects = self.rng.random() < DISCONNECT_SHARE
+        disconnects = False
+        if record.resumes:
+            headers["Resumes"] = record.resumes
+            headers["Last-Event-Id"] = str(record.first_event - 1)
+        else:
+            disconnects = self.rng.random() < DISCONNECT_SHARE
         try:
             connection.request(method, f"/{record.route}/x", headers=headers)
             response = connection.getresponse()
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -45,6 +45,8 @@
     "cut_streams": {"cut_after": [1, 2]},
     "break_unframed": {"break_unframed": 3},
 }
+# Software versions of the runners, in turn.
+VERSIONS = ("v1", "v2")
 
 
 def now_ms() -> int:
@@ -164,7 +166,10 @@
         runner_relay = self.on_reactor(lambda: self.new_relay(address))
         port = self.on_reactor(lambda: runner_relay.listen(host))
         self.relays.append(runner_relay)
-        self.control(runners={name: {"address": f"{host}:{port}"}})
+        version = VERSIONS[number % len(VERSIONS)]
+        self.control(
+            runners={name: {"address": f"{host}:{port}", "version": version}}
+        )
         if number < self.size.agents:
             self.agents.append(
                 self.program(
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -150,6 +150,8 @@
             leaving=row["leaving"],
             limit_per_s=row["limit"],
             crashes_on=row["crashes_on"],
+            version=row["version"],
+            last_event=row["last"] or "",
         )
         for runner, ledger in system.fetch("/ledger").items()
         for row in ledger
@@ -206,6 +208,11 @@
         "requests": len(history.records),
         "runs": len(history.runs),
         "crashing": sum(bool(run.crashes_on) for run in history.runs),
+        "taken up": sum(bool(record.resumes) for record in history.records),
+        "went on": sum(
+            bool(record.resumes) and record.status == 200
+            for record in history.records
+        ),
         "statuses": dict(sorted(statuses.items())),
         "problems": dict(sorted(errors.items())),
         "faults": dict(
--- a/bench/soak/verdict.py
+++ b/bench/soak/verdict.py
@@ -7,6 +7,7 @@
 
 from bench.soak import callers
 from bench.soak import deployment
+from bench.soak import joined_streams
 from bench.soak import site
 from godwitloft.standins import lakeshore_words as words
 
@@ -62,6 +63,9 @@
     :param limit_per_s: limit that its answer named, None for none
     :param crashes_on: part of its prompt that crashes the runner, empty for
         none
+    :param version: software version of the runner
+    :param last_event: event after which the run was asked to go on, empty if
+        it began the stream
     """
 
     id: str
@@ -77,6 +81,8 @@
     pause_ms: int = 0
     limit_per_s: float | None = None
     crashes_on: str = ""
+    version: str = ""
+    last_event: str = ""
 
 
 @dataclasses.dataclass
@@ -667,6 +673,7 @@
     "TWICE": find_repeated_runs,
     "REFUSED": find_runs_after_refusal,
     "MIXED": find_wrong_answers,
+    "ORDER": joined_streams.find_joined_streams,
     "UNASKED": find_unrequested_runs,
     "DENIED": find_wrong_denials,
     "CONFIG": find_runs_after_withdrawal,
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -66,6 +66,9 @@
       | - | 7 late | held | count=7 | - | |
       | GONE | 5 of 5 | disconnected | count=5 ran_on=900 | - | |
       | - | 5 of 5 in time | disconnected | count=5 ran_on=300 | - | |
+      | ORDER | 3 streams joined from two versions | joined | count=3 version=v2 | - | |
+      | - | 2 streams joined from two versions | joined | count=2 version=v2 | - | |
+      | - | 3 streams at their own version | joined | count=3 version=v1 | - | |
       | RECOVER | nothing served | fault | kind=reset target=i-desk-0 start=0 end=0 | unserved | count=10 sent=9000 |
       | OWN END | one | ended | name=entry-0 | - | |
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -252,6 +252,34 @@
             ended = 150 + int(fields["ran_on"])
             self.runs.append(verdict.dataclasses.replace(run, ended_ms=ended))
 
+    def add_joined(self, fields):
+        for number in range(int(fields["count"])):
+            row = {
+                "id": f"j{number}",
+                "route": "stream",
+                "key": "key-large",
+                "team": "large",
+                "events": 3,
+                "sent": 100,
+                "body": "first",
+                "whole": "no",
+            }
+            self.add_late(row | {"runner": "i-model-0"})
+            began = self.runs.pop()
+            self.runs.append(verdict.dataclasses.replace(began, version="v1"))
+            again = row | {"id": f"j{number}-2", "sent": 300, "whole": "yes"}
+            self.add_late(again | {"runner": "i-model-1"})
+            went_on = self.runs.pop()
+            self.runs.append(
+                verdict.dataclasses.replace(
+                    went_on, version=fields["version"], last_event="1"
+                )
+            )
+            record = self.records[-1]
+            record.resumes = row["id"]
+            record.first_event = 2
+            record.body = record.expected()
+
     def add_unserved(self, fields):
         for number in range(int(fields["count"])):
             self.add_request(
--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -265,6 +265,8 @@
         self.rows = rows
         self.reactor = reactor
         self.address = ""
+        # Of its software.
+        self.version = "v1"
         self.state = "ready"
         self.gone = False
         # Heartbeat intervals since the store has heard from it.
@@ -324,7 +326,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "a",
-            "version": "v1",
+            "version": self.version,
             "slots": words.ENGINE_SLOTS,
             "state": self.state,
             "sequence": 1,
@@ -386,6 +388,7 @@
             "last": header("Last-Event-Id"),
             "left_ms": header("Godwitloft-Deadline-Ms"),
             "parts": header(PROMPT_PARTS),
+            "version": self.version,
             "crashes_on": "",
             "ended_ms": None,
             "leaving": self.says_leaving,
