A gateway's row with a host that is no IP number is left out

Cause: found when looking for the class of the odd rows in every reader. Such a host went into the list of peers, where sending to it raises an error, so that announcements to all behind it were not sent.

--- a/features/odd_rows.feature
+++ b/features/odd_rows.feature
@@ -41,6 +41,26 @@
       | key | "\ud800" |
       | key | "x\r\ny: z" |
 
+  # Guards against announcements that reach no peer behind an odd one.
+  Scenario Outline: An odd row of a gateway is left out: <field> <what>
+    Given a gateway that follows a store with configuration 5
+    And upstreams "a,b" that write their rows each second
+    When a row of a gateway is left with <field> <what>
+    And the gateway reads the rows of gateways
+    Then the gateway uses "a,b" and lists no other
+    And it has no peers
+    And no internal error was logged
+
+    Examples:
+      | field | what |
+      | host | "nowhere" |
+      | host | "127.0.0.1:9" |
+      | host | "\ud800" |
+      | renewed_ms | of 400 digits |
+      | used | {"team": [1e400]} |
+      | versions | {"model": {"v1": -1}} |
+      | versions | {"model": [1]} |
+
   # Guards against a call that never ends, after which its loop stands still.
   Scenario Outline: A call ends whatever it is answered: <what>
     Given a call of the platform's client
--- a/features/steps/odd_rows_steps.py
+++ b/features/steps/odd_rows_steps.py
@@ -73,6 +73,35 @@
     restored.rows.put("servers", key, content)
 
 
+@when("a row of a gateway is left with {field} {what}")
+def leave_gateway_row(context, field, what):
+    restored = context.restored
+    context.log = logs.record(context)
+    row = {
+        "host": '"127.0.0.9"',
+        "renewed_ms": str(restored.rows.now_ms()),
+        "used": "{}",
+        "blames": "[]",
+        "versions": "{}",
+        field: number_text(what),
+    }
+    members = ",".join(f'"{name}":{value}' for name, value in row.items())
+    content = base64.b64encode(f"{{{members}}}".encode()).decode()
+    restored.rows.put("gateways", "odd", content)
+
+
+@when("the gateway reads the rows of gateways")
+def read_gateways(context):
+    context.restored.watch.renewals = 0
+    context.restored.watch.renewed_ms = 0
+    context.restored.advance(200)
+
+
+@then("it has no peers")
+def check_no_peers(context):
+    assert not context.restored.world.sharing.hosts
+
+
 @then('the gateway uses "{names}" and lists no other')
 def check_used(context, names):
     restored = context.restored
--- a/godwitloft/platform/lease_row.py
+++ b/godwitloft/platform/lease_row.py
@@ -8,6 +8,7 @@
 from godwitloft.gateway import service_versions
 from godwitloft.gateway import sharing
 from godwitloft.platform import rows
+from godwitloft.platform import settings
 
 
 @dataclasses.dataclass(frozen=True)
@@ -63,8 +64,11 @@
     """
     fields = rows.decode_content(name, value)
     usage = rows.Fields(name, "used", fields.value.get("used", {}))
+    host = fields.text("host")
+    if not settings.is_ip_number(host):
+        raise fields.error("host", f"{host!r:.80} is not an IP number")
     return LeaseRow(
-        fields.text("host"),
+        host,
         int(fields.number("renewed_ms")),
         {team: usage.numbers(team) for team in usage.value},
         tuple(decode_blame(entry) for entry in fields.objects("blames")),
--- a/godwitloft/platform/settings.py
+++ b/godwitloft/platform/settings.py
@@ -185,13 +185,23 @@
     port = whole_number.parse(port_text, MAX_PORT)
     if not port:
         return None
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
+    if not is_ip_number(host):
         return None
     return Address(host, port)
 
 
+def is_ip_number(text: str) -> bool:
+    """Returns whether a text is an IP number.
+
+    :param text: any text
+    """
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
 def decode(reader: Reader) -> Boot:
     """Translates the platform's fields to the settings of a process.
 
