A broken stream isn't sent to the same upstream again without a pause

Cause: an attempt that reached nobody may be followed by another at once. Where only one upstream is left for a request that has run, that is the same one. It was so before; a stream that goes on only at its version meets it often. Change: before a request goes to an upstream again that has just failed it, 0.1 s pass.

--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -202,3 +202,28 @@
         if stream.caller is not None and stream.caller.status == 503:
             stream.caller = None
     fleet.take_up(number)
+
+
+@when(
+    'the engines of version "{version}" break off all streams and refuse'
+    " connections"
+)
+def break_off_and_refuse(context, version):
+    fleet = context.streams
+    fleet.refusing.add(version)
+    break_off(context, version)
+    (member,) = fleet.members.values()
+    context.sent_before = len(member.world.sent)
+
+
+@when('the engines of version "{version}" accept connections')
+def accept(context, version):
+    context.streams.refusing.discard(version)
+
+
+@then("each broken stream was sent again {least:d} to {most:d} times")
+def check_sent_again(context, least, most):
+    (member,) = context.streams.members.values()
+    found = len(member.world.sent) - context.sent_before
+    count = len(context.broken)
+    assert least * count <= found <= most * count, (found, count)
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -20,6 +20,18 @@
       | v1 v2 v2 | leave and then break off all streams | were cut |
       | v1 v1 v2 v2 | leave and then break off all streams | were cut |
 
+  # Guards against attempts without pause at the one upstream that is left.
+  Scenario: A stream whose upstreams refuse connections is tried now and then
+    Given 1 gateway and engines of versions "v1 v2"
+    When 2 streams begin at gateway 1
+    And the engines of version "v1" break off all streams and refuse connections
+    And 1000 ms pass at all gateways
+    Then each broken stream was sent again 5 to 12 times
+    When the engines of version "v1" accept connections
+    And 300 ms pass at all gateways
+    Then no stream holds events of two versions
+    And the broken streams went on
+
   # Guards against taking a caller's next attempt for a new request.
   Scenario Outline: A stream that its caller takes up goes on at its own version: <versions>, <what>
     Given 3 gateways and engines of versions "<versions>"
--- a/features/support/stream_fleet.py
+++ b/features/support/stream_fleet.py
@@ -49,6 +49,8 @@
         # Steps until the first event, by attempt; negative once it was sent.
         self.steps_left = {}
         self.engines = 0
+        # Versions whose engines refuse connections.
+        self.refusing = set()
         self.attempts = 0
         super().__init__(context, count, ())
         self.context = context
@@ -81,6 +83,11 @@
             for sent in list(member.world.sent):
                 if sent.cancelled:
                     continue
+                if sent.upstream.version in self.refusing:
+                    if id(sent) not in self.steps_left:
+                        self.steps_left[id(sent)] = -1
+                        sent.end(attempts.End.NOT_SENT)
+                    continue
                 left = self.steps_left.get(id(sent), FIRST_EVENT_STEPS)
                 self.steps_left[id(sent)] = left - 1
                 if left < 0 and comments_due:
--- a/godwitloft/gateway/placer.py
+++ b/godwitloft/gateway/placer.py
@@ -63,6 +63,8 @@
         :param request: a waiting request
         :return: an upstream with a free slot, None to keep the request waiting
         """
+        if self.now_ms < request.resend_at_ms:
+            return None
         place = placement.choose(
             self.places_of(request.version),
             request.facts.sizes.prompt_tokens,
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -147,6 +147,8 @@
         self.runs = 0
         self.attempt_count = 0
         self.tried_upstreams: set[str] = set()
+        # It isn't sent again before this time.
+        self.resend_at_ms = 0
         self.sent_ms = 0
         self.last_upstream_id = ""
         # Prompt tokens that were pending at its upstream when it was sent, and
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -13,6 +13,8 @@
 
 # Longer than the pauses between two events of a stream on a busy engine.
 STALL_MS = 1_500
+# Before a request is sent again to an upstream that has just failed it.
+SAME_UPSTREAM_PAUSE_MS = 100
 STALLED = answers.AttemptOutcome(
     outcomes.Result.BROKEN, "stalled", unusable=True
 )
@@ -195,6 +197,7 @@
                 return "no_other_upstream"
             # An upstream that broke one request off may serve the next.
             request.tried_upstreams.clear()
+            request.resend_at_ms = now_ms + SAME_UPSTREAM_PAUSE_MS
         if self.all_pause_too_long(request, states):
             return "upstreams_paused"
         if attempt_outcome.result is outcomes.Result.NOT_SENT:
