The pause before the same upstream holds only after a failed connection

Cause: also delayed a request whose attempt had broken off, where an upstream may serve the next attempt at once; "A late request whose attempt broke waits for another one" (gateway_load.feature) failed by it. Result: gateway_load, gateway_requests and stream_versions pass.

--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -13,8 +13,9 @@
 
 # Longer than the pauses between two events of a stream on a busy engine.
 STALL_MS = 1_500
-# Before a request is sent again to an upstream that has just failed it.
-SAME_UPSTREAM_PAUSE_MS = 100
+# Before a request goes again to an upstream that could not be reached, where
+# no other is left.
+UNREACHABLE_PAUSE_MS = 100
 STALLED = answers.AttemptOutcome(
     outcomes.Result.BROKEN, "stalled", unusable=True
 )
@@ -197,7 +198,8 @@
                 return "no_other_upstream"
             # An upstream that broke one request off may serve the next.
             request.tried_upstreams.clear()
-            request.resend_at_ms = now_ms + SAME_UPSTREAM_PAUSE_MS
+            if attempt_outcome.result is outcomes.Result.NOT_SENT:
+                request.resend_at_ms = now_ms + UNREACHABLE_PAUSE_MS
         if self.all_pause_too_long(request, states):
             return "upstreams_paused"
         if attempt_outcome.result is outcomes.Result.NOT_SENT:
