Of what gateways had saved of a version, the latest word counts

Cause: found on reading the change again. A gateway that starts took the first row that names a version, not the latest: a row of a gateway that had died earlier made it forget a version while its streams could still be taken up, and take the one left for the only one (ORDER).

--- a/godwitloft/gateway/service_versions.py
+++ b/godwitloft/gateway/service_versions.py
@@ -120,7 +120,10 @@
                 del self.new[version]
                 self.used[version] = None
             elif absent_ms + age_ms < self.stream_life_ms():
-                self.used.setdefault(version, now_ms - age_ms - absent_ms)
+                absent_since_ms = now_ms - age_ms - absent_ms
+                known_ms = self.used.get(version, absent_since_ms)
+                if known_ms is not None:
+                    self.used[version] = max(known_ms, absent_since_ms)
 
     def absences(self) -> Absences:
         """Returns what must be saved to outlive this gateway.
