A version counts as used at a start only if another gateway may use it

Cause: found on reading the change again, two cases of one belief: a gateway took what was saved of a version for a proof that all know it. A gateway that started used a version at once that others had only seen; and after a restore of the store a version was used whose row the restore had cut back. Change: rows tell versions that were used from such that were only seen; after a restore they count as unsaved.

--- a/features/service_versions.feature
+++ b/features/service_versions.feature
@@ -15,3 +15,38 @@
       | first | second |
       | absent 5 s, saved 14 s ago | absent 0 s, saved 1 s ago |
       | absent 0 s, saved 1 s ago | absent 5 s, saved 14 s ago |
+
+  # Guards against counting on what the store has lost.
+  Scenario: A version that was saved before the store was restored is saved again before it is used
+    Given versions of a service whose streams live 20 s
+    And "v1" is listed and used
+    When "v2" is listed too and saved, and the store is restored from a copy
+    And 5 s pass with "v1,v2" listed
+    Then streams may begin at "v1"
+    And it is to be saved soon
+    When the versions are saved
+    Then streams may begin at "v1,v2"
+
+  # Guards against a start at which a version is used that others don't know.
+  Scenario Outline: A gateway that starts doesn't use a version that others had only seen: <saved>
+    Given versions of a service whose streams live 20 s
+    When a gateway starts where "v1" was used and "v2" was <saved>
+    And "v1,v2" are listed
+    Then streams may hold "v1,v2"
+    And streams may begin at "<at once>"
+    When the versions are saved
+    And 2.5 s pass with "v1,v2" listed
+    Then streams may begin at "v1,v2"
+
+    Examples:
+      | saved | at once |
+      | seen | v1 |
+      | used | v1,v2 |
+
+  # Guards against waiting for others where nothing is left to begin at.
+  Scenario: A version that others had only seen is used at once where no other is listed
+    Given versions of a service whose streams live 20 s
+    When a gateway starts where "v1" was used and "v2" was seen
+    And "v2" are listed
+    Then streams may hold "v1,v2"
+    And streams may begin at "v2"
--- a/features/steps/service_versions_steps.py
+++ b/features/steps/service_versions_steps.py
@@ -20,6 +20,7 @@
         self.now_ms = 1_000_000
         self.life_ms = life_s * 1000
         self.restored = True
+        self.listed = ()
         clock = clocks.Clock(lambda: self.now_ms, lambda: self.now_ms)
         self.contact = store_contact.StoreContact(1800)
         self.versions = service_versions.ServiceVersions(
@@ -32,6 +33,7 @@
         )
 
     def list(self, *names):
+        self.listed = names
         upstreams = [OTHER]
         for name in names:
             upstreams.append(
@@ -55,7 +57,8 @@
 
 def restore(context, text):
     absent_s, saved_s = map(int, re.findall(r"(\d+) s", text))
-    context.versions.versions.restore({V1: absent_s * 1000}, saved_s * 1000)
+    saved = service_versions.Saved({V1: absent_s * 1000})
+    context.versions.versions.restore(saved, saved_s * 1000)
 
 
 @when('a gateway is restored from "v1" {first} and then {second}')
@@ -74,3 +77,72 @@
     found = context.versions.versions.possible("model")
     expected = set() if names == "-" else set(names.split(","))
     assert found == expected, found
+
+
+def key(name):
+    return service_versions.ServiceVersion("model", name)
+
+
+@given('"{name}" is listed and used')
+def listed_and_used(context, name):
+    world = context.versions
+    world.list(name)
+    save(context)
+    check_begin(context, name)
+
+
+@when(
+    '"{name}" is listed too and saved, and the store is restored from a copy'
+)
+def saved_and_restored(context, name):
+    world = context.versions
+    world.list("v1", name)
+    save(context)
+    world.versions.mark_unsaved()
+
+
+@when('{duration_s:g} s pass with "{names}" listed')
+def passing_listed(context, duration_s, names):
+    context.versions.advance(int(duration_s * 1000), *names.split(","))
+
+
+@when('a gateway starts where "{used}" was used and "{other}" was {how}')
+def start(context, used, other, how):
+    seen = {key(other)} if how == "seen" else set()
+    saved = service_versions.Saved(
+        {key(used): 0, key(other): 0}, frozenset(seen)
+    )
+    context.versions.versions.restore(saved, 100)
+
+
+@when('"{names}" are listed')
+def listed(context, names):
+    context.versions.list(*names.split(","))
+
+
+@when("the versions are saved")
+def save(context):
+    world = context.versions
+    world.versions.mark_saved()
+    world.versions.record_saved(world.now_ms)
+
+
+@then('streams may begin at "{names}"')
+def check_begin(context, names):
+    versions = context.versions.versions
+    versions.use_new()
+    found = {
+        name
+        for name in context.versions.listed
+        if versions.may_begin_at(
+            model.Upstream(
+                "u", "model", "127.0.0.1", 9, "a", 4, False, 1, name
+            )
+        )
+    }
+    assert found == set(names.split(",")), found
+
+
+@then("it is to be saved soon")
+def check_unsaved(context):
+    assert context.versions.versions.unsaved
--- a/features/support/restored_store.py
+++ b/features/support/restored_store.py
@@ -142,7 +142,7 @@
                 on_versions_restored=self.gateway.versions.restore,
                 usage=sharing.usage,
                 blames=self.gateway.knowledge.blame_reports,
-                absences=self.gateway.versions.absences,
+                versions=self.gateway.versions.to_save,
                 needs_saving=self.gateway.knowledge.needs_saving,
                 before_save=self.gateway.knowledge.mark_saved,
                 on_saved=self.gateway.versions.record_saved,
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -266,6 +266,7 @@
         """
         self.config_state.mark_restored(at_ms)
         self.origins.mark_unsaved()
+        self.versions.mark_unsaved()
 
     def update_upstreams(self, upstreams: dict[str, model.Upstream]) -> None:
         """Replaces the list of upstreams.
--- a/godwitloft/gateway/service_versions.py
+++ b/godwitloft/gateway/service_versions.py
@@ -38,8 +38,20 @@
     version: str
 
 
-# How long each version has not been listed, in milliseconds; 0: it is listed.
-Absences = dict[ServiceVersion, int]
+@dataclasses.dataclass(frozen=True)
+class Saved:
+    """What must outlive a gateway.
+
+    :param absences: versions at which its streams may have begun, and how long
+        each had not been listed, in milliseconds; 0: it was
+    :param new: those of them that it had only seen by then; it may have used
+        them since
+    """
+
+    absences: dict[ServiceVersion, int] = dataclasses.field(
+        default_factory=dict
+    )
+    new: frozenset[ServiceVersion] = frozenset()
 
 
 class ServiceVersions:
@@ -74,7 +86,8 @@
         # Versions at which streams may have begun, and since when each has not
         # been listed, None while it is.
         self.used: dict[ServiceVersion, int | None] = {}
-        # Versions that are not used yet, and when each was first listed.
+        # Versions that this gateway doesn't use yet, and when each was first
+        # listed. Such that another may have used are in `used` as well.
         self.new: dict[ServiceVersion, int] = {}
         self.unsaved = False
         self.saved_ms: int | None = None
@@ -108,37 +121,56 @@
             elif now_ms - absent_ms >= self.stream_life_ms():
                 del self.used[version]
 
-    def restore(self, absences: Absences, age_ms: int) -> None:
+    def restore(self, saved: Saved, age_ms: int) -> None:
         """Takes over what a gateway had saved.
 
-        :param absences: the versions that it may have used
+        :param saved: the versions
         :param age_ms: how long ago it saved them
         """
         now_ms = self.clock.monotonic_ms()
-        for version, absent_ms in absences.items():
-            if version in self.new:
-                del self.new[version]
-                self.used[version] = None
-            elif absent_ms + age_ms < self.stream_life_ms():
-                absent_since_ms = now_ms - age_ms - absent_ms
-                known_ms = self.used.get(version, absent_since_ms)
-                if known_ms is not None:
-                    self.used[version] = max(known_ms, absent_since_ms)
+        for version, absent_ms in saved.absences.items():
+            if absent_ms + age_ms >= self.stream_life_ms():
+                continue
+            is_listed = version in self.new
+            if version not in saved.new:
+                self.new.pop(version, None)
+            elif is_listed or version not in self.used:
+                self.new[version] = now_ms - age_ms
+            self.note_use(
+                version, None if is_listed else now_ms - age_ms - absent_ms
+            )
 
-    def absences(self) -> Absences:
-        """Returns what must be saved to outlive this gateway.
+    def note_use(
+        self, version: ServiceVersion, absent_since_ms: int | None
+    ) -> None:
+        """Records that streams may have begun at a version.
 
-        :return: all versions that are used or may be soon
+        :param version: the version
+        :param absent_since_ms: since when it isn't listed, None if it is; of
+            several such times the latest counts
         """
+        known_ms = self.used.get(version, absent_since_ms)
+        if known_ms is None or absent_since_ms is None:
+            self.used[version] = None
+        else:
+            self.used[version] = max(known_ms, absent_since_ms)
+
+    def to_save(self) -> Saved:
+        """Returns what must be saved to outlive this gateway."""
         now_ms = self.clock.monotonic_ms()
         used = {
             version: now_ms - since_ms if since_ms is not None else 0
             for version, since_ms in self.used.items()
         }
-        return used | dict.fromkeys(self.new, 0)
+        return Saved(used | dict.fromkeys(self.new, 0), frozenset(self.new))
+
+    def mark_unsaved(self) -> None:
+        """Records that the store has lost what was saved."""
+        self.unsaved = True
+        self.saved_ms = None
 
     def mark_saved(self) -> None:
-        """Records that :meth:`absences` is about to be saved."""
+        """Records that :meth:`to_save` is about to be saved."""
         self.unsaved = False
 
     def record_saved(self, at_ms: int) -> None:
@@ -160,7 +192,7 @@
         listed = {
             version.service
             for version, absent_ms in self.used.items()
-            if absent_ms is None
+            if absent_ms is None and version not in self.new
         }
         for version, since_ms in list(self.new.items()):
             if version.service in listed and not self.is_known_to_all(
--- a/godwitloft/platform/lease_row.py
+++ b/godwitloft/platform/lease_row.py
@@ -20,17 +20,14 @@
         milliseconds
     :param usage: its usage of the teams' allowances
     :param blames: what is blamed for crashes of upstreams
-    :param absences: software versions at which its streams may have begun, and
-        how long each had not been listed, in milliseconds
+    :param versions: software versions at which its streams may have begun
     """
 
     host: str
     renewed_ms: int
     usage: sharing.Usage
     blames: tuple[crash_reports.BlameReport, ...] = ()
-    absences: service_versions.Absences = dataclasses.field(
-        default_factory=dict
-    )
+    versions: service_versions.Saved = service_versions.Saved()
 
 
 def encode(row: LeaseRow) -> str:
@@ -49,7 +46,11 @@
         "host": row.host,
         "used": usage,
         "blames": [encode_blame(blame) for blame in row.blames],
-        "versions": encode_absences(row.absences),
+        "versions": encode_absences(row.versions),
+        "new_versions": [
+            {"service": version.service, "version": version.version}
+            for version in row.versions.new
+        ],
     }
     return base64.b64encode(json.dumps(content).encode()).decode()
 
@@ -72,39 +73,46 @@
         int(fields.number("renewed_ms")),
         {team: usage.numbers(team) for team in usage.value},
         tuple(decode_blame(entry) for entry in fields.objects("blames")),
-        decode_absences(
-            rows.Fields(name, "versions", fields.value.get("versions", {}))
-        ),
+        decode_versions(fields),
     )
 
 
 def encode_absences(
-    absences: service_versions.Absences,
+    versions: service_versions.Saved,
 ) -> dict[str, dict[str, int]]:
     """Returns versions as they are saved.
 
-    :param absences: how long each was not listed
-    :return: the same by service and version
+    :param versions: the versions
+    :return: how long each was not listed, by service and version
     """
     found: dict[str, dict[str, int]] = {}
-    for version, absent_ms in absences.items():
+    for version, absent_ms in versions.absences.items():
         found.setdefault(version.service, {})[version.version] = absent_ms
     return found
 
 
-def decode_absences(fields: rows.Fields) -> service_versions.Absences:
+def decode_versions(fields: rows.Fields) -> service_versions.Saved:
     """Decodes versions.
 
-    :param fields: a JSON object, by service and version
-    :return: how long each was not listed, in milliseconds
+    :param fields: the content of the row
+    :return: the versions; none if the row has none
     """
-    found = {}
-    for service, value in fields.value.items():
-        versions = rows.Fields(fields.row, f"{fields.path}.{service}", value)
+    services = rows.Fields(
+        fields.row, "versions", fields.value.get("versions", {})
+    )
+    absences = {}
+    for service, value in services.value.items():
+        versions = rows.Fields(fields.row, f"versions.{service}", value)
         for version in versions.value:
             key = service_versions.ServiceVersion(service, version)
-            found[key] = int(versions.number(version))
-    return found
+            absences[key] = int(versions.number(version))
+    new = frozenset(
+        service_versions.ServiceVersion(
+            entry.text("service"), entry.text("version")
+        )
+        for entry in fields.objects("new_versions")
+    )
+    return service_versions.Saved(absences, new)
 
 
 def encode_blame(blame: crash_reports.BlameReport) -> dict[str, object]:
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -163,7 +163,7 @@
             on_versions_restored=gateway.versions.restore,
             usage=sharing.usage,
             blames=gateway.knowledge.blame_reports,
-            absences=gateway.versions.absences,
+            versions=gateway.versions.to_save,
             needs_saving=gateway.knowledge.needs_saving,
             before_save=gateway.knowledge.mark_saved,
             on_saved=gateway.versions.record_saved,
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -74,7 +74,7 @@
         versions that a gateway may have used, and the age in milliseconds
     :param usage: returns the usage of this process by team
     :param blames: returns what is blamed for crashes
-    :param absences: returns the software versions that are used or will be
+    :param versions: returns the software versions that are used or will be
     :param needs_saving: returns whether one of these has changed much since
         they were saved
     :param before_save: called just before they are written
@@ -97,12 +97,10 @@
     on_blames_restored: typing.Callable[
         [tuple[crash_reports.BlameReport, ...], int], None
     ]
-    on_versions_restored: typing.Callable[
-        [service_versions.Absences, int], None
-    ]
+    on_versions_restored: typing.Callable[[service_versions.Saved, int], None]
     usage: typing.Callable[[], sharing.Usage]
     blames: typing.Callable[[], tuple[crash_reports.BlameReport, ...]]
-    absences: typing.Callable[[], service_versions.Absences]
+    versions: typing.Callable[[], service_versions.Saved]
     needs_saving: typing.Callable[[], bool]
     before_save: typing.Callable[[], None]
     on_saved: typing.Callable[[int], None]
@@ -526,7 +524,7 @@
             age_ms = max(0, result.now_ms - holder.renewed_ms)
             if not self.usage_restored:
                 self.callbacks.on_blames_restored(holder.blames, age_ms)
-                self.callbacks.on_versions_restored(holder.absences, age_ms)
+                self.callbacks.on_versions_restored(holder.versions, age_ms)
                 if row.key != self.instance:
                     self.callbacks.on_peer_usage_restored(
                         row.key, holder.usage, age_ms
@@ -553,7 +551,7 @@
             renewed_ms=now_ms + self.store_clock_offset_ms,
             usage=self.callbacks.usage(),
             blames=self.callbacks.blames(),
-            absences=self.callbacks.absences(),
+            versions=self.callbacks.versions(),
         )
         value = lease_row.encode(row)
         yield self.store.put(GATEWAY_TABLE, self.instance, value)
