Streams are remembered as long as the time-outs under which they began

Cause: found on reading the change again. How long a version and a stream are remembered was worked out from the configuration in force. When operators shorten a time-out, streams that began before live on, but were forgotten by the shorter one, so that the version left was taken for the only one. Change: lives under earlier configurations count until they are over (gateway/stream_life.py). A gateway that starts knows only the present one. Result: two of three rows of features/service_versions.feature would fail with the present configuration alone, which is what the code before had.

--- a/features/service_versions.feature
+++ b/features/service_versions.feature
@@ -50,3 +50,19 @@
     And "v2" are listed
     Then streams may hold "v1,v2"
     And streams may begin at "v2"
+
+  # Guards against forgetting streams that began under longer time-outs.
+  Scenario Outline: Streams are remembered as long as the time-outs under which they began: <before> s, then <after> s
+    Given routes of streams with a time-out of <before> s
+    Then streams are remembered for <life> s
+    When their time-out is changed to <after> s
+    And 1 s pass since then
+    Then streams are remembered for <still> s
+    When <long> s pass since then
+    Then streams are remembered for <then> s
+
+    Examples:
+      | before | after | life | still | long | then |
+      | 60 | 10 | 90 | 90 | 90 | 20 |
+      | 10 | 60 | 20 | 90 | 1 | 90 |
+      | 60 | 40 | 90 | 90 | 90 | 60 |
--- a/features/steps/service_versions_steps.py
+++ b/features/steps/service_versions_steps.py
@@ -1,13 +1,17 @@
+import dataclasses
 import re
 
 from behave import given
 from behave import then
 from behave import when
 
+from features.support import gateway_world
 from godwitloft import clock as clocks
 from godwitloft.gateway import model
+from godwitloft.gateway import routing
 from godwitloft.gateway import service_versions
 from godwitloft.gateway import store_contact
+from godwitloft.gateway import stream_life
 
 V1 = service_versions.ServiceVersion("model", "v1")
 OTHER = model.Upstream("d", "desk", "127.0.0.1", 9, "a", 4, False, 1, "v1")
@@ -146,3 +150,36 @@
 @then("it is to be saved soon")
 def check_unsaved(context):
     assert context.versions.versions.unsaved
+
+
+def set_timeout(context, timeout_s):
+    whole = gateway_world.configuration()
+    routes = tuple(
+        dataclasses.replace(route, timeout_ms=timeout_s * 1000)
+        for route in whole.routes
+    )
+    context.router = routing.Router(dataclasses.replace(whole, routes=routes))
+
+
+@given("routes of streams with a time-out of {timeout_s:d} s")
+def routes_of_streams(context, timeout_s):
+    context.now_ms = 1_000_000
+    clock = clocks.Clock(lambda: context.now_ms, lambda: context.now_ms)
+    context.life = stream_life.StreamLife(clock, lambda: context.router)
+    set_timeout(context, timeout_s)
+
+
+@when("their time-out is changed to {timeout_s:d} s")
+def change_timeout(context, timeout_s):
+    set_timeout(context, timeout_s)
+    context.life.longest_ms()
+
+
+@when("{duration_s:d} s pass since then")
+def pass_time(context, duration_s):
+    context.now_ms += duration_s * 1000
+
+
+@then("streams are remembered for {life_s:d} s")
+def check_life(context, life_s):
+    assert context.life.longest_ms() == life_s * 1000
--- a/godwitloft/gateway/continuations.py
+++ b/godwitloft/gateway/continuations.py
@@ -11,7 +11,6 @@
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft.gateway import fleet as fleets
-from godwitloft.gateway import model
 from godwitloft.gateway import refusals
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import service_versions
@@ -21,9 +20,6 @@
 MAX_LOOKUP_MS = 1_000
 LOOKUP_INTERVAL_MS = 300
 UNKNOWN_RETRY_AFTER_MS = 1_000
-MIN_STREAM_LIFE_MS = 20_000
-# A caller may wait for longer than one of its attempts may last.
-TIMEOUTS_PER_STREAM = 1.5
 VERSION_UNKNOWN = refusals.Refusal(
     503, "stream_version_unknown", UNKNOWN_RETRY_AFTER_MS
 )
@@ -32,24 +28,6 @@
 )
 
 
-def stream_life_ms(configuration: model.Configuration | None) -> int:
-    """Returns how long after its start a stream may be taken up again.
-
-    :param configuration: the configuration in force, None without one
-    :return: milliseconds
-    """
-    routes = configuration.routes if configuration is not None else ()
-    longest_ms = max(
-        (
-            route.timeout_ms
-            for route in routes
-            if route.kind is model.Kind.STREAM and route.resumable
-        ),
-        default=0,
-    )
-    return max(MIN_STREAM_LIFE_MS, round(TIMEOUTS_PER_STREAM * longest_ms))
-
-
 @dataclasses.dataclass(frozen=True)
 class Callbacks:
     """What is done with a request once its version is known.
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -34,12 +34,12 @@
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import request_checker as request_checkers
 from godwitloft.gateway import retry_policy as retry_policies
-from godwitloft.gateway import routing
 from godwitloft.gateway import service_versions
 from godwitloft.gateway import shared_knowledge
 from godwitloft.gateway import sharing as sharings
 from godwitloft.gateway import slot_client as slot_clients
 from godwitloft.gateway import store_contact
+from godwitloft.gateway import stream_life
 from godwitloft.gateway import stream_origins
 from godwitloft.gateway import upstream_statements
 from godwitloft.links import datagrams
@@ -114,19 +114,22 @@
             lambda: sharing.hosts,
             contact,
         )
+        life = stream_life.StreamLife(
+            self.clock, lambda: self.config_state.router
+        )
         self.versions = service_versions.ServiceVersions(
             self.clock,
             contact,
             self.confirmation.list_confirmed_ms,
             sharing.hears_most,
             lambda: sharing.restored,
-            self.stream_life_ms,
+            life.longest_ms,
         )
         self.origins = stream_origins.StreamOrigins(
             self.clock,
             self.versions,
             lambda: sharing.gateways,
-            self.stream_life_ms,
+            life.longest_ms,
         )
         self.continuations = continuation_module.Continuations(
             self.clock,
@@ -197,9 +200,6 @@
         sharing.own_status = self.knowledge.status
         sharing.on_peer_status = self.knowledge.on_peer_status
         self.draining = False
-        # The router from which the life of streams was worked out.
-        self.stream_life_router: routing.Router | None = None
-        self.cached_stream_life_ms = continuation_module.MIN_STREAM_LIFE_MS
         self.waiting: dict[str, list[requests.Request]] = {}
         self.scheduling: set[str] = set()
         self.running: set[requests.Request] = set()
@@ -249,16 +249,6 @@
         self.confirmation.ask_if_due()
         self.dependencies.sharing.announce_if_due()
 
-    def stream_life_ms(self) -> int:
-        """Returns how long after its start a stream may be taken up again."""
-        router = self.config_state.router
-        if router is not self.stream_life_router:
-            self.stream_life_router = router
-            self.cached_stream_life_ms = continuation_module.stream_life_ms(
-                router.configuration if router is not None else None
-            )
-        return self.cached_stream_life_ms
-
     def on_store_restored(self, at_ms: int) -> None:
         """Heeds that the store has lost what was written lately.
 
