The log tells why a stream could not be continued

Cause: found on reading the change again. GL1201 stream_version_gone didn't say of which version, and a refusal of a stream whose beginning its caller didn't name had no GL1207; nor did GL1207 tell whether the gateway trusted its list.

--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -227,3 +227,33 @@
     found = len(member.world.sent) - context.sent_before
     count = len(context.broken)
     assert least * count <= found <= most * count, (found, count)
+
+
+@then('the log of each refusal names "{version}"')
+def check_logged(context, version):
+    found = [
+        fields
+        for fields in context.streams.first.log.fields("GL1201")
+        if fields["reason"] == "stream_version_gone"
+    ]
+    assert found
+    assert all(fields["upstream_version"] == version for fields in found)
+
+
+@when("a caller asks at gateway {number:d} for the rest of an unnamed stream")
+def ask_unnamed(context, number):
+    fleet = context.streams
+    member = fleet.members[fleet.hosts[number - 1]]
+    context.caller = stream_fleet.Caller(member.world)
+    context.caller.stream("a", "")
+    fleet.advance(100)
+
+
+@then(
+    "it is refused, and the log tells that the versions"
+    ' "{versions}" are possible'
+)
+def check_unnamed(context, versions):
+    assert context.caller.status == 503, context.caller.received
+    (fields,) = context.streams.first.log.fields("GL1207")
+    assert fields["versions"] == versions.split(","), fields
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -108,6 +108,7 @@
     And the callers take the streams up at gateway 2
     Then no stream holds events of two versions
     And the others are refused as not run
+    And the log of each refusal names "v1"
 
     Examples:
       | what |
@@ -138,6 +139,11 @@
     And at least 12 streams go on
     And nothing about streams is left in the store but of those
 
+  Scenario: A stream whose beginning its caller doesn't name is refused with a reason
+    Given 1 gateway and engines of versions "v1 v2"
+    When a caller asks at gateway 1 for the rest of an unnamed stream
+    Then it is refused, and the log tells that the versions "v1,v2" are possible
+
   Scenario: What a restore of the store has cut back is saved again
     Given 3 gateways and engines of versions "v1 v1 v2 v2"
     When 12 streams begin at gateway 1
--- a/godwitloft/gateway/continuations.py
+++ b/godwitloft/gateway/continuations.py
@@ -23,9 +23,19 @@
 VERSION_UNKNOWN = refusals.Refusal(
     503, "stream_version_unknown", UNKNOWN_RETRY_AFTER_MS
 )
-VERSION_GONE = refusals.Refusal(
-    503, "stream_version_gone", refusals.MAX_RETRY_AFTER_MS
-)
+
+
+def version_gone(origin: stream_origins.Origin) -> refusals.Refusal:
+    """Returns the refusal where only other versions take requests.
+
+    :param origin: where the stream began
+    """
+    return refusals.Refusal(
+        503,
+        "stream_version_gone",
+        refusals.MAX_RETRY_AFTER_MS,
+        {"service": origin.service, "upstream_version": origin.version},
+    )
 
 
 @dataclasses.dataclass(frozen=True)
@@ -75,7 +85,7 @@
         if self.try_to_locate(request):
             return
         if not request.facts.resumed_id:
-            self.callbacks.refuse(request, VERSION_UNKNOWN)
+            self.refuse_unknown(request, 0)
             return
         self.pending[request] = self.clock.monotonic_ms()
 
@@ -97,7 +107,7 @@
             origin.service, origin.version
         )
         if not is_served:
-            self.callbacks.refuse(request, VERSION_GONE)
+            self.callbacks.refuse(request, version_gone(origin))
             return True
         request.facts = dataclasses.replace(facts, service=origin.service)
         request.version = origin.version
@@ -133,17 +143,27 @@
                 continue
             del self.pending[request]
             if not is_ended:
-                events.log(
-                    events.ORIGIN_UNKNOWN,
-                    request=request.facts.id,
-                    resumes=request.facts.resumed_id,
-                    service=request.facts.service,
-                    versions=sorted(
-                        self.versions.possible(request.facts.service)
-                    ),
-                    waited_ms=now_ms - since_ms,
-                )
-                self.callbacks.refuse(request, VERSION_UNKNOWN)
+                self.refuse_unknown(request, now_ms - since_ms)
+
+    def refuse_unknown(
+        self, request: requests.Request, waited_ms: int
+    ) -> None:
+        """Refuses a request of which nobody knows where its stream began.
+
+        :param request: the request
+        :param waited_ms: how long it has waited for an answer of the store
+        """
+        facts = request.facts
+        events.log(
+            events.ORIGIN_UNKNOWN,
+            request=facts.id,
+            resumes=facts.resumed_id,
+            service=facts.service,
+            versions=sorted(self.versions.possible(facts.service)),
+            list_is_current=self.versions.is_current(),
+            waited_ms=waited_ms,
+        )
+        self.callbacks.refuse(request, VERSION_UNKNOWN)
 
     def refuse_all(self, refusal: refusals.Refusal) -> None:
         """Refuses all requests whose version isn't known, before the end.
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -970,7 +970,8 @@
         if request.version is not None and self.fleet.has_lost(
             facts.service, request.version
         ):
-            self.refuse(request, continuation_module.VERSION_GONE)
+            origin = stream_origins.Origin(facts.service, request.version)
+            self.refuse(request, continuation_module.version_gone(origin))
             return
         queue = self.waiting[facts.service]
         reason = self.admission.rejection_reason(request, queue, now_ms)
