Streams that began over many minutes are all saved

Cause: found on reading the change again. Where time-outs are of several minutes, more segments than one transaction takes may be unsaved at once, when a second version is listed. Those beyond it were dropped and counted as saved. Change: the newest are saved first, the others stay unsaved until the next time.

--- /dev/null
+++ b/features/steps/stream_origins_steps.py
@@ -0,0 +1,64 @@
+from behave import given
+from behave import then
+from behave import when
+
+from godwitloft import clock as clocks
+from godwitloft.gateway import stream_origins
+
+ORIGIN = stream_origins.Origin("model", "v1")
+
+
+class Several:
+    """Stands for the versions of services."""
+
+    def __init__(self):
+        self.several = False
+
+    def are_several(self, _service):
+        return self.several
+
+
+@given("a gateway that remembers streams for {minutes:d} minutes")
+def gateway(context, minutes):
+    context.now_ms = 1_000_000
+    clock = clocks.Clock(lambda: context.now_ms, lambda: context.now_ms)
+    context.several = Several()
+    context.origins = stream_origins.StreamOrigins(
+        clock, context.several, lambda: 1, lambda: minutes * 60_000
+    )
+
+
+@when("1 stream begins each {interval_s:d} s for {minutes:d} minutes")
+def begin(context, interval_s, minutes):
+    context.names = []
+    for number in range(minutes * 60 // interval_s):
+        context.now_ms += interval_s * 1000
+        context.names.append(stream_origins.short_id(str(number)))
+        context.origins.record(str(number), ORIGIN)
+
+
+@when("a second version is listed")
+def list_second(context):
+    context.several.several = True
+
+
+@then(
+    "all streams are saved after {count:d} writes of at most {most:d} segments"
+)
+def check_saved(context, count, most):
+    context.writes = []
+    while context.origins.needs_saving():
+        segments = context.origins.take_unsaved(most)
+        assert 0 < len(segments) <= most
+        names = [name for segment in segments for name in segment.origins]
+        context.writes.append(names)
+        context.now_ms += 1
+        context.origins.saved_ms = 0
+    assert len(context.writes) == count, len(context.writes)
+    saved = {name for names in context.writes for name in names}
+    assert saved == set(context.names)
+
+
+@then("the first of these writes has the newest streams")
+def check_newest(context):
+    assert context.names[-1] in context.writes[0]
--- a/godwitloft/gateway/stream_origins.py
+++ b/godwitloft/gateway/stream_origins.py
@@ -193,32 +193,42 @@
         self.saved_segments.difference_update(old)
         return sorted(old)
 
-    def take_unsaved(self) -> list[Segment]:
-        """Returns the segments that are to be saved, each as a whole.
+    def take_unsaved(self, most: int) -> list[Segment]:
+        """Returns segments that are to be saved, each as a whole.
 
         They count as saved from then on; after a failure
         :meth:`mark_unsaved` takes that back.
+
+        :param most: the largest number of segments; the newest go first, the
+            others stay unsaved
+        :return: the segments, in order of time
         """
-        now_ms = self.clock.monotonic_ms()
-        self.saved_ms = now_ms
-        changed = set()
-        for service, names in self.unsaved.items():
-            if self.versions.are_several(service):
-                changed |= {
-                    self.records[name].at_ms // SEGMENT_MS for name in names
-                }
-                names.clear()
-        found: dict[int, dict[str, Origin]] = {}
+        self.saved_ms = self.clock.monotonic_ms()
+        unsaved = {
+            name
+            for service, names in self.unsaved.items()
+            if self.versions.are_several(service)
+            for name in names
+        }
+        numbers = {self.segment_of(name) for name in unsaved}
+        chosen = sorted(numbers)[-most:]
+        found: dict[int, dict[str, Origin]] = {number: {} for number in chosen}
         for name, record in self.records.items():
-            segment = record.at_ms // SEGMENT_MS
+            origins = found.get(self.segment_of(name))
+            if origins is None or not record.own:
+                continue
             service = record.origin.service
-            if not record.own or segment not in changed:
+            if not self.versions.are_several(service):
                 continue
-            origins = found.setdefault(segment, {})
-            if (
-                self.versions.are_several(service)
-                and len(origins) < MAX_SEGMENT_STREAMS
-            ):
+            self.unsaved.get(service, set()).discard(name)
+            if len(origins) < MAX_SEGMENT_STREAMS:
                 origins[name] = record.origin
         self.saved_segments.update(found)
-        return [Segment(*item) for item in sorted(found.items())]
+        return [Segment(*item) for item in found.items()]
+
+    def segment_of(self, name: str) -> int:
+        """Returns the segment in which a stream is saved.
+
+        :param name: its short id
+        """
+        return self.records[name].at_ms // SEGMENT_MS
--- a/godwitloft/platform/stream_table.py
+++ b/godwitloft/platform/stream_table.py
@@ -13,8 +13,9 @@
 from godwitloft.platform import store as stores
 
 TABLE = "streams"
-# Entries of one transaction of the store.
-MAX_ENTRIES = 100
+# Of the 100 entries of one transaction of the store.
+MAX_ROWS_SET = 50
+MAX_ROWS_REMOVED = 50
 CHECK_INTERVAL_MS = 50
 
 
@@ -100,8 +101,9 @@
         old_segments = self.origins.take_old_segments()
         keys = [*self.old_keys, *map(self.key, old_segments)]
         old = list(dict.fromkeys(keys))
-        self.old_keys = old[MAX_ENTRIES // 2 :]
-        segments = self.origins.take_unsaved()
+        removed = old[:MAX_ROWS_REMOVED]
+        self.old_keys = old[MAX_ROWS_REMOVED:]
+        segments = self.origins.take_unsaved(MAX_ROWS_SET)
         transaction = {
             "expected": [],
             "set-keys": [
@@ -111,18 +113,17 @@
                     "key": self.key(segment.number),
                     "value": encode(segment, now_ms),
                 }
-                for segment in segments[-MAX_ENTRIES // 2 :]
+                for segment in segments
             ],
             "remove": [
-                {"table": TABLE, "part": "", "key": key}
-                for key in old[: MAX_ENTRIES // 2]
+                {"table": TABLE, "part": "", "key": key} for key in removed
             ],
         }
         try:
             yield self.store.transact(transaction)
         except stores.StoreError:
             self.origins.mark_unsaved()
-            self.old_keys.extend(old[: MAX_ENTRIES // 2])
+            self.old_keys.extend(removed)
             raise
         return CHECK_INTERVAL_MS
 
