Requests that wait for a stream's version are bounded

Cause: found on reading the change again. They waited outside of the queue, and so of its bound, for up to a second each; callers that name streams of nobody could fill a gateway's memory while a service has several versions. Change: at most 1,000 wait; any more are refused as not run. Result: a scenario of features/stream_origins.feature that failed before.

--- a/features/steps/stream_origins_steps.py
+++ b/features/steps/stream_origins_steps.py
@@ -2,6 +2,7 @@
 from behave import then
 from behave import when
 
+from features.support import stream_fleet
 from godwitloft import clock as clocks
 from godwitloft.gateway import stream_origins
 
@@ -62,3 +63,22 @@
 @then("the first of these writes has the newest streams")
 def check_newest(context):
     assert context.names[-1] in context.writes[0]
+
+
+@when("{count:d} callers ask for the rest of streams that nobody knows")
+def ask_unknown(context, count):
+    fleet = context.streams
+    (member,) = fleet.members.values()
+    context.callers = []
+    for number in range(count):
+        caller = stream_fleet.Caller(member.world)
+        caller.stream(f"a{number}", f"nobody{number}")
+        context.callers.append(caller)
+
+
+@then("at most {most:d} of them wait, and the others are refused as not run")
+def check_bound(context, most):
+    waiting = [caller for caller in context.callers if not caller.received]
+    assert len(waiting) == most, len(waiting)
+    refused = [caller for caller in context.callers if caller.received]
+    assert all(caller.status == 503 for caller in refused)
--- a/features/stream_origins.feature
+++ b/features/stream_origins.feature
@@ -11,3 +11,8 @@
       | minutes | writes |
       | 1 | 1 |
       | 10 | 3 |
+
+  Scenario: A caller can't make a gateway hold requests without bound
+    Given 1 gateway and engines of versions "v1 v2"
+    When 1100 callers ask for the rest of streams that nobody knows
+    Then at most 1000 of them wait, and the others are refused as not run
--- a/godwitloft/gateway/continuations.py
+++ b/godwitloft/gateway/continuations.py
@@ -19,6 +19,7 @@
 # Longer than another gateway takes to save where a stream began.
 MAX_LOOKUP_MS = 1_000
 LOOKUP_INTERVAL_MS = 300
+MAX_PENDING = 1_000
 UNKNOWN_RETRY_AFTER_MS = 1_000
 VERSION_UNKNOWN = refusals.Refusal(
     503, "stream_version_unknown", UNKNOWN_RETRY_AFTER_MS
@@ -84,7 +85,8 @@
         """
         if self.try_to_locate(request):
             return
-        if not request.facts.resumed_id:
+        is_full = len(self.pending) >= MAX_PENDING
+        if is_full or not request.facts.resumed_id:
             self.refuse_unknown(request, 0)
             return
         self.pending[request] = self.clock.monotonic_ms()
