--- a/review/1/odd_row.py
+++ b/review/1/odd_row.py
@@ -126,7 +126,10 @@
     for n in range(2):
         programs.append(
             fleet.Program(
-                folder, "entry", f"edge-{n}", network.host(10 + n),
+                folder,
+                "entry",
+                f"edge-{n}",
+                network.host(10 + n),
                 store.address,
             )
         )
@@ -183,8 +186,7 @@
     late = [
         run
         for run in runs
-        if run.runner == leaving
-        and at_s.get(run.id, 0.0) > acked_s + DRAIN_S
+        if run.runner == leaving and at_s.get(run.id, 0.0) > acked_s + DRAIN_S
     ]
     for run in late:
         record.note(
--- a/review/common/callers.py
+++ b/review/common/callers.py
@@ -104,7 +104,7 @@
         sent.at_s = time.monotonic()
         reading = http1.Reader(reader, sent.answer, call.bytes_per_s).read()
         await asyncio.wait_for(reading, call.deadline_ms / 1000)
-    except (OSError, asyncio.TimeoutError):
+    except (TimeoutError, OSError):
         pass
     finally:
         sent.ended_s = time.monotonic()
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -184,7 +184,7 @@
             reading = http1.Reader(reader, answer).read()
             await asyncio.wait_for(reading, 2)
             return answer.status == 200
-        except (OSError, asyncio.TimeoutError):
+        except (TimeoutError, OSError):
             return False
         finally:
             writer.close()
--- a/review/common/http1.py
+++ b/review/common/http1.py
@@ -121,7 +121,7 @@
 
     status: int = 0
     headers: Headers = dataclasses.field(default_factory=dict)
-    body: bytes = b""
+    body: bytearray = dataclasses.field(default_factory=bytearray)
     complete: bool = False
 
 
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -149,7 +149,7 @@
                 return 200, self.answer(rows)
             try:
                 await asyncio.wait_for(self.changed.wait(), left_s)
-            except asyncio.TimeoutError:
+            except TimeoutError:
                 continue
 
     def transact(self, body: Row) -> tuple[int, Row]:
