--- a/review/common/callers.py
+++ b/review/common/callers.py
@@ -86,7 +86,8 @@
     if call.key:
         headers["Authorization"] = f"Token {call.key}"
     if call.tokens is not None:
-        headers["Godwitloft-Token-Counts"] = "%d,%d" % call.tokens
+        prompt, output = call.tokens
+        headers["Godwitloft-Token-Counts"] = f"{prompt},{output}"
         headers["Godwitloft-Model"] = "m"
         headers["Godwitloft-Prompt-Prefix"] = f"{name}:{call.tokens[0]}"
     limit = 8_192 if call.bytes_per_s else 65_536
