review: a revoked key is accepted after a drill and a restart

This case shows one way: the key was refused everywhere; the store comes back from a copy, a gateway that starts just then confirms the older config, hears of the newer one from its peers, says that it is ready and accepts the key until the operator has written again (1 s).

--- a/review/common/store.py
+++ b/review/common/store.py
@@ -18,9 +18,15 @@
 
 
 class Store:
-    """Rows by table, part and key."""
+    """Rows by table, part and key.
+
+    It may come back from an earlier copy of itself, as RULES-NEWS.md says of
+    a drill: versions go back then, and ``Store-Era`` rises.
+    """
 
     def __init__(self) -> None:
+        self.era = 1
+        self.away = False
         self.rows: dict[tuple[str, str, str], Row] = {}
         self.version = 0
         self.changed = asyncio.Event()
@@ -79,6 +85,28 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def copy(self) -> tuple[dict[tuple[str, str, str], Row], int]:
+        """Returns a copy of all rows, and the version."""
+        return dict(self.rows), self.version
+
+    async def drill(
+        self,
+        copy: tuple[dict[tuple[str, str, str], Row], int],
+        away_s: float,
+    ) -> None:
+        """Is away for a moment, and comes back from a copy.
+
+        :param copy: what :meth:`copy` returned
+        :param away_s: how long it is away, in seconds
+        """
+        self.away = True
+        self.changed.set()
+        self.changed = asyncio.Event()
+        await asyncio.sleep(away_s)
+        self.rows, self.version = dict(copy[0]), copy[1]
+        self.era += 1
+        self.away = False
+
     def answer(self, rows: list[Row]) -> Row:
         """Returns the body of an answer with rows.
 
@@ -103,7 +131,10 @@
         path, _mark, text = request.target.partition("?")
         query = dict(urllib.parse.parse_qsl(text))
         await asyncio.sleep(ANSWER_S)
-        if path == "/rows-get":
+        era = self.era
+        if self.away:
+            status, body = 503, {}
+        elif path == "/rows-get":
             status, body = self.get(query)
         elif path == "/rows-feed":
             status, body = await self.feed(query)
@@ -111,7 +142,11 @@
             status, body = self.transact(json.loads(request.body))
         else:
             status, body = 404, {}
-        http1.answer(writer, status, {}, dump(body))
+        if self.away or era != self.era:
+            # A call that waits as the store goes away is not answered.
+            status, body = 503, {}
+        headers = {"Store-Era": str(self.era)}
+        http1.answer(writer, status, headers, dump(body))
 
     def get(self, query: dict[str, str]) -> tuple[int, Row]:
         """Answers ``/rows-get``.
