review: streams of a gateway that fails as a version appears can't go on

A gateway that freezes 0.1 s after the first runner of a new version registers hasn't saved where its streams began; its peer sees two versions and refuses all of them.

--- a/review/common/runner.py
+++ b/review/common/runner.py
@@ -62,6 +62,7 @@
         # Number of events of a stream and the pause between two; 0: no stream.
         self.events = 0
         self.event_gap_s = 0.03
+        self.version = "v1"
         self.state = "ready"
         self.sequence = 0
         self.born_ms = int(time.time() * 1000)
@@ -94,7 +95,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "zone-a",
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": self.state,
             "cold-remaining-ms": 0,
