--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 import tomllib
+import traceback
 import typing
 
 from common import http1
@@ -249,8 +250,10 @@
         record.say(f"TROUBLE={int(with_trouble())}")
         try:
             broken = await case(folder, record, programs)
-        except (CannotRun, OSError) as error:
+        except Exception as error:
+            # Whatever goes wrong in the script itself shows nothing.
             record.say(f"could not run: {error!r}")
+            record.note(traceback.format_exc())
             return 2
         record.say("the rule was broken" if broken else "the rule held")
         return int(broken)
