--- a/review/common/callers.py
+++ b/review/callers.py
@@ -7,7 +7,7 @@
 import time
 import typing
 
-from common import http1
+import http1
 
 HOST = "review.example"
 NUMBERS = itertools.count(1)
--- a/review/common/fleet.py
+++ b/review/fleet.py
@@ -14,9 +14,9 @@
 import traceback
 import typing
 
-from common import http1
+import http1
 
-ROOT = pathlib.Path(__file__).parents[2]
+ROOT = pathlib.Path(__file__).parents[1]
 BOUNDS = """[bounds]
 seed-lag-s = 3
 reuse-after-s = 2
--- a/review/common/runner.py
+++ b/review/runner.py
@@ -9,8 +9,8 @@
 import time
 import typing
 
-from common import http1
-from common import store as stores
+import http1
+import store as stores
 
 HEARTBEAT_S = 1.2
 QUEUE = 66
--- a/review/common/store.py
+++ b/review/store.py
@@ -11,7 +11,7 @@
 import typing
 import urllib.parse
 
-from common import http1
+import http1
 
 Row = dict[str, typing.Any]
 ANSWER_S = 0.004
