A row of any JSON type stops no reader of the list of upstreams

Cause: decode_upstream looked the row's state up in a dict, which raises TypeError for a list or an object. Watch.decode_row caught RowError only, so that one row of another writer ended each reading of the whole list.

Class: a reader relies on the type of what another process wrote. A table of each field of each row, report and answer of the store against 21 JSON values found the same for a route's kind, names that can't be encoded, and numbers, flags and texts that were converted and not checked.

Change: json_fields.py reads all fields of other writers, takes any value and names the field; a row that fails in any other way is left out alone. store.decode_rows uses it too, so that an answer's wrong field is named.

--- a/features/odd_rows.feature
+++ b/features/odd_rows.feature
@@ -41,6 +41,89 @@
       | key | "\ud800" |
       | key | "x\r\ny: z" |
 
+  # Guards against a list of upstreams, a configuration or a table of gateways
+  # that is not read to its end for a field of a JSON type that nobody expected.
+  Scenario Outline: A row whose <field> is of any JSON type stops nothing: <table>
+    Given a gateway that follows a store with configuration 5
+    And upstreams "a,b" that write their rows each second
+    When rows of "<table>" are left with a <field> of each JSON type
+    And upstream "c" starts
+    And configuration 6 is written
+    And the gateway reads all tables
+    Then the gateway has configuration 6 and uses "a,b,c" as before
+    And no internal error was logged
+    And each of these rows of "<table>" is read or named in the log
+
+    Examples:
+      | table | field |
+      | servers | service |
+      | servers | address |
+      | servers | zone |
+      | servers | version |
+      | servers | slots |
+      | servers | state |
+      | servers | sequence |
+      | servers | cold-remaining-ms |
+      | servers | born |
+      | gateways | renewed_ms |
+      | gateways | host |
+      | gateways | used |
+      | gateways | used.team-a |
+      | gateways | blames |
+      | gateways | blames.0.cause |
+      | gateways | blames.0.crashes |
+      | gateways | blames.0.crashes.0.id |
+      | gateways | blames.0.crashes.0.age_ms |
+      | gateways | blames.0.trials |
+      | gateways | blames.0.trial_age_ms |
+      | gateways | versions |
+      | gateways | versions.model |
+      | gateways | versions.model.v1 |
+      | gateways | new_versions |
+      | gateways | new_versions.0.service |
+      | gateways | new_versions.0.version |
+      | streams | saved_ms |
+      | streams | streams |
+      | streams | streams.model |
+      | streams | streams.model.v1 |
+      | streams | streams.model.v1.0 |
+      | op | version |
+      | op | routes |
+      | op | routes.0.name |
+      | op | routes.0.host |
+      | op | routes.0.prefix |
+      | op | routes.0.kind |
+      | op | routes.0.service |
+      | op | routes.1.split |
+      | op | routes.1.split.0.service |
+      | op | routes.1.split.0.weight |
+      | op | routes.0.timeout-ms |
+      | op | routes.0.target-latency-ms |
+      | op | routes.0.gap-aim-ms |
+      | op | routes.0.priority |
+      | op | routes.0.max-attempts |
+      | op | routes.0.public |
+      | op | routes.0.resumable |
+      | op | services |
+      | op | services.0.name |
+      | op | services.0.max-connections |
+      | op | services.0.engine |
+      | op | services.0.engine.kv-capacity-tokens |
+      | op | limits |
+      | op | limits.max-header-bytes |
+      | op | limits.max-body-bytes |
+      | op | limits.header-timeout-ms |
+      | op | limits.idle-timeout-ms |
+      | op | tenants |
+      | op | tenants.0.name |
+      | op | tenants.0.api-keys |
+      | op | tenants.0.api-keys.0 |
+      | op | tenants.0.priority |
+      | op | tenants.0.rate-per-s |
+      | op | tenants.0.burst |
+      | op | tenants.0.plain-tokens |
+      | op | tenants.0.unit |
+
   # Guards against announcements that reach no peer behind an odd one.
   Scenario Outline: An odd row of a gateway is left out: <field> <what>
     Given a gateway that follows a store with configuration 5
@@ -87,6 +170,31 @@
       | born | of 400 digits |
       | born | -1 |
 
+  Scenario Outline: An engine's report whose <field> is of any JSON type fails or is read
+    When an engine reports a <field> of each JSON type
+    Then each report is read or refused by name
+
+    Examples:
+      | field |
+      | running |
+      | waiting |
+      | born |
+
+  Scenario Outline: An answer of the store whose <field> is of any JSON type fails or is read
+    When the store answers with a <field> of each JSON type
+    Then each answer is read or refused by name
+
+    Examples:
+      | field |
+      | rows |
+      | rows.0 |
+      | rows.0.key |
+      | rows.0.ver |
+      | rows.0.removed |
+      | ver |
+      | now-ms |
+      | has-more |
+
   Scenario Outline: Rows as the store returns them, with odd numbers: <field> <what>
     When the store answers with rows whose <field> is <what>
     Then the rows can't be used
--- a/godwitloft/platform/agent.py
+++ b/godwitloft/platform/agent.py
@@ -13,6 +13,7 @@
 from godwitloft.gateway import upstream_signs
 from godwitloft.links import datagrams
 from godwitloft.platform import headers as platform_headers
+from godwitloft.platform import json_fields
 from godwitloft.platform import rows
 from godwitloft.platform import settings
 from godwitloft.platform import store as stores
@@ -198,12 +199,12 @@
     :return: the report
     :raises StoreError: if a number is missing or invalid
     """
-    report = rows.Fields(REPORT_PATH, "", answer.body)
+    report = json_fields.Fields(REPORT_PATH, "", answer.body)
     try:
         running = report.whole("running", rows.MAX_REQUESTS)
         waiting = report.whole("waiting", rows.MAX_REQUESTS)
         return Report(running + waiting, report.whole("born", default=0))
-    except rows.RowError as error:
+    except json_fields.RowError as error:
         raise stores.StoreError(
             REPORT_PATH, stores.HTTP_OK, f"invalid report: {error}"
         ) from error
--- a/godwitloft/platform/lease_row.py
+++ b/godwitloft/platform/lease_row.py
@@ -7,6 +7,7 @@
 from godwitloft.gateway import crash_reports
 from godwitloft.gateway import service_versions
 from godwitloft.gateway import sharing
+from godwitloft.platform import json_fields
 from godwitloft.platform import rows
 from godwitloft.platform import settings
 
@@ -64,10 +65,10 @@
     :raises RowError: if it is invalid
     """
     fields = rows.decode_content(name, value)
-    usage = rows.Fields(name, "used", fields.value.get("used", {}))
+    usage = json_fields.Fields(name, "used", fields.value.get("used", {}))
     host = fields.text("host")
     if not settings.is_ip_number(host):
-        raise fields.error("host", f"{host!r:.80} is not an IP number")
+        raise fields.wrong("host", host, "is not an IP number")
     return LeaseRow(
         host,
         int(fields.number("renewed_ms")),
@@ -91,18 +92,18 @@
     return found
 
 
-def decode_versions(fields: rows.Fields) -> service_versions.Saved:
+def decode_versions(fields: json_fields.Fields) -> service_versions.Saved:
     """Decodes versions.
 
     :param fields: the content of the row
     :return: the versions; none if the row has none
     """
-    services = rows.Fields(
+    services = json_fields.Fields(
         fields.row, "versions", fields.value.get("versions", {})
     )
     absences = {}
     for service, value in services.value.items():
-        versions = rows.Fields(fields.row, f"versions.{service}", value)
+        versions = json_fields.Fields(fields.row, f"versions.{service}", value)
         for version in versions.value:
             key = service_versions.ServiceVersion(service, version)
             absences[key] = int(versions.number(version))
@@ -131,7 +132,7 @@
     }
 
 
-def decode_blame(fields: rows.Fields) -> crash_reports.BlameReport:
+def decode_blame(fields: json_fields.Fields) -> crash_reports.BlameReport:
     """Decodes a blame.
 
     :param fields: its JSON object
--- a/godwitloft/platform/store.py
+++ b/godwitloft/platform/store.py
@@ -17,6 +17,7 @@
 from godwitloft import errors
 from godwitloft import events
 from godwitloft import whole_number
+from godwitloft.platform import json_fields
 
 OnHeaders = typing.Callable[[int, list[attempts.Header]], None]
 CALL_TIMEOUT_MS = 1_000
@@ -476,32 +477,36 @@
     :return: the rows
     :raises StoreError: if it is invalid
     """
-    body = answer.body
+    body = json_fields.Fields("answer of the store", "", answer.body)
     try:
-        rows = tuple(
-            Row(
-                key=str(row["key"]),
-                value=None if row.get("removed") else row.get("value"),
-                version=int(row.get("ver", 0)),
-            )
-            for row in body["rows"]
-        )
         return ReadResult(
-            rows=rows,
-            position=Position(answer.timeline, int(body["ver"])),
-            now_ms=int(body.get("now-ms", 0)),
-            has_more=bool(body.get("has-more", False)),
+            rows=tuple(map(decode_row, body.objects("rows", required=True))),
+            position=Position(answer.timeline, body.whole("ver")),
+            now_ms=int(body.number("now-ms", 0)),
+            has_more=body.flag("has-more"),
         )
-    except (
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-        OverflowError,
-    ) as error:
-        raise StoreError(
-            "read", HTTP_OK, f"invalid rows: {error!r}"
-        ) from error
+    except json_fields.RowError as error:
+        raise StoreError("read", HTTP_OK, f"invalid rows: {error}") from error
+
+
+def decode_row(entry: json_fields.Fields) -> Row:
+    """Decodes one row of a response.
+
+    Key and value are whatever their writer chose.
+
+    :param entry: its JSON object
+    :return: the row
+    :raises RowError: if it is invalid
+    """
+    key = entry.value.get("key")
+    if not isinstance(key, str):
+        raise entry.wrong("key", key, "is not a string")
+    is_removed = entry.flag("removed")
+    return Row(
+        key=key,
+        value=None if is_removed else entry.value.get("value"),
+        version=entry.whole("ver", default=0),
+    )
 
 
 def _do_nothing() -> None:
--- a/godwitloft/platform/stream_table.py
+++ b/godwitloft/platform/stream_table.py
@@ -9,6 +9,7 @@
 from godwitloft import clock as clocks
 from godwitloft.gateway import continuations as continuation_module
 from godwitloft.gateway import stream_origins
+from godwitloft.platform import json_fields
 from godwitloft.platform import rows
 from godwitloft.platform import store as stores
 
@@ -164,13 +165,13 @@
     """
     fields = rows.decode_content(name, value)
     found = {}
-    streams = rows.Fields(name, "streams", fields.value.get("streams"))
+    streams = json_fields.Fields(name, "streams", fields.value.get("streams"))
     for service in streams.value:
-        versions = rows.Fields(
+        versions = json_fields.Fields(
             name, f"streams.{service}", streams.value[service]
         )
         for version in versions.value:
             origin = stream_origins.Origin(service, version)
-            for stream in versions.items(version):
-                found[str(stream)] = origin
+            for stream in versions.texts(version):
+                found[stream] = origin
     return int(fields.number("saved_ms")), found
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -19,6 +19,7 @@
 from godwitloft.gateway import service_versions
 from godwitloft.gateway import sharing
 from godwitloft.gateway import upstream_list as upstream_lists
+from godwitloft.platform import json_fields
 from godwitloft.platform import lease_row
 from godwitloft.platform import rows
 from godwitloft.platform import store as stores
@@ -447,6 +448,8 @@
     ) -> Decoded | None:
         """Decodes a row and logs each version of an invalid row once.
 
+        Whatever is wrong with one row, the others are read.
+
         :param table: name of the row's table
         :param row: a row that any process may have written
         :param decode: gets table and key, for error messages, and the value
@@ -455,7 +458,7 @@
         name = f"{table}/{row.key}"
         try:
             return decode(name, row.value)
-        except rows.RowError as error:
+        except json_fields.RowError as error:
             if self.logged_versions.get(name) != row.version:
                 self.logged_versions[name] = row.version
                 events.log(
@@ -465,6 +468,15 @@
                     field=error.field,
                     reason=error.reason,
                 )
+        except Exception as error:
+            if self.logged_versions.get(name) != row.version:
+                self.logged_versions[name] = row.version
+                events.log_error(
+                    events.INTERNAL_ERROR,
+                    error,
+                    row=name,
+                    version=row.version,
+                )
         return None
 
     def needs_renewal(self) -> bool:
