A peer's age out of range no longer ends announcements

What is seen: a gateway that has not reached the store yet and hears from a peer that its list is 2**63 - 1 ms old can't encode its announcements any more, so that peers take it for gone and it shares no limits.

Cause: the age was subtracted from the clock and told on as it was. Change: times that follow from a peer's ages are clamped to the clock, in one place.

--- a/features/odd_rows.feature
+++ b/features/odd_rows.feature
@@ -240,6 +240,22 @@
       | a limit of -1 |
       | a limit of inf |
 
+  # Guards against announcements that can't be encoded any more.
+  Scenario Outline: A peer that answers with <field> <value> silences nobody
+    Given a gateway that has not reached the store yet
+    When a peer answers that its <field> is <value>
+    Then this gateway still announces itself to its peer
+
+    Examples:
+      | field | value |
+      | asked_ms | -1 |
+      | list_age_ms | 9223372036854775807 |
+      | list_age_ms | -9223372036854775808 |
+      | version_age_ms | 9223372036854775807 |
+      | version_age_ms | -9223372036854775808 |
+      | version | 9223372036854775807 |
+      | list_digest | -9223372036854775808 |
+
   Scenario Outline: A row of the product's own store that is nested too deeply is refused: <reader>
     When a row that is nested 100000 deep is read as <reader>
     Then it is refused as malformed
--- a/features/steps/odd_rows_steps.py
+++ b/features/steps/odd_rows_steps.py
@@ -20,6 +20,7 @@
 from godwitloft.coordination import publish
 from godwitloft.coordination import shares
 from godwitloft.gateway import peer_status
+from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
 from godwitloft.platform import agent as agents
 from godwitloft.platform import store as stores
@@ -270,3 +271,35 @@
     """Turns a skipped line into an error, as other readers give one."""
     if value is None:
         raise LookupError("skipped")
+
+
+@given("a gateway that has not reached the store yet")
+def new_gateway(context):
+    context.world = gateway_world.World()
+
+
+@when("a peer answers that its {field} is {value:d}")
+def answer_question(context, field, value):
+    world = context.world
+    world.sharing.update_gateways({"g9": "127.0.0.9"})
+    fields = {
+        "gateway": "g9",
+        "asked_ms": 1,
+        "version": 1,
+        "version_age_ms": 1,
+        "list_digest": 1,
+        "list_age_ms": 1,
+    }
+    fields[field] = value
+    data = datagrams.encode(answer=ttypes.NewsAnswer(**fields))
+    world.gateway.on_datagram(datagrams.decode(data), ("127.0.0.9", 1))
+
+
+@then("this gateway still announces itself to its peer")
+def check_announces(context):
+    world = context.world
+    world.datagrams.clear()
+    world.sharing.must_announce = True
+    world.gateway.announce()
+    sent = [datagrams.decode(data) for data, _where in world.datagrams]
+    assert any(datagram.sharing is not None for datagram in sent), sent
--- a/godwitloft/gateway/peer_confirmation.py
+++ b/godwitloft/gateway/peer_confirmation.py
@@ -242,8 +242,7 @@
         if not 0 < answer.asked_ms <= now_ms:
             return
         self.last_answered_ms = max(self.last_answered_ms, answer.asked_ms)
-        at_ms = answer.asked_ms - max(0, answer.list_age_ms)
-        self.store_contact.record(at_ms)
+        self.store_contact.record(list_read_ms(answer))
         self.compare_versions(answer)
         self.compare_lists(answer)
         if (
@@ -259,9 +258,9 @@
         """
         own = self.config_state.version
         if answer.version == own:
-            age_ms = max(0, answer.version_age_ms)
             self.config_state.confirm_stored(
-                answer.asked_ms - age_ms, answer.version
+                time_before(answer.asked_ms, answer.version_age_ms),
+                answer.version,
             )
         elif answer.version > own:
             self.note_version(answer.version)
@@ -282,10 +281,29 @@
         """
         if self.held_list is None:
             return
-        at_ms = answer.asked_ms - max(0, answer.list_age_ms)
+        at_ms = list_read_ms(answer)
         if at_ms <= self.held_list.at_ms:
             return
         if answer.list_digest == self.held_list.digest:
             self.held_list = ListVersion(self.held_list.digest, at_ms)
         else:
             self.list_outdated = True
+
+
+def list_read_ms(answer: ttypes.NewsAnswer) -> int:
+    """Returns when the answering gateway's list was read, on this clock.
+
+    :param answer: another gateway's answer
+    :return: a time that isn't later than it was
+    """
+    return time_before(answer.asked_ms, answer.list_age_ms)
+
+
+def time_before(at_ms: int, age_ms: int) -> int:
+    """Returns the time that lies an age before another.
+
+    :param at_ms: a time of this gateway's clock
+    :param age_ms: what another process states, any number
+    :return: a time of this gateway's clock, 0 at the least
+    """
+    return max(0, at_ms - max(0, age_ms))
