A stream whose gateway is gone can be taken up at any moment of a release

Cause: nothing was saved of streams while a gateway listed one version; once its peers listed a second one, a stream without a record could have begun at either. Class: what a stream began with was inferred from what a gateway lists, and when. Evidence: of nine moments from 0 to 4 s after the new version at which a gateway is killed, those up to 0.4 s fail.

Change: each service has a base version, which the gateways agree on in the store. A stream at any other version is on record before its caller has an event; one without a record began at the base version. Both are read after the request that takes the stream up has arrived. The base version changes once no stream of the old one can be unfinished, so that no gateway's late knowledge matters. If records can't be saved, streams begin at the base version. If the store can't be read, more than half of the gateways must have been heard since. A version that isn't listed here yet is looked for in a newer list before its stream is refused. Gateways save 200 times a second together, before 100; a segment that is full no longer drops streams.

Stand-in and test store heed `expected`. stream_origins_steps.py: the constructor has one more argument; what it checks is the same.

--- a/features/steps/stream_origins_steps.py
+++ b/features/steps/stream_origins_steps.py
@@ -25,7 +25,11 @@
     clock = clocks.Clock(lambda: context.now_ms, lambda: context.now_ms)
     context.several = Several()
     context.origins = stream_origins.StreamOrigins(
-        clock, context.several, lambda: 1, lambda: minutes * 60_000
+        clock,
+        context.several,
+        lambda _service, _version: False,
+        lambda: 1,
+        lambda: minutes * 60_000,
     )
 
 
--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -116,6 +116,57 @@
     fleet.parted.add(host)
 
 
+@when("gateway {number:d} {is_out_of_step}, and the others go on")
+def out_of_step(context, number, is_out_of_step):
+    fleet = context.streams
+    host = fleet.hosts[number - 1]
+    if is_out_of_step == "stands still":
+        fleet.freeze(number)
+        return
+    fleet.members[host].client.cut = "the store" in is_out_of_step
+    if "its peers" in is_out_of_step:
+        fleet.parted.add(host)
+
+
+@when("gateway {number:d} goes on if it stood still")
+def go_on(context, number):
+    fleet = context.streams
+    if fleet.members[fleet.hosts[number - 1]].client.unread is not None:
+        fleet.wake(number)
+
+
+@when('the rows of the engines of version "{version}" end')
+def end_rows(context, version):
+    context.streams.leave(version)
+
+
+@when("half of the gateways are killed, gateway 1 among them")
+def kill_half(context):
+    fleet = context.streams
+    fleet.break_connections()
+    for number in range(1, len(fleet.hosts) // 2 + 1):
+        fleet.kill(number)
+
+
+@when(
+    "the first {count:d} gateways begin a stream each, up to its first event"
+)
+def begin_at_each(context, count):
+    fleet = context.streams
+    for number in range(1, count + 1):
+        fleet.begin_one(number)
+    for _ in range(100):
+        fleet.advance(stream_fleet.STEP_MS)
+        if all(b"id: 1" in stream.caller.received for stream in fleet.streams):
+            return
+    raise AssertionError("not all streams have begun")
+
+
+@when("the callers take the streams up at the gateways that are left")
+def take_up_at_others(context):
+    context.streams.take_up_at_others()
+
+
 @when('an engine of version "{version}" starts')
 def start_engine(context, version):
     context.streams.start_engine(version)
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -154,3 +154,46 @@
     And the callers take the streams up at gateway 2
     Then no stream holds events of two versions
     And at least 12 streams go on
+
+  # Guards against streams that nobody can go on with, as their gateway is gone
+  # before it knew that they would have to be saved.
+  Scenario Outline: A gateway that is gone as a version appears leaves nothing unknown: <gateways> gateways, <after> ms after
+    Given <gateways> gateways and engines of versions "v1 v1 v1 v1"
+    When 12 streams begin at gateway 1
+    And an engine of version "v2" starts
+    And <after> ms pass at all gateways
+    And gateway 1 is killed
+    And 2400 ms pass at all gateways
+    And the callers take the streams up at gateway 2
+    Then no stream holds events of two versions
+    And at least 12 streams go on
+
+    Examples:
+      | gateways | after |
+      | 2 | 0 |
+      | 2 | 100 |
+      | 2 | 400 |
+      | 2 | 900 |
+      | 2 | 1900 |
+      | 2 | 4000 |
+      | 3 | 100 |
+      | 3 | 400 |
+      | 3 | 1900 |
+
+  # Guards against streams that are lost as many gateways save more seldom than
+  # engines take until the first event.
+  Scenario Outline: Among many gateways streams go on after half are killed: <gateways>, <versions>
+    Given <gateways> gateways and engines of versions "<versions>"
+    When the first <streams> gateways begin a stream each, up to its first event
+    And half of the gateways are killed, gateway 1 among them
+    And 2400 ms pass at all gateways
+    And the callers take the streams up at the gateways that are left
+    Then no stream holds events of two versions
+    And at least <streams> streams go on
+
+    Examples:
+      | gateways | versions | streams |
+      | 2 | v2 v1 v1 | 1 |
+      | 6 | v2 v2 v1 v1 v1 | 3 |
+      | 29 | v2 v2 v1 v1 v1 v1 | 14 |
+      | 29 | v1 v1 v1 v2 v2 | 14 |
--- a/features/support/restored_store.py
+++ b/features/support/restored_store.py
@@ -41,9 +41,46 @@
         self.cut = False
         # Whether long polls pass although the store is cut off.
         self.polls_pass = False
+        # Answers to a process that stands still, None while it runs.
+        self.unread = None
+        # How long writes take, and whether they fail.
+        self.write_ms = 0
+        self.writes_fail = False
         self.waiting = []
 
     def call(self, method, target, body=b"", timeout_ms=1000):
+        is_write = target.startswith("/rows-tx")
+        if is_write and self.writes_fail:
+            return defer.fail(stores.StoreError(target, 503, "failed"))
+        if is_write and self.write_ms:
+            return self.write_later(target, body, timeout_ms)
+        answer = self.call_now(target, body)
+        if self.unread is None:
+            return answer
+        late = defer.Deferred()
+        self.unread.append((answer, late))
+        return late
+
+    def write_later(self, target, body, timeout_ms):
+        """Writes after a while, or never if the caller gives up before."""
+        late = defer.Deferred()
+
+        def end():
+            if self.write_ms > timeout_ms:
+                late.errback(stores.StoreError(target, 0, "timeout"))
+            else:
+                self.call_now(target, body).chainDeferred(late)
+
+        self.reactor.callLater(min(self.write_ms, timeout_ms) / 1000, end)
+        return late
+
+    def wake(self):
+        """Delivers the answers that came while the process stood still."""
+        unread, self.unread = self.unread, None
+        for answer, late in unread:
+            answer.addCallbacks(late.callback, late.errback)
+
+    def call_now(self, target, body):
         path, _, query = target.partition("?")
         fields = dict(urllib.parse.parse_qsl(query))
         if self.cut and not (self.polls_pass and path == "/rows-feed"):
@@ -54,6 +91,8 @@
             return self.answer(path, 200, self.rows.read(fields["table"]))
         if path == "/rows-tx":
             change = json.loads(body)
+            if not self.rows.are_as_expected(change["expected"]):
+                return self.answer(path, 412, {})
             for row in change["set-keys"]:
                 self.rows.put(row["table"], row["key"], row["value"])
             for row in change["remove"]:
@@ -70,6 +109,8 @@
         self.on_headers(status, headers)
         if status == 410:
             return defer.fail(stores.HistoryLostError(path, 410, "gone"))
+        if status == 412:
+            return defer.fail(stores.ConditionError(path, 412, "changed"))
         if status != 200:
             return defer.fail(stores.StoreError(path, status, "failed"))
         return defer.succeed(stores.Answer(body, self.rows.timeline))
@@ -167,9 +208,9 @@
 
     def start_watching(self):
         self.watch.start()
-        self.watch.start_loop(
-            "streams", self.streams.needs_call, self.streams.call
-        )
+        streams = self.streams
+        self.watch.start_loop("streams", streams.needs_reading, streams.read)
+        self.watch.start_loop("records", streams.needs_writing, streams.write)
 
     def on_restored(self, before, now):
         self.watch.on_store_restored(before, now)
--- a/features/support/stream_fleet.py
+++ b/features/support/stream_fleet.py
@@ -1,5 +1,7 @@
 """Gateways before engines of several software versions, and their streams."""
 
+import itertools
+
 from features.support import following_gateways
 from features.support import gateway_world
 from features.support import restored_store
@@ -104,12 +106,16 @@
     def begin(self, count, number):
         """Begins streams at a gateway."""
         for _ in range(count):
-            stream = Stream(f"s{len(self.streams)}")
-            self.streams.append(stream)
-            self.ask(stream, stream.name, None, number)
+            self.begin_one(number)
             self.advance(STEP_MS)
         self.advance((FIRST_EVENT_STEPS + 2) * STEP_MS)
 
+    def begin_one(self, number):
+        """Lets a caller ask for a stream."""
+        stream = Stream(f"s{len(self.streams)}")
+        self.streams.append(stream)
+        self.ask(stream, stream.name, None, number)
+
     def ask(self, stream, request_id, resumes, number):
         member = self.members[self.hosts[number - 1]]
         stream.caller = Caller(member.world)
@@ -140,20 +146,47 @@
         self.advance(10 * STEP_MS)
 
     def take_up(self, number):
+        """Lets the callers take up at one gateway what broke off."""
+        self.take_up_at([number])
+
+    def take_up_at_others(self):
+        """Lets them do so in turn at the gateways that are left."""
+        self.take_up_at(
+            [
+                number
+                for number, host in enumerate(self.hosts, 1)
+                if host in self.members
+            ]
+        )
+
+    def take_up_at(self, numbers):
         """Lets the callers take up what broke off, the last version first.
 
         In the order in which they began, each would get its engine again.
         """
+        turns = itertools.cycle(numbers)
         for stream in sorted(
             self.streams, key=lambda stream: stream.versions, reverse=True
         ):
             if stream.versions and stream.caller is None:
                 self.attempts += 1
                 name = f"{stream.name}-{self.attempts}"
-                self.ask(stream, name, stream.name, number)
+                self.ask(stream, name, stream.name, next(turns))
                 self.advance(STEP_MS)
         self.advance(2000)
 
+    def freeze(self, number):
+        """Lets a gateway stand still: it learns of nothing."""
+        host = self.hosts[number - 1]
+        self.members[host].client.unread = []
+        self.parted.add(host)
+
+    def wake(self, number):
+        """Lets a gateway go on, before it reads anything new."""
+        host = self.hosts[number - 1]
+        self.parted.discard(host)
+        self.members[host].client.wake()
+
     def kill(self, number):
         """Kills a gateway: nothing of it goes on."""
         host = self.hosts[number - 1]
--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -66,6 +66,11 @@
     logging.WARNING,
     "it is not known at which version a stream began",
 )
+STREAM_NOT_SAVED = Event(
+    1208,
+    logging.WARNING,
+    "it could not be saved in time where a stream began",
+)
 UPSTREAM_LISTED = Event(1302, logging.INFO, "the list of upstreams changed")
 ROW_SKIPPED = Event(
     1504, logging.WARNING, "a row of the platform can't be used"
@@ -115,6 +120,9 @@
 VERSION_USED = Event(
     1314, logging.INFO, "a new version of a service is used from now on"
 )
+BASE_VERSION_SET = Event(
+    1315, logging.INFO, "streams of a service without a record have a version"
+)
 UPSTREAM_LIMITED = Event(1312, logging.INFO, "an upstream's limit has changed")
 LIMIT_IGNORED = Event(
     1313, logging.WARNING, "an upstream's limit can't be used"
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -16,6 +16,7 @@
 from godwitloft.gateway import admission as admissions
 from godwitloft.gateway import answer as answers
 from godwitloft.gateway import arbiter as arbiters
+from godwitloft.gateway import base_versions
 from godwitloft.gateway import config_state as config_states
 from godwitloft.gateway import continuations as continuation_module
 from godwitloft.gateway import dialect as dialects
@@ -39,6 +40,7 @@
 from godwitloft.gateway import sharing as sharings
 from godwitloft.gateway import slot_client as slot_clients
 from godwitloft.gateway import store_contact
+from godwitloft.gateway import stream_holds
 from godwitloft.gateway import stream_life
 from godwitloft.gateway import stream_origins
 from godwitloft.gateway import upstream_statements
@@ -121,13 +123,17 @@
             self.clock,
             contact,
             self.confirmation.list_confirmed_ms,
-            sharing.hears_most,
+            sharing.hears_majority,
             lambda: sharing.restored,
             life.longest_ms,
         )
+        self.bases = base_versions.BaseVersions(
+            self.clock, self.confirmation.list_confirmed_ms, life.longest_ms
+        )
         self.origins = stream_origins.StreamOrigins(
             self.clock,
             self.versions,
+            self.bases.needs_record,
             lambda: sharing.gateways,
             life.longest_ms,
         )
@@ -135,8 +141,22 @@
             self.clock,
             self.fleet,
             self.versions,
+            self.bases,
+            self.origins,
+            continuation_module.Callbacks(
+                on_located=self.enqueue,
+                refuse=self.refuse,
+                list_confirmed_ms=self.confirmation.list_confirmed_ms,
+                read_list=self.confirmation.mark_list_outdated,
+                gateways=lambda: sharing.gateways,
+            ),
+        )
+        self.holds = stream_holds.StreamHolds(
+            self.clock,
+            self.fleet,
+            self.bases,
             self.origins,
-            continuation_module.Callbacks(self.enqueue, self.refuse),
+            self.send_again,
         )
         self.request_checker = request_checkers.RequestChecker(
             self.clock,
@@ -257,6 +277,8 @@
         self.config_state.mark_restored(at_ms)
         self.origins.mark_unsaved()
         self.versions.mark_unsaved()
+        self.bases.mark_restored()
+        self.continuations.mark_restored(at_ms)
 
     def update_upstreams(self, upstreams: dict[str, model.Upstream]) -> None:
         """Replaces the list of upstreams.
@@ -265,6 +287,7 @@
         """
         change = self.fleet.update(upstreams, self.clock.monotonic_ms())
         self.versions.update(upstreams.values())
+        self.bases.update(upstreams.values())
         for kind, names in (
             ("added", change.added),
             ("leaving", change.leaving),
@@ -436,7 +459,7 @@
                 break
             if request.state is not requests.State.WAITING:
                 continue  # ended while others were sent
-            state = candidates.choose(request)
+            state = candidates.choose(request, self.holds.version_for(request))
             if state is None:
                 still_waiting.append(request)
             else:
@@ -528,6 +551,8 @@
             ),
             before_send=request.exchange.notice_close,
         )
+        if self.must_hold(request):
+            callbacks = self.holds.hold(request, callbacks)
         request.attempt = self.dependencies.send(
             state.upstream,
             requests.outgoing(request, state.upstream, self.dialect, now_ms),
@@ -691,6 +716,18 @@
                 stream_origins.Origin(facts.service, request.sent_version),
             )
 
+    def must_hold(self, request: requests.Request) -> bool:
+        """Returns whether a stream must be saved before its first event.
+
+        :param request: a request that is being sent, after its origin was
+            recorded
+        """
+        return (
+            request.facts.begins_resumable_stream
+            and not request.exchange.started
+            and self.origins.must_be_saved_first(request.facts.id)
+        )
+
     def on_end(
         self,
         request: requests.Request,
@@ -785,6 +822,7 @@
         :return: the upstream, None if it was at none
         """
         state = request.upstream_state
+        self.holds.release(request)
         request.upstream_state = None
         request.attempt = None
         self.running.discard(request)
@@ -929,6 +967,7 @@
         """
         now_ms = self.clock.monotonic_ms()
         self.continuations.check()
+        self.holds.check()
         for queue in list(self.waiting.values()):
             for request in list(queue):
                 self.check_waiting(request, now_ms)
@@ -947,16 +986,31 @@
         :param request: a stream that may be resumed
         :param now_ms: the current time
         """
-        if not self.retry_policy.may_retry(
-            request, retry_policies.STALLED, now_ms
-        ):
+        state = request.upstream_state
+        if not self.send_again(request, retry_policies.STALLED):
             return
-        state = self.cancel_attempt(request)
         if state is not None:
             self.retry_policy.record_end(
                 request, state, retry_policies.STALLED, now_ms
             )
-        self.requeue(request, retry_policies.STALLED)
+
+    def send_again(
+        self,
+        request: requests.Request,
+        attempt_outcome: answers.AttemptOutcome,
+    ) -> bool:
+        """Cancels an attempt and queues its request again, if permitted.
+
+        :param request: a request that was sent
+        :param attempt_outcome: why its attempt is given up
+        :return: whether it is permitted
+        """
+        now_ms = self.clock.monotonic_ms()
+        if not self.retry_policy.may_retry(request, attempt_outcome, now_ms):
+            return False
+        self.cancel_attempt(request)
+        self.requeue(request, attempt_outcome)
+        return True
 
     def check_waiting(self, request: requests.Request, now_ms: int) -> None:
         """Refuses a waiting request that should not wait any longer.
--- a/godwitloft/gateway/peer_confirmation.py
+++ b/godwitloft/gateway/peer_confirmation.py
@@ -173,6 +173,10 @@
             return True
         return not self.is_list_fresh(self.clock.monotonic_ms())
 
+    def mark_list_outdated(self) -> None:
+        """Records that a newer list of upstreams may exist and is needed."""
+        self.list_outdated = True
+
     def mark_version_read(self) -> None:
         """Records that the configuration was read from the store."""
         self.version_outdated = False
--- a/godwitloft/gateway/placer.py
+++ b/godwitloft/gateway/placer.py
@@ -57,16 +57,19 @@
         """Returns whether any request might be sent now."""
         return any(place.has_room for place in self.places.values())
 
-    def choose(self, request: requests.Request) -> fleets.UpstreamState | None:
+    def choose(
+        self, request: requests.Request, version: str | None
+    ) -> fleets.UpstreamState | None:
         """Chooses the upstream for a request.
 
         :param request: a waiting request
+        :param version: version of the upstream's software, None for any
         :return: an upstream with a free slot, None to keep the request waiting
         """
         if self.now_ms < request.resend_at_ms:
             return None
         place = placement.choose(
-            self.places_of(request.version),
+            self.places_of(version),
             request.facts.sizes.prompt_tokens,
             request.facts.target_at_ms - self.now_ms,
             request.tried_upstreams,
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -109,6 +109,15 @@
             return self.route.resumable
         return self.route.kind is model.Kind.IDEMPOTENT
 
+    @property
+    def begins_resumable_stream(self) -> bool:
+        """Whether its answer begins a stream that may be taken up again."""
+        return (
+            self.route.kind is model.Kind.STREAM
+            and self.route.resumable
+            and self.resumed_id is None
+        )
+
     @property
     def target_at_ms(self) -> int:
         """When the answer, or the first data of a stream, is due."""
--- a/godwitloft/gateway/service_versions.py
+++ b/godwitloft/gateway/service_versions.py
@@ -1,8 +1,8 @@
 """Knows which software versions of a service may have begun a stream.
 
 What two versions write doesn't fit together, so that a stream goes on only at
-the version that began it. Where one version alone serves, every stream began
-at it, and nothing needs to be kept of the single streams.
+the version that began it. While the store is away, nobody can look up where a
+stream began; if one version alone has served, every stream began at it.
 
 That holds only if no gateway uses a version that another doesn't know yet. A
 gateway therefore begins streams at a new version only some time after it was
@@ -16,14 +16,14 @@
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft.gateway import model
-from godwitloft.gateway import peer_confirmation as peer_confirmations
 from godwitloft.gateway import store_contact as store_contacts
 
 # Longer than it takes until all gateways that reach the store have read a
 # list with a new version.
 NEW_VERSION_DELAY_MS = 2_000
-# How much older than the last sign of the store a current list may be.
-MAX_LIST_LAG_MS = peer_confirmations.MAX_LIST_AGE_MS
+# How much older than the last sign of the store a current list may be: the
+# time that a sign or a confirmation takes from one gateway to another.
+MAX_LIST_LAG_MS = 300
 
 
 @dataclasses.dataclass(frozen=True)
@@ -61,8 +61,8 @@
     :param contact: when the store is known to have been up
     :param list_confirmed_ms: returns when the list of upstreams was last known
         to be current, None without a list
-    :param hears_most: returns whether at least half of the gateways were heard
-        lately, counting this one
+    :param hears_majority: returns whether more than half of the gateways have
+        announced themselves since a time, counting this one
     :param is_restored: returns whether what gateways had saved was read
     :param stream_life_ms: returns how long after its start a stream may be
         taken up again
@@ -73,14 +73,14 @@
         clock: clocks.Clock,
         contact: store_contacts.StoreContact,
         list_confirmed_ms: typing.Callable[[], int | None],
-        hears_most: typing.Callable[[], bool],
+        hears_majority: typing.Callable[[int], bool],
         is_restored: typing.Callable[[], bool],
         stream_life_ms: typing.Callable[[], int],
     ) -> None:
         self.clock = clock
         self.contact = contact
         self.list_confirmed_ms = list_confirmed_ms
-        self.hears_most = hears_most
+        self.hears_majority = hears_majority
         self.is_restored = is_restored
         self.stream_life_ms = stream_life_ms
         # Versions at which streams may have begun, and since when each has not
@@ -249,31 +249,35 @@
         """
         return len(self.possible(service)) > 1
 
-    def only_version(self, service: str) -> str | None:
+    def only_version(self, service: str, since_ms: int) -> str | None:
         """Returns the version at which every unfinished stream has begun.
 
+        For a gateway that can't reach the store.
+
         :param service: name of the service
+        :param since_ms: a time by which all these streams had begun
         :return: the version, None if there are several or if others may have
-            been used meanwhile
+            been used by then
         """
         possible = self.possible(service)
-        if len(possible) != 1 or not self.is_current():
+        if len(possible) != 1 or not self.is_current(since_ms):
             return None
         return possible.pop()
 
-    def is_current(self) -> bool:
-        """Returns whether no gateway can use a version that is unknown here.
+    def is_current(self, since_ms: int) -> bool:
+        """Returns whether no gateway used a version that is unknown here.
 
         While the store is away, none can learn of new versions. Other gateways
-        tell when it was up; a gateway that hears too few of them can't know.
+        tell when it was up. What they told before says nothing about what they
+        have read since, and a gateway that doesn't hear most of them can't
+        know.
+
+        :param since_ms: a time by which none did
         """
         confirmed_ms = self.list_confirmed_ms()
         if confirmed_ms is None or not self.is_restored():
             return False
-        age_ms = self.clock.monotonic_ms() - confirmed_ms
-        if age_ms <= NEW_VERSION_DELAY_MS:
-            return True
         up = self.contact.up
         if up is not None and up.until_ms > confirmed_ms + MAX_LIST_LAG_MS:
             return False
-        return self.hears_most()
+        return self.hears_majority(since_ms)
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -327,14 +327,14 @@
         peer = self.peers.get(name)
         return peer is not None and peer.received_ms >= since_ms
 
-    def hears_most(self) -> bool:
-        """Returns whether at least half of the gateways were heard lately.
+    def hears_majority(self, since_ms: int) -> bool:
+        """Returns whether most gateways have announced themselves since then.
 
-        :return: whether they were, counting this one
+        :param since_ms: the time
+        :return: whether more than half did, counting this one
         """
-        now_ms = self.clock.monotonic_ms()
-        heard = 1 + sum(self.is_alive(name, now_ms) for name in self.hosts)
-        return 2 * heard >= self.gateways
+        heard = 1 + sum(self.was_heard(name, since_ms) for name in self.hosts)
+        return 2 * heard > self.gateways
 
     def restore(self, used: Usage | None, age_ms: int) -> None:
         """Restores the usage saved before this process was restarted.
--- a/godwitloft/gateway/stream_origins.py
+++ b/godwitloft/gateway/stream_origins.py
@@ -1,7 +1,7 @@
 """Remembers at which software version each stream began.
 
-Callers may take a stream up again at any gateway. While a service has several
-versions, the records are saved, as they must outlive the gateway.
+Callers may take a stream up again at any gateway. A record is saved unless it
+can do without: it must outlive the gateway.
 """
 
 import dataclasses
@@ -14,12 +14,14 @@
 # Streams that began within this time are saved together.
 SEGMENT_MS = 5_000
 # Shorter than engines take until the first event, so that a stream is saved
-# before its caller has anything of it.
+# before its caller would have anything of it.
 MIN_SAVE_INTERVAL_MS = 100
 # Of all gateways together.
-MAX_SAVES_PER_S = 100
+MAX_SAVES_PER_S = 200
 # Keeps a segment within what one row of a store can hold.
 MAX_SEGMENT_STREAMS = 2_000
+# Keeps a save within what one call of a store can hold.
+MAX_SAVED_STREAMS = 20_000
 ID_BYTES = 8
 
 
@@ -37,7 +39,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Segment:
-    """Streams that began within :data:`SEGMENT_MS` at one gateway.
+    """Streams that began one after the other at one gateway.
 
     :param number: number of the segment, rising with time
     :param origins: origin of each stream, by short id
@@ -47,18 +49,35 @@
     origins: dict[str, Origin]
 
 
+@dataclasses.dataclass
+class SegmentTimes:
+    """When the streams of a segment began.
+
+    :param first_ms: the first of them
+    :param last_ms: the last of them
+    :param streams: their number
+    """
+
+    first_ms: int
+    last_ms: int
+    streams: int = 0
+
+
 @dataclasses.dataclass(frozen=True)
 class Record:
     """What is known of one stream.
 
     :param origin: where it began
-    :param at_ms: when it began, or when that was learned from the store
-    :param own: whether this gateway has to save it
+    :param at_ms: when it began
+    :param segment: number of the segment in which it is saved
+    :param moved: whether it was about to begin at another version before, of
+        which a record may have been saved
     """
 
     origin: Origin
     at_ms: int
-    own: bool
+    segment: int
+    moved: bool = False
 
 
 def short_id(request_id: str) -> str:
@@ -72,10 +91,12 @@
 
 
 class StreamOrigins:
-    """Origins of the streams of this gateway, and of those it has read.
+    """Origins of the streams of this gateway.
 
     :param clock: source of the time
     :param versions: which services have several versions
+    :param needs_record: returns for a service and a version whether a stream
+        that began there must be on record
     :param gateways: returns the number of gateways
     :param stream_life_ms: returns how long after its start a stream may be
         taken up again
@@ -85,19 +106,27 @@
         self,
         clock: clocks.Clock,
         versions: service_versions.ServiceVersions,
+        needs_record: typing.Callable[[str, str], bool],
         gateways: typing.Callable[[], int],
         stream_life_ms: typing.Callable[[], int],
     ) -> None:
         self.clock = clock
         self.versions = versions
+        self.needs_record = needs_record
         self.gateways = gateways
         self.stream_life_ms = stream_life_ms
         # By short id, the oldest first.
         self.records: dict[str, Record] = {}
-        # Short ids that are not saved, by service.
-        self.unsaved: dict[str, set[str]] = {}
+        # Short ids that are not saved, by origin and whether they moved.
+        self.unsaved: dict[tuple[Origin, bool], set[str]] = {}
+        # By number, also of those that were not saved.
+        self.segments: dict[int, SegmentTimes] = {}
         self.saved_segments: set[int] = set()
         self.saved_ms = 0
+        # What is called once a stream is saved, by short id.
+        self.on_saved: dict[str, typing.Callable[[], None]] = {}
+        # Whether records can't be saved in time at present.
+        self.is_failing = False
 
     def record(self, request_id: str, origin: Origin) -> None:
         """Records where a stream is about to begin.
@@ -109,23 +138,76 @@
         self.forget_old(now_ms)
         name = short_id(request_id)
         known = self.records.get(name)
-        if known is not None and known.own and known.origin == origin:
+        if known is not None and known.origin == origin:
             return
-        if known is not None:
+        if known is None:
+            segment = self.open_segment(now_ms)
+            self.records[name] = Record(origin, now_ms, segment)
+        else:
             # It stays in its segment, where it replaces what was saved.
-            now_ms = known.at_ms
-        self.records[name] = Record(origin, now_ms, own=True)
-        self.unsaved.setdefault(origin.service, set()).add(name)
+            self.note_saved(name)
+            self.records[name] = dataclasses.replace(
+                known, origin=origin, moved=True
+            )
+        self.note_unsaved(name)
+
+    def note_unsaved(self, name: str) -> None:
+        """Notes that a stream is not saved.
 
-    def learn(self, origins: dict[str, Origin]) -> None:
-        """Takes over what gateways have saved.
+        :param name: its short id
+        """
+        record = self.records[name]
+        group = record.origin, record.moved
+        self.unsaved.setdefault(group, set()).add(name)
+
+    def note_saved(self, name: str) -> None:
+        """Notes that a stream is saved, or need not be any more.
 
-        :param origins: by short id
+        :param name: its short id
         """
-        now_ms = self.clock.monotonic_ms()
-        self.forget_old(now_ms)
-        for name, origin in origins.items():
-            self.records.setdefault(name, Record(origin, now_ms, own=False))
+        record = self.records[name]
+        group = record.origin, record.moved
+        names = self.unsaved.get(group, set())
+        names.discard(name)
+        if not names:
+            self.unsaved.pop(group, None)
+
+    def open_segment(self, now_ms: int) -> int:
+        """Returns the segment for a stream that begins now.
+
+        :param now_ms: the current time
+        :return: its number
+        """
+        number = next(reversed(self.segments), -1)
+        times = self.segments.get(number)
+        if (
+            times is None
+            or now_ms - times.first_ms >= SEGMENT_MS
+            or times.streams >= MAX_SEGMENT_STREAMS
+        ):
+            number += 1
+            times = SegmentTimes(now_ms, now_ms)
+            self.segments = {
+                old: old_times
+                for old, old_times in self.segments.items()
+                if old in self.saved_segments or not self.is_old(old)
+            }
+            self.segments[number] = times
+        times.last_ms = now_ms
+        times.streams += 1
+        return number
+
+    def when_saved(
+        self, request_id: str, call: typing.Callable[[], None]
+    ) -> None:
+        """Calls a function once a stream that was recorded is saved.
+
+        :param request_id: id of the caller's attempt
+        :param call: the function; of several the last one counts
+        """
+        name = short_id(request_id)
+        if name in self.records:
+            self.on_saved[name] = call
 
     def find(self, request_id: str) -> Origin | None:
         """Returns where a stream began.
@@ -146,52 +228,80 @@
             name, record = next(iter(self.records.items()))
             if record.at_ms >= oldest_ms:
                 return
+            self.note_saved(name)
             del self.records[name]
-            self.unsaved.get(record.origin.service, set()).discard(name)
+            self.on_saved.pop(name, None)
 
     def mark_unsaved(self) -> None:
         """Records that what was saved may be lost."""
-        for name, record in self.records.items():
-            if record.own:
-                self.unsaved.setdefault(record.origin.service, set()).add(name)
+        for name in self.records:
+            self.note_unsaved(name)
+
+    def must_save(self, origin: Origin, moved: bool) -> bool:
+        """Returns whether a stream is to be saved.
+
+        :param origin: where it began
+        :param moved: whether it was about to begin elsewhere before
+        """
+        return (
+            moved
+            or self.versions.are_several(origin.service)
+            or self.needs_record(origin.service, origin.version)
+        )
+
+    def must_be_saved_first(self, request_id: str) -> bool:
+        """Returns whether a stream must be saved before its first event.
+
+        :param request_id: id of the caller's attempt that was recorded
+        """
+        record = self.records.get(short_id(request_id))
+        if record is None:
+            return False
+        origin = record.origin
+        return record.moved or self.needs_record(
+            origin.service, origin.version
+        )
+
+    def to_save(self) -> list[str]:
+        """Returns the short ids of the streams that are to be saved."""
+        return [
+            name
+            for group, names in self.unsaved.items()
+            if self.must_save(*group)
+            for name in names
+        ]
 
     def needs_saving(self) -> bool:
         """Returns whether streams should be saved, or saved ones removed."""
         now_ms = self.clock.monotonic_ms()
         if now_ms - self.saved_ms < self.save_interval_ms():
             return False
-        if any(
-            names and self.versions.are_several(service)
-            for service, names in self.unsaved.items()
-        ):
+        if self.to_save():
             return True
-        return bool(self.saved_segments) and self.is_old(
-            max(self.saved_segments), now_ms
-        )
+        self.is_failing = False
+        return any(map(self.is_old, self.saved_segments))
 
     def save_interval_ms(self) -> int:
         """Returns the time between two savings, longer with more gateways."""
         shared_ms = self.gateways() * clocks.MS_PER_S // MAX_SAVES_PER_S
         return max(MIN_SAVE_INTERVAL_MS, shared_ms)
 
-    def is_old(self, segment: int, now_ms: int) -> bool:
+    def is_old(self, segment: int) -> bool:
         """Returns whether no stream of a segment can be taken up any more.
 
         :param segment: its number
-        :param now_ms: the current time
         """
-        return (segment + 1) * SEGMENT_MS < now_ms - self.stream_life_ms()
+        oldest_ms = self.clock.monotonic_ms() - self.stream_life_ms()
+        return self.segments[segment].last_ms < oldest_ms
 
     def take_old_segments(self) -> list[int]:
         """Returns segments whose saved form is to be removed, once each."""
-        now_ms = self.clock.monotonic_ms()
-        old = [
-            segment
-            for segment in self.saved_segments
-            if self.is_old(segment, now_ms)
-        ]
-        self.saved_segments.difference_update(old)
-        return sorted(old)
+        old = [number for number in self.segments if self.is_old(number)]
+        for number in old:
+            del self.segments[number]
+        removed = self.saved_segments.intersection(old)
+        self.saved_segments -= removed
+        return sorted(removed)
 
     def take_unsaved(self, most: int) -> list[Segment]:
         """Returns segments that are to be saved, each as a whole.
@@ -204,31 +314,44 @@
         :return: the segments, in order of time
         """
         self.saved_ms = self.clock.monotonic_ms()
-        unsaved = {
-            name
-            for service, names in self.unsaved.items()
-            if self.versions.are_several(service)
-            for name in names
+        numbers = {self.records[name].segment for name in self.to_save()}
+        chosen: list[int] = []
+        streams = 0
+        for number in sorted(numbers, reverse=True)[:most]:
+            streams += self.segments[number].streams
+            if chosen and streams > MAX_SAVED_STREAMS:
+                break
+            chosen.append(number)
+        found: dict[int, dict[str, Origin]] = {
+            number: {} for number in sorted(chosen)
         }
-        numbers = {self.segment_of(name) for name in unsaved}
-        chosen = sorted(numbers)[-most:]
-        found: dict[int, dict[str, Origin]] = {number: {} for number in chosen}
         for name, record in self.records.items():
-            origins = found.get(self.segment_of(name))
-            if origins is None or not record.own:
+            origins = found.get(record.segment)
+            if origins is None:
                 continue
-            service = record.origin.service
-            if not self.versions.are_several(service):
+            if not self.must_save(record.origin, record.moved):
                 continue
-            self.unsaved.get(service, set()).discard(name)
-            if len(origins) < MAX_SEGMENT_STREAMS:
-                origins[name] = record.origin
+            self.note_saved(name)
+            origins[name] = record.origin
         self.saved_segments.update(found)
         return [Segment(*item) for item in found.items()]
 
-    def segment_of(self, name: str) -> int:
-        """Returns the segment in which a stream is saved.
+    def confirm_saved(self, segments: list[Segment]) -> None:
+        """Records that segments were saved.
 
-        :param name: its short id
+        :param segments: as they were taken
         """
-        return self.records[name].at_ms // SEGMENT_MS
+        self.is_failing = False
+        for segment in segments:
+            for name, origin in segment.origins.items():
+                record = self.records.get(name)
+                if record is None or record.origin != origin:
+                    continue
+                call = self.on_saved.pop(name, None)
+                if call is not None:
+                    call()
+
+    def mark_failed(self) -> None:
+        """Records that what was taken could not be saved."""
+        self.is_failing = True
+        self.mark_unsaved()
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -184,7 +184,8 @@
 
     def start_watching() -> None:
         watch.start()
-        watch.start_loop("streams", streams.needs_call, streams.call)
+        watch.start_loop("streams", streams.needs_reading, streams.read)
+        watch.start_loop("records", streams.needs_writing, streams.write)
 
     listen = daemon.ListenOptions(
         host=boot.front.host,
--- a/godwitloft/platform/stream_table.py
+++ b/godwitloft/platform/stream_table.py
@@ -1,4 +1,4 @@
-"""The table in which gateways keep where their streams began."""
+"""The tables in which gateways keep where their streams began."""
 
 import base64
 import json
@@ -7,6 +7,8 @@
 from twisted.internet import defer
 
 from godwitloft import clock as clocks
+from godwitloft import events
+from godwitloft.gateway import base_versions
 from godwitloft.gateway import continuations as continuation_module
 from godwitloft.gateway import stream_origins
 from godwitloft.platform import json_fields
@@ -14,6 +16,8 @@
 from godwitloft.platform import store as stores
 
 TABLE = "streams"
+# Has a row for each service, with its base version.
+BASE_TABLE = "base_versions"
 # Of the 100 entries of one transaction of the store.
 MAX_ROWS_SET = 50
 MAX_ROWS_REMOVED = 50
@@ -21,7 +25,7 @@
 
 
 class StreamTable:
-    """Saves and reads origins of streams.
+    """Saves and reads origins of streams and base versions of services.
 
     :param clock: source of the time
     :param store: the store
@@ -43,6 +47,8 @@
         self.store = store
         self.continuations = continuations
         self.origins = continuations.origins
+        self.bases = continuations.bases
+        self.bases.has_store = True
         self.owner = owner
         self.decode_row = decode_row
         self.was_read = False
@@ -50,32 +56,41 @@
         self.store_clock_offset_ms = 0
         # Keys of rows whose streams can't be taken up any more.
         self.old_keys: list[str] = []
+        # Versions of the rows of base versions, by service.
+        self.base_row_versions: dict[str, int] = {}
 
-    def needs_call(self) -> bool:
-        """Returns whether the store must be called now."""
+    def needs_reading(self) -> bool:
+        """Returns whether to read, or to set a base version."""
         return (
             not self.was_read
             or self.continuations.needs_lookup()
-            or bool(self.old_keys)
-            or self.origins.needs_saving()
+            or self.bases.needs_reading()
+            or bool(self.bases.to_store())
         )
 
-    def call(self) -> "defer.Deferred[int]":
-        """Reads or writes.
+    def read(self) -> "defer.Deferred[int]":
+        """Reads both tables, or sets base versions.
 
         :return: fires with the delay before the next call, in milliseconds
         """
-        if not self.was_read or self.continuations.needs_lookup():
-            return self.read()
-        return self.write()
+        to_store = self.bases.to_store()
+        if to_store and not self.continuations.needs_lookup():
+            return self.set_bases(to_store)
+        return self.look_up()
 
     @defer.inlineCallbacks
-    def read(self) -> typing.Generator[typing.Any, typing.Any, int]:
-        """Reads all rows and passes on the origins in them.
+    def look_up(self) -> typing.Generator[typing.Any, typing.Any, int]:
+        """Reads all rows and passes on what is in them.
 
         :return: the delay before the next call, in milliseconds
         """
-        result = yield self.store.read_all(TABLE)
+        asked_ms = self.clock.monotonic_ms()
+        try:
+            yield self.read_bases(asked_ms)
+            result = yield self.store.read_all(TABLE)
+        except stores.StoreError:
+            self.continuations.on_lookup_failed()
+            raise
         self.was_read = True
         self.store_clock_offset_ms = result.now_ms - self.clock.monotonic_ms()
         life_ms = self.origins.stream_life_ms()
@@ -89,9 +104,71 @@
                 self.old_keys.append(row.key)
             else:
                 found.update(origins)
-        self.continuations.on_lookup(found)
+        self.continuations.on_lookup(found, asked_ms)
         return CHECK_INTERVAL_MS
 
+    @defer.inlineCallbacks
+    def read_bases(
+        self, asked_ms: int
+    ) -> typing.Generator[typing.Any, typing.Any, None]:
+        """Reads the base versions of all services.
+
+        :param asked_ms: the current time
+        """
+        result = yield self.store.read_all(BASE_TABLE)
+        found: dict[str, base_versions.Base] = {}
+        for row in result.rows:
+            self.base_row_versions[row.key] = row.version
+            base = self.decode_row(BASE_TABLE, row, decode_base)
+            if base is not None:
+                found[row.key] = base
+        self.bases.learn(found, asked_ms)
+
+    @defer.inlineCallbacks
+    def set_bases(
+        self, bases: dict[str, base_versions.Base]
+    ) -> typing.Generator[typing.Any, typing.Any, int]:
+        """Writes base versions, unless another gateway was first.
+
+        :param bases: by service
+        :return: the delay before the next call, in milliseconds
+        """
+        chosen = dict(list(bases.items())[:MAX_ROWS_SET])
+        names = [
+            {"table": BASE_TABLE, "part": "", "key": service}
+            for service in chosen
+        ]
+        transaction = {
+            "expected": [
+                name | {"ver": self.base_row_versions.get(name["key"], 0)}
+                for name in names
+            ],
+            "set-keys": [
+                name | {"value": encode_base(chosen[name["key"]])}
+                for name in names
+            ],
+            "remove": [],
+        }
+        # Whether it has succeeded or not, the rows' versions are read again.
+        self.bases.mark_unread()
+        try:
+            yield self.store.transact(transaction)
+        except stores.ConditionError:
+            return 0
+        self.bases.record_stored(chosen)
+        for service, base in chosen.items():
+            events.log(
+                events.BASE_VERSION_SET,
+                service=service,
+                upstream_version=base.version,
+                number=base.number,
+            )
+        return 0
+
+    def needs_writing(self) -> bool:
+        """Returns whether streams must be saved, or old rows removed."""
+        return bool(self.old_keys) or self.origins.needs_saving()
+
     @defer.inlineCallbacks
     def write(self) -> typing.Generator[typing.Any, typing.Any, int]:
         """Saves what is not saved, and removes what is no longer needed.
@@ -123,9 +200,10 @@
         try:
             yield self.store.transact(transaction)
         except stores.StoreError:
-            self.origins.mark_unsaved()
+            self.origins.mark_failed()
             self.old_keys.extend(removed)
             raise
+        self.origins.confirm_saved(segments)
         return CHECK_INTERVAL_MS
 
     def key(self, segment: int) -> str:
@@ -175,3 +253,25 @@
             for stream in versions.texts(version):
                 found[stream] = origin
     return int(fields.number("saved_ms")), found
+
+
+def encode_base(base: base_versions.Base) -> str:
+    """Encodes the row of a service's base version.
+
+    :param base: its content
+    :return: JSON in base64
+    """
+    content = {"version": base.version, "number": base.number}
+    return base64.b64encode(json.dumps(content).encode()).decode()
+
+
+def decode_base(name: str, value: object) -> base_versions.Base:
+    """Decodes the row of a service's base version.
+
+    :param name: table and key, for error messages
+    :param value: JSON in base64
+    :return: its content
+    :raises RowError: if it is invalid
+    """
+    fields = rows.decode_content(name, value)
+    return base_versions.Base(fields.text("version"), fields.whole("number"))
--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -117,6 +117,16 @@
         at_s = self.reactor.seconds()
         self.writes.append((at_s, self.version, table, key, value))
 
+    def are_as_expected(self, expected: list[http.Json]) -> bool:
+        """Returns whether rows have the versions that a call expects.
+
+        :param expected: table, key and version of each; version 0: no row
+        """
+        return all(
+            self.rows.get((row["table"], row["key"]), ("", 0))[1] == row["ver"]
+            for row in expected
+        )
+
     def drill(self, away_ms: int, copy_age_ms: int, operator_ms: int) -> None:
         """Takes the store away and brings it back from an older copy.
 
@@ -726,6 +736,8 @@
         if rows.is_away():
             return reply(request, {}, 503)
         body = http.read_json(request) or {}
+        if not rows.are_as_expected(body.get("expected", [])):
+            return reply(request, {}, 412)
         for row in body.get("set-keys", []):
             rows.put(row["table"], row["key"], row["value"])
         for row in body.get("remove", []):
