A gateway out of step is shown not to join streams of two versions

It could happen here: where the old version has left the list and its upstreams serve on, the new one was used at once, and a gateway with a list of up to 2 s believed that its one version was the only one.

--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -197,3 +197,35 @@
       | 6 | v2 v2 v1 v1 v1 | 3 |
       | 29 | v2 v2 v1 v1 v1 v1 | 14 |
       | 29 | v1 v1 v1 v2 v2 | 14 |
+
+  # Guards against a gateway that knows of one version only, and takes it for
+  # the one at which others have begun streams since.
+  Scenario Outline: A gateway that <is out of step> joins nothing: among <gateways>, <old> has <left>
+    Given <gateways> gateways and engines of versions "v1 v1 v1"
+    When 2 streams begin at gateway 1
+    And gateway 2 <is out of step>, and the others go on
+    And the rows of the engines of version "<old>" end
+    And an engine of version "v2" starts
+    And <after> ms pass at all gateways
+    And streams begin at gateway 1 for <for> ms
+    And the callers' connections break
+    And gateway 2 goes on if it stood still
+    And the callers take the streams up at gateway 2
+    Then no stream holds events of two versions
+
+    Examples: the old version has left the list, though its engines serve on
+      | gateways | is out of step | old | left | after | for |
+      | 2 | can't reach the store or its peers | v1 | left | 1000 | 400 |
+      | 3 | can't reach the store or its peers | v1 | left | 1000 | 400 |
+      | 4 | can't reach the store or its peers | v1 | left | 1200 | 200 |
+      | 3 | can't reach the store | v1 | left | 1000 | 400 |
+      | 3 | can't reach its peers | v1 | left | 1000 | 400 |
+      | 2 | stands still | v1 | left | 1000 | 400 |
+      | 3 | stands still | v1 | left | 1000 | 400 |
+      | 3 | stands still | v1 | left | 1000 | 3000 |
+
+    Examples: both versions are listed
+      | gateways | is out of step | old | left | after | for |
+      | 2 | can't reach the store or its peers | - | not left | 20 | 5000 |
+      | 3 | can't reach the store | - | not left | 20 | 5000 |
+      | 3 | stands still | - | not left | 20 | 5000 |
