An odd row's state is named before its other fields again

lakeshore_path.feature, "Invalid rows are skipped and logged", failed on: a row with a wrong state and no service was logged with the field service, as the state was read last. Found by the whole test run; the state is read first, as before.

--- a/godwitloft/platform/rows.py
+++ b/godwitloft/platform/rows.py
@@ -174,6 +174,7 @@
     address = settings.parse_address(fields.value.get("address"))
     if address is None:
         raise fields.error("address", "is not IP:PORT")
+    is_leaving = fields.choice("state", STATES)
     return model.Upstream(
         id=key,
         service=fields.text("service"),
@@ -181,7 +182,7 @@
         port=address.port,
         zone=fields.text("zone"),
         slots=max(1, fields.whole("slots", MAX_SLOTS)),
-        leaving=fields.choice("state", STATES),
+        leaving=is_leaving,
         born_ms=fields.whole("born", default=0),
         version=fields.text("version"),
     )
