A stream no longer ends as complete with its upstream's process

Cause: the kernel closes the connections of a process that is killed as cleanly as one whose answer is whole. Where only the end of the connection marks the end of an answer, and the last bytes end an event, it was taken for whole. Evidence: with real processes, a runner whose connection and port close after one event of three gives its caller a 200, one event and the last chunk (2 of 2 scenarios of lakeshore_path.feature failed before).

Change: the attempt then asks, 50 ms later, whether the server still accepts connections; if not, or if that can't be told, the answer is broken, and goes on elsewhere where it may. It works for all users of the client.

Before: 9 of the 16 new scenarios of answer_end.feature failed and one had a step that the code doesn't allow; now none.

--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -44,6 +44,7 @@
     "refuse": {"refuse": 3},
     "cut_streams": {"cut_after": [1, 2]},
     "break_unframed": {"break_unframed": 3},
+    "die_unframed": {"die_unframed": 1, "crash_down_ms": CRASH_DOWN_MS},
 }
 # Software versions of the runners, in turn.
 VERSIONS = ("v1", "v2")
@@ -403,6 +404,8 @@
             self.control(runners={injected.target: {"limit_per_s": None}})
         elif fault.kind == "say_leaving":
             self.start_new_life(injected.target)
+        elif fault.kind == "die_unframed":
+            self.control(runners={injected.target: {"die_unframed": 0}})
         elif fault.kind == "crash_part":
             # A later fault may have replaced the part.
             if self.crash_part == crash_part_of(fault):
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -56,7 +56,11 @@
     "crash_part": ("models", 5_000, 12_000),
 }
 CRASH_MEAN_GAP_MS = 12_000
-KINDS = FIRST_KINDS | LATER_KINDS | LIMIT_KINDS | CRASH_KINDS
+DEATH_KINDS: dict[str, tuple[str, int, int]] = {
+    "die_unframed": ("runner", 2_000, 4_000),
+}
+DEATH_MEAN_GAP_MS = 5_000
+KINDS = FIRST_KINDS | LATER_KINDS | LIMIT_KINDS | CRASH_KINDS | DEATH_KINDS
 
 
 @dataclasses.dataclass(frozen=True)
@@ -136,9 +140,15 @@
         end_ms,
         size,
     )
-    return tuple(
-        sorted(first + later + limits + crashes, key=lambda fault: fault.at_ms)
+    deaths = draw_kinds(
+        random.Random(f"{seed} deaths"),
+        DEATH_KINDS,
+        DEATH_MEAN_GAP_MS,
+        end_ms,
+        size,
     )
+    found = first + later + limits + crashes + deaths
+    return tuple(sorted(found, key=lambda fault: fault.at_ms))
 
 
 def draw_kinds(
--- a/features/answer_end.feature
+++ b/features/answer_end.feature
@@ -72,6 +72,39 @@
       | draft | HTTP/1.0 | whole | whole |
       | draft | HTTP/1.0 | closed inside an event | cut |
 
+  # Guards against the end of a process, which closes its connections as cleanly
+  # as one that has answered, taken for the end of its answer.
+  Scenario Outline: An answer without a length ends only if its upstream lives on: <route>, <framing>, it <then>
+    Given a gateway that reads what its upstreams send
+    When a caller requests "<route>"
+    And its upstream, that <then>, closes the connection midway, framed by <framing>
+    Then the caller's answer is <answer>
+
+    Examples:
+      | route | framing | then | answer |
+      | draft | close | accepts connections | whole |
+      | draft | close | refuses connections | cut |
+      | draft | HTTP/1.0 | refuses connections | cut |
+      | draft | close | is silent and then accepts connections | whole |
+      | draft | close | is silent and then refuses connections | cut |
+      | draft | close | is silent | cut |
+      | query | close | accepts connections | whole |
+      | query | close | refuses connections | asked for elsewhere |
+      | query | close | is silent | asked for elsewhere |
+      | lookup | close | accepts connections | whole |
+      | lookup | close | refuses connections | asked for elsewhere |
+      | post | close | accepts connections | whole |
+      | post | close | refuses connections | 502 |
+      | post | HTTP/1.0 | refuses connections | 502 |
+      | post | length | refuses connections | 502 |
+
+  Scenario: A caller may leave while it is found out whether an upstream lives on
+    Given a gateway that reads what its upstreams send
+    When a caller requests "draft"
+    And its upstream, that has not shown whether it lives, closes the connection midway, framed by close
+    And the caller closes its connection
+    Then what the check shows in the end changes nothing
+
   Scenario Outline: The end of an event is found in parts of <size> bytes, lines ending with <line end>
     Then a stream with line ends <line end> in parts of <size> bytes ends between events
     And one byte before its end it is inside an event
--- a/features/lakeshore_path.feature
+++ b/features/lakeshore_path.feature
@@ -72,6 +72,19 @@
       | stream | whole | id: 1\ndata: x1 of e1\n\nid: 2\ndata: x2 of e1\n\nid: 3\ndata: x3 of e1\n\n | 2 |
       | once | cut | id: 1\ndata: x1 of e1\n\n | 1 |
 
+  # Guards against the end of a dead process's connection that is taken for the
+  # end of its stream.
+  Scenario Outline: A stream without a length does not end with its runner's process: <route>
+    Given the next stream has no length and ends with its runner's process
+    When request "e2" asks "/<route>/x"
+    Then its answer is <whole> with "<answer>"
+    And its request ran <runs> times
+
+    Examples:
+      | route | whole | answer | runs |
+      | stream | whole | id: 1\ndata: x1 of e2\n\nid: 2\ndata: x2 of e2\n\nid: 3\ndata: x3 of e2\n\n | 2 |
+      | once | cut | id: 1\ndata: x1 of e2\n\n | 1 |
+
   Scenario: A draining runner gets no more requests
     When runner "i-desk-0" reports that it is draining
     And 2.5 s pass
--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -101,6 +101,42 @@
         sent.close(clean=event != "reset midway")
 
 
+CHECKS = {
+    "accepts connections": [True],
+    "refuses connections": [False],
+    "is silent and then accepts connections": [None, True],
+    "is silent and then refuses connections": [None, False],
+    "is silent": [None],
+    "has not shown whether it lives": [],
+}
+
+
+@when(
+    "its upstream, that {then}, closes the connection midway,"
+    " framed by {framing}"
+)
+def closes(context, then, framing):
+    sent = context.world.sent[0]
+    sent.accepts = CHECKS[then]
+    sent.receive(first_part(sent, framing))
+    sent.close()
+
+
+@when("the caller closes its connection")
+def leave(context):
+    context.caller.leave()
+
+
+@then("what the check shows in the end changes nothing")
+def check_late(context):
+    (sent,) = context.world.sent
+    received = context.caller.received
+    (on_checked,) = sent.unanswered
+    on_checked(True)
+    assert context.caller.received == received
+    assert not is_whole(received), received
+
+
 def is_whole(received):
     head, _, body = received.partition(b"\r\n\r\n")
     if b" 204 " in head:
@@ -118,6 +154,11 @@
         assert is_whole(caller.received), caller.received
         assert b"more" not in caller.received, caller.received
         assert caller.received.count(b"HTTP/1.1") == 1, caller.received
+    elif answer == "asked for elsewhere":
+        assert not is_whole(caller.received), caller.received
+        assert not caller.closed
+        first, second = context.world.sent
+        assert first.upstream.id != second.upstream.id
     elif answer == "not yet there":
         assert caller.status is None, caller.received
     elif answer == "cut":
--- a/features/steps/callers_leave_steps.py
+++ b/features/steps/callers_leave_steps.py
@@ -93,6 +93,7 @@
             lambda *end: ends.append(end),
             before_send=lambda: attempt.cancel(),
         ),
+        lambda _on_checked: None,
     )
     transport = testing.StringTransportWithDisconnection()
     transport.protocol = attempt
--- a/features/steps/lakeshore_path_steps.py
+++ b/features/steps/lakeshore_path_steps.py
@@ -81,10 +81,19 @@
 
 @given("the next stream is cut after {count:d} events")
 def cut_next(context, count):
-    # Only the first runner cuts, so the second one is taken off the list until
-    # the entry has noticed.
+    change_next(context, {"cut_after": [count]})
+
+
+@given("the next stream has no length and ends with its runner's process")
+def die_next(context):
+    change_next(context, {"die_unframed": 1})
+
+
+def change_next(context, change):
+    # Only the first runner is changed, so the second one is taken off the list
+    # until the entry has noticed.
     world = context.world
-    world.control(runners={"i-model-0": {"cut_after": [count]}})
+    world.control(runners={"i-model-0": change})
     world.control(runners={"i-model-1": {"gone": True}})
     time.sleep(2)
     world.control(runners={"i-model-1": {"gone": False}})
--- a/features/support/wire_upstream.py
+++ b/features/support/wire_upstream.py
@@ -15,7 +15,11 @@
 
     def __init__(self, upstream, outgoing, callbacks):
         super().__init__(upstream, outgoing, callbacks)
-        self.attempt = attempts.Attempt(outgoing, callbacks)
+        # What checks of the upstream show, the last one again and again.
+        self.accepts = [True]
+        # Checks whose result is not there yet.
+        self.unanswered = []
+        self.attempt = attempts.Attempt(outgoing, callbacks, self.check_server)
         self.transport = testing.StringTransportWithDisconnection()
         self.transport.protocol = self.attempt
         self.transport.setTcpNoDelay = lambda _on: None
@@ -24,6 +28,14 @@
         self.transport.getHandle = lambda: self.handle
         self.attempt.makeConnection(self.transport)
 
+    def check_server(self, on_checked):
+        if not self.accepts:
+            self.unanswered.append(on_checked)
+        elif len(self.accepts) > 1:
+            on_checked(self.accepts.pop(0))
+        else:
+            on_checked(self.accepts[0])
+
     def cancel(self):
         super().cancel()
         self.attempt.cancel()
--- a/godwitloft/attempt.py
+++ b/godwitloft/attempt.py
@@ -17,6 +17,7 @@
 
 from godwitloft import answer_end
 from godwitloft import clock as clocks
+from godwitloft import connection_check
 from godwitloft import immediate_write
 
 Header = answer_end.Header
@@ -32,6 +33,13 @@
 MALFORMED_REQUEST = "malformed_request"
 MALFORMED_ANSWER = "malformed_answer"
 MAX_INTERIM_ANSWERS = 100
+SERVER_GONE = "server_gone"
+# A process that ends closes its connections and its port one after the other.
+END_CHECK_DELAY_MS = 50
+# Of a check that shows neither that the server lives nor that it doesn't.
+END_CHECKS = 2
+
+CheckServer = typing.Callable[[typing.Callable[[bool | None], None]], None]
 
 
 class End(enum.Enum):
@@ -80,13 +88,21 @@
 
     :param outgoing: the request to send
     :param callbacks: functions to call
+    :param check_server: finds out whether the server still accepts
+        connections, None if that can't be told; it is asked where only the end
+        of the connection marks that of the answer
     """
 
     def __init__(
-        self, outgoing: Outgoing, callbacks: AttemptCallbacks
+        self,
+        outgoing: Outgoing,
+        callbacks: AttemptCallbacks,
+        check_server: CheckServer,
     ) -> None:
         self.outgoing = outgoing
         self.callbacks = callbacks
+        self.check_server = check_server
+        self.framing = answer_end.Framing.NO_BODY
         self.parser = h11.Connection(h11.CLIENT)
         self.connector: typing.Any = None
         self.sent = False
@@ -151,6 +167,9 @@
             if isinstance(event, h11.InformationalResponse):
                 self.count_interim_answer()
             elif isinstance(event, h11.Response):
+                self.framing = answer_end.framing(
+                    self.outgoing.method, event.status_code, event.headers
+                )
                 self.callbacks.on_head(event.status_code, list(event.headers))
             elif isinstance(event, h11.Data):
                 self.callbacks.on_data(bytes(event.data))
@@ -171,13 +190,40 @@
         """Ends the attempt if its answer has not ended.
 
         :param reason: twisted's reason; a clean close completes an answer
-            without a length
+            without a length, if its server has not ended with it
         """
         if self.ended:
             return
         if not reason.check(error.ConnectionDone):
             self.end(End.BROKEN, "connection_reset")
-            return
+        elif self.framing is answer_end.Framing.CLOSE:
+            self.confirm_end(END_CHECKS)
+        else:
+            self.read_end()
+
+    def confirm_end(self, checks: int) -> None:
+        """Completes an answer without a length unless its server is gone.
+
+        The connections of a process that is killed are closed as cleanly as
+        one whose answer is whole.
+
+        :param checks: how often the server is checked at most
+        """
+
+        def on_checked(accepts: bool | None) -> None:
+            if self.ended:
+                return
+            if accepts:
+                self.read_end()
+            elif accepts is None and checks > 1:
+                self.confirm_end(checks - 1)
+            else:
+                self.end(End.BROKEN, SERVER_GONE)
+
+        self.check_server(on_checked)
+
+    def read_end(self) -> None:
+        """Ends the attempt as the parser takes the end of the connection."""
         try:
             self.parser.receive_data(b"")
             self.read()
@@ -280,7 +326,18 @@
         connection without TLS
     :return: the attempt
     """
-    attempt = Attempt(outgoing, callbacks)
+
+    def check_server(on_checked: typing.Callable[[bool | None], None]) -> None:
+        reactor.callLater(
+            END_CHECK_DELAY_MS / clocks.MS_PER_S,
+            connection_check.start,
+            reactor,
+            address,
+            on_checked,
+            own_host,
+        )
+
+    attempt = Attempt(outgoing, callbacks, check_server)
     factory: typing.Any = AttemptFactory(attempt)
     if tls_name is not None:
         factory = wrap_in_tls(reactor, factory, tls_name)
--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -296,6 +296,9 @@
         # empty for none, and how long it is down then.
         self.crash_part = ""
         self.crash_down_ms = 1_500
+        # Number of streams, without a length, that end with its process after
+        # their first event.
+        self.die_unframed = 0
         self.listener: http.Listener | None = None
         # What the next answers have without end: a key of ENDLESS.
         self.endless: list[str] = []
@@ -522,6 +525,9 @@
         if self.break_unframed > 0:
             self.break_unframed -= 1
             return self.break_off_unframed(request, request_id, first, last)
+        if self.die_unframed > 0:
+            self.die_unframed -= 1
+            return self.die_between_events(request, request_id, first)
         finished: defer.Deferred[bytes] = defer.Deferred()
 
         def event(number: int) -> None:
@@ -568,6 +574,32 @@
         request.transport.loseConnection()
         return defer.Deferred()
 
+    def die_between_events(
+        self, request: typing.Any, request_id: str, first: int
+    ) -> typing.Any:
+        """Sends an event, and closes the connection and the port.
+
+        That is what the kernel does for a process that is killed. Nothing in
+        the answer shows that it isn't whole.
+
+        :param request: request sent by the gateway
+        :param request_id: its id
+        :param first: number of the event
+        :return: a Deferred that never fires
+        """
+        request.transport.write(
+            f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {request_id}\r\n"
+            f"{SEAL}: seal-{self.id}\r\n\r\n"
+            f"id: {first}\ndata: x{first} of {request_id}\n\n".encode()
+        )
+
+        def die() -> None:
+            request.transport.loseConnection()
+            self.reactor.callLater(0, self.go_down)
+
+        self.reactor.callLater(CRASH_DELAY_S, die)
+        return defer.Deferred()
+
     def control(self, change: http.Json) -> None:
         """Changes the behaviour of the runner.
 
