A gateway that must end takes only requests that it can finish

Cause: a process that ends takes work by when it comes, not by when it will be done. Change: routes show how long their requests take; from SIGTERM on, one that would take longer than the process has is refused as not run, when it comes and before it is sent. What still runs at the end gets 504.

--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -187,6 +187,47 @@
     Then the caller receives status 503
     And the request was sent to 0 upstreams
 
+  # Guards against requests that are taken late in a planned stop, and cut off
+  # without an answer at its end.
+  Scenario Outline: A gateway that must end takes only what it can finish: "<route>" that takes <takes>, <left> ms before
+    Given a gateway with two upstreams of each service
+    And requests of "<route>" that take <takes>
+    When the gateway must end in <left> ms
+    And a caller who waits 4000 ms requests "<route>"
+    Then the request was sent to <sent> upstreams
+    And its caller <gets>
+
+    Examples:
+      | route | takes | left | sent | gets |
+      | post | 100 ms | 3000 | 1 | waits |
+      | post | 3500 ms | 3000 | 0 | is told that it has not run |
+      | post | 3500 ms | 3600 | 1 | waits |
+      | post | an unknown time | 3000 | 0 | is told that it has not run |
+      | post | an unknown time | 4100 | 1 | waits |
+      | lookup | 3500 ms | 3000 | 0 | is told that it has not run |
+      | query | 3500 ms | 3000 | 0 | is told that it has not run |
+
+  Scenario: A request that waits for too long in a gateway that must end is refused
+    Given a gateway with two upstreams of each service
+    And requests of "post" that take 1000 ms
+    When the gateway must end in 2000 ms
+    And all upstreams are away for 1500 ms after a caller requests "post"
+    Then the request was sent to 0 upstreams
+    And its caller is told that it has not run
+
+  Scenario Outline: A request that runs at the end of a planned stop gets an answer: <route>
+    Given a gateway with two upstreams of each service
+    When a caller requests "<route>"
+    And the gateway ends all requests
+    Then the caller receives status 504
+    And no request is running
+
+    Examples:
+      | route |
+      | post |
+      | lookup |
+      | query |
+
   Scenario: A request that crashes its upstreams is refused from then on
     Given a gateway with one upstream
     When 3 callers send the same request and it crashes its upstream each time
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -401,9 +401,51 @@
     gateway.update_upstreams({"new": context.another})
 
 
+@given('requests of "{route}" that take {takes}')
+def learn_run_times(context, route, takes):
+    if takes == "an unknown time":
+        return
+    took_ms = int(takes.split()[0])
+    world = context.world
+    world.ask("learnt", route, left_ms=60_000)
+    sent = world.sent.pop()
+    world.advance(took_ms)
+    sent.answer()
+
+
+@when("the gateway must end in {left_ms:d} ms")
+def must_end(context, left_ms):
+    world = context.world
+    world.gateway.start_draining(world.clock.monotonic_ms() + left_ms)
+
+
+@when(
+    "all upstreams are away for {away_ms:d} ms after a caller requests"
+    ' "{route}"'
+)
+def ask_while_away(context, away_ms, route):
+    world = context.world
+    world.gateway.update_upstreams({})
+    context.caller = world.ask("a", route)
+    world.advance(away_ms)
+    world.gateway.update_upstreams(world.upstreams)
+    world.advance(100)
+
+
+@then("its caller {gets}")
+def check_told(context, gets):
+    if gets == "waits":
+        assert context.caller.status is None, context.caller.received
+        return
+    assert context.caller.status == 503, context.caller.received
+    assert b'"reason": "leaving"' in context.caller.received
+    assert b"retry-after" in context.caller.received.lower()
+
+
+@when("the gateway ends all requests")
 @when("the gateway refuses all waiting requests")
 def refuses_waiting(context):
-    context.world.gateway.refuse_waiting()
+    context.world.gateway.end_all()
 
 
 @when("its deadline passes")
--- a/godwitloft/gateway/admission.py
+++ b/godwitloft/gateway/admission.py
@@ -39,7 +39,6 @@
 )
 UPSTREAMS_PAUSED = "upstreams_paused"
 # The gateway itself shuts down; others take the request.
-LEAVING = "leaving"
 # Callers that are refused during pauses of all upstreams come back over this
 # part of the remaining pause, after its end.
 PAUSE_RETRY_SPREAD = 0.25
@@ -341,7 +340,7 @@
         facts = request.facts
         now_ms = self.clock.monotonic_ms()
         pause_ms = self.fleet.pause_left_ms(facts.service, now_ms)
-        if pause_ms > 0 and reason != LEAVING:
+        if pause_ms > 0 and reason != request_checkers.LEAVING:
             spread_ms = max(
                 MIN_PAUSE_RETRY_SPREAD_MS, PAUSE_RETRY_SPREAD * pause_ms
             )
--- a/godwitloft/gateway/daemon.py
+++ b/godwitloft/gateway/daemon.py
@@ -211,7 +211,7 @@
         """
         options = self.gateway.options
         end_ms = self.clock.monotonic_ms() + options.drain_limit_ms
-        self.gateway.start_draining()
+        self.gateway.start_draining(end_ms)
         self.reactor.callLater(
             options.balancer_notice_ms / clocks.MS_PER_S,
             self.close,
@@ -245,7 +245,7 @@
                 left=self.gateway.unfinished(),
                 took_ms=self.clock.monotonic_ms() - started_ms,
             )
-            self.gateway.refuse_waiting()
+            self.gateway.end_all()
             done()
 
         polling.wait_until(self.reactor, is_idle, remaining_ms, end)
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -35,6 +35,7 @@
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import request_checker as request_checkers
 from godwitloft.gateway import retry_policy as retry_policies
+from godwitloft.gateway import run_times
 from godwitloft.gateway import service_versions
 from godwitloft.gateway import shared_knowledge
 from godwitloft.gateway import sharing as sharings
@@ -220,6 +221,9 @@
         sharing.own_status = self.knowledge.status
         sharing.on_peer_status = self.knowledge.on_peer_status
         self.draining = False
+        # When the process must end, None while it need not.
+        self.end_ms: int | None = None
+        self.run_times = run_times.RunTimes()
         self.waiting: dict[str, list[requests.Request]] = {}
         self.scheduling: set[str] = set()
         self.running: set[requests.Request] = set()
@@ -317,9 +321,14 @@
             )
         )
 
-    def start_draining(self) -> None:
-        """Starts draining: the gateway is no longer ready for the balancer."""
+    def start_draining(self, end_ms: int) -> None:
+        """Starts draining: the gateway is no longer ready for the balancer.
+
+        :param end_ms: when the process must end; requests that would take
+            longer are refused from now on
+        """
         self.draining = True
+        self.end_ms = end_ms
         events.log(events.DRAINING, requests=self.unfinished())
 
     def stop_accepting(self) -> None:
@@ -345,15 +354,26 @@
         """
         return self.unfinished() > 0
 
-    def refuse_waiting(self) -> None:
-        """Refuses all waiting requests, before the process ends."""
+    def end_all(self) -> None:
+        """Answers all unfinished requests, before the process ends.
+
+        Those that have not run are refused; what becomes of the others isn't
+        known.
+        """
+        for request in list(self.running):
+            self.cancel_attempt(request)
+            self.refuse(
+                request, refusals.Refusal(504, request_checkers.LEAVING)
+            )
         self.continuations.refuse_all(request_checkers.LEAVING_REFUSAL)
         for queue in self.waiting.values():
             for request in queue:
                 if request.state is requests.State.WAITING:
                     self.refuse(
                         request,
-                        self.admission.rejection(request, admissions.LEAVING),
+                        self.admission.rejection(
+                            request, request_checkers.LEAVING
+                        ),
                     )
 
     # Arrival of requests.
@@ -394,6 +414,9 @@
         """
         service = request.facts.service
         queue = self.waiting.setdefault(service, [])
+        if not self.can_end_in_time(request):
+            self.refuse(request, request_checkers.LEAVING_REFUSAL)
+            return
         refusal = self.admission.admit(request, queue)
         if refusal is not None:
             self.refuse(request, refusal)
@@ -500,12 +523,16 @@
             return
         if not self.still_permitted(request, now_ms):
             return
+        if request.attempt_count == 0 and not self.can_end_in_time(request):
+            self.refuse(request, request_checkers.LEAVING_REFUSAL)
+            return
         self.record_trial(request, now_ms)
         if facts.team is not None and request.use is not None:
             request.use = self.dependencies.sharing.move_to_now(
                 facts.team, request.use
             )
         if request.attempt_count == 0:
+            request.first_sent_ms = now_ms
             self.retry_policy.budget(facts.service).record_first(now_ms)
         request.attempt_count += 1
         request.runs += 1
@@ -559,6 +586,22 @@
             callbacks,
         )
 
+    def can_end_in_time(self, request: requests.Request) -> bool:
+        """Returns whether a request can be answered before the process ends.
+
+        One that can't is refused while it has not run: it would be cut off.
+
+        :param request: a request that was not sent yet
+        """
+        if self.end_ms is None:
+            return True
+        now_ms = self.clock.monotonic_ms()
+        facts = request.facts
+        expected_ms = self.run_times.expected_ms(
+            facts.route.name, facts.deadline_ms - now_ms
+        )
+        return now_ms + expected_ms <= self.end_ms
+
     def record_trial(self, request: requests.Request, now_ms: int) -> None:
         """Records if a request is sent although it is blamed for crashes.
 
@@ -758,6 +801,9 @@
         if attempt_outcome.result is outcomes.Result.DELIVER:
             if answer.is_valid_success():
                 self.record_complete(request)
+                self.run_times.learn(
+                    request.facts.route.name, now_ms - request.first_sent_ms
+                )
             answer.deliver()
             self.end(request, outcomes.COMPLETED, attempt_outcome.reason)
         elif self.retry_policy.may_retry(request, attempt_outcome, now_ms):
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -158,6 +158,7 @@
         self.tried_upstreams: set[str] = set()
         # It isn't sent again before this time.
         self.resend_at_ms = 0
+        self.first_sent_ms = 0
         self.sent_ms = 0
         self.last_upstream_id = ""
         # Prompt tokens that were pending at its upstream when it was sent, and
