A gateway sends its answers to the end before it ends

Cause: a request counted as finished once its answer was written to the connection, of which the process itself still held a part. Change: the process ends once no connection is closing with unsent bytes, and gives them 0.4 s more after the drain's limit, 0.2 s before SIGKILL. With a grace below 3.2 s connections are closed at the drain's limit, not after it.

--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -201,6 +201,7 @@
                 zone="a",
                 key_proof_ms=4000,
                 drain_limit_ms=7000,
+                flush_limit_ms=400,
                 balancer_notice_ms=2600,
                 last_accept_ms=3600,
                 retries=retry_budget.BudgetSettings(10_000, 0.2, 20),
--- a/godwitloft/gateway/daemon.py
+++ b/godwitloft/gateway/daemon.py
@@ -226,9 +226,13 @@
     def close(self, end_ms: int, done: typing.Callable[[], None]) -> None:
         """Closes connections between answers, and waits for the last answer.
 
+        An answer has ended once the kernel has all of it: what its caller has
+        not read yet may still be in this process.
+
         :param end_ms: when the process must end
         :param done: called once the process may end
         """
+        options = self.gateway.options
         self.closing = True
         self.caller_factory.close_idle()
         remaining_ms = max(0, end_ms - self.clock.monotonic_ms())
@@ -236,17 +240,27 @@
 
         def is_idle() -> bool:
             self.caller_factory.close_idle()
-            return not self.gateway.has_requests()
+            return not (
+                self.gateway.has_requests()
+                or self.caller_factory.has_closing()
+            )
 
         def end(in_time: bool) -> None:
             events.log(
                 events.STOPPED,
                 finished=in_time,
                 left=self.gateway.unfinished(),
+                unsent=self.caller_factory.count_closing(),
                 took_ms=self.clock.monotonic_ms() - started_ms,
             )
+            self.gateway.stop_accepting()
             self.gateway.end_all()
-            done()
+            polling.wait_until(
+                self.reactor,
+                lambda: not self.caller_factory.has_closing(),
+                options.flush_limit_ms,
+                lambda _in_time: done(),
+            )
 
         polling.wait_until(self.reactor, is_idle, remaining_ms, end)
 
--- a/godwitloft/gateway/http_server.py
+++ b/godwitloft/gateway/http_server.py
@@ -194,6 +194,8 @@
         # Whether the complete request was passed to the gateway.
         self.handed_over = False
         self.open = False
+        # Whether it closes once all that was written has been sent.
+        self.is_closing = False
         # Whether the transport tells when the caller reads too slowly.
         self.registered = False
         self.last_active_ms = clock.monotonic_ms()
@@ -388,6 +390,7 @@
     def close(self) -> None:
         """Closes the connection once all written data has been sent."""
         if self.open and self.transport is not None:
+            self.is_closing = True
             self.unregister()
             self.transport.loseConnection()
 
@@ -406,6 +409,7 @@
         """
         if not self.open or self.transport is None:
             return
+        self.is_closing = True
         self.unregister()
         if (self.parser.their_http_version or b"1.0") < b"1.1":
             typing.cast(typing.Any, self.transport).abortConnection()
@@ -488,3 +492,11 @@
                 and connection.head_started_ms is None
             ):
                 connection.close()
+
+    def count_closing(self) -> int:
+        """Returns how many connections close once all is sent."""
+        return sum(connection.is_closing for connection in self.connections)
+
+    def has_closing(self) -> bool:
+        """Returns whether an answer has ended that isn't sent yet."""
+        return any(connection.is_closing for connection in self.connections)
--- a/godwitloft/gateway/options.py
+++ b/godwitloft/gateway/options.py
@@ -17,6 +17,8 @@
         configuration with which keys are accepted, 0 for no bound
     :param drain_limit_ms: maximum time from the start of a drain to the end of
         the process
+    :param flush_limit_ms: maximum time after that for what was answered and
+        isn't sent yet
     :param balancer_notice_ms: time in which a balancer notices that the
         gateway isn't ready
     :param last_accept_ms: time from the start of a drain after which requests
@@ -32,6 +34,7 @@
     zone: str
     key_proof_ms: int
     drain_limit_ms: int
+    flush_limit_ms: int
     balancer_notice_ms: int
     last_accept_ms: int
     retries: retry_budget.BudgetSettings
--- a/godwitloft/platform/settings.py
+++ b/godwitloft/platform/settings.py
@@ -20,6 +20,8 @@
 KEY_PROOF_MARGIN_MS = 600
 # How long before SIGKILL the shutdown must be finished.
 SHUTDOWN_MARGIN_MS = 600
+# Part of it that may be used to send what was answered.
+FLUSH_LIMIT_MS = 400
 # The balancer checks readiness once per second and stops sending requests
 # after two failed checks.
 BALANCER_NOTICE_MS = 2_600
@@ -253,13 +255,15 @@
         revoke_ms = reader.number("bounds.revoke-ms")
         key_proof_ms = max(1, int(revoke_ms) - KEY_PROOF_MARGIN_MS)
     grace_ms = reader.number("bounds.grace-s", 8) * MS_PER_S
+    drain_limit_ms = max(0, int(grace_ms) - SHUTDOWN_MARGIN_MS)
     return options.Options(
         instance=reader.text("node-name"),
         host=reader.text("ip"),
         zone=reader.text("zone"),
         key_proof_ms=key_proof_ms,
-        drain_limit_ms=max(0, int(grace_ms) - SHUTDOWN_MARGIN_MS),
-        balancer_notice_ms=BALANCER_NOTICE_MS,
+        drain_limit_ms=drain_limit_ms,
+        flush_limit_ms=FLUSH_LIMIT_MS,
+        balancer_notice_ms=min(BALANCER_NOTICE_MS, drain_limit_ms),
         last_accept_ms=int(min(MAX_ACCEPT_MS, grace_ms / 2)),
         retries=retry_budget.BudgetSettings(
             window_ms=int(
