A proof of the configuration ends once it is known to be outdated

Cause: it read an older configuration from the restored store, heard from a peer that a newer one exists, and went on by its proof for 4.4 s. Change: a gateway that has just started takes its configuration for unconfirmed once it hears of a newer one; any gateway does once the store, asked after that, still holds an older one. One that has the newest in force goes on.

--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -209,3 +209,25 @@
       | no peers | 0 |
       | a peer that speaks after 180 ms | 200 |
       | a silent peer | 700 |
+
+  # Guards against a gateway that starts after a restore of the store, which it
+  # can't know of, and accepts a key that its peers know to be withdrawn.
+  Scenario Outline: A configuration is not confirmed once a newer one is known that can't be read: <when>
+    Given a gateway that has had configuration 7 confirmed for <age> ms
+    When a peer tells that it has configuration 8
+    Then the configuration is confirmed: <at once>
+    When the store is read and holds configuration 7
+    Then the configuration is confirmed: no
+    When the store is read and holds configuration 8
+    Then the configuration is confirmed: yes
+
+    Examples:
+      | when | age | at once |
+      | just after the start | 100 | no |
+      | long after the start | 9000 | yes |
+
+  Scenario: An answer of the store from before a newer configuration was known proves nothing against it
+    Given a gateway that has had configuration 7 confirmed for 9000 ms
+    When a peer tells that it has configuration 8
+    And the store was read 10 ms before and held configuration 7
+    Then the configuration is confirmed: yes
--- a/godwitloft/gateway/config_state.py
+++ b/godwitloft/gateway/config_state.py
@@ -8,6 +8,8 @@
 # After a restore of the store, operators get this long to write again what it
 # has undone; no gateway may have seen it.
 SETTLE_MS = 1_000
+# A gateway that has started hears of its peers' versions within this time.
+START_MS = 3_000
 
 
 class ConfigState:
@@ -25,6 +27,10 @@
         self.confirmed_ms: int | None = None
         # Newest version that this gateway or a peer has ever had in force.
         self.known_version = 0
+        # When it became known.
+        self.known_since_ms = 0
+        # When the first configuration was confirmed.
+        self.first_confirmed_ms: int | None = None
         # Confirmations that were requested before this time don't count.
         self.settled_ms = 0
         # Version in the store for which was logged that it is outdated.
@@ -55,9 +61,25 @@
     def note_version(self, version: int) -> None:
         """Records that a version of the configuration exists.
 
+        What a gateway has read since it started may come from before a restore
+        of the store that it can't know of. If a peer has a newer version, that
+        is confirmed only once it is read again.
+
         :param version: version that this gateway or a peer has in force
         """
-        self.known_version = max(self.known_version, version)
+        if version <= self.known_version:
+            return
+        now_ms = self.clock.monotonic_ms()
+        self.known_version = version
+        self.known_since_ms = now_ms
+        first_ms = self.first_confirmed_ms
+        has_started = first_ms is not None and now_ms - first_ms < START_MS
+        if self.is_outdated() and has_started:
+            self.confirmed_ms = None
+
+    def is_outdated(self) -> bool:
+        """Returns whether a newer configuration than that in force exists."""
+        return self.known_version > self.version
 
     def mark_restored(self, now_ms: int) -> None:
         """Records that the store was restored from a copy.
@@ -84,7 +106,10 @@
             self.outdated_version = None
             if asked_ms >= self.settled_ms:
                 self.confirm(asked_ms)
-        elif self.outdated_version != stored_version:
+            return
+        if self.is_outdated() and asked_ms >= self.known_since_ms:
+            self.confirmed_ms = None
+        if self.outdated_version != stored_version:
             self.outdated_version = stored_version
             events.log(
                 events.STORED_CONFIGURATION_OUTDATED,
@@ -99,6 +124,8 @@
         :param asked_ms: when the confirmation was requested; a replacement
             before this time would have been noticed
         """
+        if self.first_confirmed_ms is None:
+            self.first_confirmed_ms = self.clock.monotonic_ms()
         if self.confirmed_ms is None or asked_ms > self.confirmed_ms:
             self.confirmed_ms = asked_ms
 
