Bodies of finished requests leave the memory at once, and are bounded

Cause: finished requests stay in reference cycles with their bodies until the garbage collector runs, after some 250 requests; nothing bounded the bytes held. Change: an exchange that ends drops its body and callbacks, an attempt its body once written; all bodies held are bounded by 0.15 of memory-mb, beyond which a request is refused as not run, when to come back.

--- /dev/null
+++ b/features/held_bodies.feature
@@ -0,0 +1,23 @@
+Feature: Bodies of requests don't fill the memory
+
+  # Guards against bodies of finished requests that wait for the garbage
+  # collector, until the process has more memory than it may have.
+  Scenario Outline: Nothing of a body stays once its request has ended: <end>
+    Given a gateway with two upstreams of each service
+    When 20 requests with a body of 1000000 bytes end while no garbage is collected: <end>
+    Then they hold less than 2000000 bytes
+
+    Examples:
+      | end |
+      | answered |
+      | answered by a failure |
+      | their callers leave |
+      | refused |
+
+  Scenario: What would be too much at once is refused as not run
+    Given a gateway with two upstreams of each service
+    When 12 callers send a body of 1000000 bytes each, and none is answered
+    Then 10 of them wait, and 2 are told to come back
+    When those that wait are answered
+    And 10 callers send a body of 1000000 bytes each, and none is answered
+    Then 10 of them wait, and 0 are told to come back
--- /dev/null
+++ b/features/steps/held_bodies_steps.py
@@ -0,0 +1,80 @@
+import gc
+import tracemalloc
+
+from behave import then
+from behave import when
+
+from features.support import gateway_world
+
+
+def send(world, size, route="post"):
+    caller = gateway_world.Caller(world)
+    caller.send(
+        b"POST /%s/x HTTP/1.1\r\nHost: h\r\nGodwitloft-Request-Id: a\r\n"
+        b"Godwitloft-Deadline-Ms: 4000\r\nAuthorization: Token key\r\n"
+        b"Content-Length: %d\r\n\r\n" % (route.encode(), size)
+    )
+    part = size // 4
+    for _ in range(4):
+        caller.send(bytes(part))
+    return caller
+
+
+def end(world, caller, how):
+    if how == "their callers leave":
+        caller.leave()
+    elif how == "answered by a failure":
+        world.sent[0].answer(500)
+    elif how == "answered":
+        world.sent[0].answer()
+    world.sent.clear()
+
+
+@when(
+    "{count:d} requests with a body of {size:d} bytes end while no garbage is"
+    " collected: {how}"
+)
+def end_all(context, count, size, how):
+    world = context.world
+    gc.collect()
+    gc.disable()
+    context.add_cleanup(gc.enable)
+    tracemalloc.start()
+    context.add_cleanup(tracemalloc.stop)
+    before, _ = tracemalloc.get_traced_memory()
+    for _ in range(count):
+        caller = send(world, size, "none" if how == "refused" else "post")
+        end(world, caller, how)
+    del caller
+    context.held = tracemalloc.get_traced_memory()[0] - before
+
+
+@then("they hold less than {most:d} bytes")
+def check_held(context, most):
+    assert context.held < most, context.held
+
+
+@when(
+    "{count:d} callers send a body of {size:d} bytes each, and none is"
+    " answered"
+)
+def send_many(context, count, size):
+    world = context.world
+    world.sent.clear()
+    context.callers = [send(world, size) for _ in range(count)]
+
+
+@then("{waiting:d} of them wait, and {refused:d} are told to come back")
+def check_refused(context, waiting, refused):
+    callers = context.callers
+    found = [caller for caller in callers if caller.status == 503]
+    assert len(found) == refused, [caller.status for caller in callers]
+    for caller in found:
+        assert b"retry-after" in caller.received.lower(), caller.received
+    assert sum(caller.status is None for caller in callers) == waiting
+
+
+@when("those that wait are answered")
+def answer_waiting(context):
+    while context.world.sent:
+        context.world.sent.pop(0).answer()
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -206,6 +206,7 @@
                 last_accept_ms=3600,
                 retries=retry_budget.BudgetSettings(10_000, 0.2, 20),
                 tolerance=TOLERANCE,
+                max_held_bytes=10_000_000,
                 store_outage_ms=1800,
             ),
             DIALECT,
@@ -232,6 +233,7 @@
                 closing=lambda: False,
             ),
             self.clock,
+            self.gateway.options.max_held_bytes,
         )
         self.gateway.config_state.configure(configuration())
         self.upstreams = {
--- a/godwitloft/attempt.py
+++ b/godwitloft/attempt.py
@@ -126,6 +126,8 @@
             return
         self.sent = True
         immediate_write.write(transport, request)
+        # The rest of the attempt may last for long, and needs no body.
+        self.outgoing = dataclasses.replace(self.outgoing, body=b"")
 
     def request_bytes(self) -> bytes:
         """Returns the complete request as it is sent.
--- a/godwitloft/gateway/daemon.py
+++ b/godwitloft/gateway/daemon.py
@@ -88,6 +88,7 @@
                 closing=lambda: self.closing,
             ),
             clock,
+            gateway.options.max_held_bytes,
         )
         self.ready_factory = self.internal_factory(self.answer_ready)
         self.metrics_factory = self.internal_factory(self.answer_metrics)
@@ -106,7 +107,9 @@
             limits=model.CallerLimits,
             closing=lambda: False,
         )
-        return http_server.HttpServerFactory(callbacks, self.clock)
+        return http_server.HttpServerFactory(
+            callbacks, self.clock, self.gateway.options.max_held_bytes
+        )
 
     def start(self) -> int:
         """Opens the ports and starts all timers.
--- a/godwitloft/gateway/http_server.py
+++ b/godwitloft/gateway/http_server.py
@@ -24,6 +24,9 @@
 
 # With more than this unsent, the gateway reads no more of an answer.
 MAX_UNSENT_BYTES = 256 * 1024
+SERVICE_UNAVAILABLE = 503
+# Of a request that is refused before it was read.
+RETRY_AFTER_S = b"0.5"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -38,6 +41,33 @@
     reason: str
 
 
+class BodyBudget:
+    """Bytes of requests' bodies that are held, of all connections together.
+
+    :param limit_bytes: how many may be held
+    """
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self.held_bytes = 0
+
+    def take(self, count: int) -> bool:
+        """Counts bytes that were received.
+
+        :param count: their number
+        :return: whether they may be held
+        """
+        self.held_bytes += count
+        return self.held_bytes <= self.limit_bytes
+
+    def give_back(self, count: int) -> None:
+        """Counts bytes that are not held any more.
+
+        :param count: their number
+        """
+        self.held_bytes -= count
+
+
 class Exchange:
     """One request of a caller, and methods to send its answer.
 
@@ -87,6 +117,19 @@
         """The complete body."""
         return b"".join(self.body_parts)
 
+    def end(self) -> None:
+        """Forgets what only an unfinished request needs.
+
+        The request and its callbacks refer to each other, so that the body
+        would otherwise stay until the garbage collector runs.
+        """
+        self.ended = True
+        self.connection.budget.give_back(self.body_bytes)
+        self.body_bytes = 0
+        self.body_parts.clear()
+        self.on_disconnect = _do_nothing
+        self.on_congested = _ignore_congestion
+
     def start(self, status: int, headers: list[Header]) -> None:
         """Sends the head of an answer.
 
@@ -106,7 +149,7 @@
     def finish(self) -> None:
         """Ends the answer, which is complete."""
         if not self.ended:
-            self.ended = True
+            self.end()
             self.connection.send_end(self)
 
     def respond(
@@ -138,14 +181,19 @@
         :return: whether the request has ended, now or before
         """
         if not self.ended and self.connection.has_arrived_close():
-            self.ended = True
-            self.on_disconnect()
+            self.disconnect()
         return self.ended
 
+    def disconnect(self) -> None:
+        """Tells the gateway that the caller has left."""
+        on_disconnect = self.on_disconnect
+        self.end()
+        on_disconnect()
+
     def abort(self) -> None:
         """Closes the connection so that the answer is seen as incomplete."""
         if not self.ended:
-            self.ended = True
+            self.end()
             self.connection.abort()
 
 
@@ -179,6 +227,7 @@
     :param callbacks: functions of the gateway
     :param clock: source of the time
     :param connections: all open connections; this one adds and removes itself
+    :param budget: bytes of bodies that all connections hold
     """
 
     def __init__(
@@ -186,8 +235,10 @@
         callbacks: ConnectionCallbacks,
         clock: clocks.Clock,
         connections: "set[HttpConnection]",
+        budget: BodyBudget,
     ) -> None:
         self.callbacks = callbacks
+        self.budget = budget
         self.clock = clock
         self.connections = connections
         self.exchange: Exchange | None = None
@@ -240,8 +291,7 @@
         exchange = self.exchange
         self.exchange = None
         if exchange is not None and not exchange.ended:
-            exchange.ended = True
-            exchange.on_disconnect()
+            exchange.disconnect()
 
     def dataReceived(self, data: bytes) -> None:
         """Parses a part of a request.
@@ -292,8 +342,11 @@
             return
         exchange.body_parts.append(data)
         exchange.body_bytes += len(data)
+        may_hold = self.budget.take(len(data))
         if exchange.body_bytes > self.callbacks.limits().body_bytes:
             self.refuse(413, "body_too_large")
+        elif not may_hold:
+            self.refuse(503, "too_many_bytes")
 
     def refuse(self, status: int, reason: str) -> None:
         """Refuses a request that can't be read, and closes the connection.
@@ -311,11 +364,11 @@
             return
         self.callbacks.on_refused(Refusal(status, reason))
         if exchange is not None:
-            exchange.ended = True
-        head = h11.Response(
-            status_code=status,
-            headers=[(b"content-length", b"0"), (b"connection", b"close")],
-        )
+            exchange.end()
+        headers = [(b"content-length", b"0"), (b"connection", b"close")]
+        if status == SERVICE_UNAVAILABLE:
+            headers.append((b"retry-after", RETRY_AFTER_S))
+        head = h11.Response(status_code=status, headers=headers)
         if self.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self.send(head)
             self.send(h11.EndOfMessage())
@@ -459,15 +512,20 @@
 
     :param callbacks: functions of the gateway
     :param clock: source of the time
+    :param max_held_bytes: bytes of requests' bodies that may be held at once
     """
 
     noisy = False
 
     def __init__(
-        self, callbacks: ConnectionCallbacks, clock: clocks.Clock
+        self,
+        callbacks: ConnectionCallbacks,
+        clock: clocks.Clock,
+        max_held_bytes: int,
     ) -> None:
         self.callbacks = callbacks
         self.clock = clock
+        self.budget = BodyBudget(max_held_bytes)
         self.connections: set[HttpConnection] = set()
 
     def buildProtocol(self, addr: object) -> HttpConnection:
@@ -476,7 +534,9 @@
         :param addr: address of the caller
         :return: the protocol
         """
-        return HttpConnection(self.callbacks, self.clock, self.connections)
+        return HttpConnection(
+            self.callbacks, self.clock, self.connections, self.budget
+        )
 
     def check_timeouts(self) -> None:
         """Closes connections whose callers are too slow or idle."""
--- a/godwitloft/gateway/options.py
+++ b/godwitloft/gateway/options.py
@@ -25,6 +25,7 @@
         are refused
     :param retries: bounds on retries, of all gateways together
     :param tolerance: by how much teams may exceed their allowance
+    :param max_held_bytes: bytes of requests' bodies that may be held at once
     :param store_outage_ms: the shortest absence of the store in which the
         registration of a live upstream can expire
     """
@@ -39,4 +40,5 @@
     last_accept_ms: int
     retries: retry_budget.BudgetSettings
     tolerance: allowance.Tolerance
+    max_held_bytes: int
     store_outage_ms: int
--- a/godwitloft/platform/settings.py
+++ b/godwitloft/platform/settings.py
@@ -28,6 +28,11 @@
 # A request accepted up to this long after SIGTERM may still be unfinished at
 # SIGKILL. A later one must not be, so none is accepted later.
 MAX_ACCEPT_MS = 2_800
+DEFAULT_MEMORY_MB = 128
+BYTES_PER_MB = 1_000_000
+# Of the memory of a process, for bodies of requests: while a request is being
+# sent there are three copies of its body.
+BODY_MEMORY_SHARE = 0.15
 DEFAULT_HEARTBEAT_MS = 1_200
 # A registration expires three heartbeats after it was renewed, and was renewed
 # at most one heartbeat before the store went away, with some tolerance.
@@ -243,6 +248,17 @@
     return int(reader.number("heartbeat-ms", DEFAULT_HEARTBEAT_MS))
 
 
+def decode_max_held_bytes(reader: Reader) -> int:
+    """Returns how many bytes of requests' bodies a process may hold.
+
+    :param reader: reads the settings file
+    :return: number of bytes
+    :raises SettingsError: if the memory is no number
+    """
+    memory_mb = reader.number("limits.memory-mb", DEFAULT_MEMORY_MB)
+    return int(BODY_MEMORY_SHARE * memory_mb * BYTES_PER_MB)
+
+
 def decode_options(reader: Reader) -> options.Options:
     """Translates the platform's bounds to the options of a gateway.
 
@@ -279,5 +295,6 @@
             share=reader.number("bounds.quota-overage", 0),
             tokens=reader.number("bounds.quota-slack", 0),
         ),
+        max_held_bytes=decode_max_held_bytes(reader),
         store_outage_ms=int(decode_heartbeat(reader) * OUTAGE_HEARTBEATS),
     )
