An allowance is not given back twice for a request that is sent again

Cause: Window.take_back subtracted a use that total() had dropped already. Change: a use knows whether it still counts.

--- a/features/gateway_limits.feature
+++ b/features/gateway_limits.feature
@@ -116,3 +116,20 @@
       | 10 | alone | 1 | 40 |
       | 100 | alone | 1 | 150 |
       | 10 | among four | 4 | 10 |
+
+  # Guards against a use that has left its window and is subtracted once more,
+  # as its request is sent again: for good, so that a team may use too much.
+  Scenario Outline: A use that has left its window is not taken from it again: <what>
+    Given a window of 8 s in which 100 tokens were used
+    When <pass> s pass and 50 tokens are used
+    And the first use is <what>
+    Then the window holds <tokens> tokens
+    When 9 s pass and 10 tokens are used
+    Then the window holds 10 tokens
+
+    Examples:
+      | what | pass | tokens |
+      | taken back | 1 | 50 |
+      | taken back | 9 | 50 |
+      | moved to now | 1 | 150 |
+      | moved to now | 9 | 150 |
--- a/features/steps/gateway_limits_steps.py
+++ b/features/steps/gateway_limits_steps.py
@@ -363,3 +363,31 @@
 @then("at least {least:d} retries were allowed")
 def check_repeats(context, least):
     assert len(context.repeats) >= least, len(context.repeats)
+
+
+@given("a window of {length_s:d} s in which {tokens:d} tokens were used")
+def window(context, length_s, tokens):
+    context.now_ms = 0
+    context.window = allowance.Window(length_s * 1000)
+    context.first_use = context.window.add(tokens, 0)
+
+
+@when("{passed_s:d} s pass and {tokens:d} tokens are used")
+def use_later(context, passed_s, tokens):
+    context.now_ms += passed_s * 1000
+    context.window.total(context.now_ms)
+    context.window.add(tokens, context.now_ms)
+
+
+@when("the first use is {what}")
+def take_back_first(context, what):
+    tokens = context.first_use.tokens
+    context.window.take_back(context.first_use)
+    if what == "moved to now":
+        context.window.add(tokens, context.now_ms)
+
+
+@then("the window holds {tokens:d} tokens")
+def check_window(context, tokens):
+    found = context.window.total(context.now_ms)
+    assert found == tokens, found
--- a/godwitloft/gateway/allowance.py
+++ b/godwitloft/gateway/allowance.py
@@ -45,6 +45,8 @@
     def __init__(self, at_ms: int, tokens: float) -> None:
         self.at_ms = at_ms
         self.tokens = tokens
+        # Whether it counts in its window's sum, which it leaves in time.
+        self.is_counted = True
 
 
 class Window:
@@ -108,7 +110,8 @@
 
         :param use: what :meth:`add` returned
         """
-        self.sum -= use.tokens
+        if use.is_counted:
+            self.sum -= use.tokens
         use.tokens = 0.0
 
     def total(self, now_ms: int) -> float:
@@ -119,7 +122,9 @@
         """
         start_ms = now_ms - self.length_ms
         while self.uses and self.uses[0].at_ms <= start_ms:
-            self.sum -= self.uses.popleft().tokens
+            use = self.uses.popleft()
+            use.is_counted = False
+            self.sum -= use.tokens
         return max(0.0, self.sum)
 
 
