An upstream's bare 503, 429 or 408 is no promise to the caller

Cause: only the header that says so states that a request has not run, but any such status was passed on, and callers repeat after it. Change: without the header it counts as a failure of unknown outcome: another upstream where the request may run again, 502 of our own otherwise.

--- a/features/gateway_requests.feature
+++ b/features/gateway_requests.feature
@@ -187,6 +187,25 @@
     Then the caller receives status 503
     And the request was sent to 0 upstreams
 
+  # Guards against a caller that repeats what has run, as it is told that it has
+  # not: an upstream's status promises nothing unless it says so.
+  Scenario Outline: An upstream's <status> on "<route>" that doesn't say "not run" is no promise
+    Given a gateway with two upstreams of each service
+    When a caller requests "<route>"
+    And the upstream answers <status> and doesn't say that it has not run it
+    Then the request was sent to <sent> upstreams
+    And the caller was then given <answer>
+
+    Examples:
+      | route | status | sent | answer |
+      | post | 503 | 1 | 502 |
+      | post | 429 | 1 | 502 |
+      | post | 408 | 1 | 502 |
+      | post | 500 | 1 | 500 |
+      | lookup | 503 | 2 | no answer |
+      | lookup | 429 | 2 | no answer |
+      | lookup | 408 | 2 | no answer |
+
   # Guards against requests that are taken late in a planned stop, and cut off
   # without an answer at its end.
   Scenario Outline: A gateway that must end takes only what it can finish: "<route>" that takes <takes>, <left> ms before
--- a/features/steps/gateway_requests_steps.py
+++ b/features/steps/gateway_requests_steps.py
@@ -401,6 +401,19 @@
     gateway.update_upstreams({"new": context.another})
 
 
+@when("the upstream answers {status:d} and doesn't say that it has not run it")
+def answer_bare(context, status):
+    context.world.sent[0].answer(status, body=b"busy")
+
+
+@then("the caller was then given {answer}")
+def check_bare(context, answer):
+    status = None if answer == "no answer" else int(answer)
+    assert context.caller.status == status, context.caller.received
+    if status == 502:
+        assert b"seal" not in context.caller.received
+
+
 @given('requests of "{route}" that take {takes}')
 def learn_run_times(context, route, takes):
     if takes == "an unknown time":
--- a/godwitloft/gateway/answer.py
+++ b/godwitloft/gateway/answer.py
@@ -211,6 +211,14 @@
         cut = self.body_end.defect() if self.body_end is not None else ""
         if cut:
             return AttemptOutcome(outcomes.Result.BROKEN, cut, unusable=True)
+        if self.status in outcomes.NOT_RUN_STATUSES:
+            # Passed on, it would promise that the request has not run.
+            return AttemptOutcome(
+                outcomes.Result.FAILED,
+                f"upstream_status_{self.status}",
+                failed=True,
+                unusable=True,
+            )
         self.complete = True
         if self.status >= MIN_SERVER_ERROR_STATUS:
             return AttemptOutcome(
