Parts of gateway.py stand by themselves: crash evidence and the shutdown

What requests show about crashes is in crash_evidence.py; when the process must end, and what it can still finish, in shutdown.py.

--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -19,6 +19,7 @@
 from godwitloft.gateway import base_versions
 from godwitloft.gateway import config_state as config_states
 from godwitloft.gateway import continuations as continuation_module
+from godwitloft.gateway import crash_evidence
 from godwitloft.gateway import dialect as dialects
 from godwitloft.gateway import fleet as fleets
 from godwitloft.gateway import http_server
@@ -35,10 +36,10 @@
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import request_checker as request_checkers
 from godwitloft.gateway import retry_policy as retry_policies
-from godwitloft.gateway import run_times
 from godwitloft.gateway import service_versions
 from godwitloft.gateway import shared_knowledge
 from godwitloft.gateway import sharing as sharings
+from godwitloft.gateway import shutdown as shutdowns
 from godwitloft.gateway import slot_client as slot_clients
 from godwitloft.gateway import store_contact
 from godwitloft.gateway import stream_holds
@@ -178,6 +179,14 @@
         self.retry_policy = retry_policies.RetryPolicy(
             self.fleet, dependencies.sharing, options.retries
         )
+        self.crash_evidence = crash_evidence.CrashEvidence(
+            self.clock,
+            self.retry_policy.crashes,
+            sharing,
+            lambda upstream, on_checked: self.dependencies.check_connection(
+                upstream, on_checked
+            ),
+        )
         self.admission = admissions.Admission(
             self.clock,
             dependencies.sharing,
@@ -220,10 +229,7 @@
         )
         sharing.own_status = self.knowledge.status
         sharing.on_peer_status = self.knowledge.on_peer_status
-        self.draining = False
-        # When the process must end, None while it need not.
-        self.end_ms: int | None = None
-        self.run_times = run_times.RunTimes()
+        self.shutdown = shutdowns.Shutdown(self.clock)
         self.waiting: dict[str, list[requests.Request]] = {}
         self.scheduling: set[str] = set()
         self.running: set[requests.Request] = set()
@@ -312,7 +318,7 @@
         :return: whether requests can be served
         """
         return (
-            not self.draining
+            not self.shutdown.has_begun
             and self.config_state.router is not None
             and self.fleet.has_list
             and self.dependencies.sharing.is_ready()
@@ -327,8 +333,7 @@
         :param end_ms: when the process must end; requests that would take
             longer are refused from now on
         """
-        self.draining = True
-        self.end_ms = end_ms
+        self.shutdown.end_ms = end_ms
         events.log(events.DRAINING, requests=self.unfinished())
 
     def stop_accepting(self) -> None:
@@ -414,7 +419,7 @@
         """
         service = request.facts.service
         queue = self.waiting.setdefault(service, [])
-        if not self.can_end_in_time(request):
+        if not self.shutdown.can_finish(request):
             self.refuse(request, request_checkers.LEAVING_REFUSAL)
             return
         refusal = self.admission.admit(request, queue)
@@ -523,10 +528,12 @@
             return
         if not self.still_permitted(request, now_ms):
             return
-        if request.attempt_count == 0 and not self.can_end_in_time(request):
+        if request.attempt_count == 0 and not self.shutdown.can_finish(
+            request
+        ):
             self.refuse(request, request_checkers.LEAVING_REFUSAL)
             return
-        self.record_trial(request, now_ms)
+        self.crash_evidence.record_trial(request, now_ms)
         if facts.team is not None and request.use is not None:
             request.use = self.dependencies.sharing.move_to_now(
                 facts.team, request.use
@@ -586,42 +593,6 @@
             callbacks,
         )
 
-    def can_end_in_time(self, request: requests.Request) -> bool:
-        """Returns whether a request can be answered before the process ends.
-
-        One that can't is refused while it has not run: it would be cut off.
-
-        :param request: a request that was not sent yet
-        """
-        if self.end_ms is None:
-            return True
-        now_ms = self.clock.monotonic_ms()
-        facts = request.facts
-        expected_ms = self.run_times.expected_ms(
-            facts.route.name, facts.deadline_ms - now_ms
-        )
-        return now_ms + expected_ms <= self.end_ms
-
-    def record_trial(self, request: requests.Request, now_ms: int) -> None:
-        """Records if a request is sent although it is blamed for crashes.
-
-        :param request: a request that is being sent
-        :param now_ms: the current time
-        """
-        tried = self.retry_policy.crashes.record_sent(
-            request.untried_causes(), now_ms
-        )
-        if not tried:
-            return
-        request.tried_causes |= tried.keys()
-        events.log(
-            events.CRASH_CAUSE_TRIED,
-            request=request.facts.id,
-            causes=list(tried),
-            trial=max(tried.values()),
-        )
-        self.dependencies.sharing.must_announce = True
-
     def still_permitted(self, request: requests.Request, now_ms: int) -> bool:
         """Checks a request again that was waiting, and refuses it if need be.
 
@@ -701,7 +672,7 @@
         if not request.proved_sound and request.has_answered_for_long(
             request.last_data_ms
         ):
-            self.record_sound(request)
+            self.crash_evidence.record_sound(request)
         if request.state is requests.State.SENT:
             request.state = requests.State.ANSWERING
             request.first_data_ms = request.last_data_ms
@@ -797,13 +768,11 @@
                 request, state, attempt_outcome, now_ms
             )
             if attempt_outcome.result is outcomes.Result.BROKEN:
-                self.check_upstream(state)
+                self.crash_evidence.check_upstream(state)
         if attempt_outcome.result is outcomes.Result.DELIVER:
             if answer.is_valid_success():
-                self.record_complete(request)
-                self.run_times.learn(
-                    request.facts.route.name, now_ms - request.first_sent_ms
-                )
+                self.crash_evidence.record_complete(request)
+                self.shutdown.record_complete(request)
             answer.deliver()
             self.end(request, outcomes.COMPLETED, attempt_outcome.reason)
         elif self.retry_policy.may_retry(request, attempt_outcome, now_ms):
@@ -812,53 +781,6 @@
             self.answer_failure(request, answer, attempt_outcome)
         self.schedule(request.facts.service)
 
-    def check_upstream(self, state: fleets.UpstreamState) -> None:
-        """Finds out whether an upstream that broke off a request has crashed.
-
-        Otherwise a crash would be noticed only by the next request to it,
-        which may come late or never.
-
-        :param state: the upstream
-        """
-        crashes = self.retry_policy.crashes
-        started_ms = self.clock.monotonic_ms()
-        if not crashes.may_check(state.life, started_ms):
-            return
-
-        def on_checked(accepts: bool | None) -> None:
-            now_ms = self.clock.monotonic_ms()
-            if accepts:
-                crashes.record_alive(state.life, started_ms)
-            elif accepts is not None:
-                crashes.record_unreachable(state.life, now_ms)
-                state.record_failure(now_ms, unreachable=True)
-                self.dependencies.sharing.must_announce = True
-
-        self.dependencies.check_connection(state.upstream, on_checked)
-
-    def record_sound(self, request: requests.Request) -> None:
-        """Records that no part of a prompt crashes the upstream.
-
-        :param request: a request that was answered for a while, or to the end
-        """
-        request.proved_sound = True
-        self.retry_policy.crashes.causes.record_sound(
-            request.facts.part_causes, self.clock.monotonic_ms()
-        )
-
-    def record_complete(self, request: requests.Request) -> None:
-        """Records that a request does not crash its upstream.
-
-        :param request: a request that was answered to the end
-        """
-        if not request.proved_sound:
-            self.record_sound(request)
-        causes = self.retry_policy.crashes.causes
-        if request.facts.request_cause in causes.present:
-            causes.record_sound(
-                (request.facts.request_cause,), self.clock.monotonic_ms()
-            )
-
     def release(
         self, request: requests.Request
     ) -> fleets.UpstreamState | None:
--- /dev/null
+++ b/godwitloft/gateway/shutdown.py
@@ -0,0 +1,47 @@
+"""Decides which requests a gateway that must end can still finish."""
+
+from godwitloft import clock as clocks
+from godwitloft.gateway import request as requests
+from godwitloft.gateway import run_times
+
+
+class Shutdown:
+    """When the process must end, and how long requests take.
+
+    :param clock: source of the time
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self.clock = clock
+        # When the process must end, None while it need not.
+        self.end_ms: int | None = None
+        self.run_times = run_times.RunTimes()
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the process must end."""
+        return self.end_ms is not None
+
+    def record_complete(self, request: requests.Request) -> None:
+        """Learns how long a request took.
+
+        :param request: a request that was answered successfully
+        """
+        took_ms = self.clock.monotonic_ms() - request.first_sent_ms
+        self.run_times.learn(request.facts.route.name, took_ms)
+
+    def can_finish(self, request: requests.Request) -> bool:
+        """Returns whether a request can be answered before the process ends.
+
+        One that can't is refused while it has not run: it would be cut off.
+
+        :param request: a request that was not sent yet
+        """
+        if self.end_ms is None:
+            return True
+        now_ms = self.clock.monotonic_ms()
+        facts = request.facts
+        expected_ms = self.run_times.expected_ms(
+            facts.route.name, facts.deadline_ms - now_ms
+        )
+        return now_ms + expected_ms <= self.end_ms
