The soak's relays refuse connections once their server's process has ended

Traced to the soak, not the product: a relay looked whether its server still accepts connections only when one was reset, and went on accepting for a runner whose connection had been closed cleanly, as a process that is killed does. Now the relay looks whenever its server closes one.

--- a/bench/soak/relay.py
+++ b/bench/soak/relay.py
@@ -58,7 +58,7 @@
         self.relay.connections.discard(self)
         is_clean = reason.check(error.ConnectionDone) is not None
         delay_s = DELAY_S * 2 if self.queue else 0
-        if self.to_server or is_clean:
+        if self.to_server:
             self.relay.reactor.callLater(delay_s, self.end_peer, is_clean)
         else:
             # By then the relay refuses connections if its server does.
