A stand-in whose process "ends" closes its port before its connection

Traced: the stand-in sent the connection's end one turn of the reactor before it closed its port, so that the relay, which looks at once, found it open and went on accepting; a kernel closes the port first or within a moment, for which the product waits 50 ms.

--- a/godwitloft/standins/http.py
+++ b/godwitloft/standins/http.py
@@ -13,6 +13,8 @@
 
 Json = dict[str, typing.Any]
 
+CLOSE_DELAY_S = 0.005
+
 
 def read_json(request: typing.Any) -> Json | None:
     """Returns the JSON object in a request's body.
@@ -100,17 +102,32 @@
 
         return endpoint.listen(self.wrapper).addCallback(on_listening)
 
-    def drop_connections(self) -> None:
-        """Resets every connection."""
-        for protocol in list(self.wrapper.protocols):
-            protocol.transport.abortConnection()
+    def drop_connections(self, closed_cleanly: typing.Any = None) -> None:
+        """Resets every connection.
 
-    def close_for(self, duration_s: float) -> None:
+        :param closed_cleanly: transport of one that is closed and not reset,
+            None for none
+        """
+        kept_peer = closed_cleanly.getPeer() if closed_cleanly else None
+        for protocol in list(self.wrapper.protocols):
+            if protocol.getPeer() == kept_peer:
+                # The port closes in the reactor's next turn.
+                self.reactor.callLater(
+                    CLOSE_DELAY_S, closed_cleanly.loseConnection
+                )
+            else:
+                protocol.transport.abortConnection()
+
+    def close_for(
+        self, duration_s: float, closed_cleanly: typing.Any = None
+    ) -> None:
         """Resets every connection and refuses new ones temporarily.
 
         :param duration_s: seconds until the port is reopened
+        :param closed_cleanly: transport of a connection that is closed after
+            the port and not reset, None for none
         """
-        self._close()
+        self._close(closed_cleanly)
         self.reactor.callLater(duration_s, self._reopen)
 
     def stop(self) -> defer.Deferred[None]:
@@ -121,8 +138,10 @@
         self.stopped = True
         return self._close()
 
-    def _close(self) -> defer.Deferred[None]:
-        self.drop_connections()
+    def _close(
+        self, closed_cleanly: typing.Any = None
+    ) -> defer.Deferred[None]:
+        self.drop_connections(closed_cleanly)
         listening, self.listening = self.listening, None
         closing = listening.stopListening() if listening else None
         return closing or defer.succeed(None)
--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -456,13 +456,17 @@
         self.reactor.callLater(CRASH_DELAY_S, self.go_down)
         return defer.Deferred()
 
-    def go_down(self) -> None:
-        """Drops all connections and refuses new ones for a while."""
+    def go_down(self, closed_cleanly: typing.Any = None) -> None:
+        """Drops all connections and refuses new ones for a while.
+
+        :param closed_cleanly: transport of a connection that is closed after
+            the port and not reset, None for none
+        """
         listener = self.listener
         if listener is None or listener.listening is None:
             return
         down_s = self.crash_down_ms / MS_PER_S
-        listener.close_for(down_s)
+        listener.close_for(down_s, closed_cleanly)
         self.reactor.callLater(down_s, self.start_new_life)
 
     def start_new_life(self) -> None:
@@ -593,11 +597,7 @@
             f"id: {first}\ndata: x{first} of {request_id}\n\n".encode()
         )
 
-        def die() -> None:
-            request.transport.loseConnection()
-            self.reactor.callLater(0, self.go_down)
-
-        self.reactor.callLater(CRASH_DELAY_S, die)
+        self.reactor.callLater(CRASH_DELAY_S, self.go_down, request.transport)
         return defer.Deferred()
 
     def control(self, change: http.Json) -> None:
