--- a/features/http_upstream.feature
+++ b/features/http_upstream.feature
@@ -32,6 +32,7 @@
       | plain | in chunks, cut | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n | closes the connection | crashed | connection_lost |
       | plain | with an invalid chunk | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n | stays silent | crashed | connection_lost |
       | plain | that ends with its connection | HTTP/1.1 200 OK\r\n\r\nok | closes the connection | completed | |
+      | plain | that ends with its process | HTTP/1.1 200 OK\r\n\r\nok | closes the connection and its port | crashed | connection_lost |
       | plain | that is reset before its end | HTTP/1.1 200 OK\r\n\r\nok | resets the connection | crashed | connection_lost |
       | streaming | that ends with its connection | HTTP/1.1 200 OK\r\n\r\ndata: x\n\ndata: [DONE]\n\n | closes the connection | completed | |
       | streaming | without its end marker | HTTP/1.1 200 OK\r\n\r\ndata: x\n\n | closes the connection | failed | stream_cut |
--- a/features/steps/http_upstream_steps.py
+++ b/features/steps/http_upstream_steps.py
@@ -126,7 +126,9 @@
     raw = data.replace("\\r", "\r").replace("\\n", "\n").encode()
     transport.protocol.dataReceived(raw)
     if ends != "stays silent" and transport.connected:
-        wire.close(transport, clean=ends == "closes the connection")
+        wire.close(transport, clean=ends.startswith("closes the connection"))
+        accepts = ends != "closes the connection and its port"
+        wire.answer_check(context.reactor, accepts)
 
 
 @when(
@@ -140,6 +142,7 @@
     for start in range(0, len(body), size):
         transport.protocol.dataReceived(body[start : start + size])
     wire.close(transport)
+    wire.answer_check(context.reactor)
 
 
 @then("{count:d} tokens and the end marker are counted")
--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -23,6 +23,7 @@
     transport = wire.connect(protocol, context)
     protocol.dataReceived(raw)
     wire.close(transport)
+    wire.answer_check(context.reactor)
 
 
 @when(
--- a/features/support/wire.py
+++ b/features/support/wire.py
@@ -7,6 +7,8 @@
 from twisted.internet import testing
 from twisted.python import failure
 
+from godwitloft import attempt
+
 CALLER = address.IPv4Address("TCP", "127.0.0.1", 4000)
 
 
@@ -51,3 +53,19 @@
     kind = error.ConnectionDone if clean else error.ConnectionLost
     transport.connected = False
     transport.protocol.connectionLost(failure.Failure(kind()))
+
+
+def answer_check(reactor, accepts=True):
+    """Answers the check whether a server lives on, if one is made.
+
+    :param reactor: the simulated reactor of the client
+    :param accepts: whether the server accepts connections
+    """
+    before = len(reactor.tcpClients)
+    reactor.advance(attempt.END_CHECK_DELAY_MS / 1000)
+    for _host, _port, factory, *_others in reactor.tcpClients[before:]:
+        if accepts:
+            factory.buildProtocol(None)
+        else:
+            refused = failure.Failure(error.ConnectionRefusedError())
+            factory.clientConnectionFailed(None, refused)
