A base version is stored again when a restore has removed its row

Found on rereading the change. After a drill whose copy is older than a service's base version, each gateway wrote it under the condition of the version that its row had before, which never holds: it read and wrote again without a pause, streams were held back meanwhile, and gateways that started later had no base version from the others.

Cause: versions of rows that are gone were kept from earlier readings. Change: a reading replaces them. The new scenario of base_versions.feature failed before ("model" was not stored within 2 s), now it passes, and so do all of base_versions and stream_versions.

--- a/features/base_versions.feature
+++ b/features/base_versions.feature
@@ -75,3 +75,11 @@
       | writes of the store fail | v1 |
       | each write of the store takes 5000 ms | v1 |
       | writes of the store fail, and the engines of "v1" have left | v2 |
+
+  # Guards against a row that a restore has removed, and that nobody can write
+  # again as each one expects the version that it had.
+  Scenario: A base version whose row a restore of the store has removed is stored again
+    Given 2 gateways and engines of versions "v1 v1"
+    When a restore of the store has removed all base versions
+    And 2000 ms pass at all gateways
+    Then each base version is stored, after at most 10 calls for it
--- a/features/steps/base_versions_steps.py
+++ b/features/steps/base_versions_steps.py
@@ -150,3 +150,32 @@
     received = stream.caller.received
     assert b"data: " + version.encode() in received, received
     assert received.count(b"data:") == 1, received
+
+
+@when("a restore of the store has removed all base versions")
+def remove_bases(context):
+    rows = context.streams.first.rows
+    context.services = [
+        key for table, key in rows.rows if table == "base_versions"
+    ]
+    assert context.services
+    for service in context.services:
+        rows.put("base_versions", service, None)
+    context.refused = 0
+    are_as_expected = rows.are_as_expected
+
+    def count(expected):
+        is_met = are_as_expected(expected)
+        context.refused += not is_met
+        return is_met
+
+    rows.are_as_expected = count
+    rows.timeline += 1
+
+
+@then("each base version is stored, after at most {most:d} calls for it")
+def check_stored_again(context, most):
+    rows = context.streams.first.rows.rows
+    for service in context.services:
+        assert ("base_versions", service) in rows, service
+    assert context.refused <= most, context.refused
--- a/godwitloft/platform/stream_table.py
+++ b/godwitloft/platform/stream_table.py
@@ -117,8 +117,8 @@
         """
         result = yield self.store.read_all(BASE_TABLE)
         found: dict[str, base_versions.Base] = {}
+        self.base_row_versions = {row.key: row.version for row in result.rows}
         for row in result.rows:
-            self.base_row_versions[row.key] = row.version
             base = self.decode_row(BASE_TABLE, row, decode_base)
             if base is not None:
                 found[row.key] = base
