Bytes behind a refused body no longer count as held

What had already come behind a body that was refused (413, 503) was counted and never given back, so that after a few such requests a gateway refused every body until it was restarted.

Cause: the connection reads on what has come until it is closed, and an ended exchange still took it. Change: an ended exchange takes nothing.

--- a/features/held_bodies.feature
+++ b/features/held_bodies.feature
@@ -21,3 +21,16 @@
     When those that wait are answered
     And 10 callers send a body of 1000000 bytes each, and none is answered
     Then 10 of them wait, and 0 are told to come back
+
+  # Guards against bytes behind a refused body that count for good, until no
+  # body is taken any more.
+  Scenario Outline: What arrives behind a refused body doesn't count: <size> bytes
+    Given a gateway with two upstreams of each service
+    When 15 callers send a body of <size> bytes in one piece, and leave
+    And 10 callers send a body of 1000000 bytes each, and none is answered
+    Then 10 of them wait, and 0 are told to come back
+
+    Examples:
+      | size |
+      | 6000000 |
+      | 11000000 |
--- a/features/steps/held_bodies_steps.py
+++ b/features/steps/held_bodies_steps.py
@@ -78,3 +78,23 @@
 def answer_waiting(context):
     while context.world.sent:
         context.world.sent.pop(0).answer()
+
+
+@when(
+    "{count:d} callers send a body of {size:d} bytes in one piece, and leave"
+)
+def send_too_much(context, count, size):
+    world = context.world
+    for _ in range(count):
+        caller = gateway_world.Caller(world)
+        # A real connection closes only later, and what came is read before.
+        caller.transport.loseConnection = lambda: None
+        # In chunks, so that the size shows only as it comes.
+        chunk = b"%x\r\n%s\r\n" % (100_000, bytes(100_000))
+        caller.send(
+            b"POST /post/x HTTP/1.1\r\nHost: h\r\nGodwitloft-Request-Id: a\r\n"
+            b"Godwitloft-Deadline-Ms: 4000\r\nAuthorization: Token key\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n" + chunk * (size // 100_000)
+        )
+        assert caller.status in (413, 503), caller.received
+        caller.leave()
--- a/godwitloft/gateway/http_server.py
+++ b/godwitloft/gateway/http_server.py
@@ -338,7 +338,7 @@
         :param data: received bytes
         """
         exchange = self.exchange
-        if exchange is None:
+        if exchange is None or exchange.ended:
             return
         exchange.body_parts.append(data)
         exchange.body_bytes += len(data)
