--- a/features/lakeshore_path.feature
+++ b/features/lakeshore_path.feature
@@ -85,6 +85,21 @@
       | stream | whole | id: 1\ndata: x1 of e2\n\nid: 2\ndata: x2 of e2\n\nid: 3\ndata: x3 of e2\n\n | 2 |
       | once | cut | id: 1\ndata: x1 of e2\n\n | 1 |
 
+  # Guards against a connection's end that is taken for the end of a stream: the
+  # same bytes come from a runner that broke off and from one that was done.
+  Scenario Outline: A stream that nothing ends is not complete: <route>, its runner <what>
+    Given the next stream has neither a length nor chunks and its runner <what>
+    When request "e3" asks "/<route>/x"
+    Then its answer is <whole> with "<answer>"
+    And its request ran <runs> times
+
+    Examples:
+      | route | what | whole | answer | runs |
+      | stream | breaks off | whole | id: 1\ndata: x1 of e3\n\nid: 2\ndata: x2 of e3\n\nid: 3\ndata: x3 of e3\n\n | 2 |
+      | stream | sends all | whole | id: 1\ndata: x1 of e3\n\nid: 2\ndata: x2 of e3\n\nid: 3\ndata: x3 of e3\n\n | 2 |
+      | once | breaks off | cut | id: 1\ndata: x1 of e3\n\n | 1 |
+      | once | sends all | cut | id: 1\ndata: x1 of e3\n\nid: 2\ndata: x2 of e3\n\nid: 3\ndata: x3 of e3\n\n | 1 |
+
   Scenario: A draining runner gets no more requests
     When runner "i-desk-0" reports that it is draining
     And 2.5 s pass
--- a/features/steps/lakeshore_path_steps.py
+++ b/features/steps/lakeshore_path_steps.py
@@ -89,6 +89,14 @@
     change_next(context, {"die_unframed": 1})
 
 
+UNFRAMED = {"breaks off": "close_unframed", "sends all": "whole_unframed"}
+
+
+@given("the next stream has neither a length nor chunks and its runner {what}")
+def unframed_next(context, what):
+    change_next(context, {UNFRAMED[what]: 1})
+
+
 def change_next(context, change):
     # Only the first runner is changed, so the second one is taken off the list
     # until the entry has noticed.
--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -299,6 +299,10 @@
         # Number of streams, without a length, that end with its process after
         # their first event.
         self.die_unframed = 0
+        # Number of streams, without a length or chunks, whose connection is
+        # closed after their first event, and after their last one.
+        self.close_unframed = 0
+        self.whole_unframed = 0
         self.listener: http.Listener | None = None
         # What the next answers have without end: a key of ENDLESS.
         self.endless: list[str] = []
@@ -529,6 +533,12 @@
         if self.break_unframed > 0:
             self.break_unframed -= 1
             return self.break_off_unframed(request, request_id, first, last)
+        if self.close_unframed > 0 and first <= last:
+            self.close_unframed -= 1
+            return self.send_unframed(request, request_id, first, first)
+        if self.whole_unframed > 0:
+            self.whole_unframed -= 1
+            return self.send_unframed(request, request_id, first, last)
         if self.die_unframed > 0:
             self.die_unframed -= 1
             return self.die_between_events(request, request_id, first)
@@ -578,6 +588,29 @@
         request.transport.loseConnection()
         return defer.Deferred()
 
+    def send_unframed(
+        self, request: typing.Any, request_id: str, first: int, last: int
+    ) -> typing.Any:
+        """Sends events without a length or chunks, and closes the connection.
+
+        Nothing shows whether the last of them is the last of the stream.
+
+        :param request: request sent by the gateway
+        :param request_id: its id
+        :param first: number of the first event
+        :param last: number of the last event that is sent
+        :return: a Deferred that never fires
+        """
+        request.transport.write(
+            f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {request_id}\r\n"
+            f"{SEAL}: seal-{self.id}\r\n\r\n".encode()
+        )
+        for number in range(first, last + 1):
+            text = f"id: {number}\ndata: x{number} of {request_id}\n\n"
+            request.transport.write(text.encode())
+        request.transport.loseConnection()
+        return defer.Deferred()
+
     def die_between_events(
         self, request: typing.Any, request_id: str, first: int
     ) -> typing.Any:
