A stream that nothing ends no longer reaches its caller as complete

Cause: where a stream has neither a length nor chunks, the end of the connection was taken for its end, if the upstream's port accepted connections 50 ms later. An upstream that breaks off between two events and lives on, is back at once, or closes its port later passes that check.

Change: such an end is unknown. A stream that may be resumed is sent on after its last event; if that attempt has nothing to add, it is whole. All others are cut. GL1209 tells what became of each. Streams with a length or chunks, and plain answers, are as before.

Why cut, and not believed: a caller that is told that it has the whole can't know better, one that is cut can. Streams with chunks bear nothing of it.

Five rows of answer_end.feature said that such a stream is whole; they asked for what can't be known and now say "cut" or "asked for elsewhere". The simulated upstreams answered without any framing and now use chunks.

--- a/features/answer_end.feature
+++ b/features/answer_end.feature
@@ -64,16 +64,17 @@
       | draft | chunks | invalid chunk size | cut |
       | draft | chunks | closed inside trailers | cut |
       | draft | chunks | a second answer | whole |
-      | draft | close | whole | whole |
+      | draft | close | whole | cut |
       | draft | close | closed inside an event | cut |
       | draft | close | closed before any event | 502 |
       | draft | close | reset midway | cut |
       | draft | close | silent midway | cut |
-      | draft | HTTP/1.0 | whole | whole |
+      | draft | HTTP/1.0 | whole | cut |
       | draft | HTTP/1.0 | closed inside an event | cut |
 
   # Guards against the end of a process, which closes its connections as cleanly
   # as one that has answered, taken for the end of its answer.
+  # A stream doesn't end even then.
   Scenario Outline: An answer without a length ends only if its upstream lives on: <route>, <framing>, it <then>
     Given a gateway that reads what its upstreams send
     When a caller requests "<route>"
@@ -82,13 +83,13 @@
 
     Examples:
       | route | framing | then | answer |
-      | draft | close | accepts connections | whole |
+      | draft | close | accepts connections | cut |
       | draft | close | refuses connections | cut |
       | draft | HTTP/1.0 | refuses connections | cut |
-      | draft | close | is silent and then accepts connections | whole |
+      | draft | close | is silent and then accepts connections | cut |
       | draft | close | is silent and then refuses connections | cut |
       | draft | close | is silent | cut |
-      | query | close | accepts connections | whole |
+      | query | close | accepts connections | asked for elsewhere |
       | query | close | refuses connections | asked for elsewhere |
       | query | close | is silent | asked for elsewhere |
       | lookup | close | accepts connections | whole |
@@ -98,6 +99,53 @@
       | post | HTTP/1.0 | refuses connections | 502 |
       | post | length | refuses connections | 502 |
 
+  # Guards against a connection's end that is taken for the end of a stream, and
+  # against a sound stream that is never seen to have ended. An upstream that is
+  # asked to go on after the last event of a stream has nothing to add.
+  Scenario Outline: A stream that nothing ends is asked for once more: <first>, then <then>
+    Given a gateway that reads what its upstreams send
+    When a caller requests "query"
+    And the upstream's stream, framed by <first>, ends after event <count>
+    And the next upstream, asked to go on after event <count>, <then>
+    Then the caller's answer is <answer>
+    And the caller has received events 1 to <received>
+
+    Examples:
+      | first | count | then | answer | received |
+      | close | 3 | has nothing to add, framed by chunks | whole | 3 |
+      | close | 3 | has nothing to add, framed by length | whole | 3 |
+      | close | 3 | has nothing to add, framed by close | whole | 3 |
+      | HTTP/1.0 | 3 | has nothing to add, framed by HTTP/1.0 | whole | 3 |
+      | close | 2 | adds event 3, framed by chunks | whole | 3 |
+      | close | 2 | adds event 3, framed by close | cut | 3 |
+      | close | 2 | resets the connection | cut | 2 |
+      | close | 2 | fails with status 500 | cut | 2 |
+      | close | 2 | refuses it as not run | cut | 2 |
+
+  Scenario: A sound upstream whose streams nothing ends is not avoided
+    Given a gateway that reads what its upstreams send
+    When 4 times a caller requests "draft", and its stream, framed by close, ends
+    Then no upstream is paused
+
+  Scenario Outline: The log tells what became of a stream that nothing ended: <then>
+    Given a gateway that reads what its upstreams send
+    When a caller requests "query"
+    And the upstream's stream, framed by close, ends after event 2
+    And the next upstream, asked to go on after event 2, <then>
+    Then GL1209 has after_event "2", then "<what>"
+
+    Examples:
+      | then | what |
+      | has nothing to add, framed by chunks | whole |
+      | adds event 3, framed by chunks | goes_on |
+
+  Scenario: The log tells that a stream was cut as nobody knew its end
+    Given a gateway that reads what its upstreams send
+    When a caller requests "query"
+    And the upstream's stream, framed by close, ends after event 2
+    And the next upstream, asked to go on after event 2, adds event 3, framed by close
+    Then GL1209 has after_event "3", then "cut"
+
   Scenario: A caller may leave while it is found out whether an upstream lives on
     Given a gateway that reads what its upstreams send
     When a caller requests "draft"
--- a/features/explaining.feature
+++ b/features/explaining.feature
@@ -34,6 +34,16 @@
     And the evidence has "as 1 other requests of it within a second"
     And the evidence has "may not be repeated"
 
+  Scenario: A stream that was cut because nothing marks its end is explained so
+    Given the log of "edge-1"
+      | ms | event | fields |
+      | 0 | GL1001 | |
+      | 10 | GL1204 | request=r1 route=draft upstream=u1 waited_ms=3 running=1 allowed=4 |
+      | 50 | GL1206 | request=r1 outcome=cut reason=end_unknown upstream=u1 may_repeat=false no_retry=not_repeatable |
+    When "r1" is explained
+    Then the cause is "the answer was cut off: u1 closed the connection, and nothing in the stream marks its end"
+    And the evidence has "not_repeatable"
+
   Scenario Outline: A request without a logged end: <how>
     Given the log of "edge-1"
       | ms | event | fields |
--- a/features/lakeshore_path.feature
+++ b/features/lakeshore_path.feature
@@ -100,6 +100,13 @@
       | once | breaks off | cut | id: 1\ndata: x1 of e3\n\n | 1 |
       | once | sends all | cut | id: 1\ndata: x1 of e3\n\nid: 2\ndata: x2 of e3\n\nid: 3\ndata: x3 of e3\n\n | 1 |
 
+  # A caller whose whole stream was cut learns so that nothing is missing.
+  Scenario: A stream that its caller takes up after its last event is whole
+    Given the next stream has neither a length nor chunks and its runner sends all
+    When request "e4" asks "/stream/x" to go on after event 3
+    Then its answer is whole and empty
+    And its request ran 2 times
+
   Scenario: A draining runner gets no more requests
     When runner "i-desk-0" reports that it is draining
     And 2.5 s pass
--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -122,6 +122,77 @@
     sent.close()
 
 
+@when("the upstream's stream, framed by {framing}, ends after event {count:d}")
+def ends_after(context, framing, count):
+    sent = context.world.sent[-1]
+    sent.receive(complete_answer(sent, framing, events(1, count)))
+    close_if_open(sent)
+
+
+def go_on(sent, then):
+    what, _, framing = then.partition(", framed by ")
+    plain_length = length_header(b"no")
+    received = {
+        "has nothing to add": complete_answer(sent, framing, b""),
+        "adds event 3": complete_answer(sent, framing, event(3)),
+        "resets the connection": b"",
+        "fails with status 500": sent.answer_head(
+            plain_length, status=b"500 Failure"
+        )
+        + b"no",
+        "answers with status 404": sent.answer_head(
+            plain_length, status=b"404 Not Found"
+        )
+        + b"no",
+        "refuses it as not run": sent.answer_head(
+            plain_length,
+            b"godwitloft-not-executed: 1",
+            status=b"503 Full",
+        )
+        + b"no",
+    }[what]
+    sent.receive(received)
+    if sent.transport.connected:
+        sent.close(clean=what != "resets the connection")
+
+
+@when("the next upstream, asked to go on after event {count:d}, {then}")
+def next_goes_on(context, count, then):
+    world = context.world
+    first, second = world.sent
+    assert first.upstream.id != second.upstream.id
+    assert second.headers[b"last-event-id"] == b"%d" % count, second.headers
+    go_on(second, then)
+    # Whether any upstream is left to be asked, too.
+    world.advance(SILENCE_MS)
+
+
+@when(
+    '{count:d} times a caller requests "{route}", and its stream,'
+    " framed by {framing}, ends"
+)
+def end_often(context, count, route, framing):
+    for number in range(count):
+        context.world.ask(f"c{number}", route)
+        sent = context.world.sent[-1]
+        sent.receive(complete_answer(sent, framing))
+        close_if_open(sent)
+
+
+@then("no upstream is paused")
+def check_not_paused(context):
+    states = context.world.gateway.fleet.states.values()
+    paused = [state for state in states if state.paused_until_ms]
+    assert not paused, paused
+
+
+@then('GL1209 has after_event "{after_event}", then "{what}"')
+def check_unknown_end(context, after_event, what):
+    found = context.log.fields("GL1209")
+    ends = [(fields["after_event"], fields["then"]) for fields in found]
+    assert (after_event, what) in ends, found
+
+
 @when("the caller closes its connection")
 def leave(context):
     context.caller.leave()
--- a/features/steps/lakeshore_path_steps.py
+++ b/features/steps/lakeshore_path_steps.py
@@ -112,12 +112,17 @@
     ask_with_key(context, request_id, path, "key-a")
 
 
+@when('request "{request_id}" asks "{path}" to go on after event {number:d}')
+def ask_to_go_on(context, request_id, path, number):
+    ask_with_key(context, request_id, path, "key-a", Last_Event_Id=str(number))
+
+
 @when('a caller with key "{key}" sends request "{request_id}" for "{path}"')
 def ask_with_named_key(context, key, request_id, path):
     ask_with_key(context, request_id, path, key)
 
 
-def ask_with_key(context, request_id, path, key):
+def ask_with_key(context, request_id, path, key, **headers):
     context.request_id = request_id
     method = "POST" if path.startswith(("/post", "/once")) else "GET"
     context.answer = context.world.send_request(
@@ -128,6 +133,7 @@
         Godwitloft_Token_Counts="5,3",
         Godwitloft_Hold="mine",
         Godwitloft_Tenant="somebody",
+        **headers,
     )
 
 
@@ -182,6 +188,12 @@
     )
 
 
+@then("its answer is whole and empty")
+def check_empty(context):
+    status, _headers, body, ended = context.answer
+    assert (status, body, ended) == (200, "", True), context.answer
+
+
 @when('runner "{name}" reports that it is draining')
 def drain_runner(context, name):
     context.world.control(runners={name: {"state": "draining"}})
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -104,6 +104,7 @@
         found = [(DIALECT.request_id, self.headers[DIALECT.request_id])]
         if sealed:
             found.append((DIALECT.seal, b"seal"))
+        found.append((b"transfer-encoding", b"chunked"))
         found = [
             header
             for header in found
--- a/godwitloft/audit/explanation.py
+++ b/godwitloft/audit/explanation.py
@@ -214,6 +214,12 @@
             f"{effect}: its time limit was over while it ran on {upstream}",
             (f"it had waited {waited} ms before it was sent",),
         )
+    if reason == outcomes.Result.END_UNKNOWN.value:
+        return Cause(
+            f"{effect}: {upstream} closed the connection, and nothing in the"
+            " stream marks its end",
+            (f"not asked for the rest: {end.fields.get('no_retry')}",),
+        )
     others = [
         line
         for line in logs.lines_near(
--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -71,6 +71,12 @@
     logging.WARNING,
     "it could not be saved in time where a stream began",
 )
+UNKNOWN_END = Event(
+    1209,
+    logging.INFO,
+    "the end of a stream was not known",
+    sampled=True,
+)
 UPSTREAM_LISTED = Event(1302, logging.INFO, "the list of upstreams changed")
 ROW_SKIPPED = Event(
     1504, logging.WARNING, "a row of the platform can't be used"
--- a/godwitloft/gateway/answer.py
+++ b/godwitloft/gateway/answer.py
@@ -209,8 +209,11 @@
                 outcomes.Result.FAILED, self.defect, unusable=True
             )
         cut = self.body_end.defect() if self.body_end is not None else ""
-        if cut:
+        if cut and not (cut == answer_end.STREAM_EMPTY and self.continues):
             return AttemptOutcome(outcomes.Result.BROKEN, cut, unusable=True)
+        if self.is_end_unknown():
+            unknown = outcomes.Result.END_UNKNOWN
+            return AttemptOutcome(unknown, unknown.value, unusable=True)
         if self.status in outcomes.NOT_RUN_STATUSES:
             # Passed on, it would promise that the request has not run.
             return AttemptOutcome(
@@ -228,6 +231,33 @@
             )
         return AttemptOutcome(outcomes.Result.DELIVER, "")
 
+    @property
+    def continues(self) -> bool:
+        """Whether the upstream was asked to go on after an event."""
+        return self.request.last_event is not None
+
+    def is_end_unknown(self) -> bool:
+        """Returns whether a stream has ended without any mark of its end.
+
+        The close of a connection is none: that of an upstream that breaks off
+        between two events looks the same. It is known if an earlier attempt
+        ended so after the same event, and this one had nothing to add.
+
+        :return: whether more events may be missing
+        """
+        body_end = self.body_end
+        if body_end is None or not body_end.is_stream:
+            return False
+        if body_end.framing is not answer_end.Framing.CLOSE:
+            return False
+        request = self.request
+        is_confirmed = (
+            not body_end.received
+            and request.unknown_end is not None
+            and request.unknown_end == request.last_event
+        )
+        return not is_confirmed
+
     def extent(self) -> dict[str, typing.Any]:
         """Returns what is known about the end of the answer, for logs.
 
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -403,6 +403,7 @@
                 checked.route.name, checked.sizes.prompt_tokens
             ),
         )
+        request.last_event = exchange.header(self.dialect.last_event) or None
         exchange.on_disconnect = lambda: self.on_caller_disconnect(request)
         exchange.on_congested = lambda congested: self.on_caller_congested(
             request, congested
@@ -705,6 +706,9 @@
                 )
                 request.pending_prompt_tokens = 0
         request.answer.on_data(data)
+        if request.unknown_end not in (None, request.last_event):
+            self.reports.report_unknown_end(request, reports.EndFound.GOES_ON)
+            request.unknown_end = None
         if request.exchange.started and request.version is None:
             # From now on no other version may go on with the answer.
             request.version = request.sent_version
@@ -763,6 +767,9 @@
         attempt_outcome = answer.classify_end(end, reason)
         self.reports.count_answer_end(answer, attempt_outcome)
         now_ms = self.clock.monotonic_ms()
+        is_end_unknown = attempt_outcome.result is outcomes.Result.END_UNKNOWN
+        if is_end_unknown:
+            request.mark_unknown_end()
         if state is not None:
             self.retry_policy.record_end(
                 request, state, attempt_outcome, now_ms
@@ -774,10 +781,16 @@
                 self.crash_evidence.record_complete(request)
                 self.shutdown.record_complete(request)
             answer.deliver()
+            if request.unknown_end is not None:
+                self.reports.report_unknown_end(
+                    request, reports.EndFound.WHOLE
+                )
             self.end(request, outcomes.COMPLETED, attempt_outcome.reason)
         elif self.retry_policy.may_retry(request, attempt_outcome, now_ms):
             self.requeue(request, attempt_outcome)
         else:
+            if is_end_unknown:
+                self.reports.report_unknown_end(request, reports.EndFound.CUT)
             self.answer_failure(request, answer, attempt_outcome)
         self.schedule(request.facts.service)
 
--- a/godwitloft/gateway/outcomes.py
+++ b/godwitloft/gateway/outcomes.py
@@ -19,3 +19,5 @@
     NOT_RUN = "not_run"
     FAILED = "failed"
     BROKEN = "broken"
+    # All that came is sound, and nothing tells whether more was to come.
+    END_UNKNOWN = "end_unknown"
--- a/godwitloft/gateway/reports.py
+++ b/godwitloft/gateway/reports.py
@@ -1,5 +1,6 @@
 """Writes logs and metrics of the end of requests."""
 
+import enum
 import typing
 
 from godwitloft import clock as clocks
@@ -13,6 +14,16 @@
 from godwitloft.gateway import request as requests
 
 
+class EndFound(enum.Enum):
+    """What became of a stream whose end was not known."""
+
+    # An upstream that was asked to go on had nothing to add, or had.
+    WHOLE = "whole"
+    GOES_ON = "goes_on"
+    # Nobody could be asked.
+    CUT = "cut"
+
+
 class Reports:
     """Writes one log line at the end of each request.
 
@@ -56,6 +67,26 @@
             1, {"framing": framing, "end": reason}
         )
 
+    def report_unknown_end(
+        self, request: requests.Request, found: EndFound
+    ) -> None:
+        """Logs what became of a stream whose end was not known.
+
+        :param request: its request
+        :param found: what became of it
+        """
+        unknown_end = request.unknown_end or b""
+        events.log(
+            events.UNKNOWN_END,
+            request=request.facts.id,
+            route=request.facts.route.name,
+            upstream=request.unknown_end_upstream,
+            after_event=unknown_end.decode("latin-1"),
+            then=found.value,
+            asked=request.last_upstream_id,
+            **attempt_end(request),
+        )
+
     def report_unadmitted(
         self, request_id: str, refusal: refusals.Refusal
     ) -> None:
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -169,7 +169,12 @@
         # When its current attempt brought the first data, 0 before.
         self.answering_since_ms = 0
         self.last_data_ms = 0
+        # Id of the last event that its caller has, None for none.
         self.last_event: bytes | None = None
+        # After which event an attempt ended without a mark of the end, and at
+        # which upstream; None if none did, or the stream has gone on since.
+        self.unknown_end: bytes | None = None
+        self.unknown_end_upstream = ""
         # The software version at which its stream began, or which a caller's
         # stream has that it continues; None while any will do.
         self.version: str | None = None
@@ -194,6 +199,11 @@
             if cause not in self.tried_causes
         )
 
+    def mark_unknown_end(self) -> None:
+        """Records that nothing shows whether its last event was the last."""
+        self.unknown_end = self.last_event
+        self.unknown_end_upstream = self.last_upstream_id
+
     def has_begun_plain_answer(self) -> bool:
         """Returns whether no other attempt can continue its answer.
 
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -77,9 +77,12 @@
                     request.facts.sizes.prompt_tokens,
                 )
             return
+        request.tried_upstreams.add(state.upstream.id)
+        if attempt_outcome.result is outcomes.Result.END_UNKNOWN:
+            # The upstream may be sound.
+            return
         unreachable = attempt_outcome.result is outcomes.Result.NOT_SENT
         state.record_failure(now_ms, unreachable)
-        request.tried_upstreams.add(state.upstream.id)
         if attempt_outcome.replaced:
             state.mark_leaving()
         if attempt_outcome.result is outcomes.Result.BROKEN:
