An error of the next upstream is no longer a part of a stream

Cause: an answer with status 3xx or 4xx is passed on as it is, also where its caller already had a part of another attempt's answer. Statuses of 500 and more were held back.

Change: while a stream goes on, an answer without a successful status has a defect: its bytes are dropped, and the request is sent on or cut.

--- a/features/answer_end.feature
+++ b/features/answer_end.feature
@@ -120,6 +120,7 @@
       | close | 2 | adds event 3, framed by close | cut | 3 |
       | close | 2 | resets the connection | cut | 2 |
       | close | 2 | fails with status 500 | cut | 2 |
+      | close | 2 | answers with status 404 | cut | 2 |
       | close | 2 | refuses it as not run | cut | 2 |
 
   Scenario: A sound upstream whose streams nothing ends is not avoided
--- /dev/null
+++ b/features/steps/stream_goes_on_steps.py
@@ -0,0 +1,50 @@
+from behave import then
+from behave import when
+
+from features.steps import answer_end_steps as wire
+
+# Stands for an event without an id.
+NO_ID = "-"
+
+
+def event(name):
+    line = "" if name == NO_ID else f"id: {name}\n"
+    return f"{line}data: x\n\n".encode()
+
+
+def events(names):
+    return b"".join(event(name) for name in names.split())
+
+
+@when(
+    "the upstream breaks the connection off after events with the ids"
+    ' "{names}"'
+)
+def break_off(context, names):
+    sent = context.world.sent[0]
+    sent.receive(sent.answer_head(wire.CHUNKED))
+    for name in names.split():
+        sent.receive(wire.chunk(event(name)))
+    sent.close(clean=False)
+
+
+@when("the next one answers {status:d} {reason}")
+def fail(context, status, reason):
+    sent = context.world.sent[1]
+    line = f"{status} {reason}".encode()
+    body = b"an error\n\n"
+    head = sent.answer_head(wire.length_header(body), status=line)
+    sent.receive(head + body)
+    context.world.advance(wire.SILENCE_MS)
+
+
+@then('the caller has received just the events with the ids "{names}"')
+def check_events(context, names):
+    received = context.caller.received
+    _head, _, body = received.partition(b"\r\n\r\n")
+    found = b""
+    while body:
+        size, _, rest = body.partition(b"\r\n")
+        found += rest[: int(size, 16)]
+        body = rest[int(size, 16) + 2 :]
+    assert found == events(names), received
--- a/godwitloft/gateway/answer.py
+++ b/godwitloft/gateway/answer.py
@@ -56,6 +56,8 @@
     ) -> None:
         self.request = request
         self.dialect = dialect
+        # Whether its caller has a part of an earlier attempt's answer.
+        self.goes_on = request.exchange.started
         self.status = 0
         self.headers: list[http_server.Header] = []
         self.defect = ""
@@ -99,6 +101,8 @@
                 self.defect = "answer_without_seal"
             elif dialect.request_id not in header_values:
                 self.defect = "answer_without_id"
+        elif self.goes_on and not self.not_run:
+            self.defect = f"upstream_status_{status}"
 
     @property
     def is_stream(self) -> bool:
