A stream gets no events of the next upstream that its caller already has

Cause: whatever the next upstream sent was passed on behind the first part. What it begins with was not compared with the last event that its caller had.

Change: the first id of the answer must be greater than the last one passed on (another one, where they aren't whole numbers), also for a stream that the caller takes up itself. If not, the attempt is broken off and counts as failed.

features/stream_goes_on.feature: 3 of the 6 scenarios ("1 2, then 1 2 3 4", "1 2, then 2 3 4", "a b, then b c") failed before.

--- a/features/steps/stream_goes_on_steps.py
+++ b/features/steps/stream_goes_on_steps.py
@@ -28,6 +28,13 @@
     sent.close(clean=False)
 
 
+@when('the next one answers with events with the ids "{names}"')
+def go_on(context, names):
+    sent = context.world.sent[1]
+    sent.receive(wire.complete_answer(sent, "chunks", events(names)))
+    context.world.advance(wire.SILENCE_MS)
+
+
 @when("the next one answers {status:d} {reason}")
 def fail(context, status, reason):
     sent = context.world.sent[1]
--- a/features/stream_goes_on.feature
+++ b/features/stream_goes_on.feature
@@ -20,3 +20,21 @@
       | 500 Failure |
       | 503 Full |
       | 421 Elsewhere |
+
+  # Guards against events that come twice, or numbers that go back.
+  Scenario Outline: An upstream that doesn't heed the last event is no part of the stream: <first>, then <next>
+    Given a gateway that reads what its upstreams send
+    When a caller requests "query"
+    And the upstream breaks the connection off after events with the ids "<first>"
+    And the next one answers with events with the ids "<next>"
+    Then the caller's answer is <answer>
+    And the caller has received just the events with the ids "<received>"
+
+    Examples:
+      | first | next | answer | received |
+      | 1 2 | 3 4 | whole | 1 2 3 4 |
+      | 1 2 | 1 2 3 4 | cut | 1 2 |
+      | 1 2 | 2 3 4 | cut | 1 2 |
+      | 9 10 | 11 12 | whole | 9 10 11 12 |
+      | a b | c d | whole | a b c d |
+      | a b | b c | cut | a b |
--- a/godwitloft/gateway/answer.py
+++ b/godwitloft/gateway/answer.py
@@ -24,6 +24,7 @@
 MISDIRECTED_STATUS = 421
 ANSWER_TOO_LONG = "answer_too_long"
 EVENT_TOO_LONG = "event_too_long"
+EVENT_REPEATED = "event_repeated"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,6 +70,9 @@
         self.discarded_bytes = 0
         # Why no more of the answer may be read, empty if it may.
         self.overflow = ""
+        # Id of the event after which the upstream was asked to go on, None
+        # once it has, or if it was not.
+        self.asked_after = request.last_event
         # None until the head has been received.
         self.body_end: answer_end.BodyEnd | None = None
 
@@ -165,9 +169,15 @@
             return
         events = self.partial_event[:end]
         self.partial_event = self.partial_event[end:]
-        last = last_event_id(events)
-        if last is not None:
-            self.request.last_event = last
+        ids = event_ids(events)
+        if ids:
+            if self.asked_after is not None and not goes_on_after(
+                self.asked_after, ids[0]
+            ):
+                self.overflow = EVENT_REPEATED
+                return
+            self.asked_after = None
+            self.request.last_event = ids[-1]
         self.forward(events)
 
     def forward(self, data: bytes) -> None:
@@ -303,11 +313,33 @@
         )
 
 
-def last_event_id(events: bytes) -> bytes | None:
-    """Returns the id of the last event that has one.
+def event_ids(events: bytes) -> list[bytes]:
+    """Returns the ids of events.
 
     :param events: complete events
-    :return: the id, None if no event has one
+    :return: the ids of those that have one, in their order
     """
-    ids = ID_LINE.findall(events)
-    return ids[-1].strip() if ids else None
+    return [found.strip() for found in ID_LINE.findall(events)]
+
+
+def goes_on_after(last: bytes, next_id: bytes) -> bool:
+    """Returns whether an event can follow another one.
+
+    :param last: id of the earlier event
+    :param next_id: id of the later one
+    :return: whether it is greater; only whether it is another one, if they
+        aren't both whole numbers
+    """
+    if last.isdigit() and next_id.isdigit():
+        return as_number(next_id) > as_number(last)
+    return next_id != last
+
+
+def as_number(digits: bytes) -> tuple[int, bytes]:
+    """Returns a value that orders whole numbers of any length.
+
+    :param digits: decimal digits
+    :return: the number of digits without leading zeros, and these digits
+    """
+    significant = digits.lstrip(b"0")
+    return len(significant), significant
