A stream whose last event has no id is not begun anew for its caller

Cause: such a stream was sent to the next upstream without Last-Event-Id, or with that of an earlier event, so that it began anew there. No id tells where to go on.

Change: it is cut (`no_retry` "event_without_id"), as one that may not be resumed.

features/stream_goes_on.feature: 3 of the 5 scenarios "A stream without ids doesn't go on" failed before. The nine rows on finding the id are new with it.

--- a/features/steps/stream_goes_on_steps.py
+++ b/features/steps/stream_goes_on_steps.py
@@ -2,6 +2,7 @@
 from behave import when
 
 from features.steps import answer_end_steps as wire
+from godwitloft.gateway import answer as answers
 
 # Stands for an event without an id.
 NO_ID = "-"
@@ -55,3 +56,12 @@
         found += rest[: int(size, 16)]
         body = rest[int(size, 16) + 2 :]
     assert found == events(names), received
+
+
+HAS_ID = {"has": True, "lacks": False, "may have": None}
+
+
+@then('of the events "{data}" the last one {has} an id')
+def check_id(context, data, has):
+    raw = data.replace("\\n", "\n").replace("\\r", "\r").encode()
+    assert answers.last_event_has_id(raw) is HAS_ID[has], raw
--- a/features/stream_goes_on.feature
+++ b/features/stream_goes_on.feature
@@ -38,3 +38,34 @@
       | 9 10 | 11 12 | whole | 9 10 11 12 |
       | a b | c d | whole | a b c d |
       | a b | b c | cut | a b |
+
+  # Guards against events that come twice because no id tells where to go on.
+  Scenario Outline: A stream without ids doesn't go on: after events with the ids "<ids>"
+    Given a gateway that reads what its upstreams send
+    When a caller requests "query"
+    And the upstream breaks the connection off after events with the ids "<ids>"
+    Then the request was sent to <count> upstreams
+    And the caller has received just the events with the ids "<ids>"
+
+    Examples:
+      | ids | count |
+      | - | 1 |
+      | - - | 1 |
+      | 1 - | 1 |
+      | - 2 | 2 |
+      | 1 2 | 2 |
+
+  Scenario Outline: The last event with data tells whether a stream can go on: <events>
+    Then of the events "<events>" the last one <has> an id
+
+    Examples:
+      | events | has |
+      | id: 1\ndata: x\n\n | has |
+      | data: x\nid: 1\n\n | has |
+      | id: 1\r\ndata: x\r\n\r\n | has |
+      | data: x\rid: 1\r\r | has |
+      | id: 1\ndata: x\n\n: a comment\n\n | has |
+      | data: x\n\n | lacks |
+      | id: 1\ndata: x\n\ndata: y\n\n | lacks |
+      | data: id: 1\n\n | lacks |
+      | : a comment\n\n | may have |
--- a/godwitloft/answer_end.py
+++ b/godwitloft/answer_end.py
@@ -8,6 +8,7 @@
 """
 
 import enum
+import re
 import typing
 
 Header = tuple[bytes, bytes]
@@ -17,6 +18,7 @@
 SUCCESS_STATUSES = range(200, 300)
 # An empty line after LF or CRLF, or after CR alone.
 EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
+EVENT_END = re.compile(b"|".join(EVENT_ENDS))
 LONGEST_EVENT_END = max(len(end) for end in EVENT_ENDS)
 EVENT_CUT = "event_cut"
 STREAM_EMPTY = "stream_empty"
--- a/godwitloft/gateway/answer.py
+++ b/godwitloft/gateway/answer.py
@@ -21,6 +21,8 @@
 MAX_BUFFERED_BYTES = 256 * 1024
 MIN_SERVER_ERROR_STATUS = 500
 ID_LINE = re.compile(rb"(?:^|(?<=[\r\n]))id:([^\r\n]*)[\r\n]")
+ID_FIELD = re.compile(rb"(?:^|[\r\n])id:")
+DATA_FIELD = re.compile(rb"(?:^|[\r\n])data")
 MISDIRECTED_STATUS = 421
 ANSWER_TOO_LONG = "answer_too_long"
 EVENT_TOO_LONG = "event_too_long"
@@ -178,6 +180,9 @@
                 return
             self.asked_after = None
             self.request.last_event = ids[-1]
+        has_id = last_event_has_id(events)
+        if has_id is not None:
+            self.request.may_go_on = has_id
         self.forward(events)
 
     def forward(self, data: bytes) -> None:
@@ -322,6 +327,20 @@
     return [found.strip() for found in ID_LINE.findall(events)]
 
 
+def last_event_has_id(events: bytes) -> bool | None:
+    """Returns whether the last of some events has an id.
+
+    :param events: complete events
+    :return: None if none of them has data, as comments
+    """
+    with_data = [
+        event
+        for event in answer_end.EVENT_END.split(events)
+        if DATA_FIELD.search(event)
+    ]
+    return ID_FIELD.search(with_data[-1]) is not None if with_data else None
+
+
 def goes_on_after(last: bytes, next_id: bytes) -> bool:
     """Returns whether an event can follow another one.
 
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -187,6 +187,8 @@
             return "not_repeatable"
         elif request.has_begun_plain_answer():
             return "answer_begun"
+        elif not request.may_go_on:
+            return "event_without_id"
         elif request.runs >= facts.route.max_attempts:
             return "attempts_used"
         if facts.deadline_ms <= now_ms:
