The soak has streams that nothing ends, whole ones and broken-off ones

Runners close the connection of streams without a length or chunks after their first event, or after the last.

--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -44,6 +44,8 @@
     "refuse": {"refuse": 3},
     "cut_streams": {"cut_after": [1, 2]},
     "break_unframed": {"break_unframed": 3},
+    "close_unframed": {"close_unframed": 3},
+    "whole_unframed": {"whole_unframed": 3},
     "die_unframed": {"die_unframed": 1, "crash_down_ms": CRASH_DOWN_MS},
 }
 # Software versions of the runners, in turn.
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -60,7 +60,19 @@
     "die_unframed": ("runner", 2_000, 4_000),
 }
 DEATH_MEAN_GAP_MS = 5_000
-KINDS = FIRST_KINDS | LATER_KINDS | LIMIT_KINDS | CRASH_KINDS | DEATH_KINDS
+UNMARKED_KINDS: dict[str, tuple[str, int, int]] = {
+    "close_unframed": ("runner", 0, 0),
+    "whole_unframed": ("runner", 0, 0),
+}
+UNMARKED_MEAN_GAP_MS = 2_000
+KINDS = (
+    FIRST_KINDS
+    | LATER_KINDS
+    | LIMIT_KINDS
+    | CRASH_KINDS
+    | DEATH_KINDS
+    | UNMARKED_KINDS
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -147,7 +159,14 @@
         end_ms,
         size,
     )
-    found = first + later + limits + crashes + deaths
+    unmarked = draw_kinds(
+        random.Random(f"{seed} unmarked"),
+        UNMARKED_KINDS,
+        UNMARKED_MEAN_GAP_MS,
+        end_ms,
+        size,
+    )
+    found = first + later + limits + crashes + deaths + unmarked
     return tuple(sorted(found, key=lambda fault: fault.at_ms))
 
 
