Modules of the gateway on crashes, streams and upstreams have packages

Those that find out what crashes upstreams (5), that let a stream go on at its own version (6) and that know the upstreams (5) are in gateway/crashes, gateway/streams and gateway/upstreams now. Their names stay; nothing else changes.

--- a/features/steps/base_versions_steps.py
+++ b/features/steps/base_versions_steps.py
@@ -5,8 +5,8 @@
 from behave import when
 
 from godwitloft import clock as clocks
-from godwitloft.gateway import base_versions
 from godwitloft.gateway import model
+from godwitloft.gateway.streams import base_versions
 
 SERVICE = "model"
 STEP_MS = 500
--- a/features/steps/clock_jumps_steps.py
+++ b/features/steps/clock_jumps_steps.py
@@ -7,8 +7,8 @@
 from twisted.internet import task
 
 from features.support import gateway_world
-from godwitloft.gateway import named_limit
-from godwitloft.gateway import upstream_signs
+from godwitloft.gateway.upstreams import named_limit
+from godwitloft.gateway.upstreams import upstream_signs
 
 START_MS = int(gateway_world.START_S * 1000)
 BORN_AGAIN_MS = START_MS + 10_000
--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -7,7 +7,7 @@
 from features.support import following_gateways
 from features.support import restored_store
 from godwitloft import attempt as attempts
-from godwitloft.gateway import crash_reports
+from godwitloft.gateway.crashes import crash_reports
 
 SOUND_GAP_MS = 40
 RARE_GAP_MS = 1300
--- a/features/steps/gateway_placement_steps.py
+++ b/features/steps/gateway_placement_steps.py
@@ -5,12 +5,12 @@
 from behave import when
 
 from features.support import gateway_world
-from godwitloft.gateway import fleet
 from godwitloft.gateway import model
 from godwitloft.gateway import placement
 from godwitloft.gateway import routing
 from godwitloft.gateway import share_factor
-from godwitloft.gateway import upstream_list
+from godwitloft.gateway.upstreams import fleet
+from godwitloft.gateway.upstreams import upstream_list
 
 SLOTS = 5
 
--- a/features/steps/named_limits_steps.py
+++ b/features/steps/named_limits_steps.py
@@ -9,8 +9,8 @@
 from features.support import gateway_world
 from features.support import limited_engines
 from features.support import logs
-from godwitloft.gateway import named_limit
-from godwitloft.gateway import upstream_signs
+from godwitloft.gateway.upstreams import named_limit
+from godwitloft.gateway.upstreams import upstream_signs
 
 DIALECT = gateway_world.DIALECT
 RESTART_MS = 1500
--- a/features/steps/service_versions_steps.py
+++ b/features/steps/service_versions_steps.py
@@ -9,9 +9,9 @@
 from godwitloft import clock as clocks
 from godwitloft.gateway import model
 from godwitloft.gateway import routing
-from godwitloft.gateway import service_versions
 from godwitloft.gateway import store_contact
-from godwitloft.gateway import stream_life
+from godwitloft.gateway.streams import service_versions
+from godwitloft.gateway.streams import stream_life
 
 V1 = service_versions.ServiceVersion("model", "v1")
 OTHER = model.Upstream("d", "desk", "127.0.0.1", 9, "a", 4, False, 1, "v1")
--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -10,7 +10,7 @@
 from godwitloft.gateway import allowance
 from godwitloft.gateway import peer_status
 from godwitloft.gateway import sharing as sharings
-from godwitloft.gateway import upstream_list
+from godwitloft.gateway.upstreams import upstream_list
 from godwitloft.links import datagrams
 from godwitloft.platform import store as stores
 
--- a/features/steps/stream_origins_steps.py
+++ b/features/steps/stream_origins_steps.py
@@ -4,7 +4,7 @@
 
 from features.support import stream_fleet
 from godwitloft import clock as clocks
-from godwitloft.gateway import stream_origins
+from godwitloft.gateway.streams import stream_origins
 
 ORIGIN = stream_origins.Origin("model", "v1")
 
--- a/features/steps/upstream_signs_steps.py
+++ b/features/steps/upstream_signs_steps.py
@@ -17,7 +17,7 @@
 from godwitloft.gateway import peer_status
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import retry_budget
-from godwitloft.gateway import upstream_signs
+from godwitloft.gateway.upstreams import upstream_signs
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
 from godwitloft.platform import agent as agents
--- a/godwitloft/gateway/admission.py
+++ b/godwitloft/gateway/admission.py
@@ -13,8 +13,6 @@
 import typing
 
 from godwitloft import clock as clocks
-from godwitloft.gateway import crash_tracker
-from godwitloft.gateway import fleet as fleets
 from godwitloft.gateway import ordering
 from godwitloft.gateway import placement
 from godwitloft.gateway import refusals
@@ -22,6 +20,8 @@
 from godwitloft.gateway import request_checker as request_checkers
 from godwitloft.gateway import service_floor
 from godwitloft.gateway import sharing as sharings
+from godwitloft.gateway.crashes import crash_tracker
+from godwitloft.gateway.upstreams import fleet as fleets
 
 RATE_WINDOW_MS = 2_000
 # Assumed start rate of late requests while none of them was refused after
--- /dev/null
+++ b/godwitloft/gateway/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Finds out which requests, or parts of prompts, crash upstreams."""
--- a/godwitloft/gateway/crash_causes.py
+++ b/godwitloft/gateway/crashes/crash_causes.py
@@ -15,8 +15,8 @@
 import typing
 
 from godwitloft import events
-from godwitloft.gateway import crash_reports
-from godwitloft.gateway import crash_trials
+from godwitloft.gateway.crashes import crash_reports
+from godwitloft.gateway.crashes import crash_trials
 
 CRASHES_BEFORE_BLAME = 3
 # Of causes that were proved sound before: chance brings them to crashes.
--- a/godwitloft/gateway/crash_evidence.py
+++ b/godwitloft/gateway/crashes/crash_evidence.py
@@ -4,11 +4,11 @@
 
 from godwitloft import clock as clocks
 from godwitloft import events
-from godwitloft.gateway import crash_tracker
-from godwitloft.gateway import fleet as fleets
 from godwitloft.gateway import model
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import sharing as sharings
+from godwitloft.gateway.crashes import crash_tracker
+from godwitloft.gateway.upstreams import fleet as fleets
 
 
 class CrashEvidence:
--- a/godwitloft/gateway/crash_tracker.py
+++ b/godwitloft/gateway/crashes/crash_tracker.py
@@ -4,8 +4,8 @@
 import typing
 
 from godwitloft import events
-from godwitloft.gateway import crash_causes
 from godwitloft.gateway import peer_status
+from godwitloft.gateway.crashes import crash_causes
 
 SUSPECT_MEMORY_MS = 60_000
 # An upstream that refuses connections within this time after it broke off
@@ -31,7 +31,7 @@
     """Records which requests were running when upstreams crashed.
 
     :param place: returns the place of this gateway among all of them, see
-        :class:`godwitloft.gateway.crash_causes.CrashCauses`
+        :class:`godwitloft.gateway.crashes.crash_causes.CrashCauses`
     """
 
     def __init__(self, place: typing.Callable[[str], int]) -> None:
--- a/godwitloft/gateway/crash_trials.py
+++ b/godwitloft/gateway/crashes/crash_trials.py
@@ -9,7 +9,7 @@
 import dataclasses
 import typing
 
-from godwitloft.gateway import crash_reports
+from godwitloft.gateway.crashes import crash_reports
 
 # Time from the last crash or trial to each trial of a blamed cause. Parts that
 # were sound are more often blamed wrongly, and tried sooner.
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -16,12 +16,8 @@
 from godwitloft.gateway import admission as admissions
 from godwitloft.gateway import answer as answers
 from godwitloft.gateway import arbiter as arbiters
-from godwitloft.gateway import base_versions
 from godwitloft.gateway import config_state as config_states
-from godwitloft.gateway import continuations as continuation_module
-from godwitloft.gateway import crash_evidence
 from godwitloft.gateway import dialect as dialects
-from godwitloft.gateway import fleet as fleets
 from godwitloft.gateway import http_server
 from godwitloft.gateway import latency
 from godwitloft.gateway import model
@@ -36,16 +32,20 @@
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import request_checker as request_checkers
 from godwitloft.gateway import retry_policy as retry_policies
-from godwitloft.gateway import service_versions
 from godwitloft.gateway import shared_knowledge
 from godwitloft.gateway import sharing as sharings
 from godwitloft.gateway import shutdown as shutdowns
 from godwitloft.gateway import slot_client as slot_clients
 from godwitloft.gateway import store_contact
-from godwitloft.gateway import stream_holds
-from godwitloft.gateway import stream_life
-from godwitloft.gateway import stream_origins
-from godwitloft.gateway import upstream_statements
+from godwitloft.gateway.crashes import crash_evidence
+from godwitloft.gateway.streams import base_versions
+from godwitloft.gateway.streams import continuations as continuation_module
+from godwitloft.gateway.streams import service_versions
+from godwitloft.gateway.streams import stream_holds
+from godwitloft.gateway.streams import stream_life
+from godwitloft.gateway.streams import stream_origins
+from godwitloft.gateway.upstreams import fleet as fleets
+from godwitloft.gateway.upstreams import upstream_statements
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
 
--- a/godwitloft/gateway/peer_status.py
+++ b/godwitloft/gateway/peer_status.py
@@ -8,7 +8,7 @@
 import dataclasses
 import math
 
-from godwitloft.gateway import crash_reports
+from godwitloft.gateway.crashes import crash_reports
 from godwitloft.links.generated.datagrams import ttypes
 
 
--- a/godwitloft/gateway/placer.py
+++ b/godwitloft/gateway/placer.py
@@ -4,14 +4,14 @@
 
 from godwitloft import clock as clocks
 from godwitloft.gateway import config_state as config_states
-from godwitloft.gateway import fleet as fleets
-from godwitloft.gateway import named_limit
 from godwitloft.gateway import ordering
 from godwitloft.gateway import placement
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import share_factor
 from godwitloft.gateway import sharing as sharings
 from godwitloft.gateway import slot_client as slot_clients
+from godwitloft.gateway.upstreams import fleet as fleets
+from godwitloft.gateway.upstreams import named_limit
 
 
 class Candidates:
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -9,13 +9,13 @@
 from godwitloft import attempt as attempts
 from godwitloft import whole_number
 from godwitloft.gateway import allowance
-from godwitloft.gateway import crash_causes
-from godwitloft.gateway import crash_reports
 from godwitloft.gateway import dialect as dialects
-from godwitloft.gateway import fleet
 from godwitloft.gateway import headers as header_lists
 from godwitloft.gateway import http_server
 from godwitloft.gateway import model
+from godwitloft.gateway.crashes import crash_causes
+from godwitloft.gateway.crashes import crash_reports
+from godwitloft.gateway.upstreams import fleet
 
 if typing.TYPE_CHECKING:
     from godwitloft.gateway import answer as answers
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -2,14 +2,14 @@
 
 from godwitloft import events
 from godwitloft.gateway import answer as answers
-from godwitloft.gateway import crash_tracker
-from godwitloft.gateway import fleet as fleets
 from godwitloft.gateway import model
 from godwitloft.gateway import outcomes
 from godwitloft.gateway import reports
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import retry_budget
 from godwitloft.gateway import sharing as sharings
+from godwitloft.gateway.crashes import crash_tracker
+from godwitloft.gateway.upstreams import fleet as fleets
 
 # Longer than the pauses between two events of a stream on a busy engine.
 STALL_MS = 1_500
--- a/godwitloft/gateway/shared_knowledge.py
+++ b/godwitloft/gateway/shared_knowledge.py
@@ -3,15 +3,15 @@
 import typing
 
 from godwitloft import clock as clocks
-from godwitloft.gateway import crash_causes
-from godwitloft.gateway import crash_reports
-from godwitloft.gateway import fleet as fleets
-from godwitloft.gateway import named_limit
 from godwitloft.gateway import peer_confirmation
 from godwitloft.gateway import peer_status
-from godwitloft.gateway import service_versions
 from godwitloft.gateway import sharing as sharings
 from godwitloft.gateway import store_contact as store_contacts
+from godwitloft.gateway.crashes import crash_causes
+from godwitloft.gateway.crashes import crash_reports
+from godwitloft.gateway.streams import service_versions
+from godwitloft.gateway.upstreams import fleet as fleets
+from godwitloft.gateway.upstreams import named_limit
 
 # How long peers are told that an upstream is leaving; by then the list says
 # so, if it ever does.
--- a/godwitloft/gateway/slot_client.py
+++ b/godwitloft/gateway/slot_client.py
@@ -8,7 +8,7 @@
 import typing
 
 from godwitloft import clock as clocks
-from godwitloft.gateway import fleet as fleets
+from godwitloft.gateway.upstreams import fleet as fleets
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
 
--- /dev/null
+++ b/godwitloft/gateway/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Lets a stream go on only at the software version that began it."""
--- a/godwitloft/gateway/base_versions.py
+++ b/godwitloft/gateway/streams/base_versions.py
@@ -16,7 +16,7 @@
 
 from godwitloft import clock as clocks
 from godwitloft.gateway import model
-from godwitloft.gateway import service_versions
+from godwitloft.gateway.streams import service_versions
 
 # How long a gateway that is cut off from the store may send to an upstream
 # that isn't listed any more.
--- a/godwitloft/gateway/continuations.py
+++ b/godwitloft/gateway/streams/continuations.py
@@ -12,12 +12,12 @@
 
 from godwitloft import clock as clocks
 from godwitloft import events
-from godwitloft.gateway import base_versions
-from godwitloft.gateway import fleet as fleets
 from godwitloft.gateway import refusals
 from godwitloft.gateway import request as requests
-from godwitloft.gateway import service_versions
-from godwitloft.gateway import stream_origins
+from godwitloft.gateway.streams import base_versions
+from godwitloft.gateway.streams import service_versions
+from godwitloft.gateway.streams import stream_origins
+from godwitloft.gateway.upstreams import fleet as fleets
 
 # How long a request waits for the store, or for a current list.
 MAX_LOOKUP_MS = 1_000
--- a/godwitloft/gateway/stream_holds.py
+++ b/godwitloft/gateway/streams/stream_holds.py
@@ -12,11 +12,11 @@
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft.gateway import answer as answers
-from godwitloft.gateway import base_versions
-from godwitloft.gateway import fleet as fleets
 from godwitloft.gateway import outcomes
 from godwitloft.gateway import request as requests
-from godwitloft.gateway import stream_origins
+from godwitloft.gateway.streams import base_versions
+from godwitloft.gateway.streams import stream_origins
+from godwitloft.gateway.upstreams import fleet as fleets
 
 # Beyond the interval at which a gateway saves.
 MAX_HOLD_MS = 400
--- a/godwitloft/gateway/stream_origins.py
+++ b/godwitloft/gateway/streams/stream_origins.py
@@ -9,7 +9,7 @@
 import typing
 
 from godwitloft import clock as clocks
-from godwitloft.gateway import service_versions
+from godwitloft.gateway.streams import service_versions
 
 # Streams that began within this time are saved together.
 SEGMENT_MS = 5_000
--- /dev/null
+++ b/godwitloft/gateway/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""What is known of the upstreams, from the list and from themselves."""
--- a/godwitloft/gateway/fleet.py
+++ b/godwitloft/gateway/upstreams/fleet.py
@@ -4,9 +4,9 @@
 import dataclasses
 
 from godwitloft.gateway import model
-from godwitloft.gateway import named_limit
 from godwitloft.gateway import peer_status
 from godwitloft.gateway import placement
+from godwitloft.gateway.upstreams import named_limit
 
 UNREACHABLE_PAUSE_MS = 500
 MAX_PAUSE_MS = 4_000
--- a/godwitloft/gateway/upstream_statements.py
+++ b/godwitloft/gateway/upstreams/upstream_statements.py
@@ -10,12 +10,12 @@
 from godwitloft import events
 from godwitloft import metrics
 from godwitloft.gateway import dialect as dialects
-from godwitloft.gateway import fleet as fleets
 from godwitloft.gateway import http_server
-from godwitloft.gateway import named_limit
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import sharing as sharings
-from godwitloft.gateway import upstream_signs
+from godwitloft.gateway.upstreams import fleet as fleets
+from godwitloft.gateway.upstreams import named_limit
+from godwitloft.gateway.upstreams import upstream_signs
 
 MAX_VALUE_LOGGED = 60
 
--- a/godwitloft/platform/lease_row.py
+++ b/godwitloft/platform/lease_row.py
@@ -4,9 +4,9 @@
 import dataclasses
 import json
 
-from godwitloft.gateway import crash_reports
-from godwitloft.gateway import service_versions
 from godwitloft.gateway import sharing
+from godwitloft.gateway.crashes import crash_reports
+from godwitloft.gateway.streams import service_versions
 from godwitloft.platform import json_fields
 from godwitloft.platform import rows
 from godwitloft.platform import settings
--- a/godwitloft/platform/stream_table.py
+++ b/godwitloft/platform/stream_table.py
@@ -8,9 +8,9 @@
 
 from godwitloft import clock as clocks
 from godwitloft import events
-from godwitloft.gateway import base_versions
-from godwitloft.gateway import continuations as continuation_module
-from godwitloft.gateway import stream_origins
+from godwitloft.gateway.streams import base_versions
+from godwitloft.gateway.streams import continuations as continuation_module
+from godwitloft.gateway.streams import stream_origins
 from godwitloft.platform import json_fields
 from godwitloft.platform import rows
 from godwitloft.platform import store as stores
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -13,12 +13,12 @@
 
 from godwitloft import clock as clocks
 from godwitloft import events
-from godwitloft.gateway import crash_reports
 from godwitloft.gateway import model
 from godwitloft.gateway import peer_confirmation as peer_confirmations
-from godwitloft.gateway import service_versions
 from godwitloft.gateway import sharing
-from godwitloft.gateway import upstream_list as upstream_lists
+from godwitloft.gateway.crashes import crash_reports
+from godwitloft.gateway.streams import service_versions
+from godwitloft.gateway.upstreams import upstream_list as upstream_lists
 from godwitloft.platform import json_fields
 from godwitloft.platform import lease_row
 from godwitloft.platform import rows
