The soak's verdict is three modules: history, promises to runners, the rest

What was observed (history.py) and the checks of what runners were promised (runner_promises.py) stand by themselves; joined_streams.py needs no import for types only any more.

--- a/bench/soak/joined_streams.py
+++ b/bench/soak/joined_streams.py
@@ -1,16 +1,13 @@
 """Finds streams that were joined from two software versions of runners."""
 
-import typing
-
-if typing.TYPE_CHECKING:
-    from bench.soak import verdict
+from bench.soak import history as histories
 
 STREAM_ROUTE = "stream"
 # Of the users' rule.
 MAX_JOINED = 2
 
 
-def find_joined_streams(history: "verdict.History") -> list[str]:
+def find_joined_streams(history: histories.History) -> list[str]:
     """Reports streams that went on at another version than they began at.
 
     :param history: what callers and runners observed
@@ -30,7 +27,7 @@
 
 
 def went_on_elsewhere(
-    history: "verdict.History", first_id: str, request_id: str
+    history: histories.History, first_id: str, request_id: str
 ) -> bool:
     """Returns whether a request's stream went on at another version.
 
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -10,6 +10,7 @@
 
 from bench.soak import callers
 from bench.soak import deployment
+from bench.soak import history as histories
 from bench.soak import plan
 from bench.soak import verdict
 
@@ -127,7 +128,7 @@
 
 def collect_history(
     system: deployment.Deployment, records: list[callers.RequestRecord]
-) -> verdict.History:
+) -> histories.History:
     """Collects what callers and runners observed.
 
     :param system: the deployment
@@ -137,7 +138,7 @@
     time.sleep(FINAL_RUNS_WAIT_S)
     system.note_acknowledgements()
     runs = [
-        verdict.Run(
+        histories.Run(
             id=row["id"],
             runner=runner,
             at_ms=row["at_ms"],
@@ -157,7 +158,7 @@
         for row in ledger
     ]
     rejected = [
-        verdict.Run(
+        histories.Run(
             id=row["id"],
             runner=runner,
             at_ms=row["at_ms"],
@@ -168,7 +169,7 @@
         for runner, arrivals in system.fetch("/turned-away").items()
         for row in arrivals
     ]
-    return verdict.History(
+    return histories.History(
         records=records,
         runs=runs,
         rejected=rejected,
@@ -180,7 +181,7 @@
 def report(
     soak: Soak,
     faults: typing.Sequence[plan.Fault],
-    history: verdict.History,
+    history: histories.History,
 ) -> dict[str, typing.Any]:
     """Returns the figures of a soak test.
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -12,6 +12,7 @@
 
 from bench.soak import callers
 from bench.soak import deployment
+from bench.soak import history as histories
 from bench.soak import plan
 from bench.soak import relay
 from bench.soak import verdict
@@ -69,7 +70,7 @@
 
 
 def run_from(fields):
-    return verdict.Run(
+    return histories.Run(
         id=fields["id"],
         runner=fields.get("runner", "i-desk-0"),
         at_ms=int(fields["at"]),
@@ -157,7 +158,7 @@
         row = {"id": "p", "route": "lookup", "key": "key-large"}
         self.add_request(row | {"sent": fields["at"], "status": 503})
         self.rejected.append(
-            verdict.Run(
+            histories.Run(
                 id="p",
                 runner="i-desk-1",
                 at_ms=int(fields["at"]),
@@ -250,7 +251,7 @@
             self.records[-1].disconnected_ms = 150
             run = self.runs.pop()
             ended = 150 + int(fields["ran_on"])
-            self.runs.append(verdict.dataclasses.replace(run, ended_ms=ended))
+            self.runs.append(dataclasses.replace(run, ended_ms=ended))
 
     def add_joined(self, fields):
         for number in range(int(fields["count"])):
@@ -266,12 +267,12 @@
             }
             self.add_late(row | {"runner": "i-model-0"})
             began = self.runs.pop()
-            self.runs.append(verdict.dataclasses.replace(began, version="v1"))
+            self.runs.append(dataclasses.replace(began, version="v1"))
             again = row | {"id": f"j{number}-2", "sent": 300, "whole": "yes"}
             self.add_late(again | {"runner": "i-model-1"})
             went_on = self.runs.pop()
             self.runs.append(
-                verdict.dataclasses.replace(
+                dataclasses.replace(
                     went_on, version=fields["version"], last_event="1"
                 )
             )
@@ -302,7 +303,7 @@
     for row in context.table:
         pairs = (pair.partition("=") for pair in row["fields"].split())
         rows.add(row["what"], {name: value for name, _, value in pairs})
-    context.history = verdict.History(
+    context.history = histories.History(
         records=rows.records,
         runs=rows.runs,
         rejected=rows.rejected,
