The soak doesn't report a program that SIGHUP ends before it can ignore it

No program can ignore it sooner.

The check is narrowed to that: a program that has logged since its start and ends by SIGHUP is reported as before, as is any other status.

--- a/bench/soak/program.py
+++ b/bench/soak/program.py
@@ -80,6 +80,9 @@
         self.child = None
         if self.stop_requested and status in allowed:
             return ""
+        if status == -signal.SIGHUP and not self.has_logged():
+            # No program can ignore it before its interpreter has started.
+            return ""
         return f"{self.name} ended with {status}"
 
     def has_logged(self) -> bool:
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -86,6 +86,20 @@
       | silent,delay,pass |
       | deaf,delay,silent,pass |
 
+  # Seed 6103: SIGHUP 78 ms after the start of an entry, on a busy machine.
+  Scenario Outline: A program that <signal> ends is <judged> if it <what>
+    Given a program of the soak test that <what>
+    When it gets <signal>
+    Then its end is <judged>
+
+    Examples:
+      | signal | what | judged |
+      | SIGHUP | has not started to log | expected |
+      | SIGHUP | has logged | unexpected |
+      | SIGTERM | has not started to log | expected |
+      | SIGTERM | has logged | unexpected |
+      | SIGKILL | has logged | expected |
+
   Scenario: The real programs keep every promise under seeded faults
     When a soak test of seed 7 runs for 20 s
     Then it reports no breach and at least 500 successful requests
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,8 +1,10 @@
 import dataclasses
 import json
 import pathlib
+import signal
 import subprocess
 import sys
+import tempfile
 
 from behave import given
 from behave import then
@@ -14,6 +16,7 @@
 from bench.soak import deployment
 from bench.soak import history as histories
 from bench.soak import plan
+from bench.soak import program as programs
 from bench.soak import relay
 from bench.soak import verdict
 
@@ -21,6 +24,8 @@
 START_AND_END_S = 60
 SECONDS = 60
 SIZE = plan.Size(entries=3, agents=3, runners=4)
+# A program that does not handle any signal.
+WAIT_FOR_SIGNAL = "import signal; signal.pause()"
 
 
 @when("the plans of seed {seed:d} are drawn twice")
@@ -403,3 +408,28 @@
 @then('it reports "{promise}"')
 def check_reported(context, promise):
     assert promise in context.figures["breaches"], context.figures
+
+
+@given("a program of the soak test that {what}")
+def start_program(context, what):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    log = pathlib.Path(folder.name) / "log"
+    log.write_text("a line\n" if what == "has logged" else "")
+    child = subprocess.Popen([sys.executable, "-c", WAIT_FOR_SIGNAL])
+    context.add_cleanup(child.wait)
+    context.program = programs.Program("entry-0", (), log, log)
+    context.program.child = child
+
+
+@when("it gets {name}")
+def send_signal(context, name):
+    child = context.program.child
+    context.program.signal(signal.Signals[name])
+    child.wait()
+
+
+@then("its end is {judged}")
+def check_judged(context, judged):
+    found = context.program.unexpected_exit()
+    assert bool(found) == (judged == "unexpected"), found
