A stream gets no events without ids that its caller may already have

Callers of a resumable stream that broke off got its events twice, and the stream ended as complete (ORDER), where the next upstream began anew and its events, or its first ones, had no id.

Cause: what the next upstream sends was compared with the caller's last event only where it has an id; whatever came before the first id was passed on.

Evidence: features/stream_goes_on.feature, the rows "1 2, then - - -" and "1 2, then - 3 4" failed before; the rows with a comment first and with an unnumbered event later passed before and still do.

Change: until an id has shown that the answer fits, an event with data but without an id has the attempt broken off (event_repeated). That also cuts a stream that numbers only some of its events and goes on with an unnumbered one: from the bytes it can't be told from one that began anew.

--- a/features/steps/stream_goes_on_steps.py
+++ b/features/steps/stream_goes_on_steps.py
@@ -4,13 +4,16 @@
 from features.steps import answer_end_steps as wire
 from godwitloft.gateway import answer as answers
 
-# Stands for an event without an id.
-NO_ID = "-"
+# An event without an id, one with an empty id, and a comment.
+WITHOUT_NUMBER = {
+    "-": b"data: x\n\n",
+    "=": b"id:\ndata: x\n\n",
+    ":": b": x\n\n",
+}
 
 
 def event(name):
-    line = "" if name == NO_ID else f"id: {name}\n"
-    return f"{line}data: x\n\n".encode()
+    return WITHOUT_NUMBER.get(name, f"id: {name}\ndata: x\n\n".encode())
 
 
 def events(names):
--- a/features/stream_goes_on.feature
+++ b/features/stream_goes_on.feature
@@ -38,6 +38,10 @@
       | 9 10 | 11 12 | whole | 9 10 11 12 |
       | a b | c d | whole | a b c d |
       | a b | b c | cut | a b |
+      | 1 2 | - - - | cut | 1 2 |
+      | 1 2 | - 3 4 | cut | 1 2 |
+      | 1 2 | : 3 4 | whole | 1 2 : 3 4 |
+      | 1 2 | 3 - 4 | whole | 1 2 3 - 4 |
 
   # Guards against events that come twice because no id tells where to go on.
   Scenario Outline: A stream without ids doesn't go on: after events with the ids "<ids>"
--- a/godwitloft/gateway/answer.py
+++ b/godwitloft/gateway/answer.py
@@ -171,13 +171,13 @@
             return
         events = self.partial_event[:end]
         self.partial_event = self.partial_event[end:]
+        if self.asked_after is not None and not fits_behind(
+            self.asked_after, events
+        ):
+            self.overflow = EVENT_REPEATED
+            return
         ids = event_ids(events)
         if ids:
-            if self.asked_after is not None and not goes_on_after(
-                self.asked_after, ids[0]
-            ):
-                self.overflow = EVENT_REPEATED
-                return
             self.asked_after = None
             self.request.last_event = ids[-1]
         has_id = last_event_has_id(events)
@@ -327,20 +327,44 @@
     return [found.strip() for found in ID_LINE.findall(events)]
 
 
-def last_event_has_id(events: bytes) -> bool | None:
-    """Returns whether the last of some events has an id.
+def events_with_data(events: bytes) -> list[bytes]:
+    """Returns those of some events that have data: no comments.
 
     :param events: complete events
-    :return: None if none of them has data, as comments
+    :return: the events without the empty lines that end them
     """
-    with_data = [
+    return [
         event
         for event in answer_end.EVENT_END.split(events)
         if DATA_FIELD.search(event)
     ]
+
+
+def last_event_has_id(events: bytes) -> bool | None:
+    """Returns whether the last of some events has an id.
+
+    :param events: complete events
+    :return: None if none of them has data
+    """
+    with_data = events_with_data(events)
     return ID_FIELD.search(with_data[-1]) is not None if with_data else None
 
 
+def fits_behind(last: bytes, events: bytes) -> bool:
+    """Returns whether the first events of an answer can follow an event.
+
+    :param last: id of the earlier event
+    :param events: complete events
+    :return: whether the first id goes on after it; False if an event without
+        an id comes first, since it may be one of before
+    """
+    with_data = events_with_data(events)
+    if with_data and not ID_FIELD.search(with_data[0]):
+        return False
+    ids = event_ids(events)
+    return not ids or goes_on_after(last, ids[0])
+
+
 def goes_on_after(last: bytes, next_id: bytes) -> bool:
     """Returns whether an event can follow another one.
 
