An empty id doesn't tell where a stream goes on

Cause: the empty id counted as one, so that the stream was sent on with an empty Last-Event-Id, which names no event: it begins anew, and the first id of the new run differs from the empty one, so that it passed as going on.

Evidence: features/stream_goes_on.feature, the rows "1 =", "id:\ndata: x" and "id: \ndata: x" failed before.

Change: an empty id is none, so the stream is cut (event_without_id).

--- a/features/stream_goes_on.feature
+++ b/features/stream_goes_on.feature
@@ -56,6 +56,7 @@
       | - | 1 |
       | - - | 1 |
       | 1 - | 1 |
+      | 1 = | 1 |
       | - 2 | 2 |
       | 1 2 | 2 |
 
@@ -70,6 +71,8 @@
       | data: x\rid: 1\r\r | has |
       | id: 1\ndata: x\n\n: a comment\n\n | has |
       | data: x\n\n | lacks |
+      | id:\ndata: x\n\n | lacks |
+      | id: \ndata: x\n\n | lacks |
       | id: 1\ndata: x\n\ndata: y\n\n | lacks |
       | data: id: 1\n\n | lacks |
       | : a comment\n\n | may have |
--- a/godwitloft/gateway/answer.py
+++ b/godwitloft/gateway/answer.py
@@ -21,7 +21,7 @@
 MAX_BUFFERED_BYTES = 256 * 1024
 MIN_SERVER_ERROR_STATUS = 500
 ID_LINE = re.compile(rb"(?:^|(?<=[\r\n]))id:([^\r\n]*)[\r\n]")
-ID_FIELD = re.compile(rb"(?:^|[\r\n])id:")
+ID_FIELD = re.compile(rb"(?:^|[\r\n])id:[ \t]*[^\s]")
 DATA_FIELD = re.compile(rb"(?:^|[\r\n])data")
 MISDIRECTED_STATUS = 421
 ANSWER_TOO_LONG = "answer_too_long"
@@ -322,9 +322,10 @@
     """Returns the ids of events.
 
     :param events: complete events
-    :return: the ids of those that have one, in their order
+    :return: the ids of those that have one that isn't empty, in their order
     """
-    return [found.strip() for found in ID_LINE.findall(events)]
+    found = (value.strip() for value in ID_LINE.findall(events))
+    return [value for value in found if value]
 
 
 def events_with_data(events: bytes) -> list[bytes]:
