A stream isn't whole without an event that an upstream has begun

Callers of a resumable stream got a complete answer without an event (ORDER): one upstream broke off inside it, the next had nothing to add after the event before it, and that was taken for the end.

Cause: the part of the broken-off event was dropped, and with it the only sign that more was to come. An empty answer was believed to fit, whatever an earlier one had shown; without a length or chunks it even counted as proof.

Evidence: features/answer_end.feature, 5 of the new scenarios failed before ("has nothing to add" by chunks and by a length; "break off within event 3", then nothing by close and by chunks, or a comment by chunks).

Change: an attempt knows whether an earlier one has begun an event that its caller lacks. Unless it brings an event it fails (event_missing). An event that may be an old one, of an upstream that begins anew, counts as no sign, nor does a comment.

--- a/features/answer_end.feature
+++ b/features/answer_end.feature
@@ -123,6 +123,41 @@
       | close | 2 | answers with status 404 | cut | 2 |
       | close | 2 | refuses it as not run | cut | 2 |
 
+  # Guards against an event that has begun and that the end leaves out.
+  Scenario Outline: A stream isn't whole without an event that has begun: after event <count>, <then>
+    Given a gateway that reads what its upstreams send
+    When a caller requests "query"
+    And the upstream's stream, framed by close, ends inside the event after event <count>
+    And the next upstream, asked to go on after event <count>, <then>
+    Then the caller's answer is <answer>
+    And the caller has received events 1 to <received>
+
+    Examples:
+      | count | then | answer | received |
+      | 2 | has nothing to add, framed by chunks | cut | 2 |
+      | 2 | has nothing to add, framed by length | cut | 2 |
+      | 2 | has nothing to add, framed by close | cut | 2 |
+      | 2 | adds event 3, framed by chunks | whole | 3 |
+
+  # Guards against two upstreams that fail alike and pass for a whole stream.
+  Scenario Outline: The upstreams of a stream end one after the other: <first>, <second>, <third>
+    Given a gateway that reads what its upstreams send
+    And its routes allow 3 attempts
+    When a caller requests "query"
+    And its upstreams, one after the other, <first>, <second>, <third>
+    Then the caller's answer is <answer>
+
+    Examples:
+      | first | second | third | answer |
+      | break off after event 2 | send nothing, framed by close | send nothing, framed by chunks | whole |
+      | end after event 2 | break off within event 3 | send nothing, framed by close | cut |
+      | end after event 2 | break off within event 3 | send nothing, framed by chunks | cut |
+      | end after event 2 | break off within event 3 | send a comment, framed by chunks | cut |
+      | end after event 2 | break off within event 1 | send nothing, framed by close | whole |
+      | end after event 2 | repeat event 1 and break off within event 2 | send nothing, framed by close | whole |
+      | end after event 2 | break off | send nothing, framed by close | whole |
+      | end after event 2 | break off within a comment | send nothing, framed by close | whole |
+
   Scenario: A sound upstream whose streams nothing ends is not avoided
     Given a gateway that reads what its upstreams send
     When 4 times a caller requests "draft", and its stream, framed by close, ends
--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -1,3 +1,6 @@
+import dataclasses
+import re
+
 from behave import given
 from behave import then
 from behave import when
@@ -7,6 +10,7 @@
 from twisted.web import _newclient
 from twisted.web import http_headers
 
+from features.support import gateway_world
 from features.support import logs
 from features.support import wire_upstream
 from godwitloft import answer_end
@@ -129,6 +133,61 @@
     close_if_open(sent)
 
 
+@when(
+    "the upstream's stream, framed by {framing}, ends inside the event after"
+    " event {count:d}"
+)
+def ends_inside_next(context, framing, count):
+    sent = context.world.sent[-1]
+    begun = events(1, count) + event(count + 1)[:8]
+    sent.receive(complete_answer(sent, framing, begun))
+    close_if_open(sent)
+
+
+@given("its routes allow {count:d} attempts")
+def allow_attempts(context, count):
+    state = context.world.gateway.config_state
+    before = gateway_world.configuration(version=2)
+    routes = tuple(
+        dataclasses.replace(route, max_attempts=count)
+        for route in before.routes
+    )
+    state.configure(dataclasses.replace(before, routes=routes))
+
+
+def end_as_told(sent, how):
+    """An upstream ends its answer; one that breaks off would use chunks."""
+    head = sent.answer_head(CHUNKED)
+    what, _, framing = how.partition(", framed by ")
+    sent.receive(
+        {
+            "end after event 2": complete_answer(sent, "close", events(1, 2)),
+            "break off after event 2": head + chunk(events(1, 2)),
+            "break off within event 3": head + chunk(event(3)[:8]),
+            "break off within event 1": head + chunk(event(1)[:8]),
+            "repeat event 1 and break off within event 2": head
+            + chunk(event(1) + event(2)[:8]),
+            "send a comment": complete_answer(sent, framing, b": x\n\n"),
+            "break off within a comment": head + chunk(b": x"),
+            "break off": head,
+            "send nothing": complete_answer(sent, framing, b""),
+        }[what]
+    )
+    close_if_open(sent)
+
+
+ENDS = re.compile(r"((?:end|break|repeat|send)[^,]*(?:, framed by \w+)?)")
+
+
+@when("its upstreams, one after the other, {ends}")
+def end_in_turn(context, ends):
+    found = ENDS.findall(ends)
+    assert len(found) == 3, found
+    for number, how in enumerate(found):
+        end_as_told(context.world.sent[number], how)
+    context.world.advance(SILENCE_MS)
+
+
 def go_on(sent, then):
     what, _, framing = then.partition(", framed by ")
     plain_length = length_header(b"no")
--- a/godwitloft/gateway/answer.py
+++ b/godwitloft/gateway/answer.py
@@ -27,6 +27,7 @@
 ANSWER_TOO_LONG = "answer_too_long"
 EVENT_TOO_LONG = "event_too_long"
 EVENT_REPEATED = "event_repeated"
+EVENT_MISSING = "event_missing"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -75,6 +76,10 @@
         # Id of the event after which the upstream was asked to go on, None
         # once it has, or if it was not.
         self.asked_after = request.last_event
+        # Whether an earlier attempt began an event that its caller lacks.
+        self.lacks_event = (
+            request.answer is not None and request.answer.shows_more()
+        )
         # None until the head has been received.
         self.body_end: answer_end.BodyEnd | None = None
 
@@ -183,8 +188,25 @@
         has_id = last_event_has_id(events)
         if has_id is not None:
             self.request.may_go_on = has_id
+            self.lacks_event = False
         self.forward(events)
 
+    def shows_more(self) -> bool:
+        """Returns whether an event is known to follow what was forwarded.
+
+        :return: whether one has begun in this attempt, or in an earlier one
+            and none has been forwarded since
+        """
+        if self.lacks_event:
+            return True
+        begun = self.partial_event
+        if not begun or begun.startswith(b":") or self.overflow:
+            return False
+        if self.asked_after is None:
+            return True
+        ids = event_ids(begun)
+        return bool(ids) and goes_on_after(self.asked_after, ids[0])
+
     def forward(self, data: bytes) -> None:
         """Forwards a part of the body, and the head before the first part.
 
@@ -230,6 +252,10 @@
         cut = self.body_end.defect() if self.body_end is not None else ""
         if cut and not (cut == answer_end.STREAM_EMPTY and self.continues):
             return AttemptOutcome(outcomes.Result.BROKEN, cut, unusable=True)
+        if self.is_valid_success() and self.lacks_event:
+            return AttemptOutcome(
+                outcomes.Result.FAILED, EVENT_MISSING, unusable=True
+            )
         if self.is_end_unknown():
             unknown = outcomes.Result.END_UNKNOWN
             return AttemptOutcome(unknown, unknown.value, unusable=True)
