Two empty answers don't end a stream that was broken off

Callers of a resumable stream that broke off in chunks got it as complete though events were missing (ORDER), if the next two upstreams closed the connection before their first event, without a length or chunks.

Cause: the first of the two counted as an end that isn't known, the second as its proof. Both are only an absent sign of failure: an upstream that fails before its first event looks the same, which is why a first attempt that ends so counts as broken (stream_empty).

Evidence: features/answer_end.feature, "break off after event 2", then nothing (or a comment) and nothing, framed by close: both scenarios failed before.

Change: only the end of an answer that brought an event, or of the first one of a stream that its caller takes up, can be confirmed by an empty answer. One with a length or chunks still confirms without it.

--- a/features/answer_end.feature
+++ b/features/answer_end.feature
@@ -149,6 +149,8 @@
 
     Examples:
       | first | second | third | answer |
+      | break off after event 2 | send nothing, framed by close | send nothing, framed by close | cut |
+      | break off after event 2 | send a comment, framed by close | send nothing, framed by close | cut |
       | break off after event 2 | send nothing, framed by close | send nothing, framed by chunks | whole |
       | end after event 2 | break off within event 3 | send nothing, framed by close | cut |
       | end after event 2 | break off within event 3 | send nothing, framed by chunks | cut |
--- a/godwitloft/gateway/answer.py
+++ b/godwitloft/gateway/answer.py
@@ -303,6 +303,18 @@
         )
         return not is_confirmed
 
+    def may_mark_end(self) -> bool:
+        """Returns whether a later attempt can confirm the end of this one.
+
+        One that goes on and brings no event tells nothing by itself: an
+        upstream that fails before its first event looks the same. Of a stream
+        that its caller takes up, how the first part ended isn't known.
+
+        :return: whether a stream without a mark of its end may have ended here
+        """
+        has_events = self.asked_after is None
+        return has_events or not self.goes_on
+
     def extent(self) -> dict[str, typing.Any]:
         """Returns what is known about the end of the answer, for logs.
 
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -768,7 +768,7 @@
         self.reports.count_answer_end(answer, attempt_outcome)
         now_ms = self.clock.monotonic_ms()
         is_end_unknown = attempt_outcome.result is outcomes.Result.END_UNKNOWN
-        if is_end_unknown:
+        if is_end_unknown and answer.may_mark_end():
             request.mark_unknown_end()
         if state is not None:
             self.retry_policy.record_end(
