The log tells each stream that was cut while its end was being learnt

Operators found no GL1209 for a stream whose end wasn't known and whose next attempt failed, was refused as not run, or ran out of time: the caller's connection was cut, and the counts of GL1209 missed it.

Cause: GL1209 with "cut" was written only where the last attempt itself had ended without a mark of its end.

Evidence: features/answer_end.feature, the rows "resets the connection", "fails with status 500", "refuses it as not run" and the scenario with an upstream that is silent failed before.

Change: it is written wherever such a stream is cut.

--- a/features/answer_end.feature
+++ b/features/answer_end.feature
@@ -176,6 +176,17 @@
       | then | what |
       | has nothing to add, framed by chunks | whole |
       | adds event 3, framed by chunks | goes_on |
+      | resets the connection | cut |
+      | fails with status 500 | cut |
+      | refuses it as not run | cut |
+
+  Scenario: The log tells that a stream was cut whose time ended before its end was known
+    Given a gateway that reads what its upstreams send
+    When a caller requests "query"
+    And the upstream's stream, framed by close, ends after event 2
+    And the next upstream is silent until the caller's time is over
+    Then the caller's answer is cut
+    And GL1209 has after_event "2", then "cut"
 
   Scenario: The log tells that a stream was cut as nobody knew its end
     Given a gateway that reads what its upstreams send
--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -238,6 +238,12 @@
         close_if_open(sent)
 
 
+@when("the next upstream is silent until the caller's time is over")
+def stay_silent(context):
+    assert len(context.world.sent) == 2
+    context.world.advance(SILENCE_MS)
+
+
 @then("no upstream is paused")
 def check_not_paused(context):
     states = context.world.gateway.fleet.states.values()
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -789,7 +789,7 @@
         elif self.retry_policy.may_retry(request, attempt_outcome, now_ms):
             self.requeue(request, attempt_outcome)
         else:
-            if is_end_unknown:
+            if is_end_unknown or request.unknown_end is not None:
                 self.reports.report_unknown_end(request, reports.EndFound.CUT)
             self.answer_failure(request, answer, attempt_outcome)
         self.schedule(request.facts.service)
@@ -891,6 +891,8 @@
         :param refusal: the refusal
         """
         if request.exchange.started:
+            if request.unknown_end is not None:
+                self.reports.report_unknown_end(request, reports.EndFound.CUT)
             self.end(request, outcomes.CUT, refusal.reason)
             request.exchange.abort()
             return
--- a/godwitloft/gateway/reports.py
+++ b/godwitloft/gateway/reports.py
@@ -75,12 +75,12 @@
         :param request: its request
         :param found: what became of it
         """
-        unknown_end = request.unknown_end or b""
+        unknown_end = request.unknown_end or request.last_event or b""
         events.log(
             events.UNKNOWN_END,
             request=request.facts.id,
             route=request.facts.route.name,
-            upstream=request.unknown_end_upstream,
+            upstream=request.unknown_end_upstream or request.last_upstream_id,
             after_event=unknown_end.decode("latin-1"),
             then=found.value,
             asked=request.last_upstream_id,
