A stream with other ids than numbers gets no first event again

Callers of a resumable stream whose ids aren't whole numbers got all its events twice when it broke off and the next upstream began anew (ORDER).

Cause: of such ids only the first of the next answer was compared with the last one that the caller had; that of a stream that begins anew differs from it.

Evidence: features/stream_goes_on.feature, the rows "a b, then a b c" and "a b, then a c d" failed before.

Change: an answer that goes on with the id of the stream's first event is broken off too. A stream that its caller takes up itself has no first event here, so that one that begins anew with such ids still isn't told from one that goes on.

--- a/features/stream_goes_on.feature
+++ b/features/stream_goes_on.feature
@@ -38,6 +38,9 @@
       | 9 10 | 11 12 | whole | 9 10 11 12 |
       | a b | c d | whole | a b c d |
       | a b | b c | cut | a b |
+      | a b | a b c | cut | a b |
+      | a b | a c d | cut | a b |
+      | a - b | c a | whole | a - b c a |
       | 1 2 | - - - | cut | 1 2 |
       | 1 2 | - 3 4 | cut | 1 2 |
       | 1 2 | : 3 4 | whole | 1 2 : 3 4 |
--- a/godwitloft/gateway/answer.py
+++ b/godwitloft/gateway/answer.py
@@ -176,14 +176,17 @@
             return
         events = self.partial_event[:end]
         self.partial_event = self.partial_event[end:]
-        if self.asked_after is not None and not fits_behind(
-            self.asked_after, events
+        ids = event_ids(events)
+        if self.asked_after is not None and not (
+            fits_behind(self.asked_after, events)
+            and self.request.first_event not in ids[:1]
         ):
             self.overflow = EVENT_REPEATED
             return
-        ids = event_ids(events)
         if ids:
             self.asked_after = None
+            if self.request.first_event is None:
+                self.request.first_event = ids[0]
             self.request.last_event = ids[-1]
         has_id = last_event_has_id(events)
         if has_id is not None:
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -171,6 +171,9 @@
         self.last_data_ms = 0
         # Id of the last event that its caller has, None for none.
         self.last_event: bytes | None = None
+        # Id of the first event with one that its caller got, None for none: an
+        # upstream that begins anew sends it again.
+        self.first_event: bytes | None = None
         # Whether the last event that its caller has tells where to go on.
         self.may_go_on = True
         # After which event an attempt ended without a mark of the end, and at
