--- a/features/stream_goes_on.feature
+++ b/features/stream_goes_on.feature
@@ -38,6 +38,13 @@
       | 9 10 | 11 12 | whole | 9 10 11 12 |
       | a b | c d | whole | a b c d |
       | a b | b c | cut | a b |
+      | a b | a b c | cut | a b |
+      | a b | a c d | cut | a b |
+      | a - b | c a | whole | a - b c a |
+      | 1 2 | - - - | cut | 1 2 |
+      | 1 2 | - 3 4 | cut | 1 2 |
+      | 1 2 | : 3 4 | whole | 1 2 : 3 4 |
+      | 1 2 | 3 - 4 | whole | 1 2 3 - 4 |
 
   # Guards against events that come twice because no id tells where to go on.
   Scenario Outline: A stream without ids doesn't go on: after events with the ids "<ids>"
@@ -52,6 +59,7 @@
       | - | 1 |
       | - - | 1 |
       | 1 - | 1 |
+      | 1 = | 1 |
       | - 2 | 2 |
       | 1 2 | 2 |
 
@@ -66,6 +74,8 @@
       | data: x\rid: 1\r\r | has |
       | id: 1\ndata: x\n\n: a comment\n\n | has |
       | data: x\n\n | lacks |
+      | id:\ndata: x\n\n | lacks |
+      | id: \ndata: x\n\n | lacks |
       | id: 1\ndata: x\n\ndata: y\n\n | lacks |
       | data: id: 1\n\n | lacks |
       | : a comment\n\n | may have |
--- a/godwitloft/gateway/answer.py
+++ b/godwitloft/gateway/answer.py
@@ -21,12 +21,13 @@
 MAX_BUFFERED_BYTES = 256 * 1024
 MIN_SERVER_ERROR_STATUS = 500
 ID_LINE = re.compile(rb"(?:^|(?<=[\r\n]))id:([^\r\n]*)[\r\n]")
-ID_FIELD = re.compile(rb"(?:^|[\r\n])id:")
+ID_FIELD = re.compile(rb"(?:^|[\r\n])id:[ \t]*[^\s]")
 DATA_FIELD = re.compile(rb"(?:^|[\r\n])data")
 MISDIRECTED_STATUS = 421
 ANSWER_TOO_LONG = "answer_too_long"
 EVENT_TOO_LONG = "event_too_long"
 EVENT_REPEATED = "event_repeated"
+EVENT_MISSING = "event_missing"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -75,6 +76,10 @@
         # Id of the event after which the upstream was asked to go on, None
         # once it has, or if it was not.
         self.asked_after = request.last_event
+        # Whether an earlier attempt began an event that its caller lacks.
+        self.lacks_event = (
+            request.answer is not None and request.answer.shows_more()
+        )
         # None until the head has been received.
         self.body_end: answer_end.BodyEnd | None = None
 
@@ -172,19 +177,39 @@
         events = self.partial_event[:end]
         self.partial_event = self.partial_event[end:]
         ids = event_ids(events)
+        if self.asked_after is not None and not (
+            fits_behind(self.asked_after, events)
+            and self.request.first_event not in ids[:1]
+        ):
+            self.overflow = EVENT_REPEATED
+            return
         if ids:
-            if self.asked_after is not None and not goes_on_after(
-                self.asked_after, ids[0]
-            ):
-                self.overflow = EVENT_REPEATED
-                return
             self.asked_after = None
+            if self.request.first_event is None:
+                self.request.first_event = ids[0]
             self.request.last_event = ids[-1]
         has_id = last_event_has_id(events)
         if has_id is not None:
             self.request.may_go_on = has_id
+            self.lacks_event = False
         self.forward(events)
 
+    def shows_more(self) -> bool:
+        """Returns whether an event is known to follow what was forwarded.
+
+        :return: whether one has begun in this attempt, or in an earlier one
+            and none has been forwarded since
+        """
+        if self.lacks_event:
+            return True
+        begun = self.partial_event
+        if not begun or begun.startswith(b":") or self.overflow:
+            return False
+        if self.asked_after is None:
+            return True
+        ids = event_ids(begun)
+        return bool(ids) and goes_on_after(self.asked_after, ids[0])
+
     def forward(self, data: bytes) -> None:
         """Forwards a part of the body, and the head before the first part.
 
@@ -230,6 +255,10 @@
         cut = self.body_end.defect() if self.body_end is not None else ""
         if cut and not (cut == answer_end.STREAM_EMPTY and self.continues):
             return AttemptOutcome(outcomes.Result.BROKEN, cut, unusable=True)
+        if self.is_valid_success() and self.lacks_event:
+            return AttemptOutcome(
+                outcomes.Result.FAILED, EVENT_MISSING, unusable=True
+            )
         if self.is_end_unknown():
             unknown = outcomes.Result.END_UNKNOWN
             return AttemptOutcome(unknown, unknown.value, unusable=True)
@@ -277,6 +306,18 @@
         )
         return not is_confirmed
 
+    def may_mark_end(self) -> bool:
+        """Returns whether a later attempt can confirm the end of this one.
+
+        One that goes on and brings no event tells nothing by itself: an
+        upstream that fails before its first event looks the same. Of a stream
+        that its caller takes up, how the first part ended isn't known.
+
+        :return: whether a stream without a mark of its end may have ended here
+        """
+        has_events = self.asked_after is None
+        return has_events or not self.goes_on
+
     def extent(self) -> dict[str, typing.Any]:
         """Returns what is known about the end of the answer, for logs.
 
@@ -322,25 +363,50 @@
     """Returns the ids of events.
 
     :param events: complete events
-    :return: the ids of those that have one, in their order
+    :return: the ids of those that have one that isn't empty, in their order
     """
-    return [found.strip() for found in ID_LINE.findall(events)]
+    found = (value.strip() for value in ID_LINE.findall(events))
+    return [value for value in found if value]
 
 
-def last_event_has_id(events: bytes) -> bool | None:
-    """Returns whether the last of some events has an id.
+def events_with_data(events: bytes) -> list[bytes]:
+    """Returns those of some events that have data: no comments.
 
     :param events: complete events
-    :return: None if none of them has data, as comments
+    :return: the events without the empty lines that end them
     """
-    with_data = [
+    return [
         event
         for event in answer_end.EVENT_END.split(events)
         if DATA_FIELD.search(event)
     ]
+
+
+def last_event_has_id(events: bytes) -> bool | None:
+    """Returns whether the last of some events has an id.
+
+    :param events: complete events
+    :return: None if none of them has data
+    """
+    with_data = events_with_data(events)
     return ID_FIELD.search(with_data[-1]) is not None if with_data else None
 
 
+def fits_behind(last: bytes, events: bytes) -> bool:
+    """Returns whether the first events of an answer can follow an event.
+
+    :param last: id of the earlier event
+    :param events: complete events
+    :return: whether the first id goes on after it; False if an event without
+        an id comes first, since it may be one of before
+    """
+    with_data = events_with_data(events)
+    if with_data and not ID_FIELD.search(with_data[0]):
+        return False
+    ids = event_ids(events)
+    return not ids or goes_on_after(last, ids[0])
+
+
 def goes_on_after(last: bytes, next_id: bytes) -> bool:
     """Returns whether an event can follow another one.
 
