The stand-in's runner that dies sends no event after the last of a stream

Since streams that nothing ends are asked for once more, runners of the stand-in are asked to go on after the last event; one that was to die between two events then sent another one, which no stream of that length has. It now goes on as usual there. One new row of standin_lakeshore.feature ("die_unframed, from 4 of 3") failed before.

--- a/features/standin_lakeshore.feature
+++ b/features/standin_lakeshore.feature
@@ -25,3 +25,19 @@
       | 2 | 3 | 1 | 1 |
       | 3 | 3 | 0 | 1 |
       | 4 | 3 | 0 | 0 |
+
+  # Seed 6108 of the soak: an attempt that asks what follows the last event.
+  Scenario Outline: A stream without a mark of its end has no event after the last: <change>, from <first> of <last>
+    Given a runner with the change "<change>"
+    When it is asked for events <first> to <last>
+    Then it sends <count> events
+
+    Examples:
+      | change | first | last | count |
+      | die_unframed | 1 | 3 | 1 |
+      | die_unframed | 3 | 3 | 1 |
+      | die_unframed | 4 | 3 | 0 |
+      | close_unframed | 1 | 3 | 1 |
+      | close_unframed | 4 | 3 | 0 |
+      | whole_unframed | 1 | 3 | 3 |
+      | whole_unframed | 4 | 3 | 0 |
--- a/features/steps/standin_lakeshore_steps.py
+++ b/features/steps/standin_lakeshore_steps.py
@@ -59,6 +59,7 @@
     request = requesthelper.DummyRequest([b""])
     request.uri = request.path = b"/x"
     request.transport = testing.StringTransport()
+    request._disconnected = False
     headers = request.requestHeaders
     headers.setRawHeaders(lakeshore.REQUEST_ID, ["r"])
     headers.setRawHeaders("Godwitloft-Token-Counts", [f"0,{last}"])
@@ -77,3 +78,18 @@
     assert len(events) - 1 == whole, body
     assert (1 if events[-1] else 0) == half, body
     assert context.transport.disconnecting
+
+
+@given('a runner with the change "{change}"')
+def changed_runner(context, change):
+    reactor = task.Clock()
+    rows = lakeshore.Rows(reactor)
+    context.runner = lakeshore.Runner(0, "model", rows, reactor)
+    context.runner.control({change: 1})
+
+
+@then("it sends {count:d} events")
+def check_count(context, count):
+    assert context.transport.value().count(b"data: ") == count, (
+        context.transport.value()
+    )
--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -539,7 +539,7 @@
         if self.whole_unframed > 0:
             self.whole_unframed -= 1
             return self.send_unframed(request, request_id, first, last)
-        if self.die_unframed > 0:
+        if self.die_unframed > 0 and first <= last:
             self.die_unframed -= 1
             return self.die_between_events(request, request_id, first)
         finished: defer.Deferred[bytes] = defer.Deferred()
