An error event isn't written into an event that has begun

Callers of a stream at an entry, whose model broke off inside an event, got the text of the error as a part of that event: "data: cevent: error", and then the error's data. A reader of events takes it for one more event of the model, and sees no error event. A caller of HTTP/1.0, for which the close of the connection ends the answer, had no other sign.

Cause: the entry passes parts on as they come and wrote its error event behind them, whether or not an event had ended.

Change: the writer knows whether what it wrote ends inside an event. If so, it only cuts the connection, without the last chunk, or with a reset for HTTP/1.0.

--- a/godwitloft/entry/caller_http.py
+++ b/godwitloft/entry/caller_http.py
@@ -10,6 +10,7 @@
 from twisted.internet import interfaces
 import zope.interface
 
+from godwitloft import answer_end
 from godwitloft import metrics
 from godwitloft import settings as settings_module
 from godwitloft.entry import answers
@@ -108,6 +109,8 @@
         self.request = request
         self.port = port
         self.stream = stream
+        # What was written, to know whether it ends inside an event.
+        self.written = answer_end.BodyEnd(answer_end.Framing.CLOSE, stream)
         self.request_id = ""
         self.disconnected = False
         self.ended = False
@@ -144,6 +147,7 @@
                 if part.content_type:
                     self.request.setHeader("Content-Type", part.content_type)
             case answers.Data():
+                self.written.feed(part.data)
                 self.request.write(part.data)
             case answers.Complete():
                 self.finish()
@@ -174,7 +178,8 @@
         """Writes the failure of a request, which may have run.
 
         If a stream has begun, an error event is written and the connection
-        is closed early, so that the caller can't take it for complete.
+        is closed early, so that the caller can't take it for complete. Inside
+        an event no other one can be written.
 
         :param failure: the failure
         """
@@ -183,8 +188,13 @@
             reason = f"{reason}_outcome_unknown"
         body = error_body(reason, failure.message, False, 0)
         if self.request.startedWriting:
-            self.request.write(b"event: error\ndata: " + body + b"\n\n")
             self.ended = True
+            if not self.written.inside_event:
+                self.request.write(b"event: error\ndata: " + body + b"\n\n")
+            elif self.request.clientproto == b"HTTP/1.0":
+                # To such a caller, a close would be the end of the answer.
+                self.request.channel.transport.abortConnection()
+                return
             self.request.loseConnection()
             return
         self.write_error(STATUS_OF_REASON.get(failure.reason, 502), body)
