The ids of a stream's events are read in a module of their own

gateway/answer.py had grown by the checks of what goes on behind a stream; they are gateway/streams/stream_events.py now. Nothing else changes.

--- a/features/steps/stream_goes_on_steps.py
+++ b/features/steps/stream_goes_on_steps.py
@@ -2,7 +2,7 @@
 from behave import when
 
 from features.steps import answer_end_steps as wire
-from godwitloft.gateway import answer as answers
+from godwitloft.gateway.streams import stream_events
 
 # An event without an id, one with an empty id, and a comment.
 WITHOUT_NUMBER = {
@@ -67,4 +67,4 @@
 @then('of the events "{data}" the last one {has} an id')
 def check_id(context, data, has):
     raw = data.replace("\\n", "\n").replace("\\r", "\r").encode()
-    assert answers.last_event_has_id(raw) is HAS_ID[has], raw
+    assert stream_events.last_event_has_id(raw) is HAS_ID[has], raw
--- a/godwitloft/gateway/answer.py
+++ b/godwitloft/gateway/answer.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import re
 import typing
 
 from godwitloft import answer_end
@@ -17,12 +16,10 @@
 from godwitloft.gateway import model
 from godwitloft.gateway import outcomes
 from godwitloft.gateway import request as requests
+from godwitloft.gateway.streams import stream_events
 
 MAX_BUFFERED_BYTES = 256 * 1024
 MIN_SERVER_ERROR_STATUS = 500
-ID_LINE = re.compile(rb"(?:^|(?<=[\r\n]))id:([^\r\n]*)[\r\n]")
-ID_FIELD = re.compile(rb"(?:^|[\r\n])id:[ \t]*[^\s]")
-DATA_FIELD = re.compile(rb"(?:^|[\r\n])data")
 MISDIRECTED_STATUS = 421
 ANSWER_TOO_LONG = "answer_too_long"
 EVENT_TOO_LONG = "event_too_long"
@@ -176,9 +173,9 @@
             return
         events = self.partial_event[:end]
         self.partial_event = self.partial_event[end:]
-        ids = event_ids(events)
+        ids = stream_events.event_ids(events)
         if self.asked_after is not None and not (
-            fits_behind(self.asked_after, events)
+            stream_events.fits_behind(self.asked_after, events)
             and self.request.first_event not in ids[:1]
         ):
             self.overflow = EVENT_REPEATED
@@ -188,7 +185,7 @@
             if self.request.first_event is None:
                 self.request.first_event = ids[0]
             self.request.last_event = ids[-1]
-        has_id = last_event_has_id(events)
+        has_id = stream_events.last_event_has_id(events)
         if has_id is not None:
             self.request.may_go_on = has_id
             self.lacks_event = False
@@ -207,8 +204,10 @@
             return False
         if self.asked_after is None:
             return True
-        ids = event_ids(begun)
-        return bool(ids) and goes_on_after(self.asked_after, ids[0])
+        ids = stream_events.event_ids(begun)
+        return bool(ids) and stream_events.goes_on_after(
+            self.asked_after, ids[0]
+        )
 
     def forward(self, data: bytes) -> None:
         """Forwards a part of the body, and the head before the first part.
@@ -357,74 +356,3 @@
             header_lists.end_to_end(self.headers),
             b"".join(self.buffered),
         )
-
-
-def event_ids(events: bytes) -> list[bytes]:
-    """Returns the ids of events.
-
-    :param events: complete events
-    :return: the ids of those that have one that isn't empty, in their order
-    """
-    found = (value.strip() for value in ID_LINE.findall(events))
-    return [value for value in found if value]
-
-
-def events_with_data(events: bytes) -> list[bytes]:
-    """Returns those of some events that have data: no comments.
-
-    :param events: complete events
-    :return: the events without the empty lines that end them
-    """
-    return [
-        event
-        for event in answer_end.EVENT_END.split(events)
-        if DATA_FIELD.search(event)
-    ]
-
-
-def last_event_has_id(events: bytes) -> bool | None:
-    """Returns whether the last of some events has an id.
-
-    :param events: complete events
-    :return: None if none of them has data
-    """
-    with_data = events_with_data(events)
-    return ID_FIELD.search(with_data[-1]) is not None if with_data else None
-
-
-def fits_behind(last: bytes, events: bytes) -> bool:
-    """Returns whether the first events of an answer can follow an event.
-
-    :param last: id of the earlier event
-    :param events: complete events
-    :return: whether the first id goes on after it; False if an event without
-        an id comes first, since it may be one of before
-    """
-    with_data = events_with_data(events)
-    if with_data and not ID_FIELD.search(with_data[0]):
-        return False
-    ids = event_ids(events)
-    return not ids or goes_on_after(last, ids[0])
-
-
-def goes_on_after(last: bytes, next_id: bytes) -> bool:
-    """Returns whether an event can follow another one.
-
-    :param last: id of the earlier event
-    :param next_id: id of the later one
-    :return: whether it is greater; only whether it is another one, if they
-        aren't both whole numbers
-    """
-    if last.isdigit() and next_id.isdigit():
-        return as_number(next_id) > as_number(last)
-    return next_id != last
-
-
-def as_number(digits: bytes) -> tuple[int, bytes]:
-    """Returns a value that orders whole numbers of any length.
-
-    :param digits: decimal digits
-    :return: the number of digits without leading zeros, and these digits
-    """
-    significant = digits.lstrip(b"0")
-    return len(significant), significant
