An agent takes an end marker in a text for none

Callers of a streamed answer of a model got it as complete though it had been broken off, if that was just after an event whose text ends with "data: [DONE]". A caller's prompt can ask for such a text.

Cause: the end marker was searched for anywhere in the last 24 bytes, also in the middle of a line.

Evidence: features/http_upstream.feature, "with its end marker in a text" failed before ("completed" in place of "stream_cut").

Change: the marker must begin a line, where JSON has no text.

--- a/features/http_upstream.feature
+++ b/features/http_upstream.feature
@@ -36,6 +36,9 @@
       | plain | that is reset before its end | HTTP/1.1 200 OK\r\n\r\nok | resets the connection | crashed | connection_lost |
       | streaming | that ends with its connection | HTTP/1.1 200 OK\r\n\r\ndata: x\n\ndata: [DONE]\n\n | closes the connection | completed | |
       | streaming | without its end marker | HTTP/1.1 200 OK\r\n\r\ndata: x\n\n | closes the connection | failed | stream_cut |
+      | streaming | with its end marker in a text | HTTP/1.1 200 OK\r\n\r\ndata: {"a":"data: [DONE]"}\n\n | closes the connection | failed | stream_cut |
+      | streaming | that is its end marker | HTTP/1.1 200 OK\r\n\r\ndata: [DONE]\n\n | closes the connection | completed | |
+      | streaming | whose lines end with CR | HTTP/1.1 200 OK\r\n\r\ndata: x\r\rdata: [DONE]\r\r | closes the connection | completed | |
       | streaming | that ends inside an event | HTTP/1.1 200 OK\r\n\r\ndata: [DONE] | closes the connection | failed | event_cut |
 
   # Guards against a client that works only without TLS.
--- a/godwitloft/agent/http_upstream.py
+++ b/godwitloft/agent/http_upstream.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import functools
+import re
 import typing
 import urllib.parse
 
@@ -25,6 +26,8 @@
 REQUEST_ID_HEADER = "x-request-id"
 DEFAULT_PORTS = {"http": 80, "https": 443}
 STREAM_END = b"data: [DONE]"
+# In the middle of a line, it is a part of a text.
+STREAM_END_LINE = re.compile(rb"[\r\n]" + re.escape(STREAM_END))
 EVENT_START = b"data: "
 SERVER_ERROR = 500
 RETRYABLE_STATUSES = frozenset((502, 503, 504))
@@ -73,7 +76,8 @@
         self.content_type = ""
         self.is_token_stream = False
         self.body_end: answer_end.BodyEnd | None = None
-        self.tail = b""
+        # Last bytes of the body, after the end of a line before it.
+        self.tail = b"\n"
 
     def on_head(self, status: int, headers: list[attempts.Header]) -> None:
         """Stores the head.
@@ -122,7 +126,8 @@
             return upstreams.End.NEVER_STARTED, reason
         if end is attempts.End.BROKEN:
             return upstreams.End.CRASHED, "connection_lost"
-        if self.is_token_stream and STREAM_END not in self.tail:
+        is_marked = STREAM_END_LINE.search(self.tail) is not None
+        if self.is_token_stream and not is_marked:
             return upstreams.End.FAILED, "stream_cut"
         defect = self.body_end.defect() if self.body_end is not None else ""
         if defect:
