A caller's bytes behind its request wait in the kernel, not in the gateway

Callers saw nothing at first; the machine ran out of memory. One caller that sends bytes without end behind a whole request, while that request runs, made a gateway with memory-mb = 150 grow to 1,859 MB in 5 s. Two callers that send requests without end on one connection: 355 MB; if they read no answers, 469 MB; the same at the ready port: 100 and 110 MB, with RecursionError.

Cause: h11 keeps all that arrives behind a complete request, and its bound (max_incomplete_event_size) doesn't hold while it is paused. The gateway read on. It also answered the next request while answers before it were unsent, and handled a request that arrived with others within the answer before it, so that some 150 of them reached the recursion limit.

Why it works: with more than 64 KiB behind a request, or behind answers that the caller hasn't read, the transport is paused until there is room, so that the kernel slows the caller down. No request begins while the caller is congested. One loop handles the requests one after the other.

A close behind more than 64 KiB of unread bytes is noticed once these are read or the connection is reset.

--- a/features/endless_bytes.feature
+++ b/features/endless_bytes.feature
@@ -72,3 +72,35 @@
     And the upstream breaks off after 300 kB of 400 kB
     Then the upstreams have got 1 request
     And the caller's answer is cut
+
+  # Guards against memory that grows with what a caller sends: what arrives
+  # behind a request waits until that one is answered.
+  Scenario Outline: A caller sends <what> without end
+    Given a gateway that reads what its upstreams send
+    When a caller sends <what> without end
+    Then the gateway <then> after at most 1 MB
+    And the caller has got <status>
+
+    Examples:
+      | what | then | status |
+      | a request line | has closed | 431 |
+      | header lines | has closed | 431 |
+      | a chunk size | has closed | 431 |
+      | trailers | has closed | 431 |
+      | bytes behind a request | reads no more of it | nothing |
+      | requests behind a request | reads no more of it | nothing |
+      | requests, and reads no answer | reads no more of it | 404 |
+
+  Scenario: What a caller sent behind a request is read once that is answered
+    Given a gateway that reads what its upstreams send
+    When a caller sends requests behind a request without end
+    And its request is answered
+    Then the gateway has got its next request
+    When all that it sent is answered
+    Then the gateway reads on from the caller
+
+  # Guards against work within work for each request that has arrived.
+  Scenario: Many requests of a caller that arrive at once are answered
+    Given a gateway that reads what its upstreams send
+    When a caller sends 2000 requests in one piece that are refused at once
+    Then it has got 2000 answers
--- a/features/steps/endless_bytes_steps.py
+++ b/features/steps/endless_bytes_steps.py
@@ -164,3 +164,110 @@
     context.result.addErrback(errors.append)
     assert errors and errors[0].value.reason == reason, errors
     assert context.bytes_sent <= most * KB * KB, context.bytes_sent
+
+
+REFUSED_AT_ONCE = (
+    b"GET /none/x HTTP/1.1\r\nHost: h\r\nGodwitloft-Request-Id: a\r\n\r\n"
+)
+
+
+def caller_request(framing=b"content-length: 0"):
+    """Returns the head of a request."""
+    return (
+        b"POST /post/x HTTP/1.1\r\nHost: h\r\nGodwitloft-Request-Id: a\r\n"
+        b"Godwitloft-Deadline-Ms: 4000\r\nAuthorization: Token key\r\n"
+        b"%s\r\n\r\n" % framing
+    )
+
+
+def caller_bytes(what):
+    """Returns the first bytes of a caller, and a part of the endless ones."""
+    chunked = caller_request(b"transfer-encoding: chunked")
+    return {
+        "a request line": (b"GET /", b"z" * PART),
+        "header lines": (b"GET / HTTP/1.1\r\n", endless("header lines")),
+        "a chunk size": (chunked, b"0" * PART),
+        "trailers": (chunked + b"0\r\n", endless("trailers")),
+        "bytes behind a request": (caller_request(), b"z" * PART),
+        "requests behind a request": (
+            caller_request(),
+            caller_request() * (PART // len(caller_request())),
+        ),
+        "requests, and reads no answer": (
+            REFUSED_AT_ONCE,
+            REFUSED_AT_ONCE * 100,
+        ),
+    }[what]
+
+
+@when("a caller sends {what} without end")
+def caller_sends(context, what):
+    context.caller = gateway_world.Caller(context.world)
+    transport = context.caller.transport
+    if what.endswith("reads no answer"):
+        read_nothing(context)
+    part, more = caller_bytes(what)
+    context.bytes_sent = 0
+    while transport.connected and context.bytes_sent < MOST_SENT:
+        if transport.producerState == "paused":
+            break
+        context.caller.send(part)
+        context.bytes_sent += len(part)
+        part = more
+
+
+@then("the gateway {has_done} after at most 1 MB")
+def check_caller_bounded(context, has_done):
+    transport = context.caller.transport
+    if has_done == "has closed":
+        assert not transport.connected
+    else:
+        assert transport.connected
+        assert transport.producerState == "paused", context.bytes_sent
+    assert context.bytes_sent <= KB * KB, context.bytes_sent
+
+
+@then("the caller has got {status}")
+def check_caller_got(context, status):
+    expected = None if status == "nothing" else int(status)
+    assert context.caller.status == expected, context.caller.received
+
+
+@when("its request is answered")
+def answer_first(context):
+    context.world.sent[0].receive(
+        context.world.sent[0].answer_head(b"content-length: 0")
+    )
+
+
+@then("the gateway has got its next request")
+def check_next(context):
+    assert len(context.world.sent) == 2, len(context.world.sent)
+    assert context.caller.transport.producerState == "paused"
+
+
+@when("all that it sent is answered")
+def answer_all(context):
+    for sent in context.world.sent:
+        if not sent.attempt.ended:
+            sent.receive(sent.answer_head(b"content-length: 0"))
+
+
+@then("the gateway reads on from the caller")
+def check_reads_on(context):
+    transport = context.caller.transport
+    assert transport.producerState == "producing", transport.producerState
+
+
+@when(
+    "a caller sends {count:d} requests in one piece that are refused at once"
+)
+def caller_sends_many(context, count):
+    context.caller = gateway_world.Caller(context.world)
+    context.caller.send(REFUSED_AT_ONCE * count)
+
+
+@then("it has got {count:d} answers")
+def check_answers(context, count):
+    received = context.caller.received.count(b"HTTP/1.1 404")
+    assert received == count, received
--- a/godwitloft/gateway/http_server.py
+++ b/godwitloft/gateway/http_server.py
@@ -24,6 +24,9 @@
 
 # With more than this unsent, the gateway reads no more of an answer.
 MAX_UNSENT_BYTES = 256 * 1024
+# With more than this behind a request, the gateway reads no more of its caller
+# until that request is answered.
+MAX_UNREAD_BYTES = 64 * 1024
 SERVICE_UNAVAILABLE = 503
 # Of a request that is refused before it was read.
 RETRY_AFTER_S = b"0.5"
@@ -249,6 +252,12 @@
         self.is_closing = False
         # Whether the transport tells when the caller reads too slowly.
         self.registered = False
+        # Whether more was written than the caller has read.
+        self.congested = False
+        # Whether no more is read of the caller.
+        self.paused = False
+        # Whether events of the parser are being handled.
+        self.is_reading = False
         self.last_active_ms = clock.monotonic_ms()
         self.head_started_ms: int | None = None
         self.parser = h11.Connection(
@@ -268,13 +277,16 @@
 
     def pauseProducing(self) -> None:
         """Handles that the caller reads more slowly than it is answered."""
+        self.congested = True
         if self.exchange is not None:
             self.exchange.on_congested(True)
 
     def resumeProducing(self) -> None:
         """Handles that the caller has read what was written."""
+        self.congested = False
         if self.exchange is not None:
             self.exchange.on_congested(False)
+        self.read_on()
 
     def stopProducing(self) -> None:
         """Does nothing: :meth:`connectionLost` tells the gateway."""
@@ -303,13 +315,55 @@
             self.head_started_ms = self.last_active_ms
         try:
             self.parser.receive_data(data)
+        except h11.RemoteProtocolError as problem:
+            self.refuse(problem.error_status_hint, "malformed")
+        self.read_on()
+
+    def read_on(self) -> None:
+        """Handles what has arrived, and reads more if there is room for it.
+
+        An answer that is given at once ends while its request is being
+        handled: the next request is handled after it, and not within it.
+        """
+        if self.is_reading:
+            return
+        self.is_reading = True
+        try:
             self.read()
         except h11.RemoteProtocolError as problem:
             self.refuse(problem.error_status_hint, "malformed")
+        finally:
+            self.is_reading = False
+        self.limit_unread()
+
+    def limit_unread(self) -> None:
+        """Stops reading while too much waits behind a request.
+
+        The parser keeps all that arrives behind a complete request, without a
+        bound of its own.
+        """
+        if not self.open or self.is_closing:
+            return
+        unread = len(self.parser.trailing_data[0])
+        waits = self.handed_over or self.congested
+        paused = waits and unread > MAX_UNREAD_BYTES
+        if paused == self.paused:
+            return
+        self.paused = paused
+        transport = typing.cast(typing.Any, self.transport)
+        if paused:
+            transport.pauseProducing()
+        else:
+            transport.resumeProducing()
 
     def read(self) -> None:
-        """Handles the events that the parser has completed."""
-        while self.open:
+        """Handles the events that the parser has completed.
+
+        No further request is begun while earlier answers are unread.
+
+        :raises h11.RemoteProtocolError: if the request is malformed
+        """
+        while self.open and not (self.congested and self.exchange is None):
             event = self.parser.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
@@ -427,10 +481,7 @@
         self.parser.start_next_cycle()
         if self.parser.trailing_data[0]:
             self.head_started_ms = self.last_active_ms
-        try:
-            self.read()
-        except h11.RemoteProtocolError as problem:
-            self.refuse(problem.error_status_hint, "malformed")
+        self.read_on()
 
     def is_current(self, exchange: Exchange) -> bool:
         """Returns whether an exchange can still be answered.
