A long answer of a runner's report or of the store takes bounded memory

Operators saw machines run out of memory. An agent whose runner answers /report with 8 MB of JSON, mostly empty lists, grew from 47 to 272 MB; with memory-mb = 150 it would be ended, and so would a gateway whose store answers all calls with 8 MB that are no JSON (212 MB), or nested too deeply (192 MB).

Causes, all in the client of JSON servers: the bound of 8 MB held for the text of each call, not for all calls at once, and not for the decoded values, which take up to 30 times the bytes of their text. What was read stayed after a call had failed, until garbage was collected: frames of tracebacks, and errors of the JSON module, keep it. Reports of 100 runs had the bound of the store.

Why it works: all calls of a client together hold at most 16 MiB; a text with more than 100,000 values (commas and brackets) is not decoded, whereas a page of the store has 500 rows of 5 fields; a report has at most 256 KiB, which is enough for more than 2,500 runs; an error keeps neither text nor values. The body is collected in one buffer instead of a list of its parts.

Not covered: the value of a single row, which the store itself bounds.

--- a/features/endless_bytes.feature
+++ b/features/endless_bytes.feature
@@ -65,6 +65,47 @@
     When the server sends a body without end
     Then the call has failed with "answer_too_long" after at most 9 MB
 
+  # Guards against values that take far more memory than their text, and
+  # against several answers at once.
+  Scenario Outline: <calls> calls of <whose> client get <what>
+    Given <whose> client that calls a JSON server
+    When <calls> calls of it get <what>
+    Then all calls have failed with "answer_too_long"
+    And the calls held at most <peak> MB at once
+
+    Examples:
+      | whose | calls | what | peak |
+      | a gateway's | 1 | a body without end | 12 |
+      | a gateway's | 12 | a body without end | 24 |
+      | a gateway's | 1 | 2000000 empty lists | 16 |
+      | a gateway's | 1 | 800000 empty names | 16 |
+      | an agent's | 1 | a body without end | 2 |
+      | an agent's | 1 | 100000 empty lists | 2 |
+
+  # Guards against tracebacks of errors that keep what was read, until garbage
+  # is collected.
+  Scenario Outline: Nothing of an answer stays once its call has failed: <what>
+    Given a gateway's client that calls a JSON server
+    When it reads rows 6 times while no garbage is collected, and gets <what>
+    Then it holds at most 2 MB after these calls
+
+    Examples:
+      | what |
+      | no JSON |
+      | 2000000 empty lists |
+      | an object without rows |
+      | an object whose rows are a text |
+
+  Scenario Outline: A long answer that is valid is read: <what>
+    Given <whose> client that calls a JSON server
+    When 30 calls of it get <what>, one after the other
+    Then all calls have succeeded
+
+    Examples:
+      | whose | what |
+      | a gateway's | 500 rows of 2700 bytes |
+      | an agent's | 1000 runs |
+
   # Guards against parts of two answers that are joined.
   Scenario: A long plain answer that is broken off is not continued by another
     Given a gateway that reads what its upstreams send
--- a/features/steps/endless_bytes_steps.py
+++ b/features/steps/endless_bytes_steps.py
@@ -1,12 +1,21 @@
+import gc
 import itertools
+import json
+import tracemalloc
+import types
 
+from behave import given
 from behave import step
 from behave import then
 from behave import when
 from twisted.internet import defer
+from twisted.internet import testing
 
 from features.support import gateway_world
+from features.support import wire
 from godwitloft import attempt as attempts
+from godwitloft.platform import agent as agents
+from godwitloft.platform import settings
 from godwitloft.platform import store as stores
 
 PART = 16 * 1024
@@ -142,7 +151,9 @@
 @step("a client of a JSON server")
 def client(context):
     context.result = defer.Deferred()
-    context.call = stores.Call("GET /x", context.result, lambda *_: None)
+    context.call = stores.Call(
+        "GET /x", context.result, lambda *_: None, stores.HeldBytes()
+    )
     context.ends = []
 
 
@@ -271,3 +282,143 @@
 def check_answers(context, count):
     received = context.caller.received.count(b"HTTP/1.1 404")
     assert received == count, received
+
+
+BOOT = types.SimpleNamespace(
+    instance="agent-0", host="127.0.0.1", zone="a", first_port=1
+)
+
+
+@given("{whose} client that calls a JSON server")
+def calling_client(context, whose):
+    context.reactor = testing.MemoryReactorClock()
+    if whose == "an agent's":
+        place = settings.Address("127.0.0.1", 9)
+        daemon = agents.AgentDaemon(context.reactor, BOOT, place)
+        context.client = daemon.client
+    else:
+        context.client = stores.Client(context.reactor, "127.0.0.1", 9, "")
+    context.results = []
+    context.errors = []
+
+
+def begin_call(context):
+    """Begins a call and returns the protocol of its connection."""
+    result = context.client.call("GET", "/x")
+    result.addCallbacks(context.results.append, context.errors.append)
+    factory = context.reactor.tcpClients[-1][2]
+    protocol = factory.buildProtocol(None)
+    wire.connect(protocol, context)
+    return protocol
+
+
+def answer_body(what):
+    """Returns the body of an answer, None for one without end."""
+    count = int(what.split()[0]) if what[0].isdigit() else 0
+    if what == "a body without end":
+        return None
+    text = b"x" * (7 * KB * KB)
+    if what == "no JSON":
+        return b"[" + text
+    if what == "an object without rows":
+        return b'{"other":"%s"}' % text
+    if what == "an object whose rows are a text":
+        return b'{"rows":"%s"}' % text
+    if what.endswith("empty lists"):
+        return b'{"rows":[%s[]]}' % (b"[]," * (count - 1))
+    if what.endswith("empty names"):
+        return b'{"rows":[%s{}]}' % (b'{"":0},' * (count - 1))
+    if what.endswith("runs"):
+        run = ["9c41d07be2a35f68" * 2, 521_614, 100_000, 100]
+        return json.dumps({"running": count, "runs": [run] * count}).encode()
+    row = {
+        "table": "status",
+        "part": "",
+        "key": "k" * 200,
+        "value": "A" * 2700,
+        "ver": 123_456_789,
+    }
+    return json.dumps({"ver": 1, "rows": [row] * count}).encode()
+
+
+def answer_calls(context, protocols, body):
+    length = b"Content-Length: %d\r\n" % len(body) if body else b""
+    head = b"HTTP/1.1 200 OK\r\n%s\r\n" % length
+    for protocol in protocols:
+        protocol.dataReceived(head)
+    sent = 0
+    while sent < (len(body) if body else MOST_SENT + KB * KB):
+        part = body[sent : sent + PART] if body else b"1" * PART
+        sent += PART
+        for protocol in protocols:
+            protocol.dataReceived(part)
+
+
+@when("{calls:d} calls of it get {what}, one after the other")
+def get_in_turn(context, calls, what):
+    body = answer_body(what)
+    for _ in range(calls):
+        answer_calls(context, [begin_call(context)], body)
+
+
+@when("{calls:d} calls of it get {what}")
+def get_at_once(context, calls, what):
+    body = answer_body(what)
+    protocols = [begin_call(context) for _ in range(calls)]
+    tracemalloc.start()
+    context.add_cleanup(tracemalloc.stop)
+    before, _ = tracemalloc.get_traced_memory()
+    answer_calls(context, protocols, body)
+    context.held = tracemalloc.get_traced_memory()[1] - before
+
+
+@when(
+    "it reads rows {calls:d} times while no garbage is collected,"
+    " and gets {what}"
+)
+def read_rows(context, calls, what):
+    store = stores.Store(context.client, stores.Timeline(lambda *_: None))
+    body = answer_body(what)
+    errors = []
+    gc.collect()
+    gc.disable()
+    context.add_cleanup(gc.enable)
+    tracemalloc.start()
+    context.add_cleanup(tracemalloc.stop)
+    before, _ = tracemalloc.get_traced_memory()
+    for _ in range(calls):
+        # As a loop that reads rows does, the error is kept for a while.
+        store.read_all("servers").addErrback(
+            lambda problem: errors.append(problem.value)
+        )
+        factory = context.reactor.tcpClients[-1][2]
+        protocol = factory.buildProtocol(None)
+        wire.connect(protocol, context)
+        answer_calls(context, [protocol], body)
+    assert len(errors) == calls, errors
+    errors.clear()
+    context.held = tracemalloc.get_traced_memory()[0] - before
+
+
+@then("it holds at most {most:d} MB after these calls")
+def check_left(context, most):
+    assert context.held <= most * KB * KB, context.held
+
+
+@then('all calls have failed with "{reason}"')
+def check_all_failed(context, reason):
+    reasons = {problem.value.reason for problem in context.errors}
+    assert reasons == {reason}, reasons
+    assert not context.results
+    assert context.client.held.total == 0
+
+
+@then("the calls held at most {most:d} MB at once")
+def check_calls_held(context, most):
+    assert context.held <= most * KB * KB, context.held
+
+
+@then("all calls have succeeded")
+def check_all_succeeded(context):
+    assert not context.errors, context.errors[0]
+    assert len(context.results) == 30
--- a/features/steps/odd_rows_steps.py
+++ b/features/steps/odd_rows_steps.py
@@ -124,7 +124,9 @@
     context.failures = []
     result = defer.Deferred()
     result.addErrback(context.failures.append)
-    context.call = stores.Call("GET /x", result, lambda _status, _head: None)
+    context.call = stores.Call(
+        "GET /x", result, lambda _status, _head: None, stores.HeldBytes()
+    )
 
 
 @when("it is answered with {what}")
--- a/godwitloft/platform/agent.py
+++ b/godwitloft/platform/agent.py
@@ -21,6 +21,8 @@
 REPORT_INTERVAL_MS = 1_000
 REPORT_TIMEOUT_MS = 1_000
 REPORT_PATH = "/report"
+# A report lists each run of the upstream in about 100 bytes.
+MAX_REPORT_BYTES = 256 * 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -66,6 +68,7 @@
             upstream.port,
             boot.host,
             self.on_headers,
+            MAX_REPORT_BYTES,
         )
         self.arbiter = arbiters.Arbiter(
             self.clock,
--- a/godwitloft/platform/store.py
+++ b/godwitloft/platform/store.py
@@ -24,6 +24,10 @@
 HTTP_OK = 200
 # The store answers with 1 MB of values at most, in base64.
 MAX_BODY_BYTES = 8 * 1024 * 1024
+# Of all calls of a client at once.
+MAX_HELD_BYTES = 16 * 1024 * 1024
+# A decoded value takes up to 64 bytes, however short its text is.
+MAX_VALUES = 100_000
 BODY_TOO_LONG = "answer_too_long"
 HISTORY_LOST = "history is no longer available"
 # The platform calls a timeline an era.
@@ -166,6 +170,17 @@
         return number < self.current
 
 
+class HeldBytes:
+    """Bytes of answers that are held, of all calls of a client together.
+
+    :param per_call: how many one call may hold
+    """
+
+    def __init__(self, per_call: int = MAX_BODY_BYTES) -> None:
+        self.per_call = per_call
+        self.total = 0
+
+
 class Call:
     """A call under way, which collects its response.
 
@@ -173,6 +188,7 @@
     :param result: fires with an :class:`Answer`, or with a
         :class:`StoreError`
     :param on_headers: called with the status and the headers of the response
+    :param held: what all calls of the client hold
     """
 
     def __init__(
@@ -180,14 +196,16 @@
         name: str,
         result: "defer.Deferred[Answer]",
         on_headers: OnHeaders,
+        held: HeldBytes,
     ) -> None:
         self.name = name
         self.result = result
         self.on_headers = on_headers
         self.status = 0
         self.timeline: int | None = None
-        self.parts: list[bytes] = []
-        self.received_bytes = 0
+        self.held = held
+        # Not a list: small parts would take a multiple of their bytes.
+        self.body = bytearray()
         # Closes the connection.
         self.close: typing.Callable[[], None] = _do_nothing
 
@@ -206,13 +224,25 @@
 
         :param data: the received bytes
         """
-        self.received_bytes += len(data)
-        if self.received_bytes <= MAX_BODY_BYTES:
-            self.parts.append(data)
+        if self.result.called:
             return
-        self.parts.clear()
-        self.fail(StoreError(self.name, self.status, BODY_TOO_LONG))
-        self.close()
+        self.body += data
+        self.held.total += len(data)
+        if (
+            len(self.body) > self.held.per_call
+            or self.held.total > MAX_HELD_BYTES
+        ):
+            self.fail(StoreError(self.name, self.status, BODY_TOO_LONG))
+            self.close()
+
+    def release(self) -> bytearray:
+        """Ends to hold the body.
+
+        :return: what was held
+        """
+        body, self.body = self.body, bytearray()
+        self.held.total -= len(body)
+        return body
 
     def on_end(self, end: attempts.End, reason: str) -> None:
         """Fires the result once the attempt has ended.
@@ -235,14 +265,9 @@
             reason = f"status {self.status}"
             self.fail(StoreError(self.name, self.status, reason))
             return
-        try:
-            body = decode.load_json(b"".join(self.parts))
-        except ValueError as error:
-            self.fail(StoreError(self.name, HTTP_OK, str(error)))
-            return
-        if not isinstance(body, dict):
-            reason = f"{body!r:.80} is not an object"
-            self.fail(StoreError(self.name, HTTP_OK, reason))
+        body, defect = decode_object(self.release())
+        if body is None:
+            self.fail(StoreError(self.name, HTTP_OK, defect))
             return
         if not self.result.called:
             self.result.callback(Answer(body, self.timeline))
@@ -252,6 +277,7 @@
 
         :param error: the error
         """
+        self.release().clear()
         if not self.result.called:
             self.result.errback(error)
 
@@ -264,6 +290,7 @@
     :param port: TCP port of the server
     :param own_host: local IP address to connect from
     :param on_headers: called with the status and the headers of each response
+    :param max_body_bytes: longest body of an answer
     """
 
     def __init__(
@@ -273,7 +300,9 @@
         port: int,
         own_host: str,
         on_headers: OnHeaders = lambda _status, _headers: None,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
+        self.held = HeldBytes(max_body_bytes)
         self.reactor = reactor
         self.own_host = own_host
         self.on_headers = on_headers
@@ -296,7 +325,7 @@
         """
         result: defer.Deferred[Answer] = defer.Deferred()
         name = f"{method} {target.partition('?')[0]}"
-        call = Call(name, result, self.on_headers)
+        call = Call(name, result, self.on_headers, self.held)
         host, port = self.address
         headers = [
             (b"host", f"{host}:{port}".encode()),
@@ -460,6 +489,39 @@
         return self.call("POST", "/rows-tx", json.dumps(transaction).encode())
 
 
+def decode_object(
+    text: bytearray,
+) -> tuple[dict[str, typing.Any] | None, str]:
+    """Decodes a JSON object.
+
+    The frames of an error's traceback would keep the text, until garbage is
+    collected, so that none is raised.
+
+    :param text: the text, which is cleared
+    :return: the object, None if there is none; and why there is none
+    """
+    if count_values(text) > MAX_VALUES:
+        text.clear()
+        return None, BODY_TOO_LONG
+    try:
+        body = decode.load_json(bytes(text))
+    except ValueError as error:
+        return None, str(error)
+    finally:
+        text.clear()
+    if not isinstance(body, dict):
+        return None, f"{body!r:.80} is not an object"
+    return body, ""
+
+
+def count_values(body: bytes | bytearray) -> int:
+    """Returns about how many values JSON has.
+
+    :param body: the text, or any bytes
+    """
+    return sum(map(body.count, (b",", b"[", b"{")))
+
+
 def decode_timeline(headers: list[attempts.Header]) -> int | None:
     """Returns the store's timeline that an answer tells.
 
@@ -486,7 +548,11 @@
             has_more=body.flag("has-more"),
         )
     except json_fields.RowError as error:
-        raise StoreError("read", HTTP_OK, f"invalid rows: {error}") from error
+        reason = f"invalid rows: {error}"
+    # Frames of the error's traceback keep the answer, so that it is emptied,
+    # and not the frames of what has found the defect.
+    answer.body.clear()
+    raise StoreError("read", HTTP_OK, reason)
 
 
 def decode_row(entry: json_fields.Fields) -> Row:
