Datagrams of odd sizes are ignored, not logged as unhandled errors

Nobody's request was missed, but a sender of random datagrams filled the log of a gateway and of agents with tracebacks: some 9,000 to 10,000 lines with "Traceback" in 5 s on three processes.

Cause: a size above the bound of 1,400 makes the compiled codec raise OverflowError, which was not among the errors that mark a datagram as unreadable.

Evidence: two of the four new kinds of damage failed before with each codec (a length and a list above the bound; structs and lists within each other passed).

--- a/features/datagrams.feature
+++ b/features/datagrams.feature
@@ -14,10 +14,18 @@
       | compiled | no bytes |
       | compiled | random bytes |
       | compiled | a length past its end |
+      | compiled | a length above the bound |
+      | compiled | a list above the bound |
+      | compiled | 60000 structs within each other |
+      | compiled | lists within each other |
       | Python | half of its bytes |
       | Python | no bytes |
       | Python | random bytes |
       | Python | a length past its end |
+      | Python | a length above the bound |
+      | Python | a list above the bound |
+      | Python | 60000 structs within each other |
+      | Python | lists within each other |
 
   # Guards against system calls that find nothing: each datagram was followed
   # by a read that failed.
--- a/features/steps/datagrams_steps.py
+++ b/features/steps/datagrams_steps.py
@@ -16,6 +16,12 @@
     "no bytes": lambda _data: b"",
     "random bytes": lambda data: random.Random(1).randbytes(len(data)),
     "a length past its end": lambda data: data.replace(b"\x02u1", b"\x7fu1"),
+    "a length above the bound": lambda data: data.replace(
+        b"\x02u1", b"\xff\xff\x7fu1"
+    ),
+    "a list above the bound": lambda _data: b"\xf9\xfc\xff\xff\x07",
+    "60000 structs within each other": lambda _data: b"\x1c" * 60_000,
+    "lists within each other": lambda _data: b"\xf9" + b"\x19" * 60_000,
 }
 
 
--- a/godwitloft/links/datagrams.py
+++ b/godwitloft/links/datagrams.py
@@ -63,7 +63,14 @@
             if body is not None:
                 body.validate()
                 return datagram
-    except (Thrift.TException, EOFError, TypeError, ValueError):
+    except (
+        Thrift.TException,
+        EOFError,
+        OverflowError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ):
         return None
     return None
 
