Streams that callers take up again aren't refused more than new ones

Callers saw: after all gateways had lost power in a burst, nearly all streams that they took up again were refused with crowded_out or wait_too_long, while new ones began; what they had of the text was lost.

Cause: such a request was admitted as a new one: last in the queue, late since the lookup of its version takes most of the time in which it should begin, and refused by the start rate of a gateway that has started nothing yet.

Now it is never late, as one that its gateway moves to another engine, goes before new ones of its rank (more important ones go first all the same), and isn't refused by an estimate of its wait.

The log of a refusal names the stream that is taken up, which told the two suspected causes apart: versions said to be gone were gone, as their engines were draining.

--- a/godwitloft/gateway/admission.py
+++ b/godwitloft/gateway/admission.py
@@ -5,6 +5,10 @@
 costs the wait as well. A request that can no longer start in time keeps
 waiting only while such late requests do get started: otherwise each of them
 would wait for long and be refused all the same.
+
+A stream that its caller takes up again isn't refused by an estimate. It goes
+before new ones of its rank, which the estimates don't know, and there are no
+more of them than streams have run.
 """
 
 import collections
@@ -166,7 +170,7 @@
         floor.record_arrival(request, now_ms)
         if len(queue) >= MAX_WAITING:
             return self.rejection(request, "queue_full")
-        if floor.owes(request, queue):
+        if facts.takes_up_stream or floor.owes(request, queue):
             return self.charge_allowance(request)
         wait_ms = self.expected_wait_ms(request, queue, now_ms)
         if now_ms + wait_ms > facts.first_data_deadline_ms:
--- a/godwitloft/gateway/ordering.py
+++ b/godwitloft/gateway/ordering.py
@@ -1,7 +1,9 @@
 """Orders waiting requests.
 
 In a burst in which not all requests can be served, a request that is served
-late takes the slot of one that could be answered on time.
+late takes the slot of one that could be answered on time. A stream that its
+caller takes up again is never late: its answer has begun, and what has come of
+it is lost unless it goes on.
 """
 
 from godwitloft.gateway import request as requests
@@ -21,22 +23,25 @@
 
 def order_key(
     request: requests.Request, now_ms: int
-) -> tuple[float, int, int]:
+) -> tuple[float, int, bool, int]:
     """Returns the sort key of a waiting request.
 
     Requests that a group is owed go first, on time or late, then more
-    important ones, then older ones. Late requests are ordered as less
-    important than their rank.
+    important ones. Of equally important ones, streams that are taken up again
+    go first, then older requests. Late requests are ordered as less important
+    than their rank.
 
     :param request: a waiting request
     :param now_ms: the current time
     :return: a key, the smallest goes first
     """
-    rank, route_rank = request.facts.rank
+    facts = request.facts
+    rank, route_rank = facts.rank
     if request.owed:
-        return OWED_RANK, route_rank, request.facts.arrived_ms
-    lowered = rank + LATE_RANK_PENALTY * is_late(request, now_ms)
-    return lowered, route_rank, request.facts.arrived_ms
+        lowered: float = OWED_RANK
+    else:
+        lowered = rank + LATE_RANK_PENALTY * is_late(request, now_ms)
+    return lowered, route_rank, not facts.takes_up_stream, facts.arrived_ms
 
 
 def is_late(request: requests.Request, now_ms: int) -> bool:
@@ -44,9 +49,14 @@
 
     :param request: a waiting request
     :param now_ms: the current time
-    :return: whether its answer would begin late; False if the answer has begun
+    :return: whether its answer would begin late; False if the answer has
+        begun, also in an earlier attempt of its caller
     """
-    return now_ms >= request.start_by_ms and not request.exchange.started
+    return (
+        now_ms >= request.start_by_ms
+        and not request.exchange.started
+        and not request.facts.takes_up_stream
+    )
 
 
 def urgency(request: requests.Request, now_ms: int) -> int:
--- a/godwitloft/gateway/reports.py
+++ b/godwitloft/gateway/reports.py
@@ -110,6 +110,8 @@
         inputs = {
             "route": facts.route.name,
             "may_repeat": facts.may_repeat,
+            "resumes": facts.resumed_id,
+            "stream_version": request.version,
             "waited_ms": now_ms - facts.arrived_ms,
             "attempts": request.attempt_count,
             "runs": request.runs,
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -118,6 +118,14 @@
             and self.resumed_id is None
         )
 
+    @property
+    def takes_up_stream(self) -> bool:
+        """Whether its caller may go on with a stream that broke off.
+
+        Its caller has a part of the answer already, and has few tries.
+        """
+        return self.resumed_id is not None and self.route.resumable
+
     @property
     def target_at_ms(self) -> int:
         """When the answer, or the first data of a stream, is due."""
