--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -20,6 +20,26 @@
       | v1 v2 v2 | leave and then break off all streams | were cut |
       | v1 v1 v2 v2 | leave and then break off all streams | were cut |
 
+  # Guards against taking a new process for the one that had its id before.
+  Scenario Outline: An upstream that starts again under its id is not taken for the one before: <versions>, then "<version>"
+    Given 1 gateway and engines of versions "<versions>"
+    When 4 streams begin at gateway 1
+    And engine 1 starts again as version "<version>"
+    And 1400 ms pass at all gateways
+    Then no stream holds events of two versions
+    And the broken streams <end>
+
+    Examples:
+      | versions | version | end |
+      | v1 | v1 | went on |
+      | v1 | v2 | were cut |
+      | v1 v2 | v1 | went on |
+      | v1 v2 | v2 | were cut |
+      | v1 v2 | v3 | were cut |
+      | v1 v1 v2 | v1 | went on |
+      | v1 v1 v2 | v2 | went on |
+      | v1 v1 v1 | v2 | went on |
+
   # Guards against attempts without pause at the one upstream that is left.
   Scenario: A stream whose upstreams refuse connections is tried now and then
     Given 1 gateway and engines of versions "v1 v2"
@@ -155,6 +175,27 @@
     Then no stream holds events of two versions
     And at least 12 streams go on
 
+  # Guards against gateways that start after a restore of the store, and take
+  # streams whose records it has cut back for ones of the base version.
+  Scenario Outline: Streams whose records are cut back are not joined by gateways that start later: <after> ms after
+    Given 3 gateways and engines of versions "v1 v1 v2 v2"
+    When 12 streams begin at gateway 1
+    And the store comes back from a copy made before
+    And <after> ms pass at all gateways
+    And all gateways are killed and start again
+    And <later> ms pass at all gateways
+    And the callers take the streams up at gateway 2
+    Then no stream holds events of two versions
+    And the others are refused as not run
+
+    Examples:
+      | after | later |
+      | 0 | 0 |
+      | 20 | 0 |
+      | 40 | 0 |
+      | 0 | 600 |
+      | 20 | 600 |
+
   # Guards against streams that nobody can go on with, as their gateway is gone
   # before it knew that they would have to be saved.
   Scenario Outline: A gateway that is gone as a version appears leaves nothing unknown: <gateways> gateways, <after> ms after
