--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -3,6 +3,8 @@
 import collections
 import dataclasses
 import heapq
+import http
+import json
 import pathlib
 import tempfile
 import time
@@ -213,6 +215,19 @@
             bool(record.resumes) and record.status == 200
             for record in history.records
         ),
+        "taken up, refused": refusal_reasons(
+            record for record in history.records if record.resumes
+        ),
+        "new streams": sum(
+            is_new_stream(record) for record in history.records
+        ),
+        "began": sum(
+            is_new_stream(record) and record.status == http.HTTPStatus.OK
+            for record in history.records
+        ),
+        "new streams, refused": refusal_reasons(
+            filter(is_new_stream, history.records)
+        ),
         "statuses": dict(sorted(statuses.items())),
         "problems": dict(sorted(errors.items())),
         "faults": dict(
@@ -222,3 +237,30 @@
             name: found[:SHOWN_BREACHES] for name, found in breaches.items()
         },
     }
+
+
+def is_new_stream(record: callers.RequestRecord) -> bool:
+    """Returns whether a request begins a stream that may be taken up again.
+
+    :param record: a request
+    """
+    return record.route == callers.RESUMABLE_ROUTE and not record.resumes
+
+
+def refusal_reasons(
+    records: typing.Iterable[callers.RequestRecord],
+) -> dict[str, int]:
+    """Counts why requests were refused as not run.
+
+    :param records: requests
+    :return: their number by the reason that the gateway gave
+    """
+    reasons: collections.Counter[str] = collections.Counter()
+    for record in records:
+        if record.status != http.HTTPStatus.SERVICE_UNAVAILABLE:
+            continue
+        try:
+            reasons[json.loads(record.body)["error"]["reason"]] += 1
+        except (ValueError, KeyError, TypeError):
+            reasons["unreadable"] += 1
+    return dict(sorted(reasons.items()))
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -72,6 +72,22 @@
       | RECOVER | nothing served | fault | kind=reset target=i-desk-0 start=0 end=0 | unserved | count=10 sent=9000 |
       | OWN END | one | ended | name=entry-0 | - | |
 
+  Scenario Outline: The figures tell why requests were refused as not run: <what>
+    Given requests that were answered
+      | status | body |
+      | <status> | <body> |
+      | 503 | {"error": {"reason": "leaving"}} |
+    Then the reasons of refusals are "<reasons>"
+
+    Examples:
+      | what | status | body | reasons |
+      | two reasons | 503 | {"error": {"reason": "crowded_out"}} | crowded_out 1, leaving 1 |
+      | one reason | 503 | {"error": {"reason": "leaving"}} | leaving 2 |
+      | an answer | 200 | {"error": {"reason": "crowded_out"}} | leaving 1 |
+      | may have run | 502 | {"error": {"reason": "crowded_out"}} | leaving 1 |
+      | cut off | 503 | {"error": | leaving 1, unreadable 1 |
+      | not the gateway's | 503 | [] | leaving 1, unreadable 1 |
+
   # One chunk is sent in each mode; then the relay forwards everything for 2 s.
   # A chunk without delay could pass one that was delayed or held before.
   Scenario Outline: A relay keeps the order of bytes: <modes>
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -14,6 +14,7 @@
 from bench.soak import deployment
 from bench.soak import plan
 from bench.soak import relay
+from bench.soak import soak
 from bench.soak import verdict
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -68,6 +69,30 @@
     return record
 
 
+@given("requests that were answered")
+def answered(context):
+    context.records = [
+        callers.RequestRecord(
+            id="a",
+            route="stream",
+            key="k",
+            entry="entry-0",
+            events=3,
+            sent_ms=1,
+            status=int(row["status"]),
+            body=row["body"].encode(),
+        )
+        for row in context.table
+    ]
+
+
+@then('the reasons of refusals are "{reasons}"')
+def check_reasons(context, reasons):
+    found = soak.refusal_reasons(context.records)
+    text = ", ".join(f"{reason} {count}" for reason, count in found.items())
+    assert text == reasons, text
+
+
 def run_from(fields):
     return verdict.Run(
         id=fields["id"],
