--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -18,6 +18,7 @@
 from bench.soak import plan
 from bench.soak import program as programs
 from bench.soak import relay
+from bench.soak import soak
 from bench.soak import verdict
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -74,6 +75,30 @@
     return record
 
 
+@given("requests that were answered")
+def answered(context):
+    context.records = [
+        callers.RequestRecord(
+            id="a",
+            route="stream",
+            key="k",
+            entry="entry-0",
+            events=3,
+            sent_ms=1,
+            status=int(row["status"]),
+            body=row["body"].encode(),
+        )
+        for row in context.table
+    ]
+
+
+@then('the reasons of refusals are "{reasons}"')
+def check_reasons(context, reasons):
+    found = soak.refusal_reasons(context.records)
+    text = ", ".join(f"{reason} {count}" for reason, count in found.items())
+    assert text == reasons, text
+
+
 def run_from(fields):
     return histories.Run(
         id=fields["id"],
