The steps of streams taken up again know how base versions are read now

Two merged changes met: base versions are learned with the time and timeline of their reading. 14 scenarios of streams_taken_up.feature could not run.

--- a/features/steps/streams_taken_up_steps.py
+++ b/features/steps/streams_taken_up_steps.py
@@ -37,7 +37,8 @@
         bases = self.world.gateway.bases
         bases.has_store = True
         base = base_versions.Base(BASE_VERSION, 1)
-        bases.learn({SERVICE: base}, self.now_ms)
+        reading = base_versions.Reading(self.now_ms, 0, self.now_ms)
+        bases.learn({SERVICE: base}, reading)
         self.is_reading = False
 
     def ask(self):
