A connection accepted soon after a break doesn't prove that an upstream lives

Cause: an upstream that breaks off requests is checked at once by a connection. The kernel accepts it until the process's port is closed, and that was taken for a sign of life: the crash wasn't counted. The next request, a sound one, was sent there and reset; the next check was refused, and the crash counted against the sound part alone.

Now such a connection proves life only if it was started 500 ms after the break or later; one that comes sooner leaves the suspects and is followed by another check. So the crash is counted with the request that caused it, and what was reset after it counts in the same crash, which the bad part explains.

Failed before: the five rows of "Engines accept connections for ... ms after they crashed", and in crash_tracker.feature "accept connections, and 0.5 s later to refuse them" and "... is checked no more".

--- a/features/crash_tracker.feature
+++ b/features/crash_tracker.feature
@@ -14,6 +14,15 @@
       | accept connections | 0 |
       | be out of reach | 0 |
       | accept connections, and 5 s later to refuse them | 0 |
+      | accept connections, and 0.5 s later to refuse them | 1 |
+      | accept connections, and 0.5 s later to accept connections | 0 |
+
+  Scenario: An upstream that accepts connections 0.5 s after a break is checked no more
+    Given a gateway with two upstreams of each service
+    When an upstream breaks off a request
+    And it is found to accept connections, and 0.5 s later to accept connections
+    And 5 s pass at that gateway
+    Then it was checked 2 times
 
   Scenario: An upstream that breaks off many requests is checked once
     Given a gateway with two upstreams of each service
--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -57,6 +57,24 @@
       | 4 | 2 |
       | 4 | 6 |
 
+  # Guards against a connection that the machine of an engine accepts while the
+  # engine ends: taken for a sign of life, it hides the crash, and the sound
+  # request that is sent there next seems to have caused it.
+  Scenario Outline: Engines accept connections for <closes> ms after they crashed: <gateways> gateways, <engines> engines
+    Given <gateways> gateways before <engines> engines
+    And engines whose port accepts connections <closes> ms longer
+    When 70 bad requests and 70 sound ones come in turn
+    Then no request was refused as one that crashes engines
+    And engines got "bad0" 8 times at most
+
+    Examples:
+      | gateways | engines | closes |
+      | 1 | 1 | 20 |
+      | 1 | 1 | 100 |
+      | 1 | 2 | 20 |
+      | 1 | 2 | 100 |
+      | 4 | 2 | 30 |
+
   # Guards against crashes that are found out about anew after each restart.
   Scenario Outline: A blamed part is known after all gateways were restarted: <how>
     Given gateways that have blamed "bad0" and follow a store
--- a/features/steps/crash_tracker_steps.py
+++ b/features/steps/crash_tracker_steps.py
@@ -16,6 +16,8 @@
     "be out of reach": None,
 }
 LATER = ", and 5 s later to refuse them"
+SOON_MS = 500
+SOON = ", and 0.5 s later to "
 
 
 def send(context, count):
@@ -63,8 +65,15 @@
 @step("it is found to {found}")
 def check(context, found):
     world = context.world
+    found, _, found_soon = found.partition(SOON)
     for _place, on_checked in list(world.checks):
         on_checked(RESULTS[found.removesuffix(LATER)])
+    if found_soon:
+        before = len(world.checks)
+        world.advance(SOON_MS + gateway_world.TICK_MS)
+        found_soon = found_soon.replace("them", "connections")
+        for _place, on_checked in world.checks[before:]:
+            on_checked(RESULTS[found_soon])
     if found.endswith(LATER):
         world.advance(5000)
         world.ask("later", "post")
@@ -72,6 +81,7 @@
 
 
 @then("it was checked {count:d} time")
+@then("it was checked {count:d} times")
 def check_checks(context, count):
     assert len(context.world.checks) == count, context.world.checks
 
--- a/features/steps/crashing_parts_steps.py
+++ b/features/steps/crashing_parts_steps.py
@@ -11,6 +11,7 @@
 
 SOUND_GAP_MS = 40
 RARE_GAP_MS = 1300
+IN_TURN_GAP_MS = 100
 MAX_LATE_ARRIVALS = 3
 CRASHES_BEFORE_BOUND = 5
 MIN_BEGUN_SHARE = 0.5
@@ -27,6 +28,22 @@
     context.engines.writes_before_crash = True
 
 
+@given("engines whose port accepts connections {closes_ms:d} ms longer")
+def close_later(context, closes_ms):
+    context.engines.port_closes_ms = closes_ms
+
+
+@when("{count:d} bad requests and {sound:d} sound ones come in turn")
+def in_turn(context, count, sound):
+    assert count == sound
+    engines = context.engines
+    engines.bad = {"bad0"}
+    for _ in range(count):
+        engines.ask_and_wait(["aa0", "bad0"])
+        engines.ask_and_wait(["aa0"])
+        engines.run(IN_TURN_GAP_MS)
+
+
 @when("sound requests come for {duration_s:d} s")
 def sound(context, duration_s):
     engines = context.engines
@@ -137,6 +154,13 @@
     assert engines.crashes_ms
 
 
+@then('engines got "{part}" {most:d} times at most')
+def check_all_arrivals(context, part, most):
+    engines = context.engines
+    found = [entry for entry in engines.arrivals if part in entry.causes]
+    assert 0 < len(found) <= most, len(found)
+
+
 @given('gateways that have blamed "{part}" and follow a store')
 def blamed(context, part):
     context.following = following_gateways.FollowingGateways(context, 2, "a")
--- a/features/support/crashing_engines.py
+++ b/features/support/crashing_engines.py
@@ -29,6 +29,8 @@
 
     name: str
     down_until_ms: int = 0
+    # When its port closes, the connections made after the crash with it.
+    accepts_until_ms: int = 0
     running: list = dataclasses.field(default_factory=list)
 
 
@@ -55,7 +57,14 @@
         self.timers = []
 
     def start(self):
-        if self.fleet.now_ms() < self.engine.down_until_ms:
+        now_ms = self.fleet.now_ms()
+        if now_ms < self.engine.accepts_until_ms:
+            self.sent = True
+            left_ms = self.engine.accepts_until_ms - now_ms
+            reason = "connection_reset"
+            self.later(left_ms, self.end, attempts.End.BROKEN, reason)
+            return
+        if now_ms < self.engine.down_until_ms:
             self.later(1, self.end, attempts.End.NOT_SENT, "not_connected")
             return
         self.sent = True
@@ -137,6 +146,8 @@
         self.answer_ms = 100
         self.crash_ms = CRASH_MS
         self.down_ms = 3000
+        # How long the port of an engine that crashes accepts connections.
+        self.port_closes_ms = 0
         self.arrivals = []
         # When each bad part or request came to gateways.
         self.asked_ms = collections.defaultdict(list)
@@ -224,7 +235,11 @@
         return attempt
 
     def check_connection(self, upstream, on_checked):
-        accepts = self.now_ms() >= self.engines[upstream.id].down_until_ms
+        engine = self.engines[upstream.id]
+        now_ms = self.now_ms()
+        accepts = (
+            now_ms >= engine.down_until_ms or now_ms < engine.accepts_until_ms
+        )
         self.reactor.callLater(0.002, on_checked, accepts)
 
     def crash(self, engine, cause=""):
@@ -233,6 +248,7 @@
         self.crashes_ms.append(self.now_ms())
         self.crashes_by[cause].append(self.now_ms())
         engine.down_until_ms = self.now_ms() + self.down_ms
+        engine.accepts_until_ms = self.now_ms() + self.port_closes_ms
         for attempt in list(engine.running):
             attempt.end(attempts.End.BROKEN, "answer_cut")
 
@@ -244,6 +260,13 @@
             self.asked_ms[part].append(self.now_ms())
         if not self.bad & set(parts):
             self.sound.append((self.now_ms(), caller))
+        return caller
+
+    def ask_and_wait(self, parts):
+        """Sends a request with these shared parts and waits for its end."""
+        caller = self.ask(parts)
+        while not caller.status:
+            self.run(STEP_MS)
 
     def repeat(self, number):
         """Sends once more the request of this number, which is bad."""
--- a/godwitloft/gateway/crashes/crash_evidence.py
+++ b/godwitloft/gateway/crashes/crash_evidence.py
@@ -18,6 +18,7 @@
     :param crashes: weighs the evidence
     :param sharing: announces it to peers
     :param check_connection: finds out whether an upstream accepts connections
+    :param call_later: calls a function after some milliseconds
     """
 
     def __init__(
@@ -28,11 +29,13 @@
         check_connection: typing.Callable[
             [model.Upstream, typing.Callable[[bool | None], None]], None
         ],
+        call_later: typing.Callable[[int, typing.Callable[[], None]], object],
     ) -> None:
         self.clock = clock
         self.crashes = crashes
         self.sharing = sharing
         self.check_connection = check_connection
+        self.call_later = call_later
 
     def record_trial(self, request: requests.Request, now_ms: int) -> None:
         """Records if a request is sent although it is blamed for crashes.
@@ -56,7 +59,8 @@
         """Finds out whether an upstream that broke off a request has crashed.
 
         Otherwise a crash would be noticed only by the next request to it,
-        which may come late or never.
+        which may come late or never. A connection that is accepted soon after
+        the break proves little, and is followed by another check.
 
         :param state: the upstream
         """
@@ -68,7 +72,11 @@
         def on_checked(accepts: bool | None) -> None:
             now_ms = self.clock.monotonic_ms()
             if accepts:
-                crashes.record_alive(state.life, started_ms)
+                if crashes.record_accepting(state.life, started_ms):
+                    self.call_later(
+                        crash_tracker.ACCEPTS_AFTER_CRASH_MS,
+                        lambda: self.check_upstream(state),
+                    )
             elif accepts is not None:
                 crashes.record_unreachable(state.life, now_ms)
                 state.record_failure(now_ms, unreachable=True)
--- a/godwitloft/gateway/crashes/crash_tracker.py
+++ b/godwitloft/gateway/crashes/crash_tracker.py
@@ -13,6 +13,9 @@
 SUSPECT_TIMEOUT_MS = 1_500
 # An upstream that breaks off requests is checked at most this often.
 CHECK_INTERVAL_MS = 500
+# The machine of an upstream that ends accepts connections until its port is
+# closed, which may be this long after it broke off requests.
+ACCEPTS_AFTER_CRASH_MS = 500
 
 
 @dataclasses.dataclass(frozen=True)
@@ -102,12 +105,25 @@
             requests=len(crashed),
         )
 
+    def record_accepting(
+        self, upstream: peer_status.Life, since_ms: int
+    ) -> bool:
+        """Records that an upstream accepted a connection without a request.
+
+        :param upstream: the upstream
+        :param since_ms: when the connection was started
+        :return: whether it may have crashed all the same, and must be checked
+            again :data:`ACCEPTS_AFTER_CRASH_MS` later
+        """
+        self.record_alive(upstream, since_ms - ACCEPTS_AFTER_CRASH_MS)
+        return upstream in self.suspects
+
     def record_alive(self, upstream: peer_status.Life, since_ms: int) -> None:
         """Records that an upstream lived on after it broke off requests.
 
         :param upstream: the upstream
-        :param since_ms: when the connection was started that it accepted; a
-            connection from before may still bring what was sent earlier
+        :param since_ms: when the request was sent that it answered, as one
+            from before may still be answered by what was sent earlier
         """
         suspects = self.suspects.get(upstream)
         if suspects is None:
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -186,6 +186,7 @@
             lambda upstream, on_checked: self.dependencies.check_connection(
                 upstream, on_checked
             ),
+            dependencies.call_later,
         )
         self.admission = admissions.Admission(
             self.clock,
