A crash that a peer tells of counts for what the upstream broke off here

Callers saw (simulated clock, four gateways before six engines whose ports accept connections for 30 ms after a crash): five sound requests of 70 were refused with 500 (crashes_upstreams).

Cause: a gateway that had checked an upstream too early waits 500 ms to check again. A peer whose sound request was reset by the same crash found out at once and told it, but the gateway left its own broken request, which had the bad part, aside until its check. Three such crashes within that time blame the sound part.

Now a crash that a peer tells of counts at once, by the upstream's life and within the time in which breaks are one crash, against what was broken off here, and that is announced early. Breaks further apart stay suspects.

--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -74,6 +74,7 @@
       | 1 | 2 | 20 |
       | 1 | 2 | 100 |
       | 4 | 2 | 30 |
+      | 4 | 6 | 30 |
 
   # Guards against crashes that are found out about anew after each restart.
   Scenario Outline: A blamed part is known after all gateways were restarted: <how>
--- a/godwitloft/gateway/crashes/crash_causes.py
+++ b/godwitloft/gateway/crashes/crash_causes.py
@@ -610,6 +610,15 @@
         }
 
 
+def is_of(crash_id: str, upstream: str) -> bool:
+    """Returns whether a crash is one of an upstream.
+
+    :param crash_id: the id of the crash
+    :param upstream: life of the upstream
+    """
+    return crash_id.rpartition("#")[0] == upstream
+
+
 def set_latest(
     times_ms: dict[str, int], causes: typing.Iterable[str], at_ms: int
 ) -> list[str]:
--- a/godwitloft/gateway/crashes/crash_tracker.py
+++ b/godwitloft/gateway/crashes/crash_tracker.py
@@ -94,9 +94,47 @@
         ]
         if not crashed:
             return
+        self.record_crash(upstream, crashed)
+
+    def record_told(self, crash_id: str, at_ms: int) -> bool:
+        """Records that a peer has found out that an upstream crashed.
+
+        What it broke off here at that time counts as well, before this gateway
+        finds out by itself: the cause may be here.
+
+        :param crash_id: the id of the crash
+        :param at_ms: when the upstream crashed
+        :return: whether it had broken off requests here
+        """
+        found = False
+        for upstream, suspects in list(self.suspects.items()):
+            if not crash_causes.is_of(crash_id, life_text(upstream)):
+                continue
+            crashed = [
+                broken
+                for broken in suspects
+                if abs(broken.at_ms - at_ms) <= crash_causes.SAME_CRASH_MS
+            ]
+            if crashed:
+                for broken in crashed:
+                    suspects.remove(broken)
+                if not suspects:
+                    del self.suspects[upstream]
+                self.record_crash(upstream, crashed)
+                found = True
+        return found
+
+    def record_crash(
+        self, upstream: peer_status.Life, crashed: list[Broken]
+    ) -> None:
+        """Records what an upstream that crashed had broken off here.
+
+        :param upstream: the upstream
+        :param crashed: the requests that it broke off, at least one
+        """
         self.causes.record_crash(
             [broken.causes for broken in crashed],
-            f"{upstream.id}/{upstream.born_ms}",
+            life_text(upstream),
             max(broken.at_ms for broken in crashed),
         )
         events.log(
@@ -164,3 +202,11 @@
             cause: self.causes.record_trial(cause, now_ms)
             for cause in self.causes.find_blamed(causes)
         }
+
+
+def life_text(upstream: peer_status.Life) -> str:
+    """Returns the life of an upstream as the ids of its crashes name it.
+
+    :param upstream: the upstream
+    """
+    return f"{upstream.id}/{upstream.born_ms}"
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -221,7 +221,7 @@
             self.fleet,
             self.confirmation,
             contact,
-            self.retry_policy.crashes.causes,
+            self.retry_policy.crashes,
             self.versions,
             lambda state: self.statements.mark_leaving(state, "peer"),
             lambda state, statement: self.statements.set_limit(
--- a/godwitloft/gateway/shared_knowledge.py
+++ b/godwitloft/gateway/shared_knowledge.py
@@ -7,8 +7,8 @@
 from godwitloft.gateway import peer_status
 from godwitloft.gateway import sharing as sharings
 from godwitloft.gateway import store_contact as store_contacts
-from godwitloft.gateway.crashes import crash_causes
 from godwitloft.gateway.crashes import crash_reports
+from godwitloft.gateway.crashes import crash_tracker
 from godwitloft.gateway.streams import service_versions
 from godwitloft.gateway.upstreams import fleet as fleets
 from godwitloft.gateway.upstreams import named_limit
@@ -32,7 +32,7 @@
     :param fleet: the upstreams
     :param confirmation: knows the version of the configuration
     :param contact: when the store is known to have been up
-    :param causes: crashes of upstreams, and what is blamed for them
+    :param crashes: crashes of upstreams, and what is blamed for them
     :param versions: software versions that streams may have begun at
     :param on_leaving: called with an upstream of which a peer says that it is
         leaving
@@ -47,7 +47,7 @@
         fleet: fleets.Fleet,
         confirmation: peer_confirmation.PeerConfirmation,
         contact: store_contacts.StoreContact,
-        causes: crash_causes.CrashCauses,
+        crashes: crash_tracker.CrashTracker,
         versions: service_versions.ServiceVersions,
         on_leaving: typing.Callable[[fleets.UpstreamState], None],
         on_limit: typing.Callable[
@@ -60,7 +60,8 @@
         self.fleet = fleet
         self.confirmation = confirmation
         self.contact = contact
-        self.causes = causes
+        self.crashes = crashes
+        self.causes = crashes.causes
         self.versions = versions
         self.on_leaving = on_leaving
         self.on_limit = on_limit
@@ -128,6 +129,9 @@
             until_ms = now_ms - status.store_up.age_ms
             since_ms = until_ms - status.store_up.length_ms
             self.contact.record_peer(store_contacts.Span(since_ms, until_ms))
+        for crash in status.crashes:
+            if self.crashes.record_told(crash.id, now_ms - crash.age_ms):
+                self.sharing.must_announce = True
         self.causes.learn(status.crashes, status.sound, status.blames, now_ms)
         for life in status.leaving:
             state = self.fleet.state_of(life)
