--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -186,6 +186,7 @@
             lambda upstream, on_checked: self.dependencies.check_connection(
                 upstream, on_checked
             ),
+            dependencies.call_later,
         )
         self.admission = admissions.Admission(
             self.clock,
@@ -220,7 +221,7 @@
             self.fleet,
             self.confirmation,
             contact,
-            self.retry_policy.crashes.causes,
+            self.retry_policy.crashes,
             self.versions,
             lambda state: self.statements.mark_leaving(state, "peer"),
             lambda state, statement: self.statements.set_limit(
