A connection that brings small parts is read in small pieces

The gateway's processor was busy all the time; its memory was not the cause (90 MB at most).

Cause: up to 64 KiB of an upstream and 256 KiB of a caller were read and handled before any other connection had its turn. That is 10,900 and 43,700 chunks of one byte.

Why it works: the reactor reads each ready connection once a turn. The first read takes 4 KiB, then twice as much each time while a read has at most 64 parts; otherwise the next one is made small enough for 64 parts, though not under 512 bytes. Large bodies are read in pieces of 64 and 256 KiB as before from the fifth and seventh read on. While a request is answered, the number bounds unsent bytes (twisted has one for both), as before.

--- a/features/endless_bytes.feature
+++ b/features/endless_bytes.feature
@@ -145,3 +145,21 @@
     Given a gateway that reads what its upstreams send
     When a caller sends 2000 requests in one piece that are refused at once
     Then it has got 2000 answers
+
+  # Guards against work that one connection causes before others have their
+  # turn: sound requests waited for seconds.
+  Scenario Outline: A connection of <whose> that brings chunks of <size> bytes
+    Given a gateway that reads what its upstreams send
+    When <whose> sends 100 reads of chunks of <size> bytes
+    Then the largest read has at most <first> chunks
+    And the last reads have <least> to <most> bytes
+
+    Examples:
+      | whose | size | first | least | most |
+      | an upstream | 1 | 1400 | 256 | 1024 |
+      | an upstream | 2 | 1400 | 256 | 1024 |
+      | an upstream | 40 | 200 | 1024 | 8192 |
+      | an upstream | 4000 | 20 | 65536 | 65536 |
+      | a caller | 1 | 1400 | 256 | 1024 |
+      | a caller | 2 | 1400 | 256 | 1024 |
+      | a caller | 4000 | 70 | 200000 | 262144 |
--- a/features/steps/endless_bytes_steps.py
+++ b/features/steps/endless_bytes_steps.py
@@ -422,3 +422,39 @@
 def check_all_succeeded(context):
     assert not context.errors, context.errors[0]
     assert len(context.results) == 30
+
+
+@when("{whose} sends {reads:d} reads of chunks of {size:d} bytes")
+def send_chunks(context, whose, reads, size):
+    world = context.world
+    chunk = b"%x\r\n%s\r\n" % (size, b"a" * size)
+    if whose == "a caller":
+        caller = gateway_world.Caller(world)
+        caller.send(caller_request(b"transfer-encoding: chunked"))
+        transport, receive = caller.transport, caller.send
+    else:
+        world.ask("a", "draft")
+        sent = world.sent[0]
+        sent.receive(sent.answer_head(b"transfer-encoding: chunked"))
+        transport, receive = sent.transport, sent.receive
+    waiting = b""
+    context.reads = []
+    while len(context.reads) < reads and transport.connected:
+        count = getattr(transport, "bufferSize", 64 * KB)
+        waiting += chunk * (count // len(chunk) + 1)
+        receive(waiting[:count])
+        waiting = waiting[count:]
+        context.reads.append(count)
+    context.chunk_bytes = len(chunk)
+
+
+@then("the largest read has at most {most:d} chunks")
+def check_first_read(context, most):
+    found = max(context.reads) // context.chunk_bytes
+    assert found <= most, context.reads
+
+
+@then("the last reads have {least:d} to {most:d} bytes")
+def check_last_reads(context, least, most):
+    last = context.reads[-5:]
+    assert least <= min(last) and max(last) <= most, context.reads
--- a/godwitloft/attempt.py
+++ b/godwitloft/attempt.py
@@ -19,6 +19,7 @@
 from godwitloft import clock as clocks
 from godwitloft import connection_check
 from godwitloft import immediate_write
+from godwitloft import read_size
 
 Header = answer_end.Header
 
@@ -33,6 +34,7 @@
 MALFORMED_REQUEST = "malformed_request"
 MALFORMED_ANSWER = "malformed_answer"
 MAX_INTERIM_ANSWERS = 100
+MAX_READ_BYTES = 64 * 1024
 SERVER_GONE = "server_gone"
 # A process that ends closes its connections and its port one after the other.
 END_CHECK_DELAY_MS = 50
@@ -108,6 +110,9 @@
         self.sent = False
         self.ended = False
         self.interim_answers = 0
+        self.read_bytes = read_size.FIRST_BYTES
+        # Parts of the answer that the last read has completed.
+        self.read_parts = 0
 
     def connectionMade(self) -> None:
         """Sends the complete request."""
@@ -118,6 +123,7 @@
             return
         transport = typing.cast(typing.Any, self.transport)
         transport.setTcpNoDelay(True)
+        transport.bufferSize = self.read_bytes
         enable_reachability_probes(tcp_socket(transport))
         try:
             request = self.request_bytes()
@@ -154,11 +160,16 @@
         """
         if self.ended:
             return
+        self.read_parts = 0
         try:
             self.parser.receive_data(data)
             self.read()
         except h11.RemoteProtocolError:
             self.end(End.BROKEN, MALFORMED_ANSWER)
+        self.read_bytes = read_size.next_bytes(
+            self.read_bytes, len(data), self.read_parts, MAX_READ_BYTES
+        )
+        typing.cast(typing.Any, self.transport).bufferSize = self.read_bytes
 
     def read(self) -> None:
         """Handles the events that the parser has completed."""
@@ -166,6 +177,7 @@
             event = self.parser.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
+            self.read_parts += 1
             if isinstance(event, h11.InformationalResponse):
                 self.count_interim_answer()
             elif isinstance(event, h11.Response):
--- a/godwitloft/gateway/http_server.py
+++ b/godwitloft/gateway/http_server.py
@@ -17,6 +17,7 @@
 from godwitloft import answer_end
 from godwitloft import clock as clocks
 from godwitloft import immediate_write
+from godwitloft import read_size
 from godwitloft.gateway import headers
 from godwitloft.gateway import model
 
@@ -258,6 +259,9 @@
         self.paused = False
         # Whether events of the parser are being handled.
         self.is_reading = False
+        self.read_bytes = read_size.FIRST_BYTES
+        # Parts of requests that the last read has completed.
+        self.read_parts = 0
         self.last_active_ms = clock.monotonic_ms()
         self.head_started_ms: int | None = None
         self.parser = h11.Connection(
@@ -271,7 +275,7 @@
         self.connections.add(self)
         transport = typing.cast(typing.Any, self.transport)
         transport.setTcpNoDelay(True)
-        transport.bufferSize = MAX_UNSENT_BYTES
+        transport.bufferSize = self.read_bytes
         transport.registerProducer(self, True)
         self.registered = True
 
@@ -317,7 +321,20 @@
             self.parser.receive_data(data)
         except h11.RemoteProtocolError as problem:
             self.refuse(problem.error_status_hint, "malformed")
+        self.read_parts = 0
         self.read_on()
+        self.read_bytes = read_size.next_bytes(
+            self.read_bytes, len(data), self.read_parts, MAX_UNSENT_BYTES
+        )
+        self.set_buffer_size()
+
+    def set_buffer_size(self) -> None:
+        """Sets how many bytes are read at once, or may be unsent.
+
+        The transport has one number for both.
+        """
+        size = MAX_UNSENT_BYTES if self.handed_over else self.read_bytes
+        typing.cast(typing.Any, self.transport).bufferSize = size
 
     def read_on(self) -> None:
         """Handles what has arrived, and reads more if there is room for it.
@@ -367,6 +384,7 @@
             event = self.parser.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
+            self.read_parts += 1
             if isinstance(event, h11.Request):
                 self.head_started_ms = None
                 now_ms = self.clock.monotonic_ms()
@@ -382,6 +400,7 @@
                 exchange = self.exchange
                 if exchange is not None:
                     self.handed_over = True
+                    self.set_buffer_size()
                     self.callbacks.on_request(exchange)
             elif isinstance(event, h11.ConnectionClosed):
                 return
@@ -471,6 +490,7 @@
         self.send(h11.EndOfMessage())
         self.exchange = None
         self.handed_over = False
+        self.set_buffer_size()
         self.last_active_ms = self.clock.monotonic_ms()
         if self.parser.our_state is not h11.DONE:
             self.close()
