--- a/features/gateway_limits.feature
+++ b/features/gateway_limits.feature
@@ -24,6 +24,21 @@
       | all restarted | 6 | 8000 | 1,1,1,1,1,1 | all restart at 5 s | 0.05 |
       | one restarted | 4 | 8000 | 1,1,1,1 | one restarts at 5 s | 0.05 |
 
+  # Guards against uses that count as known to peers as soon as they are
+  # announced: a busy gateway reads datagrams late.
+  Scenario Outline: <count> gateways read announcements <delay> ms late
+    Given <count> gateways that share an allowance and read datagrams after <delay> ms
+    When 8000 tokens per second are requested for 20 s, distributed as "<spread>"
+    And nothing happens
+    Then at most 10900 tokens were used in any 8 s
+
+    Examples:
+      | count | delay | spread |
+      | 4 | 50 | 1,1,1,1 |
+      | 12 | 50 | 1,1,1,1,1,1,1,1,1,1,1,1 |
+      | 4 | 200 | 1,1,1,1 |
+      | 12 | 200 | 1,1,1,1,1,1,1,1,1,1,1,1 |
+
   # Guards against refusals below the limit when requests are large and each
   # gateway gets one only rarely, so that announced demand says little. The team
   # may use 36,000 tokens per second and a burst of 36,000 in any 8 s, with a
--- a/features/steps/gateway_limits_steps.py
+++ b/features/steps/gateway_limits_steps.py
@@ -43,6 +43,7 @@
         self.members = {}
         self.rows = {}
         self.parted = False
+        self.delay_s = DELAY_S
         self.sent_bytes = 0
         self.sent_datagrams = 0
         self.away = None
@@ -59,7 +60,7 @@
             self.sent_datagrams += 1
             if not self.parted:
                 self.reactor.callLater(
-                    DELAY_S, self.deliver, data, where, name
+                    self.delay_s, self.deliver, data, where, name
                 )
 
         member = sharing.Sharing(self.clock, send, name, 1, self.tolerance)
@@ -164,6 +165,15 @@
     context.fleet = Fleet(count)
 
 
+@given(
+    "{count:d} gateways that share an allowance and read datagrams after"
+    " {delay_ms:d} ms"
+)
+def late_fleet(context, count, delay_ms):
+    context.fleet = Fleet(count)
+    context.fleet.delay_s = delay_ms / 1000
+
+
 @given(
     "{count:d} gateways that share the allowance of a team with large requests"
 )
