--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -435,13 +435,21 @@
     assert promise in context.figures["breaches"], context.figures
 
 
+def heed_hangup():
+    # Ignoring SIGHUP is inherited, as under nohup.
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
+
+
 @given("a program of the soak test that {what}")
 def start_program(context, what):
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     log = pathlib.Path(folder.name) / "log"
     log.write_text("a line\n" if what == "has logged" else "")
-    child = subprocess.Popen([sys.executable, "-c", WAIT_FOR_SIGNAL])
+    child = subprocess.Popen(
+        [sys.executable, "-c", WAIT_FOR_SIGNAL],
+        preexec_fn=heed_hangup,
+    )
     context.add_cleanup(child.wait)
     context.program = programs.Program("entry-0", (), log, log)
     context.program.child = child
