A stream goes on at an engine only if that is still the listed process

Cause: a gateway takes an upstream's version from the list as it sends. The list is read each 0.8 s, the stream is sent on at once, and no answer names a version.

Change: before a stream goes on at an engine, in one answer or over a caller's tries, the engine is asked for its start (/report, `born`). If it isn't the listed one, nothing is sent; the list is read again, and the stream waits up to a second for the new process, which may have the same version. An engine that gives no answer at all is about to start or to end, and gets nothing either; one that answers without its start is believed, as before. It costs one report for each stream that goes on, and nothing for others.

--- a/features/steps/stream_goes_on_steps.py
+++ b/features/steps/stream_goes_on_steps.py
@@ -1,8 +1,16 @@
+import dataclasses
+import json
+
+from behave import given
 from behave import then
 from behave import when
 
 from features.steps import answer_end_steps as wire
+from features.support import gateway_world
+from godwitloft.gateway import checked_attempt
 from godwitloft.gateway.streams import stream_events
+from godwitloft.platform import life_check
+from godwitloft.platform import store as stores
 
 # An event without an id, one with an empty id, and a comment.
 WITHOUT_NUMBER = {
@@ -68,3 +76,36 @@
 def check_id(context, data, has):
     raw = data.replace("\\n", "\n").replace("\\r", "\r").encode()
     assert stream_events.last_event_has_id(raw) is HAS_ID[has], raw
+
+
+@given("its upstreams, asked for their start, are found to be {name}")
+def set_found(context, name):
+    found = checked_attempt.Found[name]
+    context.world.check_life = lambda _place, on_checked: on_checked(found)
+
+
+@given("its upstreams, asked for their start, do not answer yet")
+def hold_answers(context):
+    context.asked = []
+    context.world.check_life = lambda _place, on_checked: context.asked.append(
+        on_checked
+    )
+
+
+@when("its upstreams, asked for their start, answer")
+def answer_now(context):
+    (on_checked,) = context.asked
+    on_checked(checked_attempt.Found.SAME)
+
+
+@then(
+    'a report "{report}" of an upstream that is listed as started at'
+    " {born_ms:d} shows {name}"
+)
+def check_report(context, report, born_ms, name):
+    place = dataclasses.replace(
+        gateway_world.upstream("u1", "model"), born_ms=born_ms
+    )
+    answer = stores.Answer(json.loads(report), None)
+    found = life_check.compare(place, answer)
+    assert found is checked_attempt.Found[name], found
--- a/features/stream_goes_on.feature
+++ b/features/stream_goes_on.feature
@@ -79,3 +79,42 @@
       | id: 1\ndata: x\n\ndata: y\n\n | lacks |
       | data: id: 1\n\n | lacks |
       | : a comment\n\n | may have |
+
+  # Guards against a new process that has the address of the listed one.
+  Scenario Outline: A stream goes on only at the process that is listed: it is found to be <found>
+    Given a gateway that reads what its upstreams send
+    And its upstreams, asked for their start, are found to be <found>
+    When a caller requests "query"
+    And the upstream breaks the connection off after events with the ids "1 2"
+    And 50 ms pass at the gateway
+    Then the request was sent to <count> upstreams
+
+    Examples:
+      | found | count |
+      | SAME | 2 |
+      | UNTOLD | 2 |
+      | REPLACED | 1 |
+      | NO_ANSWER | 1 |
+
+  Scenario: A caller may leave while an upstream is asked for its start
+    Given a gateway that reads what its upstreams send
+    And its upstreams, asked for their start, do not answer yet
+    When a caller requests "query"
+    And the upstream breaks the connection off after events with the ids "1 2"
+    And the caller closes its connection
+    And its upstreams, asked for their start, answer
+    Then the request was sent to 1 upstreams
+
+  Scenario Outline: An upstream's report tells its start: <report>
+    Then a report "<report>" of an upstream that is listed as started at 5 shows <found>
+
+    Examples:
+      | report | found |
+      | {"born": 5} | SAME |
+      | {"born": 6} | REPLACED |
+      | {"born": 0} | UNTOLD |
+      | {} | UNTOLD |
+      | {"born": "5"} | UNTOLD |
+      | {"born": [5]} | UNTOLD |
+      | {"born": -1} | UNTOLD |
+      | {"born": 1e400} | UNTOLD |
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -13,6 +13,7 @@
 from godwitloft import clock as clocks
 from godwitloft import metrics
 from godwitloft.gateway import allowance
+from godwitloft.gateway import checked_attempt
 from godwitloft.gateway import gateway as gateways
 from godwitloft.gateway import http_server
 from godwitloft.gateway import model
@@ -215,6 +216,7 @@
                 clock=self.clock,
                 send=self.send,
                 check_connection=self.check_connection,
+                check_life=lambda *asked: self.check_life(*asked),
                 rng=random.Random(1),
                 instruments=metrics.discard(),
                 slot_client=slot_client.SlotClient(
@@ -255,6 +257,20 @@
     def check_connection(self, place, on_checked):
         self.checks.append((place, on_checked))
 
+    def check_life(self, place, on_checked):
+        born_ms = self.born_of(place.id)
+        if born_ms is None:
+            on_checked(checked_attempt.Found.UNTOLD)
+            return
+        found = checked_attempt.Found.SAME
+        if born_ms != place.born_ms:
+            found = checked_attempt.Found.REPLACED
+        self.reactor.callLater(0, on_checked, found)
+
+    def born_of(self, _upstream_id):
+        """Returns the start that an upstream reports, None if it doesn't."""
+        return None
+
     def send_datagram(self, data, where):
         self.datagrams.append((data, where))
 
--- a/features/support/stream_fleet.py
+++ b/features/support/stream_fleet.py
@@ -87,12 +87,19 @@
         self.advance(STEP_MS)
         return [stream for stream in self.streams if stream.name in broken]
 
+    def born_of(self, name):
+        """Returns the start of the process that has an engine's address."""
+        engine = self.first.upstreams.get(name)
+        return engine.born_ms if engine else None
+
     def version_of(self, sent):
         """Returns the version of the process that answers an attempt."""
         engine = self.first.upstreams.get(sent.upstream.id)
         return engine.version if engine else sent.upstream.version
 
     def advance(self, duration_ms):
+        for member in self.members.values():
+            member.world.born_of = self.born_of
         for _ in range(duration_ms // STEP_MS):
             super().advance(STEP_MS)
             for member in self.members.values():
--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -129,6 +129,12 @@
 BASE_VERSION_SET = Event(
     1315, logging.INFO, "streams of a service without a record have a version"
 )
+LIFE_UNKNOWN = Event(
+    1316,
+    logging.INFO,
+    "an upstream did not tell whether it is the listed process",
+    sampled=True,
+)
 UPSTREAM_LIMITED = Event(1312, logging.INFO, "an upstream's limit has changed")
 LIMIT_IGNORED = Event(
     1313, logging.WARNING, "an upstream's limit can't be used"
--- a/godwitloft/gateway/answer.py
+++ b/godwitloft/gateway/answer.py
@@ -10,6 +10,7 @@
 
 from godwitloft import answer_end
 from godwitloft import attempt as attempts
+from godwitloft.gateway import checked_attempt
 from godwitloft.gateway import dialect as dialects
 from godwitloft.gateway import headers as header_lists
 from godwitloft.gateway import http_server
@@ -234,7 +235,10 @@
         """
         if end is attempts.End.NOT_SENT:
             return AttemptOutcome(
-                outcomes.Result.NOT_SENT, reason, unusable=True
+                outcomes.Result.NOT_SENT,
+                reason,
+                unusable=True,
+                replaced=reason == checked_attempt.Found.REPLACED.value,
             )
         if self.not_run and not self.defect:
             return AttemptOutcome(
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -16,6 +16,7 @@
 from godwitloft.gateway import admission as admissions
 from godwitloft.gateway import answer as answers
 from godwitloft.gateway import arbiter as arbiters
+from godwitloft.gateway import checked_attempt
 from godwitloft.gateway import config_state as config_states
 from godwitloft.gateway import dialect as dialects
 from godwitloft.gateway import http_server
@@ -62,6 +63,8 @@
     :param send: sends a request to an upstream
     :param check_connection: finds out whether an upstream accepts connections,
         False if it refuses them, None if that can't be told
+    :param check_life: finds out whether an upstream is still the listed
+        process
     :param rng: chooses the target of a request and randomizes retry delays
     :param instruments: metrics
     :param slot_client: exchanges datagrams with the upstreams' agents
@@ -77,6 +80,9 @@
     check_connection: typing.Callable[
         [model.Upstream, typing.Callable[[bool | None], None]], None
     ]
+    check_life: typing.Callable[
+        [model.Upstream, checked_attempt.OnChecked], None
+    ]
     rng: random.Random
     instruments: metrics.Instruments
     slot_client: slot_clients.SlotClient
@@ -589,11 +595,58 @@
         )
         if self.must_hold(request):
             callbacks = self.holds.hold(request, callbacks)
-        request.attempt = self.dependencies.send(
-            state.upstream,
-            requests.outgoing(request, state.upstream, self.dialect, now_ms),
-            callbacks,
+        self.start_attempt(request, state.upstream, callbacks)
+
+    def start_attempt(
+        self,
+        request: requests.Request,
+        upstream: model.Upstream,
+        callbacks: attempts.AttemptCallbacks,
+    ) -> None:
+        """Starts an attempt, for a stream that goes on after a check.
+
+        :param request: a request that is being sent
+        :param upstream: the upstream
+        :param callbacks: functions that the attempt calls
+        """
+
+        def start() -> attempts.Attempt:
+            now_ms = self.clock.monotonic_ms()
+            outgoing = requests.outgoing(
+                request, upstream, self.dialect, now_ms
+            )
+            return self.dependencies.send(upstream, outgoing, callbacks)
+
+        if not self.must_check_life(request, upstream):
+            request.attempt = start()
+            return
+        checked = checked_attempt.CheckedAttempt(
+            lambda on_checked: self.dependencies.check_life(
+                upstream, on_checked
+            ),
+            start,
+            callbacks.on_end,
         )
+        request.attempt = checked
+        checked.begin()
+
+    def must_check_life(
+        self, request: requests.Request, upstream: model.Upstream
+    ) -> bool:
+        """Returns whether a request may go to the listed process only.
+
+        :param request: a request that is being sent
+        :param upstream: the upstream
+        :return: whether it goes on with a stream of an engine
+        """
+        facts = request.facts
+        if request.last_event is None or not facts.may_repeat:
+            return False
+        router = self.config_state.router
+        services = router.configuration.services if router else {}
+        service = services.get(upstream.service)
+        is_stream = facts.route.kind is model.Kind.STREAM
+        return is_stream and service is not None and service.is_engine
 
     def still_permitted(self, request: requests.Request, now_ms: int) -> bool:
         """Checks a request again that was waiting, and refuses it if need be.
@@ -769,6 +822,8 @@
         self.reports.count_answer_end(answer, attempt_outcome)
         now_ms = self.clock.monotonic_ms()
         is_end_unknown = attempt_outcome.result is outcomes.Result.END_UNKNOWN
+        if reason == checked_attempt.Found.REPLACED.value:
+            self.continuations.callbacks.read_list()
         if is_end_unknown and answer.may_mark_end():
             request.mark_unknown_end()
         if state is not None:
@@ -1005,8 +1060,10 @@
         if request.state is not requests.State.WAITING:
             return
         facts = request.facts
-        if request.version is not None and self.fleet.has_lost(
-            facts.service, request.version
+        if (
+            request.version is not None
+            and self.fleet.has_lost(facts.service, request.version)
+            and not self.continuations.awaits_list(request.replaced_ms)
         ):
             origin = stream_origins.Origin(facts.service, request.version)
             self.refuse(request, continuation_module.version_gone(origin))
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -9,6 +9,7 @@
 from godwitloft import attempt as attempts
 from godwitloft import whole_number
 from godwitloft.gateway import allowance
+from godwitloft.gateway import checked_attempt
 from godwitloft.gateway import dialect as dialects
 from godwitloft.gateway import headers as header_lists
 from godwitloft.gateway import http_server
@@ -157,13 +158,18 @@
         self.groups: tuple[service_floor.Group, ...] = ()
         self.owed = False
         self.state = State.WAITING
-        self.attempt: attempts.Attempt | None = None
+        self.attempt: (
+            attempts.Attempt | checked_attempt.CheckedAttempt | None
+        ) = None
         self.upstream_state: fleet.UpstreamState | None = None
         self.answer: answers.Answer | None = None
         # Attempts that may have run, and all attempts.
         self.runs = 0
         self.attempt_count = 0
         self.tried_upstreams: set[str] = set()
+        # When its upstream was found to be another process than the listed
+        # one, None if it was not.
+        self.replaced_ms: int | None = None
         # It isn't sent again before this time.
         self.resend_at_ms = 0
         self.first_sent_ms = 0
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -77,7 +77,11 @@
                     request.facts.sizes.prompt_tokens,
                 )
             return
-        request.tried_upstreams.add(state.upstream.id)
+        if found_replaced(attempt_outcome):
+            # The new process has the same id, and was not tried.
+            request.replaced_ms = now_ms
+        else:
+            request.tried_upstreams.add(state.upstream.id)
         if attempt_outcome.result is outcomes.Result.END_UNKNOWN:
             # The upstream may be sound.
             return
@@ -195,6 +199,9 @@
             return "deadline"
         if self.crashes.causes.find_blamed(causes):
             return "crashes_upstreams"
+        if found_replaced(attempt_outcome):
+            # The list may show the new process soon, at the same version.
+            return ""
         states = self.fleet.usable(facts.service, request.version)
         if all(
             state.upstream.id in request.tried_upstreams for state in states
@@ -234,3 +241,12 @@
             state.asked_pause_until_ms >= request.facts.deadline_ms
             for state in untried
         )
+
+
+def found_replaced(attempt_outcome: answers.AttemptOutcome) -> bool:
+    """Returns whether a check before an attempt found another process.
+
+    :param attempt_outcome: how the attempt ended
+    """
+    not_sent = attempt_outcome.result is outcomes.Result.NOT_SENT
+    return not_sent and attempt_outcome.replaced
--- a/godwitloft/gateway/streams/continuations.py
+++ b/godwitloft/gateway/streams/continuations.py
@@ -193,7 +193,7 @@
             target.service == origin.service for target in facts.route.targets
         )
         if is_routed and self.fleet.has_lost(origin.service, origin.version):
-            if self.waits_for_list(pending):
+            if self.awaits_list(pending.since_ms):
                 pending.origin = origin
                 self.pending[request] = pending
                 self.callbacks.read_list()
@@ -207,16 +207,18 @@
         request.version = origin.version
         self.callbacks.on_located(request)
 
-    def waits_for_list(self, pending: Pending) -> bool:
-        """Returns whether a current list may still come in time.
+    def awaits_list(self, since_ms: int | None) -> bool:
+        """Returns whether a list that is newer may still come in time.
 
-        :param pending: how a request waits
+        :param since_ms: a time after which the list must have been read, None
+            if any will do
         """
         confirmed_ms = self.callbacks.list_confirmed_ms()
-        if confirmed_ms is None or confirmed_ms >= pending.since_ms:
+        if since_ms is None or confirmed_ms is None:
             return False
-        waited_ms = self.clock.monotonic_ms() - pending.since_ms
-        return waited_ms < MAX_LOOKUP_MS
+        if confirmed_ms >= since_ms:
+            return False
+        return self.clock.monotonic_ms() - since_ms < MAX_LOOKUP_MS
 
     def needs_lookup(self) -> bool:
         """Returns whether saved origins must be read now."""
--- a/godwitloft/platform/agent.py
+++ b/godwitloft/platform/agent.py
@@ -14,15 +14,13 @@
 from godwitloft.links import datagrams
 from godwitloft.platform import headers as platform_headers
 from godwitloft.platform import json_fields
+from godwitloft.platform import life_check
 from godwitloft.platform import rows
 from godwitloft.platform import settings
 from godwitloft.platform import store as stores
 
 REPORT_INTERVAL_MS = 1_000
 REPORT_TIMEOUT_MS = 1_000
-REPORT_PATH = "/report"
-# A report lists each run of the upstream in about 100 bytes.
-MAX_REPORT_BYTES = 256 * 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,7 +66,7 @@
             upstream.port,
             boot.host,
             self.on_headers,
-            MAX_REPORT_BYTES,
+            life_check.MAX_REPORT_BYTES,
         )
         self.arbiter = arbiters.Arbiter(
             self.clock,
@@ -115,7 +113,7 @@
             return
         self.next_report_ms = REPORT_INTERVAL_MS
         answer = self.client.call(
-            "GET", REPORT_PATH, timeout_ms=REPORT_TIMEOUT_MS
+            "GET", life_check.REPORT_PATH, timeout_ms=REPORT_TIMEOUT_MS
         )
         answer.addCallback(decode_report)
         answer.addCallbacks(self.on_report, self.on_report_failed)
@@ -202,14 +200,14 @@
     :return: the report
     :raises StoreError: if a number is missing or invalid
     """
-    report = json_fields.Fields(REPORT_PATH, "", answer.body)
+    report = json_fields.Fields(life_check.REPORT_PATH, "", answer.body)
     try:
         running = report.whole("running", rows.MAX_REQUESTS)
         waiting = report.whole("waiting", rows.MAX_REQUESTS)
         return Report(running + waiting, report.whole("born", default=0))
     except json_fields.RowError as error:
         raise stores.StoreError(
-            REPORT_PATH, stores.HTTP_OK, f"invalid report: {error}"
+            life_check.REPORT_PATH, stores.HTTP_OK, f"invalid report: {error}"
         ) from error
 
 
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -15,6 +15,7 @@
 from godwitloft import events
 from godwitloft import incarnation as incarnations
 from godwitloft import metrics
+from godwitloft.gateway import checked_attempt
 from godwitloft.gateway import daemon
 from godwitloft.gateway import gateway as gateways
 from godwitloft.gateway import grant_hosts
@@ -24,6 +25,7 @@
 from godwitloft.links import datagrams
 from godwitloft.platform import agent
 from godwitloft.platform import headers
+from godwitloft.platform import life_check
 from godwitloft.platform import settings
 from godwitloft.platform import store as stores
 from godwitloft.platform import stream_table
@@ -79,6 +81,12 @@
         address = (upstream.host, upstream.port)
         connection_check.start(reactor, address, on_checked, boot.host)
 
+    def check_life(
+        upstream: model.Upstream,
+        on_checked: checked_attempt.OnChecked,
+    ) -> None:
+        life_check.start(reactor, upstream, boot.host, on_checked)
+
     incarnation = incarnations.new_incarnation(boot.instance)
 
     own_address = (boot.host, boot.first_port)
@@ -113,6 +121,7 @@
             clock=clock,
             send=send,
             check_connection=check_connection,
+            check_life=check_life,
             rng=random.Random(),
             instruments=instruments,
             slot_client=slot_clients.SlotClient(
