--- a/godwitloft/platform/store.py
+++ b/godwitloft/platform/store.py
@@ -236,7 +236,7 @@
             self.close()
 
     def release(self) -> bytearray:
-        """Ends to hold the body.
+        """Stops holding the body.
 
         :return: what was held
         """
