--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -85,6 +85,15 @@
 STORE_RECOVERED = Event(1506, logging.INFO, "the platform's store answers")
 USE_LOST = Event(1408, logging.INFO, "what this gateway had used is not saved")
 USE_TOLD = Event(1409, logging.INFO, "a peer told what this gateway had used")
+USE_RESTORED = Event(
+    1410, logging.INFO, "what gateways had used before this start is counted"
+)
+GRANTS_BEGIN = Event(
+    1414, logging.INFO, "a gateway may grant allowances from now on"
+)
+PEER_FOUND = Event(
+    1416, logging.INFO, "a gateway that was not listed has announced itself"
+)
 STORE_RESTORED = Event(
     1507, logging.WARNING, "the platform's store was restored from a copy"
 )
@@ -146,6 +155,9 @@
     1109, logging.WARNING, "a gateway has stopped sending messages"
 )
 SETTINGS_LOADED = Event(1006, logging.INFO, "the settings were loaded")
+STOP_SIGNALLED = Event(
+    1010, logging.INFO, "a signal asked the process to stop"
+)
 GATEWAYS_CHANGED = Event(1407, logging.INFO, "the number of gateways changed")
 UPSTREAM_FAILED = Event(1301, logging.WARNING, "an upstream failed a request")
 CONFIGURATION_IN_FORCE = Event(
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -50,6 +50,7 @@
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
 
+MAX_NAMES_LOGGED = 20
 NOT_SENT_FOR_PAUSE = answers.AttemptOutcome(
     outcomes.Result.NOT_SENT, "upstream_paused", unusable=True
 )
@@ -252,7 +253,10 @@
         self.dependencies.sharing.update_gateways(hosts)
         if self.gateways != before:
             events.log(
-                events.GATEWAYS_CHANGED, number=self.gateways, before=before
+                events.GATEWAYS_CHANGED,
+                number=self.gateways,
+                before=before,
+                others=sorted(hosts)[:MAX_NAMES_LOGGED],
             )
 
     @property
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -53,6 +53,7 @@
 MAX_TEAMS_ANNOUNCED = 20
 MIN_DEMAND = 1.0
 MAX_PLACES = 1_000
+MAX_NAMES_LOGGED = 20
 
 # Tokens used by each team in consecutive intervals, the latest first.
 Usage = dict[str, tuple[float, ...]]
@@ -116,6 +117,8 @@
         self.early_until_ms = 0
         self.teams: dict[str, model.Team] = {}
         self.restored = False
+        # Whether it was logged that allowances may be granted.
+        self.is_begin_logged = False
         self.former_uses = former_use.FormerUses(clock, tolerance.window_ms)
         self.clock = clock
         self.send = send
@@ -351,6 +354,15 @@
         now_ms = self.clock.monotonic_ms()
         for team, sums in (used or {}).items():
             self.window(team).restore(sums, now_ms, age_ms)
+        events.log(
+            events.USE_RESTORED,
+            age_ms=age_ms if used is not None else None,
+            used={
+                team: round(tokens)
+                for team, tokens in self.largest_uses(now_ms)
+            },
+            of_peers=sorted(self.peers)[:MAX_NAMES_LOGGED],
+        )
 
     def restore_peer(self, name: str, used: Usage, age_ms: int) -> None:
         """Restores another gateway's saved usage until it announces itself.
@@ -464,6 +476,7 @@
     def announce_if_due(self) -> None:
         """Sends an announcement to all peers if one is due."""
         now_ms = self.clock.monotonic_ms()
+        self.log_begin(now_ms)
         if now_ms - self.last_announced_ms >= self.announce_interval_ms():
             self.announce(now_ms)
         elif self.must_announce and self.may_announce_early(now_ms):
@@ -474,6 +487,21 @@
             else:
                 self.announce(now_ms)
 
+    def log_begin(self, now_ms: int) -> None:
+        """Logs once that allowances may be granted, and which peers spoke.
+
+        :param now_ms: the current time
+        """
+        if self.is_begin_logged or not self.is_ready():
+            return
+        self.is_begin_logged = True
+        heard = [name for name in self.hosts if self.is_alive(name, now_ms)]
+        events.log(
+            events.GRANTS_BEGIN,
+            listed=sorted(self.hosts)[:MAX_NAMES_LOGGED],
+            heard=sorted(heard)[:MAX_NAMES_LOGGED],
+        )
+
     def may_announce_early(self, now_ms: int) -> bool:
         """Returns whether an early announcement may be sent.
 
@@ -598,6 +626,7 @@
         if sharing.gateway not in self.hosts:
             self.hosts[sharing.gateway] = host
             self.places.clear()
+            events.log(events.PEER_FOUND, gateway=sharing.gateway)
         previous = self.peers.get(sharing.gateway)
         rates = {
             demand.team: max(0, demand.tokens_per_s)
--- a/godwitloft/runtime/process.py
+++ b/godwitloft/runtime/process.py
@@ -45,13 +45,19 @@
         program.stop()
         reactor.callLater(0, reactor.stop)
 
-    def on_signal(_number: int, _frame: object) -> None:
+    def on_signal(number: int, _frame: object) -> None:
+        reactor.callFromThread(heed, signal.Signals(number))
+
+    def heed(number: signal.Signals) -> None:
         nonlocal draining
+        events.log(
+            events.STOP_SIGNALLED, signal=number.name, draining=draining
+        )
         if draining:
-            reactor.callFromThread(stop)
+            stop()
             return
         draining = True
-        reactor.callFromThread(program.drain, stop)
+        program.drain(stop)
 
     def start() -> None:
         signal.signal(signal.SIGTERM, on_signal)
