A second SIGTERM doesn't cut the answers of a program that drains

Cause: runtime/process.py took the second signal of any kind for an order to stop at once. That is a terminal's habit (SIGINT twice); supervisors say SIGTERM again, and several of them may. The class: a repeated order is taken for a stronger one. Change: SIGTERM drains, however often it comes; SIGINT stops at once when it has come twice. Entries, agents, gateways and the standalone program share it. Why it works: every drain has a limit of its own, so a program ends in time without a second order.

--- a/features/lakeshore_path.feature
+++ b/features/lakeshore_path.feature
@@ -154,12 +154,19 @@
       | servers/i-bad-3 | state |
       | op/config | routes[0].kind |
 
-  Scenario: An entry that gets SIGTERM finishes its running requests
+  # Guards against a second SIGTERM that cuts every answer.
+  Scenario Outline: An entry that gets <signals> finishes its running requests
     When a stream of 60 events is under way
-    And the entry gets SIGTERM
+    And the entry gets <signals>
     Then the stream is complete
     And the entry ends with status 0
 
+    Examples:
+      | signals |
+      | SIGTERM |
+      | SIGTERM SIGTERM |
+      | SIGTERM SIGHUP SIGTERM SIGTERM |
+
   # Guards against prompts that bring down runner after runner.
   Scenario: A part of prompts that crashes runners is kept from them
     Given runners that crash on the part "bad0" of prompts
--- /dev/null
+++ b/features/process_signals.feature
@@ -0,0 +1,19 @@
+Feature: Signals that ask a program to stop
+
+  # Guards against a second SIGTERM that cuts every answer: a supervisor says
+  # it again while the program drains, or two of them say it.
+  Scenario Outline: A program that drains gets <signals>: <then>
+    Given a program that drains for a second
+    When it gets "<signals>" 200 ms apart
+    Then it has <drained> and ended with status 0
+    And it was asked to drain once
+
+    Examples:
+      | signals | then | drained |
+      | SIGTERM | drains to its end | drained |
+      | SIGTERM SIGTERM | drains to its end | drained |
+      | SIGTERM SIGTERM SIGTERM SIGTERM | drains to its end | drained |
+      | SIGTERM SIGINT | drains to its end | drained |
+      | SIGINT SIGTERM | drains to its end | drained |
+      | SIGINT SIGINT | stops at once | not drained |
+      | SIGTERM SIGINT SIGINT | stops at once | not drained |
--- a/features/steps/lakeshore_path_steps.py
+++ b/features/steps/lakeshore_path_steps.py
@@ -15,6 +15,7 @@
 from godwitloft.standins import lakeshore_words as words
 
 SERVED_ONCE = 1
+SIGNAL_GAP_S = 0.3
 
 
 def unescape(escaped):
@@ -269,9 +270,12 @@
     context.world.control(config=config)
 
 
-@when("the entry gets SIGTERM")
-def stop_entry(context):
-    context.world.entry.send_signal(signal.SIGTERM)
+@when("the entry gets {names}")
+def stop_entry(context, names):
+    for number, name in enumerate(names.split()):
+        if number:
+            time.sleep(SIGNAL_GAP_S)
+        context.world.entry.send_signal(signal.Signals[name])
 
 
 @then("its log names the rows and fields")
--- a/godwitloft/runtime/process.py
+++ b/godwitloft/runtime/process.py
@@ -4,6 +4,7 @@
 errors without a traceback.
 """
 
+import collections
 import dataclasses
 import signal
 import sys
@@ -34,12 +35,14 @@
 def run(reactor: typing.Any, program: Program) -> None:
     """Runs a daemon until it is stopped by a signal.
 
-    The first signal drains it; a second one stops it immediately.
+    The first signal drains it. SIGTERM may come again while it drains, as
+    supervisors repeat it, and changes nothing then. A second SIGINT, as typed
+    at a terminal, stops it immediately.
 
     :param reactor: the twisted reactor
     :param program: the daemon
     """
-    draining = False
+    received: collections.Counter[signal.Signals] = collections.Counter()
 
     def stop() -> None:
         program.stop()
@@ -49,15 +52,15 @@
         reactor.callFromThread(heed, signal.Signals(number))
 
     def heed(number: signal.Signals) -> None:
-        nonlocal draining
+        draining = received.total() > 0
         events.log(
             events.STOP_SIGNALLED, signal=number.name, draining=draining
         )
-        if draining:
+        received[number] += 1
+        if not draining:
+            program.drain(stop)
+        elif received[signal.SIGINT] > 1:
             stop()
-            return
-        draining = True
-        program.drain(stop)
 
     def start() -> None:
         signal.signal(signal.SIGTERM, on_signal)
