SIGTERM doesn't drain once more a program that an operator has told to drain

Cause: the program's signal handler knew of signals only. After an operator's order to drain, SIGTERM drained a second time, and stopped twice (a reactor that isn't running any more). Change: each daemon tells whether it drains, and a program is ended once (process.stopper).

--- a/features/process_signals.feature
+++ b/features/process_signals.feature
@@ -17,3 +17,10 @@
       | SIGINT SIGTERM | drains to its end | drained |
       | SIGINT SIGINT | stops at once | not drained |
       | SIGTERM SIGINT SIGINT | stops at once | not drained |
+
+  # Guards against an order to drain and a signal that each drain the program.
+  Scenario: A program that drains by an operator's order gets SIGTERM
+    Given a program that drains for a second by an order
+    When it gets "SIGTERM SIGTERM" 200 ms apart
+    Then it has drained and ended with status 0
+    And it was asked to drain once
--- a/features/support/draining_program.py
+++ b/features/support/draining_program.py
@@ -36,6 +36,9 @@
         print("draining", flush=True)
         reactor.callLater(DRAIN_S, self.end, done)
 
+    def is_draining(self):
+        return self.drains > 0
+
     def end(self, done):
         print("drained", flush=True)
         done()
@@ -45,7 +48,7 @@
 
     def leave(self):
         """Drains by an operator's order, as entries and agents do."""
-        if self.drains == 0:
+        if not self.is_draining():
             self.drain(self.on_drained)
 
 
--- a/godwitloft/agent/daemon.py
+++ b/godwitloft/agent/daemon.py
@@ -177,6 +177,10 @@
             events.log(events.LEAVING, reason=reason)
             self.drain(self.on_drained)
 
+    def is_draining(self) -> bool:
+        """Returns whether it drains, by a signal or an operator's order."""
+        return self.dispatcher.draining
+
     def drain(self, done: typing.Callable[[], None]) -> None:
         """Stops pulling requests and waits for the runs to finish.
 
--- a/godwitloft/entry/daemon.py
+++ b/godwitloft/entry/daemon.py
@@ -332,6 +332,10 @@
             events.log(events.LEAVING, reason=reason)
             self.drain(self.on_drained)
 
+    def is_draining(self) -> bool:
+        """Returns whether it drains, by a signal or an operator's order."""
+        return self.request_manager.draining
+
     def drain(self, done: typing.Callable[[], None]) -> None:
         """Refuses new requests and finishes the accepted ones.
 
--- a/godwitloft/gateway/daemon.py
+++ b/godwitloft/gateway/daemon.py
@@ -204,6 +204,10 @@
         kind = (b"content-type", METRICS_TYPE)
         exchange.respond(200, [kind], self.listen.render_metrics())
 
+    def is_draining(self) -> bool:
+        """Returns whether it drains."""
+        return self.gateway.shutdown.has_begun
+
     def drain(self, done: typing.Callable[[], None]) -> None:
         """Shuts down without interrupting answers.
 
--- a/godwitloft/platform/agent.py
+++ b/godwitloft/platform/agent.py
@@ -179,6 +179,10 @@
         """
         self.call_later(self.next_report_ms, self.request_report)
 
+    def is_draining(self) -> bool:
+        """Returns whether it drains: never, since it ends at once."""
+        return False
+
     def drain(self, done: typing.Callable[[], None]) -> None:
         """Ends at once, since gateways also work without an agent.
 
--- a/godwitloft/runtime/process.py
+++ b/godwitloft/runtime/process.py
@@ -24,14 +24,38 @@
     :param start: starts the daemon
     :param drain: stops accepting work, and calls its argument once all work
         is finished or the drain limit has passed
-    :param stop: closes everything immediately
+    :param is_draining: returns whether it drains, for whatever reason
+    :param stop: ends the program immediately, see :func:`stopper`
     """
 
     start: typing.Callable[[], object]
     drain: typing.Callable[[typing.Callable[[], None]], None]
+    is_draining: typing.Callable[[], bool]
     stop: typing.Callable[[], None]
 
 
+def stopper(
+    reactor: typing.Any, close: typing.Callable[[], None]
+) -> typing.Callable[[], None]:
+    """Returns a function that ends a program, and does so once only.
+
+    :param reactor: the twisted reactor
+    :param close: closes all that the program holds
+    :return: closes it and stops the reactor
+    """
+    stopped = False
+
+    def stop() -> None:
+        nonlocal stopped
+        if stopped:
+            return
+        stopped = True
+        close()
+        reactor.callLater(0, reactor.stop)
+
+    return stop
+
+
 def run(reactor: typing.Any, program: Program) -> None:
     """Runs a daemon until it is stopped by a signal.
 
@@ -44,23 +68,19 @@
     """
     received: collections.Counter[signal.Signals] = collections.Counter()
 
-    def stop() -> None:
-        program.stop()
-        reactor.callLater(0, reactor.stop)
-
     def on_signal(number: int, _frame: object) -> None:
         reactor.callFromThread(heed, signal.Signals(number))
 
     def heed(number: signal.Signals) -> None:
-        draining = received.total() > 0
+        draining = program.is_draining()
         events.log(
             events.STOP_SIGNALLED, signal=number.name, draining=draining
         )
         received[number] += 1
         if not draining:
-            program.drain(stop)
+            program.drain(program.stop)
         elif received[signal.SIGINT] > 1:
-            stop()
+            program.stop()
 
     def start() -> None:
         signal.signal(signal.SIGTERM, on_signal)
@@ -82,6 +102,9 @@
     def drain(self, done: typing.Callable[[], None]) -> None:
         """Stops accepting work and calls ``done`` once it may stop."""
 
+    def is_draining(self) -> bool:
+        """Returns whether it drains, by a signal or an operator's order."""
+
     def stop(self) -> None:
         """Closes everything immediately."""
 
@@ -93,14 +116,16 @@
     :param daemon: an entry or an agent
     """
 
-    def end() -> None:
-        daemon.stop()
-        reactor.callLater(0, reactor.stop)
-
-    daemon.on_drained = end
+    stop = stopper(reactor, daemon.stop)
+    daemon.on_drained = stop
     run(
         reactor,
-        Program(start=daemon.start, drain=daemon.drain, stop=daemon.stop),
+        Program(
+            start=daemon.start,
+            drain=daemon.drain,
+            is_draining=daemon.is_draining,
+            stop=stop,
+        ),
     )
 
 
--- a/godwitloft/standalone.py
+++ b/godwitloft/standalone.py
@@ -199,6 +199,10 @@
             pool=self.settings.pool,
         )
 
+    def is_draining(self) -> bool:
+        """Returns whether it drains."""
+        return self.entry is not None and self.entry.is_draining()
+
     def drain(self, done: typing.Callable[[], None]) -> None:
         """Refuses new requests and finishes the accepted ones.
 
@@ -302,7 +306,10 @@
         process.run(
             reactor,
             process.Program(
-                start=start, drain=standalone.drain, stop=standalone.stop
+                start=start,
+                drain=standalone.drain,
+                is_draining=standalone.is_draining,
+                stop=process.stopper(reactor, standalone.stop),
             ),
         )
 
