A signal in the last moments of a program doesn't change its status

Cause: the interpreter sets its handlers back before it has ended. A SIGTERM that comes after that ends the process. Also while it exits for a SIGTERM that came during its start. Change: once the reactor has ended, and once such an exit has begun, the signals are ignored, which the interpreter leaves as it is.

--- a/deploy/start.py
+++ b/deploy/start.py
@@ -8,11 +8,13 @@
 def exit_on_signal(_number: int, _frame: typing.Any) -> None:
     """Exits on SIGTERM before the program has loaded.
 
-    There is no work to finish at that time.
+    There is no work to finish at that time. A second SIGTERM must not end the
+    interpreter while it exits, with a status that tells of a failure.
 
     :param _number: signal number
     :param _frame: interrupted stack frame
     """
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
     sys.exit(0)
 
 
--- a/features/process_signals.feature
+++ b/features/process_signals.feature
@@ -24,3 +24,17 @@
     When it gets "SIGTERM SIGTERM" 200 ms apart
     Then it has drained and ended with status 0
     And it was asked to drain once
+
+  # Guards against a signal that ends the interpreter in its last moments, when
+  # its handlers are gone: the status tells of a failure.
+  Scenario Outline: A program that has drained gets <signal> as its interpreter ends
+    Given a program that drains for a second
+    When it gets "SIGTERM" 200 ms apart
+    And it gets <signal> as its interpreter ends
+    Then it has drained and ended with status 0
+
+    Examples:
+      | signal |
+      | SIGTERM |
+      | SIGINT |
+      | SIGHUP |
--- a/godwitloft/runtime/process.py
+++ b/godwitloft/runtime/process.py
@@ -89,6 +89,17 @@
 
     reactor.callWhenRunning(start)
     reactor.run(installSignalHandlers=False)
+    ignore_signals()
+
+
+def ignore_signals() -> None:
+    """Ignores further signals, as the process ends anyway.
+
+    The interpreter removes its handlers before it has ended, and then a
+    signal would end the process with a status that tells of a failure.
+    """
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
 
 
 class Daemon(typing.Protocol):
