Gateways that start at the same moment know each other before they grant

Cause: a gateway read the list of gateways before it had written its own row, and again at its third renewal only. Two that started within the time of a call didn't see each other, and one without others is ready at once and counts the whole limit as its own. The class: who hears nothing takes itself for alone. Change: at its start a gateway reads what was saved, writes its row, and then reads the others; it joins them only after that (Sharing.join). A rewrite after a restore of the store has the same order. Why it works: of any two, the one that wrote later reads the other's row, however long the calls take, and tells it by datagram. One without others still doesn't wait: it makes one call more.

--- /dev/null
+++ b/features/allowances_after_starts.feature
@@ -0,0 +1,47 @@
+Feature: Allowances hold while gateways start and end
+
+  # Guards against gateways that start at the same moment and each take
+  # themselves for alone, and against ones that start again and tell less than
+  # their peers knew. The team may use 1000 tokens a second, with a tolerance of
+  # 10% and 1000 tokens: 9,800 in any 8 s. It asks for 8 times its rate.
+  Scenario Outline: <count> gateways start <gap> ms apart, calls take <call> ms, seed <seed>
+    Given <count> gateways that start <gap> ms apart, seed <seed>, while calls to the store take <call> ms
+    When all are ready and the team asks from <wait> ms later on for 10 s
+    Then at most 9800 tokens were granted in any 8 s
+    And at least <least> of the team's rate was granted
+
+    Examples:
+      | count | gap | call | wait | seed | least |
+      | 1 | 0 | 4 | 0 | 1 | 1.0 |
+      | 2 | 0 | 4 | 0 | 1 | 0.95 |
+      | 4 | 0 | 4 | 0 | 1 | 0.95 |
+      | 4 | 10 | 4 | 0 | 1 | 0.95 |
+      | 4 | 10 | 4 | 4000 | 2 | 0.95 |
+      | 4 | 100 | 400 | 0 | 3 | 0.95 |
+      | 4 | 300 | 400 | 0 | 3 | 0.95 |
+      | 4 | 1000 | 4 | 0 | 4 | 0.95 |
+      | 12 | 0 | 4 | 0 | 5 | 0.8 |
+      | 12 | 10 | 400 | 0 | 6 | 0.8 |
+      | 12 | 50 | 4 | 4000 | 7 | 0.8 |
+
+  Scenario: A gateway without others doesn't wait for any
+    Given 1 gateways that start 0 ms apart, seed 1, while calls to the store take 4 ms
+    Then it is ready within 300 ms
+
+  Scenario Outline: 1 gateway is granting as 3 others start: seed <seed>
+    Given 1 gateways that start 0 ms apart, seed <seed>, while calls to the store take 4 ms
+    When all are ready and the team asks from 0 ms later on for <alone> s
+    And 3 more start at once and the team asks for 10 s
+    Then at most 9800 tokens were granted in any 8 s
+    And at least 0.9 of the team's rate was granted
+
+    Examples:
+      | seed | alone |
+      | 1 | 0.2 |
+      | 2 | 1 |
+      | 3 | 6 |
+
+  # The same with the programs themselves and a stand-in store.
+  Scenario: 4 real gateways start at once before a team that asks for too much
+    When 4 real gateways are started at once and a team asks for 9 s
+    Then its limit was kept, and half of it was granted
--- /dev/null
+++ b/features/steps/allowances_after_starts_steps.py
@@ -0,0 +1,155 @@
+import json
+import pathlib
+import subprocess
+import sys
+
+from behave import given
+from behave import step
+from behave import then
+from behave import when
+
+from features.steps import gateway_limits_steps
+from features.support import allowance_fleet
+
+ROOT = pathlib.Path(__file__).parents[2]
+PROGRAM_S = 90
+AFTER_OUTAGE_MS = 200
+
+
+@given(
+    "{count:d} gateways that start {gap_ms:d} ms apart, seed {seed:d}, while"
+    " calls to the store take {call_ms:d} ms"
+)
+def fleet(context, count, gap_ms, seed, call_ms):
+    context.fleet = fleet = allowance_fleet.AllowanceFleet(context, seed)
+    fleet.call_ms = call_ms
+    context.count = count
+    fleet.start(0)
+    for number in range(1, count):
+        fleet.start_later(number, number * gap_ms)
+
+
+@when(
+    "all are ready and the team asks from {wait_ms:d} ms later on for"
+    " {asked_s:g} s"
+)
+def ask_when_ready(context, wait_ms, asked_s):
+    fleet = context.fleet
+    # The load begins with the last one that is ready, not with the first.
+    fleet.wait_until_ready(context.count)
+    fleet.advance(wait_ms)
+    context.since_ms = fleet.now_ms()
+    fleet.load = 8.0
+    fleet.advance(int(asked_s * 1000))
+
+
+@then("it is ready within {limit_ms:d} ms")
+def check_ready(context, limit_ms):
+    context.fleet.advance(limit_ms)
+    assert len(context.fleet.ready()) == context.count
+
+
+@when("{count:d} more start at once and the team asks for {asked_s:d} s")
+def start_more(context, count, asked_s):
+    fleet = context.fleet
+    for number in range(context.count, context.count + count):
+        fleet.start(number)
+    context.count += count
+    fleet.advance(asked_s * 1000)
+    assert len(fleet.ready()) == context.count
+
+
+@step("the team asks for {asked_s:d} s")
+def ask(context, asked_s):
+    fleet = context.fleet
+    fleet.wait_until_ready(context.count)
+    context.returned_ms = fleet.now_ms()
+    fleet.advance(asked_s * 1000)
+
+
+@step("each is killed in turn every {gap_ms:d} ms, {times:d} times")
+def kill_in_turn(context, gap_ms, times):
+    fleet = context.fleet
+    for _ in range(times):
+        for number in range(context.count):
+            fleet.kill_and_restart(number)
+            fleet.advance(gap_ms)
+
+
+@step(
+    "the store is away for {away_ms:d} ms and each is killed in turn every"
+    " {gap_ms:d} ms, {times:d} times"
+)
+def kill_after_outage(context, away_ms, gap_ms, times):
+    fleet = context.fleet
+    fleet.take_away(away_ms)
+    fleet.advance(away_ms + AFTER_OUTAGE_MS)
+    kill_in_turn(context, gap_ms, times)
+
+
+@step("all are killed and back after {dark_ms:d} ms")
+def kill_all(context, dark_ms):
+    fleet = context.fleet
+    for number in range(context.count):
+        fleet.kill(number)
+        fleet.start_later(number, dark_ms)
+    fleet.advance(dark_ms)
+
+
+@step("one is killed for good")
+def kill_one(context):
+    context.fleet.kill(0)
+    context.count -= 1
+
+
+@then("at most {limit:d} tokens were granted in any 8 s")
+def check_most(context, limit):
+    most = gateway_limits_steps.most_in_window(
+        context.fleet.granted, allowance_fleet.WINDOW_MS
+    )
+    assert most <= limit, most
+
+
+def check_share(context, since_ms, least):
+    granted = context.fleet.granted_since(since_ms, allowance_fleet.WINDOW_MS)
+    allowed = allowance_fleet.TEAM.tokens_per_s * 8
+    assert granted >= least * allowed, granted / allowed
+
+
+@then("at least {least:g} of the team's rate was granted")
+def check_least(context, least):
+    check_share(context, context.since_ms, least)
+
+
+@then(
+    "at least {least:g} of the team's rate was granted in the 8 s from then on"
+)
+def check_least_after(context, least):
+    check_share(context, context.returned_ms, least)
+
+
+@when(
+    "{count:d} real gateways are started at once and a team asks for"
+    " {asked_s:d} s"
+)
+def start_real(context, count, asked_s):
+    output = subprocess.check_output(
+        [
+            sys.executable,
+            "-m",
+            "features.support.start_rush",
+            "--gateways",
+            str(count),
+            "--seconds",
+            str(asked_s),
+        ],
+        cwd=ROOT,
+        timeout=PROGRAM_S,
+    )
+    context.rush = json.loads(output)
+
+
+@then("its limit was kept, and half of it was granted")
+def check_real(context):
+    rush = context.rush
+    assert rush["limit"] / 2 <= rush["most"] <= rush["limit"], rush
--- a/features/steps/gateway_limits_steps.py
+++ b/features/steps/gateway_limits_steps.py
@@ -50,11 +50,14 @@
         self.allowed = []
         self.asked = 0.0
         for name in self.names:
-            self.start(name)
+            self.make(name).restore({}, 0)
+        # They have known each other for long.
         for member in self.members.values():
-            member.restore({}, 0)
+            member.join()
+        for name in self.names:
+            self.connect(name)
 
-    def start(self, name):
+    def make(self, name):
         def send(data, where):
             self.sent_bytes += len(data)
             self.sent_datagrams += 1
@@ -64,16 +67,20 @@
                 )
 
         member = sharing.Sharing(self.clock, send, name, 1, self.tolerance)
-        member.update_gateways(
-            {peer: peer for peer in self.names if peer != name}
-        )
         self.members[name] = member
         return member
 
+    def connect(self, name):
+        self.members[name].update_gateways(
+            {peer: peer for peer in self.names if peer != name}
+        )
+
     def restart(self, name):
         used, at_ms = self.rows[name]
         age_ms = self.clock.monotonic_ms() - at_ms
-        self.start(name).restore(used, age_ms)
+        self.make(name).restore(used, age_ms)
+        self.connect(name)
+        self.members[name].join()
 
     def restart_large(self, name):
         """Restarts a gateway from the rows, as the adapter does."""
--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -382,6 +382,7 @@
     for name in ("g0", "g1"):
         shares[name] = make(name)
         shares[name].restore({}, 0)
+        shares[name].join()
     for name, other in (("g0", "g1"), ("g1", "g0")):
         shares[name].update_gateways({other: f"host-{other}"})
     return world, shares, make
@@ -420,6 +421,7 @@
     shares["g0"] = make("g0")
     shares["g0"].restore(None, 0)
     shares["g0"].update_gateways({"g1": "host-g1"})
+    shares["g0"].join()
     pass_time(world, shares, 500)
 
 
@@ -437,6 +439,7 @@
     if peers != "no peers":
         share.update_gateways({"g1": PEER})
     share.restore({}, 0)
+    share.join()
     if peers.startswith("a peer that speaks"):
         sharing = sharings.ttypes.Sharing(
             gateway="g1", demands=[], crashing=[]
@@ -475,6 +478,7 @@
     shares["g2"] = make("g2")
     shares["g2"].update_gateways({"g0": "host-g0", "g1": "host-g1"})
     shares["g2"].restore(None, 0)
+    shares["g2"].join()
 
 
 @then("it grants at least a third of an allowance after {wait_ms:d} ms")
--- a/features/support/following_gateways.py
+++ b/features/support/following_gateways.py
@@ -44,6 +44,13 @@
         member.world.sharing.send = send
         member.gateway.confirmation.send = send
 
+    def kill_host(self, host):
+        """Kills a gateway: nothing of it goes on."""
+        member = self.members.pop(host)
+        member.watch.stop()
+        member.client.cut = True
+        self.parted.add(host)
+
     def deliver(self, sender, data, host):
         if sender in self.parted or host in self.parted:
             return
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -178,6 +178,7 @@
         upstreams=("desk", "desk", "model", "model"),
         reactor=None,
         instance="g0",
+        is_new=False,
     ):
         if reactor is None:
             reactor = task.Clock()
@@ -195,7 +196,9 @@
         self.sharing = sharing.Sharing(
             self.clock, self.send_datagram, instance, 1, TOLERANCE
         )
-        self.sharing.restore({}, 0)
+        if not is_new:
+            self.sharing.restore({}, 0)
+            self.sharing.join()
         self.gateway = gateways.Gateway(
             options.Options(
                 instance=instance,
@@ -238,13 +241,15 @@
             self.clock,
             self.gateway.options.max_held_bytes,
         )
-        self.gateway.config_state.configure(configuration())
+        if not is_new:
+            self.gateway.config_state.configure(configuration())
         self.upstreams = {
             f"u{number}": upstream(f"u{number}", service)
             for number, service in enumerate(upstreams)
         }
-        self.gateway.update_upstreams(self.upstreams)
-        self.confirm()
+        if not is_new:
+            self.gateway.update_upstreams(self.upstreams)
+            self.confirm()
 
     def confirm(self):
         self.gateway.config_state.confirm(self.clock.monotonic_ms())
--- a/features/support/restored_store.py
+++ b/features/support/restored_store.py
@@ -43,7 +43,8 @@
         self.polls_pass = False
         # Answers to a process that stands still, None while it runs.
         self.unread = None
-        # How long writes take, and whether they fail.
+        # How long reads and writes take, and whether writes fail.
+        self.read_ms = 0
         self.write_ms = 0
         self.writes_fail = False
         self.waiting = []
@@ -52,8 +53,11 @@
         is_write = target.startswith("/rows-tx")
         if is_write and self.writes_fail:
             return defer.fail(stores.StoreError(target, 503, "failed"))
+        is_read = target.startswith("/rows-get")
         if is_write and self.write_ms:
-            return self.write_later(target, body, timeout_ms)
+            return self.call_later(target, body, self.write_ms, timeout_ms)
+        if is_read and self.read_ms:
+            return self.call_later(target, body, self.read_ms, timeout_ms)
         answer = self.call_now(target, body)
         if self.unread is None:
             return answer
@@ -61,17 +65,17 @@
         self.unread.append((answer, late))
         return late
 
-    def write_later(self, target, body, timeout_ms):
-        """Writes after a while, or never if the caller gives up before."""
+    def call_later(self, target, body, delay_ms, timeout_ms):
+        """Calls after a while, or never if the caller gives up before."""
         late = defer.Deferred()
 
         def end():
-            if self.write_ms > timeout_ms:
+            if delay_ms > timeout_ms:
                 late.errback(stores.StoreError(target, 0, "timeout"))
             else:
                 self.call_now(target, body).chainDeferred(late)
 
-        self.reactor.callLater(min(self.write_ms, timeout_ms) / 1000, end)
+        self.reactor.callLater(min(delay_ms, timeout_ms) / 1000, end)
         return late
 
     def wake(self):
@@ -146,12 +150,20 @@
     reactor, and does not drive them.
     """
 
-    def __init__(self, context, rows=None, instance="g0", host="127.0.0.1"):
+    def __init__(
+        self,
+        context,
+        rows=None,
+        instance="g0",
+        host="127.0.0.1",
+        is_new=False,
+    ):
         self.log = logs.record(context)
         self.world = gateway_world.World(
             upstreams=(),
             reactor=rows.reactor if rows else None,
             instance=instance,
+            is_new=is_new,
         )
         self.gateway = self.world.gateway
         self.reactor = self.world.reactor
@@ -179,6 +191,7 @@
                 on_gateways=self.gateway.update_gateways,
                 on_usage_restored=sharing.restore,
                 on_peer_usage_restored=sharing.restore_peer,
+                on_registered=sharing.join,
                 on_blames_restored=self.gateway.knowledge.restore_blames,
                 on_versions_restored=self.gateway.versions.restore,
                 usage=sharing.usage,
--- a/features/support/stream_fleet.py
+++ b/features/support/stream_fleet.py
@@ -216,12 +216,7 @@
         self.members[host].client.wake()
 
     def kill(self, number):
-        """Kills a gateway: nothing of it goes on."""
-        host = self.hosts[number - 1]
-        member = self.members.pop(host)
-        member.watch.stop()
-        member.client.cut = True
-        self.parted.add(host)
+        self.kill_host(self.hosts[number - 1])
 
     def restart(self, number):
         host = self.hosts[number - 1]
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -117,6 +117,7 @@
         self.early_until_ms = 0
         self.teams: dict[str, model.Team] = {}
         self.restored = False
+        self.is_use_lost = False
         # Whether it was logged that allowances may be granted.
         self.is_begin_logged = False
         self.former_uses = former_use.FormerUses(clock, tolerance.window_ms)
@@ -346,9 +347,7 @@
             this instance is new, or a restore of the store has cut it back
         :param age_ms: how long ago it was saved
         """
-        self.restored = True
-        self.must_announce = True
-        self.former_uses.start_listening(own_is_lost=used is None)
+        self.is_use_lost = used is None
         if used is None:
             events.log(events.USE_LOST, peers=len(self.hosts))
         now_ms = self.clock.monotonic_ms()
@@ -364,6 +363,15 @@
             of_peers=sorted(self.peers)[:MAX_NAMES_LOGGED],
         )
 
+    def join(self) -> None:
+        """Joins the other gateways, once each is known here or knows this one.
+
+        Called once, when the usage is restored.
+        """
+        self.restored = True
+        self.must_announce = True
+        self.former_uses.start_listening(self.is_use_lost)
+
     def restore_peer(self, name: str, used: Usage, age_ms: int) -> None:
         """Restores another gateway's saved usage until it announces itself.
 
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -168,6 +168,7 @@
             on_gateways=gateway.update_gateways,
             on_usage_restored=sharing.restore,
             on_peer_usage_restored=sharing.restore_peer,
+            on_registered=sharing.join,
             on_blames_restored=gateway.knowledge.restore_blames,
             on_versions_restored=gateway.versions.restore,
             usage=sharing.usage,
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -69,6 +69,8 @@
         and its age in milliseconds
     :param on_peer_usage_restored: called at the start with the name of
         another gateway, its saved usage and the age in milliseconds
+    :param on_registered: called once, when this gateway's row is written and
+        the others' were read after that
     :param on_blames_restored: called at the start with what a gateway had
         saved of blames for crashes, and the age in milliseconds
     :param on_versions_restored: called at the start with the software
@@ -95,6 +97,7 @@
     on_gateways: typing.Callable[[dict[str, str]], None]
     on_usage_restored: typing.Callable[[sharing.Usage | None, int], None]
     on_peer_usage_restored: typing.Callable[[str, sharing.Usage, int], None]
+    on_registered: typing.Callable[[], None]
     on_blames_restored: typing.Callable[
         [tuple[crash_reports.BlameReport, ...], int], None
     ]
@@ -194,6 +197,7 @@
         self.has_configuration = False
         self.stopped = False
         self.usage_restored = False
+        self.registered = False
         self.renewed_ms = 0
         self.renewals = 0
         # When to write this gateway's row after a restore, None if it was.
@@ -492,25 +496,28 @@
         if self.rewrite_ms is not None and now_ms >= self.rewrite_ms:
             return True
         elapsed_ms = now_ms - self.renewed_ms
-        return not self.usage_restored or elapsed_ms >= interval_ms
+        return not self.registered or elapsed_ms >= interval_ms
 
     @defer.inlineCallbacks
     def renew(self) -> typing.Generator[typing.Any, typing.Any, int]:
         """Renews this gateway's lease and at times reads the others'.
 
+        The others' rows are read after this gateway's own was written: of two
+        gateways that start at the same moment, at least one then knows the
+        other, whatever the calls take, and tells it.
+
         A gateway that can't reach the store can't renew its lease. By the time
         the lease expires, its proof that keys are valid has expired too.
 
         :return: the delay before the next check, in milliseconds
         """
-        rewriting = self.rewrite_ms is not None
-        if rewriting or self.renewals % RENEWALS_PER_READ == 0:
+        if not self.usage_restored:
             result = yield self.store.read(GATEWAY_TABLE)
-            self.store_clock_offset_ms = (
-                result.now_ms - self.clock.monotonic_ms()
-            )
-            self.apply_gateways(result)
+            self.set_store_clock(result.now_ms)
+            self.restore_saved(result)
+        rewriting = self.rewrite_ms is not None
         timeline = self.store.timeline.current
+        reads = rewriting or self.renewals % RENEWALS_PER_READ == 0
         yield self.renew_lease()
         if rewriting and timeline == self.store.timeline.current:
             self.rewrite_ms = None
@@ -520,38 +527,66 @@
                 table=GATEWAY_TABLE,
                 rewritten=[self.instance],
             )
+        if reads or not self.registered:
+            result = yield self.store.read(GATEWAY_TABLE)
+            self.set_store_clock(result.now_ms)
+            self.apply_gateways(result)
         return CHECK_INTERVAL_MS
 
-    def apply_gateways(self, result: stores.ReadResult) -> None:
-        """Passes on the holders of leases and, once, the saved usage.
+    def set_store_clock(self, now_ms: int) -> None:
+        """Takes the store's time from an answer.
+
+        :param now_ms: the time of the answer on the store's clock
+        """
+        self.store_clock_offset_ms = now_ms - self.clock.monotonic_ms()
+
+    def decode_leases(
+        self, result: stores.ReadResult
+    ) -> typing.Iterator[tuple[str, lease_row.LeaseRow, int]]:
+        """Decodes the rows of gateways.
 
         :param result: the rows of all gateways
+        :return: instance, content and age in milliseconds of each valid row
         """
-        others = {}
-        own = None
         for row in result.rows:
             holder = self.decode_row(GATEWAY_TABLE, row, lease_row.decode)
-            if holder is None:
-                continue
-            age_ms = max(0, result.now_ms - holder.renewed_ms)
-            if not self.usage_restored:
-                self.callbacks.on_blames_restored(holder.blames, age_ms)
-                self.callbacks.on_versions_restored(holder.versions, age_ms)
-                if row.key != self.instance:
-                    self.callbacks.on_peer_usage_restored(
-                        row.key, holder.usage, age_ms
-                    )
-            if row.key == self.instance:
-                own = holder
-            elif age_ms < GATEWAY_LEASE_MS:
-                others[row.key] = holder.host
-        self.callbacks.on_gateways(others)
-        if not self.usage_restored:
-            self.usage_restored = True
-            age_ms = result.now_ms - own.renewed_ms if own is not None else 0
-            self.callbacks.on_usage_restored(
-                own.usage if own else None, max(0, age_ms)
-            )
+            if holder is not None:
+                age_ms = max(0, result.now_ms - holder.renewed_ms)
+                yield row.key, holder, age_ms
+
+    def restore_saved(self, result: stores.ReadResult) -> None:
+        """Passes on, once, what gateways had saved before this start.
+
+        :param result: the rows of all gateways
+        """
+        own: tuple[sharing.Usage | None, int] = None, 0
+        for instance, holder, age_ms in self.decode_leases(result):
+            self.callbacks.on_blames_restored(holder.blames, age_ms)
+            self.callbacks.on_versions_restored(holder.versions, age_ms)
+            if instance == self.instance:
+                own = holder.usage, age_ms
+            else:
+                self.callbacks.on_peer_usage_restored(
+                    instance, holder.usage, age_ms
+                )
+        self.callbacks.on_usage_restored(*own)
+        self.usage_restored = True
+
+    def apply_gateways(self, result: stores.ReadResult) -> None:
+        """Passes on the other holders of leases.
+
+        :param result: the rows of all gateways, read after the own was written
+        """
+        self.callbacks.on_gateways(
+            {
+                instance: holder.host
+                for instance, holder, age_ms in self.decode_leases(result)
+                if instance != self.instance and age_ms < GATEWAY_LEASE_MS
+            }
+        )
+        if not self.registered:
+            self.registered = True
+            self.callbacks.on_registered()
 
     @defer.inlineCallbacks
     def renew_lease(self) -> typing.Generator[typing.Any, typing.Any, None]:
