A gateway that starts again counts what its peers knew that it had used

Cause: use after the last save was guessed from the last saved second, for as long as the row was old, dead or alive. Peers knew better from announcements, but took the new, lower figure in their place, and forgot restored rows before their use had left the window. The class: a process takes its memory for complete, and others believe it more than their own. Change: a gateway that starts says so, and grants nothing until each peer has answered or had 0.7 s. The answer tells what it had committed, and what others that are gone or starting had; peers count the larger figure meanwhile. Where no peer knew it, the use after the last save is estimated: as much as in the busiest saved time of that length, no more than all saved rows leave of the limit, for 2 s at the most (5.5 s for what needn't be saved soon), and not as used now. What was learned is saved at once. Saved rows of peers age with time. Why it works: what a killed process had used is known to any peer that lives, within what it may use unannounced; an answer is about the process before, as it is asked for by the one that starts. The step 'a peer that speaks' of store_restored.feature is 'answers' now, as a datagram that was sent before the question is no answer; a row that speaks and doesn't answer is new.

--- a/features/allowances_after_starts.feature
+++ b/features/allowances_after_starts.feature
@@ -41,6 +41,56 @@
       | 2 | 1 |
       | 3 | 6 |
 
+  Scenario Outline: <count> gateways are busy: <event>, seed <seed>
+    Given <count> gateways that start 1000 ms apart, seed <seed>, while calls to the store take 4 ms
+    When all are ready and the team asks from 1000 ms later on for 9 s
+    And <event>
+    And the team asks for 10 s
+    Then at most 9800 tokens were granted in any 8 s
+    And at least <least> of the team's rate was granted in the 8 s from then on
+
+    Examples:
+      | count | event | seed | least |
+      | 4 | each is killed in turn every 1500 ms, 3 times | 1 | 0.8 |
+      | 4 | each is killed in turn every 1500 ms, 3 times | 2 | 0.8 |
+      | 4 | each is killed in turn every 1500 ms, 3 times | 3 | 0.8 |
+      | 4 | each is killed in turn every 500 ms, 4 times | 1 | 0.8 |
+      | 4 | each is killed in turn every 500 ms, 4 times | 2 | 0.8 |
+      | 12 | each is killed in turn every 500 ms, 4 times | 3 | 0.6 |
+      | 4 | the store is away for 2000 ms and each is killed in turn every 500 ms, 2 times | 1 | 0.8 |
+      | 4 | the store is away for 2000 ms and each is killed in turn every 500 ms, 2 times | 2 | 0.8 |
+      | 4 | the store is away for 2000 ms and each is killed in turn every 500 ms, 2 times | 3 | 0.8 |
+      | 12 | the store is away for 2000 ms and each is killed in turn every 500 ms, 2 times | 4 | 0.6 |
+      | 4 | all are killed and back after 500 ms | 1 | 0.25 |
+      | 4 | all are killed and back after 500 ms | 2 | 0.25 |
+      | 12 | all are killed and back after 500 ms | 3 | 0.25 |
+      | 4 | all are killed and back after 9000 ms | 1 | 0.95 |
+      | 4 | all are killed and back after 9000 ms | 2 | 0.95 |
+      | 4 | all are killed and back after 60000 ms | 1 | 0.95 |
+      | 1 | all are killed and back after 500 ms | 1 | 0.25 |
+      | 1 | all are killed and back after 9000 ms | 2 | 0.95 |
+      | 1 | all are killed and back after 600000 ms | 3 | 1.0 |
+      | 4 | one is killed for good | 1 | 0.7 |
+
+  # Guards against refusals below the limit: time in which gateways were dead
+  # counted as usage.
+  Scenario Outline: <count> gateways of a team that asks for half its rate: <event>, seed <seed>
+    Given <count> gateways that start 1000 ms apart, seed <seed>, while calls to the store take 4 ms
+    When the team asks for 0.5 times its rate
+    And all are ready and the team asks from 1000 ms later on for 9 s
+    And <event>
+    And the team asks for 10 s
+    Then at least 0.47 of the team's rate was granted in the 8 s from then on
+
+    Examples:
+      | count | event | seed |
+      | 1 | all are killed and back after 500 ms | 1 |
+      | 4 | all are killed and back after 500 ms | 1 |
+      | 4 | all are killed and back after 2000 ms | 2 |
+      | 4 | all are killed and back after 9000 ms | 2 |
+      | 4 | each is killed in turn every 500 ms, 4 times | 1 |
+      | 12 | each is killed in turn every 500 ms, 4 times | 1 |
+
   # The same with the programs themselves and a stand-in store.
   Scenario: 4 real gateways start at once before a team that asks for too much
     When 4 real gateways are started at once and a team asks for 9 s
--- a/features/steps/allowances_after_starts_steps.py
+++ b/features/steps/allowances_after_starts_steps.py
@@ -23,13 +23,19 @@
 def fleet(context, count, gap_ms, seed, call_ms):
     context.fleet = fleet = allowance_fleet.AllowanceFleet(context, seed)
     fleet.call_ms = call_ms
+    context.load = 8.0
     context.count = count
     fleet.start(0)
     for number in range(1, count):
         fleet.start_later(number, number * gap_ms)
 
 
-@when(
+@when("the team asks for {load:g} times its rate")
+def set_load(context, load):
+    context.load = load
+
+
+@step(
     "all are ready and the team asks from {wait_ms:d} ms later on for"
     " {asked_s:g} s"
 )
@@ -39,7 +45,7 @@
     fleet.wait_until_ready(context.count)
     fleet.advance(wait_ms)
     context.since_ms = fleet.now_ms()
-    fleet.load = 8.0
+    fleet.load = context.load
     fleet.advance(int(asked_s * 1000))
 
 
--- a/features/steps/gateway_limits_steps.py
+++ b/features/steps/gateway_limits_steps.py
@@ -88,10 +88,14 @@
         for peer, member in self.members.items():
             if peer != name:
                 self.rows[peer] = (member.usage(), now_ms)
-        self.restart(name)
+        member = self.make(name)
         for peer, (used, at_ms) in self.rows.items():
             if peer != name:
-                self.members[name].restore_peer(peer, used, now_ms - at_ms)
+                member.restore_peer(peer, used, now_ms - at_ms)
+        used, at_ms = self.rows[name]
+        member.restore(used, now_ms - at_ms)
+        self.connect(name)
+        member.join()
 
     def deliver(self, data, where, sender):
         datagram = datagrams.decode(data)
--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -440,9 +440,12 @@
         share.update_gateways({"g1": PEER})
     share.restore({}, 0)
     share.join()
-    if peers.startswith("a peer that speaks"):
+    if peers.startswith("a peer that"):
         sharing = sharings.ttypes.Sharing(
-            gateway="g1", demands=[], crashing=[]
+            gateway="g1",
+            demands=[],
+            crashing=[],
+            answers=peers.startswith("a peer that answers"),
         )
         world.reactor.callLater(0.18, share.on_announcement, sharing, PEER)
 
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -207,7 +207,8 @@
     Examples:
       | peers | wait |
       | no peers | 0 |
-      | a peer that speaks after 180 ms | 200 |
+      | a peer that answers after 180 ms | 200 |
+      | a peer that speaks after 180 ms and doesn't answer | 700 |
       | a silent peer | 700 |
 
   # Guards against a gateway that starts after a restore of the store, which it
--- a/features/support/allowance_fleet.py
+++ b/features/support/allowance_fleet.py
@@ -60,6 +60,8 @@
         self.kill_host(f"127.0.0.{number + 1}")
 
     def kill_and_restart(self, number):
+        if f"127.0.0.{number + 1}" not in self.members:
+            return
         self.kill(number)
         self.start_later(number, self.rng.randint(*BACK_MS))
 
--- a/features/support/restored_store.py
+++ b/features/support/restored_store.py
@@ -198,6 +198,7 @@
                 blames=self.gateway.knowledge.blame_reports,
                 versions=self.gateway.versions.to_save,
                 needs_saving=self.gateway.knowledge.needs_saving,
+                must_save=lambda: sharing.must_save,
                 before_save=self.gateway.knowledge.mark_saved,
                 on_saved=self.gateway.versions.record_saved,
                 on_restored=self.gateway.on_store_restored,
--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -91,6 +91,9 @@
 GRANTS_BEGIN = Event(
     1414, logging.INFO, "a gateway may grant allowances from now on"
 )
+PEER_RESTARTED = Event(
+    1415, logging.INFO, "a peer has started again and asks what it had used"
+)
 PEER_FOUND = Event(
     1416, logging.INFO, "a gateway that was not listed has announced itself"
 )
--- a/godwitloft/gateway/allowance.py
+++ b/godwitloft/gateway/allowance.py
@@ -23,6 +23,11 @@
     share: float
     tokens: float
 
+    @property
+    def counted_ms(self) -> int:
+        """How long a use counts."""
+        return self.window_ms + WINDOW_MARGIN_MS
+
 
 # Part of the absolute tolerance that is used. The rest covers usage that
 # gateways haven't announced to each other yet.
@@ -33,6 +38,10 @@
 MS_PER_S = 1000
 # Resolution of saved usage.
 AGE_STEP_MS = 1_000
+# Usage is saved at least this often while much of it is unsaved, and at least
+# this often otherwise. A process that was killed has lived no longer since.
+MAX_MUCH_UNSAVED_MS = 2_000
+MAX_UNSAVED_MS = 5_500
 
 
 class Use:
@@ -89,10 +98,7 @@
     def restore(
         self, sums: tuple[float, ...], now_ms: int, age_ms: int
     ) -> None:
-        """Adds the usage saved before this process was restarted.
-
-        Usage after it was saved is unknown and assumed to have gone on at the
-        rate of the latest saved interval.
+        """Adds the usage saved before a process was restarted.
 
         :param sums: as :meth:`by_age` returned them
         :param now_ms: the current time
@@ -102,8 +108,45 @@
             at_ms = now_ms - age_ms - number * AGE_STEP_MS
             if sums[number] > 0 and at_ms > now_ms - self.length_ms:
                 self.add(sums[number], at_ms)
-        if sums and sums[0] > 0:
-            self.add(sums[0] * age_ms / AGE_STEP_MS, now_ms)
+
+    def add_unsaved(
+        self,
+        sums: tuple[float, ...],
+        saved_ms: int,
+        now_ms: int,
+        little: float,
+        most: float,
+    ) -> float:
+        """Adds an estimate of the usage after the last save.
+
+        The process may have used as much as in the busiest time of that
+        length that it saved, for as long as it can have lived. The time for
+        which it was dead is no usage.
+
+        :param sums: as :meth:`by_age` returned them
+        :param saved_ms: when they were saved
+        :param now_ms: the current time
+        :param little: tokens whose use doesn't make saving urgent
+        :param most: tokens that can have been used at the most
+        :return: the added tokens
+        """
+        age_ms = now_ms - saved_ms
+        much_ms = min(age_ms, MAX_MUCH_UNSAVED_MS)
+        steps = 1 + -(-much_ms // AGE_STEP_MS)
+        tokens = max(
+            sum(sums[first : first + steps]) for first in range(len(sums) or 1)
+        )
+        tokens = max(0.0, min(tokens, most))
+        late = min(tokens, little)
+        added = 0.0
+        for part, lived_ms in (
+            (tokens - late, much_ms),
+            (late, min(age_ms, MAX_UNSAVED_MS)),
+        ):
+            at_ms = saved_ms + lived_ms
+            if part > 0 and at_ms > now_ms - self.length_ms:
+                added += self.add(part, at_ms).tokens
+        return added
 
     def take_back(self, use: Use) -> None:
         """Removes a use.
@@ -128,6 +171,20 @@
         return max(0.0, self.sum)
 
 
+def still_counted(
+    sums: tuple[float, ...], age_ms: int, length_ms: int
+) -> float:
+    """Returns how much of a saved usage is certainly still in its window.
+
+    :param sums: as :meth:`Window.by_age` returned them
+    :param age_ms: how long ago they were saved
+    :param length_ms: how long a use counts
+    :return: tokens
+    """
+    steps = max(0, (length_ms - age_ms) // AGE_STEP_MS)
+    return sum(sums[:steps])
+
+
 def window_limit(team: model.Team, tolerance: Tolerance) -> float:
     """Returns what a team may use in a window, over all gateways.
 
--- a/godwitloft/gateway/former_use.py
+++ b/godwitloft/gateway/former_use.py
@@ -1,27 +1,83 @@
-"""Keeps what gateways had used before a restart and don't know any more.
+"""Keeps what gateways had used before their present processes started.
 
-A gateway saves its use of the teams' allowances in the store. If a restore of
-the store cuts that back and the gateway is restarted, only its peers remember:
-they go on counting it, and tell the gateway when it announces that its use is
-lost. A gateway that starts therefore listens for a moment before it grants
-allowances or is ready.
+A gateway saves its use of the teams' allowances now and then. What it used
+after that, only its peers know if it is killed, from its announcements. So a
+gateway that starts asks them, and grants nothing until each one has answered
+or had time to. Its peers go on counting what they knew until then.
+
+They also tell it what they know of others that are gone or starting. Besides,
+it counts what its peers had saved, until they announce themselves.
 """
 
 import dataclasses
+import math
 import typing
 
 from godwitloft import clock as clocks
+from godwitloft.gateway import allowance
 from godwitloft.links.generated.datagrams import ttypes
 
-# Announcements of peers reach a gateway within an interval, early ones sooner.
+MAX_OTHERS_TOLD = 20
+
+# Peers answer at once, and are asked again with each announcement.
 LISTEN_MS = 700
-# Own name among the uses.
-OWN = ""
+
+# Tokens used by each team in consecutive intervals, the latest first.
+Usage = dict[str, tuple[float, ...]]
+
+
+class OwnFormerUse:
+    """What peers tell of this gateway's use before it started.
+
+    :param clock: source of the time
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self.clock = clock
+        # Whether it isn't known yet; peers are told so.
+        self.is_asking = True
+        # None before the others are known who are to be asked.
+        self.listen_until_ms: int | None = None
+        self.answered: set[str] = set()
+        # Whether a peer knew the process before.
+        self.is_told = False
+        # Tokens by team, by the peer that knew most.
+        self.told: dict[str, float] = {}
+
+    def ask(self) -> None:
+        """Starts to wait for peers' answers, when all peers are known."""
+        self.listen_until_ms = self.clock.monotonic_ms() + LISTEN_MS
+
+    def learn(
+        self, peer: str, told: typing.Iterable[ttypes.TeamDemand] | None
+    ) -> None:
+        """Records a peer's answer.
+
+        :param peer: name of its instance
+        :param told: tokens by team, None if it didn't know this gateway
+        """
+        self.answered.add(peer)
+        if told is None:
+            return
+        self.is_told = True
+        for team, tokens in decode_committed(told).items():
+            self.told[team] = max(self.told.get(team, 0.0), tokens)
+
+    def is_complete(self, peers: typing.Collection[str]) -> bool:
+        """Returns whether all peers have answered or had time to.
+
+        :param peers: names of the other gateways
+        """
+        if self.listen_until_ms is None:
+            return False
+        if self.clock.monotonic_ms() >= self.listen_until_ms:
+            return True
+        return self.answered.issuperset(peers)
 
 
 @dataclasses.dataclass(frozen=True)
 class FormerUse:
-    """What a gateway had committed before it was restarted.
+    """What a peer had committed before it was started again.
 
     :param committed: tokens, by team
     :param until_ms: when the last of it is out of the window of the limit
@@ -31,89 +87,142 @@
     until_ms: int
 
 
-class FormerUses:
-    """Use before restarts, of peers and of this gateway.
+class PeerFormerUses:
+    """What was known of peers before they were started again.
 
     :param clock: source of the time
-    :param window_ms: length of the window of the limits
+    :param length_ms: how long a use counts
     """
 
-    def __init__(self, clock: clocks.Clock, window_ms: int) -> None:
+    def __init__(self, clock: clocks.Clock, length_ms: int) -> None:
         self.clock = clock
-        self.window_ms = window_ms
+        self.length_ms = length_ms
         self.uses: dict[str, FormerUse] = {}
-        self.heard_peer = False
-        self.listen_until_ms = 0
-        self.own_is_lost = False
 
-    def start_listening(self, own_is_lost: bool) -> None:
-        """Starts to listen to peers, when this process has started.
+    def keep(
+        self,
+        name: str,
+        committed: typing.Mapping[str, float],
+        received_ms: int,
+    ) -> None:
+        """Keeps what a peer had committed, as far as it is the most known.
+
+        :param name: name of its instance
+        :param committed: tokens, by team
+        :param received_ms: when it last announced them
+        """
+        until_ms = received_ms + self.length_ms
+        known = self.uses.get(name)
+        if known is not None and self.clock.monotonic_ms() < known.until_ms:
+            until_ms = max(until_ms, known.until_ms)
+            teams = known.committed.keys() | committed.keys()
+            committed = {
+                team: max(
+                    known.committed.get(team, 0.0), committed.get(team, 0.0)
+                )
+                for team in teams
+            }
+        self.uses[name] = FormerUse(committed, until_ms)
+
+    def forget(self, name: str) -> None:
+        """Drops what a peer had committed, as it now counts that itself.
 
-        :param own_is_lost: whether nothing is saved: this instance is new, or
-            a restore of the store has cut it back
+        :param name: name of its instance
         """
-        self.own_is_lost = own_is_lost
-        self.listen_until_ms = self.clock.monotonic_ms() + LISTEN_MS
+        self.uses.pop(name, None)
 
-    def is_listening(self) -> bool:
-        """Returns whether peers still have time to speak."""
-        return self.clock.monotonic_ms() < self.listen_until_ms
+    def committed(self, name: str, team: str, now_ms: int) -> float:
+        """Returns what still counts of a peer's use before its start.
 
-    def is_own_unknown(self) -> bool:
-        """Returns whether peers may still tell what this gateway had used."""
-        return self.own_is_lost and self.is_listening()
+        :param name: name of its instance
+        :param team: name of the team
+        :param now_ms: the current time
+        :return: tokens
+        """
+        use = self.uses.get(name)
+        if use is None or now_ms >= use.until_ms:
+            return 0.0
+        return use.committed.get(team, 0.0)
 
-    def has_settled(self) -> bool:
-        """Returns whether a peer has spoken, or none did in time.
+    def to_tell(self, name: str) -> list[ttypes.TeamDemand] | None:
+        """Returns what to tell a peer of its use before its start.
 
-        :return: whether what peers know is known here
+        :param name: name of its instance
+        :return: committed tokens by team, None if this gateway didn't know it
         """
-        if not self.is_listening():
-            return True
-        return self.heard_peer and not self.own_is_lost
+        use = self.uses.get(name)
+        if use is None:
+            return None
+        if self.clock.monotonic_ms() >= use.until_ms:
+            return []
+        return encode_committed(use.committed)
 
-    def keep(
-        self,
-        name: str,
-        committed: typing.Mapping[str, float],
-        received_ms: int,
-    ) -> list[ttypes.TeamDemand]:
-        """Keeps what a peer had committed before its restart.
+
+def encode_committed(
+    committed: typing.Mapping[str, float],
+) -> list[ttypes.TeamDemand]:
+    """Returns committed tokens as they are sent.
+
+    :param committed: tokens, by team
+    """
+    return [
+        ttypes.TeamDemand(team=team, tokens_per_s=0, committed=math.ceil(use))
+        for team, use in committed.items()
+    ]
+
+
+def decode_committed(
+    sent: typing.Iterable[ttypes.TeamDemand],
+) -> dict[str, float]:
+    """Returns committed tokens by team.
+
+    :param sent: as :func:`encode_committed` returns them, from a peer
+    """
+    return {use.team: max(0, use.committed) for use in sent}
+
+
+class SavedUses:
+    """What peers had saved, until they announce their use themselves.
+
+    Without it, a gateway that starts would use its equal share of a limit
+    that the others have already used up.
+
+    :param clock: source of the time
+    :param length_ms: how long a use counts
+    """
+
+    def __init__(self, clock: clocks.Clock, length_ms: int) -> None:
+        self.clock = clock
+        self.length_ms = length_ms
+        self.windows: dict[str, dict[str, allowance.Window]] = {}
+
+    def add(self, name: str, used: Usage, age_ms: int) -> None:
+        """Adds what a peer had saved.
 
         :param name: name of its instance
-        :param committed: tokens, by team
-        :param received_ms: when it last announced them
-        :return: what to tell the peer
+        :param used: tokens by age, by team
+        :param age_ms: how long ago it was saved
         """
-        self.uses[name] = FormerUse(committed, received_ms + self.window_ms)
-        return [
-            ttypes.TeamDemand(team=team, tokens_per_s=0, committed=tokens)
-            for team, tokens in committed.items()
-        ]
+        now_ms = self.clock.monotonic_ms()
+        windows = self.windows[name] = {}
+        for team, sums in used.items():
+            window = windows[team] = allowance.Window(self.length_ms)
+            window.restore(sums, now_ms, age_ms)
 
-    def learn_own(self, told: typing.Iterable[ttypes.TeamDemand]) -> None:
-        """Counts what a peer says that this gateway had committed.
+    def forget(self, name: str) -> None:
+        """Drops what a peer had saved.
 
-        :param told: tokens by team; of several peers' words the largest count
+        :param name: name of its instance
         """
-        known = self.uses.get(OWN)
-        committed = dict(known.committed) if known is not None else {}
-        for use in told:
-            committed[use.team] = max(
-                committed.get(use.team, 0.0), use.committed
-            )
-        until_ms = self.clock.monotonic_ms() + self.window_ms
-        self.uses[OWN] = FormerUse(committed, until_ms)
-
-    def committed(self, team: str, now_ms: int) -> float:
-        """Returns what still counts of a team's use before restarts.
+        self.windows.pop(name, None)
 
+    def committed(self, name: str, team: str, now_ms: int) -> float:
+        """Returns what still counts of what a peer had saved.
+
+        :param name: name of its instance
         :param team: name of the team
         :param now_ms: the current time
         :return: tokens
         """
-        return sum(
-            use.committed.get(team, 0.0)
-            for use in self.uses.values()
-            if now_ms < use.until_ms
-        )
+        window = self.windows.get(name, {}).get(team)
+        return window.total(now_ms) if window is not None else 0.0
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -42,6 +42,8 @@
 # before the next regular announcements.
 FAR_BELOW_LIMIT_SHARE = 0.5
 PEER_TIMEOUT_MS = 2_000
+# A gateway that was not heard for so many intervals may be gone.
+GONE_INTERVALS = 1.5
 # Number of announcement intervals whose demand a gateway reserves.
 RESERVED_INTERVALS = 1.5
 # Added to each gateway's demand, as a multiple of an equal share of the rate,
@@ -55,8 +57,7 @@
 MAX_PLACES = 1_000
 MAX_NAMES_LOGGED = 20
 
-# Tokens used by each team in consecutive intervals, the latest first.
-Usage = dict[str, tuple[float, ...]]
+Usage = former_use.Usage
 
 
 @dataclasses.dataclass(frozen=True)
@@ -67,14 +68,14 @@
     :param committed: tokens used in the window of the limit plus reserved
         tokens, by team
     :param received_ms: when the announcement was received
-    :param usage_lost: whether it does not know what it had used before it was
-        restarted
+    :param is_starting: whether it is still asking what it had used before it
+        was started
     """
 
     demands: dict[str, float]
     committed: dict[str, float]
     received_ms: int
-    usage_lost: bool = False
+    is_starting: bool = False
 
 
 class ExcessUse(enum.Enum):
@@ -113,14 +114,25 @@
         self.must_announce = False
         # Tokens used since usage was last saved, by team.
         self.unsaved: dict[str, float] = {}
+        # Whether usage before the start was learned that isn't saved.
+        self.must_save = False
         # When a full burst of early announcements is available again.
         self.early_until_ms = 0
         self.teams: dict[str, model.Team] = {}
         self.restored = False
-        self.is_use_lost = False
-        # Whether it was logged that allowances may be granted.
-        self.is_begin_logged = False
-        self.former_uses = former_use.FormerUses(clock, tolerance.window_ms)
+        # Own usage as it was saved before the start, by teams for which that
+        # of the time after is still to be estimated, and when it was saved.
+        self.saved: Usage = {}
+        self.saved_ms = 0
+        # What all gateways had saved and certainly still counts at the start,
+        # by team, and how many gateways that is.
+        self.saved_by_all: dict[str, float] = {}
+        self.saved_rows = 1
+        self.own_former = former_use.OwnFormerUse(clock)
+        self.peers_former = former_use.PeerFormerUses(
+            clock, tolerance.counted_ms
+        )
+        self.peers_saved = former_use.SavedUses(clock, tolerance.counted_ms)
         self.clock = clock
         self.send = send
         self.instance = instance
@@ -157,12 +169,9 @@
             self.must_announce = True
         self.hosts = alive | hosts
         self.places.clear()
-        length_ms = self.tolerance.window_ms
+        since_ms = now_ms - self.tolerance.counted_ms
         for name, peer in list(self.peers.items()):
-            if (
-                name not in self.hosts
-                and now_ms - peer.received_ms > length_ms
-            ):
+            if name not in self.hosts and peer.received_ms < since_ms:
                 del self.peers[name]
 
     @property
@@ -216,8 +225,8 @@
         """
         window = self.windows.get(team)
         if window is None:
-            length_ms = self.tolerance.window_ms + allowance.WINDOW_MARGIN_MS
-            window = self.windows[team] = allowance.Window(length_ms)
+            window = allowance.Window(self.tolerance.counted_ms)
+            self.windows[team] = window
         return window
 
     def remaining(self, team: model.Team) -> float:
@@ -229,39 +238,100 @@
         :param team: the team
         :return: tokens, negative if the limit is exceeded
         """
+        if self.is_starting():
+            return 0.0
         now_ms = self.clock.monotonic_ms()
         limit = allowance.window_limit(team, self.tolerance)
         committed = self.window(team.name).total(now_ms)
         committed += self.reserved.get(team.name, 0.0)
         equal_share = limit / self.gateways
-        since_ms = now_ms - PEER_TIMEOUT_MS
-        for name, peer in self.peers.items():
-            peer_committed = peer.committed.get(team.name, 0.0)
-            if peer.received_ms < since_ms and name in self.hosts:
+        others = self.hosts.keys() | self.peers.keys()
+        for name in others | self.peers_saved.windows.keys():
+            peer_committed = self.committed_by(name, team.name, now_ms)
+            if name in self.hosts and not self.is_alive(name, now_ms):
                 peer_committed = max(peer_committed, equal_share)
             committed += peer_committed
-        committed += equal_share * len(self.hosts.keys() - self.peers.keys())
-        committed += self.former_uses.committed(team.name, now_ms)
-        if self.is_usage_lost():
-            return 0.0
-        return limit - committed
+        remaining = limit - committed
+        if team.name in self.saved:
+            remaining -= self.add_estimate(team.name, limit, now_ms)
+        return remaining
+
+    def add_estimate(self, team: str, limit: float, now_ms: int) -> float:
+        """Counts what may have been used between the last save and the end.
 
-    def is_usage_lost(self) -> bool:
-        """Returns whether own use before a restart is still to be learned.
+        That is unknown if no peer could tell it. All gateways together have
+        used no more than was left by what they had saved, however.
 
-        :return: whether peers may still tell it; never without peers
+        :param team: name of the team
+        :param limit: of its usage in a window
+        :param now_ms: the current time
+        :return: tokens
         """
-        return bool(self.hosts) and self.former_uses.is_own_unknown()
+        sums = self.saved.pop(team)
+        left = limit - self.saved_by_all[team]
+        estimate = self.window(team).add_unsaved(
+            sums,
+            self.saved_ms,
+            now_ms,
+            little=MAX_UNSAVED_SHARE * limit / self.saved_rows,
+            most=left / self.saved_rows,
+        )
+        self.must_save = self.must_save or estimate > 0
+        return estimate
+
+    def committed_by(self, name: str, team: str, now_ms: int) -> float:
+        """Returns what another gateway has committed, as far as known.
+
+        :param name: name of its instance
+        :param team: name of the team
+        :param now_ms: the current time
+        :return: tokens; those that it last announced, until its use must have
+            left the window
+        """
+        peer = self.peers.get(name)
+        committed = 0.0
+        if peer is not None:
+            if now_ms - peer.received_ms < self.tolerance.counted_ms:
+                committed = peer.committed.get(team, 0.0)
+            if not peer.is_starting:
+                return committed
+        return max(
+            committed,
+            self.peers_former.committed(name, team, now_ms),
+            self.peers_saved.committed(name, team, now_ms),
+        )
+
+    def is_starting(self) -> bool:
+        """Returns whether peers may still tell what was used before the start.
+
+        :return: whether to wait for them; never without peers
+        """
+        if self.own_former.is_asking:
+            if self.own_former.is_complete(self.hosts.keys()):
+                self.end_start()
+        return self.own_former.is_asking
+
+    def end_start(self) -> None:
+        """Counts what peers have told, or else what is estimated."""
+        own = self.own_former
+        own.is_asking = False
+        if own.is_told:
+            self.saved = {}
+        self.must_announce = True
+        events.log(
+            events.GRANTS_BEGIN,
+            listed=sorted(self.hosts)[:MAX_NAMES_LOGGED],
+            answered=sorted(own.answered)[:MAX_NAMES_LOGGED],
+            told={team: round(tokens) for team, tokens in own.told.items()},
+            estimated=not own.is_told,
+        )
 
     def is_ready(self) -> bool:
         """Returns whether it is known what this gateway and its peers know.
 
-        :return: whether allowances can be granted, and a peer was heard or
-            had time to speak
+        :return: whether allowances can be granted
         """
-        if not self.restored:
-            return False
-        return not self.hosts or self.former_uses.has_settled()
+        return self.restored and not self.is_starting()
 
     def use_of_excess(
         self, team: model.Team, tokens: float, now_ms: int
@@ -347,12 +417,14 @@
             this instance is new, or a restore of the store has cut it back
         :param age_ms: how long ago it was saved
         """
-        self.is_use_lost = used is None
         if used is None:
-            events.log(events.USE_LOST, peers=len(self.hosts))
+            events.log(events.USE_LOST)
         now_ms = self.clock.monotonic_ms()
-        for team, sums in (used or {}).items():
+        self.saved = dict(used or {})
+        self.saved_ms = now_ms - age_ms
+        for team, sums in self.saved.items():
             self.window(team).restore(sums, now_ms, age_ms)
+        self.count_saved(self.saved, age_ms)
         events.log(
             events.USE_RESTORED,
             age_ms=age_ms if used is not None else None,
@@ -360,33 +432,45 @@
                 team: round(tokens)
                 for team, tokens in self.largest_uses(now_ms)
             },
-            of_peers=sorted(self.peers)[:MAX_NAMES_LOGGED],
+            of_peers=sorted(self.peers_saved.windows)[:MAX_NAMES_LOGGED],
         )
 
-    def join(self) -> None:
-        """Joins the other gateways, once each is known here or knows this one.
+    def count_saved(self, used: Usage, age_ms: int) -> None:
+        """Adds to what all gateways had saved.
 
-        Called once, when the usage is restored.
+        :param used: tokens by age, by team, as one gateway saved them
+        :param age_ms: how long ago it did
         """
-        self.restored = True
-        self.must_announce = True
-        self.former_uses.start_listening(self.is_use_lost)
+        for team, sums in used.items():
+            counted = allowance.still_counted(
+                sums, age_ms, self.tolerance.counted_ms
+            )
+            known = self.saved_by_all.get(team, 0.0)
+            self.saved_by_all[team] = known + counted
 
     def restore_peer(self, name: str, used: Usage, age_ms: int) -> None:
         """Restores another gateway's saved usage until it announces itself.
 
-        Without it, a restarted process would use its equal share of a limit
-        that the others have already used up.
-
         :param name: name of its instance
         :param used: tokens by age, by team
         :param age_ms: how long ago the other gateway saved its usage
         """
-        if name in self.peers or age_ms > self.tolerance.window_ms:
-            return
-        received_ms = self.clock.monotonic_ms() - PEER_TIMEOUT_MS - age_ms - 1
-        sums = {team: sum(tokens) for team, tokens in used.items()}
-        self.peers[name] = Peer({}, sums, received_ms)
+        if name not in self.peers and age_ms < self.tolerance.counted_ms:
+            self.peers_saved.add(name, used, age_ms)
+            self.saved_rows += 1
+            self.count_saved(used, age_ms)
+
+    def join(self) -> None:
+        """Joins the other gateways: asks what this one had used before.
+
+        Called once, when the usage is restored and each other gateway is
+        known here, or knows this one.
+        """
+        self.restored = True
+        self.must_announce = True
+        self.own_former.ask()
+        # Without others, there is nobody to wait for.
+        self.is_starting()
 
     def usage(self) -> Usage:
         """Returns this gateway's usage, to be saved.
@@ -402,6 +486,7 @@
     def mark_saved(self) -> None:
         """Records that :meth:`usage` is about to be saved."""
         self.unsaved.clear()
+        self.must_save = False
 
     def needs_saving(self) -> bool:
         """Returns whether much was used since usage was last saved.
@@ -484,7 +569,7 @@
     def announce_if_due(self) -> None:
         """Sends an announcement to all peers if one is due."""
         now_ms = self.clock.monotonic_ms()
-        self.log_begin(now_ms)
+        self.is_starting()
         if now_ms - self.last_announced_ms >= self.announce_interval_ms():
             self.announce(now_ms)
         elif self.must_announce and self.may_announce_early(now_ms):
@@ -495,21 +580,6 @@
             else:
                 self.announce(now_ms)
 
-    def log_begin(self, now_ms: int) -> None:
-        """Logs once that allowances may be granted, and which peers spoke.
-
-        :param now_ms: the current time
-        """
-        if self.is_begin_logged or not self.is_ready():
-            return
-        self.is_begin_logged = True
-        heard = [name for name in self.hosts if self.is_alive(name, now_ms)]
-        events.log(
-            events.GRANTS_BEGIN,
-            listed=sorted(self.hosts)[:MAX_NAMES_LOGGED],
-            heard=sorted(heard)[:MAX_NAMES_LOGGED],
-        )
-
     def may_announce_early(self, now_ms: int) -> bool:
         """Returns whether an early announcement may be sent.
 
@@ -531,17 +601,24 @@
         """
         for team in self.teams.values():
             self.reserved[team.name] = self.next_reservation(team, now_ms)
+        self.last_announced_ms = now_ms
+        self.send_to_peers(self.active_demands(now_ms), partial=False)
+
+    def active_demands(self, now_ms: int) -> list[ttypes.TeamDemand]:
+        """Returns demand and committed tokens of active teams.
+
+        :param now_ms: the current time
+        :return: the teams that used most, and those that peers must hear of
+            however little they have used
+        """
         uses = dict(self.largest_uses(now_ms))
-        # Peers must hear of these, however little their teams have used.
         for name in self.unannounced:
             uses[name] = self.window(name).total(now_ms)
-        team_demands = [
+        return [
             self.team_demand(name, used, now_ms)
             for name, used in uses.items()
             if self.is_active(name, used, now_ms)
         ]
-        self.last_announced_ms = now_ms
-        self.send_to_peers(team_demands, partial=False)
 
     def announce_excess(self, now_ms: int) -> None:
         """Announces only the teams that used more than was announced.
@@ -585,18 +662,30 @@
         """
         self.must_announce = False
         self.unannounced.clear()
+        data = datagrams.encode(
+            sharing=self.announcement(team_demands, partial)
+        )
+        for host in self.hosts.values():
+            self.send(data, (host, self.port))
+
+    def announcement(
+        self, team_demands: list[ttypes.TeamDemand], partial: bool
+    ) -> ttypes.Sharing:
+        """Returns an announcement to be sent.
+
+        :param team_demands: demands and committed tokens of teams
+        :param partial: whether teams that are missing are unchanged
+        :return: what to encode
+        """
         sharing = ttypes.Sharing(
             gateway=self.instance,
             demands=team_demands,
             crashing=[],
             partial=partial or None,
+            starting=self.own_former.is_asking or None,
         )
-        if self.is_usage_lost():
-            sharing.usage_lost = True
         peer_status.encode(self.own_status(), sharing)
-        data = datagrams.encode(sharing=sharing)
-        for host in self.hosts.values():
-            self.send(data, (host, self.port))
+        return sharing
 
     def next_reservation(self, team: model.Team, now_ms: int) -> float:
         """Returns what to reserve until the next regular announcement.
@@ -643,18 +732,13 @@
         committed = {
             demand.team: max(0, demand.committed) for demand in sharing.demands
         }
-        self.former_uses.heard_peer = True
-        usage_lost = bool(sharing.usage_lost)
-        if usage_lost and previous is not None and not previous.usage_lost:
-            self.tell_former_use(sharing.gateway, previous, host)
+        is_starting = bool(sharing.starting)
+        if not is_starting:
+            self.peers_former.forget(sharing.gateway)
+            self.peers_saved.forget(sharing.gateway)
+        elif previous is not None and not previous.is_starting:
+            self.keep_former(sharing.gateway, previous)
             previous = None
-        if sharing.former:
-            self.former_uses.learn_own(sharing.former)
-            events.log(
-                events.USE_TOLD,
-                gateway=sharing.gateway,
-                teams=sorted(use.team for use in sharing.former),
-            )
         if sharing.partial and previous is not None:
             rates = previous.demands | rates
             committed = previous.committed | committed
@@ -662,27 +746,101 @@
             demands=rates,
             committed=committed,
             received_ms=self.clock.monotonic_ms(),
-            usage_lost=usage_lost,
+            is_starting=is_starting,
         )
+        if sharing.answers:
+            self.learn_former(sharing)
+        elif is_starting:
+            self.answer_start(sharing.gateway, host)
         self.on_peer_status(peer_status.decode(sharing))
 
-    def tell_former_use(self, name: str, previous: Peer, host: str) -> None:
-        """Keeps what a peer had used before its restart, and tells it.
+    def keep_former(self, name: str, previous: Peer) -> None:
+        """Goes on counting what a peer had used before it was started again.
 
         :param name: name of its instance
         :param previous: its state before
-        :param host: its IP number
         """
-        former = self.former_uses.keep(
-            name, previous.committed, previous.received_ms
-        )
-        answer = ttypes.Sharing(
-            gateway=self.instance,
-            demands=[],
-            crashing=[],
-            partial=True,
-            former=former,
+        self.peers_former.keep(name, previous.committed, previous.received_ms)
+        events.log(
+            events.PEER_RESTARTED,
+            gateway=name,
+            heard_ms_ago=self.clock.monotonic_ms() - previous.received_ms,
+            committed=previous.committed,
         )
+
+    def learn_former(self, sharing: ttypes.Sharing) -> None:
+        """Learns what a peer knows of this gateway's use before its start.
+
+        :param sharing: the peer's answer
+        """
+        if not self.own_former.is_asking:
+            return
+        self.own_former.learn(sharing.gateway, sharing.former)
+        self.learn_others_former(sharing.others or ())
+        now_ms = self.clock.monotonic_ms()
+        told = former_use.decode_committed(sharing.former or ())
+        for team, tokens in told.items():
+            window = self.window(team)
+            unknown = max(0.0, tokens - window.total(now_ms))
+            window.add(unknown, now_ms)
+            self.must_save = self.must_save or unknown > 0
+        if sharing.former:
+            events.log(
+                events.USE_TOLD,
+                gateway=sharing.gateway,
+                teams=sorted(use.team for use in sharing.former),
+            )
+
+    def learn_others_former(
+        self, others: typing.Iterable[ttypes.FormerUse]
+    ) -> None:
+        """Learns what a peer knows of gateways that are gone or starting.
+
+        :param others: as the peer told it
+        """
+        now_ms = self.clock.monotonic_ms()
+        for other in others:
+            peer = self.peers.get(other.gateway)
+            if peer is None or peer.is_starting:
+                self.peers_former.keep(
+                    other.gateway,
+                    former_use.decode_committed(other.committed),
+                    now_ms - max(0, other.age_ms),
+                )
+
+    def others_former(self, receiver: str) -> list[ttypes.FormerUse]:
+        """Returns what is known of gateways that are gone or starting.
+
+        :param receiver: name of the gateway that is told
+        :return: those that announced themselves within the window
+        """
+        now_ms = self.clock.monotonic_ms()
+        silent_ms = GONE_INTERVALS * self.announce_interval_ms()
+        found = []
+        for name, peer in self.peers.items():
+            age_ms = now_ms - peer.received_ms
+            if name == receiver or age_ms >= self.tolerance.counted_ms:
+                continue
+            former = None
+            if peer.is_starting:
+                former = self.peers_former.to_tell(name)
+            elif age_ms > silent_ms:
+                former = former_use.encode_committed(peer.committed)
+            if former:
+                found.append(ttypes.FormerUse(name, age_ms, former))
+        return found[: former_use.MAX_OTHERS_TOLD]
+
+    def answer_start(self, name: str, host: str) -> None:
+        """Tells a peer that starts its use before, and this gateway's use.
+
+        :param name: name of its instance
+        :param host: its IP number
+        """
+        now_ms = self.clock.monotonic_ms()
+        answer = self.announcement(self.active_demands(now_ms), partial=False)
+        answer.answers = True
+        answer.former = self.peers_former.to_tell(name)
+        answer.others = self.others_former(name) or None
         self.send(datagrams.encode(sharing=answer), (host, self.port))
 
 
--- a/godwitloft/links/datagrams.thrift
+++ b/godwitloft/links/datagrams.thrift
@@ -75,6 +75,13 @@
   4: optional double per_s          // requests; absent: no limit any more
 }
 
+/* What a gateway that is gone or starting had committed. */
+struct FormerUse {
+  1: required string gateway        // name of its instance
+  2: required i64 age_ms            // since it was last heard
+  3: required list<TeamDemand> committed
+}
+
 /* A gateway tells another one what limits they share. */
 struct Sharing {
   1: required string gateway        // name of the sender's instance
@@ -84,10 +91,11 @@
   5: optional i64 version           // of the configuration in force
   6: optional i64 timeline          // newest known timeline of the store
   7: optional list<LeavingUpstream> leaving
-  8: optional bool usage_lost       // what this process used before it was
-                                    // restarted could not be read
+  8: optional bool starting         // this process has just started: what
+                                    // had the one before it used?
   9: optional list<TeamDemand> former // what the receiver had committed, as
-                                    // an answer to usage_lost
+                                    // an answer to starting; absent if the
+                                    // sender doesn't know
   10: optional i64 store_seen_age_ms // since the sender last knew that the
                                     // store was up
   11: optional i64 store_up_ms      // how long it had been up by then without
@@ -96,6 +104,8 @@
   13: optional list<Sound> sound    // what was there, and is sound
   14: optional list<Blame> blames
   15: optional list<UpstreamLimit> limits
+  16: optional bool answers         // this answers the receiver's starting
+  17: optional list<FormerUse> others // of other gateways, with an answer
 }
 
 /* A gateway asks another one how new what it holds is. */
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -175,6 +175,7 @@
             blames=gateway.knowledge.blame_reports,
             versions=gateway.versions.to_save,
             needs_saving=gateway.knowledge.needs_saving,
+            must_save=lambda: sharing.must_save,
             before_save=gateway.knowledge.mark_saved,
             on_saved=gateway.versions.record_saved,
             on_restored=gateway.on_store_restored,
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -80,6 +80,7 @@
     :param versions: returns the software versions that are used or will be
     :param needs_saving: returns whether one of these has changed much since
         they were saved
+    :param must_save: returns whether one of these can't wait to be saved
     :param before_save: called just before they are written
     :param on_saved: called with the time at which the writing began, in
         milliseconds, once they are written
@@ -106,6 +107,7 @@
     blames: typing.Callable[[], tuple[crash_reports.BlameReport, ...]]
     versions: typing.Callable[[], service_versions.Saved]
     needs_saving: typing.Callable[[], bool]
+    must_save: typing.Callable[[], bool]
     before_save: typing.Callable[[], None]
     on_saved: typing.Callable[[int], None]
     on_restored: typing.Callable[[int], None]
@@ -495,8 +497,9 @@
         now_ms = self.clock.monotonic_ms()
         if self.rewrite_ms is not None and now_ms >= self.rewrite_ms:
             return True
-        elapsed_ms = now_ms - self.renewed_ms
-        return not self.registered or elapsed_ms >= interval_ms
+        if not self.registered or self.callbacks.must_save():
+            return True
+        return now_ms - self.renewed_ms >= interval_ms
 
     @defer.inlineCallbacks
     def renew(self) -> typing.Generator[typing.Any, typing.Any, int]:
