--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -19,6 +19,7 @@
 from godwitloft.gateway import checked_attempt
 from godwitloft.gateway import config_state as config_states
 from godwitloft.gateway import dialect as dialects
+from godwitloft.gateway import first_data
 from godwitloft.gateway import http_server
 from godwitloft.gateway import latency
 from godwitloft.gateway import model
@@ -33,6 +34,7 @@
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import request_checker as request_checkers
 from godwitloft.gateway import retry_policy as retry_policies
+from godwitloft.gateway import send_checks
 from godwitloft.gateway import shared_knowledge
 from godwitloft.gateway import sharing as sharings
 from godwitloft.gateway import shutdown as shutdowns
@@ -195,6 +197,7 @@
             ),
             dependencies.call_later,
         )
+        self.shutdown = shutdowns.Shutdown(self.clock)
         self.admission = admissions.Admission(
             self.clock,
             dependencies.sharing,
@@ -202,10 +205,19 @@
             dependencies.rng,
             self.fleet,
         )
+        self.send_checks = send_checks.SendChecks(
+            self.config_state,
+            self.request_checker,
+            self.admission,
+            self.shutdown,
+        )
+        self.latency = latency.LatencyEstimator()
+        self.first_data = first_data.FirstData(
+            self.retry_policy.crashes, self.latency, self.placer
+        )
         self.reports = reports.Reports(
             self.clock, dependencies.instruments, self.config_state
         )
-        self.latency = latency.LatencyEstimator()
         self.arbiter = arbiters.Arbiter(
             self.clock,
             dependencies.call_later,
@@ -237,7 +249,6 @@
         )
         sharing.own_status = self.knowledge.status
         sharing.on_peer_status = self.knowledge.on_peer_status
-        self.shutdown = shutdowns.Shutdown(self.clock)
         self.waiting: dict[str, list[requests.Request]] = {}
         self.scheduling: set[str] = set()
         self.running: set[requests.Request] = set()
@@ -538,12 +549,9 @@
         facts = request.facts
         if request.exchange.notice_close():
             return
-        if not self.still_permitted(request, now_ms):
-            return
-        if request.attempt_count == 0 and not self.shutdown.can_finish(
-            request
-        ):
-            self.refuse(request, request_checkers.LEAVING_REFUSAL)
+        refusal = self.send_checks.refusal(request, now_ms)
+        if refusal is not None:
+            self.refuse(request, refusal)
             return
         self.crash_evidence.record_trial(request, now_ms)
         if facts.team is not None and request.use is not None:
@@ -563,7 +571,7 @@
         request.upstream_state = state
         request.answer = answers.Answer(request, self.dialect)
         state.record_start(now_ms)
-        self.record_origin(request)
+        self.holds.record_origin(request)
         request.prompt_tokens_ahead = (
             state.pending_prompt_tokens + state.pending_prompt_tokens_elsewhere
         )
@@ -597,7 +605,7 @@
             ),
             before_send=request.exchange.notice_close,
         )
-        if self.must_hold(request):
+        if self.holds.must_hold(request):
             callbacks = self.holds.hold(request, callbacks)
         self.start_attempt(request, state.upstream, callbacks)
 
@@ -621,7 +629,7 @@
             )
             return self.dependencies.send(upstream, outgoing, callbacks)
 
-        if not self.must_check_life(request, upstream):
+        if not self.send_checks.must_check_life(request, upstream):
             request.attempt = start()
             return
         checked = checked_attempt.CheckedAttempt(
@@ -634,50 +642,6 @@
         request.attempt = checked
         checked.begin()
 
-    def must_check_life(
-        self, request: requests.Request, upstream: model.Upstream
-    ) -> bool:
-        """Returns whether a request may go to the listed process only.
-
-        :param request: a request that is being sent
-        :param upstream: the upstream
-        :return: whether it goes on with a stream of an engine
-        """
-        facts = request.facts
-        if request.last_event is None or not facts.may_repeat:
-            return False
-        router = self.config_state.router
-        services = router.configuration.services if router else {}
-        service = services.get(upstream.service)
-        is_stream = facts.route.kind is model.Kind.STREAM
-        return is_stream and service is not None and service.is_engine
-
-    def still_permitted(self, request: requests.Request, now_ms: int) -> bool:
-        """Checks a request again that was waiting, and refuses it if need be.
-
-        Its key may be withdrawn, or the request or a part of its prompt may be
-        blamed for crashes meanwhile.
-
-        :param request: a waiting request
-        :param now_ms: the current time
-        :return: whether it may be sent; if not, it has been answered
-        """
-        refusal = self.admission.crash_refusal(request, now_ms)
-        if refusal is not None:
-            self.refuse(request, refusal)
-            return False
-        team = request.facts.team
-        router = self.config_state.router
-        if team is None or router is None:
-            return True
-        if not self.config_state.is_confirmation_fresh(now_ms):
-            self.refuse(request, request_checkers.unconfirmed_refusal())
-            return False
-        if self.request_checker.team_of(request.exchange, router) is None:
-            self.refuse(request, refusals.Refusal(401, "unknown_key"))
-            return False
-        return True
-
     # Answers of upstreams.
 
     def on_head(
@@ -733,36 +697,7 @@
         ):
             self.crash_evidence.record_sound(request)
         if request.state is requests.State.SENT:
-            request.state = requests.State.ANSWERING
-            request.first_data_ms = request.last_data_ms
-            request.answering_since_ms = request.last_data_ms
-            if (
-                request.upstream_state is not None
-                and request.answer.is_valid_success()
-            ):
-                self.retry_policy.crashes.record_alive(
-                    request.upstream_state.life, request.sent_ms
-                )
-                took_ms = request.first_data_ms - request.sent_ms
-                self.latency.learn(
-                    request.facts.route.name,
-                    request.facts.sizes.prompt_tokens,
-                    took_ms,
-                )
-                self.placer.record_first_data(
-                    request.facts.service,
-                    took_ms,
-                    request.facts.route.target_ms,
-                )
-                request.upstream_state.record_success(
-                    took_ms,
-                    request.pending_prompt_tokens
-                    + request.prompt_tokens_ahead,
-                )
-                request.upstream_state.pending_prompt_tokens -= (
-                    request.pending_prompt_tokens
-                )
-                request.pending_prompt_tokens = 0
+            self.first_data.record(request, request.answer)
         request.answer.on_data(data)
         if request.unknown_end not in (None, request.last_event):
             self.reports.report_unknown_end(request, reports.EndFound.GOES_ON)
@@ -774,36 +709,6 @@
         if overflow and request.attempt is not None:
             request.attempt.end(attempts.End.BROKEN, overflow)
 
-    def record_origin(self, request: requests.Request) -> None:
-        """Records at which version a stream is about to begin.
-
-        That is early, so that it is saved once its caller has an event. A
-        request that continues a stream goes to the version that began it.
-
-        :param request: a request that is being sent
-        """
-        facts = request.facts
-        stream_id = facts.id if facts.resumed_id is None else facts.resumed_id
-        if request.exchange.started or not stream_id:
-            return
-        if facts.route.kind is model.Kind.STREAM and facts.route.resumable:
-            self.origins.record(
-                stream_id,
-                stream_origins.Origin(facts.service, request.sent_version),
-            )
-
-    def must_hold(self, request: requests.Request) -> bool:
-        """Returns whether a stream must be saved before its first event.
-
-        :param request: a request that is being sent, after its origin was
-            recorded
-        """
-        return (
-            request.facts.begins_resumable_stream
-            and not request.exchange.started
-            and self.origins.must_be_saved_first(request.facts.id)
-        )
-
     def on_end(
         self,
         request: requests.Request,
--- a/godwitloft/gateway/streams/stream_holds.py
+++ b/godwitloft/gateway/streams/stream_holds.py
@@ -12,6 +12,7 @@
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft.gateway import answer as answers
+from godwitloft.gateway import model
 from godwitloft.gateway import outcomes
 from godwitloft.gateway import request as requests
 from godwitloft.gateway.streams import base_versions
@@ -105,6 +106,36 @@
         self.send_again = send_again
         self.holds: dict[requests.Request, Hold] = {}
 
+    def record_origin(self, request: requests.Request) -> None:
+        """Records at which version a stream is about to begin.
+
+        That is early, so that it is saved once its caller has an event. A
+        request that continues a stream goes to the version that began it.
+
+        :param request: a request that is being sent
+        """
+        facts = request.facts
+        stream_id = facts.id if facts.resumed_id is None else facts.resumed_id
+        if request.exchange.started or not stream_id:
+            return
+        if facts.route.kind is model.Kind.STREAM and facts.route.resumable:
+            self.origins.record(
+                stream_id,
+                stream_origins.Origin(facts.service, request.sent_version),
+            )
+
+    def must_hold(self, request: requests.Request) -> bool:
+        """Returns whether a stream must be saved before its first event.
+
+        :param request: a request that is being sent, after its origin was
+            recorded
+        """
+        return (
+            request.facts.begins_resumable_stream
+            and not request.exchange.started
+            and self.origins.must_be_saved_first(request.facts.id)
+        )
+
     def hold(
         self, request: requests.Request, callbacks: attempts.AttemptCallbacks
     ) -> attempts.AttemptCallbacks:
