What is told of gateways that are gone counts, and is dropped in time

Found on rereading. Change: Sharing.unheard names all that is known of; what has expired is dropped as the list is read. The common case, peers that announce, stays one loop.

--- a/godwitloft/gateway/former_use.py
+++ b/godwitloft/gateway/former_use.py
@@ -131,6 +131,13 @@
         """
         self.uses.pop(name, None)
 
+    def drop_expired(self) -> None:
+        """Drops what has left the window."""
+        now_ms = self.clock.monotonic_ms()
+        for name, use in list(self.uses.items()):
+            if now_ms >= use.until_ms:
+                del self.uses[name]
+
     def committed(self, name: str, team: str, now_ms: int) -> float:
         """Returns what still counts of a peer's use before its start.
 
@@ -216,6 +223,13 @@
         """
         self.windows.pop(name, None)
 
+    def drop_expired(self) -> None:
+        """Drops what has left the window."""
+        now_ms = self.clock.monotonic_ms()
+        for name, windows in list(self.windows.items()):
+            if not any(window.total(now_ms) for window in windows.values()):
+                del self.windows[name]
+
     def committed(self, name: str, team: str, now_ms: int) -> float:
         """Returns what still counts of what a peer had saved.
 
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -173,6 +173,8 @@
         for name, peer in list(self.peers.items()):
             if name not in self.hosts and peer.received_ms < since_ms:
                 del self.peers[name]
+        self.peers_former.drop_expired()
+        self.peers_saved.drop_expired()
 
     @property
     def gateways(self) -> int:
@@ -245,12 +247,18 @@
         committed = self.window(team.name).total(now_ms)
         committed += self.reserved.get(team.name, 0.0)
         equal_share = limit / self.gateways
-        others = self.hosts.keys() | self.peers.keys()
-        for name in others | self.peers_saved.windows.keys():
-            peer_committed = self.committed_by(name, team.name, now_ms)
+        since_ms = now_ms - PEER_TIMEOUT_MS
+        unsure = self.unheard()
+        for name, peer in self.peers.items():
+            if peer.received_ms < since_ms or peer.is_starting:
+                unsure.add(name)
+            else:
+                committed += peer.committed.get(team.name, 0.0)
+        for name in unsure:
+            known = self.committed_by(name, team.name, now_ms)
             if name in self.hosts and not self.is_alive(name, now_ms):
-                peer_committed = max(peer_committed, equal_share)
-            committed += peer_committed
+                known = max(known, equal_share)
+            committed += known
         remaining = limit - committed
         if team.name in self.saved:
             remaining -= self.add_estimate(team.name, limit, now_ms)
@@ -279,6 +287,12 @@
         self.must_save = self.must_save or estimate > 0
         return estimate
 
+    def unheard(self) -> set[str]:
+        """Returns the gateways that are known and were never heard."""
+        known = self.hosts.keys() | self.peers_saved.windows.keys()
+        known |= self.peers_former.uses.keys()
+        return known - self.peers.keys()
+
     def committed_by(self, name: str, team: str, now_ms: int) -> float:
         """Returns what another gateway has committed, as far as known.
 
