A gateway that starts tells also those whose leases are over

Cause: a gateway that can't reach the store loses its lease after 8 s, but serves on, as others confirm its data. One that starts reads the leases that are valid, and the other one can't read at all, so no datagram goes between the two, for as long as the store is out of reach. Change: for 3 s from its start a gateway sends its announcements to every row that it read, also where the lease is over. Who lives answers, and is known. It waits for nobody more than before.

--- a/features/allowances_after_starts.feature
+++ b/features/allowances_after_starts.feature
@@ -72,6 +72,22 @@
       | 1 | all are killed and back after 600000 ms | 3 | 1.0 |
       | 4 | one is killed for good | 1 | 0.7 |
 
+  # Guards against a gateway that starts and isn't told to one whose lease is
+  # over, and that serves on as others confirm its data.
+  Scenario Outline: 1 of <count> gateways loses <lost> for <away> ms, seed <seed>
+    Given <count> gateways that start 1000 ms apart, seed <seed>, while calls to the store take 4 ms
+    When all are ready and one loses <lost> for <away> ms
+    And 1 more starts <after> ms after that began
+    And all are ready and the team asks from 0 ms later on for 10 s
+    Then at most 9800 tokens were granted in any 8 s
+    And at least 0.9 of the team's rate was granted
+
+    Examples:
+      | count | lost | away | after | seed |
+      | 3 | the store | 60000 | 9000 | 1 |
+      | 3 | the store | 60000 | 10000 | 2 |
+      | 4 | the store | 60000 | 30000 | 3 |
+
   # Guards against refusals below the limit: time in which gateways were dead
   # counted as usage.
   Scenario Outline: <count> gateways of a team that asks for half its rate: <event>, seed <seed>
--- a/features/steps/allowances_after_starts_steps.py
+++ b/features/steps/allowances_after_starts_steps.py
@@ -102,6 +102,20 @@
     fleet.advance(dark_ms)
 
 
+@when("all are ready and one loses the store for {away_ms:d} ms")
+def lose_store(context, away_ms):
+    context.fleet.wait_until_ready(context.count)
+    context.fleet.part_first(away_ms, datagrams=False)
+
+
+@when("{count:d} more starts {after_ms:d} ms after that began")
+def start_later(context, count, after_ms):
+    context.fleet.advance(after_ms)
+    for number in range(context.count, context.count + count):
+        context.fleet.start(number)
+    context.count += count
+
+
 @step("one is killed for good")
 def kill_one(context):
     context.fleet.kill(0)
--- a/features/steps/gateway_limits_steps.py
+++ b/features/steps/gateway_limits_steps.py
@@ -91,7 +91,7 @@
         member = self.make(name)
         for peer, (used, at_ms) in self.rows.items():
             if peer != name:
-                member.restore_peer(peer, used, now_ms - at_ms)
+                member.restore_peer(peer, peer, used, now_ms - at_ms)
         used, at_ms = self.rows[name]
         member.restore(used, now_ms - at_ms)
         self.connect(name)
--- a/features/support/allowance_fleet.py
+++ b/features/support/allowance_fleet.py
@@ -65,6 +65,23 @@
         self.kill(number)
         self.start_later(number, self.rng.randint(*BACK_MS))
 
+    def part_first(self, away_ms, datagrams):
+        """Cuts the first gateway off from the store, or from the others too.
+
+        :param away_ms: for how long
+        :param datagrams: whether datagrams are lost as well
+        """
+        host, member = next(iter(self.members.items()))
+        member.client.cut = True
+        if datagrams:
+            self.parted.add(host)
+
+        def end():
+            member.client.cut = False
+            self.parted.discard(host)
+
+        self.reactor.callLater(away_ms / 1000, end)
+
     def ready(self):
         return [
             member
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -56,6 +56,9 @@
 MIN_DEMAND = 1.0
 MAX_PLACES = 1_000
 MAX_NAMES_LOGGED = 20
+# For how long a gateway that starts announces itself also to those whose
+# leases are over: they may serve without the store, which knows both.
+INTRODUCTION_MS = 3_000
 
 Usage = former_use.Usage
 
@@ -140,6 +143,9 @@
         self.demands: dict[str, demands.Demand] = {}
         self.last_announced_ms = 0
         self.hosts: dict[str, str] = {}
+        # IP numbers of all gateways that had a row at the start, by instance.
+        self.saved_hosts: dict[str, str] = {}
+        self.introduced_until_ms = 0
         # What place() has returned for these hosts, by subject.
         self.places: dict[str, int] = {}
         self.peers: dict[str, Peer] = {}
@@ -448,13 +454,17 @@
             known = self.saved_by_all.get(team, 0.0)
             self.saved_by_all[team] = known + counted
 
-    def restore_peer(self, name: str, used: Usage, age_ms: int) -> None:
+    def restore_peer(
+        self, name: str, host: str, used: Usage, age_ms: int
+    ) -> None:
         """Restores another gateway's saved usage until it announces itself.
 
         :param name: name of its instance
+        :param host: its IP number, whether or not its lease is over
         :param used: tokens by age, by team
         :param age_ms: how long ago the other gateway saved its usage
         """
+        self.saved_hosts[name] = host
         if name not in self.peers and age_ms < self.tolerance.counted_ms:
             self.peers_saved.add(name, used, age_ms)
             self.saved_rows += 1
@@ -468,6 +478,8 @@
         """
         self.restored = True
         self.must_announce = True
+        now_ms = self.clock.monotonic_ms()
+        self.introduced_until_ms = now_ms + INTRODUCTION_MS
         self.own_former.ask()
         # Without others, there is nobody to wait for.
         self.is_starting()
@@ -665,9 +677,22 @@
         data = datagrams.encode(
             sharing=self.announcement(team_demands, partial)
         )
-        for host in self.hosts.values():
+        for host in self.receivers().values():
             self.send(data, (host, self.port))
 
+    def receivers(self) -> dict[str, str]:
+        """Returns whom to send announcements.
+
+        :return: IP numbers by instance; at the start also of gateways whose
+            leases are over
+        """
+        if not self.saved_hosts:
+            return self.hosts
+        now_ms = self.clock.monotonic_ms()
+        if self.restored and now_ms >= self.introduced_until_ms:
+            self.saved_hosts = {}
+        return self.saved_hosts | self.hosts
+
     def announcement(
         self, team_demands: list[ttypes.TeamDemand], partial: bool
     ) -> ttypes.Sharing:
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -68,7 +68,8 @@
         instance saved before it was restarted, None if the store has none,
         and its age in milliseconds
     :param on_peer_usage_restored: called at the start with the name of
-        another gateway, its saved usage and the age in milliseconds
+        another gateway, its IP address, its saved usage and the age in
+        milliseconds
     :param on_registered: called once, when this gateway's row is written and
         the others' were read after that
     :param on_blames_restored: called at the start with what a gateway had
@@ -97,7 +98,9 @@
     on_upstreams: typing.Callable[[dict[str, model.Upstream]], None]
     on_gateways: typing.Callable[[dict[str, str]], None]
     on_usage_restored: typing.Callable[[sharing.Usage | None, int], None]
-    on_peer_usage_restored: typing.Callable[[str, sharing.Usage, int], None]
+    on_peer_usage_restored: typing.Callable[
+        [str, str, sharing.Usage, int], None
+    ]
     on_registered: typing.Callable[[], None]
     on_blames_restored: typing.Callable[
         [tuple[crash_reports.BlameReport, ...], int], None
@@ -570,7 +573,7 @@
                 own = holder.usage, age_ms
             else:
                 self.callbacks.on_peer_usage_restored(
-                    instance, holder.usage, age_ms
+                    instance, holder.host, holder.usage, age_ms
                 )
         self.callbacks.on_usage_restored(*own)
         self.usage_restored = True
