A gateway that starts can read long answers of its peers

Cause: Twisted reads 8,192 bytes of a datagram and drops the rest. The answer to a gateway that starts holds up to 20 allowances of each of 20 gateways that are gone or starting: 10,225 bytes with 15 of them and names of 20 letters. Cut off, it can't be read, so that the gateway learns nothing, just when many were killed together. Change: as much is read as UDP permits. On links of 1,500 bytes such an answer comes in fragments; that wasn't tried.

--- a/features/datagrams.feature
+++ b/features/datagrams.feature
@@ -38,3 +38,15 @@
       | number | together | most |
       | 20 | 1 | 20 |
       | 20 | 5 | 20 |
+
+  # Guards against answers to a gateway that starts which it can't read.
+  Scenario Outline: A gateway tells what <gateways> others had used of <teams> allowances
+    Given a socket for datagrams
+    When a gateway tells it what <gateways> others had used of <teams> allowances
+    Then it reads of <gateways>
+
+    Examples:
+      | gateways | teams |
+      | 3 | 20 |
+      | 15 | 20 |
+      | 20 | 40 |
--- a/features/steps/datagrams_steps.py
+++ b/features/steps/datagrams_steps.py
@@ -8,6 +8,7 @@
 from behave import when
 from twisted.internet import udp
 
+from godwitloft.gateway import former_use
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
 
@@ -85,8 +86,10 @@
 def open_socket(context):
     reactor = mock.Mock()
 
-    def listen_udp(number, port, interface):
-        listening = udp.Port(number, port, interface, reactor=reactor)
+    def listen_udp(number, port, interface, **settings):
+        listening = udp.Port(
+            number, port, interface, reactor=reactor, **settings
+        )
         listening.startListening()
         return listening
 
@@ -110,6 +113,41 @@
                 context.listening.doRead()
 
 
+@when(
+    "a gateway tells it what {gateways:d} others had used of {teams:d}"
+    " allowances"
+)
+def tell_former(context, gateways, teams):
+    committed = former_use.encode_committed(
+        {
+            f"team-of-customer-{number:03d}": 100_000.0
+            for number in range(teams)
+        }
+    )
+    sharing = ttypes.Sharing(
+        gateway="g0",
+        demands=committed,
+        crashing=[],
+        answers=True,
+        former=committed,
+        others=[
+            ttypes.FormerUse(f"edge-riga-a-{number}", 1, committed)
+            for number in range(gateways)
+        ],
+    )
+    data = datagrams.encode(sharing=sharing)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        sender.sendto(data, context.counted.getsockname())
+        select.select([context.counted.wrapped], [], [], 1)
+        context.listening.doRead()
+
+
+@then("it reads of {gateways:d}")
+def check_former(context, gateways):
+    told = [datagram.sharing.others for datagram, _ in context.received]
+    assert [len(others) for others in told] == [gateways], told
+
+
 @then("{number:d} are received by at most {most:d} reads")
 def check_reads(context, number, most):
     assert len(context.received) == number, len(context.received)
--- a/godwitloft/links/datagrams.py
+++ b/godwitloft/links/datagrams.py
@@ -10,6 +10,8 @@
 from godwitloft.links.generated.datagrams import ttypes
 
 MAX_DATAGRAM_BYTES = 1_400
+# An answer to a gateway that starts may be as long as UDP permits.
+MAX_RECEIVED_BYTES = 65_536
 
 Address = tuple[str, int]
 
@@ -127,7 +129,9 @@
     :param host: IP number
     :return: Twisted's port
     """
-    listening = reactor.listenUDP(number, port, interface=host)
+    listening = reactor.listenUDP(
+        number, port, interface=host, maxPacketSize=MAX_RECEIVED_BYTES
+    )
     # At most one datagram is read at each event. Twisted would otherwise read
     # until a call fails, and mostly only one has arrived.
     listening.maxThroughput = 1
