Peers hear of every busy team, not of the 20 that used most

With more than 20 teams at their limits, and nothing else wrong, teams got up to 20,500 tokens in 8 s of 9,800. Cause: a regular announcement named the 20 teams that used most and said that it was complete, so that peers took the use of all others for 0. Tokens were reserved for those others as well, without peers knowing it. Change: with more teams, an announcement holds the ten that used most, the ten whose turn it is, and those with unannounced use, and says that it is partial. Peers keep what they knew of the others for as long as it may count. Tokens are reserved only for teams that are announced. An answer to a gateway that starts holds up to 200 teams. What remains: rows still save the 20 teams that used most.

--- a/features/allowances_after_starts.feature
+++ b/features/allowances_after_starts.feature
@@ -117,6 +117,20 @@
       | 2 |
       | 3 |
 
+  # Guards against peers that take a list of the teams that used most for all.
+  Scenario Outline: <teams> teams ask 4 gateways for <load> times their rates
+    Given 4 gateways that start 1000 ms apart, seed 1, while calls to the store take 4 ms
+    When all are ready and <teams> teams ask for <load> times their rates for 10 s
+    Then each team was granted at most 9800 tokens in any 8 s, and all 0.9 of what they may use
+
+    Examples:
+      | teams | load |
+      | 10 | 2 |
+      | 21 | 2 |
+      | 40 | 0.9 |
+      | 40 | 2 |
+      | 60 | 4 |
+
   # Guards against usage that a failed write left unsaved and not due.
   Scenario Outline: The store fails for <away> ms while a team asks for <load> times its rate
     Given 1 gateways that start 0 ms apart, seed 1, while calls to the store take 4 ms
--- a/features/steps/allowances_after_starts_steps.py
+++ b/features/steps/allowances_after_starts_steps.py
@@ -133,6 +133,33 @@
     fleet.start(0, host="127.0.0.99")
 
 
+@when(
+    "all are ready and {teams:d} teams ask for {load:g} times their rates for"
+    " {asked_s:d} s"
+)
+def ask_as_teams(context, teams, load, asked_s):
+    context.fleet.wait_until_ready(context.count)
+    context.load = load
+    context.granted = context.fleet.ask_as_teams(teams, load, asked_s * 1000)
+
+
+@then(
+    "each team was granted at most {limit:d} tokens in any 8 s, and all"
+    " {least:g} of what they may use"
+)
+def check_teams(context, limit, least):
+    sums = {
+        team: gateway_limits_steps.most_in_window(
+            granted, allowance_fleet.WINDOW_MS
+        )
+        for team, granted in context.granted.items()
+    }
+    assert max(sums.values()) <= limit, sums
+    # Each asks at random, so that one alone may ask for less.
+    allowed = allowance_fleet.TEAM.tokens_per_s * 8 * min(1.0, context.load)
+    assert sum(sums.values()) >= least * allowed * len(sums), sums
+
+
 @when("the store fails for {away_ms:d} ms")
 def store_away(context, away_ms):
     context.fleet.take_away(away_ms)
--- a/features/support/allowance_fleet.py
+++ b/features/support/allowance_fleet.py
@@ -1,5 +1,6 @@
 """Gateways that start, end and share a team's allowance, with its callers."""
 
+import dataclasses
 import random
 
 from features.support import following_gateways
@@ -114,6 +115,33 @@
             if sharing.take(TEAM, REQUEST_TOKENS) is not None:
                 self.granted.append((self.now_ms(), REQUEST_TOKENS))
 
+    def ask_as_teams(self, count, load, duration_ms):
+        """Lets several teams ask, each for a multiple of its rate.
+
+        :param count: number of teams
+        :param load: times the rate of each
+        :param duration_ms: for how long
+        :return: times and tokens granted, by team
+        """
+        teams = [
+            dataclasses.replace(TEAM, name=f"team-{number:03d}")
+            for number in range(count)
+        ]
+        granted = {team.name: [] for team in teams}
+        per_step = load * TEAM.tokens_per_s * following_gateways.STEP_MS / 1000
+        requests = per_step / REQUEST_TOKENS
+        for _ in range(duration_ms // following_gateways.STEP_MS):
+            self.advance(following_gateways.STEP_MS)
+            for team in teams:
+                asked = int(requests)
+                asked += self.rng.random() < requests % 1
+                for _ in range(asked):
+                    member = self.rng.choice(self.ready())
+                    if member.world.sharing.take(team, REQUEST_TOKENS):
+                        now_ms = self.now_ms()
+                        granted[team.name].append((now_ms, REQUEST_TOKENS))
+        return granted
+
     def granted_since(self, at_ms, duration_ms):
         return sum(
             tokens
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -12,6 +12,7 @@
 import dataclasses
 import enum
 import hashlib
+import heapq
 import math
 import typing
 
@@ -53,6 +54,7 @@
 # been used since the last save.
 MAX_UNSAVED_SHARE = 0.25
 MAX_TEAMS_ANNOUNCED = 20
+MAX_TEAMS_ANSWERED = 200
 MIN_DEMAND = 1.0
 MAX_PLACES = 1_000
 MAX_NAMES_LOGGED = 20
@@ -70,6 +72,7 @@
     :param demands: tokens per second, by team
     :param committed: tokens used in the window of the limit plus reserved
         tokens, by team
+    :param team_ms: when each team was last told of
     :param received_ms: when the announcement was received
     :param is_starting: whether it is still asking what it had used before it
         was started
@@ -77,6 +80,7 @@
 
     demands: dict[str, float]
     committed: dict[str, float]
+    team_ms: dict[str, int]
     received_ms: int
     is_starting: bool = False
 
@@ -114,6 +118,8 @@
         # Tokens used since the last announcement beyond the reserved ones, by
         # team.
         self.unannounced: dict[str, float] = {}
+        # When each team was last in a regular announcement.
+        self.announced_ms: dict[str, int] = {}
         self.must_announce = False
         # Tokens used since usage was last saved, by team.
         self.unsaved: dict[str, float] = {}
@@ -611,25 +617,63 @@
 
         :param now_ms: the current time
         """
-        for team in self.teams.values():
-            self.reserved[team.name] = self.next_reservation(team, now_ms)
+        active = self.active_teams(now_ms)
+        names = self.teams_to_announce(active)
+        for name in names:
+            self.announced_ms[name] = now_ms
+            if name in self.teams:
+                team = self.teams[name]
+                self.reserved[name] = self.next_reservation(team, now_ms)
         self.last_announced_ms = now_ms
-        self.send_to_peers(self.active_demands(now_ms), partial=False)
+        self.send_to_peers(
+            self.team_demands(names, now_ms), partial=len(names) < len(active)
+        )
 
-    def active_demands(self, now_ms: int) -> list[ttypes.TeamDemand]:
-        """Returns demand and committed tokens of active teams.
+    def active_teams(self, now_ms: int) -> dict[str, float]:
+        """Returns the teams that peers must know of.
 
         :param now_ms: the current time
-        :return: the teams that used most, and those that peers must hear of
-            however little they have used
+        :return: tokens used in the window, by team
+        """
+        active = {}
+        for name, window in self.windows.items():
+            used = window.total(now_ms)
+            if self.is_active(name, used, now_ms):
+                active[name] = used
+            else:
+                self.reserved.pop(name, None)
+        return active
+
+    def teams_to_announce(self, active: dict[str, float]) -> list[str]:
+        """Chooses the teams of a regular announcement.
+
+        :param active: tokens used, by team
+        :return: all, or those that used most, those whose turn it is, and
+            those with unannounced use
+        """
+        if len(active) <= MAX_TEAMS_ANNOUNCED:
+            return list(active)
+        count = MAX_TEAMS_ANNOUNCED // 2
+        largest = heapq.nlargest(count, active, key=active.__getitem__)
+        waiting = heapq.nsmallest(
+            count,
+            active.keys() - set(largest),
+            key=lambda name: self.announced_ms.get(name, 0),
+        )
+        return list(dict.fromkeys([*largest, *waiting, *self.unannounced]))
+
+    def team_demands(
+        self, names: typing.Iterable[str], now_ms: int
+    ) -> list[ttypes.TeamDemand]:
+        """Returns demand and committed tokens of teams.
+
+        :param names: names of the teams
+        :param now_ms: the current time
+        :return: parts of a datagram
         """
-        uses = dict(self.largest_uses(now_ms))
-        for name in self.unannounced:
-            uses[name] = self.window(name).total(now_ms)
         return [
-            self.team_demand(name, used, now_ms)
-            for name, used in uses.items()
-            if self.is_active(name, used, now_ms)
+            self.team_demand(name, self.window(name).total(now_ms), now_ms)
+            for name in names
         ]
 
     def announce_excess(self, now_ms: int) -> None:
@@ -640,11 +684,9 @@
         for name in self.unannounced:
             team = self.teams[name]
             self.reserved[name] = self.next_reservation(team, now_ms)
-        team_demands = [
-            self.team_demand(name, self.window(name).total(now_ms), now_ms)
-            for name in self.unannounced
-        ]
-        self.send_to_peers(team_demands, partial=True)
+        self.send_to_peers(
+            self.team_demands(self.unannounced, now_ms), partial=True
+        )
 
     def team_demand(
         self, team: str, used: float, now_ms: int
@@ -767,13 +809,20 @@
         elif previous is not None and not previous.is_starting:
             self.keep_former(sharing.gateway, previous)
             previous = None
+        now_ms = self.clock.monotonic_ms()
+        team_ms = dict.fromkeys(committed, now_ms)
         if sharing.partial and previous is not None:
-            rates = previous.demands | rates
-            committed = previous.committed | committed
+            since_ms = now_ms - self.tolerance.counted_ms
+            for team, at_ms in previous.team_ms.items():
+                if team not in team_ms and at_ms > since_ms:
+                    team_ms[team] = at_ms
+                    rates[team] = previous.demands[team]
+                    committed[team] = previous.committed[team]
         self.peers[sharing.gateway] = Peer(
             demands=rates,
             committed=committed,
-            received_ms=self.clock.monotonic_ms(),
+            team_ms=team_ms,
+            received_ms=now_ms,
             is_starting=is_starting,
         )
         if sharing.answers:
@@ -865,7 +914,13 @@
         :param host: its IP number
         """
         now_ms = self.clock.monotonic_ms()
-        answer = self.announcement(self.active_demands(now_ms), partial=False)
+        active = self.active_teams(now_ms)
+        names = heapq.nlargest(
+            MAX_TEAMS_ANSWERED, active, key=active.__getitem__
+        )
+        answer = self.announcement(
+            self.team_demands(names, now_ms), partial=len(names) < len(active)
+        )
         answer.answers = True
         answer.former = self.peers_former.to_tell(name)
         answer.others = self.others_former(name) or None
