--- a/features/allowances_after_starts.feature
+++ b/features/allowances_after_starts.feature
@@ -72,6 +72,83 @@
       | 1 | all are killed and back after 600000 ms | 3 | 1.0 |
       | 4 | one is killed for good | 1 | 0.7 |
 
+  # Guards against a gateway that starts and isn't told to one whose lease is
+  # over, and that serves on as others confirm its data.
+  Scenario Outline: 1 of <count> gateways loses <lost> for <away> ms, seed <seed>
+    Given <count> gateways that start 1000 ms apart, seed <seed>, while calls to the store take 4 ms
+    When all are ready and one loses <lost> for <away> ms
+    And 1 more starts <after> ms after that began
+    And all are ready and the team asks from 0 ms later on for 10 s
+    Then at most 9800 tokens were granted in any 8 s
+    And at least 0.9 of the team's rate was granted
+
+    Examples:
+      | count | lost | away | after | seed |
+      | 3 | the store | 60000 | 9000 | 1 |
+      | 3 | the store | 60000 | 10000 | 2 |
+      | 4 | the store | 60000 | 30000 | 3 |
+
+  # Guards against a gateway that has been cut off, and doesn't look who is new.
+  Scenario Outline: 1 of <count> gateways loses everything for <away> ms, seed <seed>
+    Given <count> gateways that start 1000 ms apart, seed <seed>, while calls to the store take 4 ms
+    When all are ready and one loses everything for <away> ms
+    And 1 more starts <after> ms after that began
+    And all are ready and the team asks from 0 ms later on for 10 s
+    Then at most 9800 tokens were granted in any 8 s
+    And at least 0.9 of the team's rate was granted
+
+    Examples:
+      | count | away | after | seed |
+      | 4 | 23000 | 20000 | 1 |
+      | 4 | 23000 | 20000 | 2 |
+      | 4 | 40000 | 35000 | 3 |
+
+  # Guards against peers that send to the old address until they read the rows.
+  Scenario Outline: A busy gateway is killed and back at another address, seed <seed>
+    Given 4 gateways that start 1000 ms apart, seed <seed>, while calls to the store take 4 ms
+    When all are ready and the team asks from 1000 ms later on for 9 s
+    And one is killed and back at another address after 500 ms
+    And the team asks for 20 s
+    Then at most 9800 tokens were granted in any 8 s
+
+    Examples:
+      | seed |
+      | 1 |
+      | 2 |
+      | 3 |
+
+  # Guards against peers that take a list of the teams that used most for all.
+  Scenario Outline: <teams> teams ask 4 gateways for <load> times their rates
+    Given 4 gateways that start 1000 ms apart, seed 1, while calls to the store take 4 ms
+    When all are ready and <teams> teams ask for <load> times their rates for 10 s
+    Then each team was granted at most 9800 tokens in any 8 s, and all 0.9 of what they may use
+
+    Examples:
+      | teams | load |
+      | 10 | 2 |
+      | 21 | 2 |
+      | 40 | 0.9 |
+      | 40 | 2 |
+      | 60 | 4 |
+
+  # Guards against usage that a failed write left unsaved and not due.
+  Scenario Outline: The store fails for <away> ms while a team asks for <load> times its rate
+    Given 1 gateways that start 0 ms apart, seed 1, while calls to the store take 4 ms
+    When the team asks for <load> times its rate
+    And all are ready and the team asks from 0 ms later on for <before> s
+    And the store fails for <away> ms
+    Then 600 ms later little usage is unsaved, or for a short time
+
+    Examples:
+      | before | away | load |
+      | 0.2 | 2000 | 4 |
+      | 3 | 1800 | 1 |
+      | 3 | 1800 | 8 |
+      | 5 | 2400 | 1 |
+      | 8 | 1800 | 8 |
+      | 8.2 | 1800 | 4 |
+      | 8.2 | 6000 | 8 |
+
   # Guards against refusals below the limit: time in which gateways were dead
   # counted as usage.
   Scenario Outline: <count> gateways of a team that asks for half its rate: <event>, seed <seed>
--- a/features/steps/allowances_after_starts_steps.py
+++ b/features/steps/allowances_after_starts_steps.py
@@ -10,6 +10,9 @@
 
 from features.steps import gateway_limits_steps
 from features.support import allowance_fleet
+from features.support import gateway_world
+from godwitloft.gateway import allowance
+from godwitloft.gateway import sharing
 
 ROOT = pathlib.Path(__file__).parents[2]
 PROGRAM_S = 90
@@ -102,6 +105,83 @@
     fleet.advance(dark_ms)
 
 
+@when("all are ready and one loses the store for {away_ms:d} ms")
+def lose_store(context, away_ms):
+    context.fleet.wait_until_ready(context.count)
+    context.fleet.part_first(away_ms, datagrams=False)
+
+
+@when("all are ready and one loses everything for {away_ms:d} ms")
+def lose_everything(context, away_ms):
+    context.fleet.wait_until_ready(context.count)
+    context.fleet.part_first(away_ms, datagrams=True)
+
+
+@when("{count:d} more starts {after_ms:d} ms after that began")
+def start_later(context, count, after_ms):
+    context.fleet.advance(after_ms)
+    for number in range(context.count, context.count + count):
+        context.fleet.start(number)
+    context.count += count
+
+
+@when("one is killed and back at another address after {dark_ms:d} ms")
+def move_one(context, dark_ms):
+    fleet = context.fleet
+    fleet.kill(0)
+    fleet.advance(dark_ms)
+    fleet.start(0, host="127.0.0.99")
+
+
+@when(
+    "all are ready and {teams:d} teams ask for {load:g} times their rates for"
+    " {asked_s:d} s"
+)
+def ask_as_teams(context, teams, load, asked_s):
+    context.fleet.wait_until_ready(context.count)
+    context.load = load
+    context.granted = context.fleet.ask_as_teams(teams, load, asked_s * 1000)
+
+
+@then(
+    "each team was granted at most {limit:d} tokens in any 8 s, and all"
+    " {least:g} of what they may use"
+)
+def check_teams(context, limit, least):
+    sums = {
+        team: gateway_limits_steps.most_in_window(
+            granted, allowance_fleet.WINDOW_MS
+        )
+        for team, granted in context.granted.items()
+    }
+    assert max(sums.values()) <= limit, sums
+    # Each asks at random, so that one alone may ask for less.
+    allowed = allowance_fleet.TEAM.tokens_per_s * 8 * min(1.0, context.load)
+    assert sum(sums.values()) >= least * allowed * len(sums), sums
+
+
+@when("the store fails for {away_ms:d} ms")
+def store_away(context, away_ms):
+    context.fleet.take_away(away_ms)
+    context.fleet.advance(away_ms)
+
+
+@then("{passed_ms:d} ms later little usage is unsaved, or for a short time")
+def check_saved(context, passed_ms):
+    fleet = context.fleet
+    fleet.advance(passed_ms)
+    (member,) = fleet.members.values()
+    saved_ms = member.watch.renewed_ms
+    age_ms = fleet.now_ms() - saved_ms
+    unsaved = fleet.granted_since(saved_ms, age_ms)
+    limit = allowance.window_limit(
+        allowance_fleet.TEAM, gateway_world.TOLERANCE
+    )
+    is_little = unsaved <= sharing.MAX_UNSAVED_SHARE * limit
+    is_short = age_ms <= allowance.MAX_MUCH_UNSAVED_MS
+    assert is_little or is_short, (unsaved, age_ms)
+
+
 @step("one is killed for good")
 def kill_one(context):
     context.fleet.kill(0)
--- a/features/support/allowance_fleet.py
+++ b/features/support/allowance_fleet.py
@@ -1,5 +1,6 @@
 """Gateways that start, end and share a team's allowance, with its callers."""
 
+import dataclasses
 import random
 
 from features.support import following_gateways
@@ -38,8 +39,8 @@
     def now_ms(self):
         return self.first.now_ms()
 
-    def start(self, number):
-        host = f"127.0.0.{number + 1}"
+    def start(self, number, host=None):
+        host = host or f"127.0.0.{number + 1}"
         member = restored_store.RestoredStore(
             self.context,
             self.first.rows,
@@ -65,6 +66,23 @@
         self.kill(number)
         self.start_later(number, self.rng.randint(*BACK_MS))
 
+    def part_first(self, away_ms, datagrams):
+        """Cuts the first gateway off from the store, or from the others too.
+
+        :param away_ms: for how long
+        :param datagrams: whether datagrams are lost as well
+        """
+        host, member = next(iter(self.members.items()))
+        member.client.cut = True
+        if datagrams:
+            self.parted.add(host)
+
+        def end():
+            member.client.cut = False
+            self.parted.discard(host)
+
+        self.reactor.callLater(away_ms / 1000, end)
+
     def ready(self):
         return [
             member
@@ -97,6 +115,33 @@
             if sharing.take(TEAM, REQUEST_TOKENS) is not None:
                 self.granted.append((self.now_ms(), REQUEST_TOKENS))
 
+    def ask_as_teams(self, count, load, duration_ms):
+        """Lets several teams ask, each for a multiple of its rate.
+
+        :param count: number of teams
+        :param load: times the rate of each
+        :param duration_ms: for how long
+        :return: times and tokens granted, by team
+        """
+        teams = [
+            dataclasses.replace(TEAM, name=f"team-{number:03d}")
+            for number in range(count)
+        ]
+        granted = {team.name: [] for team in teams}
+        per_step = load * TEAM.tokens_per_s * following_gateways.STEP_MS / 1000
+        requests = per_step / REQUEST_TOKENS
+        for _ in range(duration_ms // following_gateways.STEP_MS):
+            self.advance(following_gateways.STEP_MS)
+            for team in teams:
+                asked = int(requests)
+                asked += self.rng.random() < requests % 1
+                for _ in range(asked):
+                    member = self.rng.choice(self.ready())
+                    if member.world.sharing.take(team, REQUEST_TOKENS):
+                        now_ms = self.now_ms()
+                        granted[team.name].append((now_ms, REQUEST_TOKENS))
+        return granted
+
     def granted_since(self, at_ms, duration_ms):
         return sum(
             tokens
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -68,7 +68,8 @@
         instance saved before it was restarted, None if the store has none,
         and its age in milliseconds
     :param on_peer_usage_restored: called at the start with the name of
-        another gateway, its saved usage and the age in milliseconds
+        another gateway, its IP address, its saved usage and the age in
+        milliseconds
     :param on_registered: called once, when this gateway's row is written and
         the others' were read after that
     :param on_blames_restored: called at the start with what a gateway had
@@ -97,7 +98,9 @@
     on_upstreams: typing.Callable[[dict[str, model.Upstream]], None]
     on_gateways: typing.Callable[[dict[str, str]], None]
     on_usage_restored: typing.Callable[[sharing.Usage | None, int], None]
-    on_peer_usage_restored: typing.Callable[[str, sharing.Usage, int], None]
+    on_peer_usage_restored: typing.Callable[
+        [str, str, sharing.Usage, int], None
+    ]
     on_registered: typing.Callable[[], None]
     on_blames_restored: typing.Callable[
         [tuple[crash_reports.BlameReport, ...], int], None
@@ -202,8 +205,13 @@
         self.registered = False
         self.renewed_ms = 0
         self.renewals = 0
+        # Whether the last write of this gateway's row isn't known to be done.
+        self.is_unsaved = False
         # When to write this gateway's row after a restore, None if it was.
         self.rewrite_ms: int | None = None
+        # When to read the others' rows as this gateway's lease was over, None
+        # if it wasn't.
+        self.reread_ms: int | None = None
         self.list_restored = False
         # The store's clock minus this process's.
         self.store_clock_offset_ms = 0
@@ -495,9 +503,11 @@
         if self.callbacks.needs_saving():
             interval_ms = MIN_RENEWAL_INTERVAL_MS
         now_ms = self.clock.monotonic_ms()
-        if self.rewrite_ms is not None and now_ms >= self.rewrite_ms:
+        if self.is_due(self.rewrite_ms) or self.is_due(self.reread_ms):
+            return True
+        if not self.registered or self.is_unsaved:
             return True
-        if not self.registered or self.callbacks.must_save():
+        if self.callbacks.must_save():
             return True
         return now_ms - self.renewed_ms >= interval_ms
 
@@ -520,6 +530,10 @@
             self.restore_saved(result)
         rewriting = self.rewrite_ms is not None
         timeline = self.store.timeline.current
+        if self.registered and self.has_lapsed():
+            self.reread_ms = (
+                self.clock.monotonic_ms() + self.rewrite_delay_ms()
+            )
         reads = rewriting or self.renewals % RENEWALS_PER_READ == 0
         yield self.renew_lease()
         if rewriting and timeline == self.store.timeline.current:
@@ -530,12 +544,28 @@
                 table=GATEWAY_TABLE,
                 rewritten=[self.instance],
             )
-        if reads or not self.registered:
+        if reads or not self.registered or self.is_due(self.reread_ms):
             result = yield self.store.read(GATEWAY_TABLE)
+            self.reread_ms = None
             self.set_store_clock(result.now_ms)
             self.apply_gateways(result)
         return CHECK_INTERVAL_MS
 
+    def is_due(self, at_ms: int | None) -> bool:
+        """Returns whether something is to be done now.
+
+        :param at_ms: when it is to be done, None for never
+        """
+        return at_ms is not None and self.clock.monotonic_ms() >= at_ms
+
+    def has_lapsed(self) -> bool:
+        """Returns whether this gateway's lease is over.
+
+        :return: whether gateways may have started that don't know this one
+        """
+        now_ms = self.clock.monotonic_ms()
+        return now_ms - self.renewed_ms >= GATEWAY_LEASE_MS
+
     def set_store_clock(self, now_ms: int) -> None:
         """Takes the store's time from an answer.
 
@@ -570,7 +600,7 @@
                 own = holder.usage, age_ms
             else:
                 self.callbacks.on_peer_usage_restored(
-                    instance, holder.usage, age_ms
+                    instance, holder.host, holder.usage, age_ms
                 )
         self.callbacks.on_usage_restored(*own)
         self.usage_restored = True
@@ -604,7 +634,9 @@
             versions=self.callbacks.versions(),
         )
         value = lease_row.encode(row)
+        self.is_unsaved = True
         yield self.store.put(GATEWAY_TABLE, self.instance, value)
+        self.is_unsaved = False
         self.renewed_ms = now_ms
         self.renewals += 1
         self.callbacks.on_saved(now_ms)
