A gateway isn't its own peer

Cause: a gateway that starts now announces itself to every row that it read. Where an instance had another name before, its row has this gateway's address, so that the announcement comes back; it then counted itself as another one. Change: own announcements are ignored. Measured result: the new scenario of features/allowances_after_starts.feature failed before and passes.

--- a/features/allowances_after_starts.feature
+++ b/features/allowances_after_starts.feature
@@ -168,6 +168,14 @@
       | 4 | each is killed in turn every 500 ms, 4 times | 1 |
       | 12 | each is killed in turn every 500 ms, 4 times | 1 |
 
+  # Guards against a gateway that takes itself for another: a row of an earlier
+  # name has its address.
+  Scenario: A gateway whose announcement comes back knows no other for it
+    Given 1 gateways that start 0 ms apart, seed 1, while calls to the store take 4 ms
+    When all are ready and the team asks from 0 ms later on for 1 s
+    And its announcement comes back
+    Then it knows no other gateway
+
   # The same with the programs themselves and a stand-in store.
   Scenario: 4 real gateways start at once before a team that asks for too much
     When 4 real gateways are started at once and a team asks for 9 s
--- a/features/steps/allowances_after_starts_steps.py
+++ b/features/steps/allowances_after_starts_steps.py
@@ -13,6 +13,7 @@
 from features.support import gateway_world
 from godwitloft.gateway import allowance
 from godwitloft.gateway import sharing
+from godwitloft.links import datagrams
 
 ROOT = pathlib.Path(__file__).parents[2]
 PROGRAM_S = 90
@@ -239,3 +240,18 @@
 def check_real(context):
     rush = context.rush
     assert rush["limit"] / 2 <= rush["most"] <= rush["limit"], rush
+
+
+@step("its announcement comes back")
+def send_back(context):
+    (member,) = context.fleet.members.values()
+    sent = member.world.sharing.announcement([], partial=False)
+    member.gateway.on_datagram(
+        datagrams.decode(datagrams.encode(sharing=sent)), ("127.0.0.1", 1)
+    )
+
+
+@then("it knows no other gateway")
+def check_alone(context):
+    (member,) = context.fleet.members.values()
+    assert not member.world.sharing.hosts, member.world.sharing.hosts
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -801,6 +801,8 @@
         :param sharing: the received datagram
         :param host: IP number of the sender
         """
+        if sharing.gateway == self.instance:
+            return
         if sharing.gateway not in self.hosts:
             self.hosts[sharing.gateway] = host
             self.places.clear()
