Gateways that read announcements late keep a team's limit together

Cause: what was announced counted as known to peers at once. Until a peer has read it, it takes from what is gone: each early announcement, and each reservation, takes a further share of what one's own late view calls free. Change: each announcement asks one peer in turn for the time (asked_ms), and the peer answers in its next one (answer_ms, without the time it held the question). The longest round trip of the last 2 s, or else the last one, is how old a view may be. What peers may have committed within it is subtracted before tokens are used or reserved: their announced demand for that time, and no more than their part of what was free without one's own commitments since. Nothing is subtracted while that demand is within the unused tolerance, which is meant for it. Why it works: with the same view of what is free, gateways that each commit no more than their part of it since then can't together exceed it, however often they announce; a lone busy one loses nothing, as idle peers ask for nothing. One question and about one answer per announcement, not per peer. A gateway without peers, or with older ones that don't answer, does as before.

--- a/features/gateway_limits.feature
+++ b/features/gateway_limits.feature
@@ -38,6 +38,63 @@
       | 12 | 50 | 1,1,1,1,1,1,1,1,1,1,1,1 |
       | 4 | 200 | 1,1,1,1 |
       | 12 | 200 | 1,1,1,1,1,1,1,1,1,1,1,1 |
+      | 12 | 100 | 1,1,1,1,1,1,1,1,1,1,1,1 |
+      | 29 | 100 | 1,1,1,1,1,1,1,1,1,1,1,1,1,1,1,1,1,1,1,1,1,1,1,1,1,1,1,1,1 |
+      | 12 | 200 | 20,1,1,1,1,1,1,1,1,1,1,1 |
+      | 6 | 200 | 9,3,1,1,1,1 |
+
+  # Guards against gateways that leave much of the limit unused, or exceed it,
+  # because some or all of them read late. Each has its own delay.
+  Scenario Outline: Late gateways use the limit: <case>
+    Given gateways that share an allowance, each with its delay: "<delays>"
+    When <per_s> tokens per second are requested for 20 s, distributed as "<spread>"
+    And nothing happens
+    Then at most 10900 tokens were used in any 8 s
+    And at least <least> of all requested tokens were allowed
+
+    # 0.2 of 8000 tokens a second can be allowed.
+    Examples:
+      | case | delays | per_s | spread | least |
+      | under the limit | 200,200,200,200 | 900 | 1,1,1,1 | 1.0 |
+      | under it, at one | 200,200,200,200 | 900 | 1,0,0,0 | 0.95 |
+      | under it, uneven | 200,200,200,200 | 900 | 8,1,1,0 | 0.95 |
+      | far over | 200,200,200,200 | 8000 | 1,1,1,1 | 0.18 |
+      | one busy among idle ones | 200,200,200,200,200,200,200,200 | 8000 | 1,0,0,0,0,0,0,0 | 0.18 |
+      | one late | 200,5,5,5,5,5 | 8000 | 1,1,1,1,1,1 | 0.18 |
+      | one late and busy | 200,5,5,5,5,5 | 8000 | 9,1,1,1,1,1 | 0.18 |
+      | each another delay | 5,20,50,100,200,300 | 8000 | 1,1,1,1,1,1 | 0.18 |
+      | a burst that moves | 200,200,200,200 | 4000 | wander | 0.3 |
+
+  # Guards against gateways that don't tolerate those of an older release, which
+  # don't tell how long announcements take.
+  Scenario Outline: <older> of 6 gateways are of an older release
+    Given 6 gateways that share an allowance
+    And <older> of them are of an older release
+    When <per_s> tokens per second are requested for 20 s, distributed as "1,1,1,1,1,1"
+    And nothing happens
+    Then at most 10900 tokens were used in any 8 s
+    And at least <least> of all requested tokens were allowed
+
+    Examples:
+      | older | per_s | least |
+      | 3 | 900 | 1.0 |
+      | 3 | 8000 | 0.18 |
+      | 5 | 8000 | 0.18 |
+
+  # Guards against refusals of large requests below the limit because gateways
+  # read late.
+  Scenario Outline: Each of 29 gateways gets few large requests and reads <delay> ms late
+    Given 29 gateways that share the allowance of a team with large requests
+    And they read datagrams after <delay> ms
+    When it requests <part> times its rate, and <surge> times from 10 s on, seed <seed>
+    Then at most 496400 tokens were used in any 8 s
+    And at least <least> of the tokens requested in the first 10 s were allowed
+
+    Examples:
+      | delay | part | surge | seed | least |
+      | 50 | 0.5 | 0.5 | 1 | 0.97 |
+      | 200 | 0.7 | 0.7 | 3 | 0.9 |
+      | 100 | 0.55 | 10 | 5 | 0.9 |
 
   # Guards against refusals below the limit when requests are large and each
   # gateway gets one only rarely, so that announced demand says little. The team
--- a/features/steps/gateway_limits_steps.py
+++ b/features/steps/gateway_limits_steps.py
@@ -44,6 +44,11 @@
         self.rows = {}
         self.parted = False
         self.delay_s = DELAY_S
+        # Delays of gateways that differ from it.
+        self.delays_s = {}
+        # Gateways of a release that neither asks nor answers how long
+        # datagrams take.
+        self.older = set()
         self.sent_bytes = 0
         self.sent_datagrams = 0
         self.away = None
@@ -62,8 +67,9 @@
             self.sent_bytes += len(data)
             self.sent_datagrams += 1
             if not self.parted:
+                delay_s = self.delays_s.get(where[0], self.delay_s)
                 self.reactor.callLater(
-                    self.delay_s, self.deliver, data, where, name
+                    delay_s, self.deliver, data, where, name
                 )
 
         member = sharing.Sharing(self.clock, send, name, 1, self.tolerance)
@@ -99,6 +105,9 @@
 
     def deliver(self, data, where, sender):
         datagram = datagrams.decode(data)
+        if self.older & {where[0], sender}:
+            datagram.sharing.asked_ms = None
+            datagram.sharing.answer_ms = None
         self.members[where[0]].on_announcement(datagram.sharing, sender)
 
     def run(self, per_s, spread, duration_ms, event):
@@ -185,6 +194,26 @@
     context.fleet.delay_s = delay_ms / 1000
 
 
+@given('gateways that share an allowance, each with its delay: "{delays}"')
+def unevenly_late_fleet(context, delays):
+    delays_ms = [int(delay) for delay in delays.split(",")]
+    context.fleet = Fleet(len(delays_ms))
+    context.fleet.delays_s = {
+        name: delay_ms / 1000
+        for name, delay_ms in zip(context.fleet.names, delays_ms, strict=True)
+    }
+
+
+@given("{count:d} of them are of an older release")
+def with_older(context, count):
+    context.fleet.older = set(context.fleet.names[:count])
+
+
+@given("they read datagrams after {delay_ms:d} ms")
+def late(context, delay_ms):
+    context.fleet.delay_s = delay_ms / 1000
+
+
 @given(
     "{count:d} gateways that share the allowance of a team with large requests"
 )
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -22,6 +22,7 @@
 from godwitloft.gateway import former_use
 from godwitloft.gateway import model
 from godwitloft.gateway import peer_status
+from godwitloft.gateway import unseen
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
 
@@ -111,6 +112,9 @@
         # Tokens used since the last announcement beyond the reserved ones, by
         # team.
         self.unannounced: dict[str, float] = {}
+        # Tokens lately committed, by team.
+        self.commitments: dict[str, unseen.Commitments] = {}
+        self.round_trips = unseen.RoundTrips(clock.monotonic_ms())
         self.must_announce = False
         # Tokens used since usage was last saved, by team.
         self.unsaved: dict[str, float] = {}
@@ -205,17 +209,43 @@
         :return: from 0 to 1, in proportion to the gateways' demands
         """
         now_ms = self.clock.monotonic_ms()
-        base_demand = max(
-            MIN_DEMAND, BASE_DEMAND_SHARE * team.tokens_per_s / self.gateways
-        )
-        own = base_demand + self.demand_of(team.name, now_ms)
-        total = own
+        asked, heard = self.peers_demand(team.name, now_ms)
+        return self.fraction_beside(team, asked, heard, now_ms)
+
+    def peers_demand(self, team: str, now_ms: int) -> tuple[float, int]:
+        """Returns a team's demand at the other gateways.
+
+        :param team: name of the team
+        :param now_ms: the current time
+        :return: tokens per second at those that were heard lately, and how
+            many those are
+        """
+        asked = 0.0
+        heard = 0
         since_ms = now_ms - PEER_TIMEOUT_MS
         for name in self.hosts:
             peer = self.peers.get(name)
             if peer is not None and peer.received_ms >= since_ms:
-                total += base_demand + peer.demands.get(team.name, 0.0)
-        return own / total
+                asked += peer.demands.get(team, 0.0)
+                heard += 1
+        return asked, heard
+
+    def fraction_beside(
+        self, team: model.Team, asked: float, heard: int, now_ms: int
+    ) -> float:
+        """Returns this gateway's share beside a demand of its peers.
+
+        :param team: the team
+        :param asked: the peers' demand, as :meth:`peers_demand` returned it
+        :param heard: how many of them were heard lately
+        :param now_ms: the current time
+        :return: from 0 to 1
+        """
+        base_demand = max(
+            MIN_DEMAND, BASE_DEMAND_SHARE * team.tokens_per_s / self.gateways
+        )
+        own = base_demand + self.demand_of(team.name, now_ms)
+        return own / (own + heard * base_demand + asked)
 
     def window(self, team: str) -> allowance.Window:
         """Returns the sliding window of a team's usage at this gateway.
@@ -351,7 +381,7 @@
         :return: whether they may be used, and when that is announced
         """
         remaining = self.remaining(team)
-        if tokens > remaining:
+        if tokens > remaining - self.unseen_by(team, remaining, now_ms):
             return ExcessUse.REFUSED
         spare = allowance.unused_tolerance(team, self.tolerance)
         unannounced = self.unannounced.get(team.name, 0.0)
@@ -368,6 +398,45 @@
             return ExcessUse.ANNOUNCED_EARLY
         return ExcessUse.REFUSED
 
+    def commit(self, team: str, tokens: float, now_ms: int) -> None:
+        """Records that tokens are used or reserved that were not reserved.
+
+        :param team: name of the team
+        :param tokens: number of tokens
+        :param now_ms: the current time
+        """
+        self.commitments.setdefault(team, unseen.Commitments()).add(
+            tokens, now_ms
+        )
+
+    def unseen_by(
+        self, team: model.Team, remaining: float, now_ms: int
+    ) -> float:
+        """Returns what peers may have committed that isn't known here yet.
+
+        In the time that announcements take, peers commit no more than their
+        callers ask for, nor more than their part of what remained before.
+        What this gateway has committed since then counts within its own part.
+        Nothing is held back for as little as the unused tolerance covers.
+
+        :param team: the team
+        :param remaining: as :meth:`remaining` returned it
+        :param now_ms: the current time
+        :return: tokens
+        """
+        late_ms = self.round_trips.late_ms(now_ms)
+        asked, heard = self.peers_demand(team.name, now_ms)
+        asked_meanwhile = asked * late_ms / clocks.MS_PER_S
+        covered = allowance.unused_tolerance(team, self.tolerance)
+        if asked_meanwhile <= covered:
+            return 0.0
+        remained = remaining
+        if team.name in self.commitments:
+            recent = self.commitments[team.name]
+            remained += recent.since(now_ms - late_ms)
+        others = 1.0 - self.fraction_beside(team, asked, heard, now_ms)
+        return max(0.0, min(asked_meanwhile, others * remained))
+
     def place(self, subject: str) -> int:
         """Returns the place of this gateway among all gateways.
 
@@ -530,6 +599,7 @@
             use_of_excess = self.use_of_excess(team, excess, now_ms)
             if use_of_excess is ExcessUse.REFUSED:
                 return None
+            self.commit(team.name, excess, now_ms)
             self.unannounced[team.name] = (
                 self.unannounced.get(team.name, 0.0) + excess
             )
@@ -600,7 +670,7 @@
         :param now_ms: the current time
         """
         for team in self.teams.values():
-            self.reserved[team.name] = self.next_reservation(team, now_ms)
+            self.reserve(team, now_ms)
         self.last_announced_ms = now_ms
         self.send_to_peers(self.active_demands(now_ms), partial=False)
 
@@ -627,7 +697,7 @@
         """
         for name in self.unannounced:
             team = self.teams[name]
-            self.reserved[name] = self.next_reservation(team, now_ms)
+            self.reserve(team, now_ms)
         team_demands = [
             self.team_demand(name, self.window(name).total(now_ms), now_ms)
             for name in self.unannounced
@@ -662,11 +732,19 @@
         """
         self.must_announce = False
         self.unannounced.clear()
-        data = datagrams.encode(
-            sharing=self.announcement(team_demands, partial)
-        )
-        for host in self.hosts.values():
-            self.send(data, (host, self.port))
+        sharing = self.announcement(team_demands, partial)
+        data = datagrams.encode(sharing=sharing)
+        now_ms = self.clock.monotonic_ms()
+        asked = self.round_trips.peer_to_ask(self.hosts)
+        for name, host in self.hosts.items():
+            answer_ms = self.round_trips.answer(name, now_ms)
+            if name == asked or answer_ms is not None:
+                sharing.asked_ms = now_ms if name == asked else None
+                sharing.answer_ms = answer_ms
+                own_data = datagrams.encode(sharing=sharing)
+                self.send(own_data, (host, self.port))
+            else:
+                self.send(data, (host, self.port))
 
     def announcement(
         self, team_demands: list[ttypes.TeamDemand], partial: bool
@@ -687,6 +765,17 @@
         peer_status.encode(self.own_status(), sharing)
         return sharing
 
+    def reserve(self, team: model.Team, now_ms: int) -> None:
+        """Reserves tokens until the next regular announcement.
+
+        :param team: the team
+        :param now_ms: the current time
+        """
+        before = self.reserved.get(team.name, 0.0)
+        after = self.next_reservation(team, now_ms)
+        self.reserved[team.name] = after
+        self.commit(team.name, after - before, now_ms)
+
     def next_reservation(self, team: model.Team, now_ms: int) -> float:
         """Returns what to reserve until the next regular announcement.
 
@@ -697,8 +786,11 @@
         interval_s = self.announce_interval_ms() / clocks.MS_PER_S
         demand = self.demand_of(team.name, now_ms)
         requested = RESERVED_INTERVALS * interval_s * demand
-        free = self.remaining(team) + self.reserved.get(team.name, 0.0)
-        return max(0.0, min(requested, self.fraction(team) * free))
+        before = self.reserved.get(team.name, 0.0)
+        remaining = self.remaining(team)
+        free = remaining + before
+        most = before + remaining - self.unseen_by(team, remaining, now_ms)
+        return max(0.0, min(requested, self.fraction(team) * free, most))
 
     def is_active(self, team: str, used: float, now_ms: int) -> bool:
         """Returns whether a team must be included in announcements.
@@ -732,6 +824,11 @@
         committed = {
             demand.team: max(0, demand.committed) for demand in sharing.demands
         }
+        now_ms = self.clock.monotonic_ms()
+        if sharing.asked_ms is not None:
+            self.round_trips.hold(sharing.gateway, sharing.asked_ms, now_ms)
+        if sharing.answer_ms is not None:
+            self.round_trips.learn(sharing.answer_ms, now_ms)
         is_starting = bool(sharing.starting)
         if not is_starting:
             self.peers_former.forget(sharing.gateway)
@@ -745,7 +842,7 @@
         self.peers[sharing.gateway] = Peer(
             demands=rates,
             committed=committed,
-            received_ms=self.clock.monotonic_ms(),
+            received_ms=now_ms,
             is_starting=is_starting,
         )
         if sharing.answers:
--- a/godwitloft/links/datagrams.thrift
+++ b/godwitloft/links/datagrams.thrift
@@ -106,6 +106,10 @@
   15: optional list<UpstreamLimit> limits
   16: optional bool answers         // this answers the receiver's starting
   17: optional list<FormerUse> others // of other gateways, with an answer
+  18: optional i64 asked_ms         // the receiver is asked how long datagrams
+                                    // take: on the sender's clock
+  19: optional i64 answer_ms        // the receiver's asked_ms plus how long
+                                    // the sender has held it
 }
 
 /* A gateway asks another one how new what it holds is. */
