What a failed save contained is saved soon

Callers saw: nothing by itself. A gateway that is killed within 5 s of a failed write has not saved its use of allowances, what it blames for crashes, or the versions at which its streams may have begun. Cause: Watch.renew_lease marked all of that as saved before the put, so that a put that failed left it unsaved and not due until the next regular renewal, 5 s after the last. The class: a process takes its memory for complete. Change: before_save returns what takes the mark back; it is called if the put fails. What changes during a put was marked after it and stays unsaved, and is added to what a failed one contained. Why it works: what is marked is exactly what the row was built from, in the same turn of the reactor; a put that failed, timed out or was refused restores it.

--- a/godwitloft/gateway/shared_knowledge.py
+++ b/godwitloft/gateway/shared_knowledge.py
@@ -184,11 +184,22 @@
             or self.sharing.needs_saving()
         )
 
-    def mark_saved(self) -> None:
-        """Records that usage, blames and versions are about to be saved."""
+    def mark_saved(self) -> typing.Callable[[], None]:
+        """Records that usage, blames and versions are about to be saved.
+
+        :return: takes that back; to be called if they could not be saved
+        """
+        blames, versions = self.causes.unsaved, self.versions.unsaved
         self.causes.unsaved = False
         self.versions.mark_saved()
-        self.sharing.mark_saved()
+        take_back_usage = self.sharing.mark_saved()
+
+        def take_back() -> None:
+            self.causes.unsaved = self.causes.unsaved or blames
+            self.versions.unsaved = self.versions.unsaved or versions
+            take_back_usage()
+
+        return take_back
 
 
 def _no_timeline() -> int | None:
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -483,11 +483,22 @@
             for team, _used in self.largest_uses(now_ms)
         }
 
-    def mark_saved(self) -> None:
-        """Records that :meth:`usage` is about to be saved."""
-        self.unsaved.clear()
+    def mark_saved(self) -> typing.Callable[[], None]:
+        """Records that :meth:`usage` is about to be saved.
+
+        :return: takes that back; to be called if it could not be saved
+        """
+        unsaved, must_save = self.unsaved, self.must_save
+        self.unsaved = {}
         self.must_save = False
 
+        def take_back() -> None:
+            for team, tokens in unsaved.items():
+                self.unsaved[team] = self.unsaved.get(team, 0.0) + tokens
+            self.must_save = self.must_save or must_save
+
+        return take_back
+
     def needs_saving(self) -> bool:
         """Returns whether much was used since usage was last saved.
 
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -81,7 +81,8 @@
     :param needs_saving: returns whether one of these has changed much since
         they were saved
     :param must_save: returns whether one of these can't wait to be saved
-    :param before_save: called just before they are written
+    :param before_save: called just before they are written; returns what to
+        call if that fails
     :param on_saved: called with the time at which the writing began, in
         milliseconds, once they are written
     :param on_restored: called with the time at which a restore of the store
@@ -108,7 +109,7 @@
     versions: typing.Callable[[], service_versions.Saved]
     needs_saving: typing.Callable[[], bool]
     must_save: typing.Callable[[], bool]
-    before_save: typing.Callable[[], None]
+    before_save: typing.Callable[[], typing.Callable[[], None]]
     on_saved: typing.Callable[[int], None]
     on_restored: typing.Callable[[int], None]
     settle_left_ms: typing.Callable[[], int]
@@ -594,7 +595,7 @@
     @defer.inlineCallbacks
     def renew_lease(self) -> typing.Generator[typing.Any, typing.Any, None]:
         """Writes this gateway's row with its lease and its usage."""
-        self.callbacks.before_save()
+        mark_unsaved = self.callbacks.before_save()
         now_ms = self.clock.monotonic_ms()
         row = lease_row.LeaseRow(
             host=self.host,
@@ -604,7 +605,11 @@
             versions=self.callbacks.versions(),
         )
         value = lease_row.encode(row)
-        yield self.store.put(GATEWAY_TABLE, self.instance, value)
+        try:
+            yield self.store.put(GATEWAY_TABLE, self.instance, value)
+        except Exception:
+            mark_unsaved()
+            raise
         self.renewed_ms = now_ms
         self.renewals += 1
         self.callbacks.on_saved(now_ms)
