Gateways that start again don't spend the retry budget once more

Cause: RetryBudget counts the retries of one process. One that starts knows of none and took 0.7 of its part of the budget at once, again at each start. Change: until its retries alone can be in the window, a process uses 0.3 of what its requests allow, and earns 0.3 of its share of the additional retries with its age. The very first gateway (no saved row, nobody listed when it joins) has forgotten nothing, and goes by the old rule. Why it works: the process before used 0.7 of the instance's part at most; all later ones of one window together earn no more than the 0.3 that is left. Test worlds that "have run for long" now say so (gateway_world.RUN_MS), as their process would otherwise be new; no bound of a test has changed.

--- a/features/steps/gateway_limits_steps.py
+++ b/features/steps/gateway_limits_steps.py
@@ -367,7 +367,7 @@
         budget = context.budgets[number % len(context.budgets)]
         budget.record_first(now_ms)
         context.firsts.append((now_ms, 1))
-        if budget.take(now_ms, len(context.budgets)):
+        if budget.take(now_ms, len(context.budgets), None):
             context.repeats.append((now_ms, 1))
 
 
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -25,6 +25,7 @@
 
 START_S = 1000.0
 TICK_MS = 25
+RUN_MS = 60_000
 CALLER = address.IPv4Address("TCP", "127.0.0.1", 4000)
 DIALECT = headers.DIALECT
 TOLERANCE = allowance.Tolerance(window_ms=8000, share=0.1, tokens=1000.0)
@@ -197,6 +198,8 @@
             self.clock, self.send_datagram, instance, 1, TOLERANCE
         )
         if not is_new:
+            # It has run for long.
+            self.sharing.started_ms -= RUN_MS
             self.sharing.restore({}, 0)
             self.sharing.join()
         self.gateway = gateways.Gateway(
--- a/godwitloft/gateway/retry_budget.py
+++ b/godwitloft/gateway/retry_budget.py
@@ -1,4 +1,11 @@
-"""Limits retries to a service to a share of the first attempts."""
+"""Limits retries to a service to a share of the first attempts.
+
+A gateway knows only its own requests, and a process that starts doesn't know
+the retries that others, or its instance's process before, have sent within the
+window. Until these must have left the window, it uses only what the others
+leave for safety, and earns its share of the additional retries with time: so
+does each of several processes of one instance, and together they earn no more.
+"""
 
 import collections
 import dataclasses
@@ -39,18 +46,28 @@
         self.first_sends_ms.append(now_ms)
         self.drop_expired(now_ms)
 
-    def take(self, now_ms: int, gateways: int) -> bool:
+    def take(self, now_ms: int, gateways: int, started_ms: int | None) -> bool:
         """Takes one retry from the budget if it allows one.
 
         :param now_ms: the current time
         :param gateways: number of gateways that share the additional retries
+        :param started_ms: when this process started, None if no retries can
+            have been sent before
         :return: whether the request may be sent again
         """
         self.drop_expired(now_ms)
         settings = self.settings
-        allowed = settings.ratio * len(self.first_sends_ms)
-        allowed += settings.extra / max(1, gateways)
-        if len(self.retries_ms) + 1 > allowed * SAFETY_SHARE:
+        by_firsts = settings.ratio * len(self.first_sends_ms)
+        share = settings.extra / max(1, gateways)
+        known_ms = settings.window_ms
+        if started_ms is not None:
+            known_ms = min(known_ms, now_ms - started_ms)
+        if known_ms >= settings.window_ms:
+            allowed = SAFETY_SHARE * (by_firsts + share)
+        else:
+            earned = share * known_ms / settings.window_ms
+            allowed = (1 - SAFETY_SHARE) * (by_firsts + earned)
+        if len(self.retries_ms) + 1 > allowed:
             return False
         self.retries_ms.append(now_ms)
         return True
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -216,10 +216,19 @@
             return "upstreams_paused"
         if attempt_outcome.result is outcomes.Result.NOT_SENT:
             return ""
-        budget = self.budget(facts.service)
-        if not budget.take(now_ms, self.sharing.gateways):
-            return "budget"
-        return ""
+        return "" if self.take_retry(facts.service, now_ms) else "budget"
+
+    def take_retry(self, service: str, now_ms: int) -> bool:
+        """Takes one retry from the budget of a service if it allows one.
+
+        :param service: name of the service
+        :param now_ms: the current time
+        :return: whether a request may be sent again
+        """
+        started_ms = None if self.sharing.is_first else self.sharing.started_ms
+        return self.budget(service).take(
+            now_ms, self.sharing.gateways, started_ms
+        )
 
     def all_pause_too_long(
         self,
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -120,6 +120,9 @@
         self.early_until_ms = 0
         self.teams: dict[str, model.Team] = {}
         self.restored = False
+        self.started_ms = clock.monotonic_ms()
+        # Whether neither this instance nor another has run before.
+        self.is_first = True
         # Own usage as it was saved before the start, by teams for which that
         # of the time after is still to be estimated, and when it was saved.
         self.saved: Usage = {}
@@ -419,6 +422,8 @@
         """
         if used is None:
             events.log(events.USE_LOST)
+        else:
+            self.is_first = False
         now_ms = self.clock.monotonic_ms()
         self.saved = dict(used or {})
         self.saved_ms = now_ms - age_ms
@@ -455,6 +460,7 @@
         :param used: tokens by age, by team
         :param age_ms: how long ago the other gateway saved its usage
         """
+        self.is_first = False
         if name not in self.peers and age_ms < self.tolerance.counted_ms:
             self.peers_saved.add(name, used, age_ms)
             self.saved_rows += 1
@@ -467,6 +473,7 @@
         known here, or knows this one.
         """
         self.restored = True
+        self.is_first = self.is_first and not self.hosts
         self.must_announce = True
         self.own_former.ask()
         # Without others, there is nobody to wait for.
