--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -133,6 +133,9 @@
         self.early_until_ms = 0
         self.teams: dict[str, model.Team] = {}
         self.restored = False
+        self.started_ms = clock.monotonic_ms()
+        # Whether neither this instance nor another has run before.
+        self.is_first = True
         # Own usage as it was saved before the start, by teams for which that
         # of the time after is still to be estimated, and when it was saved.
         self.saved: Usage = {}
@@ -514,6 +517,8 @@
         """
         if used is None:
             events.log(events.USE_LOST)
+        else:
+            self.is_first = False
         now_ms = self.clock.monotonic_ms()
         self.saved = dict(used or {})
         self.saved_ms = now_ms - age_ms
@@ -554,6 +559,7 @@
         :param age_ms: how long ago the other gateway saved its usage
         """
         self.saved_hosts[name] = host
+        self.is_first = False
         if name not in self.peers and age_ms < self.tolerance.counted_ms:
             self.peers_saved.add(name, used, age_ms)
             self.saved_rows += 1
@@ -566,6 +572,7 @@
         known here, or knows this one.
         """
         self.restored = True
+        self.is_first = self.is_first and not self.hosts
         self.must_announce = True
         now_ms = self.clock.monotonic_ms()
         self.introduced_until_ms = now_ms + INTRODUCTION_MS
@@ -584,11 +591,22 @@
             for team, _used in self.largest_uses(now_ms)
         }
 
-    def mark_saved(self) -> None:
-        """Records that :meth:`usage` is about to be saved."""
-        self.unsaved.clear()
+    def mark_saved(self) -> typing.Callable[[], None]:
+        """Records that :meth:`usage` is about to be saved.
+
+        :return: takes that back; to be called if it could not be saved
+        """
+        unsaved, must_save = self.unsaved, self.must_save
+        self.unsaved = {}
         self.must_save = False
 
+        def take_back() -> None:
+            for team, tokens in unsaved.items():
+                self.unsaved[team] = self.unsaved.get(team, 0.0) + tokens
+            self.must_save = self.must_save or must_save
+
+        return take_back
+
     def needs_saving(self) -> bool:
         """Returns whether much was used since usage was last saved.
 
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -82,7 +82,8 @@
     :param needs_saving: returns whether one of these has changed much since
         they were saved
     :param must_save: returns whether one of these can't wait to be saved
-    :param before_save: called just before they are written
+    :param before_save: called just before they are written; returns what to
+        call if that fails
     :param on_saved: called with the time at which the writing began, in
         milliseconds, once they are written
     :param on_restored: called with the time at which a restore of the store
@@ -111,7 +112,7 @@
     versions: typing.Callable[[], service_versions.Saved]
     needs_saving: typing.Callable[[], bool]
     must_save: typing.Callable[[], bool]
-    before_save: typing.Callable[[], None]
+    before_save: typing.Callable[[], typing.Callable[[], None]]
     on_saved: typing.Callable[[int], None]
     on_restored: typing.Callable[[int], None]
     settle_left_ms: typing.Callable[[], int]
@@ -205,8 +206,6 @@
         self.registered = False
         self.renewed_ms = 0
         self.renewals = 0
-        # Whether the last write of this gateway's row isn't known to be done.
-        self.is_unsaved = False
         # When to write this gateway's row after a restore, None if it was.
         self.rewrite_ms: int | None = None
         # When to read the others' rows as this gateway's lease was over, None
@@ -505,9 +504,7 @@
         now_ms = self.clock.monotonic_ms()
         if self.is_due(self.rewrite_ms) or self.is_due(self.reread_ms):
             return True
-        if not self.registered or self.is_unsaved:
-            return True
-        if self.callbacks.must_save():
+        if not self.registered or self.callbacks.must_save():
             return True
         return now_ms - self.renewed_ms >= interval_ms
 
@@ -624,7 +621,7 @@
     @defer.inlineCallbacks
     def renew_lease(self) -> typing.Generator[typing.Any, typing.Any, None]:
         """Writes this gateway's row with its lease and its usage."""
-        self.callbacks.before_save()
+        mark_unsaved = self.callbacks.before_save()
         now_ms = self.clock.monotonic_ms()
         row = lease_row.LeaseRow(
             host=self.host,
@@ -634,9 +631,11 @@
             versions=self.callbacks.versions(),
         )
         value = lease_row.encode(row)
-        self.is_unsaved = True
-        yield self.store.put(GATEWAY_TABLE, self.instance, value)
-        self.is_unsaved = False
+        try:
+            yield self.store.put(GATEWAY_TABLE, self.instance, value)
+        except Exception:
+            mark_unsaved()
+            raise
         self.renewed_ms = now_ms
         self.renewals += 1
         self.callbacks.on_saved(now_ms)
