--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -165,6 +165,8 @@
     :param mistakes: JSON object of options of the stand-in runners, to check
         that the soak test detects their faults
     :param json: file for the figures
+    :param keep: directory that is made for the logs, the settings and the
+        history, to trace what failed; nothing is kept without it
     """
 
     seed: typing.Annotated[int, cappa.Arg(long=True)] = 1
@@ -172,6 +174,7 @@
     processes: typing.Annotated[int, cappa.Arg(long=True)] = soak.MIN_PROCESSES
     mistakes: typing.Annotated[str, cappa.Arg(long=True)] = "{}"
     json: OptionalFile = ""
+    keep: typing.Annotated[str, cappa.Arg(long=True)] = ""
 
     def __call__(self) -> None:
         """Runs it and prints the figures."""
@@ -181,6 +184,7 @@
                 self.seconds,
                 self.processes,
                 json.loads(self.mistakes),
+                self.keep,
             )
         )
         burst.write(self.json, figures)
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -1,6 +1,7 @@
 """Runs a soak test and reports its figures."""
 
 import collections
+import contextlib
 import dataclasses
 import heapq
 import http
@@ -32,6 +33,8 @@
     :param seconds: how long requests are sent
     :param processes: entries and agents, at least :data:`MIN_PROCESSES`
     :param mistakes: switches of the stand-in runners, for tests
+    :param keep: directory that is made for logs, settings and history; empty
+        to keep nothing
     """
 
     seed: int = 1
@@ -40,6 +43,7 @@
     mistakes: typing.Mapping[str, typing.Any] = dataclasses.field(
         default_factory=dict
     )
+    keep: str = ""
 
 
 def size_for(processes: int) -> plan.Size:
@@ -72,10 +76,15 @@
     """
     size = size_for(soak.processes)
     faults = plan.draw(soak.seed, soak.seconds, size)
-    with tempfile.TemporaryDirectory() as directory:
-        system = deployment.Deployment(
-            pathlib.Path(directory), size, grants_by(soak.seed)
-        )
+    with contextlib.ExitStack() as stack:
+        directory = pathlib.Path(soak.keep)
+        if soak.keep:
+            directory.mkdir(parents=True)
+        else:
+            directory = pathlib.Path(
+                stack.enter_context(tempfile.TemporaryDirectory())
+            )
+        system = deployment.Deployment(directory, size, grants_by(soak.seed))
         try:
             system.start()
             if soak.mistakes:
@@ -94,6 +103,8 @@
         finally:
             system.stop()
         history.unexpected_exits = system.unexpected_exits
+        if soak.keep:
+            keep_history(directory / "history.json", history)
     return report(soak, faults, history)
 
 
@@ -180,6 +191,18 @@
     )
 
 
+def keep_history(path: pathlib.Path, history: histories.History) -> None:
+    """Writes what callers and runners observed, and the faults.
+
+    :param path: of the file
+    :param history: what they observed; bytes are written as Python shows them
+    """
+    path.write_text(
+        json.dumps(dataclasses.asdict(history), default=repr),
+        encoding="utf-8",
+    )
+
+
 def report(
     soak: Soak,
     faults: typing.Sequence[plan.Fault],
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -120,6 +120,10 @@
     When a soak test of seed 7 runs for 20 s
     Then it reports no breach and at least 500 successful requests
 
+  Scenario: A soak test keeps what is needed to trace a failure
+    When a soak test of seed 0 runs for 3 s and keeps its logs
+    Then the logs of 3 gateways and the history are there
+
   Scenario Outline: A fault of the runners is reported by the soak test: <promise>
     When a soak test of seed 0 runs for 5 s with the runner options <mistake>
     Then it reports "<promise>"
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -390,7 +390,7 @@
         )
 
 
-def run(seed, seconds, mistakes):
+def run(seed, seconds, mistakes, *options):
     done = subprocess.run(
         [
             sys.executable,
@@ -400,6 +400,7 @@
             f"--seed={seed}",
             f"--seconds={seconds}",
             f"--mistakes={mistakes}",
+            *options,
         ],
         cwd=ROOT,
         capture_output=True,
@@ -415,6 +416,23 @@
     context.figures = run(seed, seconds, "{}")
 
 
+@when("a soak test of seed {seed:d} runs for {seconds:d} s and keeps its logs")
+def run_and_keep(context, seed, seconds):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.kept = pathlib.Path(folder.name) / "kept"
+    context.figures = run(seed, seconds, "{}", f"--keep={context.kept}")
+
+
+@then("the logs of {entries:d} gateways and the history are there")
+def check_kept(context, entries):
+    logs = list(context.kept.glob("entry-*.log"))
+    assert len(logs) == entries and all(path.read_text() for path in logs)
+    kept = json.loads((context.kept / "history.json").read_text())
+    assert len(kept["records"]) == context.figures["requests"]
+    assert len(kept["runs"]) == context.figures["runs"]
+
+
 @when(
     "a soak test of seed {seed:d} runs for {seconds:d} s with the runner"
     " options {mistake}"
