A caller of the soak doesn't take a response that was cut for a whole one

Cause: http.client's read1() ends without an error where a connection ends before the length that the head named; the caller counted that as whole. A mistake of the soak, which also hid such answers from LOST. Change: what is missing of that length counts as a cut, as for chunks.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -307,6 +307,9 @@
                 record.disconnected_ms = deployment.now_ms()
                 self.close()
                 return
+        if response.length:
+            # Unlike read(), read1() takes such an end for that of the body.
+            raise http.client.IncompleteRead(b"", response.length)
         # http.client reuses a connection only after the response is closed.
         response.close()
         record.is_complete = True
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -88,6 +88,18 @@
       | cut off | 503 | {"error": | leaving 1, unreadable 1 |
       | not the gateway's | 503 | [] | leaving 1, unreadable 1 |
 
+  # Seed 7001: a gateway was killed between the head and the body of an answer.
+  Scenario Outline: A caller takes a response of <sent> of <length> bytes for <judged>
+    When a caller reads <sent> bytes of a response of <length> bytes
+    Then the response counts as <judged>
+
+    Examples:
+      | sent | length | judged |
+      | 0 | 10 | cut |
+      | 9 | 10 | cut |
+      | 10 | 10 | whole |
+      | 0 | 0 | whole |
+
   # One chunk is sent in each mode; then the relay forwards everything for 2 s.
   # A chunk without delay could pass one that was delayed or held before.
   Scenario Outline: A relay keeps the order of bytes: <modes>
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,4 +1,6 @@
 import dataclasses
+import http.client
+import io
 import json
 import pathlib
 import signal
@@ -390,6 +392,35 @@
         )
 
 
+class AnsweredSocket:
+    """Socket on which a response has come, and then the end."""
+
+    def __init__(self, content):
+        self.content = content
+
+    def makefile(self, _mode):
+        return io.BytesIO(self.content)
+
+
+@when("a caller reads {sent:d} bytes of a response of {length:d} bytes")
+def read_response(context, sent, length):
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n"
+    content = head.encode() + b"x" * sent
+    response = http.client.HTTPResponse(AnsweredSocket(content))
+    response.begin()
+    fields = {"id": "a", "route": "lookup", "key": "k", "sent": 1}
+    context.record = record_from(fields | {"whole": "no"})
+    try:
+        callers.Caller(0, 0, None).read(context.record, response, False)
+    except http.client.IncompleteRead as error:
+        assert error.expected == length - sent, error
+
+
+@then("the response counts as {judged}")
+def check_whole(context, judged):
+    assert context.record.is_complete == (judged == "whole")
+
+
 def run(seed, seconds, mistakes, *options):
     done = subprocess.run(
         [
