--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -167,6 +167,8 @@
     :param json: file for the figures
     :param keep: directory that is made for the logs, the settings and the
         history, to trace what failed; nothing is kept without it
+    :param restarts_only: whether the only faults are restarts of gateways and
+        stops that are told twice, of which others excuse most losses
     """
 
     seed: typing.Annotated[int, cappa.Arg(long=True)] = 1
@@ -175,6 +177,7 @@
     mistakes: typing.Annotated[str, cappa.Arg(long=True)] = "{}"
     json: OptionalFile = ""
     keep: typing.Annotated[str, cappa.Arg(long=True)] = ""
+    restarts_only: typing.Annotated[bool, cappa.Arg(long=True)] = False
 
     def __call__(self) -> None:
         """Runs it and prints the figures."""
@@ -185,6 +188,7 @@
                 self.processes,
                 json.loads(self.mistakes),
                 self.keep,
+                self.restarts_only,
             )
         )
         burst.write(self.json, figures)
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -71,6 +71,7 @@
     :param start_ms: wall time
     :param end_ms: wall time, None while the fault lasts
     :param version: of the configuration that a withdrawal published
+    :param again_ms: wall times of further signals while a program drains
     """
 
     kind: str
@@ -78,6 +79,7 @@
     start_ms: int
     end_ms: int | None = None
     version: int = 0
+    again_ms: list[int] = dataclasses.field(default_factory=list)
 
     def overlaps(self, start_ms: int, end_ms: int) -> bool:
         """Tells whether the fault was active at any time in a span.
@@ -370,7 +372,10 @@
         :return: its record, to be passed to :meth:`clear`
         """
         injected = InjectedFault(fault.kind, self.target_name(fault), now_ms())
-        self.injected_faults.append(injected)
+        if fault.kind in plan.DRAIN_KINDS:
+            self.note_signal(injected)
+        else:
+            self.injected_faults.append(injected)
         target_kind = plan.KINDS[fault.kind][0]
         if target_kind in ("entry", "agent"):
             self.signal_program(fault)
@@ -382,6 +387,19 @@
             self.inject_by_control(fault)
         return injected
 
+    def note_signal(self, injected: InjectedFault) -> None:
+        """Adds a further signal to the stop of the gateway that gets it.
+
+        :param injected: the signal
+        """
+        for stop in self.injected_faults:
+            if (
+                stop.kind == "terminate_twice"
+                and stop.target == injected.target
+                and stop.end_ms is None
+            ):
+                stop.again_ms.append(injected.start_ms)
+
     def clear(self, fault: plan.Fault, injected: InjectedFault) -> None:
         """Ends a fault and restores its target.
 
@@ -449,6 +467,11 @@
             "pause": signal.SIGSTOP,
             "pause_agent": signal.SIGSTOP,
             "reload": signal.SIGHUP,
+            "terminate_twice": signal.SIGTERM,
+            "hang_up_again": signal.SIGHUP,
+            "terminate_again": signal.SIGTERM,
+            "kill_all": signal.SIGKILL,
+            "kill_series": signal.SIGKILL,
         }
         program.signal(numbers[fault.kind])
 
@@ -460,8 +483,8 @@
         program = self.target_program(fault)
         if fault.kind in ("pause", "pause_agent"):
             program.signal(signal.SIGCONT)
-        elif fault.kind != "reload":
-            if fault.kind == "terminate":
+        elif fault.kind not in ("reload", *plan.DRAIN_KINDS):
+            if fault.kind in plan.GRACEFUL_KINDS:
                 program.kill()
             self.record_unexpected_exit(program)
             program.start()
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -65,6 +65,30 @@
     "whole_unframed": ("runner", 0, 0),
 }
 UNMARKED_MEAN_GAP_MS = 2_000
+RESTART_KINDS: dict[str, tuple[str, int, int]] = {
+    "kill_all": ("entry", 300, 9_000),
+    "kill_series": ("entry", 300, 2_000),
+}
+# Rare, as callers find no gateway meanwhile.
+RESTART_MEAN_GAP_MS = 14_000
+TWICE_KINDS: dict[str, tuple[str, int, int]] = {
+    "terminate_twice": ("entry", 6_500, 9_000),
+}
+TWICE_MEAN_GAP_MS = 5_000
+# Not beside the first kills.
+FIRST_TWICE_MS = 6_000
+# Between the kills of a kill_series.
+KILL_SERIES_GAP_MS = 500
+# Signals while a gateway drains after the first of a terminate_twice. They
+# are part of that fault and excuse nothing by themselves.
+DRAIN_KINDS: dict[str, tuple[str, int, int]] = {
+    "hang_up_again": ("entry", 0, 0),
+    "terminate_again": ("entry", 0, 0),
+}
+AGAIN_MS = (300, 3_000)
+# These stop a gateway without loss; the verdict judges all alike.
+GRACEFUL_KINDS = ("terminate", "terminate_twice")
+HANG_UP_SHARE = 0.5
 KINDS = (
     FIRST_KINDS
     | LATER_KINDS
@@ -72,6 +96,9 @@
     | CRASH_KINDS
     | DEATH_KINDS
     | UNMARKED_KINDS
+    | RESTART_KINDS
+    | TWICE_KINDS
+    | DRAIN_KINDS
 )
 
 
@@ -118,12 +145,16 @@
         return counts.get(target_kind, 1)
 
 
-def draw(seed: int, seconds: float, size: Size) -> tuple[Fault, ...]:
+def draw(
+    seed: int, seconds: float, size: Size, restarts_only: bool = False
+) -> tuple[Fault, ...]:
     """Draws all faults of a soak test.
 
     :param seed: of the random number generator
     :param seconds: length of the soak test
     :param size: of the deployment
+    :param restarts_only: whether to leave out all but :data:`RESTART_KINDS`
+        and :data:`TWICE_KINDS`, which others would excuse
     :return: faults in order of time; some come in series, and they may
         overlap
     """
@@ -166,7 +197,11 @@
         end_ms,
         size,
     )
-    found = first + later + limits + crashes + deaths + unmarked
+    restarts = draw_restarts(random.Random(f"{seed} restarts"), end_ms, size)
+    twice = draw_twice(random.Random(f"{seed} twice"), end_ms, size)
+    found = restarts + twice
+    if not restarts_only:
+        found = first + later + limits + crashes + deaths + unmarked + found
     return tuple(sorted(found, key=lambda fault: fault.at_ms))
 
 
@@ -176,6 +211,7 @@
     mean_gap_ms: int,
     end_ms: int,
     size: Size,
+    first_ms: int = FIRST_FAULT_MS,
 ) -> list[Fault]:
     """Draws faults of some kinds.
 
@@ -184,10 +220,11 @@
     :param mean_gap_ms: mean time between two faults or series
     :param end_ms: when all faults must have ended
     :param size: of the deployment
+    :param first_ms: when the first one begins
     :return: the faults
     """
     found: list[Fault] = []
-    at_ms = FIRST_FAULT_MS
+    at_ms = first_ms
     while at_ms < end_ms:
         kind = rng.choice(sorted(kinds))
         target_kind, shortest_ms, longest_ms = kinds[kind]
@@ -204,3 +241,62 @@
             start_ms += duration_ms + rng.randint(*SERIES_GAP_MS)
         at_ms += int(rng.expovariate(1 / mean_gap_ms)) + 1
     return found
+
+
+def draw_restarts(rng: random.Random, end_ms: int, size: Size) -> list[Fault]:
+    """Draws kills of all gateways, at one moment or in turn.
+
+    :param rng: the random number generator
+    :param end_ms: when all faults must have ended
+    :param size: of the deployment
+    :return: the faults, one for each gateway that is killed
+    """
+    found: list[Fault] = []
+    for fault in draw_kinds(
+        rng, RESTART_KINDS, RESTART_MEAN_GAP_MS, end_ms, size
+    ):
+        gap_ms = KILL_SERIES_GAP_MS if fault.kind == "kill_series" else 0
+        for number in range(size.entries):
+            at_ms = fault.at_ms + number * gap_ms
+            duration_ms = min(fault.duration_ms, end_ms - at_ms)
+            if duration_ms > 0:
+                target = (fault.target + number) % size.entries
+                found.append(Fault(at_ms, fault.kind, target, duration_ms))
+    return found
+
+
+def draw_twice(rng: random.Random, end_ms: int, size: Size) -> list[Fault]:
+    """Draws stops of gateways that get further signals while they drain.
+
+    :param rng: the random number generator
+    :param end_ms: when all faults must have ended
+    :param size: of the deployment
+    :return: the faults and their signals; none for a stop that would have
+        less than its time
+    """
+    found: list[Fault] = []
+    for fault in draw_kinds(
+        rng, TWICE_KINDS, TWICE_MEAN_GAP_MS, end_ms, size, FIRST_TWICE_MS
+    ):
+        if fault.duration_ms >= TWICE_KINDS[fault.kind][1]:
+            found.append(fault)
+            found.extend(draw_signals_again(rng, fault))
+    return found
+
+
+def draw_signals_again(rng: random.Random, fault: Fault) -> list[Fault]:
+    """Draws the signals that come while a gateway drains.
+
+    :param rng: the random number generator
+    :param fault: a terminate_twice
+    :return: a second SIGTERM, and at times SIGHUP before it
+    """
+    again_ms = rng.randint(*AGAIN_MS)
+    hang_up_ms = rng.randint(1, again_ms)
+    kinds = [(again_ms, "terminate_again")]
+    if rng.random() < HANG_UP_SHARE:
+        kinds.insert(0, (hang_up_ms, "hang_up_again"))
+    return [
+        Fault(fault.at_ms + after_ms, kind, fault.target, 0)
+        for after_ms, kind in kinds
+    ]
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -35,6 +35,7 @@
     :param mistakes: switches of the stand-in runners, for tests
     :param keep: directory that is made for logs, settings and history; empty
         to keep nothing
+    :param restarts_only: whether the only faults are restarts of gateways
     """
 
     seed: int = 1
@@ -44,6 +45,7 @@
         default_factory=dict
     )
     keep: str = ""
+    restarts_only: bool = False
 
 
 def size_for(processes: int) -> plan.Size:
@@ -75,7 +77,7 @@
     :return: figures, and breaches by promise
     """
     size = size_for(soak.processes)
-    faults = plan.draw(soak.seed, soak.seconds, size)
+    faults = plan.draw(soak.seed, soak.seconds, size, soak.restarts_only)
     with contextlib.ExitStack() as stack:
         directory = pathlib.Path(soak.keep)
         if soak.keep:
--- a/bench/soak/verdict.py
+++ b/bench/soak/verdict.py
@@ -7,6 +7,7 @@
 from bench.soak import deployment
 from bench.soak import history as histories
 from bench.soak import joined_streams
+from bench.soak import plan
 from bench.soak import runner_promises
 from bench.soak import site
 from godwitloft.standins import lakeshore_words as words
@@ -224,16 +225,19 @@
     """Finds requests that a graceful stop left without a whole response."""
     found: list[str] = []
     for injected in history.injected_faults:
-        if injected.kind != "terminate":
+        if injected.kind not in plan.GRACEFUL_KINDS:
             continue
         found.extend(
             f"{record.id} had no whole response at SIGTERM of"
             f" {injected.target}"
             for record in history.records
             if record.entry == injected.target
-            and record.sent_ms - CLOCK_TOLERANCE_MS
-            <= injected.start_ms
-            <= record.ended_ms
+            and any(
+                record.sent_ms - CLOCK_TOLERANCE_MS
+                <= signal_ms
+                <= record.ended_ms
+                for signal_ms in (injected.start_ms, *injected.again_ms)
+            )
             and not record.is_complete
             and not record.disconnected_ms
             and is_caused_by_stop(history, injected, record)
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -16,6 +16,18 @@
   Scenario: The plans of 20 seeds contain every kind of fault
     Then the plans of seeds 1 to 20 together contain every kind
 
+  Scenario: The plans of 20 seeds kill gateways together and signal drains
+    Then in the plans of seeds 1 to 20 each "kill_all" kills all gateways 0 ms apart
+    And in the plans of seeds 1 to 20 each "kill_series" kills all gateways 500 ms apart
+    And in the plans of seeds 1 to 20 each drain gets its further signals after 1 to 3000 ms
+
+  Scenario: A plan of restarts only is what the whole plan has of them
+    Then the plans of seeds 1 to 20 with restarts only have the restarts of the whole ones
+
+  Scenario: A further signal while a gateway drains excuses nothing by itself
+    When "terminate_twice", "hang_up_again" and "terminate_again" are injected into a gateway
+    Then one fault with 2 further signals is recorded
+
   Scenario Outline: A breach is reported: <promise>, <how>
     Given the history of a soak test
       | what | fields |
@@ -45,6 +57,12 @@
       | - | drained lately | fault | kind=drain target=i-desk-0 start=0 end=9000 | late | id=b route=lookup key=key-large team=large sent=3200 |
       | LOST | SIGTERM | fault | kind=terminate target=entry-1 start=8000 end=15000 | cut | id=b route=post key=key-large team=large sent=7900 entry=entry-1 |
       | - | SIGTERM beside a reset | fault | kind=terminate target=entry-1 start=8000 end=15000 | cut and reset | id=b route=post key=key-large team=large sent=7900 entry=entry-1 |
+      | LOST | SIGTERM twice | fault | kind=terminate_twice target=entry-1 start=8000 end=15000 | cut | id=b route=post key=key-large team=large sent=7900 entry=entry-1 |
+      | - | SIGTERM twice beside a reset | fault | kind=terminate_twice target=entry-1 start=8000 end=15000 | cut and reset | id=b route=post key=key-large team=large sent=7900 entry=entry-1 |
+      | LOST | accepted after SIGTERM, cut at the second | fault | kind=terminate_twice target=entry-1 start=8000 end=15000 again=9200 | cut | id=b route=post key=key-large team=large sent=9100 entry=entry-1 |
+      | - | accepted after the only SIGTERM | fault | kind=terminate_twice target=entry-1 start=8000 end=15000 | cut | id=b route=post key=key-large team=large sent=9100 entry=entry-1 |
+      | - | killed with all others | fault | kind=kill_all target=entry-1 start=8000 end=15000 | cut | id=b route=post key=key-large team=large sent=7900 entry=entry-1 |
+      | - | killed in a series | fault | kind=kill_series target=entry-1 start=8000 end=15000 | cut | id=b route=post key=key-large team=large sent=7900 entry=entry-1 |
       | QUOTA | 300 runs | many | route=lookup key=key-small team=small count=300 | - | |
       | - | 200 runs | many | route=lookup key=key-small team=small count=200 | - | |
       | BUDGET | 60 repeats | repeats | count=60 | - | |
@@ -59,6 +77,9 @@
       | - | 23 in 4 s at 3 a second | limited | count=50 gap=180 per_s=3 | - | |
       | - | 24 in 4 s just after it was named | limited | count=20 gap=150 per_s=3 | - | |
       | - | 24 in 4 s after a fault | limited | count=50 gap=150 per_s=3 | fault | kind=pause target=entry-0 start=100 end=4400 |
+      | - | 24 in 4 s after a kill in a series | limited | count=50 gap=150 per_s=3 | fault | kind=kill_series target=entry-0 start=100 end=4400 |
+      | LIMIT | 24 in 4 s after another's kill | limited | count=60 gap=150 per_s=3 | fault | kind=kill_series target=entry-1 start=100 end=4400 |
+      | QUOTA | 300 runs after a kill of all | many | route=lookup key=key-small team=small count=300 | fault | kind=kill_all target=entry-0 start=100 end=400 |
       | BUDGET | 4 after the fifth crash of a part and 4 s | crashes | count=13 gap=1000 | - | |
       | - | 3 after the fifth crash of a part and 4 s | crashes | count=12 gap=1000 | - | |
       | - | 4 after a fault | crashes | count=13 gap=1000 | fault | kind=pause target=entry-0 start=100 end=9400 |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -56,6 +56,96 @@
     assert found == set(plan.KINDS), set(plan.KINDS) - found
 
 
+def plans(first, last):
+    for seed in range(first, last + 1):
+        yield plan.draw(seed, SECONDS, SIZE)
+
+
+@then(
+    'in the plans of seeds {first:d} to {last:d} each "{kind}" kills all'
+    " gateways {gap_ms:d} ms apart"
+)
+def check_kills(context, first, last, kind, gap_ms):
+    last_ms = SECONDS * 1000 - plan.FAULT_FREE_END_MS
+    all_targets = set(range(SIZE.entries))
+    checked = 0
+    for faults in plans(first, last):
+        found = [fault for fault in faults if fault.kind == kind]
+        for fault in found:
+            checked += 1
+            assert any(
+                all_targets
+                == {
+                    item.target
+                    for item in found
+                    if item.at_ms in span and item.duration_ms
+                }
+                or span[-1] >= last_ms
+                for span in spans_with(fault.at_ms, gap_ms)
+            ), fault
+    assert checked >= SIZE.entries
+
+
+def spans_with(at_ms, gap_ms):
+    """Returns the times of the kills of which one may be at a given time."""
+    numbers = range(SIZE.entries)
+    return [
+        [at_ms + (number - own) * gap_ms for number in numbers]
+        for own in numbers
+    ]
+
+
+@then(
+    "in the plans of seeds {first:d} to {last:d} each drain gets its further"
+    " signals after {shortest:d} to {longest:d} ms"
+)
+def check_signals(context, first, last, shortest, longest):
+    for faults in plans(first, last):
+        drains = [item for item in faults if item.kind == "terminate_twice"]
+        signals = [item for item in faults if item.kind in plan.DRAIN_KINDS]
+        seconds = [item for item in signals if item.kind == "terminate_again"]
+        assert len(seconds) == len(drains)
+        for fault in signals:
+            assert any(
+                fault.target == drain.target
+                and shortest <= fault.at_ms - drain.at_ms <= longest
+                and fault.at_ms < drain.at_ms + drain.duration_ms
+                for drain in drains
+            ), fault
+
+
+@then(
+    "the plans of seeds {first:d} to {last:d} with restarts only have the"
+    " restarts of the whole ones"
+)
+def check_restarts_only(context, first, last):
+    kinds = plan.RESTART_KINDS | plan.TWICE_KINDS | plan.DRAIN_KINDS
+    for seed in range(first, last + 1):
+        whole = plan.draw(seed, SECONDS, SIZE)
+        restarts = plan.draw(seed, SECONDS, SIZE, restarts_only=True)
+        expected = [fault for fault in whole if fault.kind in kinds]
+        assert expected and list(restarts) == expected, seed
+
+
+@when('"{first}", "{second}" and "{third}" are injected into a gateway')
+def inject_signals(context, first, second, third):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    path = pathlib.Path(folder.name)
+    context.deployment = deployment.Deployment(path, SIZE, "agents")
+    context.deployment.entries.append(
+        programs.Program("entry-0", (), path / "boot", path / "log")
+    )
+    for kind in (first, second, third):
+        context.deployment.inject(plan.Fault(0, kind, 0, 0))
+
+
+@then("one fault with {count:d} further signals is recorded")
+def check_one_recorded(context, count):
+    (recorded,) = context.deployment.injected_faults
+    assert len(recorded.again_ms) == count, recorded
+
+
 def record_from(fields):
     record = callers.RequestRecord(
         id=fields["id"],
@@ -146,6 +236,7 @@
                 fields["target"],
                 int(fields["start"]),
                 int(fields["end"]),
+                again_ms=[int(fields["again"])] if "again" in fields else [],
             )
         )
 
