LOST excuses an answer only by faults that can have cut it

Seen: any fault within 4 s in the whole deployment excused an answer that was cut at SIGTERM; with about three faults a second that excused nearly all. Change: a request that reached a runner is excused by faults of its gateway while it ran, of the runners that it reached and by a crash there; one that was held, by faults of its gateway. As before where it ended near the kill, or its runs aren't known. It is stricter in each case; no row changed.

--- a/bench/soak/verdict.py
+++ b/bench/soak/verdict.py
@@ -25,6 +25,8 @@
 MIN_LATE_ANSWERS = 8
 # Tolerance between times taken in a caller's thread and in a runner.
 CLOCK_TOLERANCE_MS = 250
+# Runners answer so to new requests only.
+UNCUTTING_KINDS = ("name_limit", "ask_pause")
 UNSAFE_ROUTES = ("post", "once")
 
 Check = typing.Callable[[histories.History], list[str]]
@@ -261,17 +263,64 @@
     others = [
         item
         for item in history.injected_faults
-        if item is not injected
-        and item.overlaps(
-            record.sent_ms - histories.CONTACT_MS, record.ended_ms
-        )
-        and not item.target.startswith("agent")
+        if item is not injected and could_cut(history, item, injected, record)
     ]
     was_forwarded = bool(history.runs_of[record.id])
     is_late = record.ended_ms - record.sent_ms > LOSS_SLACK_MS
     return not others and (was_forwarded or is_late)
 
 
+def could_cut(
+    history: histories.History,
+    fault: deployment.InjectedFault,
+    stop: deployment.InjectedFault,
+    record: callers.RequestRecord,
+) -> bool:
+    """Tells whether a fault can explain an incomplete request.
+
+    Only its gateway can end a request that it has held so far, and only that
+    and its runner one that is running.
+
+    :param history: with the runs
+    :param fault: any fault but the stop
+    :param stop: the SIGTERM
+    :param record: a request without a whole response
+    :return: whether it can
+    """
+    if fault.target.startswith("agent"):
+        return False
+    sent_ms, ended_ms = record.sent_ms, record.ended_ms
+    killed_ms = stop.end_ms or history.end_ms
+    reached = {
+        run.runner
+        for run in history.runs + history.rejected
+        if run.id == record.id
+    }
+    is_clear = not record.status or reached
+    if not is_clear or ended_ms > killed_ms - CLOCK_TOLERANCE_MS:
+        return fault.overlaps(sent_ms - histories.CONTACT_MS, ended_ms)
+    if fault.target == record.entry:
+        if fault.kind in plan.GRACEFUL_KINDS:
+            # Only the kill at its end may cut.
+            end_ms = fault.end_ms or history.end_ms
+            return sent_ms <= end_ms <= ended_ms + CLOCK_TOLERANCE_MS
+        return fault.overlaps(sent_ms, ended_ms + CLOCK_TOLERANCE_MS)
+    if not reached:
+        return False
+    if fault.target == "models":
+        return fault.overlaps(sent_ms, ended_ms) and any(
+            run.crashes_on
+            and run.runner in reached
+            and sent_ms - histories.CONTACT_MS <= run.at_ms <= ended_ms
+            for run in history.runs
+        )
+    return (
+        fault.target in reached
+        and fault.kind not in UNCUTTING_KINDS
+        and fault.overlaps(sent_ms - histories.CONTACT_MS, ended_ms)
+    )
+
+
 def find_late_answers(history: histories.History) -> list[str]:
     """Reports many late responses of entries without faults."""
     limit_ms = site.TIMEOUT_MS + ANSWER_SLACK_MS + CLOCK_TOLERANCE_MS
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -59,6 +59,10 @@
       | - | SIGTERM beside a reset | fault | kind=terminate target=entry-1 start=8000 end=15000 | cut and reset | id=b route=post key=key-large team=large sent=7900 entry=entry-1 |
       | LOST | SIGTERM twice | fault | kind=terminate_twice target=entry-1 start=8000 end=15000 | cut | id=b route=post key=key-large team=large sent=7900 entry=entry-1 |
       | - | SIGTERM twice beside a reset | fault | kind=terminate_twice target=entry-1 start=8000 end=15000 | cut and reset | id=b route=post key=key-large team=large sent=7900 entry=entry-1 |
+      | LOST | SIGTERM beside faults of others | fault | kind=terminate target=entry-1 start=8000 end=15000 | cut beside others | id=b route=post key=key-large team=large sent=7900 entry=entry-1 |
+      | - | killed 300 ms after SIGTERM beside faults of others | fault | kind=terminate target=entry-1 start=8000 end=8300 | cut beside others | id=b route=post key=key-large team=large sent=7900 entry=entry-1 |
+      | LOST | SIGTERM, held beside a reset | fault | kind=terminate_twice target=entry-1 start=8000 end=15000 | cut while held | id=b route=post key=key-large team=large sent=7900 entry=entry-1 |
+      | - | SIGTERM beside a pause of the gateway | fault | kind=terminate_twice target=entry-1 start=8000 end=15000 | cut in gateway fault | id=b route=post key=key-large team=large sent=7900 entry=entry-1 |
       | LOST | accepted after SIGTERM, cut at the second | fault | kind=terminate_twice target=entry-1 start=8000 end=15000 again=9200 | cut | id=b route=post key=key-large team=large sent=9100 entry=entry-1 |
       | - | accepted after the only SIGTERM | fault | kind=terminate_twice target=entry-1 start=8000 end=15000 | cut | id=b route=post key=key-large team=large sent=9100 entry=entry-1 |
       | - | killed with all others | fault | kind=kill_all target=entry-1 start=8000 end=15000 | cut | id=b route=post key=key-large team=large sent=7900 entry=entry-1 |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -265,6 +265,23 @@
             deployment.InjectedFault("reset", "i-desk-0", 7950, 7950)
         )
 
+    def add_cut_beside_others(self, fields):
+        self.add_cut(fields)
+        for kind, target in (("reset", "i-desk-1"), ("kill_all", "entry-2")):
+            self.injected_faults.append(
+                deployment.InjectedFault(kind, target, 7950, 7950)
+            )
+
+    def add_cut_while_held(self, fields):
+        self.add_cut_and_reset(fields)
+        self.runs.pop()
+
+    def add_cut_in_gateway_fault(self, fields):
+        self.add_cut_while_held(fields)
+        self.injected_faults.append(
+            deployment.InjectedFault("pause", "entry-1", 7950, 8100)
+        )
+
     def add_leaving(self, fields):
         row = {
             "id": "l",
