Streams forgotten before they could be saved don't stop the writing of others

Callers saw nothing; no row of streams was written or removed until the next stream began, and the rows to be removed in that write were forgotten. Cause: the segments of old streams are dropped by each write, the streams themselves only when a new one begins. Where the store was away and callers had gone, streams that had never been saved outlived their segment. Change: what drops segments forgets their streams first.

--- a/features/steps/stream_origins_steps.py
+++ b/features/steps/stream_origins_steps.py
@@ -47,6 +47,17 @@
     context.several.several = True
 
 
+@when("no stream begins for {minutes:d} minutes")
+def wait(context, minutes):
+    context.now_ms += minutes * 60_000
+
+
+@then("a write removes no row and saves no segment")
+def check_nothing_written(context):
+    assert context.origins.take_old_segments() == []
+    assert context.origins.take_unsaved(10) == []
+
+
 @then(
     "all streams are saved after {count:d} writes of at most {most:d} segments"
 )
--- a/godwitloft/gateway/streams/stream_origins.py
+++ b/godwitloft/gateway/streams/stream_origins.py
@@ -296,6 +296,7 @@
 
     def take_old_segments(self) -> list[int]:
         """Returns segments whose saved form is to be removed, once each."""
+        self.forget_old(self.clock.monotonic_ms())
         old = [number for number in self.segments if self.is_old(number)]
         for number in old:
             del self.segments[number]
