The soak chooses ports that no connection gets

The kept log of entry-1: 127.0.0.11:35179, found free before, was in use when it listened. Cause: the ports were from 32768 to 60999, from which connections get theirs, so that one could hold the port of a program that hasn't started or is down. Which socket held this one isn't known. Change: ports are drawn from 10000 to 31999 and tried.

--- a/bench/soak/program.py
+++ b/bench/soak/program.py
@@ -3,6 +3,7 @@
 import dataclasses
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -10,6 +11,10 @@
 
 from bench import processes
 
+# Below those that connections get: one of these could hold the port of a
+# program that has not started yet, or is down.
+PORTS = range(10_000, 32_000)
+
 
 @dataclasses.dataclass(eq=False)
 class Program:
@@ -103,7 +108,13 @@
     :param host: IP address
     :param kind: socket kind, TCP or UDP
     :return: the port
+    :raises processes.ProcessError: when there is none
     """
-    with socket.socket(type=kind) as probe:
-        probe.bind((host, 0))
-        return int(probe.getsockname()[1])
+    for number in random.SystemRandom().sample(PORTS, len(PORTS)):
+        with socket.socket(type=kind) as probe:
+            try:
+                probe.bind((host, number))
+            except OSError:
+                continue
+            return number
+    raise processes.ProcessError(f"{host} has no free port")
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -153,6 +153,11 @@
       | SIGTERM | has logged | unexpected |
       | SIGKILL | has logged | expected |
 
+  # Seed 7004: 127.0.0.11:35179 was taken between its choice and the start.
+  Scenario: No connection takes the port of a program that is down
+    When 200 free ports are chosen
+    Then none is one that connections get
+
   Scenario: The real programs keep every promise under seeded faults
     When a soak test of seed 7 runs for 20 s
     Then it reports no breach and at least 500 successful requests
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -612,6 +612,18 @@
     context.program.child = child
 
 
+@when("{count:d} free ports are chosen")
+def choose_ports(context, count):
+    context.ports = [programs.free_port("127.0.0.11") for _ in range(count)]
+
+
+@then("none is one that connections get")
+def check_ports(context):
+    path = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
+    first, last = map(int, path.read_text().split())
+    assert not [port for port in context.ports if first <= port <= last]
+
+
 @when("it gets {name}")
 def send_signal(context, name):
     child = context.program.child
