--- a/features/soak.feature
+++ b/features/soak.feature
@@ -16,6 +16,18 @@
   Scenario: The plans of 20 seeds contain every kind of fault
     Then the plans of seeds 1 to 20 together contain every kind
 
+  Scenario: The plans of 20 seeds kill gateways together and signal drains
+    Then in the plans of seeds 1 to 20 each "kill_all" kills all gateways 0 ms apart
+    And in the plans of seeds 1 to 20 each "kill_series" kills all gateways 500 ms apart
+    And in the plans of seeds 1 to 20 each drain gets its further signals after 1 to 3000 ms
+
+  Scenario: A plan of restarts only is what the whole plan has of them
+    Then the plans of seeds 1 to 20 with restarts only have the restarts of the whole ones
+
+  Scenario: A further signal while a gateway drains excuses nothing by itself
+    When "terminate_twice", "hang_up_again" and "terminate_again" are injected into a gateway
+    Then one fault with 2 further signals is recorded
+
   Scenario Outline: A breach is reported: <promise>, <how>
     Given the history of a soak test
       | what | fields |
@@ -45,6 +57,16 @@
       | - | drained lately | fault | kind=drain target=i-desk-0 start=0 end=9000 | late | id=b route=lookup key=key-large team=large sent=3200 |
       | LOST | SIGTERM | fault | kind=terminate target=entry-1 start=8000 end=15000 | cut | id=b route=post key=key-large team=large sent=7900 entry=entry-1 |
       | - | SIGTERM beside a reset | fault | kind=terminate target=entry-1 start=8000 end=15000 | cut and reset | id=b route=post key=key-large team=large sent=7900 entry=entry-1 |
+      | LOST | SIGTERM twice | fault | kind=terminate_twice target=entry-1 start=8000 end=15000 | cut | id=b route=post key=key-large team=large sent=7900 entry=entry-1 |
+      | - | SIGTERM twice beside a reset | fault | kind=terminate_twice target=entry-1 start=8000 end=15000 | cut and reset | id=b route=post key=key-large team=large sent=7900 entry=entry-1 |
+      | LOST | SIGTERM beside faults of others | fault | kind=terminate target=entry-1 start=8000 end=15000 | cut beside others | id=b route=post key=key-large team=large sent=7900 entry=entry-1 |
+      | - | killed 300 ms after SIGTERM beside faults of others | fault | kind=terminate target=entry-1 start=8000 end=8300 | cut beside others | id=b route=post key=key-large team=large sent=7900 entry=entry-1 |
+      | LOST | SIGTERM, held beside a reset | fault | kind=terminate_twice target=entry-1 start=8000 end=15000 | cut while held | id=b route=post key=key-large team=large sent=7900 entry=entry-1 |
+      | - | SIGTERM beside a pause of the gateway | fault | kind=terminate_twice target=entry-1 start=8000 end=15000 | cut in gateway fault | id=b route=post key=key-large team=large sent=7900 entry=entry-1 |
+      | LOST | accepted after SIGTERM, cut at the second | fault | kind=terminate_twice target=entry-1 start=8000 end=15000 again=9200 | cut | id=b route=post key=key-large team=large sent=9100 entry=entry-1 |
+      | - | accepted after the only SIGTERM | fault | kind=terminate_twice target=entry-1 start=8000 end=15000 | cut | id=b route=post key=key-large team=large sent=9100 entry=entry-1 |
+      | - | killed with all others | fault | kind=kill_all target=entry-1 start=8000 end=15000 | cut | id=b route=post key=key-large team=large sent=7900 entry=entry-1 |
+      | - | killed in a series | fault | kind=kill_series target=entry-1 start=8000 end=15000 | cut | id=b route=post key=key-large team=large sent=7900 entry=entry-1 |
       | QUOTA | 300 runs | many | route=lookup key=key-small team=small count=300 | - | |
       | - | 200 runs | many | route=lookup key=key-small team=small count=200 | - | |
       | BUDGET | 60 repeats | repeats | count=60 | - | |
@@ -59,6 +81,9 @@
       | - | 23 in 4 s at 3 a second | limited | count=50 gap=180 per_s=3 | - | |
       | - | 24 in 4 s just after it was named | limited | count=20 gap=150 per_s=3 | - | |
       | - | 24 in 4 s after a fault | limited | count=50 gap=150 per_s=3 | fault | kind=pause target=entry-0 start=100 end=4400 |
+      | - | 24 in 4 s after a kill in a series | limited | count=50 gap=150 per_s=3 | fault | kind=kill_series target=entry-0 start=100 end=4400 |
+      | LIMIT | 24 in 4 s after another's kill | limited | count=60 gap=150 per_s=3 | fault | kind=kill_series target=entry-1 start=100 end=4400 |
+      | QUOTA | 300 runs after a kill of all | many | route=lookup key=key-small team=small count=300 | fault | kind=kill_all target=entry-0 start=100 end=400 |
       | BUDGET | 4 after the fifth crash of a part and 4 s | crashes | count=13 gap=1000 | - | |
       | - | 3 after the fifth crash of a part and 4 s | crashes | count=12 gap=1000 | - | |
       | - | 4 after a fault | crashes | count=13 gap=1000 | fault | kind=pause target=entry-0 start=100 end=9400 |
@@ -88,6 +113,18 @@
       | cut off | 503 | {"error": | leaving 1, unreadable 1 |
       | not the gateway's | 503 | [] | leaving 1, unreadable 1 |
 
+  # Seed 7001: a gateway was killed between the head and the body of an answer.
+  Scenario Outline: A caller takes a response of <sent> of <length> bytes for <judged>
+    When a caller reads <sent> bytes of a response of <length> bytes
+    Then the response counts as <judged>
+
+    Examples:
+      | sent | length | judged |
+      | 0 | 10 | cut |
+      | 9 | 10 | cut |
+      | 10 | 10 | whole |
+      | 0 | 0 | whole |
+
   # One chunk is sent in each mode; then the relay forwards everything for 2 s.
   # A chunk without delay could pass one that was delayed or held before.
   Scenario Outline: A relay keeps the order of bytes: <modes>
@@ -116,10 +153,19 @@
       | SIGTERM | has logged | unexpected |
       | SIGKILL | has logged | expected |
 
+  # Seed 7004: 127.0.0.11:35179 was taken between its choice and the start.
+  Scenario: No connection takes the port of a program that is down
+    When 200 free ports are chosen
+    Then none is one that connections get
+
   Scenario: The real programs keep every promise under seeded faults
     When a soak test of seed 7 runs for 20 s
     Then it reports no breach and at least 500 successful requests
 
+  Scenario: A soak test keeps what is needed to trace a failure
+    When a soak test of seed 0 runs for 3 s and keeps its logs
+    Then the logs of 3 gateways and the history are there
+
   Scenario Outline: A fault of the runners is reported by the soak test: <promise>
     When a soak test of seed 0 runs for 5 s with the runner options <mistake>
     Then it reports "<promise>"
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,4 +1,6 @@
 import dataclasses
+import http.client
+import io
 import json
 import pathlib
 import signal
@@ -54,6 +56,96 @@
     assert found == set(plan.KINDS), set(plan.KINDS) - found
 
 
+def plans(first, last):
+    for seed in range(first, last + 1):
+        yield plan.draw(seed, SECONDS, SIZE)
+
+
+@then(
+    'in the plans of seeds {first:d} to {last:d} each "{kind}" kills all'
+    " gateways {gap_ms:d} ms apart"
+)
+def check_kills(context, first, last, kind, gap_ms):
+    last_ms = SECONDS * 1000 - plan.FAULT_FREE_END_MS
+    all_targets = set(range(SIZE.entries))
+    checked = 0
+    for faults in plans(first, last):
+        found = [fault for fault in faults if fault.kind == kind]
+        for fault in found:
+            checked += 1
+            assert any(
+                all_targets
+                == {
+                    item.target
+                    for item in found
+                    if item.at_ms in span and item.duration_ms
+                }
+                or span[-1] >= last_ms
+                for span in spans_with(fault.at_ms, gap_ms)
+            ), fault
+    assert checked >= SIZE.entries
+
+
+def spans_with(at_ms, gap_ms):
+    """Returns the times of the kills of which one may be at a given time."""
+    numbers = range(SIZE.entries)
+    return [
+        [at_ms + (number - own) * gap_ms for number in numbers]
+        for own in numbers
+    ]
+
+
+@then(
+    "in the plans of seeds {first:d} to {last:d} each drain gets its further"
+    " signals after {shortest:d} to {longest:d} ms"
+)
+def check_signals(context, first, last, shortest, longest):
+    for faults in plans(first, last):
+        drains = [item for item in faults if item.kind == "terminate_twice"]
+        signals = [item for item in faults if item.kind in plan.DRAIN_KINDS]
+        seconds = [item for item in signals if item.kind == "terminate_again"]
+        assert len(seconds) == len(drains)
+        for fault in signals:
+            assert any(
+                fault.target == drain.target
+                and shortest <= fault.at_ms - drain.at_ms <= longest
+                and fault.at_ms < drain.at_ms + drain.duration_ms
+                for drain in drains
+            ), fault
+
+
+@then(
+    "the plans of seeds {first:d} to {last:d} with restarts only have the"
+    " restarts of the whole ones"
+)
+def check_restarts_only(context, first, last):
+    kinds = plan.RESTART_KINDS | plan.TWICE_KINDS | plan.DRAIN_KINDS
+    for seed in range(first, last + 1):
+        whole = plan.draw(seed, SECONDS, SIZE)
+        restarts = plan.draw(seed, SECONDS, SIZE, restarts_only=True)
+        expected = [fault for fault in whole if fault.kind in kinds]
+        assert expected and list(restarts) == expected, seed
+
+
+@when('"{first}", "{second}" and "{third}" are injected into a gateway')
+def inject_signals(context, first, second, third):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    path = pathlib.Path(folder.name)
+    context.deployment = deployment.Deployment(path, SIZE, "agents")
+    context.deployment.entries.append(
+        programs.Program("entry-0", (), path / "boot", path / "log")
+    )
+    for kind in (first, second, third):
+        context.deployment.inject(plan.Fault(0, kind, 0, 0))
+
+
+@then("one fault with {count:d} further signals is recorded")
+def check_one_recorded(context, count):
+    (recorded,) = context.deployment.injected_faults
+    assert len(recorded.again_ms) == count, recorded
+
+
 def record_from(fields):
     record = callers.RequestRecord(
         id=fields["id"],
@@ -144,6 +236,7 @@
                 fields["target"],
                 int(fields["start"]),
                 int(fields["end"]),
+                again_ms=[int(fields["again"])] if "again" in fields else [],
             )
         )
 
@@ -172,6 +265,23 @@
             deployment.InjectedFault("reset", "i-desk-0", 7950, 7950)
         )
 
+    def add_cut_beside_others(self, fields):
+        self.add_cut(fields)
+        for kind, target in (("reset", "i-desk-1"), ("kill_all", "entry-2")):
+            self.injected_faults.append(
+                deployment.InjectedFault(kind, target, 7950, 7950)
+            )
+
+    def add_cut_while_held(self, fields):
+        self.add_cut_and_reset(fields)
+        self.runs.pop()
+
+    def add_cut_in_gateway_fault(self, fields):
+        self.add_cut_while_held(fields)
+        self.injected_faults.append(
+            deployment.InjectedFault("pause", "entry-1", 7950, 8100)
+        )
+
     def add_leaving(self, fields):
         row = {
             "id": "l",
@@ -390,7 +500,36 @@
         )
 
 
-def run(seed, seconds, mistakes):
+class AnsweredSocket:
+    """Socket on which a response has come, and then the end."""
+
+    def __init__(self, content):
+        self.content = content
+
+    def makefile(self, _mode):
+        return io.BytesIO(self.content)
+
+
+@when("a caller reads {sent:d} bytes of a response of {length:d} bytes")
+def read_response(context, sent, length):
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n"
+    content = head.encode() + b"x" * sent
+    response = http.client.HTTPResponse(AnsweredSocket(content))
+    response.begin()
+    fields = {"id": "a", "route": "lookup", "key": "k", "sent": 1}
+    context.record = record_from(fields | {"whole": "no"})
+    try:
+        callers.Caller(0, 0, None).read(context.record, response, False)
+    except http.client.IncompleteRead as error:
+        assert error.expected == length - sent, error
+
+
+@then("the response counts as {judged}")
+def check_whole(context, judged):
+    assert context.record.is_complete == (judged == "whole")
+
+
+def run(seed, seconds, mistakes, *options):
     done = subprocess.run(
         [
             sys.executable,
@@ -400,6 +539,7 @@
             f"--seed={seed}",
             f"--seconds={seconds}",
             f"--mistakes={mistakes}",
+            *options,
         ],
         cwd=ROOT,
         capture_output=True,
@@ -415,6 +555,23 @@
     context.figures = run(seed, seconds, "{}")
 
 
+@when("a soak test of seed {seed:d} runs for {seconds:d} s and keeps its logs")
+def run_and_keep(context, seed, seconds):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.kept = pathlib.Path(folder.name) / "kept"
+    context.figures = run(seed, seconds, "{}", f"--keep={context.kept}")
+
+
+@then("the logs of {entries:d} gateways and the history are there")
+def check_kept(context, entries):
+    logs = list(context.kept.glob("entry-*.log"))
+    assert len(logs) == entries and all(path.read_text() for path in logs)
+    kept = json.loads((context.kept / "history.json").read_text())
+    assert len(kept["records"]) == context.figures["requests"]
+    assert len(kept["runs"]) == context.figures["runs"]
+
+
 @when(
     "a soak test of seed {seed:d} runs for {seconds:d} s with the runner"
     " options {mistake}"
@@ -455,6 +612,18 @@
     context.program.child = child
 
 
+@when("{count:d} free ports are chosen")
+def choose_ports(context, count):
+    context.ports = [programs.free_port("127.0.0.11") for _ in range(count)]
+
+
+@then("none is one that connections get")
+def check_ports(context):
+    path = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
+    first, last = map(int, path.read_text().split())
+    assert not [port for port in context.ports if first <= port <= last]
+
+
 @when("it gets {name}")
 def send_signal(context, name):
     child = context.program.child
