--- a/features/steps/allowances_after_starts_steps.py
+++ b/features/steps/allowances_after_starts_steps.py
@@ -12,7 +12,7 @@
 from features.support import allowance_fleet
 from features.support import gateway_world
 from godwitloft.gateway import allowance
-from godwitloft.gateway import sharing
+from godwitloft.gateway import saved_use
 from godwitloft.links import datagrams
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -178,7 +178,7 @@
     limit = allowance.window_limit(
         allowance_fleet.TEAM, gateway_world.TOLERANCE
     )
-    is_little = unsaved <= sharing.MAX_UNSAVED_SHARE * limit
+    is_little = unsaved <= saved_use.MAX_UNSAVED_SHARE * limit
     is_short = age_ms <= allowance.MAX_MUCH_UNSAVED_MS
     assert is_little or is_short, (unsaved, age_ms)
 
--- a/features/steps/failed_saves_steps.py
+++ b/features/steps/failed_saves_steps.py
@@ -55,7 +55,7 @@
 def learn_use(member):
     sharing = member.world.sharing
     sharing.window(TEAM.name).add(USED, member.now_ms())
-    sharing.must_save = True
+    sharing.unsaved.must_save = True
 
 
 def blame(member):
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -9,7 +9,6 @@
 used in the window of the limit plus those reserved.
 """
 
-import dataclasses
 import enum
 import hashlib
 import heapq
@@ -19,24 +18,17 @@
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft.gateway import allowance
+from godwitloft.gateway import announce_times
 from godwitloft.gateway import demand as demands
 from godwitloft.gateway import former_use
 from godwitloft.gateway import model
 from godwitloft.gateway import peer_status
+from godwitloft.gateway import peers
+from godwitloft.gateway import saved_use
 from godwitloft.gateway import unseen
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
 
-ANNOUNCE_INTERVAL_MS = 250
-# Above this number, gateways announce less often, as the number of datagrams
-# grows with the square of the number of gateways.
-GATEWAYS_AT_FULL_RATE = 16
-MAX_ANNOUNCE_INTERVAL_MS = 600
-# Early announcements are sent before the regular time when a gateway uses more
-# than it reserved or learns of a new gateway. They are limited to a burst of
-# this many, refilled by one after each interval.
-MAX_EARLY_ANNOUNCEMENTS = 4
-EARLY_ANNOUNCE_INTERVAL_MS = 50
 # Share of the remaining allowance that all gateways together may use without
 # having announced it.
 UNANNOUNCED_SHARE = 0.5
@@ -51,9 +43,6 @@
 # Added to each gateway's demand, as a multiple of an equal share of the rate,
 # so that an idle gateway gets a part of the allowance as well.
 BASE_DEMAND_SHARE = 1.0
-# Usage is saved before more than this part of an equal share of a limit has
-# been used since the last save.
-MAX_UNSAVED_SHARE = 0.25
 MAX_TEAMS_ANNOUNCED = 20
 MAX_TEAMS_ANSWERED = 200
 MIN_DEMAND = 1.0
@@ -66,26 +55,6 @@
 Usage = former_use.Usage
 
 
-@dataclasses.dataclass(frozen=True)
-class Peer:
-    """State of another gateway according to its last announcement.
-
-    :param demands: tokens per second, by team
-    :param committed: tokens used in the window of the limit plus reserved
-        tokens, by team
-    :param team_ms: when each team was last told of
-    :param received_ms: when the announcement was received
-    :param is_starting: whether it is still asking what it had used before it
-        was started
-    """
-
-    demands: dict[str, float]
-    committed: dict[str, float]
-    team_ms: dict[str, int]
-    received_ms: int
-    is_starting: bool = False
-
-
 class ExcessUse(enum.Enum):
     """Whether tokens may be used that were not reserved."""
 
@@ -125,25 +94,14 @@
         self.commitments: dict[str, unseen.Commitments] = {}
         self.round_trips = unseen.RoundTrips(clock.monotonic_ms())
         self.must_announce = False
-        # Tokens used since usage was last saved, by team.
-        self.unsaved: dict[str, float] = {}
-        # Whether usage before the start was learned that isn't saved.
-        self.must_save = False
-        # When a full burst of early announcements is available again.
-        self.early_until_ms = 0
+        self.unsaved = saved_use.UnsavedUse()
+        self.early = announce_times.EarlyAnnouncements()
         self.teams: dict[str, model.Team] = {}
         self.restored = False
         self.started_ms = clock.monotonic_ms()
         # Whether neither this instance nor another has run before.
         self.is_first = True
-        # Own usage as it was saved before the start, by teams for which that
-        # of the time after is still to be estimated, and when it was saved.
-        self.saved: Usage = {}
-        self.saved_ms = 0
-        # What all gateways had saved and certainly still counts at the start,
-        # by team, and how many gateways that is.
-        self.saved_by_all: dict[str, float] = {}
-        self.saved_rows = 1
+        self.saved = saved_use.SavedBeforeStart(tolerance.counted_ms)
         self.own_former = former_use.OwnFormerUse(clock)
         self.peers_former = former_use.PeerFormerUses(
             clock, tolerance.counted_ms
@@ -161,7 +119,7 @@
         self.introduced_until_ms = 0
         # What place() has returned for these hosts, by subject.
         self.places: dict[str, int] = {}
-        self.peers: dict[str, Peer] = {}
+        self.peers: dict[str, peers.Peer] = {}
         self.own_status: typing.Callable[[], peer_status.PeerStatus] = (
             peer_status.PeerStatus
         )
@@ -305,33 +263,15 @@
                 known = max(known, equal_share)
             committed += known
         remaining = limit - committed
-        if team.name in self.saved:
-            remaining -= self.add_estimate(team.name, limit, now_ms)
+        if team.name in self.saved.own:
+            # No peer could tell it.
+            estimate = self.saved.add_estimate(
+                team.name, self.window(team.name), limit, now_ms
+            )
+            self.unsaved.add_learned(estimate)
+            remaining -= estimate
         return remaining
 
-    def add_estimate(self, team: str, limit: float, now_ms: int) -> float:
-        """Counts what may have been used between the last save and the end.
-
-        That is unknown if no peer could tell it. All gateways together have
-        used no more than was left by what they had saved, however.
-
-        :param team: name of the team
-        :param limit: of its usage in a window
-        :param now_ms: the current time
-        :return: tokens
-        """
-        sums = self.saved.pop(team)
-        left = limit - self.saved_by_all[team]
-        estimate = self.window(team).add_unsaved(
-            sums,
-            self.saved_ms,
-            now_ms,
-            little=MAX_UNSAVED_SHARE * limit / self.saved_rows,
-            most=left / self.saved_rows,
-        )
-        self.must_save = self.must_save or estimate > 0
-        return estimate
-
     def unheard(self) -> set[str]:
         """Returns the gateways that are known and were never heard."""
         known = self.hosts.keys() | self.peers_saved.windows.keys()
@@ -375,7 +315,7 @@
         own = self.own_former
         own.is_asking = False
         if own.is_told:
-            self.saved = {}
+            self.saved.own = {}
         self.must_announce = True
         events.log(
             events.GRANTS_BEGIN,
@@ -423,7 +363,7 @@
         )
         if fits and may_wait:
             return ExcessUse.ANNOUNCED_LATER
-        if fits or self.may_announce_early(now_ms):
+        if fits or self.early.may_send(now_ms):
             return ExcessUse.ANNOUNCED_EARLY
         return ExcessUse.REFUSED
 
@@ -520,11 +460,9 @@
         else:
             self.is_first = False
         now_ms = self.clock.monotonic_ms()
-        self.saved = dict(used or {})
-        self.saved_ms = now_ms - age_ms
-        for team, sums in self.saved.items():
+        self.saved.add_own(used or {}, now_ms, age_ms)
+        for team, sums in self.saved.own.items():
             self.window(team).restore(sums, now_ms, age_ms)
-        self.count_saved(self.saved, age_ms)
         events.log(
             events.USE_RESTORED,
             age_ms=age_ms if used is not None else None,
@@ -535,19 +473,6 @@
             of_peers=sorted(self.peers_saved.windows)[:MAX_NAMES_LOGGED],
         )
 
-    def count_saved(self, used: Usage, age_ms: int) -> None:
-        """Adds to what all gateways had saved.
-
-        :param used: tokens by age, by team, as one gateway saved them
-        :param age_ms: how long ago it did
-        """
-        for team, sums in used.items():
-            counted = allowance.still_counted(
-                sums, age_ms, self.tolerance.counted_ms
-            )
-            known = self.saved_by_all.get(team, 0.0)
-            self.saved_by_all[team] = known + counted
-
     def restore_peer(
         self, name: str, host: str, used: Usage, age_ms: int
     ) -> None:
@@ -562,8 +487,7 @@
         self.is_first = False
         if name not in self.peers and age_ms < self.tolerance.counted_ms:
             self.peers_saved.add(name, used, age_ms)
-            self.saved_rows += 1
-            self.count_saved(used, age_ms)
+            self.saved.add_other(used, age_ms)
 
     def join(self) -> None:
         """Joins the other gateways: asks what this one had used before.
@@ -596,16 +520,12 @@
 
         :return: takes that back; to be called if it could not be saved
         """
-        unsaved, must_save = self.unsaved, self.must_save
-        self.unsaved = {}
-        self.must_save = False
-
-        def take_back() -> None:
-            for team, tokens in unsaved.items():
-                self.unsaved[team] = self.unsaved.get(team, 0.0) + tokens
-            self.must_save = self.must_save or must_save
+        return self.unsaved.mark_saved()
 
-        return take_back
+    @property
+    def must_save(self) -> bool:
+        """Whether usage was learned that can't wait to be saved."""
+        return self.unsaved.must_save
 
     def needs_saving(self) -> bool:
         """Returns whether much was used since usage was last saved.
@@ -614,10 +534,10 @@
         """
         return any(
             tokens
-            > MAX_UNSAVED_SHARE
+            > saved_use.MAX_UNSAVED_SHARE
             * allowance.window_limit(self.teams[name], self.tolerance)
             / self.gateways
-            for name, tokens in self.unsaved.items()
+            for name, tokens in self.unsaved.tokens.items()
         )
 
     def largest_uses(self, now_ms: int) -> list[tuple[str, float]]:
@@ -656,7 +576,7 @@
             if use_of_excess is ExcessUse.ANNOUNCED_EARLY:
                 self.must_announce = True
         self.reserved[team.name] = max(0.0, -excess)
-        self.unsaved[team.name] = self.unsaved.get(team.name, 0.0) + tokens
+        self.unsaved.add(team.name, tokens)
         use = self.window(team.name).add(tokens, now_ms)
         self.announce_if_due()
         return use
@@ -679,12 +599,7 @@
 
     def announce_interval_ms(self) -> int:
         """Returns the time between regular announcements."""
-        interval_ms = (
-            ANNOUNCE_INTERVAL_MS * self.gateways // GATEWAYS_AT_FULL_RATE
-        )
-        return min(
-            MAX_ANNOUNCE_INTERVAL_MS, max(ANNOUNCE_INTERVAL_MS, interval_ms)
-        )
+        return announce_times.interval_ms(self.gateways)
 
     def announce_if_due(self) -> None:
         """Sends an announcement to all peers if one is due."""
@@ -692,30 +607,17 @@
         self.is_starting()
         if now_ms - self.last_announced_ms >= self.announce_interval_ms():
             self.announce(now_ms)
-        elif self.must_announce and self.may_announce_early(now_ms):
-            begin_ms = max(now_ms, self.early_until_ms)
-            self.early_until_ms = begin_ms + EARLY_ANNOUNCE_INTERVAL_MS
+        elif self.must_announce and self.early.may_send(now_ms):
+            self.early.record_sent(now_ms)
             if self.unannounced:
                 self.announce_excess(now_ms)
             else:
                 self.announce(now_ms)
 
-    def may_announce_early(self, now_ms: int) -> bool:
-        """Returns whether an early announcement may be sent.
-
-        :param now_ms: the current time
-        :return: whether the burst of early announcements isn't used up
-        """
-        ahead_ms = self.early_until_ms - now_ms
-        return (
-            ahead_ms
-            <= (MAX_EARLY_ANNOUNCEMENTS - 1) * EARLY_ANNOUNCE_INTERVAL_MS
-        )
-
     def announce(self, now_ms: int) -> None:
         """Sends demand and committed tokens of active teams to all peers.
 
-        Only the teams that used most are included.
+        With many teams, each announcement holds only some of them.
 
         :param now_ms: the current time
         """
@@ -920,13 +822,6 @@
             # It may have been started again on another machine.
             self.hosts[sharing.gateway] = host
         previous = self.peers.get(sharing.gateway)
-        rates = {
-            demand.team: max(0, demand.tokens_per_s)
-            for demand in sharing.demands
-        }
-        committed = {
-            demand.team: max(0, demand.committed) for demand in sharing.demands
-        }
         now_ms = self.clock.monotonic_ms()
         if sharing.asked_ms is not None:
             self.round_trips.hold(sharing.gateway, sharing.asked_ms, now_ms)
@@ -939,21 +834,8 @@
         elif previous is not None and not previous.is_starting:
             self.keep_former(sharing.gateway, previous)
             previous = None
-        now_ms = self.clock.monotonic_ms()
-        team_ms = dict.fromkeys(committed, now_ms)
-        if sharing.partial and previous is not None:
-            since_ms = now_ms - self.tolerance.counted_ms
-            for team, at_ms in previous.team_ms.items():
-                if team not in team_ms and at_ms > since_ms:
-                    team_ms[team] = at_ms
-                    rates[team] = previous.demands[team]
-                    committed[team] = previous.committed[team]
-        self.peers[sharing.gateway] = Peer(
-            demands=rates,
-            committed=committed,
-            team_ms=team_ms,
-            received_ms=now_ms,
-            is_starting=is_starting,
+        self.peers[sharing.gateway] = peers.receive(
+            sharing, previous, now_ms, now_ms - self.tolerance.counted_ms
         )
         if sharing.answers:
             self.learn_former(sharing)
@@ -961,7 +843,7 @@
             self.answer_start(sharing.gateway, host)
         self.on_peer_status(peer_status.decode(sharing))
 
-    def keep_former(self, name: str, previous: Peer) -> None:
+    def keep_former(self, name: str, previous: peers.Peer) -> None:
         """Goes on counting what a peer had used before it was started again.
 
         :param name: name of its instance
@@ -990,7 +872,7 @@
             window = self.window(team)
             unknown = max(0.0, tokens - window.total(now_ms))
             window.add(unknown, now_ms)
-            self.must_save = self.must_save or unknown > 0
+            self.unsaved.add_learned(unknown)
         if sharing.former:
             events.log(
                 events.USE_TOLD,
