--- a/features/allowances_after_starts.feature
+++ b/features/allowances_after_starts.feature
@@ -149,6 +149,23 @@
       | 8.2 | 1800 | 4 |
       | 8.2 | 6000 | 8 |
 
+  # Guards against use that nobody who lives knows: not saved, and not told.
+  Scenario Outline: What is known of <count> busy gateways is lost: <event>, seed <seed>
+    Given <count> gateways that start 1000 ms apart, seed <seed>, while calls to the store take 4 ms
+    When all are ready and the team asks from 1000 ms later on for 9 s
+    And <event>
+    And the team asks for 10 s
+    Then at most 9800 tokens were granted in any 8 s
+
+    Examples:
+      | count | event | seed |
+      | 4 | the store is away for 2000 ms and all are killed and back after 500 ms | 1 |
+      | 12 | the store is away for 2000 ms and all are killed and back after 500 ms | 2 |
+      | 1 | each is killed in turn every 500 ms, 4 times | 2 |
+      | 1 | the store is away for 2000 ms and each is killed in turn every 500 ms, 2 times | 3 |
+      | 4 | one is cut off from all for 60000 ms | 1 |
+      | 4 | one is cut off from all for 60000 ms | 2 |
+
   # Guards against refusals below the limit: time in which gateways were dead
   # counted as usage.
   Scenario Outline: <count> gateways of a team that asks for half its rate: <event>, seed <seed>
--- a/features/steps/allowances_after_starts_steps.py
+++ b/features/steps/allowances_after_starts_steps.py
@@ -183,6 +183,28 @@
     assert is_little or is_short, (unsaved, age_ms)
 
 
+@step(
+    "the store is away for {away_ms:d} ms and all are killed and back after"
+    " {dark_ms:d} ms"
+)
+def kill_all_after_outage(context, away_ms, dark_ms):
+    fleet = context.fleet
+    fleet.take_away(away_ms)
+    fleet.advance(away_ms + AFTER_OUTAGE_MS)
+    kill_all(context, dark_ms)
+
+
+@step("one is cut off from all for {away_ms:d} ms")
+def cut_off(context, away_ms):
+    fleet = context.fleet
+    host, member = next(iter(fleet.members.items()))
+    member.client.cut = True
+    fleet.parted.add(host)
+    fleet.advance(away_ms)
+    member.client.cut = False
+    fleet.parted.discard(host)
+
+
 @step("one is killed for good")
 def kill_one(context):
     context.fleet.kill(0)
