--- a/features/allowances_after_starts.feature
+++ b/features/allowances_after_starts.feature
@@ -131,6 +131,13 @@
       | 40 | 2 |
       | 60 | 4 |
 
+  # Guards against lines of the log that grow with the number of teams.
+  Scenario: A gateway of 60 busy teams is started again, and the log stays short
+    Given 4 gateways that start 1000 ms apart, seed 1, while calls to the store take 4 ms
+    When all are ready and 60 teams ask for 2 times their rates for 3 s
+    And each is killed in turn every 1500 ms, 1 times
+    Then no line of the log names more than 20 teams, and some name 20
+
   # Guards against usage that a failed write left unsaved and not due.
   Scenario Outline: The store fails for <away> ms while a team asks for <load> times its rate
     Given 1 gateways that start 0 ms apart, seed 1, while calls to the store take 4 ms
--- a/features/steps/allowances_after_starts_steps.py
+++ b/features/steps/allowances_after_starts_steps.py
@@ -277,3 +277,18 @@
 def check_alone(context):
     (member,) = context.fleet.members.values()
     assert not member.world.sharing.hosts, member.world.sharing.hosts
+
+
+@then("no line of the log names more than {most:d} teams, and some name 20")
+def check_log(context, most):
+    log = context.fleet.first.log
+    named = [
+        len(line[field])
+        for code, field in (
+            ("GL1409", "teams"),
+            ("GL1414", "told"),
+            ("GL1415", "committed"),
+        )
+        for line in log.fields(code)
+    ]
+    assert max(named) == most, named
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -321,7 +321,7 @@
             events.GRANTS_BEGIN,
             listed=sorted(self.hosts)[:MAX_NAMES_LOGGED],
             answered=sorted(own.answered)[:MAX_NAMES_LOGGED],
-            told={team: round(tokens) for team, tokens in own.told.items()},
+            told=largest(own.told),
             estimated=not own.is_told,
         )
 
@@ -854,7 +854,7 @@
             events.PEER_RESTARTED,
             gateway=name,
             heard_ms_ago=self.clock.monotonic_ms() - previous.received_ms,
-            committed=previous.committed,
+            committed=largest(previous.committed),
         )
 
     def learn_former(self, sharing: ttypes.Sharing) -> None:
@@ -877,7 +877,7 @@
             events.log(
                 events.USE_TOLD,
                 gateway=sharing.gateway,
-                teams=sorted(use.team for use in sharing.former),
+                teams=sorted(largest(told)),
             )
 
     def learn_others_former(
@@ -949,5 +949,17 @@
     return hashlib.blake2b(text, digest_size=8).digest()
 
 
+def largest(tokens: typing.Mapping[str, float]) -> dict[str, int]:
+    """Returns the largest amounts, for the log.
+
+    :param tokens: by team, of which there may be thousands
+    :return: at most :data:`MAX_NAMES_LOGGED` of them, the largest first
+    """
+    names = heapq.nlargest(
+        MAX_NAMES_LOGGED, tokens, key=lambda name: tokens[name]
+    )
+    return {name: round(tokens[name]) for name in names}
+
+
 def _ignore_status(_status: peer_status.PeerStatus) -> None:
     pass
