Lines of the log tell first why an answer was cut, and how long a stop lasts

Change: reason and outcome come first, the message last; stopping_ms since the signal in GL1201, GL1205, GL1206 and GL1209; GL1206 tells how long the upstream was silent and whether the caller reads slowly. The answers of the tests move from steps to features/support/wire_answers.py.

--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -12,6 +12,7 @@
 
 from features.support import gateway_world
 from features.support import logs
+from features.support import wire_answers
 from features.support import wire_upstream
 from godwitloft import answer_end
 
@@ -20,53 +21,6 @@
 SILENCE_MS = 5_100
 
 
-def event(number):
-    return f"id: {number}\ndata: x{number}\n\n".encode()
-
-
-def events(first, last):
-    return b"".join(event(number) for number in range(first, last + 1))
-
-
-def chunk(data):
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
-BODY = events(1, 3)
-MIDWAY = len(events(1, 2))
-CHUNKED = b"transfer-encoding: chunked"
-
-
-def length_header(body):
-    return b"content-length: %d" % len(body)
-
-
-def complete_answer(sent, framing, body=BODY):
-    """Returns an answer with all that its framing asks for."""
-    if framing == "length":
-        return sent.answer_head(length_header(body)) + body
-    if framing == "chunks":
-        return sent.answer_head(CHUNKED) + chunk(body) + b"0\r\n\r\n"
-    if framing == "status 204":
-        return sent.answer_head(status=b"204 No Content")
-    version = b"1.0" if framing == "HTTP/1.0" else b"1.1"
-    return sent.answer_head(version=version) + body
-
-
-def first_part(sent, framing):
-    """Returns an answer up to the end of its second event."""
-    if framing == "length":
-        return sent.answer_head(length_header(BODY)) + BODY[:MIDWAY]
-    if framing == "chunks":
-        return sent.answer_head(CHUNKED) + chunk(BODY[:MIDWAY])
-    return complete_answer(sent, framing, BODY[:MIDWAY])
-
-
-def close_if_open(sent):
-    if sent.transport.connected:
-        sent.close()
-
-
 @given("a gateway that reads what its upstreams send")
 def gateway_on_wire(context):
     context.world = wire_upstream.WireWorld()
@@ -78,25 +32,30 @@
 )
 def ends_inside_event(context, framing):
     sent = context.world.sent[0]
-    body = BODY[: MIDWAY + 6]
-    sent.receive(complete_answer(sent, framing, body))
-    close_if_open(sent)
+    body = wire_answers.BODY[: wire_answers.MIDWAY + 6]
+    sent.receive(wire_answers.complete_answer(sent, framing, body))
+    wire_answers.close_if_open(sent)
 
 
 @when("the upstream answers, framed by {framing}: {event}")
 def answers(context, framing, event):
     sent = context.world.sent[0]
-    half = first_part(sent, framing)
-    whole = complete_answer(sent, framing)
+    half = wire_answers.first_part(sent, framing)
+    whole = wire_answers.complete_answer(sent, framing)
     received = {
         "whole": whole,
         "more bytes than announced": whole + b"more",
         "a second answer": whole + whole,
-        "closed inside a chunk": half + b"40\r\n" + BODY[MIDWAY:],
+        "closed inside a chunk": half
+        + b"40\r\n"
+        + wire_answers.BODY[wire_answers.MIDWAY :],
         "invalid chunk size": half + b"zz\r\n",
         "closed inside trailers": whole[:-2] + b"x-end: 1\r\n",
-        "closed inside an event": half + BODY[MIDWAY : MIDWAY + 6],
-        "closed before any event": complete_answer(sent, framing, b""),
+        "closed inside an event": half
+        + wire_answers.BODY[wire_answers.MIDWAY : wire_answers.MIDWAY + 6],
+        "closed before any event": wire_answers.complete_answer(
+            sent, framing, b""
+        ),
     }.get(event, half)
     sent.receive(received)
     if event == "silent midway":
@@ -122,15 +81,19 @@
 def closes(context, then, framing):
     sent = context.world.sent[0]
     sent.accepts = CHECKS[then]
-    sent.receive(first_part(sent, framing))
+    sent.receive(wire_answers.first_part(sent, framing))
     sent.close()
 
 
 @when("the upstream's stream, framed by {framing}, ends after event {count:d}")
 def ends_after(context, framing, count):
     sent = context.world.sent[-1]
-    sent.receive(complete_answer(sent, framing, events(1, count)))
-    close_if_open(sent)
+    sent.receive(
+        wire_answers.complete_answer(
+            sent, framing, wire_answers.events(1, count)
+        )
+    )
+    wire_answers.close_if_open(sent)
 
 
 @when(
@@ -139,9 +102,9 @@
 )
 def ends_inside_next(context, framing, count):
     sent = context.world.sent[-1]
-    begun = events(1, count) + event(count + 1)[:8]
-    sent.receive(complete_answer(sent, framing, begun))
-    close_if_open(sent)
+    begun = wire_answers.events(1, count) + wire_answers.event(count + 1)[:8]
+    sent.receive(wire_answers.complete_answer(sent, framing, begun))
+    wire_answers.close_if_open(sent)
 
 
 @given("its routes allow {count:d} attempts")
@@ -157,23 +120,32 @@
 
 def end_as_told(sent, how):
     """An upstream ends its answer; one that breaks off would use chunks."""
-    head = sent.answer_head(CHUNKED)
+    head = sent.answer_head(wire_answers.CHUNKED)
     what, _, framing = how.partition(", framed by ")
     sent.receive(
         {
-            "end after event 2": complete_answer(sent, "close", events(1, 2)),
-            "break off after event 2": head + chunk(events(1, 2)),
-            "break off within event 3": head + chunk(event(3)[:8]),
-            "break off within event 1": head + chunk(event(1)[:8]),
+            "end after event 2": wire_answers.complete_answer(
+                sent, "close", wire_answers.events(1, 2)
+            ),
+            "break off after event 2": head
+            + wire_answers.chunk(wire_answers.events(1, 2)),
+            "break off within event 3": head
+            + wire_answers.chunk(wire_answers.event(3)[:8]),
+            "break off within event 1": head
+            + wire_answers.chunk(wire_answers.event(1)[:8]),
             "repeat event 1 and break off within event 2": head
-            + chunk(event(1) + event(2)[:8]),
-            "send a comment": complete_answer(sent, framing, b": x\n\n"),
-            "break off within a comment": head + chunk(b": x"),
+            + wire_answers.chunk(
+                wire_answers.event(1) + wire_answers.event(2)[:8]
+            ),
+            "send a comment": wire_answers.complete_answer(
+                sent, framing, b": x\n\n"
+            ),
+            "break off within a comment": head + wire_answers.chunk(b": x"),
             "break off": head,
-            "send nothing": complete_answer(sent, framing, b""),
+            "send nothing": wire_answers.complete_answer(sent, framing, b""),
         }[what]
     )
-    close_if_open(sent)
+    wire_answers.close_if_open(sent)
 
 
 ENDS = re.compile(r"((?:end|break|repeat|send)[^,]*(?:, framed by \w+)?)")
@@ -190,10 +162,12 @@
 
 def go_on(sent, then):
     what, _, framing = then.partition(", framed by ")
-    plain_length = length_header(b"no")
+    plain_length = wire_answers.length_header(b"no")
     received = {
-        "has nothing to add": complete_answer(sent, framing, b""),
-        "adds event 3": complete_answer(sent, framing, event(3)),
+        "has nothing to add": wire_answers.complete_answer(sent, framing, b""),
+        "adds event 3": wire_answers.complete_answer(
+            sent, framing, wire_answers.event(3)
+        ),
         "resets the connection": b"",
         "fails with status 500": sent.answer_head(
             plain_length, status=b"500 Failure"
@@ -234,8 +208,8 @@
     for number in range(count):
         context.world.ask(f"c{number}", route)
         sent = context.world.sent[-1]
-        sent.receive(complete_answer(sent, framing))
-        close_if_open(sent)
+        sent.receive(wire_answers.complete_answer(sent, framing))
+        wire_answers.close_if_open(sent)
 
 
 @when("the next upstream is silent until the caller's time is over")
@@ -309,7 +283,7 @@
 def check_received(context, first, last):
     received = context.caller.received
     for number in range(first, last + 1):
-        assert received.count(event(number)) == 1, received
+        assert received.count(wire_answers.event(number)) == 1, received
 
 
 def body_end_after(data, size):
@@ -325,7 +299,7 @@
 )
 def check_between(context, line_end, size):
     context.size = size
-    context.data = BODY.replace(b"\n", LINE_ENDS[line_end])
+    context.data = wire_answers.BODY.replace(b"\n", LINE_ENDS[line_end])
     body_end = body_end_after(context.data, size)
     assert not body_end.inside_event
     assert body_end.defect() == ""
@@ -356,7 +330,9 @@
     Returns whether it has.
     """
     sent = world.sent[number]
-    head = complete_answer(sent, framing).partition(b"\r\n\r\n")[0]
+    head = wire_answers.complete_answer(sent, framing).partition(b"\r\n\r\n")[
+        0
+    ]
     whole = head + b"\r\n\r\n"
     if count >= len(whole):
         return False
@@ -394,7 +370,10 @@
         world = wire_upstream.WireWorld()
         caller = world.ask("a", route)
         first = world.sent[0]
-        first.receive(first.answer_head(CHUNKED) + chunk(event(1)))
+        first.receive(
+            first.answer_head(wire_answers.CHUNKED)
+            + wire_answers.chunk(wire_answers.event(1))
+        )
         first.close()
         if not end_within_head(world, 1, "chunks", count, end):
             break
--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -248,9 +248,9 @@
             "time": self.formatTime(record),
             "level": record.levelname.lower(),
             "event": event.code if event else None,
-            "message": record.getMessage(),
         }
         line.update(getattr(record, "fields", {}))
+        line["message"] = record.getMessage()
         if record.exc_info:
             line["traceback"] = self.formatException(record.exc_info)
         return json.dumps(line, default=str)
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -216,7 +216,10 @@
             self.retry_policy.crashes, self.latency, self.placer
         )
         self.reports = reports.Reports(
-            self.clock, dependencies.instruments, self.config_state
+            self.clock,
+            dependencies.instruments,
+            self.config_state,
+            self.shutdown,
         )
         self.arbiter = arbiters.Arbiter(
             self.clock,
@@ -355,7 +358,7 @@
         :param end_ms: when the process must end; requests that would take
             longer are refused from now on
         """
-        self.shutdown.end_ms = end_ms
+        self.shutdown.begin(end_ms)
         events.log(events.DRAINING, requests=self.unfinished())
 
     def stop_accepting(self) -> None:
--- a/godwitloft/gateway/reports.py
+++ b/godwitloft/gateway/reports.py
@@ -12,6 +12,7 @@
 from godwitloft.gateway import outcomes
 from godwitloft.gateway import refusals
 from godwitloft.gateway import request as requests
+from godwitloft.gateway import shutdown as shutdowns
 
 
 class EndFound(enum.Enum):
@@ -30,6 +31,7 @@
     :param clock: source of the time
     :param instruments: metrics
     :param config_state: configuration in force, whose version is logged
+    :param shutdown: for how long the process has been stopping
     """
 
     def __init__(
@@ -37,10 +39,12 @@
         clock: clocks.Clock,
         instruments: metrics.Instruments,
         config_state: config_states.ConfigState,
+        shutdown: shutdowns.Shutdown,
     ) -> None:
         self.clock = clock
         self.instruments = instruments
         self.config_state = config_state
+        self.shutdown = shutdown
 
     def count_unreadable(self, refusal: http_server.Refusal) -> None:
         """Counts a request that could not be read.
@@ -79,10 +83,11 @@
         events.log(
             events.UNKNOWN_END,
             request=request.facts.id,
+            then=found.value,
+            **self.shutdown.log_fields(),
             route=request.facts.route.name,
             upstream=request.unknown_end_upstream or request.last_upstream_id,
             after_event=unknown_end.decode("latin-1"),
-            then=found.value,
             asked=request.last_upstream_id,
             **attempt_end(request),
         )
@@ -137,8 +142,9 @@
         self.instruments.refusals.add(1, {"reason": refusal.reason})
         fields = {
             "request": request_id,
-            "status": refusal.status,
             "reason": refusal.reason,
+            "status": refusal.status,
+            **self.shutdown.log_fields(),
             "retry_after_ms": refusal.retry_after_ms,
             "version": router.configuration.version if router else None,
             "proof_age_ms": self.config_state.confirmation_age_ms(now_ms),
@@ -168,15 +174,20 @@
         events.log(
             events.REQUEST_ANSWERED if is_whole else events.ANSWER_FAILED,
             request=facts.id,
-            route=facts.route.name,
-            outcome=outcome,
             reason=reason,
+            outcome=outcome,
+            **self.shutdown.log_fields(),
+            route=facts.route.name,
             first_ms=first_ms,
             took_ms=now_ms - facts.arrived_ms,
             target_ms=facts.route.target_ms,
             attempts=request.attempt_count,
             upstream=request.last_upstream_id,
             may_repeat=facts.may_repeat,
+            upstream_silent_ms=now_ms - request.last_data_ms
+            if request.last_data_ms
+            else None,
+            caller_is_slow=request.congested,
             **attempt_end(request),
         )
 
--- a/godwitloft/gateway/shutdown.py
+++ b/godwitloft/gateway/shutdown.py
@@ -1,5 +1,7 @@
 """Decides which requests a gateway that must end can still finish."""
 
+import typing
+
 from godwitloft import clock as clocks
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import run_times
@@ -13,8 +15,10 @@
 
     def __init__(self, clock: clocks.Clock) -> None:
         self.clock = clock
-        # When the process must end, None while it need not.
+        # When the process must end, and when that was known; None while it
+        # need not.
         self.end_ms: int | None = None
+        self.began_ms: int | None = None
         self.run_times = run_times.RunTimes()
 
     @property
@@ -22,6 +26,23 @@
         """Whether the process must end."""
         return self.end_ms is not None
 
+    def begin(self, end_ms: int) -> None:
+        """Records that the process must end.
+
+        :param end_ms: when it must
+        """
+        self.end_ms = end_ms
+        self.began_ms = self.clock.monotonic_ms()
+
+    def log_fields(self) -> typing.Mapping[str, int]:
+        """Returns for how long the process has been stopping.
+
+        :return: log fields, none while it need not end
+        """
+        if self.began_ms is None:
+            return {}
+        return {"stopping_ms": self.clock.monotonic_ms() - self.began_ms}
+
     def record_complete(self, request: requests.Request) -> None:
         """Learns how long a request took.
 
