--- a/features/lakeshore_path.feature
+++ b/features/lakeshore_path.feature
@@ -167,6 +167,19 @@
       | SIGTERM SIGTERM |
       | SIGTERM SIGHUP SIGTERM SIGTERM |
 
+  # Guards against whole streams that are cut around a planned stop (issue 54).
+  Scenario Outline: A whole stream that only its connection's close ends isn't cut by <signals>
+    Given the next stream has neither a length nor chunks and its runner sends all
+    When a stream of 60 events is under way
+    And the entry gets <signals>
+    Then the stream is complete
+    And the entry ends with status 0
+
+    Examples:
+      | signals |
+      | SIGTERM |
+      | SIGTERM SIGHUP SIGTERM |
+
   # Guards against prompts that bring down runner after runner.
   Scenario: A part of prompts that crashes runners is kept from them
     Given runners that crash on the part "bad0" of prompts
--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -605,10 +605,21 @@
             f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {request_id}\r\n"
             f"{SEAL}: seal-{self.id}\r\n\r\n".encode()
         )
-        for number in range(first, last + 1):
+
+        def event(number: int) -> None:
+            if request._disconnected:
+                return
             text = f"id: {number}\ndata: x{number} of {request_id}\n\n"
-            request.transport.write(text.encode())
-        request.transport.loseConnection()
+            if number <= last:
+                request.transport.write(text.encode())
+            if number >= last:
+                request.transport.loseConnection()
+                return
+            self.reactor.callLater(
+                EVENT_INTERVAL_MS / MS_PER_S, event, number + 1
+            )
+
+        event(first)
         return defer.Deferred()
 
     def die_between_events(
