Whole streams aren't cut because nobody can be asked for their end

Around a planned stop that counts as lost; it happened at any time. That nobody can be asked, or that who is asked fails, says nothing about the stream. Change: such a stream counts as whole unless something shows that it is broken: a reset, an end inside an event, the end of its upstream's process, an event that another upstream has begun. What can be asked is asked as before. Evidence: a real entry that gets SIGTERM during an unframed stream of 60 events cut it after the 60th, in two scenarios; now it is whole. They ask for the whole stream now, as by the users' pages it may end with its connection; new rows ask for the cut where an event was begun by who is asked (two), in the log, and of a real runner that breaks off inside an event.

--- a/features/answer_end.feature
+++ b/features/answer_end.feature
@@ -64,17 +64,17 @@
       | draft | chunks | invalid chunk size | cut |
       | draft | chunks | closed inside trailers | cut |
       | draft | chunks | a second answer | whole |
-      | draft | close | whole | cut |
+      | draft | close | whole | whole |
       | draft | close | closed inside an event | cut |
       | draft | close | closed before any event | 502 |
       | draft | close | reset midway | cut |
       | draft | close | silent midway | cut |
-      | draft | HTTP/1.0 | whole | cut |
+      | draft | HTTP/1.0 | whole | whole |
       | draft | HTTP/1.0 | closed inside an event | cut |
 
   # Guards against the end of a process, which closes its connections as cleanly
-  # as one that has answered, taken for the end of its answer.
-  # A stream doesn't end even then.
+  # as one that has answered, taken for the end of its answer. Of one that lives
+  # on, nothing tells whether it broke off between two events or was done.
   Scenario Outline: An answer without a length ends only if its upstream lives on: <route>, <framing>, it <then>
     Given a gateway that reads what its upstreams send
     When a caller requests "<route>"
@@ -83,10 +83,10 @@
 
     Examples:
       | route | framing | then | answer |
-      | draft | close | accepts connections | cut |
+      | draft | close | accepts connections | whole |
       | draft | close | refuses connections | cut |
       | draft | HTTP/1.0 | refuses connections | cut |
-      | draft | close | is silent and then accepts connections | cut |
+      | draft | close | is silent and then accepts connections | whole |
       | draft | close | is silent and then refuses connections | cut |
       | draft | close | is silent | cut |
       | query | close | accepts connections | asked for elsewhere |
@@ -117,11 +117,13 @@
       | close | 3 | has nothing to add, framed by close | whole | 3 |
       | HTTP/1.0 | 3 | has nothing to add, framed by HTTP/1.0 | whole | 3 |
       | close | 2 | adds event 3, framed by chunks | whole | 3 |
-      | close | 2 | adds event 3, framed by close | cut | 3 |
-      | close | 2 | resets the connection | cut | 2 |
-      | close | 2 | fails with status 500 | cut | 2 |
-      | close | 2 | answers with status 404 | cut | 2 |
-      | close | 2 | refuses it as not run | cut | 2 |
+      | close | 2 | adds event 3, framed by close | whole | 3 |
+      | close | 2 | resets the connection | whole | 2 |
+      | close | 2 | fails with status 500 | whole | 2 |
+      | close | 2 | answers with status 404 | whole | 2 |
+      | close | 2 | refuses it as not run | whole | 2 |
+      | close | 2 | begins event 3, framed by close | cut | 2 |
+      | close | 2 | begins event 3, framed by chunks | cut | 2 |
 
   # Guards against an event that has begun and that the end leaves out.
   Scenario Outline: A stream isn't whole without an event that has begun: after event <count>, <then>
@@ -176,24 +178,25 @@
       | then | what |
       | has nothing to add, framed by chunks | whole |
       | adds event 3, framed by chunks | goes_on |
-      | resets the connection | cut |
-      | fails with status 500 | cut |
-      | refuses it as not run | cut |
+      | resets the connection | taken_for_whole |
+      | fails with status 500 | taken_for_whole |
+      | refuses it as not run | taken_for_whole |
+      | begins event 3, framed by close | cut |
 
-  Scenario: The log tells that a stream was cut whose time ended before its end was known
+  Scenario: The log tells that a stream was taken for whole whose time ended before its end was known
     Given a gateway that reads what its upstreams send
     When a caller requests "query"
     And the upstream's stream, framed by close, ends after event 2
     And the next upstream is silent until the caller's time is over
-    Then the caller's answer is cut
-    And GL1209 has after_event "2", then "cut"
+    Then the caller's answer is whole
+    And GL1209 has after_event "2", then "taken_for_whole"
 
-  Scenario: The log tells that a stream was cut as nobody knew its end
+  Scenario: The log tells that a stream was taken for whole as nobody knew its end
     Given a gateway that reads what its upstreams send
     When a caller requests "query"
     And the upstream's stream, framed by close, ends after event 2
     And the next upstream, asked to go on after event 2, adds event 3, framed by close
-    Then GL1209 has after_event "3", then "cut"
+    Then GL1209 has after_event "3", then "taken_for_whole"
 
   Scenario: A caller may leave while it is found out whether an upstream lives on
     Given a gateway that reads what its upstreams send
--- a/features/lakeshore_path.feature
+++ b/features/lakeshore_path.feature
@@ -85,9 +85,9 @@
       | stream | whole | id: 1\ndata: x1 of e2\n\nid: 2\ndata: x2 of e2\n\nid: 3\ndata: x3 of e2\n\n | 2 |
       | once | cut | id: 1\ndata: x1 of e2\n\n | 1 |
 
-  # Guards against a connection's end that is taken for the end of a stream: the
-  # same bytes come from a runner that broke off and from one that was done.
-  Scenario Outline: A stream that nothing ends is not complete: <route>, its runner <what>
+  # The same bytes come from a runner that broke off between two events and from
+  # one that was done: it is asked where that is possible.
+  Scenario Outline: A stream that nothing ends is asked for where it may be: <route>, its runner <what>
     Given the next stream has neither a length nor chunks and its runner <what>
     When request "e3" asks "/<route>/x"
     Then its answer is <whole> with "<answer>"
@@ -97,8 +97,9 @@
       | route | what | whole | answer | runs |
       | stream | breaks off | whole | id: 1\ndata: x1 of e3\n\nid: 2\ndata: x2 of e3\n\nid: 3\ndata: x3 of e3\n\n | 2 |
       | stream | sends all | whole | id: 1\ndata: x1 of e3\n\nid: 2\ndata: x2 of e3\n\nid: 3\ndata: x3 of e3\n\n | 2 |
-      | once | breaks off | cut | id: 1\ndata: x1 of e3\n\n | 1 |
-      | once | sends all | cut | id: 1\ndata: x1 of e3\n\nid: 2\ndata: x2 of e3\n\nid: 3\ndata: x3 of e3\n\n | 1 |
+      | once | breaks off | whole | id: 1\ndata: x1 of e3\n\n | 1 |
+      | once | breaks off inside an event | cut | id: 1\ndata: x1 of e3\n\nid: 2\ndata: x | 1 |
+      | once | sends all | whole | id: 1\ndata: x1 of e3\n\nid: 2\ndata: x2 of e3\n\nid: 3\ndata: x3 of e3\n\n | 1 |
 
   # A caller whose whole stream was cut learns so that nothing is missing.
   Scenario: A stream that its caller takes up after its last event is whole
--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -165,6 +165,9 @@
     plain_length = wire_answers.length_header(b"no")
     received = {
         "has nothing to add": wire_answers.complete_answer(sent, framing, b""),
+        "begins event 3": wire_answers.complete_answer(
+            sent, framing, wire_answers.event(3)[:8]
+        ),
         "adds event 3": wire_answers.complete_answer(
             sent, framing, wire_answers.event(3)
         ),
--- a/features/steps/lakeshore_path_steps.py
+++ b/features/steps/lakeshore_path_steps.py
@@ -90,7 +90,11 @@
     change_next(context, {"die_unframed": 1})
 
 
-UNFRAMED = {"breaks off": "close_unframed", "sends all": "whole_unframed"}
+UNFRAMED = {
+    "breaks off": "close_unframed",
+    "breaks off inside an event": "break_unframed",
+    "sends all": "whole_unframed",
+}
 
 
 @given("the next stream has neither a length nor chunks and its runner {what}")
--- a/godwitloft/gateway/answer.py
+++ b/godwitloft/gateway/answer.py
@@ -18,6 +18,7 @@
 from godwitloft.gateway import outcomes
 from godwitloft.gateway import request as requests
 from godwitloft.gateway.streams import stream_events
+from godwitloft.gateway.streams import unmarked_end
 
 MAX_BUFFERED_BYTES = 256 * 1024
 MIN_SERVER_ERROR_STATUS = 500
@@ -301,11 +302,8 @@
             return False
         if body_end.framing is not answer_end.Framing.CLOSE:
             return False
-        request = self.request
-        is_confirmed = (
-            not body_end.received
-            and request.unknown_end is not None
-            and request.unknown_end == request.last_event
+        is_confirmed = not body_end.received and unmarked_end.is_at_last_event(
+            self.request
         )
         return not is_confirmed
 
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -47,6 +47,7 @@
 from godwitloft.gateway.streams import stream_holds
 from godwitloft.gateway.streams import stream_life
 from godwitloft.gateway.streams import stream_origins
+from godwitloft.gateway.streams import unmarked_end
 from godwitloft.gateway.upstreams import fleet as fleets
 from godwitloft.gateway.upstreams import upstream_statements
 from godwitloft.links import datagrams
@@ -702,9 +703,9 @@
         if request.state is requests.State.SENT:
             self.first_data.record(request, request.answer)
         request.answer.on_data(data)
-        if request.unknown_end not in (None, request.last_event):
+        if unmarked_end.has_gone_on(request):
             self.reports.report_unknown_end(request, reports.EndFound.GOES_ON)
-            request.unknown_end = None
+            request.unmarked_end = None
         if request.exchange.started and request.version is None:
             # From now on no other version may go on with the answer.
             request.version = request.sent_version
@@ -737,7 +738,7 @@
         if reason == checked_attempt.Found.REPLACED.value:
             self.continuations.callbacks.read_list()
         if is_end_unknown and answer.may_mark_end():
-            request.mark_unknown_end()
+            unmarked_end.mark(request)
         if state is not None:
             self.retry_policy.record_end(
                 request, state, attempt_outcome, now_ms
@@ -749,15 +750,17 @@
                 self.crash_evidence.record_complete(request)
                 self.shutdown.record_complete(request)
             answer.deliver()
-            if request.unknown_end is not None:
+            if request.unmarked_end is not None:
                 self.reports.report_unknown_end(
                     request, reports.EndFound.WHOLE
                 )
             self.end(request, outcomes.COMPLETED, attempt_outcome.reason)
         elif self.retry_policy.may_retry(request, attempt_outcome, now_ms):
             self.requeue(request, attempt_outcome)
+        elif unmarked_end.counts_as_whole(request):
+            self.finish_unmarked(request)
         else:
-            if is_end_unknown or request.unknown_end is not None:
+            if is_end_unknown or request.unmarked_end is not None:
                 self.reports.report_unknown_end(request, reports.EndFound.CUT)
             self.answer_failure(request, answer, attempt_outcome)
         self.schedule(request.facts.service)
@@ -846,20 +849,37 @@
 
     # End of requests.
 
+    def finish_unmarked(self, request: requests.Request) -> None:
+        """Ends a stream that nobody can be asked about and counts as whole.
+
+        :param request: its request
+        """
+        self.reports.report_unknown_end(
+            request, reports.EndFound.TAKEN_FOR_WHOLE
+        )
+        self.shutdown.record_complete(request)
+        request.exchange.finish()
+        reason = outcomes.Result.END_UNKNOWN.value
+        self.end(request, outcomes.COMPLETED, reason)
+
     def refuse(
         self, request: requests.Request, refusal: refusals.Refusal
     ) -> None:
         """Answers a request with a refusal.
 
         If the caller has already received the head of an answer, the
-        connection is closed before the end of the answer. A request that may
-        have run gets no status that says that it hasn't.
+        connection is closed before the end of the answer, unless that counts
+        as whole. A request that may have run gets no status that says that it
+        hasn't.
 
         :param request: the refused request
         :param refusal: the refusal
         """
+        if unmarked_end.counts_as_whole(request):
+            self.finish_unmarked(request)
+            return
         if request.exchange.started:
-            if request.unknown_end is not None:
+            if request.unmarked_end is not None:
                 self.reports.report_unknown_end(request, reports.EndFound.CUT)
             self.end(request, outcomes.CUT, refusal.reason)
             request.exchange.abort()
--- a/godwitloft/gateway/reports.py
+++ b/godwitloft/gateway/reports.py
@@ -13,6 +13,7 @@
 from godwitloft.gateway import refusals
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import shutdown as shutdowns
+from godwitloft.gateway.streams import unmarked_end
 
 
 class EndFound(enum.Enum):
@@ -21,7 +22,9 @@
     # An upstream that was asked to go on had nothing to add, or had.
     WHOLE = "whole"
     GOES_ON = "goes_on"
-    # Nobody could be asked.
+    # Nobody could tell, and nothing showed that events were missing.
+    TAKEN_FOR_WHOLE = "taken_for_whole"
+    # Something showed that events were missing.
     CUT = "cut"
 
 
@@ -79,15 +82,17 @@
         :param request: its request
         :param found: what became of it
         """
-        unknown_end = request.unknown_end or request.last_event or b""
+        end = request.unmarked_end or unmarked_end.UnmarkedEnd(
+            request.last_event, request.last_upstream_id
+        )
         events.log(
             events.UNKNOWN_END,
             request=request.facts.id,
             then=found.value,
             **self.shutdown.log_fields(),
             route=request.facts.route.name,
-            upstream=request.unknown_end_upstream or request.last_upstream_id,
-            after_event=unknown_end.decode("latin-1"),
+            upstream=end.upstream_id,
+            after_event=(end.after_event or b"").decode("latin-1"),
             asked=request.last_upstream_id,
             **attempt_end(request),
         )
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -21,6 +21,7 @@
 if typing.TYPE_CHECKING:
     from godwitloft.gateway import answer as answers
     from godwitloft.gateway import service_floor
+    from godwitloft.gateway.streams import unmarked_end
 
 MAX_TOKENS = 10_000_000
 MAX_SHARED_PARTS = 16
@@ -190,10 +191,9 @@
         self.first_event: bytes | None = None
         # Whether the last event that its caller has tells where to go on.
         self.may_go_on = True
-        # After which event an attempt ended without a mark of the end, and at
-        # which upstream; None if none did, or the stream has gone on since.
-        self.unknown_end: bytes | None = None
-        self.unknown_end_upstream = ""
+        # Where an attempt ended without a mark of the end; None if none did,
+        # or the stream has gone on since.
+        self.unmarked_end: unmarked_end.UnmarkedEnd | None = None
         # The software version at which its stream began, or which a caller's
         # stream has that it continues; None while any will do.
         self.version: str | None = None
@@ -218,11 +218,6 @@
             if cause not in self.tried_causes
         )
 
-    def mark_unknown_end(self) -> None:
-        """Records that nothing shows whether its last event was the last."""
-        self.unknown_end = self.last_event
-        self.unknown_end_upstream = self.last_upstream_id
-
     def has_begun_plain_answer(self) -> bool:
         """Returns whether no other attempt can continue its answer.
 
