An answer that has ended isn't lost at the end of a stop while it is checked

What callers saw: at the limit of a planned stop, or of their own time, 504 or a cut stream, though the upstream had sent all and closed the connection; the gateway was still finding out whether that upstream lives (50 to 700 ms). Cause: at the end all attempts were cancelled alike, and a request that was waiting to be asked elsewhere could be sent once more. Change: an attempt whose connection has been closed cleanly is concluded with what came; nothing is sent once the stop has no time left.

--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -91,6 +91,9 @@
     def cancel(self):
         self.cancelled = True
 
+    def conclude(self):
+        pass
+
     @property
     def headers(self):
         return dict(self.outgoing.headers)
--- a/features/support/wire_upstream.py
+++ b/features/support/wire_upstream.py
@@ -40,6 +40,9 @@
         super().cancel()
         self.attempt.cancel()
 
+    def conclude(self):
+        self.attempt.conclude()
+
     def end(self, how, reason="played"):
         self.attempt.end(how, reason)
 
--- a/godwitloft/attempt.py
+++ b/godwitloft/attempt.py
@@ -109,6 +109,9 @@
         self.connector: typing.Any = None
         self.sent = False
         self.ended = False
+        # Whether the server has closed the connection, and nothing but that
+        # marks the end of its answer.
+        self.is_closed = False
         self.interim_answers = 0
         self.read_bytes = read_size.FIRST_BYTES
         # Parts of the answer that the last read has completed.
@@ -211,6 +214,7 @@
         if not reason.check(error.ConnectionDone):
             self.end(End.BROKEN, "connection_reset")
         elif self.framing is answer_end.Framing.CLOSE:
+            self.is_closed = True
             self.confirm_end(END_CHECKS)
         else:
             self.read_end()
@@ -236,6 +240,14 @@
 
         self.check_server(on_checked)
 
+    def conclude(self) -> None:
+        """Ends an answer that is closed without waiting for its server's check.
+
+        Nothing happens if its connection is open.
+        """
+        if self.is_closed and not self.ended:
+            self.read_end()
+
     def read_end(self) -> None:
         """Ends the attempt as the parser takes the end of the connection."""
         try:
--- a/godwitloft/gateway/checked_attempt.py
+++ b/godwitloft/gateway/checked_attempt.py
@@ -80,6 +80,11 @@
             self.ended = True
             self.on_end(how, reason)
 
+    def conclude(self) -> None:
+        """Ends an answer that is closed without waiting for a check."""
+        if self.attempt is not None:
+            self.attempt.conclude()
+
     def cancel(self) -> None:
         """Ends the attempt without a report."""
         self.ended = True
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -391,9 +391,9 @@
         Those that have not run are refused; what becomes of the others isn't
         known.
         """
+        self.shutdown.is_over = True
         for request in list(self.running):
-            self.cancel_attempt(request)
-            self.refuse(
+            self.end_running(
                 request, refusals.Refusal(504, request_checkers.LEAVING)
             )
         self.continuations.refuse_all(request_checkers.LEAVING_REFUSAL)
@@ -471,7 +471,7 @@
 
         :param service: name of the service
         """
-        if service in self.scheduling:
+        if service in self.scheduling or self.shutdown.is_over:
             return
         self.scheduling.add(service)
         try:
@@ -944,7 +944,7 @@
                 self.check_waiting(request, now_ms)
         for request in list(self.running):
             if now_ms >= request.facts.deadline_ms:
-                self.time_out(request)
+                self.end_running(request, refusals.Refusal(504, "timeout"))
             elif self.retry_policy.has_stalled(request, now_ms):
                 self.move_stalled_stream(request, now_ms)
         self.schedule_all()
@@ -1011,10 +1011,16 @@
         else:
             self.refuse(request, self.admission.rejection(request, reason))
 
-    def time_out(self, request: requests.Request) -> None:
-        """Ends a running request that has timed out.
+    def end_running(
+        self, request: requests.Request, refusal: refusals.Refusal
+    ) -> None:
+        """Ends a running request for which there is no more time.
 
         :param request: a running request
+        :param refusal: what its caller is told unless the answer has ended
         """
-        self.cancel_attempt(request)
-        self.refuse(request, refusals.Refusal(504, "timeout"))
+        if request.attempt is not None:
+            request.attempt.conclude()
+        if request in self.running:
+            self.cancel_attempt(request)
+            self.refuse(request, refusal)
--- a/godwitloft/gateway/shutdown.py
+++ b/godwitloft/gateway/shutdown.py
@@ -19,6 +19,8 @@
         # need not.
         self.end_ms: int | None = None
         self.began_ms: int | None = None
+        # Whether there is no time left, so that nothing more is sent.
+        self.is_over = False
         self.run_times = run_times.RunTimes()
 
     @property
