A leaving upstream's last answer isn't broken because its port is closed

What callers saw: the last answers of an upstream that ends in order, without a length or chunks, as 502 or cut; and whole answers of one that closes its port first and goes on with what it has. A server that ends in order closes its port too, often before its last answers. Change: a closed port proves it only if no other answer of that upstream is still being sent, and if it isn't known to be leaving; and always if another answer of it has been broken off within 200 ms, as all connections of a process end with it. Evidence: 12 new rows of answer_end.feature, six of which failed before; the other six ask for the cut and passed before too.

--- a/features/answer_end.feature
+++ b/features/answer_end.feature
@@ -102,6 +102,30 @@
       | post | HTTP/1.0 | refuses connections | 502 |
       | post | length | refuses connections | 502 |
 
+  # Guards against whole answers of a process that ends in order, which may
+  # close its port first, and of one whose other answers go on.
+  Scenario Outline: A closed port isn't always the end of a process: <route>, its upstream <what>
+    Given a gateway that reads what its upstreams send
+    When a caller requests "<route>"
+    And meanwhile its upstream <what>
+    And closes the connection of a whole answer and refuses connections
+    Then the caller's answer is <answer>
+
+    Examples:
+      | route | what | answer |
+      | draft | is leaving | whole |
+      | draft | is not listed any more | whole |
+      | draft | is sending another answer | whole |
+      | draft | has nothing else to do | cut |
+      | draft | is listed as a new process | cut |
+      | draft | closes another answer too | cut |
+      | draft | is leaving and breaks another answer off | cut |
+      | post | is leaving | whole |
+      | post | is not listed any more | whole |
+      | post | is sending another answer | whole |
+      | post | has nothing else to do | 502 |
+      | post | is leaving and breaks another answer off | 502 |
+
   # Guards against a connection's end that is taken for the end of a stream, and
   # against a sound stream that is never seen to have ended. An upstream that is
   # asked to go on after the last event of a stream has nothing to add.
--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -85,6 +85,77 @@
     sent.close()
 
 
+def list_again(context, **change):
+    """The list of upstreams shows a change of the one that answers."""
+    world = context.world
+    upstream = world.sent[0].upstream
+    listed = dict(world.upstreams)
+    listed[upstream.id] = dataclasses.replace(upstream, **change)
+    world.gateway.update_upstreams(listed)
+
+
+def unlist(context):
+    world = context.world
+    listed = dict(world.upstreams)
+    del listed[world.sent[0].upstream.id]
+    world.gateway.update_upstreams(listed)
+
+
+def begin_other(context, framing):
+    """Another answer of the same upstream is under way."""
+    world = context.world
+    route = "class" if world.sent[0].upstream.service == "model" else "lookup"
+    for number in range(len(world.upstreams)):
+        world.ask(f"other{number}", route)
+        sent = world.sent[-1]
+        if sent.upstream.id == world.sent[0].upstream.id:
+            sent.receive(wire_answers.first_part(sent, framing))
+            return sent
+    raise AssertionError("no other request went to the same upstream")
+
+
+def send_other(context):
+    begin_other(context, "chunks")
+
+
+def close_other(context):
+    other = begin_other(context, "close")
+    other.accepts = []
+    other.close()
+
+
+def leave_and_break_off(context):
+    other = begin_other(context, "chunks")
+    list_again(context, leaving=True)
+    other.close()
+
+
+BESIDE = {
+    "is leaving": lambda context: list_again(context, leaving=True),
+    "is not listed any more": unlist,
+    "is sending another answer": send_other,
+    "has nothing else to do": lambda _context: None,
+    "is listed as a new process": lambda context: list_again(
+        context, born_ms=2
+    ),
+    "closes another answer too": close_other,
+    "is leaving and breaks another answer off": leave_and_break_off,
+}
+
+
+@when("meanwhile its upstream {what}")
+def do_beside(context, what):
+    BESIDE[what](context)
+
+
+@when("closes the connection of a whole answer and refuses connections")
+def close_port(context):
+    sent = context.world.sent[0]
+    sent.accepts = [False]
+    sent.receive(wire_answers.complete_answer(sent, "close"))
+    sent.close()
+
+
 @when("the upstream's stream, framed by {framing}, ends after event {count:d}")
 def ends_after(context, framing, count):
     sent = context.world.sent[-1]
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -87,6 +87,7 @@
     callbacks: attempts.AttemptCallbacks
     cancelled: bool = False
     sent: bool = True
+    is_closed: bool = False
 
     def cancel(self):
         self.cancelled = True
--- a/features/support/wire_upstream.py
+++ b/features/support/wire_upstream.py
@@ -40,6 +40,14 @@
         super().cancel()
         self.attempt.cancel()
 
+    @property
+    def is_closed(self):
+        return self.attempt.is_closed
+
+    @is_closed.setter
+    def is_closed(self, _closed):
+        pass
+
     def conclude(self):
         self.attempt.conclude()
 
--- a/godwitloft/gateway/checked_attempt.py
+++ b/godwitloft/gateway/checked_attempt.py
@@ -68,6 +68,11 @@
         """Whether the request may have reached the upstream."""
         return self.attempt is not None and self.attempt.sent
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether the upstream has closed the connection of an answer."""
+        return self.attempt is not None and self.attempt.is_closed
+
     def end(self, how: attempts.End, reason: str) -> None:
         """Ends the attempt and reports it.
 
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -49,6 +49,7 @@
 from godwitloft.gateway.streams import stream_origins
 from godwitloft.gateway.streams import unmarked_end
 from godwitloft.gateway.upstreams import fleet as fleets
+from godwitloft.gateway.upstreams import process_end
 from godwitloft.gateway.upstreams import upstream_statements
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
@@ -731,9 +732,14 @@
         if attempt_number != request.attempt_count or answer is None:
             return
         state = self.release(request)
+        now_ms = self.clock.monotonic_ms()
+        if reason == attempts.SERVER_GONE and not (
+            state is None
+            or process_end.has_died(state, self.fleet, self.running, now_ms)
+        ):
+            end = attempts.End.COMPLETE
         attempt_outcome = answer.classify_end(end, reason)
         self.reports.count_answer_end(answer, attempt_outcome)
-        now_ms = self.clock.monotonic_ms()
         is_end_unknown = attempt_outcome.result is outcomes.Result.END_UNKNOWN
         if reason == checked_attempt.Found.REPLACED.value:
             self.continuations.callbacks.read_list()
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -90,6 +90,7 @@
         if attempt_outcome.replaced:
             state.mark_leaving()
         if attempt_outcome.result is outcomes.Result.BROKEN:
+            state.last_broken_ms = now_ms
             self.crashes.record_broken(
                 state.life,
                 crash_tracker.Broken(now_ms, request.unproved_causes(now_ms)),
--- a/godwitloft/gateway/upstreams/fleet.py
+++ b/godwitloft/gateway/upstreams/fleet.py
@@ -22,6 +22,7 @@
 # After a pause that an upstream asked for, requests to it start at most this
 # often for a while.
 PACED_MS = 1_000
+FOREVER_MS = 1 << 62
 PACED_START_INTERVAL_MS = 100
 MIN_SLOWNESS = 0.2
 MAX_SLOWNESS = 20.0
@@ -39,6 +40,8 @@
         self.pending_prompt_tokens = 0
         self.pending_prompt_tokens_elsewhere = 0
         self.failures = 0
+        # When it last broke an answer off.
+        self.last_broken_ms = -FOREVER_MS
         self.paused_until_ms = 0
         self.slowness = REFERENCE_SLOWNESS
         self.started = 0
--- /dev/null
+++ b/godwitloft/gateway/upstreams/process_end.py
@@ -0,0 +1,51 @@
+"""Judges whether an upstream's closed port shows that its process has died.
+
+A process that is killed closes its connections and its port. So does one that
+leaves in order: it may close its port before its last answers have ended.
+"""
+
+import typing
+
+from godwitloft.gateway import request as requests
+from godwitloft.gateway.upstreams import fleet as fleets
+
+# The connections of a process that is killed end within this time.
+SAME_END_MS = 200
+
+
+def has_died(
+    state: fleets.UpstreamState,
+    fleet: fleets.Fleet,
+    running: typing.Iterable[requests.Request],
+    now_ms: int,
+) -> bool:
+    """Returns whether an upstream whose port is closed must have died.
+
+    :param state: the upstream, which has just closed an answer's connection
+    :param fleet: the list of upstreams
+    :param running: the requests that run, at any upstream
+    :param now_ms: the current time
+    :return: False if another answer of it goes on, or if it was leaving and
+        has broken no other one off
+    """
+    if now_ms - state.last_broken_ms <= SAME_END_MS:
+        return True
+    if any(is_open_at(request, state) for request in running):
+        return False
+    is_listed = state.upstream.id in fleet.listed
+    return is_listed and not state.upstream.leaving
+
+
+def is_open_at(request: requests.Request, state: fleets.UpstreamState) -> bool:
+    """Returns whether an upstream is still sending a request's answer.
+
+    :param request: a request that runs
+    :param state: the upstream
+    """
+    attempt = request.attempt
+    return (
+        request.upstream_state is state
+        and request.state is requests.State.ANSWERING
+        and attempt is not None
+        and not attempt.is_closed
+    )
