A stream of an engine that has started again at once isn't whole

What callers saw (ORDER): a short stream without a length or chunks that ended as complete, if its engine was killed between two events and its port was open again 50 ms later, as under a supervisor. Cause: that the port accepts connections was taken for the life of the process which had sent the stream. Change: after an end that nothing marks, an engine is asked for its start (/report, born); a start after the request was sent, other than the listed one, shows that its process is another one. Whatever else it answers, or nothing, proves nothing. Only answers without a length or chunks bear the question. Evidence: a real entry and a runner that is back after 10 ms, on a route that may not be resumed: failed before (whole after event 1 of 3), is cut now.

--- a/features/lakeshore_path.feature
+++ b/features/lakeshore_path.feature
@@ -74,16 +74,18 @@
 
   # Guards against the end of a dead process's connection that is taken for the
   # end of its stream.
-  Scenario Outline: A stream without a length does not end with its runner's process: <route>
-    Given the next stream has no length and ends with its runner's process
+  Scenario Outline: A stream without a length does not end with its runner's process: <route>, back after <down> ms
+    Given the next stream has no length and ends with its runner's process, back after <down> ms
     When request "e2" asks "/<route>/x"
     Then its answer is <whole> with "<answer>"
     And its request ran <runs> times
 
     Examples:
-      | route | whole | answer | runs |
-      | stream | whole | id: 1\ndata: x1 of e2\n\nid: 2\ndata: x2 of e2\n\nid: 3\ndata: x3 of e2\n\n | 2 |
-      | once | cut | id: 1\ndata: x1 of e2\n\n | 1 |
+      | route | down | whole | answer | runs |
+      | stream | 1500 | whole | id: 1\ndata: x1 of e2\n\nid: 2\ndata: x2 of e2\n\nid: 3\ndata: x3 of e2\n\n | 2 |
+      | stream | 10 | whole | id: 1\ndata: x1 of e2\n\nid: 2\ndata: x2 of e2\n\nid: 3\ndata: x3 of e2\n\n | 2 |
+      | once | 1500 | cut | id: 1\ndata: x1 of e2\n\n | 1 |
+      | once | 10 | cut | id: 1\ndata: x1 of e2\n\n | 1 |
 
   # The same bytes come from a runner that broke off between two events and from
   # one that was done: it is asked where that is possible.
--- a/features/steps/lakeshore_path_steps.py
+++ b/features/steps/lakeshore_path_steps.py
@@ -85,9 +85,12 @@
     change_next(context, {"cut_after": [count]})
 
 
-@given("the next stream has no length and ends with its runner's process")
-def die_next(context):
-    change_next(context, {"die_unframed": 1})
+@given(
+    "the next stream has no length and ends with its runner's process, back"
+    " after {down_ms:d} ms"
+)
+def die_next(context, down_ms):
+    change_next(context, {"die_unframed": 1, "crash_down_ms": down_ms})
 
 
 UNFRAMED = {
--- a/features/steps/stream_goes_on_steps.py
+++ b/features/steps/stream_goes_on_steps.py
@@ -109,3 +109,16 @@
     answer = stores.Answer(json.loads(report), None)
     found = life_check.compare(place, answer)
     assert found is checked_attempt.Found[name], found
+
+
+@then(
+    'a report "{report}" of an upstream that is listed as started at'
+    " {born_ms:d} shows since {since_ms:d} {what}"
+)
+def check_restart(context, report, born_ms, since_ms, what):
+    place = dataclasses.replace(
+        gateway_world.upstream("u1", "model"), born_ms=born_ms
+    )
+    answer = stores.Answer(json.loads(report), None)
+    found = life_check.has_restarted(place, answer, since_ms)
+    assert found == (what == "a new start"), found
--- a/features/stream_goes_on.feature
+++ b/features/stream_goes_on.feature
@@ -118,3 +118,17 @@
       | {"born": [5]} | UNTOLD |
       | {"born": -1} | UNTOLD |
       | {"born": 1e400} | UNTOLD |
+
+  # Guards against an upstream that has started again at once, whose stream then
+  # looks whole, and against a whole stream that is cut because clocks differ.
+  Scenario Outline: A new start of an upstream shows in its report: <report>, since <since>
+    Then a report "<report>" of an upstream that is listed as started at 5 shows since <since> <what>
+
+    Examples:
+      | report | since | what |
+      | {"born": 9} | 8 | a new start |
+      | {"born": 9} | 9 | no new start |
+      | {"born": 9} | 10 | no new start |
+      | {"born": 5} | 4 | no new start |
+      | {} | 4 | no new start |
+      | {"born": "9"} | 4 | no new start |
--- a/godwitloft/attempt.py
+++ b/godwitloft/attempt.py
@@ -340,6 +340,7 @@
     own_host: str = "",
     connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
     tls_name: str | None = None,
+    check_process: CheckServer | None = None,
 ) -> Attempt:
     """Sends a request to a server.
 
@@ -351,16 +352,24 @@
     :param connect_timeout_ms: how long to wait for the connection
     :param tls_name: name that the server's certificate must have, None for a
         connection without TLS
+    :param check_process: finds out whether the process that accepts
+        connections is the one that got the request, None for no such check
     :return: the attempt
     """
 
     def check_server(on_checked: typing.Callable[[bool | None], None]) -> None:
+        def on_port_checked(accepts: bool | None) -> None:
+            if accepts and check_process is not None:
+                check_process(on_checked)
+            else:
+                on_checked(accepts)
+
         reactor.callLater(
             END_CHECK_DELAY_MS / clocks.MS_PER_S,
             connection_check.start,
             reactor,
             address,
-            on_checked,
+            on_port_checked,
             own_host,
         )
 
--- a/godwitloft/gateway/config_state.py
+++ b/godwitloft/gateway/config_state.py
@@ -152,6 +152,15 @@
             return None
         return now_ms - self.confirmed_ms
 
+    def is_engine(self, service: str) -> bool:
+        """Returns whether a service's upstreams are model engines.
+
+        :param service: name of the service
+        """
+        services = self.router.configuration.services if self.router else {}
+        found = services.get(service)
+        return found is not None and found.is_engine
+
     def limits(self) -> model.CallerLimits:
         """Returns the limits on callers that are in force.
 
--- a/godwitloft/gateway/placer.py
+++ b/godwitloft/gateway/placer.py
@@ -227,11 +227,7 @@
         :param service: name of the service
         :param waiting: requests that wait for it
         """
-        router = self.config_state.router
-        if router is None:
-            return
-        service_settings = router.configuration.services.get(service)
-        if service_settings is None or not service_settings.is_engine:
+        if not self.config_state.is_engine(service):
             return
         now_ms = self.clock.monotonic_ms()
         counts = [0] * ordering.URGENCIES
--- a/godwitloft/gateway/send_checks.py
+++ b/godwitloft/gateway/send_checks.py
@@ -82,8 +82,5 @@
         facts = request.facts
         if request.last_event is None or not facts.may_repeat:
             return False
-        router = self.config_state.router
-        services = router.configuration.services if router else {}
-        service = services.get(upstream.service)
         is_stream = facts.route.kind is model.Kind.STREAM
-        return is_stream and service is not None and service.is_engine
+        return is_stream and self.config_state.is_engine(upstream.service)
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -72,7 +72,24 @@
         callbacks: attempts.AttemptCallbacks,
     ) -> attempts.Attempt:
         address = (upstream.host, upstream.port)
-        return attempts.start(reactor, address, outgoing, callbacks, boot.host)
+        sent_wall_ms = clock.wall_ms()
+
+        def find_restart(
+            on_checked: typing.Callable[[bool | None], None],
+        ) -> None:
+            life_check.find_restart(
+                reactor, upstream, boot.host, sent_wall_ms, on_checked
+            )
+
+        is_engine = gateway.config_state.is_engine(upstream.service)
+        return attempts.start(
+            reactor,
+            address,
+            outgoing,
+            callbacks,
+            boot.host,
+            check_process=find_restart if is_engine else None,
+        )
 
     def check_connection(
         upstream: model.Upstream,
