--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -17,8 +17,6 @@
 from godwitloft import answer_end
 
 LINE_ENDS = {"LF": b"\n", "CRLF": b"\r\n", "CR": b"\r"}
-# Longer than any request of the simulated callers waits.
-SILENCE_MS = 5_100
 
 
 @given("a gateway that reads what its upstreams send")
@@ -59,7 +57,7 @@
     }.get(event, half)
     sent.receive(received)
     if event == "silent midway":
-        context.world.advance(SILENCE_MS)
+        context.world.advance(wire_answers.SILENCE_MS)
     elif sent.transport.connected:
         sent.close(clean=event != "reset midway")
 
@@ -228,7 +226,7 @@
     assert len(found) == 3, found
     for number, how in enumerate(found):
         end_as_told(context.world.sent[number], how)
-    context.world.advance(SILENCE_MS)
+    context.world.advance(wire_answers.SILENCE_MS)
 
 
 def go_on(sent, then):
@@ -271,7 +269,7 @@
     assert second.headers[b"last-event-id"] == b"%d" % count, second.headers
     go_on(second, then)
     # Whether any upstream is left to be asked, too.
-    world.advance(SILENCE_MS)
+    world.advance(wire_answers.SILENCE_MS)
 
 
 @when(
@@ -289,7 +287,7 @@
 @when("the next upstream is silent until the caller's time is over")
 def stay_silent(context):
     assert len(context.world.sent) == 2
-    context.world.advance(SILENCE_MS)
+    context.world.advance(wire_answers.SILENCE_MS)
 
 
 @then("no upstream is paused")
@@ -318,16 +316,7 @@
     (on_checked,) = sent.unanswered
     on_checked(True)
     assert context.caller.received == received
-    assert not is_whole(received), received
-
-
-def is_whole(received):
-    head, _, body = received.partition(b"\r\n\r\n")
-    if b" 204 " in head:
-        return not body and b"content-length" not in head.lower()
-    if b"transfer-encoding: chunked" in head.lower():
-        return body.endswith(b"\r\n0\r\n\r\n") or body == b"0\r\n\r\n"
-    return b"content-length: %d" % len(body) in head.lower()
+    assert not wire_answers.is_whole(received), received
 
 
 @then("the caller's answer is {answer}")
@@ -335,11 +324,11 @@
     caller = context.caller
     if answer == "whole":
         assert caller.status in (200, 204), caller.received
-        assert is_whole(caller.received), caller.received
+        assert wire_answers.is_whole(caller.received), caller.received
         assert b"more" not in caller.received, caller.received
         assert caller.received.count(b"HTTP/1.1") == 1, caller.received
     elif answer == "asked for elsewhere":
-        assert not is_whole(caller.received), caller.received
+        assert not wire_answers.is_whole(caller.received), caller.received
         assert not caller.closed
         first, second = context.world.sent
         assert first.upstream.id != second.upstream.id
@@ -347,7 +336,7 @@
         assert caller.status is None, caller.received
     elif answer == "cut":
         assert caller.status == 200, caller.received
-        assert not is_whole(caller.received), caller.received
+        assert not wire_answers.is_whole(caller.received), caller.received
         assert caller.closed
     else:
         assert caller.status == int(answer), caller.received
@@ -453,7 +442,10 @@
             break
         assert caller.status == 200
         assert caller.closed
-        assert not is_whole(caller.received), (count, caller.received)
+        assert not wire_answers.is_whole(caller.received), (
+            count,
+            caller.received,
+        )
         count += 1
     assert count > len("HTTP/1.1 200 OK")
 
--- a/features/steps/stream_goes_on_steps.py
+++ b/features/steps/stream_goes_on_steps.py
@@ -5,8 +5,8 @@
 from behave import then
 from behave import when
 
-from features.steps import answer_end_steps as wire
 from features.support import gateway_world
+from features.support import wire_answers as wire
 from godwitloft.gateway import checked_attempt
 from godwitloft.gateway.streams import stream_events
 from godwitloft.platform import life_check
@@ -112,8 +112,8 @@
 
 
 @then(
-    'a report "{report}" of an upstream that is listed as started at'
-    " {born_ms:d} shows since {since_ms:d} {what}"
+    "an upstream listed as started at {born_ms:d} tells of {what} since"
+    ' {since_ms:d} by its report "{report}"'
 )
 def check_restart(context, report, born_ms, since_ms, what):
     place = dataclasses.replace(
--- a/features/stream_goes_on.feature
+++ b/features/stream_goes_on.feature
@@ -122,7 +122,7 @@
   # Guards against an upstream that has started again at once, whose stream then
   # looks whole, and against a whole stream that is cut because clocks differ.
   Scenario Outline: A new start of an upstream shows in its report: <report>, since <since>
-    Then a report "<report>" of an upstream that is listed as started at 5 shows since <since> <what>
+    Then an upstream listed as started at 5 tells of <what> since <since> by its report "<report>"
 
     Examples:
       | report | since | what |
--- a/features/support/wire_answers.py
+++ b/features/support/wire_answers.py
@@ -1,5 +1,8 @@
 """Answers of upstreams, byte by byte, in each framing."""
 
+# Longer than any request of the simulated callers waits.
+SILENCE_MS = 5_100
+
 
 def event(number):
     return f"id: {number}\ndata: x{number}\n\n".encode()
@@ -46,3 +49,12 @@
 def close_if_open(sent):
     if sent.transport.connected:
         sent.close()
+
+
+def is_whole(received):
+    head, _, body = received.partition(b"\r\n\r\n")
+    if b" 204 " in head:
+        return not body and b"content-length" not in head.lower()
+    if b"transfer-encoding: chunked" in head.lower():
+        return body.endswith(b"\r\n0\r\n\r\n") or body == b"0\r\n\r\n"
+    return b"content-length: %d" % len(body) in head.lower()
--- a/godwitloft/attempt.py
+++ b/godwitloft/attempt.py
@@ -242,7 +242,7 @@
         self.check_server(on_checked)
 
     def conclude(self) -> None:
-        """Ends an answer that is closed without waiting for its server's check.
+        """Ends a closed answer without waiting for the check of its server.
 
         Nothing happens if its connection is open.
         """
