--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -19,6 +19,7 @@
 from godwitloft.gateway import checked_attempt
 from godwitloft.gateway import config_state as config_states
 from godwitloft.gateway import dialect as dialects
+from godwitloft.gateway import final_answers
 from godwitloft.gateway import first_data
 from godwitloft.gateway import http_server
 from godwitloft.gateway import latency
@@ -158,7 +159,7 @@
             self.origins,
             continuation_module.Callbacks(
                 on_located=self.enqueue,
-                refuse=self.refuse,
+                refuse=lambda *refused: self.final_answers.refuse(*refused),
                 list_confirmed_ms=self.confirmation.list_confirmed_ms,
                 read_list=self.confirmation.mark_list_outdated,
                 gateways=lambda: sharing.gateways,
@@ -223,6 +224,9 @@
             self.config_state,
             self.shutdown,
         )
+        self.final_answers = final_answers.FinalAnswers(
+            sharing, self.admission, self.shutdown, self.reports
+        )
         self.arbiter = arbiters.Arbiter(
             self.clock,
             dependencies.call_later,
@@ -401,7 +405,7 @@
         for queue in self.waiting.values():
             for request in queue:
                 if request.state is requests.State.WAITING:
-                    self.refuse(
+                    self.final_answers.refuse(
                         request,
                         self.admission.rejection(
                             request, request_checkers.LEAVING
@@ -448,11 +452,13 @@
         service = request.facts.service
         queue = self.waiting.setdefault(service, [])
         if not self.shutdown.can_finish(request):
-            self.refuse(request, request_checkers.LEAVING_REFUSAL)
+            self.final_answers.refuse(
+                request, request_checkers.LEAVING_REFUSAL
+            )
             return
         refusal = self.admission.admit(request, queue)
         if refusal is not None:
-            self.refuse(request, refusal)
+            self.final_answers.refuse(request, refusal)
             return
         queue.append(request)
         self.schedule(service)
@@ -556,7 +562,7 @@
             return
         refusal = self.send_checks.refusal(request, now_ms)
         if refusal is not None:
-            self.refuse(request, refusal)
+            self.final_answers.refuse(request, refusal)
             return
         self.crash_evidence.record_trial(request, now_ms)
         if facts.team is not None and request.use is not None:
@@ -760,15 +766,17 @@
                 self.reports.report_unknown_end(
                     request, reports.EndFound.WHOLE
                 )
-            self.end(request, outcomes.COMPLETED, attempt_outcome.reason)
+            self.final_answers.end(
+                request, outcomes.COMPLETED, attempt_outcome.reason
+            )
         elif self.retry_policy.may_retry(request, attempt_outcome, now_ms):
             self.requeue(request, attempt_outcome)
         elif unmarked_end.counts_as_whole(request):
-            self.finish_unmarked(request)
+            self.final_answers.finish_unmarked(request)
         else:
             if is_end_unknown or request.unmarked_end is not None:
                 self.reports.report_unknown_end(request, reports.EndFound.CUT)
-            self.answer_failure(request, answer, attempt_outcome)
+            self.final_answers.fail(request, answer, attempt_outcome)
         self.schedule(request.facts.service)
 
     def release(
@@ -820,107 +828,17 @@
         request.state = requests.State.WAITING
         self.waiting.setdefault(request.facts.service, []).append(request)
 
-    def answer_failure(
-        self,
-        request: requests.Request,
-        answer: answers.Answer,
-        attempt_outcome: answers.AttemptOutcome,
-    ) -> None:
-        """Answers a request whose last attempt has failed.
-
-        :param request: the failed request
-        :param answer: the upstream's answer, complete or not
-        :param attempt_outcome: how the attempt ended
-        """
-        if request.exchange.started:
-            self.end(request, outcomes.CUT, attempt_outcome.reason)
-            request.exchange.abort()
-        elif answer.complete and not attempt_outcome.unusable:
-            answer.deliver()
-            self.end(request, outcomes.FAILED, attempt_outcome.reason)
-        elif (
-            attempt_outcome.result
-            in (
-                outcomes.Result.NOT_SENT,
-                outcomes.Result.NOT_RUN,
-            )
-            and request.runs == 0
-        ):
-            self.refuse(
-                request,
-                self.admission.rejection(request, attempt_outcome.reason),
-            )
-        else:
-            self.refuse(request, refusals.Refusal(502, attempt_outcome.reason))
-
     # End of requests.
 
-    def finish_unmarked(self, request: requests.Request) -> None:
-        """Ends a stream that nobody can be asked about and counts as whole.
-
-        :param request: its request
-        """
-        self.reports.report_unknown_end(
-            request, reports.EndFound.TAKEN_FOR_WHOLE
-        )
-        self.shutdown.record_complete(request)
-        request.exchange.finish()
-        reason = outcomes.Result.END_UNKNOWN.value
-        self.end(request, outcomes.COMPLETED, reason)
-
-    def refuse(
-        self, request: requests.Request, refusal: refusals.Refusal
-    ) -> None:
-        """Answers a request with a refusal.
-
-        If the caller has already received the head of an answer, the
-        connection is closed before the end of the answer, unless that counts
-        as whole. A request that may have run gets no status that says that it
-        hasn't.
-
-        :param request: the refused request
-        :param refusal: the refusal
-        """
-        if unmarked_end.counts_as_whole(request):
-            self.finish_unmarked(request)
-            return
-        if request.exchange.started:
-            if request.unmarked_end is not None:
-                self.reports.report_unknown_end(request, reports.EndFound.CUT)
-            self.end(request, outcomes.CUT, refusal.reason)
-            request.exchange.abort()
-            return
-        if request.runs > 0 and refusal.status in outcomes.NOT_RUN_STATUSES:
-            refusal = dataclasses.replace(
-                refusal, status=504, retry_after_ms=None
-            )
-        self.reports.report_refused(request, refusal)
-        request.state = requests.State.ENDED
-        team = request.facts.team
-        if request.runs == 0 and request.use is not None and team is not None:
-            self.dependencies.sharing.window(team.name).take_back(request.use)
-        refusals.answer(request.exchange, refusal)
-
-    def end(
-        self, request: requests.Request, outcome: str, reason: str
-    ) -> None:
-        """Ends a request that was answered or whose caller disconnected.
-
-        :param request: the request
-        :param outcome: one of the outcomes in
-            :mod:`godwitloft.gateway.outcomes`
-        :param reason: why it failed, if it did
-        """
-        request.state = requests.State.ENDED
-        self.reports.report_ended(request, outcome, reason)
-
     def on_caller_disconnect(self, request: requests.Request) -> None:
         """Cancels a request whose caller has disconnected.
 
         :param request: the caller's request
         """
         self.cancel_attempt(request)
-        self.end(request, outcomes.CALLER_LEFT, request.state.value)
+        self.final_answers.end(
+            request, outcomes.CALLER_LEFT, request.state.value
+        )
         self.schedule(request.facts.service)
 
     def on_caller_congested(
@@ -1004,7 +922,9 @@
             and not self.continuations.awaits_list(request.replaced_ms)
         ):
             origin = stream_origins.Origin(facts.service, request.version)
-            self.refuse(request, continuation_module.version_gone(origin))
+            self.final_answers.refuse(
+                request, continuation_module.version_gone(origin)
+            )
             return
         queue = self.waiting[facts.service]
         reason = self.admission.rejection_reason(request, queue, now_ms)
@@ -1013,9 +933,11 @@
         if request.runs > 0:
             if reason != admissions.UPSTREAMS_PAUSED:
                 reason = "timeout"
-            self.refuse(request, refusals.Refusal(504, reason))
+            self.final_answers.refuse(request, refusals.Refusal(504, reason))
         else:
-            self.refuse(request, self.admission.rejection(request, reason))
+            self.final_answers.refuse(
+                request, self.admission.rejection(request, reason)
+            )
 
     def end_running(
         self, request: requests.Request, refusal: refusals.Refusal
@@ -1029,4 +951,4 @@
             request.attempt.conclude()
         if request in self.running:
             self.cancel_attempt(request)
-            self.refuse(request, refusal)
+            self.final_answers.refuse(request, refusal)
