--- a/features/lakeshore_path.feature
+++ b/features/lakeshore_path.feature
@@ -74,20 +74,22 @@
 
   # Guards against the end of a dead process's connection that is taken for the
   # end of its stream.
-  Scenario Outline: A stream without a length does not end with its runner's process: <route>
-    Given the next stream has no length and ends with its runner's process
+  Scenario Outline: A stream without a length does not end with its runner's process: <route>, back after <down> ms
+    Given the next stream has no length and ends with its runner's process, back after <down> ms
     When request "e2" asks "/<route>/x"
     Then its answer is <whole> with "<answer>"
     And its request ran <runs> times
 
     Examples:
-      | route | whole | answer | runs |
-      | stream | whole | id: 1\ndata: x1 of e2\n\nid: 2\ndata: x2 of e2\n\nid: 3\ndata: x3 of e2\n\n | 2 |
-      | once | cut | id: 1\ndata: x1 of e2\n\n | 1 |
-
-  # Guards against a connection's end that is taken for the end of a stream: the
-  # same bytes come from a runner that broke off and from one that was done.
-  Scenario Outline: A stream that nothing ends is not complete: <route>, its runner <what>
+      | route | down | whole | answer | runs |
+      | stream | 1500 | whole | id: 1\ndata: x1 of e2\n\nid: 2\ndata: x2 of e2\n\nid: 3\ndata: x3 of e2\n\n | 2 |
+      | stream | 10 | whole | id: 1\ndata: x1 of e2\n\nid: 2\ndata: x2 of e2\n\nid: 3\ndata: x3 of e2\n\n | 2 |
+      | once | 1500 | cut | id: 1\ndata: x1 of e2\n\n | 1 |
+      | once | 10 | cut | id: 1\ndata: x1 of e2\n\n | 1 |
+
+  # The same bytes come from a runner that broke off between two events and from
+  # one that was done: it is asked where that is possible.
+  Scenario Outline: A stream that nothing ends is asked for where it may be: <route>, its runner <what>
     Given the next stream has neither a length nor chunks and its runner <what>
     When request "e3" asks "/<route>/x"
     Then its answer is <whole> with "<answer>"
@@ -97,8 +99,9 @@
       | route | what | whole | answer | runs |
       | stream | breaks off | whole | id: 1\ndata: x1 of e3\n\nid: 2\ndata: x2 of e3\n\nid: 3\ndata: x3 of e3\n\n | 2 |
       | stream | sends all | whole | id: 1\ndata: x1 of e3\n\nid: 2\ndata: x2 of e3\n\nid: 3\ndata: x3 of e3\n\n | 2 |
-      | once | breaks off | cut | id: 1\ndata: x1 of e3\n\n | 1 |
-      | once | sends all | cut | id: 1\ndata: x1 of e3\n\nid: 2\ndata: x2 of e3\n\nid: 3\ndata: x3 of e3\n\n | 1 |
+      | once | breaks off | whole | id: 1\ndata: x1 of e3\n\n | 1 |
+      | once | breaks off inside an event | cut | id: 1\ndata: x1 of e3\n\nid: 2\ndata: x | 1 |
+      | once | sends all | whole | id: 1\ndata: x1 of e3\n\nid: 2\ndata: x2 of e3\n\nid: 3\ndata: x3 of e3\n\n | 1 |
 
   # A caller whose whole stream was cut learns so that nothing is missing.
   Scenario: A stream that its caller takes up after its last event is whole
@@ -167,6 +170,19 @@
       | SIGTERM SIGTERM |
       | SIGTERM SIGHUP SIGTERM SIGTERM |
 
+  # Guards against whole streams that are cut around a planned stop (issue 54).
+  Scenario Outline: A whole stream that only its connection's close ends isn't cut by <signals>
+    Given the next stream has neither a length nor chunks and its runner sends all
+    When a stream of 60 events is under way
+    And the entry gets <signals>
+    Then the stream is complete
+    And the entry ends with status 0
+
+    Examples:
+      | signals |
+      | SIGTERM |
+      | SIGTERM SIGHUP SIGTERM |
+
   # Guards against prompts that bring down runner after runner.
   Scenario: A part of prompts that crashes runners is kept from them
     Given runners that crash on the part "bad0" of prompts
--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -12,59 +12,11 @@
 
 from features.support import gateway_world
 from features.support import logs
+from features.support import wire_answers
 from features.support import wire_upstream
 from godwitloft import answer_end
 
 LINE_ENDS = {"LF": b"\n", "CRLF": b"\r\n", "CR": b"\r"}
-# Longer than any request of the simulated callers waits.
-SILENCE_MS = 5_100
-
-
-def event(number):
-    return f"id: {number}\ndata: x{number}\n\n".encode()
-
-
-def events(first, last):
-    return b"".join(event(number) for number in range(first, last + 1))
-
-
-def chunk(data):
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
-BODY = events(1, 3)
-MIDWAY = len(events(1, 2))
-CHUNKED = b"transfer-encoding: chunked"
-
-
-def length_header(body):
-    return b"content-length: %d" % len(body)
-
-
-def complete_answer(sent, framing, body=BODY):
-    """Returns an answer with all that its framing asks for."""
-    if framing == "length":
-        return sent.answer_head(length_header(body)) + body
-    if framing == "chunks":
-        return sent.answer_head(CHUNKED) + chunk(body) + b"0\r\n\r\n"
-    if framing == "status 204":
-        return sent.answer_head(status=b"204 No Content")
-    version = b"1.0" if framing == "HTTP/1.0" else b"1.1"
-    return sent.answer_head(version=version) + body
-
-
-def first_part(sent, framing):
-    """Returns an answer up to the end of its second event."""
-    if framing == "length":
-        return sent.answer_head(length_header(BODY)) + BODY[:MIDWAY]
-    if framing == "chunks":
-        return sent.answer_head(CHUNKED) + chunk(BODY[:MIDWAY])
-    return complete_answer(sent, framing, BODY[:MIDWAY])
-
-
-def close_if_open(sent):
-    if sent.transport.connected:
-        sent.close()
 
 
 @given("a gateway that reads what its upstreams send")
@@ -78,29 +30,34 @@
 )
 def ends_inside_event(context, framing):
     sent = context.world.sent[0]
-    body = BODY[: MIDWAY + 6]
-    sent.receive(complete_answer(sent, framing, body))
-    close_if_open(sent)
+    body = wire_answers.BODY[: wire_answers.MIDWAY + 6]
+    sent.receive(wire_answers.complete_answer(sent, framing, body))
+    wire_answers.close_if_open(sent)
 
 
 @when("the upstream answers, framed by {framing}: {event}")
 def answers(context, framing, event):
     sent = context.world.sent[0]
-    half = first_part(sent, framing)
-    whole = complete_answer(sent, framing)
+    half = wire_answers.first_part(sent, framing)
+    whole = wire_answers.complete_answer(sent, framing)
     received = {
         "whole": whole,
         "more bytes than announced": whole + b"more",
         "a second answer": whole + whole,
-        "closed inside a chunk": half + b"40\r\n" + BODY[MIDWAY:],
+        "closed inside a chunk": half
+        + b"40\r\n"
+        + wire_answers.BODY[wire_answers.MIDWAY :],
         "invalid chunk size": half + b"zz\r\n",
         "closed inside trailers": whole[:-2] + b"x-end: 1\r\n",
-        "closed inside an event": half + BODY[MIDWAY : MIDWAY + 6],
-        "closed before any event": complete_answer(sent, framing, b""),
+        "closed inside an event": half
+        + wire_answers.BODY[wire_answers.MIDWAY : wire_answers.MIDWAY + 6],
+        "closed before any event": wire_answers.complete_answer(
+            sent, framing, b""
+        ),
     }.get(event, half)
     sent.receive(received)
     if event == "silent midway":
-        context.world.advance(SILENCE_MS)
+        context.world.advance(wire_answers.SILENCE_MS)
     elif sent.transport.connected:
         sent.close(clean=event != "reset midway")
 
@@ -122,15 +79,90 @@
 def closes(context, then, framing):
     sent = context.world.sent[0]
     sent.accepts = CHECKS[then]
-    sent.receive(first_part(sent, framing))
+    sent.receive(wire_answers.first_part(sent, framing))
+    sent.close()
+
+
+def list_again(context, **change):
+    """The list of upstreams shows a change of the one that answers."""
+    world = context.world
+    upstream = world.sent[0].upstream
+    listed = dict(world.upstreams)
+    listed[upstream.id] = dataclasses.replace(upstream, **change)
+    world.gateway.update_upstreams(listed)
+
+
+def unlist(context):
+    world = context.world
+    listed = dict(world.upstreams)
+    del listed[world.sent[0].upstream.id]
+    world.gateway.update_upstreams(listed)
+
+
+def begin_other(context, framing):
+    """Another answer of the same upstream is under way."""
+    world = context.world
+    route = "class" if world.sent[0].upstream.service == "model" else "lookup"
+    for number in range(len(world.upstreams)):
+        world.ask(f"other{number}", route)
+        sent = world.sent[-1]
+        if sent.upstream.id == world.sent[0].upstream.id:
+            sent.receive(wire_answers.first_part(sent, framing))
+            return sent
+    raise AssertionError("no other request went to the same upstream")
+
+
+def send_other(context):
+    begin_other(context, "chunks")
+
+
+def close_other(context):
+    other = begin_other(context, "close")
+    other.accepts = []
+    other.close()
+
+
+def leave_and_break_off(context):
+    other = begin_other(context, "chunks")
+    list_again(context, leaving=True)
+    other.close()
+
+
+BESIDE = {
+    "is leaving": lambda context: list_again(context, leaving=True),
+    "is not listed any more": unlist,
+    "is sending another answer": send_other,
+    "has nothing else to do": lambda _context: None,
+    "is listed as a new process": lambda context: list_again(
+        context, born_ms=2
+    ),
+    "closes another answer too": close_other,
+    "is leaving and breaks another answer off": leave_and_break_off,
+}
+
+
+@when("meanwhile its upstream {what}")
+def do_beside(context, what):
+    BESIDE[what](context)
+
+
+@when("closes the connection of a whole answer and refuses connections")
+def close_port(context):
+    sent = context.world.sent[0]
+    sent.accepts = [False]
+    sent.receive(wire_answers.complete_answer(sent, "close"))
     sent.close()
 
 
 @when("the upstream's stream, framed by {framing}, ends after event {count:d}")
 def ends_after(context, framing, count):
     sent = context.world.sent[-1]
-    sent.receive(complete_answer(sent, framing, events(1, count)))
-    close_if_open(sent)
+    sent.receive(
+        wire_answers.complete_answer(
+            sent, framing, wire_answers.events(1, count)
+        )
+    )
+    wire_answers.close_if_open(sent)
 
 
 @when(
@@ -139,9 +171,9 @@
 )
 def ends_inside_next(context, framing, count):
     sent = context.world.sent[-1]
-    begun = events(1, count) + event(count + 1)[:8]
-    sent.receive(complete_answer(sent, framing, begun))
-    close_if_open(sent)
+    begun = wire_answers.events(1, count) + wire_answers.event(count + 1)[:8]
+    sent.receive(wire_answers.complete_answer(sent, framing, begun))
+    wire_answers.close_if_open(sent)
 
 
 @given("its routes allow {count:d} attempts")
@@ -157,23 +189,32 @@
 
 def end_as_told(sent, how):
     """An upstream ends its answer; one that breaks off would use chunks."""
-    head = sent.answer_head(CHUNKED)
+    head = sent.answer_head(wire_answers.CHUNKED)
     what, _, framing = how.partition(", framed by ")
     sent.receive(
         {
-            "end after event 2": complete_answer(sent, "close", events(1, 2)),
-            "break off after event 2": head + chunk(events(1, 2)),
-            "break off within event 3": head + chunk(event(3)[:8]),
-            "break off within event 1": head + chunk(event(1)[:8]),
+            "end after event 2": wire_answers.complete_answer(
+                sent, "close", wire_answers.events(1, 2)
+            ),
+            "break off after event 2": head
+            + wire_answers.chunk(wire_answers.events(1, 2)),
+            "break off within event 3": head
+            + wire_answers.chunk(wire_answers.event(3)[:8]),
+            "break off within event 1": head
+            + wire_answers.chunk(wire_answers.event(1)[:8]),
             "repeat event 1 and break off within event 2": head
-            + chunk(event(1) + event(2)[:8]),
-            "send a comment": complete_answer(sent, framing, b": x\n\n"),
-            "break off within a comment": head + chunk(b": x"),
+            + wire_answers.chunk(
+                wire_answers.event(1) + wire_answers.event(2)[:8]
+            ),
+            "send a comment": wire_answers.complete_answer(
+                sent, framing, b": x\n\n"
+            ),
+            "break off within a comment": head + wire_answers.chunk(b": x"),
             "break off": head,
-            "send nothing": complete_answer(sent, framing, b""),
+            "send nothing": wire_answers.complete_answer(sent, framing, b""),
         }[what]
     )
-    close_if_open(sent)
+    wire_answers.close_if_open(sent)
 
 
 ENDS = re.compile(r"((?:end|break|repeat|send)[^,]*(?:, framed by \w+)?)")
@@ -185,15 +226,20 @@
     assert len(found) == 3, found
     for number, how in enumerate(found):
         end_as_told(context.world.sent[number], how)
-    context.world.advance(SILENCE_MS)
+    context.world.advance(wire_answers.SILENCE_MS)
 
 
 def go_on(sent, then):
     what, _, framing = then.partition(", framed by ")
-    plain_length = length_header(b"no")
+    plain_length = wire_answers.length_header(b"no")
     received = {
-        "has nothing to add": complete_answer(sent, framing, b""),
-        "adds event 3": complete_answer(sent, framing, event(3)),
+        "has nothing to add": wire_answers.complete_answer(sent, framing, b""),
+        "begins event 3": wire_answers.complete_answer(
+            sent, framing, wire_answers.event(3)[:8]
+        ),
+        "adds event 3": wire_answers.complete_answer(
+            sent, framing, wire_answers.event(3)
+        ),
         "resets the connection": b"",
         "fails with status 500": sent.answer_head(
             plain_length, status=b"500 Failure"
@@ -223,7 +269,7 @@
     assert second.headers[b"last-event-id"] == b"%d" % count, second.headers
     go_on(second, then)
     # Whether any upstream is left to be asked, too.
-    world.advance(SILENCE_MS)
+    world.advance(wire_answers.SILENCE_MS)
 
 
 @when(
@@ -234,14 +280,14 @@
     for number in range(count):
         context.world.ask(f"c{number}", route)
         sent = context.world.sent[-1]
-        sent.receive(complete_answer(sent, framing))
-        close_if_open(sent)
+        sent.receive(wire_answers.complete_answer(sent, framing))
+        wire_answers.close_if_open(sent)
 
 
 @when("the next upstream is silent until the caller's time is over")
 def stay_silent(context):
     assert len(context.world.sent) == 2
-    context.world.advance(SILENCE_MS)
+    context.world.advance(wire_answers.SILENCE_MS)
 
 
 @then("no upstream is paused")
@@ -270,16 +316,7 @@
     (on_checked,) = sent.unanswered
     on_checked(True)
     assert context.caller.received == received
-    assert not is_whole(received), received
-
-
-def is_whole(received):
-    head, _, body = received.partition(b"\r\n\r\n")
-    if b" 204 " in head:
-        return not body and b"content-length" not in head.lower()
-    if b"transfer-encoding: chunked" in head.lower():
-        return body.endswith(b"\r\n0\r\n\r\n") or body == b"0\r\n\r\n"
-    return b"content-length: %d" % len(body) in head.lower()
+    assert not wire_answers.is_whole(received), received
 
 
 @then("the caller's answer is {answer}")
@@ -287,11 +324,11 @@
     caller = context.caller
     if answer == "whole":
         assert caller.status in (200, 204), caller.received
-        assert is_whole(caller.received), caller.received
+        assert wire_answers.is_whole(caller.received), caller.received
         assert b"more" not in caller.received, caller.received
         assert caller.received.count(b"HTTP/1.1") == 1, caller.received
     elif answer == "asked for elsewhere":
-        assert not is_whole(caller.received), caller.received
+        assert not wire_answers.is_whole(caller.received), caller.received
         assert not caller.closed
         first, second = context.world.sent
         assert first.upstream.id != second.upstream.id
@@ -299,7 +336,7 @@
         assert caller.status is None, caller.received
     elif answer == "cut":
         assert caller.status == 200, caller.received
-        assert not is_whole(caller.received), caller.received
+        assert not wire_answers.is_whole(caller.received), caller.received
         assert caller.closed
     else:
         assert caller.status == int(answer), caller.received
@@ -309,7 +346,7 @@
 def check_received(context, first, last):
     received = context.caller.received
     for number in range(first, last + 1):
-        assert received.count(event(number)) == 1, received
+        assert received.count(wire_answers.event(number)) == 1, received
 
 
 def body_end_after(data, size):
@@ -325,7 +362,7 @@
 )
 def check_between(context, line_end, size):
     context.size = size
-    context.data = BODY.replace(b"\n", LINE_ENDS[line_end])
+    context.data = wire_answers.BODY.replace(b"\n", LINE_ENDS[line_end])
     body_end = body_end_after(context.data, size)
     assert not body_end.inside_event
     assert body_end.defect() == ""
@@ -356,7 +393,9 @@
     Returns whether it has.
     """
     sent = world.sent[number]
-    head = complete_answer(sent, framing).partition(b"\r\n\r\n")[0]
+    head = wire_answers.complete_answer(sent, framing).partition(b"\r\n\r\n")[
+        0
+    ]
     whole = head + b"\r\n\r\n"
     if count >= len(whole):
         return False
@@ -394,13 +433,19 @@
         world = wire_upstream.WireWorld()
         caller = world.ask("a", route)
         first = world.sent[0]
-        first.receive(first.answer_head(CHUNKED) + chunk(event(1)))
+        first.receive(
+            first.answer_head(wire_answers.CHUNKED)
+            + wire_answers.chunk(wire_answers.event(1))
+        )
         first.close()
         if not end_within_head(world, 1, "chunks", count, end):
             break
         assert caller.status == 200
         assert caller.closed
-        assert not is_whole(caller.received), (count, caller.received)
+        assert not wire_answers.is_whole(caller.received), (
+            count,
+            caller.received,
+        )
         count += 1
     assert count > len("HTTP/1.1 200 OK")
 
--- a/features/steps/stream_goes_on_steps.py
+++ b/features/steps/stream_goes_on_steps.py
@@ -5,8 +5,8 @@
 from behave import then
 from behave import when
 
-from features.steps import answer_end_steps as wire
 from features.support import gateway_world
+from features.support import wire_answers as wire
 from godwitloft.gateway import checked_attempt
 from godwitloft.gateway.streams import stream_events
 from godwitloft.platform import life_check
@@ -109,3 +109,16 @@
     answer = stores.Answer(json.loads(report), None)
     found = life_check.compare(place, answer)
     assert found is checked_attempt.Found[name], found
+
+
+@then(
+    "an upstream listed as started at {born_ms:d} tells of {what} since"
+    ' {since_ms:d} by its report "{report}"'
+)
+def check_restart(context, report, born_ms, since_ms, what):
+    place = dataclasses.replace(
+        gateway_world.upstream("u1", "model"), born_ms=born_ms
+    )
+    answer = stores.Answer(json.loads(report), None)
+    found = life_check.has_restarted(place, answer, since_ms)
+    assert found == (what == "a new start"), found
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -87,10 +87,14 @@
     callbacks: attempts.AttemptCallbacks
     cancelled: bool = False
     sent: bool = True
+    is_closed: bool = False
 
     def cancel(self):
         self.cancelled = True
 
+    def conclude(self):
+        pass
+
     @property
     def headers(self):
         return dict(self.outgoing.headers)
--- a/godwitloft/attempt.py
+++ b/godwitloft/attempt.py
@@ -109,6 +109,9 @@
         self.connector: typing.Any = None
         self.sent = False
         self.ended = False
+        # Whether the server has closed the connection, and nothing but that
+        # marks the end of its answer.
+        self.is_closed = False
         self.interim_answers = 0
         self.read_bytes = read_size.FIRST_BYTES
         # Parts of the answer that the last read has completed.
@@ -211,6 +214,7 @@
         if not reason.check(error.ConnectionDone):
             self.end(End.BROKEN, "connection_reset")
         elif self.framing is answer_end.Framing.CLOSE:
+            self.is_closed = True
             self.confirm_end(END_CHECKS)
         else:
             self.read_end()
@@ -219,7 +223,8 @@
         """Completes an answer without a length unless its server is gone.
 
         The connections of a process that is killed are closed as cleanly as
-        one whose answer is whole.
+        one whose answer is whole. A server that only can't be reached, as its
+        queue of connections is full, counts as alive.
 
         :param checks: how often the server is checked at most
         """
@@ -227,15 +232,23 @@
         def on_checked(accepts: bool | None) -> None:
             if self.ended:
                 return
-            if accepts:
-                self.read_end()
-            elif accepts is None and checks > 1:
+            if accepts is None and checks > 1:
                 self.confirm_end(checks - 1)
-            else:
+            elif accepts is False:
                 self.end(End.BROKEN, SERVER_GONE)
+            else:
+                self.read_end()
 
         self.check_server(on_checked)
 
+    def conclude(self) -> None:
+        """Ends a closed answer without waiting for the check of its server.
+
+        Nothing happens if its connection is open.
+        """
+        if self.is_closed and not self.ended:
+            self.read_end()
+
     def read_end(self) -> None:
         """Ends the attempt as the parser takes the end of the connection."""
         try:
@@ -327,6 +340,7 @@
     own_host: str = "",
     connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
     tls_name: str | None = None,
+    check_process: CheckServer | None = None,
 ) -> Attempt:
     """Sends a request to a server.
 
@@ -338,16 +352,24 @@
     :param connect_timeout_ms: how long to wait for the connection
     :param tls_name: name that the server's certificate must have, None for a
         connection without TLS
+    :param check_process: finds out whether the process that accepts
+        connections is the one that got the request, None for no such check
     :return: the attempt
     """
 
     def check_server(on_checked: typing.Callable[[bool | None], None]) -> None:
+        def on_port_checked(accepts: bool | None) -> None:
+            if accepts and check_process is not None:
+                check_process(on_checked)
+            else:
+                on_checked(accepts)
+
         reactor.callLater(
             END_CHECK_DELAY_MS / clocks.MS_PER_S,
             connection_check.start,
             reactor,
             address,
-            on_checked,
+            on_port_checked,
             own_host,
         )
 
--- a/godwitloft/gateway/checked_attempt.py
+++ b/godwitloft/gateway/checked_attempt.py
@@ -68,6 +68,11 @@
         """Whether the request may have reached the upstream."""
         return self.attempt is not None and self.attempt.sent
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether the upstream has closed the connection of an answer."""
+        return self.attempt is not None and self.attempt.is_closed
+
     def end(self, how: attempts.End, reason: str) -> None:
         """Ends the attempt and reports it.
 
@@ -80,6 +85,11 @@
             self.ended = True
             self.on_end(how, reason)
 
+    def conclude(self) -> None:
+        """Ends an answer that is closed without waiting for a check."""
+        if self.attempt is not None:
+            self.attempt.conclude()
+
     def cancel(self) -> None:
         """Ends the attempt without a report."""
         self.ended = True
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -19,6 +19,7 @@
 from godwitloft.gateway import checked_attempt
 from godwitloft.gateway import config_state as config_states
 from godwitloft.gateway import dialect as dialects
+from godwitloft.gateway import final_answers
 from godwitloft.gateway import first_data
 from godwitloft.gateway import http_server
 from godwitloft.gateway import latency
@@ -47,7 +48,9 @@
 from godwitloft.gateway.streams import stream_holds
 from godwitloft.gateway.streams import stream_life
 from godwitloft.gateway.streams import stream_origins
+from godwitloft.gateway.streams import unmarked_end
 from godwitloft.gateway.upstreams import fleet as fleets
+from godwitloft.gateway.upstreams import process_end
 from godwitloft.gateway.upstreams import upstream_statements
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
@@ -156,7 +159,7 @@
             self.origins,
             continuation_module.Callbacks(
                 on_located=self.enqueue,
-                refuse=self.refuse,
+                refuse=lambda *refused: self.final_answers.refuse(*refused),
                 list_confirmed_ms=self.confirmation.list_confirmed_ms,
                 read_list=self.confirmation.mark_list_outdated,
                 gateways=lambda: sharing.gateways,
@@ -216,7 +219,13 @@
             self.retry_policy.crashes, self.latency, self.placer
         )
         self.reports = reports.Reports(
-            self.clock, dependencies.instruments, self.config_state
+            self.clock,
+            dependencies.instruments,
+            self.config_state,
+            self.shutdown,
+        )
+        self.final_answers = final_answers.FinalAnswers(
+            sharing, self.admission, self.shutdown, self.reports
         )
         self.arbiter = arbiters.Arbiter(
             self.clock,
@@ -355,7 +364,7 @@
         :param end_ms: when the process must end; requests that would take
             longer are refused from now on
         """
-        self.shutdown.end_ms = end_ms
+        self.shutdown.begin(end_ms)
         events.log(events.DRAINING, requests=self.unfinished())
 
     def stop_accepting(self) -> None:
@@ -387,16 +396,16 @@
         Those that have not run are refused; what becomes of the others isn't
         known.
         """
+        self.shutdown.is_over = True
         for request in list(self.running):
-            self.cancel_attempt(request)
-            self.refuse(
+            self.end_running(
                 request, refusals.Refusal(504, request_checkers.LEAVING)
             )
         self.continuations.refuse_all(request_checkers.LEAVING_REFUSAL)
         for queue in self.waiting.values():
             for request in queue:
                 if request.state is requests.State.WAITING:
-                    self.refuse(
+                    self.final_answers.refuse(
                         request,
                         self.admission.rejection(
                             request, request_checkers.LEAVING
@@ -443,11 +452,13 @@
         service = request.facts.service
         queue = self.waiting.setdefault(service, [])
         if not self.shutdown.can_finish(request):
-            self.refuse(request, request_checkers.LEAVING_REFUSAL)
+            self.final_answers.refuse(
+                request, request_checkers.LEAVING_REFUSAL
+            )
             return
         refusal = self.admission.admit(request, queue)
         if refusal is not None:
-            self.refuse(request, refusal)
+            self.final_answers.refuse(request, refusal)
             return
         queue.append(request)
         self.schedule(service)
@@ -467,7 +478,7 @@
 
         :param service: name of the service
         """
-        if service in self.scheduling:
+        if service in self.scheduling or self.shutdown.is_over:
             return
         self.scheduling.add(service)
         try:
@@ -551,7 +562,7 @@
             return
         refusal = self.send_checks.refusal(request, now_ms)
         if refusal is not None:
-            self.refuse(request, refusal)
+            self.final_answers.refuse(request, refusal)
             return
         self.crash_evidence.record_trial(request, now_ms)
         if facts.team is not None and request.use is not None:
@@ -699,9 +710,9 @@
         if request.state is requests.State.SENT:
             self.first_data.record(request, request.answer)
         request.answer.on_data(data)
-        if request.unknown_end not in (None, request.last_event):
+        if unmarked_end.has_gone_on(request):
             self.reports.report_unknown_end(request, reports.EndFound.GOES_ON)
-            request.unknown_end = None
+            request.unmarked_end = None
         if request.exchange.started and request.version is None:
             # From now on no other version may go on with the answer.
             request.version = request.sent_version
@@ -727,14 +738,19 @@
         if attempt_number != request.attempt_count or answer is None:
             return
         state = self.release(request)
+        now_ms = self.clock.monotonic_ms()
+        if reason == attempts.SERVER_GONE and not (
+            state is None
+            or process_end.has_died(state, self.fleet, self.running, now_ms)
+        ):
+            end = attempts.End.COMPLETE
         attempt_outcome = answer.classify_end(end, reason)
         self.reports.count_answer_end(answer, attempt_outcome)
-        now_ms = self.clock.monotonic_ms()
         is_end_unknown = attempt_outcome.result is outcomes.Result.END_UNKNOWN
         if reason == checked_attempt.Found.REPLACED.value:
             self.continuations.callbacks.read_list()
         if is_end_unknown and answer.may_mark_end():
-            request.mark_unknown_end()
+            unmarked_end.mark(request)
         if state is not None:
             self.retry_policy.record_end(
                 request, state, attempt_outcome, now_ms
@@ -746,17 +762,21 @@
                 self.crash_evidence.record_complete(request)
                 self.shutdown.record_complete(request)
             answer.deliver()
-            if request.unknown_end is not None:
+            if request.unmarked_end is not None:
                 self.reports.report_unknown_end(
                     request, reports.EndFound.WHOLE
                 )
-            self.end(request, outcomes.COMPLETED, attempt_outcome.reason)
+            self.final_answers.end(
+                request, outcomes.COMPLETED, attempt_outcome.reason
+            )
         elif self.retry_policy.may_retry(request, attempt_outcome, now_ms):
             self.requeue(request, attempt_outcome)
+        elif unmarked_end.counts_as_whole(request):
+            self.final_answers.finish_unmarked(request)
         else:
-            if is_end_unknown or request.unknown_end is not None:
+            if is_end_unknown or request.unmarked_end is not None:
                 self.reports.report_unknown_end(request, reports.EndFound.CUT)
-            self.answer_failure(request, answer, attempt_outcome)
+            self.final_answers.fail(request, answer, attempt_outcome)
         self.schedule(request.facts.service)
 
     def release(
@@ -808,90 +828,17 @@
         request.state = requests.State.WAITING
         self.waiting.setdefault(request.facts.service, []).append(request)
 
-    def answer_failure(
-        self,
-        request: requests.Request,
-        answer: answers.Answer,
-        attempt_outcome: answers.AttemptOutcome,
-    ) -> None:
-        """Answers a request whose last attempt has failed.
-
-        :param request: the failed request
-        :param answer: the upstream's answer, complete or not
-        :param attempt_outcome: how the attempt ended
-        """
-        if request.exchange.started:
-            self.end(request, outcomes.CUT, attempt_outcome.reason)
-            request.exchange.abort()
-        elif answer.complete and not attempt_outcome.unusable:
-            answer.deliver()
-            self.end(request, outcomes.FAILED, attempt_outcome.reason)
-        elif (
-            attempt_outcome.result
-            in (
-                outcomes.Result.NOT_SENT,
-                outcomes.Result.NOT_RUN,
-            )
-            and request.runs == 0
-        ):
-            self.refuse(
-                request,
-                self.admission.rejection(request, attempt_outcome.reason),
-            )
-        else:
-            self.refuse(request, refusals.Refusal(502, attempt_outcome.reason))
-
     # End of requests.
 
-    def refuse(
-        self, request: requests.Request, refusal: refusals.Refusal
-    ) -> None:
-        """Answers a request with a refusal.
-
-        If the caller has already received the head of an answer, the
-        connection is closed before the end of the answer. A request that may
-        have run gets no status that says that it hasn't.
-
-        :param request: the refused request
-        :param refusal: the refusal
-        """
-        if request.exchange.started:
-            if request.unknown_end is not None:
-                self.reports.report_unknown_end(request, reports.EndFound.CUT)
-            self.end(request, outcomes.CUT, refusal.reason)
-            request.exchange.abort()
-            return
-        if request.runs > 0 and refusal.status in outcomes.NOT_RUN_STATUSES:
-            refusal = dataclasses.replace(
-                refusal, status=504, retry_after_ms=None
-            )
-        self.reports.report_refused(request, refusal)
-        request.state = requests.State.ENDED
-        team = request.facts.team
-        if request.runs == 0 and request.use is not None and team is not None:
-            self.dependencies.sharing.window(team.name).take_back(request.use)
-        refusals.answer(request.exchange, refusal)
-
-    def end(
-        self, request: requests.Request, outcome: str, reason: str
-    ) -> None:
-        """Ends a request that was answered or whose caller disconnected.
-
-        :param request: the request
-        :param outcome: one of the outcomes in
-            :mod:`godwitloft.gateway.outcomes`
-        :param reason: why it failed, if it did
-        """
-        request.state = requests.State.ENDED
-        self.reports.report_ended(request, outcome, reason)
-
     def on_caller_disconnect(self, request: requests.Request) -> None:
         """Cancels a request whose caller has disconnected.
 
         :param request: the caller's request
         """
         self.cancel_attempt(request)
-        self.end(request, outcomes.CALLER_LEFT, request.state.value)
+        self.final_answers.end(
+            request, outcomes.CALLER_LEFT, request.state.value
+        )
         self.schedule(request.facts.service)
 
     def on_caller_congested(
@@ -921,7 +868,7 @@
                 self.check_waiting(request, now_ms)
         for request in list(self.running):
             if now_ms >= request.facts.deadline_ms:
-                self.time_out(request)
+                self.end_running(request, refusals.Refusal(504, "timeout"))
             elif self.retry_policy.has_stalled(request, now_ms):
                 self.move_stalled_stream(request, now_ms)
         self.schedule_all()
@@ -975,7 +922,9 @@
             and not self.continuations.awaits_list(request.replaced_ms)
         ):
             origin = stream_origins.Origin(facts.service, request.version)
-            self.refuse(request, continuation_module.version_gone(origin))
+            self.final_answers.refuse(
+                request, continuation_module.version_gone(origin)
+            )
             return
         queue = self.waiting[facts.service]
         reason = self.admission.rejection_reason(request, queue, now_ms)
@@ -984,14 +933,22 @@
         if request.runs > 0:
             if reason != admissions.UPSTREAMS_PAUSED:
                 reason = "timeout"
-            self.refuse(request, refusals.Refusal(504, reason))
+            self.final_answers.refuse(request, refusals.Refusal(504, reason))
         else:
-            self.refuse(request, self.admission.rejection(request, reason))
+            self.final_answers.refuse(
+                request, self.admission.rejection(request, reason)
+            )
 
-    def time_out(self, request: requests.Request) -> None:
-        """Ends a running request that has timed out.
+    def end_running(
+        self, request: requests.Request, refusal: refusals.Refusal
+    ) -> None:
+        """Ends a running request for which there is no more time.
 
         :param request: a running request
+        :param refusal: what its caller is told unless the answer has ended
         """
-        self.cancel_attempt(request)
-        self.refuse(request, refusals.Refusal(504, "timeout"))
+        if request.attempt is not None:
+            request.attempt.conclude()
+        if request in self.running:
+            self.cancel_attempt(request)
+            self.final_answers.refuse(request, refusal)
