A whole stream that is held back isn't dropped when its gateway ends

What callers saw: 504 at the end of a planned stop, or at their time limit, for a stream whose whole answer had arrived and was held back, as it wasn't on record yet where it began; and the same stream run once more where the record couldn't be saved (GL1208). What is held back was dropped with its attempt, whether it was whole or not. Change: at the end of time a held stream is passed on if its upstream ended it in order and between two events; its caller has all of it and needn't take it up. One whose end a length or chunks mark is passed on too rather than sent again. What runs, was broken off or may have more events is handled as before.

--- a/godwitloft/gateway/streams/stream_holds.py
+++ b/godwitloft/gateway/streams/stream_holds.py
@@ -2,12 +2,14 @@
 
 Only streams of other versions than the base version need that. If the record
 can't be saved in time, the request is sent again to the base version; where
-that has no upstream, the events are passed on, as their caller waits.
+that has no upstream, the events are passed on, as their caller waits. A whole
+stream is passed on too: its caller needn't take it up.
 """
 
 import dataclasses
 import typing
 
+from godwitloft import answer_end
 from godwitloft import attempt as attempts
 from godwitloft import clock as clocks
 from godwitloft import events
@@ -71,6 +73,27 @@
         if self.end is not None:
             self.callbacks.on_end(*self.end)
 
+    def is_whole(self) -> bool:
+        """Returns whether a whole stream is kept, as far as its end shows."""
+        answer = self.request.answer
+        if self.end is None or answer is None or answer.body_end is None:
+            return False
+        kept = answer_end.BodyEnd(answer.body_end.framing, is_stream=True)
+        for part in self.parts:
+            kept.feed(part)
+        return self.end[0] is attempts.End.COMPLETE and not kept.defect()
+
+    def has_marked_end(self) -> bool:
+        """Returns whether a whole stream is kept that can't have more events.
+
+        That is shown by a length or chunks.
+        """
+        answer = self.request.answer
+        if answer is None or answer.body_end is None:
+            return False
+        is_marked = answer.body_end.framing is not answer_end.Framing.CLOSE
+        return is_marked and self.is_whole()
+
     def drop(self) -> None:
         """Forgets what was kept: the attempt was cancelled."""
         self.is_open = True
@@ -188,6 +211,15 @@
         del self.holds[request]
         hold.open()
 
+    def conclude(self, request: requests.Request) -> None:
+        """Passes on a whole stream for whose record there is no more time.
+
+        :param request: any request
+        """
+        hold = self.holds.get(request)
+        if hold is not None and hold.is_whole():
+            self.open(request, hold)
+
     def release(self, request: requests.Request) -> None:
         """Forgets the answer to an attempt that has ended.
 
@@ -240,7 +272,8 @@
         service = request.facts.service
         base = self.bases.version_of(service)
         has_base = base is not None and bool(self.fleet.usable(service, base))
-        is_again = has_base and self.send_again(request, NOT_SAVED)
+        is_needed = has_base and not hold.has_marked_end()
+        is_again = is_needed and self.send_again(request, NOT_SAVED)
         events.log(
             events.STREAM_NOT_SAVED,
             request=request.facts.id,
