A stream that has ended isn't taken for a stalled one

What callers saw: a whole stream without a length or chunks that was cut after its last event, if its upstream closed it over 1.1 s after that event. Cause: while the upstream is checked, the stream counted as one that still runs. After 1.5 s of silence it was cancelled as stalled, which forgot how it had ended; what the next upstream then didn't add proved nothing any more. Change: an answer whose connection its upstream has closed has not stalled.

--- a/features/steps/whole_streams_are_cut_steps.py
+++ b/features/steps/whole_streams_are_cut_steps.py
@@ -136,3 +136,19 @@
 @when("{duration_ms:d} ms pass for the gateway")
 def passing(context, duration_ms):
     context.world.advance(duration_ms)
+
+
+@when("the upstream closes the connection")
+def close(context):
+    context.world.sent[0].close()
+
+
+CHECKS = {"lives": True, "has ended": False}
+
+
+@when("the check shows that the upstream {lives}")
+def show(context, lives):
+    first = context.world.sent[0]
+    assert len(context.world.sent) == 1, "it was taken for stalled"
+    (on_checked,) = first.unanswered
+    on_checked(CHECKS[lives])
--- a/features/whole_streams_are_cut.feature
+++ b/features/whole_streams_are_cut.feature
@@ -50,6 +50,26 @@
     And the gateway ends all requests
     Then the caller's answer is whole
 
+  # Guards against a whole stream that is taken for a stalled one while its
+  # upstream is checked, so that what was seen of its end is forgotten.
+  Scenario Outline: A stream that has ended isn't a stalled one: its upstream <lives>
+    Given a gateway that reads what its upstreams send
+    When a caller requests "query" and nobody can be asked for more: it isn't known yet whether the upstream lives
+    And the upstream's stream, framed by close, is silent after event 3
+    And 1450 ms pass for the gateway
+    And the upstream closes the connection
+    And 200 ms pass for the gateway
+    And the check shows that the upstream <lives>
+    And the next upstream, asked to go on after event 3, has nothing to add, framed by <framing>
+    Then the caller's answer is <answer>
+
+    Examples:
+      | lives | framing | answer |
+      | lives | close | whole |
+      | lives | chunks | whole |
+      | has ended | close | cut |
+      | has ended | chunks | whole |
+
   # What is known to be broken stays cut.
   Scenario Outline: A stream that is known to be broken is cut where nobody can be asked: <route>, <how>
     Given a gateway that reads what its upstreams send
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -115,10 +115,12 @@
 
         :param request: a request that was sent
         :param now_ms: the current time
-        :return: whether no data was received for :data:`STALL_MS` and another
-            upstream is usable
+        :return: whether no data was received for :data:`STALL_MS`, though the
+            upstream hasn't ended its answer, and another upstream is usable
         """
         route = request.facts.route
+        if request.attempt is not None and request.attempt.is_closed:
+            return False
         return (
             request.state is requests.State.ANSWERING
             and route.kind is model.Kind.STREAM
