What this gateway does to other answers tells nothing of an upstream's process

What callers saw: a broken stream, without a length or chunks, that ended as complete, if another answer of the process that died was going to a slow reader; and a whole last answer of a leaving upstream that was cut, if the gateway had just broken off another one of it, as stalled, too long or no HTTP. Cause: the end of an answer that isn't read can't be seen, and it counted as one that goes on; an answer that the gateway had ended itself counted as one that had ended with the process. Change: neither counts. Evidence: five rows of answer_end.feature; all failed before.

--- a/features/answer_end.feature
+++ b/features/answer_end.feature
@@ -120,11 +120,16 @@
       | draft | is listed as a new process | cut |
       | draft | closes another answer too | cut |
       | draft | is leaving and breaks another answer off | cut |
+      | draft | is sending another answer to a slow reader | cut |
+      | draft | is leaving and sends no answer but other bytes elsewhere | whole |
+      | draft | is leaving and has stalled at another answer | whole |
       | post | is leaving | whole |
       | post | is not listed any more | whole |
       | post | is sending another answer | whole |
       | post | has nothing else to do | 502 |
       | post | is leaving and breaks another answer off | 502 |
+      | post | is sending another answer to a slow reader | 502 |
+      | post | is leaving and sends no answer but other bytes elsewhere | whole |
 
   # Guards against a connection's end that is taken for the end of a stream, and
   # against a sound stream that is never seen to have ended. An upstream that is
--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -99,15 +99,18 @@
     world.gateway.update_upstreams(listed)
 
 
-def begin_other(context, framing):
-    """Another answer of the same upstream is under way."""
+def begin_other(context, framing, route=None):
+    """Another request runs at the same upstream, and is answered if framed."""
     world = context.world
-    route = "class" if world.sent[0].upstream.service == "model" else "lookup"
+    if route is None:
+        is_model = world.sent[0].upstream.service == "model"
+        route = "class" if is_model else "lookup"
     for number in range(len(world.upstreams)):
         world.ask(f"other{number}", route)
         sent = world.sent[-1]
         if sent.upstream.id == world.sent[0].upstream.id:
-            sent.receive(wire_answers.first_part(sent, framing))
+            if framing is not None:
+                sent.receive(wire_answers.first_part(sent, framing))
             return sent
     raise AssertionError("no other request went to the same upstream")
 
@@ -116,6 +119,33 @@
     begin_other(context, "chunks")
 
 
+def send_other_slowly(context):
+    """The gateway doesn't see the end of an answer that it doesn't read."""
+    gateway = context.world.gateway
+    first = set(gateway.running)
+    begin_other(context, "chunks")
+    upstream_id = context.world.sent[0].upstream.id
+    (other,) = [
+        request
+        for request in gateway.running - first
+        if request.last_upstream_id == upstream_id
+    ]
+    gateway.on_caller_congested(other, True)
+
+
+def send_no_answer(context):
+    other = begin_other(context, None)
+    list_again(context, leaving=True)
+    other.receive(b"no answer\r\n\r\n")
+
+
+def stall_other(context):
+    other = begin_other(context, "chunks", "query")
+    list_again(context, leaving=True)
+    context.world.advance(1_500)
+    assert other.cancelled
+
+
 def close_other(context):
     other = begin_other(context, "close")
     other.accepts = []
@@ -138,6 +168,9 @@
     ),
     "closes another answer too": close_other,
     "is leaving and breaks another answer off": leave_and_break_off,
+    "is sending another answer to a slow reader": send_other_slowly,
+    "is leaving and sends no answer but other bytes elsewhere": send_no_answer,
+    "is leaving and has stalled at another answer": stall_other,
 }
 
 
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -1,5 +1,6 @@
 """Decides whether a request is retried, and records failures."""
 
+from godwitloft import attempt as attempts
 from godwitloft import events
 from godwitloft.gateway import answer as answers
 from godwitloft.gateway import model
@@ -19,6 +20,17 @@
 STALLED = answers.AttemptOutcome(
     outcomes.Result.BROKEN, "stalled", unusable=True
 )
+# Why this gateway breaks answers off itself, which tells nothing about the
+# upstream's process.
+BROKEN_OFF_HERE = frozenset(
+    (
+        STALLED.reason,
+        answers.ANSWER_TOO_LONG,
+        answers.EVENT_TOO_LONG,
+        answers.EVENT_REPEATED,
+        attempts.MALFORMED_ANSWER,
+    )
+)
 
 
 class RetryPolicy:
@@ -90,7 +102,8 @@
         if attempt_outcome.replaced:
             state.mark_leaving()
         if attempt_outcome.result is outcomes.Result.BROKEN:
-            state.last_broken_ms = now_ms
+            if attempt_outcome.reason not in BROKEN_OFF_HERE:
+                state.last_broken_ms = now_ms
             self.crashes.record_broken(
                 state.life,
                 crash_tracker.Broken(now_ms, request.unproved_causes(now_ms)),
--- a/godwitloft/gateway/upstreams/process_end.py
+++ b/godwitloft/gateway/upstreams/process_end.py
@@ -39,6 +39,9 @@
 def is_open_at(request: requests.Request, state: fleets.UpstreamState) -> bool:
     """Returns whether an upstream is still sending a request's answer.
 
+    Of an answer that isn't read, as its caller reads too slowly, the end can't
+    be seen.
+
     :param request: a request that runs
     :param state: the upstream
     """
@@ -46,6 +49,7 @@
     return (
         request.upstream_state is state
         and request.state is requests.State.ANSWERING
+        and not request.congested
         and attempt is not None
         and not attempt.is_closed
     )
