A restart that is seen isn't excused like a closed port

Cause: handed the proof of a restart on as a closed port, which excuses for upstreams that leave or send other answers. Change: an answer whose engine has started again is broken off at once, with a reason of its own. The stand-in runner says that it is leaving in its unframed answers too.

--- a/features/answer_end.feature
+++ b/features/answer_end.feature
@@ -131,6 +131,23 @@
       | post | is sending another answer to a slow reader | 502 |
       | post | is leaving and sends no answer but other bytes elsewhere | whole |
 
+  # Guards against a restart that is excused like a closed port.
+  Scenario Outline: A process that has started again has not sent a whole answer: <route>, it <what>
+    Given a gateway that reads what its upstreams send
+    When a caller requests "<route>"
+    And meanwhile its upstream <what>
+    And closes the connection midway, having started again
+    Then the caller's answer is <answer>
+
+    Examples:
+      | route | what | answer |
+      | draft | has nothing else to do | cut |
+      | draft | is leaving | cut |
+      | draft | is not listed any more | cut |
+      | draft | is sending another answer | cut |
+      | post | is leaving | 502 |
+      | post | is sending another answer | 502 |
+
   # Guards against a connection's end that is taken for the end of a stream, and
   # against a sound stream that is never seen to have ended. An upstream that is
   # asked to go on after the last event of a stream has nothing to add.
--- a/features/lakeshore_path.feature
+++ b/features/lakeshore_path.feature
@@ -87,6 +87,15 @@
       | once | 1500 | cut | id: 1\ndata: x1 of e2\n\n | 1 |
       | once | 10 | cut | id: 1\ndata: x1 of e2\n\n | 1 |
 
+  # Guards against a restart that is seen and excused, as a runner that leaves
+  # may close its port before its last answers have ended.
+  Scenario: A stream without a length does not end with the process of a leaving runner that is back at once
+    Given the next stream has no length and ends with its runner's process, back after 10 ms
+    And that runner says that it is leaving
+    When request "e5" asks "/once/x"
+    Then its answer is cut with "id: 1\ndata: x1 of e5\n\n"
+    And its request ran 1 times
+
   # The same bytes come from a runner that broke off between two events and from
   # one that was done: it is asked where that is possible.
   Scenario Outline: A stream that nothing ends is asked for where it may be: <route>, its runner <what>
--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -187,6 +187,14 @@
     sent.close()
 
 
+@when("closes the connection midway, having started again")
+def start_again(context):
+    sent = context.world.sent[0]
+    sent.has_restarted = True
+    sent.receive(wire_answers.first_part(sent, "close"))
+    sent.close()
+
+
 @when("the upstream's stream, framed by {framing}, ends after event {count:d}")
 def ends_after(context, framing, count):
     sent = context.world.sent[-1]
--- a/features/steps/lakeshore_path_steps.py
+++ b/features/steps/lakeshore_path_steps.py
@@ -93,6 +93,11 @@
     change_next(context, {"die_unframed": 1, "crash_down_ms": down_ms})
 
 
+@given("that runner says that it is leaving")
+def say_leaving(context):
+    context.world.control(runners={"i-model-0": {"says_leaving": True}})
+
+
 UNFRAMED = {
     "breaks off": "close_unframed",
     "breaks off inside an event": "break_unframed",
--- a/features/support/wire_upstream.py
+++ b/features/support/wire_upstream.py
@@ -17,6 +17,8 @@
         super().__init__(upstream, outgoing, callbacks)
         # What checks of the upstream show, the last one again and again.
         self.accepts = [True]
+        # Whether checks show that another process has its address.
+        self.has_restarted = False
         # Checks whose result is not there yet.
         self.unanswered = []
         self.attempt = attempts.Attempt(outgoing, callbacks, self.check_server)
@@ -29,7 +31,9 @@
         self.attempt.makeConnection(self.transport)
 
     def check_server(self, on_checked):
-        if not self.accepts:
+        if self.has_restarted:
+            attempts.on_process_checked(self.attempt, False, on_checked)
+        elif not self.accepts:
             self.unanswered.append(on_checked)
         elif len(self.accepts) > 1:
             on_checked(self.accepts.pop(0))
--- a/godwitloft/attempt.py
+++ b/godwitloft/attempt.py
@@ -36,6 +36,7 @@
 MAX_INTERIM_ANSWERS = 100
 MAX_READ_BYTES = 64 * 1024
 SERVER_GONE = "server_gone"
+SERVER_RESTARTED = "server_restarted"
 # A process that ends closes its connections and its port one after the other.
 END_CHECK_DELAY_MS = 50
 # Of a check that shows neither that the server lives nor that it doesn't.
@@ -360,7 +361,11 @@
     def check_server(on_checked: typing.Callable[[bool | None], None]) -> None:
         def on_port_checked(accepts: bool | None) -> None:
             if accepts and check_process is not None:
-                check_process(on_checked)
+                check_process(
+                    lambda is_same: on_process_checked(
+                        attempt, is_same, on_checked
+                    )
+                )
             else:
                 on_checked(accepts)
 
@@ -386,6 +391,26 @@
     return attempt
 
 
+def on_process_checked(
+    attempt: Attempt,
+    is_same: bool | None,
+    on_checked: typing.Callable[[bool | None], None],
+) -> None:
+    """Breaks an answer off whose process is another one by now.
+
+    A closed port may be that of a process which ends in order; a process that
+    has started again proves that the one before has ended.
+
+    :param attempt: the attempt that got the answer
+    :param is_same: False if the process has started again
+    :param on_checked: called with anything else
+    """
+    if is_same is False:
+        attempt.end(End.BROKEN, SERVER_RESTARTED)
+    else:
+        on_checked(is_same)
+
+
 def wrap_in_tls(
     reactor: typing.Any, factory: protocol.ClientFactory, server_name: str
 ) -> typing.Any:
--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -635,9 +635,10 @@
         :param first: number of the event
         :return: a Deferred that never fires
         """
+        leaving = f"{LEAVING}: 1\r\n" if self.says_leaving else ""
         request.transport.write(
             f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {request_id}\r\n"
-            f"{SEAL}: seal-{self.id}\r\n\r\n"
+            f"{SEAL}: seal-{self.id}\r\n{leaving}\r\n"
             f"id: {first}\ndata: x{first} of {request_id}\n\n".encode()
         )
 
