A stop that reaches its limit sends what it answers there

A request of which a part had arrived lost its connection without an answer as soon as nothing else ran. Cause: the end waited for connections that were closing already. After the last answers were given, nothing closed the connections that were kept open before, and a request that had arrived in part counted as no request. Change: the process ends once all connections of callers have closed, within the same limits; those without a request are closed at each look. Evidence: gateway_stops.feature, 6 of its 11 scenarios failed before (a stream at the limit; five times a request in parts); the others passed before too.

--- /dev/null
+++ b/features/gateway_stops.feature
@@ -0,0 +1,55 @@
+Feature: A planned stop of a gateway loses no answer and no request
+
+  Background:
+    Given a gateway process whose callers read slowly
+
+  # Guards against answers that end at the drain's limit and stay in the
+  # process's buffers.
+  Scenario Outline: An answer that ends at the limit of a stop is sent: <route>, <state>
+    When the process is stopped and a slow caller requests "<route>" 2600 ms later
+    And its upstream is heard so: <state>
+    And 4600 ms more pass
+    Then the process has ended: no
+    When the slow caller reads all
+    And 50 ms more pass
+    Then the process has ended: yes
+    And the slow caller has <received>
+
+    Examples:
+      | route | state | received |
+      | draft | all has come and its life is being checked | a whole answer of 3 events |
+      | post | all has come and its life is being checked | a whole answer of 3 events |
+      | post | nothing has come | status 504 |
+      | lookup | nothing has come | status 504 |
+
+  # Guards against a request that is dropped as the process ends in the middle
+  # of its arrival.
+  Scenario Outline: A request that arrives in parts is answered: the rest of its <part> comes <later> ms after
+    When a slow caller sends a request up to the middle of its <part>
+    And the process is stopped
+    And <later> ms more pass
+    Then the process has ended: no
+    When the slow caller sends the rest
+    And the slow caller reads all
+    And 50 ms more pass
+    Then the slow caller has status 503
+    And the process has ended: yes
+
+    Examples:
+      | part | later |
+      | head | 3700 |
+      | head | 6900 |
+      | head | 7200 |
+      | body | 3700 |
+      | body | 7200 |
+
+  Scenario Outline: A caller that never sends the rest of its <part> doesn't keep the process from ending
+    When a slow caller sends a request up to the middle of its <part>
+    And the process is stopped
+    And 7500 ms more pass
+    Then the process has ended: yes
+
+    Examples:
+      | part |
+      | head |
+      | body |
--- /dev/null
+++ b/features/steps/gateway_stops_steps.py
@@ -0,0 +1,160 @@
+import re
+import socket
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.support import logs
+from features.support import slow_caller
+from features.support import wire_answers
+from features.support import wire_upstream
+from godwitloft.gateway import daemon as daemons
+
+LONG_MS = 60_000
+HEAD = (
+    b"POST /lookup/x HTTP/1.1\r\nHost: h\r\n"
+    b"Godwitloft-Request-Id: %d\r\nAuthorization: Token key\r\n"
+    b"Content-Length: 4\r\n\r\n"
+)
+REQUEST = HEAD + b"body"
+
+
+class Source:
+    """Stands for what the gateway follows."""
+
+    def start(self):
+        pass
+
+    stop = start
+
+
+@given("a gateway process whose callers read slowly")
+def process(context):
+    world = wire_upstream.WireWorld()
+    context.world = world
+    context.log = logs.record(context)
+    context.daemon = daemons.GatewayDaemon(
+        world.reactor,
+        world.clock,
+        world.gateway,
+        daemons.ConfigurationSource(Source().start, Source().stop),
+        daemons.ListenOptions("127.0.0.1", 0, None, None, lambda: b""),
+    )
+    context.ended = []
+    times = world.gateway.shutdown.run_times
+    for route in ("draft", "query", "post", "lookup"):
+        times.learn(route, 100)
+
+
+def connect(context):
+    context.caller = slow_caller.SlowCaller(context.daemon.caller_factory)
+
+
+@when("the process is stopped")
+def stop(context):
+    context.daemon.drain(lambda: context.ended.append(True))
+
+
+@when("{duration_ms:d} ms more pass")
+def passing(context, duration_ms):
+    context.world.advance(duration_ms)
+
+
+@when(
+    'the process is stopped and a slow caller requests "{route}"'
+    " {later_ms:d} ms later"
+)
+def ask_later(context, route, later_ms):
+    connect(context)
+    stop(context)
+    context.world.advance(later_ms - 25)
+    context.caller.ask("a", route)
+    (context.sent,) = context.world.sent
+    context.world.advance(25)
+
+
+@when("its upstream is heard so: {state}")
+def hear(context, state):
+    if state == "nothing has come":
+        return
+    sent = context.sent
+    sent.accepts = []
+    sent.receive(wire_answers.complete_answer(sent, "close"))
+    sent.close()
+
+
+@when("the slow caller reads all")
+def read_all(context):
+    context.caller.read_all()
+
+
+@when("a slow caller sends a request up to the middle of its {part}")
+def send_part(context, part):
+    connect(context)
+    middle = len(HEAD) - 10 if part == "head" else len(REQUEST) - 2
+    whole = REQUEST % 1
+    context.caller.send(whole[:middle])
+    context.rest = whole[middle:]
+
+
+@when("the slow caller sends the rest")
+def send_rest(context):
+    context.caller.send(context.rest)
+
+
+@when("a slow caller's request has arrived and isn't read yet")
+def arrive(context):
+    connect(context)
+    near, context.far = socket.socketpair()
+    context.add_cleanup(near.close)
+    context.add_cleanup(context.far.close)
+    context.far.send(REQUEST % 1)
+    context.near = near
+    context.caller.transport.getHandle = lambda: near
+
+
+@then("the slow caller's connection is open")
+def check_open(context):
+    assert not context.caller.closed
+
+
+@when("it is read")
+def read_arrived(context):
+    context.caller.send(context.near.recv(1000))
+
+
+@when('a slow caller sends {count:d} requests of "lookup" at once')
+def send_several(context, count):
+    connect(context)
+    context.caller.send(b"".join(REQUEST % i for i in range(count)))
+
+
+@when("the requests that were sent on are answered")
+def answer_all(context):
+    for sent in context.world.sent:
+        sent.receive(wire_answers.complete_answer(sent, "length"))
+
+
+@then("the process has ended: {ended}")
+def check_ended(context, ended):
+    assert bool(context.ended) == (ended == "yes")
+
+
+@then("the slow caller has a whole answer of {count:d} events")
+def check_whole(context, count):
+    received = context.caller.received
+    assert wire_answers.is_whole(received), received
+    assert received.count(b"data: ") == count, received
+
+
+@then("the slow caller has status {status:d}")
+def check_status(context, status):
+    assert context.caller.status == status, context.caller.received
+
+
+@then("the slow caller has {count:d} answers")
+def check_answers(context, count):
+    received = context.caller.received
+    found = re.findall(rb"HTTP/1.1 (\d+)", received)
+    assert len(found) == count, received
--- a/godwitloft/gateway/daemon.py
+++ b/godwitloft/gateway/daemon.py
@@ -234,7 +234,8 @@
         """Closes connections between answers, and waits for the last answer.
 
         An answer has ended once the kernel has all of it: what its caller has
-        not read yet may still be in this process.
+        not read yet may still be in this process. A request that has arrived
+        in part is waited for, as its caller may be about to send the rest.
 
         :param end_ms: when the process must end
         :param done: called once the process may end
@@ -246,11 +247,8 @@
         started_ms = self.clock.monotonic_ms()
 
         def is_idle() -> bool:
-            self.caller_factory.close_idle()
-            return not (
-                self.gateway.has_requests()
-                or self.caller_factory.has_closing()
-            )
+            all_closed = self.caller_factory.close_all()
+            return all_closed and not self.gateway.has_requests()
 
         def end(in_time: bool) -> None:
             events.log(
@@ -264,7 +262,7 @@
             self.gateway.end_all()
             polling.wait_until(
                 self.reactor,
-                lambda: not self.caller_factory.has_closing(),
+                self.caller_factory.close_all,
                 options.flush_limit_ms,
                 lambda _in_time: done(),
             )
--- a/godwitloft/gateway/http_server.py
+++ b/godwitloft/gateway/http_server.py
@@ -541,24 +541,33 @@
         else:
             self.transport.loseConnection()
 
+    def is_idle(self) -> bool:
+        """Returns whether no request is in progress."""
+        return self.exchange is None and self.head_started_ms is None
+
     def has_arrived_close(self) -> bool:
         """Returns whether the caller has closed, also if that isn't read yet.
 
         Behind bytes that aren't read either, it isn't seen.
         """
-        if not self.open:
-            return True
+        return not self.open or self.peek() == b""
+
+    def peek(self) -> bytes | None:
+        """Returns the next byte that has arrived and isn't read yet.
+
+        :return: the byte; empty if the caller has closed; None if nothing has
+            arrived, or that can't be told
+        """
         find_socket = getattr(self.transport, "getHandle", None)
         handle = find_socket() if find_socket is not None else None
         if not isinstance(handle, socket.socket):
-            return False
+            return None
         try:
-            return not handle.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            return handle.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except ConnectionError:
-            return True
+            return b""
         except OSError:
-            # Nothing has arrived, or the system can't tell.
-            return False
+            return None
 
     def check_timeouts(self, now_ms: int) -> None:
         """Closes the connection if its caller is too slow or idle.
@@ -619,16 +628,17 @@
     def close_idle(self) -> None:
         """Closes all connections on which no request is in progress."""
         for connection in tuple(self.connections):
-            if (
-                connection.exchange is None
-                and connection.head_started_ms is None
-            ):
+            if connection.is_idle():
                 connection.close()
 
     def count_closing(self) -> int:
         """Returns how many connections close once all is sent."""
         return sum(connection.is_closing for connection in self.connections)
 
-    def has_closing(self) -> bool:
-        """Returns whether an answer has ended that isn't sent yet."""
-        return any(connection.is_closing for connection in self.connections)
+    def close_all(self) -> bool:
+        """Closes all connections on which no request is in progress.
+
+        :return: whether none is open any more, so that all was sent
+        """
+        self.close_idle()
+        return not self.connections
