A stop closes no connection on which an unread request has arrived

What callers saw (LOST): a kept connection that ended without an answer to a request sent well before, if the gateway was too busy to read it until then. Cause: whether a connection is idle was judged by what had been read. Change: before an idle connection is closed, the gateway looks whether bytes have arrived, as it does before it sends a request on; they are read in its next turn. Evidence: one scenario of gateway_stops.feature, failed before.

--- a/features/gateway_stops.feature
+++ b/features/gateway_stops.feature
@@ -53,3 +53,14 @@
       | part |
       | head |
       | body |
+
+  # Guards against a request that waits in the kernel as its connection is
+  # closed.
+  Scenario: A connection on which a request has arrived isn't closed before it is read
+    When a slow caller's request has arrived and isn't read yet
+    And the process is stopped
+    And 3700 ms more pass
+    Then the slow caller's connection is open
+    When it is read
+    And the slow caller reads all
+    Then the slow caller has status 503
--- a/godwitloft/gateway/http_server.py
+++ b/godwitloft/gateway/http_server.py
@@ -542,8 +542,13 @@
             self.transport.loseConnection()
 
     def is_idle(self) -> bool:
-        """Returns whether no request is in progress."""
-        return self.exchange is None and self.head_started_ms is None
+        """Returns whether no request is in progress.
+
+        One is also if a part of it has arrived that isn't read yet.
+        """
+        if self.exchange is not None or self.head_started_ms is not None:
+            return False
+        return not (self.open and self.peek())
 
     def has_arrived_close(self) -> bool:
         """Returns whether the caller has closed, also if that isn't read yet.
