A stop answers requests that were read behind another one

What callers saw (LOST): of requests that were sent one behind the other on one connection, only the first was answered if its answer began while connections were being closed. Cause: each answer then says that it is the connection's last, also where the gateway has read more of it. Change: it says so only if nothing was read behind the request.

--- a/features/gateway_stops.feature
+++ b/features/gateway_stops.feature
@@ -64,3 +64,20 @@
     When it is read
     And the slow caller reads all
     Then the slow caller has status 503
+
+  # Guards against requests that were read behind another one and get no answer.
+  Scenario Outline: Requests that were sent one behind the other are all answered: the first <ms> ms after SIGTERM
+    When a slow caller sends 3 requests of "lookup" at once
+    And the process is stopped
+    And <ms> ms more pass
+    And the requests that were sent on are answered
+    And the slow caller reads all
+    And 7500 ms more pass
+    Then the slow caller has 3 answers
+    And the process has ended: yes
+
+    Examples:
+      | ms |
+      | 100 |
+      | 2700 |
+      | 4000 |
--- a/godwitloft/gateway/http_server.py
+++ b/godwitloft/gateway/http_server.py
@@ -468,9 +468,16 @@
         """
         if not self.is_current(exchange):
             return
-        extra = [(b"connection", b"close")] if self.callbacks.closing() else []
+        extra = [(b"connection", b"close")] if self.must_close() else []
         self.send(h11.Response(status_code=status, headers=[*headers, *extra]))
 
+    def must_close(self) -> bool:
+        """Returns whether the connection is closed after this answer.
+
+        Requests that were read behind the current one are answered first.
+        """
+        return self.callbacks.closing() and not self.parser.trailing_data[0]
+
     def send_data(self, exchange: Exchange, data: bytes) -> None:
         """Writes a part of an answer's body.
 
