A stream whose end is being checked isn't taken for a stalled one

What callers saw (LOST): a resumable stream that its upstream had ended, cut at the limit of a stop; at other times it was sent again while the check ran. Cause: while the life of its upstream was checked, no data came, and after 1.5 s the stream was moved. The new attempt was cut at the limit, and that the first one's end was being checked was forgotten. Change: a stream whose upstream has closed the connection can't stall. Evidence: a row of gateway_stops.feature, failed before.

--- a/features/gateway_stops.feature
+++ b/features/gateway_stops.feature
@@ -18,6 +18,7 @@
     Examples:
       | route | state | received |
       | draft | all has come and its life is being checked | a whole answer of 3 events |
+      | query | all has come and its life is being checked | a whole answer of 3 events |
       | post | all has come and its life is being checked | a whole answer of 3 events |
       | post | nothing has come | status 504 |
       | lookup | nothing has come | status 504 |
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -124,6 +124,7 @@
             and route.kind is model.Kind.STREAM
             and request.facts.may_repeat
             and not request.congested
+            and not is_closed(request)
             and now_ms - request.last_data_ms >= STALL_MS
             and self.has_other_upstream(request, now_ms)
         )
@@ -253,6 +254,14 @@
         )
 
 
+def is_closed(request: requests.Request) -> bool:
+    """Returns whether all of an answer has come, and its end is checked.
+
+    :param request: a request that was sent
+    """
+    return request.attempt is not None and request.attempt.is_closed
+
+
 def found_replaced(attempt_outcome: answers.AttemptOutcome) -> bool:
     """Returns whether a check before an attempt found another process.
 
