A stop refuses at once what has not run and can't be finished any more

What callers saw: 504 or a cut stream at the drain's limit, for requests that were sent too late in the stop (LOST where a stream had begun): after an upstream had refused them as not run, or after they had waited for a slot; and a wait until a slot or the limit came for a refusal that was certain before. Cause: whether a request can be finished was asked before its first attempt only, and of waiting ones only when they were sent. The estimate is that of requests before; one that takes longer was sent as late as some 0.1 s before the limit. Change: it is asked before each attempt of a request that has not run, and of waiting ones at each look. From the time at which no new requests are taken, the estimate doesn't count: the request's own time must end before the process does. What may have run is never refused as not run, and goes on as before.

--- a/features/gateway_stops.feature
+++ b/features/gateway_stops.feature
@@ -82,3 +82,73 @@
       | 100 |
       | 2700 |
       | 4000 |
+
+  # Guards against further attempts that begin too late in a stop, and against
+  # callers who wait for a refusal that is certain.
+  Scenario Outline: A request that was refused as not run in a stop: <route> that takes 2000 ms, <after> ms later
+    Given requests of "<route>" now take 2000 ms
+    When the process is stopped and a slow caller requests "<route>" 2500 ms later
+    And <after> ms more pass
+    And its upstream does this: refuses it as not run
+    And 50 ms more pass
+    And the slow caller reads all
+    Then it was sent to <sent> upstreams
+    And the slow caller was told: <told>
+
+    Examples:
+      | route | after | sent | told |
+      | post | 100 | 2 | nothing yet |
+      | lookup | 100 | 2 | nothing yet |
+      | draft | 100 | 2 | nothing yet |
+      | query | 100 | 2 | nothing yet |
+      | post | 2700 | 1 | 503 |
+      | lookup | 2700 | 1 | 503 |
+      | draft | 2700 | 1 | 503 |
+      | query | 2700 | 1 | 503 |
+
+  # What may have run is never refused as not run, and goes on while it can.
+  Scenario Outline: A request whose upstream breaks off late in a stop: <route> that takes 2000 ms, <what>
+    Given requests of "<route>" now take 2000 ms
+    When the process is stopped and a slow caller requests "<route>" 2500 ms later
+    And 2700 ms more pass
+    And its upstream does this: <what>
+    And 50 ms more pass
+    And the slow caller reads all
+    Then it was sent to <sent> upstreams
+    And the slow caller was told: <told>
+    When 2500 ms more pass
+    Then the process has ended: yes
+    And the slow caller was told: <at the end>
+
+    Examples:
+      | route | what | sent | told | at the end |
+      | post | breaks off before its answer | 1 | 502 | 502 |
+      | lookup | breaks off before its answer | 2 | nothing yet | 504 |
+      | draft | breaks off before its answer | 1 | 502 | 502 |
+      | query | breaks off before its answer | 2 | nothing yet | 504 |
+      | query | breaks off after two events | 2 | 200 | a cut answer |
+      | draft | breaks off after two events | 1 | a cut answer | a cut answer |
+
+  Scenario Outline: A request that waits in a stop: <route> that takes <takes> ms, <left> ms left
+    Given requests of "<route>" now take <takes> ms
+    And all upstreams are away
+    When the process is stopped and a slow caller with <left> ms waits for "<route>" 2500 ms later
+    And <first> ms more pass
+    Then the slow caller was told: nothing yet
+    When 100 ms more pass
+    And the slow caller reads all
+    Then the slow caller was told: <told>
+    When all upstreams are back
+    And 50 ms more pass
+    Then it was sent to <sent> upstreams
+
+    Examples:
+      | route | takes | left | first | told | sent |
+      | post | 100 | 5000 | 1050 | 503 | 0 |
+      | lookup | 100 | 5000 | 1050 | 503 | 0 |
+      | draft | 100 | 5000 | 1050 | 503 | 0 |
+      | query | 100 | 5000 | 1050 | 503 | 0 |
+      | post | 100 | 3000 | 1050 | nothing yet | 1 |
+      | draft | 100 | 3000 | 1050 | nothing yet | 1 |
+      | post | 4000 | 5000 | 450 | 503 | 0 |
+      | query | 4000 | 5000 | 450 | 503 | 0 |
--- a/features/steps/gateway_stops_steps.py
+++ b/features/steps/gateway_stops_steps.py
@@ -158,3 +158,81 @@
     received = context.caller.received
     found = re.findall(rb"HTTP/1.1 (\d+)", received)
     assert len(found) == count, received
+
+
+def refuse(sent):
+    sent.receive(
+        sent.answer_head(
+            b"content-length: 0",
+            b"godwitloft-not-executed: 1",
+            status=b"503 Full",
+        )
+    )
+
+
+def send_two(sent):
+    sent.receive(wire_answers.first_part(sent, "chunks"))
+
+
+def break_later(sent):
+    send_two(sent)
+    sent.close(clean=False)
+
+
+DEEDS = {
+    "refuses it as not run": refuse,
+    "breaks off before its answer": lambda sent: sent.close(clean=False),
+    "breaks off after two events": break_later,
+    "sends two events": send_two,
+}
+
+
+@given('requests of "{route}" now take {takes_ms:d} ms')
+def set_run_time(context, route, takes_ms):
+    run_times = context.world.gateway.shutdown.run_times
+    run_times.longest_ms[route] = takes_ms
+
+
+@given("all upstreams are away")
+def take_all_away(context):
+    context.world.gateway.update_upstreams({})
+
+
+@when("all upstreams are back")
+def bring_back(context):
+    context.world.gateway.update_upstreams(context.world.upstreams)
+
+
+@when(
+    "the process is stopped and a slow caller with {left_ms:d} ms waits for"
+    ' "{route}" {later_ms:d} ms later'
+)
+def wait_later(context, left_ms, route, later_ms):
+    connect(context)
+    stop(context)
+    context.world.advance(later_ms)
+    context.caller.ask("a", route, left_ms=left_ms)
+    assert not context.world.sent
+
+
+@when("its upstream does this: {deed}")
+def do(context, deed):
+    DEEDS[deed](context.sent)
+
+
+@then("it was sent to {count:d} upstreams")
+def check_sent(context, count):
+    assert len(context.world.sent) == count, context.world.sent
+
+
+@then("the slow caller was told: {told}")
+def check_told(context, told):
+    caller = context.caller
+    if told == "nothing yet":
+        assert not caller.received, caller.received
+    elif told == "a cut answer":
+        assert caller.status == 200, caller.received
+        assert caller.closed
+        assert not wire_answers.is_whole(caller.received), caller.received
+    else:
+        assert caller.status == int(told), caller.received
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -364,7 +364,7 @@
         :param end_ms: when the process must end; requests that would take
             longer are refused from now on
         """
-        self.shutdown.begin(end_ms)
+        self.shutdown.begin(end_ms, self.options.last_accept_ms)
         events.log(events.DRAINING, requests=self.unfinished())
 
     def stop_accepting(self) -> None:
@@ -916,6 +916,11 @@
         if request.state is not requests.State.WAITING:
             return
         facts = request.facts
+        if request.runs == 0 and not self.shutdown.can_finish(request):
+            self.final_answers.refuse(
+                request, request_checkers.LEAVING_REFUSAL
+            )
+            return
         if (
             request.version is not None
             and self.fleet.has_lost(facts.service, request.version)
--- a/godwitloft/gateway/send_checks.py
+++ b/godwitloft/gateway/send_checks.py
@@ -47,7 +47,7 @@
             refusal = self.key_refusal(request, now_ms)
         if refusal is not None:
             return refusal
-        if request.attempt_count == 0:
+        if request.runs == 0:
             if not self.shutdown.can_finish(request):
                 return request_checkers.LEAVING_REFUSAL
         return None
--- a/godwitloft/gateway/shutdown.py
+++ b/godwitloft/gateway/shutdown.py
@@ -19,6 +19,9 @@
         # need not.
         self.end_ms: int | None = None
         self.began_ms: int | None = None
+        # From when on requests are sent only if their own time ends before
+        # the process does, however long they are expected to take.
+        self.last_estimate_ms = 0
         # Whether there is no time left, so that nothing more is sent.
         self.is_over = False
         self.run_times = run_times.RunTimes()
@@ -28,13 +31,16 @@
         """Whether the process must end."""
         return self.end_ms is not None
 
-    def begin(self, end_ms: int) -> None:
+    def begin(self, end_ms: int, estimating_ms: int) -> None:
         """Records that the process must end.
 
         :param end_ms: when it must
+        :param estimating_ms: for how long requests are sent that are only
+            expected to end before
         """
         self.end_ms = end_ms
         self.began_ms = self.clock.monotonic_ms()
+        self.last_estimate_ms = self.began_ms + estimating_ms
 
     def log_fields(self) -> typing.Mapping[str, int]:
         """Returns for how long the process has been stopping.
@@ -58,7 +64,18 @@
 
         One that can't is refused while it has not run: it would be cut off.
 
-        :param request: a request that was not sent yet
+        :param request: a request that has not run
+        """
+        if self.end_ms is None:
+            return True
+        if self.clock.monotonic_ms() >= self.last_estimate_ms:
+            return request.facts.deadline_ms <= self.end_ms
+        return self.is_expected_to_finish(request)
+
+    def is_expected_to_finish(self, request: requests.Request) -> bool:
+        """Returns whether a request that is sent now will probably be done.
+
+        :param request: any request
         """
         if self.end_ms is None:
             return True
