A silent stream stays with its upstream where a stop leaves no time for another

What callers saw (LOST): a resumable stream that was taken from its upstream after 1.5 s of silence late in a stop, and cut at the limit while it waited for another one; a rule excuses the cut only if an upstream is at work. Cause: whether a stream may be moved didn't depend on the time that is left. Change: a stream, or one whose origin could not be saved, is sent again of the gateway's own accord only if it will probably be done before the process ends. Evidence: one of two rows of gateway_stops.feature failed before.

--- a/features/gateway_stops.feature
+++ b/features/gateway_stops.feature
@@ -152,3 +152,17 @@
       | draft | 100 | 3000 | 1050 | nothing yet | 1 |
       | post | 4000 | 5000 | 450 | 503 | 0 |
       | query | 4000 | 5000 | 450 | 503 | 0 |
+
+  # Guards against a stream that is taken from its upstream and then has none
+  # at the limit.
+  Scenario Outline: A silent stream is moved in a stop only if there is time: it takes <takes> ms
+    Given requests of "query" now take <takes> ms
+    When the process is stopped and a slow caller requests "query" 2600 ms later
+    And its upstream does this: sends two events
+    And 1600 ms more pass
+    Then it was sent to <sent> upstreams
+
+    Examples:
+      | takes | sent |
+      | 1000 | 2 |
+      | 3000 | 1 |
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -896,10 +896,14 @@
     ) -> bool:
         """Cancels an attempt and queues its request again, if permitted.
 
+        Not if the process ends too soon: the attempt may still end in time.
+
         :param request: a request that was sent
         :param attempt_outcome: why its attempt is given up
         :return: whether it is permitted
         """
+        if not self.shutdown.is_expected_to_finish(request):
+            return False
         now_ms = self.clock.monotonic_ms()
         if not self.retry_policy.may_retry(request, attempt_outcome, now_ms):
             return False
