A stop reads answers to their ends though their callers are slow

Cause: what a caller doesn't take is left with the upstream, also where the process is about to end. Change: once no new requests are taken, running answers share the memory for bodies that is free, and are read ahead so far. Evidence: 4 of 5 new rows of gateway_stops.feature failed before; the fifth asks for the bound.

--- a/features/gateway_stops.feature
+++ b/features/gateway_stops.feature
@@ -166,3 +166,26 @@
       | takes | sent |
       | 1000 | 2 |
       | 3000 | 1 |
+
+  # Guards against whole answers that stay with their upstreams as their callers
+  # read slowly.
+  Scenario Outline: A stop reads answers to their ends though their callers are slow: <kb> kB of "<route>" for each of <callers>
+    When <callers> slow callers request "<route>", which answers with <kb> kB
+    Then the upstream of each can't send all
+    When the process is stopped
+    And 3700 ms more pass
+    Then the upstream of each has sent all: <all>
+    And the process has ended: no
+    And no caller has more than <most> kB in the process
+    When 2000 ms more pass
+    And the slow callers read all
+    And 50 ms more pass
+    Then each slow caller has a whole answer of <kb> kB: <all>
+
+    Examples:
+      | route | callers | kb | all | most |
+      | draft | 1 | 5000 | yes | 10000 |
+      | query | 1 | 5000 | yes | 10000 |
+      | lookup | 1 | 5000 | yes | 10000 |
+      | draft | 4 | 2000 | yes | 2600 |
+      | draft | 4 | 5000 | no | 2600 |
--- a/features/steps/gateway_stops_steps.py
+++ b/features/steps/gateway_stops_steps.py
@@ -236,3 +236,81 @@
         assert not wire_answers.is_whole(caller.received), caller.received
     else:
         assert caller.status == int(told), caller.received
+
+
+KB = 1000
+EVENT_KB = 50
+FILLER = b"x" * (EVENT_KB * KB)
+
+
+class Answer:
+    """A long answer, of which more is sent as long as it is read."""
+
+    def __init__(self, sent, size_kb):
+        self.sent = sent
+        self.size_kb = size_kb
+        self.sent_kb = 0
+        sent.receive(sent.answer_head(wire_answers.CHUNKED))
+
+    @property
+    def is_read(self):
+        return self.sent.transport.producerState == "producing"
+
+    def send(self):
+        while self.sent_kb < self.size_kb and self.is_read:
+            self.sent_kb += EVENT_KB
+            event = b"id: %d\ndata: %s\n\n" % (self.sent_kb, FILLER)
+            self.sent.receive(wire_answers.chunk(event))
+            if self.sent_kb == self.size_kb:
+                self.sent.receive(b"0\r\n\r\n")
+
+
+@when(
+    '{count:d} slow callers request "{route}", which answers with'
+    " {size_kb:d} kB"
+)
+def request_long(context, count, route, size_kb):
+    context.callers = []
+    for number in range(count):
+        connect(context)
+        context.caller.ask(f"r{number}", route, left_ms=LONG_MS)
+        context.callers.append(context.caller)
+    context.answers = [Answer(sent, size_kb) for sent in context.world.sent]
+    for answer in context.answers:
+        answer.send()
+
+
+@then("the upstream of each can't send all")
+def check_held(context):
+    assert all(each.sent_kb < each.size_kb for each in context.answers)
+
+
+@then("the upstream of each has sent all: {all_sent}")
+def check_sent_all(context, all_sent):
+    for answer in context.answers:
+        answer.send()
+        found = answer.sent_kb == answer.size_kb
+        assert found == (all_sent == "yes"), answer.sent_kb
+
+
+@then("no caller has more than {most_kb:d} kB in the process")
+def check_unsent(context, most_kb):
+    for caller in context.callers:
+        unsent = len(caller.transport.unsent)
+        assert unsent <= most_kb * KB, unsent
+
+
+@when("the slow callers read all")
+def read_all_of_all(context):
+    for caller in context.callers:
+        caller.read_all()
+
+
+@then("each slow caller has a whole answer of {size_kb:d} kB: {is_whole}")
+def check_all_whole(context, size_kb, is_whole):
+    for caller in context.callers:
+        received = caller.received
+        found = received.endswith(b"\r\n0\r\n\r\n") and (
+            received.count(FILLER) * EVENT_KB == size_kb
+        )
+        assert found == (is_whole == "yes"), len(received)
--- a/godwitloft/gateway/daemon.py
+++ b/godwitloft/gateway/daemon.py
@@ -226,10 +226,14 @@
             done,
         )
         self.reactor.callLater(
-            options.last_accept_ms / clocks.MS_PER_S,
-            self.gateway.stop_accepting,
+            options.last_accept_ms / clocks.MS_PER_S, self.stop_accepting
         )
 
+    def stop_accepting(self) -> None:
+        """Refuses requests from now on, and reads answers to their ends."""
+        self.gateway.stop_accepting()
+        self.caller_factory.read_ahead()
+
     def close(self, end_ms: int, done: typing.Callable[[], None]) -> None:
         """Closes connections between answers, and waits for the last answer.
 
--- a/godwitloft/gateway/http_server.py
+++ b/godwitloft/gateway/http_server.py
@@ -23,7 +23,8 @@
 
 Header = headers.Header
 
-# With more than this unsent, the gateway reads no more of an answer.
+# With more than this unsent, the gateway reads no more of an answer, unless it
+# is about to end.
 MAX_UNSENT_BYTES = 256 * 1024
 # With more than this behind a request, the gateway reads no more of its caller
 # until that request is answered.
@@ -256,6 +257,8 @@
         self.registered = False
         # Whether more was written than the caller has read.
         self.congested = False
+        # With more than this unsent, the gateway reads no more of an answer.
+        self.max_unsent_bytes = MAX_UNSENT_BYTES
         # Whether no more is read of the caller.
         self.paused = False
         # Whether events of the parser are being handled.
@@ -334,9 +337,19 @@
 
         The transport has one number for both.
         """
-        size = MAX_UNSENT_BYTES if self.handed_over else self.read_bytes
+        size = self.max_unsent_bytes if self.handed_over else self.read_bytes
         typing.cast(typing.Any, self.transport).bufferSize = size
 
+    def read_ahead(self, max_unsent_bytes: int) -> None:
+        """Lets more of an answer be read than its caller takes.
+
+        :param max_unsent_bytes: how much of it may be unsent
+        """
+        self.max_unsent_bytes = max(MAX_UNSENT_BYTES, max_unsent_bytes)
+        self.set_buffer_size()
+        if self.congested and self.exchange is not None:
+            self.exchange.on_congested(False)
+
     def read_on(self) -> None:
         """Handles what has arrived, and reads more if there is room for it.
 
@@ -647,6 +660,20 @@
         """Returns how many connections close once all is sent."""
         return sum(connection.is_closing for connection in self.connections)
 
+    def read_ahead(self) -> None:
+        """Lets answers be read to their ends though callers are slow.
+
+        They share the memory for bodies, which new requests don't need.
+        """
+        answered = [
+            connection
+            for connection in self.connections
+            if connection.handed_over
+        ]
+        free_bytes = max(0, self.budget.limit_bytes - self.budget.held_bytes)
+        for connection in answered:
+            connection.read_ahead(free_bytes // len(answered))
+
     def close_all(self) -> bool:
         """Closes all connections on which no request is in progress.
 
