--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -364,7 +364,7 @@
         :param end_ms: when the process must end; requests that would take
             longer are refused from now on
         """
-        self.shutdown.begin(end_ms)
+        self.shutdown.begin(end_ms, self.options.last_accept_ms)
         events.log(events.DRAINING, requests=self.unfinished())
 
     def stop_accepting(self) -> None:
@@ -896,10 +896,14 @@
     ) -> bool:
         """Cancels an attempt and queues its request again, if permitted.
 
+        Not if the process ends too soon: the attempt may still end in time.
+
         :param request: a request that was sent
         :param attempt_outcome: why its attempt is given up
         :return: whether it is permitted
         """
+        if not self.shutdown.is_expected_to_finish(request):
+            return False
         now_ms = self.clock.monotonic_ms()
         if not self.retry_policy.may_retry(request, attempt_outcome, now_ms):
             return False
@@ -916,6 +920,11 @@
         if request.state is not requests.State.WAITING:
             return
         facts = request.facts
+        if request.runs == 0 and not self.shutdown.can_finish(request):
+            self.final_answers.refuse(
+                request, request_checkers.LEAVING_REFUSAL
+            )
+            return
         if (
             request.version is not None
             and self.fleet.has_lost(facts.service, request.version)
--- a/godwitloft/gateway/http_server.py
+++ b/godwitloft/gateway/http_server.py
@@ -23,7 +23,8 @@
 
 Header = headers.Header
 
-# With more than this unsent, the gateway reads no more of an answer.
+# With more than this unsent, the gateway reads no more of an answer, unless it
+# is about to end.
 MAX_UNSENT_BYTES = 256 * 1024
 # With more than this behind a request, the gateway reads no more of its caller
 # until that request is answered.
@@ -256,6 +257,8 @@
         self.registered = False
         # Whether more was written than the caller has read.
         self.congested = False
+        # With more than this unsent, the gateway reads no more of an answer.
+        self.max_unsent_bytes = MAX_UNSENT_BYTES
         # Whether no more is read of the caller.
         self.paused = False
         # Whether events of the parser are being handled.
@@ -334,9 +337,19 @@
 
         The transport has one number for both.
         """
-        size = MAX_UNSENT_BYTES if self.handed_over else self.read_bytes
+        size = self.max_unsent_bytes if self.handed_over else self.read_bytes
         typing.cast(typing.Any, self.transport).bufferSize = size
 
+    def read_ahead(self, max_unsent_bytes: int) -> None:
+        """Lets more of an answer be read than its caller takes.
+
+        :param max_unsent_bytes: how much of it may be unsent
+        """
+        self.max_unsent_bytes = max(MAX_UNSENT_BYTES, max_unsent_bytes)
+        self.set_buffer_size()
+        if self.congested and self.exchange is not None:
+            self.exchange.on_congested(False)
+
     def read_on(self) -> None:
         """Handles what has arrived, and reads more if there is room for it.
 
@@ -468,9 +481,16 @@
         """
         if not self.is_current(exchange):
             return
-        extra = [(b"connection", b"close")] if self.callbacks.closing() else []
+        extra = [(b"connection", b"close")] if self.must_close() else []
         self.send(h11.Response(status_code=status, headers=[*headers, *extra]))
 
+    def must_close(self) -> bool:
+        """Returns whether the connection is closed after this answer.
+
+        Requests that were read behind the current one are answered first.
+        """
+        return self.callbacks.closing() and not self.parser.trailing_data[0]
+
     def send_data(self, exchange: Exchange, data: bytes) -> None:
         """Writes a part of an answer's body.
 
@@ -541,24 +561,38 @@
         else:
             self.transport.loseConnection()
 
+    def is_idle(self) -> bool:
+        """Returns whether no request is in progress.
+
+        One is also if a part of it has arrived that isn't read yet.
+        """
+        if self.exchange is not None or self.head_started_ms is not None:
+            return False
+        return not (self.open and self.peek())
+
     def has_arrived_close(self) -> bool:
         """Returns whether the caller has closed, also if that isn't read yet.
 
         Behind bytes that aren't read either, it isn't seen.
         """
-        if not self.open:
-            return True
+        return not self.open or self.peek() == b""
+
+    def peek(self) -> bytes | None:
+        """Returns the next byte that has arrived and isn't read yet.
+
+        :return: the byte; empty if the caller has closed; None if nothing has
+            arrived, or that can't be told
+        """
         find_socket = getattr(self.transport, "getHandle", None)
         handle = find_socket() if find_socket is not None else None
         if not isinstance(handle, socket.socket):
-            return False
+            return None
         try:
-            return not handle.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            return handle.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except ConnectionError:
-            return True
+            return b""
         except OSError:
-            # Nothing has arrived, or the system can't tell.
-            return False
+            return None
 
     def check_timeouts(self, now_ms: int) -> None:
         """Closes the connection if its caller is too slow or idle.
@@ -619,16 +653,31 @@
     def close_idle(self) -> None:
         """Closes all connections on which no request is in progress."""
         for connection in tuple(self.connections):
-            if (
-                connection.exchange is None
-                and connection.head_started_ms is None
-            ):
+            if connection.is_idle():
                 connection.close()
 
     def count_closing(self) -> int:
         """Returns how many connections close once all is sent."""
         return sum(connection.is_closing for connection in self.connections)
 
-    def has_closing(self) -> bool:
-        """Returns whether an answer has ended that isn't sent yet."""
-        return any(connection.is_closing for connection in self.connections)
+    def read_ahead(self) -> None:
+        """Lets answers be read to their ends though callers are slow.
+
+        They share the memory for bodies, which new requests don't need.
+        """
+        answered = [
+            connection
+            for connection in self.connections
+            if connection.handed_over
+        ]
+        free_bytes = max(0, self.budget.limit_bytes - self.budget.held_bytes)
+        for connection in answered:
+            connection.read_ahead(free_bytes // len(answered))
+
+    def close_all(self) -> bool:
+        """Closes all connections on which no request is in progress.
+
+        :return: whether none is open any more, so that all was sent
+        """
+        self.close_idle()
+        return not self.connections
