The last lines of a process's log are written before it ends

Cause: lines that the pipe doesn't take at once stay pending until the next line is written. At the end of a planned stop many are written at once and the process ends, so up to 64 KiB of them are lost, the last one cut in its middle. Change: flush writes what is pending, for 200 ms at most; logging.shutdown calls it at each end of the interpreter.

--- a/godwitloft/bounded_log.py
+++ b/godwitloft/bounded_log.py
@@ -2,12 +2,17 @@
 
 import logging
 import os
+import select
 import time
 import typing
 
+from godwitloft import clock as clocks
+
 MAX_SAMPLED_LINES_PER_S = 400
 MAX_LINES_PER_S = 800
 MAX_PENDING_BYTES = 65_536
+# A process that must end has no more time for its log.
+FLUSH_LIMIT_MS = 200
 
 
 class BoundedHandler(logging.Handler):
@@ -74,6 +79,23 @@
         self.lines += 1
         return True
 
+    def flush(self) -> None:
+        """Writes what is pending, and waits for a slow reader for a while.
+
+        ``logging.shutdown`` calls it as the process ends. What is still
+        pending then would be lost, and it is about the last requests.
+        """
+        end_s = time.monotonic() + FLUSH_LIMIT_MS / clocks.MS_PER_S
+        poll = select.poll()
+        poll.register(self.descriptor, select.POLLOUT)
+        while self.pending:
+            self.write_pending()
+            left_ms = round((end_s - time.monotonic()) * clocks.MS_PER_S)
+            if left_ms <= 0:
+                return
+            if self.pending:
+                poll.poll(left_ms)
+
     def write_pending(self) -> None:
         """Writes as much as the descriptor accepts without blocking."""
         try:
