Lines of failures are left out last of a log, and counted by importance

Cause, shown for the handler: 800 refusals in a second leave no line for an answer that is cut in it (GL1206), and 64 KiB of any lines that nobody has read yet leave no room for it. Change: events have an importance, sampled, normal or essential, in place of sampled. In a planned stop no line is sampled. dropped_of counts what is left out by importance, and GL1011 at the end of the process. The three scenarios that bounded_log.feature had are unchanged.

--- a/features/log_ends.feature
+++ b/features/log_ends.feature
@@ -11,6 +11,7 @@
       | end | lines |
       | SIGTERM | 20 |
       | SIGTERM | 150 |
+      | SIGTERM | 400 |
       | SIGINT twice | 150 |
       | an exception | 150 |
       | a usage error | 150 |
--- a/features/steps/bounded_log_steps.py
+++ b/features/steps/bounded_log_steps.py
@@ -1,3 +1,4 @@
+import collections
 import json
 import logging
 import os
@@ -26,14 +27,14 @@
         self.partial_line = b""
         self.has_reader = False
 
-    def write(self, count, size=10, event=None):
+    def write(self, count, size=10, event=None, **fields):
         for _ in range(count):
             self.written += 1
             record = logging.LogRecord(
                 "x", logging.INFO, "x", 1, "x" * size, (), None
             )
             record.event = event
-            record.fields = {"number": self.written}
+            record.fields = {"number": self.written, **fields}
             self.handler.emit(record)
             if self.has_reader:
                 self.read_available()
@@ -67,14 +68,87 @@
     context.log.write(count)
 
 
-@when("{count:d} lines of {code} are written within a second")
-def write_event(context, count, code):
+def find_event(code):
     (event,) = (
         event
         for event in vars(events).values()
         if isinstance(event, events.Event) and event.code == code
     )
-    context.log.write(count, event=event)
+    return event
+
+
+@when("{count:d} lines of {what} are written within a second")
+def write_event(context, count, what):
+    code, _, field = what.partition(" with ")
+    name, _, value = field.partition("=")
+    fields = {name: int(value)} if field else {}
+    context.log.write(count, event=find_event(code), **fields)
+
+
+@when("{count:d} lines of {size:d} bytes of {code} are written")
+def write_sized_event(context, count, size, code):
+    context.log.write(count, size, find_event(code))
+
+
+@when("the log is flushed")
+def flush(context):
+    context.log.handler.flush()
+
+
+@then("its last line is {code} with {count:d} dropped lines")
+def check_last(context, code, count):
+    last = context.log.read()[-1]
+    assert (last["event"], last["dropped"]) == (code, count), last
+
+
+@then(
+    "the log tells of dropped lines: {sampled:d} sampled, {normal:d} normal,"
+    " {essential:d} essential"
+)
+def check_dropped_of(context, sampled, normal, essential):
+    told = collections.Counter()
+    for line in context.lines + context.log.read():
+        told.update(line.get("dropped_of", {}))
+        in_all = sum(line.get("dropped_of", {}).values())
+        assert line.get("dropped", 0) == in_all, line
+    expected = {"sampled": sampled, "normal": normal, "essential": essential}
+    assert told == expected, told
+
+
+@when("the log is read until nothing is pending")
+def read_pending(context):
+    context.lines = context.log.read()
+    while context.log.handler.pending:
+        context.log.handler.write_pending()
+        context.lines += context.log.read()
+    context.log.now_s += 1
+    context.log.write(1)
+    context.lines += context.log.read()
+
+
+@then("{count:d} lines of {code} are among them")
+def check_among(context, count, code):
+    found = [line["event"] for line in context.lines]
+    assert found.count(code) == count, found.count(code)
+
+
+@then("at most {limit:d} bytes are pending")
+def check_pending(context, limit):
+    assert 0 < len(context.log.handler.pending) <= limit
+
+
+@then(
+    "{first:d} lines of {code} and {second:d} of {other} arrive, and {third:d}"
+    " of failures"
+)
+def check_failures(context, first, code, second, other, third):
+    lines = context.lines = context.log.read()
+    found = [
+        "failure" if line.get("runs") else line["event"] for line in lines
+    ]
+    counts = (found.count(code), found.count(other))
+    assert counts == (first, second), counts
+    assert len(lines) - sum(counts) == third, len(lines)
 
 
 @then("{first:d} lines of {code} and {second:d} of {other} arrive")
--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import enum
 import json
 import logging
 import typing
@@ -15,6 +16,16 @@
 LOGGER_NAME = "godwitloft"
 
 
+class Importance(enum.Enum):
+    """Which lines are left out first where there are too many."""
+
+    # A success, of which there is one for each request.
+    SAMPLED = "sampled"
+    NORMAL = "normal"
+    # What tells why a caller lost an answer.
+    ESSENTIAL = "essential"
+
+
 @dataclasses.dataclass(frozen=True)
 class Event:
     """One kind of log line.
@@ -22,14 +33,13 @@
     :param number: unique number, written as ``GL1001``
     :param level: level of the standard ``logging`` module
     :param text: short description of the event
-    :param sampled: whether it reports success for each request, so that
-        some lines may be dropped under load
+    :param importance: which of its lines are left out first under load
     """
 
     number: int
     level: int
     text: str
-    sampled: bool = False
+    importance: Importance = Importance.NORMAL
 
     @property
     def code(self) -> str:
@@ -37,9 +47,18 @@
         return f"GL{self.number}"
 
 
-STARTED = Event(1001, logging.INFO, "the process started")
-STOPPED = Event(1002, logging.INFO, "the process stopped")
-DRAINING = Event(1003, logging.INFO, "the process accepts no new work")
+STARTED = Event(
+    1001, logging.INFO, "the process started", Importance.ESSENTIAL
+)
+STOPPED = Event(
+    1002, logging.INFO, "the process stopped", Importance.ESSENTIAL
+)
+DRAINING = Event(
+    1003,
+    logging.INFO,
+    "the process accepts no new work",
+    Importance.ESSENTIAL,
+)
 LEAVING = Event(1004, logging.INFO, "the instance was asked to drain")
 ABANDONED = Event(
     1005, logging.ERROR, "the drain limit passed with unfinished work"
@@ -55,12 +74,23 @@
     1203, logging.WARNING, "the outcome of a request is unknown"
 )
 REQUEST_PLACED = Event(
-    1204, logging.INFO, "a request was sent to an upstream", sampled=True
+    1204,
+    logging.INFO,
+    "a request was sent to an upstream",
+    Importance.SAMPLED,
 )
 REQUEST_ANSWERED = Event(
-    1205, logging.INFO, "a request of a gateway ended", sampled=True
+    1205,
+    logging.INFO,
+    "a request of a gateway ended",
+    Importance.SAMPLED,
+)
+ANSWER_FAILED = Event(
+    1206,
+    logging.WARNING,
+    "an answer of a gateway failed",
+    Importance.ESSENTIAL,
 )
-ANSWER_FAILED = Event(1206, logging.WARNING, "an answer of a gateway failed")
 ORIGIN_UNKNOWN = Event(
     1207,
     logging.WARNING,
@@ -75,7 +105,7 @@
     1209,
     logging.INFO,
     "the end of a stream was not known",
-    sampled=True,
+    Importance.SAMPLED,
 )
 UPSTREAM_LISTED = Event(1302, logging.INFO, "the list of upstreams changed")
 ROW_SKIPPED = Event(
@@ -145,7 +175,7 @@
     1316,
     logging.INFO,
     "an upstream did not tell whether it is the listed process",
-    sampled=True,
+    Importance.SAMPLED,
 )
 UPSTREAM_LIMITED = Event(1312, logging.INFO, "an upstream's limit has changed")
 LIMIT_IGNORED = Event(
@@ -159,7 +189,13 @@
 )
 SETTINGS_LOADED = Event(1006, logging.INFO, "the settings were loaded")
 STOP_SIGNALLED = Event(
-    1010, logging.INFO, "a signal asked the process to stop"
+    1010,
+    logging.INFO,
+    "a signal asked the process to stop",
+    Importance.ESSENTIAL,
+)
+LINES_DROPPED = Event(
+    1011, logging.INFO, "lines of the log were left out", Importance.ESSENTIAL
 )
 GATEWAYS_CHANGED = Event(1407, logging.INFO, "the number of gateways changed")
 UPSTREAM_FAILED = Event(1301, logging.WARNING, "an upstream failed a request")
