The line of a failure tells what was told when its request was sent

Cause: only GL1204 has the version of the upstream, the wait, the team's tokens and the age of the configuration's proof, and GL1204 is left out under load. No line has how far the request was, or what its caller lacks. Change: GL1206, and GL1201 of a request that was sent, hold what GL1204 told as `sent`, with `ms_ago`; `state`, `upstream_ended`, `unsent_bytes`, `unforwarded_bytes`, and what was held back unsaved. GL1204 has the version of the configuration, and `stopping_ms` in a planned stop.

--- a/godwitloft/gateway/answer.py
+++ b/godwitloft/gateway/answer.py
@@ -319,6 +319,11 @@
         has_events = self.asked_after is None
         return has_events or not self.goes_on
 
+    @property
+    def unforwarded_bytes(self) -> int:
+        """Bytes that came and were not forwarded, as more was awaited."""
+        return len(self.partial_event) + sum(map(len, self.buffered))
+
     def extent(self) -> dict[str, typing.Any]:
         """Returns what is known about the end of the answer, for logs.
 
--- a/godwitloft/gateway/final_answers.py
+++ b/godwitloft/gateway/final_answers.py
@@ -125,5 +125,5 @@
             :mod:`godwitloft.gateway.outcomes`
         :param reason: why it failed, if it did
         """
-        request.state = requests.State.ENDED
         self.reports.report_ended(request, outcome, reason)
+        request.state = requests.State.ENDED
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -577,6 +577,7 @@
         request.state = requests.State.SENT
         request.sent_ms = now_ms
         request.answering_since_ms = 0
+        request.was_cancelled = False
         request.last_upstream_id = state.upstream.id
         request.sent_version = state.upstream.version
         request.upstream_state = state
@@ -591,19 +592,8 @@
         self.running.add(request)
         self.admission.record_start(request, now_ms)
         self.dependencies.instruments.wait_ms.record(now_ms - facts.arrived_ms)
-        events.log(
-            events.REQUEST_PLACED,
-            request=facts.id,
-            route=facts.route.name,
-            team=facts.team.name if facts.team is not None else None,
-            tokens=request.use.tokens if request.use is not None else None,
-            upstream=state.upstream.id,
-            upstream_version=state.upstream.version,
-            resumes=facts.resumed_id,
-            waited_ms=now_ms - facts.arrived_ms,
-            running=state.running,
-            allowed=self.placer.allowed(state, now_ms),
-            proof_age_ms=self.config_state.confirmation_age_ms(now_ms),
+        self.reports.report_sent(
+            request, state.running, self.placer.allowed(state, now_ms)
         )
         attempt_number = request.attempt_count
         callbacks = attempts.AttemptCallbacks(
@@ -809,6 +799,7 @@
         attempt = request.attempt
         state = self.release(request)
         if attempt is not None:
+            request.was_cancelled = True
             attempt.cancel()
         return state
 
--- a/godwitloft/gateway/http_server.py
+++ b/godwitloft/gateway/http_server.py
@@ -189,6 +189,11 @@
             self.disconnect()
         return self.ended
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of its connection that its caller's system hasn't taken."""
+        return immediate_write.unsent_bytes(self.connection.transport)
+
     def disconnect(self) -> None:
         """Tells the gateway that the caller has left."""
         on_disconnect = self.on_disconnect
--- a/godwitloft/gateway/reports.py
+++ b/godwitloft/gateway/reports.py
@@ -74,6 +74,38 @@
             1, {"framing": framing, "end": reason}
         )
 
+    def report_sent(
+        self, request: requests.Request, running: int, allowed: int
+    ) -> None:
+        """Logs that a request is sent, and keeps that for a line of its end.
+
+        :param request: the request
+        :param running: number of requests that its upstream runs
+        :param allowed: how many it may run
+        """
+        facts = request.facts
+        now_ms = self.clock.monotonic_ms()
+        router = self.config_state.router
+        request.sent_fields = {
+            "team": facts.team.name if facts.team is not None else None,
+            "tokens": request.use.tokens if request.use is not None else None,
+            "upstream_version": request.sent_version,
+            "resumes": facts.resumed_id,
+            "waited_ms": now_ms - facts.arrived_ms,
+            "running": running,
+            "allowed": allowed,
+            "proof_age_ms": self.config_state.confirmation_age_ms(now_ms),
+            "version": router.configuration.version if router else None,
+        }
+        events.log(
+            events.REQUEST_PLACED,
+            request=facts.id,
+            route=facts.route.name,
+            upstream=request.last_upstream_id,
+            **self.shutdown.log_fields(),
+            **request.sent_fields,
+        )
+
     def report_unknown_end(
         self, request: requests.Request, found: EndFound
     ) -> None:
@@ -128,6 +160,8 @@
             "upstream": request.last_upstream_id,
             **attempt_end(request),
         }
+        if request.runs > 0:
+            inputs.update(last_attempt(request, now_ms))
         self.write_refusal(facts.id, refusal, inputs)
 
     def write_refusal(
@@ -176,25 +210,65 @@
             first_ms = request.first_data_ms - facts.arrived_ms
             self.instruments.first_token_ms.record(first_ms)
         is_whole = outcome in (outcomes.COMPLETED, outcomes.CALLER_LEFT)
-        events.log(
-            events.REQUEST_ANSWERED if is_whole else events.ANSWER_FAILED,
-            request=facts.id,
-            reason=reason,
-            outcome=outcome,
+        fields = {
+            "request": facts.id,
+            "reason": reason,
+            "outcome": outcome,
             **self.shutdown.log_fields(),
-            route=facts.route.name,
-            first_ms=first_ms,
-            took_ms=now_ms - facts.arrived_ms,
-            target_ms=facts.route.target_ms,
-            attempts=request.attempt_count,
-            upstream=request.last_upstream_id,
-            may_repeat=facts.may_repeat,
-            upstream_silent_ms=now_ms - request.last_data_ms
-            if request.last_data_ms
-            else None,
-            caller_is_slow=request.congested,
+            "route": facts.route.name,
+            "first_ms": first_ms,
+            "took_ms": now_ms - facts.arrived_ms,
+            "target_ms": facts.route.target_ms,
+            "attempts": request.attempt_count,
+            "upstream": request.last_upstream_id,
+            "may_repeat": facts.may_repeat,
+            **answer_progress(request, now_ms),
             **attempt_end(request),
-        )
+        }
+        if is_whole:
+            events.log(events.REQUEST_ANSWERED, **fields)
+        else:
+            fields.update(last_attempt(request, now_ms))
+            events.log(events.ANSWER_FAILED, **fields)
+
+
+def answer_progress(
+    request: requests.Request, now_ms: int
+) -> typing.Mapping[str, typing.Any]:
+    """Returns what came last of an answer, and what has not gone on.
+
+    :param request: a request that was sent
+    :param now_ms: the current time
+    :return: log fields
+    """
+    silent_ms = now_ms - request.last_data_ms if request.last_data_ms else None
+    return {
+        "upstream_silent_ms": silent_ms,
+        "caller_is_slow": request.congested,
+        "unsent_bytes": request.exchange.unsent_bytes,
+    }
+
+
+def last_attempt(
+    request: requests.Request, now_ms: int
+) -> typing.Mapping[str, typing.Any]:
+    """Returns what became of a request's last attempt.
+
+    The line of a failure tells all of it: the lines of its beginning may have
+    been left out.
+
+    :param request: a request that was sent
+    :param now_ms: the current time
+    :return: log fields
+    """
+    answer = request.answer
+    return {
+        **answer_progress(request, now_ms),
+        "state": request.state.value,
+        "upstream_ended": not request.was_cancelled,
+        "unforwarded_bytes": answer.unforwarded_bytes if answer else 0,
+        "sent": {"ms_ago": now_ms - request.sent_ms, **request.sent_fields},
+    }
 
 
 def attempt_end(
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -207,6 +207,10 @@
         # The blamed causes of which it is a trial.
         self.tried_causes: frozenset[str] = frozenset()
         self.use: allowance.Use | None = None
+        # What was logged as it was last sent, and of what came of that.
+        self.sent_fields: typing.Mapping[str, typing.Any] = {}
+        # Whether its last attempt was cancelled before its upstream ended it.
+        self.was_cancelled = False
         # Why its last failed attempt was not followed by another.
         self.no_retry = ""
 
--- a/godwitloft/gateway/streams/stream_holds.py
+++ b/godwitloft/gateway/streams/stream_holds.py
@@ -71,6 +71,13 @@
         if self.end is not None:
             self.callbacks.on_end(*self.end)
 
+    def log_fields(self) -> typing.Mapping[str, typing.Any]:
+        """Returns what is dropped if the request ends now, for logs."""
+        return {
+            "unsaved_bytes": self.held_bytes,
+            "unsaved_ended": self.end is not None,
+        }
+
     def drop(self) -> None:
         """Forgets what was kept: the attempt was cancelled."""
         self.is_open = True
@@ -195,6 +202,7 @@
         """
         hold = self.holds.pop(request, None)
         if hold is not None:
+            request.sent_fields = {**request.sent_fields, **hold.log_fields()}
             hold.drop()
 
     def check(self) -> None:
--- a/godwitloft/immediate_write.py
+++ b/godwitloft/immediate_write.py
@@ -24,6 +24,18 @@
         transport.write(data)
 
 
+def unsent_bytes(transport: typing.Any) -> int:
+    """Returns how much was written and is not in the system's buffers yet.
+
+    :param transport: a Twisted transport, 0 for one that can't tell
+    """
+    if not hasattr(transport, "dataBuffer"):
+        return 0
+    offset = getattr(transport, "offset", 0)
+    waiting = getattr(transport, "_tempDataLen", 0)
+    return len(transport.dataBuffer) - offset + waiting
+
+
 def can_send_now(transport: typing.Any) -> bool:
     """Returns whether nothing written before is still unsent.
 
