The log of a planned stop counts its requests and names what was not sent

Cause: GL1003 has a number of requests only. GL1002 is written before the last requests are answered, with a number of unsent answers; their requests have GL1205 with outcome completed. A request that is read in part has no line. No metric has why an answer was cut. Change: GL1003 tells how many requests are in which state, and the limit. GL1002 is the last line, and tells how the requests of the stop have ended, by outcome and reason. GL1210 names each answer whose bytes are unsent at the end, GL1211 each request that was read in part. godwitloft_cuts counts cut answers by reason and by whether the process was stopping. What the stop does is unchanged.

--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -107,6 +107,17 @@
     "the end of a stream was not known",
     Importance.SAMPLED,
 )
+ANSWER_UNSENT = Event(
+    1210,
+    logging.WARNING,
+    "the process ended before an answer was sent",
+    Importance.ESSENTIAL,
+)
+REQUEST_UNREAD = Event(
+    1211,
+    logging.INFO,
+    "the process ended before a request was read",
+)
 UPSTREAM_LISTED = Event(1302, logging.INFO, "the list of upstreams changed")
 ROW_SKIPPED = Event(
     1504, logging.WARNING, "a row of the platform can't be used"
--- a/godwitloft/gateway/daemon.py
+++ b/godwitloft/gateway/daemon.py
@@ -8,6 +8,7 @@
 from godwitloft.gateway import gateway as gateways
 from godwitloft.gateway import http_server
 from godwitloft.gateway import model
+from godwitloft.gateway import stop_report
 from godwitloft.runtime import polling
 
 TICK_INTERVAL_MS = 25
@@ -253,24 +254,47 @@
             )
 
         def end(in_time: bool) -> None:
-            events.log(
-                events.STOPPED,
-                finished=in_time,
-                left=self.gateway.unfinished(),
-                unsent=self.caller_factory.count_closing(),
-                took_ms=self.clock.monotonic_ms() - started_ms,
-            )
+            fields = {
+                "finished": in_time,
+                "left": self.gateway.unfinished(),
+                "unsent": self.caller_factory.count_closing(),
+                "took_ms": self.clock.monotonic_ms() - started_ms,
+            }
             self.gateway.stop_accepting()
             self.gateway.end_all()
+
+            def on_flushed(_in_time: bool) -> None:
+                try:
+                    self.report_stop(fields)
+                finally:
+                    done()
+
             polling.wait_until(
                 self.reactor,
                 lambda: not self.caller_factory.has_closing(),
                 options.flush_limit_ms,
-                lambda _in_time: done(),
+                on_flushed,
             )
 
         polling.wait_until(self.reactor, is_idle, remaining_ms, end)
 
+    def report_stop(self, fields: typing.Mapping[str, typing.Any]) -> None:
+        """Logs the end of a planned stop, and what callers did not get.
+
+        :param fields: what was found when it had no more time
+        """
+        shutdown = self.gateway.shutdown
+        stop_report.report_connections(
+            self.caller_factory.connections, self.gateway.dialect, shutdown
+        )
+        events.log(
+            events.STOPPED,
+            **fields,
+            unsent_at_end=self.caller_factory.count_closing(),
+            **shutdown.log_fields(),
+            ended=dict(shutdown.ended),
+        )
+
     def stop(self) -> None:
         """Stops timers, ports and the source at once."""
         self.stopped = True
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -5,6 +5,7 @@
 :mod:`godwitloft.gateway.placement`.
 """
 
+import collections
 import dataclasses
 import random
 import typing
@@ -365,7 +366,12 @@
             longer are refused from now on
         """
         self.shutdown.begin(end_ms)
-        events.log(events.DRAINING, requests=self.unfinished())
+        events.log(
+            events.DRAINING,
+            requests=self.unfinished(),
+            limit_ms=end_ms - self.clock.monotonic_ms(),
+            **self.count_by_state(),
+        )
 
     def stop_accepting(self) -> None:
         """Refuses requests that arrive from now on."""
@@ -383,6 +389,19 @@
         )
         return waiting + len(self.running) + len(self.continuations.pending)
 
+    def count_by_state(self) -> typing.Mapping[str, int]:
+        """Returns how many requests wait or run, for logs."""
+        states = collections.Counter(request.state for request in self.running)
+        sent = states[requests.State.SENT]
+        answering = states[requests.State.ANSWERING]
+        locating = len(self.continuations.pending)
+        return {
+            "waiting": self.unfinished() - len(self.running) - locating,
+            "locating": locating,
+            "sent": sent,
+            "answering": answering,
+        }
+
     def has_requests(self) -> bool:
         """Returns whether a request waits or runs.
 
--- a/godwitloft/gateway/http_server.py
+++ b/godwitloft/gateway/http_server.py
@@ -252,6 +252,8 @@
         self.clock = clock
         self.connections = connections
         self.exchange: Exchange | None = None
+        # The last request, if its answer has ended and was not sent at once.
+        self.answered: Exchange | None = None
         # Whether the complete request was passed to the gateway.
         self.handed_over = False
         self.open = False
@@ -494,6 +496,7 @@
         if not self.is_current(exchange):
             return
         self.send(h11.EndOfMessage())
+        self.answered = exchange if exchange.unsent_bytes else None
         self.exchange = None
         self.handed_over = False
         self.set_buffer_size()
--- a/godwitloft/gateway/outcomes.py
+++ b/godwitloft/gateway/outcomes.py
@@ -9,6 +9,7 @@
 FAILED = "failed"
 CUT = "cut"
 CALLER_LEFT = "caller_left"
+REFUSED = "refused"
 
 
 class Result(enum.Enum):
--- a/godwitloft/gateway/reports.py
+++ b/godwitloft/gateway/reports.py
@@ -179,6 +179,7 @@
         router = self.config_state.router
         now_ms = self.clock.monotonic_ms()
         self.instruments.refusals.add(1, {"reason": refusal.reason})
+        self.shutdown.count_end(outcomes.REFUSED, refusal.reason)
         fields = {
             "request": request_id,
             "reason": refusal.reason,
@@ -205,6 +206,12 @@
         facts = request.facts
         now_ms = self.clock.monotonic_ms()
         self.instruments.outcomes.add(1, {"outcome": outcome})
+        self.shutdown.count_end(outcome, reason)
+        if outcome == outcomes.CUT:
+            stopping = str(self.shutdown.has_begun).lower()
+            self.instruments.cuts.add(
+                1, {"reason": reason, "stopping": stopping}
+            )
         first_ms = None
         if request.first_data_ms:
             first_ms = request.first_data_ms - facts.arrived_ms
--- a/godwitloft/gateway/shutdown.py
+++ b/godwitloft/gateway/shutdown.py
@@ -1,5 +1,6 @@
 """Decides which requests a gateway that must end can still finish."""
 
+import collections
 import typing
 
 from godwitloft import clock as clocks
@@ -22,6 +23,8 @@
         # Whether there is no time left, so that nothing more is sent.
         self.is_over = False
         self.run_times = run_times.RunTimes()
+        # Requests that have ended since, by how and why.
+        self.ended: collections.Counter[str] = collections.Counter()
 
     @property
     def has_begun(self) -> bool:
@@ -45,6 +48,15 @@
             return {}
         return {"stopping_ms": self.clock.monotonic_ms() - self.began_ms}
 
+    def count_end(self, how: str, reason: str) -> None:
+        """Counts the end of a request, if the process must end.
+
+        :param how: an outcome, or that it was refused
+        :param reason: why it ended so
+        """
+        if self.has_begun:
+            self.ended[f"{how}:{reason}" if reason else how] += 1
+
     def record_complete(self, request: requests.Request) -> None:
         """Learns how long a request took.
 
--- a/godwitloft/metrics.py
+++ b/godwitloft/metrics.py
@@ -21,6 +21,8 @@
     :param refusals: refused requests, by ``reason`` and ``tier``
     :param retries: retried calls, by ``reason``
     :param outcomes: ended requests, by ``outcome`` and ``tier``
+    :param cuts: answers that were cut off, by ``reason`` and whether the
+        process was ``stopping``
     :param answer_ends: ended answers of upstreams, by ``framing`` and ``end``
     :param store_restores: restores of the store, and rows that each has cut
         back, by ``what``
@@ -35,6 +37,7 @@
     refusals: metrics.Counter
     retries: metrics.Counter
     outcomes: metrics.Counter
+    cuts: metrics.Counter
     answer_ends: metrics.Counter
     store_restores: metrics.Counter
     upstream_signs: metrics.Counter
@@ -67,6 +70,7 @@
         refusals=counter("refusals"),
         retries=counter("retries"),
         outcomes=counter("outcomes"),
+        cuts=counter("cuts"),
         answer_ends=counter("answer_ends"),
         store_restores=counter("store_restores"),
         upstream_signs=counter("upstream_signs"),
