--- a/godwitloft/gateway/http_server.py
+++ b/godwitloft/gateway/http_server.py
@@ -190,6 +190,11 @@
             self.disconnect()
         return self.ended
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of its connection that its caller's system hasn't taken."""
+        return immediate_write.unsent_bytes(self.connection.transport)
+
     def disconnect(self) -> None:
         """Tells the gateway that the caller has left."""
         on_disconnect = self.on_disconnect
@@ -248,6 +253,8 @@
         self.clock = clock
         self.connections = connections
         self.exchange: Exchange | None = None
+        # The last request, if its answer has ended and was not sent at once.
+        self.answered: Exchange | None = None
         # Whether the complete request was passed to the gateway.
         self.handed_over = False
         self.open = False
@@ -509,6 +516,7 @@
         if not self.is_current(exchange):
             return
         self.send(h11.EndOfMessage())
+        self.answered = exchange if exchange.unsent_bytes else None
         self.exchange = None
         self.handed_over = False
         self.set_buffer_size()
--- a/godwitloft/gateway/streams/stream_holds.py
+++ b/godwitloft/gateway/streams/stream_holds.py
@@ -94,6 +94,13 @@
         is_marked = answer.body_end.framing is not answer_end.Framing.CLOSE
         return is_marked and self.is_whole()
 
+    def log_fields(self) -> typing.Mapping[str, typing.Any]:
+        """Returns what is dropped if the request ends now, for logs."""
+        return {
+            "unsaved_bytes": self.held_bytes,
+            "unsaved_ended": self.end is not None,
+        }
+
     def drop(self) -> None:
         """Forgets what was kept: the attempt was cancelled."""
         self.is_open = True
@@ -227,6 +234,7 @@
         """
         hold = self.holds.pop(request, None)
         if hold is not None:
+            request.sent_fields = {**request.sent_fields, **hold.log_fields()}
             hold.drop()
 
     def check(self) -> None:
