Answers that the stand-in writes itself have what their runner says of itself

Cause: streams without a length or chunks, and the head before a crash, were written without Server-Leaving and Server-Limit. Change: one head for the four, with all header fields of the answer. The scenario on whole_unframed from 1 of 3 failed since, which sends these events 20 ms apart: the step ended before the second one. It now lets the time of all events pass; what it expects is unchanged.

--- a/features/standin_lakeshore.feature
+++ b/features/standin_lakeshore.feature
@@ -41,3 +41,24 @@
       | close_unframed | 4 | 3 | 0 |
       | whole_unframed | 1 | 3 | 3 |
       | whole_unframed | 4 | 3 | 0 |
+
+  # Guards against a soak test that counts an answer as one that said that its
+  # runner is leaving, though it didn't (seed 8039).
+  Scenario Outline: An answer without a length has what its runner says of itself: <change>, leaving <leaving>
+    Given a runner with the change "<change>"
+    And the runner is leaving "<leaving>" and names the limit <limit>
+    When it is asked for events 1 to 3
+    Then the head of its answer says leaving "<leaving>" and limit <limit>
+
+    Examples:
+      | change | leaving | limit |
+      | break_unframed | yes | 3 |
+      | close_unframed | yes | 3 |
+      | whole_unframed | yes | 3 |
+      | die_unframed | yes | 3 |
+      | crash_part | yes | 3 |
+      | break_unframed | no | 0 |
+      | close_unframed | no | 0 |
+      | whole_unframed | no | 0 |
+      | die_unframed | no | 0 |
+      | crash_part | no | 0 |
--- a/features/steps/standin_lakeshore_steps.py
+++ b/features/steps/standin_lakeshore_steps.py
@@ -8,6 +8,7 @@
 from godwitloft.standins import lakeshore
 
 MISDIRECTED = 421
+BAD_PART = "bad"
 
 
 @given("a stand-in runner that is to misdirect {count:d} requests")
@@ -64,7 +65,10 @@
     headers.setRawHeaders(lakeshore.REQUEST_ID, ["r"])
     headers.setRawHeaders("Godwitloft-Token-Counts", [f"0,{last}"])
     headers.setRawHeaders("Last-Event-Id", [str(first - 1)])
+    headers.setRawHeaders(lakeshore.PROMPT_PARTS, [f"{BAD_PART}:1,own:1"])
     context.runner.run(request)
+    interval_s = lakeshore.EVENT_INTERVAL_MS / lakeshore.MS_PER_S
+    context.runner.reactor.pump([interval_s] * last)
     context.transport = request.transport
 
 
@@ -85,7 +89,30 @@
     reactor = task.Clock()
     rows = lakeshore.Rows(reactor)
     context.runner = lakeshore.Runner(0, "model", rows, reactor)
-    context.runner.control({change: 1})
+    value = BAD_PART if change == "crash_part" else 1
+    context.runner.control({change: value})
+
+
+@given('the runner is leaving "{leaving}" and names the limit {limit_per_s:d}')
+def say_of_itself(context, leaving, limit_per_s):
+    change = {"says_leaving": leaving == "yes"}
+    context.runner.control(change | {"limit_per_s": limit_per_s or None})
+
+
+@then(
+    'the head of its answer says leaving "{leaving}" and limit {limit_per_s:d}'
+)
+def check_head(context, leaving, limit_per_s):
+    head, _, _body = context.transport.value().partition(b"\r\n\r\n")
+    lines = head.decode().split("\r\n")
+    assert lines[0] == "HTTP/1.1 200 OK", lines
+    fields = dict(line.split(": ", 1) for line in lines[1:])
+    assert len(fields) == len(lines) - 1, lines
+    assert fields[lakeshore.REQUEST_ID] == "r", lines
+    assert fields[lakeshore.SEAL] == f"seal-{context.runner.id}", lines
+    assert (fields.get(lakeshore.LEAVING) == "1") == (leaving == "yes"), lines
+    expected = str(limit_per_s) if limit_per_s else None
+    assert fields.get(lakeshore.LIMIT) == expected, lines
 
 
 @then("it sends {count:d} events")
--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -418,17 +418,17 @@
             request.setHeader(NOT_EXECUTED, "1")
             return http.reply(request, {}, 503)
         self.watch_run(request, run)
+        request.setHeader(REQUEST_ID, request_id)
+        request.setHeader(SEAL, f"seal-{self.id}")
         if self.endless:
             return self.send_without_end(request, self.endless.pop(0))
         if self.has_crash_part(header(PROMPT_PARTS) or ""):
             run["crashes_on"] = self.crash_part
-            return self.crash(request, request_id)
+            return self.crash(request)
         if self.lose_answers > 0:
             self.lose_answers -= 1
             request.transport.abortConnection()
             return defer.Deferred()
-        request.setHeader(REQUEST_ID, request_id)
-        request.setHeader(SEAL, f"seal-{self.id}")
         if self.service != "model":
             if self.answers_wrong > 0:
                 self.answers_wrong -= 1
@@ -445,18 +445,14 @@
         ids = [entry.partition(":")[0] for entry in parts.split(",")[:-1]]
         return bool(self.crash_part) and self.crash_part in ids
 
-    def crash(self, request: typing.Any, request_id: str) -> typing.Any:
+    def crash(self, request: typing.Any) -> typing.Any:
         """Sends the head of an answer and crashes; comes back after a while.
 
         :param request: request sent by the gateway
-        :param request_id: its id
         :return: a Deferred that never fires
         """
-        head = (
-            f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {request_id}\r\n"
-            f"{SEAL}: seal-{self.id}\r\nTransfer-Encoding: chunked\r\n\r\n"
-        )
-        request.transport.write(head.encode())
+        request.setHeader("Transfer-Encoding", "chunked")
+        request.transport.write(bare_head(request))
         self.reactor.callLater(CRASH_DELAY_S, self.go_down)
         return defer.Deferred()
 
@@ -580,11 +576,8 @@
         if first >= last:
             event = ""
             cut = f"id: {first}\ndata: x" if first == last else ""
-        head = (
-            f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {request_id}\r\n"
-            f"{SEAL}: seal-{self.id}\r\n\r\n"
-        )
-        request.transport.write(f"{head}{event}{cut}".encode())
+        request.transport.write(bare_head(request))
+        request.transport.write(f"{event}{cut}".encode())
         request.transport.loseConnection()
         return defer.Deferred()
 
@@ -601,10 +594,7 @@
         :param last: number of the last event that is sent
         :return: a Deferred that never fires
         """
-        request.transport.write(
-            f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {request_id}\r\n"
-            f"{SEAL}: seal-{self.id}\r\n\r\n".encode()
-        )
+        request.transport.write(bare_head(request))
 
         def event(number: int) -> None:
             if request._disconnected:
@@ -635,11 +625,9 @@
         :param first: number of the event
         :return: a Deferred that never fires
         """
-        request.transport.write(
-            f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {request_id}\r\n"
-            f"{SEAL}: seal-{self.id}\r\n\r\n"
-            f"id: {first}\ndata: x{first} of {request_id}\n\n".encode()
-        )
+        text = f"id: {first}\ndata: x{first} of {request_id}\n\n"
+        request.transport.write(bare_head(request))
+        request.transport.write(text.encode())
 
         self.reactor.callLater(CRASH_DELAY_S, self.go_down, request.transport)
         return defer.Deferred()
@@ -848,6 +836,21 @@
     return app
 
 
+def bare_head(request: typing.Any) -> bytes:
+    """Returns the head of an answer that the HTTP library doesn't frame.
+
+    It has what the runner says of itself, like that of any other answer.
+
+    :param request: with the header fields of its answer
+    """
+    fields = [
+        b"%s: %s\r\n" % (name, value)
+        for name, values in request.responseHeaders.getAllRawHeaders()
+        for value in values
+    ]
+    return b"HTTP/1.1 200 OK\r\n%s\r\n" % b"".join(fields)
+
+
 def _sleep(reactor: typing.Any, seconds: float) -> "defer.Deferred[None]":
     woken: defer.Deferred[None] = defer.Deferred()
     reactor.callLater(seconds, woken.callback, None)
