--- a/features/standin_lakeshore.feature
+++ b/features/standin_lakeshore.feature
@@ -41,3 +41,43 @@
       | close_unframed | 4 | 3 | 0 |
       | whole_unframed | 1 | 3 | 3 |
       | whole_unframed | 4 | 3 | 0 |
+
+  # Guards against a soak test that counts an answer as one that said that its
+  # runner is leaving, though it didn't (seed 8039).
+  Scenario Outline: An answer without a length has what its runner says of itself: <change>, leaving <leaving>
+    Given a runner with the change "<change>"
+    And the runner is leaving "<leaving>" and names the limit <limit>
+    When it is asked for events 1 to 3
+    Then the head of its answer says leaving "<leaving>" and limit <limit>
+
+    Examples:
+      | change | leaving | limit |
+      | break_unframed | yes | 3 |
+      | close_unframed | yes | 3 |
+      | whole_unframed | yes | 3 |
+      | die_unframed | yes | 3 |
+      | crash_part | yes | 3 |
+      | break_unframed | no | 0 |
+      | close_unframed | no | 0 |
+      | whole_unframed | no | 0 |
+      | die_unframed | no | 0 |
+      | crash_part | no | 0 |
+
+  # Guards against a soak test that takes a broken answer for a whole one, or
+  # the reverse, as the ledger doesn't tell how the runner ended it.
+  Scenario Outline: The ledger tells how an answer ended: <change>, from <first> of <last>
+    Given a runner with the change "<change>"
+    When it is asked for events <first> to <last>
+    Then its ledger says broken off "<broken>" and closed after "<closed>"
+
+    Examples:
+      | change | first | last | broken | closed |
+      | close_unframed | 1 | 3 | yes | 1 |
+      | close_unframed | 3 | 3 | no | 3 |
+      | whole_unframed | 1 | 3 | no | 3 |
+      | break_unframed | 1 | 3 | yes | no |
+      | die_unframed | 1 | 3 | yes | no |
+      | crash_part | 1 | 3 | yes | no |
+      | lose_answers | 1 | 3 | yes | no |
+      | cut_after | 1 | 3 | yes | no |
+      | refuse | 1 | 3 | no | no |
--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -409,6 +409,11 @@
             "crashes_on": "",
             "ended_ms": None,
             "leaving": self.says_leaving,
+            # Whether it closed the connection before the end of its answer.
+            "broke_off": False,
+            # Event after which it closed the connection of an answer that has
+            # neither a length nor chunks.
+            "closed_after": None,
         }
         self.ledger.append(run)
         if self.runs_twice:
@@ -418,23 +423,25 @@
             request.setHeader(NOT_EXECUTED, "1")
             return http.reply(request, {}, 503)
         self.watch_run(request, run)
+        request.setHeader(REQUEST_ID, request_id)
+        request.setHeader(SEAL, f"seal-{self.id}")
         if self.endless:
             return self.send_without_end(request, self.endless.pop(0))
         if self.has_crash_part(header(PROMPT_PARTS) or ""):
             run["crashes_on"] = self.crash_part
-            return self.crash(request, request_id)
+            run["broke_off"] = True
+            return self.crash(request)
         if self.lose_answers > 0:
             self.lose_answers -= 1
+            run["broke_off"] = True
             request.transport.abortConnection()
             return defer.Deferred()
-        request.setHeader(REQUEST_ID, request_id)
-        request.setHeader(SEAL, f"seal-{self.id}")
         if self.service != "model":
             if self.answers_wrong > 0:
                 self.answers_wrong -= 1
                 return b"answer to nobody\n"
             return f"answer to {request_id}\n".encode()
-        return self.stream(request)
+        return self.stream(request, run)
 
     def has_crash_part(self, parts: str) -> bool:
         """Returns whether it crashes on a prompt.
@@ -445,18 +452,14 @@
         ids = [entry.partition(":")[0] for entry in parts.split(",")[:-1]]
         return bool(self.crash_part) and self.crash_part in ids
 
-    def crash(self, request: typing.Any, request_id: str) -> typing.Any:
+    def crash(self, request: typing.Any) -> typing.Any:
         """Sends the head of an answer and crashes; comes back after a while.
 
         :param request: request sent by the gateway
-        :param request_id: its id
         :return: a Deferred that never fires
         """
-        head = (
-            f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {request_id}\r\n"
-            f"{SEAL}: seal-{self.id}\r\nTransfer-Encoding: chunked\r\n\r\n"
-        )
-        request.transport.write(head.encode())
+        request.setHeader("Transfer-Encoding", "chunked")
+        request.transport.write(bare_head(request))
         self.reactor.callLater(CRASH_DELAY_S, self.go_down)
         return defer.Deferred()
 
@@ -518,10 +521,11 @@
 
         request.notifyFinish().addBoth(on_end)
 
-    def stream(self, request: typing.Any) -> typing.Any:
+    def stream(self, request: typing.Any, run: http.Json) -> typing.Any:
         """Streams numbered events.
 
         :param request: request sent by the gateway
+        :param run: the run's entry in the ledger
         :return: a Deferred that fires at the end
         """
         request.setHeader("Content-Type", "text/event-stream")
@@ -532,15 +536,18 @@
         request_id = request.getHeader(REQUEST_ID) or ""
         if self.break_unframed > 0:
             self.break_unframed -= 1
+            run["broke_off"] = True
             return self.break_off_unframed(request, request_id, first, last)
         if self.close_unframed > 0 and first <= last:
             self.close_unframed -= 1
-            return self.send_unframed(request, request_id, first, first)
+            run["broke_off"] = first < last
+            return self.send_unframed(request, run, first, first)
         if self.whole_unframed > 0:
             self.whole_unframed -= 1
-            return self.send_unframed(request, request_id, first, last)
+            return self.send_unframed(request, run, first, last)
         if self.die_unframed > 0 and first <= last:
             self.die_unframed -= 1
+            run["broke_off"] = True
             return self.die_between_events(request, request_id, first)
         finished: defer.Deferred[bytes] = defer.Deferred()
 
@@ -548,6 +555,7 @@
             if request._disconnected:
                 return
             if number - first == cut_after:
+                run["broke_off"] = True
                 request.transport.abortConnection()
             elif number > last:
                 finished.callback(b"")
@@ -580,39 +588,34 @@
         if first >= last:
             event = ""
             cut = f"id: {first}\ndata: x" if first == last else ""
-        head = (
-            f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {request_id}\r\n"
-            f"{SEAL}: seal-{self.id}\r\n\r\n"
-        )
-        request.transport.write(f"{head}{event}{cut}".encode())
+        request.transport.write(bare_head(request))
+        request.transport.write(f"{event}{cut}".encode())
         request.transport.loseConnection()
         return defer.Deferred()
 
     def send_unframed(
-        self, request: typing.Any, request_id: str, first: int, last: int
+        self, request: typing.Any, run: http.Json, first: int, last: int
     ) -> typing.Any:
         """Sends events without a length or chunks, and closes the connection.
 
         Nothing shows whether the last of them is the last of the stream.
 
         :param request: request sent by the gateway
-        :param request_id: its id
+        :param run: the run's entry in the ledger
         :param first: number of the first event
         :param last: number of the last event that is sent
         :return: a Deferred that never fires
         """
-        request.transport.write(
-            f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {request_id}\r\n"
-            f"{SEAL}: seal-{self.id}\r\n\r\n".encode()
-        )
+        request.transport.write(bare_head(request))
 
         def event(number: int) -> None:
             if request._disconnected:
                 return
-            text = f"id: {number}\ndata: x{number} of {request_id}\n\n"
+            text = f"id: {number}\ndata: x{number} of {run['id']}\n\n"
             if number <= last:
                 request.transport.write(text.encode())
             if number >= last:
+                run["closed_after"] = last
                 request.transport.loseConnection()
                 return
             self.reactor.callLater(
@@ -635,12 +638,9 @@
         :param first: number of the event
         :return: a Deferred that never fires
         """
-        leaving = f"{LEAVING}: 1\r\n" if self.says_leaving else ""
-        request.transport.write(
-            f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {request_id}\r\n"
-            f"{SEAL}: seal-{self.id}\r\n{leaving}\r\n"
-            f"id: {first}\ndata: x{first} of {request_id}\n\n".encode()
-        )
+        text = f"id: {first}\ndata: x{first} of {request_id}\n\n"
+        request.transport.write(bare_head(request))
+        request.transport.write(text.encode())
 
         self.reactor.callLater(CRASH_DELAY_S, self.go_down, request.transport)
         return defer.Deferred()
@@ -849,6 +849,21 @@
     return app
 
 
+def bare_head(request: typing.Any) -> bytes:
+    """Returns the head of an answer that the HTTP library doesn't frame.
+
+    It has what the runner says of itself, like that of any other answer.
+
+    :param request: with the header fields of its answer
+    """
+    fields = [
+        b"%s: %s\r\n" % (name, value)
+        for name, values in request.responseHeaders.getAllRawHeaders()
+        for value in values
+    ]
+    return b"HTTP/1.1 200 OK\r\n%s\r\n" % b"".join(fields)
+
+
 def _sleep(reactor: typing.Any, seconds: float) -> "defer.Deferred[None]":
     woken: defer.Deferred[None] = defer.Deferred()
     reactor.callLater(seconds, woken.callback, None)
