--- a/features/steps/standin_lakeshore_steps.py
+++ b/features/steps/standin_lakeshore_steps.py
@@ -8,6 +8,7 @@
 from godwitloft.standins import lakeshore
 
 MISDIRECTED = 421
+BAD_PART = "bad"
 
 
 @given("a stand-in runner that is to misdirect {count:d} requests")
@@ -64,7 +65,10 @@
     headers.setRawHeaders(lakeshore.REQUEST_ID, ["r"])
     headers.setRawHeaders("Godwitloft-Token-Counts", [f"0,{last}"])
     headers.setRawHeaders("Last-Event-Id", [str(first - 1)])
+    headers.setRawHeaders(lakeshore.PROMPT_PARTS, [f"{BAD_PART}:1,own:1"])
     context.runner.run(request)
+    interval_s = lakeshore.EVENT_INTERVAL_MS / lakeshore.MS_PER_S
+    context.runner.reactor.pump([interval_s] * last)
     context.transport = request.transport
 
 
@@ -85,7 +89,40 @@
     reactor = task.Clock()
     rows = lakeshore.Rows(reactor)
     context.runner = lakeshore.Runner(0, "model", rows, reactor)
-    context.runner.control({change: 1})
+    values = {"crash_part": BAD_PART, "cut_after": [1]}
+    context.runner.control({change: values.get(change, 1)})
+
+
+@given('the runner is leaving "{leaving}" and names the limit {limit_per_s:d}')
+def say_of_itself(context, leaving, limit_per_s):
+    change = {"says_leaving": leaving == "yes"}
+    context.runner.control(change | {"limit_per_s": limit_per_s or None})
+
+
+@then('its ledger says broken off "{broken}" and closed after "{closed}"')
+def check_ledger(context, broken, closed):
+    rows = context.runner.ledger
+    found = [(row["broke_off"], row["closed_after"]) for row in rows]
+    closed_after = None if closed == "no" else int(closed)
+    expected = [(broken == "yes", closed_after)]
+    assert found == (expected if rows else []), rows
+    assert rows or context.runner.turned_away
+
+
+@then(
+    'the head of its answer says leaving "{leaving}" and limit {limit_per_s:d}'
+)
+def check_head(context, leaving, limit_per_s):
+    head, _, _body = context.transport.value().partition(b"\r\n\r\n")
+    lines = head.decode().split("\r\n")
+    assert lines[0] == "HTTP/1.1 200 OK", lines
+    fields = dict(line.split(": ", 1) for line in lines[1:])
+    assert len(fields) == len(lines) - 1, lines
+    assert fields[lakeshore.REQUEST_ID] == "r", lines
+    assert fields[lakeshore.SEAL] == f"seal-{context.runner.id}", lines
+    assert (fields.get(lakeshore.LEAVING) == "1") == (leaving == "yes"), lines
+    expected = str(limit_per_s) if limit_per_s else None
+    assert fields.get(lakeshore.LIMIT) == expected, lines
 
 
 @then("it sends {count:d} events")
--- a/godwitloft/gateway/daemon.py
+++ b/godwitloft/gateway/daemon.py
@@ -8,6 +8,7 @@
 from godwitloft.gateway import gateway as gateways
 from godwitloft.gateway import http_server
 from godwitloft.gateway import model
+from godwitloft.gateway import stop_report
 from godwitloft.runtime import polling
 
 TICK_INTERVAL_MS = 25
@@ -226,15 +227,20 @@
             done,
         )
         self.reactor.callLater(
-            options.last_accept_ms / clocks.MS_PER_S,
-            self.gateway.stop_accepting,
+            options.last_accept_ms / clocks.MS_PER_S, self.stop_accepting
         )
 
+    def stop_accepting(self) -> None:
+        """Refuses requests from now on, and reads answers to their ends."""
+        self.gateway.stop_accepting()
+        self.caller_factory.read_ahead()
+
     def close(self, end_ms: int, done: typing.Callable[[], None]) -> None:
         """Closes connections between answers, and waits for the last answer.
 
         An answer has ended once the kernel has all of it: what its caller has
-        not read yet may still be in this process.
+        not read yet may still be in this process. A request that has arrived
+        in part is waited for, as its caller may be about to send the rest.
 
         :param end_ms: when the process must end
         :param done: called once the process may end
@@ -246,31 +252,51 @@
         started_ms = self.clock.monotonic_ms()
 
         def is_idle() -> bool:
-            self.caller_factory.close_idle()
-            return not (
-                self.gateway.has_requests()
-                or self.caller_factory.has_closing()
-            )
+            all_closed = self.caller_factory.close_all()
+            return all_closed and not self.gateway.has_requests()
 
         def end(in_time: bool) -> None:
-            events.log(
-                events.STOPPED,
-                finished=in_time,
-                left=self.gateway.unfinished(),
-                unsent=self.caller_factory.count_closing(),
-                took_ms=self.clock.monotonic_ms() - started_ms,
-            )
+            fields = {
+                "finished": in_time,
+                "left": self.gateway.unfinished(),
+                "unsent": self.caller_factory.count_closing(),
+                "took_ms": self.clock.monotonic_ms() - started_ms,
+            }
             self.gateway.stop_accepting()
             self.gateway.end_all()
+
+            def on_flushed(_in_time: bool) -> None:
+                try:
+                    self.report_stop(fields)
+                finally:
+                    done()
+
             polling.wait_until(
                 self.reactor,
-                lambda: not self.caller_factory.has_closing(),
+                self.caller_factory.close_all,
                 options.flush_limit_ms,
-                lambda _in_time: done(),
+                on_flushed,
             )
 
         polling.wait_until(self.reactor, is_idle, remaining_ms, end)
 
+    def report_stop(self, fields: typing.Mapping[str, typing.Any]) -> None:
+        """Logs the end of a planned stop, and what callers did not get.
+
+        :param fields: what was found when it had no more time
+        """
+        shutdown = self.gateway.shutdown
+        stop_report.report_connections(
+            self.caller_factory.connections, self.gateway.dialect, shutdown
+        )
+        events.log(
+            events.STOPPED,
+            **fields,
+            unsent_at_end=self.caller_factory.count_closing(),
+            **shutdown.log_fields(),
+            ended=dict(shutdown.ended),
+        )
+
     def stop(self) -> None:
         """Stops timers, ports and the source at once."""
         self.stopped = True
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -5,6 +5,7 @@
 :mod:`godwitloft.gateway.placement`.
 """
 
+import collections
 import dataclasses
 import random
 import typing
@@ -364,8 +365,13 @@
         :param end_ms: when the process must end; requests that would take
             longer are refused from now on
         """
-        self.shutdown.begin(end_ms)
-        events.log(events.DRAINING, requests=self.unfinished())
+        self.shutdown.begin(end_ms, self.options.last_accept_ms)
+        events.log(
+            events.DRAINING,
+            requests=self.unfinished(),
+            limit_ms=end_ms - self.clock.monotonic_ms(),
+            **self.count_by_state(),
+        )
 
     def stop_accepting(self) -> None:
         """Refuses requests that arrive from now on."""
@@ -383,6 +389,19 @@
         )
         return waiting + len(self.running) + len(self.continuations.pending)
 
+    def count_by_state(self) -> typing.Mapping[str, int]:
+        """Returns how many requests wait or run, for logs."""
+        states = collections.Counter(request.state for request in self.running)
+        sent = states[requests.State.SENT]
+        answering = states[requests.State.ANSWERING]
+        locating = len(self.continuations.pending)
+        return {
+            "waiting": self.unfinished() - len(self.running) - locating,
+            "locating": locating,
+            "sent": sent,
+            "answering": answering,
+        }
+
     def has_requests(self) -> bool:
         """Returns whether a request waits or runs.
 
@@ -577,6 +596,7 @@
         request.state = requests.State.SENT
         request.sent_ms = now_ms
         request.answering_since_ms = 0
+        request.was_cancelled = False
         request.last_upstream_id = state.upstream.id
         request.sent_version = state.upstream.version
         request.upstream_state = state
@@ -591,19 +611,8 @@
         self.running.add(request)
         self.admission.record_start(request, now_ms)
         self.dependencies.instruments.wait_ms.record(now_ms - facts.arrived_ms)
-        events.log(
-            events.REQUEST_PLACED,
-            request=facts.id,
-            route=facts.route.name,
-            team=facts.team.name if facts.team is not None else None,
-            tokens=request.use.tokens if request.use is not None else None,
-            upstream=state.upstream.id,
-            upstream_version=state.upstream.version,
-            resumes=facts.resumed_id,
-            waited_ms=now_ms - facts.arrived_ms,
-            running=state.running,
-            allowed=self.placer.allowed(state, now_ms),
-            proof_age_ms=self.config_state.confirmation_age_ms(now_ms),
+        self.reports.report_sent(
+            request, state.running, self.placer.allowed(state, now_ms)
         )
         attempt_number = request.attempt_count
         callbacks = attempts.AttemptCallbacks(
@@ -809,6 +818,7 @@
         attempt = request.attempt
         state = self.release(request)
         if attempt is not None:
+            request.was_cancelled = True
             attempt.cancel()
         return state
 
@@ -896,10 +906,14 @@
     ) -> bool:
         """Cancels an attempt and queues its request again, if permitted.
 
+        Not if the process ends too soon: the attempt may still end in time.
+
         :param request: a request that was sent
         :param attempt_outcome: why its attempt is given up
         :return: whether it is permitted
         """
+        if not self.shutdown.is_expected_to_finish(request):
+            return False
         now_ms = self.clock.monotonic_ms()
         if not self.retry_policy.may_retry(request, attempt_outcome, now_ms):
             return False
@@ -916,6 +930,11 @@
         if request.state is not requests.State.WAITING:
             return
         facts = request.facts
+        if request.runs == 0 and not self.shutdown.can_finish(request):
+            self.final_answers.refuse(
+                request, request_checkers.LEAVING_REFUSAL
+            )
+            return
         if (
             request.version is not None
             and self.fleet.has_lost(facts.service, request.version)
@@ -949,6 +968,7 @@
         """
         if request.attempt is not None:
             request.attempt.conclude()
+        self.holds.conclude(request)
         if request in self.running:
             self.cancel_attempt(request)
             self.final_answers.refuse(request, refusal)
