Tests of a stop beside changes, for each kind, framing and attempt

Cause: no table went through what may change in a planned stop, when requests come in it, or through all kinds, framings and attempts. Change: 67 rows in gateway_stops.feature: a route, key or limit that goes, leaving upstreams, the store away, requests on kept connections at six moments, a gateway that is stopped before it has a configuration or a list, attempts 1 to 3.

--- a/features/gateway_stops.feature
+++ b/features/gateway_stops.feature
@@ -189,3 +189,155 @@
       | lookup | 1 | 5000 | yes | 10000 |
       | draft | 4 | 2000 | yes | 2600 |
       | draft | 4 | 5000 | no | 2600 |
+
+  # Guards against answers that a change beside a stop ends: its request has
+  # been sent.
+  Scenario Outline: What changes in a stop cuts no answer: <route>, <change>
+    Given requests of "<route>" now take 2000 ms
+    When the process is stopped and a slow caller requests "<route>" 2500 ms later
+    And meanwhile <change>
+    And 2500 ms more pass
+    And its upstream answers, framed by <framing>
+    And the slow caller reads all
+    And 100 ms more pass
+    Then the slow caller has a whole answer of 3 events
+    And it was sent to 1 upstreams
+    And the process has ended: yes
+
+    Examples:
+      | route | change | framing |
+      | post | its route is dropped | length |
+      | draft | its route is dropped | close |
+      | query | its route is dropped | chunks |
+      | post | its key is withdrawn | length |
+      | draft | its key is withdrawn | close |
+      | query | its key is withdrawn | chunks |
+      | draft | its team's limit is lowered | close |
+      | post | all upstreams are leaving | close |
+      | draft | all upstreams are leaving | close |
+      | post | the list of upstreams becomes empty | length |
+      | draft | the list of upstreams becomes empty | close |
+      | query | the list of upstreams becomes empty | chunks |
+      | post | the store is away | close |
+      | draft | the store is away | chunks |
+      | query | the store is away | length |
+      | query | nothing changes | chunks |
+
+  # Guards against a refusal that isn't true, and against a connection that is
+  # closed instead.
+  Scenario Outline: A request that comes <when> ms after SIGTERM on a kept connection: <told>
+    Given requests of "lookup" now take 2000 ms
+    When the process is stopped and another caller has a request running
+    And <when> ms more pass
+    And a slow caller with a kept connection requests "lookup"
+    And the slow caller reads all
+    Then the slow caller was told: <told>
+    When its own request is answered if it was sent
+    And the slow caller reads all
+    Then the slow caller has status <status>
+
+    Examples:
+      | when | told | status |
+      | 0 | nothing yet | 200 |
+      | 2500 | nothing yet | 200 |
+      | 2700 | nothing yet | 200 |
+      | 3500 | nothing yet | 200 |
+      | 3650 | 503 | 503 |
+      | 4900 | 503 | 503 |
+
+  # Guards against a stop that begins before the gateway could serve anything.
+  Scenario Outline: A gateway that is stopped before <lacks> is there answers what it is asked: <ms> ms
+    Given a new gateway process without <lacks>
+    When the process is stopped
+    And a slow caller with a kept connection requests "post"
+    And the slow caller reads all
+    Then the slow caller was told: 503
+    When <ms> ms more pass
+    And <lacks> comes
+    And a slow caller with a kept connection requests "post"
+    And the slow caller reads all
+    Then the slow caller was told: <told>
+    When its own request is answered if it was sent
+    And the slow caller reads all
+    Then the slow caller has status <status>
+    When 3000 ms more pass
+    Then the process has ended: yes
+
+    Examples:
+      | lacks | ms | told | status |
+      | the configuration | 100 | nothing yet | 200 |
+      | the configuration | 3700 | 503 | 503 |
+      | the list of upstreams | 100 | nothing yet | 200 |
+      | the list of upstreams | 3700 | 503 | 503 |
+
+  # Guards against answers of a kind, framing or attempt that a stop forgets. One
+  # whose end nothing marks is asked for once more, where that may be.
+  Scenario Outline: The answer to attempt <number> is whole in a stop: <route>, framed by <framing>
+    Given three upstreams of each service
+    When the process is stopped and a slow caller requests "<route>" 2500 ms later
+    And each attempt before number <number> is refused as not run after 500 ms
+    And 1500 ms more pass
+    And the last attempt is answered, framed by <framing>
+    And the slow caller reads all
+    And <ms> ms more pass
+    Then it was sent to <sent> upstreams
+    And the slow caller has a whole answer of 3 events
+    And the process has ended: yes
+
+    Examples:
+      | route | framing | number | sent | ms |
+      | post | length | 1 | 1 | 100 |
+      | post | length | 2 | 2 | 100 |
+      | post | length | 3 | 3 | 100 |
+      | post | chunks | 1 | 1 | 100 |
+      | post | chunks | 2 | 2 | 100 |
+      | post | chunks | 3 | 3 | 100 |
+      | post | close | 1 | 1 | 100 |
+      | post | close | 2 | 2 | 100 |
+      | post | close | 3 | 3 | 100 |
+      | lookup | length | 1 | 1 | 100 |
+      | lookup | length | 2 | 2 | 100 |
+      | lookup | length | 3 | 3 | 100 |
+      | lookup | chunks | 1 | 1 | 100 |
+      | lookup | chunks | 2 | 2 | 100 |
+      | lookup | chunks | 3 | 3 | 100 |
+      | lookup | close | 1 | 1 | 100 |
+      | lookup | close | 2 | 2 | 100 |
+      | lookup | close | 3 | 3 | 100 |
+      | draft | length | 1 | 1 | 100 |
+      | draft | length | 2 | 2 | 100 |
+      | draft | length | 3 | 3 | 100 |
+      | draft | chunks | 1 | 1 | 100 |
+      | draft | chunks | 2 | 2 | 100 |
+      | draft | chunks | 3 | 3 | 100 |
+      | draft | close | 1 | 1 | 100 |
+      | draft | close | 2 | 2 | 100 |
+      | draft | close | 3 | 3 | 100 |
+      | query | length | 1 | 1 | 100 |
+      | query | length | 2 | 2 | 100 |
+      | query | length | 3 | 3 | 100 |
+      | query | chunks | 1 | 1 | 100 |
+      | query | chunks | 2 | 2 | 100 |
+      | query | chunks | 3 | 3 | 100 |
+      | query | close | 1 | 2 | 4500 |
+      | query | close | 2 | 3 | 4500 |
+      | query | close | 3 | 4 | 4500 |
+
+  Scenario Outline: A stream that goes on in a stop is whole: framed by <framing>, and then by <second>
+    Given three upstreams of each service
+    When the process is stopped and a slow caller requests "query" 2500 ms later
+    And its upstream resets it after two events, framed by <framing>
+    And 1500 ms more pass
+    And the last attempt sends event 3, framed by <second>
+    And the slow caller reads all
+    And 4000 ms more pass
+    Then the slow caller has a whole answer of 3 events
+    And the process has ended: yes
+
+    Examples:
+      | framing | second |
+      | length | length |
+      | chunks | chunks |
+      | chunks | close |
+      | close | chunks |
+      | close | close |
--- a/features/steps/gateway_stops_steps.py
+++ b/features/steps/gateway_stops_steps.py
@@ -1,3 +1,4 @@
+import dataclasses
 import re
 import socket
 
@@ -5,6 +6,7 @@
 from behave import then
 from behave import when
 
+from features.support import gateway_world
 from features.support import logs
 from features.support import slow_caller
 from features.support import wire_answers
@@ -31,7 +33,13 @@
 
 @given("a gateway process whose callers read slowly")
 def process(context):
-    world = wire_upstream.WireWorld()
+    run_process(context, wire_upstream.WireWorld())
+    times = context.world.gateway.shutdown.run_times
+    for route in gateway_world.ROUTES:
+        times.learn(route, 100)
+
+
+def run_process(context, world):
     context.world = world
     context.log = logs.record(context)
     context.daemon = daemons.GatewayDaemon(
@@ -42,9 +50,6 @@
         daemons.ListenOptions("127.0.0.1", 0, None, None, lambda: b""),
     )
     context.ended = []
-    times = world.gateway.shutdown.run_times
-    for route in ("draft", "query", "post", "lookup"):
-        times.learn(route, 100)
 
 
 def connect(context):
@@ -314,3 +319,143 @@
             received.count(FILLER) * EVENT_KB == size_kb
         )
         assert found == (is_whole == "yes"), len(received)
+
+
+def configure(context, change):
+    before = gateway_world.configuration(version=2)
+    context.world.gateway.config_state.configure(change(before))
+
+
+def drop_routes(context):
+    configure(context, lambda before: dataclasses.replace(before, routes=()))
+
+
+def withdraw_key(context):
+    configure(context, lambda _before: gateway_world.configuration(2, ()))
+
+
+def lower_limit(context):
+    configure(
+        context,
+        lambda _before: gateway_world.configuration(2, tokens_per_s=0.1),
+    )
+
+
+def let_all_leave(context):
+    context.world.gateway.update_upstreams(
+        {
+            name: dataclasses.replace(upstream, leaving=True)
+            for name, upstream in context.world.upstreams.items()
+        }
+    )
+
+
+def lose_store(context):
+    context.world.confirm = lambda: None
+
+
+CHANGES = {
+    "its route is dropped": drop_routes,
+    "its key is withdrawn": withdraw_key,
+    "its team's limit is lowered": lower_limit,
+    "all upstreams are leaving": let_all_leave,
+    "the list of upstreams becomes empty": take_all_away,
+    "the store is away": lose_store,
+    "nothing changes": lambda _context: None,
+}
+
+
+@when("meanwhile {change}")
+def change_something(context, change):
+    CHANGES[change](context)
+
+
+@when("its upstream answers, framed by {framing}")
+def answer_whole(context, framing):
+    sent = context.sent
+    sent.receive(wire_answers.complete_answer(sent, framing))
+    wire_answers.close_if_open(sent)
+
+
+@when("the process is stopped and another caller has a request running")
+def stop_beside_running(context):
+    connect(context)
+    context.caller.ask("other", "draft")
+    stop(context)
+
+
+@when('a slow caller with a kept connection requests "{route}"')
+def ask_kept(context, route):
+    connect(context)
+    context.world.sent.clear()
+    context.caller.ask("kept", route)
+
+
+@when("its own request is answered if it was sent")
+def answer_own(context):
+    for sent in context.world.sent:
+        sent.receive(wire_answers.complete_answer(sent, "length"))
+
+
+@given("a new gateway process without {lacks}")
+def new_process(context, lacks):
+    world = wire_upstream.WireWorld(is_new=True)
+    run_process(context, world)
+    world.sharing.restore({}, 0)
+    world.sharing.join()
+    world.confirm()
+    if lacks != "the configuration":
+        world.gateway.config_state.configure(gateway_world.configuration())
+    if lacks != "the list of upstreams":
+        world.gateway.update_upstreams(world.upstreams)
+
+
+@when("the configuration comes")
+def configuration_comes(context):
+    configure(context, lambda before: before)
+
+
+@when("the list of upstreams comes")
+def list_comes(context):
+    context.world.gateway.update_upstreams(context.world.upstreams)
+
+
+@given("three upstreams of each service")
+def three_upstreams(context):
+    world = wire_upstream.WireWorld(("desk", "model") * 3)
+    run_process(context, world)
+    for route in gateway_world.ROUTES:
+        set_run_time(context, route, 100)
+
+
+@when(
+    "each attempt before number {number:d} is refused as not run after"
+    " {after_ms:d} ms"
+)
+def refuse_before(context, number, after_ms):
+    for _ in range(number - 1):
+        context.world.advance(after_ms)
+        refuse(context.world.sent[-1])
+        context.world.advance(25)
+
+
+@when("the last attempt is answered, framed by {framing}")
+def answer_last(context, framing):
+    context.sent = context.world.sent[-1]
+    answer_whole(context, framing)
+
+
+@when("its upstream resets it after two events, framed by {framing}")
+def reset_midway(context, framing):
+    context.sent.receive(wire_answers.first_part(context.sent, framing))
+    context.sent.close(clean=False)
+    context.world.advance(25)
+
+
+@when("the last attempt sends event 3, framed by {framing}")
+def send_third(context, framing):
+    sent = context.world.sent[-1]
+    assert sent is not context.sent
+    body = wire_answers.events(3, 3)
+    sent.receive(wire_answers.complete_answer(sent, framing, body))
+    wire_answers.close_if_open(sent)
