--- a/features/lakeshore_path.feature
+++ b/features/lakeshore_path.feature
@@ -170,6 +170,23 @@
       | SIGTERM SIGTERM |
       | SIGTERM SIGHUP SIGTERM SIGTERM |
 
+  # Guards against a request that is dropped as the process ends in the middle
+  # of its arrival.
+  Scenario Outline: A request whose <part> arrives in parts beside a planned stop is answered
+    Given the entry is started again with 8 s to end
+    When the entry gets SIGTERM
+    And 1.5 s pass
+    And a caller sends a request up to the middle of its <part>
+    And 2 s pass
+    And the caller sends the rest of it
+    Then the caller reads status 503
+    And the entry ends with status 0
+
+    Examples:
+      | part |
+      | head |
+      | body |
+
   # Guards against whole streams that are cut around a planned stop (issue 54).
   Scenario Outline: A whole stream that only its connection's close ends isn't cut by <signals>
     Given the next stream has neither a length nor chunks and its runner sends all
--- a/features/steps/lakeshore_path_steps.py
+++ b/features/steps/lakeshore_path_steps.py
@@ -1,4 +1,5 @@
 import base64
+import dataclasses
 import json
 import pathlib
 import re
@@ -285,6 +286,44 @@
         context.world.entry.send_signal(signal.Signals[name])
 
 
+@given("the entry is started again with {grace_s:d} s to end")
+def start_with_grace(context, grace_s):
+    world = context.world
+    world.entry.kill()
+    world.entry.communicate()
+    world.bounds = dataclasses.replace(world.bounds, leave_s=grace_s)
+    start_entry(context)
+
+
+@when("a caller sends a request up to the middle of its {part}")
+def send_first_part(context, part):
+    headers = words.caller_headers(
+        lakeshore.HOST, "p1", "key-a", lakeshore.TIMEOUT_MS
+    )
+    lines = [f"{name}: {value}" for name, value in headers.items()]
+    lines = ["POST /lookup/x HTTP/1.1", *lines, "Content-Length: 4", "", ""]
+    head = "\r\n".join(lines).encode()
+    whole = head + b"body"
+    middle = len(head) // 2 if part == "head" else len(whole) - 2
+    context.socket = socket.create_connection(
+        ("127.0.0.1", context.world.front), lakeshore.TIMEOUT_S
+    )
+    context.add_cleanup(context.socket.close)
+    context.socket.sendall(whole[:middle])
+    context.rest = whole[middle:]
+
+
+@when("the caller sends the rest of it")
+def send_second_part(context):
+    context.socket.sendall(context.rest)
+
+
+@then("the caller reads status {status:d}")
+def read_status(context, status):
+    received = context.socket.recv(1000)
+    assert received.startswith(b"HTTP/1.1 %d" % status), received
+
+
 @then("its log names the rows and fields")
 def check_log(context):
     output, _ = context.world.entry.communicate(timeout=lakeshore.TIMEOUT_S)
--- a/features/support/lakeshore.py
+++ b/features/support/lakeshore.py
@@ -88,6 +88,7 @@
         self.front = 0
         self.ready = 0
         self.logs = []
+        self.bounds = BOUNDS
 
     def spawn(self, *words, boot):
         environment = dict(os.environ)
@@ -120,7 +121,7 @@
             front=f"127.0.0.1:{self.front}",
             ready=f"127.0.0.1:{self.ready}",
         )
-        boot.write_text(words.boot(machine, self.store, BOUNDS))
+        boot.write_text(words.boot(machine, self.store, self.bounds))
         self.entry = self.spawn(
             "deploy.start",
             "entry",
