A whole stream that is held back isn't dropped when its time is over

What callers saw: 504, at the limit of a stop or of their own time, for a stream that its upstream had ended and that was held back until it was on record. Cause: held data was dropped with its attempt, whether or not all had come. Change: a held answer that has ended completely is passed on instead; nobody needs to take it up. One that is unfinished or broken still gets 504.

--- a/features/gateway_stops.feature
+++ b/features/gateway_stops.feature
@@ -341,3 +341,24 @@
       | chunks | close |
       | close | chunks |
       | close | close |
+
+  # Guards against whole answers that are held back until they are on record, and
+  # dropped at the limit.
+  Scenario Outline: A stream that is held back at the limit of a stop, framed by <framing>: <state>
+    Given streams that must be on record before their first event
+    When the process is stopped and a slow caller requests "query" 2600 ms later
+    And 4300 ms more pass
+    And its upstream's answer is held back: <state>, framed by <framing>
+    And the slow caller reads all
+    Then the slow caller was told: nothing yet
+    When 200 ms more pass
+    And the slow caller reads all
+    Then the slow caller has <received>
+
+    Examples:
+      | state | framing | received |
+      | all has come | length | a whole answer of 3 events |
+      | all has come | chunks | a whole answer of 3 events |
+      | all has come | close | a whole answer of 3 events |
+      | a part has come | chunks | status 504 |
+      | it was reset after a part | chunks | status 504 |
--- a/features/steps/gateway_stops_steps.py
+++ b/features/steps/gateway_stops_steps.py
@@ -459,3 +459,32 @@
     body = wire_answers.events(3, 3)
     sent.receive(wire_answers.complete_answer(sent, framing, body))
     wire_answers.close_if_open(sent)
+
+
+@given("streams that must be on record before their first event")
+def need_record(context):
+    context.world.gateway.bases.has_store = True
+
+
+def send_part_and_reset(sent, framing):
+    sent.receive(wire_answers.first_part(sent, framing))
+    sent.close(clean=False)
+
+
+def send_whole(sent, framing):
+    sent.receive(wire_answers.complete_answer(sent, framing))
+    wire_answers.close_if_open(sent)
+
+
+HELD = {
+    "all has come": send_whole,
+    "a part has come": lambda sent, framing: sent.receive(
+        wire_answers.first_part(sent, framing)
+    ),
+    "it was reset after a part": send_part_and_reset,
+}
+
+
+@when("its upstream's answer is held back: {state}, framed by {framing}")
+def hold_back(context, state, framing):
+    HELD[state](context.sent, framing)
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -958,6 +958,7 @@
         """
         if request.attempt is not None:
             request.attempt.conclude()
+        self.holds.open_complete(request)
         if request in self.running:
             self.cancel_attempt(request)
             self.final_answers.refuse(request, refusal)
--- a/godwitloft/gateway/streams/stream_holds.py
+++ b/godwitloft/gateway/streams/stream_holds.py
@@ -188,6 +188,20 @@
         del self.holds[request]
         hold.open()
 
+    def open_complete(self, request: requests.Request) -> None:
+        """Passes on a held answer that has ended, as there is no more time.
+
+        Nobody needs to take a stream up whose caller has all of it.
+
+        :param request: any request
+        """
+        hold = self.holds.get(request)
+        if hold is None or hold.end is None:
+            return
+        how, _reason = hold.end
+        if how is attempts.End.COMPLETE:
+            self.open(request, hold)
+
     def release(self, request: requests.Request) -> None:
         """Forgets the answer to an attempt that has ended.
 
