godwitloft explain tells what a planned stop did to a request

What operators saw: a cut at the limit of a planned stop was explained as "i-1 broke it off (leaving)", and a failure without GL1204 as sent nowhere. Cause: explain knew no stops, and took each reason for one of the upstream. Change: it says that the cut was made at the limit of a planned stop, how long after the signal, and whether the upstream had ended, was silent, or the caller had bytes to read; it explains GL1210 and GL1211, and tells from `sent` where a request was. The audit of logs reads a request up to its end, so that GL1210 behind it hides no breach, and GL1211 counts as an end.

--- a/features/explaining.feature
+++ b/features/explaining.feature
@@ -100,6 +100,8 @@
       | promise | ms | event | fields | then | more |
       | - | 20 | GL1301 | request=r1 upstream=u1 result=not_run | GL1201 | request=r1 status=503 reason=x |
       | not run is true | 20 | GL1301 | request=r1 upstream=u1 result=broken | GL1201 | request=r1 status=503 reason=x |
+      | not run is true | 20 | GL1201 | request=r1 status=503 reason=x | GL1210 | request=r1 unsent_bytes=3 |
+      | - | 20 | GL1211 | request=r2 missing=body | GL1205 | request=r1 may_repeat=true |
       | non-idempotent at most once | 20 | GL1204 | request=r1 upstream=u2 | GL1205 | request=r1 may_repeat=false |
       | - | 20 | GL1204 | request=r1 upstream=u2 | GL1205 | request=r1 may_repeat=true |
       | one end for each request | 20 | GL1401 | version=4 | GL1401 | version=5 |
@@ -107,3 +109,59 @@
       | one end for each request | 20 | GL1205 | request=r1 may_repeat=true | GL1205 | request=r1 may_repeat=true |
       | configuration spreads forward | 20 | GL1401 | version=2 | GL1205 | request=r1 |
       | no internal error | 20 | GL1009 | traceback=x | GL1205 | request=r1 |
+
+  # Guards against cuts of a planned stop that are blamed on an upstream.
+  Scenario Outline: A request of a planned stop is explained by the stop: <end>
+    Given the log of "edge-1"
+      | ms | event | fields |
+      | 10 | GL1204 | request=r1 route=post upstream=u1 waited_ms=3 running=1 allowed=4 |
+      | 7010 | <event> | request=r1 reason=<reason> upstream=u1 stopping_ms=7000 <more> |
+    When "r1" is explained
+    Then the cause is "<cause>"
+    And the evidence has "<evidence>"
+
+    Examples:
+      | end | event | reason | more | cause | evidence |
+      | cut at its limit | GL1206 | leaving | outcome=cut upstream_ended=false state=answering | the answer was cut off: at the limit of a planned stop, 7000 ms after the signal | u1 had not ended its answer |
+      | silent before | GL1206 | leaving | outcome=cut upstream_ended=false upstream_silent_ms=900 | the answer was cut off: at the limit of a planned stop, 7000 ms after the signal | u1 sent last 900 ms before |
+      | cut while it waits again | GL1206 | leaving | outcome=cut upstream_ended=true state=waiting | the answer was cut off: at the limit of a planned stop, 7000 ms after the signal | it waited for another attempt after u1 |
+      | cut for a slow caller | GL1206 | leaving | outcome=cut unsent_bytes=300 | the answer was cut off: at the limit of a planned stop, 7000 ms after the signal | its caller had not read 300 bytes |
+      | not answered at its limit | GL1201 | leaving | runs=1 status=504 | its end is unknown: at the limit of a planned stop, 7000 ms after the signal | u1 had not ended its answer |
+      | refused | GL1201 | leaving | status=503 | refused, nothing ran: the process was told to end | stopping for 7000 ms |
+      | broken off by its upstream | GL1206 | connection_reset | outcome=cut | the answer was cut off: u1 broke it off (connection_reset) | stopping for 7000 ms |
+      | out of time | GL1206 | timeout | outcome=cut | the answer was cut off: its time limit was over while it ran on u1 | stopping for 7000 ms |
+
+  Scenario Outline: What the process had not sent or read at its end is explained: <event>
+    Given the log of "edge-1"
+      | ms | event | fields |
+      | 10 | GL1205 | request=r1 outcome=completed |
+      | 7010 | <event> | <fields> stopping_ms=7400 |
+      | 7011 | GL1002 | |
+    When "<request>" is explained
+    Then the cause is "<cause>"
+
+    Examples:
+      | event | request | fields | cause |
+      | GL1210 | r1 | request=r1 unsent_bytes=300 | answered, but the process ended with 300 bytes that its caller had not read, 7400 ms after the signal |
+      | GL1211 | r2 | request=r2 missing=body | not answered, nothing ran: a part of its body was missing when the process ended, 7400 ms after the signal |
+
+  # Guards against failures without a cause where GL1204 was left out.
+  Scenario: A cut is explained by its one line
+    Given a gateway that reads what its upstreams send
+    When a caller requests "draft"
+    And its upstream has sent two events
+    And the gateway gets SIGTERM
+    And 500 ms later the stop has no time left
+    And "a" is explained from GL1206 alone
+    Then the cause is "the answer was cut off: at the limit of a planned stop, 500 ms after the signal"
+    And the evidence has "u2 had not ended its answer"
+    And the evidence has "it was sent to u2 (version '') 500 ms before, after it had waited 0 ms"
+
+  Scenario: The cut at the limit of a real process's stop is explained
+    Given a stand-in Lakeshore platform with a configuration
+    And an entry on it that is ready
+    When a stream of 400 events is under way
+    And the entry gets SIGTERM
+    And its log is saved once it has ended
+    Then the explain command for "s1" prints "the answer was cut off: at the limit of a planned stop, "
+    And the audit of the log finds no breach
--- a/features/steps/explaining_steps.py
+++ b/features/steps/explaining_steps.py
@@ -9,6 +9,7 @@
 from behave import when
 
 from features.support import lakeshore
+from godwitloft import events
 from godwitloft.audit import explanation
 from godwitloft.audit import log_promises
 from godwitloft.audit import request_logs
@@ -77,8 +78,13 @@
 
 
 @when("the entry is stopped and its log is saved")
-def save_log(context):
+def stop_and_save_log(context):
     context.world.entry.terminate()
+    save_log(context)
+
+
+@when("its log is saved once it has ended")
+def save_log(context):
     output, _ = context.world.entry.communicate(timeout=lakeshore.TIMEOUT_S)
     file = pathlib.Path(context.world.directory.name) / "entry.log"
     file.write_text(output, encoding="utf-8")
@@ -139,6 +145,18 @@
     (context.explanation,) = explanation.explain(context.logs, request)
 
 
+@when('"{request}" is explained from GL1206 alone')
+def explain_alone(context, request):
+    (record,) = [
+        record
+        for record in context.log.records
+        if record.event is events.ANSWER_FAILED
+    ]
+    line = events.JsonFormatter().format(record)
+    context.logs = request_logs.Logs([("edge-1.log", line)])
+    explain(context, request)
+
+
 @then('the cause is "{cause}"')
 def check_cause(context, cause):
     assert context.explanation.cause == cause, context.explanation
