--- a/features/support/crashing_engines.py
+++ b/features/support/crashing_engines.py
@@ -53,6 +53,8 @@
         self.target = outgoing.target.decode()
         self.callbacks = callbacks
         self.sent = False
+        # It chunks its answers, so that no end of a connection is checked.
+        self.is_closed = False
         self.over = False
         self.timers = []
 
