An upstream that can't be reached isn't taken for crashed or idle

What callers saw: requests blamed for crashes (500) that had crashed nothing: an answer that was broken off counted as a crash if the next request to that upstream timed out while it connected, had no route, could not be written, or if its question for the upstream's start got no answer. An agent took its upstream for idle if its queue of connections was full. Only the check after a break told the cases apart. Change: a connection that isn't made has the reason not_connected only if it was refused, else not_reached; what shows no refusal is no evidence of a crash. Upstreams pause for either as before. Evidence: eight rows of crash_tracker.feature, five of which failed before; the others ask for the crash and passed before too. The agent follows from the reason; it has no test of its own.

--- a/features/crash_tracker.feature
+++ b/features/crash_tracker.feature
@@ -44,6 +44,36 @@
       | before | 1 |
       | after | 0 |
 
+  # Guards against a cut network, or a full queue of connections, that is taken
+  # for a crash by the next request.
+  Scenario Outline: After a broken answer the connection of the next request <ends>
+    Given a gateway with two upstreams of each service
+    When an upstream breaks off a request
+    And the connection of the next request <ends>
+    Then <crashes> crashes are counted
+    And the next request's attempt ended with reason "<reason>"
+
+    Examples:
+      | ends | crashes | reason |
+      | is refused | 1 | not_connected |
+      | times out | 0 | not_reached |
+      | has no route | 0 | not_reached |
+
+  # The same for a stream that goes on, before which its upstream is asked.
+  Scenario Outline: After a broken answer the next request is not sent: <reason>
+    Given a gateway with two upstreams of each service
+    When an upstream breaks off a request
+    And the next request is not sent, for the reason "<reason>"
+    Then <crashes> crashes are counted
+
+    Examples:
+      | reason | crashes |
+      | not_connected | 1 |
+      | upstream_replaced | 1 |
+      | not_reached | 0 |
+      | no_report | 0 |
+      | malformed_request | 0 |
+
   # Guards against a cut network that is taken for a crash.
   Scenario Outline: A connection that <ends> proves <proof>
     When a connection to an upstream that is checked <ends>
--- a/features/steps/crash_tracker_steps.py
+++ b/features/steps/crash_tracker_steps.py
@@ -1,3 +1,5 @@
+import dataclasses
+
 from behave import step
 from behave import then
 from behave import when
@@ -98,6 +100,42 @@
     assert [line["requests"] for line in lines] == [count], lines
 
 
+PROBLEMS = {
+    "is refused": error.ConnectionRefusedError,
+    "times out": error.TimeoutError,
+    "has no route": error.NoRouteError,
+}
+
+
+@when("the connection of the next request {ends}")
+def connect_next(context, ends):
+    world = context.world
+    reactor = testing.MemoryReactorClock()
+    world.ask("next", "post")
+    sent = world.sent[-1]
+    context.ended = []
+
+    def on_end(how, reason):
+        context.ended.append(reason)
+        sent.end(how, reason)
+
+    callbacks = dataclasses.replace(sent.callbacks, on_end=on_end)
+    attempts.start(reactor, ("127.0.0.1", 9), sent.outgoing, callbacks)
+    problem = failure.Failure(PROBLEMS[ends]())
+    reactor.tcpClients[0][2].clientConnectionFailed(None, problem)
+
+
+@when('the next request is not sent, for the reason "{reason}"')
+def not_send(context, reason):
+    context.world.ask("next", "post")
+    context.world.sent[-1].end(attempts.End.NOT_SENT, reason)
+
+
+@then('the next request\'s attempt ended with reason "{reason}"')
+def check_reason(context, reason):
+    assert context.ended == [reason], context.ended
+
+
 @when("a connection to an upstream that is checked {ends}")
 def check_connection(context, ends):
     reactor = testing.MemoryReactorClock()
@@ -108,12 +146,8 @@
     if ends == "is made":
         assert factory.buildProtocol(None) is None
         return
-    problem = {
-        "is refused": error.ConnectionRefusedError(),
-        "times out": error.TimeoutError(),
-        "has no route": error.NoRouteError(),
-    }[ends]
-    factory.clientConnectionFailed(None, failure.Failure(problem))
+    problem = failure.Failure(PROBLEMS[ends]())
+    factory.clientConnectionFailed(None, problem)
 
 
 @then("the check proves {proof}")
--- a/godwitloft/agent/http_upstream.py
+++ b/godwitloft/agent/http_upstream.py
@@ -121,7 +121,7 @@
         :return: how the run ended, and the reason if it did not complete
         """
         if end is attempts.End.NOT_SENT:
-            if reason == attempts.NOT_CONNECTED:
+            if reason in (attempts.NOT_CONNECTED, attempts.NOT_REACHED):
                 reason = "upstream_unreachable"
             return upstreams.End.NEVER_STARTED, reason
         if end is attempts.End.BROKEN:
--- a/godwitloft/attempt.py
+++ b/godwitloft/attempt.py
@@ -30,7 +30,10 @@
 PROBE_IDLE_S = 1
 PROBE_INTERVAL_S = 1
 PROBE_COUNT = 2
+# The connection was refused: no process listens there.
 NOT_CONNECTED = "not_connected"
+# No connection in time, or no route: whether a process listens isn't known.
+NOT_REACHED = "not_reached"
 MALFORMED_REQUEST = "malformed_request"
 MALFORMED_ANSWER = "malformed_answer"
 MAX_INTERIM_ANSWERS = 100
@@ -330,7 +333,10 @@
         :param connector: twisted's connector
         :param reason: twisted's reason
         """
-        self.attempt.end(End.NOT_SENT, NOT_CONNECTED)
+        is_refused = reason.check(error.ConnectionRefusedError) is not None
+        self.attempt.end(
+            End.NOT_SENT, NOT_CONNECTED if is_refused else NOT_REACHED
+        )
 
 
 def start(
--- a/godwitloft/audit/explanation.py
+++ b/godwitloft/audit/explanation.py
@@ -17,6 +17,7 @@
     "team_allowance": "its team has used up its allowance",
     "not_configured": "the process had no configuration yet",
     "not_connected": "no upstream took a connection",
+    "not_reached": "no upstream could be reached",
     "leaving": "the process was told to end",
     "timeout": "its time limit was over",
 }
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -3,6 +3,7 @@
 from godwitloft import attempt as attempts
 from godwitloft import events
 from godwitloft.gateway import answer as answers
+from godwitloft.gateway import checked_attempt
 from godwitloft.gateway import model
 from godwitloft.gateway import outcomes
 from godwitloft.gateway import reports
@@ -31,6 +32,15 @@
         attempts.MALFORMED_ANSWER,
     )
 )
+# Why nothing was sent although, for all that is known, the upstream's process
+# lives.
+NOT_REFUSED = frozenset(
+    (
+        attempts.NOT_REACHED,
+        attempts.MALFORMED_REQUEST,
+        checked_attempt.Found.NO_ANSWER.value,
+    )
+)
 
 
 class RetryPolicy:
@@ -108,7 +118,7 @@
                 state.life,
                 crash_tracker.Broken(now_ms, request.unproved_causes(now_ms)),
             )
-        elif unreachable:
+        elif unreachable and attempt_outcome.reason not in NOT_REFUSED:
             self.crashes.record_unreachable(state.life, now_ms)
         events.log(
             events.UPSTREAM_FAILED,
