An agent's stream with its end marker is whole though its upstream has ended

What callers saw: a failed stream, and an upstream and a request under suspicion of a crash, if an upstream ended in order after its last stream, one without a length or chunks that had its end marker. Change: an end of the process after the marker, and between two events, ends a stream. Plain answers without a length stay as they were: nothing marks their end.

--- a/features/http_upstream.feature
+++ b/features/http_upstream.feature
@@ -39,6 +39,9 @@
       | streaming | with its end marker in a text | HTTP/1.1 200 OK\r\n\r\ndata: {"a":"data: [DONE]"}\n\n | closes the connection | failed | stream_cut |
       | streaming | that is its end marker | HTTP/1.1 200 OK\r\n\r\ndata: [DONE]\n\n | closes the connection | completed | |
       | streaming | whose lines end with CR | HTTP/1.1 200 OK\r\n\r\ndata: x\r\rdata: [DONE]\r\r | closes the connection | completed | |
+      | streaming | that ends with its process, after its end marker | HTTP/1.1 200 OK\r\n\r\ndata: x\n\ndata: [DONE]\n\n | closes the connection and its port | completed | |
+      | streaming | that ends with its process, before its end marker | HTTP/1.1 200 OK\r\n\r\ndata: x\n\n | closes the connection and its port | crashed | connection_lost |
+      | streaming | that ends with its process, inside its last event | HTTP/1.1 200 OK\r\n\r\ndata: x\n\ndata: [DONE]\n | closes the connection and its port | crashed | connection_lost |
       | streaming | that ends inside an event | HTTP/1.1 200 OK\r\n\r\ndata: [DONE] | closes the connection | failed | event_cut |
 
   # Guards against a client that works only without TLS.
--- a/godwitloft/agent/http_upstream.py
+++ b/godwitloft/agent/http_upstream.py
@@ -124,12 +124,17 @@
             if reason in (attempts.NOT_CONNECTED, attempts.NOT_REACHED):
                 reason = "upstream_unreachable"
             return upstreams.End.NEVER_STARTED, reason
-        if end is attempts.End.BROKEN:
-            return upstreams.End.CRASHED, "connection_lost"
         is_marked = STREAM_END_LINE.search(self.tail) is not None
+        defect = self.body_end.defect() if self.body_end is not None else ""
+        if reason == attempts.SERVER_GONE:
+            # A process may end in order after its last answer.
+            is_whole = self.is_token_stream and is_marked and not defect
+        else:
+            is_whole = end is not attempts.End.BROKEN
+        if not is_whole:
+            return upstreams.End.CRASHED, "connection_lost"
         if self.is_token_stream and not is_marked:
             return upstreams.End.FAILED, "stream_cut"
-        defect = self.body_end.defect() if self.body_end is not None else ""
         if defect:
             return upstreams.End.FAILED, defect
         return self.classify_status()
