A process found at an upstream's address isn't a planned leaving

Seen in a play of real processes on: the list still showed the life before, another request had just found the new process (upstream_replaced), and that one was killed. Cause: an upstream whose address has another process is excluded like one that leaves, and excuses the closed port of those. Change: that it was replaced is remembered on its own, and excuses nothing. Evidence: two rows of answer_end.feature; both failed before.

--- a/features/answer_end.feature
+++ b/features/answer_end.feature
@@ -121,6 +121,7 @@
       | draft | closes another answer too | cut |
       | draft | is leaving and breaks another answer off | cut |
       | draft | is sending another answer to a slow reader | cut |
+      | draft | has been found to be another process | cut |
       | draft | is leaving and sends no answer but other bytes elsewhere | whole |
       | draft | is leaving and has stalled at another answer | whole |
       | post | is leaving | whole |
@@ -129,6 +130,7 @@
       | post | has nothing else to do | 502 |
       | post | is leaving and breaks another answer off | 502 |
       | post | is sending another answer to a slow reader | 502 |
+      | post | has been found to be another process | 502 |
       | post | is leaving and sends no answer but other bytes elsewhere | whole |
 
   # Guards against a restart that is excused like a closed port.
--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -139,6 +139,17 @@
     other.receive(b"no answer\r\n\r\n")
 
 
+def misdirect(context):
+    other = begin_other(context, None)
+    other.receive(
+        other.answer_head(
+            b"content-length: 0",
+            b"%s: another" % gateway_world.DIALECT.upstream_id,
+            status=b"421 Misdirected",
+        )
+    )
+
+
 def stall_other(context):
     other = begin_other(context, "chunks", "query")
     list_again(context, leaving=True)
@@ -170,6 +181,7 @@
     "is leaving and breaks another answer off": leave_and_break_off,
     "is sending another answer to a slow reader": send_other_slowly,
     "is leaving and sends no answer but other bytes elsewhere": send_no_answer,
+    "has been found to be another process": misdirect,
     "is leaving and has stalled at another answer": stall_other,
 }
 
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -110,7 +110,7 @@
         unreachable = attempt_outcome.result is outcomes.Result.NOT_SENT
         state.record_failure(now_ms, unreachable)
         if attempt_outcome.replaced:
-            state.mark_leaving()
+            state.mark_replaced()
         if attempt_outcome.result is outcomes.Result.BROKEN:
             if attempt_outcome.reason not in BROKEN_OFF_HERE:
                 state.last_broken_ms = now_ms
--- a/godwitloft/gateway/upstreams/fleet.py
+++ b/godwitloft/gateway/upstreams/fleet.py
@@ -63,6 +63,8 @@
         self.last_start_ms = 0
         # What it, or a peer that it told, has last said of its limit.
         self.limit_statement: named_limit.Statement | None = None
+        # Whether another process was found at its address.
+        self.is_replaced = False
         # When it was last listed, before it went missing.
         self.last_listed_ms = 0
 
@@ -163,6 +165,11 @@
         """Excludes the upstream from new requests, whatever the list says."""
         self.upstream = dataclasses.replace(self.upstream, leaving=True)
 
+    def mark_replaced(self) -> None:
+        """Records that another process was found at its address."""
+        self.is_replaced = True
+        self.mark_leaving()
+
     def record_failure(self, now_ms: int, unreachable: bool) -> None:
         """Records a failure and pauses after several in a row.
 
--- a/godwitloft/gateway/upstreams/process_end.py
+++ b/godwitloft/gateway/upstreams/process_end.py
@@ -32,8 +32,10 @@
         return True
     if any(is_open_at(request, state) for request in running):
         return False
-    is_listed = state.upstream.id in fleet.listed
-    return is_listed and not state.upstream.leaving
+    if state.upstream.id not in fleet.listed:
+        return False
+    # One that was replaced gets no new requests either, and hasn't said so.
+    return state.is_replaced or not state.upstream.leaving
 
 
 def is_open_at(request: requests.Request, state: fleets.UpstreamState) -> bool:
