Use is saved as soon as the store answers anyone after an outage

Cause: the row was written at the loop's next try, 100 to 400 ms later, so the use since the last save was in no row. A start dates it 2 s after that save. Change: a gateway with much to save tries again after 100 ms and a random time that keeps all gateways together at 100 tries a second, never later than before; and at once when a call of its own or of a peer was answered since. A gateway whose calls are answered again tells its peers at once.

--- a/godwitloft/gateway/shared_knowledge.py
+++ b/godwitloft/gateway/shared_knowledge.py
@@ -117,6 +117,10 @@
             now_ms - own.until_ms, own.until_ms - own.since_ms
         )
 
+    def on_store_recovered(self) -> None:
+        """Tells peers at once that the store answers, for what they save."""
+        self.sharing.must_announce = True
+
     def on_peer_status(self, status: peer_status.PeerStatus) -> None:
         """Learns from what a peer tells.
 
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -22,6 +22,7 @@
 from godwitloft.platform import json_fields
 from godwitloft.platform import lease_row
 from godwitloft.platform import rows
+from godwitloft.platform import save_retry
 from godwitloft.platform import store as stores
 
 OPERATOR_TABLE = "op"
@@ -86,6 +87,7 @@
         call if that fails
     :param on_saved: called with the time at which the writing began, in
         milliseconds, once they are written
+    :param on_recovered: called when a call is answered after ones that failed
     :param on_restored: called with the time at which a restore of the store
         was noticed, in milliseconds
     :param settle_left_ms: returns how long confirmations don't count yet after
@@ -114,6 +116,7 @@
     must_save: typing.Callable[[], bool]
     before_save: typing.Callable[[], typing.Callable[[], None]]
     on_saved: typing.Callable[[int], None]
+    on_recovered: typing.Callable[[], None]
     on_restored: typing.Callable[[int], None]
     settle_left_ms: typing.Callable[[], int]
     count_cut_back: typing.Callable[[str, int], None]
@@ -129,13 +132,18 @@
         self.name = name
         self.failures = 0
 
-    def record_success(self) -> None:
-        """Resets the delay and logs the end of a series of failures."""
-        if self.failures:
-            events.log(
-                events.STORE_RECOVERED, loop=self.name, failures=self.failures
-            )
+    def record_success(self) -> bool:
+        """Resets the delay and logs the end of a series of failures.
+
+        :return: whether there was one
+        """
+        if not self.failures:
+            return False
+        events.log(
+            events.STORE_RECOVERED, loop=self.name, failures=self.failures
+        )
         self.failures = 0
+        return True
 
     def record_failure(self, error: Exception) -> int:
         """Counts a failure and logs the first of a series.
@@ -214,6 +222,9 @@
         self.list_restored = False
         # The store's clock minus this process's.
         self.store_clock_offset_ms = 0
+        self.save_retry = save_retry.SaveRetry(
+            clock, self.store_contact, self.is_urgent, self.urgent_delay_ms
+        )
         self.upstream_list = upstream_lists.UpstreamList(expiry_ms)
         self.logged_versions: dict[str, int] = {}
         # Upstreams that are not listed and were kept, as last logged.
@@ -225,7 +236,12 @@
             "configuration", self.needs_configuration, self.read_configuration
         )
         self.start_loop("upstreams", self.needs_upstreams, self.read_upstreams)
-        self.start_loop("gateways", self.needs_renewal, self.renew)
+        self.start_loop(
+            "gateways",
+            self.needs_renewal,
+            self.renew,
+            self.check_after_failure,
+        )
 
     def stop(self) -> None:
         """Ends each loop after its current call."""
@@ -236,6 +252,7 @@
         name: str,
         needed: typing.Callable[[], bool],
         step: typing.Callable[[], "defer.Deferred[int]"],
+        after_failure: typing.Callable[[int], int] | None = None,
     ) -> None:
         """Starts one loop.
 
@@ -243,6 +260,8 @@
         :param needed: returns whether the store must be called now
         :param step: one round of the loop; its result is the delay before the
             next one, in milliseconds
+        :param after_failure: gets the delay after a failure and returns when
+            to look whether a call is needed, in milliseconds
         """
         backoff = Backoff(name)
 
@@ -255,7 +274,8 @@
                 schedule(CHECK_INTERVAL_MS)
 
         def on_success(delay_ms: int) -> None:
-            backoff.record_success()
+            if backoff.record_success():
+                self.callbacks.on_recovered()
             schedule(delay_ms)
 
         def on_failure(failure: typing.Any) -> None:
@@ -264,7 +284,10 @@
                 self.position = None
             elif not isinstance(error, stores.StoreError):
                 events.log_error(events.INTERNAL_ERROR, error, task=name)
-            schedule(backoff.record_failure(error))
+            delay_ms = backoff.record_failure(error)
+            if after_failure is not None:
+                delay_ms = after_failure(delay_ms)
+            schedule(delay_ms)
 
         def schedule(delay_ms: int) -> None:
             self.reactor.callLater(delay_ms / clocks.MS_PER_S, run)
@@ -498,6 +521,8 @@
         :return: True if the renewal is due; it is due earlier if the usage has
             changed much since the last one
         """
+        if not self.save_retry.is_due():
+            return False
         interval_ms = RENEWAL_INTERVAL_MS
         if self.callbacks.needs_saving():
             interval_ms = MIN_RENEWAL_INTERVAL_MS
@@ -508,6 +533,26 @@
             return True
         return now_ms - self.renewed_ms >= interval_ms
 
+    def is_urgent(self) -> bool:
+        """Returns whether much would be lost if this gateway were killed."""
+        return self.callbacks.must_save() or self.callbacks.needs_saving()
+
+    def urgent_delay_ms(self) -> int:
+        """Returns the delay before a row with much unsaved is tried again.
+
+        :return: longer with more gateways; the first that succeeds tells them
+        """
+        return MIN_DELAY_MS + self.rewrite_delay_ms()
+
+    def check_after_failure(self, delay_ms: int) -> int:
+        """Heeds that a renewal of the lease failed.
+
+        :param delay_ms: the usual delay before the next one
+        :return: when to look whether it is due, in milliseconds
+        """
+        self.save_retry.record_failure(delay_ms)
+        return min(delay_ms, CHECK_INTERVAL_MS)
+
     @defer.inlineCallbacks
     def renew(self) -> typing.Generator[typing.Any, typing.Any, int]:
         """Renews this gateway's lease and at times reads the others'.
@@ -638,4 +683,6 @@
             raise
         self.renewed_ms = now_ms
         self.renewals += 1
+        self.save_retry.record_success()
+        self.store_contact.record(now_ms)
         self.callbacks.on_saved(now_ms)
