A gateway that was cut off asks what the others use before it grants

At its return it counted each unheard peer with an equal share, though they had taken its own. Change: while none of its peers was heard for 1.5 intervals of announcements, a gateway counts each with an equal share. After 2 s in which it heard neither the store nor a peer, it asks as at a start at the first contact, for 0.7 s at the most (GL1417); what it used itself it knows. GL1415 is worded for both.

--- a/features/allowances_after_starts.feature
+++ b/features/allowances_after_starts.feature
@@ -172,6 +172,8 @@
       | 1 | the store is away for 2000 ms and each is killed in turn every 500 ms, 2 times | 3 |
       | 4 | one is cut off from all for 60000 ms | 1 |
       | 4 | one is cut off from all for 60000 ms | 2 |
+      | 4 | one is cut off from all for 3000 ms | 3 |
+      | 4 | one is cut off from all for 10000 ms | 4 |
 
   # Guards against refusals below the limit: time in which gateways were dead
   # counted as usage.
--- a/features/support/restored_store.py
+++ b/features/support/restored_store.py
@@ -201,7 +201,7 @@
                 must_save=lambda: sharing.must_save,
                 before_save=self.gateway.knowledge.mark_saved,
                 on_saved=self.gateway.versions.record_saved,
-                on_recovered=self.gateway.knowledge.on_store_recovered,
+                on_answered=self.gateway.knowledge.on_store_answered,
                 on_restored=self.gateway.on_store_restored,
                 settle_left_ms=self.gateway.config_state.settle_left_ms,
                 count_cut_back=lambda _what, _number: None,
--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -92,7 +92,12 @@
     1414, logging.INFO, "a gateway may grant allowances from now on"
 )
 PEER_RESTARTED = Event(
-    1415, logging.INFO, "a peer has started again and asks what it had used"
+    1415,
+    logging.INFO,
+    "a peer has started again, or was cut off, and asks what was used",
+)
+CUT_OFF = Event(
+    1417, logging.INFO, "a gateway that was cut off asks what the others used"
 )
 PEER_FOUND = Event(
     1416, logging.INFO, "a gateway that was not listed has announced itself"
--- a/godwitloft/gateway/former_use.py
+++ b/godwitloft/gateway/former_use.py
@@ -36,6 +36,9 @@
         self.clock = clock
         # Whether it isn't known yet; peers are told so.
         self.is_asking = True
+        # Whether this process was cut off and asks what the others have used;
+        # what it has used itself, it knows.
+        self.knows_itself = False
         # None before the others are known who are to be asked.
         self.listen_until_ms: int | None = None
         self.answered: set[str] = set()
@@ -48,6 +51,13 @@
         """Starts to wait for peers' answers, when all peers are known."""
         self.listen_until_ms = self.clock.monotonic_ms() + LISTEN_MS
 
+    def ask_again(self) -> None:
+        """Asks what others have used while this process was cut off."""
+        self.is_asking = True
+        self.knows_itself = True
+        self.answered.clear()
+        self.ask()
+
     def learn(
         self, peer: str, told: typing.Iterable[ttypes.TeamDemand] | None
     ) -> None:
@@ -57,7 +67,7 @@
         :param told: tokens by team, None if it didn't know this gateway
         """
         self.answered.add(peer)
-        if told is None:
+        if told is None or self.knows_itself:
             return
         self.is_told = True
         for team, tokens in decode_committed(told).items():
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -301,8 +301,10 @@
                 datagram.sharing, address[0]
             )
         elif datagram.question is not None:
+            self.dependencies.sharing.record_contact()
             self.confirmation.on_question(datagram.question, address[0])
         elif datagram.answer is not None:
+            self.dependencies.sharing.record_contact()
             self.confirmation.on_answer(datagram.answer)
 
     def announce(self) -> None:
--- a/godwitloft/gateway/shared_knowledge.py
+++ b/godwitloft/gateway/shared_knowledge.py
@@ -117,9 +117,14 @@
             now_ms - own.until_ms, own.until_ms - own.since_ms
         )
 
-    def on_store_recovered(self) -> None:
-        """Tells peers at once that the store answers, for what they save."""
-        self.sharing.must_announce = True
+    def on_store_answered(self, is_back: bool) -> None:
+        """Tells peers at once that the store is back, for what they save.
+
+        :param is_back: whether it didn't answer before
+        """
+        self.sharing.record_contact()
+        if is_back:
+            self.sharing.must_announce = True
 
     def on_peer_status(self, status: peer_status.PeerStatus) -> None:
         """Learns from what a peer tells.
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -113,6 +113,8 @@
         self.port = port
         self.demands: dict[str, demands.Demand] = {}
         self.last_announced_ms = 0
+        # When the store or another gateway was last heard.
+        self.contact_ms = clock.monotonic_ms()
         self.hosts: dict[str, str] = {}
         # IP numbers of all gateways that had a row at the start, by instance.
         self.saved_hosts: dict[str, str] = {}
@@ -250,7 +252,7 @@
         committed = self.window(team.name).total(now_ms)
         committed += self.reserved.get(team.name, 0.0)
         equal_share = limit / self.gateways
-        since_ms = now_ms - PEER_TIMEOUT_MS
+        since_ms = self.complete_since_ms(now_ms)
         unsure = self.unheard()
         for name, peer in self.peers.items():
             if peer.received_ms < since_ms or peer.is_starting:
@@ -259,7 +261,7 @@
                 committed += peer.committed.get(team.name, 0.0)
         for name in unsure:
             known = self.committed_by(name, team.name, now_ms)
-            if name in self.hosts and not self.is_alive(name, now_ms):
+            if name in self.hosts and not self.was_heard(name, since_ms):
                 known = max(known, equal_share)
             committed += known
         remaining = limit - committed
@@ -272,6 +274,21 @@
             remaining -= estimate
         return remaining
 
+    def complete_since_ms(self, now_ms: int) -> int:
+        """Returns since when a peer must have been heard to be believed.
+
+        Where none was heard for a while, this gateway may be cut off, and
+        nobody knows what it uses.
+
+        :param now_ms: the current time
+        :return: the time since which its announced use is taken for complete
+        """
+        silent_ms = GONE_INTERVALS * self.announce_interval_ms()
+        since_ms = now_ms - int(silent_ms)
+        if any(self.was_heard(name, since_ms) for name in self.hosts):
+            return now_ms - PEER_TIMEOUT_MS
+        return since_ms
+
     def unheard(self) -> set[str]:
         """Returns the gateways that are known and were never heard."""
         known = self.hosts.keys() | self.peers_saved.windows.keys()
@@ -322,9 +339,30 @@
             listed=sorted(self.hosts)[:MAX_NAMES_LOGGED],
             answered=sorted(own.answered)[:MAX_NAMES_LOGGED],
             told=largest(own.told),
-            estimated=not own.is_told,
+            estimated=not (own.is_told or own.knows_itself),
         )
 
+    def record_contact(self) -> None:
+        """Asks what others have used if this gateway was cut off until now.
+
+        Meanwhile its lease may have ended, so that the others have used its
+        share. To be called before anything is done with what was heard.
+        """
+        now_ms = self.clock.monotonic_ms()
+        silent_ms = now_ms - self.contact_ms
+        self.contact_ms = now_ms
+        if silent_ms < PEER_TIMEOUT_MS or not self.restored or not self.hosts:
+            return
+        if not self.own_former.is_asking:
+            self.own_former.ask_again()
+            self.reserved.clear()
+            self.must_announce = True
+            events.log(
+                events.CUT_OFF,
+                silent_ms=silent_ms,
+                listed=sorted(self.hosts)[:MAX_NAMES_LOGGED],
+            )
+
     def is_ready(self) -> bool:
         """Returns whether it is known what this gateway and its peers know.
 
@@ -814,6 +852,7 @@
         """
         if sharing.gateway == self.instance:
             return
+        self.record_contact()
         if sharing.gateway not in self.hosts:
             self.hosts[sharing.gateway] = host
             self.places.clear()
@@ -867,6 +906,8 @@
         self.own_former.learn(sharing.gateway, sharing.former)
         self.learn_others_former(sharing.others or ())
         now_ms = self.clock.monotonic_ms()
+        if self.own_former.knows_itself:
+            return
         told = former_use.decode_committed(sharing.former or ())
         for team, tokens in told.items():
             window = self.window(team)
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -195,7 +195,7 @@
             must_save=lambda: sharing.must_save,
             before_save=gateway.knowledge.mark_saved,
             on_saved=gateway.versions.record_saved,
-            on_recovered=gateway.knowledge.on_store_recovered,
+            on_answered=gateway.knowledge.on_store_answered,
             on_restored=gateway.on_store_restored,
             settle_left_ms=gateway.config_state.settle_left_ms,
             count_cut_back=count_cut_back,
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -87,7 +87,8 @@
         call if that fails
     :param on_saved: called with the time at which the writing began, in
         milliseconds, once they are written
-    :param on_recovered: called when a call is answered after ones that failed
+    :param on_answered: called when a call was answered, with whether one had
+        failed before
     :param on_restored: called with the time at which a restore of the store
         was noticed, in milliseconds
     :param settle_left_ms: returns how long confirmations don't count yet after
@@ -116,7 +117,7 @@
     must_save: typing.Callable[[], bool]
     before_save: typing.Callable[[], typing.Callable[[], None]]
     on_saved: typing.Callable[[int], None]
-    on_recovered: typing.Callable[[], None]
+    on_answered: typing.Callable[[bool], None]
     on_restored: typing.Callable[[int], None]
     settle_left_ms: typing.Callable[[], int]
     count_cut_back: typing.Callable[[str, int], None]
@@ -274,8 +275,7 @@
                 schedule(CHECK_INTERVAL_MS)
 
         def on_success(delay_ms: int) -> None:
-            if backoff.record_success():
-                self.callbacks.on_recovered()
+            self.callbacks.on_answered(backoff.record_success())
             schedule(delay_ms)
 
         def on_failure(failure: typing.Any) -> None:
