--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -137,7 +137,7 @@
             self.clock,
             contact,
             self.confirmation.list_confirmed_ms,
-            sharing.hears_majority,
+            sharing.others.hears_majority,
             lambda: sharing.restored,
             life.longest_ms,
         )
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -38,7 +38,7 @@
         self.fleet = fleet
         self.sharing = sharing
         self.settings = settings
-        self.crashes = crash_tracker.CrashTracker(sharing.place)
+        self.crashes = crash_tracker.CrashTracker(sharing.others.place)
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
 
     def budget(self, service: str) -> retry_budget.RetryBudget:
