--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -138,7 +138,7 @@
             self.clock,
             contact,
             self.confirmation.list_confirmed_ms,
-            sharing.hears_majority,
+            sharing.others.hears_majority,
             lambda: sharing.restored,
             life.longest_ms,
         )
@@ -302,8 +302,10 @@
                 datagram.sharing, address[0]
             )
         elif datagram.question is not None:
+            self.dependencies.sharing.record_contact()
             self.confirmation.on_question(datagram.question, address[0])
         elif datagram.answer is not None:
+            self.dependencies.sharing.record_contact()
             self.confirmation.on_answer(datagram.answer)
 
     def announce(self) -> None:
--- a/godwitloft/gateway/shared_knowledge.py
+++ b/godwitloft/gateway/shared_knowledge.py
@@ -117,6 +117,15 @@
             now_ms - own.until_ms, own.until_ms - own.since_ms
         )
 
+    def on_store_answered(self, is_back: bool) -> None:
+        """Tells peers at once that the store is back, for what they save.
+
+        :param is_back: whether it didn't answer before
+        """
+        self.sharing.record_contact()
+        if is_back:
+            self.sharing.must_announce = True
+
     def on_peer_status(self, status: peer_status.PeerStatus) -> None:
         """Learns from what a peer tells.
 
@@ -181,7 +190,7 @@
         return (
             self.causes.unsaved
             or self.versions.unsaved
-            or self.sharing.needs_saving()
+            or self.sharing.own.needs_saving(self.sharing.gateways)
         )
 
     def mark_saved(self) -> typing.Callable[[], None]:
@@ -192,7 +201,7 @@
         blames, versions = self.causes.unsaved, self.versions.unsaved
         self.causes.unsaved = False
         self.versions.mark_saved()
-        take_back_usage = self.sharing.mark_saved()
+        take_back_usage = self.sharing.own.unsaved.mark_saved()
 
         def take_back() -> None:
             self.causes.unsaved = self.causes.unsaved or blames
