A line tells of bytes that arrive as their connection is closed in a stop

What callers saw: a reset without an answer, for a request that arrives while a leaving gateway closes an idle connection, or behind an answer that is its connection's last. No line told of it. Change: a connection that is closed in a planned stop counts what its parser and the system hold unread; GL1211 tells of it (missing: answer, unread_bytes). The request isn't read, so the line has no id. When connections are closed is unchanged.

--- a/features/steps/stops_in_logs_steps.py
+++ b/features/steps/stops_in_logs_steps.py
@@ -1,4 +1,5 @@
 import dataclasses
+import socket
 
 from behave import given
 from behave import then
@@ -125,6 +126,42 @@
     assert fields["stopping_ms"] >= 2_600, fields
 
 
+ARRIVED = b"GET /post/x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+
+
+@given("a caller's connection with a real socket on which {what} has arrived")
+def arrive(context, what):
+    ours, theirs = socket.socketpair()
+    context.add_cleanup(ours.close)
+    context.add_cleanup(theirs.close)
+    transport = connect(context)
+    transport.getHandle = lambda: ours
+    if what == "a request":
+        theirs.sendall(ARRIVED)
+    elif what == "the caller's close":
+        theirs.close()
+
+
+@when("its caller sends {count:d} bytes more")
+def send_more_bytes(context, count):
+    context.transport.protocol.dataReceived(ARRIVED[:count])
+
+
+@when("its upstream has answered it")
+def answer_late(context):
+    context.world.sent[0].answer()
+
+
+@then("GL1211 tells of unread bytes: {told}")
+def check_unread_bytes(context, told):
+    found = [
+        (fields["missing"], fields["unread_bytes"])
+        for fields in context.log.fields("GL1211")
+    ]
+    expected = [] if told == "none" else [("answer", int(told))]
+    assert found == expected, found
+
+
 class CutCounter:
     """Keeps what is added to the metric of cuts."""
 
--- a/features/stops_in_logs.feature
+++ b/features/stops_in_logs.feature
@@ -59,3 +59,27 @@
       | stop | stopping |
       | gets SIGTERM | true |
       | goes on | false |
+
+  # Guards against a request that arrives as its connection is being closed: its
+  # caller sees a reset, and nothing told of it.
+  Scenario Outline: A connection that is closed in a stop with unread bytes has a line: <what>
+    Given a gateway process whose log is read
+    And a caller's connection with a real socket on which <what> has arrived
+    When the process gets SIGTERM
+    And 3000 ms pass for it
+    Then GL1211 tells of unread bytes: <told>
+
+    Examples:
+      | what | told |
+      | a request | 52 |
+      | nothing | none |
+      | the caller's close | none |
+
+  Scenario: A request behind another that is answered in a stop has a line
+    Given a gateway process whose log is read
+    When a caller's request is sent and not answered
+    And the process gets SIGTERM
+    And its caller sends 20 bytes more
+    And 3000 ms pass for it
+    And its upstream has answered it
+    Then GL1211 tells of unread bytes: 20
--- a/godwitloft/gateway/daemon.py
+++ b/godwitloft/gateway/daemon.py
@@ -87,6 +87,9 @@
                 on_refused=gateway.reports.count_unreadable,
                 limits=gateway.config_state.limits,
                 closing=lambda: self.closing,
+                on_left_unread=lambda count: stop_report.report_left_unread(
+                    count, gateway.shutdown
+                ),
             ),
             clock,
             gateway.options.max_held_bytes,
--- a/godwitloft/gateway/http_server.py
+++ b/godwitloft/gateway/http_server.py
@@ -18,6 +18,7 @@
 from godwitloft import clock as clocks
 from godwitloft import immediate_write
 from godwitloft import read_size
+from godwitloft import unread_input
 from godwitloft.gateway import headers
 from godwitloft.gateway import model
 
@@ -215,6 +216,10 @@
     pass
 
 
+def _ignore_unread(_count: int) -> None:
+    pass
+
+
 @dataclasses.dataclass(frozen=True)
 class ConnectionCallbacks:
     """Functions of the gateway that a connection calls.
@@ -223,12 +228,15 @@
     :param on_refused: called when a request that can't be read was refused
     :param limits: returns the limits that are in force
     :param closing: returns whether connections are closed after their answer
+    :param on_left_unread: called with the number of bytes that a caller has
+        sent and that are not read any more, as its connection is closed so
     """
 
     on_request: typing.Callable[[Exchange], None]
     on_refused: typing.Callable[[Refusal], None]
     limits: typing.Callable[[], model.CallerLimits]
     closing: typing.Callable[[], bool]
+    on_left_unread: typing.Callable[[int], None] = _ignore_unread
 
 
 class HttpConnection(protocol.Protocol):
@@ -522,10 +530,20 @@
 
     def close(self) -> None:
         """Closes the connection once all written data has been sent."""
-        if self.open and self.transport is not None:
-            self.is_closing = True
-            self.unregister()
-            self.transport.loseConnection()
+        if not self.open or self.transport is None:
+            return
+        if self.callbacks.closing() and not self.is_closing:
+            unread = self.unread_bytes()
+            if unread:
+                self.callbacks.on_left_unread(unread)
+        self.is_closing = True
+        self.unregister()
+        self.transport.loseConnection()
+
+    def unread_bytes(self) -> int:
+        """Returns how much of its caller has arrived and was not handled."""
+        arrived = unread_input.arrived_bytes(self.transport)
+        return len(self.parser.trailing_data[0]) + arrived
 
     def unregister(self) -> None:
         """Lets the transport close: it waits for a registered producer."""
--- a/godwitloft/gateway/stop_report.py
+++ b/godwitloft/gateway/stop_report.py
@@ -41,6 +41,25 @@
             )
 
 
+def report_left_unread(
+    unread_bytes: int, shutdown: shutdowns.Shutdown
+) -> None:
+    """Logs that a connection is closed behind which a request has arrived.
+
+    Its caller gets a reset, and may send the request again.
+
+    :param unread_bytes: how much had arrived
+    :param shutdown: for how long the process has been stopping
+    """
+    events.log(
+        events.REQUEST_UNREAD,
+        request="",
+        missing="answer",
+        unread_bytes=unread_bytes,
+        **shutdown.log_fields(),
+    )
+
+
 def unread_part(connection: http_server.HttpConnection) -> str:
     """Returns what is missing of a request that has begun to arrive.
 
