--- a/features/steps/allowances_after_starts_steps.py
+++ b/features/steps/allowances_after_starts_steps.py
@@ -267,7 +267,7 @@
 @step("its announcement comes back")
 def send_back(context):
     (member,) = context.fleet.members.values()
-    sent = member.world.sharing.announcement([], partial=False)
+    sent = member.world.sharing.announcer.message([], partial=False)
     member.gateway.on_datagram(
         datagrams.decode(datagrams.encode(sharing=sent)), ("127.0.0.1", 1)
     )
--- a/features/steps/failed_saves_steps.py
+++ b/features/steps/failed_saves_steps.py
@@ -44,7 +44,7 @@
 def is_unsaved(member):
     return (
         member.gateway.knowledge.needs_saving()
-        or member.world.sharing.must_save
+        or member.world.sharing.own.unsaved.must_save
     )
 
 
@@ -55,7 +55,7 @@
 def learn_use(member):
     sharing = member.world.sharing
     sharing.window(TEAM.name).add(USED, member.now_ms())
-    sharing.unsaved.must_save = True
+    sharing.own.unsaved.must_save = True
 
 
 def blame(member):
--- a/features/steps/gateway_limits_steps.py
+++ b/features/steps/gateway_limits_steps.py
@@ -55,10 +55,10 @@
         self.allowed = []
         self.asked = 0.0
         for name in self.names:
-            self.make(name).restore({}, 0)
+            self.make(name).start.restore({}, 0)
         # They have known each other for long.
         for member in self.members.values():
-            member.join()
+            member.start.join()
         for name in self.names:
             self.connect(name)
 
@@ -84,24 +84,24 @@
     def restart(self, name):
         used, at_ms = self.rows[name]
         age_ms = self.clock.monotonic_ms() - at_ms
-        self.make(name).restore(used, age_ms)
+        self.make(name).start.restore(used, age_ms)
         self.connect(name)
-        self.members[name].join()
+        self.members[name].start.join()
 
     def restart_large(self, name):
         """Restarts a gateway from the rows, as the adapter does."""
         now_ms = self.clock.monotonic_ms()
         for peer, member in self.members.items():
             if peer != name:
-                self.rows[peer] = (member.usage(), now_ms)
+                self.rows[peer] = (member.own.usage(), now_ms)
         member = self.make(name)
         for peer, (used, at_ms) in self.rows.items():
             if peer != name:
-                member.restore_peer(peer, peer, used, now_ms - at_ms)
+                member.start.restore_peer(peer, peer, used, now_ms - at_ms)
         used, at_ms = self.rows[name]
-        member.restore(used, now_ms - at_ms)
+        member.start.restore(used, now_ms - at_ms)
         self.connect(name)
-        member.join()
+        member.start.join()
 
     def deliver(self, data, where, sender):
         datagram = datagrams.decode(data)
@@ -126,7 +126,7 @@
             if at_ms % LEASE_MS == 0:
                 now_ms = self.clock.monotonic_ms()
                 for name, member in self.members.items():
-                    self.rows[name] = (member.usage(), now_ms)
+                    self.rows[name] = (member.own.usage(), now_ms)
             due += per_s * STEP_MS / 1000 / REQUEST_TOKENS
             while due >= 1:
                 due -= 1
@@ -315,7 +315,7 @@
     fleet.run_large(rng, [load] * 9)
     for name in fleet.names:
         now_ms = fleet.clock.monotonic_ms()
-        fleet.rows[name] = (fleet.members[name].usage(), now_ms)
+        fleet.rows[name] = (fleet.members[name].own.usage(), now_ms)
         fleet.away = name
         fleet.run_large(rng, [load])
         fleet.away = None
--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -381,8 +381,8 @@
 
     for name in ("g0", "g1"):
         shares[name] = make(name)
-        shares[name].restore({}, 0)
-        shares[name].join()
+        shares[name].start.restore({}, 0)
+        shares[name].start.join()
     for name, other in (("g0", "g1"), ("g1", "g0")):
         shares[name].update_gateways({other: f"host-{other}"})
     return world, shares, make
@@ -419,9 +419,9 @@
 def restart(context):
     world, shares, make = context.sharing_world
     shares["g0"] = make("g0")
-    shares["g0"].restore(None, 0)
+    shares["g0"].start.restore(None, 0)
     shares["g0"].update_gateways({"g1": "host-g1"})
-    shares["g0"].join()
+    shares["g0"].start.join()
     pass_time(world, shares, 500)
 
 
@@ -438,8 +438,8 @@
     context.share = share
     if peers != "no peers":
         share.update_gateways({"g1": PEER})
-    share.restore({}, 0)
-    share.join()
+    share.start.restore({}, 0)
+    share.start.join()
     if peers.startswith("a peer that"):
         sharing = sharings.ttypes.Sharing(
             gateway="g1",
@@ -454,7 +454,7 @@
 def check_ready_after(context, wait_ms):
     share = context.share
     found_ms = 0
-    while not share.is_ready():
+    while not share.start.is_ready():
         context.starting.reactor.advance(0.05)
         found_ms += 50
     assert found_ms == wait_ms, found_ms
@@ -480,8 +480,8 @@
     pass_time(world, shares, 1000)
     shares["g2"] = make("g2")
     shares["g2"].update_gateways({"g0": "host-g0", "g1": "host-g1"})
-    shares["g2"].restore(None, 0)
-    shares["g2"].join()
+    shares["g2"].start.restore(None, 0)
+    shares["g2"].start.join()
 
 
 @then("it grants at least a third of an allowance after {wait_ms:d} ms")
--- a/features/support/crashing_engines.py
+++ b/features/support/crashing_engines.py
@@ -205,7 +205,7 @@
                 where[0],
             )
 
-        world.sharing.send = send
+        world.sharing.announcer.send = send
         others = dict(self.hosts)
         del others[f"g{number}"]
         world.gateway.update_gateways(others)
--- a/features/support/following_gateways.py
+++ b/features/support/following_gateways.py
@@ -41,7 +41,7 @@
                 self.datagram_ms / 1000, self.deliver, host, data, where[0]
             )
 
-        member.world.sharing.send = send
+        member.world.sharing.announcer.send = send
         member.gateway.confirmation.send = send
 
     def kill_host(self, host):
--- a/features/support/gateway_cost.py
+++ b/features/support/gateway_cost.py
@@ -45,7 +45,7 @@
     hosts = {f"g{number}": f"10.0.0.{number}" for number in range(1, gateways)}
     world.gateway.update_gateways(hosts)
     world.send_datagram = discard
-    world.sharing.send = discard
+    world.sharing.announcer.send = discard
     world.gateway.dependencies.slot_client.send = discard
     return world
 
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -203,9 +203,9 @@
         )
         if not is_new:
             # It has run for long.
-            self.sharing.started_ms -= RUN_MS
-            self.sharing.restore({}, 0)
-            self.sharing.join()
+            self.sharing.start.started_ms -= RUN_MS
+            self.sharing.start.restore({}, 0)
+            self.sharing.start.join()
         self.gateway = gateways.Gateway(
             options.Options(
                 instance=instance,
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -123,9 +123,9 @@
         contact = store_contact.StoreContact(options.store_outage_ms)
         self.confirmation = peer_confirmation.PeerConfirmation(
             self.clock,
-            sharing.send,
+            sharing.announcer.send,
             sharing.instance,
-            sharing.port,
+            sharing.announcer.port,
             self.config_state,
             lambda: sharing.hosts,
             contact,
@@ -137,8 +137,8 @@
             self.clock,
             contact,
             self.confirmation.list_confirmed_ms,
-            sharing.hears_majority,
-            lambda: sharing.restored,
+            sharing.others.hears_majority,
+            lambda: sharing.start.restored,
             life.longest_ms,
         )
         self.bases = base_versions.BaseVersions(
@@ -230,7 +230,7 @@
         self.arbiter = arbiters.Arbiter(
             self.clock,
             dependencies.call_later,
-            sharing.send,
+            sharing.announcer.send,
             dependencies.slot_client.incarnation,
             self.fleet.zone_of,
             listens_anew=True,
@@ -256,7 +256,7 @@
                 state, statement, "peer"
             ),
         )
-        sharing.own_status = self.knowledge.status
+        sharing.announcer.own_status = self.knowledge.status
         sharing.on_peer_status = self.knowledge.on_peer_status
         self.waiting: dict[str, list[requests.Request]] = {}
         self.scheduling: set[str] = set()
@@ -301,10 +301,10 @@
                 datagram.sharing, address[0]
             )
         elif datagram.question is not None:
-            self.dependencies.sharing.record_contact()
+            self.dependencies.sharing.start.record_contact()
             self.confirmation.on_question(datagram.question, address[0])
         elif datagram.answer is not None:
-            self.dependencies.sharing.record_contact()
+            self.dependencies.sharing.start.record_contact()
             self.confirmation.on_answer(datagram.answer)
 
     def announce(self) -> None:
@@ -354,7 +354,7 @@
             not self.shutdown.has_begun
             and self.config_state.router is not None
             and self.fleet.has_list
-            and self.dependencies.sharing.is_ready()
+            and self.dependencies.sharing.start.is_ready()
             and self.config_state.is_confirmation_fresh(
                 self.clock.monotonic_ms()
             )
--- a/godwitloft/gateway/grant_hosts.py
+++ b/godwitloft/gateway/grant_hosts.py
@@ -7,6 +7,7 @@
 """
 
 from godwitloft import clock as clocks
+from godwitloft.gateway import gateway_list
 from godwitloft.gateway import sharing as sharings
 from godwitloft.links import datagrams
 
@@ -60,7 +61,7 @@
         own = self.sharing.instance
         name = max(
             [own, *self.heard],
-            key=lambda name: sharings.order(upstream, name),
+            key=lambda name: gateway_list.order(upstream, name),
         )
         if name == own:
             return self.own
@@ -79,7 +80,7 @@
         heard = [
             name
             for name in self.sharing.hosts
-            if self.sharing.was_heard(name, now_ms - silent_ms)
+            if self.sharing.others.was_heard(name, now_ms - silent_ms)
         ]
         if heard != self.heard:
             self.heard = heard
--- a/godwitloft/gateway/placer.py
+++ b/godwitloft/gateway/placer.py
@@ -191,7 +191,7 @@
             return True
         turn = named_limit.Turn(
             gateways=self.sharing.gateways,
-            place=self.sharing.place(state.upstream.id),
+            place=self.sharing.others.place(state.upstream.id),
             idle_ms=now_ms - state.last_start_ms,
             wall_ms=self.wall_ms(),
         )
@@ -212,7 +212,7 @@
             self.fleet.service_slots[state.upstream.id],
             placement.Part(
                 self.sharing.gateways,
-                self.sharing.place(state.upstream.service),
+                self.sharing.others.place(state.upstream.service),
                 self.share_factor(state.upstream.service),
             ),
         )
--- a/godwitloft/gateway/request_checker.py
+++ b/godwitloft/gateway/request_checker.py
@@ -61,7 +61,7 @@
         :return: properties of the request, or why it is refused
         """
         router = self.config_state.router
-        is_initialized = self.fleet.has_list and self.sharing.restored
+        is_initialized = self.fleet.has_list and self.sharing.start.restored
         if router is None or not is_initialized:
             return refusals.Refusal(
                 503, "not_configured", UNCONFIGURED_RETRY_AFTER_MS
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -38,7 +38,7 @@
         self.fleet = fleet
         self.sharing = sharing
         self.settings = settings
-        self.crashes = crash_tracker.CrashTracker(sharing.place)
+        self.crashes = crash_tracker.CrashTracker(sharing.others.place)
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
 
     def budget(self, service: str) -> retry_budget.RetryBudget:
@@ -226,7 +226,11 @@
         :param now_ms: the current time
         :return: whether a request may be sent again
         """
-        started_ms = None if self.sharing.is_first else self.sharing.started_ms
+        started_ms = (
+            None
+            if self.sharing.start.is_first
+            else self.sharing.start.started_ms
+        )
         return self.budget(service).take(
             now_ms, self.sharing.gateways, started_ms
         )
--- a/godwitloft/gateway/shared_knowledge.py
+++ b/godwitloft/gateway/shared_knowledge.py
@@ -122,7 +122,7 @@
 
         :param is_back: whether it didn't answer before
         """
-        self.sharing.record_contact()
+        self.sharing.start.record_contact()
         if is_back:
             self.sharing.must_announce = True
 
@@ -190,7 +190,7 @@
         return (
             self.causes.unsaved
             or self.versions.unsaved
-            or self.sharing.needs_saving()
+            or self.sharing.own.needs_saving(self.sharing.gateways)
         )
 
     def mark_saved(self) -> typing.Callable[[], None]:
@@ -201,7 +201,7 @@
         blames, versions = self.causes.unsaved, self.versions.unsaved
         self.causes.unsaved = False
         self.versions.mark_saved()
-        take_back_usage = self.sharing.mark_saved()
+        take_back_usage = self.sharing.own.unsaved.mark_saved()
 
         def take_back() -> None:
             self.causes.unsaved = self.causes.unsaved or blames
