--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -251,7 +251,11 @@
         :param now_ms: the current time
         :return: whether a request may be sent again
         """
-        started_ms = None if self.sharing.is_first else self.sharing.started_ms
+        started_ms = (
+            None
+            if self.sharing.start.is_first
+            else self.sharing.start.started_ms
+        )
         return self.budget(service).take(
             now_ms, self.sharing.gateways, started_ms
         )
--- a/godwitloft/gateway/shared_knowledge.py
+++ b/godwitloft/gateway/shared_knowledge.py
@@ -122,7 +122,7 @@
 
         :param is_back: whether it didn't answer before
         """
-        self.sharing.record_contact()
+        self.sharing.start.record_contact()
         if is_back:
             self.sharing.must_announce = True
 
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/sharing.py
@@ -18,8 +18,10 @@
 from godwitloft import events
 from godwitloft.gateway import allowance
 from godwitloft.gateway import announce_times
+from godwitloft.gateway import announcer
 from godwitloft.gateway import former_use
 from godwitloft.gateway import gateway_list
+from godwitloft.gateway import grant_start
 from godwitloft.gateway import model
 from godwitloft.gateway import own_use
 from godwitloft.gateway import peer_status
@@ -39,12 +41,7 @@
 # Added to each gateway's demand, as a multiple of an equal share of the rate,
 # so that an idle gateway gets a part of the allowance as well.
 BASE_DEMAND_SHARE = 1.0
-MAX_TEAMS_ANNOUNCED = 20
 MAX_TEAMS_ANSWERED = 200
-# For how long a gateway that starts announces itself also to those whose
-# leases are over: they may serve without the store, which knows both.
-INTRODUCTION_MS = 3_000
-
 Usage = former_use.Usage
 
 
@@ -80,40 +77,41 @@
         self.peer_use = peer_use.PeerUse(
             clock, self.others, tolerance.counted_ms
         )
+        self.start = grant_start.GrantStart(
+            clock,
+            self.own,
+            self.others,
+            self.peer_use,
+            self.announce_soon,
+            self.drop_reserved,
+        )
+        self.announcer = announcer.Announcer(
+            clock, send, instance, port, self.start
+        )
         # Tokens announced to peers and not yet used, by team.
         self.reserved: dict[str, float] = {}
         # Tokens used since the last announcement beyond the reserved ones, by
         # team.
         self.unannounced: dict[str, float] = {}
-        # When each team was last in a regular announcement.
-        self.announced_ms: dict[str, int] = {}
         # Tokens lately committed, by team.
         self.commitments: dict[str, unseen.Commitments] = {}
-        self.round_trips = unseen.RoundTrips(clock.monotonic_ms())
         self.must_announce = False
         self.early = announce_times.EarlyAnnouncements()
-        self.restored = False
-        self.started_ms = clock.monotonic_ms()
-        # Whether neither this instance nor another has run before.
-        self.is_first = True
-        self.own_former = former_use.OwnFormerUse(clock)
         self.clock = clock
-        self.send = send
         self.instance = instance
-        self.port = port
         self.last_announced_ms = 0
-        # When the store or another gateway was last heard.
-        self.contact_ms = clock.monotonic_ms()
-        # IP numbers of all gateways that had a row at the start, by instance.
-        self.saved_hosts: dict[str, str] = {}
-        self.introduced_until_ms = 0
-        self.own_status: typing.Callable[[], peer_status.PeerStatus] = (
-            peer_status.PeerStatus
-        )
         self.on_peer_status: typing.Callable[
             [peer_status.PeerStatus], None
         ] = _ignore_status
 
+    def announce_soon(self) -> None:
+        """Announces before the regular time."""
+        self.must_announce = True
+
+    def drop_reserved(self) -> None:
+        """Drops the reserved tokens, as peers may have used them."""
+        self.reserved.clear()
+
     def update_gateways(self, hosts: dict[str, str]) -> None:
         """Updates the list of the other gateways.
 
@@ -185,7 +183,7 @@
         :param team: the team
         :return: tokens, negative if the limit is exceeded
         """
-        if self.is_starting():
+        if self.start.is_starting():
             return 0.0
         now_ms = self.clock.monotonic_ms()
         limit = allowance.window_limit(team, self.tolerance)
@@ -202,63 +200,6 @@
         """Returns the time after which a peer that is silent may be gone."""
         return int(peer_use.GONE_INTERVALS * self.announce_interval_ms())
 
-    def is_starting(self) -> bool:
-        """Returns whether peers may still tell what was used before the start.
-
-        :return: whether to wait for them; never without peers
-        """
-        if self.own_former.is_asking:
-            if self.own_former.is_complete(self.hosts.keys()):
-                self.end_start()
-        return self.own_former.is_asking
-
-    def end_start(self) -> None:
-        """Counts what peers have told, or else what is estimated."""
-        own = self.own_former
-        own.is_asking = False
-        if own.is_told:
-            self.own.before_start.own = {}
-        self.must_announce = True
-        events.log(
-            events.GRANTS_BEGIN,
-            listed=sorted(self.hosts)[: peer_use.MAX_NAMES_LOGGED],
-            answered=sorted(own.answered)[: peer_use.MAX_NAMES_LOGGED],
-            told=peer_use.largest(own.told),
-            estimated=not (own.is_told or own.knows_itself),
-        )
-
-    def record_contact(self) -> None:
-        """Asks what others have used if this gateway was cut off until now.
-
-        Meanwhile its lease may have ended, so that the others have used its
-        share. To be called before anything is done with what was heard.
-        """
-        now_ms = self.clock.monotonic_ms()
-        silent_ms = now_ms - self.contact_ms
-        self.contact_ms = now_ms
-        if (
-            silent_ms < gateway_list.PEER_TIMEOUT_MS
-            or not self.restored
-            or not self.hosts
-        ):
-            return
-        if not self.own_former.is_asking:
-            self.own_former.ask_again()
-            self.reserved.clear()
-            self.must_announce = True
-            events.log(
-                events.CUT_OFF,
-                silent_ms=silent_ms,
-                listed=sorted(self.hosts)[: peer_use.MAX_NAMES_LOGGED],
-            )
-
-    def is_ready(self) -> bool:
-        """Returns whether it is known what this gateway and its peers know.
-
-        :return: whether allowances can be granted
-        """
-        return self.restored and not self.is_starting()
-
     def use_of_excess(
         self, team: model.Team, tokens: float, now_ms: int
     ) -> ExcessUse:
@@ -286,7 +227,7 @@
         limit = allowance.window_limit(team, self.tolerance)
         may_wait = (
             remaining >= FAR_BELOW_LIMIT_SHARE * limit
-            and len(self.unannounced) < MAX_TEAMS_ANNOUNCED
+            and len(self.unannounced) < announcer.MAX_TEAMS_ANNOUNCED
         )
         if fits and may_wait:
             return ExcessUse.ANNOUNCED_LATER
@@ -320,7 +261,7 @@
         :param now_ms: the current time
         :return: tokens
         """
-        late_ms = self.round_trips.late_ms(now_ms)
+        late_ms = self.announcer.round_trips.late_ms(now_ms)
         asked, heard = self.peer_use.demand(team.name, now_ms)
         asked_meanwhile = asked * late_ms / clocks.MS_PER_S
         covered = allowance.unused_tolerance(team, self.tolerance)
@@ -333,63 +274,6 @@
         others = 1.0 - self.fraction_beside(team, asked, heard, now_ms)
         return max(0.0, min(asked_meanwhile, others * remained))
 
-    def restore(self, used: Usage | None, age_ms: int) -> None:
-        """Restores the usage saved before this process was restarted.
-
-        :param used: as :meth:`usage` returned it, None if nothing is saved:
-            this instance is new, or a restore of the store has cut it back
-        :param age_ms: how long ago it was saved
-        """
-        if used is None:
-            events.log(events.USE_LOST)
-        else:
-            self.is_first = False
-        self.own.restore(used or {}, age_ms)
-        now_ms = self.clock.monotonic_ms()
-        events.log(
-            events.USE_RESTORED,
-            age_ms=age_ms if used is not None else None,
-            used={
-                team: round(tokens)
-                for team, tokens in self.own.largest_uses(now_ms)
-            },
-            of_peers=sorted(self.peer_use.saved.windows)[
-                : peer_use.MAX_NAMES_LOGGED
-            ],
-        )
-
-    def restore_peer(
-        self, name: str, host: str, used: Usage, age_ms: int
-    ) -> None:
-        """Restores another gateway's saved usage until it announces itself.
-
-        :param name: name of its instance
-        :param host: its IP number, whether or not its lease is over
-        :param used: tokens by age, by team
-        :param age_ms: how long ago the other gateway saved its usage
-        """
-        self.saved_hosts[name] = host
-        self.is_first = False
-        is_recent = age_ms < self.tolerance.counted_ms
-        if is_recent and name not in self.others.peers:
-            self.peer_use.saved.add(name, used, age_ms)
-            self.own.before_start.add_other(used, age_ms)
-
-    def join(self) -> None:
-        """Joins the other gateways: asks what this one had used before.
-
-        Called once, when the usage is restored and each other gateway is
-        known here, or knows this one.
-        """
-        self.restored = True
-        self.is_first = self.is_first and not self.hosts
-        self.must_announce = True
-        now_ms = self.clock.monotonic_ms()
-        self.introduced_until_ms = now_ms + INTRODUCTION_MS
-        self.own_former.ask()
-        # Without others, there is nobody to wait for.
-        self.is_starting()
-
     def take(self, team: model.Team, tokens: float) -> allowance.Use | None:
         """Uses a part of a team's allowance.
 
@@ -439,7 +323,7 @@
     def announce_if_due(self) -> None:
         """Sends an announcement to all peers if one is due."""
         now_ms = self.clock.monotonic_ms()
-        self.is_starting()
+        self.start.is_starting()
         if now_ms - self.last_announced_ms >= self.announce_interval_ms():
             self.announce(now_ms)
         elif self.must_announce and self.early.may_send(now_ms):
@@ -457,13 +341,13 @@
         :param now_ms: the current time
         """
         active = self.active_teams(now_ms)
-        names = self.teams_to_announce(active)
+        names = self.announcer.choose_teams(active, self.unannounced)
         for name in names:
-            self.announced_ms[name] = now_ms
+            self.announcer.announced_ms[name] = now_ms
             if name in self.own.teams:
                 self.reserve(self.own.teams[name], now_ms)
         self.last_announced_ms = now_ms
-        self.send_to_peers(
+        self.send_to_all(
             self.team_demands(names, now_ms), partial=len(names) < len(active)
         )
 
@@ -478,24 +362,6 @@
             del self.reserved[name]
         return active
 
-    def teams_to_announce(self, active: dict[str, float]) -> list[str]:
-        """Chooses the teams of a regular announcement.
-
-        :param active: tokens used, by team
-        :return: all, or those that used most, those whose turn it is, and
-            those with unannounced use
-        """
-        if len(active) <= MAX_TEAMS_ANNOUNCED:
-            return list(active)
-        count = MAX_TEAMS_ANNOUNCED // 2
-        largest = heapq.nlargest(count, active, key=active.__getitem__)
-        waiting = heapq.nsmallest(
-            count,
-            active.keys() - set(largest),
-            key=lambda name: self.announced_ms.get(name, 0),
-        )
-        return list(dict.fromkeys([*largest, *waiting, *self.unannounced]))
-
     def team_demands(
         self, names: typing.Iterable[str], now_ms: int
     ) -> list[ttypes.TeamDemand]:
@@ -518,7 +384,7 @@
         for name in self.unannounced:
             team = self.own.teams[name]
             self.reserve(team, now_ms)
-        self.send_to_peers(
+        self.send_to_all(
             self.team_demands(self.unannounced, now_ms), partial=True
         )
 
@@ -538,63 +404,17 @@
             committed=math.ceil(used + self.reserved.get(team, 0.0)),
         )
 
-    def send_to_peers(
-        self,
-        team_demands: list[ttypes.TeamDemand],
-        partial: bool,
+    def send_to_all(
+        self, team_demands: list[ttypes.TeamDemand], partial: bool
     ) -> None:
-        """Sends a datagram to all peers.
+        """Sends an announcement to all peers.
 
         :param team_demands: demands and committed tokens of teams
         :param partial: whether teams that are missing are unchanged
         """
         self.must_announce = False
         self.unannounced.clear()
-        sharing = self.announcement(team_demands, partial)
-        data = datagrams.encode(sharing=sharing)
-        now_ms = self.clock.monotonic_ms()
-        asked = self.round_trips.peer_to_ask(self.hosts)
-        for name, host in self.receivers().items():
-            answer_ms = self.round_trips.answer(name, now_ms)
-            if name == asked or answer_ms is not None:
-                sharing.asked_ms = now_ms if name == asked else None
-                sharing.answer_ms = answer_ms
-                own_data = datagrams.encode(sharing=sharing)
-                self.send(own_data, (host, self.port))
-            else:
-                self.send(data, (host, self.port))
-
-    def receivers(self) -> dict[str, str]:
-        """Returns whom to send announcements.
-
-        :return: IP numbers by instance; at the start also of gateways whose
-            leases are over
-        """
-        if not self.saved_hosts:
-            return self.hosts
-        now_ms = self.clock.monotonic_ms()
-        if self.restored and now_ms >= self.introduced_until_ms:
-            self.saved_hosts = {}
-        return self.saved_hosts | self.hosts
-
-    def announcement(
-        self, team_demands: list[ttypes.TeamDemand], partial: bool
-    ) -> ttypes.Sharing:
-        """Returns an announcement to be sent.
-
-        :param team_demands: demands and committed tokens of teams
-        :param partial: whether teams that are missing are unchanged
-        :return: what to encode
-        """
-        sharing = ttypes.Sharing(
-            gateway=self.instance,
-            demands=team_demands,
-            crashing=[],
-            partial=partial or None,
-            starting=self.own_former.is_asking or None,
-        )
-        peer_status.encode(self.own_status(), sharing)
-        return sharing
+        self.announcer.send_to_all(team_demands, partial)
 
     def reserve(self, team: model.Team, now_ms: int) -> None:
         """Reserves tokens until the next regular announcement.
@@ -631,45 +451,21 @@
         """
         if sharing.gateway == self.instance:
             return
-        self.record_contact()
+        self.start.record_contact()
         if sharing.gateway not in self.hosts:
             self.others.add(sharing.gateway, host)
             events.log(events.PEER_FOUND, gateway=sharing.gateway)
         elif sharing.starting:
             # It may have been started again on another machine.
             self.hosts[sharing.gateway] = host
-        now_ms = self.clock.monotonic_ms()
-        if sharing.asked_ms is not None:
-            self.round_trips.hold(sharing.gateway, sharing.asked_ms, now_ms)
-        if sharing.answer_ms is not None:
-            self.round_trips.learn(sharing.answer_ms, now_ms)
+        self.announcer.learn_times(sharing)
         self.peer_use.receive(sharing)
         if sharing.answers:
-            self.learn_former(sharing)
+            self.start.learn_former(sharing)
         elif sharing.starting:
             self.answer_start(sharing.gateway, host)
         self.on_peer_status(peer_status.decode(sharing))
 
-    def learn_former(self, sharing: ttypes.Sharing) -> None:
-        """Learns what a peer knows of this gateway's use before its start.
-
-        :param sharing: the peer's answer
-        """
-        if not self.own_former.is_asking:
-            return
-        self.own_former.learn(sharing.gateway, sharing.former)
-        self.peer_use.learn_former(sharing.others or ())
-        if self.own_former.knows_itself:
-            return
-        told = former_use.decode_committed(sharing.former or ())
-        self.own.add_told(told, self.clock.monotonic_ms())
-        if sharing.former:
-            events.log(
-                events.USE_TOLD,
-                gateway=sharing.gateway,
-                teams=sorted(peer_use.largest(told)),
-            )
-
     def answer_start(self, name: str, host: str) -> None:
         """Tells a peer that starts its use before, and this gateway's use.
 
@@ -681,7 +477,7 @@
         names = heapq.nlargest(
             MAX_TEAMS_ANSWERED, active, key=active.__getitem__
         )
-        answer = self.announcement(
+        answer = self.announcer.message(
             self.team_demands(names, now_ms), partial=len(names) < len(active)
         )
         answer.answers = True
@@ -689,7 +485,7 @@
         answer.others = (
             self.peer_use.former_to_tell(name, self.gone_ms()) or None
         )
-        self.send(datagrams.encode(sharing=answer), (host, self.port))
+        self.announcer.send_to(answer, host)
 
 
 def _ignore_status(_status: peer_status.PeerStatus) -> None:
