An open connection to an upstream shows nothing without data on it

What callers could see (ORDER): a short stream of a process that died, taken for whole, as the end of another answer of that process hadn't been read yet. Change: only data that came since the check began counts. Evidence: a new row of answer_end.feature failed before.

--- a/features/answer_end.feature
+++ b/features/answer_end.feature
@@ -116,6 +116,7 @@
       | draft | is leaving | whole |
       | draft | is not listed any more | whole |
       | draft | is sending another answer | whole |
+      | draft | has begun another answer and is silent for 50 ms | cut |
       | draft | has nothing else to do | cut |
       | draft | is listed as a new process | cut |
       | draft | closes another answer too | cut |
--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -157,6 +157,11 @@
     assert other.cancelled
 
 
+def begin_silent(context):
+    begin_other(context, "chunks")
+    context.world.advance(50)
+
+
 def close_other(context):
     other = begin_other(context, "close")
     other.accepts = []
@@ -173,6 +178,7 @@
     "is leaving": lambda context: list_again(context, leaving=True),
     "is not listed any more": unlist,
     "is sending another answer": send_other,
+    "has begun another answer and is silent for 50 ms": begin_silent,
     "has nothing else to do": lambda _context: None,
     "is listed as a new process": lambda context: list_again(
         context, born_ms=2
--- a/godwitloft/gateway/upstreams/process_end.py
+++ b/godwitloft/gateway/upstreams/process_end.py
@@ -6,6 +6,7 @@
 
 import typing
 
+from godwitloft import attempt as attempts
 from godwitloft.gateway import request as requests
 from godwitloft.gateway.upstreams import fleet as fleets
 
@@ -30,7 +31,7 @@
     """
     if now_ms - state.last_broken_ms <= SAME_END_MS:
         return True
-    if any(is_open_at(request, state) for request in running):
+    if any(is_sending_to(request, state, now_ms) for request in running):
         return False
     if state.upstream.id not in fleet.listed:
         return False
@@ -38,14 +39,18 @@
     return state.is_replaced or not state.upstream.leaving
 
 
-def is_open_at(request: requests.Request, state: fleets.UpstreamState) -> bool:
+def is_sending_to(
+    request: requests.Request, state: fleets.UpstreamState, now_ms: int
+) -> bool:
     """Returns whether an upstream is still sending a request's answer.
 
-    Of an answer that isn't read, as its caller reads too slowly, the end can't
-    be seen.
+    An open connection shows nothing by itself: its end may not be read yet, or
+    not be read at all, as the caller reads too slowly. Data shows it that has
+    come since the other answer was closed.
 
     :param request: a request that runs
     :param state: the upstream
+    :param now_ms: the current time
     """
     attempt = request.attempt
     return (
@@ -54,4 +59,5 @@
         and not request.congested
         and attempt is not None
         and not attempt.is_closed
+        and now_ms - request.last_data_ms < attempts.END_CHECK_DELAY_MS
     )
