--- a/features/answer_end.feature
+++ b/features/answer_end.feature
@@ -120,6 +120,7 @@
       | draft | has nothing else to do | cut |
       | draft | is listed as a new process | cut |
       | draft | closes another answer too | cut |
+      | draft | is leaving and closes another answer inside an event | cut |
       | draft | is leaving and breaks another answer off | cut |
       | draft | is sending another answer to a slow reader | cut |
       | draft | has been found to be another process | cut |
@@ -176,6 +177,7 @@
       | close | 2 | refuses it as not run | whole | 2 |
       | close | 2 | begins event 3, framed by close | cut | 2 |
       | close | 2 | begins event 3, framed by chunks | cut | 2 |
+      | close | 2 | begins an event 3 that is too long, framed by close | cut | 2 |
 
   # Guards against an event that has begun and that the end leaves out.
   Scenario Outline: A stream isn't whole without an event that has begun: after event <count>, <then>
--- a/features/gateway_drain.feature
+++ b/features/gateway_drain.feature
@@ -33,3 +33,12 @@
     And 7500 ms pass for it
     Then it has ended: yes
     And the caller was told 504
+
+  # Guards against an error in one answer that keeps a stop from ending, and
+  # other callers from an answer.
+  Scenario: An error in the end of one request doesn't keep others from their answers
+    Given a gateway process on a simulated clock
+    And the end of request "a" fails by an error
+    When callers' requests "a" and "b" are sent and not answered
+    And the process has no time left
+    Then the caller was told 504
--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -168,6 +168,14 @@
     other.close()
 
 
+def leave_and_end_inside(context):
+    other = begin_other(context, "close")
+    list_again(context, leaving=True)
+    other.accepts = []
+    other.receive(wire_answers.event(3)[:8])
+    other.close()
+
+
 def leave_and_break_off(context):
     other = begin_other(context, "chunks")
     list_again(context, leaving=True)
@@ -184,6 +192,9 @@
         context, born_ms=2
     ),
     "closes another answer too": close_other,
+    "is leaving and closes another answer inside an event": (
+        leave_and_end_inside
+    ),
     "is leaving and breaks another answer off": leave_and_break_off,
     "is sending another answer to a slow reader": send_other_slowly,
     "is leaving and sends no answer but other bytes elsewhere": send_no_answer,
@@ -296,6 +307,9 @@
         "begins event 3": wire_answers.complete_answer(
             sent, framing, wire_answers.event(3)[:8]
         ),
+        "begins an event 3 that is too long": wire_answers.complete_answer(
+            sent, framing, wire_answers.event(3)[:-2] + b"x" * 300_000
+        ),
         "adds event 3": wire_answers.complete_answer(
             sent, framing, wire_answers.event(3)
         ),
--- a/features/steps/gateway_drain_steps.py
+++ b/features/steps/gateway_drain_steps.py
@@ -48,14 +48,16 @@
     context.ended = []
 
 
-def ask(context, reads):
+def ask(context, reads, request_id="a"):
     context.transport = SlowTransport(reads)
     connection = context.daemon.caller_factory.buildProtocol(None)
     context.transport.protocol = connection
     connection.makeConnection(context.transport)
     connection.dataReceived(
         b"POST /post/x HTTP/1.1\r\nHost: h\r\n"
-        b"Godwitloft-Request-Id: a\r\nGodwitloft-Deadline-Ms: 60000\r\n"
+        b"Godwitloft-Request-Id: "
+        + request_id.encode()
+        + b"\r\nGodwitloft-Deadline-Ms: 60000\r\n"
         b"Authorization: Token key\r\nContent-Length: 0\r\n\r\n"
     )
 
@@ -99,3 +101,28 @@
 def check_status(context, status):
     received = context.transport.value()
     assert received.startswith(b"HTTP/1.1 %d" % status), received
+
+
+@given('the end of request "{request_id}" fails by an error')
+def fail_end(context, request_id):
+    gateway = context.world.gateway
+    end_running = gateway.end_running
+
+    def fail(request, refusal):
+        if request.facts.id == request_id:
+            raise RuntimeError("planted")
+        end_running(request, refusal)
+
+    gateway.end_running = fail
+
+
+@when('callers\' requests "a" and "b" are sent and not answered')
+def ask_twice(context):
+    ask(context, "all is sent", "a")
+    ask(context, "all is sent", "b")
+    assert len(context.world.sent) == 2
+
+
+@when("the process has no time left")
+def end_all(context):
+    context.world.gateway.end_all()
--- a/features/stream_goes_on.feature
+++ b/features/stream_goes_on.feature
@@ -132,3 +132,7 @@
       | {"born": 5} | 4 | no new start |
       | {} | 4 | no new start |
       | {"born": "9"} | 4 | no new start |
+
+  # Guards against a whole stream that is cut as no start of its upstream is listed.
+  Scenario: An upstream without a listed start shows no new one
+    Then an upstream listed as started at 0 tells of no new start since 4 by its report "{"born": 9}"
--- a/godwitloft/gateway/answer.py
+++ b/godwitloft/gateway/answer.py
@@ -170,6 +170,7 @@
         end = answer_end.last_event_end(self.partial_event)
         if not end:
             if len(self.partial_event) > MAX_BUFFERED_BYTES:
+                self.lacks_event = self.shows_more()
                 self.partial_event = b""
                 self.overflow = EVENT_TOO_LONG
             return
--- a/godwitloft/gateway/final_answers.py
+++ b/godwitloft/gateway/final_answers.py
@@ -67,15 +67,18 @@
         else:
             self.refuse(request, refusals.Refusal(502, attempt_outcome.reason))
 
-    def finish_unmarked(self, request: requests.Request) -> None:
+    def finish_unmarked(self, request: requests.Request, why: str) -> None:
         """Ends a stream that nobody can be asked about and counts as whole.
 
         :param request: its request
+        :param why: why it isn't asked for any more
         """
         self.reports.report_unknown_end(
-            request, reports_module.EndFound.TAKEN_FOR_WHOLE
+            request, reports_module.EndFound.TAKEN_FOR_WHOLE, why
         )
-        self.shutdown.record_complete(request)
+        if request.attempt_count == 1:
+            # Otherwise its time includes that of asking in vain.
+            self.shutdown.record_complete(request)
         request.exchange.finish()
         reason = outcomes.Result.END_UNKNOWN.value
         self.end(request, outcomes.COMPLETED, reason)
@@ -94,7 +97,7 @@
         :param refusal: the refusal
         """
         if unmarked_end.counts_as_whole(request):
-            self.finish_unmarked(request)
+            self.finish_unmarked(request, refusal.reason)
             return
         if request.exchange.started:
             if request.unmarked_end is not None:
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -418,20 +418,37 @@
         known.
         """
         self.shutdown.is_over = True
+        time_over = refusals.Refusal(504, request_checkers.LEAVING)
         for request in list(self.running):
-            self.end_running(
-                request, refusals.Refusal(504, request_checkers.LEAVING)
-            )
-        self.continuations.refuse_all(request_checkers.LEAVING_REFUSAL)
+            self.end_safely(self.end_running, request, time_over)
+        self.end_safely(
+            self.continuations.refuse_all, request_checkers.LEAVING_REFUSAL
+        )
         for queue in self.waiting.values():
             for request in queue:
                 if request.state is requests.State.WAITING:
-                    self.final_answers.refuse(
-                        request,
-                        self.admission.rejection(
-                            request, request_checkers.LEAVING
-                        ),
-                    )
+                    self.end_safely(self.refuse_leaving, request)
+
+    def refuse_leaving(self, request: requests.Request) -> None:
+        """Refuses a waiting request, as the process ends.
+
+        :param request: a waiting request
+        """
+        rejection = self.admission.rejection(request, request_checkers.LEAVING)
+        self.final_answers.refuse(request, rejection)
+
+    def end_safely(
+        self, end: typing.Callable[..., None], *arguments: typing.Any
+    ) -> None:
+        """Ends requests; an error must not keep others from an answer.
+
+        :param end: ends them
+        :param arguments: what it is called with
+        """
+        try:
+            end(*arguments)
+        except Exception as problem:
+            events.log_error(events.INTERNAL_ERROR, problem, task="stop")
 
     # Arrival of requests.
 
@@ -783,7 +800,9 @@
         elif self.retry_policy.may_retry(request, attempt_outcome, now_ms):
             self.requeue(request, attempt_outcome)
         elif unmarked_end.counts_as_whole(request):
-            self.final_answers.finish_unmarked(request)
+            self.final_answers.finish_unmarked(
+                request, request.no_retry or attempt_outcome.reason
+            )
         else:
             if is_end_unknown or request.unmarked_end is not None:
                 self.reports.report_unknown_end(request, reports.EndFound.CUT)
--- a/godwitloft/gateway/reports.py
+++ b/godwitloft/gateway/reports.py
@@ -107,12 +107,13 @@
         )
 
     def report_unknown_end(
-        self, request: requests.Request, found: EndFound
+        self, request: requests.Request, found: EndFound, why: str = ""
     ) -> None:
         """Logs what became of a stream whose end was not known.
 
         :param request: its request
         :param found: what became of it
+        :param why: why nobody is asked any more, empty if that isn't so
         """
         end = request.unmarked_end or unmarked_end.UnmarkedEnd(
             request.last_event, request.last_upstream_id
@@ -121,6 +122,7 @@
             events.UNKNOWN_END,
             request=request.facts.id,
             then=found.value,
+            why=why or None,
             **self.shutdown.log_fields(),
             route=request.facts.route.name,
             upstream=end.upstream_id,
--- a/godwitloft/gateway/upstreams/process_end.py
+++ b/godwitloft/gateway/upstreams/process_end.py
@@ -31,6 +31,8 @@
     """
     if now_ms - state.last_broken_ms <= SAME_END_MS:
         return True
+    if any(is_broken_off(request, state) for request in running):
+        return True
     if any(is_sending_to(request, state, now_ms) for request in running):
         return False
     if state.upstream.id not in fleet.listed:
@@ -39,6 +41,23 @@
     return state.is_replaced or not state.upstream.leaving
 
 
+def is_broken_off(
+    request: requests.Request, state: fleets.UpstreamState
+) -> bool:
+    """Returns whether an upstream has broken a request's answer off.
+
+    :param request: a request that runs, or whose end is being checked
+    :param state: the upstream
+    """
+    attempt = request.attempt
+    if request.upstream_state is not state or attempt is None:
+        return False
+    answer = request.answer
+    if not attempt.is_closed or answer is None or answer.body_end is None:
+        return False
+    return bool(answer.body_end.defect())
+
+
 def is_sending_to(
     request: requests.Request, state: fleets.UpstreamState, now_ms: int
 ) -> bool:
--- a/godwitloft/platform/life_check.py
+++ b/godwitloft/platform/life_check.py
@@ -94,7 +94,10 @@
         its clock may differ from this one
     :param answer: the report
     :param since_wall_ms: since when, in Unix milliseconds
+    :return: False also if no start is listed
     """
+    if not upstream.born_ms:
+        return False
     born_ms = read_born(upstream, answer)
     return born_ms != upstream.born_ms and born_ms > since_wall_ms
 
