Simulated engines' attempts can be concluded

Cause: lets a gateway conclude an attempt whose request has no more time. Change: they do nothing then, as they never wait for a check.

--- a/features/support/crashing_engines.py
+++ b/features/support/crashing_engines.py
@@ -121,6 +121,9 @@
     def cancel(self):
         self.stop()
 
+    def conclude(self):
+        """Does nothing: no answer waits for a check of its engine."""
+
     def later(self, delay_ms, function, *arguments):
         timer = self.fleet.reactor.callLater(
             delay_ms / 1000, function, *arguments
