Modules of the gateway stand in packages by what they do

Cause: 45 modules stood side by side in godwitloft/gateway. Change: allowances/ (teams' limits, shared among gateways), peers/ (what gateways tell each other beside that), placing/ (which request goes where, and when) and callers/ (their connections) hold 31 of them; imports and pages follow, nothing else changes.

--- a/features/steps/allowances_after_starts_steps.py
+++ b/features/steps/allowances_after_starts_steps.py
@@ -11,8 +11,8 @@
 from features.steps import gateway_limits_steps
 from features.support import allowance_fleet
 from features.support import gateway_world
-from godwitloft.gateway import allowance
-from godwitloft.gateway import saved_use
+from godwitloft.gateway.allowances import allowance
+from godwitloft.gateway.allowances import saved_use
 from godwitloft.links import datagrams
 
 ROOT = pathlib.Path(__file__).parents[2]
--- a/features/steps/crashing_requests_steps.py
+++ b/features/steps/crashing_requests_steps.py
@@ -7,8 +7,8 @@
 from features.support import gateway_world
 from features.support import logs
 from godwitloft import attempt as attempts
-from godwitloft.gateway import peer_status
 from godwitloft.gateway.crashes import crash_tracker
+from godwitloft.gateway.peers import peer_status
 
 SOUND_GAP_MS = 200
 MANY_SOUND_GAP_MS = 20
--- a/features/steps/datagrams_steps.py
+++ b/features/steps/datagrams_steps.py
@@ -8,7 +8,7 @@
 from behave import when
 from twisted.internet import udp
 
-from godwitloft.gateway import former_use
+from godwitloft.gateway.allowances import former_use
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
 
--- a/features/steps/gateway_cost_steps.py
+++ b/features/steps/gateway_cost_steps.py
@@ -12,7 +12,7 @@
 from features.support import gateway_world
 from godwitloft.gateway import daemon
 from godwitloft.gateway import model
-from godwitloft.gateway import placement
+from godwitloft.gateway.placing import placement
 from godwitloft.links import datagrams
 
 
--- a/features/steps/gateway_limits_steps.py
+++ b/features/steps/gateway_limits_steps.py
@@ -7,10 +7,10 @@
 from twisted.internet import task
 
 from godwitloft import clock as clocks
-from godwitloft.gateway import allowance
 from godwitloft.gateway import model
 from godwitloft.gateway import retry_budget
-from godwitloft.gateway import sharing
+from godwitloft.gateway.allowances import allowance
+from godwitloft.gateway.allowances import sharing
 from godwitloft.links import datagrams
 
 TOLERANCE = allowance.Tolerance(window_ms=8000, share=0.1, tokens=1000.0)
--- a/features/steps/gateway_news_steps.py
+++ b/features/steps/gateway_news_steps.py
@@ -7,8 +7,8 @@
 from features.support import gateway_world
 from godwitloft import clock as clocks
 from godwitloft.gateway import config_state
-from godwitloft.gateway import peer_confirmation
-from godwitloft.gateway import store_contact
+from godwitloft.gateway.peers import peer_confirmation
+from godwitloft.gateway.peers import store_contact
 from godwitloft.links import datagrams
 
 STEP_MS = 10
--- a/features/steps/gateway_placement_steps.py
+++ b/features/steps/gateway_placement_steps.py
@@ -6,9 +6,9 @@
 
 from features.support import gateway_world
 from godwitloft.gateway import model
-from godwitloft.gateway import placement
-from godwitloft.gateway import routing
-from godwitloft.gateway import share_factor
+from godwitloft.gateway.allowances import share_factor
+from godwitloft.gateway.callers import routing
+from godwitloft.gateway.placing import placement
 from godwitloft.gateway.upstreams import fleet
 from godwitloft.gateway.upstreams import upstream_list
 
--- a/features/steps/gateway_slots_steps.py
+++ b/features/steps/gateway_slots_steps.py
@@ -9,13 +9,13 @@
 
 from features.support import gateway_world
 from godwitloft import clock as clocks
-from godwitloft.gateway import arbiter
-from godwitloft.gateway import grant_hosts
-from godwitloft.gateway import placement
-from godwitloft.gateway import share_factor
-from godwitloft.gateway import sharing
-from godwitloft.gateway import slot_client
-from godwitloft.gateway import slots
+from godwitloft.gateway.allowances import share_factor
+from godwitloft.gateway.allowances import sharing
+from godwitloft.gateway.placing import arbiter
+from godwitloft.gateway.placing import grant_hosts
+from godwitloft.gateway.placing import placement
+from godwitloft.gateway.placing import slot_client
+from godwitloft.gateway.placing import slots
 from godwitloft.gateway.upstreams import fleet
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
--- a/features/steps/odd_rows_steps.py
+++ b/features/steps/odd_rows_steps.py
@@ -19,7 +19,7 @@
 from godwitloft.coordination import permits
 from godwitloft.coordination import publish
 from godwitloft.coordination import shares
-from godwitloft.gateway import peer_status
+from godwitloft.gateway.peers import peer_status
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
 from godwitloft.platform import agent as agents
--- a/features/steps/save_retry_steps.py
+++ b/features/steps/save_retry_steps.py
@@ -3,7 +3,7 @@
 from behave import when
 
 from godwitloft import clock as clocks
-from godwitloft.gateway import store_contact
+from godwitloft.gateway.peers import store_contact
 from godwitloft.platform import save_retry
 
 URGENT_DELAY_MS = 110
--- a/features/steps/service_versions_steps.py
+++ b/features/steps/service_versions_steps.py
@@ -8,8 +8,8 @@
 from features.support import gateway_world
 from godwitloft import clock as clocks
 from godwitloft.gateway import model
-from godwitloft.gateway import routing
-from godwitloft.gateway import store_contact
+from godwitloft.gateway.callers import routing
+from godwitloft.gateway.peers import store_contact
 from godwitloft.gateway.streams import service_versions
 from godwitloft.gateway.streams import stream_life
 
--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -7,9 +7,9 @@
 
 from features.support import gateway_world
 from features.support import restored_store
-from godwitloft.gateway import allowance
-from godwitloft.gateway import peer_status
-from godwitloft.gateway import sharing as sharings
+from godwitloft.gateway.allowances import allowance
+from godwitloft.gateway.allowances import sharing as sharings
+from godwitloft.gateway.peers import peer_status
 from godwitloft.gateway.upstreams import upstream_list
 from godwitloft.links import datagrams
 from godwitloft.platform import store as stores
--- a/features/steps/upstream_signs_steps.py
+++ b/features/steps/upstream_signs_steps.py
@@ -13,10 +13,10 @@
 from features.support import logs
 from features.support import wire
 from godwitloft import clock as clocks
-from godwitloft.gateway import arbiter as arbiters
-from godwitloft.gateway import peer_status
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import retry_budget
+from godwitloft.gateway.peers import peer_status
+from godwitloft.gateway.placing import arbiter as arbiters
 from godwitloft.gateway.upstreams import upstream_signs
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
--- a/features/support/gateway_cost.py
+++ b/features/support/gateway_cost.py
@@ -11,7 +11,7 @@
 
 from features.support import gateway_world
 from godwitloft import clock as clocks
-from godwitloft.gateway import arbiter
+from godwitloft.gateway.placing import arbiter
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
 
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -12,15 +12,15 @@
 from godwitloft import attempt as attempts
 from godwitloft import clock as clocks
 from godwitloft import metrics
-from godwitloft.gateway import allowance
 from godwitloft.gateway import checked_attempt
 from godwitloft.gateway import gateway as gateways
-from godwitloft.gateway import http_server
 from godwitloft.gateway import model
 from godwitloft.gateway import options
 from godwitloft.gateway import retry_budget
-from godwitloft.gateway import sharing
-from godwitloft.gateway import slot_client
+from godwitloft.gateway.allowances import allowance
+from godwitloft.gateway.allowances import sharing
+from godwitloft.gateway.callers import http_server
+from godwitloft.gateway.placing import slot_client
 from godwitloft.platform import headers
 
 START_S = 1000.0
--- /dev/null
+++ b/godwitloft/gateway/allowances/__init__.py
@@ -0,0 +1,1 @@
+"""Shares the allowances of teams among gateways."""
--- a/godwitloft/gateway/announcer.py
+++ b/godwitloft/gateway/allowances/announcer.py
@@ -4,9 +4,9 @@
 import typing
 
 from godwitloft import clock as clocks
-from godwitloft.gateway import grant_start
-from godwitloft.gateway import peer_status
-from godwitloft.gateway import unseen
+from godwitloft.gateway.allowances import grant_start
+from godwitloft.gateway.allowances import unseen
+from godwitloft.gateway.peers import peer_status
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
 
--- a/godwitloft/gateway/former_use.py
+++ b/godwitloft/gateway/allowances/former_use.py
@@ -14,7 +14,7 @@
 import typing
 
 from godwitloft import clock as clocks
-from godwitloft.gateway import allowance
+from godwitloft.gateway.allowances import allowance
 from godwitloft.links.generated.datagrams import ttypes
 
 MAX_OTHERS_TOLD = 20
--- a/godwitloft/gateway/gateway_list.py
+++ b/godwitloft/gateway/allowances/gateway_list.py
@@ -3,7 +3,7 @@
 import hashlib
 
 from godwitloft import clock as clocks
-from godwitloft.gateway import peers
+from godwitloft.gateway.allowances import peers
 
 PEER_TIMEOUT_MS = 2_000
 MAX_PLACES = 1_000
--- a/godwitloft/gateway/grant_start.py
+++ b/godwitloft/gateway/allowances/grant_start.py
@@ -8,10 +8,10 @@
 
 from godwitloft import clock as clocks
 from godwitloft import events
-from godwitloft.gateway import former_use
-from godwitloft.gateway import gateway_list
-from godwitloft.gateway import own_use
-from godwitloft.gateway import peer_use as peer_uses
+from godwitloft.gateway.allowances import former_use
+from godwitloft.gateway.allowances import gateway_list
+from godwitloft.gateway.allowances import own_use
+from godwitloft.gateway.allowances import peer_use as peer_uses
 from godwitloft.links.generated.datagrams import ttypes
 
 # For how long a gateway that starts announces itself also to those whose
--- a/godwitloft/gateway/own_use.py
+++ b/godwitloft/gateway/allowances/own_use.py
@@ -3,11 +3,11 @@
 import typing
 
 from godwitloft import clock as clocks
-from godwitloft.gateway import allowance
-from godwitloft.gateway import demand as demands
-from godwitloft.gateway import former_use
 from godwitloft.gateway import model
-from godwitloft.gateway import saved_use
+from godwitloft.gateway.allowances import allowance
+from godwitloft.gateway.allowances import demand as demands
+from godwitloft.gateway.allowances import former_use
+from godwitloft.gateway.allowances import saved_use
 
 MAX_TEAMS_SAVED = 20
 MIN_DEMAND = 1.0
--- a/godwitloft/gateway/peer_use.py
+++ b/godwitloft/gateway/allowances/peer_use.py
@@ -5,9 +5,9 @@
 
 from godwitloft import clock as clocks
 from godwitloft import events
-from godwitloft.gateway import former_use
-from godwitloft.gateway import gateway_list
-from godwitloft.gateway import peers
+from godwitloft.gateway.allowances import former_use
+from godwitloft.gateway.allowances import gateway_list
+from godwitloft.gateway.allowances import peers
 from godwitloft.links.generated.datagrams import ttypes
 
 # A gateway that was not heard for so many intervals may be gone.
--- a/godwitloft/gateway/saved_use.py
+++ b/godwitloft/gateway/allowances/saved_use.py
@@ -7,8 +7,8 @@
 
 import typing
 
-from godwitloft.gateway import allowance
-from godwitloft.gateway import former_use
+from godwitloft.gateway.allowances import allowance
+from godwitloft.gateway.allowances import former_use
 
 # Usage is saved before more than this part of an equal share of a limit has
 # been used since the last save.
--- a/godwitloft/gateway/sharing.py
+++ b/godwitloft/gateway/allowances/sharing.py
@@ -16,17 +16,17 @@
 
 from godwitloft import clock as clocks
 from godwitloft import events
-from godwitloft.gateway import allowance
-from godwitloft.gateway import announce_times
-from godwitloft.gateway import announcer
-from godwitloft.gateway import former_use
-from godwitloft.gateway import gateway_list
-from godwitloft.gateway import grant_start
 from godwitloft.gateway import model
-from godwitloft.gateway import own_use
-from godwitloft.gateway import peer_status
-from godwitloft.gateway import peer_use
-from godwitloft.gateway import unseen
+from godwitloft.gateway.allowances import allowance
+from godwitloft.gateway.allowances import announce_times
+from godwitloft.gateway.allowances import announcer
+from godwitloft.gateway.allowances import former_use
+from godwitloft.gateway.allowances import gateway_list
+from godwitloft.gateway.allowances import grant_start
+from godwitloft.gateway.allowances import own_use
+from godwitloft.gateway.allowances import peer_use
+from godwitloft.gateway.allowances import unseen
+from godwitloft.gateway.peers import peer_status
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
 
--- a/godwitloft/gateway/answer.py
+++ b/godwitloft/gateway/answer.py
@@ -11,12 +11,12 @@
 from godwitloft import answer_end
 from godwitloft import attempt as attempts
 from godwitloft.gateway import checked_attempt
-from godwitloft.gateway import dialect as dialects
-from godwitloft.gateway import headers as header_lists
-from godwitloft.gateway import http_server
 from godwitloft.gateway import model
 from godwitloft.gateway import outcomes
 from godwitloft.gateway import request as requests
+from godwitloft.gateway.callers import dialect as dialects
+from godwitloft.gateway.callers import headers as header_lists
+from godwitloft.gateway.callers import http_server
 from godwitloft.gateway.streams import stream_events
 from godwitloft.gateway.streams import unmarked_end
 
--- /dev/null
+++ b/godwitloft/gateway/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Reads the requests of callers and writes their answers."""
--- a/godwitloft/gateway/http_server.py
+++ b/godwitloft/gateway/callers/http_server.py
@@ -19,8 +19,8 @@
 from godwitloft import immediate_write
 from godwitloft import read_size
 from godwitloft import unread_input
-from godwitloft.gateway import headers
 from godwitloft.gateway import model
+from godwitloft.gateway.callers import headers
 
 Header = headers.Header
 
--- a/godwitloft/gateway/request_checker.py
+++ b/godwitloft/gateway/callers/request_checker.py
@@ -4,13 +4,13 @@
 
 from godwitloft import clock as clocks
 from godwitloft.gateway import config_state as config_states
-from godwitloft.gateway import dialect as dialects
-from godwitloft.gateway import http_server
 from godwitloft.gateway import model
 from godwitloft.gateway import refusals
 from godwitloft.gateway import request as requests
-from godwitloft.gateway import routing
-from godwitloft.gateway import sharing as sharings
+from godwitloft.gateway.allowances import sharing as sharings
+from godwitloft.gateway.callers import dialect as dialects
+from godwitloft.gateway.callers import http_server
+from godwitloft.gateway.callers import routing
 from godwitloft.gateway.upstreams import fleet as fleets
 
 UNCONFIGURED_RETRY_AFTER_MS = 500
--- a/godwitloft/gateway/config_state.py
+++ b/godwitloft/gateway/config_state.py
@@ -3,7 +3,7 @@
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft.gateway import model
-from godwitloft.gateway import routing
+from godwitloft.gateway.callers import routing
 
 # After a restore of the store, operators get this long to write again what it
 # has undone; no gateway may have seen it.
--- a/godwitloft/gateway/crashes/crash_evidence.py
+++ b/godwitloft/gateway/crashes/crash_evidence.py
@@ -6,7 +6,7 @@
 from godwitloft import events
 from godwitloft.gateway import model
 from godwitloft.gateway import request as requests
-from godwitloft.gateway import sharing as sharings
+from godwitloft.gateway.allowances import sharing as sharings
 from godwitloft.gateway.crashes import crash_tracker
 from godwitloft.gateway.upstreams import fleet as fleets
 
--- a/godwitloft/gateway/crashes/crash_tracker.py
+++ b/godwitloft/gateway/crashes/crash_tracker.py
@@ -4,8 +4,8 @@
 import typing
 
 from godwitloft import events
-from godwitloft.gateway import peer_status
 from godwitloft.gateway.crashes import crash_causes
+from godwitloft.gateway.peers import peer_status
 
 SUSPECT_MEMORY_MS = 60_000
 # An upstream that refuses connections within this time after it broke off
--- a/godwitloft/gateway/daemon.py
+++ b/godwitloft/gateway/daemon.py
@@ -6,9 +6,9 @@
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft.gateway import gateway as gateways
-from godwitloft.gateway import http_server
 from godwitloft.gateway import model
 from godwitloft.gateway import stop_report
+from godwitloft.gateway.callers import http_server
 from godwitloft.runtime import polling
 
 TICK_INTERVAL_MS = 25
--- a/godwitloft/gateway/final_answers.py
+++ b/godwitloft/gateway/final_answers.py
@@ -2,14 +2,14 @@
 
 import dataclasses
 
-from godwitloft.gateway import admission as admissions
 from godwitloft.gateway import answer as answers
 from godwitloft.gateway import outcomes
 from godwitloft.gateway import refusals
 from godwitloft.gateway import reports as reports_module
 from godwitloft.gateway import request as requests
-from godwitloft.gateway import sharing as sharings
 from godwitloft.gateway import shutdown as shutdowns
+from godwitloft.gateway.allowances import sharing as sharings
+from godwitloft.gateway.placing import admission as admissions
 from godwitloft.gateway.streams import unmarked_end
 
 
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -2,7 +2,7 @@
 
 It opens no sockets: exchanges, attempts and the clock are passed in, so that
 a test can produce any order of events. Upstreams are chosen in
-:mod:`godwitloft.gateway.placement`.
+:mod:`godwitloft.gateway.placing.placement`.
 """
 
 import collections
@@ -14,35 +14,35 @@
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft import metrics
-from godwitloft.gateway import admission as admissions
 from godwitloft.gateway import answer as answers
-from godwitloft.gateway import arbiter as arbiters
 from godwitloft.gateway import checked_attempt
 from godwitloft.gateway import config_state as config_states
-from godwitloft.gateway import dialect as dialects
 from godwitloft.gateway import final_answers
-from godwitloft.gateway import first_data
-from godwitloft.gateway import http_server
-from godwitloft.gateway import latency
 from godwitloft.gateway import model
 from godwitloft.gateway import options as options_module
-from godwitloft.gateway import ordering
 from godwitloft.gateway import outcomes
-from godwitloft.gateway import peer_confirmation
-from godwitloft.gateway import peer_status
-from godwitloft.gateway import placer as placers
 from godwitloft.gateway import refusals
 from godwitloft.gateway import reports
 from godwitloft.gateway import request as requests
-from godwitloft.gateway import request_checker as request_checkers
 from godwitloft.gateway import retry_policy as retry_policies
 from godwitloft.gateway import send_checks
-from godwitloft.gateway import shared_knowledge
-from godwitloft.gateway import sharing as sharings
 from godwitloft.gateway import shutdown as shutdowns
-from godwitloft.gateway import slot_client as slot_clients
-from godwitloft.gateway import store_contact
+from godwitloft.gateway.allowances import sharing as sharings
+from godwitloft.gateway.callers import dialect as dialects
+from godwitloft.gateway.callers import http_server
+from godwitloft.gateway.callers import request_checker as request_checkers
 from godwitloft.gateway.crashes import crash_evidence
+from godwitloft.gateway.peers import peer_confirmation
+from godwitloft.gateway.peers import peer_status
+from godwitloft.gateway.peers import shared_knowledge
+from godwitloft.gateway.peers import store_contact
+from godwitloft.gateway.placing import admission as admissions
+from godwitloft.gateway.placing import arbiter as arbiters
+from godwitloft.gateway.placing import first_data
+from godwitloft.gateway.placing import latency
+from godwitloft.gateway.placing import ordering
+from godwitloft.gateway.placing import placer as placers
+from godwitloft.gateway.placing import slot_client as slot_clients
 from godwitloft.gateway.streams import base_versions
 from godwitloft.gateway.streams import continuations as continuation_module
 from godwitloft.gateway.streams import service_versions
--- a/godwitloft/gateway/options.py
+++ b/godwitloft/gateway/options.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from godwitloft.gateway import allowance
 from godwitloft.gateway import retry_budget
+from godwitloft.gateway.allowances import allowance
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/godwitloft/gateway/peers/__init__.py
@@ -0,0 +1,1 @@
+"""What gateways tell each other beside the use of allowances."""
--- a/godwitloft/gateway/peer_confirmation.py
+++ b/godwitloft/gateway/peers/peer_confirmation.py
@@ -17,7 +17,7 @@
 from godwitloft import clock as clocks
 from godwitloft.gateway import config_state as config_states
 from godwitloft.gateway import model
-from godwitloft.gateway import store_contact as store_contacts
+from godwitloft.gateway.peers import store_contact as store_contacts
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
 
--- a/godwitloft/gateway/shared_knowledge.py
+++ b/godwitloft/gateway/peers/shared_knowledge.py
@@ -3,12 +3,12 @@
 import typing
 
 from godwitloft import clock as clocks
-from godwitloft.gateway import peer_confirmation
-from godwitloft.gateway import peer_status
-from godwitloft.gateway import sharing as sharings
-from godwitloft.gateway import store_contact as store_contacts
+from godwitloft.gateway.allowances import sharing as sharings
 from godwitloft.gateway.crashes import crash_reports
 from godwitloft.gateway.crashes import crash_tracker
+from godwitloft.gateway.peers import peer_confirmation
+from godwitloft.gateway.peers import peer_status
+from godwitloft.gateway.peers import store_contact as store_contacts
 from godwitloft.gateway.streams import service_versions
 from godwitloft.gateway.upstreams import fleet as fleets
 from godwitloft.gateway.upstreams import named_limit
--- /dev/null
+++ b/godwitloft/gateway/placing/__init__.py
@@ -0,0 +1,1 @@
+"""Chooses which waiting request goes to which upstream, and when."""
--- a/godwitloft/gateway/admission.py
+++ b/godwitloft/gateway/placing/admission.py
@@ -17,14 +17,14 @@
 import typing
 
 from godwitloft import clock as clocks
-from godwitloft.gateway import ordering
-from godwitloft.gateway import placement
 from godwitloft.gateway import refusals
 from godwitloft.gateway import request as requests
-from godwitloft.gateway import request_checker as request_checkers
-from godwitloft.gateway import service_floor
-from godwitloft.gateway import sharing as sharings
+from godwitloft.gateway.allowances import sharing as sharings
+from godwitloft.gateway.callers import request_checker as request_checkers
 from godwitloft.gateway.crashes import crash_tracker
+from godwitloft.gateway.placing import ordering
+from godwitloft.gateway.placing import placement
+from godwitloft.gateway.placing import service_floor
 from godwitloft.gateway.upstreams import fleet as fleets
 
 RATE_WINDOW_MS = 2_000
--- a/godwitloft/gateway/arbiter.py
+++ b/godwitloft/gateway/placing/arbiter.py
@@ -18,7 +18,7 @@
 
 from godwitloft import clock as clocks
 from godwitloft import events
-from godwitloft.gateway import slots
+from godwitloft.gateway.placing import slots
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
 
--- a/godwitloft/gateway/first_data.py
+++ b/godwitloft/gateway/placing/first_data.py
@@ -1,10 +1,10 @@
 """Learns from the first data of each answer."""
 
 from godwitloft.gateway import answer as answers
-from godwitloft.gateway import latency as latencies
-from godwitloft.gateway import placer as placers
 from godwitloft.gateway import request as requests
 from godwitloft.gateway.crashes import crash_tracker
+from godwitloft.gateway.placing import latency as latencies
+from godwitloft.gateway.placing import placer as placers
 
 
 class FirstData:
--- a/godwitloft/gateway/grant_hosts.py
+++ b/godwitloft/gateway/placing/grant_hosts.py
@@ -7,8 +7,8 @@
 """
 
 from godwitloft import clock as clocks
-from godwitloft.gateway import gateway_list
-from godwitloft.gateway import sharing as sharings
+from godwitloft.gateway.allowances import gateway_list
+from godwitloft.gateway.allowances import sharing as sharings
 from godwitloft.links import datagrams
 
 # A gateway that was silent for this many intervals of announcements no longer
--- a/godwitloft/gateway/latency.py
+++ b/godwitloft/gateway/placing/latency.py
@@ -5,7 +5,7 @@
 and would take the slot of one that could still be answered on time.
 """
 
-from godwitloft.gateway import placement
+from godwitloft.gateway.placing import placement
 
 # Longer times have a larger weight, so that most requests take less time than
 # estimated.
--- a/godwitloft/gateway/placer.py
+++ b/godwitloft/gateway/placing/placer.py
@@ -4,12 +4,12 @@
 
 from godwitloft import clock as clocks
 from godwitloft.gateway import config_state as config_states
-from godwitloft.gateway import ordering
-from godwitloft.gateway import placement
 from godwitloft.gateway import request as requests
-from godwitloft.gateway import share_factor
-from godwitloft.gateway import sharing as sharings
-from godwitloft.gateway import slot_client as slot_clients
+from godwitloft.gateway.allowances import share_factor
+from godwitloft.gateway.allowances import sharing as sharings
+from godwitloft.gateway.placing import ordering
+from godwitloft.gateway.placing import placement
+from godwitloft.gateway.placing import slot_client as slot_clients
 from godwitloft.gateway.upstreams import fleet as fleets
 from godwitloft.gateway.upstreams import named_limit
 
--- a/godwitloft/gateway/refusals.py
+++ b/godwitloft/gateway/refusals.py
@@ -4,8 +4,8 @@
 import json
 import typing
 
-from godwitloft.gateway import http_server
 from godwitloft.gateway import outcomes
+from godwitloft.gateway.callers import http_server
 
 MIN_RETRY_AFTER_MS = 300
 MAX_RETRY_AFTER_MS = 6_000
--- a/godwitloft/gateway/reports.py
+++ b/godwitloft/gateway/reports.py
@@ -8,11 +8,11 @@
 from godwitloft import metrics
 from godwitloft.gateway import answer as answers
 from godwitloft.gateway import config_state as config_states
-from godwitloft.gateway import http_server
 from godwitloft.gateway import outcomes
 from godwitloft.gateway import refusals
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import shutdown as shutdowns
+from godwitloft.gateway.callers import http_server
 from godwitloft.gateway.streams import unmarked_end
 
 
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -8,19 +8,19 @@
 
 from godwitloft import attempt as attempts
 from godwitloft import whole_number
-from godwitloft.gateway import allowance
 from godwitloft.gateway import checked_attempt
-from godwitloft.gateway import dialect as dialects
-from godwitloft.gateway import headers as header_lists
-from godwitloft.gateway import http_server
 from godwitloft.gateway import model
+from godwitloft.gateway.allowances import allowance
+from godwitloft.gateway.callers import dialect as dialects
+from godwitloft.gateway.callers import headers as header_lists
+from godwitloft.gateway.callers import http_server
 from godwitloft.gateway.crashes import crash_causes
 from godwitloft.gateway.crashes import crash_reports
 from godwitloft.gateway.upstreams import fleet
 
 if typing.TYPE_CHECKING:
     from godwitloft.gateway import answer as answers
-    from godwitloft.gateway import service_floor
+    from godwitloft.gateway.placing import service_floor
     from godwitloft.gateway.streams import unmarked_end
 
 MAX_TOKENS = 10_000_000
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -9,7 +9,7 @@
 from godwitloft.gateway import reports
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import retry_budget
-from godwitloft.gateway import sharing as sharings
+from godwitloft.gateway.allowances import sharing as sharings
 from godwitloft.gateway.crashes import crash_tracker
 from godwitloft.gateway.upstreams import fleet as fleets
 
--- a/godwitloft/gateway/send_checks.py
+++ b/godwitloft/gateway/send_checks.py
@@ -1,12 +1,12 @@
 """Checks a waiting request once more, just before it is sent."""
 
-from godwitloft.gateway import admission as admissions
 from godwitloft.gateway import config_state as config_states
 from godwitloft.gateway import model
 from godwitloft.gateway import refusals
 from godwitloft.gateway import request as requests
-from godwitloft.gateway import request_checker as request_checkers
 from godwitloft.gateway import shutdown as shutdowns
+from godwitloft.gateway.callers import request_checker as request_checkers
+from godwitloft.gateway.placing import admission as admissions
 
 
 class SendChecks:
--- a/godwitloft/gateway/shutdown.py
+++ b/godwitloft/gateway/shutdown.py
@@ -5,7 +5,7 @@
 
 from godwitloft import clock as clocks
 from godwitloft.gateway import request as requests
-from godwitloft.gateway import run_times
+from godwitloft.gateway.placing import run_times
 
 
 class Shutdown:
--- a/godwitloft/gateway/stop_report.py
+++ b/godwitloft/gateway/stop_report.py
@@ -4,9 +4,9 @@
 
 from godwitloft import events
 from godwitloft import immediate_write
-from godwitloft.gateway import dialect as dialects
-from godwitloft.gateway import http_server
 from godwitloft.gateway import shutdown as shutdowns
+from godwitloft.gateway.callers import dialect as dialects
+from godwitloft.gateway.callers import http_server
 
 
 def report_connections(
--- a/godwitloft/gateway/streams/service_versions.py
+++ b/godwitloft/gateway/streams/service_versions.py
@@ -16,7 +16,7 @@
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft.gateway import model
-from godwitloft.gateway import store_contact as store_contacts
+from godwitloft.gateway.peers import store_contact as store_contacts
 
 # Longer than it takes until all gateways that reach the store have read a
 # list with a new version.
--- a/godwitloft/gateway/streams/stream_life.py
+++ b/godwitloft/gateway/streams/stream_life.py
@@ -4,7 +4,7 @@
 
 from godwitloft import clock as clocks
 from godwitloft.gateway import model
-from godwitloft.gateway import routing
+from godwitloft.gateway.callers import routing
 
 MIN_STREAM_LIFE_MS = 20_000
 # A caller may wait for longer than one of its attempts may last.
--- a/godwitloft/gateway/upstreams/fleet.py
+++ b/godwitloft/gateway/upstreams/fleet.py
@@ -4,8 +4,8 @@
 import dataclasses
 
 from godwitloft.gateway import model
-from godwitloft.gateway import peer_status
-from godwitloft.gateway import placement
+from godwitloft.gateway.peers import peer_status
+from godwitloft.gateway.placing import placement
 from godwitloft.gateway.upstreams import named_limit
 
 UNREACHABLE_PAUSE_MS = 500
--- a/godwitloft/gateway/upstreams/upstream_signs.py
+++ b/godwitloft/gateway/upstreams/upstream_signs.py
@@ -12,7 +12,7 @@
 
 from godwitloft import attempt as attempts
 from godwitloft import clock as clocks
-from godwitloft.gateway import dialect as dialects
+from godwitloft.gateway.callers import dialect as dialects
 
 PAUSE_STATUS = 503
 RETRY_AFTER = b"retry-after"
--- a/godwitloft/gateway/upstreams/upstream_statements.py
+++ b/godwitloft/gateway/upstreams/upstream_statements.py
@@ -9,10 +9,10 @@
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft import metrics
-from godwitloft.gateway import dialect as dialects
-from godwitloft.gateway import http_server
 from godwitloft.gateway import request as requests
-from godwitloft.gateway import sharing as sharings
+from godwitloft.gateway.allowances import sharing as sharings
+from godwitloft.gateway.callers import dialect as dialects
+from godwitloft.gateway.callers import http_server
 from godwitloft.gateway.upstreams import fleet as fleets
 from godwitloft.gateway.upstreams import named_limit
 from godwitloft.gateway.upstreams import upstream_signs
--- a/godwitloft/platform/agent.py
+++ b/godwitloft/platform/agent.py
@@ -9,7 +9,7 @@
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft import incarnation as incarnations
-from godwitloft.gateway import arbiter as arbiters
+from godwitloft.gateway.placing import arbiter as arbiters
 from godwitloft.gateway.upstreams import upstream_signs
 from godwitloft.links import datagrams
 from godwitloft.platform import headers as platform_headers
--- a/godwitloft/platform/headers.py
+++ b/godwitloft/platform/headers.py
@@ -1,6 +1,6 @@
 """The platform's header names."""
 
-from godwitloft.gateway import dialect
+from godwitloft.gateway.callers import dialect
 
 PREFIX = b"godwitloft-"
 
--- a/godwitloft/platform/lease_row.py
+++ b/godwitloft/platform/lease_row.py
@@ -4,7 +4,7 @@
 import dataclasses
 import json
 
-from godwitloft.gateway import sharing
+from godwitloft.gateway.allowances import sharing
 from godwitloft.gateway.crashes import crash_reports
 from godwitloft.gateway.streams import service_versions
 from godwitloft.platform import json_fields
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -18,10 +18,10 @@
 from godwitloft.gateway import checked_attempt
 from godwitloft.gateway import daemon
 from godwitloft.gateway import gateway as gateways
-from godwitloft.gateway import grant_hosts
 from godwitloft.gateway import model
-from godwitloft.gateway import sharing as sharings
-from godwitloft.gateway import slot_client as slot_clients
+from godwitloft.gateway.allowances import sharing as sharings
+from godwitloft.gateway.placing import grant_hosts
+from godwitloft.gateway.placing import slot_client as slot_clients
 from godwitloft.links import datagrams
 from godwitloft.platform import agent
 from godwitloft.platform import headers
--- a/godwitloft/platform/save_retry.py
+++ b/godwitloft/platform/save_retry.py
@@ -8,7 +8,7 @@
 import typing
 
 from godwitloft import clock as clocks
-from godwitloft.gateway import store_contact
+from godwitloft.gateway.peers import store_contact
 
 
 class SaveRetry:
--- a/godwitloft/platform/settings.py
+++ b/godwitloft/platform/settings.py
@@ -9,9 +9,9 @@
 
 from godwitloft import errors
 from godwitloft import whole_number
-from godwitloft.gateway import allowance
 from godwitloft.gateway import options
 from godwitloft.gateway import retry_budget
+from godwitloft.gateway.allowances import allowance
 
 PATH_VARIABLE = "GODWITLOFT_BOOT"
 MS_PER_S = 1000
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -14,9 +14,9 @@
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft.gateway import model
-from godwitloft.gateway import peer_confirmation as peer_confirmations
-from godwitloft.gateway import sharing
+from godwitloft.gateway.allowances import sharing
 from godwitloft.gateway.crashes import crash_reports
+from godwitloft.gateway.peers import peer_confirmation as peer_confirmations
 from godwitloft.gateway.streams import service_versions
 from godwitloft.gateway.upstreams import upstream_list as upstream_lists
 from godwitloft.platform import json_fields
