--- a/features/steps/gateway_stops_steps.py
+++ b/features/steps/gateway_stops_steps.py
@@ -401,8 +401,8 @@
 def new_process(context, lacks):
     world = wire_upstream.WireWorld(is_new=True)
     run_process(context, world)
-    world.sharing.restore({}, 0)
-    world.sharing.join()
+    world.sharing.start.restore({}, 0)
+    world.sharing.start.join()
     world.confirm()
     if lacks != "the configuration":
         world.gateway.config_state.configure(gateway_world.configuration())
