A request that isn't read before a stop ends has a line at the end

Change: the report at the end of a stop tells of unread bytes and of a request whose head is missing. The scenarios ask for no line while the connection waits and for the same line, or for the missing head, once the process ends.

--- a/features/steps/stops_in_logs_steps.py
+++ b/features/steps/stops_in_logs_steps.py
@@ -162,6 +162,12 @@
     assert found == expected, found
 
 
+@then("GL1211 tells that the head of a request is missing")
+def check_missing_head(context):
+    (fields,) = context.log.fields("GL1211")
+    assert fields["missing"] == "head", fields
+
+
 class CutCounter:
     """Keeps what is added to the metric of cuts."""
 
--- a/features/stops_in_logs.feature
+++ b/features/stops_in_logs.feature
@@ -60,14 +60,17 @@
       | gets SIGTERM | true |
       | goes on | false |
 
-  # Guards against a request that arrives as its connection is being closed: its
-  # caller sees a reset, and nothing told of it.
-  Scenario Outline: A connection that is closed in a stop with unread bytes has a line: <what>
+  # Guards against a request that has arrived and isn't read before the process
+  # ends: its caller sees a reset, and nothing told of it.
+  Scenario Outline: A connection that ends in a stop with unread bytes has a line: <what>
     Given a gateway process whose log is read
     And a caller's connection with a real socket on which <what> has arrived
     When the process gets SIGTERM
     And 3000 ms pass for it
-    Then GL1211 tells of unread bytes: <told>
+    Then GL1211 tells of unread bytes: none
+    When 5000 ms pass for it
+    Then it has ended: yes
+    And GL1211 tells of unread bytes: <told>
 
     Examples:
       | what | told |
@@ -75,11 +78,13 @@
       | nothing | none |
       | the caller's close | none |
 
-  Scenario: A request behind another that is answered in a stop has a line
+  Scenario: A part of a request behind another that is answered in a stop has a line
     Given a gateway process whose log is read
     When a caller's request is sent and not answered
     And the process gets SIGTERM
     And its caller sends 20 bytes more
     And 3000 ms pass for it
     And its upstream has answered it
-    Then GL1211 tells of unread bytes: 20
+    And 5000 ms pass for it
+    Then it has ended: yes
+    And GL1211 tells that the head of a request is missing
--- a/godwitloft/gateway/stop_report.py
+++ b/godwitloft/gateway/stop_report.py
@@ -4,6 +4,7 @@
 
 from godwitloft import events
 from godwitloft import immediate_write
+from godwitloft import unread_input
 from godwitloft.gateway import shutdown as shutdowns
 from godwitloft.gateway.callers import dialect as dialects
 from godwitloft.gateway.callers import http_server
@@ -30,6 +31,9 @@
                 **shutdown.log_fields(),
             )
         part = unread_part(connection)
+        arrived = unread_input.arrived_bytes(connection.transport)
+        if not part and connection.exchange is None and arrived:
+            report_left_unread(arrived, shutdown)
         if part:
             exchange = connection.exchange
             events.log(
