--- a/features/answer_end.feature
+++ b/features/answer_end.feature
@@ -116,11 +116,14 @@
       | draft | is leaving | whole |
       | draft | is not listed any more | whole |
       | draft | is sending another answer | whole |
+      | draft | has begun another answer and is silent for 50 ms | cut |
       | draft | has nothing else to do | cut |
       | draft | is listed as a new process | cut |
       | draft | closes another answer too | cut |
+      | draft | is leaving and closes another answer inside an event | cut |
       | draft | is leaving and breaks another answer off | cut |
       | draft | is sending another answer to a slow reader | cut |
+      | draft | has been found to be another process | cut |
       | draft | is leaving and sends no answer but other bytes elsewhere | whole |
       | draft | is leaving and has stalled at another answer | whole |
       | post | is leaving | whole |
@@ -129,6 +132,7 @@
       | post | has nothing else to do | 502 |
       | post | is leaving and breaks another answer off | 502 |
       | post | is sending another answer to a slow reader | 502 |
+      | post | has been found to be another process | 502 |
       | post | is leaving and sends no answer but other bytes elsewhere | whole |
 
   # Guards against a restart that is excused like a closed port.
@@ -173,6 +177,7 @@
       | close | 2 | refuses it as not run | whole | 2 |
       | close | 2 | begins event 3, framed by close | cut | 2 |
       | close | 2 | begins event 3, framed by chunks | cut | 2 |
+      | close | 2 | begins an event 3 that is too long, framed by close | cut | 2 |
 
   # Guards against an event that has begun and that the end leaves out.
   Scenario Outline: A stream isn't whole without an event that has begun: after event <count>, <then>
--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -139,6 +139,17 @@
     other.receive(b"no answer\r\n\r\n")
 
 
+def misdirect(context):
+    other = begin_other(context, None)
+    other.receive(
+        other.answer_head(
+            b"content-length: 0",
+            b"%s: another" % gateway_world.DIALECT.upstream_id,
+            status=b"421 Misdirected",
+        )
+    )
+
+
 def stall_other(context):
     other = begin_other(context, "chunks", "query")
     list_again(context, leaving=True)
@@ -146,12 +157,25 @@
     assert other.cancelled
 
 
+def begin_silent(context):
+    begin_other(context, "chunks")
+    context.world.advance(50)
+
+
 def close_other(context):
     other = begin_other(context, "close")
     other.accepts = []
     other.close()
 
 
+def leave_and_end_inside(context):
+    other = begin_other(context, "close")
+    list_again(context, leaving=True)
+    other.accepts = []
+    other.receive(wire_answers.event(3)[:8])
+    other.close()
+
+
 def leave_and_break_off(context):
     other = begin_other(context, "chunks")
     list_again(context, leaving=True)
@@ -162,14 +186,19 @@
     "is leaving": lambda context: list_again(context, leaving=True),
     "is not listed any more": unlist,
     "is sending another answer": send_other,
+    "has begun another answer and is silent for 50 ms": begin_silent,
     "has nothing else to do": lambda _context: None,
     "is listed as a new process": lambda context: list_again(
         context, born_ms=2
     ),
     "closes another answer too": close_other,
+    "is leaving and closes another answer inside an event": (
+        leave_and_end_inside
+    ),
     "is leaving and breaks another answer off": leave_and_break_off,
     "is sending another answer to a slow reader": send_other_slowly,
     "is leaving and sends no answer but other bytes elsewhere": send_no_answer,
+    "has been found to be another process": misdirect,
     "is leaving and has stalled at another answer": stall_other,
 }
 
@@ -278,6 +307,9 @@
         "begins event 3": wire_answers.complete_answer(
             sent, framing, wire_answers.event(3)[:8]
         ),
+        "begins an event 3 that is too long": wire_answers.complete_answer(
+            sent, framing, wire_answers.event(3)[:-2] + b"x" * 300_000
+        ),
         "adds event 3": wire_answers.complete_answer(
             sent, framing, wire_answers.event(3)
         ),
--- a/features/support/crashing_engines.py
+++ b/features/support/crashing_engines.py
@@ -53,6 +53,8 @@
         self.target = outgoing.target.decode()
         self.callbacks = callbacks
         self.sent = False
+        # It chunks its answers, so that no end of a connection is checked.
+        self.is_closed = False
         self.over = False
         self.timers = []
 
@@ -119,6 +121,9 @@
     def cancel(self):
         self.stop()
 
+    def conclude(self):
+        """Does nothing: no answer waits for a check of its engine."""
+
     def later(self, delay_ms, function, *arguments):
         timer = self.fleet.reactor.callLater(
             delay_ms / 1000, function, *arguments
@@ -205,7 +210,7 @@
                 where[0],
             )
 
-        world.sharing.send = send
+        world.sharing.announcer.send = send
         others = dict(self.hosts)
         del others[f"g{number}"]
         world.gateway.update_gateways(others)
--- a/features/support/gateway_cost.py
+++ b/features/support/gateway_cost.py
@@ -11,7 +11,7 @@
 
 from features.support import gateway_world
 from godwitloft import clock as clocks
-from godwitloft.gateway import arbiter
+from godwitloft.gateway.placing import arbiter
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
 
@@ -45,7 +45,7 @@
     hosts = {f"g{number}": f"10.0.0.{number}" for number in range(1, gateways)}
     world.gateway.update_gateways(hosts)
     world.send_datagram = discard
-    world.sharing.send = discard
+    world.sharing.announcer.send = discard
     world.gateway.dependencies.slot_client.send = discard
     return world
 
--- a/godwitloft/gateway/daemon.py
+++ b/godwitloft/gateway/daemon.py
@@ -6,9 +6,9 @@
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft.gateway import gateway as gateways
-from godwitloft.gateway import http_server
 from godwitloft.gateway import model
 from godwitloft.gateway import stop_report
+from godwitloft.gateway.callers import http_server
 from godwitloft.runtime import polling
 
 TICK_INTERVAL_MS = 25
@@ -87,6 +87,9 @@
                 on_refused=gateway.reports.count_unreadable,
                 limits=gateway.config_state.limits,
                 closing=lambda: self.closing,
+                on_left_unread=lambda count: stop_report.report_left_unread(
+                    count, gateway.shutdown
+                ),
             ),
             clock,
             gateway.options.max_held_bytes,
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -2,7 +2,7 @@
 
 It opens no sockets: exchanges, attempts and the clock are passed in, so that
 a test can produce any order of events. Upstreams are chosen in
-:mod:`godwitloft.gateway.placement`.
+:mod:`godwitloft.gateway.placing.placement`.
 """
 
 import collections
@@ -14,35 +14,35 @@
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft import metrics
-from godwitloft.gateway import admission as admissions
 from godwitloft.gateway import answer as answers
-from godwitloft.gateway import arbiter as arbiters
 from godwitloft.gateway import checked_attempt
 from godwitloft.gateway import config_state as config_states
-from godwitloft.gateway import dialect as dialects
 from godwitloft.gateway import final_answers
-from godwitloft.gateway import first_data
-from godwitloft.gateway import http_server
-from godwitloft.gateway import latency
 from godwitloft.gateway import model
 from godwitloft.gateway import options as options_module
-from godwitloft.gateway import ordering
 from godwitloft.gateway import outcomes
-from godwitloft.gateway import peer_confirmation
-from godwitloft.gateway import peer_status
-from godwitloft.gateway import placer as placers
 from godwitloft.gateway import refusals
 from godwitloft.gateway import reports
 from godwitloft.gateway import request as requests
-from godwitloft.gateway import request_checker as request_checkers
 from godwitloft.gateway import retry_policy as retry_policies
 from godwitloft.gateway import send_checks
-from godwitloft.gateway import shared_knowledge
-from godwitloft.gateway import sharing as sharings
 from godwitloft.gateway import shutdown as shutdowns
-from godwitloft.gateway import slot_client as slot_clients
-from godwitloft.gateway import store_contact
+from godwitloft.gateway.allowances import sharing as sharings
+from godwitloft.gateway.callers import dialect as dialects
+from godwitloft.gateway.callers import http_server
+from godwitloft.gateway.callers import request_checker as request_checkers
 from godwitloft.gateway.crashes import crash_evidence
+from godwitloft.gateway.peers import peer_confirmation
+from godwitloft.gateway.peers import peer_status
+from godwitloft.gateway.peers import shared_knowledge
+from godwitloft.gateway.peers import store_contact
+from godwitloft.gateway.placing import admission as admissions
+from godwitloft.gateway.placing import arbiter as arbiters
+from godwitloft.gateway.placing import first_data
+from godwitloft.gateway.placing import latency
+from godwitloft.gateway.placing import ordering
+from godwitloft.gateway.placing import placer as placers
+from godwitloft.gateway.placing import slot_client as slot_clients
 from godwitloft.gateway.streams import base_versions
 from godwitloft.gateway.streams import continuations as continuation_module
 from godwitloft.gateway.streams import service_versions
@@ -124,9 +124,9 @@
         contact = store_contact.StoreContact(options.store_outage_ms)
         self.confirmation = peer_confirmation.PeerConfirmation(
             self.clock,
-            sharing.send,
+            sharing.announcer.send,
             sharing.instance,
-            sharing.port,
+            sharing.announcer.port,
             self.config_state,
             lambda: sharing.hosts,
             contact,
@@ -138,8 +138,8 @@
             self.clock,
             contact,
             self.confirmation.list_confirmed_ms,
-            sharing.hears_majority,
-            lambda: sharing.restored,
+            sharing.others.hears_majority,
+            lambda: sharing.start.restored,
             life.longest_ms,
         )
         self.bases = base_versions.BaseVersions(
@@ -231,7 +231,7 @@
         self.arbiter = arbiters.Arbiter(
             self.clock,
             dependencies.call_later,
-            sharing.send,
+            sharing.announcer.send,
             dependencies.slot_client.incarnation,
             self.fleet.zone_of,
             listens_anew=True,
@@ -257,7 +257,7 @@
                 state, statement, "peer"
             ),
         )
-        sharing.own_status = self.knowledge.status
+        sharing.announcer.own_status = self.knowledge.status
         sharing.on_peer_status = self.knowledge.on_peer_status
         self.waiting: dict[str, list[requests.Request]] = {}
         self.scheduling: set[str] = set()
@@ -302,8 +302,10 @@
                 datagram.sharing, address[0]
             )
         elif datagram.question is not None:
+            self.dependencies.sharing.start.record_contact()
             self.confirmation.on_question(datagram.question, address[0])
         elif datagram.answer is not None:
+            self.dependencies.sharing.start.record_contact()
             self.confirmation.on_answer(datagram.answer)
 
     def announce(self) -> None:
@@ -353,7 +355,7 @@
             not self.shutdown.has_begun
             and self.config_state.router is not None
             and self.fleet.has_list
-            and self.dependencies.sharing.is_ready()
+            and self.dependencies.sharing.start.is_ready()
             and self.config_state.is_confirmation_fresh(
                 self.clock.monotonic_ms()
             )
@@ -416,20 +418,37 @@
         known.
         """
         self.shutdown.is_over = True
+        time_over = refusals.Refusal(504, request_checkers.LEAVING)
         for request in list(self.running):
-            self.end_running(
-                request, refusals.Refusal(504, request_checkers.LEAVING)
-            )
-        self.continuations.refuse_all(request_checkers.LEAVING_REFUSAL)
+            self.end_safely(self.end_running, request, time_over)
+        self.end_safely(
+            self.continuations.refuse_all, request_checkers.LEAVING_REFUSAL
+        )
         for queue in self.waiting.values():
             for request in queue:
                 if request.state is requests.State.WAITING:
-                    self.final_answers.refuse(
-                        request,
-                        self.admission.rejection(
-                            request, request_checkers.LEAVING
-                        ),
-                    )
+                    self.end_safely(self.refuse_leaving, request)
+
+    def refuse_leaving(self, request: requests.Request) -> None:
+        """Refuses a waiting request, as the process ends.
+
+        :param request: a waiting request
+        """
+        rejection = self.admission.rejection(request, request_checkers.LEAVING)
+        self.final_answers.refuse(request, rejection)
+
+    def end_safely(
+        self, end: typing.Callable[..., None], *arguments: typing.Any
+    ) -> None:
+        """Ends requests; an error must not keep others from an answer.
+
+        :param end: ends them
+        :param arguments: what it is called with
+        """
+        try:
+            end(*arguments)
+        except Exception as problem:
+            events.log_error(events.INTERNAL_ERROR, problem, task="stop")
 
     # Arrival of requests.
 
@@ -781,7 +800,9 @@
         elif self.retry_policy.may_retry(request, attempt_outcome, now_ms):
             self.requeue(request, attempt_outcome)
         elif unmarked_end.counts_as_whole(request):
-            self.final_answers.finish_unmarked(request)
+            self.final_answers.finish_unmarked(
+                request, request.no_retry or attempt_outcome.reason
+            )
         else:
             if is_end_unknown or request.unmarked_end is not None:
                 self.reports.report_unknown_end(request, reports.EndFound.CUT)
--- a/godwitloft/gateway/placer.py
+++ b/godwitloft/gateway/placing/placer.py
@@ -4,12 +4,12 @@
 
 from godwitloft import clock as clocks
 from godwitloft.gateway import config_state as config_states
-from godwitloft.gateway import ordering
-from godwitloft.gateway import placement
 from godwitloft.gateway import request as requests
-from godwitloft.gateway import share_factor
-from godwitloft.gateway import sharing as sharings
-from godwitloft.gateway import slot_client as slot_clients
+from godwitloft.gateway.allowances import share_factor
+from godwitloft.gateway.allowances import sharing as sharings
+from godwitloft.gateway.placing import ordering
+from godwitloft.gateway.placing import placement
+from godwitloft.gateway.placing import slot_client as slot_clients
 from godwitloft.gateway.upstreams import fleet as fleets
 from godwitloft.gateway.upstreams import named_limit
 
@@ -191,7 +191,7 @@
             return True
         turn = named_limit.Turn(
             gateways=self.sharing.gateways,
-            place=self.sharing.place(state.upstream.id),
+            place=self.sharing.others.place(state.upstream.id),
             idle_ms=now_ms - state.last_start_ms,
             wall_ms=self.wall_ms(),
         )
@@ -212,7 +212,7 @@
             self.fleet.service_slots[state.upstream.id],
             placement.Part(
                 self.sharing.gateways,
-                self.sharing.place(state.upstream.service),
+                self.sharing.others.place(state.upstream.service),
                 self.share_factor(state.upstream.service),
             ),
         )
--- a/godwitloft/gateway/retry_policy.py
+++ b/godwitloft/gateway/retry_policy.py
@@ -3,12 +3,13 @@
 from godwitloft import attempt as attempts
 from godwitloft import events
 from godwitloft.gateway import answer as answers
+from godwitloft.gateway import checked_attempt
 from godwitloft.gateway import model
 from godwitloft.gateway import outcomes
 from godwitloft.gateway import reports
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import retry_budget
-from godwitloft.gateway import sharing as sharings
+from godwitloft.gateway.allowances import sharing as sharings
 from godwitloft.gateway.crashes import crash_tracker
 from godwitloft.gateway.upstreams import fleet as fleets
 
@@ -31,6 +32,15 @@
         attempts.MALFORMED_ANSWER,
     )
 )
+# Why nothing was sent although, for all that is known, the upstream's process
+# lives.
+NOT_REFUSED = frozenset(
+    (
+        attempts.NOT_REACHED,
+        attempts.MALFORMED_REQUEST,
+        checked_attempt.Found.NO_ANSWER.value,
+    )
+)
 
 
 class RetryPolicy:
@@ -50,7 +60,7 @@
         self.fleet = fleet
         self.sharing = sharing
         self.settings = settings
-        self.crashes = crash_tracker.CrashTracker(sharing.place)
+        self.crashes = crash_tracker.CrashTracker(sharing.others.place)
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
 
     def budget(self, service: str) -> retry_budget.RetryBudget:
@@ -100,7 +110,7 @@
         unreachable = attempt_outcome.result is outcomes.Result.NOT_SENT
         state.record_failure(now_ms, unreachable)
         if attempt_outcome.replaced:
-            state.mark_leaving()
+            state.mark_replaced()
         if attempt_outcome.result is outcomes.Result.BROKEN:
             if attempt_outcome.reason not in BROKEN_OFF_HERE:
                 state.last_broken_ms = now_ms
@@ -108,7 +118,7 @@
                 state.life,
                 crash_tracker.Broken(now_ms, request.unproved_causes(now_ms)),
             )
-        elif unreachable:
+        elif unreachable and attempt_outcome.reason not in NOT_REFUSED:
             self.crashes.record_unreachable(state.life, now_ms)
         events.log(
             events.UPSTREAM_FAILED,
@@ -241,7 +251,11 @@
         :param now_ms: the current time
         :return: whether a request may be sent again
         """
-        started_ms = None if self.sharing.is_first else self.sharing.started_ms
+        started_ms = (
+            None
+            if self.sharing.start.is_first
+            else self.sharing.start.started_ms
+        )
         return self.budget(service).take(
             now_ms, self.sharing.gateways, started_ms
         )
--- a/godwitloft/gateway/stop_report.py
+++ b/godwitloft/gateway/stop_report.py
@@ -4,9 +4,10 @@
 
 from godwitloft import events
 from godwitloft import immediate_write
-from godwitloft.gateway import dialect as dialects
-from godwitloft.gateway import http_server
+from godwitloft import unread_input
 from godwitloft.gateway import shutdown as shutdowns
+from godwitloft.gateway.callers import dialect as dialects
+from godwitloft.gateway.callers import http_server
 
 
 def report_connections(
@@ -30,6 +31,9 @@
                 **shutdown.log_fields(),
             )
         part = unread_part(connection)
+        arrived = unread_input.arrived_bytes(connection.transport)
+        if not part and connection.exchange is None and arrived:
+            report_left_unread(arrived, shutdown)
         if part:
             exchange = connection.exchange
             events.log(
@@ -41,6 +45,25 @@
             )
 
 
+def report_left_unread(
+    unread_bytes: int, shutdown: shutdowns.Shutdown
+) -> None:
+    """Logs that a connection is closed behind which a request has arrived.
+
+    Its caller gets a reset, and may send the request again.
+
+    :param unread_bytes: how much had arrived
+    :param shutdown: for how long the process has been stopping
+    """
+    events.log(
+        events.REQUEST_UNREAD,
+        request="",
+        missing="answer",
+        unread_bytes=unread_bytes,
+        **shutdown.log_fields(),
+    )
+
+
 def unread_part(connection: http_server.HttpConnection) -> str:
     """Returns what is missing of a request that has begun to arrive.
 
--- a/godwitloft/gateway/upstreams/process_end.py
+++ b/godwitloft/gateway/upstreams/process_end.py
@@ -6,6 +6,7 @@
 
 import typing
 
+from godwitloft import attempt as attempts
 from godwitloft.gateway import request as requests
 from godwitloft.gateway.upstreams import fleet as fleets
 
@@ -30,20 +31,45 @@
     """
     if now_ms - state.last_broken_ms <= SAME_END_MS:
         return True
-    if any(is_open_at(request, state) for request in running):
+    if any(is_broken_off(request, state) for request in running):
+        return True
+    if any(is_sending_to(request, state, now_ms) for request in running):
+        return False
+    if state.upstream.id not in fleet.listed:
         return False
-    is_listed = state.upstream.id in fleet.listed
-    return is_listed and not state.upstream.leaving
+    # One that was replaced gets no new requests either, and hasn't said so.
+    return state.is_replaced or not state.upstream.leaving
 
 
-def is_open_at(request: requests.Request, state: fleets.UpstreamState) -> bool:
+def is_broken_off(
+    request: requests.Request, state: fleets.UpstreamState
+) -> bool:
+    """Returns whether an upstream has broken a request's answer off.
+
+    :param request: a request that runs, or whose end is being checked
+    :param state: the upstream
+    """
+    attempt = request.attempt
+    if request.upstream_state is not state or attempt is None:
+        return False
+    answer = request.answer
+    if not attempt.is_closed or answer is None or answer.body_end is None:
+        return False
+    return bool(answer.body_end.defect())
+
+
+def is_sending_to(
+    request: requests.Request, state: fleets.UpstreamState, now_ms: int
+) -> bool:
     """Returns whether an upstream is still sending a request's answer.
 
-    Of an answer that isn't read, as its caller reads too slowly, the end can't
-    be seen.
+    An open connection shows nothing by itself: its end may not be read yet, or
+    not be read at all, as the caller reads too slowly. Data shows it that has
+    come since the other answer was closed.
 
     :param request: a request that runs
     :param state: the upstream
+    :param now_ms: the current time
     """
     attempt = request.attempt
     return (
@@ -52,4 +78,5 @@
         and not request.congested
         and attempt is not None
         and not attempt.is_closed
+        and now_ms - request.last_data_ms < attempts.END_CHECK_DELAY_MS
     )
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -18,10 +18,10 @@
 from godwitloft.gateway import checked_attempt
 from godwitloft.gateway import daemon
 from godwitloft.gateway import gateway as gateways
-from godwitloft.gateway import grant_hosts
 from godwitloft.gateway import model
-from godwitloft.gateway import sharing as sharings
-from godwitloft.gateway import slot_client as slot_clients
+from godwitloft.gateway.allowances import sharing as sharings
+from godwitloft.gateway.placing import grant_hosts
+from godwitloft.gateway.placing import slot_client as slot_clients
 from godwitloft.links import datagrams
 from godwitloft.platform import agent
 from godwitloft.platform import headers
@@ -183,18 +183,19 @@
             on_confirmed=gateway.config_state.confirm_stored,
             on_upstreams=gateway.update_upstreams,
             on_gateways=gateway.update_gateways,
-            on_usage_restored=sharing.restore,
-            on_peer_usage_restored=sharing.restore_peer,
-            on_registered=sharing.join,
+            on_usage_restored=sharing.start.restore,
+            on_peer_usage_restored=sharing.start.restore_peer,
+            on_registered=sharing.start.join,
             on_blames_restored=gateway.knowledge.restore_blames,
             on_versions_restored=gateway.versions.restore,
-            usage=sharing.usage,
+            usage=sharing.own.usage,
             blames=gateway.knowledge.blame_reports,
             versions=gateway.versions.to_save,
             needs_saving=gateway.knowledge.needs_saving,
-            must_save=lambda: sharing.must_save,
+            must_save=lambda: sharing.own.unsaved.must_save,
             before_save=gateway.knowledge.mark_saved,
             on_saved=gateway.versions.record_saved,
+            on_answered=gateway.knowledge.on_store_answered,
             on_restored=gateway.on_store_restored,
             settle_left_ms=gateway.config_state.settle_left_ms,
             count_cut_back=count_cut_back,
