Upstreams have a room beside their slots

Wants, shares without agents and the choice of an upstream use UpstreamState.room: how many requests of all gateways it takes well. It equals the slots until something is learned, so nothing changes yet.

--- a/godwitloft/gateway/placing/placer.py
+++ b/godwitloft/gateway/placing/placer.py
@@ -172,7 +172,7 @@
             same_zone=state.upstream.zone == self.zone,
             running=state.running,
             allowed=self.allowed(state, now_ms),
-            slots=state.upstream.slots,
+            slots=state.room,
             slowness=state.slowness,
             pending_prompt_tokens=state.pending_prompt_tokens
             + state.pending_prompt_tokens_elsewhere,
@@ -208,7 +208,7 @@
         if now_ms < state.granted_until_ms:
             return state.running + state.start_limit - state.started
         allowed = placement.allowed_without_agent(
-            state.upstream.slots,
+            state.room,
             self.fleet.service_slots[state.upstream.id],
             placement.Part(
                 self.sharing.gateways,
--- a/godwitloft/gateway/placing/slot_client.py
+++ b/godwitloft/gateway/placing/slot_client.py
@@ -115,7 +115,7 @@
             sequence=self.sequence,
             started=state.started,
             running=state.running,
-            slots=state.upstream.slots,
+            slots=state.room,
             waiting=list(waiting),
             unread=state.pending_prompt_tokens,
             zone=self.zone,
--- a/godwitloft/gateway/upstreams/fleet.py
+++ b/godwitloft/gateway/upstreams/fleet.py
@@ -67,6 +67,18 @@
         self.is_replaced = False
         # When it was last listed, before it went missing.
         self.last_listed_ms = 0
+        # How many requests it was found to take well, None if unknown.
+        self.learned_room: int | None = None
+
+    @property
+    def room(self) -> int:
+        """How many requests of all gateways together it takes well.
+
+        From 1 to its slots; all of its slots until more is known.
+        """
+        if self.learned_room is None:
+            return self.upstream.slots
+        return max(1, min(self.upstream.slots, self.learned_room))
 
     @property
     def life(self) -> peer_status.Life:
