A port that is closed for a moment shows that a server has died

Cause: the port was checked only 50 ms after the close. It is now checked right after the close too. Two new rows of http_upstream.feature failed before (completed, stream_cut in place of connection_lost). The test support answers both checks.

--- a/features/http_upstream.feature
+++ b/features/http_upstream.feature
@@ -33,6 +33,7 @@
       | plain | with an invalid chunk | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n | stays silent | crashed | connection_lost |
       | plain | that ends with its connection | HTTP/1.1 200 OK\r\n\r\nok | closes the connection | completed | |
       | plain | that ends with its process | HTTP/1.1 200 OK\r\n\r\nok | closes the connection and its port | crashed | connection_lost |
+      | plain | whose process is replaced at once | HTTP/1.1 200 OK\r\n\r\nok | closes the connection and its port for 20 ms | crashed | connection_lost |
       | plain | that is reset before its end | HTTP/1.1 200 OK\r\n\r\nok | resets the connection | crashed | connection_lost |
       | streaming | that ends with its connection | HTTP/1.1 200 OK\r\n\r\ndata: x\n\ndata: [DONE]\n\n | closes the connection | completed | |
       | streaming | without its end marker | HTTP/1.1 200 OK\r\n\r\ndata: x\n\n | closes the connection | failed | stream_cut |
@@ -41,6 +42,7 @@
       | streaming | whose lines end with CR | HTTP/1.1 200 OK\r\n\r\ndata: x\r\rdata: [DONE]\r\r | closes the connection | completed | |
       | streaming | that ends with its process, after its end marker | HTTP/1.1 200 OK\r\n\r\ndata: x\n\ndata: [DONE]\n\n | closes the connection and its port | completed | |
       | streaming | that ends with its process, before its end marker | HTTP/1.1 200 OK\r\n\r\ndata: x\n\n | closes the connection and its port | crashed | connection_lost |
+      | streaming | whose process is replaced at once, before its end marker | HTTP/1.1 200 OK\r\n\r\ndata: x\n\n | closes the connection and its port for 20 ms | crashed | connection_lost |
       | streaming | that ends with its process, inside its last event | HTTP/1.1 200 OK\r\n\r\ndata: x\n\ndata: [DONE]\n | closes the connection and its port | crashed | connection_lost |
       | streaming | that ends inside an event | HTTP/1.1 200 OK\r\n\r\ndata: [DONE] | closes the connection | failed | event_cut |
 
--- a/features/steps/http_upstream_steps.py
+++ b/features/steps/http_upstream_steps.py
@@ -128,7 +128,8 @@
     if ends != "stays silent" and transport.connected:
         wire.close(transport, clean=ends.startswith("closes the connection"))
         accepts = ends != "closes the connection and its port"
-        wire.answer_check(context.reactor, accepts)
+        is_back = ends.endswith("for 20 ms")
+        wire.answer_check(context.reactor, accepts, accepts and not is_back)
 
 
 @when(
--- a/features/support/wire.py
+++ b/features/support/wire.py
@@ -8,6 +8,7 @@
 from twisted.python import failure
 
 from godwitloft import attempt
+from godwitloft import connection_check
 
 CALLER = address.IPv4Address("TCP", "127.0.0.1", 4000)
 
@@ -55,15 +56,27 @@
     transport.protocol.connectionLost(failure.Failure(kind()))
 
 
-def answer_check(reactor, accepts=True):
-    """Answers the check whether a server lives on, if one is made.
+def answer_check(reactor, accepts=True, accepts_at_once=None):
+    """Answers the checks whether a server lives on, if any are made.
 
     :param reactor: the simulated reactor of the client
     :param accepts: whether the server accepts connections
+    :param accepts_at_once: whether it does right after the close, by default
+        the same
     """
-    before = len(reactor.tcpClients)
+    answer_open_checks(
+        reactor, accepts if accepts_at_once is None else accepts_at_once
+    )
     reactor.advance(attempt.END_CHECK_DELAY_MS / 1000)
-    for _host, _port, factory, *_others in reactor.tcpClients[before:]:
+    answer_open_checks(reactor, accepts)
+
+
+def answer_open_checks(reactor, accepts):
+    for _host, _port, factory, *_others in list(reactor.tcpClients):
+        is_check = isinstance(factory, connection_check.CheckFactory)
+        if not is_check or hasattr(factory, "is_answered"):
+            continue
+        factory.is_answered = True
         if accepts:
             factory.buildProtocol(None)
         else:
--- a/godwitloft/attempt.py
+++ b/godwitloft/attempt.py
@@ -375,14 +375,22 @@
             else:
                 on_checked(accepts)
 
-        reactor.callLater(
-            END_CHECK_DELAY_MS / clocks.MS_PER_S,
-            connection_check.start,
-            reactor,
-            address,
-            on_port_checked,
-            own_host,
-        )
+        def check_later(accepts: bool | None) -> None:
+            if accepts is False:
+                on_checked(False)
+                return
+            reactor.callLater(
+                END_CHECK_DELAY_MS / clocks.MS_PER_S,
+                connection_check.start,
+                reactor,
+                address,
+                on_port_checked,
+                own_host,
+            )
+
+        # Another process may listen there soon after the server has died, so
+        # its port is checked before the delay as well.
+        connection_check.start(reactor, address, check_later, own_host)
 
     attempt = Attempt(outgoing, callbacks, check_server)
     factory: typing.Any = AttemptFactory(attempt)
