An answer that closes early and is then reset isn't complete

Callers got a part of a body as a whole answer (MIXED): an upstream answers a long upload at once without a length, closes its side of the connection, and resets it 20 ms later with a part of the request unread. Cause: the end of the stream was taken for the end of the connection, and the reset that followed was never seen. An unsent rest of the request is dropped once the answer is whole.

--- a/godwitloft/attempt.py
+++ b/godwitloft/attempt.py
@@ -12,8 +12,10 @@
 
 import h11
 from twisted.internet import error
+from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.python import failure
+import zope.interface
 
 from godwitloft import answer_end
 from godwitloft import clock as clocks
@@ -38,6 +40,7 @@
 MALFORMED_ANSWER = "malformed_answer"
 MAX_INTERIM_ANSWERS = 100
 MAX_READ_BYTES = 64 * 1024
+CONNECTION_RESET = "connection_reset"
 SERVER_GONE = "server_gone"
 SERVER_RESTARTED = "server_restarted"
 # A process that ends closes its connections and its port one after the other.
@@ -89,6 +92,7 @@
     before_send: typing.Callable[[], object] = lambda: None
 
 
+@zope.interface.implementer(interfaces.IHalfCloseableProtocol)
 class Attempt(protocol.Protocol):
     """One connection to an upstream, for one request.
 
@@ -216,8 +220,25 @@
         if self.ended:
             return
         if not reason.check(error.ConnectionDone):
-            self.end(End.BROKEN, "connection_reset")
-        elif self.framing is answer_end.Framing.CLOSE:
+            self.end(End.BROKEN, CONNECTION_RESET)
+        else:
+            self.finish_reading()
+
+    def readConnectionLost(self) -> None:
+        """Ends the answer, while this side of the connection stays open.
+
+        A server that is in trouble may close its side first and reset the
+        connection soon after, with a part of the request unread.
+        """
+        if not self.ended and not self.is_closed:
+            self.finish_reading()
+
+    def writeConnectionLost(self) -> None:
+        """Does nothing: this side is never closed alone."""
+
+    def finish_reading(self) -> None:
+        """Ends an answer whose connection the server has closed cleanly."""
+        if self.framing is answer_end.Framing.CLOSE:
             self.is_closed = True
             self.confirm_end(END_CHECKS)
         else:
@@ -255,6 +276,9 @@
 
     def read_end(self) -> None:
         """Ends the attempt as the parser takes the end of the connection."""
+        if self.is_closed and self.was_reset():
+            self.end(End.BROKEN, CONNECTION_RESET)
+            return
         try:
             self.parser.receive_data(b"")
             self.read()
@@ -263,6 +287,16 @@
         if not self.ended:
             self.end(End.BROKEN, "connection_closed")
 
+    def was_reset(self) -> bool:
+        """Returns whether a connection was reset that isn't read any more."""
+        transport = typing.cast(typing.Any, self.transport)
+        if transport is None or not transport.connected:
+            return False
+        problem = tcp_socket(transport).getsockopt(
+            socket.SOL_SOCKET, socket.SO_ERROR
+        )
+        return problem != 0
+
     def end(self, how: End, reason: str) -> None:
         """Closes the connection and reports the end.
 
@@ -272,8 +306,11 @@
         if self.ended:
             return
         self.ended = True
-        if how is End.COMPLETE and self.transport is not None:
-            self.transport.loseConnection()
+        transport = self.transport
+        # A server that has answered without reading the rest may never do so.
+        is_sent = not immediate_write.unsent_bytes(transport)
+        if how is End.COMPLETE and transport is not None and is_sent:
+            transport.loseConnection()
         else:
             self.abort_transport()
         self.callbacks.on_end(how, reason)
@@ -293,7 +330,7 @@
         :param paused: True to pause, False to continue
         """
         transport = typing.cast(typing.Any, self.transport)
-        if transport is None or self.ended:
+        if transport is None or self.ended or self.is_closed:
             return
         if paused:
             transport.pauseProducing()
@@ -365,32 +402,33 @@
     """
 
     def check_server(on_checked: typing.Callable[[bool | None], None]) -> None:
-        def on_port_checked(accepts: bool | None) -> None:
-            if accepts and check_process is not None:
-                check_process(
-                    lambda is_same: on_process_checked(
-                        attempt, is_same, on_checked
-                    )
-                )
-            else:
-                on_checked(accepts)
-
-        def check_later(accepts: bool | None) -> None:
-            if accepts is False:
-                on_checked(False)
-                return
+        def on_checked_at_once(accepted: bool | None) -> None:
             reactor.callLater(
                 END_CHECK_DELAY_MS / clocks.MS_PER_S,
                 connection_check.start,
                 reactor,
                 address,
-                on_port_checked,
+                lambda accepts: on_checked_later(accepted, accepts),
                 own_host,
             )
 
-        # Another process may listen there soon after the server has died, so
-        # its port is checked before the delay as well.
-        connection_check.start(reactor, address, check_later, own_host)
+        def on_checked_later(
+            accepted: bool | None, accepts: bool | None
+        ) -> None:
+            if accepts and accepted is False:
+                # Another process listens there by now.
+                attempt.end(End.BROKEN, SERVER_RESTARTED)
+            elif accepts and check_process is not None:
+                check_process(
+                    lambda is_same: on_process_checked(
+                        attempt, is_same, on_checked
+                    )
+                )
+            else:
+                on_checked(accepts)
+
+        # A port that is closed for a moment only is closed right away.
+        connection_check.start(reactor, address, on_checked_at_once, own_host)
 
     attempt = Attempt(outgoing, callbacks, check_server)
     factory: typing.Any = AttemptFactory(attempt)
