--- /dev/null
+++ b/godwitloft/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Moves the traffic of a service to another version of its upstreams."""
