Policy and unmarked ends import each other in one direction only

types imported estimate and concurrency, which import types; request imported unmarked_end, which imports request. The plain data they shared has modules of its own: learnt_speeds, running_limits, answer_end.UnmarkedEnd.

--- a/bench/choose_cost.py
+++ b/bench/choose_cost.py
@@ -9,9 +9,9 @@
 import time
 import typing
 
-from godwitloft.policy import concurrency
-from godwitloft.policy import estimate
+from godwitloft.policy import learnt_speeds
 from godwitloft.policy import offer_book
+from godwitloft.policy import running_limits
 from godwitloft.policy import selection
 from godwitloft.policy import types
 
@@ -70,8 +70,8 @@
         types.Running(f"run-{index}", 1, "team-1", index, 0, 100, "f")
         for index in range(16)
     ]
-    speeds = estimate.Speeds(4.0, (20.0,) * estimate.BATCH_BUCKETS)
-    caps = concurrency.ConcurrencyLimits(
+    speeds = learnt_speeds.Speeds(4.0, (20.0,) * learnt_speeds.BATCH_BUCKETS)
+    caps = running_limits.ConcurrencyLimits(
         max_running=32, max_unprefilled_tokens=10_000
     )
     view = types.UpstreamView(speeds, caps, resumable=True)
--- a/features/steps/policy_lookahead_steps.py
+++ b/features/steps/policy_lookahead_steps.py
@@ -4,10 +4,10 @@
 from behave import then
 from behave import when
 
-from godwitloft.policy import concurrency
-from godwitloft.policy import estimate
+from godwitloft.policy import learnt_speeds
 from godwitloft.policy import lookahead
 from godwitloft.policy import offer_book
+from godwitloft.policy import running_limits
 from godwitloft.policy import types
 
 NOW_MS = 1_000
@@ -16,8 +16,10 @@
 
 def view():
     return types.UpstreamView(
-        speeds=estimate.Speeds(prefill_tokens_per_ms=PREFILL_TOKENS_PER_MS),
-        limits=concurrency.ConcurrencyLimits(
+        speeds=learnt_speeds.Speeds(
+            prefill_tokens_per_ms=PREFILL_TOKENS_PER_MS
+        ),
+        limits=running_limits.ConcurrencyLimits(
             max_running=8, max_unprefilled_tokens=1_000_000
         ),
     )
--- a/features/steps/policy_order_steps.py
+++ b/features/steps/policy_order_steps.py
@@ -6,15 +6,15 @@
 from behave import then
 from behave import when
 
-from godwitloft.policy import concurrency
-from godwitloft.policy import estimate
+from godwitloft.policy import learnt_speeds
 from godwitloft.policy import offer_book
+from godwitloft.policy import running_limits
 from godwitloft.policy import selection
 from godwitloft.policy import shed
 from godwitloft.policy import types
 from godwitloft.policy import usage
 
-SPEEDS = estimate.Speeds(1.0, (10.0,) * estimate.BATCH_BUCKETS)
+SPEEDS = learnt_speeds.Speeds(1.0, (10.0,) * learnt_speeds.BATCH_BUCKETS)
 
 
 def offer(name, rank, team, deadline_ms, **others):
@@ -36,7 +36,7 @@
 def view(cap, **others):
     return types.UpstreamView(
         SPEEDS,
-        concurrency.ConcurrencyLimits(max_running=cap),
+        running_limits.ConcurrencyLimits(max_running=cap),
         safety_margin=0.0,
         **others,
     )
@@ -140,7 +140,7 @@
 
 
 def random_view(rng):
-    caps = concurrency.ConcurrencyLimits(
+    caps = running_limits.ConcurrencyLimits(
         max_running=rng.randrange(1, 5), max_unprefilled_tokens=400
     )
     return types.UpstreamView(
--- a/features/steps/policy_room_steps.py
+++ b/features/steps/policy_room_steps.py
@@ -7,6 +7,8 @@
 
 from godwitloft.policy import concurrency
 from godwitloft.policy import estimate
+from godwitloft.policy import learnt_speeds
+from godwitloft.policy import running_limits
 from godwitloft.policy import types
 
 
@@ -18,8 +20,8 @@
     context.step_ms, context.crowd_ms = step_ms, crowd_ms
     context.batch = batch
     context.factor = 1.0
-    context.limits = concurrency.ConcurrencyLimits()
-    context.speeds = estimate.Speeds()
+    context.limits = running_limits.ConcurrencyLimits()
+    context.speeds = learnt_speeds.Speeds()
     context.now_ms = 0.0
     context.gaps = []
 
@@ -99,7 +101,7 @@
 @given("an engine that prefills {speed:d} tokens a ms")
 def prefilling_engine(context, speed):
     context.speed = speed
-    context.limits = concurrency.ConcurrencyLimits()
+    context.limits = running_limits.ConcurrencyLimits()
 
 
 @when(
@@ -161,8 +163,8 @@
 )
 def limits(context, runs, tokens, kv):
     context.view = types.UpstreamView(
-        estimate.Speeds(),
-        concurrency.ConcurrencyLimits(runs, tokens, kv_tokens=kv),
+        learnt_speeds.Speeds(),
+        running_limits.ConcurrencyLimits(runs, tokens, kv_tokens=kv),
     )
 
 
@@ -176,7 +178,7 @@
 
 @given("speeds of 2 tokens per ms and 10 ms per token, 20 ms with 2 or more")
 def speeds(context):
-    context.speeds = estimate.Speeds(2.0, (10.0,) + (20.0,) * 10)
+    context.speeds = learnt_speeds.Speeds(2.0, (10.0,) + (20.0,) * 10)
 
 
 @then(
@@ -186,7 +188,7 @@
 def check_estimate(context, prompt, cached, output, ahead, ms):
     view = types.UpstreamView(
         context.speeds,
-        concurrency.ConcurrencyLimits(),
+        running_limits.ConcurrencyLimits(),
         cached_tokens=lambda keys: cached,
     )
     found = estimate.finish_in_ms(
@@ -197,7 +199,7 @@
 
 @when("speeds start at {start:d} and {seen:d} is observed 20 times")
 def see_speed(context, start, seen):
-    learnt = estimate.Speeds(float(start))
+    learnt = learnt_speeds.Speeds(float(start))
     context.learnt = []
     for _ in range(20):
         learnt = estimate.observe_prefill(learnt, seen * 1000, 1000)
@@ -223,7 +225,7 @@
         ]
         now_ms = 300 + rng.randrange(300)
         remaining = estimate.unprefilled_tokens(
-            prompts, 0, estimate.Speeds(float(speed)), now_ms
+            prompts, 0, learnt_speeds.Speeds(float(speed)), now_ms
         )
         counted = [prompt.tokens for prompt in prompts]
         for at_ms in range(now_ms):
--- a/features/steps/replay_steps.py
+++ b/features/steps/replay_steps.py
@@ -7,8 +7,8 @@
 from godwitloft import replay
 from godwitloft import trace
 from godwitloft.agent import capacity_trace
-from godwitloft.policy import concurrency
-from godwitloft.policy import estimate
+from godwitloft.policy import learnt_speeds
+from godwitloft.policy import running_limits
 from godwitloft.policy import types
 
 TRACES = pathlib.Path("features/traces")
@@ -73,9 +73,9 @@
     )
     capacity = capacity_trace.CapacityTrace(recorder, "p")
     for speed in (4.0, 4.5, 6.0, 1.0):
-        speeds = estimate.Speeds(prefill_tokens_per_ms=speed)
+        speeds = learnt_speeds.Speeds(prefill_tokens_per_ms=speed)
         capacity.observe(
-            types.UpstreamView(speeds, concurrency.ConcurrencyLimits())
+            types.UpstreamView(speeds, running_limits.ConcurrencyLimits())
         )
 
 
--- a/godwitloft/agent/dispatcher.py
+++ b/godwitloft/agent/dispatcher.py
@@ -26,6 +26,7 @@
 from godwitloft.policy import estimate
 from godwitloft.policy import lookahead
 from godwitloft.policy import offer_book
+from godwitloft.policy import running_limits
 from godwitloft.policy import selection
 from godwitloft.policy import suspects
 from godwitloft.policy import types
@@ -371,7 +372,7 @@
         if not policy.check_finish:
             view = dataclasses.replace(view, safety_margin=IGNORE_ESTIMATES)
         if not policy.learn_room:
-            fixed = concurrency.ConcurrencyLimits(
+            fixed = running_limits.ConcurrencyLimits(
                 max_running=self.settings.max_running,
                 max_unprefilled_tokens=concurrency.MAX_UNPREFILLED_TOKENS,
             )
--- a/godwitloft/agent/engine_state.py
+++ b/godwitloft/agent/engine_state.py
@@ -10,9 +10,11 @@
 from godwitloft.policy import breaker
 from godwitloft.policy import concurrency
 from godwitloft.policy import estimate
+from godwitloft.policy import learnt_speeds
 from godwitloft.policy import margin
 from godwitloft.policy import prefix
 from godwitloft.policy import prefix_index
+from godwitloft.policy import running_limits
 from godwitloft.policy import types
 
 PREFILL_WINDOW_TOKENS = 512
@@ -79,10 +81,10 @@
     ) -> None:
         self.is_model = is_model
         self.resumable = resumable
-        self.speeds = estimate.Speeds()
+        self.speeds = learnt_speeds.Speeds()
         self.margin = margin.INITIAL_MARGIN
-        initial_cap = min(concurrency.INITIAL_MAX_RUNNING, max_running)
-        self.limits = concurrency.ConcurrencyLimits(
+        initial_cap = min(running_limits.INITIAL_MAX_RUNNING, max_running)
+        self.limits = running_limits.ConcurrencyLimits(
             max_running=initial_cap if is_model else max_running,
             ceiling=max_running,
         )
@@ -92,7 +94,7 @@
         self.last_first_token_ms = 0
         self.prefill_window_start_ms = 0
         self.prefill_window_tokens = 0
-        self.best_speeds: estimate.Speeds | None = None
+        self.best_speeds: learnt_speeds.Speeds | None = None
         self.last_end_ms = 0
 
     def configure(self, max_running: int, resumable: bool) -> None:
@@ -323,7 +325,7 @@
             progress.concurrent_requests,
         )
 
-    def _usable_speeds(self, now_ms: int) -> estimate.Speeds:
+    def _usable_speeds(self, now_ms: int) -> learnt_speeds.Speeds:
         """Returns the learned speeds, or the best ones after an idle time.
 
         Otherwise an upstream that was slow for a while would count as too
--- a/godwitloft/answer_end.py
+++ b/godwitloft/answer_end.py
@@ -7,6 +7,7 @@
 elsewhere has been cut.
 """
 
+import dataclasses
 import enum
 import re
 import typing
@@ -33,6 +34,18 @@
     CLOSE = "close"
 
 
+@dataclasses.dataclass(frozen=True)
+class UnmarkedEnd:
+    """Where an attempt ended a stream without a mark.
+
+    :param after_event: id of the last event with one, None if none had one
+    :param upstream_id: id of the upstream
+    """
+
+    after_event: bytes | None
+    upstream_id: str
+
+
 def framing(
     method: bytes, status: int, headers: typing.Iterable[Header]
 ) -> Framing:
--- a/godwitloft/gateway/reports.py
+++ b/godwitloft/gateway/reports.py
@@ -3,6 +3,7 @@
 import enum
 import typing
 
+from godwitloft import answer_end
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft import metrics
@@ -13,7 +14,6 @@
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import shutdown as shutdowns
 from godwitloft.gateway.callers import http_server
-from godwitloft.gateway.streams import unmarked_end
 
 
 class EndFound(enum.Enum):
@@ -115,7 +115,7 @@
         :param found: what became of it
         :param why: why nobody is asked any more, empty if that isn't so
         """
-        end = request.unmarked_end or unmarked_end.UnmarkedEnd(
+        end = request.unmarked_end or answer_end.UnmarkedEnd(
             request.last_event, request.last_upstream_id
         )
         events.log(
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -6,6 +6,7 @@
 import hashlib
 import typing
 
+from godwitloft import answer_end
 from godwitloft import attempt as attempts
 from godwitloft import whole_number
 from godwitloft.gateway import checked_attempt
@@ -21,7 +22,6 @@
 if typing.TYPE_CHECKING:
     from godwitloft.gateway import answer as answers
     from godwitloft.gateway.placing import service_floor
-    from godwitloft.gateway.streams import unmarked_end
 
 MAX_TOKENS = 10_000_000
 MAX_SHARED_PARTS = 16
@@ -193,7 +193,7 @@
         self.may_go_on = True
         # Where an attempt ended without a mark of the end; None if none did,
         # or the stream has gone on since.
-        self.unmarked_end: unmarked_end.UnmarkedEnd | None = None
+        self.unmarked_end: answer_end.UnmarkedEnd | None = None
         # The software version at which its stream began, or which a caller's
         # stream has that it continues; None while any will do.
         self.version: str | None = None
--- a/godwitloft/gateway/streams/unmarked_end.py
+++ b/godwitloft/gateway/streams/unmarked_end.py
@@ -8,29 +8,16 @@
 could be asked shows nothing.
 """
 
-import dataclasses
-
+from godwitloft import answer_end
 from godwitloft.gateway import request as requests
 
 
-@dataclasses.dataclass(frozen=True)
-class UnmarkedEnd:
-    """Where an attempt ended a stream without a mark.
-
-    :param after_event: id of the last event with one, None if none had one
-    :param upstream_id: id of the upstream
-    """
-
-    after_event: bytes | None
-    upstream_id: str
-
-
 def mark(request: requests.Request) -> None:
     """Records that nothing marks whether a request's last event was the last.
 
     :param request: a request whose attempt has just ended
     """
-    request.unmarked_end = UnmarkedEnd(
+    request.unmarked_end = answer_end.UnmarkedEnd(
         request.last_event, request.last_upstream_id
     )
 
--- a/godwitloft/policy/concurrency.py
+++ b/godwitloft/policy/concurrency.py
@@ -9,14 +9,14 @@
 import typing
 
 from godwitloft.policy import estimate
+from godwitloft.policy import learnt_speeds
+from godwitloft.policy import running_limits
 from godwitloft.policy import types
 
 TARGET_GAP_MS = 62
 TARGET_FIRST_TOKEN_MS = 600
 SLOW_ENGINE_TARGET_FACTOR = 1.5
 PREFILL_GAP_FACTOR = 2.5
-INITIAL_MAX_RUNNING = 4
-INITIAL_MAX_UNPREFILLED_TOKENS = 2048
 MIN_UNPREFILLED_TOKENS = 256
 MAX_UNPREFILLED_TOKENS = 1_000_000
 DECREASE_FACTOR = 0.7
@@ -34,35 +34,6 @@
 QUEUED_HOLD_FACTOR = 4
 
 
-@dataclasses.dataclass(frozen=True)
-class ConcurrencyLimits:
-    """Limits on the concurrent work of one upstream, and their statistics.
-
-    :param max_running: limit on concurrent requests
-    :param max_unprefilled_tokens: limit on prompt tokens waiting for
-        prefill
-    :param ceiling: upper bound on ``max_running``, set for the pool
-    :param kv_tokens: capacity of the KV cache in tokens; 0: not known
-    :param window_gaps: gaps between tokens observed in the current window
-    :param late_gaps: gaps of the window that exceeded the target, leaving out
-        those during prefill
-    :param short_gaps: gaps well below the target, observed while
-        ``max_running`` requests ran, since the limit was last decreased or
-        due for an increase, also when it was at the ceiling; negative while
-        an increase is delayed
-    :param lowered_ms: when ``max_running`` was last decreased; None: never
-    """
-
-    max_running: int = INITIAL_MAX_RUNNING
-    max_unprefilled_tokens: int = INITIAL_MAX_UNPREFILLED_TOKENS
-    ceiling: int = 64
-    kv_tokens: int = 0
-    window_gaps: int = 0
-    late_gaps: int = 0
-    short_gaps: int = 0
-    lowered_ms: int | None = None
-
-
 def active_requests(
     running: typing.Sequence[types.Running],
 ) -> list[types.Running]:
@@ -106,7 +77,7 @@
 
 def _fits_memory(
     offer: types.Offer,
-    limits: ConcurrencyLimits,
+    limits: running_limits.ConcurrencyLimits,
     active: typing.Sequence[types.Running],
 ) -> bool:
     if limits.kv_tokens == 0 or not active:
@@ -132,7 +103,7 @@
     prefilling: bool = False
 
 
-def target_gap_ms(speeds: estimate.Speeds) -> float:
+def target_gap_ms(speeds: learnt_speeds.Speeds) -> float:
     """Returns the longest acceptable time between two tokens.
 
     An engine that misses the usual target even with a single request gets a
@@ -148,8 +119,11 @@
 
 
 def observe_gap(
-    limits: ConcurrencyLimits, gap: Gap, target_ms: float, now_ms: int
-) -> ConcurrencyLimits:
+    limits: running_limits.ConcurrencyLimits,
+    gap: Gap,
+    target_ms: float,
+    now_ms: int,
+) -> running_limits.ConcurrencyLimits:
     """Adjusts the limit on requests by the time between two tokens.
 
     :data:`LATE_GAPS_TO_DECREASE` late gaps in a window of
@@ -201,13 +175,13 @@
 
 
 def observe_first_token(
-    limits: ConcurrencyLimits,
+    limits: running_limits.ConcurrencyLimits,
     wait_ms: int,
     expected_ms: float,
     unprefilled_tokens: int,
     running: int,
     now_ms: int,
-) -> ConcurrencyLimits:
+) -> running_limits.ConcurrencyLimits:
     """Adjusts the limits by the time from dispatch to first token.
 
     A wait far longer than the prompts ahead explain means that the engine
@@ -249,8 +223,11 @@
 
 
 def _decrease(
-    limits: ConcurrencyLimits, running: int, factor: float, now_ms: int
-) -> ConcurrencyLimits:
+    limits: running_limits.ConcurrencyLimits,
+    running: int,
+    factor: float,
+    now_ms: int,
+) -> running_limits.ConcurrencyLimits:
     """Decreases the limit on requests, unless that was done just before.
 
     The requests that run at that moment keep producing late gaps for a
--- a/godwitloft/policy/estimate.py
+++ b/godwitloft/policy/estimate.py
@@ -9,6 +9,7 @@
 import math
 import typing
 
+from godwitloft.policy import learnt_speeds
 from godwitloft.policy import types
 
 RISE_GAIN = 0.2
@@ -17,38 +18,25 @@
 FALL_GAIN = 0.5
 LENGTH_GAIN = 0.1
 TOKEN_GAIN = 0.03
-BATCH_BUCKETS = 11
 MAX_PAIRS = 20_000
 MIN_PREFILL_TOKENS = 16
 INITIAL_DECODE_MS = 25.0
-INITIAL_PREFILL_TOKENS_PER_MS = 4.0
 MIN_PREFILL_TOKENS_PER_MS = 0.001
 
 
-@dataclasses.dataclass(frozen=True)
-class Speeds:
-    """Learnt speeds of an upstream, as moving averages.
-
-    :param prefill_tokens_per_ms: prompt tokens prefilled per millisecond
-    :param decode_ms: milliseconds between the tokens of one answer, with
-        one value per power of two of the batch size; 0.0 where nothing was
-        observed
-    """
-
-    prefill_tokens_per_ms: float = INITIAL_PREFILL_TOKENS_PER_MS
-    decode_ms: tuple[float, ...] = (0.0,) * BATCH_BUCKETS
-
-
 def batch_bucket(batch: int) -> int:
     """Returns the index into ``Speeds.decode_ms`` for a batch size.
 
     :param batch: number of requests that decode together
     :return: index of the nearest power of two that isn't smaller
     """
-    return min(BATCH_BUCKETS - 1, max(0, math.ceil(math.log2(max(1, batch)))))
+    return min(
+        learnt_speeds.BATCH_BUCKETS - 1,
+        max(0, math.ceil(math.log2(max(1, batch)))),
+    )
 
 
-def decode_ms_per_token(speeds: Speeds, batch: int) -> float:
+def decode_ms_per_token(speeds: learnt_speeds.Speeds, batch: int) -> float:
     """Returns the learnt time between two tokens of one answer.
 
     A batch size without observations takes the value of the nearest smaller
@@ -60,14 +48,16 @@
     """
     exact = batch_bucket(batch)
     at_or_below = range(exact, -1, -1)
-    above = range(exact + 1, BATCH_BUCKETS)
+    above = range(exact + 1, learnt_speeds.BATCH_BUCKETS)
     for index in (*at_or_below, *above):
         if speeds.decode_ms[index] > 0.0:
             return speeds.decode_ms[index]
     return INITIAL_DECODE_MS
 
 
-def observe_prefill(speeds: Speeds, tokens: int, duration_ms: int) -> Speeds:
+def observe_prefill(
+    speeds: learnt_speeds.Speeds, tokens: int, duration_ms: int
+) -> learnt_speeds.Speeds:
     """Updates the prefill speed from one prefill.
 
     A lower speed has more weight than a higher one: an estimate that is too
@@ -90,8 +80,8 @@
 
 
 def observe_decode(
-    speeds: Speeds, batch: int, tokens: int, duration_ms: int
-) -> Speeds:
+    speeds: learnt_speeds.Speeds, batch: int, tokens: int, duration_ms: int
+) -> learnt_speeds.Speeds:
     """Updates the decode time from tokens of one answer.
 
     Steps in which the engine also prefills count like any other: a request
@@ -115,14 +105,16 @@
     return dataclasses.replace(speeds, decode_ms=tuple(values))
 
 
-def fastest(first: Speeds, second: Speeds) -> Speeds:
+def fastest(
+    first: learnt_speeds.Speeds, second: learnt_speeds.Speeds
+) -> learnt_speeds.Speeds:
     """Returns the faster value of two speeds for each field and batch size.
 
     :param first: speeds
     :param second: other speeds
     :return: the faster values; a value that only one has is taken from it
     """
-    return Speeds(
+    return learnt_speeds.Speeds(
         max(first.prefill_tokens_per_ms, second.prefill_tokens_per_ms),
         tuple(
             min((value for value in pair if value > 0.0), default=0.0)
@@ -159,7 +151,10 @@
 
 
 def engine_ms(
-    prompt_tokens: int, output_tokens: int, speeds: Speeds, batch: int
+    prompt_tokens: int,
+    output_tokens: int,
+    speeds: learnt_speeds.Speeds,
+    batch: int,
 ) -> float:
     """Returns the engine time that a request takes from others.
 
@@ -191,7 +186,7 @@
 def unprefilled_tokens(
     prefills: typing.Sequence[PendingPrefill],
     free_ms: int,
-    speeds: Speeds,
+    speeds: learnt_speeds.Speeds,
     now_ms: int,
 ) -> tuple[int, ...]:
     """Estimates how much of each prompt is still to be prefilled.
--- a/godwitloft/policy/types.py
+++ b/godwitloft/policy/types.py
@@ -6,9 +6,8 @@
 import dataclasses
 import typing
 
-if typing.TYPE_CHECKING:
-    from godwitloft.policy import concurrency
-    from godwitloft.policy import estimate
+from godwitloft.policy import learnt_speeds
+from godwitloft.policy import running_limits
 
 
 @dataclasses.dataclass(frozen=True)
@@ -112,8 +111,8 @@
         with a deadline
     """
 
-    speeds: "estimate.Speeds"
-    limits: "concurrency.ConcurrencyLimits"
+    speeds: learnt_speeds.Speeds
+    limits: running_limits.ConcurrencyLimits
     resumable: bool = False
     accepting: bool = True
     cached_tokens: typing.Callable[[tuple[int, ...]], int] = no_cached_tokens
--- a/godwitloft/replay.py
+++ b/godwitloft/replay.py
@@ -13,9 +13,10 @@
 
 from godwitloft import errors
 from godwitloft import trace
-from godwitloft.policy import concurrency
 from godwitloft.policy import estimate
+from godwitloft.policy import learnt_speeds
 from godwitloft.policy import offer_book
+from godwitloft.policy import running_limits
 from godwitloft.policy import selection
 from godwitloft.policy import shed
 from godwitloft.policy import types
@@ -526,11 +527,11 @@
     fields = record.fields
     decode_ms = float(fields["decode_ms_per_token"])
     return types.UpstreamView(
-        speeds=estimate.Speeds(
+        speeds=learnt_speeds.Speeds(
             prefill_tokens_per_ms=float(fields["prefill_tokens_per_ms"]),
-            decode_ms=(decode_ms,) * estimate.BATCH_BUCKETS,
+            decode_ms=(decode_ms,) * learnt_speeds.BATCH_BUCKETS,
         ),
-        limits=concurrency.ConcurrencyLimits(
+        limits=running_limits.ConcurrencyLimits(
             max_running=int(fields["max_running"]),
             max_unprefilled_tokens=int(fields["max_unprefilled_tokens"]),
             kv_tokens=int(fields.get("kv_tokens") or 0),
