--- /dev/null
+++ b/godwitloft/configurations/__init__.py
@@ -0,0 +1,1 @@
+"""Checks and compares configurations of gateways before they are sent."""
--- a/godwitloft/platform/rows.py
+++ b/godwitloft/platform/rows.py
@@ -64,12 +64,22 @@
         ),
         services={service.name: service for service in services},
         teams=tuple(decode_team(entry) for entry in fields.objects("tenants")),
-        limits=model.CallerLimits(
-            header_bytes=int(limits.number("max-header-bytes", 16_384)),
-            body_bytes=int(limits.number("max-body-bytes", 4_194_304)),
-            header_timeout_ms=int(limits.number("header-timeout-ms", 3_000)),
-            idle_timeout_ms=int(limits.number("idle-timeout-ms", 15_000)),
-        ),
+        limits=decode_limits(limits),
+    )
+
+
+def decode_limits(fields: json_fields.Fields) -> model.CallerLimits:
+    """Decodes the limits on callers.
+
+    :param fields: their JSON object
+    :return: the limits
+    :raises RowError: if one is invalid
+    """
+    return model.CallerLimits(
+        header_bytes=int(fields.number("max-header-bytes", 16_384)),
+        body_bytes=int(fields.number("max-body-bytes", 4_194_304)),
+        header_timeout_ms=int(fields.number("header-timeout-ms", 3_000)),
+        idle_timeout_ms=int(fields.number("idle-timeout-ms", 15_000)),
     )
 
 
--- a/godwitloft/ui/main.py
+++ b/godwitloft/ui/main.py
@@ -13,6 +13,7 @@
 from godwitloft import errors as root_errors
 from godwitloft.ui import audit
 from godwitloft.ui import check
+from godwitloft.ui import check_config
 from godwitloft.ui import diff
 from godwitloft.ui import drain
 from godwitloft.ui import errors
@@ -36,6 +37,7 @@
 ]
 RUNS: typing.Mapping[type[typing.Any], Run] = {
     check.Check: check.run,
+    check_config.CheckConfig: check_config.run,
     publish.Publish: publish.run,
     revise.Revise: revise.run,
     diff.Diff: diff.run,
@@ -60,6 +62,7 @@
 
     command: cappa.Subcommands[
         check.Check
+        | check_config.CheckConfig
         | publish.Publish
         | revise.Revise
         | diff.Diff
