--- a/features/held_bodies.feature
+++ b/features/held_bodies.feature
@@ -40,3 +40,27 @@
     Given a gateway with two upstreams of each service
     When a caller sends a body of 60000 bytes in chunks of two bytes
     Then they hold less than 200000 bytes
+
+  # Guards against many slow callers, each within its own bound, whose answers
+  # together take more memory than the process may have.
+  Scenario Outline: Answers that slow callers don't read fit beside the bodies: <callers> callers
+    Given a gateway with two upstreams of each service and 200 slots
+    When <callers> callers read nothing of answers of 250000 bytes, sent over 8 s
+    Then the gateway holds at most <most> bytes of them
+    And the answers of <whole> callers were read to their ends
+
+    Examples:
+      | callers | most | whole |
+      | 10 | 2600000 | 10 |
+      | 100 | 10000000 | 0 |
+
+  Scenario Outline: What one answer may have unsent follows what is free: <slow> slow callers
+    Then with <free> bytes free, <slow> slow and <fast> fast callers, each may have <most> bytes unsent
+
+    Examples:
+      | free | slow | fast | most |
+      | 10000000 | 0 | 500 | 262144 |
+      | 10000000 | 28 | 500 | 262144 |
+      | 10000000 | 100 | 0 | 75000 |
+      | 10000000 | 5000 | 0 | 16384 |
+      | 0 | 3 | 0 | 16384 |
--- a/features/steps/held_bodies_steps.py
+++ b/features/steps/held_bodies_steps.py
@@ -1,10 +1,13 @@
 import gc
 import tracemalloc
 
+from behave import given
 from behave import then
 from behave import when
 
 from features.support import gateway_world
+from features.support import slow_caller
+from godwitloft.gateway.callers import unsent_bound
 
 
 def send(world, size, route="post"):
@@ -115,3 +118,76 @@
         context.caller.send(b"2\r\nab\r\n" * 1000)
     context.held = tracemalloc.get_traced_memory()[0] - before
     assert context.caller.protocol.exchange.body == b"ab" * (size // 2)
+
+
+@given("a gateway with two upstreams of each service and {slots:d} slots")
+def start_large(context, slots):
+    context.world = gateway_world.World()
+    context.world.gateway.update_upstreams(
+        {
+            f"u{number}": gateway_world.upstream(
+                f"u{number}", service, slots=slots
+            )
+            for number, service in enumerate(("desk", "desk", "model"))
+        }
+    )
+
+
+@when(
+    "{count:d} callers read nothing of answers of {size:d} bytes, sent over"
+    " {seconds:d} s"
+)
+def read_nothing(context, count, size, seconds):
+    world = context.world
+    context.callers = []
+    for number in range(count):
+        caller = slow_caller.SlowCaller(world.front)
+        caller.ask(f"s{number}", "draft", left_ms=60_000)
+        context.callers.append(caller)
+    assert len(world.sent) == count, len(world.sent)
+    context.paused = [False] * count
+    for number, sent in enumerate(world.sent):
+        sent.pause_reading = pause(context, number)
+        sent.head()
+    for request in world.gateway.running:
+        request.attempt = world.sent[int(request.facts.id[1:])]
+    rounds = 2 * seconds
+    part = b"data: x\n\n" * (size // rounds // 9)
+    context.parts = [0] * count
+    for _ in range(rounds):
+        for number, sent in enumerate(world.sent):
+            if not context.paused[number]:
+                context.parts[number] += 1
+                sent.callbacks.on_data(part)
+        world.front.check_timeouts()
+        world.reactor.advance(0.5)
+    context.rounds = rounds
+
+
+def pause(context, number):
+    def pause_reading(paused):
+        context.paused[number] = paused
+
+    return pause_reading
+
+
+@then("the gateway holds at most {most:d} bytes of them")
+def check_unsent(context, most):
+    held = sum(len(caller.transport.unsent) for caller in context.callers)
+    assert 0 < held <= most, held
+
+
+@then("the answers of {whole:d} callers were read to their ends")
+def check_whole(context, whole):
+    found = sum(count == context.rounds for count in context.parts)
+    assert found == whole, (found, context.parts)
+
+
+@then(
+    "with {free:d} bytes free, {slow:d} slow and {fast:d} fast callers, each"
+    " may have {most:d} bytes unsent"
+)
+def check_share(context, free, slow, fast, most):
+    unsent = [unsent_bound.SLOW_BYTES] * slow + [0] * fast
+    found = unsent_bound.most_unsent_bytes(free, unsent, 262_144)
+    assert found == most, found
--- a/features/support/slow_caller.py
+++ b/features/support/slow_caller.py
@@ -21,6 +21,10 @@
         self.bufferSize = 0
         self.paused = False
 
+    @property
+    def dataBuffer(self):
+        return self.unsent
+
     def setTcpNoDelay(self, _on):
         pass
 
--- a/godwitloft/gateway/callers/http_server.py
+++ b/godwitloft/gateway/callers/http_server.py
@@ -21,6 +21,7 @@
 from godwitloft import unread_input
 from godwitloft.gateway import model
 from godwitloft.gateway.callers import headers
+from godwitloft.gateway.callers import unsent_bound
 
 Header = headers.Header
 
@@ -57,6 +58,11 @@
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
 
+    @property
+    def free_bytes(self) -> int:
+        """Bytes that may be held besides those that are."""
+        return max(0, self.limit_bytes - self.held_bytes)
+
     def take(self, count: int) -> bool:
         """Counts bytes that were received.
 
@@ -274,6 +280,8 @@
         self.congested = False
         # With more than this unsent, the gateway reads no more of an answer.
         self.max_unsent_bytes = MAX_UNSENT_BYTES
+        # Whether answers are read to their ends, before a stop.
+        self.reads_ahead = False
         # Whether no more is read of the caller.
         self.paused = False
         # Whether events of the parser are being handled.
@@ -355,11 +363,23 @@
         size = self.max_unsent_bytes if self.handed_over else self.read_bytes
         typing.cast(typing.Any, self.transport).bufferSize = size
 
+    def bound_unsent(self, most_bytes: int) -> None:
+        """Bounds how much of the answer may be unsent from now on.
+
+        Nothing changes once answers are read ahead of a stop.
+
+        :param most_bytes: bytes
+        """
+        if not self.reads_ahead and most_bytes != self.max_unsent_bytes:
+            self.max_unsent_bytes = most_bytes
+            self.set_buffer_size()
+
     def read_ahead(self, max_unsent_bytes: int) -> None:
         """Lets more of an answer be read than its caller takes.
 
         :param max_unsent_bytes: how much of it may be unsent
         """
+        self.reads_ahead = True
         self.max_unsent_bytes = max(MAX_UNSENT_BYTES, max_unsent_bytes)
         self.set_buffer_size()
         if self.congested and self.exchange is not None:
@@ -675,6 +695,20 @@
         now_ms = self.clock.monotonic_ms()
         for connection in tuple(self.connections):
             connection.check_timeouts(now_ms)
+        self.bound_unsent()
+
+    def bound_unsent(self) -> None:
+        """Bounds what all slow callers together have unsent."""
+        unsent = {
+            connection: immediate_write.unsent_bytes(connection.transport)
+            for connection in self.connections
+            if connection.handed_over
+        }
+        most_bytes = unsent_bound.most_unsent_bytes(
+            self.budget.free_bytes, unsent.values(), MAX_UNSENT_BYTES
+        )
+        for connection in unsent:
+            connection.bound_unsent(most_bytes)
 
     def close_idle(self) -> None:
         """Closes all connections on which no request is in progress."""
@@ -696,9 +730,8 @@
             for connection in self.connections
             if connection.handed_over
         ]
-        free_bytes = max(0, self.budget.limit_bytes - self.budget.held_bytes)
         for connection in answered:
-            connection.read_ahead(free_bytes // len(answered))
+            connection.read_ahead(self.budget.free_bytes // len(answered))
 
     def close_all(self) -> bool:
         """Closes all connections on which no request is in progress.
