--- a/godwitloft/gateway/peers/peer_status.py
+++ b/godwitloft/gateway/peers/peer_status.py
@@ -10,6 +10,7 @@
 
 from godwitloft.gateway.crashes import crash_reports
 from godwitloft.links.generated.datagrams import ttypes
+from godwitloft.rollouts import evidence
 
 
 @dataclasses.dataclass(frozen=True)
@@ -63,6 +64,7 @@
     :param sound: which of these causes are sound
     :param blames: what is blamed for crashes
     :param limits: what upstreams have said of their limits
+    :param rollouts: counts and phases of roll-outs, None without any
     """
 
     version: int = 0
@@ -73,6 +75,7 @@
     sound: tuple[crash_reports.SoundReport, ...] = ()
     blames: tuple[crash_reports.BlameReport, ...] = ()
     limits: tuple[LimitReport, ...] = ()
+    rollouts: evidence.PeerRollouts | None = None
 
 
 def encode(status: PeerStatus, sharing: ttypes.Sharing) -> None:
--- a/godwitloft/rollouts/types.py
+++ b/godwitloft/rollouts/types.py
@@ -82,3 +82,15 @@
 
     rollout: Rollout
     row_version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Saved:
+    """A roll-out as it was read.
+
+    :param rollout: the roll-out
+    :param row_version: version of its row in the store
+    """
+
+    rollout: Rollout
+    row_version: int
