--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -215,6 +215,25 @@
 )
 GATEWAYS_CHANGED = Event(1407, logging.INFO, "the number of gateways changed")
 UPSTREAM_FAILED = Event(1301, logging.WARNING, "an upstream failed a request")
+ROLLOUT_STEP = Event(
+    1321,
+    logging.INFO,
+    "a step of a roll-out was written",
+    Importance.ESSENTIAL,
+)
+ROLLOUT_PHASE = Event(
+    1322,
+    logging.INFO,
+    "a roll-out is in another phase from now on",
+    Importance.ESSENTIAL,
+)
+ROLLOUT_STOPPED = Event(
+    1323,
+    logging.WARNING,
+    "nothing more is sent to a new version",
+    Importance.ESSENTIAL,
+)
+ROLLOUT_EVIDENCE = Event(1324, logging.INFO, "what is known of a new version")
 CONFIGURATION_IN_FORCE = Event(
     1401, logging.INFO, "a configuration is in force"
 )
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+import itertools
 import random
 import typing
 
@@ -25,6 +26,7 @@
 from godwitloft.gateway import reports
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import retry_policy as retry_policies
+from godwitloft.gateway import rollouts as rollout_module
 from godwitloft.gateway import send_checks
 from godwitloft.gateway import shutdown as shutdowns
 from godwitloft.gateway.allowances import sharing as sharings
@@ -57,6 +59,7 @@
 from godwitloft.links.generated.datagrams import ttypes
 
 MAX_NAMES_LOGGED = 20
+EXPOSURE_SHARE = 0.1
 NOT_SENT_FOR_PAUSE = answers.AttemptOutcome(
     outcomes.Result.NOT_SENT, "upstream_paused", unusable=True
 )
@@ -244,6 +247,18 @@
             dependencies.instruments,
             self.take_back_unsent,
         )
+        self.rollouts = rollout_module.Rollouts(
+            self.clock,
+            sharing.others,
+            self.fleet,
+            dependencies.slot_client.incarnation,
+            EXPOSURE_SHARE,
+            dependencies.instruments,
+            self.bases.version_of,
+            lambda: (*self.running, *itertools.chain(*self.waiting.values())),
+            sharing.announce_soon,
+        )
+        self.versions.knows_orders_of = self.rollouts.knows_orders_of
         self.knowledge = shared_knowledge.SharedKnowledge(
             self.clock,
             sharing,
@@ -256,6 +271,7 @@
             lambda state, statement: self.statements.set_limit(
                 state, statement, "peer"
             ),
+            self.rollouts,
         )
         sharing.announcer.own_status = self.knowledge.status
         sharing.on_peer_status = self.knowledge.on_peer_status
@@ -552,6 +568,8 @@
                 if self.versions.may_begin_at(state.upstream)
             ]
         candidates = self.placer.candidates(states, now_ms)
+        if self.rollouts.concerns(service):
+            candidates.groups = self.rollouts.groups
         still_waiting = []
         for number, request in enumerate(queue):
             if not candidates.have_room():
@@ -621,6 +639,7 @@
         request.upstream_state = state
         request.answer = answers.Answer(request, self.dialect)
         state.record_start(now_ms)
+        self.rollouts.record_sent(request, state)
         self.holds.record_origin(request)
         request.prompt_tokens_ahead = (
             state.pending_prompt_tokens + state.pending_prompt_tokens_elsewhere
@@ -737,6 +756,7 @@
             self.crash_evidence.record_sound(request)
         if request.state is requests.State.SENT:
             self.first_data.record(request, request.answer)
+            self.rollouts.record_first_data(request)
         request.answer.on_data(data)
         if unmarked_end.has_gone_on(request):
             self.reports.report_unknown_end(request, reports.EndFound.GOES_ON)
@@ -774,6 +794,7 @@
             end = attempts.End.COMPLETE
         attempt_outcome = answer.classify_end(end, reason)
         self.reports.count_answer_end(answer, attempt_outcome)
+        self.rollouts.record_end(request, attempt_outcome)
         is_end_unknown = attempt_outcome.result is outcomes.Result.END_UNKNOWN
         if reason == checked_attempt.Found.REPLACED.value:
             self.continuations.callbacks.read_list()
@@ -840,6 +861,7 @@
         state = self.release(request)
         if attempt is not None:
             request.was_cancelled = True
+            self.rollouts.record_cancelled(request)
             attempt.cancel()
         return state
 
@@ -892,6 +914,7 @@
         Called many times a second.
         """
         now_ms = self.clock.monotonic_ms()
+        self.rollouts.check()
         self.continuations.check()
         self.holds.check()
         for queue in list(self.waiting.values()):
@@ -958,7 +981,10 @@
             return
         if (
             request.version is not None
-            and self.fleet.has_lost(facts.service, request.version)
+            and (
+                self.fleet.has_lost(facts.service, request.version)
+                or self.rollouts.is_excluded(facts.service, request.version)
+            )
             and not self.continuations.awaits_list(request.replaced_ms)
         ):
             origin = stream_origins.Origin(facts.service, request.version)
--- a/godwitloft/gateway/peers/shared_knowledge.py
+++ b/godwitloft/gateway/peers/shared_knowledge.py
@@ -3,6 +3,7 @@
 import typing
 
 from godwitloft import clock as clocks
+from godwitloft.gateway import rollouts as rollout_module
 from godwitloft.gateway.allowances import sharing as sharings
 from godwitloft.gateway.crashes import crash_reports
 from godwitloft.gateway.crashes import crash_tracker
@@ -38,6 +39,7 @@
         leaving
     :param on_limit: called with an upstream and what a peer says of its limit,
         if that is newer than what is known
+    :param rollouts: roll-outs, and how versions have answered
     """
 
     def __init__(
@@ -53,6 +55,7 @@
         on_limit: typing.Callable[
             [fleets.UpstreamState, named_limit.Statement], None
         ],
+        rollouts: rollout_module.Rollouts,
     ) -> None:
         self.clock = clock
         self.wall_ms = clocks.steady_wall(clock)
@@ -65,6 +68,7 @@
         self.versions = versions
         self.on_leaving = on_leaving
         self.on_limit = on_limit
+        self.rollouts = rollouts
         # Set by an adapter whose store has timelines.
         self.store_timeline: typing.Callable[[], int | None] = _no_timeline
         self.on_peer_timeline: typing.Callable[[int | None], None] = (
@@ -87,6 +91,7 @@
             sound=self.causes.proofs_to_tell(now_ms),
             blames=self.causes.blames_to_tell(now_ms),
             limits=self.limit_reports(now_ms),
+            rollouts=self.rollouts.status_for_peers(),
         )
 
     def limit_reports(
@@ -148,6 +153,8 @@
                 self.on_leaving(state)
         for report in status.limits:
             self.learn_limit(report, now_ms)
+        if status.rollouts is not None:
+            self.rollouts.on_peer(status.rollouts)
 
     def learn_limit(
         self, report: peer_status.LimitReport, now_ms: int
--- a/godwitloft/gateway/placing/placer.py
+++ b/godwitloft/gateway/placing/placer.py
@@ -13,6 +13,11 @@
 from godwitloft.gateway.upstreams import fleet as fleets
 from godwitloft.gateway.upstreams import named_limit
 
+Groups = typing.Callable[
+    [requests.Request, str | None, list[placement.Place]],
+    list[list[placement.Place]],
+]
+
 
 class Candidates:
     """Upstreams among which the requests of one scheduling pass are placed.
@@ -38,6 +43,9 @@
         self.now_ms = now_ms
         self.states: dict[str, fleets.UpstreamState] = {}
         self.places: dict[str, placement.Place] = {}
+        # Divides upstreams into those to be tried first and others, and omits
+        # some, in a roll-out.
+        self.groups: Groups | None = None
         for state in states:
             self.states[state.upstream.id] = state
             self.update(state)
@@ -68,13 +76,20 @@
         """
         if self.now_ms < request.resend_at_ms:
             return None
-        place = placement.choose(
-            self.places_of(version),
-            request.facts.sizes.prompt_tokens,
-            request.facts.target_at_ms - self.now_ms,
-            request.tried_upstreams,
-        )
-        return self.states[place.id] if place is not None else None
+        places = self.places_of(version)
+        groups = [places]
+        if self.groups is not None:
+            groups = self.groups(request, version, places)
+        for group in groups:
+            place = placement.choose(
+                group,
+                request.facts.sizes.prompt_tokens,
+                request.facts.target_at_ms - self.now_ms,
+                request.tried_upstreams,
+            )
+            if place is not None:
+                return self.states[place.id]
+        return None
 
     def places_of(self, version: str | None) -> list[placement.Place]:
         """Returns the upstreams of a version.
--- a/godwitloft/gateway/streams/service_versions.py
+++ b/godwitloft/gateway/streams/service_versions.py
@@ -83,6 +83,9 @@
         self.hears_majority = hears_majority
         self.is_restored = is_restored
         self.stream_life_ms = stream_life_ms
+        # Whether an order to roll out a version first listed at a time would
+        # be known; set by the gateway.
+        self.knows_orders_of: typing.Callable[[int], bool] = _knows_orders
         # Versions at which streams may have begun, and since when each has not
         # been listed, None while it is.
         self.used: dict[ServiceVersion, int | None] = {}
@@ -195,8 +198,9 @@
             if absent_ms is None and version not in self.new
         }
         for version, since_ms in list(self.new.items()):
-            if version.service in listed and not self.is_known_to_all(
-                since_ms
+            if version.service in listed and not (
+                self.is_known_to_all(since_ms)
+                and self.knows_orders_of(since_ms)
             ):
                 continue
             del self.new[version]
@@ -281,3 +285,7 @@
         if up is not None and up.until_ms > confirmed_ms + MAX_LIST_LAG_MS:
             return False
         return self.hears_majority(since_ms)
+
+
+def _knows_orders(_listed_ms: int) -> bool:
+    return True
--- a/godwitloft/metrics.py
+++ b/godwitloft/metrics.py
@@ -28,6 +28,10 @@
         back, by ``what``
     :param upstream_signs: upstreams' signs that they are leaving or want a
         pause, by ``sign``
+    :param version_answers: answers of upstreams during roll-outs, by
+        ``service``, ``version`` and ``result``
+    :param rollout_phases: phases that roll-outs have come to, by ``service``
+        and ``phase``
     :param operator_refusals: refused requests of operators, by ``reason``
     :param dropped_messages: ignored link messages, by ``reason``
     :param wait_ms: time from acceptance to dispatch
@@ -41,6 +45,8 @@
     answer_ends: metrics.Counter
     store_restores: metrics.Counter
     upstream_signs: metrics.Counter
+    version_answers: metrics.Counter
+    rollout_phases: metrics.Counter
     operator_refusals: metrics.Counter
     dropped_messages: metrics.Counter
     wait_ms: metrics.Histogram
@@ -74,6 +80,8 @@
         answer_ends=counter("answer_ends"),
         store_restores=counter("store_restores"),
         upstream_signs=counter("upstream_signs"),
+        version_answers=counter("version_answers"),
+        rollout_phases=counter("rollout_phases"),
         operator_refusals=counter("operator_refusals"),
         dropped_messages=counter("dropped_messages"),
         wait_ms=histogram("wait", WAIT_BUCKETS_MS),
--- a/godwitloft/rollouts/evidence.py
+++ b/godwitloft/rollouts/evidence.py
@@ -100,9 +100,7 @@
     return min(BOUNDS - 1, bisect.bisect_left(BOUNDS_MS, took_ms))
 
 
-def joined(
-    first: tuple[int, ...], second: tuple[int, ...]
-) -> tuple[int, ...]:
+def joined(first: tuple[int, ...], second: tuple[int, ...]) -> tuple[int, ...]:
     """Returns the sums of two lists of counts.
 
     :param first: counts of times
