Settings bound what a bad version may get

Roll-outs are judged by the platform's bounds exposure-share, exposure-slack and rollback-ms, which settings didn't read. An infinite number or NaN, which TOML allows, was a traceback at the start or a bound that compares false; it is refused with its field's name.

--- a/features/platform_settings.feature
+++ b/features/platform_settings.feature
@@ -13,6 +13,10 @@
       | a bad port | [platform]\naddress = "1.2.3.4:0" | field 'platform.address': '1.2.3.4:0' is not IP:PORT |
       | a negative bound | [bounds]\nrevoke-ms = -1\nstrict-revocation = true | field 'bounds.revoke-ms': -1 is negative |
       | a bound that is text | [bounds]\ngrace-s = "8" | field 'bounds.grace-s': '8' is not a number |
+      | an infinite bound | [bounds]\nexposure-slack = inf | field 'bounds.exposure-slack': inf is not finite |
+      | a bound that is no number | [bounds]\nexposure-share = nan | field 'bounds.exposure-share': nan is not finite |
+      | a share that is a flag | [bounds]\nexposure-share = true | field 'bounds.exposure-share': True is not a number |
+      | a negative time for the roll-back | [bounds]\nrollback-ms = -5 | field 'bounds.rollback-ms': -5 is negative |
       | no name | node-name = "" | field 'node-name': '' is not a string |
 
   Scenario: Unknown fields are ignored, bounds become options
@@ -21,6 +25,19 @@
     And the process has 7400 ms to shut down
     And it accepts requests for the first 2800 ms of that time
 
+  # Guards against a gateway that doesn't start where the platform leaves the
+  # bounds on roll-outs out, or that takes other ones.
+  Scenario Outline: Bounds on roll-outs: <change>
+    When the platform's settings have "<change>"
+    Then a bad version may get <share> of all requests and <slack> more, for <ms> ms
+
+    Examples:
+      | change | share | slack | ms |
+      | [bounds]\ngrace-s = 8 | 0.1 | 50 | 5000 |
+      | [bounds]\nexposure-share = 0.25 | 0.25 | 50 | 5000 |
+      | [bounds]\nexposure-slack = 7 | 0.1 | 7 | 5000 |
+      | [bounds]\nrollback-ms = 1500 | 0.1 | 50 | 1500 |
+
   Scenario Outline: The program rejects invalid arguments and missing settings: <words>
     When the platform's program is started with "<words>"
     Then it exits with status 2 and prints "<message>"
--- a/features/steps/platform_settings_steps.py
+++ b/features/steps/platform_settings_steps.py
@@ -6,6 +6,7 @@
 from behave import then
 from behave import when
 
+from godwitloft.gateway import options
 from godwitloft.platform import settings
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -64,6 +65,16 @@
     assert context.boot.options.drain_limit_ms == limit_ms
 
 
+@then(
+    "a bad version may get {share:g} of all requests and {slack:d} more, for"
+    " {limit_ms:d} ms"
+)
+def check_rollout_bounds(context, share, slack, limit_ms):
+    assert context.error is None, context.error
+    bounds = context.boot.options.rollouts
+    assert bounds == options.RolloutBounds(share, slack, limit_ms), bounds
+
+
 @when('the platform\'s program is started with "{words}"')
 def start(context, words):
     context.process = subprocess.run(
--- a/godwitloft/gateway/options.py
+++ b/godwitloft/gateway/options.py
@@ -6,6 +6,22 @@
 from godwitloft.gateway.allowances import allowance
 
 
+@dataclasses.dataclass(frozen=True)
+class RolloutBounds:
+    """Bounds on what a bad version may get in a roll-out.
+
+    :param exposure_share: of the requests to its service, from the order to
+        the end of the roll-out
+    :param exposure_slack: requests in addition to that share
+    :param rollback_ms: time after its 50th bad answer from which on it must
+        get no request
+    """
+
+    exposure_share: float = 0.1
+    exposure_slack: int = 50
+    rollback_ms: int = 5_000
+
+
 @dataclasses.dataclass(frozen=True)
 class Options:
     """Settings of a gateway, fixed at its start.
@@ -28,6 +44,7 @@
     :param max_held_bytes: bytes of requests' bodies that may be held at once
     :param store_outage_ms: the shortest absence of the store in which the
         registration of a live upstream can expire
+    :param rollouts: bounds on roll-outs
     """
 
     instance: str
@@ -42,3 +59,4 @@
     tolerance: allowance.Tolerance
     max_held_bytes: int
     store_outage_ms: int
+    rollouts: RolloutBounds = RolloutBounds()
--- a/godwitloft/operators/reference.py
+++ b/godwitloft/operators/reference.py
@@ -14,6 +14,7 @@
 import typing
 
 from godwitloft import settings
+from godwitloft.gateway import options
 from godwitloft.objects import check
 from godwitloft.objects import types
 
@@ -79,7 +80,10 @@
     "`godwitloft-entry` and `godwitloft-agent` read a JSON file each, named"
     " by `--settings`. An unknown or invalid key is rejected at startup with"
     " the file, the key and the reason, and exit code 2. Addresses are IP"
-    " addresses. All defaults are defined in `godwitloft/defaults.py`.",
+    " addresses. All defaults are defined in `godwitloft/defaults.py`.\n\nOn"
+    " the Lakeshore platform, processes read the TOML file that the platform"
+    " writes for them instead. Its table `bounds` has the keys of"
+    " [RolloutBounds](#rolloutbounds), with hyphens (`exposure-share`).",
     (
         settings.EntrySettings,
         settings.AgentSettings,
@@ -91,6 +95,7 @@
         settings.Tls,
         settings.Log,
         settings.Limits,
+        options.RolloutBounds,
     ),
 )
 PAGES = (OBJECTS, SETTINGS)
--- a/godwitloft/platform/settings.py
+++ b/godwitloft/platform/settings.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import ipaddress
+import math
 import os
 import pathlib
 import tomllib
@@ -162,6 +163,9 @@
             raise SettingsError(self.path, field, f"{value!r} is not a number")
         if value < 0:
             raise SettingsError(self.path, field, f"{value!r} is negative")
+        # TOML has infinities and NaN.
+        if not math.isfinite(value):
+            raise SettingsError(self.path, field, f"{value!r} is not finite")
         return value
 
     def address(self, field: str) -> Address | None:
@@ -259,6 +263,28 @@
     return int(BODY_MEMORY_SHARE * memory_mb * BYTES_PER_MB)
 
 
+def decode_rollout_bounds(reader: Reader) -> options.RolloutBounds:
+    """Translates the platform's bounds on roll-outs.
+
+    :param reader: reads the settings file
+    :return: the bounds; the platform leaves them out where no roll-outs are
+        in use
+    :raises SettingsError: if one of them is invalid
+    """
+    defaults = options.RolloutBounds()
+    return options.RolloutBounds(
+        exposure_share=reader.number(
+            "bounds.exposure-share", defaults.exposure_share
+        ),
+        exposure_slack=int(
+            reader.number("bounds.exposure-slack", defaults.exposure_slack)
+        ),
+        rollback_ms=int(
+            reader.number("bounds.rollback-ms", defaults.rollback_ms)
+        ),
+    )
+
+
 def decode_options(reader: Reader) -> options.Options:
     """Translates the platform's bounds to the options of a gateway.
 
@@ -297,4 +323,5 @@
         ),
         max_held_bytes=decode_max_held_bytes(reader),
         store_outage_ms=int(decode_heartbeat(reader) * OUTAGE_HEARTBEATS),
+        rollouts=decode_rollout_bounds(reader),
     )
