The Lakeshore stand-in rolls versions out

Nothing played roll-outs, so their code could be run against the store alone. A bad version fails a part of its answers or takes several times longer, at once, later, under load only or on one route only. GET /rollouts tells what became of each order; the ledger tells which answers were bad.

--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -9,14 +9,17 @@
 import collections
 import dataclasses
 import json
+import random
 import time
 import typing
 
 from klein import Klein
 from twisted.internet import defer
+from twisted.internet import task
 from twisted.web import server
 
 from godwitloft.standins import http
+from godwitloft.standins import lakeshore_rollouts as rollouts
 from godwitloft.standins import lakeshore_words as words
 
 MS_PER_S = 1000
@@ -307,6 +310,13 @@
         # none.
         self.unframed_every = 0
         self.answers = 0
+        # What its answers take before the first byte.
+        self.answer_ms = 0
+        # What is wrong with its version, None for nothing.
+        self.defect: rollouts.Defect | None = None
+        self.rng = random.Random(self.id)
+        # Whether its process has ended for good.
+        self.stopped = False
         self.listener: http.Listener | None = None
         # What the next answers have without end: a key of ENDLESS.
         self.endless: list[str] = []
@@ -324,7 +334,7 @@
         An unchanged row isn't written again. That of a runner that is gone is
         removed, and if a restore brings it back, after three intervals.
         """
-        if self.gone:
+        if self.gone or self.stopped:
             self.remove_row()
         elif not self.rows.is_away():
             self.silent_intervals = SILENT_INTERVALS
@@ -418,6 +428,8 @@
             # Event after which it closed the connection of an answer that has
             # neither a length nor chunks.
             "closed_after": None,
+            # How the defect of its version showed, empty if it didn't.
+            "bad": "",
         }
         self.ledger.append(run)
         if self.runs_twice:
@@ -440,11 +452,54 @@
             run["broke_off"] = True
             request.transport.abortConnection()
             return defer.Deferred()
+        delay_ms: float = self.answer_ms
+        if self.has_defect(request):
+            assert self.defect is not None
+            run["bad"] = self.defect.kind
+            if self.defect.kind == rollouts.FAILS:
+                return http.reply(request, {}, 500)
+            delay_ms = self.defect.delay_ms(self.answer_ms)
+        if not delay_ms:
+            return self.answer(request, run)
+        return task.deferLater(
+            self.reactor, delay_ms / MS_PER_S, self.answer_late, request, run
+        )
+
+    def answer_late(self, request: typing.Any, run: http.Json) -> typing.Any:
+        """Answers a request unless its caller has gone meanwhile.
+
+        :param request: request sent by the gateway
+        :param run: the run's entry in the ledger
+        :return: the body, or a Deferred that fires with it
+        """
+        if request._disconnected:
+            return b""
+        return self.answer(request, run)
+
+    def has_defect(self, request: typing.Any) -> bool:
+        """Returns whether the defect of its version shows in an answer.
+
+        :param request: request sent by the gateway
+        """
+        if self.defect is None:
+            return False
+        age_ms = int(time.time() * MS_PER_S) - self.born
+        path = request.path.decode()
+        drawn = self.rng.random()
+        return self.defect.shows(age_ms, self.running, path, drawn)
+
+    def answer(self, request: typing.Any, run: http.Json) -> typing.Any:
+        """Answers a request that it runs.
+
+        :param request: request sent by the gateway
+        :param run: the run's entry in the ledger
+        :return: the body, or a Deferred that fires with it
+        """
         if self.service != "model":
             if self.answers_wrong > 0:
                 self.answers_wrong -= 1
                 return b"answer to nobody\n"
-            text = f"answer to {request_id}\n".encode()
+            text = f"answer to {run['id']}\n".encode()
             if self.leaves_unframed():
                 request.transport.write(bare_head(request) + text)
                 request.transport.loseConnection()
@@ -478,6 +533,12 @@
         self.reactor.callLater(CRASH_DELAY_S, self.go_down)
         return defer.Deferred()
 
+    def stop(self) -> None:
+        """Ends its process at once, with all that it runs."""
+        self.stopped = True
+        if self.listener is not None:
+            self.listener.stop()
+
     def go_down(self, closed_cleanly: typing.Any = None) -> None:
         """Drops all connections and refuses new ones for a while.
 
@@ -698,12 +759,33 @@
                 for number in range(count)
             )
         }
+        # Where new runners listen.
+        self.address = "127.0.0.1"
+        self.rollouts = rollouts.Rollouts(
+            self.rows, self.runners, reactor, self.start_runner
+        )
+
+    def start_runner(self, service: str, version: str) -> Runner:
+        """Starts a further runner.
+
+        :param service: name of its service
+        :param version: of its software
+        :return: the runner
+        """
+        number = sum(
+            runner.service == service for runner in self.runners.values()
+        )
+        runner = Runner(number, service, self.rows, self.reactor)
+        runner.version = version
+        self.runners[runner.id] = runner
+        _start_runner(runner, self.reactor, self.address)
+        return runner
 
     def control(self, change: http.Json) -> None:
         """Changes the store or runners.
 
         :param change: ``config``, ``rows``, ``away_ms``, ``drill``,
-            ``forget`` and ``runners``, each optional
+            ``forget``, ``runners`` and ``rollout``, each optional
         """
         if "config" in change:
             self.rows.write_configuration(change["config"])
@@ -720,6 +802,8 @@
             self.rows.oldest_version = self.rows.version
         for name, attributes in change.get("runners", {}).items():
             self.runners[name].control(attributes)
+        if "rollout" in change:
+            self.rollouts.begin(**change["rollout"])
 
     def ledger(self) -> http.Json:
         """Returns the runs of every runner.
@@ -759,6 +843,7 @@
     :param port: TCP port of the store, 0 for a free one
     :return: the listener of the store; call its ``start``
     """
+    lakeshore.address = address
     for runner in lakeshore.runners.values():
         _start_runner(runner, reactor, address)
     site = server.Site(_store_app(lakeshore).resource())
@@ -855,6 +940,10 @@
     def acknowledged(request: typing.Any) -> bytes:
         return http.reply(request, rows.acknowledged_ms)
 
+    @app.route("/rollouts")
+    def ordered(request: typing.Any) -> bytes:
+        return http.reply(request, lakeshore.rollouts.report())
+
     @app.route("/addresses")
     def addresses(request: typing.Any) -> bytes:
         return http.reply(request, lakeshore.addresses())
