--- a/godwitloft/gateway/rollouts.py
+++ b/godwitloft/gateway/rollouts.py
@@ -29,8 +29,8 @@
 ORDERS_DELAY_MS = 1_000
 JUDGE_INTERVAL_MS = 100
 LOG_INTERVAL_MS = 1_000
-# Counts in one announcement; a datagram of 24 stays below two packets.
-MAX_CELLS = 24
+# Counts in one announcement, which should fit into one packet.
+MAX_CELLS = 16
 # The new version's requests go to this part of its upstreams at a time, so
 # that these have the load that all will have, and to others after so many.
 USED_SHARE = 0.1
--- a/godwitloft/rollouts/evidence.py
+++ b/godwitloft/rollouts/evidence.py
@@ -8,6 +8,7 @@
 
 import bisect
 import dataclasses
+import heapq
 import typing
 
 # Upper bounds of the times that are counted together. Neighbors differ by the
@@ -132,8 +133,9 @@
 
     def __init__(self) -> None:
         self.cells: dict[Key, Cell] = {}
-        # What peers were last told of each.
-        self.told: dict[Key, int] = {}
+        # The weight that peers were last told of each, and in which turn.
+        self.told: dict[Key, tuple[int, int]] = {}
+        self.turns = 0
 
     def add_answer(self, key: Key, failed: bool) -> None:
         """Counts an answer.
@@ -162,27 +164,27 @@
     def to_tell(self, most: int) -> tuple[tuple[Key, Cell], ...]:
         """Returns the counts that peers need most.
 
-        Those that have grown most since they were told go first, in relation
-        to what was told. Each is told at times even if unchanged, as datagrams
-        get lost.
+        One half are those that have grown most in relation to what was told.
+        The others are those told longest ago, as datagrams get lost.
 
         :param most: how many
         :return: counts, which are told from now on
         """
 
-        def news(key: Key) -> float:
-            told = self.told.get(key, 0)
+        def growth(key: Key) -> float:
+            told, _turn = self.told.get(key, (0, 0))
             return (self.cells[key].weight - told) / (1 + told)
 
-        keys = sorted(self.cells, key=news, reverse=True)[:most]
+        grown = heapq.nlargest((most + 1) // 2, self.cells, key=growth)
+        others = heapq.nsmallest(
+            most - len(grown),
+            self.cells.keys() - set(grown),
+            key=lambda key: self.told.get(key, (0, 0))[1],
+        )
+        self.turns += 1
+        keys = [*grown, *others]
         for key in keys:
-            self.told[key] = self.cells[key].weight
-        if keys and len(keys) < len(self.cells):
-            # The last one's turn is taken by the one told longest ago.
-            oldest = next(key for key in self.cells if key not in keys)
-            self.cells[oldest] = self.cells.pop(oldest)
-            keys[-1] = oldest
-            self.told[oldest] = self.cells[oldest].weight
+            self.told[key] = (self.cells[key].weight, self.turns)
         return tuple((key, self.cells[key]) for key in keys)
 
     def forget(self, service: str) -> None:
--- a/godwitloft/rollouts/judgement.py
+++ b/godwitloft/rollouts/judgement.py
@@ -26,13 +26,14 @@
 
 from godwitloft.rollouts import evidence
 
-# A good version may fail this much more often than the former ones.
-FAILURE_MARGIN = 0.02
-# Portions in relation to an upstream's own fast answers vary by chance.
-SLOW_MARGIN = 0.06
-# An answer is slow that takes 2.8 times as long as a quarter of the answers
-# of its upstream, by the usual times of their routes.
-SLOW_PLACES = 3.0
+# Of a good version's answers, a portion may be bad that is larger than the
+# former one by this factor and this much: upstreams are not all alike.
+MARGIN_FACTOR = 1.2
+MARGIN = 0.01
+# An answer is slow that takes 2.8, 5.7 or 11 times as long as a quarter of the
+# answers of its upstream, by the usual times of their routes. Where times vary
+# much anyway, only the higher bounds tell versions apart.
+SLOW_PLACES = (3.0, 5.0, 7.0)
 # Bound on the ratio, for each route and kind of test.
 FALSE_ALARM = 1 / 300
 SUSPICION = 1 / 50
@@ -40,10 +41,10 @@
 PORTION_ERRORS = 1.64
 # A version is slow that is slower than this by a clear margin.
 ACCEPTED_FACTOR = 1.6
-SLOWER_CRITICAL = 2.6
+SLOWER_CRITICAL = 2.33
 # Variation of upstreams' speeds that is taken for granted, as the standard
 # deviation of the logarithm, and how many upstreams' worth it is.
-USUAL_DEVIATION = 0.4
+USUAL_DEVIATION = 0.35
 USUAL_WEIGHT = 4.0
 # With fewer timed answers, what is fast at an upstream isn't known.
 MIN_TIMED = 4
@@ -140,29 +141,27 @@
     """
     new = {key: cell for key, cell in counts.items() if key.version == to}
     old = {key: cell for key, cell in counts.items() if key.version in former}
-    total, former_total = (
+    answered, former_answered = (
         evidence.sum_of(new.values()),
         evidence.sum_of(old.values()),
     )
     failures = failure_portions(new, old)
-    slow = slow_portions(new, old)
+    slow = [slow_portions(new, old, places) for places in SLOW_PLACES]
     findings = [
-        *portion_findings("failed", failures, FAILURE_MARGIN),
-        *portion_findings("slow", slow, SLOW_MARGIN),
+        *portion_findings("failed", [failures]),
+        *portion_findings("slow", slow),
         *level_findings(new, old),
     ]
     worst = max(findings, key=lambda found: found.strength, default=None)
     is_slower = worst is not None and worst.what == SLOWER
-    bad_answers = total.failed + (
-        sum(total.times)
-        if is_slower
-        else sum(portion.bad for portion in slow.values())
+    bad_answers = answered.failed + (
+        sum(answered.times) if is_slower else total(slow[0]).bad
     )
     inputs = {
-        "answers": total.answers,
-        "failed": total.failed,
-        "former_answers": former_total.answers,
-        "former_failed": former_total.failed,
+        "answers": answered.answers,
+        "failed": answered.failed,
+        "former_answers": former_answered.answers,
+        "former_failed": former_answered.failed,
         "evidence": round(worst.strength, 2) if worst is not None else 0.0,
         "strongest": f"{worst.what}: {worst.counts}" if worst else "",
     }
@@ -170,15 +169,19 @@
         reason = f"{worst.what}: {worst.counts}"
         return Verdict(Kind.BAD, reason, bad_answers, inputs, True)
     is_suspicious = any(found.suspicion >= 1 for found in findings)
-    if is_suspicious or total.answers < MIN_ANSWERS:
-        reason = f"{total.answers} answers"
+    if is_suspicious or answered.answers < MIN_ANSWERS:
+        reason = f"{answered.answers} answers"
         if is_suspicious and worst is not None:
             reason = f"suspicious, {worst.what}: {worst.counts}"
         return Verdict(
             Kind.TOO_LITTLE, reason, bad_answers, inputs, is_suspicious
         )
-    reason = f"{total.failed} of {total.answers} answers failed, formerly"
-    reason += f" {former_total.failed} of {former_total.answers}; none slower"
+    reason = (
+        f"{answered.failed} of {answered.answers} answers failed, formerly"
+    )
+    reason += (
+        f" {former_answered.failed} of {former_answered.answers}; none slower"
+    )
     return Verdict(Kind.GOOD_SO_FAR, reason, bad_answers, inputs)
 
 
@@ -290,17 +293,20 @@
 def slow_portions(
     new: typing.Mapping[evidence.Key, evidence.Cell],
     old: typing.Mapping[evidence.Key, evidence.Cell],
+    places: float,
 ) -> dict[str, Portion]:
     """Returns the slow answers by route.
 
     :param new: counts of the new version
     :param old: counts of the former ones
+    :param places: how many places behind the fast ones of an upstream a slow
+        one is
     """
     usual = usual_places(old)
     counts: dict[str, list[int]] = {}
     for start, cells in ((0, new), (2, old)):
         for times in times_by_upstream(cells, usual, MIN_TIMED):
-            bound = times.fast + SLOW_PLACES
+            bound = times.fast + places
             for route, answers in times.by_route.items():
                 found = counts.setdefault(route, [0, 0, 0, 0])
                 for place, count in answers:
@@ -310,52 +316,64 @@
 
 
 def portion_findings(
-    what: str, portions: typing.Mapping[str, Portion], margin: float
+    what: str, tests: typing.Sequence[typing.Mapping[str, Portion]]
 ) -> list[Finding]:
     """Tests portions of bad answers, on each route and on all.
 
     :param what: what is bad in them
-    :param portions: by route
-    :param margin: by how much more of them may be bad than formerly
-    :return: findings; the strongest ratio is the evidence
+    :param tests: portions by route, for each bound beyond which it is bad
+    :return: findings
     """
-    ratios = {
-        route: log_ratios(portion, margin)
-        for route, portion in portions.items()
-        if portion.answers and portion.former_answers
-    }
-    if not ratios:
-        return []
-    names = {f"{what} on {route}": [logs] for route, logs in ratios.items()}
-    texts = {f"{what} on {route}": portions[route].text() for route in ratios}
+    logs: dict[str, list[float]] = {}
+    counts: dict[str, list[str]] = {}
     together = f"{what} on all routes"
-    names[together] = list(ratios.values())
-    texts[together] = Portion(
-        *(
-            sum(getattr(portions[route], field.name) for route in ratios)
-            for field in dataclasses.fields(Portion)
-        )
-    ).text()
-    enough = math.log(len(names) / FALSE_ALARM)
-    suspicious = math.log(len(names) / SUSPICION)
+    for portions in tests:
+        summed = [0.0] * PORTIONS
+        for route, portion in portions.items():
+            if not portion.answers or not portion.former_answers:
+                continue
+            ratios = log_ratios(portion)
+            summed = [sum(pair) for pair in zip(summed, ratios, strict=True)]
+            name = f"{what} on {route}"
+            logs.setdefault(name, []).extend(ratios)
+            counts.setdefault(name, []).append(portion.text())
+        logs.setdefault(together, []).extend(summed)
+        counts.setdefault(together, []).append(total(portions).text())
+    enough = math.log(len(logs) / FALSE_ALARM)
+    suspicious = math.log(len(logs) / SUSPICION)
     findings = []
-    for name, logs in names.items():
-        found = log_mean([sum(column) for column in zip(*logs, strict=True)])
+    for name, ratios in logs.items():
+        found = log_mean(ratios)
+        # The bound of the strongest ratio is the one to report.
+        strongest = ratios.index(max(ratios)) // PORTIONS
+        text = counts[name][strongest]
         findings.append(
-            Finding(name, texts[name], found / enough, found / suspicious)
+            Finding(name, text, found / enough, found / suspicious)
         )
     return findings
 
 
-def log_ratios(portion: Portion, margin: float) -> list[float]:
+def total(portions: typing.Mapping[str, Portion]) -> Portion:
+    """Returns the counts of all routes together.
+
+    :param portions: by route
+    """
+    return Portion(
+        *(
+            sum(getattr(portion, field.name) for portion in portions.values())
+            for field in dataclasses.fields(Portion)
+        )
+    )
+
+
+def log_ratios(portion: Portion) -> list[float]:
     """Returns likelihoods of counts relative to those of a good version.
 
     :param portion: the counts
-    :param margin: by how much more may be bad than formerly
     :return: logarithms, for portions between that of a good version and 1
     """
     good = upper_portion(portion.former_bad, portion.former_answers)
-    good = min(0.95, good + margin)
+    good = min(0.95, MARGIN + MARGIN_FACTOR * good)
     sound = portion.answers - portion.bad
     logs = []
     for step in range(PORTIONS):
