Datagrams carry counts, phases and the age of roll-outs' rows

What a gateway knows of roll-outs didn't reach its peers. Answers to questions have a digest of orders and roll-outs and its age, by which a gateway knows whether to read them. An earlier release skips the new fields.

--- a/godwitloft/gateway/peers/peer_confirmation.py
+++ b/godwitloft/gateway/peers/peer_confirmation.py
@@ -49,6 +49,30 @@
     at_ms: int
 
 
+class HeldRows(typing.Protocol):
+    """Rows of orders and roll-outs, which a gateway holds.
+
+    :ivar in_use: whether there are roll-outs at all
+    :ivar orders_current_ms: when they were last known to be current, None
+        without any
+    :ivar rows_outdated: whether a peer knows of newer ones
+    """
+
+    in_use: bool
+    orders_current_ms: int | None
+    rows_outdated: bool
+
+    def digest(self) -> int | None:
+        """Returns a digest of them, None without any."""
+
+    def confirm_rows(self, digest: int, at_ms: int) -> None:
+        """Learns which rows were current.
+
+        :param digest: digest of the rows that a peer holds
+        :param at_ms: a time at which those were current
+        """
+
+
 def digest_of(upstreams: dict[str, model.Upstream]) -> int:
     """Returns a digest of a list of upstreams.
 
@@ -88,6 +112,8 @@
         self.config_state = config_state
         self.hosts = hosts
         self.store_contact = store_contact
+        # Set where there are roll-outs.
+        self.rows: HeldRows | None = None
         self.held_list: ListVersion | None = None
         self.version_outdated = False
         self.list_outdated = False
@@ -148,6 +174,30 @@
         held = self.held_list
         return held is not None and now_ms - held.at_ms <= MAX_LIST_AGE_MS
 
+    def are_rows_fresh(self, now_ms: int) -> bool:
+        """Returns whether orders and roll-outs were confirmed lately.
+
+        :param now_ms: the current time
+        :return: whether their confirmation is at most
+            :data:`MAX_VERSION_AGE_MS` old, or none are needed
+        """
+        if self.rows is None or not self.rows.in_use:
+            return True
+        at_ms = self.rows.orders_current_ms
+        return at_ms is not None and now_ms - at_ms <= MAX_VERSION_AGE_MS
+
+    def needs_rows(self) -> bool:
+        """Returns whether orders and roll-outs must be read from the store.
+
+        :return: whether this gateway is a poller, its rows are outdated, or no
+            gateway has confirmed them lately
+        """
+        if self.rows is None or not self.rows.in_use:
+            return False
+        if self.rows.rows_outdated or self.is_poller():
+            return True
+        return not self.are_rows_fresh(self.clock.monotonic_ms())
+
     def list_confirmed_ms(self) -> int | None:
         """Returns when the list of upstreams was last known to be current.
 
@@ -156,12 +206,16 @@
         return self.held_list.at_ms if self.held_list is not None else None
 
     def is_fresh(self, now_ms: int) -> bool:
-        """Returns whether configuration and list were confirmed lately.
+        """Returns whether all that this gateway holds was confirmed lately.
 
         :param now_ms: the current time
-        :return: whether both were
+        :return: whether configuration, list and orders were
         """
-        return self.is_version_fresh(now_ms) and self.is_list_fresh(now_ms)
+        return (
+            self.is_version_fresh(now_ms)
+            and self.is_list_fresh(now_ms)
+            and self.are_rows_fresh(now_ms)
+        )
 
     def needs_list(self) -> bool:
         """Returns whether the list of upstreams must be read from the store.
@@ -235,6 +289,9 @@
             list_digest=self.held_list.digest,
             list_age_ms=now_ms - self.held_list.at_ms,
         )
+        if self.rows is not None and self.rows.orders_current_ms is not None:
+            answer.rows_digest = self.rows.digest()
+            answer.rows_age_ms = now_ms - self.rows.orders_current_ms
         self.send(datagrams.encode(answer=answer), (host, self.port))
 
     def on_answer(self, answer: ttypes.NewsAnswer) -> None:
@@ -249,6 +306,7 @@
         self.store_contact.record(list_read_ms(answer))
         self.compare_versions(answer)
         self.compare_lists(answer)
+        self.compare_rows(answer)
         if (
             answer.version_age_ms > MAX_VERSION_AGE_MS
             or answer.list_age_ms > MAX_POLLED_LIST_AGE_MS
@@ -269,6 +327,17 @@
         elif answer.version > own:
             self.note_version(answer.version)
 
+    def compare_rows(self, answer: ttypes.NewsAnswer) -> None:
+        """Confirms orders and roll-outs, or learns that newer ones exist.
+
+        :param answer: another gateway's answer; that of an older release tells
+            nothing of them
+        """
+        digest, age_ms = answer.rows_digest, answer.rows_age_ms
+        if self.rows is None or digest is None or age_ms is None:
+            return
+        self.rows.confirm_rows(digest, time_before(answer.asked_ms, age_ms))
+
     def note_version(self, version: int) -> None:
         """Records that a peer has a version of the configuration in force.
 
--- a/godwitloft/gateway/peers/peer_status.py
+++ b/godwitloft/gateway/peers/peer_status.py
@@ -9,6 +9,7 @@
 import math
 
 from godwitloft.gateway.crashes import crash_reports
+from godwitloft.gateway.peers import rollout_status
 from godwitloft.links.generated.datagrams import ttypes
 from godwitloft.rollouts import evidence
 
@@ -115,6 +116,8 @@
         )
         for report in status.limits
     ] or None
+    # The last, as it gets the space that is left.
+    rollout_status.encode(status.rollouts, sharing)
 
 
 def decode(sharing: ttypes.Sharing) -> PeerStatus:
@@ -154,6 +157,7 @@
             for entry in sharing.limits or ()
             if is_limit(entry.per_s)
         ),
+        rollouts=rollout_status.decode(sharing),
     )
 
 
--- a/godwitloft/links/datagrams.thrift
+++ b/godwitloft/links/datagrams.thrift
@@ -82,6 +82,29 @@
   3: required list<TeamDemand> committed
 }
 
+/* Answers of one version on one route at one upstream. */
+struct AnswerCounts {
+  1: required string version        // of the upstream's software
+  2: required string route
+  3: required string upstream       // its identity
+  4: required i64 answers           // that the process has counted
+  5: required i64 failed            // of those
+  6: required list<i32> times       // how many took how long; zeros at the
+                                    // end are left out
+}
+
+/* What a gateway knows of a roll-out. */
+struct RolloutNews {
+  1: required string service
+  2: required i64 order_version     // of the row of its order
+  3: optional string phase          // absent: none that the gateway tells
+  4: optional bool stopped          // the gateway sends nothing more to the
+                                    // new version
+  5: optional i32 left              // its requests that run at former
+                                    // versions or must go there
+  6: optional list<AnswerCounts> counts // some of its process
+}
+
 /* A gateway tells another one what limits they share. */
 struct Sharing {
   1: required string gateway        // name of the sender's instance
@@ -110,6 +133,9 @@
                                     // take: on the sender's clock
   19: optional i64 answer_ms        // the receiver's asked_ms plus how long
                                     // the sender has held it
+  20: optional string incarnation   // of the sender's process; goes with
+                                    // rollouts
+  21: optional list<RolloutNews> rollouts
 }
 
 /* A gateway asks another one how new what it holds is. */
@@ -126,6 +152,8 @@
   4: required i64 version_age_ms    // since that was known to be the newest
   5: required i64 list_digest       // of the list of upstreams
   6: required i64 list_age_ms       // since the list was read
+  7: optional i64 rows_digest       // of orders and roll-outs
+  8: optional i64 rows_age_ms       // since those were known to be current
 }
 
 union Datagram {
