--- a/features/support/rollout_fleet.py
+++ b/features/support/rollout_fleet.py
@@ -1,6 +1,5 @@
 """Gateways, a store's rows and upstreams of two versions, in a roll-out."""
 
-import dataclasses
 import math
 import random
 
@@ -20,7 +19,6 @@
 ANNOUNCE_MS = 50
 USUAL_MS = 200
 SLOTS = 12
-NOTICED_LEAVING_MS = 3000
 
 
 class Member:
@@ -37,12 +35,9 @@
         self.rollouts = self.gateway.rollouts
         self.rollouts.in_use = True
         self.answered = 0
-        # How many gateways' lists have shown to it.
-        self.gateway.confirmation.store_contact.record(fleet.now_ms())
-        self.gateway.versions.record_saved(fleet.now_ms())
 
-    def usable_by(self, now_ms):
-        """Records what a gateway that reaches the store knows of versions."""
+    def reach_store(self, now_ms):
+        """Lets the gateway know that versions are saved."""
         self.gateway.confirmation.store_contact.record(now_ms)
         self.gateway.versions.record_saved(now_ms)
 
@@ -66,7 +61,7 @@
         self.slower = 0.0
         self.bad_from_ms = 0
         self.bad_ms = []
-        # When requests were sent, by version, and names of who sent them.
+        # When requests were sent, by version.
         self.sent_ms = {"v1": [], "v2": []}
         self.members = {}
         self.callers = 0
@@ -138,7 +133,7 @@
     def poll(self, member, now_ms):
         if self.is_away or member.cut:
             return
-        member.usable_by(now_ms)
+        member.reach_store(now_ms)
         member.rollouts.on_rows(self.orders, self.rows, now_ms)
 
     def take_step(self, member, now_ms):
@@ -200,31 +195,20 @@
             self.bad_ms.append(self.now_ms())
         sent.answer(status, b"ok")
 
-    def break_off(self, version):
-        """Kills an upstream of a version with all that it runs."""
-        name = f"{version}-0"
+    def kill_upstream(self, name):
+        """Kills an upstream with all that it runs; it isn't listed then."""
         for member in self.members.values():
             for sent in member.world.sent:
                 if sent.upstream.id == name and not sent.cancelled:
                     sent.cancelled = True
                     sent.end(attempts.End.BROKEN)
+        del self.upstreams[name]
+        for member in self.members.values():
+            member.gateway.update_upstreams(self.upstreams)
 
-
-@dataclasses.dataclass
-class Exposure:
-    """What a new version has got since an order."""
-
-    new: int
-    total: int
-
-    @property
-    def most(self):
-        return 0.1 * self.total + 50
-
-
-def exposure_since(fleet, at_ms):
-    counts = {
-        version: sum(sent_ms >= at_ms for sent_ms in times)
-        for version, times in fleet.sent_ms.items()
-    }
-    return Exposure(counts["v2"], sum(counts.values()))
+    def sent_since(self, at_ms, before_ms=math.inf):
+        """Returns how many requests went to each version."""
+        return {
+            version: sum(at_ms <= sent_ms < before_ms for sent_ms in times)
+            for version, times in self.sent_ms.items()
+        }
--- a/godwitloft/rollouts/judgement.py
+++ b/godwitloft/rollouts/judgement.py
@@ -29,19 +29,23 @@
 # Of a good version's answers, a portion may be bad that is larger than the
 # former one by this factor and this much: upstreams are not all alike.
 MARGIN_FACTOR = 1.2
-MARGIN = 0.01
+MARGIN = 0.005
 # An answer is slow that takes 2.8, 5.7 or 11 times as long as a quarter of the
 # answers of its upstream, by the usual times of their routes. Where times vary
 # much anyway, only the higher bounds tell versions apart.
 SLOW_PLACES = (3.0, 5.0, 7.0)
 # Bound on the ratio, for each route and kind of test.
 FALSE_ALARM = 1 / 300
-SUSPICION = 1 / 50
+# Parts of the evidence that suffices, on a logarithmic scale. With the first,
+# nothing is decided yet; with the second, a version gets all requests only
+# once more answers have cleared it.
+DOUBT = 0.25
+SUSPICION = 0.75
 # Upper bounds of portions are taken so many standard errors up.
 PORTION_ERRORS = 1.64
 # A version is slow that is slower than this by a clear margin.
 ACCEPTED_FACTOR = 1.6
-SLOWER_CRITICAL = 2.33
+SLOWER_CRITICAL = 2.4
 # Variation of upstreams' speeds that is taken for granted, as the standard
 # deviation of the logarithm, and how many upstreams' worth it is.
 USUAL_DEVIATION = 0.35
@@ -118,13 +122,11 @@
     :param counts: its counts, in words
     :param strength: logarithm of the evidence, relative to what suffices: 1
         or more is enough
-    :param suspicion: the same, relative to what is suspicious
     """
 
     what: str
     counts: str
     strength: float
-    suspicion: float
 
 
 def judge(
@@ -168,13 +170,17 @@
     if worst is not None and worst.strength >= 1:
         reason = f"{worst.what}: {worst.counts}"
         return Verdict(Kind.BAD, reason, bad_answers, inputs, True)
-    is_suspicious = any(found.suspicion >= 1 for found in findings)
-    if is_suspicious or answered.answers < MIN_ANSWERS:
+    strength = worst.strength if worst is not None else 0.0
+    if strength >= DOUBT or answered.answers < MIN_ANSWERS:
         reason = f"{answered.answers} answers"
-        if is_suspicious and worst is not None:
-            reason = f"suspicious, {worst.what}: {worst.counts}"
+        if strength >= DOUBT and worst is not None:
+            reason = f"in doubt, {worst.what}: {worst.counts}"
         return Verdict(
-            Kind.TOO_LITTLE, reason, bad_answers, inputs, is_suspicious
+            Kind.TOO_LITTLE,
+            reason,
+            bad_answers,
+            inputs,
+            strength >= SUSPICION,
         )
     reason = (
         f"{answered.failed} of {answered.answers} answers failed, formerly"
@@ -340,16 +346,13 @@
         logs.setdefault(together, []).extend(summed)
         counts.setdefault(together, []).append(total(portions).text())
     enough = math.log(len(logs) / FALSE_ALARM)
-    suspicious = math.log(len(logs) / SUSPICION)
     findings = []
     for name, ratios in logs.items():
         found = log_mean(ratios)
         # The bound of the strongest ratio is the one to report.
         strongest = ratios.index(max(ratios)) // PORTIONS
         text = counts[name][strongest]
-        findings.append(
-            Finding(name, text, found / enough, found / suspicious)
-        )
+        findings.append(Finding(name, text, found / enough))
     return findings
 
 
@@ -377,7 +380,9 @@
     sound = portion.answers - portion.bad
     logs = []
     for step in range(PORTIONS):
-        worse = good + (1 - good) * (step + 0.5) / PORTIONS
+        # Closer to each other where they are small, as bad versions seldom
+        # fail always.
+        worse = good + (1 - good) * ((step + 0.5) / PORTIONS) ** 2
         logs.append(
             portion.bad * math.log(worse / good)
             + sound * math.log((1 - worse) / (1 - good))
@@ -437,8 +442,9 @@
         f"{math.exp(mean - former_mean):.1f} times as long at {len(means)}"
         f" upstreams as at {len(former)} former ones"
     )
-    strength = deviations / SLOWER_CRITICAL
-    return [Finding(SLOWER, counts, strength, strength)]
+    # The logarithm of a probability falls about with the square.
+    strength = math.copysign((deviations / SLOWER_CRITICAL) ** 2, deviations)
+    return [Finding(SLOWER, counts, strength)]
 
 
 def average(values: list[float]) -> float:
