Gateways read orders for roll-outs and write their steps

Nothing read the operators' orders, and steps that a gateway decides on had no way into the store. Orders now come with the configuration, whose table is polled anyway; the table of roll-outs is read once where the platform has the contract, and followed by the two pollers only while a roll-out is under way. The others ask for a digest. A step and its status are one transaction under the condition that the row is unchanged; the rows are read after each write, so that a lost answer, a refusal and a restored store need no cases of their own. Wrong orders are logged once per version, and the pollers write them into the status row.

--- a/features/support/following_gateways.py
+++ b/features/support/following_gateways.py
@@ -10,15 +10,20 @@
 class FollowingGateways:
     """The store, its upstreams, and gateways on one simulated clock."""
 
-    def __init__(self, context, count, upstreams):
-        first = restored_store.RestoredStore(context)
+    def __init__(self, context, count, upstreams, new_rollouts=None):
+        new_rollouts = new_rollouts or (lambda: None)
+        first = restored_store.RestoredStore(context, rollouts=new_rollouts())
         self.first = first
         self.reactor = first.reactor
         self.members = {"127.0.0.1": first}
         for number in range(1, count):
             host = f"127.0.0.{number + 1}"
             self.members[host] = restored_store.RestoredStore(
-                context, first.rows, f"g{number}", host
+                context,
+                first.rows,
+                f"g{number}",
+                host,
+                rollouts=new_rollouts(),
             )
         self.parted = set()
         self.datagram_ms = 2
--- a/features/support/restored_store.py
+++ b/features/support/restored_store.py
@@ -1,6 +1,7 @@
 """A gateway that follows a stand-in store, all on a simulated clock."""
 
 import base64
+import collections
 import dataclasses
 import json
 import random
@@ -11,6 +12,7 @@
 from features.support import gateway_world
 from features.support import lakeshore as settings
 from features.support import logs
+from godwitloft.platform import rollout_watch
 from godwitloft.platform import store as stores
 from godwitloft.platform import stream_table
 from godwitloft.platform import watch as watches
@@ -19,6 +21,7 @@
 STEP_MS = 20
 HEARTBEAT_MS = 1_000
 OPERATOR_MS = 3_000
+POLL_MS = 1_000
 
 
 @dataclasses.dataclass
@@ -47,10 +50,22 @@
         self.read_ms = 0
         self.write_ms = 0
         self.writes_fail = False
+        # Number of writes that take effect, but whose answers are lost.
+        self.lose_answers = 0
         self.waiting = []
+        # Calls by path and table.
+        self.calls = collections.Counter()
 
     def call(self, method, target, body=b"", timeout_ms=1000):
+        path, _, query = target.partition("?")
+        table = dict(urllib.parse.parse_qsl(query)).get("table", "")
+        self.calls[path, table] += 1
         is_write = target.startswith("/rows-tx")
+        if is_write and self.lose_answers:
+            self.lose_answers -= 1
+            answer = self.call_now(target, body)
+            answer.addErrback(lambda _failure: None)
+            return defer.fail(stores.StoreError(target, 0, "lost"))
         if is_write and self.writes_fail:
             return defer.fail(stores.StoreError(target, 503, "failed"))
         is_read = target.startswith("/rows-get")
@@ -157,6 +172,7 @@
         instance="g0",
         host="127.0.0.1",
         is_new=False,
+        rollouts=None,
     ):
         self.log = logs.record(context)
         self.world = gateway_world.World(
@@ -179,6 +195,18 @@
         # Since when the upstream of a row is silent.
         self.silent_s = {}
         self.gateway.config_state.key_proof_ms = 4000
+        self.rollouts = rollouts or self.gateway.rollouts
+        self.gateway.confirmation.rows = self.rollouts
+        self.rollout_watch = rollout_watch.RolloutWatch(
+            self.world.clock,
+            self.store,
+            self.rollouts,
+            self.gateway.confirmation,
+            lambda *row: self.watch.decode_row(*row),
+            self.configuration,
+            self.listed,
+            POLL_MS,
+        )
         sharing = self.world.sharing
         self.watch = watches.Watch(
             self.reactor,
@@ -205,6 +233,8 @@
                 on_restored=self.gateway.on_store_restored,
                 settle_left_ms=self.gateway.config_state.settle_left_ms,
                 count_cut_back=lambda _what, _number: None,
+                on_operator_rows=self.rollout_watch.on_operator_rows,
+                needs_operator_rows=self.rollout_watch.needs_orders,
             ),
             self.gateway.confirmation,
             instance,
@@ -226,9 +256,24 @@
         streams = self.streams
         self.watch.start_loop("streams", streams.needs_reading, streams.read)
         self.watch.start_loop("records", streams.needs_writing, streams.write)
+        rollouts = self.rollout_watch
+        self.watch.start_loop(
+            "roll-outs", rollouts.needs_reading, rollouts.read
+        )
+        self.watch.start_loop("steps", rollouts.needs_writing, rollouts.write)
+
+    def configuration(self):
+        router = self.gateway.config_state.router
+        return router.configuration if router else None
+
+    def listed(self):
+        if self.gateway.confirmation.held_list is None:
+            return None
+        return [state.upstream for state in self.gateway.fleet.listed.values()]
 
     def on_restored(self, before, now):
         self.watch.on_store_restored(before, now)
+        self.rollout_watch.on_restored()
 
     def now_ms(self):
         return self.world.clock.monotonic_ms()
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -59,7 +59,6 @@
 from godwitloft.links.generated.datagrams import ttypes
 
 MAX_NAMES_LOGGED = 20
-EXPOSURE_SHARE = 0.1
 NOT_SENT_FOR_PAUSE = answers.AttemptOutcome(
     outcomes.Result.NOT_SENT, "upstream_paused", unusable=True
 )
@@ -252,7 +251,7 @@
             sharing.others,
             self.fleet,
             dependencies.slot_client.incarnation,
-            EXPOSURE_SHARE,
+            options.rollouts.exposure_share,
             dependencies.instruments,
             self.bases.version_of,
             lambda: (*self.running, *itertools.chain(*self.waiting.values())),
--- a/godwitloft/gateway/options.py
+++ b/godwitloft/gateway/options.py
@@ -45,6 +45,7 @@
     :param store_outage_ms: the shortest absence of the store in which the
         registration of a live upstream can expire
     :param rollouts: bounds on roll-outs
+    :param has_rollouts: whether operators may order roll-outs
     """
 
     instance: str
@@ -60,3 +61,4 @@
     max_held_bytes: int
     store_outage_ms: int
     rollouts: RolloutBounds = RolloutBounds()
+    has_rollouts: bool = False
--- a/godwitloft/gateway/peers/peer_confirmation.py
+++ b/godwitloft/gateway/peers/peer_confirmation.py
@@ -32,6 +32,10 @@
 # A gateway whose last confirmation is older polls the store itself.
 MAX_VERSION_AGE_MS = 2_000
 MAX_LIST_AGE_MS = 1_400
+# A poller waits for changes up to 1.5 s at a time, and counts the age of what
+# it holds from the start of a wait, so that it tells ages up to 3 s; gateways
+# ask every 400 ms.
+MAX_ROWS_AGE_MS = 3_500
 # Pollers read the list more often than this. If an answer's list is older,
 # the next poller is asked from then on.
 MAX_POLLED_LIST_AGE_MS = 900
@@ -179,12 +183,12 @@
 
         :param now_ms: the current time
         :return: whether their confirmation is at most
-            :data:`MAX_VERSION_AGE_MS` old, or none are needed
+            :data:`MAX_ROWS_AGE_MS` old, or none are needed
         """
         if self.rows is None or not self.rows.in_use:
             return True
         at_ms = self.rows.orders_current_ms
-        return at_ms is not None and now_ms - at_ms <= MAX_VERSION_AGE_MS
+        return at_ms is not None and now_ms - at_ms <= MAX_ROWS_AGE_MS
 
     def needs_rows(self) -> bool:
         """Returns whether orders and roll-outs must be read from the store.
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -26,6 +26,7 @@
 from godwitloft.platform import agent
 from godwitloft.platform import headers
 from godwitloft.platform import life_check
+from godwitloft.platform import rollout_watch
 from godwitloft.platform import settings
 from godwitloft.platform import store as stores
 from godwitloft.platform import stream_table
@@ -155,9 +156,12 @@
     )
     port = datagrams.Port(gateway.on_datagram)
     datagrams.listen(reactor, boot.first_port, port, boot.host)
-    timeline = stores.Timeline(
-        lambda before, now: watch.on_store_restored(before, now)
-    )
+
+    def on_store_restored(before: int, now: int) -> None:
+        rollouts.on_restored()
+        watch.on_store_restored(before, now)
+
+    timeline = stores.Timeline(on_store_restored)
     gateway.knowledge.store_timeline = lambda: timeline.current
     gateway.knowledge.on_peer_timeline = timeline.observe
     store = stores.Store(
@@ -171,6 +175,28 @@
         timeline,
     )
 
+    def configuration() -> model.Configuration | None:
+        router = gateway.config_state.router
+        return router.configuration if router is not None else None
+
+    def listed() -> list[model.Upstream] | None:
+        if gateway.confirmation.held_list is None:
+            return None
+        return [state.upstream for state in gateway.fleet.listed.values()]
+
+    gateway.rollouts.in_use = boot.options.has_rollouts
+    gateway.confirmation.rows = gateway.rollouts
+    rollouts = rollout_watch.RolloutWatch(
+        clock,
+        store,
+        gateway.rollouts,
+        gateway.confirmation,
+        lambda *row: watch.decode_row(*row),
+        configuration,
+        listed,
+        watches.MAX_CHANGES_WAIT_MS,
+    )
+
     def count_cut_back(what: str, number: int) -> None:
         instruments.store_restores.add(number, {"what": what})
 
@@ -199,6 +225,8 @@
             on_restored=gateway.on_store_restored,
             settle_left_ms=gateway.config_state.settle_left_ms,
             count_cut_back=count_cut_back,
+            on_operator_rows=rollouts.on_operator_rows,
+            needs_operator_rows=rollouts.needs_orders,
         ),
         gateway.confirmation,
         boot.instance,
@@ -215,6 +243,8 @@
         watch.start()
         watch.start_loop("streams", streams.needs_reading, streams.read)
         watch.start_loop("records", streams.needs_writing, streams.write)
+        watch.start_loop("roll-outs", rollouts.needs_reading, rollouts.read)
+        watch.start_loop("steps", rollouts.needs_writing, rollouts.write)
 
     listen = daemon.ListenOptions(
         host=boot.front.host,
--- a/godwitloft/platform/settings.py
+++ b/godwitloft/platform/settings.py
@@ -29,6 +29,8 @@
 # A request accepted up to this long after SIGTERM may still be unfinished at
 # SIGKILL. A later one must not be, so none is accepted later.
 MAX_ACCEPT_MS = 2_800
+# What the list of contracts has where operators may order roll-outs.
+ROLLOUT_CONTRACT = "rollout"
 DEFAULT_MEMORY_MB = 128
 BYTES_PER_MB = 1_000_000
 # Of the memory of a process, for bodies of requests: while a request is being
@@ -285,6 +287,16 @@
     )
 
 
+def has_rollouts(reader: Reader) -> bool:
+    """Returns whether operators may order roll-outs.
+
+    :param reader: reads the settings file
+    :return: whether the platform says so
+    """
+    contracts = reader.find("contracts")
+    return isinstance(contracts, list) and ROLLOUT_CONTRACT in contracts
+
+
 def decode_options(reader: Reader) -> options.Options:
     """Translates the platform's bounds to the options of a gateway.
 
@@ -324,4 +336,5 @@
         max_held_bytes=decode_max_held_bytes(reader),
         store_outage_ms=int(decode_heartbeat(reader) * OUTAGE_HEARTBEATS),
         rollouts=decode_rollout_bounds(reader),
+        has_rollouts=has_rollouts(reader),
     )
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -95,6 +95,10 @@
         a restore
     :param count_cut_back: called with what a restore of the store has cut
         back, and how many rows
+    :param on_operator_rows: called with rows of the operators' table, whether
+        they are all or those that have changed, and when they were asked for
+    :param needs_operator_rows: returns whether that table must be read for
+        other rows than the configuration
     """
 
     on_configuration: typing.Callable[[model.Configuration], None]
@@ -121,6 +125,8 @@
     on_restored: typing.Callable[[int], None]
     settle_left_ms: typing.Callable[[], int]
     count_cut_back: typing.Callable[[str, int], None]
+    on_operator_rows: typing.Callable[[stores.ReadResult, bool, int], None]
+    needs_operator_rows: typing.Callable[[], bool]
 
 
 class Backoff:
@@ -323,10 +329,14 @@
     def needs_configuration(self) -> bool:
         """Returns whether the configuration must be read from the store.
 
-        :return: True if none was read yet, or if no other gateway confirms
-            that it is current
+        :return: True if none was read yet, if no other gateway confirms that
+            it is current, or if other rows of its table are needed
         """
-        return not self.has_configuration or self.confirmation.needs_version()
+        return (
+            not self.has_configuration
+            or self.confirmation.needs_version()
+            or self.callbacks.needs_operator_rows()
+        )
 
     @defer.inlineCallbacks
     def read_configuration(
@@ -352,6 +362,7 @@
         for row in result.rows:
             if row.key == CONFIGURATION_KEY and row.value is not None:
                 is_known = self.apply_configuration(row) or is_known
+        self.callbacks.on_operator_rows(result, position is None, started_ms)
         if is_known:
             self.has_configuration = True
             self.confirmation.mark_version_read()
