--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -59,7 +59,6 @@
 from godwitloft.links.generated.datagrams import ttypes
 
 MAX_NAMES_LOGGED = 20
-
 NOT_SENT_FOR_PAUSE = answers.AttemptOutcome(
     outcomes.Result.NOT_SENT, "upstream_paused", unusable=True
 )
--- a/godwitloft/gateway/rollouts.py
+++ b/godwitloft/gateway/rollouts.py
@@ -395,8 +395,13 @@
         active = self.active.get(service)
         order = self.pending_order(service)
         if order is not None:
-            former = self.former_versions(order)
-            return plan.begin(order, former, store_now_ms) if former else None
+            versions = {
+                state.upstream.version
+                for state in self.fleet.listed.values()
+                if state.upstream.service == service
+            }
+            before = active.rollout if active is not None else None
+            return plan.begin(order, versions, before, store_now_ms)
         if active is None:
             return None
         rollout = active.rollout
@@ -420,27 +425,6 @@
             return None
         return order
 
-    def former_versions(self, order: types.Order) -> tuple[str, ...]:
-        """Returns the versions that serve before an order is carried out.
-
-        :param order: an order
-        :return: without the new version of a roll-out that it ends
-        """
-        versions = {
-            state.upstream.version
-            for state in self.fleet.listed.values()
-            if state.upstream.service == order.service
-        }
-        versions.discard(order.to)
-        active = self.active.get(order.service)
-        if active is not None:
-            rollout = active.rollout
-            unused = {rollout.to}
-            if rollout.phase is types.Phase.COMPLETED:
-                unused = {*rollout.former}
-            versions = versions - unused or versions
-        return tuple(sorted(versions))
-
     def is_confirmed(self, rollout: types.Rollout) -> bool:
         """Returns whether no other gateway uses a former version.
 
@@ -641,6 +625,8 @@
         if active is None:
             return False
         rollout = active.rollout
+        if version in rollout.unused:
+            return True
         if rollout.phase is types.Phase.COMPLETED:
             return version in rollout.former
         if rollout.phase is types.Phase.ROLLED_BACK or active.has_stopped:
--- a/godwitloft/platform/rollout_rows.py
+++ b/godwitloft/platform/rollout_rows.py
@@ -107,6 +107,7 @@
         reason=optional_text(fields, "reason"),
         bad_answers=fields.whole("bad", default=0),
         decider=optional_text(fields, "decider"),
+        unused=fields.texts("unused"),
     )
 
 
@@ -141,6 +142,7 @@
             "reason": rollout.reason,
             "bad": rollout.bad_answers,
             "decider": rollout.decider,
+            "unused": list(rollout.unused),
         }
     )
 
--- a/godwitloft/rollouts/plan.py
+++ b/godwitloft/rollouts/plan.py
@@ -1,6 +1,7 @@
 """Decides which step of a roll-out is due."""
 
 import dataclasses
+import typing
 
 from godwitloft.rollouts import judgement
 from godwitloft.rollouts import types
@@ -56,19 +57,35 @@
 
 
 def begin(
-    order: types.Order, former: tuple[str, ...], store_now_ms: int
-) -> types.Rollout:
+    order: types.Order,
+    versions: typing.Collection[str],
+    before: types.Rollout | None,
+    store_now_ms: int,
+) -> types.Rollout | None:
     """Returns the roll-out that an order begins.
 
     :param order: the order
-    :param former: the other versions of the service's upstreams
+    :param versions: all versions of the service's upstreams
+    :param before: the last roll-out of its service, None for none
     :param store_now_ms: the current time on the store's clock
+    :return: None while there is no other version
     """
+    unused: set[str] = set()
+    if before is not None:
+        unused = {*before.unused, before.to}
+        if before.phase is types.Phase.COMPLETED:
+            unused = {*before.unused, *before.former}
+    others = {*versions} - {order.to}
+    # Where there is no other version, an unproven one serves.
+    former = others - unused or others
+    if not former:
+        return None
     return types.Rollout(
         service=order.service,
         order_version=order.version,
         to=order.to,
-        former=former,
+        former=tuple(sorted(former)),
+        unused=tuple(sorted(others - former)),
         phase=types.Phase.JUDGING,
         started_ms=store_now_ms,
         duration_ms=order.duration_ms,
--- a/godwitloft/rollouts/types.py
+++ b/godwitloft/rollouts/types.py
@@ -53,6 +53,8 @@
     :param reason: why the last step was taken, for operators
     :param bad_answers: bad answers of the new version known by then
     :param decider: name of the gateway that took the last step
+    :param unused: new versions of roll-outs that this one has ended before
+        they were known to be good; they get no request
     """
 
     service: str
@@ -65,6 +67,7 @@
     reason: str = ""
     bad_answers: int = 0
     decider: str = ""
+    unused: tuple[str, ...] = ()
 
     @property
     def ends_ms(self) -> int:
