--- a/features/explaining.feature
+++ b/features/explaining.feature
@@ -165,3 +165,21 @@
     And its log is saved once it has ended
     Then the explain command for "s1" prints "the answer was cut off: at the limit of a planned stop, "
     And the audit of the log finds no breach
+
+  # Guards against a roll-out of which nobody can tell why it ended.
+  Scenario: A roll-out is explained from the logs of gateways
+    Given the log of "edge-1"
+      | ms | event | fields |
+      | 0 | GL1321 | service=s order=7 to=v2 former=["v1"] phase=judging reason=ordered decider=g2 |
+      | 900 | GL1324 | service=s order=7 to=v2 phase=judging sent=90 sent_to_new=6 decider=g2 answers=5 failed=0 |
+      | 2000 | GL1323 | service=s order=7 to=v2 phase=judging reason=failed sent=200 sent_to_new=16 decider=g1 answers=15 failed=6 former_answers=170 former_failed=1 evidence=1.1 strongest=failed |
+      | 2100 | GL1321 | service=s order=7 to=v2 former=["v1"] phase=rolled_back reason=failed decider=g1 |
+    When roll-outs are explained
+    Then the text has
+      | line |
+      | s: v1 to v2, order 7 |
+      | state: rolled_back since 2.1 s |
+      | decided by: g1 since 2.0 s |
+      | sent to v2: 16 of 200 requests (8.0%) |
+      | for it: 15 answers, 6 failed; former versions: 170, 1 failed |
+      | against it: failed (evidence 1.1, 1 suffices) |
--- a/features/steps/explaining_steps.py
+++ b/features/steps/explaining_steps.py
@@ -13,6 +13,8 @@
 from godwitloft.audit import explanation
 from godwitloft.audit import log_promises
 from godwitloft.audit import request_logs
+from godwitloft.audit import rollout_history
+from godwitloft.ui import rollout
 
 ROOT = pathlib.Path(__file__).parents[2]
 RUNNER_SLOTS = 8
@@ -182,3 +184,16 @@
     ]
     expected = [] if promise == "-" else [promise]
     assert found == expected, context.report
+
+
+@when("roll-outs are explained")
+def explain_rollouts(context):
+    context.text = []
+    for history in rollout_history.find(context.logs):
+        context.text += rollout.format_history(history)
+
+
+@then("the text has")
+def text_has(context):
+    for row in context.table:
+        assert row["line"] in context.text, context.text
--- a/godwitloft/rollouts/judgement.py
+++ b/godwitloft/rollouts/judgement.py
@@ -165,7 +165,11 @@
         "former_answers": former_answered.answers,
         "former_failed": former_answered.failed,
         "evidence": round(worst.strength, 2) if worst is not None else 0.0,
-        "strongest": f"{worst.what}: {worst.counts}" if worst else "",
+        "strongest": (
+            f"{worst.what}: {worst.counts}"
+            if worst is not None and worst.strength > 0
+            else ""
+        ),
     }
     if worst is not None and worst.strength >= 1:
         reason = f"{worst.what}: {worst.counts}"
--- a/godwitloft/ui/main.py
+++ b/godwitloft/ui/main.py
@@ -22,6 +22,7 @@
 from godwitloft.ui import replay
 from godwitloft.ui import report
 from godwitloft.ui import revise
+from godwitloft.ui import rollout
 from godwitloft.ui import session as sessions
 from godwitloft.ui import show
 from godwitloft.ui import status
@@ -46,6 +47,7 @@
     drain.Drain: drain.run,
     audit.Audit: audit.run,
     replay.Replay: replay.run,
+    rollout.Rollout: rollout.run,
 }
 
 
@@ -70,6 +72,7 @@
         | drain.Drain
         | audit.Audit
         | replay.Replay
+        | rollout.Rollout
     ]
 
 
