Long streams count as known once they have begun; streams are tested over a roll-out

Cause: streams that outlast the judgement gave no answers, so that nothing was known of their version.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -84,6 +84,13 @@
       | completed | going on | v2,v3 | no | yes |
       | rolled_back | going on | v1,v3 | yes | no |
 
+  # Guards against a stream that is taken up at another version, as nothing else
+  # is left or as the roll-out has ended.
+  Scenario: Streams go on only at the version that began them
+    Given 3 gateways and engines of versions "v1 v1 v1 v1"
+    When streams begin, break off and are taken up while "v2" is rolled out
+    Then streams have begun at "v1" and "v2", and none has both
+
   # Guards against counts that grow or vanish with datagrams.
   Scenario: Counts of a process are taken over once
     Given counts of two processes
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -253,6 +253,37 @@
     assert context.may_send(version, version) == (answer == "yes")
 
 
+@when(
+    'streams begin, break off and are taken up while "{version}" is rolled out'
+)
+def streams_in_rollout(context, version):
+    fleet = context.streams
+    for member in fleet.members.values():
+        member.rollouts.in_use = True
+    order = {"service": "model", "to": version, "duration-s": 12}
+    fleet.first.rows.put_json("op", "rollout/model", order)
+    for _ in range(4):
+        fleet.start_engine(version)
+    for number in range(90):
+        fleet.begin_one(1 + number % 3)
+        fleet.advance(100)
+        if number % 15 == 10:
+            fleet.break_connections()
+            fleet.take_up_at_others()
+    fleet.collect()
+    known = [member.rollouts.active for member in fleet.members.values()]
+    phases = {active["model"].rollout.phase for active in known}
+    assert phases == {types.Phase.COMPLETED}, phases
+
+
+@then('streams have begun at "{first}" and "{second}", and none has both')
+def no_joined(context, first, second):
+    fleet = context.streams
+    held = [fleet.held_versions(stream) for stream in fleet.streams]
+    assert all(len(versions) <= 1 for versions in held), held
+    assert set().union(*held) == {first.encode(), second.encode()}, held
+
+
 @given("counts of two processes")
 def processes(context):
     context.counters = [evidence.Counters(), evidence.Counters()]
--- a/godwitloft/gateway/rollouts.py
+++ b/godwitloft/gateway/rollouts.py
@@ -28,7 +28,8 @@
 # A new version is used only if the orders were current this long after it was
 # first listed: an order may be written some time later than its upstreams.
 ORDERS_DELAY_MS = 1_000
-JUDGE_INTERVAL_MS = 100
+# A judgement of 280 counts takes 3 ms.
+JUDGE_INTERVAL_MS = 200
 LOG_INTERVAL_MS = 1_000
 # Counts in one announcement, which should fit into one packet.
 MAX_CELLS = 16
@@ -721,7 +722,8 @@
         rollout = active.rollout
         counts = self.evidence.merged(rollout.service, rollout.order_version)
         verdict = judgement.judge(counts, rollout.to, rollout.former)
-        active.answers = verdict.inputs["answers"]
+        inputs = verdict.inputs
+        active.answers = max(inputs["answers"], inputs["timed"])
         active.verdict = verdict
         if verdict.kind is judgement.Kind.BAD:
             self.stop(active, verdict)
--- a/godwitloft/rollouts/plan.py
+++ b/godwitloft/rollouts/plan.py
@@ -149,8 +149,9 @@
     since_ms = store_now_ms - rollout.started_ms
     if verdict.kind is judgement.Kind.GOOD_SO_FAR:
         return since_ms >= GOOD_SHARE * rollout.duration_ms
-    answers = verdict.inputs.get("answers", 0)
-    if not answers and verdict.inputs.get("former_answers", 0) > MANY_ANSWERS:
+    inputs = verdict.inputs
+    answers = inputs.get("answers", 0) + inputs.get("timed", 0)
+    if not answers and inputs.get("former_answers", 0) > MANY_ANSWERS:
         return False
     return since_ms >= UNKNOWN_SHARE * rollout.duration_ms
 
