--- a/godwitloft/gateway/rollouts.py
+++ b/godwitloft/gateway/rollouts.py
@@ -135,6 +135,9 @@
         # Whether a peer knows more than the rows that were read tell.
         self.rows_outdated = False
         self.orders: dict[str, types.Order] = {}
+        # When each order was first read: its time counts from then on, also
+        # if the gateway that should begin is gone.
+        self.seen_ms: dict[types.Order, int] = {}
         self.active: dict[str, Active] = {}
         self.held_digest: int | None = None
         self.peers: dict[str, Peer] = {}
@@ -161,6 +164,10 @@
         self.rows_outdated = False
         # An order whose row is gone says nothing of the operator's mind.
         self.orders = dict(orders)
+        now_ms = self.clock.monotonic_ms()
+        self.seen_ms = {
+            order: self.seen_ms.get(order, now_ms) for order in orders.values()
+        }
         text = repr((sorted(orders.items()), sorted(rollouts.items())))
         self.held_digest = zlib.crc32(text.encode())
         for service, active in self.active.items():
@@ -401,7 +408,9 @@
                 if state.upstream.service == service
             }
             before = active.rollout if active is not None else None
-            return plan.begin(order, versions, before, store_now_ms)
+            age_ms = self.clock.monotonic_ms() - self.seen_ms[order]
+            start_ms = max(0, store_now_ms - age_ms)
+            return plan.begin(order, versions, before, start_ms)
         if active is None:
             return None
         rollout = active.rollout
--- a/godwitloft/standins/lakeshore_words.py
+++ b/godwitloft/standins/lakeshore_words.py
@@ -74,6 +74,11 @@
     :param retry_ratio: retries allowed for each first request
     :param retry_extra: retries allowed in addition
     :param retry_window_s: window over which retries are counted
+    :param exposure_share: share of requests that a bad version may get; if it
+        is set, operators may order roll-outs
+    :param exposure_slack: requests that it may get in addition
+    :param rollback_ms: time after its 50th bad answer from which on it must
+        get none
     """
 
     leave_s: int
@@ -84,6 +89,9 @@
     retry_ratio: float | None = None
     retry_extra: int | None = None
     retry_window_s: int | None = None
+    exposure_share: float | None = None
+    exposure_slack: int | None = None
+    rollback_ms: int | None = None
 
 
 BOUND_NAMES: typing.Mapping[str, str] = {
@@ -95,6 +103,9 @@
     "retry_ratio": "retry-budget-ratio",
     "retry_extra": "retry-budget-extra",
     "retry_window_s": "budget-window-s",
+    "exposure_share": "exposure-share",
+    "exposure_slack": "exposure-slack",
+    "rollback_ms": "rollback-ms",
 }
 
 
@@ -196,6 +207,8 @@
         f"heartbeat-ms = {HEARTBEAT_MS}",
         "a-new-field = true",
     ]
+    if bounds.exposure_share is not None:
+        lines.append('contracts = ["placement", "rollout"]')
     if machine.upstream is not None:
         lines.append(f'app = "{machine.upstream}"')
     if machine.front is not None:
