--- a/godwitloft/gateway/peers/peer_status.py
+++ b/godwitloft/gateway/peers/peer_status.py
@@ -9,7 +9,9 @@
 import math
 
 from godwitloft.gateway.crashes import crash_reports
+from godwitloft.gateway.peers import rollout_status
 from godwitloft.links.generated.datagrams import ttypes
+from godwitloft.rollouts import evidence
 
 
 @dataclasses.dataclass(frozen=True)
@@ -63,6 +65,7 @@
     :param sound: which of these causes are sound
     :param blames: what is blamed for crashes
     :param limits: what upstreams have said of their limits
+    :param rollouts: counts and phases of roll-outs, None without any
     """
 
     version: int = 0
@@ -73,6 +76,7 @@
     sound: tuple[crash_reports.SoundReport, ...] = ()
     blames: tuple[crash_reports.BlameReport, ...] = ()
     limits: tuple[LimitReport, ...] = ()
+    rollouts: evidence.PeerRollouts | None = None
 
 
 def encode(status: PeerStatus, sharing: ttypes.Sharing) -> None:
@@ -112,6 +116,8 @@
         )
         for report in status.limits
     ] or None
+    # The last, as it gets the space that is left.
+    rollout_status.encode(status.rollouts, sharing)
 
 
 def decode(sharing: ttypes.Sharing) -> PeerStatus:
@@ -151,6 +157,7 @@
             for entry in sharing.limits or ()
             if is_limit(entry.per_s)
         ),
+        rollouts=rollout_status.decode(sharing),
     )
 
 
--- a/godwitloft/gateway/placing/placer.py
+++ b/godwitloft/gateway/placing/placer.py
@@ -38,6 +38,17 @@
         self.now_ms = now_ms
         self.states: dict[str, fleets.UpstreamState] = {}
         self.places: dict[str, placement.Place] = {}
+        # Divides upstreams into those to be tried first and others, and omits
+        # some, in a roll-out.
+        self.groups: (
+            typing.Callable[
+                [requests.Request, str | None, Candidates],
+                typing.Iterable[list[placement.Place]],
+            ]
+            | None
+        ) = None
+        # Versions of those with room; None until asked for, and after changes.
+        self.roomy: set[str] | None = None
         for state in states:
             self.states[state.upstream.id] = state
             self.update(state)
@@ -47,6 +58,7 @@
 
         :param state: one of the upstreams
         """
+        self.roomy = None
         place = self.place(state, self.now_ms)
         if place is not None:
             self.places[state.upstream.id] = place
@@ -57,6 +69,19 @@
         """Returns whether any request might be sent now."""
         return any(place.has_room for place in self.places.values())
 
+    def versions_with_room(self) -> set[str]:
+        """Returns the versions of the upstreams that have room.
+
+        It is the same for all requests that wait, of which there may be many.
+        """
+        if self.roomy is None:
+            self.roomy = {
+                self.states[name].upstream.version
+                for name, place in self.places.items()
+                if place.has_room
+            }
+        return self.roomy
+
     def choose(
         self, request: requests.Request, version: str | None
     ) -> fleets.UpstreamState | None:
@@ -68,13 +93,21 @@
         """
         if self.now_ms < request.resend_at_ms:
             return None
-        place = placement.choose(
-            self.places_of(version),
-            request.facts.sizes.prompt_tokens,
-            request.facts.target_at_ms - self.now_ms,
-            request.tried_upstreams,
-        )
-        return self.states[place.id] if place is not None else None
+        groups: typing.Iterable[list[placement.Place]]
+        if self.groups is None:
+            groups = (self.places_of(version),)
+        else:
+            groups = self.groups(request, version, self)
+        for group in groups:
+            place = placement.choose(
+                group,
+                request.facts.sizes.prompt_tokens,
+                request.facts.target_at_ms - self.now_ms,
+                request.tried_upstreams,
+            )
+            if place is not None:
+                return self.states[place.id]
+        return None
 
     def places_of(self, version: str | None) -> list[placement.Place]:
         """Returns the upstreams of a version.
--- a/godwitloft/platform/settings.py
+++ b/godwitloft/platform/settings.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import ipaddress
+import math
 import os
 import pathlib
 import tomllib
@@ -28,6 +29,8 @@
 # A request accepted up to this long after SIGTERM may still be unfinished at
 # SIGKILL. A later one must not be, so none is accepted later.
 MAX_ACCEPT_MS = 2_800
+# What the list of contracts has where operators may order roll-outs.
+ROLLOUT_CONTRACT = "rollout"
 DEFAULT_MEMORY_MB = 128
 BYTES_PER_MB = 1_000_000
 # Of the memory of a process, for bodies of requests: while a request is being
@@ -162,6 +165,9 @@
             raise SettingsError(self.path, field, f"{value!r} is not a number")
         if value < 0:
             raise SettingsError(self.path, field, f"{value!r} is negative")
+        # TOML has infinities and NaN.
+        if not math.isfinite(value):
+            raise SettingsError(self.path, field, f"{value!r} is not finite")
         return value
 
     def address(self, field: str) -> Address | None:
@@ -259,6 +265,38 @@
     return int(BODY_MEMORY_SHARE * memory_mb * BYTES_PER_MB)
 
 
+def decode_rollout_bounds(reader: Reader) -> options.RolloutBounds:
+    """Translates the platform's bounds on roll-outs.
+
+    :param reader: reads the settings file
+    :return: the bounds; the platform leaves them out where no roll-outs are
+        in use
+    :raises SettingsError: if one of them is invalid
+    """
+    defaults = options.RolloutBounds()
+    return options.RolloutBounds(
+        exposure_share=reader.number(
+            "bounds.exposure-share", defaults.exposure_share
+        ),
+        exposure_slack=int(
+            reader.number("bounds.exposure-slack", defaults.exposure_slack)
+        ),
+        rollback_ms=int(
+            reader.number("bounds.rollback-ms", defaults.rollback_ms)
+        ),
+    )
+
+
+def has_rollouts(reader: Reader) -> bool:
+    """Returns whether operators may order roll-outs.
+
+    :param reader: reads the settings file
+    :return: whether the platform says so
+    """
+    contracts = reader.find("contracts")
+    return isinstance(contracts, list) and ROLLOUT_CONTRACT in contracts
+
+
 def decode_options(reader: Reader) -> options.Options:
     """Translates the platform's bounds to the options of a gateway.
 
@@ -297,4 +335,6 @@
         ),
         max_held_bytes=decode_max_held_bytes(reader),
         store_outage_ms=int(decode_heartbeat(reader) * OUTAGE_HEARTBEATS),
+        rollouts=decode_rollout_bounds(reader),
+        has_rollouts=has_rollouts(reader),
     )
--- a/godwitloft/rollouts/types.py
+++ b/godwitloft/rollouts/types.py
@@ -53,6 +53,8 @@
     :param reason: why the last step was taken, for operators
     :param bad_answers: bad answers of the new version known by then
     :param decider: name of the gateway that took the last step
+    :param unused: new versions of roll-outs that this one has ended before
+        they were known to be good; they get no request
     """
 
     service: str
@@ -65,6 +67,7 @@
     reason: str = ""
     bad_answers: int = 0
     decider: str = ""
+    unused: tuple[str, ...] = ()
 
     @property
     def ends_ms(self) -> int:
@@ -82,3 +85,15 @@
 
     rollout: Rollout
     row_version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Saved:
+    """A roll-out as it was read.
+
+    :param rollout: the roll-out
+    :param row_version: version of its row in the store
+    """
+
+    rollout: Rollout
+    row_version: int
