Divide the room of upstreams by the gateways' demand

Without an agent, each gateway had an equal share of an upstream's slots, whatever waited there. Gateways now announce what runs, waits and arrives for each service, and each computes its share from that; a larger share is used 100 ms later. Where a gateway announces none, nothing changes.

The start rate kept a gateway from admitting anything for a second after a time without starts, also with free room; it no longer counts while nothing waits and a request could start.

--- a/godwitloft/gateway/allowances/announcer.py
+++ b/godwitloft/gateway/allowances/announcer.py
@@ -1,5 +1,6 @@
 """Composes announcements to the other gateways, and sends them."""
 
+import dataclasses
 import heapq
 import typing
 
@@ -13,6 +14,19 @@
 MAX_TEAMS_ANNOUNCED = 20
 
 
+@dataclasses.dataclass(frozen=True)
+class RoomDemand:
+    """This gateway's demand for services.
+
+    :param refresh: takes the present demand for the announced one, called
+        before it is sent to all others
+    :param to_send: returns the announced demand, None if none is announced
+    """
+
+    refresh: typing.Callable[[], None]
+    to_send: typing.Callable[[], list[ttypes.ServiceDemand] | None]
+
+
 class Announcer:
     """Sends announcements, and learns how long they take.
 
@@ -42,6 +56,8 @@
         self.own_status: typing.Callable[[], peer_status.PeerStatus] = (
             peer_status.PeerStatus
         )
+        # Set by a gateway that announces its demand for services.
+        self.room_demand = RoomDemand(_nothing, _none)
 
     def choose_teams(
         self,
@@ -76,6 +92,7 @@
         :param team_demands: demands and committed tokens of teams
         :param partial: whether teams that are missing are unchanged
         """
+        self.room_demand.refresh()
         sharing = self.message(team_demands, partial)
         data = datagrams.encode(sharing=sharing)
         now_ms = self.clock.monotonic_ms()
@@ -106,6 +123,7 @@
             partial=partial or None,
             starting=self.start.questions.is_asking or None,
         )
+        sharing.room_demands = self.room_demand.to_send()
         peer_status.encode(self.own_status(), sharing)
         return sharing
 
@@ -127,3 +145,11 @@
             self.round_trips.hold(message.gateway, message.asked_ms, now_ms)
         if message.answer_ms is not None:
             self.round_trips.learn(message.answer_ms, now_ms)
+
+
+def _nothing() -> None:
+    pass
+
+
+def _none() -> None:
+    return None
--- a/godwitloft/gateway/allowances/peers.py
+++ b/godwitloft/gateway/allowances/peers.py
@@ -1,7 +1,10 @@
 """What another gateway has announced of its use of allowances."""
 
 import dataclasses
+import typing
 
+from godwitloft.gateway.allowances import room_demand
+from godwitloft.gateway.placing import demand_share
 from godwitloft.links.generated.datagrams import ttypes
 
 
@@ -16,6 +19,8 @@
     :param received_ms: when the announcement was received
     :param is_starting: whether it is still asking what it had used before it
         was started
+    :param rooms: demand by service, None if it announces none, as an older
+        release does
     """
 
     demands: dict[str, float]
@@ -23,6 +28,7 @@
     team_ms: dict[str, int]
     received_ms: int
     is_starting: bool = False
+    rooms: typing.Mapping[str, demand_share.Demand] | None = None
 
 
 def receive(
@@ -51,5 +57,10 @@
                 demands[team] = previous.demands[team]
                 committed[team] = previous.committed[team]
     return Peer(
-        demands, committed, team_ms, now_ms, is_starting=bool(sharing.starting)
+        demands,
+        committed,
+        team_ms,
+        now_ms,
+        is_starting=bool(sharing.starting),
+        rooms=room_demand.decode(sharing.room_demands),
     )
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -27,6 +27,7 @@
 from godwitloft.gateway import retry_policy as retry_policies
 from godwitloft.gateway import send_checks
 from godwitloft.gateway import shutdown as shutdowns
+from godwitloft.gateway.allowances import announcer as announcers
 from godwitloft.gateway.allowances import sharing as sharings
 from godwitloft.gateway.callers import dialect as dialects
 from godwitloft.gateway.callers import http_server
@@ -189,6 +190,9 @@
             dependencies.sharing,
             dependencies.slot_client,
         )
+        sharing.announcer.room_demand = announcers.RoomDemand(
+            self.placer.room_shares.refresh, self.placer.room_shares.to_send
+        )
         self.retry_policy = retry_policies.RetryPolicy(
             self.fleet, dependencies.sharing, options.retries
         )
@@ -208,6 +212,7 @@
             self.retry_policy.crashes,
             dependencies.rng,
             self.fleet,
+            self.placer.has_room,
         )
         self.send_checks = send_checks.SendChecks(
             self.config_state,
@@ -494,6 +499,9 @@
                 request, request_checkers.LEAVING_REFUSAL
             )
             return
+        self.placer.room_shares.record_arrival(
+            request, self.clock.monotonic_ms()
+        )
         refusal = self.admission.admit(request, queue)
         if refusal is not None:
             self.final_answers.refuse(request, refusal)
@@ -559,6 +567,10 @@
                 break
             if request.state is not requests.State.WAITING:
                 continue  # ended while others were sent
+            if self.placer.room_shares.is_held(request, now_ms):
+                still_waiting.append(request)
+                self.reports.count_held(request)
+                continue
             state = candidates.choose(request, self.holds.version_for(request))
             if state is None:
                 still_waiting.append(request)
@@ -621,6 +633,7 @@
         request.upstream_state = state
         request.answer = answers.Answer(request, self.dialect)
         state.record_start(now_ms)
+        self.placer.room_shares.record_start(facts.service)
         self.holds.record_origin(request)
         request.prompt_tokens_ahead = (
             state.pending_prompt_tokens + state.pending_prompt_tokens_elsewhere
@@ -631,7 +644,10 @@
         self.admission.record_start(request, now_ms)
         self.dependencies.instruments.wait_ms.record(now_ms - facts.arrived_ms)
         self.reports.report_sent(
-            request, state.running, self.placer.allowed(state, now_ms)
+            request,
+            state.running,
+            self.placer.allowed(state, now_ms),
+            self.placer.share_fields(state, now_ms),
         )
         attempt_number = request.attempt_count
         callbacks = attempts.AttemptCallbacks(
@@ -824,6 +840,10 @@
         self.running.discard(request)
         if state is not None:
             state.running -= 1
+            self.placer.room_shares.record_end(
+                request.facts.service,
+                self.clock.monotonic_ms() - request.sent_ms,
+            )
             state.pending_prompt_tokens -= request.pending_prompt_tokens
             request.pending_prompt_tokens = 0
         return state
--- a/godwitloft/gateway/placing/admission.py
+++ b/godwitloft/gateway/placing/admission.py
@@ -111,6 +111,7 @@
     :param crashes: requests that crash upstreams
     :param rng: randomizes retry delays
     :param fleet: the upstreams
+    :param has_room: returns whether a request to a service could start now
     """
 
     def __init__(
@@ -120,8 +121,10 @@
         crashes: crash_tracker.CrashTracker,
         rng: random.Random,
         fleet: fleets.Fleet,
+        has_room: typing.Callable[[str], bool] = lambda _service: False,
     ) -> None:
         self.fleet = fleet
+        self.has_room = has_room
         self.clock = clock
         self.sharing = sharing
         self.crashes = crashes
@@ -233,6 +236,10 @@
         load = self.load_of(request.facts.service)
         if not load.was_overloaded(rank, now_ms):
             return False
+        # After a time without starts, the start rate would keep out all
+        # requests although there is room again.
+        if not queue and self.has_room(request.facts.service):
+            return False
         ahead = sum(
             other.facts.rank <= rank and not ordering.is_late(other, now_ms)
             for other in queue
--- a/godwitloft/gateway/placing/ordering.py
+++ b/godwitloft/gateway/placing/ordering.py
@@ -66,11 +66,22 @@
     :param now_ms: the current time
     :return: 0 for the most urgent, less than :data:`URGENCIES`
     """
-    rank, route_rank = request.facts.rank
     if request.owed:
         return 0
-    announced = min(rank, MAX_ANNOUNCED_RANK) + LATE_RANK_PENALTY * is_late(
-        request, now_ms
-    )
+    return _urgency(request, is_late(request, now_ms))
+
+
+def timely_urgency(request: requests.Request) -> int:
+    """Returns the urgency that a request has as long as it isn't late.
+
+    :param request: a request
+    :return: as :func:`urgency` returns it
+    """
+    return _urgency(request, late=False)
+
+
+def _urgency(request: requests.Request, late: bool) -> int:
+    rank, route_rank = request.facts.rank
+    announced = min(rank, MAX_ANNOUNCED_RANK) + LATE_RANK_PENALTY * late
     position = ANNOUNCED_RANKS.index(announced)
     return position * ROUTE_RANKS + min(route_rank, ROUTE_RANKS - 1)
--- a/godwitloft/gateway/placing/placer.py
+++ b/godwitloft/gateway/placing/placer.py
@@ -9,6 +9,7 @@
 from godwitloft.gateway.allowances import sharing as sharings
 from godwitloft.gateway.placing import ordering
 from godwitloft.gateway.placing import placement
+from godwitloft.gateway.placing import room_shares
 from godwitloft.gateway.placing import slot_client as slot_clients
 from godwitloft.gateway.upstreams import fleet as fleets
 from godwitloft.gateway.upstreams import named_limit
@@ -117,6 +118,7 @@
         self.fleet = fleet
         self.sharing = sharing
         self.slot_client = slot_client
+        self.room_shares = room_shares.RoomShares(clock, sharing, fleet)
         self.share_factors: dict[str, float] = {}
 
     def share_factor(self, service: str) -> float:
@@ -207,6 +209,10 @@
         """
         if now_ms < state.granted_until_ms:
             return state.running + state.start_limit - state.started
+        share = self.room_shares.share(state, now_ms)
+        if share is not None:
+            # At one that names a limit, all gateways take turns.
+            return max(1, share) if state.limit is not None else share
         allowed = placement.allowed_without_agent(
             state.room,
             self.fleet.service_slots[state.upstream.id],
@@ -219,21 +225,74 @@
         # At one that names a limit, all gateways take turns.
         return max(1, allowed) if state.limit is not None else allowed
 
+    def has_room(self, service: str) -> bool:
+        """Returns whether a request could start at some upstream now.
+
+        :param service: name of the service
+        """
+        now_ms = self.clock.monotonic_ms()
+        return any(
+            state.running < self.allowed(state, now_ms)
+            and state.is_open(now_ms)
+            for state in self.fleet.usable(service)
+        )
+
+    def share_fields(
+        self, state: fleets.UpstreamState, now_ms: int
+    ) -> dict[str, object]:
+        """Returns why a gateway's share of an upstream is what it is.
+
+        :param state: the upstream
+        :param now_ms: the current time
+        :return: fields for the log
+        """
+        if now_ms < state.granted_until_ms:
+            return {"share_by": room_shares.Basis.GRANT.value}
+        service = state.upstream.service
+        share = self.room_shares.service_share(service, now_ms)
+        fields: dict[str, object] = {"share_by": share.basis.value}
+        if share.basis is not room_shares.Basis.EQUAL:
+            fields["service_share"] = share.quota
+            fields["service_claimed"] = share.claimed
+        return fields
+
     def send_wants(
         self, service: str, waiting: list[requests.Request]
     ) -> None:
-        """Sends the running and waiting requests to a service's agents.
+        """Tells peers and a service's agents what runs and waits.
 
         :param service: name of the service
         :param waiting: requests that wait for it
         """
-        if not self.config_state.is_engine(service):
+        is_engine = self.config_state.is_engine(service)
+        if not is_engine and self.sharing.gateways <= 1:
             return
         now_ms = self.clock.monotonic_ms()
         counts = [0] * ordering.URGENCIES
+        # What could start at any upstream and be on time. A gateway whose
+        # requests become late must not lose its share for that: late ones
+        # count as arrivals only. Requests that a group is owed count only
+        # where they wait.
+        free_counts = [0] * ordering.URGENCIES
         for request in waiting:
-            if request.state is requests.State.WAITING:
-                counts[ordering.urgency(request, now_ms)] += 1
-        while counts and counts[-1] == 0:
-            counts.pop()
-        self.slot_client.refresh(self.fleet.usable(service), tuple(counts))
+            if request.state is not requests.State.WAITING:
+                continue
+            urgency = ordering.urgency(request, now_ms)
+            counts[urgency] += 1
+            if (
+                request.version is None
+                and not request.owed
+                and not ordering.is_late(request, now_ms)
+                and now_ms >= request.resend_at_ms
+            ):
+                free_counts[urgency] += 1
+        self.room_shares.record_waiting(service, _trimmed(free_counts))
+        if not is_engine:
+            return
+        self.slot_client.refresh(self.fleet.usable(service), _trimmed(counts))
+
+
+def _trimmed(counts: list[int]) -> tuple[int, ...]:
+    while counts and counts[-1] == 0:
+        counts.pop()
+    return tuple(counts)
--- a/godwitloft/gateway/reports.py
+++ b/godwitloft/gateway/reports.py
@@ -75,13 +75,18 @@
         )
 
     def report_sent(
-        self, request: requests.Request, running: int, allowed: int
+        self,
+        request: requests.Request,
+        running: int,
+        allowed: int,
+        share_fields: typing.Mapping[str, object],
     ) -> None:
         """Logs that a request is sent, and keeps that for a line of its end.
 
         :param request: the request
         :param running: number of requests that its upstream runs
         :param allowed: how many it may run
+        :param share_fields: why it may run so many
         """
         facts = request.facts
         now_ms = self.clock.monotonic_ms()
@@ -94,9 +99,13 @@
             "waited_ms": now_ms - facts.arrived_ms,
             "running": running,
             "allowed": allowed,
+            **share_fields,
             "proof_age_ms": self.config_state.confirmation_age_ms(now_ms),
             "version": router.configuration.version if router else None,
         }
+        self.instruments.starts.add(
+            1, {"share_by": str(share_fields["share_by"])}
+        )
         events.log(
             events.REQUEST_PLACED,
             request=facts.id,
@@ -106,6 +115,15 @@
             **request.sent_fields,
         )
 
+    def count_held(self, request: requests.Request) -> None:
+        """Counts, once, a request that waits for a more urgent one elsewhere.
+
+        :param request: a waiting request
+        """
+        if not request.was_held:
+            request.was_held = True
+            self.instruments.held.add(1, {"service": request.facts.service})
+
     def report_unknown_end(
         self, request: requests.Request, found: EndFound, why: str = ""
     ) -> None:
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -158,6 +158,8 @@
         # as a request that one of them is owed.
         self.groups: tuple[service_floor.Group, ...] = ()
         self.owed = False
+        # Whether it had to wait for a more urgent one at another gateway.
+        self.was_held = False
         self.state = State.WAITING
         self.attempt: (
             attempts.Attempt | checked_attempt.CheckedAttempt | None
--- a/godwitloft/links/datagrams.thrift
+++ b/godwitloft/links/datagrams.thrift
@@ -82,6 +82,16 @@
   3: required list<TeamDemand> committed
 }
 
+/* What waits and runs for one service at one gateway. */
+struct ServiceDemand {
+  1: required string service
+  2: required i32 running           // its requests at all upstreams
+  3: required list<i32> waiting     // by urgency, the most urgent first
+  4: optional list<i32> offered     // sixteenths of slots that arriving
+                                    // requests need, by urgency; refused
+                                    // ones count
+}
+
 /* A gateway tells another one what limits they share. */
 struct Sharing {
   1: required string gateway        // name of the sender's instance
@@ -110,6 +120,8 @@
                                     // take: on the sender's clock
   19: optional i64 answer_ms        // the receiver's asked_ms plus how long
                                     // the sender has held it
+  30: optional list<ServiceDemand> room_demands // of services with requests;
+                                    // absent: the sender is older
 }
 
 /* A gateway asks another one how new what it holds is. */
--- a/godwitloft/metrics.py
+++ b/godwitloft/metrics.py
@@ -30,6 +30,10 @@
         pause, by ``sign``
     :param operator_refusals: refused requests of operators, by ``reason``
     :param dropped_messages: ignored link messages, by ``reason``
+    :param starts: requests sent to upstreams, by what the gateway's share is
+        computed from (``share_by``)
+    :param held: requests that waited while a more urgent one waited at
+        another gateway, by ``service``
     :param wait_ms: time from acceptance to dispatch
     :param first_token_ms: time from acceptance to the first chunk
     """
@@ -43,6 +47,8 @@
     upstream_signs: metrics.Counter
     operator_refusals: metrics.Counter
     dropped_messages: metrics.Counter
+    starts: metrics.Counter
+    held: metrics.Counter
     wait_ms: metrics.Histogram
     first_token_ms: metrics.Histogram
 
@@ -76,6 +82,8 @@
         upstream_signs=counter("upstream_signs"),
         operator_refusals=counter("operator_refusals"),
         dropped_messages=counter("dropped_messages"),
+        starts=counter("starts"),
+        held=counter("held"),
         wait_ms=histogram("wait", WAIT_BUCKETS_MS),
         first_token_ms=histogram("first_token", WAIT_BUCKETS_MS),
     )
