Grant slots in proportion to what runs and waits

Within an urgency, an agent gave free slots to the gateways in turn, however many requests waited at each. It now divides them in proportion, with a rounding that differs by upstream: 40 slots for queues of 60, 30 and 10 become 24, 12 and 4. The row 'gateways take turns within an urgency' stated the former rule and is replaced by two rows.

A gateway's claim is now made by the gateway itself, from its arrivals and what waits, and small changes of it aren't announced: shares moved with each announcement before, and what moves is unused for a while.

--- a/features/gateway_slots.feature
+++ b/features/gateway_slots.feature
@@ -10,7 +10,8 @@
       | idle slots are distributed | 8 | 0 | 0/0 0/0 | 4 4 |
       | full | 8 | 0 | 4/2 4/5 | 0 0 |
       | urgent requests go first | 8 | 0 | 4/0,3 3/1,0 | 0 1 |
-      | gateways take turns within an urgency | 8 | 0 | 3/5 2/5 | 2 1 |
+      | in proportion to what waits within an urgency | 40 | 0 | 0/60 0/30 0/10 | 24 12 4 |
+      | in proportion with what runs | 40 | 0 | 20/40 2/28 0/10 | 4 10 4 |
       | spare slots after waiting requests | 7 | 0 | 1/1 1/0 | 3 2 |
       | unclaimed requests count | 8 | 3 | 2/0 2/2 | 0 1 |
       | more running than slots | 4 | 0 | 3/1 3/1 | 0 0 |
--- a/godwitloft/gateway/allowances/demand.py
+++ b/godwitloft/gateway/allowances/demand.py
@@ -8,9 +8,13 @@
 
 
 class Demand:
-    """Requested tokens per second, as an exponentially decaying mean."""
+    """Requested tokens per second, as an exponentially decaying mean.
 
-    def __init__(self) -> None:
+    :param decay_ms: time constant
+    """
+
+    def __init__(self, decay_ms: float = DECAY_MS) -> None:
+        self.decay_ms = decay_ms
         self.rate_per_s = 0.0
         self.at_ms = 0
 
@@ -21,7 +25,7 @@
         :param now_ms: the current time
         """
         self.rate_per_s = self.per_s(now_ms)
-        self.rate_per_s += tokens * clocks.MS_PER_S / DECAY_MS
+        self.rate_per_s += tokens * clocks.MS_PER_S / self.decay_ms
         self.at_ms = now_ms
 
     def per_s(self, now_ms: int) -> float:
@@ -31,4 +35,4 @@
         :return: tokens per second
         """
         passed_ms = now_ms - self.at_ms
-        return self.rate_per_s * math.exp(-passed_ms / DECAY_MS)
+        return self.rate_per_s * math.exp(-passed_ms / self.decay_ms)
--- a/godwitloft/gateway/allowances/room_demand.py
+++ b/godwitloft/gateway/allowances/room_demand.py
@@ -23,7 +23,7 @@
         entry.service: demand_share.Demand(
             max(0, entry.running),
             _counts(entry.waiting),
-            _counts(entry.offered or ()),
+            _counts(entry.claimed or ()),
         )
         for entry in entries
     }
--- a/godwitloft/gateway/placing/demand_share.py
+++ b/godwitloft/gateway/placing/demand_share.py
@@ -11,15 +11,14 @@
 
 import collections
 import dataclasses
-import itertools
 import typing
 
 # Weights are integers in this fraction of a slot, as floating-point sums
 # depend on their order, and gateways must arrive at the same result.
 UNIT = 1024
-# Offered requests are announced in this fraction of a slot: where gateways
-# have few slots each, whole numbers are off by half.
-OFFERED_UNIT = 16
+# Claims are announced in this fraction of a slot: where gateways have few
+# slots each, whole numbers are off by half.
+CLAIM_UNIT = 16
 # A claim counts for no more than this many times all upstreams of the
 # service, which bounds what an overstated one takes from others.
 MAX_CLAIM_ROOMS = 8
@@ -48,28 +47,23 @@
     :param running: number of its requests that run
     :param waiting: number of its waiting requests by urgency, the most urgent
         first
-    :param offered: slots that its arriving requests need, whether they are
-        admitted or refused, by urgency, in units of 1 / :data:`OFFERED_UNIT`
+    :param claimed: slots that its arriving and waiting requests need, whether
+        they are admitted or refused, by urgency, in units of
+        1 / :data:`CLAIM_UNIT`
     """
 
     running: int = 0
     waiting: tuple[int, ...] = ()
-    offered: tuple[int, ...] = ()
+    claimed: tuple[int, ...] = ()
 
     def claims(self) -> tuple[int, ...]:
-        """Returns the claims by urgency, in :data:`OFFERED_UNIT`."""
-        claims = [
-            waiting * OFFERED_UNIT + offered
-            for waiting, offered in itertools.zip_longest(
-                self.waiting, self.offered, fillvalue=0
-            )
-        ]
-        unexplained = self.running * OFFERED_UNIT - sum(self.offered)
-        if unexplained > 0:
-            # Their urgency isn't known.
-            claims = claims or [0]
-            claims[-1] += unexplained
-        return tuple(claims)
+        """Returns the claims by urgency, in :data:`CLAIM_UNIT`."""
+        unclaimed = self.running * CLAIM_UNIT - sum(self.claimed)
+        if unclaimed <= 0:
+            return self.claimed
+        # Their urgency isn't known.
+        before = self.claimed or (0,)
+        return *before[:-1], before[-1] + unclaimed
 
     @property
     def most_urgent(self) -> int | None:
@@ -154,7 +148,7 @@
     names = sorted(demands)
     claims = {
         name: _bounded(
-            demands[name].claims(), MAX_CLAIM_ROOMS * room * OFFERED_UNIT
+            demands[name].claims(), MAX_CLAIM_ROOMS * room * CLAIM_UNIT
         )
         for name in names
     }
@@ -171,7 +165,7 @@
     )
     return Division(
         dict(zip(names, _apportion(weights, usable), strict=True)),
-        sum(sum(claim) for claim in claims.values()) // OFFERED_UNIT,
+        sum(sum(claim) for claim in claims.values()) // CLAIM_UNIT,
     )
 
 
@@ -235,7 +229,7 @@
     depth = max(map(len, claims.values()))
     for urgency in range(depth):
         asked = {
-            name: claim[urgency] * UNIT // OFFERED_UNIT
+            name: claim[urgency] * UNIT // CLAIM_UNIT
             for name, claim in claims.items()
             if urgency < len(claim)
         }
--- a/godwitloft/gateway/placing/placer.py
+++ b/godwitloft/gateway/placing/placer.py
@@ -269,11 +269,11 @@
             return
         now_ms = self.clock.monotonic_ms()
         counts = [0] * ordering.URGENCIES
-        # What could start at any upstream and be on time. A gateway whose
-        # requests become late must not lose its share for that: late ones
-        # count as arrivals only. Requests that a group is owed count only
-        # where they wait.
-        free_counts = [0] * ordering.URGENCIES
+        # What could start at any upstream, and what of it can be on time. A
+        # gateway whose requests become late must not lose its share for that.
+        # Requests that a group is owed count only where they wait.
+        backlog = [0] * ordering.URGENCIES
+        timely = [0] * ordering.URGENCIES
         for request in waiting:
             if request.state is not requests.State.WAITING:
                 continue
@@ -282,11 +282,13 @@
             if (
                 request.version is None
                 and not request.owed
-                and not ordering.is_late(request, now_ms)
                 and now_ms >= request.resend_at_ms
             ):
-                free_counts[urgency] += 1
-        self.room_shares.record_waiting(service, _trimmed(free_counts))
+                backlog[ordering.timely_urgency(request)] += 1
+                timely[urgency] += not ordering.is_late(request, now_ms)
+        self.room_shares.record_waiting(
+            service, _trimmed(timely), _trimmed(backlog)
+        )
         if not is_engine:
             return
         self.slot_client.refresh(self.fleet.usable(service), _trimmed(counts))
--- a/godwitloft/gateway/placing/room_shares.py
+++ b/godwitloft/gateway/placing/room_shares.py
@@ -26,8 +26,15 @@
 COMPUTED_MS = 50
 # A larger share is used once the others have heard of it and computed theirs.
 GROWTH_DELAY_MS = 2 * COMPUTED_MS
+# Time constant of the mean rate of arrivals. Waves of some seconds are
+# followed, and single arrivals change a share little.
+ARRIVALS_MS = 1_000.0
 # Weight of a new run time in the mean.
 RUN_TIME_WEIGHT = 0.1
+# This many waiting requests count even if none runs.
+MIN_BACKLOG_COUNTED = 2
+# Changes of a claim up to this part of it aren't announced.
+SMALL_CHANGE_PART = 8
 # Part by which demand must change for an early announcement, and by how many
 # requests at the least.
 EARLY_CHANGE_PART = 2
@@ -96,37 +103,64 @@
     """Demand for one service at this gateway."""
 
     def __init__(self) -> None:
+        # By urgency: timely requests that could start anywhere, and all that
+        # wait by the urgency that they had when they were timely.
         self.waiting: tuple[int, ...] = ()
+        self.backlog: tuple[int, ...] = ()
         self.arrivals: dict[int, rates.Demand] = {}
         self.run_ms = 0.0
         self.running = 0
 
-    def offered(self, now_ms: int) -> tuple[int, ...]:
-        """Returns the slots that arriving requests need.
+    def claimed(self, before: tuple[int, ...], now_ms: int) -> tuple[int, ...]:
+        """Returns the slots that arriving and waiting requests need.
 
+        Small changes aren't announced: they would move slots between gateways
+        all the time, and a slot that moves is unused for a while.
+
+        :param before: what was announced last
         :param now_ms: the current time
-        :return: by urgency, in :data:`demand_share.OFFERED_UNIT`; arrivals
-            times their mean run time
+        :return: by urgency, in :data:`demand_share.CLAIM_UNIT`; arrivals times
+            their mean run time, or what runs and waits if that is more. The
+            latter counts up to half as much again as what runs: a queue is as
+            long as the gateway's share allows, so that larger shares would
+            justify themselves
         """
-        offered = [0] * (max(self.arrivals, default=-1) + 1)
+        depth = max(len(self.backlog), max(self.arrivals, default=-1) + 1)
+        claimed = [0] * depth
         for urgency, rate in self.arrivals.items():
-            offered[urgency] = round(
-                demand_share.OFFERED_UNIT
+            claimed[urgency] = round(
+                demand_share.CLAIM_UNIT
                 * rate.per_s(now_ms)
                 * self.run_ms
                 / clocks.MS_PER_S
             )
-        while offered and offered[-1] == 0:
-            offered.pop()
-        return tuple(offered)
-
-    def demand(self, now_ms: int) -> demand_share.Demand:
+        most = self.running + self.running // 2 + MIN_BACKLOG_COUNTED
+        missing = min(self.running + sum(self.backlog), most)
+        missing = missing * demand_share.CLAIM_UNIT - sum(claimed)
+        for urgency, count in enumerate(self.backlog):
+            added = min(max(0, missing), count * demand_share.CLAIM_UNIT)
+            claimed[urgency] += added
+            missing -= added
+        for urgency, known in enumerate(before[:depth]):
+            change = abs(claimed[urgency] - known)
+            if claimed[urgency] and change <= max(
+                demand_share.CLAIM_UNIT, known // SMALL_CHANGE_PART
+            ):
+                claimed[urgency] = known
+        while claimed and claimed[-1] == 0:
+            claimed.pop()
+        return tuple(claimed)
+
+    def demand(
+        self, before: demand_share.Demand, now_ms: int
+    ) -> demand_share.Demand:
         """Returns the demand as it is announced.
 
+        :param before: what was announced last
         :param now_ms: the current time
         """
         return demand_share.Demand(
-            self.running, self.waiting, self.offered(now_ms)
+            self.running, self.waiting, self.claimed(before.claimed, now_ms)
         )
 
 
@@ -173,7 +207,9 @@
         """
         own = self.own_of(request.facts.service)
         urgency = ordering.timely_urgency(request)
-        own.arrivals.setdefault(urgency, rates.Demand()).add(1, now_ms)
+        own.arrivals.setdefault(urgency, rates.Demand(ARRIVALS_MS)).add(
+            1, now_ms
+        )
 
     def record_start(self, service: str) -> None:
         """Counts a request that is sent.
@@ -194,16 +230,23 @@
             own.run_ms = took_ms
         own.run_ms += RUN_TIME_WEIGHT * (took_ms - own.run_ms)
 
-    def record_waiting(self, service: str, waiting: tuple[int, ...]) -> None:
+    def record_waiting(
+        self,
+        service: str,
+        waiting: tuple[int, ...],
+        backlog: tuple[int, ...],
+    ) -> None:
         """Records what waits after the requests with room were sent.
 
         :param service: name of the service
-        :param waiting: number of waiting requests by urgency
+        :param waiting: number of timely waiting requests by urgency
+        :param backlog: number of all, by the urgency when they were timely
         """
         own = self.own.get(service)
         if own is None:
             return
         own.waiting = waiting
+        own.backlog = backlog
         if self.sharing.gateways > 1 and self.has_changed(service, own):
             interval_ms = self.sharing.announce_interval_ms()
             now_ms = self.clock.monotonic_ms()
@@ -234,7 +277,8 @@
         now_ms = self.clock.monotonic_ms()
         demands = {}
         for service, own in self.own.items():
-            demand = own.demand(now_ms)
+            before = self.announced.get(service, demand_share.Demand())
+            demand = own.demand(before, now_ms)
             if demand != demand_share.Demand():
                 demands[service] = demand
         if len(demands) > MAX_SERVICES_ANNOUNCED:
@@ -257,7 +301,7 @@
                 service,
                 demand.running,
                 list(demand.waiting),
-                list(demand.offered) or None,
+                list(demand.claimed) or None,
             )
             for service, demand in self.announced.items()
         ]
--- a/godwitloft/gateway/placing/slots.py
+++ b/godwitloft/gateway/placing/slots.py
@@ -11,6 +11,8 @@
 import typing
 import zlib
 
+HASH_RANGE = 1 << 32
+
 
 @dataclasses.dataclass(frozen=True)
 class Claim:
@@ -52,10 +54,13 @@
 ) -> dict[str, int]:
     """Returns how many requests each gateway may start.
 
-    Free slots go to the most urgent waiting requests, one to each gateway in
-    turn. The remaining ones are spread over all gateways, so that a request
-    that arrives at any of them can start at once. The order is fixed, so that
-    few grants change when a request starts or ends.
+    Free slots go to the most urgent waiting requests. Within an urgency, they
+    go to the gateways in proportion to what runs and waits there. Running
+    requests count as slots are freed one at a time: in proportion to what
+    waits alone, the longest queue would get each of them. The remaining ones
+    are spread over all gateways, so that a request that arrives at any of them
+    can start at once. The order is fixed, so that few grants change when a
+    request starts or ends.
 
     :param slots: number of requests that the upstream runs concurrently
     :param unclaimed: number of requests at the upstream that no claim includes
@@ -65,10 +70,14 @@
     """
     free = slots - unclaimed
     starts = {}
+    running = {}
+    rounding = {}
     waiting = []
     for claim in claims:
         free -= claim.running
         starts[claim.gateway] = 0
+        running[claim.gateway] = claim.running
+        rounding[claim.gateway] = claim.spare_order[1] / HASH_RANGE
         if claim.waiting:
             waiting.append(claim)
     depth = max((len(claim.waiting) for claim in waiting), default=0)
@@ -78,7 +87,7 @@
             for claim in waiting
             if urgency < len(claim.waiting) and claim.waiting[urgency] > 0
         }
-        free = _distribute(starts, open_claims, free)
+        free = _divide(starts, open_claims, running, rounding, free)
     if free > 0:
         nearest = heapq.nsmallest(
             free, claims, key=operator.attrgetter("spare_order")
@@ -87,6 +96,44 @@
     return starts
 
 
+def _divide(
+    starts: dict[str, int],
+    requested: dict[str, int],
+    running: dict[str, int],
+    rounding: dict[str, float],
+    free: int,
+) -> int:
+    if free >= sum(requested.values()):
+        for gateway, number in requested.items():
+            starts[gateway] += number
+        return free - sum(requested.values())
+    if free <= 0 or not requested:
+        return free
+
+    def served(gateway: str, more: int) -> float:
+        used = running[gateway] + starts[gateway]
+        return (used + rounding[gateway]) / (used + requested[gateway] - more)
+
+    # Divisor method. Rounding differs by upstream, so that a gateway with few
+    # requests gets its part at some of the upstreams rather than at none.
+    heap = [
+        (served(gateway, 0), number, gateway, 0)
+        for number, gateway in enumerate(requested)
+    ]
+    heapq.heapify(heap)
+    while free > 0:
+        _served, number, gateway, given = heap[0]
+        starts[gateway] += 1
+        given += 1
+        free -= 1
+        if given == requested[gateway]:
+            heapq.heappop(heap)
+        else:
+            key = served(gateway, given)
+            heapq.heapreplace(heap, (key, number, gateway, given))
+    return 0
+
+
 def _distribute(
     starts: dict[str, int], requested: dict[str, int], free: int
 ) -> int:
--- a/godwitloft/links/datagrams.thrift
+++ b/godwitloft/links/datagrams.thrift
@@ -86,10 +86,11 @@
 struct ServiceDemand {
   1: required string service
   2: required i32 running           // its requests at all upstreams
-  3: required list<i32> waiting     // by urgency, the most urgent first
-  4: optional list<i32> offered     // sixteenths of slots that arriving
-                                    // requests need, by urgency; refused
-                                    // ones count
+  3: required list<i32> waiting     // of those that can be on time, by
+                                    // urgency, the most urgent first
+  4: optional list<i32> claimed     // sixteenths of slots that arriving and
+                                    // waiting requests need, by urgency;
+                                    // refused ones count
 }
 
 /* A gateway tells another one what limits they share. */
