--- a/features/steps/rollout_datagrams_steps.py
+++ b/features/steps/rollout_datagrams_steps.py
@@ -131,8 +131,8 @@
 def tell_odd_rollout(context, what):
     context.sharing = announcement(0, 1)
     context.sharing.incarnation = INCARNATION
-    fields = {"service": "desk", "order_version": 412, "phase": "moving"}
-    fields["service" if what == "a service" else "order_version"] = None
+    fields = {"service_name": "desk", "order_version": 412, "phase": "moving"}
+    fields["service_name" if what == "a service" else "order_version"] = None
     context.sharing.rollouts = [ttypes.RolloutNews(**fields)]
 
 
--- a/godwitloft/gateway/peers/rollout_status.py
+++ b/godwitloft/gateway/peers/rollout_status.py
@@ -43,7 +43,7 @@
         if space < 0:
             break
         news[phase.service, phase.order_version] = ttypes.RolloutNews(
-            service=phase.service,
+            service_name=phase.service,
             order_version=phase.order_version,
             phase=phase.phase,
             stopped=phase.has_stopped or None,
@@ -130,12 +130,12 @@
     phases = []
     cells: list[Counted] = []
     for news in sharing.rollouts:
-        if news.service is None or news.order_version is None:
+        if news.service_name is None or news.order_version is None:
             continue
         if news.phase in PHASES:
             phases.append(
                 evidence.KnownPhase(
-                    news.service,
+                    news.service_name,
                     news.order_version,
                     news.phase,
                     bool(news.stopped),
@@ -145,7 +145,7 @@
         cells.extend(
             (
                 evidence.Key(
-                    news.service,
+                    news.service_name,
                     news.order_version,
                     counts.version,
                     counts.route,
--- a/godwitloft/links/datagrams.thrift
+++ b/godwitloft/links/datagrams.thrift
@@ -95,7 +95,7 @@
 
 /* What a gateway knows of a roll-out. */
 struct RolloutNews {
-  1: required string service
+  1: required string service_name
   2: required i64 order_version     // of the row of its order
   3: optional string phase          // absent: none that the gateway tells
   4: optional bool stopped          // the gateway sends nothing more to the
@@ -105,6 +105,17 @@
   6: optional list<AnswerCounts> counts // some of its process
 }
 
+/* What waits and runs for one service at one gateway. */
+struct ServiceDemand {
+  1: required string service_name
+  2: required i32 running           // its requests at all upstreams
+  3: required list<i32> waiting     // of those that can be on time, by
+                                    // urgency, the most urgent first
+  4: optional list<i32> claimed     // sixteenths of slots that arriving and
+                                    // waiting requests need, by urgency;
+                                    // refused ones count
+}
+
 /* A gateway tells another one what limits they share. */
 struct Sharing {
   1: required string gateway        // name of the sender's instance
@@ -136,6 +147,8 @@
   20: optional string incarnation   // of the sender's process; goes with
                                     // rollouts
   21: optional list<RolloutNews> rollouts
+  30: optional list<ServiceDemand> room_demands // of services with requests;
+                                    // absent: the sender is older
 }
 
 /* A gateway asks another one how new what it holds is. */
