Gateways learn the room of upstreams together, and place by it

Cause: each gateway saw a small part of an upstream's work, and the cost of a place knew prompts only. The choice is by the expected time to finish, also for plain services; its terms are in GL1204, rooms in GL1317 and a metric.

--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -194,6 +194,7 @@
     Importance.SAMPLED,
 )
 UPSTREAM_LIMITED = Event(1312, logging.INFO, "an upstream's limit has changed")
+ROOM_CHANGED = Event(1317, logging.INFO, "the room of an upstream has changed")
 LIMIT_IGNORED = Event(
     1313, logging.WARNING, "an upstream's limit can't be used"
 )
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -51,12 +51,15 @@
 from godwitloft.gateway.streams import stream_origins
 from godwitloft.gateway.streams import unmarked_end
 from godwitloft.gateway.upstreams import fleet as fleets
+from godwitloft.gateway.upstreams import learned_room
 from godwitloft.gateway.upstreams import process_end
 from godwitloft.gateway.upstreams import upstream_statements
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
 
 MAX_NAMES_LOGGED = 20
+# With these, an upstream tells that it has no room for a request.
+OVERLOAD_STATUSES = (429, 503)
 NOT_SENT_FOR_PAUSE = answers.AttemptOutcome(
     outcomes.Result.NOT_SENT, "upstream_paused", unusable=True
 )
@@ -181,6 +184,12 @@
             dependencies.sharing,
             dependencies.rng,
         )
+        self.rooms = learned_room.LearnedRooms(
+            self.clock,
+            dependencies.sharing,
+            self.fleet,
+            dependencies.instruments,
+        )
         self.placer = placers.Placer(
             self.clock,
             options.zone,
@@ -188,6 +197,7 @@
             self.fleet,
             dependencies.sharing,
             dependencies.slot_client,
+            self.rooms,
         )
         self.retry_policy = retry_policies.RetryPolicy(
             self.fleet, dependencies.sharing, options.retries
@@ -252,6 +262,7 @@
             contact,
             self.retry_policy.crashes,
             self.versions,
+            self.rooms,
             lambda state: self.statements.mark_leaving(state, "peer"),
             lambda state, statement: self.statements.set_limit(
                 state, statement, "peer"
@@ -621,6 +632,8 @@
         request.upstream_state = state
         request.answer = answers.Answer(request, self.dialect)
         state.record_start(now_ms)
+        request.was_congested = request.congested
+        request.load_when_sent = self.rooms.load(state)
         self.holds.record_origin(request)
         request.prompt_tokens_ahead = (
             state.pending_prompt_tokens + state.pending_prompt_tokens_elsewhere
@@ -780,6 +793,7 @@
         if is_end_unknown and answer.may_mark_end():
             unmarked_end.mark(request)
         if state is not None:
+            self.record_room(request, state, attempt_outcome, now_ms)
             self.retry_policy.record_end(
                 request, state, attempt_outcome, now_ms
             )
@@ -809,6 +823,29 @@
             self.final_answers.fail(request, answer, attempt_outcome)
         self.schedule(request.facts.service)
 
+    def record_room(
+        self,
+        request: requests.Request,
+        state: fleets.UpstreamState,
+        attempt_outcome: answers.AttemptOutcome,
+        now_ms: int,
+    ) -> None:
+        """Learns from the end of an attempt how much its upstream handles.
+
+        :param request: the request
+        :param state: the upstream
+        :param attempt_outcome: how the attempt ended
+        :param now_ms: the current time
+        """
+        result = attempt_outcome.result
+        answer = request.answer
+        if result is outcomes.Result.NOT_RUN:
+            if answer is not None and answer.status in OVERLOAD_STATUSES:
+                self.rooms.record_refusal(state, now_ms)
+        elif answer is not None and answer.is_valid_success():
+            if result is outcomes.Result.DELIVER:
+                self.rooms.record_answer(request, state, now_ms)
+
     def release(
         self, request: requests.Request
     ) -> fleets.UpstreamState | None:
@@ -881,6 +918,7 @@
         :param congested: whether too much of its answer is unsent
         """
         request.congested = congested
+        request.was_congested |= congested
         # What isn't read can't arrive: this is no silence of the upstream.
         request.last_data_ms = self.clock.monotonic_ms()
         if request.attempt is not None:
@@ -894,16 +932,30 @@
         now_ms = self.clock.monotonic_ms()
         self.continuations.check()
         self.holds.check()
+        self.rooms.check()
         for queue in list(self.waiting.values()):
             for request in list(queue):
                 self.check_waiting(request, now_ms)
         for request in list(self.running):
             if now_ms >= request.facts.deadline_ms:
+                self.record_given_up(request, now_ms)
                 self.end_running(request, refusals.Refusal(504, "timeout"))
             elif self.retry_policy.has_stalled(request, now_ms):
+                self.record_given_up(request, now_ms)
                 self.move_stalled_stream(request, now_ms)
         self.schedule_all()
 
+    def record_given_up(self, request: requests.Request, now_ms: int) -> None:
+        """Learns that an upstream has not answered for a long time.
+
+        :param request: a running request
+        :param now_ms: the current time
+        """
+        if request.upstream_state is not None:
+            self.rooms.record_unanswered(
+                request, request.upstream_state, now_ms
+            )
+
     def move_stalled_stream(
         self, request: requests.Request, now_ms: int
     ) -> None:
--- a/godwitloft/gateway/peers/peer_status.py
+++ b/godwitloft/gateway/peers/peer_status.py
@@ -10,6 +10,11 @@
 
 from godwitloft.gateway.crashes import crash_reports
 from godwitloft.links.generated.datagrams import ttypes
+from godwitloft.policy import capacity
+
+HUNDREDTHS = 100
+# Bound of the logarithms of relative times, in hundredths.
+MAX_LOG = 700
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,6 +55,66 @@
     length_ms: int
 
 
+@dataclasses.dataclass(frozen=True)
+class CapacityReport:
+    """What a gateway has observed of the capacity of an upstream.
+
+    :param life: the upstream
+    :param running: the gateway's requests that it runs
+    :param levels: number, weight and mean logarithm of the relative time in
+        hundredths for each observed amount of work
+    :param slow_percent: share of slow answers
+    :param refused: work in progress when it lately refused a request, 0 if it
+        did not
+    :param room: its room, None if the gateway doesn't decide on that
+    :param base: its room without a probe
+    :param curve: time of its answers against the work in progress
+    """
+
+    life: Life
+    running: int
+    levels: tuple[int, ...] = ()
+    slow_percent: int = 0
+    refused: int = 0
+    room: int | None = None
+    base: int | None = None
+    curve: capacity.Curve | None = None
+
+    def observed(self, slots: int, factor: float) -> list[capacity.Level]:
+        """Returns the observed levels.
+
+        :param slots: number of requests that the upstream runs concurrently
+        :param factor: what their weights are multiplied by
+        """
+        highest = capacity.EXCESS_FACTOR * capacity.level_count(slots)
+        return [
+            capacity.Level(
+                number,
+                factor * min(weight, capacity.MAX_LEVEL_WEIGHT),
+                max(-MAX_LOG, min(MAX_LOG, mean)) / HUNDREDTHS,
+            )
+            for number, weight, mean in zip(
+                self.levels[::3],
+                self.levels[1::3],
+                self.levels[2::3],
+                strict=False,
+            )
+            if 1 <= number <= highest and weight > 0
+        ]
+
+
+def pack_levels(levels: tuple[capacity.Level, ...]) -> tuple[int, ...]:
+    """Returns levels as they are announced.
+
+    :param levels: what was observed
+    """
+    packed: list[int] = []
+    for level in levels:
+        mean = round(HUNDREDTHS * level.mean)
+        packed += (level.number, max(1, round(level.weight)), mean)
+    return tuple(packed)
+
+
 @dataclasses.dataclass(frozen=True)
 class PeerStatus:
     """What a gateway knows, as far as it concerns its peers.
@@ -63,6 +128,8 @@
     :param sound: which of these causes are sound
     :param blames: what is blamed for crashes
     :param limits: what upstreams have said of their limits
+    :param capacities: what was observed of the capacity of upstreams
+    :param sender: name of the gateway's instance, empty for this gateway
     """
 
     version: int = 0
@@ -73,6 +140,8 @@
     sound: tuple[crash_reports.SoundReport, ...] = ()
     blames: tuple[crash_reports.BlameReport, ...] = ()
     limits: tuple[LimitReport, ...] = ()
+    capacities: tuple[CapacityReport, ...] = ()
+    sender: str = ""
 
 
 def encode(status: PeerStatus, sharing: ttypes.Sharing) -> None:
@@ -112,6 +181,9 @@
         )
         for report in status.limits
     ] or None
+    sharing.capacities = [
+        encode_capacity(report) for report in status.capacities
+    ] or None
 
 
 def decode(sharing: ttypes.Sharing) -> PeerStatus:
@@ -151,6 +223,61 @@
             for entry in sharing.limits or ()
             if is_limit(entry.per_s)
         ),
+        capacities=tuple(
+            decode_capacity(entry) for entry in sharing.capacities or ()
+        ),
+        sender=sharing.gateway,
+    )
+
+
+def encode_capacity(report: CapacityReport) -> ttypes.UpstreamCapacity:
+    """Returns a report as it is sent.
+
+    :param report: what was observed
+    """
+    curve = report.curve
+    return ttypes.UpstreamCapacity(
+        upstream=report.life.id,
+        born_ms=report.life.born_ms,
+        running=report.running,
+        levels=list(report.levels) or None,
+        slow_percent=report.slow_percent or None,
+        refused=report.refused or None,
+        room=report.room,
+        base=report.base,
+        curve=None
+        if curve is None
+        else [
+            round(HUNDREDTHS * value)
+            for value in (curve.knee, curve.slope, curve.base)
+        ],
+    )
+
+
+def decode_capacity(entry: ttypes.UpstreamCapacity) -> CapacityReport:
+    """Returns a report as it was told.
+
+    :param entry: as received; figures that can't be right are bounded
+    """
+    curve = None
+    if entry.curve is not None and len(entry.curve) == 3:
+        knee, slope, base = entry.curve
+        curve = capacity.Curve(
+            max(1.0, knee / HUNDREDTHS),
+            max(0, min(MAX_LOG, slope)) / HUNDREDTHS,
+            max(-MAX_LOG, min(MAX_LOG, base)) / HUNDREDTHS,
+            0.0,
+            0.0,
+        )
+    return CapacityReport(
+        life=Life(entry.upstream, entry.born_ms),
+        running=max(0, entry.running),
+        levels=tuple(entry.levels or ()),
+        slow_percent=max(0, min(100, entry.slow_percent or 0)),
+        refused=max(0, entry.refused or 0),
+        room=None if entry.room is None else max(1, entry.room),
+        base=None if entry.base is None else max(1, entry.base),
+        curve=curve,
     )
 
 
--- a/godwitloft/gateway/peers/shared_knowledge.py
+++ b/godwitloft/gateway/peers/shared_knowledge.py
@@ -11,6 +11,7 @@
 from godwitloft.gateway.peers import store_contact as store_contacts
 from godwitloft.gateway.streams import service_versions
 from godwitloft.gateway.upstreams import fleet as fleets
+from godwitloft.gateway.upstreams import learned_room
 from godwitloft.gateway.upstreams import named_limit
 
 # How long peers are told that an upstream is leaving; by then the list says
@@ -34,6 +35,7 @@
     :param contact: when the store is known to have been up
     :param crashes: crashes of upstreams, and what is blamed for them
     :param versions: software versions that streams may have begun at
+    :param rooms: learns the room of upstreams
     :param on_leaving: called with an upstream of which a peer says that it is
         leaving
     :param on_limit: called with an upstream and what a peer says of its limit,
@@ -49,6 +51,7 @@
         contact: store_contacts.StoreContact,
         crashes: crash_tracker.CrashTracker,
         versions: service_versions.ServiceVersions,
+        rooms: learned_room.LearnedRooms,
         on_leaving: typing.Callable[[fleets.UpstreamState], None],
         on_limit: typing.Callable[
             [fleets.UpstreamState, named_limit.Statement], None
@@ -63,6 +66,7 @@
         self.crashes = crashes
         self.causes = crashes.causes
         self.versions = versions
+        self.rooms = rooms
         self.on_leaving = on_leaving
         self.on_limit = on_limit
         # Set by an adapter whose store has timelines.
@@ -87,6 +91,7 @@
             sound=self.causes.proofs_to_tell(now_ms),
             blames=self.causes.blames_to_tell(now_ms),
             limits=self.limit_reports(now_ms),
+            capacities=self.rooms.reports(),
         )
 
     def limit_reports(
@@ -148,6 +153,8 @@
                 self.on_leaving(state)
         for report in status.limits:
             self.learn_limit(report, now_ms)
+        if status.capacities:
+            self.rooms.learn(status.sender, status.capacities)
 
     def learn_limit(
         self, report: peer_status.LimitReport, now_ms: int
--- a/godwitloft/gateway/placing/placement.py
+++ b/godwitloft/gateway/placing/placement.py
@@ -1,8 +1,9 @@
 """Chooses upstreams for requests and estimates waiting times.
 
 Pure functions over immutable data. Designed for bursts of some seconds of
-twice the capacity of the engines, for engines whose speeds differ by a factor
-of five, and for several gateways that don't know each other's requests.
+twice the capacity of the upstreams, for upstreams whose speeds differ by a
+factor of up to 25, and for several gateways of which each knows the requests
+of the others only roughly.
 """
 
 import dataclasses
@@ -16,6 +17,9 @@
 # Relative delay of the first data at a fully loaded upstream, in addition to
 # the time for pending prompts.
 LOAD_FACTOR = 1.0
+# Preference for the less loaded of upstreams that are expected to answer
+# equally soon, as a part of that time.
+SPREAD = 0.1
 # Usual time until a fully loaded upstream has a free slot.
 BUSY_WAIT_MS = 100.0
 # With fewer slots of a service for each gateway, some would have hardly any.
@@ -23,6 +27,23 @@
 MS_PER_S = 1000.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Work:
+    """What is known of a request's work besides its prompt.
+
+    :param usual_ms: usual time over all upstreams; of what follows the first
+        data, or of the whole answer
+    :param is_whole: whether that is the time of the whole answer, which is
+        all that is known at a plain service
+    """
+
+    usual_ms: float
+    is_whole: bool
+
+
+NO_WORK = Work(0.0, False)
+
+
 @dataclasses.dataclass(frozen=True)
 class Place:
     """An upstream that could run a request.
@@ -36,6 +57,8 @@
     :param pending_prompt_tokens: prompt tokens of all requests that it has not
         processed yet
     :param paused: whether it is paused after failures
+    :param relative_time: expected time of its answers relative to the usual
+        one, with one more request there; None if unknown
     """
 
     id: str
@@ -46,6 +69,7 @@
     slowness: float
     pending_prompt_tokens: int
     paused: bool
+    relative_time: float | None = None
 
     @property
     def has_room(self) -> bool:
@@ -110,10 +134,11 @@
     prompt_tokens: int,
     remaining_ms: float,
     tried: typing.Container[str] = (),
+    work: Work = NO_WORK,
 ) -> Place | None:
     """Chooses the upstream for a request.
 
-    The one with the least expected time to first data is chosen. A paused
+    The one with the least expected time to finish is chosen. A paused
     upstream is used only if there is no other. An upstream whose answer would
     be late is used only if no fully loaded one could answer on time.
 
@@ -121,6 +146,7 @@
     :param prompt_tokens: prompt tokens of the request
     :param remaining_ms: time until the answer is due
     :param tried: upstreams that have already refused or failed the request
+    :param work: what else is known of its work
     :return: an upstream with a free slot, None to keep the request waiting
     """
     untried = [place for place in places if place.id not in tried]
@@ -129,12 +155,14 @@
     available = [place for place in candidates if place.has_room]
     if not available:
         return None
-    best = min(available, key=lambda place: cost_ms(place, prompt_tokens))
-    best_ms = expected_ms(best, prompt_tokens)
+    best = min(
+        available, key=lambda place: cost_ms(place, prompt_tokens, work)
+    )
+    best_ms = due_ms(best, prompt_tokens, work)
     if best_ms <= remaining_ms or remaining_ms <= 0:
         return best
     for place in candidates:
-        if expected_ms(place, prompt_tokens) + BUSY_WAIT_MS <= remaining_ms:
+        if due_ms(place, prompt_tokens, work) + BUSY_WAIT_MS <= remaining_ms:
             return None
     return best
 
@@ -162,15 +190,85 @@
     return place.slowness * reference_ms * (1.0 + LOAD_FACTOR * load)
 
 
-def cost_ms(place: Place, prompt_tokens: int) -> float:
+def due_ms(place: Place, prompt_tokens: int, work: Work) -> float:
+    """Estimates the time until what matters most of an answer is there.
+
+    :param place: an upstream
+    :param prompt_tokens: prompt tokens of the request
+    :param work: what else is known of its work
+    :return: milliseconds to the whole answer if only that is known, else to
+        its first data
+    """
+    if work.is_whole:
+        return finish_ms(place, prompt_tokens, work)
+    return expected_ms(place, prompt_tokens)
+
+
+def finish_ms(place: Place, prompt_tokens: int, work: Work) -> float:
+    """Estimates the time to the end of an answer.
+
+    :param place: an upstream
+    :param prompt_tokens: prompt tokens of the request
+    :param work: what else is known of its work
+    :return: milliseconds from sending; an upstream of which nothing is known
+        is taken to be as fast as usual
+    """
+    relative_time = place.relative_time
+    if work.is_whole and relative_time is not None:
+        # Of equal ones, the least loaded.
+        load = place.running / max(1, place.slots)
+        return relative_time * work.usual_ms * (1.0 + SPREAD * load)
+    first_ms = expected_ms(place, prompt_tokens)
+    if work.is_whole:
+        return max(first_ms, work.usual_ms)
+    return first_ms + work.usual_ms * (
+        1.0 if relative_time is None else relative_time
+    )
+
+
+def zone_cost_ms(place: Place) -> float:
+    """Returns the cost of traffic to an upstream.
+
+    :param place: an upstream
+    """
+    return 0.0 if place.same_zone else OTHER_ZONE_COST_MS
+
+
+def cost_ms(place: Place, prompt_tokens: int, work: Work = NO_WORK) -> float:
     """Returns the cost of running a request at an upstream.
 
     :param place: an upstream
     :param prompt_tokens: prompt tokens of the request
+    :param work: what else is known of its work
     :return: expected milliseconds, plus the cost of another availability zone
     """
-    zone_cost_ms = 0.0 if place.same_zone else OTHER_ZONE_COST_MS
-    return expected_ms(place, prompt_tokens) + zone_cost_ms
+    return finish_ms(place, prompt_tokens, work) + zone_cost_ms(place)
+
+
+def explain(
+    places: typing.Iterable[Place],
+    chosen: Place,
+    prompt_tokens: int,
+    work: Work,
+) -> dict[str, typing.Any]:
+    """Returns the figures by which an upstream was chosen, for logs.
+
+    :param places: all upstreams of the request's service
+    :param chosen: the chosen one
+    :param prompt_tokens: prompt tokens of the request
+    :param work: what else is known of its work
+    """
+    relative_time = chosen.relative_time
+    return {
+        "room": chosen.slots,
+        "first_data_ms": round(expected_ms(chosen, prompt_tokens)),
+        "finish_ms": round(finish_ms(chosen, prompt_tokens, work)),
+        "zone_cost_ms": round(zone_cost_ms(chosen)),
+        "relative_time": None
+        if relative_time is None
+        else round(relative_time, 2),
+        "open_upstreams": sum(place.has_room for place in places),
+    }
 
 
 @dataclasses.dataclass(frozen=True)
--- a/godwitloft/gateway/placing/placer.py
+++ b/godwitloft/gateway/placing/placer.py
@@ -11,6 +11,7 @@
 from godwitloft.gateway.placing import placement
 from godwitloft.gateway.placing import slot_client as slot_clients
 from godwitloft.gateway.upstreams import fleet as fleets
+from godwitloft.gateway.upstreams import learned_room
 from godwitloft.gateway.upstreams import named_limit
 
 
@@ -24,6 +25,7 @@
         takes no request
     :param states: the upstreams
     :param now_ms: the current time
+    :param work: returns what is known of a request's work
     """
 
     def __init__(
@@ -33,8 +35,10 @@
         ],
         states: typing.Iterable[fleets.UpstreamState],
         now_ms: int,
+        work: typing.Callable[[requests.Facts], placement.Work],
     ) -> None:
         self.place = place
+        self.work = work
         self.now_ms = now_ms
         self.states: dict[str, fleets.UpstreamState] = {}
         self.places: dict[str, placement.Place] = {}
@@ -68,13 +72,20 @@
         """
         if self.now_ms < request.resend_at_ms:
             return None
+        places = self.places_of(version)
+        prompt_tokens = request.facts.sizes.prompt_tokens
+        work = self.work(request.facts)
         place = placement.choose(
-            self.places_of(version),
-            request.facts.sizes.prompt_tokens,
+            places,
+            prompt_tokens,
             request.facts.target_at_ms - self.now_ms,
             request.tried_upstreams,
+            work,
         )
-        return self.states[place.id] if place is not None else None
+        if place is None:
+            return None
+        request.choice = placement.explain(places, place, prompt_tokens, work)
+        return self.states[place.id]
 
     def places_of(self, version: str | None) -> list[placement.Place]:
         """Returns the upstreams of a version.
@@ -99,6 +110,7 @@
     :param fleet: the upstreams
     :param sharing: number of gateways
     :param slot_client: exchanges datagrams with the upstreams' agents
+    :param rooms: knows how fast the upstreams are
     """
 
     def __init__(
@@ -109,6 +121,7 @@
         fleet: fleets.Fleet,
         sharing: sharings.Sharing,
         slot_client: slot_clients.SlotClient,
+        rooms: learned_room.LearnedRooms,
     ) -> None:
         self.clock = clock
         self.wall_ms = clocks.steady_wall(clock)
@@ -117,6 +130,7 @@
         self.fleet = fleet
         self.sharing = sharing
         self.slot_client = slot_client
+        self.rooms = rooms
         self.share_factors: dict[str, float] = {}
 
     def share_factor(self, service: str) -> float:
@@ -152,7 +166,17 @@
         has_room = any(
             state.running < self.allowed(state, now_ms) for state in states
         )
-        return Candidates(self.place, states if has_room else (), now_ms)
+        return Candidates(
+            self.place, states if has_room else (), now_ms, self.work
+        )
+
+    def work(self, facts: requests.Facts) -> placement.Work:
+        """Returns what is known of a request's work.
+
+        :param facts: its properties
+        """
+        is_engine = self.config_state.is_engine(facts.service)
+        return self.rooms.usual.work(facts, is_engine)
 
     def place(
         self, state: fleets.UpstreamState, now_ms: int
@@ -177,6 +201,7 @@
             pending_prompt_tokens=state.pending_prompt_tokens
             + state.pending_prompt_tokens_elsewhere,
             paused=state.paused_until_ms > now_ms,
+            relative_time=self.rooms.relative_time(state),
         )
 
     def is_within_limit(
--- a/godwitloft/gateway/reports.py
+++ b/godwitloft/gateway/reports.py
@@ -94,6 +94,7 @@
             "waited_ms": now_ms - facts.arrived_ms,
             "running": running,
             "allowed": allowed,
+            **request.choice,
             "proof_age_ms": self.config_state.confirmation_age_ms(now_ms),
             "version": router.configuration.version if router else None,
         }
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -199,8 +199,14 @@
         self.version: str | None = None
         # Version of the upstream to which it was last sent.
         self.sent_version = ""
-        # Whether its caller reads more slowly than it is answered.
+        # Whether its caller reads more slowly than it is answered, and
+        # whether it did so since the request was last sent.
         self.congested = False
+        self.was_congested = False
+        # Work in progress at its upstream when it was sent.
+        self.load_when_sent = 1
+        # The figures by which its upstream was chosen.
+        self.choice: typing.Mapping[str, typing.Any] = {}
         # Whether an upstream has answered for long enough to show that the
         # prompt doesn't crash it.
         self.proved_sound = not facts.shared_parts
--- a/godwitloft/links/datagrams.thrift
+++ b/godwitloft/links/datagrams.thrift
@@ -75,6 +75,22 @@
   4: optional double per_s          // requests; absent: no limit any more
 }
 
+/* What a gateway has observed of the capacity of an upstream. */
+struct UpstreamCapacity {
+  1: required string upstream
+  2: required i64 born_ms           // start of its process
+  3: required i32 running           // requests of the sender
+  4: optional list<i32> levels      // of each observed amount of work: its
+                                    // number, the weight and the mean
+                                    // logarithm of relative times in 1/100
+  5: optional i32 slow_percent      // of the answers
+  6: optional i32 refused           // work in progress when it refused, if
+                                    // that was lately
+  7: optional i32 room              // set by the gateway that decides on it
+  8: optional i32 base              // the room without a probe
+  9: optional list<i32> curve       // knee, slope and base in 1/100
+}
+
 /* What a gateway that is gone or starting had committed. */
 struct FormerUse {
   1: required string gateway        // name of its instance
@@ -110,6 +126,7 @@
                                     // take: on the sender's clock
   19: optional i64 answer_ms        // the receiver's asked_ms plus how long
                                     // the sender has held it
+  40: optional list<UpstreamCapacity> capacities // that have changed
 }
 
 /* A gateway asks another one how new what it holds is. */
--- a/godwitloft/metrics.py
+++ b/godwitloft/metrics.py
@@ -14,6 +14,17 @@
 WAIT_BUCKETS_MS = (1, 5, 10, 25, 50, 100, 250, 600, 1000, 5000, 30_000)
 
 
+class Gauge(typing.Protocol):
+    """A metric that is set to the present value."""
+
+    def set(self, amount: float, attributes: Labels | None = None) -> None:
+        """Sets the value.
+
+        :param amount: the value
+        :param attributes: labels
+        """
+
+
 @dataclasses.dataclass(frozen=True)
 class Instruments:
     """The instruments of a daemon.
@@ -28,6 +39,7 @@
         back, by ``what``
     :param upstream_signs: upstreams' signs that they are leaving or want a
         pause, by ``sign``
+    :param upstream_room: how many requests an ``upstream`` handles well
     :param operator_refusals: refused requests of operators, by ``reason``
     :param dropped_messages: ignored link messages, by ``reason``
     :param wait_ms: time from acceptance to dispatch
@@ -41,6 +53,7 @@
     answer_ends: metrics.Counter
     store_restores: metrics.Counter
     upstream_signs: metrics.Counter
+    upstream_room: Gauge
     operator_refusals: metrics.Counter
     dropped_messages: metrics.Counter
     wait_ms: metrics.Histogram
@@ -74,6 +87,7 @@
         answer_ends=counter("answer_ends"),
         store_restores=counter("store_restores"),
         upstream_signs=counter("upstream_signs"),
+        upstream_room=meter.create_gauge("godwitloft_upstream_room"),
         operator_refusals=counter("operator_refusals"),
         dropped_messages=counter("dropped_messages"),
         wait_ms=histogram("wait", WAIT_BUCKETS_MS),
