--- a/godwitloft/gateway/placing/placer.py
+++ b/godwitloft/gateway/placing/placer.py
@@ -12,6 +12,7 @@
 from godwitloft.gateway.placing import room_shares
 from godwitloft.gateway.placing import slot_client as slot_clients
 from godwitloft.gateway.upstreams import fleet as fleets
+from godwitloft.gateway.upstreams import learned_room
 from godwitloft.gateway.upstreams import named_limit
 
 
@@ -25,6 +26,7 @@
         takes no request
     :param states: the upstreams
     :param now_ms: the current time
+    :param work: returns what is known of a request's work
     """
 
     def __init__(
@@ -34,8 +36,10 @@
         ],
         states: typing.Iterable[fleets.UpstreamState],
         now_ms: int,
+        work: typing.Callable[[requests.Facts], placement.Work],
     ) -> None:
         self.place = place
+        self.work = work
         self.now_ms = now_ms
         self.states: dict[str, fleets.UpstreamState] = {}
         self.places: dict[str, placement.Place] = {}
@@ -99,14 +103,20 @@
             groups = (self.places_of(version),)
         else:
             groups = self.groups(request, version, self)
-        for group in groups:
+        prompt_tokens = request.facts.sizes.prompt_tokens
+        work = self.work(request.facts)
+        for places in groups:
             place = placement.choose(
-                group,
-                request.facts.sizes.prompt_tokens,
+                places,
+                prompt_tokens,
                 request.facts.target_at_ms - self.now_ms,
                 request.tried_upstreams,
+                work,
             )
             if place is not None:
+                request.choice = placement.explain(
+                    places, place, prompt_tokens, work
+                )
                 return self.states[place.id]
         return None
 
@@ -133,6 +143,7 @@
     :param fleet: the upstreams
     :param sharing: number of gateways
     :param slot_client: exchanges datagrams with the upstreams' agents
+    :param rooms: knows how fast the upstreams are
     """
 
     def __init__(
@@ -143,6 +154,7 @@
         fleet: fleets.Fleet,
         sharing: sharings.Sharing,
         slot_client: slot_clients.SlotClient,
+        rooms: learned_room.LearnedRooms,
     ) -> None:
         self.clock = clock
         self.wall_ms = clocks.steady_wall(clock)
@@ -152,6 +164,7 @@
         self.sharing = sharing
         self.slot_client = slot_client
         self.room_shares = room_shares.RoomShares(clock, sharing, fleet)
+        self.rooms = rooms
         self.share_factors: dict[str, float] = {}
 
     def share_factor(self, service: str) -> float:
@@ -187,7 +200,17 @@
         has_room = any(
             state.running < self.allowed(state, now_ms) for state in states
         )
-        return Candidates(self.place, states if has_room else (), now_ms)
+        return Candidates(
+            self.place, states if has_room else (), now_ms, self.work
+        )
+
+    def work(self, facts: requests.Facts) -> placement.Work:
+        """Returns what is known of a request's work.
+
+        :param facts: its properties
+        """
+        is_engine = self.config_state.is_engine(facts.service)
+        return self.rooms.usual.work(facts, is_engine)
 
     def place(
         self, state: fleets.UpstreamState, now_ms: int
@@ -212,6 +235,7 @@
             pending_prompt_tokens=state.pending_prompt_tokens
             + state.pending_prompt_tokens_elsewhere,
             paused=state.paused_until_ms > now_ms,
+            relative_time=self.rooms.relative_time(state),
         )
 
     def is_within_limit(
--- a/godwitloft/gateway/reports.py
+++ b/godwitloft/gateway/reports.py
@@ -100,6 +100,7 @@
             "running": running,
             "allowed": allowed,
             **share_fields,
+            **request.choice,
             "proof_age_ms": self.config_state.confirmation_age_ms(now_ms),
             "version": router.configuration.version if router else None,
         }
--- a/godwitloft/metrics.py
+++ b/godwitloft/metrics.py
@@ -14,6 +14,17 @@
 WAIT_BUCKETS_MS = (1, 5, 10, 25, 50, 100, 250, 600, 1000, 5000, 30_000)
 
 
+class Gauge(typing.Protocol):
+    """A metric that is set to the present value."""
+
+    def set(self, amount: float, attributes: Labels | None = None) -> None:
+        """Sets the value.
+
+        :param amount: the value
+        :param attributes: labels
+        """
+
+
 @dataclasses.dataclass(frozen=True)
 class Instruments:
     """The instruments of a daemon.
@@ -32,6 +43,7 @@
         ``service``, ``version`` and ``result``
     :param rollout_phases: phases that roll-outs have come to, by ``service``
         and ``phase``
+    :param upstream_room: how many requests an ``upstream`` handles well
     :param operator_refusals: refused requests of operators, by ``reason``
     :param dropped_messages: ignored link messages, by ``reason``
     :param starts: requests sent to upstreams, by what the gateway's share is
@@ -51,6 +63,7 @@
     upstream_signs: metrics.Counter
     version_answers: metrics.Counter
     rollout_phases: metrics.Counter
+    upstream_room: Gauge
     operator_refusals: metrics.Counter
     dropped_messages: metrics.Counter
     starts: metrics.Counter
@@ -88,6 +101,7 @@
         upstream_signs=counter("upstream_signs"),
         version_answers=counter("version_answers"),
         rollout_phases=counter("rollout_phases"),
+        upstream_room=meter.create_gauge("godwitloft_upstream_room"),
         operator_refusals=counter("operator_refusals"),
         dropped_messages=counter("dropped_messages"),
         starts=counter("starts"),
