Refused callers are told their turn, and a retry keeps its place

Cause: Retry-After was drawn from 0.7 to 1 of the longest delay whatever the queue did, and a retry was ordered as a new request.

The hint is now the caller's turn by the measured start rate, behind waiting requests and returns promised before; a turn that comes later than a third of the time left isn't promised. Requests of one rank are ordered by when they were first sent, as far as team, route and time left tell. A waiting request that others have overtaken is refused when it can't start in time any more, and while requests wait no further one waits just to find the overload over.

--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -976,7 +976,7 @@
             self.final_answers.refuse(request, refusals.Refusal(504, reason))
         else:
             self.final_answers.refuse(
-                request, self.admission.rejection(request, reason)
+                request, self.admission.rejection(request, reason, queue)
             )
 
     def end_running(
--- a/godwitloft/gateway/placing/admission.py
+++ b/godwitloft/gateway/placing/admission.py
@@ -26,6 +26,7 @@
 from godwitloft.gateway.placing import placement
 from godwitloft.gateway.placing import service_floor
 from godwitloft.gateway.upstreams import fleet as fleets
+from godwitloft.policy import retry_hint
 
 RATE_WINDOW_MS = 2_000
 # Assumed start rate of late requests while none of them was refused after
@@ -35,12 +36,11 @@
 OVERLOAD_MEMORY_MS = 1_000
 ALLOWANCE_RETRY_AFTER_MS = 1_000
 MAX_WAITING = 2_000
-# A request that is refused under overload is told to retry after at least
-# this part of the longest possible delay: earlier, the burst would still last.
-MIN_OVERLOAD_RETRY_SHARE = 0.7
 OVERLOAD_REASONS = frozenset(
     ("crowded_out", "queue_full", "wait_too_long", "waited_too_long")
 )
+# With less expected ahead of it, a request is next.
+LEAST_AHEAD = 0.5
 UPSTREAMS_PAUSED = "upstreams_paused"
 # The gateway itself shuts down; others take the request.
 # Callers that are refused during pauses of all upstreams come back over this
@@ -75,6 +75,10 @@
         # When a request was last refused under overload, by its rank.
         self.overloaded_ms: dict[tuple[int, int], int] = {}
         self.floor = service_floor.ServiceFloor()
+        self.returns = retry_hint.PromisedReturns()
+        # Waiting requests that can't start in time, as found at a time.
+        self.hopeless: frozenset[requests.Request] = frozenset()
+        self.hopeless_found_ms = 0
 
     def per_s(
         self, now_ms: int, counts: typing.Callable[[Start], bool]
@@ -127,6 +131,7 @@
         self.crashes = crashes
         self.rng = rng
         self.loads: dict[str, ServiceLoad] = {}
+        self.patience = retry_hint.Patience()
 
     def record_start(self, request: requests.Request, now_ms: int) -> None:
         """Records that a request is being sent.
@@ -166,19 +171,42 @@
             return refusals.Refusal(503, "no_time_left")
         if self.is_paused_too_long(request, now_ms):
             return self.rejection(request, UPSTREAMS_PAUSED)
-        floor = self.load_of(facts.service).floor
+        load = self.load_of(facts.service)
+        floor = load.floor
         floor.record_arrival(request, now_ms)
+        has_turn = self.recognise_return(request, load, now_ms)
         if len(queue) >= MAX_WAITING:
-            return self.rejection(request, "queue_full")
+            return self.rejection(request, "queue_full", queue)
         if facts.takes_up_stream or floor.owes(request, queue):
             return self.charge_allowance(request)
         wait_ms = self.expected_wait_ms(request, queue, now_ms)
         if now_ms + wait_ms > facts.first_data_deadline_ms:
-            return self.rejection(request, "wait_too_long")
-        if self.is_overloaded(request, queue, now_ms):
-            return self.rejection(request, "crowded_out")
+            return self.rejection(request, "wait_too_long", queue)
+        if not has_turn and self.is_overloaded(request, queue, now_ms):
+            return self.rejection(request, "crowded_out", queue)
         return self.charge_allowance(request)
 
+    def recognise_return(
+        self, request: requests.Request, load: ServiceLoad, now_ms: int
+    ) -> bool:
+        """Finds out whether a request is a retry, and since when it is asked.
+
+        :param request: a new request
+        :param load: load record of its service
+        :param now_ms: the current time
+        :return: whether it returns for a turn that was promised
+        """
+        facts = request.facts
+        team = facts.team.name if facts.team is not None else None
+        request.first_asked_ms = self.patience.first_sent_ms(
+            (team, facts.route.name),
+            facts.arrived_ms,
+            facts.caller_deadline_ms - facts.arrived_ms,
+        )
+        if request.first_asked_ms == facts.arrived_ms:
+            return False
+        return load.returns.use(now_ms, facts.rank) is not None
+
     def crash_refusal(
         self, request: requests.Request, now_ms: int
     ) -> refusals.Refusal | None:
@@ -233,16 +261,33 @@
         load = self.load_of(request.facts.service)
         if not load.was_overloaded(rank, now_ms):
             return False
-        ahead = sum(
-            other.facts.rank <= rank and not ordering.is_late(other, now_ms)
+        key = ordering.order_key(request, now_ms)
+        before = [
+            other
             for other in queue
+            if ordering.order_key(other, now_ms) <= key
+        ]
+        load.returns.drop_overdue(now_ms)
+        returning = load.returns.count_ahead(request.start_by_ms, rank)
+        if not before and returning < LEAST_AHEAD:
+            # One request waits at least, so that no slot stays free while a
+            # low rate makes all others look hopeless.
+            return False
+        ahead = returning + sum(
+            not ordering.is_late(other, now_ms) for other in before
         )
         # Starts of more important requests don't count, as they go first.
-        rate_per_s = load.per_s(now_ms, lambda start: start.rank >= rank)
+        rate_per_s = load.per_s(now_ms, _starts_from(rank))
         wait_ms = placement.expected_wait_ms(
             placement.Queue(ahead + 1, rate_per_s)
         )
-        return now_ms + wait_ms > request.start_by_ms
+        if now_ms + wait_ms <= request.start_by_ms:
+            return False
+        if queue:
+            # All slots are in use: the overload goes on, and no request need
+            # wait in vain to find that out.
+            load.overloaded_ms[rank] = now_ms
+        return True
 
     def expected_wait_ms(
         self,
@@ -294,6 +339,8 @@
         if request.runs > 0 or request.marked_late:
             return ""
         if not ordering.is_late(request, now_ms):
+            if request in self.find_hopeless(facts.service, queue, now_ms):
+                return "crowded_out"
             return ""
         request.marked_late = True
         if request.owed:
@@ -304,6 +351,53 @@
         self.load_of(facts.service).overloaded_ms[facts.rank] = now_ms
         return "crowded_out"
 
+    def find_hopeless(
+        self,
+        service: str,
+        queue: list[requests.Request],
+        now_ms: int,
+    ) -> frozenset[requests.Request]:
+        """Returns the waiting requests that others keep from starting in time.
+
+        :param service: name of the service
+        :param queue: all requests that wait for it
+        :param now_ms: the current time
+        :return: those that need not wait until they are late
+        """
+        load = self.load_of(service)
+        if load.hopeless_found_ms == now_ms:
+            return load.hopeless
+        load.hopeless_found_ms = now_ms
+        waiting = [
+            request
+            for request in queue
+            if request.state is requests.State.WAITING
+            and not ordering.is_late(request, now_ms)
+        ]
+        waiting.sort(key=lambda request: ordering.order_key(request, now_ms))
+        rates: dict[tuple[int, int], float] = {}
+        ahead = 0
+        found = []
+        for request in waiting:
+            rank = request.facts.rank
+            if rank not in rates:
+                rates[rank] = load.per_s(now_ms, _starts_from(rank))
+            wait_ms = placement.expected_wait_ms(
+                placement.Queue(ahead, rates[rank])
+            )
+            if (
+                load.was_overloaded(rank, now_ms)
+                and request.runs == 0
+                and not request.owed
+                and not request.facts.takes_up_stream
+                and now_ms + wait_ms > request.start_by_ms
+            ):
+                found.append(request)
+            else:
+                ahead += 1
+        load.hopeless = frozenset(found)
+        return load.hopeless
+
     def expected_late_wait_ms(
         self,
         request: requests.Request,
@@ -330,15 +424,19 @@
         return placement.expected_wait_ms(placement.Queue(ahead, rate_per_s))
 
     def rejection(
-        self, request: requests.Request, reason: str
+        self,
+        request: requests.Request,
+        reason: str,
+        queue: typing.Sequence[requests.Request] = (),
     ) -> refusals.Refusal:
         """Returns a refusal with a retry delay.
 
-        The delay is long under overload, and short after other refusals, as
-        another gateway or upstream may serve the request.
+        Under overload it is the time until the caller's turn, and short after
+        other refusals, as another gateway or upstream may serve the request.
 
         :param request: the refused request
         :param reason: reason of the refusal
+        :param queue: requests that wait for the same service
         :return: the refusal
         """
         facts = request.facts
@@ -355,23 +453,54 @@
                 int(after_ms),
                 {"rank": facts.rank, "pause_left_ms": pause_ms},
             )
-        remaining_ms = facts.caller_deadline_ms - now_ms
-        latest_ms = refusals.bounded_retry_after_ms(remaining_ms / 3)
+        inputs: dict[str, typing.Any] = {"rank": facts.rank}
         if reason in OVERLOAD_REASONS:
-            after_ms = latest_ms * self.rng.uniform(
-                MIN_OVERLOAD_RETRY_SHARE, 1.0
-            )
+            hint = self.hint(request, queue, now_ms)
+            after_ms = hint.after_ms
+            inputs["hint"] = hint_fields(hint)
+            inputs["asked_ms_ago"] = now_ms - request.first_asked_ms
         else:
-            soonest_ms = refusals.MIN_RETRY_AFTER_MS
-            after_ms = self.rng.uniform(
-                soonest_ms, min(latest_ms, MAX_SHORT_RETRY_AFTER_MS)
+            longest_ms = min(
+                MAX_SHORT_RETRY_AFTER_MS,
+                (facts.caller_deadline_ms - now_ms) * retry_hint.LONGEST_SHARE,
             )
-        inputs: dict[str, typing.Any] = {"rank": facts.rank}
+            soonest_ms = min(refusals.MIN_RETRY_AFTER_MS, longest_ms)
+            after_ms = max(0.0, self.rng.uniform(soonest_ms, longest_ms))
         limited = self.fleet.limited(facts.service)
         if limited:
             inputs["limited_upstreams"] = limited
         return refusals.Refusal(503, reason, int(after_ms), inputs)
 
+    def hint(
+        self,
+        request: requests.Request,
+        queue: typing.Sequence[requests.Request],
+        now_ms: int,
+    ) -> retry_hint.Hint:
+        """Promises the caller of a refused request a turn.
+
+        :param request: a request that is refused under overload
+        :param queue: requests that wait for the same service
+        :param now_ms: the current time
+        :return: when to return
+        """
+        facts = request.facts
+        load = self.load_of(facts.service)
+        ahead = sum(
+            other is not request
+            and other.state is requests.State.WAITING
+            and other.facts.rank <= facts.rank
+            for other in queue
+        )
+        return load.returns.hint(
+            now_ms,
+            facts.caller_deadline_ms - now_ms,
+            ahead,
+            load.per_s(now_ms, _starts_from(facts.rank)),
+            facts.rank,
+            self.rng.random(),
+        )
+
     def charge_allowance(
         self, request: requests.Request
     ) -> refusals.Refusal | None:
@@ -399,3 +528,24 @@
                 "gateways": sharing.gateways,
             },
         )
+
+
+def hint_fields(hint: retry_hint.Hint) -> dict[str, typing.Any]:
+    """Returns what a hint was based on, for the log.
+
+    :param hint: the hint
+    """
+    return {
+        "promised": hint.promised,
+        "ahead": round(hint.ahead),
+        "turn_ms": None if hint.turn_ms is None else round(hint.turn_ms),
+    }
+
+
+def _starts_from(rank: tuple[int, int]) -> typing.Callable[[Start], bool]:
+    """Returns what counts the starts of a rank and of less important ones.
+
+    More important requests go first, so that their starts tell nothing about
+    the rate of this rank.
+    """
+    return lambda start: start.rank >= rank
--- a/godwitloft/gateway/placing/ordering.py
+++ b/godwitloft/gateway/placing/ordering.py
@@ -28,8 +28,9 @@
 
     Requests that a group is owed go first, on time or late, then more
     important ones. Of equally important ones, streams that are taken up again
-    go first, then older requests. Late requests are ordered as less important
-    than their rank.
+    go first, then requests that their callers first sent earlier, so that a
+    retry isn't placed behind newer requests. Late requests are ordered as less
+    important than their rank.
 
     :param request: a waiting request
     :param now_ms: the current time
@@ -41,7 +42,12 @@
         lowered: float = OWED_RANK
     else:
         lowered = rank + LATE_RANK_PENALTY * is_late(request, now_ms)
-    return lowered, route_rank, not facts.takes_up_stream, facts.arrived_ms
+    return (
+        lowered,
+        route_rank,
+        not facts.takes_up_stream,
+        request.first_asked_ms,
+    )
 
 
 def is_late(request: requests.Request, now_ms: int) -> bool:
--- a/godwitloft/gateway/placing/placement.py
+++ b/godwitloft/gateway/placing/placement.py
@@ -177,11 +177,11 @@
 class Queue:
     """State of the queue of one service.
 
-    :param ahead: number of waiting requests that go first
+    :param ahead: number of requests that go first, as far as expected
     :param per_s: recent start rate in requests per second
     """
 
-    ahead: int
+    ahead: float
     per_s: float
 
 
@@ -191,7 +191,7 @@
     :param queue: requests that wait before it, and their start rate
     :return: milliseconds, infinite if requests wait and none are started
     """
-    if queue.ahead == 0:
+    if queue.ahead <= 0:
         return 0.0
     if queue.per_s <= 0:
         return math.inf
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -152,6 +152,9 @@
         self.facts = facts
         # If sent later, the answer would begin after its target.
         self.start_by_ms = facts.target_at_ms - round(first_data_ms)
+        # When its caller first sent it, in an earlier attempt if the time left
+        # tells so.
+        self.first_asked_ms = facts.arrived_ms
         # Whether it was found late while it waited for its first attempt.
         self.marked_late = False
         # Groups that are owed a part of what is served, and whether it waits
