A saturated gateway keeps its proof of the configuration

Cause: a call that waited for changes took up to 1.3 s and timed out 1 s later. After one lost call the next one waited again, so that the proof, which lasts 4 s from the start of the call that gave it, ended while the store was up. A follower without answers began to poll at an age of 2 s, with a call that waited too. A busy process timed calls out whose answers had arrived, and read one datagram at each turn.

A call now waits only as long as a lost call and another one fit into the proof's time; overdue calls are joined by others, whose answers all count with the time of their own start. Time-outs let a busy process read first. Store connections and datagrams ask for the interactive queue. The overload guard refuses a part of new requests unread (gateway_overloaded) by the delay of the timer and, with an old proof, by unsent bytes; GL1012 tells of it.

--- a/features/support/restored_store.py
+++ b/features/support/restored_store.py
@@ -47,9 +47,14 @@
         self.read_ms = 0
         self.write_ms = 0
         self.writes_fail = False
+        # Returns how long calls take behind a full link, None for no such
+        # link.
+        self.link_ms = None
         self.waiting = []
 
     def call(self, method, target, body=b"", timeout_ms=1000):
+        if self.link_ms is not None:
+            return self.call_through_link(target, body, timeout_ms)
         is_write = target.startswith("/rows-tx")
         if is_write and self.writes_fail:
             return defer.fail(stores.StoreError(target, 503, "failed"))
@@ -78,6 +83,30 @@
         self.reactor.callLater(min(delay_ms, timeout_ms) / 1000, end)
         return late
 
+    def call_through_link(self, target, body, timeout_ms):
+        """Calls behind callers' bytes; only the way to the store is slow."""
+        late = defer.Deferred()
+
+        def reach():
+            if not late.called:
+                self.call_now(target, body).addCallbacks(answer, fail)
+
+        def answer(result):
+            if not late.called:
+                late.callback(result)
+
+        def fail(failure):
+            if not late.called:
+                late.errback(failure)
+
+        def time_out():
+            if not late.called:
+                late.errback(stores.StoreError(target, 0, "timeout"))
+
+        self.reactor.callLater(self.link_ms() / 1000, reach)
+        self.reactor.callLater(timeout_ms / 1000, time_out)
+        return late
+
     def wake(self):
         """Delivers the answers that came while the process stood still."""
         unread, self.unread = self.unread, None
--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -213,6 +213,12 @@
 LINES_DROPPED = Event(
     1011, logging.INFO, "lines of the log were left out", Importance.ESSENTIAL
 )
+GATEWAY_SATURATED = Event(
+    1012,
+    logging.WARNING,
+    "the gateway's own load has begun or ceased to be too much",
+    Importance.ESSENTIAL,
+)
 GATEWAYS_CHANGED = Event(1407, logging.INFO, "the number of gateways changed")
 UPSTREAM_FAILED = Event(1301, logging.WARNING, "an upstream failed a request")
 CONFIGURATION_IN_FORCE = Event(
--- a/godwitloft/gateway/daemon.py
+++ b/godwitloft/gateway/daemon.py
@@ -1,12 +1,17 @@
 """Runs a gateway with its listening ports and timers."""
 
 import dataclasses
+import random
 import typing
 
 from godwitloft import clock as clocks
 from godwitloft import events
+from godwitloft import immediate_write
 from godwitloft.gateway import gateway as gateways
 from godwitloft.gateway import model
+from godwitloft.gateway import overload_guard
+from godwitloft.gateway import refusals
+from godwitloft.gateway import request as requests
 from godwitloft.gateway import stop_report
 from godwitloft.gateway.callers import http_server
 from godwitloft.runtime import polling
@@ -14,6 +19,10 @@
 TICK_INTERVAL_MS = 25
 TIMEOUT_CHECK_INTERVAL_MS = 500
 ANNOUNCE_CHECK_INTERVAL_MS = 50
+GUARD_INTERVAL_MS = 100
+OVERLOADED = "gateway_overloaded"
+# Another gateway may have room at once.
+MAX_OVERLOADED_RETRY_MS = 700
 READY_PATH = b"/ready"
 METRICS_PATH = b"/metrics"
 METRICS_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
@@ -79,11 +88,19 @@
         self.closing = False
         self.ports: list[typing.Any] = []
         self.ticks = 0
+        # When the timer was to be called next.
+        self.due_ms = clock.monotonic_ms()
+        self.guard = overload_guard.OverloadGuard(self.due_ms)
+        # How late the timer was at most since the guard has last looked.
+        self.latest_ms = 0
+        self.rng = random.Random()
+        # Called with whether the process is busy, when that changes.
+        self.on_busy: typing.Callable[[bool], None] = _ignore_busy
         # Number of ticks between calls, and what is called.
         self.periodic_work: list[tuple[int, typing.Callable[[], None]]] = []
         self.caller_factory = http_server.HttpServerFactory(
             http_server.ConnectionCallbacks(
-                on_request=gateway.on_request,
+                on_request=self.on_request,
                 on_refused=gateway.reports.count_unreadable,
                 limits=gateway.config_state.limits,
                 closing=lambda: self.closing,
@@ -139,6 +156,7 @@
                     )
                 )
         self.source.start()
+        self.call_every(TICK_INTERVAL_MS, self.guard_load)
         self.call_every(TICK_INTERVAL_MS, self.gateway.tick)
         self.call_every(ANNOUNCE_CHECK_INTERVAL_MS, self.gateway.announce)
         for factory in (
@@ -173,6 +191,9 @@
         """
         if self.stopped:
             return
+        started_ms = self.clock.monotonic_ms()
+        self.latest_ms = max(self.latest_ms, started_ms - self.due_ms)
+        self.due_ms = started_ms + TICK_INTERVAL_MS
         for ticks, work in self.periodic_work:
             if self.ticks % ticks:
                 continue
@@ -185,6 +206,75 @@
             TICK_INTERVAL_MS / clocks.MS_PER_S, self.run_periodic_work
         )
 
+    def guard_load(self) -> None:
+        """Adapts to the load which part of new requests is refused unread."""
+        state = self.gateway.config_state
+        now_ms = self.clock.monotonic_ms()
+        if now_ms - self.guard.observed_ms < GUARD_INTERVAL_MS:
+            return
+        age_ms = state.confirmation_age_ms(now_ms)
+        proof_share = 0.0
+        if state.key_proof_ms > 0 and age_ms is not None:
+            proof_share = age_ms / state.key_proof_ms
+        load = overload_guard.Load(
+            late_ms=self.latest_ms,
+            unsent_bytes=sum(
+                immediate_write.unsent_bytes(connection.transport)
+                for connection in self.caller_factory.connections
+            ),
+            proof_share=proof_share,
+        )
+        self.latest_ms = 0
+        was_busy = self.guard.busy
+        self.guard.observe(load, now_ms)
+        busy = self.guard.busy
+        if busy != was_busy:
+            self.on_busy(busy)
+            events.log(
+                events.GATEWAY_SATURATED, sheds=busy, **self.load_fields()
+            )
+
+    def load_fields(self) -> dict[str, typing.Any]:
+        """Returns what the guard's decision is based on, for the log."""
+        load = self.guard.load
+        return {
+            "late_ms": round(self.guard.late_ms),
+            "unsent_bytes": load.unsent_bytes,
+            "proof_share": round(load.proof_share, 2),
+            "shed_share": round(self.guard.share, 2),
+        }
+
+    def on_request(self, exchange: http_server.Exchange) -> None:
+        """Passes a request to the gateway, or refuses it unread.
+
+        A stream that its caller takes up again is let in: what has come of it
+        would be lost.
+
+        :param exchange: a complete request
+        """
+        if not self.guard.sheds(self.rng.random()):
+            self.gateway.on_request(exchange)
+            return
+        dialect = self.gateway.dialect
+        if requests.read_resumed_id(exchange, dialect) is not None:
+            self.gateway.on_request(exchange)
+            return
+        left_ms = requests.read_time_left(exchange, dialect)
+        longest_ms = float(MAX_OVERLOADED_RETRY_MS)
+        if left_ms is not None:
+            longest_ms = min(longest_ms, left_ms / 3)
+        refusal = refusals.Refusal(
+            503,
+            OVERLOADED,
+            int(longest_ms * self.rng.uniform(0.5, 1.0)),
+            self.load_fields(),
+        )
+        request_id = exchange.header(dialect.request_id) or b""
+        self.gateway.reports.report_unadmitted(
+            request_id.decode("latin-1"), refusal
+        )
+        refusals.answer(exchange, refusal)
+
     def answer_ready(self, exchange: http_server.Exchange) -> None:
         """Answers the balancer's readiness check.
 
@@ -310,3 +400,7 @@
 
 def _do_nothing() -> None:
     pass
+
+
+def _ignore_busy(_busy: bool) -> None:
+    pass
--- a/godwitloft/gateway/peers/peer_confirmation.py
+++ b/godwitloft/gateway/peers/peer_confirmation.py
@@ -31,6 +31,11 @@
 ANSWER_TIMEOUT_MS = 120
 # A gateway whose last confirmation is older polls the store itself.
 MAX_VERSION_AGE_MS = 2_000
+# Where the proof lasts for a limited time, this share of it and this much more
+# are the limit if that is less: a call behind a full link takes 2.4 s, and the
+# pollers' own confirmation is up to a fifth of that time old.
+VERSION_AGE_SHARE = 0.25
+VERSION_AGE_EXTRA_MS = 500
 MAX_LIST_AGE_MS = 1_400
 # Pollers read the list more often than this. If an answer's list is older,
 # the next poller is asked from then on.
@@ -133,10 +138,27 @@
 
         :param now_ms: the current time
         :return: whether its confirmation is at most
-            :data:`MAX_VERSION_AGE_MS` old
+            :meth:`max_version_age_ms` old
         """
         age_ms = self.config_state.confirmation_age_ms(now_ms)
-        return age_ms is not None and age_ms <= MAX_VERSION_AGE_MS
+        return age_ms is not None and age_ms <= self.max_version_age_ms()
+
+    def max_version_age_ms(self) -> float:
+        """Returns the age of a confirmation from which the store is polled."""
+        proof_ms = self.config_state.key_proof_ms
+        if proof_ms <= 0:
+            return MAX_VERSION_AGE_MS
+        return min(
+            MAX_VERSION_AGE_MS,
+            VERSION_AGE_SHARE * proof_ms + VERSION_AGE_EXTRA_MS,
+        )
+
+    def proof_age_ms(self) -> int | None:
+        """Returns the age of the configuration's last confirmation.
+
+        :return: milliseconds, None if there was none
+        """
+        return self.config_state.confirmation_age_ms(self.clock.monotonic_ms())
 
     def is_list_fresh(self, now_ms: int) -> bool:
         """Returns whether the list of upstreams was confirmed lately.
--- a/godwitloft/links/datagrams.py
+++ b/godwitloft/links/datagrams.py
@@ -7,12 +7,16 @@
 from thrift.transport import TTransport
 from twisted.internet import protocol
 
+from godwitloft import urgent_socket
 from godwitloft.links.generated.datagrams import ttypes
 
 MAX_DATAGRAM_BYTES = 1_400
 # An answer to a gateway that starts may be as long as UDP permits.
 MAX_RECEIVED_BYTES = 65_536
 
+# Read at one event while the process is busy.
+BUSY_READ_BYTES = 65_536
+
 Address = tuple[str, int]
 
 _FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory(
@@ -135,4 +139,17 @@
     # At most one datagram is read at each event. Twisted would otherwise read
     # until a call fails, and mostly only one has arrived.
     listening.maxThroughput = 1
+    urgent_socket.mark(listening)
     return listening
+
+
+def read_many(listening: typing.Any, many: bool) -> None:
+    """Lets a socket be read until it is empty, or once at each event.
+
+    While the process is busy, events are rare: read one by one, datagrams
+    would wait for seconds and then be lost.
+
+    :param listening: what :func:`listen` returned
+    :param many: whether the process is busy
+    """
+    listening.maxThroughput = BUSY_READ_BYTES if many else 1
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -1,6 +1,7 @@
 """The program that runs an entry or an agent on the platform."""
 
 import argparse
+import functools
 import gc
 import random
 import signal
@@ -154,7 +155,7 @@
         ),
     )
     port = datagrams.Port(gateway.on_datagram)
-    datagrams.listen(reactor, boot.first_port, port, boot.host)
+    listening = datagrams.listen(reactor, boot.first_port, port, boot.host)
     timeline = stores.Timeline(
         lambda before, now: watch.on_store_restored(before, now)
     )
@@ -224,7 +225,9 @@
         render_metrics=render,
     )
     source = daemon.ConfigurationSource(start=start_watching, stop=watch.stop)
-    return daemon.GatewayDaemon(reactor, clock, gateway, source, listen)
+    entry = daemon.GatewayDaemon(reactor, clock, gateway, source, listen)
+    entry.on_busy = functools.partial(datagrams.read_many, listening)
+    return entry
 
 
 ROLES: typing.Final[dict[str, typing.Callable[..., process.Daemon]]] = {
--- a/godwitloft/platform/store.py
+++ b/godwitloft/platform/store.py
@@ -16,6 +16,7 @@
 from godwitloft import decode
 from godwitloft import errors
 from godwitloft import events
+from godwitloft import urgent_socket
 from godwitloft import whole_number
 from godwitloft.platform import json_fields
 
@@ -338,13 +339,24 @@
             self.reactor,
             self.address,
             attempts.Outgoing(method.encode(), target.encode(), headers, body),
-            attempts.AttemptCallbacks(call.on_head, call.on_data, call.on_end),
+            attempts.AttemptCallbacks(
+                call.on_head,
+                call.on_data,
+                call.on_end,
+                lambda: urgent_socket.mark(attempt.transport),
+            ),
             self.own_host,
+            # Behind a full link, a connection takes as long as an answer.
+            connect_timeout_ms=timeout_ms,
         )
         call.close = attempt.cancel
 
         def time_out() -> None:
-            attempt.end(attempts.End.BROKEN, "timeout")
+            # In a process that is busy this may be late, with an answer that
+            # has arrived: it is read before the next timers are called.
+            self.reactor.callLater(
+                0, attempt.end, attempts.End.BROKEN, "timeout"
+            )
 
         timer = self.reactor.callLater(timeout_ms / clocks.MS_PER_S, time_out)
 
@@ -399,19 +411,24 @@
         return result.addCallback(check)
 
     def read(
-        self, table: str, after_key: str = ""
+        self,
+        table: str,
+        after_key: str = "",
+        answer_ms: int = CALL_TIMEOUT_MS,
     ) -> "defer.Deferred[ReadResult]":
         """Reads one page of the rows of a table.
 
         :param table: name of the table
         :param after_key: last key of the previous page, empty for the first
+        :param answer_ms: longest time until the complete answer
         :return: up to 500 rows
         """
         query = {"table": table, "part": ""}
         if after_key:
             query["from"] = after_key + "\0"
         target = "/rows-get?" + urllib.parse.urlencode(query)
-        return self.call("GET", target).addCallback(decode_rows)
+        answer = self.call("GET", target, timeout_ms=answer_ms)
+        return answer.addCallback(decode_rows)
 
     @defer.inlineCallbacks
     def read_all(
@@ -433,13 +450,18 @@
         return dataclasses.replace(first, rows=tuple(found), has_more=False)
 
     def wait_for_changes(
-        self, table: str, after: Position, wait_ms: int
+        self,
+        table: str,
+        after: Position,
+        wait_ms: int,
+        answer_ms: int = CALL_TIMEOUT_MS,
     ) -> "defer.Deferred[ReadResult]":
         """Waits until rows of a table have changed (long polling).
 
         :param table: name of the table
         :param after: position after which changes are returned
         :param wait_ms: longest wait for a change, in milliseconds
+        :param answer_ms: longest time for the answer after that wait
         :return: the changed rows, none if nothing changed in that time; fails
             with :class:`HistoryLostError` if the store has been restored
             since that position
@@ -452,7 +474,7 @@
                 raise HistoryLostError("/rows-feed", HTTP_OK, HISTORY_LOST)
             return result
 
-        answer = self.call("GET", target, timeout_ms=wait_ms + CALL_TIMEOUT_MS)
+        answer = self.call("GET", target, timeout_ms=wait_ms + answer_ms)
         return answer.addCallback(decode_rows).addCallback(check)
 
     def put(
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -21,6 +21,7 @@
 from godwitloft.gateway.upstreams import upstream_list as upstream_lists
 from godwitloft.platform import json_fields
 from godwitloft.platform import lease_row
+from godwitloft.platform import proof_call
 from godwitloft.platform import rows
 from godwitloft.platform import save_retry
 from godwitloft.platform import store as stores
@@ -192,6 +193,7 @@
     ) -> None:
         self.host = host
         self.rng = rng
+        self.key_proof_ms = key_proof_ms
         self.changes_wait_ms = MAX_CHANGES_WAIT_MS
         if key_proof_ms > 0:
             self.changes_wait_ms = min(
@@ -336,18 +338,23 @@
 
         :return: the delay before the next call, in milliseconds
         """
-        started_ms = self.clock.monotonic_ms()
         settle_ms = self.callbacks.settle_left_ms()
         position = self.position
-        if position is None:
-            result = yield self.store.read(OPERATOR_TABLE)
-        else:
-            wait_ms = min(
-                self.changes_wait_ms, settle_ms or self.changes_wait_ms
-            )
-            result = yield self.store.wait_for_changes(
-                OPERATOR_TABLE, position, wait_ms
-            )
+        wait_ms = min(
+            proof_call.longest_wait_ms(
+                self.key_proof_ms,
+                self.confirmation.proof_age_ms(),
+                self.changes_wait_ms,
+            ),
+            settle_ms or self.changes_wait_ms,
+        )
+        proof = yield proof_call.ProofCall(
+            self.reactor,
+            self.clock,
+            functools.partial(self.call_for_configuration, position),
+            functools.partial(self.confirm_late, self.store.timeline.current),
+        ).call(wait_ms if position is not None else 0)
+        started_ms, result = proof.started_ms, proof.result
         is_known = position is not None
         for row in result.rows:
             if row.key == CONFIGURATION_KEY and row.value is not None:
@@ -359,9 +366,41 @@
             is_settling = settle_ms > 0 and position is not None
             self.position = None if is_settling else result.position
             self.callbacks.on_confirmed(started_ms, self.stored_version)
-            return 0
+            # A proof that can't be renewed must not lead to call after call.
+            return 0 if wait_ms > 0 or position is None else MIN_DELAY_MS
         return MIN_DELAY_MS
 
+    def confirm_late(
+        self,
+        timeline: int | None,
+        proof: proof_call.Proof[stores.ReadResult],
+    ) -> None:
+        """Confirms the configuration by the answer to one more call.
+
+        :param timeline: the store's timeline when the call was started
+        :param proof: its answer; the position stays, so that the next call
+            reads what has changed
+        """
+        if timeline == self.store.timeline.current and not proof.result.rows:
+            self.callbacks.on_confirmed(proof.started_ms, self.stored_version)
+
+    def call_for_configuration(
+        self, position: stores.Position | None, wait_ms: int
+    ) -> "defer.Deferred[stores.ReadResult]":
+        """Starts a call that reads the configuration or its changes.
+
+        :param position: position after which changes are read, None to read
+            it as a whole
+        :param wait_ms: longest wait for a change
+        """
+        if position is None:
+            return self.store.read(
+                OPERATOR_TABLE, answer_ms=proof_call.ANSWER_MS
+            )
+        return self.store.wait_for_changes(
+            OPERATOR_TABLE, position, wait_ms, proof_call.ANSWER_MS
+        )
+
     def apply_configuration(self, row: stores.Row) -> bool:
         """Decodes a configuration and passes it on.
 
