--- a/features/support/restored_store.py
+++ b/features/support/restored_store.py
@@ -52,6 +52,9 @@
         self.writes_fail = False
         # Number of writes that take effect, but whose answers are lost.
         self.lose_answers = 0
+        # Returns how long calls take behind a full link, None for no such
+        # link.
+        self.link_ms = None
         self.waiting = []
         # Calls by path and table.
         self.calls = collections.Counter()
@@ -60,6 +63,8 @@
         path, _, query = target.partition("?")
         table = dict(urllib.parse.parse_qsl(query)).get("table", "")
         self.calls[path, table] += 1
+        if self.link_ms is not None:
+            return self.call_through_link(target, body, timeout_ms)
         is_write = target.startswith("/rows-tx")
         if is_write and self.lose_answers:
             self.lose_answers -= 1
@@ -93,6 +98,30 @@
         self.reactor.callLater(min(delay_ms, timeout_ms) / 1000, end)
         return late
 
+    def call_through_link(self, target, body, timeout_ms):
+        """Calls behind callers' bytes; only the way to the store is slow."""
+        late = defer.Deferred()
+
+        def reach():
+            if not late.called:
+                self.call_now(target, body).addCallbacks(answer, fail)
+
+        def answer(result):
+            if not late.called:
+                late.callback(result)
+
+        def fail(failure):
+            if not late.called:
+                late.errback(failure)
+
+        def time_out():
+            if not late.called:
+                late.errback(stores.StoreError(target, 0, "timeout"))
+
+        self.reactor.callLater(self.link_ms() / 1000, reach)
+        self.reactor.callLater(timeout_ms / 1000, time_out)
+        return late
+
     def wake(self):
         """Delivers the answers that came while the process stood still."""
         unread, self.unread = self.unread, None
