The soak rolls versions out beside faults and judges it

No random faults were played on roll-outs. The figures tell of each order whether it ended as wanted.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -169,6 +169,9 @@
         history, to trace what failed; nothing is kept without it
     :param restarts_only: whether the only faults are restarts and stops of
         gateways, of which others excuse most losses, and unframed answers
+    :param rollouts: whether operators order roll-outs, some of them to bad
+        versions, beside kills, stops and pauses of gateways and outages of
+        the store
     """
 
     seed: typing.Annotated[int, cappa.Arg(long=True)] = 1
@@ -178,6 +181,7 @@
     json: OptionalFile = ""
     keep: typing.Annotated[str, cappa.Arg(long=True)] = ""
     restarts_only: typing.Annotated[bool, cappa.Arg(long=True)] = False
+    rollouts: typing.Annotated[bool, cappa.Arg(long=True)] = False
 
     def __call__(self) -> None:
         """Runs it and prints the figures."""
@@ -189,6 +193,7 @@
                 json.loads(self.mistakes),
                 self.keep,
                 self.restarts_only,
+                self.rollouts,
             )
         )
         burst.write(self.json, figures)
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -163,7 +163,7 @@
 
     def run(self) -> None:
         """Sends requests until it is stopped."""
-        while not self.stop_requested.wait(self.rng.uniform(*PAUSE_RANGE_S)):
+        while not self.stop_requested.wait(self.draw_pause_s()):
             if not self.connect(self.rng):
                 continue
             record, method = self.draw_request()
@@ -174,6 +174,11 @@
                 self.close()
         self.close()
 
+    def draw_pause_s(self) -> float:
+        """Draws the time to the next request; there is none in a burst."""
+        pause_s = self.rng.uniform(*PAUSE_RANGE_S)
+        return 0.0 if self.balancer.system.has_burst else pause_s
+
     def connect(self, rng: random.Random) -> bool:
         """Reuses the open connection or opens a new one.
 
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -122,6 +122,8 @@
         self.unexpected_exits: list[str] = []
         # Part of prompts that crashes runners of models, empty for none.
         self.crash_part = ""
+        # Whether callers send requests without a pause.
+        self.has_burst = False
 
     # Start and stop.
 
@@ -422,6 +424,8 @@
             self.restore_program(fault)
         elif fault.kind in RELAY_MODES:
             self.set_mode(fault, relay.PASS)
+        elif fault.kind == "burst":
+            self.has_burst = False
         elif fault.kind == "drain":
             self.control(runners={injected.target: {"state": "ready"}})
         elif fault.kind == "gone":
@@ -545,6 +549,8 @@
             self.control(runners={name: {"limit_per_s": per_s}})
         elif fault.kind == "crash_part":
             self.set_crash_part(crash_part_of(fault))
+        elif fault.kind == "burst":
+            self.has_burst = True
         elif fault.kind == "store_reset":
             self.on_reactor(self.store_relay.reset)
         elif fault.kind == "reset":
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -6,6 +6,7 @@
 
 from bench.soak import callers
 from bench.soak import deployment
+from godwitloft.standins import lakeshore_rollouts
 
 MS_PER_S = 1000
 # How long a fault counts after its end, by the platform's rules.
@@ -40,6 +41,7 @@
     :param closed_after: event after which the runner, which lived on, closed
         the connection of an answer without a length or chunks; None if its
         answer was another
+    :param bad: how a defect of the runner's version showed, empty if not
     """
 
     id: str
@@ -59,6 +61,7 @@
     last_event: str = ""
     broke_off: bool = False
     closed_after: int | None = None
+    bad: str = ""
 
 
 @dataclasses.dataclass
@@ -72,6 +75,7 @@
     :param injected_faults: faults with the times at which they were active
     :param unexpected_exits: programs that ended without being asked to
     :param end_ms: wall time of the end of the soak test
+    :param rollouts: what became of the operators' orders
     """
 
     records: list[callers.RequestRecord]
@@ -82,6 +86,9 @@
     )
     unexpected_exits: list[str] = dataclasses.field(default_factory=list)
     end_ms: int = 0
+    rollouts: list[lakeshore_rollouts.Record] = dataclasses.field(
+        default_factory=list
+    )
 
     def __post_init__(self) -> None:
         self.runs_of: dict[str, list[Run]] = collections.defaultdict(list)
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -102,6 +102,19 @@
     "terminate_again": ("entry", 0, 0),
 }
 AGAIN_MS = (300, 3_000)
+# Beside roll-outs. With all kinds, few versions get enough requests to be
+# judged, and few orders outlive the store.
+BESIDE_ROLLOUTS: dict[str, tuple[str, int, int]] = {
+    "kill": ("entry", 300, 4_000),
+    "terminate": ("entry", 6_500, 7_500),
+    "pause": ("entry", 200, 3_000),
+    "store_away": ("store", 300, 4_000),
+    "store_delay": ("store", 500, 3_000),
+    "store_restored": ("store", 300, 2_000),
+    "drain": ("runner", 4_000, 6_000),
+    "burst": ("callers", 1_000, 3_000),
+}
+BESIDE_ROLLOUTS_GAP_MS = 8_000
 # These stop a gateway without loss; the verdict judges all alike.
 GRACEFUL_KINDS = ("terminate", "terminate_twice", *STOP_KINDS)
 HANG_UP_SHARE = 0.5
@@ -117,6 +130,7 @@
     | RESTART_KINDS
     | TWICE_KINDS
     | DRAIN_KINDS
+    | BESIDE_ROLLOUTS
 )
 
 
@@ -232,6 +246,27 @@
     return tuple(sorted(found, key=lambda fault: fault.at_ms))
 
 
+def draw_beside_rollouts(
+    seed: int, seconds: float, size: Size
+) -> tuple[Fault, ...]:
+    """Draws the faults of a soak test in which versions are rolled out.
+
+    :param seed: of the random number generator
+    :param seconds: length of the soak test
+    :param size: of the deployment
+    :return: faults in order of time
+    """
+    end_ms = int(seconds * MS_PER_S) - FAULT_FREE_END_MS
+    found = draw_kinds(
+        random.Random(f"{seed} beside roll-outs"),
+        BESIDE_ROLLOUTS,
+        BESIDE_ROLLOUTS_GAP_MS,
+        end_ms,
+        size,
+    )
+    return tuple(sorted(found, key=lambda fault: fault.at_ms))
+
+
 def draw_kinds(
     rng: random.Random,
     kinds: dict[str, tuple[str, int, int]],
--- a/bench/soak/site.py
+++ b/bench/soak/site.py
@@ -18,6 +18,9 @@
 RETRY_RATIO = 0.2
 RETRY_EXTRA = 20
 RETRY_WINDOW_S = 10
+EXPOSURE_SHARE = 0.1
+EXPOSURE_SLACK = 50
+ROLLBACK_MS = 5_000
 BOUNDS = words.Bounds(
     leave_s=LEAVE_S,
     revoke_ms=REVOKE_MS,
@@ -27,6 +30,9 @@
     retry_ratio=RETRY_RATIO,
     retry_extra=RETRY_EXTRA,
     retry_window_s=RETRY_WINDOW_S,
+    exposure_share=EXPOSURE_SHARE,
+    exposure_slack=EXPOSURE_SLACK,
+    rollback_ms=ROLLBACK_MS,
 )
 # Callers exceed the rate limit of team "small".
 SMALL_RATE_PER_S = 200
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -16,12 +16,16 @@
 from bench.soak import history as histories
 from bench.soak import plan
 from bench.soak import planned_stops
+from bench.soak import rollouts
 from bench.soak import site
 from bench.soak import unmarked_ends
 from bench.soak import verdict
 
 MIN_PROCESSES = 6
 CALLERS_PER_ENTRY = 5
+# A new version gets a tenth of the requests at the most; with fewer callers it
+# could not be judged.
+CALLERS_IN_ROLLOUTS = 20
 # In one of so many soak tests gateways grant slots, else agents do.
 GATEWAYS_GRANT_EVERY = 2
 FINAL_RUNS_WAIT_S = 1.0
@@ -40,6 +44,7 @@
         to keep nothing
     :param restarts_only: whether the only faults are restarts and stops of
         gateways, and answers without framing
+    :param rollouts: whether operators order roll-outs, beside fewer faults
     """
 
     seed: int = 1
@@ -50,6 +55,7 @@
     )
     keep: str = ""
     restarts_only: bool = False
+    rollouts: bool = False
 
 
 def size_for(processes: int) -> plan.Size:
@@ -82,6 +88,10 @@
     """
     size = size_for(soak.processes)
     faults = plan.draw(soak.seed, soak.seconds, size, soak.restarts_only)
+    orders: tuple[rollouts.Order, ...] = ()
+    if soak.rollouts:
+        faults = plan.draw_beside_rollouts(soak.seed, soak.seconds, size)
+        orders = rollouts.draw(soak.seed, soak.seconds)
     with contextlib.ExitStack() as stack:
         directory = pathlib.Path(soak.keep)
         if soak.keep:
@@ -97,12 +107,15 @@
                 system.control(
                     runners=dict.fromkeys(system.runners, soak.mistakes)
                 )
+            per_entry = CALLERS_PER_ENTRY
+            if soak.rollouts:
+                per_entry = CALLERS_IN_ROLLOUTS
             pool = callers.CallerPool(
-                system, CALLERS_PER_ENTRY * size.entries, soak.seed
+                system, per_entry * size.entries, soak.seed
             )
             pool.start()
             try:
-                inject_faults(system, faults, soak.seconds)
+                inject_faults(system, (*faults, *orders), soak.seconds)
             finally:
                 records = pool.stop()
             history = collect_history(system, records)
@@ -116,18 +129,23 @@
 
 def inject_faults(
     system: deployment.Deployment,
-    faults: typing.Sequence[plan.Fault],
+    faults: typing.Sequence[plan.Fault | rollouts.Order],
     seconds: float,
 ) -> None:
-    """Injects faults at their times, and clears them.
+    """Injects faults at their times and clears them, and orders roll-outs.
 
     :param system: the deployment
-    :param faults: in order of time
+    :param faults: faults and orders
     :param seconds: length of the soak test
     """
     start = time.monotonic()
     due: list[
-        tuple[float, int, plan.Fault, deployment.InjectedFault | None]
+        tuple[
+            float,
+            int,
+            plan.Fault | rollouts.Order,
+            deployment.InjectedFault | None,
+        ]
     ] = []
     for number, fault in enumerate(faults):
         heapq.heappush(due, (fault.at_ms / 1000, number, fault, None))
@@ -135,6 +153,9 @@
     while due:
         at_s, _, fault, injected = heapq.heappop(due)
         time.sleep(max(0.0, start + at_s - time.monotonic()))
+        if isinstance(fault, rollouts.Order):
+            rollouts.begin(system, fault)
+            continue
         if injected is not None:
             system.clear(fault, injected)
             continue
@@ -156,6 +177,7 @@
     """
     time.sleep(FINAL_RUNS_WAIT_S)
     system.note_acknowledgements()
+    ordered = rollouts.collect(system)
     runs = [
         histories.Run(
             id=row["id"],
@@ -174,6 +196,7 @@
             last_event=row["last"] or "",
             broke_off=row["broke_off"],
             closed_after=row["closed_after"],
+            bad=row["bad"],
         )
         for runner, ledger in system.fetch("/ledger").items()
         for row in ledger
@@ -196,6 +219,7 @@
         rejected=rejected,
         injected_faults=system.injected_faults,
         end_ms=deployment.now_ms(),
+        rollouts=ordered,
     )
 
 
@@ -273,6 +297,7 @@
         "faults": dict(
             sorted(collections.Counter(fault.kind for fault in faults).items())
         ),
+        "roll-outs": rollouts.summarize(history),
         "breaches": {
             name: found[:SHOWN_BREACHES] for name, found in breaches.items()
         },
--- a/bench/soak/verdict.py
+++ b/bench/soak/verdict.py
@@ -7,6 +7,7 @@
 from bench.soak import history as histories
 from bench.soak import joined_streams
 from bench.soak import planned_stops
+from bench.soak import rollouts
 from bench.soak import runner_promises
 from bench.soak import site
 from bench.soak import unmarked_ends
@@ -316,7 +317,9 @@
     ),
     "QUOTA": find_quota_excess,
     "LIMIT": runner_promises.find_exceeded_limits,
-    "LOST": planned_stops.find_lost_requests,
+    "LOST": both(planned_stops.find_lost_requests, rollouts.find_cut_answers),
+    "EXPOSURE": rollouts.find_exposure,
+    "ROUTE": rollouts.find_wrong_routes,
     "HELD": find_late_answers,
     "GONE": find_abandoned_runs,
     "RECOVER": find_missing_recovery,
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -54,7 +54,8 @@
     found = {
         fault.kind
         for seed in range(first, last + 1)
-        for fault in plan.draw(seed, SECONDS, SIZE)
+        for draw_plan in (plan.draw, plan.draw_beside_rollouts)
+        for fault in draw_plan(seed, SECONDS, SIZE)
     }
     assert found == set(plan.KINDS), set(plan.KINDS) - found
 
--- a/godwitloft/rollouts/plan.py
+++ b/godwitloft/rollouts/plan.py
@@ -113,7 +113,11 @@
         return stepped(rollout, types.Phase.ROLLED_BACK, verdict)
     is_over = store_now_ms >= rollout.ends_ms - LAST_STEP_MS
     if rollout.phase is types.Phase.JUDGING:
-        if may_move(rollout, verdict, progress, store_now_ms):
+        # Too late to watch it under all requests before the last step.
+        is_unknown = verdict.kind is not judgement.Kind.GOOD_SO_FAR
+        if not (is_over and is_unknown) and may_move(
+            rollout, verdict, progress, store_now_ms
+        ):
             return stepped(rollout, types.Phase.MOVING, verdict)
         if is_over:
             why = "not judged in time: " + verdict.reason
