--- a/features/steps/explaining_steps.py
+++ b/features/steps/explaining_steps.py
@@ -121,6 +121,8 @@
     literals = {"true": True, "false": False}
     if text in literals:
         return literals[text]
+    if text.startswith("["):
+        return json.loads(text)
     return int(text) if text.isdigit() else text
 
 
@@ -188,12 +190,12 @@
 
 @when("roll-outs are explained")
 def explain_rollouts(context):
-    context.text = []
+    context.explained = []
     for history in rollout_history.find(context.logs):
-        context.text += rollout.format_history(history)
+        context.explained += rollout.format_history(history)
 
 
 @then("the text has")
 def text_has(context):
     for row in context.table:
-        assert row["line"] in context.text, context.text
+        assert row["line"] in context.explained, context.explained
--- a/godwitloft/gateway/placing/placer.py
+++ b/godwitloft/gateway/placing/placer.py
@@ -13,11 +13,6 @@
 from godwitloft.gateway.upstreams import fleet as fleets
 from godwitloft.gateway.upstreams import named_limit
 
-Groups = typing.Callable[
-    [requests.Request, str | None, list[placement.Place]],
-    list[list[placement.Place]],
-]
-
 
 class Candidates:
     """Upstreams among which the requests of one scheduling pass are placed.
@@ -45,7 +40,15 @@
         self.places: dict[str, placement.Place] = {}
         # Divides upstreams into those to be tried first and others, and omits
         # some, in a roll-out.
-        self.groups: Groups | None = None
+        self.groups: (
+            typing.Callable[
+                [requests.Request, str | None, Candidates],
+                typing.Iterable[list[placement.Place]],
+            ]
+            | None
+        ) = None
+        # Versions of those with room; None until asked for, and after changes.
+        self.roomy: set[str] | None = None
         for state in states:
             self.states[state.upstream.id] = state
             self.update(state)
@@ -55,6 +58,7 @@
 
         :param state: one of the upstreams
         """
+        self.roomy = None
         place = self.place(state, self.now_ms)
         if place is not None:
             self.places[state.upstream.id] = place
@@ -65,6 +69,19 @@
         """Returns whether any request might be sent now."""
         return any(place.has_room for place in self.places.values())
 
+    def versions_with_room(self) -> set[str]:
+        """Returns the versions of the upstreams that have room.
+
+        It is the same for all requests that wait, of which there may be many.
+        """
+        if self.roomy is None:
+            self.roomy = {
+                self.states[name].upstream.version
+                for name, place in self.places.items()
+                if place.has_room
+            }
+        return self.roomy
+
     def choose(
         self, request: requests.Request, version: str | None
     ) -> fleets.UpstreamState | None:
@@ -76,10 +93,11 @@
         """
         if self.now_ms < request.resend_at_ms:
             return None
-        places = self.places_of(version)
-        groups = [places]
-        if self.groups is not None:
-            groups = self.groups(request, version, places)
+        groups: typing.Iterable[list[placement.Place]]
+        if self.groups is None:
+            groups = (self.places_of(version),)
+        else:
+            groups = self.groups(request, version, self)
         for group in groups:
             place = placement.choose(
                 group,
--- a/godwitloft/gateway/rollouts.py
+++ b/godwitloft/gateway/rollouts.py
@@ -17,6 +17,7 @@
 from godwitloft.gateway import rollout_counts
 from godwitloft.gateway.allowances import gateway_list
 from godwitloft.gateway.placing import placement
+from godwitloft.gateway.placing import placer as placers
 from godwitloft.gateway.upstreams import fleet as fleets
 from godwitloft.rollouts import evidence
 from godwitloft.rollouts import exposure
@@ -27,7 +28,8 @@
 # A new version is used only if the orders were current this long after it was
 # first listed: an order may be written some time later than its upstreams.
 ORDERS_DELAY_MS = 1_000
-JUDGE_INTERVAL_MS = 100
+# A judgement of 280 counts takes 3 ms.
+JUDGE_INTERVAL_MS = 200
 LOG_INTERVAL_MS = 1_000
 # Counts in one announcement, which should fit into one packet.
 MAX_CELLS = 16
@@ -525,34 +527,41 @@
         self,
         request: requests.Request,
         version: str | None,
-        places: list[placement.Place],
-    ) -> list[list[placement.Place]]:
-        """Returns the upstreams that a request may be sent to.
+        candidates: placers.Candidates,
+    ) -> typing.Iterator[list[placement.Place]]:
+        """Yields the upstreams that a request may be sent to.
 
         :param request: a waiting request
         :param version: the version that it must be sent to, None for any
-        :param places: upstreams of its service
+        :param candidates: upstreams of its service
         :return: those to be tried first, and then others
         """
-        states = self.fleet.states
-        allowed = [
-            place
-            for place in places
-            if self.may_send(request, states[place.id], version)
-        ]
+        allowed = {
+            known
+            for known in candidates.versions_with_room()
+            if version in (None, known)
+            and self.may_send(request, known, version)
+        }
+        if not allowed:
+            return
         active = self.active.get(request.facts.service)
-        if active is None or version is not None:
-            return [allowed]
-        rollout = active.rollout
-        if rollout.phase is not types.Phase.JUDGING:
-            return [allowed]
-        new = [
-            place
-            for place in allowed
-            if states[place.id].upstream.version == rollout.to
-        ]
-        former = [place for place in allowed if place not in new]
-        return [self.used_now(active, new), former]
+        if (
+            active is not None
+            and version is None
+            and active.rollout.phase is types.Phase.JUDGING
+            and active.rollout.to in allowed
+        ):
+            allowed.discard(active.rollout.to)
+            new = candidates.places_of(active.rollout.to)
+            yield self.used_now(active, new)
+        for known in allowed if len(allowed) == 1 else ():
+            yield candidates.places_of(known)
+        if len(allowed) > 1:
+            yield [
+                place
+                for place in candidates.places.values()
+                if candidates.states[place.id].upstream.version in allowed
+            ]
 
     def used_now(
         self, active: Active, new: list[placement.Place]
@@ -576,17 +585,16 @@
     def may_send(
         self,
         request: requests.Request,
-        state: fleets.UpstreamState,
+        upstream_version: str,
         version: str | None,
     ) -> bool:
-        """Returns whether a request may be sent to an upstream.
+        """Returns whether a request may be sent to upstreams of a version.
 
         :param request: a waiting request
-        :param state: an upstream of its service
+        :param upstream_version: version of upstreams of its service
         :param version: the version that it must be sent to, None for any
         """
         service = request.facts.service
-        upstream_version = state.upstream.version
         if self.in_use and self.orders_current_ms is None:
             return self.may_send_unread(service, upstream_version)
         if self.is_excluded(service, upstream_version):
@@ -706,7 +714,7 @@
             return
         self.judged_ms = now_ms
         self.evidence.learn(
-            self.incarnation, self.counts.counters.cells.items()
+            self.incarnation, self.counts.counters.take_grown()
         )
         for active in self.active.values():
             if not active.rollout.phase.has_ended:
@@ -723,7 +731,8 @@
         rollout = active.rollout
         counts = self.evidence.merged(rollout.service, rollout.order_version)
         verdict = judgement.judge(counts, rollout.to, rollout.former)
-        active.answers = verdict.inputs["answers"]
+        inputs = verdict.inputs
+        active.answers = max(inputs["answers"], inputs["timed"])
         active.verdict = verdict
         if verdict.kind is judgement.Kind.BAD:
             self.stop(active, verdict)
