--- a/godwitloft/rollouts/judgement.py
+++ b/godwitloft/rollouts/judgement.py
@@ -39,9 +39,10 @@
 FALSE_ALARM = 1 / 300
 # Parts of the evidence that suffices, on a logarithmic scale. With the first,
 # nothing is decided yet; with the second, a version gets all requests only
-# once more answers have cleared it.
+# once more answers have cleared it. Of 560 drawn good versions, 11 ended in
+# doubt and none with the second.
 DOUBT = 0.25
-SUSPICION = 0.75
+SUSPICION = 0.5
 # Upper bounds of portions are taken so many standard errors up.
 PORTION_ERRORS = 1.64
 # A version is slow that is slower than this by a clear margin.
--- a/godwitloft/rollouts/plan.py
+++ b/godwitloft/rollouts/plan.py
@@ -123,9 +123,10 @@
         return None
     since_ms = store_now_ms - rollout.started_ms
     watched = GOOD_SHARE + MIN_MOVING_SHARE
-    if is_over or (
-        progress.confirmed and since_ms >= watched * rollout.duration_ms
-    ):
+    # With all requests, a doubt is soon cleared or confirmed.
+    is_good = verdict.kind is judgement.Kind.GOOD_SO_FAR
+    is_watched = is_good and since_ms >= watched * rollout.duration_ms
+    if is_over or (progress.confirmed and is_watched):
         why = f"{verdict.reason}; {progress.left} requests left"
         return stepped(rollout, types.Phase.COMPLETED, verdict, why)
     return None
