--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -54,7 +54,8 @@
     found = {
         fault.kind
         for seed in range(first, last + 1)
-        for fault in plan.draw(seed, SECONDS, SIZE)
+        for draw_plan in (plan.draw, plan.draw_beside_rollouts)
+        for fault in draw_plan(seed, SECONDS, SIZE)
     }
     assert found == set(plan.KINDS), set(plan.KINDS) - found
 
@@ -319,6 +320,7 @@
         row = {"route": "single", "key": "key-large", "events": 100} | fields
         self.add_request(row | {"status": 200, "body": "first", "whole": "no"})
         run = {"at": row["sent"], "ended": row["worked"], "team": "large"}
+        run["runner"] = row.get("runner", "i-model-0")
         self.add_run(fields | run | {"path": f"/{row['route']}/x"})
 
     def add_cut_unframed(self, fields):
--- a/godwitloft/rollouts/plan.py
+++ b/godwitloft/rollouts/plan.py
@@ -113,7 +113,11 @@
         return stepped(rollout, types.Phase.ROLLED_BACK, verdict)
     is_over = store_now_ms >= rollout.ends_ms - LAST_STEP_MS
     if rollout.phase is types.Phase.JUDGING:
-        if may_move(rollout, verdict, progress, store_now_ms):
+        # Too late to watch it under all requests before the last step.
+        is_unknown = verdict.kind is not judgement.Kind.GOOD_SO_FAR
+        if not (is_over and is_unknown) and may_move(
+            rollout, verdict, progress, store_now_ms
+        ):
             return stepped(rollout, types.Phase.MOVING, verdict)
         if is_over:
             why = "not judged in time: " + verdict.reason
@@ -123,9 +127,10 @@
         return None
     since_ms = store_now_ms - rollout.started_ms
     watched = GOOD_SHARE + MIN_MOVING_SHARE
-    if is_over or (
-        progress.confirmed and since_ms >= watched * rollout.duration_ms
-    ):
+    # With all requests, a doubt is soon cleared or confirmed.
+    is_good = verdict.kind is judgement.Kind.GOOD_SO_FAR
+    is_watched = is_good and since_ms >= watched * rollout.duration_ms
+    if is_over or (progress.confirmed and is_watched):
         why = f"{verdict.reason}; {progress.left} requests left"
         return stepped(rollout, types.Phase.COMPLETED, verdict, why)
     return None
