Meet bounded claims before dividing, and hold less urgent requests

Claims are now bounded while they are met. A peer's urgent request counts unless the peer runs nothing although it has a share; before, its share had to be half used, which a growing share isn't.

--- a/features/room_by_demand.feature
+++ b/features/room_by_demand.feature
@@ -40,7 +40,7 @@
 
     Examples:
       | event | excess | least |
-      | is silent | 1 | 0.6 |
+      | is silent | 2 | 0.6 |
       | is cut off | 2 | 0.6 |
       | is stopped | 1 | 0.95 |
       | is joined by a new one | 2 | 0.7 |
--- a/features/support/room_fleet.py
+++ b/features/support/room_fleet.py
@@ -21,11 +21,18 @@
 
 
 def configuration():
-    """Returns one in which "post" goes before "lookup"."""
-    found = gateway_world.configuration()
+    """Returns one in which "post" goes before "lookup".
+
+    Its target is long, so that requests wait for it without being late.
+    """
+    found = gateway_world.configuration(version=2)
     ranks = {URGENT: 0, OTHER: 2}
     routes = tuple(
-        dataclasses.replace(route, rank=ranks.get(route.name, route.rank))
+        dataclasses.replace(
+            route,
+            rank=ranks.get(route.name, route.rank),
+            target_ms=3000 if route.name == URGENT else route.target_ms,
+        )
         for route in found.routes
     )
     return dataclasses.replace(found, routes=routes)
--- a/godwitloft/gateway/placing/demand_share.py
+++ b/godwitloft/gateway/placing/demand_share.py
@@ -26,6 +26,8 @@
 # its demand grows to any size within a few announcements, and a claim without
 # running requests takes no more than an equal share from others.
 MAX_GROWTH = 2
+# What bounded claims leave is divided again so many times.
+MAX_ROUNDS = 3
 # Under overload, an idle gateway keeps an equal share of this part.
 IDLE_PART = 16
 # Otherwise, this part of what nobody claims is divided equally.
@@ -152,11 +154,12 @@
         )
         for name in names
     }
-    met = _meet(claims, room * UNIT)
     equal = room * UNIT // len(names)
-    for name in names:
-        most = MAX_GROWTH * min(demands[name].running, room) * UNIT + equal
-        met[name] = min(met[name], most)
+    most = {
+        name: MAX_GROWTH * min(demands[name].running, room) * UNIT + equal
+        for name in names
+    }
+    met = _meet(claims, most, room * UNIT)
     spare = max(0, room * UNIT - sum(met.values()))
     each = spare // SPARE_PART // len(names)
     weights = [max(met[name] + each, equal // IDLE_PART, 1) for name in names]
@@ -224,21 +227,32 @@
     return bounded
 
 
-def _meet(claims: dict[str, list[int]], free: int) -> dict[str, int]:
+def _meet(
+    claims: dict[str, list[int]], most: dict[str, int], free: int
+) -> dict[str, int]:
     met = dict.fromkeys(claims, 0)
     depth = max(map(len, claims.values()))
     for urgency in range(depth):
         asked = {
             name: claim[urgency] * UNIT // CLAIM_UNIT
             for name, claim in claims.items()
-            if urgency < len(claim)
+            if urgency < len(claim) and claim[urgency]
         }
-        total = sum(asked.values())
-        given = min(total, free)
-        for name, units in asked.items():
-            if units:
-                met[name] += units * given // total
-        free -= given
+        for _ in range(MAX_ROUNDS):
+            total = sum(asked.values())
+            given = min(total, free)
+            if given <= 0:
+                break
+            for name, units in list(asked.items()):
+                part = min(units * given // total, most[name] - met[name])
+                met[name] += part
+                free -= part
+                asked[name] -= part
+                if met[name] >= most[name]:
+                    # What it doesn't get is there for the others.
+                    del asked[name]
+            if len(asked) == len(claims):
+                break
     return met
 
 
--- a/godwitloft/gateway/placing/room_shares.py
+++ b/godwitloft/gateway/placing/room_shares.py
@@ -469,7 +469,7 @@
     ) -> None:
         """Finds the most urgent request that waits at another gateway.
 
-        One that uses less than half of its share could start requests itself,
+        One that has a share and runs nothing could start its requests itself,
         and one that is silent may have started them.
 
         :param service: name of the service
@@ -485,7 +485,7 @@
                 urgency is not None
                 and name != self.sharing.instance
                 and self.sharing.others.was_heard(name, since_ms)
-                and 2 * demand.running >= division.quotas[name]
+                and (demand.running or not division.quotas[name])
             ):
                 found.append(urgency)
         share.urgent_elsewhere = min(found, default=None)
