--- a/features/room_by_demand.feature
+++ b/features/room_by_demand.feature
@@ -30,6 +30,7 @@
       | half of the callers at one of 14 gateways | 1.5 |
       | a zone with 60 % of the callers | 0.9 |
       | a zone with 60 % of the callers | 1.5 |
+      | waves out of phase between 3 zones | 0.9 |
 
   # Guards against gateways that take others' room when something goes wrong.
   Scenario Outline: 1 of 4 gateways <event>
--- a/features/steps/room_by_demand_steps.py
+++ b/features/steps/room_by_demand_steps.py
@@ -1,5 +1,6 @@
 import collections
 import itertools
+import math
 import random
 import time
 
@@ -19,6 +20,17 @@
 SAMPLE_MS = 100
 # Quotas are whole numbers.
 QUOTA_TOLERANCE = 2
+WAVE_MS = 3000
+
+
+def wave(now_ms):
+    """Returns the callers' parts at 3 zones of 4 gateways, out of phase."""
+    turns = (now_ms / WAVE_MS + zone / 3 for zone in range(3))
+    return [
+        1.1 + math.cos(2 * math.pi * turn) for turn in turns for _ in range(4)
+    ]
+
+
 PATTERNS = {
     "half of the callers at one of 14 gateways": (
         [0.5] + [0.5 / 13] * 13,
@@ -32,6 +44,12 @@
         [RUN_MS / speed for speed in SPEEDS],
         13,
     ),
+    "waves out of phase between 3 zones": (
+        wave,
+        [0] * 4 + [1] * 4 + [2] * 4,
+        [RUN_MS / speed for speed in SPEEDS],
+        13,
+    ),
 }
 
 
@@ -119,13 +137,13 @@
     parts, zones, upstreams, slots = context.pattern
     context.found = {}
     for is_equal in (True, False):
-        older = range(len(parts)) if is_equal else ()
-        fleet = room_fleet.RoomFleet(len(parts), upstreams, slots, older)
-        fleet.run(room_fleet.SETTLING_MS, load, lambda _ms: parts)
+        older = range(len(zones)) if is_equal else ()
+        fleet = room_fleet.RoomFleet(len(zones), upstreams, slots, older)
+        run_sampled(fleet, room_fleet.SETTLING_MS, load, parts)
         since_ms = fleet.now_ms
         excess = run_sampled(fleet, MEASURED_MS, load, parts)
         until_ms = fleet.now_ms
-        fleet.run(room_fleet.LEFT_MS, 0.0, lambda _ms: parts)
+        fleet.run(room_fleet.LEFT_MS, 0.0, lambda _ms: [1.0] * len(zones))
         fractions = fleet.fractions(since_ms, until_ms, zones)
         finished = sum(
             asked.in_time and since_ms <= asked.ended_ms < until_ms
@@ -139,7 +157,8 @@
     """Lets callers ask, and returns the largest excess of the shares."""
     excess = 0
     for _ in range(duration_ms // SAMPLE_MS):
-        fleet.run(SAMPLE_MS, load, lambda _ms: parts)
+        now = parts(fleet.now_ms) if callable(parts) else parts
+        fleet.run(SAMPLE_MS, load, lambda _ms, now=now: now)
         excess = max(excess, fleet.allowed_excess())
     return excess
 
