--- a/features/steps/upstream_capacity_steps.py
+++ b/features/steps/upstream_capacity_steps.py
@@ -254,14 +254,14 @@
     fleet.run(4000, 0.5)
 
 
-@when("15 answers are slow as their callers read slowly")
+@when("10 answers are slow as their callers read slowly")
 def read_slowly(context):
     fleet = context.fleet
     gateway = fleet.worlds[0].gateway
     before = rooms_of(fleet.worlds[0], "u0")[0].of(gateway.fleet.states["u0"])
     levels = before.own.levels()
     answers = before.answers
-    for _ in range(15):
+    for _ in range(10):
         fleet.ask()
         for request in list(gateway.running):
             gateway.on_caller_congested(request, True)
--- a/features/upstream_capacity.feature
+++ b/features/upstream_capacity.feature
@@ -53,7 +53,7 @@
       | case | event | room |
       | a restarted upstream | it is listed with a new start | 10 |
       | another version at the same address | it is listed with a new id and version | 10 |
-      | a caller that reads slowly | 15 answers are slow as their callers read slowly | 4 |
+      | a caller that reads slowly | 10 answers are slow as their callers read slowly | 4 |
       | a stalled process | it answers nothing for 6 s | 3 |
 
   # Guards against announcements that don't fit into a datagram, and against
--- a/godwitloft/gateway/upstreams/learned_room.py
+++ b/godwitloft/gateway/upstreams/learned_room.py
@@ -45,8 +45,8 @@
 RECENT_WEIGHT = 0.2
 BIAS_WEIGHT = 0.1
 BIAS_HALF_LIFE_MS = 20_000
-# Logarithm of the least difference in speed that counts. With 0.05, noise of 10
-# ms kept gateways from a limited upstream (half of the requests that it took).
+# Logarithm of the least difference in speed that counts. With 0.05, noise of
+# 10 ms kept gateways from a limited upstream: it got half of what it took.
 RESOLUTION = 0.3
 NEVER_MS = -(1 << 62)
 
