Teams are kept to their shares while room is scarce

Cause: a team that sends many times its usual load crowded out the others, as admission knew teams only through their floors.

Under scarcity each gateway works out weighted max-min shares from what it serves and from what all gateways announce of the teams' demand. Requests above their team's share go after all that are within theirs, whatever their rank, and are refused first; the floors go before. Requests that are refused for lack of room count as demand.

--- a/features/support/former_admission.py
+++ b/features/support/former_admission.py
@@ -23,6 +23,12 @@
         ("find_hopeless", lambda *_queue: frozenset()),
     ):
         setattr(admission, name, types.MethodType(method, admission))
+    admission.load_of("model").team_shares.record_arrival = within_share
+
+
+def within_share(_team, _scarce, _now_ms):
+    """Keeps no team to its share."""
+    return False
 
 
 def hint(self, request, _queue, now_ms):
@@ -35,12 +41,12 @@
 
 def is_overloaded(self, request, queue, now_ms):
     """Compares the waiting requests of its rank with the rate."""
-    rank = request.facts.rank
+    rank = request.standing
     load = self.load_of(request.facts.service)
     if not load.was_overloaded(rank, now_ms):
         return False
     ahead = sum(
-        other.facts.rank <= rank
+        other.standing <= rank
         and not admissions.ordering.is_late(other, now_ms)
         for other in queue
     )
--- a/features/support/scarce_fleet.py
+++ b/features/support/scarce_fleet.py
@@ -89,6 +89,7 @@
         for host, world in self.worlds.items():
             self.connect(host, world)
         # Requests that run at each engine, and that wait inside it.
+        self.active = []
         self.running = collections.Counter()
         self.queued = collections.defaultdict(collections.deque)
         self.played = dict.fromkeys(self.worlds, 0)
@@ -159,8 +160,9 @@
             self.queued[engine].append(sent)
 
     def begin(self, sent, engine):
-        """Answers as an engine does."""
+        """Answers as an engine does, which stops when its caller leaves."""
         self.running[engine] += 1
+        self.active.append((sent, engine))
 
         def first():
             if not sent.cancelled:
@@ -168,18 +170,31 @@
                 sent.callbacks.on_data(b"id: 1\ndata: x\n\n")
 
         def end():
-            self.running[engine] -= 1
-            if self.queued[engine]:
-                self.begin(self.queued[engine].popleft(), engine)
             if not sent.cancelled:
                 sent.callbacks.on_data(b"id: 2\ndata: y\n\n")
                 sent.end(attempts.End.COMPLETE)
+                sent.cancelled = True
 
         self.reactor.callLater(FIRST_DATA_MS / 1000, first)
         self.reactor.callLater(RUN_MS / 1000, end)
 
+    def free_slots(self):
+        """Frees the slots of requests that have ended or were cancelled."""
+        active, self.active = self.active, []
+        for sent, engine in active:
+            if not sent.cancelled:
+                self.active.append((sent, engine))
+                continue
+            self.running[engine] -= 1
+        for engine, queued in self.queued.items():
+            while queued and self.running[engine] < SLOTS:
+                sent = queued.popleft()
+                if not sent.cancelled:
+                    self.begin(sent, engine)
+
     def step(self):
         self.reactor.advance(STEP_MS / 1000)
+        self.free_slots()
         for host, world in self.worlds.items():
             world.confirm()
             if self.now_ms % gateway_world.TICK_MS == 0:
--- a/godwitloft/gateway/placing/admission.py
+++ b/godwitloft/gateway/placing/admission.py
@@ -25,6 +25,7 @@
 from godwitloft.gateway.placing import ordering
 from godwitloft.gateway.placing import placement
 from godwitloft.gateway.placing import service_floor
+from godwitloft.gateway.placing import team_shares
 from godwitloft.gateway.upstreams import fleet as fleets
 from godwitloft.policy import retry_hint
 
@@ -34,6 +35,8 @@
 MIN_LATE_STARTS_PER_S = 5.0
 LATE_WAIT_FAILURE_MEMORY_MS = 8_000
 OVERLOAD_MEMORY_MS = 1_000
+# Teams are kept to their shares for this time after such a refusal.
+SCARCITY_MEMORY_MS = 3_000
 ALLOWANCE_RETRY_AFTER_MS = 1_000
 MAX_WAITING = 2_000
 OVERLOAD_REASONS = frozenset(
@@ -51,30 +54,37 @@
 MAX_SHORT_RETRY_AFTER_MS = 700
 
 
+Standing = tuple[int, int, int]
+
+
 @dataclasses.dataclass(frozen=True)
 class Start:
     """Records that a request was sent to a service.
 
     :param at_ms: when it was sent
-    :param rank: importance of the request
+    :param rank: importance of the request, see :attr:`Request.standing`
     :param late: whether it had been marked late while it was waiting
     """
 
     at_ms: int
-    rank: tuple[int, int]
+    rank: Standing
     late: bool
 
 
 class ServiceLoad:
-    """Recent starts and refusals of requests to one service."""
+    """Recent starts and refusals of requests to one service.
+
+    :param sharing: demand of teams at all gateways
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, sharing: sharings.Sharing) -> None:
         self.starts: collections.deque[Start] = collections.deque()
         # When a late request that had kept waiting was last refused.
         self.late_wait_failed_ms = -LATE_WAIT_FAILURE_MEMORY_MS
         # When a request was last refused under overload, by its rank.
-        self.overloaded_ms: dict[tuple[int, int], int] = {}
+        self.overloaded_ms: dict[Standing, int] = {}
         self.floor = service_floor.ServiceFloor()
+        self.team_shares = team_shares.TeamShares(sharing)
         self.returns = retry_hint.PromisedReturns()
         # Waiting requests that can't start in time, as found at a time.
         self.hopeless: frozenset[requests.Request] = frozenset()
@@ -94,7 +104,17 @@
         number = sum(map(counts, self.starts))
         return number * clocks.MS_PER_S / RATE_WINDOW_MS
 
-    def was_overloaded(self, rank: tuple[int, int], now_ms: int) -> bool:
+    def is_scarce(self, now_ms: int) -> bool:
+        """Returns whether any request was refused under overload lately.
+
+        :param now_ms: the current time
+        """
+        return any(
+            now_ms - at_ms <= SCARCITY_MEMORY_MS
+            for at_ms in self.overloaded_ms.values()
+        )
+
+    def was_overloaded(self, rank: Standing, now_ms: int) -> bool:
         """Returns whether requests were refused under overload lately.
 
         :param rank: importance of a request
@@ -139,11 +159,12 @@
         :param request: the request
         :param now_ms: the current time
         """
-        start = Start(now_ms, request.facts.rank, request.marked_late)
+        start = Start(now_ms, request.standing, request.marked_late)
         load = self.load_of(request.facts.service)
         load.starts.append(start)
         if request.attempt_count == 1:
             load.floor.record_start(request, now_ms)
+            load.team_shares.record_start(now_ms)
 
     def load_of(self, service: str) -> ServiceLoad:
         """Returns the load record of a service.
@@ -151,7 +172,10 @@
         :param service: name of the service
         :return: its record, created if needed
         """
-        return self.loads.setdefault(service, ServiceLoad())
+        load = self.loads.get(service)
+        if load is None:
+            load = self.loads[service] = ServiceLoad(self.sharing)
+        return load
 
     def admit(
         self, request: requests.Request, queue: list[requests.Request]
@@ -174,18 +198,45 @@
         load = self.load_of(facts.service)
         floor = load.floor
         floor.record_arrival(request, now_ms)
+        request.above_share = load.team_shares.record_arrival(
+            facts.team, load.is_scarce(now_ms), now_ms
+        )
         has_turn = self.recognise_return(request, load, now_ms)
         if len(queue) >= MAX_WAITING:
-            return self.rejection(request, "queue_full", queue)
+            return self.crowd_out(request, "queue_full", queue)
         if facts.takes_up_stream or floor.owes(request, queue):
             return self.charge_allowance(request)
         wait_ms = self.expected_wait_ms(request, queue, now_ms)
         if now_ms + wait_ms > facts.first_data_deadline_ms:
-            return self.rejection(request, "wait_too_long", queue)
+            return self.crowd_out(request, "wait_too_long", queue)
         if not has_turn and self.is_overloaded(request, queue, now_ms):
-            return self.rejection(request, "crowded_out", queue)
+            return self.crowd_out(request, "crowded_out", queue)
         return self.charge_allowance(request)
 
+    def crowd_out(
+        self,
+        request: requests.Request,
+        reason: str,
+        queue: typing.Sequence[requests.Request],
+    ) -> refusals.Refusal:
+        """Refuses a new request for which there is no room.
+
+        It counts as demand of its team, which decides the team's share.
+
+        :param request: the request
+        :param reason: reason of the refusal
+        :param queue: requests that wait for the same service
+        """
+        team = request.facts.team
+        if team is not None and team.tokens_per_s > 0:
+            amount = request_checkers.allowance_tokens(
+                team, request.facts.sizes
+            )
+            self.sharing.own.record_demand(team, amount)
+            # Only a team with a window is announced.
+            self.sharing.window(team.name)
+        return self.rejection(request, reason, queue)
+
     def recognise_return(
         self, request: requests.Request, load: ServiceLoad, now_ms: int
     ) -> bool:
@@ -205,7 +256,11 @@
         )
         if request.first_asked_ms == facts.arrived_ms:
             return False
-        return load.returns.use(now_ms, facts.rank) is not None
+        # Whether a request is above its team's share may have changed since.
+        return any(
+            load.returns.use(now_ms, (above, *facts.rank)) is not None
+            for above in (0, 1)
+        )
 
     def crash_refusal(
         self, request: requests.Request, now_ms: int
@@ -257,7 +312,7 @@
         :param now_ms: the current time
         :return: whether it would not start in time
         """
-        rank = request.facts.rank
+        rank = request.standing
         load = self.load_of(request.facts.service)
         if not load.was_overloaded(rank, now_ms):
             return False
@@ -302,8 +357,8 @@
         :param now_ms: the current time
         :return: milliseconds
         """
-        rank = request.facts.rank
-        ahead = sum(other.facts.rank <= rank for other in queue)
+        rank = request.standing
+        ahead = sum(other.standing <= rank for other in queue)
         load = self.load_of(request.facts.service)
         rate_per_s = load.per_s(now_ms, lambda _start: True)
         return placement.expected_wait_ms(
@@ -348,7 +403,7 @@
         wait_ms = self.expected_late_wait_ms(request, queue, now_ms)
         if now_ms + wait_ms <= give_up_at_ms:
             return ""
-        self.load_of(facts.service).overloaded_ms[facts.rank] = now_ms
+        self.load_of(facts.service).overloaded_ms[request.standing] = now_ms
         return "crowded_out"
 
     def find_hopeless(
@@ -375,11 +430,11 @@
             and not ordering.is_late(request, now_ms)
         ]
         waiting.sort(key=lambda request: ordering.order_key(request, now_ms))
-        rates: dict[tuple[int, int], float] = {}
+        rates: dict[Standing, float] = {}
         ahead = 0
         found = []
         for request in waiting:
-            rank = request.facts.rank
+            rank = request.standing
             if rank not in rates:
                 rates[rank] = load.per_s(now_ms, _starts_from(rank))
             wait_ms = placement.expected_wait_ms(
@@ -414,7 +469,7 @@
         ahead = sum(
             other.marked_late
             and other.state is requests.State.WAITING
-            and other.facts.rank <= request.facts.rank
+            and other.standing <= request.standing
             for other in queue
         )
         load = self.load_of(request.facts.service)
@@ -453,7 +508,11 @@
                 int(after_ms),
                 {"rank": facts.rank, "pause_left_ms": pause_ms},
             )
-        inputs: dict[str, typing.Any] = {"rank": facts.rank}
+        inputs: dict[str, typing.Any] = {
+            "rank": facts.rank,
+            "team": facts.team.name if facts.team is not None else None,
+            "above_share": request.above_share,
+        }
         if reason in OVERLOAD_REASONS:
             hint = self.hint(request, queue, now_ms)
             after_ms = hint.after_ms
@@ -489,15 +548,15 @@
         ahead = sum(
             other is not request
             and other.state is requests.State.WAITING
-            and other.facts.rank <= facts.rank
+            and other.standing <= request.standing
             for other in queue
         )
         return load.returns.hint(
             now_ms,
             facts.caller_deadline_ms - now_ms,
             ahead,
-            load.per_s(now_ms, _starts_from(facts.rank)),
-            facts.rank,
+            load.per_s(now_ms, _starts_from(request.standing)),
+            request.standing,
             self.rng.random(),
         )
 
@@ -542,7 +601,7 @@
     }
 
 
-def _starts_from(rank: tuple[int, int]) -> typing.Callable[[Start], bool]:
+def _starts_from(rank: Standing) -> typing.Callable[[Start], bool]:
     """Returns what counts the starts of a rank and of less important ones.
 
     More important requests go first, so that their starts tell nothing about
--- a/godwitloft/gateway/placing/ordering.py
+++ b/godwitloft/gateway/placing/ordering.py
@@ -18,6 +18,9 @@
 MAX_ANNOUNCED_RANK = 2
 ANNOUNCED_RANKS = (0.0, 1.0, 1.5, 2.0, 2.5, 3.5)
 ROUTE_RANKS = 3
+# Added to the rank of a request above its team's share: it goes after all that
+# are within theirs, whatever their ranks.
+ABOVE_SHARE_PENALTY = 1_000
 URGENCIES = len(ANNOUNCED_RANKS) * ROUTE_RANKS
 
 
@@ -30,7 +33,7 @@
     important ones. Of equally important ones, streams that are taken up again
     go first, then requests that their callers first sent earlier, so that a
     retry isn't placed behind newer requests. Late requests are ordered as less
-    important than their rank.
+    important than their rank. Requests above their teams' shares go last.
 
     :param request: a waiting request
     :param now_ms: the current time
@@ -42,6 +45,7 @@
         lowered: float = OWED_RANK
     else:
         lowered = rank + LATE_RANK_PENALTY * is_late(request, now_ms)
+        lowered += ABOVE_SHARE_PENALTY * request.above_share
     return (
         lowered,
         route_rank,
@@ -75,6 +79,8 @@
     rank, route_rank = request.facts.rank
     if request.owed:
         return 0
+    if request.above_share:
+        return URGENCIES - ROUTE_RANKS + min(route_rank, ROUTE_RANKS - 1)
     announced = min(rank, MAX_ANNOUNCED_RANK) + LATE_RANK_PENALTY * is_late(
         request, now_ms
     )
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -155,6 +155,8 @@
         # When its caller first sent it, in an earlier attempt if the time left
         # tells so.
         self.first_asked_ms = facts.arrived_ms
+        # Whether it is above its team's share of what can be served.
+        self.above_share = False
         # Whether it was found late while it waited for its first attempt.
         self.marked_late = False
         # Groups that are owed a part of what is served, and whether it waits
@@ -217,6 +219,11 @@
         # Why its last failed attempt was not followed by another.
         self.no_retry = ""
 
+    @property
+    def standing(self) -> tuple[int, int, int]:
+        """Importance: within its team's share or not, then its rank."""
+        return (int(self.above_share), *self.facts.rank)
+
     def untried_causes(self) -> tuple[str, ...]:
         """Returns what may crash an upstream in it, but what it tries."""
         return tuple(
