--- a/godwitloft/gateway/reports.py
+++ b/godwitloft/gateway/reports.py
@@ -181,6 +181,14 @@
         router = self.config_state.router
         now_ms = self.clock.monotonic_ms()
         self.instruments.refusals.add(1, {"reason": refusal.reason})
+        hint = refusal.inputs.get("hint")
+        if hint is not None:
+            above = refusal.inputs.get("above_share", False)
+            labels = {
+                "promised": str(hint["promised"]).lower(),
+                "above_share": str(above).lower(),
+            }
+            self.instruments.hints.add(1, labels)
         self.shutdown.count_end(outcomes.REFUSED, refusal.reason)
         fields = {
             "request": request_id,
--- a/godwitloft/metrics.py
+++ b/godwitloft/metrics.py
@@ -19,6 +19,8 @@
     """The instruments of a daemon.
 
     :param refusals: refused requests, by ``reason`` and ``tier``
+    :param hints: refusals under overload, by whether their callers were
+        ``promised`` a turn and whether they were ``above_share`` of their team
     :param retries: retried calls, by ``reason``
     :param outcomes: ended requests, by ``outcome`` and ``tier``
     :param cuts: answers that were cut off, by ``reason`` and whether the
@@ -35,6 +37,7 @@
     """
 
     refusals: metrics.Counter
+    hints: metrics.Counter
     retries: metrics.Counter
     outcomes: metrics.Counter
     cuts: metrics.Counter
@@ -68,6 +71,7 @@
 
     return Instruments(
         refusals=counter("refusals"),
+        hints=counter("hints"),
         retries=counter("retries"),
         outcomes=counter("outcomes"),
         cuts=counter("cuts"),
