Roll-outs: gateways behind the first one step in, and an unknown version is kept small

- A decider that only the store doesn't reach blocked all steps: the next gateways by order take a step that has been due for 0.8 s times their place.

--- a/features/rollout_judgement.feature
+++ b/features/rollout_judgement.feature
@@ -49,3 +49,15 @@
       | load |
       | answers=40 |
       | answers=60 |
+
+  # Guards against a version of which little is known that gets all requests
+  # where those exceed what a bad version may get.
+  Scenario Outline: After 0.8 of the time, <answers> of <all> answers, a version may get all requests: <may>
+    Then a version with <answers> of <all> answers after 0.8 of the time may get all requests: <may>
+
+    Examples:
+      | answers | all | may |
+      | 2 | 20 | yes |
+      | 4 | 120 | yes |
+      | 11 | 250 | no |
+      | 5 | 2000 | no |
--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -31,6 +31,8 @@
       | 6 | 100 | 12 | is good | gateways are killed and started in turn | completed |
       | 4 | 100 | 13 | fails 0.4 | the store is away from 1 s to 6 s | rolled_back |
       | 4 | 100 | 14 | is good | the store is away from 1 s to 6 s | completed |
+      | 4 | 100 | 21 | is good | the deciding gateway no longer reaches the store | completed |
+      | 4 | 100 | 22 | fails 0.4 | the deciding gateway no longer reaches the store | rolled_back |
       | 4 | 100 | 15 | fails 0.4 | a gateway is cut off for 4 s | rolled_back |
       | 4 | 100 | 16 | is good | a gateway is cut off for 4 s | completed |
       | 4 | 150 | 17 | is good | an upstream of the new version is killed | completed |
--- a/features/steps/rollout_judgement_steps.py
+++ b/features/steps/rollout_judgement_steps.py
@@ -7,6 +7,8 @@
 
 from features.support import rollout_evidence
 from godwitloft.rollouts import judgement
+from godwitloft.rollouts import plan
+from godwitloft.rollouts import types
 
 
 @given("{count:d} drawn versions with {load}")
@@ -53,3 +55,21 @@
 def too_little(context, least):
     little = found(context, judgement.Kind.TOO_LITTLE)
     assert len(little) >= least, [judged.verdict for judged in context.judged]
+
+
+@then(
+    "a version with {answers:d} of {total:d} answers after 0.8 of the time may"
+    " get all requests: {may}"
+)
+def check_unknown(context, answers, total, may):
+    rollout = types.Rollout(
+        "s", 1, "v2", ("v1",), types.Phase.JUDGING, 0, 10_000
+    )
+    verdict = judgement.Verdict(
+        judgement.Kind.TOO_LITTLE,
+        "few",
+        inputs={"answers": answers, "former_answers": total - answers},
+    )
+    progress = plan.Progress(True, exposure_share=0.1, exposure_slack=50)
+    found = plan.may_move(rollout, verdict, progress, 8_000)
+    assert found == (may == "yes"), found
--- a/features/steps/rollout_watch_steps.py
+++ b/features/steps/rollout_watch_steps.py
@@ -153,7 +153,7 @@
 
 @then("it {knows} that its rows are current")
 def check_current(context, knows):
-    current_ms = context.parted.rollouts.orders_current_ms
+    current_ms = context.parted.rollouts.rows.current_ms
     age_ms = context.parted.now_ms() - current_ms
     if knows == "knows":
         assert age_ms <= MAX_AGE_MS, age_ms
--- a/features/steps/rollouts_steps.py
+++ b/features/steps/rollouts_steps.py
@@ -69,6 +69,14 @@
     fleet.kill(int(decider[1:]))
 
 
+@when("the deciding gateway no longer reaches the store")
+def cut_decider_from_store(context):
+    fleet = context.fleet
+    fleet.advance(1500)
+    decider = next(iter(fleet.members.values())).rollouts.decider(SERVICE)
+    fleet.members[decider].store_cut = True
+
+
 @when("gateways are killed and started in turn")
 def kill_in_turn(context):
     fleet = context.fleet
--- a/features/support/restored_store.py
+++ b/features/support/restored_store.py
@@ -225,7 +225,7 @@
         self.silent_s = {}
         self.gateway.config_state.key_proof_ms = 4000
         self.rollouts = rollouts or self.gateway.rollouts
-        self.gateway.confirmation.rows = self.rollouts
+        self.gateway.confirmation.rollouts = self.rollouts
         self.rollout_watch = rollout_watch.RolloutWatch(
             self.world.clock,
             self.store,
--- a/features/support/rollout_fleet.py
+++ b/features/support/rollout_fleet.py
@@ -28,6 +28,8 @@
         self.name = f"g{number}"
         self.host = f"127.0.0.{number + 1}"
         self.cut = False
+        # Whether it reaches its peers, and not the store.
+        self.store_cut = False
         self.world = gateway_world.World(
             (), reactor=fleet.reactor, instance=self.name
         )
@@ -131,13 +133,13 @@
                 self.answer_new(member)
 
     def poll(self, member, now_ms):
-        if self.is_away or member.cut:
+        if self.is_away or member.cut or member.store_cut:
             return
         member.reach_store(now_ms)
         member.rollouts.on_rows(self.orders, self.rows, now_ms)
 
     def take_step(self, member, now_ms):
-        if self.is_away or member.cut:
+        if self.is_away or member.cut or member.store_cut:
             return
         step = member.rollouts.due_step(now_ms)
         if step is None:
--- a/features/support/scripted_rollouts.py
+++ b/features/support/scripted_rollouts.py
@@ -1,7 +1,6 @@
 """Roll-outs whose steps a test decides, in place of those of a gateway."""
 
-import zlib
-
+from godwitloft.rollouts import held_rows
 from godwitloft.rollouts import types
 
 PHASES = list(types.Phase)[:3]
@@ -12,22 +11,17 @@
 
     def __init__(self):
         self.in_use = False
-        self.orders_current_ms = None
-        self.rows_outdated = False
+        self.rows = held_rows.HeldRows()
         self.orders = {}
         self.held = {}
         self.known = {}
-        self.text = None
         # Whether it takes steps, and up to which phase.
         self.decides = False
         self.last_phase = types.Phase.COMPLETED
 
     def on_rows(self, orders, rollouts, asked_ms):
-        if self.orders_current_ms is None or asked_ms > self.orders_current_ms:
-            self.orders_current_ms = asked_ms
-        self.rows_outdated = False
+        self.rows.replace(orders, rollouts, asked_ms)
         self.orders, self.held = dict(orders), dict(rollouts)
-        self.text = repr((sorted(orders.items()), sorted(rollouts.items())))
         for service, saved in rollouts.items():
             self.learn(service, saved.rollout)
 
@@ -36,18 +30,6 @@
         if known is None or rank(known) < rank(rollout):
             self.known[service] = rollout
 
-    def digest(self):
-        return None if self.text is None else zlib.crc32(self.text.encode())
-
-    def confirm_rows(self, digest, at_ms):
-        current_ms = self.orders_current_ms
-        if current_ms is not None and at_ms <= current_ms:
-            return
-        if digest == self.digest():
-            self.orders_current_ms = at_ms
-        else:
-            self.rows_outdated = True
-
     def due_step(self, store_now_ms):
         if not self.decides:
             return None
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -266,7 +266,7 @@
             sharing.others,
             self.fleet,
             dependencies.slot_client.incarnation,
-            options.rollouts.exposure_share,
+            options.rollouts,
             dependencies.instruments,
             self.bases.version_of,
             lambda: (*self.running, *itertools.chain(*self.waiting.values())),
--- a/godwitloft/gateway/peers/peer_confirmation.py
+++ b/godwitloft/gateway/peers/peer_confirmation.py
@@ -20,6 +20,7 @@
 from godwitloft.gateway.peers import store_contact as store_contacts
 from godwitloft.links import datagrams
 from godwitloft.links.generated.datagrams import ttypes
+from godwitloft.rollouts import held_rows
 
 MIN_POLLERS = 2
 # Each gateway asks 2.5 times a second. With 2,000 gateways, 10 pollers read
@@ -58,28 +59,15 @@
     at_ms: int
 
 
-class HeldRows(typing.Protocol):
-    """Rows of orders and roll-outs, which a gateway holds.
+class KnownRollouts(typing.Protocol):
+    """The orders and roll-outs that a gateway knows.
 
     :ivar in_use: whether there are roll-outs at all
-    :ivar orders_current_ms: when they were last known to be current, None
-        without any
-    :ivar rows_outdated: whether a peer knows of newer ones
+    :ivar rows: whether the rows that it holds are current
     """
 
     in_use: bool
-    orders_current_ms: int | None
-    rows_outdated: bool
-
-    def digest(self) -> int | None:
-        """Returns a digest of them, None without any."""
-
-    def confirm_rows(self, digest: int, at_ms: int) -> None:
-        """Learns which rows were current.
-
-        :param digest: digest of the rows that a peer holds
-        :param at_ms: a time at which those were current
-        """
+    rows: held_rows.HeldRows
 
 
 def digest_of(upstreams: dict[str, model.Upstream]) -> int:
@@ -122,7 +110,7 @@
         self.hosts = hosts
         self.store_contact = store_contact
         # Set where there are roll-outs.
-        self.rows: HeldRows | None = None
+        self.rollouts: KnownRollouts | None = None
         self.held_list: ListVersion | None = None
         self.version_outdated = False
         self.list_outdated = False
@@ -207,9 +195,9 @@
         :return: whether their confirmation is at most
             :data:`MAX_ROWS_AGE_MS` old, or none are needed
         """
-        if self.rows is None or not self.rows.in_use:
+        if self.rollouts is None or not self.rollouts.in_use:
             return True
-        at_ms = self.rows.orders_current_ms
+        at_ms = self.rollouts.rows.current_ms
         return at_ms is not None and now_ms - at_ms <= MAX_ROWS_AGE_MS
 
     def needs_rows(self) -> bool:
@@ -218,9 +206,9 @@
         :return: whether this gateway is a poller, its rows are outdated, or no
             gateway has confirmed them lately
         """
-        if self.rows is None or not self.rows.in_use:
+        if self.rollouts is None or not self.rollouts.in_use:
             return False
-        if self.rows.rows_outdated or self.is_poller():
+        if self.rollouts.rows.outdated or self.is_poller():
             return True
         return not self.are_rows_fresh(self.clock.monotonic_ms())
 
@@ -315,9 +303,12 @@
             list_digest=self.held_list.digest,
             list_age_ms=now_ms - self.held_list.at_ms,
         )
-        if self.rows is not None and self.rows.orders_current_ms is not None:
-            answer.rows_digest = self.rows.digest()
-            answer.rows_age_ms = now_ms - self.rows.orders_current_ms
+        if (
+            self.rollouts is not None
+            and self.rollouts.rows.current_ms is not None
+        ):
+            answer.rows_digest = self.rollouts.rows.digest
+            answer.rows_age_ms = now_ms - self.rollouts.rows.current_ms
         self.send(datagrams.encode(answer=answer), (host, self.port))
 
     def on_answer(self, answer: ttypes.NewsAnswer) -> None:
@@ -360,9 +351,11 @@
             nothing of them
         """
         digest, age_ms = answer.rows_digest, answer.rows_age_ms
-        if self.rows is None or digest is None or age_ms is None:
+        if self.rollouts is None or digest is None or age_ms is None:
             return
-        self.rows.confirm_rows(digest, time_before(answer.asked_ms, age_ms))
+        self.rollouts.rows.confirm(
+            digest, time_before(answer.asked_ms, age_ms)
+        )
 
     def note_version(self, version: int) -> None:
         """Records that a peer has a version of the configuration in force.
--- a/godwitloft/gateway/rollouts.py
+++ b/godwitloft/gateway/rollouts.py
@@ -7,12 +7,12 @@
 import dataclasses
 import math
 import typing
-import zlib
 
 from godwitloft import clock as clocks
 from godwitloft import events
 from godwitloft import metrics
 from godwitloft.gateway import answer as answers
+from godwitloft.gateway import options
 from godwitloft.gateway import request as requests
 from godwitloft.gateway import rollout_counts
 from godwitloft.gateway.allowances import gateway_list
@@ -21,6 +21,7 @@
 from godwitloft.gateway.upstreams import fleet as fleets
 from godwitloft.rollouts import evidence
 from godwitloft.rollouts import exposure
+from godwitloft.rollouts import held_rows
 from godwitloft.rollouts import judgement
 from godwitloft.rollouts import plan
 from godwitloft.rollouts import types
@@ -29,6 +30,8 @@
 # first listed: an order may be written some time later than its upstreams.
 ORDERS_DELAY_MS = 1_000
 # A judgement of 280 counts takes 3 ms.
+# A step takes this long at most where the store is reached.
+TAKEOVER_MS = 800
 JUDGE_INTERVAL_MS = 200
 LOG_INTERVAL_MS = 1_000
 # Counts in one announcement, which should fit into one packet.
@@ -99,8 +102,7 @@
     :param others: the other gateways
     :param fleet: the upstreams
     :param incarnation: name of the start of this process
-    :param exposure_share: share of a service's requests that a version that
-        isn't known to be good may get
+    :param bounds: what a version that isn't known to be good may get
     :param instruments: metrics
     :param base_of: returns the base version of a service, None if unknown
     :param unfinished: returns the waiting and running requests
@@ -113,7 +115,7 @@
         others: gateway_list.GatewayList,
         fleet: fleets.Fleet,
         incarnation: str,
-        exposure_share: float,
+        bounds: options.RolloutBounds,
         instruments: metrics.Instruments,
         base_of: typing.Callable[[str], str | None],
         unfinished: typing.Callable[[], typing.Iterable[requests.Request]],
@@ -123,7 +125,7 @@
         self.others = others
         self.fleet = fleet
         self.incarnation = incarnation
-        self.exposure_share = exposure_share
+        self.bounds = bounds
         self.instruments = instruments
         self.base_of = base_of
         self.unfinished = unfinished
@@ -131,21 +133,18 @@
         # Whether the platform has roll-outs at all; set by an adapter whose
         # store has orders.
         self.in_use = False
-        # When the rows held here were last known to be current, None if none
-        # was ever read.
-        self.orders_current_ms: int | None = None
-        # Whether a peer knows more than the rows that were read tell.
-        self.rows_outdated = False
+        self.rows = held_rows.HeldRows()
         self.orders: dict[str, types.Order] = {}
         # When each order was first read: its time counts from then on, also
         # if the gateway that should begin is gone.
         self.seen_ms: dict[types.Order, int] = {}
         self.active: dict[str, Active] = {}
-        self.held_digest: int | None = None
         self.peers: dict[str, Peer] = {}
         self.counts = rollout_counts.RolloutCounts(instruments)
         self.evidence = evidence.Evidence()
         self.judged_ms = 0
+        # Since when a step of each service has been due.
+        self.due_since_ms: dict[str, int] = {}
 
     # What the store and the peers tell.
 
@@ -161,17 +160,13 @@
         :param rollouts: by service
         :param asked_ms: when the reading began
         """
-        if self.orders_current_ms is None or asked_ms > self.orders_current_ms:
-            self.orders_current_ms = asked_ms
-        self.rows_outdated = False
+        self.rows.replace(orders, rollouts, asked_ms)
         # An order whose row is gone says nothing of the operator's mind.
         self.orders = dict(orders)
         now_ms = self.clock.monotonic_ms()
         self.seen_ms = {
             order: self.seen_ms.get(order, now_ms) for order in orders.values()
         }
-        text = repr((sorted(orders.items()), sorted(rollouts.items())))
-        self.held_digest = zlib.crc32(text.encode())
         for service, active in self.active.items():
             if service not in rollouts:
                 active.saved = None
@@ -179,24 +174,6 @@
             self.adopt(saved.rollout, "store")
             self.active[service].saved = saved
 
-    def digest(self) -> int | None:
-        """Returns a digest of the rows, None if none was ever read."""
-        return self.held_digest
-
-    def confirm_rows(self, digest: int, at_ms: int) -> None:
-        """Learns from a peer which rows were current.
-
-        :param digest: digest of the rows that the peer holds
-        :param at_ms: a time at which those were current
-        """
-        current_ms = self.orders_current_ms
-        if current_ms is not None and at_ms <= current_ms:
-            return
-        if digest == self.held_digest:
-            self.orders_current_ms = at_ms
-        else:
-            self.rows_outdated = True
-
     def adopt(self, rollout: types.Rollout, source: str) -> bool:
         """Takes over a roll-out if it is later than the known one.
 
@@ -212,7 +189,9 @@
             active.rollout.order_version != rollout.order_version
         ):
             self.forget(service)
-            active = Active(rollout, exposure.Exposure(self.exposure_share))
+            active = Active(
+                rollout, exposure.Exposure(self.bounds.exposure_share)
+            )
             self.active[service] = active
         active.rollout = rollout
         if rollout.phase.has_ended:
@@ -325,7 +304,7 @@
         ):
             order_version = active.rollout.order_version if active else 0
             if known.order_version > order_version:
-                self.rows_outdated = True
+                self.rows.outdated = True
             return
         if known.phase not in [phase.value for phase in types.Phase]:
             return
@@ -333,7 +312,7 @@
         reason = f"told by {gateway}"
         told = dataclasses.replace(active.rollout, phase=phase, reason=reason)
         if self.adopt(told, gateway):
-            self.rows_outdated = True
+            self.rows.outdated = True
         if known.has_stopped and not active.has_stopped:
             self.stop(
                 active,
@@ -346,12 +325,12 @@
 
     # Steps.
 
-    def is_decider(self, service: str) -> bool:
-        """Returns whether this gateway takes the steps of a service.
+    def place(self, service: str) -> int:
+        """Returns how many gateways go before this one in taking steps.
 
         :param service: name of the service
         """
-        return self.decider(service) == self.others.instance
+        return self.deciders(service).index(self.others.instance)
 
     def decider(self, service: str) -> str:
         """Returns the gateway that takes the steps of a service.
@@ -359,6 +338,14 @@
         :param service: name of the service
         :return: the first one that was heard lately
         """
+        return self.deciders(service)[0]
+
+    def deciders(self, service: str) -> list[str]:
+        """Returns the gateways that may take the steps of a service.
+
+        :param service: name of the service
+        :return: those heard lately, in the order in which they do
+        """
         now_ms = self.clock.monotonic_ms()
         names = [
             name
@@ -366,32 +353,47 @@
             if self.others.is_alive(name, now_ms)
         ]
         names.append(self.others.instance)
-        return min(names, key=lambda name: gateway_list.order(service, name))
+        return sorted(
+            names, key=lambda name: gateway_list.order(service, name)
+        )
 
     def due_step(self, store_now_ms: int) -> types.Step | None:
         """Returns a step that this gateway should write now.
 
+        The gateways after the first one take a step that has been due for
+        longer than the first one needs: it may be cut off from the store.
+
         :param store_now_ms: the current time on the store's clock
         :return: the step, None if none is due or another gateway takes it
         """
-        if self.orders_current_ms is None:
+        if self.rows.current_ms is None:
             return None
+        now_ms = self.clock.monotonic_ms()
         for service in sorted(self.orders.keys() | self.active.keys()):
-            if not self.is_decider(service):
+            step = self.next_step(service, store_now_ms)
+            if step is None:
+                self.due_since_ms.pop(service, None)
                 continue
-            active = self.active.get(service)
-            row_version = active.row_version if active is not None else 0
-            after = self.next_rollout(service, store_now_ms)
-            if after is not None:
-                after = dataclasses.replace(
-                    after, decider=self.others.instance
-                )
-            elif active is not None and active.is_lost:
-                after = active.rollout
-            if after is not None:
-                return types.Step(after, row_version)
+            since_ms = self.due_since_ms.setdefault(service, now_ms)
+            if now_ms - since_ms >= TAKEOVER_MS * self.place(service):
+                return step
         return None
 
+    def next_step(self, service: str, store_now_ms: int) -> types.Step | None:
+        """Returns the step of a service that is due, whoever takes it.
+
+        :param service: name of the service
+        :param store_now_ms: the current time on the store's clock
+        """
+        active = self.active.get(service)
+        row_version = active.row_version if active is not None else 0
+        after = self.next_rollout(service, store_now_ms)
+        if after is not None:
+            after = dataclasses.replace(after, decider=self.others.instance)
+        elif active is not None and active.is_lost:
+            after = active.rollout
+        return types.Step(after, row_version) if after is not None else None
+
     def next_rollout(
         self, service: str, store_now_ms: int
     ) -> types.Rollout | None:
@@ -421,6 +423,8 @@
             has_upstreams=bool(self.fleet.usable(service, rollout.to)),
             confirmed=left == 0 and self.is_confirmed(rollout),
             left=left,
+            exposure_share=self.bounds.exposure_share,
+            exposure_slack=self.bounds.exposure_slack,
         )
         return plan.next_step(rollout, active.verdict, progress, store_now_ms)
 
@@ -508,7 +512,7 @@
         """
         if not self.in_use:
             return True
-        current_ms = self.orders_current_ms
+        current_ms = self.rows.current_ms
         return (
             current_ms is not None
             and current_ms >= listed_ms + ORDERS_DELAY_MS
@@ -519,7 +523,7 @@
 
         :param service: name of the service
         """
-        if self.in_use and self.orders_current_ms is None:
+        if self.in_use and self.rows.current_ms is None:
             return True
         return service in self.active or service in self.orders
 
@@ -595,7 +599,7 @@
         :param version: the version that it must be sent to, None for any
         """
         service = request.facts.service
-        if self.in_use and self.orders_current_ms is None:
+        if self.in_use and self.rows.current_ms is None:
             return self.may_send_unread(service, upstream_version)
         if self.is_excluded(service, upstream_version):
             return False
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -186,7 +186,7 @@
         return [state.upstream for state in gateway.fleet.listed.values()]
 
     gateway.rollouts.in_use = boot.options.has_rollouts
-    gateway.confirmation.rows = gateway.rollouts
+    gateway.confirmation.rollouts = gateway.rollouts
     rollouts = rollout_watch.RolloutWatch(
         clock,
         store,
--- a/godwitloft/platform/rollout_watch.py
+++ b/godwitloft/platform/rollout_watch.py
@@ -34,7 +34,7 @@
 REPORT_TURN_MS = 2_000
 
 
-class HeldRollouts(peer_confirmations.HeldRows, typing.Protocol):
+class HeldRollouts(peer_confirmations.KnownRollouts, typing.Protocol):
     """The roll-outs of a gateway (``gateway.rollouts.Rollouts``)."""
 
     def on_rows(
@@ -251,7 +251,7 @@
         """
         if self.wants_orders or self.wants_saved:
             return
-        if self.rollouts.rows_outdated and not self.confirmation.is_poller():
+        if self.rollouts.rows.outdated and not self.confirmation.is_poller():
             self.wants_orders = self.wants_saved = True
 
     def needs_orders(self) -> bool:
@@ -284,7 +284,7 @@
             return True
         if self.is_under_way():
             return self.confirmation.needs_rows()
-        return self.rollouts.rows_outdated
+        return self.rollouts.rows.outdated
 
     @defer.inlineCallbacks
     def read(self) -> typing.Generator[typing.Any, typing.Any, int]:
@@ -353,7 +353,7 @@
             return
         if self.is_under_way():
             # Peers may have confirmed both since they were read.
-            confirmed_ms = self.rollouts.orders_current_ms or 0
+            confirmed_ms = self.rollouts.rows.current_ms or 0
             ordered_ms = max(ordered_ms, confirmed_ms)
             ordered_ms = min(ordered_ms, max(saved_ms, confirmed_ms))
         self.rollouts.on_rows(self.orders, self.held, ordered_ms)
--- a/godwitloft/rollouts/plan.py
+++ b/godwitloft/rollouts/plan.py
@@ -10,9 +10,11 @@
 # bad version may only be found later; streams that run at the former versions
 # need time to end.
 GOOD_SHARE = 0.65
-# The same for one of which too little is known. By then it has had so few
-# requests that those to come hardly exceed the permitted slack.
+# The same for one of which too little is known, if the requests that are
+# expected until the end fit into what a bad version may get.
 UNKNOWN_SHARE = 0.8
+# Of what a bad version may get; the expected requests are an estimate.
+EXPECTED_PART = 0.8
 # Under all requests, a version is watched for this part of the time at least.
 MIN_MOVING_SHARE = 0.1
 # The last step is taken this long before the end, so that it is known in time.
@@ -30,11 +32,16 @@
     :param confirmed: whether all gateways know that the requests move, and
         none has any left at the former versions
     :param left: number of requests left there, as far as it is known
+    :param exposure_share: share of the service's requests that a bad version
+        may get
+    :param exposure_slack: requests that it may get in addition
     """
 
     has_upstreams: bool
     confirmed: bool = False
     left: int = 0
+    exposure_share: float = 0.0
+    exposure_slack: int = 0
 
 
 def begins_anew(rollout: types.Rollout | None, order: types.Order) -> bool:
@@ -158,7 +165,33 @@
     answers = inputs.get("answers", 0) + inputs.get("timed", 0)
     if not answers and inputs.get("former_answers", 0) > MANY_ANSWERS:
         return False
-    return since_ms >= UNKNOWN_SHARE * rollout.duration_ms
+    if since_ms < UNKNOWN_SHARE * rollout.duration_ms:
+        return False
+    return may_be_bad(
+        inputs.get("answers", 0),
+        inputs.get("former_answers", 0),
+        max(0, rollout.ends_ms - store_now_ms) / max(1, since_ms),
+        progress,
+    )
+
+
+def may_be_bad(
+    answers: int, former_answers: int, left_part: float, progress: Progress
+) -> bool:
+    """Returns whether a version may get all requests though it may be bad.
+
+    :param answers: answers of the new version
+    :param former_answers: answers of the former versions
+    :param left_part: time left, relative to the time passed
+    :param progress: what a bad version may get
+    :return: whether the requests expected until the end fit into that
+    """
+    so_far = answers + former_answers
+    expected = so_far * left_part
+    permitted = (
+        progress.exposure_share * (so_far + expected) + progress.exposure_slack
+    )
+    return answers + expected <= EXPECTED_PART * permitted
 
 
 def stepped(
