Decisions under load are switched on by a deployment

So each is a policy that the entries' command line names (--policy), none by default; without them hints, estimates, shares, grants and placing are those of before, and their former tests are back (gateway_load, gateway_slots). The features of each part switch it on.

--- a/features/gateway_load.feature
+++ b/features/gateway_load.feature
@@ -27,9 +27,7 @@
     When one "post" is answered
     Then the "lookup" is sent again
 
-  # The longest retry delay is a third of the 5 s that callers wait. Under
-  # overload it is the caller's turn: 100 requests start at once, so that turns
-  # come soon at first; features/retry_hint.feature has exact values.
+  # The longest retry delay is a third of the 5 s that callers wait.
   Scenario Outline: Retry delay of a refused caller: <case>
     Given a gateway with two engines of 4 slots
     When a request is refused because <reason>
@@ -37,7 +35,7 @@
 
     Examples:
       | case | reason | least | most |
-      | overload | crowded_out | 100 | 1667 |
+      | overload | crowded_out | 1160 | 1670 |
       | no upstream was reached | not_connected | 300 | 700 |
       | the gateway drains | leaving | 300 | 700 |
 
--- a/features/gateway_slots.feature
+++ b/features/gateway_slots.feature
@@ -10,8 +10,7 @@
       | idle slots are distributed | 8 | 0 | 0/0 0/0 | 4 4 |
       | full | 8 | 0 | 4/2 4/5 | 0 0 |
       | urgent requests go first | 8 | 0 | 4/0,3 3/1,0 | 0 1 |
-      | in proportion to what waits within an urgency | 40 | 0 | 0/60 0/30 0/10 | 24 12 4 |
-      | in proportion with what runs | 40 | 0 | 20/40 2/28 0/10 | 4 10 4 |
+      | gateways take turns within an urgency | 8 | 0 | 3/5 2/5 | 2 1 |
       | spare slots after waiting requests | 7 | 0 | 1/1 1/0 | 3 2 |
       | unclaimed requests count | 8 | 3 | 2/0 2/2 | 0 1 |
       | more running than slots | 4 | 0 | 3/1 3/1 | 0 0 |
@@ -20,6 +19,16 @@
       | then to others | 6 | 0 | 0/0 near:0/0 0/0 near:0/0 | 1 2 1 2 |
       | urgent requests go before the same zone | 1 | 0 | 0/1 near:0/0 | 1 0 |
 
+  Scenario Outline: With shares by demand, <case>
+    When <slots> slots, <unclaimed> of them used without a claim, are allocated by demand to "<claims>"
+    Then the gateways may start "<starts>"
+
+    Examples:
+      | case | slots | unclaimed | claims | starts |
+      | urgent requests go first | 8 | 0 | 4/0,3 3/1,0 | 0 1 |
+      | slots follow what waits within an urgency | 40 | 0 | 0/60 0/30 0/10 | 24 12 4 |
+      | slots follow what runs as well | 40 | 0 | 20/40 2/28 0/10 | 4 10 4 |
+
   # Guards against control traffic that grows with the number of gateways
   # instead of with the use of the upstream.
   Scenario: One start changes one grant
--- a/features/retry_hint.feature
+++ b/features/retry_hint.feature
@@ -38,7 +38,7 @@
   # Guards against retries that new requests overtake. The load: one engine of
   # 4 slots is full and requests of the same rank wait.
   Scenario: A retry at the hinted time starts before newer requests
-    Given a gateway with two engines of 4 slots
+    Given a gateway with two engines of 4 slots that promises turns
     When a request is refused under overload
     And other requests fill the engines and newer ones wait when its caller returns as told
     Then the retry starts before the newer requests
--- a/features/steps/gateway_load_steps.py
+++ b/features/steps/gateway_load_steps.py
@@ -4,6 +4,7 @@
 
 from features.support import gateway_world
 from godwitloft import attempt as attempts
+from godwitloft.gateway import options
 
 SLOTS = 8
 FIRST_DATA_MS = 250
@@ -17,8 +18,8 @@
 class Load:
     """Callers and engines of a gateway on a simulated clock."""
 
-    def __init__(self):
-        self.world = gateway_world.World(("model", "model"))
+    def __init__(self, policies=gateway_world.NO_POLICIES):
+        self.world = gateway_world.World(("model", "model"), policies=policies)
         self.callers = []
         self.begun = {}
         self.ended = {}
@@ -84,6 +85,12 @@
             self.step()
 
 
+@given("a gateway with two engines of 4 slots that promises turns")
+def start_with_turns(context):
+    policies = options.LoadPolicies(retry_turns=True)
+    context.load = Load(policies)
+
+
 @given("a gateway with two engines of 4 slots")
 def world(context):
     context.load = Load()
--- a/features/steps/gateway_slots_steps.py
+++ b/features/steps/gateway_slots_steps.py
@@ -26,11 +26,19 @@
 URGENT_PART = 4
 
 
+@when(
+    "{count:d} slots, {unclaimed:d} of them used without a claim, are"
+    ' allocated by demand to "{claims}"'
+)
+def deal_by_demand(context, count, unclaimed, claims):
+    deal(context, count, unclaimed, claims, by_demand=True)
+
+
 @when(
     "{count:d} slots, {unclaimed:d} of them used without a claim, are"
     ' allocated to "{claims}"'
 )
-def deal(context, count, unclaimed, claims):
+def deal(context, count, unclaimed, claims, by_demand=False):
     parsed = []
     for number, claim in enumerate(claims.split()):
         running, _, waiting = claim.removeprefix("near:").partition("/")
@@ -46,7 +54,7 @@
                 ),
             )
         )
-    context.starts = slots.allocate(count, unclaimed, parsed)
+    context.starts = slots.allocate(count, unclaimed, parsed, by_demand)
 
 
 @when(
--- a/features/support/gateway_world.py
+++ b/features/support/gateway_world.py
@@ -24,6 +24,7 @@
 from godwitloft.platform import headers
 
 START_S = 1000.0
+NO_POLICIES = options.LoadPolicies()
 TICK_MS = 25
 RUN_MS = 60_000
 CALLER = address.IPv4Address("TCP", "127.0.0.1", 4000)
@@ -184,6 +185,7 @@
         reactor=None,
         instance="g0",
         is_new=False,
+        policies=NO_POLICIES,
     ):
         if reactor is None:
             reactor = task.Clock()
@@ -220,6 +222,7 @@
                 tolerance=TOLERANCE,
                 max_held_bytes=10_000_000,
                 store_outage_ms=1800,
+                policies=policies,
             ),
             DIALECT,
             gateways.Dependencies(
--- a/features/support/room_fleet.py
+++ b/features/support/room_fleet.py
@@ -10,6 +10,7 @@
 from features.support import gateway_world
 from godwitloft import attempt as attempts
 from godwitloft import clock as clocks
+from godwitloft.gateway import options
 from godwitloft.links import datagrams
 
 STEP_MS = 5
@@ -113,7 +114,10 @@
     def add(self, is_older=False):
         number = len(self.worlds)
         world = gateway_world.World(
-            (), reactor=self.reactor, instance=f"g{number:02d}"
+            (),
+            reactor=self.reactor,
+            instance=f"g{number:02d}",
+            policies=options.LoadPolicies(demand_shares=True),
         )
         world.gateway.config_state.configure(configuration())
         world.gateway.update_upstreams(
--- a/features/support/scarce_fleet.py
+++ b/features/support/scarce_fleet.py
@@ -9,9 +9,11 @@
 from features.support import gateway_world
 from godwitloft import attempt as attempts
 from godwitloft.gateway import model
+from godwitloft.gateway import options
 from godwitloft.links import datagrams
 
 STEP_MS = 5
+POLICIES = options.LoadPolicies(retry_turns=True, team_shares=True)
 FIRST_DATA_MS = 250
 RUN_MS = 1000
 SLOTS = 4
@@ -81,7 +83,10 @@
         self.worlds = {}
         for number in range(gateways):
             world = gateway_world.World(
-                ("model",) * engines, self.reactor, f"g{number}"
+                ("model",) * engines,
+                self.reactor,
+                f"g{number}",
+                policies=POLICIES,
             )
             adapt(world.gateway)
             world.gateway.config_state.configure(configuration)
--- a/features/support/unequal_upstreams.py
+++ b/features/support/unequal_upstreams.py
@@ -7,6 +7,7 @@
 from features import heap_clock
 from features.support import gateway_world
 from godwitloft import attempt as attempts
+from godwitloft.gateway import options
 from godwitloft.gateway.placing import placement
 from godwitloft.links import datagrams
 
@@ -198,7 +199,12 @@
         }
 
     def make_world(self, number):
-        world = gateway_world.World((), self.reactor, f"g{number}")
+        world = gateway_world.World(
+            (),
+            self.reactor,
+            f"g{number}",
+            policies=options.LoadPolicies(learned_room=True),
+        )
         world.gateway.dependencies = dataclasses.replace(
             world.gateway.dependencies, send=self.send
         )
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -192,6 +192,7 @@
             dependencies.sharing,
             self.fleet,
             dependencies.instruments,
+            options.policies.learned_room,
         )
         self.placer = placers.Placer(
             self.clock,
@@ -202,9 +203,12 @@
             dependencies.slot_client,
             self.rooms,
         )
-        sharing.announcer.room_demand = announcers.RoomDemand(
-            self.placer.room_shares.refresh, self.placer.room_shares.to_send
-        )
+        if options.policies.demand_shares:
+            self.placer.room_shares.is_announcing = True
+            sharing.announcer.room_demand = announcers.RoomDemand(
+                self.placer.room_shares.refresh,
+                self.placer.room_shares.to_send,
+            )
         self.retry_policy = retry_policies.RetryPolicy(
             self.fleet, dependencies.sharing, options.retries
         )
@@ -224,6 +228,7 @@
             self.retry_policy.crashes,
             dependencies.rng,
             self.fleet,
+            options.policies,
             self.placer.has_room,
         )
         self.send_checks = send_checks.SendChecks(
@@ -252,6 +257,7 @@
             dependencies.slot_client.incarnation,
             self.fleet.zone_of,
             listens_anew=True,
+            by_demand=options.policies.demand_shares,
         )
         self.statements = upstream_statements.UpstreamStatements(
             self.clock,
--- a/godwitloft/gateway/options.py
+++ b/godwitloft/gateway/options.py
@@ -22,6 +22,24 @@
     rollback_ms: int = 5_000
 
 
+@dataclasses.dataclass(frozen=True)
+class LoadPolicies:
+    """Decisions under load that a deployment asks for; none by default.
+
+    :param demand_shares: divide upstreams' room by all gateways' demand
+    :param learned_room: find out how much each upstream handles well, and
+        place requests by it
+    :param retry_turns: tell refused callers the turn of their retry
+    :param team_shares: keep teams to weighted max-min shares while room is
+        scarce
+    """
+
+    demand_shares: bool = False
+    learned_room: bool = False
+    retry_turns: bool = False
+    team_shares: bool = False
+
+
 @dataclasses.dataclass(frozen=True)
 class Options:
     """Settings of a gateway, fixed at its start.
@@ -46,6 +64,7 @@
         registration of a live upstream can expire
     :param rollouts: bounds on roll-outs
     :param has_rollouts: whether operators may order roll-outs
+    :param policies: decisions under load that are switched on
     """
 
     instance: str
@@ -62,3 +81,4 @@
     store_outage_ms: int
     rollouts: RolloutBounds = RolloutBounds()
     has_rollouts: bool = False
+    policies: LoadPolicies = LoadPolicies()
--- a/godwitloft/gateway/placing/admission.py
+++ b/godwitloft/gateway/placing/admission.py
@@ -17,6 +17,7 @@
 import typing
 
 from godwitloft import clock as clocks
+from godwitloft.gateway import options
 from godwitloft.gateway import refusals
 from godwitloft.gateway import request as requests
 from godwitloft.gateway.allowances import sharing as sharings
@@ -39,6 +40,10 @@
 SCARCITY_MEMORY_MS = 3_000
 ALLOWANCE_RETRY_AFTER_MS = 1_000
 MAX_WAITING = 2_000
+# Without promised turns, a request that is refused under overload is told to
+# retry after at least this part of the longest possible delay: earlier, the
+# burst would still last.
+MIN_OVERLOAD_RETRY_SHARE = 0.7
 OVERLOAD_REASONS = frozenset(
     ("crowded_out", "queue_full", "wait_too_long", "waited_too_long")
 )
@@ -135,6 +140,7 @@
     :param crashes: requests that crash upstreams
     :param rng: randomizes retry delays
     :param fleet: the upstreams
+    :param policies: decisions that are switched on
     :param has_room: returns whether a request to a service could start now
     """
 
@@ -145,9 +151,11 @@
         crashes: crash_tracker.CrashTracker,
         rng: random.Random,
         fleet: fleets.Fleet,
+        policies: options.LoadPolicies,
         has_room: typing.Callable[[str], bool] = lambda _service: False,
     ) -> None:
         self.fleet = fleet
+        self.policies = policies
         self.has_room = has_room
         self.clock = clock
         self.sharing = sharing
@@ -167,7 +175,8 @@
         load.starts.append(start)
         if request.attempt_count == 1:
             load.floor.record_start(request, now_ms)
-            load.team_shares.record_start(now_ms)
+            if self.policies.team_shares:
+                load.team_shares.record_start(now_ms)
 
     def load_of(self, service: str) -> ServiceLoad:
         """Returns the load record of a service.
@@ -201,9 +210,10 @@
         load = self.load_of(facts.service)
         floor = load.floor
         floor.record_arrival(request, now_ms)
-        request.above_share = load.team_shares.record_arrival(
-            facts.team, load.is_scarce(now_ms), now_ms
-        )
+        if self.policies.team_shares:
+            request.above_share = load.team_shares.record_arrival(
+                facts.team, load.is_scarce(now_ms), now_ms
+            )
         has_turn = self.recognise_return(request, load, now_ms)
         if len(queue) >= MAX_WAITING:
             return self.crowd_out(request, "queue_full", queue)
@@ -231,7 +241,8 @@
         :param queue: requests that wait for the same service
         """
         team = request.facts.team
-        if team is not None and team.tokens_per_s > 0:
+        counts = self.policies.team_shares and team is not None
+        if counts and team is not None and team.tokens_per_s > 0:
             amount = request_checkers.allowance_tokens(
                 team, request.facts.sizes
             )
@@ -250,6 +261,8 @@
         :param now_ms: the current time
         :return: whether it returns for a turn that was promised
         """
+        if not self.policies.retry_turns:
+            return False
         facts = request.facts
         team = facts.team.name if facts.team is not None else None
         request.first_asked_ms = self.patience.first_sent_ms(
@@ -321,8 +334,15 @@
             return False
         # After a time without starts, the start rate would keep out all
         # requests although there is room again.
-        if not queue and self.has_room(request.facts.service):
+        by_demand = self.policies.demand_shares
+        if by_demand and not queue and self.has_room(request.facts.service):
             return False
+        if not self.policies.retry_turns:
+            ahead: float = sum(
+                other.standing <= rank and not ordering.is_late(other, now_ms)
+                for other in queue
+            )
+            return not self.can_start(request, ahead, now_ms)
         key = ordering.order_key(request, now_ms)
         before = [
             other
@@ -338,12 +358,7 @@
         ahead = returning + sum(
             not ordering.is_late(other, now_ms) for other in before
         )
-        # Starts of more important requests don't count, as they go first.
-        rate_per_s = load.per_s(now_ms, _starts_from(rank))
-        wait_ms = placement.expected_wait_ms(
-            placement.Queue(ahead + 1, rate_per_s)
-        )
-        if now_ms + wait_ms <= request.start_by_ms:
+        if self.can_start(request, ahead, now_ms):
             return False
         if queue:
             # All slots are in use: the overload goes on, and no request need
@@ -351,6 +366,22 @@
             load.overloaded_ms[rank] = now_ms
         return True
 
+    def can_start(
+        self, request: requests.Request, ahead: float, now_ms: int
+    ) -> bool:
+        """Returns whether a request is expected to start in time.
+
+        :param request: a new request
+        :param ahead: number of requests that go first
+        :param now_ms: the current time
+        """
+        load = self.load_of(request.facts.service)
+        rate_per_s = load.per_s(now_ms, _starts_from(request.standing))
+        wait_ms = placement.expected_wait_ms(
+            placement.Queue(ahead + 1, rate_per_s)
+        )
+        return now_ms + wait_ms <= request.start_by_ms
+
     def expected_wait_ms(
         self,
         request: requests.Request,
@@ -427,7 +458,7 @@
         :return: those that need not wait until they are late
         """
         load = self.load_of(service)
-        if load.hopeless_found_ms == now_ms:
+        if not self.policies.retry_turns or load.hopeless_found_ms == now_ms:
             return load.hopeless
         load.hopeless_found_ms = now_ms
         waiting = [
@@ -551,6 +582,12 @@
         :return: when to return
         """
         facts = request.facts
+        if not self.policies.retry_turns:
+            latest_ms = refusals.bounded_retry_after_ms(
+                (facts.caller_deadline_ms - now_ms) / 3
+            )
+            share = self.rng.uniform(MIN_OVERLOAD_RETRY_SHARE, 1.0)
+            return retry_hint.Hint(latest_ms * share, False, None, 0)
         load = self.load_of(facts.service)
         ahead = sum(
             other is not request
--- a/godwitloft/gateway/placing/arbiter.py
+++ b/godwitloft/gateway/placing/arbiter.py
@@ -81,6 +81,8 @@
     :param zone_of: returns the availability zone of an upstream
     :param listens_anew: whether others may have granted the slots of an
         upstream before the first want for it arrives here
+    :param by_demand: whether free slots go to gateways in proportion to what
+        runs and waits there
     """
 
     def __init__(
@@ -91,8 +93,10 @@
         incarnation: str,
         zone_of: typing.Callable[[str], str],
         listens_anew: bool = False,
+        by_demand: bool = False,
     ) -> None:
         self.clock = clock
+        self.by_demand = by_demand
         self.call_later = call_later
         self.send = send
         self.incarnation = incarnation
@@ -235,6 +239,7 @@
             upstream_slots,
             min(self.unclaimed),
             [received.claim for received in longest_first],
+            self.by_demand,
         )
         granted = claims.granted_limits
         for received in longest_first:
--- a/godwitloft/gateway/placing/placer.py
+++ b/godwitloft/gateway/placing/placer.py
@@ -209,6 +209,8 @@
 
         :param facts: its properties
         """
+        if not self.rooms.enabled:
+            return placement.NO_WORK
         is_engine = self.config_state.is_engine(facts.service)
         return self.rooms.usual.work(facts, is_engine)
 
--- a/godwitloft/gateway/placing/room_shares.py
+++ b/godwitloft/gateway/placing/room_shares.py
@@ -194,7 +194,7 @@
         self.services: dict[str, ServiceShare] = {}
         self.early_ms = -math.inf
         # Whether demand is announced; an older release doesn't.
-        self.is_announcing = True
+        self.is_announcing = False
 
     # Own demand.
 
--- a/godwitloft/gateway/placing/slots.py
+++ b/godwitloft/gateway/placing/slots.py
@@ -51,13 +51,14 @@
     slots: int,
     unclaimed: int,
     claims: typing.Sequence[Claim],
+    by_demand: bool = False,
 ) -> dict[str, int]:
     """Returns how many requests each gateway may start.
 
     Free slots go to the most urgent waiting requests. Within an urgency, they
-    go to the gateways in proportion to what runs and waits there. Running
-    requests count as slots are freed one at a time: in proportion to what
-    waits alone, the longest queue would get each of them. The remaining ones
+    go to the gateways in turn, or in proportion to what runs and waits there.
+    Running requests count then as slots are freed one at a time: in proportion
+    to what waits alone, the longest queue would get each. The remaining ones
     are spread over all gateways, so that a request that arrives at any of them
     can start at once. The order is fixed, so that few grants change when a
     request starts or ends.
@@ -66,6 +67,7 @@
     :param unclaimed: number of requests at the upstream that no claim includes
     :param claims: claims of all gateways, in the order in which they are
         served
+    :param by_demand: whether gateways get slots in proportion, not in turn
     :return: number of starts by gateway
     """
     free = slots - unclaimed
@@ -87,7 +89,10 @@
             for claim in waiting
             if urgency < len(claim.waiting) and claim.waiting[urgency] > 0
         }
-        free = _divide(starts, open_claims, running, rounding, free)
+        if by_demand:
+            free = _divide(starts, open_claims, running, rounding, free)
+        else:
+            free = _distribute(starts, open_claims, free)
     if free > 0:
         nearest = heapq.nsmallest(
             free, claims, key=operator.attrgetter("spare_order")
--- a/godwitloft/gateway/upstreams/learned_room.py
+++ b/godwitloft/gateway/upstreams/learned_room.py
@@ -179,6 +179,8 @@
     :param sharing: knows the other gateways
     :param fleet: the upstreams, whose room is set
     :param instruments: metrics
+    :param enabled: whether rooms are learned at all, and requests placed by
+        what is known
     """
 
     def __init__(
@@ -187,7 +189,9 @@
         sharing: sharings.Sharing,
         fleet: fleets.Fleet,
         instruments: metrics.Instruments,
+        enabled: bool,
     ) -> None:
+        self.enabled = enabled
         self.clock = clock
         self.sharing = sharing
         self.fleet = fleet
@@ -227,7 +231,7 @@
         :return: relative to the usual time of its route, None if unknown
         """
         learned = self.learned.get(state.upstream.id)
-        if learned is None or learned.state is not state:
+        if not self.enabled or learned is None or learned.state is not state:
             return None
         return learned.relative_time(
             self.load(state) + 1, self.clock.monotonic_ms()
@@ -247,7 +251,7 @@
         :param state: the upstream
         :param now_ms: the current time
         """
-        if request.was_congested:
+        if request.was_congested or not self.enabled:
             return
         facts = request.facts
         took_ms = max(1, now_ms - request.sent_ms)
@@ -279,7 +283,7 @@
         :param state: the upstream
         :param now_ms: the current time
         """
-        if request.was_congested:
+        if request.was_congested or not self.enabled:
             return
         took_ms = max(1, now_ms - request.sent_ms)
         relative = took_ms / self.usual.whole_ms(request.facts)
@@ -298,6 +302,8 @@
         :param state: the upstream
         :param now_ms: the current time
         """
+        if not self.enabled:
+            return
         learned = self.of(state)
         learned.refused_load = self.load(state) + 1
         learned.refused_ms = now_ms
@@ -328,7 +334,8 @@
     def check(self) -> None:
         """Decides on rooms where that is due, and applies them."""
         now_ms = self.clock.monotonic_ms()
-        if now_ms - self.checked_ms < CHECK_INTERVAL_MS:
+        is_due = now_ms - self.checked_ms >= CHECK_INTERVAL_MS
+        if not self.enabled or not is_due:
             return
         self.checked_ms = now_ms
         due_ms = now_ms - capacity.DECISION_INTERVAL_MS
@@ -408,7 +415,7 @@
         :return: of upstreams whose figures have changed, those first that
             were not told for the longest time
         """
-        if self.sharing.gateways <= 1:
+        if not self.enabled or self.sharing.gateways <= 1:
             return ()
         now_ms = self.clock.monotonic_ms()
         due = [
@@ -486,6 +493,8 @@
         :param reports: what it has told of upstreams
         """
         now_ms = self.clock.monotonic_ms()
+        if not self.enabled:
+            return
         for report in reports:
             state = self.fleet.state_of(report.life)
             if state is None:
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -1,6 +1,7 @@
 """The program that runs an entry or an agent on the platform."""
 
 import argparse
+import dataclasses
 import functools
 import gc
 import random
@@ -20,6 +21,7 @@
 from godwitloft.gateway import daemon
 from godwitloft.gateway import gateway as gateways
 from godwitloft.gateway import model
+from godwitloft.gateway import options
 from godwitloft.gateway.allowances import sharing as sharings
 from godwitloft.gateway.placing import grant_hosts
 from godwitloft.gateway.placing import slot_client as slot_clients
@@ -37,6 +39,11 @@
 EXIT_USAGE = 2
 GRANTS_BY_AGENTS = "agents"
 GRANTS_BY_GATEWAYS = "gateways"
+# Names on the command line and fields of LoadPolicies.
+POLICIES: typing.Final = {
+    field.name.replace("_", "-"): field.name
+    for field in dataclasses.fields(options.LoadPolicies)
+}
 # The store removes an upstream's row after this many intervals of silence.
 HEARTBEATS_TO_EXPIRY = 3
 EXPIRY_SLACK_MS = 1_000
@@ -288,7 +295,8 @@
 
     :param arguments: arguments after the program's name, by default those of
         the process
-    :return: a namespace with ``role``, ``metrics_port`` and ``grants_by``
+    :return: a namespace with ``role``, ``metrics_port``, ``grants_by`` and
+        ``policy``
     """
     parser = argparse.ArgumentParser(
         prog="python3 -m godwitloft.platform.main",
@@ -313,9 +321,31 @@
         " each engine's machine, or the entries themselves (all entries of a"
         " deployment alike)",
     )
+    parser.add_argument(
+        "--policy",
+        action="append",
+        default=[],
+        choices=sorted(POLICIES),
+        help="switch on a decision under load (docs/OVERLOAD.md); may be"
+        " repeated; all entries of a deployment alike",
+    )
     return parser.parse_args(arguments)
 
 
+def with_policies(
+    boot: settings.Boot, names: typing.Iterable[str]
+) -> settings.Boot:
+    """Returns settings with decisions under load switched on.
+
+    :param boot: the settings
+    :param names: keys of :data:`POLICIES`
+    """
+    policies = options.LoadPolicies(**{POLICIES[name]: True for name in names})
+    return dataclasses.replace(
+        boot, options=dataclasses.replace(boot.options, policies=policies)
+    )
+
+
 def main() -> None:
     """Runs a role with the settings file that the environment names."""
     args = parse_args()
@@ -323,7 +353,7 @@
     handler = bounded_log.BoundedHandler(sys.stdout.fileno())
     events.configure(handler=handler)
     try:
-        boot = settings.load()
+        boot = with_policies(settings.load(), args.policy)
         daemon_of_role = ROLES[args.role](
             reactor, boot, args.metrics_port, args.grants_by
         )
