A process that was suspended doesn't shed requests for seconds

Callers of a gateway that comes back from a freeze of 4 s got gateway_overloaded for about 2 s (0.95 of new requests at first): its one late timer counted with all that time. Found by reading. A timer counts as at most so late that one alone is no pressure. The new scenario failed before (0.95); the 20 of saturated_gateway pass.

--- a/features/saturated_gateway.feature
+++ b/features/saturated_gateway.feature
@@ -44,6 +44,12 @@
       | a busy process | 1 | 150 | 0 | 0.2 | 0.5 | 0.95 |
       | a busy process for long | 10 | 150 | 0 | 0.2 | 0.95 | 0.95 |
 
+  # Guards against shedding for seconds after a process was suspended, as its
+  # next timer is late by all that time.
+  Scenario: A suspended process isn't a busy one
+    When a timer is 4000 ms late once
+    Then the guard sheds 0 to 0 of new requests
+
   Scenario: The guard lets all in again after a burst
     When for 5 s the timer is 300 ms late, 0 kB are unsent and the proof is 0.2 of its time old
     And for 4 s the timer is 1 ms late, 0 kB are unsent and the proof is 0.2 of its time old
--- a/features/steps/saturated_gateway_steps.py
+++ b/features/steps/saturated_gateway_steps.py
@@ -133,6 +133,12 @@
         context.guard.observe(load, context.now_ms)
 
 
+@when("a timer is {late:d} ms late once")
+def observe_once(context, late):
+    context.guard = overload_guard.OverloadGuard(0)
+    context.guard.observe(overload_guard.Load(late, 0, 0.2), late)
+
+
 @then("the guard sheds {least:g} to {most:g} of new requests")
 def check_share(context, least, most):
     assert least <= context.guard.share <= most, context.guard.share
--- a/godwitloft/gateway/overload_guard.py
+++ b/godwitloft/gateway/overload_guard.py
@@ -36,6 +36,9 @@
 MAX_PASSED_MS = 500
 # Weight of a new delay of the timers: three late ones in a row are pressure.
 LATE_WEIGHT = 0.4
+# More counts as this much: a process that was suspended for seconds has one
+# timer that is very late, and isn't busy.
+MAX_LATE_MS = LATE_LIMIT_MS / LATE_WEIGHT
 
 
 @dataclasses.dataclass(frozen=True)
@@ -75,7 +78,8 @@
         passed_s = min(MAX_PASSED_MS, now_ms - self.observed_ms) / 1000
         self.observed_ms = now_ms
         self.load = load
-        self.late_ms += LATE_WEIGHT * (load.late_ms - self.late_ms)
+        late_ms = min(MAX_LATE_MS, load.late_ms)
+        self.late_ms += LATE_WEIGHT * (late_ms - self.late_ms)
         excess = self.pressure() - 1.0
         if excess > 0:
             change = GROWTH_PER_S * min(MAX_EXCESS, excess) * passed_s
