--- a/godwitloft/gateway/placing/placer.py
+++ b/godwitloft/gateway/placing/placer.py
@@ -324,7 +324,7 @@
         :param waiting: requests that wait for it
         """
         is_engine = self.config_state.is_engine(service)
-        if not is_engine and self.sharing.gateways <= 1:
+        if not is_engine and not self.room_shares.is_announcing:
             return
         now_ms = self.clock.monotonic_ms()
         counts = [0] * ordering.URGENCIES
