--- /dev/null
+++ b/review/rig/store.py
@@ -0,0 +1,230 @@
+"""A stand-in for the platform's store: rows, transactions and the feed.
+
+What it answers follows PROTOCOL.md. Runners and operators write with the same
+transactions as the system; each row of a runner that isn't written for three
+heartbeats is removed.
+"""
+
+import asyncio
+import base64
+import collections.abc
+import json
+import time
+import typing
+import urllib.parse
+
+from review.rig import http
+
+MS_PER_S = 1000
+MAX_ROWS = 500
+HEARTBEATS_TO_EXPIRY = 3
+EXPIRY_CHECK_S = 0.1
+Key = tuple[str, str, str]
+
+
+def now_ms() -> int:
+    """Returns the time of a steady clock in milliseconds."""
+    return int(time.monotonic() * MS_PER_S)
+
+
+class Store:
+    """All rows and their history.
+
+    :param heartbeat_ms: time between two writes of a runner
+    """
+
+    def __init__(self, heartbeat_ms: int) -> None:
+        self.heartbeat_ms = heartbeat_ms
+        self.version = 1
+        self.rows: dict[Key, tuple[str, int]] = {}
+        # Version, key and whether the row was removed.
+        self.history: list[tuple[int, Key, bool]] = []
+        self.changed = asyncio.Condition()
+        # When each runner wrote its row last.
+        self.written_ms: dict[Key, int] = {}
+        self.is_down = False
+        self.on_write: collections.abc.Callable[[Key, str | None], None] = (
+            lambda _key, _value: None
+        )
+
+    def put(self, key: Key, value: str | None) -> None:
+        """Writes or removes a row.
+
+        :param key: table, part and key
+        :param value: its value in base64, None to remove it
+        """
+        if value is None:
+            self.rows.pop(key, None)
+        else:
+            self.rows[key] = (value, self.version)
+        self.history.append((self.version, key, value is None))
+        self.written_ms[key] = now_ms()
+        self.on_write(key, value)
+
+    async def write(self, key: Key, content: object) -> None:
+        """Writes a row as an operator or a runner does.
+
+        :param key: table, part and key
+        :param content: its value, to be encoded as JSON
+        """
+        value = base64.b64encode(json.dumps(content).encode()).decode()
+        self.version += 1
+        self.put(key, value)
+        await self.notify()
+
+    async def notify(self) -> None:
+        """Wakes the calls that wait for changes."""
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def expire(self) -> None:
+        """Removes the rows of silent runners, without end."""
+        limit_ms = HEARTBEATS_TO_EXPIRY * self.heartbeat_ms
+        while True:
+            await asyncio.sleep(EXPIRY_CHECK_S)
+            old = [
+                key
+                for key in self.rows
+                if key[0] == "servers"
+                and now_ms() - self.written_ms[key] > limit_ms
+            ]
+            for key in old:
+                self.version += 1
+                self.put(key, None)
+            if old:
+                await self.notify()
+
+    async def handle(
+        self,
+        message: http.Message,
+        _reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Answers a call.
+
+        :param message: the call
+        :param writer: its connection
+        """
+        if self.is_down:
+            writer.write(http.answer(503, b"", {}))
+            return
+        target = urllib.parse.urlsplit(message.first[1])
+        query = dict(urllib.parse.parse_qsl(target.query))
+        if target.path == "/rows-tx":
+            status, body = await self.transact(json.loads(message.body))
+        elif target.path == "/rows-get":
+            status, body = 200, self.read(query)
+        elif target.path == "/rows-feed":
+            status, body = 200, await self.feed(query)
+        elif target.path == "/runner":
+            row = json.loads(message.body)
+            await self.write(("servers", "", row["id"]), row["content"])
+            status, body = 200, {}
+        else:
+            status, body = 404, {}
+        if self.is_down:
+            writer.write(http.answer(503, b"", {}))
+            return
+        body |= {"ver": self.version, "now-ms": now_ms()}
+        writer.write(http.answer(status, json.dumps(body).encode(), {}))
+
+    async def transact(
+        self, call: dict[str, typing.Any]
+    ) -> tuple[int, dict[str, typing.Any]]:
+        """Applies all entries of a transaction, or none.
+
+        :param call: its body
+        :return: status and body of the answer
+        """
+        for entry in call.get("expected", []):
+            found = self.rows.get(row_key(entry), ("", 0))
+            if found[1] != entry["ver"]:
+                return 412, {"rows": []}
+        self.version += 1
+        for entry in call.get("set-keys", []):
+            self.put(row_key(entry), entry["value"])
+        for entry in call.get("remove", []):
+            self.put(row_key(entry), None)
+        await self.notify()
+        return 200, {}
+
+    def read(self, query: dict[str, str]) -> dict[str, typing.Any]:
+        """Returns rows in the order of their keys.
+
+        :param query: of the call
+        """
+        first, limit = query.get("from", ""), int(query.get("limit", MAX_ROWS))
+        keys = sorted(
+            key
+            for key in self.rows
+            if key[0] == query["table"]
+            and key[1] == query.get("part", "")
+            and key[2] >= first
+            and ("to" not in query or key[2] < query["to"])
+        )
+        return {
+            "rows": [self.row(key) for key in keys[:limit]],
+            "has-more": len(keys) > limit,
+        }
+
+    async def feed(self, query: dict[str, str]) -> dict[str, typing.Any]:
+        """Waits until rows have changed and returns them.
+
+        :param query: of the call
+        """
+        after = int(query["after"])
+        wait_s = int(query.get("wait-ms", 0)) / MS_PER_S
+
+        def rows() -> list[dict[str, typing.Any]]:
+            newest = {
+                key: removed
+                for version, key, removed in self.history
+                if version > after and key[0] == query["table"]
+            }
+            return [
+                self.removed(key) if removed else self.row(key)
+                for key, removed in newest.items()
+            ]
+
+        async with self.changed:
+            try:
+                await asyncio.wait_for(
+                    self.changed.wait_for(lambda: bool(rows())), wait_s
+                )
+            except TimeoutError:
+                pass
+        return {"rows": rows(), "has-more": False}
+
+    def row(self, key: Key) -> dict[str, typing.Any]:
+        """Returns a row as answers show it.
+
+        :param key: table, part and key
+        """
+        value, version = self.rows[key]
+        return {
+            "table": key[0],
+            "part": key[1],
+            "key": key[2],
+            "value": value,
+            "ver": version,
+        }
+
+    def removed(self, key: Key) -> dict[str, typing.Any]:
+        """Returns a removed row as the feed shows it.
+
+        :param key: table, part and key
+        """
+        return {
+            "table": key[0],
+            "part": key[1],
+            "key": key[2],
+            "removed": True,
+        }
+
+
+def row_key(entry: dict[str, typing.Any]) -> Key:
+    """Returns the key of an entry of a transaction.
+
+    :param entry: the entry
+    """
+    return entry["table"], entry.get("part", ""), entry["key"]
