--- a/review/rig/bed.py
+++ b/review/rig/bed.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import collections.abc
 import contextlib
 import dataclasses
@@ -166,6 +167,7 @@
         self.store_address = ""
         self.udp_port = free_port(f"{self.net}.1", socket.SOCK_DGRAM)
         self.programs: dict[str, Program] = {}
+        self.starts: collections.Counter[str] = collections.Counter()
         self.fronts: dict[str, str] = {}
         self.ready: dict[str, str] = {}
         self.tasks: list[asyncio.Task[typing.Any]] = []
@@ -252,11 +254,13 @@
         self.record(what="ended", program=program.name, status=status)
 
     def on_said(self, name: str, said: dict[str, typing.Any]) -> None:
-        """Does nothing; a case may replace it.
+        """Counts the starts of runners.
 
         :param name: of a process
         :param said: a line that it printed
         """
+        if said.get("what") == "started":
+            self.starts[name] += 1
 
     def runner(
         self, name: str, service: str, host: int, *options: str
@@ -341,6 +345,20 @@
             await asyncio.sleep(0.1)
         raise CaseError(f"{name} is not ready")
 
+    async def wait_started(self, name: str, times: int = 1) -> None:
+        """Waits until a runner has said that it accepts requests.
+
+        :param name: its id
+        :param times: how often it must have started
+        :raises CaseError: if it doesn't in time
+        """
+        end = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < end:
+            if self.starts[name] >= times:
+                return
+            await asyncio.sleep(0.01)
+        raise CaseError(f"{name} hasn't started")
+
     async def call(
         self,
         front: str,
