--- a/review/7/case.py
+++ b/review/7/case.py
@@ -14,7 +14,7 @@
 GAP_MS = 50
 DOWN_S = 0.3
 # The list of runners lags behind: the first write comes after that time.
-FIRST_WRITE_MS = 800
+FIRST_WRITE_MS = 0
 SECOND_LIFE_S = 1.3
 MAX_JOINED = 2
 WORK = {"events": EVENTS, "gap_ms": GAP_MS}
--- a/review/rig/bed.py
+++ b/review/rig/bed.py
@@ -164,6 +164,9 @@
         net = random.SystemRandom().randrange(1, 250)
         self.net = f"127.{net}.7"
         self.store = stores.Store(HEARTBEAT_MS)
+        self.store.on_event = lambda what, keys, figure: self.record(
+            what=what, keys=["/".join(key) for key in keys], figure=figure
+        )
         self.store_address = ""
         self.udp_port = free_port(f"{self.net}.1", socket.SOCK_DGRAM)
         self.programs: dict[str, Program] = {}
--- a/review/rig/store.py
+++ b/review/rig/store.py
@@ -8,7 +8,9 @@
 import asyncio
 import base64
 import collections.abc
+import dataclasses
 import json
+import random
 import time
 import typing
 import urllib.parse
@@ -19,6 +21,8 @@
 MAX_ROWS = 500
 HEARTBEATS_TO_EXPIRY = 3
 EXPIRY_CHECK_S = 0.1
+# How long a channel stays open on which an answer was lost.
+SILENCE_S = 30.0
 Key = tuple[str, str, str]
 
 
@@ -27,6 +31,24 @@
     return int(time.monotonic() * MS_PER_S)
 
 
+@dataclasses.dataclass
+class Lost:
+    """The disturbance in which answers to writes are lost.
+
+    :param share: of the writes
+    :param from_s: its start, on the steady clock
+    :param until_s: its end
+    :param late_s: after what time a lost write is performed, least and most
+    :param rng: draws
+    """
+
+    share: float
+    from_s: float
+    until_s: float
+    late_s: tuple[float, float]
+    rng: random.Random
+
+
 class Store:
     """All rows and their history.
 
@@ -43,9 +65,12 @@
         # When each runner wrote its row last.
         self.written_ms: dict[Key, int] = {}
         self.is_down = False
-        self.on_write: collections.abc.Callable[[Key, str | None], None] = (
-            lambda _key, _value: None
-        )
+        self.lost: Lost | None = None
+        self.late: list[asyncio.Future[None]] = []
+        # Called with what has happened, the keys and a figure.
+        self.on_event: collections.abc.Callable[
+            [str, list[Key], float], None
+        ] = lambda _what, _keys, _figure: None
 
     def put(self, key: Key, value: str | None) -> None:
         """Writes or removes a row.
@@ -59,7 +84,6 @@
             self.rows[key] = (value, self.version)
         self.history.append((self.version, key, value is None))
         self.written_ms[key] = now_ms()
-        self.on_write(key, value)
 
     async def write(self, key: Key, content: object) -> None:
         """Writes a row as an operator or a runner does.
@@ -111,6 +135,11 @@
         target = urllib.parse.urlsplit(message.first[1])
         query = dict(urllib.parse.parse_qsl(target.query))
         if target.path == "/rows-tx":
+            if self.loses_write():
+                self.perform_late(json.loads(message.body))
+                await asyncio.sleep(SILENCE_S)
+                writer.close()
+                return
             status, body = await self.transact(json.loads(message.body))
         elif target.path == "/rows-get":
             status, body = 200, self.read(query)
@@ -128,6 +157,48 @@
         body |= {"ver": self.version, "now-ms": now_ms()}
         writer.write(http.answer(status, json.dumps(body).encode(), {}))
 
+    def lose_writes(
+        self,
+        share: float,
+        from_s: float,
+        for_s: float,
+        late_s: tuple[float, float],
+        rng: random.Random,
+    ) -> None:
+        """Loses answers to a share of the system's writes for a while.
+
+        :param share: of the writes
+        :param from_s: start, on the steady clock
+        :param for_s: how long
+        :param late_s: after what time they are performed, least and most
+        :param rng: draws
+        """
+        self.lost = Lost(share, from_s, from_s + for_s, late_s, rng)
+
+    def loses_write(self) -> bool:
+        """Returns whether the answer to a write is lost now."""
+        lost = self.lost
+        if lost is None or not lost.from_s <= time.monotonic() < lost.until_s:
+            return False
+        return lost.rng.random() < lost.share
+
+    def perform_late(self, call: dict[str, typing.Any]) -> None:
+        """Performs a transaction later, if its condition still holds.
+
+        :param call: its body
+        """
+        assert self.lost is not None
+        delay_s = self.lost.rng.uniform(*self.lost.late_s)
+        names = [row_key(entry) for entry in call.get("set-keys", [])]
+        self.on_event("write_lost", names, delay_s)
+
+        async def perform() -> None:
+            await asyncio.sleep(delay_s)
+            status, _ = await self.transact(call)
+            self.on_event("write_performed_late", names, status)
+
+        self.late.append(asyncio.ensure_future(perform()))
+
     async def transact(
         self, call: dict[str, typing.Any]
     ) -> tuple[int, dict[str, typing.Any]]:
