--- a/review/rig/bed.py
+++ b/review/rig/bed.py
@@ -118,6 +118,7 @@
     :param sent_ms: when the request was sent, Unix milliseconds
     :param took_ms: time until the end
     :param headers: names in lower case
+    :param key: the API key that was sent
     """
 
     id: str
@@ -127,6 +128,7 @@
     sent_ms: int = 0
     took_ms: int = 0
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    key: str = ""
 
 
 @dataclasses.dataclass(eq=False)
@@ -171,6 +173,8 @@
         self.udp_port = free_port(f"{self.net}.1", socket.SOCK_DGRAM)
         self.programs: dict[str, Program] = {}
         self.starts: collections.Counter[str] = collections.Counter()
+        # How often each request has run, by id.
+        self.ran: collections.Counter[str] = collections.Counter()
         self.fronts: dict[str, str] = {}
         self.ready: dict[str, str] = {}
         self.tasks: list[asyncio.Task[typing.Any]] = []
@@ -257,13 +261,15 @@
         self.record(what="ended", program=program.name, status=status)
 
     def on_said(self, name: str, said: dict[str, typing.Any]) -> None:
-        """Counts the starts of runners.
+        """Counts the starts of runners, and the runs of requests.
 
         :param name: of a process
         :param said: a line that it printed
         """
         if said.get("what") == "started":
             self.starts[name] += 1
+        elif said.get("what") == "run":
+            self.ran[said["id"]] += 1
 
     def runner(
         self, name: str, service: str, host: int, *options: str
@@ -384,7 +390,7 @@
         :return: the answer as far as it came
         """
         name = uuid.uuid4().hex[:16]
-        answer = Answer(name, sent_ms=int(time.time() * MS_PER_S))
+        answer = Answer(name, sent_ms=int(time.time() * MS_PER_S), key=key)
         started = time.monotonic()
         try:
             async with asyncio.timeout(deadline_ms / MS_PER_S):
--- a/review/rig/store.py
+++ b/review/rig/store.py
@@ -49,6 +49,20 @@
     rng: random.Random
 
 
+@dataclasses.dataclass(frozen=True)
+class Copy:
+    """A copy of the store, from which it may be restored.
+
+    :param rows: all rows
+    :param version: the newest version
+    :param history: what has changed
+    """
+
+    rows: dict[Key, tuple[str, int]]
+    version: int
+    history: list[tuple[int, Key, bool]]
+
+
 class Store:
     """All rows and their history.
 
@@ -65,6 +79,8 @@
         # When each runner wrote its row last.
         self.written_ms: dict[Key, int] = {}
         self.is_down = False
+        # Rises by one with each restore; 0: not told.
+        self.era = 0
         self.lost: Lost | None = None
         self.late: list[asyncio.Future[None]] = []
         # Called with what has happened, the keys and a figure.
@@ -85,6 +101,22 @@
         self.history.append((self.version, key, value is None))
         self.written_ms[key] = now_ms()
 
+    def copy(self) -> Copy:
+        """Returns a copy of the store."""
+        return Copy(dict(self.rows), self.version, list(self.history))
+
+    def restore(self, copy: Copy) -> None:
+        """Restores the store from a copy.
+
+        :param copy: what it holds from now on
+        """
+        self.rows = dict(copy.rows)
+        self.version = copy.version
+        self.history = list(copy.history)
+        self.era += 1
+        for key in self.rows:
+            self.written_ms[key] = now_ms()
+
     async def write(self, key: Key, content: object) -> None:
         """Writes a row as an operator or a runner does.
 
@@ -134,6 +166,9 @@
             return
         target = urllib.parse.urlsplit(message.first[1])
         query = dict(urllib.parse.parse_qsl(target.query))
+        if target.path == "/rows-feed" and int(query["after"]) > self.version:
+            self.answer(writer, 410, {})
+            return
         if target.path == "/rows-tx":
             if self.loses_write():
                 self.perform_late(json.loads(message.body))
@@ -154,8 +189,23 @@
         if self.is_down:
             writer.write(http.answer(503, b"", {}))
             return
+        self.answer(writer, status, body)
+
+    def answer(
+        self,
+        writer: asyncio.StreamWriter,
+        status: int,
+        body: dict[str, typing.Any],
+    ) -> None:
+        """Answers a call.
+
+        :param writer: its connection
+        :param status: HTTP status
+        :param body: of the answer, without version and time
+        """
         body |= {"ver": self.version, "now-ms": now_ms()}
-        writer.write(http.answer(status, json.dumps(body).encode(), {}))
+        headers = {"Store-Era": str(self.era)} if self.era else {}
+        writer.write(http.answer(status, json.dumps(body).encode(), headers))
 
     def lose_writes(
         self,
