--- a/review/rig/bed.py
+++ b/review/rig/bed.py
@@ -33,6 +33,8 @@
 KEY = "k0123456789abcdef"
 HOST = "case.example"
 LINE_LIMIT = 1 << 20
+# A client that pauses takes no more than twice this.
+SLOW_LIMIT = 1 << 16
 # The bounds of the site file kpl-godwitloft, as DEPLOY.md shows settings.
 SETTINGS = """
 node-name = "{name}"
@@ -376,6 +378,7 @@
         deadline_ms: int,
         key: str = KEY,
         method: str = "POST",
+        pause_s: float = 0.0,
         **headers: str,
     ) -> Answer:
         """Sends a request on a channel of its own and reads its answer.
@@ -386,6 +389,7 @@
         :param deadline_ms: how long the client waits
         :param key: its API key
         :param method: of the request
+        :param pause_s: for how long the client reads nothing after sending
         :param headers: further headers, with underscores for hyphens
         :return: the answer as far as it came
         """
@@ -403,6 +407,7 @@
                     method,
                     headers,
                     answer,
+                    pause_s,
                 )
         except (TimeoutError, OSError, http.HttpError) as error:
             self.record(what="client_lost", id=name, why=repr(error))
@@ -444,6 +449,7 @@
     method: str,
     headers: collections.abc.Mapping[str, str],
     answer: Answer,
+    pause_s: float = 0.0,
 ) -> None:
     """Sends a request and reads its answer.
 
@@ -455,11 +461,12 @@
     :param method: of the request
     :param headers: further headers, with underscores for hyphens
     :param answer: gets what comes
+    :param pause_s: for how long nothing is read after sending
     :raises HttpError: if the answer is cut
     """
     host, port = front.rsplit(":", 1)
     reader, writer = await asyncio.open_connection(
-        host, int(port), limit=LINE_LIMIT
+        host, int(port), limit=SLOW_LIMIT if pause_s else LINE_LIMIT
     )
     body = json.dumps(work).encode()
     lines = [
@@ -474,6 +481,7 @@
         f"{name.replace('_', '-')}: {value}" for name, value in headers.items()
     ]
     writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+    await asyncio.sleep(pause_s)
     try:
         message = await http.read_head(reader)
         answer.status = int(message.first[1])
--- a/review/rig/runner.py
+++ b/review/rig/runner.py
@@ -2,8 +2,9 @@
 
 It registers in the store, answers requests and prints what it does, one JSON
 object a line. A request's body says what to answer:
-``{"events": N, "gap_ms": N, "unframed": BOOL}``. The answer is a stream of
-events on a path that begins with ``/s/``, and N lines of text elsewhere.
+``{"events": N, "gap_ms": N, "unframed": BOOL, "pad_bytes": N}``. The answer is
+a stream of events on a path that begins with ``/s/``, and N lines of text
+elsewhere, each made longer by so many bytes.
 """
 
 import argparse
@@ -169,12 +170,14 @@
         gone = asyncio.ensure_future(reader.read(1))
         for number in range(first, work["events"] + 1):
             text = f"{name[:8]} {number} {self.options.version}"
-            part = f"{text}\n".encode()
+            pad = "." * work.get("pad_bytes", 0)
+            part = f"{pad}{text}\n".encode()
             if is_stream:
                 part = f"id: {number}\ndata: {text}\n\n".encode()
             if not unframed:
                 part = b"%x\r\n%s\r\n" % (len(part), part)
             writer.write(part)
+            await writer.drain()
             done, _ = await asyncio.wait(
                 [gone], timeout=work["gap_ms"] / MS_PER_S
             )
