--- a/review/rig/bed.py
+++ b/review/rig/bed.py
@@ -465,8 +465,18 @@
     :raises HttpError: if the answer is cut
     """
     host, port = front.rsplit(":", 1)
+    channel = socket.socket()
+    channel.setblocking(False)
+    if pause_s:
+        channel.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_LIMIT)
+    loop = asyncio.get_running_loop()
+    try:
+        await loop.sock_connect(channel, (host, int(port)))
+    except OSError:
+        channel.close()
+        raise
     reader, writer = await asyncio.open_connection(
-        host, int(port), limit=SLOW_LIMIT if pause_s else LINE_LIMIT
+        sock=channel, limit=SLOW_LIMIT if pause_s else LINE_LIMIT
     )
     body = json.dumps(work).encode()
     lines = [
