A write that is performed late removes no stream from the records

Cause: a row of `streams` holds five seconds of streams and is written again and again as a whole, without a condition. A write without an answer may be performed seconds later; it then puts the older, shorter content in place of what the store has acknowledged since. A stream without a record counts as one of the base version.

Change: OwnedRows expects the version that a row had after its last write, so that the store refuses each write that was sent before an acknowledged one. If an unanswered write was performed, the version is read and the row written again. A row that is written takes two entries of a transaction: 25 rows at once in place of 50.

--- a/features/support/restored_store.py
+++ b/features/support/restored_store.py
@@ -52,6 +52,9 @@
         self.writes_fail = False
         # Number of writes that take effect, but whose answers are lost.
         self.lose_answers = 0
+        # After what time writes are performed whose answers are lost, None
+        # while no answer is lost.
+        self.late_ms = None
         # Returns how long calls take behind a full link, None for no such
         # link.
         self.link_ms = None
@@ -66,6 +69,8 @@
         if self.link_ms is not None:
             return self.call_through_link(target, body, timeout_ms)
         is_write = target.startswith("/rows-tx")
+        if is_write and self.late_ms is not None:
+            return self.perform_late(target, body, timeout_ms)
         if is_write and self.lose_answers:
             self.lose_answers -= 1
             answer = self.call_now(target, body)
@@ -98,6 +103,18 @@
         self.reactor.callLater(min(delay_ms, timeout_ms) / 1000, end)
         return late
 
+    def perform_late(self, target, body, timeout_ms):
+        """Performs a write later, also if the caller has ended by then."""
+        lost = defer.Deferred()
+        self.reactor.callLater(
+            self.late_ms / 1000, self.rows.transact, json.loads(body)
+        )
+        self.reactor.callLater(
+            timeout_ms / 1000,
+            lambda: lost.errback(stores.StoreError(target, 0, "timeout")),
+        )
+        return lost
+
     def call_through_link(self, target, body, timeout_ms):
         """Calls behind callers' bytes; only the way to the store is slow."""
         late = defer.Deferred()
@@ -136,15 +153,12 @@
         if self.rows.is_away():
             return self.answer(path, 503, {})
         if path == "/rows-get":
-            return self.answer(path, 200, self.rows.read(fields["table"]))
+            keys = fields.get("from", ""), fields.get("to", "")
+            found = self.rows.read(fields["table"], *keys)
+            return self.answer(path, 200, found)
         if path == "/rows-tx":
-            change = json.loads(body)
-            if not self.rows.are_as_expected(change["expected"]):
+            if not self.rows.transact(json.loads(body)):
                 return self.answer(path, 412, {})
-            for row in change["set-keys"]:
-                self.rows.put(row["table"], row["key"], row["value"])
-            for row in change["remove"]:
-                self.rows.put(row["table"], row["key"], None)
             return self.answer(path, 200, self.rows.answer([]))
         until_s = self.reactor.seconds() + int(fields["wait-ms"]) / 1000
         answer = defer.Deferred()
--- a/godwitloft/platform/store.py
+++ b/godwitloft/platform/store.py
@@ -78,6 +78,21 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True)
+class KeyRange:
+    """The rows of a table from one key to another, in the order of bytes.
+
+    :param first: the first key, empty for the first of the table
+    :param end: the first key that isn't included, empty for no end
+    """
+
+    first: str = ""
+    end: str = ""
+
+
+ALL_KEYS = KeyRange()
+
+
 @dataclasses.dataclass(frozen=True)
 class Position:
     """A point in the store's history.
@@ -413,37 +428,41 @@
     def read(
         self,
         table: str,
-        after_key: str = "",
+        keys: KeyRange = ALL_KEYS,
         answer_ms: int = CALL_TIMEOUT_MS,
     ) -> "defer.Deferred[ReadResult]":
         """Reads one page of the rows of a table.
 
         :param table: name of the table
-        :param after_key: last key of the previous page, empty for the first
+        :param keys: which rows to read
         :param answer_ms: longest time until the complete answer
         :return: up to 500 rows
         """
         query = {"table": table, "part": ""}
-        if after_key:
-            query["from"] = after_key + "\0"
+        if keys.first:
+            query["from"] = keys.first
+        if keys.end:
+            query["to"] = keys.end
         target = "/rows-get?" + urllib.parse.urlencode(query)
         answer = self.call("GET", target, timeout_ms=answer_ms)
         return answer.addCallback(decode_rows)
 
     @defer.inlineCallbacks
     def read_all(
-        self, table: str
+        self, table: str, keys: KeyRange = ALL_KEYS
     ) -> typing.Generator[typing.Any, typing.Any, ReadResult]:
         """Reads all pages of a table.
 
         :param table: name of the table
+        :param keys: which rows to read
         :return: the rows, with position and time of the first page; fails with
             :class:`HistoryLostError` if the store was restored meanwhile
         """
-        first = result = yield self.read(table)
+        first = result = yield self.read(table, keys)
         found = list(result.rows)
         while result.has_more and result.rows:
-            result = yield self.read(table, result.rows[-1].key)
+            keys = dataclasses.replace(keys, first=result.rows[-1].key + "\0")
+            result = yield self.read(table, keys)
             if result.position.timeline != first.position.timeline:
                 raise HistoryLostError(table, HTTP_OK, HISTORY_LOST)
             found.extend(result.rows)
--- a/godwitloft/platform/stream_table.py
+++ b/godwitloft/platform/stream_table.py
@@ -12,14 +12,16 @@
 from godwitloft.gateway.streams import continuations as continuation_module
 from godwitloft.gateway.streams import stream_origins
 from godwitloft.platform import json_fields
+from godwitloft.platform import owned_rows
 from godwitloft.platform import rows
 from godwitloft.platform import store as stores
 
 TABLE = "streams"
 # Has a row for each service, with its base version.
 BASE_TABLE = "base_versions"
-# Of the 100 entries of one transaction of the store.
-MAX_ROWS_SET = 50
+# Of the 100 entries of one transaction of the store, in which a row that is
+# written takes two, as its version is expected.
+MAX_ROWS_SET = 25
 MAX_ROWS_REMOVED = 50
 CHECK_INTERVAL_MS = 50
 
@@ -50,6 +52,7 @@
         self.bases = continuations.bases
         self.bases.has_store = True
         self.owner = owner
+        self.owned_rows = owned_rows.OwnedRows(store, TABLE)
         self.decode_row = decode_row
         self.was_read = False
         # The store's clock minus this process's.
@@ -187,23 +190,12 @@
         removed = old[:MAX_ROWS_REMOVED]
         self.old_keys = old[MAX_ROWS_REMOVED:]
         segments = self.origins.take_unsaved(MAX_ROWS_SET)
-        transaction = {
-            "expected": [],
-            "set-keys": [
-                {
-                    "table": TABLE,
-                    "part": "",
-                    "key": self.key(segment.number),
-                    "value": encode(segment, now_ms),
-                }
-                for segment in segments
-            ],
-            "remove": [
-                {"table": TABLE, "part": "", "key": key} for key in removed
-            ],
+        values = {
+            self.key(segment.number): encode(segment, now_ms)
+            for segment in segments
         }
         try:
-            yield self.store.transact(transaction)
+            yield self.owned_rows.write(values, removed)
         except stores.StoreError:
             self.origins.mark_failed()
             self.old_keys.extend(removed)
--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -110,6 +110,15 @@
         :param value: base64 text, None to remove the row
         """
         self.version += 1
+        self.apply(table, key, value)
+
+    def apply(self, table: str, key: str, value: str | None) -> None:
+        """Changes a row at the current version.
+
+        :param table: name of the table
+        :param key: key of the row
+        :param value: base64 text, None to remove the row
+        """
         if value is None:
             self.rows.pop((table, key), None)
         else:
@@ -120,6 +129,21 @@
         at_s = self.reactor.seconds()
         self.writes.append((at_s, self.version, table, key, value))
 
+    def transact(self, change: http.Json) -> bool:
+        """Makes all changes of a transaction, at one version, or none.
+
+        :param change: body of the call
+        :return: whether the rows had the versions that it expects
+        """
+        if not self.are_as_expected(change.get("expected", [])):
+            return False
+        self.version += 1
+        for row in change.get("set-keys", []):
+            self.apply(row["table"], row["key"], row["value"])
+        for row in change.get("remove", []):
+            self.apply(row["table"], row["key"], None)
+        return True
+
     def are_as_expected(self, expected: list[http.Json]) -> bool:
         """Returns whether rows have the versions that a call expects.
 
@@ -207,10 +231,12 @@
         """
         self.put(table, key, encode(value))
 
-    def read(self, table: str) -> http.Json:
-        """Returns all rows of a table.
+    def read(self, table: str, first: str = "", end: str = "") -> http.Json:
+        """Returns the rows of a table.
 
         :param table: name of the table
+        :param first: the first key, empty for the first of the table
+        :param end: the first key that isn't included, empty for no end
         :return: the body of the response
         """
         rows = [
@@ -222,7 +248,7 @@
                 "ver": version,
             }
             for (name, key), (value, version) in sorted(self.rows.items())
-            if name == table
+            if name == table and first <= key and (not end or key < end)
         ]
         return self.answer(rows)
 
@@ -887,7 +913,10 @@
         lakeshore.calls["get"] += 1
         if rows.is_away():
             return reply(request, {}, 503)
-        return reply(request, rows.read(text(request, b"table")))
+        names = (b"table", b"from", b"to")
+        return reply(
+            request, rows.read(*(text(request, name) for name in names))
+        )
 
     @app.route("/rows-feed")
     @defer.inlineCallbacks
@@ -915,12 +944,8 @@
         if rows.is_away():
             return reply(request, {}, 503)
         body = http.read_json(request) or {}
-        if not rows.are_as_expected(body.get("expected", [])):
+        if not rows.transact(body):
             return reply(request, {}, 412)
-        for row in body.get("set-keys", []):
-            rows.put(row["table"], row["key"], row["value"])
-        for row in body.get("remove", []):
-            rows.put(row["table"], row["key"], None)
         return reply(request, rows.answer([]))
 
     @app.route("/control", methods=["POST"])
