A late write no longer replaces a newer row of a gateway

What callers could see: a team above its allowance (QUOTA) and a key's or stream's past not known to a gateway that starts. The row of `gateways` was written as a whole and without a condition, like those of `streams`: a write without an answer, performed seconds later, took back the lease, the use, the blames and the versions that the store had acknowledged since, for up to 5 s. The last write of a process that has ended could replace the row of the one after it, or be performed after that one had read its row, and was not counted.

Change: the row is written as those of streams are (OwnedRows), and expects the version that was read at the start. A process that finds the row changed before its first write counts what its predecessor had saved there.

Tests: features/late_writes.feature.

--- a/features/late_writes.feature
+++ b/features/late_writes.feature
@@ -24,3 +24,48 @@
       | 1600 |
       | 2400 |
       | 4000 |
+
+  # Guards against a gateway that is killed after a late write, and starts again
+  # with less than it had used (QUOTA).
+  Scenario Outline: What a gateway has saved stays in its row: <late> ms late
+    Given a gateway whose row was just written
+    When it uses tokens while its writes are performed <late> ms late
+    And it uses tokens again after 1200 ms
+    And its row is watched for 6000 ms
+    Then its row never holds less than before
+
+    Examples:
+      | late |
+      | 1600 |
+      | 2400 |
+      | 3600 |
+
+  # Guards against the write of an ended process that replaces the row of the
+  # one after it.
+  Scenario Outline: The last write of an ended process is performed late: <late> ms
+    Given a gateway whose row was just written
+    When it uses tokens while its writes are performed <late> ms late
+    And it is killed and starts again after <pause> ms, with writes that take 4 ms
+    And its row is watched for 6000 ms
+    Then its row never holds less than before
+
+    Examples:
+      | late | pause |
+      | 400 | 1000 |
+      | 1200 | 600 |
+      | 2400 | 600 |
+
+  # Guards against a process that doesn't see what was written after it had
+  # read its row.
+  Scenario Outline: The last write of an ended process counts after a start: <late> ms late
+    Given a gateway whose row was just written
+    When it uses tokens while its writes are performed <late> ms late
+    And it is killed and starts again after 600 ms, with writes that take 100 ms
+    And its row is watched for 1000 ms
+    Then its row never holds less than before
+    And the new process has counted all used tokens
+
+    Examples:
+      | late |
+      | 400 |
+      | 620 |
--- a/features/steps/late_writes_steps.py
+++ b/features/steps/late_writes_steps.py
@@ -1,5 +1,9 @@
+from behave import then
 from behave import when
 
+from features.steps import failed_saves_steps as saves
+from features.support import restored_store
+
 # Longer than a gateway waits until it saves a stream.
 LATE_FOR_MS = 200
 
@@ -20,3 +24,67 @@
     fleet.advance(LATE_FOR_MS)
     set_late(context, None)
     fleet.advance(1000)
+
+
+@when("it uses tokens while its writes are performed {late_ms:d} ms late")
+def use_with_late_write(context, late_ms):
+    member = context.member
+    member.client.late_ms = late_ms
+    saves.use_tokens(member)
+    calls = member.client.calls["/rows-tx", ""]
+    while member.client.calls["/rows-tx", ""] == calls:
+        member.advance(restored_store.STEP_MS)
+    member.client.late_ms = None
+
+
+@when("it uses tokens again after {delay_ms:d} ms")
+def use_again(context, delay_ms):
+    context.member.advance(delay_ms)
+    saves.use_tokens(context.member)
+
+
+@when(
+    "it is killed and starts again after {pause_ms:d} ms, with writes that"
+    " take {write_ms:d} ms"
+)
+def restart(context, pause_ms, write_ms):
+    former = context.member
+    former.watch.stop()
+    former.client.cut = True
+    former.advance(pause_ms)
+    context.member = member = restored_store.RestoredStore(
+        context, former.rows
+    )
+    member.upstreams = former.upstreams
+    member.client.write_ms = write_ms
+    member.start_watching()
+
+
+@when("its row is watched for {duration_ms:d} ms")
+def watch_row(context, duration_ms):
+    context.saved = [saves.row(context.member)]
+    for _ in range(duration_ms // restored_store.STEP_MS):
+        context.member.advance(restored_store.STEP_MS)
+        context.saved.append(saves.row(context.member))
+
+
+def tokens_of(saved):
+    return sum(saved.usage.get(saves.TEAM.name, ()))
+
+
+@then("its row never holds less than before")
+def check_row(context):
+    pairs = list(zip(context.saved, context.saved[1:], strict=False))
+    assert all(
+        after.renewed_ms >= before.renewed_ms for before, after in pairs
+    )
+    assert all(
+        tokens_of(after) >= tokens_of(before) for before, after in pairs
+    )
+
+
+@then("the new process has counted all used tokens")
+def check_counted(context):
+    member = context.member
+    window = member.world.sharing.window(saves.TEAM.name)
+    assert window.total(member.now_ms()) == saves.USED
--- a/features/support/restored_store.py
+++ b/features/support/restored_store.py
@@ -261,6 +261,7 @@
                 on_upstreams=self.gateway.update_upstreams,
                 on_gateways=self.gateway.update_gateways,
                 on_usage_restored=sharing.start.restore,
+                on_usage_found=sharing.start.restore_newer,
                 on_peer_usage_restored=sharing.start.restore_peer,
                 on_registered=sharing.start.join,
                 on_blames_restored=self.gateway.knowledge.restore_blames,
--- a/godwitloft/gateway/allowances/grant_start.py
+++ b/godwitloft/gateway/allowances/grant_start.py
@@ -8,6 +8,7 @@
 
 from godwitloft import clock as clocks
 from godwitloft import events
+from godwitloft.gateway.allowances import allowance
 from godwitloft.gateway.allowances import former_use
 from godwitloft.gateway.allowances import gateway_list
 from godwitloft.gateway.allowances import own_use
@@ -98,6 +99,19 @@
             ],
         )
 
+    def restore_newer(self, used: former_use.Usage, age_ms: int) -> None:
+        """Counts what the process before had saved beyond :meth:`restore`.
+
+        :param used: as it was saved later
+        :param age_ms: how long ago it was saved
+        """
+        counted_ms = self.own.tolerance.counted_ms
+        counted = {
+            team: allowance.still_counted(sums, age_ms, counted_ms)
+            for team, sums in used.items()
+        }
+        self.own.add_told(counted, self.clock.monotonic_ms())
+
     def restore_peer(
         self, name: str, host: str, used: former_use.Usage, age_ms: int
     ) -> None:
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -218,6 +218,7 @@
             on_upstreams=gateway.update_upstreams,
             on_gateways=gateway.update_gateways,
             on_usage_restored=sharing.start.restore,
+            on_usage_found=sharing.start.restore_newer,
             on_peer_usage_restored=sharing.start.restore_peer,
             on_registered=sharing.start.join,
             on_blames_restored=gateway.knowledge.restore_blames,
--- a/godwitloft/platform/owned_rows.py
+++ b/godwitloft/platform/owned_rows.py
@@ -12,6 +12,9 @@
 from godwitloft import events
 from godwitloft.platform import store as stores
 
+# Value in base64 of each row, by key.
+Values = typing.Mapping[str, str]
+
 
 class OwnedRows:
     """Rows of one table that only this process writes.
@@ -45,26 +48,27 @@
     @defer.inlineCallbacks
     def write(
         self,
-        values: typing.Mapping[str, str],
+        values: typing.Callable[[], Values],
         removed: typing.Sequence[str] = (),
     ) -> typing.Generator[typing.Any, typing.Any, None]:
         """Writes and removes rows, all at once.
 
-        :param values: value in base64 of each row that is written, by key
+        :param values: returns what is written; called again once rows were
+            found to have changed
         :param removed: keys of rows that nobody writes any more
         :return: fires when the store has acknowledged it; fails with
             :class:`StoreError`
         """
         try:
-            yield self.try_write(values, removed)
+            yield self.try_write(values(), removed)
         except stores.ConditionError:
-            yield self.read_versions(values)
-            yield self.try_write(values, removed)
+            yield self.read_versions(values())
+            yield self.try_write(values(), removed)
 
     @defer.inlineCallbacks
     def try_write(
         self,
-        values: typing.Mapping[str, str],
+        values: Values,
         removed: typing.Sequence[str],
     ) -> typing.Generator[typing.Any, typing.Any, None]:
         """Writes and removes rows if they have the versions that are known.
--- a/godwitloft/platform/stream_table.py
+++ b/godwitloft/platform/stream_table.py
@@ -195,7 +195,7 @@
             for segment in segments
         }
         try:
-            yield self.owned_rows.write(values, removed)
+            yield self.owned_rows.write(lambda: values, removed)
         except stores.StoreError:
             self.origins.mark_failed()
             self.old_keys.extend(removed)
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -21,6 +21,7 @@
 from godwitloft.gateway.upstreams import upstream_list as upstream_lists
 from godwitloft.platform import json_fields
 from godwitloft.platform import lease_row
+from godwitloft.platform import owned_rows
 from godwitloft.platform import proof_call
 from godwitloft.platform import rows
 from godwitloft.platform import save_retry
@@ -69,6 +70,8 @@
     :param on_usage_restored: called once with the usage by team that this
         instance saved before it was restarted, None if the store has none,
         and its age in milliseconds
+    :param on_usage_found: called at the start with newer usage that the
+        process before is found to have saved, and its age in milliseconds
     :param on_peer_usage_restored: called at the start with the name of
         another gateway, its IP address, its saved usage and the age in
         milliseconds
@@ -107,6 +110,7 @@
     on_upstreams: typing.Callable[[dict[str, model.Upstream]], None]
     on_gateways: typing.Callable[[dict[str, str]], None]
     on_usage_restored: typing.Callable[[sharing.Usage | None, int], None]
+    on_usage_found: typing.Callable[[sharing.Usage, int], None]
     on_peer_usage_restored: typing.Callable[
         [str, str, sharing.Usage, int], None
     ]
@@ -220,6 +224,8 @@
         self.has_configuration = False
         self.stopped = False
         self.usage_restored = False
+        # When that was, on the store's clock.
+        self.restored_store_ms = 0
         self.registered = False
         self.renewed_ms = 0
         self.renewals = 0
@@ -231,6 +237,9 @@
         self.list_restored = False
         # The store's clock minus this process's.
         self.store_clock_offset_ms = 0
+        self.own_row = owned_rows.OwnedRows(
+            store, GATEWAY_TABLE, self.on_row_found
+        )
         self.save_retry = save_retry.SaveRetry(
             clock, self.store_contact, self.is_urgent, self.urgent_delay_ms
         )
@@ -694,8 +703,29 @@
                 self.callbacks.on_peer_usage_restored(
                     instance, holder.host, holder.usage, age_ms
                 )
+        self.own_row.learn(
+            row for row in result.rows if row.key == self.instance
+        )
         self.callbacks.on_usage_restored(*own)
         self.usage_restored = True
+        self.restored_store_ms = result.now_ms
+
+    def on_row_found(self, row: stores.Row) -> None:
+        """Takes over what the process before saved, if it is its write.
+
+        A write of it without an answer may be performed after this process
+        has read the row.
+
+        :param row: this gateway's row, with another version than was known
+        """
+        holder = self.decode_row(GATEWAY_TABLE, row, lease_row.decode)
+        if holder is None or holder.renewed_ms >= self.restored_store_ms:
+            return
+        store_now_ms = self.clock.monotonic_ms() + self.store_clock_offset_ms
+        age_ms = max(0, store_now_ms - holder.renewed_ms)
+        self.callbacks.on_blames_restored(holder.blames, age_ms)
+        self.callbacks.on_versions_restored(holder.versions, age_ms)
+        self.callbacks.on_usage_found(holder.usage, age_ms)
 
     def apply_gateways(self, result: stores.ReadResult) -> None:
         """Passes on the other holders of leases.
@@ -718,16 +748,19 @@
         """Writes this gateway's row with its lease and its usage."""
         mark_unsaved = self.callbacks.before_save()
         now_ms = self.clock.monotonic_ms()
-        row = lease_row.LeaseRow(
-            host=self.host,
-            renewed_ms=now_ms + self.store_clock_offset_ms,
-            usage=self.callbacks.usage(),
-            blames=self.callbacks.blames(),
-            versions=self.callbacks.versions(),
-        )
-        value = lease_row.encode(row)
+
+        def values() -> owned_rows.Values:
+            row = lease_row.LeaseRow(
+                host=self.host,
+                renewed_ms=now_ms + self.store_clock_offset_ms,
+                usage=self.callbacks.usage(),
+                blames=self.callbacks.blames(),
+                versions=self.callbacks.versions(),
+            )
+            return {self.instance: lease_row.encode(row)}
+
         try:
-            yield self.store.put(GATEWAY_TABLE, self.instance, value)
+            yield self.own_row.write(values)
         except Exception:
             mark_unsaved()
             raise
