A late report of a wrong order doesn't outlast the order

What operators saw: the status of a sound order kept the error of an earlier, wrong one for good.

Cause: the status row was written on the condition of the roll-out's row alone. A report without an answer counted as not written, so that nobody took it back once it was performed; and a report that was newer could be replaced by it.

Change: a report expects the version of the status row too, and one without an answer is written again, whatever the row says, until an answer settles it.

--- a/features/rollout_watch.feature
+++ b/features/rollout_watch.feature
@@ -191,6 +191,26 @@
     Then the status of "desk" has no error
     And the row of "desk" went through "judging" once
 
+  # Guards against an error that stays in the status of a sound order, as its
+  # write got no answer and was performed seconds later.
+  Scenario Outline: The report of a wrong order is performed <late> ms late
+    Given 3 gateways that follow a store with roll-outs
+    And gateways "g0" decide up to "judging"
+    When version "v2" of "desk" is ordered
+    And 2 s pass with the store
+    And an order with "{"service": "desk", "to": "v3"}" is written for "desk"
+    And writes are performed <late> ms late for 200 ms with the store
+    And version "v2" of "desk" is ordered
+    And 8 s pass with the store
+    Then the status of "desk" has no error
+
+    Examples:
+      | late |
+      | 0 |
+      | 900 |
+      | 1600 |
+      | 5000 |
+
   # Guards against gateways that are stuck at a row that none of them can read.
   Scenario: A saved roll-out that can't be read is replaced
     Given 3 gateways that follow a store with roll-outs
--- a/features/steps/rollout_watch_steps.py
+++ b/features/steps/rollout_watch_steps.py
@@ -112,6 +112,18 @@
         member.client.writes_fail = False
 
 
+@step(
+    "writes are performed {late_ms:d} ms late for {duration_ms:d} ms with the"
+    " store"
+)
+def write_late(context, late_ms, duration_ms):
+    for member in context.fleet.members.values():
+        member.client.late_ms = late_ms
+    context.fleet.advance(duration_ms)
+    for member in context.fleet.members.values():
+        member.client.late_ms = None
+
+
 def member_named(context, name):
     return next(
         (host, member)
--- a/godwitloft/platform/rollout_watch.py
+++ b/godwitloft/platform/rollout_watch.py
@@ -192,6 +192,9 @@
         self.logged: dict[str, OrderError] = {}
         self.logged_ms: dict[str, int] = {}
         self.reported: dict[str, OrderError] = {}
+        # Services of which a status may still be written, as its write got no
+        # answer.
+        self.unanswered: set[str] = set()
         # Tables to be read as a peer has newer rows.
         self.wants_orders = False
         self.wants_saved = False
@@ -548,7 +551,7 @@
             is_due = now_ms - self.logged_ms[service] >= turn_ms
             if is_due and self.reported.get(service) != found:
                 return service
-        for service in self.reported:
+        for service in (*self.reported, *self.unanswered):
             if service not in self.errors:
                 return service
         return None
@@ -564,28 +567,60 @@
         found, held = self.errors.get(service), self.held.get(service)
         if found is None and held is None:
             # The first step of the order will tell.
-            del self.reported[service]
+            self.reported.pop(service, None)
+            self.unanswered.discard(service)
             return
         status = self.status(service, held.rollout if held else None)
         result = yield self.store.read_all(STATUS_TABLE)
         key = rollout_rows.KEY_PREFIX + service
-        if {row.key: row.value for row in result.rows}.get(key) != status:
-            expected = self.row_version(service)
-            try:
-                yield self.store.transact(
-                    transaction(service, expected, status, None)
-                )
-            except stores.ConditionError:
-                yield self.read_all()
-                return
+        rows = {row.key: row for row in result.rows}
+        row = rows.get(key)
+        is_same = row is not None and row.value == status
+        if not is_same or service in self.unanswered:
+            yield self.write_status(service, status, row.version if row else 0)
+        if service in self.unanswered:
+            return
         if found is not None:
             self.reported[service] = found
         else:
             self.reported.pop(service, None)
 
+    @defer.inlineCallbacks
+    def write_status(
+        self, service: str, status: str, status_version: int
+    ) -> typing.Generator[typing.Any, typing.Any, None]:
+        """Writes a status row, unless it or the roll-out has changed.
+
+        A status whose write got no answer is written again, whatever the row
+        says: until then the former write may still be performed.
+
+        :param service: name of the service
+        :param status: value of the status row
+        :param status_version: version that the status row must have
+        """
+        self.unanswered.add(service)
+        try:
+            yield self.store.transact(
+                transaction(
+                    service,
+                    self.row_version(service),
+                    status,
+                    None,
+                    status_version,
+                )
+            )
+        except stores.ConditionError:
+            yield self.read_all()
+        else:
+            self.unanswered.discard(service)
+
 
 def transaction(
-    service: str, expected: int, status: str, rollout: str | None
+    service: str,
+    expected: int,
+    status: str,
+    rollout: str | None,
+    status_version: int | None = None,
 ) -> dict[str, typing.Any]:
     """Returns a transaction that writes what operators are told.
 
@@ -593,6 +628,7 @@
     :param expected: version that the row of its roll-out must have
     :param status: value of the status row
     :param rollout: value of the row of its roll-out, None to keep it
+    :param status_version: version that the status row must have, None for any
     """
     row = {"table": TABLE, "part": "", "key": service}
     status_row = {
@@ -601,11 +637,15 @@
         "key": rollout_rows.KEY_PREFIX + service,
         "value": status,
     }
+    conditions = [row | {"ver": expected}]
+    if status_version is not None:
+        status_name = {name: status_row[name] for name in row}
+        conditions.append(status_name | {"ver": status_version})
     rows = [status_row]
     if rollout is not None:
         rows.insert(0, row | {"value": rollout})
     return {
-        "expected": [row | {"ver": expected}],
+        "expected": conditions,
         "set-keys": rows,
         "remove": [],
     }
