Gateways that all start after a restore of the store confirm no old keys

Cause: the store comes back from a copy that holds the configuration before, and a process that has just started takes the first timeline that it sees for the only one. If all gateways start, nobody knows of the newer configuration.

Change: rows of gateways name their timeline and when its beginning was noticed. A gateway whose start shows a restore confirms no keys until 4 s after that was noticed; it finds out before it confirms any. Without a restore keys are confirmed as soon as before.

--- a/features/steps/store_restored_steps.py
+++ b/features/steps/store_restored_steps.py
@@ -494,3 +494,80 @@
         taken += take_all(shares["g2"])
         pass_time(world, shares, 100)
     assert taken >= limit / 3, (taken, limit)
+
+
+@when(
+    "the gateways have had configuration {version:d} in force for"
+    " {duration_ms:d} ms"
+)
+def in_force(context, version, duration_ms):
+    fleet = context.streams
+    fleet.first.configure(version)
+    fleet.advance(duration_ms)
+    for member in fleet.members.values():
+        assert member.gateway.config_state.version == version
+
+
+@when(
+    "the store goes away for {away_ms:d} ms and comes back from a copy"
+    " {copy_ms:d} ms old"
+)
+def drill_fleet(context, away_ms, copy_ms):
+    context.streams.first.drill(away_ms, copy_ms)
+
+
+@when("the store was restored from a copy {ago_ms:d} ms ago")
+def restored_before(context, ago_ms):
+    context.streams.first.drill(100, 1500)
+    context.streams.advance(ago_ms)
+
+
+@when("all gateways are killed and start again after {pause_ms:d} ms")
+def restart_after(context, pause_ms):
+    fleet = context.streams
+    numbers = range(1, len(fleet.members) + 1)
+    for number in numbers:
+        fleet.kill(number)
+    fleet.first.advance(pause_ms)
+    for number in numbers:
+        fleet.restart(number)
+    context.started_ms = fleet.first.now_ms()
+
+
+def config_states(context):
+    members = context.streams.members.values()
+    return [member.gateway.config_state for member in members]
+
+
+def stored_version(context):
+    value, _version = context.streams.first.rows.rows["op", "config"][:2]
+    return json.loads(base64.b64decode(value))["version"]
+
+
+@then(
+    "no gateway confirms a configuration before {version:d} is written again"
+)
+def check_not_confirmed(context, version):
+    fleet = context.streams
+    step_ms = restored_store.STEP_MS
+    for _ in range(2 * restored_store.OPERATOR_MS // step_ms):
+        fleet.advance(step_ms)
+        if (
+            stored_version(context) == version
+            and not fleet.first.rows.is_away()
+        ):
+            return
+        for state in config_states(context):
+            assert state.confirmed_ms <= context.started_ms, state.version
+    raise AssertionError("it is not written again")
+
+
+@then(
+    "all gateways confirm configuration {version:d} within {duration_ms:d} ms"
+)
+def check_all_confirmed(context, version, duration_ms):
+    context.streams.advance(duration_ms)
+    now_ms = context.streams.first.now_ms()
+    for state in config_states(context):
+        assert state.version == version, state.version
+        assert state.is_confirmation_fresh(now_ms), state.confirmed_ms
--- a/features/store_restored.feature
+++ b/features/store_restored.feature
@@ -232,3 +232,33 @@
     When a peer tells that it has configuration 8
     And the store was read 10 ms before and held configuration 7
     Then the configuration is confirmed: yes
+
+  # Guards against a configuration that comes back from the copy, where all that
+  # knew the newer one have ended (review/9).
+  Scenario Outline: No key is confirmed by an old configuration if all gateways start after a restore: <away>, <copy>, <pause>
+    Given 2 gateways and engines of versions "v1 v1"
+    When the gateways have had configuration 6 in force for <since> ms
+    And the store goes away for <away> ms and comes back from a copy <copy> ms old
+    And all gateways are killed and start again after <pause> ms
+    Then no gateway confirms a configuration before 6 is written again
+    And all gateways confirm configuration 6 within 6000 ms
+
+    Examples:
+      | since | away | copy | pause |
+      | 3400 | 1000 | 4000 | 500 |
+      | 3400 | 1000 | 4000 | 1000 |
+      | 3400 | 1000 | 4000 | 2000 |
+      | 3400 | 0 | 4000 | 500 |
+      | 2000 | 2000 | 2500 | 500 |
+
+  # Guards against keys that are refused for nothing.
+  Scenario Outline: Gateways that start confirm keys soon: <when>
+    Given 2 gateways and engines of versions "v1 v1"
+    When <when>
+    And all gateways are killed and start again after 500 ms
+    Then all gateways confirm configuration 5 within 600 ms
+
+    Examples:
+      | when |
+      | 2000 ms pass at all gateways |
+      | the store was restored from a copy 5000 ms ago |
--- a/features/support/restored_store.py
+++ b/features/support/restored_store.py
@@ -275,6 +275,7 @@
                 on_saved=self.gateway.versions.record_saved,
                 on_answered=self.gateway.knowledge.on_store_answered,
                 on_restored=self.gateway.on_store_restored,
+                on_restored_before=self.gateway.config_state.mark_restored_before,
                 settle_left_ms=self.gateway.config_state.settle_left_ms,
                 count_cut_back=lambda _what, _number: None,
                 on_operator_rows=self.rollout_watch.on_operator_rows,
--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -149,6 +149,9 @@
 ROWS_CUT_BACK = Event(
     1508, logging.WARNING, "rows were lost or came back when it was restored"
 )
+STORE_RESTORED_BEFORE = Event(
+    1516, logging.WARNING, "the store was restored before this start"
+)
 ROWS_CHANGED = Event(
     1515, logging.INFO, "rows of this process had changed in the store"
 )
--- a/godwitloft/gateway/config_state.py
+++ b/godwitloft/gateway/config_state.py
@@ -8,6 +8,9 @@
 # After a restore of the store, operators get this long to write again what it
 # has undone; no gateway may have seen it.
 SETTLE_MS = 1_000
+# The same for a gateway that has started since: it doesn't know which version
+# was in force.
+START_SETTLE_MS = 4_000
 # A gateway that has started hears of its peers' versions within this time.
 START_MS = 3_000
 
@@ -88,6 +91,15 @@
         """
         self.settled_ms = now_ms + SETTLE_MS
 
+    def mark_restored_before(self, age_ms: int) -> None:
+        """Records that the store was restored before this process started.
+
+        :param age_ms: how long ago that was noticed
+        """
+        now_ms = self.clock.monotonic_ms()
+        settled_ms = now_ms - age_ms + START_SETTLE_MS
+        self.settled_ms = max(self.settled_ms, settled_ms)
+
     def settle_left_ms(self) -> int:
         """Returns how long confirmations don't count after a restore."""
         return max(0, self.settled_ms - self.clock.monotonic_ms())
--- a/godwitloft/platform/lease_row.py
+++ b/godwitloft/platform/lease_row.py
@@ -22,6 +22,10 @@
     :param usage: its usage of the teams' allowances
     :param blames: what is blamed for crashes of upstreams
     :param versions: software versions at which its streams may have begun
+    :param timeline: number of the store's timeline in which it was written,
+        None if the store doesn't tell it
+    :param restored_ms: when the restore with which that timeline began was
+        noticed, on the store's clock; 0 if none was
     """
 
     host: str
@@ -29,6 +33,8 @@
     usage: sharing.Usage
     blames: tuple[crash_reports.BlameReport, ...] = ()
     versions: service_versions.Saved = service_versions.Saved()
+    timeline: int | None = None
+    restored_ms: int = 0
 
 
 def encode(row: LeaseRow) -> str:
@@ -52,7 +58,10 @@
             {"service": version.service, "version": version.version}
             for version in row.versions.new
         ],
+        "restored_ms": row.restored_ms,
     }
+    if row.timeline is not None:
+        content["timeline"] = row.timeline
     return base64.b64encode(json.dumps(content).encode()).decode()
 
 
@@ -75,6 +84,8 @@
         {team: usage.numbers(team) for team in usage.value},
         tuple(decode_blame(entry) for entry in fields.objects("blames")),
         decode_versions(fields),
+        fields.whole("timeline") if "timeline" in fields.value else None,
+        fields.whole("restored_ms", default=0),
     )
 
 
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -232,6 +232,7 @@
             on_saved=gateway.versions.record_saved,
             on_answered=gateway.knowledge.on_store_answered,
             on_restored=gateway.on_store_restored,
+            on_restored_before=gateway.config_state.mark_restored_before,
             settle_left_ms=gateway.config_state.settle_left_ms,
             count_cut_back=count_cut_back,
             on_operator_rows=rollouts.on_operator_rows,
--- a/godwitloft/platform/watch.py
+++ b/godwitloft/platform/watch.py
@@ -23,6 +23,7 @@
 from godwitloft.platform import lease_row
 from godwitloft.platform import owned_rows
 from godwitloft.platform import proof_call
+from godwitloft.platform import restore_check
 from godwitloft.platform import rows
 from godwitloft.platform import save_retry
 from godwitloft.platform import store as stores
@@ -95,6 +96,8 @@
         failed before
     :param on_restored: called with the time at which a restore of the store
         was noticed, in milliseconds
+    :param on_restored_before: called at the start with the time that has
+        passed since the last restore of the store was noticed, in milliseconds
     :param settle_left_ms: returns how long confirmations don't count yet after
         a restore
     :param count_cut_back: called with what a restore of the store has cut
@@ -128,6 +131,7 @@
     on_saved: typing.Callable[[int], None]
     on_answered: typing.Callable[[bool], None]
     on_restored: typing.Callable[[int], None]
+    on_restored_before: typing.Callable[[int], None]
     settle_left_ms: typing.Callable[[], int]
     count_cut_back: typing.Callable[[str, int], None]
     on_operator_rows: typing.Callable[[stores.ReadResult, bool, int], None]
@@ -225,7 +229,12 @@
         self.stopped = False
         self.usage_restored = False
         # When that was, on the store's clock.
-        self.restored_store_ms = 0
+        self.usage_restored_ms = 0
+        # When a configuration was confirmed before that, None if none was.
+        self.early_proof_ms: int | None = None
+        # When the last restore of the store was noticed, on its clock, 0 if
+        # none was.
+        self.store_restored_ms = 0
         self.registered = False
         self.renewed_ms = 0
         self.renewals = 0
@@ -320,6 +329,7 @@
         events.log(events.STORE_RESTORED, before=before, timeline=timeline)
         self.callbacks.count_cut_back("restores", 1)
         now_ms = self.clock.monotonic_ms()
+        self.store_restored_ms = now_ms + self.store_clock_offset_ms
         self.position = None
         self.stored_version = 0
         self.upstream_list.mark_restored(now_ms)
@@ -385,7 +395,7 @@
             # What settles is confirmed at once by reading it again.
             is_settling = settle_ms > 0 and position is not None
             self.position = None if is_settling else result.position
-            self.callbacks.on_confirmed(started_ms, self.stored_version)
+            self.confirm(started_ms)
             # A proof that can't be renewed must not lead to call after call.
             return 0 if wait_ms > 0 or position is None else MIN_DELAY_MS
         return MIN_DELAY_MS
@@ -402,7 +412,20 @@
             reads what has changed
         """
         if timeline == self.store.timeline.current and not proof.result.rows:
-            self.callbacks.on_confirmed(proof.started_ms, self.stored_version)
+            self.confirm(proof.started_ms)
+
+    def confirm(self, asked_ms: int) -> None:
+        """Passes on that the configuration was confirmed.
+
+        A process that has just started first finds out whether the store was
+        restored, so that it may hold an older one.
+
+        :param asked_ms: when the confirmation was requested
+        """
+        if self.usage_restored:
+            self.callbacks.on_confirmed(asked_ms, self.stored_version)
+        else:
+            self.early_proof_ms = asked_ms
 
     def call_for_configuration(
         self, position: stores.Position | None, wait_ms: int
@@ -708,7 +731,32 @@
         )
         self.callbacks.on_usage_restored(*own)
         self.usage_restored = True
-        self.restored_store_ms = result.now_ms
+        self.usage_restored_ms = result.now_ms
+        self.heed_former_restore(result)
+
+    def heed_former_restore(self, result: stores.ReadResult) -> None:
+        """Finds out, once, whether the store was restored before this start.
+
+        :param result: the rows of all gateways
+        """
+        restored_ms = restore_check.restored_ms(
+            (holder for _, holder, _ in self.decode_leases(result)),
+            result.position.timeline,
+            result.now_ms,
+        )
+        if restored_ms:
+            self.store_restored_ms = restored_ms
+            age_ms = max(0, result.now_ms - restored_ms)
+            events.log(
+                events.STORE_RESTORED_BEFORE,
+                timeline=result.position.timeline,
+                noticed_ms_ago=age_ms,
+            )
+            self.callbacks.on_restored_before(age_ms)
+        if self.early_proof_ms is not None:
+            self.callbacks.on_confirmed(
+                self.early_proof_ms, self.stored_version
+            )
 
     def on_row_found(self, row: stores.Row) -> None:
         """Takes over what the process before saved, if it is its write.
@@ -719,7 +767,7 @@
         :param row: this gateway's row, with another version than was known
         """
         holder = self.decode_row(GATEWAY_TABLE, row, lease_row.decode)
-        if holder is None or holder.renewed_ms >= self.restored_store_ms:
+        if holder is None or holder.renewed_ms >= self.usage_restored_ms:
             return
         store_now_ms = self.clock.monotonic_ms() + self.store_clock_offset_ms
         age_ms = max(0, store_now_ms - holder.renewed_ms)
@@ -756,6 +804,8 @@
                 usage=self.callbacks.usage(),
                 blames=self.callbacks.blames(),
                 versions=self.callbacks.versions(),
+                timeline=self.store.timeline.current,
+                restored_ms=self.store_restored_ms,
             )
             return {self.instance: lease_row.encode(row)}
 
