A stream of a process that isn't listed yet counts as one of its version

Cause: an upstream may start again under its id as another version, and the list shows it later than its port does. What a stream began with was taken from the list as it was sent, and never looked at again.

Change: a new list is compared with what has been sent. A stream that was sent after the new process had started counts as one of its version; one that was sent before, and hasn't ended with the former process, goes on nowhere.

Open: a crash or kill before the list shows the new process.

--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -59,6 +59,32 @@
     assert context.broken
 
 
+@when(
+    'engine {number:d} starts again as version "{version}" before any stream'
+)
+def start_again_idle(context, number, version):
+    context.streams.start_again(number, version)
+
+
+@when("{count:d} streams begin at gateway {number:d} before the list is read")
+def begin_before_list(context, count, number):
+    fleet = context.streams
+    state = fleet.first.gateway.fleet.listed["e0"]
+    for _ in range(count):
+        fleet.begin_one(number)
+    fleet.advance((stream_fleet.FIRST_EVENT_STEPS + 2) * stream_fleet.STEP_MS)
+    assert fleet.first.gateway.fleet.listed["e0"].life == state.life
+
+
+@then('at least one stream began at "{version}"')
+def check_begun(context, version):
+    fleet = context.streams
+    assert any(
+        version.encode() in fleet.held_versions(stream)
+        for stream in fleet.streams
+    )
+
+
 @then("the broken streams {end}")
 def check_broken(context, end):
     for stream in context.broken:
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -40,6 +40,36 @@
       | v1 v1 v2 | v2 | went on |
       | v1 v1 v1 | v2 | went on |
 
+  # Guards against a stream that a new process has begun, and that counts as one
+  # of the version that was listed when it was sent (review/8).
+  Scenario Outline: A stream of a process that the list doesn't show yet is not joined: <versions>, then "<version>", <what>
+    Given 1 gateway and engines of versions "<versions>"
+    When 4 streams begin at gateway 1
+    And engine 1 starts again as version "<version>"
+    And 6 streams begin at gateway 1 before the list is read
+    And 1400 ms pass at all gateways
+    And <what>
+    And 400 ms pass at all gateways
+    Then no stream holds events of two versions
+    And at least one stream began at "<version>"
+
+    Examples:
+      | versions | version | what |
+      | v1 v1 | v2 | engine 1 starts again as version "v2" |
+      | v1 v1 | v2 | engine 1 starts again as version "v1" |
+      | v1 v2 | v2 | engine 1 starts again as version "v1" |
+
+  Scenario: A stream of a process that the list showed late is taken up at its own version
+    Given 2 gateways and engines of versions "v1 v1"
+    When engine 1 starts again as version "v2" before any stream
+    And 6 streams begin at gateway 1 before the list is read
+    And 2800 ms pass at all gateways
+    And gateway 1 is killed
+    And the callers take the streams up at gateway 2
+    Then no stream holds events of two versions
+    And at least one stream began at "v2"
+    And at least 6 streams go on
+
   # Guards against attempts without pause at the one upstream that is left.
   Scenario: A stream whose upstreams refuse connections is tried now and then
     Given 1 gateway and engines of versions "v1 v2"
--- a/features/support/stream_fleet.py
+++ b/features/support/stream_fleet.py
@@ -75,8 +75,9 @@
     def start_again(self, number, version):
         """Ends an engine; a new process has its id and a version."""
         name = f"e{number - 1}"
+        born_ms = self.first.upstreams[name].born_ms + 1
         self.first.upstreams[name] = restored_store.Upstream(
-            name, BORN_MS + 1, self.first.rows, "model", version, SLOTS
+            name, born_ms, self.first.rows, "model", version, SLOTS
         )
         broken = set()
         for member in self.members.values():
--- a/godwitloft/events.py
+++ b/godwitloft/events.py
@@ -101,6 +101,11 @@
     logging.WARNING,
     "it could not be saved in time where a stream began",
 )
+VERSION_CORRECTED = Event(
+    1212,
+    logging.WARNING,
+    "a stream is of another version than was listed",
+)
 UNKNOWN_END = Event(
     1209,
     logging.INFO,
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -48,6 +48,7 @@
 from godwitloft.gateway.placing import slot_client as slot_clients
 from godwitloft.gateway.streams import base_versions
 from godwitloft.gateway.streams import continuations as continuation_module
+from godwitloft.gateway.streams import restarted_upstreams
 from godwitloft.gateway.streams import service_versions
 from godwitloft.gateway.streams import stream_holds
 from godwitloft.gateway.streams import stream_life
@@ -179,6 +180,9 @@
             self.origins,
             self.send_again,
         )
+        self.restarted_upstreams = restarted_upstreams.RestartedUpstreams(
+            self.clock, self.fleet, self.origins
+        )
         self.request_checker = request_checkers.RequestChecker(
             self.clock,
             dialect,
@@ -369,6 +373,7 @@
         change = self.fleet.update(upstreams, self.clock.monotonic_ms())
         self.versions.update(upstreams.values())
         self.bases.update(upstreams.values())
+        self.restarted_upstreams.correct(self.running)
         for kind, names in (
             ("added", change.added),
             ("leaving", change.leaving),
@@ -721,7 +726,10 @@
             )
             return self.dependencies.send(upstream, outgoing, callbacks)
 
-        if not self.send_checks.must_check_life(request, upstream):
+        request.was_unchecked = not self.send_checks.must_check_life(
+            request, upstream
+        )
+        if request.was_unchecked:
             request.attempt = start()
             return
         checked = checked_attempt.CheckedAttempt(
--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -206,6 +206,8 @@
         self.version: str | None = None
         # Version of the upstream to which it was last sent.
         self.sent_version = ""
+        # Whether it was sent without a check of the process that got it.
+        self.was_unchecked = False
         # Whether its caller reads more slowly than it is answered, and
         # whether it did so since the request was last sent.
         self.congested = False
@@ -227,6 +229,11 @@
         # Why its last failed attempt was not followed by another.
         self.no_retry = ""
 
+    @property
+    def may_have_begun_elsewhere(self) -> bool:
+        """Whether its stream may be of another version than was listed."""
+        return self.was_unchecked and self.facts.begins_resumable_stream
+
     @property
     def standing(self) -> tuple[int, int, int]:
         """Importance: within its team's share or not, then its rank."""
