--- a/features/steps/allowances_after_starts_steps.py
+++ b/features/steps/allowances_after_starts_steps.py
@@ -172,7 +172,7 @@
     fleet = context.fleet
     fleet.advance(passed_ms)
     (member,) = fleet.members.values()
-    saved_ms = member.watch.renewed_ms
+    saved_ms = member.lease.renewed_ms
     age_ms = fleet.now_ms() - saved_ms
     unsaved = fleet.granted_since(saved_ms, age_ms)
     limit = allowance.window_limit(
--- a/features/steps/failed_saves_steps.py
+++ b/features/steps/failed_saves_steps.py
@@ -6,8 +6,8 @@
 from features.support import allowance_fleet
 from features.support import restored_store
 from godwitloft.gateway.crashes import crash_causes
+from godwitloft.platform import lease_keeper
 from godwitloft.platform import lease_row
-from godwitloft.platform import watch as watches
 
 TEAM = allowance_fleet.TEAM
 USED = 4000.0
@@ -35,8 +35,8 @@
     member.start("u0", born_ms=1)
     member.start_watching()
     member.advance(3000)
-    renewals = member.watch.renewals
-    while member.watch.renewals == renewals:
+    renewals = member.lease.renewals
+    while member.lease.renewals == renewals:
         member.advance(restored_store.STEP_MS)
     assert not is_unsaved(member)
 
@@ -84,17 +84,17 @@
 @when("it has {what} to save and {fault} until {until_ms:d} ms after that")
 def change_and_fail(context, what, fault, until_ms):
     member = context.member
-    renewals = member.watch.renewals
+    renewals = member.lease.renewals
     member.client.writes_fail = fault == "writes fail"
     if fault == "writes time out":
         member.client.write_ms = TIMEOUT_MS
     CHANGES[what](member)
     assert is_unsaved(member)
-    left_ms = member.watch.renewed_ms + until_ms - member.now_ms()
+    left_ms = member.lease.renewed_ms + until_ms - member.now_ms()
     assert left_ms > 0, left_ms
     member.advance(left_ms)
     if fault != "no write fails":
-        assert member.watch.renewals == renewals
+        assert member.lease.renewals == renewals
     member.client.writes_fail = False
     member.client.write_ms = 0
 
@@ -128,7 +128,7 @@
     member = context.member
     use_tokens(member)
     member.client.write_ms = SAVE_MS if end == "succeeds" else TIMEOUT_MS
-    interval_ms = watches.MIN_RENEWAL_INTERVAL_MS
+    interval_ms = lease_keeper.MIN_RENEWAL_INTERVAL_MS
     member.advance(interval_ms + SAVE_MS // 2)
     assert not is_unsaved(member)
     use_tokens(member)
--- a/features/steps/json_types_steps.py
+++ b/features/steps/json_types_steps.py
@@ -110,9 +110,9 @@
 @when("the gateway reads all tables")
 def read_all(context):
     restored = context.restored
-    restored.watch.renewals = 0
-    restored.watch.renewed_ms = 0
-    restored.watch.usage_restored = False
+    restored.lease.renewals = 0
+    restored.lease.renewed_ms = 0
+    restored.lease.usage_restored = False
     restored.streams.was_read = False
     for _ in range(20):
         restored.gateway.tick()
--- a/features/steps/odd_rows_steps.py
+++ b/features/steps/odd_rows_steps.py
@@ -93,8 +93,8 @@
 
 @when("the gateway reads the rows of gateways")
 def read_gateways(context):
-    context.restored.watch.renewals = 0
-    context.restored.watch.renewed_ms = 0
+    context.restored.lease.renewals = 0
+    context.restored.lease.renewed_ms = 0
     context.restored.advance(200)
 
 
--- a/features/steps/rollout_watch_steps.py
+++ b/features/steps/rollout_watch_steps.py
@@ -45,7 +45,7 @@
 def decide_up_to(context, names, phase):
     for member in context.fleet.members.values():
         member.rollouts.last_phase = types.Phase(phase)
-        member.rollouts.decides = member.watch.instance in names.split(",")
+        member.rollouts.decides = member.lease.instance in names.split(",")
 
 
 @step('version "{version}" of "{service}" is ordered')
@@ -128,7 +128,7 @@
     return next(
         (host, member)
         for host, member in context.fleet.members.items()
-        if member.watch.instance == name
+        if member.lease.instance == name
     )
 
 
@@ -220,9 +220,9 @@
 def check_known(context, service, phase):
     for member in context.fleet.members.values():
         saved = member.rollouts.held.get(service)
-        assert saved is not None, member.watch.instance
+        assert saved is not None, member.lease.instance
         found = saved.rollout.phase.value
-        assert found == phase, (member.watch.instance, found)
+        assert found == phase, (member.lease.instance, found)
 
 
 def current(context, table, key):
@@ -234,7 +234,7 @@
 def check_order_known(context, know, service):
     for member in context.fleet.members.values():
         is_known = service in member.rollouts.orders
-        assert is_known == (know == "know"), member.watch.instance
+        assert is_known == (know == "know"), member.lease.instance
 
 
 @then('the row of "{service}" and its status say "{phase}"')
--- a/features/support/restored_store.py
+++ b/features/support/restored_store.py
@@ -12,7 +12,9 @@
 from features.support import gateway_world
 from features.support import lakeshore as settings
 from features.support import logs
+from godwitloft.platform import lease_keeper
 from godwitloft.platform import rollout_watch
+from godwitloft.platform import row_decoder
 from godwitloft.platform import store as stores
 from godwitloft.platform import stream_table
 from godwitloft.platform import watch as watches
@@ -238,6 +240,7 @@
         # Since when the upstream of a row is silent.
         self.silent_s = {}
         self.gateway.config_state.key_proof_ms = 4000
+        decoder = row_decoder.RowDecoder()
         self.rollouts = rollouts or self.gateway.rollouts
         self.gateway.confirmation.rollouts = self.rollouts
         self.rollout_watch = rollout_watch.RolloutWatch(
@@ -245,20 +248,17 @@
             self.store,
             self.rollouts,
             self.gateway.confirmation,
-            lambda *row: self.watch.decode_row(*row),
+            decoder.decode,
             self.configuration,
             self.listed,
             POLL_MS,
         )
         sharing = self.world.sharing
-        self.watch = watches.Watch(
-            self.reactor,
+        confirmation = self.gateway.confirmation
+        self.lease = lease_keeper.LeaseKeeper(
             self.world.clock,
             self.store,
-            watches.WatchCallbacks(
-                on_configuration=self.gateway.config_state.configure,
-                on_confirmed=self.gateway.config_state.confirm_stored,
-                on_upstreams=self.gateway.update_upstreams,
+            lease_keeper.LeaseCallbacks(
                 on_gateways=self.gateway.update_gateways,
                 on_usage_restored=sharing.start.restore,
                 on_usage_found=sharing.start.restore_newer,
@@ -273,27 +273,45 @@
                 must_save=lambda: sharing.own.unsaved.must_save,
                 before_save=self.gateway.knowledge.mark_saved,
                 on_saved=self.gateway.versions.record_saved,
+                on_restored_before=(
+                    self.gateway.config_state.mark_restored_before
+                ),
+                count_cut_back=lambda _what, _number: None,
+            ),
+            confirmation.store_contact,
+            confirmation.hosts,
+            instance,
+            host,
+            decoder.decode,
+            random.Random(1),
+        )
+        self.watch = watches.Watch(
+            self.reactor,
+            self.world.clock,
+            self.store,
+            watches.WatchCallbacks(
+                on_configuration=self.gateway.config_state.configure,
+                on_confirmed=self.gateway.config_state.confirm_stored,
+                on_upstreams=self.gateway.update_upstreams,
                 on_answered=self.gateway.knowledge.on_store_answered,
                 on_restored=self.gateway.on_store_restored,
-                on_restored_before=self.gateway.config_state.mark_restored_before,
                 settle_left_ms=self.gateway.config_state.settle_left_ms,
                 count_cut_back=lambda _what, _number: None,
                 on_operator_rows=self.rollout_watch.on_operator_rows,
                 needs_operator_rows=self.rollout_watch.needs_orders,
             ),
-            self.gateway.confirmation,
-            instance,
-            host,
+            confirmation,
+            self.lease,
+            decoder.decode,
             4000,
             3 * HEARTBEAT_MS + 1000,
-            random.Random(1),
         )
         self.streams = stream_table.StreamTable(
             self.world.clock,
             self.store,
             self.gateway.continuations,
             f"{instance}-{random.getrandbits(32):x}",
-            self.watch.decode_row,
+            decoder.decode,
         )
 
     def start_watching(self):
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -28,8 +28,10 @@
 from godwitloft.links import datagrams
 from godwitloft.platform import agent
 from godwitloft.platform import headers
+from godwitloft.platform import lease_keeper
 from godwitloft.platform import life_check
 from godwitloft.platform import rollout_watch
+from godwitloft.platform import row_decoder
 from godwitloft.platform import settings
 from godwitloft.platform import store as stores
 from godwitloft.platform import stream_table
@@ -192,6 +194,7 @@
             return None
         return [state.upstream for state in gateway.fleet.listed.values()]
 
+    decoder = row_decoder.RowDecoder()
     gateway.rollouts.in_use = boot.options.has_rollouts
     gateway.confirmation.rollouts = gateway.rollouts
     rollouts = rollout_watch.RolloutWatch(
@@ -199,7 +202,7 @@
         store,
         gateway.rollouts,
         gateway.confirmation,
-        lambda *row: watch.decode_row(*row),
+        decoder.decode,
         configuration,
         listed,
         watches.MAX_CHANGES_WAIT_MS,
@@ -208,14 +211,10 @@
     def count_cut_back(what: str, number: int) -> None:
         instruments.store_restores.add(number, {"what": what})
 
-    watch = watches.Watch(
-        reactor,
+    lease = lease_keeper.LeaseKeeper(
         clock,
         store,
-        watches.WatchCallbacks(
-            on_configuration=gateway.config_state.configure,
-            on_confirmed=gateway.config_state.confirm_stored,
-            on_upstreams=gateway.update_upstreams,
+        lease_keeper.LeaseCallbacks(
             on_gateways=gateway.update_gateways,
             on_usage_restored=sharing.start.restore,
             on_usage_found=sharing.start.restore_newer,
@@ -230,23 +229,39 @@
             must_save=lambda: sharing.own.unsaved.must_save,
             before_save=gateway.knowledge.mark_saved,
             on_saved=gateway.versions.record_saved,
+            on_restored_before=gateway.config_state.mark_restored_before,
+            count_cut_back=count_cut_back,
+        ),
+        gateway.confirmation.store_contact,
+        gateway.confirmation.hosts,
+        boot.instance,
+        boot.host,
+        decoder.decode,
+        random.Random(),
+    )
+    watch = watches.Watch(
+        reactor,
+        clock,
+        store,
+        watches.WatchCallbacks(
+            on_configuration=gateway.config_state.configure,
+            on_confirmed=gateway.config_state.confirm_stored,
+            on_upstreams=gateway.update_upstreams,
             on_answered=gateway.knowledge.on_store_answered,
             on_restored=gateway.on_store_restored,
-            on_restored_before=gateway.config_state.mark_restored_before,
             settle_left_ms=gateway.config_state.settle_left_ms,
             count_cut_back=count_cut_back,
             on_operator_rows=rollouts.on_operator_rows,
             needs_operator_rows=rollouts.needs_orders,
         ),
         gateway.confirmation,
-        boot.instance,
-        boot.host,
+        lease,
+        decoder.decode,
         boot.options.key_proof_ms,
         HEARTBEATS_TO_EXPIRY * boot.heartbeat_ms + EXPIRY_SLACK_MS,
-        random.Random(),
     )
     streams = stream_table.StreamTable(
-        clock, store, gateway.continuations, incarnation, watch.decode_row
+        clock, store, gateway.continuations, incarnation, decoder.decode
     )
 
     def start_watching() -> None:
