An answer isn't whole if the list shows that its process has ended since

Cause: a slow caller's answer is read to its end seconds after its process was killed. By then the next process listens at the port, and the open port was taken for that of the former. Only engines were asked; the list, which tells of the new process by then, wasn't looked at.

Change: where only the end of a connection marks an answer's end, the answer is broken off if its upstream has started again since the request was sent.

--- a/features/answer_end.feature
+++ b/features/answer_end.feature
@@ -308,3 +308,21 @@
 
   Scenario: The store's client takes no answer that ends within its head
     Then a call of the store whose answer is closed at any byte of its head fails
+
+  # Guards against an answer that a killed process broke off, and whose end is
+  # read once the next process has its port (review/10).
+  Scenario Outline: An answer isn't whole if its process has ended by the list: <framing>, started <when>
+    Given a gateway that reads what its upstreams send
+    When a caller requests "post" and nobody can be asked for more: nothing
+    And the list shows that its upstream has started again <when> the request was sent
+    And the upstream answers, framed by <framing>: whole
+    And the upstream closes the connection if it is open
+    And 300 ms pass for the gateway
+    Then the caller's answer is <answer>
+
+    Examples:
+      | framing | when | answer |
+      | close | after | 502 |
+      | close | before | whole |
+      | length | after | whole |
+      | chunks | after | whole |
--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -35,6 +35,28 @@
     wire_answers.close_if_open(sent)
 
 
+@when(
+    "the list shows that its upstream has started again {when} the request"
+    " was sent"
+)
+def list_new_process(context, when):
+    world = context.world
+    world.advance(100)
+    born_ms = world.clock.wall_ms() if when == "after" else 2
+    upstreams = {
+        name: state.upstream
+        for name, state in world.gateway.fleet.listed.items()
+    }
+    name = world.sent[0].upstream.id
+    upstreams[name] = dataclasses.replace(upstreams[name], born_ms=born_ms)
+    world.gateway.update_upstreams(upstreams)
+
+
+@when("the upstream closes the connection if it is open")
+def close_if_open(context):
+    wire_answers.close_if_open(context.world.sent[0])
+
+
 @when("the upstream answers, framed by {framing}: {event}")
 def answers(context, framing, event):
     sent = context.world.sent[0]
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -11,6 +11,7 @@
 import random
 import typing
 
+from godwitloft import answer_end
 from godwitloft import attempt as attempts
 from godwitloft import clock as clocks
 from godwitloft import events
@@ -766,6 +767,26 @@
             request.answer.on_head(status, headers)
             self.statements.heed(request, status, headers)
 
+    def has_lost_process(
+        self,
+        request: requests.Request,
+        state: fleets.UpstreamState | None,
+    ) -> bool:
+        """Returns whether an answer may have ended with its process only.
+
+        :param request: a request whose answer has ended
+        :param state: the upstream to which it was sent
+        :return: whether only the end of its connection marks that end, and
+            its upstream has started again since it was sent
+        """
+        answer = request.answer
+        if answer is None or answer.body_end is None or state is None:
+            return False
+        if answer.body_end.framing is not answer_end.Framing.CLOSE:
+            return False
+        sent_wall_ms = self.restarted_upstreams.sent_wall_ms(request)
+        return process_end.has_started_again(state, self.fleet, sent_wall_ms)
+
     def take_back_unsent(self, state: fleets.UpstreamState) -> None:
         """Takes back requests whose connections are still being made.
 
@@ -834,6 +855,10 @@
             or process_end.has_died(state, self.fleet, self.running, now_ms)
         ):
             end = attempts.End.COMPLETE
+        if end is attempts.End.COMPLETE and self.has_lost_process(
+            request, state
+        ):
+            end, reason = attempts.End.BROKEN, attempts.SERVER_RESTARTED
         attempt_outcome = answer.classify_end(end, reason)
         self.reports.count_answer_end(answer, attempt_outcome)
         self.rollouts.record_end(request, attempt_outcome)
--- a/godwitloft/gateway/upstreams/process_end.py
+++ b/godwitloft/gateway/upstreams/process_end.py
@@ -1,7 +1,8 @@
-"""Judges whether an upstream's closed port shows that its process has died.
+"""Judges whether the process that got a request has ended since.
 
 A process that is killed closes its connections and its port. So does one that
-leaves in order: it may close its port before its last answers have ended.
+leaves in order: it may close its port before its last answers have ended. By
+the time an answer's end is read, another process may have its port.
 """
 
 import typing
@@ -41,6 +42,21 @@
     return state.is_replaced or not state.upstream.leaving
 
 
+def has_started_again(
+    state: fleets.UpstreamState, fleet: fleets.Fleet, sent_wall_ms: int
+) -> bool:
+    """Returns whether the list shows that an upstream has started again.
+
+    :param state: the upstream to which a request was sent
+    :param fleet: the list of upstreams
+    :param sent_wall_ms: when that was, in Unix milliseconds
+    :return: False if the new process had started before, and got the request
+    """
+    listed_ms = state.upstream.born_ms
+    latest_ms = fleet.latest(state).upstream.born_ms
+    return 0 < listed_ms < latest_ms and latest_ms > sent_wall_ms
+
+
 def is_broken_off(
     request: requests.Request, state: fleets.UpstreamState
 ) -> bool:
