Hold only streams that were sent again; correct a version once

Change: the second of holding is for streams that moved; a version that was corrected stays. `has_assumed_version` says what it asks for.

--- a/godwitloft/gateway/request.py
+++ b/godwitloft/gateway/request.py
@@ -230,8 +230,8 @@
         self.no_retry = ""
 
     @property
-    def may_have_begun_elsewhere(self) -> bool:
-        """Whether its stream may be of another version than was listed."""
+    def has_assumed_version(self) -> bool:
+        """Whether it begins a stream at what was listed, without a check."""
         return self.was_unchecked and self.facts.begins_resumable_stream
 
     @property
--- a/godwitloft/gateway/streams/restarted_upstreams.py
+++ b/godwitloft/gateway/streams/restarted_upstreams.py
@@ -47,17 +47,16 @@
         """
         for request in running:
             state = request.upstream_state
-            if state is None or not request.may_have_begun_elsewhere:
+            if state is None or not request.has_assumed_version:
                 continue
             latest = self.fleet.latest(state).upstream
             if latest.born_ms == state.upstream.born_ms:
                 continue
-            if latest.version == request.sent_version:
-                continue
             version = UNKNOWN_VERSION
             if self.sent_wall_ms(request) >= latest.born_ms:
                 version = latest.version
-            self.relabel(request, version)
+            if request.sent_version not in (version, latest.version):
+                self.relabel(request, version)
 
     def sent_wall_ms(self, request: requests.Request) -> int:
         """Returns the time of day at which a request was sent.
--- a/godwitloft/gateway/streams/stream_holds.py
+++ b/godwitloft/gateway/streams/stream_holds.py
@@ -276,7 +276,8 @@
 
         :param request: the request that begins the stream
         """
-        if self.is_at_base(request):
+        has_moved = self.origins.has_moved(request.facts.id)
+        if has_moved and self.is_at_base(request):
             return MAX_MOVED_HOLD_MS
         if self.origins.is_failing:
             return 0
--- a/godwitloft/gateway/streams/stream_origins.py
+++ b/godwitloft/gateway/streams/stream_origins.py
@@ -269,6 +269,14 @@
             origin.service, origin.version
         )
 
+    def has_moved(self, request_id: str) -> bool:
+        """Returns whether a record of another origin may be saved.
+
+        :param request_id: id of the caller's attempt
+        """
+        record = self.records.get(short_id(request_id))
+        return record is not None and record.moved
+
     def to_save(self) -> list[str]:
         """Returns the short ids of the streams that are to be saved."""
         return [
