Entries of tests take ports that no connection gets, at their own address

Cause: features/support/lakeshore_fleet.py looked for a free port at 127.0.0.1 among those that connections get, and used it at another address. Trial: a connection that holds the port at the entry's address gives just that message; the entry says that the address is in use. Change: the soak's search for ports, which looks at the right address, below the ports of connections. No check is changed.

--- a/features/support/lakeshore_fleet.py
+++ b/features/support/lakeshore_fleet.py
@@ -12,6 +12,7 @@
 import threading
 import time
 
+from bench.soak import program
 from features.support import lakeshore
 from godwitloft.standins import lakeshore_words as words
 
@@ -86,7 +87,7 @@
 
     def start(self, number, ports):
         host = f"127.0.0.{FIRST_HOST + number}"
-        front, ready = (f"{host}:{lakeshore.free_ports(1)[0]}" for _ in "ab")
+        front, ready = (f"{host}:{program.free_port(host)}" for _ in "ab")
         name = f"edge-a-{number}"
         machine = words.Machine(name, host, ports, front=front, ready=ready)
         directory = pathlib.Path(self.directory.name)
