An answer isn't whole if another upstream has its process's address since

Found on reading again: it looked for the same id only.

Cause: an open port is taken for that of the process that got the request; the addresses of upstreams that are gone are used again. Change: any listed process at that id or address that started after the request was sent shows that the former has ended.

--- a/features/answer_end.feature
+++ b/features/answer_end.feature
@@ -311,18 +311,22 @@
 
   # Guards against an answer that a killed process broke off, and whose end is
   # read once the next process has its port (review/10).
-  Scenario Outline: An answer isn't whole if its process has ended by the list: <framing>, started <when>
+  Scenario Outline: An answer isn't whole if its process has ended by the list: <framing>, <what>, <when>
     Given a gateway that reads what its upstreams send
     When a caller requests "post" and nobody can be asked for more: nothing
-    And the list shows that its upstream has started again <when> the request was sent
+    And the list shows <what> that started <when> the request was sent
     And the upstream answers, framed by <framing>: whole
     And the upstream closes the connection if it is open
     And 300 ms pass for the gateway
     Then the caller's answer is <answer>
 
     Examples:
-      | framing | when | answer |
-      | close | after | 502 |
-      | close | before | whole |
-      | length | after | whole |
-      | chunks | after | whole |
+      | framing | what | when | answer |
+      | close | its upstream's next process | after | 502 |
+      | close | its upstream's next process | before | whole |
+      | length | its upstream's next process | after | whole |
+      | chunks | its upstream's next process | after | whole |
+      | close | another upstream at its address | after | 502 |
+      | close | another upstream at its address | before | whole |
+      | length | another upstream at its address | after | whole |
+      | close | another upstream at another address | after | whole |
--- a/features/steps/answer_end_steps.py
+++ b/features/steps/answer_end_steps.py
@@ -35,20 +35,34 @@
     wire_answers.close_if_open(sent)
 
 
-@when(
-    "the list shows that its upstream has started again {when} the request"
-    " was sent"
-)
-def list_new_process(context, when):
+# By what the list shows beside the others, from the upstream of a request.
+NEW_PROCESSES = {
+    "its upstream's next process": lambda former: former,
+    "another upstream at its address": lambda former: dataclasses.replace(
+        former, id="new", service="model"
+    ),
+    "another upstream at another address": lambda former: dataclasses.replace(
+        former, id="new", port=former.port + 1
+    ),
+}
+
+
+@when("the list shows {what} that started {when} the request was sent")
+def list_new_process(context, what, when):
     world = context.world
     world.advance(100)
     born_ms = world.clock.wall_ms() if when == "after" else 2
+    listed = world.gateway.fleet.listed
+    former = world.sent[0].upstream
     upstreams = {
         name: state.upstream
-        for name, state in world.gateway.fleet.listed.items()
+        for name, state in listed.items()
+        if name != former.id
     }
-    name = world.sent[0].upstream.id
-    upstreams[name] = dataclasses.replace(upstreams[name], born_ms=born_ms)
+    new = dataclasses.replace(NEW_PROCESSES[what](former), born_ms=born_ms)
+    upstreams[new.id] = new
+    if what == "another upstream at another address":
+        upstreams[former.id] = former
     world.gateway.update_upstreams(upstreams)
 
 
--- a/godwitloft/gateway/gateway.py
+++ b/godwitloft/gateway/gateway.py
@@ -777,7 +777,7 @@
         :param request: a request whose answer has ended
         :param state: the upstream to which it was sent
         :return: whether only the end of its connection marks that end, and
-            its upstream has started again since it was sent
+            another process has taken its upstream's place since it was sent
         """
         answer = request.answer
         if answer is None or answer.body_end is None or state is None:
@@ -785,7 +785,7 @@
         if answer.body_end.framing is not answer_end.Framing.CLOSE:
             return False
         sent_wall_ms = self.restarted_upstreams.sent_wall_ms(request)
-        return process_end.has_started_again(state, self.fleet, sent_wall_ms)
+        return process_end.is_replaced(state, self.fleet, sent_wall_ms)
 
     def take_back_unsent(self, state: fleets.UpstreamState) -> None:
         """Takes back requests whose connections are still being made.
--- a/godwitloft/gateway/upstreams/process_end.py
+++ b/godwitloft/gateway/upstreams/process_end.py
@@ -8,6 +8,7 @@
 import typing
 
 from godwitloft import attempt as attempts
+from godwitloft.gateway import model
 from godwitloft.gateway import request as requests
 from godwitloft.gateway.upstreams import fleet as fleets
 
@@ -42,19 +43,38 @@
     return state.is_replaced or not state.upstream.leaving
 
 
-def has_started_again(
+def is_replaced(
     state: fleets.UpstreamState, fleet: fleets.Fleet, sent_wall_ms: int
 ) -> bool:
-    """Returns whether the list shows that an upstream has started again.
+    """Returns whether the list shows another process in an upstream's place.
+
+    It has the same id, or the address: those of upstreams that are gone are
+    used again.
 
     :param state: the upstream to which a request was sent
     :param fleet: the list of upstreams
     :param sent_wall_ms: when that was, in Unix milliseconds
-    :return: False if the new process had started before, and got the request
+    :return: False if the other process had started before: one with its id
+        has got the request itself
+    """
+    former = state.upstream
+    if not former.born_ms:
+        return False
+    return any(
+        other.upstream.born_ms > max(former.born_ms, sent_wall_ms)
+        for other in fleet.states.values()
+        if other.upstream.id == former.id
+        or has_same_address(other.upstream, former)
+    )
+
+
+def has_same_address(one: model.Upstream, other: model.Upstream) -> bool:
+    """Returns whether two upstreams listen, or have listened, at one port.
+
+    :param one: an upstream
+    :param other: another one
     """
-    listed_ms = state.upstream.born_ms
-    latest_ms = fleet.latest(state).upstream.born_ms
-    return 0 < listed_ms < latest_ms and latest_ms > sent_wall_ms
+    return (one.host, one.port) == (other.host, other.port)
 
 
 def is_broken_off(
