A base version that comes back counts once it was stored anew

What callers could see: streams of version v1 go on at v2 after their gateway was killed (ORDER).

Cause: a change of the base version, v1 to v2, gets no answer and is performed seconds later. If v1 has come back meanwhile, streams have begun at it without a record, and those that couldn't be saved count as ones of v2. The condition of the change holds, as nobody has written the row since. Change: a base version that comes back into the list, or may have been away unseen, is stored anew, and streams begin at it without a record only after that. The store refuses the pending change then.

Replaced: a scenario of base_versions.feature took reading the table as enough for a base version that had been away; it is stricter now and asks for the storing as well where the version was away, with a column of its own.

--- a/features/base_versions.feature
+++ b/features/base_versions.feature
@@ -21,21 +21,23 @@
       | time passes: 20 s with "v2", 8 s without a list and 20 s with "v2" | v2 |
 
   # Guards against a gateway that takes an old version for the base version,
-  # as another one has changed it meanwhile.
+  # as another one has changed it meanwhile, or may yet, by a late write.
   Scenario Outline: Streams begin without a record only at what is known to be the base version: <what>
     Given base versions of a service whose streams live 20 s, "v1" among them
     When <what>
     Then a stream at "v1" needs a record: <needs>
     When the stored base versions are read
+    Then a stream at "v1" needs a record: <once read>
+    When those that are to be stored are stored
     Then a stream at "v1" needs a record: no
 
     Examples:
-      | what | needs |
-      | time passes: 5 s with "v1,v2" | no |
-      | time passes: 1 s with "v2", 1 s with "v1,v2" and 1 s with "v1,v2" | yes |
-      | time passes: 1 s with "v1", 12 s without a list and 1 s with "v1" | yes |
-      | time passes: 1 s with "v1", 8 s without a list and 1 s with "v1" | no |
-      | the store is restored from a copy | yes |
+      | what | needs | once read |
+      | time passes: 5 s with "v1,v2" | no | no |
+      | time passes: 1 s with "v2", 1 s with "v1,v2" and 1 s with "v1,v2" | yes | yes |
+      | time passes: 1 s with "v1", 12 s without a list and 1 s with "v1" | yes | yes |
+      | time passes: 1 s with "v1", 8 s without a list and 1 s with "v1" | no | no |
+      | the store is restored from a copy | yes | no |
 
   Scenario: What a restore of the store has cut back is stored again
     Given base versions of a service whose streams live 20 s, "v1" among them
--- a/features/late_writes.feature
+++ b/features/late_writes.feature
@@ -89,3 +89,25 @@
       | 600 | 800 |
       | 600 | 1000 |
       | 1600 | 1000 |
+
+  # Guards against a change of the base version that is performed once the
+  # former one is back, and streams have begun at it without a record.
+  Scenario Outline: The base version changes late, as its former one is back: <late> ms late, <gap> ms
+    Given 2 gateways and engines of versions "v1 v1 v2"
+    When the engines of version "v1" leave
+    And the base version is to change, by a write that is performed <late> ms late
+    And an engine of version "v1" starts
+    And <gap> ms pass at all gateways
+    And writes of the store fail
+    And 8 streams begin at gateway 1
+    And gateway 1 is killed
+    And <late> ms pass at all gateways
+    And the callers take the streams up at gateway 2
+    Then no stream holds events of two versions
+
+    Examples:
+      | late | gap |
+      | 400 | 2400 |
+      | 3000 | 2400 |
+      | 6000 | 2400 |
+      | 6000 | 3600 |
--- a/features/steps/base_versions_steps.py
+++ b/features/steps/base_versions_steps.py
@@ -96,6 +96,12 @@
     context.bases.read()
 
 
+@when("those that are to be stored are stored")
+def store(context):
+    context.bases.now_ms += 1
+    context.bases.bases.record_stored(context.bases.bases.to_store())
+
+
 @when("the store is restored from a copy")
 def restore(context):
     context.bases.bases.mark_restored()
--- a/features/steps/late_writes_steps.py
+++ b/features/steps/late_writes_steps.py
@@ -105,3 +105,17 @@
     set_late(context, late_ms)
     context.streams.advance(duration_ms)
     set_late(context, None)
+
+
+@when(
+    "the base version is to change, by a write that is performed"
+    " {late_ms:d} ms late"
+)
+def change_base_late(context, late_ms):
+    fleet = context.streams
+    gateways = [member.gateway for member in fleet.members.values()]
+    while not any(gateway.bases.to_store() for gateway in gateways):
+        fleet.advance(STEP_MS)
+    set_late(context, late_ms)
+    fleet.advance(LATE_FOR_MS)
+    set_late(context, None)
--- a/godwitloft/gateway/streams/base_versions.py
+++ b/godwitloft/gateway/streams/base_versions.py
@@ -8,6 +8,10 @@
 The base version changes only once the old one has not been listed for longer
 than any of its streams can last. No gateway that knows less can be wrong by
 then: what it believes of the old version matters to no stream any more.
+
+A write of a change that got no answer may be performed once the old version is
+back. So that version counts again only after it was stored anew, which the
+store does under a condition that the change has then lost.
 """
 
 import collections
@@ -94,8 +98,12 @@
         # upstreams.
         self.listed_since_ms: dict[service_versions.ServiceVersion, int] = {}
         self.counts: dict[str, collections.Counter[str]] = {}
+        self.has_list = False
         # Since when a service's base version is not listed.
         self.absent_since_ms: dict[str, int] = {}
+        # Numbers of base versions that have come back into the list and must
+        # be stored anew, by service.
+        self.returned_numbers: dict[str, int] = {}
         self.confirmed_ms: int | None = None
 
     def update(self, upstreams: typing.Iterable[model.Upstream]) -> None:
@@ -104,6 +112,7 @@
         :param upstreams: all listed upstreams
         """
         self.heed_gap()
+        self.has_list = True
         now_ms = self.clock.monotonic_ms()
         counts: dict[str, collections.Counter[str]] = {}
         for upstream in upstreams:
@@ -128,9 +137,12 @@
 
         :param now_ms: the current time
         """
+        if not self.has_list:
+            return
         for service, base in self.bases.items():
             if base.version in self.counts.get(service, ()):
-                self.absent_since_ms.pop(service, None)
+                if self.absent_since_ms.pop(service, None) is not None:
+                    self.returned_numbers[service] = base.number
             else:
                 self.absent_since_ms.setdefault(service, now_ms)
 
@@ -146,6 +158,8 @@
         now_ms = self.clock.monotonic_ms()
         self.listed_since_ms = dict.fromkeys(self.listed_since_ms, now_ms)
         self.absent_since_ms = dict.fromkeys(self.absent_since_ms, now_ms)
+        for service, base in self.bases.items():
+            self.returned_numbers[service] = base.number
 
     def mark_restored(self) -> None:
         """Records that the store may have lost the last changes."""
@@ -243,8 +257,20 @@
                 found[service] = self.base(
                     service, most_used(versions), known.number + 1
                 )
+            elif self.has_returned(service) and known.version in versions:
+                found[service] = self.base(
+                    service, known.version, known.number + 1
+                )
         return found
 
+    def has_returned(self, service: str) -> bool:
+        """Returns whether a base version has come back and isn't stored anew.
+
+        :param service: name of a service with a base version
+        """
+        number = self.returned_numbers.get(service)
+        return number is not None and self.bases[service].number <= number
+
     def base(self, service: str, version: str, number: int) -> Base:
         """Returns a base version to be stored.
 
@@ -301,6 +327,7 @@
         since_ms = self.listed_since_ms.get(key, 0)
         return (
             self.version_of(service) == version
+            and not self.has_returned(service)
             and self.read_ms is not None
             and self.read_ms >= since_ms
         )
