A stream that was surely begun by the former process may go on

What callers could see: a stream that broke off was cut, though upstreams of its version were there, if the list had shown that its upstream started again as another version before the break was read. Found on reading again.

Cause: all that was sent before the new process's start counted as unknown. The mark for it was an empty version, which an upstream may have if its version is unknown. Change: unknown is only what was sent within the tolerance of clocks (5 s) before; what was sent earlier stays at its version. The mark can't be named by an upstream. Measured: stream_versions.feature, 1 of 3 new rows failed before (5500 ms: cut); the two others show that nothing is joined where it isn't known.

--- a/features/steps/stream_versions_steps.py
+++ b/features/steps/stream_versions_steps.py
@@ -66,6 +66,23 @@
     context.streams.start_again(number, version)
 
 
+@when(
+    "engine {number:d} names a start {after_ms:d} ms after that, as version"
+    ' "{version}"'
+)
+def replace_unseen(context, number, after_ms, version):
+    fleet = context.streams
+    born_ms = fleet.first.world.clock.wall_ms() + after_ms
+    fleet.replace_unseen(number, version, born_ms)
+
+
+@when("the connections to engine {number:d} break")
+def break_connections_to(context, number):
+    context.broken = context.streams.break_connections_to(f"e{number - 1}")
+    assert context.broken
+    context.streams.advance(200)
+
+
 @when("{count:d} streams begin at gateway {number:d} before the list is read")
 def begin_before_list(context, count, number):
     fleet = context.streams
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -59,6 +59,23 @@
       | v1 v1 | v2 | engine 1 starts again as version "v1" |
       | v1 v2 | v2 | engine 1 starts again as version "v1" |
 
+  # Guards against a stream that is joined as it isn't known which process has
+  # begun it, and against one that is cut though it is.
+  Scenario Outline: An upstream has started again <ms> ms after streams were sent to it, and they have not ended
+    Given 1 gateway and engines of versions "v1 v1"
+    When 4 streams begin at gateway 1
+    And engine 1 names a start <ms> ms after that, as version "v2"
+    And 1400 ms pass at all gateways
+    And the connections to engine 1 break
+    Then no stream holds events of two versions
+    And the broken streams <end>
+
+    Examples:
+      | ms | end |
+      | 1 | were cut |
+      | 4500 | were cut |
+      | 5500 | went on |
+
   Scenario: A stream of a process that the list showed late is taken up at its own version
     Given 2 gateways and engines of versions "v1 v1"
     When engine 1 starts again as version "v2" before any stream
--- a/features/support/stream_fleet.py
+++ b/features/support/stream_fleet.py
@@ -72,13 +72,22 @@
             name, BORN_MS, self.first.rows, "model", version, SLOTS
         )
 
-    def start_again(self, number, version):
-        """Ends an engine; a new process has its id and a version."""
+    def replace_unseen(self, number, version, born_ms):
+        """Lets a new process have an engine's id; no connection has ended."""
         name = f"e{number - 1}"
-        born_ms = self.first.upstreams[name].born_ms + 1
         self.first.upstreams[name] = restored_store.Upstream(
             name, born_ms, self.first.rows, "model", version, SLOTS
         )
+
+    def start_again(self, number, version):
+        """Ends an engine; a new process has its id and a version."""
+        name = f"e{number - 1}"
+        born_ms = self.first.upstreams[name].born_ms + 1
+        self.replace_unseen(number, version, born_ms)
+        return self.break_connections_to(name)
+
+    def break_connections_to(self, name):
+        """Breaks all connections to an engine, and returns their streams."""
         broken = set()
         for member in self.members.values():
             for sent in list(member.world.sent):
--- a/godwitloft/gateway/streams/restarted_upstreams.py
+++ b/godwitloft/gateway/streams/restarted_upstreams.py
@@ -9,12 +9,13 @@
 
 from godwitloft import clock as clocks
 from godwitloft import events
+from godwitloft.gateway import model
 from godwitloft.gateway import request as requests
 from godwitloft.gateway.streams import stream_origins
 from godwitloft.gateway.upstreams import fleet as fleets
 
-# No upstream has it: a stream with it goes on nowhere.
-UNKNOWN_VERSION = ""
+# No upstream can name it: a stream with it goes on nowhere.
+UNKNOWN_VERSION = "\0unknown"
 
 
 class RestartedUpstreams:
@@ -39,10 +40,6 @@
     def correct(self, running: typing.Iterable[requests.Request]) -> None:
         """Corrects the versions of streams after a new list of upstreams.
 
-        What was sent since the new process has started, it has begun. Of what
-        was sent before, and has not ended with the former process, it isn't
-        known which one writes it.
-
         :param running: all requests that have been sent
         """
         for request in running:
@@ -52,12 +49,30 @@
             latest = self.fleet.latest(state).upstream
             if latest.born_ms == state.upstream.born_ms:
                 continue
-            version = UNKNOWN_VERSION
-            if self.sent_wall_ms(request) >= latest.born_ms:
-                version = latest.version
+            version = self.version_of(request, latest)
             if request.sent_version not in (version, latest.version):
                 self.relabel(request, version)
 
+    def version_of(
+        self, request: requests.Request, latest: model.Upstream
+    ) -> str:
+        """Returns the version of the process that has begun a stream.
+
+        What was sent since the new process has started, it has begun, and the
+        former one what was sent well before. Of the rest it isn't known: the
+        connection may have been made later, and clocks differ.
+
+        :param request: the request that begins the stream
+        :param latest: the new process
+        :return: the version, or :data:`UNKNOWN_VERSION`
+        """
+        sent_ms = self.sent_wall_ms(request)
+        if sent_ms >= latest.born_ms:
+            return latest.version
+        if sent_ms < latest.born_ms - fleets.CLOCK_TOLERANCE_MS:
+            return request.sent_version
+        return UNKNOWN_VERSION
+
     def sent_wall_ms(self, request: requests.Request) -> int:
         """Returns the time of day at which a request was sent.
 
@@ -77,7 +92,7 @@
             request=facts.id,
             upstream=request.last_upstream_id,
             assumed=request.sent_version,
-            upstream_version=version,
+            upstream_version=version if version != UNKNOWN_VERSION else None,
         )
         request.sent_version = version
         if request.version is not None:
