No write of the store without a condition is left to be used; log of lost rows

Cause: Store.put and Store.remove wrote whatever a row's version was, and had no caller but a test; GL1515 didn't name rows that a restore had removed. Change: both are gone, the test sends the same call as a transaction; GL1515 names each row whose version is another than was known.

--- a/features/steps/platform_store_steps.py
+++ b/features/steps/platform_store_steps.py
@@ -6,6 +6,8 @@
 from features.support import wire
 from godwitloft.platform import store as stores
 
+ROW = {"table": "table", "part": "", "key": "key", "value": "dmFsdWU="}
+
 
 @given("a client of the platform's store")
 def client(context):
@@ -33,7 +35,7 @@
 def write(context, framing, body=""):
     context.results = []
     context.errors = []
-    call = context.store.put("table", "key", "dmFsdWU=")
+    call = context.store.transact({"expected": [], "set-keys": [ROW]})
     call.addCallbacks(context.results.append, context.errors.append)
     length = f"Content-Length: {len(body)}\r\n" if framing == "length" else ""
     raw = f"HTTP/1.1 200 OK\r\n{length}\r\n{body}"
--- a/godwitloft/platform/owned_rows.py
+++ b/godwitloft/platform/owned_rows.py
@@ -110,16 +110,19 @@
         result = yield self.store.read_all(
             self.table, stores.KeyRange(min(known), max(known) + "\0")
         )
-        found = {row.key: row for row in result.rows if row.key in known}
-        for key in known.keys() - found.keys():
+        found = [row for row in result.rows if row.key in known]
+        for key in known:
             self.versions.pop(key, None)
-        self.learn(found.values())
+        self.learn(found)
         changed = [
-            key for key, row in found.items() if row.version != known[key]
+            key
+            for key, version in known.items()
+            if self.versions.get(key, 0) != version
         ]
         events.log(events.ROWS_CHANGED, table=self.table, rows=sorted(changed))
-        for key in changed:
-            self.on_found(found[key])
+        for row in found:
+            if row.key in changed:
+                self.on_found(row)
 
     def entry(self, key: str) -> dict[str, typing.Any]:
         """Returns how a transaction names a row.
--- a/godwitloft/platform/store.py
+++ b/godwitloft/platform/store.py
@@ -507,29 +507,6 @@
         answer = self.call("GET", target, timeout_ms=wait_ms + answer_ms)
         return answer.addCallback(decode_rows).addCallback(check)
 
-    def put(
-        self, table: str, key: str, value: str
-    ) -> "defer.Deferred[typing.Any]":
-        """Writes one row, whatever its current version is.
-
-        :param table: name of the table
-        :param key: key of the row
-        :param value: value in base64
-        :return: fires when the store has acknowledged it
-        """
-        row = {"table": table, "part": "", "key": key, "value": value}
-        return self.transact({"expected": [], "set-keys": [row], "remove": []})
-
-    def remove(self, table: str, key: str) -> "defer.Deferred[typing.Any]":
-        """Removes one row, whatever its current version is.
-
-        :param table: name of the table
-        :param key: key of the row
-        :return: fires when the store has acknowledged it
-        """
-        row = {"table": table, "part": "", "key": key}
-        return self.transact({"expected": [], "set-keys": [], "remove": [row]})
-
     def transact(
         self, transaction: dict[str, typing.Any]
     ) -> "defer.Deferred[typing.Any]":
