Soak: the store loses answers to writes and performs these seconds later

Cause: late writes were judged on the simulated clock only; in no soak did they meet the check for joined streams (ORDER), kills, restores or allowances.

--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -530,6 +530,8 @@
         name = self.target_name(fault)
         if fault.kind == "store_away":
             self.control(away_ms=fault.duration_ms)
+        elif fault.kind == "store_loses_writes":
+            self.control(lose_writes_ms=fault.duration_ms)
         elif fault.kind == "store_forgets":
             self.control(forget=True)
         elif fault.kind == "store_restored":
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -65,6 +65,11 @@
     "whole_unframed": ("runner", 0, 0),
 }
 UNMARKED_MEAN_GAP_MS = 2_000
+# Writes without an answer, which the store performs seconds later.
+LOST_WRITE_KINDS: dict[str, tuple[str, int, int]] = {
+    "store_loses_writes": ("store", 1_000, 4_500),
+}
+LOST_WRITE_MEAN_GAP_MS = 8_000
 # Runners that leave out the framing of some of all their answers.
 UNFRAMED_KINDS: dict[str, tuple[str, int, int]] = {
     "answers_unframed": ("runner", 6_000, 20_000),
@@ -125,6 +130,7 @@
     | CRASH_KINDS
     | DEATH_KINDS
     | UNMARKED_KINDS
+    | LOST_WRITE_KINDS
     | UNFRAMED_KINDS
     | STOP_KINDS
     | RESTART_KINDS
@@ -230,6 +236,13 @@
         end_ms,
         size,
     )
+    lost_writes = draw_kinds(
+        random.Random(f"{seed} lost writes"),
+        LOST_WRITE_KINDS,
+        LOST_WRITE_MEAN_GAP_MS,
+        end_ms,
+        size,
+    )
     unframed = draw_kinds(
         random.Random(f"{seed} unframed"),
         UNFRAMED_KINDS,
@@ -243,6 +256,7 @@
     found = unframed + stops + restarts + twice
     if not restarts_only:
         found = first + later + limits + crashes + deaths + unmarked + found
+        found += lost_writes
     return tuple(sorted(found, key=lambda fault: fault.at_ms))
 
 
--- a/godwitloft/standins/lakeshore.py
+++ b/godwitloft/standins/lakeshore.py
@@ -19,6 +19,7 @@
 from twisted.web import server
 
 from godwitloft.standins import http
+from godwitloft.standins import lakeshore_lost_writes as lost_writes
 from godwitloft.standins import lakeshore_rollouts as rollouts
 from godwitloft.standins import lakeshore_words as words
 
@@ -785,6 +786,7 @@
                 for number in range(count)
             )
         }
+        self.lost_writes = lost_writes.LostWrites(reactor, self.rows.transact)
         # Where new runners listen.
         self.address = "127.0.0.1"
         self.rollouts = rollouts.Rollouts(
@@ -811,7 +813,8 @@
         """Changes the store or runners.
 
         :param change: ``config``, ``rows``, ``away_ms``, ``drill``,
-            ``forget``, ``runners`` and ``rollout``, each optional
+            ``forget``, ``lose_writes_ms``, ``runners`` and ``rollout``, each
+            optional
         """
         if "config" in change:
             self.rows.write_configuration(change["config"])
@@ -820,6 +823,8 @@
         if "away_ms" in change:
             away_s = change["away_ms"] / MS_PER_S
             self.rows.away_until = self.reactor.seconds() + away_s
+        if "lose_writes_ms" in change:
+            self.lost_writes.begin(change["lose_writes_ms"])
         if "drill" in change:
             self.rows.drill(**change["drill"])
         if change.get("forget"):
@@ -939,11 +944,15 @@
             yield _sleep(lakeshore.reactor, EVENT_INTERVAL_MS / MS_PER_S)
 
     @app.route("/rows-tx", methods=["POST"])
-    def change(request: typing.Any) -> bytes:
+    def change(request: typing.Any) -> "bytes | defer.Deferred[bytes]":
         lakeshore.calls["tx"] += 1
         if rows.is_away():
             return reply(request, {}, 503)
         body = http.read_json(request) or {}
+        lost = lakeshore.lost_writes.take(body)
+        if lost is not None:
+            lakeshore.calls["tx_lost"] += 1
+            return lost
         if not rows.transact(body):
             return reply(request, {}, 412)
         return reply(request, rows.answer([]))
