Gateways that start after a restore wait for the orders of roll-outs too

Found on reading again: it waited for the configuration only.

Cause: a process that starts takes what it reads for all that there has been. Change: rows of roll-outs are read once those of gateways were, and aren't taken over for 4 s if these show a restore; meanwhile a version counts as one whose order isn't known.

--- a/features/rollout_watch.feature
+++ b/features/rollout_watch.feature
@@ -95,6 +95,33 @@
       | 3200 | don't know |
       | 7000 | know |
 
+  # Guards against gateways that start in a restored store, and take an order
+  # that the copy lacks for one that was never given.
+  Scenario Outline: <ms> ms after all gateways have started beside a copy without an order
+    Given 3 gateways that follow a store with roll-outs
+    When version "v2" of "desk" is ordered
+    And 1 s pass with the store
+    And the store comes back from a copy that is 1200 ms old
+    And all gateways that follow it are killed and start again
+    And <ms> ms pass with the store
+    Then all gateways <know> the order for "desk"
+    And gateways <have> taken over rows
+
+    Examples:
+      | ms | know | have |
+      | 600 | don't know | have not |
+      | 2400 | don't know | have not |
+      | 7000 | know | have |
+
+  Scenario: Gateways that start in a store that wasn't restored take over rows soon
+    Given 3 gateways that follow a store with roll-outs
+    When version "v2" of "desk" is ordered
+    And 1 s pass with the store
+    And all gateways that follow it are killed and start again
+    And 1600 ms pass with the store
+    Then all gateways know the order for "desk"
+    And gateways have taken over rows
+
   # Guards against a store load that grows with the gateways, or that goes on
   # after the roll-out: calls are priced.
   Scenario Outline: <count> gateways call the store for roll-outs: <when>
--- a/features/steps/rollout_watch_steps.py
+++ b/features/steps/rollout_watch_steps.py
@@ -23,13 +23,14 @@
 }
 
 
+def new_rollouts():
+    rollouts = scripted_rollouts.ScriptedRollouts()
+    rollouts.in_use = True
+    return rollouts
+
+
 @given("{count:d} gateways that follow a store with roll-outs")
 def create(context, count):
-    def new_rollouts():
-        rollouts = scripted_rollouts.ScriptedRollouts()
-        rollouts.in_use = True
-        return rollouts
-
     context.fleet = following_gateways.FollowingGateways(
         context, count, ["u0", "u1"], new_rollouts
     )
@@ -154,6 +155,33 @@
     context.fleet.first.rows.drill(500, age_ms, restored_store.OPERATOR_MS)
 
 
+@step("all gateways that follow it are killed and start again")
+def restart_all(context):
+    fleet = context.fleet
+    members = list(fleet.members.items())
+    for host, _member in members:
+        fleet.kill_host(host)
+    for host, former in members:
+        member = restored_store.RestoredStore(
+            context,
+            fleet.first.rows,
+            former.lease.instance,
+            host,
+            rollouts=new_rollouts(),
+        )
+        fleet.parted.discard(host)
+        fleet.members[host] = member
+        fleet.connect(host, member)
+        member.start_watching()
+
+
+@then("gateways {have} taken over rows")
+def check_taken_over(context, have):
+    for member in context.fleet.members.values():
+        has_taken = member.rollouts.rows.current_ms is not None
+        assert has_taken == (have == "have"), member.lease.instance
+
+
 @step("a gateway that doesn't poll {what}")
 def part(context, what):
     host, context.parted = context.fleet.one(is_poller=False)
--- a/features/support/restored_store.py
+++ b/features/support/restored_store.py
@@ -252,6 +252,7 @@
             self.configuration,
             self.listed,
             POLL_MS,
+            lambda: self.lease.usage_restored,
         )
         sharing = self.world.sharing
         confirmation = self.gateway.confirmation
@@ -273,9 +274,7 @@
                 must_save=lambda: sharing.own.unsaved.must_save,
                 before_save=self.gateway.knowledge.mark_saved,
                 on_saved=self.gateway.versions.record_saved,
-                on_restored_before=(
-                    self.gateway.config_state.mark_restored_before
-                ),
+                on_restored_before=self.on_restored_before,
                 count_cut_back=lambda _what, _number: None,
             ),
             confirmation.store_contact,
@@ -338,6 +337,10 @@
         self.watch.on_store_restored(before, now)
         self.rollout_watch.on_restored()
 
+    def on_restored_before(self, age_ms):
+        self.gateway.config_state.mark_restored_before(age_ms)
+        self.rollout_watch.mark_restored_before(age_ms)
+
     def now_ms(self):
         return self.world.clock.monotonic_ms()
 
--- a/godwitloft/platform/main.py
+++ b/godwitloft/platform/main.py
@@ -206,8 +206,13 @@
         configuration,
         listed,
         watches.MAX_CHANGES_WAIT_MS,
+        lambda: lease.usage_restored,
     )
 
+    def on_restored_before(age_ms: int) -> None:
+        gateway.config_state.mark_restored_before(age_ms)
+        rollouts.mark_restored_before(age_ms)
+
     def count_cut_back(what: str, number: int) -> None:
         instruments.store_restores.add(number, {"what": what})
 
@@ -229,7 +234,7 @@
             must_save=lambda: sharing.own.unsaved.must_save,
             before_save=gateway.knowledge.mark_saved,
             on_saved=gateway.versions.record_saved,
-            on_restored_before=gateway.config_state.mark_restored_before,
+            on_restored_before=on_restored_before,
             count_cut_back=count_cut_back,
         ),
         gateway.confirmation.store_contact,
--- a/godwitloft/platform/rollout_watch.py
+++ b/godwitloft/platform/rollout_watch.py
@@ -157,6 +157,8 @@
     :param configuration: returns the configuration in force, None without one
     :param upstreams: returns all listed upstreams, None before any list
     :param poll_ms: how long a poll for changes waits
+    :param has_read_gateways: returns whether the rows of gateways were read,
+        which show whether the store was restored before this start
     """
 
     def __init__(
@@ -169,7 +171,9 @@
         configuration: typing.Callable[[], model.Configuration | None],
         upstreams: typing.Callable[[], typing.Iterable[model.Upstream] | None],
         poll_ms: int,
+        has_read_gateways: typing.Callable[[], bool],
     ) -> None:
+        self.has_read_gateways = has_read_gateways
         self.clock = clock
         self.store = store
         self.rollouts = rollouts
@@ -214,6 +218,14 @@
         self.saved = SavedRows()
         self.reported.clear()
 
+    def mark_restored_before(self, age_ms: int) -> None:
+        """Records that the store was restored before this process started.
+
+        :param age_ms: how long ago that was noticed
+        """
+        now_ms = self.clock.monotonic_ms()
+        self.settled_ms = now_ms - age_ms + config_states.START_SETTLE_MS
+
     def on_operator_rows(
         self, result: stores.ReadResult, is_whole: bool, asked_ms: int
     ) -> None:
@@ -279,6 +291,8 @@
     def needs_reading(self) -> bool:
         """Returns whether the rows of roll-outs must be read."""
         self.note_outdated()
+        if not self.has_read_gateways():
+            return False
         if self.wants_saved:
             return True
         if not self.rollouts.in_use:
