--- a/review/rig3.py
+++ b/review/rig3.py
@@ -22,6 +22,7 @@
 import tempfile
 import threading
 import time
+import types
 import typing
 import urllib.parse
 
@@ -29,11 +30,14 @@
 ENTRY = ("python3", "target/app/start.py", "entry", "--metrics-port", "9464")
 AGENT = ("python3", "target/app/start.py", "agent")
 READY_S = 25.0
+# Of the store.
+MAX_PAGE_ROWS = 500
 SERVICE = "huvo11a"
 HOST = "ficu95.example"
 KEY = "i9n73hh2b9wu3fexd9dn"
 TEAM = "hule930"
 Json = dict[str, typing.Any]
+NO_LIMITS: typing.Mapping[str, object] = types.MappingProxyType({})
 
 
 class Store:
@@ -82,7 +86,9 @@
                 and key >= query.get("from", "")
                 and (not query.get("to") or key < query["to"])
             ]
-            return self.answer(found) | {"has-more": False}
+            most = min(MAX_PAGE_ROWS, int(query.get("limit", MAX_PAGE_ROWS)))
+            page = self.answer(found[:most])
+            return page | {"has-more": len(found) > most}
 
     def wait(self, query: typing.Mapping[str, str]) -> Json:
         """Answers ``/rows-feed``.
@@ -269,11 +275,17 @@
         self.rows: dict[str, Json] = {}
         self.requests = 0
 
-    def configure(self, routes: list[Json], engine: bool) -> None:
+    def configure(
+        self,
+        routes: list[Json],
+        engine: bool,
+        limits: typing.Mapping[str, object] = NO_LIMITS,
+    ) -> None:
         """Writes the configuration.
 
         :param routes: routes without name, host and service
         :param engine: whether the runners are model runners
+        :param limits: fields of the tenant that limit its use
         """
         service: Json = {
             "name": SERVICE,
@@ -284,7 +296,7 @@
         }
         if engine:
             service["engine"] = {"slots": 11, "kv-capacity-tokens": 521_614}
-        team = {"name": TEAM, "api-keys": [KEY], "priority": 1}
+        team = {"name": TEAM, "api-keys": [KEY], "priority": 1, **limits}
         config = {
             "version": 7,
             "routes": [
@@ -356,27 +368,29 @@
         self.store.put("servers", name, self.rows[name])
         self.record.add("store", f"servers/{name} {json.dumps(changes)}")
 
-    def start_gateway(self, number: int) -> str:
+    def start_gateway(self, number: int, name: str = "") -> str:
         """Starts a gateway and waits until it is ready.
 
         :param number: number of the gateway, from 0
+        :param name: of its machine, empty for any
         :return: its IP address
         """
         host = f"{self.net}.{10 + number}"
-        self.start_program(f"edge-{number}", host, ENTRY, "")
+        self.start_program(name or f"edge-{number}", host, ENTRY, "")
         wait_until(lambda: self.is_ready(host), f"gateway {host}")
         self.record.add("platform", f"gateway {host} is ready")
         return host
 
     def start_program(
         self, name: str, host: str, command: typing.Sequence[str], app: str
-    ) -> None:
+    ) -> subprocess.Popen[bytes]:
         """Starts a program of the project, as the deploy file says.
 
         :param name: name of its machine
         :param host: IP address of the machine
         :param command: the ``run`` line
         :param app: address of the runner on the machine, empty for none
+        :return: its process
         """
         path = self.work / f"{name}.toml"
         path.write_text(self.settings(name, host, app))
@@ -384,7 +398,7 @@
             "GODWITLOFT_BOOT": str(path),
             "PYTHONPATH": str(ROOT / "target" / "deps"),
         }
-        self.spawn(name, list(command), environment)
+        return self.spawn(name, list(command), environment)
 
     def spawn(
         self, name: str, command: list[str], environment: dict[str, str]
@@ -522,13 +536,18 @@
         self.connection.connect()
 
     def ask(
-        self, method: str, path: str, deadline_ms: int
+        self,
+        method: str,
+        path: str,
+        deadline_ms: int,
+        tokens: tuple[int, int] = (160, 80),
     ) -> tuple[str, Answer]:
         """Sends one request and reads its answer.
 
         :param method: HTTP method
         :param path: path of the request
         :param deadline_ms: how long the client waits
+        :param tokens: of the prompt, and generated at most
         :return: its id and the answer
         """
         name = self.rig.new_id()
@@ -537,8 +556,9 @@
             "Godwitloft-Request-Id": name,
             "Godwitloft-Deadline-Ms": str(deadline_ms),
             "Godwitloft-Model": "m",
-            "Godwitloft-Token-Counts": "160,80",
-            "Godwitloft-Prompt-Prefix": f"5c1e07a2:60,{name[-8:]}:100",
+            "Godwitloft-Token-Counts": f"{tokens[0]},{tokens[1]}",
+            "Godwitloft-Prompt-Prefix": f"5c1e07a2:60,{name[-8:]}:"
+            f"{tokens[0] - 60}",
             "Authorization": f"Token {KEY}",
         }
         self.rig.record.add("client", f"sends {name} to {self.host} {path}")
