--- a/review/rig3.py
+++ b/review/rig3.py
@@ -273,6 +273,7 @@
         self.processes: list[subprocess.Popen[bytes]] = []
         self.runners: dict[str, subprocess.Popen[bytes]] = {}
         self.rows: dict[str, Json] = {}
+        self.addresses: dict[str, str] = {}
         self.requests = 0
 
     def configure(
@@ -333,21 +334,39 @@
         """
         name = f"i-{number}"
         host = f"{self.net}.{100 + number}"
-        address = f"{host}:{self.ports[3]}"
+        self.addresses[name] = f"{host}:{self.ports[3]}"
+        self.start_life(name, "v1", *options)
+        self.start_program(
+            f"side-{number}", host, AGENT, self.addresses[name]
+        )
+        return name
+
+    def start_life(self, name: str, version: str, *options: str) -> None:
+        """Starts a runner's process, at the address that it had if any.
+
+        Its row is written as soon as it accepts connections.
+
+        :param name: id of the runner
+        :param version: of its software
+        :param options: of ``runner3.py``
+        """
+        address = self.addresses[name]
         born_ms = int(time.time() * 1000)
         command = [
             sys.executable,
             str(ROOT / "review" / "runner3.py"),
             *("--listen", address, "--id", name, "--born", str(born_ms)),
-            *("--record", str(self.record.path), *options),
+            *("--record", str(self.record.path), "--version", version),
+            *options,
         ]
-        self.runners[name] = self.spawn(f"runner-{number}", command, {})
+        self.record.add("platform", f"runner {name} starts as {version}")
+        self.runners[name] = self.spawn(f"{name}-{born_ms}", command, {})
         wait_until(lambda: accepts(address), f"runner {name}")
         self.rows[name] = {
             "service": SERVICE,
             "address": address,
             "zone": "riga-a",
-            "version": "v1",
+            "version": version,
             "slots": 11,
             "state": "ready",
             "cold-remaining-ms": 0,
@@ -355,8 +374,6 @@
             "born": born_ms,
         }
         self.list_runner(name)
-        self.start_program(f"side-{number}", host, AGENT, address)
-        return name
 
     def list_runner(self, name: str, **changes: object) -> None:
         """Writes a runner's row.
@@ -626,7 +643,7 @@
     while not holds():
         if time.monotonic() > end_s:
             raise RuntimeError(f"{what} is not ready in {READY_S} s")
-        time.sleep(0.1)
+        time.sleep(0.02)
 
 
 def run(
--- a/review/runner3.py
+++ b/review/runner3.py
@@ -22,6 +22,7 @@
     parser.add_argument("--id", required=True, help="its id")
     parser.add_argument("--born", type=int, required=True, help="Unix ms")
     parser.add_argument("--record", required=True, help="path of the record")
+    parser.add_argument("--version", default="v1", help="of its software")
     parser.add_argument("--events", type=int, default=5, help="of a stream")
     parser.add_argument(
         "--gap-ms", type=int, default=50, help="between two parts"
@@ -85,9 +86,11 @@
             time.sleep(ARGS.gap_ms / 1000)
             yield HALF
             return
-        for number in range(1, ARGS.events + 1):
+        done = int(self.headers.get("Last-Event-Id") or 0)
+        for number in range(done + 1, ARGS.events + 1):
             last = "last" if number == ARGS.events else "more"
-            yield b"id: %d\ndata: %s\n\n" % (number, last.encode())
+            text = f"id: {number}\ndata: {ARGS.version} {last}\n\n"
+            yield text.encode()
             time.sleep(ARGS.gap_ms / 1000)
 
     def send_head(self, name: str, is_stream: bool) -> None:
@@ -142,7 +145,8 @@
         :param what: what was seen or done
         """
         with open(ARGS.record, "a") as output:
-            output.write(f"{time.time():.3f} runner {ARGS.id} {what}\n")
+            who = f"runner {ARGS.id} {ARGS.version}"
+            output.write(f"{time.time():.3f} {who} {what}\n")
 
     def log_message(self, *_arguments: object) -> None:
         """Logs nothing."""
