--- a/review/rig3.py
+++ b/review/rig3.py
@@ -37,6 +37,8 @@
 KEY = "i9n73hh2b9wu3fexd9dn"
 TEAM = "hule930"
 Json = dict[str, typing.Any]
+# Value and version by table and key; no value of one that was removed.
+Rows = dict[tuple[str, str], tuple[str | None, int]]
 NO_LIMITS: typing.Mapping[str, object] = types.MappingProxyType({})
 
 
@@ -49,7 +51,7 @@
     def __init__(self, host: str) -> None:
         self.changed = threading.Condition()
         self.version = 100
-        self.rows: dict[tuple[str, str], tuple[str | None, int]] = {}
+        self.rows: Rows = {}
         self.server = http.server.ThreadingHTTPServer(
             (host, 0), handler_of(self)
         )
@@ -272,6 +274,7 @@
         self.ports = free_ports(f"{self.net}.1", 4)
         self.processes: list[subprocess.Popen[bytes]] = []
         self.runners: dict[str, subprocess.Popen[bytes]] = {}
+        self.gateways: dict[str, subprocess.Popen[bytes]] = {}
         self.rows: dict[str, Json] = {}
         self.addresses: dict[str, str] = {}
         self.requests = 0
@@ -393,7 +396,8 @@
         :return: its IP address
         """
         host = f"{self.net}.{10 + number}"
-        self.start_program(name or f"edge-{number}", host, ENTRY, "")
+        name = name or f"edge-{number}"
+        self.gateways[name] = self.start_program(name, host, ENTRY, "")
         wait_until(lambda: self.is_ready(host), f"gateway {host}")
         self.record.add("platform", f"gateway {host} is ready")
         return host
