--- a/review/rig3.py
+++ b/review/rig3.py
@@ -339,9 +339,7 @@
         host = f"{self.net}.{100 + number}"
         self.addresses[name] = f"{host}:{self.ports[3]}"
         self.start_life(name, "v1", *options)
-        self.start_program(
-            f"side-{number}", host, AGENT, self.addresses[name]
-        )
+        self.start_program(f"side-{number}", host, AGENT, self.addresses[name])
         return name
 
     def start_life(self, name: str, version: str, *options: str) -> None:
