--- a/review/rig3.py
+++ b/review/rig3.py
@@ -328,18 +328,24 @@
         self.store.put("op", "config", config)
         self.record.add("operator", f"config {json.dumps(config)}")
 
-    def start_runner(self, number: int, *options: str) -> str:
+    def start_runner(
+        self, number: int, *options: str, has_agent: bool = True
+    ) -> str:
         """Starts a runner, its row and the agent on its machine.
 
         :param number: number of the runner, from 0
         :param options: of ``runner3.py``
+        :param has_agent: whether it has a machine with an agent, as model
+            runners have
         :return: its id
         """
         name = f"i-{number}"
         host = f"{self.net}.{100 + number}"
         self.addresses[name] = f"{host}:{self.ports[3]}"
         self.start_life(name, "v1", *options)
-        self.start_program(f"side-{number}", host, AGENT, self.addresses[name])
+        if has_agent:
+            machine = f"side-{number}"
+            self.start_program(machine, host, AGENT, self.addresses[name])
         return name
 
     def start_life(self, name: str, version: str, *options: str) -> None:
@@ -508,12 +514,13 @@
         finally:
             connection.close()
 
-    def connect(self, host: str) -> "Channel":
+    def connect(self, host: str, receive_bytes: int = 0) -> "Channel":
         """Opens a client's channel to a gateway.
 
         :param host: IP address of the gateway
+        :param receive_bytes: of the client's receive buffer, 0 for the usual
         """
-        return Channel(self, host)
+        return Channel(self, host, receive_bytes)
 
     def new_id(self) -> str:
         """Returns the id of the next client attempt."""
@@ -544,15 +551,24 @@
 
     :param rig: the deployment
     :param host: IP address of the gateway
+    :param receive_bytes: of the receive buffer, 0 for the usual
     """
 
-    def __init__(self, rig: Rig, host: str) -> None:
+    def __init__(self, rig: Rig, host: str, receive_bytes: int = 0) -> None:
         self.rig = rig
         self.host = host
-        self.connection = http.client.HTTPConnection(
-            host, rig.ports[0], timeout=30
-        )
-        self.connection.connect()
+        # Bodies are read once it is set.
+        self.may_read = threading.Event()
+        self.may_read.set()
+        address = (host, rig.ports[0])
+        self.connection = http.client.HTTPConnection(*address, timeout=30)
+        self.connection.sock = socket.socket()
+        if receive_bytes:
+            self.connection.sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes
+            )
+        self.connection.sock.settimeout(30)
+        self.connection.sock.connect(address)
 
     def ask(
         self,
@@ -587,6 +603,7 @@
             self.connection.request(method, path, body, headers)
             response = self.connection.getresponse()
             answer.status = response.status
+            self.may_read.wait()
             answer.body = response.read()
             answer.complete = True
         except http.client.IncompleteRead as error:
--- a/review/runner3.py
+++ b/review/runner3.py
@@ -11,7 +11,7 @@
 import time
 import typing
 
-HALF = b"0123456789" * 40
+DIGITS = b"0123456789"
 PREFIX = "Godwitloft-"
 
 
@@ -27,6 +27,9 @@
     parser.add_argument(
         "--gap-ms", type=int, default=50, help="between two parts"
     )
+    parser.add_argument(
+        "--half-bytes", type=int, default=400, help="of a plain answer"
+    )
     parser.add_argument(
         "--unframed",
         action="store_true",
@@ -82,9 +85,10 @@
         :param is_stream: whether it is a stream of events
         """
         if not is_stream:
-            yield HALF
+            half = DIGITS * (ARGS.half_bytes // len(DIGITS))
+            yield half
             time.sleep(ARGS.gap_ms / 1000)
-            yield HALF
+            yield half
             return
         done = int(self.headers.get("Last-Event-Id") or 0)
         for number in range(done + 1, ARGS.events + 1):
